Lay out the modules and agree their interfaces in headers

Cause: the parts are to be built side by side; they meet in these headers. Change: messages between processes, actions of the core machines, store requests, the operators' text, typed failures, contracts with outside systems, Makefile, formatter, linter and the scan of src/core.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,143 @@
+# mimosaquay: build, test, demo.  "make help" lists the targets.
+
+BUILD ?= build
+CC ?= gcc
+PACKAGES = talloc tevent libprotobuf-c libmicrohttpd libcurl inih jansson \
+           gnutls libxxhash
+DEBIAN = build-essential pkg-config libtalloc-dev libtevent-dev \
+         libprotobuf-c-dev libmicrohttpd-dev libcurl4-gnutls-dev libinih-dev \
+         libjansson-dev libgnutls28-dev libxxhash-dev libcriterion-dev \
+         clang-format clang-tidy cppcheck curl
+WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+           -Wmissing-prototypes -Wpointer-arith -Wvla
+SANITIZE ?=
+OPT ?= -O2
+CFLAGS = -std=gnu11 -D_GNU_SOURCE $(OPT) -g $(WARNINGS) $(SANITIZE) \
+         -MMD -MP -Iinclude -Isrc $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lm
+TESTLIBS = -lcriterion
+
+LIB_SRC = $(wildcard src/core/*.c src/io/*.c proto/*.c)
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB = $(BUILD)/libmimosaquay.a
+DAEMONS = entryd targetd mimosactl load
+DAEMON_BIN = $(foreach d,$(DAEMONS),$(if $(wildcard src/$(d).c),$(BUILD)/bin/$(if $(filter mimosactl,$(d)),mimosactl,mimosa-$(d))))
+# standins/standin_NAME.c hold a main each; the other files are shared.
+STANDIN_MAIN = $(wildcard standins/standin_*.c)
+STANDIN_SRC = $(filter-out $(STANDIN_MAIN),$(wildcard standins/*.c))
+STANDIN_OBJ = $(STANDIN_SRC:%.c=$(BUILD)/%.o)
+STANDIN_BIN = $(STANDIN_MAIN:standins/standin_%.c=$(BUILD)/bin/standin-%)
+# tests/test_NAME.c are Criterion programs; the other files are shared.
+TEST_MAIN = $(wildcard tests/test_*.c)
+TEST_SRC = $(filter-out $(TEST_MAIN),$(wildcard tests/*.c))
+TEST_OBJ = $(TEST_SRC:%.c=$(BUILD)/%.o)
+TEST_BIN = $(TEST_MAIN:tests/%.c=$(BUILD)/tests/%)
+BENCH_MAIN = $(wildcard bench/bench_*.c)
+BENCH_SRC = $(filter-out $(BENCH_MAIN),$(wildcard bench/*.c))
+BENCH_OBJ = $(BENCH_SRC:%.c=$(BUILD)/%.o)
+BENCH_BIN = $(BENCH_MAIN:bench/%.c=$(BUILD)/bin/%)
+EXAMPLE_BIN = $(patsubst examples/%.c,$(BUILD)/examples/%,$(wildcard examples/*.c))
+SOURCES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] src/core/*.[ch] \
+          src/io/*.[ch] include/*.h standins/*.[ch] tests/*.[ch] bench/*.[ch] \
+          examples/*.c))
+
+.PHONY: all help deps check check-sanitized demo format format-check lint \
+        scan proto clean install
+.SECONDARY:
+
+all: $(LIB) $(DAEMON_BIN) $(STANDIN_BIN) $(BENCH_BIN) $(EXAMPLE_BIN)
+
+help:
+	@grep -E '^## ' $(MAKEFILE_LIST) | sed 's/^## //'
+
+## deps: install the Debian packages that are missing
+deps:
+	@pkg-config --exists $(PACKAGES) criterion 2>/dev/null \
+	  || { apt-get update -q && apt-get install -y -q $(DEBIAN); }
+
+$(BUILD)/proto/%.o: proto/%.c
+	@mkdir -p $(@D)
+	$(CC) $(filter-out -Werror -Wshadow -Wmissing-prototypes,$(CFLAGS)) -c $< -o $@
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	@mkdir -p $(@D)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/bin/mimosactl: $(BUILD)/src/mimosactl.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
+
+$(BUILD)/bin/mimosa-%: $(BUILD)/src/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
+
+$(BUILD)/bin/standin-%: $(BUILD)/standins/standin_%.o $(STANDIN_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
+
+$(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJ) $(STANDIN_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
+
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_OBJ) $(STANDIN_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SANITIZE) $^ -o $@ $(TESTLIBS) $(LDLIBS)
+
+$(BUILD)/examples/%: $(BUILD)/examples/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
+
+## check: build everything and run every test
+check: deps
+	@$(MAKE) --no-print-directory all tests
+	@BUILD=$(BUILD) sh tests/run.sh
+
+.PHONY: tests
+tests: $(TEST_BIN)
+
+## check-sanitized: the same tests under ASan and UBSan
+check-sanitized: deps
+	@$(MAKE) --no-print-directory BUILD=$(BUILD)-asan OPT=-O1 \
+	  SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer" all tests
+	@BUILD=$(BUILD)-asan sh tests/run.sh
+
+## demo: run programs of both deployments on the stand-ins
+demo: deps
+	@$(MAKE) --no-print-directory all
+	@BUILD=$(BUILD) bash examples/demo.sh
+
+## format: format the sources; format-check: fail where that would change one
+format:
+	clang-format -i $(SOURCES)
+format-check:
+	clang-format --dry-run -Werror $(SOURCES)
+
+## lint: clang-tidy and cppcheck
+lint:
+	@sh tests/lint.sh $(filter %.c,$(SOURCES))
+
+## scan: src/core must stay free of input, output, clocks and randomness
+scan:
+	@sh tests/scan.sh
+
+## proto: generate proto/*.pb-c.[ch] again (needs protobuf-c-compiler)
+proto:
+	cd proto && protoc-c --c_out=. *.proto
+
+PREFIX ?= /usr/local
+## install: install below $(DESTDIR)$(PREFIX)
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig $(DESTDIR)$(PREFIX)/include
+	install $(DAEMON_BIN) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	install -m 644 include/mimosaquay.h $(DESTDIR)$(PREFIX)/include
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-asan
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/core/limits.h
@@ -0,0 +1,61 @@
+/* limits.h - every build-time constant of the system in one place.
+
+   Times end in _MS or _US, sizes in _BYTES, counts in _MAX.  */
+
+#ifndef MQ_LIMITS_H
+#define MQ_LIMITS_H
+
+/* Bounds on what comes in.  */
+#define MQ_BODY_MAX_BYTES (4U << 20)      /* body of a caller's request */
+#define MQ_HEADERS_MAX_BYTES (16U << 10)  /* header of a caller's request */
+#define MQ_FRAME_MAX_BYTES (8U << 20)     /* frame between processes */
+#define MQ_CONNECTIONS_MAX 4096U          /* callers' connections a process */
+#define MQ_STREAM_BUFFER_BYTES (1U << 20) /* unsent bytes of a slow reader */
+#define MQ_TEXT_MAX_BYTES (1U << 20)      /* operators' text */
+#define MQ_TEXT_LINE_MAX 198U             /* one line of it */
+
+/* Connections between processes.  */
+#define MQ_BEAT_MS 500U          /* heartbeat on an idle connection */
+#define MQ_SILENT_MS 2000U       /* nothing heard: silent, replace it */
+#define MQ_CONNECT_RETRY_MS 200U /* first pause before connecting again */
+#define MQ_CONNECT_RETRY_MAX_MS 3000U
+#define MQ_HANDSHAKE_MS 2000U
+
+/* Partition ownership.  */
+#define MQ_OWNER_RENEW_MS 1000U /* the owner's row is written this often */
+#define MQ_OWNER_SCAN_MS 1000U  /* owners' and partitions' rows are read */
+#define MQ_OWNER_PROGRAMS_MAX 50000U
+#define MQ_COMMIT_RECORDS_MAX 512U
+#define MQ_COMMIT_INLINE_BYTES (64U << 10) /* larger: in an object */
+* /
+#define MQ_CHECKPOINT_RECORDS 2000U /* records between checkpoints */
+#define MQ_STORE_TIMEOUT_MS 3000U   /* no answer: LOST */
+#define MQ_STORE_RETRY_MS 100U
+#define MQ_STORE_RETRY_MAX_MS 2000U
+
+/* Calls.  */
+#define MQ_ATTEMPT_RESEND_MS 1500U /* unacknowledged: again, same attempt */
+#define MQ_RETRY_BASE_MS 50U
+#define MQ_RETRY_MAX_MS 5000U
+#define MQ_ATTEMPTS_MAX 8U
+#define MQ_STEP_AHEAD_MAX 32U /* calls that wait for a predecessor */
+#define MQ_GRANT_CALLS 4U     /* calls that one budget grant covers */
+#define MQ_LOOP_REPEATS 4U    /* same call in a row: a suspected loop */
+
+/* Gates.  */
+#define MQ_GATE_QUEUE_MAX 512U
+#define MQ_GATE_OUTCOMES_MAX 65536U
+#define MQ_GATE_LOAD_BEAT_MS 1000U
+#define MQ_GATE_LOAD_MIN_MS 50U /* load is pushed on change, no faster */
+#define MQ_GATE_EVICT_RETRY_MS 200U
+#define MQ_GATE_AGEING_MS 2000U /* a waiting call rises one step */
+
+/* Configuration.  */
+#define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
+#define MQ_CONFIG_POLL_SLOW_MS 60000U /* everyone else */
+#define MQ_CONFIG_POLLERS 2U          /* pollers in a data centre */
+
+/* Traces.  */
+#define MQ_SPANS_MAX 4096U /* kept by a process */
+
+#endif
--- /dev/null
+++ b/src/core/store.h
@@ -0,0 +1,84 @@
+/* store.h - what the core asks of the platform's table and object store.
+
+   The core hands out requests and takes results as plain values;
+   src/io/platform.c carries them over HTTP.  A result may be LOST: the
+   request may or may not have taken effect, now or later.
+   Needs: types.h.  */
+
+#ifndef MQ_STORE_H
+#define MQ_STORE_H
+
+#include "types.h"
+
+enum mq_store_kind
+{
+  MQ_STORE_TXN,  /* conditional transaction on table rows */
+  MQ_STORE_SCAN, /* rows with a key prefix, in key order, after a key */
+  MQ_STORE_PUT,  /* write one object */
+  MQ_STORE_GET,  /* read one object */
+  MQ_STORE_DROP  /* remove one object */
+};
+
+enum mq_store_status
+{
+  MQ_STORE_OK,
+  MQ_STORE_CONFLICT, /* TXN only: a condition did not hold, nothing applied */
+  MQ_STORE_MISSING,  /* GET only: no such object */
+  MQ_STORE_DOWN,     /* certainly not applied */
+  MQ_STORE_LOST      /* may have been applied, or may still be */
+};
+
+#define MQ_VERSION_ABSENT 0ULL    /* the row must not exist */
+#define MQ_VERSION_ANY UINT64_MAX /* no condition */
+
+struct mq_bytes
+{
+  uint8_t *data;
+  size_t len;
+};
+
+/**
+ * struct mq_store_op - one row of a transaction
+ * @key: row key
+ * @if_version: version that the row must have, MQ_VERSION_ABSENT or _ANY
+ * @remove: delete the row in place of writing @value
+ * @value: new value
+ */
+struct mq_store_op
+{
+  char *key;
+  uint64_t if_version;
+  bool remove;
+  struct mq_bytes value;
+};
+
+struct mq_store_request
+{
+  uint64_t id; /* chosen by the core, given back in the result */
+  enum mq_store_kind kind;
+  struct mq_store_op *ops; /* TXN */
+  size_t op_count;
+  char *key;   /* SCAN: prefix; PUT, GET, DROP: object key */
+  char *after; /* SCAN: rows with keys greater than this, may be NULL */
+  uint32_t limit;
+  struct mq_bytes value; /* PUT */
+};
+
+struct mq_row
+{
+  char *key;
+  uint64_t version;
+  struct mq_bytes value;
+};
+
+struct mq_store_result
+{
+  uint64_t id;
+  enum mq_store_status status;
+  struct mq_row *rows; /* SCAN; TXN: rows' new versions, values empty */
+  size_t row_count;
+  bool more;             /* SCAN: the limit cut the answer */
+  struct mq_bytes value; /* GET */
+};
+
+#endif
--- /dev/null
+++ b/src/io/platform.h
@@ -0,0 +1,41 @@
+/* platform.h - the platform's table, object store and host list over HTTP.
+
+   The paths are those of docs/CONTRACTS.md.  Carries struct
+   mq_store_request for the core and reads the list of hosts.
+   Needs: http_client.h, store.h, host.h, jansson, gnutls (base64).  */
+
+#ifndef MQ_PLATFORM_H
+#define MQ_PLATFORM_H
+
+#include "../core/host.h"
+#include "../core/store.h"
+#include "http_client.h"
+
+struct mq_platform;
+
+typedef void mq_platform_stored (const struct mq_store_result *result,
+                                 void *user);
+typedef void mq_platform_listed (const struct mq_host_list *hosts, void *user);
+
+/* URL: "http://IP:PORT".  */
+struct mq_platform *
+mq_platform_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                    struct mq_http_client *client, const char *url,
+                    mq_platform_stored *stored, void *user);
+void mq_platform_destroy (struct mq_platform *platform);
+/* The result comes through STORED, never from within this call.  */
+void mq_platform_send (struct mq_platform *platform,
+                       const struct mq_store_request *request);
+/* Reads the list of hosts every INTERVAL_MS and reports each success.  */
+void mq_platform_watch_hosts (struct mq_platform *platform,
+                              uint32_t interval_ms, mq_platform_listed *listed,
+                              void *user);
+
+struct mq_platform_counters
+{
+  uint64_t writes, reads, failures, lost;
+};
+const struct mq_platform_counters *
+mq_platform_counters (const struct mq_platform *platform);
+
+#endif
--- /dev/null
+++ b/src/io/settings.h
@@ -0,0 +1,55 @@
+/* settings.h - settings of one process, INI, checked whole.
+
+   One table of keys serves parsing, --help and the documentation check.
+   Needs: inih, error.h, text.h (struct mq_text_errors).  */
+
+#ifndef MQ_SETTINGS_H
+#define MQ_SETTINGS_H
+
+#include "../core/gate.h"
+#include "../core/host.h"
+#include "../core/text.h"
+
+/**
+ * struct mq_settings - what a process learns from its settings file
+ * @host: name of this host
+ * @data_centre: where it stands
+ * @region: where its data centre stands
+ * @http: "IP:PORT" for callers (entryd) or operators (targetd)
+ * @peer: "IP:PORT" for the system's own processes
+ * @platform: "http://IP:PORT" of the platform
+ * @site_key: 32 bytes, written as 64 hexadecimal digits
+ * @operator_key_hash: SHA-256 of the key that operators send
+ * @policy: name of the placement policy (entryd)
+ * @order: order of the queue (targetd)
+ * @workers: [worker NAME] sections (targetd)
+ * @worker_urls: "http://IP:PORT" of each worker
+ * @worker_count: how many
+ * @drain_seconds: a planned stop that takes longer is cut
+ */
+struct mq_settings
+{
+  const char *host;
+  const char *data_centre;
+  const char *region;
+  const char *http;
+  const char *peer;
+  const char *platform;
+  uint8_t site_key[MQ_KEY_BYTES];
+  uint8_t operator_key_hash[MQ_KEY_BYTES];
+  const char *policy;
+  enum mq_gate_order order;
+  struct mq_gate_worker *workers;
+  const char **worker_urls;
+  size_t worker_count;
+  uint32_t drain_seconds;
+};
+
+struct mq_settings *mq_settings_parse (TALLOC_CTX *ctx, enum mq_host_role role,
+                                       const char *source, size_t len,
+                                       struct mq_text_errors *errors);
+struct mq_settings *mq_settings_read (TALLOC_CTX *ctx, enum mq_host_role role,
+                                      const char *file,
+                                      struct mq_text_errors *errors);
+
+#endif
--- /dev/null
+++ b/src/io/spans.h
@@ -0,0 +1,22 @@
+/* spans.h - a bounded ring of the hops that this process saw.
+
+   Needs: action.h, jansson.  */
+
+#ifndef MQ_SPANS_H
+#define MQ_SPANS_H
+
+#include "../core/action.h"
+
+struct mq_spans;
+
+/* HOST and DATA_CENTRE are written into every span.  */
+struct mq_spans *mq_spans_create (TALLOC_CTX *ctx, const char *host,
+                                  const char *data_centre);
+void mq_spans_destroy (struct mq_spans *spans);
+void mq_spans_add (struct mq_spans *spans, const struct mq_span *span);
+/* JSON array, below CTX, of the spans of PROGRAM (and, as mq_id hi is
+   shared, of its sub-programs), times as wall-clock microseconds.  */
+char *mq_spans_json (TALLOC_CTX *ctx, const struct mq_spans *spans,
+                     struct mq_id program);
+
+#endif
--- /dev/null
+++ b/tests/lint.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# clang-tidy and cppcheck over the C files that are named.
+set -e
+flags="-std=gnu11 -D_GNU_SOURCE -Iinclude -Isrc -Iproto"
+printf '%s\n' "$@" | xargs -P 8 -n 4 sh -c '
+  flags=$0
+  clang-tidy --quiet "$@" -- $flags 2>/dev/null || exit 255' "$flags"
+cppcheck --quiet --std=c11 --enable=warning,performance,portability \
+  --inline-suppr --suppress=missingIncludeSystem --error-exitcode=2 \
+  -j 8 -Iinclude -Isrc "$@"
+echo "lint: $# files clean"
--- /dev/null
+++ b/tests/run.sh
@@ -0,0 +1,29 @@
+#!/bin/sh
+# Runs every Criterion program below $BUILD/tests and closes with the count.
+build=${BUILD:-build}
+passed=0
+failed=0
+for program in "$build"/tests/test_*; do
+  case $program in *.[od]) continue ;; esac
+  [ -x "$program" ] || continue
+  log=$program.log
+  # Two at a time at most: the process-level tests start daemons of their own.
+  BUILD=$build timeout 900 "$program" --jobs 2 >"$log" 2>&1
+  status=$?
+  line=$(sed 's/\x1b\[[0-9;]*m//g' "$log" | grep 'Synthesis:' | tail -n 1)
+  p=$(printf '%s' "$line" | sed -n 's/.*Passing: *\([0-9]*\).*/\1/p')
+  f=$(printf '%s' "$line" | sed -n 's/.*Failing: *\([0-9]*\).*/\1/p')
+  c=$(printf '%s' "$line" | sed -n 's/.*Crashing: *\([0-9]*\).*/\1/p')
+  p=${p:-0}
+  bad=$((${f:-0} + ${c:-0}))
+  if [ "$status" -ne 0 ] && [ "$bad" -eq 0 ]; then
+    bad=1
+  fi
+  passed=$((passed + p))
+  failed=$((failed + bad))
+  printf '%-40s %4d passed %4d failed\n' "$(basename "$program")" "$p" "$bad"
+  grep '^matrix:' "$log"
+  [ "$bad" -eq 0 ] || sed 's/^/    /' "$log"
+done
+printf '%d passed, %d failed\n' "$passed" "$failed"
+[ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
