--- a/src/core/host.h
+++ b/src/core/host.h
@@ -20,7 +20,8 @@
  * @role: entry host or target host
  * @data_centre: where it stands
  * @region: where its data centre stands
- * @address: "IP:PORT" of the system's process on it
+ * @address: "IP:PORT" at which the system's process on it meets its peers
+ * @http: "IP:PORT" of that process's HTTP, for operators (and callers)
  * @leaving: it is to go; gets no new work
  */
 struct mq_host
@@ -30,6 +31,7 @@
   const char *data_centre;
   const char *region;
   const char *address;
+  const char *http;
   bool leaving;
 };
 
