--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -14,6 +14,13 @@
 #define MQ_TEXT_MAX_BYTES (1U << 20)      /* operators' text */
 #define MQ_TEXT_LINE_MAX 198U             /* one line of it */
 
+/* HTTP.  The client drops an idle connection well before our servers do, so
+   that a request rarely meets a connection that is just being closed.  */
+#define MQ_HTTP_IDLE_MS 60000U       /* server: connection without traffic */
+#define MQ_HTTP_REUSE_MS 30000U      /* client: idle connection is kept */
+#define MQ_HTTP_CONNECT_MS 3000U     /* client: give up connecting */
+#define MQ_HTTP_KEPT_CONNECTIONS 256 /* client: idle ones at most */
+
 /* Connections between processes.  */
 #define MQ_BEAT_MS 500U          /* heartbeat on an idle connection */
 #define MQ_SILENT_MS 2000U       /* nothing heard: silent, replace it */
@@ -27,9 +34,8 @@
 #define MQ_OWNER_PROGRAMS_MAX 50000U
 #define MQ_COMMIT_RECORDS_MAX 512U
 #define MQ_COMMIT_INLINE_BYTES (64U << 10) /* larger: in an object */
-* /
-#define MQ_CHECKPOINT_RECORDS 2000U /* records between checkpoints */
-#define MQ_STORE_TIMEOUT_MS 3000U   /* no answer: LOST */
+#define MQ_CHECKPOINT_RECORDS 2000U        /* records between checkpoints */
+#define MQ_STORE_TIMEOUT_MS 3000U          /* no answer: LOST */
 #define MQ_STORE_RETRY_MS 100U
 #define MQ_STORE_RETRY_MAX_MS 2000U
 
--- /dev/null
+++ b/src/io/http_server.c
@@ -0,0 +1,1020 @@
+/* http_server.c - libmicrohttpd inside tevent.
+
+   The daemon runs in external epoll mode: its epoll descriptor is one tevent
+   descriptor, its timeout one tevent timer.  A request that is not answered
+   within its handler is suspended and resumed by the answer.
+   Needs: libmicrohttpd, tevent, jansson.  */
+
+#include "http_server.h"
+#include "../core/limits.h"
+#include <errno.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <netdb.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Memory of a connection: the header's bytes, the library's table of them
+   and the answer's header.  Headers of MQ_HEADERS_MAX_BYTES fit; one that
+   fills it gets 431.  */
+#define CONNECTION_BYTES ((size_t)2 * MQ_HEADERS_MAX_BYTES)
+#define BODY_FIRST_BYTES ((size_t)4096)
+#define STREAM_FIRST_BYTES ((size_t)4096)
+#define STREAM_BLOCK_BYTES ((size_t)16384)
+#define LEFT_POLL_MS 1000
+
+/**
+ * struct mq_http_server - one listening socket and its requests
+ * @ev: event loop
+ * @daemon: libmicrohttpd's side
+ * @fde: the daemon's epoll descriptor
+ * @timer: the daemon's timeout, NULL when none is set
+ * @timer_at: when @timer fires
+ * @soon: runs the daemon after an answer from outside of it
+ * @handler: told each whole request
+ * @data: given to @handler
+ * @body_max: bound on a body
+ * @port: port listened at
+ * @requests: those whose connection is there
+ * @in_progress: how many
+ * @running: inside MHD_run, where the daemon can't be stopped
+ * @closing: no longer accepts; answers close their connection
+ * @doomed: destroyed; freed once MHD_run has returned
+ */
+struct mq_http_server
+{
+  struct tevent_context *ev;
+  struct MHD_Daemon *daemon;
+  struct tevent_fd *fde;
+  struct tevent_timer *timer;
+  struct timeval timer_at;
+  struct tevent_immediate *soon;
+  mq_http_handler *handler;
+  void *data;
+  size_t body_max;
+  uint16_t port;
+  struct mq_http_request *requests;
+  size_t in_progress;
+  bool running;
+  bool closing;
+  bool doomed;
+};
+
+struct header
+{
+  struct header *next;
+  const char *name;
+  const char *value;
+};
+
+/**
+ * struct mq_http_request - one request, from its header to its end
+ * @server: where it came in
+ * @next: in @server->requests
+ * @previous: in @server->requests
+ * @connection: NULL once the request has ended
+ * @fd: its socket
+ * @method: of the request line
+ * @path: without the query
+ * @body: what came in so far, zero-terminated
+ * @body_len: its length
+ * @body_room: bytes allocated
+ * @discarded: bytes of a body over the bound that were read and dropped
+ * @too_large: the body is over the bound
+ * @handled: the handler was told
+ * @suspended: waits for its answer or for more of it
+ * @broken: the caller has left or is given up; no answer can reach it
+ * @answered: the user has nothing more to say
+ * @streaming: answered in parts
+ * @queued: the answer is with the library
+ * @response: answer not yet queued
+ * @status: its HTTP status
+ * @headers: extra headers of the answer
+ * @unsent: a stream's bytes that the library has not taken yet
+ * @unsent_at: where they begin
+ * @unsent_len: how many
+ * @unsent_room: bytes allocated
+ * @closed: told once when the request ends
+ * @closed_data: given to @closed
+ * @watch: tells that the caller left while the library does not read
+ * @watch_poll: does so when the caller has sent bytes ahead
+ */
+struct mq_http_request
+{
+  struct mq_http_server *server;
+  struct mq_http_request *next;
+  struct mq_http_request *previous;
+  struct MHD_Connection *connection;
+  int fd;
+  const char *method;
+  const char *path;
+  char *body;
+  size_t body_len;
+  size_t body_room;
+  size_t discarded;
+  bool too_large;
+  bool handled;
+  bool suspended;
+  bool broken;
+  bool answered;
+  bool streaming;
+  bool queued;
+  struct MHD_Response *response;
+  unsigned int status;
+  struct header *headers;
+  char *unsent;
+  size_t unsent_at;
+  size_t unsent_len;
+  size_t unsent_room;
+  mq_http_closed *closed;
+  void *closed_data;
+  struct tevent_fd *watch;
+  struct tevent_timer *watch_poll;
+};
+
+/* The daemon inside the event loop.  */
+
+static void run_daemon (struct mq_http_server *server);
+
+static void
+timer_fired (struct tevent_context *ev, struct tevent_timer *timer,
+             struct timeval now, void *data)
+{
+  struct mq_http_server *server = data;
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  server->timer = NULL;
+  run_daemon (server);
+}
+
+/* A timer that fires early only runs the daemon once more, so one that is
+   soon enough is left as it is.  */
+static void
+arm_timer (struct mq_http_server *server)
+{
+  MHD_UNSIGNED_LONG_LONG wait_ms;
+  struct timeval at;
+
+  if (MHD_get_timeout (server->daemon, &wait_ms) != MHD_YES)
+    return;
+  at = tevent_timeval_current_ofs ((uint32_t)(wait_ms / 1000),
+                                   (uint32_t)(wait_ms % 1000) * 1000);
+  if (server->timer != NULL
+      && tevent_timeval_compare (&server->timer_at, &at) <= 0)
+    return;
+  talloc_free (server->timer);
+  server->timer_at = at;
+  server->timer
+      = tevent_add_timer (server->ev, server, at, timer_fired, server);
+}
+
+static void
+run_daemon (struct mq_http_server *server)
+{
+  server->running = true;
+  MHD_run (server->daemon);
+  server->running = false;
+  if (server->doomed)
+    talloc_free (server);
+  else
+    arm_timer (server);
+}
+
+static void
+daemon_ready (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+              void *data)
+{
+  (void)ev;
+  (void)fde;
+  (void)flags;
+  run_daemon (data);
+}
+
+static void
+run_soon (struct tevent_context *ev, struct tevent_immediate *im, void *data)
+{
+  (void)ev;
+  (void)im;
+  run_daemon (data);
+}
+
+static void
+resume (struct mq_http_request *request)
+{
+  struct mq_http_server *server = request->server;
+
+  if (!request->suspended)
+    return;
+  request->suspended = false;
+  MHD_resume_connection (request->connection);
+  tevent_schedule_immediate (server->soon, server->ev, run_soon, server);
+}
+
+/* Ends a request whose answer can't be given.  Suspended, the library comes
+   back to us and is told to close; else it waits for the socket, which the
+   shutdown makes ready with an error.  */
+static void
+give_up (struct mq_http_request *request)
+{
+  if (request->broken)
+    return;
+  request->broken = true;
+  TALLOC_FREE (request->watch);
+  TALLOC_FREE (request->watch_poll);
+  if (request->suspended)
+    resume (request);
+  else
+    shutdown (request->fd, SHUT_RDWR);
+}
+
+/* The library does not look at the socket of a suspended request, so a caller
+   that leaves would keep its request for as long as the answer takes.  Its
+   leaving shows as the end of the input (or an error), which we watch for
+   ourselves.  A caller that shuts down its sending side only and then waits
+   is taken to have left as well: callers of HTTP do not do that.  */
+static bool
+socket_ended (int fd)
+{
+  struct pollfd poll_fd = { .fd = fd, .events = POLLRDHUP };
+
+  return poll (&poll_fd, 1, 0) == 1
+         && (poll_fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+static void poll_later (struct mq_http_request *request);
+
+static void
+watch_polled (struct tevent_context *ev, struct tevent_timer *timer,
+              struct timeval now, void *data)
+{
+  struct mq_http_request *request = data;
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  request->watch_poll = NULL;
+  if (socket_ended (request->fd))
+    give_up (request);
+  else
+    poll_later (request);
+}
+
+static void
+poll_later (struct mq_http_request *request)
+{
+  struct timeval at
+      = tevent_timeval_current_ofs (0, (uint32_t)LEFT_POLL_MS * 1000);
+
+  request->watch_poll = tevent_add_timer (request->server->ev, request, at,
+                                          watch_polled, request);
+}
+
+/* Bytes sent ahead (the next request) keep the socket readable, so from then
+   on it is looked at by the clock.  */
+static void
+watch_ready (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+             void *data)
+{
+  struct mq_http_request *request = data;
+
+  (void)ev;
+  (void)fde;
+  (void)flags;
+  if (socket_ended (request->fd))
+    {
+      give_up (request);
+      return;
+    }
+  TALLOC_FREE (request->watch);
+  poll_later (request);
+}
+
+static void
+suspend (struct mq_http_request *request)
+{
+  MHD_suspend_connection (request->connection);
+  request->suspended = true;
+  if (request->watch == NULL && request->watch_poll == NULL)
+    request->watch = tevent_add_fd (request->server->ev, request, request->fd,
+                                    TEVENT_FD_READ, watch_ready, request);
+}
+
+/* Requests.  */
+
+static int
+request_freed (struct mq_http_request *request)
+{
+  if (request->response != NULL)
+    MHD_destroy_response (request->response);
+  return 0;
+}
+
+static struct mq_http_request *
+request_open (struct mq_http_server *server, struct MHD_Connection *connection,
+              const char *method, const char *path)
+{
+  struct mq_http_request *request
+      = talloc_zero (server, struct mq_http_request);
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  if (request == NULL)
+    return NULL;
+  request->method = talloc_strdup (request, method);
+  request->path = talloc_strdup (request, path);
+  request->body = talloc_strdup (request, "");
+  if (request->method == NULL || request->path == NULL || request->body == NULL
+      || info == NULL)
+    {
+      talloc_free (request);
+      return NULL;
+    }
+  request->server = server;
+  request->connection = connection;
+  request->fd = info->connect_fd;
+  request->body_room = 1;
+  talloc_set_destructor (request, request_freed);
+  if (server->requests != NULL)
+    server->requests->previous = request;
+  request->next = server->requests;
+  server->requests = request;
+  server->in_progress++;
+  return request;
+}
+
+static void
+request_unlink (struct mq_http_request *request)
+{
+  if (request->previous != NULL)
+    request->previous->next = request->next;
+  else if (request->server->requests == request)
+    request->server->requests = request->next;
+  if (request->next != NULL)
+    request->next->previous = request->previous;
+  request->next = NULL;
+  request->previous = NULL;
+}
+
+static void
+tell_closed (struct mq_http_request *request)
+{
+  mq_http_closed *closed = request->closed;
+
+  request->closed = NULL;
+  request->answered = true;
+  if (closed != NULL)
+    closed (request, request->closed_data);
+}
+
+/* A user without an on_closed can't know that the caller has left: its
+   request is kept, cut off from the connection, until it answers.  */
+static void
+request_completed (void *cls, struct MHD_Connection *connection, void **con,
+                   enum MHD_RequestTerminationCode code)
+{
+  struct mq_http_request *request = *con;
+
+  (void)cls;
+  (void)connection;
+  (void)code;
+  if (request == NULL)
+    return;
+  *con = NULL;
+  request_unlink (request);
+  request->server->in_progress--;
+  request->connection = NULL;
+  request->broken = true;
+  request->suspended = false;
+  TALLOC_FREE (request->watch);
+  TALLOC_FREE (request->watch_poll);
+  if (request->closed != NULL || !request->handled)
+    tell_closed (request);
+  if (request->answered)
+    talloc_free (request);
+}
+
+/* Bodies.  */
+
+static bool
+body_append (struct mq_http_request *request, const char *data, size_t len)
+{
+  size_t need = request->body_len + len + 1;
+
+  if (need > request->body_room)
+    {
+      size_t room = request->body_room * 2;
+      char *grown;
+
+      if (room < BODY_FIRST_BYTES)
+        room = BODY_FIRST_BYTES;
+      if (room < need)
+        room = need;
+      grown = talloc_realloc (request, request->body, char, room);
+      if (grown == NULL)
+        return false;
+      request->body = grown;
+      request->body_room = room;
+    }
+  memcpy (request->body + request->body_len, data, len);
+  request->body_len += len;
+  request->body[request->body_len] = '\0';
+  return true;
+}
+
+/* A body over the bound is read to its end and dropped, so that the caller
+   gets to read the answer: closing on unread bytes would reset it away.  One
+   that goes on to more than twice the bound is cut off.  */
+static enum MHD_Result
+body_part (struct mq_http_request *request, const char *data, size_t len)
+{
+  if (!request->too_large
+      && len <= request->server->body_max - request->body_len)
+    return body_append (request, data, len) ? MHD_YES : MHD_NO;
+  request->too_large = true;
+  request->discarded += len;
+  TALLOC_FREE (request->body);
+  return request->discarded / 2 > request->server->body_max ? MHD_NO : MHD_YES;
+}
+
+/* True when a body is announced that will not be read to its end: far over
+   the bound, or over it and held back until we say to go on.  */
+static bool
+body_refused (struct mq_http_request *request)
+{
+  const char *announced = mq_http_header (request, "Content-Length");
+  size_t max = request->server->body_max;
+  unsigned long long len;
+
+  if (announced == NULL)
+    return false;
+  len = strtoull (announced, NULL, 10);
+  if (len > max)
+    request->too_large = true;
+  return len / 2 > max
+         || (len > max && mq_http_header (request, "Expect") != NULL);
+}
+
+static void
+respond_too_large (struct mq_http_request *request)
+{
+  json_t *json = json_pack ("{s:s, s:s, s:s, s:s, s:I}", "error",
+                            mq_error_name (MQ_ERR_TOO_LARGE), "ran",
+                            mq_ran_name (MQ_RAN_NOT_RUN), "cause",
+                            mq_error_cause (MQ_ERR_TOO_LARGE), "remedy",
+                            mq_error_remedy (MQ_ERR_TOO_LARGE), "bound",
+                            (json_int_t)request->server->body_max);
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  json_decref (json);
+  mq_http_respond (request, mq_error_http_status (MQ_ERR_TOO_LARGE),
+                   "application/json", text, text == NULL ? 0 : strlen (text));
+  free (text);
+}
+
+/* Answers.  */
+
+static enum MHD_Result
+queue_answer (struct mq_http_request *request)
+{
+  struct MHD_Response *response = request->response;
+  enum MHD_Result result;
+
+  request->response = NULL;
+  request->queued = true;
+  result = MHD_queue_response (request->connection, request->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+/* Queues an answer that is there, closes for one that can't come and waits
+   for one that is to come.  */
+static enum MHD_Result
+answer_or_wait (struct mq_http_request *request)
+{
+  if (request->broken || request->server->doomed)
+    return MHD_NO;
+  if (request->response != NULL)
+    return queue_answer (request);
+  if (!request->queued)
+    suspend (request);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+request_arrived (struct mq_http_request *request)
+{
+  request->handled = true;
+  if (request->too_large)
+    respond_too_large (request);
+  else
+    request->server->handler (request, request->server->data);
+  return answer_or_wait (request);
+}
+
+/* The library calls this for the header, for each part of the body, at the
+   body's end and after each resume before an answer is queued.  */
+static enum MHD_Result
+access_handler (void *cls, struct MHD_Connection *connection, const char *url,
+                const char *method, const char *version, const char *data,
+                size_t *len, void **con)
+{
+  struct mq_http_server *server = cls;
+  struct mq_http_request *request = *con;
+
+  (void)version;
+  if (server->doomed)
+    return MHD_NO;
+  if (request == NULL)
+    {
+      request = request_open (server, connection, method, url);
+      *con = request;
+      if (request == NULL)
+        return MHD_NO;
+      return body_refused (request) ? request_arrived (request) : MHD_YES;
+    }
+  if (*len > 0)
+    {
+      enum MHD_Result result = body_part (request, data, *len);
+
+      *len = 0;
+      return result;
+    }
+  if (request->handled)
+    return answer_or_wait (request);
+  return request_arrived (request);
+}
+
+static void
+add_headers (struct mq_http_request *request, const char *content_type)
+{
+  struct MHD_Response *response = request->response;
+
+  if (content_type != NULL)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                             content_type);
+  for (struct header *h = request->headers; h != NULL; h = h->next)
+    MHD_add_response_header (response, h->name, h->value);
+  if (request->server->closing)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+}
+
+/* False when REQUEST can't be answered (any more).  */
+static bool
+may_answer (struct mq_http_request *request)
+{
+  return !request->broken && !request->answered && !request->streaming;
+}
+
+/* The user's last word; frees a request that was kept for it.  */
+static void
+user_done (struct mq_http_request *request)
+{
+  request->answered = true;
+  if (request->connection == NULL && request->closed == NULL
+      && !request->server->doomed)
+    talloc_free (request);
+}
+
+void
+mq_http_respond (struct mq_http_request *request, int status,
+                 const char *content_type, const void *body, size_t len)
+{
+  if (!may_answer (request))
+    {
+      user_done (request);
+      return;
+    }
+  request->response = MHD_create_response_from_buffer (
+      len, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
+  request->answered = true;
+  if (request->response == NULL)
+    {
+      give_up (request);
+      return;
+    }
+  request->status = (unsigned int)status;
+  add_headers (request, content_type);
+  resume (request);
+}
+
+/* Streams.  Bytes wait in a buffer that grows with the reader's lag and is
+   let go when the reader has caught up, so that thousands of quiet streams
+   hold none.  */
+
+static size_t
+min_size (size_t a, size_t b)
+{
+  return a < b ? a : b;
+}
+
+static void
+unsent_clear (struct mq_http_request *request)
+{
+  TALLOC_FREE (request->unsent);
+  request->unsent_at = 0;
+  request->unsent_len = 0;
+  request->unsent_room = 0;
+}
+
+static bool
+unsent_append (struct mq_http_request *request, const void *data, size_t len)
+{
+  size_t need = request->unsent_len + len;
+
+  if (need > MQ_STREAM_BUFFER_BYTES)
+    return false;
+  if (request->unsent_at + need > request->unsent_room)
+    {
+      size_t room = request->unsent_room;
+      char *grown;
+
+      while (room < need)
+        room = room == 0 ? STREAM_FIRST_BYTES : room * 2;
+      grown = talloc_size (request, room);
+      if (grown == NULL)
+        return false;
+      if (request->unsent_len > 0)
+        memcpy (grown, request->unsent + request->unsent_at,
+                request->unsent_len);
+      talloc_free (request->unsent);
+      request->unsent = grown;
+      request->unsent_at = 0;
+      request->unsent_room = room;
+    }
+  memcpy (request->unsent + request->unsent_at + request->unsent_len, data,
+          len);
+  request->unsent_len = need;
+  return true;
+}
+
+static size_t
+unsent_take (struct mq_http_request *request, char *to, size_t max)
+{
+  size_t len = min_size (max, request->unsent_len);
+
+  memcpy (to, request->unsent + request->unsent_at, len);
+  request->unsent_at += len;
+  request->unsent_len -= len;
+  if (request->unsent_len == 0)
+    unsent_clear (request);
+  return len;
+}
+
+/* The library asks for more of the answer.  */
+static ssize_t
+stream_read (void *cls, uint64_t position, char *to, size_t max)
+{
+  struct mq_http_request *request = cls;
+
+  (void)position;
+  if (request->broken || request->server->doomed)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (request->unsent_len > 0)
+    return (ssize_t)unsent_take (request, to, max);
+  if (request->answered)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  suspend (request);
+  return 0;
+}
+
+void
+mq_http_stream_begin (struct mq_http_request *request, int status,
+                      const char *content_type)
+{
+  if (!may_answer (request))
+    return;
+  request->response = MHD_create_response_from_callback (
+      MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, stream_read, request, NULL);
+  if (request->response == NULL)
+    {
+      give_up (request);
+      return;
+    }
+  request->streaming = true;
+  request->status = (unsigned int)status;
+  add_headers (request, content_type);
+  resume (request);
+}
+
+bool
+mq_http_stream_write (struct mq_http_request *request, const void *data,
+                      size_t len)
+{
+  if (request->broken || request->answered || !request->streaming)
+    return false;
+  if (len == 0)
+    return true;
+  if (!unsent_append (request, data, len))
+    {
+      give_up (request);
+      return false;
+    }
+  resume (request);
+  return true;
+}
+
+void
+mq_http_stream_end (struct mq_http_request *request)
+{
+  if (!request->broken)
+    {
+      request->answered = true;
+      resume (request);
+      return;
+    }
+  user_done (request);
+}
+
+void
+mq_http_abort (struct mq_http_request *request)
+{
+  give_up (request);
+  user_done (request);
+}
+
+/* What a request says.  */
+
+const char *
+mq_http_method (const struct mq_http_request *request)
+{
+  return request->method;
+}
+
+const char *
+mq_http_path (const struct mq_http_request *request)
+{
+  return request->path;
+}
+
+const char *
+mq_http_header (struct mq_http_request *request, const char *name)
+{
+  if (request->connection == NULL)
+    return NULL;
+  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND,
+                                      name);
+}
+
+const char *
+mq_http_query (struct mq_http_request *request, const char *name)
+{
+  if (request->connection == NULL)
+    return NULL;
+  return MHD_lookup_connection_value (request->connection,
+                                      MHD_GET_ARGUMENT_KIND, name);
+}
+
+const char *
+mq_http_body (const struct mq_http_request *request, size_t *len)
+{
+  if (len != NULL)
+    *len = request->body_len;
+  return request->body;
+}
+
+static void
+closed_late (struct tevent_context *ev, struct tevent_immediate *im,
+             void *data)
+{
+  struct mq_http_request *request = data;
+
+  (void)ev;
+  (void)im;
+  tell_closed (request);
+  talloc_free (request);
+}
+
+void
+mq_http_on_closed (struct mq_http_request *request, mq_http_closed *closed,
+                   void *data)
+{
+  request->closed = closed;
+  request->closed_data = data;
+  if (request->connection == NULL && closed != NULL)
+    tevent_schedule_immediate (tevent_create_immediate (request),
+                               request->server->ev, closed_late, request);
+}
+
+void
+mq_http_set_header (struct mq_http_request *request, const char *name,
+                    const char *value)
+{
+  struct header *header = talloc (request, struct header);
+
+  if (header == NULL)
+    return;
+  header->name = talloc_strdup (header, name);
+  header->value = talloc_strdup (header, value);
+  header->next = request->headers;
+  request->headers = header;
+}
+
+/* Start and stop.  */
+
+/* Splits "IP:PORT" at its last colon; an IPv6 address stands in brackets.  */
+static struct addrinfo *
+resolve (const char *address)
+{
+  struct addrinfo hints = { .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV,
+                            .ai_socktype = SOCK_STREAM };
+  struct addrinfo *found = NULL;
+  const char *colon = strrchr (address, ':');
+  char ip[64];
+  size_t len;
+
+  if (colon == NULL)
+    return NULL;
+  len = (size_t)(colon - address);
+  if (len >= 2 && address[0] == '[' && address[len - 1] == ']')
+    {
+      address++;
+      len -= 2;
+    }
+  if (len == 0 || len >= sizeof ip)
+    return NULL;
+  memcpy (ip, address, len);
+  ip[len] = '\0';
+  return getaddrinfo (ip, colon + 1, &hints, &found) == 0 ? found : NULL;
+}
+
+static int
+bind_and_listen (const struct addrinfo *at)
+{
+  int on = 1;
+  int fd
+      = socket (at->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (fd < 0)
+    return -1;
+  if (setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
+      && bind (fd, at->ai_addr, at->ai_addrlen) == 0
+      && listen (fd, SOMAXCONN) == 0)
+    return fd;
+  on = errno;
+  close (fd);
+  errno = on;
+  return -1;
+}
+
+static int
+open_socket (const char *address, struct mq_error *error)
+{
+  struct addrinfo *at = resolve (address);
+  int fd;
+
+  if (at == NULL)
+    {
+      mq_error_set (error, MQ_ERR_TEXT_BAD_VALUE, address, "IP:PORT");
+      return -1;
+    }
+  fd = bind_and_listen (at);
+  if (fd < 0)
+    {
+      int number = errno;
+
+      mq_error_set (error, MQ_ERR_IO, address, NULL);
+      if (error != NULL)
+        error->number = number;
+    }
+  freeaddrinfo (at);
+  return fd;
+}
+
+static uint16_t
+socket_port (int fd)
+{
+  struct sockaddr_storage at;
+  socklen_t len = sizeof at;
+
+  if (getsockname (fd, (struct sockaddr *)&at, &len) != 0)
+    return 0;
+  if (at.ss_family == AF_INET6)
+    return ntohs (((struct sockaddr_in6 *)&at)->sin6_port);
+  return ntohs (((struct sockaddr_in *)&at)->sin_port);
+}
+
+static struct MHD_Daemon *
+start_daemon (struct mq_http_server *server, int fd, uint32_t connections)
+{
+  return MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, access_handler,
+      server, MHD_OPTION_LISTEN_SOCKET, (MHD_socket)fd,
+      MHD_OPTION_NOTIFY_COMPLETED, request_completed, server,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned int)connections,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)(MQ_HTTP_IDLE_MS / 1000),
+      MHD_OPTION_END);
+}
+
+/* Ends every request, tells its user and then stops the daemon.  Within
+   MHD_run the daemon can't be stopped: then users are told at once, and
+   run_daemon frees the server when MHD_run has returned (a destructor that
+   returns -1 keeps the memory).  */
+static int
+server_freed (struct mq_http_server *server)
+{
+  server->doomed = true;
+  while (server->requests != NULL)
+    {
+      struct mq_http_request *request = server->requests;
+
+      request_unlink (request);
+      give_up (request);
+      tell_closed (request);
+    }
+  TALLOC_FREE (server->fde);
+  TALLOC_FREE (server->timer);
+  TALLOC_FREE (server->soon);
+  if (server->running)
+    return -1;
+  if (server->daemon != NULL)
+    MHD_stop_daemon (server->daemon);
+  server->daemon = NULL;
+  return 0;
+}
+
+static bool
+attach_daemon (struct mq_http_server *server)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+
+  if (info == NULL)
+    return false;
+  server->fde = tevent_add_fd (server->ev, server, info->epoll_fd,
+                               TEVENT_FD_READ, daemon_ready, server);
+  return server->fde != NULL;
+}
+
+struct mq_http_server *
+mq_http_server_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                       const struct mq_http_server_options *options,
+                       mq_http_handler *handler, void *data,
+                       struct mq_error *error)
+{
+  struct mq_http_server *server = talloc_zero (ctx, struct mq_http_server);
+  uint32_t connections = options->connections_max;
+  int fd = server == NULL ? -1 : open_socket (options->address, error);
+
+  if (fd < 0)
+    {
+      talloc_free (server);
+      return NULL;
+    }
+  server->ev = ev;
+  server->handler = handler;
+  server->data = data;
+  server->body_max
+      = options->body_max == 0 ? MQ_BODY_MAX_BYTES : options->body_max;
+  server->port = socket_port (fd);
+  server->soon = tevent_create_immediate (server);
+  talloc_set_destructor (server, server_freed);
+  server->daemon = start_daemon (
+      server, fd, connections == 0 ? MQ_CONNECTIONS_MAX : connections);
+  if (server->daemon == NULL)
+    close (fd);
+  if (server->daemon == NULL || server->soon == NULL
+      || !attach_daemon (server))
+    {
+      mq_error_set (error, MQ_ERR_NO_MEMORY, options->address, NULL);
+      talloc_free (server);
+      return NULL;
+    }
+  return server;
+}
+
+void
+mq_http_server_destroy (struct mq_http_server *server)
+{
+  talloc_free (server);
+}
+
+void
+mq_http_server_stop_accepting (struct mq_http_server *server)
+{
+  MHD_socket fd;
+
+  if (server->closing)
+    return;
+  server->closing = true;
+  fd = MHD_quiesce_daemon (server->daemon);
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+}
+
+size_t
+mq_http_server_in_progress (const struct mq_http_server *server)
+{
+  return server->in_progress;
+}
+
+uint16_t
+mq_http_server_port (const struct mq_http_server *server)
+{
+  return server->port;
+}
