--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -7,10 +7,9 @@
 
 #include "http_server.h"
 #include "../core/limits.h"
-#include <errno.h>
+#include "listen.h"
 #include <jansson.h>
 #include <microhttpd.h>
-#include <netdb.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -816,88 +815,6 @@
 
 /* Start and stop.  */
 
-/* Splits "IP:PORT" at its last colon; an IPv6 address stands in brackets.  */
-static struct addrinfo *
-resolve (const char *address)
-{
-  struct addrinfo hints = { .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV,
-                            .ai_socktype = SOCK_STREAM };
-  struct addrinfo *found = NULL;
-  const char *colon = strrchr (address, ':');
-  char ip[64];
-  size_t len;
-
-  if (colon == NULL)
-    return NULL;
-  len = (size_t)(colon - address);
-  if (len >= 2 && address[0] == '[' && address[len - 1] == ']')
-    {
-      address++;
-      len -= 2;
-    }
-  if (len == 0 || len >= sizeof ip)
-    return NULL;
-  memcpy (ip, address, len);
-  ip[len] = '\0';
-  return getaddrinfo (ip, colon + 1, &hints, &found) == 0 ? found : NULL;
-}
-
-static int
-bind_and_listen (const struct addrinfo *at)
-{
-  int on = 1;
-  int fd
-      = socket (at->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-  if (fd < 0)
-    return -1;
-  if (setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
-      && bind (fd, at->ai_addr, at->ai_addrlen) == 0
-      && listen (fd, SOMAXCONN) == 0)
-    return fd;
-  on = errno;
-  close (fd);
-  errno = on;
-  return -1;
-}
-
-static int
-open_socket (const char *address, struct mq_error *error)
-{
-  struct addrinfo *at = resolve (address);
-  int fd;
-
-  if (at == NULL)
-    {
-      mq_error_set (error, MQ_ERR_TEXT_BAD_VALUE, address, "IP:PORT");
-      return -1;
-    }
-  fd = bind_and_listen (at);
-  if (fd < 0)
-    {
-      int number = errno;
-
-      mq_error_set (error, MQ_ERR_IO, address, NULL);
-      if (error != NULL)
-        error->number = number;
-    }
-  freeaddrinfo (at);
-  return fd;
-}
-
-static uint16_t
-socket_port (int fd)
-{
-  struct sockaddr_storage at;
-  socklen_t len = sizeof at;
-
-  if (getsockname (fd, (struct sockaddr *)&at, &len) != 0)
-    return 0;
-  if (at.ss_family == AF_INET6)
-    return ntohs (((struct sockaddr_in6 *)&at)->sin6_port);
-  return ntohs (((struct sockaddr_in *)&at)->sin_port);
-}
-
 static struct MHD_Daemon *
 start_daemon (struct mq_http_server *server, int fd, uint32_t connections)
 {
@@ -959,7 +876,7 @@
 {
   struct mq_http_server *server = talloc_zero (ctx, struct mq_http_server);
   uint32_t connections = options->connections_max;
-  int fd = server == NULL ? -1 : open_socket (options->address, error);
+  int fd = server == NULL ? -1 : mq_listen_open (options->address, error);
 
   if (fd < 0)
     {
@@ -971,7 +888,7 @@
   server->data = data;
   server->body_max
       = options->body_max == 0 ? MQ_BODY_MAX_BYTES : options->body_max;
-  server->port = socket_port (fd);
+  server->port = mq_listen_port (fd);
   server->soon = tevent_create_immediate (server);
   talloc_set_destructor (server, server_freed);
   server->daemon = start_daemon (
--- /dev/null
+++ b/src/io/listen.c
@@ -0,0 +1,101 @@
+/* listen.c - listening sockets at "IP:PORT".
+
+   Needs: sockets, the resolver for numbers only.  */
+
+#include "listen.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netdb.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define IP_BYTES 64
+
+union any_address
+{
+  struct sockaddr any;
+  struct sockaddr_in v4;
+  struct sockaddr_in6 v6;
+};
+
+static struct addrinfo *
+resolve (const char *address)
+{
+  struct addrinfo hints = { .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV,
+                            .ai_socktype = SOCK_STREAM };
+  struct addrinfo *found = NULL;
+  const char *colon = strrchr (address, ':');
+  char ip[IP_BYTES];
+  size_t len;
+
+  if (colon == NULL)
+    return NULL;
+  len = (size_t)(colon - address);
+  if (len >= 2 && address[0] == '[' && address[len - 1] == ']')
+    {
+      address++;
+      len -= 2;
+    }
+  if (len == 0 || len >= sizeof ip)
+    return NULL;
+  memcpy (ip, address, len);
+  ip[len] = '\0';
+  return getaddrinfo (ip, colon + 1, &hints, &found) == 0 ? found : NULL;
+}
+
+static int
+bind_and_listen (const struct addrinfo *at)
+{
+  int on = 1;
+  int number;
+  int fd
+      = socket (at->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (fd < 0)
+    return -1;
+  if (setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
+      && bind (fd, at->ai_addr, at->ai_addrlen) == 0
+      && listen (fd, SOMAXCONN) == 0)
+    return fd;
+  number = errno;
+  close (fd);
+  errno = number;
+  return -1;
+}
+
+int
+mq_listen_open (const char *address, struct mq_error *error)
+{
+  struct addrinfo *at = resolve (address);
+  int number;
+  int fd;
+
+  if (at == NULL)
+    {
+      mq_error_set (error, MQ_ERR_TEXT_BAD_VALUE, address, "IP:PORT");
+      return -1;
+    }
+  fd = bind_and_listen (at);
+  number = errno;
+  freeaddrinfo (at);
+  if (fd >= 0)
+    return fd;
+  mq_error_set (error, MQ_ERR_IO, address, NULL);
+  if (error != NULL)
+    error->number = number;
+  return -1;
+}
+
+uint16_t
+mq_listen_port (int fd)
+{
+  union any_address at = { .v6 = { 0 } };
+  socklen_t len = sizeof at;
+
+  if (getsockname (fd, &at.any, &len) != 0)
+    return 0;
+  return ntohs (at.any.sa_family == AF_INET6 ? at.v6.sin6_port
+                                             : at.v4.sin_port);
+}
--- /dev/null
+++ b/src/io/metrics.c
@@ -0,0 +1,110 @@
+/* metrics.c - counters as Prometheus text.
+
+   Needs: talloc, /proc/self.  */
+
+#include "metrics.h"
+#include <dirent.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#define TOTAL_SUFFIX "_total"
+#define STATM_BYTES 128
+
+/* By Prometheus's rule for names, a counter ends in "_total"; all else goes
+   up and down.  */
+static const char *
+type_of (const char *name)
+{
+  size_t len = strlen (name);
+  size_t suffix = strlen (TOTAL_SUFFIX);
+
+  if (len > suffix && strcmp (name + len - suffix, TOTAL_SUFFIX) == 0)
+    return "counter";
+  return "gauge";
+}
+
+/* A line that memory can't be had for is left out.  */
+static void
+add_line (char **text, const char *prefix, const char *name, const char *help,
+          const char *value)
+{
+  char *longer = talloc_asprintf_append_buffer (
+      *text,
+      "# HELP mimosa_%s_%s %s\n# TYPE mimosa_%s_%s %s\nmimosa_%s_%s %s\n",
+      prefix, name, help, prefix, name, type_of (name), prefix, name, value);
+
+  if (longer != NULL)
+    *text = longer;
+}
+
+void
+mq_metrics_add (char **text, const char *prefix, const char *name,
+                const char *help, uint64_t value)
+{
+  char number[24];
+
+  snprintf (number, sizeof number, "%" PRIu64, value);
+  add_line (text, prefix, name, help, number);
+}
+
+static void
+add_cpu (char **text)
+{
+  struct rusage usage;
+  char seconds[32];
+  long sec;
+  long usec;
+
+  if (getrusage (RUSAGE_SELF, &usage) != 0)
+    return;
+  usec = usage.ru_utime.tv_usec + usage.ru_stime.tv_usec;
+  sec = usage.ru_utime.tv_sec + usage.ru_stime.tv_sec + usec / 1000000;
+  snprintf (seconds, sizeof seconds, "%ld.%06ld", sec, usec % 1000000);
+  add_line (text, "process", "cpu_seconds_total",
+            "Processor time used, user and system.", seconds);
+}
+
+static void
+add_memory (char **text)
+{
+  FILE *file = fopen ("/proc/self/statm", "re");
+  char line[STATM_BYTES];
+  uint64_t pages;
+
+  if (file == NULL)
+    return;
+  if (fgets (line, sizeof line, file) != NULL
+      && sscanf (line, "%*u %" SCNu64, &pages) == 1)
+    mq_metrics_add (text, "process", "resident_bytes", "Resident memory.",
+                    pages * (uint64_t)sysconf (_SC_PAGESIZE));
+  fclose (file);
+}
+
+/* The directory that is read is open itself and not counted.  */
+static void
+add_open_files (char **text)
+{
+  DIR *directory = opendir ("/proc/self/fd");
+  uint64_t files = 0;
+  const struct dirent *entry;
+
+  if (directory == NULL)
+    return;
+  while ((entry = readdir (directory)) != NULL)
+    if (entry->d_name[0] != '.')
+      files++;
+  closedir (directory);
+  mq_metrics_add (text, "process", "open_files", "Open file descriptors.",
+                  files - 1);
+}
+
+void
+mq_metrics_add_process (char **text)
+{
+  add_cpu (text);
+  add_memory (text);
+  add_open_files (text);
+}
