--- a/src/core/gate.h
+++ b/src/core/gate.h
@@ -84,6 +84,7 @@
  * @tokens_in: prompt tokens
  * @tokens_out: generated tokens
  * @cached_tokens: prompt tokens found in the cache
+ * @retry_after_ms: with OVERLOADED, when to come back, 0 when not said
  */
 struct mq_gate_done
 {
@@ -94,6 +95,7 @@
   uint32_t tokens_in;
   uint32_t tokens_out;
   uint32_t cached_tokens;
+  uint32_t retry_after_ms;
 };
 
 struct mq_gate_token
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -50,6 +50,11 @@
 #define MQ_GATE_EVICT_RETRY_MS 200U
 #define MQ_GATE_AGEING_MS 2000U /* a waiting call rises one step */
 
+/* Workers.  */
+#define MQ_WORKER_CACHE_POLL_MS 1000U /* what an engine holds is read */
+#define MQ_WORKER_CONTROL_MS 2000U    /* evict, cancel, poll: no answer */
+#define MQ_WORKER_ORDER_MS 600000U    /* loading a model takes minutes */
+
 /* Configuration.  */
 #define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
 #define MQ_CONFIG_POLL_SLOW_MS 60000U /* everyone else */
