--- a/src/core/store.h
+++ b/src/core/store.h
@@ -75,9 +75,10 @@
 {
   uint64_t id;
   enum mq_store_status status;
-  struct mq_row *rows; /* SCAN; TXN: rows' new versions, values empty */
+  struct mq_row *rows; /* SCAN; TXN: rows' new versions, or with CONFLICT
+                          those whose condition failed; values empty */
   size_t row_count;
-  bool more;             /* SCAN: the limit cut the answer */
+  bool more;             /* SCAN: cut by the limit or the platform's bound */
   struct mq_bytes value; /* GET */
 };
 
