--- /dev/null
+++ b/src/io/platform.c
@@ -0,0 +1,718 @@
+/* platform.c - the platform's table, object store and host list over HTTP.
+
+   What may be said of a write that got no proper answer decides whether work
+   is done twice: a write is DOWN only when it certainly did not take effect
+   (nothing was sent, or 503), a CONFLICT only when the table says so, and
+   LOST in every other case, a malformed answer included.  Reads have no
+   effect, so whatever fails there is DOWN.
+   Needs: platform.h, base64.h, limits.h, jansson.  */
+
+#include "platform.h"
+#include "base64.h"
+#include "../core/limits.h"
+#include <ctype.h>
+#include <jansson.h>
+#include <string.h>
+
+#define OBJECT_MAX_BYTES (64U << 20)
+#define JSON_HEADER "Content-Type: application/json"
+#define BYTES_HEADER "Content-Type: application/octet-stream"
+
+enum
+{
+  STATUS_OK = 200,
+  STATUS_NOT_FOUND = 404,
+  STATUS_CONFLICT = 409,
+  STATUS_UNAVAILABLE = 503,
+  MS_PER_S = 1000,
+  US_PER_MS = 1000
+};
+
+struct host_watch
+{
+  struct mq_http_call *call;
+  uint32_t interval_ms;
+  mq_platform_listed *listed;
+  void *user;
+};
+
+struct mq_platform
+{
+  struct tevent_context *ev;
+  struct mq_http_client *client;
+  const char *url;
+  mq_platform_stored *stored;
+  void *user;
+  struct host_watch watch;
+  struct mq_platform_counters counters;
+};
+
+/* A request under way; its parent is the platform.  */
+struct pending
+{
+  struct mq_platform *platform;
+  struct mq_http_call *call;       /* NULL: not sent, or ended */
+  struct mq_store_request request; /* copy, without values of its ops */
+  struct mq_bytes body;
+};
+
+/* Requests.  */
+
+static bool
+is_write (enum mq_store_kind kind)
+{
+  return kind != MQ_STORE_SCAN && kind != MQ_STORE_GET;
+}
+
+static char *
+append_escaped (char *text, const char *part)
+{
+  for (; text != NULL && *part != '\0'; part++)
+    {
+      unsigned char c = (unsigned char)*part;
+
+      if (isalnum (c) || strchr ("-._~", c) != NULL)
+        text = talloc_asprintf_append_buffer (text, "%c", c);
+      else
+        text = talloc_asprintf_append_buffer (text, "%%%02X", c);
+    }
+  return text;
+}
+
+static char *
+scan_url (struct pending *pending)
+{
+  const struct mq_store_request *request = &pending->request;
+  char *url = talloc_asprintf (
+      pending, "%s/v1/table/rows?prefix=", pending->platform->url);
+
+  url = append_escaped (url, request->key);
+  if (request->after != NULL && request->after[0] != '\0')
+    url = append_escaped (talloc_asprintf_append_buffer (url, "&after="),
+                          request->after);
+  if (request->limit != 0)
+    url = talloc_asprintf_append_buffer (url, "&limit=%u", request->limit);
+  return url;
+}
+
+static char *
+request_url (struct pending *pending)
+{
+  const char *base = pending->platform->url;
+
+  switch (pending->request.kind)
+    {
+    case MQ_STORE_TXN:
+      return talloc_asprintf (pending, "%s/v1/table/transaction", base);
+    case MQ_STORE_SCAN:
+      return scan_url (pending);
+    case MQ_STORE_PUT:
+    case MQ_STORE_GET:
+    case MQ_STORE_DROP:
+      break;
+    }
+  return append_escaped (talloc_asprintf (pending, "%s/v1/objects/", base),
+                         pending->request.key);
+}
+
+static const char *
+request_method (enum mq_store_kind kind)
+{
+  switch (kind)
+    {
+    case MQ_STORE_TXN:
+      return "POST";
+    case MQ_STORE_PUT:
+      return "PUT";
+    case MQ_STORE_DROP:
+      return "DELETE";
+    case MQ_STORE_SCAN:
+    case MQ_STORE_GET:
+      break;
+    }
+  return "GET";
+}
+
+static json_t *
+describe_op (const struct mq_store_op *op)
+{
+  json_t *json = json_pack ("{s:s}", "key", op->key);
+  char *value;
+
+  if (json != NULL && op->if_version != MQ_VERSION_ANY)
+    json_object_set_new (json, "if_version",
+                         json_integer ((json_int_t)op->if_version));
+  if (json != NULL && op->remove)
+    json_object_set_new (json, "remove", json_true ());
+  if (json == NULL || op->remove)
+    return json;
+  value = mq_base64_encode (NULL, op->value);
+  if (value == NULL
+      || json_object_set_new (json, "value", json_string (value)))
+    {
+      json_decref (json);
+      json = NULL;
+    }
+  talloc_free (value);
+  return json;
+}
+
+/* Empty when a key is not UTF-8 or memory is out.  */
+static struct mq_bytes
+describe_transaction (TALLOC_CTX *ctx, const struct mq_store_request *request)
+{
+  struct mq_bytes body = { NULL, 0 };
+  json_t *ops = json_array ();
+  json_t *json;
+  char *text;
+
+  for (size_t i = 0; i < request->op_count; i++)
+    if (json_array_append_new (ops, describe_op (&request->ops[i])) != 0)
+      {
+        json_decref (ops);
+        return body;
+      }
+  json = json_pack ("{s:o}", "ops", ops);
+  text = json_dumps (json, JSON_COMPACT);
+  json_decref (json);
+  if (text == NULL)
+    return body;
+  body.len = strlen (text);
+  body.data = talloc_memdup (ctx, text, body.len);
+  free (text);
+  return body;
+}
+
+static bool
+copy_text (TALLOC_CTX *ctx, char **to, const char *from)
+{
+  *to = from == NULL ? NULL : talloc_strdup (ctx, from);
+  return from == NULL || *to != NULL;
+}
+
+static bool
+copy_ops (struct pending *pending, const struct mq_store_request *request)
+{
+  struct mq_store_op *ops
+      = talloc_zero_array (pending, struct mq_store_op, request->op_count);
+
+  if (ops == NULL)
+    return false;
+  pending->request.ops = ops;
+  for (size_t i = 0; i < request->op_count; i++)
+    {
+      ops[i].remove = request->ops[i].remove;
+      if (!copy_text (ops, &ops[i].key, request->ops[i].key))
+        return false;
+    }
+  pending->body = describe_transaction (pending, request);
+  return pending->body.data != NULL;
+}
+
+static bool
+copy_value (struct pending *pending, const struct mq_store_request *request)
+{
+  pending->body.len = request->value.len;
+  pending->body.data = talloc_size (pending, request->value.len + 1);
+  if (pending->body.data == NULL)
+    return false;
+  if (request->value.len > 0)
+    memcpy (pending->body.data, request->value.data, request->value.len);
+  return true;
+}
+
+static bool
+fill_pending (struct pending *pending, const struct mq_store_request *request)
+{
+  pending->request = *request;
+  pending->request.ops = NULL;
+  pending->request.value = (struct mq_bytes){ NULL, 0 };
+  if (!copy_text (pending, &pending->request.key, request->key)
+      || !copy_text (pending, &pending->request.after, request->after))
+    return false;
+  if (request->kind == MQ_STORE_TXN)
+    return copy_ops (pending, request);
+  if (request->kind == MQ_STORE_PUT)
+    return copy_value (pending, request);
+  return true;
+}
+
+/* Answers.  */
+
+static json_t *
+load_json (const struct mq_http_result *http)
+{
+  return json_loadb (http->body, http->len, JSON_REJECT_DUPLICATES, NULL);
+}
+
+static bool
+add_row (struct mq_store_result *result, const char *key, uint64_t version)
+{
+  struct mq_row *row = &result->rows[result->row_count];
+
+  row->version = version;
+  row->key = talloc_strdup (result->rows, key);
+  result->row_count++;
+  return row->key != NULL;
+}
+
+static bool
+alloc_rows (TALLOC_CTX *ctx, struct mq_store_result *result, size_t count)
+{
+  result->rows = talloc_zero_array (ctx, struct mq_row, count + 1);
+  return result->rows != NULL;
+}
+
+/* One version for each operation, 0 for just those that remove.  */
+static bool
+read_versions (const struct mq_store_request *request, json_t *versions,
+               struct mq_store_result *result)
+{
+  if (json_array_size (versions) != request->op_count)
+    return false;
+  for (size_t i = 0; i < request->op_count; i++)
+    {
+      json_t *version = json_array_get (versions, i);
+      json_int_t number = json_integer_value (version);
+
+      if (!json_is_integer (version) || number < 0
+          || (number == 0) != request->ops[i].remove
+          || !add_row (result, request->ops[i].key, (uint64_t)number))
+        return false;
+    }
+  return true;
+}
+
+static bool
+read_applied (struct pending *pending, json_t *json,
+              struct mq_store_result *result)
+{
+  return json_is_true (json_object_get (json, "applied"))
+         && alloc_rows (pending, result, pending->request.op_count)
+         && read_versions (&pending->request,
+                           json_object_get (json, "versions"), result);
+}
+
+static bool
+read_conflict (struct pending *pending, json_t *json,
+               struct mq_store_result *result)
+{
+  json_t *failed = json_object_get (json, "failed");
+  size_t count = json_array_size (failed);
+
+  if (!json_is_false (json_object_get (json, "applied"))
+      || !alloc_rows (pending, result, count))
+    return false;
+  for (size_t i = 0; i < count; i++)
+    {
+      const char *key = json_string_value (json_array_get (failed, i));
+
+      if (key == NULL || !add_row (result, key, 0))
+        return false;
+    }
+  return true;
+}
+
+static void
+drop_rows (struct mq_store_result *result)
+{
+  TALLOC_FREE (result->rows);
+  result->row_count = 0;
+  result->more = false;
+}
+
+/* What is known of a write that got no answer which says more.  */
+static enum mq_store_status
+doubt (const struct mq_http_result *http)
+{
+  if (http->error != MQ_ERR_NONE)
+    return http->sent ? MQ_STORE_LOST : MQ_STORE_DOWN;
+  return http->status == STATUS_UNAVAILABLE ? MQ_STORE_DOWN : MQ_STORE_LOST;
+}
+
+static void
+count_malformed (struct pending *pending, struct mq_store_result *result)
+{
+  pending->platform->counters.malformed++;
+  drop_rows (result);
+}
+
+static enum mq_store_status
+read_transaction (struct pending *pending, const struct mq_http_result *http,
+                  struct mq_store_result *result)
+{
+  bool applied = http->status == STATUS_OK;
+  bool good;
+  json_t *json;
+
+  if (http->error != MQ_ERR_NONE
+      || (!applied && http->status != STATUS_CONFLICT))
+    return doubt (http);
+  json = load_json (http);
+  good = applied ? read_applied (pending, json, result)
+                 : read_conflict (pending, json, result);
+  json_decref (json);
+  if (!good)
+    {
+      count_malformed (pending, result);
+      return MQ_STORE_LOST;
+    }
+  return applied ? MQ_STORE_OK : MQ_STORE_CONFLICT;
+}
+
+static bool
+begins_with (const char *text, const char *prefix)
+{
+  return strncmp (text, prefix, strlen (prefix)) == 0;
+}
+
+static bool
+read_row (const struct mq_store_request *request, json_t *json,
+          const char *last, struct mq_store_result *result)
+{
+  const char *key = json_string_value (json_object_get (json, "key"));
+  const char *value = json_string_value (json_object_get (json, "value"));
+  json_int_t version = json_integer_value (json_object_get (json, "version"));
+  struct mq_row *row = &result->rows[result->row_count];
+
+  if (key == NULL || value == NULL || version <= 0
+      || !begins_with (key, request->key)
+      || (last != NULL && strcmp (key, last) <= 0))
+    return false;
+  return add_row (result, key, (uint64_t)version)
+         && mq_base64_decode (result->rows, value, &row->value);
+}
+
+/* Rows in order below the prefix, and never "more" after none: who reads on
+   after the last key would read the same again for ever.  */
+static bool
+read_rows (struct pending *pending, json_t *json,
+           struct mq_store_result *result)
+{
+  const struct mq_store_request *request = &pending->request;
+  json_t *rows = json_object_get (json, "rows");
+  json_t *more = json_object_get (json, "more");
+  size_t count = json_array_size (rows);
+  const char *last = request->after;
+
+  if (!json_is_array (rows) || !json_is_boolean (more)
+      || (count == 0 && json_is_true (more))
+      || !alloc_rows (pending, result, count))
+    return false;
+  for (size_t i = 0; i < count; i++)
+    {
+      if (!read_row (request, json_array_get (rows, i), last, result))
+        return false;
+      last = result->rows[i].key;
+    }
+  result->more = json_is_true (more);
+  return true;
+}
+
+static enum mq_store_status
+read_scan (struct pending *pending, const struct mq_http_result *http,
+           struct mq_store_result *result)
+{
+  json_t *json;
+  bool good;
+
+  if (http->error != MQ_ERR_NONE || http->status != STATUS_OK)
+    return MQ_STORE_DOWN;
+  json = load_json (http);
+  good = read_rows (pending, json, result);
+  json_decref (json);
+  if (good)
+    return MQ_STORE_OK;
+  count_malformed (pending, result);
+  return MQ_STORE_DOWN;
+}
+
+static enum mq_store_status
+read_object (struct pending *pending, const struct mq_http_result *http,
+             struct mq_store_result *result)
+{
+  if (http->error != MQ_ERR_NONE)
+    return MQ_STORE_DOWN;
+  if (http->status == STATUS_NOT_FOUND)
+    return MQ_STORE_MISSING;
+  if (http->status != STATUS_OK)
+    return MQ_STORE_DOWN;
+  result->value.data = talloc_memdup (pending, http->body, http->len);
+  result->value.len = http->len;
+  return MQ_STORE_OK;
+}
+
+static enum mq_store_status
+read_answer (struct pending *pending, const struct mq_http_result *http,
+             struct mq_store_result *result)
+{
+  bool done = http->error == MQ_ERR_NONE && http->status == STATUS_OK;
+
+  switch (pending->request.kind)
+    {
+    case MQ_STORE_TXN:
+      return read_transaction (pending, http, result);
+    case MQ_STORE_SCAN:
+      return read_scan (pending, http, result);
+    case MQ_STORE_GET:
+      return read_object (pending, http, result);
+    case MQ_STORE_DROP:
+      if (http->error == MQ_ERR_NONE && http->status == STATUS_NOT_FOUND)
+        return MQ_STORE_OK;
+      break;
+    case MQ_STORE_PUT:
+      break;
+    }
+  return done ? MQ_STORE_OK : doubt (http);
+}
+
+static void
+count_result (struct mq_platform *platform, enum mq_store_status status)
+{
+  if (status == MQ_STORE_DOWN)
+    platform->counters.failures++;
+  if (status == MQ_STORE_LOST)
+    platform->counters.lost++;
+}
+
+/* The receiver may destroy the platform, so PENDING leaves it before.  */
+static void
+report (struct pending *pending, struct mq_store_result *result)
+{
+  struct mq_platform *platform = pending->platform;
+
+  result->id = pending->request.id;
+  count_result (platform, result->status);
+  talloc_steal (NULL, pending);
+  platform->stored (result, platform->user);
+  talloc_free (pending);
+}
+
+static void
+on_done (const struct mq_http_result *http, void *user)
+{
+  struct pending *pending = user;
+  struct mq_store_result result = { 0 };
+
+  pending->call = NULL;
+  result.status = read_answer (pending, http, &result);
+  report (pending, &result);
+}
+
+static void
+on_not_sent (struct tevent_context *ev, struct tevent_immediate *immediate,
+             void *data)
+{
+  struct pending *pending = data;
+  struct mq_store_result result = { .status = MQ_STORE_DOWN };
+
+  (void)ev;
+  (void)immediate;
+  report (pending, &result);
+}
+
+/* Life.  */
+
+static int
+free_pending (struct pending *pending)
+{
+  if (pending->call != NULL)
+    mq_http_call_cancel (pending->call);
+  return 0;
+}
+
+static int
+free_platform (struct mq_platform *platform)
+{
+  if (platform->watch.call != NULL)
+    mq_http_call_cancel (platform->watch.call);
+  return 0;
+}
+
+struct mq_platform *
+mq_platform_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                    struct mq_http_client *client, const char *url,
+                    mq_platform_stored *stored, void *user)
+{
+  struct mq_platform *platform = talloc_zero (ctx, struct mq_platform);
+
+  if (platform == NULL)
+    return NULL;
+  platform->ev = ev;
+  platform->client = client;
+  platform->url = talloc_strdup (platform, url);
+  platform->stored = stored;
+  platform->user = user;
+  talloc_set_destructor (platform, free_platform);
+  return platform;
+}
+
+void
+mq_platform_destroy (struct mq_platform *platform)
+{
+  talloc_free (platform);
+}
+
+static struct mq_http_call *
+send_pending (struct pending *pending)
+{
+  static const char *const json_headers[] = { JSON_HEADER, NULL };
+  static const char *const bytes_headers[] = { BYTES_HEADER, NULL };
+  enum mq_store_kind kind = pending->request.kind;
+  struct mq_http_send send = {
+    .method = request_method (kind),
+    .url = request_url (pending),
+    .body = pending->body.data,
+    .len = pending->body.len,
+    .timeout_ms = MQ_STORE_TIMEOUT_MS,
+    .body_max = OBJECT_MAX_BYTES,
+    .done = on_done,
+    .user = pending,
+  };
+
+  if (send.url == NULL)
+    return NULL;
+  if (kind == MQ_STORE_TXN)
+    send.headers = json_headers;
+  if (kind == MQ_STORE_PUT)
+    send.headers = bytes_headers;
+  return mq_http_client_send (pending->platform->client, &send);
+}
+
+void
+mq_platform_send (struct mq_platform *platform,
+                  const struct mq_store_request *request)
+{
+  struct pending *pending = talloc_zero (platform, struct pending);
+
+  if (pending == NULL)
+    abort ();
+  pending->platform = platform;
+  talloc_set_destructor (pending, free_pending);
+  if (is_write (request->kind))
+    platform->counters.writes++;
+  else
+    platform->counters.reads++;
+  if (fill_pending (pending, request))
+    pending->call = send_pending (pending);
+  if (pending->call == NULL)
+    tevent_schedule_immediate (tevent_create_immediate (pending), platform->ev,
+                               on_not_sent, pending);
+}
+
+/* List of hosts.  */
+
+static bool
+read_host (json_t *json, struct mq_host *host)
+{
+  const char *role;
+  int leaving;
+
+  if (json_unpack (json, "{s:s,s:s,s:s,s:s,s:s,s:s,s:b}", "name", &host->name,
+                   "role", &role, "data_centre", &host->data_centre, "region",
+                   &host->region, "address", &host->address, "http",
+                   &host->http, "leaving", &leaving)
+      != 0)
+    return false;
+  host->leaving = leaving != 0;
+  host->role = MQ_HOST_ENTRY;
+  if (strcmp (role, "target") == 0)
+    host->role = MQ_HOST_TARGET;
+  return host->role == MQ_HOST_TARGET || strcmp (role, "entry") == 0;
+}
+
+/* One bad entry must not hide all the other hosts: it is left out and
+   counted.  */
+static void
+report_hosts (struct mq_platform *platform, json_t *items)
+{
+  size_t count = json_array_size (items);
+  struct mq_host_list list = { 0 };
+
+  list.items = talloc_zero_array (NULL, struct mq_host, count + 1);
+  if (list.items == NULL)
+    return;
+  for (size_t i = 0; i < count; i++)
+    if (read_host (json_array_get (items, i), &list.items[list.count]))
+      list.count++;
+    else
+      platform->counters.malformed++;
+  platform->watch.listed (&list, platform->watch.user);
+  talloc_free (list.items);
+}
+
+static void schedule_poll (struct mq_platform *platform, uint32_t after_ms);
+
+static void
+on_hosts (const struct mq_http_result *http, void *user)
+{
+  struct mq_platform *platform = user;
+  json_t *json = NULL;
+  json_t *items;
+
+  platform->watch.call = NULL;
+  schedule_poll (platform, platform->watch.interval_ms);
+  if (http->error != MQ_ERR_NONE || http->status != STATUS_OK)
+    {
+      platform->counters.failures++;
+      return;
+    }
+  json = load_json (http);
+  items = json_object_get (json, "hosts");
+  if (json_is_array (items))
+    report_hosts (platform, items);
+  else
+    platform->counters.malformed++;
+  json_decref (json);
+}
+
+static void
+poll_hosts (struct tevent_context *ev, struct tevent_timer *timer,
+            struct timeval now, void *data)
+{
+  struct mq_platform *platform = data;
+  struct mq_http_send send = {
+    .method = "GET",
+    .url = talloc_asprintf (platform, "%s/v1/hosts", platform->url),
+    .timeout_ms = MQ_STORE_TIMEOUT_MS,
+    .done = on_hosts,
+    .user = platform,
+  };
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  platform->counters.reads++;
+  if (send.url != NULL)
+    platform->watch.call = mq_http_client_send (platform->client, &send);
+  if (platform->watch.call == NULL)
+    schedule_poll (platform, platform->watch.interval_ms);
+  talloc_free ((void *)send.url);
+}
+
+static void
+schedule_poll (struct mq_platform *platform, uint32_t after_ms)
+{
+  struct timeval due = tevent_timeval_current_ofs (
+      after_ms / MS_PER_S, after_ms % MS_PER_S * US_PER_MS);
+
+  if (tevent_add_timer (platform->ev, platform, due, poll_hosts, platform)
+      == NULL)
+    abort ();
+}
+
+void
+mq_platform_watch_hosts (struct mq_platform *platform, uint32_t interval_ms,
+                         mq_platform_listed *listed, void *user)
+{
+  platform->watch.interval_ms = interval_ms;
+  platform->watch.listed = listed;
+  platform->watch.user = user;
+  schedule_poll (platform, 0);
+}
+
+const struct mq_platform_counters *
+mq_platform_counters (const struct mq_platform *platform)
+{
+  return &platform->counters;
+}
--- a/src/io/platform.h
+++ b/src/io/platform.h
@@ -17,23 +17,33 @@
                                  void *user);
 typedef void mq_platform_listed (const struct mq_host_list *hosts, void *user);
 
-/* URL: "http://IP:PORT".  */
+/* URL: "http://IP:PORT".  CLIENT must outlive the platform.  */
 struct mq_platform *
 mq_platform_create (TALLOC_CTX *ctx, struct tevent_context *ev,
                     struct mq_http_client *client, const char *url,
                     mq_platform_stored *stored, void *user);
 void mq_platform_destroy (struct mq_platform *platform);
-/* The result comes through STORED, never from within this call.  */
+/* The result comes through STORED, never from within this call, and lives
+   until STORED returns.  REQUEST is copied.  */
 void mq_platform_send (struct mq_platform *platform,
                        const struct mq_store_request *request);
-/* Reads the list of hosts every INTERVAL_MS and reports each success.  */
+/* Reads the list of hosts every INTERVAL_MS and reports each success; the
+   list lives until LISTED returns.  */
 void mq_platform_watch_hosts (struct mq_platform *platform,
                               uint32_t interval_ms, mq_platform_listed *listed,
                               void *user);
 
+/**
+ * struct mq_platform_counters - what was asked and how it ended
+ * @writes: TXN, PUT and DROP sent
+ * @reads: SCAN, GET and lists of hosts sent
+ * @failures: ended as DOWN
+ * @lost: ended as LOST
+ * @malformed: answers, and hosts of the list, that could not be read
+ */
 struct mq_platform_counters
 {
-  uint64_t writes, reads, failures, lost;
+  uint64_t writes, reads, failures, lost, malformed;
 };
 const struct mq_platform_counters *
 mq_platform_counters (const struct mq_platform *platform);
--- /dev/null
+++ b/standins/platform_server.c
@@ -0,0 +1,870 @@
+/* platform_server.c - the platform's stand-in as an HTTP server.
+
+   Each request below /v1/ becomes an operation with a life of its own: it is
+   parsed, meets the faults, waits where it must, takes effect and answers if
+   its client is still there.
+   Needs: platform_server.h, faults.h, host_registry.h, weight_store.h,
+   http_server.h, base64.h.
+ */
+
+#include "platform_server.h"
+#include "../src/io/base64.h"
+#include "../src/io/http_server.h"
+#include "faults.h"
+#include "host_registry.h"
+#include "weight_store.h"
+#include <string.h>
+#include <time.h>
+
+#define BODY_MAX_BYTES (64U << 20)
+#define JSON_TYPE "application/json"
+#define BYTES_TYPE "application/octet-stream"
+#define TABLE_PATH "/v1/table/transaction"
+#define ROWS_PATH "/v1/table/rows"
+#define OBJECT_PATH "/v1/objects/"
+#define HOSTS_PATH "/v1/hosts"
+#define WEIGHT_PATH "/v1/weights/"
+#define HOST_ADMIN_PATH "/standin/hosts/"
+
+enum
+{
+  US_PER_MS = 1000,
+  US_PER_S = 1000000
+};
+
+/* Lets N a second through, one after the other, and queues the rest.  */
+struct pacer
+{
+  uint64_t next_us;
+};
+
+struct mq_platform_server
+{
+  struct tevent_context *ev;
+  struct mq_http_server *http;
+  struct mq_table *table;
+  struct mq_faults *faults;
+  struct mq_host_registry *hosts;
+  struct mq_weight_store *weights;
+  struct pacer reads;
+  struct pacer writes;
+  uint64_t waiting;
+};
+
+enum operation_kind
+{
+  OPERATION_STORE,
+  OPERATION_HOSTS,
+  OPERATION_WEIGHT
+};
+
+enum operation_end
+{
+  END_ANSWER,
+  END_REFUSE, /* 503 in place of the effect */
+  END_CLOSE,  /* effect, then the connection is closed */
+  END_SILENT  /* effect; the connection was closed before */
+};
+
+struct operation
+{
+  struct mq_platform_server *server;
+  struct mq_http_request *request; /* valid until closed */
+  enum operation_kind kind;
+  enum operation_end end;
+  struct mq_store_request store;
+  const char **names;
+  size_t name_count;
+  bool finished;
+  bool closed;
+};
+
+/* Hosts that are to become visible later.  */
+struct late_hosts
+{
+  struct mq_platform_server *server;
+  json_t *state;
+  uint64_t number;
+};
+
+static uint64_t
+now_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (uint64_t)now.tv_sec * US_PER_S
+         + (uint64_t)now.tv_nsec / (US_PER_S / US_PER_MS);
+}
+
+static struct timeval
+after_us (uint64_t us)
+{
+  return tevent_timeval_current_ofs ((uint32_t)(us / US_PER_S),
+                                     (uint32_t)(us % US_PER_S));
+}
+
+static bool
+begins_with (const char *text, const char *prefix)
+{
+  return strncmp (text, prefix, strlen (prefix)) == 0;
+}
+
+static bool
+is_request (const struct mq_http_request *request, const char *method,
+            const char *path)
+{
+  return strcmp (mq_http_method (request), method) == 0
+         && strcmp (mq_http_path (request), path) == 0;
+}
+
+static bool
+is_below (const struct mq_http_request *request, const char *method,
+          const char *path)
+{
+  return strcmp (mq_http_method (request), method) == 0
+         && begins_with (mq_http_path (request), path)
+         && mq_http_path (request)[strlen (path)] != '\0';
+}
+
+/* Answers with JSON, which it frees.  */
+static void
+respond_json (struct mq_http_request *request, int status, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  json_decref (json);
+  if (text == NULL)
+    {
+      mq_http_abort (request);
+      return;
+    }
+  mq_http_respond (request, status, JSON_TYPE, text, strlen (text));
+  free (text);
+}
+
+static void
+respond_done (struct mq_http_request *request)
+{
+  respond_json (request, 200, json_object ());
+}
+
+static void
+respond_failure (struct mq_http_request *request, enum mq_error_type type)
+{
+  respond_json (request, mq_error_http_status (type),
+                json_pack ("{s:s}", "error", mq_error_name (type)));
+}
+
+/* Operations: parse.  */
+
+static bool
+read_op (TALLOC_CTX *ctx, json_t *json, struct mq_store_op *op)
+{
+  const char *key = NULL;
+  const char *value = NULL;
+  json_int_t version = -1;
+  int remove = 0;
+
+  if (json_unpack (json, "{s:s,s?I,s?b,s?s !}", "key", &key, "if_version",
+                   &version, "remove", &remove, "value", &value)
+          != 0
+      || key[0] == '\0' || version < -1 || (remove != 0) != (value == NULL))
+    return false;
+  op->key = talloc_strdup (ctx, key);
+  op->if_version = version < 0 ? MQ_VERSION_ANY : (uint64_t)version;
+  op->remove = remove != 0;
+  return op->remove || mq_base64_decode (ctx, value, &op->value);
+}
+
+static bool
+read_ops (struct operation *operation, json_t *ops)
+{
+  struct mq_store_request *store = &operation->store;
+  size_t count = json_array_size (ops);
+
+  store->kind = MQ_STORE_TXN;
+  store->ops = talloc_zero_array (operation, struct mq_store_op, count);
+  store->op_count = count;
+  operation->names = talloc_zero_array (operation, const char *, count);
+  operation->name_count = count;
+  for (size_t i = 0; i < count; i++)
+    {
+      if (!read_op (operation, json_array_get (ops, i), &store->ops[i]))
+        return false;
+      operation->names[i] = store->ops[i].key;
+    }
+  return count > 0;
+}
+
+static bool
+parse_transaction (struct operation *operation)
+{
+  size_t len;
+  const char *body = mq_http_body (operation->request, &len);
+  json_t *json = json_loadb (body, len, 0, NULL);
+  bool good = json_is_object (json) && json_object_size (json) == 1
+              && read_ops (operation, json_object_get (json, "ops"));
+
+  json_decref (json);
+  return good;
+}
+
+static void
+name_operation (struct operation *operation, const char *name)
+{
+  operation->names = talloc_zero_array (operation, const char *, 1);
+  operation->names[0] = talloc_strdup (operation, name);
+  operation->name_count = 1;
+}
+
+static bool
+parse_scan (struct operation *operation)
+{
+  struct mq_store_request *store = &operation->store;
+  const char *prefix = mq_http_query (operation->request, "prefix");
+  const char *after = mq_http_query (operation->request, "after");
+  const char *limit = mq_http_query (operation->request, "limit");
+  char *end = NULL;
+  unsigned long number = limit == NULL ? 0 : strtoul (limit, &end, 10);
+
+  store->kind = MQ_STORE_SCAN;
+  store->key = talloc_strdup (operation, prefix == NULL ? "" : prefix);
+  store->after = talloc_strdup (operation, after == NULL ? "" : after);
+  store->limit = number > UINT32_MAX ? UINT32_MAX : (uint32_t)number;
+  name_operation (operation, store->key);
+  return end == NULL || (end != limit && *end == '\0');
+}
+
+static bool
+parse_object (struct operation *operation, enum mq_store_kind kind)
+{
+  struct mq_store_request *store = &operation->store;
+  const char *path = mq_http_path (operation->request);
+  size_t len;
+  const char *body = mq_http_body (operation->request, &len);
+
+  store->kind = kind;
+  store->key = talloc_strdup (operation, path + strlen (OBJECT_PATH));
+  store->value.data = talloc_memdup (operation, body, len);
+  store->value.len = len;
+  name_operation (operation, store->key);
+  return true;
+}
+
+static bool
+parse_weight (struct operation *operation)
+{
+  const char *path = mq_http_path (operation->request);
+
+  operation->kind = OPERATION_WEIGHT;
+  name_operation (operation, path + strlen (WEIGHT_PATH));
+  return true;
+}
+
+static bool
+parse_hosts (struct operation *operation)
+{
+  operation->kind = OPERATION_HOSTS;
+  name_operation (operation, "hosts");
+  return true;
+}
+
+static bool
+parse_operation (struct operation *operation)
+{
+  struct mq_http_request *request = operation->request;
+
+  if (is_request (request, "POST", TABLE_PATH))
+    return parse_transaction (operation);
+  if (is_request (request, "GET", ROWS_PATH))
+    return parse_scan (operation);
+  if (is_below (request, "PUT", OBJECT_PATH))
+    return parse_object (operation, MQ_STORE_PUT);
+  if (is_below (request, "GET", OBJECT_PATH))
+    return parse_object (operation, MQ_STORE_GET);
+  if (is_below (request, "DELETE", OBJECT_PATH))
+    return parse_object (operation, MQ_STORE_DROP);
+  if (is_request (request, "GET", HOSTS_PATH))
+    return parse_hosts (operation);
+  if (is_below (request, "GET", WEIGHT_PATH))
+    return parse_weight (operation);
+  return false;
+}
+
+/* Operations: effect and answer.  */
+
+static json_t *
+describe_transaction (const struct mq_store_result *result)
+{
+  bool applied = result->status == MQ_STORE_OK;
+  json_t *list = json_array ();
+
+  for (size_t i = 0; i < result->row_count; i++)
+    json_array_append_new (
+        list, applied ? json_integer ((json_int_t)result->rows[i].version)
+                      : json_string (result->rows[i].key));
+  return json_pack ("{s:b,s:o}", "applied", applied,
+                    applied ? "versions" : "failed", list);
+}
+
+static json_t *
+describe_scan (const struct mq_store_result *result)
+{
+  json_t *rows = json_array ();
+
+  for (size_t i = 0; i < result->row_count; i++)
+    {
+      const struct mq_row *row = &result->rows[i];
+      char *value = mq_base64_encode (result->rows, row->value);
+
+      json_array_append_new (
+          rows, json_pack ("{s:s,s:I,s:s}", "key", row->key, "version",
+                           (json_int_t)row->version, "value", value));
+      talloc_free (value);
+    }
+  return json_pack ("{s:o,s:b}", "rows", rows, "more", result->more);
+}
+
+static void
+respond_store (struct operation *operation,
+               const struct mq_store_result *result, bool dropped)
+{
+  struct mq_http_request *request = operation->request;
+
+  switch (operation->store.kind)
+    {
+    case MQ_STORE_TXN:
+      respond_json (request, result->status == MQ_STORE_OK ? 200 : 409,
+                    describe_transaction (result));
+      return;
+    case MQ_STORE_SCAN:
+      respond_json (request, 200, describe_scan (result));
+      return;
+    case MQ_STORE_PUT:
+      respond_done (request);
+      return;
+    case MQ_STORE_GET:
+      if (result->status == MQ_STORE_MISSING)
+        respond_failure (request, MQ_ERR_NOT_FOUND);
+      else
+        mq_http_respond (request, 200, BYTES_TYPE, result->value.data,
+                         result->value.len);
+      return;
+    case MQ_STORE_DROP:
+      if (dropped)
+        respond_done (request);
+      else
+        respond_failure (request, MQ_ERR_NOT_FOUND);
+      return;
+    }
+}
+
+static void
+refuse_weight (struct mq_http_request *request, uint32_t retry_after_s)
+{
+  char text[16];
+
+  snprintf (text, sizeof text, "%u", retry_after_s);
+  mq_http_set_header (request, "Retry-After", text);
+  respond_failure (request, MQ_ERR_OVERLOADED);
+}
+
+static void
+respond_weight (struct operation *operation)
+{
+  struct mq_http_request *request = operation->request;
+  const char *name = operation->names[0];
+  uint32_t retry_after_s;
+  uint64_t bytes;
+
+  switch (mq_weight_store_load (operation->server->weights, name, now_us (),
+                                &bytes, &retry_after_s))
+    {
+    case MQ_WEIGHT_LOADED:
+      respond_json (
+          request, 200,
+          json_pack ("{s:s,s:I}", "name", name, "bytes", (json_int_t)bytes));
+      return;
+    case MQ_WEIGHT_OVER_RATE:
+      refuse_weight (request, retry_after_s);
+      return;
+    case MQ_WEIGHT_UNKNOWN:
+      respond_failure (request, MQ_ERR_NOT_FOUND);
+      return;
+    }
+}
+
+static void
+finish (struct operation *operation)
+{
+  operation->finished = true;
+  if (operation->closed)
+    talloc_free (operation);
+}
+
+/* Whoever answers or aborts may bring about the call of operation_closed
+   before that returns, so the operation is not touched afterwards.  */
+static void
+on_closed (struct mq_http_request *request, void *data)
+{
+  struct operation *operation = data;
+
+  (void)request;
+  operation->closed = true;
+  operation->request = NULL;
+  if (operation->finished)
+    talloc_free (operation);
+}
+
+static void
+run_store (struct operation *operation)
+{
+  struct mq_table *table = operation->server->table;
+  struct mq_store_result result = { 0 };
+  bool dropped = false;
+
+  if (operation->store.kind == MQ_STORE_DROP)
+    dropped = mq_table_drop (table, operation->store.key);
+  else
+    mq_table_serve (table, operation, &operation->store, &result);
+  if (operation->closed || operation->end == END_SILENT)
+    finish (operation);
+  else if (operation->end == END_CLOSE)
+    {
+      operation->finished = true;
+      mq_http_abort (operation->request);
+    }
+  else
+    {
+      operation->finished = true;
+      respond_store (operation, &result, dropped);
+    }
+}
+
+static void
+run_answer (struct operation *operation)
+{
+  if (operation->closed)
+    {
+      finish (operation);
+      return;
+    }
+  operation->finished = true;
+  if (operation->end == END_REFUSE)
+    respond_failure (operation->request, MQ_ERR_STORE_DOWN);
+  else if (operation->kind == OPERATION_HOSTS)
+    respond_json (operation->request, 200,
+                  mq_host_registry_answer (operation->server->hosts));
+  else
+    respond_weight (operation);
+}
+
+static void
+run (struct operation *operation)
+{
+  if (operation->kind == OPERATION_STORE && operation->end != END_REFUSE)
+    run_store (operation);
+  else
+    run_answer (operation);
+}
+
+static void
+on_due (struct tevent_context *ev, struct tevent_timer *timer,
+        struct timeval now, void *data)
+{
+  struct operation *operation = data;
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  operation->server->waiting--;
+  run (operation);
+}
+
+/* Operations: faults.  */
+
+static bool
+is_write (const struct operation *operation)
+{
+  if (operation->kind != OPERATION_STORE)
+    return false;
+  return operation->store.kind != MQ_STORE_SCAN
+         && operation->store.kind != MQ_STORE_GET;
+}
+
+static uint64_t
+pace (struct pacer *pacer, uint32_t per_s)
+{
+  uint64_t now = now_us ();
+  uint64_t start = pacer->next_us > now ? pacer->next_us : now;
+
+  if (per_s == 0)
+    return 0;
+  pacer->next_us = start + US_PER_S / per_s;
+  return start - now;
+}
+
+static bool
+meets (struct operation *operation, enum mq_fault_kind kind,
+       struct mq_fault *fault)
+{
+  struct mq_fault_subject subject
+      = { operation->names, operation->name_count, NULL };
+
+  return mq_faults_take (operation->server->faults, kind, &subject, fault);
+}
+
+static uint64_t
+queue_wait (struct operation *operation)
+{
+  struct mq_platform_server *server = operation->server;
+  struct mq_fault fault;
+
+  if (!meets (operation, MQ_FAULT_RATE, &fault))
+    return 0;
+  if (is_write (operation))
+    return pace (&server->writes, fault.writes_per_s);
+  return pace (&server->reads, fault.reads_per_s);
+}
+
+static uint64_t
+fault_wait (struct operation *operation, enum mq_fault_kind kind)
+{
+  struct mq_fault fault;
+
+  if (!meets (operation, kind, &fault))
+    return 0;
+  return (uint64_t)fault.ms * US_PER_MS;
+}
+
+/* The faults that concern an effect meet writes only, so that a read that
+   comes between does not use up their count.  */
+static void
+start_write (struct operation *operation, uint64_t *wait_us)
+{
+  struct mq_fault fault;
+
+  if (meets (operation, MQ_FAULT_LATE_EFFECT, &fault))
+    {
+      operation->end = END_SILENT;
+      *wait_us += (uint64_t)fault.ms * US_PER_MS;
+      mq_http_abort (operation->request);
+    }
+  else if (meets (operation, MQ_FAULT_LOST_ANSWER, NULL))
+    operation->end = END_CLOSE;
+}
+
+static void
+start (struct operation *operation)
+{
+  uint64_t wait_us;
+
+  if (meets (operation, MQ_FAULT_UNREACHABLE, NULL))
+    {
+      operation->finished = true;
+      mq_http_abort (operation->request);
+      return;
+    }
+  if (meets (operation, MQ_FAULT_HANG, NULL))
+    {
+      operation->finished = true;
+      return;
+    }
+  wait_us = fault_wait (operation, MQ_FAULT_SLOW);
+  if (meets (operation, MQ_FAULT_DOWN, NULL))
+    operation->end = END_REFUSE;
+  else
+    wait_us += queue_wait (operation);
+  if (operation->end != END_REFUSE && is_write (operation))
+    start_write (operation, &wait_us);
+  if (wait_us == 0)
+    {
+      run (operation);
+      return;
+    }
+  operation->server->waiting++;
+  if (tevent_add_timer (operation->server->ev, operation, after_us (wait_us),
+                        on_due, operation)
+      == NULL)
+    abort ();
+}
+
+static void
+handle_operation (struct mq_platform_server *server,
+                  struct mq_http_request *request)
+{
+  struct operation *operation = talloc_zero (server, struct operation);
+
+  operation->server = server;
+  operation->request = request;
+  if (!parse_operation (operation))
+    {
+      talloc_free (operation);
+      respond_failure (request, MQ_ERR_BAD_REQUEST);
+      return;
+    }
+  mq_http_on_closed (request, on_closed, operation);
+  start (operation);
+}
+
+/* Switches.  */
+
+static void
+handle_fault (struct mq_platform_server *server,
+              struct mq_http_request *request)
+{
+  struct mq_error error;
+  size_t len;
+  const char *body = mq_http_body (request, &len);
+
+  if (mq_faults_post (server->faults, body, len, &error))
+    respond_done (request);
+  else
+    respond_failure (request, error.type);
+}
+
+static void
+handle_stats (struct mq_platform_server *server,
+              struct mq_http_request *request)
+{
+  struct mq_table_counters c = mq_table_counters (server->table);
+
+  respond_json (request, 200,
+                json_pack ("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "reads",
+                           (json_int_t)c.reads, "writes", (json_int_t)c.writes,
+                           "conflicts", (json_int_t)c.conflicts,
+                           "rows_written", (json_int_t)c.rows_written, "rows",
+                           (json_int_t)c.rows, "objects",
+                           (json_int_t)c.objects, "bytes", (json_int_t)c.bytes,
+                           "waiting", (json_int_t)server->waiting));
+}
+
+static int
+free_late_hosts (struct late_hosts *late)
+{
+  json_decref (late->state);
+  return 0;
+}
+
+static void
+on_hosts_due (struct tevent_context *ev, struct tevent_timer *timer,
+              struct timeval now, void *data)
+{
+  struct late_hosts *late = data;
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  mq_host_registry_show (late->server->hosts, json_incref (late->state),
+                         late->number);
+  talloc_free (late);
+}
+
+static void
+show_hosts (struct mq_platform_server *server)
+{
+  struct mq_fault_subject subject = { 0 };
+  struct mq_fault lag = { 0 };
+  struct late_hosts *late = talloc_zero (server, struct late_hosts);
+
+  late->server = server;
+  late->state = mq_host_registry_state (server->hosts, &late->number);
+  talloc_set_destructor (late, free_late_hosts);
+  if (!mq_faults_take (server->faults, MQ_FAULT_HOSTS_LAG, &subject, &lag))
+    {
+      mq_host_registry_show (server->hosts, json_incref (late->state),
+                             late->number);
+      talloc_free (late);
+      return;
+    }
+  if (tevent_add_timer (server->ev, late,
+                        after_us ((uint64_t)lag.ms * US_PER_MS), on_hosts_due,
+                        late)
+      == NULL)
+    abort ();
+}
+
+static void
+handle_host_set (struct mq_platform_server *server,
+                 struct mq_http_request *request)
+{
+  size_t len;
+  const char *body = mq_http_body (request, &len);
+  json_t *host = json_loadb (body, len, 0, NULL);
+  bool good = mq_host_registry_set (server->hosts, host);
+
+  json_decref (host);
+  if (!good)
+    {
+      respond_failure (request, MQ_ERR_BAD_REQUEST);
+      return;
+    }
+  show_hosts (server);
+  respond_done (request);
+}
+
+static void
+handle_host_remove (struct mq_platform_server *server,
+                    struct mq_http_request *request)
+{
+  const char *name = mq_http_path (request) + strlen (HOST_ADMIN_PATH);
+
+  if (!mq_host_registry_remove (server->hosts, name))
+    {
+      respond_failure (request, MQ_ERR_NOT_FOUND);
+      return;
+    }
+  show_hosts (server);
+  respond_done (request);
+}
+
+static bool
+set_weight (struct mq_platform_server *server, json_t *json)
+{
+  const char *name;
+  json_int_t bytes;
+  json_int_t loads;
+
+  if (json_unpack (json, "{s:s,s:I,s:I !}", "name", &name, "bytes", &bytes,
+                   "loads_per_minute", &loads)
+          != 0
+      || name[0] == '\0' || bytes < 0 || loads < 0 || loads > UINT32_MAX)
+    return false;
+  mq_weight_store_set (server->weights, name, (uint64_t)bytes, (uint32_t)loads,
+                       now_us ());
+  return true;
+}
+
+static void
+handle_weight_set (struct mq_platform_server *server,
+                   struct mq_http_request *request)
+{
+  size_t len;
+  const char *body = mq_http_body (request, &len);
+  json_t *json = json_loadb (body, len, 0, NULL);
+  bool good = set_weight (server, json);
+
+  json_decref (json);
+  if (good)
+    respond_done (request);
+  else
+    respond_failure (request, MQ_ERR_BAD_REQUEST);
+}
+
+static void
+handle_switch (struct mq_platform_server *server,
+               struct mq_http_request *request)
+{
+  if (is_request (request, "POST", "/standin/fault"))
+    handle_fault (server, request);
+  else if (is_request (request, "GET", "/standin/stats"))
+    handle_stats (server, request);
+  else if (is_request (request, "POST", "/standin/hosts"))
+    handle_host_set (server, request);
+  else if (is_below (request, "DELETE", HOST_ADMIN_PATH))
+    handle_host_remove (server, request);
+  else if (is_request (request, "POST", "/standin/weights"))
+    handle_weight_set (server, request);
+  else
+    respond_failure (request, MQ_ERR_NOT_FOUND);
+}
+
+static void
+on_request (struct mq_http_request *request, void *data)
+{
+  struct mq_platform_server *server = data;
+
+  if (begins_with (mq_http_path (request), "/standin/"))
+    handle_switch (server, request);
+  else
+    handle_operation (server, request);
+}
+
+/* Whole server.  */
+
+static void
+create_parts (struct mq_platform_server *server)
+{
+  server->table = mq_table_create (server);
+  server->hosts = mq_host_registry_create (server);
+  server->weights = mq_weight_store_create (server);
+  server->faults = mq_faults_create (
+      server,
+      MQ_FAULT_BIT (MQ_FAULT_DOWN) | MQ_FAULT_BIT (MQ_FAULT_UNREACHABLE)
+          | MQ_FAULT_BIT (MQ_FAULT_SLOW) | MQ_FAULT_BIT (MQ_FAULT_LOST_ANSWER)
+          | MQ_FAULT_BIT (MQ_FAULT_LATE_EFFECT) | MQ_FAULT_BIT (MQ_FAULT_HANG)
+          | MQ_FAULT_BIT (MQ_FAULT_HOSTS_LAG) | MQ_FAULT_BIT (MQ_FAULT_RATE));
+}
+
+struct mq_platform_server *
+mq_platform_server_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                           const char *address, struct mq_error *error)
+{
+  struct mq_http_server_options options
+      = { .address = address, .body_max = BODY_MAX_BYTES };
+  struct mq_platform_server *server
+      = talloc_zero (ctx, struct mq_platform_server);
+
+  if (server == NULL)
+    {
+      mq_error_set (error, MQ_ERR_NO_MEMORY, "platform", "");
+      return NULL;
+    }
+  server->ev = ev;
+  create_parts (server);
+  server->http = mq_http_server_create (server, ev, &options, on_request,
+                                        server, error);
+  if (server->http == NULL)
+    TALLOC_FREE (server);
+  return server;
+}
+
+/* The HTTP server goes first: it closes requests whose operations are still
+   there.  */
+void
+mq_platform_server_destroy (struct mq_platform_server *server)
+{
+  if (server == NULL)
+    return;
+  mq_http_server_destroy (server->http);
+  talloc_free (server);
+}
+
+uint16_t
+mq_platform_server_port (const struct mq_platform_server *server)
+{
+  return mq_http_server_port (server->http);
+}
+
+struct mq_table *
+mq_platform_server_table (struct mq_platform_server *server)
+{
+  return server->table;
+}
+
+bool
+mq_platform_server_fault (struct mq_platform_server *server, const char *order)
+{
+  struct mq_error error;
+
+  return mq_faults_post (server->faults, order, strlen (order), &error);
+}
+
+bool
+mq_platform_server_load_hosts (struct mq_platform_server *server,
+                               const char *text, size_t len)
+{
+  json_t *json = json_loadb (text, len, 0, NULL);
+  json_t *hosts = json_object_get (json, "hosts");
+  bool good = json_is_array (hosts);
+  uint64_t number;
+  json_t *state;
+
+  for (size_t i = 0; good && i < json_array_size (hosts); i++)
+    good = mq_host_registry_set (server->hosts, json_array_get (hosts, i));
+  json_decref (json);
+  state = mq_host_registry_state (server->hosts, &number);
+  mq_host_registry_show (server->hosts, state, number);
+  return good;
+}
