--- a/src/io/platform.c
+++ b/src/io/platform.c
@@ -87,7 +87,7 @@
       pending, "%s/v1/table/rows?prefix=", pending->platform->url);
 
   url = append_escaped (url, request->key);
-  if (request->after != NULL && request->after[0] != '\0')
+  if (request->after[0] != '\0')
     url = append_escaped (talloc_asprintf_append_buffer (url, "&after="),
                           request->after);
   if (request->limit != 0)
@@ -186,8 +186,8 @@
 static bool
 copy_text (TALLOC_CTX *ctx, char **to, const char *from)
 {
-  *to = from == NULL ? NULL : talloc_strdup (ctx, from);
-  return from == NULL || *to != NULL;
+  *to = talloc_strdup (ctx, from == NULL ? "" : from);
+  return *to != NULL;
 }
 
 static bool
@@ -376,8 +376,7 @@
   struct mq_row *row = &result->rows[result->row_count];
 
   if (key == NULL || value == NULL || version <= 0
-      || !begins_with (key, request->key)
-      || (last != NULL && strcmp (key, last) <= 0))
+      || !begins_with (key, request->key) || strcmp (key, last) <= 0)
     return false;
   return add_row (result, key, (uint64_t)version)
          && mq_base64_decode (result->rows, value, &row->value);
