--- a/standins/platform_server.c
+++ b/standins/platform_server.c
@@ -4,26 +4,27 @@
    parsed, meets the faults, waits where it must, takes effect and answers if
    its client is still there.
    Needs: platform_server.h, faults.h, host_registry.h, weight_store.h,
-   http_server.h, base64.h.
+   http_answer.h, platform_wire.h.
  */
 
 #include "platform_server.h"
-#include "../src/io/base64.h"
 #include "../src/io/http_server.h"
 #include "faults.h"
 #include "host_registry.h"
+#include "http_answer.h"
+#include "platform_wire.h"
 #include "weight_store.h"
 #include <string.h>
 #include <time.h>
 
 #define BODY_MAX_BYTES (64U << 20)
-#define JSON_TYPE "application/json"
 #define BYTES_TYPE "application/octet-stream"
 #define TABLE_PATH "/v1/table/transaction"
 #define ROWS_PATH "/v1/table/rows"
 #define OBJECT_PATH "/v1/objects/"
 #define HOSTS_PATH "/v1/hosts"
 #define WEIGHT_PATH "/v1/weights/"
+#define SWITCH_PATH "/standin/"
 #define HOST_ADMIN_PATH "/standin/hosts/"
 
 enum
@@ -104,110 +105,24 @@
                                      (uint32_t)(us % US_PER_S));
 }
 
-static bool
-begins_with (const char *text, const char *prefix)
-{
-  return strncmp (text, prefix, strlen (prefix)) == 0;
-}
-
-static bool
-is_request (const struct mq_http_request *request, const char *method,
-            const char *path)
-{
-  return strcmp (mq_http_method (request), method) == 0
-         && strcmp (mq_http_path (request), path) == 0;
-}
-
-static bool
-is_below (const struct mq_http_request *request, const char *method,
-          const char *path)
-{
-  return strcmp (mq_http_method (request), method) == 0
-         && begins_with (mq_http_path (request), path)
-         && mq_http_path (request)[strlen (path)] != '\0';
-}
-
-/* Answers with JSON, which it frees.  */
-static void
-respond_json (struct mq_http_request *request, int status, json_t *json)
-{
-  char *text = json_dumps (json, JSON_COMPACT);
-
-  json_decref (json);
-  if (text == NULL)
-    {
-      mq_http_abort (request);
-      return;
-    }
-  mq_http_respond (request, status, JSON_TYPE, text, strlen (text));
-  free (text);
-}
-
-static void
-respond_done (struct mq_http_request *request)
-{
-  respond_json (request, 200, json_object ());
-}
-
-static void
-respond_failure (struct mq_http_request *request, enum mq_error_type type)
-{
-  respond_json (request, mq_error_http_status (type),
-                json_pack ("{s:s}", "error", mq_error_name (type)));
-}
-
 /* Operations: parse.  */
 
-static bool
-read_op (TALLOC_CTX *ctx, json_t *json, struct mq_store_op *op)
-{
-  const char *key = NULL;
-  const char *value = NULL;
-  json_int_t version = -1;
-  int remove = 0;
-
-  if (json_unpack (json, "{s:s,s?I,s?b,s?s !}", "key", &key, "if_version",
-                   &version, "remove", &remove, "value", &value)
-          != 0
-      || key[0] == '\0' || version < -1 || (remove != 0) != (value == NULL))
-    return false;
-  op->key = talloc_strdup (ctx, key);
-  op->if_version = version < 0 ? MQ_VERSION_ANY : (uint64_t)version;
-  op->remove = remove != 0;
-  return op->remove || mq_base64_decode (ctx, value, &op->value);
-}
-
-static bool
-read_ops (struct operation *operation, json_t *ops)
-{
-  struct mq_store_request *store = &operation->store;
-  size_t count = json_array_size (ops);
-
-  store->kind = MQ_STORE_TXN;
-  store->ops = talloc_zero_array (operation, struct mq_store_op, count);
-  store->op_count = count;
-  operation->names = talloc_zero_array (operation, const char *, count);
-  operation->name_count = count;
-  for (size_t i = 0; i < count; i++)
-    {
-      if (!read_op (operation, json_array_get (ops, i), &store->ops[i]))
-        return false;
-      operation->names[i] = store->ops[i].key;
-    }
-  return count > 0;
-}
-
 static bool
 parse_transaction (struct operation *operation)
 {
+  struct mq_store_request *store = &operation->store;
   size_t len;
   const char *body = mq_http_body (operation->request, &len);
-  json_t *json = json_loadb (body, len, 0, NULL);
-  bool good = json_is_object (json) && json_object_size (json) == 1
-              && read_ops (operation, json_object_get (json, "ops"));
 
-  json_decref (json);
-  return good;
+  store->kind = MQ_STORE_TXN;
+  if (!mq_wire_read_transaction (operation, body, len, store))
+    return false;
+  operation->names
+      = talloc_zero_array (operation, const char *, store->op_count);
+  operation->name_count = store->op_count;
+  for (size_t i = 0; i < store->op_count; i++)
+    operation->names[i] = store->ops[i].key;
+  return true;
 }
 
 static void
@@ -275,57 +190,25 @@
 {
   struct mq_http_request *request = operation->request;
 
-  if (is_request (request, "POST", TABLE_PATH))
+  if (mq_is_request (request, "POST", TABLE_PATH))
     return parse_transaction (operation);
-  if (is_request (request, "GET", ROWS_PATH))
+  if (mq_is_request (request, "GET", ROWS_PATH))
     return parse_scan (operation);
-  if (is_below (request, "PUT", OBJECT_PATH))
+  if (mq_is_below (request, "PUT", OBJECT_PATH))
     return parse_object (operation, MQ_STORE_PUT);
-  if (is_below (request, "GET", OBJECT_PATH))
+  if (mq_is_below (request, "GET", OBJECT_PATH))
     return parse_object (operation, MQ_STORE_GET);
-  if (is_below (request, "DELETE", OBJECT_PATH))
+  if (mq_is_below (request, "DELETE", OBJECT_PATH))
     return parse_object (operation, MQ_STORE_DROP);
-  if (is_request (request, "GET", HOSTS_PATH))
+  if (mq_is_request (request, "GET", HOSTS_PATH))
     return parse_hosts (operation);
-  if (is_below (request, "GET", WEIGHT_PATH))
+  if (mq_is_below (request, "GET", WEIGHT_PATH))
     return parse_weight (operation);
   return false;
 }
 
 /* Operations: effect and answer.  */
 
-static json_t *
-describe_transaction (const struct mq_store_result *result)
-{
-  bool applied = result->status == MQ_STORE_OK;
-  json_t *list = json_array ();
-
-  for (size_t i = 0; i < result->row_count; i++)
-    json_array_append_new (
-        list, applied ? json_integer ((json_int_t)result->rows[i].version)
-                      : json_string (result->rows[i].key));
-  return json_pack ("{s:b,s:o}", "applied", applied,
-                    applied ? "versions" : "failed", list);
-}
-
-static json_t *
-describe_scan (const struct mq_store_result *result)
-{
-  json_t *rows = json_array ();
-
-  for (size_t i = 0; i < result->row_count; i++)
-    {
-      const struct mq_row *row = &result->rows[i];
-      char *value = mq_base64_encode (result->rows, row->value);
-
-      json_array_append_new (
-          rows, json_pack ("{s:s,s:I,s:s}", "key", row->key, "version",
-                           (json_int_t)row->version, "value", value));
-      talloc_free (value);
-    }
-  return json_pack ("{s:o,s:b}", "rows", rows, "more", result->more);
-}
-
 static void
 respond_store (struct operation *operation,
                const struct mq_store_result *result, bool dropped)
@@ -335,27 +218,27 @@
   switch (operation->store.kind)
     {
     case MQ_STORE_TXN:
-      respond_json (request, result->status == MQ_STORE_OK ? 200 : 409,
-                    describe_transaction (result));
+      mq_answer_json (request, result->status == MQ_STORE_OK ? 200 : 409,
+                      mq_wire_transaction (result));
       return;
     case MQ_STORE_SCAN:
-      respond_json (request, 200, describe_scan (result));
+      mq_answer_json (request, 200, mq_wire_rows (result));
       return;
     case MQ_STORE_PUT:
-      respond_done (request);
+      mq_answer_done (request);
       return;
     case MQ_STORE_GET:
       if (result->status == MQ_STORE_MISSING)
-        respond_failure (request, MQ_ERR_NOT_FOUND);
+        mq_answer_failure (request, MQ_ERR_NOT_FOUND);
       else
         mq_http_respond (request, 200, BYTES_TYPE, result->value.data,
                          result->value.len);
       return;
     case MQ_STORE_DROP:
       if (dropped)
-        respond_done (request);
+        mq_answer_done (request);
       else
-        respond_failure (request, MQ_ERR_NOT_FOUND);
+        mq_answer_failure (request, MQ_ERR_NOT_FOUND);
       return;
     }
 }
@@ -367,7 +250,7 @@
 
   snprintf (text, sizeof text, "%u", retry_after_s);
   mq_http_set_header (request, "Retry-After", text);
-  respond_failure (request, MQ_ERR_OVERLOADED);
+  mq_answer_failure (request, MQ_ERR_OVERLOADED);
 }
 
 static void
@@ -382,7 +265,7 @@
                                 &bytes, &retry_after_s))
     {
     case MQ_WEIGHT_LOADED:
-      respond_json (
+      mq_answer_json (
           request, 200,
           json_pack ("{s:s,s:I}", "name", name, "bytes", (json_int_t)bytes));
       return;
@@ -390,7 +273,7 @@
       refuse_weight (request, retry_after_s);
       return;
     case MQ_WEIGHT_UNKNOWN:
-      respond_failure (request, MQ_ERR_NOT_FOUND);
+      mq_answer_failure (request, MQ_ERR_NOT_FOUND);
       return;
     }
 }
@@ -403,7 +286,7 @@
     talloc_free (operation);
 }
 
-/* Whoever answers or aborts may bring about the call of operation_closed
+/* Whoever answers or aborts may bring about the call of on_closed
    before that returns, so the operation is not touched afterwards.  */
 static void
 on_closed (struct mq_http_request *request, void *data)
@@ -452,10 +335,10 @@
     }
   operation->finished = true;
   if (operation->end == END_REFUSE)
-    respond_failure (operation->request, MQ_ERR_STORE_DOWN);
+    mq_answer_failure (operation->request, MQ_ERR_STORE_DOWN);
   else if (operation->kind == OPERATION_HOSTS)
-    respond_json (operation->request, 200,
-                  mq_host_registry_answer (operation->server->hosts));
+    mq_answer_json (operation->request, 200,
+                    mq_host_registry_answer (operation->server->hosts));
   else
     respond_weight (operation);
 }
@@ -601,7 +484,7 @@
   if (!parse_operation (operation))
     {
       talloc_free (operation);
-      respond_failure (request, MQ_ERR_BAD_REQUEST);
+      mq_answer_failure (request, MQ_ERR_BAD_REQUEST);
       return;
     }
   mq_http_on_closed (request, on_closed, operation);
@@ -619,25 +502,18 @@
   const char *body = mq_http_body (request, &len);
 
   if (mq_faults_post (server->faults, body, len, &error))
-    respond_done (request);
+    mq_answer_done (request);
   else
-    respond_failure (request, error.type);
+    mq_answer_failure (request, error.type);
 }
 
 static void
 handle_stats (struct mq_platform_server *server,
               struct mq_http_request *request)
 {
-  struct mq_table_counters c = mq_table_counters (server->table);
+  struct mq_table_counters counters = mq_table_counters (server->table);
 
-  respond_json (request, 200,
-                json_pack ("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "reads",
-                           (json_int_t)c.reads, "writes", (json_int_t)c.writes,
-                           "conflicts", (json_int_t)c.conflicts,
-                           "rows_written", (json_int_t)c.rows_written, "rows",
-                           (json_int_t)c.rows, "objects",
-                           (json_int_t)c.objects, "bytes", (json_int_t)c.bytes,
-                           "waiting", (json_int_t)server->waiting));
+  mq_answer_json (request, 200, mq_wire_counters (&counters, server->waiting));
 }
 
 static int
@@ -697,11 +573,11 @@
   json_decref (host);
   if (!good)
     {
-      respond_failure (request, MQ_ERR_BAD_REQUEST);
+      mq_answer_failure (request, MQ_ERR_BAD_REQUEST);
       return;
     }
   show_hosts (server);
-  respond_done (request);
+  mq_answer_done (request);
 }
 
 static void
@@ -712,11 +588,11 @@
 
   if (!mq_host_registry_remove (server->hosts, name))
     {
-      respond_failure (request, MQ_ERR_NOT_FOUND);
+      mq_answer_failure (request, MQ_ERR_NOT_FOUND);
       return;
     }
   show_hosts (server);
-  respond_done (request);
+  mq_answer_done (request);
 }
 
 static bool
@@ -747,27 +623,27 @@
 
   json_decref (json);
   if (good)
-    respond_done (request);
+    mq_answer_done (request);
   else
-    respond_failure (request, MQ_ERR_BAD_REQUEST);
+    mq_answer_failure (request, MQ_ERR_BAD_REQUEST);
 }
 
 static void
 handle_switch (struct mq_platform_server *server,
                struct mq_http_request *request)
 {
-  if (is_request (request, "POST", "/standin/fault"))
+  if (mq_is_request (request, "POST", "/standin/fault"))
     handle_fault (server, request);
-  else if (is_request (request, "GET", "/standin/stats"))
+  else if (mq_is_request (request, "GET", "/standin/stats"))
     handle_stats (server, request);
-  else if (is_request (request, "POST", "/standin/hosts"))
+  else if (mq_is_request (request, "POST", "/standin/hosts"))
     handle_host_set (server, request);
-  else if (is_below (request, "DELETE", HOST_ADMIN_PATH))
+  else if (mq_is_below (request, "DELETE", HOST_ADMIN_PATH))
     handle_host_remove (server, request);
-  else if (is_request (request, "POST", "/standin/weights"))
+  else if (mq_is_request (request, "POST", "/standin/weights"))
     handle_weight_set (server, request);
   else
-    respond_failure (request, MQ_ERR_NOT_FOUND);
+    mq_answer_failure (request, MQ_ERR_NOT_FOUND);
 }
 
 static void
@@ -775,7 +651,7 @@
 {
   struct mq_platform_server *server = data;
 
-  if (begins_with (mq_http_path (request), "/standin/"))
+  if (strncmp (mq_http_path (request), SWITCH_PATH, strlen (SWITCH_PATH)) == 0)
     handle_switch (server, request);
   else
     handle_operation (server, request);
