--- a/standins/faults.c
+++ b/standins/faults.c
@@ -214,6 +214,8 @@
 static bool
 meets (const struct mq_fault *fault, const struct mq_fault_subject *subject)
 {
+  if (subject->poll && fault->left != MQ_FAULT_UNTIL_CLEARED)
+    return false;
   if (fault->worker[0] != '\0'
       && (subject->worker == NULL
           || strcmp (fault->worker, subject->worker) != 0))
--- a/standins/faults.h
+++ b/standins/faults.h
@@ -57,12 +57,15 @@
  * @names: its row keys, object key or path
  * @count: how many
  * @worker: which worker it came to, NULL when there is but one
+ * @poll: a regular poll: meets no fault that has a count, so that it does
+ *        not use up what is meant for a call
  */
 struct mq_fault_subject
 {
   const char *const *names;
   size_t count;
   const char *worker;
+  bool poll;
 };
 
 struct mq_faults;
--- a/standins/platform_server.c
+++ b/standins/platform_server.c
@@ -393,7 +393,7 @@
        struct mq_fault *fault)
 {
   struct mq_fault_subject subject
-      = { operation->names, operation->name_count, NULL };
+      = { operation->names, operation->name_count, NULL, false };
 
   return mq_faults_take (operation->server->faults, kind, &subject, fault);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -821,17 +821,21 @@
   const char *worker;
   uint32_t asked;
   uint32_t met;
+  bool poll;
 } meetings[] = {
-  { "{\"fault\":\"hang\"}", "a", NULL, 3, 3 },
-  { "{\"fault\":\"hang\",\"count\":2}", "a", NULL, 3, 2 },
-  { "{\"fault\":\"hang\",\"match\":\"a/\"}", "a/b", NULL, 3, 3 },
-  { "{\"fault\":\"hang\",\"match\":\"a/\"}", "b/a/", NULL, 3, 0 },
-  { "{\"fault\":\"hang\",\"match\":\"a/\",\"count\":1}", "a/b", NULL, 3, 1 },
-  { "{\"fault\":\"hang\",\"worker\":\"w\"}", "a", "w", 3, 3 },
-  { "{\"fault\":\"hang\",\"worker\":\"w\"}", "a", "v", 3, 0 },
-  { "{\"fault\":\"hang\",\"worker\":\"w\"}", "a", NULL, 3, 0 },
-  { "{\"fault\":\"down\"}", "a", NULL, 3, 0 },
-  { "{\"fault\":\"clear\"}", "a", NULL, 3, 0 },
+  { "{\"fault\":\"hang\"}", "a", NULL, 3, 3, false },
+  { "{\"fault\":\"hang\",\"count\":2}", "a", NULL, 3, 2, false },
+  { "{\"fault\":\"hang\",\"match\":\"a/\"}", "a/b", NULL, 3, 3, false },
+  { "{\"fault\":\"hang\",\"match\":\"a/\"}", "b/a/", NULL, 3, 0, false },
+  { "{\"fault\":\"hang\",\"match\":\"a/\",\"count\":1}", "a/b", NULL, 3, 1,
+    false },
+  { "{\"fault\":\"hang\",\"worker\":\"w\"}", "a", "w", 3, 3, false },
+  { "{\"fault\":\"hang\",\"worker\":\"w\"}", "a", "v", 3, 0, false },
+  { "{\"fault\":\"hang\",\"worker\":\"w\"}", "a", NULL, 3, 0, false },
+  { "{\"fault\":\"down\"}", "a", NULL, 3, 0, false },
+  { "{\"fault\":\"clear\"}", "a", NULL, 3, 0, false },
+  { "{\"fault\":\"hang\"}", "a", NULL, 3, 3, true },
+  { "{\"fault\":\"hang\",\"count\":2}", "a", NULL, 3, 0, true },
 };
 
 Test (faults, meet_what_they_name)
@@ -840,7 +844,7 @@
     {
       struct mq_faults *switches = mq_faults_create (NULL, UINT32_MAX);
       struct mq_fault_subject subject
-          = { &meetings[i].name, 1, meetings[i].worker };
+          = { &meetings[i].name, 1, meetings[i].worker, meetings[i].poll };
       const char *order = meetings[i].order;
       struct mq_error error;
       uint32_t met = 0;
