Read and check the operators' text

Cause: every process takes its services, budgets and organisations from one text; a text with an error must be refused whole, with every error named.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -13,6 +13,7 @@
 #define MQ_STREAM_BUFFER_BYTES (1U << 20) /* unsent bytes of a slow reader */
 #define MQ_TEXT_MAX_BYTES (1U << 20)      /* operators' text */
 #define MQ_TEXT_LINE_MAX 198U             /* one line of it */
+#define MQ_TEXT_ERRORS_MAX 1000U          /* errors listed in one pass */
 
 /* Connections between processes.  */
 #define MQ_BEAT_MS 500U          /* heartbeat on an idle connection */
@@ -27,7 +28,6 @@
 #define MQ_OWNER_PROGRAMS_MAX 50000U
 #define MQ_COMMIT_RECORDS_MAX 512U
 #define MQ_COMMIT_INLINE_BYTES (64U << 10) /* larger: in an object */
-* /
 #define MQ_CHECKPOINT_RECORDS 2000U /* records between checkpoints */
 #define MQ_STORE_TIMEOUT_MS 3000U   /* no answer: LOST */
 #define MQ_STORE_RETRY_MS 100U
--- a/src/core/text.h
+++ b/src/core/text.h
@@ -93,6 +93,9 @@
  * @cache_lease_ms: cache of a program that is not renewed is evicted
  * @services: in the order of the text
  * @organisations: in the order of the text
+ * @services_by_name: indices in name order, for the search functions
+ * @organisations_by_name: likewise
+ * @organisations_by_key: indices in key_hash order, likewise
  */
 struct mq_text
 {
@@ -105,6 +108,9 @@
   size_t service_count;
   struct mq_organisation *organisations;
   size_t organisation_count;
+  uint32_t *services_by_name;
+  uint32_t *organisations_by_name;
+  uint32_t *organisations_by_key;
 };
 
 struct mq_text_errors
--- /dev/null
+++ b/src/core/text_ini.c
@@ -0,0 +1,430 @@
+/* text_ini.c - an INI text as sections and pairs with their positions.
+
+   The library calls back for each pair, but tells neither the line of a
+   pair, nor a section without pairs, nor more than the first bad line, and
+   it cuts section names at 49 bytes.  Its reader callback is ours, so all
+   four are seen there: a pair belongs to the line read last, a header is
+   taken from the raw line, and a line that had to be a pair but led to no
+   callback before the next is read can't be one.
+   Needs: text_ini.h, inih, jansson (UTF-8 check).  */
+
+#include "text_ini.h"
+#include "limits.h"
+#include <ini.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BYTE_ORDER_MARK "\xef\xbb\xbf"
+#define FIRST_ALLOCATION 8
+
+struct ini_reader
+{
+  struct mq_ini *ini;
+  struct mq_error_list *errors;
+  const char *next;
+  const char *end;
+  const char *raw; /* the line read last */
+  size_t raw_len;
+  size_t indent; /* blanks at its beginning */
+  uint32_t line; /* its number */
+  bool pair_due; /* it must be a pair, and none was seen yet */
+  bool skipping; /* below a header that can't be read */
+};
+
+/* Errors.  */
+
+static bool
+make_room (struct mq_error_list *list)
+{
+  struct mq_text_errors *errors = list->errors;
+  struct mq_error *items;
+
+  items = talloc_realloc (list->ctx, errors->items, struct mq_error,
+                          errors->count + 1);
+  if (items == NULL)
+    return false;
+  errors->items = items;
+  return true;
+}
+
+/* The byte after the last whole UTF-8 character of TEXT.  */
+static size_t
+whole_characters (const char *text, size_t len)
+{
+  size_t start = len;
+
+  while (start > 0 && ((unsigned char)text[start - 1] & 0xc0) == 0x80)
+    start--;
+  return start > 0 && (unsigned char)text[start - 1] >= 0xc0 ? start - 1 : len;
+}
+
+/* Error texts are cut at a fixed length; a character cut in two would make
+   the JSON form of the error unreadable.  */
+static void
+drop_cut_character (char text[MQ_SUBJECT_MAX])
+{
+  size_t len = strlen (text);
+
+  if (len == MQ_SUBJECT_MAX - 1)
+    text[whole_characters (text, len)] = '\0';
+}
+
+void
+mq_error_list_add (struct mq_error_list *list, enum mq_error_type type,
+                   struct mq_place place, const char *subject,
+                   const char *allowed)
+{
+  struct mq_text_errors *errors = list->errors;
+  struct mq_error *error;
+
+  if (errors->count >= MQ_TEXT_ERRORS_MAX || !make_room (list))
+    return;
+  error = &errors->items[errors->count++];
+  if (errors->count == MQ_TEXT_ERRORS_MAX)
+    {
+      type = MQ_ERR_TOO_LARGE;
+      subject = "number of errors";
+      allowed = "correct those listed; more follow";
+    }
+  mq_error_set (error, type, subject, allowed);
+  drop_cut_character (error->subject);
+  drop_cut_character (error->allowed);
+  error->line = place.line;
+  error->column = place.column;
+}
+
+static int
+compare_errors (const void *left, const void *right)
+{
+  const struct mq_error *a = left;
+  const struct mq_error *b = right;
+
+  if (a->line != b->line)
+    return a->line < b->line ? -1 : 1;
+  if (a->column != b->column)
+    return a->column < b->column ? -1 : 1;
+  return strcmp (a->subject, b->subject);
+}
+
+void
+mq_error_list_sort (struct mq_error_list *list)
+{
+  struct mq_text_errors *errors = list->errors;
+
+  if (errors->count > 1)
+    qsort (errors->items, errors->count, sizeof errors->items[0],
+           compare_errors);
+}
+
+/* Lines.  */
+
+static bool
+is_blank (char c)
+{
+  return c == ' ' || c == '\t' || c == '\r' || c == '\f' || c == '\v';
+}
+
+static void
+report (struct ini_reader *reader, size_t offset, enum mq_error_type type,
+        const char *subject, const char *allowed)
+{
+  struct mq_place place = { reader->line, (uint32_t)offset + 1 };
+
+  mq_error_list_add (reader->errors, type, place, subject, allowed);
+}
+
+/* The line is never shown: it may hold a secret.  */
+static void
+report_syntax (struct ini_reader *reader, size_t offset, const char *subject,
+               const char *allowed)
+{
+  report (reader, offset, MQ_ERR_TEXT_SYNTAX, subject, allowed);
+}
+
+static void
+take_line (struct ini_reader *reader)
+{
+  const char *start = reader->next;
+  size_t left = (size_t)(reader->end - start);
+  const char *newline = memchr (start, '\n', left);
+  size_t len = newline == NULL ? left : (size_t)(newline - start);
+
+  reader->next = start + len + (newline == NULL ? 0 : 1);
+  while (len > 0 && is_blank (start[len - 1]))
+    len--;
+  reader->raw = start;
+  reader->raw_len = len;
+  reader->indent = 0;
+  while (reader->indent < len && is_blank (start[reader->indent]))
+    reader->indent++;
+  reader->line++;
+}
+
+static bool
+is_utf8 (const char *text, size_t len)
+{
+  json_t *string = json_stringn (text, len);
+
+  json_decref (string);
+  return string != NULL;
+}
+
+static bool
+line_is_readable (struct ini_reader *reader)
+{
+  if (reader->raw_len > MQ_TEXT_LINE_MAX)
+    {
+      report_syntax (reader, MQ_TEXT_LINE_MAX, "the line is too long",
+                     "at most 198 bytes; prompt may be given several times");
+      return false;
+    }
+  if (memchr (reader->raw, '\0', reader->raw_len) != NULL
+      || !is_utf8 (reader->raw, reader->raw_len))
+    {
+      report_syntax (reader, 0, "the line holds a byte that is no text",
+                     "UTF-8 without zero bytes");
+      return false;
+    }
+  return true;
+}
+
+/* Sections.  */
+
+static struct mq_ini_section *
+add_section (struct mq_ini *ini)
+{
+  struct mq_ini_section *sections = ini->sections;
+  size_t count = ini->section_count;
+
+  if (talloc_array_length (sections) == count)
+    sections
+        = talloc_realloc (ini, sections, struct mq_ini_section,
+                          count == 0 ? FIRST_ALLOCATION : (unsigned)count * 2);
+  if (sections == NULL)
+    return NULL;
+  ini->sections = sections;
+  ini->section_count = count + 1;
+  memset (&sections[count], 0, sizeof sections[count]);
+  return &sections[count];
+}
+
+/* Offset of the bracket that closes the header, 0 when there is none.  */
+static size_t
+find_bracket (const struct ini_reader *reader)
+{
+  const char *start = reader->raw + reader->indent;
+  const char *bracket = memchr (start, ']', reader->raw_len - reader->indent);
+
+  return bracket == NULL ? 0 : (size_t)(bracket - reader->raw);
+}
+
+static bool
+only_comment_follows (const struct ini_reader *reader, size_t bracket)
+{
+  size_t i = bracket + 1;
+
+  while (i < reader->raw_len && is_blank (reader->raw[i]))
+    i++;
+  return i == reader->raw_len || reader->raw[i] == ';'
+         || reader->raw[i] == '#';
+}
+
+static void
+split_header (struct ini_reader *reader, size_t from, size_t to)
+{
+  const char *raw = reader->raw;
+  struct mq_ini_section *section = add_section (reader->ini);
+  size_t type_end;
+  size_t name;
+
+  if (section == NULL)
+    return;
+  while (from < to && is_blank (raw[from]))
+    from++;
+  while (to > from && is_blank (raw[to - 1]))
+    to--;
+  for (type_end = from; type_end < to && !is_blank (raw[type_end]);)
+    type_end++;
+  for (name = type_end; name < to && is_blank (raw[name]);)
+    name++;
+  section->type = talloc_strndup (reader->ini, raw + from, type_end - from);
+  section->name = talloc_strndup (reader->ini, raw + name, to - name);
+  section->line = reader->line;
+  section->name_column = (uint32_t)(name < to ? name : from) + 1;
+}
+
+static void
+read_header (struct ini_reader *reader)
+{
+  size_t bracket = find_bracket (reader);
+
+  reader->skipping = true;
+  if (bracket == 0)
+    report_syntax (reader, reader->raw_len, "']' is missing", "[TYPE NAME]");
+  else if (!only_comment_follows (reader, bracket))
+    report_syntax (reader, bracket + 1, "text after ']'", "[TYPE NAME]");
+  else
+    {
+      reader->skipping = false;
+      split_header (reader, reader->indent + 1, bracket);
+    }
+}
+
+/* Callbacks of the library.  */
+
+/* Guards against a line that the library passes over in silence (it only
+   returns the number of the first): it would look accepted and have no
+   effect.  The flag falls when the library gives the line's pair.  */
+static void
+close_line (struct ini_reader *reader)
+{
+  if (reader->pair_due)
+    report_syntax (reader, reader->indent, "no '=' in the line",
+                   "KEY = VALUE, [TYPE NAME] or ; comment");
+  reader->pair_due = false;
+}
+
+static void
+classify_line (struct ini_reader *reader)
+{
+  char first = reader->raw[reader->indent];
+
+  if (first == '[')
+    read_header (reader);
+  else if (first != ';' && first != '#')
+    reader->pair_due = true;
+}
+
+/* The indentation is not given on: the library would take an indented line
+   for a continuation of the value before.  */
+static char *
+give_line (char *buffer, int size, void *stream)
+{
+  struct ini_reader *reader = stream;
+  size_t len = 0;
+
+  close_line (reader);
+  if (reader->next >= reader->end)
+    return NULL;
+  take_line (reader);
+  if (reader->raw_len > reader->indent && !line_is_readable (reader))
+    {
+      if (reader->raw[reader->indent] == '[')
+        reader->skipping = true;
+    }
+  else if (reader->raw_len > reader->indent)
+    {
+      len = reader->raw_len - reader->indent;
+      classify_line (reader);
+    }
+  if (len >= (size_t)size)
+    len = (size_t)size - 1;
+  memcpy (buffer, reader->raw + reader->indent, len);
+  buffer[len] = '\0';
+  return buffer;
+}
+
+static struct mq_ini_pair *
+add_pair (struct mq_ini *ini, struct mq_ini_section *section)
+{
+  struct mq_ini_pair *pairs = section->pairs;
+  size_t count = section->pair_count;
+
+  if (talloc_array_length (pairs) == count)
+    pairs
+        = talloc_realloc (ini, pairs, struct mq_ini_pair,
+                          count == 0 ? FIRST_ALLOCATION : (unsigned)count * 2);
+  if (pairs == NULL)
+    return NULL;
+  section->pairs = pairs;
+  section->pair_count = count + 1;
+  return &pairs[count];
+}
+
+static size_t
+value_offset (const struct ini_reader *reader)
+{
+  size_t i = reader->indent;
+
+  while (i < reader->raw_len && reader->raw[i] != '=' && reader->raw[i] != ':')
+    i++;
+  i++;
+  while (i < reader->raw_len && is_blank (reader->raw[i]))
+    i++;
+  return i;
+}
+
+static void
+keep_pair (struct ini_reader *reader, const char *key, const char *value)
+{
+  struct mq_ini *ini = reader->ini;
+  struct mq_ini_pair *pair;
+
+  pair = add_pair (ini, &ini->sections[ini->section_count - 1]);
+  if (pair == NULL)
+    return;
+  pair->key = talloc_strdup (ini, key);
+  pair->value = talloc_strdup (ini, value);
+  pair->line = reader->line;
+  pair->column = (uint32_t)reader->indent + 1;
+  pair->value_column = (uint32_t)value_offset (reader) + 1;
+}
+
+static int
+take_pair (void *user, const char *section, const char *key, const char *value)
+{
+  struct ini_reader *reader = user;
+
+  (void)section; /* cut at 49 bytes by the library */
+  reader->pair_due = false;
+  if (key[0] == '\0')
+    report_syntax (reader, reader->indent, "no key before '='", "KEY = VALUE");
+  else if (reader->skipping)
+    return 1;
+  else if (reader->ini->section_count == 0)
+    report_syntax (reader, reader->indent, "a key before any section",
+                   "[TYPE NAME] first");
+  else
+    keep_pair (reader, key, value);
+  return 1;
+}
+
+struct mq_ini *
+mq_ini_read (TALLOC_CTX *ctx, const char *source, size_t len,
+             struct mq_error_list *errors)
+{
+  struct ini_reader reader = { .errors = errors };
+  size_t mark = strlen (BYTE_ORDER_MARK);
+
+  reader.ini = talloc_zero (ctx, struct mq_ini);
+  if (reader.ini == NULL)
+    return NULL;
+  if (len > MQ_TEXT_MAX_BYTES)
+    {
+      struct mq_place start = { 1, 1 };
+
+      mq_error_list_add (errors, MQ_ERR_TOO_LARGE, start, "the text",
+                         "at most 1 MiB");
+      return reader.ini;
+    }
+  if (len >= mark && memcmp (source, BYTE_ORDER_MARK, mark) == 0)
+    {
+      source += mark;
+      len -= mark;
+    }
+  reader.next = source;
+  reader.end = source + len;
+  ini_parse_stream (give_line, &reader, take_pair, &reader);
+  close_line (&reader);
+  return reader.ini;
+}
+
+const struct mq_ini_pair *
+mq_ini_find (const struct mq_ini_section *section, const char *key)
+{
+  for (size_t i = 0; i < section->pair_count; i++)
+    if (strcmp (section->pairs[i].key, key) == 0)
+      return &section->pairs[i];
+  return NULL;
+}
