Read the settings of a process

Cause: entryd and targetd learn their addresses and workers from a file. Change: a table of keys as for the operators' text, checked whole; errors never show the value of a key.

--- a/src/core/text_check.c
+++ b/src/core/text_check.c
@@ -162,11 +162,15 @@
     }
 }
 
-/* Unknown names may stand for the model, so that with one of them nothing
-   can be said about it.  */
+/* A name or kind that is wrong may stand for the model, so that with one of
+   them nothing can be said about it.  */
 static bool
-all_resolved (const struct mq_service *service, const struct mq_ini_pair *pair)
+all_resolved (const struct mq_text_draft *draft,
+              const struct mq_service *service, const struct mq_ini_pair *pair)
 {
+  for (size_t i = 0; i < service->depend_count; i++)
+    if (!kind_is_known (draft, service->depends[i]))
+      return false;
   return service->depend_count == count_items (pair->value);
 }
 
@@ -181,7 +185,7 @@
   for (size_t i = 0; i < service->depend_count; i++)
     models += kind_is_known (draft, service->depends[i])
               && text->services[service->depends[i]].kind == MQ_SERVICE_MODEL;
-  if (models == 1 || (models == 0 && !all_resolved (service, pair)))
+  if (models == 1 || (models == 0 && !all_resolved (draft, service, pair)))
     return;
   subject = talloc_asprintf (draft, "depends of %s names %s", service->name,
                              models == 0 ? "no model service"
--- a/src/core/text_hint.c
+++ b/src/core/text_hint.c
@@ -5,7 +5,7 @@
 #include "text_hint.h"
 #include <string.h>
 
-/* A word is near when at most a third of its letters differ.  */
+/* A word is near when about a third of its letters differ at most.  */
 #define NEAR_SHARE 3
 #define ELLIPSIS ", ..."
 
@@ -103,7 +103,7 @@
 void
 mq_hint_offer (struct mq_hint *hint, const char *allowed)
 {
-  size_t most = strlen (hint->word) / NEAR_SHARE + 1;
+  size_t most = (strlen (hint->word) + 1) / NEAR_SHARE;
   uint32_t distance;
 
   list_word (hint, allowed);
--- a/src/core/text_keys.c
+++ b/src/core/text_keys.c
@@ -256,18 +256,22 @@
     .effect = AT_ONCE },
 };
 
+static const char *const service_kinds[]
+    = { "agent", "model", "plain", "tool", NULL };
+
 static const struct mq_key_section sections[] = {
   { .type = "site", .shape = "[site]", .once = true },
   { .type = "organisation", .shape = "[organisation NAME]", .named = true },
-  { .type = "service", .shape = "[service NAME]", .named = true },
+  { .type = "service",
+    .shape = "[service NAME]",
+    .named = true,
+    .kinds = service_kinds },
   { .type = "route",
     .shape = "[route SERVICE.NAME]",
     .named = true,
     .dotted = true },
 };
 
-static const char *const kind_names[] = { "agent", "model", "plain", "tool" };
-
 #define COUNT(array) (sizeof (array) / sizeof (array)[0])
 
 const struct mq_key_table *
@@ -278,8 +282,6 @@
     .key_count = COUNT (keys),
     .sections = sections,
     .section_count = COUNT (sections),
-    .kind_names = kind_names,
-    .kind_count = COUNT (kind_names),
   };
 
   return &table;
--- a/src/core/text_keys.h
+++ b/src/core/text_keys.h
@@ -76,6 +76,8 @@
  * @named: its header has a name
  * @dotted: the name is SERVICE.NAME
  * @once: exactly one must be there
+ * @kinds: names of its kinds in the order of their bits, NULL at the end;
+ *         NULL when it has none
  */
 struct mq_key_section
 {
@@ -84,6 +86,7 @@
   bool named;
   bool dotted;
   bool once;
+  const char *const *kinds;
 };
 
 struct mq_key_table
@@ -92,8 +95,6 @@
   size_t key_count;
   const struct mq_key_section *sections;
   size_t section_count;
-  const char *const *kind_names;
-  size_t kind_count;
 };
 
 /* Table of the operators' text.  */
--- a/src/io/settings.h
+++ b/src/io/settings.h
@@ -1,14 +1,14 @@
 /* settings.h - settings of one process, INI, checked whole.
 
    One table of keys serves parsing, --help and the documentation check.
-   Needs: inih, error.h, text.h (struct mq_text_errors).  */
+   Needs: text_keys.h (tables of keys), gate.h, host.h.  */
 
 #ifndef MQ_SETTINGS_H
 #define MQ_SETTINGS_H
 
 #include "../core/gate.h"
 #include "../core/host.h"
-#include "../core/text.h"
+#include "../core/text_keys.h"
 
 /**
  * struct mq_settings - what a process learns from its settings file
@@ -45,9 +45,14 @@
   uint32_t drain_seconds;
 };
 
+/* The kinds of [process] are the roles of processes.  */
+const struct mq_key_table *mq_settings_keys (void);
+/* NULL when there is an error; ERRORS then lists all of them, below CTX.
+   Values of keys are never shown in them.  */
 struct mq_settings *mq_settings_parse (TALLOC_CTX *ctx, enum mq_host_role role,
                                        const char *source, size_t len,
                                        struct mq_text_errors *errors);
+/* A file that can't be read is IO with the errno as number.  */
 struct mq_settings *mq_settings_read (TALLOC_CTX *ctx, enum mq_host_role role,
                                       const char *file,
                                       struct mq_text_errors *errors);
