--- a/src/core/text.c
+++ b/src/core/text.c
@@ -199,7 +199,7 @@
   draft = start_draft (ctx, errors);
   if (draft != NULL && fill_draft (draft, source, len))
     mq_text_check (draft);
-  else if (draft != NULL)
+  else if (draft != NULL && errors->count == 0)
     mq_error_list_add (&draft->errors, MQ_ERR_NO_MEMORY, start, "the text",
                        "");
   if (draft != NULL && errors->count == 0)
--- a/src/core/text_ini.c
+++ b/src/core/text_ini.c
@@ -100,6 +100,9 @@
   const struct mq_error *a = left;
   const struct mq_error *b = right;
 
+  /* "more follow" stays at the end.  */
+  if ((a->type == MQ_ERR_TOO_LARGE) != (b->type == MQ_ERR_TOO_LARGE))
+    return a->type == MQ_ERR_TOO_LARGE ? 1 : -1;
   if (a->line != b->line)
     return a->line < b->line ? -1 : 1;
   if (a->column != b->column)
@@ -125,21 +128,15 @@
   return c == ' ' || c == '\t' || c == '\r' || c == '\f' || c == '\v';
 }
 
-static void
-report (struct ini_reader *reader, size_t offset, enum mq_error_type type,
-        const char *subject, const char *allowed)
-{
-  struct mq_place place = { reader->line, (uint32_t)offset + 1 };
-
-  mq_error_list_add (reader->errors, type, place, subject, allowed);
-}
-
 /* The line is never shown: it may hold a secret.  */
 static void
 report_syntax (struct ini_reader *reader, size_t offset, const char *subject,
                const char *allowed)
 {
-  report (reader, offset, MQ_ERR_TEXT_SYNTAX, subject, allowed);
+  struct mq_place place = { reader->line, (uint32_t)offset + 1 };
+
+  mq_error_list_add (reader->errors, MQ_ERR_TEXT_SYNTAX, place, subject,
+                     allowed);
 }
 
 static void
@@ -259,16 +256,15 @@
 {
   size_t bracket = find_bracket (reader);
 
-  reader->skipping = true;
+  reader->skipping = bracket == 0;
   if (bracket == 0)
-    report_syntax (reader, reader->raw_len, "']' is missing", "[TYPE NAME]");
-  else if (!only_comment_follows (reader, bracket))
-    report_syntax (reader, bracket + 1, "text after ']'", "[TYPE NAME]");
-  else
     {
-      reader->skipping = false;
-      split_header (reader, reader->indent + 1, bracket);
+      report_syntax (reader, reader->raw_len, "']' is missing", "[TYPE NAME]");
+      return;
     }
+  if (!only_comment_follows (reader, bracket))
+    report_syntax (reader, bracket + 1, "text after ']'", "[TYPE NAME]");
+  split_header (reader, reader->indent + 1, bracket);
 }
 
 /* Callbacks of the library.  */
@@ -406,7 +402,8 @@
 
       mq_error_list_add (errors, MQ_ERR_TOO_LARGE, start, "the text",
                          "at most 1 MiB");
-      return reader.ini;
+      talloc_free (reader.ini);
+      return NULL;
     }
   if (len >= mark && memcmp (source, BYTE_ORDER_MARK, mark) == 0)
     {
--- a/src/core/text_ini.h
+++ b/src/core/text_ini.h
@@ -75,8 +75,9 @@
 /* Puts the errors in line order.  */
 void mq_error_list_sort (struct mq_error_list *list);
 
-/* The sections of SOURCE below CTX, NULL when memory is out.  Lines that
-   can't be read are left out and listed in ERRORS.  */
+/* The sections of SOURCE below CTX.  Lines that can't be read are left out
+   and listed in ERRORS.  NULL when memory is out, or, with an error, when
+   SOURCE is too large.  */
 struct mq_ini *mq_ini_read (TALLOC_CTX *ctx, const char *source, size_t len,
                             struct mq_error_list *errors);
 /* First pair of SECTION with KEY, NULL when there is none.  */
--- a/src/core/text_keys.c
+++ b/src/core/text_keys.c
@@ -346,7 +346,8 @@
     mq_hint_offer (&hint, table->sections[i].type);
   mq_hint_write (&hint, allowed);
   mq_error_list_add (errors, MQ_ERR_TEXT_UNKNOWN_SECTION,
-                     header_place (section), section->type, allowed);
+                     header_place (section),
+                     section->type[0] == '\0' ? "[]" : section->type, allowed);
 }
 
 static bool
--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -345,11 +345,11 @@
   draft.errors.ctx = ctx;
   draft.errors.errors = errors;
   draft.settings = talloc_zero (ctx, struct mq_settings);
-  if (draft.settings == NULL || !fill_draft (&draft, source, len))
+  if (draft.settings != NULL && fill_draft (&draft, source, len))
+    check_workers (&draft);
+  else if (errors->count == 0)
     mq_error_list_add (&draft.errors, MQ_ERR_NO_MEMORY, start, "the settings",
                        "");
-  else
-    check_workers (&draft);
   if (errors->count == 0)
     return draft.settings;
   mq_error_list_sort (&draft.errors);
