--- a/src/core/text_keys.c
+++ b/src/core/text_keys.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define DAY_SECONDS 86400U
+#define MONTH_SECONDS 2592000U
 #define HOUR_MS 3600000U
 
 #define AGENT MQ_KIND_BIT (MQ_SERVICE_AGENT)
@@ -151,7 +151,7 @@
     .type = MQ_KEY_UINT32,
     .budget = true,
     .min = 1,
-    .max = 30 * DAY_SECONDS,
+    .max = MONTH_SECONDS,
     .fallback = "3600",
     .offset = offsetof (struct mq_service, budget.seconds),
     .help = "time of one program, waiting for a person not counted",
--- a/tests/test_text.c
+++ b/tests/test_text.c
@@ -373,21 +373,23 @@
     {
       TALLOC_CTX *ctx = talloc_new (NULL);
       struct mq_text_errors errors;
-      char *line = talloc_zero_array (ctx, char, cases[i].len + 1);
+      size_t key_len = strlen ("prompt = ");
+      char *line = talloc_array (ctx, char, cases[i].len + 1);
       struct mq_text *text;
       char *source;
 
       memset (line, '=', cases[i].len);
-      memcpy (line, "prompt = ", strlen ("prompt = "));
+      line[cases[i].len] = '\0';
       source = talloc_asprintf (ctx,
                                 FIXTURE_SITE FIXTURE_MODEL
-                                "[service a]\nkind = agent\ndepends = m\n%s\n",
-                                line);
+                                "[service a]\nkind = agent\ndepends = m\n"
+                                "prompt = %s\n",
+                                line + key_len);
       text = mq_text_parse (ctx, source, strlen (source), &errors);
       cr_expect_eq (text != NULL, cases[i].whole, "%u", cases[i].len);
       if (text != NULL)
         cr_expect_eq (strlen (text->services[1].prompt),
-                      cases[i].len - strlen ("prompt = "));
+                      cases[i].len - key_len);
       else
         {
           cr_expect_eq (errors.count, 1);
