--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -15,6 +15,13 @@
 #define MQ_TEXT_LINE_MAX 198U             /* one line of it */
 #define MQ_TEXT_ERRORS_MAX 1000U          /* errors listed in one pass */
 
+/* HTTP.  The client drops an idle connection well before our servers do, so
+   that a request rarely meets a connection that is just being closed.  */
+#define MQ_HTTP_IDLE_MS 60000U       /* server: connection without traffic */
+#define MQ_HTTP_REUSE_MS 30000U      /* client: idle connection is kept */
+#define MQ_HTTP_CONNECT_MS 3000U     /* client: give up connecting */
+#define MQ_HTTP_KEPT_CONNECTIONS 256 /* client: idle ones at most */
+
 /* Connections between processes.  */
 #define MQ_BEAT_MS 500U          /* heartbeat on an idle connection */
 #define MQ_SILENT_MS 2000U       /* nothing heard: silent, replace it */
@@ -50,11 +57,6 @@
 #define MQ_GATE_EVICT_RETRY_MS 200U
 #define MQ_GATE_AGEING_MS 2000U /* a waiting call rises one step */
 
-/* Workers.  */
-#define MQ_WORKER_CACHE_POLL_MS 1000U /* what an engine holds is read */
-#define MQ_WORKER_CONTROL_MS 2000U    /* evict, cancel, poll: no answer */
-#define MQ_WORKER_ORDER_MS 600000U    /* loading a model takes minutes */
-
 /* Configuration.  */
 #define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
 #define MQ_CONFIG_POLL_SLOW_MS 60000U /* everyone else */
