--- /dev/null
+++ b/src/io/ctl.c
@@ -0,0 +1,275 @@
+/* ctl.c - blocking calls of a command line tool.
+
+   Needs: ctl.h, tevent.  */
+
+#include "ctl.h"
+#include "../core/limits.h"
+#include "platform.h"
+#include <string.h>
+#include <time.h>
+
+/* Hosts asked at a time: enough to hide those that don't answer, few enough
+   for the open files of a shell.  */
+#define FETCHES_AT_A_TIME 128
+#define HOSTS_POLL_MS 1000U
+#define MS_PER_S 1000U
+#define US_PER_MS 1000U
+
+struct mq_ctl
+{
+  struct tevent_context *ev;
+  struct mq_http_client *client;
+  struct mq_platform *platform;
+  const char *authorization; /* header line, NULL: none */
+  uint32_t host_timeout_ms;
+  bool watches_hosts;
+  struct mq_store_result *stored; /* of the store request under way */
+  TALLOC_CTX *stored_ctx;
+  struct mq_host_list *hosts; /* list read last, NULL: none since asked */
+};
+
+/* Waiting.  */
+
+uint64_t
+mq_ctl_now_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (uint64_t)now.tv_sec * MS_PER_S
+         + (uint64_t)now.tv_nsec / (US_PER_MS * 1000U);
+}
+
+static void
+on_timer (struct tevent_context *ev, struct tevent_timer *timer,
+          struct timeval now, void *data)
+{
+  bool *over = data;
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  *over = true;
+}
+
+static struct tevent_timer *
+start_timer (struct mq_ctl *ctl, uint32_t ms, bool *over)
+{
+  struct timeval due
+      = tevent_timeval_current_ofs (ms / MS_PER_S, ms % MS_PER_S * US_PER_MS);
+
+  *over = false;
+  return tevent_add_timer (ctl->ev, ctl, due, on_timer, over);
+}
+
+void
+mq_ctl_sleep (struct mq_ctl *ctl, uint32_t ms)
+{
+  bool over;
+  struct tevent_timer *timer = start_timer (ctl, ms, &over);
+
+  while (timer != NULL && !over)
+    tevent_loop_once (ctl->ev);
+}
+
+/* The platform.  */
+
+static struct mq_bytes
+copy_bytes (TALLOC_CTX *ctx, struct mq_bytes from)
+{
+  struct mq_bytes to = { NULL, from.len };
+
+  if (from.len > 0)
+    to.data = talloc_memdup (ctx, from.data, from.len);
+  return to;
+}
+
+static void
+on_stored (const struct mq_store_result *result, void *user)
+{
+  struct mq_ctl *ctl = user;
+  struct mq_store_result *copy
+      = talloc_zero (ctl->stored_ctx, struct mq_store_result);
+
+  *copy = *result;
+  copy->rows = talloc_zero_array (copy, struct mq_row, result->row_count);
+  for (size_t i = 0; i < result->row_count; i++)
+    {
+      copy->rows[i].key = talloc_strdup (copy, result->rows[i].key);
+      copy->rows[i].version = result->rows[i].version;
+      copy->rows[i].value = copy_bytes (copy, result->rows[i].value);
+    }
+  copy->value = copy_bytes (copy, result->value);
+  ctl->stored = copy;
+}
+
+struct mq_store_result *
+mq_ctl_store (struct mq_ctl *ctl, TALLOC_CTX *ctx,
+              const struct mq_store_request *request)
+{
+  ctl->stored = NULL;
+  ctl->stored_ctx = ctx;
+  mq_platform_send (ctl->platform, request);
+  while (ctl->stored == NULL)
+    tevent_loop_once (ctl->ev);
+  return ctl->stored;
+}
+
+static void
+copy_host (struct mq_host_list *list, struct mq_host *to,
+           const struct mq_host *from)
+{
+  *to = *from;
+  to->name = talloc_strdup (list, from->name);
+  to->data_centre = talloc_strdup (list, from->data_centre);
+  to->region = talloc_strdup (list, from->region);
+  to->address = talloc_strdup (list, from->address);
+  to->http = talloc_strdup (list, from->http);
+}
+
+static void
+on_listed (const struct mq_host_list *hosts, void *user)
+{
+  struct mq_ctl *ctl = user;
+  struct mq_host_list *list;
+
+  talloc_free (ctl->hosts);
+  list = talloc_zero (ctl, struct mq_host_list);
+  list->items = talloc_zero_array (list, struct mq_host, hosts->count);
+  list->count = hosts->count;
+  for (size_t i = 0; i < hosts->count; i++)
+    copy_host (list, &list->items[i], &hosts->items[i]);
+  ctl->hosts = list;
+}
+
+struct mq_host_list *
+mq_ctl_hosts (struct mq_ctl *ctl, TALLOC_CTX *ctx, struct mq_error *error)
+{
+  struct mq_host_list *list;
+  bool over;
+  struct tevent_timer *timer
+      = start_timer (ctl, MQ_STORE_TIMEOUT_MS + HOSTS_POLL_MS, &over);
+
+  TALLOC_FREE (ctl->hosts);
+  if (!ctl->watches_hosts)
+    mq_platform_watch_hosts (ctl->platform, HOSTS_POLL_MS, on_listed, ctl);
+  ctl->watches_hosts = true;
+  while (ctl->hosts == NULL && !over)
+    tevent_loop_once (ctl->ev);
+  if (!over)
+    talloc_free (timer);
+  if (ctl->hosts == NULL)
+    mq_error_set (error, MQ_ERR_STORE_DOWN, "the platform's list of hosts",
+                  "");
+  list = talloc_steal (ctx, ctl->hosts);
+  ctl->hosts = NULL;
+  return list;
+}
+
+/* Hosts.  */
+
+/* Requests that are under way side by side.  */
+struct fetch_round
+{
+  struct mq_ctl *ctl;
+  TALLOC_CTX *ctx;
+  size_t pending;
+};
+
+struct fetch_slot
+{
+  struct fetch_round *round;
+  struct mq_ctl_fetch *fetch;
+};
+
+static void
+on_fetched (const struct mq_http_result *result, void *user)
+{
+  struct fetch_slot *slot = user;
+  struct mq_ctl_fetch *fetch = slot->fetch;
+
+  fetch->error = result->error;
+  fetch->status = result->status;
+  if (result->error == MQ_ERR_NONE)
+    fetch->body = talloc_strndup (slot->round->ctx, result->body, result->len);
+  slot->round->pending--;
+  talloc_free (slot);
+}
+
+static void
+start_fetch (struct fetch_round *round, struct mq_ctl_fetch *fetch)
+{
+  struct mq_ctl *ctl = round->ctl;
+  const char *headers[] = { ctl->authorization, NULL };
+  struct fetch_slot *slot = talloc_zero (ctl, struct fetch_slot);
+  struct mq_http_send send = { .method = fetch->method,
+                               .headers = headers,
+                               .timeout_ms = ctl->host_timeout_ms,
+                               .done = on_fetched,
+                               .user = slot };
+
+  slot->round = round;
+  slot->fetch = fetch;
+  send.url
+      = talloc_asprintf (slot, "http://%s%s", fetch->address, fetch->path);
+  round->pending++;
+  if (mq_http_client_send (ctl->client, &send) != NULL)
+    return;
+  fetch->error = MQ_ERR_NO_MEMORY;
+  round->pending--;
+  talloc_free (slot);
+}
+
+void
+mq_ctl_fetch (struct mq_ctl *ctl, TALLOC_CTX *ctx,
+              struct mq_ctl_fetch *fetches, size_t count)
+{
+  struct fetch_round round = { ctl, ctx, 0 };
+  size_t next = 0;
+
+  while (next < count || round.pending > 0)
+    {
+      while (next < count && round.pending < FETCHES_AT_A_TIME)
+        start_fetch (&round, &fetches[next++]);
+      if (round.pending > 0)
+        tevent_loop_once (ctl->ev);
+    }
+}
+
+/* Life.  */
+
+struct mq_ctl *
+mq_ctl_create (TALLOC_CTX *ctx, const struct mq_ctl_options *options,
+               struct mq_error *error)
+{
+  struct mq_ctl *ctl = talloc_zero (ctx, struct mq_ctl);
+
+  if (ctl == NULL)
+    return NULL;
+  ctl->ev = tevent_context_init (ctl);
+  ctl->host_timeout_ms = options->host_timeout_ms;
+  if (options->operator_key != NULL)
+    ctl->authorization = talloc_asprintf (ctl, "Authorization: Bearer %s",
+                                          options->operator_key);
+  ctl->client = mq_http_client_create (ctl, ctl->ev, error);
+  if (ctl->client != NULL)
+    ctl->platform = mq_platform_create (ctl, ctl->ev, ctl->client,
+                                        options->platform, on_stored, ctl);
+  if (ctl->platform != NULL)
+    return ctl;
+  mq_ctl_destroy (ctl);
+  return NULL;
+}
+
+/* The platform cancels its calls, so it goes before the client.  */
+void
+mq_ctl_destroy (struct mq_ctl *ctl)
+{
+  if (ctl == NULL)
+    return;
+  if (ctl->platform != NULL)
+    mq_platform_destroy (ctl->platform);
+  if (ctl->client != NULL)
+    mq_http_client_destroy (ctl->client);
+  talloc_free (ctl);
+}
