--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -13,6 +13,7 @@
 #define MQ_STREAM_BUFFER_BYTES (1U << 20) /* unsent bytes of a slow reader */
 #define MQ_TEXT_MAX_BYTES (1U << 20)      /* operators' text */
 #define MQ_TEXT_LINE_MAX 198U             /* one line of it */
+#define MQ_TEXT_ERRORS_MAX 1000U          /* errors listed in one pass */
 
 /* HTTP.  The client drops an idle connection well before our servers do, so
    that a request rarely meets a connection that is just being closed.  */
