--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -14,6 +14,13 @@
 #define MQ_TEXT_MAX_BYTES (1U << 20)      /* operators' text */
 #define MQ_TEXT_LINE_MAX 198U             /* one line of it */
 
+/* HTTP.  The client drops an idle connection well before our servers do, so
+   that a request rarely meets a connection that is just being closed.  */
+#define MQ_HTTP_IDLE_MS 60000U       /* server: connection without traffic */
+#define MQ_HTTP_REUSE_MS 30000U      /* client: idle connection is kept */
+#define MQ_HTTP_CONNECT_MS 3000U     /* client: give up connecting */
+#define MQ_HTTP_KEPT_CONNECTIONS 256 /* client: idle ones at most */
+
 /* Connections between processes.  */
 #define MQ_BEAT_MS 500U          /* heartbeat on an idle connection */
 #define MQ_SILENT_MS 2000U       /* nothing heard: silent, replace it */
