--- a/src/io/worker.h
+++ b/src/io/worker.h
@@ -27,7 +27,8 @@
  * @user: given to each
  *
  * Texts and arrays are valid until the callback returns.  No callback comes
- * from within a function of this header.  Plain services and tools report
+ * from within a function of this header, and each may call any of them but
+ * mq_worker_destroy.  Plain services and tools report
  * neither cache nor up nor down: they are taken as up from the start, and a
  * call that can't reach them ends with TARGET_FAILED, not_run.
  */
@@ -88,7 +89,8 @@
  * - a plain service's or tool's 4xx: NONE, ran, body
  *   {"status":N,"error":BODY}: the service answered for good
  * - 429: OVERLOADED, not_run, with retry_after_ms
- * - a refused connection: TARGET_FAILED, not_run
+ * - a refused connection: TARGET_FAILED, not_run; one that did not come about
+ *   in time: TIMEOUT, not_run
  * - no answer within @start->timeout_ms: TIMEOUT; unknown for services and
  *   tools, ran for models (they may be asked again)
  * - 5xx or a broken connection: TARGET_FAILED; unknown or ran likewise
