--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -34,7 +34,8 @@
  * @watermark_percent: memory left free when a further sequence is admitted
  * @transfer_us_per_token: export and import, one at a time
  * @order_us: time of each type of order, one at a time
- * @load_lag_us: the load report is between one and two of this old
+ * @load_lag_us: the load report is between one and two of this old, each up
+ *               to a step longer
  * @event_lag_us: cache events come this late
  * @event_gap_permille: share of cache events that never come
  * @check_fence: refuse orders with an old fencing number
