Test the client towards a worker; settle a timeout before closing

The table's row 'not whole in time' found tokens_out below what the engine had made: curl closed the connection at the timeout, the engine cancelled by itself and then no longer knew the call. The client now keeps the time itself and sends the cancel first.

--- a/src/io/worker.c
+++ b/src/io/worker.c
@@ -27,7 +27,7 @@
  * @settling: an end is known, the engine is asked what it made
  * @cancels: how often it was asked
  * @cancel: the question under way
- * @later: hands in the end outside of the caller's call
+ * @later: hands in the end outside of the caller's function call
  * @end: how it ended
  */
 struct call
@@ -40,7 +40,6 @@
   bool settling;
   uint32_t cancels;
   struct control *cancel;
-  struct tevent_timer *cancel_timer;
   struct tevent_immediate *later;
   struct mq_gate_done end;
 };
@@ -378,7 +377,6 @@
   (void)ev;
   (void)timer;
   (void)now;
-  call->cancel_timer = NULL;
   send_cancel (call);
 }
 
@@ -391,8 +389,33 @@
   struct timeval at
       = tevent_timeval_current_ofs (0, MQ_WORKER_CANCEL_RETRY_MS * 1000);
 
-  call->cancel_timer
-      = tevent_add_timer (call->worker->ev, call, at, cancel_again, call);
+  tevent_add_timer (call->worker->ev, call, at, cancel_again, call);
+}
+
+static void
+time_out (struct tevent_context *ev, struct tevent_timer *timer,
+          struct timeval now, void *data)
+{
+  struct call *call = data;
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  if (!call->settling && call->later == NULL)
+    settle (call, MQ_ERR_TIMEOUT);
+}
+
+/* The engine cancels by itself when a connection closes, and then no longer
+   knows what the call made.  So curl, which would close it, is not told of
+   the time that the call has: when that is over the cancel goes first.  */
+static void
+limit_time (struct call *call, uint32_t timeout_ms)
+{
+  struct timeval at = tevent_timeval_current_ofs (timeout_ms / 1000,
+                                                  timeout_ms % 1000 * 1000);
+
+  if (timeout_ms > 0)
+    tevent_add_timer (call->worker->ev, call, at, time_out, call);
 }
 
 static void
@@ -507,11 +530,6 @@
 end_broken_stream (struct call *call, const struct mq_http_result *result)
 {
   set_usage (call);
-  if (result->error == MQ_ERR_TIMEOUT)
-    {
-      settle (call, MQ_ERR_TIMEOUT);
-      return;
-    }
   set_end (call,
            result->error == MQ_ERR_TOO_LARGE ? MQ_ERR_BAD_ANSWER
                                              : MQ_ERR_TARGET_FAILED,
@@ -698,7 +716,6 @@
           .headers = headers,
           .body = body,
           .len = strlen (body),
-          .timeout_ms = start->timeout_ms,
           .user = call };
 
   if (has_text (start->traceparent))
@@ -709,6 +726,7 @@
                                       start->idempotency_key);
   send.part = is_model (worker) ? on_part : NULL;
   send.done = is_model (worker) ? model_done : service_done;
+  send.timeout_ms = is_model (worker) ? 0 : start->timeout_ms;
   send.body_max = is_model (worker) ? MQ_WORKER_STREAM_MAX_BYTES : 0;
   call->http = mq_http_client_send (worker->client, &send);
   if (call->http != NULL)
@@ -732,6 +750,7 @@
   call->stream = mq_worker_stream_create (call);
   text = json_dumps (json, JSON_COMPACT);
   json_decref (json);
+  limit_time (call, start->timeout_ms);
   post_call (call, start, "/v1/chat/completions", text);
   free (text);
 }
--- a/standins/engine_server.c
+++ b/standins/engine_server.c
@@ -1074,13 +1074,16 @@
 mq_engine_server_stats (struct mq_engine_server *server)
 {
   json_t *orders = json_object ();
+  struct mq_engine_load load;
 
   pump (server);
+  load = mq_engine_load (server->engine);
   for (size_t i = 0; i <= MQ_ORDER_SET_ROLE; i++)
     json_object_set_new (orders, order_names[i],
                          json_string (server->orders_done[i]));
-  return json_pack ("{s:I, s:o, s:o, s:o, s:o}", "boot",
-                    (json_int_t)server->boot, "orders", orders, "requests",
+  return json_pack ("{s:I, s:i, s:i, s:o, s:o, s:o, s:o}", "boot",
+                    (json_int_t)server->boot, "running", (int)load.running,
+                    "queued", (int)load.queued, "orders", orders, "requests",
                     pack_requests (server), "cache", pack_held (server),
                     "counters", pack_counters (server));
 }
--- /dev/null
+++ b/tests/test_worker.c
@@ -0,0 +1,853 @@
+/* test_worker.c - the client towards a worker, against a stand-in engine and
+   a scripted plain service in the same event loop.
+
+   Needs: Criterion, worker.h, engine_server.h, http_server.h.  */
+
+#include "../src/core/id.h"
+#include "../src/core/limits.h"
+#include "../src/io/worker.h"
+#include "../src/io/worker_stream.h"
+#include "../standins/engine_server.h"
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  WAIT_SECONDS = 30, /* generous: only a fault waits this long */
+  NEVER = 1000000,
+  SLOT = 7,
+  WORKER = 3
+};
+
+#define COUNT(table) (sizeof (table) / sizeof (table)[0])
+#define PROGRAM                                                               \
+  {                                                                           \
+    1, 2                                                                      \
+  }
+#define REQUEST_ID "00000000000000010000000000000002-5-1"
+
+/**
+ * struct bench - a worker's client and what it said
+ * @stop_after: stop the call after so many pieces of text
+ */
+struct bench
+{
+  struct tevent_context *ev;
+  struct mq_http_client *client;
+  struct mq_engine_server *engine;
+  struct mq_http_server *service;
+  struct mq_worker *worker;
+  char *url;
+  uint32_t stop_after;
+  uint32_t tokens;
+  char *text;
+  uint32_t dones;
+  struct mq_gate_done done;
+  uint32_t evictions;
+  struct mq_gate_evicted evicted;
+  uint32_t caches;
+  struct mq_gate_cache_entry cache[8];
+  uint32_t cache_count;
+  uint32_t ups;
+  uint32_t downs;
+  uint64_t boot;
+  uint32_t orders;
+  struct mq_order_done_msg ordered;
+};
+
+static void
+on_token (const struct mq_gate_token *token, void *user)
+{
+  struct bench *bench = user;
+
+  cr_assert_eq (token->slot, SLOT);
+  bench->text = talloc_strdup_append (bench->text, token->text);
+  if (++bench->tokens == bench->stop_after)
+    mq_worker_stop (bench->worker, SLOT);
+}
+
+static void
+on_done (const struct mq_gate_done *done, void *user)
+{
+  struct bench *bench = user;
+
+  bench->dones++;
+  bench->done = *done;
+  bench->done.body = talloc_strdup (bench, done->body);
+}
+
+static void
+on_evicted (const struct mq_gate_evicted *evicted, void *user)
+{
+  struct bench *bench = user;
+
+  bench->evictions++;
+  bench->evicted = *evicted;
+}
+
+static void
+on_cache (const struct mq_gate_cache *cache, void *user)
+{
+  struct bench *bench = user;
+
+  cr_assert_eq (cache->worker, WORKER);
+  bench->caches++;
+  bench->cache_count = (uint32_t)cache->entry_count;
+  for (size_t i = 0; i < cache->entry_count && i < 8; i++)
+    bench->cache[i] = cache->entries[i];
+}
+
+static void
+on_up (uint32_t worker, uint64_t boot, void *user)
+{
+  struct bench *bench = user;
+
+  cr_assert_eq (worker, WORKER);
+  bench->ups++;
+  bench->boot = boot;
+}
+
+static void
+on_down (uint32_t worker, void *user)
+{
+  struct bench *bench = user;
+
+  cr_assert_eq (worker, WORKER);
+  bench->downs++;
+}
+
+static void
+on_ordered (const struct mq_order_done_msg *ordered, void *user)
+{
+  struct bench *bench = user;
+
+  bench->orders++;
+  bench->ordered = *ordered;
+}
+
+static void
+time_out (struct tevent_context *ev, struct tevent_timer *timer,
+          struct timeval now, void *data)
+{
+  (void)ev;
+  (void)timer;
+  (void)now;
+  *(bool *)data = true;
+}
+
+static void
+wait_for (struct bench *bench, const uint32_t *counter, uint32_t least)
+{
+  bool late = false;
+  struct tevent_timer *timer = tevent_add_timer (
+      bench->ev, bench, tevent_timeval_current_ofs (WAIT_SECONDS, 0), time_out,
+      &late);
+
+  while (*counter < least && !late)
+    tevent_loop_once (bench->ev);
+  cr_assert_not (late, "waited for %u, have %u", least, *counter);
+  talloc_free (timer);
+}
+
+static void
+let_pass (struct bench *bench, uint32_t ms)
+{
+  bool over = false;
+
+  tevent_add_timer (bench->ev, bench,
+                    tevent_timeval_current_ofs (ms / 1000, ms % 1000 * 1000),
+                    time_out, &over);
+  while (!over)
+    tevent_loop_once (bench->ev);
+}
+
+static struct bench *
+bench_create (void)
+{
+  struct bench *bench = talloc_zero (NULL, struct bench);
+  struct mq_error error;
+
+  bench->ev = tevent_context_init (bench);
+  bench->client = mq_http_client_create (bench, bench->ev, &error);
+  bench->text = talloc_strdup (bench, "");
+  cr_assert_not_null (bench->client);
+  return bench;
+}
+
+static void
+add_worker (struct bench *bench, enum mq_service_kind kind, uint16_t port,
+            uint32_t poll_ms)
+{
+  struct mq_worker_callbacks callbacks
+      = { on_token, on_done, on_evicted, on_cache,
+          on_up,    on_down, on_ordered, bench };
+  struct mq_worker_options options = {
+    .index = WORKER, .kind = kind, .model = "m7", .cache_poll_ms = poll_ms
+  };
+
+  bench->url = talloc_asprintf (bench, "http://127.0.0.1:%u", port);
+  options.url = bench->url;
+  bench->worker = mq_worker_create (bench, bench->ev, bench->client, &options,
+                                    &callbacks);
+  cr_assert_not_null (bench->worker);
+}
+
+static void
+add_engine (struct bench *bench)
+{
+  struct mq_engine_server_options options
+      = { .address = "127.0.0.1:0", .model = "m7", .boot = 10 };
+  struct mq_error error;
+
+  mq_engine_params_default (&options.params);
+  options.params.time_scale = 0.1;
+  options.params.check_fence = true;
+  bench->engine = mq_engine_server_create (bench, bench->ev, &options, &error);
+  cr_assert_not_null (bench->engine);
+}
+
+static void
+bench_destroy (struct bench *bench)
+{
+  mq_worker_destroy (bench->worker);
+  mq_http_client_destroy (bench->client);
+  if (bench->engine != NULL)
+    mq_engine_server_destroy (bench->engine);
+  if (bench->service != NULL)
+    mq_http_server_destroy (bench->service);
+  talloc_free (bench);
+}
+
+static void
+set_fault (struct bench *bench, const char *text)
+{
+  json_t *json = json_loads (text, 0, NULL);
+
+  cr_assert (mq_engine_server_fault (bench->engine, json), "%s", text);
+  json_decref (json);
+}
+
+static json_int_t
+stat_number (struct bench *bench, const char *key)
+{
+  json_t *stats = mq_engine_server_stats (bench->engine);
+  json_t *requests = json_object_get (stats, "requests");
+  json_int_t value = json_integer_value (json_object_get (stats, key));
+
+  for (size_t i = 0; i < json_array_size (requests); i++)
+    {
+      json_t *record = json_array_get (requests, i);
+      const char *id
+          = json_string_value (json_object_get (record, "request_id"));
+
+      if (strcmp (id, REQUEST_ID) == 0 && json_object_get (record, key))
+        value = json_integer_value (json_object_get (record, key));
+    }
+  json_decref (stats);
+  return value;
+}
+
+static struct mq_start
+make_start (const char *body, uint32_t timeout_ms)
+{
+  struct mq_start start
+      = { .slot = SLOT,
+          .ref = { .program = PROGRAM, .call = 5, .attempt = 1 },
+          .service = "guide-models",
+          .route = "/pay",
+          .priority = MQ_PRIORITY_URGENT,
+          .timeout_ms = timeout_ms,
+          .idempotency_key = "k-5",
+          .traceparent
+          = "00-0123456789abcdef0123456789abcdef-0123456789abcdef-01",
+          .body = body };
+
+  return start;
+}
+
+#define SAY(plan)                                                             \
+  "{\"messages\":[{\"role\":\"user\",\"content\":\"plan=" plan "\"}]}"
+#define ANSWER_40 SAY ("[{\\\"answer\\\":40}]")
+#define ANSWER_9000 SAY ("[{\\\"answer\\\":9000}]")
+#define FAULT(name, value)                                                    \
+  "{\"fault\":\"" name "\",\"count\":1,\"value\":" value "}"
+
+/**
+ * struct model_case - one model call
+ * @fault: set before it
+ * @stop_after: stopped after so many pieces of text, 0: at once
+ * @least: least tokens_out
+ * @most: greatest tokens_out
+ * @seen: times that the engine ran it
+ */
+struct model_case
+{
+  const char *name;
+  const char *fault;
+  const char *body;
+  uint32_t max_tokens;
+  uint32_t timeout_ms;
+  uint32_t stop_after;
+  enum mq_error_type error;
+  enum mq_ran ran;
+  uint32_t retry_after_ms;
+  uint32_t least;
+  uint32_t most;
+  uint32_t seen;
+};
+
+static const struct model_case model_cases[] = {
+  { "whole answer", NULL, ANSWER_40, 0, 0, NEVER, MQ_ERR_NONE, MQ_RAN_RAN, 0,
+    40, 40, 1 },
+  { "capped by the gate", NULL, ANSWER_40, 30, 0, NEVER, MQ_ERR_NONE,
+    MQ_RAN_RAN, 0, 30, 30, 1 },
+  { "slow, yet in time", "{\"fault\":\"slow\",\"value\":3}", ANSWER_40, 0, 0,
+    NEVER, MQ_ERR_NONE, MQ_RAN_RAN, 0, 40, 40, 1 },
+  { "refused", FAULT ("refuse", "3"), ANSWER_40, 0, 0, NEVER,
+    MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 3000, 0, 0, 0 },
+  { "internal error", FAULT ("status", "500"), ANSWER_40, 0, 0, NEVER,
+    MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 0, 0, 0 },
+  { "no such model", FAULT ("status", "404"), ANSWER_40, 0, 0, NEVER,
+    MQ_ERR_TARGET_FAILED, MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
+  { "bad messages", NULL, "{\"messages\":[]}", 0, 0, NEVER, MQ_ERR_BAD_REQUEST,
+    MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
+  { "too long for the engine", NULL, SAY ("[{\\\"answer\\\":70000}]"), 0, 0,
+    NEVER, MQ_ERR_BAD_REQUEST, MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
+  { "body is no object", NULL, "[]", 0, 0, NEVER, MQ_ERR_BAD_REQUEST,
+    MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
+  { "stream breaks", FAULT ("crash_stream", "5"), ANSWER_40, 0, 0, NEVER,
+    MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 5, 5, 1 },
+  { "answer lost", FAULT ("lost_answer", "0"), ANSWER_40, 0, 0, NEVER,
+    MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 0, 0, 1 },
+  { "no answer in time", FAULT ("hang", "0"), ANSWER_40, 0, 100, NEVER,
+    MQ_ERR_TIMEOUT, MQ_RAN_RAN, 0, 0, 0, 0 },
+  { "not whole in time", NULL, ANSWER_9000, 0, 300, NEVER, MQ_ERR_TIMEOUT,
+    MQ_RAN_RAN, 0, 1, 8999, 1 },
+  { "stopped in the middle", NULL, ANSWER_9000, 0, 0, 5, MQ_ERR_CANCELLED,
+    MQ_RAN_RAN, 0, 5, 8999, 1 },
+  { "stopped at once", NULL, ANSWER_9000, 0, 0, 0, MQ_ERR_CANCELLED,
+    MQ_RAN_RAN, 0, 0, 8999, 1 },
+  { "stopped while it hangs", FAULT ("hang", "0"), ANSWER_40, 0, 0, 0,
+    MQ_ERR_CANCELLED, MQ_RAN_RAN, 0, 0, 0, 0 },
+};
+
+/* A caller reads a model's answer that is cut, refused, late or cancelled at
+   any point.  The gate must hear of the end exactly once, with the right type
+   and the tokens that were really made, and the engine must be left with
+   nothing to do.  */
+static void
+run_model_case (const struct model_case *c)
+{
+  struct bench *bench = bench_create ();
+  struct mq_start start = make_start (c->body, c->timeout_ms);
+  bool ran_whole;
+
+  add_engine (bench);
+  if (c->fault != NULL)
+    set_fault (bench, c->fault);
+  add_worker (bench, MQ_SERVICE_MODEL, mq_engine_server_port (bench->engine),
+              0);
+  bench->stop_after = c->stop_after;
+  start.max_tokens = c->max_tokens;
+  mq_worker_start (bench->worker, &start);
+  if (c->stop_after == 0)
+    mq_worker_stop (bench->worker, SLOT);
+  cr_assert_eq (bench->dones, 0, "no callback from within");
+  wait_for (bench, &bench->dones, 1);
+  cr_expect_eq (bench->done.slot, SLOT);
+  cr_expect_eq (bench->done.error, c->error, "%s: %s", c->name,
+                mq_error_name (bench->done.error));
+  cr_expect_eq (bench->done.ran, c->ran, "%s", c->name);
+  cr_expect_eq (bench->done.retry_after_ms, c->retry_after_ms, "%s", c->name);
+  cr_expect (bench->done.tokens_out >= c->least
+                 && bench->done.tokens_out <= c->most,
+             "%s: %u", c->name, bench->done.tokens_out);
+  let_pass (bench, 50);
+  cr_expect_eq (bench->dones, 1, "%s: told once", c->name);
+  cr_expect_eq (stat_number (bench, "seen"), c->seen, "%s", c->name);
+  cr_expect_eq (stat_number (bench, "running"), 0, "%s", c->name);
+  cr_expect_eq (stat_number (bench, "queued"), 0, "%s", c->name);
+  ran_whole = c->error == MQ_ERR_CANCELLED || c->error == MQ_ERR_TIMEOUT
+              || c->error == MQ_ERR_NONE;
+  if (ran_whole)
+    cr_expect_eq (stat_number (bench, "completion_tokens"),
+                  bench->done.tokens_out, "%s: %u", c->name,
+                  bench->done.tokens_out);
+  bench_destroy (bench);
+}
+
+Test (worker, model_calls)
+{
+  for (size_t i = 0; i < COUNT (model_cases); i++)
+    run_model_case (&model_cases[i]);
+}
+
+/* What the caller heard in pieces is what the body says, to the last byte. */
+Test (worker, model_answer_is_whole)
+{
+  struct bench *bench = bench_create ();
+  struct mq_start start = make_start (
+      SAY ("[{\\\"call\\\":\\\"badge\\\",\\\"arguments\\\":{\\\"who\\\":"
+           "\\\"Awa\\\"},\\\"tokens\\\":30}]"),
+      0);
+  json_t *body;
+  json_t *call;
+
+  add_engine (bench);
+  add_worker (bench, MQ_SERVICE_MODEL, mq_engine_server_port (bench->engine),
+              0);
+  mq_worker_start (bench->worker, &start);
+  wait_for (bench, &bench->dones, 1);
+  body = json_loads (bench->done.body, 0, NULL);
+  call = json_array_get (json_object_get (body, "tool_calls"), 0);
+  cr_expect_str_eq (json_string_value (json_object_get (body, "content")),
+                    bench->text);
+  cr_expect_eq (strlen (bench->text), 30 * 4);
+  cr_expect_not_null (strstr (bench->text, "[seen 1 "));
+  cr_expect_str_eq (json_string_value (json_object_get (body, "finish")),
+                    "tool_calls");
+  cr_expect_str_eq (json_string_value (json_object_get (call, "name")),
+                    "badge");
+  cr_expect_str_eq (json_string_value (json_object_get (call, "arguments")),
+                    "{\"who\":\"Awa\"}");
+  cr_expect_eq (bench->done.tokens_in, stat_number (bench, "prompt_tokens"));
+  json_decref (body);
+  bench_destroy (bench);
+}
+
+/* An engine dies in the middle of an answer and comes back empty.  The call
+   ends as failed, and the gate hears of the new boot number.  */
+Test (worker, engine_restarts)
+{
+  struct bench *bench = bench_create ();
+  struct mq_start start = make_start (ANSWER_9000, 0);
+
+  add_engine (bench);
+  add_worker (bench, MQ_SERVICE_MODEL, mq_engine_server_port (bench->engine),
+              0);
+  mq_worker_start (bench->worker, &start);
+  wait_for (bench, &bench->ups, 1);
+  cr_expect_eq (bench->boot, 10);
+  wait_for (bench, &bench->tokens, 3);
+  set_fault (bench, "{\"fault\":\"restart\"}");
+  wait_for (bench, &bench->dones, 1);
+  cr_expect_eq (bench->done.error, MQ_ERR_TARGET_FAILED);
+  cr_expect_eq (bench->done.ran, MQ_RAN_RAN);
+  cr_expect (bench->done.tokens_out >= 3);
+  wait_for (bench, &bench->ups, 2);
+  cr_expect_eq (bench->boot, 11);
+  cr_expect_eq (mq_worker_read_counters (bench->worker)->restarts, 1);
+  bench_destroy (bench);
+}
+
+/* An engine that can't be reached is reported as down once, and a call to it
+   is known not to have run.  */
+Test (worker, engine_is_gone)
+{
+  struct bench *bench = bench_create ();
+  struct mq_start start = make_start (ANSWER_40, 0);
+  uint16_t port;
+
+  add_engine (bench);
+  port = mq_engine_server_port (bench->engine);
+  add_worker (bench, MQ_SERVICE_MODEL, port, 20);
+  wait_for (bench, &bench->ups, 1);
+  mq_engine_server_destroy (bench->engine);
+  bench->engine = NULL;
+  wait_for (bench, &bench->downs, 1);
+  mq_worker_start (bench->worker, &start);
+  wait_for (bench, &bench->dones, 1);
+  cr_expect_eq (bench->done.error, MQ_ERR_TARGET_FAILED);
+  cr_expect_eq (bench->done.ran, MQ_RAN_NOT_RUN);
+  let_pass (bench, 100);
+  cr_expect_eq (bench->downs, 1);
+  cr_expect_eq (bench->ups, 1);
+  bench_destroy (bench);
+}
+
+/* A program ends and the first eviction fails: it is reported as such, and
+   once a later one is confirmed the engine's cache lists nothing of it.  */
+Test (worker, evictions_and_cache)
+{
+  static const struct mq_id program = PROGRAM;
+  struct bench *bench = bench_create ();
+  struct mq_start start = make_start (ANSWER_40, 0);
+
+  add_engine (bench);
+  add_worker (bench, MQ_SERVICE_MODEL, mq_engine_server_port (bench->engine),
+              20);
+  mq_worker_start (bench->worker, &start);
+  wait_for (bench, &bench->dones, 1);
+  wait_for (bench, &bench->caches, bench->caches + 2);
+  cr_assert_eq (bench->cache_count, 1);
+  cr_expect (mq_id_equal (bench->cache[0].program, program));
+  cr_expect (bench->cache[0].tokens >= 40);
+  set_fault (bench, FAULT ("evict_fails", "0"));
+  mq_worker_evict (bench->worker, program);
+  wait_for (bench, &bench->evictions, 1);
+  cr_expect_not (bench->evicted.confirmed);
+  cr_expect_eq (bench->evicted.worker, WORKER);
+  mq_worker_evict (bench->worker, program);
+  wait_for (bench, &bench->evictions, 2);
+  cr_expect (bench->evicted.confirmed);
+  cr_expect (mq_id_equal (bench->evicted.program, program));
+  wait_for (bench, &bench->caches, bench->caches + 2);
+  cr_expect_eq (bench->cache_count, 0);
+  bench_destroy (bench);
+}
+
+Test (worker, orders)
+{
+  static const struct
+  {
+    uint64_t fence;
+    enum mq_order_type type;
+    const char *fault;
+    enum mq_error_type error;
+  } cases[] = {
+    { 5, MQ_ORDER_SET_ROLE, NULL, MQ_ERR_NONE },
+    { 4, MQ_ORDER_SET_ROLE, NULL, MQ_ERR_STALE_FENCE },
+    { 5, MQ_ORDER_LOAD_ADAPTER, NULL, MQ_ERR_NONE },
+    { 6, MQ_ORDER_SET_ROLE,
+      "{\"fault\":\"status\",\"count\":1,\"value\":500,"
+      "\"path\":\"/v1/orders\"}",
+      MQ_ERR_TARGET_FAILED },
+  };
+  struct bench *bench = bench_create ();
+
+  add_engine (bench);
+  add_worker (bench, MQ_SERVICE_MODEL, mq_engine_server_port (bench->engine),
+              0);
+  for (uint32_t i = 0; i < COUNT (cases); i++)
+    {
+      struct mq_order_msg order = { .order = 100 + i,
+                                    .fence = cases[i].fence,
+                                    .worker = WORKER,
+                                    .type = cases[i].type,
+                                    .argument = "draft" };
+
+      if (cases[i].fault != NULL)
+        set_fault (bench, cases[i].fault);
+      mq_worker_order (bench->worker, &order);
+      wait_for (bench, &bench->orders, i + 1);
+      cr_expect_eq (bench->ordered.order, 100 + i);
+      cr_expect_eq (bench->ordered.error, cases[i].error, "case %u: %s", i,
+                    mq_error_name (bench->ordered.error));
+    }
+  bench_destroy (bench);
+}
+
+/* Plain services and tools.  */
+
+enum behaviour
+{
+  ANSWER,
+  BREAK, /* takes the request and closes the connection */
+  HANG,
+  GONE /* nobody listens */
+};
+
+struct script
+{
+  enum behaviour behaviour;
+  int status;
+  const char *body;
+  uint32_t hits;
+  bool as_sent;
+};
+
+static void
+hung_closed (struct mq_http_request *request, void *data)
+{
+  (void)request;
+  (void)data;
+}
+
+static bool
+header_is (struct mq_http_request *request, const char *name,
+           const char *value)
+{
+  const char *header = mq_http_header (request, name);
+
+  return header != NULL && strcmp (header, value) == 0;
+}
+
+static void
+serve_script (struct mq_http_request *request, void *data)
+{
+  struct script *script = data;
+  struct mq_start start = make_start ("", 0);
+
+  script->hits++;
+  script->as_sent
+      = strcmp (mq_http_method (request), "POST") == 0
+        && strcmp (mq_http_path (request), start.route) == 0
+        && header_is (request, "Idempotency-Key", start.idempotency_key)
+        && header_is (request, "traceparent", start.traceparent)
+        && strcmp (mq_http_body (request, NULL), "{\"sum\":1}") == 0;
+  switch (script->behaviour)
+    {
+    case ANSWER:
+      if (script->status == 429)
+        mq_http_set_header (request, "Retry-After", "2");
+      mq_http_respond (request, script->status, "application/json",
+                       script->body, strlen (script->body));
+      break;
+    case BREAK:
+      mq_http_abort (request);
+      break;
+    case HANG:
+    case GONE:
+      mq_http_on_closed (request, hung_closed, NULL);
+      break;
+    }
+}
+
+struct service_case
+{
+  enum behaviour behaviour;
+  int status;
+  const char *body;
+  uint32_t timeout_ms;
+  bool stop;
+  enum mq_error_type error;
+  enum mq_ran ran;
+  uint32_t retry_after_ms;
+  const char *answer;
+  uint32_t hits;
+};
+
+static const struct service_case service_cases[] = {
+  { ANSWER, 200, "{\"ok\":true}", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0,
+    "{\"ok\":true}", 1 },
+  { ANSWER, 201, "done", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0, "\"done\"", 1 },
+  { ANSWER, 200, "", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0, "null", 1 },
+  { ANSWER, 200, "\xff\xfe", 0, false, MQ_ERR_BAD_ANSWER, MQ_RAN_RAN, 0, "",
+    1 },
+  { ANSWER, 404, "{\"no\":1}", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0,
+    "{\"status\":404,\"error\":{\"no\":1}}", 1 },
+  { ANSWER, 409, "twice", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0,
+    "{\"status\":409,\"error\":\"twice\"}", 1 },
+  { ANSWER, 429, "", 0, false, MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 2000, "",
+    1 },
+  { ANSWER, 500, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "",
+    1 },
+  { ANSWER, 503, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "",
+    1 },
+  { ANSWER, 302, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "",
+    1 },
+  { BREAK, 0, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "", 1 },
+  { HANG, 0, "", 100, false, MQ_ERR_TIMEOUT, MQ_RAN_UNKNOWN, 0, "", 1 },
+  { HANG, 0, "", 0, true, MQ_ERR_CANCELLED, MQ_RAN_UNKNOWN, 0, "", 1 },
+  { GONE, 0, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_NOT_RUN, 0, "", 0 },
+};
+
+static void
+start_service (struct bench *bench, struct script *script,
+               enum mq_service_kind kind)
+{
+  struct mq_http_server_options options = { .address = "127.0.0.1:0" };
+  struct mq_error error;
+
+  bench->service = mq_http_server_create (bench, bench->ev, &options,
+                                          serve_script, script, &error);
+  cr_assert_not_null (bench->service);
+  add_worker (bench, kind, mq_http_server_port (bench->service), 0);
+}
+
+static void
+post_sum (struct bench *bench, uint32_t timeout_ms)
+{
+  struct mq_start start = make_start ("{\"sum\":1}", timeout_ms);
+
+  mq_worker_start (bench->worker, &start);
+}
+
+/* A tool takes a starter's bank details.  Its answer is lost in one of many
+   ways.  The form must have gone out once, whatever became of the answer: two
+   forms cost payroll an afternoon each.  A first call leaves an open
+   connection behind, on which a client is tempted to send again.  */
+static void
+run_service_case (size_t i, enum mq_service_kind kind)
+{
+  const struct service_case *c = &service_cases[i];
+  struct script script = { .behaviour = ANSWER, .status = 200, .body = "1" };
+  struct bench *bench = bench_create ();
+
+  start_service (bench, &script, kind);
+  post_sum (bench, 0);
+  wait_for (bench, &bench->dones, 1);
+  cr_assert_eq (bench->done.error, MQ_ERR_NONE);
+  cr_expect (script.as_sent);
+  script = (struct script){ .behaviour = c->behaviour,
+                            .status = c->status,
+                            .body = c->body };
+  if (c->behaviour == GONE)
+    {
+      mq_http_server_destroy (bench->service);
+      bench->service = NULL;
+    }
+  post_sum (bench, c->timeout_ms);
+  if (c->stop)
+    {
+      wait_for (bench, &script.hits, 1);
+      mq_worker_stop (bench->worker, SLOT);
+      cr_assert_eq (bench->dones, 1, "no callback from within");
+    }
+  wait_for (bench, &bench->dones, 2);
+  cr_expect_eq (bench->done.error, c->error, "case %zu: %s", i,
+                mq_error_name (bench->done.error));
+  cr_expect_eq (bench->done.ran, c->ran, "case %zu: %s", i,
+                mq_ran_name (bench->done.ran));
+  cr_expect_eq (bench->done.retry_after_ms, c->retry_after_ms);
+  cr_expect_str_eq (bench->done.body, c->answer, "case %zu: %s", i,
+                    bench->done.body);
+  let_pass (bench, 30);
+  cr_expect_eq (bench->dones, 2, "case %zu: told once", i);
+  cr_expect_eq (script.hits, c->hits, "case %zu: sent %u times", i,
+                script.hits);
+  bench_destroy (bench);
+}
+
+Test (worker, service_calls)
+{
+  for (size_t i = 0; i < COUNT (service_cases); i++)
+    {
+      run_service_case (i, MQ_SERVICE_TOOL);
+      run_service_case (i, MQ_SERVICE_PLAIN);
+    }
+}
+
+/* Evictions and orders mean nothing to a plain service; each is still
+   answered, and not from within the call.  */
+Test (worker, services_hold_no_cache)
+{
+  static const struct mq_id program = PROGRAM;
+  struct script script = { .behaviour = HANG };
+  struct mq_order_msg order = { .order = 9, .argument = "" };
+  struct bench *bench = bench_create ();
+
+  start_service (bench, &script, MQ_SERVICE_PLAIN);
+  mq_worker_evict (bench->worker, program);
+  mq_worker_order (bench->worker, &order);
+  cr_expect_eq (bench->evictions + bench->orders, 0);
+  wait_for (bench, &bench->evictions, 1);
+  wait_for (bench, &bench->orders, 1);
+  cr_expect (bench->evicted.confirmed);
+  cr_expect_eq (bench->ordered.error, MQ_ERR_BAD_REQUEST);
+  cr_expect_eq (script.hits, 0);
+  bench_destroy (bench);
+}
+
+/* A client that is closed with calls under way leaves nothing behind and says
+   nothing more.  */
+Test (worker, destroyed_with_calls_under_way)
+{
+  struct bench *bench = bench_create ();
+  struct mq_start start = make_start (ANSWER_9000, 0);
+
+  add_engine (bench);
+  add_worker (bench, MQ_SERVICE_MODEL, mq_engine_server_port (bench->engine),
+              0);
+  mq_worker_start (bench->worker, &start);
+  start.slot = SLOT + 1;
+  start.ref.call++;
+  mq_worker_start (bench->worker, &start);
+  mq_worker_stop (bench->worker, SLOT + 1);
+  let_pass (bench, 1);
+  mq_worker_destroy (bench->worker);
+  bench->worker = NULL;
+  let_pass (bench, 100);
+  cr_expect_eq (bench->dones, 0);
+  cr_expect_eq (stat_number (bench, "running"), 0);
+  bench_destroy (bench);
+}
+
+/* Streams.  */
+
+#define TEXT(text)                                                            \
+  "data: {\"choices\":[{\"delta\":{\"content\":\"" text "\"}}]}\n\n"
+#define END                                                                   \
+  "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}],"           \
+  "\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":3,"                   \
+  "\"cached_tokens\":4}}\n\n"
+#define DONE "data: [DONE]\n\n"
+
+static void
+append_text (const char *text, void *user)
+{
+  char **all = user;
+
+  *all = talloc_strdup_append (*all, text);
+}
+
+/* However the bytes are cut on their way, the same is read.  */
+Test (worker_stream, cut_anywhere)
+{
+  static const struct
+  {
+    const char *data;
+    enum mq_worker_stream_state state;
+    const char *text;
+    struct mq_worker_usage usage;
+  } cases[] = {
+    { TEXT ("ab\\u00e9") TEXT ("cd") END DONE,
+      MQ_WORKER_STREAM_WHOLE,
+      "ab\u00e9cd",
+      { 9, 3, 4 } },
+    { ": comment\r\n\r\ndata:{\"choices\":[]}\r\n\r\n" END DONE,
+      MQ_WORKER_STREAM_WHOLE,
+      "",
+      { 9, 3, 4 } },
+    { TEXT ("abcde") TEXT ("fgh"),
+      MQ_WORKER_STREAM_OPEN,
+      "abcdefgh",
+      { 0, 2, 0 } },
+    { TEXT ("abcde") "data: {\"choices\":[{\"del",
+      MQ_WORKER_STREAM_OPEN,
+      "abcde",
+      { 0, 2, 0 } },
+    { TEXT ("a") END, MQ_WORKER_STREAM_OPEN, "a", { 9, 3, 4 } },
+    { TEXT ("a") DONE, MQ_WORKER_STREAM_BAD, "a", { 0, 1, 0 } },
+    { TEXT ("a") "data: {bad\n\n" END DONE,
+      MQ_WORKER_STREAM_BAD,
+      "a",
+      { 9, 3, 4 } },
+    { "data: "
+      "{\"choices\":[{\"delta\":{\"tool_calls\":[{\"id\":\"1\"}]}}]}\n\n" END
+          DONE,
+      MQ_WORKER_STREAM_BAD,
+      "",
+      { 9, 3, 4 } },
+    { TEXT ("a") END DONE TEXT ("late"),
+      MQ_WORKER_STREAM_WHOLE,
+      "a",
+      { 9, 3, 4 } },
+    { "", MQ_WORKER_STREAM_OPEN, "", { 0, 0, 0 } },
+  };
+
+  for (size_t i = 0; i < COUNT (cases); i++)
+    for (size_t piece = 1; piece <= 64; piece++)
+      {
+        struct mq_worker_stream *stream = mq_worker_stream_create (NULL);
+        char *text = talloc_strdup (NULL, "");
+        size_t len = strlen (cases[i].data);
+        struct mq_worker_usage usage;
+
+        for (size_t at = 0; at < len; at += piece)
+          mq_worker_stream_feed (stream, cases[i].data + at,
+                                 len - at < piece ? len - at : piece,
+                                 append_text, &text);
+        usage = mq_worker_stream_usage (stream);
+        cr_expect_eq (mq_worker_stream_state (stream), cases[i].state,
+                      "case %zu piece %zu", i, piece);
+        cr_expect_str_eq (text, cases[i].text, "case %zu", i);
+        cr_expect (usage.tokens_in == cases[i].usage.tokens_in
+                       && usage.tokens_out == cases[i].usage.tokens_out
+                       && usage.cached_tokens == cases[i].usage.cached_tokens,
+                   "case %zu piece %zu", i, piece);
+        talloc_free (text);
+        talloc_free (stream);
+      }
+}
