--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -20,6 +20,13 @@
 #define MQ_CONNECT_RETRY_MS 200U /* first pause before connecting again */
 #define MQ_CONNECT_RETRY_MAX_MS 3000U
 #define MQ_HANDSHAKE_MS 2000U
+#define MQ_PEER_UNSENT_BYTES (32U << 20)  /* unsent to one peer: closed */
+#define MQ_PEER_UNPROVEN_MAX 256U         /* connections before their proof */
+#define MQ_PEER_UNPROVEN_BYTES 1024U      /* frame before the proof */
+#define MQ_FRAME_MEMORY_BYTES (32U << 20) /* memory of one decoded frame */
+#define MQ_FRAME_WORKERS_MAX 1024U        /* workers in one LOAD */
+#define MQ_FRAME_CALLS_MAX 65536U         /* calls in one RECOVERED */
+#define MQ_FRAME_PARTITIONS_MAX 65536U    /* partitions in one HANDOVER */
 
 /* Partition ownership.  */
 #define MQ_OWNER_RENEW_MS 1000U /* the owner's row is written this often */
@@ -27,9 +34,8 @@
 #define MQ_OWNER_PROGRAMS_MAX 50000U
 #define MQ_COMMIT_RECORDS_MAX 512U
 #define MQ_COMMIT_INLINE_BYTES (64U << 10) /* larger: in an object */
-* /
-#define MQ_CHECKPOINT_RECORDS 2000U /* records between checkpoints */
-#define MQ_STORE_TIMEOUT_MS 3000U   /* no answer: LOST */
+#define MQ_CHECKPOINT_RECORDS 2000U        /* records between checkpoints */
+#define MQ_STORE_TIMEOUT_MS 3000U          /* no answer: LOST */
 #define MQ_STORE_RETRY_MS 100U
 #define MQ_STORE_RETRY_MAX_MS 2000U
 
--- /dev/null
+++ b/src/io/codec.c
@@ -0,0 +1,1003 @@
+/* codec.c - struct mq_message to protobuf and back.
+
+   Packing borrows the message's strings.  Unpacking puts all memory below
+   the message, under a bound, and hands out protobuf's own strings.
+   Needs: protobuf-c, proto/peer.pb-c.h, codec.h.  */
+
+#include "codec.h"
+#include "../../proto/peer.pb-c.h"
+#include "../core/limits.h"
+#include <string.h>
+
+#define ASSERT_SAME(wire, core)                                               \
+  _Static_assert((int)(wire) == (int)(core), #core " and the wire agree")
+
+ASSERT_SAME (MQ__PRIORITY__URGENT, MQ_PRIORITY_URGENT);
+ASSERT_SAME (MQ__PRIORITY__INTERACTIVE, MQ_PRIORITY_INTERACTIVE);
+ASSERT_SAME (MQ__PRIORITY__BATCH, MQ_PRIORITY_BATCH);
+ASSERT_SAME (MQ__PRIORITY__BATCH + 1, MQ_PRIORITY_COUNT);
+ASSERT_SAME (MQ__RAN__NOT_RUN, MQ_RAN_NOT_RUN);
+ASSERT_SAME (MQ__RAN__RAN, MQ_RAN_RAN);
+ASSERT_SAME (MQ__RAN__UNKNOWN, MQ_RAN_UNKNOWN);
+ASSERT_SAME (MQ__LEASE_STATE__ACTIVE, MQ_LEASE_ACTIVE);
+ASSERT_SAME (MQ__LEASE_STATE__PAUSED, MQ_LEASE_PAUSED);
+ASSERT_SAME (MQ__LEASE_STATE__ENDED, MQ_LEASE_ENDED);
+ASSERT_SAME (MQ__ORDER_TYPE__LOAD_MODEL, MQ_ORDER_LOAD_MODEL);
+ASSERT_SAME (MQ__ORDER_TYPE__LOAD_ADAPTER, MQ_ORDER_LOAD_ADAPTER);
+ASSERT_SAME (MQ__ORDER_TYPE__SET_VERSION, MQ_ORDER_SET_VERSION);
+ASSERT_SAME (MQ__ORDER_TYPE__SET_ROLE, MQ_ORDER_SET_ROLE);
+ASSERT_SAME (MQ__SEAL_ANSWER__SEAL_DONE, MQ_SEAL_DONE);
+ASSERT_SAME (MQ__SEAL_ANSWER__SEAL_RUNNING, MQ_SEAL_RUNNING);
+ASSERT_SAME (MQ__SEAL_ANSWER__SEAL_SEALED, MQ_SEAL_SEALED);
+ASSERT_SAME (MQ__SEAL_ANSWER__SEAL_STALE, MQ_SEAL_STALE);
+ASSERT_SAME (MQ__REQUEST_TYPE__OPEN, MQ_REQUEST_OPEN);
+ASSERT_SAME (MQ__REQUEST_TYPE__CREATE, MQ_REQUEST_CREATE);
+ASSERT_SAME (MQ__REQUEST_TYPE__STEP, MQ_REQUEST_STEP);
+ASSERT_SAME (MQ__REQUEST_TYPE__TURN, MQ_REQUEST_TURN);
+ASSERT_SAME (MQ__REQUEST_TYPE__GET, MQ_REQUEST_GET);
+ASSERT_SAME (MQ__REQUEST_TYPE__CLOSE, MQ_REQUEST_CLOSE);
+ASSERT_SAME (MQ__REQUEST_TYPE__CANCEL, MQ_REQUEST_CANCEL);
+ASSERT_SAME (MQ__EVENT_TYPE__EVENT_ACCEPTED, MQ_EVENT_ACCEPTED);
+ASSERT_SAME (MQ__EVENT_TYPE__EVENT_TOKEN, MQ_EVENT_TOKEN);
+ASSERT_SAME (MQ__EVENT_TYPE__EVENT_STEP, MQ_EVENT_STEP);
+ASSERT_SAME (MQ__EVENT_TYPE__EVENT_RESET, MQ_EVENT_RESET);
+ASSERT_SAME (MQ__EVENT_TYPE__EVENT_FINAL, MQ_EVENT_FINAL);
+ASSERT_SAME (MQ__EVENT_TYPE__EVENT_REFUSED, MQ_EVENT_REFUSED);
+
+enum
+{
+  LEASE_STATE_COUNT = MQ_LEASE_ENDED + 1,
+  ORDER_TYPE_COUNT = MQ_ORDER_SET_ROLE + 1,
+  SEAL_ANSWER_COUNT = MQ_SEAL_STALE + 1,
+  RAN_COUNT = MQ_RAN_UNKNOWN + 1,
+  REQUEST_TYPE_COUNT = MQ_REQUEST_CANCEL + 1,
+  EVENT_TYPE_COUNT = MQ_EVENT_REFUSED + 1
+};
+
+/* Room for the one body that a message has, while it is packed.  */
+struct wire_body
+{
+  Mq__CallRef ref;
+  union
+  {
+    Mq__Beat beat;
+    Mq__Call call;
+    Mq__Ref named;
+    Mq__Recover recover;
+    Mq__Lease lease;
+    Mq__Order order;
+    Mq__OrderDone order_done;
+    Mq__Probe probe;
+    Mq__Probed probed;
+    Mq__Token token;
+    Mq__Outcome outcome;
+    Mq__Sealed sealed;
+    Mq__Recovered recovered;
+    Mq__Evicted evicted;
+    Mq__Load load;
+    Mq__Forward forward;
+    Mq__Event event;
+    Mq__ForwardClose forward_close;
+    Mq__Handover handover;
+    Mq__Config config;
+  } u;
+};
+
+/* Protobuf's strings are not const, but packing only reads them.  */
+static char *
+wire_text (const char *text)
+{
+  return (char *)(text == NULL ? "" : text);
+}
+
+static char *
+wire_error (enum mq_error_type type)
+{
+  return type == MQ_ERR_NONE ? (char *)"" : (char *)mq_error_name (type);
+}
+
+static void
+fill_ref (Mq__CallRef *to, const struct mq_call_ref *from)
+{
+  mq__call_ref__init (to);
+  to->program_hi = from->program.hi;
+  to->program_lo = from->program.lo;
+  to->call = from->call;
+  to->attempt = from->attempt;
+}
+
+static void
+fill_call (struct wire_body *body, const struct mq_call_msg *from)
+{
+  Mq__Call *to = &body->u.call;
+
+  mq__call__init (to);
+  fill_ref (&body->ref, &from->ref);
+  to->ref = &body->ref;
+  to->partition = from->partition;
+  to->fence = from->fence;
+  to->boot = from->boot;
+  to->service = wire_text (from->service);
+  to->route = wire_text (from->route);
+  to->organisation = wire_text (from->organisation);
+  to->worker = from->worker;
+  to->idempotent = from->idempotent;
+  to->priority = (Mq__Priority)from->priority;
+  to->deadline_ms = from->deadline_ms;
+  to->max_tokens = from->max_tokens;
+  to->attained = from->attained;
+  to->continuing = from->continuing;
+  to->follow_up = from->follow_up;
+  to->prefix_tokens = from->prefix_tokens;
+  to->shared_prefix = from->shared_prefix;
+  to->traceparent = wire_text (from->traceparent);
+  to->body = wire_text (from->body);
+}
+
+static Mq__Ref *
+fill_named (struct wire_body *body, const struct mq_ref_msg *from)
+{
+  Mq__Ref *to = &body->u.named;
+
+  mq__ref__init (to);
+  fill_ref (&body->ref, &from->ref);
+  to->ref = &body->ref;
+  to->partition = from->partition;
+  to->fence = from->fence;
+  return to;
+}
+
+static void
+fill_recover (Mq__Recover *to, const struct mq_recover_msg *from)
+{
+  mq__recover__init (to);
+  to->partition = from->partition;
+  to->fence = from->fence;
+}
+
+static void
+fill_lease (Mq__Lease *to, const struct mq_lease_msg *from)
+{
+  mq__lease__init (to);
+  to->program_hi = from->program.hi;
+  to->program_lo = from->program.lo;
+  to->partition = from->partition;
+  to->fence = from->fence;
+  to->state = (Mq__LeaseState)from->state;
+  to->lease_ms = from->lease_ms;
+  to->pause_ms = from->pause_ms;
+}
+
+static void
+fill_order (Mq__Order *to, const struct mq_order_msg *from)
+{
+  mq__order__init (to);
+  to->order = from->order;
+  to->fence = from->fence;
+  to->worker = from->worker;
+  to->type = (Mq__OrderType)from->type;
+  to->argument = wire_text (from->argument);
+}
+
+static void
+fill_order_done (Mq__OrderDone *to, const struct mq_order_done_msg *from)
+{
+  mq__order_done__init (to);
+  to->order = from->order;
+  to->error = wire_error (from->error);
+}
+
+static void
+fill_probe (Mq__Probe *to, const struct mq_probe_msg *from)
+{
+  mq__probe__init (to);
+  to->probe = from->probe;
+  to->shared_prefix = from->shared_prefix;
+  to->program_hi = from->program.hi;
+  to->program_lo = from->program.lo;
+}
+
+static void
+fill_probed (Mq__Probed *to, const struct mq_probed_msg *from)
+{
+  mq__probed__init (to);
+  to->probe = from->probe;
+  to->worker = from->worker;
+  to->program_tokens = from->program_tokens;
+  to->shared_tokens = from->shared_tokens;
+}
+
+static void
+fill_token (struct wire_body *body, const struct mq_token_msg *from)
+{
+  Mq__Token *to = &body->u.token;
+
+  mq__token__init (to);
+  fill_ref (&body->ref, &from->ref);
+  to->ref = &body->ref;
+  to->partition = from->partition;
+  to->fence = from->fence;
+  to->index = from->index;
+  to->text = wire_text (from->text);
+}
+
+static void
+fill_outcome (struct wire_body *body, const struct mq_outcome_msg *from)
+{
+  Mq__Outcome *to = &body->u.outcome;
+
+  mq__outcome__init (to);
+  fill_ref (&body->ref, &from->ref);
+  to->ref = &body->ref;
+  to->partition = from->partition;
+  to->fence = from->fence;
+  to->boot = from->boot;
+  to->error = wire_error (from->error);
+  to->ran = (Mq__Ran)from->ran;
+  to->retry_after_ms = from->retry_after_ms;
+  to->body = wire_text (from->body);
+  to->tokens_in = from->tokens_in;
+  to->tokens_out = from->tokens_out;
+  to->cached_tokens = from->cached_tokens;
+  to->queue_us = from->queue_us;
+  to->first_us = from->first_us;
+  to->run_us = from->run_us;
+  to->recovered = from->recovered;
+}
+
+static void
+fill_sealed (struct wire_body *body, const struct mq_sealed_msg *from)
+{
+  Mq__Sealed *to = &body->u.sealed;
+
+  mq__sealed__init (to);
+  fill_ref (&body->ref, &from->ref);
+  to->ref = &body->ref;
+  to->partition = from->partition;
+  to->fence = from->fence;
+  to->boot = from->boot;
+  to->answer = (Mq__SealAnswer)from->answer;
+}
+
+/* Array of COUNT pointers to COUNT items of SIZE bytes, which follow.  */
+static void **
+create_items (TALLOC_CTX *tmp, size_t count, size_t size)
+{
+  void **pointers = talloc_array (tmp, void *, count);
+  char *items = talloc_zero_size (tmp, count * size);
+
+  if (pointers == NULL || items == NULL)
+    return NULL;
+  for (size_t i = 0; i < count; i++)
+    pointers[i] = items + i * size;
+  return pointers;
+}
+
+static bool
+fill_recovered (TALLOC_CTX *tmp, Mq__Recovered *to,
+                const struct mq_recovered_msg *from)
+{
+  mq__recovered__init (to);
+  to->partition = from->partition;
+  to->fence = from->fence;
+  to->boot = from->boot;
+  if (from->running_count > MQ_FRAME_CALLS_MAX)
+    return false;
+  if (from->running_count == 0)
+    return true;
+  to->running = (Mq__CallRef **)create_items (tmp, from->running_count,
+                                              sizeof (Mq__CallRef));
+  if (to->running == NULL)
+    return false;
+  to->n_running = from->running_count;
+  for (size_t i = 0; i < from->running_count; i++)
+    fill_ref (to->running[i], &from->running[i]);
+  return true;
+}
+
+static void
+fill_evicted (Mq__Evicted *to, const struct mq_evicted_msg *from)
+{
+  mq__evicted__init (to);
+  to->program_hi = from->program.hi;
+  to->program_lo = from->program.lo;
+}
+
+static void
+fill_worker (Mq__WorkerLoad *to, const struct mq_worker_load *from)
+{
+  mq__worker_load__init (to);
+  to->worker = from->worker;
+  to->service = wire_text (from->service);
+  to->model = wire_text (from->model);
+  to->slots = from->slots;
+  to->running = from->running;
+  to->queued = from->queued;
+  to->cache_used = from->cache_used;
+  to->cache_total = from->cache_total;
+  to->prefill_rate = from->prefill_rate;
+  to->decode_us = from->decode_us;
+}
+
+static bool
+fill_load (TALLOC_CTX *tmp, Mq__Load *to, const struct mq_load_msg *from)
+{
+  mq__load__init (to);
+  to->boot = from->boot;
+  to->leaving = from->leaving;
+  if (from->worker_count > MQ_FRAME_WORKERS_MAX)
+    return false;
+  if (from->worker_count == 0)
+    return true;
+  to->workers = (Mq__WorkerLoad **)create_items (tmp, from->worker_count,
+                                                 sizeof (Mq__WorkerLoad));
+  if (to->workers == NULL)
+    return false;
+  to->n_workers = from->worker_count;
+  for (size_t i = 0; i < from->worker_count; i++)
+    fill_worker (to->workers[i], &from->workers[i]);
+  return true;
+}
+
+static void
+fill_forward (Mq__Forward *to, const struct mq_forward_msg *from)
+{
+  const struct mq_request_msg *request = &from->request;
+
+  mq__forward__init (to);
+  to->handle = from->handle;
+  to->type = (Mq__RequestType)request->type;
+  to->program_hi = request->program.hi;
+  to->program_lo = request->program.lo;
+  to->organisation = wire_text (request->organisation);
+  to->service = wire_text (request->service);
+  to->route = wire_text (request->route);
+  to->key = wire_text (request->key);
+  to->sequence = request->sequence;
+  to->continues_hi = request->continues.hi;
+  to->continues_lo = request->continues.lo;
+  to->stream = request->stream;
+  to->after = request->after;
+  to->max_tokens = request->max_tokens;
+  to->traceparent = wire_text (request->traceparent);
+  to->body = wire_text (request->body);
+}
+
+static void
+fill_event (Mq__Event *to, const struct mq_event_msg *from)
+{
+  mq__event__init (to);
+  to->handle = from->handle;
+  to->type = (Mq__EventType)from->type;
+  to->number = from->number;
+  to->call = from->call;
+  to->body = wire_text (from->body);
+  to->error = wire_error (from->error);
+  to->ran = (Mq__Ran)from->ran;
+  to->retry_after_ms = from->retry_after_ms;
+  to->redirect = wire_text (from->redirect);
+}
+
+static void
+fill_forward_close (Mq__ForwardClose *to,
+                    const struct mq_forward_close_msg *from)
+{
+  mq__forward_close__init (to);
+  to->handle = from->handle;
+}
+
+static bool
+fill_handover (Mq__Handover *to, const struct mq_handover_msg *from)
+{
+  mq__handover__init (to);
+  if (from->partition_count > MQ_FRAME_PARTITIONS_MAX)
+    return false;
+  to->n_partitions = from->partition_count;
+  to->partitions = from->partitions;
+  return true;
+}
+
+static Mq__Config *
+fill_config (struct wire_body *body, const struct mq_config_msg *from)
+{
+  Mq__Config *to = &body->u.config;
+
+  mq__config__init (to);
+  to->version = from->version;
+  to->text = wire_text (from->text);
+  return to;
+}
+
+/* False when memory is out, a bound is passed or the type is no message's.
+   Each case sets the member of the envelope that BODY_CASE names.  */
+static bool
+fill_envelope (TALLOC_CTX *tmp, Mq__Envelope *to, struct wire_body *body,
+               const struct mq_message *from)
+{
+  switch (from->type)
+    {
+    case MQ_MSG_NONE:
+      to->body_case = MQ__ENVELOPE__BODY_BEAT;
+      mq__beat__init (&body->u.beat);
+      to->beat = &body->u.beat;
+      return true;
+    case MQ_MSG_CALL:
+      to->body_case = MQ__ENVELOPE__BODY_CALL;
+      fill_call (body, &from->u.call);
+      to->call = &body->u.call;
+      return true;
+    case MQ_MSG_CANCEL:
+      to->body_case = MQ__ENVELOPE__BODY_CANCEL;
+      to->cancel = fill_named (body, &from->u.ref);
+      return true;
+    case MQ_MSG_SEAL:
+      to->body_case = MQ__ENVELOPE__BODY_SEAL;
+      to->seal = fill_named (body, &from->u.ref);
+      return true;
+    case MQ_MSG_RECOVER:
+      to->body_case = MQ__ENVELOPE__BODY_RECOVER;
+      fill_recover (&body->u.recover, &from->u.recover);
+      to->recover = &body->u.recover;
+      return true;
+    case MQ_MSG_FORGET:
+      to->body_case = MQ__ENVELOPE__BODY_FORGET;
+      to->forget = fill_named (body, &from->u.ref);
+      return true;
+    case MQ_MSG_LEASE:
+      to->body_case = MQ__ENVELOPE__BODY_LEASE;
+      fill_lease (&body->u.lease, &from->u.lease);
+      to->lease = &body->u.lease;
+      return true;
+    case MQ_MSG_ORDER:
+      to->body_case = MQ__ENVELOPE__BODY_ORDER;
+      fill_order (&body->u.order, &from->u.order);
+      to->order = &body->u.order;
+      return true;
+    case MQ_MSG_PROBE:
+      to->body_case = MQ__ENVELOPE__BODY_PROBE;
+      fill_probe (&body->u.probe, &from->u.probe);
+      to->probe = &body->u.probe;
+      return true;
+    case MQ_MSG_TOKEN:
+      to->body_case = MQ__ENVELOPE__BODY_TOKEN;
+      fill_token (body, &from->u.token);
+      to->token = &body->u.token;
+      return true;
+    case MQ_MSG_OUTCOME:
+      to->body_case = MQ__ENVELOPE__BODY_OUTCOME;
+      fill_outcome (body, &from->u.outcome);
+      to->outcome = &body->u.outcome;
+      return true;
+    case MQ_MSG_SEALED:
+      to->body_case = MQ__ENVELOPE__BODY_SEALED;
+      fill_sealed (body, &from->u.sealed);
+      to->sealed = &body->u.sealed;
+      return true;
+    case MQ_MSG_RECOVERED:
+      to->body_case = MQ__ENVELOPE__BODY_RECOVERED;
+      to->recovered = &body->u.recovered;
+      return fill_recovered (tmp, &body->u.recovered, &from->u.recovered);
+    case MQ_MSG_EVICTED:
+      to->body_case = MQ__ENVELOPE__BODY_EVICTED;
+      fill_evicted (&body->u.evicted, &from->u.evicted);
+      to->evicted = &body->u.evicted;
+      return true;
+    case MQ_MSG_LOAD:
+      to->body_case = MQ__ENVELOPE__BODY_LOAD;
+      to->load = &body->u.load;
+      return fill_load (tmp, &body->u.load, &from->u.load);
+    case MQ_MSG_ORDER_DONE:
+      to->body_case = MQ__ENVELOPE__BODY_ORDER_DONE;
+      fill_order_done (&body->u.order_done, &from->u.order_done);
+      to->order_done = &body->u.order_done;
+      return true;
+    case MQ_MSG_PROBED:
+      to->body_case = MQ__ENVELOPE__BODY_PROBED;
+      fill_probed (&body->u.probed, &from->u.probed);
+      to->probed = &body->u.probed;
+      return true;
+    case MQ_MSG_FORWARD:
+      to->body_case = MQ__ENVELOPE__BODY_FORWARD;
+      fill_forward (&body->u.forward, &from->u.forward);
+      to->forward = &body->u.forward;
+      return true;
+    case MQ_MSG_FORWARD_EVENT:
+      to->body_case = MQ__ENVELOPE__BODY_FORWARD_EVENT;
+      fill_event (&body->u.event, &from->u.event);
+      to->forward_event = &body->u.event;
+      return true;
+    case MQ_MSG_FORWARD_CLOSE:
+      to->body_case = MQ__ENVELOPE__BODY_FORWARD_CLOSE;
+      fill_forward_close (&body->u.forward_close, &from->u.forward_close);
+      to->forward_close = &body->u.forward_close;
+      return true;
+    case MQ_MSG_HANDOVER:
+      to->body_case = MQ__ENVELOPE__BODY_HANDOVER;
+      to->handover = &body->u.handover;
+      return fill_handover (&body->u.handover, &from->u.handover);
+    case MQ_MSG_CONFIG_HAVE:
+      to->body_case = MQ__ENVELOPE__BODY_CONFIG_HAVE;
+      to->config_have = fill_config (body, &from->u.config);
+      return true;
+    case MQ_MSG_CONFIG_GET:
+      to->body_case = MQ__ENVELOPE__BODY_CONFIG_GET;
+      to->config_get = fill_config (body, &from->u.config);
+      return true;
+    case MQ_MSG_CONFIG_TEXT:
+      to->body_case = MQ__ENVELOPE__BODY_CONFIG_TEXT;
+      to->config_text = fill_config (body, &from->u.config);
+      return true;
+    case MQ_MSG_TYPE_COUNT:
+      break;
+    }
+  return false;
+}
+
+uint8_t *
+mq_codec_pack (TALLOC_CTX *ctx, const struct mq_message *message, size_t *len)
+{
+  TALLOC_CTX *tmp = talloc_new (NULL);
+  Mq__Envelope envelope = MQ__ENVELOPE__INIT;
+  struct wire_body body;
+  uint8_t *data = NULL;
+
+  envelope.config_version = message->config_version;
+  if (tmp != NULL && fill_envelope (tmp, &envelope, &body, message))
+    {
+      *len = mq__envelope__get_packed_size (&envelope);
+      data = talloc_size (ctx, *len);
+    }
+  if (data != NULL)
+    mq__envelope__pack (&envelope, data);
+  talloc_free (tmp);
+  return data;
+}
+
+/* Memory of one frame.  A frame of empty items takes many times its bytes
+   when decoded: without a bound one frame of a broken peer could take all of
+   a host's memory.  Past the bound allocations fail and so does the frame.  */
+struct frame_memory
+{
+  TALLOC_CTX *ctx;
+  size_t left;
+};
+
+enum
+{
+  ALLOCATION_BYTES = 96, /* what talloc adds to an allocation */
+  MEMORY_BASE_BYTES = 64 << 10,
+  MEMORY_PER_BYTE = 16,
+  POOL_BASE_BYTES = 1024,
+  POOL_MOST_BYTES = 16 << 10,
+  POOL_OBJECTS = 16
+};
+
+static void *
+allocate_memory (void *data, size_t size)
+{
+  struct frame_memory *memory = data;
+  size_t charge = size + ALLOCATION_BYTES;
+
+  if (charge > memory->left)
+    return NULL;
+  memory->left -= charge;
+  return talloc_size (memory->ctx, size);
+}
+
+static void
+free_memory (void *data, void *pointer)
+{
+  (void)data;
+  talloc_free (pointer);
+}
+
+static size_t
+bound_memory (size_t len)
+{
+  size_t bound = MEMORY_BASE_BYTES + MEMORY_PER_BYTE * len;
+
+  return bound < MQ_FRAME_MEMORY_BYTES ? bound : MQ_FRAME_MEMORY_BYTES;
+}
+
+/* One allocation for most frames: strings of a message are small and many. */
+static struct mq_message *
+create_message (TALLOC_CTX *ctx, size_t len)
+{
+  size_t pool = POOL_BASE_BYTES + 2 * len;
+  struct mq_message *message;
+
+  if (pool > POOL_MOST_BYTES)
+    pool = POOL_MOST_BYTES;
+  message = talloc_pooled_object (ctx, struct mq_message, POOL_OBJECTS, pool);
+  if (message != NULL)
+    memset (message, 0, sizeof *message);
+  return message;
+}
+
+static bool
+in_range (int value, int count)
+{
+  return value >= 0 && value < count;
+}
+
+/* A name that is in no table is refused: read as NONE, a peer's failure
+   would pass for an answer.  */
+static bool
+read_error (enum mq_error_type *to, const char *name)
+{
+  *to = MQ_ERR_NONE;
+  if (name[0] == '\0')
+    return true;
+  *to = mq_error_from_name (name);
+  return *to != MQ_ERR_NONE;
+}
+
+static bool
+read_ref (struct mq_call_ref *to, const Mq__CallRef *from)
+{
+  if (from == NULL)
+    return false;
+  to->program.hi = from->program_hi;
+  to->program.lo = from->program_lo;
+  to->call = from->call;
+  to->attempt = from->attempt;
+  return true;
+}
+
+static bool
+read_call (struct mq_call_msg *to, const Mq__Call *from)
+{
+  to->partition = from->partition;
+  to->fence = from->fence;
+  to->boot = from->boot;
+  to->service = from->service;
+  to->route = from->route;
+  to->organisation = from->organisation;
+  to->worker = from->worker;
+  to->idempotent = from->idempotent;
+  to->priority = (enum mq_priority)from->priority;
+  to->deadline_ms = from->deadline_ms;
+  to->max_tokens = from->max_tokens;
+  to->attained = from->attained;
+  to->continuing = from->continuing;
+  to->follow_up = from->follow_up;
+  to->prefix_tokens = from->prefix_tokens;
+  to->shared_prefix = from->shared_prefix;
+  to->traceparent = from->traceparent;
+  to->body = from->body;
+  return read_ref (&to->ref, from->ref)
+         && in_range (from->priority, MQ_PRIORITY_COUNT);
+}
+
+static bool
+read_named (struct mq_ref_msg *to, const Mq__Ref *from)
+{
+  to->partition = from->partition;
+  to->fence = from->fence;
+  return read_ref (&to->ref, from->ref);
+}
+
+static bool
+read_recover (struct mq_recover_msg *to, const Mq__Recover *from)
+{
+  to->partition = from->partition;
+  to->fence = from->fence;
+  return true;
+}
+
+static bool
+read_lease (struct mq_lease_msg *to, const Mq__Lease *from)
+{
+  to->program.hi = from->program_hi;
+  to->program.lo = from->program_lo;
+  to->partition = from->partition;
+  to->fence = from->fence;
+  to->state = (enum mq_lease_state)from->state;
+  to->lease_ms = from->lease_ms;
+  to->pause_ms = from->pause_ms;
+  return in_range (from->state, LEASE_STATE_COUNT);
+}
+
+static bool
+read_order (struct mq_order_msg *to, const Mq__Order *from)
+{
+  to->order = from->order;
+  to->fence = from->fence;
+  to->worker = from->worker;
+  to->type = (enum mq_order_type)from->type;
+  to->argument = from->argument;
+  return in_range (from->type, ORDER_TYPE_COUNT);
+}
+
+static bool
+read_order_done (struct mq_order_done_msg *to, const Mq__OrderDone *from)
+{
+  to->order = from->order;
+  return read_error (&to->error, from->error);
+}
+
+static bool
+read_probe (struct mq_probe_msg *to, const Mq__Probe *from)
+{
+  to->probe = from->probe;
+  to->shared_prefix = from->shared_prefix;
+  to->program.hi = from->program_hi;
+  to->program.lo = from->program_lo;
+  return true;
+}
+
+static bool
+read_probed (struct mq_probed_msg *to, const Mq__Probed *from)
+{
+  to->probe = from->probe;
+  to->worker = from->worker;
+  to->program_tokens = from->program_tokens;
+  to->shared_tokens = from->shared_tokens;
+  return true;
+}
+
+static bool
+read_token (struct mq_token_msg *to, const Mq__Token *from)
+{
+  to->partition = from->partition;
+  to->fence = from->fence;
+  to->index = from->index;
+  to->text = from->text;
+  return read_ref (&to->ref, from->ref);
+}
+
+static bool
+read_outcome (struct mq_outcome_msg *to, const Mq__Outcome *from)
+{
+  to->partition = from->partition;
+  to->fence = from->fence;
+  to->boot = from->boot;
+  to->ran = (enum mq_ran)from->ran;
+  to->retry_after_ms = from->retry_after_ms;
+  to->body = from->body;
+  to->tokens_in = from->tokens_in;
+  to->tokens_out = from->tokens_out;
+  to->cached_tokens = from->cached_tokens;
+  to->queue_us = from->queue_us;
+  to->first_us = from->first_us;
+  to->run_us = from->run_us;
+  to->recovered = from->recovered;
+  return read_ref (&to->ref, from->ref) && read_error (&to->error, from->error)
+         && in_range (from->ran, RAN_COUNT);
+}
+
+static bool
+read_sealed (struct mq_sealed_msg *to, const Mq__Sealed *from)
+{
+  to->partition = from->partition;
+  to->fence = from->fence;
+  to->boot = from->boot;
+  to->answer = (enum mq_seal_answer)from->answer;
+  return read_ref (&to->ref, from->ref)
+         && in_range (from->answer, SEAL_ANSWER_COUNT);
+}
+
+static bool
+read_recovered (TALLOC_CTX *ctx, struct mq_recovered_msg *to,
+                const Mq__Recovered *from)
+{
+  to->partition = from->partition;
+  to->fence = from->fence;
+  to->boot = from->boot;
+  if (from->n_running > MQ_FRAME_CALLS_MAX)
+    return false;
+  if (from->n_running == 0)
+    return true;
+  to->running = talloc_array (ctx, struct mq_call_ref, from->n_running);
+  if (to->running == NULL)
+    return false;
+  to->running_count = from->n_running;
+  for (size_t i = 0; i < from->n_running; i++)
+    if (!read_ref (&to->running[i], from->running[i]))
+      return false;
+  return true;
+}
+
+static bool
+read_evicted (struct mq_evicted_msg *to, const Mq__Evicted *from)
+{
+  to->program.hi = from->program_hi;
+  to->program.lo = from->program_lo;
+  return true;
+}
+
+static void
+read_worker (struct mq_worker_load *to, const Mq__WorkerLoad *from)
+{
+  to->worker = from->worker;
+  to->service = from->service;
+  to->model = from->model;
+  to->slots = from->slots;
+  to->running = from->running;
+  to->queued = from->queued;
+  to->cache_used = from->cache_used;
+  to->cache_total = from->cache_total;
+  to->prefill_rate = from->prefill_rate;
+  to->decode_us = from->decode_us;
+}
+
+static bool
+read_load (TALLOC_CTX *ctx, struct mq_load_msg *to, const Mq__Load *from)
+{
+  to->boot = from->boot;
+  to->leaving = from->leaving;
+  if (from->n_workers > MQ_FRAME_WORKERS_MAX)
+    return false;
+  if (from->n_workers == 0)
+    return true;
+  to->workers = talloc_array (ctx, struct mq_worker_load, from->n_workers);
+  if (to->workers == NULL)
+    return false;
+  to->worker_count = from->n_workers;
+  for (size_t i = 0; i < from->n_workers; i++)
+    read_worker (&to->workers[i], from->workers[i]);
+  return true;
+}
+
+static bool
+read_forward (struct mq_forward_msg *to, const Mq__Forward *from)
+{
+  struct mq_request_msg *request = &to->request;
+
+  to->handle = from->handle;
+  request->type = (enum mq_request_type)from->type;
+  request->program.hi = from->program_hi;
+  request->program.lo = from->program_lo;
+  request->organisation = from->organisation;
+  request->service = from->service;
+  request->route = from->route;
+  request->key = from->key;
+  request->sequence = from->sequence;
+  request->continues.hi = from->continues_hi;
+  request->continues.lo = from->continues_lo;
+  request->stream = from->stream;
+  request->after = from->after;
+  request->max_tokens = from->max_tokens;
+  request->traceparent = from->traceparent;
+  request->body = from->body;
+  return in_range (from->type, REQUEST_TYPE_COUNT);
+}
+
+static bool
+read_event (struct mq_event_msg *to, const Mq__Event *from)
+{
+  to->handle = from->handle;
+  to->type = (enum mq_event_type)from->type;
+  to->number = from->number;
+  to->call = from->call;
+  to->body = from->body;
+  to->ran = (enum mq_ran)from->ran;
+  to->retry_after_ms = from->retry_after_ms;
+  to->redirect = from->redirect;
+  return in_range (from->type, EVENT_TYPE_COUNT)
+         && read_error (&to->error, from->error)
+         && in_range (from->ran, RAN_COUNT);
+}
+
+static bool
+read_handover (struct mq_handover_msg *to, const Mq__Handover *from)
+{
+  to->partitions = from->partitions;
+  to->partition_count = from->n_partitions;
+  return from->n_partitions <= MQ_FRAME_PARTITIONS_MAX;
+}
+
+static bool
+read_config (struct mq_config_msg *to, const Mq__Config *from)
+{
+  to->version = from->version;
+  to->text = from->text;
+  return true;
+}
+
+static bool
+read_envelope (struct mq_message *to, const Mq__Envelope *from)
+{
+  to->config_version = from->config_version;
+  switch (from->body_case)
+    {
+    case MQ__ENVELOPE__BODY_BEAT:
+      to->type = MQ_MSG_NONE;
+      return true;
+    case MQ__ENVELOPE__BODY_CALL:
+      to->type = MQ_MSG_CALL;
+      return read_call (&to->u.call, from->call);
+    case MQ__ENVELOPE__BODY_CANCEL:
+      to->type = MQ_MSG_CANCEL;
+      return read_named (&to->u.ref, from->cancel);
+    case MQ__ENVELOPE__BODY_SEAL:
+      to->type = MQ_MSG_SEAL;
+      return read_named (&to->u.ref, from->seal);
+    case MQ__ENVELOPE__BODY_RECOVER:
+      to->type = MQ_MSG_RECOVER;
+      return read_recover (&to->u.recover, from->recover);
+    case MQ__ENVELOPE__BODY_FORGET:
+      to->type = MQ_MSG_FORGET;
+      return read_named (&to->u.ref, from->forget);
+    case MQ__ENVELOPE__BODY_LEASE:
+      to->type = MQ_MSG_LEASE;
+      return read_lease (&to->u.lease, from->lease);
+    case MQ__ENVELOPE__BODY_ORDER:
+      to->type = MQ_MSG_ORDER;
+      return read_order (&to->u.order, from->order);
+    case MQ__ENVELOPE__BODY_PROBE:
+      to->type = MQ_MSG_PROBE;
+      return read_probe (&to->u.probe, from->probe);
+    case MQ__ENVELOPE__BODY_TOKEN:
+      to->type = MQ_MSG_TOKEN;
+      return read_token (&to->u.token, from->token);
+    case MQ__ENVELOPE__BODY_OUTCOME:
+      to->type = MQ_MSG_OUTCOME;
+      return read_outcome (&to->u.outcome, from->outcome);
+    case MQ__ENVELOPE__BODY_SEALED:
+      to->type = MQ_MSG_SEALED;
+      return read_sealed (&to->u.sealed, from->sealed);
+    case MQ__ENVELOPE__BODY_RECOVERED:
+      to->type = MQ_MSG_RECOVERED;
+      return read_recovered (to, &to->u.recovered, from->recovered);
+    case MQ__ENVELOPE__BODY_EVICTED:
+      to->type = MQ_MSG_EVICTED;
+      return read_evicted (&to->u.evicted, from->evicted);
+    case MQ__ENVELOPE__BODY_LOAD:
+      to->type = MQ_MSG_LOAD;
+      return read_load (to, &to->u.load, from->load);
+    case MQ__ENVELOPE__BODY_ORDER_DONE:
+      to->type = MQ_MSG_ORDER_DONE;
+      return read_order_done (&to->u.order_done, from->order_done);
+    case MQ__ENVELOPE__BODY_PROBED:
+      to->type = MQ_MSG_PROBED;
+      return read_probed (&to->u.probed, from->probed);
+    case MQ__ENVELOPE__BODY_FORWARD:
+      to->type = MQ_MSG_FORWARD;
+      return read_forward (&to->u.forward, from->forward);
+    case MQ__ENVELOPE__BODY_FORWARD_EVENT:
+      to->type = MQ_MSG_FORWARD_EVENT;
+      return read_event (&to->u.event, from->forward_event);
+    case MQ__ENVELOPE__BODY_FORWARD_CLOSE:
+      to->type = MQ_MSG_FORWARD_CLOSE;
+      to->u.forward_close.handle = from->forward_close->handle;
+      return true;
+    case MQ__ENVELOPE__BODY_HANDOVER:
+      to->type = MQ_MSG_HANDOVER;
+      return read_handover (&to->u.handover, from->handover);
+    case MQ__ENVELOPE__BODY_CONFIG_HAVE:
+      to->type = MQ_MSG_CONFIG_HAVE;
+      return read_config (&to->u.config, from->config_have);
+    case MQ__ENVELOPE__BODY_CONFIG_GET:
+      to->type = MQ_MSG_CONFIG_GET;
+      return read_config (&to->u.config, from->config_get);
+    case MQ__ENVELOPE__BODY_CONFIG_TEXT:
+      to->type = MQ_MSG_CONFIG_TEXT;
+      return read_config (&to->u.config, from->config_text);
+    case MQ__ENVELOPE__BODY_HELLO:
+    case MQ__ENVELOPE__BODY_PROOF:
+    case MQ__ENVELOPE__BODY__NOT_SET:
+    default:
+      return false;
+    }
+}
+
+struct mq_message *
+mq_codec_unpack (TALLOC_CTX *ctx, const uint8_t *data, size_t len,
+                 struct mq_error *error)
+{
+  struct mq_message *message = create_message (ctx, len);
+  struct frame_memory memory = { message, bound_memory (len) };
+  ProtobufCAllocator allocator = { allocate_memory, free_memory, &memory };
+  Mq__Envelope *envelope = NULL;
+
+  if (message != NULL)
+    envelope = mq__envelope__unpack (&allocator, len, data);
+  if (envelope != NULL && read_envelope (message, envelope))
+    return message;
+  mq_error_set (
+      error, MQ_ERR_BAD_FRAME,
+      envelope == NULL ? "envelope" : mq_message_name (message->type), NULL);
+  talloc_free (message);
+  return NULL;
+}
