--- /dev/null
+++ b/src/io/frame.c
@@ -0,0 +1,240 @@
+/* frame.c - frames of a 4-byte big-endian length on a byte stream.
+
+   Needs: frame.h.  */
+
+#include "frame.h"
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum
+{
+  FIRST_ROOM = 256
+};
+
+/**
+ * struct mq_frame_writer - frames that wait to be sent
+ * @data: room for them
+ * @start: first unsent byte
+ * @end: behind the last one
+ * @room: bytes of @data
+ */
+struct mq_frame_writer
+{
+  uint8_t *data;
+  size_t start;
+  size_t end;
+  size_t room;
+};
+
+/**
+ * struct mq_frame_reader - received bytes that are being cut
+ * @view: bytes to cut: @kept, or those fed when nothing was kept
+ * @start: first byte that is not yet cut
+ * @end: behind the last byte of @view
+ * @kept: own copy of a frame that has not come whole
+ * @kept_len: its bytes
+ * @room: bytes of @kept
+ */
+struct mq_frame_reader
+{
+  const uint8_t *view;
+  size_t start;
+  size_t end;
+  uint8_t *kept;
+  size_t kept_len;
+  size_t room;
+};
+
+static size_t
+double_room (size_t room, size_t need)
+{
+  if (room < FIRST_ROOM)
+    room = FIRST_ROOM;
+  while (room < need)
+    room *= 2;
+  return room;
+}
+
+struct mq_frame_writer *
+mq_frame_writer_create (TALLOC_CTX *ctx)
+{
+  return talloc_zero (ctx, struct mq_frame_writer);
+}
+
+static bool
+reserve_bytes (struct mq_frame_writer *writer, size_t need)
+{
+  size_t used = writer->end - writer->start;
+  size_t room;
+  uint8_t *data;
+
+  if (writer->room - writer->end >= need)
+    return true;
+  /* Moving to the front pays only when at least half of the room is free
+     there; else a long queue would be moved for every frame.  */
+  if (writer->start >= used && writer->room - used >= need)
+    {
+      memmove (writer->data, writer->data + writer->start, used);
+      writer->start = 0;
+      writer->end = used;
+      return true;
+    }
+  room = double_room (writer->room, writer->end + need);
+  data = talloc_realloc (writer, writer->data, uint8_t, room);
+  if (data == NULL)
+    return false;
+  writer->data = data;
+  writer->room = room;
+  return true;
+}
+
+bool
+mq_frame_writer_add (struct mq_frame_writer *writer, const uint8_t *data,
+                     size_t len)
+{
+  uint8_t *to;
+
+  if (!reserve_bytes (writer, MQ_FRAME_HEADER_BYTES + len))
+    return false;
+  to = writer->data + writer->end;
+  to[0] = (uint8_t)(len >> 24);
+  to[1] = (uint8_t)(len >> 16);
+  to[2] = (uint8_t)(len >> 8);
+  to[3] = (uint8_t)len;
+  memcpy (to + MQ_FRAME_HEADER_BYTES, data, len);
+  writer->end += MQ_FRAME_HEADER_BYTES + len;
+  return true;
+}
+
+size_t
+mq_frame_writer_unsent (const struct mq_frame_writer *writer)
+{
+  return writer->end - writer->start;
+}
+
+enum mq_frame_flush
+mq_frame_writer_flush (struct mq_frame_writer *writer, int fd)
+{
+  while (writer->start < writer->end)
+    {
+      ssize_t sent = send (fd, writer->data + writer->start,
+                           writer->end - writer->start, MSG_NOSIGNAL);
+
+      if (sent > 0)
+        writer->start += (size_t)sent;
+      else if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        return MQ_FLUSH_BLOCKED;
+      else if (sent == 0 || errno != EINTR)
+        return MQ_FLUSH_FAILED;
+    }
+  writer->start = 0;
+  writer->end = 0;
+  return MQ_FLUSH_DONE;
+}
+
+void
+mq_frame_writer_trim (struct mq_frame_writer *writer)
+{
+  if (writer->start < writer->end)
+    return;
+  TALLOC_FREE (writer->data);
+  writer->room = 0;
+}
+
+struct mq_frame_reader *
+mq_frame_reader_create (TALLOC_CTX *ctx)
+{
+  return talloc_zero (ctx, struct mq_frame_reader);
+}
+
+static bool
+append_kept (struct mq_frame_reader *reader, const uint8_t *data, size_t len)
+{
+  size_t need = reader->kept_len + len;
+
+  if (need > reader->room)
+    {
+      size_t room = double_room (reader->room, need);
+      uint8_t *kept = talloc_realloc (reader, reader->kept, uint8_t, room);
+
+      if (kept == NULL)
+        return false;
+      reader->kept = kept;
+      reader->room = room;
+    }
+  memcpy (reader->kept + reader->kept_len, data, len);
+  reader->kept_len = need;
+  return true;
+}
+
+bool
+mq_frame_reader_feed (struct mq_frame_reader *reader, const uint8_t *data,
+                      size_t len)
+{
+  reader->start = 0;
+  if (reader->kept_len == 0)
+    {
+      reader->view = data;
+      reader->end = len;
+      return true;
+    }
+  if (!append_kept (reader, data, len))
+    return false;
+  reader->view = reader->kept;
+  reader->end = reader->kept_len;
+  return true;
+}
+
+static size_t
+read_length (const uint8_t *from)
+{
+  return (size_t)from[0] << 24 | (size_t)from[1] << 16 | (size_t)from[2] << 8
+         | (size_t)from[3];
+}
+
+enum mq_frame_next
+mq_frame_reader_next (struct mq_frame_reader *reader, size_t bound,
+                      const uint8_t **data, size_t *len)
+{
+  size_t left = reader->end - reader->start;
+  size_t frame;
+
+  if (left < MQ_FRAME_HEADER_BYTES)
+    return MQ_NEXT_PARTIAL;
+  frame = read_length (reader->view + reader->start);
+  if (frame == 0 || frame > bound)
+    return MQ_NEXT_BAD;
+  if (left - MQ_FRAME_HEADER_BYTES < frame)
+    return MQ_NEXT_PARTIAL;
+  *data = reader->view + reader->start + MQ_FRAME_HEADER_BYTES;
+  *len = frame;
+  reader->start += MQ_FRAME_HEADER_BYTES + frame;
+  return MQ_NEXT_FRAME;
+}
+
+bool
+mq_frame_reader_rest (struct mq_frame_reader *reader)
+{
+  size_t left = reader->end - reader->start;
+  const uint8_t *from = reader->view + reader->start;
+  bool done = true;
+
+  if (left == 0)
+    {
+      TALLOC_FREE (reader->kept);
+      reader->room = 0;
+      reader->kept_len = 0;
+    }
+  else if (reader->view == reader->kept)
+    {
+      memmove (reader->kept, from, left);
+      reader->kept_len = left;
+    }
+  else
+    done = append_kept (reader, from, left);
+  reader->view = NULL;
+  reader->start = 0;
+  reader->end = 0;
+  return done;
+}
