--- a/src/io/frame.c
+++ b/src/io/frame.c
@@ -71,9 +71,9 @@
 
   if (writer->room - writer->end >= need)
     return true;
-  /* Moving to the front pays only when at least half of the room is free
-     there; else a long queue would be moved for every frame.  */
-  if (writer->start >= used && writer->room - used >= need)
+  /* Moving to the front must free a good part of the room; else a long
+     queue would be moved for every few frames.  */
+  if (writer->start >= used / 2 && writer->room - used >= need)
     {
       memmove (writer->data, writer->data + writer->start, used);
       writer->start = 0;
--- /dev/null
+++ b/src/io/peer.c
@@ -0,0 +1,613 @@
+/* peer.c - connections between the system's processes.
+
+   The net itself: its life, the addresses it keeps, its clock and the
+   user's calls.
+   Needs: peer_net.h, codec.h, id.h.  */
+
+#include "peer.h"
+#include "../core/id.h"
+#include "codec.h"
+#include "peer_net.h"
+#include <errno.h>
+#include <gnutls/crypto.h>
+#include <gnutls/gnutls.h>
+#include <netdb.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/timerfd.h>
+#include <time.h>
+#include <unistd.h>
+
+enum
+{
+  TICK_MIN_MS = 5,
+  TICK_MAX_MS = 50,
+  TICKS_PER_BEAT = 8,
+  LISTEN_BACKLOG = 1024,
+  ACCEPTS_PER_TURN = 64,
+  US_PER_MS = 1000,
+  NS_PER_MS = 1000000,
+  MS_PER_S = 1000
+};
+
+uint64_t
+mq_peer_clock_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (uint64_t)now.tv_sec * MS_PER_S + (uint64_t)now.tv_nsec / NS_PER_MS;
+}
+
+static void
+free_closed (struct mq_peer_net *net)
+{
+  while (net->closed != NULL)
+    {
+      struct mq_conn *conn = net->closed;
+
+      net->closed = conn->next_closed;
+      talloc_free (conn);
+    }
+}
+
+void
+mq_peer_enter (struct mq_peer_net *net)
+{
+  net->depth++;
+}
+
+void
+mq_peer_leave (struct mq_peer_net *net)
+{
+  net->depth--;
+  if (net->depth > 0)
+    return;
+  if (net->dead)
+    talloc_free (net);
+  else if (net->dirty == NULL)
+    free_closed (net);
+}
+
+static uint32_t
+jitter_pause (struct mq_peer_net *net, uint32_t pause_ms)
+{
+  uint32_t half = pause_ms / 2;
+
+  return half + mq_random_below (&net->seed, half + 1);
+}
+
+/* The next pause is set before the outcome is known; start_ready resets it
+   by way of tick_kept.  */
+static void
+dial_kept (struct mq_peer_net *net, struct mq_kept *kept, uint64_t now_ms)
+{
+  kept->due_ms = now_ms + jitter_pause (net, kept->pause_ms);
+  kept->pause_ms *= 2;
+  if (kept->pause_ms > MQ_CONNECT_RETRY_MAX_MS)
+    kept->pause_ms = MQ_CONNECT_RETRY_MAX_MS;
+  mq_conn_dial (net, kept);
+}
+
+static void
+tick_kept (struct mq_peer_net *net, struct mq_kept *kept, uint64_t now_ms)
+{
+  if (kept->ready != NULL)
+    {
+      kept->pause_ms = MQ_CONNECT_RETRY_MS;
+      kept->due_ms = 0;
+      return;
+    }
+  if (kept->dialling != NULL)
+    return;
+  /* Just lost: hosts that lost the same peer don't come back all at once. */
+  if (kept->due_ms == 0)
+    kept->due_ms = now_ms + jitter_pause (net, kept->pause_ms);
+  if (now_ms >= kept->due_ms)
+    dial_kept (net, kept, now_ms);
+}
+
+static void
+tick_all_kept (struct mq_peer_net *net, uint64_t now_ms)
+{
+  for (struct mq_kept *kept = net->kept; kept != NULL; kept = kept->next)
+    tick_kept (net, kept, now_ms);
+}
+
+static void
+flush_dirty (struct mq_peer_net *net)
+{
+  while (net->dirty != NULL)
+    {
+      struct mq_conn *conn = net->dirty;
+
+      net->dirty = conn->next_dirty;
+      conn->dirty = false;
+      mq_conn_flush (conn);
+    }
+}
+
+static void
+close_doomed (struct mq_peer_net *net)
+{
+  struct mq_conn *conn = net->conns;
+
+  net->doom_due = false;
+  while (conn != NULL && !net->dead)
+    {
+      if (conn->state != MQ_CONN_CLOSED && conn->doom != MQ_ERR_NONE)
+        mq_conn_close (conn, conn->doom);
+      conn = conn->next;
+    }
+}
+
+static void
+do_work (struct mq_peer_net *net)
+{
+  flush_dirty (net);
+  if (net->doom_due)
+    close_doomed (net);
+  if (net->settle_due && !net->dead)
+    mq_conn_settle_waiting (net);
+  if (net->dial_due && !net->dead)
+    {
+      net->dial_due = false;
+      tick_all_kept (net, mq_peer_clock_ms ());
+    }
+}
+
+static void
+on_work (struct tevent_context *ev, struct tevent_immediate *work, void *data)
+{
+  struct mq_peer_net *net = data;
+
+  (void)ev;
+  (void)work;
+  mq_peer_enter (net);
+  net->work_due = false;
+  do_work (net);
+  mq_peer_leave (net);
+}
+
+void
+mq_peer_schedule (struct mq_peer_net *net)
+{
+  if (net->work_due || net->dead)
+    return;
+  net->work_due = true;
+  tevent_schedule_immediate (net->work, net->ev, on_work, net);
+}
+
+/* A process that was stopped for a while has heard nothing because it did
+   not listen: that time does not count as silence of its peers.  */
+static void
+forgive_pause (struct mq_peer_net *net, uint64_t now_ms)
+{
+  uint64_t pause_ms = now_ms - net->now_ms;
+
+  if (pause_ms < 2 * net->tick_ms)
+    return;
+  for (struct mq_conn *conn = net->conns; conn != NULL; conn = conn->next)
+    {
+      conn->heard_ms += pause_ms - net->tick_ms;
+      if (conn->heard_ms > now_ms)
+        conn->heard_ms = now_ms;
+    }
+}
+
+static void
+tick_conns (struct mq_peer_net *net, uint64_t now_ms)
+{
+  struct mq_conn *conn = net->conns;
+
+  while (conn != NULL && !net->dead)
+    {
+      mq_conn_tick (conn, now_ms);
+      conn = conn->next;
+    }
+}
+
+static void
+on_clock (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
+          void *data)
+{
+  struct mq_peer_net *net = data;
+  uint64_t now_ms = mq_peer_clock_ms ();
+  uint64_t expirations;
+
+  (void)ev;
+  (void)event;
+  (void)flags;
+  if (read (net->clock_fd, &expirations, sizeof expirations) < 0)
+    return;
+  mq_peer_enter (net);
+  forgive_pause (net, now_ms);
+  net->now_ms = now_ms;
+  TEVENT_FD_READABLE (net->listen_event);
+  tick_conns (net, now_ms);
+  if (!net->dead)
+    tick_all_kept (net, now_ms);
+  mq_peer_leave (net);
+}
+
+/* Connections that never prove the key must not shut out those that will:
+   over the bound the oldest of them goes, which had the most time.  */
+static void
+close_oldest_unproven (struct mq_peer_net *net)
+{
+  struct mq_conn *oldest = NULL;
+
+  for (struct mq_conn *conn = net->conns; conn != NULL; conn = conn->next)
+    if (!conn->dialled && conn->handle == 0)
+      oldest = conn;
+  if (oldest != NULL)
+    mq_conn_close (oldest, MQ_ERR_OVERLOADED);
+}
+
+static void
+accept_fd (struct mq_peer_net *net, int fd)
+{
+  struct mq_conn *conn = mq_conn_create (net, fd, false);
+
+  if (conn == NULL)
+    return;
+  if (net->unproven > MQ_PEER_UNPROVEN_MAX)
+    close_oldest_unproven (net);
+  mq_conn_start_handshake (conn);
+}
+
+static void
+on_listen (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
+           void *data)
+{
+  struct mq_peer_net *net = data;
+  int fd = 0;
+
+  (void)ev;
+  (void)event;
+  (void)flags;
+  mq_peer_enter (net);
+  for (int i = 0; i < ACCEPTS_PER_TURN && fd >= 0; i++)
+    {
+      fd = accept4 (net->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd >= 0)
+        accept_fd (net, fd);
+    }
+  /* Out of descriptors the socket stays readable, and the loop would spin:
+     accepting waits for the next tick.  */
+  if (fd < 0 && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS))
+    TEVENT_FD_NOT_READABLE (net->listen_event);
+  mq_peer_leave (net);
+}
+
+static bool
+open_listener (struct mq_peer_net *net, const char *address)
+{
+  struct addrinfo *at = mq_conn_parse_address (address);
+  int on = 1;
+  int failed = -1;
+
+  errno = EINVAL;
+  if (at == NULL)
+    return false;
+  net->listen_fd
+      = socket (at->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (net->listen_fd >= 0)
+    {
+      setsockopt (net->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+      failed = bind (net->listen_fd, at->ai_addr, at->ai_addrlen);
+    }
+  freeaddrinfo (at);
+  return failed == 0 && listen (net->listen_fd, LISTEN_BACKLOG) == 0;
+}
+
+static bool
+open_clock (struct mq_peer_net *net)
+{
+  struct timespec tick = { .tv_nsec = (long)net->tick_ms * (long)NS_PER_MS };
+  struct itimerspec every = { .it_interval = tick, .it_value = tick };
+
+  /* Not one of tevent's timers: they follow the wall clock, and one that is
+     set back would stop the beats.  */
+  net->clock_fd = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  return net->clock_fd >= 0
+         && timerfd_settime (net->clock_fd, 0, &every, NULL) == 0;
+}
+
+static bool
+add_events (struct mq_peer_net *net)
+{
+  struct tevent_fd *clock = tevent_add_fd (net->ev, net, net->clock_fd,
+                                           TEVENT_FD_READ, on_clock, net);
+
+  net->clock_event = clock;
+  net->listen_event = tevent_add_fd (net->ev, net, net->listen_fd,
+                                     TEVENT_FD_READ, on_listen, net);
+  net->work = tevent_create_immediate (net);
+  return clock != NULL && net->listen_event != NULL && net->work != NULL;
+}
+
+uint16_t
+mq_peer_net_port (const struct mq_peer_net *net)
+{
+  struct sockaddr_storage bound = { 0 };
+  socklen_t len = sizeof bound;
+
+  if (getsockname (net->listen_fd, (struct sockaddr *)&bound, &len) != 0)
+    return 0;
+  if (bound.ss_family == AF_INET6)
+    return ntohs (((struct sockaddr_in6 *)&bound)->sin6_port);
+  return ntohs (((struct sockaddr_in *)&bound)->sin_port);
+}
+
+/* The address listened at, with the port that port 0 turned into.  */
+static char *
+format_address (struct mq_peer_net *net, const char *listen_at)
+{
+  const char *colon = strrchr (listen_at, ':');
+
+  return talloc_asprintf (net, "%.*s:%u", (int)(colon - listen_at), listen_at,
+                          mq_peer_net_port (net));
+}
+
+static bool
+copy_self (struct mq_peer_net *net, const struct mq_peer_options *options)
+{
+  const struct mq_peer_info *from = &options->self;
+  struct mq_peer_info *to = &net->self;
+
+  to->host = talloc_strdup (net, from->host);
+  to->data_centre
+      = talloc_strdup (net, from->data_centre ? from->data_centre : "");
+  to->address = from->address != NULL ? talloc_strdup (net, from->address)
+                                      : format_address (net, options->listen);
+  to->role = from->role;
+  to->boot = from->boot;
+  return to->host != NULL && to->data_centre != NULL && to->address != NULL;
+}
+
+static uint32_t
+choose_tick (uint32_t beat_ms)
+{
+  uint32_t tick = beat_ms / TICKS_PER_BEAT;
+
+  if (tick < TICK_MIN_MS)
+    return TICK_MIN_MS;
+  return tick > TICK_MAX_MS ? TICK_MAX_MS : tick;
+}
+
+static void
+shut_conn (struct mq_conn *conn)
+{
+  if (conn->state == MQ_CONN_READY || conn->state == MQ_CONN_DRAINING)
+    mq_conn_flush (conn);
+  TALLOC_FREE (conn->event);
+  close (conn->fd);
+  conn->state = MQ_CONN_CLOSED;
+}
+
+static void
+shut_net (struct mq_peer_net *net)
+{
+  for (struct mq_conn *conn = net->conns; conn != NULL; conn = conn->next)
+    shut_conn (conn);
+  TALLOC_FREE (net->listen_event);
+  TALLOC_FREE (net->clock_event);
+  TALLOC_FREE (net->work);
+  if (net->listen_fd >= 0)
+    close (net->listen_fd);
+  if (net->clock_fd >= 0)
+    close (net->clock_fd);
+  gnutls_memset (net->site_key, 0, sizeof net->site_key);
+}
+
+/* Destroyed from a callback, the net is in use further up the stack: it is
+   shut at once and its memory goes when the handler leaves.  */
+static int
+destroy_net (struct mq_peer_net *net)
+{
+  if (!net->dead)
+    shut_net (net);
+  net->dead = true;
+  return net->depth > 0 ? -1 : 0;
+}
+
+static struct mq_peer_net *
+create_net (TALLOC_CTX *ctx, struct tevent_context *ev,
+            const struct mq_peer_options *options,
+            const struct mq_peer_callbacks *callbacks)
+{
+  struct mq_peer_net *net = talloc_zero (ctx, struct mq_peer_net);
+
+  if (net == NULL)
+    return NULL;
+  net->ev = ev;
+  net->callbacks = *callbacks;
+  net->listen_fd = -1;
+  net->clock_fd = -1;
+  net->beat_ms = options->beat_ms ? options->beat_ms : MQ_BEAT_MS;
+  net->silent_ms = options->silent_ms ? options->silent_ms : MQ_SILENT_MS;
+  net->tick_ms = choose_tick (net->beat_ms);
+  net->now_ms = mq_peer_clock_ms ();
+  memcpy (net->site_key, options->site_key, sizeof net->site_key);
+  talloc_set_destructor (net, destroy_net);
+  return net;
+}
+
+static bool
+start_net (struct mq_peer_net *net, const struct mq_peer_options *options)
+{
+  return gnutls_rnd (GNUTLS_RND_NONCE, &net->seed, sizeof net->seed) == 0
+         && open_listener (net, options->listen) && open_clock (net)
+         && add_events (net) && copy_self (net, options);
+}
+
+struct mq_peer_net *
+mq_peer_net_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                    const struct mq_peer_options *options,
+                    const struct mq_peer_callbacks *callbacks,
+                    struct mq_error *error)
+{
+  struct mq_peer_net *net = create_net (ctx, ev, options, callbacks);
+
+  if (net == NULL)
+    {
+      mq_error_set (error, MQ_ERR_NO_MEMORY, options->listen, NULL);
+      return NULL;
+    }
+  if (start_net (net, options))
+    return net;
+  mq_error_set (error, MQ_ERR_IO, options->listen, "IP:PORT");
+  if (error != NULL)
+    error->number = errno;
+  talloc_free (net);
+  return NULL;
+}
+
+void
+mq_peer_net_destroy (struct mq_peer_net *net)
+{
+  talloc_free (net);
+}
+
+void
+mq_peer_net_keep (struct mq_peer_net *net, const char *address)
+{
+  struct mq_kept *kept;
+
+  if (net->dead || strcmp (address, net->self.address) == 0
+      || mq_table_find_kept (net, address) != NULL)
+    return;
+  kept = talloc_zero (net, struct mq_kept);
+  if (kept == NULL)
+    return;
+  kept->address = talloc_strdup (kept, address);
+  if (kept->address == NULL)
+    {
+      talloc_free (kept);
+      return;
+    }
+  kept->pause_ms = MQ_CONNECT_RETRY_MS;
+  kept->due_ms = 1;
+  kept->ready = mq_table_find_address (net, address);
+  mq_table_add_kept (net, kept);
+  net->dial_due = true;
+  mq_peer_schedule (net);
+}
+
+static bool
+is_kept (const struct mq_conn *conn)
+{
+  const struct mq_kept *kept = conn->net->kept;
+
+  while (kept != NULL && kept->ready != conn)
+    kept = kept->next;
+  return kept != NULL;
+}
+
+/* The side that dialled closes, when it keeps the connection no longer: our
+   queue goes out, then the end of our direction, and what the peer still
+   sends is delivered until its own end.  So no frame is lost.  A peer that
+   keeps this host dials in its turn.  */
+static void
+drain_conn (struct mq_conn *conn)
+{
+  mq_table_hide (conn);
+  conn->kept = NULL;
+  conn->state = MQ_CONN_DRAINING;
+  mq_conn_mark_dirty (conn);
+}
+
+void
+mq_peer_net_release (struct mq_peer_net *net, const char *address)
+{
+  struct mq_kept *kept = mq_table_find_kept (net, address);
+  struct mq_conn *ready;
+
+  if (net->dead || kept == NULL)
+    return;
+  mq_table_remove_kept (net, kept);
+  if (kept->dialling != NULL)
+    mq_conn_close (kept->dialling, MQ_ERR_NONE);
+  ready = kept->ready;
+  if (ready != NULL && ready->kept == kept)
+    ready->kept = NULL;
+  if (ready != NULL && ready->dialled && !is_kept (ready))
+    drain_conn (ready);
+  talloc_free (kept);
+}
+
+uint32_t
+mq_peer_net_find (const struct mq_peer_net *net, const char *address)
+{
+  const struct mq_conn *conn = mq_table_find_address (net, address);
+
+  return conn == NULL ? 0 : conn->handle;
+}
+
+/* Closed by the next turn of the loop: down is never called from inside a
+   send.  */
+static void
+doom_conn (struct mq_conn *conn, enum mq_error_type why)
+{
+  conn->doom = why;
+  conn->net->doom_due = true;
+  mq_peer_schedule (conn->net);
+}
+
+static bool
+send_frame (struct mq_conn *conn, const uint8_t *data, size_t len,
+            bool control)
+{
+  if (len > MQ_FRAME_MAX_BYTES)
+    return false;
+  /* A peer that reads too slowly would take this host's memory.  */
+  if (mq_frame_writer_unsent (conn->writer) + len > MQ_PEER_UNSENT_BYTES)
+    {
+      doom_conn (conn, MQ_ERR_SLOW_READER);
+      return false;
+    }
+  return mq_conn_queue (conn, data, len, control);
+}
+
+bool
+mq_peer_net_send (struct mq_peer_net *net, uint32_t peer,
+                  const struct mq_message *message)
+{
+  struct mq_conn *conn = mq_table_find_handle (net, peer);
+  struct mq_message stamped = *message;
+  uint8_t *data;
+  size_t len;
+  bool sent;
+
+  if (net->dead || conn == NULL || conn->state != MQ_CONN_READY
+      || conn->doom != MQ_ERR_NONE || conn->write_failed)
+    return false;
+  if (stamped.config_version == 0)
+    stamped.config_version = net->version;
+  data = mq_codec_pack (conn, &stamped, &len);
+  if (data == NULL)
+    return false;
+  sent = send_frame (conn, data, len, mq_conn_is_control (message->type));
+  talloc_free (data);
+  return sent;
+}
+
+void
+mq_peer_net_set_version (struct mq_peer_net *net, uint64_t version)
+{
+  net->version = version;
+}
+
+const struct mq_peer_counters *
+mq_peer_net_counters (const struct mq_peer_net *net)
+{
+  return &net->counters;
+}
+
+const struct mq_error *
+mq_peer_net_refusal (const struct mq_peer_net *net)
+{
+  return &net->refusal;
+}
--- a/src/io/peer.h
+++ b/src/io/peer.h
@@ -83,5 +83,8 @@
 };
 const struct mq_peer_counters *
 mq_peer_net_counters (const struct mq_peer_net *net);
+/* Why a handshake was last refused: BAD_PEER (wrong proof), BAD_FRAME,
+   TOO_LARGE or TIMEOUT; NONE when none was.  */
+const struct mq_error *mq_peer_net_refusal (const struct mq_peer_net *net);
 
 #endif
--- /dev/null
+++ b/src/io/peer_settle.c
@@ -0,0 +1,324 @@
+/* peer_settle.c - the handshake of a connection, and which one is used.
+
+   Of two hosts the one with the smaller name leads.  It sends its Proof
+   last, and only on the connection that it chose; the other side is up when
+   that Proof comes.  So there is one decision, made at one place, before any
+   other frame: two hosts that dial each other at once end with one
+   connection and lose no frame.
+   Needs: peer_net.h.  */
+
+#include "peer_net.h"
+#include <string.h>
+
+static bool
+is_same_run (const struct mq_peer_info *a, const struct mq_peer_info *b)
+{
+  return a->boot == b->boot && strcmp (a->host, b->host) == 0;
+}
+
+static bool
+is_leader (const struct mq_conn *conn)
+{
+  const struct mq_peer_info *self = &conn->net->self;
+  int order = strcmp (self->host, conn->info.host);
+
+  return order != 0 ? order < 0 : self->boot < conn->info.boot;
+}
+
+void
+mq_conn_refuse (struct mq_conn *conn, const struct mq_error *error)
+{
+  conn->net->counters.handshakes_refused++;
+  conn->net->refusal = *error;
+  mq_conn_close (conn, error->type);
+}
+
+static void
+refuse_memory (struct mq_conn *conn)
+{
+  struct mq_error error;
+
+  mq_error_set (&error, MQ_ERR_NO_MEMORY, "handshake", NULL);
+  mq_conn_refuse (conn, &error);
+}
+
+void
+mq_conn_start_handshake (struct mq_conn *conn)
+{
+  struct mq_peer_net *net = conn->net;
+  const uint8_t *hello;
+  size_t len;
+
+  conn->handshake = mq_handshake_create (
+      conn, conn->dialled ? MQ_SIDE_CONNECT : MQ_SIDE_ACCEPT, net->site_key,
+      &net->self);
+  if (conn->handshake == NULL)
+    {
+      refuse_memory (conn);
+      return;
+    }
+  conn->state = MQ_CONN_HELLO;
+  tevent_fd_set_flags (conn->event, TEVENT_FD_READ);
+  hello = mq_handshake_hello (conn->handshake, &len);
+  if (!mq_conn_queue (conn, hello, len, true))
+    refuse_memory (conn);
+}
+
+static bool
+send_proof (struct mq_conn *conn)
+{
+  size_t len;
+  const uint8_t *proof = mq_handshake_proof (conn->handshake, &len);
+
+  if (proof != NULL && mq_conn_queue (conn, proof, len, true))
+    return true;
+  refuse_memory (conn);
+  return false;
+}
+
+/* Another connection to the same run that is up, NULL when none.  */
+static struct mq_conn *
+find_run (const struct mq_conn *conn)
+{
+  struct mq_conn *other = conn->net->conns;
+
+  while (other != NULL
+         && (other == conn || other->state != MQ_CONN_READY
+             || !is_same_run (&other->info, &conn->info)))
+    other = other->next;
+  return other;
+}
+
+/* Under the host's name or address stood another run: it is gone.  */
+static bool
+is_replaced (const struct mq_conn *old, const struct mq_conn *conn)
+{
+  return old != conn && old->state == MQ_CONN_READY
+         && (strcmp (old->info.host, conn->info.host) == 0
+             || strcmp (old->info.address, conn->info.address) == 0);
+}
+
+static struct mq_conn *
+find_replaced (const struct mq_conn *conn)
+{
+  struct mq_conn *old = conn->net->conns;
+
+  while (old != NULL && !is_replaced (old, conn))
+    old = old->next;
+  return old;
+}
+
+/* CONN is up, so those under way to the same run have lost.  */
+static bool
+is_rival (const struct mq_conn *other, const struct mq_conn *conn)
+{
+  if (other == conn || other->state >= MQ_CONN_READY)
+    return false;
+  if (other->info.host != NULL)
+    return is_same_run (&other->info, &conn->info);
+  return other->kept != NULL
+         && strcmp (other->kept->address, conn->info.address) == 0;
+}
+
+static void
+close_rivals (struct mq_conn *conn)
+{
+  struct mq_conn *other = conn->net->conns;
+
+  while (other != NULL)
+    {
+      if (is_rival (other, conn))
+        mq_conn_close (other, MQ_ERR_NONE);
+      other = other->next;
+    }
+}
+
+static uint32_t
+next_handle (struct mq_peer_net *net)
+{
+  net->last_handle++;
+  if (net->last_handle == 0)
+    net->last_handle++;
+  return net->last_handle;
+}
+
+static void
+start_ready (struct mq_conn *conn)
+{
+  struct mq_peer_net *net = conn->net;
+
+  if (!conn->dialled)
+    net->unproven--;
+  conn->handle = next_handle (net);
+  conn->state = MQ_CONN_READY;
+  if (conn->kept != NULL)
+    conn->kept->dialling = NULL;
+  mq_table_add (conn);
+  close_rivals (conn);
+  net->counters.connections_made++;
+  if (net->callbacks.up != NULL)
+    net->callbacks.up (conn->handle, &conn->info, net->callbacks.user);
+}
+
+/* A peer that was restarted, or whose connection the leader gave up, comes
+   on a new connection while the old one still looks open here: down of the
+   old is told before up of the new, and nothing more is read from the old. */
+static void
+take_up (struct mq_conn *conn)
+{
+  struct mq_peer_net *net = conn->net;
+  struct mq_conn *old = find_replaced (conn);
+
+  while (old != NULL)
+    {
+      mq_conn_close (old, MQ_ERR_PEER_LOST);
+      if (net->dead || conn->state == MQ_CONN_CLOSED)
+        return;
+      old = find_replaced (conn);
+    }
+  start_ready (conn);
+}
+
+static void
+accept_conn (struct mq_conn *conn)
+{
+  if (send_proof (conn))
+    take_up (conn);
+}
+
+/* A run that ended before this connection was made can't come back: its
+   late handshake must not push out its successor.  */
+static bool
+is_outdated (const struct mq_conn *conn)
+{
+  const struct mq_conn *old = find_replaced (conn);
+
+  return old != NULL && old->serial > conn->serial;
+}
+
+/* The leader's choice.  While a connection to the same run is up the new
+   one waits: either the peer has dialled before it heard that the first was
+   chosen, and closes this one; or the first has failed at the peer, and
+   fails here too before long.  */
+static void
+choose_conn (struct mq_conn *conn)
+{
+  if (find_run (conn) != NULL)
+    conn->state = MQ_CONN_WAITING;
+  else if (is_outdated (conn))
+    mq_conn_close (conn, MQ_ERR_PEER_LOST);
+  else
+    accept_conn (conn);
+}
+
+void
+mq_conn_settle_waiting (struct mq_peer_net *net)
+{
+  struct mq_conn *conn = net->conns;
+
+  net->settle_due = false;
+  while (conn != NULL && !net->dead)
+    {
+      if (conn->state == MQ_CONN_WAITING)
+        choose_conn (conn);
+      conn = conn->next;
+    }
+}
+
+static void
+refuse_self (struct mq_conn *conn)
+{
+  struct mq_error error;
+
+  mq_error_set (&error, MQ_ERR_BAD_PEER, conn->info.host, "another host");
+  mq_conn_refuse (conn, &error);
+}
+
+/* An address under which a peer is already connected by another: nothing
+   more to dial.  */
+static bool
+join_run (struct mq_conn *conn)
+{
+  struct mq_conn *other = find_run (conn);
+
+  if (conn->kept == NULL || other == NULL)
+    return false;
+  conn->kept->ready = other;
+  mq_conn_close (conn, MQ_ERR_NONE);
+  return true;
+}
+
+static void
+take_hello (struct mq_conn *conn, const uint8_t *data, size_t len)
+{
+  struct mq_error error;
+  const struct mq_peer_info *info
+      = mq_handshake_read_hello (conn->handshake, data, len, &error);
+
+  if (info == NULL)
+    {
+      conn->net->counters.frames_bad++;
+      mq_conn_refuse (conn, &error);
+      return;
+    }
+  conn->info = *info;
+  /* Our own Hello sent back, or our own port dialled.  */
+  if (is_same_run (info, &conn->net->self))
+    {
+      refuse_self (conn);
+      return;
+    }
+  if (join_run (conn))
+    return;
+  conn->state = MQ_CONN_PROOF;
+  if (!is_leader (conn))
+    send_proof (conn);
+}
+
+static void
+take_proof (struct mq_conn *conn, const uint8_t *data, size_t len)
+{
+  struct mq_error error;
+
+  if (!mq_handshake_check_proof (conn->handshake, data, len, &error))
+    {
+      if (error.type == MQ_ERR_BAD_FRAME)
+        conn->net->counters.frames_bad++;
+      mq_conn_refuse (conn, &error);
+    }
+  else if (is_leader (conn))
+    choose_conn (conn);
+  else
+    take_up (conn);
+}
+
+static void
+refuse_frame (struct mq_conn *conn)
+{
+  struct mq_error error;
+
+  conn->net->counters.frames_bad++;
+  mq_error_set (&error, MQ_ERR_BAD_FRAME, "frame before proof", NULL);
+  mq_conn_refuse (conn, &error);
+}
+
+void
+mq_conn_handshake_frame (struct mq_conn *conn, const uint8_t *data, size_t len)
+{
+  switch (conn->state)
+    {
+    case MQ_CONN_HELLO:
+      take_hello (conn, data, len);
+      break;
+    case MQ_CONN_PROOF:
+      take_proof (conn, data, len);
+      break;
+    case MQ_CONN_CONNECTING:
+    case MQ_CONN_WAITING:
+    case MQ_CONN_READY:
+    case MQ_CONN_DRAINING:
+    case MQ_CONN_CLOSED:
+      refuse_frame (conn);
+      break;
+    }
+}
--- /dev/null
+++ b/tests/peer_kit.c
@@ -0,0 +1,395 @@
+/* peer_kit.c - nets with a record of their callbacks, a relay and a bare
+   client, for the tests of the peer link.
+
+   Needs: peer_kit.h, Criterion.  */
+
+#include "peer_kit.h"
+#include "../src/core/action.h"
+#include "../src/io/peer_net.h"
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  WAIT_MS = 20000,
+  RELAY_PAIRS_MAX = 64,
+  RELAY_BYTES = 16 << 10
+};
+
+struct tevent_context *kit_ev;
+static uint8_t client_keys[256][MQ_KEY_BYTES];
+
+void
+kit_start (void)
+{
+  kit_ev = tevent_context_init (NULL);
+  for (int i = 0; i < 256; i++)
+    memset (client_keys[i], i, MQ_KEY_BYTES);
+}
+
+void
+kit_stop (void)
+{
+  TALLOC_FREE (kit_ev);
+}
+
+void
+kit_wait (bool (*condition) (const void *a, const void *b), const void *a,
+          const void *b)
+{
+  uint64_t limit = mq_peer_clock_ms () + WAIT_MS;
+
+  while (!condition (a, b))
+    {
+      cr_assert_lt (mq_peer_clock_ms (), limit, "waited in vain");
+      tevent_loop_once (kit_ev);
+    }
+}
+
+static struct kit_event *
+add_event (struct kit_node *node, enum kit_event_type type, uint32_t peer)
+{
+  struct kit_event *event = &node->events[node->count++];
+
+  cr_assert_lt (node->count, KIT_EVENTS_MAX);
+  event->type = type;
+  event->peer = peer;
+  return event;
+}
+
+static void
+end_event (struct kit_node *node, enum kit_event_type type)
+{
+  if (node->destroy[type])
+    kit_destroy (node);
+}
+
+static void
+send_burst (struct kit_node *node)
+{
+  for (uint32_t i = 0; i < node->burst; i++)
+    {
+      struct mq_message token = { .type = MQ_MSG_TOKEN };
+
+      token.u.token.index = i;
+      token.u.token.text = "text";
+      cr_assert (mq_peer_net_send (node->net, node->peer, &token));
+    }
+}
+
+static void
+on_up (uint32_t peer, const struct mq_peer_info *info, void *user)
+{
+  struct kit_node *node = user;
+
+  add_event (node, KIT_UP, peer)->boot = info->boot;
+  node->peer = peer;
+  node->up++;
+  send_burst (node);
+  end_event (node, KIT_UP);
+}
+
+static void
+on_down (uint32_t peer, enum mq_error_type why, void *user)
+{
+  struct kit_node *node = user;
+
+  add_event (node, KIT_DOWN, peer)->why = why;
+  node->up--;
+  end_event (node, KIT_DOWN);
+}
+
+static void
+on_message (uint32_t peer, const struct mq_message *message, void *user)
+{
+  struct kit_node *node = user;
+  struct mq_message *copy = talloc (node->ctx, struct mq_message);
+
+  mq_message_copy (node->ctx, copy, message);
+  add_event (node, KIT_MESSAGE, peer)->message = copy;
+  end_event (node, KIT_MESSAGE);
+}
+
+struct kit_node *
+kit_node (const struct kit_options *options)
+{
+  struct kit_node *node = talloc_zero (kit_ev, struct kit_node);
+  struct mq_peer_callbacks callbacks = { on_up, on_down, on_message, node };
+  struct mq_peer_options net = { .listen = "127.0.0.1:0" };
+  struct mq_error error;
+
+  net.self.host = options->host;
+  net.self.address = options->address;
+  net.self.data_centre = "plateau";
+  net.self.boot = options->boot;
+  net.beat_ms = KIT_BEAT_MS;
+  net.silent_ms = options->silent_ms ? options->silent_ms : KIT_SILENT_MS;
+  memset (net.site_key, options->key, sizeof net.site_key);
+  node->ctx = talloc_new (node);
+  node->net = mq_peer_net_create (node, kit_ev, &net, &callbacks, &error);
+  cr_assert_not_null (node->net, "%s", mq_error_name (error.type));
+  snprintf (node->address, sizeof node->address, "127.0.0.1:%u",
+            mq_peer_net_port (node->net));
+  return node;
+}
+
+void
+kit_destroy (struct kit_node *node)
+{
+  mq_peer_net_destroy (node->net);
+  node->net = NULL;
+}
+
+size_t
+kit_count (const struct kit_node *node, enum kit_event_type type)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < node->count; i++)
+    count += node->events[i].type == type;
+  return count;
+}
+
+bool
+kit_is_up (const void *node, const void *unused)
+{
+  (void)unused;
+  return ((const struct kit_node *)node)->up > 0;
+}
+
+bool
+kit_is_down (const void *node, const void *unused)
+{
+  (void)unused;
+  return ((const struct kit_node *)node)->up == 0;
+}
+
+static bool
+heard_frames (const void *node, const void *count)
+{
+  const struct kit_node *of = node;
+
+  return mq_peer_net_counters (of->net)->frames_in >= *(const uint64_t *)count;
+}
+
+void
+kit_run_ticks (const struct kit_node *node, uint64_t count)
+{
+  uint64_t frames = mq_peer_net_counters (node->net)->frames_in + count;
+
+  kit_wait (heard_frames, node, &frames);
+}
+
+/* One direction of a relayed connection.  */
+struct kit_pipe
+{
+  int from;
+  int to;
+  bool silent;
+  struct tevent_fd *event;
+};
+
+struct kit_relay
+{
+  int fd;
+  uint16_t port;
+  char address[MQ_NAME_MAX];
+  struct kit_pipe pipes[RELAY_PAIRS_MAX][2];
+  size_t pairs;
+};
+
+static int
+connect_port (uint16_t port)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  cr_assert_eq (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  return fd;
+}
+
+static void
+on_pipe (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
+         void *data)
+{
+  struct kit_pipe *pipe = data;
+  uint8_t bytes[RELAY_BYTES];
+  ssize_t got = recv (pipe->from, bytes, sizeof bytes, 0);
+
+  (void)ev;
+  (void)event;
+  (void)flags;
+  if (got <= 0)
+    {
+      TALLOC_FREE (pipe->event);
+      if (!pipe->silent)
+        shutdown (pipe->to, SHUT_WR);
+    }
+  else if (!pipe->silent)
+    send (pipe->to, bytes, (size_t)got, MSG_NOSIGNAL);
+}
+
+static void
+start_pipe (struct kit_relay *relay, struct kit_pipe *pipe, int from, int to)
+{
+  pipe->from = from;
+  pipe->to = to;
+  pipe->event
+      = tevent_add_fd (kit_ev, relay, from, TEVENT_FD_READ, on_pipe, pipe);
+}
+
+static void
+on_relay (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
+          void *data)
+{
+  struct kit_relay *relay = data;
+  int client = accept (relay->fd, NULL, NULL);
+  int server = connect_port (relay->port);
+  struct kit_pipe *pair = relay->pipes[relay->pairs++];
+
+  (void)ev;
+  (void)event;
+  (void)flags;
+  cr_assert_lt (relay->pairs, RELAY_PAIRS_MAX);
+  start_pipe (relay, &pair[0], client, server);
+  start_pipe (relay, &pair[1], server, client);
+}
+
+struct kit_relay *
+kit_relay (uint16_t port)
+{
+  struct kit_relay *relay = talloc_zero (kit_ev, struct kit_relay);
+  struct sockaddr_in at = { .sin_family = AF_INET };
+  socklen_t len = sizeof at;
+
+  at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  relay->port = port;
+  relay->fd = socket (AF_INET, SOCK_STREAM, 0);
+  cr_assert_eq (bind (relay->fd, (struct sockaddr *)&at, sizeof at), 0);
+  cr_assert_eq (listen (relay->fd, RELAY_PAIRS_MAX), 0);
+  getsockname (relay->fd, (struct sockaddr *)&at, &len);
+  snprintf (relay->address, sizeof relay->address, "127.0.0.1:%u",
+            ntohs (at.sin_port));
+  tevent_add_fd (kit_ev, relay, relay->fd, TEVENT_FD_READ, on_relay, relay);
+  return relay;
+}
+
+const char *
+kit_relay_address (const struct kit_relay *relay)
+{
+  return relay->address;
+}
+
+void
+kit_relay_silence (struct kit_relay *relay, bool to_server, bool to_client)
+{
+  for (size_t i = 0; i < relay->pairs; i++)
+    {
+      relay->pipes[i][0].silent |= to_server;
+      relay->pipes[i][1].silent |= to_client;
+    }
+}
+
+void
+kit_relay_target (struct kit_relay *relay, uint16_t port)
+{
+  relay->port = port;
+}
+
+struct kit_client *
+kit_client (const struct kit_node *to, const char *host, uint8_t key)
+{
+  struct kit_client *client = talloc_zero (kit_ev, struct kit_client);
+  struct mq_peer_info self = {
+    .host = host, .address = "127.0.0.1:9", .data_centre = "hann", .boot = 77
+  };
+
+  client->fd = connect_port (mq_peer_net_port (to->net));
+  client->reader = mq_frame_reader_create (client);
+  client->writer = mq_frame_writer_create (client);
+  client->handshake
+      = mq_handshake_create (client, MQ_SIDE_CONNECT, client_keys[key], &self);
+  return client;
+}
+
+void
+kit_client_send (struct kit_client *client, const uint8_t *data, size_t len)
+{
+  cr_assert (mq_frame_writer_add (client->writer, data, len));
+  mq_frame_writer_flush (client->writer, client->fd);
+}
+
+void
+kit_client_send_bytes (struct kit_client *client, const void *data, size_t len)
+{
+  cr_assert_eq (send (client->fd, data, len, MSG_NOSIGNAL), (ssize_t)len);
+}
+
+/* Reads single frames: the length first, then as much.  */
+static bool
+poll_frame (struct kit_client *client)
+{
+  uint8_t head[MQ_FRAME_HEADER_BYTES];
+  ssize_t got = recv (client->fd, head, sizeof head, MSG_DONTWAIT | MSG_PEEK);
+  size_t len;
+
+  if (got == 0 || (got < 0 && errno != EAGAIN))
+    client->closed = true;
+  if (got != (ssize_t)sizeof head)
+    return false;
+  len = (size_t)head[2] << 8 | head[3];
+  cr_assert_leq (len + sizeof head, sizeof client->frame);
+  got = recv (client->fd, client->frame, len + sizeof head,
+              MSG_DONTWAIT | MSG_PEEK);
+  if (got != (ssize_t)(len + sizeof head))
+    return false;
+  recv (client->fd, client->frame, sizeof head, 0);
+  recv (client->fd, client->frame, len, 0);
+  client->frame_len = len;
+  return true;
+}
+
+static bool
+has_frame (const void *client, const void *got)
+{
+  struct kit_client *of = (struct kit_client *)client;
+
+  *(bool *)got = poll_frame (of);
+  return of->closed || *(const bool *)got;
+}
+
+bool
+kit_client_receive (struct kit_client *client)
+{
+  bool got = false;
+
+  kit_wait (has_frame, client, &got);
+  return got;
+}
+
+void
+kit_client_prove (struct kit_client *client)
+{
+  size_t len;
+  const uint8_t *data = mq_handshake_hello (client->handshake, &len);
+
+  kit_client_send (client, data, len);
+  cr_assert (kit_client_receive (client));
+  cr_assert_not_null (mq_handshake_read_hello (
+      client->handshake, client->frame, client->frame_len, NULL));
+  data = mq_handshake_proof (client->handshake, &len);
+  kit_client_send (client, data, len);
+}
+
+void
+kit_client_close (struct kit_client *client)
+{
+  close (client->fd);
+  talloc_free (client);
+}
--- /dev/null
+++ b/tests/peer_kit.h
@@ -0,0 +1,109 @@
+/* peer_kit.h - nets with a record of their callbacks, a relay and a bare
+   client, for the tests of the peer link.
+
+   Everything runs in one event loop; waits end on events, with a generous
+   limit.  Needs: peer.h, handshake.h, frame.h.  */
+
+#ifndef PEER_KIT_H
+#define PEER_KIT_H
+
+#include "../src/io/frame.h"
+#include "../src/io/handshake.h"
+#include "../src/io/peer.h"
+
+enum
+{
+  KIT_EVENTS_MAX = 4096,
+  KIT_BEAT_MS = 20,
+  KIT_SILENT_MS = 400
+};
+
+enum kit_event_type
+{
+  KIT_UP,
+  KIT_DOWN,
+  KIT_MESSAGE
+};
+
+struct kit_event
+{
+  enum kit_event_type type;
+  uint32_t peer;
+  uint64_t boot;          /* of UP */
+  enum mq_error_type why; /* of DOWN */
+  const struct mq_message *message;
+};
+
+struct kit_node
+{
+  TALLOC_CTX *ctx;
+  struct mq_peer_net *net;
+  char address[MQ_NAME_MAX];
+  struct kit_event events[KIT_EVENTS_MAX];
+  size_t count;
+  uint32_t up;               /* peers up now */
+  uint32_t peer;             /* the last one */
+  uint32_t burst;            /* tokens sent to a peer as it comes up */
+  bool destroy[3];           /* destroys the net from that callback */
+  struct tevent_context *ev; /* of all nodes */
+};
+
+struct kit_options
+{
+  const char *host;
+  const char *address; /* told to peers, NULL: where it listens */
+  uint64_t boot;
+  uint32_t silent_ms; /* 0: KIT_SILENT_MS */
+  uint8_t key;        /* every byte of the site key */
+};
+
+extern struct tevent_context *kit_ev;
+
+void kit_start (void);
+void kit_stop (void);
+struct kit_node *kit_node (const struct kit_options *options);
+void kit_destroy (struct kit_node *node);
+size_t kit_count (const struct kit_node *node, enum kit_event_type type);
+/* Runs the loop until CONDITION (A, B) holds; fails the test after 20 s.  */
+void kit_wait (bool (*condition) (const void *a, const void *b), const void *a,
+               const void *b);
+/* A beat or more has gone each way COUNT times.  */
+void kit_run_ticks (const struct kit_node *node, uint64_t count);
+bool kit_is_up (const void *node, const void *unused);
+bool kit_is_down (const void *node, const void *unused);
+
+/* A TCP relay to PORT.  Connections made before kit_relay_silence go silent
+   in the directions named, with both sides open; later ones work.  */
+struct kit_relay;
+struct kit_relay *kit_relay (uint16_t port);
+const char *kit_relay_address (const struct kit_relay *relay);
+void kit_relay_silence (struct kit_relay *relay, bool to_server,
+                        bool to_client);
+/* Connections accepted later go to PORT.  */
+void kit_relay_target (struct kit_relay *relay, uint16_t port);
+
+/* A client that speaks frames as it likes.  */
+struct kit_client
+{
+  int fd;
+  struct mq_frame_reader *reader;
+  struct mq_frame_writer *writer;
+  struct mq_handshake *handshake;
+  uint8_t frame[4096]; /* the last one received */
+  size_t frame_len;
+  bool closed; /* by the other side */
+};
+
+struct kit_client *kit_client (const struct kit_node *to, const char *host,
+                               uint8_t key);
+void kit_client_send (struct kit_client *client, const uint8_t *data,
+                      size_t len);
+void kit_client_send_bytes (struct kit_client *client, const void *data,
+                            size_t len);
+/* Waits for a frame; false when the other side closed.  */
+bool kit_client_receive (struct kit_client *client);
+/* Hello and Proof both ways.  */
+void kit_client_prove (struct kit_client *client);
+void kit_client_close (struct kit_client *client);
+
+#endif
