--- a/src/io/peer.c
+++ b/src/io/peer.c
@@ -186,7 +186,7 @@
 {
   uint64_t pause_ms = now_ms - net->now_ms;
 
-  if (pause_ms < 2 * net->tick_ms)
+  if (pause_ms < 2 * (uint64_t)net->tick_ms)
     return;
   for (struct mq_conn *conn = net->conns; conn != NULL; conn = conn->next)
     {
@@ -331,14 +331,19 @@
 uint16_t
 mq_peer_net_port (const struct mq_peer_net *net)
 {
-  struct sockaddr_storage bound = { 0 };
+  union
+  {
+    struct sockaddr any;
+    struct sockaddr_in v4;
+    struct sockaddr_in6 v6;
+  } bound = { 0 };
   socklen_t len = sizeof bound;
 
-  if (getsockname (net->listen_fd, (struct sockaddr *)&bound, &len) != 0)
+  if (getsockname (net->listen_fd, &bound.any, &len) != 0)
     return 0;
-  if (bound.ss_family == AF_INET6)
-    return ntohs (((struct sockaddr_in6 *)&bound)->sin6_port);
-  return ntohs (((struct sockaddr_in *)&bound)->sin_port);
+  if (bound.any.sa_family == AF_INET6)
+    return ntohs (bound.v6.sin6_port);
+  return ntohs (bound.v4.sin_port);
 }
 
 /* The address listened at, with the port that port 0 turned into.  */
