Test the peer link under its failures

Change: two hosts dial at once, late proofs, silence through a relay in both and single directions, unseen restarts, slow readers, release, destruction from callbacks, pauses of our own process.

--- a/tests/peer_kit.c
+++ b/tests/peer_kit.c
@@ -65,21 +65,30 @@
 static void
 end_event (struct kit_node *node, enum kit_event_type type)
 {
-  if (node->destroy[type])
-    kit_destroy (node);
+  if (!node->destroy[type] || node->net == NULL)
+    return;
+  if (node->free_ctx)
+    TALLOC_FREE (node->ctx);
+  else
+    mq_peer_net_destroy (node->net);
+  node->net = NULL;
+}
+
+bool
+kit_send_token (struct kit_node *node, uint32_t index)
+{
+  struct mq_message token = { .type = MQ_MSG_TOKEN };
+
+  token.u.token.index = index;
+  token.u.token.text = "text";
+  return mq_peer_net_send (node->net, node->peer, &token);
 }
 
 static void
 send_burst (struct kit_node *node)
 {
   for (uint32_t i = 0; i < node->burst; i++)
-    {
-      struct mq_message token = { .type = MQ_MSG_TOKEN };
-
-      token.u.token.index = i;
-      token.u.token.text = "text";
-      cr_assert (mq_peer_net_send (node->net, node->peer, &token));
-    }
+    cr_assert (kit_send_token (node, i));
 }
 
 static void
@@ -108,9 +117,9 @@
 on_message (uint32_t peer, const struct mq_message *message, void *user)
 {
   struct kit_node *node = user;
-  struct mq_message *copy = talloc (node->ctx, struct mq_message);
+  struct mq_message *copy = talloc (node, struct mq_message);
 
-  mq_message_copy (node->ctx, copy, message);
+  mq_message_copy (copy, copy, message);
   add_event (node, KIT_MESSAGE, peer)->message = copy;
   end_event (node, KIT_MESSAGE);
 }
@@ -120,9 +129,11 @@
 {
   struct kit_node *node = talloc_zero (kit_ev, struct kit_node);
   struct mq_peer_callbacks callbacks = { on_up, on_down, on_message, node };
-  struct mq_peer_options net = { .listen = "127.0.0.1:0" };
+  struct mq_peer_options net = { .listen = options->listen };
   struct mq_error error;
 
+  if (net.listen == NULL)
+    net.listen = "127.0.0.1:0";
   net.self.host = options->host;
   net.self.address = options->address;
   net.self.data_centre = "plateau";
@@ -131,7 +142,7 @@
   net.silent_ms = options->silent_ms ? options->silent_ms : KIT_SILENT_MS;
   memset (net.site_key, options->key, sizeof net.site_key);
   node->ctx = talloc_new (node);
-  node->net = mq_peer_net_create (node, kit_ev, &net, &callbacks, &error);
+  node->net = mq_peer_net_create (node->ctx, kit_ev, &net, &callbacks, &error);
   cr_assert_not_null (node->net, "%s", mq_error_name (error.type));
   snprintf (node->address, sizeof node->address, "127.0.0.1:%u",
             mq_peer_net_port (node->net));
@@ -155,20 +166,56 @@
   return count;
 }
 
-bool
-kit_is_up (const void *node, const void *unused)
+static bool
+is_up (const void *node, const void *unused)
 {
   (void)unused;
   return ((const struct kit_node *)node)->up > 0;
 }
 
-bool
-kit_is_down (const void *node, const void *unused)
+static bool
+is_down (const void *node, const void *unused)
 {
   (void)unused;
   return ((const struct kit_node *)node)->up == 0;
 }
 
+void
+kit_wait_up (const struct kit_node *node)
+{
+  kit_wait (is_up, node, NULL);
+}
+
+void
+kit_wait_down (const struct kit_node *node)
+{
+  kit_wait (is_down, node, NULL);
+}
+
+/* Callbacks of one type that are waited for.  */
+struct awaited
+{
+  enum kit_event_type type;
+  size_t count;
+};
+
+static bool
+has_count (const void *node, const void *awaited)
+{
+  const struct awaited *of = awaited;
+
+  return kit_count (node, of->type) >= of->count;
+}
+
+void
+kit_wait_count (const struct kit_node *node, enum kit_event_type type,
+                size_t count)
+{
+  struct awaited awaited = { type, count };
+
+  kit_wait (has_count, node, &awaited);
+}
+
 static bool
 heard_frames (const void *node, const void *count)
 {
@@ -178,7 +225,7 @@
 }
 
 void
-kit_run_ticks (const struct kit_node *node, uint64_t count)
+kit_run_frames (const struct kit_node *node, uint64_t count)
 {
   uint64_t frames = mq_peer_net_counters (node->net)->frames_in + count;
 
@@ -191,6 +238,7 @@
   int from;
   int to;
   bool silent;
+  bool held; /* stops after the first bytes */
   struct tevent_fd *event;
 };
 
@@ -201,6 +249,7 @@
   char address[MQ_NAME_MAX];
   struct kit_pipe pipes[RELAY_PAIRS_MAX][2];
   size_t pairs;
+  bool hold;
 };
 
 static int
@@ -233,6 +282,8 @@
     }
   else if (!pipe->silent)
     send (pipe->to, bytes, (size_t)got, MSG_NOSIGNAL);
+  if (pipe->held && pipe->event != NULL)
+    TEVENT_FD_NOT_READABLE (pipe->event);
 }
 
 static void
@@ -259,6 +310,7 @@
   cr_assert_lt (relay->pairs, RELAY_PAIRS_MAX);
   start_pipe (relay, &pair[0], client, server);
   start_pipe (relay, &pair[1], server, client);
+  pair[0].held = relay->hold;
 }
 
 struct kit_relay *
@@ -296,6 +348,35 @@
     }
 }
 
+void
+kit_relay_hold (struct kit_relay *relay)
+{
+  relay->hold = true;
+}
+
+void
+kit_relay_resume (struct kit_relay *relay)
+{
+  relay->hold = false;
+  for (size_t i = 0; i < relay->pairs; i++)
+    {
+      relay->pipes[i][0].held = false;
+      if (relay->pipes[i][0].event != NULL)
+        TEVENT_FD_READABLE (relay->pipes[i][0].event);
+    }
+}
+
+void
+kit_relay_cut (struct kit_relay *relay)
+{
+  for (size_t i = 0; i < relay->pairs; i++)
+    for (size_t j = 0; j < 2; j++)
+      {
+        TALLOC_FREE (relay->pipes[i][j].event);
+        shutdown (relay->pipes[i][j].from, SHUT_RDWR);
+      }
+}
+
 void
 kit_relay_target (struct kit_relay *relay, uint16_t port)
 {
--- a/tests/peer_kit.h
+++ b/tests/peer_kit.h
@@ -36,21 +36,22 @@
 
 struct kit_node
 {
-  TALLOC_CTX *ctx;
+  TALLOC_CTX *ctx; /* the net hangs below it */
   struct mq_peer_net *net;
   char address[MQ_NAME_MAX];
   struct kit_event events[KIT_EVENTS_MAX];
   size_t count;
-  uint32_t up;               /* peers up now */
-  uint32_t peer;             /* the last one */
-  uint32_t burst;            /* tokens sent to a peer as it comes up */
-  bool destroy[3];           /* destroys the net from that callback */
-  struct tevent_context *ev; /* of all nodes */
+  uint32_t up;     /* peers up now */
+  uint32_t peer;   /* the last one */
+  uint32_t burst;  /* tokens sent to a peer as it comes up */
+  bool destroy[3]; /* destroys the net from that callback */
+  bool free_ctx;   /* by freeing what it hangs below */
 };
 
 struct kit_options
 {
   const char *host;
+  const char *listen;  /* NULL: a free port */
   const char *address; /* told to peers, NULL: where it listens */
   uint64_t boot;
   uint32_t silent_ms; /* 0: KIT_SILENT_MS */
@@ -67,10 +68,15 @@
 /* Runs the loop until CONDITION (A, B) holds; fails the test after 20 s.  */
 void kit_wait (bool (*condition) (const void *a, const void *b), const void *a,
                const void *b);
-/* A beat or more has gone each way COUNT times.  */
-void kit_run_ticks (const struct kit_node *node, uint64_t count);
-bool kit_is_up (const void *node, const void *unused);
-bool kit_is_down (const void *node, const void *unused);
+/* Runs the loop until NODE has received COUNT more frames.  */
+void kit_run_frames (const struct kit_node *node, uint64_t count);
+void kit_wait_up (const struct kit_node *node);
+void kit_wait_down (const struct kit_node *node);
+/* Waits until NODE has had COUNT callbacks of TYPE.  */
+void kit_wait_count (const struct kit_node *node, enum kit_event_type type,
+                     size_t count);
+/* Sends a token with INDEX to the last peer that came up.  */
+bool kit_send_token (struct kit_node *node, uint32_t index);
 
 /* A TCP relay to PORT.  Connections made before kit_relay_silence go silent
    in the directions named, with both sides open; later ones work.  */
@@ -79,6 +85,12 @@
 const char *kit_relay_address (const struct kit_relay *relay);
 void kit_relay_silence (struct kit_relay *relay, bool to_server,
                         bool to_client);
+/* Each connection accepted later passes on just the first bytes that come
+   from the client, until kit_relay_resume.  */
+void kit_relay_hold (struct kit_relay *relay);
+void kit_relay_resume (struct kit_relay *relay);
+/* Closes both sides of all connections.  */
+void kit_relay_cut (struct kit_relay *relay);
 /* Connections accepted later go to PORT.  */
 void kit_relay_target (struct kit_relay *relay, uint16_t port);
 
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -186,6 +186,7 @@
 static const struct memory_case memory_cases[] = {
   { 2, false },
   { 100, false },
+  { MQ_FRAME_CALLS_MAX, true }, /* not too many, but too much memory */
   { MQ_FRAME_MAX_BYTES / 2 - 3, true },
 };
 
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -1,29 +1,471 @@
-/* test_peer.c - the link between processes under its failures.
+/* test_peer.c - the link between processes and its failures.
 
-   Needs: peer_kit.h, Criterion.  */
+   Needs: peer_kit.h, message_samples.h, Criterion.  */
 
+#include "../src/core/limits.h"
+#include "message_samples.h"
 #include "peer_kit.h"
 #include <criterion/criterion.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+enum
+{
+  BURST = 50,
+  ROUNDS = 10,
+  LONG_MS = 60000
+};
+
+/* cppcheck-suppress unknownMacro */
 TestSuite (peer, .init = kit_start, .fini = kit_stop, .timeout = 120);
 
-Test (peer, both_keep)
+static struct kit_node *
+start_node (const char *host, uint64_t boot)
+{
+  return kit_node (&(struct kit_options){ .host = host, .boot = boot });
+}
+
+static const struct kit_event *
+find_event (const struct kit_node *node, enum kit_event_type type,
+            size_t number)
+{
+  size_t i = 0;
+
+  while (i < node->count && (node->events[i].type != type || number-- > 0))
+    i++;
+  cr_assert_lt (i, node->count, "no such callback");
+  return &node->events[i];
+}
+
+/* Tokens 0 to BURST - 1, in order, each once.  */
+static void
+expect_burst (const struct kit_node *node)
+{
+  uint32_t next = 0;
+
+  for (size_t i = 0; i < node->count; i++)
+    if (node->events[i].type == KIT_MESSAGE
+        && node->events[i].message->type == MQ_MSG_TOKEN)
+      cr_expect_eq (node->events[i].message->u.token.index, next++);
+  cr_expect_eq (next, BURST);
+}
+
+Test (peer, every_type_of_message_arrives)
 {
-  struct kit_node *a
-      = kit_node (&(struct kit_options){ .host = "a", .boot = 1 });
-  struct kit_node *b
-      = kit_node (&(struct kit_options){ .host = "b", .boot = 2 });
+  struct kit_node *a = start_node ("a", 1);
+  struct kit_node *b = start_node ("b", 2);
 
-  a->burst = 100;
-  b->burst = 100;
+  mq_peer_net_keep (a->net, b->address);
+  kit_wait_up (a);
+  kit_wait_up (b);
+  cr_expect_eq (mq_peer_net_find (a->net, b->address), a->peer);
+  cr_expect_eq (mq_peer_net_find (b->net, a->address), b->peer);
+  for (int type = MQ_MSG_NONE + 1; type < MQ_MSG_TYPE_COUNT; type++)
+    {
+      struct mq_message *sent = sample_message (a, (enum mq_message_type)type);
+      size_t seen = kit_count (b, KIT_MESSAGE);
+
+      cr_assert (mq_peer_net_send (a->net, a->peer, sent));
+      cr_expect_eq (kit_count (b, KIT_MESSAGE), seen);
+      kit_wait_count (b, KIT_MESSAGE, type + 1U);
+      cr_expect (sample_equal (sent, b->events[b->count - 1].message), "%s",
+                 mq_message_name (sent->type));
+    }
+  /* One more than was sent: the version that the first of them had.  */
+  cr_expect_eq (b->events[1].message->type, MQ_MSG_CONFIG_HAVE);
+}
+
+struct dial_case
+{
+  const char *first;
+  const char *second;
+};
+
+static const struct dial_case dial_cases[] = {
+  { "a", "b" }, { "b", "a" }, { "same", "same" }, /* told apart by boot id */
+};
+
+/* Two hosts learn of each other at the same moment and both dial.  With two
+   connections each could send on the one that the other closes, and frames
+   would be lost: the leader's last proof chooses one before any frame.  */
+static void
+run_both_dial (const struct dial_case *each, uint64_t round)
+{
+  struct kit_node *a = start_node (each->first, 2 * round + 1);
+  struct kit_node *b = start_node (each->second, 2 * round + 2);
+
+  a->burst = BURST;
+  b->burst = BURST;
   mq_peer_net_keep (a->net, b->address);
   mq_peer_net_keep (b->net, a->address);
-  kit_wait (kit_is_up, a, NULL);
-  kit_wait (kit_is_up, b, NULL);
-  kit_run_ticks (a, 120);
-  kit_run_ticks (b, 20);
-  cr_assert_eq (a->up, 1);
-  cr_assert_eq (b->up, 1);
-  cr_assert_eq (kit_count (a, KIT_MESSAGE), 100);
-  cr_assert_eq (kit_count (b, KIT_MESSAGE), 100);
+  kit_wait_count (a, KIT_MESSAGE, BURST);
+  kit_wait_count (b, KIT_MESSAGE, BURST);
+  kit_run_frames (a, 5);
+  kit_run_frames (b, 5);
+  cr_expect_eq (mq_peer_net_counters (a->net)->connections_made, 1);
+  cr_expect_eq (mq_peer_net_counters (b->net)->connections_made, 1);
+  cr_expect_eq (kit_count (a, KIT_DOWN) + kit_count (b, KIT_DOWN), 0);
+  expect_burst (a);
+  expect_burst (b);
+  kit_destroy (a);
+  kit_destroy (b);
+}
+
+Test (peer, both_dial_at_once_and_share_one_connection)
+{
+  for (size_t i = 0; i < sizeof dial_cases / sizeof dial_cases[0]; i++)
+    for (uint64_t round = 0; round < ROUNDS; round++)
+      run_both_dial (&dial_cases[i], round);
+}
+
+/* Host a chooses its own connection, but its proof is under way for long;
+   meanwhile b's connection is proved too and waits at a.  Then a's proof
+   comes (b's connection is closed, no one is told), or a's connection breaks
+   (b's takes its place).  */
+static void
+run_late_proof (bool cut)
+{
+  struct kit_node *a = start_node ("a", 1);
+  struct kit_node *b = start_node ("b", 2);
+  struct kit_relay *relay = kit_relay (mq_peer_net_port (b->net));
+
+  kit_relay_hold (relay);
+  mq_peer_net_keep (a->net, kit_relay_address (relay));
+  kit_wait_up (a);
+  mq_peer_net_keep (b->net, a->address);
+  /* b's Hello and Proof on its own connection, after those on a's.  */
+  kit_run_frames (a, 2);
+  cr_expect_eq (b->up, 0);
+  a->burst = cut ? BURST : 0;
+  b->burst = BURST;
+  if (cut)
+    kit_relay_cut (relay);
+  else
+    kit_relay_resume (relay);
+  kit_wait_up (b);
+  kit_wait_count (a, KIT_MESSAGE, BURST);
+  kit_run_frames (b, 5);
+  expect_burst (a);
+  cr_expect_eq (kit_count (a, KIT_UP), cut ? 2 : 1);
+  cr_expect_eq (kit_count (a, KIT_DOWN), cut ? 1 : 0);
+  cr_expect_eq (kit_count (b, KIT_UP), 1);
+  cr_expect_eq (kit_count (b, KIT_DOWN), 0);
+}
+
+Test (peer, a_late_proof_still_chooses) { run_late_proof (false); }
+
+Test (peer, a_waiting_connection_takes_over) { run_late_proof (true); }
+
+struct silence_case
+{
+  const char *dialler;
+  const char *listener;
+  bool to_listener;
+  bool to_dialler;
+};
+
+static const struct silence_case silence_cases[] = {
+  { "a", "b", true, true },  { "b", "a", true, true },
+  { "a", "b", true, false }, { "b", "a", true, false },
+  { "a", "b", false, true }, { "b", "a", false, true },
+};
+
+/* A clerk's call hangs although both processes live: something between them
+   lost track of their connection, which stays open and carries nothing,
+   while a new connection works.  No end is told; beats show it.  */
+static void
+run_silence (const struct silence_case *each)
+{
+  struct kit_node *a = start_node (each->dialler, 1);
+  struct kit_node *b = start_node (each->listener, 2);
+  struct kit_relay *relay = kit_relay (mq_peer_net_port (b->net));
+
+  mq_peer_net_keep (a->net, kit_relay_address (relay));
+  kit_wait_up (a);
+  kit_wait_up (b);
+  kit_relay_silence (relay, each->to_listener, each->to_dialler);
+  kit_wait_count (a, KIT_UP, 2);
+  kit_wait_count (b, KIT_UP, 2);
+  cr_expect_eq (find_event (a, KIT_DOWN, 0)->why, MQ_ERR_PEER_LOST);
+  cr_expect_eq (find_event (b, KIT_DOWN, 0)->why, MQ_ERR_PEER_LOST);
+  cr_expect_geq (mq_peer_net_counters (a->net)->connections_silent
+                     + mq_peer_net_counters (b->net)->connections_silent,
+                 1);
+  cr_expect_neq (find_event (a, KIT_UP, 0)->peer,
+                 find_event (a, KIT_UP, 1)->peer);
+  cr_assert (kit_send_token (a, 7));
+  kit_wait_count (b, KIT_MESSAGE, 1);
+  kit_destroy (a);
+  kit_destroy (b);
+}
+
+Test (peer, a_silent_connection_is_replaced)
+{
+  for (size_t i = 0; i < sizeof silence_cases / sizeof silence_cases[0]; i++)
+    run_silence (&silence_cases[i]);
+}
+
+/* A host is replaced so fast that the end of the old connection never comes:
+   it looks open for long.  The new run must get the work at once, and the
+   user must see the old one go before the new one comes, or he would tell
+   the new run's handle down.  */
+static void
+run_restart_unseen (const struct dial_case *each)
+{
+  struct kit_node *a = kit_node (&(struct kit_options){
+      .host = each->first, .boot = 1, .silent_ms = LONG_MS });
+  struct kit_node *old = start_node ("unused", 9);
+  struct kit_relay *relay = kit_relay (mq_peer_net_port (old->net));
+  struct kit_options options = { .host = each->second,
+                                 .address = kit_relay_address (relay),
+                                 .silent_ms = LONG_MS };
+  struct kit_node *b[2];
+
+  for (uint64_t i = 0; i < 2; i++)
+    {
+      options.boot = 10 + i;
+      b[i] = kit_node (&options);
+    }
+  kit_relay_target (relay, mq_peer_net_port (b[0]->net));
+  mq_peer_net_keep (a->net, options.address);
+  kit_wait_up (a);
+  kit_wait_up (b[0]);
+  kit_relay_silence (relay, true, true);
+  kit_destroy (b[0]);
+  kit_relay_target (relay, mq_peer_net_port (b[1]->net));
+  mq_peer_net_keep (b[1]->net, a->address);
+  kit_wait_count (a, KIT_UP, 2);
+  cr_assert_eq (a->count, 3);
+  cr_expect_eq (a->events[0].boot, 10);
+  cr_expect_eq (a->events[1].type, KIT_DOWN);
+  cr_expect_eq (a->events[1].peer, a->events[0].peer);
+  cr_expect_eq (a->events[2].boot, 11);
+  cr_expect_eq (mq_peer_net_find (a->net, options.address), a->events[2].peer);
+  cr_assert (kit_send_token (a, 1));
+  kit_wait_count (b[1], KIT_MESSAGE, 1);
+  kit_destroy (a);
+  kit_destroy (b[1]);
+}
+
+Test (peer, a_restart_replaces_the_old_connection)
+{
+  for (size_t i = 0; i < 2; i++)
+    run_restart_unseen (&dial_cases[i]);
+}
+
+Test (peer, a_lost_peer_is_dialled_until_it_is_back)
+{
+  struct kit_node *a = start_node ("a", 1);
+  struct kit_node *b = start_node ("b", 2);
+  struct kit_options again = { .host = "b", .listen = b->address, .boot = 3 };
+  struct kit_node *back;
+
+  mq_peer_net_keep (a->net, b->address);
+  kit_wait_up (a);
+  kit_destroy (b);
+  kit_wait_down (a);
+  cr_expect_eq (mq_peer_net_find (a->net, b->address), 0);
+  cr_expect_not (kit_send_token (a, 1));
+  back = kit_node (&again);
+  kit_wait_up (a);
+  kit_wait_up (back);
+  cr_expect_eq (find_event (a, KIT_UP, 1)->boot, 3);
+}
+
+/* A release in the turn of the last sends: what was sent arrives whole, the
+   connection ends on both sides, and is not dialled again.  */
+Test (peer, release_loses_no_frame)
+{
+  struct kit_node *a = start_node ("a", 1);
+  struct kit_node *b = start_node ("b", 2);
+
+  mq_peer_net_keep (a->net, b->address);
+  mq_peer_net_keep (a->net, b->address);
+  kit_wait_up (a);
+  for (uint32_t i = 0; i < BURST; i++)
+    cr_assert (kit_send_token (a, i));
+  mq_peer_net_release (a->net, b->address);
+  cr_expect_eq (a->up, 1);
+  cr_expect_eq (mq_peer_net_find (a->net, b->address), 0);
+  cr_expect_not (kit_send_token (a, BURST));
+  kit_wait_down (a);
+  kit_wait_count (b, KIT_DOWN, 1);
+  expect_burst (b);
+  cr_expect_eq (find_event (a, KIT_DOWN, 0)->why, MQ_ERR_NONE);
+  cr_expect_eq (mq_peer_net_counters (a->net)->connections_lost, 0);
+}
+
+/* The last frames of a planned stop are still in the queue.  */
+Test (peer, destroy_sends_what_is_queued)
+{
+  struct kit_node *a = start_node ("a", 1);
+  struct kit_node *b = start_node ("b", 2);
+
+  mq_peer_net_keep (a->net, b->address);
+  kit_wait_up (a);
+  for (uint32_t i = 0; i < BURST; i++)
+    cr_assert (kit_send_token (a, i));
+  kit_destroy (a);
+  kit_wait_count (b, KIT_DOWN, 1);
+  expect_burst (b);
+}
+
+Test (peer, versions_are_told_once_and_only_rise)
+{
+  static const uint64_t versions[] = { 5, 6, 4, 9 };
+  static const uint64_t told[] = { 5, 6, 9 };
+  struct kit_node *a = start_node ("a", 1);
+  struct kit_node *b = start_node ("b", 2);
+
+  mq_peer_net_keep (a->net, b->address);
+  kit_wait_up (a);
+  kit_wait_up (b);
+  for (size_t i = 0; i < sizeof versions / sizeof versions[0]; i++)
+    {
+      mq_peer_net_set_version (a->net, versions[i]);
+      kit_run_frames (b, 5);
+    }
+  cr_assert_eq (kit_count (b, KIT_MESSAGE), 3);
+  for (size_t i = 0; i < sizeof told / sizeof told[0]; i++)
+    {
+      const struct mq_message *message
+          = find_event (b, KIT_MESSAGE, i)->message;
+
+      cr_expect_eq (message->type, MQ_MSG_CONFIG_HAVE);
+      cr_expect_eq (message->u.config.version, told[i]);
+    }
+  cr_expect_eq (kit_count (a, KIT_MESSAGE), 0);
+}
+
+Test (peer, control_is_counted_apart)
+{
+  struct kit_node *a = start_node ("a", 1);
+  struct kit_node *b = start_node ("b", 2);
+  struct mq_message *load = sample_message (a, MQ_MSG_LOAD);
+  const struct mq_peer_counters *out = mq_peer_net_counters (a->net);
+  const struct mq_peer_counters *in = mq_peer_net_counters (b->net);
+
+  mq_peer_net_keep (a->net, b->address);
+  kit_wait_up (a);
+  kit_wait_up (b);
+  for (uint32_t i = 0; i < 3; i++)
+    cr_assert (kit_send_token (a, i));
+  cr_assert (mq_peer_net_send (a->net, a->peer, load));
+  kit_wait_count (b, KIT_MESSAGE, 5);
+  cr_expect_eq (out->frames_out - out->control_frames_out, 3);
+  cr_expect_eq (in->frames_in - in->control_frames_in, 3);
+  cr_expect_geq (out->control_frames_out, 3); /* Hello, Proof, LOAD */
+  cr_expect_eq (out->bytes_out - out->control_bytes_out,
+                in->bytes_in - in->control_bytes_in);
+  cr_expect_gt (out->bytes_out - out->control_bytes_out, 3 * 4);
+}
+
+/* A stopped process reads nothing; without a bound its peer's queue would
+   take all memory.  Nothing is called back from inside the send.  */
+Test (peer, a_slow_reader_is_closed)
+{
+  struct kit_node *node = kit_node (
+      &(struct kit_options){ .host = "m", .boot = 1, .silent_ms = LONG_MS });
+  struct kit_client *client = kit_client (node, "z", 0);
+  struct mq_message token = { .type = MQ_MSG_TOKEN };
+  char *text = talloc_zero_size (node, 1 << 20);
+  size_t sent = 0;
+
+  memset (text, 'x', (1 << 20) - 1);
+  token.u.token.text = text;
+  kit_client_prove (client);
+  kit_wait_up (node);
+  while (mq_peer_net_send (node->net, node->peer, &token))
+    sent++;
+  cr_expect_eq (sent, MQ_PEER_UNSENT_BYTES / (1 << 20) - 1);
+  cr_expect_eq (node->up, 1);
+  cr_expect_not (kit_send_token (node, 1));
+  kit_wait_down (node);
+  cr_expect_eq (find_event (node, KIT_DOWN, 0)->why, MQ_ERR_SLOW_READER);
+  kit_client_close (client);
+}
+
+Test (peer, what_cannot_be_sent_is_refused)
+{
+  struct kit_node *a = start_node ("a", 1);
+  struct kit_node *b = start_node ("b", 2);
+  struct mq_message token = { .type = MQ_MSG_TOKEN };
+  char *text = talloc_zero_size (a, MQ_FRAME_MAX_BYTES + 1);
+
+  mq_peer_net_keep (a->net, b->address);
+  kit_wait_up (a);
+  memset (text, 'x', MQ_FRAME_MAX_BYTES);
+  token.u.token.text = text;
+  cr_expect_not (mq_peer_net_send (a->net, a->peer, &token));
+  cr_expect_not (mq_peer_net_send (a->net, a->peer + 1, &token));
+  cr_expect_not (mq_peer_net_send (a->net, 0, &token));
+  text[MQ_FRAME_MAX_BYTES - 100] = '\0';
+  cr_expect (mq_peer_net_send (a->net, a->peer, &token));
+  kit_wait_count (b, KIT_MESSAGE, 1);
+  cr_expect_str_eq (find_event (b, KIT_MESSAGE, 0)->message->u.token.text,
+                    text);
+  cr_expect_eq (kit_count (a, KIT_DOWN), 0);
+}
+
+struct destroy_case
+{
+  enum kit_event_type in;
+  bool free_ctx;
+};
+
+static const struct destroy_case destroy_cases[]
+    = { { KIT_UP, false },     { KIT_UP, true },    { KIT_MESSAGE, false },
+        { KIT_MESSAGE, true }, { KIT_DOWN, false }, { KIT_DOWN, true } };
+
+/* A daemon gives up from inside a callback, or frees what holds the net.  */
+static void
+run_destroy (const struct destroy_case *each)
+{
+  struct kit_node *a = start_node ("a", 1);
+  struct kit_node *b = start_node ("b", 2);
+
+  a->destroy[each->in] = true;
+  a->free_ctx = each->free_ctx;
+  b->burst = BURST;
+  mq_peer_net_keep (a->net, b->address);
+  kit_wait_up (b);
+  if (each->in == KIT_DOWN)
+    {
+      kit_destroy (b);
+      kit_wait_count (a, KIT_DOWN, 1);
+    }
+  else
+    {
+      kit_wait_down (b);
+      kit_destroy (b);
+    }
+  cr_expect_null (a->net);
+  cr_expect_eq (a->events[a->count - 1].type, each->in);
+}
+
+Test (peer, the_net_is_destroyed_from_a_callback)
+{
+  for (size_t i = 0; i < sizeof destroy_cases / sizeof destroy_cases[0]; i++)
+    run_destroy (&destroy_cases[i]);
+}
+
+/* The machine stops a process for longer than silent_ms.  When it wakes, the
+   frames of its peers are there to be read, so nobody was silent: closing
+   all connections would turn a pause into an outage.  */
+Test (peer, a_pause_of_ours_is_not_their_silence)
+{
+  struct kit_node *a = start_node ("a", 1);
+  struct kit_node *b = start_node ("b", 2);
+
+  mq_peer_net_keep (a->net, b->address);
+  kit_wait_up (a);
+  kit_wait_up (b);
+  for (int i = 0; i < 3; i++)
+    {
+      usleep (3 * KIT_SILENT_MS * 1000);
+      kit_run_frames (a, 3);
+      kit_run_frames (b, 3);
+    }
+  cr_expect_eq (kit_count (a, KIT_DOWN) + kit_count (b, KIT_DOWN), 0);
 }
