Read the answers of a peer that died before closing

Change: a test for answers that wait behind a failed write; a refused dial is noticed at once (tevent reports errors to readers only).

--- a/src/io/peer_conn.c
+++ b/src/io/peer_conn.c
@@ -382,9 +382,9 @@
     {
       conn->reader = mq_frame_reader_create (conn);
       conn->writer = mq_frame_writer_create (conn);
-      conn->event = tevent_add_fd (net->ev, conn, fd,
-                                   dialled ? TEVENT_FD_WRITE : TEVENT_FD_READ,
-                                   on_socket, conn);
+      conn->event
+          = tevent_add_fd (net->ev, conn, fd, TEVENT_FD_READ | TEVENT_FD_WRITE,
+                           on_socket, conn);
     }
   if (conn == NULL || conn->reader == NULL || conn->writer == NULL
       || conn->event == NULL)
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -3,6 +3,7 @@
    Needs: peer_kit.h, message_samples.h, Criterion.  */
 
 #include "../src/core/limits.h"
+#include "../src/io/codec.h"
 #include "message_samples.h"
 #include "peer_kit.h"
 #include <criterion/criterion.h>
@@ -408,6 +409,31 @@
   cr_expect_eq (kit_count (a, KIT_DOWN), 0);
 }
 
+/* A target's process answers and dies at once; the next frame that is sent
+   to it fails.  Its answers are already here and must not be thrown away with
+   the connection: a call that ran would count as unknown.  */
+Test (peer, answers_before_a_death_arrive)
+{
+  struct kit_node *node = start_node ("m", 1);
+  struct kit_client *client = kit_client (node, "z", 0);
+  struct mq_message token = { .type = MQ_MSG_TOKEN };
+  uint8_t *data;
+  size_t len;
+
+  kit_client_prove (client);
+  kit_wait_up (node);
+  for (uint32_t i = 0; i < BURST; i++)
+    {
+      token.u.token.index = i;
+      data = mq_codec_pack (client, &token, &len);
+      kit_client_send (client, data, len);
+    }
+  kit_client_close (client);
+  cr_assert (kit_send_token (node, 1));
+  kit_wait_down (node);
+  expect_burst (node);
+}
+
 struct destroy_case
 {
   enum kit_event_type in;
