--- a/proto/log.pb-c.c
+++ b/proto/log.pb-c.c
@@ -682,7 +682,7 @@
   assert(message->base.descriptor == &mqlog__checkpoint__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor mqlog__partition_row__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mqlog__partition_row__field_descriptors[10] =
 {
   {
     "fence",
@@ -792,6 +792,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "last_owner",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mqlog__PartitionRow, last_owner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqlog__partition_row__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -800,6 +812,7 @@
   7,   /* field[7] = checkpoint_key */
   0,   /* field[0] = fence */
   8,   /* field[8] = first */
+  9,   /* field[9] = last_owner */
   1,   /* field[1] = owner */
   2,   /* field[2] = owner_boot */
   4,   /* field[4] = sequence */
@@ -807,7 +820,7 @@
 static const ProtobufCIntRange mqlog__partition_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor mqlog__partition_row__descriptor =
 {
@@ -817,7 +830,7 @@
   "Mqlog__PartitionRow",
   "mqlog",
   sizeof(Mqlog__PartitionRow),
-  9,
+  10,
   mqlog__partition_row__field_descriptors,
   mqlog__partition_row__field_indices_by_name,
   1,  mqlog__partition_row__number_ranges,
@@ -1660,7 +1673,7 @@
   (ProtobufCMessageInit) mqlog__answered__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqlog__record__field_descriptors[11] =
+static const ProtobufCFieldDescriptor mqlog__record__field_descriptors[12] =
 {
   {
     "hi",
@@ -1794,12 +1807,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "forfeited",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Mqlog__Record, body_case),
+    offsetof(Mqlog__Record, forfeited),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqlog__record__field_indices_by_name[] = {
   9,   /* field[9] = answered */
   3,   /* field[3] = charge */
   10,   /* field[10] = charged */
   2,   /* field[2] = elapsed_ms */
+  11,   /* field[11] = forfeited */
   5,   /* field[5] = granted */
   0,   /* field[0] = hi */
   6,   /* field[6] = intent */
@@ -1811,7 +1837,7 @@
 static const ProtobufCIntRange mqlog__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mqlog__record__descriptor =
 {
@@ -1821,7 +1847,7 @@
   "Mqlog__Record",
   "mqlog",
   sizeof(Mqlog__Record),
-  11,
+  12,
   mqlog__record__field_descriptors,
   mqlog__record__field_indices_by_name,
   1,  mqlog__record__number_ranges,
@@ -2021,7 +2047,7 @@
   (ProtobufCMessageInit) mqlog__step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqlog__program__field_descriptors[16] =
+static const ProtobufCFieldDescriptor mqlog__program__field_descriptors[17] =
 {
   {
     "hi",
@@ -2215,8 +2241,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answer_ready",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mqlog__Program, answer_ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqlog__program__field_indices_by_name[] = {
+  16,   /* field[16] = answer_ready */
   12,   /* field[12] = answered */
   4,   /* field[4] = calls */
   8,   /* field[8] = elapsed_ms */
@@ -2237,7 +2276,7 @@
 static const ProtobufCIntRange mqlog__program__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor mqlog__program__descriptor =
 {
@@ -2247,7 +2286,7 @@
   "Mqlog__Program",
   "mqlog",
   sizeof(Mqlog__Program),
-  16,
+  17,
   mqlog__program__field_descriptors,
   mqlog__program__field_indices_by_name,
   1,  mqlog__program__number_ranges,
--- a/proto/log.pb-c.h
+++ b/proto/log.pb-c.h
@@ -73,10 +73,14 @@
    * oldest row of the log not yet removed
    */
   uint64_t first;
+  /*
+   * host that may have calls under way for it
+   */
+  char *last_owner;
 };
 #define MQLOG__PARTITION_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqlog__partition_row__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -244,7 +248,8 @@
   MQLOG__RECORD__BODY_OUTCOME = 8,
   MQLOG__RECORD__BODY_TURNED = 9,
   MQLOG__RECORD__BODY_ANSWERED = 10,
-  MQLOG__RECORD__BODY_CHARGED = 11
+  MQLOG__RECORD__BODY_CHARGED = 11,
+  MQLOG__RECORD__BODY_FORFEITED = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MQLOG__RECORD__BODY__CASE)
 } Mqlog__Record__BodyCase;
 
@@ -273,6 +278,10 @@
      * only the charge above
      */
     protobuf_c_boolean charged;
+    /*
+     * the charge is what was granted and not reported
+     */
+    protobuf_c_boolean forfeited;
   };
 };
 #define MQLOG__RECORD__INIT \
@@ -342,10 +351,11 @@
   size_t n_steps;
   Mqlog__Step **steps;
   char *last_content;
+  protobuf_c_boolean answer_ready;
 };
 #define MQLOG__PROGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqlog__program__descriptor) \
-    , 0, 0, NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, NULL, 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, 0, NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, NULL, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Mqlog__Checkpoint
--- a/src/core/idmap.h
+++ b/src/core/idmap.h
@@ -19,8 +19,7 @@
 void mq_idmap_put (struct mq_idmap *map, struct mq_id id, uint32_t number,
                    void *value);
 /* Returns what was there, NULL when absent.  */
-void *mq_idmap_remove (struct mq_idmap *map, struct mq_id id,
-                       uint32_t number);
+void *mq_idmap_remove (struct mq_idmap *map, struct mq_id id, uint32_t number);
 size_t mq_idmap_count (const struct mq_idmap *map);
 /* Steps through the map: start with *POSITION 0; NULL at the end.  The map
    must not be changed meanwhile.  */
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -25,10 +25,17 @@
 #define MQ_OWNER_RENEW_MS 1000U /* the owner's row is written this often */
 #define MQ_OWNER_SCAN_MS 1000U  /* owners' and partitions' rows are read */
 #define MQ_OWNER_PROGRAMS_MAX 50000U
+#define MQ_OWNERS_MAX 40U        /* hosts that may own partitions */
+#define MQ_OWNER_DOWN_MS 1500U   /* connection lost and no renewal */
+#define MQ_OWNER_RANK_MS 300U    /* the next best host waits longer */
+#define MQ_TAKEOVERS_MAX 4U      /* takeovers of one host at a time */
+#define MQ_RECOVER_MS 2000U      /* targets' processes answer in this */
+#define MQ_BALANCE_MS 250U       /* between two partitions given up */
+#define MQ_TARGET_KEEP_MS 10000U /* an unlisted target stays known */
 #define MQ_COMMIT_RECORDS_MAX 512U
 #define MQ_COMMIT_INLINE_BYTES (64U << 10) /* larger: in an object */
-#define MQ_CHECKPOINT_RECORDS 2000U /* records between checkpoints */
-#define MQ_STORE_TIMEOUT_MS 3000U   /* no answer: LOST */
+#define MQ_CHECKPOINT_RECORDS 2000U        /* records between checkpoints */
+#define MQ_STORE_TIMEOUT_MS 3000U          /* no answer: LOST */
 #define MQ_STORE_RETRY_MS 100U
 #define MQ_STORE_RETRY_MAX_MS 2000U
 
@@ -37,9 +44,14 @@
 #define MQ_RETRY_BASE_MS 50U
 #define MQ_RETRY_MAX_MS 5000U
 #define MQ_ATTEMPTS_MAX 8U
-#define MQ_STEP_AHEAD_MAX 32U /* calls that wait for a predecessor */
-#define MQ_GRANT_CALLS 4U     /* calls that one budget grant covers */
-#define MQ_LOOP_REPEATS 4U    /* same call in a row: a suspected loop */
+#define MQ_STEP_AHEAD_MAX 32U     /* calls that wait for a predecessor */
+#define MQ_GRANT_CALLS 4U         /* calls that one budget grant covers */
+#define MQ_ENDED_KEEP_MS 3600000U /* ended programs stay for repeats */
+#define MQ_PENDING_MAX_BYTES                                                  \
+  (64U << 20)              /* records that wait for the store                 \
+                            */
+#define MQ_GONE_MS 30000U  /* an unlisted target's calls: unknown */
+#define MQ_LOOP_REPEATS 4U /* same call in a row: a suspected loop */
 
 /* Gates.  */
 #define MQ_GATE_QUEUE_MAX 512U
--- /dev/null
+++ b/src/core/owner_hosts.c
@@ -0,0 +1,378 @@
+/* owner_hosts.c - hosts, connections to them, and pools of workers.
+
+   Hints only: a wrong entry costs latency, never a promise.
+   Needs: owner_state.h, id.h.  */
+
+#include "owner_state.h"
+#include "id.h"
+#include <stdlib.h>
+#include <string.h>
+
+static char *
+copy_text (TALLOC_CTX *ctx, const char *text)
+{
+  char *copy = talloc_strdup (ctx, text == NULL ? "" : text);
+
+  if (copy == NULL)
+    abort ();
+  return copy;
+}
+
+/* ---- Pools ---- */
+
+struct pool *
+hosts_pool (struct mq_owner *owner, const char *service)
+{
+  struct pool *pool;
+
+  for (pool = owner->pools; pool != NULL; pool = pool->next)
+    if (strcmp (pool->service, service) == 0)
+      return pool;
+  pool = talloc_zero (owner, struct pool);
+  if (pool == NULL)
+    abort ();
+  pool->service = copy_text (pool, service);
+  pool->next = owner->pools;
+  owner->pools = pool;
+  return pool;
+}
+
+static void
+pool_add (struct mq_owner *owner, struct pool *pool, struct worker *worker)
+{
+  struct mq_worker_view *view;
+  unsigned int count = (unsigned int)pool->count + 1;
+
+  pool->views
+      = talloc_realloc (pool, pool->views, struct mq_worker_view, count);
+  pool->workers = talloc_realloc (pool, pool->workers, struct worker *, count);
+  if (pool->views == NULL || pool->workers == NULL)
+    abort ();
+  worker->pool = pool;
+  worker->view = pool->count;
+  pool->workers[pool->count] = worker;
+  view = &pool->views[pool->count++];
+  memset (view, 0, sizeof *view);
+  view->worker = worker->index;
+  view->name_hash = mq_rendezvous_weight (worker->target->host, worker->index);
+  view->data_centre_near
+      = strcmp (worker->target->data_centre, owner->options.data_centre) == 0;
+}
+
+static void
+pool_remove (struct worker *worker)
+{
+  struct pool *pool = worker->pool;
+  size_t last = --pool->count;
+
+  pool->views[worker->view] = pool->views[last];
+  pool->workers[worker->view] = pool->workers[last];
+  pool->workers[worker->view]->view = worker->view;
+}
+
+struct mq_worker_view *
+hosts_view (struct mq_owner *owner, struct target *target, uint32_t worker)
+{
+  (void)owner;
+  if (worker >= target->worker_count)
+    return NULL;
+  return &target->workers[worker]->pool->views[target->workers[worker]->view];
+}
+
+void
+hosts_target_usable (struct mq_owner *owner, struct target *target)
+{
+  for (uint32_t i = 0; i < target->worker_count; i++)
+    {
+      struct mq_worker_view *view = hosts_view (owner, target, i);
+
+      view->peer = target->peer;
+      view->avoid = target->peer == 0 || target->leaving || !target->durable;
+    }
+}
+
+/* ---- Targets and siblings ---- */
+
+struct target *
+hosts_target_named (struct mq_owner *owner, const char *host)
+{
+  for (struct target *t = owner->targets; t != NULL; t = t->next)
+    if (strcmp (t->host, host) == 0)
+      return t;
+  return NULL;
+}
+
+struct target *
+hosts_find_target (struct mq_owner *owner, uint32_t peer)
+{
+  for (struct target *t = owner->targets; t != NULL; t = t->next)
+    if (t->peer == peer)
+      return t;
+  return NULL;
+}
+
+static struct target *
+add_target (struct mq_owner *owner, const char *host, const char *data_centre)
+{
+  struct target *target = talloc_zero (owner, struct target);
+
+  if (target == NULL)
+    abort ();
+  target->host = copy_text (target, host);
+  target->data_centre = copy_text (target, data_centre);
+  target->unlisted_us = owner->now_us;
+  target->next = owner->targets;
+  owner->targets = target;
+  owner->targets_dirty = true;
+  return target;
+}
+
+struct sibling *
+hosts_sibling_named (struct mq_owner *owner, const char *host, bool create)
+{
+  struct sibling *sibling;
+
+  for (sibling = owner->siblings; sibling != NULL; sibling = sibling->next)
+    if (strcmp (sibling->host, host) == 0)
+      return sibling;
+  if (!create)
+    return NULL;
+  sibling = talloc_zero (owner, struct sibling);
+  if (sibling == NULL)
+    abort ();
+  sibling->host = copy_text (sibling, host);
+  sibling->address = copy_text (sibling, "");
+  sibling->data_centre = copy_text (sibling, "");
+  sibling->counter_us = owner->now_us;
+  sibling->next = owner->siblings;
+  owner->siblings = sibling;
+  return sibling;
+}
+
+static void
+list_target (struct mq_owner *owner, const struct mq_host *host)
+{
+  struct target *target = hosts_target_named (owner, host->name);
+
+  if (target == NULL)
+    target = add_target (owner, host->name, host->data_centre);
+  target->listed = true;
+  /* A target that said itself that it leaves is believed until it is new.  */
+  if (host->leaving)
+    target->leaving = true;
+  hosts_target_usable (owner, target);
+}
+
+static void
+list_sibling (struct mq_owner *owner, const struct mq_host *host)
+{
+  struct sibling *sibling;
+
+  if (strcmp (host->name, owner->options.host) == 0)
+    return;
+  sibling = hosts_sibling_named (owner, host->name, true);
+  sibling->listed = true;
+  sibling->list_leaving = host->leaving;
+}
+
+void
+hosts_listed (struct mq_owner *owner, const struct mq_host_list *hosts)
+{
+  for (struct target *t = owner->targets; t != NULL; t = t->next)
+    {
+      if (t->listed)
+        t->unlisted_us = owner->now_us;
+      t->listed = false;
+    }
+  for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
+    s->listed = false;
+  for (size_t i = 0; i < hosts->count; i++)
+    switch (hosts->items[i].role)
+      {
+      case MQ_HOST_TARGET:
+        list_target (owner, &hosts->items[i]);
+        break;
+      case MQ_HOST_ENTRY:
+        list_sibling (owner, &hosts->items[i]);
+        break;
+      }
+}
+
+static void
+drop_references (struct mq_owner *owner, const struct target *target)
+{
+  struct running *running;
+  size_t position = 0;
+
+  while ((running = mq_idmap_next (owner->running, &position)) != NULL)
+    {
+      struct cache_place **at = &running->caches;
+
+      if (running->sticky == target)
+        running->sticky = NULL;
+      while (*at != NULL)
+        if ((*at)->target == target)
+          *at = (*at)->next;
+        else
+          at = &(*at)->next;
+    }
+}
+
+/* Forgets targets that the list dropped long ago.  Nothing is under way
+   there, so a new owner need not ask them.  */
+void
+hosts_tick (struct mq_owner *owner)
+{
+  struct target **at = &owner->targets;
+
+  while (*at != NULL)
+    {
+      struct target *target = *at;
+
+      if (target->listed || target->peer != 0 || target->calls > 0
+          || owner->now_us - target->unlisted_us < 1000ULL * MQ_TARGET_KEEP_MS)
+        {
+          at = &target->next;
+          continue;
+        }
+      *at = target->next;
+      for (size_t i = 0; i < target->worker_count; i++)
+        pool_remove (target->workers[i]);
+      drop_references (owner, target);
+      talloc_free (target);
+      owner->targets_dirty = true;
+    }
+}
+
+/* ---- Connections ---- */
+
+static void
+target_up (struct mq_owner *owner, uint32_t peer, const char *host,
+           uint64_t boot)
+{
+  struct target *target = hosts_target_named (owner, host);
+  bool same_boot;
+
+  if (target == NULL)
+    target = add_target (owner, host, "");
+  same_boot = target->boot == boot;
+  if (!same_boot)
+    target->leaving = false;
+  target->boot = boot;
+  target->peer = peer;
+  target->down_us = 0;
+  hosts_target_usable (owner, target);
+  take_target_up (owner, target);
+  calls_target_up (owner, target, same_boot);
+}
+
+void
+hosts_peer_up (struct mq_owner *owner, uint32_t peer, const char *host,
+               enum mq_host_role role, uint64_t boot)
+{
+  struct sibling *sibling;
+
+  owner_state (owner, MQ_STATE_PEER_UP, peer, host);
+  switch (role)
+    {
+    case MQ_HOST_TARGET:
+      target_up (owner, peer, host, boot);
+      break;
+    case MQ_HOST_ENTRY:
+      sibling = hosts_sibling_named (owner, host, true);
+      sibling->peer = peer;
+      sibling->peer_down_us = 0;
+      break;
+    }
+}
+
+void
+hosts_peer_down (struct mq_owner *owner, uint32_t peer)
+{
+  struct target *target = hosts_find_target (owner, peer);
+
+  request_peer_gone (owner, peer);
+  for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
+    if (s->peer == peer)
+      {
+        owner_state (owner, MQ_STATE_PEER_DOWN, peer, s->host);
+        s->peer = 0;
+        s->peer_down_us = owner->now_us;
+      }
+  if (target == NULL)
+    return;
+  owner_state (owner, MQ_STATE_PEER_DOWN, peer, target->host);
+  target->peer = 0;
+  target->down_us = owner->now_us;
+  hosts_target_usable (owner, target);
+  calls_target_down (owner, target);
+}
+
+void
+hosts_send (struct mq_owner *owner, struct target *target,
+            const struct mq_message *message)
+{
+  if (target->peer != 0)
+    mq_actions_send (owner->actions, target->peer, message);
+}
+
+/* ---- Load ---- */
+
+static bool
+same_workers (const struct target *target, const struct mq_load_msg *load)
+{
+  if (target->worker_count != load->worker_count)
+    return false;
+  for (size_t i = 0; i < load->worker_count; i++)
+    if (strcmp (target->workers[i]->pool->service, load->workers[i].service)
+        != 0)
+      return false;
+  return true;
+}
+
+static void
+rebuild_workers (struct mq_owner *owner, struct target *target,
+                 const struct mq_load_msg *load)
+{
+  for (size_t i = 0; i < target->worker_count; i++)
+    pool_remove (target->workers[i]);
+  talloc_free (target->workers);
+  target->worker_count = load->worker_count;
+  target->workers = talloc_zero_array (target, struct worker *,
+                                       (unsigned int)load->worker_count);
+  for (size_t i = 0; i < load->worker_count; i++)
+    {
+      struct worker *worker = talloc_zero (target->workers, struct worker);
+
+      if (worker == NULL)
+        abort ();
+      worker->target = target;
+      worker->index = (uint32_t)i;
+      target->workers[i] = worker;
+      pool_add (owner, hosts_pool (owner, load->workers[i].service), worker);
+    }
+}
+
+void
+hosts_load (struct mq_owner *owner, struct target *target,
+            const struct mq_load_msg *load)
+{
+  if (!same_workers (target, load))
+    rebuild_workers (owner, target, load);
+  target->leaving = load->leaving;
+  for (uint32_t i = 0; i < load->worker_count; i++)
+    {
+      const struct mq_worker_load *from = &load->workers[i];
+      struct mq_worker_view *view = hosts_view (owner, target, i);
+
+      view->slots = from->slots;
+      view->reported_busy = from->running + from->queued;
+      view->reported_us = owner->now_us;
+      view->cache_free = from->cache_total > from->cache_used
+                             ? from->cache_total - from->cache_used
+                             : 0;
+      view->prefill_rate = from->prefill_rate;
+      view->decode_us = from->decode_us;
+    }
+  hosts_target_usable (owner, target);
+}
--- /dev/null
+++ b/src/core/owner_state.h
@@ -0,0 +1,589 @@
+/* owner_state.h - the owner's tables, shared by the owner_*.c files only.
+
+   owner.c        inputs, ticks, status
+   owner_log.c    group commit, settlement of lost answers, checkpoints
+   owner_take.c   owners' and partitions' rows, takeover, hand-over
+   owner_hosts.c  hosts, connections, workers
+   owner_calls.c  attempts of calls: placing, outcomes, retries, sealing
+   owner_chain.c  programs: opening, next steps, budget, answers
+   owner_request.c callers' requests and events
+   Needs: owner.h, program.h, idmap.h, place.h, limits.h.  */
+
+#ifndef MQ_OWNER_STATE_H
+#define MQ_OWNER_STATE_H
+
+#include "idmap.h"
+#include "limits.h"
+#include "owner.h"
+#include "place.h"
+#include "program.h"
+
+enum partition_state
+{
+  PARTITION_OTHER,    /* another host's, or nobody's */
+  PARTITION_CLAIMING, /* our transaction that raises the fence is out */
+  PARTITION_READING,  /* checkpoint, log rows, objects */
+  PARTITION_RECOVER,  /* targets' processes are asked what they keep */
+  PARTITION_ACTIVE,
+  PARTITION_RELEASING /* no new records; the row is released last */
+};
+
+/* One batch row read in a takeover; its records may be in an object.  */
+struct read_batch
+{
+  uint64_t sequence;
+  char *object;
+  struct mq_bytes bytes; /* packed Mqlog__Batch */
+};
+
+enum takeover_step
+{
+  TAKE_CHECKPOINT, /* its object is read */
+  TAKE_ROWS,       /* the log's rows after it are read */
+  TAKE_OBJECTS,    /* objects of large batches are read */
+  TAKE_TARGETS     /* the targets row of the previous owner is read */
+};
+
+/* A takeover in progress.  */
+struct takeover
+{
+  enum takeover_step step;
+  struct read_batch *rows; /* in order */
+  size_t row_count;
+  size_t row_next;    /* first one whose object is not yet read */
+  char *after;        /* last log row read */
+  bool targets_known; /* the previous owner's targets were read */
+  bool exact;         /* every target that may hold work answered */
+  uint64_t recover_until_us;
+  struct recover_wait *waits;
+  size_t wait_count;
+};
+
+struct recover_wait
+{
+  char *host;
+  bool answered;
+};
+
+struct partition
+{
+  uint32_t number;
+  enum partition_state state;
+  /* As last read or written.  */
+  bool row_known;
+  uint64_t row_version;
+  uint64_t fence;
+  char *owner;
+  char *address;
+  uint64_t owner_boot;
+  uint64_t sequence;
+  uint64_t batch;
+  uint64_t checkpoint;
+  char *checkpoint_key;
+  uint64_t first;
+  /* Ours.  */
+  struct takeover *takeover;
+  uint64_t read_id;  /* store request under way for this partition */
+  uint64_t retry_us; /* when to try the next step again */
+  struct mq_idmap *programs;
+  TALLOC_CTX *memory; /* programs hang below it */
+  struct record *pending_first;
+  struct record *pending_last;
+  size_t pending_count;
+  bool in_flight; /* part of the batch under way */
+  uint64_t records_since_checkpoint;
+  uint64_t snapshot_sequence; /* checkpoint object being written, 0: none */
+  char *snapshot_key;
+  struct mq_bytes snapshot; /* its bytes until they are written */
+  uint64_t snapshot_id;     /* store request that writes it */
+  bool snapshot_written;
+  struct segment *segments; /* objects of large batches still needed */
+  char *last_owner;         /* may have calls under way for it */
+  uint64_t unowned_us;      /* since when its owner seems to be gone */
+};
+
+struct segment
+{
+  struct segment *next;
+  uint64_t sequence;
+  char *object;
+};
+
+/* A packed record that waits for its batch.  */
+struct record
+{
+  struct record *next;
+  struct mq_id program;
+  uint8_t *data;
+  size_t len;
+};
+
+enum hook_type
+{
+  HOOK_ACCEPTED, /* tell callers that the program is durable */
+  HOOK_GRANTED,  /* go on with the program */
+  HOOK_INTENT,   /* send the call */
+  HOOK_STEP,     /* the call's outcome is durable: events, FORGET */
+  HOOK_ANSWERED, /* the answer is durable: events, evictions */
+  HOOK_REPLY     /* one caller's question can be answered */
+};
+
+/* What to do when the records before it are durable.  */
+struct hook
+{
+  struct hook *next;
+  enum hook_type type;
+  struct mq_id program;
+  uint32_t partition;
+  uint32_t call;
+  uint32_t attempt;
+  char *host;    /* STEP: target that keeps the outcome, may be NULL */
+  uint32_t peer; /* REPLY */
+  uint64_t handle;
+  bool history;    /* REPLY: with the history */
+  uint64_t tokens; /* ACCEPTED, GRANTED: what is granted then */
+  uint64_t since_us;
+};
+
+/* One partition's share of the transaction under way.  */
+struct flight_part
+{
+  struct partition *partition; /* NULL: lost meanwhile */
+  uint64_t sequence;           /* after the transaction */
+  char *log_key;               /* NULL: no records, no log row */
+  char *object;                /* key of a large batch's object, or NULL */
+  struct mq_bytes bytes;       /* packed batch */
+  struct mq_bytes snapshot;    /* checkpoint as of this batch, or empty */
+  uint64_t checkpoint;
+  const char *checkpoint_key;
+  uint64_t first;
+  bool release;
+  size_t row_op; /* index of its row in the transaction */
+};
+
+enum flight_state
+{
+  FLIGHT_NONE,
+  FLIGHT_OBJECTS, /* large batches are being written */
+  FLIGHT_TXN,     /* the transaction is out */
+  FLIGHT_SETTLE,  /* the rows are read to learn what became of it */
+  FLIGHT_WAIT     /* a pause before the next try of what failed */
+};
+
+/* The transaction under way; at most one.  */
+struct flight
+{
+  enum flight_state state;
+  enum flight_state resume; /* WAIT: what to try again */
+  TALLOC_CTX *memory;
+  uint64_t batch;
+  uint64_t request_id;
+  struct flight_part *parts;
+  size_t count;
+  size_t object_next; /* part whose object is being written */
+  struct hook *hooks;
+  struct record *records;
+  uint64_t started_us;
+  uint64_t retry_us;
+  uint32_t tries;
+};
+
+enum call_state
+{
+  CALL_GRANT,   /* waits for the grant's commit */
+  CALL_INTENT,  /* waits for the intent's commit */
+  CALL_PLACE,   /* waits for a worker or for a retry's time */
+  CALL_SENT,    /* at a target's process */
+  CALL_SEALING, /* to be settled with the target's process */
+  CALL_CHILD    /* a sub-program runs */
+};
+
+/* The one call of a program that is under way.  */
+struct call
+{
+  enum call_state state;
+  uint32_t number;
+  uint32_t attempt;
+  const struct mq_service *service;
+  bool model;
+  bool idempotent;
+  char *body;  /* for the target */
+  char *input; /* caller-driven: what the caller sent */
+  uint64_t digest;
+  bool own_messages;
+  uint32_t max_tokens;
+  uint64_t reserved; /* tokens reserved for the attempt under way */
+  uint32_t prompt_tokens;
+  struct target *target;
+  uint32_t worker;
+  uint64_t boot;
+  uint64_t sent_us;
+  uint64_t started_us;
+  uint64_t down_us; /* when the target's connection was lost, 0: up */
+  uint64_t retry_us;
+  uint32_t tries;
+  enum mq_error_type last_error;
+  uint32_t last_retry_after_ms;
+  uint32_t tokens_seen;
+  bool prepaid; /* its tokens were forfeited in a takeover */
+};
+
+struct waiter
+{
+  struct waiter *next;
+  uint32_t peer;
+  uint64_t handle;
+  bool stream;
+  uint32_t call;  /* STEP: answer of this call ends the wait, 0: final */
+  uint32_t after; /* events up to this number were already received */
+};
+
+/* A caller's STEP that waits for its predecessors.  */
+struct queued_step
+{
+  struct queued_step *next;
+  uint32_t call;
+  struct mq_request_msg request;
+};
+
+/* An attempt that a target's process reported in a takeover.  */
+struct recovered
+{
+  struct recovered *next;
+  struct target *target;
+  bool running; /* else it ended, as told by the outcome */
+  struct mq_call_ref ref;
+  struct mq_outcome_msg outcome;
+};
+
+/* Where a program's cache may be.  */
+struct cache_place
+{
+  struct cache_place *next;
+  struct target *target;
+  uint64_t boot;
+};
+
+struct running
+{
+  struct mq_program *program;
+  struct partition *partition;
+  struct running *parent; /* NULL: top */
+  struct running *child;  /* sub-program of the call under way */
+  struct call *call;
+  struct waiter *waiters;
+  struct queued_step *steps;
+  struct cache_place *caches;
+  bool evicting;           /* ended; caches lists what is not confirmed */
+  enum mq_error_type stop; /* why the program is being stopped */
+  uint64_t reserved; /* tokens of attempts under way, sub-programs' too */
+  uint64_t pending_charge; /* charged, not yet in a record */
+  uint64_t grant_wanted;   /* granted in a record that is not durable */
+  uint64_t grant_durable;
+  uint64_t clock_us;  /* running since, 0: the clock stands */
+  uint64_t undurable; /* records not yet durable */
+  uint64_t ended_us;
+  uint64_t wake_us;  /* timer in the heap, 0: none */
+  uint64_t lease_us; /* next renewal */
+  uint64_t evict_us;
+  struct target *sticky;
+  uint32_t sticky_worker;
+  uint32_t sticky_tokens;
+  uint64_t loop_digest;
+  uint32_t loop_count;
+  bool forfeited; /* what was granted before the takeover is spent */
+  struct recovered *recovered; /* what targets reported in a takeover */
+};
+
+/* A worker in the pool of its service.  */
+struct worker
+{
+  struct target *target;
+  uint32_t index;
+  struct pool *pool;
+  size_t view; /* its place in the pool */
+};
+
+struct pool
+{
+  struct pool *next;
+  char *service;
+  struct mq_worker_view *views;
+  struct worker **workers;
+  size_t count;
+  double retry_credit; /* retries that may be made now */
+};
+
+struct target
+{
+  struct target *next;
+  char *host;
+  char *data_centre;
+  bool listed; /* in the platform's list */
+  bool leaving;
+  bool durable;         /* in our targets row */
+  bool sent;            /* in the targets row that is being written */
+  uint64_t unlisted_us; /* since when it is not in the list */
+  uint32_t peer;        /* 0: no connection */
+  uint64_t boot;
+  uint64_t down_us;
+  struct worker **workers;
+  size_t worker_count;
+  uint32_t calls; /* attempts under way there */
+};
+
+/* Another entry host.  */
+struct sibling
+{
+  struct sibling *next;
+  char *host;
+  char *address;
+  char *data_centre;
+  bool listed;
+  bool list_leaving;
+  uint32_t peer;
+  uint64_t peer_down_us;
+  /* Its owner row.  */
+  bool row_known;
+  uint64_t counter;
+  uint64_t boot;
+  bool leaving;
+  uint64_t counter_us; /* when the counter was first seen at this value */
+  bool seen;           /* in the scan that is being read */
+  bool eligible;       /* among the hosts that may own partitions */
+  uint32_t owned;      /* partitions by the last scan */
+};
+
+struct timer
+{
+  uint64_t when_us;
+  struct mq_id program;
+};
+
+/* Programs of one organisation that are under way at this owner.  */
+struct organisation_count
+{
+  struct organisation_count *next;
+  char *name;
+  uint32_t live;
+};
+
+struct unknown_call
+{
+  struct mq_id program;
+  uint32_t call;
+  char *service;
+  char *target;
+};
+
+enum scan_type
+{
+  SCAN_OWNERS,
+  SCAN_PARTITIONS
+};
+
+struct mq_owner
+{
+  struct mq_owner_options options;
+  const struct mq_text *text;
+  uint64_t now_us;
+  uint64_t random;
+  struct mq_actions *actions; /* of the input being handled */
+  struct partition *partitions;
+  uint32_t partition_count;
+  struct mq_idmap *running; /* all programs of active partitions */
+  uint32_t live;            /* of these, not ended */
+  struct target *targets;
+  struct sibling *siblings;
+  struct pool *pools;
+  struct mq_place_state *place;
+  /* Commits.  */
+  struct flight flight;
+  struct hook *hooks_first; /* of the batch that gathers */
+  struct hook *hooks_last;
+  size_t gathered;
+  size_t gathered_bytes;
+  /* Store.  */
+  uint64_t next_request;
+  bool store_down;
+  uint64_t store_down_us;
+  uint32_t store_failures;
+  uint64_t owners_scan_id, partitions_scan_id, settle_scan_id;
+  uint64_t owners_scanned_us; /* last success */
+  uint64_t next_scan_us;
+  uint64_t scan_sent_us;
+  bool scanned; /* both scans succeeded once */
+  uint64_t renew_id;
+  uint64_t next_renew_us;
+  uint64_t row_counter;
+  uint64_t targets_id; /* write of our targets row */
+  bool targets_dirty;
+  uint64_t targets_retry_us;
+  uint32_t claiming;
+  bool eligible;       /* this host may own partitions */
+  uint32_t live_hosts; /* hosts that may, this one included */
+  /* Timers of programs: a binary heap.  */
+  struct timer *timers;
+  size_t timer_count;
+  size_t timer_room;
+  bool leaving;
+  uint64_t release_us; /* next partition given up for balance */
+  struct organisation_count *organisations;
+  struct unknown_call *unknown;
+  size_t unknown_count;
+  struct mq_owner_counters counters;
+};
+
+/* owner.c */
+uint64_t owner_new_id (struct mq_owner *owner);
+void owner_state (struct mq_owner *owner, enum mq_state_change change,
+                  uint64_t number, const char *subject);
+void owner_span (struct mq_owner *owner, const struct running *running,
+                 const char *name, uint32_t call, uint64_t start_us,
+                 enum mq_error_type error);
+void owner_wake_at (struct mq_owner *owner, struct running *running,
+                    uint64_t when_us);
+struct mq_store_request *owner_store (struct mq_owner *owner,
+                                      enum mq_store_kind kind, uint64_t id);
+uint32_t owner_jitter_ms (struct mq_owner *owner, uint32_t base_ms,
+                          uint32_t tries, uint32_t most_ms);
+
+/* owner_log.c */
+void log_append (struct mq_owner *owner, struct running *running,
+                 Mqlog__Record *record);
+struct hook *log_hook (struct mq_owner *owner, struct running *running,
+                       enum hook_type type, uint32_t call, uint32_t attempt,
+                       const char *host);
+struct hook *log_hook_reply (struct mq_owner *owner, struct running *running,
+                             uint32_t peer, uint64_t handle);
+void log_tick (struct mq_owner *owner);
+void log_flush (struct mq_owner *owner);
+bool log_store_result (struct mq_owner *owner,
+                       const struct mq_store_result *result);
+void log_drop_partition (struct mq_owner *owner, struct partition *partition);
+bool log_is_idle (const struct mq_owner *owner,
+                  const struct partition *partition);
+void log_store_failed (struct mq_owner *owner);
+void log_store_worked (struct mq_owner *owner);
+
+/* owner_take.c */
+void take_tick (struct mq_owner *owner);
+bool take_store_result (struct mq_owner *owner,
+                        const struct mq_store_result *result);
+void take_recovered (struct mq_owner *owner, struct target *target,
+                     const struct mq_recovered_msg *recovered);
+void take_target_up (struct mq_owner *owner, struct target *target);
+void take_handover (struct mq_owner *owner,
+                    const struct mq_handover_msg *handover);
+void take_lose (struct mq_owner *owner, struct partition *partition);
+void take_released (struct mq_owner *owner, struct partition *partition);
+void take_set_partitions (struct mq_owner *owner, uint32_t count);
+void take_apply (struct mq_owner *owner, struct partition *partition,
+                 const Mqlog__Record *record);
+bool take_is_drained (const struct mq_owner *owner);
+uint64_t take_next_tick (const struct mq_owner *owner);
+
+/* owner_hosts.c */
+void hosts_listed (struct mq_owner *owner, const struct mq_host_list *hosts);
+void hosts_peer_up (struct mq_owner *owner, uint32_t peer, const char *host,
+                    enum mq_host_role role, uint64_t boot);
+void hosts_peer_down (struct mq_owner *owner, uint32_t peer);
+void hosts_load (struct mq_owner *owner, struct target *target,
+                 const struct mq_load_msg *load);
+void hosts_target_usable (struct mq_owner *owner, struct target *target);
+void hosts_tick (struct mq_owner *owner);
+struct target *hosts_find_target (struct mq_owner *owner, uint32_t peer);
+struct target *hosts_target_named (struct mq_owner *owner, const char *host);
+struct sibling *hosts_sibling_named (struct mq_owner *owner, const char *host,
+                                     bool create);
+struct pool *hosts_pool (struct mq_owner *owner, const char *service);
+struct mq_worker_view *hosts_view (struct mq_owner *owner,
+                                   struct target *target, uint32_t worker);
+void hosts_send (struct mq_owner *owner, struct target *target,
+                 const struct mq_message *message);
+
+/* owner_calls.c */
+void calls_start (struct mq_owner *owner, struct running *running,
+                  struct call *call);
+void calls_continue (struct mq_owner *owner, struct running *running);
+void calls_intent_durable (struct mq_owner *owner, struct running *running,
+                           uint32_t call, uint32_t attempt);
+void calls_outcome (struct mq_owner *owner, struct target *target,
+                    const struct mq_outcome_msg *outcome);
+void calls_token (struct mq_owner *owner, struct target *target,
+                  const struct mq_token_msg *token);
+void calls_sealed (struct mq_owner *owner, struct target *target,
+                   const struct mq_sealed_msg *sealed);
+void calls_target_up (struct mq_owner *owner, struct target *target,
+                      bool same_boot);
+void calls_target_down (struct mq_owner *owner, struct target *target);
+void calls_adopt (struct mq_owner *owner, struct target *target,
+                  struct mq_call_ref ref, uint32_t partition);
+void calls_settle_intent (struct mq_owner *owner, struct running *running);
+void calls_resume (struct mq_owner *owner, struct running *running);
+bool calls_cancel (struct mq_owner *owner, struct running *running);
+void calls_drop (struct mq_owner *owner, struct running *running);
+void calls_tick (struct mq_owner *owner, struct running *running);
+void calls_forget (struct mq_owner *owner, struct mq_id program, uint32_t call,
+                   uint32_t attempt, uint32_t partition, uint64_t fence,
+                   const char *host);
+
+/* owner_chain.c */
+struct running *chain_find (struct mq_owner *owner, struct mq_id id);
+struct running *chain_add (struct mq_owner *owner, struct partition *partition,
+                           struct mq_program *program);
+void chain_remove (struct mq_owner *owner, struct running *running);
+void chain_resume_call (struct mq_owner *owner, struct running *running);
+void chain_advance (struct mq_owner *owner, struct running *running);
+void chain_outcome (struct mq_owner *owner, struct running *running,
+                    enum mq_error_type error, enum mq_ran ran,
+                    const char *body, const char *host);
+void chain_end (struct mq_owner *owner, struct running *running,
+                enum mq_error_type error, enum mq_ran ran, const char *answer);
+void chain_charge (struct mq_owner *owner, struct running *running,
+                   uint64_t tokens);
+void chain_count_live (struct mq_owner *owner, const struct running *running,
+                       int change);
+uint32_t chain_live_of (const struct mq_owner *owner,
+                        const char *organisation);
+void chain_stop (struct mq_owner *owner, struct running *running,
+                 enum mq_error_type why);
+struct running *chain_open (struct mq_owner *owner,
+                            struct partition *partition, struct mq_id id,
+                            const Mqlog__Opened *opened);
+void chain_reserve (struct running *running, uint64_t tokens);
+void chain_release (struct running *running, uint64_t tokens);
+bool chain_has_grant (struct mq_owner *owner, struct running *running,
+                      uint32_t max_tokens);
+uint64_t chain_elapsed_ms (const struct mq_owner *owner,
+                           const struct running *running);
+void chain_tick (struct mq_owner *owner, struct running *running);
+void chain_evicted (struct mq_owner *owner, struct target *target,
+                    struct mq_id program);
+void chain_hook (struct mq_owner *owner, struct hook *hook);
+void chain_start_clock (struct mq_owner *owner, struct running *running);
+enum mq_error_type chain_step (struct mq_owner *owner, struct running *running,
+                               const struct mq_request_msg *request);
+uint64_t chain_step_digest (const struct mq_request_msg *request);
+void chain_next_step (struct mq_owner *owner, struct running *running);
+void chain_child_ended (struct mq_owner *owner, struct running *child);
+void chain_forfeit (struct mq_owner *owner, struct running *running);
+
+/* owner_request.c */
+void request_handle (struct mq_owner *owner, uint32_t peer, uint64_t handle,
+                     const struct mq_request_msg *request);
+void request_gone (struct mq_owner *owner, uint32_t peer, uint64_t handle);
+void request_peer_gone (struct mq_owner *owner, uint32_t peer);
+void request_event (struct mq_owner *owner, struct running *running,
+                    enum mq_event_type type, uint32_t number, uint32_t call,
+                    const char *body);
+void request_final (struct mq_owner *owner, struct running *running);
+void request_step_done (struct mq_owner *owner, struct running *running,
+                        uint32_t call);
+void request_refuse_step (struct mq_owner *owner, struct running *running,
+                          uint32_t call, enum mq_error_type error);
+void request_detach (struct mq_owner *owner, struct running *running);
+void request_reply (struct mq_owner *owner, struct hook *hook);
+char *request_final_body (TALLOC_CTX *ctx, const struct running *running);
+
+#endif
--- a/src/core/place.h
+++ b/src/core/place.h
@@ -22,11 +22,12 @@
  * @peer: connection of its gate
  * @worker: index on that host
  * @name_hash: stable hash of host and index
+ * @data_centre_near: in the caller's data centre
  * @slots: calls that run side by side
  * @own_in_flight: calls sent from here and not ended
  * @own_tokens: prompt tokens still to compute of these, estimated
  * @reported_busy: running and queued as last reported
- * @report_age_us: age of that report
+ * @reported_us: when, on the caller's clock; 0: never
  * @cache_free: free cache tokens as last reported
  * @prefill_rate: tokens a second, 0: unknown
  * @decode_us: time of one token, 0: unknown
@@ -37,11 +38,12 @@
   uint32_t peer;
   uint32_t worker;
   uint64_t name_hash;
+  bool data_centre_near;
   uint32_t slots;
   uint32_t own_in_flight;
   uint64_t own_tokens;
   uint32_t reported_busy;
-  uint64_t report_age_us;
+  uint64_t reported_us;
   uint32_t cache_free;
   uint32_t prefill_rate;
   uint32_t decode_us;
@@ -78,7 +80,7 @@
 /* Index of the chosen view, or -1 when every view is to be avoided.  */
 int32_t mq_place_choose (struct mq_place_state *state, enum mq_policy policy,
                          const struct mq_worker_view *views, size_t count,
-                         const struct mq_place_call *call);
+                         const struct mq_place_call *call, uint64_t now_us);
 bool mq_policy_from_name (const char *name, enum mq_policy *policy);
 const char *mq_policy_name (enum mq_policy policy);
 
