--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -214,8 +214,8 @@
     remember_cache (running, call->target);
   send_call (owner, running);
   owner_wake_at (owner, running,
-                 owner->now_us
-                     + 1000ULL * (call->service->timeout_ms + GUARD_MS));
+                 owner->now_us + 1000ULL * call->service->timeout_ms
+                     + 1000ULL * GUARD_MS);
 }
 
 static void
@@ -739,7 +739,7 @@
       retry_call (owner, running, 0);
       return;
     }
-  if (gone || down_ms >= 2 * MQ_GONE_MS)
+  if (gone || down_ms >= 2ULL * MQ_GONE_MS)
     give_up_unknown (owner, running);
 }
 
@@ -747,7 +747,7 @@
 tick_overdue (struct mq_owner *owner, struct running *running)
 {
   struct call *call = running->call;
-  uint64_t limit_us = 1000ULL * (call->service->timeout_ms + GUARD_MS);
+  uint64_t limit_us = 1000ULL * call->service->timeout_ms + 1000ULL * GUARD_MS;
 
   if (call->service->timeout_ms == 0
       || owner->now_us - call->sent_us < limit_us)
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -124,7 +124,7 @@
 
   /* Each running call slows the others a little; calls over the slots wait
      for one to end.  */
-  finish += generate * (busy < slots ? busy : slots) / (4 * slots);
+  finish += generate * (busy < slots ? busy : slots) / (4ULL * slots);
   if (busy >= slots)
     finish += generate * (busy + 1 - slots) / slots;
   return finish;
