--- a/src/core/gate.h
+++ b/src/core/gate.h
@@ -69,7 +69,7 @@
   MQ_GATE_DONE,      /* a worker ended a call */
   MQ_GATE_EVICTED,   /* a worker confirmed or failed an eviction */
   MQ_GATE_CACHE,     /* what a worker really holds, read from it */
-  MQ_GATE_ENGINE_UP, /* a worker (re)started: its cache is empty */
+  MQ_GATE_ENGINE_UP, /* a worker (re)started or can be reached again */
   MQ_GATE_ENGINE_DOWN,
   MQ_GATE_ORDERED, /* a worker answered an order */
   MQ_GATE_LEAVE    /* the host is to go: refuse new work, finish the rest */
@@ -124,11 +124,24 @@
   uint32_t total;
 };
 
+/**
+ * struct mq_gate_input - one thing that happened
+ * @type: which
+ * @now_us: monotonic time of this process
+ * @peer: PEER_UP, PEER_DOWN, MESSAGE: connection
+ * @engine_boot: ENGINE_UP: boot number of the engine, 0 when unknown.  The
+ *               number known before means that the engine was only out of
+ *               reach and still holds its cache; 0 or another number than
+ *               known before, that it is empty
+ *
+ * Everything pointed to is borrowed for the duration of the call.
+ */
 struct mq_gate_input
 {
   enum mq_gate_input_type type;
   uint64_t now_us;
   uint32_t peer;
+  uint64_t engine_boot;
   union
   {
     const struct mq_message *message;
--- /dev/null
+++ b/src/core/gate_cache.c
@@ -0,0 +1,697 @@
+/* gate_cache.c - leases of programs' caches, eviction, and what is really
+   held.
+
+   A holding is a program's cache at one worker.  It is made when a call of
+   the program starts there or a report of the engine names it, and goes
+   when an eviction is confirmed, the engine is known to be empty, or two
+   reports in a row no longer name it.
+
+   Counted:
+   - cache_token_ms: tokens held by programs, integrated over time;
+   - cache_wasted_token_ms: the part of it after the program's last call
+     when the cache was never used again: for a program that ended or whose
+     lease lapsed, from its last call to the confirmed eviction; for one
+     whose cache the engine dropped, from its last call to the drop;
+   - cache_ended_tokens: held now by programs that ended or lapsed.
+   Needs: gate_state.h, id.h.  */
+
+#include "gate_state.h"
+#include "id.h"
+
+#define NEVER UINT64_MAX
+
+static struct gate_holding *
+find_holding (const struct gate_program *program, uint32_t worker)
+{
+  struct gate_node *node = program->holdings.first;
+
+  while (node != NULL)
+    {
+      struct gate_holding *holding
+          = GATE_ENTRY (node, struct gate_holding, by_program);
+
+      if (holding->worker == worker)
+        return holding;
+      node = node->next;
+    }
+  return NULL;
+}
+
+static bool
+has_cache (const struct gate_worker *worker)
+{
+  return worker->kind == MQ_SERVICE_MODEL;
+}
+
+uint32_t
+mq_gate_cache_tokens (struct mq_gate *gate, const struct gate_program *program,
+                      uint32_t worker)
+{
+  const struct gate_holding *holding = find_holding (program, worker);
+
+  (void)gate;
+  return holding == NULL || holding->evicting ? 0 : holding->tokens;
+}
+
+/* Accounts.  */
+
+static uint64_t
+integrate (uint64_t tokens, uint64_t elapsed_us, uint64_t *remainder)
+{
+  uint64_t token_us = tokens * elapsed_us + *remainder;
+
+  *remainder = token_us % MQ_US_PER_MS;
+  return token_us / MQ_US_PER_MS;
+}
+
+/* Time has passed since the last input, with the sums of then.  */
+void
+mq_gate_cache_clock (struct mq_gate *gate, uint64_t elapsed_us)
+{
+  gate->counters.cache_token_ms
+      += integrate (gate->held_tokens, elapsed_us, &gate->held_remainder);
+  gate->counters.cache_wasted_token_ms
+      += integrate (gate->ended_tokens, elapsed_us, &gate->ended_remainder);
+}
+
+/* Brings the idle time of HOLDING up to now.  */
+static void
+settle_idle (struct mq_gate *gate, struct gate_holding *holding)
+{
+  uint64_t idle_us = gate->now_us - holding->idle_since_us;
+
+  if (holding->runs == 0)
+    holding->idle_token_ms += holding->tokens * idle_us / MQ_US_PER_MS;
+  holding->idle_since_us = gate->now_us;
+}
+
+static void
+waste_idle (struct mq_gate *gate, struct gate_holding *holding)
+{
+  settle_idle (gate, holding);
+  if (!holding->evicting)
+    gate->counters.cache_wasted_token_ms += holding->idle_token_ms;
+  holding->idle_token_ms = 0;
+}
+
+static void
+set_tokens (struct mq_gate *gate, struct gate_holding *holding,
+            uint32_t tokens)
+{
+  struct gate_worker *worker = &gate->workers[holding->worker];
+
+  settle_idle (gate, holding);
+  worker->held_tokens += tokens;
+  worker->held_tokens -= holding->tokens;
+  gate->held_tokens += tokens;
+  gate->held_tokens -= holding->tokens;
+  if (holding->evicting)
+    {
+      gate->ended_tokens += tokens;
+      gate->ended_tokens -= holding->tokens;
+    }
+  gate->counters.cache_ended_tokens = gate->ended_tokens;
+  if (holding->tokens != tokens)
+    gate->load_dirty = true;
+  holding->tokens = tokens;
+}
+
+static bool
+retry_before (const void *left, const void *right)
+{
+  const struct gate_holding *a = left;
+  const struct gate_holding *b = right;
+
+  return a->retry_us < b->retry_us;
+}
+
+static bool
+lapse_before (const void *left, const void *right)
+{
+  const struct gate_program *a = left;
+  const struct gate_program *b = right;
+
+  return a->lease_until_us < b->lease_until_us;
+}
+
+void
+mq_gate_cache_create (struct mq_gate *gate)
+{
+  mq_gate_heap_create (&gate->leases, gate, lapse_before,
+                       offsetof (struct gate_program, lease_position));
+  mq_gate_heap_create (&gate->retries, gate, retry_before,
+                       offsetof (struct gate_holding, retry_position));
+}
+
+static struct gate_holding *
+get_holding (struct mq_gate *gate, struct gate_program *program,
+             struct gate_worker *worker)
+{
+  struct gate_holding *holding = find_holding (program, worker->index);
+
+  if (holding != NULL)
+    return holding;
+  holding = mq_gate_alloc (gate, sizeof *holding, "struct gate_holding");
+  holding->program = program;
+  holding->worker = worker->index;
+  holding->idle_since_us = gate->now_us;
+  holding->touched_us = gate->now_us;
+  mq_gate_list_add (&program->holdings, &holding->by_program);
+  mq_gate_list_add (&worker->holdings, &holding->by_worker);
+  return holding;
+}
+
+static void
+free_holding (struct mq_gate *gate, struct gate_holding *holding)
+{
+  waste_idle (gate, holding);
+  set_tokens (gate, holding, 0);
+  mq_gate_heap_remove (&gate->retries, holding);
+  mq_gate_list_remove (&holding->program->holdings, &holding->by_program);
+  mq_gate_list_remove (&gate->workers[holding->worker].holdings,
+                       &holding->by_worker);
+  talloc_free (holding);
+}
+
+/* Eviction.  */
+
+static void
+set_retry (struct mq_gate *gate, struct gate_holding *holding, uint64_t at_us)
+{
+  holding->retry_us = at_us;
+  mq_gate_heap_remove (&gate->retries, holding);
+  if (at_us != NEVER)
+    mq_gate_heap_add (&gate->retries, holding);
+}
+
+/* The worker answers each EVICT; should the answer get lost, it is asked
+   again after the longest pause.  */
+static void
+ask_eviction (struct mq_gate *gate, struct gate_holding *holding)
+{
+  struct mq_action *action = mq_actions_add (gate->actions, MQ_ACT_EVICT);
+
+  action->u.evict.worker = holding->worker;
+  action->u.evict.program = holding->program->id;
+  holding->asked = true;
+  holding->asked_us = gate->now_us;
+  set_retry (gate, holding,
+             gate->now_us + MQ_GATE_EVICT_RETRY_MAX_MS * MQ_US_PER_MS);
+}
+
+/* While a call of the program runs there the engine would fill the cache
+   again; its end asks.  */
+static void
+begin_eviction (struct mq_gate *gate, struct gate_holding *holding)
+{
+  if (holding->evicting)
+    return;
+  waste_idle (gate, holding);
+  holding->evicting = true;
+  holding->pause_ms = MQ_GATE_EVICT_RETRY_MS;
+  gate->ended_tokens += holding->tokens;
+  gate->counters.cache_ended_tokens = gate->ended_tokens;
+  if (holding->runs == 0)
+    ask_eviction (gate, holding);
+}
+
+static void
+cancel_eviction (struct mq_gate *gate, struct gate_holding *holding)
+{
+  if (!holding->evicting)
+    return;
+  settle_idle (gate, holding);
+  holding->idle_token_ms = 0;
+  holding->evicting = false;
+  holding->asked = false;
+  gate->ended_tokens -= holding->tokens;
+  gate->counters.cache_ended_tokens = gate->ended_tokens;
+  set_retry (gate, holding, NEVER);
+}
+
+static void
+begin_evictions (struct mq_gate *gate, struct gate_program *program)
+{
+  struct gate_node *node = program->holdings.first;
+
+  while (node != NULL)
+    {
+      begin_eviction (gate,
+                      GATE_ENTRY (node, struct gate_holding, by_program));
+      node = node->next;
+    }
+}
+
+/* Tells the asker once nothing of an ended program is left.  */
+static void
+tell_evicted (struct mq_gate *gate, struct gate_program *program)
+{
+  struct mq_message message = { .type = MQ_MSG_EVICTED };
+
+  if (program->lease != GATE_LEASE_ENDED || program->holdings.count > 0
+      || program->waiter == 0)
+    return;
+  message.u.evicted.program = program->id;
+  if (mq_gate_peer_is_up (gate, program->waiter))
+    mq_gate_send (gate, program->waiter, &message);
+  program->waiter = 0;
+}
+
+static void
+confirm_eviction (struct mq_gate *gate, struct gate_holding *holding)
+{
+  struct gate_program *program = holding->program;
+
+  gate->counters.evictions++;
+  free_holding (gate, holding);
+  tell_evicted (gate, program);
+}
+
+/* Failure: an engine is busy, down or slow and does not confirm; it shows as
+   memory held for programs that have ended.  The holding stays and is asked
+   for until it is confirmed or the engine is known to be empty.  */
+static void
+fail_eviction (struct mq_gate *gate, struct gate_holding *holding)
+{
+  char program[MQ_ID_TEXT];
+
+  if (!holding->failed)
+    {
+      mq_id_format (holding->program->id, program);
+      mq_gate_state (gate, MQ_STATE_EVICT_RETRY, holding->worker, program);
+    }
+  holding->failed = true;
+  holding->asked = false;
+  set_retry (gate, holding, gate->now_us + holding->pause_ms * MQ_US_PER_MS);
+  holding->pause_ms *= 2;
+  if (holding->pause_ms > MQ_GATE_EVICT_RETRY_MAX_MS)
+    holding->pause_ms = MQ_GATE_EVICT_RETRY_MAX_MS;
+}
+
+void
+mq_gate_take_evicted (struct mq_gate *gate,
+                      const struct mq_gate_evicted *evicted)
+{
+  struct gate_program *program = mq_gate_program_find (gate, evicted->program);
+  struct gate_holding *holding;
+
+  if (program == NULL)
+    return;
+  holding = find_holding (program, evicted->worker);
+  if (holding == NULL || !holding->asked)
+    return;
+  if (evicted->confirmed)
+    confirm_eviction (gate, holding);
+  else
+    fail_eviction (gate, holding);
+}
+
+static void
+retry_evictions (struct mq_gate *gate)
+{
+  struct gate_holding *holding = mq_gate_heap_first (&gate->retries);
+
+  while (holding != NULL && holding->retry_us <= gate->now_us)
+    {
+      gate->counters.evictions_retried++;
+      ask_eviction (gate, holding);
+      holding = mq_gate_heap_first (&gate->retries);
+    }
+}
+
+/* Use by calls.  */
+
+void
+mq_gate_cache_started (struct mq_gate *gate, struct gate_run *run)
+{
+  struct gate_worker *worker = &gate->workers[run->worker];
+  struct gate_holding *holding;
+
+  if (!has_cache (worker))
+    return;
+  holding = get_holding (gate, run->program, worker);
+  settle_idle (gate, holding);
+  holding->runs++;
+}
+
+static void
+note_prefix (struct gate_worker *worker, uint64_t hash, uint32_t tokens,
+             uint64_t now_us)
+{
+  struct gate_prefix *oldest = &worker->prefixes[0];
+
+  if (hash == 0)
+    return;
+  for (uint32_t i = 0; i < GATE_PREFIXES; i++)
+    {
+      struct gate_prefix *prefix = &worker->prefixes[i];
+
+      if (prefix->hash == hash)
+        {
+          prefix->used_us = now_us;
+          if (tokens > 0)
+            prefix->tokens = tokens;
+          return;
+        }
+      if (prefix->used_us < oldest->used_us)
+        oldest = prefix;
+    }
+  oldest->hash = hash;
+  oldest->tokens = tokens;
+  oldest->used_us = now_us;
+}
+
+/* Prompt tokens that were cached here before and had to be computed
+   again.  */
+static uint32_t
+count_recomputed (const struct gate_holding *holding,
+                  const struct gate_run *run, const struct mq_gate_done *done)
+{
+  uint32_t had = holding->tokens;
+
+  if (!run->continuing || had <= done->cached_tokens)
+    return 0;
+  if (had > done->tokens_in)
+    had = done->tokens_in;
+  return had > done->cached_tokens ? had - done->cached_tokens : 0;
+}
+
+static void
+note_use (struct mq_gate *gate, struct gate_holding *holding,
+          const struct gate_run *run, const struct mq_gate_done *done)
+{
+  if (done->tokens_in == 0)
+    return;
+  gate->counters.recomputed_tokens += count_recomputed (holding, run, done);
+  if (done->cached_tokens > 0)
+    holding->idle_token_ms = 0;
+  else
+    waste_idle (gate, holding);
+  set_tokens (gate, holding, done->tokens_in + done->tokens_out);
+}
+
+void
+mq_gate_cache_ended (struct mq_gate *gate, struct gate_run *run,
+                     const struct mq_gate_done *done)
+{
+  struct gate_worker *worker = &gate->workers[run->worker];
+  struct gate_holding *holding;
+
+  if (!has_cache (worker))
+    return;
+  holding = get_holding (gate, run->program, worker);
+  note_use (gate, holding, run, done);
+  if (done->error == MQ_ERR_NONE)
+    note_prefix (worker, run->shared_prefix,
+                 run->continuing ? 0 : done->cached_tokens, gate->now_us);
+  if (holding->runs > 0)
+    holding->runs--;
+  holding->idle_since_us = gate->now_us;
+  holding->touched_us = gate->now_us;
+  if (holding->evicting && holding->runs == 0 && !holding->asked)
+    ask_eviction (gate, holding);
+}
+
+/* Leases.  */
+
+static void
+set_lease (struct mq_gate *gate, struct gate_program *program, uint64_t ms)
+{
+  program->lease = GATE_LEASE_HELD;
+  program->lease_until_us = gate->now_us + ms * MQ_US_PER_MS;
+  mq_gate_heap_remove (&gate->leases, program);
+  mq_gate_heap_add (&gate->leases, program);
+}
+
+static void
+revive (struct mq_gate *gate, struct gate_program *program)
+{
+  struct gate_node *node = program->holdings.first;
+
+  while (node != NULL)
+    {
+      cancel_eviction (gate,
+                       GATE_ENTRY (node, struct gate_holding, by_program));
+      node = node->next;
+    }
+  program->waiter = 0;
+}
+
+void
+mq_gate_cache_claim (struct mq_gate *gate, struct gate_program *program)
+{
+  if (program->lease == GATE_LEASE_HELD)
+    return;
+  revive (gate, program);
+  set_lease (gate, program, MQ_GATE_LEASE_MS);
+}
+
+/* Failure: this process was restarted and no longer knows which programs ran
+   here, but the engine still holds their caches; "nothing held" would leave
+   them there for ever.  An engine that was not yet read is asked to evict,
+   which costs nothing where it holds none.  */
+static void
+suspect_unread (struct mq_gate *gate, struct gate_program *program)
+{
+  for (size_t i = 0; i < gate->worker_count; i++)
+    {
+      struct gate_worker *worker = &gate->workers[i];
+
+      if (has_cache (worker) && !worker->reported)
+        get_holding (gate, program, worker);
+    }
+}
+
+static void
+end_lease (struct mq_gate *gate, uint32_t peer, struct gate_program *program,
+           uint64_t fence)
+{
+  program->lease = GATE_LEASE_ENDED;
+  program->ended_fence = fence;
+  program->waiter = peer;
+  mq_gate_heap_remove (&gate->leases, program);
+  mq_gate_calls_end_program (gate, program);
+  suspect_unread (gate, program);
+  begin_evictions (gate, program);
+  tell_evicted (gate, program);
+}
+
+/* A renewal that was overtaken by the end must not bring the cache back;
+   only a newer owner can know better.  */
+void
+mq_gate_take_lease (struct mq_gate *gate, uint32_t peer,
+                    const struct mq_lease_msg *msg)
+{
+  struct gate_program *program;
+
+  if (mq_gate_raise_fence (gate, msg->partition, msg->fence) == NULL)
+    return;
+  program = mq_gate_program_get (gate, msg->program);
+  if (program == NULL)
+    return;
+  if (msg->state == MQ_LEASE_ENDED)
+    {
+      end_lease (gate, peer, program, msg->fence);
+      return;
+    }
+  if (program->lease == GATE_LEASE_ENDED && msg->fence <= program->ended_fence)
+    return;
+  if (program->lease != GATE_LEASE_HELD)
+    revive (gate, program);
+  set_lease (gate, program,
+             msg->lease_ms == 0 ? MQ_GATE_LEASE_MS : msg->lease_ms);
+}
+
+/* Failure: the owner died and nobody took over; it shows as memory held for
+   programs that nobody will go on with.  A lease that is not renewed ends
+   in eviction, but not under a call that waits or runs.  */
+static void
+lapse (struct mq_gate *gate, struct gate_program *program)
+{
+  if (program->runs > 0 || program->calls.count > 0)
+    {
+      set_lease (gate, program, MQ_GATE_LEASE_MS);
+      return;
+    }
+  program->lease = GATE_LEASE_LAPSED;
+  mq_gate_heap_remove (&gate->leases, program);
+  if (program->holdings.count == 0)
+    return;
+  gate->counters.leases_lapsed++;
+  begin_evictions (gate, program);
+}
+
+static void
+lapse_leases (struct mq_gate *gate)
+{
+  struct gate_program *program = mq_gate_heap_first (&gate->leases);
+
+  while (program != NULL && program->lease_until_us <= gate->now_us)
+    {
+      lapse (gate, program);
+      program = mq_gate_heap_first (&gate->leases);
+    }
+}
+
+void
+mq_gate_cache_tick (struct mq_gate *gate)
+{
+  lapse_leases (gate);
+  retry_evictions (gate);
+}
+
+/* What is really held.  */
+
+static void
+note_entry (struct mq_gate *gate, struct gate_worker *worker,
+            const struct mq_gate_cache_entry *entry)
+{
+  struct gate_program *program = mq_gate_program_get (gate, entry->program);
+  struct gate_holding *holding;
+
+  if (program == NULL)
+    return;
+  holding = get_holding (gate, program, worker);
+  holding->report = worker->report;
+  if (holding->runs == 0)
+    set_tokens (gate, holding, entry->tokens);
+  switch (program->lease)
+    {
+    case GATE_LEASE_HELD:
+      break;
+    case GATE_LEASE_NONE:
+      set_lease (gate, program, MQ_GATE_LEASE_GRACE_MS);
+      break;
+    case GATE_LEASE_LAPSED:
+    case GATE_LEASE_ENDED:
+      begin_eviction (gate, holding);
+      break;
+    }
+}
+
+/* A report may have been read before a call ended that it does not show, so
+   only what was quiet since the report before it is believed to be gone.  */
+static bool
+is_gone (const struct gate_worker *worker, const struct gate_holding *holding)
+{
+  uint64_t last_us = holding->asked_us > holding->touched_us
+                         ? holding->asked_us
+                         : holding->touched_us;
+
+  return holding->report != worker->report && holding->runs == 0
+         && last_us < worker->previous_report_us;
+}
+
+static void
+drop_gone (struct mq_gate *gate, struct gate_worker *worker)
+{
+  struct gate_node *node = worker->holdings.first;
+
+  while (node != NULL)
+    {
+      struct gate_holding *holding
+          = GATE_ENTRY (node, struct gate_holding, by_worker);
+
+      node = node->next;
+      if (!is_gone (worker, holding))
+        continue;
+      if (holding->evicting)
+        confirm_eviction (gate, holding);
+      else
+        free_holding (gate, holding);
+    }
+}
+
+/* Failure: cache events are late and have gaps, and this process may have
+   been restarted, so what is believed drifts from what is held.  Each
+   report makes it true again: what has no lease is given a short one to be
+   claimed under, what has ended is evicted.  */
+void
+mq_gate_take_cache (struct mq_gate *gate, const struct mq_gate_cache *cache)
+{
+  struct gate_worker *worker;
+
+  if (cache->worker >= gate->worker_count)
+    return;
+  worker = &gate->workers[cache->worker];
+  worker->report++;
+  worker->previous_report_us = worker->report_us;
+  worker->report_us = gate->now_us;
+  worker->shared_tokens = 0;
+  if (cache->total != 0)
+    worker->cache_tokens = cache->total;
+  for (size_t i = 0; i < cache->entry_count; i++)
+    if (mq_id_is_zero (cache->entries[i].program))
+      worker->shared_tokens += cache->entries[i].tokens;
+    else
+      note_entry (gate, worker, &cache->entries[i]);
+  drop_gone (gate, worker);
+  worker->reported = true;
+}
+
+/* The engine of WORKER was started anew: its cache is empty.  */
+void
+mq_gate_cache_emptied (struct mq_gate *gate, struct gate_worker *worker)
+{
+  struct gate_node *node = worker->holdings.first;
+
+  while (node != NULL)
+    {
+      struct gate_holding *holding
+          = GATE_ENTRY (node, struct gate_holding, by_worker);
+
+      node = node->next;
+      if (holding->runs > 0)
+        set_tokens (gate, holding, 0);
+      else if (holding->evicting)
+        confirm_eviction (gate, holding);
+      else
+        free_holding (gate, holding);
+    }
+  worker->shared_tokens = 0;
+  worker->reported = true;
+  for (uint32_t i = 0; i < GATE_PREFIXES; i++)
+    worker->prefixes[i] = (struct gate_prefix){ 0 };
+}
+
+/* PROBE.  */
+
+static uint32_t
+find_prefix (const struct gate_worker *worker, uint64_t hash)
+{
+  if (hash == 0)
+    return 0;
+  for (uint32_t i = 0; i < GATE_PREFIXES; i++)
+    if (worker->prefixes[i].hash == hash)
+      return worker->prefixes[i].tokens == 0 ? 1 : worker->prefixes[i].tokens;
+  return 0;
+}
+
+/* Answers with the worker that holds most of the program, then of the
+   prefix.  A prefix whose length was not measured yet counts as one
+   token.  */
+void
+mq_gate_take_probe (struct mq_gate *gate, uint32_t peer,
+                    const struct mq_probe_msg *msg)
+{
+  const struct gate_program *program
+      = mq_gate_program_find (gate, msg->program);
+  struct mq_message message = { .type = MQ_MSG_PROBED };
+  struct mq_probed_msg *best = &message.u.probed;
+
+  best->probe = msg->probe;
+  for (uint32_t i = 0; i < gate->worker_count; i++)
+    {
+      uint32_t tokens
+          = program == NULL ? 0 : mq_gate_cache_tokens (gate, program, i);
+      uint32_t shared = find_prefix (&gate->workers[i], msg->shared_prefix);
+
+      if (tokens < best->program_tokens
+          || (tokens == best->program_tokens && shared <= best->shared_tokens))
+        continue;
+      best->worker = i;
+      best->program_tokens = tokens;
+      best->shared_tokens = shared;
+    }
+  mq_gate_send (gate, peer, &message);
+}
--- /dev/null
+++ b/src/core/gate_calls.c
@@ -0,0 +1,946 @@
+/* gate_calls.c - the table of calls: CALL, CANCEL, SEAL, RECOVER, FORGET and
+   the outcomes.
+
+   A call has one record from its acceptance until its outcome is forgotten.
+   What is known of it afterwards is in its program's marks.
+   Needs: gate_state.h, id.h.  */
+
+#include "gate_state.h"
+#include "id.h"
+#include <string.h>
+
+static uint64_t
+hash_call (const struct mq_gate *gate, const struct mq_call_ref *ref)
+{
+  uint64_t key[3] = { ref->program.hi, ref->program.lo, ref->call };
+
+  return mq_hash_bytes (key, sizeof key, gate->hash_seed);
+}
+
+static bool
+same_call (const struct gate_link *link, const void *key)
+{
+  const struct gate_call *call = GATE_ENTRY (link, struct gate_call, link);
+  const struct mq_call_ref *ref = key;
+
+  return call->ref.call == ref->call
+         && mq_id_equal (call->ref.program, ref->program);
+}
+
+struct gate_call *
+mq_gate_call_find (struct mq_gate *gate, const struct mq_call_ref *ref)
+{
+  struct gate_link *link
+      = mq_gate_map_find (&gate->calls, hash_call (gate, ref), same_call, ref);
+
+  return link == NULL ? NULL : GATE_ENTRY (link, struct gate_call, link);
+}
+
+/* Answers.  */
+
+static void
+send_outcome (struct mq_gate *gate, uint32_t peer,
+              const struct mq_outcome_msg *outcome)
+{
+  struct mq_message message = { .type = MQ_MSG_OUTCOME };
+
+  message.u.outcome = *outcome;
+  mq_gate_send (gate, peer, &message);
+}
+
+static void
+send_refusal (struct mq_gate *gate, uint32_t peer,
+              const struct mq_ref_msg *about, enum mq_error_type error,
+              enum mq_ran ran, uint32_t retry_after_ms)
+{
+  struct mq_outcome_msg outcome = {
+    .ref = about->ref,
+    .partition = about->partition,
+    .fence = about->fence,
+    .boot = gate->boot,
+    .error = error,
+    .ran = ran,
+    .retry_after_ms = retry_after_ms,
+    .body = "",
+  };
+
+  send_outcome (gate, peer, &outcome);
+}
+
+static void
+count_refusal (struct mq_gate *gate, enum mq_error_type error)
+{
+  switch (error)
+    {
+    case MQ_ERR_STALE_FENCE:
+      gate->counters.refused_fence++;
+      break;
+    case MQ_ERR_WRONG_BOOT:
+      gate->counters.refused_boot++;
+      break;
+    case MQ_ERR_SEALED:
+      gate->counters.refused_sealed++;
+      break;
+    case MQ_ERR_LEAVING:
+      gate->counters.refused_leaving++;
+      break;
+    case MQ_ERR_OVERLOADED:
+    case MQ_ERR_TIMEOUT:
+    case MQ_ERR_NO_TARGET:
+      gate->counters.refused_full++;
+      break;
+    case MQ_ERR_CANCELLED:
+      gate->counters.cancelled++;
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+refuse_message (struct mq_gate *gate, uint32_t peer,
+                const struct mq_call_msg *msg, enum mq_error_type error,
+                enum mq_ran ran, uint32_t retry_after_ms)
+{
+  struct mq_ref_msg about = { msg->ref, msg->partition, msg->fence };
+
+  count_refusal (gate, error);
+  send_refusal (gate, peer, &about, error, ran, retry_after_ms);
+}
+
+/* Sends the kept outcome of CALL to PEER, under the attempt it asked for.  */
+static void
+send_kept (struct mq_gate *gate, uint32_t peer, const struct gate_call *call,
+           uint32_t attempt, bool recovered)
+{
+  struct mq_outcome_msg outcome = call->outcome;
+
+  outcome.ref.attempt = attempt;
+  outcome.fence = call->answer_fence;
+  outcome.recovered = recovered;
+  send_outcome (gate, peer, &outcome);
+}
+
+/* The record.  */
+
+static void
+unlink_kept (struct mq_gate *gate, struct gate_call *call)
+{
+  if (call->idempotent)
+    mq_gate_list_remove (&gate->kept_idempotent, &call->by_age);
+  gate->kept_count--;
+  gate->kept_bytes -= call->outcome_bytes;
+  gate->counters.outcomes_kept = gate->kept_count;
+}
+
+static void
+link_kept (struct mq_gate *gate, struct gate_call *call)
+{
+  if (call->idempotent)
+    mq_gate_list_add (&gate->kept_idempotent, &call->by_age);
+  gate->kept_count++;
+  gate->kept_bytes += call->outcome_bytes;
+  gate->counters.outcomes_kept = gate->kept_count;
+}
+
+static void
+free_call (struct mq_gate *gate, struct gate_call *call)
+{
+  mq_gate_list_remove (&call->program->calls, &call->by_program);
+  mq_gate_list_remove (&call->partition->calls, &call->by_partition);
+  mq_gate_map_remove (&gate->calls, &call->link);
+  talloc_free (call);
+}
+
+/* Takes CALL out of the table without a word to anyone.  */
+void
+mq_gate_call_drop (struct mq_gate *gate, struct gate_call *call)
+{
+  switch (call->state)
+    {
+    case GATE_CALL_QUEUED:
+      mq_gate_queue_remove (gate, call);
+      break;
+    case GATE_CALL_RUNNING:
+      call->run->call = NULL;
+      mq_gate_run_stop (gate, call->run);
+      break;
+    case GATE_CALL_DONE:
+      unlink_kept (gate, call);
+      break;
+    }
+  free_call (gate, call);
+}
+
+static void
+attach (struct gate_call *call, uint32_t peer, uint64_t fence,
+        uint32_t attempt)
+{
+  call->peer = peer;
+  call->answer_fence = fence;
+  if (attempt > call->asked)
+    call->asked = attempt;
+}
+
+/* Nothing may start REF from now on: its owner is told that it did not
+   run.  */
+static void
+mark_not_run (struct gate_program *program, const struct mq_call_ref *ref,
+              uint64_t fence, bool idempotent)
+{
+  mq_gate_mark_settled (program, fence, ref, false);
+  if (!idempotent)
+    mq_gate_mark_sealed (program, ref->call, ref->attempt);
+}
+
+void
+mq_gate_call_refuse (struct mq_gate *gate, struct gate_call *call,
+                     enum mq_error_type error, uint32_t retry_after_ms)
+{
+  struct mq_ref_msg about
+      = { call->ref, call->partition->partition, call->answer_fence };
+  uint32_t peer = call->peer;
+
+  about.ref.attempt = call->asked;
+  mark_not_run (call->program, &about.ref, call->answer_fence,
+                call->idempotent);
+  mq_gate_span (gate, "queue", call->traceparent, &call->ref, call->arrived_us,
+                error);
+  mq_gate_call_drop (gate, call);
+  count_refusal (gate, error);
+  if (mq_gate_peer_is_up (gate, peer))
+    send_refusal (gate, peer, &about, error, MQ_RAN_NOT_RUN, retry_after_ms);
+}
+
+/* CALL.  */
+
+static bool
+drop_oldest_kept (struct mq_gate *gate)
+{
+  struct gate_node *node = gate->kept_idempotent.first;
+
+  if (node == NULL)
+    return false;
+  mq_gate_call_drop (gate, GATE_ENTRY (node, struct gate_call, by_age));
+  return true;
+}
+
+/* Failure: owners that cannot commit leave their outcomes here until memory
+   is out.  Outcomes of idempotent calls can be had again by running the
+   call, so the oldest of them go; the others are the only proof that a call
+   took effect, so they stay and new calls are refused.  */
+static bool
+make_room (struct mq_gate *gate)
+{
+  while (gate->calls.count >= gate->outcomes_max
+         || gate->kept_bytes > MQ_GATE_OUTCOME_BYTES_MAX)
+    if (!drop_oldest_kept (gate))
+      return false;
+  return true;
+}
+
+static uint64_t
+hash_content (const struct mq_gate *gate, const struct mq_call_msg *msg)
+{
+  uint64_t hash
+      = mq_hash_bytes (msg->service, strlen (msg->service), gate->hash_seed);
+
+  hash = mq_hash_bytes (msg->route, strlen (msg->route), hash);
+  return mq_hash_bytes (msg->body, strlen (msg->body), hash);
+}
+
+static struct gate_call *
+create_call (struct mq_gate *gate, const struct mq_call_msg *msg)
+{
+  struct gate_call *call
+      = mq_gate_alloc (gate, sizeof *call, "struct gate_call");
+
+  call->ref = msg->ref;
+  call->asked = msg->ref.attempt;
+  call->accepted_fence = msg->fence;
+  call->answer_fence = msg->fence;
+  call->idempotent = msg->idempotent;
+  call->continuing = msg->continuing || msg->follow_up;
+  call->worker = msg->worker;
+  call->priority = msg->priority;
+  call->shared_prefix = msg->shared_prefix;
+  call->max_tokens = msg->max_tokens;
+  call->organisation = mq_hash_bytes (
+      msg->organisation, strlen (msg->organisation), gate->hash_seed);
+  call->arrived_us = gate->now_us;
+  call->arrival = ++gate->arrivals;
+  if (msg->deadline_ms != 0)
+    call->deadline_us = gate->now_us + msg->deadline_ms * MQ_US_PER_MS;
+  call->body_len = strlen (msg->body);
+  mq_gate_queue_estimate (gate, call, msg);
+  return call;
+}
+
+/* Copies of the texts are made only for calls that were admitted.  */
+static void
+fill_call (struct mq_gate *gate, struct gate_call *call,
+           const struct mq_call_msg *msg)
+{
+  call->body_hash = hash_content (gate, msg);
+  call->service = mq_gate_strdup (call, msg->service);
+  call->route = mq_gate_strdup (call, msg->route);
+  call->traceparent = mq_gate_strdup (call, msg->traceparent);
+  call->body = mq_gate_strdup (call, msg->body);
+}
+
+static void
+link_call (struct mq_gate *gate, struct gate_call *call,
+           struct gate_program *program, struct gate_partition *partition)
+{
+  call->program = program;
+  call->partition = partition;
+  mq_gate_list_add (&program->calls, &call->by_program);
+  mq_gate_list_add (&partition->calls, &call->by_partition);
+  mq_gate_map_add (&gate->calls, &call->link, hash_call (gate, &call->ref));
+}
+
+/* Failure: a new owner that lost uncommitted steps makes them again, and
+   what its predecessor started here is mixed into the program's history; or
+   a call that was given up elsewhere goes on taking a slot.  A call under a
+   higher fence voids the later idempotent ones of lower fences, and any
+   call voids earlier idempotent ones that still wait or run.  Kept outcomes
+   of earlier calls stay until they are forgotten.  */
+static bool
+is_superseded (const struct gate_call *call, const struct mq_call_msg *msg)
+{
+  if (!call->idempotent)
+    return false;
+  if (call->ref.call > msg->ref.call)
+    return call->accepted_fence < msg->fence;
+  return call->ref.call < msg->ref.call && call->state != GATE_CALL_DONE;
+}
+
+static void
+drop_superseded (struct mq_gate *gate, struct gate_program *program,
+                 const struct mq_call_msg *msg)
+{
+  struct gate_node *node = program->calls.first;
+
+  while (node != NULL)
+    {
+      struct gate_call *call = GATE_ENTRY (node, struct gate_call, by_program);
+
+      node = node->next;
+      if (is_superseded (call, msg))
+        mq_gate_call_drop (gate, call);
+    }
+}
+
+static void
+note_top (struct gate_program *program, const struct mq_call_msg *msg)
+{
+  if (msg->fence == program->top_fence && msg->ref.call <= program->top_call)
+    return;
+  program->top_fence = msg->fence;
+  program->top_call = msg->ref.call;
+}
+
+static void
+accept_call (struct mq_gate *gate, uint32_t peer, struct gate_call *call,
+             const struct mq_call_msg *msg, struct gate_program *program,
+             struct gate_partition *partition)
+{
+  drop_superseded (gate, program, msg);
+  note_top (program, msg);
+  fill_call (gate, call, msg);
+  call->peer = peer;
+  link_call (gate, call, program, partition);
+  mq_gate_cache_claim (gate, program);
+  mq_gate_queue_add (gate, call);
+  mq_gate_queue_run (gate, &gate->workers[call->worker]);
+}
+
+/* Why the gate can't take CALL now, NONE when it can.  */
+static enum mq_error_type
+judge_load (struct mq_gate *gate, const struct gate_call *call,
+            uint32_t *retry_after_ms)
+{
+  const struct gate_worker *worker = &gate->workers[call->worker];
+
+  *retry_after_ms = mq_gate_queue_retry_ms (gate, worker);
+  if (!worker->up)
+    return MQ_ERR_NO_TARGET;
+  if (!make_room (gate))
+    return MQ_ERR_OVERLOADED;
+  return mq_gate_queue_admit (gate, call, retry_after_ms);
+}
+
+static void
+take_new_call (struct mq_gate *gate, uint32_t peer,
+               const struct mq_call_msg *msg, struct gate_partition *partition)
+{
+  struct gate_program *program = mq_gate_program_find (gate, msg->ref.program);
+  enum mq_ran ran = MQ_RAN_NOT_RUN;
+  struct gate_call *call;
+  enum mq_error_type why;
+  uint32_t retry_after_ms = 0;
+
+  if (program != NULL && mq_gate_is_late (program, msg, &ran))
+    {
+      refuse_message (gate, peer, msg, MQ_ERR_SEALED, ran, 0);
+      return;
+    }
+  /* No mark is needed: a gate that leaves never starts anything again.  */
+  if (gate->leaving)
+    {
+      refuse_message (gate, peer, msg, MQ_ERR_LEAVING, MQ_RAN_NOT_RUN, 0);
+      return;
+    }
+  /* Without a record a refusal could not be kept to: a copy of the frame
+     might run later.  So nothing is said, as if the frame had been lost, and
+     its owner asks again.  */
+  program = mq_gate_program_get (gate, msg->ref.program);
+  if (program == NULL)
+    return;
+  call = create_call (gate, msg);
+  why = judge_load (gate, call, &retry_after_ms);
+  if (why == MQ_ERR_NONE)
+    {
+      accept_call (gate, peer, call, msg, program, partition);
+      return;
+    }
+  mark_not_run (program, &msg->ref, msg->fence, msg->idempotent);
+  refuse_message (gate, peer, msg, why, MQ_RAN_NOT_RUN, retry_after_ms);
+  talloc_free (call);
+}
+
+static void
+answer_repeat (struct mq_gate *gate, uint32_t peer, struct gate_call *call,
+               const struct mq_call_msg *msg)
+{
+  gate->counters.calls_repeated++;
+  attach (call, peer, msg->fence, msg->ref.attempt);
+  if (call->state == GATE_CALL_DONE)
+    send_kept (gate, peer, call, msg->ref.attempt, false);
+}
+
+/* Failure: a frame is doubled, or an owner that is in doubt sends another
+   attempt while the first one runs; it shows as a notice sent twice.  Such
+   a call has one record and is started when the record is made, never when
+   it is found.  An attempt below the accepted one was settled before that
+   one was sent.  */
+static void
+repeat_once (struct mq_gate *gate, uint32_t peer, struct gate_call *call,
+             const struct mq_call_msg *msg)
+{
+  if (msg->ref.attempt < call->ref.attempt)
+    refuse_message (gate, peer, msg, MQ_ERR_SEALED, MQ_RAN_NOT_RUN, 0);
+  else
+    answer_repeat (gate, peer, call, msg);
+}
+
+static void
+replace_call (struct mq_gate *gate, uint32_t peer, struct gate_call *call,
+              const struct mq_call_msg *msg, struct gate_partition *partition)
+{
+  if (gate->leaving)
+    {
+      refuse_message (gate, peer, msg, MQ_ERR_LEAVING, MQ_RAN_NOT_RUN, 0);
+      return;
+    }
+  gate->counters.cancelled++;
+  mq_gate_call_drop (gate, call);
+  take_new_call (gate, peer, msg, partition);
+}
+
+/* A new owner asks for the same content: what its predecessor started is
+   taken over, unless it failed.  */
+static bool
+is_adoptable (const struct mq_gate *gate, const struct gate_call *call,
+              const struct mq_call_msg *msg)
+{
+  if (call->state == GATE_CALL_DONE && call->outcome.error != MQ_ERR_NONE)
+    return false;
+  return !call->cancelled && call->body_hash == hash_content (gate, msg);
+}
+
+static void
+adopt_call (struct mq_gate *gate, uint32_t peer, struct gate_call *call,
+            const struct mq_call_msg *msg)
+{
+  call->ref.attempt = msg->ref.attempt;
+  call->asked = msg->ref.attempt;
+  call->accepted_fence = msg->fence;
+  if (call->run != NULL)
+    call->run->ref = call->ref;
+  drop_superseded (gate, call->program, msg);
+  note_top (call->program, msg);
+  answer_repeat (gate, peer, call, msg);
+}
+
+/* An idempotent call that is known here.  Attempts are ordered by fence,
+   then by number: a new owner may not know its predecessor's numbers.  */
+static void
+repeat_idempotent (struct mq_gate *gate, uint32_t peer, struct gate_call *call,
+                   const struct mq_call_msg *msg,
+                   struct gate_partition *partition)
+{
+  if (msg->fence > call->accepted_fence)
+    {
+      if (is_adoptable (gate, call, msg))
+        adopt_call (gate, peer, call, msg);
+      else
+        replace_call (gate, peer, call, msg, partition);
+      return;
+    }
+  if (msg->ref.attempt == call->ref.attempt)
+    answer_repeat (gate, peer, call, msg);
+  else if (msg->ref.attempt > call->ref.attempt)
+    replace_call (gate, peer, call, msg, partition);
+  else
+    refuse_message (gate, peer, msg, MQ_ERR_SEALED, MQ_RAN_UNKNOWN, 0);
+}
+
+/* The operators' text may change whether a route can be repeated between
+   two attempts; the stricter of the two holds.  */
+static void
+forbid_repeat (struct mq_gate *gate, struct gate_call *call)
+{
+  if (call->state == GATE_CALL_DONE)
+    mq_gate_list_remove (&gate->kept_idempotent, &call->by_age);
+  call->idempotent = false;
+}
+
+static void
+take_known_call (struct mq_gate *gate, uint32_t peer, struct gate_call *call,
+                 const struct mq_call_msg *msg,
+                 struct gate_partition *partition)
+{
+  if (call->idempotent && !msg->idempotent
+      && msg->fence == call->accepted_fence)
+    forbid_repeat (gate, call);
+  if (call->idempotent)
+    repeat_idempotent (gate, peer, call, msg, partition);
+  else
+    repeat_once (gate, peer, call, msg);
+}
+
+/* Failure: a rebooted gate has forgotten its seals and what it ran, and an
+   original that was sent to its former run arrives.  It shows as a call run
+   twice.  Owners name the boot id that they committed with the intent, so
+   such a call is refused by every later run.  */
+static bool
+is_for_this_boot (const struct mq_gate *gate, const struct mq_call_msg *msg)
+{
+  if (msg->boot == 0)
+    return msg->idempotent;
+  return msg->boot == gate->boot;
+}
+
+static bool
+is_for_worker (const struct mq_gate *gate, const struct mq_call_msg *msg)
+{
+  return msg->worker < gate->worker_count
+         && strcmp (gate->workers[msg->worker].service, msg->service) == 0;
+}
+
+static const char *
+or_empty (const char *text)
+{
+  return text == NULL ? "" : text;
+}
+
+void
+mq_gate_take_call (struct mq_gate *gate, uint32_t peer,
+                   const struct mq_call_msg *from)
+{
+  struct gate_partition *partition
+      = mq_gate_raise_fence (gate, from->partition, from->fence);
+  struct mq_call_msg copy = *from;
+  const struct mq_call_msg *msg = &copy;
+  struct gate_call *call;
+
+  copy.service = or_empty (from->service);
+  copy.route = or_empty (from->route);
+  copy.organisation = or_empty (from->organisation);
+  copy.traceparent = or_empty (from->traceparent);
+  copy.body = or_empty (from->body);
+  gate->counters.calls_received++;
+  if (partition == NULL)
+    {
+      refuse_message (gate, peer, msg, MQ_ERR_STALE_FENCE, MQ_RAN_NOT_RUN, 0);
+      return;
+    }
+  if (!is_for_this_boot (gate, msg))
+    {
+      refuse_message (gate, peer, msg, MQ_ERR_WRONG_BOOT, MQ_RAN_NOT_RUN, 0);
+      return;
+    }
+  if (!is_for_worker (gate, msg))
+    {
+      refuse_message (gate, peer, msg, MQ_ERR_BAD_REQUEST, MQ_RAN_NOT_RUN, 0);
+      return;
+    }
+  call = mq_gate_call_find (gate, &msg->ref);
+  if (call != NULL)
+    take_known_call (gate, peer, call, msg, partition);
+  else
+    take_new_call (gate, peer, msg, partition);
+}
+
+/* The end of a call.  */
+
+static void
+fill_outcome (struct mq_gate *gate, struct gate_call *call,
+              const struct mq_gate_done *done)
+{
+  struct mq_outcome_msg *outcome = &call->outcome;
+  const struct gate_run *run = call->run;
+
+  outcome->ref = call->ref;
+  outcome->ref.attempt = call->asked;
+  outcome->partition = call->partition->partition;
+  outcome->fence = call->answer_fence;
+  outcome->boot = gate->boot;
+  outcome->error = done->error;
+  outcome->ran = done->ran;
+  if (call->cancelled && done->error != MQ_ERR_NONE)
+    outcome->error = MQ_ERR_CANCELLED;
+  if (outcome->error == MQ_ERR_NONE)
+    outcome->ran = MQ_RAN_RAN;
+  if (outcome->ran == MQ_RAN_NOT_RUN)
+    outcome->retry_after_ms
+        = mq_gate_queue_retry_ms (gate, &gate->workers[call->worker]);
+  outcome->body = mq_gate_strdup (call, done->body);
+  outcome->tokens_in = done->tokens_in;
+  outcome->tokens_out = done->tokens_out;
+  outcome->cached_tokens = done->cached_tokens;
+  outcome->queue_us = call->queue_us;
+  outcome->first_us = run->first_us == 0 ? 0 : run->first_us - run->started_us;
+  outcome->run_us = gate->now_us - run->started_us;
+  call->outcome_bytes = strlen (outcome->body);
+}
+
+/* A call that the worker refused leaves the table, but can't be started
+   again under the same attempt.  */
+static void
+finish_not_run (struct mq_gate *gate, struct gate_call *call)
+{
+  mark_not_run (call->program, &call->outcome.ref, call->answer_fence,
+                call->idempotent);
+  free_call (gate, call);
+}
+
+static void
+forget_call (struct mq_gate *gate, struct gate_call *call)
+{
+  if (!call->idempotent)
+    mq_gate_mark_sealed (call->program, call->ref.call, MQ_GATE_EVERY_ATTEMPT);
+  mq_gate_call_drop (gate, call);
+}
+
+/* The run of CALL has ended as DONE says; the run is freed by the caller.  */
+void
+mq_gate_call_finish (struct mq_gate *gate, struct gate_call *call,
+                     const struct mq_gate_done *done)
+{
+  fill_outcome (gate, call, done);
+  call->run = NULL;
+  call->state = GATE_CALL_DONE;
+  if (mq_gate_peer_is_up (gate, call->peer))
+    send_kept (gate, call->peer, call, call->asked, false);
+  if (call->outcome.ran == MQ_RAN_NOT_RUN)
+    {
+      finish_not_run (gate, call);
+      return;
+    }
+  link_kept (gate, call);
+  if (call->forgotten)
+    forget_call (gate, call);
+  else
+    make_room (gate);
+}
+
+/* CANCEL.  */
+
+/* Failure: CANCEL overtakes its CALL on another connection and the call runs
+   for nobody.  The mark refuses the CALL when it comes.  */
+static void
+cancel_unknown (struct mq_gate *gate, uint32_t peer,
+                const struct mq_ref_msg *msg)
+{
+  struct gate_program *program = mq_gate_program_get (gate, msg->ref.program);
+  struct mq_call_msg as_call = { .ref = msg->ref, .fence = msg->fence };
+  enum mq_ran ran = MQ_RAN_NOT_RUN;
+
+  if (program == NULL)
+    return;
+  if (!mq_gate_is_late (program, &as_call, &ran))
+    {
+      mark_not_run (program, &msg->ref, msg->fence, false);
+      count_refusal (gate, MQ_ERR_CANCELLED);
+    }
+  send_refusal (gate, peer, msg, MQ_ERR_CANCELLED, ran, 0);
+}
+
+static void
+cancel_known (struct mq_gate *gate, uint32_t peer, struct gate_call *call,
+              const struct mq_ref_msg *msg)
+{
+  attach (call, peer, msg->fence, msg->ref.attempt);
+  switch (call->state)
+    {
+    case GATE_CALL_QUEUED:
+      mq_gate_call_refuse (gate, call, MQ_ERR_CANCELLED, 0);
+      break;
+    case GATE_CALL_RUNNING:
+      if (!call->cancelled)
+        gate->counters.cancelled++;
+      call->cancelled = true;
+      mq_gate_run_stop (gate, call->run);
+      break;
+    case GATE_CALL_DONE:
+      send_kept (gate, peer, call, msg->ref.attempt, false);
+      break;
+    }
+}
+
+void
+mq_gate_take_cancel (struct mq_gate *gate, uint32_t peer,
+                     const struct mq_ref_msg *msg)
+{
+  struct gate_call *call;
+
+  if (mq_gate_raise_fence (gate, msg->partition, msg->fence) == NULL)
+    return;
+  call = mq_gate_call_find (gate, &msg->ref);
+  if (call == NULL)
+    cancel_unknown (gate, peer, msg);
+  else if (msg->ref.attempt >= call->ref.attempt)
+    cancel_known (gate, peer, call, msg);
+}
+
+/* SEAL.  */
+
+static void
+send_sealed (struct mq_gate *gate, uint32_t peer, const struct mq_ref_msg *msg,
+             uint64_t fence, enum mq_seal_answer answer)
+{
+  struct mq_message message = { .type = MQ_MSG_SEALED };
+
+  message.u.sealed.ref = msg->ref;
+  message.u.sealed.partition = msg->partition;
+  message.u.sealed.fence = fence;
+  message.u.sealed.boot = gate->boot;
+  message.u.sealed.answer = answer;
+  mq_gate_send (gate, peer, &message);
+}
+
+/* Failure: SEAL comes (again) after the outcome was forgotten, and "never
+   seen" would let the call run elsewhere a second time.  What the mark
+   can't vouch for is answered as of unknown effect.  */
+static void
+seal_unknown (struct mq_gate *gate, uint32_t peer,
+              const struct mq_ref_msg *msg, struct gate_program *program)
+{
+  struct mq_call_msg as_call = { .ref = msg->ref, .fence = msg->fence };
+  enum mq_ran ran = MQ_RAN_NOT_RUN;
+
+  if (mq_gate_is_late (program, &as_call, &ran) && ran != MQ_RAN_NOT_RUN)
+    {
+      send_refusal (gate, peer, msg, MQ_ERR_SEALED, ran, 0);
+      send_sealed (gate, peer, msg, msg->fence, MQ_SEAL_DONE);
+      return;
+    }
+  mark_not_run (program, &msg->ref, msg->fence, false);
+  send_sealed (gate, peer, msg, msg->fence, MQ_SEAL_SEALED);
+}
+
+static void
+seal_known (struct mq_gate *gate, uint32_t peer, struct gate_call *call,
+            const struct mq_ref_msg *msg)
+{
+  attach (call, peer, msg->fence, msg->ref.attempt);
+  switch (call->state)
+    {
+    case GATE_CALL_QUEUED:
+      mq_gate_mark_sealed (call->program, call->ref.call, call->asked);
+      mq_gate_call_refuse (gate, call, MQ_ERR_SEALED, 0);
+      send_sealed (gate, peer, msg, msg->fence, MQ_SEAL_SEALED);
+      break;
+    case GATE_CALL_RUNNING:
+      send_sealed (gate, peer, msg, msg->fence, MQ_SEAL_RUNNING);
+      break;
+    case GATE_CALL_DONE:
+      send_kept (gate, peer, call, msg->ref.attempt, false);
+      send_sealed (gate, peer, msg, msg->fence, MQ_SEAL_DONE);
+      break;
+    }
+}
+
+void
+mq_gate_take_seal (struct mq_gate *gate, uint32_t peer,
+                   const struct mq_ref_msg *msg)
+{
+  struct gate_program *program;
+  struct gate_call *call;
+
+  if (mq_gate_raise_fence (gate, msg->partition, msg->fence) == NULL)
+    {
+      send_sealed (gate, peer, msg, mq_gate_fence (gate, msg->partition),
+                   MQ_SEAL_STALE);
+      return;
+    }
+  program = mq_gate_program_get (gate, msg->ref.program);
+  /* As if the frame had been lost: a seal that can't be kept is worse.  */
+  if (program == NULL)
+    return;
+  call = mq_gate_call_find (gate, &msg->ref);
+  if (call != NULL && msg->ref.attempt >= call->ref.attempt)
+    seal_known (gate, peer, call, msg);
+  else
+    seal_unknown (gate, peer, msg, program);
+}
+
+/* RECOVER.  */
+
+static void
+send_recovered (struct mq_gate *gate, uint32_t peer, uint32_t partition,
+                struct mq_call_ref *running, size_t count)
+{
+  struct mq_message message = { .type = MQ_MSG_RECOVERED };
+
+  message.u.recovered.partition = partition;
+  message.u.recovered.fence = mq_gate_fence (gate, partition);
+  message.u.recovered.boot = gate->boot;
+  message.u.recovered.running = running;
+  message.u.recovered.running_count = count;
+  mq_gate_send (gate, peer, &message);
+}
+
+/* Gives CALL to a new owner.  True: it is still to end.  */
+static bool
+recover_call (struct mq_gate *gate, uint32_t peer, struct gate_call *call,
+              uint64_t fence)
+{
+  if (call->state == GATE_CALL_QUEUED && call->idempotent
+      && call->accepted_fence < fence)
+    {
+      mq_gate_call_drop (gate, call);
+      return false;
+    }
+  attach (call, peer, fence, call->asked);
+  if (call->state != GATE_CALL_DONE)
+    return true;
+  send_kept (gate, peer, call, call->asked, true);
+  return false;
+}
+
+void
+mq_gate_take_recover (struct mq_gate *gate, uint32_t peer,
+                      const struct mq_recover_msg *msg)
+{
+  struct gate_partition *partition
+      = mq_gate_raise_fence (gate, msg->partition, msg->fence);
+  struct mq_call_ref *running;
+  struct gate_node *node;
+  size_t count = 0;
+
+  if (partition == NULL)
+    {
+      send_recovered (gate, peer, msg->partition, NULL, 0);
+      return;
+    }
+  running
+      = mq_gate_alloc (gate, (partition->calls.count + 1) * sizeof *running,
+                       "struct mq_call_ref");
+  node = partition->calls.first;
+  while (node != NULL)
+    {
+      struct gate_call *call
+          = GATE_ENTRY (node, struct gate_call, by_partition);
+
+      node = node->next;
+      if (!recover_call (gate, peer, call, msg->fence))
+        continue;
+      running[count] = call->ref;
+      running[count++].attempt = call->asked;
+    }
+  send_recovered (gate, peer, msg->partition, running, count);
+  talloc_free (running);
+}
+
+/* FORGET.  */
+
+/* The outcome is durable: what still waits must not run; what runs ends for
+   nobody, but one that may not be repeated is not stopped half-way.  */
+static void
+forget_known (struct mq_gate *gate, struct gate_call *call)
+{
+  switch (call->state)
+    {
+    case GATE_CALL_QUEUED:
+      mq_gate_call_refuse (gate, call, MQ_ERR_SEALED, 0);
+      break;
+    case GATE_CALL_RUNNING:
+      if (call->idempotent)
+        mq_gate_call_drop (gate, call);
+      else
+        call->forgotten = true;
+      break;
+    case GATE_CALL_DONE:
+      forget_call (gate, call);
+      break;
+    }
+}
+
+/* Failure: a FORGET is lost with its connection and its outcome stays for
+   ever.  A program's outcomes become durable in order, so earlier ones are
+   dropped too where dropping is harmless: idempotent ones.  */
+static void
+forget_earlier (struct mq_gate *gate, struct gate_program *program,
+                const struct mq_ref_msg *msg)
+{
+  struct gate_node *node = program->calls.first;
+
+  while (node != NULL)
+    {
+      struct gate_call *call = GATE_ENTRY (node, struct gate_call, by_program);
+
+      node = node->next;
+      if (call->ref.call < msg->ref.call && call->idempotent
+          && call->state == GATE_CALL_DONE
+          && call->accepted_fence <= msg->fence)
+        mq_gate_call_drop (gate, call);
+    }
+}
+
+void
+mq_gate_take_forget (struct mq_gate *gate, const struct mq_ref_msg *msg)
+{
+  struct gate_program *program;
+  struct gate_call *call;
+
+  if (mq_gate_raise_fence (gate, msg->partition, msg->fence) == NULL)
+    return;
+  program = mq_gate_program_get (gate, msg->ref.program);
+  if (program == NULL)
+    return;
+  forget_earlier (gate, program, msg);
+  call = mq_gate_call_find (gate, &msg->ref);
+  if (call == NULL || msg->ref.attempt >= call->ref.attempt)
+    mq_gate_mark_settled (program, msg->fence, &msg->ref, true);
+  if (call != NULL && msg->ref.attempt >= call->ref.attempt)
+    forget_known (gate, call);
+}
+
+/* The program has ended: its calls that wait need not run.  */
+void
+mq_gate_calls_end_program (struct mq_gate *gate, struct gate_program *program)
+{
+  struct gate_node *node = program->calls.first;
+
+  while (node != NULL)
+    {
+      struct gate_call *call = GATE_ENTRY (node, struct gate_call, by_program);
+
+      node = node->next;
+      if (call->state == GATE_CALL_QUEUED && call->idempotent)
+        mq_gate_call_refuse (gate, call, MQ_ERR_CANCELLED, 0);
+    }
+}
--- /dev/null
+++ b/src/core/gate_state.h
@@ -0,0 +1,455 @@
+/* gate_state.h - state of a gate, shared by the gate_*.c files only.
+
+   Handles point both ways: a call belongs to a program and a partition, a
+   run (a call at a worker) to a call, a holding (a program's cache at a
+   worker) to a program and a worker.  Everything hangs below the gate in
+   talloc; the containers only link.
+   Needs: gate.h, gate_table.h.  */
+
+#ifndef MQ_GATE_STATE_H
+#define MQ_GATE_STATE_H
+
+#include "gate.h"
+#include "gate_table.h"
+#include "limits.h"
+
+/* Attempt number of a mark that covers every attempt of its call.  */
+#define MQ_GATE_EVERY_ATTEMPT UINT32_MAX
+
+#define MQ_US_PER_MS 1000ULL
+
+/* One partition: the highest fence seen, and its calls.  */
+struct gate_partition
+{
+  struct gate_link link;
+  uint32_t partition;
+  uint64_t fence;
+  struct gate_list calls;
+};
+
+/**
+ * struct gate_mark - attempts that are refused without a record of each
+ * @fence: fence under which it was set
+ * @call: attempts of lower calls are covered
+ * @attempt: of this call, attempts up to this one are covered
+ * @ran: the attempt at the mark may have taken effect
+ */
+struct gate_mark
+{
+  uint64_t fence;
+  uint32_t call;
+  uint32_t attempt;
+  bool ran;
+};
+
+enum gate_lease
+{
+  GATE_LEASE_NONE,   /* nobody has claimed it */
+  GATE_LEASE_HELD,   /* until lease_until_us */
+  GATE_LEASE_LAPSED, /* not renewed: evicted */
+  GATE_LEASE_ENDED   /* its owner said so: evicted and confirmed */
+};
+
+/**
+ * struct gate_program - what outlives the calls of one program
+ * @settled: refused to everyone under @settled.fence (resends of calls that
+ *           were forgotten, sealed or refused)
+ * @sealed: refused, under any fence, to calls that may not be repeated
+ * @top_fence: fence of the latest call
+ * @top_call: its number: lower ones are late under the same fence
+ * @calls: its records
+ * @holdings: its caches
+ * @runs: calls of it at workers
+ * @lease: state of its cache lease
+ * @lease_until_us: when it lapses
+ * @ended_fence: fence that ended it
+ * @waiter: peer that is told when all is evicted, 0 when none
+ * @touched_us: when it was last used, on the gate's lived_us
+ */
+struct gate_program
+{
+  struct gate_link link;
+  struct mq_id id;
+  struct gate_mark settled;
+  struct gate_mark sealed;
+  uint64_t top_fence;
+  uint32_t top_call;
+  struct gate_list calls;
+  struct gate_list holdings;
+  uint32_t runs;
+  enum gate_lease lease;
+  uint64_t lease_until_us;
+  size_t lease_position;
+  uint64_t ended_fence;
+  uint32_t waiter;
+  uint64_t touched_us;
+  struct gate_node by_use;
+};
+
+enum gate_call_state
+{
+  GATE_CALL_QUEUED,
+  GATE_CALL_RUNNING,
+  GATE_CALL_DONE /* its outcome is kept */
+};
+
+struct gate_lane;
+struct gate_run;
+
+/**
+ * struct gate_call - one call that the gate has accepted
+ * @ref: the attempt that was accepted
+ * @asked: highest attempt that was asked for; the outcome names it
+ * @accepted_fence: fence under which @ref came
+ * @answer_fence: highest fence under which it was asked for
+ * @peer: who asked under that fence, 0 when nobody
+ * @body_hash: of its content
+ * @deadline_us: 0 when none
+ * @latest_start_us: a later start can't meet the deadline; UINT64_MAX: none
+ * @prompt_tokens: estimate of its prompt
+ * @need_tokens: estimate of the engine memory that it adds
+ * @rank: place in the queue, lower goes first; see gate_queue.c
+ * @urgency_us: among calls of one rank and organisation, lower goes first
+ * @cancelled: CANCEL came while it ran
+ * @forgotten: FORGET came while it ran
+ * @outcome: when done; its body hangs below the call
+ */
+struct gate_call
+{
+  struct gate_link link;
+  struct gate_program *program;
+  struct gate_partition *partition;
+  struct gate_node by_program;
+  struct gate_node by_partition;
+  struct gate_node by_age; /* kept outcomes; queued batch calls */
+  struct mq_call_ref ref;
+  uint32_t asked;
+  uint64_t accepted_fence;
+  uint64_t answer_fence;
+  uint32_t peer;
+  enum gate_call_state state;
+  bool idempotent;
+  bool cancelled;
+  bool forgotten;
+  bool continuing;
+  uint64_t body_hash;
+  uint32_t worker;
+  enum mq_priority priority;
+  uint64_t organisation;
+  uint64_t shared_prefix;
+  uint32_t max_tokens;
+  uint32_t prompt_tokens;
+  uint32_t need_tokens;
+  uint64_t arrived_us;
+  uint64_t arrival; /* number of arrival: the last tie-break */
+  uint64_t deadline_us;
+  uint64_t latest_start_us;
+  uint64_t rank;
+  uint64_t urgency_us;
+  uint32_t group;
+  struct gate_lane *lane;
+  size_t lane_position;
+  size_t expiry_position;
+  char *service;
+  char *route;
+  char *traceparent;
+  char *body; /* until it is started */
+  size_t body_len;
+  struct gate_run *run;
+  uint64_t queue_us;
+  struct mq_outcome_msg outcome;
+  size_t outcome_bytes;
+};
+
+/**
+ * struct gate_run - a call at a worker, until the worker reports its end
+ * @slot: handle given to the worker, not used again while late reports of
+ *        it may come
+ * @call: its record, NULL when that was dropped and the run only has to end
+ */
+struct gate_run
+{
+  struct gate_link link;
+  uint32_t slot;
+  uint32_t worker;
+  struct gate_call *call;
+  struct gate_program *program;
+  struct mq_call_ref ref;
+  char *traceparent;
+  uint64_t organisation;
+  uint64_t shared_prefix;
+  bool continuing;
+  bool stopping;
+  uint32_t need_tokens;
+  uint64_t started_us;
+  uint64_t first_us;
+  uint32_t tokens;
+};
+
+/**
+ * struct gate_holding - a program's cache at one worker
+ * @tokens: its size: estimated from outcomes, made true by reports
+ * @idle_since_us: last use
+ * @idle_token_ms: held since the last use, up to @idle_since_us
+ * @evicting: to be evicted; counts as held for an ended program
+ * @asked: an EVICT is under way
+ * @retry_us: when to ask (again)
+ * @pause_ms: pause after the next failure
+ * @failed: a try has failed
+ */
+struct gate_holding
+{
+  struct gate_program *program;
+  struct gate_node by_program;
+  struct gate_node by_worker;
+  uint32_t worker;
+  uint32_t tokens;
+  uint32_t runs;
+  uint64_t idle_since_us;
+  uint64_t idle_token_ms;
+  uint64_t touched_us;
+  uint64_t asked_us;
+  bool evicting;
+  bool asked;
+  bool failed;
+  uint64_t retry_us;
+  uint32_t pause_ms;
+  size_t retry_position;
+  uint64_t report;
+};
+
+enum
+{
+  GATE_GROUPS = 4,   /* (batch or not) x (continuing or new) */
+  GATE_PREFIXES = 16 /* shared prefixes remembered per worker */
+};
+
+struct gate_prefix
+{
+  uint64_t hash;
+  uint32_t tokens;
+  uint64_t used_us;
+};
+
+/* An order that was passed on; ids are the senders'.  */
+struct gate_order
+{
+  struct gate_node by_worker;
+  struct mq_order_msg order;
+  uint32_t peer;
+  bool pending;
+  bool replaced; /* kept for resends only, not applied again */
+  enum mq_error_type result;
+};
+
+/**
+ * struct gate_worker - one worker
+ * @up: its engine answers as far as is known
+ * @reported: its cache was reported since it came up
+ * @held_tokens: sum of its holdings
+ * @need_tokens: what its runs will add, estimated
+ * @lanes: queued calls: lanes by rank, one heap for each group
+ * @flows: queued organisations
+ * @served_clock: service of the organisation that was served last
+ * @expiry: queued calls with a deadline, by latest start
+ * @batch: queued batch calls in order of arrival
+ * @mean_run_us: smoothed time at the target, 0: not yet known
+ */
+struct gate_worker
+{
+  uint32_t index;
+  char *service;
+  char *model;
+  enum mq_service_kind kind;
+  uint32_t slots;
+  uint32_t cache_tokens;
+  bool up;
+  bool reported;
+  uint64_t engine_boot;
+  uint64_t report;
+  uint64_t report_us;
+  uint64_t previous_report_us;
+  uint32_t running;
+  uint32_t queued;
+  uint32_t queued_class[MQ_PRIORITY_COUNT];
+  uint64_t queued_bytes;
+  struct gate_heap lanes[GATE_GROUPS];
+  struct gate_map flows;
+  size_t flows_purge_at;
+  uint64_t served_clock;
+  struct gate_heap expiry;
+  struct gate_list batch;
+  uint64_t mean_run_us;
+  uint64_t mean_tokens_out;
+  uint64_t prefill_rate;
+  uint64_t decode_us;
+  uint64_t held_tokens;
+  uint64_t need_tokens;
+  uint32_t shared_tokens;
+  struct gate_list holdings;
+  struct gate_prefix prefixes[GATE_PREFIXES];
+  struct gate_list orders;
+  uint64_t order_fence;
+};
+
+struct mq_gate
+{
+  char *host;
+  uint64_t boot;
+  uint64_t random;
+  uint64_t hash_seed;
+  enum mq_gate_order order;
+  uint32_t queue_max;
+  uint32_t outcomes_max;
+  struct gate_worker *workers;
+  size_t worker_count;
+  uint64_t now_us;
+  uint64_t lived_us; /* time in which inputs were handled; see mq_gate_live */
+  bool leaving;
+  bool drained;
+  uint32_t *peers; /* connected */
+  size_t peer_count;
+  struct gate_map partitions;
+  struct gate_map programs;
+  struct gate_list programs_by_use;
+  struct gate_map calls;
+  struct gate_list kept_idempotent; /* oldest first */
+  size_t kept_count;
+  size_t kept_bytes;
+  uint64_t arrivals;
+  struct gate_map runs;
+  uint32_t last_slot;
+  struct gate_heap leases;  /* programs by lapse */
+  struct gate_heap retries; /* holdings by retry */
+  uint64_t held_tokens;
+  uint64_t ended_tokens;
+  uint64_t held_remainder;
+  uint64_t ended_remainder;
+  bool load_dirty;
+  uint64_t load_sent_us;
+  struct mq_gate_counters counters;
+  struct mq_actions *actions; /* of the input at hand */
+};
+
+/* gate.c */
+bool mq_gate_peer_is_up (const struct mq_gate *gate, uint32_t peer);
+void mq_gate_send (struct mq_gate *gate, uint32_t peer,
+                   const struct mq_message *message);
+void mq_gate_state (struct mq_gate *gate, enum mq_state_change change,
+                    uint64_t number, const char *subject);
+void mq_gate_span (struct mq_gate *gate, const char *name,
+                   const char *traceparent, const struct mq_call_ref *ref,
+                   uint64_t start_us, enum mq_error_type error);
+void *mq_gate_alloc (TALLOC_CTX *ctx, size_t size, const char *name);
+char *mq_gate_strdup (TALLOC_CTX *ctx, const char *text);
+
+/* gate_programs.c */
+struct gate_partition *
+mq_gate_raise_fence (struct mq_gate *gate, uint32_t partition, uint64_t fence);
+uint64_t mq_gate_fence (const struct mq_gate *gate, uint32_t partition);
+struct gate_program *mq_gate_program_find (struct mq_gate *gate,
+                                           struct mq_id id);
+struct gate_program *mq_gate_program_get (struct mq_gate *gate,
+                                          struct mq_id id);
+void mq_gate_program_touch (struct mq_gate *gate,
+                            struct gate_program *program);
+void mq_gate_programs_expire (struct mq_gate *gate);
+void mq_gate_mark_settled (struct gate_program *program, uint64_t fence,
+                           const struct mq_call_ref *ref, bool ran);
+void mq_gate_mark_sealed (struct gate_program *program, uint32_t call,
+                          uint32_t attempt);
+bool mq_gate_is_sealed (const struct gate_program *program,
+                        const struct mq_call_ref *ref);
+bool mq_gate_is_late (const struct gate_program *program,
+                      const struct mq_call_msg *msg, enum mq_ran *ran);
+
+/* gate_calls.c */
+struct gate_call *mq_gate_call_find (struct mq_gate *gate,
+                                     const struct mq_call_ref *ref);
+void mq_gate_take_call (struct mq_gate *gate, uint32_t peer,
+                        const struct mq_call_msg *msg);
+void mq_gate_take_cancel (struct mq_gate *gate, uint32_t peer,
+                          const struct mq_ref_msg *msg);
+void mq_gate_take_seal (struct mq_gate *gate, uint32_t peer,
+                        const struct mq_ref_msg *msg);
+void mq_gate_take_recover (struct mq_gate *gate, uint32_t peer,
+                           const struct mq_recover_msg *msg);
+void mq_gate_take_forget (struct mq_gate *gate, const struct mq_ref_msg *msg);
+/* Refuses a queued call: it leaves the queue and the table, and a resend
+   of it is refused from now on.  */
+void mq_gate_call_refuse (struct mq_gate *gate, struct gate_call *call,
+                          enum mq_error_type error, uint32_t retry_after_ms);
+void mq_gate_call_drop (struct mq_gate *gate, struct gate_call *call);
+void mq_gate_call_finish (struct mq_gate *gate, struct gate_call *call,
+                          const struct mq_gate_done *done);
+void mq_gate_calls_end_program (struct mq_gate *gate,
+                                struct gate_program *program);
+
+/* gate_runs.c */
+void mq_gate_run_start (struct mq_gate *gate, struct gate_call *call);
+void mq_gate_run_stop (struct mq_gate *gate, struct gate_run *run);
+void mq_gate_take_token (struct mq_gate *gate,
+                         const struct mq_gate_token *token);
+void mq_gate_take_done (struct mq_gate *gate, const struct mq_gate_done *done);
+
+/* gate_queue.c */
+/* NONE when CALL may wait or start, else why not.  May refuse a queued
+   batch call in its place.  */
+enum mq_error_type mq_gate_queue_admit (struct mq_gate *gate,
+                                        const struct gate_call *call,
+                                        uint32_t *retry_after_ms);
+void mq_gate_queue_add (struct mq_gate *gate, struct gate_call *call);
+void mq_gate_queue_remove (struct mq_gate *gate, struct gate_call *call);
+/* Starts what may start and refuses what is too late.  */
+void mq_gate_queue_run (struct mq_gate *gate, struct gate_worker *worker);
+void mq_gate_queue_refuse_all (struct mq_gate *gate,
+                               struct gate_worker *worker,
+                               enum mq_error_type error);
+void mq_gate_queue_charge (struct mq_gate *gate, struct gate_worker *worker,
+                           uint64_t organisation, uint64_t tokens);
+uint32_t mq_gate_queue_retry_ms (struct mq_gate *gate,
+                                 const struct gate_worker *worker);
+void mq_gate_queue_estimate (struct mq_gate *gate, struct gate_call *call,
+                             const struct mq_call_msg *msg);
+void mq_gate_queue_create (struct mq_gate *gate, struct gate_worker *worker);
+
+/* gate_cache.c */
+void mq_gate_cache_create (struct mq_gate *gate);
+void mq_gate_cache_clock (struct mq_gate *gate, uint64_t elapsed_us);
+void mq_gate_cache_started (struct mq_gate *gate, struct gate_run *run);
+void mq_gate_cache_ended (struct mq_gate *gate, struct gate_run *run,
+                          const struct mq_gate_done *done);
+uint32_t mq_gate_cache_tokens (struct mq_gate *gate,
+                               const struct gate_program *program,
+                               uint32_t worker);
+void mq_gate_take_lease (struct mq_gate *gate, uint32_t peer,
+                         const struct mq_lease_msg *msg);
+void mq_gate_take_evicted (struct mq_gate *gate,
+                           const struct mq_gate_evicted *evicted);
+void mq_gate_take_cache (struct mq_gate *gate,
+                         const struct mq_gate_cache *cache);
+void mq_gate_take_probe (struct mq_gate *gate, uint32_t peer,
+                         const struct mq_probe_msg *msg);
+void mq_gate_cache_emptied (struct mq_gate *gate, struct gate_worker *worker);
+void mq_gate_cache_tick (struct mq_gate *gate);
+/* A call was accepted: the program lives.  */
+void mq_gate_cache_claim (struct mq_gate *gate, struct gate_program *program);
+
+/* gate_orders.c */
+void mq_gate_take_order (struct mq_gate *gate, uint32_t peer,
+                         const struct mq_order_msg *msg);
+void mq_gate_take_ordered (struct mq_gate *gate,
+                           const struct mq_order_done_msg *done);
+void mq_gate_orders_apply (struct mq_gate *gate, struct gate_worker *worker);
+
+/* gate_load.c */
+void mq_gate_load_measure (struct gate_worker *worker,
+                           const struct gate_run *run,
+                           const struct mq_gate_done *done, uint64_t run_us);
+uint32_t mq_gate_load_used (const struct gate_worker *worker);
+void mq_gate_load_push (struct mq_gate *gate, bool at_once);
+void mq_gate_load_tell (struct mq_gate *gate, uint32_t peer);
+uint64_t mq_gate_load_due (const struct mq_gate *gate);
+char *mq_gate_status_text (TALLOC_CTX *ctx, const struct mq_gate *gate);
+
+#endif
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -49,6 +49,16 @@
 #define MQ_GATE_LOAD_MIN_MS 50U /* load is pushed on change, no faster */
 #define MQ_GATE_EVICT_RETRY_MS 200U
 #define MQ_GATE_AGEING_MS 2000U /* a waiting call rises one step */
+#define MQ_GATE_PROGRAMS_MAX 131072U
+#define MQ_GATE_PROGRAM_KEEP_MS 600000U /* idle record of a program */
+#define MQ_GATE_PROGRAM_LEAST_MS 30000U /* the same when the table is full */
+#define MQ_GATE_OUTCOME_BYTES_MAX (32U << 20) /* bodies of kept outcomes */
+#define MQ_GATE_QUEUE_BYTES_MAX (32U << 20)   /* bodies that wait, a worker */
+#define MQ_GATE_EVICT_RETRY_MAX_MS 5000U
+#define MQ_GATE_LEASE_MS 60000U       /* of a program not yet renewed */
+#define MQ_GATE_LEASE_GRACE_MS 10000U /* of cache found, to be claimed */
+#define MQ_GATE_ORDERS_MAX 64U        /* remembered per worker */
+#define MQ_GATE_LOAD_BYTES_S 8192U    /* of LOAD to all peers a second */
 
 /* Configuration.  */
 #define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
