--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -27,7 +27,6 @@
 #define MQ_OWNER_PROGRAMS_MAX 50000U
 #define MQ_COMMIT_RECORDS_MAX 512U
 #define MQ_COMMIT_INLINE_BYTES (64U << 10) /* larger: in an object */
-* /
 #define MQ_CHECKPOINT_RECORDS 2000U /* records between checkpoints */
 #define MQ_STORE_TIMEOUT_MS 3000U   /* no answer: LOST */
 #define MQ_STORE_RETRY_MS 100U
@@ -60,6 +59,11 @@
 #define MQ_GATE_ORDERS_MAX 64U        /* remembered per worker */
 #define MQ_GATE_LOAD_BYTES_S 8192U    /* of LOAD to all peers a second */
 
+/* Workers.  */
+#define MQ_WORKER_CACHE_POLL_MS 1000U /* what an engine holds is read */
+#define MQ_WORKER_CONTROL_MS 2000U    /* evict, cancel, poll: no answer */
+#define MQ_WORKER_ORDER_MS 600000U    /* loading a model takes minutes */
+
 /* Configuration.  */
 #define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
 #define MQ_CONFIG_POLL_SLOW_MS 60000U /* everyone else */
