--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -27,8 +27,8 @@
 #define MQ_OWNER_PROGRAMS_MAX 50000U
 #define MQ_COMMIT_RECORDS_MAX 512U
 #define MQ_COMMIT_INLINE_BYTES (64U << 10) /* larger: in an object */
-#define MQ_CHECKPOINT_RECORDS 2000U /* records between checkpoints */
-#define MQ_STORE_TIMEOUT_MS 3000U   /* no answer: LOST */
+#define MQ_CHECKPOINT_RECORDS 2000U        /* records between checkpoints */
+#define MQ_STORE_TIMEOUT_MS 3000U          /* no answer: LOST */
 #define MQ_STORE_RETRY_MS 100U
 #define MQ_STORE_RETRY_MAX_MS 2000U
 
