--- a/src/core/gate_cache.c
+++ b/src/core/gate_cache.c
@@ -248,8 +248,10 @@
 {
   struct mq_message message = { .type = MQ_MSG_EVICTED };
 
-  if (program->lease != GATE_LEASE_ENDED || program->holdings.count > 0
-      || program->waiter == 0)
+  if (program->lease != GATE_LEASE_ENDED || program->holdings.count > 0)
+    return;
+  program->swept = true;
+  if (program->waiter == 0)
     return;
   message.u.evicted.program = program->id;
   if (mq_gate_peer_is_up (gate, program->waiter))
@@ -435,6 +437,7 @@
       node = node->next;
     }
   program->waiter = 0;
+  program->swept = false;
 }
 
 void
@@ -471,7 +474,8 @@
   program->waiter = peer;
   mq_gate_heap_remove (&gate->leases, program);
   mq_gate_calls_end_program (gate, program);
-  suspect_unread (gate, program);
+  if (!program->swept)
+    suspect_unread (gate, program);
   begin_evictions (gate, program);
   tell_evicted (gate, program);
 }
--- a/src/core/gate_state.h
+++ b/src/core/gate_state.h
@@ -63,6 +63,7 @@
  * @lease: state of its cache lease
  * @lease_until_us: when it lapses
  * @ended_fence: fence that ended it
+ * @swept: it ended and nothing of it is left
  * @waiter: peer that is told when all is evicted, 0 when none
  * @touched_us: when it was last used, on the gate's lived_us
  */
@@ -81,6 +82,7 @@
   uint64_t lease_until_us;
   size_t lease_position;
   uint64_t ended_fence;
+  bool swept;
   uint32_t waiter;
   uint64_t touched_us;
   struct gate_node by_use;
