--- a/src/core/gate.c
+++ b/src/core/gate.c
@@ -187,7 +187,7 @@
       mq_gate_take_recover (gate, peer, &message->u.recover);
       break;
     case MQ_MSG_FORGET:
-      mq_gate_take_forget (gate, &message->u.ref);
+      mq_gate_take_forget (gate, peer, &message->u.ref);
       break;
     case MQ_MSG_LEASE:
       mq_gate_take_lease (gate, peer, &message->u.lease);
--- a/src/core/gate_cache.c
+++ b/src/core/gate_cache.c
@@ -488,7 +488,7 @@
 {
   struct gate_program *program;
 
-  if (mq_gate_raise_fence (gate, msg->partition, msg->fence) == NULL)
+  if (mq_gate_raise_fence (gate, msg->partition, msg->fence, peer) == NULL)
     return;
   program = mq_gate_program_get (gate, msg->program);
   if (program == NULL)
--- a/src/core/gate_calls.c
+++ b/src/core/gate_calls.c
@@ -550,7 +550,7 @@
                    const struct mq_call_msg *from)
 {
   struct gate_partition *partition
-      = mq_gate_raise_fence (gate, from->partition, from->fence);
+      = mq_gate_raise_fence (gate, from->partition, from->fence, peer);
   struct mq_call_msg copy = *from;
   const struct mq_call_msg *msg = &copy;
   struct gate_call *call;
@@ -706,7 +706,7 @@
 {
   struct gate_call *call;
 
-  if (mq_gate_raise_fence (gate, msg->partition, msg->fence) == NULL)
+  if (mq_gate_raise_fence (gate, msg->partition, msg->fence, peer) == NULL)
     return;
   call = mq_gate_call_find (gate, &msg->ref);
   if (call == NULL)
@@ -780,7 +780,7 @@
   struct gate_program *program;
   struct gate_call *call;
 
-  if (mq_gate_raise_fence (gate, msg->partition, msg->fence) == NULL)
+  if (mq_gate_raise_fence (gate, msg->partition, msg->fence, peer) == NULL)
     {
       send_sealed (gate, peer, msg, mq_gate_fence (gate, msg->partition),
                    MQ_SEAL_STALE);
@@ -797,6 +797,30 @@
     seal_unknown (gate, peer, msg, program);
 }
 
+/* Failure: a connection dies with an OUTCOME or a FORGET in it; it shows as
+   an outcome that is kept for ever, and a host that never drains.  When the
+   same owner is heard over a new connection, all that the old one may have
+   lost goes over the new one; what is settled is then forgotten again.  */
+void
+mq_gate_calls_follow (struct mq_gate *gate, struct gate_partition *partition,
+                      uint32_t peer)
+{
+  struct gate_node *node = partition->calls.first;
+
+  while (node != NULL)
+    {
+      struct gate_call *call
+          = GATE_ENTRY (node, struct gate_call, by_partition);
+
+      node = node->next;
+      if (mq_gate_peer_is_up (gate, call->peer))
+        continue;
+      call->peer = peer;
+      if (call->state == GATE_CALL_DONE)
+        send_kept (gate, peer, call, call->asked, false);
+    }
+}
+
 /* RECOVER.  */
 
 static void
@@ -836,7 +860,7 @@
                       const struct mq_recover_msg *msg)
 {
   struct gate_partition *partition
-      = mq_gate_raise_fence (gate, msg->partition, msg->fence);
+      = mq_gate_raise_fence (gate, msg->partition, msg->fence, peer);
   struct mq_call_ref *running;
   struct gate_node *node;
   size_t count = 0;
@@ -911,12 +935,13 @@
 }
 
 void
-mq_gate_take_forget (struct mq_gate *gate, const struct mq_ref_msg *msg)
+mq_gate_take_forget (struct mq_gate *gate, uint32_t peer,
+                     const struct mq_ref_msg *msg)
 {
   struct gate_program *program;
   struct gate_call *call;
 
-  if (mq_gate_raise_fence (gate, msg->partition, msg->fence) == NULL)
+  if (mq_gate_raise_fence (gate, msg->partition, msg->fence, peer) == NULL)
     return;
   program = mq_gate_program_get (gate, msg->ref.program);
   if (program == NULL)
--- a/src/core/gate_programs.c
+++ b/src/core/gate_programs.c
@@ -59,18 +59,26 @@
    and goes on sending.  It shows as two owners that run the same program.
    Every message raises the fence of its partition and none under a lower
    one has any effect, so from the successor's first message on, whatever it
-   is, the old owner can start nothing here.  NULL: FENCE is old.  */
+   is, the old owner can start nothing here.  NULL: FENCE is old.
+
+   PEER is where the partition's owner is heard now.  */
 struct gate_partition *
-mq_gate_raise_fence (struct mq_gate *gate, uint32_t partition, uint64_t fence)
+mq_gate_raise_fence (struct mq_gate *gate, uint32_t number, uint64_t fence,
+                     uint32_t peer)
 {
-  struct gate_partition *found = find_partition (gate, partition);
+  struct gate_partition *partition = find_partition (gate, number);
+  uint32_t before;
 
-  if (found == NULL)
-    found = add_partition (gate, partition);
-  if (fence < found->fence)
+  if (partition == NULL)
+    partition = add_partition (gate, number);
+  if (fence < partition->fence)
     return NULL;
-  found->fence = fence;
-  return found;
+  before = fence == partition->fence ? partition->peer : 0;
+  partition->fence = fence;
+  partition->peer = peer;
+  if (before != 0 && before != peer && !mq_gate_peer_is_up (gate, before))
+    mq_gate_calls_follow (gate, partition, peer);
+  return partition;
 }
 
 static uint64_t
--- a/src/core/gate_state.h
+++ b/src/core/gate_state.h
@@ -18,12 +18,13 @@
 
 #define MQ_US_PER_MS 1000ULL
 
-/* One partition: the highest fence seen, and its calls.  */
+/* One partition: the highest fence seen, who sent it, and its calls.  */
 struct gate_partition
 {
   struct gate_link link;
   uint32_t partition;
   uint64_t fence;
+  uint32_t peer;
   struct gate_list calls;
 };
 
@@ -376,7 +377,11 @@
                         const struct mq_ref_msg *msg);
 void mq_gate_take_recover (struct mq_gate *gate, uint32_t peer,
                            const struct mq_recover_msg *msg);
-void mq_gate_take_forget (struct mq_gate *gate, const struct mq_ref_msg *msg);
+void mq_gate_take_forget (struct mq_gate *gate, uint32_t peer,
+                          const struct mq_ref_msg *msg);
+/* The owner of PARTITION is heard over another connection, PEER.  */
+void mq_gate_calls_follow (struct mq_gate *gate,
+                           struct gate_partition *partition, uint32_t peer);
 /* Refuses a queued call: it leaves the queue and the table, and a resend
    of it is refused from now on.  */
 void mq_gate_call_refuse (struct mq_gate *gate, struct gate_call *call,
