--- a/src/core/gate_state.h
+++ b/src/core/gate_state.h
@@ -347,8 +347,9 @@
 char *mq_gate_strdup (TALLOC_CTX *ctx, const char *text);
 
 /* gate_programs.c */
-struct gate_partition *
-mq_gate_raise_fence (struct mq_gate *gate, uint32_t partition, uint64_t fence);
+struct gate_partition *mq_gate_raise_fence (struct mq_gate *gate,
+                                            uint32_t number, uint64_t fence,
+                                            uint32_t peer);
 uint64_t mq_gate_fence (const struct mq_gate *gate, uint32_t partition);
 struct gate_program *mq_gate_program_find (struct mq_gate *gate,
                                            struct mq_id id);
