--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -13,6 +13,14 @@
 #define MQ_STREAM_BUFFER_BYTES (1U << 20) /* unsent bytes of a slow reader */
 #define MQ_TEXT_MAX_BYTES (1U << 20)      /* operators' text */
 #define MQ_TEXT_LINE_MAX 198U             /* one line of it */
+#define MQ_TEXT_ERRORS_MAX 1000U          /* errors listed in one pass */
+
+/* HTTP.  The client drops an idle connection well before our servers do, so
+   that a request rarely meets a connection that is just being closed.  */
+#define MQ_HTTP_IDLE_MS 60000U       /* server: connection without traffic */
+#define MQ_HTTP_REUSE_MS 30000U      /* client: idle connection is kept */
+#define MQ_HTTP_CONNECT_MS 3000U     /* client: give up connecting */
+#define MQ_HTTP_KEPT_CONNECTIONS 256 /* client: idle ones at most */
 
 /* Connections between processes.  */
 #define MQ_BEAT_MS 500U          /* heartbeat on an idle connection */
@@ -20,6 +28,13 @@
 #define MQ_CONNECT_RETRY_MS 200U /* first pause before connecting again */
 #define MQ_CONNECT_RETRY_MAX_MS 3000U
 #define MQ_HANDSHAKE_MS 2000U
+#define MQ_PEER_UNSENT_BYTES (32U << 20)  /* unsent to one peer: closed */
+#define MQ_PEER_UNPROVEN_MAX 256U         /* connections before their proof */
+#define MQ_PEER_UNPROVEN_BYTES 1024U      /* frame before the proof */
+#define MQ_FRAME_MEMORY_BYTES (32U << 20) /* memory of one decoded frame */
+#define MQ_FRAME_WORKERS_MAX 1024U        /* workers in one LOAD */
+#define MQ_FRAME_CALLS_MAX 65536U         /* calls in one RECOVERED */
+#define MQ_FRAME_PARTITIONS_MAX 65536U    /* partitions in one HANDOVER */
 
 /* Partition ownership.  */
 #define MQ_OWNER_RENEW_MS 1000U /* the owner's row is written this often */
