Spread a configuration: poll by a few, tell peers in a tree

Cause: an accepted configuration must be in force everywhere within seconds, never revert, and not depend on the table being up.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -27,9 +27,8 @@
 #define MQ_OWNER_PROGRAMS_MAX 50000U
 #define MQ_COMMIT_RECORDS_MAX 512U
 #define MQ_COMMIT_INLINE_BYTES (64U << 10) /* larger: in an object */
-* /
-#define MQ_CHECKPOINT_RECORDS 2000U /* records between checkpoints */
-#define MQ_STORE_TIMEOUT_MS 3000U   /* no answer: LOST */
+#define MQ_CHECKPOINT_RECORDS 2000U        /* records between checkpoints */
+#define MQ_STORE_TIMEOUT_MS 3000U          /* no answer: LOST */
 #define MQ_STORE_RETRY_MS 100U
 #define MQ_STORE_RETRY_MAX_MS 2000U
 
@@ -54,6 +53,10 @@
 #define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
 #define MQ_CONFIG_POLL_SLOW_MS 60000U /* everyone else */
 #define MQ_CONFIG_POLLERS 2U          /* pollers in a data centre */
+#define MQ_CONFIG_FIRST_MAX_MS 4000U  /* longest pause before the first */
+#define MQ_CONFIG_GET_MS 1000U        /* a peer asked: then another one */
+#define MQ_CONFIG_TELL_PEERS 8U       /* peers told at a time of a rise */
+#define MQ_CONFIG_TELL_MS 50U         /* pause before the next few */
 
 /* Traces.  */
 #define MQ_SPANS_MAX 4096U /* kept by a process */
--- a/src/core/spread.h
+++ b/src/core/spread.h
@@ -17,6 +17,10 @@
 #define MQ_CONFIG_KEY "config"
 #define MQ_CONFIG_HEADER 24
 
+/* Set in the ids of all its store requests, so that a process which has
+   another asker of the store can tell the results apart.  */
+#define MQ_SPREAD_STORE_BIT (1ULL << 63)
+
 enum mq_spread_input_type
 {
   MQ_SPREAD_TICK,
@@ -55,4 +59,29 @@
 uint64_t mq_spread_peer_version (const struct mq_spread *spread,
                                  uint32_t peer);
 
+/* Counters, one name each, read by the daemon.  */
+#define MQ_SPREAD_COUNTER_LIST(X)                                             \
+  X (rises, "versions taken into force")                                      \
+  X (polls, "reads of the table's row")                                       \
+  X (polls_failed, "reads that gave no answer")                               \
+  X (rows_bad, "rows that can't be a configuration")                          \
+  X (rows_not_rising, "rows written later with a version that did not rise")  \
+  X (gets_sent, "peers asked for their text")                                 \
+  X (gets_timed_out, "peers that did not answer")                             \
+  X (haves_sent, "peers told of a version")                                   \
+  X (texts_sent, "texts given to peers")                                      \
+  X (texts_dropped, "texts of peers that did not raise the version")          \
+  X (texts_bad, "texts of peers that are empty or over the bound")            \
+  X (texts_conflicting, "second texts met under one version; must stay 0")
+
+struct mq_spread_counters
+{
+#define MQ_COUNTER_FIELD(name, help) uint64_t name;
+  MQ_SPREAD_COUNTER_LIST (MQ_COUNTER_FIELD)
+#undef MQ_COUNTER_FIELD
+};
+
+const struct mq_spread_counters *
+mq_spread_read_counters (const struct mq_spread *spread);
+
 #endif
