Keep callers' requests and take them to the partition's owner

Cause: an owner dies, hands over or loses its partition while callers wait; they must be re-attached, and never hear two owners in one stream.

--- a/src/core/front.h
+++ b/src/core/front.h
@@ -67,4 +67,30 @@
 uint64_t mq_front_next_tick (const struct mq_front *front);
 size_t mq_front_count (const struct mq_front *front);
 
+/* Counters, one name each, read by the daemon.  */
+#define MQ_FRONT_COUNTER_LIST(X)                                              \
+  X (requests, "callers' requests taken")                                     \
+  X (finals, "final answers given to callers")                                \
+  X (refusals, "typed refusals given to callers")                             \
+  X (timeouts, "requests given up at their deadline")                         \
+  X (callers_gone, "callers that left before their answer ended")             \
+  X (forwards, "requests sent to an owner")                                   \
+  X (resends, "of these, requests that had been sent before")                 \
+  X (redirects, "refusals of an owner that another one can mend")             \
+  X (moves, "requests that followed a change of the owners' map")             \
+  X (waits, "times that no owner was known or connected")                     \
+  X (resets, "streams whose provisional text was declared void")              \
+  X (events_doubled, "events dropped as the caller had them already")         \
+  X (events_foreign, "events dropped as they came from a former owner")
+
+struct mq_front_counters
+{
+#define MQ_COUNTER_FIELD(name, help) uint64_t name;
+  MQ_FRONT_COUNTER_LIST (MQ_COUNTER_FIELD)
+#undef MQ_COUNTER_FIELD
+};
+
+const struct mq_front_counters *
+mq_front_read_counters (const struct mq_front *front);
+
 #endif
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -41,6 +41,13 @@
 #define MQ_GRANT_CALLS 4U     /* calls that one budget grant covers */
 #define MQ_LOOP_REPEATS 4U    /* same call in a row: a suspected loop */
 
+/* Callers' requests at the host that took them.  */
+#define MQ_FRONT_REQUESTS_MAX 8192U
+#define MQ_FRONT_BYTES_MAX (32U << 20) /* their bodies together */
+#define MQ_FRONT_RETRY_BASE_MS 5U      /* first pause before sending again */
+#define MQ_FRONT_RETRY_MAX_MS 1000U
+#define MQ_FRONT_CHECK_MS 500U /* the owners' map is compared this often */
+
 /* Gates.  */
 #define MQ_GATE_QUEUE_MAX 512U
 #define MQ_GATE_OUTCOMES_MAX 65536U
