Read callers' requests and write their answers

Cause: every part of a caller's request is bounded and checked once, and every refusal has one shape.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -48,6 +48,11 @@
 #define MQ_FRONT_RETRY_MAX_MS 1000U
 #define MQ_FRONT_CHECK_MS 500U /* the owners' map is compared this often */
 
+/* Callers' HTTP.  */
+#define MQ_API_KEY_MAX 255U         /* bytes of an Idempotency-Key */
+#define MQ_API_WAIT_MAX_MS 3600000U /* a caller's wait, service not known */
+#define MQ_API_WAIT_SLACK_MS 30000U /* beyond what the service may take */
+
 /* Gates.  */
 #define MQ_GATE_QUEUE_MAX 512U
 #define MQ_GATE_OUTCOMES_MAX 65536U
--- /dev/null
+++ b/src/io/api_answer.c
@@ -0,0 +1,359 @@
+/* api_answer.c - events of an answer as the texts that callers read.
+
+   Needs: api_answer.h, id.h, jansson.  */
+
+#include "api_answer.h"
+#include "../core/id.h"
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+static char *
+must (char *text)
+{
+  if (text == NULL)
+    abort ();
+  return text;
+}
+
+/* Text of JSON, which is freed.  */
+static char *
+dump (TALLOC_CTX *ctx, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT);
+  char *copy = must (talloc_strdup (ctx, must (text)));
+
+  free (text);
+  json_decref (json);
+  return copy;
+}
+
+/* Bytes that are not UTF-8 can't stand in JSON; they become '?'.  */
+static json_t *
+text_value (const char *text)
+{
+  json_t *value = json_string (text);
+  char *copy;
+
+  if (value != NULL)
+    return value;
+  copy = must (talloc_strdup (NULL, text));
+  for (char *p = copy; *p != '\0'; p++)
+    if ((unsigned char)*p >= 0x80)
+      *p = '?';
+  value = json_string (copy);
+  talloc_free (copy);
+  return value;
+}
+
+static json_t *
+id_value (struct mq_id id)
+{
+  char text[MQ_ID_TEXT];
+
+  mq_id_format (id, text);
+  return json_string (text);
+}
+
+/* Object of a JSON text; an empty one when it is none.  */
+static json_t *
+parse_object (const char *text)
+{
+  json_t *json = json_loads (text == NULL ? "" : text, 0, NULL);
+
+  if (json_is_object (json))
+    return json;
+  json_decref (json);
+  return json_object ();
+}
+
+static json_t *
+refusal_value (const struct mq_api_refusal *refusal)
+{
+  const struct mq_error *error = &refusal->error;
+  json_t *json = json_object ();
+
+  json_object_set_new (json, "error",
+                       json_string (mq_error_name (error->type)));
+  json_object_set_new (json, "ran", json_string (mq_ran_name (refusal->ran)));
+  json_object_set_new (json, "cause",
+                       json_string (mq_error_cause (error->type)));
+  json_object_set_new (json, "remedy",
+                       json_string (mq_error_remedy (error->type)));
+  if (error->subject[0] != '\0')
+    json_object_set_new (json, "subject", text_value (error->subject));
+  if (error->allowed[0] != '\0')
+    json_object_set_new (json, "allowed", text_value (error->allowed));
+  if (refusal->retry_after_ms != 0)
+    json_object_set_new (json, "retry_after_ms",
+                         json_integer (refusal->retry_after_ms));
+  if (!mq_id_is_zero (refusal->program))
+    json_object_set_new (json, "program", id_value (refusal->program));
+  return json;
+}
+
+char *
+mq_api_refusal_json (TALLOC_CTX *ctx, const struct mq_api_refusal *refusal)
+{
+  return dump (ctx, refusal_value (refusal));
+}
+
+static const char *
+event_name (enum mq_event_type type)
+{
+  switch (type)
+    {
+    case MQ_EVENT_ACCEPTED:
+      return "accepted";
+    case MQ_EVENT_TOKEN:
+      return "token";
+    case MQ_EVENT_STEP:
+      return "step";
+    case MQ_EVENT_RESET:
+      return "reset";
+    case MQ_EVENT_FINAL:
+      return "final";
+    case MQ_EVENT_REFUSED:
+      return "refused";
+    }
+  return "unknown";
+}
+
+static json_t *
+event_value (const struct mq_event_msg *event, struct mq_id program)
+{
+  struct mq_api_refusal refusal = { .ran = event->ran, .program = program };
+  json_t *json;
+
+  switch (event->type)
+    {
+    case MQ_EVENT_TOKEN:
+      json = json_object ();
+      json_object_set_new (json, "call", json_integer (event->call));
+      json_object_set_new (json, "text", text_value (event->body));
+      return json;
+    case MQ_EVENT_REFUSED:
+      mq_error_set (&refusal.error, event->error, "", "");
+      refusal.retry_after_ms = event->retry_after_ms;
+      return refusal_value (&refusal);
+    case MQ_EVENT_RESET:
+      json = parse_object (event->body);
+      json_object_set_new (json, "call", json_integer (event->call));
+      return json;
+    case MQ_EVENT_ACCEPTED:
+    case MQ_EVENT_STEP:
+    case MQ_EVENT_FINAL:
+      break;
+    }
+  return parse_object (event->body);
+}
+
+char *
+mq_api_sse (TALLOC_CTX *ctx, const struct mq_event_msg *event,
+            struct mq_id program)
+{
+  char *data = dump (ctx, event_value (event, program));
+  char *text;
+
+  if (event->number == 0)
+    text = talloc_asprintf (ctx, "event: %s\ndata: %s\n\n",
+                            event_name (event->type), data);
+  else
+    text = talloc_asprintf (ctx, "id: %u\nevent: %s\ndata: %s\n\n",
+                            event->number, event_name (event->type), data);
+  talloc_free (data);
+  return must (text);
+}
+
+char *
+mq_api_program_json (TALLOC_CTX *ctx, struct mq_id program, const char *status)
+{
+  json_t *json = json_object ();
+
+  json_object_set_new (json, "program", id_value (program));
+  json_object_set_new (json, "status", json_string (status));
+  return dump (ctx, json);
+}
+
+/* OpenAI's shapes.  */
+
+static json_t *
+chat_object (const char *object, const char *model, struct mq_id program,
+             int64_t created)
+{
+  char id[MQ_ID_TEXT];
+  json_t *json = json_object ();
+
+  mq_id_format (program, id);
+  json_object_set_new (json, "id", json_sprintf ("chatcmpl-%s", id));
+  json_object_set_new (json, "object", json_string (object));
+  json_object_set_new (json, "created", json_integer (created));
+  json_object_set_new (json, "model", text_value (model));
+  return json;
+}
+
+static json_t *
+one_choice (const char *name, json_t *content, const char *finish)
+{
+  json_t *choice = json_object ();
+  json_t *choices = json_array ();
+
+  json_object_set_new (choice, "index", json_integer (0));
+  json_object_set_new (choice, name, content);
+  json_object_set_new (choice, "finish_reason",
+                       finish == NULL ? json_null () : json_string (finish));
+  json_array_append_new (choices, choice);
+  return choices;
+}
+
+/* Our tool calls, {"id","name","arguments"}, as OpenAI has them.  */
+static json_t *
+chat_tool_calls (json_t *calls)
+{
+  json_t *list = json_array ();
+  json_t *call;
+  size_t i;
+
+  json_array_foreach (calls, i, call)
+  {
+    json_t *function = json_object ();
+    json_t *item = json_object ();
+
+    json_object_set (function, "name", json_object_get (call, "name"));
+    json_object_set (function, "arguments",
+                     json_object_get (call, "arguments"));
+    json_object_set_new (item, "index", json_integer ((json_int_t)i));
+    json_object_set (item, "id", json_object_get (call, "id"));
+    json_object_set_new (item, "type", json_string ("function"));
+    json_object_set_new (item, "function", function);
+    json_array_append_new (list, item);
+  }
+  return list;
+}
+
+/* What a step's FINAL says about the model's answer.  */
+struct chat_answer
+{
+  json_t *final;
+  json_t *content; /* borrowed */
+  json_t *calls;   /* borrowed, NULL when none */
+};
+
+static bool
+read_answer (const char *final, struct chat_answer *answer)
+{
+  json_t *value;
+
+  answer->final = parse_object (final);
+  answer->calls = NULL;
+  value = json_object_get (answer->final, "answer");
+  answer->content = value;
+  if (json_is_object (value))
+    {
+      json_t *calls = json_object_get (value, "tool_calls");
+
+      answer->content = json_object_get (value, "content");
+      if (json_array_size (calls) > 0)
+        answer->calls = calls;
+    }
+  if (json_is_string (answer->content) || answer->calls != NULL)
+    return true;
+  json_decref (answer->final);
+  return false;
+}
+
+static const char *
+finish_reason (const struct chat_answer *answer)
+{
+  return answer->calls == NULL ? "stop" : "tool_calls";
+}
+
+char *
+mq_api_chat_json (TALLOC_CTX *ctx, const char *final, const char *model,
+                  struct mq_id program, int64_t created)
+{
+  struct chat_answer answer;
+  json_t *message;
+  json_t *json;
+
+  if (!read_answer (final, &answer))
+    return NULL;
+  message = json_object ();
+  json_object_set_new (message, "role", json_string ("assistant"));
+  if (json_is_string (answer.content))
+    json_object_set (message, "content", answer.content);
+  else
+    json_object_set_new (message, "content", json_null ());
+  if (answer.calls != NULL)
+    json_object_set_new (message, "tool_calls",
+                         chat_tool_calls (answer.calls));
+  json = chat_object ("chat.completion", model, program, created);
+  json_object_set_new (
+      json, "choices",
+      one_choice ("message", message, finish_reason (&answer)));
+  if (json_object_get (answer.final, "usage") != NULL)
+    json_object_set (json, "usage", json_object_get (answer.final, "usage"));
+  json_decref (answer.final);
+  return dump (ctx, json);
+}
+
+static char *
+chat_chunk (TALLOC_CTX *ctx, json_t *delta, const char *finish,
+            const char *model, struct mq_id program, int64_t created)
+{
+  json_t *json
+      = chat_object ("chat.completion.chunk", model, program, created);
+  char *data;
+  char *text;
+
+  json_object_set_new (json, "choices", one_choice ("delta", delta, finish));
+  data = dump (ctx, json);
+  text = must (talloc_asprintf (ctx, "data: %s\n\n", data));
+  talloc_free (data);
+  return text;
+}
+
+char *
+mq_api_chat_token (TALLOC_CTX *ctx, const char *text, const char *model,
+                   struct mq_id program, int64_t created)
+{
+  json_t *delta = json_object ();
+
+  json_object_set_new (delta, "content", text_value (text));
+  return chat_chunk (ctx, delta, NULL, model, program, created);
+}
+
+char *
+mq_api_chat_end (TALLOC_CTX *ctx, const char *final, const char *model,
+                 struct mq_id program, int64_t created)
+{
+  struct chat_answer answer;
+  json_t *delta = json_object ();
+  const char *finish = "stop";
+  char *chunk;
+
+  if (read_answer (final, &answer))
+    {
+      finish = finish_reason (&answer);
+      if (answer.calls != NULL)
+        json_object_set_new (delta, "tool_calls",
+                             chat_tool_calls (answer.calls));
+      json_decref (answer.final);
+    }
+  chunk = chat_chunk (ctx, delta, finish, model, program, created);
+  return must (talloc_strdup_append (chunk, "data: [DONE]\n\n"));
+}
+
+char *
+mq_api_chat_broken (TALLOC_CTX *ctx, const struct mq_api_refusal *refusal)
+{
+  json_t *json = json_object ();
+  char *data;
+  char *text;
+
+  json_object_set_new (json, "error", refusal_value (refusal));
+  data = dump (ctx, json);
+  text = must (talloc_asprintf (ctx, "data: %s\n\n", data));
+  talloc_free (data);
+  return text;
+}
--- /dev/null
+++ b/src/io/api_plan.c
@@ -0,0 +1,736 @@
+/* api_plan.c - a caller's HTTP request as requests for the front.
+
+   Needs: api_plan.h, limits.h, id.h, jansson.  */
+
+#include "api_plan.h"
+#include "../core/id.h"
+#include "../core/limits.h"
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  SEGMENTS_MAX = 5,
+  DECIMAL_MAX = 10,
+  MS_PER_SECOND = 1000,
+  TRACEPARENT_LEN = 55
+};
+
+/* Parts of a path between slashes.  */
+struct path
+{
+  char *parts[SEGMENTS_MAX];
+  size_t count;
+};
+
+/* What one plan is made from; ERROR is set by the first that fails.  */
+struct maker
+{
+  TALLOC_CTX *ctx;
+  const struct mq_text *text;
+  const struct mq_api_ask *ask;
+  struct mq_api_plan *plan;
+  json_t *json;
+  struct mq_error *error;
+};
+
+static bool
+fail (struct maker *maker, enum mq_error_type type, const char *subject,
+      const char *allowed)
+{
+  mq_error_set (maker->error, type, subject, allowed);
+  return false;
+}
+
+static char *
+copy_text (struct maker *maker, const char *text)
+{
+  char *copy = talloc_strdup (maker->ctx, text);
+
+  if (copy == NULL)
+    abort ();
+  return copy;
+}
+
+/* Checked reading of single values.  */
+
+static bool
+split_path (struct maker *maker, struct path *path)
+{
+  char *rest = copy_text (maker, maker->ask->path);
+  char *part;
+
+  path->count = 0;
+  while ((part = strsep (&rest, "/")) != NULL)
+    {
+      if (part[0] == '\0')
+        continue;
+      if (path->count == SEGMENTS_MAX || strlen (part) >= MQ_NAME_MAX)
+        return fail (maker, MQ_ERR_NOT_FOUND, maker->ask->path, "");
+      path->parts[path->count++] = part;
+    }
+  return true;
+}
+
+static bool
+part_is (const struct path *path, size_t place, const char *name)
+{
+  return place < path->count && strcmp (path->parts[place], name) == 0;
+}
+
+static bool
+read_decimal (struct maker *maker, const char *name, const char *text,
+              uint32_t *number)
+{
+  char *end = NULL;
+  unsigned long long value;
+
+  if (text == NULL)
+    return true;
+  if (text[0] < '0' || text[0] > '9' || strlen (text) > DECIMAL_MAX)
+    return fail (maker, MQ_ERR_BAD_REQUEST, name, "a number from 0");
+  value = strtoull (text, &end, 10);
+  if (*end != '\0' || value > UINT32_MAX)
+    return fail (maker, MQ_ERR_BAD_REQUEST, name, "a number from 0");
+  *number = (uint32_t)value;
+  return true;
+}
+
+static bool
+is_set (const char *query)
+{
+  return query != NULL && strcmp (query, "0") != 0;
+}
+
+static bool
+read_id (struct maker *maker, const char *text, struct mq_id *id)
+{
+  if (!mq_id_parse (text, id))
+    return fail (maker, MQ_ERR_NOT_FOUND, text,
+                 "a program's id: 32 hexadecimal digits");
+  return true;
+}
+
+static bool
+key_is_sound (const char *key)
+{
+  size_t len = strlen (key);
+
+  if (len == 0 || len > MQ_API_KEY_MAX)
+    return false;
+  for (size_t i = 0; i < len; i++)
+    if (key[i] < ' ' || key[i] > '~')
+      return false;
+  return true;
+}
+
+bool
+mq_api_traceparent_valid (const char *text)
+{
+  static const char shape[] = "00-xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx-"
+                              "xxxxxxxxxxxxxxxx-xx";
+
+  if (text == NULL || strlen (text) != TRACEPARENT_LEN)
+    return false;
+  for (size_t i = 0; i < TRACEPARENT_LEN; i++)
+    {
+      bool hex = (text[i] >= '0' && text[i] <= '9')
+                 || (text[i] >= 'a' && text[i] <= 'f');
+
+      if (shape[i] == 'x' ? !hex : text[i] != shape[i])
+        return false;
+    }
+  return true;
+}
+
+/* JSON bodies.  */
+
+static bool
+read_body (struct maker *maker)
+{
+  const struct mq_api_ask *ask = maker->ask;
+  json_error_t where;
+
+  maker->json = json_loadb (ask->len == 0 ? "{}" : ask->body,
+                            ask->len == 0 ? 2 : ask->len,
+                            JSON_REJECT_DUPLICATES, &where);
+  if (maker->json == NULL)
+    return fail (maker, MQ_ERR_BAD_JSON, where.text, "one JSON object");
+  if (!json_is_object (maker->json))
+    return fail (maker, MQ_ERR_BAD_JSON, "", "one JSON object");
+  return true;
+}
+
+/* Refuses members that are not among NAMES: a misspelt option would
+   otherwise be left out without a word.  */
+static bool
+only_members (struct maker *maker, const char *const *names)
+{
+  const char *key;
+  json_t *value;
+
+  json_object_foreach (maker->json, key, value)
+  {
+    size_t i = 0;
+
+    while (names[i] != NULL && strcmp (names[i], key) != 0)
+      i++;
+    if (names[i] == NULL)
+      return fail (maker, MQ_ERR_BAD_REQUEST, key, "see docs/API.md");
+  }
+  return true;
+}
+
+/* *TEXT stays as it is when the member is absent.  */
+static bool
+read_text (struct maker *maker, const char *name, const char **text)
+{
+  json_t *value = json_object_get (maker->json, name);
+
+  if (value == NULL)
+    return true;
+  if (!json_is_string (value)
+      || strlen (json_string_value (value)) != json_string_length (value))
+    return fail (maker, MQ_ERR_BAD_REQUEST, name, "a text");
+  *text = copy_text (maker, json_string_value (value));
+  return true;
+}
+
+static bool
+read_name (struct maker *maker, const char *name, const char **text)
+{
+  if (!read_text (maker, name, text))
+    return false;
+  if (strlen (*text) >= MQ_NAME_MAX)
+    return fail (maker, MQ_ERR_BAD_REQUEST, name, "a name");
+  return true;
+}
+
+static bool
+read_flag (struct maker *maker, const char *name, bool *flag)
+{
+  json_t *value = json_object_get (maker->json, name);
+
+  if (value == NULL)
+    return true;
+  if (!json_is_boolean (value))
+    return fail (maker, MQ_ERR_BAD_REQUEST, name, "true or false");
+  *flag = json_is_true (value);
+  return true;
+}
+
+static bool
+read_number (struct maker *maker, const char *name, uint32_t *number)
+{
+  json_t *value = json_object_get (maker->json, name);
+
+  if (value == NULL || json_is_null (value))
+    return true;
+  if (!json_is_integer (value) || json_integer_value (value) < 0
+      || json_integer_value (value) > UINT32_MAX)
+    return fail (maker, MQ_ERR_BAD_REQUEST, name, "a number from 0");
+  *number = (uint32_t)json_integer_value (value);
+  return true;
+}
+
+static const char *
+dump (struct maker *maker, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT);
+  const char *copy;
+
+  if (text == NULL)
+    abort ();
+  copy = copy_text (maker, text);
+  free (text);
+  return copy;
+}
+
+/* Services.  */
+
+static const struct mq_service *
+find_service (struct maker *maker, const char *name)
+{
+  const struct mq_service *service = mq_text_find_service (maker->text, name);
+
+  if (service == NULL)
+    mq_error_set (maker->error, MQ_ERR_NOT_FOUND, name,
+                  "a service of the operators' text");
+  return service;
+}
+
+/* How long a caller waits for SERVICE: what its program may take at most,
+   and some more for queues and commits.  */
+static uint32_t
+service_wait_ms (const struct mq_service *service)
+{
+  uint64_t ms;
+
+  if (service->kind == MQ_SERVICE_AGENT)
+    ms = (uint64_t)service->budget.seconds * MS_PER_SECOND;
+  else
+    ms = 2ULL * service->timeout_ms;
+  ms += MQ_API_WAIT_SLACK_MS;
+  return ms > MQ_API_WAIT_MAX_MS ? MQ_API_WAIT_MAX_MS : (uint32_t)ms;
+}
+
+/* Body of one call of SERVICE: a model takes "messages" or "input", a plain
+   service or tool "arguments".  */
+static bool
+make_call_body (struct maker *maker, const struct mq_service *service,
+                struct mq_request_msg *request)
+{
+  bool model = service->kind == MQ_SERVICE_MODEL;
+  json_t *messages = json_object_get (maker->json, "messages");
+  json_t *input = json_object_get (maker->json, "input");
+  json_t *arguments = json_object_get (maker->json, "arguments");
+  json_t *body;
+
+  if (model && (messages == NULL) == (input == NULL))
+    return fail (maker, MQ_ERR_BAD_REQUEST, "messages",
+                 "either messages or input for a model");
+  if (messages != NULL && !json_is_array (messages))
+    return fail (maker, MQ_ERR_BAD_REQUEST, "messages", "an array");
+  if (input != NULL && !json_is_string (input))
+    return fail (maker, MQ_ERR_BAD_REQUEST, "input", "a text");
+  if (arguments != NULL && !json_is_object (arguments))
+    return fail (maker, MQ_ERR_BAD_REQUEST, "arguments", "an object");
+  if (model && arguments != NULL)
+    return fail (maker, MQ_ERR_BAD_REQUEST, "arguments",
+                 "messages or input for a model");
+  if (!model && (messages != NULL || input != NULL))
+    return fail (maker, MQ_ERR_BAD_REQUEST, "input",
+                 "arguments for a plain service or tool");
+  body = json_object ();
+  if (messages != NULL)
+    json_object_set (body, "messages", messages);
+  else if (input != NULL)
+    json_object_set (body, "input", input);
+  else if (arguments != NULL)
+    json_object_set (body, "arguments", arguments);
+  else
+    json_object_set_new (body, "arguments", json_object ());
+  request->body = dump (maker, body);
+  json_decref (body);
+  return true;
+}
+
+/* A plain service is called by one of its routes; nothing else has any.  */
+static bool
+check_route (struct maker *maker, const struct mq_service *service,
+             const char *route)
+{
+  if (service->kind != MQ_SERVICE_PLAIN && route[0] != '\0')
+    return fail (maker, MQ_ERR_BAD_REQUEST, "route",
+                 "routes are for plain services");
+  if (service->kind == MQ_SERVICE_PLAIN
+      && mq_text_find_route (service, route) == NULL)
+    return fail (maker, MQ_ERR_NOT_FOUND, route,
+                 "a route of the plain service");
+  return true;
+}
+
+/* Requests.  */
+
+static void
+begin_request (struct maker *maker, struct mq_request_msg *request,
+               enum mq_request_type type)
+{
+  memset (request, 0, sizeof *request);
+  request->type = type;
+  request->organisation = maker->ask->organisation;
+  request->service = "";
+  request->route = "";
+  request->key = "";
+  request->traceparent = maker->ask->traceparent;
+  request->body = "{}";
+}
+
+static const char *
+key_of (const struct mq_api_ask *ask)
+{
+  return ask->key != NULL ? ask->key : ask->generated_key;
+}
+
+static void
+name_new_program (struct maker *maker, struct mq_request_msg *request)
+{
+  request->key = key_of (maker->ask);
+  request->program = mq_id_open (maker->ask->organisation, request->key);
+}
+
+static bool
+wants_events (const struct mq_api_ask *ask)
+{
+  return ask->accept != NULL
+         && strstr (ask->accept, "text/event-stream") != NULL;
+}
+
+/* The shape of an answer that may be streamed, awaited or left.  */
+static bool
+read_shape (struct maker *maker)
+{
+  bool stream = wants_events (maker->ask);
+  bool wait = true;
+
+  if (!read_flag (maker, "stream", &stream)
+      || !read_flag (maker, "wait", &wait))
+    return false;
+  if (!wait)
+    maker->plan->shape = MQ_API_ACCEPT;
+  else
+    maker->plan->shape = stream ? MQ_API_STREAM : MQ_API_JSON;
+  maker->plan->first.stream = wait && stream;
+  return true;
+}
+
+static bool
+make_open_body (struct maker *maker, struct mq_request_msg *request)
+{
+  const char *input = "";
+  bool keep_open = false;
+  json_t *body;
+
+  if (json_object_get (maker->json, "input") == NULL)
+    return fail (maker, MQ_ERR_BAD_REQUEST, "input", "a text");
+  if (!read_text (maker, "input", &input)
+      || !read_flag (maker, "keep_open", &keep_open))
+    return false;
+  body = json_object ();
+  json_object_set (body, "input", json_object_get (maker->json, "input"));
+  json_object_set_new (body, "keep_open", json_boolean (keep_open));
+  request->body = dump (maker, body);
+  json_decref (body);
+  return true;
+}
+
+static bool
+read_continues (struct maker *maker, struct mq_request_msg *request)
+{
+  const char *continues = "";
+
+  if (!read_text (maker, "continues", &continues))
+    return false;
+  if (continues[0] == '\0')
+    return true;
+  return read_id (maker, continues, &request->continues);
+}
+
+/* POST /v1/programs with "driver":"caller".  */
+static bool
+plan_create (struct maker *maker, const struct mq_service *service)
+{
+  static const char *const members[] = { "service", "driver", NULL };
+  struct mq_request_msg *request = &maker->plan->first;
+
+  if (!only_members (maker, members))
+    return false;
+  request->type = MQ_REQUEST_CREATE;
+  maker->plan->shape = MQ_API_CREATE;
+  maker->plan->wait_ms = service_wait_ms (service);
+  return true;
+}
+
+/* POST /v1/programs for an agent: the system drives the program.  */
+static bool
+plan_agent (struct maker *maker, const struct mq_service *service)
+{
+  static const char *const members[]
+      = { "service", "input",  "keep_open", "continues",
+          "driver",  "stream", "wait",      NULL };
+  struct mq_request_msg *request = &maker->plan->first;
+
+  maker->plan->wait_ms = service_wait_ms (service);
+  return only_members (maker, members) && make_open_body (maker, request)
+         && read_continues (maker, request) && read_shape (maker);
+}
+
+/* POST /v1/programs for a model, plain service or tool: a program of one
+   call.  */
+static bool
+plan_single (struct maker *maker, const struct mq_service *service)
+{
+  static const char *const members[]
+      = { "service",    "route",  "input",  "messages", "arguments",
+          "max_tokens", "driver", "stream", "wait",     NULL };
+  struct mq_request_msg *request = &maker->plan->first;
+
+  maker->plan->wait_ms = service_wait_ms (service);
+  return only_members (maker, members)
+         && read_name (maker, "route", &request->route)
+         && check_route (maker, service, request->route)
+         && read_number (maker, "max_tokens", &request->max_tokens)
+         && make_call_body (maker, service, request) && read_shape (maker);
+}
+
+static bool
+plan_programs (struct maker *maker)
+{
+  struct mq_request_msg *request = &maker->plan->first;
+  const struct mq_service *service;
+  const char *driver = "system";
+
+  begin_request (maker, request, MQ_REQUEST_OPEN);
+  name_new_program (maker, request);
+  if (!read_body (maker) || !read_name (maker, "service", &request->service)
+      || !read_text (maker, "driver", &driver))
+    return false;
+  service = find_service (maker, request->service);
+  if (service == NULL)
+    return false;
+  if (strcmp (driver, "caller") == 0)
+    return plan_create (maker, service);
+  if (strcmp (driver, "system") != 0)
+    return fail (maker, MQ_ERR_BAD_REQUEST, "driver", "system or caller");
+  if (service->kind == MQ_SERVICE_AGENT)
+    return plan_agent (maker, service);
+  return plan_single (maker, service);
+}
+
+/* The service, route, cap and body of a step, from the JSON body.  */
+static bool
+fill_step (struct maker *maker, struct mq_request_msg *request)
+{
+  const struct mq_service *service = find_service (maker, request->service);
+
+  if (service == NULL)
+    return false;
+  if (service->kind == MQ_SERVICE_AGENT)
+    return fail (maker, MQ_ERR_BAD_REQUEST, request->service,
+                 "a model, plain service or tool");
+  maker->plan->wait_ms = service_wait_ms (service);
+  return check_route (maker, service, request->route)
+         && read_number (maker, "max_tokens", &request->max_tokens)
+         && make_call_body (maker, service, request);
+}
+
+/* POST /v1/programs/ID/calls  */
+static bool
+plan_call (struct maker *maker)
+{
+  static const char *const members[]
+      = { "service",   "route",      "sequence", "input", "messages",
+          "arguments", "max_tokens", "stream",   "wait",  NULL };
+  struct mq_request_msg *request = &maker->plan->first;
+
+  request->type = MQ_REQUEST_STEP;
+  if (!read_body (maker) || !only_members (maker, members)
+      || !read_name (maker, "service", &request->service)
+      || !read_name (maker, "route", &request->route)
+      || !read_number (maker, "sequence", &request->sequence))
+    return false;
+  /* The sequence number makes the call idempotent; a key that differs with
+     each repeat of the request would stand against it.  */
+  if (maker->ask->key != NULL || request->sequence == 0)
+    request->key = key_of (maker->ask);
+  return fill_step (maker, request) && read_shape (maker);
+}
+
+/* POST /v1/programs/ID/turns  */
+static bool
+plan_turn (struct maker *maker)
+{
+  static const char *const members[] = { "input", "stream", "wait", NULL };
+  struct mq_request_msg *request = &maker->plan->first;
+  json_t *input;
+  json_t *body;
+
+  request->type = MQ_REQUEST_TURN;
+  request->key = key_of (maker->ask);
+  if (!read_body (maker) || !only_members (maker, members))
+    return false;
+  input = json_object_get (maker->json, "input");
+  if (!json_is_string (input))
+    return fail (maker, MQ_ERR_BAD_REQUEST, "input", "a text");
+  body = json_object ();
+  json_object_set (body, "input", input);
+  request->body = dump (maker, body);
+  json_decref (body);
+  return read_shape (maker);
+}
+
+/* GET /v1/programs/ID  */
+static bool
+plan_get (struct maker *maker)
+{
+  struct mq_request_msg *request = &maker->plan->first;
+  bool stream = wants_events (maker->ask);
+
+  request->type = MQ_REQUEST_GET;
+  maker->plan->shape = stream ? MQ_API_STREAM : MQ_API_JSON;
+  /* Who waits for the final answer hears the events too, and keeps only the
+     last of them.  */
+  request->stream = stream || is_set (maker->ask->wait);
+  return read_decimal (maker, "after", maker->ask->after, &request->after);
+}
+
+static bool
+plan_history (struct maker *maker)
+{
+  maker->plan->first.type = MQ_REQUEST_GET;
+  maker->plan->first.route = "history";
+  return true;
+}
+
+static bool
+plan_delete (struct maker *maker)
+{
+  maker->plan->first.type
+      = is_set (maker->ask->cancel) ? MQ_REQUEST_CANCEL : MQ_REQUEST_CLOSE;
+  return true;
+}
+
+/* /v1/programs/ID…  */
+static bool
+plan_program (struct maker *maker, const struct path *path)
+{
+  const char *method = maker->ask->method;
+  struct mq_request_msg *request = &maker->plan->first;
+  bool post = strcmp (method, "POST") == 0;
+  bool get = strcmp (method, "GET") == 0;
+
+  begin_request (maker, request, MQ_REQUEST_GET);
+  if (!read_id (maker, path->parts[2], &request->program))
+    return false;
+  if (path->count == 3 && get)
+    return plan_get (maker);
+  if (path->count == 3 && strcmp (method, "DELETE") == 0)
+    return plan_delete (maker);
+  if (path->count == 4 && part_is (path, 3, "calls") && post)
+    return plan_call (maker);
+  if (path->count == 4 && part_is (path, 3, "turns") && post)
+    return plan_turn (maker);
+  if (path->count == 4 && part_is (path, 3, "history") && get)
+    return plan_history (maker);
+  return fail (maker, MQ_ERR_NOT_FOUND, maker->ask->path, "see docs/API.md");
+}
+
+/* The step of POST /v1/chat/completions.  */
+static bool
+fill_chat_step (struct maker *maker, struct mq_request_msg *request)
+{
+  if (json_object_get (maker->json, "messages") == NULL)
+    return fail (maker, MQ_ERR_BAD_REQUEST, "messages", "an array");
+  if (!read_name (maker, "model", &request->service)
+      || !read_number (maker, "max_completion_tokens", &request->max_tokens)
+      || !read_flag (maker, "stream", &request->stream))
+    return false;
+  maker->plan->shape = request->stream ? MQ_API_CHAT_STREAM : MQ_API_CHAT;
+  return fill_step (maker, request);
+}
+
+/* POST /v1/chat/completions: a step of the program that the header names;
+   without the header one is created first.  "model" names the service.
+   Members that OpenAI's clients send besides are left out.  */
+static bool
+plan_chat (struct maker *maker)
+{
+  struct mq_api_plan *plan = maker->plan;
+
+  if (!read_body (maker))
+    return false;
+  if (maker->ask->program != NULL)
+    {
+      begin_request (maker, &plan->first, MQ_REQUEST_STEP);
+      plan->first.key = key_of (maker->ask);
+      return read_id (maker, maker->ask->program, &plan->first.program)
+             && fill_chat_step (maker, &plan->first);
+    }
+  begin_request (maker, &plan->first, MQ_REQUEST_CREATE);
+  name_new_program (maker, &plan->first);
+  begin_request (maker, &plan->second, MQ_REQUEST_STEP);
+  plan->second.program = plan->first.program;
+  plan->second.sequence = 1;
+  plan->has_second = true;
+  if (!fill_chat_step (maker, &plan->second))
+    return false;
+  plan->first.service = plan->second.service;
+  return true;
+}
+
+/* POST /v1/services/NAME[/ROUTE]: the body is the call's own.  */
+static bool
+plan_service (struct maker *maker, const struct path *path)
+{
+  struct mq_request_msg *request = &maker->plan->first;
+  const struct mq_service *service;
+
+  begin_request (maker, request, MQ_REQUEST_OPEN);
+  name_new_program (maker, request);
+  request->service = path->parts[2];
+  request->route = path->count == 4 ? path->parts[3] : "";
+  service = find_service (maker, request->service);
+  if (service == NULL)
+    return false;
+  if (service->kind == MQ_SERVICE_AGENT || service->kind == MQ_SERVICE_MODEL)
+    return fail (maker, MQ_ERR_BAD_REQUEST, request->service,
+                 "a plain service or tool");
+  if (!check_route (maker, service, request->route) || !read_body (maker))
+    return false;
+  maker->plan->wait_ms = service_wait_ms (service);
+  request->body = talloc_asprintf (maker->ctx, "{\"arguments\":%s}",
+                                   dump (maker, maker->json));
+  return true;
+}
+
+static bool
+plan_path (struct maker *maker, const struct path *path)
+{
+  bool post = strcmp (maker->ask->method, "POST") == 0;
+
+  if (path->count < 2 || !part_is (path, 0, "v1"))
+    return fail (maker, MQ_ERR_NOT_FOUND, maker->ask->path, "see docs/API.md");
+  if (path->count == 2 && part_is (path, 1, "programs") && post)
+    return plan_programs (maker);
+  if (path->count >= 3 && part_is (path, 1, "programs"))
+    return plan_program (maker, path);
+  if (path->count == 3 && part_is (path, 1, "chat")
+      && part_is (path, 2, "completions") && post)
+    return plan_chat (maker);
+  if ((path->count == 3 || path->count == 4) && part_is (path, 1, "services")
+      && post)
+    return plan_service (maker, path);
+  return fail (maker, MQ_ERR_NOT_FOUND, maker->ask->path, "see docs/API.md");
+}
+
+/* The caller may wait for less than the service may take.  */
+static bool
+read_timeout (struct maker *maker)
+{
+  uint32_t timeout_ms = maker->plan->wait_ms;
+
+  if (!read_decimal (maker, "timeout_ms", maker->ask->timeout_ms, &timeout_ms))
+    return false;
+  if (timeout_ms == 0)
+    return fail (maker, MQ_ERR_BAD_REQUEST, "timeout_ms", "a number from 1");
+  if (timeout_ms < maker->plan->wait_ms)
+    maker->plan->wait_ms = timeout_ms;
+  return true;
+}
+
+struct mq_api_plan *
+mq_api_plan_make (TALLOC_CTX *ctx, const struct mq_text *text,
+                  const struct mq_api_ask *ask, struct mq_error *error)
+{
+  struct maker maker = { .text = text, .ask = ask, .error = error };
+  struct path path;
+  bool made;
+
+  maker.plan = talloc_zero (ctx, struct mq_api_plan);
+  if (maker.plan == NULL)
+    abort ();
+  maker.ctx = maker.plan;
+  maker.plan->wait_ms = MQ_API_WAIT_MAX_MS;
+  if (ask->key != NULL && !key_is_sound (ask->key))
+    made = fail (&maker, MQ_ERR_BAD_REQUEST, "Idempotency-Key",
+                 "1 to 255 printable characters");
+  else
+    made = split_path (&maker, &path) && plan_path (&maker, &path)
+           && read_timeout (&maker);
+  json_decref (maker.json);
+  if (made)
+    return maker.plan;
+  talloc_free (maker.plan);
+  return NULL;
+}
