Join an entry host's cores to HTTP, peers and the platform

Cause: the cores of an entry host need one event loop that keeps the order of their inputs and actions.

--- /dev/null
+++ b/src/io/api.c
@@ -0,0 +1,868 @@
+/* api.c - callers' and operators' HTTP on an entry host.
+
+   One exchange for each caller's HTTP request, in a table of slots; its
+   handle at the front carries the slot and a serial number, so that an
+   event for an earlier exchange of the slot is told apart.
+   Needs: api.h, api_plan.h, api_answer.h, id.h, limits.h, gnutls.  */
+
+#include "api.h"
+#include "../core/id.h"
+#include "../core/limits.h"
+#include "api_answer.h"
+#include "api_plan.h"
+#include <gnutls/crypto.h>
+#include <gnutls/gnutls.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <time.h>
+
+enum
+{
+  SLOT_BITS = 16,
+  SLOTS_MAX = 1 << SLOT_BITS,
+  FIRST_SLOTS = 64,
+  MS_PER_SECOND = 1000,
+  TRACE_BYTES = 24
+};
+
+static const char json_type[] = "application/json";
+static const char event_type[] = "text/event-stream";
+
+/**
+ * struct exchange - one caller's HTTP request until it has ended
+ * @handle: its handle at the front, 0 when the slot is free
+ * @slot: its place in the table
+ * @http: the HTTP request
+ * @plan: what is asked of the front
+ * @asked: the front has a request of it
+ * @second: the second request of the plan is under way
+ * @streaming: the head of a streamed answer was sent
+ * @streamed: OpenAI's stream: text given to the caller so far
+ * @held: OpenAI's stream: tokens are held back after a reset
+ * @start_us: when it came in
+ */
+struct exchange
+{
+  uint64_t handle;
+  uint32_t slot;
+  struct mq_api *api;
+  struct mq_http_request *http;
+  struct mq_api_plan *plan;
+  bool asked;
+  bool second;
+  bool streaming;
+  char *streamed;
+  bool held;
+  uint64_t start_us;
+};
+
+struct mq_api
+{
+  struct mq_api_callbacks callbacks;
+  struct mq_http_server *server;
+  const struct mq_text *text;
+  uint64_t boot;
+  uint8_t operator_key_hash[MQ_KEY_BYTES];
+  bool leaving;
+  struct exchange **slots;
+  size_t slot_count;
+  size_t live;
+  uint32_t next_slot;
+  uint64_t serial;
+  struct mq_api_counters counters;
+};
+
+static void *
+must (void *memory)
+{
+  if (memory == NULL)
+    abort ();
+  return memory;
+}
+
+/* Plain answers.  */
+
+static void
+respond_text (struct mq_http_request *http, int status, const char *type,
+              const char *text)
+{
+  mq_http_respond (http, status, type, text, strlen (text));
+}
+
+static void
+respond_refusal (struct mq_api *api, struct mq_http_request *http,
+                 const struct mq_api_refusal *refusal)
+{
+  char *json = mq_api_refusal_json (api, refusal);
+
+  api->counters.refused++;
+  if (refusal->retry_after_ms != 0)
+    {
+      char *seconds = must (talloc_asprintf (
+          json, "%u",
+          (refusal->retry_after_ms + MS_PER_SECOND - 1) / MS_PER_SECOND));
+
+      mq_http_set_header (http, "Retry-After", seconds);
+    }
+  respond_text (http, mq_error_http_status (refusal->error.type), json_type,
+                json);
+  talloc_free (json);
+}
+
+/* A refusal by this process, which has asked nobody yet.  */
+static void
+refuse (struct mq_api *api, struct mq_http_request *http,
+        enum mq_error_type type, const char *subject, uint32_t retry_after_ms)
+{
+  struct mq_api_refusal refusal
+      = { .ran = MQ_RAN_NOT_RUN, .retry_after_ms = retry_after_ms };
+
+  mq_error_set (&refusal.error, type, subject, "");
+  respond_refusal (api, http, &refusal);
+}
+
+/* Table of exchanges.  */
+
+static bool
+grow_slots (struct mq_api *api)
+{
+  size_t count = api->slot_count == 0 ? FIRST_SLOTS : 2 * api->slot_count;
+
+  if (count > SLOTS_MAX)
+    return false;
+  api->slots
+      = must (talloc_realloc (api, api->slots, struct exchange *, count));
+  memset (&api->slots[api->slot_count], 0,
+          (count - api->slot_count) * sizeof (struct exchange *));
+  api->next_slot = (uint32_t)api->slot_count;
+  api->slot_count = count;
+  return true;
+}
+
+static bool
+find_free_slot (struct mq_api *api, uint32_t *slot)
+{
+  if (api->live == api->slot_count && !grow_slots (api))
+    return false;
+  while (api->slots[api->next_slot] != NULL)
+    api->next_slot = (api->next_slot + 1) % (uint32_t)api->slot_count;
+  *slot = api->next_slot;
+  return true;
+}
+
+static void
+new_handle (struct exchange *exchange)
+{
+  exchange->handle = ++exchange->api->serial << SLOT_BITS | exchange->slot;
+}
+
+static struct exchange *
+find_exchange (const struct mq_api *api, uint64_t handle)
+{
+  size_t slot = handle & (SLOTS_MAX - 1);
+
+  if (slot >= api->slot_count || api->slots[slot] == NULL)
+    return NULL;
+  return api->slots[slot]->handle == handle ? api->slots[slot] : NULL;
+}
+
+static struct exchange *
+open_exchange (struct mq_api *api, struct mq_http_request *http)
+{
+  struct exchange *exchange;
+  uint32_t slot;
+
+  if (!find_free_slot (api, &slot))
+    return NULL;
+  exchange = must (talloc_zero (api, struct exchange));
+  exchange->api = api;
+  exchange->slot = slot;
+  exchange->http = http;
+  exchange->start_us = api->callbacks.now_us (api->callbacks.user);
+  exchange->streamed = must (talloc_strdup (exchange, ""));
+  new_handle (exchange);
+  api->slots[slot] = exchange;
+  api->live++;
+  return exchange;
+}
+
+/* The HTTP request has ended: answered, or its caller is gone.  */
+static void
+exchange_closed (struct mq_http_request *http, void *data)
+{
+  struct exchange *exchange = data;
+  struct mq_api *api = exchange->api;
+
+  (void)http;
+  api->slots[exchange->slot] = NULL;
+  api->live--;
+  if (exchange->asked)
+    {
+      api->counters.callers_gone++;
+      api->callbacks.gone (exchange->handle, api->callbacks.user);
+    }
+  talloc_free (exchange);
+}
+
+/* Keys.  */
+
+/* SHA-256 of the bearer token; false when there is none.  */
+static bool
+bearer_hash (struct mq_http_request *http, uint8_t hash[MQ_KEY_BYTES])
+{
+  static const char scheme[] = "Bearer ";
+  const char *header = mq_http_header (http, "Authorization");
+
+  if (header == NULL || strncasecmp (header, scheme, sizeof scheme - 1) != 0)
+    return false;
+  header += sizeof scheme - 1;
+  return gnutls_hash_fast (GNUTLS_DIG_SHA256, header, strlen (header), hash)
+         == 0;
+}
+
+static const struct mq_organisation *
+caller_of (const struct mq_api *api, struct mq_http_request *http)
+{
+  uint8_t hash[MQ_KEY_BYTES];
+
+  if (!bearer_hash (http, hash))
+    return NULL;
+  return mq_text_find_key (api->text, hash);
+}
+
+static bool
+is_operator (const struct mq_api *api, struct mq_http_request *http)
+{
+  uint8_t hash[MQ_KEY_BYTES];
+
+  if (!bearer_hash (http, hash))
+    return false;
+  return gnutls_memcmp (hash, api->operator_key_hash, MQ_KEY_BYTES) == 0;
+}
+
+/* The caller's trace context, or a new one.  */
+static const char *
+trace_of (TALLOC_CTX *ctx, struct mq_http_request *http)
+{
+  const char *header = mq_http_header (http, "traceparent");
+  uint8_t random[TRACE_BYTES];
+  uint64_t words[TRACE_BYTES / sizeof (uint64_t)];
+  char trace[MQ_ID_TEXT];
+  char span[MQ_ID_TEXT];
+
+  if (mq_api_traceparent_valid (header))
+    return must (talloc_strdup (ctx, header));
+  if (gnutls_rnd (GNUTLS_RND_NONCE, random, sizeof random) != 0)
+    abort ();
+  memcpy (words, random, sizeof words);
+  mq_id_format ((struct mq_id){ words[0], words[1] }, trace);
+  mq_id_format ((struct mq_id){ words[2], 0 }, span);
+  return must (talloc_asprintf (ctx, "00-%s-%.16s-01", trace, span));
+}
+
+/* Asking the front.  */
+
+static void
+ask_front (struct exchange *exchange, const struct mq_request_msg *request)
+{
+  struct mq_api *api = exchange->api;
+  uint32_t partition
+      = mq_id_partition (request->program, api->text->partitions);
+
+  exchange->asked = true;
+  /* The answer may come from within; EXCHANGE may be gone afterwards.  */
+  api->callbacks.request (exchange->handle, partition, exchange->plan->wait_ms,
+                          request, api->callbacks.user);
+}
+
+/* What the front still has of the exchange is not wanted any more.  */
+static void
+leave_front (struct exchange *exchange)
+{
+  struct mq_api *api = exchange->api;
+
+  exchange->asked = false;
+  api->callbacks.gone (exchange->handle, api->callbacks.user);
+}
+
+static void
+emit_span (const struct exchange *exchange, enum mq_error_type error)
+{
+  struct mq_api *api = exchange->api;
+  struct mq_span span = { .name = "entry" };
+
+  span.traceparent = exchange->plan->first.traceparent;
+  span.program = exchange->plan->first.program;
+  span.start_us = exchange->start_us;
+  span.end_us = api->callbacks.now_us (api->callbacks.user);
+  span.error = error;
+  api->callbacks.span (&span, api->callbacks.user);
+}
+
+/* The plan outlives the request's headers and the text it was made from:
+   its second request is sent later.  */
+static void
+keep_plan (struct exchange *exchange, const struct mq_api_plan *plan)
+{
+  exchange->plan = must (talloc_zero (exchange, struct mq_api_plan));
+  *exchange->plan = *plan;
+  mq_request_copy (exchange->plan, &exchange->plan->first, &plan->first);
+  if (plan->has_second)
+    mq_request_copy (exchange->plan, &exchange->plan->second, &plan->second);
+}
+
+static void
+name_program (struct exchange *exchange)
+{
+  char text[MQ_ID_TEXT];
+
+  mq_id_format (exchange->plan->first.program, text);
+  mq_http_set_header (exchange->http, "Mimosa-Program", text);
+}
+
+/* A key of this one request, unique among all runs of all processes.  */
+static char *
+make_key (TALLOC_CTX *ctx, const struct exchange *exchange)
+{
+  uint64_t random;
+
+  if (gnutls_rnd (GNUTLS_RND_NONCE, &random, sizeof random) != 0)
+    abort ();
+  return must (talloc_asprintf (ctx, "auto-%016llx-%016llx-%016llx",
+                                (unsigned long long)exchange->api->boot,
+                                (unsigned long long)exchange->handle,
+                                (unsigned long long)random));
+}
+
+static void
+fill_ask (TALLOC_CTX *ctx, const struct exchange *exchange,
+          const struct mq_organisation *caller, struct mq_api_ask *ask)
+{
+  struct mq_http_request *http = exchange->http;
+
+  ask->method = mq_http_method (http);
+  ask->path = mq_http_path (http);
+  ask->body = mq_http_body (http, &ask->len);
+  ask->organisation = caller->name;
+  ask->key = mq_http_header (http, "Idempotency-Key");
+  ask->generated_key = make_key (ctx, exchange);
+  ask->traceparent = trace_of (ctx, http);
+  ask->accept = mq_http_header (http, "Accept");
+  ask->program = mq_http_header (http, "Mimosa-Program");
+  ask->after = mq_http_query (http, "after");
+  ask->wait = mq_http_query (http, "wait");
+  ask->cancel = mq_http_query (http, "cancel");
+  ask->timeout_ms = mq_http_query (http, "timeout_ms");
+}
+
+static void
+plan_exchange (struct exchange *exchange, const struct mq_organisation *caller)
+{
+  struct mq_api_refusal refusal = { .ran = MQ_RAN_NOT_RUN };
+  TALLOC_CTX *ctx = must (talloc_new (NULL));
+  struct mq_api_ask ask = { 0 };
+  struct mq_api_plan *plan;
+
+  fill_ask (ctx, exchange, caller, &ask);
+  plan = mq_api_plan_make (ctx, exchange->api->text, &ask, &refusal.error);
+  if (plan == NULL)
+    {
+      respond_refusal (exchange->api, exchange->http, &refusal);
+      talloc_free (ctx);
+      return;
+    }
+  keep_plan (exchange, plan);
+  talloc_free (ctx);
+  name_program (exchange);
+  ask_front (exchange, &exchange->plan->first);
+}
+
+static void
+serve_caller (struct mq_api *api, struct mq_http_request *http)
+{
+  const struct mq_organisation *caller;
+  struct exchange *exchange;
+
+  if (api->leaving)
+    {
+      refuse (api, http, MQ_ERR_LEAVING, "", MQ_FRONT_RETRY_MAX_MS);
+      return;
+    }
+  if (api->text == NULL)
+    {
+      refuse (api, http, MQ_ERR_NOT_READY, "", MQ_FRONT_RETRY_MAX_MS);
+      return;
+    }
+  caller = caller_of (api, http);
+  if (caller == NULL)
+    {
+      api->counters.unauthorised++;
+      refuse (api, http, MQ_ERR_UNAUTHORISED, "", 0);
+      return;
+    }
+  exchange = open_exchange (api, http);
+  if (exchange == NULL)
+    {
+      refuse (api, http, MQ_ERR_OVERLOADED, "", MQ_FRONT_RETRY_MAX_MS);
+      return;
+    }
+  mq_http_on_closed (http, exchange_closed, exchange);
+  plan_exchange (exchange, caller);
+}
+
+/* Answers.  */
+
+static void
+begin_stream (struct exchange *exchange)
+{
+  if (exchange->streaming)
+    return;
+  exchange->streaming = true;
+  exchange->api->counters.streams++;
+  mq_http_set_header (exchange->http, "Cache-Control", "no-store");
+  mq_http_stream_begin (exchange->http, 200, event_type);
+}
+
+/* False when the caller was given up; EXCHANGE may be gone then.  TEXT is
+   freed.  */
+static bool
+write_stream (struct exchange *exchange, char *text)
+{
+  struct mq_api *api = exchange->api;
+  bool written;
+
+  begin_stream (exchange);
+  written = mq_http_stream_write (exchange->http, text, strlen (text));
+  talloc_free (text);
+  if (!written)
+    api->counters.slow_readers++;
+  return written;
+}
+
+static void
+finish_stream (struct exchange *exchange, char *text)
+{
+  struct mq_http_request *http = exchange->http;
+
+  if (write_stream (exchange, text))
+    mq_http_stream_end (http);
+}
+
+static void
+fill_refusal (const struct exchange *exchange,
+              const struct mq_event_msg *event, struct mq_api_refusal *refusal)
+{
+  mq_error_set (&refusal->error, event->error, "", "");
+  refusal->ran = event->ran;
+  refusal->retry_after_ms = event->retry_after_ms;
+  refusal->program = exchange->plan->first.program;
+}
+
+static void
+give_refusal (struct exchange *exchange, const struct mq_event_msg *event)
+{
+  struct mq_api *api = exchange->api;
+  struct mq_api_refusal refusal;
+
+  fill_refusal (exchange, event, &refusal);
+  if (!exchange->streaming)
+    {
+      respond_refusal (api, exchange->http, &refusal);
+      return;
+    }
+  api->counters.refused++;
+  if (exchange->plan->shape == MQ_API_CHAT_STREAM)
+    finish_stream (exchange, mq_api_chat_broken (api, &refusal));
+  else
+    finish_stream (exchange, mq_api_sse (api, event, refusal.program));
+}
+
+static void
+answer_refused (struct exchange *exchange, const struct mq_event_msg *event)
+{
+  exchange->asked = false;
+  emit_span (exchange, event->error);
+  give_refusal (exchange, event);
+}
+
+/* The final answer is not in the form that was asked for.  */
+static void
+answer_unusable (struct exchange *exchange)
+{
+  struct mq_event_msg event = { .type = MQ_EVENT_REFUSED };
+
+  event.error = MQ_ERR_BAD_ANSWER;
+  event.ran = MQ_RAN_RAN;
+  give_refusal (exchange, &event);
+}
+
+static const char *
+chat_model (const struct exchange *exchange)
+{
+  const struct mq_api_plan *plan = exchange->plan;
+
+  return plan->has_second ? plan->second.service : plan->first.service;
+}
+
+static void
+answer_chat (struct exchange *exchange, const char *final)
+{
+  struct mq_id program = exchange->plan->first.program;
+  char *json = mq_api_chat_json (exchange, final, chat_model (exchange),
+                                 program, time (NULL));
+
+  if (json == NULL)
+    answer_unusable (exchange);
+  else
+    respond_text (exchange->http, 200, json_type, json);
+}
+
+/* The stream ends well only when what the caller holds is the beginning of
+   the final answer; the rest of it goes out in one piece.  After a reset
+   the text may have changed: then the stream ends without [DONE].  */
+static void
+end_chat_stream (struct exchange *exchange, const char *final)
+{
+  struct mq_id program = exchange->plan->first.program;
+  const char *model = chat_model (exchange);
+  size_t held = strlen (exchange->streamed);
+  int64_t now = time (NULL);
+  char *content = mq_api_chat_content (exchange, final);
+
+  if (strncmp (content, exchange->streamed, held) != 0)
+    {
+      answer_unusable (exchange);
+      return;
+    }
+  if (content[held] != '\0'
+      && !write_stream (exchange,
+                        mq_api_chat_token (exchange->api, content + held,
+                                           model, program, now)))
+    return;
+  finish_stream (exchange,
+                 mq_api_chat_end (exchange->api, final, model, program, now));
+}
+
+static void
+answer_final (struct exchange *exchange, const struct mq_event_msg *event)
+{
+  exchange->asked = false;
+  emit_span (exchange, MQ_ERR_NONE);
+  switch (exchange->plan->shape)
+    {
+    case MQ_API_JSON:
+    case MQ_API_ACCEPT:
+      respond_text (exchange->http, 200, json_type, event->body);
+      break;
+    case MQ_API_CREATE:
+      respond_text (exchange->http, 201, json_type, event->body);
+      break;
+    case MQ_API_STREAM:
+      finish_stream (exchange, mq_api_sse (exchange->api, event,
+                                           exchange->plan->first.program));
+      break;
+    case MQ_API_CHAT:
+      answer_chat (exchange, event->body);
+      break;
+    case MQ_API_CHAT_STREAM:
+      end_chat_stream (exchange, event->body);
+      break;
+    }
+}
+
+/* The program that the second request belongs to is durable.  */
+static void
+start_second (struct exchange *exchange)
+{
+  exchange->second = true;
+  new_handle (exchange);
+  ask_front (exchange, &exchange->plan->second);
+}
+
+/* The id is all that the caller waits for.  */
+static void
+answer_accepted (struct exchange *exchange)
+{
+  bool create = exchange->plan->shape == MQ_API_CREATE;
+  char *json = mq_api_program_json (exchange, exchange->plan->first.program,
+                                    create ? "waiting" : "running");
+
+  if (exchange->asked)
+    leave_front (exchange);
+  emit_span (exchange, MQ_ERR_NONE);
+  respond_text (exchange->http, create ? 201 : 202, json_type, json);
+}
+
+static void
+handle_accepted (struct exchange *exchange, const struct mq_event_msg *event)
+{
+  switch (exchange->plan->shape)
+    {
+    case MQ_API_ACCEPT:
+    case MQ_API_CREATE:
+      answer_accepted (exchange);
+      break;
+    case MQ_API_STREAM:
+      write_stream (exchange, mq_api_sse (exchange->api, event,
+                                          exchange->plan->first.program));
+      break;
+    case MQ_API_JSON:
+    case MQ_API_CHAT:
+    case MQ_API_CHAT_STREAM:
+      break;
+    }
+}
+
+static void
+stream_chat_token (struct exchange *exchange, const struct mq_event_msg *event)
+{
+  if (exchange->held)
+    return;
+  exchange->streamed
+      = must (talloc_strdup_append_buffer (exchange->streamed, event->body));
+  write_stream (exchange, mq_api_chat_token (exchange->api, event->body,
+                                             chat_model (exchange),
+                                             exchange->plan->first.program,
+                                             time (NULL)));
+}
+
+/* TOKEN, STEP and RESET.  */
+static void
+handle_progress (struct exchange *exchange, const struct mq_event_msg *event)
+{
+  switch (exchange->plan->shape)
+    {
+    case MQ_API_STREAM:
+      write_stream (exchange, mq_api_sse (exchange->api, event,
+                                          exchange->plan->first.program));
+      break;
+    case MQ_API_CHAT_STREAM:
+      if (event->type == MQ_EVENT_RESET)
+        exchange->held = true;
+      else if (event->type == MQ_EVENT_TOKEN)
+        stream_chat_token (exchange, event);
+      break;
+    case MQ_API_JSON:
+    case MQ_API_ACCEPT:
+    case MQ_API_CREATE:
+    case MQ_API_CHAT:
+      break;
+    }
+}
+
+/* Events of the first of two requests: once the program is durable the
+   second one follows.  */
+static bool
+handle_first (struct exchange *exchange, const struct mq_event_msg *event)
+{
+  if (!exchange->plan->has_second || exchange->second
+      || event->type == MQ_EVENT_REFUSED)
+    return false;
+  if (event->type == MQ_EVENT_FINAL)
+    exchange->asked = false;
+  else if (event->type == MQ_EVENT_ACCEPTED)
+    leave_front (exchange);
+  else
+    return true;
+  start_second (exchange);
+  return true;
+}
+
+void
+mq_api_event (struct mq_api *api, const struct mq_event_msg *event)
+{
+  struct exchange *exchange = find_exchange (api, event->handle);
+
+  if (exchange == NULL || !exchange->asked)
+    {
+      api->counters.events_unknown++;
+      return;
+    }
+  if (handle_first (exchange, event))
+    return;
+  switch (event->type)
+    {
+    case MQ_EVENT_ACCEPTED:
+      handle_accepted (exchange, event);
+      break;
+    case MQ_EVENT_TOKEN:
+    case MQ_EVENT_STEP:
+    case MQ_EVENT_RESET:
+      handle_progress (exchange, event);
+      break;
+    case MQ_EVENT_FINAL:
+      answer_final (exchange, event);
+      break;
+    case MQ_EVENT_REFUSED:
+      answer_refused (exchange, event);
+      break;
+    }
+}
+
+/* Operators.  */
+
+static void
+serve_ready (struct mq_api *api, struct mq_http_request *http)
+{
+  if (api->leaving)
+    refuse (api, http, MQ_ERR_LEAVING, "", 0);
+  else if (!api->callbacks.ready (api->callbacks.user))
+    refuse (api, http, MQ_ERR_NOT_READY, "", MQ_FRONT_RETRY_MAX_MS);
+  else
+    respond_text (http, 200, json_type, "{\"ready\":true}");
+}
+
+static void
+serve_metrics (struct mq_api *api, struct mq_http_request *http)
+{
+  char *text = must (api->callbacks.metrics (api, api->callbacks.user));
+
+  respond_text (http, 200, "text/plain; version=0.0.4", text);
+  talloc_free (text);
+}
+
+static void
+serve_spans (struct mq_api *api, struct mq_http_request *http, const char *id)
+{
+  struct mq_id program;
+  char *json;
+
+  if (!mq_id_parse (id, &program))
+    {
+      refuse (api, http, MQ_ERR_NOT_FOUND, id, 0);
+      return;
+    }
+  json = must (api->callbacks.spans (api, program, api->callbacks.user));
+  respond_text (http, 200, json_type, json);
+  talloc_free (json);
+}
+
+static void
+serve_status (struct mq_api *api, struct mq_http_request *http)
+{
+  char *json = must (api->callbacks.status (api, api->callbacks.user));
+
+  respond_text (http, 200, json_type, json);
+  talloc_free (json);
+}
+
+static void
+serve_drain (struct mq_api *api, struct mq_http_request *http)
+{
+  respond_text (http, 202, json_type, "{\"state\":\"leaving\"}");
+  api->callbacks.drain (api->callbacks.user);
+}
+
+static void
+serve_operator (struct mq_api *api, struct mq_http_request *http)
+{
+  static const char spans[] = "/v1/admin/spans/";
+  const char *path = mq_http_path (http);
+  bool get = strcmp (mq_http_method (http), "GET") == 0;
+  bool post = strcmp (mq_http_method (http), "POST") == 0;
+
+  if (!is_operator (api, http))
+    {
+      api->counters.unauthorised++;
+      refuse (api, http, MQ_ERR_UNAUTHORISED, "", 0);
+    }
+  else if (get && strcmp (path, "/v1/admin/status") == 0)
+    serve_status (api, http);
+  else if (get && strncmp (path, spans, sizeof spans - 1) == 0)
+    serve_spans (api, http, path + sizeof spans - 1);
+  else if (post && strcmp (path, "/v1/admin/drain") == 0)
+    serve_drain (api, http);
+  else
+    refuse (api, http, MQ_ERR_NOT_FOUND, path, 0);
+}
+
+static void
+serve (struct mq_http_request *http, void *data)
+{
+  static const char admin[] = "/v1/admin/";
+  struct mq_api *api = data;
+  const char *path = mq_http_path (http);
+  bool get = strcmp (mq_http_method (http), "GET") == 0;
+
+  api->counters.requests++;
+  if (get && strcmp (path, "/healthz") == 0)
+    respond_text (http, 200, json_type, "{\"alive\":true}");
+  else if (get && strcmp (path, "/readyz") == 0)
+    serve_ready (api, http);
+  else if (get && strcmp (path, "/metrics") == 0)
+    serve_metrics (api, http);
+  else if (strncmp (path, admin, sizeof admin - 1) == 0)
+    serve_operator (api, http);
+  else
+    serve_caller (api, http);
+}
+
+/* Life.  */
+
+struct mq_api *
+mq_api_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+               const struct mq_api_options *options,
+               const struct mq_api_callbacks *callbacks,
+               struct mq_error *error)
+{
+  struct mq_api *api = must (talloc_zero (ctx, struct mq_api));
+
+  api->callbacks = *callbacks;
+  api->boot = options->boot;
+  memcpy (api->operator_key_hash, options->operator_key_hash, MQ_KEY_BYTES);
+  api->server
+      = mq_http_server_create (api, ev, &options->http, serve, api, error);
+  if (api->server == NULL)
+    {
+      talloc_free (api);
+      return NULL;
+    }
+  return api;
+}
+
+/* The server goes first: it reports each request in progress as closed.  */
+void
+mq_api_destroy (struct mq_api *api)
+{
+  if (api == NULL)
+    return;
+  mq_http_server_destroy (api->server);
+  talloc_free (api);
+}
+
+uint16_t
+mq_api_port (const struct mq_api *api)
+{
+  return mq_http_server_port (api->server);
+}
+
+void
+mq_api_set_text (struct mq_api *api, const struct mq_text *text)
+{
+  api->text = text;
+}
+
+void
+mq_api_leave (struct mq_api *api)
+{
+  api->leaving = true;
+}
+
+void
+mq_api_stop_accepting (struct mq_api *api)
+{
+  mq_http_server_stop_accepting (api->server);
+}
+
+size_t
+mq_api_in_progress (const struct mq_api *api)
+{
+  return api->live;
+}
+
+const struct mq_api_counters *
+mq_api_read_counters (const struct mq_api *api)
+{
+  return &api->counters;
+}
--- a/src/io/api_answer.c
+++ b/src/io/api_answer.c
@@ -297,6 +297,21 @@
   return dump (ctx, json);
 }
 
+char *
+mq_api_chat_content (TALLOC_CTX *ctx, const char *final)
+{
+  struct chat_answer answer;
+  const char *text = NULL;
+  char *copy;
+
+  if (!read_answer (final, &answer))
+    return must (talloc_strdup (ctx, ""));
+  text = json_string_value (answer.content);
+  copy = must (talloc_strdup (ctx, text == NULL ? "" : text));
+  json_decref (answer.final);
+  return copy;
+}
+
 static char *
 chat_chunk (TALLOC_CTX *ctx, json_t *delta, const char *finish,
             const char *model, struct mq_id program, int64_t created)
--- a/src/io/api_answer.h
+++ b/src/io/api_answer.h
@@ -32,6 +32,8 @@
    the shape.  CREATED is in seconds since 1970.  */
 char *mq_api_chat_json (TALLOC_CTX *ctx, const char *final, const char *model,
                         struct mq_id program, int64_t created);
+/* The model's text in the body of a FINAL event, empty when it has none.  */
+char *mq_api_chat_content (TALLOC_CTX *ctx, const char *final);
 /* OpenAI's stream: "data: …" of one token, of the end, of a broken one.  */
 char *mq_api_chat_token (TALLOC_CTX *ctx, const char *text, const char *model,
                          struct mq_id program, int64_t created);
--- /dev/null
+++ b/src/io/entry.c
@@ -0,0 +1,871 @@
+/* entry.c - everything that runs on an entry host, in one event loop.
+
+   Needs: entry.h and the modules that it joins.  */
+
+#include "entry.h"
+#include "../core/front.h"
+#include "../core/id.h"
+#include "../core/limits.h"
+#include "../core/owner.h"
+#include "../core/place.h"
+#include "../core/spread.h"
+#include "api.h"
+#include "entry_report.h"
+#include "log.h"
+#include "peer.h"
+#include "platform.h"
+#include "spans.h"
+#include <gnutls/crypto.h>
+#include <gnutls/gnutls.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum
+{
+  US_PER_MS = 1000,
+  US_PER_SECOND = 1000000,
+  NS_PER_US = 1000
+};
+
+/* Whose actions a list holds: EVENT means the front to the owner, and the
+   caller to the front.  */
+enum origin
+{
+  FROM_OWNER,
+  FROM_FRONT,
+  FROM_SPREAD
+};
+
+/* A list of actions that is still to be carried out.  */
+struct batch
+{
+  struct batch *next;
+  enum origin origin;
+  struct mq_actions *actions;
+};
+
+struct mq_entry
+{
+  struct tevent_context *ev;
+  const struct mq_settings *settings;
+  void (*done) (void *user);
+  void *user;
+  uint64_t boot;
+  char *http_address;
+  char *peer_address;
+  struct mq_http_client *client;
+  struct mq_platform *platform;
+  struct mq_peer_net *net;
+  struct mq_api *api;
+  struct mq_spans *spans;
+  struct mq_owner *owner;
+  struct mq_front *front;
+  struct mq_spread *spread;
+  struct mq_text *text;
+  uint64_t seen_version; /* of the last text that was looked at */
+  uint64_t texts_refused;
+  char **kept; /* addresses of hosts to which connections are kept */
+  size_t kept_count;
+  struct batch *first;
+  struct batch *last;
+  bool working;
+  struct tevent_timer *timer;
+  uint64_t timer_us;
+  bool leaving;
+  uint64_t leave_until_us;
+  struct tevent_immediate *stop;
+};
+
+static void *
+must (void *memory)
+{
+  if (memory == NULL)
+    abort ();
+  return memory;
+}
+
+static uint64_t
+now_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (uint64_t)now.tv_sec * US_PER_SECOND
+         + (uint64_t)now.tv_nsec / NS_PER_US;
+}
+
+static uint64_t
+random_word (void)
+{
+  uint64_t word;
+
+  if (gnutls_rnd (GNUTLS_RND_KEY, &word, sizeof word) != 0)
+    abort ();
+  return word;
+}
+
+static uint64_t
+earlier (uint64_t a, uint64_t b)
+{
+  return a < b ? a : b;
+}
+
+static void settle (struct mq_entry *entry);
+
+/* The queue of actions.  A core's handler never runs inside another one, and
+   two batches never interleave: a commit that the owner asked for first
+   reaches the store first.  */
+
+static struct mq_actions *
+add_batch (struct mq_entry *entry, enum origin origin)
+{
+  struct batch *batch = must (talloc_zero (entry, struct batch));
+
+  batch->origin = origin;
+  batch->actions = mq_actions_create (batch);
+  if (entry->last == NULL)
+    entry->first = batch;
+  else
+    entry->last->next = batch;
+  entry->last = batch;
+  return batch->actions;
+}
+
+static void
+tell_owner (struct mq_entry *entry, struct mq_owner_input *input)
+{
+  input->now_us = now_us ();
+  mq_owner_handle (entry->owner, input, add_batch (entry, FROM_OWNER));
+}
+
+static void
+tell_front (struct mq_entry *entry, struct mq_front_input *input)
+{
+  input->now_us = now_us ();
+  mq_front_handle (entry->front, input, add_batch (entry, FROM_FRONT));
+}
+
+static void
+tell_spread (struct mq_entry *entry, struct mq_spread_input *input)
+{
+  input->now_us = now_us ();
+  mq_spread_handle (entry->spread, input, add_batch (entry, FROM_SPREAD));
+}
+
+/* Carrying out actions.  */
+
+/* The front has to know that a request did not leave this host; whatever
+   else can't be sent is lost with the connection, which is reported.  */
+static void
+send_peer (struct mq_entry *entry, uint32_t peer,
+           const struct mq_message *message)
+{
+  struct mq_event_msg event = { .type = MQ_EVENT_REFUSED };
+  struct mq_front_input input = { .type = MQ_FRONT_EVENT, .peer = peer };
+
+  if (mq_peer_net_send (entry->net, peer, message)
+      || message->type != MQ_MSG_FORWARD)
+    return;
+  event.handle = message->u.forward.handle;
+  event.error = MQ_ERR_NOT_READY;
+  event.ran = MQ_RAN_NOT_RUN;
+  event.body = "";
+  event.redirect = "";
+  input.u.event = &event;
+  tell_front (entry, &input);
+}
+
+/* A caller's request, or its end, for the owner in this process.  */
+static void
+send_self (struct mq_entry *entry, const struct mq_message *message)
+{
+  struct mq_owner_input input = { .peer = MQ_PEER_SELF };
+
+  if (message->type == MQ_MSG_FORWARD)
+    {
+      input.type = MQ_OWNER_REQUEST;
+      input.handle = message->u.forward.handle;
+      input.u.request = &message->u.forward.request;
+      tell_owner (entry, &input);
+    }
+  else if (message->type == MQ_MSG_FORWARD_CLOSE)
+    {
+      input.type = MQ_OWNER_CALLER_GONE;
+      input.handle = message->u.forward_close.handle;
+      tell_owner (entry, &input);
+    }
+}
+
+static void
+carry_event (struct mq_entry *entry, enum origin origin,
+             const struct mq_action *action)
+{
+  struct mq_front_input input = { .type = MQ_FRONT_EVENT };
+  struct mq_message message = { .type = MQ_MSG_FORWARD_EVENT };
+
+  if (origin == FROM_FRONT)
+    {
+      mq_api_event (entry->api, &action->u.event);
+      return;
+    }
+  if (action->peer == MQ_PEER_SELF)
+    {
+      input.peer = MQ_PEER_SELF;
+      input.u.event = &action->u.event;
+      tell_front (entry, &input);
+      return;
+    }
+  message.u.event = action->u.event;
+  send_peer (entry, action->peer, &message);
+}
+
+static void
+carry_out (struct mq_entry *entry, enum origin origin,
+           const struct mq_action *action)
+{
+  switch (action->type)
+    {
+    case MQ_ACT_SEND:
+      if (action->peer == MQ_PEER_SELF)
+        send_self (entry, &action->u.message);
+      else
+        send_peer (entry, action->peer, &action->u.message);
+      break;
+    case MQ_ACT_STORE:
+      mq_platform_send (entry->platform, &action->u.store);
+      break;
+    case MQ_ACT_EVENT:
+      carry_event (entry, origin, action);
+      break;
+    case MQ_ACT_SPAN:
+      mq_spans_add (entry->spans, &action->u.span);
+      break;
+    case MQ_ACT_STATE:
+      mq_log_state (&action->u.state);
+      break;
+    /* Only a target host's core gives these.  */
+    case MQ_ACT_START:
+    case MQ_ACT_STOP:
+    case MQ_ACT_EVICT:
+    case MQ_ACT_ORDER:
+      break;
+    }
+}
+
+/* A text that does not parse was accepted by a newer version of mimosactl,
+   or was written to the table by hand.  This process goes on with the text
+   that it has, and says so.  */
+static void
+take_text (struct mq_entry *entry)
+{
+  const char *source = mq_spread_text (entry->spread);
+  struct mq_owner_input input = { .type = MQ_OWNER_TEXT };
+  struct mq_text_errors errors = { 0 };
+  struct mq_text *older = entry->text;
+  struct mq_text *text
+      = mq_text_parse (entry, source, strlen (source), &errors);
+
+  if (text == NULL)
+    {
+      entry->texts_refused++;
+      if (errors.count > 0)
+        mq_log_failure ("text_refused", &errors.items[0]);
+      talloc_free (errors.items);
+      return;
+    }
+  text->version = mq_spread_version (entry->spread);
+  entry->text = text;
+  mq_api_set_text (entry->api, text);
+  input.u.text = text;
+  tell_owner (entry, &input);
+  talloc_free (older);
+}
+
+static void
+look_at_version (struct mq_entry *entry)
+{
+  uint64_t version = mq_spread_version (entry->spread);
+
+  if (version == entry->seen_version)
+    return;
+  entry->seen_version = version;
+  mq_peer_net_set_version (entry->net, version);
+  take_text (entry);
+}
+
+/* Planned stop.  */
+
+static bool
+is_finished (const struct mq_entry *entry)
+{
+  if (now_us () >= entry->leave_until_us)
+    return true;
+  return mq_owner_is_drained (entry->owner)
+         && mq_front_count (entry->front) == 0
+         && mq_api_in_progress (entry->api) == 0;
+}
+
+static void
+report_done (struct tevent_context *ev, struct tevent_immediate *immediate,
+             void *data)
+{
+  struct mq_entry *entry = data;
+
+  (void)ev;
+  (void)immediate;
+  entry->done (entry->user);
+}
+
+static void
+look_at_leaving (struct mq_entry *entry)
+{
+  if (!entry->leaving || entry->stop != NULL || !is_finished (entry))
+    return;
+  entry->stop = must (tevent_create_immediate (entry));
+  tevent_schedule_immediate (entry->stop, entry->ev, report_done, entry);
+}
+
+void
+mq_entry_leave (struct mq_entry *entry)
+{
+  struct mq_owner_input input = { .type = MQ_OWNER_LEAVE };
+
+  if (entry->leaving)
+    return;
+  entry->leaving = true;
+  entry->leave_until_us
+      = now_us () + (uint64_t)entry->settings->drain_seconds * US_PER_SECOND;
+  mq_api_leave (entry->api);
+  tell_owner (entry, &input);
+  settle (entry);
+}
+
+/* Time.  */
+
+static void
+tick_cores (struct mq_entry *entry)
+{
+  struct mq_owner_input owner = { .type = MQ_OWNER_TICK };
+  struct mq_front_input front = { .type = MQ_FRONT_TICK };
+  struct mq_spread_input spread = { .type = MQ_SPREAD_TICK };
+  uint64_t now = now_us ();
+
+  if (mq_spread_next_tick (entry->spread) <= now)
+    tell_spread (entry, &spread);
+  if (mq_owner_next_tick (entry->owner) <= now)
+    tell_owner (entry, &owner);
+  if (mq_front_next_tick (entry->front) <= now)
+    tell_front (entry, &front);
+}
+
+static void
+on_timer (struct tevent_context *ev, struct tevent_timer *timer,
+          struct timeval at, void *data)
+{
+  struct mq_entry *entry = data;
+
+  (void)ev;
+  (void)timer;
+  (void)at;
+  entry->timer = NULL;
+  tick_cores (entry);
+  settle (entry);
+}
+
+static uint64_t
+next_tick (const struct mq_entry *entry)
+{
+  uint64_t next = mq_owner_next_tick (entry->owner);
+
+  next = earlier (next, mq_front_next_tick (entry->front));
+  next = earlier (next, mq_spread_next_tick (entry->spread));
+  /* What is in progress over HTTP ends without telling a core.  */
+  if (entry->leaving && entry->stop == NULL)
+    next = earlier (next, now_us () + (uint64_t)MQ_ENTRY_LEAVE_MS * US_PER_MS);
+  return next;
+}
+
+static void
+set_timer (struct mq_entry *entry)
+{
+  uint64_t next = next_tick (entry);
+  uint64_t now = now_us ();
+  uint64_t wait_us = next > now ? next - now : 0;
+
+  if (entry->timer != NULL && entry->timer_us == next)
+    return;
+  if (wait_us > US_PER_SECOND)
+    wait_us = US_PER_SECOND;
+  TALLOC_FREE (entry->timer);
+  entry->timer_us = next;
+  entry->timer = must (tevent_add_timer (
+      entry->ev, entry,
+      tevent_timeval_current_ofs ((uint32_t)(wait_us / US_PER_SECOND),
+                                  (uint32_t)(wait_us % US_PER_SECOND)),
+      on_timer, entry));
+}
+
+/* Carries out all that is queued, and what it leads to.  */
+static void
+settle (struct mq_entry *entry)
+{
+  if (entry->working)
+    return;
+  entry->working = true;
+  while (entry->first != NULL)
+    {
+      struct batch *batch = entry->first;
+
+      for (size_t i = 0; i < batch->actions->count; i++)
+        carry_out (entry, batch->origin, &batch->actions->items[i]);
+      entry->first = batch->next;
+      if (entry->first == NULL)
+        entry->last = NULL;
+      talloc_free (batch);
+      look_at_version (entry);
+    }
+  entry->working = false;
+  look_at_leaving (entry);
+  set_timer (entry);
+}
+
+/* Peers.  */
+
+static void
+on_peer_up (uint32_t peer, const struct mq_peer_info *info, void *user)
+{
+  struct mq_entry *entry = user;
+  struct mq_spread_input spread = { .type = MQ_SPREAD_PEER_UP, .peer = peer };
+  struct mq_owner_input owner = { .type = MQ_OWNER_PEER_UP, .peer = peer };
+  struct mq_front_input front = { .type = MQ_FRONT_PEER_UP, .peer = peer };
+
+  tell_spread (entry, &spread);
+  owner.u.peer_up.host = info->host;
+  owner.u.peer_up.role = info->role;
+  owner.u.peer_up.boot = info->boot;
+  tell_owner (entry, &owner);
+  if (info->role == MQ_HOST_ENTRY)
+    {
+      front.u.address = info->address;
+      tell_front (entry, &front);
+    }
+  settle (entry);
+}
+
+static void
+on_peer_down (uint32_t peer, enum mq_error_type why, void *user)
+{
+  struct mq_entry *entry = user;
+  struct mq_spread_input spread
+      = { .type = MQ_SPREAD_PEER_DOWN, .peer = peer };
+  struct mq_owner_input owner = { .type = MQ_OWNER_PEER_DOWN, .peer = peer };
+  struct mq_front_input front = { .type = MQ_FRONT_PEER_DOWN, .peer = peer };
+
+  (void)why;
+  tell_spread (entry, &spread);
+  tell_owner (entry, &owner);
+  tell_front (entry, &front);
+  settle (entry);
+}
+
+static void
+tell_owner_of_peer (struct mq_entry *entry, uint32_t peer,
+                    const struct mq_message *message)
+{
+  struct mq_owner_input input = { .peer = peer };
+
+  switch (message->type)
+    {
+    case MQ_MSG_FORWARD:
+      input.type = MQ_OWNER_REQUEST;
+      input.handle = message->u.forward.handle;
+      input.u.request = &message->u.forward.request;
+      break;
+    case MQ_MSG_FORWARD_CLOSE:
+      input.type = MQ_OWNER_CALLER_GONE;
+      input.handle = message->u.forward_close.handle;
+      break;
+    default:
+      input.type = MQ_OWNER_MESSAGE;
+      input.u.message = message;
+      break;
+    }
+  tell_owner (entry, &input);
+}
+
+/* The configuration goes first: the lower side fetches before it acts.  */
+static void
+on_message (uint32_t peer, const struct mq_message *message, void *user)
+{
+  struct mq_entry *entry = user;
+  struct mq_spread_input spread = { .type = MQ_SPREAD_MESSAGE, .peer = peer };
+  struct mq_front_input front = { .type = MQ_FRONT_EVENT, .peer = peer };
+
+  spread.u.message = message;
+  tell_spread (entry, &spread);
+  switch (message->type)
+    {
+    case MQ_MSG_FORWARD_EVENT:
+      front.u.event = &message->u.event;
+      tell_front (entry, &front);
+      break;
+    case MQ_MSG_NONE:
+    case MQ_MSG_CONFIG_HAVE:
+    case MQ_MSG_CONFIG_GET:
+    case MQ_MSG_CONFIG_TEXT:
+      break;
+    default:
+      tell_owner_of_peer (entry, peer, message);
+      break;
+    }
+  settle (entry);
+}
+
+/* The platform.  */
+
+static void
+on_stored (const struct mq_store_result *result, void *user)
+{
+  struct mq_entry *entry = user;
+  struct mq_spread_input spread = { .type = MQ_SPREAD_STORE };
+  struct mq_owner_input owner = { .type = MQ_OWNER_STORE };
+
+  if ((result->id & MQ_SPREAD_STORE_BIT) != 0)
+    {
+      spread.u.store = result;
+      tell_spread (entry, &spread);
+    }
+  else
+    {
+      owner.u.store = result;
+      tell_owner (entry, &owner);
+    }
+  settle (entry);
+}
+
+static bool
+is_listed (const struct mq_host_list *hosts, const char *address)
+{
+  for (size_t i = 0; i < hosts->count; i++)
+    if (strcmp (hosts->items[i].address, address) == 0)
+      return true;
+  return false;
+}
+
+/* Keeps a connection to every host of the list.  */
+static void
+keep_hosts (struct mq_entry *entry, const struct mq_host_list *hosts)
+{
+  char **kept = must (
+      talloc_zero_array (entry, char *, (unsigned int)hosts->count + 1));
+  size_t count = 0;
+
+  for (size_t i = 0; i < entry->kept_count; i++)
+    if (!is_listed (hosts, entry->kept[i]))
+      mq_peer_net_release (entry->net, entry->kept[i]);
+  for (size_t i = 0; i < hosts->count; i++)
+    {
+      const char *address = hosts->items[i].address;
+
+      if (strcmp (address, entry->peer_address) == 0)
+        continue;
+      mq_peer_net_keep (entry->net, address);
+      kept[count++] = must (talloc_strdup (kept, address));
+    }
+  talloc_free (entry->kept);
+  entry->kept = kept;
+  entry->kept_count = count;
+}
+
+static void
+on_listed (const struct mq_host_list *hosts, void *user)
+{
+  struct mq_entry *entry = user;
+  struct mq_spread_input spread = { .type = MQ_SPREAD_HOSTS };
+  struct mq_owner_input owner = { .type = MQ_OWNER_HOSTS };
+
+  keep_hosts (entry, hosts);
+  spread.u.hosts = hosts;
+  tell_spread (entry, &spread);
+  owner.u.hosts = hosts;
+  tell_owner (entry, &owner);
+  settle (entry);
+}
+
+/* Callers and operators.  */
+
+static void
+on_request (uint64_t handle, uint32_t partition, uint32_t wait_ms,
+            const struct mq_request_msg *request, void *user)
+{
+  struct mq_entry *entry = user;
+  struct mq_front_input input = { .type = MQ_FRONT_REQUEST };
+
+  input.handle = handle;
+  input.partition = partition;
+  input.deadline_us = now_us () + (uint64_t)wait_ms * US_PER_MS;
+  input.u.request = request;
+  tell_front (entry, &input);
+  settle (entry);
+}
+
+static void
+on_gone (uint64_t handle, void *user)
+{
+  struct mq_entry *entry = user;
+  struct mq_front_input input = { .type = MQ_FRONT_CALLER_GONE };
+
+  input.handle = handle;
+  tell_front (entry, &input);
+  settle (entry);
+}
+
+static void
+on_drain (void *user)
+{
+  mq_entry_leave (user);
+}
+
+static bool
+is_ready (const struct mq_entry *entry)
+{
+  return entry->text != NULL && mq_owner_address (entry->owner, 0) != NULL;
+}
+
+static bool
+on_ready (void *user)
+{
+  return is_ready (user);
+}
+
+static uint64_t
+on_now (void *user)
+{
+  (void)user;
+  return now_us ();
+}
+
+static void
+on_span (const struct mq_span *span, void *user)
+{
+  struct mq_entry *entry = user;
+
+  mq_spans_add (entry->spans, span);
+}
+
+static char *
+on_spans (TALLOC_CTX *ctx, struct mq_id program, void *user)
+{
+  struct mq_entry *entry = user;
+
+  return mq_spans_json (ctx, entry->spans, program);
+}
+
+static void
+fill_view (const struct mq_entry *entry, struct mq_entry_view *view)
+{
+  view->settings = entry->settings;
+  view->boot = entry->boot;
+  view->ready = is_ready (entry);
+  view->leaving = entry->leaving;
+  view->texts_refused = entry->texts_refused;
+  view->owner = entry->owner;
+  view->front = entry->front;
+  view->spread = entry->spread;
+  view->api = entry->api;
+  view->net = entry->net;
+  view->platform = entry->platform;
+}
+
+static char *
+on_metrics (TALLOC_CTX *ctx, void *user)
+{
+  struct mq_entry_view view;
+
+  fill_view (user, &view);
+  return mq_entry_metrics (ctx, &view);
+}
+
+static char *
+on_status (TALLOC_CTX *ctx, void *user)
+{
+  struct mq_entry_view view;
+
+  fill_view (user, &view);
+  return mq_entry_status (ctx, &view);
+}
+
+/* Address of a partition's owner as the front wants it: empty when it is
+   this process.  */
+static const char *
+owner_address (const void *data, uint32_t partition)
+{
+  const struct mq_entry *entry = data;
+  const char *address = mq_owner_address (entry->owner, partition);
+
+  if (address != NULL && strcmp (address, entry->peer_address) == 0)
+    return "";
+  return address;
+}
+
+/* Life.  */
+
+static char *
+address_with_port (TALLOC_CTX *ctx, const char *address, uint16_t port)
+{
+  const char *colon = strrchr (address, ':');
+  int len = colon == NULL ? (int)strlen (address) : (int)(colon - address);
+
+  return must (talloc_asprintf (ctx, "%.*s:%u", len, address, port));
+}
+
+static bool
+create_net (struct mq_entry *entry, struct mq_error *error)
+{
+  const struct mq_settings *settings = entry->settings;
+  struct mq_peer_callbacks callbacks = { .up = on_peer_up,
+                                         .down = on_peer_down,
+                                         .message = on_message,
+                                         .user = entry };
+  struct mq_peer_options options = { .listen = settings->peer };
+
+  options.self.host = settings->host;
+  options.self.data_centre = settings->data_centre;
+  options.self.role = MQ_HOST_ENTRY;
+  options.self.boot = entry->boot;
+  memcpy (options.site_key, settings->site_key, MQ_KEY_BYTES);
+  entry->net
+      = mq_peer_net_create (entry, entry->ev, &options, &callbacks, error);
+  if (entry->net == NULL)
+    return false;
+  entry->peer_address = address_with_port (entry, settings->peer,
+                                           mq_peer_net_port (entry->net));
+  return true;
+}
+
+static bool
+create_api (struct mq_entry *entry, struct mq_error *error)
+{
+  const struct mq_settings *settings = entry->settings;
+  struct mq_api_callbacks callbacks = { .request = on_request,
+                                        .gone = on_gone,
+                                        .drain = on_drain,
+                                        .metrics = on_metrics,
+                                        .status = on_status,
+                                        .spans = on_spans,
+                                        .span = on_span,
+                                        .ready = on_ready,
+                                        .now_us = on_now,
+                                        .user = entry };
+  struct mq_api_options options = { .boot = entry->boot };
+
+  options.http.address = settings->http;
+  memcpy (options.operator_key_hash, settings->operator_key_hash,
+          MQ_KEY_BYTES);
+  entry->api = mq_api_create (entry, entry->ev, &options, &callbacks, error);
+  if (entry->api == NULL)
+    return false;
+  entry->http_address
+      = address_with_port (entry, settings->http, mq_api_port (entry->api));
+  return true;
+}
+
+static bool
+create_platform (struct mq_entry *entry, struct mq_error *error)
+{
+  entry->client = mq_http_client_create (entry, entry->ev, error);
+  if (entry->client == NULL)
+    return false;
+  entry->platform
+      = mq_platform_create (entry, entry->ev, entry->client,
+                            entry->settings->platform, on_stored, entry);
+  if (entry->platform == NULL)
+    {
+      mq_error_set (error, MQ_ERR_IO, entry->settings->platform, "");
+      return false;
+    }
+  return true;
+}
+
+static bool
+create_cores (struct mq_entry *entry, struct mq_error *error)
+{
+  const struct mq_settings *settings = entry->settings;
+  struct mq_front_lookup lookup = { owner_address, entry };
+  struct mq_owner_options options = { .host = settings->host };
+  enum mq_policy policy = MQ_POLICY_FINISH;
+
+  if (!mq_policy_from_name (settings->policy, &policy))
+    {
+      mq_error_set (error, MQ_ERR_TEXT_BAD_VALUE, settings->policy, "policy");
+      return false;
+    }
+  options.data_centre = settings->data_centre;
+  options.address = entry->peer_address;
+  options.boot = entry->boot;
+  options.seed = random_word ();
+  options.policy = policy;
+  entry->owner = mq_owner_create (entry, &options);
+  entry->front = mq_front_create (entry, &lookup, random_word ());
+  entry->spread = mq_spread_create (entry, settings->host,
+                                    settings->data_centre, random_word ());
+  return true;
+}
+
+struct mq_entry *
+mq_entry_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                 const struct mq_settings *settings, void (*done) (void *user),
+                 void *user, struct mq_error *error)
+{
+  struct mq_entry *entry = must (talloc_zero (ctx, struct mq_entry));
+
+  entry->ev = ev;
+  entry->settings = settings;
+  entry->done = done;
+  entry->user = user;
+  entry->boot = random_word ();
+  entry->spans
+      = mq_spans_create (entry, settings->host, settings->data_centre);
+  if (!create_net (entry, error) || !create_cores (entry, error)
+      || !create_platform (entry, error) || !create_api (entry, error))
+    {
+      mq_entry_destroy (entry);
+      return NULL;
+    }
+  mq_platform_watch_hosts (entry->platform, MQ_HOSTS_POLL_MS, on_listed,
+                           entry);
+  settle (entry);
+  return entry;
+}
+
+/* HTTP goes first: closing its requests still tells the front.  WORKING
+   keeps the cores' last actions from being carried out.  */
+void
+mq_entry_destroy (struct mq_entry *entry)
+{
+  if (entry == NULL)
+    return;
+  entry->working = true;
+  if (entry->api != NULL)
+    mq_api_destroy (entry->api);
+  if (entry->net != NULL)
+    mq_peer_net_destroy (entry->net);
+  if (entry->platform != NULL)
+    mq_platform_destroy (entry->platform);
+  if (entry->client != NULL)
+    mq_http_client_destroy (entry->client);
+  talloc_free (entry);
+}
+
+const char *
+mq_entry_http_address (const struct mq_entry *entry)
+{
+  return entry->http_address;
+}
+
+const char *
+mq_entry_peer_address (const struct mq_entry *entry)
+{
+  return entry->peer_address;
+}
--- /dev/null
+++ b/src/io/entry_report.h
@@ -0,0 +1,36 @@
+/* entry_report.h - what an entry host shows to operators.
+
+   Needs: the modules whose counters and state it shows, jansson.  */
+
+#ifndef MQ_ENTRY_REPORT_H
+#define MQ_ENTRY_REPORT_H
+
+#include "../core/front.h"
+#include "../core/owner.h"
+#include "../core/spread.h"
+#include "api.h"
+#include "peer.h"
+#include "platform.h"
+#include "settings.h"
+
+struct mq_entry_view
+{
+  const struct mq_settings *settings;
+  uint64_t boot;
+  bool ready;
+  bool leaving;
+  uint64_t texts_refused;
+  const struct mq_owner *owner;
+  const struct mq_front *front;
+  const struct mq_spread *spread;
+  const struct mq_api *api;
+  const struct mq_peer_net *net;
+  const struct mq_platform *platform;
+};
+
+/* Prometheus text below CTX.  */
+char *mq_entry_metrics (TALLOC_CTX *ctx, const struct mq_entry_view *view);
+/* JSON object below CTX: this host's state, the owner's status merged in.  */
+char *mq_entry_status (TALLOC_CTX *ctx, const struct mq_entry_view *view);
+
+#endif
