--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -28,7 +28,8 @@
   uint32_t peer;
   uint64_t heard;    /* highest version heard from it */
   uint64_t told;     /* highest version told to it */
-  uint64_t asked_us; /* when it was last asked, 0 never */
+  uint64_t asked;    /* number of the question to it, 0 never asked */
+  uint64_t asked_us; /* when that was */
 };
 
 /* The one CONFIG_GET that waits for its answer.  */
@@ -200,14 +201,23 @@
 {
   uint64_t pause_us = (uint64_t)MQ_CONFIG_GET_MS * US_PER_MS;
 
-  if (row->asked_us != 0 && now_us < row->asked_us + pause_us)
+  if (row->asked != 0 && now_us < row->asked_us + pause_us)
     return false;
   return spread->version == 0 || row->heard > spread->version;
 }
 
+/* Who was not asked for the longest time goes first, so that a mute peer is
+   not asked for ever because it shows the highest version.  */
+static bool
+goes_first (const struct spread_peer *a, const struct spread_peer *b)
+{
+  if (b == NULL || a->asked != b->asked)
+    return b == NULL || a->asked < b->asked;
+  return a->heard > b->heard;
+}
+
 /* Asks one peer, unless an answer is still awaited.  The search starts at a
-   random peer, so that a process which is slow or mute is not always the
-   first choice and the load of a rise spreads.  */
+   random peer, so that the load of a rise spreads.  */
 static void
 ask (struct mq_spread *spread, uint64_t now_us, struct mq_actions *actions)
 {
@@ -225,16 +235,16 @@
 
       if (!worth_asking (spread, row, now_us))
         continue;
-      if (best == NULL || row->heard > best->heard)
+      if (goes_first (row, best))
         best = row;
     }
   if (best == NULL)
     return;
+  best->asked = ++spread->counters.gets_sent;
   best->asked_us = now_us;
   spread->get.waiting = true;
   spread->get.peer = best->peer;
   spread->get.until_us = now_us + (uint64_t)MQ_CONFIG_GET_MS * US_PER_MS;
-  spread->counters.gets_sent++;
   send_config (spread, actions, best->peer, MQ_MSG_CONFIG_GET);
 }
 
