--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -56,6 +56,20 @@
 #define MQ_GRANT_CALLS 4U     /* calls that one budget grant covers */
 #define MQ_LOOP_REPEATS 4U    /* same call in a row: a suspected loop */
 
+/* Callers' requests at the host that took them.  */
+#define MQ_FRONT_REQUESTS_MAX 8192U
+#define MQ_FRONT_BYTES_MAX (32U << 20) /* their bodies together */
+#define MQ_FRONT_RETRY_BASE_MS 5U      /* first pause before sending again */
+#define MQ_FRONT_RETRY_MAX_MS 1000U
+#define MQ_FRONT_CHECK_MS 500U /* the owners' map is compared this often */
+
+/* Callers' HTTP.  */
+#define MQ_API_KEY_MAX 255U         /* bytes of an Idempotency-Key */
+#define MQ_API_WAIT_MAX_MS 3600000U /* a caller's wait, service not known */
+#define MQ_ENTRY_LEAVE_MS 50U  /* a planned stop looks whether it is done */
+#define MQ_HOSTS_POLL_MS 1000U /* the platform's list of hosts is read */
+#define MQ_API_WAIT_SLACK_MS 30000U /* beyond what the service may take */
+
 /* Gates.  */
 #define MQ_GATE_QUEUE_MAX 512U
 #define MQ_GATE_OUTCOMES_MAX 65536U
@@ -87,6 +101,10 @@
 #define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
 #define MQ_CONFIG_POLL_SLOW_MS 60000U /* everyone else */
 #define MQ_CONFIG_POLLERS 2U          /* pollers in a data centre */
+#define MQ_CONFIG_FIRST_MAX_MS 4000U  /* longest pause before the first */
+#define MQ_CONFIG_GET_MS 1000U        /* a peer asked: then another one */
+#define MQ_CONFIG_TELL_PEERS 8U       /* peers told at a time of a rise */
+#define MQ_CONFIG_TELL_MS 50U         /* pause before the next few */
 
 /* Traces.  */
 #define MQ_SPANS_MAX 4096U /* kept by a process */
