--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -66,8 +66,10 @@
 /* Callers' HTTP.  */
 #define MQ_API_KEY_MAX 255U         /* bytes of an Idempotency-Key */
 #define MQ_API_WAIT_MAX_MS 3600000U /* a caller's wait, service not known */
-#define MQ_ENTRY_LEAVE_MS 50U  /* a planned stop looks whether it is done */
-#define MQ_HOSTS_POLL_MS 1000U /* the platform's list of hosts is read */
+#define MQ_ENTRY_LEAVE_MS 50U    /* a planned stop looks whether it is done */
+#define MQ_TARGET_LOOK_MS 50U    /* the same beside a target */
+#define MQ_TARGET_QUIET_MS 1500U /* no call came for so long: may end */
+#define MQ_HOSTS_POLL_MS 1000U   /* the platform's list of hosts is read */
 #define MQ_API_WAIT_SLACK_MS 30000U /* beyond what the service may take */
 
 /* Gates.  */
@@ -94,8 +96,9 @@
 #define MQ_WORKER_ORDER_MS 600000U    /* loading a model takes minutes */
 #define MQ_WORKER_CANCEL_RETRY_MS 100U
 #define MQ_WORKER_CANCELS_MAX 3U
-#define MQ_WORKER_STREAM_MAX_BYTES (64U << 20) /* a model's streamed answer   \
-                                                */
+#define MQ_WORKER_STREAM_MAX_BYTES                                            \
+  (64U << 20) /* a model's streamed answer                                    \
+               */
 
 /* Configuration.  */
 #define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
--- /dev/null
+++ b/src/io/target.c
@@ -0,0 +1,801 @@
+/* target.c - everything that runs beside a target, in one event loop.
+
+   Needs: target.h and the modules that it joins.  */
+
+#include "target.h"
+#include "../core/gate.h"
+#include "../core/limits.h"
+#include "../core/spread.h"
+#include "log.h"
+#include "peer.h"
+#include "platform.h"
+#include "spans.h"
+#include "target_http.h"
+#include "target_report.h"
+#include "worker.h"
+#include <gnutls/crypto.h>
+#include <gnutls/gnutls.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum
+{
+  US_PER_MS = 1000,
+  US_PER_SECOND = 1000000,
+  NS_PER_US = 1000
+};
+
+/* Actions that are still to be carried out.  */
+struct batch
+{
+  struct batch *next;
+  struct mq_actions *actions;
+};
+
+struct mq_target
+{
+  struct tevent_context *ev;
+  const struct mq_settings *settings;
+  void (*done) (void *user);
+  void *user;
+  uint64_t boot;
+  char *http_address;
+  char *peer_address;
+  struct mq_http_client *client;
+  struct mq_platform *platform;
+  struct mq_peer_net *net;
+  struct mq_target_http *http;
+  struct mq_spans *spans;
+  struct mq_gate *gate;
+  struct mq_spread *spread;
+  struct mq_worker **workers;
+  uint64_t seen_version;
+  char **kept; /* addresses of hosts to which connections are kept */
+  size_t kept_count;
+  struct batch *first;
+  struct batch *last;
+  bool working;
+  struct tevent_timer *timer;
+  uint64_t timer_us;
+  bool leaving;
+  bool stopping;
+  uint64_t stop_until_us;
+  uint64_t quiet_since_us; /* drained, and no call has come since */
+  uint64_t quiet_calls;
+  struct tevent_immediate *stop;
+};
+
+static void *
+must (void *memory)
+{
+  if (memory == NULL)
+    abort ();
+  return memory;
+}
+
+static uint64_t
+now_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (uint64_t)now.tv_sec * US_PER_SECOND
+         + (uint64_t)now.tv_nsec / NS_PER_US;
+}
+
+/* Never 0: that stands for "any" in a call.  */
+static uint64_t
+random_word (void)
+{
+  uint64_t word = 0;
+
+  while (word == 0)
+    if (gnutls_rnd (GNUTLS_RND_KEY, &word, sizeof word) != 0)
+      abort ();
+  return word;
+}
+
+static uint64_t
+earlier (uint64_t a, uint64_t b)
+{
+  return a < b ? a : b;
+}
+
+static void settle (struct mq_target *target);
+
+/* The queue of actions.  A core's handler never runs inside another one, and
+   the actions of one input are carried out before those of the next.  */
+
+static struct mq_actions *
+add_batch (struct mq_target *target)
+{
+  struct batch *batch = must (talloc_zero (target, struct batch));
+
+  batch->actions = mq_actions_create (batch);
+  if (target->last == NULL)
+    target->first = batch;
+  else
+    target->last->next = batch;
+  target->last = batch;
+  return batch->actions;
+}
+
+static void
+tell_gate (struct mq_target *target, struct mq_gate_input *input)
+{
+  input->now_us = now_us ();
+  mq_gate_handle (target->gate, input, add_batch (target));
+}
+
+static void
+tell_spread (struct mq_target *target, struct mq_spread_input *input)
+{
+  input->now_us = now_us ();
+  mq_spread_handle (target->spread, input, add_batch (target));
+}
+
+static void
+carry_out (struct mq_target *target, const struct mq_action *action)
+{
+  switch (action->type)
+    {
+    case MQ_ACT_SEND:
+      mq_peer_net_send (target->net, action->peer, &action->u.message);
+      break;
+    case MQ_ACT_STORE:
+      mq_platform_send (target->platform, &action->u.store);
+      break;
+    case MQ_ACT_START:
+      mq_worker_start (target->workers[action->u.start.worker],
+                       &action->u.start);
+      break;
+    case MQ_ACT_STOP:
+      mq_worker_stop (target->workers[action->u.stop.worker],
+                      action->u.stop.slot);
+      break;
+    case MQ_ACT_EVICT:
+      mq_worker_evict (target->workers[action->u.evict.worker],
+                       action->u.evict.program);
+      break;
+    case MQ_ACT_ORDER:
+      mq_worker_order (target->workers[action->u.order.worker],
+                       &action->u.order);
+      break;
+    case MQ_ACT_SPAN:
+      mq_spans_add (target->spans, &action->u.span);
+      break;
+    case MQ_ACT_STATE:
+      mq_log_state (&action->u.state);
+      break;
+    case MQ_ACT_EVENT:
+      /* Only an entry host's core gives these.  */
+      break;
+    }
+}
+
+static void
+look_at_version (struct mq_target *target)
+{
+  uint64_t version = mq_spread_version (target->spread);
+
+  if (version == target->seen_version)
+    return;
+  target->seen_version = version;
+  mq_peer_net_set_version (target->net, version);
+}
+
+/* Planned stop.  */
+
+/* Failure: a call that was sent before its owner heard that this host leaves
+   arrives as the process ends, and its owner can't know whether it ran.  So
+   the process goes on refusing calls until none has come for a while.  */
+static bool
+is_quiet (struct mq_target *target)
+{
+  uint64_t calls = mq_gate_read_counters (target->gate)->calls_received;
+  uint64_t now = now_us ();
+
+  if (!mq_gate_is_drained (target->gate)
+      || mq_target_http_in_progress (target->http) > 0)
+    {
+      target->quiet_since_us = 0;
+      return false;
+    }
+  if (target->quiet_since_us == 0 || target->quiet_calls != calls)
+    target->quiet_since_us = now;
+  target->quiet_calls = calls;
+  return now - target->quiet_since_us
+         >= (uint64_t)MQ_TARGET_QUIET_MS * US_PER_MS;
+}
+
+static void
+report_done (struct tevent_context *ev, struct tevent_immediate *immediate,
+             void *data)
+{
+  struct mq_target *target = data;
+
+  (void)ev;
+  (void)immediate;
+  target->done (target->user);
+}
+
+static void
+look_at_stopping (struct mq_target *target)
+{
+  if (!target->stopping || target->stop != NULL)
+    return;
+  if (!is_quiet (target) && now_us () < target->stop_until_us)
+    return;
+  target->stop = must (tevent_create_immediate (target));
+  tevent_schedule_immediate (target->stop, target->ev, report_done, target);
+}
+
+static void
+leave (struct mq_target *target)
+{
+  struct mq_gate_input input = { .type = MQ_GATE_LEAVE };
+
+  if (target->leaving)
+    return;
+  target->leaving = true;
+  tell_gate (target, &input);
+  settle (target);
+}
+
+void
+mq_target_stop (struct mq_target *target)
+{
+  if (target->stopping)
+    return;
+  target->stopping = true;
+  target->stop_until_us
+      = now_us () + (uint64_t)target->settings->drain_seconds * US_PER_SECOND;
+  leave (target);
+  settle (target);
+}
+
+/* Time.  */
+
+static void
+on_timer (struct tevent_context *ev, struct tevent_timer *timer,
+          struct timeval at, void *data)
+{
+  struct mq_target *target = data;
+  struct mq_gate_input gate = { .type = MQ_GATE_TICK };
+  struct mq_spread_input spread = { .type = MQ_SPREAD_TICK };
+
+  (void)ev;
+  (void)timer;
+  (void)at;
+  target->timer = NULL;
+  if (mq_spread_next_tick (target->spread) <= now_us ())
+    tell_spread (target, &spread);
+  if (mq_gate_next_tick (target->gate) <= now_us ())
+    tell_gate (target, &gate);
+  settle (target);
+}
+
+static uint64_t
+next_tick (const struct mq_target *target)
+{
+  uint64_t next = earlier (mq_gate_next_tick (target->gate),
+                           mq_spread_next_tick (target->spread));
+
+  /* Quiet is seen by looking.  */
+  if (target->stopping && target->stop == NULL)
+    next = earlier (next, now_us () + (uint64_t)MQ_TARGET_LOOK_MS * US_PER_MS);
+  return next;
+}
+
+static void
+set_timer (struct mq_target *target)
+{
+  uint64_t next = next_tick (target);
+  uint64_t now = now_us ();
+  uint64_t wait_us = next > now ? next - now : 0;
+
+  if (target->timer != NULL && target->timer_us == next)
+    return;
+  if (wait_us > US_PER_SECOND)
+    wait_us = US_PER_SECOND;
+  TALLOC_FREE (target->timer);
+  target->timer_us = next;
+  target->timer = must (tevent_add_timer (
+      target->ev, target,
+      tevent_timeval_current_ofs ((uint32_t)(wait_us / US_PER_SECOND),
+                                  (uint32_t)(wait_us % US_PER_SECOND)),
+      on_timer, target));
+}
+
+/* Carries out all that is queued, and what it leads to.  */
+static void
+settle (struct mq_target *target)
+{
+  if (target->working)
+    return;
+  target->working = true;
+  while (target->first != NULL)
+    {
+      struct batch *batch = target->first;
+
+      for (size_t i = 0; i < batch->actions->count; i++)
+        carry_out (target, &batch->actions->items[i]);
+      target->first = batch->next;
+      if (target->first == NULL)
+        target->last = NULL;
+      talloc_free (batch);
+      look_at_version (target);
+    }
+  target->working = false;
+  look_at_stopping (target);
+  set_timer (target);
+}
+
+/* Peers.  */
+
+static void
+on_peer_up (uint32_t peer, const struct mq_peer_info *info, void *user)
+{
+  struct mq_target *target = user;
+  struct mq_spread_input spread = { .type = MQ_SPREAD_PEER_UP, .peer = peer };
+  struct mq_gate_input gate = { .type = MQ_GATE_PEER_UP, .peer = peer };
+
+  tell_spread (target, &spread);
+  if (info->role == MQ_HOST_ENTRY)
+    tell_gate (target, &gate);
+  settle (target);
+}
+
+static void
+on_peer_down (uint32_t peer, enum mq_error_type why, void *user)
+{
+  struct mq_target *target = user;
+  struct mq_spread_input spread
+      = { .type = MQ_SPREAD_PEER_DOWN, .peer = peer };
+  struct mq_gate_input gate = { .type = MQ_GATE_PEER_DOWN, .peer = peer };
+
+  (void)why;
+  tell_spread (target, &spread);
+  tell_gate (target, &gate);
+  settle (target);
+}
+
+/* The configuration goes first: the lower side fetches before it acts.  */
+static void
+on_message (uint32_t peer, const struct mq_message *message, void *user)
+{
+  struct mq_target *target = user;
+  struct mq_spread_input spread = { .type = MQ_SPREAD_MESSAGE, .peer = peer };
+  struct mq_gate_input gate = { .type = MQ_GATE_MESSAGE, .peer = peer };
+
+  spread.u.message = message;
+  tell_spread (target, &spread);
+  gate.u.message = message;
+  tell_gate (target, &gate);
+  settle (target);
+}
+
+/* The platform.  */
+
+static void
+on_stored (const struct mq_store_result *result, void *user)
+{
+  struct mq_target *target = user;
+  struct mq_spread_input spread = { .type = MQ_SPREAD_STORE };
+
+  spread.u.store = result;
+  tell_spread (target, &spread);
+  settle (target);
+}
+
+static bool
+is_listed (const struct mq_host_list *hosts, const char *address)
+{
+  for (size_t i = 0; i < hosts->count; i++)
+    if (strcmp (hosts->items[i].address, address) == 0)
+      return true;
+  return false;
+}
+
+static bool
+has_entry_here (const struct mq_target *target,
+                const struct mq_host_list *hosts)
+{
+  for (size_t i = 0; i < hosts->count; i++)
+    if (hosts->items[i].role == MQ_HOST_ENTRY
+        && strcmp (hosts->items[i].data_centre, target->settings->data_centre)
+               == 0)
+      return true;
+  return false;
+}
+
+/* Entry hosts of our data centre, or of our region where ours has none; the
+   others connect to us when they place work here.  */
+static bool
+is_wanted (const struct mq_target *target, const struct mq_host *host,
+           bool entry_here)
+{
+  if (host->role != MQ_HOST_ENTRY)
+    return false;
+  if (entry_here)
+    return strcmp (host->data_centre, target->settings->data_centre) == 0;
+  return strcmp (host->region, target->settings->region) == 0;
+}
+
+static void
+keep_hosts (struct mq_target *target, const struct mq_host_list *hosts)
+{
+  char **kept = must (
+      talloc_zero_array (target, char *, (unsigned int)hosts->count + 1));
+  bool entry_here = has_entry_here (target, hosts);
+  size_t count = 0;
+
+  for (size_t i = 0; i < target->kept_count; i++)
+    if (!is_listed (hosts, target->kept[i]))
+      mq_peer_net_release (target->net, target->kept[i]);
+  for (size_t i = 0; i < hosts->count; i++)
+    {
+      const struct mq_host *host = &hosts->items[i];
+
+      if (!is_wanted (target, host, entry_here))
+        continue;
+      mq_peer_net_keep (target->net, host->address);
+      kept[count++] = must (talloc_strdup (kept, host->address));
+    }
+  talloc_free (target->kept);
+  target->kept = kept;
+  target->kept_count = count;
+}
+
+/* The platform says that this host is to go: nothing new from now on; the
+   process itself ends when it is told to.  */
+static void
+look_at_own_entry (struct mq_target *target, const struct mq_host_list *hosts)
+{
+  for (size_t i = 0; i < hosts->count; i++)
+    if (strcmp (hosts->items[i].name, target->settings->host) == 0
+        && hosts->items[i].role == MQ_HOST_TARGET && hosts->items[i].leaving)
+      leave (target);
+}
+
+static void
+on_listed (const struct mq_host_list *hosts, void *user)
+{
+  struct mq_target *target = user;
+  struct mq_spread_input spread = { .type = MQ_SPREAD_HOSTS };
+
+  keep_hosts (target, hosts);
+  spread.u.hosts = hosts;
+  tell_spread (target, &spread);
+  look_at_own_entry (target, hosts);
+  settle (target);
+}
+
+/* Workers.  */
+
+static void
+on_token (const struct mq_gate_token *token, void *user)
+{
+  struct mq_target *target = user;
+  struct mq_gate_input input = { .type = MQ_GATE_TOKEN };
+
+  input.u.token = *token;
+  tell_gate (target, &input);
+  settle (target);
+}
+
+static void
+on_done (const struct mq_gate_done *done, void *user)
+{
+  struct mq_target *target = user;
+  struct mq_gate_input input = { .type = MQ_GATE_DONE };
+
+  input.u.done = *done;
+  tell_gate (target, &input);
+  settle (target);
+}
+
+static void
+on_evicted (const struct mq_gate_evicted *evicted, void *user)
+{
+  struct mq_target *target = user;
+  struct mq_gate_input input = { .type = MQ_GATE_EVICTED };
+
+  input.u.evicted = *evicted;
+  tell_gate (target, &input);
+  settle (target);
+}
+
+static void
+on_cache (const struct mq_gate_cache *cache, void *user)
+{
+  struct mq_target *target = user;
+  struct mq_gate_input input = { .type = MQ_GATE_CACHE };
+
+  input.u.cache = *cache;
+  tell_gate (target, &input);
+  settle (target);
+}
+
+static void
+on_engine_up (uint32_t worker, uint64_t boot, void *user)
+{
+  struct mq_target *target = user;
+  struct mq_gate_input input
+      = { .type = MQ_GATE_ENGINE_UP, .engine_boot = boot };
+
+  input.u.worker = worker;
+  tell_gate (target, &input);
+  settle (target);
+}
+
+static void
+on_engine_down (uint32_t worker, void *user)
+{
+  struct mq_target *target = user;
+  struct mq_gate_input input = { .type = MQ_GATE_ENGINE_DOWN };
+
+  input.u.worker = worker;
+  tell_gate (target, &input);
+  settle (target);
+}
+
+static void
+on_ordered (const struct mq_order_done_msg *ordered, void *user)
+{
+  struct mq_target *target = user;
+  struct mq_gate_input input = { .type = MQ_GATE_ORDERED };
+
+  input.u.ordered = *ordered;
+  tell_gate (target, &input);
+  settle (target);
+}
+
+/* Operators.  */
+
+static bool
+is_ready (const struct mq_target *target)
+{
+  return mq_spread_version (target->spread) > 0;
+}
+
+static enum mq_error_type
+on_ready (void *user)
+{
+  const struct mq_target *target = user;
+
+  if (target->leaving)
+    return MQ_ERR_LEAVING;
+  return is_ready (target) ? MQ_ERR_NONE : MQ_ERR_NOT_READY;
+}
+
+static void
+fill_view (const struct mq_target *target, struct mq_target_view *view)
+{
+  view->settings = target->settings;
+  view->ready = is_ready (target);
+  view->leaving = target->leaving;
+  view->gate = target->gate;
+  view->spread = target->spread;
+  view->net = target->net;
+  view->platform = target->platform;
+  view->workers = target->workers;
+}
+
+static char *
+on_metrics (TALLOC_CTX *ctx, void *user)
+{
+  struct mq_target_view view;
+
+  fill_view (user, &view);
+  return mq_target_metrics (ctx, &view);
+}
+
+static char *
+on_status (TALLOC_CTX *ctx, void *user)
+{
+  struct mq_target_view view;
+
+  fill_view (user, &view);
+  return mq_target_status (ctx, &view);
+}
+
+static char *
+on_spans (TALLOC_CTX *ctx, struct mq_id program, void *user)
+{
+  const struct mq_target *target = user;
+
+  return mq_spans_json (ctx, target->spans, program);
+}
+
+static void
+on_drain (void *user)
+{
+  mq_target_stop (user);
+}
+
+/* Life.  */
+
+static char *
+address_with_port (TALLOC_CTX *ctx, const char *address, uint16_t port)
+{
+  const char *colon = strrchr (address, ':');
+  int len = colon == NULL ? (int)strlen (address) : (int)(colon - address);
+
+  return must (talloc_asprintf (ctx, "%.*s:%u", len, address, port));
+}
+
+static bool
+create_net (struct mq_target *target, struct mq_error *error)
+{
+  const struct mq_settings *settings = target->settings;
+  struct mq_peer_callbacks callbacks = { .up = on_peer_up,
+                                         .down = on_peer_down,
+                                         .message = on_message,
+                                         .user = target };
+  struct mq_peer_options options = { .listen = settings->peer };
+
+  options.self.host = settings->host;
+  options.self.data_centre = settings->data_centre;
+  options.self.role = MQ_HOST_TARGET;
+  options.self.boot = target->boot;
+  memcpy (options.site_key, settings->site_key, MQ_KEY_BYTES);
+  target->net
+      = mq_peer_net_create (target, target->ev, &options, &callbacks, error);
+  if (target->net == NULL)
+    return false;
+  target->peer_address = address_with_port (target, settings->peer,
+                                            mq_peer_net_port (target->net));
+  return true;
+}
+
+static void
+create_cores (struct mq_target *target)
+{
+  const struct mq_settings *settings = target->settings;
+  struct mq_gate_options options = { .host = settings->host };
+
+  options.boot = target->boot;
+  options.seed = random_word ();
+  options.order = settings->order;
+  options.workers = settings->workers;
+  options.worker_count = settings->worker_count;
+  target->gate = mq_gate_create (target, &options);
+  target->spread = mq_spread_create (target, settings->host,
+                                     settings->data_centre, random_word ());
+}
+
+static bool
+create_clients (struct mq_target *target, struct mq_error *error)
+{
+  const struct mq_settings *settings = target->settings;
+
+  target->client = mq_http_client_create (target, target->ev, error);
+  if (target->client == NULL)
+    return false;
+  target->platform
+      = mq_platform_create (target, target->ev, target->client,
+                            settings->platform, on_stored, target);
+  if (target->platform != NULL)
+    return true;
+  mq_error_set (error, MQ_ERR_IO, settings->platform, "");
+  return false;
+}
+
+static void
+create_workers (struct mq_target *target)
+{
+  const struct mq_settings *settings = target->settings;
+  struct mq_worker_callbacks callbacks = { .token = on_token,
+                                           .done = on_done,
+                                           .evicted = on_evicted,
+                                           .cache = on_cache,
+                                           .up = on_engine_up,
+                                           .down = on_engine_down,
+                                           .ordered = on_ordered,
+                                           .user = target };
+
+  target->workers = must (talloc_zero_array (
+      target, struct mq_worker *, (unsigned int)settings->worker_count + 1));
+  for (uint32_t i = 0; i < settings->worker_count; i++)
+    {
+      struct mq_worker_options options = { .index = i };
+
+      options.kind = settings->workers[i].kind;
+      options.url = settings->worker_urls[i];
+      options.model = settings->workers[i].model;
+      target->workers[i] = must (mq_worker_create (
+          target, target->ev, target->client, &options, &callbacks));
+    }
+}
+
+static bool
+create_http (struct mq_target *target, struct mq_error *error)
+{
+  const struct mq_settings *settings = target->settings;
+  struct mq_target_http_callbacks callbacks = { .ready = on_ready,
+                                                .metrics = on_metrics,
+                                                .status = on_status,
+                                                .spans = on_spans,
+                                                .drain = on_drain,
+                                                .user = target };
+
+  target->http
+      = mq_target_http_create (target, target->ev, settings->http,
+                               settings->operator_key_hash, &callbacks, error);
+  if (target->http == NULL)
+    return false;
+  target->http_address = address_with_port (
+      target, settings->http, mq_target_http_port (target->http));
+  return true;
+}
+
+struct mq_target *
+mq_target_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                  const struct mq_settings *settings,
+                  void (*done) (void *user), void *user,
+                  struct mq_error *error)
+{
+  struct mq_target *target = must (talloc_zero (ctx, struct mq_target));
+
+  target->ev = ev;
+  target->settings = settings;
+  target->done = done;
+  target->user = user;
+  target->boot = random_word ();
+  target->spans
+      = mq_spans_create (target, settings->host, settings->data_centre);
+  create_cores (target);
+  if (!create_net (target, error) || !create_clients (target, error)
+      || !create_http (target, error))
+    {
+      mq_target_destroy (target);
+      return NULL;
+    }
+  create_workers (target);
+  mq_platform_watch_hosts (target->platform, MQ_HOSTS_POLL_MS, on_listed,
+                           target);
+  settle (target);
+  return target;
+}
+
+static void
+destroy_workers (struct mq_target *target)
+{
+  if (target->workers == NULL)
+    return;
+  for (size_t i = 0; i < target->settings->worker_count; i++)
+    mq_worker_destroy (target->workers[i]);
+}
+
+/* WORKING keeps the cores' last actions from being carried out.  */
+void
+mq_target_destroy (struct mq_target *target)
+{
+  if (target == NULL)
+    return;
+  target->working = true;
+  if (target->http != NULL)
+    mq_target_http_destroy (target->http);
+  if (target->net != NULL)
+    mq_peer_net_destroy (target->net);
+  destroy_workers (target);
+  if (target->platform != NULL)
+    mq_platform_destroy (target->platform);
+  if (target->client != NULL)
+    mq_http_client_destroy (target->client);
+  talloc_free (target);
+}
+
+const char *
+mq_target_http_address (const struct mq_target *target)
+{
+  return target->http_address;
+}
+
+const char *
+mq_target_peer_address (const struct mq_target *target)
+{
+  return target->peer_address;
+}
--- /dev/null
+++ b/src/io/target_report.h
@@ -0,0 +1,32 @@
+/* target_report.h - what the process beside a target shows to operators.
+
+   Needs: the modules whose counters and state it shows, jansson.  */
+
+#ifndef MQ_TARGET_REPORT_H
+#define MQ_TARGET_REPORT_H
+
+#include "../core/gate.h"
+#include "../core/spread.h"
+#include "peer.h"
+#include "platform.h"
+#include "settings.h"
+#include "worker.h"
+
+struct mq_target_view
+{
+  const struct mq_settings *settings;
+  bool ready;
+  bool leaving;
+  const struct mq_gate *gate;
+  const struct mq_spread *spread;
+  const struct mq_peer_net *net;
+  const struct mq_platform *platform;
+  struct mq_worker *const *workers; /* as many as in the settings */
+};
+
+/* Prometheus text below CTX.  */
+char *mq_target_metrics (TALLOC_CTX *ctx, const struct mq_target_view *view);
+/* JSON object below CTX.  */
+char *mq_target_status (TALLOC_CTX *ctx, const struct mq_target_view *view);
+
+#endif
