--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -68,6 +68,22 @@
 #define MQ_GONE_MS 30000U  /* an unlisted target's calls: unknown */
 #define MQ_LOOP_REPEATS 4U /* same call in a row: a suspected loop */
 
+/* Callers' requests at the host that took them.  */
+#define MQ_FRONT_REQUESTS_MAX 8192U
+#define MQ_FRONT_BYTES_MAX (32U << 20) /* their bodies together */
+#define MQ_FRONT_RETRY_BASE_MS 5U      /* first pause before sending again */
+#define MQ_FRONT_RETRY_MAX_MS 1000U
+#define MQ_FRONT_CHECK_MS 500U /* the owners' map is compared this often */
+
+/* Callers' HTTP.  */
+#define MQ_API_KEY_MAX 255U         /* bytes of an Idempotency-Key */
+#define MQ_API_WAIT_MAX_MS 3600000U /* a caller's wait, service not known */
+#define MQ_ENTRY_LEAVE_MS 50U    /* a planned stop looks whether it is done */
+#define MQ_TARGET_LOOK_MS 50U    /* the same beside a target */
+#define MQ_TARGET_QUIET_MS 1500U /* no call came for so long: may end */
+#define MQ_HOSTS_POLL_MS 1000U   /* the platform's list of hosts is read */
+#define MQ_API_WAIT_SLACK_MS 30000U /* beyond what the service may take */
+
 /* Gates.  */
 #define MQ_GATE_QUEUE_MAX 512U
 #define MQ_GATE_OUTCOMES_MAX 65536U
@@ -75,6 +91,16 @@
 #define MQ_GATE_LOAD_MIN_MS 50U /* load is pushed on change, no faster */
 #define MQ_GATE_EVICT_RETRY_MS 200U
 #define MQ_GATE_AGEING_MS 2000U /* a waiting call rises one step */
+#define MQ_GATE_PROGRAMS_MAX 131072U
+#define MQ_GATE_PROGRAM_KEEP_MS 600000U /* idle record of a program */
+#define MQ_GATE_PROGRAM_LEAST_MS 30000U /* the same when the table is full */
+#define MQ_GATE_OUTCOME_BYTES_MAX (32U << 20) /* bodies of kept outcomes */
+#define MQ_GATE_QUEUE_BYTES_MAX (32U << 20)   /* bodies that wait, a worker */
+#define MQ_GATE_EVICT_RETRY_MAX_MS 5000U
+#define MQ_GATE_LEASE_MS 60000U       /* of a program not yet renewed */
+#define MQ_GATE_LEASE_GRACE_MS 10000U /* of cache found, to be claimed */
+#define MQ_GATE_ORDERS_MAX 64U        /* remembered per worker */
+#define MQ_GATE_LOAD_BYTES_S 8192U    /* of LOAD to all peers a second */
 
 /* Workers.  */
 #define MQ_WORKER_CACHE_POLL_MS 1000U /* what an engine holds is read */
@@ -88,6 +114,10 @@
 #define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
 #define MQ_CONFIG_POLL_SLOW_MS 60000U /* everyone else */
 #define MQ_CONFIG_POLLERS 2U          /* pollers in a data centre */
+#define MQ_CONFIG_FIRST_MAX_MS 4000U  /* longest pause before the first */
+#define MQ_CONFIG_GET_MS 1000U        /* a peer asked: then another one */
+#define MQ_CONFIG_TELL_PEERS 8U       /* peers told at a time of a rise */
+#define MQ_CONFIG_TELL_MS 50U         /* pause before the next few */
 
 /* Traces.  */
 #define MQ_SPANS_MAX 4096U /* kept by a process */
