--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -345,6 +345,7 @@
 site_carry (struct site *site, size_t from, struct mq_actions *actions)
 {
   struct mq_actions *more = mq_actions_create (site->ctx);
+  size_t told_now = 0;
 
   for (size_t i = 0; i < actions->count; i++)
     {
@@ -379,8 +380,12 @@
       message->text
           = talloc_strdup (site->ctx, action->u.message.u.config.text);
       if (message->type == MQ_MSG_CONFIG_HAVE && message->version > 0)
-        site->told[from][message->to]++;
+        {
+          site->told[from][message->to]++;
+          told_now++;
+        }
     }
+  cr_expect_leq (told_now, MQ_CONFIG_TELL_PEERS, "too many told at a time");
   if (more->count > 0)
     site_carry (site, from, more);
   talloc_free (more);
