Test callers' HTTP: plans, answers, doors, a caller that hangs up

Change: a table of requests and what is asked of the front; a table of answers over a real server with a scripted front.

--- /dev/null
+++ b/tests/test_api.c
@@ -0,0 +1,873 @@
+/* test_api.c - callers' HTTP: what is asked of the front, and what callers
+   read.
+
+   A real server and client on free ports of the loopback; the front is a
+   script of events.
+   Needs: criterion, api.h, http_client.h.  */
+
+#include "core/id.h"
+#include "io/api.h"
+#include "io/api_plan.h"
+#include "io/http_client.h"
+#include <criterion/criterion.h>
+#include <gnutls/crypto.h>
+#include <gnutls/gnutls.h>
+#include <string.h>
+
+enum
+{
+  EVENTS_MAX = 8,
+  CALL_SHIFT = 16
+};
+
+/* The organisations' keys are "key-of-hr" and "key-of-leads".  */
+static const char source[]
+    = "[site]\nname = test\n"
+      "[organisation hr]\nkey_sha256 = %s\n"
+      "[organisation leads]\nkey_sha256 = %s\n"
+      "[service models]\nkind = model\nmodel = m\ntimeout_ms = 60000\n"
+      "[service records]\nkind = plain\ntimeout_ms = 60000\n"
+      "[route records.read]\npath = /read\nidempotent = yes\n"
+      "[service rooms]\nkind = tool\ntimeout_ms = 60000\npath = "
+      "/rooms\nidempotent = yes\n"
+      "[service guide]\nkind = agent\ndepends = models, records, rooms\n"
+      "budget_seconds = 100\n";
+
+static void
+hash_key (const char *key, uint8_t hash[MQ_KEY_BYTES])
+{
+  cr_assert_eq (gnutls_hash_fast (GNUTLS_DIG_SHA256, key, strlen (key), hash),
+                0);
+}
+
+static char *
+hash_hex (TALLOC_CTX *ctx, const char *key)
+{
+  uint8_t hash[MQ_KEY_BYTES];
+  char *text = talloc_strdup (ctx, "");
+
+  hash_key (key, hash);
+  for (size_t i = 0; i < MQ_KEY_BYTES; i++)
+    text = talloc_asprintf_append (text, "%02x", hash[i]);
+  return text;
+}
+
+static struct mq_text *
+make_text (TALLOC_CTX *ctx)
+{
+  struct mq_text_errors errors = { 0 };
+  char *text = talloc_asprintf (ctx, source, hash_hex (ctx, "key-of-hr"),
+                                hash_hex (ctx, "key-of-leads"));
+  struct mq_text *parsed = mq_text_parse (ctx, text, strlen (text), &errors);
+
+  cr_assert_not_null (parsed, "line %u: %s", errors.items[0].line,
+                      errors.items[0].subject);
+  return parsed;
+}
+
+/* What a request is read as: a table of methods, paths and bodies.  */
+
+#define ID "00112233445566778899aabbccddeeff"
+
+struct plan_case
+{
+  const char *method;
+  const char *path;
+  const char *body;
+  const char *key;
+  const char *program;
+  const char *after;
+  const char *wait;
+  const char *cancel;
+  const char *accept;
+  const char *timeout_ms;
+  /* What is expected: a refusal, or the request as words.  */
+  enum mq_error_type error;
+  const char *expect;
+};
+
+static const struct plan_case plan_cases[] = {
+  { .method = "POST",
+    .path = "/v1/programs",
+    .key = "k",
+    .body = "{\"service\":\"guide\",\"input\":\"hello\"}",
+    .expect = "json open guide key=k "
+              "{\"input\":\"hello\",\"keep_open\":false} wait=130000" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"guide\",\"input\":\"\",\"keep_open\":true,"
+            "\"stream\":true,\"continues\":\"" ID "\"}",
+    .expect = "stream open guide key=generated continues=" ID
+              " {\"input\":\"\",\"keep_open\":true} wait=130000" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .accept = "text/event-stream",
+    .timeout_ms = "5000",
+    .body = "{\"service\":\"guide\",\"input\":\"x\"}",
+    .expect = "stream open guide key=generated "
+              "{\"input\":\"x\",\"keep_open\":false} wait=5000" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .accept = "text/event-stream",
+    .body = "{\"service\":\"guide\",\"input\":\"x\",\"wait\":false}",
+    .expect = "accept open guide key=generated "
+              "{\"input\":\"x\",\"keep_open\":false} wait=130000" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"guide\",\"driver\":\"caller\"}",
+    .expect = "create create guide key=generated {} wait=130000" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"records\",\"route\":\"read\","
+            "\"arguments\":{\"id\":7}}",
+    .expect = "json open records/read key=generated "
+              "{\"arguments\":{\"id\":7}} wait=150000" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"models\",\"input\":\"x\",\"max_tokens\":9}",
+    .expect = "json open models key=generated max=9 {\"input\":\"x\"} "
+              "wait=150000" },
+  { .method = "POST",
+    .path = "/v1/services/records/read",
+    .body = "{\"id\":7}",
+    .expect = "json open records/read key=generated "
+              "{\"arguments\":{\"id\":7}} wait=150000" },
+  { .method = "POST",
+    .path = "/v1/services/rooms",
+    .body = "",
+    .expect = "json open rooms key=generated {\"arguments\":{}} "
+              "wait=150000" },
+  { .method = "POST",
+    .path = "/v1/programs/" ID "/calls",
+    .body = "{\"service\":\"models\",\"sequence\":3,"
+            "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}",
+    .expect = "json step models program=" ID " sequence=3 "
+              "{\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]} "
+              "wait=150000" },
+  { .method = "POST",
+    .path = "/v1/programs/" ID "/calls",
+    .body = "{\"service\":\"rooms\"}",
+    .expect = "json step rooms program=" ID
+              " key=generated {\"arguments\":{}} wait=150000" },
+  { .method = "POST",
+    .path = "/v1/programs/" ID "/turns",
+    .key = "t1",
+    .body = "{\"input\":\"and then?\"}",
+    .expect = "json turn program=" ID " key=t1 {\"input\":\"and then?\"} "
+              "wait=3600000" },
+  { .method = "GET",
+    .path = "/v1/programs/" ID,
+    .expect = "json get program=" ID " {} wait=3600000" },
+  { .method = "GET",
+    .path = "/v1/programs/" ID,
+    .wait = "1",
+    .expect = "json get+events program=" ID " {} wait=3600000" },
+  { .method = "GET",
+    .path = "/v1/programs/" ID,
+    .after = "65539",
+    .accept = "text/event-stream",
+    .expect = "stream get+events program=" ID " after=65539 {} "
+              "wait=3600000" },
+  { .method = "GET",
+    .path = "/v1/programs/" ID "/history",
+    .expect = "json get /history program=" ID " {} wait=3600000" },
+  { .method = "DELETE",
+    .path = "/v1/programs/" ID,
+    .expect = "json close program=" ID " {} wait=3600000" },
+  { .method = "DELETE",
+    .path = "/v1/programs/" ID,
+    .cancel = "1",
+    .expect = "json cancel program=" ID " {} wait=3600000" },
+  { .method = "POST",
+    .path = "/v1/chat/completions",
+    .program = ID,
+    .key = "c",
+    .body = "{\"model\":\"models\",\"temperature\":0.5,\"messages\":[]}",
+    .expect
+    = "chat step models program=" ID " key=c {\"messages\":[]} wait=150000" },
+  { .method = "POST",
+    .path = "/v1/chat/completions",
+    .key = "c",
+    .body = "{\"model\":\"models\",\"stream\":true,\"messages\":[]}",
+    .expect = "chat-stream create models key=c {} then "
+              "step+events models sequence=1 {\"messages\":[]} "
+              "wait=150000" },
+  /* What can't be asked.  */
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"guide\"",
+    .error = MQ_ERR_BAD_JSON },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "[1]",
+    .error = MQ_ERR_BAD_JSON },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"guide\",\"service\":\"guide\",\"input\":\"\"}",
+    .error = MQ_ERR_BAD_JSON },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"guide\",\"input\":\"x\",\"keepopen\":true}",
+    .error = MQ_ERR_BAD_REQUEST,
+    .expect = "keepopen" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"guide\"}",
+    .error = MQ_ERR_BAD_REQUEST,
+    .expect = "input" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"guide\",\"input\":\"a\\u0000b\"}",
+    .error = MQ_ERR_BAD_JSON },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"guides\",\"input\":\"x\"}",
+    .error = MQ_ERR_NOT_FOUND,
+    .expect = "guides" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"guide\",\"input\":\"x\",\"continues\":\"12\"}",
+    .error = MQ_ERR_NOT_FOUND,
+    .expect = "12" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"records\",\"arguments\":{}}",
+    .error = MQ_ERR_NOT_FOUND },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"models\",\"input\":\"x\",\"messages\":[]}",
+    .error = MQ_ERR_BAD_REQUEST,
+    .expect = "messages" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"rooms\",\"input\":\"x\"}",
+    .error = MQ_ERR_BAD_REQUEST,
+    .expect = "input" },
+  { .method = "POST",
+    .path = "/v1/programs/" ID "/calls",
+    .body = "{\"service\":\"guide\",\"input\":\"x\"}",
+    .error = MQ_ERR_BAD_REQUEST,
+    .expect = "guide" },
+  { .method = "POST",
+    .path = "/v1/programs/" ID "/calls",
+    .body = "{\"service\":\"rooms\",\"sequence\":-1}",
+    .error = MQ_ERR_BAD_REQUEST,
+    .expect = "sequence" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .key = "",
+    .body = "{\"service\":\"guide\",\"input\":\"x\"}",
+    .error = MQ_ERR_BAD_REQUEST,
+    .expect = "Idempotency-Key" },
+  { .method = "GET",
+    .path = "/v1/programs/" ID,
+    .after = "-1",
+    .error = MQ_ERR_BAD_REQUEST,
+    .expect = "after" },
+  { .method = "GET",
+    .path = "/v1/programs/" ID,
+    .after = "4294967296",
+    .error = MQ_ERR_BAD_REQUEST,
+    .expect = "after" },
+  { .method = "GET",
+    .path = "/v1/programs/00112233445566778899AABBCCDDEEFF",
+    .error = MQ_ERR_NOT_FOUND },
+  { .method = "PUT", .path = "/v1/programs/" ID, .error = MQ_ERR_NOT_FOUND },
+  { .method = "GET", .path = "/", .error = MQ_ERR_NOT_FOUND },
+  { .method = "GET", .path = "/v1/a/b/c/d/e/f", .error = MQ_ERR_NOT_FOUND },
+};
+
+static char *
+request_words (TALLOC_CTX *ctx, const struct mq_request_msg *request,
+               const char *generated, bool show_program)
+{
+  static const char *const names[]
+      = { "open", "create", "step", "turn", "get", "close", "cancel" };
+  char id[MQ_ID_TEXT];
+  char *words = talloc_strdup (ctx, names[request->type]);
+
+  if (request->stream && (request->type == MQ_REQUEST_GET || !show_program))
+    words = talloc_strdup_append (words, "+events");
+  if (request->service[0] != '\0')
+    words = talloc_asprintf_append (words, " %s", request->service);
+  if (request->route[0] != '\0')
+    words = talloc_asprintf_append (words, "%s/%s",
+                                    request->service[0] == '\0' ? " " : "",
+                                    request->route);
+  mq_id_format (request->program, id);
+  if (show_program && request->type != MQ_REQUEST_OPEN
+      && request->type != MQ_REQUEST_CREATE)
+    words = talloc_asprintf_append (words, " program=%s", id);
+  if (request->key[0] != '\0')
+    words = talloc_asprintf_append (
+        words, " key=%s",
+        strcmp (request->key, generated) == 0 ? "generated" : request->key);
+  if (request->sequence != 0)
+    words = talloc_asprintf_append (words, " sequence=%u", request->sequence);
+  if (request->max_tokens != 0)
+    words = talloc_asprintf_append (words, " max=%u", request->max_tokens);
+  if (request->after != 0)
+    words = talloc_asprintf_append (words, " after=%u", request->after);
+  mq_id_format (request->continues, id);
+  if (!mq_id_is_zero (request->continues))
+    words = talloc_asprintf_append (words, " continues=%s", id);
+  return talloc_asprintf_append (words, " %s", request->body);
+}
+
+static char *
+plan_words (TALLOC_CTX *ctx, const struct mq_api_plan *plan,
+            const char *generated)
+{
+  static const char *const shapes[]
+      = { "json", "stream", "accept", "create", "chat", "chat-stream" };
+  char *words
+      = talloc_asprintf (ctx, "%s %s", shapes[plan->shape],
+                         request_words (ctx, &plan->first, generated, true));
+
+  if (plan->has_second)
+    words = talloc_asprintf_append (
+        words, " then %s",
+        request_words (ctx, &plan->second, generated, false));
+  return talloc_asprintf_append (words, " wait=%u", plan->wait_ms);
+}
+
+Test (api, plans)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct mq_text *text = make_text (ctx);
+
+  for (size_t i = 0; i < sizeof plan_cases / sizeof plan_cases[0]; i++)
+    {
+      const struct plan_case *row = &plan_cases[i];
+      struct mq_api_ask ask = { .method = row->method, .path = row->path };
+      struct mq_error error = { 0 };
+      struct mq_api_plan *plan;
+
+      ask.body = row->body == NULL ? "" : row->body;
+      ask.len = strlen (ask.body);
+      ask.organisation = "hr";
+      ask.key = row->key;
+      ask.generated_key = "auto-1";
+      ask.traceparent = "";
+      ask.accept = row->accept;
+      ask.program = row->program;
+      ask.after = row->after;
+      ask.wait = row->wait;
+      ask.cancel = row->cancel;
+      ask.timeout_ms = row->timeout_ms;
+      plan = mq_api_plan_make (ctx, text, &ask, &error);
+      cr_expect_eq (error.type, row->error, "%s %s %s: %s", row->method,
+                    row->path, ask.body, mq_error_name (error.type));
+      if (plan != NULL && row->expect != NULL)
+        cr_expect_str_eq (plan_words (ctx, plan, ask.generated_key),
+                          row->expect);
+      if (plan == NULL && row->expect != NULL)
+        cr_expect_str_eq (error.subject, row->expect);
+    }
+  talloc_free (ctx);
+}
+
+/* The same organisation and key open the same program through any host; the
+   same key of another organisation is another program.  */
+Test (api, opening_twice_names_one_program)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct mq_text *text = make_text (ctx);
+  const char *organisations[] = { "hr", "hr", "leads" };
+  struct mq_id ids[3];
+
+  for (size_t i = 0; i < 3; i++)
+    {
+      struct mq_error error = { 0 };
+      struct mq_api_ask ask
+          = { .method = "POST", .path = "/v1/programs", .key = "day-1" };
+
+      ask.body = "{\"service\":\"guide\",\"input\":\"x\"}";
+      ask.len = strlen (ask.body);
+      ask.organisation = organisations[i];
+      ask.generated_key = "";
+      ask.traceparent = "";
+      ids[i] = mq_api_plan_make (ctx, text, &ask, &error)->first.program;
+    }
+  cr_expect (mq_id_equal (ids[0], ids[1]));
+  cr_expect (!mq_id_equal (ids[0], ids[2]));
+  talloc_free (ctx);
+}
+
+/* The server, with a scripted front.  */
+
+struct bench
+{
+  struct tevent_context *ev;
+  struct mq_http_client *client;
+  struct mq_api *api;
+  struct mq_text *text;
+  const struct mq_event_msg *script; /* of each request in turn */
+  size_t script_at;
+  uint64_t handle;
+  size_t asked;
+  size_t gone;
+  bool drained;
+  bool is_ready;
+  bool done;
+  struct mq_http_result result;
+  char *body;
+};
+
+/* Gives the events of the script up to the end of one request's answer.  */
+static void
+play (struct tevent_context *ev, struct tevent_immediate *immediate,
+      void *data)
+{
+  struct bench *bench = data;
+
+  (void)ev;
+  (void)immediate;
+  for (size_t i = bench->script_at; i < EVENTS_MAX; i++)
+    {
+      struct mq_event_msg event = bench->script[i];
+
+      if (event.body == NULL)
+        return;
+      bench->script_at = i + 1;
+      event.handle = bench->handle;
+      event.redirect = "";
+      mq_api_event (bench->api, &event);
+      if (bench->handle != event.handle)
+        return;
+    }
+}
+
+static void
+on_request (uint64_t handle, uint32_t partition, uint32_t wait_ms,
+            const struct mq_request_msg *request, void *user)
+{
+  struct bench *bench = user;
+
+  (void)partition;
+  (void)wait_ms;
+  cr_expect_str_eq (request->organisation, "hr");
+  cr_expect (mq_api_traceparent_valid (request->traceparent));
+  bench->handle = handle;
+  bench->asked++;
+  tevent_schedule_immediate (tevent_create_immediate (bench), bench->ev, play,
+                             bench);
+}
+
+static void
+on_gone (uint64_t handle, void *user)
+{
+  struct bench *bench = user;
+
+  (void)handle;
+  bench->gone++;
+}
+
+static void
+on_drain (void *user)
+{
+  struct bench *bench = user;
+
+  bench->drained = true;
+}
+
+static char *
+on_text (TALLOC_CTX *ctx, void *user)
+{
+  (void)user;
+  return talloc_strdup (ctx, "{\"shown\":true}");
+}
+
+static char *
+on_spans (TALLOC_CTX *ctx, struct mq_id program, void *user)
+{
+  (void)user;
+  (void)program;
+  return talloc_strdup (ctx, "[]");
+}
+
+static void
+on_span (const struct mq_span *span, void *user)
+{
+  (void)user;
+  cr_expect_str_eq (span->name, "entry");
+}
+
+static bool
+on_ready (void *user)
+{
+  struct bench *bench = user;
+
+  return bench->is_ready;
+}
+
+static uint64_t
+on_now (void *user)
+{
+  (void)user;
+  return 1;
+}
+
+static void
+on_done (const struct mq_http_result *result, void *user)
+{
+  struct bench *bench = user;
+
+  bench->result = *result;
+  talloc_free (bench->body);
+  bench->body = talloc_strndup (bench, result->body, result->len);
+  bench->done = true;
+}
+
+static struct bench *
+bench_create (void)
+{
+  struct bench *bench = talloc_zero (NULL, struct bench);
+  struct mq_api_callbacks callbacks = { .request = on_request,
+                                        .gone = on_gone,
+                                        .drain = on_drain,
+                                        .metrics = on_text,
+                                        .status = on_text,
+                                        .spans = on_spans,
+                                        .span = on_span,
+                                        .ready = on_ready,
+                                        .now_us = on_now,
+                                        .user = bench };
+  struct mq_api_options options = { .boot = 5 };
+  struct mq_error error = { 0 };
+
+  options.http.address = "127.0.0.1:0";
+  hash_key ("operator", options.operator_key_hash);
+  bench->ev = tevent_context_init (bench);
+  bench->client = mq_http_client_create (bench, bench->ev, &error);
+  bench->api = mq_api_create (bench, bench->ev, &options, &callbacks, &error);
+  cr_assert_not_null (bench->api);
+  bench->text = make_text (bench);
+  bench->is_ready = true;
+  mq_api_set_text (bench->api, bench->text);
+  return bench;
+}
+
+static void
+bench_destroy (struct bench *bench)
+{
+  mq_http_client_destroy (bench->client);
+  mq_api_destroy (bench->api);
+  talloc_free (bench);
+}
+
+static struct mq_http_call *
+begin (struct bench *bench, const char *method, const char *path,
+       const char *const *headers, const char *body)
+{
+  struct mq_http_send send = { .method = method, .timeout_ms = 60000 };
+
+  send.url = talloc_asprintf (bench, "http://127.0.0.1:%u%s",
+                              mq_api_port (bench->api), path);
+  send.headers = headers;
+  send.body = body;
+  send.len = body == NULL ? 0 : strlen (body);
+  send.done = on_done;
+  send.user = bench;
+  bench->done = false;
+  return mq_http_client_send (bench->client, &send);
+}
+
+static void
+call (struct bench *bench, const char *method, const char *path,
+      const char *const *headers, const char *body)
+{
+  begin (bench, method, path, headers, body);
+  while (!bench->done)
+    tevent_loop_once (bench->ev);
+  cr_assert_eq (bench->result.error, MQ_ERR_NONE, "%s %s", method, path);
+}
+
+/* The whole text of an answer.  OPENID is the program that hr opens with
+   the key "k": 16 and 16 digits that the test works out.  */
+
+#define TOKEN(c, i, text)                                                     \
+  {                                                                           \
+    .type = MQ_EVENT_TOKEN, .number = (c) << CALL_SHIFT | ((i) + 1),          \
+    .call = (c), .body = (text)                                               \
+  }
+#define ACCEPTED                                                              \
+  {                                                                           \
+    .type = MQ_EVENT_ACCEPTED, .body = "{\"program\":\"P\"}"                  \
+  }
+#define RESET(c)                                                              \
+  {                                                                           \
+    .type = MQ_EVENT_RESET, .number = (c) << CALL_SHIFT, .call = (c),         \
+    .body = "{}"                                                              \
+  }
+#define STEP(c, json)                                                         \
+  {                                                                           \
+    .type = MQ_EVENT_STEP, .number = (c) << CALL_SHIFT | 0xffff, .call = (c), \
+    .body = (json)                                                            \
+  }
+#define FINAL(json)                                                           \
+  {                                                                           \
+    .type = MQ_EVENT_FINAL, .number = 2 << CALL_SHIFT, .body = (json)         \
+  }
+#define REFUSED(e, r, ms)                                                     \
+  {                                                                           \
+    .type = MQ_EVENT_REFUSED, .error = (e), .ran = (r),                       \
+    .retry_after_ms = (ms), .body = ""                                        \
+  }
+
+#define OPEN "{\"service\":\"guide\",\"input\":\"x\"}"
+#define OPEN_STREAM "{\"service\":\"guide\",\"input\":\"x\",\"stream\":true}"
+#define OPEN_LEAVE "{\"service\":\"guide\",\"input\":\"x\",\"wait\":false}"
+#define CREATE "{\"service\":\"guide\",\"driver\":\"caller\"}"
+#define CHAT "{\"model\":\"models\",\"messages\":[]}"
+#define CHAT_STREAM "{\"model\":\"models\",\"messages\":[],\"stream\":true}"
+#define DONE "{\"answer\":\"ab\",\"status\":\"waiting\"}"
+
+struct answer_case
+{
+  const char *story;
+  const char *path;
+  const char *body;
+  struct mq_event_msg script[EVENTS_MAX];
+  int status;
+  uint32_t retry_after_ms;
+  const char *has[4];
+  const char *has_not;
+};
+
+static const struct answer_case answer_cases[] = {
+  { .story = "one JSON answer",
+    .path = "/v1/programs",
+    .body = OPEN,
+    .script = { ACCEPTED, TOKEN (1, 0, "a"), FINAL (DONE) },
+    .status = 200,
+    .has = { DONE } },
+  { .story = "a stream of every event",
+    .path = "/v1/programs",
+    .body = OPEN_STREAM,
+    .script = { ACCEPTED, TOKEN (1, 0, "a\n\"b"), RESET (1), TOKEN (1, 0, "c"),
+                STEP (1, "{\"call\":1}"), FINAL (DONE) },
+    .status = 200,
+    .has = { "event: accepted\ndata: {\"program\":\"P\"}\n\n"
+             "id: 65537\nevent: token\n"
+             "data: {\"call\":1,\"text\":\"a\\n\\\"b\"}\n\n"
+             "id: 65536\nevent: reset\ndata: {\"call\":1}\n\n"
+             "id: 65537\nevent: token\ndata: {\"call\":1,\"text\":\"c\"}\n\n"
+             "id: 131071\nevent: step\ndata: {\"call\":1}\n\n"
+             "id: 131072\nevent: final\ndata: " DONE "\n\n" } },
+  { .story = "a refusal before the first event has its own status",
+    .path = "/v1/programs",
+    .body = OPEN_STREAM,
+    .script = { REFUSED (MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 1500) },
+    .status = 429,
+    .retry_after_ms = 2000,
+    .has = { "\"error\":\"overloaded\"", "\"ran\":\"not_run\"",
+             "\"retry_after_ms\":1500", "\"program\":\"" } },
+  { .story = "a refusal in a stream is its last event",
+    .path = "/v1/programs",
+    .body = OPEN_STREAM,
+    .script = { ACCEPTED, REFUSED (MQ_ERR_BUDGET_TOKENS, MQ_RAN_RAN, 0) },
+    .status = 200,
+    .has = { "event: refused\ndata: {\"error\":\"budget_tokens\","
+             "\"ran\":\"ran\"" } },
+  { .story = "the caller does not wait",
+    .path = "/v1/programs",
+    .body = OPEN_LEAVE,
+    .script = { ACCEPTED },
+    .status = 202,
+    .has = { "\"status\":\"running\"" } },
+  { .story = "the caller drives",
+    .path = "/v1/programs",
+    .body = CREATE,
+    .script = { ACCEPTED },
+    .status = 201,
+    .has = { "\"status\":\"waiting\"" } },
+  { .story = "chat: a program is made first, then the step",
+    .path = "/v1/chat/completions",
+    .body = CHAT,
+    .script = { ACCEPTED, FINAL (DONE) },
+    .status = 200,
+    .has = { "\"object\":\"chat.completion\"",
+             "\"message\":{\"role\":\"assistant\",\"content\":\"ab\"},"
+             "\"finish_reason\":\"stop\"" } },
+  { .story = "chat: the model asks for calls",
+    .path = "/v1/chat/completions",
+    .body = CHAT,
+    .script
+    = { ACCEPTED, FINAL ("{\"answer\":{\"content\":\"\",\"tool_calls\":[{"
+                         "\"id\":\"i\",\"name\":\"n\","
+                         "\"arguments\":\"{}\"}]}}") },
+    .status = 200,
+    .has = { "\"finish_reason\":\"tool_calls\"",
+             "\"function\":{\"name\":\"n\",\"arguments\":\"{}\"}" } },
+  { .story = "chat: the program can't be made",
+    .path = "/v1/chat/completions",
+    .body = CHAT,
+    .script = { REFUSED (MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 0) },
+    .status = 429 },
+  { .story = "chat: the answer is not a model's",
+    .path = "/v1/chat/completions",
+    .body = CHAT,
+    .script = { ACCEPTED, FINAL ("{}") },
+    .status = 502,
+    .has = { "bad_answer" } },
+  { .story = "chat stream: whole",
+    .path = "/v1/chat/completions",
+    .body = CHAT_STREAM,
+    .script = { ACCEPTED, TOKEN (1, 0, "a"), FINAL (DONE) },
+    .status = 200,
+    .has = { "\"delta\":{\"content\":\"a\"}", "\"delta\":{\"content\":\"b\"}",
+             "\"finish_reason\":\"stop\"", "data: [DONE]\n\n" } },
+  { .story = "chat stream: begun again with the same words",
+    .path = "/v1/chat/completions",
+    .body = CHAT_STREAM,
+    .script = { ACCEPTED, TOKEN (1, 0, "a"), RESET (1), TOKEN (1, 0, "a"),
+                FINAL (DONE) },
+    .status = 200,
+    .has = { "\"delta\":{\"content\":\"b\"}", "data: [DONE]\n\n" } },
+  { .story = "chat stream: begun again with other words; OpenAI's stream has "
+             "no reset, so it ends without its mark",
+    .path = "/v1/chat/completions",
+    .body = CHAT_STREAM,
+    .script = { ACCEPTED, TOKEN (1, 0, "x"), RESET (1), TOKEN (1, 0, "a"),
+                FINAL (DONE) },
+    .status = 200,
+    .has = { "data: {\"error\":{\"error\":\"bad_answer\"" },
+    .has_not = "[DONE]" },
+};
+
+static const char *const hr_headers[]
+    = { "Authorization: Bearer key-of-hr", "Idempotency-Key: k",
+        "Content-Type: application/json", NULL };
+
+Test (api, answers)
+{
+  struct bench *bench = bench_create ();
+
+  for (size_t i = 0; i < sizeof answer_cases / sizeof answer_cases[0]; i++)
+    {
+      const struct answer_case *row = &answer_cases[i];
+
+      bench->script = row->script;
+      bench->script_at = 0;
+      call (bench, "POST", row->path, hr_headers, row->body);
+      cr_expect_eq (bench->result.status, row->status, "%s: %d", row->story,
+                    bench->result.status);
+      cr_expect_eq (bench->result.retry_after_ms, row->retry_after_ms, "%s",
+                    row->story);
+      for (size_t j = 0; j < 4 && row->has[j] != NULL; j++)
+        cr_expect_not_null (strstr (bench->body, row->has[j]),
+                            "%s: no %s in %s", row->story, row->has[j],
+                            bench->body);
+      cr_expect (row->has_not == NULL
+                     || strstr (bench->body, row->has_not) == NULL,
+                 "%s: %s", row->story, bench->body);
+    }
+  while (mq_api_in_progress (bench->api) > 0)
+    tevent_loop_once (bench->ev);
+  bench_destroy (bench);
+}
+
+/* Who is let in: callers by their organisation's key, operators by theirs,
+   everybody to the health of the process.  */
+
+enum bench_state
+{
+  READY,
+  NOT_READY,
+  WITHOUT_TEXT,
+  LEAVING
+};
+
+static const struct
+{
+  enum bench_state state;
+  const char *method;
+  const char *path;
+  const char *key;
+  int status;
+  const char *has;
+} door_cases[] = {
+  { READY, "GET", "/healthz", NULL, 200, "alive" },
+  { READY, "GET", "/readyz", NULL, 200, "ready" },
+  { READY, "GET", "/metrics", NULL, 200, "shown" },
+  { READY, "GET", "/v1/programs/" ID, NULL, 401, "\"ran\":\"not_run\"" },
+  { READY, "GET", "/v1/programs/" ID, "key-of-nobody", 401, "unauthorised" },
+  { READY, "GET", "/v1/programs/" ID, "operator", 401, "unauthorised" },
+  { READY, "GET", "/v1/admin/status", NULL, 401, "unauthorised" },
+  { READY, "GET", "/v1/admin/status", "key-of-hr", 401, "unauthorised" },
+  { READY, "GET", "/v1/admin/status", "operator", 200, "shown" },
+  { READY, "GET", "/v1/admin/spans/" ID, "operator", 200, "[]" },
+  { READY, "GET", "/v1/admin/spans/x", "operator", 404, "not_found" },
+  { READY, "GET", "/v1/admin/other", "operator", 404, "not_found" },
+  { READY, "POST", "/v1/admin/drain", "key-of-hr", 401, "unauthorised" },
+  { READY, "POST", "/v1/nothing", "key-of-hr", 404, "not_found" },
+  { NOT_READY, "GET", "/readyz", NULL, 503, "not_ready" },
+  { NOT_READY, "GET", "/healthz", NULL, 200, "alive" },
+  { WITHOUT_TEXT, "GET", "/v1/programs/" ID, "key-of-hr", 503, "not_ready" },
+  { LEAVING, "GET", "/readyz", NULL, 503, "leaving" },
+  { LEAVING, "GET", "/v1/programs/" ID, "key-of-hr", 503, "leaving" },
+  { LEAVING, "GET", "/v1/admin/status", "operator", 200, "shown" },
+};
+
+Test (api, doors)
+{
+  for (size_t i = 0; i < sizeof door_cases / sizeof door_cases[0]; i++)
+    {
+      struct bench *bench = bench_create ();
+      const char *headers[2] = { NULL, NULL };
+
+      if (door_cases[i].key != NULL)
+        headers[0] = talloc_asprintf (bench, "Authorization: Bearer %s",
+                                      door_cases[i].key);
+      bench->is_ready = door_cases[i].state != NOT_READY;
+      if (door_cases[i].state == WITHOUT_TEXT)
+        mq_api_set_text (bench->api, NULL);
+      if (door_cases[i].state == LEAVING)
+        mq_api_leave (bench->api);
+      call (bench, door_cases[i].method, door_cases[i].path, headers,
+            door_cases[i].method[0] == 'P' ? "{}" : NULL);
+      cr_expect_eq (bench->result.status, door_cases[i].status, "row %zu: %d",
+                    i, bench->result.status);
+      cr_expect_not_null (strstr (bench->body, door_cases[i].has),
+                          "row %zu: %s", i, bench->body);
+      cr_expect_eq (bench->asked, 0, "row %zu reached the front", i);
+      bench_destroy (bench);
+    }
+}
+
+/* An operator's drain answers before the process stops.  */
+Test (api, drain)
+{
+  struct bench *bench = bench_create ();
+  const char *headers[] = { "Authorization: Bearer operator", NULL };
+
+  call (bench, "POST", "/v1/admin/drain", headers, "");
+  cr_expect_eq (bench->result.status, 202);
+  cr_expect (bench->drained);
+  bench_destroy (bench);
+}
+
+/* The caller hangs up while it waits: the front is told once, and an answer
+   that comes later finds nobody and is counted.  */
+Test (api, caller_hangs_up)
+{
+  struct bench *bench = bench_create ();
+  static const struct mq_event_msg nothing[EVENTS_MAX] = { { 0 } };
+  struct mq_event_msg late = FINAL (DONE);
+  struct mq_http_call *open;
+
+  bench->script = nothing;
+  open = begin (bench, "POST", "/v1/programs", hr_headers, OPEN);
+  while (bench->asked == 0)
+    tevent_loop_once (bench->ev);
+  mq_http_call_cancel (open);
+  while (bench->gone == 0)
+    tevent_loop_once (bench->ev);
+  late.handle = bench->handle;
+  mq_api_event (bench->api, &late);
+  cr_expect_eq (bench->gone, 1);
+  cr_expect_eq (mq_api_read_counters (bench->api)->events_unknown, 1);
+  cr_expect_eq (mq_api_in_progress (bench->api), 0);
+  bench_destroy (bench);
+}
