Ask for a tick only when something is due

Cause: a scan or renewal under way left its due time in the past, so the entry host's timer fired without end (one core busy, seen in gdb). Change: what is under way is not due; without a configuration nothing is.

--- a/src/core/owner_take.c
+++ b/src/core/owner_take.c
@@ -1215,13 +1215,19 @@
 uint64_t
 take_next_tick (const struct mq_owner *owner)
 {
-  uint64_t next = earlier (owner->next_renew_us, owner->next_scan_us);
+  uint64_t next = owner->now_us + 250000;
 
+  if (owner->text == NULL)
+    return next;
+  if (owner->renew_id == 0)
+    next = earlier (next, owner->next_renew_us);
+  if (owner->owners_scan_id == 0 && owner->partitions_scan_id == 0)
+    next = earlier (next, owner->next_scan_us);
   if (owner->claiming > 0 || owner->leaving)
     next = earlier (next, owner->now_us + 20000);
   for (uint32_t i = 0; i < owner->partition_count; i++)
     if (owner->partitions[i].state == PARTITION_OTHER
         && owner->partitions[i].unowned_us != 0)
       next = earlier (next, owner->now_us + 50000);
-  return earlier (next, owner->now_us + 250000);
+  return next;
 }
