--- a/examples/site.sh
+++ b/examples/site.sh
@@ -132,8 +132,9 @@
 site_end() {
   local pid
   for pid in $site_pids; do
-    kill -TERM "$pid" 2>/dev/null
-    wait "$pid" 2>/dev/null
+    kill -TERM "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
   done
-  [ -n "$KEEP_LOGS" ] || rm -rf "$site_dir"
+  site_pids=
+  [ -n "${KEEP_LOGS:-}" ] || rm -rf "$site_dir"
 }
