Test HTTP, logs, metrics and spans with their faults

Cause: every fault of a connection must end in the right type and tell truly whether a request may have been sent. They found that a server at its bound of connections never accepted again while the others were quiet (a run is now made at each end of a connection) and that an answer that is no HTTP was typed as a bad request. Requests without Host are now refused. The bytes of bodies and streams are held by buffer.c.

--- /dev/null
+++ b/src/io/buffer.c
@@ -0,0 +1,75 @@
+/* buffer.c - bytes that come in at one end and go out at the other.
+
+   Needs: talloc.  */
+
+#include "buffer.h"
+#include <string.h>
+
+#define FIRST_BYTES ((size_t)4096)
+
+/* Moves the bytes to the front of new memory of at least NEED bytes.  */
+static bool
+grow (TALLOC_CTX *ctx, struct mq_buffer *buffer, size_t need)
+{
+  size_t room = buffer->room == 0 ? FIRST_BYTES : buffer->room;
+  char *grown;
+
+  while (room < need)
+    room *= 2;
+  grown = talloc_size (ctx, room);
+  if (grown == NULL)
+    return false;
+  if (buffer->len > 0)
+    memcpy (grown, buffer->data + buffer->at, buffer->len);
+  talloc_free (buffer->data);
+  buffer->data = grown;
+  buffer->at = 0;
+  buffer->room = room;
+  return true;
+}
+
+bool
+mq_buffer_append (TALLOC_CTX *ctx, struct mq_buffer *buffer, const void *data,
+                  size_t len, size_t max)
+{
+  size_t need = buffer->len + len + 1;
+
+  if (buffer->len > max || len > max - buffer->len)
+    return false;
+  if (len == 0)
+    return true;
+  if (buffer->at + need > buffer->room && !grow (ctx, buffer, need))
+    return false;
+  memcpy (buffer->data + buffer->at + buffer->len, data, len);
+  buffer->len += len;
+  buffer->data[buffer->at + buffer->len] = '\0';
+  return true;
+}
+
+size_t
+mq_buffer_take (struct mq_buffer *buffer, void *to, size_t max)
+{
+  size_t len = max < buffer->len ? max : buffer->len;
+
+  if (len == 0)
+    return 0;
+  memcpy (to, buffer->data + buffer->at, len);
+  buffer->at += len;
+  buffer->len -= len;
+  if (buffer->len == 0)
+    mq_buffer_clear (buffer);
+  return len;
+}
+
+void
+mq_buffer_clear (struct mq_buffer *buffer)
+{
+  talloc_free (buffer->data);
+  memset (buffer, 0, sizeof *buffer);
+}
+
+const char *
+mq_buffer_text (const struct mq_buffer *buffer)
+{
+  return buffer->len == 0 ? "" : buffer->data + buffer->at;
+}
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -5,12 +5,12 @@
 
 #include "http_client.h"
 #include "../core/limits.h"
+#include "buffer.h"
 #include <curl/curl.h>
 #include <string.h>
 #include <strings.h>
 #include <time.h>
 
-#define BODY_FIRST_BYTES ((size_t)4096)
 /* Connections are aged in whole seconds; see trust_connections.  */
 #define TRUST_GRAIN_MS 2000U
 
@@ -54,9 +54,7 @@
  * @part: told each part, NULL: collect
  * @done: told the end, NULL once cancelled
  * @user: given to both
- * @body: what came in so far, zero-terminated
- * @len: its length
- * @room: bytes allocated
+ * @body: what was collected
  * @total: bytes of the answer, collected or not
  * @body_max: bound on @total
  * @repeatable: curl may send it again by itself
@@ -75,9 +73,7 @@
   mq_http_part *part;
   mq_http_done *done;
   void *user;
-  char *body;
-  size_t len;
-  size_t room;
+  struct mq_buffer body;
   size_t total;
   size_t body_max;
   bool repeatable;
@@ -167,8 +163,10 @@
     case CURLE_OUT_OF_MEMORY:
       return MQ_ERR_NO_MEMORY;
     case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
       return MQ_ERR_BAD_REQUEST;
+    case CURLE_UNSUPPORTED_PROTOCOL:
+      /* Of the URL, or of an answer that is not HTTP/1.  */
+      return call->starts == 0 ? MQ_ERR_BAD_REQUEST : MQ_ERR_IO;
     default:
       return MQ_ERR_IO;
     }
@@ -228,8 +226,8 @@
   mq_http_done *done = call->done;
   struct mq_http_result result = { .error = error_of (call),
                                    .sent = call->starts > 0,
-                                   .body = call->body,
-                                   .len = call->len };
+                                   .body = mq_buffer_text (&call->body),
+                                   .len = call->body.len };
 
   if (call->easy != NULL)
     {
@@ -367,8 +365,9 @@
 }
 
 /* tevent hides errors from one that waits for writing only, as curl does
-   while it connects: a refused connection would go unseen until the timeout.
-   So a wait for writing is also one for reading, which shows them.  */
+   while it connects: a connection refused late would go unseen until curl's
+   next timer.  So a wait for writing is also one for reading, which shows
+   errors; there is nothing else to read before curl asks for it.  */
 static uint16_t
 flags_of (int what)
 {
@@ -435,30 +434,6 @@
   return CURL_PREREQFUNC_OK;
 }
 
-static bool
-body_append (struct mq_http_call *call, const char *data, size_t len)
-{
-  size_t need = call->len + len + 1;
-
-  if (need > call->room)
-    {
-      size_t room = call->room == 0 ? BODY_FIRST_BYTES : call->room * 2;
-      char *grown;
-
-      if (room < need)
-        room = need;
-      grown = talloc_realloc (call, call->body, char, room);
-      if (grown == NULL)
-        return false;
-      call->body = grown;
-      call->room = room;
-    }
-  memcpy (call->body + call->len, data, len);
-  call->len += len;
-  call->body[call->len] = '\0';
-  return true;
-}
-
 /* Bytes of the answer.  Any return but their number makes curl give up.  */
 static size_t
 answer_part (char *data, size_t size, size_t count, void *user)
@@ -479,7 +454,7 @@
       call->part (data, len, call->user);
       return call->done == NULL || call->client->doomed ? 0 : len;
     }
-  if (body_append (call, data, len))
+  if (mq_buffer_append (call, &call->body, data, len, call->body_max))
     return len;
   call->failed = MQ_ERR_NO_MEMORY;
   return 0;
@@ -593,9 +568,8 @@
   call->user = send->user;
   call->body_max = send->body_max == 0 ? MQ_FRAME_MAX_BYTES : send->body_max;
   talloc_set_destructor (call, call_freed);
-  call->body = talloc_strdup (call, "");
   call->easy = curl_easy_init ();
-  if (call->easy == NULL || call->body == NULL)
+  if (call->easy == NULL)
     call->failed = MQ_ERR_NO_MEMORY;
   else
     {
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -7,6 +7,7 @@
 
 #include "http_server.h"
 #include "../core/limits.h"
+#include "buffer.h"
 #include "listen.h"
 #include <jansson.h>
 #include <microhttpd.h>
@@ -20,8 +21,6 @@
    and the answer's header.  Headers of MQ_HEADERS_MAX_BYTES fit; one that
    fills it gets 431.  */
 #define CONNECTION_BYTES ((size_t)2 * MQ_HEADERS_MAX_BYTES)
-#define BODY_FIRST_BYTES ((size_t)4096)
-#define STREAM_FIRST_BYTES ((size_t)4096)
 #define STREAM_BLOCK_BYTES ((size_t)16384)
 #define LEFT_POLL_MS 1000
 
@@ -32,7 +31,7 @@
  * @fde: the daemon's epoll descriptor
  * @timer: the daemon's timeout, NULL when none is set
  * @timer_at: when @timer fires
- * @soon: runs the daemon after an answer from outside of it
+ * @soon: runs the daemon after an answer from outside of it, and again
  * @handler: told each whole request
  * @data: given to @handler
  * @body_max: bound on a body
@@ -40,6 +39,7 @@
  * @requests: those whose connection is there
  * @in_progress: how many
  * @running: inside MHD_run, where the daemon can't be stopped
+ * @has_room: a connection has ended since the last run
  * @closing: no longer accepts; answers close their connection
  * @doomed: destroyed; freed once MHD_run has returned
  */
@@ -58,6 +58,7 @@
   struct mq_http_request *requests;
   size_t in_progress;
   bool running;
+  bool has_room;
   bool closing;
   bool doomed;
 };
@@ -78,9 +79,7 @@
  * @fd: its socket
  * @method: of the request line
  * @path: without the query
- * @body: what came in so far, zero-terminated
- * @body_len: its length
- * @body_room: bytes allocated
+ * @body: what came in so far
  * @discarded: bytes of a body over the bound that were read and dropped
  * @too_large: the body is over the bound
  * @handled: the handler was told
@@ -93,9 +92,6 @@
  * @status: its HTTP status
  * @headers: extra headers of the answer
  * @unsent: a stream's bytes that the library has not taken yet
- * @unsent_at: where they begin
- * @unsent_len: how many
- * @unsent_room: bytes allocated
  * @closed: told once when the request ends
  * @closed_data: given to @closed
  * @watch: tells that the caller left while the library does not read
@@ -110,9 +106,7 @@
   int fd;
   const char *method;
   const char *path;
-  char *body;
-  size_t body_len;
-  size_t body_room;
+  struct mq_buffer body;
   size_t discarded;
   bool too_large;
   bool handled;
@@ -124,10 +118,7 @@
   struct MHD_Response *response;
   unsigned int status;
   struct header *headers;
-  char *unsent;
-  size_t unsent_at;
-  size_t unsent_len;
-  size_t unsent_room;
+  struct mq_buffer unsent;
   mq_http_closed *closed;
   void *closed_data;
   struct tevent_fd *watch;
@@ -138,6 +129,20 @@
 
 static void run_daemon (struct mq_http_server *server);
 
+static void
+run_soon (struct tevent_context *ev, struct tevent_immediate *im, void *data)
+{
+  (void)ev;
+  (void)im;
+  run_daemon (data);
+}
+
+static void
+run_again (struct mq_http_server *server)
+{
+  tevent_schedule_immediate (server->soon, server->ev, run_soon, server);
+}
+
 static void
 timer_fired (struct tevent_context *ev, struct tevent_timer *timer,
              struct timeval now, void *data)
@@ -172,6 +177,23 @@
       = tevent_add_timer (server->ev, server, at, timer_fired, server);
 }
 
+/* At its bound of connections the library stops listening, and looks whether
+   it may listen again only at the start of a run.  With all other connections
+   quiet none would come, and callers would wait at a server that has room:
+   so the end of a connection makes one more run.  */
+static void
+connection_changed (void *cls, struct MHD_Connection *connection,
+                    void **socket_data,
+                    enum MHD_ConnectionNotificationCode code)
+{
+  struct mq_http_server *server = cls;
+
+  (void)connection;
+  (void)socket_data;
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+    server->has_room = true;
+}
+
 static void
 run_daemon (struct mq_http_server *server)
 {
@@ -179,9 +201,14 @@
   MHD_run (server->daemon);
   server->running = false;
   if (server->doomed)
-    talloc_free (server);
-  else
-    arm_timer (server);
+    {
+      talloc_free (server);
+      return;
+    }
+  if (server->has_room)
+    run_again (server);
+  server->has_room = false;
+  arm_timer (server);
 }
 
 static void
@@ -194,24 +221,14 @@
   run_daemon (data);
 }
 
-static void
-run_soon (struct tevent_context *ev, struct tevent_immediate *im, void *data)
-{
-  (void)ev;
-  (void)im;
-  run_daemon (data);
-}
-
 static void
 resume (struct mq_http_request *request)
 {
-  struct mq_http_server *server = request->server;
-
   if (!request->suspended)
     return;
   request->suspended = false;
   MHD_resume_connection (request->connection);
-  tevent_schedule_immediate (server->soon, server->ev, run_soon, server);
+  run_again (request->server);
 }
 
 /* Ends a request whose answer can't be given.  Suspended, the library comes
@@ -326,9 +343,7 @@
     return NULL;
   request->method = talloc_strdup (request, method);
   request->path = talloc_strdup (request, path);
-  request->body = talloc_strdup (request, "");
-  if (request->method == NULL || request->path == NULL || request->body == NULL
-      || info == NULL)
+  if (request->method == NULL || request->path == NULL || info == NULL)
     {
       talloc_free (request);
       return NULL;
@@ -336,7 +351,6 @@
   request->server = server;
   request->connection = connection;
   request->fd = info->connect_fd;
-  request->body_room = 1;
   talloc_set_destructor (request, request_freed);
   if (server->requests != NULL)
     server->requests->previous = request;
@@ -399,45 +413,21 @@
 
 /* Bodies.  */
 
-static bool
-body_append (struct mq_http_request *request, const char *data, size_t len)
-{
-  size_t need = request->body_len + len + 1;
-
-  if (need > request->body_room)
-    {
-      size_t room = request->body_room * 2;
-      char *grown;
-
-      if (room < BODY_FIRST_BYTES)
-        room = BODY_FIRST_BYTES;
-      if (room < need)
-        room = need;
-      grown = talloc_realloc (request, request->body, char, room);
-      if (grown == NULL)
-        return false;
-      request->body = grown;
-      request->body_room = room;
-    }
-  memcpy (request->body + request->body_len, data, len);
-  request->body_len += len;
-  request->body[request->body_len] = '\0';
-  return true;
-}
-
 /* A body over the bound is read to its end and dropped, so that the caller
    gets to read the answer: closing on unread bytes would reset it away.  One
    that goes on to more than twice the bound is cut off.  */
 static enum MHD_Result
 body_part (struct mq_http_request *request, const char *data, size_t len)
 {
-  if (!request->too_large
-      && len <= request->server->body_max - request->body_len)
-    return body_append (request, data, len) ? MHD_YES : MHD_NO;
+  size_t max = request->server->body_max;
+
+  if (!request->too_large && len <= max - request->body.len)
+    return mq_buffer_append (request, &request->body, data, len, max) ? MHD_YES
+                                                                      : MHD_NO;
   request->too_large = true;
   request->discarded += len;
-  TALLOC_FREE (request->body);
-  return request->discarded / 2 > request->server->body_max ? MHD_NO : MHD_YES;
+  mq_buffer_clear (&request->body);
+  return request->discarded / 2 > max ? MHD_NO : MHD_YES;
 }
 
 /* True when a body is announced that will not be read to its end: far over
@@ -601,68 +591,8 @@
   resume (request);
 }
 
-/* Streams.  Bytes wait in a buffer that grows with the reader's lag and is
-   let go when the reader has caught up, so that thousands of quiet streams
-   hold none.  */
-
-static size_t
-min_size (size_t a, size_t b)
-{
-  return a < b ? a : b;
-}
-
-static void
-unsent_clear (struct mq_http_request *request)
-{
-  TALLOC_FREE (request->unsent);
-  request->unsent_at = 0;
-  request->unsent_len = 0;
-  request->unsent_room = 0;
-}
-
-static bool
-unsent_append (struct mq_http_request *request, const void *data, size_t len)
-{
-  size_t need = request->unsent_len + len;
-
-  if (need > MQ_STREAM_BUFFER_BYTES)
-    return false;
-  if (request->unsent_at + need > request->unsent_room)
-    {
-      size_t room = request->unsent_room;
-      char *grown;
-
-      while (room < need)
-        room = room == 0 ? STREAM_FIRST_BYTES : room * 2;
-      grown = talloc_size (request, room);
-      if (grown == NULL)
-        return false;
-      if (request->unsent_len > 0)
-        memcpy (grown, request->unsent + request->unsent_at,
-                request->unsent_len);
-      talloc_free (request->unsent);
-      request->unsent = grown;
-      request->unsent_at = 0;
-      request->unsent_room = room;
-    }
-  memcpy (request->unsent + request->unsent_at + request->unsent_len, data,
-          len);
-  request->unsent_len = need;
-  return true;
-}
-
-static size_t
-unsent_take (struct mq_http_request *request, char *to, size_t max)
-{
-  size_t len = min_size (max, request->unsent_len);
-
-  memcpy (to, request->unsent + request->unsent_at, len);
-  request->unsent_at += len;
-  request->unsent_len -= len;
-  if (request->unsent_len == 0)
-    unsent_clear (request);
-  return len;
-}
+/* Streams.  A buffer grows with the reader's lag and is let go when the reader
+   has caught up, so that thousands of quiet streams hold no memory.  */
 
 /* The library asks for more of the answer.  */
 static ssize_t
@@ -673,8 +603,8 @@
   (void)position;
   if (request->broken || request->server->doomed)
     return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (request->unsent_len > 0)
-    return (ssize_t)unsent_take (request, to, max);
+  if (request->unsent.len > 0)
+    return (ssize_t)mq_buffer_take (&request->unsent, to, max);
   if (request->answered)
     return MHD_CONTENT_READER_END_OF_STREAM;
   suspend (request);
@@ -708,7 +638,8 @@
     return false;
   if (len == 0)
     return true;
-  if (!unsent_append (request, data, len))
+  if (!mq_buffer_append (request, &request->unsent, data, len,
+                         MQ_STREAM_BUFFER_BYTES))
     {
       give_up (request);
       return false;
@@ -772,8 +703,8 @@
 mq_http_body (const struct mq_http_request *request, size_t *len)
 {
   if (len != NULL)
-    *len = request->body_len;
-  return request->body;
+    *len = request->body.len;
+  return mq_buffer_text (&request->body);
 }
 
 static void
@@ -822,8 +753,9 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, access_handler,
       server, MHD_OPTION_LISTEN_SOCKET, (MHD_socket)fd,
       MHD_OPTION_NOTIFY_COMPLETED, request_completed, server,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES,
-      MHD_OPTION_CONNECTION_LIMIT, (unsigned int)connections,
+      MHD_OPTION_NOTIFY_CONNECTION, connection_changed, server,
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      CONNECTION_BYTES, MHD_OPTION_CONNECTION_LIMIT, (unsigned int)connections,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)(MQ_HTTP_IDLE_MS / 1000),
       MHD_OPTION_END);
 }
--- a/src/io/spans.h
+++ b/src/io/spans.h
@@ -13,6 +13,7 @@
 struct mq_spans *mq_spans_create (TALLOC_CTX *ctx, const char *host,
                                   const char *data_centre);
 void mq_spans_destroy (struct mq_spans *spans);
+/* SPAN's times are those of CLOCK_MONOTONIC.  */
 void mq_spans_add (struct mq_spans *spans, const struct mq_span *span);
 /* JSON array, below CTX, of the spans of PROGRAM (and, as mq_id hi is
    shared, of its sub-programs), times as wall-clock microseconds.  */
--- /dev/null
+++ b/tests/test_io.c
@@ -0,0 +1,320 @@
+/* test_io.c - log lines, metrics and spans.
+
+   Needs: Criterion, jansson.  */
+
+#include "core/id.h"
+#include "core/limits.h"
+#include "io/log.h"
+#include "io/metrics.h"
+#include "io/spans.h"
+#include <criterion/criterion.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+#define LINE_BYTES 4096
+
+/* Runs WRITE_LINE with standard error going to LINE.  */
+static void
+capture (char line[LINE_BYTES], void (*write_line) (size_t row), size_t row)
+{
+  int ends[2];
+  int saved = dup (STDERR_FILENO);
+  ssize_t got;
+
+  cr_assert_eq (pipe (ends), 0);
+  dup2 (ends[1], STDERR_FILENO);
+  close (ends[1]);
+  write_line (row);
+  dup2 (saved, STDERR_FILENO);
+  close (saved);
+  got = read (ends[0], line, LINE_BYTES - 1);
+  close (ends[0]);
+  line[got < 0 ? 0 : got] = '\0';
+}
+
+static const char long_value[] = { [0 ... 4000] = 'v', [4001] = '\0' };
+
+static const struct
+{
+  const char *name;
+  enum mq_log_level level;
+  const char *value;
+  const char *expected; /* end of the line; NULL: no line */
+} value_rows[] = {
+  { "plain", MQ_LOG_NOTICE, "10.0.0.1:80", " event key=10.0.0.1:80\n" },
+  { "empty", MQ_LOG_NOTICE, "", " event key=\"\"\n" },
+  { "none", MQ_LOG_NOTICE, NULL, " event\n" },
+  { "space", MQ_LOG_NOTICE, "a b", " event key=\"a b\"\n" },
+  { "equals", MQ_LOG_NOTICE, "a=b", " event key=\"a=b\"\n" },
+  { "quote", MQ_LOG_NOTICE, "a\"b\\", " event key=\"a\\\"b\\\\\"\n" },
+  { "forged line", MQ_LOG_NOTICE, "a\n<3>b", " event key=\"a\\n<3>b\"\n" },
+  { "control", MQ_LOG_NOTICE, "\r\x1b", " event key=\"\\x0d\\x1b\"\n" },
+  { "too long", MQ_LOG_NOTICE, long_value, "vvv\n" },
+  { "too much detail", MQ_LOG_INFO, "a", NULL },
+};
+
+static void
+write_value (size_t row)
+{
+  if (value_rows[row].value == NULL)
+    mq_log_write (value_rows[row].level, "event", NULL);
+  else
+    mq_log_write (value_rows[row].level, "event", "key", value_rows[row].value,
+                  NULL);
+}
+
+/* A caller's value that carries a line end would forge a line of its own.  */
+Test (log, values)
+{
+  char line[LINE_BYTES];
+
+  mq_log_open ("mimosa-test", "host-1", MQ_LOG_NOTICE);
+  for (size_t i = 0; i < ROWS (value_rows); i++)
+    {
+      const char *name = value_rows[i].name;
+      const char *expected = value_rows[i].expected;
+      char *head;
+
+      capture (line, write_value, i);
+      if (expected == NULL)
+        {
+          cr_expect_str_empty (line, "%s: %s", name, line);
+          continue;
+        }
+      cr_expect (strncmp (line, "<29>", 4) == 0, "%s: %s", name, line);
+      cr_expect_eq (strchr (line, '\n'), line + strlen (line) - 1, "%s", name);
+      cr_assert_geq (strlen (line), strlen (expected));
+      cr_expect_str_eq (line + strlen (line) - strlen (expected), expected,
+                        "%s", name);
+      head = talloc_asprintf (NULL, " host-1 mimosa-test[%ld]: event",
+                              (long)getpid ());
+      /* "<29>Mmm dd hh:mm:ss" goes before it.  */
+      cr_expect_eq (strstr (line, head), line + 19, "%s: %s", name, line);
+      talloc_free (head);
+    }
+}
+
+static const struct
+{
+  enum mq_state_change change;
+  uint64_t number;
+  const char *subject;
+  const char *expected;
+} state_rows[] = {
+  { MQ_STATE_PARTITION_OWNED, 17, "", ": partition_owned partition=17\n" },
+  { MQ_STATE_PEER_SILENT, 3, "host-2", ": peer_silent peer=3 host=host-2\n" },
+  { MQ_STATE_STORE_DOWN, 0, NULL, ": store_down\n" },
+  { MQ_STATE_UNKNOWN_CALL, 2, "ab", ": unknown_call call=2 program=ab\n" },
+  { MQ_STATE_ORDER, 1, "", ": order worker=1\n" },
+};
+
+static void
+write_state (size_t row)
+{
+  struct mq_state_line line = { .change = state_rows[row].change,
+                                .number = state_rows[row].number,
+                                .subject = state_rows[row].subject };
+
+  mq_log_state (&line);
+}
+
+static void
+write_change (size_t change)
+{
+  struct mq_state_line line = { .change = (enum mq_state_change)change };
+
+  mq_log_state (&line);
+}
+
+Test (log, states)
+{
+  char line[LINE_BYTES];
+
+  mq_log_open ("mimosa-test", "host-1", MQ_LOG_NOTICE);
+  for (size_t i = 0; i < ROWS (state_rows); i++)
+    {
+      capture (line, write_state, i);
+      cr_expect_not_null (strstr (line, state_rows[i].expected), "%s", line);
+    }
+  for (size_t change = 0; change <= MQ_STATE_ORDER; change++)
+    {
+      capture (line, write_change, change);
+      cr_expect_not_null (strchr (line, '\n'), "change %zu has no line",
+                          change);
+    }
+}
+
+static void
+write_failure (size_t row)
+{
+  struct mq_error error = { .type = MQ_ERR_IO,
+                            .ran = MQ_RAN_NOT_RUN,
+                            .number = 98,
+                            .subject = "127.0.0.1:80" };
+
+  (void)row;
+  mq_log_failure ("listen", &error);
+}
+
+Test (log, failure)
+{
+  char line[LINE_BYTES];
+
+  mq_log_open ("mimosa-test", "host-1", MQ_LOG_ERROR);
+  capture (line, write_failure, 0);
+  cr_expect (strncmp (line, "<27>", 4) == 0, "%s", line);
+  cr_expect_not_null (strstr (line, ": listen error=io ran=not_run number=98 "
+                                    "subject=127.0.0.1:80 cause=\""),
+                      "%s", line);
+}
+
+static long
+process_value (const char *text, const char *name)
+{
+  char *start = talloc_asprintf (NULL, "\nmimosa_process_%s ", name);
+  const char *at = strstr (text, start);
+
+  cr_assert_not_null (at, "%s", name);
+  at += strlen (start);
+  talloc_free (start);
+  return strtol (at, NULL, 10);
+}
+
+Test (metrics, text)
+{
+  char *text = talloc_strdup (NULL, "");
+  static const char *const process[] = {
+    "# TYPE mimosa_process_cpu_seconds_total counter\n",
+    "# TYPE mimosa_process_resident_bytes gauge\n",
+    "# TYPE mimosa_process_open_files gauge\n",
+  };
+  long files;
+
+  mq_metrics_add (&text, "gate", "calls_total", "Calls let through.",
+                  UINT64_MAX);
+  mq_metrics_add (&text, "gate", "queued", "Calls that wait.", 0);
+  cr_expect_str_eq (text, "# HELP mimosa_gate_calls_total Calls let through.\n"
+                          "# TYPE mimosa_gate_calls_total counter\n"
+                          "mimosa_gate_calls_total 18446744073709551615\n"
+                          "# HELP mimosa_gate_queued Calls that wait.\n"
+                          "# TYPE mimosa_gate_queued gauge\n"
+                          "mimosa_gate_queued 0\n");
+  mq_metrics_add_process (&text);
+  for (size_t i = 0; i < ROWS (process); i++)
+    cr_expect_not_null (strstr (text, process[i]), "%s", process[i]);
+  cr_expect_gt (process_value (text, "resident_bytes"), 100000);
+  files = process_value (text, "open_files");
+  cr_expect_geq (dup (STDERR_FILENO), 0);
+  talloc_free (text);
+  text = talloc_strdup (NULL, "");
+  mq_metrics_add_process (&text);
+  cr_expect_eq (process_value (text, "open_files"), files + 1);
+  talloc_free (text);
+}
+
+#define TRACE "0123456789abcdef0123456789abcdef"
+#define PARENT "fedcba9876543210"
+
+Test (spans, traceparents)
+{
+  static const struct
+  {
+    const char *traceparent;
+    const char *trace;
+    const char *parent;
+  } rows[] = {
+    { "00-" TRACE "-" PARENT "-01", TRACE, PARENT },
+    { NULL, "", "" },
+    { "", "", "" },
+    { "00-" TRACE "-" PARENT, "", "" },
+    { "00-" TRACE "_" PARENT "-01", "", "" },
+    { "00-0123456789ABCDEF0123456789abcdef-" PARENT "-01", "", "" },
+  };
+  struct mq_id program = { 1, 2 };
+  struct mq_spans *spans = mq_spans_create (NULL, "host-1", "hann");
+  char *text;
+  json_t *list;
+
+  for (size_t i = 0; i < ROWS (rows); i++)
+    {
+      struct mq_span span = { .name = "queue",
+                              .traceparent = rows[i].traceparent,
+                              .program = program };
+
+      mq_spans_add (spans, &span);
+    }
+  text = mq_spans_json (spans, spans, program);
+  list = json_loads (text, 0, NULL);
+  cr_assert_eq (json_array_size (list), ROWS (rows));
+  for (size_t i = 0; i < ROWS (rows); i++)
+    {
+      json_t *item = json_array_get (list, i);
+
+      cr_expect_str_eq (json_string_value (json_object_get (item, "trace")),
+                        rows[i].trace);
+      cr_expect_str_eq (json_string_value (json_object_get (item, "parent")),
+                        rows[i].parent);
+    }
+  json_decref (list);
+  mq_spans_destroy (spans);
+}
+
+static json_t *
+field (json_t *list, size_t at, const char *name)
+{
+  return json_object_get (json_array_get (list, at), name);
+}
+
+/* The ring forgets the oldest; a program's spans come with those of its
+   sub-programs, in the order they were added, and with wall-clock times.  */
+Test (spans, ring)
+{
+  struct mq_id program = { 7, 1 };
+  struct mq_id child = mq_id_child (program, 3);
+  struct mq_id other = { 8, 1 };
+  struct mq_spans *spans = mq_spans_create (NULL, "host-1", "hann");
+  struct mq_span span = { .name = "target", .call = 3 };
+  json_int_t now_us = (json_int_t)time (NULL) * 1000000;
+  struct timespec own;
+  char *text;
+  json_t *list;
+
+  clock_gettime (CLOCK_MONOTONIC, &own);
+  span.start_us = (uint64_t)own.tv_sec * 1000000;
+  span.end_us = span.start_us + 1500;
+  for (uint32_t i = 0; i < MQ_SPANS_MAX + 4; i++)
+    {
+      span.program = i % 2 == 0 ? other : i % 4 == 1 ? program : child;
+      span.call = i;
+      span.error = i % 4 == 1 ? MQ_ERR_NONE : MQ_ERR_TIMEOUT;
+      mq_spans_add (spans, &span);
+    }
+  text = mq_spans_json (spans, spans, program);
+  list = json_loads (text, 0, NULL);
+  cr_assert_eq (json_array_size (list), MQ_SPANS_MAX / 2);
+  for (size_t i = 0; i < MQ_SPANS_MAX / 2; i++)
+    cr_assert_eq (json_integer_value (field (list, i, "call")),
+                  (json_int_t)(5 + 2 * i));
+  cr_expect_str_eq (json_string_value (field (list, 0, "name")), "target");
+  cr_expect_str_eq (json_string_value (field (list, 0, "host")), "host-1");
+  cr_expect_str_eq (json_string_value (field (list, 0, "data_centre")),
+                    "hann");
+  cr_expect_str_eq (json_string_value (field (list, 0, "program")),
+                    "00000000000000070000000000000001");
+  cr_expect_str_eq (json_string_value (field (list, 0, "error")), "ok");
+  cr_expect_str_eq (json_string_value (field (list, 1, "error")), "timeout");
+  cr_expect_eq (json_integer_value (field (list, 0, "end_us"))
+                    - json_integer_value (field (list, 0, "start_us")),
+                1500);
+  cr_expect_leq (
+      llabs (json_integer_value (field (list, 0, "start_us")) - now_us),
+      60000000);
+  json_decref (list);
+  text = mq_spans_json (spans, spans, (struct mq_id){ 9, 9 });
+  cr_expect_str_eq (text, "[]");
+  mq_spans_destroy (spans);
+}
