--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -62,8 +62,7 @@
 #define MQ_WORKER_ORDER_MS 600000U    /* loading a model takes minutes */
 #define MQ_WORKER_CANCEL_RETRY_MS 100U
 #define MQ_WORKER_CANCELS_MAX 3U
-#define MQ_WORKER_STREAM_MAX_BYTES (64U << 20) /* a model's streamed answer   \
-                                                */
+#define MQ_WORKER_STREAM_MAX_BYTES (64U << 20) /* a streamed answer */
 
 /* Configuration.  */
 #define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -138,8 +138,8 @@
 {
   uint64_t number; /* rising; a gap in the numbers is a lost event */
   uint64_t visible_us;
-  enum mq_engine_cache_event_type type;
   struct mq_id program; /* zero: the service */
+  enum mq_engine_cache_event_type type;
   uint32_t tokens;
 };
 
--- a/standins/engine_plan.c
+++ b/standins/engine_plan.c
@@ -236,12 +236,14 @@
 static void
 fill_words (char *text, size_t len, uint64_t seed)
 {
+  static const char letters[] = "abcdefghijklmnopqrstuvwxyz";
+
   for (size_t i = 0; i < len; i++)
     {
       seed = seed * 6364136223846793005ULL + 1442695040888963407ULL;
-      text[i] = i % MQ_PLAN_TOKEN_BYTES == MQ_PLAN_TOKEN_BYTES - 1
-                    ? ' '
-                    : (char)('a' + (seed >> 33) % 26);
+      text[i] = letters[(seed >> 33) % strlen (letters)];
+      if (i % MQ_PLAN_TOKEN_BYTES == MQ_PLAN_TOKEN_BYTES - 1)
+        text[i] = ' ';
     }
 }
 
--- a/standins/engine_server.c
+++ b/standins/engine_server.c
@@ -392,7 +392,7 @@
   size_t begin = strlen (HANDLE_BEGIN);
   char *text = talloc_array (ctx, char, begin + count * LABEL_TEXT + 1);
 
-  strcpy (text, HANDLE_BEGIN);
+  memcpy (text, HANDLE_BEGIN, begin + 1);
   for (size_t i = 0; i < count; i++)
     snprintf (text + begin + i * LABEL_TEXT, LABEL_TEXT + 1,
               "%016" PRIx64 "%016" PRIx64 "%08" PRIx32 "%c", labels[i].hash,
@@ -1062,11 +1062,10 @@
 pack_requests (const struct mq_engine_server *server)
 {
   json_t *list = json_array ();
-  const char *key;
-  json_t *record;
 
-  json_object_foreach (server->records, key, record)
-      json_array_append_new (list, json_deep_copy (record));
+  for (void *at = json_object_iter (server->records); at != NULL;
+       at = json_object_iter_next (server->records, at))
+    json_array_append_new (list, json_deep_copy (json_object_iter_value (at)));
   return list;
 }
 
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -341,6 +341,7 @@
   cr_expect_eq (mq_engine_load (bench->engine).cache_used, 160 + 4 * 16);
   run_until (bench, MQ_ENGINE_NEVER);
   cr_expect_eq (bench->seen[2].cached, 160);
+  talloc_free (bench);
 }
 
 /* Programs of six blocks take a cache of twenty in turn; whose were least
@@ -452,6 +453,7 @@
   cr_expect (bench->seen[1].done_us < bench->seen[3].done_us);
   for (int tag = 1; tag <= 3; tag++)
     cr_expect_eq (bench->seen[tag].generated, 100);
+  talloc_free (bench);
 }
 
 /* A caller goes away; whatever its call was doing, its memory is free once
@@ -516,6 +518,7 @@
   cr_expect (bench->seen[1].done);
   cr_expect_eq (held_by (bench, 1), 0);
   cr_expect_eq (held_by (bench, 0), 32);
+  talloc_free (bench);
 }
 
 /* A paused sequence makes no tokens, keeps its memory while nobody needs it,
@@ -568,7 +571,7 @@
   mq_engine_export (from->engine, begin, 2, program_id (1));
   run_until (from, MQ_ENGINE_NEVER);
   cr_expect_eq (from->seen[2].transferred, 160);
-  cr_expect_eq (from->seen[2].done_us, begin + 160 * 10);
+  cr_expect_eq (from->seen[2].done_us, begin + 1600);
 
   mq_engine_import (to->engine, 0, 2, program_id (1), from->labels,
                     from->label_count);
@@ -576,13 +579,15 @@
                     from->label_count);
   run_until (to, MQ_ENGINE_NEVER);
   cr_expect_eq (to->seen[2].transferred, 160);
-  cr_expect_eq (to->seen[2].done_us, 160 * 10);
+  cr_expect_eq (to->seen[2].done_us, 1600);
   cr_expect_eq (to->seen[3].transferred, 0, "already there");
-  cr_expect_eq (to->seen[3].done_us, 2 * 160 * 10, "one at a time");
+  cr_expect_eq (to->seen[3].done_us, 3200, "one at a time");
   cr_expect_eq (held_by (to, 1), 128);
   cr_expect_eq (held_by (to, 0), 32);
   run_ask (to, &ask);
   cr_expect_eq (to->seen[1].cached, 144);
+  talloc_free (from);
+  talloc_free (to);
 }
 
 Test (engine, requests_are_refused)
@@ -613,6 +618,7 @@
                     mq_error_name (error.type));
       cr_expect_eq (handle != 0, cases[i].error == MQ_ERR_NONE);
     }
+  talloc_free (bench);
 }
 
 /* An old owner gives an order after a new one has: an engine that checks the
@@ -621,14 +627,14 @@
 {
   static const struct
   {
-    bool check;
     uint64_t fences[2];
+    bool check;
     bool second_taken;
   } cases[] = {
-    { true, { 5, 4 }, false },
-    { true, { 5, 5 }, true },
-    { true, { 5, 6 }, true },
-    { false, { 5, 4 }, true },
+    { { 5, 4 }, true, false },
+    { { 5, 5 }, true, true },
+    { { 5, 6 }, true, true },
+    { { 5, 4 }, false, true },
   };
 
   for (size_t i = 0; i < COUNT (cases); i++)
@@ -666,6 +672,7 @@
                               MQ_ORDER_LOAD_MODEL, &error));
   run_until (bench, MQ_ENGINE_NEVER);
   cr_expect_eq (mq_engine_load (bench->engine).cache_used, 0);
+  talloc_free (bench);
 }
 
 /* The load report is between one and two lags old; as it is taken when a step
@@ -690,6 +697,7 @@
           cases[i].running, "case %zu", i);
       cr_expect_eq (mq_engine_load (bench->engine).running, 1);
     }
+  talloc_free (bench);
 }
 
 /* Cache events come late and some never do; what comes is in order, adds up
@@ -760,6 +768,7 @@
   cr_expect_eq (kv_counters (bench)->idle_token_us, 96ULL * 1000000);
   cr_expect_eq (kv_counters (bench)->wasted_token_us, 96ULL * 1000000);
   cr_expect_eq (kv_counters (bench)->dropped_tokens, 96);
+  talloc_free (bench);
 }
 
 /* Requests, cancels, pauses and evictions at random.  Every sequence ends
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -403,7 +403,7 @@
   call = json_array_get (json_object_get (body, "tool_calls"), 0);
   cr_expect_str_eq (json_string_value (json_object_get (body, "content")),
                     bench->text);
-  cr_expect_eq (strlen (bench->text), 30 * 4);
+  cr_expect_eq (strlen (bench->text), 120);
   cr_expect_not_null (strstr (bench->text, "[seen 1 "));
   cr_expect_str_eq (json_string_value (json_object_get (body, "finish")),
                     "tool_calls");
@@ -502,17 +502,17 @@
   static const struct
   {
     uint64_t fence;
-    enum mq_order_type type;
     const char *fault;
+    enum mq_order_type type;
     enum mq_error_type error;
   } cases[] = {
-    { 5, MQ_ORDER_SET_ROLE, NULL, MQ_ERR_NONE },
-    { 4, MQ_ORDER_SET_ROLE, NULL, MQ_ERR_STALE_FENCE },
-    { 5, MQ_ORDER_LOAD_ADAPTER, NULL, MQ_ERR_NONE },
-    { 6, MQ_ORDER_SET_ROLE,
+    { 5, NULL, MQ_ORDER_SET_ROLE, MQ_ERR_NONE },
+    { 4, NULL, MQ_ORDER_SET_ROLE, MQ_ERR_STALE_FENCE },
+    { 5, NULL, MQ_ORDER_LOAD_ADAPTER, MQ_ERR_NONE },
+    { 6,
       "{\"fault\":\"status\",\"count\":1,\"value\":500,"
       "\"path\":\"/v1/orders\"}",
-      MQ_ERR_TARGET_FAILED },
+      MQ_ORDER_SET_ROLE, MQ_ERR_TARGET_FAILED },
   };
   struct bench *bench = bench_create ();
 
@@ -610,37 +610,37 @@
   int status;
   const char *body;
   uint32_t timeout_ms;
-  bool stop;
   enum mq_error_type error;
   enum mq_ran ran;
   uint32_t retry_after_ms;
   const char *answer;
   uint32_t hits;
+  bool stop;
 };
 
 static const struct service_case service_cases[] = {
-  { ANSWER, 200, "{\"ok\":true}", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0,
-    "{\"ok\":true}", 1 },
-  { ANSWER, 201, "done", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0, "\"done\"", 1 },
-  { ANSWER, 200, "", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0, "null", 1 },
-  { ANSWER, 200, "\xff\xfe", 0, false, MQ_ERR_BAD_ANSWER, MQ_RAN_RAN, 0, "",
-    1 },
-  { ANSWER, 404, "{\"no\":1}", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0,
-    "{\"status\":404,\"error\":{\"no\":1}}", 1 },
-  { ANSWER, 409, "twice", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0,
-    "{\"status\":409,\"error\":\"twice\"}", 1 },
-  { ANSWER, 429, "", 0, false, MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 2000, "",
-    1 },
-  { ANSWER, 500, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "",
-    1 },
-  { ANSWER, 503, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "",
-    1 },
-  { ANSWER, 302, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "",
-    1 },
-  { BREAK, 0, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "", 1 },
-  { HANG, 0, "", 100, false, MQ_ERR_TIMEOUT, MQ_RAN_UNKNOWN, 0, "", 1 },
-  { HANG, 0, "", 0, true, MQ_ERR_CANCELLED, MQ_RAN_UNKNOWN, 0, "", 1 },
-  { GONE, 0, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_NOT_RUN, 0, "", 0 },
+  { ANSWER, 200, "{\"ok\":true}", 0, MQ_ERR_NONE, MQ_RAN_RAN, 0,
+    "{\"ok\":true}", 1, false },
+  { ANSWER, 201, "done", 0, MQ_ERR_NONE, MQ_RAN_RAN, 0, "\"done\"", 1, false },
+  { ANSWER, 200, "", 0, MQ_ERR_NONE, MQ_RAN_RAN, 0, "null", 1, false },
+  { ANSWER, 200, "\xff\xfe", 0, MQ_ERR_BAD_ANSWER, MQ_RAN_RAN, 0, "", 1,
+    false },
+  { ANSWER, 404, "{\"no\":1}", 0, MQ_ERR_NONE, MQ_RAN_RAN, 0,
+    "{\"status\":404,\"error\":{\"no\":1}}", 1, false },
+  { ANSWER, 409, "twice", 0, MQ_ERR_NONE, MQ_RAN_RAN, 0,
+    "{\"status\":409,\"error\":\"twice\"}", 1, false },
+  { ANSWER, 429, "", 0, MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 2000, "", 1,
+    false },
+  { ANSWER, 500, "", 0, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "", 1,
+    false },
+  { ANSWER, 503, "", 0, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "", 1,
+    false },
+  { ANSWER, 302, "", 0, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "", 1,
+    false },
+  { BREAK, 0, "", 0, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "", 1, false },
+  { HANG, 0, "", 100, MQ_ERR_TIMEOUT, MQ_RAN_UNKNOWN, 0, "", 1, false },
+  { HANG, 0, "", 0, MQ_ERR_CANCELLED, MQ_RAN_UNKNOWN, 0, "", 1, true },
+  { GONE, 0, "", 0, MQ_ERR_TARGET_FAILED, MQ_RAN_NOT_RUN, 0, "", 0, false },
 };
 
 static void
@@ -788,43 +788,43 @@
   static const struct
   {
     const char *data;
-    enum mq_worker_stream_state state;
     const char *text;
+    enum mq_worker_stream_state state;
     struct mq_worker_usage usage;
   } cases[] = {
     { TEXT ("ab\\u00e9") TEXT ("cd") END DONE,
-      MQ_WORKER_STREAM_WHOLE,
       "ab\u00e9cd",
+      MQ_WORKER_STREAM_WHOLE,
       { 9, 3, 4 } },
     { ": comment\r\n\r\ndata:{\"choices\":[]}\r\n\r\n" END DONE,
-      MQ_WORKER_STREAM_WHOLE,
       "",
+      MQ_WORKER_STREAM_WHOLE,
       { 9, 3, 4 } },
     { TEXT ("abcde") TEXT ("fgh"),
-      MQ_WORKER_STREAM_OPEN,
       "abcdefgh",
+      MQ_WORKER_STREAM_OPEN,
       { 0, 2, 0 } },
     { TEXT ("abcde") "data: {\"choices\":[{\"del",
-      MQ_WORKER_STREAM_OPEN,
       "abcde",
+      MQ_WORKER_STREAM_OPEN,
       { 0, 2, 0 } },
-    { TEXT ("a") END, MQ_WORKER_STREAM_OPEN, "a", { 9, 3, 4 } },
-    { TEXT ("a") DONE, MQ_WORKER_STREAM_BAD, "a", { 0, 1, 0 } },
+    { TEXT ("a") END, "a", MQ_WORKER_STREAM_OPEN, { 9, 3, 4 } },
+    { TEXT ("a") DONE, "a", MQ_WORKER_STREAM_BAD, { 0, 1, 0 } },
     { TEXT ("a") "data: {bad\n\n" END DONE,
-      MQ_WORKER_STREAM_BAD,
       "a",
+      MQ_WORKER_STREAM_BAD,
       { 9, 3, 4 } },
     { "data: "
       "{\"choices\":[{\"delta\":{\"tool_calls\":[{\"id\":\"1\"}]}}]}\n\n" END
           DONE,
-      MQ_WORKER_STREAM_BAD,
       "",
+      MQ_WORKER_STREAM_BAD,
       { 9, 3, 4 } },
     { TEXT ("a") END DONE TEXT ("late"),
-      MQ_WORKER_STREAM_WHOLE,
       "a",
+      MQ_WORKER_STREAM_WHOLE,
       { 9, 3, 4 } },
-    { "", MQ_WORKER_STREAM_OPEN, "", { 0, 0, 0 } },
+    { "", "", MQ_WORKER_STREAM_OPEN, { 0, 0, 0 } },
   };
 
   for (size_t i = 0; i < COUNT (cases); i++)
