--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -13,6 +13,7 @@
 #define MQ_STREAM_BUFFER_BYTES (1U << 20) /* unsent bytes of a slow reader */
 #define MQ_TEXT_MAX_BYTES (1U << 20)      /* operators' text */
 #define MQ_TEXT_LINE_MAX 198U             /* one line of it */
+#define MQ_TEXT_ERRORS_MAX 1000U          /* errors listed in one pass */
 
 /* HTTP.  The client drops an idle connection well before our servers do, so
    that a request rarely meets a connection that is just being closed.  */
@@ -27,11 +28,25 @@
 #define MQ_CONNECT_RETRY_MS 200U /* first pause before connecting again */
 #define MQ_CONNECT_RETRY_MAX_MS 3000U
 #define MQ_HANDSHAKE_MS 2000U
+#define MQ_PEER_UNSENT_BYTES (32U << 20)  /* unsent to one peer: closed */
+#define MQ_PEER_UNPROVEN_MAX 256U         /* connections before their proof */
+#define MQ_PEER_UNPROVEN_BYTES 1024U      /* frame before the proof */
+#define MQ_FRAME_MEMORY_BYTES (32U << 20) /* memory of one decoded frame */
+#define MQ_FRAME_WORKERS_MAX 1024U        /* workers in one LOAD */
+#define MQ_FRAME_CALLS_MAX 65536U         /* calls in one RECOVERED */
+#define MQ_FRAME_PARTITIONS_MAX 65536U    /* partitions in one HANDOVER */
 
 /* Partition ownership.  */
 #define MQ_OWNER_RENEW_MS 1000U /* the owner's row is written this often */
 #define MQ_OWNER_SCAN_MS 1000U  /* owners' and partitions' rows are read */
 #define MQ_OWNER_PROGRAMS_MAX 50000U
+#define MQ_OWNERS_MAX 40U        /* hosts that may own partitions */
+#define MQ_OWNER_DOWN_MS 1500U   /* connection lost and no renewal */
+#define MQ_OWNER_RANK_MS 300U    /* the next best host waits longer */
+#define MQ_TAKEOVERS_MAX 4U      /* takeovers of one host at a time */
+#define MQ_RECOVER_MS 2000U      /* targets' processes answer in this */
+#define MQ_BALANCE_MS 250U       /* between two partitions given up */
+#define MQ_TARGET_KEEP_MS 10000U /* an unlisted target stays known */
 #define MQ_COMMIT_RECORDS_MAX 512U
 #define MQ_COMMIT_INLINE_BYTES (64U << 10) /* larger: in an object */
 #define MQ_CHECKPOINT_RECORDS 2000U        /* records between checkpoints */
@@ -44,9 +59,30 @@
 #define MQ_RETRY_BASE_MS 50U
 #define MQ_RETRY_MAX_MS 5000U
 #define MQ_ATTEMPTS_MAX 8U
-#define MQ_STEP_AHEAD_MAX 32U /* calls that wait for a predecessor */
-#define MQ_GRANT_CALLS 4U     /* calls that one budget grant covers */
-#define MQ_LOOP_REPEATS 4U    /* same call in a row: a suspected loop */
+#define MQ_STEP_AHEAD_MAX 32U     /* calls that wait for a predecessor */
+#define MQ_GRANT_CALLS 4U         /* calls that one budget grant covers */
+#define MQ_ENDED_KEEP_MS 3600000U /* ended programs stay for repeats */
+#define MQ_PENDING_MAX_BYTES                                                  \
+  (64U << 20)              /* records that wait for the store                 \
+                            */
+#define MQ_GONE_MS 30000U  /* an unlisted target's calls: unknown */
+#define MQ_LOOP_REPEATS 4U /* same call in a row: a suspected loop */
+
+/* Callers' requests at the host that took them.  */
+#define MQ_FRONT_REQUESTS_MAX 8192U
+#define MQ_FRONT_BYTES_MAX (32U << 20) /* their bodies together */
+#define MQ_FRONT_RETRY_BASE_MS 5U      /* first pause before sending again */
+#define MQ_FRONT_RETRY_MAX_MS 1000U
+#define MQ_FRONT_CHECK_MS 500U /* the owners' map is compared this often */
+
+/* Callers' HTTP.  */
+#define MQ_API_KEY_MAX 255U         /* bytes of an Idempotency-Key */
+#define MQ_API_WAIT_MAX_MS 3600000U /* a caller's wait, service not known */
+#define MQ_ENTRY_LEAVE_MS 50U    /* a planned stop looks whether it is done */
+#define MQ_TARGET_LOOK_MS 50U    /* the same beside a target */
+#define MQ_TARGET_QUIET_MS 1500U /* no call came for so long: may end */
+#define MQ_HOSTS_POLL_MS 1000U   /* the platform's list of hosts is read */
+#define MQ_API_WAIT_SLACK_MS 30000U /* beyond what the service may take */
 
 /* Gates.  */
 #define MQ_GATE_QUEUE_MAX 512U
@@ -55,6 +91,16 @@
 #define MQ_GATE_LOAD_MIN_MS 50U /* load is pushed on change, no faster */
 #define MQ_GATE_EVICT_RETRY_MS 200U
 #define MQ_GATE_AGEING_MS 2000U /* a waiting call rises one step */
+#define MQ_GATE_PROGRAMS_MAX 131072U
+#define MQ_GATE_PROGRAM_KEEP_MS 600000U /* idle record of a program */
+#define MQ_GATE_PROGRAM_LEAST_MS 30000U /* the same when the table is full */
+#define MQ_GATE_OUTCOME_BYTES_MAX (32U << 20) /* bodies of kept outcomes */
+#define MQ_GATE_QUEUE_BYTES_MAX (32U << 20)   /* bodies that wait, a worker */
+#define MQ_GATE_EVICT_RETRY_MAX_MS 5000U
+#define MQ_GATE_LEASE_MS 60000U       /* of a program not yet renewed */
+#define MQ_GATE_LEASE_GRACE_MS 10000U /* of cache found, to be claimed */
+#define MQ_GATE_ORDERS_MAX 64U        /* remembered per worker */
+#define MQ_GATE_LOAD_BYTES_S 8192U    /* of LOAD to all peers a second */
 
 /* Workers.  */
 #define MQ_WORKER_CACHE_POLL_MS 1000U /* what an engine holds is read */
@@ -62,12 +108,16 @@
 #define MQ_WORKER_ORDER_MS 600000U    /* loading a model takes minutes */
 #define MQ_WORKER_CANCEL_RETRY_MS 100U
 #define MQ_WORKER_CANCELS_MAX 3U
-#define MQ_WORKER_STREAM_MAX_BYTES (64U << 20) /* a streamed answer */
+#define MQ_WORKER_STREAM_MAX_BYTES (64U << 20) /* streamed answer */
 
 /* Configuration.  */
 #define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
 #define MQ_CONFIG_POLL_SLOW_MS 60000U /* everyone else */
 #define MQ_CONFIG_POLLERS 2U          /* pollers in a data centre */
+#define MQ_CONFIG_FIRST_MAX_MS 4000U  /* longest pause before the first */
+#define MQ_CONFIG_GET_MS 1000U        /* a peer asked: then another one */
+#define MQ_CONFIG_TELL_PEERS 8U       /* peers told at a time of a rise */
+#define MQ_CONFIG_TELL_MS 50U         /* pause before the next few */
 
 /* Traces.  */
 #define MQ_SPANS_MAX 4096U /* kept by a process */
