--- a/standins/engine_server.h
+++ b/standins/engine_server.h
@@ -3,13 +3,13 @@
    All paths of docs/CONTRACTS.md "Model engine", and /standin/fault and
    /standin/stats.  The daemon runs several in one process; tests run one in
    their own event loop.
-   Needs: engine_model.h, engine_faults.h, http_server.h, jansson.  */
+   Needs: engine_model.h, faults.h, http_server.h, jansson.  */
 
 #ifndef MQ_ENGINE_SERVER_H
 #define MQ_ENGINE_SERVER_H
 
 #include "engine_model.h"
-#include "io/http_server.h"
+#include "../src/io/http_server.h"
 #include <jansson.h>
 
 struct mq_engine_server;
@@ -36,9 +36,10 @@
 /* Breaks every stream.  */
 void mq_engine_server_destroy (struct mq_engine_server *server);
 uint16_t mq_engine_server_port (const struct mq_engine_server *server);
-/* As POST /standin/fault; false where REQUEST names no fault.  */
+/* As POST /standin/fault with the body ORDER (docs/ENGINE_MODEL.md); whether
+   it was taken.  */
 bool mq_engine_server_fault (struct mq_engine_server *server,
-                             const json_t *request);
+                             const char *order);
 /* As GET /standin/stats; a new reference.  */
 json_t *mq_engine_server_stats (struct mq_engine_server *server);
 
--- a/standins/faults.c
+++ b/standins/faults.c
@@ -27,6 +27,9 @@
   json_int_t retry_after_s;
   json_int_t writes_per_s;
   json_int_t reads_per_s;
+  json_int_t tokens;
+  json_int_t permille;
+  double factor;
 };
 
 static const char *const kind_names[MQ_FAULT_COUNT] = {
@@ -40,6 +43,10 @@
   [MQ_FAULT_RATE] = "rate",
   [MQ_FAULT_STATUS] = "status",
   [MQ_FAULT_REFUSE] = "refuse",
+  [MQ_FAULT_CRASH_STREAM] = "crash_stream",
+  [MQ_FAULT_EVICT_FAILS] = "evict_fails",
+  [MQ_FAULT_EVENTS_GAP] = "events_gap",
+  [MQ_FAULT_LOAD_LAG] = "load_lag",
 };
 
 static void *
@@ -125,7 +132,9 @@
   return order->count >= -1 && order->count != 0 && in_range (order->ms)
          && in_range (order->retry_after_s) && in_range (order->writes_per_s)
          && in_range (order->reads_per_s) && order->status >= 200
-         && order->status <= 599;
+         && order->status <= 599 && order->tokens >= 1
+         && in_range (order->tokens) && order->permille >= 0
+         && order->permille <= 1000 && order->factor > 0;
 }
 
 /* Unknown keys are refused, so that a mistyped one does not go unseen.  */
@@ -136,13 +145,17 @@
   order->count = -1;
   order->status = 500;
   order->retry_after_s = 1;
-  return json_unpack (json, "{s:s,s?s,s?s,s?s,s?I,s?I,s?I,s?I,s?I,s?I !}",
-                      "fault", &order->fault, "only", &order->only, "match",
-                      &order->match, "worker", &order->worker, "count",
-                      &order->count, "ms", &order->ms, "status",
-                      &order->status, "retry_after_s", &order->retry_after_s,
-                      "writes_per_s", &order->writes_per_s, "reads_per_s",
-                      &order->reads_per_s)
+  order->tokens = 1;
+  order->permille = 1000;
+  order->factor = 1;
+  return json_unpack (
+             json, "{s:s,s?s,s?s,s?s,s?I,s?I,s?I,s?I,s?I,s?I,s?I,s?I,s?F !}",
+             "fault", &order->fault, "only", &order->only, "match",
+             &order->match, "worker", &order->worker, "count", &order->count,
+             "ms", &order->ms, "status", &order->status, "retry_after_s",
+             &order->retry_after_s, "writes_per_s", &order->writes_per_s,
+             "reads_per_s", &order->reads_per_s, "tokens", &order->tokens,
+             "permille", &order->permille, "factor", &order->factor)
              == 0
          && numbers_fit (order);
 }
@@ -174,6 +187,9 @@
     .retry_after_s = (uint32_t)order->retry_after_s,
     .writes_per_s = (uint32_t)order->writes_per_s,
     .reads_per_s = (uint32_t)order->reads_per_s,
+    .tokens = (uint32_t)order->tokens,
+    .permille = (uint32_t)order->permille,
+    .factor = order->factor,
     .left = order->count < 0 ? MQ_FAULT_UNTIL_CLEARED : (uint64_t)order->count,
   };
 
--- a/standins/faults.h
+++ b/standins/faults.h
@@ -11,16 +11,20 @@
 
 enum mq_fault_kind
 {
-  MQ_FAULT_DOWN,        /* 503, no effect */
-  MQ_FAULT_UNREACHABLE, /* connection closed, no effect */
-  MQ_FAULT_SLOW,        /* effect and answer after a pause */
-  MQ_FAULT_LOST_ANSWER, /* effect, then the connection is closed */
-  MQ_FAULT_LATE_EFFECT, /* connection closed, effect after a pause */
-  MQ_FAULT_HANG,        /* neither effect nor answer */
-  MQ_FAULT_HOSTS_LAG,   /* changes of the host list show after a pause */
-  MQ_FAULT_RATE,        /* work beyond a rate waits in a queue */
-  MQ_FAULT_STATUS,      /* this HTTP status, no effect */
-  MQ_FAULT_REFUSE,      /* 429 with Retry-After, no effect */
+  MQ_FAULT_DOWN,         /* 503, no effect */
+  MQ_FAULT_UNREACHABLE,  /* connection closed, no effect */
+  MQ_FAULT_SLOW,         /* effect and answer after a pause */
+  MQ_FAULT_LOST_ANSWER,  /* effect, then the connection is closed */
+  MQ_FAULT_LATE_EFFECT,  /* connection closed, effect after a pause */
+  MQ_FAULT_HANG,         /* neither effect nor answer */
+  MQ_FAULT_HOSTS_LAG,    /* changes of the host list show after a pause */
+  MQ_FAULT_RATE,         /* work beyond a rate waits in a queue */
+  MQ_FAULT_STATUS,       /* this HTTP status, no effect */
+  MQ_FAULT_REFUSE,       /* 429 with Retry-After, no effect */
+  MQ_FAULT_CRASH_STREAM, /* a stream breaks after a number of tokens */
+  MQ_FAULT_EVICT_FAILS,  /* 503 to an eviction, no effect */
+  MQ_FAULT_EVENTS_GAP,   /* a share of the cache events never comes */
+  MQ_FAULT_LOAD_LAG,     /* the load report is older */
   MQ_FAULT_COUNT
 };
 
@@ -33,11 +37,14 @@
  * @left: requests that it will still meet, or MQ_FAULT_UNTIL_CLEARED
  * @match: prefix of the key or path that it meets, empty: all
  * @worker: worker that it meets, empty: all
- * @ms: SLOW, LATE_EFFECT, HOSTS_LAG: the pause
+ * @ms: SLOW, LATE_EFFECT, HOSTS_LAG, LOAD_LAG: the pause
+ * @factor: SLOW of an engine: every duration is multiplied by this
  * @status: STATUS
  * @retry_after_s: REFUSE
  * @writes_per_s: RATE, 0: no bound
  * @reads_per_s: RATE, 0: no bound
+ * @tokens: CRASH_STREAM
+ * @permille: EVENTS_GAP
  */
 struct mq_fault
 {
@@ -50,6 +57,9 @@
   uint32_t retry_after_s;
   uint32_t writes_per_s;
   uint32_t reads_per_s;
+  uint32_t tokens;
+  uint32_t permille;
+  double factor;
 };
 
 /**
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -222,10 +222,7 @@
 static void
 set_fault (struct bench *bench, const char *text)
 {
-  json_t *json = json_loads (text, 0, NULL);
-
-  cr_assert (mq_engine_server_fault (bench->engine, json), "%s", text);
-  json_decref (json);
+  cr_assert (mq_engine_server_fault (bench->engine, text), "%s", text);
 }
 
 static json_int_t
@@ -270,8 +267,10 @@
   "{\"messages\":[{\"role\":\"user\",\"content\":\"plan=" plan "\"}]}"
 #define ANSWER_40 SAY ("[{\\\"answer\\\":40}]")
 #define ANSWER_9000 SAY ("[{\\\"answer\\\":9000}]")
-#define FAULT(name, value)                                                    \
-  "{\"fault\":\"" name "\",\"count\":1,\"value\":" value "}"
+/* Strikes the next POST to a path that begins so.  */
+#define FAULT_AT(name, path, more)                                            \
+  "{\"fault\":\"" name "\",\"count\":1,\"match\":\"" path "\"" more "}"
+#define FAULT(name, more) FAULT_AT (name, "/v1/chat", more)
 
 /**
  * struct model_case - one model call
@@ -302,25 +301,25 @@
     40, 40, 1 },
   { "capped by the gate", NULL, ANSWER_40, 30, 0, NEVER, MQ_ERR_NONE,
     MQ_RAN_RAN, 0, 30, 30, 1 },
-  { "slow, yet in time", "{\"fault\":\"slow\",\"value\":3}", ANSWER_40, 0, 0,
+  { "slow, yet in time", "{\"fault\":\"slow\",\"factor\":3}", ANSWER_40, 0, 0,
     NEVER, MQ_ERR_NONE, MQ_RAN_RAN, 0, 40, 40, 1 },
-  { "refused", FAULT ("refuse", "3"), ANSWER_40, 0, 0, NEVER,
-    MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 3000, 0, 0, 0 },
-  { "internal error", FAULT ("status", "500"), ANSWER_40, 0, 0, NEVER,
-    MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 0, 0, 0 },
-  { "no such model", FAULT ("status", "404"), ANSWER_40, 0, 0, NEVER,
-    MQ_ERR_TARGET_FAILED, MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
+  { "refused", FAULT ("refuse", ",\"retry_after_s\":3"), ANSWER_40, 0, 0,
+    NEVER, MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 3000, 0, 0, 0 },
+  { "internal error", FAULT ("status", ",\"status\":500"), ANSWER_40, 0, 0,
+    NEVER, MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 0, 0, 0 },
+  { "no such model", FAULT ("status", ",\"status\":404"), ANSWER_40, 0, 0,
+    NEVER, MQ_ERR_TARGET_FAILED, MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
   { "bad messages", NULL, "{\"messages\":[]}", 0, 0, NEVER, MQ_ERR_BAD_REQUEST,
     MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
   { "too long for the engine", NULL, SAY ("[{\\\"answer\\\":70000}]"), 0, 0,
     NEVER, MQ_ERR_BAD_REQUEST, MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
   { "body is no object", NULL, "[]", 0, 0, NEVER, MQ_ERR_BAD_REQUEST,
     MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
-  { "stream breaks", FAULT ("crash_stream", "5"), ANSWER_40, 0, 0, NEVER,
-    MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 5, 5, 1 },
-  { "answer lost", FAULT ("lost_answer", "0"), ANSWER_40, 0, 0, NEVER,
+  { "stream breaks", FAULT ("crash_stream", ",\"tokens\":5"), ANSWER_40, 0, 0,
+    NEVER, MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 5, 5, 1 },
+  { "answer lost", FAULT ("lost_answer", ""), ANSWER_40, 0, 0, NEVER,
     MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 0, 0, 1 },
-  { "no answer in time", FAULT ("hang", "0"), ANSWER_40, 0, 100, NEVER,
+  { "no answer in time", FAULT ("hang", ""), ANSWER_40, 0, 100, NEVER,
     MQ_ERR_TIMEOUT, MQ_RAN_RAN, 0, 0, 0, 0 },
   { "not whole in time", NULL, ANSWER_9000, 0, 300, NEVER, MQ_ERR_TIMEOUT,
     MQ_RAN_RAN, 0, 1, 8999, 1 },
@@ -328,7 +327,7 @@
     MQ_RAN_RAN, 0, 5, 8999, 1 },
   { "stopped at once", NULL, ANSWER_9000, 0, 0, 0, MQ_ERR_CANCELLED,
     MQ_RAN_RAN, 0, 0, 8999, 1 },
-  { "stopped while it hangs", FAULT ("hang", "0"), ANSWER_40, 0, 0, 0,
+  { "stopped while it hangs", FAULT ("hang", ""), ANSWER_40, 0, 0, 0,
     MQ_ERR_CANCELLED, MQ_RAN_RAN, 0, 0, 0, 0 },
 };
 
@@ -483,7 +482,7 @@
   cr_assert_eq (bench->cache_count, 1);
   cr_expect (mq_id_equal (bench->cache[0].program, program));
   cr_expect (bench->cache[0].tokens >= 40);
-  set_fault (bench, FAULT ("evict_fails", "0"));
+  set_fault (bench, "{\"fault\":\"evict_fails\",\"count\":1}");
   mq_worker_evict (bench->worker, program);
   wait_for (bench, &bench->evictions, 1);
   cr_expect_not (bench->evicted.confirmed);
@@ -509,9 +508,7 @@
     { 5, NULL, MQ_ORDER_SET_ROLE, MQ_ERR_NONE },
     { 4, NULL, MQ_ORDER_SET_ROLE, MQ_ERR_STALE_FENCE },
     { 5, NULL, MQ_ORDER_LOAD_ADAPTER, MQ_ERR_NONE },
-    { 6,
-      "{\"fault\":\"status\",\"count\":1,\"value\":500,"
-      "\"path\":\"/v1/orders\"}",
+    { 6, FAULT_AT ("status", "/v1/orders", ",\"status\":500"),
       MQ_ORDER_SET_ROLE, MQ_ERR_TARGET_FAILED },
   };
   struct bench *bench = bench_create ();
