--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -222,10 +222,7 @@
 static void
 set_fault (struct bench *bench, const char *text)
 {
-  json_t *json = json_loads (text, 0, NULL);
-
-  cr_assert (mq_engine_server_fault (bench->engine, json), "%s", text);
-  json_decref (json);
+  cr_assert (mq_engine_server_fault (bench->engine, text), "%s", text);
 }
 
 static json_int_t
@@ -270,8 +267,10 @@
   "{\"messages\":[{\"role\":\"user\",\"content\":\"plan=" plan "\"}]}"
 #define ANSWER_40 SAY ("[{\\\"answer\\\":40}]")
 #define ANSWER_9000 SAY ("[{\\\"answer\\\":9000}]")
-#define FAULT(name, value)                                                    \
-  "{\"fault\":\"" name "\",\"count\":1,\"value\":" value "}"
+/* Strikes the next POST to a path that begins so.  */
+#define FAULT_AT(name, path, more)                                            \
+  "{\"fault\":\"" name "\",\"count\":1,\"match\":\"" path "\"" more "}"
+#define FAULT(name, more) FAULT_AT (name, "/v1/chat", more)
 
 /**
  * struct model_case - one model call
@@ -302,25 +301,25 @@
     40, 40, 1 },
   { "capped by the gate", NULL, ANSWER_40, 30, 0, NEVER, MQ_ERR_NONE,
     MQ_RAN_RAN, 0, 30, 30, 1 },
-  { "slow, yet in time", "{\"fault\":\"slow\",\"value\":3}", ANSWER_40, 0, 0,
+  { "slow, yet in time", "{\"fault\":\"slow\",\"factor\":3}", ANSWER_40, 0, 0,
     NEVER, MQ_ERR_NONE, MQ_RAN_RAN, 0, 40, 40, 1 },
-  { "refused", FAULT ("refuse", "3"), ANSWER_40, 0, 0, NEVER,
-    MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 3000, 0, 0, 0 },
-  { "internal error", FAULT ("status", "500"), ANSWER_40, 0, 0, NEVER,
-    MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 0, 0, 0 },
-  { "no such model", FAULT ("status", "404"), ANSWER_40, 0, 0, NEVER,
-    MQ_ERR_TARGET_FAILED, MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
+  { "refused", FAULT ("refuse", ",\"retry_after_s\":3"), ANSWER_40, 0, 0,
+    NEVER, MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 3000, 0, 0, 0 },
+  { "internal error", FAULT ("status", ",\"status\":500"), ANSWER_40, 0, 0,
+    NEVER, MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 0, 0, 0 },
+  { "no such model", FAULT ("status", ",\"status\":404"), ANSWER_40, 0, 0,
+    NEVER, MQ_ERR_TARGET_FAILED, MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
   { "bad messages", NULL, "{\"messages\":[]}", 0, 0, NEVER, MQ_ERR_BAD_REQUEST,
     MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
   { "too long for the engine", NULL, SAY ("[{\\\"answer\\\":70000}]"), 0, 0,
     NEVER, MQ_ERR_BAD_REQUEST, MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
   { "body is no object", NULL, "[]", 0, 0, NEVER, MQ_ERR_BAD_REQUEST,
     MQ_RAN_NOT_RUN, 0, 0, 0, 0 },
-  { "stream breaks", FAULT ("crash_stream", "5"), ANSWER_40, 0, 0, NEVER,
-    MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 5, 5, 1 },
-  { "answer lost", FAULT ("lost_answer", "0"), ANSWER_40, 0, 0, NEVER,
+  { "stream breaks", FAULT ("crash_stream", ",\"tokens\":5"), ANSWER_40, 0, 0,
+    NEVER, MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 5, 5, 1 },
+  { "answer lost", FAULT ("lost_answer", ""), ANSWER_40, 0, 0, NEVER,
     MQ_ERR_TARGET_FAILED, MQ_RAN_RAN, 0, 0, 0, 1 },
-  { "no answer in time", FAULT ("hang", "0"), ANSWER_40, 0, 100, NEVER,
+  { "no answer in time", FAULT ("hang", ""), ANSWER_40, 0, 100, NEVER,
     MQ_ERR_TIMEOUT, MQ_RAN_RAN, 0, 0, 0, 0 },
   { "not whole in time", NULL, ANSWER_9000, 0, 300, NEVER, MQ_ERR_TIMEOUT,
     MQ_RAN_RAN, 0, 1, 8999, 1 },
@@ -328,7 +327,7 @@
     MQ_RAN_RAN, 0, 5, 8999, 1 },
   { "stopped at once", NULL, ANSWER_9000, 0, 0, 0, MQ_ERR_CANCELLED,
     MQ_RAN_RAN, 0, 0, 8999, 1 },
-  { "stopped while it hangs", FAULT ("hang", "0"), ANSWER_40, 0, 0, 0,
+  { "stopped while it hangs", FAULT ("hang", ""), ANSWER_40, 0, 0, 0,
     MQ_ERR_CANCELLED, MQ_RAN_RAN, 0, 0, 0, 0 },
 };
 
@@ -403,7 +402,7 @@
   call = json_array_get (json_object_get (body, "tool_calls"), 0);
   cr_expect_str_eq (json_string_value (json_object_get (body, "content")),
                     bench->text);
-  cr_expect_eq (strlen (bench->text), 30 * 4);
+  cr_expect_eq (strlen (bench->text), 120);
   cr_expect_not_null (strstr (bench->text, "[seen 1 "));
   cr_expect_str_eq (json_string_value (json_object_get (body, "finish")),
                     "tool_calls");
@@ -483,7 +482,7 @@
   cr_assert_eq (bench->cache_count, 1);
   cr_expect (mq_id_equal (bench->cache[0].program, program));
   cr_expect (bench->cache[0].tokens >= 40);
-  set_fault (bench, FAULT ("evict_fails", "0"));
+  set_fault (bench, "{\"fault\":\"evict_fails\",\"count\":1}");
   mq_worker_evict (bench->worker, program);
   wait_for (bench, &bench->evictions, 1);
   cr_expect_not (bench->evicted.confirmed);
@@ -502,17 +501,15 @@
   static const struct
   {
     uint64_t fence;
-    enum mq_order_type type;
     const char *fault;
+    enum mq_order_type type;
     enum mq_error_type error;
   } cases[] = {
-    { 5, MQ_ORDER_SET_ROLE, NULL, MQ_ERR_NONE },
-    { 4, MQ_ORDER_SET_ROLE, NULL, MQ_ERR_STALE_FENCE },
-    { 5, MQ_ORDER_LOAD_ADAPTER, NULL, MQ_ERR_NONE },
-    { 6, MQ_ORDER_SET_ROLE,
-      "{\"fault\":\"status\",\"count\":1,\"value\":500,"
-      "\"path\":\"/v1/orders\"}",
-      MQ_ERR_TARGET_FAILED },
+    { 5, NULL, MQ_ORDER_SET_ROLE, MQ_ERR_NONE },
+    { 4, NULL, MQ_ORDER_SET_ROLE, MQ_ERR_STALE_FENCE },
+    { 5, NULL, MQ_ORDER_LOAD_ADAPTER, MQ_ERR_NONE },
+    { 6, FAULT_AT ("status", "/v1/orders", ",\"status\":500"),
+      MQ_ORDER_SET_ROLE, MQ_ERR_TARGET_FAILED },
   };
   struct bench *bench = bench_create ();
 
@@ -610,37 +607,37 @@
   int status;
   const char *body;
   uint32_t timeout_ms;
-  bool stop;
   enum mq_error_type error;
   enum mq_ran ran;
   uint32_t retry_after_ms;
   const char *answer;
   uint32_t hits;
+  bool stop;
 };
 
 static const struct service_case service_cases[] = {
-  { ANSWER, 200, "{\"ok\":true}", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0,
-    "{\"ok\":true}", 1 },
-  { ANSWER, 201, "done", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0, "\"done\"", 1 },
-  { ANSWER, 200, "", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0, "null", 1 },
-  { ANSWER, 200, "\xff\xfe", 0, false, MQ_ERR_BAD_ANSWER, MQ_RAN_RAN, 0, "",
-    1 },
-  { ANSWER, 404, "{\"no\":1}", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0,
-    "{\"status\":404,\"error\":{\"no\":1}}", 1 },
-  { ANSWER, 409, "twice", 0, false, MQ_ERR_NONE, MQ_RAN_RAN, 0,
-    "{\"status\":409,\"error\":\"twice\"}", 1 },
-  { ANSWER, 429, "", 0, false, MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 2000, "",
-    1 },
-  { ANSWER, 500, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "",
-    1 },
-  { ANSWER, 503, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "",
-    1 },
-  { ANSWER, 302, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "",
-    1 },
-  { BREAK, 0, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "", 1 },
-  { HANG, 0, "", 100, false, MQ_ERR_TIMEOUT, MQ_RAN_UNKNOWN, 0, "", 1 },
-  { HANG, 0, "", 0, true, MQ_ERR_CANCELLED, MQ_RAN_UNKNOWN, 0, "", 1 },
-  { GONE, 0, "", 0, false, MQ_ERR_TARGET_FAILED, MQ_RAN_NOT_RUN, 0, "", 0 },
+  { ANSWER, 200, "{\"ok\":true}", 0, MQ_ERR_NONE, MQ_RAN_RAN, 0,
+    "{\"ok\":true}", 1, false },
+  { ANSWER, 201, "done", 0, MQ_ERR_NONE, MQ_RAN_RAN, 0, "\"done\"", 1, false },
+  { ANSWER, 200, "", 0, MQ_ERR_NONE, MQ_RAN_RAN, 0, "null", 1, false },
+  { ANSWER, 200, "\xff\xfe", 0, MQ_ERR_BAD_ANSWER, MQ_RAN_RAN, 0, "", 1,
+    false },
+  { ANSWER, 404, "{\"no\":1}", 0, MQ_ERR_NONE, MQ_RAN_RAN, 0,
+    "{\"status\":404,\"error\":{\"no\":1}}", 1, false },
+  { ANSWER, 409, "twice", 0, MQ_ERR_NONE, MQ_RAN_RAN, 0,
+    "{\"status\":409,\"error\":\"twice\"}", 1, false },
+  { ANSWER, 429, "", 0, MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 2000, "", 1,
+    false },
+  { ANSWER, 500, "", 0, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "", 1,
+    false },
+  { ANSWER, 503, "", 0, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "", 1,
+    false },
+  { ANSWER, 302, "", 0, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "", 1,
+    false },
+  { BREAK, 0, "", 0, MQ_ERR_TARGET_FAILED, MQ_RAN_UNKNOWN, 0, "", 1, false },
+  { HANG, 0, "", 100, MQ_ERR_TIMEOUT, MQ_RAN_UNKNOWN, 0, "", 1, false },
+  { HANG, 0, "", 0, MQ_ERR_CANCELLED, MQ_RAN_UNKNOWN, 0, "", 1, true },
+  { GONE, 0, "", 0, MQ_ERR_TARGET_FAILED, MQ_RAN_NOT_RUN, 0, "", 0, false },
 };
 
 static void
@@ -788,43 +785,43 @@
   static const struct
   {
     const char *data;
-    enum mq_worker_stream_state state;
     const char *text;
+    enum mq_worker_stream_state state;
     struct mq_worker_usage usage;
   } cases[] = {
     { TEXT ("ab\\u00e9") TEXT ("cd") END DONE,
-      MQ_WORKER_STREAM_WHOLE,
       "ab\u00e9cd",
+      MQ_WORKER_STREAM_WHOLE,
       { 9, 3, 4 } },
     { ": comment\r\n\r\ndata:{\"choices\":[]}\r\n\r\n" END DONE,
-      MQ_WORKER_STREAM_WHOLE,
       "",
+      MQ_WORKER_STREAM_WHOLE,
       { 9, 3, 4 } },
     { TEXT ("abcde") TEXT ("fgh"),
-      MQ_WORKER_STREAM_OPEN,
       "abcdefgh",
+      MQ_WORKER_STREAM_OPEN,
       { 0, 2, 0 } },
     { TEXT ("abcde") "data: {\"choices\":[{\"del",
-      MQ_WORKER_STREAM_OPEN,
       "abcde",
+      MQ_WORKER_STREAM_OPEN,
       { 0, 2, 0 } },
-    { TEXT ("a") END, MQ_WORKER_STREAM_OPEN, "a", { 9, 3, 4 } },
-    { TEXT ("a") DONE, MQ_WORKER_STREAM_BAD, "a", { 0, 1, 0 } },
+    { TEXT ("a") END, "a", MQ_WORKER_STREAM_OPEN, { 9, 3, 4 } },
+    { TEXT ("a") DONE, "a", MQ_WORKER_STREAM_BAD, { 0, 1, 0 } },
     { TEXT ("a") "data: {bad\n\n" END DONE,
-      MQ_WORKER_STREAM_BAD,
       "a",
+      MQ_WORKER_STREAM_BAD,
       { 9, 3, 4 } },
     { "data: "
       "{\"choices\":[{\"delta\":{\"tool_calls\":[{\"id\":\"1\"}]}}]}\n\n" END
           DONE,
-      MQ_WORKER_STREAM_BAD,
       "",
+      MQ_WORKER_STREAM_BAD,
       { 9, 3, 4 } },
     { TEXT ("a") END DONE TEXT ("late"),
-      MQ_WORKER_STREAM_WHOLE,
       "a",
+      MQ_WORKER_STREAM_WHOLE,
       { 9, 3, 4 } },
-    { "", MQ_WORKER_STREAM_OPEN, "", { 0, 0, 0 } },
+    { "", "", MQ_WORKER_STREAM_OPEN, { 0, 0, 0 } },
   };
 
   for (size_t i = 0; i < COUNT (cases); i++)
