--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -78,8 +78,10 @@
 /* Callers' HTTP.  */
 #define MQ_API_KEY_MAX 255U         /* bytes of an Idempotency-Key */
 #define MQ_API_WAIT_MAX_MS 3600000U /* a caller's wait, service not known */
-#define MQ_ENTRY_LEAVE_MS 50U  /* a planned stop looks whether it is done */
-#define MQ_HOSTS_POLL_MS 1000U /* the platform's list of hosts is read */
+#define MQ_ENTRY_LEAVE_MS 50U    /* a planned stop looks whether it is done */
+#define MQ_TARGET_LOOK_MS 50U    /* the same beside a target */
+#define MQ_TARGET_QUIET_MS 1500U /* no call came for so long: may end */
+#define MQ_HOSTS_POLL_MS 1000U   /* the platform's list of hosts is read */
 #define MQ_API_WAIT_SLACK_MS 30000U /* beyond what the service may take */
 
 /* Gates.  */
@@ -89,6 +91,24 @@
 #define MQ_GATE_LOAD_MIN_MS 50U /* load is pushed on change, no faster */
 #define MQ_GATE_EVICT_RETRY_MS 200U
 #define MQ_GATE_AGEING_MS 2000U /* a waiting call rises one step */
+#define MQ_GATE_PROGRAMS_MAX 131072U
+#define MQ_GATE_PROGRAM_KEEP_MS 600000U /* idle record of a program */
+#define MQ_GATE_PROGRAM_LEAST_MS 30000U /* the same when the table is full */
+#define MQ_GATE_OUTCOME_BYTES_MAX (32U << 20) /* bodies of kept outcomes */
+#define MQ_GATE_QUEUE_BYTES_MAX (32U << 20)   /* bodies that wait, a worker */
+#define MQ_GATE_EVICT_RETRY_MAX_MS 5000U
+#define MQ_GATE_LEASE_MS 60000U       /* of a program not yet renewed */
+#define MQ_GATE_LEASE_GRACE_MS 10000U /* of cache found, to be claimed */
+#define MQ_GATE_ORDERS_MAX 64U        /* remembered per worker */
+#define MQ_GATE_LOAD_BYTES_S 8192U    /* of LOAD to all peers a second */
+
+/* Workers.  */
+#define MQ_WORKER_CACHE_POLL_MS 1000U /* what an engine holds is read */
+#define MQ_WORKER_CONTROL_MS 2000U    /* evict, cancel, poll: no answer */
+#define MQ_WORKER_ORDER_MS 600000U    /* loading a model takes minutes */
+#define MQ_WORKER_CANCEL_RETRY_MS 100U
+#define MQ_WORKER_CANCELS_MAX 3U
+#define MQ_WORKER_STREAM_MAX_BYTES (64U << 20) /* streamed answer */
 
 /* Configuration.  */
 #define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
