Let cppcheck read Criterion's tests

cppcheck stopped at the Test macro as an unknown one, so no test file could pass the linter. A library file tells it the macro; -D would have narrowed the checked configurations to one.

--- a/tests/lint.sh
+++ b/tests/lint.sh
@@ -7,5 +7,6 @@
   clang-tidy --quiet "$@" -- $flags 2>/dev/null || exit 255' "$flags"
 cppcheck --quiet --std=c11 --enable=warning,performance,portability \
   --inline-suppr --suppress=missingIncludeSystem --error-exitcode=2 \
+  --library=tests/criterion.cfg \
   -j 8 -Iinclude -Isrc "$@"
 echo "lint: $# files clean"
