Model check of the calls that may not be repeated

Two owners, one target's process with a restart, one table with lost answers and late writes; messages doubled, lost and reordered at will. Each of 14 guards taken out alone is found. What the mutants show beyond the agreed text: a not_run refusal must be remembered by the gate (a doubled CALL may come after it), FORGET must leave a tombstone, RECOVERED settles inherited intents only, and a refusal for another boot is not a not_run.

--- /dev/null
+++ b/tests/test_protocol_model.c
@@ -0,0 +1,862 @@
+/* test_protocol_model.c - model check of the calls that may not be repeated.
+
+   Two owners, one target's process that may be restarted, one worker behind
+   it and one table.  One call that may not be repeated, two attempts.  Every
+   interleaving is visited, breadth first with a visited set.  A message that
+   was sent stays deliverable for ever, any number of times and in any order,
+   so loss, delay, doubling and old connections are all covered; a write that
+   was given up may still take effect as long as its condition holds.
+
+   Three reductions keep the states few and lose no behaviour.  A message is
+   sent as soon as its sender may: it need not be delivered then.  An owner
+   whose row has moved on can only fail its next write, and is out.  The two
+   owners are alike, so their order does not count.
+   Needs: Criterion, xxhash.  */
+
+#include "core/types.h"
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+  OWNERS = 2,
+  ATTEMPTS = 2,
+  FENCE_MAX = 3,
+  BOOT_MAX = 2,
+  STATES_MAX = 4000000,
+  SLOTS = 1 << 23,
+  TRACE_MAX = 256
+};
+
+/* How the call ended, as the log and the caller see it.  */
+enum ending
+{
+  OPEN,
+  DONE,
+  NOT_RUN,
+  UNKNOWN,
+  ENDINGS
+};
+
+static const char *const ending_names[ENDINGS]
+    = { "open", "done", "not_run", "unknown" };
+
+/* What the partition's row says of the call.  An earlier attempt than
+   ATTEMPT is known not to have run.  */
+struct log
+{
+  uint8_t attempt; /* of the last intent, 0: none */
+  uint8_t boot;    /* that the intent names */
+  uint8_t ending;
+};
+
+enum write_kind
+{
+  WRITE_NONE,
+  WRITE_FENCE,
+  WRITE_COMMIT
+};
+
+struct write
+{
+  uint8_t kind;
+  struct log log; /* as it stands after the write */
+};
+
+enum role
+{
+  OUT,     /* holds nothing */
+  FENCING, /* raises the fence by compare-and-swap */
+  OWNER
+};
+
+struct owner
+{
+  uint8_t role;
+  uint8_t fence;
+  uint8_t version; /* of the row, as last read or written by this owner */
+  uint8_t mine;    /* the last intent was committed by this run */
+  uint8_t applied; /* the pending write took effect, unheard as yet */
+  struct log log;
+  struct write pending;
+};
+
+struct row
+{
+  uint8_t version;
+  uint8_t fence;
+  struct log log;
+};
+
+enum entry
+{
+  ENTRY_NONE,
+  ENTRY_RUNNING,
+  ENTRY_DONE,
+  ENTRY_UNKNOWN, /* the target gave no answer in time */
+  ENTRY_REFUSED, /* sealed or refused, and refused from now on */
+  ENTRY_TOMBSTONE
+};
+
+struct gate
+{
+  uint8_t boot;
+  uint8_t fence;
+  uint8_t entry[ATTEMPTS + 1];
+  uint8_t started[ATTEMPTS + 1]; /* at the worker, effect to come */
+  uint8_t effect[ATTEMPTS + 1];
+};
+
+struct state
+{
+  uint64_t messages;
+  struct owner owner[OWNERS];
+  struct write former[OWNERS]; /* of a former run, may still take effect */
+  struct row row;
+  struct gate gate;
+  uint8_t told;     /* what the caller heard */
+  uint8_t retold;   /* and what it heard then, if that was another outcome */
+  uint8_t spare[6]; /* no padding: states are compared as bytes */
+};
+_Static_assert(sizeof (struct state) == 64, "a state must have no padding");
+
+/* Bits of the set of messages.  K: attempt, F: fence, B: boot, from 1.  */
+#define CALL_BIT(k, f, b)                                                     \
+  (0 + ((k)-1) * FENCE_MAX * BOOT_MAX + ((f)-1) * BOOT_MAX + (b)-1)
+#define SEAL_BIT(k, f) (12 + ((k)-1) * FENCE_MAX + (f)-1)
+#define FORGET_BIT(k, f) (18 + ((k)-1) * FENCE_MAX + (f)-1)
+#define RECOVER_BIT(f) (24 + (f)-1)
+#define DONE_BIT(k, b) (27 + ((k)-1) * BOOT_MAX + (b)-1)
+#define UNKNOWN_BIT(k, b) (31 + ((k)-1) * BOOT_MAX + (b)-1)
+#define REFUSED_BIT(k, b) (35 + ((k)-1) * BOOT_MAX + (b)-1)
+#define WRONG_BOOT_BIT(k) (39 + (k)-1)
+#define ABSENT_BIT(k, f, b)                                                   \
+  (41 + ((k)-1) * FENCE_MAX * BOOT_MAX + ((f)-1) * BOOT_MAX + (b)-1)
+
+static bool
+sent (const struct state *s, int bit)
+{
+  return s->messages >> bit & 1;
+}
+
+static void
+send_bit (struct state *s, int bit)
+{
+  s->messages |= 1ULL << bit;
+}
+
+/* Each mutant takes one guard out of the protocol and must be found.  */
+enum mutant
+{
+  MUTANT_NONE,
+  NO_BOOT_CHECK,
+  NO_FENCE_CHECK,
+  NO_SEAL,
+  SEAL_FORGOTTEN,
+  REFUSAL_FORGOTTEN,
+  FORGET_WITHOUT_TOMBSTONE,
+  SEND_BEFORE_COMMIT,
+  ANSWER_BEFORE_COMMIT,
+  LOST_TAKEN_AS_APPLIED,
+  NO_CONDITION,
+  REBOOT_TAKEN_AS_NOT_RUN,
+  SILENCE_TAKEN_AS_NOT_RUN,
+  ABSENT_TRUSTED_FOR_OWN,
+  RUNNING_TAKEN_AS_NOT_RUN,
+  MUTANTS
+};
+
+struct mutant_case
+{
+  enum mutant mutant;
+  const char *name;
+};
+
+static const struct mutant_case mutant_cases[] = {
+  { NO_BOOT_CHECK, "a call for an earlier boot is let through" },
+  { NO_FENCE_CHECK, "a call with an old fence is let through" },
+  { NO_SEAL, "a new owner goes on without settling the open intent" },
+  { SEAL_FORGOTTEN, "a seal leaves nothing behind" },
+  { REFUSAL_FORGOTTEN, "a refused attempt may be let through later" },
+  { FORGET_WITHOUT_TOMBSTONE, "a forgotten call may be let through again" },
+  { SEND_BEFORE_COMMIT, "the call is sent before its intent is durable" },
+  { ANSWER_BEFORE_COMMIT, "the caller hears before the outcome is durable" },
+  { LOST_TAKEN_AS_APPLIED, "a lost answer to a write is taken as applied" },
+  { NO_CONDITION, "writes apply whatever the row's version" },
+  { REBOOT_TAKEN_AS_NOT_RUN, "a restarted gate is taken as never asked" },
+  { SILENCE_TAKEN_AS_NOT_RUN, "a target's timeout is taken as not run" },
+  { ABSENT_TRUSTED_FOR_OWN, "RECOVERED settles calls sent after RECOVER" },
+  { RUNNING_TAKEN_AS_NOT_RUN, "a running call is reported as absent" },
+};
+
+/* The search.  */
+struct node
+{
+  struct state state;
+  uint32_t parent;
+  const char *step;
+};
+
+struct search
+{
+  enum mutant mutant;
+  struct node *nodes;
+  uint32_t *table; /* open addressing; 0: empty, else index + 1 */
+  uint32_t count;
+  uint32_t at;               /* node whose successors are being made */
+  const char *violation;     /* first property that failed */
+  uint32_t violating;        /* node where it did */
+  bool witnessed[ENDINGS];   /* endings that a caller can hear */
+  bool witnessed_second_run; /* a second attempt took effect */
+};
+
+static const char *
+find_violation (const struct state *s)
+{
+  int effects = s->gate.effect[1] + s->gate.effect[2];
+
+  if (effects > 1)
+    return "the call took effect twice";
+  if (s->row.log.attempt == 2 && s->gate.effect[1] > 0)
+    return "attempt 1 was settled as not run, and ran";
+  if (s->row.log.ending == NOT_RUN && effects > 0)
+    return "the log says not_run, and it ran";
+  if (s->retold != OPEN)
+    return "the caller heard two different outcomes";
+  if (s->told == NOT_RUN && effects > 0)
+    return "the caller heard not_run, and it ran";
+  if (s->row.log.ending == DONE && effects == 0)
+    return "the log says done, and it did not run";
+  if (s->told != OPEN && s->row.log.ending != s->told)
+    return "the log holds another outcome than the caller heard";
+  return NULL;
+}
+
+static bool
+insert_slot (struct search *search, const struct state *s, uint32_t **slot)
+{
+  uint64_t i = XXH64 (s, sizeof *s, 0);
+
+  for (;; i++)
+    {
+      *slot = &search->table[i & (SLOTS - 1)];
+      if (**slot == 0)
+        return true;
+      if (memcmp (&search->nodes[**slot - 1].state, s, sizeof *s) == 0)
+        return false;
+    }
+}
+
+/* An owner whose row has moved on, and which has no write whose answer may
+   still say that it was applied, can only fail: it is out.  */
+static bool
+is_behind (const struct search *search, const struct state *s,
+           const struct owner *o)
+{
+  return o->role != OUT && !o->applied && o->version < s->row.version
+         && search->mutant != NO_CONDITION;
+}
+
+static void
+reduce (const struct search *search, struct state *s)
+{
+  struct owner owner;
+  struct write former;
+
+  for (int i = 0; i < OWNERS; i++)
+    if (is_behind (search, s, &s->owner[i]))
+      memset (&s->owner[i], 0, sizeof s->owner[i]);
+  if (memcmp (&s->owner[0], &s->owner[1], sizeof owner) > 0)
+    {
+      memcpy (&owner, &s->owner[0], sizeof owner);
+      memcpy (&s->owner[0], &s->owner[1], sizeof owner);
+      memcpy (&s->owner[1], &owner, sizeof owner);
+    }
+  if (memcmp (&s->former[0], &s->former[1], sizeof former) > 0)
+    {
+      memcpy (&former, &s->former[0], sizeof former);
+      memcpy (&s->former[0], &s->former[1], sizeof former);
+      memcpy (&s->former[1], &former, sizeof former);
+    }
+}
+
+/* Takes the successor S of the node at hand into the search.  */
+static void
+visit (struct search *search, struct state *s, const char *step)
+{
+  uint32_t *slot;
+  struct node *node;
+
+  reduce (search, s);
+  if (!insert_slot (search, s, &slot))
+    return;
+  cr_assert_lt (search->count, STATES_MAX, "the model is too large");
+  node = &search->nodes[search->count++];
+  memcpy (&node->state, s, sizeof *s);
+  node->parent = search->at;
+  node->step = step;
+  *slot = search->count;
+  search->witnessed[s->told] = true;
+  if (s->gate.effect[2] > 0 && s->row.log.ending == DONE)
+    search->witnessed_second_run = true;
+  if (search->violation != NULL)
+    return;
+  search->violation = find_violation (s);
+  search->violating = search->count - 1;
+}
+
+/* The table: a write applies when the row still has the version that its
+   writer knew.  */
+static bool
+write_holds (const struct search *search, const struct state *s,
+             uint8_t version)
+{
+  return s->row.version == version || search->mutant == NO_CONDITION;
+}
+
+static void
+apply_write (struct state *s, const struct write *write)
+{
+  s->row.version++;
+  if (write->kind == WRITE_FENCE)
+    s->row.fence++;
+  s->row.log = write->log;
+  /* What was conditional on the version before can't apply any more.  */
+  memset (s->former, 0, sizeof s->former);
+}
+
+static bool
+fence_is_left (const struct state *s, const struct write *write)
+{
+  return write->kind != WRITE_FENCE || s->row.fence < FENCE_MAX;
+}
+
+static void
+store_steps (struct search *search, const struct state *from)
+{
+  for (int i = 0; i < OWNERS; i++)
+    {
+      const struct owner *o = &from->owner[i];
+      struct state s = *from;
+
+      if (o->pending.kind != WRITE_NONE && !o->applied
+          && write_holds (search, from, o->version)
+          && fence_is_left (from, &o->pending))
+        {
+          s.owner[i].applied = 1;
+          apply_write (&s, &o->pending);
+          visit (search, &s, "table: a write applies");
+        }
+      if (from->former[i].kind != WRITE_NONE
+          && fence_is_left (from, &from->former[i]))
+        {
+          s = *from;
+          apply_write (&s, &from->former[i]);
+          visit (search, &s, "table: a write of a former run applies");
+        }
+    }
+}
+
+static void
+start_write (struct owner *o, enum write_kind kind, struct log log)
+{
+  o->pending.kind = (uint8_t)kind;
+  o->pending.log = log;
+}
+
+/* Whether the write at hand is an intent.  */
+static bool
+writes_intent (const struct owner *o)
+{
+  return o->pending.kind == WRITE_COMMIT
+         && o->pending.log.attempt != o->log.attempt;
+}
+
+static void
+tell_caller (struct state *s, uint8_t ending)
+{
+  if (s->told == OPEN)
+    s->told = ending;
+  else if (s->told != ending)
+    s->retold = ending;
+}
+
+/* Sends all that an owner with this log may send.  */
+static void
+send_entitled (struct state *s, const struct owner *o)
+{
+  uint8_t k = o->log.attempt;
+
+  if (k == 0)
+    return;
+  if (o->log.ending != OPEN)
+    {
+      tell_caller (s, o->log.ending);
+      send_bit (s, FORGET_BIT (k, o->fence));
+      return;
+    }
+  if (o->mine)
+    send_bit (s, CALL_BIT (k, o->fence, o->log.boot));
+  else
+    send_bit (s, RECOVER_BIT (o->fence));
+  send_bit (s, SEAL_BIT (k, o->fence));
+}
+
+static void
+accept_applied (struct state *s, struct owner *o)
+{
+  if (o->pending.kind == WRITE_FENCE)
+    {
+      o->role = OWNER;
+      o->fence++;
+      o->mine = 0;
+    }
+  else if (writes_intent (o))
+    o->mine = 1;
+  o->version++;
+  o->applied = 0;
+  o->log = o->pending.log;
+  memset (&o->pending, 0, sizeof o->pending);
+  send_entitled (s, o);
+}
+
+/* The answer to a write comes; or it was lost and the owner reads its own
+   batch in the row.  The answer may come when the row has moved on.  A write
+   that has not applied goes again as it is: nothing changes.  */
+static void
+settle_step (struct search *search, const struct state *from, int i)
+{
+  struct state s = *from;
+  struct owner *o = &s.owner[i];
+  bool taken = search->mutant == LOST_TAKEN_AS_APPLIED
+               && o->pending.kind == WRITE_COMMIT;
+
+  if (o->pending.kind == WRITE_NONE || (!o->applied && !taken))
+    return;
+  accept_applied (&s, o);
+  visit (search, &s, "owner: hears that its write applied");
+}
+
+static void
+takeover_step (struct search *search, const struct state *from, int i)
+{
+  struct state s = *from;
+  struct owner *o = &s.owner[i];
+
+  if (o->role != OUT || s.row.fence >= FENCE_MAX)
+    return;
+  o->role = FENCING;
+  o->version = s.row.version;
+  o->fence = s.row.fence;
+  o->log = s.row.log;
+  start_write (o, WRITE_FENCE, s.row.log);
+  visit (search, &s, "owner: reads the row, raises the fence");
+}
+
+/* Dies and starts again, or reads that another has the partition.  */
+static void
+crash_step (struct search *search, const struct state *from, int i)
+{
+  struct state s = *from;
+  struct owner *o = &s.owner[i];
+
+  if (o->role == OUT)
+    return;
+  if (o->pending.kind != WRITE_NONE && !o->applied
+      && o->version == s.row.version)
+    {
+      if (s.former[i].kind != WRITE_NONE)
+        return; /* two late writes of former runs at a time */
+      s.former[i] = o->pending;
+    }
+  memset (o, 0, sizeof *o);
+  visit (search, &s, "owner: dies and restarts");
+}
+
+/* Intents for the attempt after the last; the boot may be a stale guess.  */
+static void
+intent_steps (struct search *search, const struct state *from, int i,
+              const char *step)
+{
+  if (from->owner[i].log.attempt >= ATTEMPTS)
+    return;
+  for (uint8_t boot = 1; boot <= from->gate.boot; boot++)
+    {
+      struct state s = *from;
+      struct owner *o = &s.owner[i];
+      struct log log = { (uint8_t)(o->log.attempt + 1), boot, OPEN };
+
+      start_write (o, WRITE_COMMIT, log);
+      if (search->mutant == SEND_BEFORE_COMMIT)
+        send_bit (&s, CALL_BIT (log.attempt, o->fence, boot));
+      visit (search, &s, step);
+    }
+}
+
+static void
+ending_step (struct search *search, const struct state *from, int i,
+             enum ending ending, const char *step)
+{
+  struct state s = *from;
+  struct owner *o = &s.owner[i];
+  struct log log = o->log;
+
+  log.ending = (uint8_t)ending;
+  start_write (o, WRITE_COMMIT, log);
+  if (search->mutant == ANSWER_BEFORE_COMMIT)
+    tell_caller (&s, log.ending);
+  visit (search, &s, step);
+}
+
+/* The attempt is known not to have run: another, or a typed refusal.  */
+static void
+not_run_steps (struct search *search, const struct state *from, int i)
+{
+  intent_steps (search, from, i, "owner: not run; intent of another attempt");
+  ending_step (search, from, i, NOT_RUN, "owner: not run; commits not_run");
+}
+
+/* What the owner makes of answers about the open attempt.  */
+static void
+answer_steps (struct search *search, const struct state *from, int i)
+{
+  const struct owner *o = &from->owner[i];
+  uint8_t k = o->log.attempt;
+
+  for (int boot = 1; boot <= BOOT_MAX; boot++)
+    {
+      bool same = boot == o->log.boot;
+      bool absent = sent (from, ABSENT_BIT (k, o->fence, boot))
+                    && (!o->mine || search->mutant == ABSENT_TRUSTED_FOR_OWN);
+
+      if (sent (from, DONE_BIT (k, boot)))
+        ending_step (search, from, i, DONE, "owner: hears done");
+      if (sent (from, UNKNOWN_BIT (k, boot)))
+        ending_step (search, from, i, UNKNOWN, "owner: hears unknown");
+      if (!sent (from, REFUSED_BIT (k, boot)) && !absent)
+        continue;
+      /* Another boot has no memory of what the intended one did.  */
+      if (same || search->mutant == REBOOT_TAKEN_AS_NOT_RUN)
+        not_run_steps (search, from, i);
+      else
+        ending_step (search, from, i, UNKNOWN, "owner: another boot answers");
+    }
+  if (sent (from, WRONG_BOOT_BIT (k)))
+    {
+      if (search->mutant == REBOOT_TAKEN_AS_NOT_RUN)
+        not_run_steps (search, from, i);
+      else
+        ending_step (search, from, i, UNKNOWN, "owner: hears wrong_boot");
+    }
+  if (search->mutant == NO_SEAL && !o->mine)
+    intent_steps (search, from, i, "owner: goes on without a seal");
+}
+
+static void
+owner_steps (struct search *search, const struct state *from, int i)
+{
+  const struct owner *o = &from->owner[i];
+
+  takeover_step (search, from, i);
+  crash_step (search, from, i);
+  settle_step (search, from, i);
+  if (o->role != OWNER || o->pending.kind != WRITE_NONE
+      || o->log.ending != OPEN)
+    return;
+  if (o->log.attempt == 0)
+    intent_steps (search, from, i, "owner: writes the first intent");
+  else
+    answer_steps (search, from, i);
+}
+
+/* The gate.  Answers what it knows of attempt K.  */
+static void
+gate_answer (struct state *s, int k)
+{
+  struct gate *g = &s->gate;
+
+  switch ((enum entry)g->entry[k])
+    {
+    case ENTRY_DONE:
+      send_bit (s, DONE_BIT (k, g->boot));
+      break;
+    case ENTRY_UNKNOWN:
+      send_bit (s, UNKNOWN_BIT (k, g->boot));
+      break;
+    case ENTRY_REFUSED:
+      send_bit (s, REFUSED_BIT (k, g->boot));
+      break;
+    case ENTRY_NONE:
+    case ENTRY_RUNNING:
+    case ENTRY_TOMBSTONE:
+      break;
+    }
+}
+
+static bool
+gate_accepts_fence (const struct search *search, struct state *s, int f)
+{
+  if (f < s->gate.fence)
+    return search->mutant == NO_FENCE_CHECK;
+  s->gate.fence = (uint8_t)f;
+  return true;
+}
+
+static void
+gate_call (struct search *search, const struct state *from, int k, int f,
+           int boot)
+{
+  struct state s = *from;
+  struct gate *g = &s.gate;
+
+  if (boot != g->boot && search->mutant != NO_BOOT_CHECK)
+    {
+      send_bit (&s, WRONG_BOOT_BIT (k));
+      visit (search, &s, "gate: CALL for another boot");
+      return;
+    }
+  if (!gate_accepts_fence (search, &s, f))
+    return;
+  if (g->entry[k] != ENTRY_NONE)
+    {
+      gate_answer (&s, k);
+      visit (search, &s, "gate: CALL seen before");
+      return;
+    }
+  /* It may refuse: overloaded or leaving.  */
+  send_bit (&s, REFUSED_BIT (k, g->boot));
+  if (search->mutant != REFUSAL_FORGOTTEN)
+    g->entry[k] = ENTRY_REFUSED;
+  visit (search, &s, "gate: refuses CALL");
+  s = *from;
+  if (f > g->fence)
+    g->fence = (uint8_t)f;
+  g->entry[k] = ENTRY_RUNNING;
+  g->started[k]++;
+  visit (search, &s, "gate: lets CALL through");
+}
+
+static void
+gate_seal (struct search *search, const struct state *from, int k, int f)
+{
+  struct state s = *from;
+
+  if (!gate_accepts_fence (search, &s, f))
+    return;
+  if (s.gate.entry[k] == ENTRY_NONE)
+    {
+      send_bit (&s, REFUSED_BIT (k, s.gate.boot));
+      if (search->mutant != SEAL_FORGOTTEN)
+        s.gate.entry[k] = ENTRY_REFUSED;
+    }
+  else
+    gate_answer (&s, k);
+  visit (search, &s, "gate: SEAL");
+}
+
+static void
+gate_recover (struct search *search, const struct state *from, int f)
+{
+  struct state s = *from;
+
+  if (!gate_accepts_fence (search, &s, f))
+    return;
+  for (int k = 1; k <= ATTEMPTS; k++)
+    {
+      gate_answer (&s, k);
+      if (s.gate.entry[k] == ENTRY_NONE
+          || (s.gate.entry[k] == ENTRY_RUNNING
+              && search->mutant == RUNNING_TAKEN_AS_NOT_RUN))
+        send_bit (&s, ABSENT_BIT (k, f, s.gate.boot));
+    }
+  visit (search, &s, "gate: RECOVER");
+}
+
+static void
+gate_forget (struct search *search, const struct state *from, int k, int f)
+{
+  struct state s = *from;
+
+  if (!gate_accepts_fence (search, &s, f) || s.gate.entry[k] == ENTRY_NONE
+      || s.gate.entry[k] == ENTRY_RUNNING)
+    return;
+  s.gate.entry[k] = search->mutant == FORGET_WITHOUT_TOMBSTONE
+                        ? ENTRY_NONE
+                        : ENTRY_TOMBSTONE;
+  visit (search, &s, "gate: FORGET");
+}
+
+static void
+delivery_steps (struct search *search, const struct state *from)
+{
+  for (int f = 1; f <= FENCE_MAX; f++)
+    {
+      if (sent (from, RECOVER_BIT (f)))
+        gate_recover (search, from, f);
+      for (int k = 1; k <= ATTEMPTS; k++)
+        {
+          if (sent (from, SEAL_BIT (k, f)))
+            gate_seal (search, from, k, f);
+          if (sent (from, FORGET_BIT (k, f)))
+            gate_forget (search, from, k, f);
+          for (int boot = 1; boot <= BOOT_MAX; boot++)
+            if (sent (from, CALL_BIT (k, f, boot)))
+              gate_call (search, from, k, f, boot);
+        }
+    }
+}
+
+/* The worker: takes effect and answers; or takes effect unheard; or the gate
+   gives up waiting.  */
+static void
+worker_steps (struct search *search, const struct state *from)
+{
+  for (int k = 1; k <= ATTEMPTS; k++)
+    {
+      struct state s = *from;
+
+      if (from->gate.started[k] > 0)
+        {
+          s.gate.started[k]--;
+          s.gate.effect[k]++;
+          visit (search, &s, "worker: effect, answer lost");
+          if (s.gate.entry[k] == ENTRY_RUNNING)
+            {
+              s.gate.entry[k] = ENTRY_DONE;
+              gate_answer (&s, k);
+              visit (search, &s, "worker: effect and answer");
+            }
+        }
+      s = *from;
+      if (from->gate.entry[k] == ENTRY_RUNNING)
+        {
+          s.gate.entry[k] = search->mutant == SILENCE_TAKEN_AS_NOT_RUN
+                                ? ENTRY_REFUSED
+                                : ENTRY_UNKNOWN;
+          gate_answer (&s, k);
+          visit (search, &s, "gate: the worker is silent for too long");
+        }
+    }
+}
+
+static void
+reboot_step (struct search *search, const struct state *from)
+{
+  struct state s = *from;
+
+  if (s.gate.boot >= BOOT_MAX)
+    return;
+  s.gate.boot++;
+  s.gate.fence = 0;
+  memset (s.gate.entry, 0, sizeof s.gate.entry);
+  visit (search, &s, "gate: restarts and remembers nothing");
+}
+
+static void
+expand (struct search *search)
+{
+  struct state s;
+
+  memcpy (&s, &search->nodes[search->at].state, sizeof s);
+  store_steps (search, &s);
+  for (int i = 0; i < OWNERS; i++)
+    owner_steps (search, &s, i);
+  delivery_steps (search, &s);
+  worker_steps (search, &s);
+  reboot_step (search, &s);
+}
+
+/* Visits every state, or stops at the first that breaks a property.  */
+static void
+run_search (struct search *search, enum mutant mutant)
+{
+  struct state first;
+
+  search->mutant = mutant;
+  search->count = 0;
+  search->at = 0;
+  search->violation = NULL;
+  memset (search->table, 0, SLOTS * sizeof *search->table);
+  memset (search->witnessed, 0, sizeof search->witnessed);
+  search->witnessed_second_run = false;
+  memset (&first, 0, sizeof first);
+  first.gate.boot = 1;
+  visit (search, &first, "start");
+  for (; search->at < search->count && search->violation == NULL; search->at++)
+    expand (search);
+}
+
+static void
+print_trace (const struct search *search)
+{
+  uint32_t path[TRACE_MAX];
+  int depth = 0;
+
+  for (uint32_t i = search->violating; i != 0 && depth < TRACE_MAX;
+       i = search->nodes[i].parent)
+    path[depth++] = i;
+  while (depth-- > 0)
+    printf ("    %s\n", search->nodes[path[depth]].step);
+}
+
+static struct search *
+create_search (void)
+{
+  struct search *search = calloc (1, sizeof *search);
+
+  cr_assert_not_null (search);
+  search->nodes = malloc (STATES_MAX * sizeof *search->nodes);
+  search->table = malloc (SLOTS * sizeof *search->table);
+  cr_assert (search->nodes != NULL && search->table != NULL);
+  return search;
+}
+
+static void
+destroy_search (struct search *search)
+{
+  free (search->nodes);
+  free (search->table);
+  free (search);
+}
+
+/* Story: a notice goes out twice, or a clerk hears "not run" of a notice that
+   went out.  An owner dies or is paused between intent, call and outcome, the
+   target's process restarts, the store loses an answer, an old connection
+   delivers late: in any order.  Cause: a guard is missing.  With all of them
+   no order does it; without any one of them some order does.  */
+Test (protocol_model, every_interleaving, .timeout = 600)
+{
+  struct search *search = create_search ();
+  size_t mutants = sizeof mutant_cases / sizeof mutant_cases[0];
+  size_t caught = 0;
+  uint32_t states;
+
+  run_search (search, MUTANT_NONE);
+  states = search->count;
+  if (search->violation != NULL)
+    print_trace (search);
+  cr_expect_null (search->violation, "%s", search->violation);
+  for (int e = DONE; e < ENDINGS; e++)
+    cr_expect (search->witnessed[e], "no caller ever hears %s",
+               ending_names[e]);
+  cr_expect (search->witnessed_second_run, "no second attempt ever runs");
+  for (size_t i = 0; i < mutants; i++)
+    {
+      run_search (search, mutant_cases[i].mutant);
+      caught += search->violation != NULL;
+      cr_expect_not_null (search->violation, "not found: %s",
+                          mutant_cases[i].name);
+      if (getenv ("MODEL_TRACE") != NULL && search->violation != NULL)
+        {
+          printf ("%s: %s\n", mutant_cases[i].name, search->violation);
+          print_trace (search);
+        }
+    }
+  printf ("matrix: model states=%u mutants=%zu caught=%zu\n", states, mutants,
+          caught);
+  fflush (stdout);
+  destroy_search (search);
+}
