--- /dev/null
+++ b/tests/world_caller.c
@@ -0,0 +1,688 @@
+/* world_caller.c - the world's callers.
+
+   Each has a script of requests, one under way at a time.  A request whose
+   connection broke, that was refused as not run for a while, or that got
+   no answer for long is made again with the same key at any entry host.
+   Needs: world_state.h.  */
+
+#include "world_state.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define THINK_US (300 * MS)
+#define AGAIN_US (250 * MS)
+#define REFUSALS_MAX 40
+
+static const struct ask chain_asks[] = {
+  { MQ_REQUEST_OPEN, "guide", "", 0, TEXT_CHAIN },
+  { MQ_REQUEST_GET, "", "", 0, TEXT_NONE },
+};
+static const struct ask talk_asks[] = {
+  { MQ_REQUEST_OPEN, "guide", "", 0, TEXT_TALK },
+  { MQ_REQUEST_TURN, "", "", 0, TEXT_FOLLOW },
+  { MQ_REQUEST_CLOSE, "", "", 0, TEXT_NONE },
+};
+static const struct ask step_asks[] = {
+  { MQ_REQUEST_CREATE, "guide", "", 0, TEXT_NONE },
+  { MQ_REQUEST_STEP, "guide-models", "", 1, TEXT_ASK },
+  { MQ_REQUEST_STEP, "records", "submit", 2, TEXT_SUBMIT },
+  { MQ_REQUEST_STEP, "guide-models", "", 3, TEXT_ASK },
+  { MQ_REQUEST_CLOSE, "", "", 0, TEXT_NONE },
+};
+static const struct ask loop_asks[] = {
+  { MQ_REQUEST_OPEN, "looper", "", 0, TEXT_LOOP },
+};
+static const struct ask letter_asks[] = {
+  { MQ_REQUEST_OPEN, "letters", "", 0, TEXT_LETTER },
+};
+
+#define ASKS(array) array, sizeof (array) / sizeof (array)[0]
+
+static const struct
+{
+  const char *organisation;
+  const struct ask *asks;
+  size_t count;
+  uint64_t budget;
+} scripts[CALLERS] = {
+  { "diagne", ASKS (chain_asks), 4000 }, { "zarqa", ASKS (talk_asks), 4000 },
+  { "diagne", ASKS (step_asks), 4000 },  { "zarqa", ASKS (loop_asks), 150 },
+  { "zarqa", ASKS (letter_asks), 2000 },
+};
+
+/* What the requests say.  */
+
+static json_t *
+plan_call (const char *name, json_t *arguments, int tokens)
+{
+  return json_pack ("{s:s,s:o,s:i}", "call", name, "arguments", arguments,
+                    "tokens", tokens);
+}
+
+static char *
+plan_text (TALLOC_CTX *ctx, const char *title, json_t *plan)
+{
+  char *dump = json_dumps (plan, JSON_COMPACT);
+  char *text = talloc_asprintf (ctx, "%s: plan=%s", title, dump);
+
+  free (dump);
+  json_decref (plan);
+  return text;
+}
+
+/* The sub-program's input; its history begins with it.  */
+static char *
+letter_text (struct world *world, struct caller *caller)
+{
+  json_t *arguments = json_pack ("{s:s}", "letter", caller->key);
+  char *title = talloc_asprintf (world, "%s, letter", caller->key);
+
+  return plan_text (world, title,
+                    json_pack ("[o,{s:i}]",
+                               plan_call ("records.submit", arguments, 6),
+                               "answer", 8));
+}
+
+static char *
+chain_text (struct world *world, struct caller *caller)
+{
+  json_t *plan = json_array ();
+  char *letter = letter_text (world, caller);
+
+  caller->texts[caller->text_count++] = letter;
+  json_array_append_new (
+      plan, plan_call ("lookup", json_pack ("{s:s}", "of", caller->key), 7));
+  json_array_append_new (
+      plan,
+      plan_call ("records.submit", json_pack ("{s:s}", "of", caller->key), 9));
+  json_array_append_new (
+      plan, plan_call ("letters", json_pack ("{s:s}", "input", letter), 5));
+  json_array_append_new (plan, json_pack ("{s:i}", "answer", 12));
+  return plan_text (world, caller->key, plan);
+}
+
+static char *
+one_call_text (struct world *world, struct caller *caller, const char *title,
+               const char *call)
+{
+  json_t *arguments = json_pack ("{s:s}", "of", caller->key);
+  char *whole = talloc_asprintf (world, "%s%s", caller->key, title);
+
+  return plan_text (
+      world, whole,
+      json_pack ("[o,{s:i}]", plan_call (call, arguments, 8), "answer", 12));
+}
+
+static char *
+ask_input (struct world *world, struct caller *caller, const struct ask *ask)
+{
+  switch (ask->text)
+    {
+    case TEXT_CHAIN:
+      return chain_text (world, caller);
+    case TEXT_TALK:
+      return one_call_text (world, caller, "", "records.submit");
+    case TEXT_FOLLOW:
+      return one_call_text (world, caller, ", again", "lookup");
+    case TEXT_LOOP:
+      return plan_text (world, caller->key,
+                        json_pack ("[{s:s,s:{},s:i}]", "loop", "lookup",
+                                   "arguments", "tokens", 11));
+    case TEXT_LETTER:
+      return plan_text (world, caller->key,
+                        json_pack ("[{s:i}]", "answer", 20));
+    case TEXT_ASK:
+      return talloc_asprintf (world, "%s, question %u", caller->key,
+                              ask->sequence);
+    case TEXT_NONE:
+    case TEXT_SUBMIT:
+      break;
+    }
+  return NULL;
+}
+
+static void
+compose (struct world *world, struct caller *caller, size_t index)
+{
+  const struct ask *ask = &caller->asks[index];
+  char *input = ask_input (world, caller, ask);
+  json_t *body = json_object ();
+  char *dump;
+
+  if (input != NULL)
+    {
+      caller->texts[caller->text_count++] = input;
+      json_object_set_new (body, "input", json_string (input));
+    }
+  if (ask->text == TEXT_SUBMIT)
+    json_object_set_new (body, "arguments",
+                         json_pack ("{s:s}", "of", caller->key));
+  if (ask->text == TEXT_TALK)
+    json_object_set_new (body, "keep_open", json_true ());
+  dump = json_dumps (body, JSON_COMPACT);
+  caller->bodies[index] = talloc_strdup (world, dump);
+  free (dump);
+  json_decref (body);
+}
+
+static struct caller *
+find_family (const struct world *world, uint64_t family)
+{
+  for (int i = 0; i < CALLERS; i++)
+    if (world->callers[i].program.hi == family)
+      return (struct caller *)&world->callers[i];
+  return NULL;
+}
+
+/* Whether a history of PROGRAM may hold TEXT as what a person said.  */
+bool
+caller_asked (const struct world *world, struct mq_id program,
+              const char *text)
+{
+  const struct caller *caller = find_family (world, program.hi);
+
+  for (size_t i = 0; caller != NULL && i < caller->text_count; i++)
+    if (strcmp (caller->texts[i], text) == 0)
+      return true;
+  return false;
+}
+
+/* How many calls of a history come before CALL.  The history of a program
+   that its caller drives holds its model calls only.  */
+uint32_t
+caller_calls_before (const struct world *world, struct mq_id program,
+                     uint32_t call)
+{
+  const struct caller *caller = find_family (world, program.hi);
+  uint32_t before = 0;
+
+  if (caller == NULL || caller->asks[0].type != MQ_REQUEST_CREATE)
+    return call - 1;
+  for (size_t i = 0; i < caller->ask_count; i++)
+    if (caller->asks[i].text == TEXT_ASK && caller->asks[i].sequence < call)
+      before++;
+  return before;
+}
+
+uint64_t
+caller_budget_of (const struct world *world, uint64_t family)
+{
+  const struct caller *caller = find_family (world, family);
+
+  return caller == NULL ? 0 : scripts[caller->index].budget;
+}
+
+/* Asking.  */
+
+static void
+plan_timer (struct world *world, struct caller *caller, uint64_t in_us)
+{
+  struct world_event *event = world_event_create (world, EVENT_CALLER, NOBODY);
+
+  event->index = caller->index;
+  caller->timer_us = world->now_us + in_us;
+  world_push (world, event, caller->timer_us);
+}
+
+void
+caller_create_all (struct world *world)
+{
+  for (int i = 0; i < CALLERS; i++)
+    {
+      struct caller *caller = &world->callers[i];
+
+      caller->index = i;
+      caller->asks = scripts[i].asks;
+      caller->ask_count = scripts[i].count;
+      caller->organisation = talloc_strdup (world, scripts[i].organisation);
+      caller->key = talloc_asprintf (world, "household %d of %llu", i,
+                                     (unsigned long long)world->cell->seed);
+      caller->program = mq_id_open (caller->organisation, caller->key);
+      for (size_t a = 0; a < caller->ask_count; a++)
+        compose (world, caller, a);
+      plan_timer (world, caller,
+                  CALLERS_START_US + world_delay (world, 0, 200 * MS));
+    }
+}
+
+bool
+caller_all_done (const struct world *world)
+{
+  for (int i = 0; i < CALLERS; i++)
+    if (world->callers[i].state != CALLER_DONE)
+      return false;
+  for (int i = 0; i < OPERATORS; i++)
+    if (world->operators[i].state != OPERATOR_DONE
+        && world->operators[i].state != OPERATOR_IDLE)
+      return false;
+  return true;
+}
+
+/* The platform's balancer: some entry host that takes connections.  */
+static int
+choose_host (struct world *world)
+{
+  int chosen = NOBODY;
+  uint32_t count = 0;
+
+  for (int i = 0; i < ENTRIES; i++)
+    if (world->hosts[i].alive && !world->hosts[i].leaving
+        && world->hosts[i].text != NULL
+        && mq_random_below (&world->random, ++count) == 0)
+      chosen = i;
+  return chosen;
+}
+
+static void
+ask_again (struct world *world, struct caller *caller, uint64_t in_us)
+{
+  caller->state = CALLER_PAUSES;
+  plan_timer (world, caller, in_us + world_delay (world, 0, AGAIN_US));
+}
+
+static struct mq_request_msg
+request_of (const struct caller *caller)
+{
+  const struct ask *ask = &caller->asks[caller->ask];
+  struct mq_request_msg request = { .type = ask->type };
+
+  request.program = caller->program;
+  request.organisation = caller->organisation;
+  request.service = ask->service;
+  request.route = ask->route;
+  request.key = caller->key;
+  request.sequence = ask->sequence;
+  request.stream = caller->asks == talk_asks;
+  request.traceparent = "";
+  request.body = caller->bodies[caller->ask];
+  return request;
+}
+
+static void
+ask_now (struct world *world, struct caller *caller)
+{
+  int host = choose_host (world);
+  struct world_event *event;
+
+  if (host == NOBODY)
+    {
+      ask_again (world, caller, AGAIN_US);
+      return;
+    }
+  worker_program_fact (world, caller->program)->refused = false;
+  caller->host = host;
+  caller->host_run = world->hosts[host].run;
+  caller->handle = ++world->next_handle;
+  caller->state = CALLER_WAITS;
+  caller->last_us = world->now_us;
+  caller->tries++;
+  caller->ends = 0;
+  caller->stream_call = 0;
+  caller->stream = talloc_strdup (world, "");
+  world_trace (world, "caller %d asks %s: request %zu, try %u, handle %llu",
+               caller->index, world->hosts[host].name, caller->ask,
+               caller->tries, (unsigned long long)caller->handle);
+  event = world_event_create (world, EVENT_REQUEST, host);
+  event->index = caller->index;
+  event->handle = caller->handle;
+  world_push (world, event, world->now_us + world_delay (world, 1, MS));
+  plan_timer (world, caller, CALLER_PATIENCE_US);
+}
+
+/* Refuses a request and runs it all the same.  */
+static void
+plant_refusal (struct world *world, struct caller *caller)
+{
+  struct mq_event_msg refusal = { .type = MQ_EVENT_REFUSED };
+  struct world_event *event;
+  struct mq_message message = { .type = MQ_MSG_FORWARD_EVENT };
+
+  if (world->cell->plant != PLANT_REFUSED_AND_RUN || caller->tries > 1)
+    return;
+  refusal.handle = caller->handle;
+  refusal.error = MQ_ERR_OVERLOADED;
+  refusal.ran = MQ_RAN_NOT_RUN;
+  refusal.retry_after_ms = 2000;
+  message.u.event = refusal;
+  event = world_event_create (world, EVENT_TO_CALLER, caller->host);
+  event->message = talloc_zero (event, struct mq_message);
+  mq_message_copy (event->message, event->message, &message);
+  world_push (world, event, world->now_us + MS);
+}
+
+void
+caller_request (struct world *world, const struct world_event *event)
+{
+  struct caller *caller = &world->callers[event->index];
+  struct mq_request_msg request = request_of (caller);
+  struct mq_front_input input
+      = { .type = MQ_FRONT_REQUEST, .now_us = world->now_us };
+
+  if (caller->handle != event->handle || caller->state != CALLER_WAITS)
+    return; /* it has closed the connection already */
+  plant_refusal (world, caller);
+  input.handle = event->handle;
+  input.partition = mq_id_partition (
+      caller->program, world->hosts[event->host].text->partitions);
+  input.u.request = &request;
+  world_front_input (world, event->host, &input);
+}
+
+void
+caller_gone (struct world *world, const struct world_event *event)
+{
+  struct mq_front_input input
+      = { .type = MQ_FRONT_CALLER_GONE, .now_us = world->now_us };
+
+  input.handle = event->handle;
+  world_front_input (world, event->host, &input);
+}
+
+static void
+close_connection (struct world *world, struct caller *caller)
+{
+  struct world_event *event;
+
+  if (!world_runs (world, caller->host, caller->host_run))
+    return;
+  event = world_event_create (world, EVENT_GONE, caller->host);
+  event->handle = caller->handle;
+  world_push (world, event, world->now_us + world_delay (world, 1, MS));
+}
+
+void
+caller_timer (struct world *world, const struct world_event *event)
+{
+  struct caller *caller = &world->callers[event->index];
+
+  if (caller->timer_us != event->at_us)
+    return;
+  if (caller->state == CALLER_IDLE || caller->state == CALLER_PAUSES)
+    ask_now (world, caller);
+  else if (caller->state == CALLER_WAITS)
+    {
+      if (world->now_us < caller->last_us + CALLER_PATIENCE_US)
+        {
+          plan_timer (world, caller,
+                      caller->last_us + CALLER_PATIENCE_US - world->now_us);
+          return;
+        }
+      world_trace (world, "caller %d hears nothing and asks elsewhere",
+                   caller->index);
+      close_connection (world, caller);
+      caller->doubtful = true;
+      ask_again (world, caller, 0);
+    }
+}
+
+/* The connection broke with the process.  */
+void
+caller_host_died (struct world *world, int host)
+{
+  for (int i = 0; i < CALLERS; i++)
+    {
+      struct caller *caller = &world->callers[i];
+
+      if (caller->state != CALLER_WAITS || caller->host != host)
+        continue;
+      caller->doubtful = true;
+      ask_again (world, caller, MS);
+    }
+}
+
+/* Answers.  */
+
+static void
+next_ask (struct world *world, struct caller *caller)
+{
+  caller->ask++;
+  caller->tries = 0;
+  caller->refusals = 0;
+  caller->doubtful = false;
+  if (caller->ask == caller->ask_count)
+    {
+      caller->state = CALLER_DONE;
+      world_trace (world, "caller %d is done", caller->index);
+      return;
+    }
+  ask_again (world, caller, THINK_US);
+}
+
+static bool
+holds_final (struct world *world, struct mq_id program, const char *body)
+{
+  const struct program_fact *fact = worker_program_fact (world, program);
+
+  for (size_t i = 0; i < fact->final_count; i++)
+    if (strstr (body, fact->finals[i]) != NULL)
+      return true;
+  return false;
+}
+
+static bool
+is_same_answer (const char *a, const char *b)
+{
+  json_t *first = json_loads (a, 0, NULL);
+  json_t *second = json_loads (b, 0, NULL);
+  bool same = json_equal (json_object_get (first, "answer"),
+                          json_object_get (second, "answer"));
+
+  json_decref (first);
+  json_decref (second);
+  return same;
+}
+
+static bool
+answer_is_own (struct world *world, const struct caller *caller,
+               const char *body)
+{
+  const struct ask *ask = &caller->asks[caller->ask];
+  const struct call_fact *fact;
+
+  switch (ask->type)
+    {
+    case MQ_REQUEST_OPEN:
+    case MQ_REQUEST_TURN:
+      return holds_final (world, caller->program, body);
+    case MQ_REQUEST_GET:
+      return caller->answers[0] == NULL
+             || is_same_answer (caller->answers[0], body);
+    case MQ_REQUEST_STEP:
+      if (ask->text == TEXT_ASK)
+        return holds_final (world, caller->program, body);
+      fact = worker_call_fact (world, caller->program, ask->sequence);
+      return fact->result != NULL && strstr (body, "receipt") != NULL
+             && strstr (body, strchr (fact->result, ':') + 2) != NULL;
+    case MQ_REQUEST_CREATE:
+    case MQ_REQUEST_CLOSE:
+    case MQ_REQUEST_CANCEL:
+      break;
+    }
+  return true;
+}
+
+static void
+take_final (struct world *world, struct caller *caller,
+            const struct mq_event_msg *event)
+{
+  const char *body = event->body;
+
+  if (++caller->ends > 1)
+    {
+      world_violate (world, INVARIANT_ONE_ANSWER,
+                     "caller %d got %u ends of request %zu", caller->index,
+                     caller->ends, caller->ask);
+      return;
+    }
+  if (!answer_is_own (world, caller, body))
+    world_violate (world, INVARIANT_OWN_ANSWER,
+                   "caller %d, request %zu: %.160s", caller->index,
+                   caller->ask, body);
+  if (caller->stream[0] != '\0' && strstr (body, caller->stream) == NULL)
+    world_violate (world, INVARIANT_STREAM,
+                   "caller %d: \"%s\" is no beginning of the answer",
+                   caller->index, caller->stream);
+  caller->answers[caller->ask] = talloc_strdup (world, body);
+  next_ask (world, caller);
+}
+
+/* Refusals that pass, so that the same request may be made again.  */
+static bool
+passes (enum mq_error_type error)
+{
+  switch (error)
+    {
+    case MQ_ERR_NO_MEMORY:
+    case MQ_ERR_OVERLOADED:
+    case MQ_ERR_LEAVING:
+    case MQ_ERR_STALE_FENCE:
+    case MQ_ERR_NO_TARGET:
+    case MQ_ERR_STORE_DOWN:
+    case MQ_ERR_NOT_READY:
+    case MQ_ERR_WRONG_REGION:
+    case MQ_ERR_PEER_LOST:
+    case MQ_ERR_TIMEOUT:
+      return true;
+    default:
+      return false;
+    }
+}
+
+/* A request that was refused as not run, and never tried before, must not
+   have run, nor run before it is made again.  */
+static void
+hold_to_not_run (struct world *world, struct caller *caller)
+{
+  const struct ask *ask = &caller->asks[caller->ask];
+  struct program_fact *fact = worker_program_fact (world, caller->program);
+
+  if (caller->doubtful
+      || (ask->type != MQ_REQUEST_OPEN && ask->type != MQ_REQUEST_CREATE))
+    return;
+  if (fact->starts > 0)
+    world_violate (world, INVARIANT_NOT_RUN,
+                   "caller %d hears not_run of a program that started %u "
+                   "calls",
+                   caller->index, fact->starts);
+  fact->refused = true;
+}
+
+static void
+take_refusal (struct world *world, struct caller *caller,
+              const struct mq_event_msg *event)
+{
+  world_trace (world, "caller %d is refused: %s, %s", caller->index,
+               mq_error_name (event->error), mq_ran_name (event->ran));
+  if (++caller->ends > 1)
+    {
+      world_violate (world, INVARIANT_ONE_ANSWER,
+                     "caller %d got %u ends of request %zu", caller->index,
+                     caller->ends, caller->ask);
+      return;
+    }
+  if (event->ran == MQ_RAN_NOT_RUN)
+    hold_to_not_run (world, caller);
+  else
+    caller->doubtful = true;
+  if (passes (event->error) && ++caller->refusals < REFUSALS_MAX)
+    {
+      ask_again (world, caller, event->retry_after_ms * MS);
+      return;
+    }
+  caller->errors[caller->ask] = event->error;
+  next_ask (world, caller);
+}
+
+static bool
+is_streamed (const struct world *world, const struct caller *caller,
+             const char *text, uint32_t call)
+{
+  for (size_t i = 0; i < world->run_count; i++)
+    {
+      const struct run *run = world->runs[i];
+
+      if (run->content != NULL && run->ref.call == call
+          && mq_id_equal (run->ref.program, caller->program)
+          && strncmp (run->content, text, strlen (text)) == 0)
+        return true;
+    }
+  return false;
+}
+
+static void
+take_token (struct world *world, struct caller *caller,
+            const struct mq_event_msg *event)
+{
+  if (event->type == MQ_EVENT_RESET || event->call != caller->stream_call)
+    caller->stream = talloc_strdup (world, "");
+  caller->stream_call = event->call;
+  if (event->type == MQ_EVENT_RESET)
+    return;
+  caller->stream
+      = talloc_asprintf (world, "%s%s", caller->stream, event->body);
+  if (world->cell->plant == PLANT_TOKEN_DOUBLED)
+    caller->stream
+        = talloc_asprintf (world, "%s%s", caller->stream, event->body);
+  if (!is_streamed (world, caller, caller->stream, event->call))
+    world_violate (world, INVARIANT_STREAM,
+                   "caller %d, call %u: \"%s\" was never said", caller->index,
+                   event->call, caller->stream);
+}
+
+static struct caller *
+find_handle (struct world *world, uint64_t handle)
+{
+  for (int i = 0; i < CALLERS; i++)
+    if (world->callers[i].handle == handle)
+      return &world->callers[i];
+  return NULL;
+}
+
+static struct caller *
+plant_swap (struct world *world, struct caller *caller,
+            const struct mq_event_msg *event)
+{
+  struct caller *other = &world->callers[(caller->index + 1) % CALLERS];
+
+  if (world->cell->plant != PLANT_ANSWER_SWAPPED
+      || event->type != MQ_EVENT_FINAL || other->state != CALLER_WAITS)
+    return caller;
+  return other;
+}
+
+void
+caller_event (struct world *world, const struct world_event *from)
+{
+  const struct mq_event_msg *event = &from->message->u.event;
+  struct caller *caller = find_handle (world, event->handle);
+
+  if (caller == NULL || caller->host != from->host
+      || caller->host_run != from->run)
+    return; /* its connection is closed */
+  if (caller->state != CALLER_WAITS && caller->ends == 0)
+    return;
+  caller = plant_swap (world, caller, event);
+  caller->last_us = world->now_us;
+  switch (event->type)
+    {
+    case MQ_EVENT_TOKEN:
+    case MQ_EVENT_RESET:
+      take_token (world, caller, event);
+      break;
+    case MQ_EVENT_FINAL:
+      if (world->cell->plant == PLANT_FINAL_SWALLOWED && caller->index == 0)
+        break;
+      world_trace (world, "caller %d: final %.100s", caller->index,
+                   event->body);
+      take_final (world, caller, event);
+      if (world->cell->plant == PLANT_FINAL_DOUBLED)
+        take_final (world, caller, event);
+      break;
+    case MQ_EVENT_REFUSED:
+      take_refusal (world, caller, event);
+      break;
+    case MQ_EVENT_ACCEPTED:
+    case MQ_EVENT_STEP:
+      break;
+    }
+}
--- /dev/null
+++ b/tests/world_check.c
@@ -0,0 +1,371 @@
+/* world_check.c - what must hold when the world has come to rest.
+
+   Needs: world_state.h, proto/log.pb-c.h.  */
+
+#include "world_state.h"
+#include "../proto/log.pb-c.h"
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  VERSION_BYTES = 8,
+  APPLY_ID_BYTES = 16
+};
+
+/* One program as the table's log has it.  */
+struct logged
+{
+  struct mq_id program;
+  bool ended;
+  char **answers;
+  uint32_t *errors;
+  size_t answer_count;
+};
+
+struct log
+{
+  struct logged *programs;
+  size_t count;
+};
+
+static struct logged *
+logged_find (const struct log *log, struct mq_id program)
+{
+  for (size_t i = 0; i < log->count; i++)
+    if (mq_id_equal (log->programs[i].program, program))
+      return &log->programs[i];
+  return NULL;
+}
+
+static struct logged *
+logged_get (struct log *log, struct mq_id program)
+{
+  struct logged *logged = logged_find (log, program);
+
+  if (logged != NULL)
+    return logged;
+  log->programs = talloc_realloc (log, log->programs, struct logged,
+                                  (unsigned int)log->count + 1);
+  logged = &log->programs[log->count++];
+  memset (logged, 0, sizeof *logged);
+  logged->program = program;
+  return logged;
+}
+
+static void
+add_answer (struct log *log, struct mq_id program,
+            const Mqlog__Answered *answered)
+{
+  struct logged *logged = logged_get (log, program);
+  size_t n = logged->answer_count++;
+
+  logged->ended = answered->ended;
+  logged->answers
+      = talloc_realloc (log, logged->answers, char *, (unsigned int)n + 1);
+  logged->errors
+      = talloc_realloc (log, logged->errors, uint32_t, (unsigned int)n + 1);
+  logged->answers[n] = talloc_strdup (log, answered->answer);
+  logged->errors[n] = answered->error;
+}
+
+static void
+read_record (struct log *log, const ProtobufCBinaryData *bytes)
+{
+  Mqlog__Record *record
+      = mqlog__record__unpack (NULL, bytes->len, bytes->data);
+  struct mq_id program;
+
+  if (record == NULL)
+    return;
+  program.hi = record->hi;
+  program.lo = record->lo;
+  logged_get (log, program);
+  if (record->body_case == MQLOG__RECORD__BODY_ANSWERED)
+    add_answer (log, program, record->answered);
+  mqlog__record__free_unpacked (record, NULL);
+}
+
+static void
+read_batch (struct world *world, struct log *log, struct mq_bytes value)
+{
+  Mqlog__Batch *batch = mqlog__batch__unpack (NULL, value.len, value.data);
+  struct mq_bytes object;
+
+  if (batch == NULL)
+    return;
+  if (batch->object[0] != '\0'
+      && mq_table_get (world->table, log, batch->object, &object))
+    read_batch (world, log, object);
+  for (size_t i = 0; i < batch->n_records; i++)
+    read_record (log, &batch->records[i]);
+  mqlog__batch__free_unpacked (batch, NULL);
+}
+
+static void
+read_checkpoint (struct world *world, struct log *log, const char *key)
+{
+  Mqlog__Checkpoint *checkpoint;
+  struct mq_bytes object;
+
+  if (key[0] == '\0' || !mq_table_get (world->table, log, key, &object))
+    return;
+  checkpoint = mqlog__checkpoint__unpack (NULL, object.len, object.data);
+  for (size_t i = 0; checkpoint != NULL && i < checkpoint->n_programs; i++)
+    {
+      const Mqlog__Program *packed = checkpoint->programs[i];
+      struct mq_id program = { packed->hi, packed->lo };
+
+      logged_get (log, program);
+      if (packed->answered != NULL)
+        add_answer (log, program, packed->answered);
+    }
+  if (checkpoint != NULL)
+    mqlog__checkpoint__free_unpacked (checkpoint, NULL);
+}
+
+static struct log *
+read_log (struct world *world)
+{
+  struct log *log = talloc_zero (world, struct log);
+  struct mq_table_snapshot *all = mq_table_snapshot (world->table, log);
+
+  for (size_t i = 0; i < all->row_count; i++)
+    {
+      const struct mq_row *row = &all->rows[i];
+      Mqlog__PartitionRow *part;
+
+      if (strncmp (row->key, "part/", 5) != 0)
+        continue;
+      part = mqlog__partition_row__unpack (NULL, row->value.len,
+                                           row->value.data);
+      if (part == NULL)
+        continue;
+      read_checkpoint (world, log, part->checkpoint_key);
+      mqlog__partition_row__free_unpacked (part, NULL);
+    }
+  for (size_t i = 0; i < all->row_count; i++)
+    if (strncmp (all->rows[i].key, "log/", 4) == 0)
+      read_batch (world, log, all->rows[i].value);
+  return log;
+}
+
+/* The configuration.  */
+
+struct mq_row *
+check_config_row (struct world *world, TALLOC_CTX *ctx)
+{
+  struct mq_row *rows = NULL;
+  size_t count = 0;
+
+  mq_table_scan (world->table, ctx, MQ_CONFIG_KEY, NULL, 1, &rows, &count);
+  return count == 0 ? NULL : rows;
+}
+
+static uint64_t
+config_version (const struct mq_row *row)
+{
+  uint64_t version = 0;
+
+  for (int i = 0; i < VERSION_BYTES; i++)
+    version = version << 8 | row->value.data[i];
+  return version;
+}
+
+static void
+check_config (struct world *world)
+{
+  struct mq_row *row = check_config_row (world, world);
+  uint64_t version = config_version (row);
+
+  for (int i = 0; i < HOSTS; i++)
+    if (world->hosts[i].alive && world->hosts[i].version != version)
+      world_violate (
+          world, INVARIANT_CONFIG_EQUAL, "%s has version %llu, the table %llu",
+          world->hosts[i].name, (unsigned long long)world->hosts[i].version,
+          (unsigned long long)version);
+  for (size_t i = 0; i < world->accepted_count; i++)
+    {
+      const struct accepted *accepted = &world->accepted[i];
+
+      if (accepted->version > version
+          || (accepted->version == version
+              && memcmp (accepted->id, row->value.data + VERSION_BYTES,
+                         APPLY_ID_BYTES)
+                     != 0))
+        world_violate (world, INVARIANT_APPLY_HOLDS,
+                       "version %llu was accepted, the table has %llu",
+                       (unsigned long long)accepted->version,
+                       (unsigned long long)version);
+    }
+}
+
+/* Answers.  */
+
+static bool
+is_answer (const struct logged *logged, const char *body)
+{
+  json_t *root = json_loads (body, 0, NULL);
+  const char *answer = json_string_value (json_object_get (root, "answer"));
+  bool found = false;
+
+  for (size_t i = 0; answer != NULL && i < logged->answer_count; i++)
+    if (logged->errors[i] == MQ_ERR_NONE
+        && strcmp (logged->answers[i], answer) == 0)
+      found = true;
+  json_decref (root);
+  return found;
+}
+
+static bool
+has_error (const struct logged *logged, enum mq_error_type error)
+{
+  for (size_t i = 0; i < logged->answer_count; i++)
+    if (logged->errors[i] == (uint32_t)error)
+      return true;
+  return false;
+}
+
+static bool
+is_program_answer (const struct ask *ask)
+{
+  return ask->type == MQ_REQUEST_OPEN || ask->type == MQ_REQUEST_TURN;
+}
+
+static void
+check_answer (struct world *world, const struct log *log,
+              const struct caller *caller, size_t index)
+{
+  const struct logged *logged = logged_find (log, caller->program);
+
+  if (caller->answers[index] == NULL && caller->errors[index] == MQ_ERR_NONE)
+    return; /* not reached; its caller is still waiting */
+  if (caller->answers[index] != NULL
+      && (logged == NULL || !is_answer (logged, caller->answers[index])))
+    world_violate (world, INVARIANT_LOGGED_ANSWER,
+                   "caller %d, request %zu: the log does not hold %.120s",
+                   caller->index, index, caller->answers[index]);
+  if (caller->answers[index] == NULL && logged != NULL
+      && !has_error (logged, caller->errors[index]))
+    world_violate (world, INVARIANT_LOGGED_ANSWER,
+                   "caller %d, request %zu: the log does not hold %s",
+                   caller->index, index,
+                   mq_error_name (caller->errors[index]));
+}
+
+static void
+check_callers (struct world *world, const struct log *log)
+{
+  for (int i = 0; i < CALLERS; i++)
+    {
+      const struct caller *caller = &world->callers[i];
+
+      if (caller->state != CALLER_DONE)
+        world_violate (world, INVARIANT_ENDS,
+                       "caller %d still waits for request %zu after %u tries",
+                       i, caller->ask, caller->tries);
+      for (size_t a = 0; a < caller->ask_count; a++)
+        if (is_program_answer (&caller->asks[a]))
+          check_answer (world, log, caller, a);
+    }
+}
+
+static void
+check_refusals (struct world *world)
+{
+  for (size_t i = 0; i < world->call_count; i++)
+    {
+      const struct call_fact *fact = &world->calls[i];
+
+      if (fact->told_not_run && fact->effects > 0)
+        world_violate (world, INVARIANT_NOT_RUN,
+                       "program %016llx was told not_run of call %u, which "
+                       "took effect",
+                       (unsigned long long)fact->program.lo, fact->call);
+    }
+}
+
+/* Without a fault nothing is refused and nothing runs twice.  */
+static void
+check_calm (struct world *world)
+{
+  for (int i = 0; i < CALLERS; i++)
+    for (size_t a = 0; a < world->callers[i].ask_count; a++)
+      {
+        enum mq_error_type error = world->callers[i].errors[a];
+
+        if (error != MQ_ERR_NONE && error != MQ_ERR_BUDGET_TOKENS)
+          world_violate (world, INVARIANT_ENDS,
+                         "caller %d, request %zu: %s without a fault", i, a,
+                         mq_error_name (error));
+      }
+  for (size_t i = 0; world->script != SCRIPT_TAKEOVER && i < world->call_count;
+       i++)
+    if (world->calls[i].starts > 1)
+      world_violate (world, INVARIANT_PLANNED_STOP,
+                     "program %016llx call %u ran %u times without a fault",
+                     (unsigned long long)world->calls[i].program.lo,
+                     world->calls[i].call, world->calls[i].starts);
+}
+
+/* Engines.  */
+
+static void
+check_caches (struct world *world, const struct log *log)
+{
+  for (int i = ENTRIES; i < HOSTS; i++)
+    for (size_t c = 0; c < world->hosts[i].workers[0].cache_count; c++)
+      {
+        const struct cache_row *row = &world->hosts[i].workers[0].cache[c];
+        const struct logged *logged = logged_find (log, row->program);
+
+        if (logged == NULL || logged->ended)
+          world_violate (world, INVARIANT_CACHE,
+                         "%s holds %u tokens of program %016llx, which has "
+                         "ended",
+                         world->hosts[i].name, row->tokens,
+                         (unsigned long long)row->program.lo);
+      }
+}
+
+static void
+check_hosts (struct world *world)
+{
+  for (int i = 0; i < HOSTS; i++)
+    if (world->hosts[i].alive && world->hosts[i].leaving)
+      world_violate (world, INVARIANT_PLANNED_STOP, "%s never drains",
+                     world->hosts[i].name);
+}
+
+/* Nothing is left to be done or cleared away.  */
+bool
+check_rest (const struct world *world)
+{
+  const struct mq_row *row
+      = check_config_row ((struct world *)world, (struct world *)world);
+
+  for (int i = 0; i < HOSTS; i++)
+    {
+      const struct host *host = &world->hosts[i];
+
+      if (!host->alive || host->leaving
+          || host->version != config_version (row)
+          || host->workers[0].cache_count > 0)
+        return false;
+    }
+  return true;
+}
+
+void
+check_end (struct world *world)
+{
+  struct log *log = read_log (world);
+
+  check_callers (world, log);
+  check_refusals (world);
+  check_caches (world, log);
+  check_hosts (world);
+  check_config (world);
+  if (world->cell->nth == 0 && world->cell->plant == PLANT_NONE)
+    check_calm (world);
+}
--- /dev/null
+++ b/tests/world_fault.c
@@ -0,0 +1,492 @@
+/* world_fault.c - the steps of a program, and faults injected at them.
+
+   Needs: world_state.h, proto/log.pb-c.h.  */
+
+#include "world_state.h"
+#include "../proto/log.pb-c.h"
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  ANY_WORKER = -1
+};
+
+static int
+some_host (struct world *world, int first, int count)
+{
+  int chosen = NOBODY;
+  uint32_t seen = 0;
+
+  for (int i = first; i < first + count; i++)
+    if (world->hosts[i].alive && mq_random_below (&world->random, ++seen) == 0)
+      chosen = i;
+  return chosen;
+}
+
+static int
+entry_of (struct world *world, const struct site *site)
+{
+  if (site->entry != NOBODY && world->hosts[site->entry].alive)
+    return site->entry;
+  return some_host (world, 0, ENTRIES);
+}
+
+static int
+target_of (struct world *world, const struct site *site)
+{
+  if (site->target != NOBODY && world->hosts[site->target].alive)
+    return site->target;
+  return some_host (world, ENTRIES, TARGETS);
+}
+
+/* Faults.  */
+
+static void
+kill_after (struct world *world, int host)
+{
+  struct world_event *event = world_event_create (world, EVENT_DIE, host);
+
+  world_push (world, event, world->now_us);
+}
+
+static void
+reboot_gate (struct world *world, int host)
+{
+  world->hosts[host].rebooting = true;
+  if (mq_random_below (&world->random, 2) == 0)
+    kill_after (world, host);
+  else
+    world_kill (world, host, GATE_RESTART_US);
+}
+
+static void
+kill_centre (struct world *world, const char *centre)
+{
+  world_trace (world, "data centre %s dies", centre);
+  for (int i = 0; i < HOSTS; i++)
+    {
+      if (strcmp (world->hosts[i].data_centre, centre) != 0)
+        continue;
+      wire_host_died (world, i, true);
+      world_kill (world, i, CENTRE_RESTART_US);
+      worker_host_died (world, i);
+    }
+}
+
+static void
+break_store (struct world *world, bool down)
+{
+  struct world_event *event
+      = world_event_create (world, EVENT_STORE_UP, NOBODY);
+
+  world_trace (world, "the store is %s", down ? "down" : "slow");
+  world->store_down = down;
+  world->store_slow = !down;
+  world_push (world, event, world->now_us + OUTAGE_US);
+  world_until (world, world->now_us + OUTAGE_US);
+}
+
+static void
+hang_worker (struct world *world, const struct site *site)
+{
+  int host = target_of (world, site);
+  uint32_t worker = site->worker == ANY_WORKER
+                        ? mq_random_below (&world->random, WORKERS)
+                        : (uint32_t)site->worker;
+
+  if (host != NOBODY)
+    world->hosts[host].workers[worker].hangs = true;
+}
+
+static void
+set_message_fate (struct world *world, const struct site *site, enum fate fate)
+{
+  int host = site->actor != NOBODY ? site->actor : entry_of (world, site);
+
+  if (host != NOBODY)
+    world->hosts[host].message_fate = fate;
+}
+
+static void
+set_store_fate (struct world *world, const struct site *site, enum fate fate)
+{
+  int host = entry_of (world, site);
+
+  if (site->step == STEP_APPLY_WRITE)
+    world->operator_fate = fate;
+  else if (host != NOBODY)
+    world->hosts[host].store_fate = fate;
+}
+
+static void
+inject (struct world *world, enum world_fault fault, const struct site *site)
+{
+  int entry = entry_of (world, site);
+  int target = target_of (world, site);
+
+  world->report->injected++;
+  world_trace (world, "FAULT %s at %s", world_fault_name (fault),
+               world_step_name (site->step));
+  switch (fault)
+    {
+    case FAULT_NONE:
+    case FAULT_COUNT:
+      break;
+    case FAULT_OWNER_DIES:
+      if (entry != NOBODY)
+        world_kill (world, entry, RESTART_US);
+      break;
+    case FAULT_OWNER_DIES_AFTER:
+      if (entry != NOBODY)
+        kill_after (world, entry);
+      break;
+    case FAULT_OWNER_PAUSED:
+      if (entry != NOBODY)
+        world_pause (world, entry, PAUSE_US);
+      break;
+    case FAULT_WRITE_LOST:
+      set_store_fate (world, site, FATE_ANSWER_LOST);
+      break;
+    case FAULT_WRITE_LATE:
+      set_store_fate (world, site, FATE_EFFECT_LATE);
+      break;
+    case FAULT_STORE_DOWN:
+      break_store (world, true);
+      break;
+    case FAULT_STORE_SLOW:
+      break_store (world, false);
+      break;
+    case FAULT_SILENT:
+      set_message_fate (world, site, FATE_SILENT);
+      break;
+    case FAULT_LATE:
+      set_message_fate (world, site, FATE_LATE);
+      break;
+    case FAULT_DOUBLED:
+      set_message_fate (world, site, FATE_DOUBLED);
+      break;
+    case FAULT_CROSSED:
+      set_message_fate (world, site, FATE_CROSSED);
+      break;
+    case FAULT_GATE_REBOOTS:
+      if (target != NOBODY)
+        reboot_gate (world, target);
+      break;
+    case FAULT_ENGINE_REBOOTS:
+      if (target != NOBODY)
+        worker_plan_engine (world, target, 0, true, 0);
+      break;
+    case FAULT_WORKER_HANGS:
+      hang_worker (world, site);
+      break;
+    case FAULT_TARGET_LEAVES:
+      if (target != NOBODY)
+        world_leave (world, target);
+      break;
+    case FAULT_CENTRE_DIES:
+      kill_centre (world,
+                   entry != NOBODY ? world->hosts[entry].data_centre : "a");
+      break;
+    case FAULT_OPERATORS_RACE:
+      operator_apply (world, 0);
+      operator_apply (world, 1);
+      break;
+    }
+}
+
+/* The N-th occurrence of the cell's step gets the first fault; the second
+   comes so many steps later, of whatever kind.  */
+void
+fault_step (struct world *world, const struct site *site)
+{
+  const struct world_cell *cell = world->cell;
+  uint32_t count;
+
+  if (world->script != SCRIPT_PLAIN && !world->script_done)
+    return;
+  count = ++world->report->steps[site->step];
+  if (cell->nth == 0)
+    return;
+  if (!world->first_injected)
+    {
+      if (site->step != cell->step || count != cell->nth)
+        return;
+      world->first_injected = true;
+      inject (world, cell->fault, site);
+    }
+  else if (cell->second != FAULT_NONE && ++world->steps_since == cell->gap)
+    inject (world, cell->second, site);
+}
+
+/* What else happens in the run: once, while a plain call of the first
+   caller's program is let through.  */
+void
+fault_script (struct world *world, const struct site *site)
+{
+  struct site here = *site;
+  int entry = world_owner_of (world, site->program);
+
+  if (world->script == SCRIPT_PLAIN || world->script_done || entry == NOBODY
+      || site->program.hi != world->callers[0].program.hi)
+    return;
+  world->script_done = true;
+  here.entry = entry;
+  switch (world->script)
+    {
+    case SCRIPT_PLAIN:
+    case SCRIPT_COUNT:
+      break;
+    case SCRIPT_TAKEOVER:
+      world_kill (world, entry, RESTART_US);
+      break;
+    case SCRIPT_DRAIN_ENTRY:
+      here.step = STEP_DRAIN_ENTRY;
+      world_leave (world, entry);
+      fault_step (world, &here);
+      break;
+    case SCRIPT_DRAIN_TARGET:
+      here.step = STEP_DRAIN_TARGET;
+      world_leave (world, site->target);
+      fault_step (world, &here);
+      break;
+    }
+}
+
+enum fate
+fault_take_message_fate (struct world *world, int host)
+{
+  enum fate fate = world->hosts[host].message_fate;
+
+  world->hosts[host].message_fate = FATE_NORMAL;
+  return fate;
+}
+
+static bool
+begins_with (const char *text, const char *prefix)
+{
+  return strncmp (text, prefix, strlen (prefix)) == 0;
+}
+
+static bool
+is_partition_write (const struct mq_store_request *request)
+{
+  for (size_t i = 0; i < request->op_count; i++)
+    if (begins_with (request->ops[i].key, "part/"))
+      return true;
+  return false;
+}
+
+enum fate
+fault_take_store_fate (struct world *world, int host,
+                       const struct mq_store_request *request)
+{
+  enum fate *at = host == NOBODY ? &world->operator_fate
+                                 : &world->hosts[host].store_fate;
+  enum fate fate = *at;
+
+  if (request->kind != MQ_STORE_TXN
+      || (host != NOBODY && !is_partition_write (request)))
+    return FATE_NORMAL;
+  *at = FATE_NORMAL;
+  return fate;
+}
+
+/* Steps that a message is.  */
+
+static enum world_step
+request_step (const struct mq_request_msg *request)
+{
+  switch (request->type)
+    {
+    case MQ_REQUEST_OPEN:
+    case MQ_REQUEST_CREATE:
+    case MQ_REQUEST_STEP:
+      return STEP_OPEN;
+    case MQ_REQUEST_TURN:
+      return STEP_TURN;
+    case MQ_REQUEST_CLOSE:
+    case MQ_REQUEST_CANCEL:
+      return STEP_END;
+    case MQ_REQUEST_GET:
+      break;
+    }
+  return STEP_COUNT;
+}
+
+/* STEP_COUNT: none.  */
+static enum world_step
+message_step (const struct mq_message *message, struct mq_id *program)
+{
+  switch (message->type)
+    {
+    case MQ_MSG_FORWARD:
+      *program = message->u.forward.request.program;
+      return request_step (&message->u.forward.request);
+    case MQ_MSG_CALL:
+      *program = message->u.call.ref.program;
+      return STEP_SEND;
+    case MQ_MSG_OUTCOME:
+      *program = message->u.outcome.ref.program;
+      return STEP_OUTCOME;
+    case MQ_MSG_FORWARD_EVENT:
+      return message->u.event.type == MQ_EVENT_FINAL ? STEP_FINAL : STEP_COUNT;
+    case MQ_MSG_FORGET:
+      *program = message->u.ref.ref.program;
+      return STEP_FORGET;
+    case MQ_MSG_LEASE:
+      *program = message->u.lease.program;
+      return message->u.lease.state == MQ_LEASE_ENDED ? STEP_END : STEP_COUNT;
+    case MQ_MSG_CONFIG_HAVE:
+    case MQ_MSG_CONFIG_TEXT:
+      return STEP_APPLY_SPREAD;
+    case MQ_MSG_RECOVER:
+      return STEP_RECOVER;
+    case MQ_MSG_SEAL:
+      *program = message->u.ref.ref.program;
+      return STEP_SEAL;
+    case MQ_MSG_HANDOVER:
+      return STEP_RELEASE;
+    default:
+      return STEP_COUNT;
+    }
+}
+
+static int
+other_host (const struct wire *wire, int host)
+{
+  return wire->host[0] == host ? wire->host[1] : wire->host[0];
+}
+
+void
+fault_message_step (struct world *world, int host, struct wire *wire,
+                    const struct mq_message *message)
+{
+  struct site site = { .actor = host, .target = NOBODY, .entry = NOBODY };
+
+  site.worker = ANY_WORKER;
+  site.step = message_step (message, &site.program);
+  if (site.step == STEP_COUNT)
+    return;
+  if (wire == NULL)
+    site.actor = NOBODY;
+  else if (other_host (wire, host) >= ENTRIES)
+    site.target = other_host (wire, host);
+  if (host >= ENTRIES)
+    {
+      site.target = host;
+      site.entry = world_owner_of (world, site.program);
+    }
+  else if (message->type == MQ_MSG_FORWARD)
+    site.entry = world_owner_of (world, site.program);
+  else
+    site.entry = host;
+  fault_step (world, &site);
+}
+
+/* Steps that a store request is.  */
+
+static void
+record_step (struct world *world, struct site *site,
+             const ProtobufCBinaryData *bytes)
+{
+  Mqlog__Record *record
+      = mqlog__record__unpack (NULL, bytes->len, bytes->data);
+
+  if (record == NULL)
+    return;
+  site->program.hi = record->hi;
+  site->program.lo = record->lo;
+  site->step = STEP_COUNT;
+  switch (record->body_case)
+    {
+    case MQLOG__RECORD__BODY_OPENED:
+      site->step = STEP_OPEN;
+      break;
+    case MQLOG__RECORD__BODY_GRANTED:
+      site->step = STEP_GRANT;
+      break;
+    case MQLOG__RECORD__BODY_INTENT:
+      site->step = STEP_INTENT;
+      break;
+    case MQLOG__RECORD__BODY_OUTCOME:
+      site->step = STEP_COMMIT;
+      break;
+    case MQLOG__RECORD__BODY_ANSWERED:
+      site->step = STEP_ANSWER;
+      break;
+    default:
+      break;
+    }
+  mqlog__record__free_unpacked (record, NULL);
+  if (site->step != STEP_COUNT)
+    fault_step (world, site);
+}
+
+static void
+batch_steps (struct world *world, struct site *site, struct mq_bytes value)
+{
+  Mqlog__Batch *batch = mqlog__batch__unpack (NULL, value.len, value.data);
+
+  for (size_t i = 0; batch != NULL && i < batch->n_records; i++)
+    record_step (world, site, &batch->records[i]);
+  if (batch != NULL)
+    mqlog__batch__free_unpacked (batch, NULL);
+}
+
+static void
+claim_step (struct world *world, struct site *site, struct mq_bytes value)
+{
+  Mqlog__PartitionRow *row
+      = mqlog__partition_row__unpack (NULL, value.len, value.data);
+
+  if (row == NULL)
+    return;
+  if (row->owner[0] == '\0')
+    site->step = STEP_RELEASE;
+  else
+    site->step = world->script_done ? STEP_FENCE : STEP_CLAIM;
+  mqlog__partition_row__free_unpacked (row, NULL);
+  fault_step (world, site);
+}
+
+static void
+transaction_steps (struct world *world, struct site *site,
+                   const struct mq_store_request *request)
+{
+  bool logs = false;
+
+  for (size_t i = 0; i < request->op_count; i++)
+    if (begins_with (request->ops[i].key, "log/") && !request->ops[i].remove)
+      {
+        logs = true;
+        batch_steps (world, site, request->ops[i].value);
+      }
+  for (size_t i = 0; !logs && i < request->op_count; i++)
+    if (begins_with (request->ops[i].key, "part/"))
+      claim_step (world, site, request->ops[i].value);
+}
+
+void
+fault_store_step (struct world *world, int host, enum asker asker,
+                  const struct mq_store_request *request)
+{
+  struct site site = { .actor = host, .target = NOBODY, .entry = host };
+
+  site.worker = ANY_WORKER;
+  if (asker == ASKER_OPERATOR && request->kind == MQ_STORE_TXN)
+    {
+      site.step = STEP_APPLY_WRITE;
+      fault_step (world, &site);
+    }
+  if (asker != ASKER_OWNER)
+    return;
+  if (request->kind == MQ_STORE_TXN)
+    transaction_steps (world, &site, request);
+  else if (request->kind == MQ_STORE_SCAN
+           && begins_with (request->key, "log/"))
+    {
+      site.step = STEP_REPLAY;
+      fault_step (world, &site);
+    }
+}
--- /dev/null
+++ b/tests/world_store.c
@@ -0,0 +1,500 @@
+/* world_store.c - the world's table with its faults, and the operators who
+   apply by compare-and-swap.
+
+   Needs: world_state.h.  */
+
+#include "world_state.h"
+#include <string.h>
+
+#define TABLE_LEAST_US (1 * MS)
+#define TABLE_MOST_US (3 * MS)
+#define OPERATOR_PAUSE_US (400 * MS)
+
+enum
+{
+  APPLY_ID_BYTES = 16,
+  VERSION_BYTES = 8
+};
+
+static const char base_text[]
+    = "[site]\n"
+      "name = matrix\n"
+      "partitions = 4\n"
+      "lease_ms = 2000\n"
+      "cache_lease_ms = 4000\n"
+      "[organisation diagne]\n"
+      "key_sha256 = "
+      "00000000000000000000000000000000000000000000000000000000000000a1\n"
+      "[organisation zarqa]\n"
+      "key_sha256 = "
+      "00000000000000000000000000000000000000000000000000000000000000b2\n"
+      "[service guide]\n"
+      "kind = agent\n"
+      "depends = guide-models, lookup, records, letters\n"
+      "budget_tokens = 4000\n"
+      "[service letters]\n"
+      "kind = agent\n"
+      "depends = guide-models, lookup, records\n"
+      "budget_tokens = 2000\n"
+      "[service looper]\n"
+      "kind = agent\n"
+      "depends = guide-models, lookup\n"
+      "budget_tokens = 150\n"
+      "budget_turns = 40\n"
+      "[service guide-models]\n"
+      "kind = model\n"
+      "model = guide\n"
+      "max_tokens = 24\n"
+      "timeout_ms = 2000\n"
+      "retry_percent = 100\n"
+      "[service lookup]\n"
+      "kind = tool\n"
+      "path = /lookup\n"
+      "idempotent = yes\n"
+      "timeout_ms = 1500\n"
+      "retry_percent = 100\n"
+      "[service records]\n"
+      "kind = plain\n"
+      "timeout_ms = 1500\n"
+      "retry_percent = 100\n"
+      "[route records.submit]\n"
+      "path = /submit\n"
+      "idempotent = no\n";
+
+/* Requests.  */
+
+static struct mq_bytes
+copy_bytes (TALLOC_CTX *ctx, struct mq_bytes from)
+{
+  struct mq_bytes copy = { .len = from.len };
+
+  copy.data = talloc_memdup (ctx, from.len == 0 ? "" : (void *)from.data,
+                             from.len + (from.len == 0));
+  return copy;
+}
+
+static struct mq_store_request *
+copy_request (TALLOC_CTX *ctx, const struct mq_store_request *from)
+{
+  struct mq_store_request *to = talloc_memdup (ctx, from, sizeof *from);
+
+  to->key = from->key == NULL ? NULL : talloc_strdup (to, from->key);
+  to->after = from->after == NULL ? NULL : talloc_strdup (to, from->after);
+  to->value = copy_bytes (to, from->value);
+  to->ops = talloc_zero_array (to, struct mq_store_op,
+                               (unsigned int)from->op_count);
+  for (size_t i = 0; i < from->op_count; i++)
+    {
+      to->ops[i] = from->ops[i];
+      to->ops[i].key = talloc_strdup (to, from->ops[i].key);
+      to->ops[i].value = copy_bytes (to, from->ops[i].value);
+    }
+  return to;
+}
+
+static void
+push_result (struct world *world, const struct world_event *from,
+             struct mq_store_result *result, uint64_t in_us)
+{
+  struct world_event *event
+      = world_event_create (world, EVENT_STORE_DONE, from->host);
+
+  event->run = from->run;
+  event->index = from->index;
+  event->asker = from->asker;
+  event->result = talloc_steal (event, result);
+  world_push (world, event, world->now_us + in_us);
+}
+
+static void
+push_failure (struct world *world, const struct world_event *from,
+              enum mq_store_status status, uint64_t in_us)
+{
+  struct mq_store_result *result = talloc_zero (world, struct mq_store_result);
+
+  result->id = from->request->id;
+  result->status = status;
+  push_result (world, from, result, in_us);
+}
+
+static bool
+is_write (const struct mq_store_request *request)
+{
+  return request->kind == MQ_STORE_TXN || request->kind == MQ_STORE_PUT
+         || request->kind == MQ_STORE_DROP;
+}
+
+/* FLAG of the event: its answer is lost.  */
+void
+store_send (struct world *world, int host, enum asker asker,
+            const struct mq_store_request *request)
+{
+  struct world_event *event;
+  uint32_t run = host == NOBODY ? 0 : world->hosts[host].run;
+  enum fate fate;
+  uint64_t delay_us = world_delay (world, TABLE_LEAST_US, TABLE_MOST_US);
+
+  fault_store_step (world, host, asker, request);
+  fate = fault_take_store_fate (world, host, request);
+  if (host != NOBODY
+      && (!world_runs (world, host, run) || world->hosts[host].held))
+    return;
+  /* On its way it belongs to nobody: it arrives though its sender died.  */
+  event = world_event_create (world, EVENT_STORE, NOBODY);
+  event->index = host;
+  event->run = run;
+  event->asker = asker;
+  event->request = copy_request (event, request);
+  world_trace (world, "%s asks the table: %s %s",
+               host == NOBODY ? "operator" : world->hosts[host].name,
+               is_write (request) ? "write" : "read",
+               request->kind == MQ_STORE_TXN && request->op_count > 0
+                   ? request->ops[0].key
+                   : request->key);
+  if (fate == FATE_ANSWER_LOST)
+    event->flag = true;
+  if (fate == FATE_EFFECT_LATE)
+    {
+      event->flag = true;
+      delay_us = STORE_TIMEOUT_US + 700 * MS;
+    }
+  if (event->flag)
+    {
+      struct world_event *lost
+          = world_event_create (world, EVENT_STORE_DONE, host);
+
+      lost->index = host;
+      lost->asker = asker;
+      lost->result = talloc_zero (lost, struct mq_store_result);
+      lost->result->id = request->id;
+      lost->result->status = MQ_STORE_LOST;
+      world_push (world, lost, world->now_us + STORE_TIMEOUT_US);
+      world_until (world, world->now_us + STORE_TIMEOUT_US + SECOND);
+    }
+  world_push (world, event, world->now_us + delay_us);
+}
+
+static bool
+is_commit (const struct mq_store_request *request)
+{
+  for (size_t i = 0; i < request->op_count; i++)
+    if (strncmp (request->ops[i].key, "log/", 4) == 0)
+      return true;
+  return false;
+}
+
+/* Reports a commit as applied that was not.  */
+static bool
+plant_drops (struct world *world, const struct world_event *event)
+{
+  struct mq_store_result *result;
+
+  if (world->cell->plant != PLANT_COMMIT_DROPPED || !is_commit (event->request)
+      || world->now_us < 2 * SECOND)
+    return false;
+  result = talloc_zero (world, struct mq_store_result);
+  result->id = event->request->id;
+  result->rows = talloc_zero_array (result, struct mq_row,
+                                    (unsigned int)event->request->op_count);
+  result->row_count = event->request->op_count;
+  for (size_t i = 0; i < result->row_count; i++)
+    {
+      result->rows[i].key = talloc_strdup (result, event->request->ops[i].key);
+      result->rows[i].version = 1000000 + event->number;
+    }
+  push_result (world, event, result, TABLE_LEAST_US);
+  return true;
+}
+
+static void
+plant_passes (struct world *world, struct mq_store_request *request)
+{
+  if (world->cell->plant != PLANT_CONDITION_IGNORED || !is_commit (request))
+    return;
+  for (size_t i = 0; i < request->op_count; i++)
+    request->ops[i].if_version = MQ_VERSION_ANY;
+}
+
+/* The request is at the table.  */
+void
+store_serve (struct world *world, const struct world_event *event)
+{
+  struct mq_store_result *result;
+  uint64_t delay_us = world_delay (world, TABLE_LEAST_US, TABLE_MOST_US);
+
+  if (world->store_down)
+    {
+      if (!event->flag)
+        push_failure (world, event, MQ_STORE_DOWN, delay_us);
+      return;
+    }
+  if (plant_drops (world, event))
+    return;
+  plant_passes (world, event->request);
+  result = talloc_zero (world, struct mq_store_result);
+  mq_table_serve (world->table, result, event->request, result);
+  world_trace (world, "table: %s for %s",
+               result->status == MQ_STORE_CONFLICT ? "conflict" : "served",
+               event->index == NOBODY ? "operator"
+                                      : world->hosts[event->index].name);
+  if (world->store_slow)
+    delay_us += world_delay (world, SLOW_US / 2, SLOW_US);
+  if (event->flag)
+    talloc_free (result);
+  else
+    push_result (world, event, result, delay_us);
+}
+
+static void operator_result (struct world *world, struct world_operator *who,
+                             const struct mq_store_result *result);
+
+void
+store_done (struct world *world, const struct world_event *event)
+{
+  struct mq_owner_input owner
+      = { .type = MQ_OWNER_STORE, .now_us = world->now_us };
+  struct mq_spread_input spread
+      = { .type = MQ_SPREAD_STORE, .now_us = world->now_us };
+
+  owner.u.store = event->result;
+  spread.u.store = event->result;
+  switch (event->asker)
+    {
+    case ASKER_OWNER:
+      world_owner_input (world, event->host, &owner);
+      break;
+    case ASKER_SPREAD:
+      world_spread_input (world, event->host, &spread);
+      break;
+    case ASKER_OPERATOR:
+      for (int i = 0; i < OPERATORS; i++)
+        if (event->result->id >> 32 == (uint64_t)i + 1)
+          operator_result (world, &world->operators[i], event->result);
+      break;
+    }
+}
+
+/* The configuration's row.  */
+
+static struct mq_bytes
+make_row (TALLOC_CTX *ctx, uint64_t version, const uint8_t *id,
+          const char *text)
+{
+  struct mq_bytes value;
+
+  value.len = MQ_CONFIG_HEADER + strlen (text);
+  value.data = talloc_zero_array (ctx, uint8_t, (unsigned int)value.len);
+  for (int i = 0; i < VERSION_BYTES; i++)
+    value.data[i] = (uint8_t)(version >> (8 * (VERSION_BYTES - 1 - i)));
+  memcpy (value.data + VERSION_BYTES, id, APPLY_ID_BYTES);
+  memcpy (value.data + MQ_CONFIG_HEADER, text, strlen (text));
+  return value;
+}
+
+static uint64_t
+row_version (struct mq_bytes value)
+{
+  uint64_t version = 0;
+
+  for (int i = 0; i < VERSION_BYTES; i++)
+    version = version << 8 | value.data[i];
+  return version;
+}
+
+void
+store_create (struct world *world)
+{
+  uint8_t id[APPLY_ID_BYTES] = { 0 };
+  struct mq_store_op op = { .key = (char *)MQ_CONFIG_KEY };
+  uint64_t version;
+
+  world->table = mq_table_create (world);
+  op.value = make_row (world, 1, id, base_text);
+  mq_table_transact (world->table, &op, 1, &version, NULL);
+}
+
+/* Operators: read, write on that base, settle a lost answer by the id.  */
+
+static void
+operator_plan (struct world *world, struct world_operator *who, uint64_t in_us)
+{
+  struct world_event *event
+      = world_event_create (world, EVENT_OPERATOR, NOBODY);
+
+  event->index = who->index;
+  world_push (world, event, world->now_us + in_us);
+}
+
+void
+operator_apply (struct world *world, int operator_index)
+{
+  struct world_operator *who = &world->operators[operator_index];
+
+  who->index = operator_index;
+  who->applies_left++;
+  if (who->state == OPERATOR_DONE || who->state == OPERATOR_IDLE)
+    {
+      who->state = OPERATOR_READS;
+      operator_plan (world, who, world->now_us == 0 ? 2 * SECOND : 1);
+    }
+}
+
+static uint64_t
+operator_request_id (struct world *world, const struct world_operator *who)
+{
+  return (uint64_t)(who->index + 1) << 32 | ++world->next_store_id;
+}
+
+static void
+operator_read (struct world *world, struct world_operator *who)
+{
+  struct mq_store_request request = { .kind = MQ_STORE_SCAN, .limit = 1 };
+
+  request.id = operator_request_id (world, who);
+  request.key = (char *)MQ_CONFIG_KEY;
+  store_send (world, NOBODY, ASKER_OPERATOR, &request);
+}
+
+static void
+operator_write (struct world *world, struct world_operator *who)
+{
+  struct mq_store_op op = { .key = (char *)MQ_CONFIG_KEY };
+  struct mq_store_request request
+      = { .kind = MQ_STORE_TXN, .ops = &op, .op_count = 1 };
+
+  op.if_version = who->base_row;
+  op.value = who->value;
+  request.id = operator_request_id (world, who);
+  who->state = OPERATOR_WRITES;
+  store_send (world, NOBODY, ASKER_OPERATOR, &request);
+}
+
+void
+operator_wake (struct world *world, const struct world_event *event)
+{
+  struct world_operator *who = &world->operators[event->index];
+
+  if (who->state == OPERATOR_WRITES)
+    operator_write (world, who);
+  else if (who->state != OPERATOR_DONE)
+    operator_read (world, who);
+}
+
+static void
+operator_compose (struct world *world, struct world_operator *who,
+                  const struct mq_row *row)
+{
+  char *text;
+
+  for (int i = 0; i < APPLY_ID_BYTES; i++)
+    who->id[i] = (uint8_t)mq_random_next (&world->random);
+  who->base_row = row->version;
+  who->version = row_version (row->value) + 1;
+  text = talloc_asprintf (world, "%s# operator %d, apply %u\n", base_text,
+                          who->index, ++who->applies);
+  who->value = make_row (world, who->version, who->id, text);
+  talloc_free (text);
+}
+
+static void
+operator_accepted (struct world *world, struct world_operator *who)
+{
+  struct accepted *accepted;
+
+  world->accepted = talloc_realloc (world, world->accepted, struct accepted,
+                                    (unsigned int)world->accepted_count + 1);
+  accepted = &world->accepted[world->accepted_count++];
+  accepted->version = who->version;
+  memcpy (accepted->id, who->id, APPLY_ID_BYTES);
+  world_trace (world, "operator %d: version %llu is accepted", who->index,
+               (unsigned long long)who->version);
+}
+
+/* One apply has ended, as accepted, in conflict or unknown.  */
+static void
+operator_next (struct world *world, struct world_operator *who)
+{
+  who->applies_left--;
+  who->state = who->applies_left > 0 ? OPERATOR_READS : OPERATOR_DONE;
+  if (who->applies_left > 0)
+    operator_plan (world, who, OPERATOR_PAUSE_US);
+}
+
+static void
+plant_reverts (struct world *world)
+{
+  uint8_t id[APPLY_ID_BYTES] = { 0 };
+  struct mq_store_op op = { .key = (char *)MQ_CONFIG_KEY };
+  uint64_t version;
+
+  if (world->cell->plant != PLANT_APPLY_REVERTED)
+    return;
+  op.if_version = MQ_VERSION_ANY;
+  op.value = make_row (world, 1, id, base_text);
+  mq_table_transact (world->table, &op, 1, &version, NULL);
+}
+
+static void
+operator_wrote (struct world *world, struct world_operator *who,
+                const struct mq_store_result *result)
+{
+  switch (result->status)
+    {
+    case MQ_STORE_OK:
+      operator_accepted (world, who);
+      plant_reverts (world);
+      operator_next (world, who);
+      break;
+    case MQ_STORE_CONFLICT:
+      /* The other won: looks at the difference and applies again.  */
+      who->state = OPERATOR_READS;
+      operator_plan (world, who, OPERATOR_PAUSE_US);
+      break;
+    case MQ_STORE_DOWN:
+    case MQ_STORE_MISSING:
+      operator_plan (world, who, OPERATOR_PAUSE_US);
+      break;
+    case MQ_STORE_LOST:
+      who->state = OPERATOR_SETTLES;
+      operator_plan (world, who, OPERATOR_PAUSE_US);
+      break;
+    }
+}
+
+static void
+operator_settled (struct world *world, struct world_operator *who,
+                  const struct mq_row *row)
+{
+  if (memcmp (row->value.data + VERSION_BYTES, who->id, APPLY_ID_BYTES) == 0)
+    {
+      operator_accepted (world, who);
+      operator_next (world, who);
+    }
+  else if (row->version == who->base_row)
+    operator_write (world, who);
+  else
+    operator_next (world, who); /* written over, if it was */
+}
+
+static void
+operator_result (struct world *world, struct world_operator *who,
+                 const struct mq_store_result *result)
+{
+  if (who->state == OPERATOR_WRITES)
+    {
+      operator_wrote (world, who, result);
+      return;
+    }
+  if (result->status != MQ_STORE_OK || result->row_count == 0)
+    {
+      operator_plan (world, who, OPERATOR_PAUSE_US);
+      return;
+    }
+  if (who->state == OPERATOR_SETTLES)
+    {
+      operator_settled (world, who, &result->rows[0]);
+      return;
+    }
+  operator_compose (world, who, &result->rows[0]);
+  operator_write (world, who);
+}
--- /dev/null
+++ b/tests/world_wire.c
@@ -0,0 +1,513 @@
+/* world_wire.c - connections between the world's hosts.
+
+   Each is FIFO.  Both ends find out by themselves that it is gone: at once
+   where a process died, by silence otherwise; so an end may hold an old
+   connection open, and take in what was on its way there, while a new one
+   is in use already.
+   Needs: world_state.h.  */
+
+#include "world_state.h"
+
+#define LINK_LEAST_US 300
+#define LINK_MOST_US 1200
+#define RECONNECT_US (MQ_CONNECT_RETRY_MS * MS)
+
+/* Target hosts do not talk to each other.  */
+static bool
+may_connect (const struct world *world, int a, int b)
+{
+  return world->hosts[a].role == MQ_HOST_ENTRY
+         || world->hosts[b].role == MQ_HOST_ENTRY;
+}
+
+static int
+other_end (int end)
+{
+  return 1 - end;
+}
+
+void
+wire_connect_later (struct world *world, int a, int b, uint64_t in_us)
+{
+  int low = a < b ? a : b;
+  int high = a < b ? b : a;
+  struct world_event *event;
+
+  if (!may_connect (world, low, high) || world->connecting[low][high]
+      || world->current[low][high] != NOBODY)
+    return;
+  world->connecting[low][high] = true;
+  event = world_event_create (world, EVENT_CONNECT, NOBODY);
+  event->index = low;
+  event->end = high;
+  world_push (world, event, world->now_us + in_us);
+}
+
+static bool
+answers (const struct world *world, int host)
+{
+  return world->hosts[host].alive
+         && world->hosts[host].paused_until_us <= world->now_us;
+}
+
+static void
+push_wire_event (struct world *world, enum event_type type, int wire, int end,
+                 uint64_t in_us)
+{
+  struct wire *w = &world->wires[wire];
+  struct world_event *event = world_event_create (world, type, w->host[end]);
+  uint64_t at_us = world->now_us + in_us;
+
+  event->run = w->run[end];
+  event->index = wire;
+  event->end = end;
+  /* Not before what is on its way.  */
+  if (at_us < w->last_us[end])
+    at_us = w->last_us[end];
+  w->last_us[end] = at_us;
+  world_push (world, event, at_us);
+}
+
+static void
+plan_beat (struct world *world, int wire)
+{
+  struct world_event *event = world_event_create (world, EVENT_BEAT, NOBODY);
+
+  event->index = wire;
+  world_push (world, event, world->now_us + BEAT_US);
+}
+
+static void
+create_wire (struct world *world, int a, int b)
+{
+  int index = (int)world->wire_count++;
+  struct wire *wire;
+
+  world->wires = talloc_realloc (world, world->wires, struct wire,
+                                 (unsigned int)world->wire_count);
+  wire = &world->wires[index];
+  *wire = (struct wire){ .host = { a, b }, .open = { true, true } };
+  for (int end = 0; end < 2; end++)
+    {
+      wire->run[end] = world->hosts[wire->host[end]].run;
+      wire->handle[end] = ++world->hosts[wire->host[end]].next_peer;
+      wire->heard_us[end] = world->now_us;
+    }
+  world->current[a][b] = index;
+  world_trace (world, "wire %d: %s - %s", index, world->hosts[a].name,
+               world->hosts[b].name);
+  for (int end = 0; end < 2; end++)
+    push_wire_event (world, EVENT_WIRE_UP, index, end,
+                     world_delay (world, LINK_LEAST_US, LINK_MOST_US));
+  plan_beat (world, index);
+}
+
+void
+wire_connect (struct world *world, const struct world_event *event)
+{
+  int a = event->index;
+  int b = event->end;
+
+  world->connecting[a][b] = false;
+  if (world->current[a][b] != NOBODY || !world->hosts[a].alive
+      || !world->hosts[b].alive)
+    return; /* a host that starts connects anew */
+  if (answers (world, a) && answers (world, b))
+    create_wire (world, a, b);
+  else
+    wire_connect_later (world, a, b, RECONNECT_US);
+}
+
+static struct host *
+peer_host (struct world *world, const struct wire *wire, int end)
+{
+  return &world->hosts[wire->host[other_end (end)]];
+}
+
+static void
+entry_up (struct world *world, const struct wire *wire, int end)
+{
+  const struct host *peer = peer_host (world, wire, end);
+  struct mq_owner_input owner
+      = { .type = MQ_OWNER_PEER_UP, .now_us = world->now_us };
+  struct mq_front_input front
+      = { .type = MQ_FRONT_PEER_UP, .now_us = world->now_us };
+  int host = wire->host[end];
+  uint32_t run = wire->run[end];
+
+  owner.peer = wire->handle[end];
+  owner.u.peer_up.host = peer->name;
+  owner.u.peer_up.role = peer->role;
+  owner.u.peer_up.boot = peer->boot;
+  world_owner_input (world, host, &owner);
+  if (peer->role != MQ_HOST_ENTRY || !world_runs (world, host, run))
+    return;
+  front.peer = wire->handle[end];
+  front.u.address = peer->address;
+  world_front_input (world, host, &front);
+}
+
+static void
+target_up (struct world *world, const struct wire *wire, int end)
+{
+  struct mq_gate_input input
+      = { .type = MQ_GATE_PEER_UP, .now_us = world->now_us };
+
+  input.peer = wire->handle[end];
+  world_gate_input (world, wire->host[end], &input);
+}
+
+void
+wire_up (struct world *world, const struct world_event *event)
+{
+  struct wire wire = world->wires[event->index];
+  struct mq_spread_input spread
+      = { .type = MQ_SPREAD_PEER_UP, .now_us = world->now_us };
+
+  if (!wire.open[event->end])
+    return;
+  /* The other end may have started again since: then it was not this run
+     that shook hands, and the connection breaks.  */
+  if (!world_runs (world, wire.host[other_end (event->end)],
+                   wire.run[other_end (event->end)]))
+    return;
+  spread.peer = wire.handle[event->end];
+  world_spread_input (world, event->host, &spread);
+  if (!world_runs (world, event->host, event->run))
+    return;
+  if (world->hosts[event->host].role == MQ_HOST_ENTRY)
+    entry_up (world, &wire, event->end);
+  else
+    target_up (world, &wire, event->end);
+}
+
+static void
+entry_down (struct world *world, int host, uint32_t handle)
+{
+  struct mq_owner_input owner
+      = { .type = MQ_OWNER_PEER_DOWN, .now_us = world->now_us };
+  struct mq_front_input front
+      = { .type = MQ_FRONT_PEER_DOWN, .now_us = world->now_us };
+  uint32_t run = world->hosts[host].run;
+
+  owner.peer = handle;
+  front.peer = handle;
+  world_owner_input (world, host, &owner);
+  if (world_runs (world, host, run))
+    world_front_input (world, host, &front);
+}
+
+/* One end closes: the other hears of it unless the connection is silent.  */
+void
+wire_down (struct world *world, const struct world_event *event)
+{
+  struct wire *wire = &world->wires[event->index];
+  int a = wire->host[0];
+  int b = wire->host[1];
+  uint32_t handle = wire->handle[event->end];
+  struct mq_spread_input spread
+      = { .type = MQ_SPREAD_PEER_DOWN, .now_us = world->now_us };
+  struct mq_gate_input gate
+      = { .type = MQ_GATE_PEER_DOWN, .now_us = world->now_us };
+
+  if (!wire->open[event->end])
+    return;
+  world_trace (world, "wire %d: closed at %s", event->index,
+               world->hosts[event->host].name);
+  wire->open[event->end] = false;
+  if (world->current[a][b] == event->index)
+    {
+      world->current[a][b] = NOBODY;
+      wire_connect_later (world, a, b, RECONNECT_US);
+    }
+  if (wire->open[other_end (event->end)] && !wire->silent)
+    push_wire_event (world, EVENT_WIRE_DOWN, event->index,
+                     other_end (event->end), LINK_LEAST_US);
+  spread.peer = handle;
+  gate.peer = handle;
+  world_spread_input (world, event->host, &spread);
+  if (!world_runs (world, event->host, event->run))
+    return;
+  if (world->hosts[event->host].role == MQ_HOST_ENTRY)
+    entry_down (world, event->host, handle);
+  else
+    world_gate_input (world, event->host, &gate);
+}
+
+/* Beats carry the version in force at the other end.  */
+static void
+hear_beat (struct world *world, int index, int end)
+{
+  const struct wire *wire = &world->wires[index];
+  struct mq_message message = { .type = MQ_MSG_NONE };
+  struct mq_spread_input input
+      = { .type = MQ_SPREAD_MESSAGE, .now_us = world->now_us };
+
+  message.config_version = peer_host (world, wire, end)->version;
+  input.peer = wire->handle[end];
+  input.u.message = &message;
+  world_spread_input (world, wire->host[end], &input);
+}
+
+static bool
+end_beats (const struct world *world, const struct wire *wire, int end)
+{
+  return wire->open[end] && answers (world, wire->host[end])
+         && world_runs (world, wire->host[end], wire->run[end]);
+}
+
+/* An end that hears nothing closes the connection.  */
+void
+wire_beat (struct world *world, const struct world_event *event)
+{
+  int index = event->index;
+  bool any = false;
+
+  for (int end = 0; end < 2; end++)
+    {
+      struct wire *wire = &world->wires[index];
+
+      if (!end_beats (world, wire, end))
+        {
+          any = any || wire->open[end];
+          continue;
+        }
+      any = true;
+      if (!wire->silent && end_beats (world, wire, other_end (end))
+          && wire->last_us[end] <= world->now_us)
+        {
+          wire->heard_us[end] = world->now_us;
+          hear_beat (world, index, end);
+        }
+      else if (world->now_us > wire->heard_us[end] + SILENT_US)
+        {
+          wire->heard_us[end] = world->now_us;
+          push_wire_event (world, EVENT_WIRE_DOWN, index, end,
+                           world_delay (world, 1, 300 * MS));
+        }
+    }
+  if (any)
+    plan_beat (world, index);
+}
+
+/* A process that dies takes its connections with it.  Its peers hear of it
+   at once, or by silence where the whole host is gone.  */
+void
+wire_host_died (struct world *world, int host, bool silently)
+{
+  for (size_t i = 0; i < world->wire_count; i++)
+    {
+      struct wire *wire = &world->wires[i];
+      int end = wire->host[0] == host ? 0 : 1;
+
+      if (wire->host[end] != host || !wire->open[end])
+        continue;
+      wire->open[end] = false;
+      if (silently)
+        wire->silent = true;
+      else if (wire->open[other_end (end)])
+        push_wire_event (world, EVENT_WIRE_DOWN, (int)i, other_end (end),
+                         LINK_LEAST_US);
+      if (world->current[wire->host[0]][wire->host[1]] == (int)i)
+        world->current[wire->host[0]][wire->host[1]] = NOBODY;
+    }
+}
+
+void
+wire_silence (struct world *world, struct wire *wire)
+{
+  world_trace (world, "%s - %s: swallows everything from now on",
+               world->hosts[wire->host[0]].name,
+               world->hosts[wire->host[1]].name);
+  wire->silent = true;
+}
+
+/* Sending and receiving.  */
+
+static int
+find_wire (const struct world *world, int host, uint32_t handle, int *end)
+{
+  for (size_t i = world->wire_count; i > 0; i--)
+    {
+      const struct wire *wire = &world->wires[i - 1];
+
+      for (int e = 0; e < 2; e++)
+        if (wire->host[e] == host && wire->handle[e] == handle
+            && wire->run[e] == world->hosts[host].run)
+          {
+            *end = e;
+            return (int)(i - 1);
+          }
+    }
+  return NOBODY;
+}
+
+static void
+push_message (struct world *world, int index, int end,
+              const struct mq_message *message, uint64_t at_us)
+{
+  struct wire *wire = &world->wires[index];
+  struct world_event *event
+      = world_event_create (world, EVENT_MESSAGE, wire->host[end]);
+
+  event->run = wire->run[end];
+  event->index = index;
+  event->end = end;
+  event->message = talloc_zero (event, struct mq_message);
+  mq_message_copy (event->message, event->message, message);
+  if (at_us < wire->last_us[end])
+    at_us = wire->last_us[end];
+  wire->last_us[end] = at_us;
+  world_push (world, event, at_us);
+}
+
+/* Holds a message back on a connection that its sender has given up; the
+   receiver, which has not, takes it in after what comes on the new one.  */
+static void
+cross (struct world *world, int index, int end,
+       const struct mq_message *message)
+{
+  push_message (world, index, end, message, world->now_us + LATE_US);
+  push_wire_event (world, EVENT_WIRE_DOWN, index, end, 50 * MS);
+  push_wire_event (world, EVENT_WIRE_DOWN, index, other_end (end), 50 * MS);
+  world->wires[index].silent = true;
+}
+
+static bool
+swallows (const struct wire *wire, int sender)
+{
+  return wire->silent || !wire->open[sender] || !wire->open[1 - sender];
+}
+
+void
+wire_send (struct world *world, int host, uint32_t handle,
+           const struct mq_message *message)
+{
+  int end = 0;
+  int index = find_wire (world, host, handle, &end);
+  uint32_t run = world->hosts[host].run;
+  uint64_t at_us
+      = world->now_us + world_delay (world, LINK_LEAST_US, LINK_MOST_US);
+  struct mq_message copy = *message;
+  enum fate fate;
+
+  if (index == NOBODY)
+    return;
+  copy.config_version = world->hosts[host].version;
+  fault_message_step (world, host, &world->wires[index], message);
+  fate = fault_take_message_fate (world, host);
+  if (!world_runs (world, host, run) || world->hosts[host].held)
+    return;
+  world_trace (world, "%s -> %s (wire %d): %s%s", world->hosts[host].name,
+               world->hosts[world->wires[index].host[other_end (end)]].name,
+               index, mq_message_name (message->type),
+               swallows (&world->wires[index], end) ? ", swallowed" : "");
+  if (fate == FATE_SILENT)
+    wire_silence (world, &world->wires[index]);
+  if (swallows (&world->wires[index], end))
+    return;
+  if (fate == FATE_CROSSED)
+    {
+      cross (world, index, other_end (end), &copy);
+      return;
+    }
+  if (fate == FATE_LATE)
+    at_us += LATE_US;
+  push_message (world, index, other_end (end), &copy, at_us);
+  if (fate == FATE_DOUBLED)
+    push_message (world, index, other_end (end), &copy, at_us + 2 * MS);
+}
+
+static void
+note_arrival (struct world *world, int host, const struct mq_call_ref *ref)
+{
+  struct arrival *arrival;
+
+  for (size_t i = 0; i < world->arrival_count; i++)
+    if (world->arrivals[i].host == host
+        && world->arrivals[i].run == world->hosts[host].run
+        && world->arrivals[i].ref.call == ref->call
+        && world->arrivals[i].ref.attempt == ref->attempt
+        && mq_id_equal (world->arrivals[i].ref.program, ref->program))
+      return;
+  world->arrivals = talloc_realloc (world, world->arrivals, struct arrival,
+                                    (unsigned int)world->arrival_count + 1);
+  arrival = &world->arrivals[world->arrival_count++];
+  arrival->host = host;
+  arrival->run = world->hosts[host].run;
+  arrival->ref = *ref;
+  arrival->at_us = world->now_us;
+}
+
+static void
+target_message (struct world *world, const struct world_event *event)
+{
+  struct mq_gate_input input
+      = { .type = MQ_GATE_MESSAGE, .now_us = world->now_us };
+
+  input.peer = world->wires[event->index].handle[event->end];
+  input.u.message = event->message;
+  if (event->message->type == MQ_MSG_CALL)
+    note_arrival (world, event->host, &event->message->u.call.ref);
+  world_gate_input (world, event->host, &input);
+}
+
+static void
+entry_message (struct world *world, const struct world_event *event)
+{
+  const struct mq_message *message = event->message;
+  struct mq_owner_input owner = { .now_us = world->now_us };
+  struct mq_front_input front
+      = { .type = MQ_FRONT_EVENT, .now_us = world->now_us };
+
+  owner.peer = world->wires[event->index].handle[event->end];
+  front.peer = owner.peer;
+  switch (message->type)
+    {
+    case MQ_MSG_FORWARD:
+      owner.type = MQ_OWNER_REQUEST;
+      owner.handle = message->u.forward.handle;
+      owner.u.request = &message->u.forward.request;
+      world_owner_input (world, event->host, &owner);
+      break;
+    case MQ_MSG_FORWARD_CLOSE:
+      owner.type = MQ_OWNER_CALLER_GONE;
+      owner.handle = message->u.forward_close.handle;
+      world_owner_input (world, event->host, &owner);
+      break;
+    case MQ_MSG_FORWARD_EVENT:
+      front.u.event = &message->u.event;
+      world_front_input (world, event->host, &front);
+      break;
+    case MQ_MSG_CONFIG_HAVE:
+    case MQ_MSG_CONFIG_GET:
+    case MQ_MSG_CONFIG_TEXT:
+      break;
+    default:
+      owner.type = MQ_OWNER_MESSAGE;
+      owner.u.message = message;
+      world_owner_input (world, event->host, &owner);
+      break;
+    }
+}
+
+void
+wire_message (struct world *world, const struct world_event *event)
+{
+  struct wire *wire = &world->wires[event->index];
+  struct mq_spread_input spread
+      = { .type = MQ_SPREAD_MESSAGE, .now_us = world->now_us };
+
+  if (!wire->open[event->end])
+    return;
+  wire->heard_us[event->end] = world->now_us;
+  spread.peer = wire->handle[event->end];
+  spread.u.message = event->message;
+  world_spread_input (world, event->host, &spread);
+  if (!world_runs (world, event->host, event->run))
+    return;
+  if (world->hosts[event->host].role == MQ_HOST_ENTRY)
+    entry_message (world, event);
+  else
+    target_message (world, event);
+}
