Wake a waiting call again when an earlier wake took its place

A call that waits for its retry (CALL_PLACE) asked to be woken at retry_us, but a program has one wake at a time: an earlier one (a lease renewal, the settling of an intent) kept its place, found the retry not yet due and set no other. The program then stood still for good. Order: takeover, SEAL answered SEALED, retry in 1.3 s, settle's wake after 1 s.

--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -776,7 +776,11 @@
   switch (call->state)
     {
     case CALL_PLACE:
-      calls_continue (owner, running);
+      /* An earlier wake of the program may have taken this one's place.  */
+      if (owner->now_us < call->retry_us)
+        owner_wake_at (owner, running, call->retry_us);
+      else
+        calls_continue (owner, running);
       break;
     case CALL_SENT:
     case CALL_SEALING:
