Drop what was to follow the commit of a lost partition

One flight carries the records of several partitions. When one of them is lost its records leave the flight, but its hooks stayed: after the commit of the others they sent FORGET for outcomes that no log holds, and under the new owner's fence, which the scan had stored by then. The target's process dropped the outcomes, so the new owner neither found nor charged them. Order: slow store, flight of two partitions out, one taken over, conflict, flight goes again without it, applies, FORGET, then the new owner's RECOVER finds nothing.

--- a/src/core/owner_log.c
+++ b/src/core/owner_log.c
@@ -108,6 +108,33 @@
   return hook;
 }
 
+/* What was to follow the commit of records that another owner's fence has
+   made void must not follow the commit of the others' in the same flight.
+   Failure: FORGET, under the new owner's fence that we have read by then,
+   for outcomes that no log holds.  */
+void
+log_drop_hooks (struct mq_owner *owner, const struct partition *partition)
+{
+  struct hook **lists[] = { &owner->flight.hooks, &owner->hooks_first };
+
+  for (size_t i = 0; i < sizeof lists / sizeof lists[0]; i++)
+    for (struct hook **at = lists[i]; *at != NULL;)
+      {
+        struct hook *hook = *at;
+
+        if (hook->partition != partition->number)
+          {
+            at = &hook->next;
+            continue;
+          }
+        *at = hook->next;
+        talloc_free (hook);
+      }
+  owner->hooks_last = owner->hooks_first;
+  while (owner->hooks_last != NULL && owner->hooks_last->next != NULL)
+    owner->hooks_last = owner->hooks_last->next;
+}
+
 bool
 log_is_idle (const struct mq_owner *owner, const struct partition *partition)
 {
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -461,6 +461,8 @@
 bool log_store_result (struct mq_owner *owner,
                        const struct mq_store_result *result);
 void log_drop_partition (struct mq_owner *owner, struct partition *partition);
+void log_drop_hooks (struct mq_owner *owner,
+                     const struct partition *partition);
 bool log_is_idle (const struct mq_owner *owner,
                   const struct partition *partition);
 void log_store_failed (struct mq_owner *owner);
--- a/src/core/owner_take.c
+++ b/src/core/owner_take.c
@@ -316,6 +316,7 @@
 {
   owner->counters.partitions_lost++;
   owner_state (owner, MQ_STATE_PARTITION_LOST, partition->number, "");
+  log_drop_hooks (owner, partition);
   forget_partition (owner, partition);
   partition->row_known = false;
   partition->row_version = 0;
