--- /dev/null
+++ b/tests/matrix_cells.c
@@ -0,0 +1,96 @@
+/* matrix_cells.c - the tables of the fault matrix.
+
+   Needs: matrix_cells.h.  */
+
+#include "matrix_cells.h"
+#include "core/id.h"
+
+enum
+{
+  BASE_SEED = 1000,
+  SINGLE_SEED = 100000,
+  PAIR_SEED = 500000
+};
+
+#define AT(step_, nth_, fault_, seed_)                                        \
+  {                                                                           \
+    .step = STEP_##step_, .nth = nth_, .fault = FAULT_##fault_, .seed = seed_ \
+  }
+
+const struct matrix_plant matrix_plants[] = {
+  { PLANT_ANSWER_BEFORE_RUN, INVARIANT_ORDER, AT (OPEN, 0, NONE, 11) },
+  { PLANT_START_CLONED, INVARIANT_ONCE, AT (OPEN, 0, NONE, 12) },
+  { PLANT_CAP_IGNORED, INVARIANT_BUDGET, AT (OPEN, 0, NONE, 13) },
+  { PLANT_HISTORY_MIXED, INVARIANT_HISTORY, AT (OPEN, 0, NONE, 14) },
+  { PLANT_HISTORY_CUT, INVARIANT_HISTORY, AT (OPEN, 0, NONE, 15) },
+  { PLANT_FINAL_DOUBLED, INVARIANT_ONE_ANSWER, AT (OPEN, 0, NONE, 16) },
+  { PLANT_ANSWER_SWAPPED, INVARIANT_OWN_ANSWER, AT (OPEN, 0, NONE, 17) },
+  { PLANT_COMMIT_DROPPED, INVARIANT_LOGGED_ANSWER, AT (OPEN, 0, NONE, 18) },
+  { PLANT_TOKEN_DOUBLED, INVARIANT_STREAM, AT (OPEN, 0, NONE, 19) },
+  { PLANT_REFUSED_AND_RUN, INVARIANT_NOT_RUN, AT (OPEN, 0, NONE, 20) },
+  { PLANT_FINAL_SWALLOWED, INVARIANT_ENDS, AT (OPEN, 0, NONE, 21) },
+  { PLANT_EVICT_SWALLOWED, INVARIANT_CACHE, AT (OPEN, 0, NONE, 22) },
+  { PLANT_LEAVE_HIDDEN, INVARIANT_LEAVING, AT (DRAIN_TARGET, 0, NONE, 23) },
+  { PLANT_STOP_CUTS, INVARIANT_PLANNED_STOP, AT (DRAIN_TARGET, 0, NONE, 24) },
+  { PLANT_CONFIG_REVERTED, INVARIANT_CONFIG_RISES, AT (OPEN, 0, NONE, 25) },
+  { PLANT_CONFIG_CUT_OFF, INVARIANT_CONFIG_EQUAL, AT (OPEN, 0, NONE, 26) },
+  { PLANT_APPLY_REVERTED, INVARIANT_APPLY_HOLDS, AT (OPEN, 0, NONE, 27) },
+  { PLANT_CONDITION_IGNORED, INVARIANT_LOGGED_ANSWER,
+    AT (ANSWER, 2, OWNER_PAUSED, 28) },
+  { PLANT_ECHO, INVARIANT_SETTLES, AT (OPEN, 0, NONE, 29) },
+};
+
+const size_t matrix_plant_count
+    = sizeof matrix_plants / sizeof matrix_plants[0];
+
+/* Any step that has SCRIPT stands for it in a run without a fault.  */
+struct world_cell
+matrix_base (enum world_script script, uint32_t index)
+{
+  struct world_cell cell = { .seed = BASE_SEED + index };
+
+  while (world_step_script (cell.step) != script)
+    cell.step++;
+  return cell;
+}
+
+static uint32_t
+draw_nth (uint64_t *random, const struct matrix_counts *counts,
+          enum world_step step)
+{
+  uint32_t count = counts->steps[step];
+
+  return 1 + mq_random_below (random, count == 0 ? 1 : count);
+}
+
+/* The first run of a step and fault is at its first occurrence, the others
+   at any.  */
+struct world_cell
+matrix_single (enum world_step step, enum world_fault fault, uint32_t index,
+               const struct matrix_counts *counts)
+{
+  struct world_cell cell = { .step = step, .fault = fault };
+  uint64_t random;
+
+  cell.seed
+      = SINGLE_SEED + (uint64_t)step * 1000 + (uint64_t)fault * 10 + index;
+  random = cell.seed;
+  cell.nth = index == 0 ? 1 : draw_nth (&random, counts, step);
+  return cell;
+}
+
+struct world_cell
+matrix_pair (uint32_t index, const struct matrix_counts *counts)
+{
+  struct world_cell cell = { .seed = PAIR_SEED + index };
+  uint64_t random = cell.seed;
+
+  cell.step = (enum world_step)mq_random_below (&random, STEP_COUNT);
+  cell.fault
+      = (enum world_fault) (1 + mq_random_below (&random, FAULT_COUNT - 1));
+  cell.second
+      = (enum world_fault) (1 + mq_random_below (&random, FAULT_COUNT - 1));
+  cell.gap = 1 + mq_random_below (&random, MATRIX_GAP_MAX);
+  cell.nth = draw_nth (&random, counts, cell.step);
+  return cell;
+}
--- /dev/null
+++ b/tests/matrix_cells.h
@@ -0,0 +1,42 @@
+/* matrix_cells.h - the tables of the fault matrix.
+
+   Needs: world.h.  */
+
+#ifndef MQ_TEST_MATRIX_CELLS_H
+#define MQ_TEST_MATRIX_CELLS_H
+
+#include "world.h"
+
+enum
+{
+  MATRIX_PAIRS = 600,    /* pairs of faults, drawn by seed */
+  MATRIX_BASE_SEEDS = 4, /* runs of each script without a fault */
+  MATRIX_SINGLES = 2,    /* runs of each step and fault */
+  MATRIX_GAP_MAX = 60    /* steps between the two faults of a pair */
+};
+
+/* A bug planted in the world and the invariant that must notice it.  */
+struct matrix_plant
+{
+  enum world_plant plant;
+  enum world_invariant invariant;
+  struct world_cell cell;
+};
+
+extern const struct matrix_plant matrix_plants[];
+extern const size_t matrix_plant_count;
+
+/* Steps by how often each occurs in a run without a fault.  */
+struct matrix_counts
+{
+  uint32_t steps[STEP_COUNT];
+};
+
+struct world_cell matrix_base (enum world_script script, uint32_t index);
+struct world_cell matrix_single (enum world_step step, enum world_fault fault,
+                                 uint32_t index,
+                                 const struct matrix_counts *counts);
+struct world_cell matrix_pair (uint32_t index,
+                               const struct matrix_counts *counts);
+
+#endif
--- a/tests/test_matrix.c
+++ b/tests/test_matrix.c
@@ -1,38 +1,203 @@
-/* test_matrix.c - the fault matrix (in work).  */
+/* test_matrix.c - every fault at every step, and pairs of faults.
 
+   Each cell runs the world to the chosen occurrence of a step, injects its
+   fault exactly there, lets everything recover and come to rest, and judges
+   what callers, workers and the table saw.  MATRIX_CELL runs one cell alone
+   with a trace; a cell that fails prints the line for it.
+   Needs: Criterion, matrix_cells.h, matrix_jobs.h.  */
+
+#include "matrix_cells.h"
 #include "matrix_jobs.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+enum
+{
+  SINGLES = STEP_COUNT * (FAULT_COUNT - 1) * MATRIX_SINGLES,
+  BASES = SCRIPT_COUNT * MATRIX_BASE_SEEDS,
+  PLANTS_MAX = 64
+};
+
 static void
-print_report (const struct world_cell *cell, const struct world_report *report)
+print_report (const struct matrix_job *job)
 {
+  const struct world_report *report = &job->report;
   char text[MATRIX_CELL_TEXT];
 
-  matrix_cell_format (cell, text);
-  printf ("MATRIX_CELL=%s: %u violations, %llu events, %llu ms\n", text,
-          report->violation_count, (unsigned long long)report->events,
-          (unsigned long long)(report->end_us / 1000));
-  for (uint32_t i = 0; i < report->violation_count && i < WORLD_VIOLATIONS_MAX;
+  matrix_cell_format (&job->cell, text);
+  printf ("MATRIX_CELL=%s build/tests/test_matrix --filter matrix/one\n",
+          text);
+  if (job->crashed)
+    printf ("    the process crashed\n");
+  for (uint32_t i = 0; !job->crashed && i < report->violation_count
+                       && i < WORLD_VIOLATIONS_MAX;
        i++)
-    printf ("    %s: %s\n",
+    printf ("    broken: %s: %s\n",
             world_invariant_name (report->violations[i].invariant),
             report->violations[i].text);
 }
 
-Test (matrix, one)
+/* Failed jobs, each printed.  */
+static size_t
+count_failed (const struct matrix_job *jobs, size_t count)
+{
+  size_t failed = 0;
+
+  for (size_t i = 0; i < count; i++)
+    if (jobs[i].crashed || jobs[i].report.violation_count > 0)
+      {
+        failed++;
+        print_report (&jobs[i]);
+      }
+  return failed;
+}
+
+static size_t
+count_injected (const struct matrix_job *jobs, size_t count, uint32_t faults)
+{
+  size_t injected = 0;
+
+  for (size_t i = 0; i < count; i++)
+    injected += !jobs[i].crashed && jobs[i].report.injected >= faults;
+  return injected;
+}
+
+static struct matrix_job *
+create_jobs (size_t count)
+{
+  struct matrix_job *jobs = calloc (count, sizeof *jobs);
+
+  cr_assert_not_null (jobs);
+  return jobs;
+}
+
+/* Runs every script without a fault; COUNTS gets how often a step occurs in
+   the fewest of them.  */
+static size_t
+run_bases (struct matrix_counts *counts)
+{
+  struct matrix_job *jobs = create_jobs (BASES);
+  size_t failed;
+
+  for (uint32_t i = 0; i < BASES; i++)
+    jobs[i].cell = matrix_base ((enum world_script) (i / MATRIX_BASE_SEEDS),
+                                i % MATRIX_BASE_SEEDS);
+  matrix_run (jobs, BASES);
+  failed = count_failed (jobs, BASES);
+  for (int step = 0; step < STEP_COUNT; step++)
+    {
+      size_t first = (size_t)world_step_script ((enum world_step)step)
+                     * MATRIX_BASE_SEEDS;
+
+      counts->steps[step] = UINT32_MAX;
+      for (size_t i = first; i < first + MATRIX_BASE_SEEDS; i++)
+        if (jobs[i].report.steps[step] < counts->steps[step])
+          counts->steps[step] = jobs[i].report.steps[step];
+    }
+  free (jobs);
+  return failed;
+}
+
+static void
+fill_singles (struct matrix_job *jobs, const struct matrix_counts *counts)
+{
+  size_t n = 0;
+
+  for (int step = 0; step < STEP_COUNT; step++)
+    for (int fault = 1; fault < FAULT_COUNT; fault++)
+      for (uint32_t i = 0; i < MATRIX_SINGLES; i++)
+        jobs[n++].cell = matrix_single ((enum world_step)step,
+                                        (enum world_fault)fault, i, counts);
+}
+
+/* Steps that no run without a fault comes to can't have their cells.  */
+static void
+expect_steps (const struct matrix_counts *counts)
+{
+  for (int step = 0; step < STEP_COUNT; step++)
+    cr_expect_gt (counts->steps[step], 0, "step %s never occurs",
+                  world_step_name ((enum world_step)step));
+}
+
+static size_t
+run_plants (void)
+{
+  struct matrix_job *jobs = create_jobs (matrix_plant_count);
+  size_t caught = 0;
+
+  for (size_t i = 0; i < matrix_plant_count; i++)
+    {
+      jobs[i].cell = matrix_plants[i].cell;
+      jobs[i].cell.plant = matrix_plants[i].plant;
+    }
+  matrix_run (jobs, matrix_plant_count);
+  for (size_t i = 0; i < matrix_plant_count; i++)
+    {
+      bool found = !jobs[i].crashed
+                   && jobs[i].report.broken[matrix_plants[i].invariant] > 0;
+
+      caught += found;
+      cr_expect (found, "not noticed: %s",
+                 world_plant_name (matrix_plants[i].plant));
+      if (!found)
+        print_report (&jobs[i]);
+    }
+  free (jobs);
+  return caught;
+}
+
+/* Each invariant must be known to be able to fail.  */
+static void
+expect_planted (void)
+{
+  bool planted[INVARIANT_COUNT] = { false };
+
+  for (size_t i = 0; i < matrix_plant_count; i++)
+    planted[matrix_plants[i].invariant] = true;
+  for (int i = 0; i < INVARIANT_COUNT; i++)
+    cr_expect (planted[i], "no bug is planted for: %s",
+               world_invariant_name ((enum world_invariant)i));
+}
+
+/* Story: whatever fails at whatever step, alone or as two, a person gets her
+   one whole answer or a typed refusal, a form is sent in once, a budget is
+   kept, memory is given back and a change of configuration stays.  The order
+   of events is the cell's: its step, its fault, its seed.  */
+Test (matrix, every_fault_at_every_step, .timeout = 900)
+{
+  struct matrix_counts counts = { { 0 } };
+  struct matrix_job *jobs = create_jobs (SINGLES + MATRIX_PAIRS);
+  size_t failed = run_bases (&counts);
+  size_t caught;
+
+  expect_steps (&counts);
+  expect_planted ();
+  fill_singles (jobs, &counts);
+  for (uint32_t i = 0; i < MATRIX_PAIRS; i++)
+    jobs[SINGLES + i].cell = matrix_pair (i, &counts);
+  matrix_run (jobs, SINGLES + MATRIX_PAIRS);
+  failed += count_failed (jobs, SINGLES + MATRIX_PAIRS);
+  caught = run_plants ();
+  printf ("matrix: cells=%zu pairs=%zu invariants=%d planted=%zu caught=%zu "
+          "failed=%zu\n",
+          count_injected (jobs, SINGLES, 1),
+          count_injected (&jobs[SINGLES], MATRIX_PAIRS, 2), INVARIANT_COUNT,
+          matrix_plant_count, caught, failed);
+  fflush (stdout);
+  free (jobs);
+  cr_expect_eq (failed, 0, "%zu cells failed", failed);
+}
+
+Test (matrix, one, .timeout = 600)
 {
   const char *text = getenv ("MATRIX_CELL");
-  struct world_cell cell = { 0 };
-  struct world_report report;
+  struct matrix_job job = { .crashed = false };
 
   if (text == NULL)
-    return;
-  cr_assert (matrix_cell_parse (text, &cell));
-  world_run (&cell, true, &report);
-  print_report (&cell, &report);
-  for (int i = 0; i < STEP_COUNT; i++)
-    printf ("  %s %u\n", world_step_name ((enum world_step)i),
-            report.steps[i]);
+    cr_skip_test ("runs the cell that MATRIX_CELL names");
+  cr_assert (matrix_cell_parse (text, &job.cell), "no such cell: %s", text);
+  world_run (&job.cell, true, &job.report);
+  print_report (&job);
+  cr_expect_eq (job.report.violation_count, 0);
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -84,6 +84,7 @@
   struct world_violation *violation;
   va_list arguments;
 
+  report->broken[invariant]++;
   if (report->violation_count++ >= WORLD_VIOLATIONS_MAX)
     return;
   violation = &report->violations[report->violation_count - 1];
@@ -900,6 +901,22 @@
                 world->now_us + SECOND);
 }
 
+static void
+plant_echo (struct world *world, const struct world_event *event)
+{
+  struct world_event *again;
+
+  if (world->cell->plant != PLANT_ECHO)
+    return;
+  again = world_event_create (world, EVENT_MESSAGE, event->host);
+  again->run = event->run;
+  again->index = event->index;
+  again->end = event->end;
+  again->message = talloc_zero (again, struct mq_message);
+  mq_message_copy (again->message, again->message, event->message);
+  world_push (world, again, world->now_us + MS);
+}
+
 static void
 dispatch (struct world *world, struct world_event *event)
 {
@@ -910,6 +927,7 @@
       break;
     case EVENT_MESSAGE:
       wire_message (world, event);
+      plant_echo (world, event);
       break;
     case EVENT_CONNECT:
       wire_connect (world, event);
--- a/tests/world.h
+++ b/tests/world.h
@@ -41,7 +41,7 @@
   X (FENCE, "takeover-fence", TAKEOVER)                                       \
   X (REPLAY, "takeover-replay", TAKEOVER)                                     \
   X (RECOVER, "takeover-recover", TAKEOVER)                                   \
-  X (SEAL, "takeover-seal", TAKEOVER)                                         \
+  X (SEAL, "takeover-seal", SETTLE)                                           \
   X (DRAIN_ENTRY, "drain-entry", DRAIN_ENTRY)                                 \
   X (RELEASE, "drain-release", DRAIN_ENTRY)                                   \
   X (DRAIN_TARGET, "drain-target", DRAIN_TARGET)
@@ -59,6 +59,7 @@
 {
   SCRIPT_PLAIN,
   SCRIPT_TAKEOVER,     /* an owner dies while a call of its program runs */
+  SCRIPT_SETTLE,       /* it dies with its intent durable and nothing sent */
   SCRIPT_DRAIN_ENTRY,  /* it is stopped as planned */
   SCRIPT_DRAIN_TARGET, /* the target host that runs the call is */
   SCRIPT_COUNT
@@ -142,7 +143,8 @@
   X (CONFIG_REVERTED, "a process goes back to no configuration")              \
   X (CONFIG_CUT_OFF, "a host hears of no configuration")                      \
   X (APPLY_REVERTED, "the table goes back to an older configuration")         \
-  X (CONDITION_IGNORED, "an old owner's write passes its condition")
+  X (CONDITION_IGNORED, "an old owner's write passes its condition")          \
+  X (ECHO, "a process hears each message again and again")
 
 enum world_plant
 {
@@ -191,7 +193,8 @@
  * @steps: how often each step occurred
  * @end_us: virtual time at the end
  * @events: events handled
- * @violation_count: violations, also those that did not fit
+ * @broken: violations of each invariant
+ * @violation_count: violations, also those that did not fit below
  * @violations: the first of them
  */
 struct world_report
@@ -200,6 +203,7 @@
   uint32_t steps[STEP_COUNT];
   uint64_t end_us;
   uint64_t events;
+  uint32_t broken[INVARIANT_COUNT];
   uint32_t violation_count;
   struct world_violation violations[WORLD_VIOLATIONS_MAX];
 };
--- a/tests/world_caller.c
+++ b/tests/world_caller.c
@@ -560,6 +560,38 @@
     }
 }
 
+/* Callers here ask only what is right, in order and of their own program,
+   so a refusal that says otherwise is false.  */
+static bool
+is_false (enum mq_error_type error)
+{
+  switch (error)
+    {
+    case MQ_ERR_BAD_REQUEST:
+    case MQ_ERR_BAD_JSON:
+    case MQ_ERR_UNAUTHORISED:
+    case MQ_ERR_NOT_FOUND:
+    case MQ_ERR_KEY_REUSED:
+    case MQ_ERR_OUT_OF_ORDER:
+    case MQ_ERR_ENDED:
+    case MQ_ERR_CANCELLED:
+      return true;
+    default:
+      return false;
+    }
+}
+
+/* After a refusal the rest of the script makes no sense, but its end.  */
+static void
+skip_to_close (struct caller *caller)
+{
+  if (caller->ask == 0)
+    caller->ask = caller->ask_count - 1;
+  while (caller->ask + 1 < caller->ask_count
+         && caller->asks[caller->ask + 1].type != MQ_REQUEST_CLOSE)
+    caller->ask++;
+}
+
 /* A request that was refused as not run, and never tried before, must not
    have run, nor run before it is made again.  */
 static void
@@ -601,7 +633,13 @@
       ask_again (world, caller, event->retry_after_ms * MS);
       return;
     }
+  if (is_false (event->error))
+    world_violate (world, INVARIANT_OWN_ANSWER,
+                   "caller %d, request %zu: refused as %s, which is not so",
+                   caller->index, caller->ask, mq_error_name (event->error));
   caller->errors[caller->ask] = event->error;
+  caller->ends = 1;
+  skip_to_close (caller);
   next_ask (world, caller);
 }
 
--- a/tests/world_fault.c
+++ b/tests/world_fault.c
@@ -227,7 +227,8 @@
   struct site here = *site;
   int entry = world_owner_of (world, site->program);
 
-  if (world->script == SCRIPT_PLAIN || world->script_done || entry == NOBODY
+  if (world->script == SCRIPT_PLAIN || world->script == SCRIPT_SETTLE
+      || world->script_done || entry == NOBODY
       || site->program.hi != world->callers[0].program.hi)
     return;
   world->script_done = true;
@@ -235,6 +236,7 @@
   switch (world->script)
     {
     case SCRIPT_PLAIN:
+    case SCRIPT_SETTLE:
     case SCRIPT_COUNT:
       break;
     case SCRIPT_TAKEOVER:
@@ -253,6 +255,19 @@
     }
 }
 
+/* The owner dies when it would send its first call that may not be
+   repeated: the intent is durable, the call never left.  */
+void
+fault_settle_script (struct world *world, int host,
+                     const struct mq_message *message)
+{
+  if (world->script != SCRIPT_SETTLE || world->script_done
+      || message->type != MQ_MSG_CALL || message->u.call.idempotent)
+    return;
+  world->script_done = true;
+  world_kill (world, host, RESTART_US);
+}
+
 enum fate
 fault_take_message_fate (struct world *world, int host)
 {
--- a/tests/world_state.h
+++ b/tests/world_state.h
@@ -48,7 +48,7 @@
 #define CALLERS_START_US (1500 * MS)
 #define CALLER_PATIENCE_US (9 * SECOND)
 #define REST_US (300 * SECOND)             /* the longest run */
-#define EVENTS_MAX 3000000ULL              /* more: the machines never rest */
+#define EVENTS_MAX 400000ULL               /* more: the machines never rest */
 #define QUIET_US (4 * SECOND)              /* looked at after all is done */
 #define FORGET_EVERYTHING_US (90 * SECOND) /* caches gone by then */
 
@@ -510,6 +510,8 @@
 enum fate fault_take_store_fate (struct world *world, int host,
                                  const struct mq_store_request *request);
 void fault_script (struct world *world, const struct site *site);
+void fault_settle_script (struct world *world, int host,
+                          const struct mq_message *message);
 
 /* world_check.c */
 bool check_rest (const struct world *world);
--- a/tests/world_wire.c
+++ b/tests/world_wire.c
@@ -394,6 +394,9 @@
   if (index == NOBODY)
     return;
   copy.config_version = world->hosts[host].version;
+  fault_settle_script (world, host, message);
+  if (!world_runs (world, host, run))
+    return;
   fault_message_step (world, host, &world->wires[index], message);
   fate = fault_take_message_fate (world, host);
   if (!world_runs (world, host, run) || world->hosts[host].held)
