Find targets by connection and by name without a walk

Cause: every token and outcome walked the list of targets; at 6,000 of them that is thousands of steps a message. Change: two maps beside the list. Conclusion: a lookup no longer depends on the number of targets.

--- a/Makefile
+++ b/Makefile
@@ -113,9 +113,9 @@
 
 ## format: format the sources; format-check: fail where that would change one
 format:
-	clang-format -i $(SOURCES)
+	@clang-format -i $(SOURCES)
 format-check:
-	clang-format --dry-run -Werror $(SOURCES)
+	@clang-format --dry-run -Werror $(SOURCES)
 
 ## lint: clang-tidy and cppcheck
 lint:
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -28,6 +28,8 @@
     owner->options.max_programs = MQ_OWNER_PROGRAMS_MAX;
   owner->random = options->seed;
   owner->running = mq_idmap_create (owner);
+  owner->targets_by_peer = mq_idmap_create (owner);
+  owner->targets_by_name = mq_idmap_create (owner);
   owner->place = mq_place_create (owner, options->seed);
   owner->eligible = true;
   return owner;
--- a/src/core/owner_hosts.c
+++ b/src/core/owner_hosts.c
@@ -93,22 +93,34 @@
 
 /* ---- Targets and siblings ---- */
 
+static struct mq_id
+name_key (const char *host)
+{
+  struct mq_id key = { 0, 0 };
+
+  key.hi = mq_hash_bytes (host, strlen (host), 0);
+  key.lo = mq_hash_bytes (host, strlen (host), 1);
+  return key;
+}
+
+static struct mq_id
+peer_key (uint32_t peer)
+{
+  struct mq_id key = { peer, 0 };
+
+  return key;
+}
+
 struct target *
 hosts_target_named (struct mq_owner *owner, const char *host)
 {
-  for (struct target *t = owner->targets; t != NULL; t = t->next)
-    if (strcmp (t->host, host) == 0)
-      return t;
-  return NULL;
+  return mq_idmap_find (owner->targets_by_name, name_key (host), 0);
 }
 
 struct target *
 hosts_find_target (struct mq_owner *owner, uint32_t peer)
 {
-  for (struct target *t = owner->targets; t != NULL; t = t->next)
-    if (t->peer == peer)
-      return t;
-  return NULL;
+  return mq_idmap_find (owner->targets_by_peer, peer_key (peer), 0);
 }
 
 static struct target *
@@ -123,6 +135,7 @@
   target->unlisted_us = owner->now_us;
   target->next = owner->targets;
   owner->targets = target;
+  mq_idmap_put (owner->targets_by_name, name_key (host), 0, target);
   owner->targets_dirty = true;
   return target;
 }
@@ -239,6 +252,7 @@
       for (size_t i = 0; i < target->worker_count; i++)
         pool_remove (target->workers[i]);
       drop_references (owner, target);
+      mq_idmap_remove (owner->targets_by_name, name_key (target->host), 0);
       talloc_free (target);
       owner->targets_dirty = true;
     }
@@ -258,6 +272,9 @@
   same_boot = target->boot == boot;
   if (!same_boot)
     target->leaving = false;
+  if (target->peer != 0)
+    mq_idmap_remove (owner->targets_by_peer, peer_key (target->peer), 0);
+  mq_idmap_put (owner->targets_by_peer, peer_key (peer), 0, target);
   target->boot = boot;
   target->peer = peer;
   target->down_us = 0;
@@ -302,6 +319,7 @@
   if (target == NULL)
     return;
   owner_state (owner, MQ_STATE_PEER_DOWN, peer, target->host);
+  mq_idmap_remove (owner->targets_by_peer, peer_key (peer), 0);
   target->peer = 0;
   target->down_us = owner->now_us;
   hosts_target_usable (owner, target);
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -394,6 +394,8 @@
   struct mq_idmap *running; /* all programs of active partitions */
   uint32_t live;            /* of these, not ended */
   struct target *targets;
+  struct mq_idmap *targets_by_peer;
+  struct mq_idmap *targets_by_name; /* keyed by the hash of the name */
   struct sibling *siblings;
   struct pool *pools;
   struct mq_place_state *place;
