--- a/src/io/ctl.c
+++ b/src/io/ctl.c
@@ -13,6 +13,7 @@
 #define FETCHES_AT_A_TIME 128
 #define HOSTS_POLL_MS 1000U
 #define MS_PER_S 1000U
+#define US_PER_MS 1000U
 #define NS_PER_MS 1000000U
 
 struct mq_ctl
