Confirm ownership before an owner answers from memory

No clock can tell it that its lease is over. Change: refusals and shown states wait for a read of the partitions' rows that began after the request; many share one read, at most one every 2 ms times the number of owners. Rows of owners are read page by page.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -40,6 +40,8 @@
 #define MQ_OWNER_RENEW_MS 1000U /* the owner's row is written this often */
 #define MQ_OWNER_SCAN_MS 1000U  /* owners' and partitions' rows are read */
 #define MQ_OWNER_PROGRAMS_MAX 50000U
+#define MQ_PARTITIONS_MAX 1000U  /* their rows fit one page */
+#define MQ_CONFIRM_MS 2U         /* between two such reads, times hosts */
 #define MQ_OWNERS_MAX 40U        /* hosts that may own partitions */
 #define MQ_OWNER_DOWN_MS 1500U   /* connection lost and no renewal */
 #define MQ_OWNER_RANK_MS 300U    /* the next best host waits longer */
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -303,7 +303,10 @@
       break;
     }
   if (owner->text != NULL)
-    log_flush (owner);
+    {
+      take_confirm (owner);
+      log_flush (owner);
+    }
   owner->counters.programs_live = owner->live;
   owner->actions = NULL;
 }
--- a/src/core/owner_log.c
+++ b/src/core/owner_log.c
@@ -645,7 +645,7 @@
   owner->counters.store_reads++;
   request = owner_store (owner, MQ_STORE_SCAN, flight->request_id);
   request->key = talloc_strdup (owner->actions, "part/");
-  request->limit = owner->partition_count;
+  request->limit = MQ_PARTITIONS_MAX;
 }
 
 static const struct mq_row *
--- a/src/core/owner_request.c
+++ b/src/core/owner_request.c
@@ -35,23 +35,140 @@
       owner->actions, event->redirect == NULL ? "" : event->redirect);
 }
 
+static const char *
+redirect_for (const struct mq_owner *owner, const struct partition *partition)
+{
+  if (partition->address == NULL
+      || strcmp (partition->address, owner->options.address) == 0)
+    return "";
+  return partition->address;
+}
+
+/* The partition is not ours, or not now: the caller's entry host asks
+   again, elsewhere.  It says nothing of the program.  */
 static void
-refuse (struct mq_owner *owner, uint32_t peer, uint64_t handle,
-        enum mq_error_type error, enum mq_ran ran, uint32_t retry_after_ms,
-        const char *redirect)
+send_away (struct mq_owner *owner, uint32_t peer, uint64_t handle,
+           enum mq_error_type error, const char *redirect)
 {
   struct mq_event_msg event = { .handle = handle,
                                 .type = MQ_EVENT_REFUSED,
                                 .error = error,
-                                .ran = ran,
-                                .retry_after_ms = retry_after_ms,
+                                .ran = MQ_RAN_NOT_RUN,
+                                .retry_after_ms = RETRY_SOON_MS,
                                 .redirect = redirect,
                                 .body = "{}" };
 
-  owner->counters.answers_refused++;
   send_event (owner, peer, &event);
 }
 
+/* Failure: an owner that was paused past its lease wakes, still believes
+   that the partition is its own, and answers from memory: a call that the
+   new owner ran is refused as not run, or a caller is shown an old state.
+   No clock can tell.  What is not the direct result of a commit therefore
+   waits for a read of the partition's row that began after the request
+   came; many wait for the same read.  */
+static void
+answer_later (struct mq_owner *owner, uint32_t partition, uint32_t peer,
+              const struct mq_event_msg *event)
+{
+  struct reply *reply = talloc_zero (owner, struct reply);
+
+  if (reply == NULL)
+    abort ();
+  reply->partition = partition;
+  reply->peer = peer;
+  reply->queued_us = owner->now_us;
+  reply->event = *event;
+  reply->event.body
+      = talloc_strdup (reply, event->body == NULL ? "{}" : event->body);
+  reply->event.redirect = "";
+  reply->next = owner->replies;
+  owner->replies = reply;
+}
+
+static void
+send_reply (struct mq_owner *owner, struct reply *reply)
+{
+  const struct partition *partition = &owner->partitions[reply->partition];
+
+  if (partition->state != PARTITION_ACTIVE)
+    send_away (owner, reply->peer, reply->event.handle, MQ_ERR_NOT_READY,
+               redirect_for (owner, partition));
+  else
+    {
+      if (reply->event.type == MQ_EVENT_REFUSED)
+        owner->counters.answers_refused++;
+      else
+        owner->counters.answers_final++;
+      send_event (owner, reply->peer, &reply->event);
+    }
+  talloc_free (reply);
+}
+
+/* Every reply queued before BEFORE_US is confirmed, or its partition was
+   seen to be lost.  */
+void
+request_confirmed (struct mq_owner *owner, uint64_t before_us)
+{
+  struct reply **at = &owner->replies;
+
+  while (*at != NULL)
+    {
+      struct reply *reply = *at;
+
+      if (reply->queued_us > before_us)
+        {
+          at = &reply->next;
+          continue;
+        }
+      *at = reply->next;
+      send_reply (owner, reply);
+    }
+}
+
+/* The store can't be read: whoever waits long is answered that nothing can
+   be known.  */
+void
+request_unconfirmed (struct mq_owner *owner)
+{
+  struct reply **at = &owner->replies;
+
+  while (*at != NULL)
+    {
+      struct reply *reply = *at;
+
+      if (owner->now_us - reply->queued_us < 1000ULL * STORE_PATIENCE_MS)
+        {
+          at = &reply->next;
+          continue;
+        }
+      *at = reply->next;
+      reply->event.type = MQ_EVENT_REFUSED;
+      reply->event.error = MQ_ERR_STORE_DOWN;
+      reply->event.ran = MQ_RAN_UNKNOWN;
+      reply->event.retry_after_ms = RETRY_LATER_MS;
+      send_reply (owner, reply);
+    }
+}
+
+static void
+refuse (struct mq_owner *owner, const struct partition *partition,
+        uint32_t peer, uint64_t handle, enum mq_error_type error,
+        uint32_t retry_after_ms)
+{
+  struct mq_event_msg event = { .handle = handle,
+                                .type = MQ_EVENT_REFUSED,
+                                .error = error,
+                                .ran = MQ_RAN_NOT_RUN,
+                                .retry_after_ms = retry_after_ms,
+                                .body = "{}" };
+
+  if (error == MQ_ERR_LEAVING)
+    send_away (owner, peer, handle, error, redirect_for (owner, partition));
+  else
+    answer_later (owner, partition->number, peer, &event);
+}
+
 void
 request_event (struct mq_owner *owner, struct running *running,
                enum mq_event_type type, uint32_t number, uint32_t call,
@@ -256,7 +373,7 @@
           continue;
         }
       *at = w->next;
-      refuse (owner, w->peer, w->handle, error, MQ_RAN_NOT_RUN, 0, NULL);
+      refuse (owner, running->partition, w->peer, w->handle, error, 0);
       talloc_free (w);
     }
 }
@@ -316,23 +433,14 @@
   remove_waiters (owner, peer, true, 0);
 }
 
-static const char *
-redirect_for (const struct mq_owner *owner, const struct partition *partition)
-{
-  if (partition->address == NULL
-      || strcmp (partition->address, owner->options.address) == 0)
-    return "";
-  return partition->address;
-}
-
 /* The partition is no longer ours: callers' entry hosts ask its new owner.
    Nothing is said of the program but that it goes on elsewhere.  */
 void
 request_detach (struct mq_owner *owner, struct running *running)
 {
   for (struct waiter *w = running->waiters; w != NULL; w = w->next)
-    refuse (owner, w->peer, w->handle, MQ_ERR_NOT_READY, MQ_RAN_NOT_RUN,
-            RETRY_SOON_MS, redirect_for (owner, running->partition));
+    send_away (owner, w->peer, w->handle, MQ_ERR_NOT_READY,
+               redirect_for (owner, running->partition));
   running->waiters = NULL;
 }
 
@@ -550,8 +658,7 @@
                         &retry_after_ms);
   if (error != MQ_ERR_NONE)
     {
-      refuse (owner, peer, handle, error, MQ_RAN_NOT_RUN, retry_after_ms,
-              NULL);
+      refuse (owner, partition, peer, handle, error, retry_after_ms);
       return;
     }
   running = chain_open (owner, partition, request->program, &opening.opened);
@@ -575,7 +682,7 @@
 
   if (program->digest != open_digest (request))
     {
-      refuse (owner, peer, handle, MQ_ERR_KEY_REUSED, MQ_RAN_NOT_RUN, 0, NULL);
+      refuse (owner, running->partition, peer, handle, MQ_ERR_KEY_REUSED, 0);
       return;
     }
   add_waiter (running, peer, handle, request, 0);
@@ -624,7 +731,7 @@
     error = MQ_ERR_OUT_OF_ORDER;
   if (error != MQ_ERR_NONE)
     {
-      refuse (owner, peer, handle, error, MQ_RAN_NOT_RUN, 0, NULL);
+      refuse (owner, running->partition, peer, handle, error, 0);
       json_decref (root);
       return;
     }
@@ -726,7 +833,7 @@
     error = MQ_ERR_LEAVING;
   if (error != MQ_ERR_NONE)
     {
-      refuse (owner, peer, handle, error, MQ_RAN_NOT_RUN, 0, NULL);
+      refuse (owner, running->partition, peer, handle, error, 0);
       return;
     }
   add_waiter (running, peer, handle, request, sequence);
@@ -758,15 +865,14 @@
 
   if (history)
     event.body = mq_program_history (owner->actions, running->program);
-  else if (running->program->state == MQ_PROGRAM_RUNNING)
-    event.body = request_final_body (owner->actions, running);
-  else
+  else if (running->program->state == MQ_PROGRAM_ENDED)
     {
       send_final (owner, running, peer, handle);
       return;
     }
-  owner->counters.answers_final++;
-  send_event (owner, peer, &event);
+  else
+    event.body = request_final_body (owner->actions, running);
+  answer_later (owner, running->partition->number, peer, &event);
 }
 
 void
@@ -820,8 +926,8 @@
       && (running->program->state == MQ_PROGRAM_RUNNING
           || running->call != NULL))
     {
-      refuse (owner, peer, handle, MQ_ERR_OUT_OF_ORDER, MQ_RAN_NOT_RUN,
-              RETRY_LATER_MS, NULL);
+      refuse (owner, running->partition, peer, handle, MQ_ERR_OUT_OF_ORDER,
+              RETRY_LATER_MS);
       return;
     }
   add_waiter (running, peer, handle, request, 0);
@@ -875,16 +981,15 @@
 
   if (owner->partition_count == 0)
     {
-      refuse (owner, peer, handle, MQ_ERR_NOT_READY, MQ_RAN_NOT_RUN,
-              RETRY_SOON_MS, NULL);
+      send_away (owner, peer, handle, MQ_ERR_NOT_READY, "");
       return;
     }
   partition = &owner->partitions[mq_id_partition (request->program,
                                                   owner->partition_count)];
   if (partition->state != PARTITION_ACTIVE)
     {
-      refuse (owner, peer, handle, MQ_ERR_NOT_READY, MQ_RAN_NOT_RUN,
-              RETRY_SOON_MS, redirect_for (owner, partition));
+      send_away (owner, peer, handle, MQ_ERR_NOT_READY,
+                 redirect_for (owner, partition));
       return;
     }
   running = chain_find (owner, request->program);
@@ -899,5 +1004,5 @@
   if (request->type == MQ_REQUEST_OPEN || request->type == MQ_REQUEST_CREATE)
     open_new (owner, partition, peer, handle, request);
   else
-    refuse (owner, peer, handle, MQ_ERR_NOT_FOUND, MQ_RAN_NOT_RUN, 0, NULL);
+    refuse (owner, partition, peer, handle, MQ_ERR_NOT_FOUND, 0);
 }
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -360,6 +360,17 @@
   struct mq_id program;
 };
 
+/* An answer from memory that waits until a later read of the partitions'
+   rows shows that this host still owns the partition.  */
+struct reply
+{
+  struct reply *next;
+  uint32_t partition;
+  uint32_t peer;
+  uint64_t queued_us;
+  struct mq_event_msg event;
+};
+
 /* Programs of one organisation that are under way at this owner.  */
 struct organisation_count
 {
@@ -414,7 +425,12 @@
   uint64_t owners_scanned_us; /* last success */
   uint64_t next_scan_us;
   uint64_t scan_sent_us;
-  bool scanned; /* both scans succeeded once */
+  bool scanned;          /* both scans succeeded once */
+  struct reply *replies; /* newest first */
+  uint64_t confirm_id;   /* read that confirms what waits since before */
+  uint64_t confirm_sent_us;
+  uint64_t next_confirm_us;
+  char *owners_after; /* last row of the page of owners read so far */
   uint64_t renew_id;
   uint64_t next_renew_us;
   uint64_t row_counter;
@@ -484,6 +500,7 @@
 void take_set_partitions (struct mq_owner *owner, uint32_t count);
 void take_apply (struct mq_owner *owner, struct partition *partition,
                  const Mqlog__Record *record);
+void take_confirm (struct mq_owner *owner);
 bool take_is_drained (const struct mq_owner *owner);
 uint64_t take_next_tick (const struct mq_owner *owner);
 
@@ -588,6 +605,8 @@
                           uint32_t call, enum mq_error_type error);
 void request_detach (struct mq_owner *owner, struct running *running);
 void request_reply (struct mq_owner *owner, struct hook *hook);
+void request_confirmed (struct mq_owner *owner, uint64_t before_us);
+void request_unconfirmed (struct mq_owner *owner);
 char *request_final_body (TALLOC_CTX *ctx, const struct running *running);
 
 #endif
--- a/src/core/owner_take.c
+++ b/src/core/owner_take.c
@@ -233,16 +233,23 @@
   mqlog__owner_row__free_unpacked (value, NULL);
 }
 
+static void send_owners_scan (struct mq_owner *owner);
+
 static void
 read_owner_rows (struct mq_owner *owner, const struct mq_store_result *result)
 {
   static const char prefix[] = "owner/";
 
-  for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
-    s->seen = false;
   for (size_t i = 0; i < result->row_count; i++)
     read_owner_row (owner, result->rows[i].key + sizeof prefix - 1,
                     &result->rows[i]);
+  if (result->more && result->row_count > 0)
+    {
+      set_text (owner, &owner->owners_after,
+                result->rows[result->row_count - 1].key);
+      send_owners_scan (owner);
+      return;
+    }
   for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
     if (!s->seen)
       s->row_known = false;
@@ -998,6 +1005,19 @@
       }
 }
 
+static void
+send_owners_scan (struct mq_owner *owner)
+{
+  struct mq_store_request *request;
+
+  owner->owners_scan_id = owner_new_id (owner);
+  request = owner_store (owner, MQ_STORE_SCAN, owner->owners_scan_id);
+  request->key = talloc_strdup (owner->actions, "owner/");
+  if (owner->owners_after != NULL)
+    request->after = talloc_strdup (owner->actions, owner->owners_after);
+  request->limit = MQ_PARTITIONS_MAX;
+}
+
 static void
 send_scans (struct mq_owner *owner)
 {
@@ -1014,14 +1034,54 @@
                   owner, MQ_OWNER_SCAN_MS * (1 + hosts / SCAN_HOSTS_PER_STEP),
                   0, UINT32_MAX);
   owner->counters.store_reads += 2;
-  owner->owners_scan_id = owner_new_id (owner);
-  request = owner_store (owner, MQ_STORE_SCAN, owner->owners_scan_id);
-  request->key = talloc_strdup (owner->actions, "owner/");
-  request->limit = UINT16_MAX;
+  TALLOC_FREE (owner->owners_after);
+  for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
+    s->seen = false;
+  send_owners_scan (owner);
   owner->partitions_scan_id = owner_new_id (owner);
   request = owner_store (owner, MQ_STORE_SCAN, owner->partitions_scan_id);
   request->key = talloc_strdup (owner->actions, "part/");
-  request->limit = UINT16_MAX;
+  request->limit = MQ_PARTITIONS_MAX;
+}
+
+/* Reads the partitions' rows for the answers that wait for it.  Owners take
+   turns by a pause that grows with their number, so that all of them
+   together leave the store's reads to others.  */
+static void
+send_confirm (struct mq_owner *owner)
+{
+  struct mq_store_request *request;
+
+  owner->confirm_sent_us = owner->now_us;
+  owner->next_confirm_us
+      = owner->now_us + 1000ULL * MQ_CONFIRM_MS * (1 + owner->live_hosts);
+  owner->counters.store_reads++;
+  owner->confirm_id = owner_new_id (owner);
+  request = owner_store (owner, MQ_STORE_SCAN, owner->confirm_id);
+  request->key = talloc_strdup (owner->actions, "part/");
+  request->limit = MQ_PARTITIONS_MAX;
+}
+
+static void
+confirm_result (struct mq_owner *owner, const struct mq_store_result *result)
+{
+  owner->confirm_id = 0;
+  if (result->status != MQ_STORE_OK)
+    {
+      scan_failed (owner);
+      return;
+    }
+  log_store_worked (owner);
+  read_partition_rows (owner, result);
+  request_confirmed (owner, owner->confirm_sent_us);
+}
+
+void
+take_confirm (struct mq_owner *owner)
+{
+  if (owner->replies != NULL && owner->confirm_id == 0
+      && owner->now_us >= owner->next_confirm_us)
+    send_confirm (owner);
 }
 
 static void
@@ -1118,6 +1178,8 @@
   if (owner->owners_scan_id == 0 && owner->partitions_scan_id == 0
       && owner->now_us >= owner->next_scan_us)
     send_scans (owner);
+  take_confirm (owner);
+  request_unconfirmed (owner);
   count_owned (owner);
   for (uint32_t i = 0; i < owner->partition_count; i++)
     partition_tick (owner, &owner->partitions[i]);
@@ -1144,7 +1206,8 @@
   if (owners)
     {
       read_owner_rows (owner, result);
-      owner->owners_scanned_us = owner->now_us;
+      if (owner->owners_scan_id == 0)
+        owner->owners_scanned_us = owner->now_us;
       return;
     }
   read_partition_rows (owner, result);
@@ -1156,6 +1219,11 @@
 take_store_result (struct mq_owner *owner,
                    const struct mq_store_result *result)
 {
+  if (result->id == owner->confirm_id)
+    {
+      confirm_result (owner, result);
+      return true;
+    }
   if (result->id == owner->owners_scan_id
       || result->id == owner->partitions_scan_id)
     {
@@ -1224,6 +1292,8 @@
     next = earlier (next, owner->next_renew_us);
   if (owner->owners_scan_id == 0 && owner->partitions_scan_id == 0)
     next = earlier (next, owner->next_scan_us);
+  if (owner->replies != NULL && owner->confirm_id == 0)
+    next = earlier (next, owner->next_confirm_us);
   if (owner->claiming > 0 || owner->leaving)
     next = earlier (next, owner->now_us + 20000);
   for (uint32_t i = 0; i < owner->partition_count; i++)
--- a/src/io/ctl.c
+++ b/src/io/ctl.c
@@ -37,8 +37,7 @@
   struct timespec now;
 
   clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t)now.tv_sec * MS_PER_S
-         + (uint64_t)now.tv_nsec / NS_PER_MS;
+  return (uint64_t)now.tv_sec * MS_PER_S + (uint64_t)now.tv_nsec / NS_PER_MS;
 }
 
 static void
