--- a/src/io/log.h
+++ b/src/io/log.h
@@ -19,7 +19,9 @@
 
 void mq_log_open (const char *program, const char *host,
                   enum mq_log_level most);
-/* EVENT is a fixed word; KEYS_VALUES is "key", "value", …, NULL.  */
+/* NULL as the pointer that a variable list of arguments needs.  */
+#define MQ_LOG_END ((const char *)NULL)
+/* EVENT is a fixed word; then come "key", "value", …, MQ_LOG_END.  */
 void mq_log_write (enum mq_log_level level, const char *event, ...)
     __attribute__ ((sentinel));
 void mq_log_state (const struct mq_state_line *line);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -287,7 +287,7 @@
                                    .part = rows[i].part };
       uint16_t port = peer->port;
       int hanging = -1;
-      struct outcome outcome;
+      struct outcome outcome = { 0 };
 
       peer->rest = rows[i].step;
       if (rows[i].fault == FORGED)
@@ -348,7 +348,7 @@
       struct mq_http_send send = { .method = rows[i].method,
                                    .body = filled (rows[i].len, 'x'),
                                    .len = rows[i].len };
-      struct outcome outcome;
+      struct outcome outcome = { 0 };
 
       peer->first_count = 1;
       peer->first[1] = rows[i].second;
@@ -376,8 +376,8 @@
   const char *name = "silent";
   struct http_peer *peer = http_peer_create (ev);
   struct mq_http_send send = { .method = "POST", .timeout_ms = 300 };
-  struct outcome kept[3];
-  struct outcome outcome;
+  struct outcome kept[3] = { 0 };
+  struct outcome outcome = { 0 };
 
   peer->first_count = ROWS (kept);
   peer->first[1] = PEER_SILENT;
@@ -427,8 +427,8 @@
       struct http_peer *peer = http_peer_create (ev);
       struct mq_http_send send
           = { .method = "POST", .part = rows[i].in_part ? on_part : NULL };
-      struct outcome acting;
-      struct outcome other;
+      struct outcome acting = { 0 };
+      struct outcome other = { 0 };
       struct mq_http_call *second
           = call (&other, mq_http_server_port (server), "/hold", send);
       struct mq_http_call *self;
@@ -681,8 +681,8 @@
   cr_expect_eq (closed_count, 5, "%d", closed_count);
   for (size_t i = 0; i < ROWS (paths); i++)
     {
-      struct outcome outcome;
-      struct outcome waiting;
+      struct outcome outcome = { 0 };
+      struct outcome waiting = { 0 };
 
       mq_http_client_destroy (client);
       talloc_free (ev);
@@ -707,7 +707,7 @@
   int fd = reach (name, PHASE_STREAM_IDLE);
   const char *block = filled (16384, 'x');
   size_t taken = 0;
-  struct outcome other;
+  struct outcome other = { 0 };
 
   while (mq_http_stream_write (held[0], block, 16384))
     {
@@ -846,7 +846,7 @@
 Test (http, stop_accepting)
 {
   const char *name = "stop";
-  struct outcome refused;
+  struct outcome refused = { 0 };
   uint16_t port = mq_http_server_port (server);
   int fd = reach (name, PHASE_HELD);
   bool ended = false;
--- a/tests/test_io.c
+++ b/tests/test_io.c
@@ -61,10 +61,10 @@
 write_value (size_t row)
 {
   if (value_rows[row].value == NULL)
-    mq_log_write (value_rows[row].level, "event", NULL);
+    mq_log_write (value_rows[row].level, "event", MQ_LOG_END);
   else
     mq_log_write (value_rows[row].level, "event", "key", value_rows[row].value,
-                  NULL);
+                  MQ_LOG_END);
 }
 
 /* A caller's value that carries a line end would forge a line of its own.  */
