--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -14,7 +14,8 @@
 
 /**
  * struct mq_http_result - how a call ended
- * @error: NONE when a whole answer came, with any status
+ * @error: NONE when a whole answer came, with any status; TIMEOUT, PEER_LOST,
+ *         TOO_LARGE, NO_MEMORY, BAD_REQUEST (URL or header), else IO
  * @sent: the request may have reached the other side; with an error this
  *        means that its effect is unknown
  * @status: HTTP status, 0 when none
@@ -65,10 +66,11 @@
 struct mq_http_client *mq_http_client_create (TALLOC_CTX *ctx,
                                               struct tevent_context *ev,
                                               struct mq_error *error);
+/* Drops the calls under way without a callback.  */
 void mq_http_client_destroy (struct mq_http_client *client);
 struct mq_http_call *mq_http_client_send (struct mq_http_client *client,
                                           const struct mq_http_send *send);
-/* Closes the connection; no callback follows.  */
+/* Closes the connection; no callback follows.  Any callback may cancel.  */
 void mq_http_call_cancel (struct mq_http_call *call);
 
 #endif
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -36,6 +36,8 @@
                        const struct mq_http_server_options *options,
                        mq_http_handler *handler, void *data,
                        struct mq_error *error);
+/* Ends every request and tells its on_closed; nothing is told after.  May be
+   called from within a handler or an on_closed.  */
 void mq_http_server_destroy (struct mq_http_server *server);
 /* Stops accepting; requests in progress go on.  */
 void mq_http_server_stop_accepting (struct mq_http_server *server);
@@ -50,7 +52,9 @@
                            const char *name); /* NULL when absent */
 /* Body, terminated by a zero byte that LEN does not count.  */
 const char *mq_http_body (const struct mq_http_request *request, size_t *len);
-/* Called once when the request ends: answered whole or connection gone.  */
+/* Called once when the request ends: answered whole or connection gone.  The
+   request is freed after it.  A request without it is kept, when its caller
+   leaves, until it is answered, ended or aborted.  */
 void mq_http_on_closed (struct mq_http_request *request,
                         mq_http_closed *closed, void *data);
 /* Extra header of the answer; before respond or stream_begin.  */
