--- /dev/null
+++ b/standins/engine_state.h
@@ -0,0 +1,168 @@
+/* engine_state.h - the inside of the engine's model.
+
+   engine_model.c takes requests and keeps the time, engine_batch.c admits
+   and steps sequences, engine_work.c does transfers and orders,
+   engine_report.c keeps what is told.
+   Needs: engine_model.h.  */
+
+#ifndef MQ_ENGINE_STATE_H
+#define MQ_ENGINE_STATE_H
+
+#include "engine_model.h"
+#include <stdlib.h>
+
+enum
+{
+  MQ_ENGINE_FIRST_ROOM = 16,
+  MQ_ENGINE_CACHE_EVENTS_KEPT = 4096
+};
+
+enum mq_engine_sequence_state
+{
+  MQ_ENGINE_SEQUENCE_FREE,
+  MQ_ENGINE_SEQUENCE_WAITING,
+  MQ_ENGINE_SEQUENCE_RUNNING,
+  MQ_ENGINE_SEQUENCE_PAUSED
+};
+
+/**
+ * struct mq_engine_sequence - one request under way
+ * @generation: tells apart the sequences that used this place
+ * @order: rank of its arrival
+ * @blocks: memory that it holds
+ * @labelled: how many of @blocks were computed whole
+ * @computed: tokens whose keys and values are in @blocks
+ * @chunk: tokens that the step in progress computes for it
+ * @decoding: all tokens but the last are computed
+ * @drop: its program was evicted; keep nothing of it
+ * @ran: it was admitted before
+ */
+struct mq_engine_sequence
+{
+  enum mq_engine_sequence_state state;
+  uint32_t generation;
+  uint64_t order;
+  struct mq_engine_request request;
+  uint64_t *hashes;
+  uint32_t *blocks;
+  uint32_t block_count;
+  uint32_t labelled;
+  uint32_t computed;
+  uint32_t chunk;
+  uint32_t generated;
+  uint32_t cached_tokens;
+  uint64_t start_us;
+  bool decoding;
+  bool drop;
+  bool ran;
+};
+
+/* A transfer or an order under way.  */
+struct mq_engine_work
+{
+  enum mq_engine_event_type type;
+  uint64_t due_us;
+  uint64_t tag;
+  struct mq_id program;
+  enum mq_order_type order;
+  struct mq_kv_label *labels; /* talloc child of the engine */
+  size_t label_count;
+};
+
+/* Indices of sequences.  */
+struct mq_engine_list
+{
+  uint32_t *items;
+  size_t count;
+  size_t room;
+};
+
+struct mq_engine
+{
+  struct mq_engine_params params;
+  struct mq_kv *kv;
+  uint64_t now_us;
+  struct mq_engine_sequence *sequences;
+  size_t sequence_room;
+  struct mq_engine_list unused;
+  struct mq_engine_list waiting;
+  struct mq_engine_list running;
+  struct mq_engine_list paused;
+  uint64_t arrivals;
+  bool in_step;
+  uint64_t step_end_us;
+  struct mq_engine_work *work; /* in order of due time */
+  size_t work_count;
+  size_t work_room;
+  uint64_t transfer_free_us;
+  uint64_t order_free_us;
+  uint64_t fence;
+  struct mq_engine_event *events; /* [event_first, event_count) */
+  size_t event_first;
+  size_t event_count;
+  size_t event_room;
+  struct mq_kv_label *given_labels;           /* of the event taken last */
+  struct mq_engine_cache_event *cache_events; /* ring */
+  uint64_t cache_event_first;                 /* position, not number */
+  uint64_t cache_event_count;
+  uint64_t cache_event_number;
+  uint64_t random;
+  struct mq_engine_load reported;
+  struct mq_engine_load sampled;
+  uint64_t next_sample_us;
+  struct mq_engine_counters counters;
+};
+
+static inline void *
+mq_engine_need (void *memory)
+{
+  if (memory == NULL)
+    abort ();
+  return memory;
+}
+
+static inline uint64_t
+mq_engine_scale (const struct mq_engine *engine, uint64_t us)
+{
+  return (uint64_t)((double)us * engine->params.time_scale + 0.5);
+}
+
+static inline uint32_t
+mq_engine_blocks (uint32_t tokens)
+{
+  return (tokens + MQ_KV_BLOCK_TOKENS - 1) / MQ_KV_BLOCK_TOKENS;
+}
+
+/* Sequences (engine_batch.c).  */
+
+void mq_engine_list_insert (struct mq_engine *engine,
+                            struct mq_engine_list *list, size_t at,
+                            uint32_t item);
+void mq_engine_set_state (struct mq_engine *engine, uint32_t index,
+                          enum mq_engine_sequence_state state);
+void mq_engine_end_sequence (struct mq_engine *engine, uint32_t index);
+void mq_engine_begin_step (struct mq_engine *engine);
+void mq_engine_finish_step (struct mq_engine *engine);
+
+/* Transfers and orders (engine_work.c).  */
+
+struct mq_engine_work *mq_engine_add_work (struct mq_engine *engine,
+                                           enum mq_engine_event_type type,
+                                           uint64_t due_us, uint64_t tag);
+/* End of a piece of work of US that begins when *FREE_US lets it.  */
+uint64_t mq_engine_queue_work (struct mq_engine *engine, uint64_t *free_us,
+                               uint64_t us);
+uint64_t mq_engine_queue_transfer (struct mq_engine *engine, size_t blocks);
+void mq_engine_finish_first_work (struct mq_engine *engine);
+
+/* What is told (engine_report.c).  */
+
+struct mq_engine_event *mq_engine_add_event (struct mq_engine *engine,
+                                             enum mq_engine_event_type type,
+                                             uint64_t at_us, uint64_t tag);
+void mq_engine_add_cache_event (struct mq_engine *engine,
+                                enum mq_engine_cache_event_type type,
+                                struct mq_id program, uint32_t tokens);
+void mq_engine_sample_load (struct mq_engine *engine, uint64_t now_us);
+
+#endif
