Test mimosactl against a small site

Cause: a lost answer, a late write or a racing operator must never make apply claim what is not so; status and trace must show what hosts say. Change: mimosactl runs as a process beside the platform's stand-in and hosts in the test's loop; 15 cases of apply under faults, 7 of the wait for hosts; docs/KEYS.md is compared with mimosactl keys.

--- a/src/io/ctl.c
+++ b/src/io/ctl.c
@@ -14,6 +14,7 @@
 #define HOSTS_POLL_MS 1000U
 #define MS_PER_S 1000U
 #define US_PER_MS 1000U
+#define NS_PER_MS 1000000U
 
 struct mq_ctl
 {
@@ -36,8 +37,7 @@
   struct timespec now;
 
   clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t)now.tv_sec * MS_PER_S
-         + (uint64_t)now.tv_nsec / (US_PER_MS * 1000U);
+  return (uint64_t)now.tv_sec * MS_PER_S + (uint64_t)now.tv_nsec / NS_PER_MS;
 }
 
 static void
--- a/src/io/ctl_change.c
+++ b/src/io/ctl_change.c
@@ -10,7 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define GIVE_UP_MS 15000U
+#define GIVE_UP_MS 10000U
 #define MS_PER_S 1000U
 
 /* The text in force and the one of a file.  */
@@ -73,6 +73,8 @@
                 json_pack ("{sI ss ss}", "version", (json_int_t)now->version,
                            "apply_id", format_id (run->ctx, now->apply_id),
                            "text", now->source));
+  else if (now->version == 0)
+    fputs ("; no text is in force yet\n", run->out);
   else
     fprintf (run->out, "; version %llu, apply id %s\n%s",
              (unsigned long long)now->version,
@@ -269,7 +271,7 @@
 
 /* Accepted is not yet in force: that is said only of hosts that say so.  */
 static enum mq_ctl_exit
-wait_for_hosts (const struct change *change)
+wait_for_hosts (const struct change *change, const char *how)
 {
   const struct mq_ctl_run *run = change->run;
   struct mq_ctl_spread *spread = NULL;
@@ -277,7 +279,7 @@
 
   if (!run->json)
     {
-      fprintf (run->out, "accepted as version %llu, apply id %s\n",
+      fprintf (run->out, "%s as version %llu, apply id %s\n", how,
                (unsigned long long)change->now->version,
                format_id (run->ctx, change->now->apply_id));
       fflush (run->out);
@@ -324,14 +326,14 @@
   if (refused != NULL)
     return report_refused (change, refused);
   if (is_in_force (change))
-    return wait_for_hosts (change);
+    return wait_for_hosts (change, "already accepted");
   result = mq_ctl_config_apply (change->ctl, change->run->ctx, &apply, &now);
   if (now != NULL)
     change->now = now;
   switch (result)
     {
     case MQ_APPLY_ACCEPTED:
-      return wait_for_hosts (change);
+      return wait_for_hosts (change, "accepted");
     case MQ_APPLY_CONFLICT:
       return report_conflict (change);
     case MQ_APPLY_FAILED:
--- /dev/null
+++ b/tests/test_mimosactl.c
@@ -0,0 +1,804 @@
+/* test_mimosactl.c - the operators' command line against a small site.
+
+   Needs: ctl_kit.h, ctl_trace.h, text_fixture.h, jansson, Criterion.  */
+
+#include "core/text_keys.h"
+#include "ctl_kit.h"
+#include "io/ctl_trace.h"
+#include "io/settings.h"
+#include "text_fixture.h"
+#include <criterion/criterion.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define COUNT(array) (sizeof (array) / sizeof (array)[0])
+#define TEXT_A FIXTURE_SITE FIXTURE_MODEL "timeout_ms = 1000\n"
+#define TEXT_B FIXTURE_SITE FIXTURE_MODEL "timeout_ms = 2000\n"
+#define ARGUMENTS(...) ((const char *const[]){ __VA_ARGS__, NULL })
+
+static void
+expect_in (const char *text, const char *part, const char *name)
+{
+  cr_expect_not_null (strstr (text, part), "%s: '%s' is not in:\n%s", name,
+                      part, text);
+}
+
+/* Commands that need no site.  */
+
+struct local_case
+{
+  const char *name;
+  const char *arguments[6];
+  const char *input;
+  int code;
+  const char *out; /* part of it */
+  const char *err; /* part of it */
+};
+
+static const struct local_case local_cases[] = {
+  { "no command", { NULL }, "", 2, "", "a command is needed" },
+  { "unknown command", { "frobnicate" }, "", 2, "", "unknown command" },
+  { "argument missing", { "check" }, "", 2, "", "argument is missing" },
+  { "argument too many", { "keys", "x" }, "", 2, "", "unexpected argument" },
+  { "bad format", { "keys", "--format", "xml" }, "", 2, "", "neither" },
+  { "bad base", { "apply", "-", "--base", "-1" }, "", 2, "", "not a number" },
+  { "help", { "--help" }, "", 0, "hash-key", "" },
+  { "version", { "--version" }, "", 0, "mimosactl 0.", "" },
+  { "check a good text", { "check", "-" }, TEXT_A, 0, "", "" },
+  { "check a bad text",
+    { "check", "-" },
+    "[site]\nname = s\nweight = 3\n",
+    2,
+    "-:3:1: no such key: weight (allowed: name, partitions, lease_ms, "
+    "cache_lease_ms; use one of the keys shown)\n",
+    "" },
+  { "check as JSON",
+    { "check", "-", "--format", "json" },
+    "[site]\nname = s\nweight = 3\n",
+    2,
+    "{\"file\":\"-\",\"errors\":[{\"line\":3,\"column\":1,\"type\":"
+    "\"text_unknown_key\"",
+    "" },
+  { "check a good text as JSON",
+    { "check", "-f", "json", "-" },
+    TEXT_A,
+    0,
+    "{\"file\":\"-\",\"errors\":[]}",
+    "" },
+  { "check a file that is not there",
+    { "check", "no-such.ini" },
+    "",
+    2,
+    "",
+    "no-such.ini (allowed: No such file" },
+  { "check settings",
+    { "check", "--settings", "targetd", "tests/no-such.ini" },
+    "",
+    2,
+    "tests/no-such.ini",
+    "" },
+  { "keys", { "keys" }, "", 0, "drain_seconds = 1..86400", "" },
+  { "hash of a key",
+    { "hash-key" },
+    "demo-diagne-hr\n",
+    0,
+    "b1f10b1f54f76c705ccc6aa211a6b8c8bfba544df9760823b4fd0fa5d6d86f74\n",
+    "" },
+  { "hash of nothing", { "hash-key" }, "\n", 2, "", "key on standard input" },
+  { "apply without a platform's text",
+    { "diff", "-" },
+    "[site]\n",
+    2,
+    "-:1:2: a necessary key is missing: name of [site]",
+    "" },
+  { "no such program id", { "trace", "12" }, "", 2, "", "32 lower-case" },
+};
+
+Test (mimosactl, commands_without_a_site)
+{
+  struct kit *kit = kit_create (NULL);
+
+  for (size_t i = 0; i < COUNT (local_cases); i++)
+    {
+      const struct local_case *local = &local_cases[i];
+
+      kit_run (kit, local->input, local->arguments);
+      cr_expect_eq (kit->code, local->code, "%s: exit %d", local->name,
+                    kit->code);
+      expect_in (kit->out, local->out, local->name);
+      expect_in (kit->err, local->err, local->name);
+    }
+  kit_destroy (kit);
+}
+
+/* The documented demo keys are those whose hashes the examples hold.  */
+Test (mimosactl, demo_keys_of_the_examples)
+{
+  static const struct
+  {
+    const char *file;
+    const char *organisation;
+    const char *key;
+  } keys[] = {
+    { "examples/diagne.ini", "hr", "demo-diagne-hr" },
+    { "examples/diagne.ini", "team-leads", "demo-diagne-leads" },
+    { "examples/zarqa.ini", "clerks", "demo-zarqa-clerks" },
+    { "examples/zarqa.ini", "call-centre", "demo-zarqa-call-centre" },
+    { "examples/zarqa.ini", "nightly", "demo-zarqa-nightly" },
+    { "examples/organisations.ini", "front-office", "demo-key-a" },
+    { "examples/organisations.ini", "back-office", "demo-key-b" },
+  };
+  struct kit *kit = kit_create (NULL);
+
+  for (size_t i = 0; i < COUNT (keys); i++)
+    {
+      size_t len;
+      char *source = fixture_read (kit->ctx, keys[i].file, &len);
+      struct mq_text *text = fixture_parse (kit->ctx, source);
+      const struct mq_key *key
+          = mq_key_find (mq_text_keys (), "organisation", "key_sha256");
+
+      expect_in (source, keys[i].key, keys[i].file);
+      kit_run (kit, keys[i].key, ARGUMENTS ("hash-key"));
+      expect_in (kit->out,
+                 mq_key_print (
+                     kit->ctx, key,
+                     mq_text_find_organisation (text, keys[i].organisation)),
+                 keys[i].key);
+    }
+  kit_destroy (kit);
+}
+
+/* Every key stands in the list, so a page made from it misses none.  */
+Test (mimosactl, keys_as_json)
+{
+  struct kit *kit = kit_create (NULL);
+  const struct mq_key_table *text = mq_text_keys ();
+  const struct mq_key_table *settings = mq_settings_keys ();
+  json_t *items;
+  json_t *item;
+  size_t i;
+
+  kit_run (kit, NULL, ARGUMENTS ("keys", "--format=json"));
+  cr_expect_eq (kit->code, 0);
+  items = json_loads (kit->out, 0, NULL);
+  cr_assert_eq (json_array_size (items),
+                text->key_count + settings->key_count);
+  json_array_foreach (items, i, item)
+  {
+    const char *help = json_string_value (json_object_get (item, "help"));
+    const char *allowed
+        = json_string_value (json_object_get (item, "allowed"));
+
+    cr_expect (help != NULL && *help != '\0');
+    cr_expect (allowed != NULL && *allowed != '\0');
+  }
+  json_decref (items);
+  kit_destroy (kit);
+}
+
+/* The page of the keys is what "mimosactl keys" prints; after a change of a
+   table it is written anew:
+   { sed -n '1,/^```/p' docs/KEYS.md; build/bin/mimosactl keys; echo '```'; }
+ */
+Test (mimosactl, keys_page)
+{
+  struct kit *kit = kit_create (NULL);
+  size_t len;
+  char *page = fixture_read (kit->ctx, "docs/KEYS.md", &len);
+
+  kit_run (kit, NULL, ARGUMENTS ("keys"));
+  cr_expect_eq (kit->code, 0);
+  cr_expect_not_null (strstr (page, kit->out),
+                      "docs/KEYS.md differs from 'mimosactl keys'");
+  kit_destroy (kit);
+}
+
+/* Changing the configuration.  */
+
+/**
+ * struct apply_case - one apply under a fault
+ * @before: text in force as version 1, NULL: none
+ * @base: given with --base
+ * @fault: switched on at the platform after @reads reads, NULL: none
+ * @rival: another operator's text, written after @rival_reads reads or, with
+ *         @follows, right after our own, as the next version
+ * @says: part of standard output or standard error
+ * @version: version in force in the end
+ * @writes: rows written in all
+ * @code: exit status
+ * @ours: it is our text that is in force
+ */
+struct apply_case
+{
+  const char *name;
+  const char *before;
+  const char *base;
+  const char *fault;
+  const char *rival;
+  const char *says;
+  uint64_t reads;
+  uint64_t rival_reads;
+  uint64_t version;
+  uint64_t writes;
+  int code;
+  bool follows;
+  bool ours;
+};
+
+/* mimosactl reads the row once to check the change, then once before each
+   attempt: after two reads the attempt is the next to come.  */
+static const struct apply_case apply_cases[] = {
+  /* An operator puts the first text, then a second one, in force.  */
+  { .name = "first text",
+    .base = "0",
+    .version = 1,
+    .ours = true,
+    .writes = 1,
+    .says = "accepted as version 1" },
+  { .name = "second text",
+    .before = TEXT_A,
+    .base = "1",
+    .version = 2,
+    .ours = true,
+    .writes = 2,
+    .says = "accepted as version 2" },
+  { .name = "the same text again: nothing to write",
+    .before = TEXT_B,
+    .base = "1",
+    .version = 1,
+    .ours = true,
+    .writes = 1,
+    .says = "already accepted as version 1" },
+  /* The operator does not say which version was looked at.  */
+  { .name = "no base",
+    .before = TEXT_A,
+    .code = 2,
+    .version = 1,
+    .writes = 1,
+    .says = "then: --base 1" },
+  /* Someone applied version 1 while this operator still looked at none.  */
+  { .name = "old base",
+    .before = TEXT_A,
+    .base = "0",
+    .code = 3,
+    .version = 1,
+    .writes = 1,
+    .says = "version 1 is in force, not 0" },
+  { .name = "old base shows the difference",
+    .before = TEXT_A,
+    .base = "0",
+    .code = 3,
+    .version = 1,
+    .writes = 1,
+    .says = "~ [service m] timeout_ms: 1000 -> 2000" },
+  { .name = "base of the future",
+    .before = TEXT_A,
+    .base = "7",
+    .code = 3,
+    .version = 1,
+    .writes = 1,
+    .says = "version 1 is in force, not 7" },
+  /* Two operators race: both read version 1, the other one writes first,
+     ours meets the condition no more and must not win.  */
+  { .name = "rival writes first",
+    .before = TEXT_A,
+    .base = "1",
+    .rival = TEXT_A "; rival\n",
+    .rival_reads = 2,
+    .code = 3,
+    .version = 2,
+    .writes = 2,
+    .says = "version 2 is in force, not 1" },
+  /* The write takes effect, its answer is lost.  Told that it failed, the
+     operator would apply again and think that someone else was faster.  The
+     row holds our apply id.  */
+  { .name = "lost answer",
+    .before = TEXT_A,
+    .base = "1",
+    .fault = "{\"fault\":\"lost_answer\",\"count\":1}",
+    .version = 2,
+    .ours = true,
+    .writes = 2,
+    .says = "accepted as version 2" },
+  /* The write takes effect only after we read the old row and wrote again:
+     of the two, one meets the condition.  */
+  { .name = "late effect",
+    .before = TEXT_A,
+    .base = "1",
+    .fault = "{\"fault\":\"late_effect\",\"count\":1,\"ms\":600}",
+    .version = 2,
+    .ours = true,
+    .writes = 2,
+    .says = "accepted as version 2" },
+  /* As before, but another operator's text comes between; ours may never
+     take effect over it.  */
+  { .name = "late effect and a rival",
+    .before = TEXT_A,
+    .base = "1",
+    .fault = "{\"fault\":\"late_effect\",\"count\":1,\"ms\":300}",
+    .rival = TEXT_A "; rival\n",
+    .rival_reads = 2,
+    .code = 3,
+    .version = 2,
+    .writes = 2,
+    .says = "version 2 is in force, not 1" },
+  /* Our answer is lost and another operator applies on top of our text
+     before we read: whether ours was in force can't be seen any more, and
+     must not be claimed either way.  */
+  { .name = "lost answer and a successor",
+    .before = TEXT_A,
+    .base = "1",
+    .fault = "{\"fault\":\"lost_answer\",\"count\":1}",
+    .rival = TEXT_A "; next\n",
+    .follows = true,
+    .code = 1,
+    .version = 3,
+    .writes = 3,
+    .says = "may have been, or may yet be accepted" },
+  /* The table refuses for a moment: certainly not applied, tried again.  */
+  { .name = "store down for a moment",
+    .before = TEXT_A,
+    .base = "1",
+    .fault = "{\"fault\":\"down\",\"count\":2,\"match\":\"config\"}",
+    .reads = 2,
+    .version = 2,
+    .ours = true,
+    .writes = 2,
+    .says = "accepted as version 2" },
+  { .name = "store down",
+    .before = TEXT_A,
+    .base = "1",
+    .fault = "{\"fault\":\"down\",\"match\":\"config\"}",
+    .code = 1,
+    .version = 1,
+    .writes = 1,
+    .says = "store can't be reached" },
+  /* The table goes away between our reading and our write and stays away:
+     the operator must hear that nothing was applied.  */
+  { .name = "store lost before the write",
+    .before = TEXT_A,
+    .base = "1",
+    .fault = "{\"fault\":\"unreachable\",\"match\":\"config\"}",
+    .reads = 1,
+    .code = 1,
+    .version = 1,
+    .writes = 1,
+    .says = "not applied" },
+};
+
+struct apply_run
+{
+  const struct apply_case *test;
+  uint64_t reads_before;
+  bool fault_on;
+  bool rival_done;
+};
+
+static void
+switch_on (struct kit *kit, struct apply_run *run)
+{
+  run->fault_on = true;
+  if (run->test->fault != NULL)
+    cr_assert (mq_platform_server_fault (kit->platform, run->test->fault),
+               "%s", run->test->fault);
+}
+
+/* Runs between two turns of the platform's loop, so before any request that
+   mimosactl sends in answer to what it has just read.  */
+static void
+apply_step (struct kit *kit, void *user)
+{
+  struct apply_run *run = user;
+  const struct apply_case *test = run->test;
+  struct mq_table *table = mq_platform_server_table (kit->platform);
+  uint64_t reads = mq_table_counters (table).reads - run->reads_before;
+  uint64_t before = test->before == NULL ? 0 : 1;
+  uint64_t version;
+
+  if (!run->fault_on && reads >= test->reads)
+    switch_on (kit, run);
+  if (test->rival == NULL || run->rival_done)
+    return;
+  version = kit_config (kit, NULL);
+  if (test->follows ? version == before : reads < test->rival_reads)
+    return;
+  run->rival_done = true;
+  kit_write_config (kit, version + 1, test->rival);
+}
+
+static void
+run_apply (const struct apply_case *test)
+{
+  struct kit *kit = kit_create (NULL);
+  struct apply_run run = { .test = test };
+  char *text = NULL;
+
+  if (test->before != NULL)
+    kit_write_config (kit, 1, test->before);
+  run.reads_before
+      = mq_table_counters (mq_platform_server_table (kit->platform)).reads;
+  if (test->reads == 0)
+    switch_on (kit, &run);
+  kit->step = apply_step;
+  kit->user = &run;
+  if (test->base == NULL)
+    kit_run (kit, TEXT_B, ARGUMENTS ("apply", "-"));
+  else
+    kit_run (kit, TEXT_B, ARGUMENTS ("apply", "-", "--base", test->base));
+  cr_expect_eq (kit->code, test->code, "%s: exit %d, %s", test->name,
+                kit->code, kit->err);
+  cr_expect_eq (kit_config (kit, &text), test->version, "%s: version %lu",
+                test->name, kit_config (kit, NULL));
+  cr_expect_eq (strcmp (text, TEXT_B) == 0, test->ours, "%s: text in force",
+                test->name);
+  cr_expect_eq (mq_table_counters (mq_platform_server_table (kit->platform))
+                    .rows_written,
+                test->writes, "%s: rows written", test->name);
+  expect_in (talloc_asprintf (kit->ctx, "%s%s", kit->out, kit->err),
+             test->says, test->name);
+  kit_destroy (kit);
+}
+
+Test (mimosactl, apply)
+{
+  for (size_t i = 0; i < COUNT (apply_cases); i++)
+    run_apply (&apply_cases[i]);
+}
+
+/* An operator doubles the partitions of a site in use.  Programs would be
+   looked for in partitions other than those that hold them.  */
+Test (mimosactl, apply_refuses_other_partitions)
+{
+  struct kit *kit = kit_create (NULL);
+
+  kit_write_config (kit, 1, TEXT_A);
+  kit_run (kit, "[site]\npartitions = 32\nname = s\n",
+           ARGUMENTS ("apply", "-", "--base", "1"));
+  cr_expect_eq (kit->code, 2);
+  expect_in (kit->err, "partitions: 16 -> 32 (allowed: only 16", "partitions");
+  cr_expect_eq (kit_config (kit, NULL), 1);
+  kit_destroy (kit);
+}
+
+Test (mimosactl, show_and_diff)
+{
+  struct kit *kit = kit_create (NULL);
+
+  kit_run (kit, NULL, ARGUMENTS ("show"));
+  cr_expect_eq (kit->code, 0);
+  expect_in (kit->out, "no text is in force", "show nothing");
+  kit_write_config (kit, 9, TEXT_A);
+  kit_run (kit, NULL, ARGUMENTS ("show"));
+  expect_in (kit->out, "; version 9, ", "show");
+  expect_in (kit->out, "\n" TEXT_A, "show");
+  kit_run (kit, TEXT_B, ARGUMENTS ("diff", "-"));
+  cr_expect_eq (kit->code, 0);
+  expect_in (kit->out, "version in force: 9\n", "diff");
+  expect_in (kit->out, "~ [service m] timeout_ms: 1000 -> 2000\n", "diff");
+  kit_run (kit, TEXT_A, ARGUMENTS ("diff", "-", "-f", "json"));
+  expect_in (kit->out, "{\"version\":9,\"changes\":[]}", "no difference");
+  kit_destroy (kit);
+}
+
+/* The spread of a version.  */
+
+struct spread_case
+{
+  const char *name;
+  struct kit_host hosts[KIT_HOSTS_MAX + 1];
+  const char *wait;
+  int code;
+  const char *out;
+  const char *err;
+};
+
+static const struct spread_case spread_cases[] = {
+  { "all hold it at once",
+    { { .name = "e1", .role = "entry", .version = 1 },
+      { .name = "t1", .role = "target", .version = 1 } },
+    "60",
+    0,
+    "2 of 2 hosts hold version 1\n",
+    "2 of 2" },
+  { "one learns it late",
+    { { .name = "e1", .role = "entry", .version = 1 },
+      { .name = "t1", .role = "target", .learns = 3, .learns_version = 1 } },
+    "60",
+    0,
+    "2 of 2 hosts hold version 1\n",
+    "1 of 2" },
+  { "a higher version is as good",
+    { { .name = "e1", .role = "entry", .version = 5 } },
+    "60",
+    0,
+    "1 of 1",
+    "1 of 1" },
+  /* A host never hears of the version: its name must come up.  */
+  { "one stays behind",
+    { { .name = "e1", .role = "entry", .version = 1 },
+      { .name = "t1", .role = "target" } },
+    "1",
+    1,
+    "1 of 2 hosts hold version 1\n  missing: t1 (holds version 0)\n",
+    "1 of 2" },
+  /* A host of the list is dead.  Nobody can say what it holds.  */
+  { "one does not answer",
+    { { .name = "e1", .role = "entry", .version = 1 },
+      { .name = "t1", .role = "target", .gone = true } },
+    "1",
+    1,
+    "missing: t1 (no answer: ",
+    "" },
+  { "a leaving host is named, not waited for",
+    { { .name = "e1", .role = "entry", .version = 1 },
+      { .name = "t1", .role = "target", .gone = true, .leaving = true } },
+    "60",
+    0,
+    "leaving)",
+    "" },
+  { "not to wait",
+    { { .name = "t1", .role = "target" } },
+    "0",
+    0,
+    "accepted as version 1",
+    "" },
+};
+
+Test (mimosactl, apply_waits_for_the_hosts)
+{
+  for (size_t i = 0; i < COUNT (spread_cases); i++)
+    {
+      const struct spread_case *test = &spread_cases[i];
+      struct kit *kit = kit_create (test->hosts);
+
+      kit_run (kit, TEXT_A,
+               ARGUMENTS ("apply", "-", "--base", "0", "--wait", test->wait));
+      cr_expect_eq (kit->code, test->code, "%s: exit %d, %s%s", test->name,
+                    kit->code, kit->out, kit->err);
+      expect_in (kit->out, test->out, test->name);
+      expect_in (kit->err, test->err, test->name);
+      kit_destroy (kit);
+    }
+}
+
+/* The hosts.  */
+
+static const struct kit_host status_hosts[] = {
+  { .name = "e1",
+    .role = "entry",
+    .version = 3,
+    .status
+    = "{\"state\":\"ready\",\"config_version\":%llu,\"partitions\":["
+      "{\"partition\":0,\"fence\":4,\"state\":\"owned\",\"programs\":2},"
+      "{\"partition\":1,\"fence\":4,\"state\":\"owned\",\"programs\":5},"
+      "{\"partition\":3,\"fence\":9,\"state\":\"owned\",\"programs\":1}],"
+      "\"unknown_calls\":[{\"program\":\"00000000000000010000000000000002\","
+      "\"call\":7,\"service\":\"accueil-app\",\"target\":\"t9\"}],"
+      "\"latency\":[{\"service\":\"onboarding\",\"follow_up\":true,"
+      "\"count\":12,\"p50_ms\":800,\"p95_ms\":2100,\"p99_ms\":4000}]}" },
+  { .name = "e2",
+    .role = "entry",
+    .version = 2,
+    .status
+    = "{\"state\":\"ready\",\"config_version\":%llu,\"partitions\":["
+      "{\"partition\":3,\"fence\":8,\"state\":\"owned\",\"programs\":1}]}" },
+  { .name = "t1",
+    .role = "target",
+    .version = 3,
+    .status = "{\"state\":\"ready\",\"config_version\":%llu,"
+              "\"cache_ended_tokens\":40,\"counters\":{\"gate\":{"
+              "\"cache_token_ms\":2000,\"cache_wasted_token_ms\":500,"
+              "\"prompt_tokens\":1000,\"recomputed_tokens\":125}}}" },
+  { .name = "t2", .role = "target", .gone = true },
+  { 0 }
+};
+
+Test (mimosactl, status)
+{
+  static const char *const lines[] = {
+    "configuration in force: 3; hosts: 4 listed, 3 reached\n",
+    "e1                   entry   plateau          ready               3\n",
+    "e2                   entry   plateau          ready               2  "
+    "behind\n",
+    "t2                   target  plateau          unreachable         -  ",
+    "partitions: 3 of 16 owned\n",
+    "  e1                        3 owned        8 programs  0-1,3\n",
+    "  no owner is known of: 2,4-15\n",
+    "  3: e2 still names it, e1 has the higher fence 9\n",
+    "calls whose effect is unknown: 1\n",
+    "  program 00000000000000010000000000000002 call 7 service accueil-app "
+    "target t9\n",
+    "cache held for ended programs: 40 tokens\n",
+    "follow-ups       12 programs, ms p50 800 p95 2100 p99 4000\n",
+    "wasted cache: 25.00% of token-time held, 12.50% of prompt tokens "
+    "computed again\n",
+  };
+  struct kit *kit = kit_create (status_hosts);
+
+  kit_write_config (kit, 3, TEXT_A);
+  kit_run (kit, NULL, ARGUMENTS ("status"));
+  cr_expect_eq (kit->code, 0);
+  for (size_t i = 0; i < COUNT (lines); i++)
+    expect_in (kit->out, lines[i], "status");
+  kit_destroy (kit);
+}
+
+Test (mimosactl, status_as_json)
+{
+  struct kit *kit = kit_create (status_hosts);
+  json_t *root;
+  json_t *partitions;
+
+  kit_write_config (kit, 3, TEXT_A);
+  kit_run (kit, NULL, ARGUMENTS ("status", "--format", "json"));
+  root = json_loads (kit->out, 0, NULL);
+  cr_assert_not_null (root, "%s", kit->out);
+  partitions = json_object_get (root, "partitions");
+  cr_expect_eq (json_array_size (json_object_get (root, "hosts")), 4);
+  cr_expect_eq (json_array_size (partitions), 16);
+  cr_expect_str_eq (json_string_value (json_object_get (
+                        json_array_get (partitions, 3), "owner")),
+                    "e1");
+  cr_expect (json_is_null (
+      json_object_get (json_array_get (partitions, 2), "owner")));
+  cr_expect_eq (
+      json_integer_value (json_object_get (root, "cache_ended_tokens")), 40);
+  json_decref (root);
+  kit_destroy (kit);
+}
+
+/* The table is down, the hosts are not: an operator still sees the hosts.  */
+Test (mimosactl, status_without_the_table)
+{
+  struct kit *kit = kit_create (status_hosts);
+
+  kit_write_config (kit, 3, TEXT_A);
+  cr_assert (mq_platform_server_fault (
+      kit->platform, "{\"fault\":\"down\",\"match\":\"config\"}"));
+  kit_run (kit, NULL, ARGUMENTS ("status"));
+  cr_expect_eq (kit->code, 0);
+  expect_in (kit->err, "store can't be reached", "status");
+  expect_in (kit->out, "4 listed, 3 reached", "status");
+  expect_in (kit->out, "partitions: 3 of 4 owned", "status");
+  kit_destroy (kit);
+}
+
+/* An operator uses the key of another site.  */
+Test (mimosactl, hosts_refuse_another_key)
+{
+  struct kit *kit = kit_create (status_hosts);
+
+  kit_run (kit, "other-key\n",
+           ARGUMENTS ("status", "--operator-key-file", "-"));
+  cr_expect_eq (kit->code, 1);
+  expect_in (kit->out, "unauthorised", "status");
+  expect_in (kit->out, "4 listed, 0 reached", "status");
+  kit_run (kit, "other-key\n",
+           ARGUMENTS ("drain", "e1", "--operator-key-file", "-"));
+  cr_expect_eq (kit->code, 1);
+  expect_in (kit->err, "e1", "drain");
+  cr_expect_eq (kit->hosts[0].drained, 0);
+  /* A header line must not be made of a file that holds something else.  */
+  kit_run (kit, "two words\n",
+           ARGUMENTS ("status", "--operator-key-file", "-"));
+  cr_expect_eq (kit->code, 2);
+  cr_expect_null (strstr (kit->err, "two words"));
+  kit_destroy (kit);
+}
+
+Test (mimosactl, drain)
+{
+  struct kit *kit = kit_create (status_hosts);
+
+  kit_run (kit, NULL, ARGUMENTS ("drain", "t1"));
+  cr_expect_eq (kit->code, 0);
+  expect_in (kit->out, "t1 is leaving", "drain");
+  cr_expect_eq (kit->hosts[2].drained, 1);
+  cr_expect_eq (kit->hosts[0].drained, 0);
+  kit_run (kit, NULL, ARGUMENTS ("drain", "t11"));
+  cr_expect_eq (kit->code, 2);
+  expect_in (kit->err, "t11 (allowed: did you mean t1? e1, e2, t1, t2",
+             "drain");
+  kit_run (kit, NULL, ARGUMENTS ("drain", "t2"));
+  cr_expect_eq (kit->code, 1);
+  kit_destroy (kit);
+}
+
+/* Traces.  */
+
+#define SPAN(name, host, program, call, start, end, error)                    \
+  "{\"name\":\"" name "\",\"host\":\"" host                                   \
+  "\",\"data_centre\":\"hann\",\"program\":\"" program "\",\"call\":" call    \
+  ",\"start_us\":" start ",\"end_us\":" end ",\"error\":\"" error "\"}"
+#define PROGRAM "000000000000000a000000000000000b"
+
+Test (mimosactl, trace_gathers_all_hosts)
+{
+  static const struct kit_host hosts[]
+      = { { .name = "e1",
+            .role = "entry",
+            .spans = "[" SPAN ("owner", "e1", PROGRAM, "1", "1000", "9000",
+                               "ok") "]" },
+          { .name = "t1",
+            .role = "target",
+            .spans = "[" SPAN ("queue", "t1", PROGRAM, "1", "2000", "3000",
+                               "ok") "]" },
+          { .name = "t2", .role = "target", .gone = true },
+          { 0 } };
+  struct kit *kit = kit_create (hosts);
+
+  kit_run (kit, NULL, ARGUMENTS ("trace", PROGRAM));
+  cr_expect_eq (kit->code, 0);
+  expect_in (kit->out, "owner e1 (hann)", "trace");
+  expect_in (kit->out, "queue t1 (hann)", "trace");
+  expect_in (kit->err, "no spans from t2", "trace");
+  kit_run (kit, NULL, ARGUMENTS ("trace", PROGRAM, "-f", "json"));
+  expect_in (kit->out, "\"name\":\"queue\"", "trace");
+  kit_destroy (kit);
+}
+
+/* Sub-programs stand below the call that started them, whatever the order in
+   which the hosts answer; the link comes from the ids alone.  */
+Test (mimosactl, trace_tree)
+{
+  struct mq_id parent = { 10, 11 };
+  struct mq_id child = mq_id_child (parent, 2);
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  char id[MQ_ID_TEXT];
+  char *source;
+  char *want;
+  json_t *spans;
+
+  mq_id_format (child, id);
+  source = talloc_asprintf (
+      ctx,
+      "[{\"name\":\"target\",\"host\":\"t2\",\"program\":\"%s\",\"call\":1,"
+      "\"start_us\":4000,\"end_us\":6000,\"error\":\"timeout\"}," SPAN (
+          "owner", "e1", PROGRAM, "3", "8000", "9000",
+          "ok") "," SPAN ("target", "t1", PROGRAM, "1", "1500", "3000",
+                          "ok") "," SPAN ("open", "e1", PROGRAM, "0", "1000",
+                                          "1200",
+                                          "ok") "," SPAN ("queue", "t1",
+                                                          PROGRAM, "1", "1200",
+                                                          "1500", "ok") "]",
+      id);
+  want = talloc_asprintf (
+      ctx,
+      "hop, host (data centre)                          start ms        "
+      "length\n"
+      "program " PROGRAM "\n"
+      "  open e1 (hann)                                    0.000      0.200 "
+      "ms |=                             |\n"
+      "  call 1\n"
+      "    queue t1 (hann)                                 0.200      0.300 "
+      "ms |=                             |\n"
+      "    target t1 (hann)                                0.500      1.500 "
+      "ms | ======                       |\n"
+      "  program %s\n"
+      "    call 1\n"
+      "      target t2                                     3.000      2.000 "
+      "ms |           =======            | timeout\n"
+      "  call 3\n"
+      "    owner e1 (hann)                                 7.000      1.000 "
+      "ms |                          ====|\n",
+      id);
+  spans = json_loads (source, 0, NULL);
+  cr_assert_not_null (spans);
+  cr_expect_str_eq (mq_ctl_trace_text (ctx, spans, parent), want);
+  json_decref (spans);
+  talloc_free (ctx);
+}
+
+Test (mimosactl, trace_of_nothing)
+{
+  struct kit *kit = kit_create (status_hosts);
+
+  kit_run (kit, NULL, ARGUMENTS ("trace", PROGRAM));
+  cr_expect_eq (kit->code, 1);
+  expect_in (kit->out, "no spans are kept of it", "trace");
+  kit_destroy (kit);
+}
