Show states of partitions, policies by their own names

Cause: with real hosts a partition may be claimed or read and not yet served, and settings took words for policies that mimosa-entryd does not know. Change: status counts active partitions and names the others; a claiming host is no rival; policy words are compared with mq_policy_from_name in a test; sub-programs name the call that started them.

--- a/src/io/ctl_status.c
+++ b/src/io/ctl_status.c
@@ -8,14 +8,17 @@
 
 #define PARTITIONS_MAX 65536U
 #define PERCENT 100.0
+/* States of a partition at an entry host, see src/core/owner.c.  */
+#define STATE_ACTIVE "active"
+#define STATE_CLAIMING "claiming"
 
 /**
  * struct claim - who says that it owns a partition
- * @host: index in the fleet of the host with the highest fence, -1: none
- * @fence: that fence
+ * @host: index in the fleet of the host with the strongest claim, -1: none
+ * @fence: its fence
  * @programs: programs in it
  * @state: as that host calls it
- * @rival: index of another host that names it too, -1: none
+ * @rival: index of another host that holds itself for the owner, -1: none
  */
 struct claim
 {
@@ -30,7 +33,7 @@
  * struct summary - what the answers give together
  * @claims: one for each partition
  * @claim_count: how many
- * @owned: claimed ones
+ * @active: partitions whose owner is at work
  * @unknown_calls: borrowed items of the hosts' lists
  * @cache_ended_tokens: engine cache held for programs that have ended
  * @reached: hosts that answered
@@ -43,7 +46,7 @@
 {
   struct claim *claims;
   uint32_t claim_count;
-  uint32_t owned;
+  uint32_t active;
   json_t *unknown_calls;
   uint64_t cache_ended_tokens;
   size_t reached;
@@ -90,28 +93,40 @@
   return sum;
 }
 
+/* The higher fence decides; a host that is still claiming has none yet.  */
+static uint64_t
+claim_strength (uint64_t fence, const char *state)
+{
+  if (strcmp (state, STATE_CLAIMING) == 0)
+    return 0;
+  return 2 * fence + (strcmp (state, STATE_ACTIVE) == 0) + 1;
+}
+
 static void
 add_claim (struct summary *summary, int32_t host, json_t *item)
 {
   json_int_t partition
       = json_integer_value (json_object_get (item, "partition"));
-  uint64_t fence = get_number (item, "fence");
+  struct claim new = { .host = host,
+                       .rival = -1,
+                       .fence = get_number (item, "fence"),
+                       .programs = get_number (item, "programs"),
+                       .state = get_text (item, "state") };
+  uint64_t strength = claim_strength (new.fence, new.state);
   struct claim *claim;
+  uint64_t other;
 
   if (partition < 0 || partition >= (json_int_t)summary->claim_count)
     return;
   claim = &summary->claims[partition];
-  if (claim->host >= 0 && claim->fence >= fence)
+  other = claim->host < 0 ? 0 : claim_strength (claim->fence, claim->state);
+  if (claim->host < 0 || strength > other)
     {
-      claim->rival = host;
-      return;
+      new.rival = other > 0 ? claim->host : -1;
+      *claim = new;
     }
-  claim->rival = claim->host;
-  summary->owned += claim->host < 0;
-  claim->host = host;
-  claim->fence = fence;
-  claim->programs = get_number (item, "programs");
-  claim->state = get_text (item, "state");
+  else if (strength > 0)
+    claim->rival = host;
 }
 
 static void
@@ -121,7 +136,7 @@
   json_t *item;
   size_t i;
 
-  json_array_foreach (items, i, item) add_claim (summary, host, item);
+  json_array_foreach (items, i, item) { add_claim (summary, host, item); }
 }
 
 static void
@@ -164,6 +179,12 @@
   return count;
 }
 
+static bool
+is_active (const struct claim *claim)
+{
+  return claim->host >= 0 && strcmp (claim->state, STATE_ACTIVE) == 0;
+}
+
 static int
 free_summary (struct summary *summary)
 {
@@ -188,6 +209,8 @@
   for (size_t i = 0; i < fleet->count; i++)
     if (fleet->items[i].status != NULL)
       add_host (summary, (int32_t)i, fleet->items[i].status);
+  for (uint32_t i = 0; i < summary->claim_count; i++)
+    summary->active += is_active (&summary->claims[i]);
   return summary;
 }
 
@@ -238,7 +261,8 @@
   return text;
 }
 
-/* Appends the ranges of partitions whose owner is HOST: "0-3,7".  */
+/* Appends the ranges of partitions that HOST owns, those without a host for
+   -1: "0-3,7".  */
 static char *
 append_ranges (char *text, const struct summary *summary, int32_t host)
 {
@@ -285,27 +309,50 @@
   return talloc_strdup_append_buffer (text, "\n");
 }
 
+/* What is not as it should be: no owner, one that is not at work yet or any
+   more, or two.  */
+static char *
+append_claim (char *text, const struct mq_ctl_fleet *fleet, uint32_t partition,
+              const struct claim *claim)
+{
+  if (claim->host >= 0 && !is_active (claim))
+    text = talloc_asprintf_append_buffer (text, "  %u: %s is %s\n", partition,
+                                          fleet->items[claim->host].host->name,
+                                          claim->state);
+  if (claim->rival >= 0)
+    text = talloc_asprintf_append_buffer (
+        text, "  %u: %s still names it, %s has the higher fence %llu\n",
+        partition, fleet->items[claim->rival].host->name,
+        fleet->items[claim->host].host->name,
+        (unsigned long long)claim->fence);
+  return text;
+}
+
+static bool
+all_claimed (const struct summary *summary)
+{
+  for (uint32_t i = 0; i < summary->claim_count; i++)
+    if (summary->claims[i].host < 0)
+      return false;
+  return true;
+}
+
 static char *
 append_partitions (char *text, const struct summary *summary,
                    const struct mq_ctl_fleet *fleet)
 {
-  text = talloc_asprintf_append_buffer (text, "partitions: %u of %u owned\n",
-                                        summary->owned, summary->claim_count);
+  text = talloc_asprintf_append_buffer (text, "partitions: %u of %u active\n",
+                                        summary->active, summary->claim_count);
   for (size_t i = 0; i < fleet->count; i++)
     text = append_owner (text, summary, fleet, (int32_t)i);
-  if (summary->owned < summary->claim_count)
+  if (!all_claimed (summary))
     {
       text = talloc_strdup_append_buffer (text, "  no owner is known of: ");
       text = append_ranges (text, summary, -1);
       text = talloc_strdup_append_buffer (text, "\n");
     }
   for (uint32_t i = 0; i < summary->claim_count; i++)
-    if (summary->claims[i].rival >= 0)
-      text = talloc_asprintf_append_buffer (
-          text, "  %u: %s still names it, %s has the higher fence %llu\n", i,
-          fleet->items[summary->claims[i].rival].host->name,
-          fleet->items[summary->claims[i].host].host->name,
-          (unsigned long long)summary->claims[i].fence);
+    text = append_claim (text, fleet, i, &summary->claims[i]);
   return text;
 }
 
--- a/src/io/ctl_trace.c
+++ b/src/io/ctl_trace.c
@@ -95,7 +95,7 @@
   if (a->start_us != b->start_us)
     return a->start_us < b->start_us ? -1 : 1;
   if (a->end_us != b->end_us)
-    return a->end_us > b->end_us ? -1 : 1;
+    return a->end_us < b->end_us ? -1 : 1;
   return strcmp (a->name, b->name);
 }
 
--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -16,9 +16,9 @@
 
 static const struct mq_key_choice policy_choices[]
     = { { "finish", MQ_POLICY_FINISH },
-        { "round_robin", MQ_POLICY_ROUND_ROBIN },
-        { "least_loaded", MQ_POLICY_LEAST_LOADED },
-        { "prefix_hash", MQ_POLICY_PREFIX_HASH },
+        { "round-robin", MQ_POLICY_ROUND_ROBIN },
+        { "least-loaded", MQ_POLICY_LEAST_LOADED },
+        { "prefix-hash", MQ_POLICY_PREFIX_HASH },
         { NULL, 0 } };
 
 static const struct mq_key_choice order_choices[] = {
--- a/tests/ctl_kit.c
+++ b/tests/ctl_kit.c
@@ -29,7 +29,7 @@
 }
 
 static void
-answer_status (struct kit_host *host, struct mq_http_request *request)
+answer_status (struct ctl_kit_host *host, struct mq_http_request *request)
 {
   const char *mark = strstr (host->status, "%llu");
   char *body;
@@ -50,11 +50,11 @@
 static void
 on_request (struct mq_http_request *request, void *data)
 {
-  struct kit_host *host = data;
+  struct ctl_kit_host *host = data;
   const char *path = mq_http_path (request);
   const char *key = mq_http_header (request, "Authorization");
 
-  if (key == NULL || strcmp (key, "Bearer " KIT_OPERATOR_KEY) != 0)
+  if (key == NULL || strcmp (key, "Bearer " CTL_KIT_OPERATOR_KEY) != 0)
     respond (request, STATUS_UNAUTHORISED, "{}");
   else if (strcmp (path, "/v1/admin/status") == 0)
     answer_status (host, request);
@@ -71,7 +71,7 @@
 }
 
 static void
-start_host (struct kit *kit, struct kit_host *host)
+start_host (struct ctl_kit *kit, struct ctl_kit_host *host)
 {
   struct mq_http_server_options options = { .address = "127.0.0.1:0" };
   struct mq_error error;
@@ -88,11 +88,11 @@
 }
 
 static char *
-list_hosts (struct kit *kit)
+list_hosts (struct ctl_kit *kit)
 {
   char *list = talloc_strdup (kit->ctx, "{\"hosts\":[");
 
-  for (struct kit_host *host = kit->hosts; host->name != NULL; host++)
+  for (struct ctl_kit_host *host = kit->hosts; host->name != NULL; host++)
     {
       char *address
           = host->gone ? talloc_strdup (list, DEAD_ADDRESS)
@@ -110,11 +110,11 @@
   return talloc_strdup_append (list, "]}");
 }
 
-struct kit *
-kit_create (const struct kit_host *hosts)
+struct ctl_kit *
+ctl_kit_create (const struct ctl_kit_host *hosts)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
-  struct kit *kit = talloc_zero (ctx, struct kit);
+  struct ctl_kit *kit = talloc_zero (ctx, struct ctl_kit);
   struct mq_error error;
   char *list;
 
@@ -135,9 +135,9 @@
 }
 
 void
-kit_destroy (struct kit *kit)
+ctl_kit_destroy (struct ctl_kit *kit)
 {
-  for (struct kit_host *host = kit->hosts; host->name != NULL; host++)
+  for (struct ctl_kit_host *host = kit->hosts; host->name != NULL; host++)
     if (host->server != NULL)
       mq_http_server_destroy (host->server);
   mq_platform_server_destroy (kit->platform);
@@ -147,13 +147,13 @@
 /* The process.  */
 
 static const char *
-write_key_file (struct kit *kit)
+write_key_file (struct ctl_kit *kit)
 {
   char *name = talloc_strdup (kit->ctx, "/tmp/kit-key-XXXXXX");
   int fd = mkstemp (name);
 
   cr_assert_geq (fd, 0);
-  cr_assert_gt (dprintf (fd, "%s\n", KIT_OPERATOR_KEY), 0);
+  cr_assert_gt (dprintf (fd, "%s\n", CTL_KIT_OPERATOR_KEY), 0);
   close (fd);
   return name;
 }
@@ -171,7 +171,7 @@
 }
 
 static char *
-read_back (struct kit *kit, FILE *stream)
+read_back (struct ctl_kit *kit, FILE *stream)
 {
   char *text = talloc_strdup (kit->ctx, "");
   char part[4096];
@@ -216,7 +216,7 @@
 
 /* The loop serves the site until the process has ended.  */
 static int
-serve_until_end (struct kit *kit, pid_t pid)
+serve_until_end (struct ctl_kit *kit, pid_t pid)
 {
   TALLOC_CTX *ticks = talloc_new (kit->ctx);
   int status;
@@ -233,7 +233,8 @@
 }
 
 void
-kit_run (struct kit *kit, const char *input, const char *const *arguments)
+ctl_kit_run (struct ctl_kit *kit, const char *input,
+             const char *const *arguments)
 {
   char *argv[ARGUMENTS_MAX + 2] = { "mimosactl" };
   const char *key_file = write_key_file (kit);
@@ -265,7 +266,7 @@
 }
 
 uint64_t
-kit_config (struct kit *kit, char **text)
+ctl_kit_config (struct ctl_kit *kit, char **text)
 {
   struct mq_table *table = mq_platform_server_table (kit->platform);
   struct mq_table_snapshot *snapshot = mq_table_snapshot (table, kit->ctx);
@@ -284,7 +285,7 @@
 }
 
 void
-kit_write_config (struct kit *kit, uint64_t version, const char *text)
+ctl_kit_write_config (struct ctl_kit *kit, uint64_t version, const char *text)
 {
   size_t text_len = strlen (text);
   size_t len = MQ_CONFIG_HEADER + text_len;
--- a/tests/ctl_kit.h
+++ b/tests/ctl_kit.h
@@ -10,11 +10,11 @@
 #include "../standins/platform_server.h"
 #include "io/http_server.h"
 
-#define KIT_HOSTS_MAX 4
-#define KIT_OPERATOR_KEY "kit-operator-key"
+#define CTL_KIT_HOSTS_MAX 4
+#define CTL_KIT_OPERATOR_KEY "kit-operator-key"
 
 /**
- * struct kit_host - a host that answers operators
+ * struct ctl_kit_host - a host that answers operators
  * @name: its name in the list
  * @role: "entry" or "target"
  * @status: JSON object; "%llu" in it is replaced by the version it holds
@@ -28,7 +28,7 @@
  * @leaving: as in the list
  * @gone: it is in the list, but nothing listens there
  */
-struct kit_host
+struct ctl_kit_host
 {
   const char *name;
   const char *role;
@@ -45,38 +45,39 @@
 };
 
 /**
- * struct kit - the site
- * @hosts: up to KIT_HOSTS_MAX, ended by one without a name
+ * struct ctl_kit - the site
+ * @hosts: up to CTL_KIT_HOSTS_MAX, ended by one without a name
  * @step: called after each turn of the loop while mimosactl runs; may be
  *        NULL
  * @out: what mimosactl wrote to standard output
  * @err: what it wrote to standard error
  * @code: its exit status
  */
-struct kit
+struct ctl_kit
 {
   TALLOC_CTX *ctx;
   struct tevent_context *ev;
   struct mq_platform_server *platform;
-  struct kit_host hosts[KIT_HOSTS_MAX + 1];
-  void (*step) (struct kit *kit, void *user);
+  struct ctl_kit_host hosts[CTL_KIT_HOSTS_MAX + 1];
+  void (*step) (struct ctl_kit *kit, void *user);
   void *user;
   char *out;
   char *err;
   int code;
 };
 
-struct kit *kit_create (const struct kit_host *hosts);
-void kit_destroy (struct kit *kit);
+struct ctl_kit *ctl_kit_create (const struct ctl_kit_host *hosts);
+void ctl_kit_destroy (struct ctl_kit *kit);
 /* Runs mimosactl with ARGUMENTS (NULL at the end), INPUT on its standard
    input (may be NULL), and the platform's address and the operators' key in
    its environment.  KIT may be without hosts.  */
-void kit_run (struct kit *kit, const char *input,
-              const char *const *arguments);
+void ctl_kit_run (struct ctl_kit *kit, const char *input,
+                  const char *const *arguments);
 /* The row of the configuration: its version, 0 when there is none; the text
    is copied to *TEXT when TEXT is not NULL.  */
-uint64_t kit_config (struct kit *kit, char **text);
+uint64_t ctl_kit_config (struct ctl_kit *kit, char **text);
 /* Writes the row as another operator would.  */
-void kit_write_config (struct kit *kit, uint64_t version, const char *text);
+void ctl_kit_write_config (struct ctl_kit *kit, uint64_t version,
+                           const char *text);
 
 #endif
--- a/tests/test_mimosactl.c
+++ b/tests/test_mimosactl.c
@@ -99,19 +99,19 @@
 
 Test (mimosactl, commands_without_a_site)
 {
-  struct kit *kit = kit_create (NULL);
+  struct ctl_kit *kit = ctl_kit_create (NULL);
 
   for (size_t i = 0; i < COUNT (local_cases); i++)
     {
       const struct local_case *local = &local_cases[i];
 
-      kit_run (kit, local->input, local->arguments);
+      ctl_kit_run (kit, local->input, local->arguments);
       cr_expect_eq (kit->code, local->code, "%s: exit %d", local->name,
                     kit->code);
       expect_in (kit->out, local->out, local->name);
       expect_in (kit->err, local->err, local->name);
     }
-  kit_destroy (kit);
+  ctl_kit_destroy (kit);
 }
 
 /* The documented demo keys are those whose hashes the examples hold.  */
@@ -131,7 +131,7 @@
     { "examples/organisations.ini", "front-office", "demo-key-a" },
     { "examples/organisations.ini", "back-office", "demo-key-b" },
   };
-  struct kit *kit = kit_create (NULL);
+  struct ctl_kit *kit = ctl_kit_create (NULL);
 
   for (size_t i = 0; i < COUNT (keys); i++)
     {
@@ -142,27 +142,27 @@
           = mq_key_find (mq_text_keys (), "organisation", "key_sha256");
 
       expect_in (source, keys[i].key, keys[i].file);
-      kit_run (kit, keys[i].key, ARGUMENTS ("hash-key"));
+      ctl_kit_run (kit, keys[i].key, ARGUMENTS ("hash-key"));
       expect_in (kit->out,
                  mq_key_print (
                      kit->ctx, key,
                      mq_text_find_organisation (text, keys[i].organisation)),
                  keys[i].key);
     }
-  kit_destroy (kit);
+  ctl_kit_destroy (kit);
 }
 
 /* Every key stands in the list, so a page made from it misses none.  */
 Test (mimosactl, keys_as_json)
 {
-  struct kit *kit = kit_create (NULL);
+  struct ctl_kit *kit = ctl_kit_create (NULL);
   const struct mq_key_table *text = mq_text_keys ();
   const struct mq_key_table *settings = mq_settings_keys ();
   json_t *items;
   json_t *item;
   size_t i;
 
-  kit_run (kit, NULL, ARGUMENTS ("keys", "--format=json"));
+  ctl_kit_run (kit, NULL, ARGUMENTS ("keys", "--format=json"));
   cr_expect_eq (kit->code, 0);
   items = json_loads (kit->out, 0, NULL);
   cr_assert_eq (json_array_size (items),
@@ -177,7 +177,7 @@
     cr_expect (allowed != NULL && *allowed != '\0');
   }
   json_decref (items);
-  kit_destroy (kit);
+  ctl_kit_destroy (kit);
 }
 
 /* The page of the keys is what "mimosactl keys" prints; after a change of a
@@ -186,15 +186,15 @@
  */
 Test (mimosactl, keys_page)
 {
-  struct kit *kit = kit_create (NULL);
+  struct ctl_kit *kit = ctl_kit_create (NULL);
   size_t len;
   char *page = fixture_read (kit->ctx, "docs/KEYS.md", &len);
 
-  kit_run (kit, NULL, ARGUMENTS ("keys"));
+  ctl_kit_run (kit, NULL, ARGUMENTS ("keys"));
   cr_expect_eq (kit->code, 0);
   cr_expect_not_null (strstr (page, kit->out),
                       "docs/KEYS.md differs from 'mimosactl keys'");
-  kit_destroy (kit);
+  ctl_kit_destroy (kit);
 }
 
 /* Changing the configuration.  */
@@ -379,7 +379,7 @@
 };
 
 static void
-switch_on (struct kit *kit, struct apply_run *run)
+switch_on (struct ctl_kit *kit, struct apply_run *run)
 {
   run->fault_on = true;
   if (run->test->fault != NULL)
@@ -390,7 +390,7 @@
 /* Runs between two turns of the platform's loop, so before any request that
    mimosactl sends in answer to what it has just read.  */
 static void
-apply_step (struct kit *kit, void *user)
+apply_step (struct ctl_kit *kit, void *user)
 {
   struct apply_run *run = user;
   const struct apply_case *test = run->test;
@@ -403,22 +403,22 @@
     switch_on (kit, run);
   if (test->rival == NULL || run->rival_done)
     return;
-  version = kit_config (kit, NULL);
+  version = ctl_kit_config (kit, NULL);
   if (test->follows ? version == before : reads < test->rival_reads)
     return;
   run->rival_done = true;
-  kit_write_config (kit, version + 1, test->rival);
+  ctl_kit_write_config (kit, version + 1, test->rival);
 }
 
 static void
 run_apply (const struct apply_case *test)
 {
-  struct kit *kit = kit_create (NULL);
+  struct ctl_kit *kit = ctl_kit_create (NULL);
   struct apply_run run = { .test = test };
   char *text = NULL;
 
   if (test->before != NULL)
-    kit_write_config (kit, 1, test->before);
+    ctl_kit_write_config (kit, 1, test->before);
   run.reads_before
       = mq_table_counters (mq_platform_server_table (kit->platform)).reads;
   if (test->reads == 0)
@@ -426,13 +426,13 @@
   kit->step = apply_step;
   kit->user = &run;
   if (test->base == NULL)
-    kit_run (kit, TEXT_B, ARGUMENTS ("apply", "-"));
+    ctl_kit_run (kit, TEXT_B, ARGUMENTS ("apply", "-"));
   else
-    kit_run (kit, TEXT_B, ARGUMENTS ("apply", "-", "--base", test->base));
+    ctl_kit_run (kit, TEXT_B, ARGUMENTS ("apply", "-", "--base", test->base));
   cr_expect_eq (kit->code, test->code, "%s: exit %d, %s", test->name,
                 kit->code, kit->err);
-  cr_expect_eq (kit_config (kit, &text), test->version, "%s: version %lu",
-                test->name, kit_config (kit, NULL));
+  cr_expect_eq (ctl_kit_config (kit, &text), test->version, "%s: version %lu",
+                test->name, ctl_kit_config (kit, NULL));
   cr_expect_eq (strcmp (text, TEXT_B) == 0, test->ours, "%s: text in force",
                 test->name);
   cr_expect_eq (mq_table_counters (mq_platform_server_table (kit->platform))
@@ -440,7 +440,7 @@
                 test->writes, "%s: rows written", test->name);
   expect_in (talloc_asprintf (kit->ctx, "%s%s", kit->out, kit->err),
              test->says, test->name);
-  kit_destroy (kit);
+  ctl_kit_destroy (kit);
 }
 
 Test (mimosactl, apply)
@@ -453,35 +453,35 @@
    looked for in partitions other than those that hold them.  */
 Test (mimosactl, apply_refuses_other_partitions)
 {
-  struct kit *kit = kit_create (NULL);
+  struct ctl_kit *kit = ctl_kit_create (NULL);
 
-  kit_write_config (kit, 1, TEXT_A);
-  kit_run (kit, "[site]\npartitions = 32\nname = s\n",
-           ARGUMENTS ("apply", "-", "--base", "1"));
+  ctl_kit_write_config (kit, 1, TEXT_A);
+  ctl_kit_run (kit, "[site]\npartitions = 32\nname = s\n",
+               ARGUMENTS ("apply", "-", "--base", "1"));
   cr_expect_eq (kit->code, 2);
   expect_in (kit->err, "partitions: 16 -> 32 (allowed: only 16", "partitions");
-  cr_expect_eq (kit_config (kit, NULL), 1);
-  kit_destroy (kit);
+  cr_expect_eq (ctl_kit_config (kit, NULL), 1);
+  ctl_kit_destroy (kit);
 }
 
 Test (mimosactl, show_and_diff)
 {
-  struct kit *kit = kit_create (NULL);
+  struct ctl_kit *kit = ctl_kit_create (NULL);
 
-  kit_run (kit, NULL, ARGUMENTS ("show"));
+  ctl_kit_run (kit, NULL, ARGUMENTS ("show"));
   cr_expect_eq (kit->code, 0);
   expect_in (kit->out, "no text is in force", "show nothing");
-  kit_write_config (kit, 9, TEXT_A);
-  kit_run (kit, NULL, ARGUMENTS ("show"));
+  ctl_kit_write_config (kit, 9, TEXT_A);
+  ctl_kit_run (kit, NULL, ARGUMENTS ("show"));
   expect_in (kit->out, "; version 9, ", "show");
   expect_in (kit->out, "\n" TEXT_A, "show");
-  kit_run (kit, TEXT_B, ARGUMENTS ("diff", "-"));
+  ctl_kit_run (kit, TEXT_B, ARGUMENTS ("diff", "-"));
   cr_expect_eq (kit->code, 0);
   expect_in (kit->out, "version in force: 9\n", "diff");
   expect_in (kit->out, "~ [service m] timeout_ms: 1000 -> 2000\n", "diff");
-  kit_run (kit, TEXT_A, ARGUMENTS ("diff", "-", "-f", "json"));
+  ctl_kit_run (kit, TEXT_A, ARGUMENTS ("diff", "-", "-f", "json"));
   expect_in (kit->out, "{\"version\":9,\"changes\":[]}", "no difference");
-  kit_destroy (kit);
+  ctl_kit_destroy (kit);
 }
 
 /* The spread of a version.  */
@@ -489,7 +489,7 @@
 struct spread_case
 {
   const char *name;
-  struct kit_host hosts[KIT_HOSTS_MAX + 1];
+  struct ctl_kit_host hosts[CTL_KIT_HOSTS_MAX + 1];
   const char *wait;
   int code;
   const char *out;
@@ -553,29 +553,30 @@
   for (size_t i = 0; i < COUNT (spread_cases); i++)
     {
       const struct spread_case *test = &spread_cases[i];
-      struct kit *kit = kit_create (test->hosts);
+      struct ctl_kit *kit = ctl_kit_create (test->hosts);
 
-      kit_run (kit, TEXT_A,
-               ARGUMENTS ("apply", "-", "--base", "0", "--wait", test->wait));
+      ctl_kit_run (
+          kit, TEXT_A,
+          ARGUMENTS ("apply", "-", "--base", "0", "--wait", test->wait));
       cr_expect_eq (kit->code, test->code, "%s: exit %d, %s%s", test->name,
                     kit->code, kit->out, kit->err);
       expect_in (kit->out, test->out, test->name);
       expect_in (kit->err, test->err, test->name);
-      kit_destroy (kit);
+      ctl_kit_destroy (kit);
     }
 }
 
 /* The hosts.  */
 
-static const struct kit_host status_hosts[] = {
+static const struct ctl_kit_host status_hosts[] = {
   { .name = "e1",
     .role = "entry",
     .version = 3,
     .status
     = "{\"state\":\"ready\",\"config_version\":%llu,\"partitions\":["
-      "{\"partition\":0,\"fence\":4,\"state\":\"owned\",\"programs\":2},"
-      "{\"partition\":1,\"fence\":4,\"state\":\"owned\",\"programs\":5},"
-      "{\"partition\":3,\"fence\":9,\"state\":\"owned\",\"programs\":1}],"
+      "{\"partition\":0,\"fence\":4,\"state\":\"active\",\"programs\":2},"
+      "{\"partition\":1,\"fence\":4,\"state\":\"active\",\"programs\":5},"
+      "{\"partition\":3,\"fence\":9,\"state\":\"active\",\"programs\":1}],"
       "\"unknown_calls\":[{\"program\":\"00000000000000010000000000000002\","
       "\"call\":7,\"service\":\"accueil-app\",\"target\":\"t9\"}],"
       "\"latency\":[{\"service\":\"onboarding\",\"follow_up\":true,"
@@ -585,7 +586,9 @@
     .version = 2,
     .status
     = "{\"state\":\"ready\",\"config_version\":%llu,\"partitions\":["
-      "{\"partition\":3,\"fence\":8,\"state\":\"owned\",\"programs\":1}]}" },
+      "{\"partition\":0,\"fence\":4,\"state\":\"claiming\",\"programs\":0},"
+      "{\"partition\":2,\"fence\":6,\"state\":\"reading\",\"programs\":0},"
+      "{\"partition\":3,\"fence\":8,\"state\":\"active\",\"programs\":1}]}" },
   { .name = "t1",
     .role = "target",
     .version = 3,
@@ -605,9 +608,11 @@
     "e2                   entry   plateau          ready               2  "
     "behind\n",
     "t2                   target  plateau          unreachable         -  ",
-    "partitions: 3 of 16 owned\n",
+    "partitions: 3 of 16 active\n",
     "  e1                        3 owned        8 programs  0-1,3\n",
-    "  no owner is known of: 2,4-15\n",
+    "  e2                        1 owned        0 programs  2\n",
+    "  no owner is known of: 4-15\n",
+    "  2: e2 is reading\n",
     "  3: e2 still names it, e1 has the higher fence 9\n",
     "calls whose effect is unknown: 1\n",
     "  program 00000000000000010000000000000002 call 7 service accueil-app "
@@ -617,24 +622,26 @@
     "wasted cache: 25.00% of token-time held, 12.50% of prompt tokens "
     "computed again\n",
   };
-  struct kit *kit = kit_create (status_hosts);
+  struct ctl_kit *kit = ctl_kit_create (status_hosts);
 
-  kit_write_config (kit, 3, TEXT_A);
-  kit_run (kit, NULL, ARGUMENTS ("status"));
+  ctl_kit_write_config (kit, 3, TEXT_A);
+  ctl_kit_run (kit, NULL, ARGUMENTS ("status"));
   cr_expect_eq (kit->code, 0);
   for (size_t i = 0; i < COUNT (lines); i++)
     expect_in (kit->out, lines[i], "status");
-  kit_destroy (kit);
+  /* A host that only tries to take a partition over is no rival.  */
+  cr_expect_null (strstr (kit->out, "  0: "));
+  ctl_kit_destroy (kit);
 }
 
 Test (mimosactl, status_as_json)
 {
-  struct kit *kit = kit_create (status_hosts);
+  struct ctl_kit *kit = ctl_kit_create (status_hosts);
   json_t *root;
   json_t *partitions;
 
-  kit_write_config (kit, 3, TEXT_A);
-  kit_run (kit, NULL, ARGUMENTS ("status", "--format", "json"));
+  ctl_kit_write_config (kit, 3, TEXT_A);
+  ctl_kit_run (kit, NULL, ARGUMENTS ("status", "--format", "json"));
   root = json_loads (kit->out, 0, NULL);
   cr_assert_not_null (root, "%s", kit->out);
   partitions = json_object_get (root, "partitions");
@@ -644,68 +651,68 @@
                         json_array_get (partitions, 3), "owner")),
                     "e1");
   cr_expect (json_is_null (
-      json_object_get (json_array_get (partitions, 2), "owner")));
+      json_object_get (json_array_get (partitions, 4), "owner")));
   cr_expect_eq (
       json_integer_value (json_object_get (root, "cache_ended_tokens")), 40);
   json_decref (root);
-  kit_destroy (kit);
+  ctl_kit_destroy (kit);
 }
 
 /* The table is down, the hosts are not: an operator still sees the hosts.  */
 Test (mimosactl, status_without_the_table)
 {
-  struct kit *kit = kit_create (status_hosts);
+  struct ctl_kit *kit = ctl_kit_create (status_hosts);
 
-  kit_write_config (kit, 3, TEXT_A);
+  ctl_kit_write_config (kit, 3, TEXT_A);
   cr_assert (mq_platform_server_fault (
       kit->platform, "{\"fault\":\"down\",\"match\":\"config\"}"));
-  kit_run (kit, NULL, ARGUMENTS ("status"));
+  ctl_kit_run (kit, NULL, ARGUMENTS ("status"));
   cr_expect_eq (kit->code, 0);
   expect_in (kit->err, "store can't be reached", "status");
   expect_in (kit->out, "4 listed, 3 reached", "status");
-  expect_in (kit->out, "partitions: 3 of 4 owned", "status");
-  kit_destroy (kit);
+  expect_in (kit->out, "partitions: 3 of 4 active", "status");
+  ctl_kit_destroy (kit);
 }
 
 /* An operator uses the key of another site.  */
 Test (mimosactl, hosts_refuse_another_key)
 {
-  struct kit *kit = kit_create (status_hosts);
+  struct ctl_kit *kit = ctl_kit_create (status_hosts);
 
-  kit_run (kit, "other-key\n",
-           ARGUMENTS ("status", "--operator-key-file", "-"));
+  ctl_kit_run (kit, "other-key\n",
+               ARGUMENTS ("status", "--operator-key-file", "-"));
   cr_expect_eq (kit->code, 1);
   expect_in (kit->out, "unauthorised", "status");
   expect_in (kit->out, "4 listed, 0 reached", "status");
-  kit_run (kit, "other-key\n",
-           ARGUMENTS ("drain", "e1", "--operator-key-file", "-"));
+  ctl_kit_run (kit, "other-key\n",
+               ARGUMENTS ("drain", "e1", "--operator-key-file", "-"));
   cr_expect_eq (kit->code, 1);
   expect_in (kit->err, "e1", "drain");
   cr_expect_eq (kit->hosts[0].drained, 0);
   /* A header line must not be made of a file that holds something else.  */
-  kit_run (kit, "two words\n",
-           ARGUMENTS ("status", "--operator-key-file", "-"));
+  ctl_kit_run (kit, "two words\n",
+               ARGUMENTS ("status", "--operator-key-file", "-"));
   cr_expect_eq (kit->code, 2);
   cr_expect_null (strstr (kit->err, "two words"));
-  kit_destroy (kit);
+  ctl_kit_destroy (kit);
 }
 
 Test (mimosactl, drain)
 {
-  struct kit *kit = kit_create (status_hosts);
+  struct ctl_kit *kit = ctl_kit_create (status_hosts);
 
-  kit_run (kit, NULL, ARGUMENTS ("drain", "t1"));
+  ctl_kit_run (kit, NULL, ARGUMENTS ("drain", "t1"));
   cr_expect_eq (kit->code, 0);
   expect_in (kit->out, "t1 is leaving", "drain");
   cr_expect_eq (kit->hosts[2].drained, 1);
   cr_expect_eq (kit->hosts[0].drained, 0);
-  kit_run (kit, NULL, ARGUMENTS ("drain", "t11"));
+  ctl_kit_run (kit, NULL, ARGUMENTS ("drain", "t11"));
   cr_expect_eq (kit->code, 2);
   expect_in (kit->err, "t11 (allowed: did you mean t1? e1, e2, t1, t2",
              "drain");
-  kit_run (kit, NULL, ARGUMENTS ("drain", "t2"));
+  ctl_kit_run (kit, NULL, ARGUMENTS ("drain", "t2"));
   cr_expect_eq (kit->code, 1);
-  kit_destroy (kit);
+  ctl_kit_destroy (kit);
 }
 
 /* Traces.  */
@@ -718,7 +725,7 @@
 
 Test (mimosactl, trace_gathers_all_hosts)
 {
-  static const struct kit_host hosts[]
+  static const struct ctl_kit_host hosts[]
       = { { .name = "e1",
             .role = "entry",
             .spans = "[" SPAN ("owner", "e1", PROGRAM, "1", "1000", "9000",
@@ -729,16 +736,16 @@
                                "ok") "]" },
           { .name = "t2", .role = "target", .gone = true },
           { 0 } };
-  struct kit *kit = kit_create (hosts);
+  struct ctl_kit *kit = ctl_kit_create (hosts);
 
-  kit_run (kit, NULL, ARGUMENTS ("trace", PROGRAM));
+  ctl_kit_run (kit, NULL, ARGUMENTS ("trace", PROGRAM));
   cr_expect_eq (kit->code, 0);
   expect_in (kit->out, "owner e1 (hann)", "trace");
   expect_in (kit->out, "queue t1 (hann)", "trace");
   expect_in (kit->err, "no spans from t2", "trace");
-  kit_run (kit, NULL, ARGUMENTS ("trace", PROGRAM, "-f", "json"));
+  ctl_kit_run (kit, NULL, ARGUMENTS ("trace", PROGRAM, "-f", "json"));
   expect_in (kit->out, "\"name\":\"queue\"", "trace");
-  kit_destroy (kit);
+  ctl_kit_destroy (kit);
 }
 
 /* Sub-programs stand below the call that started them, whatever the order in
@@ -778,7 +785,7 @@
       "ms |=                             |\n"
       "    target t1 (hann)                                0.500      1.500 "
       "ms | ======                       |\n"
-      "  program %s\n"
+      "  program %s, started by call 2\n"
       "    call 1\n"
       "      target t2                                     3.000      2.000 "
       "ms |           =======            | timeout\n"
@@ -795,10 +802,10 @@
 
 Test (mimosactl, trace_of_nothing)
 {
-  struct kit *kit = kit_create (status_hosts);
+  struct ctl_kit *kit = ctl_kit_create (status_hosts);
 
-  kit_run (kit, NULL, ARGUMENTS ("trace", PROGRAM));
+  ctl_kit_run (kit, NULL, ARGUMENTS ("trace", PROGRAM));
   cr_expect_eq (kit->code, 1);
   expect_in (kit->out, "no spans are kept of it", "trace");
-  kit_destroy (kit);
+  ctl_kit_destroy (kit);
 }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -2,6 +2,7 @@
 
    Needs: settings.h, Criterion.  */
 
+#include "core/place.h"
 #include "io/settings.h"
 #include <criterion/criterion.h>
 #include <errno.h>
@@ -31,7 +32,7 @@
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct mq_text_errors errors;
   struct mq_settings *settings
-      = parse (ctx, MQ_HOST_ENTRY, PROCESS "policy = round_robin\n", &errors);
+      = parse (ctx, MQ_HOST_ENTRY, PROCESS "policy = round-robin\n", &errors);
 
   cr_assert_not_null (settings, "%s", errors.items[0].subject);
   cr_expect_str_eq (settings->host, "e1");
@@ -40,7 +41,7 @@
   cr_expect_str_eq (settings->http, "127.0.0.1:0");
   cr_expect_str_eq (settings->peer, "[::1]:7000");
   cr_expect_str_eq (settings->platform, "http://127.0.0.1:8000");
-  cr_expect_str_eq (settings->policy, "round_robin");
+  cr_expect_str_eq (settings->policy, "round-robin");
   cr_expect_eq (settings->drain_seconds, 120);
   cr_expect_eq (settings->site_key[0], 0x01);
   cr_expect_eq (settings->operator_key_hash[MQ_KEY_BYTES - 1], 0xef);
@@ -217,6 +218,25 @@
   talloc_free (ctx);
 }
 
+/* The words of the settings are the policies' own names: with another word
+   the check passes and mimosa-entryd refuses to start.  */
+Test (settings, policies_have_their_own_names)
+{
+  const struct mq_key *key
+      = mq_key_find (mq_settings_keys (), "process", "policy");
+  size_t count = 0;
+
+  for (const struct mq_key_choice *c = key->choices; c->word != NULL; c++)
+    {
+      enum mq_policy policy;
+
+      cr_assert (mq_policy_from_name (c->word, &policy), "%s", c->word);
+      cr_expect_eq (policy, c->value, "%s", c->word);
+      count++;
+    }
+  cr_expect_eq (count, MQ_POLICY_COUNT);
+}
+
 Test (settings, table_of_keys)
 {
   const struct mq_key_table *table = mq_settings_keys ();
