--- a/src/io/ctl_trace.c
+++ b/src/io/ctl_trace.c
@@ -253,8 +253,12 @@
   uint32_t drawn = 0; /* calls up to this one are drawn */
 
   mq_id_format (trace->programs[index].id, id);
-  trace->text = talloc_asprintf_append_buffer (trace->text, "%*sprogram %s\n",
+  trace->text = talloc_asprintf_append_buffer (trace->text, "%*sprogram %s",
                                                depth * INDENT, "", id);
+  if (trace->programs[index].parent >= 0)
+    trace->text = talloc_asprintf_append_buffer (
+        trace->text, ", started by call %u", trace->programs[index].call);
+  trace->text = talloc_strdup_append_buffer (trace->text, "\n");
   for (size_t i = 0; i < trace->span_count; i++)
     {
       const struct span *span = &trace->spans[i];
