--- a/tests/gate_driver.c
+++ b/tests/gate_driver.c
@@ -106,6 +106,16 @@
   return step->fence == 0 ? 1 : step->fence;
 }
 
+static const char *
+read_service (const struct gate_driver *driver, const struct gate_step *step)
+{
+  if (step->service != NULL)
+    return step->service;
+  if (step->worker >= driver->options.worker_count)
+    return "";
+  return driver->options.workers[step->worker].service;
+}
+
 static void
 fill_call (const struct gate_driver *driver, const struct gate_step *step,
            struct mq_call_msg *call)
@@ -115,7 +125,7 @@
   if (!step->no_boot)
     call->boot = step->old_boot ? driver->first_boot : driver->options.boot;
   call->worker = step->worker;
-  call->service = driver->options.workers[step->worker].service;
+  call->service = read_service (driver, step);
   call->route = "";
   call->organisation
       = step->organisation == NULL ? "diagne" : step->organisation;
--- a/tests/gate_driver.h
+++ b/tests/gate_driver.h
@@ -68,6 +68,7 @@
   bool continuing;
   bool follow_up;
   const char *organisation;
+  const char *service; /* CALL: NULL: the worker's */
   const char *body;
   enum mq_error_type error;
   enum mq_ran ran;
