--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -42,7 +42,8 @@
     run_case (&items[i], NULL);
 }
 
-#define RUN_CASES(items) run_cases (items, sizeof items / sizeof items[0])
+#define RUN_CASES(items)                                                      \
+  run_cases ((items), sizeof (items) / sizeof (items)[0])
 
 static const struct gate_case path_cases[] = {
   { "a call from start to forgotten",
--- a/tests/test_gate_queue.c
+++ b/tests/test_gate_queue.c
@@ -422,7 +422,7 @@
           .tokens_out = 90 },
         { STEP_WAIT, .ms = 10 },
     },
-    100 * 1000 + 200 * 10,
+    100ULL * 1000 + 200ULL * 10,
     0,
     0 },
   { "held and dropped by the engine",
@@ -432,8 +432,8 @@
         { .type = STEP_UP },
         { STEP_WAIT, .ms = 1000 },
     },
-    100 * 1000,
-    100 * 1000,
+    100ULL * 1000,
+    100ULL * 1000,
     0 },
   { "ended: wasted from the last call until the eviction",
     {
@@ -444,8 +444,8 @@
         { .type = STEP_EVICTED },
         { STEP_WAIT, .ms = 1000 },
     },
-    100 * 350,
-    100 * 350,
+    100ULL * 350,
+    100ULL * 350,
     0 },
   { "ended and not yet confirmed",
     {
@@ -453,8 +453,8 @@
         { STEP_LEASE, .lease = MQ_LEASE_ENDED },
         { STEP_WAIT, .ms = 50 },
     },
-    100 * 50,
-    100 * 50,
+    100ULL * 50,
+    100ULL * 50,
     100 },
   { "gone from two reports in a row",
     {
@@ -465,8 +465,8 @@
         { .type = STEP_CACHE },
         { STEP_WAIT, .ms = 100 },
     },
-    100 * 200,
-    100 * 200,
+    100ULL * 200,
+    100ULL * 200,
     0 },
 };
 
