Let a lease lapse though an outcome is kept

Cause: a kept outcome counted as a call under way, so the cache of a program whose owner died was held for as long as nobody forgot the outcome.

--- a/src/core/gate_cache.c
+++ b/src/core/gate_cache.c
@@ -506,13 +506,26 @@
              msg->lease_ms == 0 ? MQ_GATE_LEASE_MS : msg->lease_ms);
 }
 
+/* A call waits or runs; a kept outcome needs no cache.  */
+static bool
+is_under_way (const struct gate_program *program)
+{
+  const struct gate_node *node = program->calls.first;
+
+  while (node != NULL
+         && GATE_ENTRY (node, struct gate_call, by_program)->state
+                == GATE_CALL_DONE)
+    node = node->next;
+  return program->runs > 0 || node != NULL;
+}
+
 /* Failure: the owner died and nobody took over; it shows as memory held for
    programs that nobody will go on with.  A lease that is not renewed ends
    in eviction, but not under a call that waits or runs.  */
 static void
 lapse (struct mq_gate *gate, struct gate_program *program)
 {
-  if (program->runs > 0 || program->calls.count > 0)
+  if (is_under_way (program))
     {
       set_lease (gate, program, MQ_GATE_LEASE_MS);
       return;
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -598,6 +598,14 @@
         { STEP_WAIT, .ms = 100, .want = "evict w0 1" },
         { STEP_EVICTED, .want = "" },
     } },
+  { "a lapsed lease, though an outcome is kept",
+    {
+        { STEP_CALL, .want = "start 1/1.1 w0" },
+        { STEP_LEASE, .lease = MQ_LEASE_PAUSED, .ms = 1000, .want = "" },
+        { STEP_WAIT, .ms = 1000, .want = "" },
+        { STEP_DONE, .want = "outcome@1 1/1.1 f1 ok ran" },
+        { STEP_WAIT, .ms = 60000, .want = "evict w0 1" },
+    } },
   { "a late renewal does not bring an ended program back",
     {
         { STEP_LEASE, .lease = MQ_LEASE_ENDED, .want = "evict w0 1" },
