--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -91,7 +91,7 @@
 #define MQ_GATE_LOAD_MIN_MS 50U /* load is pushed on change, no faster */
 #define MQ_GATE_EVICT_RETRY_MS 200U
 #define MQ_GATE_AGEING_MS 2000U /* a waiting call rises one step */
-#define MQ_GATE_PROGRAMS_MAX 131072U
+#define MQ_GATE_PROGRAMS_MAX 65536U
 #define MQ_GATE_PROGRAM_KEEP_MS 600000U /* idle record of a program */
 #define MQ_GATE_PROGRAM_LEAST_MS 30000U /* the same when the table is full */
 #define MQ_GATE_OUTCOME_BYTES_MAX (32U << 20) /* bodies of kept outcomes */
