Keep due timers from starving an entry host's sockets

Cause: before the first configuration the owner's next tick lies in the past; the event loop serves due timers before sockets, so a started entry host ran at full load for four minutes and answered nobody. Change: a tick is never sooner than a millisecond; without a configuration the owner is not ticked.

--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -343,6 +343,13 @@
 
 /* Time.  */
 
+/* Without a configuration the owner has nothing to do.  */
+static uint64_t
+owner_next_tick (const struct mq_entry *entry)
+{
+  return entry->text == NULL ? UINT64_MAX : mq_owner_next_tick (entry->owner);
+}
+
 static void
 tick_cores (struct mq_entry *entry)
 {
@@ -353,7 +360,7 @@
 
   if (mq_spread_next_tick (entry->spread) <= now)
     tell_spread (entry, &spread);
-  if (mq_owner_next_tick (entry->owner) <= now)
+  if (owner_next_tick (entry) <= now)
     tell_owner (entry, &owner);
   if (mq_front_next_tick (entry->front) <= now)
     tell_front (entry, &front);
@@ -376,7 +383,7 @@
 static uint64_t
 next_tick (const struct mq_entry *entry)
 {
-  uint64_t next = mq_owner_next_tick (entry->owner);
+  uint64_t next = owner_next_tick (entry);
 
   next = earlier (next, mq_front_next_tick (entry->front));
   next = earlier (next, mq_spread_next_tick (entry->spread));
@@ -397,6 +404,11 @@
     return;
   if (wait_us > US_PER_SECOND)
     wait_us = US_PER_SECOND;
+  /* The event loop serves a timer that is due before any socket.  A core
+     whose next tick stays in the past would keep it from all of them: the
+     process would run at full load and answer nobody.  */
+  if (wait_us < US_PER_MS)
+    wait_us = US_PER_MS;
   TALLOC_FREE (entry->timer);
   entry->timer_us = next;
   entry->timer = must (tevent_add_timer (
