--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -14,7 +14,7 @@
 #ifndef MQ_ENGINE_MODEL_H
 #define MQ_ENGINE_MODEL_H
 
-#include "core/message.h"
+#include "../src/core/message.h"
 #include "engine_kv.h"
 
 struct mq_engine;
@@ -138,8 +138,8 @@
 {
   uint64_t number; /* rising; a gap in the numbers is a lost event */
   uint64_t visible_us;
-  enum mq_engine_cache_event_type type;
   struct mq_id program; /* zero: the service */
+  enum mq_engine_cache_event_type type;
   uint32_t tokens;
 };
 
