Draw a chat without a program on an agent's budget

Cause: a caller-driven program needs an agent's budget; created for the model itself it was refused as malformed. Change: Mimosa-Service names the agent, else the first that may call the model; a cancel that took effect is 200; one call of a model takes input only.

--- a/src/core/front.h
+++ b/src/core/front.h
@@ -83,7 +83,8 @@
   X (events_doubled, "events dropped as the caller had them already")         \
   X (events_partial,                                                          \
      "tokens left out as the beginning of the call is missing")               \
-  X (events_foreign, "events dropped as they came from a former owner")
+  X (events_foreign,                                                          \
+     "events dropped: of a former owner, or of an ended request")
 
 struct mq_front_counters
 {
--- a/src/io/api.c
+++ b/src/io/api.c
@@ -350,6 +350,7 @@
   ask->traceparent = trace_of (ctx, http);
   ask->accept = mq_http_header (http, "Accept");
   ask->program = mq_http_header (http, "Mimosa-Program");
+  ask->service = mq_http_header (http, "Mimosa-Service");
   ask->after = mq_http_query (http, "after");
   ask->wait = mq_http_query (http, "wait");
   ask->cancel = mq_http_query (http, "cancel");
@@ -478,12 +479,25 @@
     finish_stream (exchange, mq_api_sse (api, event, refusal.program));
 }
 
+/* Who cancels a program hears that it ended so: that is no failure.  */
+static bool
+is_wanted (const struct exchange *exchange, const struct mq_event_msg *event)
+{
+  return exchange->plan->first.type == MQ_REQUEST_CANCEL
+         && event->error == MQ_ERR_CANCELLED;
+}
+
 static void
 answer_refused (struct exchange *exchange, const struct mq_event_msg *event)
 {
   exchange->asked = false;
   emit_span (exchange, event->error);
-  give_refusal (exchange, event);
+  if (is_wanted (exchange, event))
+    respond_text (exchange->http, 200, json_type,
+                  mq_api_program_json (exchange, exchange->plan->first.program,
+                                       "ended"));
+  else
+    give_refusal (exchange, event);
 }
 
 /* The final answer is not in the form that was asked for.  */
--- a/src/io/api_plan.c
+++ b/src/io/api_plan.c
@@ -427,14 +427,18 @@
   return read_id (maker, continues, &request->continues);
 }
 
-/* POST /v1/programs with "driver":"caller".  */
+/* POST /v1/programs with "driver":"caller".  The agent gives the budget, the
+   prompt and what may be called.  */
 static bool
 plan_create (struct maker *maker, const struct mq_service *service)
 {
-  static const char *const members[] = { "service", "driver", NULL };
+  static const char *const members[]
+      = { "service", "driver", "continues", NULL };
   struct mq_request_msg *request = &maker->plan->first;
 
-  if (!only_members (maker, members))
+  if (service->kind != MQ_SERVICE_AGENT)
+    return fail (maker, MQ_ERR_BAD_REQUEST, request->service, "an agent");
+  if (!only_members (maker, members) || !read_continues (maker, request))
     return false;
   request->type = MQ_REQUEST_CREATE;
   maker->plan->shape = MQ_API_CREATE;
@@ -457,13 +461,13 @@
 }
 
 /* POST /v1/programs for a model, plain service or tool: a program of one
-   call.  */
+   call.  Its history is its own, so a model takes "input" only.  */
 static bool
 plan_single (struct maker *maker, const struct mq_service *service)
 {
   static const char *const members[]
-      = { "service",    "route",  "input",  "messages", "arguments",
-          "max_tokens", "driver", "stream", "wait",     NULL };
+      = { "service", "route",  "input", "arguments", "max_tokens",
+          "driver",  "stream", "wait",  NULL };
   struct mq_request_msg *request = &maker->plan->first;
 
   maker->plan->wait_ms = service_wait_ms (service);
@@ -630,23 +634,31 @@
   return fill_step (maker, request);
 }
 
-/* POST /v1/chat/completions: a step of the program that the header names;
-   without the header one is created first.  "model" names the service.
-   Members that OpenAI's clients send besides are left out.  */
+/* The agent whose budget a chat without a program draws on: the one that the
+   caller names, else the first of the text that may call the model.  */
+static const struct mq_service *
+find_chat_agent (struct maker *maker, const char *model)
+{
+  const struct mq_text *text = maker->text;
+  const struct mq_service *called = mq_text_find_service (text, model);
+
+  if (maker->ask->service != NULL)
+    return find_service (maker, maker->ask->service);
+  for (size_t i = 0; i < text->service_count; i++)
+    if (text->services[i].kind == MQ_SERVICE_AGENT
+        && mq_text_depends (text, &text->services[i], called))
+      return &text->services[i];
+  fail (maker, MQ_ERR_NOT_FOUND, model, "a model that an agent may call");
+  return NULL;
+}
+
+/* Without a program one is created first.  */
 static bool
-plan_chat (struct maker *maker)
+plan_new_chat (struct maker *maker)
 {
   struct mq_api_plan *plan = maker->plan;
+  const struct mq_service *agent;
 
-  if (!read_body (maker))
-    return false;
-  if (maker->ask->program != NULL)
-    {
-      begin_request (maker, &plan->first, MQ_REQUEST_STEP);
-      plan->first.key = key_of (maker->ask);
-      return read_id (maker, maker->ask->program, &plan->first.program)
-             && fill_chat_step (maker, &plan->first);
-    }
   begin_request (maker, &plan->first, MQ_REQUEST_CREATE);
   name_new_program (maker, &plan->first);
   begin_request (maker, &plan->second, MQ_REQUEST_STEP);
@@ -655,10 +667,31 @@
   plan->has_second = true;
   if (!fill_chat_step (maker, &plan->second))
     return false;
-  plan->first.service = plan->second.service;
+  agent = find_chat_agent (maker, plan->second.service);
+  if (agent == NULL)
+    return false;
+  plan->first.service = agent->name;
   return true;
 }
 
+/* POST /v1/chat/completions: a step of the program that the header names.
+   "model" names the service.  Members that OpenAI's clients send besides are
+   left out.  */
+static bool
+plan_chat (struct maker *maker)
+{
+  struct mq_api_plan *plan = maker->plan;
+
+  if (!read_body (maker))
+    return false;
+  if (maker->ask->program == NULL)
+    return plan_new_chat (maker);
+  begin_request (maker, &plan->first, MQ_REQUEST_STEP);
+  plan->first.key = key_of (maker->ask);
+  return read_id (maker, maker->ask->program, &plan->first.program)
+         && fill_chat_step (maker, &plan->first);
+}
+
 /* POST /v1/services/NAME[/ROUTE]: the body is the call's own.  */
 static bool
 plan_service (struct maker *maker, const struct path *path)
--- a/src/io/api_plan.h
+++ b/src/io/api_plan.h
@@ -33,6 +33,7 @@
  * @traceparent: checked or generated
  * @accept: Accept header; NULL when absent
  * @program: Mimosa-Program header; NULL when absent
+ * @service: Mimosa-Service header; NULL when absent
  * @after: query parameter; NULL when absent
  * @wait: query parameter; NULL when absent
  * @cancel: query parameter; NULL when absent
@@ -50,6 +51,7 @@
   const char *traceparent;
   const char *accept;
   const char *program;
+  const char *service;
   const char *after;
   const char *wait;
   const char *cancel;
--- a/tests/test_api.c
+++ b/tests/test_api.c
@@ -189,7 +189,7 @@
     .path = "/v1/chat/completions",
     .key = "c",
     .body = "{\"model\":\"models\",\"stream\":true,\"messages\":[]}",
-    .expect = "chat-stream create models key=c {} then "
+    .expect = "chat-stream create guide key=c {} then "
               "step+events models sequence=1 {\"messages\":[]} "
               "wait=150000" },
   /* What can't be asked.  */
@@ -235,9 +235,23 @@
     .error = MQ_ERR_NOT_FOUND },
   { .method = "POST",
     .path = "/v1/programs",
+    .body = "{\"service\":\"models\",\"messages\":[]}",
+    .error = MQ_ERR_BAD_REQUEST,
+    .expect = "messages" },
+  { .method = "POST",
+    .path = "/v1/programs",
+    .body = "{\"service\":\"models\",\"driver\":\"caller\"}",
+    .error = MQ_ERR_BAD_REQUEST,
+    .expect = "models" },
+  { .method = "POST",
+    .path = "/v1/programs/" ID "/calls",
     .body = "{\"service\":\"models\",\"input\":\"x\",\"messages\":[]}",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "messages" },
+  { .method = "POST",
+    .path = "/v1/chat/completions",
+    .body = "{\"model\":\"rooms\",\"messages\":[]}",
+    .error = MQ_ERR_BAD_REQUEST },
   { .method = "POST",
     .path = "/v1/programs",
     .body = "{\"service\":\"rooms\",\"input\":\"x\"}",
@@ -656,6 +670,7 @@
 struct answer_case
 {
   const char *story;
+  const char *method; /* NULL: POST */
   const char *path;
   const char *body;
   struct scripted script[EVENTS_MAX];
@@ -712,6 +727,18 @@
     .script = { ACCEPTED },
     .status = 201,
     .has = { "\"status\":\"waiting\"" } },
+  { .story = "a program is cancelled by its caller",
+    .method = "DELETE",
+    .path = "/v1/programs/" ID "?cancel=1",
+    .script = { REFUSED (MQ_ERR_CANCELLED, MQ_RAN_RAN, 0) },
+    .status = 200,
+    .has = { "{\"program\":\"" ID "\",\"status\":\"ended\"}" } },
+  { .story = "a program was cancelled by somebody else",
+    .method = "GET",
+    .path = "/v1/programs/" ID,
+    .script = { REFUSED (MQ_ERR_CANCELLED, MQ_RAN_RAN, 0) },
+    .status = 499,
+    .has = { "\"error\":\"cancelled\"" } },
   { .story = "chat: a program is made first, then the step",
     .path = "/v1/chat/completions",
     .body = CHAT,
@@ -777,7 +804,8 @@
 
       bench->script = row->script;
       bench->script_at = 0;
-      call (bench, "POST", row->path, hr_headers, row->body);
+      call (bench, row->method == NULL ? "POST" : row->method, row->path,
+            hr_headers, row->body);
       cr_expect_eq (bench->result.status, row->status, "%s: %d", row->story,
                     bench->result.status);
       cr_expect_eq (bench->result.retry_after_ms, row->retry_after_ms, "%s",
