Hold requests of a newer configuration; close the callers' socket last

Cause: a request for a service that is new in version 8 was refused as not found by an owner that still held 7; a caller that came in the last moment of a planned stop was cut off without a word.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -78,10 +78,12 @@
 /* Callers' HTTP.  */
 #define MQ_API_KEY_MAX 255U         /* bytes of an Idempotency-Key */
 #define MQ_API_WAIT_MAX_MS 3600000U /* a caller's wait, service not known */
-#define MQ_ENTRY_LEAVE_MS 50U    /* a planned stop looks whether it is done */
-#define MQ_TARGET_LOOK_MS 50U    /* the same beside a target */
-#define MQ_TARGET_QUIET_MS 1500U /* no call came for so long: may end */
-#define MQ_HOSTS_POLL_MS 1000U   /* the platform's list of hosts is read */
+#define MQ_HOLD_MS 1000U      /* a request waits for a newer configuration */
+#define MQ_HOLD_MAX 1024U     /* requests that wait so */
+#define MQ_ENTRY_LEAVE_MS 50U /* a planned stop looks whether it is done */
+#define MQ_TARGET_LOOK_MS 50U /* the same beside a target */
+#define MQ_TARGET_QUIET_MS 1500U    /* no call came for so long: may end */
+#define MQ_HOSTS_POLL_MS 1000U      /* the platform's list of hosts is read */
 #define MQ_API_WAIT_SLACK_MS 30000U /* beyond what the service may take */
 
 /* Gates.  */
--- a/src/io/api.c
+++ b/src/io/api.c
@@ -872,7 +872,7 @@
 size_t
 mq_api_in_progress (const struct mq_api *api)
 {
-  return api->live;
+  return mq_http_server_in_progress (api->server);
 }
 
 const struct mq_api_counters *
--- a/src/io/api.h
+++ b/src/io/api.h
@@ -73,7 +73,7 @@
 void mq_api_leave (struct mq_api *api);
 /* Closes the listening socket.  */
 void mq_api_stop_accepting (struct mq_api *api);
-/* Callers' requests whose answer has not ended.  */
+/* HTTP requests that are not answered whole.  */
 size_t mq_api_in_progress (const struct mq_api *api);
 
 /* Counters, one name each, read by the daemon.  */
--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -11,6 +11,7 @@
 #include "../core/spread.h"
 #include "api.h"
 #include "entry_report.h"
+#include "hold.h"
 #include "log.h"
 #include "peer.h"
 #include "platform.h"
@@ -62,6 +63,7 @@
   struct mq_owner *owner;
   struct mq_front *front;
   struct mq_spread *spread;
+  struct mq_hold *hold;
   struct mq_text *text;
   uint64_t seen_version; /* of the last text that was looked at */
   uint64_t texts_refused;
@@ -74,6 +76,7 @@
   uint64_t timer_us;
   bool leaving;
   uint64_t leave_until_us;
+  bool closed; /* no longer accepts callers' connections */
   struct tevent_immediate *stop;
 };
 
@@ -112,6 +115,7 @@
 }
 
 static void settle (struct mq_entry *entry);
+static void release_held (struct mq_entry *entry);
 
 /* The queue of actions.  A core's handler never runs inside another one, and
    two batches never interleave: a commit that the owner asked for first
@@ -292,15 +296,14 @@
   entry->seen_version = version;
   mq_peer_net_set_version (entry->net, version);
   take_text (entry);
+  release_held (entry);
 }
 
 /* Planned stop.  */
 
 static bool
-is_finished (const struct mq_entry *entry)
+is_idle (const struct mq_entry *entry)
 {
-  if (now_us () >= entry->leave_until_us)
-    return true;
   return mq_owner_is_drained (entry->owner)
          && mq_front_count (entry->front) == 0
          && mq_api_in_progress (entry->api) == 0;
@@ -317,11 +320,21 @@
   entry->done (entry->user);
 }
 
+/* The socket for callers closes when everything is handed over and answered;
+   a request that came in with the last moment is still refused in words.  */
 static void
 look_at_leaving (struct mq_entry *entry)
 {
-  if (!entry->leaving || entry->stop != NULL || !is_finished (entry))
+  bool late = now_us () >= entry->leave_until_us;
+
+  if (!entry->leaving || entry->stop != NULL || (!late && !is_idle (entry)))
     return;
+  if (!late && !entry->closed)
+    {
+      entry->closed = true;
+      mq_api_stop_accepting (entry->api);
+      return;
+    }
   entry->stop = must (tevent_create_immediate (entry));
   tevent_schedule_immediate (entry->stop, entry->ev, report_done, entry);
 }
@@ -364,6 +377,7 @@
     tell_owner (entry, &owner);
   if (mq_front_next_tick (entry->front) <= now)
     tell_front (entry, &front);
+  release_held (entry);
 }
 
 static void
@@ -387,6 +401,7 @@
 
   next = earlier (next, mq_front_next_tick (entry->front));
   next = earlier (next, mq_spread_next_tick (entry->spread));
+  next = earlier (next, mq_hold_next (entry->hold));
   /* What is in progress over HTTP ends without telling a core.  */
   if (entry->leaving && entry->stop == NULL)
     next = earlier (next, now_us () + (uint64_t)MQ_ENTRY_LEAVE_MS * US_PER_MS);
@@ -475,6 +490,7 @@
   struct mq_front_input front = { .type = MQ_FRONT_PEER_DOWN, .peer = peer };
 
   (void)why;
+  mq_hold_forget (entry->hold, peer);
   tell_spread (entry, &spread);
   tell_owner (entry, &owner);
   tell_front (entry, &front);
@@ -482,9 +498,10 @@
 }
 
 static void
-tell_owner_of_peer (struct mq_entry *entry, uint32_t peer,
-                    const struct mq_message *message)
+tell_owner_of_peer (uint32_t peer, const struct mq_message *message,
+                    void *user)
 {
+  struct mq_entry *entry = user;
   struct mq_owner_input input = { .peer = peer };
 
   switch (message->type)
@@ -506,6 +523,23 @@
   tell_owner (entry, &input);
 }
 
+static void
+release_held (struct mq_entry *entry)
+{
+  mq_hold_release (entry->hold, now_us (), mq_spread_version (entry->spread),
+                   tell_owner_of_peer, entry);
+}
+
+/* A caller's request, or its end, from another entry host.  */
+static void
+take_forward (struct mq_entry *entry, uint32_t peer,
+              const struct mq_message *message)
+{
+  if (!mq_hold_take (entry->hold, now_us (), mq_spread_version (entry->spread),
+                     peer, message))
+    tell_owner_of_peer (peer, message, entry);
+}
+
 /* The configuration goes first: the lower side fetches before it acts.  */
 static void
 on_message (uint32_t peer, const struct mq_message *message, void *user)
@@ -522,13 +556,17 @@
       front.u.event = &message->u.event;
       tell_front (entry, &front);
       break;
+    case MQ_MSG_FORWARD:
+    case MQ_MSG_FORWARD_CLOSE:
+      take_forward (entry, peer, message);
+      break;
     case MQ_MSG_NONE:
     case MQ_MSG_CONFIG_HAVE:
     case MQ_MSG_CONFIG_GET:
     case MQ_MSG_CONFIG_TEXT:
       break;
     default:
-      tell_owner_of_peer (entry, peer, message);
+      tell_owner_of_peer (peer, message, entry);
       break;
     }
   settle (entry);
@@ -819,6 +857,7 @@
   options.seed = random_word ();
   options.policy = policy;
   entry->owner = mq_owner_create (entry, &options);
+  entry->hold = mq_hold_create (entry);
   entry->front = mq_front_create (entry, &lookup, random_word ());
   entry->spread = mq_spread_create (entry, settings->host,
                                     settings->data_centre, random_word ());
--- /dev/null
+++ b/src/io/hold.c
@@ -0,0 +1,133 @@
+/* hold.c - requests that wait for the configuration they were sent under.
+
+   Needs: hold.h, action.h (copies of messages), limits.h.  */
+
+#include "hold.h"
+#include "../core/action.h"
+#include "../core/limits.h"
+#include <stdlib.h>
+
+enum
+{
+  US_PER_MS = 1000
+};
+
+struct held
+{
+  struct held *next;
+  uint32_t peer;
+  uint64_t until_us;
+  struct mq_message message;
+};
+
+struct mq_hold
+{
+  struct held *first; /* in the order of their coming */
+  struct held *last;
+  size_t count;
+};
+
+struct mq_hold *
+mq_hold_create (TALLOC_CTX *ctx)
+{
+  struct mq_hold *hold = talloc_zero (ctx, struct mq_hold);
+
+  if (hold == NULL)
+    abort ();
+  return hold;
+}
+
+static bool
+peer_waits (const struct mq_hold *hold, uint32_t peer)
+{
+  const struct held *held = hold->first;
+
+  while (held != NULL && held->peer != peer)
+    held = held->next;
+  return held != NULL;
+}
+
+bool
+mq_hold_take (struct mq_hold *hold, uint64_t now_us, uint64_t version,
+              uint32_t peer, const struct mq_message *message)
+{
+  struct held *held;
+
+  if (hold->first == NULL && message->config_version <= version)
+    return false;
+  if (message->config_version <= version && !peer_waits (hold, peer))
+    return false;
+  if (hold->count >= MQ_HOLD_MAX)
+    return false;
+  held = talloc_zero (hold, struct held);
+  if (held == NULL)
+    abort ();
+  held->peer = peer;
+  held->until_us = now_us + (uint64_t)MQ_HOLD_MS * US_PER_MS;
+  mq_message_copy (held, &held->message, message);
+  if (hold->last == NULL)
+    hold->first = held;
+  else
+    hold->last->next = held;
+  hold->last = held;
+  hold->count++;
+  return true;
+}
+
+/* Takes HELD, which follows BEFORE, out of the list.  */
+static void
+unlink_held (struct mq_hold *hold, struct held *before, struct held *held)
+{
+  if (before == NULL)
+    hold->first = held->next;
+  else
+    before->next = held->next;
+  if (hold->last == held)
+    hold->last = before;
+  hold->count--;
+}
+
+void
+mq_hold_release (struct mq_hold *hold, uint64_t now_us, uint64_t version,
+                 mq_hold_out *out, void *user)
+{
+  while (hold->first != NULL)
+    {
+      struct held *held = hold->first;
+
+      /* One by one from the front: those behind came later, and no peer's
+         message overtakes an earlier one of it.  */
+      if (held->message.config_version > version && now_us < held->until_us)
+        return;
+      unlink_held (hold, NULL, held);
+      out (held->peer, &held->message, user);
+      talloc_free (held);
+    }
+}
+
+void
+mq_hold_forget (struct mq_hold *hold, uint32_t peer)
+{
+  struct held *before = NULL;
+  struct held *held = hold->first;
+
+  while (held != NULL)
+    {
+      struct held *next = held->next;
+
+      if (held->peer == peer)
+        {
+          unlink_held (hold, before, held);
+          talloc_free (held);
+        }
+      else
+        before = held;
+      held = next;
+    }
+}
+
+uint64_t
+mq_hold_next (const struct mq_hold *hold)
+{
+  return hold->first == NULL ? UINT64_MAX : hold->first->until_us;
+}
