--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -119,7 +119,7 @@
 #define MQ_CONFIG_FIRST_MAX_MS 4000U  /* longest pause before the first */
 #define MQ_CONFIG_GET_MS 1000U        /* a peer asked: then another one */
 #define MQ_CONFIG_TELL_PEERS 8U       /* peers told at a time of a rise */
-#define MQ_CONFIG_TELL_MS 50U         /* pause before the next few */
+#define MQ_CONFIG_TELL_MS 50U         /* pause before the next few; doubles */
 
 /* Traces.  */
 #define MQ_SPANS_MAX 4096U /* kept by a process */
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -62,8 +62,9 @@
   uint64_t last_id;
   struct spread_poll poll;
   struct spread_get get;
-  uint64_t ask_us;  /* next look for a peer to ask, 0 when none is due */
-  uint64_t tell_us; /* next group of peers to tell, 0 when none is due */
+  uint64_t ask_us;        /* next look for a peer to ask, 0 when none is due */
+  uint64_t tell_us;       /* next group of peers to tell, 0 when none is due */
+  uint32_t tell_pause_ms; /* pause before it, doubles with each group */
   struct spread_peer *peers; /* sorted by handle */
   size_t peer_count;
   size_t peer_room;
@@ -108,6 +109,7 @@
   spread->data_centre = must (talloc_strdup (spread, data_centre));
   spread->random = seed;
   spread->poll.pause_ms = MQ_STORE_RETRY_MS;
+  spread->tell_pause_ms = MQ_CONFIG_TELL_MS;
   return spread;
 }
 
@@ -274,7 +276,8 @@
 /* Telling peers.  */
 
 /* Tells a few peers that did not show this version yet, and sets when the
-   next few are due.  */
+   next few are due.  The pauses double: by the third group nearly everybody
+   has heard of it from somebody, and the beats show who has.  */
 static void
 tell (struct mq_spread *spread, uint64_t now_us, struct mq_actions *actions)
 {
@@ -294,7 +297,10 @@
         continue;
       if (told == MQ_CONFIG_TELL_PEERS)
         {
-          spread->tell_us = now_us + (uint64_t)MQ_CONFIG_TELL_MS * US_PER_MS;
+          spread->tell_us
+              = now_us + (uint64_t)spread->tell_pause_ms * US_PER_MS;
+          if (spread->tell_pause_ms < MQ_CONFIG_POLL_SLOW_MS)
+            spread->tell_pause_ms *= 2;
           return;
         }
       row->told = spread->version;
@@ -345,6 +351,7 @@
             struct mq_actions *actions)
 {
   spread->poll.pause_ms = MQ_STORE_RETRY_MS;
+  spread->tell_pause_ms = MQ_CONFIG_TELL_MS;
   tell (spread, now_us, actions);
   if (!spread->get.waiting && behind (spread))
     ask (spread, now_us, actions);
