Write the tables of the API's and the front's tests more tightly

Change: defaults for the usual method and path, names for the steps that many scripts begin with; the same cases and checks.

--- a/tests/test_api.c
+++ b/tests/test_api.c
@@ -69,10 +69,15 @@
 
 #define ID "00112233445566778899aabbccddeeff"
 
+#define PROGRAM "/v1/programs/" ID
+#define CALLS PROGRAM "/calls"
+#define TURNS PROGRAM "/turns"
+#define CHATS "/v1/chat/completions"
+
 struct plan_case
 {
-  const char *method;
-  const char *path;
+  const char *method; /* NULL: POST */
+  const char *path;   /* NULL: /v1/programs */
   const char *body;
   const char *key;
   const char *program;
@@ -87,83 +92,64 @@
 };
 
 static const struct plan_case plan_cases[] = {
-  { .method = "POST",
-    .path = "/v1/programs",
-    .key = "k",
+  { .key = "k",
     .body = "{\"service\":\"guide\",\"input\":\"hello\"}",
     .expect = "json open guide key=k "
               "{\"input\":\"hello\",\"keep_open\":false} wait=130000" },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"guide\",\"input\":\"\",\"keep_open\":true,"
+  { .body = "{\"service\":\"guide\",\"input\":\"\",\"keep_open\":true,"
             "\"stream\":true,\"continues\":\"" ID "\"}",
     .expect = "stream open guide key=generated continues=" ID
               " {\"input\":\"\",\"keep_open\":true} wait=130000" },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .accept = "text/event-stream",
+  { .accept = "text/event-stream",
     .timeout_ms = "5000",
     .body = "{\"service\":\"guide\",\"input\":\"x\"}",
     .expect = "stream open guide key=generated "
               "{\"input\":\"x\",\"keep_open\":false} wait=5000" },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .accept = "text/event-stream",
+  { .accept = "text/event-stream",
     .body = "{\"service\":\"guide\",\"input\":\"x\",\"wait\":false}",
     .expect = "accept open guide key=generated "
               "{\"input\":\"x\",\"keep_open\":false} wait=130000" },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"guide\",\"driver\":\"caller\"}",
+  { .body = "{\"service\":\"guide\",\"driver\":\"caller\"}",
     .expect = "create create guide key=generated {} wait=130000" },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"records\",\"route\":\"read\","
+  { .body = "{\"service\":\"records\",\"route\":\"read\","
             "\"arguments\":{\"id\":7}}",
     .expect = "json open records/read key=generated "
               "{\"arguments\":{\"id\":7}} wait=150000" },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"models\",\"input\":\"x\",\"max_tokens\":9}",
+  { .body = "{\"service\":\"models\",\"input\":\"x\",\"max_tokens\":9}",
     .expect = "json open models key=generated max=9 {\"input\":\"x\"} "
               "wait=150000" },
-  { .method = "POST",
-    .path = "/v1/services/records/read",
+  { .path = "/v1/services/records/read",
     .body = "{\"id\":7}",
     .expect = "json open records/read key=generated "
               "{\"arguments\":{\"id\":7}} wait=150000" },
-  { .method = "POST",
-    .path = "/v1/services/rooms",
+  { .path = "/v1/services/rooms",
     .body = "",
     .expect = "json open rooms key=generated {\"arguments\":{}} "
               "wait=150000" },
-  { .method = "POST",
-    .path = "/v1/programs/" ID "/calls",
+  { .path = CALLS,
     .body = "{\"service\":\"models\",\"sequence\":3,"
             "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}",
     .expect = "json step models program=" ID " sequence=3 "
               "{\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]} "
               "wait=150000" },
-  { .method = "POST",
-    .path = "/v1/programs/" ID "/calls",
+  { .path = CALLS,
     .body = "{\"service\":\"rooms\"}",
     .expect = "json step rooms program=" ID
               " key=generated {\"arguments\":{}} wait=150000" },
-  { .method = "POST",
-    .path = "/v1/programs/" ID "/turns",
+  { .path = TURNS,
     .key = "t1",
     .body = "{\"input\":\"and then?\"}",
     .expect = "json turn program=" ID " key=t1 {\"input\":\"and then?\"} "
               "wait=3600000" },
   { .method = "GET",
-    .path = "/v1/programs/" ID,
+    .path = PROGRAM,
     .expect = "json get program=" ID " {} wait=3600000" },
   { .method = "GET",
-    .path = "/v1/programs/" ID,
+    .path = PROGRAM,
     .wait = "1",
     .expect = "json get+events program=" ID " {} wait=3600000" },
   { .method = "GET",
-    .path = "/v1/programs/" ID,
+    .path = PROGRAM,
     .after = "65539",
     .accept = "text/event-stream",
     .expect = "stream get+events program=" ID " after=65539 {} "
@@ -172,126 +158,91 @@
     .path = "/v1/programs/" ID "/history",
     .expect = "json get /history program=" ID " {} wait=3600000" },
   { .method = "DELETE",
-    .path = "/v1/programs/" ID,
+    .path = PROGRAM,
     .expect = "json close program=" ID " {} wait=3600000" },
   { .method = "DELETE",
-    .path = "/v1/programs/" ID,
+    .path = PROGRAM,
     .cancel = "1",
     .expect = "json cancel program=" ID " {} wait=3600000" },
-  { .method = "POST",
-    .path = "/v1/chat/completions",
+  { .path = CHATS,
     .program = ID,
     .key = "c",
     .body = "{\"model\":\"models\",\"temperature\":0.5,\"messages\":[]}",
     .expect
     = "chat step models program=" ID " key=c {\"messages\":[]} wait=150000" },
-  { .method = "POST",
-    .path = "/v1/chat/completions",
+  { .path = CHATS,
     .key = "c",
     .body = "{\"model\":\"models\",\"stream\":true,\"messages\":[]}",
     .expect = "chat-stream create guide key=c {} then "
               "step+events models sequence=1 {\"messages\":[]} "
               "wait=150000" },
   /* What can't be asked.  */
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"guide\"",
-    .error = MQ_ERR_BAD_JSON },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "[1]",
-    .error = MQ_ERR_BAD_JSON },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"guide\",\"service\":\"guide\",\"input\":\"\"}",
+  { .body = "{\"service\":\"guide\"", .error = MQ_ERR_BAD_JSON },
+  { .body = "[1]", .error = MQ_ERR_BAD_JSON },
+  { .body = "{\"service\":\"guide\",\"service\":\"guide\",\"input\":\"\"}",
     .error = MQ_ERR_BAD_JSON },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"guide\",\"input\":\"x\",\"keepopen\":true}",
+  { .body = "{\"service\":\"guide\",\"input\":\"x\",\"keepopen\":true}",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "keepopen" },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"guide\"}",
+  { .body = "{\"service\":\"guide\"}",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "input" },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"guide\",\"input\":\"a\\u0000b\"}",
+  { .body = "{\"service\":\"guide\",\"input\":\"a\\u0000b\"}",
     .error = MQ_ERR_BAD_JSON },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"guides\",\"input\":\"x\"}",
+  { .body = "{\"service\":\"guides\",\"input\":\"x\"}",
     .error = MQ_ERR_NOT_FOUND,
     .expect = "guides" },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"guide\",\"input\":\"x\",\"continues\":\"12\"}",
+  { .body = "{\"service\":\"guide\",\"input\":\"x\",\"continues\":\"12\"}",
     .error = MQ_ERR_NOT_FOUND,
     .expect = "12" },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"records\",\"arguments\":{}}",
+  { .body = "{\"service\":\"records\",\"arguments\":{}}",
     .error = MQ_ERR_NOT_FOUND },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"models\",\"messages\":[]}",
+  { .body = "{\"service\":\"models\",\"messages\":[]}",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "messages" },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"models\",\"driver\":\"caller\"}",
+  { .body = "{\"service\":\"models\",\"driver\":\"caller\"}",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "models" },
-  { .method = "POST",
-    .path = "/v1/programs/" ID "/calls",
+  { .path = CALLS,
     .body = "{\"service\":\"models\",\"input\":\"x\",\"messages\":[]}",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "messages" },
-  { .method = "POST",
-    .path = "/v1/chat/completions",
+  { .path = CHATS,
     .body = "{\"model\":\"rooms\",\"messages\":[]}",
     .error = MQ_ERR_BAD_REQUEST },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .body = "{\"service\":\"rooms\",\"input\":\"x\"}",
+  { .body = "{\"service\":\"rooms\",\"input\":\"x\"}",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "input" },
-  { .method = "POST",
-    .path = "/v1/programs/" ID "/calls",
+  { .path = CALLS,
     .body = "{\"service\":\"guide\",\"input\":\"x\"}",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "guide" },
-  { .method = "POST",
-    .path = "/v1/programs/" ID "/turns",
+  { .path = TURNS,
     .body = "{\"input\":\"x\",\"wait\":false}",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "wait" },
-  { .method = "POST",
-    .path = "/v1/programs/" ID "/calls",
+  { .path = CALLS,
     .body = "{\"service\":\"rooms\",\"sequence\":-1}",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "sequence" },
-  { .method = "POST",
-    .path = "/v1/programs",
-    .key = "",
+  { .key = "",
     .body = "{\"service\":\"guide\",\"input\":\"x\"}",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "Idempotency-Key" },
   { .method = "GET",
-    .path = "/v1/programs/" ID,
+    .path = PROGRAM,
     .after = "-1",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "after" },
   { .method = "GET",
-    .path = "/v1/programs/" ID,
+    .path = PROGRAM,
     .after = "4294967296",
     .error = MQ_ERR_BAD_REQUEST,
     .expect = "after" },
   { .method = "GET",
     .path = "/v1/programs/00112233445566778899AABBCCDDEEFF",
     .error = MQ_ERR_NOT_FOUND },
-  { .method = "PUT", .path = "/v1/programs/" ID, .error = MQ_ERR_NOT_FOUND },
+  { .method = "PUT", .path = PROGRAM, .error = MQ_ERR_NOT_FOUND },
   { .method = "GET", .path = "/", .error = MQ_ERR_NOT_FOUND },
   { .method = "GET", .path = "/v1/a/b/c/d/e/f", .error = MQ_ERR_NOT_FOUND },
 };
@@ -358,10 +309,12 @@
   for (size_t i = 0; i < sizeof plan_cases / sizeof plan_cases[0]; i++)
     {
       const struct plan_case *row = &plan_cases[i];
-      struct mq_api_ask ask = { .method = row->method, .path = row->path };
+      struct mq_api_ask ask
+          = { .method = row->method == NULL ? "POST" : row->method };
       struct mq_error error = { 0 };
       struct mq_api_plan *plan;
 
+      ask.path = row->path == NULL ? "/v1/programs" : row->path;
       ask.body = row->body == NULL ? "" : row->body;
       ask.len = strlen (ask.body);
       ask.organisation = "hr";
@@ -375,8 +328,8 @@
       ask.cancel = row->cancel;
       ask.timeout_ms = row->timeout_ms;
       plan = mq_api_plan_make (ctx, text, &ask, &error);
-      cr_expect_eq (error.type, row->error, "%s %s %s: %s", row->method,
-                    row->path, ask.body, mq_error_name (error.type));
+      cr_expect_eq (error.type, row->error, "%s %s %s: %s", ask.method,
+                    ask.path, ask.body, mq_error_name (error.type));
       if (plan != NULL && row->expect != NULL)
         cr_expect_str_eq (plan_words (ctx, plan, ask.generated_key),
                           row->expect);
@@ -671,7 +624,7 @@
 {
   const char *story;
   const char *method; /* NULL: POST */
-  const char *path;
+  const char *path;   /* NULL: /v1/programs */
   const char *body;
   struct scripted script[EVENTS_MAX];
   int status;
@@ -682,13 +635,11 @@
 
 static const struct answer_case answer_cases[] = {
   { .story = "one JSON answer",
-    .path = "/v1/programs",
     .body = OPEN,
     .script = { ACCEPTED, TOKEN (1, 0, "a"), FINAL (DONE) },
     .status = 200,
     .has = { DONE } },
   { .story = "a stream of every event",
-    .path = "/v1/programs",
     .body = OPEN_STREAM,
     .script = { ACCEPTED, TOKEN (1, 0, "a\n\"b"), RESET (1), TOKEN (1, 0, "c"),
                 STEP (1, "{\"call\":1}"), FINAL (DONE) },
@@ -701,7 +652,6 @@
              "id: 131071\nevent: step\ndata: {\"call\":1}\n\n"
              "id: 131072\nevent: final\ndata: " DONE "\n\n" } },
   { .story = "a refusal before the first event has its own status",
-    .path = "/v1/programs",
     .body = OPEN_STREAM,
     .script = { REFUSED (MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 1500) },
     .status = 429,
@@ -709,38 +659,35 @@
     .has = { "\"error\":\"overloaded\"", "\"ran\":\"not_run\"",
              "\"retry_after_ms\":1500", "\"program\":\"" } },
   { .story = "a refusal in a stream is its last event",
-    .path = "/v1/programs",
     .body = OPEN_STREAM,
     .script = { ACCEPTED, REFUSED (MQ_ERR_BUDGET_TOKENS, MQ_RAN_RAN, 0) },
     .status = 200,
     .has = { "event: refused\ndata: {\"error\":\"budget_tokens\","
              "\"ran\":\"ran\"" } },
   { .story = "the caller does not wait",
-    .path = "/v1/programs",
     .body = OPEN_LEAVE,
     .script = { ACCEPTED },
     .status = 202,
     .has = { "\"status\":\"running\"" } },
   { .story = "the caller drives",
-    .path = "/v1/programs",
     .body = CREATE,
     .script = { ACCEPTED },
     .status = 201,
     .has = { "\"status\":\"waiting\"" } },
   { .story = "a program is cancelled by its caller",
     .method = "DELETE",
-    .path = "/v1/programs/" ID "?cancel=1",
+    .path = PROGRAM "?cancel=1",
     .script = { REFUSED (MQ_ERR_CANCELLED, MQ_RAN_RAN, 0) },
     .status = 200,
     .has = { "{\"program\":\"" ID "\",\"status\":\"ended\"}" } },
   { .story = "a program was cancelled by somebody else",
     .method = "GET",
-    .path = "/v1/programs/" ID,
+    .path = PROGRAM,
     .script = { REFUSED (MQ_ERR_CANCELLED, MQ_RAN_RAN, 0) },
     .status = 499,
     .has = { "\"error\":\"cancelled\"" } },
   { .story = "chat: a program is made first, then the step",
-    .path = "/v1/chat/completions",
+    .path = CHATS,
     .body = CHAT,
     .script = { ACCEPTED, FINAL (STEP_DONE) },
     .status = 200,
@@ -748,32 +695,32 @@
              "\"message\":{\"role\":\"assistant\",\"content\":\"ab\"},"
              "\"finish_reason\":\"stop\"" } },
   { .story = "chat: the model asks for calls",
-    .path = "/v1/chat/completions",
+    .path = CHATS,
     .body = CHAT,
     .script = { ACCEPTED, FINAL (ASKS_CALL) },
     .status = 200,
     .has = { "\"finish_reason\":\"tool_calls\"",
              "\"function\":{\"name\":\"n\",\"arguments\":\"{}\"}" } },
   { .story = "chat: the program can't be made",
-    .path = "/v1/chat/completions",
+    .path = CHATS,
     .body = CHAT,
     .script = { REFUSED (MQ_ERR_OVERLOADED, MQ_RAN_NOT_RUN, 0) },
     .status = 429 },
   { .story = "chat: the answer is not a model's",
-    .path = "/v1/chat/completions",
+    .path = CHATS,
     .body = CHAT,
     .script = { ACCEPTED, FINAL ("{}") },
     .status = 502,
     .has = { "bad_answer" } },
   { .story = "chat stream: whole",
-    .path = "/v1/chat/completions",
+    .path = CHATS,
     .body = CHAT_STREAM,
     .script = { ACCEPTED, TOKEN (1, 0, "a"), FINAL (STEP_DONE) },
     .status = 200,
     .has = { "\"delta\":{\"content\":\"a\"}", "\"delta\":{\"content\":\"b\"}",
              "\"finish_reason\":\"stop\"", "data: [DONE]\n\n" } },
   { .story = "chat stream: begun again with the same words",
-    .path = "/v1/chat/completions",
+    .path = CHATS,
     .body = CHAT_STREAM,
     .script = { ACCEPTED, TOKEN (1, 0, "a"), RESET (1), TOKEN (1, 0, "a"),
                 FINAL (DONE) },
@@ -781,7 +728,7 @@
     .has = { "\"delta\":{\"content\":\"b\"}", "data: [DONE]\n\n" } },
   { .story = "chat stream: begun again with other words; OpenAI's stream has "
              "no reset, so it ends without its mark",
-    .path = "/v1/chat/completions",
+    .path = CHATS,
     .body = CHAT_STREAM,
     .script = { ACCEPTED, TOKEN (1, 0, "x"), RESET (1), TOKEN (1, 0, "a"),
                 FINAL (DONE) },
@@ -804,8 +751,9 @@
 
       bench->script = row->script;
       bench->script_at = 0;
-      call (bench, row->method == NULL ? "POST" : row->method, row->path,
-            hr_headers, row->body);
+      call (bench, row->method == NULL ? "POST" : row->method,
+            row->path == NULL ? "/v1/programs" : row->path, hr_headers,
+            row->body);
       cr_expect_eq (bench->result.status, row->status, "%s: %d", row->story,
                     bench->result.status);
       cr_expect_eq (bench->result.retry_after_ms, row->retry_after_ms, "%s",
@@ -846,9 +794,9 @@
   { READY, 200, "GET", "/healthz", NULL, "alive" },
   { READY, 200, "GET", "/readyz", NULL, "ready" },
   { READY, 200, "GET", "/metrics", NULL, "shown" },
-  { READY, 401, "GET", "/v1/programs/" ID, NULL, "\"ran\":\"not_run\"" },
-  { READY, 401, "GET", "/v1/programs/" ID, "key-of-nobody", "unauthorised" },
-  { READY, 401, "GET", "/v1/programs/" ID, "operator", "unauthorised" },
+  { READY, 401, "GET", PROGRAM, NULL, "\"ran\":\"not_run\"" },
+  { READY, 401, "GET", PROGRAM, "key-of-nobody", "unauthorised" },
+  { READY, 401, "GET", PROGRAM, "operator", "unauthorised" },
   { READY, 401, "GET", "/v1/admin/status", NULL, "unauthorised" },
   { READY, 401, "GET", "/v1/admin/status", "key-of-hr", "unauthorised" },
   { READY, 200, "GET", "/v1/admin/status", "operator", "shown" },
@@ -859,9 +807,9 @@
   { READY, 404, "POST", "/v1/nothing", "key-of-hr", "not_found" },
   { NOT_READY, 503, "GET", "/readyz", NULL, "not_ready" },
   { NOT_READY, 200, "GET", "/healthz", NULL, "alive" },
-  { WITHOUT_TEXT, 503, "GET", "/v1/programs/" ID, "key-of-hr", "not_ready" },
+  { WITHOUT_TEXT, 503, "GET", PROGRAM, "key-of-hr", "not_ready" },
   { LEAVING, 503, "GET", "/readyz", NULL, "leaving" },
-  { LEAVING, 503, "GET", "/v1/programs/" ID, "key-of-hr", "leaving" },
+  { LEAVING, 503, "GET", PROGRAM, "key-of-hr", "leaving" },
   { LEAVING, 200, "GET", "/v1/admin/status", "operator", "shown" },
 };
 
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -52,6 +52,21 @@
   const char *expect;
 };
 
+/* The owner is at peer 1, and has the request.  */
+#define ONE_HOST                                                              \
+  { .what = MAP, .text = "a" }, { .what = UP, .a = 1, .text = "a" },          \
+  {                                                                           \
+    .what = ASK, .expect = "send 1"                                           \
+  }
+/* Another entry host is connected as peer 2.  */
+#define TWO_HOSTS { .what = UP, .a = 2, .text = "b" }, ONE_HOST
+/* The owner dies; peer 2 takes over and gets the request.  */
+#define TAKEOVER                                                              \
+  { .what = DOWN, .a = 1 }, { .what = MAP, .text = "b" },                     \
+  {                                                                           \
+    .what = WAIT, .a = 100, .expect = "send 2"                                \
+  }
+
 static const struct
 {
   const char *story;
@@ -87,17 +102,12 @@
       { .what = WAIT, .a = 10, .expect = "send 1" } } },
   { "The owner takes the request and is never heard of again, connection and "
     "all alive: at the deadline nobody can say whether it ran.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = ASK, .expect = "send 1" },
+    { ONE_HOST,
       { .what = WAIT,
         .a = DEADLINE_MS,
         .expect = "close 1 refused timeout unknown" } } },
   { "The owner dies before it has accepted: the request goes to the next.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = UP, .a = 2, .text = "b" },
-      { .what = ASK, .expect = "send 1" },
+    { TWO_HOSTS,
       { .what = DOWN, .a = 1 },
       { .what = WAIT, .a = 500 },
       { .what = MAP, .text = "b" },
@@ -105,27 +115,17 @@
       { .what = ACCEPTED, .a = 2, .expect = "accepted" },
       { .what = FINAL, .a = 2, .expect = "final" } } },
   { "The owner dies after it has accepted: the caller hears that once.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = UP, .a = 2, .text = "b" },
-      { .what = ASK, .expect = "send 1" },
+    { TWO_HOSTS,
       { .what = ACCEPTED, .a = 1, .expect = "accepted" },
-      { .what = DOWN, .a = 1 },
-      { .what = MAP, .text = "b" },
-      { .what = WAIT, .a = 100, .expect = "send 2" },
+      TAKEOVER,
       { .what = ACCEPTED, .a = 2 },
       { .what = FINAL, .a = 2, .expect = "final" } } },
   { "The owner dies in the middle of an answer, and the next one runs that "
     "call again from its first word: what the caller has is void.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = UP, .a = 2, .text = "b" },
-      { .what = ASK, .expect = "send 1" },
+    { TWO_HOSTS,
       { .what = TOKEN, .a = 1, .b = 1, .c = 0, .expect = "token 1.0" },
       { .what = TOKEN, .a = 1, .b = 1, .c = 1, .expect = "token 1.1" },
-      { .what = DOWN, .a = 1 },
-      { .what = MAP, .text = "b" },
-      { .what = WAIT, .a = 100, .expect = "send 2" },
+      TAKEOVER,
       { .what = TOKEN, .a = 2, .b = 1, .c = 0, .expect = "reset 1 token 1.0" },
       { .what = TOKEN, .a = 2, .b = 1, .c = 1, .expect = "token 1.1" },
       { .what = STEP, .a = 2, .b = 1, .expect = "step 1" },
@@ -133,14 +133,9 @@
   { "The owner dies in the middle of an answer, and the next one takes up "
     "the running stream at a later token.  The words between are lost: none "
     "of that call's text is shown until it ends.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = UP, .a = 2, .text = "b" },
-      { .what = ASK, .expect = "send 1" },
+    { TWO_HOSTS,
       { .what = TOKEN, .a = 1, .b = 1, .c = 0, .expect = "token 1.0" },
-      { .what = DOWN, .a = 1 },
-      { .what = MAP, .text = "b" },
-      { .what = WAIT, .a = 100, .expect = "send 2" },
+      TAKEOVER,
       { .what = TOKEN, .a = 2, .b = 1, .c = 1, .expect = "reset 1" },
       { .what = TOKEN, .a = 2, .b = 1, .c = 2 },
       { .what = STEP, .a = 2, .b = 1, .expect = "step 1" },
@@ -148,14 +143,9 @@
       { .what = FINAL, .a = 2, .expect = "final" } } },
   { "The owner dies in the middle of an answer; the call's outcome was kept, "
     "and the next owner tells its end without any token.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = UP, .a = 2, .text = "b" },
-      { .what = ASK, .expect = "send 1" },
+    { TWO_HOSTS,
       { .what = TOKEN, .a = 1, .b = 1, .c = 0, .expect = "token 1.0" },
-      { .what = DOWN, .a = 1 },
-      { .what = MAP, .text = "b" },
-      { .what = WAIT, .a = 100, .expect = "send 2" },
+      TAKEOVER,
       { .what = STEP, .a = 2, .b = 1, .expect = "reset 1 step 1" },
       { .what = FINAL, .a = 2, .expect = "final" } } },
   { "The caller comes in the middle of a call.",
@@ -168,15 +158,10 @@
       { .what = TOKEN, .a = 0, .b = 2, .c = 1, .expect = "token 2.1" },
       { .what = FINAL, .a = 0, .expect = "final" } } },
   { "The next owner tells a finished step again: the caller has it.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = UP, .a = 2, .text = "b" },
-      { .what = ASK, .expect = "send 1" },
+    { TWO_HOSTS,
       { .what = TOKEN, .a = 1, .b = 1, .c = 0, .expect = "token 1.0" },
       { .what = STEP, .a = 1, .b = 1, .expect = "step 1" },
-      { .what = DOWN, .a = 1 },
-      { .what = MAP, .text = "b" },
-      { .what = WAIT, .a = 100, .expect = "send 2" },
+      TAKEOVER,
       { .what = TOKEN, .a = 2, .b = 1, .c = 0 },
       { .what = STEP, .a = 2, .b = 1 },
       { .what = TOKEN, .a = 2, .b = 2, .c = 0, .expect = "token 2.0" },
@@ -192,27 +177,19 @@
       { .what = FINAL, .a = 0, .expect = "final" } } },
   { "The guess was wrong; the refusal names the owner.  The map is behind, "
     "and does not draw the request back.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = UP, .a = 2, .text = "b" },
-      { .what = ASK, .expect = "send 1" },
+    { TWO_HOSTS,
       { .what = MOVED, .a = 1, .text = "b" },
       { .what = WAIT, .a = 20, .expect = "send 2" },
       { .what = WAIT, .a = 5000 },
       { .what = FINAL, .a = 2, .expect = "final" } } },
   { "The hint leads to a host that is not connected: the map is asked.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = ASK, .expect = "send 1" },
+    { ONE_HOST,
       { .what = MOVED, .a = 1, .text = "z" },
       { .what = WAIT, .a = 20, .expect = "send 1" },
       { .what = FINAL, .a = 1, .expect = "final" } } },
   { "An owner was paused while its partition went to another host.  It wakes "
     "and answers: none of its words reach the caller.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = UP, .a = 2, .text = "b" },
-      { .what = ASK, .expect = "send 1" },
+    { TWO_HOSTS,
       { .what = TOKEN, .a = 1, .b = 1, .c = 0, .expect = "token 1.0" },
       { .what = MAP, .text = "b" },
       { .what = WAIT, .a = 1000, .expect = "close 1 send 2" },
@@ -223,9 +200,7 @@
       { .what = FINAL, .a = 2, .expect = "final" },
       { .what = FINAL, .a = 2 } } },
   { "The owner is leaving: another one takes the request.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = ASK, .expect = "send 1" },
+    { ONE_HOST,
       { .what = ACCEPTED, .a = 1, .expect = "accepted" },
       { .what = NOT_HERE, .a = 1, .b = MQ_ERR_LEAVING },
       { .what = MAP, .text = "" },
@@ -248,9 +223,7 @@
         .expect = "refused not_ready unknown" },
       { .what = WAIT, .a = DEADLINE_MS } } },
   { "The caller leaves: the owner is told, and late events find nobody.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = ASK, .expect = "send 1" },
+    { ONE_HOST,
       { .what = GONE, .expect = "close 1" },
       { .what = FINAL, .a = 1 },
       { .what = WAIT, .a = DEADLINE_MS } } },
@@ -263,9 +236,7 @@
       { .what = DOWN, .a = 1 },
       { .what = FINAL, .a = 5, .expect = "final" } } },
   { "The connection to the owner is replaced by a new one.",
-    { { .what = MAP, .text = "a" },
-      { .what = UP, .a = 1, .text = "a" },
-      { .what = ASK, .expect = "send 1" },
+    { ONE_HOST,
       { .what = UP, .a = 5, .text = "a" },
       { .what = DOWN, .a = 1 },
       { .what = WAIT, .a = 100, .expect = "send 5" },
