Discard a recovered outcome that its program's end made useless

After a takeover a program's budget may be forfeited, so that it ends where it would have gone on with a recovered outcome. That outcome was neither used nor forgotten: the target's process kept it, held the program's cache for ever and could not drain. Order: owner dies with a call running, a target of its list does not answer, forfeit, the resumed program ends with budget_tokens.

--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -891,27 +891,33 @@
   return best;
 }
 
-/* Attempts of the earlier owner that are of no use: their tokens are
+/* An attempt of the earlier owner that is of no use: its tokens are
    charged, what still runs is cancelled.  */
+static void
+discard_one (struct mq_owner *owner, struct running *running,
+             const struct recovered *r)
+{
+  if (is_intended (running, r))
+    return;
+  if (r->running)
+    {
+      calls_adopt (owner, r->target, r->ref, running->partition->number);
+      return;
+    }
+  if (!running->forfeited && r->ref.call > running->program->calls)
+    chain_charge (owner, running, r->outcome.tokens_out);
+  calls_forget (owner, r->ref.program, r->ref.call, r->ref.attempt,
+                running->partition->number, running->partition->fence,
+                r->target->host);
+}
+
 static void
 discard_recovered (struct mq_owner *owner, struct running *running,
                    const struct recovered *used)
 {
   for (struct recovered *r = running->recovered; r != NULL; r = r->next)
-    {
-      if (r == used || is_intended (running, r))
-        continue;
-      if (r->running)
-        {
-          calls_adopt (owner, r->target, r->ref, running->partition->number);
-          continue;
-        }
-      if (!running->forfeited && r->ref.call > running->program->calls)
-        chain_charge (owner, running, r->outcome.tokens_out);
-      calls_forget (owner, r->ref.program, r->ref.call, r->ref.attempt,
-                    running->partition->number, running->partition->fence,
-                    r->target->host);
-    }
+    if (r != used)
+      discard_one (owner, running, r);
 }
 
 void
@@ -995,14 +1001,23 @@
               running->call->prepaid = running->forfeited;
               count_at_target (owner, running->call, 1);
               accept_outcome (owner, running, &best->outcome);
+              best = NULL;
             }
           else if (running->program->intent.call == running->call->number)
             calls_settle_intent (owner, running);
           else if (best != NULL)
-            take_up_running (owner, running, best);
+            {
+              take_up_running (owner, running, best);
+              best = NULL;
+            }
           else
             place_call (owner, running);
         }
     }
+  /* Failure: the program ended instead, its budget forfeited, and the one
+     outcome that it might have used stayed at the target's process, which
+     then held the program's cache for ever and could not drain.  */
+  if (best != NULL)
+    discard_one (owner, running, best);
   running->recovered = NULL;
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -531,6 +531,7 @@
 static void
 read_hosts (struct world *world, int index)
 {
+  uint32_t run = world->hosts[index].run;
   struct mq_host items[HOSTS];
   struct mq_host_list list = { .items = items };
   struct mq_spread_input spread
@@ -557,10 +558,10 @@
     }
   spread.u.hosts = &list;
   owner.u.hosts = &list;
+  plan_hosts_read (world, index);
   world_spread_input (world, index, &spread);
-  if (world->hosts[index].role == MQ_HOST_ENTRY)
+  if (world_runs (world, index, run) && world->hosts[index].owner != NULL)
     world_owner_input (world, index, &owner);
-  plan_hosts_read (world, index);
 }
 
 /* Actions of the machines.  */
