--- a/tests/world_state.h
+++ b/tests/world_state.h
@@ -45,6 +45,7 @@
 #define OUTAGE_US (8 * SECOND)
 #define SLOW_US (1500 * MS)
 #define LATE_US (1200 * MS)
+#define LEAVE_US (2 * MS) /* until a process hears that it is to stop */
 #define CALLERS_START_US (1500 * MS)
 #define CALLER_PATIENCE_US (9 * SECOND)
 #define REST_US (300 * SECOND)             /* the longest run */
