--- a/src/core/gate.c
+++ b/src/core/gate.c
@@ -187,7 +187,7 @@
       mq_gate_take_recover (gate, peer, &message->u.recover);
       break;
     case MQ_MSG_FORGET:
-      mq_gate_take_forget (gate, &message->u.ref);
+      mq_gate_take_forget (gate, peer, &message->u.ref);
       break;
     case MQ_MSG_LEASE:
       mq_gate_take_lease (gate, peer, &message->u.lease);
@@ -276,7 +276,10 @@
       take_peer_down (gate, input->peer);
       break;
     case MQ_GATE_MESSAGE:
+      gate->moved = NULL;
       take_message (gate, input->peer, input->u.message);
+      if (gate->moved != NULL)
+        mq_gate_calls_follow (gate, gate->moved, input->peer);
       break;
     case MQ_GATE_TOKEN:
       mq_gate_take_token (gate, &input->u.token);
--- a/src/core/gate_state.h
+++ b/src/core/gate_state.h
@@ -18,12 +18,13 @@
 
 #define MQ_US_PER_MS 1000ULL
 
-/* One partition: the highest fence seen, and its calls.  */
+/* One partition: the highest fence seen, who sent it, and its calls.  */
 struct gate_partition
 {
   struct gate_link link;
   uint32_t partition;
   uint64_t fence;
+  uint32_t peer;
   struct gate_list calls;
 };
 
@@ -330,7 +331,8 @@
   bool load_dirty;
   uint64_t load_sent_us;
   struct mq_gate_counters counters;
-  struct mq_actions *actions; /* of the input at hand */
+  struct mq_actions *actions;   /* of the input at hand */
+  struct gate_partition *moved; /* by it: heard over another connection */
 };
 
 /* gate.c */
@@ -346,8 +348,9 @@
 char *mq_gate_strdup (TALLOC_CTX *ctx, const char *text);
 
 /* gate_programs.c */
-struct gate_partition *
-mq_gate_raise_fence (struct mq_gate *gate, uint32_t partition, uint64_t fence);
+struct gate_partition *mq_gate_raise_fence (struct mq_gate *gate,
+                                            uint32_t number, uint64_t fence,
+                                            uint32_t peer);
 uint64_t mq_gate_fence (const struct mq_gate *gate, uint32_t partition);
 struct gate_program *mq_gate_program_find (struct mq_gate *gate,
                                            struct mq_id id);
@@ -376,7 +379,11 @@
                         const struct mq_ref_msg *msg);
 void mq_gate_take_recover (struct mq_gate *gate, uint32_t peer,
                            const struct mq_recover_msg *msg);
-void mq_gate_take_forget (struct mq_gate *gate, const struct mq_ref_msg *msg);
+void mq_gate_take_forget (struct mq_gate *gate, uint32_t peer,
+                          const struct mq_ref_msg *msg);
+/* The owner of PARTITION is heard over another connection, PEER.  */
+void mq_gate_calls_follow (struct mq_gate *gate,
+                           struct gate_partition *partition, uint32_t peer);
 /* Refuses a queued call: it leaves the queue and the table, and a resend
    of it is refused from now on.  */
 void mq_gate_call_refuse (struct mq_gate *gate, struct gate_call *call,
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -28,6 +28,13 @@
 #define MQ_CONNECT_RETRY_MS 200U /* first pause before connecting again */
 #define MQ_CONNECT_RETRY_MAX_MS 3000U
 #define MQ_HANDSHAKE_MS 2000U
+#define MQ_PEER_UNSENT_BYTES (32U << 20)  /* unsent to one peer: closed */
+#define MQ_PEER_UNPROVEN_MAX 256U         /* connections before their proof */
+#define MQ_PEER_UNPROVEN_BYTES 1024U      /* frame before the proof */
+#define MQ_FRAME_MEMORY_BYTES (32U << 20) /* memory of one decoded frame */
+#define MQ_FRAME_WORKERS_MAX 1024U        /* workers in one LOAD */
+#define MQ_FRAME_CALLS_MAX 65536U         /* calls in one RECOVERED */
+#define MQ_FRAME_PARTITIONS_MAX 65536U    /* partitions in one HANDOVER */
 
 /* Partition ownership.  */
 #define MQ_OWNER_RENEW_MS 1000U /* the owner's row is written this often */
@@ -71,6 +78,10 @@
 /* Callers' HTTP.  */
 #define MQ_API_KEY_MAX 255U         /* bytes of an Idempotency-Key */
 #define MQ_API_WAIT_MAX_MS 3600000U /* a caller's wait, service not known */
+#define MQ_ENTRY_LEAVE_MS 50U    /* a planned stop looks whether it is done */
+#define MQ_TARGET_LOOK_MS 50U    /* the same beside a target */
+#define MQ_TARGET_QUIET_MS 1500U /* no call came for so long: may end */
+#define MQ_HOSTS_POLL_MS 1000U   /* the platform's list of hosts is read */
 #define MQ_API_WAIT_SLACK_MS 30000U /* beyond what the service may take */
 
 /* Gates.  */
@@ -95,6 +106,9 @@
 #define MQ_WORKER_CACHE_POLL_MS 1000U /* what an engine holds is read */
 #define MQ_WORKER_CONTROL_MS 2000U    /* evict, cancel, poll: no answer */
 #define MQ_WORKER_ORDER_MS 600000U    /* loading a model takes minutes */
+#define MQ_WORKER_CANCEL_RETRY_MS 100U
+#define MQ_WORKER_CANCELS_MAX 3U
+#define MQ_WORKER_STREAM_MAX_BYTES (64U << 20) /* streamed answer */
 
 /* Configuration.  */
 #define MQ_CONFIG_POLL_MS 1000U       /* pollers of a data centre */
--- a/src/core/text_keys.c
+++ b/src/core/text_keys.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define DAY_SECONDS 86400U
+#define MONTH_SECONDS 2592000U
 #define HOUR_MS 3600000U
 
 #define AGENT MQ_KIND_BIT (MQ_SERVICE_AGENT)
@@ -151,7 +151,7 @@
     .type = MQ_KEY_UINT32,
     .budget = true,
     .min = 1,
-    .max = 30 * DAY_SECONDS,
+    .max = MONTH_SECONDS,
     .fallback = "3600",
     .offset = offsetof (struct mq_service, budget.seconds),
     .help = "time of one program, waiting for a person not counted",
@@ -346,7 +346,8 @@
     mq_hint_offer (&hint, table->sections[i].type);
   mq_hint_write (&hint, allowed);
   mq_error_list_add (errors, MQ_ERR_TEXT_UNKNOWN_SECTION,
-                     header_place (section), section->type, allowed);
+                     header_place (section),
+                     section->type[0] == '\0' ? "[]" : section->type, allowed);
 }
 
 static bool
