Bench of slopes: the core in virtual time, daemons on loopback

Cause: docs/CAPACITY.md is to be worked out from measured slopes. Change: bench_capacity (placement, targets' queue and leases, owner, configuration, takeover, hosts at rest, cuts) and capacity.sh (daemons at rest, per call, per token, per hop). site.sh: the output file of a started program is made before it is looked at; the look could come first, and the start failed with 'No such file'.

--- /dev/null
+++ b/bench/bench_capacity.c
@@ -0,0 +1,83 @@
+/* bench_capacity.c - slopes of the core's machines, for docs/CAPACITY.md.
+
+   "bench_capacity" runs every experiment, "bench_capacity NAME…" those
+   that are named.  Time is processor time of the one thread; the machines
+   run in virtual time, on the stand-in's table.
+   Needs: capacity.h.  */
+
+#include "capacity.h"
+#include <argp.h>
+#include <stdio.h>
+#include <string.h>
+
+
+#ifndef __SANITIZE_ADDRESS__
+/* glibc's own names of what the functions below stand before.  */
+void *__libc_malloc (size_t size);
+void *__libc_calloc (size_t count, size_t size);
+void *__libc_realloc (void *old, size_t size);
+
+void *
+malloc (size_t size)
+{
+  capacity_heap.calls++;
+  capacity_heap.bytes += size;
+  return __libc_malloc (size);
+}
+
+void *
+calloc (size_t count, size_t size)
+{
+  capacity_heap.calls++;
+  capacity_heap.bytes += count * size;
+  return __libc_calloc (count, size);
+}
+
+void *
+realloc (void *old, size_t size)
+{
+  capacity_heap.calls++;
+  capacity_heap.bytes += size;
+  return __libc_realloc (old, size);
+}
+#endif
+
+static const struct
+{
+  const char *name;
+  void (*run) (void);
+} experiments[] = {
+  { "place", capacity_run_place },       { "gate", capacity_run_gate },
+  { "owner", capacity_run_owner },       { "spread", capacity_run_spread },
+  { "takeover", capacity_run_takeover }, { "hosts", capacity_run_hosts },
+  { "cuts", capacity_run_cuts },
+};
+
+static bool
+is_wanted (int argc, char **argv, const char *name)
+{
+  for (int i = 1; i < argc; i++)
+    if (strcmp (argv[i], name) == 0)
+      return true;
+  return argc == 1;
+}
+
+static const struct argp argp
+    = { .args_doc = "[EXPERIMENT...]",
+        .doc = "Measures what the core costs as numbers grow.  Experiments: "
+               "place gate owner spread takeover hosts cuts." };
+
+int
+main (int argc, char **argv)
+{
+  int index = 0;
+
+  argp_parse (&argp, argc, argv, ARGP_NO_ARGS, &index, NULL);
+  for (size_t i = 0; i < sizeof experiments / sizeof experiments[0]; i++)
+    if (is_wanted (argc, argv, experiments[i].name))
+      {
+        printf ("== %s\n", experiments[i].name);
+        experiments[i].run ();
+      }
+  return 0;
+}
--- /dev/null
+++ b/bench/capacity_takeover.c
@@ -0,0 +1,273 @@
+/* capacity_takeover.c - what an owner's end costs its successors and the
+   store; what owners cost the store at rest.
+
+   Needs: capacity_fleet.h.  */
+
+#include "capacity_fleet.h"
+#include <stdio.h>
+
+enum
+{
+  MS = 1000,
+  SECOND_US = 1000000,
+  SETTLE_US = 90 * SECOND_US,
+  WINDOW_S = 60,
+  LOOK_US = 50 * MS,
+  LOOKS_MAX = 20 * 600,
+  OPENS_A_MS = 10,
+  CUT_HOSTS = 40,
+  CUT_PARTITIONS = 1000,
+  CUT_PROGRAMS = 4000
+};
+
+static uint64_t
+cpu_ns (const struct fleet_use *use)
+{
+  uint64_t ns = 0;
+
+  for (int kind = 0; kind < FLEET_KINDS; kind++)
+    ns += use->cost[kind].ns;
+  return ns;
+}
+
+/* Seconds until every partition is owned; -1 when that never happens.  */
+static double
+wait_owned (struct fleet *fleet, uint32_t partitions)
+{
+  uint64_t start_us = fleet_now (fleet);
+
+  for (int i = 0; i < LOOKS_MAX; i++)
+    {
+      if (fleet_owned (fleet) == partitions)
+        return (double)(fleet_now (fleet) - start_us) / SECOND_US;
+      fleet_run (fleet, LOOK_US);
+    }
+  return -1;
+}
+
+/* ---- One owner ends, a new host takes all ---- */
+
+struct takeover_shape
+{
+  uint32_t programs;
+  uint32_t history;
+};
+
+struct takeover
+{
+  double seconds;
+  double reads;
+  double writes;
+  double bytes_read;
+  double cpu_ms;
+};
+
+static struct takeover
+measure_takeover (const struct takeover_shape *shape)
+{
+  struct fleet_options options
+      = { .hosts = 1, .targets = 12, .partitions = 16, .answer_tokens = 24 };
+  struct fleet *fleet = fleet_create (NULL, &options);
+  const struct fleet_use *use = fleet_read (fleet);
+  struct takeover result;
+
+  wait_owned (fleet, options.partitions);
+  for (uint32_t i = 1; i <= shape->programs; i++)
+    {
+      fleet_open (fleet, 0, i, shape->history, false);
+      if (i % OPENS_A_MS == 0)
+        fleet_run (fleet, MS);
+    }
+  fleet_run (fleet, 3 * SECOND_US);
+  fleet_kill (fleet, 0);
+  fleet_reset (fleet);
+  fleet_start (fleet, 1);
+  result.seconds = wait_owned (fleet, options.partitions);
+  result.reads = (double)use->reads;
+  result.writes = (double)use->writes;
+  result.bytes_read = (double)use->bytes_read;
+  result.cpu_ms = (double)cpu_ns (use) / SECOND_US;
+  talloc_free (fleet);
+  return result;
+}
+
+#define TAKEOVER_COLUMNS(X)                                                   \
+  X (seconds, "s, lease of 5 s included")                                     \
+  X (reads, "reads")                                                          \
+  X (writes, "writes")                                                        \
+  X (bytes_read, "bytes read")                                                \
+  X (cpu_ms, "ms of processor")
+
+static void
+run_takeover (const char *name, const char *size_unit,
+              struct takeover_shape *shape, uint32_t *grown,
+              const uint32_t *sizes, size_t count)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+#define CREATE(column, unit)                                                  \
+  struct capacity_series *column = capacity_series_create (                   \
+      ctx, talloc_asprintf (ctx, "takeover.%s." #column, name), size_unit,    \
+      unit);
+  TAKEOVER_COLUMNS (CREATE)
+#undef CREATE
+
+  for (size_t i = 0; i < count; i++)
+    for (int repeat = 0; repeat < CAPACITY_REPEATS; repeat++)
+      {
+        struct takeover result;
+
+        *grown = sizes[i];
+        result = measure_takeover (shape);
+#define ADD(column, unit)                                                     \
+  capacity_series_add (column, sizes[i], result.column);
+        TAKEOVER_COLUMNS (ADD)
+#undef ADD
+      }
+#define PRINT(column, unit) capacity_series_print (column);
+  TAKEOVER_COLUMNS (PRINT)
+#undef PRINT
+  talloc_free (ctx);
+}
+
+void
+capacity_run_takeover (void)
+{
+  static const uint32_t programs[] = { 10, 100, 1000, 10000 };
+  static const uint32_t histories[] = { 1000, 10000, 40000, 120000 };
+  struct takeover_shape shape = { .history = 1000 };
+
+  run_takeover ("programs", "programs", &shape, &shape.programs, programs, 4);
+  shape.programs = 100;
+  run_takeover ("history", "tokens", &shape, &shape.history, histories, 4);
+}
+
+/* ---- Entry hosts at rest ---- */
+
+struct rest
+{
+  double reads;
+  double writes;
+  double read_bytes;
+  double cpu_percent;
+  double lost;
+  double unowned;
+};
+
+static struct rest
+measure_rest (uint32_t hosts)
+{
+  struct fleet_options options = {
+    .hosts = hosts, .targets = 12, .partitions = 100, .connected = true
+  };
+  struct fleet *fleet = fleet_create (NULL, &options);
+  const struct fleet_use *use = fleet_read (fleet);
+  struct rest rest;
+  uint64_t lost;
+
+  fleet_run (fleet, SETTLE_US);
+  lost = fleet_lost (fleet);
+  fleet_reset (fleet);
+  fleet_run (fleet, WINDOW_S * (uint64_t)SECOND_US);
+  rest.reads = (double)use->reads / WINDOW_S;
+  rest.writes = (double)use->writes / WINDOW_S;
+  rest.read_bytes = (double)use->bytes_read / WINDOW_S / hosts;
+  rest.cpu_percent = (double)cpu_ns (use) / 1e9 / WINDOW_S / hosts * 100;
+  rest.lost = (double)(fleet_lost (fleet) - lost);
+  rest.unowned = options.partitions - fleet_owned (fleet);
+  talloc_free (fleet);
+  return rest;
+}
+
+#define REST_COLUMNS(X)                                                       \
+  X (reads, "reads a second, all")                                            \
+  X (writes, "writes a second, all")                                          \
+  X (read_bytes, "bytes/s read by a host")                                    \
+  X (cpu_percent, "% of a core, a host")                                      \
+  X (lost, "partitions lost in 60 s")                                         \
+  X (unowned, "partitions unowned at the end")
+
+void
+capacity_run_hosts (void)
+{
+  static const uint32_t sizes[] = { 3, 20, 40, 80, 160, 320 };
+  TALLOC_CTX *ctx = talloc_new (NULL);
+#define CREATE(column, unit)                                                  \
+  struct capacity_series *column                                              \
+      = capacity_series_create (ctx, "hosts." #column, "entry hosts", unit);
+  REST_COLUMNS (CREATE)
+#undef CREATE
+
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      struct rest rest = measure_rest (sizes[i]);
+
+#define ADD(column, unit) capacity_series_add (column, sizes[i], rest.column);
+      REST_COLUMNS (ADD)
+#undef ADD
+    }
+#define PRINT(column, unit) capacity_series_print (column);
+  REST_COLUMNS (PRINT)
+#undef PRINT
+  talloc_free (ctx);
+}
+
+/* ---- Several owners end at once ---- */
+
+static void
+open_everywhere (struct fleet *fleet)
+{
+  for (uint32_t i = 1; i <= CUT_PROGRAMS; i++)
+    {
+      uint32_t home = fleet_home (fleet, i);
+
+      if (home != UINT32_MAX)
+        fleet_open (fleet, home, i, 1000, false);
+      if (i % OPENS_A_MS == 0)
+        fleet_run (fleet, MS);
+    }
+  fleet_run (fleet, 3 * SECOND_US);
+}
+
+static void
+measure_cut (const char *name, uint32_t ended)
+{
+  struct fleet_options options = { .hosts = CUT_HOSTS,
+                                   .targets = 12,
+                                   .partitions = CUT_PARTITIONS,
+                                   .answer_tokens = 24,
+                                   .connected = true };
+  struct fleet *fleet = fleet_create (NULL, &options);
+  const struct fleet_use *use = fleet_read (fleet);
+  double first = wait_owned (fleet, options.partitions);
+  uint32_t moved;
+  uint64_t lost;
+  double seconds;
+
+  fleet_run (fleet, SETTLE_US);
+  open_everywhere (fleet);
+  lost = fleet_lost (fleet);
+  for (uint32_t i = 0; i < ended; i++)
+    fleet_kill (fleet, i * (CUT_HOSTS / ended));
+  moved = CUT_PARTITIONS - fleet_owned (fleet);
+  fleet_reset (fleet);
+  seconds = wait_owned (fleet, options.partitions);
+  printf ("cut.%-12s %2u of %u owners: %u partitions of %u in %.1f s, "
+          "%.0f reads/s, %.0f writes/s, peak %llu/s, %.3g bytes read, "
+          "%.1f ms of processor a host and second, %llu lost by living "
+          "hosts; start took %.1f s\n",
+          name, ended, CUT_HOSTS, moved, CUT_PARTITIONS, seconds,
+          (double)use->reads / seconds, (double)use->writes / seconds,
+          (unsigned long long)use->peak, (double)use->bytes_read,
+          (double)cpu_ns (use) / SECOND_US / seconds / CUT_HOSTS,
+          (unsigned long long)(fleet_lost (fleet) - lost), first);
+  fflush (stdout);
+  talloc_free (fleet);
+}
+
+void
+capacity_run_cuts (void)
+{
+  measure_cut ("host", 1);
+  measure_cut ("data centre", 4);
+  measure_cut ("region", 13);
+}
--- a/examples/site.sh
+++ b/examples/site.sh
@@ -24,6 +24,9 @@
 site_start() { # NAME PROGRAM ARGUMENTS…
   local name=$1
   shift
+  # Made here: the program in the background may open them after the first
+  # look at them.
+  : >"$site_dir/$name.out"
   "$@" >"$site_dir/$name.out" 2>"$site_dir/$name.err" &
   site_pids="$! $site_pids"
   eval "site_pid_${name//-/_}=$!"
