--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -10,7 +10,6 @@
 #include <stdio.h>
 #include <string.h>
 
-
 #ifndef __SANITIZE_ADDRESS__
 /* glibc's own names of what the functions below stand before.  */
 void *__libc_malloc (size_t size);
@@ -47,10 +46,10 @@
   const char *name;
   void (*run) (void);
 } experiments[] = {
-  { "place", capacity_run_place },       { "gate", capacity_run_gate },
-  { "owner", capacity_run_owner },       { "spread", capacity_run_spread },
-  { "takeover", capacity_run_takeover }, { "hosts", capacity_run_hosts },
-  { "cuts", capacity_run_cuts },
+  { "place", capacity_run_place },   { "text", capacity_run_text },
+  { "gate", capacity_run_gate },     { "owner", capacity_run_owner },
+  { "spread", capacity_run_spread }, { "takeover", capacity_run_takeover },
+  { "hosts", capacity_run_hosts },   { "cuts", capacity_run_cuts },
 };
 
 static bool
@@ -65,7 +64,7 @@
 static const struct argp argp
     = { .args_doc = "[EXPERIMENT...]",
         .doc = "Measures what the core costs as numbers grow.  Experiments: "
-               "place gate owner spread takeover hosts cuts." };
+               "place text gate owner spread takeover hosts cuts." };
 
 int
 main (int argc, char **argv)
--- a/bench/capacity_fleet.c
+++ b/bench/capacity_fleet.c
@@ -206,7 +206,7 @@
 
   mq_table_serve (fleet->table, result, request, result);
   count_request (fleet, request, result);
-  push (fleet, EVENT_STORE, host, STORE_US)->result = result;
+  push (fleet, EVENT_STORE, host, fleet->options.store_us)->result = result;
 }
 
 /* ---- Targets ---- */
@@ -592,6 +592,8 @@
   char *text = talloc_asprintf (fleet, text_format, options->partitions);
 
   fleet->options = *options;
+  if (fleet->options.store_us == 0)
+    fleet->options.store_us = STORE_US;
   fleet->now_us = SECOND_US;
   fleet->clock_ns = measure_clock ();
   fleet->table = mq_table_create (fleet);
--- a/bench/capacity_fleet.h
+++ b/bench/capacity_fleet.h
@@ -65,6 +65,7 @@
  * @hosts: entry hosts, all of them owners as far as they are eligible
  * @targets: target hosts with one model worker each
  * @partitions: of the site
+ * @store_us: time to the table and back, 0: 2 ms
  * @answer_tokens: frames of text that an answer has
  * @silent: targets take calls and never answer
  * @connected: hosts are connected to each other
@@ -74,6 +75,7 @@
   uint32_t hosts;
   uint32_t targets;
   uint32_t partitions;
+  uint64_t store_us;
   uint32_t answer_tokens;
   bool silent;
   bool connected;
--- a/bench/capacity_owner.c
+++ b/bench/capacity_owner.c
@@ -25,6 +25,7 @@
   uint32_t history; /* tokens */
   uint32_t targets;
   uint32_t partitions;
+  uint32_t store_ms; /* 0: 2 */
 };
 
 /**
@@ -142,6 +143,7 @@
 
   options.targets = shape->targets;
   options.partitions = shape->partitions;
+  options.store_us = (uint64_t)shape->store_ms * MS;
   options.answer_tokens = TOKENS_OF_AN_ANSWER;
   fleet = fleet_create (NULL, &options);
   fleet_run (fleet, OWN_US);
@@ -225,6 +227,7 @@
   static const uint32_t programs[] = { 1000, 10000, 50000 };
   static const uint32_t histories[] = { 1000, 10000, 40000, 120000 };
   static const uint32_t targets[] = { 12, 120, 500, 6000 };
+  static const uint32_t store_ms[] = { 2, 20, 130 };
   static const uint32_t partitions[] = { 16, 100, 1000 };
   struct shape shape = usual;
 
@@ -235,6 +238,10 @@
   shape = usual;
   run_series ("targets", "targets", &shape, &shape.targets, targets, 4);
   shape = usual;
+  shape = usual;
+  run_series ("store", "ms of the table", &shape, &shape.store_ms, store_ms,
+              3);
+  shape = usual;
   run_series ("partitions", "partitions", &shape, &shape.partitions,
               partitions, 3);
 }
