Know whom a new owner must hear before it counts a grant as unspent

Cause, by cells of the fault matrix: (1) a target's process that was restarted answers RECOVER truthfully with nothing, and counted as heard; (2) a restarted entry host overwrote the list of targets of its earlier run; (3) an owner that lost the partition before its first batch left no trace; (4) a retry kept a cap that abandoned attempts had eaten up, so that its grant was asked for again and again (4,102 records in 0.5 s); (5) a target's process that refuses an old fence was taken for a refused call; (6) a step without a number was told from another by content alone; (7) a woken owner took partitions from live ones. Change: the targets row names runs (host and boot id) on both sides and is written only when earlier charges are in the log; the partition's row names every run that may have calls under way; caps are fitted at each attempt; attempts after a takeover get numbers of their own; cache leases start with the first call; ages of others start anew after a pause.

--- a/proto/log.pb-c.c
+++ b/proto/log.pb-c.c
@@ -793,12 +793,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last_owner",
+    "senders",
     10,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Mqlog__PartitionRow, last_owner),
+    offsetof(Mqlog__PartitionRow, n_senders),
+    offsetof(Mqlog__PartitionRow, senders),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -812,9 +812,9 @@
   7,   /* field[7] = checkpoint_key */
   0,   /* field[0] = fence */
   8,   /* field[8] = first */
-  9,   /* field[9] = last_owner */
   1,   /* field[1] = owner */
   2,   /* field[2] = owner_boot */
+  9,   /* field[9] = senders */
   4,   /* field[4] = sequence */
 };
 static const ProtobufCIntRange mqlog__partition_row__number_ranges[1 + 1] =
@@ -927,7 +927,7 @@
   (ProtobufCMessageInit) mqlog__owner_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqlog__targets_row__field_descriptors[1] =
+static const ProtobufCFieldDescriptor mqlog__targets_row__field_descriptors[2] =
 {
   {
     "hosts",
@@ -941,14 +941,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "boots",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mqlog__TargetsRow, n_boots),
+    offsetof(Mqlog__TargetsRow, boots),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqlog__targets_row__field_indices_by_name[] = {
+  1,   /* field[1] = boots */
   0,   /* field[0] = hosts */
 };
 static const ProtobufCIntRange mqlog__targets_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor mqlog__targets_row__descriptor =
 {
@@ -958,7 +971,7 @@
   "Mqlog__TargetsRow",
   "mqlog",
   sizeof(Mqlog__TargetsRow),
-  1,
+  2,
   mqlog__targets_row__field_descriptors,
   mqlog__targets_row__field_indices_by_name,
   1,  mqlog__targets_row__number_ranges,
--- a/proto/log.pb-c.h
+++ b/proto/log.pb-c.h
@@ -74,13 +74,14 @@
    */
   uint64_t first;
   /*
-   * host that may have calls under way for it
+   * Runs of processes, "HOST/BOOT", that may have calls under way for it.
    */
-  char *last_owner;
+  size_t n_senders;
+  char **senders;
 };
 #define MQLOG__PARTITION_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqlog__partition_row__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 /*
@@ -102,17 +103,20 @@
 
 
 /*
- * Row "targets/HOST": target hosts that this owner may have sent calls to.
+ * Row "targets/HOST/BOOT": runs of targets' processes to which this run of an
+ * owner may have sent calls.
  */
 struct  Mqlog__TargetsRow
 {
   ProtobufCMessage base;
   size_t n_hosts;
   char **hosts;
+  size_t n_boots;
+  uint64_t *boots;
 };
 #define MQLOG__TARGETS_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqlog__targets_row__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 struct  Mqlog__Budget
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -26,6 +26,10 @@
   owner->options.address = talloc_strdup (owner, options->address);
   if (owner->options.max_programs == 0)
     owner->options.max_programs = MQ_OWNER_PROGRAMS_MAX;
+  owner->run = talloc_asprintf (owner, "%s/%016llx", options->host,
+                                (unsigned long long)options->boot);
+  if (owner->run == NULL)
+    abort ();
   owner->random = options->seed;
   owner->running = mq_idmap_create (owner);
   owner->targets_by_peer = mq_idmap_create (owner);
@@ -266,6 +270,11 @@
                  struct mq_actions *actions)
 {
   owner->actions = actions;
+  /* Ticks come far more often than that: this process was paused, and what
+     it did not see of others meanwhile must not count against them.  */
+  if (owner->now_us != 0
+      && input->now_us > owner->now_us + 1000ULL * MQ_OWNER_RENEW_MS)
+    take_paused (owner, input->now_us);
   if (input->now_us > owner->now_us)
     owner->now_us = input->now_us;
   switch (input->type)
--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -118,7 +118,8 @@
 }
 
 static void
-remember_cache (struct running *running, struct target *target)
+remember_cache (struct mq_owner *owner, struct running *running,
+                struct target *target)
 {
   struct cache_place *place;
 
@@ -132,6 +133,7 @@
   place->boot = target->boot;
   place->next = running->caches;
   running->caches = place;
+  chain_lease (owner, running, target);
 }
 
 static void
@@ -210,9 +212,9 @@
 
   call->state = CALL_SENT;
   call->sent_us = owner->now_us;
-  if (call->model)
-    remember_cache (running, call->target);
   send_call (owner, running);
+  if (call->model)
+    remember_cache (owner, running, call->target);
   owner_wake_at (owner, running,
                  owner->now_us + 1000ULL * call->service->timeout_ms
                      + 1000ULL * GUARD_MS);
@@ -254,6 +256,13 @@
   struct call *call = running->call;
   struct worker *worker;
 
+  /* An earlier attempt may have been charged since the cap was set.  */
+  if (call->model && !chain_fit_call (running))
+    {
+      call->state = CALL_PLACE;
+      chain_stop (owner, running, MQ_ERR_BUDGET_TOKENS);
+      return;
+    }
   if (call->model && !chain_has_grant (owner, running, call->max_tokens))
     {
       call->state = CALL_GRANT;
@@ -305,7 +314,8 @@
   if (call == NULL || call->state != CALL_INTENT || call->number != number
       || call->attempt != attempt)
     return;
-  if (call->target->peer == 0 || call->target->boot != call->boot)
+  if (call->target->peer == 0 || call->target->boot != call->boot
+      || call->target->leaving)
     {
       /* Never sent from here, and only this owner may send it.  */
       leave_target (owner, running);
@@ -463,6 +473,13 @@
   struct call *call = running->call;
   char *host = talloc_strdup (owner->actions, call->target->host);
 
+  if (outcome->error == MQ_ERR_STALE_FENCE)
+    {
+      /* Someone took the partition over; the row will say so.  What became
+         of the call is for the new owner to find out.  */
+      owner->next_scan_us = owner->now_us;
+      return;
+    }
   owner_span (owner, running, "call", call->number, call->sent_us,
               outcome->error);
   remember_sticky (running, outcome);
@@ -484,8 +501,6 @@
       running->pending_charge = 0;
       chain_charge (owner, running, tokens);
     }
-  if (outcome->error == MQ_ERR_STALE_FENCE)
-    owner->next_scan_us = owner->now_us;
   /* The refused attempt has no further use at the target's process.  */
   if (outcome->ran == MQ_RAN_NOT_RUN || call->idempotent)
     calls_forget (owner, running->program->id, call->number, call->attempt,
@@ -971,7 +986,7 @@
     {
       call->reserved = call->prepaid ? 0 : call->max_tokens;
       chain_reserve (running, call->reserved);
-      remember_cache (running, call->target);
+      remember_cache (owner, running, call->target);
     }
   owner_wake_at (owner, running, owner->now_us + 1000000);
 }
@@ -982,11 +997,16 @@
 {
   const struct recovered *best = best_recovered (running);
   bool stepwise = running->program->mode == MQ_MODE_STEPS;
+  uint32_t attempts = 0; /* of the call that is due, by earlier owners */
 
   /* A caller-driven call is known only by the request that the caller
      repeats; then it is placed anew, or settled if it had an intent.  */
   if (running->program->state != MQ_PROGRAM_RUNNING || stepwise)
     best = NULL;
+  for (const struct recovered *r = running->recovered; r != NULL; r = r->next)
+    if (r->ref.call == running->program->calls + 1
+        && r->ref.attempt > attempts)
+      attempts = r->ref.attempt;
   discard_recovered (owner, running, best);
   if (running->program->state == MQ_PROGRAM_RUNNING && !stepwise)
     {
@@ -1011,7 +1031,11 @@
               best = NULL;
             }
           else
-            place_call (owner, running);
+            {
+              /* A number of its own, or its frame passes for a late copy.  */
+              running->call->attempt = attempts;
+              place_call (owner, running);
+            }
         }
     }
   /* Failure: the program ended instead, its budget forfeited, and the one
--- a/src/core/owner_chain.c
+++ b/src/core/owner_chain.c
@@ -258,7 +258,8 @@
 
       if (need > r->grant_durable)
         covered = false;
-      if (need > r->grant_durable && need > r->grant_wanted)
+      if (need > r->grant_durable && need > r->grant_wanted
+          && grant_for (r, max_tokens) > r->grant_wanted)
         {
           append_grant (owner, r, grant_for (r, max_tokens));
           log_hook (owner, r, HOOK_GRANTED, 0, 0, NULL)->tokens
@@ -266,8 +267,11 @@
         }
     }
   /* Whoever waits goes on when the last of them is durable.  */
-  if (!covered)
-    log_hook (owner, running, HOOK_GRANTED, 0, 0, NULL)->tokens = 0;
+  if (!covered && !running->grant_asked)
+    {
+      running->grant_asked = true;
+      log_hook (owner, running, HOOK_GRANTED, 0, 0, NULL)->tokens = 0;
+    }
   return covered;
 }
 
@@ -342,6 +346,19 @@
   return (uint32_t)(left < cap ? left : cap);
 }
 
+/* Lowers the cap of the call under way to what is left; false when that is
+   nothing.  */
+bool
+chain_fit_call (struct running *running)
+{
+  struct call *call = running->call;
+  uint64_t left = tokens_left (running);
+
+  if (call->max_tokens > left)
+    call->max_tokens = (uint32_t)left;
+  return call->max_tokens > 0;
+}
+
 /* Fills in a model call; false when no token is left for it.  */
 static bool
 prepare_model (struct running *running, struct call *call, uint32_t wanted,
@@ -803,6 +820,20 @@
   hosts_send (owner, target, &message);
 }
 
+void
+chain_lease (struct mq_owner *owner, struct running *running,
+             struct target *target)
+{
+  send_lease (owner, running, target, MQ_LEASE_ACTIVE);
+  if (running->lease_us == 0)
+    {
+      running->lease_us
+          = owner->now_us
+            + 1000ULL * owner->text->cache_lease_ms / LEASE_DIVISOR;
+      owner_wake_at (owner, running, running->lease_us);
+    }
+}
+
 /* Asks again until each process confirms.  A process that was started anew
    holds no leases; it evicts what its engine holds without one.  */
 static void
@@ -903,6 +934,7 @@
 grant_is_durable (struct mq_owner *owner, struct running *running,
                   uint64_t granted)
 {
+  running->grant_asked = false;
   if (granted > running->grant_durable)
     running->grant_durable = granted;
   if (running->call == NULL)
@@ -1044,6 +1076,9 @@
   uint64_t digest = mq_hash_bytes (request->body, strlen (request->body), 1);
 
   digest = mq_hash_bytes (request->service, strlen (request->service), digest);
+  /* Without a number only the key tells a repeat from a new call.  */
+  if (request->sequence == 0)
+    digest = mq_hash_bytes (request->key, strlen (request->key), digest);
   return mq_hash_bytes (request->route, strlen (request->route), digest);
 }
 
--- a/src/core/owner_hosts.c
+++ b/src/core/owner_hosts.c
@@ -79,6 +79,15 @@
   return &target->workers[worker]->pool->views[target->workers[worker]->view];
 }
 
+/* The row of targets is written again, but only when all that is known by
+   now of attempts at earlier runs of them is in the log.  */
+void
+hosts_targets_changed (struct mq_owner *owner)
+{
+  owner->targets_dirty = true;
+  owner->targets_mark = owner->appended;
+}
+
 void
 hosts_target_usable (struct mq_owner *owner, struct target *target)
 {
@@ -87,7 +96,8 @@
       struct mq_worker_view *view = hosts_view (owner, target, i);
 
       view->peer = target->peer;
-      view->avoid = target->peer == 0 || target->leaving || !target->durable;
+      view->avoid = target->peer == 0 || target->leaving
+                    || target->durable_boot != target->boot;
     }
 }
 
@@ -136,7 +146,6 @@
   target->next = owner->targets;
   owner->targets = target;
   mq_idmap_put (owner->targets_by_name, name_key (host), 0, target);
-  owner->targets_dirty = true;
   return target;
 }
 
@@ -254,7 +263,7 @@
       drop_references (owner, target);
       mq_idmap_remove (owner->targets_by_name, name_key (target->host), 0);
       talloc_free (target);
-      owner->targets_dirty = true;
+      hosts_targets_changed (owner);
     }
 }
 
@@ -281,6 +290,8 @@
   hosts_target_usable (owner, target);
   take_target_up (owner, target);
   calls_target_up (owner, target, same_boot);
+  if (target->durable_boot != boot)
+    hosts_targets_changed (owner);
 }
 
 void
--- a/src/core/owner_log.c
+++ b/src/core/owner_log.c
@@ -59,6 +59,7 @@
     partition->pending_last->next = item;
   partition->pending_last = item;
   partition->pending_count++;
+  owner->appended++;
   owner->gathered++;
   owner->gathered_bytes += item->len;
   running->undurable++;
@@ -283,7 +284,9 @@
   row.owner = part->release ? (char *)"" : (char *)owner->options.host;
   row.owner_boot = owner->options.boot;
   row.address = (char *)owner->options.address;
-  row.last_owner = (char *)owner->options.host;
+  /* From this batch on, what earlier owners spent is accounted for.  */
+  row.n_senders = 1;
+  row.senders = &owner->run;
   row.sequence = part->sequence;
   row.batch = owner->flight.batch;
   row.checkpoint = part->checkpoint;
@@ -400,6 +403,7 @@
   flight->memory = talloc_new (owner);
   flight->batch = mq_random_next (&owner->random);
   flight->started_us = owner->now_us;
+  flight->mark = owner->appended;
   flight->parts
       = talloc_array (flight->memory, struct flight_part, (unsigned int)count);
   if (flight->parts == NULL)
@@ -504,6 +508,8 @@
   partition->row_version = version;
   partition->sequence = part->sequence;
   partition->batch = owner->flight.batch;
+  partition->senders[0] = owner->run;
+  partition->sender_count = 1;
   partition->first = part->first;
   if (part->object != NULL)
     {
@@ -545,6 +551,7 @@
   TALLOC_CTX *memory = owner->flight.memory;
   struct record *records = owner->flight.records;
 
+  owner->settled = owner->flight.mark;
   memset (&owner->flight, 0, sizeof owner->flight);
   if (applied)
     {
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -51,6 +51,7 @@
   struct read_batch *rows; /* in order */
   size_t row_count;
   size_t row_next;    /* first one whose object is not yet read */
+  size_t sender_next; /* first one whose targets are not yet read */
   char *after;        /* last log row read */
   bool targets_known; /* the previous owner's targets were read */
   bool exact;         /* every target that may hold work answered */
@@ -62,6 +63,7 @@
 struct recover_wait
 {
   char *host;
+  uint64_t boot;
   bool answered;
 };
 
@@ -98,8 +100,9 @@
   uint64_t snapshot_id;     /* store request that writes it */
   bool snapshot_written;
   struct segment *segments; /* objects of large batches still needed */
-  char *last_owner;         /* may have calls under way for it */
-  uint64_t unowned_us;      /* since when its owner seems to be gone */
+  char **senders;           /* runs, "HOST/BOOT", that may have calls for it */
+  size_t sender_count;
+  uint64_t unowned_us; /* since when its owner seems to be gone */
 };
 
 struct segment
@@ -183,6 +186,7 @@
   size_t object_next; /* part whose object is being written */
   struct hook *hooks;
   struct record *records;
+  uint64_t mark; /* records appended when it was sealed */
   uint64_t started_us;
   uint64_t retry_us;
   uint32_t tries;
@@ -291,7 +295,8 @@
   uint32_t sticky_tokens;
   uint64_t loop_digest;
   uint32_t loop_count;
-  bool forfeited; /* what was granted before the takeover is spent */
+  bool grant_asked; /* a hook goes on when grants are durable */
+  bool forfeited;   /* what was granted before the takeover is spent */
   struct recovered *recovered; /* what targets reported in a takeover */
 };
 
@@ -321,10 +326,10 @@
   char *data_centre;
   bool listed; /* in the platform's list */
   bool leaving;
-  bool durable;         /* in our targets row */
-  bool sent;            /* in the targets row that is being written */
-  uint64_t unlisted_us; /* since when it is not in the list */
-  uint32_t peer;        /* 0: no connection */
+  uint64_t durable_boot; /* of it in our targets row, 0: not there */
+  uint64_t sent_boot;    /* in the targets row that is being written */
+  uint64_t unlisted_us;  /* since when it is not in the list */
+  uint32_t peer;         /* 0: no connection */
   uint64_t boot;
   uint64_t down_us;
   struct worker **workers;
@@ -436,6 +441,10 @@
   uint64_t row_counter;
   uint64_t targets_id; /* write of our targets row */
   bool targets_dirty;
+  uint64_t targets_mark; /* records that must be durable before */
+  uint64_t appended;     /* records so far */
+  uint64_t settled;      /* of these, durable or given up */
+  char *run;             /* "HOST/BOOT" */
   uint64_t targets_retry_us;
   uint32_t claiming;
   bool eligible;       /* this host may own partitions */
@@ -488,6 +497,7 @@
 
 /* owner_take.c */
 void take_tick (struct mq_owner *owner);
+void take_paused (struct mq_owner *owner, uint64_t now_us);
 bool take_store_result (struct mq_owner *owner,
                         const struct mq_store_result *result);
 void take_recovered (struct mq_owner *owner, struct target *target,
@@ -511,6 +521,7 @@
 void hosts_peer_down (struct mq_owner *owner, uint32_t peer);
 void hosts_load (struct mq_owner *owner, struct target *target,
                  const struct mq_load_msg *load);
+void hosts_targets_changed (struct mq_owner *owner);
 void hosts_target_usable (struct mq_owner *owner, struct target *target);
 void hosts_tick (struct mq_owner *owner);
 struct target *hosts_find_target (struct mq_owner *owner, uint32_t peer);
@@ -582,6 +593,9 @@
 void chain_evicted (struct mq_owner *owner, struct target *target,
                     struct mq_id program);
 void chain_hook (struct mq_owner *owner, struct hook *hook);
+bool chain_fit_call (struct running *running);
+void chain_lease (struct mq_owner *owner, struct running *running,
+                  struct target *target);
 void chain_start_clock (struct mq_owner *owner, struct running *running);
 enum mq_error_type chain_step (struct mq_owner *owner, struct running *running,
                                const struct mq_request_msg *request);
--- a/src/core/owner_take.c
+++ b/src/core/owner_take.c
@@ -143,6 +143,22 @@
     abort ();
 }
 
+static void
+copy_senders (struct mq_owner *owner, struct partition *partition,
+              const Mqlog__PartitionRow *row)
+{
+  talloc_free (partition->senders);
+  /* Room for this run, which a claim adds.  */
+  partition->senders = talloc_zero_array (owner->partitions, char *,
+                                          (unsigned int)row->n_senders + 1);
+  if (partition->senders == NULL)
+    abort ();
+  partition->sender_count = row->n_senders;
+  for (size_t i = 0; i < row->n_senders; i++)
+    partition->senders[i]
+        = talloc_strdup (partition->senders, row->senders[i]);
+}
+
 static bool
 copy_row (struct mq_owner *owner, struct partition *partition,
           const struct mq_row *row)
@@ -166,7 +182,7 @@
   set_text (owner->partitions, &partition->address, value->address);
   set_text (owner->partitions, &partition->checkpoint_key,
             value->checkpoint_key);
-  set_text (owner->partitions, &partition->last_owner, value->last_owner);
+  copy_senders (owner, partition, value);
   mqlog__partition_row__free_unpacked (value, NULL);
   return true;
 }
@@ -282,6 +298,14 @@
   log_store_failed (owner);
 }
 
+/* This process stood still until NOW_US.  */
+void
+take_paused (struct mq_owner *owner, uint64_t now_us)
+{
+  for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
+    s->counter_us = now_us;
+}
+
 /* ---- Losing and releasing ---- */
 
 static void
@@ -373,6 +397,21 @@
 
 /* ---- Claiming ---- */
 
+/* Calls may go out under the new fence before its first batch: whoever takes
+   over next must ask the targets of this run too.  */
+static void
+add_sender (struct mq_owner *owner, struct partition *partition)
+{
+  for (size_t i = 0; i < partition->sender_count; i++)
+    if (strcmp (partition->senders[i], owner->run) == 0)
+      return;
+  if (partition->senders == NULL)
+    partition->senders = talloc_zero_array (owner->partitions, char *, 1);
+  if (partition->senders == NULL)
+    abort ();
+  partition->senders[partition->sender_count++] = owner->run;
+}
+
 static void
 send_claim (struct mq_owner *owner, struct partition *partition)
 {
@@ -395,8 +434,9 @@
                            ? (char *)""
                            : partition->checkpoint_key;
   row.first = partition->first == 0 ? 1 : partition->first;
-  row.last_owner
-      = partition->last_owner == NULL ? (char *)"" : partition->last_owner;
+  add_sender (owner, partition);
+  row.n_senders = partition->sender_count;
+  row.senders = partition->senders;
   request = owner_store (owner, MQ_STORE_TXN, partition->read_id);
   request->ops = talloc_zero_array (owner->actions, struct mq_store_op, 1);
   request->op_count = 1;
@@ -569,10 +609,9 @@
       take->step = TAKE_TARGETS;
     }
   send_scan (owner, partition,
-             talloc_asprintf (
-                 owner->actions, "targets/%s",
-                 partition->last_owner == NULL ? "" : partition->last_owner),
-             "", 2);
+             talloc_asprintf (owner->actions, "targets/%s",
+                              partition->senders[take->sender_next]),
+             "", 1);
 }
 
 static void
@@ -703,14 +742,28 @@
   return expected == partition->sequence;
 }
 
+static void
+add_wait (struct takeover *take, const char *host, uint64_t boot)
+{
+  struct recover_wait *wait;
+
+  take->waits = talloc_realloc (take, take->waits, struct recover_wait,
+                                (unsigned int)take->wait_count + 1);
+  if (take->waits == NULL)
+    abort ();
+  wait = &take->waits[take->wait_count++];
+  wait->host = talloc_strdup (take, host);
+  wait->boot = boot;
+  wait->answered = false;
+}
+
 static void
 keep_targets (struct partition *partition,
               const struct mq_store_result *result)
 {
   struct takeover *take = partition->takeover;
-  char *key = talloc_asprintf (
-      take, "targets/%s",
-      partition->last_owner == NULL ? "" : partition->last_owner);
+  char *key = talloc_asprintf (take, "targets/%s",
+                               partition->senders[take->sender_next]);
 
   for (size_t i = 0; i < result->row_count; i++)
     {
@@ -722,11 +775,8 @@
                                         result->rows[i].value.data);
       if (row == NULL)
         continue;
-      take->waits = talloc_zero_array (take, struct recover_wait,
-                                       (unsigned int)row->n_hosts);
-      take->wait_count = row->n_hosts;
-      for (size_t j = 0; j < row->n_hosts; j++)
-        take->waits[j].host = talloc_strdup (take, row->hosts[j]);
+      for (size_t j = 0; j < row->n_hosts && j < row->n_boots; j++)
+        add_wait (take, row->hosts[j], row->boots[j]);
       mqlog__targets_row__free_unpacked (row, NULL);
     }
 }
@@ -771,6 +821,8 @@
       }
     case TAKE_TARGETS:
       keep_targets (partition, result);
+      if (++take->sender_next < partition->sender_count)
+        break;
       if (!replay (owner, partition))
         {
           read_afresh (owner, partition);
@@ -816,7 +868,6 @@
   owner->counters.takeovers++;
   partition->state = PARTITION_ACTIVE;
   partition->takeover = NULL;
-  set_text (owner->partitions, &partition->last_owner, owner->options.host);
   owner_state (owner, MQ_STATE_PARTITION_OWNED, partition->number, "");
   /* The programs are listed first: going on may add sub-programs.  */
   all = talloc_array (owner->actions, struct running *, (unsigned int)count);
@@ -863,7 +914,8 @@
   if (partition->state != PARTITION_RECOVER)
     return;
   for (size_t i = 0; i < partition->takeover->wait_count; i++)
-    if (strcmp (partition->takeover->waits[i].host, target->host) == 0)
+    if (strcmp (partition->takeover->waits[i].host, target->host) == 0
+        && partition->takeover->waits[i].boot == recovered->boot)
       partition->takeover->waits[i].answered = true;
   if (all_recovered (partition->takeover))
     activate (owner, partition);
@@ -953,23 +1005,29 @@
   op->value.len = mqlog__owner_row__pack (&row, op->value.data);
 }
 
-/* Calls go only to targets that are in this row, so that a new owner knows
-   whom it must ask before it counts a program's grant as unspent.  */
+/* Calls go only to runs of targets' processes that are in this row.  Failure:
+   a program spends its budget twice after a takeover, since the new owner
+   believed that it had heard from everyone.  With the row it knows whom it
+   must hear, and that a process that was restarted since can't tell.  */
 static void
 send_targets (struct mq_owner *owner)
 {
   Mqlog__TargetsRow row = MQLOG__TARGETS_ROW__INIT;
   struct mq_store_request *request;
   struct mq_store_op *op;
-  size_t count = 0;
+  unsigned int count = 0;
   size_t len;
 
   for (struct target *t = owner->targets; t != NULL; t = t->next)
     count++;
-  row.hosts = talloc_array (owner->actions, char *, (unsigned int)count);
+  row.hosts = talloc_array (owner->actions, char *, count);
+  row.boots = talloc_array (owner->actions, uint64_t, count);
   for (struct target *t = owner->targets; t != NULL; t = t->next)
     {
-      t->sent = true;
+      t->sent_boot = t->boot;
+      if (t->boot == 0)
+        continue;
+      row.boots[row.n_boots++] = t->boot;
       row.hosts[row.n_hosts++] = t->host;
     }
   owner->targets_dirty = false;
@@ -978,8 +1036,7 @@
   request->ops = talloc_zero_array (owner->actions, struct mq_store_op, 1);
   request->op_count = 1;
   op = &request->ops[0];
-  op->key
-      = talloc_asprintf (owner->actions, "targets/%s", owner->options.host);
+  op->key = talloc_asprintf (owner->actions, "targets/%s", owner->run);
   op->if_version = MQ_VERSION_ANY;
   len = mqlog__targets_row__get_packed_size (&row);
   op->value.data
@@ -998,11 +1055,10 @@
       return;
     }
   for (struct target *t = owner->targets; t != NULL; t = t->next)
-    if (t->sent && !t->durable)
-      {
-        t->durable = true;
-        hosts_target_usable (owner, t);
-      }
+    {
+      t->durable_boot = t->sent_boot;
+      hosts_target_usable (owner, t);
+    }
 }
 
 static void
@@ -1173,6 +1229,7 @@
       send_renewal (owner);
     }
   if (owner->targets_dirty && owner->targets_id == 0
+      && owner->settled >= owner->targets_mark
       && owner->now_us >= owner->targets_retry_us)
     send_targets (owner);
   if (owner->owners_scan_id == 0 && owner->partitions_scan_id == 0
