Let a target's process drop an outcome only when its charge is durable

Change: FORGET follows the commit of what was appended before; with nothing under way it goes at once.

--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -454,6 +454,17 @@
   hosts_send (owner, target, &message);
 }
 
+/* Failure: a target's process drops an outcome whose charge is not yet in
+   the log; the owner dies, and its successor neither finds nor charges what
+   was spent.  So the outcome is kept until all that is known of the program
+   is durable.  */
+void
+calls_forget_later (struct mq_owner *owner, struct running *running,
+                    uint32_t number, uint32_t attempt, const char *host)
+{
+  log_hook (owner, running, HOOK_FORGET, number, attempt, host);
+}
+
 static void
 remember_sticky (struct running *running, const struct mq_outcome_msg *outcome)
 {
@@ -503,8 +514,7 @@
     }
   /* The refused attempt has no further use at the target's process.  */
   if (outcome->ran == MQ_RAN_NOT_RUN || call->idempotent)
-    calls_forget (owner, running->program->id, call->number, call->attempt,
-                  running->partition->number, running->partition->fence, host);
+    calls_forget_later (owner, running, call->number, call->attempt, host);
   fail_or_retry (owner, running, outcome->error, outcome->ran,
                  outcome->retry_after_ms, host);
 }
@@ -530,21 +540,22 @@
   running->recovered = kept;
 }
 
-/* An answer to no open attempt: late, doubled or foreign.  The target's
-   process may drop it unless the accepted one is not durable yet.  */
+/* An answer to no open attempt: late, doubled or foreign.  */
 static void
 drop_outcome (struct mq_owner *owner, struct running *running,
               struct target *target, const struct mq_outcome_msg *outcome)
 {
-  bool settled
-      = running == NULL
-        || (outcome->ref.call <= running->program->calls
-            && running->undurable == 0)
-        || (running->call != NULL && running->call->number == outcome->ref.call
-            && running->call->attempt != outcome->ref.attempt);
+  bool settled = running != NULL
+                 && (outcome->ref.call <= running->program->calls
+                     || (running->call != NULL
+                         && running->call->number == outcome->ref.call
+                         && running->call->attempt != outcome->ref.attempt));
 
   owner->counters.answers_dropped++;
   if (settled)
+    calls_forget_later (owner, running, outcome->ref.call,
+                        outcome->ref.attempt, target->host);
+  else if (running == NULL)
     calls_forget (owner, outcome->ref.program, outcome->ref.call,
                   outcome->ref.attempt, outcome->partition,
                   owner->partitions[outcome->partition].fence, target->host);
@@ -921,9 +932,8 @@
     }
   if (!running->forfeited && r->ref.call > running->program->calls)
     chain_charge (owner, running, r->outcome.tokens_out);
-  calls_forget (owner, r->ref.program, r->ref.call, r->ref.attempt,
-                running->partition->number, running->partition->fence,
-                r->target->host);
+  calls_forget_later (owner, running, r->ref.call, r->ref.attempt,
+                      r->target->host);
 }
 
 static void
--- a/src/core/owner_chain.c
+++ b/src/core/owner_chain.c
@@ -958,7 +958,7 @@
 {
   struct running *running = chain_find (owner, hook->program);
 
-  if (hook->type == HOOK_STEP)
+  if (hook->type == HOOK_STEP || hook->type == HOOK_FORGET)
     calls_forget (owner, hook->program, hook->call, hook->attempt,
                   hook->partition, owner->partitions[hook->partition].fence,
                   hook->host);
@@ -976,6 +976,8 @@
       if (running->partition->state == PARTITION_ACTIVE)
         calls_intent_durable (owner, running, hook->call, hook->attempt);
       break;
+    case HOOK_FORGET:
+      break;
     case HOOK_STEP:
       request_step_done (owner, running, hook->call);
       break;
--- a/src/core/owner_log.c
+++ b/src/core/owner_log.c
@@ -386,6 +386,22 @@
   request->value.len = part->bytes.len;
 }
 
+/* Nothing is under way or gathers: what was to follow a commit follows now. */
+static void
+run_hooks (struct mq_owner *owner)
+{
+  while (owner->hooks_first != NULL && owner->gathered == 0)
+    {
+      struct hook *hook = owner->hooks_first;
+
+      owner->hooks_first = hook->next;
+      if (owner->hooks_first == NULL)
+        owner->hooks_last = NULL;
+      chain_hook (owner, hook);
+      talloc_free (hook);
+    }
+}
+
 void
 log_flush (struct mq_owner *owner)
 {
@@ -398,7 +414,10 @@
     if (wants_commit (&owner->partitions[i]))
       count++;
   if (count == 0)
-    return;
+    {
+      run_hooks (owner);
+      return;
+    }
   memset (flight, 0, sizeof *flight);
   flight->memory = talloc_new (owner);
   flight->batch = mq_random_next (&owner->random);
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -126,6 +126,7 @@
   HOOK_ACCEPTED, /* tell callers that the program is durable */
   HOOK_GRANTED,  /* go on with the program */
   HOOK_INTENT,   /* send the call */
+  HOOK_FORGET,   /* the target's process may drop an outcome */
   HOOK_STEP,     /* the call's outcome is durable: events, FORGET */
   HOOK_ANSWERED, /* the answer is durable: events, evictions */
   HOOK_REPLY     /* one caller's question can be answered */
@@ -556,6 +557,8 @@
 bool calls_cancel (struct mq_owner *owner, struct running *running);
 void calls_drop (struct mq_owner *owner, struct running *running);
 void calls_tick (struct mq_owner *owner, struct running *running);
+void calls_forget_later (struct mq_owner *owner, struct running *running,
+                         uint32_t call, uint32_t attempt, const char *host);
 void calls_forget (struct mq_owner *owner, struct mq_id program, uint32_t call,
                    uint32_t attempt, uint32_t partition, uint64_t fence,
                    const char *host);
