--- a/tests/peer_kit.c
+++ b/tests/peer_kit.c
@@ -22,6 +22,7 @@
 };
 
 struct tevent_context *kit_ev;
+static uint64_t last_boot = 1000;
 static uint8_t client_keys[256][MQ_KEY_BYTES];
 
 void
@@ -216,6 +217,45 @@
   kit_wait (has_count, node, &awaited);
 }
 
+static bool
+finds_address (const void *node, const void *address)
+{
+  return mq_peer_net_find (((const struct kit_node *)node)->net, address) != 0;
+}
+
+void
+kit_wait_found (const struct kit_node *node, const char *address)
+{
+  kit_wait (finds_address, node, address);
+}
+
+bool
+kit_is_single (const struct kit_node *node)
+{
+  const struct mq_conn *conns = node->net->conns;
+
+  return conns != NULL && conns->next == NULL;
+}
+
+static bool
+is_single (const void *node, const void *unused)
+{
+  (void)unused;
+  return kit_is_single (node);
+}
+
+void
+kit_wait_single (const struct kit_node *node)
+{
+  kit_wait (is_single, node, NULL);
+}
+
+void
+kit_shut_writing (const struct kit_node *node)
+{
+  shutdown (node->net->conns->fd, SHUT_WR);
+}
+
 static bool
 heard_frames (const void *node, const void *count)
 {
@@ -387,9 +427,10 @@
 kit_client (const struct kit_node *to, const char *host, uint8_t key)
 {
   struct kit_client *client = talloc_zero (kit_ev, struct kit_client);
-  struct mq_peer_info self = {
-    .host = host, .address = "127.0.0.1:9", .data_centre = "hann", .boot = 77
-  };
+  struct mq_peer_info self = { .host = host,
+                               .address = "127.0.0.1:9",
+                               .data_centre = "hann",
+                               .boot = ++last_boot };
 
   client->fd = connect_port (mq_peer_net_port (to->net));
   client->reader = mq_frame_reader_create (client);
--- a/tests/peer_kit.h
+++ b/tests/peer_kit.h
@@ -75,6 +75,13 @@
 /* Waits until NODE has had COUNT callbacks of TYPE.  */
 void kit_wait_count (const struct kit_node *node, enum kit_event_type type,
                      size_t count);
+/* Waits until NODE finds a connection to ADDRESS.  */
+void kit_wait_found (const struct kit_node *node, const char *address);
+/* Whether NODE has just one connection, in whatever state.  */
+bool kit_is_single (const struct kit_node *node);
+void kit_wait_single (const struct kit_node *node);
+/* Makes writes to the newest connection of NODE fail.  */
+void kit_shut_writing (const struct kit_node *node);
 /* Sends a token with INDEX to the last peer that came up.  */
 bool kit_send_token (struct kit_node *node, uint32_t index);
 
@@ -94,7 +101,7 @@
 /* Connections accepted later go to PORT.  */
 void kit_relay_target (struct kit_relay *relay, uint16_t port);
 
-/* A client that speaks frames as it likes.  */
+/* A client that speaks frames as it likes; each has a new boot id.  */
 struct kit_client
 {
   int fd;
@@ -114,7 +121,7 @@
                             size_t len);
 /* Waits for a frame; false when the other side closed.  */
 bool kit_client_receive (struct kit_client *client);
-/* Hello and Proof both ways.  */
+/* Sends Hello, and Proof when the other's Hello came.  */
 void kit_client_prove (struct kit_client *client);
 void kit_client_close (struct kit_client *client);
 
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -145,9 +145,12 @@
   else
     kit_relay_resume (relay);
   kit_wait_up (b);
+  cr_expect (kit_is_single (b));
   kit_wait_count (a, KIT_MESSAGE, BURST);
-  kit_run_frames (b, 5);
+  kit_wait_single (a);
   expect_burst (a);
+  cr_expect_eq (mq_peer_net_counters (a->net)->handshakes_refused, 0);
+  cr_expect_eq (mq_peer_net_counters (b->net)->handshakes_refused, 0);
   cr_expect_eq (kit_count (a, KIT_UP), cut ? 2 : 1);
   cr_expect_eq (kit_count (a, KIT_DOWN), cut ? 1 : 0);
   cr_expect_eq (kit_count (b, KIT_UP), 1);
@@ -158,6 +161,30 @@
 
 Test (peer, a_waiting_connection_takes_over) { run_late_proof (true); }
 
+/* The platform's list and a setting name one host by two addresses.  */
+Test (peer, two_addresses_of_a_host_share_one_connection)
+{
+  for (size_t i = 0; i < 2; i++)
+    {
+      struct kit_node *a = start_node (dial_cases[i].first, 1);
+      struct kit_node *b = start_node (dial_cases[i].second, 2);
+      struct kit_relay *relay = kit_relay (mq_peer_net_port (b->net));
+
+      mq_peer_net_keep (a->net, b->address);
+      kit_wait_up (a);
+      mq_peer_net_keep (a->net, kit_relay_address (relay));
+      kit_wait_found (a, kit_relay_address (relay));
+      kit_wait_single (a);
+      mq_peer_net_release (a->net, b->address);
+      kit_run_frames (a, 5);
+      cr_expect_eq (mq_peer_net_find (a->net, kit_relay_address (relay)),
+                    a->peer);
+      cr_expect_eq (a->count, 1);
+      kit_destroy (a);
+      kit_destroy (b);
+    }
+}
+
 struct silence_case
 {
   const char *dialler;
@@ -255,6 +282,29 @@
     run_restart_unseen (&dial_cases[i]);
 }
 
+/* A host restarts while its old run is still in the handshake: that run's
+   proof comes after its successor is up and must not push it out.  */
+Test (peer, a_late_proof_of_an_older_run_is_ignored)
+{
+  struct kit_node *node = start_node ("m", 1);
+  struct kit_client *old = kit_client (node, "z", 0);
+  struct kit_client *new = kit_client (node, "z", 0);
+  size_t len;
+  const uint8_t *data = mq_handshake_hello (old->handshake, &len);
+
+  kit_client_send (old, data, len);
+  cr_assert (kit_client_receive (old));
+  mq_handshake_read_hello (old->handshake, old->frame, old->frame_len, NULL);
+  kit_client_prove (new);
+  kit_wait_up (node);
+  data = mq_handshake_proof (old->handshake, &len);
+  kit_client_send (old, data, len);
+  cr_expect_not (kit_client_receive (old));
+  cr_expect_eq (node->count, 1);
+  kit_client_close (old);
+  kit_client_close (new);
+}
+
 Test (peer, a_lost_peer_is_dialled_until_it_is_back)
 {
   struct kit_node *a = start_node ("a", 1);
@@ -411,27 +461,34 @@
 
 /* A target's process answers and dies at once; the next frame that is sent
    to it fails.  Its answers are already here and must not be thrown away with
-   the connection: a call that ran would count as unknown.  */
-Test (peer, answers_before_a_death_arrive)
+   the connection: calls that ran would count as unknown.  The failed write is
+   brought about by ending our direction of the socket.  */
+Test (peer, answers_before_a_failed_write_arrive)
 {
   struct kit_node *node = start_node ("m", 1);
   struct kit_client *client = kit_client (node, "z", 0);
-  struct mq_message token = { .type = MQ_MSG_TOKEN };
-  uint8_t *data;
-  size_t len;
 
   kit_client_prove (client);
   kit_wait_up (node);
+  cr_assert (kit_client_receive (client));
   for (uint32_t i = 0; i < BURST; i++)
     {
+      struct mq_message token = { .type = MQ_MSG_TOKEN };
+      size_t len;
+      uint8_t *data;
+
       token.u.token.index = i;
       data = mq_codec_pack (client, &token, &len);
       kit_client_send (client, data, len);
     }
-  kit_client_close (client);
+  kit_shut_writing (node);
   cr_assert (kit_send_token (node, 1));
-  kit_wait_down (node);
+  kit_wait_count (node, KIT_MESSAGE, BURST);
   expect_burst (node);
+  cr_expect_eq (kit_count (node, KIT_DOWN), 0);
+  cr_expect_not (kit_send_token (node, 2));
+  kit_client_close (client);
+  kit_wait_down (node);
 }
 
 struct destroy_case
