--- a/src/io/peer.c
+++ b/src/io/peer.c
@@ -179,8 +179,15 @@
   tevent_schedule_immediate (net->work, net->ev, on_work, net);
 }
 
+static uint64_t
+shift_time (uint64_t time_ms, uint64_t pause_ms, uint64_t now_ms)
+{
+  return time_ms + pause_ms < now_ms ? time_ms + pause_ms : now_ms;
+}
+
 /* A process that was stopped for a while has heard nothing because it did
-   not listen: that time does not count as silence of its peers.  */
+   not listen: that time counts neither as silence of its peers nor against
+   their handshakes.  */
 static void
 forgive_pause (struct mq_peer_net *net, uint64_t now_ms)
 {
@@ -188,11 +195,11 @@
 
   if (pause_ms < 2 * (uint64_t)net->tick_ms)
     return;
+  pause_ms -= net->tick_ms;
   for (struct mq_conn *conn = net->conns; conn != NULL; conn = conn->next)
     {
-      conn->heard_ms += pause_ms - net->tick_ms;
-      if (conn->heard_ms > now_ms)
-        conn->heard_ms = now_ms;
+      conn->heard_ms = shift_time (conn->heard_ms, pause_ms, now_ms);
+      conn->opened_ms = shift_time (conn->opened_ms, pause_ms, now_ms);
     }
 }
 
