--- a/bench/bench_peer.c
+++ b/bench/bench_peer.c
@@ -2,11 +2,13 @@
 
    A sender and a receiver on loopback, each a process with its own loop.
    "stream": as many frames as the window lets through; "ping": one frame at
-   a time, each answered, so nothing is gathered; "idle": beats only.
+   a time, each answered, so nothing is gathered; "idle": beats only; "hub":
+   beats with many peers, for the cost of one more connection.
    Needs: peer.h, id.h.  */
 
 #include "../src/core/id.h"
 #include "../src/io/peer.h"
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,6 +25,8 @@
   BODY_BYTES = 2048,
   LOAD_WORKERS = 4,
   IDLE_SECONDS = 20,
+  SPOKES = 200,
+  TALLOC_HEADER_BYTES = 96,
   US_PER_S = 1000000
 };
 
@@ -54,6 +58,7 @@
   struct tevent_context *ev;
   struct mq_peer_net *net;
   uint32_t peer;
+  uint32_t up;
   bool lost;
   uint64_t received;
   uint64_t acked;
@@ -67,6 +72,7 @@
 
   (void)info;
   side->peer = peer;
+  side->up++;
 }
 
 static void
@@ -316,10 +322,82 @@
   close (ends[1]);
 }
 
+static void
+run_spokes (uint16_t port)
+{
+  struct tevent_context *ev = tevent_context_init (NULL);
+  struct mq_peer_callbacks callbacks = { 0 };
+  char address[32];
+  char host[32];
+
+  snprintf (address, sizeof address, "127.0.0.1:%u", port);
+  for (uint64_t i = 0; i < SPOKES; i++)
+    {
+      struct mq_peer_options options = { .listen = "127.0.0.1:0" };
+      struct mq_peer_net *net;
+
+      snprintf (host, sizeof host, "spoke%llu", (unsigned long long)i);
+      options.self.host = host;
+      options.self.boot = 1000 + i;
+      net = mq_peer_net_create (ev, ev, &options, &callbacks, NULL);
+      if (net == NULL)
+        exit (1);
+      mq_peer_net_keep (net, address);
+    }
+  while (true)
+    tevent_loop_once (ev);
+}
+
+/* With what talloc adds to each allocation.  */
+static size_t
+count_memory (const void *ctx)
+{
+  return talloc_total_size (ctx)
+         + (size_t)TALLOC_HEADER_BYTES * talloc_total_blocks (ctx);
+}
+
+static void
+run_hub (void)
+{
+  struct side side = { 0 };
+  struct mq_peer_counters before;
+  const struct mq_peer_counters *after;
+  size_t empty;
+  double spent;
+  pid_t child;
+
+  open_side (&side, "hub", 1);
+  empty = count_memory (side.net);
+  child = fork ();
+  if (child < 0)
+    exit (1);
+  if (child == 0)
+    run_spokes (mq_peer_net_port (side.net));
+  while (side.up < SPOKES)
+    tevent_loop_once (side.ev);
+  after = mq_peer_net_counters (side.net);
+  before = *after;
+  spent = cpu_us ();
+  run_idle (&side);
+  spent = cpu_us () - spent;
+  printf ("%-12s %d connections, each %zu bytes of memory, out %.1f bytes/s "
+          "in %.1f bytes/s cpu %.1f us/s\n",
+          "hub", SPOKES, (count_memory (side.net) - empty) / SPOKES,
+          (double)(after->control_bytes_out - before.control_bytes_out)
+              / IDLE_SECONDS / SPOKES,
+          (double)(after->control_bytes_in - before.control_bytes_in)
+              / IDLE_SECONDS / SPOKES,
+          spent / IDLE_SECONDS / SPOKES);
+  kill (child, SIGKILL);
+  waitpid (child, NULL, 0);
+  talloc_free (side.ev);
+}
+
 int
 main (void)
 {
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     run_case (&cases[i]);
+  run_hub ();
   return 0;
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -15,7 +15,8 @@
 {
   BURST = 50,
   ROUNDS = 10,
-  LONG_MS = 60000
+  LONG_MS = 60000,
+  PAUSE_US = 3 * KIT_SILENT_MS * 1000
 };
 
 /* cppcheck-suppress unknownMacro */
@@ -409,7 +410,7 @@
   cr_expect_geq (out->control_frames_out, 3); /* Hello, Proof, LOAD */
   cr_expect_eq (out->bytes_out - out->control_bytes_out,
                 in->bytes_in - in->control_bytes_in);
-  cr_expect_gt (out->bytes_out - out->control_bytes_out, 3 * 4);
+  cr_expect_gt (out->bytes_out - out->control_bytes_out, 12);
 }
 
 /* A stopped process reads nothing; without a bound its peer's queue would
@@ -546,7 +547,7 @@
   kit_wait_up (b);
   for (int i = 0; i < 3; i++)
     {
-      usleep (3 * KIT_SILENT_MS * 1000);
+      usleep (PAUSE_US);
       kit_run_frames (a, 3);
       kit_run_frames (b, 3);
     }
