--- a/tests/matrix_cells.c
+++ b/tests/matrix_cells.c
@@ -14,7 +14,8 @@
 
 #define AT(step_, nth_, fault_, seed_)                                        \
   {                                                                           \
-    .step = STEP_##step_, .nth = nth_, .fault = FAULT_##fault_, .seed = seed_ \
+    .step = STEP_##step_, .nth = (nth_), .fault = FAULT_##fault_,             \
+    .seed = (seed_)                                                           \
   }
 
 const struct matrix_plant matrix_plants[] = {
@@ -36,7 +37,7 @@
   { PLANT_CONFIG_CUT_OFF, INVARIANT_CONFIG_EQUAL, AT (OPEN, 0, NONE, 26) },
   { PLANT_APPLY_REVERTED, INVARIANT_APPLY_HOLDS, AT (OPEN, 0, NONE, 27) },
   { PLANT_CONDITION_IGNORED, INVARIANT_LOGGED_ANSWER,
-    AT (ANSWER, 2, OWNER_PAUSED, 28) },
+    AT (GRANT, 2, OWNER_PAUSED, 28) },
   { PLANT_ECHO, INVARIANT_SETTLES, AT (OPEN, 0, NONE, 29) },
 };
 
--- a/tests/world.c
+++ b/tests/world.c
@@ -496,12 +496,9 @@
     return;
   world_trace (world, "%s is to leave", host->name);
   host->leaving = true;
-  host->leave_us = world->now_us;
-  if (world->cell->plant == PLANT_STOP_CUTS)
-    stop_host (world, index);
-  else
-    world_push (world, world_event_create (world, EVENT_LEAVE, index),
-                world->now_us);
+  host->leave_us = world->now_us + LEAVE_US;
+  world_push (world, world_event_create (world, EVENT_LEAVE, index),
+              host->leave_us);
 }
 
 static void
@@ -512,7 +509,9 @@
   struct mq_gate_input gate
       = { .type = MQ_GATE_LEAVE, .now_us = world->now_us };
 
-  if (world->hosts[index].role == MQ_HOST_ENTRY)
+  if (world->cell->plant == PLANT_STOP_CUTS)
+    stop_host (world, index);
+  else if (world->hosts[index].role == MQ_HOST_ENTRY)
     world_owner_input (world, index, &owner);
   else if (world->cell->plant != PLANT_LEAVE_HIDDEN)
     world_gate_input (world, index, &gate);
@@ -531,6 +530,7 @@
 static void
 read_hosts (struct world *world, int index)
 {
+  uint32_t run = world->hosts[index].run;
   struct mq_host items[HOSTS];
   struct mq_host_list list = { .items = items };
   struct mq_spread_input spread
@@ -557,10 +557,10 @@
     }
   spread.u.hosts = &list;
   owner.u.hosts = &list;
+  plan_hosts_read (world, index);
   world_spread_input (world, index, &spread);
-  if (world->hosts[index].role == MQ_HOST_ENTRY)
+  if (world_runs (world, index, run) && world->hosts[index].owner != NULL)
     world_owner_input (world, index, &owner);
-  plan_hosts_read (world, index);
 }
 
 /* Actions of the machines.  */
