Measure program latency and recomputed prompt tokens where they are known

Cause: mimosactl status said "program latency: not reported"; the gates counted as computed again only what the same worker had held, so a program that was moved cost nothing by that figure. An entry host with a baseline policy did not start: settings say round_robin, placement said round-robin.

--- a/examples/site.sh
+++ b/examples/site.sh
@@ -24,6 +24,8 @@
 site_start() { # NAME PROGRAM ARGUMENTS…
   local name=$1
   shift
+  # Both are there before anybody looks for a line in them.
+  : >"$site_dir/$name.out" 2>"$site_dir/$name.err"
   "$@" >"$site_dir/$name.out" 2>"$site_dir/$name.err" &
   site_pids="$! $site_pids"
   eval "site_pid_${name//-/_}=$!"
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -119,6 +119,9 @@
 #define MQ_CONFIG_TELL_PEERS 8U       /* peers told at a time of a rise */
 #define MQ_CONFIG_TELL_MS 50U         /* pause before the next few */
 
+/* Measures.  */
+#define MQ_LATENCY_SERIES_MAX 256U /* services, first and follow-up apart */
+
 /* Traces.  */
 #define MQ_SPANS_MAX 4096U /* kept by a process */
 
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -126,6 +126,9 @@
   X (store_reads, "scans and object reads")                                   \
   X (takeovers, "partitions taken over")                                      \
   X (partitions_lost, "partitions lost to another owner")                     \
+  X (prompt_tokens, "prompt tokens of model calls whose answer was accepted") \
+  X (cached_tokens, "of these, found in an engine's cache")                   \
+  X (recomputed_tokens, "of these, computed again: known, but not found")     \
   X (tokens_spent, "tokens charged to programs")                              \
   X (tokens_forfeited, "granted tokens counted as spent after a takeover")    \
   X (budget_stops, "programs stopped by their budget")                        \
--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -88,13 +88,35 @@
   return (int32_t)target->workers[running->sticky_worker]->view;
 }
 
+/* The prompt that all programs of a service begin with.  */
+struct shared_prompt
+{
+  uint64_t hash;
+  uint32_t tokens;
+};
+
+static struct shared_prompt
+find_shared (const struct mq_owner *owner, const struct running *running)
+{
+  const struct mq_service *agent
+      = mq_text_find_service (owner->text, running->program->service);
+  struct shared_prompt shared = { 0 };
+  size_t len;
+
+  if (agent == NULL || agent->prompt == NULL)
+    return shared;
+  len = strlen (agent->prompt);
+  shared.hash = mq_hash_bytes (agent->prompt, len, 0);
+  shared.tokens = (uint32_t)(len / BYTES_PER_TOKEN);
+  return shared;
+}
+
 static struct worker *
 choose_worker (struct mq_owner *owner, struct running *running)
 {
   struct call *call = running->call;
   struct pool *pool = hosts_pool (owner, call->service->name);
-  const struct mq_service *agent
-      = mq_text_find_service (owner->text, running->program->service);
+  struct shared_prompt shared = find_shared (owner, running);
   struct mq_place_call place = { 0 };
   int32_t chosen;
 
@@ -104,13 +126,8 @@
   place.sticky_tokens = running->sticky_tokens;
   place.program_hash = running->program->id.hi;
   place.priority = running->program->priority;
-  if (agent != NULL && agent->prompt != NULL)
-    {
-      size_t len = strlen (agent->prompt);
-
-      place.shared_prefix = mq_hash_bytes (agent->prompt, len, 0);
-      place.shared_tokens = (uint32_t)(len / BYTES_PER_TOKEN);
-    }
+  place.shared_prefix = shared.hash;
+  place.shared_tokens = shared.tokens;
   chosen
       = mq_place_choose (owner->place, (enum mq_policy)owner->options.policy,
                          pool->views, pool->count, &place, owner->now_us);
@@ -454,6 +471,48 @@
   running->sticky = call->target;
   running->sticky_worker = call->worker;
   running->sticky_tokens = outcome->tokens_in + outcome->tokens_out;
+  running->known_tokens = running->sticky_tokens;
+}
+
+/* True when the prefix was computed for this owner before; it is from now
+   on.  There are as many as the text has had prompts.  */
+static bool
+note_prefix (struct mq_owner *owner, uint64_t hash)
+{
+  struct known_prefix *prefix;
+
+  for (prefix = owner->prefixes; prefix != NULL; prefix = prefix->next)
+    if (prefix->hash == hash)
+      return true;
+  prefix = talloc_zero (owner, struct known_prefix);
+  if (prefix == NULL)
+    abort ();
+  prefix->hash = hash;
+  prefix->next = owner->prefixes;
+  owner->prefixes = prefix;
+  return false;
+}
+
+/* The measure of prompt tokens computed again: what some engine has computed
+   for this program, or the service's prompt for another one, and this engine
+   did not find in its cache.  */
+static void
+count_prompt (struct mq_owner *owner, const struct running *running,
+              const struct mq_outcome_msg *outcome)
+{
+  struct shared_prompt shared = find_shared (owner, running);
+  uint32_t known = running->known_tokens;
+
+  if (!running->call->model || outcome->error != MQ_ERR_NONE)
+    return;
+  if (note_prefix (owner, shared.hash) && known < shared.tokens)
+    known = shared.tokens;
+  if (known > outcome->tokens_in)
+    known = outcome->tokens_in;
+  owner->counters.prompt_tokens += outcome->tokens_in;
+  owner->counters.cached_tokens += outcome->cached_tokens;
+  if (known > outcome->cached_tokens)
+    owner->counters.recomputed_tokens += known - outcome->cached_tokens;
 }
 
 static void
@@ -465,6 +524,7 @@
 
   owner_span (owner, running, "call", call->number, call->sent_us,
               outcome->error);
+  count_prompt (owner, running, outcome);
   remember_sticky (running, outcome);
   leave_target (owner, running);
   if (!call->prepaid)
--- a/src/core/owner_request.c
+++ b/src/core/owner_request.c
@@ -98,6 +98,7 @@
 
   mq_id_format (program->id, id);
   json_object_set_new (root, "program", json_string (id));
+  json_object_set_new (root, "service", json_string (program->service));
   json_object_set_new (root, "status",
                        json_string (state_name (program->state)));
   json_object_set_new (root, "tokens",
@@ -535,6 +536,18 @@
     chain_has_grant (owner, running, max_tokens);
 }
 
+/* A history that carries over has been computed before.  */
+static void
+note_known_tokens (struct mq_owner *owner, struct running *running,
+                   struct mq_id continues)
+{
+  const struct running *before
+      = mq_id_is_zero (continues) ? NULL : chain_find (owner, continues);
+
+  if (before != NULL)
+    running->known_tokens = before->known_tokens;
+}
+
 static void
 open_new (struct mq_owner *owner, struct partition *partition, uint32_t peer,
           uint64_t handle, const struct mq_request_msg *request)
@@ -555,6 +568,7 @@
       return;
     }
   running = chain_open (owner, partition, request->program, &opening.opened);
+  note_known_tokens (owner, running, request->continues);
   add_waiter (running, peer, handle, request, 0);
   grant_first (owner, running);
   log_hook (owner, running, HOOK_ACCEPTED, 0, 0, NULL)->tokens
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -289,6 +289,7 @@
   struct target *sticky;
   uint32_t sticky_worker;
   uint32_t sticky_tokens;
+  uint32_t known_tokens; /* of its next prompt, computed before somewhere */
   uint64_t loop_digest;
   uint32_t loop_count;
   bool forfeited; /* what was granted before the takeover is spent */
@@ -376,6 +377,13 @@
   char *target;
 };
 
+/* A service's prompt that some engine has computed for this owner.  */
+struct known_prefix
+{
+  struct known_prefix *next;
+  uint64_t hash;
+};
+
 enum scan_type
 {
   SCAN_OWNERS,
@@ -431,6 +439,7 @@
   struct organisation_count *organisations;
   struct unknown_call *unknown;
   size_t unknown_count;
+  struct known_prefix *prefixes;
   struct mq_owner_counters counters;
 };
 
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -17,7 +17,7 @@
   DEFAULT_PREFILL = 8000,    /* tokens a second, until measured */
   DEFAULT_DECODE_US = 10000, /* a token, until measured */
   REPORT_FRESH_US = 2000000, /* an older load report counts half */
-  BOUNDED_LOAD_PERCENT = 125 /* of the mean: policy "prefix" */
+  BOUNDED_LOAD_PERCENT = 125 /* of the mean: policy prefix_hash */
 };
 
 struct mq_place_state
@@ -28,9 +28,9 @@
 
 static const char *const policy_names[] = {
   [MQ_POLICY_FINISH] = "finish",
-  [MQ_POLICY_ROUND_ROBIN] = "round-robin",
-  [MQ_POLICY_LEAST_LOADED] = "least-loaded",
-  [MQ_POLICY_PREFIX_HASH] = "prefix-hash",
+  [MQ_POLICY_ROUND_ROBIN] = "round_robin",
+  [MQ_POLICY_LEAST_LOADED] = "least_loaded",
+  [MQ_POLICY_PREFIX_HASH] = "prefix_hash",
 };
 
 struct mq_place_state *
--- a/src/io/api.c
+++ b/src/io/api.c
@@ -3,7 +3,7 @@
    One exchange for each caller's HTTP request, in a table of slots; its
    handle at the front carries the slot and a serial number, so that an
    event for an earlier exchange of the slot is told apart.
-   Needs: api.h, api_plan.h, api_answer.h, id.h, limits.h, gnutls.  */
+   Needs: api.h, api_plan.h, api_answer.h, latency.h, id.h, limits.h, gnutls.  */
 
 #include "api.h"
 #include "../core/id.h"
@@ -71,6 +71,7 @@
   uint32_t next_slot;
   uint64_t serial;
   struct mq_api_counters counters;
+  struct mq_latency *latency;
 };
 
 static void *
@@ -167,6 +168,73 @@
   return api->slots[slot]->handle == handle ? api->slots[slot] : NULL;
 }
 
+/* Program latency.  */
+
+/* A program whose caller waits for its answer: one that is opened and left,
+   created, or looked at again is not.  */
+static bool
+is_measured (const struct exchange *exchange)
+{
+  const struct mq_api_plan *plan = exchange->plan;
+
+  if (plan == NULL || plan->shape == MQ_API_ACCEPT)
+    return false;
+  return plan->first.type == MQ_REQUEST_OPEN
+         || plan->first.type == MQ_REQUEST_TURN;
+}
+
+/* The series that the exchange counts in.  A turn names no service, its
+   answer does: BODY, which may be NULL.  */
+static struct mq_latency_series *
+find_series (const struct exchange *exchange, const char *body)
+{
+  const struct mq_request_msg *request = &exchange->plan->first;
+  struct mq_latency *latency = exchange->api->latency;
+  struct mq_latency_series *series;
+  char *service;
+
+  if (request->type == MQ_REQUEST_OPEN)
+    return mq_latency_find (latency, request->service,
+                            !mq_id_is_zero (request->continues));
+  service = mq_api_service_of (latency, body);
+  series = mq_latency_find (latency, service, true);
+  talloc_free (service);
+  return series;
+}
+
+static void
+count_answered (const struct exchange *exchange, const char *body)
+{
+  struct mq_api *api = exchange->api;
+  uint64_t now_us = api->callbacks.now_us (api->callbacks.user);
+
+  if (is_measured (exchange))
+    mq_histogram_add (&find_series (exchange, body)->answered,
+                      now_us - exchange->start_us);
+}
+
+static void
+count_refused (const struct exchange *exchange,
+               const struct mq_event_msg *event)
+{
+  struct mq_latency_series *series;
+
+  if (!is_measured (exchange))
+    return;
+  series = find_series (exchange, event->body);
+  if (event->ran == MQ_RAN_NOT_RUN)
+    series->refused++;
+  else
+    series->failed++;
+}
+
+static void
+count_gone (const struct exchange *exchange)
+{
+  if (is_measured (exchange))
+    find_series (exchange, NULL)->gone++;
+}
+
 static struct exchange *
 open_exchange (struct mq_api *api, struct mq_http_request *http)
 {
@@ -200,6 +268,7 @@
   if (exchange->asked)
     {
       api->counters.callers_gone++;
+      count_gone (exchange);
       api->callbacks.gone (exchange->handle, api->callbacks.user);
     }
   talloc_free (exchange);
@@ -483,6 +552,7 @@
 {
   exchange->asked = false;
   emit_span (exchange, event->error);
+  count_refused (exchange, event);
   give_refusal (exchange, event);
 }
 
@@ -549,6 +619,7 @@
 {
   exchange->asked = false;
   emit_span (exchange, MQ_ERR_NONE);
+  count_answered (exchange, event->body);
   switch (exchange->plan->shape)
     {
     case MQ_API_JSON:
@@ -810,6 +881,7 @@
 
   api->callbacks = *callbacks;
   api->boot = options->boot;
+  api->latency = mq_latency_create (api);
   memcpy (api->operator_key_hash, options->operator_key_hash, MQ_KEY_BYTES);
   api->server
       = mq_http_server_create (api, ev, &options->http, serve, api, error);
@@ -866,3 +938,9 @@
 {
   return &api->counters;
 }
+
+const struct mq_latency *
+mq_api_latency (const struct mq_api *api)
+{
+  return api->latency;
+}
--- a/src/io/api.h
+++ b/src/io/api.h
@@ -9,6 +9,7 @@
 #define MQ_API_H
 
 #include "../core/action.h"
+#include "../core/latency.h"
 #include "../core/text.h"
 #include "http_server.h"
 
@@ -94,5 +95,7 @@
 };
 
 const struct mq_api_counters *mq_api_read_counters (const struct mq_api *api);
+/* Latency of the programs whose callers waited here; see docs/MEASURES.md. */
+const struct mq_latency *mq_api_latency (const struct mq_api *api);
 
 #endif
--- a/src/io/api_answer.c
+++ b/src/io/api_answer.c
@@ -175,6 +175,17 @@
   return dump (ctx, json);
 }
 
+char *
+mq_api_service_of (TALLOC_CTX *ctx, const char *body)
+{
+  json_t *json = parse_object (body);
+  const char *service = json_string_value (json_object_get (json, "service"));
+  char *copy = must (talloc_strdup (ctx, service == NULL ? "" : service));
+
+  json_decref (json);
+  return copy;
+}
+
 /* OpenAI's shapes.  */
 
 static json_t *
--- a/src/io/api_answer.h
+++ b/src/io/api_answer.h
@@ -45,4 +45,8 @@
 char *mq_api_program_json (TALLOC_CTX *ctx, struct mq_id program,
                            const char *status);
 
+/* Member "service" of an answer's JSON below CTX; empty when there is none.
+   BODY may be NULL.  */
+char *mq_api_service_of (TALLOC_CTX *ctx, const char *body);
+
 #endif
--- a/src/io/ctl_status.c
+++ b/src/io/ctl_status.c
@@ -128,6 +128,7 @@
 add_host (struct summary *summary, int32_t index, json_t *status)
 {
   json_t *counters = json_object_get (status, "counters");
+  json_t *owner = json_object_get (status, "owner");
 
   summary->reached++;
   add_claims (summary, index, status);
@@ -137,8 +138,8 @@
   summary->cache_token_ms += sum_counter (counters, "cache_token_ms");
   summary->cache_wasted_token_ms
       += sum_counter (counters, "cache_wasted_token_ms");
-  summary->prompt_tokens += sum_counter (counters, "prompt_tokens");
-  summary->recomputed_tokens += sum_counter (counters, "recomputed_tokens");
+  summary->prompt_tokens += get_number (owner, "prompt_tokens");
+  summary->recomputed_tokens += get_number (owner, "recomputed_tokens");
 }
 
 /* Partitions that the hosts name, when the text in force can't be read.  */
@@ -353,13 +354,16 @@
         text = talloc_asprintf_append_buffer (
             text,
             "  %-20s %-20s%s %8llu programs, ms p50 %llu p95 %llu "
-            "p99 %llu\n",
+            "p99 %llu; failed %llu refused %llu gone %llu\n",
             fleet->items[i].host->name, get_text (item, "service"),
             follow_up ? " follow-ups" : "",
             (unsigned long long)get_number (item, "count"),
             (unsigned long long)get_number (item, "p50_ms"),
             (unsigned long long)get_number (item, "p95_ms"),
-            (unsigned long long)get_number (item, "p99_ms"));
+            (unsigned long long)get_number (item, "p99_ms"),
+            (unsigned long long)get_number (item, "failed"),
+            (unsigned long long)get_number (item, "refused"),
+            (unsigned long long)get_number (item, "gone"));
         shown++;
       }
     }
--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -806,6 +806,7 @@
   options.boot = entry->boot;
   options.seed = random_word ();
   options.policy = policy;
+  options.commit_each_step = settings->commit_each_step;
   entry->owner = mq_owner_create (entry, &options);
   entry->front = mq_front_create (entry, &lookup, random_word ());
   entry->spread = mq_spread_create (entry, settings->host,
--- a/src/io/entry_report.c
+++ b/src/io/entry_report.c
@@ -1,8 +1,9 @@
 /* entry_report.c - what an entry host shows to operators.
 
-   Needs: entry_report.h, metrics.h, jansson.  */
+   Needs: entry_report.h, latency_report.h, metrics.h, jansson.  */
 
 #include "entry_report.h"
+#include "latency_report.h"
 #include "metrics.h"
 #include <jansson.h>
 #include <stdlib.h>
@@ -116,6 +117,7 @@
   mq_metrics_add (&text, "config", "texts_refused",
                   "texts kept out as they do not parse", view->texts_refused);
   add_api_metrics (&text, view->api);
+  mq_latency_metrics (&text, mq_api_latency (view->api));
   add_peer_metrics (&text, view->net);
   add_platform_metrics (&text, view->platform);
   mq_metrics_add_process (&text);
@@ -149,6 +151,19 @@
   json_object_set_new (json, "front", list);
 }
 
+static void
+add_owner_counters (json_t *json, const struct mq_owner *owner)
+{
+  const struct mq_owner_counters *counters = mq_owner_read_counters (owner);
+  json_t *list = json_object ();
+
+#define ADD(name, help)                                                       \
+  json_object_set_new (list, #name, json_integer ((json_int_t)counters->name));
+  MQ_OWNER_COUNTER_LIST (ADD)
+#undef ADD
+  json_object_set_new (json, "owner", list);
+}
+
 /* Boot ids have 64 bits and JSON's integers 63: written as a text.  */
 static void
 set_boot (json_t *json, uint64_t boot)
@@ -186,6 +201,9 @@
                        json_integer ((json_int_t)view->texts_refused));
   set_boot (json, view->boot);
   add_front_counters (json, view->front);
+  add_owner_counters (json, view->owner);
+  json_object_set_new (json, "latency",
+                       mq_latency_json (mq_api_latency (view->api)));
   dump = json_dumps (json, JSON_COMPACT);
   json_decref (json);
   text = dump == NULL ? NULL : talloc_strdup (ctx, dump);
--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -25,6 +25,9 @@
   { "fifo", MQ_GATE_FIFO }, { "attained", MQ_GATE_ATTAINED }, { NULL, 0 }
 };
 
+static const struct mq_key_choice commit_choices[]
+    = { { "output", false }, { "each_step", true }, { NULL, 0 } };
+
 static const struct mq_key_choice kind_choices[]
     = { { "model", MQ_SERVICE_MODEL },
         { "plain", MQ_SERVICE_PLAIN },
@@ -36,6 +39,7 @@
 {
   struct mq_settings settings;
   enum mq_policy policy;
+  int commit_each_step;
 };
 
 struct worker_section
@@ -113,6 +117,14 @@
     .choices = policy_choices,
     .offset = offsetof (struct process_section, policy),
     .help = "placement of calls; all but finish are for comparison" },
+  { .section = "process",
+    .name = "commit",
+    .kinds = ENTRYD,
+    .type = MQ_KEY_CHOICE,
+    .fallback = "output",
+    .choices = commit_choices,
+    .offset = offsetof (struct process_section, commit_each_step),
+    .help = "what waits for the store; each_step is for comparison" },
   { .section = "process",
     .name = "order",
     .kinds = TARGETD,
@@ -297,6 +309,7 @@
   read.workers = settings->workers;
   read.worker_urls = settings->worker_urls;
   read.worker_count = settings->worker_count;
+  read.commit_each_step = draft->process.commit_each_step != 0;
   read.policy = draft->role == MQ_HOST_ENTRY
                     ? policy_choices[draft->process.policy].word
                     : "";
--- a/src/io/settings.h
+++ b/src/io/settings.h
@@ -21,6 +21,7 @@
  * @site_key: 32 bytes, written as 64 hexadecimal digits
  * @operator_key_hash: SHA-256 of the key that operators send
  * @policy: name of the placement policy (entryd)
+ * @commit_each_step: every step waits for the store, for comparison (entryd)
  * @order: order of the queue (targetd)
  * @workers: [worker NAME] sections (targetd)
  * @worker_urls: "http://IP:PORT" of each worker
@@ -38,6 +39,7 @@
   uint8_t site_key[MQ_KEY_BYTES];
   uint8_t operator_key_hash[MQ_KEY_BYTES];
   const char *policy;
+  bool commit_each_step;
   enum mq_gate_order order;
   struct mq_gate_worker *workers;
   const char **worker_urls;
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -31,7 +31,7 @@
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct mq_text_errors errors;
   struct mq_settings *settings
-      = parse (ctx, MQ_HOST_ENTRY, PROCESS "policy = round_robin\n", &errors);
+      = parse (ctx, MQ_HOST_ENTRY, PROCESS "policy = round_robin\ncommit = each_step\n", &errors);
 
   cr_assert_not_null (settings, "%s", errors.items[0].subject);
   cr_expect_str_eq (settings->host, "e1");
@@ -41,6 +41,7 @@
   cr_expect_str_eq (settings->peer, "[::1]:7000");
   cr_expect_str_eq (settings->platform, "http://127.0.0.1:8000");
   cr_expect_str_eq (settings->policy, "round_robin");
+  cr_expect (settings->commit_each_step);
   cr_expect_eq (settings->drain_seconds, 120);
   cr_expect_eq (settings->site_key[0], 0x01);
   cr_expect_eq (settings->operator_key_hash[MQ_KEY_BYTES - 1], 0xef);
