--- a/examples/site.sh
+++ b/examples/site.sh
@@ -63,7 +63,7 @@
   eval "site_urls_${name//-/_}='$(sed -n 's/^listening //p' "$site_dir/$name.out" | tr '\n' ' ')'"
 }
 
-site_settings() { # HOST DATA_CENTRE
+site_settings() { # HOST DATA_CENTRE ROLE
   cat <<EOF
 [process]
 host = $1
@@ -75,6 +75,17 @@
 operator_key_sha256 = $site_operator_hash
 drain_seconds = 20
 EOF
+  # For comparisons: site_policy and site_commit of entry hosts, site_order
+  # of targets.
+  case $3 in
+  entry)
+    [ -z "${site_policy:-}" ] || echo "policy = $site_policy"
+    [ -z "${site_commit:-}" ] || echo "commit = $site_commit"
+    ;;
+  target)
+    [ -z "${site_order:-}" ] || echo "order = $site_order"
+    ;;
+  esac
 }
 
 site_list_host() { # HOST ROLE DATA_CENTRE
@@ -91,7 +102,7 @@
 site_target() { # HOST DATA_CENTRE WORKER…
   local host=$1 data_centre=$2 n=0 worker service kind address model
   shift 2
-  site_settings "$host" "$data_centre" >"$site_dir/$host.ini"
+  site_settings "$host" "$data_centre" target >"$site_dir/$host.ini"
   for worker in "$@"; do
     IFS=, read -r service kind address model <<<"$worker"
     n=$((n + 1))
@@ -105,7 +116,7 @@
 }
 
 site_entry() { # HOST DATA_CENTRE
-  site_settings "$1" "$2" >"$site_dir/$1.ini"
+  site_settings "$1" "$2" entry >"$site_dir/$1.ini"
   site_start "$1" "$site_bin/mimosa-entryd" --settings "$site_dir/$1.ini"
   site_list_host "$1" entry "$2"
 }
--- a/src/io/api.c
+++ b/src/io/api.c
@@ -3,7 +3,8 @@
    One exchange for each caller's HTTP request, in a table of slots; its
    handle at the front carries the slot and a serial number, so that an
    event for an earlier exchange of the slot is told apart.
-   Needs: api.h, api_plan.h, api_answer.h, latency.h, id.h, limits.h, gnutls.  */
+   Needs: api.h, api_plan.h, api_answer.h, latency.h, id.h, limits.h, gnutls.
+ */
 
 #include "api.h"
 #include "../core/id.h"
--- a/src/io/latency_report.c
+++ b/src/io/latency_report.c
@@ -89,11 +89,11 @@
                            " histogram\n"));
   for (size_t i = 0; i < count; i++)
     add_histogram (text, mq_latency_at (latency, i));
-  append (text, talloc_strdup_append_buffer (
-                    *text,
-                    "# HELP mimosa_programs_unanswered Programs whose caller "
-                    "waited here and got no answer\n"
-                    "# TYPE mimosa_programs_unanswered gauge\n"));
+  append (text,
+          talloc_strdup_append_buffer (
+              *text, "# HELP mimosa_programs_unanswered Programs whose caller "
+                     "waited here and got no answer\n"
+                     "# TYPE mimosa_programs_unanswered gauge\n"));
   for (size_t i = 0; i < count; i++)
     {
       const struct mq_latency_series *series = mq_latency_at (latency, i);
@@ -123,15 +123,14 @@
 
       json_array_append_new (
           list,
-          json_pack ("{ss sb sI so so so sI sI sI}", "service",
-                     series->service, "follow_up", (int)series->follow_up,
-                     "count", (json_int_t)series->answered.count, "p50_ms",
-                     quantile_ms (series, 500), "p95_ms",
-                     quantile_ms (series, 950), "p99_ms",
-                     quantile_ms (series, 990), "failed",
-                     (json_int_t)series->failed, "refused",
-                     (json_int_t)series->refused, "gone",
-                     (json_int_t)series->gone));
+          json_pack (
+              "{ss sb sI so so so sI sI sI}", "service", series->service,
+              "follow_up", (int)series->follow_up, "count",
+              (json_int_t)series->answered.count, "p50_ms",
+              quantile_ms (series, 500), "p95_ms", quantile_ms (series, 950),
+              "p99_ms", quantile_ms (series, 990), "failed",
+              (json_int_t)series->failed, "refused",
+              (json_int_t)series->refused, "gone", (json_int_t)series->gone));
     }
   return list;
 }
--- /dev/null
+++ b/src/io/load_answer.h
@@ -0,0 +1,37 @@
+/* load_answer.h - an entry host's answer to a request of mimosa-load.
+
+   Needs: load_check.h, error.h, jansson.  */
+
+#ifndef MQ_LOAD_ANSWER_H
+#define MQ_LOAD_ANSWER_H
+
+#include "../core/error.h"
+#include "load_check.h"
+
+/**
+ * struct mq_load_answer - what came, read and checked
+ * @error: NONE for a final answer
+ * @ran: of a refusal
+ * @violation: what is wrong with it
+ * @program: as named in it, empty when it is not
+ * @text: the answer, empty with an error
+ * @resets: of the stream
+ */
+struct mq_load_answer
+{
+  enum mq_error_type error;
+  enum mq_ran ran;
+  enum mq_load_violation violation;
+  char *program;
+  char *text;
+  uint32_t resets;
+};
+
+/* Reads BODY, which came with STATUS; STREAM: it is server-sent events if
+   STATUS is 200.  MESSAGES: what the model must have seen.  Result below
+   CTX.  */
+struct mq_load_answer *mq_load_answer_read (TALLOC_CTX *ctx, int status,
+                                            const char *body, bool stream,
+                                            uint32_t messages);
+
+#endif
--- a/tests/test_histogram.c
+++ b/tests/test_histogram.c
@@ -52,9 +52,9 @@
     {
       uint32_t bit = spreads[spread].least_bit + mq_random_below (&seed, bits);
 
-      values[i] = (1ULL << bit)
-                  + (((uint64_t)mq_random_below (&seed, 1U << 30) << bit)
-                     >> 30);
+      values[i]
+          = (1ULL << bit)
+            + (((uint64_t)mq_random_below (&seed, 1U << 30) << bit) >> 30);
     }
 }
 
