--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -856,6 +856,7 @@
   options.boot = entry->boot;
   options.seed = random_word ();
   options.policy = policy;
+  options.commit_each_step = settings->commit_each_step;
   entry->owner = mq_owner_create (entry, &options);
   entry->hold = mq_hold_create (entry);
   entry->front = mq_front_create (entry, &lookup, random_word ());
