Process proofs: a site of real daemons, and eight failures of processes

Cause: the pure core's matrix says nothing about sockets, signals and the order in which real processes see things.

--- /dev/null
+++ b/tests/test_process.c
@@ -0,0 +1,448 @@
+/* test_process.c - failures of whole processes, with the real daemons.
+
+   Each case starts a small site on the loopback, brings a failure about by
+   signals, by a relay or by the stand-ins' switches, and checks what callers
+   and the outside world saw.  Waits end on events, with a generous limit.
+   Needs: criterion, site_kit.h.  */
+
+#include "site_kit.h"
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  CASE_SECONDS = 300,
+  CALLERS = 6,
+  BATCH_MAX = 64,
+  LOOKS = 40 /* between two batch programs */
+};
+
+/* The site of the test that runs; ended also after a failed check.  */
+static struct site *site;
+
+static void
+end_site (void)
+{
+  site_end (site);
+  site = NULL;
+}
+
+TestSuite (process, .fini = end_site, .timeout = CASE_SECONDS);
+
+/* Plans: a step of each kind; the slow tool's pause is set by a fault.  */
+static const char tool_plan[]
+    = "[{\"call\":\"ledger\",\"arguments\":{\"n\":1},\"tokens\":12},"
+      "{\"call\":\"notice\",\"arguments\":{\"n\":2},\"tokens\":12},"
+      "{\"call\":\"slow\",\"arguments\":{\"n\":3},\"tokens\":12},"
+      "{\"call\":\"ledger\",\"arguments\":{\"n\":4},\"tokens\":12},"
+      "{\"answer\":16}]";
+static const char long_answer_plan[]
+    = "[{\"call\":\"notice\",\"arguments\":{\"n\":1},\"tokens\":12},"
+      "{\"answer\":1000}]";
+
+static void
+make_slow (const char *path, uint32_t ms)
+{
+  char *fault = talloc_asprintf (
+      site, "{\"fault\":\"slow\",\"match\":\"%s\",\"ms\":%u}", path, ms);
+
+  site_fault (site, site->tools[0], fault);
+}
+
+/* Waits until a tool call runs at a worker.  */
+static void
+wait_for_tool (void)
+{
+  SITE_WAIT (site, site_tools_running (site) > 0);
+}
+
+/* Notices went out COUNT times, and none twice.  */
+static void
+check_notices (uint64_t count)
+{
+  uint64_t repeated = 0;
+
+  SITE_CHECK (site, site_effects (site, "/v1/notice", &repeated) == count);
+  SITE_CHECK (site, repeated == 0);
+}
+
+/* The owner of the program dies (kill -9) while a tool call of its chain
+   runs, or while its model generates.  The caller waits at the other entry
+   host and must get the whole answer of a history without gap or double;
+   the notice goes out once, also when just it was running.  Cause: the new
+   owner knows the program only from the log and from targets' processes.  */
+Test (process, owner_killed)
+{
+  static const struct
+  {
+    const char *plan;
+    const char *slow_path; /* NULL: killed while the model generates */
+  } cases[] = {
+    { tool_plan, "/v1/slow" },
+    { tool_plan, "/v1/notice" },
+    { long_answer_plan, NULL },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct site_options options = { .time_scale = "0.4" };
+      struct site_host *owner;
+      struct site_host *other;
+      struct site_call *call;
+
+      site = site_usual (&options);
+      owner = site_host (site, "entry-1");
+      other = site_host (site, "entry-2");
+      if (cases[i].slow_path != NULL)
+        make_slow (cases[i].slow_path, 3000);
+      call = site_open (site, other, site_key_owned_by (site, owner, "k"),
+                        "letters", cases[i].plan);
+      if (cases[i].slow_path != NULL)
+        wait_for_tool ();
+      else
+        SITE_WAIT (site, site_effects (site, "/v1/notice", NULL) == 1
+                             && site_engine_running (site) >= 0);
+      SITE_CHECK (site, !site_call_done (call));
+      site_kill (owner);
+      site_check_answer (site, call, other, cases[i].plan);
+      check_notices (1);
+      end_site ();
+    }
+}
+
+/* The entry host that holds the caller's connection dies.  The caller knows
+   nothing of its program and asks again at the other host with the same
+   Idempotency-Key; it must find that program, not open a second one, whether
+   the dead host owned it or not.  */
+Test (process, holder_killed)
+{
+  static const struct
+  {
+    const char *owner;
+  } cases[] = { { "entry-2" }, { "entry-1" } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct site_options options = { 0 };
+      struct site_host *holder;
+      struct site_host *other;
+      struct site_call *first;
+      struct site_call *again;
+      char *key;
+
+      site = site_usual (&options);
+      holder = site_host (site, "entry-1");
+      other = site_host (site, "entry-2");
+      make_slow ("/v1/slow", 3000);
+      key = site_key_owned_by (site, site_host (site, cases[i].owner), "k");
+      first = site_open (site, holder, key, "letters", tool_plan);
+      SITE_WAIT (site, site_effects (site, "/v1/notice", NULL) == 1);
+      site_kill (holder);
+      site_await (site, first);
+      SITE_CHECK (site, site_call_status (first) == 0);
+      again = site_open (site, other, key, "letters", tool_plan);
+      site_check_answer (site, again, other, tool_plan);
+      check_notices (1);
+      SITE_CHECK (site, site_counter (site, other, "owner_programs_opened")
+                            == (i == 0 ? 1 : 0));
+      end_site ();
+    }
+}
+
+static bool
+owns_all (const struct site_host *host)
+{
+  return site_owned (site, host) == SITE_PARTITIONS;
+}
+
+/* The owner is paused for longer than its lease and wakes up believing that
+   it is still in charge.  Its callers and those of the other host get one
+   whole answer each, the notices go out once, and when it has heard of its
+   loss it serves again.  Cause: a lease that lapses stops nobody who
+   sleeps; only the fencing number and the row's version do.  */
+Test (process, owner_paused)
+{
+  struct site_options options = { 0 };
+  struct site_host *owner;
+  struct site_host *other;
+  struct site_call *calls[CALLERS];
+  struct site_call *later;
+
+  site = site_usual (&options);
+  owner = site_host (site, "entry-1");
+  other = site_host (site, "entry-2");
+  make_slow ("/v1/slow", 2500);
+  for (size_t i = 0; i < CALLERS; i++)
+    {
+      char *begin = talloc_asprintf (site, "k%zu", i);
+
+      calls[i] = site_open (site, i % 2 == 0 ? owner : other,
+                            site_key_owned_by (site, owner, begin), "letters",
+                            tool_plan);
+    }
+  SITE_WAIT (site, site_effects (site, "/v1/notice", NULL) == CALLERS);
+  site_process_signal (owner->process, SIGSTOP);
+  SITE_WAIT (site, owns_all (other));
+  for (size_t i = 1; i < CALLERS; i += 2)
+    site_check_answer (site, calls[i], other, tool_plan);
+  site_process_signal (owner->process, SIGCONT);
+  for (size_t i = 0; i < CALLERS; i += 2)
+    site_check_answer (site, calls[i], other, tool_plan);
+  check_notices (CALLERS);
+  site_settle (site);
+  SITE_CHECK (site, site_counter (site, owner, "owner_partitions_lost") > 0);
+  later = site_open (site, other, site_key_owned_by (site, owner, "later"),
+                     "letters", tool_plan);
+  site_check_answer (site, later, owner, tool_plan);
+  check_notices (CALLERS + 1);
+}
+
+static size_t
+unknown_calls (void)
+{
+  static const char *const arguments[]
+      = { "status", "--format", "json", NULL };
+  struct site_process *status = site_ctl (site, arguments);
+  json_t *json = json_loads (status->output, 0, NULL);
+  size_t count = json_array_size (json_object_get (json, "unknown_calls"));
+
+  json_decref (json);
+  return count;
+}
+
+/* The target's process dies (kill -9) while a notice is being recorded, and
+   comes back without memory or not at all.  Whether the notice went out
+   can't be known: the program is told so and goes on, the operator sees the
+   call in the status, and it is never repeated.  */
+Test (process, target_killed_in_notice)
+{
+  static const struct
+  {
+    bool comes_back;
+  } cases[] = { { true }, { false } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct site_options options = { .workers = 1 };
+      struct site_host *target;
+      struct site_host *entry;
+      struct site_call *call;
+
+      site = site_begin (&options);
+      target = site_target (site, "north-1", "north", 0);
+      entry = site_entry (site, "entry-1", "north");
+      site_settle (site);
+      make_slow ("/v1/notice", 3000);
+      call = site_open (site, entry, "k", "letters", tool_plan);
+      wait_for_tool ();
+      site_kill (target);
+      if (cases[i].comes_back)
+        site_restart (site, target);
+      else
+        {
+          site_unlist (site, target);
+          site_target (site, "north-2", "north", 0);
+        }
+      SITE_WAIT (site, unknown_calls () == 1);
+      site_check_answer (site, call, entry, tool_plan);
+      /* The tool goes on alone, whoever called it.  */
+      SITE_WAIT (site, site_tools_running (site) == 0);
+      check_notices (1);
+      SITE_CHECK (site, unknown_calls () == 1);
+      end_site ();
+    }
+}
+
+/* The target's process dies while the model generates the answer.  A model
+   call may be repeated, so it is, at the other target; the caller sees one
+   whole answer.  */
+Test (process, target_killed_in_answer)
+{
+  struct site_options options = { .time_scale = "0.4" };
+  struct site_host *entry;
+  struct site_host *target;
+  struct site_call *call;
+  int32_t engine;
+
+  site = site_usual (&options);
+  entry = site_host (site, "entry-1");
+  call = site_open (site, entry, "k", "letters", long_answer_plan);
+  SITE_WAIT (site, site_effects (site, "/v1/notice", NULL) == 1
+                       && (engine = site_engine_running (site)) >= 0);
+  target = site_host (site, engine == 0 ? "north-1" : "south-1");
+  SITE_CHECK (site, !site_call_done (call));
+  site_kill (target);
+  site_check_answer (site, call, entry, long_answer_plan);
+  check_notices (1);
+}
+
+/* The platform's transactions take effect and their answers are lost, or
+   take effect long after, or come slowly.  Callers get the same answers, and
+   each notice goes out once.  Cause: a write without an answer may have
+   happened, may happen later or not at all.  */
+Test (process, store_answers)
+{
+  static const char *const faults[] = {
+    "{\"fault\":\"lost_answer\",\"count\":30,\"match\":\"log/\"}",
+    "{\"fault\":\"lost_answer\",\"count\":30}",
+    "{\"fault\":\"late_effect\",\"count\":12,\"match\":\"log/\",\"ms\":700}",
+    "{\"fault\":\"slow\",\"ms\":400}",
+    "{\"fault\":\"rate\",\"writes_per_s\":8}",
+  };
+
+  for (size_t i = 0; i < sizeof faults / sizeof faults[0]; i++)
+    {
+      struct site_options options = { 0 };
+      struct site_call *calls[CALLERS];
+
+      site = site_usual (&options);
+      site_fault (site, site->platform, faults[i]);
+      for (size_t j = 0; j < CALLERS; j++)
+        calls[j] = site_open (
+            site, site_host (site, j % 2 == 0 ? "entry-1" : "entry-2"),
+            talloc_asprintf (site, "k%zu", j), "letters", tool_plan);
+      for (size_t j = 0; j < CALLERS; j++)
+        site_check_answer (site, calls[j], site_host (site, "entry-1"),
+                           tool_plan);
+      check_notices (CALLERS);
+      end_site ();
+    }
+}
+
+/* Opens one batch program after the other until one is refused, which must
+   say that it was not run; those before it wait, as programs under way do.
+   Gives the refused one's key.  */
+static char *
+open_until_refused (struct site_host *entry, const char *plan,
+                    struct site_call *calls[BATCH_MAX], size_t *waiting)
+{
+  struct site_call *refused = NULL;
+  char *key = NULL;
+  uint64_t until = 0;
+
+  *waiting = 0;
+  while (refused == NULL)
+    {
+      SITE_CHECK (site, *waiting < BATCH_MAX);
+      key = talloc_asprintf (site, "night-%zu", *waiting);
+      calls[*waiting] = site_open (site, entry, key, "nightly", plan);
+      for (size_t i = 0; i < LOOKS && refused == NULL; i++)
+        {
+          if (site_call_done (calls[*waiting]))
+            refused = calls[*waiting];
+          site_pause (site, &until, __FILE__, __LINE__, "a batch is refused");
+        }
+      *waiting += refused == NULL ? 1 : 0;
+    }
+  SITE_CHECK (site, site_call_status (refused) == 503);
+  SITE_CHECK (site, site_call_holds (refused, "\"ran\":\"not_run\""));
+  return key;
+}
+
+static uint64_t
+config_version (const struct site_host *host)
+{
+  return (uint64_t)json_integer_value (
+      json_object_get (site_status (site, host), "config_version"));
+}
+
+/* A batch program that waited for the store: a partition that moves as the
+   store comes back may have it refused, and then it was not run.  */
+static bool
+check_answered_or_not_run (struct site_call *call,
+                           const struct site_host *entry, const char *plan)
+{
+  site_await (site, call);
+  if (site_call_status (call) == 503)
+    {
+      SITE_CHECK (site, site_call_holds (call, "\"ran\":\"not_run\""));
+      return false;
+    }
+  site_check_answer (site, call, entry, plan);
+  return true;
+}
+
+/* The platform is down for a while in the middle of programs.  Idempotent
+   steps go on; final answers wait and then come; new batch programs are
+   refused as not run, and were not; the configuration stays in force, and a
+   target's process that restarts gets it from its peers.  */
+Test (process, store_down)
+{
+  static const char plan[]
+      = "[{\"call\":\"slow\",\"arguments\":{\"n\":1},\"tokens\":12},"
+        "{\"call\":\"ledger\",\"arguments\":{\"n\":2},\"tokens\":12},"
+        "{\"answer\":16}]";
+  static const char *const faults[]
+      = { "{\"fault\":\"down\"}", "{\"fault\":\"hang\"}" };
+
+  for (size_t i = 0; i < sizeof faults / sizeof faults[0]; i++)
+    {
+      struct site_options options = { 0 };
+      struct site_host *entry;
+      struct site_host *target;
+      struct site_call *call;
+      struct site_call *batch[BATCH_MAX];
+      size_t waiting;
+      size_t ran = 0;
+      char *refused;
+
+      site = site_usual (&options);
+      entry = site_host (site, "entry-1");
+      target = site_host (site, "south-1");
+      make_slow ("/v1/slow", 2000);
+      call = site_open (site, entry, "k", "letters", plan);
+      wait_for_tool ();
+      site_fault (site, site->platform, faults[i]);
+      SITE_WAIT (site, site_effects (site, "/v1/ledger", NULL) == 1);
+      site_kill (target);
+      site_restart (site, target);
+      SITE_WAIT (site, site_get (site, target->http, "/readyz") != NULL);
+      SITE_CHECK (site, config_version (target) == 1);
+      refused = open_until_refused (entry, plan, batch, &waiting);
+      SITE_CHECK (site, !site_call_done (call));
+      SITE_CHECK (site, site_effects (site, "/v1/ledger", NULL) == 1);
+      SITE_CHECK (site, config_version (entry) == 1);
+      site_fault (site, site->platform, "{\"fault\":\"clear\"}");
+      site_check_answer (site, call, entry, plan);
+      for (size_t j = 0; j < waiting; j++)
+        ran += check_answered_or_not_run (batch[j], entry, plan);
+      /* What was refused as not run is free to be run.  */
+      batch[waiting] = site_open (site, entry, refused, "nightly", plan);
+      site_check_answer (site, batch[waiting], entry, plan);
+      SITE_CHECK (site, site_effects (site, "/v1/ledger", NULL) == 2 + ran);
+      end_site ();
+    }
+}
+
+/* The connection between the owner and the target's process goes silent for
+   good while a notice is being recorded; new connections work.  The owner
+   replaces it and hears the outcome of that same attempt: the notice goes
+   out once and is not unknown.  Cause: something between the two ends lost
+   track of the connection; TCP would notice after minutes.  */
+Test (process, silent_connection)
+{
+  struct site_options options = { .workers = 1 };
+  struct site_host *target;
+  struct site_host *owner;
+  struct site_call *call;
+
+  site = site_begin (&options);
+  /* The target's process dials entry hosts of its own data centre only, so
+     entry-1 reaches it through the relay.  */
+  target = site_target_relayed (site, "south-1", "south", 0);
+  owner = site_entry (site, "entry-1", "north");
+  site_entry (site, "entry-2", "south");
+  site_settle (site);
+  make_slow ("/v1/notice", 1500);
+  call = site_open (site, owner, site_key_owned_by (site, owner, "k"),
+                    "letters", tool_plan);
+  wait_for_tool ();
+  site_relay_silence (target);
+  site_check_answer (site, call, owner, tool_plan);
+  check_notices (1);
+  SITE_CHECK (site, site_counter (site, owner, "peer_connections_silent") > 0);
+  SITE_CHECK (site, site_counter (site, owner, "owner_calls_unknown") == 0);
+  SITE_CHECK (site, site_counter (site, owner, "owner_calls_retried") == 0);
+}
