--- a/Makefile
+++ b/Makefile
@@ -130,12 +130,35 @@
 	cd proto && protoc-c --c_out=. *.proto
 
 PREFIX ?= /usr/local
+VERSION = $(shell sed -n 's/.*MIMOSAQUAY_VERSION "\(.*\)"/\1/p' include/mimosaquay.h)
+# The headers that include/mimosaquay.h names and those that they include.
+PUBLIC_HEADERS = $(addprefix src/core/,action.h error.h front.h gate.h host.h \
+                 id.h limits.h message.h owner.h place.h spread.h store.h \
+                 text.h text_diff.h types.h)
+UNITS = $(wildcard examples/systemd/*.service)
 ## install: install below $(DESTDIR)$(PREFIX)
 install: all
-	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig $(DESTDIR)$(PREFIX)/include
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig \
+	  $(DESTDIR)$(PREFIX)/include/mimosaquay/core \
+	  $(DESTDIR)$(PREFIX)/share/man/man1 $(DESTDIR)$(PREFIX)/share/man/man8 \
+	  $(DESTDIR)$(PREFIX)/share/doc/mimosaquay/examples
 	install $(DAEMON_BIN) $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
-	install -m 644 include/mimosaquay.h $(DESTDIR)$(PREFIX)/include
+	sed 's|"core/|"mimosaquay/core/|' include/mimosaquay.h \
+	  >$(DESTDIR)$(PREFIX)/include/mimosaquay.h
+	chmod 644 $(DESTDIR)$(PREFIX)/include/mimosaquay.h
+	install -m 644 $(PUBLIC_HEADERS) \
+	  $(DESTDIR)$(PREFIX)/include/mimosaquay/core
+	printf '%s\n' 'prefix=$(PREFIX)' 'libdir=$${prefix}/lib' \
+	  'includedir=$${prefix}/include' '' 'Name: mimosaquay' \
+	  'Description: decisions of a scheduler for agent programs' \
+	  'Version: $(VERSION)' 'Requires: $(PACKAGES)' \
+	  'Libs: -L$${libdir} -lmimosaquay -lm' 'Cflags: -I$${includedir}' \
+	  >$(DESTDIR)$(PREFIX)/lib/pkgconfig/mimosaquay.pc
+	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 644 $(UNITS) $(wildcard examples/*.ini) \
+	  $(DESTDIR)$(PREFIX)/share/doc/mimosaquay/examples
 
 clean:
 	rm -rf $(BUILD) $(BUILD)-asan
--- a/src/entryd.c
+++ b/src/entryd.c
@@ -7,10 +7,14 @@
 #include "io/entry.h"
 #include "io/log.h"
 #include <argp.h>
+#include <mimosaquay.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+const char *argp_program_version
+    = "mimosa-entryd " MIMOSAQUAY_VERSION " (mimosaquay)";
+
 struct daemon
 {
   const char *file;
--- a/src/mimosactl.c
+++ b/src/mimosactl.c
@@ -5,13 +5,15 @@
 
 #include "io/ctl_run.h"
 #include <argp.h>
+#include <mimosaquay.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define WAIT_SECONDS_DEFAULT 30U
 #define WAIT_SECONDS_MAX 86400UL
 
-const char *argp_program_version = "mimosactl 0.1.0 (mimosaquay)";
+const char *argp_program_version
+    = "mimosactl " MIMOSAQUAY_VERSION " (mimosaquay)";
 
 struct command
 {
--- a/src/targetd.c
+++ b/src/targetd.c
@@ -1,4 +1,4 @@
-/* targetd.c - the process on an target host: mimosa-targetd.
+/* targetd.c - the process on a target host: mimosa-targetd.
 
    Reads its settings, runs struct mq_target in one event loop, and stops as
    planned on SIGTERM or SIGINT; a second signal cuts what is in progress.
@@ -7,10 +7,14 @@
 #include "io/target.h"
 #include "io/log.h"
 #include <argp.h>
+#include <mimosaquay.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+const char *argp_program_version
+    = "mimosa-targetd " MIMOSAQUAY_VERSION " (mimosaquay)";
+
 struct daemon
 {
   const char *file;
