Read the platform's answers in a module of their own

platform.c held sending and reading in 717 lines; what may be said of an answer is now in platform_answer.c, which knows no sockets and can be driven with bytes. Behaviour is the same: test_platform passes.

--- a/src/io/platform.c
+++ b/src/io/platform.c
@@ -1,14 +1,11 @@
 /* platform.c - the platform's table, object store and host list over HTTP.
 
-   What may be said of a write that got no proper answer decides whether work
-   is done twice: a write is DOWN only when it certainly did not take effect
-   (nothing was sent, or 503), a CONFLICT only when the table says so, and
-   LOST in every other case, a malformed answer included.  Reads have no
-   effect, so whatever fails there is DOWN.
-   Needs: platform.h, base64.h, limits.h, jansson.  */
+   platform_answer.c reads what comes back.
+   Needs: platform.h, platform_answer.h, base64.h, limits.h, jansson.  */
 
 #include "platform.h"
 #include "base64.h"
+#include "platform_answer.h"
 #include "../core/limits.h"
 #include <ctype.h>
 #include <jansson.h>
@@ -21,9 +18,6 @@
 enum
 {
   STATUS_OK = 200,
-  STATUS_NOT_FOUND = 404,
-  STATUS_CONFLICT = 409,
-  STATUS_UNAVAILABLE = 503,
   MS_PER_S = 1000,
   US_PER_MS = 1000
 };
@@ -239,232 +233,6 @@
 
 /* Answers.  */
 
-static json_t *
-load_json (const struct mq_http_result *http)
-{
-  return json_loadb (http->body, http->len, JSON_REJECT_DUPLICATES, NULL);
-}
-
-static bool
-add_row (struct mq_store_result *result, const char *key, uint64_t version)
-{
-  struct mq_row *row = &result->rows[result->row_count];
-
-  row->version = version;
-  row->key = talloc_strdup (result->rows, key);
-  result->row_count++;
-  return row->key != NULL;
-}
-
-static bool
-alloc_rows (TALLOC_CTX *ctx, struct mq_store_result *result, size_t count)
-{
-  result->rows = talloc_zero_array (ctx, struct mq_row, count + 1);
-  return result->rows != NULL;
-}
-
-/* One version for each operation, 0 for just those that remove.  */
-static bool
-read_versions (const struct mq_store_request *request, json_t *versions,
-               struct mq_store_result *result)
-{
-  if (json_array_size (versions) != request->op_count)
-    return false;
-  for (size_t i = 0; i < request->op_count; i++)
-    {
-      json_t *version = json_array_get (versions, i);
-      json_int_t number = json_integer_value (version);
-
-      if (!json_is_integer (version) || number < 0
-          || (number == 0) != request->ops[i].remove
-          || !add_row (result, request->ops[i].key, (uint64_t)number))
-        return false;
-    }
-  return true;
-}
-
-static bool
-read_applied (struct pending *pending, json_t *json,
-              struct mq_store_result *result)
-{
-  return json_is_true (json_object_get (json, "applied"))
-         && alloc_rows (pending, result, pending->request.op_count)
-         && read_versions (&pending->request,
-                           json_object_get (json, "versions"), result);
-}
-
-static bool
-read_conflict (struct pending *pending, json_t *json,
-               struct mq_store_result *result)
-{
-  json_t *failed = json_object_get (json, "failed");
-  size_t count = json_array_size (failed);
-
-  if (!json_is_false (json_object_get (json, "applied"))
-      || !alloc_rows (pending, result, count))
-    return false;
-  for (size_t i = 0; i < count; i++)
-    {
-      const char *key = json_string_value (json_array_get (failed, i));
-
-      if (key == NULL || !add_row (result, key, 0))
-        return false;
-    }
-  return true;
-}
-
-static void
-drop_rows (struct mq_store_result *result)
-{
-  TALLOC_FREE (result->rows);
-  result->row_count = 0;
-  result->more = false;
-}
-
-/* What is known of a write that got no answer which says more.  */
-static enum mq_store_status
-doubt (const struct mq_http_result *http)
-{
-  if (http->error != MQ_ERR_NONE)
-    return http->sent ? MQ_STORE_LOST : MQ_STORE_DOWN;
-  return http->status == STATUS_UNAVAILABLE ? MQ_STORE_DOWN : MQ_STORE_LOST;
-}
-
-static void
-count_malformed (struct pending *pending, struct mq_store_result *result)
-{
-  pending->platform->counters.malformed++;
-  drop_rows (result);
-}
-
-static enum mq_store_status
-read_transaction (struct pending *pending, const struct mq_http_result *http,
-                  struct mq_store_result *result)
-{
-  bool applied = http->status == STATUS_OK;
-  bool good;
-  json_t *json;
-
-  if (http->error != MQ_ERR_NONE
-      || (!applied && http->status != STATUS_CONFLICT))
-    return doubt (http);
-  json = load_json (http);
-  good = applied ? read_applied (pending, json, result)
-                 : read_conflict (pending, json, result);
-  json_decref (json);
-  if (!good)
-    {
-      count_malformed (pending, result);
-      return MQ_STORE_LOST;
-    }
-  return applied ? MQ_STORE_OK : MQ_STORE_CONFLICT;
-}
-
-static bool
-begins_with (const char *text, const char *prefix)
-{
-  return strncmp (text, prefix, strlen (prefix)) == 0;
-}
-
-static bool
-read_row (const struct mq_store_request *request, json_t *json,
-          const char *last, struct mq_store_result *result)
-{
-  const char *key = json_string_value (json_object_get (json, "key"));
-  const char *value = json_string_value (json_object_get (json, "value"));
-  json_int_t version = json_integer_value (json_object_get (json, "version"));
-  struct mq_row *row = &result->rows[result->row_count];
-
-  if (key == NULL || value == NULL || version <= 0
-      || !begins_with (key, request->key) || strcmp (key, last) <= 0)
-    return false;
-  return add_row (result, key, (uint64_t)version)
-         && mq_base64_decode (result->rows, value, &row->value);
-}
-
-/* Rows in order below the prefix, and never "more" after none: who reads on
-   after the last key would read the same again for ever.  */
-static bool
-read_rows (struct pending *pending, json_t *json,
-           struct mq_store_result *result)
-{
-  const struct mq_store_request *request = &pending->request;
-  json_t *rows = json_object_get (json, "rows");
-  json_t *more = json_object_get (json, "more");
-  size_t count = json_array_size (rows);
-  const char *last = request->after;
-
-  if (!json_is_array (rows) || !json_is_boolean (more)
-      || (count == 0 && json_is_true (more))
-      || !alloc_rows (pending, result, count))
-    return false;
-  for (size_t i = 0; i < count; i++)
-    {
-      if (!read_row (request, json_array_get (rows, i), last, result))
-        return false;
-      last = result->rows[i].key;
-    }
-  result->more = json_is_true (more);
-  return true;
-}
-
-static enum mq_store_status
-read_scan (struct pending *pending, const struct mq_http_result *http,
-           struct mq_store_result *result)
-{
-  json_t *json;
-  bool good;
-
-  if (http->error != MQ_ERR_NONE || http->status != STATUS_OK)
-    return MQ_STORE_DOWN;
-  json = load_json (http);
-  good = read_rows (pending, json, result);
-  json_decref (json);
-  if (good)
-    return MQ_STORE_OK;
-  count_malformed (pending, result);
-  return MQ_STORE_DOWN;
-}
-
-static enum mq_store_status
-read_object (struct pending *pending, const struct mq_http_result *http,
-             struct mq_store_result *result)
-{
-  if (http->error != MQ_ERR_NONE)
-    return MQ_STORE_DOWN;
-  if (http->status == STATUS_NOT_FOUND)
-    return MQ_STORE_MISSING;
-  if (http->status != STATUS_OK)
-    return MQ_STORE_DOWN;
-  result->value.data = talloc_memdup (pending, http->body, http->len);
-  result->value.len = http->len;
-  return MQ_STORE_OK;
-}
-
-static enum mq_store_status
-read_answer (struct pending *pending, const struct mq_http_result *http,
-             struct mq_store_result *result)
-{
-  bool done = http->error == MQ_ERR_NONE && http->status == STATUS_OK;
-
-  switch (pending->request.kind)
-    {
-    case MQ_STORE_TXN:
-      return read_transaction (pending, http, result);
-    case MQ_STORE_SCAN:
-      return read_scan (pending, http, result);
-    case MQ_STORE_GET:
-      return read_object (pending, http, result);
-    case MQ_STORE_DROP:
-      if (http->error == MQ_ERR_NONE && http->status == STATUS_NOT_FOUND)
-        return MQ_STORE_OK;
-      break;
-    case MQ_STORE_PUT:
-      break;
-    }
-  return done ? MQ_STORE_OK : doubt (http);
-}
-
 static void
 count_result (struct mq_platform *platform, enum mq_store_status status)
 {
@@ -491,10 +259,11 @@
 on_done (const struct mq_http_result *http, void *user)
 {
   struct pending *pending = user;
-  struct mq_store_result result = { 0 };
+  struct mq_store_result result;
 
   pending->call = NULL;
-  result.status = read_answer (pending, http, &result);
+  result = mq_platform_read_answer (pending, &pending->request, http,
+                                    &pending->platform->counters.malformed);
   report (pending, &result);
 }
 
@@ -601,53 +370,13 @@
 
 /* List of hosts.  */
 
-static bool
-read_host (json_t *json, struct mq_host *host)
-{
-  const char *role;
-  int leaving;
-
-  if (json_unpack (json, "{s:s,s:s,s:s,s:s,s:s,s:s,s:b}", "name", &host->name,
-                   "role", &role, "data_centre", &host->data_centre, "region",
-                   &host->region, "address", &host->address, "http",
-                   &host->http, "leaving", &leaving)
-      != 0)
-    return false;
-  host->leaving = leaving != 0;
-  host->role = MQ_HOST_ENTRY;
-  if (strcmp (role, "target") == 0)
-    host->role = MQ_HOST_TARGET;
-  return host->role == MQ_HOST_TARGET || strcmp (role, "entry") == 0;
-}
-
-/* One bad entry must not hide all the other hosts: it is left out and
-   counted.  */
-static void
-report_hosts (struct mq_platform *platform, json_t *items)
-{
-  size_t count = json_array_size (items);
-  struct mq_host_list list = { 0 };
-
-  list.items = talloc_zero_array (NULL, struct mq_host, count + 1);
-  if (list.items == NULL)
-    return;
-  for (size_t i = 0; i < count; i++)
-    if (read_host (json_array_get (items, i), &list.items[list.count]))
-      list.count++;
-    else
-      platform->counters.malformed++;
-  platform->watch.listed (&list, platform->watch.user);
-  talloc_free (list.items);
-}
-
 static void schedule_poll (struct mq_platform *platform, uint32_t after_ms);
 
 static void
 on_hosts (const struct mq_http_result *http, void *user)
 {
   struct mq_platform *platform = user;
-  json_t *json = NULL;
-  json_t *items;
+  const struct mq_host_list *hosts;
 
   platform->watch.call = NULL;
   schedule_poll (platform, platform->watch.interval_ms);
@@ -656,13 +385,11 @@
       platform->counters.failures++;
       return;
     }
-  json = load_json (http);
-  items = json_object_get (json, "hosts");
-  if (json_is_array (items))
-    report_hosts (platform, items);
-  else
-    platform->counters.malformed++;
-  json_decref (json);
+  hosts = mq_platform_read_hosts (NULL, http, &platform->counters.malformed);
+  if (hosts == NULL)
+    return;
+  platform->watch.listed (hosts, platform->watch.user);
+  talloc_free ((void *)hosts);
 }
 
 static void
