--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 STANDIN_BIN = $(STANDIN_MAIN:standins/standin_%.c=$(BUILD)/bin/standin-%)
 # tests/test_NAME.c are Criterion programs; the other files are shared.
 TEST_MAIN = $(wildcard tests/test_*.c)
-TEST_SRC = $(filter-out $(TEST_MAIN),$(wildcard tests/*.c))
+TEST_SRC = $(filter-out $(TEST_MAIN),$(wildcard tests/*.c)) \
+           $(wildcard tests/fuzz/*.c)
 TEST_OBJ = $(TEST_SRC:%.c=$(BUILD)/%.o)
 TEST_BIN = $(TEST_MAIN:tests/%.c=$(BUILD)/tests/%)
 BENCH_MAIN = $(wildcard bench/bench_*.c)
@@ -38,7 +39,8 @@
 BENCH_BIN = $(BENCH_MAIN:bench/%.c=$(BUILD)/bin/%)
 EXAMPLE_BIN = $(patsubst examples/%.c,$(BUILD)/examples/%,$(wildcard examples/*.c))
 SOURCES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] src/core/*.[ch] \
-          src/io/*.[ch] include/*.h standins/*.[ch] tests/*.[ch] bench/*.[ch] \
+          src/io/*.[ch] include/*.h standins/*.[ch] tests/*.[ch] \
+          tests/fuzz/*.[ch] bench/*.[ch] \
           examples/*.c))
 
 .PHONY: all help deps check check-sanitized demo format format-check lint \
@@ -106,6 +108,34 @@
 	  SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer" all tests
 	@BUILD=$(BUILD)-asan sh tests/run.sh
 
+# Each tests/fuzz/fuzz_NAME.c is a libFuzzer program too; what it finds new is
+# kept below $(BUILD), what breaks it as $(BUILD)/fuzz/NAME-*.
+FUZZ_SECONDS ?= 60
+FUZZ_BIN = $(patsubst tests/fuzz/fuzz_%.c,$(BUILD)/fuzz/%,$(wildcard tests/fuzz/fuzz_*.c))
+FUZZ_FLAGS = address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
+FUZZ_SHARED = $(BUILD)/tests/fuzz/fuzz.o $(BUILD)/tests/message_samples.o \
+              $(BUILD)/standins/table.o
+
+$(BUILD)/fuzz/%.o: tests/fuzz/fuzz_%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -DMQ_FUZZER -c $< -o $@
+
+$(BUILD)/fuzz/%: $(BUILD)/fuzz/%.o $(FUZZ_SHARED) $(LIB)
+	$(CC) -fsanitize=fuzzer,$(FUZZ_FLAGS) $^ -o $@ $(LDLIBS)
+
+.PHONY: fuzz fuzz-deps fuzz-programs
+fuzz-programs: $(FUZZ_BIN)
+
+fuzz-deps: deps
+	@[ -n "$$(clang -print-file-name=libclang_rt.fuzzer-x86_64.a | grep /)" ] \
+	  || { apt-get update -q && apt-get install -y -q clang libclang-rt-14-dev; }
+
+## fuzz: libFuzzer on every decoder of bytes from outside, FUZZ_SECONDS each
+fuzz: fuzz-deps
+	@$(MAKE) --no-print-directory BUILD=$(BUILD)-fuzz CC=clang OPT=-O1 \
+	  SANITIZE="-fsanitize=fuzzer-no-link,$(FUZZ_FLAGS)" fuzz-programs
+	@BUILD=$(BUILD)-fuzz FUZZ_SECONDS=$(FUZZ_SECONDS) sh tests/fuzz.sh
+
 ## demo: run programs of both deployments on the stand-ins
 demo: deps
 	@$(MAKE) --no-print-directory all
@@ -138,6 +168,6 @@
 	install -m 644 include/mimosaquay.h $(DESTDIR)$(PREFIX)/include
 
 clean:
-	rm -rf $(BUILD) $(BUILD)-asan
+	rm -rf $(BUILD) $(BUILD)-asan $(BUILD)-fuzz
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
