End a program whose log does not say how it was opened

A checkpoint's program or an OPENED record without its OPENED part was followed through a null pointer: the host that took the partition over stopped, and so did each one after it. Values that this version has no name for (mode, priority, state, error, ran) went on as they were.

Such a program now ends with bad_frame and "unknown"; values without a name read as bad_frame and "unknown".

--- a/src/core/program.c
+++ b/src/core/program.c
@@ -97,6 +97,42 @@
   append_message (program, message);
 }
 
+/* What a log of another version holds may be in no table here.  */
+static enum mq_error_type
+known_error (uint32_t error)
+{
+  return error < MQ_ERR_COUNT ? (enum mq_error_type)error : MQ_ERR_BAD_FRAME;
+}
+
+static enum mq_ran
+known_ran (uint32_t ran)
+{
+  return ran <= MQ_RAN_UNKNOWN ? (enum mq_ran)ran : MQ_RAN_UNKNOWN;
+}
+
+static bool
+opened_is_readable (const Mqlog__Opened *opened)
+{
+  return opened != NULL && opened->mode <= MQ_MODE_SINGLE
+         && opened->priority < MQ_PRIORITY_COUNT;
+}
+
+/* Guards against a log or checkpoint that does not say how a program was
+   opened, or says it in values of another version: its host would stop at
+   once, and so would every host that takes the partition over after it; or
+   the program would run on without the history that it began with.  It ends
+   instead, and whether it took effect is unknown.  */
+static void
+end_unreadable (struct mq_program *program)
+{
+  program->unreadable = true;
+  program->state = MQ_PROGRAM_ENDED;
+  program->error = MQ_ERR_BAD_FRAME;
+  program->ran = MQ_RAN_UNKNOWN;
+  talloc_free (program->answer);
+  program->answer = copy_text (program, "");
+}
+
 static void
 copy_opened (struct mq_program *program, const Mqlog__Opened *opened)
 {
@@ -126,14 +162,18 @@
 struct mq_program *
 mq_program_open (TALLOC_CTX *ctx, struct mq_id id, const Mqlog__Opened *opened)
 {
+  static const Mqlog__Opened absent = MQLOG__OPENED__INIT;
   struct mq_program *program = talloc_zero (ctx, struct mq_program);
+  bool readable = opened_is_readable (opened);
 
   if (program == NULL)
     abort ();
   program->id = id;
-  copy_opened (program, opened);
+  copy_opened (program, readable ? opened : &absent);
   program->state = program->mode == MQ_MODE_STEPS ? MQ_PROGRAM_WAITING
                                                   : MQ_PROGRAM_RUNNING;
+  if (!readable)
+    end_unreadable (program);
   return program;
 }
 
@@ -225,7 +265,7 @@
 apply_chain_outcome (struct mq_program *program, const Mqlog__Outcome *outcome)
 {
   const struct mq_tool_call *pending = mq_program_pending (program);
-  enum mq_error_type error = (enum mq_error_type)outcome->error;
+  enum mq_error_type error = known_error (outcome->error);
   char *failure;
 
   if (outcome->model)
@@ -235,7 +275,7 @@
     }
   if (pending == NULL)
     return;
-  failure = failure_text (program, error, (enum mq_ran)outcome->ran);
+  failure = failure_text (program, error, known_ran (outcome->ran));
   mq_program_add_message (program, "tool", pending->name, pending->id,
                           error == MQ_ERR_NONE ? outcome->body : failure);
   talloc_free (failure);
@@ -257,8 +297,8 @@
   step->service = copy_text (program, service);
   step->input = copy_text (program, input);
   step->body = copy_text (program, body);
-  step->error = (enum mq_error_type)error;
-  step->ran = (enum mq_ran)ran;
+  step->error = known_error (error);
+  step->ran = known_ran (ran);
 }
 
 static void
@@ -320,8 +360,8 @@
 apply_answered (struct mq_program *program, const Mqlog__Answered *answered)
 {
   program->state = answered->ended ? MQ_PROGRAM_ENDED : MQ_PROGRAM_WAITING;
-  program->error = (enum mq_error_type)answered->error;
-  program->ran = (enum mq_ran)answered->ran;
+  program->error = known_error (answered->error);
+  program->ran = known_ran (answered->ran);
   talloc_free (program->answer);
   program->answer = copy_text (program, answered->answer);
 }
@@ -332,6 +372,8 @@
   if (record->elapsed_ms > program->elapsed_ms)
     program->elapsed_ms = record->elapsed_ms;
   program->spent += record->charge;
+  if (program->unreadable)
+    return;
   switch (record->body_case)
     {
     case MQLOG__RECORD__BODY_GRANTED:
@@ -559,7 +601,10 @@
     add_step (program, packed->steps[i]->service, packed->steps[i]->input,
               packed->steps[i]->body, packed->steps[i]->digest,
               packed->steps[i]->error, packed->steps[i]->ran);
-  program->state = (enum mq_program_state)packed->state;
+  if (program->unreadable || packed->state > MQ_PROGRAM_ENDED)
+    end_unreadable (program);
+  else
+    program->state = (enum mq_program_state)packed->state;
   return program;
 }
 
--- a/src/core/program.h
+++ b/src/core/program.h
@@ -90,6 +90,7 @@
  * @error: how it ended
  * @ran: whether what ended it took effect
  * @answer: its last answer, NULL before
+ * @unreadable: the log does not say how it was opened; it has ended
  */
 struct mq_program
 {
@@ -130,6 +131,7 @@
   enum mq_error_type error;
   enum mq_ran ran;
   char *answer;
+  bool unreadable;
 };
 
 enum mq_next_type
--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -20,7 +20,8 @@
   X (frame)                                                                   \
   X (handshake)                                                               \
   X (platform)                                                                \
-  X (stream)
+  X (stream)                                                                  \
+  X (log)
 
 /* True when the bytes were accepted.  */
 typedef bool fuzz_function (const uint8_t *data, size_t len);
