--- a/src/core/action.c
+++ b/src/core/action.c
@@ -3,6 +3,7 @@
    Needs: action.h.  */
 
 #include "action.h"
+#include "memory.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -61,16 +62,6 @@
   talloc_free_children (actions);
 }
 
-static const char *
-copy_text (TALLOC_CTX *ctx, const char *text)
-{
-  char *copy = talloc_strdup (ctx, text == NULL ? "" : text);
-
-  if (copy == NULL)
-    abort ();
-  return copy;
-}
-
 static void *
 copy_array (TALLOC_CTX *ctx, const void *items, size_t size)
 {
@@ -89,12 +80,12 @@
                  const struct mq_request_msg *from)
 {
   *to = *from;
-  to->organisation = copy_text (ctx, from->organisation);
-  to->service = copy_text (ctx, from->service);
-  to->route = copy_text (ctx, from->route);
-  to->key = copy_text (ctx, from->key);
-  to->traceparent = copy_text (ctx, from->traceparent);
-  to->body = copy_text (ctx, from->body);
+  to->organisation = mq_text_copy (ctx, from->organisation);
+  to->service = mq_text_copy (ctx, from->service);
+  to->route = mq_text_copy (ctx, from->route);
+  to->key = mq_text_copy (ctx, from->key);
+  to->traceparent = mq_text_copy (ctx, from->traceparent);
+  to->body = mq_text_copy (ctx, from->body);
 }
 
 static void
@@ -104,8 +95,8 @@
                               load->worker_count * sizeof load->workers[0]);
   for (size_t i = 0; i < load->worker_count; i++)
     {
-      load->workers[i].service = copy_text (ctx, load->workers[i].service);
-      load->workers[i].model = copy_text (ctx, load->workers[i].model);
+      load->workers[i].service = mq_text_copy (ctx, load->workers[i].service);
+      load->workers[i].model = mq_text_copy (ctx, load->workers[i].model);
     }
 }
 
@@ -117,20 +108,20 @@
   switch (from->type)
     {
     case MQ_MSG_CALL:
-      to->u.call.service = copy_text (ctx, from->u.call.service);
-      to->u.call.route = copy_text (ctx, from->u.call.route);
-      to->u.call.organisation = copy_text (ctx, from->u.call.organisation);
-      to->u.call.traceparent = copy_text (ctx, from->u.call.traceparent);
-      to->u.call.body = copy_text (ctx, from->u.call.body);
+      to->u.call.service = mq_text_copy (ctx, from->u.call.service);
+      to->u.call.route = mq_text_copy (ctx, from->u.call.route);
+      to->u.call.organisation = mq_text_copy (ctx, from->u.call.organisation);
+      to->u.call.traceparent = mq_text_copy (ctx, from->u.call.traceparent);
+      to->u.call.body = mq_text_copy (ctx, from->u.call.body);
       break;
     case MQ_MSG_ORDER:
-      to->u.order.argument = copy_text (ctx, from->u.order.argument);
+      to->u.order.argument = mq_text_copy (ctx, from->u.order.argument);
       break;
     case MQ_MSG_TOKEN:
-      to->u.token.text = copy_text (ctx, from->u.token.text);
+      to->u.token.text = mq_text_copy (ctx, from->u.token.text);
       break;
     case MQ_MSG_OUTCOME:
-      to->u.outcome.body = copy_text (ctx, from->u.outcome.body);
+      to->u.outcome.body = mq_text_copy (ctx, from->u.outcome.body);
       break;
     case MQ_MSG_RECOVERED:
       to->u.recovered.running
@@ -145,8 +136,8 @@
       mq_request_copy (ctx, &to->u.forward.request, &from->u.forward.request);
       break;
     case MQ_MSG_FORWARD_EVENT:
-      to->u.event.body = copy_text (ctx, from->u.event.body);
-      to->u.event.redirect = copy_text (ctx, from->u.event.redirect);
+      to->u.event.body = mq_text_copy (ctx, from->u.event.body);
+      to->u.event.redirect = mq_text_copy (ctx, from->u.event.redirect);
       break;
     case MQ_MSG_HANDOVER:
       to->u.handover.partitions
@@ -157,7 +148,7 @@
     case MQ_MSG_CONFIG_HAVE:
     case MQ_MSG_CONFIG_GET:
     case MQ_MSG_CONFIG_TEXT:
-      to->u.config.text = copy_text (ctx, from->u.config.text);
+      to->u.config.text = mq_text_copy (ctx, from->u.config.text);
       break;
     case MQ_MSG_NONE:
     case MQ_MSG_CANCEL:
--- /dev/null
+++ b/src/core/memory.c
@@ -0,0 +1,27 @@
+/* memory.c - allocations that stop the process when memory is out.
+
+   Needs: memory.h.  */
+
+#include "memory.h"
+#include <stdlib.h>
+
+void *
+mq_must (void *memory)
+{
+  if (memory == NULL)
+    abort ();
+  return memory;
+}
+
+char *
+mq_text_copy (TALLOC_CTX *ctx, const char *text)
+{
+  return mq_must (talloc_strdup (ctx, text == NULL ? "" : text));
+}
+
+void
+mq_text_set (TALLOC_CTX *ctx, char **to, const char *text)
+{
+  talloc_free (*to);
+  *to = mq_text_copy (ctx, text);
+}
--- a/src/core/program.c
+++ b/src/core/program.c
@@ -4,6 +4,7 @@
 
 #include "program.h"
 #include "id.h"
+#include "memory.h"
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,16 +14,6 @@
   MESSAGES_FIRST_ROOM = 512
 };
 
-static char *
-copy_text (TALLOC_CTX *ctx, const char *text)
-{
-  char *copy = talloc_strdup (ctx, text == NULL ? "" : text);
-
-  if (copy == NULL)
-    abort ();
-  return copy;
-}
-
 static void
 append_raw (struct mq_program *program, const char *text, size_t len)
 {
@@ -130,7 +121,7 @@
   program->error = MQ_ERR_BAD_FRAME;
   program->ran = MQ_RAN_UNKNOWN;
   talloc_free (program->answer);
-  program->answer = copy_text (program, "");
+  program->answer = mq_text_copy (program, "");
 }
 
 static void
@@ -139,16 +130,16 @@
   program->parent.hi = opened->parent_hi;
   program->parent.lo = opened->parent_lo;
   program->parent_call = opened->parent_call;
-  program->organisation = copy_text (program, opened->organisation);
-  program->service = copy_text (program, opened->service);
-  program->route = copy_text (program, opened->route);
+  program->organisation = mq_text_copy (program, opened->organisation);
+  program->service = mq_text_copy (program, opened->service);
+  program->route = mq_text_copy (program, opened->route);
   program->mode = (enum mq_program_mode)opened->mode;
   program->priority = (enum mq_priority)opened->priority;
   program->keep_open = opened->keep_open;
   program->follow_up = opened->follow_up;
   program->digest = opened->digest;
-  program->traceparent = copy_text (program, opened->traceparent);
-  program->input = copy_text (program, opened->input);
+  program->traceparent = mq_text_copy (program, opened->traceparent);
+  program->input = mq_text_copy (program, opened->input);
   if (opened->budget != NULL)
     {
       program->budget.tokens = opened->budget->tokens;
@@ -196,12 +187,12 @@
   if (value != NULL && !json_is_string (value))
     {
       char *dump = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
-      char *copy = copy_text (ctx, dump);
+      char *copy = mq_text_copy (ctx, dump);
 
       free (dump);
       return copy;
     }
-  return copy_text (ctx, json_string_value (value));
+  return mq_text_copy (ctx, json_string_value (value));
 }
 
 static void
@@ -227,7 +218,7 @@
       pending->arguments = member_text (program->pending, call, "arguments");
     }
   text = json_dumps (calls, JSON_COMPACT);
-  program->pending_text = copy_text (program, text);
+  program->pending_text = mq_text_copy (program, text);
   free (text);
 }
 
@@ -248,7 +239,7 @@
     json_object_set (message, "tool_calls", calls);
   append_message (program, message);
   talloc_free (program->last_content);
-  program->last_content = copy_text (program, content);
+  program->last_content = mq_text_copy (program, content);
   set_pending (program, calls);
   program->answer_ready = program->pending_count == 0;
   json_decref (answer);
@@ -294,9 +285,9 @@
     abort ();
   step = &program->steps[program->step_count++];
   step->digest = digest;
-  step->service = copy_text (program, service);
-  step->input = copy_text (program, input);
-  step->body = copy_text (program, body);
+  step->service = mq_text_copy (program, service);
+  step->input = mq_text_copy (program, input);
+  step->body = mq_text_copy (program, body);
   step->error = known_error (error);
   step->ran = known_ran (ran);
 }
@@ -330,7 +321,7 @@
       break;
     case MQ_MODE_SINGLE:
       talloc_free (program->last_content);
-      program->last_content = copy_text (program, outcome->body);
+      program->last_content = mq_text_copy (program, outcome->body);
       program->answer_ready = true;
       break;
     }
@@ -341,7 +332,7 @@
 {
   program->intent.call = intent->call;
   program->intent.attempt = intent->attempt;
-  program->intent.host = copy_text (program, intent->host);
+  program->intent.host = mq_text_copy (program, intent->host);
   program->intent.boot = intent->boot;
   program->intent.worker = intent->worker;
 }
@@ -363,7 +354,7 @@
   program->error = known_error (answered->error);
   program->ran = known_ran (answered->ran);
   talloc_free (program->answer);
-  program->answer = copy_text (program, answered->answer);
+  program->answer = mq_text_copy (program, answered->answer);
 }
 
 void
@@ -590,7 +581,7 @@
   program->granted = packed->granted;
   program->elapsed_ms = packed->elapsed_ms;
   program->turn_digest = packed->turn_digest;
-  program->last_content = copy_text (program, packed->last_content);
+  program->last_content = mq_text_copy (program, packed->last_content);
   program->answer_ready = packed->answer_ready;
   unpack_pending (program, packed);
   if (packed->intent != NULL)
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -11,7 +11,7 @@
 #include "spread.h"
 #include "id.h"
 #include "limits.h"
-#include <stdlib.h>
+#include "memory.h"
 #include <string.h>
 
 enum
@@ -71,14 +71,6 @@
   struct mq_spread_counters counters;
 };
 
-static void *
-must (void *memory)
-{
-  if (memory == NULL)
-    abort ();
-  return memory;
-}
-
 static uint64_t
 earlier (uint64_t a, uint64_t b)
 {
@@ -103,10 +95,10 @@
 mq_spread_create (TALLOC_CTX *ctx, const char *host, const char *data_centre,
                   uint64_t seed)
 {
-  struct mq_spread *spread = must (talloc_zero (ctx, struct mq_spread));
+  struct mq_spread *spread = mq_must (talloc_zero (ctx, struct mq_spread));
 
-  spread->host = must (talloc_strdup (spread, host));
-  spread->data_centre = must (talloc_strdup (spread, data_centre));
+  spread->host = mq_must (talloc_strdup (spread, host));
+  spread->data_centre = mq_must (talloc_strdup (spread, data_centre));
   spread->random = seed;
   spread->poll.pause_ms = MQ_STORE_RETRY_MS;
   spread->tell_pause_ms = MQ_CONFIG_TELL_MS;
@@ -159,7 +151,7 @@
   if (spread->peer_count == spread->peer_room)
     {
       spread->peer_room = spread->peer_room == 0 ? 16 : 2 * spread->peer_room;
-      spread->peers = must (talloc_realloc (
+      spread->peers = mq_must (talloc_realloc (
           spread, spread->peers, struct spread_peer, spread->peer_room));
     }
   row = &spread->peers[place];
@@ -337,7 +329,7 @@
   if (version <= spread->version)
     return false;
   talloc_free (spread->text);
-  spread->text = must (talloc_strndup (spread, text, len));
+  spread->text = mq_must (talloc_strndup (spread, text, len));
   spread->text_hash = hash;
   spread->version = version;
   spread->counters.rises++;
@@ -392,7 +384,7 @@
   spread->counters.polls++;
   request->id = spread->poll.id;
   request->kind = MQ_STORE_SCAN;
-  request->key = must (talloc_strdup (actions, MQ_CONFIG_KEY));
+  request->key = mq_must (talloc_strdup (actions, MQ_CONFIG_KEY));
   request->limit = 1;
 }
 
--- a/src/io/api.c
+++ b/src/io/api.c
@@ -8,6 +8,7 @@
 #include "api.h"
 #include "../core/id.h"
 #include "../core/limits.h"
+#include "../core/memory.h"
 #include "api_answer.h"
 #include "api_plan.h"
 #include <gnutls/crypto.h>
@@ -73,14 +74,6 @@
   struct mq_api_counters counters;
 };
 
-static void *
-must (void *memory)
-{
-  if (memory == NULL)
-    abort ();
-  return memory;
-}
-
 /* Plain answers.  */
 
 static void
@@ -99,7 +92,7 @@
   api->counters.refused++;
   if (refusal->retry_after_ms != 0)
     {
-      char *seconds = must (talloc_asprintf (
+      char *seconds = mq_must (talloc_asprintf (
           json, "%u",
           (refusal->retry_after_ms + MS_PER_SECOND - 1) / MS_PER_SECOND));
 
@@ -132,7 +125,7 @@
   if (count > SLOTS_MAX)
     return false;
   api->slots
-      = must (talloc_realloc (api, api->slots, struct exchange *, count));
+      = mq_must (talloc_realloc (api, api->slots, struct exchange *, count));
   memset (&api->slots[api->slot_count], 0,
           (count - api->slot_count) * sizeof (struct exchange *));
   api->next_slot = (uint32_t)api->slot_count;
@@ -175,12 +168,12 @@
 
   if (!find_free_slot (api, &slot))
     return NULL;
-  exchange = must (talloc_zero (api, struct exchange));
+  exchange = mq_must (talloc_zero (api, struct exchange));
   exchange->api = api;
   exchange->slot = slot;
   exchange->http = http;
   exchange->start_us = api->callbacks.now_us (api->callbacks.user);
-  exchange->streamed = must (talloc_strdup (exchange, ""));
+  exchange->streamed = mq_must (talloc_strdup (exchange, ""));
   new_handle (exchange);
   api->slots[slot] = exchange;
   api->live++;
@@ -252,13 +245,13 @@
   char span[MQ_ID_TEXT];
 
   if (mq_api_traceparent_valid (header))
-    return must (talloc_strdup (ctx, header));
+    return mq_must (talloc_strdup (ctx, header));
   if (gnutls_rnd (GNUTLS_RND_NONCE, random, sizeof random) != 0)
     abort ();
   memcpy (words, random, sizeof words);
   mq_id_format ((struct mq_id){ words[0], words[1] }, trace);
   mq_id_format ((struct mq_id){ words[2], 0 }, span);
-  return must (talloc_asprintf (ctx, "00-%s-%.16s-01", trace, span));
+  return mq_must (talloc_asprintf (ctx, "00-%s-%.16s-01", trace, span));
 }
 
 /* Asking the front.  */
@@ -305,7 +298,7 @@
 static void
 keep_plan (struct exchange *exchange, const struct mq_api_plan *plan)
 {
-  exchange->plan = must (talloc_zero (exchange, struct mq_api_plan));
+  exchange->plan = mq_must (talloc_zero (exchange, struct mq_api_plan));
   *exchange->plan = *plan;
   mq_request_copy (exchange->plan, &exchange->plan->first, &plan->first);
   if (plan->has_second)
@@ -329,10 +322,10 @@
 
   if (gnutls_rnd (GNUTLS_RND_NONCE, &random, sizeof random) != 0)
     abort ();
-  return must (talloc_asprintf (ctx, "auto-%016llx-%016llx-%016llx",
-                                (unsigned long long)exchange->api->boot,
-                                (unsigned long long)exchange->handle,
-                                (unsigned long long)random));
+  return mq_must (talloc_asprintf (ctx, "auto-%016llx-%016llx-%016llx",
+                                   (unsigned long long)exchange->api->boot,
+                                   (unsigned long long)exchange->handle,
+                                   (unsigned long long)random));
 }
 
 static void
@@ -361,7 +354,7 @@
 plan_exchange (struct exchange *exchange, const struct mq_organisation *caller)
 {
   struct mq_api_refusal refusal = { .ran = MQ_RAN_NOT_RUN };
-  TALLOC_CTX *ctx = must (talloc_new (NULL));
+  TALLOC_CTX *ctx = mq_must (talloc_new (NULL));
   struct mq_api_ask ask = { 0 };
   struct mq_api_plan *plan;
 
@@ -633,8 +626,8 @@
 {
   if (exchange->held)
     return;
-  exchange->streamed
-      = must (talloc_strdup_append_buffer (exchange->streamed, event->body));
+  exchange->streamed = mq_must (
+      talloc_strdup_append_buffer (exchange->streamed, event->body));
   write_stream (exchange, mq_api_chat_token (exchange->api, event->body,
                                              chat_model (exchange),
                                              exchange->plan->first.program,
@@ -730,7 +723,7 @@
 static void
 serve_metrics (struct mq_api *api, struct mq_http_request *http)
 {
-  char *text = must (api->callbacks.metrics (api, api->callbacks.user));
+  char *text = mq_must (api->callbacks.metrics (api, api->callbacks.user));
 
   respond_text (http, 200, "text/plain; version=0.0.4", text);
   talloc_free (text);
@@ -747,7 +740,7 @@
       refuse (api, http, MQ_ERR_NOT_FOUND, id, 0);
       return;
     }
-  json = must (api->callbacks.spans (api, program, api->callbacks.user));
+  json = mq_must (api->callbacks.spans (api, program, api->callbacks.user));
   respond_text (http, 200, json_type, json);
   talloc_free (json);
 }
@@ -755,7 +748,7 @@
 static void
 serve_status (struct mq_api *api, struct mq_http_request *http)
 {
-  char *json = must (api->callbacks.status (api, api->callbacks.user));
+  char *json = mq_must (api->callbacks.status (api, api->callbacks.user));
 
   respond_text (http, 200, json_type, json);
   talloc_free (json);
@@ -820,7 +813,7 @@
                const struct mq_api_callbacks *callbacks,
                struct mq_error *error)
 {
-  struct mq_api *api = must (talloc_zero (ctx, struct mq_api));
+  struct mq_api *api = mq_must (talloc_zero (ctx, struct mq_api));
 
   api->callbacks = *callbacks;
   api->boot = options->boot;
--- a/src/io/api_answer.c
+++ b/src/io/api_answer.c
@@ -4,24 +4,17 @@
 
 #include "api_answer.h"
 #include "../core/id.h"
+#include "../core/memory.h"
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
-static char *
-must (char *text)
-{
-  if (text == NULL)
-    abort ();
-  return text;
-}
-
 /* Text of JSON, which is freed.  */
 static char *
 dump (TALLOC_CTX *ctx, json_t *json)
 {
   char *text = json_dumps (json, JSON_COMPACT);
-  char *copy = must (talloc_strdup (ctx, must (text)));
+  char *copy = mq_must (talloc_strdup (ctx, mq_must (text)));
 
   free (text);
   json_decref (json);
@@ -37,7 +30,7 @@
 
   if (value != NULL)
     return value;
-  copy = must (talloc_strdup (NULL, text));
+  copy = mq_must (talloc_strdup (NULL, text));
   for (char *p = copy; *p != '\0'; p++)
     if ((unsigned char)*p >= 0x80)
       *p = '?';
@@ -162,7 +155,7 @@
     text = talloc_asprintf (ctx, "id: %u\nevent: %s\ndata: %s\n\n",
                             event->number, event_name (event->type), data);
   talloc_free (data);
-  return must (text);
+  return mq_must (text);
 }
 
 char *
@@ -318,9 +311,9 @@
   char *copy;
 
   if (!read_answer (final, &answer))
-    return must (talloc_strdup (ctx, ""));
+    return mq_must (talloc_strdup (ctx, ""));
   text = json_string_value (answer.content);
-  copy = must (talloc_strdup (ctx, text == NULL ? "" : text));
+  copy = mq_must (talloc_strdup (ctx, text == NULL ? "" : text));
   json_decref (answer.body);
   return copy;
 }
@@ -336,7 +329,7 @@
 
   json_object_set_new (json, "choices", one_choice ("delta", delta, finish));
   data = dump (ctx, json);
-  text = must (talloc_asprintf (ctx, "data: %s\n\n", data));
+  text = mq_must (talloc_asprintf (ctx, "data: %s\n\n", data));
   talloc_free (data);
   return text;
 }
@@ -369,7 +362,7 @@
       json_decref (answer.body);
     }
   chunk = chat_chunk (ctx, delta, finish, model, program, created);
-  return must (talloc_strdup_append (chunk, "data: [DONE]\n\n"));
+  return mq_must (talloc_strdup_append (chunk, "data: [DONE]\n\n"));
 }
 
 char *
@@ -381,7 +374,7 @@
 
   json_object_set_new (json, "error", refusal_value (refusal));
   data = dump (ctx, json);
-  text = must (talloc_asprintf (ctx, "data: %s\n\n", data));
+  text = mq_must (talloc_asprintf (ctx, "data: %s\n\n", data));
   talloc_free (data);
   return text;
 }
--- a/src/io/api_plan.c
+++ b/src/io/api_plan.c
@@ -5,6 +5,7 @@
 #include "api_plan.h"
 #include "../core/id.h"
 #include "../core/limits.h"
+#include "../core/memory.h"
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -43,22 +44,12 @@
   return false;
 }
 
-static char *
-copy_text (struct maker *maker, const char *text)
-{
-  char *copy = talloc_strdup (maker->ctx, text);
-
-  if (copy == NULL)
-    abort ();
-  return copy;
-}
-
 /* Checked reading of single values.  */
 
 static bool
 split_path (struct maker *maker, struct path *path)
 {
-  char *rest = copy_text (maker, maker->ask->path);
+  char *rest = mq_text_copy (maker->ctx, maker->ask->path);
   char *part;
 
   path->count = 0;
@@ -193,7 +184,7 @@
   if (!json_is_string (value)
       || strlen (json_string_value (value)) != json_string_length (value))
     return fail (maker, MQ_ERR_BAD_REQUEST, name, "a text");
-  *text = copy_text (maker, json_string_value (value));
+  *text = mq_text_copy (maker->ctx, json_string_value (value));
   return true;
 }
 
@@ -242,7 +233,7 @@
 
   if (text == NULL)
     abort ();
-  copy = copy_text (maker, text);
+  copy = mq_text_copy (maker->ctx, text);
   free (text);
   return copy;
 }
--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -6,6 +6,7 @@
 #include "../core/front.h"
 #include "../core/id.h"
 #include "../core/limits.h"
+#include "../core/memory.h"
 #include "../core/owner.h"
 #include "../core/place.h"
 #include "../core/spread.h"
@@ -80,14 +81,6 @@
   struct tevent_immediate *stop;
 };
 
-static void *
-must (void *memory)
-{
-  if (memory == NULL)
-    abort ();
-  return memory;
-}
-
 static uint64_t
 now_us (void)
 {
@@ -124,7 +117,7 @@
 static struct mq_actions *
 add_batch (struct mq_entry *entry, enum origin origin)
 {
-  struct batch *batch = must (talloc_zero (entry, struct batch));
+  struct batch *batch = mq_must (talloc_zero (entry, struct batch));
 
   batch->origin = origin;
   batch->actions = mq_actions_create (batch);
@@ -335,7 +328,7 @@
       mq_api_stop_accepting (entry->api);
       return;
     }
-  entry->stop = must (tevent_create_immediate (entry));
+  entry->stop = mq_must (tevent_create_immediate (entry));
   tevent_schedule_immediate (entry->stop, entry->ev, report_done, entry);
 }
 
@@ -426,7 +419,7 @@
     wait_us = US_PER_MS;
   TALLOC_FREE (entry->timer);
   entry->timer_us = next;
-  entry->timer = must (tevent_add_timer (
+  entry->timer = mq_must (tevent_add_timer (
       entry->ev, entry,
       tevent_timeval_current_ofs ((uint32_t)(wait_us / US_PER_SECOND),
                                   (uint32_t)(wait_us % US_PER_SECOND)),
@@ -607,7 +600,7 @@
 static void
 keep_hosts (struct mq_entry *entry, const struct mq_host_list *hosts)
 {
-  char **kept = must (
+  char **kept = mq_must (
       talloc_zero_array (entry, char *, (unsigned int)hosts->count + 1));
   size_t count = 0;
 
@@ -621,7 +614,7 @@
       if (strcmp (address, entry->peer_address) == 0)
         continue;
       mq_peer_net_keep (entry->net, address);
-      kept[count++] = must (talloc_strdup (kept, address));
+      kept[count++] = mq_must (talloc_strdup (kept, address));
     }
   talloc_free (entry->kept);
   entry->kept = kept;
@@ -767,7 +760,7 @@
   const char *colon = strrchr (address, ':');
   int len = colon == NULL ? (int)strlen (address) : (int)(colon - address);
 
-  return must (talloc_asprintf (ctx, "%.*s:%u", len, address, port));
+  return mq_must (talloc_asprintf (ctx, "%.*s:%u", len, address, port));
 }
 
 static bool
@@ -869,7 +862,7 @@
                  const struct mq_settings *settings, void (*done) (void *user),
                  void *user, struct mq_error *error)
 {
-  struct mq_entry *entry = must (talloc_zero (ctx, struct mq_entry));
+  struct mq_entry *entry = mq_must (talloc_zero (ctx, struct mq_entry));
 
   entry->ev = ev;
   entry->settings = settings;
--- a/src/io/target.c
+++ b/src/io/target.c
@@ -5,6 +5,7 @@
 #include "target.h"
 #include "../core/gate.h"
 #include "../core/limits.h"
+#include "../core/memory.h"
 #include "../core/spread.h"
 #include "log.h"
 #include "peer.h"
@@ -66,14 +67,6 @@
   struct tevent_immediate *stop;
 };
 
-static void *
-must (void *memory)
-{
-  if (memory == NULL)
-    abort ();
-  return memory;
-}
-
 static uint64_t
 now_us (void)
 {
@@ -110,7 +103,7 @@
 static struct mq_actions *
 add_batch (struct mq_target *target)
 {
-  struct batch *batch = must (talloc_zero (target, struct batch));
+  struct batch *batch = mq_must (talloc_zero (target, struct batch));
 
   batch->actions = mq_actions_create (batch);
   if (target->last == NULL)
@@ -227,7 +220,7 @@
     return;
   if (!is_quiet (target) && now_us () < target->stop_until_us)
     return;
-  target->stop = must (tevent_create_immediate (target));
+  target->stop = mq_must (tevent_create_immediate (target));
   tevent_schedule_immediate (target->stop, target->ev, report_done, target);
 }
 
@@ -301,7 +294,7 @@
     wait_us = US_PER_SECOND;
   TALLOC_FREE (target->timer);
   target->timer_us = next;
-  target->timer = must (tevent_add_timer (
+  target->timer = mq_must (tevent_add_timer (
       target->ev, target,
       tevent_timeval_current_ofs ((uint32_t)(wait_us / US_PER_SECOND),
                                   (uint32_t)(wait_us % US_PER_SECOND)),
@@ -426,7 +419,7 @@
 static void
 keep_hosts (struct mq_target *target, const struct mq_host_list *hosts)
 {
-  char **kept = must (
+  char **kept = mq_must (
       talloc_zero_array (target, char *, (unsigned int)hosts->count + 1));
   bool entry_here = has_entry_here (target, hosts);
   size_t count = 0;
@@ -441,7 +434,7 @@
       if (!is_wanted (target, host, entry_here))
         continue;
       mq_peer_net_keep (target->net, host->address);
-      kept[count++] = must (talloc_strdup (kept, host->address));
+      kept[count++] = mq_must (talloc_strdup (kept, host->address));
     }
   talloc_free (target->kept);
   target->kept = kept;
@@ -623,7 +616,7 @@
   const char *colon = strrchr (address, ':');
   int len = colon == NULL ? (int)strlen (address) : (int)(colon - address);
 
-  return must (talloc_asprintf (ctx, "%.*s:%u", len, address, port));
+  return mq_must (talloc_asprintf (ctx, "%.*s:%u", len, address, port));
 }
 
 static bool
@@ -696,7 +689,7 @@
                                            .ordered = on_ordered,
                                            .user = target };
 
-  target->workers = must (talloc_zero_array (
+  target->workers = mq_must (talloc_zero_array (
       target, struct mq_worker *, (unsigned int)settings->worker_count + 1));
   for (uint32_t i = 0; i < settings->worker_count; i++)
     {
@@ -705,7 +698,7 @@
       options.kind = settings->workers[i].kind;
       options.url = settings->worker_urls[i];
       options.model = settings->workers[i].model;
-      target->workers[i] = must (mq_worker_create (
+      target->workers[i] = mq_must (mq_worker_create (
           target, target->ev, target->client, &options, &callbacks));
     }
 }
@@ -737,7 +730,7 @@
                   void (*done) (void *user), void *user,
                   struct mq_error *error)
 {
-  struct mq_target *target = must (talloc_zero (ctx, struct mq_target));
+  struct mq_target *target = mq_must (talloc_zero (ctx, struct mq_target));
 
   target->ev = ev;
   target->settings = settings;
--- a/src/io/worker.c
+++ b/src/io/worker.c
@@ -8,6 +8,7 @@
 #include "worker.h"
 #include "../core/id.h"
 #include "../core/limits.h"
+#include "../core/memory.h"
 #include "worker_stream.h"
 #include <inttypes.h>
 #include <jansson.h>
@@ -93,14 +94,6 @@
 
 static void poll_soon (struct mq_worker *worker);
 
-static void *
-must_alloc (void *memory)
-{
-  if (memory == NULL)
-    abort ();
-  return memory;
-}
-
 static bool
 is_model (const struct mq_worker *worker)
 {
@@ -134,7 +127,7 @@
 static struct control *
 add_control (struct mq_worker *worker, enum control_type type)
 {
-  struct control *control = must_alloc (talloc_zero (worker, struct control));
+  struct control *control = mq_must (talloc_zero (worker, struct control));
 
   control->worker = worker;
   control->type = type;
@@ -165,7 +158,7 @@
 control_skip (struct control *control, bool failed)
 {
   control->failed = failed;
-  control->later = must_alloc (tevent_create_immediate (control));
+  control->later = mq_must (tevent_create_immediate (control));
   tevent_schedule_immediate (control->later, control->worker->ev, control_late,
                              control);
 }
@@ -308,7 +301,7 @@
 {
   if (call->later != NULL)
     return;
-  call->later = must_alloc (tevent_create_immediate (call));
+  call->later = mq_must (tevent_create_immediate (call));
   tevent_schedule_immediate (call->later, call->worker->ev, call_late, call);
 }
 
@@ -685,13 +678,13 @@
 static struct call *
 add_call (struct mq_worker *worker, const struct mq_start *start)
 {
-  struct call *call = must_alloc (talloc_zero (worker, struct call));
+  struct call *call = mq_must (talloc_zero (worker, struct call));
   char *id;
   char program[MQ_ID_TEXT];
 
   mq_id_format (start->ref.program, program);
-  id = must_alloc (talloc_asprintf (call, "%s-%" PRIu32 "-%" PRIu32, program,
-                                    start->ref.call, start->ref.attempt));
+  id = mq_must (talloc_asprintf (call, "%s-%" PRIu32 "-%" PRIu32, program,
+                                 start->ref.call, start->ref.attempt));
   strncpy (call->request_id, id, sizeof call->request_id - 1);
   talloc_free (id);
   call->worker = worker;
@@ -912,7 +905,7 @@
 {
   const json_t *programs = json_object_get (json, "programs");
   size_t count = json_array_size (programs);
-  struct mq_gate_cache_entry *entries = must_alloc (
+  struct mq_gate_cache_entry *entries = mq_must (
       talloc_zero_array (worker, struct mq_gate_cache_entry, count + 1));
   struct mq_gate_cache cache = { 0 };
 
@@ -996,8 +989,8 @@
   worker->ev = ev;
   worker->client = client;
   worker->options = *options;
-  worker->options.url = must_alloc (talloc_strdup (worker, options->url));
-  worker->options.model = must_alloc (
+  worker->options.url = mq_must (talloc_strdup (worker, options->url));
+  worker->options.model = mq_must (
       talloc_strdup (worker, options->model == NULL ? "" : options->model));
   if (options->cache_poll_ms == 0)
     worker->options.cache_poll_ms = MQ_WORKER_CACHE_POLL_MS;
