--- a/src/core/program.c
+++ b/src/core/program.c
@@ -4,6 +4,7 @@
 
 #include "program.h"
 #include "id.h"
+#include "memory.h"
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,16 +14,6 @@
   MESSAGES_FIRST_ROOM = 512
 };
 
-static char *
-copy_text (TALLOC_CTX *ctx, const char *text)
-{
-  char *copy = talloc_strdup (ctx, text == NULL ? "" : text);
-
-  if (copy == NULL)
-    abort ();
-  return copy;
-}
-
 static void
 append_raw (struct mq_program *program, const char *text, size_t len)
 {
@@ -97,22 +88,58 @@
   append_message (program, message);
 }
 
+/* What a log of another version holds may be in no table here.  */
+static enum mq_error_type
+known_error (uint32_t error)
+{
+  return error < MQ_ERR_COUNT ? (enum mq_error_type)error : MQ_ERR_BAD_FRAME;
+}
+
+static enum mq_ran
+known_ran (uint32_t ran)
+{
+  return ran <= MQ_RAN_UNKNOWN ? (enum mq_ran)ran : MQ_RAN_UNKNOWN;
+}
+
+static bool
+opened_is_readable (const Mqlog__Opened *opened)
+{
+  return opened != NULL && opened->mode <= MQ_MODE_SINGLE
+         && opened->priority < MQ_PRIORITY_COUNT;
+}
+
+/* Guards against a log or checkpoint that does not say how a program was
+   opened, or says it in values of another version: its host would stop at
+   once, and so would every host that takes the partition over after it; or
+   the program would run on without the history that it began with.  It ends
+   instead, and whether it took effect is unknown.  */
+static void
+end_unreadable (struct mq_program *program)
+{
+  program->unreadable = true;
+  program->state = MQ_PROGRAM_ENDED;
+  program->error = MQ_ERR_BAD_FRAME;
+  program->ran = MQ_RAN_UNKNOWN;
+  talloc_free (program->answer);
+  program->answer = mq_text_copy (program, "");
+}
+
 static void
 copy_opened (struct mq_program *program, const Mqlog__Opened *opened)
 {
   program->parent.hi = opened->parent_hi;
   program->parent.lo = opened->parent_lo;
   program->parent_call = opened->parent_call;
-  program->organisation = copy_text (program, opened->organisation);
-  program->service = copy_text (program, opened->service);
-  program->route = copy_text (program, opened->route);
+  program->organisation = mq_text_copy (program, opened->organisation);
+  program->service = mq_text_copy (program, opened->service);
+  program->route = mq_text_copy (program, opened->route);
   program->mode = (enum mq_program_mode)opened->mode;
   program->priority = (enum mq_priority)opened->priority;
   program->keep_open = opened->keep_open;
   program->follow_up = opened->follow_up;
   program->digest = opened->digest;
-  program->traceparent = copy_text (program, opened->traceparent);
-  program->input = copy_text (program, opened->input);
+  program->traceparent = mq_text_copy (program, opened->traceparent);
+  program->input = mq_text_copy (program, opened->input);
   if (opened->budget != NULL)
     {
       program->budget.tokens = opened->budget->tokens;
@@ -126,14 +153,18 @@
 struct mq_program *
 mq_program_open (TALLOC_CTX *ctx, struct mq_id id, const Mqlog__Opened *opened)
 {
+  static const Mqlog__Opened absent = MQLOG__OPENED__INIT;
   struct mq_program *program = talloc_zero (ctx, struct mq_program);
+  bool readable = opened_is_readable (opened);
 
   if (program == NULL)
     abort ();
   program->id = id;
-  copy_opened (program, opened);
+  copy_opened (program, readable ? opened : &absent);
   program->state = program->mode == MQ_MODE_STEPS ? MQ_PROGRAM_WAITING
                                                   : MQ_PROGRAM_RUNNING;
+  if (!readable)
+    end_unreadable (program);
   return program;
 }
 
@@ -156,12 +187,12 @@
   if (value != NULL && !json_is_string (value))
     {
       char *dump = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
-      char *copy = copy_text (ctx, dump);
+      char *copy = mq_text_copy (ctx, dump);
 
       free (dump);
       return copy;
     }
-  return copy_text (ctx, json_string_value (value));
+  return mq_text_copy (ctx, json_string_value (value));
 }
 
 static void
@@ -187,7 +218,7 @@
       pending->arguments = member_text (program->pending, call, "arguments");
     }
   text = json_dumps (calls, JSON_COMPACT);
-  program->pending_text = copy_text (program, text);
+  program->pending_text = mq_text_copy (program, text);
   free (text);
 }
 
@@ -208,7 +239,7 @@
     json_object_set (message, "tool_calls", calls);
   append_message (program, message);
   talloc_free (program->last_content);
-  program->last_content = copy_text (program, content);
+  program->last_content = mq_text_copy (program, content);
   set_pending (program, calls);
   program->answer_ready = program->pending_count == 0;
   json_decref (answer);
@@ -225,7 +256,7 @@
 apply_chain_outcome (struct mq_program *program, const Mqlog__Outcome *outcome)
 {
   const struct mq_tool_call *pending = mq_program_pending (program);
-  enum mq_error_type error = (enum mq_error_type)outcome->error;
+  enum mq_error_type error = known_error (outcome->error);
   char *failure;
 
   if (outcome->model)
@@ -235,7 +266,7 @@
     }
   if (pending == NULL)
     return;
-  failure = failure_text (program, error, (enum mq_ran)outcome->ran);
+  failure = failure_text (program, error, known_ran (outcome->ran));
   mq_program_add_message (program, "tool", pending->name, pending->id,
                           error == MQ_ERR_NONE ? outcome->body : failure);
   talloc_free (failure);
@@ -254,11 +285,11 @@
     abort ();
   step = &program->steps[program->step_count++];
   step->digest = digest;
-  step->service = copy_text (program, service);
-  step->input = copy_text (program, input);
-  step->body = copy_text (program, body);
-  step->error = (enum mq_error_type)error;
-  step->ran = (enum mq_ran)ran;
+  step->service = mq_text_copy (program, service);
+  step->input = mq_text_copy (program, input);
+  step->body = mq_text_copy (program, body);
+  step->error = known_error (error);
+  step->ran = known_ran (ran);
 }
 
 static void
@@ -290,7 +321,7 @@
       break;
     case MQ_MODE_SINGLE:
       talloc_free (program->last_content);
-      program->last_content = copy_text (program, outcome->body);
+      program->last_content = mq_text_copy (program, outcome->body);
       program->answer_ready = true;
       break;
     }
@@ -301,7 +332,7 @@
 {
   program->intent.call = intent->call;
   program->intent.attempt = intent->attempt;
-  program->intent.host = copy_text (program, intent->host);
+  program->intent.host = mq_text_copy (program, intent->host);
   program->intent.boot = intent->boot;
   program->intent.worker = intent->worker;
 }
@@ -320,10 +351,10 @@
 apply_answered (struct mq_program *program, const Mqlog__Answered *answered)
 {
   program->state = answered->ended ? MQ_PROGRAM_ENDED : MQ_PROGRAM_WAITING;
-  program->error = (enum mq_error_type)answered->error;
-  program->ran = (enum mq_ran)answered->ran;
+  program->error = known_error (answered->error);
+  program->ran = known_ran (answered->ran);
   talloc_free (program->answer);
-  program->answer = copy_text (program, answered->answer);
+  program->answer = mq_text_copy (program, answered->answer);
 }
 
 void
@@ -332,6 +363,8 @@
   if (record->elapsed_ms > program->elapsed_ms)
     program->elapsed_ms = record->elapsed_ms;
   program->spent += record->charge;
+  if (program->unreadable)
+    return;
   switch (record->body_case)
     {
     case MQLOG__RECORD__BODY_GRANTED:
@@ -548,7 +581,7 @@
   program->granted = packed->granted;
   program->elapsed_ms = packed->elapsed_ms;
   program->turn_digest = packed->turn_digest;
-  program->last_content = copy_text (program, packed->last_content);
+  program->last_content = mq_text_copy (program, packed->last_content);
   program->answer_ready = packed->answer_ready;
   unpack_pending (program, packed);
   if (packed->intent != NULL)
@@ -559,7 +592,10 @@
     add_step (program, packed->steps[i]->service, packed->steps[i]->input,
               packed->steps[i]->body, packed->steps[i]->digest,
               packed->steps[i]->error, packed->steps[i]->ran);
-  program->state = (enum mq_program_state)packed->state;
+  if (program->unreadable || packed->state > MQ_PROGRAM_ENDED)
+    end_unreadable (program);
+  else
+    program->state = (enum mq_program_state)packed->state;
   return program;
 }
 
