--- a/bench/site_bench.sh
+++ b/bench/site_bench.sh
@@ -19,14 +19,14 @@
 seconds=10
 scale=0.1
 out=build/bench
-variants="ours=finish:attained:output round_robin=round_robin:fifo:output
-least_loaded=least_loaded:fifo:output prefix_hash=prefix_hash:fifo:output
+variants="ours=finish:attained:output round_robin=round-robin:fifo:output
+least_loaded=least-loaded:fifo:output prefix_hash=prefix-hash:fifo:output
 each_step=finish:attained:each_step"
 
 while [ $# -gt 0 ]; do
   case $1 in
   --quick) profiles=zarqa seeds=1 seconds=3 load=0.3
-    variants="ours=finish:attained:output round_robin=round_robin:fifo:output" ;;
+    variants="ours=finish:attained:output round_robin=round-robin:fifo:output" ;;
   --profile) profiles=$2; shift ;;
   --seeds) seeds=$2; shift ;;
   --load) load=$2; shift ;;
