Say that nothing can be known when the store can't confirm an owner

Cause: in an outage a batch program was refused as not run though another owner may hold its partition; and the refusal came only 2 s after the outage was known. Change: it says store_down and unknown, at once in a known outage; the test of the outage asks for just that.

--- a/src/core/owner_request.c
+++ b/src/core/owner_request.c
@@ -84,6 +84,15 @@
   reply->event.redirect = "";
   reply->next = owner->replies;
   owner->replies = reply;
+  request_unconfirmed (owner);
+}
+
+/* The store has been down for a while: nothing can be confirmed soon.  */
+static bool
+is_outage (const struct mq_owner *owner)
+{
+  return owner->store_down
+         && owner->now_us - owner->store_down_us > 1000ULL * STORE_PATIENCE_MS;
 }
 
 static void
@@ -127,7 +136,9 @@
 }
 
 /* The store can't be read: whoever waits long is answered that nothing can
-   be known.  */
+   be known.  Not even that it was not run here: another owner may have
+   taken the partition and run the same request, if the store is out of
+   reach for this host alone.  */
 void
 request_unconfirmed (struct mq_owner *owner)
 {
@@ -137,7 +148,8 @@
     {
       struct reply *reply = *at;
 
-      if (owner->now_us - reply->queued_us < 1000ULL * STORE_PATIENCE_MS)
+      if (!is_outage (owner)
+          && owner->now_us - reply->queued_us < 1000ULL * STORE_PATIENCE_MS)
         {
           at = &reply->next;
           continue;
@@ -464,9 +476,6 @@
   const struct mq_organisation *organisation
       = mq_text_find_organisation (owner->text, request->organisation);
   uint32_t hosts = owner->live_hosts == 0 ? 1 : owner->live_hosts;
-  bool outage
-      = owner->store_down
-        && owner->now_us - owner->store_down_us > 1000ULL * STORE_PATIENCE_MS;
 
   *retry_after_ms = RETRY_LATER_MS;
   if (owner->leaving)
@@ -475,7 +484,7 @@
     return MQ_ERR_UNAUTHORISED;
   if (owner->gathered_bytes >= MQ_PENDING_MAX_BYTES)
     return MQ_ERR_STORE_DOWN;
-  if (outage && priority == MQ_PRIORITY_BATCH)
+  if (is_outage (owner) && priority == MQ_PRIORITY_BATCH)
     return MQ_ERR_STORE_DOWN;
   if (owner->live >= owner->options.max_programs)
     return MQ_ERR_OVERLOADED;
