--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -40,6 +40,8 @@
 #define MQ_OWNER_RENEW_MS 1000U /* the owner's row is written this often */
 #define MQ_OWNER_SCAN_MS 1000U  /* owners' and partitions' rows are read */
 #define MQ_OWNER_PROGRAMS_MAX 50000U
+#define MQ_PARTITIONS_MAX 1000U  /* their rows fit one page */
+#define MQ_CONFIRM_MS 2U         /* between two such reads, times hosts */
 #define MQ_OWNERS_MAX 40U        /* hosts that may own partitions */
 #define MQ_OWNER_DOWN_MS 1500U   /* connection lost and no renewal */
 #define MQ_OWNER_RANK_MS 300U    /* the next best host waits longer */
@@ -78,10 +80,12 @@
 /* Callers' HTTP.  */
 #define MQ_API_KEY_MAX 255U         /* bytes of an Idempotency-Key */
 #define MQ_API_WAIT_MAX_MS 3600000U /* a caller's wait, service not known */
-#define MQ_ENTRY_LEAVE_MS 50U    /* a planned stop looks whether it is done */
-#define MQ_TARGET_LOOK_MS 50U    /* the same beside a target */
-#define MQ_TARGET_QUIET_MS 1500U /* no call came for so long: may end */
-#define MQ_HOSTS_POLL_MS 1000U   /* the platform's list of hosts is read */
+#define MQ_HOLD_MS 1000U      /* a request waits for a newer configuration */
+#define MQ_HOLD_MAX 1024U     /* requests that wait so */
+#define MQ_ENTRY_LEAVE_MS 50U /* a planned stop looks whether it is done */
+#define MQ_TARGET_LOOK_MS 50U /* the same beside a target */
+#define MQ_TARGET_QUIET_MS 1500U    /* no call came for so long: may end */
+#define MQ_HOSTS_POLL_MS 1000U      /* the platform's list of hosts is read */
 #define MQ_API_WAIT_SLACK_MS 30000U /* beyond what the service may take */
 
 /* Gates.  */
@@ -91,7 +95,7 @@
 #define MQ_GATE_LOAD_MIN_MS 50U /* load is pushed on change, no faster */
 #define MQ_GATE_EVICT_RETRY_MS 200U
 #define MQ_GATE_AGEING_MS 2000U /* a waiting call rises one step */
-#define MQ_GATE_PROGRAMS_MAX 131072U
+#define MQ_GATE_PROGRAMS_MAX 65536U
 #define MQ_GATE_PROGRAM_KEEP_MS 600000U /* idle record of a program */
 #define MQ_GATE_PROGRAM_LEAST_MS 30000U /* the same when the table is full */
 #define MQ_GATE_OUTCOME_BYTES_MAX (32U << 20) /* bodies of kept outcomes */
@@ -117,7 +121,10 @@
 #define MQ_CONFIG_FIRST_MAX_MS 4000U  /* longest pause before the first */
 #define MQ_CONFIG_GET_MS 1000U        /* a peer asked: then another one */
 #define MQ_CONFIG_TELL_PEERS 8U       /* peers told at a time of a rise */
-#define MQ_CONFIG_TELL_MS 50U         /* pause before the next few */
+#define MQ_CONFIG_TELL_MS 50U         /* pause before the next few; doubles */
+
+/* Measures.  */
+#define MQ_LATENCY_SERIES_MAX 256U /* services, first and follow-up apart */
 
 /* Traces.  */
 #define MQ_SPANS_MAX 4096U /* kept by a process */
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -51,6 +51,7 @@
   struct read_batch *rows; /* in order */
   size_t row_count;
   size_t row_next;    /* first one whose object is not yet read */
+  size_t sender_next; /* first one whose targets are not yet read */
   char *after;        /* last log row read */
   bool targets_known; /* the previous owner's targets were read */
   bool exact;         /* every target that may hold work answered */
@@ -62,6 +63,7 @@
 struct recover_wait
 {
   char *host;
+  uint64_t boot;
   bool answered;
 };
 
@@ -98,8 +100,9 @@
   uint64_t snapshot_id;     /* store request that writes it */
   bool snapshot_written;
   struct segment *segments; /* objects of large batches still needed */
-  char *last_owner;         /* may have calls under way for it */
-  uint64_t unowned_us;      /* since when its owner seems to be gone */
+  char **senders;           /* runs, "HOST/BOOT", that may have calls for it */
+  size_t sender_count;
+  uint64_t unowned_us; /* since when its owner seems to be gone */
 };
 
 struct segment
@@ -123,6 +126,7 @@
   HOOK_ACCEPTED, /* tell callers that the program is durable */
   HOOK_GRANTED,  /* go on with the program */
   HOOK_INTENT,   /* send the call */
+  HOOK_FORGET,   /* the target's process may drop an outcome */
   HOOK_STEP,     /* the call's outcome is durable: events, FORGET */
   HOOK_ANSWERED, /* the answer is durable: events, evictions */
   HOOK_REPLY     /* one caller's question can be answered */
@@ -183,6 +187,7 @@
   size_t object_next; /* part whose object is being written */
   struct hook *hooks;
   struct record *records;
+  uint64_t mark; /* records appended when it was sealed */
   uint64_t started_us;
   uint64_t retry_us;
   uint32_t tries;
@@ -289,9 +294,11 @@
   struct target *sticky;
   uint32_t sticky_worker;
   uint32_t sticky_tokens;
+  uint32_t known_tokens; /* of its next prompt, computed before somewhere */
   uint64_t loop_digest;
   uint32_t loop_count;
-  bool forfeited; /* what was granted before the takeover is spent */
+  bool grant_asked; /* a hook goes on when grants are durable */
+  bool forfeited;   /* what was granted before the takeover is spent */
   struct recovered *recovered; /* what targets reported in a takeover */
 };
 
@@ -321,10 +328,10 @@
   char *data_centre;
   bool listed; /* in the platform's list */
   bool leaving;
-  bool durable;         /* in our targets row */
-  bool sent;            /* in the targets row that is being written */
-  uint64_t unlisted_us; /* since when it is not in the list */
-  uint32_t peer;        /* 0: no connection */
+  uint64_t durable_boot; /* of it in our targets row, 0: not there */
+  uint64_t sent_boot;    /* in the targets row that is being written */
+  uint64_t unlisted_us;  /* since when it is not in the list */
+  uint32_t peer;         /* 0: no connection */
   uint64_t boot;
   uint64_t down_us;
   struct worker **workers;
@@ -360,6 +367,17 @@
   struct mq_id program;
 };
 
+/* An answer from memory that waits until a later read of the partitions'
+   rows shows that this host still owns the partition.  */
+struct reply
+{
+  struct reply *next;
+  uint32_t partition;
+  uint32_t peer;
+  uint64_t queued_us;
+  struct mq_event_msg event;
+};
+
 /* Programs of one organisation that are under way at this owner.  */
 struct organisation_count
 {
@@ -376,6 +394,13 @@
   char *target;
 };
 
+/* A service's prompt that some engine has computed for this owner.  */
+struct known_prefix
+{
+  struct known_prefix *next;
+  uint64_t hash;
+};
+
 enum scan_type
 {
   SCAN_OWNERS,
@@ -414,12 +439,21 @@
   uint64_t owners_scanned_us; /* last success */
   uint64_t next_scan_us;
   uint64_t scan_sent_us;
-  bool scanned; /* both scans succeeded once */
+  bool scanned;          /* both scans succeeded once */
+  struct reply *replies; /* newest first */
+  uint64_t confirm_id;   /* read that confirms what waits since before */
+  uint64_t confirm_sent_us;
+  uint64_t next_confirm_us;
+  char *owners_after; /* last row of the page of owners read so far */
   uint64_t renew_id;
   uint64_t next_renew_us;
   uint64_t row_counter;
   uint64_t targets_id; /* write of our targets row */
   bool targets_dirty;
+  uint64_t targets_mark; /* records that must be durable before */
+  uint64_t appended;     /* records so far */
+  uint64_t settled;      /* of these, durable or given up */
+  char *run;             /* "HOST/BOOT" */
   uint64_t targets_retry_us;
   uint32_t claiming;
   bool eligible;       /* this host may own partitions */
@@ -433,6 +467,7 @@
   struct organisation_count *organisations;
   struct unknown_call *unknown;
   size_t unknown_count;
+  struct known_prefix *prefixes;
   struct mq_owner_counters counters;
 };
 
@@ -472,6 +507,7 @@
 
 /* owner_take.c */
 void take_tick (struct mq_owner *owner);
+void take_paused (struct mq_owner *owner, uint64_t now_us);
 bool take_store_result (struct mq_owner *owner,
                         const struct mq_store_result *result);
 void take_recovered (struct mq_owner *owner, struct target *target,
@@ -484,6 +520,7 @@
 void take_set_partitions (struct mq_owner *owner, uint32_t count);
 void take_apply (struct mq_owner *owner, struct partition *partition,
                  const Mqlog__Record *record);
+void take_confirm (struct mq_owner *owner);
 bool take_is_drained (const struct mq_owner *owner);
 uint64_t take_next_tick (const struct mq_owner *owner);
 
@@ -494,6 +531,7 @@
 void hosts_peer_down (struct mq_owner *owner, uint32_t peer);
 void hosts_load (struct mq_owner *owner, struct target *target,
                  const struct mq_load_msg *load);
+void hosts_targets_changed (struct mq_owner *owner);
 void hosts_target_usable (struct mq_owner *owner, struct target *target);
 void hosts_tick (struct mq_owner *owner);
 struct target *hosts_find_target (struct mq_owner *owner, uint32_t peer);
@@ -528,6 +566,8 @@
 bool calls_cancel (struct mq_owner *owner, struct running *running);
 void calls_drop (struct mq_owner *owner, struct running *running);
 void calls_tick (struct mq_owner *owner, struct running *running);
+void calls_forget_later (struct mq_owner *owner, struct running *running,
+                         uint32_t call, uint32_t attempt, const char *host);
 void calls_forget (struct mq_owner *owner, struct mq_id program, uint32_t call,
                    uint32_t attempt, uint32_t partition, uint64_t fence,
                    const char *host);
@@ -565,6 +605,9 @@
 void chain_evicted (struct mq_owner *owner, struct target *target,
                     struct mq_id program);
 void chain_hook (struct mq_owner *owner, struct hook *hook);
+bool chain_fit_call (struct running *running);
+void chain_lease (struct mq_owner *owner, struct running *running,
+                  struct target *target);
 void chain_start_clock (struct mq_owner *owner, struct running *running);
 enum mq_error_type chain_step (struct mq_owner *owner, struct running *running,
                                const struct mq_request_msg *request);
@@ -588,6 +631,8 @@
                           uint32_t call, enum mq_error_type error);
 void request_detach (struct mq_owner *owner, struct running *running);
 void request_reply (struct mq_owner *owner, struct hook *hook);
+void request_confirmed (struct mq_owner *owner, uint64_t before_us);
+void request_unconfirmed (struct mq_owner *owner);
 char *request_final_body (TALLOC_CTX *ctx, const struct running *running);
 
 #endif
--- a/src/io/api.h
+++ b/src/io/api.h
@@ -9,6 +9,7 @@
 #define MQ_API_H
 
 #include "../core/action.h"
+#include "../core/latency.h"
 #include "../core/text.h"
 #include "http_server.h"
 
@@ -73,7 +74,7 @@
 void mq_api_leave (struct mq_api *api);
 /* Closes the listening socket.  */
 void mq_api_stop_accepting (struct mq_api *api);
-/* Callers' requests whose answer has not ended.  */
+/* HTTP requests that are not answered whole.  */
 size_t mq_api_in_progress (const struct mq_api *api);
 
 /* Counters, one name each, read by the daemon.  */
@@ -94,5 +95,7 @@
 };
 
 const struct mq_api_counters *mq_api_read_counters (const struct mq_api *api);
+/* Latency of the programs whose callers waited here; see docs/MEASURES.md. */
+const struct mq_latency *mq_api_latency (const struct mq_api *api);
 
 #endif
