--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -88,13 +88,35 @@
   return (int32_t)target->workers[running->sticky_worker]->view;
 }
 
+/* The prompt that all programs of a service begin with.  */
+struct shared_prompt
+{
+  uint64_t hash;
+  uint32_t tokens;
+};
+
+static struct shared_prompt
+find_shared (const struct mq_owner *owner, const struct running *running)
+{
+  const struct mq_service *agent
+      = mq_text_find_service (owner->text, running->program->service);
+  struct shared_prompt shared = { 0 };
+  size_t len;
+
+  if (agent == NULL || agent->prompt == NULL)
+    return shared;
+  len = strlen (agent->prompt);
+  shared.hash = mq_hash_bytes (agent->prompt, len, 0);
+  shared.tokens = (uint32_t)(len / BYTES_PER_TOKEN);
+  return shared;
+}
+
 static struct worker *
 choose_worker (struct mq_owner *owner, struct running *running)
 {
   struct call *call = running->call;
   struct pool *pool = hosts_pool (owner, call->service->name);
-  const struct mq_service *agent
-      = mq_text_find_service (owner->text, running->program->service);
+  struct shared_prompt shared = find_shared (owner, running);
   struct mq_place_call place = { 0 };
   int32_t chosen;
 
@@ -104,13 +126,8 @@
   place.sticky_tokens = running->sticky_tokens;
   place.program_hash = running->program->id.hi;
   place.priority = running->program->priority;
-  if (agent != NULL && agent->prompt != NULL)
-    {
-      size_t len = strlen (agent->prompt);
-
-      place.shared_prefix = mq_hash_bytes (agent->prompt, len, 0);
-      place.shared_tokens = (uint32_t)(len / BYTES_PER_TOKEN);
-    }
+  place.shared_prefix = shared.hash;
+  place.shared_tokens = shared.tokens;
   chosen
       = mq_place_choose (owner->place, (enum mq_policy)owner->options.policy,
                          pool->views, pool->count, &place, owner->now_us);
@@ -118,7 +135,8 @@
 }
 
 static void
-remember_cache (struct running *running, struct target *target)
+remember_cache (struct mq_owner *owner, struct running *running,
+                struct target *target)
 {
   struct cache_place *place;
 
@@ -132,6 +150,7 @@
   place->boot = target->boot;
   place->next = running->caches;
   running->caches = place;
+  chain_lease (owner, running, target);
 }
 
 static void
@@ -210,9 +229,9 @@
 
   call->state = CALL_SENT;
   call->sent_us = owner->now_us;
-  if (call->model)
-    remember_cache (running, call->target);
   send_call (owner, running);
+  if (call->model)
+    remember_cache (owner, running, call->target);
   owner_wake_at (owner, running,
                  owner->now_us + 1000ULL * call->service->timeout_ms
                      + 1000ULL * GUARD_MS);
@@ -254,6 +273,13 @@
   struct call *call = running->call;
   struct worker *worker;
 
+  /* An earlier attempt may have been charged since the cap was set.  */
+  if (call->model && !chain_fit_call (running))
+    {
+      call->state = CALL_PLACE;
+      chain_stop (owner, running, MQ_ERR_BUDGET_TOKENS);
+      return;
+    }
   if (call->model && !chain_has_grant (owner, running, call->max_tokens))
     {
       call->state = CALL_GRANT;
@@ -305,7 +331,8 @@
   if (call == NULL || call->state != CALL_INTENT || call->number != number
       || call->attempt != attempt)
     return;
-  if (call->target->peer == 0 || call->target->boot != call->boot)
+  if (call->target->peer == 0 || call->target->boot != call->boot
+      || call->target->leaving)
     {
       /* Never sent from here, and only this owner may send it.  */
       leave_target (owner, running);
@@ -444,6 +471,17 @@
   hosts_send (owner, target, &message);
 }
 
+/* Failure: a target's process drops an outcome whose charge is not yet in
+   the log; the owner dies, and its successor neither finds nor charges what
+   was spent.  So the outcome is kept until all that is known of the program
+   is durable.  */
+void
+calls_forget_later (struct mq_owner *owner, struct running *running,
+                    uint32_t number, uint32_t attempt, const char *host)
+{
+  log_hook (owner, running, HOOK_FORGET, number, attempt, host);
+}
+
 static void
 remember_sticky (struct running *running, const struct mq_outcome_msg *outcome)
 {
@@ -454,6 +492,48 @@
   running->sticky = call->target;
   running->sticky_worker = call->worker;
   running->sticky_tokens = outcome->tokens_in + outcome->tokens_out;
+  running->known_tokens = running->sticky_tokens;
+}
+
+/* True when the prefix was computed for this owner before; it is from now
+   on.  There are as many as the text has had prompts.  */
+static bool
+note_prefix (struct mq_owner *owner, uint64_t hash)
+{
+  struct known_prefix *prefix;
+
+  for (prefix = owner->prefixes; prefix != NULL; prefix = prefix->next)
+    if (prefix->hash == hash)
+      return true;
+  prefix = talloc_zero (owner, struct known_prefix);
+  if (prefix == NULL)
+    abort ();
+  prefix->hash = hash;
+  prefix->next = owner->prefixes;
+  owner->prefixes = prefix;
+  return false;
+}
+
+/* The measure of prompt tokens computed again: what some engine has computed
+   for this program, or the service's prompt for another one, and this engine
+   did not find in its cache.  */
+static void
+count_prompt (struct mq_owner *owner, const struct running *running,
+              const struct mq_outcome_msg *outcome)
+{
+  struct shared_prompt shared = find_shared (owner, running);
+  uint32_t known = running->known_tokens;
+
+  if (!running->call->model || outcome->error != MQ_ERR_NONE)
+    return;
+  if (note_prefix (owner, shared.hash) && known < shared.tokens)
+    known = shared.tokens;
+  if (known > outcome->tokens_in)
+    known = outcome->tokens_in;
+  owner->counters.prompt_tokens += outcome->tokens_in;
+  owner->counters.cached_tokens += outcome->cached_tokens;
+  if (known > outcome->cached_tokens)
+    owner->counters.recomputed_tokens += known - outcome->cached_tokens;
 }
 
 static void
@@ -463,8 +543,16 @@
   struct call *call = running->call;
   char *host = talloc_strdup (owner->actions, call->target->host);
 
+  if (outcome->error == MQ_ERR_STALE_FENCE)
+    {
+      /* Someone took the partition over; the row will say so.  What became
+         of the call is for the new owner to find out.  */
+      owner->next_scan_us = owner->now_us;
+      return;
+    }
   owner_span (owner, running, "call", call->number, call->sent_us,
               outcome->error);
+  count_prompt (owner, running, outcome);
   remember_sticky (running, outcome);
   leave_target (owner, running);
   if (!call->prepaid)
@@ -484,12 +572,9 @@
       running->pending_charge = 0;
       chain_charge (owner, running, tokens);
     }
-  if (outcome->error == MQ_ERR_STALE_FENCE)
-    owner->next_scan_us = owner->now_us;
   /* The refused attempt has no further use at the target's process.  */
   if (outcome->ran == MQ_RAN_NOT_RUN || call->idempotent)
-    calls_forget (owner, running->program->id, call->number, call->attempt,
-                  running->partition->number, running->partition->fence, host);
+    calls_forget_later (owner, running, call->number, call->attempt, host);
   fail_or_retry (owner, running, outcome->error, outcome->ran,
                  outcome->retry_after_ms, host);
 }
@@ -515,21 +600,22 @@
   running->recovered = kept;
 }
 
-/* An answer to no open attempt: late, doubled or foreign.  The target's
-   process may drop it unless the accepted one is not durable yet.  */
+/* An answer to no open attempt: late, doubled or foreign.  */
 static void
 drop_outcome (struct mq_owner *owner, struct running *running,
               struct target *target, const struct mq_outcome_msg *outcome)
 {
-  bool settled
-      = running == NULL
-        || (outcome->ref.call <= running->program->calls
-            && running->undurable == 0)
-        || (running->call != NULL && running->call->number == outcome->ref.call
-            && running->call->attempt != outcome->ref.attempt);
+  bool settled = running != NULL
+                 && (outcome->ref.call <= running->program->calls
+                     || (running->call != NULL
+                         && running->call->number == outcome->ref.call
+                         && running->call->attempt != outcome->ref.attempt));
 
   owner->counters.answers_dropped++;
   if (settled)
+    calls_forget_later (owner, running, outcome->ref.call,
+                        outcome->ref.attempt, target->host);
+  else if (running == NULL)
     calls_forget (owner, outcome->ref.program, outcome->ref.call,
                   outcome->ref.attempt, outcome->partition,
                   owner->partitions[outcome->partition].fence, target->host);
@@ -906,9 +992,8 @@
     }
   if (!running->forfeited && r->ref.call > running->program->calls)
     chain_charge (owner, running, r->outcome.tokens_out);
-  calls_forget (owner, r->ref.program, r->ref.call, r->ref.attempt,
-                running->partition->number, running->partition->fence,
-                r->target->host);
+  calls_forget_later (owner, running, r->ref.call, r->ref.attempt,
+                      r->target->host);
 }
 
 static void
@@ -971,7 +1056,7 @@
     {
       call->reserved = call->prepaid ? 0 : call->max_tokens;
       chain_reserve (running, call->reserved);
-      remember_cache (running, call->target);
+      remember_cache (owner, running, call->target);
     }
   owner_wake_at (owner, running, owner->now_us + 1000000);
 }
@@ -982,11 +1067,16 @@
 {
   const struct recovered *best = best_recovered (running);
   bool stepwise = running->program->mode == MQ_MODE_STEPS;
+  uint32_t attempts = 0; /* of the call that is due, by earlier owners */
 
   /* A caller-driven call is known only by the request that the caller
      repeats; then it is placed anew, or settled if it had an intent.  */
   if (running->program->state != MQ_PROGRAM_RUNNING || stepwise)
     best = NULL;
+  for (const struct recovered *r = running->recovered; r != NULL; r = r->next)
+    if (r->ref.call == running->program->calls + 1
+        && r->ref.attempt > attempts)
+      attempts = r->ref.attempt;
   discard_recovered (owner, running, best);
   if (running->program->state == MQ_PROGRAM_RUNNING && !stepwise)
     {
@@ -1011,7 +1101,11 @@
               best = NULL;
             }
           else
-            place_call (owner, running);
+            {
+              /* A number of its own, or its frame passes for a late copy.  */
+              running->call->attempt = attempts;
+              place_call (owner, running);
+            }
         }
     }
   /* Failure: the program ended instead, its budget forfeited, and the one
--- a/src/io/api.c
+++ b/src/io/api.c
@@ -3,11 +3,13 @@
    One exchange for each caller's HTTP request, in a table of slots; its
    handle at the front carries the slot and a serial number, so that an
    event for an earlier exchange of the slot is told apart.
-   Needs: api.h, api_plan.h, api_answer.h, id.h, limits.h, gnutls.  */
+   Needs: api.h, api_plan.h, api_answer.h, latency.h, id.h, limits.h, gnutls.
+ */
 
 #include "api.h"
 #include "../core/id.h"
 #include "../core/limits.h"
+#include "../core/memory.h"
 #include "api_answer.h"
 #include "api_plan.h"
 #include <gnutls/crypto.h>
@@ -71,16 +73,9 @@
   uint32_t next_slot;
   uint64_t serial;
   struct mq_api_counters counters;
+  struct mq_latency *latency;
 };
 
-static void *
-must (void *memory)
-{
-  if (memory == NULL)
-    abort ();
-  return memory;
-}
-
 /* Plain answers.  */
 
 static void
@@ -99,7 +94,7 @@
   api->counters.refused++;
   if (refusal->retry_after_ms != 0)
     {
-      char *seconds = must (talloc_asprintf (
+      char *seconds = mq_must (talloc_asprintf (
           json, "%u",
           (refusal->retry_after_ms + MS_PER_SECOND - 1) / MS_PER_SECOND));
 
@@ -132,7 +127,7 @@
   if (count > SLOTS_MAX)
     return false;
   api->slots
-      = must (talloc_realloc (api, api->slots, struct exchange *, count));
+      = mq_must (talloc_realloc (api, api->slots, struct exchange *, count));
   memset (&api->slots[api->slot_count], 0,
           (count - api->slot_count) * sizeof (struct exchange *));
   api->next_slot = (uint32_t)api->slot_count;
@@ -167,6 +162,73 @@
   return api->slots[slot]->handle == handle ? api->slots[slot] : NULL;
 }
 
+/* Program latency.  */
+
+/* A program whose caller waits for its answer: one that is opened and left,
+   created, or looked at again is not.  */
+static bool
+is_measured (const struct exchange *exchange)
+{
+  const struct mq_api_plan *plan = exchange->plan;
+
+  if (plan == NULL || plan->shape == MQ_API_ACCEPT)
+    return false;
+  return plan->first.type == MQ_REQUEST_OPEN
+         || plan->first.type == MQ_REQUEST_TURN;
+}
+
+/* The series that the exchange counts in.  A turn names no service, its
+   answer does: BODY, which may be NULL.  */
+static struct mq_latency_series *
+find_series (const struct exchange *exchange, const char *body)
+{
+  const struct mq_request_msg *request = &exchange->plan->first;
+  struct mq_latency *latency = exchange->api->latency;
+  struct mq_latency_series *series;
+  char *service;
+
+  if (request->type == MQ_REQUEST_OPEN)
+    return mq_latency_find (latency, request->service,
+                            !mq_id_is_zero (request->continues));
+  service = mq_api_service_of (latency, body);
+  series = mq_latency_find (latency, service, true);
+  talloc_free (service);
+  return series;
+}
+
+static void
+count_answered (const struct exchange *exchange, const char *body)
+{
+  struct mq_api *api = exchange->api;
+  uint64_t now_us = api->callbacks.now_us (api->callbacks.user);
+
+  if (is_measured (exchange))
+    mq_histogram_add (&find_series (exchange, body)->answered,
+                      now_us - exchange->start_us);
+}
+
+static void
+count_refused (const struct exchange *exchange,
+               const struct mq_event_msg *event)
+{
+  struct mq_latency_series *series;
+
+  if (!is_measured (exchange))
+    return;
+  series = find_series (exchange, event->body);
+  if (event->ran == MQ_RAN_NOT_RUN)
+    series->refused++;
+  else
+    series->failed++;
+}
+
+static void
+count_gone (const struct exchange *exchange)
+{
+  if (is_measured (exchange))
+    find_series (exchange, NULL)->gone++;
+}
+
 static struct exchange *
 open_exchange (struct mq_api *api, struct mq_http_request *http)
 {
@@ -175,12 +237,12 @@
 
   if (!find_free_slot (api, &slot))
     return NULL;
-  exchange = must (talloc_zero (api, struct exchange));
+  exchange = mq_must (talloc_zero (api, struct exchange));
   exchange->api = api;
   exchange->slot = slot;
   exchange->http = http;
   exchange->start_us = api->callbacks.now_us (api->callbacks.user);
-  exchange->streamed = must (talloc_strdup (exchange, ""));
+  exchange->streamed = mq_must (talloc_strdup (exchange, ""));
   new_handle (exchange);
   api->slots[slot] = exchange;
   api->live++;
@@ -200,6 +262,7 @@
   if (exchange->asked)
     {
       api->counters.callers_gone++;
+      count_gone (exchange);
       api->callbacks.gone (exchange->handle, api->callbacks.user);
     }
   talloc_free (exchange);
@@ -252,13 +315,13 @@
   char span[MQ_ID_TEXT];
 
   if (mq_api_traceparent_valid (header))
-    return must (talloc_strdup (ctx, header));
+    return mq_must (talloc_strdup (ctx, header));
   if (gnutls_rnd (GNUTLS_RND_NONCE, random, sizeof random) != 0)
     abort ();
   memcpy (words, random, sizeof words);
   mq_id_format ((struct mq_id){ words[0], words[1] }, trace);
   mq_id_format ((struct mq_id){ words[2], 0 }, span);
-  return must (talloc_asprintf (ctx, "00-%s-%.16s-01", trace, span));
+  return mq_must (talloc_asprintf (ctx, "00-%s-%.16s-01", trace, span));
 }
 
 /* Asking the front.  */
@@ -305,7 +368,7 @@
 static void
 keep_plan (struct exchange *exchange, const struct mq_api_plan *plan)
 {
-  exchange->plan = must (talloc_zero (exchange, struct mq_api_plan));
+  exchange->plan = mq_must (talloc_zero (exchange, struct mq_api_plan));
   *exchange->plan = *plan;
   mq_request_copy (exchange->plan, &exchange->plan->first, &plan->first);
   if (plan->has_second)
@@ -329,10 +392,10 @@
 
   if (gnutls_rnd (GNUTLS_RND_NONCE, &random, sizeof random) != 0)
     abort ();
-  return must (talloc_asprintf (ctx, "auto-%016llx-%016llx-%016llx",
-                                (unsigned long long)exchange->api->boot,
-                                (unsigned long long)exchange->handle,
-                                (unsigned long long)random));
+  return mq_must (talloc_asprintf (ctx, "auto-%016llx-%016llx-%016llx",
+                                   (unsigned long long)exchange->api->boot,
+                                   (unsigned long long)exchange->handle,
+                                   (unsigned long long)random));
 }
 
 static void
@@ -361,7 +424,7 @@
 plan_exchange (struct exchange *exchange, const struct mq_organisation *caller)
 {
   struct mq_api_refusal refusal = { .ran = MQ_RAN_NOT_RUN };
-  TALLOC_CTX *ctx = must (talloc_new (NULL));
+  TALLOC_CTX *ctx = mq_must (talloc_new (NULL));
   struct mq_api_ask ask = { 0 };
   struct mq_api_plan *plan;
 
@@ -497,7 +560,10 @@
                   mq_api_program_json (exchange, exchange->plan->first.program,
                                        "ended"));
   else
-    give_refusal (exchange, event);
+    {
+      count_refused (exchange, event);
+      give_refusal (exchange, event);
+    }
 }
 
 /* The final answer is not in the form that was asked for.  */
@@ -563,6 +629,7 @@
 {
   exchange->asked = false;
   emit_span (exchange, MQ_ERR_NONE);
+  count_answered (exchange, event->body);
   switch (exchange->plan->shape)
     {
     case MQ_API_JSON:
@@ -633,8 +700,8 @@
 {
   if (exchange->held)
     return;
-  exchange->streamed
-      = must (talloc_strdup_append_buffer (exchange->streamed, event->body));
+  exchange->streamed = mq_must (
+      talloc_strdup_append_buffer (exchange->streamed, event->body));
   write_stream (exchange, mq_api_chat_token (exchange->api, event->body,
                                              chat_model (exchange),
                                              exchange->plan->first.program,
@@ -730,7 +797,7 @@
 static void
 serve_metrics (struct mq_api *api, struct mq_http_request *http)
 {
-  char *text = must (api->callbacks.metrics (api, api->callbacks.user));
+  char *text = mq_must (api->callbacks.metrics (api, api->callbacks.user));
 
   respond_text (http, 200, "text/plain; version=0.0.4", text);
   talloc_free (text);
@@ -747,7 +814,7 @@
       refuse (api, http, MQ_ERR_NOT_FOUND, id, 0);
       return;
     }
-  json = must (api->callbacks.spans (api, program, api->callbacks.user));
+  json = mq_must (api->callbacks.spans (api, program, api->callbacks.user));
   respond_text (http, 200, json_type, json);
   talloc_free (json);
 }
@@ -755,7 +822,7 @@
 static void
 serve_status (struct mq_api *api, struct mq_http_request *http)
 {
-  char *json = must (api->callbacks.status (api, api->callbacks.user));
+  char *json = mq_must (api->callbacks.status (api, api->callbacks.user));
 
   respond_text (http, 200, json_type, json);
   talloc_free (json);
@@ -820,10 +887,11 @@
                const struct mq_api_callbacks *callbacks,
                struct mq_error *error)
 {
-  struct mq_api *api = must (talloc_zero (ctx, struct mq_api));
+  struct mq_api *api = mq_must (talloc_zero (ctx, struct mq_api));
 
   api->callbacks = *callbacks;
   api->boot = options->boot;
+  api->latency = mq_latency_create (api);
   memcpy (api->operator_key_hash, options->operator_key_hash, MQ_KEY_BYTES);
   api->server
       = mq_http_server_create (api, ev, &options->http, serve, api, error);
@@ -880,3 +948,9 @@
 {
   return &api->counters;
 }
+
+const struct mq_latency *
+mq_api_latency (const struct mq_api *api)
+{
+  return api->latency;
+}
