--- /dev/null
+++ b/src/io/daemon.c
@@ -0,0 +1,242 @@
+/* daemon.c - what the main functions of the daemons share.
+
+   Needs: daemon.h, argp, tevent, entry.h, target.h, log.h.  */
+
+#include "daemon.h"
+#include "entry.h"
+#include "log.h"
+#include "target.h"
+#include <argp.h>
+#include <mimosaquay.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+struct daemon
+{
+  enum mq_host_role role;
+  union
+  {
+    struct mq_entry *entry;
+    struct mq_target *target;
+  } u;
+  const char *file;
+  bool leaving;
+  bool stopped;
+};
+
+static const char *
+program_name (enum mq_host_role role)
+{
+  switch (role)
+    {
+    case MQ_HOST_ENTRY:
+      return "mimosa-entryd";
+    case MQ_HOST_TARGET:
+      break;
+    }
+  return "mimosa-targetd";
+}
+
+static const char *
+program_doc (enum mq_host_role role)
+{
+  switch (role)
+    {
+    case MQ_HOST_ENTRY:
+      return "Runs agent programs on an entry host of mimosaquay.";
+    case MQ_HOST_TARGET:
+      break;
+    }
+  return "Stands before the workers of a target host of mimosaquay.";
+}
+
+static error_t
+parse_option (int key, char *argument, struct argp_state *state)
+{
+  struct daemon *self = state->input;
+
+  switch (key)
+    {
+    case 's':
+      self->file = argument;
+      return 0;
+    case ARGP_KEY_ARG:
+      argp_usage (state);
+      return EINVAL;
+    case ARGP_KEY_END:
+      if (self->file == NULL)
+        argp_error (state, "--settings is missing");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+print_version (FILE *stream, struct argp_state *state)
+{
+  const struct daemon *self = state->input;
+
+  fprintf (stream, "%s " MIMOSAQUAY_VERSION " (mimosaquay)\n",
+           program_name (self->role));
+}
+
+static void
+parse_command_line (struct daemon *self, int argc, char **argv)
+{
+  const struct argp_option options[]
+      = { { "settings", 's', "FILE", 0, "settings of this process", 0 },
+          { 0 } };
+  const struct argp argp = { .options = options,
+                             .parser = parse_option,
+                             .doc = program_doc (self->role) };
+
+  argp_program_version_hook = print_version;
+  argp_parse (&argp, argc, argv, 0, NULL, self);
+}
+
+static void
+stop (void *user)
+{
+  struct daemon *self = user;
+
+  self->stopped = true;
+}
+
+static bool
+create (struct daemon *self, TALLOC_CTX *ctx, struct tevent_context *ev,
+        const struct mq_settings *settings, struct mq_error *error)
+{
+  switch (self->role)
+    {
+    case MQ_HOST_ENTRY:
+      self->u.entry = mq_entry_create (ctx, ev, settings, stop, self, error);
+      return self->u.entry != NULL;
+    case MQ_HOST_TARGET:
+      break;
+    }
+  self->u.target = mq_target_create (ctx, ev, settings, stop, self, error);
+  return self->u.target != NULL;
+}
+
+static void
+leave (struct daemon *self)
+{
+  switch (self->role)
+    {
+    case MQ_HOST_ENTRY:
+      mq_entry_leave (self->u.entry);
+      break;
+    case MQ_HOST_TARGET:
+      mq_target_stop (self->u.target);
+      break;
+    }
+}
+
+static void
+destroy (struct daemon *self)
+{
+  switch (self->role)
+    {
+    case MQ_HOST_ENTRY:
+      mq_entry_destroy (self->u.entry);
+      break;
+    case MQ_HOST_TARGET:
+      mq_target_destroy (self->u.target);
+      break;
+    }
+}
+
+static void
+print_addresses (const struct daemon *self)
+{
+  switch (self->role)
+    {
+    case MQ_HOST_ENTRY:
+      printf ("listening http=%s peer=%s\n",
+              mq_entry_http_address (self->u.entry),
+              mq_entry_peer_address (self->u.entry));
+      break;
+    case MQ_HOST_TARGET:
+      printf ("listening peer=%s http=%s\n",
+              mq_target_peer_address (self->u.target),
+              mq_target_http_address (self->u.target));
+      break;
+    }
+  fflush (stdout);
+}
+
+static void
+on_signal (struct tevent_context *ev, struct tevent_signal *signal_event,
+           int number, int count, void *info, void *data)
+{
+  struct daemon *self = data;
+
+  (void)ev;
+  (void)signal_event;
+  (void)number;
+  (void)info;
+  if (self->leaving || count > 1)
+    self->stopped = true;
+  self->leaving = true;
+  if (!self->stopped)
+    leave (self);
+}
+
+static struct mq_settings *
+read_settings (TALLOC_CTX *ctx, const struct daemon *self)
+{
+  struct mq_text_errors errors = { 0 };
+  struct mq_settings *settings
+      = mq_settings_read (ctx, self->role, self->file, &errors);
+
+  for (size_t i = 0; settings == NULL && i < errors.count; i++)
+    mq_log_failure ("settings", &errors.items[i]);
+  return settings;
+}
+
+static bool
+start (struct daemon *self, TALLOC_CTX *ctx, struct tevent_context *ev)
+{
+  struct mq_settings *settings = read_settings (ctx, self);
+  struct mq_error error = { 0 };
+
+  if (settings == NULL)
+    return false;
+  mq_log_open (program_name (self->role), settings->host, MQ_LOG_INFO);
+  if (tevent_add_signal (ev, ctx, SIGTERM, 0, on_signal, self) == NULL
+      || tevent_add_signal (ev, ctx, SIGINT, 0, on_signal, self) == NULL)
+    return false;
+  if (!create (self, ctx, ev, settings, &error))
+    {
+      mq_log_failure ("start", &error);
+      return false;
+    }
+  print_addresses (self);
+  return true;
+}
+
+int
+mq_daemon_run (enum mq_host_role role, int argc, char **argv)
+{
+  struct daemon self = { .role = role };
+  TALLOC_CTX *ctx;
+  struct tevent_context *ev;
+  int status = EXIT_FAILURE;
+
+  parse_command_line (&self, argc, argv);
+  signal (SIGPIPE, SIG_IGN);
+  ctx = talloc_new (NULL);
+  ev = tevent_context_init (ctx);
+  mq_log_open (program_name (role), "", MQ_LOG_INFO);
+  if (ev != NULL && start (&self, ctx, ev))
+    {
+      while (!self.stopped && tevent_loop_once (ev) == 0)
+        ;
+      destroy (&self);
+      status = EXIT_SUCCESS;
+    }
+  talloc_free (ctx);
+  return status;
+}
