--- a/src/io/daemon.c
+++ b/src/io/daemon.c
@@ -73,13 +73,17 @@
     }
 }
 
-static void
-print_version (FILE *stream, struct argp_state *state)
+static const char *
+program_version (enum mq_host_role role)
 {
-  const struct daemon *self = state->input;
-
-  fprintf (stream, "%s " MIMOSAQUAY_VERSION " (mimosaquay)\n",
-           program_name (self->role));
+  switch (role)
+    {
+    case MQ_HOST_ENTRY:
+      return "mimosa-entryd " MIMOSAQUAY_VERSION " (mimosaquay)";
+    case MQ_HOST_TARGET:
+      break;
+    }
+  return "mimosa-targetd " MIMOSAQUAY_VERSION " (mimosaquay)";
 }
 
 static void
@@ -92,7 +96,7 @@
                              .parser = parse_option,
                              .doc = program_doc (self->role) };
 
-  argp_program_version_hook = print_version;
+  argp_program_version = program_version (self->role);
   argp_parse (&argp, argc, argv, 0, NULL, self);
 }
 
