--- a/include/mimosaquay.h
+++ b/include/mimosaquay.h
@@ -38,6 +38,8 @@
 #include "core/text_diff.h"
 #include "core/types.h"
 
+/* NOLINTBEGIN(readability-redundant-declaration): see above.  */
+
 /* Errors: one table of typed failures (struct mq_error).  */
 
 void mq_error_set (struct mq_error *error, enum mq_error_type type,
@@ -188,4 +190,6 @@
 const struct mq_spread_counters *
 mq_spread_read_counters (const struct mq_spread *spread); /* one field each */
 
+/* NOLINTEND(readability-redundant-declaration) */
+
 #endif
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -285,7 +285,7 @@
       at += strlen ("\n| `");
       cr_assert_eq (sscanf (at, "%255[^`]` | %255[^|]", file, does), 2);
       does[strlen (does) - 1] = '\0';
-      note = join_lines (ctx, read_file (ctx, file), WORD_BYTES * 2);
+      note = join_lines (ctx, read_file (ctx, file), (size_t)WORD_BYTES * 2);
       want
           = talloc_asprintf (ctx, "/* %s - %s", strrchr (file, '/') + 1, does);
       cr_expect_eq (strncmp (note, want, strlen (want)), 0,
