--- a/src/io/load_answer.c
+++ b/src/io/load_answer.c
@@ -8,7 +8,8 @@
 
 enum
 {
-  STATUS_OK = 200
+  STATUS_OK = 200,
+  CALL_SHIFT = 16
 };
 
 /**
@@ -16,17 +17,28 @@
  * @call: call that @text is of
  * @text: its provisional text
  * @last: data of the final or refused event, NULL before
+ * @last_call: call that gave the final answer
  * @refused: it was refused
+ * @resets: times that text was declared void
  */
 struct stream
 {
   json_int_t call;
   char *text;
   json_t *last;
+  json_int_t last_call;
   bool refused;
   uint32_t resets;
 };
 
+/* One event as it stands between two empty lines.  */
+struct event
+{
+  const char *name;
+  unsigned long number;
+  json_t *data;
+};
+
 static char *
 copy_text (TALLOC_CTX *ctx, const char *text)
 {
@@ -95,40 +107,48 @@
     abort ();
 }
 
+/* The number of the final event has the call after the last one in its upper
+   bits.  */
 static void
-take_event (struct stream *stream, const char *name, json_t *data)
+take_end (struct stream *stream, const struct event *event)
 {
-  if (strcmp (name, "token") == 0)
-    take_token (stream, data);
-  else if (strcmp (name, "reset") == 0)
+  json_decref (stream->last);
+  stream->last = json_incref (event->data);
+  stream->refused = strcmp (event->name, "refused") == 0;
+  stream->last_call = (json_int_t)(event->number >> CALL_SHIFT) - 1;
+}
+
+static void
+take_event (struct stream *stream, const struct event *event)
+{
+  if (strcmp (event->name, "token") == 0)
+    take_token (stream, event->data);
+  else if (strcmp (event->name, "reset") == 0)
     {
       stream->text[0] = '\0';
       stream->resets++;
     }
-  else if (strcmp (name, "final") == 0 || strcmp (name, "refused") == 0)
-    {
-      json_decref (stream->last);
-      stream->last = json_incref (data);
-      stream->refused = *name == 'r';
-    }
+  else if (strcmp (event->name, "final") == 0
+           || strcmp (event->name, "refused") == 0)
+    take_end (stream, event);
 }
 
-/* One event: lines "event: NAME" and "data: JSON".  */
 static void
 read_event (struct stream *stream, char *block)
 {
-  const char *name = "";
-  json_t *data = NULL;
+  struct event event = { .name = "" };
   char *line;
 
   while ((line = strsep (&block, "\n")) != NULL)
     if (strncmp (line, "event: ", 7) == 0)
-      name = line + 7;
+      event.name = line + 7;
+    else if (strncmp (line, "id: ", 4) == 0)
+      event.number = strtoul (line + 4, NULL, 10);
     else if (strncmp (line, "data: ", 6) == 0)
-      data = json_loads (line + 6, 0, NULL);
-  if (data != NULL)
-    take_event (stream, name, data);
-  json_decref (data);
+      event.data = json_loads (line + 6, 0, NULL);
+  if (event.data != NULL)
+    take_event (stream, &event);
+  json_decref (event.data);
 }
 
 static void
@@ -147,13 +167,14 @@
     }
 }
 
-/* What a caller showed as it came must be the answer, or have been declared
-   void; a caller that was attached anew may have been given less.  */
+/* What a caller showed of the last call as it came must be the answer, or
+   have been declared void.  A caller that was attached in the middle of that
+   call is given none of it before the final event (front.h).  */
 static bool
 stream_agrees (const struct stream *stream, const char *answer)
 {
-  return strcmp (stream->text, answer) == 0
-         || (stream->resets > 0 && stream->text[0] == '\0');
+  return stream->call != stream->last_call || stream->text[0] == '\0'
+         || strcmp (stream->text, answer) == 0;
 }
 
 static void
