--- a/examples/site.sh
+++ b/examples/site.sh
@@ -4,6 +4,10 @@
 # site_target HOST DATA_CENTRE WORKER…; site_entry HOST DATA_CENTRE;
 # site_apply TEXT; site_ready; site_end.  Addresses are in site_* variables.
 
+site_entry_pids=
+site_target_pids=
+site_standin_pids=
+site_dir=
 site_key=$(printf 'demo%060d' 0 | tr 'demo' '0123')
 operator_key=demo-operator
 
@@ -24,18 +28,28 @@
 site_start() { # NAME PROGRAM ARGUMENTS…
   local name=$1
   shift
+<<<<<<< HEAD
   # Made here: the program in the background may open them after the first
   # look at them.
   : >"$site_dir/$name.out"
+=======
+  # Both are there before anybody looks for a line in them.
+  : >"$site_dir/$name.out" 2>"$site_dir/$name.err"
+>>>>>>> main
   "$@" >"$site_dir/$name.out" 2>"$site_dir/$name.err" &
-  site_pids="$! $site_pids"
+  case $1 in
+  */mimosa-entryd) site_entry_pids="$site_entry_pids $!" ;;
+  */mimosa-targetd) site_target_pids="$site_target_pids $!" ;;
+  *) site_standin_pids="$site_standin_pids $!" ;;
+  esac
   eval "site_pid_${name//-/_}=$!"
 }
 
 site_begin() {
   site_dir=$(mktemp -d)
-  site_pids=
-  site_outside=
+  site_entry_pids=
+  site_target_pids=
+  site_standin_pids=
   site_bin=${BUILD:-build}/bin
   site_operator_hash=$(printf '%s' "$operator_key" | "$site_bin/mimosactl" hash-key)
   printf '%s' "$operator_key" >"$site_dir/operator.key"
@@ -64,7 +78,7 @@
   eval "site_urls_${name//-/_}='$(sed -n 's/^listening //p' "$site_dir/$name.out" | tr '\n' ' ')'"
 }
 
-site_settings() { # HOST DATA_CENTRE
+site_settings() { # HOST DATA_CENTRE ROLE
   cat <<EOF
 [process]
 host = $1
@@ -76,6 +90,17 @@
 operator_key_sha256 = $site_operator_hash
 drain_seconds = 20
 EOF
+  # For comparisons: site_policy and site_commit of entry hosts, site_order
+  # of targets.
+  case $3 in
+  entry)
+    [ -z "${site_policy:-}" ] || echo "policy = $site_policy"
+    [ -z "${site_commit:-}" ] || echo "commit = $site_commit"
+    ;;
+  target)
+    [ -z "${site_order:-}" ] || echo "order = $site_order"
+    ;;
+  esac
 }
 
 site_list_host() { # HOST ROLE DATA_CENTRE
@@ -92,7 +117,7 @@
 site_target() { # HOST DATA_CENTRE WORKER…
   local host=$1 data_centre=$2 n=0 worker service kind address model
   shift 2
-  site_settings "$host" "$data_centre" >"$site_dir/$host.ini"
+  site_settings "$host" "$data_centre" target >"$site_dir/$host.ini"
   for worker in "$@"; do
     IFS=, read -r service kind address model <<<"$worker"
     n=$((n + 1))
@@ -106,7 +131,7 @@
 }
 
 site_entry() { # HOST DATA_CENTRE
-  site_settings "$1" "$2" >"$site_dir/$1.ini"
+  site_settings "$1" "$2" entry >"$site_dir/$1.ini"
   site_start "$1" "$site_bin/mimosa-entryd" --settings "$site_dir/$1.ini"
   site_list_host "$1" entry "$2"
 }
@@ -130,14 +155,23 @@
   done
 }
 
-# Stops everything in the order of a planned stop: entry hosts and targets
-# first, then the stand-ins.  Only processes that were started here.
-site_end() {
+site_stop() { # PID…
   local pid
-  for pid in $site_pids; do
-    kill -TERM "$pid" 2>/dev/null || true
-    wait "$pid" 2>/dev/null || true
-  done
-  site_pids=
+  for pid in "$@"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "$@"; do wait "$pid" 2>/dev/null || true; done
+}
+
+# Stops everything in the order of a planned stop: entry hosts, targets, then
+# the stand-ins.  Only processes that were started here.
+site_end() {
+  # shellcheck disable=SC2086
+  {
+    site_stop $site_entry_pids
+    site_stop $site_target_pids
+    site_stop $site_standin_pids
+  }
+  site_entry_pids=
+  site_target_pids=
+  site_standin_pids=
   [ -n "${KEEP_LOGS:-}" ] || rm -rf "$site_dir"
 }
