--- a/examples/site.sh
+++ b/examples/site.sh
@@ -28,14 +28,8 @@
 site_start() { # NAME PROGRAM ARGUMENTS…
   local name=$1
   shift
-<<<<<<< HEAD
-  # Made here: the program in the background may open them after the first
-  # look at them.
-  : >"$site_dir/$name.out"
-=======
   # Both are there before anybody looks for a line in them.
   : >"$site_dir/$name.out" 2>"$site_dir/$name.err"
->>>>>>> main
   "$@" >"$site_dir/$name.out" 2>"$site_dir/$name.err" &
   case $1 in
   */mimosa-entryd) site_entry_pids="$site_entry_pids $!" ;;
