--- a/tests/matrix_cells.c
+++ b/tests/matrix_cells.c
@@ -65,18 +65,27 @@
 }
 
 /* The first run of a step and fault is at its first occurrence, the others
-   at any.  */
+   are at occurrences spread evenly over a run, the last one included.  A
+   step that occurs less often gets more seeds at each.  */
+static uint32_t
+spread_nth (uint32_t index, uint32_t count)
+{
+  uint32_t place = index % MATRIX_OCCURRENCES;
+
+  if (count <= MATRIX_OCCURRENCES)
+    return 1 + (count == 0 ? 0 : place % count);
+  return 1 + place * (count - 1) / (MATRIX_OCCURRENCES - 1);
+}
+
 struct world_cell
 matrix_single (enum world_step step, enum world_fault fault, uint32_t index,
                const struct matrix_counts *counts)
 {
   struct world_cell cell = { .step = step, .fault = fault };
-  uint64_t random;
 
   cell.seed
-      = SINGLE_SEED + (uint64_t)step * 1000 + (uint64_t)fault * 10 + index;
-  random = cell.seed;
-  cell.nth = index == 0 ? 1 : draw_nth (&random, counts, step);
+      = SINGLE_SEED + (uint64_t)step * 1000 + (uint64_t)fault * 20 + index;
+  cell.nth = spread_nth (index, counts->steps[step]);
   return cell;
 }
 
--- a/tests/matrix_cells.h
+++ b/tests/matrix_cells.h
@@ -9,10 +9,12 @@
 
 enum
 {
-  MATRIX_PAIRS = 600,    /* pairs of faults, drawn by seed */
-  MATRIX_BASE_SEEDS = 4, /* runs of each script without a fault */
-  MATRIX_SINGLES = 2,    /* runs of each step and fault */
-  MATRIX_GAP_MAX = 60    /* steps between the two faults of a pair */
+  MATRIX_PAIRS = 3000,    /* pairs of faults, drawn by seed */
+  MATRIX_BASE_SEEDS = 4,  /* runs of each script without a fault */
+  MATRIX_OCCURRENCES = 6, /* of a step that each fault is injected at */
+  MATRIX_SEEDS = 2,       /* runs of each step, fault and occurrence */
+  MATRIX_SINGLES = MATRIX_OCCURRENCES * MATRIX_SEEDS,
+  MATRIX_GAP_MAX = 60 /* steps between the two faults of a pair */
 };
 
 /* A bug planted in the world and the invariant that must notice it.  */
