--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -294,6 +294,7 @@
   struct target *sticky;
   uint32_t sticky_worker;
   uint32_t sticky_tokens;
+  uint32_t known_tokens; /* of its next prompt, computed before somewhere */
   uint64_t loop_digest;
   uint32_t loop_count;
   bool grant_asked; /* a hook goes on when grants are durable */
@@ -393,6 +394,13 @@
   char *target;
 };
 
+/* A service's prompt that some engine has computed for this owner.  */
+struct known_prefix
+{
+  struct known_prefix *next;
+  uint64_t hash;
+};
+
 enum scan_type
 {
   SCAN_OWNERS,
@@ -459,6 +467,7 @@
   struct organisation_count *organisations;
   struct unknown_call *unknown;
   size_t unknown_count;
+  struct known_prefix *prefixes;
   struct mq_owner_counters counters;
 };
 
