--- a/src/io/api_answer.c
+++ b/src/io/api_answer.c
@@ -173,7 +173,7 @@
 {
   json_t *json = parse_object (body);
   const char *service = json_string_value (json_object_get (json, "service"));
-  char *copy = must (talloc_strdup (ctx, service == NULL ? "" : service));
+  char *copy = mq_must (talloc_strdup (ctx, service == NULL ? "" : service));
 
   json_decref (json);
   return copy;
