Keep former runs of targets' processes in the row that a takeover reads

Cause: an owner released a partition while a model call ran; the target's process was restarted; the former owner's row then named the new run only. Change: a former run stays in the row until its attempts are in the log and nobody else's partition names us as a sender. The row is written at once, as it now only grows until then.

--- a/src/core/owner_hosts.c
+++ b/src/core/owner_hosts.c
@@ -79,13 +79,78 @@
   return &target->workers[worker]->pool->views[target->workers[worker]->view];
 }
 
-/* The row of targets is written again, but only when all that is known by
-   now of attempts at earlier runs of them is in the log.  */
+/* ---- The row of targets ---- */
+
+/* Failure: a target's process is restarted and our row names its new run
+   only.  Whoever takes over a partition that we had hears the new run, which
+   knows of no call, believes that it has heard everyone, and the program
+   spends the same budget again.  So the former run stays in the row: nobody
+   can hear it, and what was granted counts as spent.  */
+static void
+keep_former (struct mq_owner *owner, struct target *target)
+{
+  struct former_run *former;
+
+  if (target->sent_boot == 0)
+    return; /* no row ever named it, so no call went there */
+  former = talloc_zero (owner, struct former_run);
+  if (former == NULL)
+    abort ();
+  former->host = copy_text (former, target->host);
+  former->boot = target->sent_boot;
+  target->sent_boot = 0;
+  former->next = owner->formers;
+  owner->formers = former;
+  owner->formers_mark = owner->appended;
+  owner->targets_dirty = true;
+}
+
+/* Whether a takeover of a partition that another host has, or that nobody
+   has, would read our row.  */
+static bool
+is_row_needed (const struct mq_owner *owner)
+{
+  for (uint32_t i = 0; i < owner->partition_count; i++)
+    {
+      const struct partition *partition = &owner->partitions[i];
+
+      for (size_t s = 0; s < partition->sender_count; s++)
+        if (partition->state != PARTITION_ACTIVE
+            && strcmp (partition->senders[s], owner->run) == 0)
+          return true;
+    }
+  return false;
+}
+
+/* Former runs leave the row when all that is known of attempts there is in
+   the log, and every partition that we gave up or lost is with an owner that
+   has accounted for ours.  */
 void
-hosts_targets_changed (struct mq_owner *owner)
+hosts_formers_tick (struct mq_owner *owner)
 {
+  if (owner->formers == NULL)
+    return;
+  if (is_row_needed (owner))
+    {
+      owner->formers_needed = true;
+      return;
+    }
+  if (owner->formers_needed)
+    {
+      /* Taking a partition back may have charged for them just now.  */
+      owner->formers_needed = false;
+      owner->formers_mark = owner->appended;
+    }
+  if (owner->settled < owner->formers_mark)
+    return;
+  while (owner->formers != NULL)
+    {
+      struct former_run *former = owner->formers;
+
+      owner->formers = former->next;
+      talloc_free (former);
+    }
   owner->targets_dirty = true;
-  owner->targets_mark = owner->appended;
 }
 
 void
@@ -240,8 +305,8 @@
     }
 }
 
-/* Forgets targets that the list dropped long ago.  Nothing is under way
-   there, so a new owner need not ask them.  */
+/* Forgets targets that the list dropped long ago and where nothing of ours
+   is under way.  */
 void
 hosts_tick (struct mq_owner *owner)
 {
@@ -262,8 +327,8 @@
         pool_remove (target->workers[i]);
       drop_references (owner, target);
       mq_idmap_remove (owner->targets_by_name, name_key (target->host), 0);
+      keep_former (owner, target);
       talloc_free (target);
-      hosts_targets_changed (owner);
     }
 }
 
@@ -290,8 +355,10 @@
   hosts_target_usable (owner, target);
   take_target_up (owner, target);
   calls_target_up (owner, target, same_boot);
+  if (target->sent_boot != boot)
+    keep_former (owner, target);
   if (target->durable_boot != boot)
-    hosts_targets_changed (owner);
+    owner->targets_dirty = true;
 }
 
 void
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -339,6 +339,15 @@
   uint32_t calls; /* attempts under way there */
 };
 
+/* A run of a target's process that calls may have gone to and that is no
+   longer the one known there; our targets row still names it.  */
+struct former_run
+{
+  struct former_run *next;
+  char *host;
+  uint64_t boot;
+};
+
 /* Another entry host.  */
 struct sibling
 {
@@ -450,7 +459,9 @@
   uint64_t row_counter;
   uint64_t targets_id; /* write of our targets row */
   bool targets_dirty;
-  uint64_t targets_mark; /* records that must be durable before */
+  struct former_run *formers; /* stay in the row, newest first */
+  uint64_t formers_mark; /* records that must be durable before they go */
+  bool formers_needed;   /* by whoever has a partition that we had */
   uint64_t appended;     /* records so far */
   uint64_t settled;      /* of these, durable or given up */
   char *run;             /* "HOST/BOOT" */
@@ -531,7 +542,7 @@
 void hosts_peer_down (struct mq_owner *owner, uint32_t peer);
 void hosts_load (struct mq_owner *owner, struct target *target,
                  const struct mq_load_msg *load);
-void hosts_targets_changed (struct mq_owner *owner);
+void hosts_formers_tick (struct mq_owner *owner);
 void hosts_target_usable (struct mq_owner *owner, struct target *target);
 void hosts_tick (struct mq_owner *owner);
 struct target *hosts_find_target (struct mq_owner *owner, uint32_t peer);
--- a/src/core/owner_take.c
+++ b/src/core/owner_take.c
@@ -1020,6 +1020,8 @@
 
   for (struct target *t = owner->targets; t != NULL; t = t->next)
     count++;
+  for (struct former_run *f = owner->formers; f != NULL; f = f->next)
+    count++;
   row.hosts = talloc_array (owner->actions, char *, count);
   row.boots = talloc_array (owner->actions, uint64_t, count);
   for (struct target *t = owner->targets; t != NULL; t = t->next)
@@ -1030,6 +1032,11 @@
       row.boots[row.n_boots++] = t->boot;
       row.hosts[row.n_hosts++] = t->host;
     }
+  for (struct former_run *f = owner->formers; f != NULL; f = f->next)
+    {
+      row.boots[row.n_boots++] = f->boot;
+      row.hosts[row.n_hosts++] = f->host;
+    }
   owner->targets_dirty = false;
   owner->targets_id = owner_new_id (owner);
   request = owner_store (owner, MQ_STORE_TXN, owner->targets_id);
@@ -1228,8 +1235,8 @@
       owner->next_renew_us = owner->now_us + 1000ULL * MQ_OWNER_RENEW_MS;
       send_renewal (owner);
     }
+  hosts_formers_tick (owner);
   if (owner->targets_dirty && owner->targets_id == 0
-      && owner->settled >= owner->targets_mark
       && owner->now_us >= owner->targets_retry_us)
     send_targets (owner);
   if (owner->owners_scan_id == 0 && owner->partitions_scan_id == 0
