Wait for a takeover's charges before the first call

Cause: a new owner discarded a later attempt of its predecessor, charged it, and made the call before; that call voids the later outcome at the target. Change: no call goes out before the charges of discarded attempts are durable.

--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -267,12 +267,34 @@
   owner_wake_at (owner, running, call->retry_us);
 }
 
+/* Failure: a call under our fence voids at its target what the earlier
+   owner's later attempts left there; we die before their charges are
+   durable, and the next owner finds no trace of them: the budget is spent
+   again.  So no call goes out before they are.  */
+static bool
+discards_are_durable (struct mq_owner *owner, struct running *running)
+{
+  if (owner->settled >= running->discard_mark)
+    return true;
+  if (!running->grant_asked)
+    {
+      running->grant_asked = true;
+      log_hook (owner, running, HOOK_GRANTED, 0, 0, NULL)->tokens = 0;
+    }
+  return false;
+}
+
 static void
 place_call (struct mq_owner *owner, struct running *running)
 {
   struct call *call = running->call;
   struct worker *worker;
 
+  if (!discards_are_durable (owner, running))
+    {
+      call->state = CALL_GRANT;
+      return;
+    }
   /* An earlier attempt may have been charged since the cap was set.  */
   if (call->model && !chain_fit_call (running))
     {
@@ -990,8 +1012,12 @@
       calls_adopt (owner, r->target, r->ref, running->partition->number);
       return;
     }
-  if (!running->forfeited && r->ref.call > running->program->calls)
-    chain_charge (owner, running, r->outcome.tokens_out);
+  if (!running->forfeited && r->ref.call > running->program->calls
+      && r->outcome.tokens_out > 0)
+    {
+      chain_charge (owner, running, r->outcome.tokens_out);
+      running->discard_mark = owner->appended;
+    }
   calls_forget_later (owner, running, r->ref.call, r->ref.attempt,
                       r->target->host);
 }
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -300,6 +300,7 @@
   bool grant_asked; /* a hook goes on when grants are durable */
   bool forfeited;   /* what was granted before the takeover is spent */
   struct recovered *recovered; /* what targets reported in a takeover */
+  uint64_t discard_mark; /* charges that are durable before it calls */
 };
 
 /* A worker in the pool of its service.  */
