Checkpoints, objects and takeovers at rest in the fault matrix

Owners take their checkpoint threshold and inline bound from options. At rest all owners die; the next ones must give every caller the answer it had.

--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -26,6 +26,10 @@
   owner->options.address = talloc_strdup (owner, options->address);
   if (owner->options.max_programs == 0)
     owner->options.max_programs = MQ_OWNER_PROGRAMS_MAX;
+  if (owner->options.checkpoint_records == 0)
+    owner->options.checkpoint_records = MQ_CHECKPOINT_RECORDS;
+  if (owner->options.commit_inline_bytes == 0)
+    owner->options.commit_inline_bytes = MQ_COMMIT_INLINE_BYTES;
   owner->run = talloc_asprintf (owner, "%s/%016llx", options->host,
                                 (unsigned long long)options->boot);
   if (owner->run == NULL)
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -27,6 +27,9 @@
  * @policy: placement policy, see place.h
  * @commit_each_step: commit before every step (for comparison)
  * @max_programs: programs kept in memory, 0: MQ_OWNER_PROGRAMS_MAX
+ * @checkpoint_records: between checkpoints, 0: MQ_CHECKPOINT_RECORDS
+ * @commit_inline_bytes: larger batches go to an object, 0:
+ *                       MQ_COMMIT_INLINE_BYTES
  */
 struct mq_owner_options
 {
@@ -38,6 +41,8 @@
   uint32_t policy;
   bool commit_each_step;
   uint32_t max_programs;
+  uint32_t checkpoint_records;
+  uint32_t commit_inline_bytes;
 };
 
 enum mq_owner_input_type
--- a/src/core/owner_log.c
+++ b/src/core/owner_log.c
@@ -188,7 +188,7 @@
   if (part->bytes.data == NULL)
     abort ();
   mqlog__batch__pack (&batch, part->bytes.data);
-  if (part->bytes.len > MQ_COMMIT_INLINE_BYTES)
+  if (part->bytes.len > owner->options.commit_inline_bytes)
     part->object = talloc_asprintf (memory, "seg/%05u/%012llu-%016llx",
                                     partition->number,
                                     (unsigned long long)part->sequence,
@@ -266,7 +266,8 @@
     }
   move_records (owner, partition);
   if (partition->snapshot_sequence == 0 && part->log_key != NULL
-      && partition->records_since_checkpoint >= MQ_CHECKPOINT_RECORDS)
+      && partition->records_since_checkpoint
+             >= owner->options.checkpoint_records)
     pack_snapshot (owner, part);
   partition->in_flight = true;
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -223,6 +223,8 @@
     .address = host->address,
     .boot = host->boot,
     .seed = mq_random_next (&world->random),
+    .checkpoint_records = world->low ? LOW_CHECKPOINT_RECORDS : 0,
+    .commit_inline_bytes = world->low ? LOW_INLINE_BYTES : 0,
   };
 
   host->owner = mq_owner_create (host->memory, &options);
@@ -362,6 +364,7 @@
 {
   struct host *host = &world->hosts[index];
 
+  world->ends++;
   host->alive = false;
   host->dead_us = world->now_us;
   drop_backlog (host);
@@ -885,6 +888,19 @@
   world->store_slow = false;
 }
 
+/* Everything is at rest: every owner dies, and what the next ones read from
+   checkpoint and log must give each caller the answer that it had.  */
+static void
+replay_all (struct world *world)
+{
+  world_trace (world, "at rest; all owners die");
+  world->replayed = true;
+  world->done_us = 0;
+  for (int i = 0; i < ENTRIES; i++)
+    world_kill (world, i, RESTART_US);
+  caller_check_all (world);
+}
+
 static void
 look (struct world *world)
 {
@@ -895,8 +911,13 @@
   if (world->done_us != 0 && world->now_us > world->done_us + QUIET_US
       && (check_rest (world)
           || world->now_us > world->done_us + FORGET_EVERYTHING_US))
-    world->over = true;
-  else
+    {
+      if (world->low && !world->replayed && check_rest (world))
+        replay_all (world);
+      else
+        world->over = true;
+    }
+  if (!world->over)
     world_push (world, world_event_create (world, EVENT_LOOK, NOBODY),
                 world->now_us + SECOND);
 }
@@ -1088,6 +1109,7 @@
   world->random = cell->seed;
   world->acting = NOBODY;
   world->script = world_step_script (cell->step);
+  world->low = world->script == SCRIPT_CHECKPOINT || cell->seed % 3 == 0;
   create_hosts (world);
   store_create (world);
   caller_create_all (world);
--- a/tests/world.h
+++ b/tests/world.h
@@ -38,6 +38,11 @@
   X (APPLY_WRITE, "apply-write", PLAIN)                                       \
   X (APPLY_SPREAD, "apply-spread", PLAIN)                                     \
   X (CLAIM, "claim", PLAIN)                                                   \
+  X (TARGETS, "targets-row", PLAIN)                                           \
+  X (SEGMENT, "segment-put", CHECKPOINT)                                      \
+  X (SNAPSHOT, "checkpoint-put", CHECKPOINT)                                  \
+  X (INSTALL, "checkpoint-row", CHECKPOINT)                                   \
+  X (REMOVE, "checkpoint-remove", CHECKPOINT)                                 \
   X (FENCE, "takeover-fence", TAKEOVER)                                       \
   X (REPLAY, "takeover-replay", TAKEOVER)                                     \
   X (RECOVER, "takeover-recover", TAKEOVER)                                   \
@@ -58,6 +63,7 @@
 enum world_script
 {
   SCRIPT_PLAIN,
+  SCRIPT_CHECKPOINT,   /* checkpoints after a few records */
   SCRIPT_TAKEOVER,     /* an owner dies while a call of its program runs */
   SCRIPT_SETTLE,       /* it dies with its intent durable and nothing sent */
   SCRIPT_DRAIN_ENTRY,  /* it is stopped as planned */
@@ -112,7 +118,9 @@
   X (CONFIG_RISES, "the version in force never falls")                        \
   X (CONFIG_EQUAL, "the version in force is the table's everywhere")          \
   X (APPLY_HOLDS, "an accepted apply stays")                                  \
-  X (SETTLES, "the machines come to rest")
+  X (SETTLES, "the machines come to rest")                                    \
+  X (REPLAYED, "a takeover at rest finds the same programs")                  \
+  X (STORED, "the store keeps a checkpoint and the log since, no more")
 
 enum world_invariant
 {
@@ -144,7 +152,9 @@
   X (CONFIG_CUT_OFF, "a host hears of no configuration")                      \
   X (APPLY_REVERTED, "the table goes back to an older configuration")         \
   X (CONDITION_IGNORED, "an old owner's write passes its condition")          \
-  X (ECHO, "a process hears each message again and again")
+  X (ECHO, "a process hears each message again and again")                    \
+  X (CHECKPOINT_CUT, "a checkpoint lacks a program")                          \
+  X (DROP_SWALLOWED, "an object's removal is confirmed and not done")
 
 enum world_plant
 {
@@ -196,6 +206,7 @@
  * @broken: violations of each invariant
  * @violation_count: violations, also those that did not fit below
  * @violations: the first of them
+ * @orphans: objects at the end that no row names
  */
 struct world_report
 {
@@ -206,6 +217,7 @@
   uint32_t broken[INVARIANT_COUNT];
   uint32_t violation_count;
   struct world_violation violations[WORLD_VIOLATIONS_MAX];
+  uint32_t orphans;
 };
 
 /* Runs CELL to rest and judges it; TRACE: prints every event.  */
--- a/tests/world_caller.c
+++ b/tests/world_caller.c
@@ -245,6 +245,41 @@
     }
 }
 
+/* The last request of CALLER that asked its program for an answer, or
+   ask_count.  */
+static size_t
+last_answer (const struct caller *caller)
+{
+  size_t last = caller->ask_count;
+
+  for (size_t i = 0; i < caller->ask_count; i++)
+    if (caller->asks[i].type == MQ_REQUEST_OPEN
+        || caller->asks[i].type == MQ_REQUEST_TURN)
+      if (caller->answers[i] != NULL || caller->errors[i] != MQ_ERR_NONE)
+        last = i;
+  return last;
+}
+
+/* Everyone who had an answer asks for it again.  */
+void
+caller_check_all (struct world *world)
+{
+  for (int i = 0; i < CALLERS; i++)
+    {
+      struct caller *caller = &world->callers[i];
+
+      caller->ask = last_answer (caller);
+      if (caller->ask == caller->ask_count)
+        continue;
+      caller->checks = true;
+      caller->tries = 0;
+      caller->refusals = 0;
+      caller->doubtful = true;
+      caller->state = CALLER_PAUSES;
+      plan_timer (world, caller, RESTART_US + world_delay (world, 0, AGAIN_US));
+    }
+}
+
 bool
 caller_all_done (const struct world *world)
 {
@@ -295,6 +330,11 @@
   request.stream = caller->asks == talk_asks;
   request.traceparent = "";
   request.body = caller->bodies[caller->ask];
+  if (caller->checks)
+    {
+      request.type = MQ_REQUEST_GET;
+      request.body = "{}";
+    }
   return request;
 }
 
@@ -511,6 +551,38 @@
   return true;
 }
 
+static void
+end_check (struct world *world, struct caller *caller)
+{
+  caller->checks = false;
+  caller->ask = caller->ask_count;
+  caller->state = CALLER_DONE;
+  world_trace (world, "caller %d has checked its answer", caller->index);
+}
+
+static void
+check_final (struct world *world, struct caller *caller, const char *body)
+{
+  const char *had = caller->answers[caller->ask];
+
+  if (had == NULL || !is_same_answer (had, body))
+    world_violate (world, INVARIANT_REPLAYED, "caller %d had %.80s, has %.80s",
+                   caller->index, had == NULL ? "a refusal" : had, body);
+  end_check (world, caller);
+}
+
+static void
+check_refusal (struct world *world, struct caller *caller,
+               enum mq_error_type error)
+{
+  if (error != caller->errors[caller->ask])
+    world_violate (world, INVARIANT_REPLAYED, "caller %d had %s, has %s",
+                   caller->index,
+                   mq_error_name (caller->errors[caller->ask]),
+                   mq_error_name (error));
+  end_check (world, caller);
+}
+
 static void
 take_final (struct world *world, struct caller *caller,
             const struct mq_event_msg *event)
@@ -524,6 +596,11 @@
                      caller->ends, caller->ask);
       return;
     }
+  if (caller->checks)
+    {
+      check_final (world, caller, body);
+      return;
+    }
   if (!answer_is_own (world, caller, body))
     world_violate (world, INVARIANT_OWN_ANSWER,
                    "caller %d, request %zu: %.160s", caller->index,
@@ -633,6 +710,11 @@
       ask_again (world, caller, event->retry_after_ms * MS);
       return;
     }
+  if (caller->checks)
+    {
+      check_refusal (world, caller, event->error);
+      return;
+    }
   if (is_false (event->error))
     world_violate (world, INVARIANT_OWN_ANSWER,
                    "caller %d, request %zu: refused as %s, which is not so",
--- a/tests/world_check.c
+++ b/tests/world_check.c
@@ -10,7 +10,9 @@
 enum
 {
   VERSION_BYTES = 8,
-  APPLY_ID_BYTES = 16
+  APPLY_ID_BYTES = 16,
+  LOG_ROWS_MAX = 4 * LOW_CHECKPOINT_RECORDS, /* of a partition */
+  ORPHANS_MAX = 4 /* objects that each fault or end may leave */
 };
 
 /* One program as the table's log has it.  */
@@ -130,6 +132,9 @@
   struct log *log = talloc_zero (world, struct log);
   struct mq_table_snapshot *all = mq_table_snapshot (world->table, log);
 
+  for (size_t i = 0; i < world->removed_count; i++)
+    read_batch (world, log, world->removed[i]);
+
   for (size_t i = 0; i < all->row_count; i++)
     {
       const struct mq_row *row = &all->rows[i];
@@ -150,6 +155,79 @@
   return log;
 }
 
+/* The store.  */
+
+/* Whether a row names OBJECT: a partition its checkpoint, a log row its
+   batch.  */
+static bool
+is_named (const struct mq_table_snapshot *all, const char *object)
+{
+  size_t len = strlen (object);
+
+  for (size_t i = 0; i < all->row_count; i++)
+    if (strncmp (all->rows[i].key, "part/", 5) == 0
+        || strncmp (all->rows[i].key, "log/", 4) == 0)
+      if (memmem (all->rows[i].value.data, all->rows[i].value.len, object, len)
+          != NULL)
+        return true;
+  return false;
+}
+
+static void
+check_log_rows (struct world *world, const struct mq_table_snapshot *all,
+                const struct mq_row *row)
+{
+  Mqlog__PartitionRow *part = mqlog__partition_row__unpack (
+      NULL, row->value.len, row->value.data);
+  char *prefix = talloc_asprintf (world, "log/%s/", row->key + 5);
+  size_t rows = 0;
+
+  for (size_t i = 0; part != NULL && i < all->row_count; i++)
+    {
+      const char *key = all->rows[i].key;
+      uint64_t sequence;
+
+      if (strncmp (key, prefix, strlen (prefix)) != 0)
+        continue;
+      rows++;
+      sequence = strtoull (key + strlen (prefix), NULL, 10);
+      if (sequence <= part->checkpoint || sequence > part->sequence)
+        world_violate (world, INVARIANT_STORED,
+                       "%s is left: checkpoint %llu, sequence %llu", key,
+                       (unsigned long long)part->checkpoint,
+                       (unsigned long long)part->sequence);
+    }
+  if (part == NULL)
+    return;
+  if (world->low && rows > LOG_ROWS_MAX)
+    world_violate (world, INVARIANT_STORED, "%zu log rows of %s", rows,
+                   row->key);
+  mqlog__partition_row__free_unpacked (part, NULL);
+}
+
+/* A process that ends between writing an object and naming it, or between
+   ceasing to name it and removing it, leaves a few behind.  */
+static void
+check_store (struct world *world)
+{
+  struct mq_table_snapshot *all = mq_table_snapshot (world->table, world);
+  uint32_t doubts = world->ends + 2 * world->report->injected
+                    - (world->replayed ? ENTRIES : 0);
+
+  for (size_t i = 0; i < all->row_count; i++)
+    if (strncmp (all->rows[i].key, "part/", 5) == 0)
+      check_log_rows (world, all, &all->rows[i]);
+  for (size_t i = 0; i < all->object_count; i++)
+    if (!is_named (all, all->objects[i].key))
+      {
+        world->report->orphans++;
+        world_trace (world, "%s is named by no row", all->objects[i].key);
+      }
+  if (world->report->orphans > doubts * ORPHANS_MAX)
+    world_violate (world, INVARIANT_STORED, "%u objects that no row names",
+                   world->report->orphans);
+}
+
 /* The configuration.  */
 
 struct mq_row *
@@ -368,6 +446,7 @@
   check_caches (world, log);
   check_hosts (world);
   check_config (world);
+  check_store (world);
   if (world->cell->nth == 0 && world->cell->plant == PLANT_NONE)
     check_calm (world);
 }
--- a/tests/world_fault.c
+++ b/tests/world_fault.c
@@ -203,7 +203,8 @@
   const struct world_cell *cell = world->cell;
   uint32_t count;
 
-  if (world->script != SCRIPT_PLAIN && !world->script_done)
+  if (world->script != SCRIPT_PLAIN && world->script != SCRIPT_CHECKPOINT
+      && !world->script_done)
     return;
   count = ++world->report->steps[site->step];
   if (cell->nth == 0)
@@ -227,7 +228,8 @@
   struct site here = *site;
   int entry = world_owner_of (world, site->program);
 
-  if (world->script == SCRIPT_PLAIN || world->script == SCRIPT_SETTLE
+  if (world->script == SCRIPT_PLAIN || world->script == SCRIPT_CHECKPOINT
+      || world->script == SCRIPT_SETTLE
       || world->script_done || entry == NOBODY
       || site->program.hi != world->callers[0].program.hi)
     return;
@@ -236,6 +238,7 @@
   switch (world->script)
     {
     case SCRIPT_PLAIN:
+    case SCRIPT_CHECKPOINT:
     case SCRIPT_SETTLE:
     case SCRIPT_COUNT:
       break;
@@ -283,11 +286,14 @@
   return strncmp (text, prefix, strlen (prefix)) == 0;
 }
 
+/* Of its own row, which says that it lives, no write is worth a fault.  */
 static bool
-is_partition_write (const struct mq_store_request *request)
+is_owner_write (const struct mq_store_request *request)
 {
+  if (request->kind == MQ_STORE_PUT || request->kind == MQ_STORE_DROP)
+    return true;
   for (size_t i = 0; i < request->op_count; i++)
-    if (begins_with (request->ops[i].key, "part/"))
+    if (!begins_with (request->ops[i].key, "owner/"))
       return true;
   return false;
 }
@@ -300,8 +306,8 @@
                                  : &world->hosts[host].store_fate;
   enum fate fate = *at;
 
-  if (request->kind != MQ_STORE_TXN
-      || (host != NOBODY && !is_partition_write (request)))
+  if (host == NOBODY ? request->kind != MQ_STORE_TXN
+                     : !is_owner_write (request))
     return FATE_NORMAL;
   *at = FATE_NORMAL;
   return fate;
@@ -465,12 +471,58 @@
   fault_step (world, site);
 }
 
+/* The row names a newer checkpoint than it did before.  */
+static void
+install_step (struct world *world, struct site *site,
+              const struct mq_store_op *op)
+{
+  Mqlog__PartitionRow *row
+      = mqlog__partition_row__unpack (NULL, op->value.len, op->value.data);
+  unsigned long number = strtoul (op->key + strlen ("part/"), NULL, 10);
+
+  if (row == NULL)
+    return;
+  if (number < PARTITIONS && row->checkpoint > world->checkpoints[number])
+    {
+      world->checkpoints[number] = row->checkpoint;
+      site->step = STEP_INSTALL;
+      fault_step (world, site);
+    }
+  mqlog__partition_row__free_unpacked (row, NULL);
+}
+
+static void
+checkpoint_steps (struct world *world, struct site *site,
+                  const struct mq_store_request *request)
+{
+  bool removes = false;
+
+  for (size_t i = 0; i < request->op_count; i++)
+    {
+      const struct mq_store_op *op = &request->ops[i];
+
+      if (begins_with (op->key, "part/"))
+        install_step (world, site, op);
+      removes = removes || (op->remove && begins_with (op->key, "log/"));
+    }
+  site->step = STEP_REMOVE;
+  if (removes)
+    fault_step (world, site);
+}
+
 static void
 transaction_steps (struct world *world, struct site *site,
                    const struct mq_store_request *request)
 {
   bool logs = false;
 
+  checkpoint_steps (world, site, request);
+  if (request->op_count > 0 && begins_with (request->ops[0].key, "targets/"))
+    {
+      site->step = STEP_TARGETS;
+      fault_step (world, site);
+    }
+
   for (size_t i = 0; i < request->op_count; i++)
     if (begins_with (request->ops[i].key, "log/") && !request->ops[i].remove)
       {
@@ -498,6 +550,12 @@
     return;
   if (request->kind == MQ_STORE_TXN)
     transaction_steps (world, &site, request);
+  else if (request->kind == MQ_STORE_PUT)
+    {
+      site.step = begins_with (request->key, "ckpt/") ? STEP_SNAPSHOT
+                                                      : STEP_SEGMENT;
+      fault_step (world, &site);
+    }
   else if (request->kind == MQ_STORE_SCAN
            && begins_with (request->key, "log/"))
     {
--- a/tests/world_state.h
+++ b/tests/world_state.h
@@ -24,6 +24,7 @@
   CALLERS = 5,
   OPERATORS = 2,
   ASKS_MAX = 6,
+  PARTITIONS = 4, /* as the text of world_store.c says */
   NOBODY = -1
 };
 
@@ -48,6 +49,8 @@
 #define LEAVE_US (2 * MS) /* until a process hears that it is to stop */
 #define CALLERS_START_US (1500 * MS)
 #define CALLER_PATIENCE_US (9 * SECOND)
+#define LOW_CHECKPOINT_RECORDS 8
+#define LOW_INLINE_BYTES 400
 #define REST_US (300 * SECOND)             /* the longest run */
 #define EVENTS_MAX 400000ULL               /* more: the machines never rest */
 #define QUIET_US (4 * SECOND)              /* looked at after all is done */
@@ -332,6 +335,7 @@
   enum mq_error_type errors[ASKS_MAX];
   uint32_t stream_call;
   char *stream;
+  bool checks; /* asks at rest for the answer that it had */
 };
 
 struct world_operator
@@ -377,6 +381,12 @@
   int current[HOSTS][HOSTS]; /* wire of two hosts, or NOBODY */
   bool connecting[HOSTS][HOSTS];
   struct mq_table *table;
+  bool low;          /* few records between checkpoints, small batches */
+  bool replayed;     /* all owners were made anew at rest */
+  uint32_t ends;     /* processes that ended, as planned or not */
+  struct mq_bytes *removed; /* batches of log rows that were removed */
+  size_t removed_count;
+  uint64_t checkpoints[PARTITIONS];
   bool store_down;
   bool store_slow;
   struct run **runs;
@@ -495,6 +505,7 @@
 void caller_event (struct world *world, const struct world_event *event);
 void caller_host_died (struct world *world, int host);
 bool caller_all_done (const struct world *world);
+void caller_check_all (struct world *world);
 bool caller_asked (const struct world *world, struct mq_id program,
                    const char *text);
 uint32_t caller_calls_before (const struct world *world, struct mq_id program,
--- a/tests/world_store.c
+++ b/tests/world_store.c
@@ -4,6 +4,7 @@
    Needs: world_state.h.  */
 
 #include "world_state.h"
+#include "../proto/log.pb-c.h"
 #include <string.h>
 
 #define TABLE_LEAST_US (1 * MS)
@@ -236,12 +237,91 @@
     request->ops[i].if_version = MQ_VERSION_ANY;
 }
 
+/* Writes a checkpoint without its last program.  */
+static void
+plant_cuts (struct world *world, struct mq_store_request *request)
+{
+  Mqlog__Checkpoint *checkpoint;
+  size_t count;
+
+  if (world->cell->plant != PLANT_CHECKPOINT_CUT
+      || request->kind != MQ_STORE_PUT
+      || strncmp (request->key, "ckpt/", 5) != 0)
+    return;
+  checkpoint = mqlog__checkpoint__unpack (NULL, request->value.len,
+                                          request->value.data);
+  if (checkpoint == NULL)
+    return;
+  count = checkpoint->n_programs;
+  if (count > 0)
+    checkpoint->n_programs--;
+  request->value.len
+      = mqlog__checkpoint__pack (checkpoint, request->value.data);
+  checkpoint->n_programs = count;
+  mqlog__checkpoint__free_unpacked (checkpoint, NULL);
+}
+
+static bool
+plant_keeps (struct world *world, const struct world_event *event)
+{
+  if (world->cell->plant != PLANT_DROP_SWALLOWED
+      || event->request->kind != MQ_STORE_DROP)
+    return false;
+  push_failure (world, event, MQ_STORE_OK, TABLE_LEAST_US);
+  return true;
+}
+
+/* The batch of a log row, read from its object if it is there.  */
+static struct mq_bytes
+read_log_row (struct world *world, const char *key)
+{
+  struct mq_row *rows = NULL;
+  size_t count = 0;
+  struct mq_bytes value = { NULL, 0 };
+  Mqlog__Batch *batch;
+
+  mq_table_scan (world->table, world, key, NULL, 1, &rows, &count);
+  if (count == 0 || strcmp (rows[0].key, key) != 0)
+    return value;
+  value = rows[0].value;
+  batch = mqlog__batch__unpack (NULL, value.len, value.data);
+  if (batch != NULL && batch->object[0] != '\0')
+    mq_table_get (world->table, world, batch->object, &value);
+  if (batch != NULL)
+    mqlog__batch__free_unpacked (batch, NULL);
+  return value;
+}
+
+/* What the log held is known also after a checkpoint took its place.  Returns
+   how many batches were noted; they stay only if the request applies.  */
+static size_t
+note_removed (struct world *world, const struct mq_store_request *request)
+{
+  size_t noted = 0;
+
+  for (size_t i = 0; i < request->op_count; i++)
+    {
+      const struct mq_store_op *op = &request->ops[i];
+
+      if (!op->remove || strncmp (op->key, "log/", 4) != 0)
+        continue;
+      world->removed = talloc_realloc (
+          world, world->removed, struct mq_bytes,
+          (unsigned int)(world->removed_count + noted + 1));
+      world->removed[world->removed_count + noted]
+          = read_log_row (world, op->key);
+      noted++;
+    }
+  return noted;
+}
+
 /* The request is at the table.  */
 void
 store_serve (struct world *world, const struct world_event *event)
 {
   struct mq_store_result *result;
   uint64_t delay_us = world_delay (world, TABLE_LEAST_US, TABLE_MOST_US);
+  size_t noted;
 
   if (world->store_down)
     {
@@ -249,11 +329,15 @@
         push_failure (world, event, MQ_STORE_DOWN, delay_us);
       return;
     }
-  if (plant_drops (world, event))
+  if (plant_drops (world, event) || plant_keeps (world, event))
     return;
   plant_passes (world, event->request);
+  plant_cuts (world, event->request);
   result = talloc_zero (world, struct mq_store_result);
+  noted = note_removed (world, event->request);
   mq_table_serve (world->table, result, event->request, result);
+  if (result->status == MQ_STORE_OK)
+    world->removed_count += noted;
   world_trace (world, "table: %s for %s",
                result->status == MQ_STORE_CONFLICT ? "conflict" : "served",
                event->index == NOBODY ? "operator"
