Tell an answer only when it is durable itself and the last word

Waiters of a program of which only a charge was not durable were told by nobody. Change: the hook compares the mark of the last answer; whoever joins leaves a hook of its own; a GET waits for an answer that came meanwhile.

--- a/src/core/owner_chain.c
+++ b/src/core/owner_chain.c
@@ -774,6 +774,7 @@
   record.body_case = MQLOG__RECORD__BODY_ANSWERED;
   record.answered = &answered;
   log_append (owner, running, &record);
+  running->answer_mark = owner->appended;
   stop_clock (owner, running);
   running->ended_us = owner->now_us;
   if (error == MQ_ERR_BUDGET_TOKENS || error == MQ_ERR_BUDGET_TURNS
@@ -943,10 +944,18 @@
     calls_continue (owner, running);
 }
 
+/* Failure: a repeated request waits for the commit of an answer; before
+   that commit is through, a person's next turn begins, or even has its answer;
+   its caller is given the state of a running program as the answer, or one
+   that no log holds yet.  So only an answer that is still the last word, and
+   is durable itself, is told.  */
 static void
 answer_is_durable (struct mq_owner *owner, struct running *running,
                    uint64_t since_us)
 {
+  if (running->program->state == MQ_PROGRAM_RUNNING
+      || owner->settled < running->answer_mark)
+    return;
   owner_span (owner, running, "commit", 0, since_us, MQ_ERR_NONE);
   if (running->program->state == MQ_PROGRAM_ENDED)
     start_evicting (owner, running);
--- a/src/core/owner_request.c
+++ b/src/core/owner_request.c
@@ -716,6 +716,20 @@
 
 /* ---- Further requests ---- */
 
+/* Whoever waits for an answer that is there is told when it is durable.
+   Failure: all that is not yet durable is a charge after the answer; nothing
+   followed its commit, and the caller waited for ever.  */
+static void
+answer_when_durable (struct mq_owner *owner, struct running *running)
+{
+  if (running->program->state == MQ_PROGRAM_RUNNING)
+    return;
+  if (running->undurable == 0)
+    request_final (owner, running);
+  else
+    log_hook (owner, running, HOOK_ANSWERED, 0, 0, NULL);
+}
+
 static void
 handle_turn (struct mq_owner *owner, struct running *running, uint32_t peer,
              uint64_t handle, const struct mq_request_msg *request)
@@ -730,9 +744,7 @@
   if (running->program->turn_digest == digest)
     {
       add_waiter (running, peer, handle, request, 0);
-      if (running->program->state != MQ_PROGRAM_RUNNING
-          && running->undurable == 0)
-        request_final (owner, running);
+      answer_when_durable (owner, running);
       json_decref (root);
       return;
     }
@@ -894,8 +906,16 @@
 {
   struct running *running = chain_find (owner, hook->program);
 
-  if (running != NULL)
-    answer_get (owner, running, hook->peer, hook->handle, hook->history);
+  if (running == NULL)
+    return;
+  /* A later answer came meanwhile, and its commit is still to come.  */
+  if (owner->settled < running->answer_mark)
+    {
+      log_hook_reply (owner, running, hook->peer, hook->handle)->history
+          = hook->history;
+      return;
+    }
+  answer_get (owner, running, hook->peer, hook->handle, hook->history);
 }
 
 static void
@@ -907,9 +927,7 @@
   if (request->stream && !history)
     {
       add_waiter (running, peer, handle, request, 0);
-      if (running->program->state != MQ_PROGRAM_RUNNING
-          && running->undurable == 0)
-        request_final (owner, running);
+      answer_when_durable (owner, running);
       return;
     }
   /* Nothing is shown that a takeover could still undo.  */
@@ -930,10 +948,8 @@
 
   if (running->program->state == MQ_PROGRAM_ENDED)
     {
-      if (running->undurable == 0)
-        send_final (owner, running, peer, handle);
-      else
-        add_waiter (running, peer, handle, request, 0);
+      add_waiter (running, peer, handle, request, 0);
+      answer_when_durable (owner, running);
       return;
     }
   if (why == MQ_ERR_NONE
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -301,6 +301,7 @@
   bool forfeited;   /* what was granted before the takeover is spent */
   struct recovered *recovered; /* what targets reported in a takeover */
   uint64_t discard_mark; /* charges that are durable before it calls */
+  uint64_t answer_mark;  /* the last answer is durable when this is settled */
 };
 
 /* A worker in the pool of its service.  */
