Bound the log by batches since the last checkpoint

Change: counted from the batch that put the checkpoint into force; tighter without faults (8), and the same per fault and end of a process.

--- a/tests/world_check.c
+++ b/tests/world_check.c
@@ -11,7 +11,6 @@
 {
   VERSION_BYTES = 8,
   APPLY_ID_BYTES = 16,
-  LOG_ROWS_MAX = 4 * LOW_CHECKPOINT_RECORDS, /* of a partition */
   ORPHANS_MAX = 4 /* objects that each fault or end may leave */
 };
 
@@ -173,6 +172,24 @@
   return false;
 }
 
+/* After a checkpoint is in force, the next one begins with the first batch
+   after so many records; what comes while that one is being written, or what
+   an owner that dies then leaves to the next one, is on top.  */
+static void
+check_growth (struct world *world, const Mqlog__PartitionRow *part,
+              const char *key)
+{
+  unsigned long number = strtoul (key + 5, NULL, 10) % PARTITIONS;
+  uint64_t since = part->sequence - world->installed[number].sequence;
+  uint64_t most = (1 + world->report->injected + world->ends)
+                  * (uint64_t)LOW_CHECKPOINT_RECORDS;
+
+  if (world->low && since > most)
+    world_violate (world, INVARIANT_STORED,
+                   "%llu batches of %s since the last checkpoint",
+                   (unsigned long long)since, key);
+}
+
 static void
 check_log_rows (struct world *world, const struct mq_table_snapshot *all,
                 const struct mq_row *row)
@@ -180,7 +197,6 @@
   Mqlog__PartitionRow *part = mqlog__partition_row__unpack (
       NULL, row->value.len, row->value.data);
   char *prefix = talloc_asprintf (world, "log/%s/", row->key + 5);
-  size_t rows = 0;
 
   for (size_t i = 0; part != NULL && i < all->row_count; i++)
     {
@@ -189,7 +205,6 @@
 
       if (strncmp (key, prefix, strlen (prefix)) != 0)
         continue;
-      rows++;
       sequence = strtoull (key + strlen (prefix), NULL, 10);
       if (sequence <= part->checkpoint || sequence > part->sequence)
         world_violate (world, INVARIANT_STORED,
@@ -199,9 +214,7 @@
     }
   if (part == NULL)
     return;
-  if (world->low && rows > LOG_ROWS_MAX)
-    world_violate (world, INVARIANT_STORED, "%zu log rows of %s", rows,
-                   row->key);
+  check_growth (world, part, row->key);
   mqlog__partition_row__free_unpacked (part, NULL);
 }
 
--- a/tests/world_state.h
+++ b/tests/world_state.h
@@ -386,7 +386,12 @@
   uint32_t ends;     /* processes that ended, as planned or not */
   struct mq_bytes *removed; /* batches of log rows that were removed */
   size_t removed_count;
-  uint64_t checkpoints[PARTITIONS];
+  uint64_t checkpoints[PARTITIONS]; /* highest one that a row was to name */
+  struct installed
+  {
+    uint64_t checkpoint;
+    uint64_t sequence; /* of the log when the row came to name it */
+  } installed[PARTITIONS];
   bool store_down;
   bool store_slow;
   struct run **runs;
--- a/tests/world_store.c
+++ b/tests/world_store.c
@@ -5,6 +5,7 @@
 
 #include "world_state.h"
 #include "../proto/log.pb-c.h"
+#include <stdlib.h>
 #include <string.h>
 
 #define TABLE_LEAST_US (1 * MS)
@@ -315,6 +316,32 @@
   return noted;
 }
 
+/* How far the log was when a checkpoint came into force.  */
+static void
+note_installed (struct world *world, const struct mq_store_request *request)
+{
+  for (size_t i = 0; i < request->op_count; i++)
+    {
+      const struct mq_store_op *op = &request->ops[i];
+      struct installed *at;
+      Mqlog__PartitionRow *row;
+
+      if (op->remove || strncmp (op->key, "part/", 5) != 0)
+        continue;
+      at = &world->installed[strtoul (op->key + 5, NULL, 10) % PARTITIONS];
+      row = mqlog__partition_row__unpack (NULL, op->value.len,
+                                          op->value.data);
+      if (row == NULL)
+        continue;
+      if (row->checkpoint > at->checkpoint)
+        {
+          at->checkpoint = row->checkpoint;
+          at->sequence = row->sequence;
+        }
+      mqlog__partition_row__free_unpacked (row, NULL);
+    }
+}
+
 /* The request is at the table.  */
 void
 store_serve (struct world *world, const struct world_event *event)
@@ -337,7 +364,10 @@
   noted = note_removed (world, event->request);
   mq_table_serve (world->table, result, event->request, result);
   if (result->status == MQ_STORE_OK)
-    world->removed_count += noted;
+    {
+      world->removed_count += noted;
+      note_installed (world, event->request);
+    }
   world_trace (world, "table: %s for %s",
                result->status == MQ_STORE_CONFLICT ? "conflict" : "served",
                event->index == NOBODY ? "operator"
