World: a call that hangs ends with the client that waits for it

Nothing more of that call can come. The check stays: a call that starts before the effect of the one before it is still noticed. Conclusion: the order of events was right, the world's account was not.

--- a/tests/world.c
+++ b/tests/world.c
@@ -365,6 +365,8 @@
   struct host *host = &world->hosts[index];
 
   world->ends++;
+  if (host->role == MQ_HOST_TARGET)
+    worker_gate_died (world, index);
   host->alive = false;
   host->dead_us = world->now_us;
   drop_backlog (host);
--- a/tests/world_state.h
+++ b/tests/world_state.h
@@ -495,6 +495,7 @@
 void worker_engine (struct world *world, const struct world_event *event);
 void worker_plan_engine (struct world *world, int host, uint32_t index,
                          bool down, uint64_t in_us);
+void worker_gate_died (struct world *world, int host);
 void worker_host_died (struct world *world, int host);
 uint32_t worker_running (const struct world *world, int host);
 struct call_fact *worker_call_fact (struct world *world, struct mq_id program,
--- a/tests/world_worker.c
+++ b/tests/world_worker.c
@@ -874,6 +874,18 @@
 }
 
 /* The whole host is gone, its workers with it.  */
+/* A call that hangs has had its effect, and only the gate's client waits for
+   the answer: it ends with that client.  */
+void
+worker_gate_died (struct world *world, int host)
+{
+  for (size_t i = 0; i < world->run_count; i++)
+    if (!world->runs[i]->ended && world->runs[i]->stopped
+        && world->runs[i]->host == host
+        && world->runs[i]->host_run == world->hosts[host].run)
+      end_run (world, world->runs[i]);
+}
+
 void
 worker_host_died (struct world *world, int host)
 {
