Owners read each other's rows within a lease, whatever their number

Cause: the pause between two scans grew with the number of entry hosts, 1 + E/20 seconds, so that from about 80 hosts on it exceeded a lease of 5 s; with the shortest lease of 1 s, from the first host on. Every living owner then looked dead between two scans. Besides, each entry host renewed its row every second though 40 at most may own; a host that died while it left, or after it might own no more, was waited for for ever; and rows of dead hosts kept living ones from owning. Change: owners scan three times and renew four times in a lease; who may not own renews every 30 s; a row that stands still for 120 s counts no more; a host gives up what it may not own; a host claims only after its row was written since it may. The fleet of owners moved to tests/fleet.c, used by tests and bench.

--- a/Makefile
+++ b/Makefile
@@ -82,7 +82,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
 
-$(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJ) $(STANDIN_OBJ) $(LIB)
+$(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJ) $(BUILD)/tests/fleet.o $(STANDIN_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
 
--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -163,6 +163,12 @@
   return (uint64_t)now.tv_sec * NS_PER_S + (uint64_t)now.tv_nsec;
 }
 
+uint64_t
+capacity_allocations (void)
+{
+  return capacity_heap.calls;
+}
+
 uint64_t
 capacity_memory (TALLOC_CTX *ctx)
 {
--- a/bench/capacity.h
+++ b/bench/capacity.h
@@ -39,6 +39,9 @@
 };
 extern struct capacity_heap capacity_heap;
 
+/* The same calls as a counter.  */
+uint64_t capacity_allocations (void);
+
 /* Bytes that hang below CTX, talloc's and malloc's headers included.  */
 uint64_t capacity_memory (TALLOC_CTX *ctx);
 
--- a/bench/capacity_owner.c
+++ b/bench/capacity_owner.c
@@ -1,9 +1,10 @@
 /* capacity_owner.c - cost of a partition owner by programs, history,
    targets and partitions.
 
-   Needs: capacity_fleet.h.  */
+   Needs: capacity.h, tests/fleet.h.  */
 
-#include "capacity_fleet.h"
+#include "../tests/fleet.h"
+#include "capacity.h"
 #include <stdio.h>
 
 enum
@@ -133,7 +134,9 @@
 static struct result
 measure (const struct shape *shape)
 {
-  struct fleet_options options = { .hosts = 1 };
+  struct fleet_options options = { .hosts = 1,
+                                   .clock_ns = capacity_cpu_ns,
+                                   .allocations = capacity_allocations };
   struct result result;
   struct fleet *fleet;
   const struct mq_owner_counters *counters;
--- a/bench/capacity_takeover.c
+++ b/bench/capacity_takeover.c
@@ -1,9 +1,10 @@
 /* capacity_takeover.c - what an owner's end costs its successors and the
    store; what owners cost the store at rest.
 
-   Needs: capacity_fleet.h.  */
+   Needs: capacity.h, tests/fleet.h.  */
 
-#include "capacity_fleet.h"
+#include "../tests/fleet.h"
+#include "capacity.h"
 #include <stdio.h>
 
 enum
@@ -65,8 +66,11 @@
 static struct takeover
 measure_takeover (const struct takeover_shape *shape)
 {
-  struct fleet_options options
-      = { .hosts = 1, .targets = 12, .partitions = 16, .answer_tokens = 24 };
+  struct fleet_options options = { .clock_ns = capacity_cpu_ns,
+                                   .hosts = 1,
+                                   .targets = 12,
+                                   .partitions = 16,
+                                   .answer_tokens = 24 };
   struct fleet *fleet = fleet_create (NULL, &options);
   const struct fleet_use *use = fleet_read (fleet);
   struct takeover result;
@@ -156,9 +160,11 @@
 static struct rest
 measure_rest (uint32_t hosts)
 {
-  struct fleet_options options = {
-    .hosts = hosts, .targets = 12, .partitions = 100, .connected = true
-  };
+  struct fleet_options options = { .clock_ns = capacity_cpu_ns,
+                                   .hosts = hosts,
+                                   .targets = 12,
+                                   .partitions = 100,
+                                   .connected = true };
   struct fleet *fleet = fleet_create (NULL, &options);
   const struct fleet_use *use = fleet_read (fleet);
   struct rest rest;
@@ -231,7 +237,8 @@
 static void
 measure_cut (const char *name, uint32_t ended)
 {
-  struct fleet_options options = { .hosts = CUT_HOSTS,
+  struct fleet_options options = { .clock_ns = capacity_cpu_ns,
+                                   .hosts = CUT_HOSTS,
                                    .targets = 12,
                                    .partitions = CUT_PARTITIONS,
                                    .answer_tokens = 24,
--- a/src/core/owner_take.c
+++ b/src/core/owner_take.c
@@ -13,20 +13,24 @@
 
 enum
 {
-  LOG_PAGE = 256,          /* log rows read at a time */
-  ELIGIBLE_KEY = 7,        /* rendezvous key of the hosts that may own */
-  SCAN_HOSTS_PER_STEP = 20 /* more hosts scan less often each */
+  LOG_PAGE = 256,           /* log rows read at a time */
+  ELIGIBLE_KEY = 7,         /* rendezvous key of the hosts that may own */
+  SCAN_HOSTS_PER_STEP = 20, /* more hosts scan less often each */
+  /* A renewal and a scan together take less than a lease, with time for a
+     slow store.  */
+  RENEWALS_PER_LEASE = 4,
+  SCANS_PER_LEASE = 3
 };
 
 /* ---- Who is there ---- */
 
 static bool
-sibling_is_live (const struct mq_owner *owner, const struct sibling *sibling)
+sibling_renews (const struct mq_owner *owner, const struct sibling *sibling)
 {
   uint64_t age = owner->now_us - sibling->counter_us;
   uint64_t lease_us = 1000ULL * owner->text->lease_ms;
 
-  if (!sibling->row_known || sibling->leaving || !sibling->eligible)
+  if (!sibling->row_known)
     return false;
   if (sibling->peer == 0 && sibling->peer_down_us != 0
       && owner->now_us - sibling->peer_down_us > 1000ULL * MQ_OWNER_DOWN_MS
@@ -35,6 +39,37 @@
   return age <= lease_us;
 }
 
+/* May be given partitions.  */
+static bool
+sibling_is_live (const struct mq_owner *owner, const struct sibling *sibling)
+{
+  return !sibling->leaving && sibling->eligible
+         && sibling_renews (owner, sibling);
+}
+
+/* Failure: nobody removes the row of a host that died.  If it counted for
+   ever, hosts that are long gone would in time be all that may own, and the
+   living ones would refuse to.  A row that stands still counts no more.  */
+static bool
+is_candidate (const struct mq_owner *owner, const struct sibling *sibling)
+{
+  return sibling->row_known && !sibling->leaving
+         && owner->now_us - sibling->counter_us
+                <= 1000ULL * MQ_OWNER_FORGET_MS;
+}
+
+static void
+set_eligible (struct mq_owner *owner, bool eligible)
+{
+  if (eligible && !owner->eligible)
+    {
+      /* Others must see the row move before they see us own.  */
+      owner->renewed = false;
+      owner->next_renew_us = owner->now_us;
+    }
+  owner->eligible = eligible;
+}
+
 /* Only so many hosts may own partitions, so that the writes of all owners
    fit the store however many entry hosts there are.  */
 static void
@@ -48,21 +83,21 @@
       uint64_t weight = mq_rendezvous_weight (s->host, ELIGIBLE_KEY);
       uint32_t better = own > weight ? 1 : 0;
 
-      if (weight > own && s->row_known && !s->leaving)
+      if (weight > own && is_candidate (owner, s))
         better_than_self++;
       for (struct sibling *t = owner->siblings; t != NULL; t = t->next)
-        if (t != s && t->row_known && !t->leaving
+        if (t != s && is_candidate (owner, t)
             && mq_rendezvous_weight (t->host, ELIGIBLE_KEY) > weight)
           better++;
       s->eligible = better < MQ_OWNERS_MAX;
     }
-  owner->eligible = better_than_self < MQ_OWNERS_MAX;
+  set_eligible (owner, better_than_self < MQ_OWNERS_MAX);
 }
 
 static void
 count_owned (struct mq_owner *owner)
 {
-  owner->live_hosts = owner->leaving ? 0 : 1;
+  owner->live_hosts = owner->leaving || !owner->eligible ? 0 : 1;
   for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
     {
       s->owned = 0;
@@ -464,9 +499,10 @@
   /* A new run of that process holds nothing of the earlier one.  */
   if (sibling->boot != partition->owner_boot)
     return true;
-  if (sibling->leaving || !sibling->eligible)
-    return false;
-  return !sibling_is_live (owner, sibling);
+  /* One that leaves, or may no longer own, gives its partitions up by
+     itself as long as it lives.  Failure: it dies before it has; its row
+     then stands still like any other dead owner's.  */
+  return !sibling_renews (owner, sibling);
 }
 
 static void
@@ -1081,21 +1117,51 @@
   request->limit = MQ_PARTITIONS_MAX;
 }
 
-static void
-send_scans (struct mq_owner *owner)
+/* Whether others may wait for this host's row to stand still.  */
+static bool
+is_owner (const struct mq_owner *owner)
+{
+  return owner->eligible || count_ours (owner) > 0;
+}
+
+/* The rows of those that may not own only say that they are there.  */
+static uint32_t
+renew_ms (const struct mq_owner *owner)
+{
+  uint32_t ms = owner->text->lease_ms / RENEWALS_PER_LEASE;
+
+  if (!owner->leaving && !is_owner (owner))
+    return MQ_OWNER_STANDBY_MS;
+  return ms < MQ_OWNER_RENEW_MS ? ms : MQ_OWNER_RENEW_MS;
+}
+
+/* Failure: an owner that reads the rows less often than a lease lasts sees
+   every other one stand still in between, and takes partitions over from
+   the living.  So owners read several times in a lease, however many hosts
+   there are; those that may not own only look where to send callers.  */
+static uint32_t
+scan_ms (const struct mq_owner *owner)
 {
-  struct mq_store_request *request;
   uint32_t hosts = 1;
+  uint32_t ms;
 
   for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
     hosts++;
+  ms = MQ_OWNER_SCAN_MS * (1 + hosts / SCAN_HOSTS_PER_STEP);
+  if (is_owner (owner) && ms > owner->text->lease_ms / SCANS_PER_LEASE)
+    ms = owner->text->lease_ms / SCANS_PER_LEASE;
+  return ms;
+}
+
+static void
+send_scans (struct mq_owner *owner)
+{
+  struct mq_store_request *request;
+
   owner->scan_sent_us = owner->now_us;
   owner->next_scan_us
       = owner->now_us
-        + 1000ULL
-              * owner_jitter_ms (
-                  owner, MQ_OWNER_SCAN_MS * (1 + hosts / SCAN_HOSTS_PER_STEP),
-                  0, UINT32_MAX);
+        + 1000ULL * owner_jitter_ms (owner, scan_ms (owner), 0, UINT32_MAX);
   owner->counters.store_reads += 2;
   TALLOC_FREE (owner->owners_after);
   for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
@@ -1163,7 +1229,8 @@
     return;
   owner->release_us = owner->now_us + 1000ULL * MQ_BALANCE_MS;
   if (!owner->leaving
-      && (owner->claiming > 0 || count_ours (owner) <= fair_share (owner)))
+      && (owner->claiming > 0
+          || (owner->eligible && count_ours (owner) <= fair_share (owner))))
     return;
   for (uint32_t i = 0; i < owner->partition_count; i++)
     {
@@ -1207,7 +1274,8 @@
   switch (partition->state)
     {
     case PARTITION_OTHER:
-      if (!owner->leaving && owner->eligible && owner->scanned)
+      if (!owner->leaving && owner->eligible && owner->renewed
+          && owner->scanned)
         consider_claim (owner, partition);
       break;
     case PARTITION_READING:
@@ -1232,7 +1300,7 @@
     return;
   if (owner->renew_id == 0 && owner->now_us >= owner->next_renew_us)
     {
-      owner->next_renew_us = owner->now_us + 1000ULL * MQ_OWNER_RENEW_MS;
+      owner->next_renew_us = owner->now_us + 1000ULL * renew_ms (owner);
       send_renewal (owner);
     }
   hosts_formers_tick (owner);
@@ -1297,7 +1365,9 @@
   if (result->id == owner->renew_id)
     {
       owner->renew_id = 0;
-      if (result->status != MQ_STORE_OK)
+      if (result->status == MQ_STORE_OK)
+        owner->renewed = true;
+      else
         log_store_failed (owner);
       return true;
     }
--- a/bench/capacity_fleet.c
+++ b/tests/fleet.c
@@ -1,8 +1,8 @@
-/* capacity_fleet.c - owners on the stand-in's table in virtual time.
+/* fleet.c - owners on the stand-in's table in virtual time.
 
-   Needs: capacity_fleet.h, id.h, codec.h.  */
+   Needs: fleet.h, id.h, codec.h.  */
 
-#include "capacity_fleet.h"
+#include "fleet.h"
 #include "core/id.h"
 #include "io/codec.h"
 #include <stdio.h>
@@ -13,6 +13,7 @@
 {
   HOSTS_MAX = 512,
   STORE_US = 2000,
+  LEASE_MS = 5000,
   MESSAGE_US = 1000,
   SECOND_US = 1000000,
   FRAME_HEADER = 4,
@@ -25,7 +26,7 @@
     = "[site]\n"
       "name = capacity\n"
       "partitions = %u\n"
-      "lease_ms = 5000\n"
+      "lease_ms = %u\n"
       "cache_lease_ms = 60000\n"
       "[organisation o]\n"
       "key_sha256 = "
@@ -304,24 +305,30 @@
       }
 }
 
+static uint64_t
+read_counter (uint64_t (*counter) (void))
+{
+  return counter == NULL ? 0 : counter ();
+}
+
 static void
 feed (struct fleet *fleet, uint32_t host, enum fleet_kind kind,
       struct mq_owner_input *input)
 {
   struct fleet_cost *cost = &fleet->use.cost[kind];
   struct mq_actions *actions;
-  uint64_t heap = capacity_heap.calls;
-  uint64_t start = capacity_cpu_ns ();
+  uint64_t heap = read_counter (fleet->options.allocations);
+  uint64_t start = read_counter (fleet->options.clock_ns);
   uint64_t took;
 
   input->now_us = fleet->now_us;
   actions = mq_actions_create (NULL);
   mq_owner_handle (fleet->hosts[host].owner, input, actions);
   fleet->hosts[host].tick_us = mq_owner_next_tick (fleet->hosts[host].owner);
-  took = capacity_cpu_ns () - start;
+  took = read_counter (fleet->options.clock_ns) - start;
   cost->count++;
   cost->ns += took > fleet->clock_ns ? took - fleet->clock_ns : 0;
-  cost->allocations += capacity_heap.calls - heap;
+  cost->allocations += read_counter (fleet->options.allocations) - heap;
   carry (fleet, host, actions);
   talloc_free (actions);
 }
@@ -545,6 +552,14 @@
       feed (fleet, i, FLEET_OTHER, &input);
 }
 
+void
+fleet_leave (struct fleet *fleet, uint32_t host)
+{
+  struct mq_owner_input input = { .type = MQ_OWNER_LEAVE };
+
+  feed (fleet, host, FLEET_OTHER, &input);
+}
+
 /* ---- Life ---- */
 
 static void
@@ -571,17 +586,17 @@
 }
 
 static uint64_t
-measure_clock (void)
+measure_clock (uint64_t (*clock_ns) (void))
 {
   enum
   {
     TIMES = 2000
   };
-  uint64_t start = capacity_cpu_ns ();
+  uint64_t start = read_counter (clock_ns);
 
   for (int i = 0; i < TIMES; i++)
-    capacity_cpu_ns ();
-  return (capacity_cpu_ns () - start) / TIMES;
+    read_counter (clock_ns);
+  return (read_counter (clock_ns) - start) / TIMES;
 }
 
 struct fleet *
@@ -589,13 +604,15 @@
 {
   struct fleet *fleet = talloc_zero (ctx, struct fleet);
   struct mq_text_errors errors = { 0 };
-  char *text = talloc_asprintf (fleet, text_format, options->partitions);
+  char *text = talloc_asprintf (fleet, text_format, options->partitions,
+                                options->lease_ms == 0 ? LEASE_MS
+                                                       : options->lease_ms);
 
   fleet->options = *options;
   if (fleet->options.store_us == 0)
     fleet->options.store_us = STORE_US;
   fleet->now_us = SECOND_US;
-  fleet->clock_ns = measure_clock ();
+  fleet->clock_ns = measure_clock (options->clock_ns);
   fleet->table = mq_table_create (fleet);
   fleet->text = mq_text_parse (fleet, text, strlen (text), &errors);
   if (fleet->text == NULL)
--- a/bench/capacity_fleet.h
+++ b/tests/fleet.h
@@ -1,16 +1,15 @@
-/* capacity_fleet.h - owners on the stand-in's table in virtual time.
+/* fleet.h - owners on the stand-in's table in virtual time.
 
    Hosts run the real owner.  The table answers after a fixed delay and
    counts what it is asked; targets' processes are replaced by an answer of
    so many tokens.  Nothing is lost and nobody is slow: faults are the fault
    matrix's matter, this measures amounts.
-   Needs: capacity.h, owner.h, table.h.  */
+   Needs: owner.h, table.h.  */
 
-#ifndef CAPACITY_FLEET_H
-#define CAPACITY_FLEET_H
+#ifndef FLEET_H
+#define FLEET_H
 
 #include "../standins/table.h"
-#include "capacity.h"
 #include "core/owner.h"
 
 enum fleet_kind
@@ -69,6 +68,9 @@
  * @answer_tokens: frames of text that an answer has
  * @silent: targets take calls and never answer
  * @connected: hosts are connected to each other
+ * @lease_ms: of the site, 0: 5000
+ * @clock_ns: processor time, NULL: nothing is timed
+ * @allocations: allocations so far, NULL: they are not counted
  */
 struct fleet_options
 {
@@ -79,6 +81,9 @@
   uint32_t answer_tokens;
   bool silent;
   bool connected;
+  uint32_t lease_ms;
+  uint64_t (*clock_ns) (void);
+  uint64_t (*allocations) (void);
 };
 
 struct fleet;
@@ -98,6 +103,8 @@
 uint64_t fleet_lost (const struct fleet *fleet);
 /* The process of HOST ends, its connections with it.  */
 void fleet_kill (struct fleet *fleet, uint32_t host);
+/* A planned stop of HOST begins.  */
+void fleet_leave (struct fleet *fleet, uint32_t host);
 /* The process of HOST starts; before it only the first FLEET.hosts did.  */
 void fleet_start (struct fleet *fleet, uint32_t host);
 /* Opens program NUMBER at HOST with a history of TOKENS.  */
