--- a/tests/world_state.h
+++ b/tests/world_state.h
@@ -381,9 +381,9 @@
   int current[HOSTS][HOSTS]; /* wire of two hosts, or NOBODY */
   bool connecting[HOSTS][HOSTS];
   struct mq_table *table;
-  bool low;          /* few records between checkpoints, small batches */
-  bool replayed;     /* all owners were made anew at rest */
-  uint32_t ends;     /* processes that ended, as planned or not */
+  bool low;      /* few records between checkpoints, small batches */
+  bool replayed; /* all owners were made anew at rest */
+  uint32_t ends; /* processes that ended, as planned or not */
   struct mq_bytes *removed; /* batches of log rows that were removed */
   size_t removed_count;
   uint64_t checkpoints[PARTITIONS]; /* highest one that a row was to name */
--- a/tests/world_store.c
+++ b/tests/world_store.c
@@ -306,9 +306,9 @@
 
       if (!op->remove || strncmp (op->key, "log/", 4) != 0)
         continue;
-      world->removed = talloc_realloc (
-          world, world->removed, struct mq_bytes,
-          (unsigned int)(world->removed_count + noted + 1));
+      world->removed
+          = talloc_realloc (world, world->removed, struct mq_bytes,
+                            (unsigned int)(world->removed_count + noted + 1));
       world->removed[world->removed_count + noted]
           = read_log_row (world, op->key);
       noted++;
@@ -329,8 +329,7 @@
       if (op->remove || strncmp (op->key, "part/", 5) != 0)
         continue;
       at = &world->installed[strtoul (op->key + 5, NULL, 10) % PARTITIONS];
-      row = mqlog__partition_row__unpack (NULL, op->value.len,
-                                          op->value.data);
+      row = mqlog__partition_row__unpack (NULL, op->value.len, op->value.data);
       if (row == NULL)
         continue;
       if (row->checkpoint > at->checkpoint)
--- a/tests/world_worker.c
+++ b/tests/world_worker.c
@@ -542,10 +542,10 @@
     fault_script (world, &site);
   if (!world_runs (world, host, run_number) || world->hosts[host].held)
     return;
-  world_trace (world, "%s starts %016llx call %u attempt %u at %s, max_tokens %u",
-               world->hosts[host].name,
-               (unsigned long long)start->ref.program.lo, start->ref.call,
-               start->ref.attempt, start->service, start->max_tokens);
+  world_trace (
+      world, "%s starts %016llx call %u attempt %u at %s, max_tokens %u",
+      world->hosts[host].name, (unsigned long long)start->ref.program.lo,
+      start->ref.call, start->ref.attempt, start->service, start->max_tokens);
   run = add_run (world, host, start);
   begin (world, run, world->run_count - 1);
   if (world->cell->plant != PLANT_START_CLONED
