--- a/src/core/place.c
+++ b/src/core/place.c
@@ -28,9 +28,9 @@
 
 static const char *const policy_names[] = {
   [MQ_POLICY_FINISH] = "finish",
-  [MQ_POLICY_ROUND_ROBIN] = "round_robin",
-  [MQ_POLICY_LEAST_LOADED] = "least_loaded",
-  [MQ_POLICY_PREFIX_HASH] = "prefix_hash",
+  [MQ_POLICY_ROUND_ROBIN] = "round-robin",
+  [MQ_POLICY_LEAST_LOADED] = "least-loaded",
+  [MQ_POLICY_PREFIX_HASH] = "prefix-hash",
 };
 
 struct mq_place_state *
