--- a/src/core/gate_cache.c
+++ b/src/core/gate_cache.c
@@ -440,10 +440,15 @@
   program->swept = false;
 }
 
+/* A call will use the program's cache until its owner renews the lease.
+   Failure: a call of a tool claimed the cache that the program once had here;
+   its owner, which uses it elsewhere, renews and ends nothing here, and the
+   memory of an ended program stayed for the whole first lease.  */
 void
-mq_gate_cache_claim (struct mq_gate *gate, struct gate_program *program)
+mq_gate_cache_claim (struct mq_gate *gate, struct gate_program *program,
+                     const struct gate_worker *worker)
 {
-  if (program->lease == GATE_LEASE_HELD)
+  if (!has_cache (worker) || program->lease == GATE_LEASE_HELD)
     return;
   revive (gate, program);
   set_lease (gate, program, MQ_GATE_LEASE_MS);
--- a/src/core/gate_calls.c
+++ b/src/core/gate_calls.c
@@ -350,7 +350,7 @@
   fill_call (gate, call, msg);
   call->peer = peer;
   link_call (gate, call, program, partition);
-  mq_gate_cache_claim (gate, program);
+  mq_gate_cache_claim (gate, program, &gate->workers[call->worker]);
   mq_gate_queue_add (gate, call);
   mq_gate_queue_run (gate, &gate->workers[call->worker]);
 }
--- a/src/core/gate_state.h
+++ b/src/core/gate_state.h
@@ -442,7 +442,8 @@
 void mq_gate_cache_emptied (struct mq_gate *gate, struct gate_worker *worker);
 void mq_gate_cache_tick (struct mq_gate *gate);
 /* A call was accepted: the program lives.  */
-void mq_gate_cache_claim (struct mq_gate *gate, struct gate_program *program);
+void mq_gate_cache_claim (struct mq_gate *gate, struct gate_program *program,
+                          const struct gate_worker *worker);
 
 /* gate_orders.c */
 void mq_gate_take_order (struct mq_gate *gate, uint32_t peer,
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -300,8 +300,8 @@
   bool grant_asked; /* a hook goes on when grants are durable */
   bool forfeited;   /* what was granted before the takeover is spent */
   struct recovered *recovered; /* what targets reported in a takeover */
-  uint64_t discard_mark; /* charges that are durable before it calls */
-  uint64_t answer_mark;  /* the last answer is durable when this is settled */
+  uint64_t discard_mark;       /* charges that are durable before it calls */
+  uint64_t answer_mark; /* the last answer is durable when this is settled */
 };
 
 /* A worker in the pool of its service.  */
@@ -462,11 +462,11 @@
   uint64_t targets_id; /* write of our targets row */
   bool targets_dirty;
   struct former_run *formers; /* stay in the row, newest first */
-  uint64_t formers_mark; /* records that must be durable before they go */
-  bool formers_needed;   /* by whoever has a partition that we had */
-  uint64_t appended;     /* records so far */
-  uint64_t settled;      /* of these, durable or given up */
-  char *run;             /* "HOST/BOOT" */
+  uint64_t formers_mark;      /* records that must be durable before they go */
+  bool formers_needed;        /* by whoever has a partition that we had */
+  uint64_t appended;          /* records so far */
+  uint64_t settled;           /* of these, durable or given up */
+  char *run;                  /* "HOST/BOOT" */
   uint64_t targets_retry_us;
   uint32_t claiming;
   bool eligible;       /* this host may own partitions */
