Bound in time the eviction of ended programs and takeovers

Cause: only that both happen at last was checked. Change: cache of an ended program goes within its lease and 11 s, counted at the engine; a partition whose owner is gone has another within its lease and 6 s, counted from the last death of an entry host and while one runs.

--- a/tests/test_matrix.c
+++ b/tests/test_matrix.c
@@ -62,6 +62,29 @@
   return injected;
 }
 
+/* The longest that anything took in virtual time, and the most that was left
+   behind in the store.  */
+static void
+print_bounds (const struct matrix_job *jobs, size_t count)
+{
+  uint64_t held_us = 0;
+  uint64_t unowned_us = 0;
+  uint32_t orphans = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct world_report *report = &jobs[i].report;
+
+      held_us = report->held_us > held_us ? report->held_us : held_us;
+      unowned_us
+          = report->unowned_us > unowned_us ? report->unowned_us : unowned_us;
+      orphans = report->orphans > orphans ? report->orphans : orphans;
+    }
+  printf ("matrix: ended_cache_held_s=%.1f partition_unowned_s=%.1f "
+          "orphan_objects=%u\n",
+          (double)held_us / 1e6, (double)unowned_us / 1e6, orphans);
+}
+
 static struct matrix_job *
 create_jobs (size_t count)
 {
@@ -197,6 +220,7 @@
   matrix_run (jobs, SINGLES + MATRIX_PAIRS);
   failed += count_failed (jobs, SINGLES + MATRIX_PAIRS);
   caught = run_plants ();
+  print_bounds (jobs, SINGLES + MATRIX_PAIRS);
   printf ("matrix: cells=%zu pairs=%zu invariants=%d planted=%zu caught=%zu "
           "failed=%zu\n",
           count_injected (jobs, SINGLES, 1),
--- a/tests/world.c
+++ b/tests/world.c
@@ -310,6 +310,20 @@
   world_push (world, event, next_us);
 }
 
+/* An entry host starts or wakes; if it is the only one that stays, nobody
+   could take anything over until now.  */
+static void
+note_somebody (struct world *world, int host)
+{
+  int others = 0;
+
+  for (int i = 0; i < ENTRIES; i++)
+    others += i != host && world->hosts[i].alive && !world->hosts[i].leaving
+              && world->hosts[i].paused_until_us <= world->now_us;
+  if (host < ENTRIES && others == 0)
+    world->nobody_us = world->now_us;
+}
+
 static void
 start_host (struct world *world, int index)
 {
@@ -331,6 +345,7 @@
   host->spread = mq_spread_create (host->memory, host->name, host->data_centre,
                                    mq_random_next (&world->random));
   world_trace (world, "%s starts", host->name);
+  note_somebody (world, index);
   if (host->role == MQ_HOST_ENTRY)
     {
       create_entry (world, host);
@@ -390,6 +405,16 @@
   world_until (world, world->now_us + in_us);
 }
 
+/* The host's partitions are without an owner from now on; whoever was to
+   take others over may have been this one, so for these it begins anew.  */
+static void
+note_unowned (struct world *world, const struct host *host)
+{
+  for (uint32_t p = 0; host->owner != NULL && p < PARTITIONS; p++)
+    if (mq_owner_has (host->owner, p) || world->unowned_us[p] != 0)
+      world->unowned_us[p] = world->now_us;
+}
+
 /* The process dies, its connections break; it starts again later.  */
 void
 world_kill (struct world *world, int index, uint64_t restart_us)
@@ -399,6 +424,7 @@
   if (!host->alive)
     return;
   world_trace (world, "%s dies", host->name);
+  note_unowned (world, host);
   end_process (world, index);
   wire_host_died (world, index, false);
   caller_host_died (world, index);
@@ -414,6 +440,7 @@
   if (!host->alive || host->paused_until_us > world->now_us)
     return;
   world_trace (world, "%s is paused", host->name);
+  note_unowned (world, host);
   host->paused_until_us = world->now_us + pause_us;
   /* What it was about to do at this very step it does when it wakes.  */
   host->held = world->acting == index;
@@ -424,6 +451,22 @@
   world_until (world, host->paused_until_us);
 }
 
+/* A paused host wakes and nobody has taken its partitions.  */
+static void
+note_still_owned (struct world *world, int host)
+{
+  for (uint32_t p = 0; p < PARTITIONS; p++)
+    {
+      int owners = 0;
+
+      for (int i = 0; i < ENTRIES; i++)
+        owners += world->hosts[i].owner != NULL
+                  && mq_owner_has (world->hosts[i].owner, p);
+      if (owners == 1 && mq_owner_has (world->hosts[host].owner, p))
+        world->unowned_us[p] = 0;
+    }
+}
+
 static void
 wake (struct world *world, const struct world_event *event)
 {
@@ -433,6 +476,8 @@
   if (!world_runs (world, event->index, event->run))
     return;
   world_trace (world, "%s wakes with %zu events", host->name, count);
+  note_still_owned (world, event->index);
+  note_somebody (world, event->index);
   host->paused_until_us = 0;
   host->backlog_count = 0;
   for (size_t i = 0; i < count; i++)
@@ -621,6 +666,43 @@
   return names[change];
 }
 
+/* How long it takes is judged where the store can be reached: else nobody
+   can take anything over.  */
+static bool
+is_store_well (const struct world *world)
+{
+  static const enum world_fault faults[]
+      = { FAULT_STORE_DOWN, FAULT_STORE_SLOW, FAULT_WRITE_LOST,
+          FAULT_WRITE_LATE };
+
+  for (size_t i = 0; i < sizeof faults / sizeof faults[0]; i++)
+    if (world->cell->fault == faults[i] || world->cell->second == faults[i])
+      return false;
+  return true;
+}
+
+static void
+note_owned (struct world *world, uint64_t partition)
+{
+  uint64_t since_us;
+
+  if (partition >= PARTITIONS || world->unowned_us[partition] == 0)
+    return;
+  since_us = world->unowned_us[partition];
+  if (since_us < world->nobody_us)
+    since_us = world->nobody_us;
+  since_us = world->now_us - since_us;
+  world->unowned_us[partition] = 0;
+  if (!is_store_well (world) || world->replayed)
+    return;
+  if (since_us > world->report->unowned_us)
+    world->report->unowned_us = since_us;
+  if (since_us > OWNED_WITHIN_US)
+    world_violate (
+        world, INVARIANT_RESUMED, "partition %llu had no owner for %llu ms",
+        (unsigned long long)partition, (unsigned long long)(since_us / MS));
+}
+
 static void
 carry_out (struct world *world, int host, enum machine machine,
            const struct mq_action *action)
@@ -651,6 +733,8 @@
       worker_order (world, host, &action->u.order);
       break;
     case MQ_ACT_STATE:
+      if (action->u.state.change == MQ_STATE_PARTITION_OWNED)
+        note_owned (world, action->u.state.number);
       world_trace (world, "%s: %s %llu %s", world->hosts[host].name,
                    state_name (action->u.state.change),
                    (unsigned long long)action->u.state.number,
--- a/tests/world.h
+++ b/tests/world.h
@@ -120,7 +120,9 @@
   X (APPLY_HOLDS, "an accepted apply stays")                                  \
   X (SETTLES, "the machines come to rest")                                    \
   X (REPLAYED, "a takeover at rest finds the same programs")                  \
-  X (STORED, "the store keeps a checkpoint and the log since, no more")
+  X (STORED, "the store keeps a checkpoint and the log since, no more")       \
+  X (EVICTED, "cache of an ended program goes within its lease and 11 s")     \
+  X (RESUMED, "a partition has an owner again within its lease and 6 s")
 
 enum world_invariant
 {
@@ -154,7 +156,9 @@
   X (CONDITION_IGNORED, "an old owner's write passes its condition")          \
   X (ECHO, "a process hears each message again and again")                    \
   X (CHECKPOINT_CUT, "a checkpoint lacks a program")                          \
-  X (DROP_SWALLOWED, "an object's removal is confirmed and not done")
+  X (DROP_SWALLOWED, "an object's removal is confirmed and not done")         \
+  X (EVICT_DELAYED, "evictions fail for 25 s")                                \
+  X (CLAIM_HELD, "the table refuses claims for 12 s")
 
 enum world_plant
 {
@@ -207,6 +211,8 @@
  * @violation_count: violations, also those that did not fit below
  * @violations: the first of them
  * @orphans: objects at the end that no row names
+ * @held_us: longest that cache of an ended program was held
+ * @unowned_us: longest that a partition was without its owner
  */
 struct world_report
 {
@@ -218,6 +224,8 @@
   uint32_t violation_count;
   struct world_violation violations[WORLD_VIOLATIONS_MAX];
   uint32_t orphans;
+  uint64_t held_us;
+  uint64_t unowned_us;
 };
 
 /* Runs CELL to rest and judges it; TRACE: prints every event.  */
--- a/tests/world_caller.c
+++ b/tests/world_caller.c
@@ -276,7 +276,8 @@
       caller->refusals = 0;
       caller->doubtful = true;
       caller->state = CALLER_PAUSES;
-      plan_timer (world, caller, RESTART_US + world_delay (world, 0, AGAIN_US));
+      plan_timer (world, caller,
+                  RESTART_US + world_delay (world, 0, AGAIN_US));
     }
 }
 
@@ -577,8 +578,7 @@
 {
   if (error != caller->errors[caller->ask])
     world_violate (world, INVARIANT_REPLAYED, "caller %d had %s, has %s",
-                   caller->index,
-                   mq_error_name (caller->errors[caller->ask]),
+                   caller->index, mq_error_name (caller->errors[caller->ask]),
                    mq_error_name (error));
   end_check (world, caller);
 }
--- a/tests/world_check.c
+++ b/tests/world_check.c
@@ -194,8 +194,8 @@
 check_log_rows (struct world *world, const struct mq_table_snapshot *all,
                 const struct mq_row *row)
 {
-  Mqlog__PartitionRow *part = mqlog__partition_row__unpack (
-      NULL, row->value.len, row->value.data);
+  Mqlog__PartitionRow *part
+      = mqlog__partition_row__unpack (NULL, row->value.len, row->value.data);
   char *prefix = talloc_asprintf (world, "log/%s/", row->key + 5);
 
   for (size_t i = 0; part != NULL && i < all->row_count; i++)
--- a/tests/world_fault.c
+++ b/tests/world_fault.c
@@ -229,9 +229,8 @@
   int entry = world_owner_of (world, site->program);
 
   if (world->script == SCRIPT_PLAIN || world->script == SCRIPT_CHECKPOINT
-      || world->script == SCRIPT_SETTLE
-      || world->script_done || entry == NOBODY
-      || site->program.hi != world->callers[0].program.hi)
+      || world->script == SCRIPT_SETTLE || world->script_done
+      || entry == NOBODY || site->program.hi != world->callers[0].program.hi)
     return;
   world->script_done = true;
   here.entry = entry;
@@ -552,8 +551,8 @@
     transaction_steps (world, &site, request);
   else if (request->kind == MQ_STORE_PUT)
     {
-      site.step = begins_with (request->key, "ckpt/") ? STEP_SNAPSHOT
-                                                      : STEP_SEGMENT;
+      site.step
+          = begins_with (request->key, "ckpt/") ? STEP_SNAPSHOT : STEP_SEGMENT;
       fault_step (world, &site);
     }
   else if (request->kind == MQ_STORE_SCAN
--- a/tests/world_state.h
+++ b/tests/world_state.h
@@ -51,6 +51,13 @@
 #define CALLER_PATIENCE_US (9 * SECOND)
 #define LOW_CHECKPOINT_RECORDS 8
 #define LOW_INLINE_BYTES 400
+/* Cache of an ended program: its lease, and what a restarted process waits
+   for somebody to claim what it finds.  */
+#define EVICT_WITHIN_US (CACHE_LEASE_US + MQ_GATE_LEASE_GRACE_MS * MS + SECOND)
+#define CACHE_LEASE_US (4 * SECOND) /* as the text of world_store.c says */
+/* A partition whose owner is gone has another: its lease and this.  */
+#define OWNED_WITHIN_US (LEASE_US + 6 * SECOND)
+#define LEASE_US (2 * SECOND)
 #define REST_US (300 * SECOND)             /* the longest run */
 #define EVENTS_MAX 400000ULL               /* more: the machines never rest */
 #define QUIET_US (4 * SECOND)              /* looked at after all is done */
@@ -166,6 +173,7 @@
 {
   struct mq_id program;
   uint32_t tokens;
+  uint64_t held_us; /* last used */
 };
 
 /* A worker of a target host; outlives the gate's process.  */
@@ -253,7 +261,8 @@
 {
   struct mq_id program;
   uint32_t starts;
-  bool refused; /* its caller was told not_run, and asks no more */
+  bool refused;      /* its caller was told not_run, and asks no more */
+  uint64_t ended_us; /* its end is durable, 0: not so */
   char **finals;
   size_t final_count;
 };
@@ -381,12 +390,14 @@
   int current[HOSTS][HOSTS]; /* wire of two hosts, or NOBODY */
   bool connecting[HOSTS][HOSTS];
   struct mq_table *table;
-  bool low;          /* few records between checkpoints, small batches */
-  bool replayed;     /* all owners were made anew at rest */
-  uint32_t ends;     /* processes that ended, as planned or not */
+  bool low;      /* few records between checkpoints, small batches */
+  bool replayed; /* all owners were made anew at rest */
+  uint32_t ends; /* processes that ended, as planned or not */
   struct mq_bytes *removed; /* batches of log rows that were removed */
   size_t removed_count;
   uint64_t checkpoints[PARTITIONS]; /* highest one that a row was to name */
+  uint64_t unowned_us[PARTITIONS];  /* since when it has no owner */
+  uint64_t nobody_us;               /* until when no entry host ran */
   struct installed
   {
     uint64_t checkpoint;
@@ -495,6 +506,7 @@
 void worker_engine (struct world *world, const struct world_event *event);
 void worker_plan_engine (struct world *world, int host, uint32_t index,
                          bool down, uint64_t in_us);
+void worker_note_end (struct world *world, struct mq_id program);
 void worker_gate_died (struct world *world, int host);
 void worker_host_died (struct world *world, int host);
 uint32_t worker_running (const struct world *world, int host);
--- a/tests/world_store.c
+++ b/tests/world_store.c
@@ -262,6 +262,21 @@
   mqlog__checkpoint__free_unpacked (checkpoint, NULL);
 }
 
+/* Refuses claims for a while after the owner died.  */
+static bool
+plant_holds_claims (struct world *world, const struct world_event *event)
+{
+  const struct mq_store_request *request = event->request;
+
+  if (world->cell->plant != PLANT_CLAIM_HELD || !world->script_done
+      || request->kind != MQ_STORE_TXN || is_commit (request)
+      || strncmp (request->ops[0].key, "part/", 5) != 0
+      || world->now_us > 14 * SECOND)
+    return false;
+  push_failure (world, event, MQ_STORE_DOWN, TABLE_LEAST_US);
+  return true;
+}
+
 static bool
 plant_keeps (struct world *world, const struct world_event *event)
 {
@@ -306,9 +321,9 @@
 
       if (!op->remove || strncmp (op->key, "log/", 4) != 0)
         continue;
-      world->removed = talloc_realloc (
-          world, world->removed, struct mq_bytes,
-          (unsigned int)(world->removed_count + noted + 1));
+      world->removed
+          = talloc_realloc (world, world->removed, struct mq_bytes,
+                            (unsigned int)(world->removed_count + noted + 1));
       world->removed[world->removed_count + noted]
           = read_log_row (world, op->key);
       noted++;
@@ -316,6 +331,40 @@
   return noted;
 }
 
+/* Programs whose end a batch holds.  */
+static void
+note_ends (struct world *world, const struct mq_store_request *request)
+{
+  for (size_t i = 0; i < request->op_count; i++)
+    {
+      const char *key = request->ops[i].key;
+      struct mq_bytes value;
+      Mqlog__Batch *batch;
+
+      if (request->ops[i].remove || strncmp (key, "log/", 4) != 0)
+        continue;
+      value = read_log_row (world, key);
+      batch = mqlog__batch__unpack (NULL, value.len, value.data);
+      for (size_t r = 0; batch != NULL && r < batch->n_records; r++)
+        {
+          Mqlog__Record *record = mqlog__record__unpack (
+              NULL, batch->records[r].len, batch->records[r].data);
+          struct mq_id program;
+
+          if (record == NULL)
+            continue;
+          program.hi = record->hi;
+          program.lo = record->lo;
+          if (record->body_case == MQLOG__RECORD__BODY_ANSWERED
+              && record->answered->ended)
+            worker_note_end (world, program);
+          mqlog__record__free_unpacked (record, NULL);
+        }
+      if (batch != NULL)
+        mqlog__batch__free_unpacked (batch, NULL);
+    }
+}
+
 /* How far the log was when a checkpoint came into force.  */
 static void
 note_installed (struct world *world, const struct mq_store_request *request)
@@ -329,8 +378,7 @@
       if (op->remove || strncmp (op->key, "part/", 5) != 0)
         continue;
       at = &world->installed[strtoul (op->key + 5, NULL, 10) % PARTITIONS];
-      row = mqlog__partition_row__unpack (NULL, op->value.len,
-                                          op->value.data);
+      row = mqlog__partition_row__unpack (NULL, op->value.len, op->value.data);
       if (row == NULL)
         continue;
       if (row->checkpoint > at->checkpoint)
@@ -356,7 +404,8 @@
         push_failure (world, event, MQ_STORE_DOWN, delay_us);
       return;
     }
-  if (plant_drops (world, event) || plant_keeps (world, event))
+  if (plant_drops (world, event) || plant_keeps (world, event)
+      || plant_holds_claims (world, event))
     return;
   plant_passes (world, event->request);
   plant_cuts (world, event->request);
@@ -367,6 +416,7 @@
     {
       world->removed_count += noted;
       note_installed (world, event->request);
+      note_ends (world, event->request);
     }
   world_trace (world, "table: %s for %s",
                result->status == MQ_STORE_CONFLICT ? "conflict" : "served",
--- a/tests/world_worker.c
+++ b/tests/world_worker.c
@@ -15,6 +15,7 @@
 #define EFFECT_US (5 * MS)
 #define ANSWER_US (5 * MS)
 #define EVICT_US (2 * MS)
+#define PLANT_EVICT_FROM_US (25 * SECOND)
 #define UP_US (1 * MS)
 #define HANG_US (1500 * MS)
 #define ANSWER_HELD_US (400 * MS)
@@ -356,6 +357,50 @@
       row->program = program;
     }
   row->tokens = tokens;
+  row->held_us = world->now_us;
+}
+
+/* How long ROW has been held for a program that has ended.  */
+static uint64_t
+held_in_vain (struct world *world, const struct cache_row *row)
+{
+  uint64_t ended_us = worker_program_fact (world, row->program)->ended_us;
+
+  if (ended_us == 0)
+    return 0;
+  return world->now_us - (ended_us > row->held_us ? ended_us : row->held_us);
+}
+
+/* WORKER gives up what it holds for a program, or for all.  */
+static void
+note_held (struct world *world, const struct worker *worker,
+           const struct mq_id *program)
+{
+  for (size_t i = 0; i < worker->cache_count; i++)
+    {
+      const struct cache_row *row = &worker->cache[i];
+      uint64_t held_us = held_in_vain (world, row);
+
+      if (program != NULL && !mq_id_equal (row->program, *program))
+        continue;
+      if (held_us > world->report->held_us)
+        world->report->held_us = held_us;
+      if (held_us > EVICT_WITHIN_US)
+        world_violate (world, INVARIANT_EVICTED,
+                       "program %016llx ended %llu ms before",
+                       (unsigned long long)row->program.lo,
+                       (unsigned long long)(held_us / MS));
+    }
+}
+
+/* The program's end is in the log.  */
+void
+worker_note_end (struct world *world, struct mq_id program)
+{
+  struct program_fact *fact = worker_program_fact (world, program);
+
+  if (fact->ended_us == 0)
+    fact->ended_us = world->now_us;
 }
 
 static void
@@ -542,10 +587,10 @@
     fault_script (world, &site);
   if (!world_runs (world, host, run_number) || world->hosts[host].held)
     return;
-  world_trace (world, "%s starts %016llx call %u attempt %u at %s, max_tokens %u",
-               world->hosts[host].name,
-               (unsigned long long)start->ref.program.lo, start->ref.call,
-               start->ref.attempt, start->service, start->max_tokens);
+  world_trace (
+      world, "%s starts %016llx call %u attempt %u at %s, max_tokens %u",
+      world->hosts[host].name, (unsigned long long)start->ref.program.lo,
+      start->ref.call, start->ref.attempt, start->service, start->max_tokens);
   run = add_run (world, host, start);
   begin (world, run, world->run_count - 1);
   if (world->cell->plant != PLANT_START_CLONED
@@ -764,9 +809,15 @@
   event = world_event_create (world, EVENT_EVICTED, host);
   event->index = (int)evict->worker;
   event->program = evict->program;
-  event->flag = world->hosts[host].workers[evict->worker].up;
+  event->flag = world->hosts[host].workers[evict->worker].up
+                && (world->cell->plant != PLANT_EVICT_DELAYED
+                    || world->now_us > PLANT_EVICT_FROM_US);
   if (event->flag && world->cell->plant != PLANT_EVICT_SWALLOWED)
-    cache_drop (&world->hosts[host].workers[evict->worker], evict->program);
+    {
+      note_held (world, &world->hosts[host].workers[evict->worker],
+                 &evict->program);
+      cache_drop (&world->hosts[host].workers[evict->worker], evict->program);
+    }
   world_push (world, event, world->now_us + EVICT_US);
 }
 
@@ -852,6 +903,7 @@
   if (event->flag)
     {
       worker->boot++;
+      note_held (world, worker, NULL);
       worker->cache_count = 0;
       abort_runs (world, event->host, (uint32_t)event->index);
       worker_plan_engine (world, event->host, (uint32_t)event->index, false,
@@ -873,7 +925,6 @@
   world_push (world, event, world->now_us + in_us);
 }
 
-/* The whole host is gone, its workers with it.  */
 /* A call that hangs has had its effect, and only the gate's client waits for
    the answer: it ends with that client.  */
 void
@@ -886,6 +937,7 @@
       end_run (world, world->runs[i]);
 }
 
+/* The whole host is gone, its workers with it.  */
 void
 worker_host_died (struct world *world, int host)
 {
@@ -894,6 +946,7 @@
       struct worker *worker = &world->hosts[host].workers[i];
 
       worker->boot++;
+      note_held (world, worker, NULL);
       worker->cache_count = 0;
       worker->up = true;
       abort_runs (world, host, i);
