Keep the hooks of other partitions when a flight is lost whole

Cause: a flight carries all hooks that gathered, also of partitions without a record in it. Change: what is left of them follows the next commit.

--- a/src/core/owner_log.c
+++ b/src/core/owner_log.c
@@ -563,6 +563,25 @@
     }
 }
 
+/* Failure: a flight of which every partition was lost also carried hooks of
+   partitions that had no record in it; they went with it, and a call that
+   waited for such a hook waited for ever.  Hooks of what was lost are gone by
+   now; these follow the next commit.  */
+static void
+gather_hooks_again (struct mq_owner *owner, struct hook *first)
+{
+  struct hook *last = first;
+
+  if (first == NULL)
+    return;
+  while (last->next != NULL)
+    last = last->next;
+  last->next = owner->hooks_first;
+  if (owner->hooks_first == NULL)
+    owner->hooks_last = last;
+  owner->hooks_first = first;
+}
+
 /* Ends the flight; its hooks run only when its records are durable.  */
 static void
 finish_flight (struct mq_owner *owner, bool applied)
@@ -578,12 +597,16 @@
       owner->counters.commits++;
       mark_durable (owner, records);
     }
+  else
+    {
+      gather_hooks_again (owner, hook);
+      hook = NULL;
+    }
   while (hook != NULL)
     {
       struct hook *next = hook->next;
 
-      if (applied)
-        chain_hook (owner, hook);
+      chain_hook (owner, hook);
       talloc_free (hook);
       hook = next;
     }
