Lose a partition whose row names another fence, also if our batch applied

Cause: a commit applied and its answer was lost or late; before the old owner read the row another had claimed the partition, which keeps the last batch's id. Change: settling looks at the fence first.

--- a/src/core/owner_log.c
+++ b/src/core/owner_log.c
@@ -769,10 +769,15 @@
 
       if (partition == NULL)
         continue;
-      if (applied && settled[i].applied)
-        part_applied (owner, &flight->parts[i], settled[i].version);
-      else if (!settled[i].present || !settled[i].ours)
+      /* Failure: our batch applied, and another owner claimed the partition
+         before we read the row; its claim keeps our batch id.  Going on from
+         the version that we read, our next commit would pass its condition
+         and put the old fence back over the new one.  So whose fence it is
+         decides; what is durable the new owner tells.  */
+      if (!settled[i].present || !settled[i].ours)
         take_lose (owner, partition);
+      else if (settled[i].applied)
+        part_applied (owner, &flight->parts[i], settled[i].version);
     }
   if (applied || parts_left (flight) == 0)
     {
