Count what was granted as spent when an unused attempt still runs

Change: such a program, and those that it is part of, forfeit their grants, and no call goes out before that is durable.

--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -1087,6 +1087,22 @@
   owner_wake_at (owner, running, owner->now_us + 1000000);
 }
 
+/* Failure: an attempt of the earlier owner that we have no use for still runs;
+   we cancel it, our next call voids it, and what it spent by then is charged
+   by nobody.  Nobody can know that yet, so what was granted counts as spent,
+   to the programs that it is part of as well.  */
+static void
+forfeit_running (struct mq_owner *owner, struct running *running,
+                 const struct recovered *used)
+{
+  bool runs = false;
+
+  for (const struct recovered *r = running->recovered; r != NULL; r = r->next)
+    runs = runs || (r != used && r->running && !is_intended (running, r));
+  for (struct running *up = running; runs && up != NULL; up = up->parent)
+    chain_forfeit (owner, up);
+}
+
 /* Goes on with a program after a takeover, where it stood.  */
 void
 calls_resume (struct mq_owner *owner, struct running *running)
@@ -1103,6 +1119,7 @@
     if (r->ref.call == running->program->calls + 1
         && r->ref.attempt > attempts)
       attempts = r->ref.attempt;
+  forfeit_running (owner, running, best);
   discard_recovered (owner, running, best);
   if (running->program->state == MQ_PROGRAM_RUNNING && !stepwise)
     {
--- a/src/core/owner_chain.c
+++ b/src/core/owner_chain.c
@@ -178,6 +178,7 @@
   record.body_case = MQLOG__RECORD__BODY_FORFEITED;
   record.forfeited = true;
   log_append (owner, running, &record);
+  running->discard_mark = owner->appended;
 }
 
 static uint64_t
