--- a/tests/fuzz/fuzz_frame.c
+++ b/tests/fuzz/fuzz_frame.c
@@ -1,4 +1,4 @@
-/* fuzz_frame.c - frames of a proven peer (frame.c, then codec.c).
+/* fuzz_frame.c - frames of a proven peer: frame.c, then codec_unpack.c.
 
    Input: the size in which the bytes arrive, then the bytes.
    Needs: fuzz.h, frame.h, codec.h, tests/message_samples.h.  */
