Share what the two daemons have in common

main, the clock, random numbers, the queue of actions, the tick timer and the keeping of connections stood in entryd.c and targetd.c, entry.c and target.c alike. They are daemon.c, process.c, batch.c and kept_hosts.c now.

--- a/src/entryd.c
+++ b/src/entryd.c
@@ -1,135 +1,49 @@
 /* entryd.c - the process on an entry host: mimosa-entryd.
 
-   Reads its settings, runs struct mq_entry in one event loop, and stops as
-   planned on SIGTERM or SIGINT; a second signal cuts what is in progress.
-   Needs: argp, tevent, entry.h.  */
+   Needs: daemon.h, entry.h.  */
 
+#include "io/daemon.h"
 #include "io/entry.h"
-#include "io/log.h"
-#include <argp.h>
-#include <signal.h>
 #include <stdio.h>
-#include <stdlib.h>
 
-struct daemon
+static void *
+create (TALLOC_CTX *ctx, struct tevent_context *ev,
+        const struct mq_settings *settings, void (*done) (void *user),
+        void *user, struct mq_error *error)
 {
-  const char *file;
-  struct mq_entry *entry;
-  bool leaving;
-  bool stopped;
-};
-
-static error_t
-parse_option (int key, char *argument, struct argp_state *state)
-{
-  struct daemon *self = state->input;
-
-  switch (key)
-    {
-    case 's':
-      self->file = argument;
-      return 0;
-    case ARGP_KEY_ARG:
-      argp_usage (state);
-      return EINVAL;
-    case ARGP_KEY_END:
-      if (self->file == NULL)
-        argp_error (state, "--settings is missing");
-      return 0;
-    default:
-      return ARGP_ERR_UNKNOWN;
-    }
+  return mq_entry_create (ctx, ev, settings, done, user, error);
 }
 
 static void
-stop (void *user)
+stop (void *inside)
 {
-  struct daemon *self = user;
-
-  self->stopped = true;
+  mq_entry_leave (inside);
 }
 
 static void
-on_signal (struct tevent_context *ev, struct tevent_signal *signal_event,
-           int number, int count, void *info, void *data)
-{
-  struct daemon *self = data;
-
-  (void)ev;
-  (void)signal_event;
-  (void)number;
-  (void)info;
-  if (self->leaving || count > 1)
-    self->stopped = true;
-  self->leaving = true;
-  if (!self->stopped)
-    mq_entry_leave (self->entry);
-}
-
-static struct mq_settings *
-read_settings (TALLOC_CTX *ctx, const char *file)
+destroy (void *inside)
 {
-  struct mq_text_errors errors = { 0 };
-  struct mq_settings *settings
-      = mq_settings_read (ctx, MQ_HOST_ENTRY, file, &errors);
-
-  for (size_t i = 0; settings == NULL && i < errors.count; i++)
-    mq_log_failure ("settings", &errors.items[i]);
-  return settings;
+  mq_entry_destroy (inside);
 }
 
-static bool
-start (struct daemon *self, TALLOC_CTX *ctx, struct tevent_context *ev)
+static void
+announce (const void *inside)
 {
-  struct mq_settings *settings = read_settings (ctx, self->file);
-  struct mq_error error = { 0 };
-
-  if (settings == NULL)
-    return false;
-  mq_log_open ("mimosa-entryd", settings->host, MQ_LOG_INFO);
-  if (tevent_add_signal (ev, ctx, SIGTERM, 0, on_signal, self) == NULL
-      || tevent_add_signal (ev, ctx, SIGINT, 0, on_signal, self) == NULL)
-    return false;
-  self->entry = mq_entry_create (ctx, ev, settings, stop, self, &error);
-  if (self->entry == NULL)
-    {
-      mq_log_failure ("start", &error);
-      return false;
-    }
-  printf ("listening http=%s peer=%s\n", mq_entry_http_address (self->entry),
-          mq_entry_peer_address (self->entry));
-  fflush (stdout);
-  return true;
+  printf ("listening http=%s peer=%s\n", mq_entry_http_address (inside),
+          mq_entry_peer_address (inside));
 }
 
 int
 main (int argc, char **argv)
 {
-  static const struct argp_option options[]
-      = { { "settings", 's', "FILE", 0, "settings of this process", 0 },
-          { 0 } };
-  static const struct argp argp
-      = { options, parse_option,
-          NULL,    "Runs agent programs on an entry host of mimosaquay.",
-          NULL,    NULL,
-          NULL };
-  struct daemon self = { 0 };
-  TALLOC_CTX *ctx;
-  struct tevent_context *ev;
-  int status = EXIT_FAILURE;
-
-  argp_parse (&argp, argc, argv, 0, NULL, &self);
-  signal (SIGPIPE, SIG_IGN);
-  ctx = talloc_new (NULL);
-  ev = tevent_context_init (ctx);
-  mq_log_open ("mimosa-entryd", "", MQ_LOG_INFO);
-  if (ev != NULL && start (&self, ctx, ev))
-    {
-      while (!self.stopped && tevent_loop_once (ev) == 0)
-        ;
-      mq_entry_destroy (self.entry);
-      status = EXIT_SUCCESS;
-    }
-  talloc_free (ctx);
-  return status;
+  static const struct mq_daemon_type type
+      = { .name = "mimosa-entryd",
+          .doc = "Runs agent programs on an entry host of mimosaquay.",
+          .role = MQ_HOST_ENTRY,
+          .create = create,
+          .stop = stop,
+          .destroy = destroy,
+          .announce = announce };
+
+  return mq_daemon_main (&type, argc, argv);
 }
--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -11,23 +11,21 @@
 #include "../core/place.h"
 #include "../core/spread.h"
 #include "api.h"
+#include "batch.h"
 #include "entry_report.h"
 #include "hold.h"
+#include "kept_hosts.h"
 #include "log.h"
 #include "peer.h"
 #include "platform.h"
+#include "process.h"
 #include "spans.h"
-#include <gnutls/crypto.h>
-#include <gnutls/gnutls.h>
-#include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 enum
 {
   US_PER_MS = 1000,
-  US_PER_SECOND = 1000000,
-  NS_PER_US = 1000
+  US_PER_SECOND = 1000000
 };
 
 /* Whose actions a list holds: EVENT means the front to the owner, and the
@@ -39,14 +37,6 @@
   FROM_SPREAD
 };
 
-/* A list of actions that is still to be carried out.  */
-struct batch
-{
-  struct batch *next;
-  enum origin origin;
-  struct mq_actions *actions;
-};
-
 struct mq_entry
 {
   struct tevent_context *ev;
@@ -68,39 +58,16 @@
   struct mq_text *text;
   uint64_t seen_version; /* of the last text that was looked at */
   uint64_t texts_refused;
-  char **kept; /* addresses of hosts to which connections are kept */
-  size_t kept_count;
-  struct batch *first;
-  struct batch *last;
+  struct mq_kept_hosts kept;
+  struct mq_batch_queue queue;
   bool working;
-  struct tevent_timer *timer;
-  uint64_t timer_us;
+  struct mq_tick_timer tick;
   bool leaving;
   uint64_t leave_until_us;
   bool closed; /* no longer accepts callers' connections */
   struct tevent_immediate *stop;
 };
 
-static uint64_t
-now_us (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t)now.tv_sec * US_PER_SECOND
-         + (uint64_t)now.tv_nsec / NS_PER_US;
-}
-
-static uint64_t
-random_word (void)
-{
-  uint64_t word;
-
-  if (gnutls_rnd (GNUTLS_RND_KEY, &word, sizeof word) != 0)
-    abort ();
-  return word;
-}
-
 static uint64_t
 earlier (uint64_t a, uint64_t b)
 {
@@ -110,44 +77,30 @@
 static void settle (struct mq_entry *entry);
 static void release_held (struct mq_entry *entry);
 
-/* The queue of actions.  A core's handler never runs inside another one, and
-   two batches never interleave: a commit that the owner asked for first
-   reaches the store first.  */
-
-static struct mq_actions *
-add_batch (struct mq_entry *entry, enum origin origin)
-{
-  struct batch *batch = mq_must (talloc_zero (entry, struct batch));
-
-  batch->origin = origin;
-  batch->actions = mq_actions_create (batch);
-  if (entry->last == NULL)
-    entry->first = batch;
-  else
-    entry->last->next = batch;
-  entry->last = batch;
-  return batch->actions;
-}
+/* Inputs of the cores.  */
 
 static void
 tell_owner (struct mq_entry *entry, struct mq_owner_input *input)
 {
-  input->now_us = now_us ();
-  mq_owner_handle (entry->owner, input, add_batch (entry, FROM_OWNER));
+  input->now_us = mq_process_now_us ();
+  mq_owner_handle (entry->owner, input,
+                   mq_batch_add (entry, &entry->queue, FROM_OWNER));
 }
 
 static void
 tell_front (struct mq_entry *entry, struct mq_front_input *input)
 {
-  input->now_us = now_us ();
-  mq_front_handle (entry->front, input, add_batch (entry, FROM_FRONT));
+  input->now_us = mq_process_now_us ();
+  mq_front_handle (entry->front, input,
+                   mq_batch_add (entry, &entry->queue, FROM_FRONT));
 }
 
 static void
 tell_spread (struct mq_entry *entry, struct mq_spread_input *input)
 {
-  input->now_us = now_us ();
-  mq_spread_handle (entry->spread, input, add_batch (entry, FROM_SPREAD));
+  input->now_us = mq_process_now_us ();
+  mq_spread_handle (entry->spread, input,
+                    mq_batch_add (entry, &entry->queue, FROM_SPREAD));
 }
 
 /* Carrying out actions.  */
@@ -318,7 +271,7 @@
 static void
 look_at_leaving (struct mq_entry *entry)
 {
-  bool late = now_us () >= entry->leave_until_us;
+  bool late = mq_process_now_us () >= entry->leave_until_us;
 
   if (!entry->leaving || entry->stop != NULL || (!late && !is_idle (entry)))
     return;
@@ -341,7 +294,8 @@
     return;
   entry->leaving = true;
   entry->leave_until_us
-      = now_us () + (uint64_t)entry->settings->drain_seconds * US_PER_SECOND;
+      = mq_process_now_us ()
+        + (uint64_t)entry->settings->drain_seconds * US_PER_SECOND;
   mq_api_leave (entry->api);
   tell_owner (entry, &input);
   settle (entry);
@@ -362,7 +316,7 @@
   struct mq_owner_input owner = { .type = MQ_OWNER_TICK };
   struct mq_front_input front = { .type = MQ_FRONT_TICK };
   struct mq_spread_input spread = { .type = MQ_SPREAD_TICK };
-  uint64_t now = now_us ();
+  uint64_t now = mq_process_now_us ();
 
   if (mq_spread_next_tick (entry->spread) <= now)
     tell_spread (entry, &spread);
@@ -382,7 +336,7 @@
   (void)ev;
   (void)timer;
   (void)at;
-  entry->timer = NULL;
+  entry->tick.timer = NULL;
   tick_cores (entry);
   settle (entry);
 }
@@ -397,57 +351,35 @@
   next = earlier (next, mq_hold_next (entry->hold));
   /* What is in progress over HTTP ends without telling a core.  */
   if (entry->leaving && entry->stop == NULL)
-    next = earlier (next, now_us () + (uint64_t)MQ_ENTRY_LEAVE_MS * US_PER_MS);
+    next = earlier (next, mq_process_now_us ()
+                              + (uint64_t)MQ_ENTRY_LEAVE_MS * US_PER_MS);
   return next;
 }
 
-static void
-set_timer (struct mq_entry *entry)
-{
-  uint64_t next = next_tick (entry);
-  uint64_t now = now_us ();
-  uint64_t wait_us = next > now ? next - now : 0;
-
-  if (entry->timer != NULL && entry->timer_us == next)
-    return;
-  if (wait_us > US_PER_SECOND)
-    wait_us = US_PER_SECOND;
-  /* The event loop serves a timer that is due before any socket.  A core
-     whose next tick stays in the past would keep it from all of them: the
-     process would run at full load and answer nobody.  */
-  if (wait_us < US_PER_MS)
-    wait_us = US_PER_MS;
-  TALLOC_FREE (entry->timer);
-  entry->timer_us = next;
-  entry->timer = mq_must (tevent_add_timer (
-      entry->ev, entry,
-      tevent_timeval_current_ofs ((uint32_t)(wait_us / US_PER_SECOND),
-                                  (uint32_t)(wait_us % US_PER_SECOND)),
-      on_timer, entry));
-}
-
 /* Carries out all that is queued, and what it leads to.  */
 static void
 settle (struct mq_entry *entry)
 {
+  struct mq_batch *batch;
+
   if (entry->working)
     return;
   entry->working = true;
-  while (entry->first != NULL)
+  while ((batch = mq_batch_take (&entry->queue)) != NULL)
     {
-      struct batch *batch = entry->first;
-
       for (size_t i = 0; i < batch->actions->count; i++)
-        carry_out (entry, batch->origin, &batch->actions->items[i]);
-      entry->first = batch->next;
-      if (entry->first == NULL)
-        entry->last = NULL;
+        carry_out (entry, (enum origin)batch->origin,
+                   &batch->actions->items[i]);
       talloc_free (batch);
       look_at_version (entry);
     }
   entry->working = false;
   look_at_leaving (entry);
-  set_timer (entry);
+  /* The event loop serves a timer that is due before any socket.  A core
+     whose next tick stays in the past would keep it from all of them: the
+     process would run at full load and answer nobody.  */
+  mq_tick_timer_set (&entry->tick, entry->ev, next_tick (entry), US_PER_MS,
+                     on_timer, entry);
 }
 
 /* Peers.  */
@@ -519,8 +451,9 @@
 static void
 release_held (struct mq_entry *entry)
 {
-  mq_hold_release (entry->hold, now_us (), mq_spread_version (entry->spread),
-                   tell_owner_of_peer, entry);
+  mq_hold_release (entry->hold, mq_process_now_us (),
+                   mq_spread_version (entry->spread), tell_owner_of_peer,
+                   entry);
 }
 
 /* A caller's request, or its end, from another entry host.  */
@@ -528,8 +461,8 @@
 take_forward (struct mq_entry *entry, uint32_t peer,
               const struct mq_message *message)
 {
-  if (!mq_hold_take (entry->hold, now_us (), mq_spread_version (entry->spread),
-                     peer, message))
+  if (!mq_hold_take (entry->hold, mq_process_now_us (),
+                     mq_spread_version (entry->spread), peer, message))
     tell_owner_of_peer (peer, message, entry);
 }
 
@@ -588,37 +521,11 @@
 }
 
 static bool
-is_listed (const struct mq_host_list *hosts, const char *address)
-{
-  for (size_t i = 0; i < hosts->count; i++)
-    if (strcmp (hosts->items[i].address, address) == 0)
-      return true;
-  return false;
-}
-
-/* Keeps a connection to every host of the list.  */
-static void
-keep_hosts (struct mq_entry *entry, const struct mq_host_list *hosts)
+is_other_host (const struct mq_host *host, const void *data)
 {
-  char **kept = mq_must (
-      talloc_zero_array (entry, char *, (unsigned int)hosts->count + 1));
-  size_t count = 0;
-
-  for (size_t i = 0; i < entry->kept_count; i++)
-    if (!is_listed (hosts, entry->kept[i]))
-      mq_peer_net_release (entry->net, entry->kept[i]);
-  for (size_t i = 0; i < hosts->count; i++)
-    {
-      const char *address = hosts->items[i].address;
+  const struct mq_entry *entry = data;
 
-      if (strcmp (address, entry->peer_address) == 0)
-        continue;
-      mq_peer_net_keep (entry->net, address);
-      kept[count++] = mq_must (talloc_strdup (kept, address));
-    }
-  talloc_free (entry->kept);
-  entry->kept = kept;
-  entry->kept_count = count;
+  return strcmp (host->address, entry->peer_address) != 0;
 }
 
 static void
@@ -628,7 +535,8 @@
   struct mq_spread_input spread = { .type = MQ_SPREAD_HOSTS };
   struct mq_owner_input owner = { .type = MQ_OWNER_HOSTS };
 
-  keep_hosts (entry, hosts);
+  mq_kept_hosts_update (entry, &entry->kept, entry->net, hosts, is_other_host,
+                        entry);
   spread.u.hosts = hosts;
   tell_spread (entry, &spread);
   owner.u.hosts = hosts;
@@ -647,7 +555,7 @@
 
   input.handle = handle;
   input.partition = partition;
-  input.deadline_us = now_us () + (uint64_t)wait_ms * US_PER_MS;
+  input.deadline_us = mq_process_now_us () + (uint64_t)wait_ms * US_PER_MS;
   input.u.request = request;
   tell_front (entry, &input);
   settle (entry);
@@ -686,7 +594,7 @@
 on_now (void *user)
 {
   (void)user;
-  return now_us ();
+  return mq_process_now_us ();
 }
 
 static void
@@ -754,15 +662,6 @@
 
 /* Life.  */
 
-static char *
-address_with_port (TALLOC_CTX *ctx, const char *address, uint16_t port)
-{
-  const char *colon = strrchr (address, ':');
-  int len = colon == NULL ? (int)strlen (address) : (int)(colon - address);
-
-  return mq_must (talloc_asprintf (ctx, "%.*s:%u", len, address, port));
-}
-
 static bool
 create_net (struct mq_entry *entry, struct mq_error *error)
 {
@@ -782,8 +681,8 @@
       = mq_peer_net_create (entry, entry->ev, &options, &callbacks, error);
   if (entry->net == NULL)
     return false;
-  entry->peer_address = address_with_port (entry, settings->peer,
-                                           mq_peer_net_port (entry->net));
+  entry->peer_address = mq_process_address (entry, settings->peer,
+                                            mq_peer_net_port (entry->net));
   return true;
 }
 
@@ -810,7 +709,7 @@
   if (entry->api == NULL)
     return false;
   entry->http_address
-      = address_with_port (entry, settings->http, mq_api_port (entry->api));
+      = mq_process_address (entry, settings->http, mq_api_port (entry->api));
   return true;
 }
 
@@ -847,13 +746,13 @@
   options.data_centre = settings->data_centre;
   options.address = entry->peer_address;
   options.boot = entry->boot;
-  options.seed = random_word ();
+  options.seed = mq_process_random ();
   options.policy = policy;
   entry->owner = mq_owner_create (entry, &options);
   entry->hold = mq_hold_create (entry);
-  entry->front = mq_front_create (entry, &lookup, random_word ());
-  entry->spread = mq_spread_create (entry, settings->host,
-                                    settings->data_centre, random_word ());
+  entry->front = mq_front_create (entry, &lookup, mq_process_random ());
+  entry->spread = mq_spread_create (
+      entry, settings->host, settings->data_centre, mq_process_random ());
   return true;
 }
 
@@ -868,7 +767,7 @@
   entry->settings = settings;
   entry->done = done;
   entry->user = user;
-  entry->boot = random_word ();
+  entry->boot = mq_process_random ();
   entry->spans
       = mq_spans_create (entry, settings->host, settings->data_centre);
   if (!create_net (entry, error) || !create_cores (entry, error)
--- /dev/null
+++ b/src/io/kept_hosts.c
@@ -0,0 +1,43 @@
+/* kept_hosts.c - connections to the hosts of the platform's list.
+
+   Needs: kept_hosts.h, memory.h.  */
+
+#include "kept_hosts.h"
+#include "../core/memory.h"
+#include <string.h>
+
+static bool
+is_listed (const struct mq_host_list *hosts, const char *address)
+{
+  for (size_t i = 0; i < hosts->count; i++)
+    if (strcmp (hosts->items[i].address, address) == 0)
+      return true;
+  return false;
+}
+
+void
+mq_kept_hosts_update (TALLOC_CTX *ctx, struct mq_kept_hosts *kept,
+                      struct mq_peer_net *net,
+                      const struct mq_host_list *hosts, mq_host_wanted *wanted,
+                      const void *data)
+{
+  char **addresses
+      = mq_must (talloc_zero_array (ctx, char *, hosts->count + 1));
+  size_t count = 0;
+
+  for (size_t i = 0; i < kept->count; i++)
+    if (!is_listed (hosts, kept->addresses[i]))
+      mq_peer_net_release (net, kept->addresses[i]);
+  for (size_t i = 0; i < hosts->count; i++)
+    {
+      const struct mq_host *host = &hosts->items[i];
+
+      if (!wanted (host, data))
+        continue;
+      mq_peer_net_keep (net, host->address);
+      addresses[count++] = mq_text_copy (addresses, host->address);
+    }
+  talloc_free (kept->addresses);
+  kept->addresses = addresses;
+  kept->count = count;
+}
--- /dev/null
+++ b/src/io/kept_hosts.h
@@ -0,0 +1,27 @@
+/* kept_hosts.h - connections to the hosts of the platform's list.
+
+   Needs: host.h, peer.h.  */
+
+#ifndef MQ_KEPT_HOSTS_H
+#define MQ_KEPT_HOSTS_H
+
+#include "../core/host.h"
+#include "peer.h"
+
+/* Addresses of hosts to which connections are kept.  */
+struct mq_kept_hosts
+{
+  char **addresses;
+  size_t count;
+};
+
+typedef bool mq_host_wanted (const struct mq_host *host, const void *data);
+
+/* Keeps a connection to each host of the list that is WANTED, and releases
+   those to hosts that are no longer listed.  Addresses hang below CTX.  */
+void mq_kept_hosts_update (TALLOC_CTX *ctx, struct mq_kept_hosts *kept,
+                           struct mq_peer_net *net,
+                           const struct mq_host_list *hosts,
+                           mq_host_wanted *wanted, const void *data);
+
+#endif
--- /dev/null
+++ b/src/io/process.c
@@ -0,0 +1,69 @@
+/* process.c - clock, random numbers and addresses of a process.
+
+   Needs: process.h, memory.h, gnutls.  */
+
+#include "process.h"
+#include "../core/memory.h"
+#include <gnutls/crypto.h>
+#include <gnutls/gnutls.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum
+{
+  US_PER_SECOND = 1000000,
+  NS_PER_US = 1000
+};
+
+uint64_t
+mq_process_now_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (uint64_t)now.tv_sec * US_PER_SECOND
+         + (uint64_t)now.tv_nsec / NS_PER_US;
+}
+
+uint64_t
+mq_process_random (void)
+{
+  uint64_t word = 0;
+
+  while (word == 0)
+    if (gnutls_rnd (GNUTLS_RND_KEY, &word, sizeof word) != 0)
+      abort ();
+  return word;
+}
+
+char *
+mq_process_address (TALLOC_CTX *ctx, const char *address, uint16_t port)
+{
+  const char *colon = strrchr (address, ':');
+  int len = colon == NULL ? (int)strlen (address) : (int)(colon - address);
+
+  return mq_must (talloc_asprintf (ctx, "%.*s:%u", len, address, port));
+}
+
+void
+mq_tick_timer_set (struct mq_tick_timer *tick, struct tevent_context *ev,
+                   uint64_t at_us, uint64_t least_us,
+                   tevent_timer_handler_t handler, void *data)
+{
+  uint64_t now = mq_process_now_us ();
+  uint64_t wait_us = at_us > now ? at_us - now : 0;
+  struct timeval due;
+
+  if (tick->timer != NULL && tick->at_us == at_us)
+    return;
+  if (wait_us > US_PER_SECOND)
+    wait_us = US_PER_SECOND;
+  if (wait_us < least_us)
+    wait_us = least_us;
+  TALLOC_FREE (tick->timer);
+  tick->at_us = at_us;
+  due = tevent_timeval_current_ofs ((uint32_t)(wait_us / US_PER_SECOND),
+                                    (uint32_t)(wait_us % US_PER_SECOND));
+  tick->timer = mq_must (tevent_add_timer (ev, data, due, handler, data));
+}
--- /dev/null
+++ b/src/io/process.h
@@ -0,0 +1,36 @@
+/* process.h - clock, random numbers and addresses of a process.
+
+   Shared by the processes on entry and target hosts.
+   Needs: tevent, gnutls.  */
+
+#ifndef MQ_PROCESS_H
+#define MQ_PROCESS_H
+
+#include "../core/types.h"
+#include <tevent.h>
+
+/* The monotonic clock that the inputs of the core go by.  */
+uint64_t mq_process_now_us (void);
+/* Never 0: that stands for "any" where a boot id is meant.  */
+uint64_t mq_process_random (void);
+/* ADDRESS, "IP:PORT", with PORT in the place of its own, below CTX.  */
+char *mq_process_address (TALLOC_CTX *ctx, const char *address, uint16_t port);
+
+/**
+ * struct mq_tick_timer - the next tick of a process's cores
+ * @timer: NULL when none is set; its handler sets it to NULL
+ * @at_us: when it is due
+ */
+struct mq_tick_timer
+{
+  struct tevent_timer *timer;
+  uint64_t at_us;
+};
+
+/* Sets TICK, a child of DATA, to AT_US: at least LEAST_US and at most a second
+   from now.  */
+void mq_tick_timer_set (struct mq_tick_timer *tick, struct tevent_context *ev,
+                        uint64_t at_us, uint64_t least_us,
+                        tevent_timer_handler_t handler, void *data);
+
+#endif
--- a/src/io/target.c
+++ b/src/io/target.c
@@ -7,31 +7,22 @@
 #include "../core/limits.h"
 #include "../core/memory.h"
 #include "../core/spread.h"
+#include "batch.h"
+#include "kept_hosts.h"
 #include "log.h"
 #include "peer.h"
 #include "platform.h"
+#include "process.h"
 #include "spans.h"
 #include "target_http.h"
 #include "target_report.h"
 #include "worker.h"
-#include <gnutls/crypto.h>
-#include <gnutls/gnutls.h>
-#include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 enum
 {
   US_PER_MS = 1000,
-  US_PER_SECOND = 1000000,
-  NS_PER_US = 1000
-};
-
-/* Actions that are still to be carried out.  */
-struct batch
-{
-  struct batch *next;
-  struct mq_actions *actions;
+  US_PER_SECOND = 1000000
 };
 
 struct mq_target
@@ -52,13 +43,10 @@
   struct mq_spread *spread;
   struct mq_worker **workers;
   uint64_t seen_version;
-  char **kept; /* addresses of hosts to which connections are kept */
-  size_t kept_count;
-  struct batch *first;
-  struct batch *last;
+  struct mq_kept_hosts kept;
+  struct mq_batch_queue queue;
   bool working;
-  struct tevent_timer *timer;
-  uint64_t timer_us;
+  struct mq_tick_timer tick;
   bool leaving;
   bool stopping;
   uint64_t stop_until_us;
@@ -67,28 +55,6 @@
   struct tevent_immediate *stop;
 };
 
-static uint64_t
-now_us (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t)now.tv_sec * US_PER_SECOND
-         + (uint64_t)now.tv_nsec / NS_PER_US;
-}
-
-/* Never 0: that stands for "any" in a call.  */
-static uint64_t
-random_word (void)
-{
-  uint64_t word = 0;
-
-  while (word == 0)
-    if (gnutls_rnd (GNUTLS_RND_KEY, &word, sizeof word) != 0)
-      abort ();
-  return word;
-}
-
 static uint64_t
 earlier (uint64_t a, uint64_t b)
 {
@@ -97,35 +63,22 @@
 
 static void settle (struct mq_target *target);
 
-/* The queue of actions.  A core's handler never runs inside another one, and
-   the actions of one input are carried out before those of the next.  */
-
-static struct mq_actions *
-add_batch (struct mq_target *target)
-{
-  struct batch *batch = mq_must (talloc_zero (target, struct batch));
-
-  batch->actions = mq_actions_create (batch);
-  if (target->last == NULL)
-    target->first = batch;
-  else
-    target->last->next = batch;
-  target->last = batch;
-  return batch->actions;
-}
+/* Inputs of the cores.  */
 
 static void
 tell_gate (struct mq_target *target, struct mq_gate_input *input)
 {
-  input->now_us = now_us ();
-  mq_gate_handle (target->gate, input, add_batch (target));
+  input->now_us = mq_process_now_us ();
+  mq_gate_handle (target->gate, input,
+                  mq_batch_add (target, &target->queue, 0));
 }
 
 static void
 tell_spread (struct mq_target *target, struct mq_spread_input *input)
 {
-  input->now_us = now_us ();
-  mq_spread_handle (target->spread, input, add_batch (target));
+  input->now_us = mq_process_now_us ();
+  mq_spread_handle (target->spread, input,
+                    mq_batch_add (target, &target->queue, 0));
 }
 
 static void
@@ -187,7 +140,7 @@
 is_quiet (struct mq_target *target)
 {
   uint64_t calls = mq_gate_read_counters (target->gate)->calls_received;
-  uint64_t now = now_us ();
+  uint64_t now = mq_process_now_us ();
 
   if (!mq_gate_is_drained (target->gate)
       || mq_target_http_in_progress (target->http) > 0)
@@ -218,7 +171,7 @@
 {
   if (!target->stopping || target->stop != NULL)
     return;
-  if (!is_quiet (target) && now_us () < target->stop_until_us)
+  if (!is_quiet (target) && mq_process_now_us () < target->stop_until_us)
     return;
   target->stop = mq_must (tevent_create_immediate (target));
   tevent_schedule_immediate (target->stop, target->ev, report_done, target);
@@ -243,7 +196,8 @@
     return;
   target->stopping = true;
   target->stop_until_us
-      = now_us () + (uint64_t)target->settings->drain_seconds * US_PER_SECOND;
+      = mq_process_now_us ()
+        + (uint64_t)target->settings->drain_seconds * US_PER_SECOND;
   leave (target);
   settle (target);
 }
@@ -261,10 +215,10 @@
   (void)ev;
   (void)timer;
   (void)at;
-  target->timer = NULL;
-  if (mq_spread_next_tick (target->spread) <= now_us ())
+  target->tick.timer = NULL;
+  if (mq_spread_next_tick (target->spread) <= mq_process_now_us ())
     tell_spread (target, &spread);
-  if (mq_gate_next_tick (target->gate) <= now_us ())
+  if (mq_gate_next_tick (target->gate) <= mq_process_now_us ())
     tell_gate (target, &gate);
   settle (target);
 }
@@ -277,52 +231,31 @@
 
   /* Quiet is seen by looking.  */
   if (target->stopping && target->stop == NULL)
-    next = earlier (next, now_us () + (uint64_t)MQ_TARGET_LOOK_MS * US_PER_MS);
+    next = earlier (next, mq_process_now_us ()
+                              + (uint64_t)MQ_TARGET_LOOK_MS * US_PER_MS);
   return next;
 }
 
-static void
-set_timer (struct mq_target *target)
-{
-  uint64_t next = next_tick (target);
-  uint64_t now = now_us ();
-  uint64_t wait_us = next > now ? next - now : 0;
-
-  if (target->timer != NULL && target->timer_us == next)
-    return;
-  if (wait_us > US_PER_SECOND)
-    wait_us = US_PER_SECOND;
-  TALLOC_FREE (target->timer);
-  target->timer_us = next;
-  target->timer = mq_must (tevent_add_timer (
-      target->ev, target,
-      tevent_timeval_current_ofs ((uint32_t)(wait_us / US_PER_SECOND),
-                                  (uint32_t)(wait_us % US_PER_SECOND)),
-      on_timer, target));
-}
-
 /* Carries out all that is queued, and what it leads to.  */
 static void
 settle (struct mq_target *target)
 {
+  struct mq_batch *batch;
+
   if (target->working)
     return;
   target->working = true;
-  while (target->first != NULL)
+  while ((batch = mq_batch_take (&target->queue)) != NULL)
     {
-      struct batch *batch = target->first;
-
       for (size_t i = 0; i < batch->actions->count; i++)
         carry_out (target, &batch->actions->items[i]);
-      target->first = batch->next;
-      if (target->first == NULL)
-        target->last = NULL;
       talloc_free (batch);
       look_at_version (target);
     }
   target->working = false;
   look_at_stopping (target);
-  set_timer (target);
+  mq_tick_timer_set (&target->tick, target->ev, next_tick (target), 0,
+                     on_timer, target);
 }
 
 /* Peers.  */
@@ -382,14 +315,12 @@
   settle (target);
 }
 
-static bool
-is_listed (const struct mq_host_list *hosts, const char *address)
+/* Which hosts of a list this process connects to.  */
+struct wanted
 {
-  for (size_t i = 0; i < hosts->count; i++)
-    if (strcmp (hosts->items[i].address, address) == 0)
-      return true;
-  return false;
-}
+  const struct mq_settings *settings;
+  bool entry_here; /* our data centre has one */
+};
 
 static bool
 has_entry_here (const struct mq_target *target,
@@ -406,39 +337,26 @@
 /* Entry hosts of our data centre, or of our region where ours has none; the
    others connect to us when they place work here.  */
 static bool
-is_wanted (const struct mq_target *target, const struct mq_host *host,
-           bool entry_here)
+is_wanted (const struct mq_host *host, const void *data)
 {
+  const struct wanted *wanted = data;
+  const struct mq_settings *settings = wanted->settings;
+
   if (host->role != MQ_HOST_ENTRY)
     return false;
-  if (entry_here)
-    return strcmp (host->data_centre, target->settings->data_centre) == 0;
-  return strcmp (host->region, target->settings->region) == 0;
+  if (wanted->entry_here)
+    return strcmp (host->data_centre, settings->data_centre) == 0;
+  return strcmp (host->region, settings->region) == 0;
 }
 
 static void
 keep_hosts (struct mq_target *target, const struct mq_host_list *hosts)
 {
-  char **kept = mq_must (
-      talloc_zero_array (target, char *, (unsigned int)hosts->count + 1));
-  bool entry_here = has_entry_here (target, hosts);
-  size_t count = 0;
+  struct wanted wanted = { .settings = target->settings };
 
-  for (size_t i = 0; i < target->kept_count; i++)
-    if (!is_listed (hosts, target->kept[i]))
-      mq_peer_net_release (target->net, target->kept[i]);
-  for (size_t i = 0; i < hosts->count; i++)
-    {
-      const struct mq_host *host = &hosts->items[i];
-
-      if (!is_wanted (target, host, entry_here))
-        continue;
-      mq_peer_net_keep (target->net, host->address);
-      kept[count++] = mq_must (talloc_strdup (kept, host->address));
-    }
-  talloc_free (target->kept);
-  target->kept = kept;
-  target->kept_count = count;
+  wanted.entry_here = has_entry_here (target, hosts);
+  mq_kept_hosts_update (target, &target->kept, target->net, hosts, is_wanted,
+                        &wanted);
 }
 
 /* The platform says that this host is to go: nothing new from now on; the
@@ -610,15 +528,6 @@
 
 /* Life.  */
 
-static char *
-address_with_port (TALLOC_CTX *ctx, const char *address, uint16_t port)
-{
-  const char *colon = strrchr (address, ':');
-  int len = colon == NULL ? (int)strlen (address) : (int)(colon - address);
-
-  return mq_must (talloc_asprintf (ctx, "%.*s:%u", len, address, port));
-}
-
 static bool
 create_net (struct mq_target *target, struct mq_error *error)
 {
@@ -638,8 +547,8 @@
       = mq_peer_net_create (target, target->ev, &options, &callbacks, error);
   if (target->net == NULL)
     return false;
-  target->peer_address = address_with_port (target, settings->peer,
-                                            mq_peer_net_port (target->net));
+  target->peer_address = mq_process_address (target, settings->peer,
+                                             mq_peer_net_port (target->net));
   return true;
 }
 
@@ -650,13 +559,13 @@
   struct mq_gate_options options = { .host = settings->host };
 
   options.boot = target->boot;
-  options.seed = random_word ();
+  options.seed = mq_process_random ();
   options.order = settings->order;
   options.workers = settings->workers;
   options.worker_count = settings->worker_count;
   target->gate = mq_gate_create (target, &options);
-  target->spread = mq_spread_create (target, settings->host,
-                                     settings->data_centre, random_word ());
+  target->spread = mq_spread_create (
+      target, settings->host, settings->data_centre, mq_process_random ());
 }
 
 static bool
@@ -719,7 +628,7 @@
                                settings->operator_key_hash, &callbacks, error);
   if (target->http == NULL)
     return false;
-  target->http_address = address_with_port (
+  target->http_address = mq_process_address (
       target, settings->http, mq_target_http_port (target->http));
   return true;
 }
@@ -736,7 +645,7 @@
   target->settings = settings;
   target->done = done;
   target->user = user;
-  target->boot = random_word ();
+  target->boot = mq_process_random ();
   target->spans
       = mq_spans_create (target, settings->host, settings->data_centre);
   create_cores (target);
