--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -1,25 +1,12 @@
 /* entry.c - everything that runs on an entry host, in one event loop.
 
-   Needs: entry.h and the modules that it joins.  */
+   Needs: entry_state.h and the modules that it joins.  */
 
 #include "entry.h"
-#include "../core/front.h"
-#include "../core/id.h"
 #include "../core/limits.h"
 #include "../core/memory.h"
-#include "../core/owner.h"
 #include "../core/place.h"
-#include "../core/spread.h"
-#include "api.h"
-#include "batch.h"
-#include "entry_report.h"
-#include "hold.h"
-#include "kept_hosts.h"
-#include "log.h"
-#include "peer.h"
-#include "platform.h"
-#include "process.h"
-#include "spans.h"
+#include "entry_state.h"
 #include <string.h>
 
 enum
@@ -28,223 +15,12 @@
   US_PER_SECOND = 1000000
 };
 
-/* Whose actions a list holds: EVENT means the front to the owner, and the
-   caller to the front.  */
-enum origin
-{
-  FROM_OWNER,
-  FROM_FRONT,
-  FROM_SPREAD
-};
-
-struct mq_entry
-{
-  struct tevent_context *ev;
-  const struct mq_settings *settings;
-  void (*done) (void *user);
-  void *user;
-  uint64_t boot;
-  char *http_address;
-  char *peer_address;
-  struct mq_http_client *client;
-  struct mq_platform *platform;
-  struct mq_peer_net *net;
-  struct mq_api *api;
-  struct mq_spans *spans;
-  struct mq_owner *owner;
-  struct mq_front *front;
-  struct mq_spread *spread;
-  struct mq_hold *hold;
-  struct mq_text *text;
-  uint64_t seen_version; /* of the last text that was looked at */
-  uint64_t texts_refused;
-  struct mq_kept_hosts kept;
-  struct mq_batch_queue queue;
-  bool working;
-  struct mq_tick_timer tick;
-  bool leaving;
-  uint64_t leave_until_us;
-  bool closed; /* no longer accepts callers' connections */
-  struct tevent_immediate *stop;
-};
-
 static uint64_t
 earlier (uint64_t a, uint64_t b)
 {
   return a < b ? a : b;
 }
 
-static void settle (struct mq_entry *entry);
-static void release_held (struct mq_entry *entry);
-
-/* Inputs of the cores.  */
-
-static void
-tell_owner (struct mq_entry *entry, struct mq_owner_input *input)
-{
-  input->now_us = mq_process_now_us ();
-  mq_owner_handle (entry->owner, input,
-                   mq_batch_add (entry, &entry->queue, FROM_OWNER));
-}
-
-static void
-tell_front (struct mq_entry *entry, struct mq_front_input *input)
-{
-  input->now_us = mq_process_now_us ();
-  mq_front_handle (entry->front, input,
-                   mq_batch_add (entry, &entry->queue, FROM_FRONT));
-}
-
-static void
-tell_spread (struct mq_entry *entry, struct mq_spread_input *input)
-{
-  input->now_us = mq_process_now_us ();
-  mq_spread_handle (entry->spread, input,
-                    mq_batch_add (entry, &entry->queue, FROM_SPREAD));
-}
-
-/* Carrying out actions.  */
-
-/* The front has to know that a request did not leave this host; whatever
-   else can't be sent is lost with the connection, which is reported.  */
-static void
-send_peer (struct mq_entry *entry, uint32_t peer,
-           const struct mq_message *message)
-{
-  struct mq_event_msg event = { .type = MQ_EVENT_REFUSED };
-  struct mq_front_input input = { .type = MQ_FRONT_EVENT, .peer = peer };
-
-  if (mq_peer_net_send (entry->net, peer, message)
-      || message->type != MQ_MSG_FORWARD)
-    return;
-  event.handle = message->u.forward.handle;
-  event.error = MQ_ERR_NOT_READY;
-  event.ran = MQ_RAN_NOT_RUN;
-  event.body = "";
-  event.redirect = "";
-  input.u.event = &event;
-  tell_front (entry, &input);
-}
-
-/* A caller's request, or its end, for the owner in this process.  */
-static void
-send_self (struct mq_entry *entry, const struct mq_message *message)
-{
-  struct mq_owner_input input = { .peer = MQ_PEER_SELF };
-
-  if (message->type == MQ_MSG_FORWARD)
-    {
-      input.type = MQ_OWNER_REQUEST;
-      input.handle = message->u.forward.handle;
-      input.u.request = &message->u.forward.request;
-      tell_owner (entry, &input);
-    }
-  else if (message->type == MQ_MSG_FORWARD_CLOSE)
-    {
-      input.type = MQ_OWNER_CALLER_GONE;
-      input.handle = message->u.forward_close.handle;
-      tell_owner (entry, &input);
-    }
-}
-
-static void
-carry_event (struct mq_entry *entry, enum origin origin,
-             const struct mq_action *action)
-{
-  struct mq_front_input input = { .type = MQ_FRONT_EVENT };
-  struct mq_message message = { .type = MQ_MSG_FORWARD_EVENT };
-
-  if (origin == FROM_FRONT)
-    {
-      mq_api_event (entry->api, &action->u.event);
-      return;
-    }
-  if (action->peer == MQ_PEER_SELF)
-    {
-      input.peer = MQ_PEER_SELF;
-      input.u.event = &action->u.event;
-      tell_front (entry, &input);
-      return;
-    }
-  message.u.event = action->u.event;
-  send_peer (entry, action->peer, &message);
-}
-
-static void
-carry_out (struct mq_entry *entry, enum origin origin,
-           const struct mq_action *action)
-{
-  switch (action->type)
-    {
-    case MQ_ACT_SEND:
-      if (action->peer == MQ_PEER_SELF)
-        send_self (entry, &action->u.message);
-      else
-        send_peer (entry, action->peer, &action->u.message);
-      break;
-    case MQ_ACT_STORE:
-      mq_platform_send (entry->platform, &action->u.store);
-      break;
-    case MQ_ACT_EVENT:
-      carry_event (entry, origin, action);
-      break;
-    case MQ_ACT_SPAN:
-      mq_spans_add (entry->spans, &action->u.span);
-      break;
-    case MQ_ACT_STATE:
-      mq_log_state (&action->u.state);
-      break;
-    /* Only a target host's core gives these.  */
-    case MQ_ACT_START:
-    case MQ_ACT_STOP:
-    case MQ_ACT_EVICT:
-    case MQ_ACT_ORDER:
-      break;
-    }
-}
-
-/* A text that does not parse was accepted by a newer version of mimosactl,
-   or was written to the table by hand.  This process goes on with the text
-   that it has, and says so.  */
-static void
-take_text (struct mq_entry *entry)
-{
-  const char *source = mq_spread_text (entry->spread);
-  struct mq_owner_input input = { .type = MQ_OWNER_TEXT };
-  struct mq_text_errors errors = { 0 };
-  struct mq_text *older = entry->text;
-  struct mq_text *text
-      = mq_text_parse (entry, source, strlen (source), &errors);
-
-  if (text == NULL)
-    {
-      entry->texts_refused++;
-      if (errors.count > 0)
-        mq_log_failure ("text_refused", &errors.items[0]);
-      talloc_free (errors.items);
-      return;
-    }
-  text->version = mq_spread_version (entry->spread);
-  entry->text = text;
-  mq_api_set_text (entry->api, text);
-  input.u.text = text;
-  tell_owner (entry, &input);
-  talloc_free (older);
-}
-
-static void
-look_at_version (struct mq_entry *entry)
-{
-  uint64_t version = mq_spread_version (entry->spread);
-
-  if (version == entry->seen_version)
-    return;
-  entry->seen_version = version;
-  mq_peer_net_set_version (entry->net, version);
-  take_text (entry);
-  release_held (entry);
-}
-
 /* Planned stop.  */
 
 static bool
@@ -297,8 +73,8 @@
       = mq_process_now_us ()
         + (uint64_t)entry->settings->drain_seconds * US_PER_SECOND;
   mq_api_leave (entry->api);
-  tell_owner (entry, &input);
-  settle (entry);
+  mq_entry_tell_owner (entry, &input);
+  mq_entry_settle (entry);
 }
 
 /* Time.  */
@@ -319,12 +95,12 @@
   uint64_t now = mq_process_now_us ();
 
   if (mq_spread_next_tick (entry->spread) <= now)
-    tell_spread (entry, &spread);
+    mq_entry_tell_spread (entry, &spread);
   if (owner_next_tick (entry) <= now)
-    tell_owner (entry, &owner);
+    mq_entry_tell_owner (entry, &owner);
   if (mq_front_next_tick (entry->front) <= now)
-    tell_front (entry, &front);
-  release_held (entry);
+    mq_entry_tell_front (entry, &front);
+  mq_entry_release_held (entry);
 }
 
 static void
@@ -338,7 +114,7 @@
   (void)at;
   entry->tick.timer = NULL;
   tick_cores (entry);
-  settle (entry);
+  mq_entry_settle (entry);
 }
 
 static uint64_t
@@ -357,8 +133,8 @@
 }
 
 /* Carries out all that is queued, and what it leads to.  */
-static void
-settle (struct mq_entry *entry)
+void
+mq_entry_settle (struct mq_entry *entry)
 {
   struct mq_batch *batch;
 
@@ -368,10 +144,10 @@
   while ((batch = mq_batch_take (&entry->queue)) != NULL)
     {
       for (size_t i = 0; i < batch->actions->count; i++)
-        carry_out (entry, (enum origin)batch->origin,
-                   &batch->actions->items[i]);
+        mq_entry_carry_out (entry, (enum mq_entry_origin)batch->origin,
+                            &batch->actions->items[i]);
       talloc_free (batch);
-      look_at_version (entry);
+      mq_entry_look_at_version (entry);
     }
   entry->working = false;
   look_at_leaving (entry);
@@ -382,270 +158,7 @@
                      on_timer, entry);
 }
 
-/* Peers.  */
-
-static void
-on_peer_up (uint32_t peer, const struct mq_peer_info *info, void *user)
-{
-  struct mq_entry *entry = user;
-  struct mq_spread_input spread = { .type = MQ_SPREAD_PEER_UP, .peer = peer };
-  struct mq_owner_input owner = { .type = MQ_OWNER_PEER_UP, .peer = peer };
-  struct mq_front_input front = { .type = MQ_FRONT_PEER_UP, .peer = peer };
-
-  tell_spread (entry, &spread);
-  owner.u.peer_up.host = info->host;
-  owner.u.peer_up.role = info->role;
-  owner.u.peer_up.boot = info->boot;
-  tell_owner (entry, &owner);
-  if (info->role == MQ_HOST_ENTRY)
-    {
-      front.u.address = info->address;
-      tell_front (entry, &front);
-    }
-  settle (entry);
-}
-
-static void
-on_peer_down (uint32_t peer, enum mq_error_type why, void *user)
-{
-  struct mq_entry *entry = user;
-  struct mq_spread_input spread
-      = { .type = MQ_SPREAD_PEER_DOWN, .peer = peer };
-  struct mq_owner_input owner = { .type = MQ_OWNER_PEER_DOWN, .peer = peer };
-  struct mq_front_input front = { .type = MQ_FRONT_PEER_DOWN, .peer = peer };
-
-  (void)why;
-  mq_hold_forget (entry->hold, peer);
-  tell_spread (entry, &spread);
-  tell_owner (entry, &owner);
-  tell_front (entry, &front);
-  settle (entry);
-}
-
-static void
-tell_owner_of_peer (uint32_t peer, const struct mq_message *message,
-                    void *user)
-{
-  struct mq_entry *entry = user;
-  struct mq_owner_input input = { .peer = peer };
-
-  switch (message->type)
-    {
-    case MQ_MSG_FORWARD:
-      input.type = MQ_OWNER_REQUEST;
-      input.handle = message->u.forward.handle;
-      input.u.request = &message->u.forward.request;
-      break;
-    case MQ_MSG_FORWARD_CLOSE:
-      input.type = MQ_OWNER_CALLER_GONE;
-      input.handle = message->u.forward_close.handle;
-      break;
-    default:
-      input.type = MQ_OWNER_MESSAGE;
-      input.u.message = message;
-      break;
-    }
-  tell_owner (entry, &input);
-}
-
-static void
-release_held (struct mq_entry *entry)
-{
-  mq_hold_release (entry->hold, mq_process_now_us (),
-                   mq_spread_version (entry->spread), tell_owner_of_peer,
-                   entry);
-}
-
-/* A caller's request, or its end, from another entry host.  */
-static void
-take_forward (struct mq_entry *entry, uint32_t peer,
-              const struct mq_message *message)
-{
-  if (!mq_hold_take (entry->hold, mq_process_now_us (),
-                     mq_spread_version (entry->spread), peer, message))
-    tell_owner_of_peer (peer, message, entry);
-}
-
-/* The configuration goes first: the lower side fetches before it acts.  */
-static void
-on_message (uint32_t peer, const struct mq_message *message, void *user)
-{
-  struct mq_entry *entry = user;
-  struct mq_spread_input spread = { .type = MQ_SPREAD_MESSAGE, .peer = peer };
-  struct mq_front_input front = { .type = MQ_FRONT_EVENT, .peer = peer };
-
-  spread.u.message = message;
-  tell_spread (entry, &spread);
-  switch (message->type)
-    {
-    case MQ_MSG_FORWARD_EVENT:
-      front.u.event = &message->u.event;
-      tell_front (entry, &front);
-      break;
-    case MQ_MSG_FORWARD:
-    case MQ_MSG_FORWARD_CLOSE:
-      take_forward (entry, peer, message);
-      break;
-    case MQ_MSG_NONE:
-    case MQ_MSG_CONFIG_HAVE:
-    case MQ_MSG_CONFIG_GET:
-    case MQ_MSG_CONFIG_TEXT:
-      break;
-    default:
-      tell_owner_of_peer (peer, message, entry);
-      break;
-    }
-  settle (entry);
-}
-
-/* The platform.  */
-
-static void
-on_stored (const struct mq_store_result *result, void *user)
-{
-  struct mq_entry *entry = user;
-  struct mq_spread_input spread = { .type = MQ_SPREAD_STORE };
-  struct mq_owner_input owner = { .type = MQ_OWNER_STORE };
-
-  if ((result->id & MQ_SPREAD_STORE_BIT) != 0)
-    {
-      spread.u.store = result;
-      tell_spread (entry, &spread);
-    }
-  else
-    {
-      owner.u.store = result;
-      tell_owner (entry, &owner);
-    }
-  settle (entry);
-}
-
-static bool
-is_other_host (const struct mq_host *host, const void *data)
-{
-  const struct mq_entry *entry = data;
-
-  return strcmp (host->address, entry->peer_address) != 0;
-}
-
-static void
-on_listed (const struct mq_host_list *hosts, void *user)
-{
-  struct mq_entry *entry = user;
-  struct mq_spread_input spread = { .type = MQ_SPREAD_HOSTS };
-  struct mq_owner_input owner = { .type = MQ_OWNER_HOSTS };
-
-  mq_kept_hosts_update (entry, &entry->kept, entry->net, hosts, is_other_host,
-                        entry);
-  spread.u.hosts = hosts;
-  tell_spread (entry, &spread);
-  owner.u.hosts = hosts;
-  tell_owner (entry, &owner);
-  settle (entry);
-}
-
-/* Callers and operators.  */
-
-static void
-on_request (uint64_t handle, uint32_t partition, uint32_t wait_ms,
-            const struct mq_request_msg *request, void *user)
-{
-  struct mq_entry *entry = user;
-  struct mq_front_input input = { .type = MQ_FRONT_REQUEST };
-
-  input.handle = handle;
-  input.partition = partition;
-  input.deadline_us = mq_process_now_us () + (uint64_t)wait_ms * US_PER_MS;
-  input.u.request = request;
-  tell_front (entry, &input);
-  settle (entry);
-}
-
-static void
-on_gone (uint64_t handle, void *user)
-{
-  struct mq_entry *entry = user;
-  struct mq_front_input input = { .type = MQ_FRONT_CALLER_GONE };
-
-  input.handle = handle;
-  tell_front (entry, &input);
-  settle (entry);
-}
-
-static void
-on_drain (void *user)
-{
-  mq_entry_leave (user);
-}
-
-static bool
-is_ready (const struct mq_entry *entry)
-{
-  return entry->text != NULL && mq_owner_address (entry->owner, 0) != NULL;
-}
-
-static bool
-on_ready (void *user)
-{
-  return is_ready (user);
-}
-
-static uint64_t
-on_now (void *user)
-{
-  (void)user;
-  return mq_process_now_us ();
-}
-
-static void
-on_span (const struct mq_span *span, void *user)
-{
-  struct mq_entry *entry = user;
-
-  mq_spans_add (entry->spans, span);
-}
-
-static char *
-on_spans (TALLOC_CTX *ctx, struct mq_id program, void *user)
-{
-  struct mq_entry *entry = user;
-
-  return mq_spans_json (ctx, entry->spans, program);
-}
-
-static void
-fill_view (const struct mq_entry *entry, struct mq_entry_view *view)
-{
-  view->settings = entry->settings;
-  view->boot = entry->boot;
-  view->ready = is_ready (entry);
-  view->leaving = entry->leaving;
-  view->texts_refused = entry->texts_refused;
-  view->owner = entry->owner;
-  view->front = entry->front;
-  view->spread = entry->spread;
-  view->api = entry->api;
-  view->net = entry->net;
-  view->platform = entry->platform;
-}
-
-static char *
-on_metrics (TALLOC_CTX *ctx, void *user)
-{
-  struct mq_entry_view view;
-
-  fill_view (user, &view);
-  return mq_entry_metrics (ctx, &view);
-}
-
-static char *
-on_status (TALLOC_CTX *ctx, void *user)
-{
-  struct mq_entry_view view;
-
-  fill_view (user, &view);
-  return mq_entry_status (ctx, &view);
-}
+/* Life.  */
 
 /* Address of a partition's owner as the front wants it: empty when it is
    this process.  */
@@ -660,16 +173,11 @@
   return address;
 }
 
-/* Life.  */
-
 static bool
 create_net (struct mq_entry *entry, struct mq_error *error)
 {
   const struct mq_settings *settings = entry->settings;
-  struct mq_peer_callbacks callbacks = { .up = on_peer_up,
-                                         .down = on_peer_down,
-                                         .message = on_message,
-                                         .user = entry };
+  struct mq_peer_callbacks callbacks = mq_entry_peer_callbacks (entry);
   struct mq_peer_options options = { .listen = settings->peer };
 
   options.self.host = settings->host;
@@ -690,16 +198,7 @@
 create_api (struct mq_entry *entry, struct mq_error *error)
 {
   const struct mq_settings *settings = entry->settings;
-  struct mq_api_callbacks callbacks = { .request = on_request,
-                                        .gone = on_gone,
-                                        .drain = on_drain,
-                                        .metrics = on_metrics,
-                                        .status = on_status,
-                                        .spans = on_spans,
-                                        .span = on_span,
-                                        .ready = on_ready,
-                                        .now_us = on_now,
-                                        .user = entry };
+  struct mq_api_callbacks callbacks = mq_entry_api_callbacks (entry);
   struct mq_api_options options = { .boot = entry->boot };
 
   options.http.address = settings->http;
@@ -721,7 +220,7 @@
     return false;
   entry->platform
       = mq_platform_create (entry, entry->ev, entry->client,
-                            entry->settings->platform, on_stored, entry);
+                            entry->settings->platform, mq_entry_stored, entry);
   if (entry->platform == NULL)
     {
       mq_error_set (error, MQ_ERR_IO, entry->settings->platform, "");
@@ -776,9 +275,9 @@
       mq_entry_destroy (entry);
       return NULL;
     }
-  mq_platform_watch_hosts (entry->platform, MQ_HOSTS_POLL_MS, on_listed,
+  mq_platform_watch_hosts (entry->platform, MQ_HOSTS_POLL_MS, mq_entry_listed,
                            entry);
-  settle (entry);
+  mq_entry_settle (entry);
   return entry;
 }
 
--- /dev/null
+++ b/src/io/entry_state.h
@@ -0,0 +1,85 @@
+/* entry_state.h - what the parts of an entry host's process share; for src/io
+   only.
+
+   entry.c holds its life and its time, entry_input.c what comes in,
+   entry_action.c what the cores ask for.
+   Needs: entry.h and the modules that it joins.  */
+
+#ifndef MQ_ENTRY_STATE_H
+#define MQ_ENTRY_STATE_H
+
+#include "../core/front.h"
+#include "../core/owner.h"
+#include "../core/spread.h"
+#include "api.h"
+#include "batch.h"
+#include "entry.h"
+#include "hold.h"
+#include "kept_hosts.h"
+#include "peer.h"
+#include "platform.h"
+#include "process.h"
+#include "spans.h"
+
+/* Whose actions a list holds: EVENT means the front to the owner, and the
+   caller to the front.  */
+enum mq_entry_origin
+{
+  MQ_FROM_OWNER,
+  MQ_FROM_FRONT,
+  MQ_FROM_SPREAD
+};
+
+struct mq_entry
+{
+  struct tevent_context *ev;
+  const struct mq_settings *settings;
+  void (*done) (void *user);
+  void *user;
+  uint64_t boot;
+  char *http_address;
+  char *peer_address;
+  struct mq_http_client *client;
+  struct mq_platform *platform;
+  struct mq_peer_net *net;
+  struct mq_api *api;
+  struct mq_spans *spans;
+  struct mq_owner *owner;
+  struct mq_front *front;
+  struct mq_spread *spread;
+  struct mq_hold *hold;
+  struct mq_text *text;
+  uint64_t seen_version; /* of the last text that was looked at */
+  uint64_t texts_refused;
+  struct mq_kept_hosts kept;
+  struct mq_batch_queue queue;
+  bool working;
+  struct mq_tick_timer tick;
+  bool leaving;
+  uint64_t leave_until_us;
+  bool closed; /* no longer accepts callers' connections */
+  struct tevent_immediate *stop;
+};
+
+/* Each tells one core; the time goes in here.  */
+void mq_entry_tell_owner (struct mq_entry *entry,
+                          struct mq_owner_input *input);
+void mq_entry_tell_front (struct mq_entry *entry,
+                          struct mq_front_input *input);
+void mq_entry_tell_spread (struct mq_entry *entry,
+                           struct mq_spread_input *input);
+void mq_entry_carry_out (struct mq_entry *entry, enum mq_entry_origin origin,
+                         const struct mq_action *action);
+/* Takes a newer configuration into use.  */
+void mq_entry_look_at_version (struct mq_entry *entry);
+/* Carries out all that is queued, and what it leads to.  */
+void mq_entry_settle (struct mq_entry *entry);
+
+struct mq_peer_callbacks mq_entry_peer_callbacks (struct mq_entry *entry);
+struct mq_api_callbacks mq_entry_api_callbacks (struct mq_entry *entry);
+void mq_entry_stored (const struct mq_store_result *result, void *user);
+void mq_entry_listed (const struct mq_host_list *hosts, void *user);
+/* Hands on requests that waited for a configuration that is here now.  */
+void mq_entry_release_held (struct mq_entry *entry);
+
+#endif
