Serve operators' paths from one place

/healthz, /readyz, /metrics and /v1/admin/ and the check of a bearer key stood in api.c and target_http.c alike; operator_http.c has them once. Refusals stay each process's own. Behaviour is the same: test_api and the target's rows of test_mimosactl pass.

--- a/src/io/api.c
+++ b/src/io/api.c
@@ -11,11 +11,11 @@
 #include "../core/memory.h"
 #include "api_answer.h"
 #include "api_plan.h"
+#include "operator_http.h"
 #include <gnutls/crypto.h>
 #include <gnutls/gnutls.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <time.h>
 
 enum
@@ -64,7 +64,7 @@
   struct mq_http_server *server;
   const struct mq_text *text;
   uint64_t boot;
-  uint8_t operator_key_hash[MQ_KEY_BYTES];
+  struct mq_operator_http operators;
   bool leaving;
   struct exchange **slots;
   size_t slot_count;
@@ -76,13 +76,6 @@
 
 /* Plain answers.  */
 
-static void
-respond_text (struct mq_http_request *http, int status, const char *type,
-              const char *text)
-{
-  mq_http_respond (http, status, type, text, strlen (text));
-}
-
 static void
 respond_refusal (struct mq_api *api, struct mq_http_request *http,
                  const struct mq_api_refusal *refusal)
@@ -98,8 +91,8 @@
 
       mq_http_set_header (http, "Retry-After", seconds);
     }
-  respond_text (http, mq_error_http_status (refusal->error.type), json_type,
-                json);
+  mq_respond_text (http, mq_error_http_status (refusal->error.type), json_type,
+                   json);
   talloc_free (json);
 }
 
@@ -200,40 +193,16 @@
 
 /* Keys.  */
 
-/* SHA-256 of the bearer token; false when there is none.  */
-static bool
-bearer_hash (struct mq_http_request *http, uint8_t hash[MQ_KEY_BYTES])
-{
-  static const char scheme[] = "Bearer ";
-  const char *header = mq_http_header (http, "Authorization");
-
-  if (header == NULL || strncasecmp (header, scheme, sizeof scheme - 1) != 0)
-    return false;
-  header += sizeof scheme - 1;
-  return gnutls_hash_fast (GNUTLS_DIG_SHA256, header, strlen (header), hash)
-         == 0;
-}
-
 static const struct mq_organisation *
 caller_of (const struct mq_api *api, struct mq_http_request *http)
 {
   uint8_t hash[MQ_KEY_BYTES];
 
-  if (!bearer_hash (http, hash))
+  if (!mq_bearer_hash (http, hash))
     return NULL;
   return mq_text_find_key (api->text, hash);
 }
 
-static bool
-is_operator (const struct mq_api *api, struct mq_http_request *http)
-{
-  uint8_t hash[MQ_KEY_BYTES];
-
-  if (!bearer_hash (http, hash))
-    return false;
-  return gnutls_memcmp (hash, api->operator_key_hash, MQ_KEY_BYTES) == 0;
-}
-
 /* The caller's trace context, or a new one.  */
 static const char *
 trace_of (TALLOC_CTX *ctx, struct mq_http_request *http)
@@ -486,9 +455,9 @@
   exchange->asked = false;
   emit_span (exchange, event->error);
   if (is_wanted (exchange, event))
-    respond_text (exchange->http, 200, json_type,
-                  mq_api_program_json (exchange, exchange->plan->first.program,
-                                       "ended"));
+    mq_respond_text (exchange->http, 200, json_type,
+                     mq_api_program_json (
+                         exchange, exchange->plan->first.program, "ended"));
   else
     give_refusal (exchange, event);
 }
@@ -522,7 +491,7 @@
   if (json == NULL)
     answer_unusable (exchange);
   else
-    respond_text (exchange->http, 200, json_type, json);
+    mq_respond_text (exchange->http, 200, json_type, json);
 }
 
 /* The stream ends well only when what the caller holds is the beginning of
@@ -560,10 +529,10 @@
     {
     case MQ_API_JSON:
     case MQ_API_ACCEPT:
-      respond_text (exchange->http, 200, json_type, event->body);
+      mq_respond_text (exchange->http, 200, json_type, event->body);
       break;
     case MQ_API_CREATE:
-      respond_text (exchange->http, 201, json_type, event->body);
+      mq_respond_text (exchange->http, 201, json_type, event->body);
       break;
     case MQ_API_STREAM:
       finish_stream (exchange, mq_api_sse (exchange->api, event,
@@ -598,7 +567,7 @@
   if (exchange->asked)
     leave_front (exchange);
   emit_span (exchange, MQ_ERR_NONE);
-  respond_text (exchange->http, create ? 201 : 202, json_type, json);
+  mq_respond_text (exchange->http, create ? 201 : 202, json_type, json);
 }
 
 static void
@@ -709,99 +678,84 @@
 
 /* Operators.  */
 
-static void
-serve_ready (struct mq_api *api, struct mq_http_request *http)
+static enum mq_error_type
+on_ready (void *user)
 {
+  const struct mq_api *api = user;
+
   if (api->leaving)
-    refuse (api, http, MQ_ERR_LEAVING, "", 0);
-  else if (!api->callbacks.ready (api->callbacks.user))
-    refuse (api, http, MQ_ERR_NOT_READY, "", MQ_FRONT_RETRY_MAX_MS);
-  else
-    respond_text (http, 200, json_type, "{\"ready\":true}");
+    return MQ_ERR_LEAVING;
+  return api->callbacks.ready (api->callbacks.user) ? MQ_ERR_NONE
+                                                    : MQ_ERR_NOT_READY;
 }
 
-static void
-serve_metrics (struct mq_api *api, struct mq_http_request *http)
+static char *
+on_metrics (TALLOC_CTX *ctx, void *user)
 {
-  char *text = mq_must (api->callbacks.metrics (api, api->callbacks.user));
+  const struct mq_api *api = user;
 
-  respond_text (http, 200, "text/plain; version=0.0.4", text);
-  talloc_free (text);
+  return api->callbacks.metrics (ctx, api->callbacks.user);
 }
 
-static void
-serve_spans (struct mq_api *api, struct mq_http_request *http, const char *id)
+static char *
+on_status (TALLOC_CTX *ctx, void *user)
 {
-  struct mq_id program;
-  char *json;
+  const struct mq_api *api = user;
 
-  if (!mq_id_parse (id, &program))
-    {
-      refuse (api, http, MQ_ERR_NOT_FOUND, id, 0);
-      return;
-    }
-  json = mq_must (api->callbacks.spans (api, program, api->callbacks.user));
-  respond_text (http, 200, json_type, json);
-  talloc_free (json);
+  return api->callbacks.status (ctx, api->callbacks.user);
 }
 
-static void
-serve_status (struct mq_api *api, struct mq_http_request *http)
+static char *
+on_spans (TALLOC_CTX *ctx, struct mq_id program, void *user)
 {
-  char *json = mq_must (api->callbacks.status (api, api->callbacks.user));
+  const struct mq_api *api = user;
 
-  respond_text (http, 200, json_type, json);
-  talloc_free (json);
+  return api->callbacks.spans (ctx, program, api->callbacks.user);
 }
 
 static void
-serve_drain (struct mq_api *api, struct mq_http_request *http)
+on_drain (void *user)
 {
-  respond_text (http, 202, json_type, "{\"state\":\"leaving\"}");
+  const struct mq_api *api = user;
+
   api->callbacks.drain (api->callbacks.user);
 }
 
 static void
-serve_operator (struct mq_api *api, struct mq_http_request *http)
+on_refuse (struct mq_http_request *http, enum mq_error_type type,
+           const char *subject, void *user)
 {
-  static const char spans[] = "/v1/admin/spans/";
-  const char *path = mq_http_path (http);
-  bool get = strcmp (mq_http_method (http), "GET") == 0;
-  bool post = strcmp (mq_http_method (http), "POST") == 0;
+  struct mq_api *api = user;
 
-  if (!is_operator (api, http))
-    {
-      api->counters.unauthorised++;
-      refuse (api, http, MQ_ERR_UNAUTHORISED, "", 0);
-    }
-  else if (get && strcmp (path, "/v1/admin/status") == 0)
-    serve_status (api, http);
-  else if (get && strncmp (path, spans, sizeof spans - 1) == 0)
-    serve_spans (api, http, path + sizeof spans - 1);
-  else if (post && strcmp (path, "/v1/admin/drain") == 0)
-    serve_drain (api, http);
-  else
-    refuse (api, http, MQ_ERR_NOT_FOUND, path, 0);
+  if (type == MQ_ERR_UNAUTHORISED)
+    api->counters.unauthorised++;
+  refuse (api, http, type, subject,
+          type == MQ_ERR_NOT_READY ? MQ_FRONT_RETRY_MAX_MS : 0);
+}
+
+static void
+create_operators (struct mq_api *api,
+                  const uint8_t operator_key_hash[MQ_KEY_BYTES])
+{
+  struct mq_operator_callbacks callbacks = { .ready = on_ready,
+                                             .metrics = on_metrics,
+                                             .status = on_status,
+                                             .spans = on_spans,
+                                             .drain = on_drain,
+                                             .refuse = on_refuse,
+                                             .user = api };
+
+  api->operators.callbacks = callbacks;
+  memcpy (api->operators.key_hash, operator_key_hash, MQ_KEY_BYTES);
 }
 
 static void
 serve (struct mq_http_request *http, void *data)
 {
-  static const char admin[] = "/v1/admin/";
   struct mq_api *api = data;
-  const char *path = mq_http_path (http);
-  bool get = strcmp (mq_http_method (http), "GET") == 0;
 
   api->counters.requests++;
-  if (get && strcmp (path, "/healthz") == 0)
-    respond_text (http, 200, json_type, "{\"alive\":true}");
-  else if (get && strcmp (path, "/readyz") == 0)
-    serve_ready (api, http);
-  else if (get && strcmp (path, "/metrics") == 0)
-    serve_metrics (api, http);
-  else if (strncmp (path, admin, sizeof admin - 1) == 0)
-    serve_operator (api, http);
-  else
+  if (!mq_operator_serve (&api->operators, http))
     serve_caller (api, http);
 }
 
@@ -817,7 +771,7 @@
 
   api->callbacks = *callbacks;
   api->boot = options->boot;
-  memcpy (api->operator_key_hash, options->operator_key_hash, MQ_KEY_BYTES);
+  create_operators (api, options->operator_key_hash);
   api->server
       = mq_http_server_create (api, ev, &options->http, serve, api, error);
   if (api->server == NULL)
--- a/src/io/target.c
+++ b/src/io/target.c
@@ -616,12 +616,12 @@
 create_http (struct mq_target *target, struct mq_error *error)
 {
   const struct mq_settings *settings = target->settings;
-  struct mq_target_http_callbacks callbacks = { .ready = on_ready,
-                                                .metrics = on_metrics,
-                                                .status = on_status,
-                                                .spans = on_spans,
-                                                .drain = on_drain,
-                                                .user = target };
+  struct mq_operator_callbacks callbacks = { .ready = on_ready,
+                                             .metrics = on_metrics,
+                                             .status = on_status,
+                                             .spans = on_spans,
+                                             .drain = on_drain,
+                                             .user = target };
 
   target->http
       = mq_target_http_create (target, target->ev, settings->http,
