--- a/src/io/api.c
+++ b/src/io/api.c
@@ -3,20 +3,17 @@
    One exchange for each caller's HTTP request, in a table of slots; its
    handle at the front carries the slot and a serial number, so that an
    event for an earlier exchange of the slot is told apart.
-   Needs: api.h, api_plan.h, api_answer.h, id.h, limits.h, gnutls.  */
+   Needs: api_state.h, id.h, limits.h, gnutls.  */
 
 #include "api.h"
 #include "../core/id.h"
 #include "../core/limits.h"
 #include "../core/memory.h"
-#include "api_answer.h"
-#include "api_plan.h"
-#include "operator_http.h"
+#include "api_state.h"
 #include <gnutls/crypto.h>
 #include <gnutls/gnutls.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 enum
 {
@@ -28,57 +25,12 @@
 };
 
 static const char json_type[] = "application/json";
-static const char event_type[] = "text/event-stream";
-
-/**
- * struct exchange - one caller's HTTP request until it has ended
- * @handle: its handle at the front, 0 when the slot is free
- * @slot: its place in the table
- * @http: the HTTP request
- * @plan: what is asked of the front
- * @asked: the front has a request of it
- * @second: the second request of the plan is under way
- * @streaming: the head of a streamed answer was sent
- * @streamed: OpenAI's stream: text given to the caller so far
- * @held: OpenAI's stream: tokens are held back after a reset
- * @start_us: when it came in
- */
-struct exchange
-{
-  uint64_t handle;
-  uint32_t slot;
-  struct mq_api *api;
-  struct mq_http_request *http;
-  struct mq_api_plan *plan;
-  bool asked;
-  bool second;
-  bool streaming;
-  char *streamed;
-  bool held;
-  uint64_t start_us;
-};
-
-struct mq_api
-{
-  struct mq_api_callbacks callbacks;
-  struct mq_http_server *server;
-  const struct mq_text *text;
-  uint64_t boot;
-  struct mq_operator_http operators;
-  bool leaving;
-  struct exchange **slots;
-  size_t slot_count;
-  size_t live;
-  uint32_t next_slot;
-  uint64_t serial;
-  struct mq_api_counters counters;
-};
 
 /* Plain answers.  */
 
-static void
-respond_refusal (struct mq_api *api, struct mq_http_request *http,
-                 const struct mq_api_refusal *refusal)
+void
+mq_api_refuse_with (struct mq_api *api, struct mq_http_request *http,
+                    const struct mq_api_refusal *refusal)
 {
   char *json = mq_api_refusal_json (api, refusal);
 
@@ -105,7 +57,7 @@
       = { .ran = MQ_RAN_NOT_RUN, .retry_after_ms = retry_after_ms };
 
   mq_error_set (&refusal.error, type, subject, "");
-  respond_refusal (api, http, &refusal);
+  mq_api_refuse_with (api, http, &refusal);
 }
 
 /* Table of exchanges.  */
@@ -117,10 +69,10 @@
 
   if (count > SLOTS_MAX)
     return false;
-  api->slots
-      = mq_must (talloc_realloc (api, api->slots, struct exchange *, count));
+  api->slots = mq_must (
+      talloc_realloc (api, api->slots, struct mq_exchange *, count));
   memset (&api->slots[api->slot_count], 0,
-          (count - api->slot_count) * sizeof (struct exchange *));
+          (count - api->slot_count) * sizeof (struct mq_exchange *));
   api->next_slot = (uint32_t)api->slot_count;
   api->slot_count = count;
   return true;
@@ -137,14 +89,14 @@
   return true;
 }
 
-static void
-new_handle (struct exchange *exchange)
+void
+mq_exchange_renew (struct mq_exchange *exchange)
 {
   exchange->handle = ++exchange->api->serial << SLOT_BITS | exchange->slot;
 }
 
-static struct exchange *
-find_exchange (const struct mq_api *api, uint64_t handle)
+struct mq_exchange *
+mq_exchange_find (const struct mq_api *api, uint64_t handle)
 {
   size_t slot = handle & (SLOTS_MAX - 1);
 
@@ -153,21 +105,21 @@
   return api->slots[slot]->handle == handle ? api->slots[slot] : NULL;
 }
 
-static struct exchange *
+static struct mq_exchange *
 open_exchange (struct mq_api *api, struct mq_http_request *http)
 {
-  struct exchange *exchange;
+  struct mq_exchange *exchange;
   uint32_t slot;
 
   if (!find_free_slot (api, &slot))
     return NULL;
-  exchange = mq_must (talloc_zero (api, struct exchange));
+  exchange = mq_must (talloc_zero (api, struct mq_exchange));
   exchange->api = api;
   exchange->slot = slot;
   exchange->http = http;
   exchange->start_us = api->callbacks.now_us (api->callbacks.user);
   exchange->streamed = mq_must (talloc_strdup (exchange, ""));
-  new_handle (exchange);
+  mq_exchange_renew (exchange);
   api->slots[slot] = exchange;
   api->live++;
   return exchange;
@@ -177,7 +129,7 @@
 static void
 exchange_closed (struct mq_http_request *http, void *data)
 {
-  struct exchange *exchange = data;
+  struct mq_exchange *exchange = data;
   struct mq_api *api = exchange->api;
 
   (void)http;
@@ -191,7 +143,7 @@
   talloc_free (exchange);
 }
 
-/* Keys.  */
+/* Asking the front.  */
 
 static const struct mq_organisation *
 caller_of (const struct mq_api *api, struct mq_http_request *http)
@@ -223,10 +175,9 @@
   return mq_must (talloc_asprintf (ctx, "00-%s-%.16s-01", trace, span));
 }
 
-/* Asking the front.  */
-
-static void
-ask_front (struct exchange *exchange, const struct mq_request_msg *request)
+void
+mq_exchange_ask (struct mq_exchange *exchange,
+                 const struct mq_request_msg *request)
 {
   struct mq_api *api = exchange->api;
   uint32_t partition
@@ -238,9 +189,8 @@
                           request, api->callbacks.user);
 }
 
-/* What the front still has of the exchange is not wanted any more.  */
-static void
-leave_front (struct exchange *exchange)
+void
+mq_exchange_leave (struct mq_exchange *exchange)
 {
   struct mq_api *api = exchange->api;
 
@@ -248,8 +198,8 @@
   api->callbacks.gone (exchange->handle, api->callbacks.user);
 }
 
-static void
-emit_span (const struct exchange *exchange, enum mq_error_type error)
+void
+mq_exchange_span (const struct mq_exchange *exchange, enum mq_error_type error)
 {
   struct mq_api *api = exchange->api;
   struct mq_span span = { .name = "entry" };
@@ -265,7 +215,7 @@
 /* The plan outlives the request's headers and the text it was made from:
    its second request is sent later.  */
 static void
-keep_plan (struct exchange *exchange, const struct mq_api_plan *plan)
+keep_plan (struct mq_exchange *exchange, const struct mq_api_plan *plan)
 {
   exchange->plan = mq_must (talloc_zero (exchange, struct mq_api_plan));
   *exchange->plan = *plan;
@@ -275,7 +225,7 @@
 }
 
 static void
-name_program (struct exchange *exchange)
+name_program (struct mq_exchange *exchange)
 {
   char text[MQ_ID_TEXT];
 
@@ -285,7 +235,7 @@
 
 /* A key of this one request, unique among all runs of all processes.  */
 static char *
-make_key (TALLOC_CTX *ctx, const struct exchange *exchange)
+make_key (TALLOC_CTX *ctx, const struct mq_exchange *exchange)
 {
   uint64_t random;
 
@@ -298,7 +248,7 @@
 }
 
 static void
-fill_ask (TALLOC_CTX *ctx, const struct exchange *exchange,
+fill_ask (TALLOC_CTX *ctx, const struct mq_exchange *exchange,
           const struct mq_organisation *caller, struct mq_api_ask *ask)
 {
   struct mq_http_request *http = exchange->http;
@@ -320,7 +270,8 @@
 }
 
 static void
-plan_exchange (struct exchange *exchange, const struct mq_organisation *caller)
+plan_exchange (struct mq_exchange *exchange,
+               const struct mq_organisation *caller)
 {
   struct mq_api_refusal refusal = { .ran = MQ_RAN_NOT_RUN };
   TALLOC_CTX *ctx = mq_must (talloc_new (NULL));
@@ -331,21 +282,21 @@
   plan = mq_api_plan_make (ctx, exchange->api->text, &ask, &refusal.error);
   if (plan == NULL)
     {
-      respond_refusal (exchange->api, exchange->http, &refusal);
+      mq_api_refuse_with (exchange->api, exchange->http, &refusal);
       talloc_free (ctx);
       return;
     }
   keep_plan (exchange, plan);
   talloc_free (ctx);
   name_program (exchange);
-  ask_front (exchange, &exchange->plan->first);
+  mq_exchange_ask (exchange, &exchange->plan->first);
 }
 
 static void
 serve_caller (struct mq_api *api, struct mq_http_request *http)
 {
   const struct mq_organisation *caller;
-  struct exchange *exchange;
+  struct mq_exchange *exchange;
 
   if (api->leaving)
     {
@@ -374,308 +325,6 @@
   plan_exchange (exchange, caller);
 }
 
-/* Answers.  */
-
-static void
-begin_stream (struct exchange *exchange)
-{
-  if (exchange->streaming)
-    return;
-  exchange->streaming = true;
-  exchange->api->counters.streams++;
-  mq_http_set_header (exchange->http, "Cache-Control", "no-store");
-  mq_http_stream_begin (exchange->http, 200, event_type);
-}
-
-/* False when the caller was given up; EXCHANGE may be gone then.  TEXT is
-   freed.  */
-static bool
-write_stream (struct exchange *exchange, char *text)
-{
-  struct mq_api *api = exchange->api;
-  bool written;
-
-  begin_stream (exchange);
-  written = mq_http_stream_write (exchange->http, text, strlen (text));
-  talloc_free (text);
-  if (!written)
-    api->counters.slow_readers++;
-  return written;
-}
-
-static void
-finish_stream (struct exchange *exchange, char *text)
-{
-  struct mq_http_request *http = exchange->http;
-
-  if (write_stream (exchange, text))
-    mq_http_stream_end (http);
-}
-
-static void
-fill_refusal (const struct exchange *exchange,
-              const struct mq_event_msg *event, struct mq_api_refusal *refusal)
-{
-  mq_error_set (&refusal->error, event->error, "", "");
-  refusal->ran = event->ran;
-  refusal->retry_after_ms = event->retry_after_ms;
-  refusal->program = exchange->plan->first.program;
-}
-
-static void
-give_refusal (struct exchange *exchange, const struct mq_event_msg *event)
-{
-  struct mq_api *api = exchange->api;
-  struct mq_api_refusal refusal;
-
-  fill_refusal (exchange, event, &refusal);
-  if (!exchange->streaming)
-    {
-      respond_refusal (api, exchange->http, &refusal);
-      return;
-    }
-  api->counters.refused++;
-  if (exchange->plan->shape == MQ_API_CHAT_STREAM)
-    finish_stream (exchange, mq_api_chat_broken (api, &refusal));
-  else
-    finish_stream (exchange, mq_api_sse (api, event, refusal.program));
-}
-
-/* Who cancels a program hears that it ended so: that is no failure.  */
-static bool
-is_wanted (const struct exchange *exchange, const struct mq_event_msg *event)
-{
-  return exchange->plan->first.type == MQ_REQUEST_CANCEL
-         && event->error == MQ_ERR_CANCELLED;
-}
-
-static void
-answer_refused (struct exchange *exchange, const struct mq_event_msg *event)
-{
-  exchange->asked = false;
-  emit_span (exchange, event->error);
-  if (is_wanted (exchange, event))
-    mq_respond_text (exchange->http, 200, json_type,
-                     mq_api_program_json (
-                         exchange, exchange->plan->first.program, "ended"));
-  else
-    give_refusal (exchange, event);
-}
-
-/* The final answer is not in the form that was asked for.  */
-static void
-answer_unusable (struct exchange *exchange)
-{
-  struct mq_event_msg event = { .type = MQ_EVENT_REFUSED };
-
-  event.error = MQ_ERR_BAD_ANSWER;
-  event.ran = MQ_RAN_RAN;
-  give_refusal (exchange, &event);
-}
-
-static const char *
-chat_model (const struct exchange *exchange)
-{
-  const struct mq_api_plan *plan = exchange->plan;
-
-  return plan->has_second ? plan->second.service : plan->first.service;
-}
-
-static void
-answer_chat (struct exchange *exchange, const char *final)
-{
-  struct mq_id program = exchange->plan->first.program;
-  char *json = mq_api_chat_json (exchange, final, chat_model (exchange),
-                                 program, time (NULL));
-
-  if (json == NULL)
-    answer_unusable (exchange);
-  else
-    mq_respond_text (exchange->http, 200, json_type, json);
-}
-
-/* The stream ends well only when what the caller holds is the beginning of
-   the final answer; the rest of it goes out in one piece.  After a reset
-   the text may have changed: then the stream ends without [DONE].  */
-static void
-end_chat_stream (struct exchange *exchange, const char *final)
-{
-  struct mq_id program = exchange->plan->first.program;
-  const char *model = chat_model (exchange);
-  size_t held = strlen (exchange->streamed);
-  int64_t now = time (NULL);
-  char *content = mq_api_chat_content (exchange, final);
-
-  if (strncmp (content, exchange->streamed, held) != 0)
-    {
-      answer_unusable (exchange);
-      return;
-    }
-  if (content[held] != '\0'
-      && !write_stream (exchange,
-                        mq_api_chat_token (exchange->api, content + held,
-                                           model, program, now)))
-    return;
-  finish_stream (exchange,
-                 mq_api_chat_end (exchange->api, final, model, program, now));
-}
-
-static void
-answer_final (struct exchange *exchange, const struct mq_event_msg *event)
-{
-  exchange->asked = false;
-  emit_span (exchange, MQ_ERR_NONE);
-  switch (exchange->plan->shape)
-    {
-    case MQ_API_JSON:
-    case MQ_API_ACCEPT:
-      mq_respond_text (exchange->http, 200, json_type, event->body);
-      break;
-    case MQ_API_CREATE:
-      mq_respond_text (exchange->http, 201, json_type, event->body);
-      break;
-    case MQ_API_STREAM:
-      finish_stream (exchange, mq_api_sse (exchange->api, event,
-                                           exchange->plan->first.program));
-      break;
-    case MQ_API_CHAT:
-      answer_chat (exchange, event->body);
-      break;
-    case MQ_API_CHAT_STREAM:
-      end_chat_stream (exchange, event->body);
-      break;
-    }
-}
-
-/* The program that the second request belongs to is durable.  */
-static void
-start_second (struct exchange *exchange)
-{
-  exchange->second = true;
-  new_handle (exchange);
-  ask_front (exchange, &exchange->plan->second);
-}
-
-/* The id is all that the caller waits for.  */
-static void
-answer_accepted (struct exchange *exchange)
-{
-  bool create = exchange->plan->shape == MQ_API_CREATE;
-  char *json = mq_api_program_json (exchange, exchange->plan->first.program,
-                                    create ? "waiting" : "running");
-
-  if (exchange->asked)
-    leave_front (exchange);
-  emit_span (exchange, MQ_ERR_NONE);
-  mq_respond_text (exchange->http, create ? 201 : 202, json_type, json);
-}
-
-static void
-handle_accepted (struct exchange *exchange, const struct mq_event_msg *event)
-{
-  switch (exchange->plan->shape)
-    {
-    case MQ_API_ACCEPT:
-    case MQ_API_CREATE:
-      answer_accepted (exchange);
-      break;
-    case MQ_API_STREAM:
-      write_stream (exchange, mq_api_sse (exchange->api, event,
-                                          exchange->plan->first.program));
-      break;
-    case MQ_API_JSON:
-    case MQ_API_CHAT:
-    case MQ_API_CHAT_STREAM:
-      break;
-    }
-}
-
-static void
-stream_chat_token (struct exchange *exchange, const struct mq_event_msg *event)
-{
-  if (exchange->held)
-    return;
-  exchange->streamed = mq_must (
-      talloc_strdup_append_buffer (exchange->streamed, event->body));
-  write_stream (exchange, mq_api_chat_token (exchange->api, event->body,
-                                             chat_model (exchange),
-                                             exchange->plan->first.program,
-                                             time (NULL)));
-}
-
-/* TOKEN, STEP and RESET.  */
-static void
-handle_progress (struct exchange *exchange, const struct mq_event_msg *event)
-{
-  switch (exchange->plan->shape)
-    {
-    case MQ_API_STREAM:
-      write_stream (exchange, mq_api_sse (exchange->api, event,
-                                          exchange->plan->first.program));
-      break;
-    case MQ_API_CHAT_STREAM:
-      if (event->type == MQ_EVENT_RESET)
-        exchange->held = true;
-      else if (event->type == MQ_EVENT_TOKEN)
-        stream_chat_token (exchange, event);
-      break;
-    case MQ_API_JSON:
-    case MQ_API_ACCEPT:
-    case MQ_API_CREATE:
-    case MQ_API_CHAT:
-      break;
-    }
-}
-
-/* Events of the first of two requests: once the program is durable the
-   second one follows.  */
-static bool
-handle_first (struct exchange *exchange, const struct mq_event_msg *event)
-{
-  if (!exchange->plan->has_second || exchange->second
-      || event->type == MQ_EVENT_REFUSED)
-    return false;
-  if (event->type == MQ_EVENT_FINAL)
-    exchange->asked = false;
-  else if (event->type == MQ_EVENT_ACCEPTED)
-    leave_front (exchange);
-  else
-    return true;
-  start_second (exchange);
-  return true;
-}
-
-void
-mq_api_event (struct mq_api *api, const struct mq_event_msg *event)
-{
-  struct exchange *exchange = find_exchange (api, event->handle);
-
-  if (exchange == NULL || !exchange->asked)
-    {
-      api->counters.events_unknown++;
-      return;
-    }
-  if (handle_first (exchange, event))
-    return;
-  switch (event->type)
-    {
-    case MQ_EVENT_ACCEPTED:
-      handle_accepted (exchange, event);
-      break;
-    case MQ_EVENT_TOKEN:
-    case MQ_EVENT_STEP:
-    case MQ_EVENT_RESET:
-      handle_progress (exchange, event);
-      break;
-    case MQ_EVENT_FINAL:
-      answer_final (exchange, event);
-      break;
-    case MQ_EVENT_REFUSED:
-      answer_refused (exchange, event);
-      break;
-    }
-}
-
 /* Operators.  */
 
 static enum mq_error_type
--- /dev/null
+++ b/src/io/api_event.c
@@ -0,0 +1,315 @@
+/* api_event.c - the front's events as answers to callers.
+
+   Needs: api_state.h.  */
+
+#include "../core/memory.h"
+#include "api_state.h"
+#include <string.h>
+#include <time.h>
+
+static const char json_type[] = "application/json";
+static const char event_type[] = "text/event-stream";
+
+static void
+begin_stream (struct mq_exchange *exchange)
+{
+  if (exchange->streaming)
+    return;
+  exchange->streaming = true;
+  exchange->api->counters.streams++;
+  mq_http_set_header (exchange->http, "Cache-Control", "no-store");
+  mq_http_stream_begin (exchange->http, 200, event_type);
+}
+
+/* False when the caller was given up; EXCHANGE may be gone then.  TEXT is
+   freed.  */
+static bool
+write_stream (struct mq_exchange *exchange, char *text)
+{
+  struct mq_api *api = exchange->api;
+  bool written;
+
+  begin_stream (exchange);
+  written = mq_http_stream_write (exchange->http, text, strlen (text));
+  talloc_free (text);
+  if (!written)
+    api->counters.slow_readers++;
+  return written;
+}
+
+static void
+finish_stream (struct mq_exchange *exchange, char *text)
+{
+  struct mq_http_request *http = exchange->http;
+
+  if (write_stream (exchange, text))
+    mq_http_stream_end (http);
+}
+
+static void
+fill_refusal (const struct mq_exchange *exchange,
+              const struct mq_event_msg *event, struct mq_api_refusal *refusal)
+{
+  mq_error_set (&refusal->error, event->error, "", "");
+  refusal->ran = event->ran;
+  refusal->retry_after_ms = event->retry_after_ms;
+  refusal->program = exchange->plan->first.program;
+}
+
+static void
+give_refusal (struct mq_exchange *exchange, const struct mq_event_msg *event)
+{
+  struct mq_api *api = exchange->api;
+  struct mq_api_refusal refusal;
+
+  fill_refusal (exchange, event, &refusal);
+  if (!exchange->streaming)
+    {
+      mq_api_refuse_with (api, exchange->http, &refusal);
+      return;
+    }
+  api->counters.refused++;
+  if (exchange->plan->shape == MQ_API_CHAT_STREAM)
+    finish_stream (exchange, mq_api_chat_broken (api, &refusal));
+  else
+    finish_stream (exchange, mq_api_sse (api, event, refusal.program));
+}
+
+/* Who cancels a program hears that it ended so: that is no failure.  */
+static bool
+is_wanted (const struct mq_exchange *exchange,
+           const struct mq_event_msg *event)
+{
+  return exchange->plan->first.type == MQ_REQUEST_CANCEL
+         && event->error == MQ_ERR_CANCELLED;
+}
+
+static void
+answer_refused (struct mq_exchange *exchange, const struct mq_event_msg *event)
+{
+  exchange->asked = false;
+  mq_exchange_span (exchange, event->error);
+  if (is_wanted (exchange, event))
+    mq_respond_text (exchange->http, 200, json_type,
+                     mq_api_program_json (
+                         exchange, exchange->plan->first.program, "ended"));
+  else
+    give_refusal (exchange, event);
+}
+
+/* The final answer is not in the form that was asked for.  */
+static void
+answer_unusable (struct mq_exchange *exchange)
+{
+  struct mq_event_msg event = { .type = MQ_EVENT_REFUSED };
+
+  event.error = MQ_ERR_BAD_ANSWER;
+  event.ran = MQ_RAN_RAN;
+  give_refusal (exchange, &event);
+}
+
+static const char *
+chat_model (const struct mq_exchange *exchange)
+{
+  const struct mq_api_plan *plan = exchange->plan;
+
+  return plan->has_second ? plan->second.service : plan->first.service;
+}
+
+static void
+answer_chat (struct mq_exchange *exchange, const char *final)
+{
+  struct mq_id program = exchange->plan->first.program;
+  char *json = mq_api_chat_json (exchange, final, chat_model (exchange),
+                                 program, time (NULL));
+
+  if (json == NULL)
+    answer_unusable (exchange);
+  else
+    mq_respond_text (exchange->http, 200, json_type, json);
+}
+
+/* The stream ends well only when what the caller holds is the beginning of
+   the final answer; the rest of it goes out in one piece.  After a reset
+   the text may have changed: then the stream ends without [DONE].  */
+static void
+end_chat_stream (struct mq_exchange *exchange, const char *final)
+{
+  struct mq_id program = exchange->plan->first.program;
+  const char *model = chat_model (exchange);
+  size_t held = strlen (exchange->streamed);
+  int64_t now = time (NULL);
+  char *content = mq_api_chat_content (exchange, final);
+
+  if (strncmp (content, exchange->streamed, held) != 0)
+    {
+      answer_unusable (exchange);
+      return;
+    }
+  if (content[held] != '\0'
+      && !write_stream (exchange,
+                        mq_api_chat_token (exchange->api, content + held,
+                                           model, program, now)))
+    return;
+  finish_stream (exchange,
+                 mq_api_chat_end (exchange->api, final, model, program, now));
+}
+
+static void
+answer_final (struct mq_exchange *exchange, const struct mq_event_msg *event)
+{
+  exchange->asked = false;
+  mq_exchange_span (exchange, MQ_ERR_NONE);
+  switch (exchange->plan->shape)
+    {
+    case MQ_API_JSON:
+    case MQ_API_ACCEPT:
+      mq_respond_text (exchange->http, 200, json_type, event->body);
+      break;
+    case MQ_API_CREATE:
+      mq_respond_text (exchange->http, 201, json_type, event->body);
+      break;
+    case MQ_API_STREAM:
+      finish_stream (exchange, mq_api_sse (exchange->api, event,
+                                           exchange->plan->first.program));
+      break;
+    case MQ_API_CHAT:
+      answer_chat (exchange, event->body);
+      break;
+    case MQ_API_CHAT_STREAM:
+      end_chat_stream (exchange, event->body);
+      break;
+    }
+}
+
+/* The program that the second request belongs to is durable.  */
+static void
+start_second (struct mq_exchange *exchange)
+{
+  exchange->second = true;
+  mq_exchange_renew (exchange);
+  mq_exchange_ask (exchange, &exchange->plan->second);
+}
+
+/* The id is all that the caller waits for.  */
+static void
+answer_accepted (struct mq_exchange *exchange)
+{
+  bool create = exchange->plan->shape == MQ_API_CREATE;
+  char *json = mq_api_program_json (exchange, exchange->plan->first.program,
+                                    create ? "waiting" : "running");
+
+  if (exchange->asked)
+    mq_exchange_leave (exchange);
+  mq_exchange_span (exchange, MQ_ERR_NONE);
+  mq_respond_text (exchange->http, create ? 201 : 202, json_type, json);
+}
+
+static void
+handle_accepted (struct mq_exchange *exchange,
+                 const struct mq_event_msg *event)
+{
+  switch (exchange->plan->shape)
+    {
+    case MQ_API_ACCEPT:
+    case MQ_API_CREATE:
+      answer_accepted (exchange);
+      break;
+    case MQ_API_STREAM:
+      write_stream (exchange, mq_api_sse (exchange->api, event,
+                                          exchange->plan->first.program));
+      break;
+    case MQ_API_JSON:
+    case MQ_API_CHAT:
+    case MQ_API_CHAT_STREAM:
+      break;
+    }
+}
+
+static void
+stream_chat_token (struct mq_exchange *exchange,
+                   const struct mq_event_msg *event)
+{
+  if (exchange->held)
+    return;
+  exchange->streamed = mq_must (
+      talloc_strdup_append_buffer (exchange->streamed, event->body));
+  write_stream (exchange, mq_api_chat_token (exchange->api, event->body,
+                                             chat_model (exchange),
+                                             exchange->plan->first.program,
+                                             time (NULL)));
+}
+
+/* TOKEN, STEP and RESET.  */
+static void
+handle_progress (struct mq_exchange *exchange,
+                 const struct mq_event_msg *event)
+{
+  switch (exchange->plan->shape)
+    {
+    case MQ_API_STREAM:
+      write_stream (exchange, mq_api_sse (exchange->api, event,
+                                          exchange->plan->first.program));
+      break;
+    case MQ_API_CHAT_STREAM:
+      if (event->type == MQ_EVENT_RESET)
+        exchange->held = true;
+      else if (event->type == MQ_EVENT_TOKEN)
+        stream_chat_token (exchange, event);
+      break;
+    case MQ_API_JSON:
+    case MQ_API_ACCEPT:
+    case MQ_API_CREATE:
+    case MQ_API_CHAT:
+      break;
+    }
+}
+
+/* Events of the first of two requests: once the program is durable the
+   second one follows.  */
+static bool
+handle_first (struct mq_exchange *exchange, const struct mq_event_msg *event)
+{
+  if (!exchange->plan->has_second || exchange->second
+      || event->type == MQ_EVENT_REFUSED)
+    return false;
+  if (event->type == MQ_EVENT_FINAL)
+    exchange->asked = false;
+  else if (event->type == MQ_EVENT_ACCEPTED)
+    mq_exchange_leave (exchange);
+  else
+    return true;
+  start_second (exchange);
+  return true;
+}
+
+void
+mq_api_event (struct mq_api *api, const struct mq_event_msg *event)
+{
+  struct mq_exchange *exchange = mq_exchange_find (api, event->handle);
+
+  if (exchange == NULL || !exchange->asked)
+    {
+      api->counters.events_unknown++;
+      return;
+    }
+  if (handle_first (exchange, event))
+    return;
+  switch (event->type)
+    {
+    case MQ_EVENT_ACCEPTED:
+      handle_accepted (exchange, event);
+      break;
+    case MQ_EVENT_TOKEN:
+    case MQ_EVENT_STEP:
+    case MQ_EVENT_RESET:
+      handle_progress (exchange, event);
+      break;
+    case MQ_EVENT_FINAL:
+      answer_final (exchange, event);
+      break;
+    case MQ_EVENT_REFUSED:
+      answer_refused (exchange, event);
+      break;
+    }
+}
