--- a/src/io/api_plan.c
+++ b/src/io/api_plan.c
@@ -1,247 +1,29 @@
 /* api_plan.c - a caller's HTTP request as requests for the front.
 
-   Needs: api_plan.h, limits.h, id.h, jansson.  */
+   Needs: api_plan.h, api_read.h, limits.h, id.h, jansson.  */
 
 #include "api_plan.h"
 #include "../core/id.h"
 #include "../core/limits.h"
 #include "../core/memory.h"
-#include <jansson.h>
-#include <stdlib.h>
+#include "api_read.h"
 #include <string.h>
 
 enum
 {
-  SEGMENTS_MAX = 5,
-  DECIMAL_MAX = 10,
-  MS_PER_SECOND = 1000,
-  TRACEPARENT_LEN = 55
-};
-
-/* Parts of a path between slashes.  */
-struct path
-{
-  char *parts[SEGMENTS_MAX];
-  size_t count;
-};
-
-/* What one plan is made from; ERROR is set by the first that fails.  */
-struct maker
-{
-  TALLOC_CTX *ctx;
-  const struct mq_text *text;
-  const struct mq_api_ask *ask;
-  struct mq_api_plan *plan;
-  json_t *json;
-  struct mq_error *error;
+  MS_PER_SECOND = 1000
 };
 
-static bool
-fail (struct maker *maker, enum mq_error_type type, const char *subject,
-      const char *allowed)
-{
-  mq_error_set (maker->error, type, subject, allowed);
-  return false;
-}
-
-/* Checked reading of single values.  */
-
-static bool
-split_path (struct maker *maker, struct path *path)
-{
-  char *rest = mq_text_copy (maker->ctx, maker->ask->path);
-  char *part;
-
-  path->count = 0;
-  while ((part = strsep (&rest, "/")) != NULL)
-    {
-      if (part[0] == '\0')
-        continue;
-      if (path->count == SEGMENTS_MAX || strlen (part) >= MQ_NAME_MAX)
-        return fail (maker, MQ_ERR_NOT_FOUND, maker->ask->path, "");
-      path->parts[path->count++] = part;
-    }
-  return true;
-}
-
-static bool
-part_is (const struct path *path, size_t place, const char *name)
-{
-  return place < path->count && strcmp (path->parts[place], name) == 0;
-}
-
-static bool
-read_decimal (struct maker *maker, const char *name, const char *text,
-              uint32_t *number)
-{
-  char *end = NULL;
-  unsigned long long value;
-
-  if (text == NULL)
-    return true;
-  if (text[0] < '0' || text[0] > '9' || strlen (text) > DECIMAL_MAX)
-    return fail (maker, MQ_ERR_BAD_REQUEST, name, "a number from 0");
-  value = strtoull (text, &end, 10);
-  if (*end != '\0' || value > UINT32_MAX)
-    return fail (maker, MQ_ERR_BAD_REQUEST, name, "a number from 0");
-  *number = (uint32_t)value;
-  return true;
-}
-
 static bool
 is_set (const char *query)
 {
   return query != NULL && strcmp (query, "0") != 0;
 }
 
-static bool
-read_id (struct maker *maker, const char *text, struct mq_id *id)
-{
-  if (!mq_id_parse (text, id))
-    return fail (maker, MQ_ERR_NOT_FOUND, text,
-                 "a program's id: 32 hexadecimal digits");
-  return true;
-}
-
-static bool
-key_is_sound (const char *key)
-{
-  size_t len = strlen (key);
-
-  if (len == 0 || len > MQ_API_KEY_MAX)
-    return false;
-  for (size_t i = 0; i < len; i++)
-    if (key[i] < ' ' || key[i] > '~')
-      return false;
-  return true;
-}
-
-bool
-mq_api_traceparent_valid (const char *text)
-{
-  static const char shape[] = "00-xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx-"
-                              "xxxxxxxxxxxxxxxx-xx";
-
-  if (text == NULL || strlen (text) != TRACEPARENT_LEN)
-    return false;
-  for (size_t i = 0; i < TRACEPARENT_LEN; i++)
-    {
-      bool hex = (text[i] >= '0' && text[i] <= '9')
-                 || (text[i] >= 'a' && text[i] <= 'f');
-
-      if (shape[i] == 'x' ? !hex : text[i] != shape[i])
-        return false;
-    }
-  return true;
-}
-
-/* JSON bodies.  */
-
-static bool
-read_body (struct maker *maker)
-{
-  const struct mq_api_ask *ask = maker->ask;
-  json_error_t where;
-
-  maker->json = json_loadb (ask->len == 0 ? "{}" : ask->body,
-                            ask->len == 0 ? 2 : ask->len,
-                            JSON_REJECT_DUPLICATES, &where);
-  if (maker->json == NULL)
-    return fail (maker, MQ_ERR_BAD_JSON, where.text, "one JSON object");
-  if (!json_is_object (maker->json))
-    return fail (maker, MQ_ERR_BAD_JSON, "", "one JSON object");
-  return true;
-}
-
-/* Refuses members that are not among NAMES: a misspelt option would
-   otherwise be left out without a word.  */
-static bool
-only_members (struct maker *maker, const char *const *names)
-{
-  const char *key;
-  json_t *value;
-
-  json_object_foreach (maker->json, key, value)
-  {
-    size_t i = 0;
-
-    while (names[i] != NULL && strcmp (names[i], key) != 0)
-      i++;
-    if (names[i] == NULL)
-      return fail (maker, MQ_ERR_BAD_REQUEST, key, "see docs/API.md");
-  }
-  return true;
-}
-
-/* *TEXT stays as it is when the member is absent.  */
-static bool
-read_text (struct maker *maker, const char *name, const char **text)
-{
-  json_t *value = json_object_get (maker->json, name);
-
-  if (value == NULL)
-    return true;
-  if (!json_is_string (value)
-      || strlen (json_string_value (value)) != json_string_length (value))
-    return fail (maker, MQ_ERR_BAD_REQUEST, name, "a text");
-  *text = mq_text_copy (maker->ctx, json_string_value (value));
-  return true;
-}
-
-static bool
-read_name (struct maker *maker, const char *name, const char **text)
-{
-  if (!read_text (maker, name, text))
-    return false;
-  if (strlen (*text) >= MQ_NAME_MAX)
-    return fail (maker, MQ_ERR_BAD_REQUEST, name, "a name");
-  return true;
-}
-
-static bool
-read_flag (struct maker *maker, const char *name, bool *flag)
-{
-  json_t *value = json_object_get (maker->json, name);
-
-  if (value == NULL)
-    return true;
-  if (!json_is_boolean (value))
-    return fail (maker, MQ_ERR_BAD_REQUEST, name, "true or false");
-  *flag = json_is_true (value);
-  return true;
-}
-
-static bool
-read_number (struct maker *maker, const char *name, uint32_t *number)
-{
-  json_t *value = json_object_get (maker->json, name);
-
-  if (value == NULL || json_is_null (value))
-    return true;
-  if (!json_is_integer (value) || json_integer_value (value) < 0
-      || json_integer_value (value) > UINT32_MAX)
-    return fail (maker, MQ_ERR_BAD_REQUEST, name, "a number from 0");
-  *number = (uint32_t)json_integer_value (value);
-  return true;
-}
-
-static const char *
-dump (struct maker *maker, json_t *json)
-{
-  char *text = json_dumps (json, JSON_COMPACT);
-  const char *copy;
-
-  if (text == NULL)
-    abort ();
-  copy = mq_text_copy (maker->ctx, text);
-  free (text);
-  return copy;
-}
-
 /* Services.  */
 
 static const struct mq_service *
-find_service (struct maker *maker, const char *name)
+find_service (struct mq_api_maker *maker, const char *name)
 {
   const struct mq_service *service = mq_text_find_service (maker->text, name);
 
@@ -269,7 +51,7 @@
 /* Body of one call of SERVICE: a model takes "messages" or "input", a plain
    service or tool "arguments".  */
 static bool
-make_call_body (struct maker *maker, const struct mq_service *service,
+make_call_body (struct mq_api_maker *maker, const struct mq_service *service,
                 struct mq_request_msg *request)
 {
   bool model = service->kind == MQ_SERVICE_MODEL;
@@ -279,20 +61,20 @@
   json_t *body;
 
   if (model && (messages == NULL) == (input == NULL))
-    return fail (maker, MQ_ERR_BAD_REQUEST, "messages",
-                 "either messages or input for a model");
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, "messages",
+                        "either messages or input for a model");
   if (messages != NULL && !json_is_array (messages))
-    return fail (maker, MQ_ERR_BAD_REQUEST, "messages", "an array");
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, "messages", "an array");
   if (input != NULL && !json_is_string (input))
-    return fail (maker, MQ_ERR_BAD_REQUEST, "input", "a text");
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, "input", "a text");
   if (arguments != NULL && !json_is_object (arguments))
-    return fail (maker, MQ_ERR_BAD_REQUEST, "arguments", "an object");
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, "arguments", "an object");
   if (model && arguments != NULL)
-    return fail (maker, MQ_ERR_BAD_REQUEST, "arguments",
-                 "messages or input for a model");
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, "arguments",
+                        "messages or input for a model");
   if (!model && (messages != NULL || input != NULL))
-    return fail (maker, MQ_ERR_BAD_REQUEST, "input",
-                 "arguments for a plain service or tool");
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, "input",
+                        "arguments for a plain service or tool");
   body = json_object ();
   if (messages != NULL)
     json_object_set (body, "messages", messages);
@@ -302,30 +84,30 @@
     json_object_set (body, "arguments", arguments);
   else
     json_object_set_new (body, "arguments", json_object ());
-  request->body = dump (maker, body);
+  request->body = mq_api_dump (maker, body);
   json_decref (body);
   return true;
 }
 
 /* A plain service is called by one of its routes; nothing else has any.  */
 static bool
-check_route (struct maker *maker, const struct mq_service *service,
+check_route (struct mq_api_maker *maker, const struct mq_service *service,
              const char *route)
 {
   if (service->kind != MQ_SERVICE_PLAIN && route[0] != '\0')
-    return fail (maker, MQ_ERR_BAD_REQUEST, "route",
-                 "routes are for plain services");
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, "route",
+                        "routes are for plain services");
   if (service->kind == MQ_SERVICE_PLAIN
       && mq_text_find_route (service, route) == NULL)
-    return fail (maker, MQ_ERR_NOT_FOUND, route,
-                 "a route of the plain service");
+    return mq_api_fail (maker, MQ_ERR_NOT_FOUND, route,
+                        "a route of the plain service");
   return true;
 }
 
 /* Requests.  */
 
 static void
-begin_request (struct maker *maker, struct mq_request_msg *request,
+begin_request (struct mq_api_maker *maker, struct mq_request_msg *request,
                enum mq_request_type type)
 {
   memset (request, 0, sizeof *request);
@@ -345,7 +127,7 @@
 }
 
 static void
-name_new_program (struct maker *maker, struct mq_request_msg *request)
+name_new_program (struct mq_api_maker *maker, struct mq_request_msg *request)
 {
   request->key = key_of (maker->ask);
   request->program = mq_id_open (maker->ask->organisation, request->key);
@@ -360,11 +142,11 @@
 
 /* The shape of an answer that may be streamed.  */
 static bool
-read_stream (struct maker *maker)
+read_stream (struct mq_api_maker *maker)
 {
   bool stream = wants_events (maker->ask);
 
-  if (!read_flag (maker, "stream", &stream))
+  if (!mq_api_read_flag (maker, "stream", &stream))
     return false;
   maker->plan->shape = stream ? MQ_API_STREAM : MQ_API_JSON;
   maker->plan->first.stream = stream;
@@ -373,11 +155,11 @@
 
 /* The shape of a new program's answer, which may also be left.  */
 static bool
-read_shape (struct maker *maker)
+read_shape (struct mq_api_maker *maker)
 {
   bool wait = true;
 
-  if (!read_stream (maker) || !read_flag (maker, "wait", &wait))
+  if (!read_stream (maker) || !mq_api_read_flag (maker, "wait", &wait))
     return false;
   if (wait)
     return true;
@@ -387,49 +169,51 @@
 }
 
 static bool
-make_open_body (struct maker *maker, struct mq_request_msg *request)
+make_open_body (struct mq_api_maker *maker, struct mq_request_msg *request)
 {
   const char *input = "";
   bool keep_open = false;
   json_t *body;
 
   if (json_object_get (maker->json, "input") == NULL)
-    return fail (maker, MQ_ERR_BAD_REQUEST, "input", "a text");
-  if (!read_text (maker, "input", &input)
-      || !read_flag (maker, "keep_open", &keep_open))
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, "input", "a text");
+  if (!mq_api_read_text (maker, "input", &input)
+      || !mq_api_read_flag (maker, "keep_open", &keep_open))
     return false;
   body = json_object ();
   json_object_set (body, "input", json_object_get (maker->json, "input"));
   json_object_set_new (body, "keep_open", json_boolean (keep_open));
-  request->body = dump (maker, body);
+  request->body = mq_api_dump (maker, body);
   json_decref (body);
   return true;
 }
 
 static bool
-read_continues (struct maker *maker, struct mq_request_msg *request)
+read_continues (struct mq_api_maker *maker, struct mq_request_msg *request)
 {
   const char *continues = "";
 
-  if (!read_text (maker, "continues", &continues))
+  if (!mq_api_read_text (maker, "continues", &continues))
     return false;
   if (continues[0] == '\0')
     return true;
-  return read_id (maker, continues, &request->continues);
+  return mq_api_read_id (maker, continues, &request->continues);
 }
 
 /* POST /v1/programs with "driver":"caller".  The agent gives the budget, the
    prompt and what may be called.  */
 static bool
-plan_create (struct maker *maker, const struct mq_service *service)
+plan_create (struct mq_api_maker *maker, const struct mq_service *service)
 {
   static const char *const members[]
       = { "service", "driver", "continues", NULL };
   struct mq_request_msg *request = &maker->plan->first;
 
   if (service->kind != MQ_SERVICE_AGENT)
-    return fail (maker, MQ_ERR_BAD_REQUEST, request->service, "an agent");
-  if (!only_members (maker, members) || !read_continues (maker, request))
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, request->service,
+                        "an agent");
+  if (!mq_api_only_members (maker, members)
+      || !read_continues (maker, request))
     return false;
   request->type = MQ_REQUEST_CREATE;
   maker->plan->shape = MQ_API_CREATE;
@@ -439,7 +223,7 @@
 
 /* POST /v1/programs for an agent: the system drives the program.  */
 static bool
-plan_agent (struct maker *maker, const struct mq_service *service)
+plan_agent (struct mq_api_maker *maker, const struct mq_service *service)
 {
   static const char *const members[]
       = { "service", "input",  "keep_open", "continues",
@@ -447,14 +231,15 @@
   struct mq_request_msg *request = &maker->plan->first;
 
   maker->plan->wait_ms = service_wait_ms (service);
-  return only_members (maker, members) && make_open_body (maker, request)
-         && read_continues (maker, request) && read_shape (maker);
+  return mq_api_only_members (maker, members)
+         && make_open_body (maker, request) && read_continues (maker, request)
+         && read_shape (maker);
 }
 
 /* POST /v1/programs for a model, plain service or tool: a program of one
    call.  Its history is its own, so a model takes "input" only.  */
 static bool
-plan_single (struct maker *maker, const struct mq_service *service)
+plan_single (struct mq_api_maker *maker, const struct mq_service *service)
 {
   static const char *const members[]
       = { "service", "route",  "input", "arguments", "max_tokens",
@@ -462,15 +247,15 @@
   struct mq_request_msg *request = &maker->plan->first;
 
   maker->plan->wait_ms = service_wait_ms (service);
-  return only_members (maker, members)
-         && read_name (maker, "route", &request->route)
+  return mq_api_only_members (maker, members)
+         && mq_api_read_name (maker, "route", &request->route)
          && check_route (maker, service, request->route)
-         && read_number (maker, "max_tokens", &request->max_tokens)
+         && mq_api_read_number (maker, "max_tokens", &request->max_tokens)
          && make_call_body (maker, service, request) && read_shape (maker);
 }
 
 static bool
-plan_programs (struct maker *maker)
+plan_programs (struct mq_api_maker *maker)
 {
   struct mq_request_msg *request = &maker->plan->first;
   const struct mq_service *service;
@@ -478,8 +263,9 @@
 
   begin_request (maker, request, MQ_REQUEST_OPEN);
   name_new_program (maker, request);
-  if (!read_body (maker) || !read_name (maker, "service", &request->service)
-      || !read_text (maker, "driver", &driver))
+  if (!mq_api_read_body (maker)
+      || !mq_api_read_name (maker, "service", &request->service)
+      || !mq_api_read_text (maker, "driver", &driver))
     return false;
   service = find_service (maker, request->service);
   if (service == NULL)
@@ -487,7 +273,8 @@
   if (strcmp (driver, "caller") == 0)
     return plan_create (maker, service);
   if (strcmp (driver, "system") != 0)
-    return fail (maker, MQ_ERR_BAD_REQUEST, "driver", "system or caller");
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, "driver",
+                        "system or caller");
   if (service->kind == MQ_SERVICE_AGENT)
     return plan_agent (maker, service);
   return plan_single (maker, service);
@@ -495,24 +282,24 @@
 
 /* The service, route, cap and body of a step, from the JSON body.  */
 static bool
-fill_step (struct maker *maker, struct mq_request_msg *request)
+fill_step (struct mq_api_maker *maker, struct mq_request_msg *request)
 {
   const struct mq_service *service = find_service (maker, request->service);
 
   if (service == NULL)
     return false;
   if (service->kind == MQ_SERVICE_AGENT)
-    return fail (maker, MQ_ERR_BAD_REQUEST, request->service,
-                 "a model, plain service or tool");
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, request->service,
+                        "a model, plain service or tool");
   maker->plan->wait_ms = service_wait_ms (service);
   return check_route (maker, service, request->route)
-         && read_number (maker, "max_tokens", &request->max_tokens)
+         && mq_api_read_number (maker, "max_tokens", &request->max_tokens)
          && make_call_body (maker, service, request);
 }
 
 /* POST /v1/programs/ID/calls  */
 static bool
-plan_call (struct maker *maker)
+plan_call (struct mq_api_maker *maker)
 {
   static const char *const members[]
       = { "service",   "route",      "sequence", "input", "messages",
@@ -520,10 +307,10 @@
   struct mq_request_msg *request = &maker->plan->first;
 
   request->type = MQ_REQUEST_STEP;
-  if (!read_body (maker) || !only_members (maker, members)
-      || !read_name (maker, "service", &request->service)
-      || !read_name (maker, "route", &request->route)
-      || !read_number (maker, "sequence", &request->sequence))
+  if (!mq_api_read_body (maker) || !mq_api_only_members (maker, members)
+      || !mq_api_read_name (maker, "service", &request->service)
+      || !mq_api_read_name (maker, "route", &request->route)
+      || !mq_api_read_number (maker, "sequence", &request->sequence))
     return false;
   /* The sequence number makes the call idempotent; a key that differs with
      each repeat of the request would stand against it.  */
@@ -534,7 +321,7 @@
 
 /* POST /v1/programs/ID/turns  */
 static bool
-plan_turn (struct maker *maker)
+plan_turn (struct mq_api_maker *maker)
 {
   static const char *const members[] = { "input", "stream", NULL };
   struct mq_request_msg *request = &maker->plan->first;
@@ -543,21 +330,21 @@
 
   request->type = MQ_REQUEST_TURN;
   request->key = key_of (maker->ask);
-  if (!read_body (maker) || !only_members (maker, members))
+  if (!mq_api_read_body (maker) || !mq_api_only_members (maker, members))
     return false;
   input = json_object_get (maker->json, "input");
   if (!json_is_string (input))
-    return fail (maker, MQ_ERR_BAD_REQUEST, "input", "a text");
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, "input", "a text");
   body = json_object ();
   json_object_set (body, "input", input);
-  request->body = dump (maker, body);
+  request->body = mq_api_dump (maker, body);
   json_decref (body);
   return read_stream (maker);
 }
 
 /* GET /v1/programs/ID  */
 static bool
-plan_get (struct maker *maker)
+plan_get (struct mq_api_maker *maker)
 {
   struct mq_request_msg *request = &maker->plan->first;
   bool stream = wants_events (maker->ask);
@@ -567,11 +354,12 @@
   /* Who waits for the final answer hears the events too, and keeps only the
      last of them.  */
   request->stream = stream || is_set (maker->ask->wait);
-  return read_decimal (maker, "after", maker->ask->after, &request->after);
+  return mq_api_read_decimal (maker, "after", maker->ask->after,
+                              &request->after);
 }
 
 static bool
-plan_history (struct maker *maker)
+plan_history (struct mq_api_maker *maker)
 {
   maker->plan->first.type = MQ_REQUEST_GET;
   maker->plan->first.route = "history";
@@ -579,7 +367,7 @@
 }
 
 static bool
-plan_delete (struct maker *maker)
+plan_delete (struct mq_api_maker *maker)
 {
   maker->plan->first.type
       = is_set (maker->ask->cancel) ? MQ_REQUEST_CANCEL : MQ_REQUEST_CLOSE;
@@ -588,7 +376,7 @@
 
 /* /v1/programs/ID…  */
 static bool
-plan_program (struct maker *maker, const struct path *path)
+plan_program (struct mq_api_maker *maker, const struct mq_api_path *path)
 {
   const char *method = maker->ask->method;
   struct mq_request_msg *request = &maker->plan->first;
@@ -596,30 +384,32 @@
   bool get = strcmp (method, "GET") == 0;
 
   begin_request (maker, request, MQ_REQUEST_GET);
-  if (!read_id (maker, path->parts[2], &request->program))
+  if (!mq_api_read_id (maker, path->parts[2], &request->program))
     return false;
   if (path->count == 3 && get)
     return plan_get (maker);
   if (path->count == 3 && strcmp (method, "DELETE") == 0)
     return plan_delete (maker);
-  if (path->count == 4 && part_is (path, 3, "calls") && post)
+  if (path->count == 4 && mq_api_part_is (path, 3, "calls") && post)
     return plan_call (maker);
-  if (path->count == 4 && part_is (path, 3, "turns") && post)
+  if (path->count == 4 && mq_api_part_is (path, 3, "turns") && post)
     return plan_turn (maker);
-  if (path->count == 4 && part_is (path, 3, "history") && get)
+  if (path->count == 4 && mq_api_part_is (path, 3, "history") && get)
     return plan_history (maker);
-  return fail (maker, MQ_ERR_NOT_FOUND, maker->ask->path, "see docs/API.md");
+  return mq_api_fail (maker, MQ_ERR_NOT_FOUND, maker->ask->path,
+                      "see docs/API.md");
 }
 
 /* The step of POST /v1/chat/completions.  */
 static bool
-fill_chat_step (struct maker *maker, struct mq_request_msg *request)
+fill_chat_step (struct mq_api_maker *maker, struct mq_request_msg *request)
 {
   if (json_object_get (maker->json, "messages") == NULL)
-    return fail (maker, MQ_ERR_BAD_REQUEST, "messages", "an array");
-  if (!read_name (maker, "model", &request->service)
-      || !read_number (maker, "max_completion_tokens", &request->max_tokens)
-      || !read_flag (maker, "stream", &request->stream))
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, "messages", "an array");
+  if (!mq_api_read_name (maker, "model", &request->service)
+      || !mq_api_read_number (maker, "max_completion_tokens",
+                              &request->max_tokens)
+      || !mq_api_read_flag (maker, "stream", &request->stream))
     return false;
   maker->plan->shape = request->stream ? MQ_API_CHAT_STREAM : MQ_API_CHAT;
   return fill_step (maker, request);
@@ -628,7 +418,7 @@
 /* The agent whose budget a chat without a program draws on: the one that the
    caller names, else the first of the text that may call the model.  */
 static const struct mq_service *
-find_chat_agent (struct maker *maker, const char *model)
+find_chat_agent (struct mq_api_maker *maker, const char *model)
 {
   const struct mq_text *text = maker->text;
   const struct mq_service *called = mq_text_find_service (text, model);
@@ -639,13 +429,14 @@
     if (text->services[i].kind == MQ_SERVICE_AGENT
         && mq_text_depends (text, &text->services[i], called))
       return &text->services[i];
-  fail (maker, MQ_ERR_NOT_FOUND, model, "a model that an agent may call");
+  mq_api_fail (maker, MQ_ERR_NOT_FOUND, model,
+               "a model that an agent may call");
   return NULL;
 }
 
 /* Without a program one is created first.  */
 static bool
-plan_new_chat (struct maker *maker)
+plan_new_chat (struct mq_api_maker *maker)
 {
   struct mq_api_plan *plan = maker->plan;
   const struct mq_service *agent;
@@ -669,23 +460,23 @@
    "model" names the service.  Members that OpenAI's clients send besides are
    left out.  */
 static bool
-plan_chat (struct maker *maker)
+plan_chat (struct mq_api_maker *maker)
 {
   struct mq_api_plan *plan = maker->plan;
 
-  if (!read_body (maker))
+  if (!mq_api_read_body (maker))
     return false;
   if (maker->ask->program == NULL)
     return plan_new_chat (maker);
   begin_request (maker, &plan->first, MQ_REQUEST_STEP);
   plan->first.key = key_of (maker->ask);
-  return read_id (maker, maker->ask->program, &plan->first.program)
+  return mq_api_read_id (maker, maker->ask->program, &plan->first.program)
          && fill_chat_step (maker, &plan->first);
 }
 
 /* POST /v1/services/NAME[/ROUTE]: the body is the call's own.  */
 static bool
-plan_service (struct maker *maker, const struct path *path)
+plan_service (struct mq_api_maker *maker, const struct mq_api_path *path)
 {
   struct mq_request_msg *request = &maker->plan->first;
   const struct mq_service *service;
@@ -698,46 +489,51 @@
   if (service == NULL)
     return false;
   if (service->kind == MQ_SERVICE_AGENT || service->kind == MQ_SERVICE_MODEL)
-    return fail (maker, MQ_ERR_BAD_REQUEST, request->service,
-                 "a plain service or tool");
-  if (!check_route (maker, service, request->route) || !read_body (maker))
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, request->service,
+                        "a plain service or tool");
+  if (!check_route (maker, service, request->route)
+      || !mq_api_read_body (maker))
     return false;
   maker->plan->wait_ms = service_wait_ms (service);
   request->body = talloc_asprintf (maker->ctx, "{\"arguments\":%s}",
-                                   dump (maker, maker->json));
+                                   mq_api_dump (maker, maker->json));
   return true;
 }
 
 static bool
-plan_path (struct maker *maker, const struct path *path)
+plan_path (struct mq_api_maker *maker, const struct mq_api_path *path)
 {
   bool post = strcmp (maker->ask->method, "POST") == 0;
 
-  if (path->count < 2 || !part_is (path, 0, "v1"))
-    return fail (maker, MQ_ERR_NOT_FOUND, maker->ask->path, "see docs/API.md");
-  if (path->count == 2 && part_is (path, 1, "programs") && post)
+  if (path->count < 2 || !mq_api_part_is (path, 0, "v1"))
+    return mq_api_fail (maker, MQ_ERR_NOT_FOUND, maker->ask->path,
+                        "see docs/API.md");
+  if (path->count == 2 && mq_api_part_is (path, 1, "programs") && post)
     return plan_programs (maker);
-  if (path->count >= 3 && part_is (path, 1, "programs"))
+  if (path->count >= 3 && mq_api_part_is (path, 1, "programs"))
     return plan_program (maker, path);
-  if (path->count == 3 && part_is (path, 1, "chat")
-      && part_is (path, 2, "completions") && post)
+  if (path->count == 3 && mq_api_part_is (path, 1, "chat")
+      && mq_api_part_is (path, 2, "completions") && post)
     return plan_chat (maker);
-  if ((path->count == 3 || path->count == 4) && part_is (path, 1, "services")
-      && post)
+  if ((path->count == 3 || path->count == 4)
+      && mq_api_part_is (path, 1, "services") && post)
     return plan_service (maker, path);
-  return fail (maker, MQ_ERR_NOT_FOUND, maker->ask->path, "see docs/API.md");
+  return mq_api_fail (maker, MQ_ERR_NOT_FOUND, maker->ask->path,
+                      "see docs/API.md");
 }
 
 /* The caller may wait for less than the service may take.  */
 static bool
-read_timeout (struct maker *maker)
+read_timeout (struct mq_api_maker *maker)
 {
   uint32_t timeout_ms = maker->plan->wait_ms;
 
-  if (!read_decimal (maker, "timeout_ms", maker->ask->timeout_ms, &timeout_ms))
+  if (!mq_api_read_decimal (maker, "timeout_ms", maker->ask->timeout_ms,
+                            &timeout_ms))
     return false;
   if (timeout_ms == 0)
-    return fail (maker, MQ_ERR_BAD_REQUEST, "timeout_ms", "a number from 1");
+    return mq_api_fail (maker, MQ_ERR_BAD_REQUEST, "timeout_ms",
+                        "a number from 1");
   if (timeout_ms < maker->plan->wait_ms)
     maker->plan->wait_ms = timeout_ms;
   return true;
@@ -747,8 +543,8 @@
 mq_api_plan_make (TALLOC_CTX *ctx, const struct mq_text *text,
                   const struct mq_api_ask *ask, struct mq_error *error)
 {
-  struct maker maker = { .text = text, .ask = ask, .error = error };
-  struct path path;
+  struct mq_api_maker maker = { .text = text, .ask = ask, .error = error };
+  struct mq_api_path path;
   bool made;
 
   maker.plan = talloc_zero (ctx, struct mq_api_plan);
@@ -756,11 +552,11 @@
     abort ();
   maker.ctx = maker.plan;
   maker.plan->wait_ms = MQ_API_WAIT_MAX_MS;
-  if (ask->key != NULL && !key_is_sound (ask->key))
-    made = fail (&maker, MQ_ERR_BAD_REQUEST, "Idempotency-Key",
-                 "1 to 255 printable characters");
+  if (ask->key != NULL && !mq_api_key_valid (ask->key))
+    made = mq_api_fail (&maker, MQ_ERR_BAD_REQUEST, "Idempotency-Key",
+                        "1 to 255 printable characters");
   else
-    made = split_path (&maker, &path) && plan_path (&maker, &path)
+    made = mq_api_split_path (&maker, &path) && plan_path (&maker, &path)
            && read_timeout (&maker);
   json_decref (maker.json);
   if (made)
