--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -7,10 +7,9 @@
 
 #include "http_server.h"
 #include "../core/limits.h"
-#include "buffer.h"
+#include "http_state.h"
 #include "listen.h"
 #include <jansson.h>
-#include <microhttpd.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,110 +20,8 @@
    and the answer's header.  Headers of MQ_HEADERS_MAX_BYTES fit; one that
    fills it gets 431.  */
 #define CONNECTION_BYTES ((size_t)2 * MQ_HEADERS_MAX_BYTES)
-#define STREAM_BLOCK_BYTES ((size_t)16384)
 #define LEFT_POLL_MS 1000
 
-/**
- * struct mq_http_server - one listening socket and its requests
- * @ev: event loop
- * @daemon: libmicrohttpd's side
- * @fde: the daemon's epoll descriptor
- * @timer: the daemon's timeout, NULL when none is set
- * @timer_at: when @timer fires
- * @soon: runs the daemon after an answer from outside of it, and again
- * @handler: told each whole request
- * @data: given to @handler
- * @body_max: bound on a body
- * @port: port listened at
- * @requests: those whose connection is there
- * @in_progress: how many
- * @running: inside MHD_run, where the daemon can't be stopped
- * @has_room: a connection has ended since the last run
- * @closing: no longer accepts; answers close their connection
- * @doomed: destroyed; freed once MHD_run has returned
- */
-struct mq_http_server
-{
-  struct tevent_context *ev;
-  struct MHD_Daemon *daemon;
-  struct tevent_fd *fde;
-  struct tevent_timer *timer;
-  struct timeval timer_at;
-  struct tevent_immediate *soon;
-  mq_http_handler *handler;
-  void *data;
-  size_t body_max;
-  uint16_t port;
-  struct mq_http_request *requests;
-  size_t in_progress;
-  bool running;
-  bool has_room;
-  bool closing;
-  bool doomed;
-};
-
-struct header
-{
-  struct header *next;
-  const char *name;
-  const char *value;
-};
-
-/**
- * struct mq_http_request - one request, from its header to its end
- * @server: where it came in
- * @next: in @server->requests
- * @previous: in @server->requests
- * @connection: NULL once the request has ended
- * @fd: its socket
- * @method: of the request line
- * @path: without the query
- * @body: what came in so far
- * @discarded: bytes of a body over the bound that were read and dropped
- * @too_large: the body is over the bound
- * @handled: the handler was told
- * @suspended: waits for its answer or for more of it
- * @broken: the caller has left or is given up; no answer can reach it
- * @answered: the user has nothing more to say
- * @streaming: answered in parts
- * @queued: the answer is with the library
- * @response: answer not yet queued
- * @status: its HTTP status
- * @headers: extra headers of the answer
- * @unsent: a stream's bytes that the library has not taken yet
- * @closed: told once when the request ends
- * @closed_data: given to @closed
- * @watch: tells that the caller left while the library does not read
- * @watch_poll: does so when the caller has sent bytes ahead
- */
-struct mq_http_request
-{
-  struct mq_http_server *server;
-  struct mq_http_request *next;
-  struct mq_http_request *previous;
-  struct MHD_Connection *connection;
-  int fd;
-  const char *method;
-  const char *path;
-  struct mq_buffer body;
-  size_t discarded;
-  bool too_large;
-  bool handled;
-  bool suspended;
-  bool broken;
-  bool answered;
-  bool streaming;
-  bool queued;
-  struct MHD_Response *response;
-  unsigned int status;
-  struct header *headers;
-  struct mq_buffer unsent;
-  mq_http_closed *closed;
-  void *closed_data;
-  struct tevent_fd *watch;
-  struct tevent_timer *watch_poll;
-};
-
 /* The daemon inside the event loop.  */
 
 static void run_daemon (struct mq_http_server *server);
@@ -221,8 +118,8 @@
   run_daemon (data);
 }
 
-static void
-resume (struct mq_http_request *request)
+void
+mq_request_resume (struct mq_http_request *request)
 {
   if (!request->suspended)
     return;
@@ -234,8 +131,8 @@
 /* Ends a request whose answer can't be given.  Suspended, the library comes
    back to us and is told to close; else it waits for the socket, which the
    shutdown makes ready with an error.  */
-static void
-give_up (struct mq_http_request *request)
+void
+mq_request_give_up (struct mq_http_request *request)
 {
   if (request->broken)
     return;
@@ -243,7 +140,7 @@
   TALLOC_FREE (request->watch);
   TALLOC_FREE (request->watch_poll);
   if (request->suspended)
-    resume (request);
+    mq_request_resume (request);
   else
     shutdown (request->fd, SHUT_RDWR);
 }
@@ -275,7 +172,7 @@
   (void)now;
   request->watch_poll = NULL;
   if (socket_ended (request->fd))
-    give_up (request);
+    mq_request_give_up (request);
   else
     poll_later (request);
 }
@@ -303,15 +200,15 @@
   (void)flags;
   if (socket_ended (request->fd))
     {
-      give_up (request);
+      mq_request_give_up (request);
       return;
     }
   TALLOC_FREE (request->watch);
   poll_later (request);
 }
 
-static void
-suspend (struct mq_http_request *request)
+void
+mq_request_suspend (struct mq_http_request *request)
 {
   MHD_suspend_connection (request->connection);
   request->suspended = true;
@@ -373,8 +270,8 @@
   request->previous = NULL;
 }
 
-static void
-tell_closed (struct mq_http_request *request)
+void
+mq_request_tell_closed (struct mq_http_request *request)
 {
   mq_http_closed *closed = request->closed;
 
@@ -406,7 +303,7 @@
   TALLOC_FREE (request->watch);
   TALLOC_FREE (request->watch_poll);
   if (request->closed != NULL || !request->handled)
-    tell_closed (request);
+    mq_request_tell_closed (request);
   if (request->answered)
     talloc_free (request);
 }
@@ -490,7 +387,7 @@
   if (request->response != NULL)
     return queue_answer (request);
   if (!request->queued)
-    suspend (request);
+    mq_request_suspend (request);
   return MHD_YES;
 }
 
@@ -538,212 +435,6 @@
   return request_arrived (request);
 }
 
-static void
-add_headers (struct mq_http_request *request, const char *content_type)
-{
-  struct MHD_Response *response = request->response;
-
-  if (content_type != NULL)
-    MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
-                             content_type);
-  for (struct header *h = request->headers; h != NULL; h = h->next)
-    MHD_add_response_header (response, h->name, h->value);
-  if (request->server->closing)
-    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
-}
-
-/* False when REQUEST can't be answered (any more).  */
-static bool
-may_answer (struct mq_http_request *request)
-{
-  return !request->broken && !request->answered && !request->streaming;
-}
-
-/* The user's last word; frees a request that was kept for it.  */
-static void
-user_done (struct mq_http_request *request)
-{
-  request->answered = true;
-  if (request->connection == NULL && request->closed == NULL
-      && !request->server->doomed)
-    talloc_free (request);
-}
-
-void
-mq_http_respond (struct mq_http_request *request, int status,
-                 const char *content_type, const void *body, size_t len)
-{
-  if (!may_answer (request))
-    {
-      user_done (request);
-      return;
-    }
-  request->response = MHD_create_response_from_buffer (
-      len, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
-  request->answered = true;
-  if (request->response == NULL)
-    {
-      give_up (request);
-      return;
-    }
-  request->status = (unsigned int)status;
-  add_headers (request, content_type);
-  resume (request);
-}
-
-/* Streams.  A buffer grows with the reader's lag and is let go when the reader
-   has caught up, so that thousands of quiet streams hold no memory.  */
-
-/* The library asks for more of the answer.  */
-static ssize_t
-stream_read (void *cls, uint64_t position, char *to, size_t max)
-{
-  struct mq_http_request *request = cls;
-
-  (void)position;
-  if (request->broken || request->server->doomed)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (request->unsent.len > 0)
-    return (ssize_t)mq_buffer_take (&request->unsent, to, max);
-  if (request->answered)
-    return MHD_CONTENT_READER_END_OF_STREAM;
-  suspend (request);
-  return 0;
-}
-
-void
-mq_http_stream_begin (struct mq_http_request *request, int status,
-                      const char *content_type)
-{
-  if (!may_answer (request))
-    return;
-  request->response = MHD_create_response_from_callback (
-      MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, stream_read, request, NULL);
-  if (request->response == NULL)
-    {
-      give_up (request);
-      return;
-    }
-  request->streaming = true;
-  request->status = (unsigned int)status;
-  add_headers (request, content_type);
-  resume (request);
-}
-
-bool
-mq_http_stream_write (struct mq_http_request *request, const void *data,
-                      size_t len)
-{
-  if (request->broken || request->answered || !request->streaming)
-    return false;
-  if (len == 0)
-    return true;
-  if (!mq_buffer_append (request, &request->unsent, data, len,
-                         MQ_STREAM_BUFFER_BYTES))
-    {
-      give_up (request);
-      return false;
-    }
-  resume (request);
-  return true;
-}
-
-void
-mq_http_stream_end (struct mq_http_request *request)
-{
-  if (!request->broken)
-    {
-      request->answered = true;
-      resume (request);
-      return;
-    }
-  user_done (request);
-}
-
-void
-mq_http_abort (struct mq_http_request *request)
-{
-  give_up (request);
-  user_done (request);
-}
-
-/* What a request says.  */
-
-const char *
-mq_http_method (const struct mq_http_request *request)
-{
-  return request->method;
-}
-
-const char *
-mq_http_path (const struct mq_http_request *request)
-{
-  return request->path;
-}
-
-const char *
-mq_http_header (struct mq_http_request *request, const char *name)
-{
-  if (request->connection == NULL)
-    return NULL;
-  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND,
-                                      name);
-}
-
-const char *
-mq_http_query (struct mq_http_request *request, const char *name)
-{
-  if (request->connection == NULL)
-    return NULL;
-  return MHD_lookup_connection_value (request->connection,
-                                      MHD_GET_ARGUMENT_KIND, name);
-}
-
-const char *
-mq_http_body (const struct mq_http_request *request, size_t *len)
-{
-  if (len != NULL)
-    *len = request->body.len;
-  return mq_buffer_text (&request->body);
-}
-
-static void
-closed_late (struct tevent_context *ev, struct tevent_immediate *im,
-             void *data)
-{
-  struct mq_http_request *request = data;
-
-  (void)ev;
-  (void)im;
-  tell_closed (request);
-  talloc_free (request);
-}
-
-void
-mq_http_on_closed (struct mq_http_request *request, mq_http_closed *closed,
-                   void *data)
-{
-  request->closed = closed;
-  request->closed_data = data;
-  if (request->connection == NULL && closed != NULL)
-    tevent_schedule_immediate (tevent_create_immediate (request),
-                               request->server->ev, closed_late, request);
-}
-
-void
-mq_http_set_header (struct mq_http_request *request, const char *name,
-                    const char *value)
-{
-  struct header *header = talloc (request, struct header);
-
-  if (header == NULL)
-    return;
-  header->name = talloc_strdup (header, name);
-  header->value = talloc_strdup (header, value);
-  header->next = request->headers;
-  request->headers = header;
-}
-
 /* Start and stop.  */
 
 static struct MHD_Daemon *
@@ -773,8 +464,8 @@
       struct mq_http_request *request = server->requests;
 
       request_unlink (request);
-      give_up (request);
-      tell_closed (request);
+      mq_request_give_up (request);
+      mq_request_tell_closed (request);
     }
   TALLOC_FREE (server->fde);
   TALLOC_FREE (server->timer);
