--- a/standins/platform_server.c
+++ b/standins/platform_server.c
@@ -3,19 +3,14 @@
    Each request below /v1/ becomes an operation with a life of its own: it is
    parsed, meets the faults, waits where it must, takes effect and answers if
    its client is still there.
-   Needs: platform_server.h, faults.h, host_registry.h, weight_store.h,
-   http_answer.h, platform_wire.h.
- */
+   Needs: platform_state.h, http_answer.h, platform_wire.h.  */
 
 #include "platform_server.h"
-#include "../src/io/http_server.h"
-#include "faults.h"
-#include "host_registry.h"
+#include "../src/io/process.h"
 #include "http_answer.h"
+#include "platform_state.h"
 #include "platform_wire.h"
-#include "weight_store.h"
 #include <string.h>
-#include <time.h>
 
 #define BODY_MAX_BYTES (64U << 20)
 #define BYTES_TYPE "application/octet-stream"
@@ -25,7 +20,6 @@
 #define HOSTS_PATH "/v1/hosts"
 #define WEIGHT_PATH "/v1/weights/"
 #define SWITCH_PATH "/standin/"
-#define HOST_ADMIN_PATH "/standin/hosts/"
 
 enum
 {
@@ -33,25 +27,6 @@
   US_PER_S = 1000000
 };
 
-/* Lets N a second through, one after the other, and queues the rest.  */
-struct pacer
-{
-  uint64_t next_us;
-};
-
-struct mq_platform_server
-{
-  struct tevent_context *ev;
-  struct mq_http_server *http;
-  struct mq_table *table;
-  struct mq_faults *faults;
-  struct mq_host_registry *hosts;
-  struct mq_weight_store *weights;
-  struct pacer reads;
-  struct pacer writes;
-  uint64_t waiting;
-};
-
 enum operation_kind
 {
   OPERATION_STORE,
@@ -80,31 +55,6 @@
   bool closed;
 };
 
-/* Hosts that are to become visible later.  */
-struct late_hosts
-{
-  struct mq_platform_server *server;
-  json_t *state;
-  uint64_t number;
-};
-
-static uint64_t
-now_us (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t)now.tv_sec * US_PER_S
-         + (uint64_t)now.tv_nsec / (US_PER_S / US_PER_MS);
-}
-
-static struct timeval
-after_us (uint64_t us)
-{
-  return tevent_timeval_current_ofs ((uint32_t)(us / US_PER_S),
-                                     (uint32_t)(us % US_PER_S));
-}
-
 /* Operations: parse.  */
 
 static bool
@@ -261,8 +211,8 @@
   uint32_t retry_after_s;
   uint64_t bytes;
 
-  switch (mq_weight_store_load (operation->server->weights, name, now_us (),
-                                &bytes, &retry_after_s))
+  switch (mq_weight_store_load (operation->server->weights, name,
+                                mq_process_now_us (), &bytes, &retry_after_s))
     {
     case MQ_WEIGHT_LOADED:
       mq_answer_json (
@@ -377,9 +327,9 @@
 }
 
 static uint64_t
-pace (struct pacer *pacer, uint32_t per_s)
+pace (struct mq_pacer *pacer, uint32_t per_s)
 {
-  uint64_t now = now_us ();
+  uint64_t now = mq_process_now_us ();
   uint64_t start = pacer->next_us > now ? pacer->next_us : now;
 
   if (per_s == 0)
@@ -467,8 +417,8 @@
       return;
     }
   operation->server->waiting++;
-  if (tevent_add_timer (operation->server->ev, operation, after_us (wait_us),
-                        on_due, operation)
+  if (tevent_add_timer (operation->server->ev, operation,
+                        mq_standin_after_us (wait_us), on_due, operation)
       == NULL)
     abort ();
 }
@@ -491,168 +441,13 @@
   start (operation);
 }
 
-/* Switches.  */
-
-static void
-handle_fault (struct mq_platform_server *server,
-              struct mq_http_request *request)
-{
-  struct mq_error error;
-  size_t len;
-  const char *body = mq_http_body (request, &len);
-
-  if (mq_faults_post (server->faults, body, len, &error))
-    mq_answer_done (request);
-  else
-    mq_answer_failure (request, error.type);
-}
-
-static void
-handle_stats (struct mq_platform_server *server,
-              struct mq_http_request *request)
-{
-  struct mq_table_counters counters = mq_table_counters (server->table);
-
-  mq_answer_json (request, 200, mq_wire_counters (&counters, server->waiting));
-}
-
-static int
-free_late_hosts (struct late_hosts *late)
-{
-  json_decref (late->state);
-  return 0;
-}
-
-static void
-on_hosts_due (struct tevent_context *ev, struct tevent_timer *timer,
-              struct timeval now, void *data)
-{
-  struct late_hosts *late = data;
-
-  (void)ev;
-  (void)timer;
-  (void)now;
-  mq_host_registry_show (late->server->hosts, json_incref (late->state),
-                         late->number);
-  talloc_free (late);
-}
-
-static void
-show_hosts (struct mq_platform_server *server)
-{
-  struct mq_fault_subject subject = { 0 };
-  struct mq_fault lag = { 0 };
-  struct late_hosts *late = talloc_zero (server, struct late_hosts);
-
-  late->server = server;
-  late->state = mq_host_registry_state (server->hosts, &late->number);
-  talloc_set_destructor (late, free_late_hosts);
-  if (!mq_faults_take (server->faults, MQ_FAULT_HOSTS_LAG, &subject, &lag))
-    {
-      mq_host_registry_show (server->hosts, json_incref (late->state),
-                             late->number);
-      talloc_free (late);
-      return;
-    }
-  if (tevent_add_timer (server->ev, late,
-                        after_us ((uint64_t)lag.ms * US_PER_MS), on_hosts_due,
-                        late)
-      == NULL)
-    abort ();
-}
-
-static void
-handle_host_set (struct mq_platform_server *server,
-                 struct mq_http_request *request)
-{
-  size_t len;
-  const char *body = mq_http_body (request, &len);
-  json_t *host = json_loadb (body, len, 0, NULL);
-  bool good = mq_host_registry_set (server->hosts, host);
-
-  json_decref (host);
-  if (!good)
-    {
-      mq_answer_failure (request, MQ_ERR_BAD_REQUEST);
-      return;
-    }
-  show_hosts (server);
-  mq_answer_done (request);
-}
-
-static void
-handle_host_remove (struct mq_platform_server *server,
-                    struct mq_http_request *request)
-{
-  const char *name = mq_http_path (request) + strlen (HOST_ADMIN_PATH);
-
-  if (!mq_host_registry_remove (server->hosts, name))
-    {
-      mq_answer_failure (request, MQ_ERR_NOT_FOUND);
-      return;
-    }
-  show_hosts (server);
-  mq_answer_done (request);
-}
-
-static bool
-set_weight (struct mq_platform_server *server, json_t *json)
-{
-  const char *name;
-  json_int_t bytes;
-  json_int_t loads;
-
-  if (json_unpack (json, "{s:s,s:I,s:I !}", "name", &name, "bytes", &bytes,
-                   "loads_per_minute", &loads)
-          != 0
-      || name[0] == '\0' || bytes < 0 || loads < 0 || loads > UINT32_MAX)
-    return false;
-  mq_weight_store_set (server->weights, name, (uint64_t)bytes, (uint32_t)loads,
-                       now_us ());
-  return true;
-}
-
-static void
-handle_weight_set (struct mq_platform_server *server,
-                   struct mq_http_request *request)
-{
-  size_t len;
-  const char *body = mq_http_body (request, &len);
-  json_t *json = json_loadb (body, len, 0, NULL);
-  bool good = set_weight (server, json);
-
-  json_decref (json);
-  if (good)
-    mq_answer_done (request);
-  else
-    mq_answer_failure (request, MQ_ERR_BAD_REQUEST);
-}
-
-static void
-handle_switch (struct mq_platform_server *server,
-               struct mq_http_request *request)
-{
-  if (mq_is_request (request, "POST", "/standin/fault"))
-    handle_fault (server, request);
-  else if (mq_is_request (request, "GET", "/standin/stats"))
-    handle_stats (server, request);
-  else if (mq_is_request (request, "POST", "/standin/hosts"))
-    handle_host_set (server, request);
-  else if (mq_is_below (request, "DELETE", HOST_ADMIN_PATH))
-    handle_host_remove (server, request);
-  else if (mq_is_request (request, "POST", "/standin/weights"))
-    handle_weight_set (server, request);
-  else
-    mq_answer_failure (request, MQ_ERR_NOT_FOUND);
-}
-
 static void
 on_request (struct mq_http_request *request, void *data)
 {
   struct mq_platform_server *server = data;
 
   if (strncmp (mq_http_path (request), SWITCH_PATH, strlen (SWITCH_PATH)) == 0)
-    handle_switch (server, request);
+    mq_platform_switch (server, request);
   else
     handle_operation (server, request);
 }
--- /dev/null
+++ b/standins/platform_state.h
@@ -0,0 +1,40 @@
+/* platform_state.h - what the parts of the platform's stand-in share.
+
+   platform_server.c serves the platform's paths, platform_switch.c the
+   switches of the stand-in.
+   Needs: platform_server.h, faults.h, host_registry.h, weight_store.h.  */
+
+#ifndef MQ_PLATFORM_STATE_H
+#define MQ_PLATFORM_STATE_H
+
+#include "../src/io/http_server.h"
+#include "faults.h"
+#include "host_registry.h"
+#include "platform_server.h"
+#include "weight_store.h"
+
+/* Lets N a second through, one after the other, and queues the rest.  */
+struct mq_pacer
+{
+  uint64_t next_us;
+};
+
+struct mq_platform_server
+{
+  struct tevent_context *ev;
+  struct mq_http_server *http;
+  struct mq_table *table;
+  struct mq_faults *faults;
+  struct mq_host_registry *hosts;
+  struct mq_weight_store *weights;
+  struct mq_pacer reads;
+  struct mq_pacer writes;
+  uint64_t waiting;
+};
+
+struct timeval mq_standin_after_us (uint64_t us);
+/* Answers a request below /standin/.  */
+void mq_platform_switch (struct mq_platform_server *server,
+                         struct mq_http_request *request);
+
+#endif
--- /dev/null
+++ b/standins/platform_switch.c
@@ -0,0 +1,187 @@
+/* platform_switch.c - what tests and operators of the platform's stand-in
+   switch: faults, hosts, weights.
+
+   Needs: platform_state.h, http_answer.h, platform_wire.h.  */
+
+#include "../src/io/process.h"
+#include "http_answer.h"
+#include "platform_state.h"
+#include "platform_wire.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define HOST_ADMIN_PATH "/standin/hosts/"
+
+enum
+{
+  US_PER_MS = 1000,
+  US_PER_S = 1000000
+};
+
+struct timeval
+mq_standin_after_us (uint64_t us)
+{
+  return tevent_timeval_current_ofs ((uint32_t)(us / US_PER_S),
+                                     (uint32_t)(us % US_PER_S));
+}
+
+/* Hosts that are to become visible later.  */
+struct late_hosts
+{
+  struct mq_platform_server *server;
+  json_t *state;
+  uint64_t number;
+};
+
+static void
+handle_fault (struct mq_platform_server *server,
+              struct mq_http_request *request)
+{
+  struct mq_error error;
+  size_t len;
+  const char *body = mq_http_body (request, &len);
+
+  if (mq_faults_post (server->faults, body, len, &error))
+    mq_answer_done (request);
+  else
+    mq_answer_failure (request, error.type);
+}
+
+static void
+handle_stats (struct mq_platform_server *server,
+              struct mq_http_request *request)
+{
+  struct mq_table_counters counters = mq_table_counters (server->table);
+
+  mq_answer_json (request, 200, mq_wire_counters (&counters, server->waiting));
+}
+
+static int
+free_late_hosts (struct late_hosts *late)
+{
+  json_decref (late->state);
+  return 0;
+}
+
+static void
+on_hosts_due (struct tevent_context *ev, struct tevent_timer *timer,
+              struct timeval now, void *data)
+{
+  struct late_hosts *late = data;
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  mq_host_registry_show (late->server->hosts, json_incref (late->state),
+                         late->number);
+  talloc_free (late);
+}
+
+static void
+show_hosts (struct mq_platform_server *server)
+{
+  struct mq_fault_subject subject = { 0 };
+  struct mq_fault lag = { 0 };
+  struct late_hosts *late = talloc_zero (server, struct late_hosts);
+
+  late->server = server;
+  late->state = mq_host_registry_state (server->hosts, &late->number);
+  talloc_set_destructor (late, free_late_hosts);
+  if (!mq_faults_take (server->faults, MQ_FAULT_HOSTS_LAG, &subject, &lag))
+    {
+      mq_host_registry_show (server->hosts, json_incref (late->state),
+                             late->number);
+      talloc_free (late);
+      return;
+    }
+  if (tevent_add_timer (server->ev, late,
+                        mq_standin_after_us ((uint64_t)lag.ms * US_PER_MS),
+                        on_hosts_due, late)
+      == NULL)
+    abort ();
+}
+
+static void
+handle_host_set (struct mq_platform_server *server,
+                 struct mq_http_request *request)
+{
+  size_t len;
+  const char *body = mq_http_body (request, &len);
+  json_t *host = json_loadb (body, len, 0, NULL);
+  bool good = mq_host_registry_set (server->hosts, host);
+
+  json_decref (host);
+  if (!good)
+    {
+      mq_answer_failure (request, MQ_ERR_BAD_REQUEST);
+      return;
+    }
+  show_hosts (server);
+  mq_answer_done (request);
+}
+
+static void
+handle_host_remove (struct mq_platform_server *server,
+                    struct mq_http_request *request)
+{
+  const char *name = mq_http_path (request) + strlen (HOST_ADMIN_PATH);
+
+  if (!mq_host_registry_remove (server->hosts, name))
+    {
+      mq_answer_failure (request, MQ_ERR_NOT_FOUND);
+      return;
+    }
+  show_hosts (server);
+  mq_answer_done (request);
+}
+
+static bool
+set_weight (struct mq_platform_server *server, json_t *json)
+{
+  const char *name;
+  json_int_t bytes;
+  json_int_t loads;
+
+  if (json_unpack (json, "{s:s,s:I,s:I !}", "name", &name, "bytes", &bytes,
+                   "loads_per_minute", &loads)
+          != 0
+      || name[0] == '\0' || bytes < 0 || loads < 0 || loads > UINT32_MAX)
+    return false;
+  mq_weight_store_set (server->weights, name, (uint64_t)bytes, (uint32_t)loads,
+                       mq_process_now_us ());
+  return true;
+}
+
+static void
+handle_weight_set (struct mq_platform_server *server,
+                   struct mq_http_request *request)
+{
+  size_t len;
+  const char *body = mq_http_body (request, &len);
+  json_t *json = json_loadb (body, len, 0, NULL);
+  bool good = set_weight (server, json);
+
+  json_decref (json);
+  if (good)
+    mq_answer_done (request);
+  else
+    mq_answer_failure (request, MQ_ERR_BAD_REQUEST);
+}
+
+void
+mq_platform_switch (struct mq_platform_server *server,
+                    struct mq_http_request *request)
+{
+  if (mq_is_request (request, "POST", "/standin/fault"))
+    handle_fault (server, request);
+  else if (mq_is_request (request, "GET", "/standin/stats"))
+    handle_stats (server, request);
+  else if (mq_is_request (request, "POST", "/standin/hosts"))
+    handle_host_set (server, request);
+  else if (mq_is_below (request, "DELETE", HOST_ADMIN_PATH))
+    handle_host_remove (server, request);
+  else if (mq_is_request (request, "POST", "/standin/weights"))
+    handle_weight_set (server, request);
+  else
+    mq_answer_failure (request, MQ_ERR_NOT_FOUND);
+}
