--- a/src/io/target.c
+++ b/src/io/target.c
@@ -1,22 +1,12 @@
 /* target.c - everything that runs beside a target, in one event loop.
 
-   Needs: target.h and the modules that it joins.  */
+   Needs: target_state.h and the modules that it joins.  */
 
 #include "target.h"
-#include "../core/gate.h"
 #include "../core/limits.h"
 #include "../core/memory.h"
-#include "../core/spread.h"
-#include "batch.h"
-#include "kept_hosts.h"
 #include "log.h"
-#include "peer.h"
-#include "platform.h"
-#include "process.h"
-#include "spans.h"
-#include "target_http.h"
-#include "target_report.h"
-#include "worker.h"
+#include "target_state.h"
 #include <string.h>
 
 enum
@@ -25,62 +15,32 @@
   US_PER_SECOND = 1000000
 };
 
-struct mq_target
-{
-  struct tevent_context *ev;
-  const struct mq_settings *settings;
-  void (*done) (void *user);
-  void *user;
-  uint64_t boot;
-  char *http_address;
-  char *peer_address;
-  struct mq_http_client *client;
-  struct mq_platform *platform;
-  struct mq_peer_net *net;
-  struct mq_target_http *http;
-  struct mq_spans *spans;
-  struct mq_gate *gate;
-  struct mq_spread *spread;
-  struct mq_worker **workers;
-  uint64_t seen_version;
-  struct mq_kept_hosts kept;
-  struct mq_batch_queue queue;
-  bool working;
-  struct mq_tick_timer tick;
-  bool leaving;
-  bool stopping;
-  uint64_t stop_until_us;
-  uint64_t quiet_since_us; /* drained, and no call has come since */
-  uint64_t quiet_calls;
-  struct tevent_immediate *stop;
-};
-
 static uint64_t
 earlier (uint64_t a, uint64_t b)
 {
   return a < b ? a : b;
 }
 
-static void settle (struct mq_target *target);
-
 /* Inputs of the cores.  */
 
-static void
-tell_gate (struct mq_target *target, struct mq_gate_input *input)
+void
+mq_target_tell_gate (struct mq_target *target, struct mq_gate_input *input)
 {
   input->now_us = mq_process_now_us ();
   mq_gate_handle (target->gate, input,
                   mq_batch_add (target, &target->queue, 0));
 }
 
-static void
-tell_spread (struct mq_target *target, struct mq_spread_input *input)
+void
+mq_target_tell_spread (struct mq_target *target, struct mq_spread_input *input)
 {
   input->now_us = mq_process_now_us ();
   mq_spread_handle (target->spread, input,
                     mq_batch_add (target, &target->queue, 0));
 }
 
+/* Carrying out actions.  */
+
 static void
 carry_out (struct mq_target *target, const struct mq_action *action)
 {
@@ -177,16 +137,16 @@
   tevent_schedule_immediate (target->stop, target->ev, report_done, target);
 }
 
-static void
-leave (struct mq_target *target)
+void
+mq_target_leave (struct mq_target *target)
 {
   struct mq_gate_input input = { .type = MQ_GATE_LEAVE };
 
   if (target->leaving)
     return;
   target->leaving = true;
-  tell_gate (target, &input);
-  settle (target);
+  mq_target_tell_gate (target, &input);
+  mq_target_settle (target);
 }
 
 void
@@ -198,8 +158,8 @@
   target->stop_until_us
       = mq_process_now_us ()
         + (uint64_t)target->settings->drain_seconds * US_PER_SECOND;
-  leave (target);
-  settle (target);
+  mq_target_leave (target);
+  mq_target_settle (target);
 }
 
 /* Time.  */
@@ -217,10 +177,10 @@
   (void)at;
   target->tick.timer = NULL;
   if (mq_spread_next_tick (target->spread) <= mq_process_now_us ())
-    tell_spread (target, &spread);
+    mq_target_tell_spread (target, &spread);
   if (mq_gate_next_tick (target->gate) <= mq_process_now_us ())
-    tell_gate (target, &gate);
-  settle (target);
+    mq_target_tell_gate (target, &gate);
+  mq_target_settle (target);
 }
 
 static uint64_t
@@ -237,8 +197,8 @@
 }
 
 /* Carries out all that is queued, and what it leads to.  */
-static void
-settle (struct mq_target *target)
+void
+mq_target_settle (struct mq_target *target)
 {
   struct mq_batch *batch;
 
@@ -258,284 +218,13 @@
                      on_timer, target);
 }
 
-/* Peers.  */
-
-static void
-on_peer_up (uint32_t peer, const struct mq_peer_info *info, void *user)
-{
-  struct mq_target *target = user;
-  struct mq_spread_input spread = { .type = MQ_SPREAD_PEER_UP, .peer = peer };
-  struct mq_gate_input gate = { .type = MQ_GATE_PEER_UP, .peer = peer };
-
-  tell_spread (target, &spread);
-  if (info->role == MQ_HOST_ENTRY)
-    tell_gate (target, &gate);
-  settle (target);
-}
-
-static void
-on_peer_down (uint32_t peer, enum mq_error_type why, void *user)
-{
-  struct mq_target *target = user;
-  struct mq_spread_input spread
-      = { .type = MQ_SPREAD_PEER_DOWN, .peer = peer };
-  struct mq_gate_input gate = { .type = MQ_GATE_PEER_DOWN, .peer = peer };
-
-  (void)why;
-  tell_spread (target, &spread);
-  tell_gate (target, &gate);
-  settle (target);
-}
-
-/* The configuration goes first: the lower side fetches before it acts.  */
-static void
-on_message (uint32_t peer, const struct mq_message *message, void *user)
-{
-  struct mq_target *target = user;
-  struct mq_spread_input spread = { .type = MQ_SPREAD_MESSAGE, .peer = peer };
-  struct mq_gate_input gate = { .type = MQ_GATE_MESSAGE, .peer = peer };
-
-  spread.u.message = message;
-  tell_spread (target, &spread);
-  gate.u.message = message;
-  tell_gate (target, &gate);
-  settle (target);
-}
-
-/* The platform.  */
-
-static void
-on_stored (const struct mq_store_result *result, void *user)
-{
-  struct mq_target *target = user;
-  struct mq_spread_input spread = { .type = MQ_SPREAD_STORE };
-
-  spread.u.store = result;
-  tell_spread (target, &spread);
-  settle (target);
-}
-
-/* Which hosts of a list this process connects to.  */
-struct wanted
-{
-  const struct mq_settings *settings;
-  bool entry_here; /* our data centre has one */
-};
-
-static bool
-has_entry_here (const struct mq_target *target,
-                const struct mq_host_list *hosts)
-{
-  for (size_t i = 0; i < hosts->count; i++)
-    if (hosts->items[i].role == MQ_HOST_ENTRY
-        && strcmp (hosts->items[i].data_centre, target->settings->data_centre)
-               == 0)
-      return true;
-  return false;
-}
-
-/* Entry hosts of our data centre, or of our region where ours has none; the
-   others connect to us when they place work here.  */
-static bool
-is_wanted (const struct mq_host *host, const void *data)
-{
-  const struct wanted *wanted = data;
-  const struct mq_settings *settings = wanted->settings;
-
-  if (host->role != MQ_HOST_ENTRY)
-    return false;
-  if (wanted->entry_here)
-    return strcmp (host->data_centre, settings->data_centre) == 0;
-  return strcmp (host->region, settings->region) == 0;
-}
-
-static void
-keep_hosts (struct mq_target *target, const struct mq_host_list *hosts)
-{
-  struct wanted wanted = { .settings = target->settings };
-
-  wanted.entry_here = has_entry_here (target, hosts);
-  mq_kept_hosts_update (target, &target->kept, target->net, hosts, is_wanted,
-                        &wanted);
-}
-
-/* The platform says that this host is to go: nothing new from now on; the
-   process itself ends when it is told to.  */
-static void
-look_at_own_entry (struct mq_target *target, const struct mq_host_list *hosts)
-{
-  for (size_t i = 0; i < hosts->count; i++)
-    if (strcmp (hosts->items[i].name, target->settings->host) == 0
-        && hosts->items[i].role == MQ_HOST_TARGET && hosts->items[i].leaving)
-      leave (target);
-}
-
-static void
-on_listed (const struct mq_host_list *hosts, void *user)
-{
-  struct mq_target *target = user;
-  struct mq_spread_input spread = { .type = MQ_SPREAD_HOSTS };
-
-  keep_hosts (target, hosts);
-  spread.u.hosts = hosts;
-  tell_spread (target, &spread);
-  look_at_own_entry (target, hosts);
-  settle (target);
-}
-
-/* Workers.  */
-
-static void
-on_token (const struct mq_gate_token *token, void *user)
-{
-  struct mq_target *target = user;
-  struct mq_gate_input input = { .type = MQ_GATE_TOKEN };
-
-  input.u.token = *token;
-  tell_gate (target, &input);
-  settle (target);
-}
-
-static void
-on_done (const struct mq_gate_done *done, void *user)
-{
-  struct mq_target *target = user;
-  struct mq_gate_input input = { .type = MQ_GATE_DONE };
-
-  input.u.done = *done;
-  tell_gate (target, &input);
-  settle (target);
-}
-
-static void
-on_evicted (const struct mq_gate_evicted *evicted, void *user)
-{
-  struct mq_target *target = user;
-  struct mq_gate_input input = { .type = MQ_GATE_EVICTED };
-
-  input.u.evicted = *evicted;
-  tell_gate (target, &input);
-  settle (target);
-}
-
-static void
-on_cache (const struct mq_gate_cache *cache, void *user)
-{
-  struct mq_target *target = user;
-  struct mq_gate_input input = { .type = MQ_GATE_CACHE };
-
-  input.u.cache = *cache;
-  tell_gate (target, &input);
-  settle (target);
-}
-
-static void
-on_engine_up (uint32_t worker, uint64_t boot, void *user)
-{
-  struct mq_target *target = user;
-  struct mq_gate_input input
-      = { .type = MQ_GATE_ENGINE_UP, .engine_boot = boot };
-
-  input.u.worker = worker;
-  tell_gate (target, &input);
-  settle (target);
-}
-
-static void
-on_engine_down (uint32_t worker, void *user)
-{
-  struct mq_target *target = user;
-  struct mq_gate_input input = { .type = MQ_GATE_ENGINE_DOWN };
-
-  input.u.worker = worker;
-  tell_gate (target, &input);
-  settle (target);
-}
-
-static void
-on_ordered (const struct mq_order_done_msg *ordered, void *user)
-{
-  struct mq_target *target = user;
-  struct mq_gate_input input = { .type = MQ_GATE_ORDERED };
-
-  input.u.ordered = *ordered;
-  tell_gate (target, &input);
-  settle (target);
-}
-
-/* Operators.  */
-
-static bool
-is_ready (const struct mq_target *target)
-{
-  return mq_spread_version (target->spread) > 0;
-}
-
-static enum mq_error_type
-on_ready (void *user)
-{
-  const struct mq_target *target = user;
-
-  if (target->leaving)
-    return MQ_ERR_LEAVING;
-  return is_ready (target) ? MQ_ERR_NONE : MQ_ERR_NOT_READY;
-}
-
-static void
-fill_view (const struct mq_target *target, struct mq_target_view *view)
-{
-  view->settings = target->settings;
-  view->ready = is_ready (target);
-  view->leaving = target->leaving;
-  view->gate = target->gate;
-  view->spread = target->spread;
-  view->net = target->net;
-  view->platform = target->platform;
-  view->workers = target->workers;
-}
-
-static char *
-on_metrics (TALLOC_CTX *ctx, void *user)
-{
-  struct mq_target_view view;
-
-  fill_view (user, &view);
-  return mq_target_metrics (ctx, &view);
-}
-
-static char *
-on_status (TALLOC_CTX *ctx, void *user)
-{
-  struct mq_target_view view;
-
-  fill_view (user, &view);
-  return mq_target_status (ctx, &view);
-}
-
-static char *
-on_spans (TALLOC_CTX *ctx, struct mq_id program, void *user)
-{
-  const struct mq_target *target = user;
-
-  return mq_spans_json (ctx, target->spans, program);
-}
-
-static void
-on_drain (void *user)
-{
-  mq_target_stop (user);
-}
-
 /* Life.  */
 
 static bool
 create_net (struct mq_target *target, struct mq_error *error)
 {
   const struct mq_settings *settings = target->settings;
-  struct mq_peer_callbacks callbacks = { .up = on_peer_up,
-                                         .down = on_peer_down,
-                                         .message = on_message,
-                                         .user = target };
+  struct mq_peer_callbacks callbacks = mq_target_peer_callbacks (target);
   struct mq_peer_options options = { .listen = settings->peer };
 
   options.self.host = settings->host;
@@ -578,7 +267,7 @@
     return false;
   target->platform
       = mq_platform_create (target, target->ev, target->client,
-                            settings->platform, on_stored, target);
+                            settings->platform, mq_target_stored, target);
   if (target->platform != NULL)
     return true;
   mq_error_set (error, MQ_ERR_IO, settings->platform, "");
@@ -589,14 +278,7 @@
 create_workers (struct mq_target *target)
 {
   const struct mq_settings *settings = target->settings;
-  struct mq_worker_callbacks callbacks = { .token = on_token,
-                                           .done = on_done,
-                                           .evicted = on_evicted,
-                                           .cache = on_cache,
-                                           .up = on_engine_up,
-                                           .down = on_engine_down,
-                                           .ordered = on_ordered,
-                                           .user = target };
+  struct mq_worker_callbacks callbacks = mq_target_worker_callbacks (target);
 
   target->workers = mq_must (talloc_zero_array (
       target, struct mq_worker *, (unsigned int)settings->worker_count + 1));
@@ -616,12 +298,8 @@
 create_http (struct mq_target *target, struct mq_error *error)
 {
   const struct mq_settings *settings = target->settings;
-  struct mq_operator_callbacks callbacks = { .ready = on_ready,
-                                             .metrics = on_metrics,
-                                             .status = on_status,
-                                             .spans = on_spans,
-                                             .drain = on_drain,
-                                             .user = target };
+  struct mq_operator_callbacks callbacks
+      = mq_target_operator_callbacks (target);
 
   target->http
       = mq_target_http_create (target, target->ev, settings->http,
@@ -656,9 +334,9 @@
       return NULL;
     }
   create_workers (target);
-  mq_platform_watch_hosts (target->platform, MQ_HOSTS_POLL_MS, on_listed,
-                           target);
-  settle (target);
+  mq_platform_watch_hosts (target->platform, MQ_HOSTS_POLL_MS,
+                           mq_target_listed, target);
+  mq_target_settle (target);
   return target;
 }
 
--- /dev/null
+++ b/src/io/target_state.h
@@ -0,0 +1,71 @@
+/* target_state.h - what the parts of a target's process share; for src/io
+   only.
+
+   target.c holds its life, its time and what the cores ask for;
+   target_input.c what comes in.
+   Needs: target.h and the modules that it joins.  */
+
+#ifndef MQ_TARGET_STATE_H
+#define MQ_TARGET_STATE_H
+
+#include "../core/gate.h"
+#include "../core/spread.h"
+#include "batch.h"
+#include "kept_hosts.h"
+#include "peer.h"
+#include "platform.h"
+#include "process.h"
+#include "spans.h"
+#include "target.h"
+#include "target_http.h"
+#include "worker.h"
+
+struct mq_target
+{
+  struct tevent_context *ev;
+  const struct mq_settings *settings;
+  void (*done) (void *user);
+  void *user;
+  uint64_t boot;
+  char *http_address;
+  char *peer_address;
+  struct mq_http_client *client;
+  struct mq_platform *platform;
+  struct mq_peer_net *net;
+  struct mq_target_http *http;
+  struct mq_spans *spans;
+  struct mq_gate *gate;
+  struct mq_spread *spread;
+  struct mq_worker **workers;
+  uint64_t seen_version;
+  struct mq_kept_hosts kept;
+  struct mq_batch_queue queue;
+  bool working;
+  struct mq_tick_timer tick;
+  bool leaving;
+  bool stopping;
+  uint64_t stop_until_us;
+  uint64_t quiet_since_us; /* drained, and no call has come since */
+  uint64_t quiet_calls;
+  struct tevent_immediate *stop;
+};
+
+/* Each tells one core; the time goes in here.  */
+void mq_target_tell_gate (struct mq_target *target,
+                          struct mq_gate_input *input);
+void mq_target_tell_spread (struct mq_target *target,
+                            struct mq_spread_input *input);
+/* Carries out all that is queued, and what it leads to.  */
+void mq_target_settle (struct mq_target *target);
+/* Takes nothing new from now on.  */
+void mq_target_leave (struct mq_target *target);
+
+struct mq_peer_callbacks mq_target_peer_callbacks (struct mq_target *target);
+struct mq_worker_callbacks
+mq_target_worker_callbacks (struct mq_target *target);
+struct mq_operator_callbacks
+mq_target_operator_callbacks (struct mq_target *target);
+void mq_target_stored (const struct mq_store_result *result, void *user);
+void mq_target_listed (const struct mq_host_list *hosts, void *user);
+
+#endif
