Bound the tokens that an engine claims for a cancelled call

An engine that answered a cancel with a negative number, or one beyond 32 bits, had it cut to 32 bits: the program was charged up to tokens that nobody made, and so stopped by its budget. Such a number now counts as none, as in every other answer; the text that came still counts.

--- a/src/io/worker_answer.c
+++ b/src/io/worker_answer.c
@@ -63,8 +63,7 @@
 mq_worker_read_cancelled (const char *body, size_t len)
 {
   json_t *json = json_loadb (body, len, 0, NULL);
-  uint32_t tokens = (uint32_t)json_integer_value (
-      json_object_get (json, "completion_tokens"));
+  uint32_t tokens = read_tokens (json, "completion_tokens");
 
   json_decref (json);
   return tokens;
--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -21,6 +21,7 @@
   X (handshake)                                                               \
   X (platform)                                                                \
   X (stream)                                                                  \
+  X (worker)                                                                  \
   X (log)
 
 /* True when the bytes were accepted.  */
