--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -22,7 +22,8 @@
   X (platform)                                                                \
   X (stream)                                                                  \
   X (worker)                                                                  \
-  X (log)
+  X (log)                                                                     \
+  X (owner)
 
 /* True when the bytes were accepted.  */
 typedef bool fuzz_function (const uint8_t *data, size_t len);
