--- a/tests/fuzz/fuzz.c
+++ b/tests/fuzz/fuzz.c
@@ -8,10 +8,8 @@
 #include <string.h>
 
 void
-fuzz_check (bool condition, const char *text, const char *file, int line)
+fuzz_fail (const char *text, const char *file, int line)
 {
-  if (condition)
-    return;
   fprintf (stderr, "%s:%d: does not hold: %s\n", file, line, text);
   abort ();
 }
--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -35,8 +35,11 @@
 /* Stops the process, which libFuzzer and Criterion both report, and says what
    did not hold.  */
 #define FUZZ_CHECK(condition)                                                 \
-  fuzz_check (condition, #condition, __FILE__, __LINE__)
-void fuzz_check (bool condition, const char *text, const char *file, int line);
+  do                                                                          \
+    if (!(condition))                                                         \
+      fuzz_fail (#condition, __FILE__, __LINE__);                             \
+  while (0)
+_Noreturn void fuzz_fail (const char *text, const char *file, int line);
 
 /* A cursor over the input.  */
 struct fuzz_input
