--- a/src/io/api.c
+++ b/src/io/api.c
@@ -138,6 +138,7 @@
   if (exchange->asked)
     {
       api->counters.callers_gone++;
+      mq_exchange_count_gone (exchange);
       api->callbacks.gone (exchange->handle, api->callbacks.user);
     }
   talloc_free (exchange);
@@ -420,6 +421,7 @@
 
   api->callbacks = *callbacks;
   api->boot = options->boot;
+  api->latency = mq_latency_create (api);
   create_operators (api, options->operator_key_hash);
   api->server
       = mq_http_server_create (api, ev, &options->http, serve, api, error);
--- a/src/io/api_event.c
+++ b/src/io/api_event.c
@@ -94,7 +94,10 @@
                      mq_api_program_json (
                          exchange, exchange->plan->first.program, "ended"));
   else
-    give_refusal (exchange, event);
+    {
+      mq_exchange_count_refused (exchange, event);
+      give_refusal (exchange, event);
+    }
 }
 
 /* The final answer is not in the form that was asked for.  */
@@ -160,6 +163,7 @@
 {
   exchange->asked = false;
   mq_exchange_span (exchange, MQ_ERR_NONE);
+  mq_exchange_count_answered (exchange, event->body);
   switch (exchange->plan->shape)
     {
     case MQ_API_JSON:
--- a/src/io/api_state.h
+++ b/src/io/api_state.h
@@ -1,7 +1,7 @@
 /* api_state.h - what the parts of the API share; for src/io only.
 
    api.c takes requests and asks the front; api_event.c gives the front's
-   events to callers.
+   events to callers; api_latency.c measures what callers wait for.
    Needs: api.h, api_answer.h, api_plan.h, operator_http.h.  */
 
 #ifndef MQ_API_STATE_H
@@ -54,6 +54,7 @@
   uint32_t next_slot;
   uint64_t serial;
   struct mq_api_counters counters;
+  struct mq_latency *latency;
 };
 
 /* Answers with REFUSAL.  */
@@ -73,4 +74,12 @@
 void mq_exchange_span (const struct mq_exchange *exchange,
                        enum mq_error_type error);
 
+/* Each counts the end of a program that the caller waited for; BODY is that
+   of the answer.  */
+void mq_exchange_count_answered (const struct mq_exchange *exchange,
+                                 const char *body);
+void mq_exchange_count_refused (const struct mq_exchange *exchange,
+                                const struct mq_event_msg *event);
+void mq_exchange_count_gone (const struct mq_exchange *exchange);
+
 #endif
--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -247,6 +247,7 @@
   options.boot = entry->boot;
   options.seed = mq_process_random ();
   options.policy = policy;
+  options.commit_each_step = settings->commit_each_step;
   entry->owner = mq_owner_create (entry, &options);
   entry->hold = mq_hold_create (entry);
   entry->front = mq_front_create (entry, &lookup, mq_process_random ());
--- a/tests/fuzz/fuzz_frame.c
+++ b/tests/fuzz/fuzz_frame.c
@@ -73,6 +73,8 @@
       good = mq_frame_reader_feed (reader, data + at, part)
              && read_frames (reader, &read) && mq_frame_reader_rest (reader);
     }
+  /* The same bytes as one message, which the fuzzer reaches more easily.  */
+  check_message (data, len);
   talloc_free (ctx);
   return good && read > 0;
 }
