--- a/src/core/owner_hosts.c
+++ b/src/core/owner_hosts.c
@@ -5,19 +5,10 @@
 
 #include "owner_state.h"
 #include "id.h"
+#include "memory.h"
 #include <stdlib.h>
 #include <string.h>
 
-static char *
-copy_text (TALLOC_CTX *ctx, const char *text)
-{
-  char *copy = talloc_strdup (ctx, text == NULL ? "" : text);
-
-  if (copy == NULL)
-    abort ();
-  return copy;
-}
-
 /* ---- Pools ---- */
 
 struct pool *
@@ -31,7 +22,7 @@
   pool = talloc_zero (owner, struct pool);
   if (pool == NULL)
     abort ();
-  pool->service = copy_text (pool, service);
+  pool->service = mq_text_copy (pool, service);
   pool->next = owner->pools;
   owner->pools = pool;
   return pool;
@@ -96,7 +87,7 @@
   former = talloc_zero (owner, struct former_run);
   if (former == NULL)
     abort ();
-  former->host = copy_text (former, target->host);
+  former->host = mq_text_copy (former, target->host);
   former->boot = target->sent_boot;
   target->sent_boot = 0;
   former->next = owner->formers;
@@ -205,8 +196,8 @@
 
   if (target == NULL)
     abort ();
-  target->host = copy_text (target, host);
-  target->data_centre = copy_text (target, data_centre);
+  target->host = mq_text_copy (target, host);
+  target->data_centre = mq_text_copy (target, data_centre);
   target->unlisted_us = owner->now_us;
   target->next = owner->targets;
   owner->targets = target;
@@ -227,9 +218,9 @@
   sibling = talloc_zero (owner, struct sibling);
   if (sibling == NULL)
     abort ();
-  sibling->host = copy_text (sibling, host);
-  sibling->address = copy_text (sibling, "");
-  sibling->data_centre = copy_text (sibling, "");
+  sibling->host = mq_text_copy (sibling, host);
+  sibling->address = mq_text_copy (sibling, "");
+  sibling->data_centre = mq_text_copy (sibling, "");
   sibling->counter_us = owner->now_us;
   sibling->next = owner->siblings;
   owner->siblings = sibling;
--- a/src/core/owner_take.c
+++ b/src/core/owner_take.c
@@ -8,6 +8,7 @@
 
 #include "owner_state.h"
 #include "id.h"
+#include "memory.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -134,15 +135,6 @@
 
 /* ---- Rows ---- */
 
-static void
-set_text (TALLOC_CTX *ctx, char **to, const char *from)
-{
-  talloc_free (*to);
-  *to = talloc_strdup (ctx, from == NULL ? "" : from);
-  if (*to == NULL)
-    abort ();
-}
-
 static void
 copy_senders (struct mq_owner *owner, struct partition *partition,
               const Mqlog__PartitionRow *row)
@@ -178,10 +170,10 @@
   partition->batch = value->batch;
   partition->checkpoint = value->checkpoint;
   partition->first = value->first;
-  set_text (owner->partitions, &partition->owner, value->owner);
-  set_text (owner->partitions, &partition->address, value->address);
-  set_text (owner->partitions, &partition->checkpoint_key,
-            value->checkpoint_key);
+  mq_text_set (owner->partitions, &partition->owner, value->owner);
+  mq_text_set (owner->partitions, &partition->address, value->address);
+  mq_text_set (owner->partitions, &partition->checkpoint_key,
+               value->checkpoint_key);
   copy_senders (owner, partition, value);
   mqlog__partition_row__free_unpacked (value, NULL);
   return true;
@@ -245,7 +237,7 @@
   sibling->counter = value->counter;
   sibling->boot = value->boot;
   sibling->leaving = value->leaving;
-  set_text (sibling, &sibling->address, value->address);
+  mq_text_set (sibling, &sibling->address, value->address);
   mqlog__owner_row__free_unpacked (value, NULL);
 }
 
@@ -261,8 +253,8 @@
                     &result->rows[i]);
   if (result->more && result->row_count > 0)
     {
-      set_text (owner, &owner->owners_after,
-                result->rows[result->row_count - 1].key);
+      mq_text_set (owner, &owner->owners_after,
+                   result->rows[result->row_count - 1].key);
       send_owners_scan (owner);
       return;
     }
@@ -351,7 +343,7 @@
   forget_partition (owner, partition);
   partition->row_known = false;
   partition->row_version = 0;
-  set_text (owner->partitions, &partition->owner, "");
+  mq_text_set (owner->partitions, &partition->owner, "");
   owner->next_scan_us = owner->now_us;
 }
 
@@ -365,9 +357,9 @@
   owner_state (owner, MQ_STATE_PARTITION_RELEASED, number,
                successor == NULL ? "" : successor->host);
   /* Callers that are sent away are told where to ask next.  */
-  set_text (owner->partitions, &partition->owner, "");
-  set_text (owner->partitions, &partition->address,
-            successor == NULL ? "" : successor->address);
+  mq_text_set (owner->partitions, &partition->owner, "");
+  mq_text_set (owner->partitions, &partition->address,
+               successor == NULL ? "" : successor->address);
   forget_partition (owner, partition);
   partition->unowned_us = owner->now_us;
   if (successor == NULL)
@@ -509,9 +501,9 @@
       partition->owner_boot = owner->options.boot;
       if (partition->first == 0)
         partition->first = 1;
-      set_text (owner->partitions, &partition->owner, owner->options.host);
-      set_text (owner->partitions, &partition->address,
-                owner->options.address);
+      mq_text_set (owner->partitions, &partition->owner, owner->options.host);
+      mq_text_set (owner->partitions, &partition->address,
+                   owner->options.address);
       partition->state = PARTITION_OTHER;
       owner->claiming--;
       start_reading (owner, partition);
@@ -1335,7 +1327,7 @@
   for (uint32_t i = 0; i < count; i++)
     {
       owner->partitions[i].number = i;
-      set_text (owner->partitions, &owner->partitions[i].owner, "");
+      mq_text_set (owner->partitions, &owner->partitions[i].owner, "");
     }
 }
 
