--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -39,7 +39,8 @@
     if (!(condition))                                                         \
       fuzz_fail (#condition, __FILE__, __LINE__);                             \
   while (0)
-_Noreturn void fuzz_fail (const char *text, const char *file, int line);
+void fuzz_fail (const char *text, const char *file, int line)
+    __attribute__ ((noreturn));
 
 /* A cursor over the input.  */
 struct fuzz_input
