Continue a program in its own partition; never cut a call short that may not be repeated

Cause: a program that continues another got an id of its own, and mostly another owner, which did not know the history: 7 of 10 were not found. A cancel or a spent time budget cancelled a running call that may not be repeated, which leaves its effect unknown. Change: the id takes the partition of the program that it continues; such a call is sealed: refused for good if it has not begun, else awaited.

--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -918,9 +918,15 @@
   switch (call->state)
     {
     case CALL_SENT:
-      send_ref (owner, running, MQ_MSG_CANCEL);
       if (!call->idempotent)
-        return false;
+        {
+          /* To cut it short would leave its effect unknown.  If it has not
+             begun it is refused for good, else its end is awaited.  */
+          call->state = CALL_SEALING;
+          send_seal (owner, running);
+          return false;
+        }
+      send_ref (owner, running, MQ_MSG_CANCEL);
       if (call->down_us == 0)
         return false; /* the outcome tells what it spent */
       abandon (owner, running);
--- a/src/io/api_plan.c
+++ b/src/io/api_plan.c
@@ -197,7 +197,12 @@
     return false;
   if (continues[0] == '\0')
     return true;
-  return mq_api_read_id (maker, continues, &request->continues);
+  if (!mq_api_read_id (maker, continues, &request->continues))
+    return false;
+  /* In the partition of the program that it continues: its owner has the
+     history that carries over.  */
+  request->program.hi = request->continues.hi;
+  return true;
 }
 
 /* POST /v1/programs with "driver":"caller".  The agent gives the budget, the
--- a/tests/test_api.c
+++ b/tests/test_api.c
@@ -280,7 +280,9 @@
     words = talloc_asprintf_append (words, " after=%u", request->after);
   mq_id_format (request->continues, id);
   if (!mq_id_is_zero (request->continues))
-    words = talloc_asprintf_append (words, " continues=%s", id);
+    words = talloc_asprintf_append (
+        words, " continues=%s%s", id,
+        request->program.hi == request->continues.hi ? "" : " elsewhere");
   return talloc_asprintf_append (words, " %s", request->body);
 }
 
