--- a/src/core/gate_cache.c
+++ b/src/core/gate_cache.c
@@ -440,6 +440,16 @@
   program->swept = false;
 }
 
+/* Failure: an owner that lost its partition calls once more and renews
+   nothing; the program ends elsewhere, and its memory stays for the whole
+   first lease.  Owners give every program the same lease, so one that none
+   has given yet is as long as the last.  */
+static uint64_t
+first_lease_ms (const struct mq_gate *gate)
+{
+  return gate->lease_ms == 0 ? MQ_GATE_LEASE_MS : gate->lease_ms;
+}
+
 /* A call will use the program's cache until its owner renews the lease.
    Failure: a call of a tool claimed the cache that the program once had here;
    its owner, which uses it elsewhere, renews and ends nothing here, and the
@@ -451,7 +461,7 @@
   if (!has_cache (worker) || program->lease == GATE_LEASE_HELD)
     return;
   revive (gate, program);
-  set_lease (gate, program, MQ_GATE_LEASE_MS);
+  set_lease (gate, program, first_lease_ms (gate));
 }
 
 /* Failure: this process was restarted and no longer knows which programs ran
@@ -507,6 +517,8 @@
     return;
   if (program->lease != GATE_LEASE_HELD)
     revive (gate, program);
+  if (msg->lease_ms != 0)
+    gate->lease_ms = msg->lease_ms;
   set_lease (gate, program,
              msg->lease_ms == 0 ? MQ_GATE_LEASE_MS : msg->lease_ms);
 }
@@ -532,7 +544,7 @@
 {
   if (is_under_way (program))
     {
-      set_lease (gate, program, MQ_GATE_LEASE_MS);
+      set_lease (gate, program, first_lease_ms (gate));
       return;
     }
   program->lease = GATE_LEASE_LAPSED;
--- a/src/core/gate_state.h
+++ b/src/core/gate_state.h
@@ -306,6 +306,7 @@
   uint32_t outcomes_max;
   struct gate_worker *workers;
   size_t worker_count;
+  uint64_t lease_ms; /* that owners last gave a cache, 0: none yet */
   uint64_t now_us;
   uint64_t lived_us; /* time in which inputs were handled; see mq_gate_live */
   bool leaving;
--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -773,7 +773,12 @@
       /* The same attempt again: if its frame was lost it is taken now, else
          the process answers from its table.  */
       if (call->state == CALL_SENT)
-        send_call (owner, running);
+        {
+          send_call (owner, running);
+          /* The lease was lost with it.  */
+          if (call->model)
+            chain_lease (owner, running, target);
+        }
       else
         send_seal (owner, running);
       return;
