Outages of 30 s, durable answers, intents and fences in the fault matrix

Further callers open urgent and batch work while the store is down; what goes on, waits or is refused is checked, as is that nothing is taken from an owner that lives, that no answer is told before the log has it, that no call that may not be repeated starts before its intent, and that no fence falls.

--- a/tests/test_matrix.c
+++ b/tests/test_matrix.c
@@ -70,6 +70,9 @@
   uint64_t held_us = 0;
   uint64_t unowned_us = 0;
   uint32_t orphans = 0;
+  uint32_t taken = 0;
+  uint64_t memory = 0;
+  uint64_t outage_done_us = 0;
 
   for (size_t i = 0; i < count; i++)
     {
@@ -79,10 +82,19 @@
       unowned_us
           = report->unowned_us > unowned_us ? report->unowned_us : unowned_us;
       orphans = report->orphans > orphans ? report->orphans : orphans;
+      memory = report->memory_max > memory ? report->memory_max : memory;
+      outage_done_us = report->outage_done_us > outage_done_us
+                           ? report->outage_done_us
+                           : outage_done_us;
+      taken += report->taken_alive;
     }
   printf ("matrix: ended_cache_held_s=%.1f partition_unowned_s=%.1f "
           "orphan_objects=%u\n",
           (double)held_us / 1e6, (double)unowned_us / 1e6, orphans);
+  printf ("matrix: taken_from_the_living=%u process_kb_peak=%llu "
+          "answers_after_outage_s=%.1f\n",
+          taken, (unsigned long long)(memory >> 10),
+          (double)outage_done_us / 1e6);
 }
 
 static struct matrix_job *
--- a/tests/world.c
+++ b/tests/world.c
@@ -489,7 +489,7 @@
 {
   uint32_t count = 0;
 
-  for (int i = 0; i < CALLERS; i++)
+  for (int i = 0; i < world->caller_count; i++)
     count += world->callers[i].state == CALLER_WAITS
              && world->callers[i].host == host
              && world_runs (world, host, world->callers[i].host_run);
@@ -675,17 +675,40 @@
       = { FAULT_STORE_DOWN, FAULT_STORE_SLOW, FAULT_WRITE_LOST,
           FAULT_WRITE_LATE };
 
+  if (world->script == SCRIPT_OUTAGE)
+    return false;
   for (size_t i = 0; i < sizeof faults / sizeof faults[0]; i++)
     if (world->cell->fault == faults[i] || world->cell->second == faults[i])
       return false;
   return true;
 }
 
+/* Whoever had the partition last and did not give it up still runs.  */
 static void
-note_owned (struct world *world, uint64_t partition)
+note_taken (struct world *world, int host, uint64_t partition)
+{
+  int last = world->last_owner[partition];
+
+  if (last != NOBODY && last != host
+      && world_runs (world, last, world->last_run[partition])
+      && world->hosts[last].paused_until_us <= world->now_us)
+    {
+      world->report->taken_alive++;
+      world_trace (world, "%s takes partition %llu from %s, which lives",
+                   world->hosts[host].name, (unsigned long long)partition,
+                   world->hosts[last].name);
+    }
+  world->last_owner[partition] = host;
+  world->last_run[partition] = world->hosts[host].run;
+}
+
+static void
+note_owned (struct world *world, int host, uint64_t partition)
 {
   uint64_t since_us;
 
+  if (partition < PARTITIONS)
+    note_taken (world, host, partition);
   if (partition >= PARTITIONS || world->unowned_us[partition] == 0)
     return;
   since_us = world->unowned_us[partition];
@@ -734,7 +757,9 @@
       break;
     case MQ_ACT_STATE:
       if (action->u.state.change == MQ_STATE_PARTITION_OWNED)
-        note_owned (world, action->u.state.number);
+        note_owned (world, host, action->u.state.number);
+      if (action->u.state.change == MQ_STATE_PARTITION_RELEASED)
+        world->last_owner[action->u.state.number % PARTITIONS] = NOBODY;
       world_trace (world, "%s: %s %llu %s", world->hosts[host].name,
                    state_name (action->u.state.change),
                    (unsigned long long)action->u.state.number,
@@ -969,6 +994,8 @@
 static void
 store_up (struct world *world)
 {
+  if (world->now_us < world->outage_until_us)
+    return; /* a shorter outage within the long one */
   world_trace (world, "the store is back");
   world->store_down = false;
   world->store_slow = false;
@@ -987,9 +1014,31 @@
   caller_check_all (world);
 }
 
+/* In the world's small runs a process needs some hundred kilobytes.  */
+static void
+look_at_memory (struct world *world)
+{
+  for (int i = 0; i < HOSTS; i++)
+    {
+      size_t bytes;
+
+      if (!world->hosts[i].alive)
+        continue;
+      if (world->cell->plant == PLANT_MEMORY_LEAKED)
+        talloc_zero_size (world->hosts[i].memory, 1 << 20);
+      bytes = talloc_total_size (world->hosts[i].memory);
+      if (bytes > world->report->memory_max)
+        world->report->memory_max = bytes;
+      if (bytes > MEMORY_MAX)
+        world_violate (world, INVARIANT_MEMORY, "%s holds %zu bytes",
+                       world->hosts[i].name, bytes);
+    }
+}
+
 static void
 look (struct world *world)
 {
+  look_at_memory (world);
   if (!caller_all_done (world) || world->now_us < world->faults_over_us)
     world->done_us = 0;
   else if (world->done_us == 0)
@@ -1120,6 +1169,9 @@
     case EVENT_STORE_UP:
       store_up (world);
       break;
+    case EVENT_OUTAGE:
+      fault_outage (world);
+      break;
     }
 }
 
@@ -1202,6 +1254,11 @@
   for (int i = 0; i < HOSTS; i++)
     start_host (world, i);
   operator_apply (world, 0);
+  for (int p = 0; p < PARTITIONS; p++)
+    world->last_owner[p] = NOBODY;
+  if (world->script == SCRIPT_OUTAGE)
+    world_push (world, world_event_create (world, EVENT_OUTAGE, NOBODY),
+                LONG_OUTAGE_FROM_US);
   world_push (world, world_event_create (world, EVENT_LOOK, NOBODY), SECOND);
   return world;
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -43,6 +43,7 @@
   X (SNAPSHOT, "checkpoint-put", CHECKPOINT)                                  \
   X (INSTALL, "checkpoint-row", CHECKPOINT)                                   \
   X (REMOVE, "checkpoint-remove", CHECKPOINT)                                 \
+  X (OUTAGE, "outage", OUTAGE)                                                \
   X (FENCE, "takeover-fence", TAKEOVER)                                       \
   X (REPLAY, "takeover-replay", TAKEOVER)                                     \
   X (RECOVER, "takeover-recover", TAKEOVER)                                   \
@@ -64,6 +65,7 @@
 {
   SCRIPT_PLAIN,
   SCRIPT_CHECKPOINT,   /* checkpoints after a few records */
+  SCRIPT_OUTAGE,       /* the store is down for long, and callers open more */
   SCRIPT_TAKEOVER,     /* an owner dies while a call of its program runs */
   SCRIPT_SETTLE,       /* it dies with its intent durable and nothing sent */
   SCRIPT_DRAIN_ENTRY,  /* it is stopped as planned */
@@ -122,7 +124,14 @@
   X (REPLAYED, "a takeover at rest finds the same programs")                  \
   X (STORED, "the store keeps a checkpoint and the log since, no more")       \
   X (EVICTED, "cache of an ended program goes within its lease and 11 s")     \
-  X (RESUMED, "a partition has an owner again within its lease and 6 s")
+  X (RESUMED, "a partition has an owner again within its lease and 6 s")      \
+  X (TOLD, "an answer is in the log before it is told")                       \
+  X (INTENDED, "a call that may not be repeated starts after its intent")     \
+  X (FENCE, "a partition's fence in the table never falls")                   \
+  X (OUTAGE,                                                                  \
+     "an outage refuses batch work only; what may be repeated goes on")       \
+  X (TAKEN, "an outage takes no partition from an owner that lives")          \
+  X (MEMORY, "no process grows without bound")
 
 enum world_invariant
 {
@@ -158,7 +167,10 @@
   X (CHECKPOINT_CUT, "a checkpoint lacks a program")                          \
   X (DROP_SWALLOWED, "an object's removal is confirmed and not done")         \
   X (EVICT_DELAYED, "evictions fail for 25 s")                                \
-  X (CLAIM_HELD, "the table refuses claims for 12 s")
+  X (CLAIM_HELD, "the table refuses claims for 12 s")                         \
+  X (URGENT_REFUSED, "urgent work is refused in an outage")                   \
+  X (RENEWALS_REFUSED, "the table refuses renewals after an outage")          \
+  X (MEMORY_LEAKED, "a process keeps a megabyte of each second")
 
 enum world_plant
 {
@@ -213,6 +225,12 @@
  * @orphans: objects at the end that no row names
  * @held_us: longest that cache of an ended program was held
  * @unowned_us: longest that a partition was without its owner
+ * @starts_in_outage: calls that workers began in the long outage
+ * @batch_refused: refusals of batch work in it
+ * @urgent_refused: refusals of other work in it
+ * @taken_alive: partitions taken from an owner that lived
+ * @memory_max: bytes of the largest process
+ * @outage_done_us: from the end of the outage to the last answer
  */
 struct world_report
 {
@@ -226,6 +244,12 @@
   uint32_t orphans;
   uint64_t held_us;
   uint64_t unowned_us;
+  uint32_t starts_in_outage;
+  uint32_t batch_refused;
+  uint32_t urgent_refused;
+  uint32_t taken_alive;
+  uint64_t memory_max;
+  uint64_t outage_done_us;
 };
 
 /* Runs CELL to rest and judges it; TRACE: prints every event.  */
--- a/tests/world_caller.c
+++ b/tests/world_caller.c
@@ -36,20 +36,46 @@
   { MQ_REQUEST_OPEN, "letters", "", 0, TEXT_LETTER },
 };
 
+static const struct ask desk_asks[] = {
+  { MQ_REQUEST_OPEN, "desk", "", 0, TEXT_LETTER },
+};
+static const struct ask notice_asks[] = {
+  { MQ_REQUEST_OPEN, "notices", "", 0, TEXT_LETTER },
+};
+
 #define ASKS(array) array, sizeof (array) / sizeof (array)[0]
 
-static const struct
+struct caller_script
 {
   const char *organisation;
   const struct ask *asks;
   size_t count;
   uint64_t budget;
-} scripts[CALLERS] = {
+};
+
+static const struct caller_script scripts[CALLERS] = {
   { "diagne", ASKS (chain_asks), 4000 }, { "zarqa", ASKS (talk_asks), 4000 },
   { "diagne", ASKS (step_asks), 4000 },  { "zarqa", ASKS (loop_asks), 150 },
   { "zarqa", ASKS (letter_asks), 2000 },
 };
 
+/* Further callers, who come in an outage: clerks and a batch in turn.  */
+static const struct caller_script further[]
+    = { { "diagne", ASKS (desk_asks), 2000 },
+        { "zarqa", ASKS (notice_asks), 2000 } };
+
+static const struct caller_script *
+script_of (int index)
+{
+  return index < CALLERS ? &scripts[index] : &further[(index - CALLERS) % 2];
+}
+
+static bool
+is_batch (const struct caller *caller)
+{
+  return caller->asks == notice_asks;
+}
+
 /* What the requests say.  */
 
 static json_t *
@@ -168,7 +194,7 @@
 static struct caller *
 find_family (const struct world *world, uint64_t family)
 {
-  for (int i = 0; i < CALLERS; i++)
+  for (int i = 0; i < world->caller_count; i++)
     if (world->callers[i].program.hi == family)
       return (struct caller *)&world->callers[i];
   return NULL;
@@ -209,7 +235,7 @@
 {
   const struct caller *caller = find_family (world, family);
 
-  return caller == NULL ? 0 : scripts[caller->index].budget;
+  return caller == NULL ? 0 : script_of (caller->index)->budget;
 }
 
 /* Asking.  */
@@ -227,21 +253,25 @@
 void
 caller_create_all (struct world *world)
 {
-  for (int i = 0; i < CALLERS; i++)
+  world->caller_count = world->script == SCRIPT_OUTAGE ? CALLERS_MAX : CALLERS;
+  for (int i = 0; i < world->caller_count; i++)
     {
       struct caller *caller = &world->callers[i];
 
       caller->index = i;
-      caller->asks = scripts[i].asks;
-      caller->ask_count = scripts[i].count;
-      caller->organisation = talloc_strdup (world, scripts[i].organisation);
+      caller->asks = script_of (i)->asks;
+      caller->ask_count = script_of (i)->count;
+      caller->organisation
+          = talloc_strdup (world, script_of (i)->organisation);
       caller->key = talloc_asprintf (world, "household %d of %llu", i,
                                      (unsigned long long)world->cell->seed);
       caller->program = mq_id_open (caller->organisation, caller->key);
       for (size_t a = 0; a < caller->ask_count; a++)
         compose (world, caller, a);
       plan_timer (world, caller,
-                  CALLERS_START_US + world_delay (world, 0, 200 * MS));
+                  CALLERS_START_US + world_delay (world, 0, 200 * MS)
+                      + (i < CALLERS ? 0 : (uint64_t)(i - CALLERS))
+                            * OUTAGE_CALLER_US);
     }
 }
 
@@ -264,7 +294,7 @@
 void
 caller_check_all (struct world *world)
 {
-  for (int i = 0; i < CALLERS; i++)
+  for (int i = 0; i < world->caller_count; i++)
     {
       struct caller *caller = &world->callers[i];
 
@@ -284,7 +314,7 @@
 bool
 caller_all_done (const struct world *world)
 {
-  for (int i = 0; i < CALLERS; i++)
+  for (int i = 0; i < world->caller_count; i++)
     if (world->callers[i].state != CALLER_DONE)
       return false;
   for (int i = 0; i < OPERATORS; i++)
@@ -378,7 +408,9 @@
   struct world_event *event;
   struct mq_message message = { .type = MQ_MSG_FORWARD_EVENT };
 
-  if (world->cell->plant != PLANT_REFUSED_AND_RUN || caller->tries > 1)
+  if (!(world->cell->plant == PLANT_REFUSED_AND_RUN && caller->tries == 1)
+      && !(world->cell->plant == PLANT_URGENT_REFUSED
+           && caller->asks == desk_asks && caller->tries == 1))
     return;
   refusal.handle = caller->handle;
   refusal.error = MQ_ERR_OVERLOADED;
@@ -460,7 +492,7 @@
 void
 caller_host_died (struct world *world, int host)
 {
-  for (int i = 0; i < CALLERS; i++)
+  for (int i = 0; i < world->caller_count; i++)
     {
       struct caller *caller = &world->callers[i];
 
@@ -552,6 +584,39 @@
   return true;
 }
 
+static void
+note_told (struct world *world, const struct caller *caller, const char *body)
+{
+  enum mq_request_type type = caller->asks[caller->ask].type;
+
+  if (world->outage_until_us != 0 && world->now_us > world->outage_until_us
+      && !world->replayed)
+    world->report->outage_done_us = world->now_us - world->outage_until_us;
+  if ((type == MQ_REQUEST_OPEN || type == MQ_REQUEST_TURN)
+      && !check_is_told (world, caller->program, body))
+    world_violate (world, INVARIANT_TOLD,
+                   "caller %d, request %zu: no log holds %.120s",
+                   caller->index, caller->ask, body);
+}
+
+/* In an outage only batch work is turned away.  */
+static void
+note_refused (struct world *world, const struct caller *caller,
+              const struct mq_event_msg *event)
+{
+  if (world->now_us < world->outage_from_us
+      || world->now_us > world->outage_until_us || caller->checks)
+    return;
+  if (is_batch (caller))
+    world->report->batch_refused++;
+  else
+    world->report->urgent_refused++;
+  if (world->cell->nth == 0 && caller->asks == desk_asks
+      && event->ran == MQ_RAN_NOT_RUN)
+    world_violate (world, INVARIANT_OUTAGE, "caller %d is refused: %s",
+                   caller->index, mq_error_name (event->error));
+}
+
 static void
 end_check (struct world *world, struct caller *caller)
 {
@@ -596,6 +661,7 @@
                      caller->ends, caller->ask);
       return;
     }
+  note_told (world, caller, body);
   if (caller->checks)
     {
       check_final (world, caller, body);
@@ -694,6 +760,7 @@
 {
   world_trace (world, "caller %d is refused: %s, %s", caller->index,
                mq_error_name (event->error), mq_ran_name (event->ran));
+  note_refused (world, caller, event);
   if (++caller->ends > 1)
     {
       world_violate (world, INVARIANT_ONE_ANSWER,
@@ -764,7 +831,7 @@
 static struct caller *
 find_handle (struct world *world, uint64_t handle)
 {
-  for (int i = 0; i < CALLERS; i++)
+  for (int i = 0; i < world->caller_count; i++)
     if (world->callers[i].handle == handle)
       return &world->callers[i];
   return NULL;
@@ -774,7 +841,8 @@
 plant_swap (struct world *world, struct caller *caller,
             const struct mq_event_msg *event)
 {
-  struct caller *other = &world->callers[(caller->index + 1) % CALLERS];
+  struct caller *other
+      = &world->callers[(caller->index + 1) % world->caller_count];
 
   if (world->cell->plant != PLANT_ANSWER_SWAPPED
       || event->type != MQ_EVENT_FINAL || other->state != CALLER_WAITS)
--- a/tests/world_check.c
+++ b/tests/world_check.c
@@ -22,6 +22,8 @@
   char **answers;
   uint32_t *errors;
   size_t answer_count;
+  struct mq_call_ref *intents;
+  size_t intent_count;
 };
 
 struct log
@@ -70,6 +72,19 @@
   logged->errors[n] = answered->error;
 }
 
+static void
+add_intent (struct log *log, struct mq_id program, const Mqlog__Intent *intent)
+{
+  struct logged *logged = logged_get (log, program);
+  size_t n = logged->intent_count++;
+
+  logged->intents = talloc_realloc (log, logged->intents, struct mq_call_ref,
+                                    (unsigned int)n + 1);
+  logged->intents[n].program = program;
+  logged->intents[n].call = intent->call;
+  logged->intents[n].attempt = intent->attempt;
+}
+
 static void
 read_record (struct log *log, const ProtobufCBinaryData *bytes)
 {
@@ -84,6 +99,8 @@
   logged_get (log, program);
   if (record->body_case == MQLOG__RECORD__BODY_ANSWERED)
     add_answer (log, program, record->answered);
+  if (record->body_case == MQLOG__RECORD__BODY_INTENT)
+    add_intent (log, program, record->intent);
   mqlog__record__free_unpacked (record, NULL);
 }
 
@@ -308,6 +325,33 @@
   return found;
 }
 
+/* Whether the log holds by now what a caller is told.  */
+bool
+check_is_told (struct world *world, struct mq_id program, const char *body)
+{
+  struct log *log = read_log (world);
+  const struct logged *logged = logged_find (log, program);
+  bool told = logged != NULL && is_answer (logged, body);
+
+  talloc_free (log);
+  return told;
+}
+
+bool
+check_is_intended (struct world *world, const struct mq_call_ref *ref)
+{
+  struct log *log = read_log (world);
+  const struct logged *logged = logged_find (log, ref->program);
+  bool intended = false;
+
+  for (size_t i = 0; logged != NULL && i < logged->intent_count; i++)
+    intended = intended
+               || (logged->intents[i].call == ref->call
+                   && logged->intents[i].attempt == ref->attempt);
+  talloc_free (log);
+  return intended;
+}
+
 static bool
 has_error (const struct logged *logged, enum mq_error_type error)
 {
@@ -347,7 +391,7 @@
 static void
 check_callers (struct world *world, const struct log *log)
 {
-  for (int i = 0; i < CALLERS; i++)
+  for (int i = 0; i < world->caller_count; i++)
     {
       const struct caller *caller = &world->callers[i];
 
@@ -383,7 +427,7 @@
   bool dies
       = world->script == SCRIPT_TAKEOVER || world->script == SCRIPT_SETTLE;
 
-  for (int i = 0; i < CALLERS; i++)
+  for (int i = 0; i < world->caller_count; i++)
     for (size_t a = 0; a < world->callers[i].ask_count; a++)
       {
         enum mq_error_type error = world->callers[i].errors[a];
@@ -449,6 +493,24 @@
   return true;
 }
 
+/* Work that may be repeated went on while the store was down; batch work was
+   refused; nothing was taken from an owner that lived.  */
+static void
+check_outage (struct world *world)
+{
+  const struct world_report *report = world->report;
+
+  if (world->script != SCRIPT_OUTAGE || world->cell->nth != 0)
+    return;
+  if (report->starts_in_outage == 0)
+    world_violate (world, INVARIANT_OUTAGE, "nothing went on");
+  if (report->batch_refused == 0)
+    world_violate (world, INVARIANT_OUTAGE, "batch work was not refused");
+  if (report->taken_alive > 0)
+    world_violate (world, INVARIANT_TAKEN, "%u partitions",
+                   report->taken_alive);
+}
+
 void
 check_end (struct world *world)
 {
@@ -460,6 +522,7 @@
   check_hosts (world);
   check_config (world);
   check_store (world);
+  check_outage (world);
   if (world->cell->nth == 0 && world->cell->plant == PLANT_NONE)
     check_calm (world);
 }
--- a/tests/world_fault.c
+++ b/tests/world_fault.c
@@ -195,6 +195,25 @@
     }
 }
 
+/* The long outage of its script begins.  */
+void
+fault_outage (struct world *world)
+{
+  struct site site = { .step = STEP_OUTAGE, .entry = NOBODY };
+
+  site.target = NOBODY;
+  site.actor = NOBODY;
+  site.worker = ANY_WORKER;
+  world_trace (world, "the store is down for long");
+  world->outage_from_us = world->now_us;
+  world->outage_until_us = world->now_us + LONG_OUTAGE_US;
+  world->store_down = true;
+  world_push (world, world_event_create (world, EVENT_STORE_UP, NOBODY),
+              world->outage_until_us);
+  world_until (world, world->outage_until_us);
+  fault_step (world, &site);
+}
+
 /* The N-th occurrence of the cell's step gets the first fault; the second
    comes so many steps later, of whatever kind.  */
 void
@@ -204,7 +223,7 @@
   uint32_t count;
 
   if (world->script != SCRIPT_PLAIN && world->script != SCRIPT_CHECKPOINT
-      && !world->script_done)
+      && world->script != SCRIPT_OUTAGE && !world->script_done)
     return;
   count = ++world->report->steps[site->step];
   if (cell->nth == 0)
@@ -229,8 +248,9 @@
   int entry = world_owner_of (world, site->program);
 
   if (world->script == SCRIPT_PLAIN || world->script == SCRIPT_CHECKPOINT
-      || world->script == SCRIPT_SETTLE || world->script_done
-      || entry == NOBODY || site->program.hi != world->callers[0].program.hi)
+      || world->script == SCRIPT_OUTAGE || world->script == SCRIPT_SETTLE
+      || world->script_done || entry == NOBODY
+      || site->program.hi != world->callers[0].program.hi)
     return;
   world->script_done = true;
   here.entry = entry;
@@ -238,6 +258,7 @@
     {
     case SCRIPT_PLAIN:
     case SCRIPT_CHECKPOINT:
+    case SCRIPT_OUTAGE:
     case SCRIPT_SETTLE:
     case SCRIPT_COUNT:
       break;
--- a/tests/world_state.h
+++ b/tests/world_state.h
@@ -22,6 +22,7 @@
   HOSTS = ENTRIES + TARGETS,
   WORKERS = 3,
   CALLERS = 5,
+  CALLERS_MAX = 29, /* in an outage */
   OPERATORS = 2,
   ASKS_MAX = 6,
   PARTITIONS = 4, /* as the text of world_store.c says */
@@ -48,6 +49,10 @@
 #define LATE_US (1200 * MS)
 #define LEAVE_US (2 * MS) /* until a process hears that it is to stop */
 #define CALLERS_START_US (1500 * MS)
+#define LONG_OUTAGE_US (30 * SECOND)
+#define LONG_OUTAGE_FROM_US (1900 * MS)
+#define OUTAGE_CALLER_US (1200 * MS) /* between two further callers */
+#define MEMORY_MAX (8ULL << 20)      /* of one process of this small world */
 #define CALLER_PATIENCE_US (9 * SECOND)
 #define LOW_CHECKPOINT_RECORDS 8
 #define LOW_INLINE_BYTES 400
@@ -92,7 +97,8 @@
   EVENT_LEAVE,  /* planned stop */
   EVENT_DIE,    /* the process dies */
   EVENT_LOOK,   /* has everything come to rest */
-  EVENT_STORE_UP
+  EVENT_STORE_UP,
+  EVENT_OUTAGE /* the long one begins */
 };
 
 enum asker
@@ -390,10 +396,15 @@
   int current[HOSTS][HOSTS]; /* wire of two hosts, or NOBODY */
   bool connecting[HOSTS][HOSTS];
   struct mq_table *table;
-  bool low;      /* few records between checkpoints, small batches */
-  bool replayed; /* all owners were made anew at rest */
-  uint32_t ends; /* processes that ended, as planned or not */
-  struct mq_bytes *removed; /* batches of log rows that were removed */
+  bool low;                /* few records between checkpoints, small batches */
+  uint64_t outage_from_us; /* of the long outage, 0: none */
+  uint64_t outage_until_us;
+  int last_owner[PARTITIONS]; /* host, or NOBODY */
+  uint32_t last_run[PARTITIONS];
+  uint64_t fences[PARTITIONS]; /* in the table */
+  bool replayed;               /* all owners were made anew at rest */
+  uint32_t ends;               /* processes that ended, as planned or not */
+  struct mq_bytes *removed;    /* batches of log rows that were removed */
   size_t removed_count;
   uint64_t checkpoints[PARTITIONS]; /* highest one that a row was to name */
   uint64_t unowned_us[PARTITIONS];  /* since when it has no owner */
@@ -415,7 +426,8 @@
   size_t spent_count;
   struct arrival *arrivals;
   size_t arrival_count;
-  struct caller callers[CALLERS];
+  struct caller callers[CALLERS_MAX];
+  int caller_count;
   uint64_t next_handle;
   struct world_operator operators[OPERATORS];
   struct accepted *accepted;
@@ -531,6 +543,7 @@
 uint64_t caller_budget_of (const struct world *world, uint64_t family);
 
 /* world_fault.c */
+void fault_outage (struct world *world);
 void fault_message_step (struct world *world, int host, struct wire *wire,
                          const struct mq_message *message);
 void fault_store_step (struct world *world, int host, enum asker asker,
@@ -546,6 +559,9 @@
 /* world_check.c */
 bool check_rest (const struct world *world);
 void check_end (struct world *world);
+bool check_is_told (struct world *world, struct mq_id program,
+                    const char *body);
+bool check_is_intended (struct world *world, const struct mq_call_ref *ref);
 struct mq_row *check_config_row (struct world *world, TALLOC_CTX *ctx);
 
 #endif
--- a/tests/world_store.c
+++ b/tests/world_store.c
@@ -39,6 +39,16 @@
       "kind = agent\n"
       "depends = guide-models, lookup, records\n"
       "budget_tokens = 2000\n"
+      "[service desk]\n"
+      "kind = agent\n"
+      "priority = urgent\n"
+      "depends = guide-models\n"
+      "budget_tokens = 2000\n"
+      "[service notices]\n"
+      "kind = agent\n"
+      "priority = batch\n"
+      "depends = guide-models\n"
+      "budget_tokens = 2000\n"
       "[service looper]\n"
       "kind = agent\n"
       "depends = guide-models, lookup\n"
@@ -277,6 +287,22 @@
   return true;
 }
 
+/* Owners seem dead after the outage, though they renew.  */
+static bool
+plant_refuses_renewals (struct world *world, const struct world_event *event)
+{
+  const struct mq_store_request *request = event->request;
+
+  if (world->cell->plant != PLANT_RENEWALS_REFUSED
+      || world->outage_until_us == 0 || request->kind != MQ_STORE_TXN
+      || strncmp (request->ops[0].key, "owner/", 6) != 0
+      || event->index != world->last_owner[0]
+      || world->now_us > world->outage_until_us + 15 * SECOND)
+    return false;
+  push_failure (world, event, MQ_STORE_DOWN, TABLE_LEAST_US);
+  return true;
+}
+
 static bool
 plant_keeps (struct world *world, const struct world_event *event)
 {
@@ -365,6 +391,17 @@
     }
 }
 
+static void
+note_fence (struct world *world, const char *key, uint64_t fence)
+{
+  uint64_t *had = &world->fences[strtoul (key + 5, NULL, 10) % PARTITIONS];
+
+  if (fence < *had)
+    world_violate (world, INVARIANT_FENCE, "%s falls from %llu to %llu", key,
+                   (unsigned long long)*had, (unsigned long long)fence);
+  *had = fence;
+}
+
 /* How far the log was when a checkpoint came into force.  */
 static void
 note_installed (struct world *world, const struct mq_store_request *request)
@@ -381,6 +418,7 @@
       row = mqlog__partition_row__unpack (NULL, op->value.len, op->value.data);
       if (row == NULL)
         continue;
+      note_fence (world, op->key, row->fence);
       if (row->checkpoint > at->checkpoint)
         {
           at->checkpoint = row->checkpoint;
@@ -405,7 +443,8 @@
       return;
     }
   if (plant_drops (world, event) || plant_keeps (world, event)
-      || plant_holds_claims (world, event))
+      || plant_holds_claims (world, event)
+      || plant_refuses_renewals (world, event))
     return;
   plant_passes (world, event->request);
   plant_cuts (world, event->request);
--- a/tests/world_worker.c
+++ b/tests/world_worker.c
@@ -503,6 +503,14 @@
     world_violate (world, INVARIANT_NOT_RUN,
                    "program %016llx call %u starts after not_run",
                    (unsigned long long)ref->program.lo, ref->call);
+  if (world->now_us > world->outage_from_us
+      && world->now_us < world->outage_until_us)
+    world->report->starts_in_outage++;
+  if (host->workers[run->worker].kind == MQ_SERVICE_PLAIN
+      && !check_is_intended (world, ref))
+    world_violate (
+        world, INVARIANT_INTENDED, "program %016llx call %u attempt %u starts",
+        (unsigned long long)ref->program.lo, ref->call, ref->attempt);
   if (ref->call > 1)
     {
       before = worker_call_fact (world, ref->program, ref->call - 1);
