--- a/tests/test_matrix.c
+++ b/tests/test_matrix.c
@@ -73,6 +73,7 @@
   uint32_t taken = 0;
   uint64_t memory = 0;
   uint64_t outage_done_us = 0;
+  struct world_load peak = { 0 };
 
   for (size_t i = 0; i < count; i++)
     {
@@ -86,11 +87,23 @@
       outage_done_us = report->outage_done_us > outage_done_us
                            ? report->outage_done_us
                            : outage_done_us;
+      peak.reads = report->centre_peak.reads > peak.reads
+                       ? report->centre_peak.reads
+                       : peak.reads;
+      peak.writes = report->centre_peak.writes > peak.writes
+                        ? report->centre_peak.writes
+                        : peak.writes;
+      peak.commits = report->centre_peak.commits > peak.commits
+                         ? report->centre_peak.commits
+                         : peak.commits;
       taken += report->taken_alive;
     }
   printf ("matrix: ended_cache_held_s=%.1f partition_unowned_s=%.1f "
           "orphan_objects=%u\n",
           (double)held_us / 1e6, (double)unowned_us / 1e6, orphans);
+  printf ("matrix: centre reads_peak_s=%u writes_peak_s=%u "
+          "commits_peak_s=%u\n",
+          peak.reads, peak.writes, peak.commits);
   printf ("matrix: taken_from_the_living=%u process_kb_peak=%llu "
           "answers_after_outage_s=%.1f\n",
           taken, (unsigned long long)(memory >> 10),
--- a/tests/world.h
+++ b/tests/world.h
@@ -131,7 +131,8 @@
   X (OUTAGE,                                                                  \
      "an outage refuses batch work only; what may be repeated goes on")       \
   X (TAKEN, "an outage takes no partition from an owner that lives")          \
-  X (MEMORY, "no process grows without bound")
+  X (MEMORY, "no process grows without bound")                                \
+  X (LOAD, "the survivors of a data centre keep to their share of the store")
 
 enum world_invariant
 {
@@ -170,7 +171,8 @@
   X (CLAIM_HELD, "the table refuses claims for 12 s")                         \
   X (URGENT_REFUSED, "urgent work is refused in an outage")                   \
   X (RENEWALS_REFUSED, "the table refuses renewals after an outage")          \
-  X (MEMORY_LEAKED, "a process keeps a megabyte of each second")
+  X (MEMORY_LEAKED, "a process keeps a megabyte of each second")              \
+  X (READS_REPEATED, "each read of a survivor is made ten times")
 
 enum world_plant
 {
@@ -231,6 +233,8 @@
  * @taken_alive: partitions taken from an owner that lived
  * @memory_max: bytes of the largest process
  * @outage_done_us: from the end of the outage to the last answer
+ * @centre_peak: most that a data centre's survivors asked of the store in one
+ *               second; @commits: of programs' records, with their objects
  */
 struct world_report
 {
@@ -250,6 +254,12 @@
   uint32_t taken_alive;
   uint64_t memory_max;
   uint64_t outage_done_us;
+  struct world_load
+  {
+    uint32_t reads;
+    uint32_t writes;
+    uint32_t commits;
+  } centre_peak;
 };
 
 /* Runs CELL to rest and judges it; TRACE: prints every event.  */
--- a/tests/world_fault.c
+++ b/tests/world_fault.c
@@ -64,6 +64,9 @@
 kill_centre (struct world *world, const char *centre)
 {
   world_trace (world, "data centre %s dies", centre);
+  world->centre_dead_us = world->now_us;
+  world->load_second = 0;
+  memset (&world->load, 0, sizeof world->load);
   for (int i = 0; i < HOSTS; i++)
     {
       if (strcmp (world->hosts[i].data_centre, centre) != 0)
--- a/tests/world_state.h
+++ b/tests/world_state.h
@@ -53,6 +53,12 @@
 #define LONG_OUTAGE_FROM_US (1900 * MS)
 #define OUTAGE_CALLER_US (1200 * MS) /* between two further callers */
 #define MEMORY_MAX (8ULL << 20)      /* of one process of this small world */
+/* What survivors may ask of the store in a second: each host its scans, its
+   configuration and its renewal, and the takeover of each partition.  */
+#define LOAD_HOST_READS 6
+#define LOAD_PARTITION_READS 12
+#define LOAD_HOST_WRITES 3
+#define LOAD_PARTITION_WRITES 2
 #define CALLER_PATIENCE_US (9 * SECOND)
 #define LOW_CHECKPOINT_RECORDS 8
 #define LOW_INLINE_BYTES 400
@@ -402,9 +408,12 @@
   int last_owner[PARTITIONS]; /* host, or NOBODY */
   uint32_t last_run[PARTITIONS];
   uint64_t fences[PARTITIONS]; /* in the table */
-  bool replayed;               /* all owners were made anew at rest */
-  uint32_t ends;               /* processes that ended, as planned or not */
-  struct mq_bytes *removed;    /* batches of log rows that were removed */
+  uint64_t centre_dead_us;     /* when a data centre died, 0: never */
+  uint64_t load_second;        /* since then, that LOAD is of */
+  struct world_load load;
+  bool replayed;            /* all owners were made anew at rest */
+  uint32_t ends;            /* processes that ended, as planned or not */
+  struct mq_bytes *removed; /* batches of log rows that were removed */
   size_t removed_count;
   uint64_t checkpoints[PARTITIONS]; /* highest one that a row was to name */
   uint64_t unowned_us[PARTITIONS];  /* since when it has no owner */
--- a/tests/world_store.c
+++ b/tests/world_store.c
@@ -155,6 +155,68 @@
   return true;
 }
 
+static bool
+is_commit (const struct mq_store_request *request)
+{
+  for (size_t i = 0; i < request->op_count; i++)
+    if (strncmp (request->ops[i].key, "log/", 4) == 0)
+      return true;
+  return false;
+}
+
+static uint32_t
+live_hosts (const struct world *world)
+{
+  uint32_t count = 0;
+
+  for (int i = 0; i < HOSTS; i++)
+    count += world->hosts[i].alive;
+  return count;
+}
+
+static void
+judge_load (struct world *world)
+{
+  struct world_load *peak = &world->report->centre_peak;
+  const struct world_load *load = &world->load;
+  uint32_t hosts = live_hosts (world);
+
+  peak->reads = load->reads > peak->reads ? load->reads : peak->reads;
+  peak->writes = load->writes > peak->writes ? load->writes : peak->writes;
+  peak->commits
+      = load->commits > peak->commits ? load->commits : peak->commits;
+  if (load->reads > hosts * LOAD_HOST_READS + PARTITIONS * LOAD_PARTITION_READS
+      || load->writes
+             > hosts * LOAD_HOST_WRITES + PARTITIONS * LOAD_PARTITION_WRITES)
+    world_violate (world, INVARIANT_LOAD,
+                   "%u hosts ask for %u reads and %u writes in a second",
+                   hosts, load->reads, load->writes);
+}
+
+/* Seconds since a data centre died, until its hosts are back.  */
+static void
+note_load (struct world *world, int host,
+           const struct mq_store_request *request)
+{
+  uint64_t since_us = world->now_us - world->centre_dead_us;
+
+  if (world->centre_dead_us == 0 || host == NOBODY || world->replayed
+      || since_us >= CENTRE_RESTART_US)
+    return;
+  if (since_us / SECOND != world->load_second)
+    {
+      judge_load (world);
+      memset (&world->load, 0, sizeof world->load);
+      world->load_second = since_us / SECOND;
+    }
+  if (!is_write (request))
+    world->load.reads += world->cell->plant == PLANT_READS_REPEATED ? 10 : 1;
+  else if (request->kind != MQ_STORE_TXN || is_commit (request))
+    world->load.commits++;
+  else
+    world->load.writes++;
+}
+
 /* FLAG of the event: its answer is lost.  */
 void
 store_send (struct world *world, int host, enum asker asker,
@@ -167,6 +229,7 @@
 
   if (is_runaway (world, host, request))
     return;
+  note_load (world, host, request);
   fault_store_step (world, host, asker, request);
   fate = fault_take_store_fate (world, host, request);
   if (host != NOBODY
@@ -207,15 +270,6 @@
   world_push (world, event, world->now_us + delay_us);
 }
 
-static bool
-is_commit (const struct mq_store_request *request)
-{
-  for (size_t i = 0; i < request->op_count; i++)
-    if (strncmp (request->ops[i].key, "log/", 4) == 0)
-      return true;
-  return false;
-}
-
 /* Reports a commit as applied that was not.  */
 static bool
 plant_drops (struct world *world, const struct world_event *event)
