--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -470,6 +470,7 @@
   uint64_t targets_retry_us;
   uint32_t claiming;
   bool eligible;       /* this host may own partitions */
+  bool renewed;        /* its row was written since it may */
   uint32_t live_hosts; /* hosts that may, this one included */
   /* Timers of programs: a binary heap.  */
   struct timer *timers;
