--- a/tests/world_store.c
+++ b/tests/world_store.c
@@ -39,6 +39,16 @@
       "kind = agent\n"
       "depends = guide-models, lookup, records\n"
       "budget_tokens = 2000\n"
+      "[service desk]\n"
+      "kind = agent\n"
+      "priority = urgent\n"
+      "depends = guide-models\n"
+      "budget_tokens = 2000\n"
+      "[service notices]\n"
+      "kind = agent\n"
+      "priority = batch\n"
+      "depends = guide-models\n"
+      "budget_tokens = 2000\n"
       "[service looper]\n"
       "kind = agent\n"
       "depends = guide-models, lookup\n"
@@ -145,6 +155,68 @@
   return true;
 }
 
+static bool
+is_commit (const struct mq_store_request *request)
+{
+  for (size_t i = 0; i < request->op_count; i++)
+    if (strncmp (request->ops[i].key, "log/", 4) == 0)
+      return true;
+  return false;
+}
+
+static uint32_t
+live_hosts (const struct world *world)
+{
+  uint32_t count = 0;
+
+  for (int i = 0; i < HOSTS; i++)
+    count += world->hosts[i].alive;
+  return count;
+}
+
+static void
+judge_load (struct world *world)
+{
+  struct world_load *peak = &world->report->centre_peak;
+  const struct world_load *load = &world->load;
+  uint32_t hosts = live_hosts (world);
+
+  peak->reads = load->reads > peak->reads ? load->reads : peak->reads;
+  peak->writes = load->writes > peak->writes ? load->writes : peak->writes;
+  peak->commits
+      = load->commits > peak->commits ? load->commits : peak->commits;
+  if (load->reads > hosts * LOAD_HOST_READS + PARTITIONS * LOAD_PARTITION_READS
+      || load->writes
+             > hosts * LOAD_HOST_WRITES + PARTITIONS * LOAD_PARTITION_WRITES)
+    world_violate (world, INVARIANT_LOAD,
+                   "%u hosts ask for %u reads and %u writes in a second",
+                   hosts, load->reads, load->writes);
+}
+
+/* Seconds since a data centre died, until its hosts are back.  */
+static void
+note_load (struct world *world, int host,
+           const struct mq_store_request *request)
+{
+  uint64_t since_us = world->now_us - world->centre_dead_us;
+
+  if (world->centre_dead_us == 0 || host == NOBODY || world->replayed
+      || since_us >= CENTRE_RESTART_US)
+    return;
+  if (since_us / SECOND != world->load_second)
+    {
+      judge_load (world);
+      memset (&world->load, 0, sizeof world->load);
+      world->load_second = since_us / SECOND;
+    }
+  if (!is_write (request))
+    world->load.reads += world->cell->plant == PLANT_READS_REPEATED ? 10 : 1;
+  else if (request->kind != MQ_STORE_TXN || is_commit (request))
+    world->load.commits++;
+  else
+    world->load.writes++;
+}
+
 /* FLAG of the event: its answer is lost.  */
 void
 store_send (struct world *world, int host, enum asker asker,
@@ -157,6 +229,7 @@
 
   if (is_runaway (world, host, request))
     return;
+  note_load (world, host, request);
   fault_store_step (world, host, asker, request);
   fate = fault_take_store_fate (world, host, request);
   if (host != NOBODY
@@ -197,15 +270,6 @@
   world_push (world, event, world->now_us + delay_us);
 }
 
-static bool
-is_commit (const struct mq_store_request *request)
-{
-  for (size_t i = 0; i < request->op_count; i++)
-    if (strncmp (request->ops[i].key, "log/", 4) == 0)
-      return true;
-  return false;
-}
-
 /* Reports a commit as applied that was not.  */
 static bool
 plant_drops (struct world *world, const struct world_event *event)
@@ -277,6 +341,22 @@
   return true;
 }
 
+/* Owners seem dead after the outage, though they renew.  */
+static bool
+plant_refuses_renewals (struct world *world, const struct world_event *event)
+{
+  const struct mq_store_request *request = event->request;
+
+  if (world->cell->plant != PLANT_RENEWALS_REFUSED
+      || world->outage_until_us == 0 || request->kind != MQ_STORE_TXN
+      || strncmp (request->ops[0].key, "owner/", 6) != 0
+      || event->index != world->last_owner[0]
+      || world->now_us > world->outage_until_us + 15 * SECOND)
+    return false;
+  push_failure (world, event, MQ_STORE_DOWN, TABLE_LEAST_US);
+  return true;
+}
+
 static bool
 plant_keeps (struct world *world, const struct world_event *event)
 {
@@ -365,6 +445,17 @@
     }
 }
 
+static void
+note_fence (struct world *world, const char *key, uint64_t fence)
+{
+  uint64_t *had = &world->fences[strtoul (key + 5, NULL, 10) % PARTITIONS];
+
+  if (fence < *had)
+    world_violate (world, INVARIANT_FENCE, "%s falls from %llu to %llu", key,
+                   (unsigned long long)*had, (unsigned long long)fence);
+  *had = fence;
+}
+
 /* How far the log was when a checkpoint came into force.  */
 static void
 note_installed (struct world *world, const struct mq_store_request *request)
@@ -381,6 +472,7 @@
       row = mqlog__partition_row__unpack (NULL, op->value.len, op->value.data);
       if (row == NULL)
         continue;
+      note_fence (world, op->key, row->fence);
       if (row->checkpoint > at->checkpoint)
         {
           at->checkpoint = row->checkpoint;
@@ -405,7 +497,8 @@
       return;
     }
   if (plant_drops (world, event) || plant_keeps (world, event)
-      || plant_holds_claims (world, event))
+      || plant_holds_claims (world, event)
+      || plant_refuses_renewals (world, event))
     return;
   plant_passes (world, event->request);
   plant_cuts (world, event->request);
