Leave a dead target's run out of the row that a takeover reads

Cause: a target host died and stayed in the platform's list; its run stayed in the owner's targets row. Change: a run that is gone for MQ_RECOVER_MS with no attempt of ours open there leaves the row, once the charges of its attempts are in the log; it is not used again before a row with it is durable.

--- a/src/core/owner_hosts.c
+++ b/src/core/owner_hosts.c
@@ -240,6 +240,26 @@
     }
 }
 
+/* Failure: a target host has died and is still listed; minutes later a
+   partition is handed over as planned, and its new owner waits for an answer
+   of the dead process, then counts every grant of its programs as spent:
+   they end with budget_tokens.  What the attempts there may have spent was
+   charged when they were given up, so once that is in the log (the mark of
+   hosts_targets_changed) the dead run need not stand in our row.  It is not
+   used before a row with it is durable again.  */
+static void
+settle_gone (struct mq_owner *owner, struct target *target)
+{
+  if (target->settled || target->peer != 0 || target->boot == 0
+      || target->calls > 0
+      || owner->now_us - target->down_us < 1000ULL * MQ_RECOVER_MS)
+    return;
+  target->settled = true;
+  target->durable_boot = 0;
+  target->sent_boot = 0;
+  hosts_targets_changed (owner);
+}
+
 /* Forgets targets that the list dropped long ago.  Nothing is under way
    there, so a new owner need not ask them.  */
 void
@@ -247,6 +267,8 @@
 {
   struct target **at = &owner->targets;
 
+  for (struct target *t = owner->targets; t != NULL; t = t->next)
+    settle_gone (owner, t);
   while (*at != NULL)
     {
       struct target *target = *at;
@@ -287,6 +309,7 @@
   target->boot = boot;
   target->peer = peer;
   target->down_us = 0;
+  target->settled = false;
   hosts_target_usable (owner, target);
   take_target_up (owner, target);
   calls_target_up (owner, target, same_boot);
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -330,6 +330,7 @@
   bool leaving;
   uint64_t durable_boot; /* of it in our targets row, 0: not there */
   uint64_t sent_boot;    /* in the targets row that is being written */
+  bool settled;          /* gone, and nothing of ours is open there */
   uint64_t unlisted_us;  /* since when it is not in the list */
   uint32_t peer;         /* 0: no connection */
   uint64_t boot;
--- a/src/core/owner_take.c
+++ b/src/core/owner_take.c
@@ -1024,8 +1024,8 @@
   row.boots = talloc_array (owner->actions, uint64_t, count);
   for (struct target *t = owner->targets; t != NULL; t = t->next)
     {
-      t->sent_boot = t->boot;
-      if (t->boot == 0)
+      t->sent_boot = t->settled ? 0 : t->boot;
+      if (t->sent_boot == 0)
         continue;
       row.boots[row.n_boots++] = t->boot;
       row.hosts[row.n_hosts++] = t->host;
