Bound what the kernel holds for a caller that does not read

Cause: the send buffer of a socket grows to megabytes before a write fails, so MQ_STREAM_BUFFER_BYTES did not see a slow reader: 1,295,048 bytes stood in the socket's queue and http_slow_readers was 0. Change: MQ_SEND_BUFFER_BYTES (128 KiB) on the listening socket, which accepted ones take over. Conclusion: process/slow_reader passes; it failed before.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -11,6 +11,7 @@
 #define MQ_FRAME_MAX_BYTES (8U << 20)     /* frame between processes */
 #define MQ_CONNECTIONS_MAX 4096U          /* callers' connections a process */
 #define MQ_STREAM_BUFFER_BYTES (1U << 20) /* unsent bytes of a slow reader */
+#define MQ_SEND_BUFFER_BYTES (128U << 10) /* of them in the kernel */
 #define MQ_TEXT_MAX_BYTES (1U << 20)      /* operators' text */
 #define MQ_TEXT_LINE_MAX 198U             /* one line of it */
 #define MQ_TEXT_ERRORS_MAX 1000U          /* errors listed in one pass */
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -800,6 +800,18 @@
   return server->fde != NULL;
 }
 
+/* Failure: callers stop reading, and the bound on unsent bytes doesn't see
+   it, since the kernel lets a socket's send buffer grow to megabytes first;
+   thousands of them take the host's memory.  Sockets that are accepted take
+   the size over from the listening one, which also ends its growth.  */
+static void
+bound_send_buffers (int fd)
+{
+  int bytes = MQ_SEND_BUFFER_BYTES;
+
+  (void)setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+}
+
 struct mq_http_server *
 mq_http_server_create (TALLOC_CTX *ctx, struct tevent_context *ev,
                        const struct mq_http_server_options *options,
@@ -820,6 +832,7 @@
   server->data = data;
   server->body_max
       = options->body_max == 0 ? MQ_BODY_MAX_BYTES : options->body_max;
+  bound_send_buffers (fd);
   server->port = mq_listen_port (fd);
   server->soon = tevent_create_immediate (server);
   talloc_set_destructor (server, server_freed);
