--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -267,12 +267,34 @@
   owner_wake_at (owner, running, call->retry_us);
 }
 
+/* Failure: a call under our fence voids at its target what the earlier
+   owner's later attempts left there; we die before their charges are
+   durable, and the next owner finds no trace of them: the budget is spent
+   again.  So no call goes out before they are.  */
+static bool
+discards_are_durable (struct mq_owner *owner, struct running *running)
+{
+  if (owner->settled >= running->discard_mark)
+    return true;
+  if (!running->grant_asked)
+    {
+      running->grant_asked = true;
+      log_hook (owner, running, HOOK_GRANTED, 0, 0, NULL)->tokens = 0;
+    }
+  return false;
+}
+
 static void
 place_call (struct mq_owner *owner, struct running *running)
 {
   struct call *call = running->call;
   struct worker *worker;
 
+  if (!discards_are_durable (owner, running))
+    {
+      call->state = CALL_GRANT;
+      return;
+    }
   /* An earlier attempt may have been charged since the cap was set.  */
   if (call->model && !chain_fit_call (running))
     {
@@ -896,9 +918,15 @@
   switch (call->state)
     {
     case CALL_SENT:
-      send_ref (owner, running, MQ_MSG_CANCEL);
       if (!call->idempotent)
-        return false;
+        {
+          /* To cut it short would leave its effect unknown.  If it has not
+             begun it is refused for good, else its end is awaited.  */
+          call->state = CALL_SEALING;
+          send_seal (owner, running);
+          return false;
+        }
+      send_ref (owner, running, MQ_MSG_CANCEL);
       if (call->down_us == 0)
         return false; /* the outcome tells what it spent */
       abandon (owner, running);
@@ -990,8 +1018,12 @@
       calls_adopt (owner, r->target, r->ref, running->partition->number);
       return;
     }
-  if (!running->forfeited && r->ref.call > running->program->calls)
-    chain_charge (owner, running, r->outcome.tokens_out);
+  if (!running->forfeited && r->ref.call > running->program->calls
+      && r->outcome.tokens_out > 0)
+    {
+      chain_charge (owner, running, r->outcome.tokens_out);
+      running->discard_mark = owner->appended;
+    }
   calls_forget_later (owner, running, r->ref.call, r->ref.attempt,
                       r->target->host);
 }
@@ -1061,6 +1093,22 @@
   owner_wake_at (owner, running, owner->now_us + 1000000);
 }
 
+/* Failure: an attempt of the earlier owner that we have no use for still runs;
+   we cancel it, our next call voids it, and what it spent by then is charged
+   by nobody.  Nobody can know that yet, so what was granted counts as spent,
+   to the programs that it is part of as well.  */
+static void
+forfeit_running (struct mq_owner *owner, struct running *running,
+                 const struct recovered *used)
+{
+  bool runs = false;
+
+  for (const struct recovered *r = running->recovered; r != NULL; r = r->next)
+    runs = runs || (r != used && r->running && !is_intended (running, r));
+  for (struct running *up = running; runs && up != NULL; up = up->parent)
+    chain_forfeit (owner, up);
+}
+
 /* Goes on with a program after a takeover, where it stood.  */
 void
 calls_resume (struct mq_owner *owner, struct running *running)
@@ -1077,6 +1125,7 @@
     if (r->ref.call == running->program->calls + 1
         && r->ref.attempt > attempts)
       attempts = r->ref.attempt;
+  forfeit_running (owner, running, best);
   discard_recovered (owner, running, best);
   if (running->program->state == MQ_PROGRAM_RUNNING && !stepwise)
     {
--- a/src/core/owner_hosts.c
+++ b/src/core/owner_hosts.c
@@ -5,19 +5,10 @@
 
 #include "owner_state.h"
 #include "id.h"
+#include "memory.h"
 #include <stdlib.h>
 #include <string.h>
 
-static char *
-copy_text (TALLOC_CTX *ctx, const char *text)
-{
-  char *copy = talloc_strdup (ctx, text == NULL ? "" : text);
-
-  if (copy == NULL)
-    abort ();
-  return copy;
-}
-
 /* ---- Pools ---- */
 
 struct pool *
@@ -31,7 +22,7 @@
   pool = talloc_zero (owner, struct pool);
   if (pool == NULL)
     abort ();
-  pool->service = copy_text (pool, service);
+  pool->service = mq_text_copy (pool, service);
   pool->next = owner->pools;
   owner->pools = pool;
   return pool;
@@ -79,13 +70,78 @@
   return &target->workers[worker]->pool->views[target->workers[worker]->view];
 }
 
-/* The row of targets is written again, but only when all that is known by
-   now of attempts at earlier runs of them is in the log.  */
+/* ---- The row of targets ---- */
+
+/* Failure: a target's process is restarted and our row names its new run
+   only.  Whoever takes over a partition that we had hears the new run, which
+   knows of no call, believes that it has heard everyone, and the program
+   spends the same budget again.  So the former run stays in the row: nobody
+   can hear it, and what was granted counts as spent.  */
+static void
+keep_former (struct mq_owner *owner, struct target *target)
+{
+  struct former_run *former;
+
+  if (target->sent_boot == 0)
+    return; /* no row ever named it, so no call went there */
+  former = talloc_zero (owner, struct former_run);
+  if (former == NULL)
+    abort ();
+  former->host = mq_text_copy (former, target->host);
+  former->boot = target->sent_boot;
+  target->sent_boot = 0;
+  former->next = owner->formers;
+  owner->formers = former;
+  owner->formers_mark = owner->appended;
+  owner->targets_dirty = true;
+}
+
+/* Whether a takeover of a partition that another host has, or that nobody
+   has, would read our row.  */
+static bool
+is_row_needed (const struct mq_owner *owner)
+{
+  for (uint32_t i = 0; i < owner->partition_count; i++)
+    {
+      const struct partition *partition = &owner->partitions[i];
+
+      for (size_t s = 0; s < partition->sender_count; s++)
+        if (partition->state != PARTITION_ACTIVE
+            && strcmp (partition->senders[s], owner->run) == 0)
+          return true;
+    }
+  return false;
+}
+
+/* Former runs leave the row when all that is known of attempts there is in
+   the log, and every partition that we gave up or lost is with an owner that
+   has accounted for ours.  */
 void
-hosts_targets_changed (struct mq_owner *owner)
+hosts_formers_tick (struct mq_owner *owner)
 {
+  if (owner->formers == NULL)
+    return;
+  if (is_row_needed (owner))
+    {
+      owner->formers_needed = true;
+      return;
+    }
+  if (owner->formers_needed)
+    {
+      /* Taking a partition back may have charged for them just now.  */
+      owner->formers_needed = false;
+      owner->formers_mark = owner->appended;
+    }
+  if (owner->settled < owner->formers_mark)
+    return;
+  while (owner->formers != NULL)
+    {
+      struct former_run *former = owner->formers;
+
+      owner->formers = former->next;
+      talloc_free (former);
+    }
   owner->targets_dirty = true;
-  owner->targets_mark = owner->appended;
 }
 
 void
@@ -140,8 +196,8 @@
 
   if (target == NULL)
     abort ();
-  target->host = copy_text (target, host);
-  target->data_centre = copy_text (target, data_centre);
+  target->host = mq_text_copy (target, host);
+  target->data_centre = mq_text_copy (target, data_centre);
   target->unlisted_us = owner->now_us;
   target->next = owner->targets;
   owner->targets = target;
@@ -162,9 +218,9 @@
   sibling = talloc_zero (owner, struct sibling);
   if (sibling == NULL)
     abort ();
-  sibling->host = copy_text (sibling, host);
-  sibling->address = copy_text (sibling, "");
-  sibling->data_centre = copy_text (sibling, "");
+  sibling->host = mq_text_copy (sibling, host);
+  sibling->address = mq_text_copy (sibling, "");
+  sibling->data_centre = mq_text_copy (sibling, "");
   sibling->counter_us = owner->now_us;
   sibling->next = owner->siblings;
   owner->siblings = sibling;
@@ -244,9 +300,8 @@
    partition is handed over as planned, and its new owner waits for an answer
    of the dead process, then counts every grant of its programs as spent:
    they end with budget_tokens.  What the attempts there may have spent was
-   charged when they were given up, so once that is in the log (the mark of
-   hosts_targets_changed) the dead run need not stand in our row.  It is not
-   used before a row with it is durable again.  */
+   charged when they were given up, so the dead run is a former one.  It is
+   not used before a row with it is durable again.  */
 static void
 settle_gone (struct mq_owner *owner, struct target *target)
 {
@@ -256,12 +311,11 @@
     return;
   target->settled = true;
   target->durable_boot = 0;
-  target->sent_boot = 0;
-  hosts_targets_changed (owner);
+  keep_former (owner, target);
 }
 
-/* Forgets targets that the list dropped long ago.  Nothing is under way
-   there, so a new owner need not ask them.  */
+/* Forgets targets that the list dropped long ago and where nothing of ours
+   is under way.  */
 void
 hosts_tick (struct mq_owner *owner)
 {
@@ -284,8 +338,8 @@
         pool_remove (target->workers[i]);
       drop_references (owner, target);
       mq_idmap_remove (owner->targets_by_name, name_key (target->host), 0);
+      keep_former (owner, target);
       talloc_free (target);
-      hosts_targets_changed (owner);
     }
 }
 
@@ -313,8 +367,10 @@
   hosts_target_usable (owner, target);
   take_target_up (owner, target);
   calls_target_up (owner, target, same_boot);
+  if (target->sent_boot != boot)
+    keep_former (owner, target);
   if (target->durable_boot != boot)
-    hosts_targets_changed (owner);
+    owner->targets_dirty = true;
 }
 
 void
--- a/src/core/owner_request.c
+++ b/src/core/owner_request.c
@@ -84,6 +84,15 @@
   reply->event.redirect = "";
   reply->next = owner->replies;
   owner->replies = reply;
+  request_unconfirmed (owner);
+}
+
+/* The store has been down for a while: nothing can be confirmed soon.  */
+static bool
+is_outage (const struct mq_owner *owner)
+{
+  return owner->store_down
+         && owner->now_us - owner->store_down_us > 1000ULL * STORE_PATIENCE_MS;
 }
 
 static void
@@ -127,7 +136,9 @@
 }
 
 /* The store can't be read: whoever waits long is answered that nothing can
-   be known.  */
+   be known.  Not even that it was not run here: another owner may have
+   taken the partition and run the same request, if the store is out of
+   reach for this host alone.  */
 void
 request_unconfirmed (struct mq_owner *owner)
 {
@@ -137,7 +148,8 @@
     {
       struct reply *reply = *at;
 
-      if (owner->now_us - reply->queued_us < 1000ULL * STORE_PATIENCE_MS)
+      if (!is_outage (owner)
+          && owner->now_us - reply->queued_us < 1000ULL * STORE_PATIENCE_MS)
         {
           at = &reply->next;
           continue;
@@ -464,9 +476,6 @@
   const struct mq_organisation *organisation
       = mq_text_find_organisation (owner->text, request->organisation);
   uint32_t hosts = owner->live_hosts == 0 ? 1 : owner->live_hosts;
-  bool outage
-      = owner->store_down
-        && owner->now_us - owner->store_down_us > 1000ULL * STORE_PATIENCE_MS;
 
   *retry_after_ms = RETRY_LATER_MS;
   if (owner->leaving)
@@ -475,7 +484,7 @@
     return MQ_ERR_UNAUTHORISED;
   if (owner->gathered_bytes >= MQ_PENDING_MAX_BYTES)
     return MQ_ERR_STORE_DOWN;
-  if (outage && priority == MQ_PRIORITY_BATCH)
+  if (is_outage (owner) && priority == MQ_PRIORITY_BATCH)
     return MQ_ERR_STORE_DOWN;
   if (owner->live >= owner->options.max_programs)
     return MQ_ERR_OVERLOADED;
@@ -716,6 +725,20 @@
 
 /* ---- Further requests ---- */
 
+/* Whoever waits for an answer that is there is told when it is durable.
+   Failure: all that is not yet durable is a charge after the answer; nothing
+   followed its commit, and the caller waited for ever.  */
+static void
+answer_when_durable (struct mq_owner *owner, struct running *running)
+{
+  if (running->program->state == MQ_PROGRAM_RUNNING)
+    return;
+  if (running->undurable == 0)
+    request_final (owner, running);
+  else
+    log_hook (owner, running, HOOK_ANSWERED, 0, 0, NULL);
+}
+
 static void
 handle_turn (struct mq_owner *owner, struct running *running, uint32_t peer,
              uint64_t handle, const struct mq_request_msg *request)
@@ -730,9 +753,7 @@
   if (running->program->turn_digest == digest)
     {
       add_waiter (running, peer, handle, request, 0);
-      if (running->program->state != MQ_PROGRAM_RUNNING
-          && running->undurable == 0)
-        request_final (owner, running);
+      answer_when_durable (owner, running);
       json_decref (root);
       return;
     }
@@ -894,8 +915,16 @@
 {
   struct running *running = chain_find (owner, hook->program);
 
-  if (running != NULL)
-    answer_get (owner, running, hook->peer, hook->handle, hook->history);
+  if (running == NULL)
+    return;
+  /* A later answer came meanwhile, and its commit is still to come.  */
+  if (owner->settled < running->answer_mark)
+    {
+      log_hook_reply (owner, running, hook->peer, hook->handle)->history
+          = hook->history;
+      return;
+    }
+  answer_get (owner, running, hook->peer, hook->handle, hook->history);
 }
 
 static void
@@ -907,9 +936,7 @@
   if (request->stream && !history)
     {
       add_waiter (running, peer, handle, request, 0);
-      if (running->program->state != MQ_PROGRAM_RUNNING
-          && running->undurable == 0)
-        request_final (owner, running);
+      answer_when_durable (owner, running);
       return;
     }
   /* Nothing is shown that a takeover could still undo.  */
@@ -930,10 +957,8 @@
 
   if (running->program->state == MQ_PROGRAM_ENDED)
     {
-      if (running->undurable == 0)
-        send_final (owner, running, peer, handle);
-      else
-        add_waiter (running, peer, handle, request, 0);
+      add_waiter (running, peer, handle, request, 0);
+      answer_when_durable (owner, running);
       return;
     }
   if (why == MQ_ERR_NONE
