--- a/src/core/owner_hosts.c
+++ b/src/core/owner_hosts.c
@@ -296,6 +296,24 @@
     }
 }
 
+/* Failure: a target host has died and is still listed; minutes later a
+   partition is handed over as planned, and its new owner waits for an answer
+   of the dead process, then counts every grant of its programs as spent:
+   they end with budget_tokens.  What the attempts there may have spent was
+   charged when they were given up, so the dead run is a former one.  It is
+   not used before a row with it is durable again.  */
+static void
+settle_gone (struct mq_owner *owner, struct target *target)
+{
+  if (target->settled || target->peer != 0 || target->boot == 0
+      || target->calls > 0
+      || owner->now_us - target->down_us < 1000ULL * MQ_RECOVER_MS)
+    return;
+  target->settled = true;
+  target->durable_boot = 0;
+  keep_former (owner, target);
+}
+
 /* Forgets targets that the list dropped long ago and where nothing of ours
    is under way.  */
 void
@@ -303,6 +321,8 @@
 {
   struct target **at = &owner->targets;
 
+  for (struct target *t = owner->targets; t != NULL; t = t->next)
+    settle_gone (owner, t);
   while (*at != NULL)
     {
       struct target *target = *at;
@@ -343,6 +363,7 @@
   target->boot = boot;
   target->peer = peer;
   target->down_us = 0;
+  target->settled = false;
   hosts_target_usable (owner, target);
   take_target_up (owner, target);
   calls_target_up (owner, target, same_boot);
