--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -91,6 +91,8 @@
 #define MQ_TARGET_LOOK_MS 50U /* the same beside a target */
 #define MQ_TARGET_QUIET_MS 1500U    /* no call came for so long: may end */
 #define MQ_HOSTS_POLL_MS 1000U      /* the platform's list of hosts is read */
+#define MQ_HOSTS_POLL_HOST_MS 20U   /* and not before so long for each host */
+#define MQ_HOSTS_POLL_MAX_MS 5000U  /* but then: who leaves shows in it */
 #define MQ_API_WAIT_SLACK_MS 30000U /* beyond what the service may take */
 
 /* Gates.  */
