Write a partition's row once after each takeover

Cause: a partition without work was taken over and its row went on naming the earlier owner as a sender; that owner then kept the run of a dead target's process in its row of targets for ever, so a planned hand-over of any of its partitions waited MQ_RECOVER_MS and forfeited grants (process/entry_leaves_after_target_died: the row still named north-1 after 90 s). Change: an active partition whose row names others is committed, records or not. Figures: one row write for each partition taken over without work; those with work write it anyway.

--- a/src/core/owner_log.c
+++ b/src/core/owner_log.c
@@ -148,7 +148,12 @@
 static bool
 row_is_behind (const struct partition *partition)
 {
-  return partition->snapshot_written
+  /* Failure: a partition without work is taken over and its row goes on
+     naming the earlier owner, for days; that owner must keep every former
+     run of a target's process in its row of targets, and each of its own
+     partitions that moves waits for them and forfeits its grants.  So the
+     row is written once after each takeover.  */
+  return partition->snapshot_written || partition->sender_count > 1
          || partition->first <= partition->checkpoint;
 }
 
