Let a tool's call hold up no eviction of a lapsed lease

Cause: a lease lapsed while a call of a tool of the same program was under way at the target's process, and was taken up for 60 s more. Change: only a call that uses the cache puts off the end of the lease, for MQ_GATE_LEASE_GRACE_MS at a time. Tests: a row for each of the two, and the row on kept outcomes asks for 10 s in place of 60 s; two of the three fail without the change.

--- a/src/core/gate_cache.c
+++ b/src/core/gate_cache.c
@@ -511,28 +511,38 @@
              msg->lease_ms == 0 ? MQ_GATE_LEASE_MS : msg->lease_ms);
 }
 
-/* A call waits or runs; a kept outcome needs no cache.  */
+/* A model's call waits or runs; a tool's call needs no cache, nor does a kept
+   outcome.  */
 static bool
-is_under_way (const struct gate_program *program)
+is_cache_used (const struct mq_gate *gate, const struct gate_program *program)
 {
-  const struct gate_node *node = program->calls.first;
+  for (const struct gate_node *node = program->calls.first; node != NULL;
+       node = node->next)
+    {
+      const struct gate_call *call
+          = GATE_ENTRY (node, struct gate_call, by_program);
 
-  while (node != NULL
-         && GATE_ENTRY (node, struct gate_call, by_program)->state
-                == GATE_CALL_DONE)
-    node = node->next;
-  return program->runs > 0 || node != NULL;
+      if (call->state != GATE_CALL_DONE
+          && has_cache (&gate->workers[call->worker]))
+        return true;
+    }
+  for (const struct gate_node *node = program->holdings.first; node != NULL;
+       node = node->next)
+    if (GATE_ENTRY (node, struct gate_holding, by_program)->runs > 0)
+      return true;
+  return false;
 }
 
-/* Failure: the owner died and nobody took over; it shows as memory held for
+/* Failure: the owner died and nobody took over, or its successor goes on
+   elsewhere and doesn't know of this cache; it shows as memory held for
    programs that nobody will go on with.  A lease that is not renewed ends
-   in eviction, but not under a call that waits or runs.  */
+   in eviction, but not under a call that uses the cache.  */
 static void
 lapse (struct mq_gate *gate, struct gate_program *program)
 {
-  if (is_under_way (program))
+  if (is_cache_used (gate, program))
     {
-      set_lease (gate, program, MQ_GATE_LEASE_MS);
+      set_lease (gate, program, MQ_GATE_LEASE_GRACE_MS);
       return;
     }
   program->lease = GATE_LEASE_LAPSED;
