--- a/Makefile
+++ b/Makefile
@@ -141,7 +141,7 @@
 	@$(MAKE) --no-print-directory all
 	@BUILD=$(BUILD) bash examples/demo.sh
 
-## capacity: slopes behind docs/CAPACITY.md (about three minutes)
+## capacity: slopes behind docs/CAPACITY.md (about four minutes)
 .PHONY: capacity
 capacity: deps
 	@$(MAKE) --no-print-directory all
