--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -40,8 +40,9 @@
 #define MQ_OWNER_RENEW_MS 1000U    /* the owner's row is written this often */
 #define MQ_OWNER_SCAN_MS 1000U     /* owners' and partitions' rows are read */
 #define MQ_OWNER_STANDBY_MS 30000U /* renewal of a host that may not own */
-#define MQ_OWNER_FORGET_MS 120000U /* a row that stands still counts no more  \
-                                    */
+#define MQ_OWNER_FORGET_MS                                                    \
+  120000U /* a row that stands still counts no more                           \
+           */
 #define MQ_OWNER_PROGRAMS_MAX 50000U
 #define MQ_PARTITIONS_MAX 1000U  /* their rows fit one page */
 #define MQ_CONFIRM_MS 2U         /* between two such reads, times hosts */
