--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -11,6 +11,7 @@
 #define MQ_FRAME_MAX_BYTES (8U << 20)     /* frame between processes */
 #define MQ_CONNECTIONS_MAX 4096U          /* callers' connections a process */
 #define MQ_STREAM_BUFFER_BYTES (1U << 20) /* unsent bytes of a slow reader */
+#define MQ_SEND_BUFFER_BYTES (128U << 10) /* of them in the kernel */
 #define MQ_TEXT_MAX_BYTES (1U << 20)      /* operators' text */
 #define MQ_TEXT_LINE_MAX 198U             /* one line of it */
 #define MQ_TEXT_ERRORS_MAX 1000U          /* errors listed in one pass */
@@ -90,6 +91,8 @@
 #define MQ_TARGET_LOOK_MS 50U /* the same beside a target */
 #define MQ_TARGET_QUIET_MS 1500U    /* no call came for so long: may end */
 #define MQ_HOSTS_POLL_MS 1000U      /* the platform's list of hosts is read */
+#define MQ_HOSTS_POLL_HOST_MS 20U   /* and not before so long for each host */
+#define MQ_HOSTS_POLL_MAX_MS 5000U  /* but then: who leaves shows in it */
 #define MQ_API_WAIT_SLACK_MS 30000U /* beyond what the service may take */
 
 /* Gates.  */
--- a/src/core/owner_take.c
+++ b/src/core/owner_take.c
@@ -17,10 +17,9 @@
   LOG_PAGE = 256,           /* log rows read at a time */
   ELIGIBLE_KEY = 7,         /* rendezvous key of the hosts that may own */
   SCAN_HOSTS_PER_STEP = 20, /* more hosts scan less often each */
-  /* A renewal and a scan together take less than a lease, with time for a
-     slow store.  */
-  RENEWALS_PER_LEASE = 4,
-  SCANS_PER_LEASE = 3
+  /* At least; a short lease leaves little time for a slow store.  */
+  RENEWALS_PER_LEASE = 2,
+  SCANS_PER_LEASE = 2
 };
 
 /* ---- Who is there ---- */
@@ -1054,8 +1053,8 @@
   row.boots = talloc_array (owner->actions, uint64_t, count);
   for (struct target *t = owner->targets; t != NULL; t = t->next)
     {
-      t->sent_boot = t->boot;
-      if (t->boot == 0)
+      t->sent_boot = t->settled ? 0 : t->boot;
+      if (t->sent_boot == 0)
         continue;
       row.boots[row.n_boots++] = t->boot;
       row.hosts[row.n_hosts++] = t->host;
@@ -1129,7 +1128,7 @@
 
 /* Failure: an owner that reads the rows less often than a lease lasts sees
    every other one stand still in between, and takes partitions over from
-   the living.  So owners read several times in a lease, however many hosts
+   the living.  So owners read at least twice in a lease, however many hosts
    there are; those that may not own only look where to send callers.  */
 static uint32_t
 scan_ms (const struct mq_owner *owner)
