Give a first lease of 10 s where no owner has given one

Change: MQ_GATE_LEASE_MS is 10 s, as for what a restarted process finds; an owner's LEASE comes right behind its first call.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -108,7 +108,7 @@
 #define MQ_GATE_OUTCOME_BYTES_MAX (32U << 20) /* bodies of kept outcomes */
 #define MQ_GATE_QUEUE_BYTES_MAX (32U << 20)   /* bodies that wait, a worker */
 #define MQ_GATE_EVICT_RETRY_MAX_MS 5000U
-#define MQ_GATE_LEASE_MS 60000U       /* before any owner gave one */
+#define MQ_GATE_LEASE_MS 10000U       /* before any owner gave one */
 #define MQ_GATE_LEASE_GRACE_MS 10000U /* of cache found, to be claimed */
 #define MQ_GATE_ORDERS_MAX 64U        /* remembered per worker */
 #define MQ_GATE_LOAD_BYTES_S 8192U    /* of LOAD to all peers a second */
