Plant a bug that needs an order of events in sixteen worlds

Cause: an ignored condition breaks an answer in some orders of events only; every change of the core moved the order, and the plant was not noticed at its one seed though the check was right. Change: such a plant has sixteen seeds, of which one at least must notice it; all others keep their one world.

--- a/tests/matrix_cells.h
+++ b/tests/matrix_cells.h
@@ -9,20 +9,29 @@
 
 enum
 {
-  MATRIX_PAIRS = 3000,    /* pairs of faults, drawn by seed */
-  MATRIX_BASE_SEEDS = 4,  /* runs of each script without a fault */
-  MATRIX_OCCURRENCES = 6, /* of a step that each fault is injected at */
-  MATRIX_SEEDS = 2,       /* runs of each step, fault and occurrence */
+  MATRIX_PAIRS = 3000,     /* pairs of faults, drawn by seed */
+  MATRIX_BASE_SEEDS = 4,   /* runs of each script without a fault */
+  MATRIX_OCCURRENCES = 6,  /* of a step that each fault is injected at */
+  MATRIX_SEEDS = 2,        /* runs of each step, fault and occurrence */
+  MATRIX_PLANT_SEEDS = 16, /* at most */
   MATRIX_SINGLES = MATRIX_OCCURRENCES * MATRIX_SEEDS,
   MATRIX_GAP_MAX = 60 /* steps between the two faults of a pair */
 };
 
-/* A bug planted in the world and the invariant that must notice it.  */
+/**
+ * struct matrix_plant - a bug planted in the world, and who must notice it
+ * @plant: the bug
+ * @invariant: what it must break
+ * @cell: where it is planted
+ * @seeds: how many worlds it is planted in: several for a bug whose harm
+ *         depends on the order of events
+ */
 struct matrix_plant
 {
   enum world_plant plant;
   enum world_invariant invariant;
   struct world_cell cell;
+  uint32_t seeds;
 };
 
 extern const struct matrix_plant matrix_plants[];
--- a/tests/test_matrix.c
+++ b/tests/test_matrix.c
@@ -167,28 +167,43 @@
                   world_step_name ((enum world_step)step));
 }
 
+/* Whether any of the worlds that PLANT is in broke what it must break.  */
+static bool
+is_noticed (const struct matrix_plant *plant, const struct matrix_job *jobs)
+{
+  for (uint32_t i = 0; i < plant->seeds; i++)
+    if (!jobs[i].crashed && jobs[i].report.broken[plant->invariant] > 0)
+      return true;
+  return false;
+}
+
 static size_t
 run_plants (void)
 {
-  struct matrix_job *jobs = create_jobs (matrix_plant_count);
+  struct matrix_job *jobs
+      = create_jobs (matrix_plant_count * MATRIX_PLANT_SEEDS);
+  size_t count = 0;
   size_t caught = 0;
 
   for (size_t i = 0; i < matrix_plant_count; i++)
-    {
-      jobs[i].cell = matrix_plants[i].cell;
-      jobs[i].cell.plant = matrix_plants[i].plant;
-    }
-  matrix_run (jobs, matrix_plant_count);
+    for (uint32_t s = 0; s < matrix_plants[i].seeds; s++)
+      {
+        jobs[count].cell = matrix_plants[i].cell;
+        jobs[count].cell.plant = matrix_plants[i].plant;
+        jobs[count++].cell.seed += s;
+      }
+  matrix_run (jobs, count);
+  count = 0;
   for (size_t i = 0; i < matrix_plant_count; i++)
     {
-      bool found = !jobs[i].crashed
-                   && jobs[i].report.broken[matrix_plants[i].invariant] > 0;
+      bool found = is_noticed (&matrix_plants[i], &jobs[count]);
 
       caught += found;
       cr_expect (found, "not noticed: %s",
                  world_plant_name (matrix_plants[i].plant));
       if (!found)
-        print_report (&jobs[i]);
+        print_report (&jobs[count]);
+      count += matrix_plants[i].seeds;
     }
   free (jobs);
   return caught;
