--- a/src/core/owner_take.c
+++ b/src/core/owner_take.c
@@ -233,8 +233,10 @@
     {
       if (!copy_row (owner, partition, row))
         return;
-      /* Our own claim whose answer was lost.  */
+      /* Our own claim whose answer was lost; or what was read before did not
+         fit together, then after a pause.  */
       if (partition->owner_boot == owner->options.boot
+          && owner->now_us >= partition->retry_us
           && strcmp (partition->owner, owner->options.host) == 0)
         start_reading (owner, partition);
       return;
--- a/tests/test_mimosactl.c
+++ b/tests/test_mimosactl.c
@@ -620,8 +620,8 @@
     "  program 00000000000000010000000000000002 call 7 ",
     " call 7 service accueil-app target t9\n",
     "cache held for ended programs: 40 tokens\n",
-    "follow-ups       12 programs, ms p50 800 p95 2100 p99 4000; "
-    "failed 1 refused 2 gone 3\n",
+    ("follow-ups       12 programs, ms p50 800 p95 2100 p99 4000; "
+     "failed 1 refused 2 gone 3\n"),
     "wasted cache: 25.00% of token-time held, ",
     ", 12.50% of prompt tokens computed again\n",
   };
