--- a/Makefile
+++ b/Makefile
@@ -82,7 +82,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
 
-$(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJ) $(STANDIN_OBJ) $(LIB)
+$(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJ) $(BUILD)/tests/fleet.o $(STANDIN_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
 
@@ -141,6 +141,13 @@
 	@$(MAKE) --no-print-directory all
 	@BUILD=$(BUILD) bash examples/demo.sh
 
+## capacity: slopes behind docs/CAPACITY.md (about three minutes)
+.PHONY: capacity
+capacity: deps
+	@$(MAKE) --no-print-directory all
+	@$(BUILD)/bin/bench_capacity
+	@BUILD=$(BUILD) bash bench/capacity.sh
+
 ## format: format the sources; format-check: fail where that would change one
 format:
 	@clang-format -i $(SOURCES)
