--- a/src/io/load_answer.c
+++ b/src/io/load_answer.c
@@ -167,14 +167,18 @@
     }
 }
 
-/* What a caller showed of the last call as it came must be the answer, or
-   have been declared void.  A caller that was attached in the middle of that
-   call is given none of it before the final event (front.h).  */
-static bool
-stream_agrees (const struct stream *stream, const char *answer)
-{
-  return stream->call != stream->last_call || stream->text[0] == '\0'
-         || strcmp (stream->text, answer) == 0;
+/* What a caller showed of the last call as it came must be the answer's
+   beginning, or have been declared void.  After a change of owners it may be
+   less than the whole (front.h): such a stream is counted as cut.  */
+static enum mq_load_violation
+compare_stream (struct mq_load_answer *answer, const struct stream *stream)
+{
+  size_t shown = stream->call == stream->last_call ? strlen (stream->text) : 0;
+
+  if (strncmp (stream->text, answer->text, shown) != 0)
+    return MQ_LOAD_STREAM_DIFFERS;
+  answer->cut = strlen (answer->text) > shown;
+  return MQ_LOAD_RIGHT;
 }
 
 static void
@@ -192,9 +196,8 @@
     read_refusal (answer, stream.last);
   else
     read_final (answer, stream.last);
-  if (answer->error == MQ_ERR_NONE && answer->violation == MQ_LOAD_RIGHT
-      && !stream_agrees (&stream, answer->text))
-    answer->violation = MQ_LOAD_STREAM_DIFFERS;
+  if (answer->error == MQ_ERR_NONE && answer->violation == MQ_LOAD_RIGHT)
+    answer->violation = compare_stream (answer, &stream);
   json_decref (stream.last);
 }
 
--- a/src/io/load_answer.h
+++ b/src/io/load_answer.h
@@ -16,6 +16,7 @@
  * @program: as named in it, empty when it is not
  * @text: the answer, empty with an error
  * @resets: of the stream
+ * @cut: the stream gave less than the whole answer before the final event
  */
 struct mq_load_answer
 {
@@ -25,6 +26,7 @@
   char *program;
   char *text;
   uint32_t resets;
+  bool cut;
 };
 
 /* Reads BODY, which came with STATUS; STREAM: it is server-sent events if
--- a/src/io/load_result.c
+++ b/src/io/load_result.c
@@ -60,6 +60,7 @@
     to->violations[i] += from->violations[i];
   to->late += from->late;
   to->resets += from->resets;
+  to->cut += from->cut;
   to->batch_letters += from->batch_letters;
 #define ADD(name) to->measures.name += from->measures.name;
   MQ_LOAD_MEASURE_LIST (ADD)
@@ -143,11 +144,13 @@
   text = append_errors (text, "failed", result->failed);
   text = talloc_asprintf_append_buffer (
       text,
-      "  late %llu, resets %llu; batch %llu letters in %.1f s\n"
+      "  late %llu, resets %llu, cut streams %llu; batch %llu letters in %.1f "
+      "s\n"
       "  wasted cache %.1f%% of held (gates say %.1f%%); prompt tokens %llu, "
       "computed again %.1f%%, computed %.1f%%; generated %llu; "
       "preempted %llu; commits %llu\n",
       (unsigned long long)result->late, (unsigned long long)result->resets,
+      (unsigned long long)result->cut,
       (unsigned long long)result->batch_letters, result->batch_s,
       PERCENT * mq_load_wasted_share (result),
       PERCENT * share (m->gate_wasted_token_ms, m->gate_held_token_ms),
@@ -274,16 +277,17 @@
   json_object_set_new (classes, "all", write_histogram (&result->all));
   json = json_pack (
       "{s:s, s:s, s:f, s:f, s:f, s:f, s:i, s:o, s:o, s:o, s:o, s:o, s:o, s:o, "
-      "s:f, s:o, s:o}",
+      "s:o, s:f, s:o, s:o}",
       "label", result->label, "workload", result->workload, "load",
       result->load, "per_second", result->per_second, "time_scale",
       result->time_scale, "seconds", result->seconds, "runs",
       (int)result->runs, "latency", classes, "refused",
       write_errors (result->refused), "failed", write_errors (result->failed),
       "violations", write_violations (result), "late", integer (result->late),
-      "resets", integer (result->resets), "batch_letters",
-      integer (result->batch_letters), "batch_s", result->batch_s, "measures",
-      write_measures (&result->measures), "cache", write_samples (result));
+      "resets", integer (result->resets), "cut", integer (result->cut),
+      "batch_letters", integer (result->batch_letters), "batch_s",
+      result->batch_s, "measures", write_measures (&result->measures), "cache",
+      write_samples (result));
   dump = json_dumps (json, JSON_COMPACT);
   text = talloc_strdup (ctx, dump == NULL ? "{}" : dump);
   free (dump);
@@ -411,6 +415,7 @@
   result->runs = (uint32_t)read_integer (json, "runs");
   result->late = read_integer (json, "late");
   result->resets = read_integer (json, "resets");
+  result->cut = read_integer (json, "cut");
   result->batch_letters = read_integer (json, "batch_letters");
   result->batch_s = read_real (json, "batch_s");
   read_counts (json, result);
--- a/src/io/load_result.h
+++ b/src/io/load_result.h
@@ -73,6 +73,7 @@
  * @late: answers that came after their deadline
  * @violations: by type
  * @resets: streams whose text was declared void
+ * @cut: streams that gave less than the answer before the final event
  * @batch_letters: letters of the batch that were answered
  * @batch_s: model time from the first letter's request to the last answer
  * @measures: what the run added to the site's counters
@@ -93,6 +94,7 @@
   uint64_t late;
   uint64_t violations[MQ_LOAD_VIOLATIONS];
   uint64_t resets;
+  uint64_t cut;
   uint64_t batch_letters;
   double batch_s;
   struct mq_load_measures measures;
--- a/src/io/load_run.c
+++ b/src/io/load_run.c
@@ -303,6 +303,7 @@
   answer = mq_load_answer_read (caller, http->status, http->body, turn->stream,
                                 turn->messages);
   run->result->resets += answer->resets;
+  run->result->cut += answer->cut;
   if (answer->error != MQ_ERR_NONE)
     {
       run->result->violations[answer->violation]++;
