--- a/bench/site_bench.sh
+++ b/bench/site_bench.sh
@@ -16,7 +16,7 @@
 profiles="zarqa diagne"
 seeds="1 2"
 load=0.85
-seconds=7
+seconds=10
 scale=0.2
 out=build/bench
 variants="ours=finish:attained:output round_robin=round_robin:fifo:output
--- a/src/io/load_run.c
+++ b/src/io/load_run.c
@@ -269,21 +269,30 @@
   ask (data);
 }
 
+static uint64_t
+window_end_us (const struct run *run)
+{
+  return run->origin_us + (uint64_t)(run->options->seconds * US_PER_SECOND);
+}
+
+/* Turns that would come after the window are left out: the load is no longer
+   the one that is measured.  */
 static void
 next_turn (struct caller *caller)
 {
   const struct mq_load_session *session = caller->session;
+  struct run *run = caller->run;
 
   caller->turn++;
-  if (caller->turn == session->turn_count || caller->run->cut)
-    {
-      finish (caller);
-      return;
-    }
-  caller->due_us
-      = now_us ()
-        + wall_us (caller->run, (double)session->turns[caller->turn].pause_us);
-  call_at (caller->run, caller, caller->due_us, ask_now, caller);
+  caller->due_us = now_us ();
+  if (caller->turn < session->turn_count)
+    caller->due_us
+        += wall_us (run, (double)session->turns[caller->turn].pause_us);
+  if (caller->turn == session->turn_count
+      || caller->due_us >= window_end_us (run))
+    finish (caller);
+  else
+    call_at (run, caller, caller->due_us, ask_now, caller);
 }
 
 static void
