Mend what the linter finds in the load tool and the test kit

Change: products in 64 bits, a mark's end read from the mark, a failed check of the kit never returns.

--- a/src/io/load_check.c
+++ b/src/io/load_check.c
@@ -45,7 +45,8 @@
   for (const char *at = strstr (text, "[seen "); at != NULL;
        at = strstr (at + 1, "[seen "))
     mark = at;
-  if (mark == NULL || text[strlen (text) - 1] != ']')
+  /* A mark that was found is not the end of an empty text.  */
+  if (mark == NULL || mark[strlen (mark) - 1] != ']')
     return false;
   return sscanf (mark, "[seen %" SCNu32 " %" SCNx64 "]", messages, digest)
          == 2;
--- a/src/io/load_plan.c
+++ b/src/io/load_plan.c
@@ -120,15 +120,17 @@
 static char *
 draw_words (TALLOC_CTX *ctx, uint64_t *random, uint32_t tokens)
 {
+  static const char letters[] = "abcdefghijklmnopqrstuvwxyz";
   size_t len = (size_t)tokens * BYTES_PER_TOKEN;
   char *text = talloc_array (ctx, char, len + 1);
 
   if (text == NULL)
     abort ();
   for (size_t i = 0; i < len; i++)
-    text[i] = i % BYTES_PER_TOKEN == BYTES_PER_TOKEN - 1
-                  ? ' '
-                  : (char)('a' + mq_random_below (random, 26));
+    if (i % BYTES_PER_TOKEN == BYTES_PER_TOKEN - 1)
+      text[i] = ' ';
+    else
+      text[i] = letters[mq_random_below (random, sizeof letters - 1)];
   text[len] = '\0';
   return text;
 }
--- a/src/io/load_run.c
+++ b/src/io/load_run.c
@@ -499,7 +499,8 @@
 
       must (mq_http_client_send (run->client, &send));
     }
-  call_at (run, run, now_us () + SAMPLE_MS * US_PER_MS, take_sample, run);
+  call_at (run, run, now_us () + (uint64_t)SAMPLE_MS * US_PER_MS, take_sample,
+           run);
 }
 
 /* Runs.  */
--- a/tests/site_kit.h
+++ b/tests/site_kit.h
@@ -120,7 +120,7 @@
 
 /* Waits and checks.  */
 void site_fail (struct site *site, const char *file, int line,
-                const char *what);
+                const char *what) __attribute__ ((noreturn));
 /* Sleeps a little; fails the test when *UNTIL is over (0: starts it).  */
 void site_pause (struct site *site, uint64_t *until, const char *file,
                  int line, const char *what);
