--- a/tests/site_kit.c
+++ b/tests/site_kit.c
@@ -79,6 +79,7 @@
   fprintf (stderr, "%s:%d: not so: %s\n", file, line, what);
   dump_all (site);
   cr_assert_fail ("%s:%d: not so: %s", file, line, what);
+  abort ();
 }
 
 void
@@ -299,7 +300,7 @@
                 uint32_t count)
 {
   char **list = talloc_array (site, char *, count);
-  const char *line = process->output;
+  const char *line;
 
   if (!site_process_listens (process, count))
     site_fail (site, __FILE__, __LINE__, "the stand-in listens");
@@ -784,7 +785,7 @@
       if (i + 1 < steps)
         check_tool (site, json_array_get (messages, at++), &said);
     }
-  SITE_CHECK (site, said.finish == MQ_PLAN_STOP);
+  SITE_CHECK (site, said.text != NULL && said.finish == MQ_PLAN_STOP);
   SITE_CHECK (site, strcmp (said.text, answer) == 0);
   return tokens;
 }
@@ -794,7 +795,7 @@
                    const struct site_host *host, const char *plan)
 {
   json_t *steps = keep_json (site, json_loads (plan, 0, NULL));
-  json_t *answer = site_call_json (call);
+  json_t *answer;
   struct site_ask ask = { .address = host->http, .key = SITE_CLERKS };
   struct site_call *history;
   uint32_t tokens;
--- a/tests/site_kit.h
+++ b/tests/site_kit.h
@@ -119,8 +119,8 @@
 void site_settle (struct site *site);
 
 /* Waits and checks.  */
-void site_fail (struct site *site, const char *file, int line,
-                const char *what);
+_Noreturn void site_fail (struct site *site, const char *file, int line,
+                          const char *what);
 /* Sleeps a little; fails the test when *UNTIL is over (0: starts it).  */
 void site_pause (struct site *site, uint64_t *until, const char *file,
                  int line, const char *what);
--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -17,6 +17,7 @@
 {
   CASE_SECONDS = 300,
   CALLERS = 6,
+  CALLERS_TWICE = 2 * CALLERS,
   RACES = 4,
   BATCH_MAX = 64,
   LOOKS = 40 /* between two batch programs */
@@ -797,7 +798,7 @@
 {
   struct site_options options = { .workers = 3 };
   struct site_host *other;
-  struct site_call *calls[2 * CALLERS];
+  struct site_call *calls[CALLERS_TWICE];
   uint64_t reads;
   uint64_t writes;
 
@@ -810,22 +811,22 @@
   site_entry (site, "entry-3", "east");
   site_settle (site);
   make_slow ("/v1/slow", 3000);
-  for (size_t i = 0; i < 2 * CALLERS; i++)
+  for (size_t i = 0; i < CALLERS_TWICE; i++)
     calls[i] = site_open (
         site, site_host (site, i % 2 == 0 ? "entry-2" : "entry-3"),
         talloc_asprintf (site, "k%zu", i), "letters", tool_plan);
-  SITE_WAIT (site, site_effects (site, "/v1/notice", NULL) == 2 * CALLERS);
+  SITE_WAIT (site, site_effects (site, "/v1/notice", NULL) == CALLERS_TWICE);
   reads = store_count ("reads");
   writes = store_count ("writes");
   site_process_signal (site_host (site, "entry-1")->process, SIGKILL);
   site_process_signal (site_host (site, "north-1")->process, SIGKILL);
-  for (size_t i = 0; i < 2 * CALLERS; i++)
+  for (size_t i = 0; i < CALLERS_TWICE; i++)
     site_check_answer (site, calls[i], other, tool_plan);
   fprintf (stderr,
            "process: data centre lost: programs=%d reads=%llu writes=%llu\n",
-           2 * CALLERS, (unsigned long long)(store_count ("reads") - reads),
+           CALLERS_TWICE, (unsigned long long)(store_count ("reads") - reads),
            (unsigned long long)(store_count ("writes") - writes));
-  check_notices (2 * CALLERS);
+  check_notices (CALLERS_TWICE);
   SITE_CHECK (site, site_process_wait (site_host (site, "entry-1")->process));
   SITE_CHECK (site, site_process_wait (site_host (site, "north-1")->process));
   site_settle (site);
