--- a/bench/capacity_takeover.c
+++ b/bench/capacity_takeover.c
@@ -259,7 +259,7 @@
   moved = CUT_PARTITIONS - fleet_owned (fleet);
   fleet_reset (fleet);
   seconds = wait_owned (fleet, options.partitions);
-  printf ("cut.%-12s %2u of %u owners: %u partitions of %u in %.1f s, "
+  printf ("cut.%-12s %2u of %d owners: %u partitions of %d in %.1f s, "
           "%.0f reads/s, %.0f writes/s, peak %llu/s, %.3g bytes read, "
           "%.1f ms of processor a host and second, %llu lost by living "
           "hosts; start took %.1f s\n",
--- a/tests/site_kit.c
+++ b/tests/site_kit.c
@@ -79,7 +79,7 @@
   fprintf (stderr, "%s:%d: not so: %s\n", file, line, what);
   dump_all (site);
   cr_assert_fail ("%s:%d: not so: %s", file, line, what);
-  abort (); /* not reached: the assertion ends the test */
+  abort ();
 }
 
 void
