Count only what must be computed, and move a program only to halve the time

Cause: a call counted its whole prompt as work that waits at the worker, though most of it was in the cache there; the program's own worker looked seconds away, so programs moved and computed their histories again. Change: expected uncached tokens count; a move must halve the prediction.

--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -34,14 +34,14 @@
   if (change > 0)
     {
       view->own_in_flight++;
-      view->own_tokens += call->prompt_tokens;
+      view->own_tokens += call->uncached_tokens;
       return;
     }
   if (view->own_in_flight > 0)
     view->own_in_flight--;
-  view->own_tokens -= view->own_tokens < call->prompt_tokens
+  view->own_tokens -= view->own_tokens < call->uncached_tokens
                           ? view->own_tokens
-                          : call->prompt_tokens;
+                          : call->uncached_tokens;
 }
 
 static void
@@ -202,6 +202,19 @@
   owner->counters.calls_sent++;
 }
 
+/* Prompt tokens that the worker has to compute, as far as is known.  */
+static uint32_t
+expect_uncached (const struct running *running, const struct worker *worker)
+{
+  uint32_t prompt = running->call->prompt_tokens;
+  uint32_t cached = 0;
+
+  if (running->sticky == worker->target
+      && running->sticky_worker == worker->index)
+    cached = running->sticky_tokens;
+  return prompt > cached ? prompt - cached : 0;
+}
+
 static void
 go_to (struct mq_owner *owner, struct running *running, struct worker *worker)
 {
@@ -214,6 +227,7 @@
   call->worker = worker->index;
   call->boot = worker->target->boot;
   call->sent_us = owner->now_us;
+  call->uncached_tokens = expect_uncached (running, worker);
   count_at_target (owner, call, 1);
   if (call->model)
     {
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -219,6 +219,7 @@
   uint32_t max_tokens;
   uint64_t reserved; /* tokens reserved for the attempt under way */
   uint32_t prompt_tokens;
+  uint32_t uncached_tokens; /* of these, to be computed where it went */
   struct target *target;
   uint32_t worker;
   uint64_t boot;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -235,9 +235,9 @@
       uint64_t finish
           = predict_finish (sticky, call, call->sticky_tokens, now_us);
 
-      /* A move throws cache away and the prediction is rough: it must gain
-         a quarter.  */
-      if (best.index < 0 || best.finish + best.finish / 4 >= finish)
+      /* A move throws cache away, here and at the worker that it crowds, and
+         the prediction is rough: it must halve the time.  */
+      if (best.index < 0 || 2 * best.finish >= finish)
         return call->sticky;
     }
   if (best.index < 0)
