--- a/Makefile
+++ b/Makefile
@@ -111,6 +111,12 @@
 	@$(MAKE) --no-print-directory all
 	@BUILD=$(BUILD) bash examples/demo.sh
 
+## bench: placement and order of calls against baselines, both deployments
+.PHONY: bench
+bench: deps
+	@$(MAKE) --no-print-directory all
+	@BUILD=$(BUILD) bash bench/site_bench.sh
+
 ## format: format the sources; format-check: fail where that would change one
 format:
 	clang-format -i $(SOURCES)
--- a/src/io/load_check.c
+++ b/src/io/load_check.c
@@ -41,14 +41,17 @@
 read_mark (const char *text, uint32_t *messages, uint64_t *digest)
 {
   const char *mark = NULL;
+  int read = 0;
 
   for (const char *at = strstr (text, "[seen "); at != NULL;
        at = strstr (at + 1, "[seen "))
     mark = at;
-  if (mark == NULL || text[strlen (text) - 1] != ']')
+  if (mark == NULL)
     return false;
-  return sscanf (mark, "[seen %" SCNu32 " %" SCNx64 "]", messages, digest)
-         == 2;
+  return sscanf (mark, "[seen %" SCNu32 " %" SCNx64 "]%n", messages, digest,
+                 &read)
+             == 2
+         && read > 0 && mark[read] == '\0';
 }
 
 enum mq_load_violation
--- a/src/io/load_plan.c
+++ b/src/io/load_plan.c
@@ -12,6 +12,7 @@
 enum
 {
   BYTES_PER_TOKEN = 4,
+  LETTERS = 26,
   CALLS_MAX = 12,       /* calls of one turn */
   ECHO_OVERHEAD = 24,   /* tokens of a call and its answer besides arguments */
   SAMPLE_SESSIONS = 600 /* for the mean work */
@@ -120,15 +121,16 @@
 static char *
 draw_words (TALLOC_CTX *ctx, uint64_t *random, uint32_t tokens)
 {
+  static const char letters[] = "abcdefghijklmnopqrstuvwxyz";
   size_t len = (size_t)tokens * BYTES_PER_TOKEN;
   char *text = talloc_array (ctx, char, len + 1);
 
   if (text == NULL)
     abort ();
+  memset (text, ' ', len);
   for (size_t i = 0; i < len; i++)
-    text[i] = i % BYTES_PER_TOKEN == BYTES_PER_TOKEN - 1
-                  ? ' '
-                  : (char)('a' + mq_random_below (random, 26));
+    if (i % BYTES_PER_TOKEN != BYTES_PER_TOKEN - 1)
+      text[i] = letters[mq_random_below (random, LETTERS)];
   text[len] = '\0';
   return text;
 }
--- a/src/io/load_run.c
+++ b/src/io/load_run.c
@@ -13,11 +13,11 @@
 enum
 {
   SAMPLE_MS = 250, /* between two looks at the engines' cache */
-  US_PER_MS = 1000,
   STATUS_OK = 200
 };
 
 #define US_PER_SECOND 1e6
+#define US_PER_MS 1000ULL
 
 struct run
 {
--- a/tests/test_histogram.c
+++ b/tests/test_histogram.c
@@ -141,7 +141,7 @@
   cr_expect_leq (mq_latency_count (latency), MQ_LATENCY_SERIES_MAX);
   for (size_t i = 0; i < mq_latency_count (latency); i++)
     answered += mq_latency_at (latency, i)->answered.count;
-  cr_expect_eq (answered, 2 * MQ_LATENCY_SERIES_MAX);
+  cr_expect_eq (answered, 2ULL * MQ_LATENCY_SERIES_MAX);
   talloc_free (latency);
 }
 
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -31,7 +31,8 @@
   TALLOC_CTX *ctx = talloc_new (NULL);
   struct mq_text_errors errors;
   struct mq_settings *settings
-      = parse (ctx, MQ_HOST_ENTRY, PROCESS "policy = round_robin\ncommit = each_step\n", &errors);
+      = parse (ctx, MQ_HOST_ENTRY,
+               PROCESS "policy = round_robin\ncommit = each_step\n", &errors);
 
   cr_assert_not_null (settings, "%s", errors.items[0].subject);
   cr_expect_str_eq (settings->host, "e1");
