--- a/Makefile
+++ b/Makefile
@@ -141,6 +141,12 @@
 	@$(MAKE) --no-print-directory all
 	@BUILD=$(BUILD) bash examples/demo.sh
 
+## bench: placement and order of calls against baselines, both deployments
+.PHONY: bench
+bench: deps
+	@$(MAKE) --no-print-directory all
+	@BUILD=$(BUILD) bash bench/site_bench.sh
+
 ## capacity: slopes behind docs/CAPACITY.md (about four minutes)
 .PHONY: capacity
 capacity: deps
