Keep a make above out of the test of make install

Cause: under "make -j8 check-sanitized" the makes of tests/install.sh complained of the job server, and their words stood in what is compared.

--- a/tests/install.sh
+++ b/tests/install.sh
@@ -3,6 +3,8 @@
 # installed, with nothing of the source tree in sight, and runs it.
 set -e
 build=${BUILD:-build}
+# A make above must not hand its job server, or its words, to the ones here.
+unset MAKEFLAGS MFLAGS MAKELEVEL
 root=$(mktemp -d)
 trap 'rm -rf "$root"' EXIT
 # Installing must not build: it would mix objects of other flags into $build.
