--- a/bench/site_bench.sh
+++ b/bench/site_bench.sh
@@ -106,7 +106,7 @@
   local tries=0 now before=
   while :; do
     now=$(owners)
-    if [ "$now" = "$before" ] && grep -Eq '^partitions: ([0-9]+) of \1 owned' <<<"$now"; then
+    if [ "$now" = "$before" ] && grep -Eq '^partitions: ([0-9]+) of \1 active' <<<"$now"; then
       return 0
     fi
     before=$now
