Make the connections of both processes in one place; drop what nothing reads

Cause: entry.c and target.c filled in the same options of the peer link; the owner kept fields, a function, a parameter and a wrapper that nothing reads any more. Change: mq_process_create_net serves both; log_is_idle, start_release, same_boot, store_failures, scan_sent_us, list_leaving, enum scan_type and two members of struct call are gone. Behaviour stays as it is.

--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -826,12 +826,11 @@
 }
 
 void
-calls_target_up (struct mq_owner *owner, struct target *target, bool same_boot)
+calls_target_up (struct mq_owner *owner, struct target *target)
 {
   size_t count;
   struct running **list = list_at_target (owner, target, &count);
 
-  (void)same_boot;
   for (size_t i = 0; i < count; i++)
     if (list[i]->partition->state == PARTITION_ACTIVE)
       target_is_back (owner, list[i], target);
--- a/src/core/owner_hosts.c
+++ b/src/core/owner_hosts.c
@@ -250,7 +250,6 @@
     return;
   sibling = hosts_sibling_named (owner, host->name, true);
   sibling->listed = true;
-  sibling->list_leaving = host->leaving;
 }
 
 void
@@ -350,12 +349,10 @@
            uint64_t boot)
 {
   struct target *target = hosts_target_named (owner, host);
-  bool same_boot;
 
   if (target == NULL)
     target = add_target (owner, host, "");
-  same_boot = target->boot == boot;
-  if (!same_boot)
+  if (target->boot != boot)
     target->leaving = false;
   if (target->peer != 0)
     mq_idmap_remove (owner->targets_by_peer, peer_key (target->peer), 0);
@@ -366,7 +363,7 @@
   target->settled = false;
   hosts_target_usable (owner, target);
   take_target_up (owner, target);
-  calls_target_up (owner, target, same_boot);
+  calls_target_up (owner, target);
   if (target->sent_boot != boot)
     keep_former (owner, target);
   if (target->durable_boot != boot)
--- a/src/core/owner_log.c
+++ b/src/core/owner_log.c
@@ -136,13 +136,6 @@
     owner->hooks_last = owner->hooks_last->next;
 }
 
-bool
-log_is_idle (const struct mq_owner *owner, const struct partition *partition)
-{
-  (void)owner;
-  return partition->pending_first == NULL && !partition->in_flight;
-}
-
 /* ---- Sealing a batch ---- */
 
 static bool
@@ -657,7 +650,6 @@
 void
 log_store_failed (struct mq_owner *owner)
 {
-  owner->store_failures++;
   if (owner->store_down)
     return;
   owner->store_down = true;
--- a/src/core/owner_state.h
+++ b/src/core/owner_state.h
@@ -228,8 +228,6 @@
   uint64_t down_us; /* when the target's connection was lost, 0: up */
   uint64_t retry_us;
   uint32_t tries;
-  enum mq_error_type last_error;
-  uint32_t last_retry_after_ms;
   uint32_t tokens_seen;
   bool prepaid; /* its tokens were forfeited in a takeover */
 };
@@ -360,7 +358,6 @@
   char *address;
   char *data_centre;
   bool listed;
-  bool list_leaving;
   uint32_t peer;
   uint64_t peer_down_us;
   /* Its owner row.  */
@@ -414,12 +411,6 @@
   uint64_t hash;
 };
 
-enum scan_type
-{
-  SCAN_OWNERS,
-  SCAN_PARTITIONS
-};
-
 struct mq_owner
 {
   struct mq_owner_options options;
@@ -447,11 +438,9 @@
   uint64_t next_request;
   bool store_down;
   uint64_t store_down_us;
-  uint32_t store_failures;
   uint64_t owners_scan_id, partitions_scan_id, settle_scan_id;
   uint64_t owners_scanned_us; /* last success */
   uint64_t next_scan_us;
-  uint64_t scan_sent_us;
   bool scanned;          /* both scans succeeded once */
   struct reply *replies; /* newest first */
   uint64_t confirm_id;   /* read that confirms what waits since before */
@@ -516,8 +505,6 @@
 void log_drop_partition (struct mq_owner *owner, struct partition *partition);
 void log_drop_hooks (struct mq_owner *owner,
                      const struct partition *partition);
-bool log_is_idle (const struct mq_owner *owner,
-                  const struct partition *partition);
 void log_store_failed (struct mq_owner *owner);
 void log_store_worked (struct mq_owner *owner);
 
@@ -572,8 +559,7 @@
                   const struct mq_token_msg *token);
 void calls_sealed (struct mq_owner *owner, struct target *target,
                    const struct mq_sealed_msg *sealed);
-void calls_target_up (struct mq_owner *owner, struct target *target,
-                      bool same_boot);
+void calls_target_up (struct mq_owner *owner, struct target *target);
 void calls_target_down (struct mq_owner *owner, struct target *target);
 void calls_adopt (struct mq_owner *owner, struct target *target,
                   struct mq_call_ref ref, uint32_t partition);
--- a/src/core/owner_take.c
+++ b/src/core/owner_take.c
@@ -1151,7 +1151,6 @@
 {
   struct mq_store_request *request;
 
-  owner->scan_sent_us = owner->now_us;
   owner->next_scan_us
       = owner->now_us
         + 1000ULL * owner_jitter_ms (owner, scan_ms (owner), 0, UINT32_MAX);
@@ -1206,13 +1205,6 @@
     send_confirm (owner);
 }
 
-static void
-start_release (struct mq_owner *owner, struct partition *partition)
-{
-  (void)owner;
-  partition->state = PARTITION_RELEASING;
-}
-
 /* Gives up one partition a while when this host holds more than its share,
    so that a host that comes back gets work again.  */
 static void
@@ -1237,7 +1229,7 @@
       successor = find_successor (owner, partition);
       if (successor == NULL || successor->owned >= fair_share (owner))
         continue;
-      start_release (owner, partition);
+      partition->state = PARTITION_RELEASING;
       return;
     }
 }
@@ -1247,7 +1239,7 @@
 {
   for (uint32_t i = 0; i < owner->partition_count; i++)
     if (owner->partitions[i].state == PARTITION_ACTIVE)
-      start_release (owner, &owner->partitions[i]);
+      owner->partitions[i].state = PARTITION_RELEASING;
 }
 
 bool
--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -176,22 +176,12 @@
 static bool
 create_net (struct mq_entry *entry, struct mq_error *error)
 {
-  const struct mq_settings *settings = entry->settings;
   struct mq_peer_callbacks callbacks = mq_entry_peer_callbacks (entry);
-  struct mq_peer_options options = { .listen = settings->peer };
-
-  options.self.host = settings->host;
-  options.self.data_centre = settings->data_centre;
-  options.self.role = MQ_HOST_ENTRY;
-  options.self.boot = entry->boot;
-  memcpy (options.site_key, settings->site_key, MQ_KEY_BYTES);
-  entry->net
-      = mq_peer_net_create (entry, entry->ev, &options, &callbacks, error);
-  if (entry->net == NULL)
-    return false;
-  entry->peer_address = mq_process_address (entry, settings->peer,
-                                            mq_peer_net_port (entry->net));
-  return true;
+
+  entry->net = mq_process_create_net (entry, entry->ev, entry->settings,
+                                      MQ_HOST_ENTRY, entry->boot, &callbacks,
+                                      &entry->peer_address, error);
+  return entry->net != NULL;
 }
 
 static bool
--- a/src/io/process.c
+++ b/src/io/process.c
@@ -1,4 +1,4 @@
-/* process.c - clock, random numbers and addresses of a process.
+/* process.c - clock, random numbers and connections of a process.
 
    Needs: process.h, memory.h, gnutls.  */
 
@@ -46,6 +46,28 @@
   return mq_must (talloc_asprintf (ctx, "%.*s:%u", len, address, port));
 }
 
+struct mq_peer_net *
+mq_process_create_net (TALLOC_CTX *ctx, struct tevent_context *ev,
+                       const struct mq_settings *settings,
+                       enum mq_host_role role, uint64_t boot,
+                       const struct mq_peer_callbacks *callbacks,
+                       char **address, struct mq_error *error)
+{
+  struct mq_peer_options options = { .listen = settings->peer };
+  struct mq_peer_net *net;
+
+  options.self.host = settings->host;
+  options.self.data_centre = settings->data_centre;
+  options.self.role = role;
+  options.self.boot = boot;
+  memcpy (options.site_key, settings->site_key, MQ_KEY_BYTES);
+  net = mq_peer_net_create (ctx, ev, &options, callbacks, error);
+  if (net != NULL)
+    *address
+        = mq_process_address (ctx, settings->peer, mq_peer_net_port (net));
+  return net;
+}
+
 void
 mq_tick_timer_set (struct mq_tick_timer *tick, struct tevent_context *ev,
                    uint64_t at_us, uint64_t least_us,
--- a/src/io/process.h
+++ b/src/io/process.h
@@ -1,12 +1,13 @@
-/* process.h - clock, random numbers and addresses of a process.
+/* process.h - clock, random numbers and connections of a process.
 
    Shared by the processes on entry and target hosts.
-   Needs: tevent, gnutls.  */
+   Needs: tevent, gnutls, peer.h, settings.h.  */
 
 #ifndef MQ_PROCESS_H
 #define MQ_PROCESS_H
 
-#include "../core/types.h"
+#include "peer.h"
+#include "settings.h"
 #include <tevent.h>
 
 /* The monotonic clock that the inputs of the core go by.  */
@@ -16,6 +17,15 @@
 /* ADDRESS, "IP:PORT", with PORT in the place of its own, below CTX.  */
 char *mq_process_address (TALLOC_CTX *ctx, const char *address, uint16_t port);
 
+/* Connections to the other processes, as SETTINGS have them; *ADDRESS, below
+   CTX, is where they reach this one.  NULL with ERROR when it can't listen. */
+struct mq_peer_net *
+mq_process_create_net (TALLOC_CTX *ctx, struct tevent_context *ev,
+                       const struct mq_settings *settings,
+                       enum mq_host_role role, uint64_t boot,
+                       const struct mq_peer_callbacks *callbacks,
+                       char **address, struct mq_error *error);
+
 /**
  * struct mq_tick_timer - the next tick of a process's cores
  * @timer: NULL when none is set; its handler sets it to NULL
--- a/src/io/target.c
+++ b/src/io/target.c
@@ -223,22 +223,12 @@
 static bool
 create_net (struct mq_target *target, struct mq_error *error)
 {
-  const struct mq_settings *settings = target->settings;
   struct mq_peer_callbacks callbacks = mq_target_peer_callbacks (target);
-  struct mq_peer_options options = { .listen = settings->peer };
-
-  options.self.host = settings->host;
-  options.self.data_centre = settings->data_centre;
-  options.self.role = MQ_HOST_TARGET;
-  options.self.boot = target->boot;
-  memcpy (options.site_key, settings->site_key, MQ_KEY_BYTES);
-  target->net
-      = mq_peer_net_create (target, target->ev, &options, &callbacks, error);
-  if (target->net == NULL)
-    return false;
-  target->peer_address = mq_process_address (target, settings->peer,
-                                             mq_peer_net_port (target->net));
-  return true;
+
+  target->net = mq_process_create_net (
+      target, target->ev, target->settings, MQ_HOST_TARGET, target->boot,
+      &callbacks, &target->peer_address, error);
+  return target->net != NULL;
 }
 
 static void
