--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,14 @@
 BUILD ?= build
 CC ?= gcc
 PACKAGES = talloc tevent libprotobuf-c libmicrohttpd libcurl inih jansson \
-           gnutls libxxhash
+           gnutls nettle libxxhash
+# mimosa-routerd is started often and on small hosts: it links just these.
+ROUTER_LIBS = $(shell pkg-config --libs talloc tevent libprotobuf-c inih \
+              jansson nettle libxxhash 2>/dev/null) -lhttp_parser
 DEBIAN = build-essential pkg-config libtalloc-dev libtevent-dev \
          libprotobuf-c-dev libmicrohttpd-dev libcurl4-gnutls-dev libinih-dev \
-         libjansson-dev libgnutls28-dev libxxhash-dev libcriterion-dev \
+         libjansson-dev libgnutls28-dev nettle-dev \
+         libhttp-parser-dev libxxhash-dev libcriterion-dev \
          clang-format clang-tidy cppcheck curl
 WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
            -Wmissing-prototypes -Wpointer-arith -Wvla
@@ -14,10 +18,22 @@
 OPT ?= -O2
 CFLAGS = -std=gnu11 -D_GNU_SOURCE $(OPT) -g $(WARNINGS) $(SANITIZE) \
          -MMD -MP -Iinclude -Isrc $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
-LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lm
+LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lhttp_parser -lm
 TESTLIBS = -lcriterion
 
 LIB_SRC = $(wildcard src/core/*.c src/io/*.c proto/*.c)
+# platform/ speaks to the users' platform; routerd.c holds its main.
+PLATFORM_SRC = $(filter-out platform/routerd.c,$(wildcard platform/*.c))
+# What mimosa-routerd is made of; its build needs the headers of these alone.
+ROUTER_SRC = $(wildcard src/io/router*.c) proto/turn.pb-c.c \
+             $(addprefix src/core/,attempt.c budget.c chain.c error.c \
+             event_stream.c fleet.c histogram.c id.c idmap.c route.c \
+             text_hint.c text_ini.c text_keys.c text_values.c) \
+             $(addprefix src/io/,base64.c buffer.c clock.c http_lane.c \
+             http_message.c json_log.c listen.c metrics.c settings_file.c \
+             tcp.c)
+ROUTER_OBJ = $(ROUTER_SRC:%.c=$(BUILD)/%.o)
+PLATFORM_OBJ = $(PLATFORM_SRC:%.c=$(BUILD)/%.o)
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libmimosaquay.a
 DAEMONS = entryd targetd mimosactl load
@@ -39,7 +55,7 @@
 BENCH_BIN = $(BENCH_MAIN:bench/%.c=$(BUILD)/bin/%)
 EXAMPLE_BIN = $(patsubst examples/%.c,$(BUILD)/examples/%,$(wildcard examples/*.c))
 SOURCES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] src/core/*.[ch] \
-          src/io/*.[ch] include/*.h standins/*.[ch] tests/*.[ch] \
+          src/io/*.[ch] platform/*.[ch] include/*.h standins/*.[ch] tests/*.[ch] \
           tests/fuzz/*.[ch] bench/*.[ch] \
           examples/*.c))
 
@@ -47,7 +63,7 @@
         scan proto clean install
 .SECONDARY:
 
-all: $(LIB) $(DAEMON_BIN) $(STANDIN_BIN) $(BENCH_BIN) $(EXAMPLE_BIN)
+all: $(LIB) $(DAEMON_BIN) $(BUILD)/bin/mimosa-routerd $(STANDIN_BIN) $(BENCH_BIN) $(EXAMPLE_BIN)
 
 help:
 	@grep -E '^## ' $(MAKEFILE_LIST) | sed 's/^## //'
@@ -74,6 +90,10 @@
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
 
+$(BUILD)/bin/mimosa-routerd: $(BUILD)/platform/routerd.o $(PLATFORM_OBJ) $(ROUTER_OBJ)
+	@mkdir -p $(@D)
+	$(CC) $(SANITIZE) $^ -o $@ -Wl,--as-needed $(ROUTER_LIBS)
+
 $(BUILD)/bin/mimosa-%: $(BUILD)/src/%.o $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
--- /dev/null
+++ b/src/core/attempt.h
@@ -0,0 +1,60 @@
+/* attempt.h - what to do when a worker has not served a request.
+
+   One decision for every kind of request, on plain values.  Pure.
+   Needs: route.h.  */
+
+#ifndef MQ_ATTEMPT_H
+#define MQ_ATTEMPT_H
+
+#include "route.h"
+
+/* How a try at one worker ended, if not with an answer to be passed on.  */
+enum mq_attempt_end
+{
+  MQ_ATTEMPT_UNREACHABLE, /* no byte of the request was sent */
+  MQ_ATTEMPT_NOT_RUN,     /* the worker states that it did not run it */
+  MQ_ATTEMPT_BROKEN,      /* sent; the answer is missing, cut off or damaged */
+  MQ_ATTEMPT_ERROR        /* a whole answer that reports a failure */
+};
+
+/* Tries that did not reach a worker; each takes up to a connection's time.  */
+#define MQ_ATTEMPT_UNREACHABLE_MAX 4U
+/* Time that must be left for another worker to be worth a try: the median of
+   a plain service's work.  */
+#define MQ_ATTEMPT_LEAST_MS 30U
+
+/**
+ * struct mq_attempt - a request after a try
+ * @end: how the try ended
+ * @repeatable: the request may run more than once
+ * @begun: some of an answer was passed on to the caller
+ * @sent: workers that the request was sent to
+ * @sent_max: workers that it may be sent to
+ * @unreachable: tries that reached no worker
+ * @left_ms: time that is left
+ * @ran: an earlier try may have run
+ */
+struct mq_attempt
+{
+  enum mq_attempt_end end;
+  bool repeatable;
+  bool begun;
+  uint32_t sent;
+  uint32_t sent_max;
+  uint32_t unreachable;
+  uint64_t left_ms;
+  bool ran;
+};
+
+enum mq_attempt_next
+{
+  MQ_NEXT_RETRY,   /* another worker */
+  MQ_NEXT_REFUSE,  /* final: not run, come back later */
+  MQ_NEXT_FAIL,    /* final: it may have run */
+  MQ_NEXT_PASS_ON, /* final: the worker's own answer */
+  MQ_NEXT_BREAK    /* final: the answer that has begun breaks off */
+};
+
+enum mq_attempt_next mq_attempt_decide (const struct mq_attempt *attempt);
+
+#endif
--- /dev/null
+++ b/src/core/event_stream.c
@@ -0,0 +1,227 @@
+/* event_stream.c - a stream of events cut into whole events.
+
+   Needs: event_stream.h.  */
+
+#include "event_stream.h"
+#include <string.h>
+
+#define FIRST_BYTES ((size_t)2048)
+
+/**
+ * struct mq_event_stream - bytes that have not been given out
+ * @bytes: memory of @room bytes
+ * @at: where the next event begins
+ * @end: where the bytes end
+ * @seen: up to here no end of an event was found
+ * @data: joined data lines of the event that was given out last
+ * @data_room: bytes allocated for it
+ */
+struct mq_event_stream
+{
+  char *bytes;
+  size_t at;
+  size_t end;
+  size_t room;
+  size_t seen;
+  char *data;
+  size_t data_room;
+};
+
+struct mq_event_stream *
+mq_event_stream_create (TALLOC_CTX *ctx)
+{
+  return talloc_zero (ctx, struct mq_event_stream);
+}
+
+void
+mq_event_stream_destroy (struct mq_event_stream *stream)
+{
+  talloc_free (stream);
+}
+
+static void
+move_to_front (struct mq_event_stream *stream)
+{
+  if (stream->at == 0)
+    return;
+  memmove (stream->bytes, stream->bytes + stream->at,
+           stream->end - stream->at);
+  stream->seen -= stream->at;
+  stream->end -= stream->at;
+  stream->at = 0;
+}
+
+bool
+mq_event_stream_feed (struct mq_event_stream *stream, const char *data,
+                      size_t len)
+{
+  if (len == 0)
+    return true;
+  move_to_front (stream);
+  if (stream->end + len > MQ_EVENT_MAX_BYTES)
+    return false;
+  if (stream->end + len > stream->room)
+    {
+      size_t room = stream->room == 0 ? FIRST_BYTES : stream->room;
+      char *grown;
+
+      while (room < stream->end + len)
+        room *= 2;
+      grown = talloc_realloc (stream, stream->bytes, char, room);
+      if (grown == NULL)
+        return false;
+      stream->bytes = grown;
+      stream->room = room;
+    }
+  memcpy (stream->bytes + stream->end, data, len);
+  stream->end += len;
+  return true;
+}
+
+/* Length of the line at FROM without its end; *NEXT is where the next line
+   begins.  False when the line has not ended.  */
+static bool
+read_line (const struct mq_event_stream *stream, size_t from, size_t *len,
+           size_t *next)
+{
+  const char *start = stream->bytes + from;
+  const char *feed = memchr (start, '\n', stream->end - from);
+
+  if (feed == NULL)
+    return false;
+  *len = (size_t)(feed - start);
+  *next = from + *len + 1;
+  if (*len > 0 && start[*len - 1] == '\r')
+    (*len)--;
+  return true;
+}
+
+/* Where the event at the front ends, 0 when it is not whole.  */
+static size_t
+find_end (struct mq_event_stream *stream)
+{
+  size_t from = stream->seen;
+  size_t len;
+  size_t next;
+
+  while (read_line (stream, from, &len, &next))
+    {
+      if (len == 0)
+        return next;
+      from = next;
+      stream->seen = from;
+    }
+  return 0;
+}
+
+/* Value of a "NAME: value" line; false when the line has another name.  */
+static bool
+field_value (const char *line, size_t len, const char *name,
+             const char **value, size_t *value_len)
+{
+  size_t name_len = strlen (name);
+
+  if (len < name_len || memcmp (line, name, name_len) != 0)
+    return false;
+  if (len == name_len)
+    {
+      *value = line + len;
+      *value_len = 0;
+      return true;
+    }
+  if (line[name_len] != ':')
+    return false;
+  *value = line + name_len + 1;
+  *value_len = len - name_len - 1;
+  if (*value_len > 0 && **value == ' ')
+    {
+      (*value)++;
+      (*value_len)--;
+    }
+  return true;
+}
+
+static void
+add_data (struct mq_event_stream *stream, struct mq_event *event,
+          const char *value, size_t len)
+{
+  if (event->has_data)
+    stream->data[event->data_len++] = '\n';
+  memcpy (stream->data + event->data_len, value, len);
+  event->data_len += len;
+  event->has_data = true;
+}
+
+static void
+read_fields (struct mq_event_stream *stream, size_t end,
+             struct mq_event *event)
+{
+  size_t from = stream->at;
+  size_t len;
+  size_t next;
+
+  while (from < end && read_line (stream, from, &len, &next))
+    {
+      const char *line = stream->bytes + from;
+      const char *value;
+      size_t value_len;
+
+      if (field_value (line, len, "id", &value, &value_len))
+        {
+          event->id = value;
+          event->id_len = value_len;
+        }
+      else if (field_value (line, len, "data", &value, &value_len))
+        add_data (stream, event, value, value_len);
+      from = next;
+    }
+}
+
+/* Joined data is never longer than the event itself.  */
+static bool
+make_data_room (struct mq_event_stream *stream, size_t need)
+{
+  char *grown;
+
+  if (need <= stream->data_room)
+    return true;
+  grown = talloc_realloc (stream, stream->data, char, need);
+  if (grown == NULL)
+    return false;
+  stream->data = grown;
+  stream->data_room = need;
+  return true;
+}
+
+bool
+mq_event_stream_next (struct mq_event_stream *stream, struct mq_event *event)
+{
+  size_t end = find_end (stream);
+
+  if (end == 0 || !make_data_room (stream, end - stream->at))
+    return false;
+  *event = (struct mq_event){
+    .text = stream->bytes + stream->at,
+    .len = end - stream->at,
+    .id = "",
+    .data = stream->data,
+  };
+  read_fields (stream, end, event);
+  stream->at = end;
+  stream->seen = end;
+  return true;
+}
+
+void
+mq_event_stream_restart (struct mq_event_stream *stream)
+{
+  stream->at = 0;
+  stream->end = 0;
+  stream->seen = 0;
+}
+
+bool
+mq_event_stream_partial (const struct mq_event_stream *stream)
+{
+  return stream->end > stream->at;
+}
--- /dev/null
+++ b/src/core/fleet.c
@@ -0,0 +1,445 @@
+/* fleet.c - the workers that are known, their load, and which one is next.
+
+   Needs: fleet.h.  */
+
+#include "fleet.h"
+#include "id.h"
+#include <string.h>
+
+#define FIRST_SLOTS ((size_t)32)
+/* Load in thousandths of a request, so that aged figures need no fractions. */
+#define LOAD_UNIT 1000U
+/* Pause told to a caller when every worker is full: about the time in which
+   a short call ends (median of the plain services' work).  */
+#define RETRY_FULL_MS 100U
+/* And when no worker is listed at all.  */
+#define RETRY_NONE_MS 500U
+
+/**
+ * struct entry - one worker
+ * @member: strings below the fleet
+ * @hash: of its id
+ * @used: the slot of the table is taken
+ * @listed: the registry has it
+ * @seen: the list under way has it
+ * @refused: it said itself that it takes no more work
+ * @own: requests of this host at it
+ * @others: requests that it told beyond those of this host
+ * @told_ms: when it told so, 0: never
+ * @failures: in a row
+ * @outs: times that it was left out in a row
+ * @out_until_ms: no requests before this time
+ */
+struct entry
+{
+  struct mq_fleet_member member;
+  uint64_t hash;
+  bool used;
+  bool listed;
+  bool seen;
+  bool refused;
+  uint32_t own;
+  uint32_t others;
+  uint64_t told_ms;
+  uint32_t failures;
+  uint32_t outs;
+  uint64_t out_until_ms;
+};
+
+struct mq_fleet
+{
+  struct entry *entries;
+  size_t count;
+};
+
+struct mq_fleet *
+mq_fleet_create (TALLOC_CTX *ctx)
+{
+  return talloc_zero (ctx, struct mq_fleet);
+}
+
+void
+mq_fleet_destroy (struct mq_fleet *fleet)
+{
+  talloc_free (fleet);
+}
+
+static struct entry *
+find_entry (struct mq_fleet *fleet, const char *id)
+{
+  for (size_t i = 0; i < fleet->count; i++)
+    if (fleet->entries[i].used && strcmp (fleet->entries[i].member.id, id) == 0)
+      return &fleet->entries[i];
+  return NULL;
+}
+
+static struct entry *
+free_entry (struct mq_fleet *fleet)
+{
+  struct entry *grown;
+  size_t count = fleet->count;
+
+  for (size_t i = 0; i < count; i++)
+    if (!fleet->entries[i].used)
+      return &fleet->entries[i];
+  grown = talloc_realloc (fleet, fleet->entries, struct entry,
+                          count + FIRST_SLOTS);
+  if (grown == NULL)
+    return NULL;
+  memset (grown + count, 0, FIRST_SLOTS * sizeof *grown);
+  fleet->entries = grown;
+  fleet->count = count + FIRST_SLOTS;
+  return &fleet->entries[count];
+}
+
+static void
+free_strings (struct mq_fleet_member *member)
+{
+  talloc_free ((void *)(uintptr_t)member->id);
+  talloc_free ((void *)(uintptr_t)member->service);
+  talloc_free ((void *)(uintptr_t)member->address);
+  talloc_free ((void *)(uintptr_t)member->data_centre);
+}
+
+static bool
+copy_member (struct mq_fleet *fleet, struct mq_fleet_member *to,
+             const struct mq_fleet_member *from)
+{
+  struct mq_fleet_member copy = *from;
+
+  copy.id = talloc_strdup (fleet, from->id);
+  copy.service = talloc_strdup (fleet, from->service);
+  copy.address = talloc_strdup (fleet, from->address);
+  copy.data_centre = talloc_strdup (fleet, from->data_centre);
+  if (copy.id == NULL || copy.service == NULL || copy.address == NULL
+      || copy.data_centre == NULL)
+    {
+      free_strings (&copy);
+      return false;
+    }
+  *to = copy;
+  return true;
+}
+
+static bool
+add_entry (struct mq_fleet *fleet, const struct mq_fleet_member *member)
+{
+  struct entry *entry = free_entry (fleet);
+
+  if (entry == NULL)
+    return false;
+  *entry = (struct entry){ .used = false };
+  if (!copy_member (fleet, &entry->member, member))
+    return false;
+  entry->hash = mq_hash_bytes (member->id, strlen (member->id), 0);
+  entry->used = true;
+  entry->listed = true;
+  entry->seen = true;
+  return true;
+}
+
+bool
+mq_fleet_put (struct mq_fleet *fleet, const struct mq_fleet_member *member,
+              bool *changed)
+{
+  struct entry *entry = find_entry (fleet, member->id);
+  bool differs = entry == NULL || !entry->listed
+                 || entry->member.leaving != member->leaving
+                 || entry->member.slots != member->slots;
+
+  if (changed != NULL)
+    *changed = differs;
+  if (entry == NULL)
+    return add_entry (fleet, member);
+  entry->member.leaving = member->leaving;
+  entry->member.slots = member->slots;
+  entry->listed = true;
+  entry->seen = true;
+  return true;
+}
+
+static void
+forget_if_idle (struct entry *entry)
+{
+  if (entry->listed || entry->own > 0)
+    return;
+  free_strings (&entry->member);
+  *entry = (struct entry){ .used = false };
+}
+
+bool
+mq_fleet_remove (struct mq_fleet *fleet, const char *id)
+{
+  struct entry *entry = find_entry (fleet, id);
+
+  if (entry == NULL || !entry->listed)
+    return false;
+  entry->listed = false;
+  forget_if_idle (entry);
+  return true;
+}
+
+void
+mq_fleet_list_begin (struct mq_fleet *fleet)
+{
+  for (size_t i = 0; i < fleet->count; i++)
+    fleet->entries[i].seen = false;
+}
+
+void
+mq_fleet_list_end (struct mq_fleet *fleet)
+{
+  for (size_t i = 0; i < fleet->count; i++)
+    {
+      struct entry *entry = &fleet->entries[i];
+
+      if (!entry->used || entry->seen || !entry->listed)
+        continue;
+      entry->listed = false;
+      forget_if_idle (entry);
+    }
+}
+
+/* Requests at the worker in LOAD_UNITs: our own, and those of other hosts as
+   last told, which count less the older the figure is.  */
+static uint64_t
+load_of (const struct entry *entry, uint64_t now_ms)
+{
+  uint64_t age = now_ms - entry->told_ms;
+  uint64_t load = (uint64_t)entry->own * LOAD_UNIT;
+
+  if (entry->told_ms != 0 && age < MQ_FLEET_LOAD_AGE_MS)
+    load += (uint64_t)entry->others * LOAD_UNIT * (MQ_FLEET_LOAD_AGE_MS - age)
+            / MQ_FLEET_LOAD_AGE_MS;
+  return load;
+}
+
+static bool
+is_candidate (const struct entry *entry, const char *service)
+{
+  return entry->used && entry->listed && !entry->member.leaving
+         && !entry->refused && strcmp (entry->member.service, service) == 0;
+}
+
+static bool
+was_tried (const struct mq_fleet_query *query, uint32_t worker)
+{
+  for (size_t i = 0; i < query->tried_count; i++)
+    if (query->tried[i] == worker)
+      return true;
+  return false;
+}
+
+/* What is known of a service's workers when one is to be chosen.  */
+struct survey
+{
+  size_t count;
+  size_t out;
+  uint64_t load;
+};
+
+static struct survey
+survey_service (const struct mq_fleet *fleet,
+                const struct mq_fleet_query *query)
+{
+  struct survey survey = { 0, 0, 0 };
+
+  for (size_t i = 0; i < fleet->count; i++)
+    {
+      const struct entry *entry = &fleet->entries[i];
+
+      if (!is_candidate (entry, query->service))
+        continue;
+      survey.count++;
+      survey.load += load_of (entry, query->now_ms);
+      if (entry->out_until_ms > query->now_ms)
+        survey.out++;
+    }
+  return survey;
+}
+
+/**
+ * struct rank - how good a worker is for a request; the least is chosen
+ * @group: 0 within its bound, 1 over it, 2 full, 3 left out for failures
+ * @cost: within the group
+ */
+struct rank
+{
+  uint32_t group;
+  uint64_t cost;
+};
+
+static struct rank
+rank_worker (const struct entry *entry, const struct mq_fleet_query *query,
+             const struct survey *survey)
+{
+  uint64_t load = load_of (entry, query->now_ms);
+  uint64_t slots = entry->member.slots > 0 ? entry->member.slots : 1;
+  uint64_t bound = survey->load / survey->count + MQ_FLEET_AHEAD * LOAD_UNIT;
+  uint64_t mixed = entry->hash ^ query->random;
+  bool near = strcmp (entry->member.data_centre, query->data_centre) == 0;
+  struct rank rank = { 0, 0 };
+
+  if (entry->out_until_ms > query->now_ms)
+    {
+      rank.group = 3;
+      rank.cost = entry->out_until_ms;
+      return rank;
+    }
+  if (load >= slots * LOAD_UNIT)
+    rank.group = 2;
+  else if (query->has_key && load > bound)
+    rank.group = 1;
+  if (query->has_key && rank.group == 0)
+    {
+      uint64_t state = entry->hash ^ query->key;
+
+      rank.cost = UINT64_MAX - mq_random_next (&state);
+      return rank;
+    }
+  /* Share of its slots that is taken; among equals a near one; then any.  */
+  rank.cost = load * 16 / slots * 4 + (near ? 0 : 2);
+  rank.cost = (rank.cost << 8) + (mq_random_next (&mixed) & 0xff);
+  return rank;
+}
+
+static bool
+is_better (struct rank a, struct rank b)
+{
+  if (a.group != b.group)
+    return a.group < b.group;
+  return a.cost < b.cost;
+}
+
+/* Workers left out for failures are taken last, and all of them count as in
+   again when too many are out: then the failures say nothing about them.  */
+uint32_t
+mq_fleet_choose (struct mq_fleet *fleet, const struct mq_fleet_query *query)
+{
+  struct survey survey = survey_service (fleet, query);
+  struct rank best = { UINT32_MAX, UINT64_MAX };
+  uint32_t chosen = MQ_WORKER_NONE;
+  bool ignore_out = survey.out * 100 > survey.count * MQ_FLEET_OUT_PERCENT;
+
+  for (size_t i = 0; i < fleet->count; i++)
+    {
+      struct entry seen = fleet->entries[i];
+      struct rank rank;
+
+      if (!is_candidate (&seen, query->service)
+          || was_tried (query, (uint32_t)i))
+        continue;
+      if (ignore_out)
+        seen.out_until_ms = 0;
+      rank = rank_worker (&seen, query, &survey);
+      if (is_better (rank, best))
+        {
+          best = rank;
+          chosen = (uint32_t)i;
+        }
+    }
+  return chosen;
+}
+
+const struct mq_fleet_member *
+mq_fleet_member (const struct mq_fleet *fleet, uint32_t worker)
+{
+  return &fleet->entries[worker].member;
+}
+
+uint64_t
+mq_fleet_stamp (const struct mq_fleet *fleet, uint32_t worker)
+{
+  return fleet->entries[worker].hash;
+}
+
+bool
+mq_fleet_usable (const struct mq_fleet *fleet, uint32_t worker)
+{
+  const struct entry *entry = &fleet->entries[worker];
+
+  return entry->used && entry->listed && !entry->member.leaving
+         && !entry->refused;
+}
+
+void
+mq_fleet_started (struct mq_fleet *fleet, uint32_t worker)
+{
+  fleet->entries[worker].own++;
+}
+
+static void
+note_failure (struct entry *entry, bool certain, uint64_t now_ms)
+{
+  uint64_t pause = MQ_FLEET_OUT_MS;
+
+  entry->failures++;
+  if (!certain && entry->failures < MQ_FLEET_FAILURES_MAX)
+    return;
+  if (entry->out_until_ms > now_ms)
+    return;
+  for (uint32_t i = 0; i < entry->outs && pause < MQ_FLEET_OUT_MAX_MS; i++)
+    pause *= 2;
+  entry->outs++;
+  entry->out_until_ms = now_ms + pause;
+}
+
+void
+mq_fleet_ended (struct mq_fleet *fleet, uint32_t worker,
+                enum mq_fleet_outcome outcome, uint64_t now_ms)
+{
+  struct entry *entry = &fleet->entries[worker];
+
+  entry->own--;
+  switch (outcome)
+    {
+    case MQ_OUTCOME_SERVED:
+      entry->failures = 0;
+      entry->outs = 0;
+      break;
+    case MQ_OUTCOME_FAILED:
+      note_failure (entry, false, now_ms);
+      break;
+    case MQ_OUTCOME_UNREACHABLE:
+      note_failure (entry, true, now_ms);
+      break;
+    case MQ_OUTCOME_LEAVING:
+      entry->refused = true;
+      break;
+    case MQ_OUTCOME_FULL:
+      entry->others = entry->member.slots;
+      entry->told_ms = now_ms;
+      break;
+    case MQ_OUTCOME_STOPPED:
+      break;
+    }
+  forget_if_idle (entry);
+}
+
+void
+mq_fleet_told (struct mq_fleet *fleet, uint32_t worker, uint32_t running,
+               uint32_t waiting, uint64_t now_ms)
+{
+  struct entry *entry = &fleet->entries[worker];
+  uint32_t total = running + waiting;
+
+  entry->others = total > entry->own ? total - entry->own : 0;
+  entry->told_ms = now_ms;
+}
+
+size_t
+mq_fleet_count (const struct mq_fleet *fleet, const char *service)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < fleet->count; i++)
+    if (is_candidate (&fleet->entries[i], service))
+      count++;
+  return count;
+}
+
+uint32_t
+mq_fleet_retry_ms (const struct mq_fleet *fleet, const char *service)
+{
+  return mq_fleet_count (fleet, service) == 0 ? RETRY_NONE_MS : RETRY_FULL_MS;
+}
--- /dev/null
+++ b/src/core/fleet.h
@@ -0,0 +1,127 @@
+/* fleet.h - the workers that are known, their load, and which one is next.
+
+   What the registry says is a hint; what this host saw itself (refused
+   connections, failures, load told by answers) goes before it.  A worker is
+   named by a handle into a table; a handle is never used for another worker
+   while someone holds it.  Pure: time and randomness are given.
+   Needs: types.h, id.h.  */
+
+#ifndef MQ_FLEET_H
+#define MQ_FLEET_H
+
+#include "types.h"
+
+struct mq_fleet;
+
+#define MQ_WORKER_NONE UINT32_MAX
+
+/* A worker whose figures are older than this counts as idle but for our own
+   requests: twice the pause between two answers of a worker under the
+   smallest load that was measured (0.5 s).  */
+#define MQ_FLEET_LOAD_AGE_MS 1000U
+/* Failures in a row after which a worker gets no requests for a while.  One
+   alone is common (a lost answer); two by chance are rare.  */
+#define MQ_FLEET_FAILURES_MAX 2U
+/* First pause of a worker that fails, doubled each time up to the most.  The
+   first is about the time a crashed worker takes to be back.  */
+#define MQ_FLEET_OUT_MS 1000U
+#define MQ_FLEET_OUT_MAX_MS 8000U
+/* Share of a service's workers, in percent, that may be out for failures at
+   the same time: more than that is no longer the workers' fault.  */
+#define MQ_FLEET_OUT_PERCENT 50U
+/* Requests above the mean of its service that a worker may have before a
+   program is sent away from the worker that has its cache.  */
+#define MQ_FLEET_AHEAD 3U
+
+/**
+ * struct mq_fleet_member - what the registry says of one worker
+ * @id: names this start of the worker
+ * @service: which one it serves
+ * @address: "IP:PORT"
+ * @data_centre: where it stands
+ * @slots: requests that it runs side by side
+ * @leaving: takes no new work
+ */
+struct mq_fleet_member
+{
+  const char *id;
+  const char *service;
+  const char *address;
+  const char *data_centre;
+  uint32_t slots;
+  bool leaving;
+};
+
+/* How a request to a worker ended, for the choice of the next ones.  */
+enum mq_fleet_outcome
+{
+  MQ_OUTCOME_SERVED,      /* a whole answer */
+  MQ_OUTCOME_FULL,        /* refused for want of room */
+  MQ_OUTCOME_FAILED,      /* broke off, was damaged or answered an error */
+  MQ_OUTCOME_UNREACHABLE, /* no connection */
+  MQ_OUTCOME_LEAVING,     /* refused since it is leaving or is another one */
+  MQ_OUTCOME_STOPPED      /* ended by us or the caller: says nothing */
+};
+
+/**
+ * struct mq_fleet_query - what a request needs
+ * @service: workers of this one
+ * @data_centre: of this host, preferred among equals
+ * @key: requests with the same key go to the same worker where there is room
+ * @has_key: false: the least loaded worker
+ * @tried: workers that this request has been sent to
+ * @tried_count: how many
+ * @now_ms: steady clock
+ * @random: any number
+ */
+struct mq_fleet_query
+{
+  const char *service;
+  const char *data_centre;
+  uint64_t key;
+  bool has_key;
+  const uint32_t *tried;
+  size_t tried_count;
+  uint64_t now_ms;
+  uint64_t random;
+};
+
+struct mq_fleet *mq_fleet_create (TALLOC_CTX *ctx);
+void mq_fleet_destroy (struct mq_fleet *fleet);
+
+/* Adds or changes a worker; false when memory is out.  *CHANGED tells whether
+   anything that matters is new; may be NULL.  */
+bool mq_fleet_put (struct mq_fleet *fleet,
+                   const struct mq_fleet_member *member, bool *changed);
+/* The worker has left the registry: no new requests.  Its handle stays until
+   the last request has ended.  False when it was not known.  */
+bool mq_fleet_remove (struct mq_fleet *fleet, const char *id);
+/* Between begin and end of a full list: workers that were not put since
+   begin are removed by end.  */
+void mq_fleet_list_begin (struct mq_fleet *fleet);
+void mq_fleet_list_end (struct mq_fleet *fleet);
+
+/* Handle of the worker to send to, MQ_WORKER_NONE when there is none.  */
+uint32_t mq_fleet_choose (struct mq_fleet *fleet,
+                          const struct mq_fleet_query *query);
+/* Values live as long as the handle is held or the worker is listed.  */
+const struct mq_fleet_member *mq_fleet_member (const struct mq_fleet *fleet,
+                                               uint32_t worker);
+/* Number that differs between two workers which had the same handle one after
+   the other.  */
+uint64_t mq_fleet_stamp (const struct mq_fleet *fleet, uint32_t worker);
+/* It may be sent to: listed, not leaving.  */
+bool mq_fleet_usable (const struct mq_fleet *fleet, uint32_t worker);
+/* A request begins and ends at WORKER; each start is followed by one end.  */
+void mq_fleet_started (struct mq_fleet *fleet, uint32_t worker);
+void mq_fleet_ended (struct mq_fleet *fleet, uint32_t worker,
+                     enum mq_fleet_outcome outcome, uint64_t now_ms);
+/* What an answer told of the worker's load.  */
+void mq_fleet_told (struct mq_fleet *fleet, uint32_t worker, uint32_t running,
+                    uint32_t waiting, uint64_t now_ms);
+/* Workers of SERVICE that may be sent to.  */
+size_t mq_fleet_count (const struct mq_fleet *fleet, const char *service);
+/* Pause after which a worker of SERVICE may have room, for a refusal.  */
+uint32_t mq_fleet_retry_ms (const struct mq_fleet *fleet, const char *service);
+
+#endif
--- a/src/core/id.c
+++ b/src/core/id.c
@@ -54,6 +54,14 @@
   return id;
 }
 
+struct mq_id
+mq_id_text_hash (const char *text)
+{
+  XXH128_hash_t hash = XXH3_128bits (text, strlen (text));
+
+  return (struct mq_id){ hash.high64, hash.low64 };
+}
+
 bool
 mq_id_equal (struct mq_id a, struct mq_id b)
 {
--- a/src/io/base64.c
+++ b/src/io/base64.c
@@ -1,42 +1,44 @@
 /* base64.c - binary values in the platform's JSON.
 
-   Needs: base64.h.  */
+   Needs: base64.h, nettle.  */
 
 #include "base64.h"
-#include <gnutls/gnutls.h>
-#include <limits.h>
+#include <nettle/base64.h>
 #include <string.h>
 
 char *
 mq_base64_encode (TALLOC_CTX *ctx, struct mq_bytes value)
 {
-  gnutls_datum_t from = { value.data, (unsigned int)value.len };
-  gnutls_datum_t to = { NULL, 0 };
-  char *text;
+  size_t len = BASE64_ENCODE_RAW_LENGTH (value.len);
+  char *text = talloc_size (ctx, len + 1);
 
-  if (value.len == 0)
-    return talloc_strdup (ctx, "");
-  if (value.len > INT_MAX || gnutls_base64_encode2 (&from, &to) != 0)
+  if (text == NULL)
     return NULL;
-  text = talloc_strndup (ctx, (const char *)to.data, to.size);
-  gnutls_free (to.data);
+  base64_encode_raw (text, value.len, value.data);
+  text[len] = '\0';
   return text;
 }
 
 bool
 mq_base64_decode (TALLOC_CTX *ctx, const char *text, struct mq_bytes *value)
 {
+  struct base64_decode_ctx decode;
   size_t len = strlen (text);
-  gnutls_datum_t from = { (unsigned char *)text, (unsigned int)len };
-  gnutls_datum_t to = { NULL, 0 };
+  size_t out = BASE64_DECODE_LENGTH (len);
 
   *value = (struct mq_bytes){ NULL, 0 };
   if (len == 0)
     return true;
-  if (len > INT_MAX || gnutls_base64_decode2 (&from, &to) != 0)
+  value->data = talloc_size (ctx, out + 1);
+  if (value->data == NULL)
     return false;
-  value->data = talloc_memdup (ctx, to.data, to.size);
-  value->len = to.size;
-  gnutls_free (to.data);
-  return value->data != NULL;
+  base64_decode_init (&decode);
+  if (base64_decode_update (&decode, &out, value->data, len, text)
+      && base64_decode_final (&decode))
+    {
+      value->len = out;
+      return true;
+    }
+  TALLOC_FREE (value->data);
+  return false;
 }
--- a/src/io/base64.h
+++ b/src/io/base64.h
@@ -1,6 +1,6 @@
 /* base64.h - binary values in the platform's JSON.
 
-   Needs: gnutls, talloc, store.h (struct mq_bytes).  */
+   Needs: nettle, talloc, store.h (struct mq_bytes).  */
 
 #ifndef MQ_BASE64_H
 #define MQ_BASE64_H
--- a/src/io/buffer.c
+++ b/src/io/buffer.c
@@ -54,11 +54,17 @@
   if (len == 0)
     return 0;
   memcpy (to, buffer->data + buffer->at, len);
+  mq_buffer_skip (buffer, len);
+  return len;
+}
+
+void
+mq_buffer_skip (struct mq_buffer *buffer, size_t len)
+{
   buffer->at += len;
   buffer->len -= len;
   if (buffer->len == 0)
     mq_buffer_clear (buffer);
-  return len;
 }
 
 void
--- a/src/io/buffer.h
+++ b/src/io/buffer.h
@@ -29,6 +29,8 @@
                        const void *data, size_t len, size_t max);
 /* Moves up to MAX bytes to TO and returns how many.  */
 size_t mq_buffer_take (struct mq_buffer *buffer, void *to, size_t max);
+/* Drops the first LEN bytes.  */
+void mq_buffer_skip (struct mq_buffer *buffer, size_t len);
 void mq_buffer_clear (struct mq_buffer *buffer);
 /* The bytes, zero-terminated; "" when there are none.  */
 const char *mq_buffer_text (const struct mq_buffer *buffer);
--- /dev/null
+++ b/src/io/clock.c
@@ -0,0 +1,52 @@
+/* clock.c - the steady clock and random numbers of a process.
+
+   Needs: clock.h.  */
+
+#include "clock.h"
+#include <stdlib.h>
+#include <sys/random.h>
+#include <time.h>
+
+static uint64_t
+read_us (clockid_t clock)
+{
+  struct timespec now;
+
+  clock_gettime (clock, &now);
+  return (uint64_t)now.tv_sec * 1000000U + (uint64_t)now.tv_nsec / 1000U;
+}
+
+uint64_t
+mq_clock_us (void)
+{
+  return read_us (CLOCK_MONOTONIC);
+}
+
+uint64_t
+mq_clock_ms (void)
+{
+  return mq_clock_us () / 1000U;
+}
+
+uint64_t
+mq_clock_boot_ms (void)
+{
+  return read_us (CLOCK_BOOTTIME) / 1000U;
+}
+
+uint64_t
+mq_clock_day_ms (void)
+{
+  return read_us (CLOCK_REALTIME) / 1000U;
+}
+
+uint64_t
+mq_clock_random (void)
+{
+  uint64_t number = 0;
+
+  while (number == 0)
+    if (getrandom (&number, sizeof number, 0) != (ssize_t)sizeof number)
+      abort ();
+  return number;
+}
--- /dev/null
+++ b/src/io/json_log.c
@@ -0,0 +1,248 @@
+/* json_log.c - one JSON object a line on standard output, bounded.
+
+   Needs: json_log.h, clock.h.  */
+
+#include "json_log.h"
+#include "buffer.h"
+#include "clock.h"
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Lines that wait for a write.  */
+#define GATHER_BYTES ((size_t)64 << 10)
+#define FLUSH_BYTES ((size_t)8 << 10)
+#define FLUSH_MS 50U
+/* Room kept at the end of a line for its closing.  */
+#define TAIL_BYTES ((size_t)4)
+
+/**
+ * struct mq_json_log - what waits to be written
+ * @second: the second that the counts below are for
+ * @lines: lines of that second
+ * @plain: of them, those on successes
+ */
+struct mq_json_log
+{
+  struct tevent_context *ev;
+  struct tevent_timer *timer;
+  struct mq_buffer gathered;
+  const char *program;
+  const char *host;
+  int fd;
+  uint64_t second;
+  uint32_t lines;
+  uint32_t plain;
+  uint64_t written;
+  uint64_t dropped;
+};
+
+struct mq_json_log *
+mq_json_log_create (TALLOC_CTX *ctx, struct tevent_context *ev, int fd,
+                    const char *program, const char *host)
+{
+  struct mq_json_log *log = talloc_zero (ctx, struct mq_json_log);
+  int flags = fcntl (fd, F_GETFL);
+
+  if (log == NULL)
+    return NULL;
+  /* A reader that stops reading must not stop the process.  */
+  if (flags >= 0)
+    (void)fcntl (fd, F_SETFL, flags | O_NONBLOCK);
+  log->ev = ev;
+  log->fd = fd;
+  log->program = talloc_strdup (log, program);
+  log->host = talloc_strdup (log, host);
+  return log;
+}
+
+void
+mq_json_log_flush (struct mq_json_log *log)
+{
+  struct mq_buffer *out = &log->gathered;
+
+  while (out->len > 0)
+    {
+      ssize_t sent = write (log->fd, out->data + out->at, out->len);
+
+      if (sent < 0 && errno == EINTR)
+        continue;
+      if (sent <= 0)
+        return;
+      mq_buffer_skip (out, (size_t)sent);
+    }
+}
+
+void
+mq_json_log_destroy (struct mq_json_log *log)
+{
+  if (log == NULL)
+    return;
+  mq_json_log_flush (log);
+  talloc_free (log);
+}
+
+uint64_t
+mq_json_log_written (const struct mq_json_log *log)
+{
+  return log->written;
+}
+
+uint64_t
+mq_json_log_dropped (const struct mq_json_log *log)
+{
+  return log->dropped;
+}
+
+static void
+on_flush (struct tevent_context *ev, struct tevent_timer *timer,
+          struct timeval now, void *data)
+{
+  struct mq_json_log *log = data;
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  log->timer = NULL;
+  mq_json_log_flush (log);
+}
+
+static bool
+within_bound (struct mq_json_log *log, enum mq_json_weight weight,
+              uint64_t now_ms)
+{
+  if (now_ms / 1000 != log->second)
+    {
+      log->second = now_ms / 1000;
+      log->lines = 0;
+      log->plain = 0;
+    }
+  if (log->lines >= MQ_JSON_LOG_LINES_S)
+    return false;
+  if (weight == MQ_JSON_PLAIN && log->plain >= MQ_JSON_LOG_PLAIN_S)
+    return false;
+  log->lines++;
+  if (weight == MQ_JSON_PLAIN)
+    log->plain++;
+  return true;
+}
+
+static void
+put (struct mq_json_line *line, const char *text, size_t len)
+{
+  if (line->len + len + TAIL_BYTES > sizeof line->text)
+    return;
+  memcpy (line->text + line->len, text, len);
+  line->len += len;
+}
+
+void
+mq_json_begin (struct mq_json_line *line, struct mq_json_log *log,
+               enum mq_json_weight weight, const char *event)
+{
+  uint64_t day_ms = mq_clock_day_ms ();
+  int len;
+
+  line->log = log;
+  line->len = 0;
+  line->wanted = within_bound (log, weight, day_ms);
+  if (!line->wanted)
+    {
+      log->dropped++;
+      return;
+    }
+  len = snprintf (line->text, sizeof line->text,
+                  "{\"t\":%" PRIu64 ",\"host\":\"%s\",\"program\":\"%s\","
+                  "\"event\":\"%s\"",
+                  day_ms, log->host, log->program, event);
+  line->len = (size_t)len;
+}
+
+static void
+put_key (struct mq_json_line *line, const char *key)
+{
+  put (line, ",\"", 2);
+  put (line, key, strlen (key));
+  put (line, "\":", 2);
+}
+
+static void
+put_escaped (struct mq_json_line *line, unsigned char c)
+{
+  char code[8];
+
+  if (c == '"' || c == '\\')
+    {
+      code[0] = '\\';
+      code[1] = (char)c;
+      put (line, code, 2);
+    }
+  else if (c < ' ' || c >= 0x7f)
+    {
+      snprintf (code, sizeof code, "\\u%04x", c);
+      put (line, code, 6);
+    }
+  else
+    put (line, (const char *)&c, 1);
+}
+
+/* A value is kept whole or left out, so that the line stays valid.  */
+void
+mq_json_text (struct mq_json_line *line, const char *key, const char *value)
+{
+  size_t len;
+
+  if (!line->wanted || value == NULL)
+    return;
+  len = strlen (value);
+  if (line->len + strlen (key) + len * 6 + TAIL_BYTES * 4
+      > sizeof line->text)
+    return;
+  put_key (line, key);
+  put (line, "\"", 1);
+  for (size_t i = 0; i < len; i++)
+    put_escaped (line, (unsigned char)value[i]);
+  put (line, "\"", 1);
+}
+
+void
+mq_json_number (struct mq_json_line *line, const char *key, uint64_t value)
+{
+  char text[24];
+  int len;
+
+  if (!line->wanted
+      || line->len + strlen (key) + sizeof text + TAIL_BYTES * 2
+             > sizeof line->text)
+    return;
+  len = snprintf (text, sizeof text, "%" PRIu64, value);
+  put_key (line, key);
+  put (line, text, (size_t)len);
+}
+
+void
+mq_json_end (struct mq_json_line *line)
+{
+  struct mq_json_log *log = line->log;
+
+  if (!line->wanted)
+    return;
+  memcpy (line->text + line->len, "}\n", 2);
+  line->len += 2;
+  if (!mq_buffer_append (log, &log->gathered, line->text, line->len,
+                         GATHER_BYTES))
+    {
+      log->dropped++;
+      return;
+    }
+  log->written++;
+  if (log->gathered.len >= FLUSH_BYTES)
+    mq_json_log_flush (log);
+  else if (log->timer == NULL)
+    log->timer = tevent_add_timer (
+        log->ev, log, tevent_timeval_current_ofs (0, FLUSH_MS * 1000),
+        on_flush, log);
+}
--- /dev/null
+++ b/src/io/json_log.h
@@ -0,0 +1,57 @@
+/* json_log.h - one JSON object a line on standard output, bounded.
+
+   A line is for a decision on a request or a change of what the process
+   believes.  Lines are gathered and written without ever waiting; what does
+   not fit the bound or the reader's pace is dropped and counted.  Lines on
+   plain successes give way before those on refusals and failures.
+   Needs: tevent.  */
+
+#ifndef MQ_JSON_LOG_H
+#define MQ_JSON_LOG_H
+
+#include "../core/types.h"
+#include <tevent.h>
+
+/* Lines a second, and of them for plain successes: a host of 0.1 cores then
+   spends under 2% of itself on its log (4 us a line were measured).  */
+#define MQ_JSON_LOG_LINES_S 300U
+#define MQ_JSON_LOG_PLAIN_S 40U
+#define MQ_JSON_LINE_BYTES 1024U
+
+struct mq_json_log;
+
+enum mq_json_weight
+{
+  MQ_JSON_PLAIN, /* a success; dropped first */
+  MQ_JSON_NOTE   /* a refusal, a failure, a change of state */
+};
+
+struct mq_json_log *mq_json_log_create (TALLOC_CTX *ctx,
+                                        struct tevent_context *ev, int fd,
+                                        const char *program, const char *host);
+/* Writes what is gathered.  */
+void mq_json_log_flush (struct mq_json_log *log);
+void mq_json_log_destroy (struct mq_json_log *log);
+uint64_t mq_json_log_written (const struct mq_json_log *log);
+uint64_t mq_json_log_dropped (const struct mq_json_log *log);
+
+/* A line that is being put together; what does not fit is left out.  */
+struct mq_json_line
+{
+  struct mq_json_log *log;
+  size_t len;
+  bool wanted;
+  char text[MQ_JSON_LINE_BYTES];
+};
+
+/* EVENT is a fixed word.  */
+void mq_json_begin (struct mq_json_line *line, struct mq_json_log *log,
+                    enum mq_json_weight weight, const char *event);
+/* NULL leaves the key out.  */
+void mq_json_text (struct mq_json_line *line, const char *key,
+                   const char *value);
+void mq_json_number (struct mq_json_line *line, const char *key,
+                     uint64_t value);
+void mq_json_end (struct mq_json_line *line);
+
+#endif
--- a/src/io/listen.c
+++ b/src/io/listen.c
@@ -65,8 +65,26 @@
   return -1;
 }
 
-int
-mq_listen_open (const char *address, struct mq_error *error)
+static int
+connect_to (const struct addrinfo *at)
+{
+  int number;
+  int fd
+      = socket (at->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (fd < 0)
+    return -1;
+  if (connect (fd, at->ai_addr, at->ai_addrlen) == 0 || errno == EINPROGRESS)
+    return fd;
+  number = errno;
+  close (fd);
+  errno = number;
+  return -1;
+}
+
+static int
+open_at (const char *address, int (*use) (const struct addrinfo *at),
+         struct mq_error *error)
 {
   struct addrinfo *at = resolve (address);
   int number;
@@ -77,7 +95,7 @@
       mq_error_set (error, MQ_ERR_TEXT_BAD_VALUE, address, "IP:PORT");
       return -1;
     }
-  fd = bind_and_listen (at);
+  fd = use (at);
   number = errno;
   freeaddrinfo (at);
   if (fd >= 0)
@@ -88,6 +106,18 @@
   return -1;
 }
 
+int
+mq_listen_open (const char *address, struct mq_error *error)
+{
+  return open_at (address, bind_and_listen, error);
+}
+
+int
+mq_connect_begin (const char *address, struct mq_error *error)
+{
+  return open_at (address, connect_to, error);
+}
+
 uint16_t
 mq_listen_port (int fd)
 {
--- /dev/null
+++ b/src/io/router.c
@@ -0,0 +1,158 @@
+/* router.c - the process on an entry host that callers' requests go through.
+
+   Needs: router.h, router_state.h, router_ready.h, clock.h.  */
+
+#include "router.h"
+#include "clock.h"
+#include "router_ready.h"
+#include "router_state.h"
+#include <unistd.h>
+
+/* Pause between two looks at idle connections, programs and a stop.  */
+#define SWEEP_MS 250U
+
+static void
+set_sweep (struct mq_router *router);
+
+/* The first part of a stop goes by while the balancer takes us out and callers
+   still come; then idle connections are closed, and once no request is under
+   way the process may end.  */
+static void
+step_leaving (struct mq_router *router)
+{
+  uint64_t since = mq_clock_ms () - router->leaving_since_ms;
+
+  if (since < router->settings->settle_ms)
+    return;
+  mq_callers_close_idle (router);
+  if (router->request_count == 0 && mq_turns_close (router->turns))
+    router->stopped = true;
+  if (since >= router->stop_ms)
+    router->stopped = true;
+}
+
+static void
+on_sweep (struct tevent_context *ev, struct tevent_timer *timer,
+          struct timeval now, void *data)
+{
+  struct mq_router *router = data;
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  mq_callers_sweep (router);
+  mq_pool_sweep (router->pool);
+  mq_turns_sweep (router->turns);
+  if (router->leaving)
+    step_leaving (router);
+  set_sweep (router);
+}
+
+static void
+set_sweep (struct mq_router *router)
+{
+  tevent_add_timer (router->ev, router,
+                    tevent_timeval_current_ofs (0, SWEEP_MS * 1000), on_sweep,
+                    router);
+}
+
+static bool
+create_parts (struct mq_router *router)
+{
+  const struct mq_router_settings *settings = router->settings;
+
+  router->log = mq_json_log_create (router, router->ev, STDOUT_FILENO,
+                                    "mimosa-routerd", settings->host);
+  router->fleet = mq_fleet_create (router);
+  router->rows = mq_rows_create (router, router->ev, settings->table);
+  if (router->log == NULL || router->fleet == NULL || router->rows == NULL)
+    return false;
+  router->pool = mq_pool_create (router, router->ev, router->fleet);
+  router->turns = mq_turns_create (router);
+  return router->pool != NULL && router->turns != NULL;
+}
+
+static void
+log_state (struct mq_router *router, const char *event)
+{
+  struct mq_json_line line;
+
+  mq_json_begin (&line, router->log, MQ_JSON_NOTE, event);
+  mq_json_text (&line, "data_centre", router->settings->data_centre);
+  mq_json_text (&line, "http", router->settings->http);
+  mq_json_number (&line, "requests", router->request_count);
+  mq_json_end (&line);
+}
+
+struct mq_router *
+mq_router_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                  const struct mq_router_settings *settings,
+                  struct mq_error *error)
+{
+  struct mq_router *router = talloc_zero (ctx, struct mq_router);
+
+  if (router == NULL)
+    {
+      mq_error_set (error, MQ_ERR_NO_MEMORY, "", NULL);
+      return NULL;
+    }
+  router->ev = ev;
+  router->settings = settings;
+  router->stop_ms = settings->stop_ms;
+  router->holder = mq_clock_random ();
+  router->random = mq_clock_random ();
+  if (!create_parts (router))
+    {
+      mq_error_set (error, MQ_ERR_NO_MEMORY, "", NULL);
+      talloc_free (router);
+      return NULL;
+    }
+  if (!mq_callers_listen (router, error) || !mq_ready_listen (router, error))
+    {
+      talloc_free (router);
+      return NULL;
+    }
+  mq_feed_start (router);
+  set_sweep (router);
+  log_state (router, "started");
+  return router;
+}
+
+void
+mq_router_destroy (struct mq_router *router)
+{
+  if (router == NULL)
+    return;
+  log_state (router, "stopped");
+  mq_json_log_flush (router->log);
+  talloc_free (router);
+}
+
+void
+mq_router_reloaded (struct mq_router *router,
+                    const struct mq_router_settings *settings)
+{
+  if (settings == NULL)
+    {
+      log_state (router, "reload_refused");
+      return;
+    }
+  router->stop_ms = settings->stop_ms;
+  log_state (router, "reloaded");
+}
+
+void
+mq_router_leave (struct mq_router *router)
+{
+  if (router->leaving)
+    return;
+  router->leaving = true;
+  router->leaving_since_ms = mq_clock_ms ();
+  log_state (router, "leaving");
+}
+
+bool
+mq_router_stopped (const struct mq_router *router)
+{
+  return router->stopped;
+}
--- /dev/null
+++ b/src/io/router.h
@@ -0,0 +1,54 @@
+/* router.h - the process on an entry host that callers' requests go through.
+
+   Takes HTTP from callers, sends each request to a worker of the service that
+   the configuration names, and passes the answer back.  What a program may
+   still generate and what was said in it lie in the platform's table.
+   Needs: tevent, error.h.  */
+
+#ifndef MQ_ROUTER_H
+#define MQ_ROUTER_H
+
+#include "../core/error.h"
+#include <tevent.h>
+
+/**
+ * struct mq_router_settings - what a router learns from its settings file
+ * @host: name of this host
+ * @data_centre: where it stands
+ * @http: "IP:PORT" for callers
+ * @ready: "IP:PORT" for the balancer's question and for /metrics
+ * @table: "IP:PORT" of the platform's table
+ * @memory_mb: memory that the process may use
+ * @stop_ms: a stop takes no longer
+ * @settle_ms: after a stop was asked for, callers still come for so long
+ */
+struct mq_router_settings
+{
+  const char *host;
+  const char *data_centre;
+  const char *http;
+  const char *ready;
+  const char *table;
+  uint32_t memory_mb;
+  uint32_t stop_ms;
+  uint32_t settle_ms;
+};
+
+struct mq_router;
+
+/* NULL with ERROR set when it can't listen.  SETTINGS must outlive it.  */
+struct mq_router *mq_router_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                                    const struct mq_router_settings *settings,
+                                    struct mq_error *error);
+void mq_router_destroy (struct mq_router *router);
+/* The settings file was read again: SETTINGS, NULL: it has errors.  What
+   changes while the process runs is taken over, and a line of the log says
+   which of the two it was.  */
+void mq_router_reloaded (struct mq_router *router,
+                         const struct mq_router_settings *settings);
+/* Begins a planned stop.  */
+void mq_router_leave (struct mq_router *router);
+/* The stop is complete.  */
+bool mq_router_stopped (const struct mq_router *router);
+
+#endif
--- /dev/null
+++ b/src/io/router_pool.c
@@ -0,0 +1,202 @@
+/* router_pool.c - connections to workers, kept for reuse.
+
+   Needs: router_pool.h, clock.h.  */
+
+#include "router_pool.h"
+#include "clock.h"
+#include <string.h>
+
+#define SLOTS_STEP ((size_t)32)
+
+/**
+ * struct idle_lane - a connection that nobody uses
+ * @stamp: of the worker that it leads to
+ * @until_ms: it is not used after that
+ * @next: one that became idle before
+ */
+struct idle_lane
+{
+  struct mq_pool *pool;
+  struct mq_http_lane *lane;
+  uint64_t stamp;
+  uint64_t until_ms;
+  struct idle_lane *next;
+};
+
+/**
+ * struct mq_pool - idle connections of each worker, newest first
+ * @idle: by the worker's handle
+ */
+struct mq_pool
+{
+  struct tevent_context *ev;
+  struct mq_fleet *fleet;
+  struct idle_lane **idle;
+  size_t count;
+  uint64_t opened;
+};
+
+struct mq_pool *
+mq_pool_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                struct mq_fleet *fleet)
+{
+  struct mq_pool *pool = talloc_zero (ctx, struct mq_pool);
+
+  if (pool == NULL)
+    return NULL;
+  pool->ev = ev;
+  pool->fleet = fleet;
+  return pool;
+}
+
+static void
+close_idle (struct idle_lane *idle)
+{
+  mq_http_lane_destroy (idle->lane);
+  talloc_free (idle);
+}
+
+void
+mq_pool_destroy (struct mq_pool *pool)
+{
+  if (pool == NULL)
+    return;
+  for (size_t i = 0; i < pool->count; i++)
+    while (pool->idle[i] != NULL)
+      {
+        struct idle_lane *idle = pool->idle[i];
+
+        pool->idle[i] = idle->next;
+        close_idle (idle);
+      }
+  talloc_free (pool);
+}
+
+static bool
+make_slots (struct mq_pool *pool, uint32_t worker)
+{
+  size_t count = pool->count;
+  struct idle_lane **grown;
+
+  if (worker < count)
+    return true;
+  while (count <= worker)
+    count += SLOTS_STEP;
+  grown = talloc_realloc (pool, pool->idle, struct idle_lane *, count);
+  if (grown == NULL)
+    return false;
+  memset (grown + pool->count, 0, (count - pool->count) * sizeof *grown);
+  pool->idle = grown;
+  pool->count = count;
+  return true;
+}
+
+/* An idle connection ended: it is still in its list.  */
+static void
+on_gone (struct mq_http_lane *lane, void *user)
+{
+  struct mq_pool *pool = user;
+
+  for (size_t i = 0; i < pool->count; i++)
+    for (struct idle_lane **at = &pool->idle[i]; *at != NULL;
+         at = &(*at)->next)
+      if ((*at)->lane == lane)
+        {
+          struct idle_lane *idle = *at;
+
+          *at = idle->next;
+          close_idle (idle);
+          return;
+        }
+  mq_http_lane_destroy (lane);
+}
+
+struct mq_http_lane *
+mq_pool_take (struct mq_pool *pool, uint32_t worker, bool *reused,
+              struct mq_error *error)
+{
+  uint64_t now = mq_clock_ms ();
+  struct idle_lane *idle;
+
+  *reused = false;
+  if (!make_slots (pool, worker))
+    {
+      mq_error_set (error, MQ_ERR_NO_MEMORY, "", NULL);
+      return NULL;
+    }
+  while ((idle = pool->idle[worker]) != NULL)
+    {
+      struct mq_http_lane *lane = idle->lane;
+
+      pool->idle[worker] = idle->next;
+      if (idle->until_ms <= now
+          || idle->stamp != mq_fleet_stamp (pool->fleet, worker))
+        {
+          close_idle (idle);
+          continue;
+        }
+      talloc_free (idle);
+      *reused = true;
+      return lane;
+    }
+  pool->opened++;
+  return mq_http_lane_open (pool, pool->ev,
+                            mq_fleet_member (pool->fleet, worker)->address,
+                            MQ_POOL_SILENT_MS, on_gone, pool, error);
+}
+
+void
+mq_pool_give (struct mq_pool *pool, uint32_t worker, struct mq_http_lane *lane,
+              uint32_t idle_s)
+{
+  uint32_t keep_ms = idle_s == 0 ? MQ_POOL_IDLE_MS : idle_s * 1000U;
+  struct idle_lane *idle = NULL;
+
+  if (mq_http_lane_reusable (lane) && mq_fleet_usable (pool->fleet, worker)
+      && keep_ms > MQ_POOL_IDLE_MARGIN_MS)
+    idle = talloc_zero (pool, struct idle_lane);
+  if (idle == NULL)
+    {
+      mq_http_lane_destroy (lane);
+      return;
+    }
+  idle->pool = pool;
+  idle->lane = lane;
+  idle->stamp = mq_fleet_stamp (pool->fleet, worker);
+  idle->until_ms = mq_clock_ms () + keep_ms - MQ_POOL_IDLE_MARGIN_MS;
+  idle->next = pool->idle[worker];
+  pool->idle[worker] = idle;
+}
+
+void
+mq_pool_sweep (struct mq_pool *pool)
+{
+  uint64_t now = mq_clock_ms ();
+
+  for (size_t i = 0; i < pool->count; i++)
+    {
+      bool usable = pool->idle[i] != NULL
+                    && mq_fleet_usable (pool->fleet, (uint32_t)i);
+      struct idle_lane **at = &pool->idle[i];
+
+      while (*at != NULL)
+        {
+          struct idle_lane *idle = *at;
+
+          if (usable && idle->until_ms > now
+              && idle->stamp == mq_fleet_stamp (pool->fleet, (uint32_t)i))
+            {
+              at = &idle->next;
+              continue;
+            }
+          *at = idle->next;
+          close_idle (idle);
+        }
+    }
+}
+
+uint64_t
+mq_pool_opened (const struct mq_pool *pool)
+{
+  return pool->opened;
+}
--- /dev/null
+++ b/src/io/router_ready.h
@@ -0,0 +1,18 @@
+/* router_ready.h - the balancer's question whether the router takes callers,
+   and the router's counters.
+
+   Needs: router_state.h.  */
+
+#ifndef MQ_ROUTER_READY_H
+#define MQ_ROUTER_READY_H
+
+#include "router_state.h"
+
+/* Answers at the ready address of the settings: /metrics with the counters,
+   every other path with 200 or 503.  False with ERROR when it can't listen. */
+bool mq_ready_listen (struct mq_router *router, struct mq_error *error);
+/* Callers may be sent here: a configuration and the workers are known, and no
+   stop was asked for.  */
+bool mq_ready (const struct mq_router *router);
+
+#endif
--- /dev/null
+++ b/src/io/router_settings.c
@@ -0,0 +1,192 @@
+/* router_settings.c - settings of a routing process, INI, checked whole.
+
+   Needs: router_settings.h, settings_file.h.  */
+
+#include "router_settings.h"
+#include "settings_file.h"
+#include <stdlib.h>
+#include <string.h>
+
+/* What is kept back of the time that a stop may take, so that the process
+   ends by itself and is not killed.  */
+#define STOP_MARGIN_MS 1200U
+/* A balancer that asks once a second and takes a host out after two misses
+   sends callers for so long after a stop was asked for, with a margin.  */
+#define SETTLE_MS 2600U
+
+struct router_section
+{
+  struct mq_router_settings settings;
+  const char *stop_seconds;
+};
+
+#define FIELD(field) offsetof (struct router_section, settings.field)
+
+static const struct mq_key keys[] = {
+  { .section = "router",
+    .name = "host",
+    .kinds = MQ_KEY_ALL_KINDS,
+    .type = MQ_KEY_STRING,
+    .required = true,
+    .min = 1,
+    .max = MQ_NAME_MAX - 1,
+    .offset = FIELD (host),
+    .help = "name of this host" },
+  { .section = "router",
+    .name = "data_centre",
+    .kinds = MQ_KEY_ALL_KINDS,
+    .type = MQ_KEY_STRING,
+    .required = true,
+    .min = 1,
+    .max = MQ_NAME_MAX - 1,
+    .offset = FIELD (data_centre),
+    .help = "where it stands" },
+  { .section = "router",
+    .name = "http",
+    .kinds = MQ_KEY_ALL_KINDS,
+    .type = MQ_KEY_ADDRESS,
+    .required = true,
+    .offset = FIELD (http),
+    .help = "where callers reach it" },
+  { .section = "router",
+    .name = "ready",
+    .kinds = MQ_KEY_ALL_KINDS,
+    .type = MQ_KEY_ADDRESS,
+    .required = true,
+    .offset = FIELD (ready),
+    .help = "where the balancer asks whether it takes callers; /metrics" },
+  { .section = "router",
+    .name = "table",
+    .kinds = MQ_KEY_ALL_KINDS,
+    .type = MQ_KEY_ADDRESS,
+    .required = true,
+    .offset = FIELD (table),
+    .help = "the platform's table" },
+  { .section = "router",
+    .name = "memory_mb",
+    .kinds = MQ_KEY_ALL_KINDS,
+    .type = MQ_KEY_UINT32,
+    .min = 16,
+    .max = 1048576,
+    .fallback = "128",
+    .offset = FIELD (memory_mb),
+    .help = "memory that the process may use" },
+  { .section = "router",
+    .name = "stop_seconds",
+    .kinds = MQ_KEY_ALL_KINDS,
+    .type = MQ_KEY_STRING,
+    .min = 1,
+    .max = 16,
+    .fallback = "8",
+    .offset = offsetof (struct router_section, stop_seconds),
+    .help = "a planned stop that takes longer is cut; fractions are allowed" },
+};
+
+static const struct mq_key_section sections[] = {
+  { .type = "router", .shape = "[router]", .once = true },
+};
+
+#define COUNT(array) (sizeof (array) / sizeof (array)[0])
+
+const struct mq_key_table *
+mq_router_settings_keys (void)
+{
+  static const struct mq_key_table table = {
+    .keys = keys,
+    .key_count = COUNT (keys),
+    .sections = sections,
+    .section_count = COUNT (sections),
+  };
+
+  return &table;
+}
+
+/* Longest stop that makes sense, seconds: a day.  */
+#define STOP_MAX_S 86400.0
+
+static void
+read_stop (struct router_section *section, const struct mq_ini *ini,
+           struct mq_error_list *list)
+{
+  char *end = NULL;
+  double seconds = strtod (section->stop_seconds, &end);
+  uint32_t ms;
+
+  if (end == section->stop_seconds || *end != '\0' || !(seconds >= 1.0)
+      || seconds > STOP_MAX_S)
+    {
+      const struct mq_ini_pair *pair
+          = mq_ini_find (&ini->sections[0], "stop_seconds");
+      struct mq_place place = { 1, 1 };
+
+      if (pair != NULL)
+        place = (struct mq_place){ pair->line, pair->value_column };
+      mq_error_list_add (list, MQ_ERR_TEXT_BAD_VALUE, place, "stop_seconds",
+                         "1 to 86400");
+      return;
+    }
+  ms = (uint32_t)(seconds * 1000.0);
+  section->settings.stop_ms
+      = ms > 2 * STOP_MARGIN_MS ? ms - STOP_MARGIN_MS : ms / 2;
+  section->settings.settle_ms = SETTLE_MS < section->settings.stop_ms / 2
+                                    ? SETTLE_MS
+                                    : section->settings.stop_ms / 2;
+}
+
+static void
+read_section (struct mq_router_settings *settings, const struct mq_ini *ini,
+              struct mq_error_list *list)
+{
+  struct router_section section = { .stop_seconds = "" };
+
+  for (size_t i = 0; i < ini->section_count; i++)
+    if (strcmp (ini->sections[i].type, "router") == 0)
+      {
+        mq_key_read_section (settings, mq_router_settings_keys (),
+                             &ini->sections[i], MQ_KEY_ALL_KINDS, &section,
+                             list);
+        if (list->errors->count == 0)
+          read_stop (&section, ini, list);
+        *settings = section.settings;
+        return;
+      }
+}
+
+struct mq_router_settings *
+mq_router_settings_parse (TALLOC_CTX *ctx, const char *source, size_t len,
+                          struct mq_text_errors *errors)
+{
+  struct mq_router_settings *settings
+      = talloc_zero (ctx, struct mq_router_settings);
+  struct mq_error_list list = { ctx, errors };
+  struct mq_ini *ini;
+
+  memset (errors, 0, sizeof *errors);
+  ini = mq_ini_read (settings, source, len, &list);
+  if (ini != NULL)
+    {
+      talloc_free (mq_key_check_headers (settings, mq_router_settings_keys (),
+                                         ini, &list));
+      read_section (settings, ini, &list);
+    }
+  if (errors->count == 0 && ini != NULL)
+    return settings;
+  mq_error_list_sort (&list);
+  talloc_free (settings);
+  return NULL;
+}
+
+struct mq_router_settings *
+mq_router_settings_read (TALLOC_CTX *ctx, const char *file,
+                         struct mq_text_errors *errors)
+{
+  struct mq_router_settings *settings;
+  size_t len = 0;
+  char *source = mq_settings_file_read (ctx, file, &len, errors);
+
+  if (source == NULL)
+    return NULL;
+  settings = mq_router_settings_parse (ctx, source, len, errors);
+  talloc_free (source);
+  return settings;
+}
--- /dev/null
+++ b/src/io/router_state.h
@@ -0,0 +1,229 @@
+/* router_state.h - what the parts of the router share.
+
+   router.c is on top; below it router_caller.c (connections of callers),
+   router_request.c (one request's life), router_turn.c (budgets and histories
+   of programs), router_feed.c (configuration and workers) and router_pool.c.
+   Needs: the modules it includes.  */
+
+#ifndef MQ_ROUTER_STATE_H
+#define MQ_ROUTER_STATE_H
+
+#include "../core/attempt.h"
+#include "../core/budget.h"
+#include "../core/chain.h"
+#include "../core/event_stream.h"
+#include "../core/fleet.h"
+#include "../core/histogram.h"
+#include "../core/idmap.h"
+#include "../core/route.h"
+#include "buffer.h"
+#include "http_message.h"
+#include "json_log.h"
+#include "router.h"
+#include "router_pool.h"
+#include "router_wire.h"
+#include "rows.h"
+#include "tcp.h"
+
+/* What the router counts; one row for each counter: name and help.  */
+#define MQ_ROUTER_COUNTERS(X)                                                 \
+  X (requests, "requests read from callers")                                  \
+  X (served, "answers of workers passed on whole")                            \
+  X (refused, "final answers that state: not run")                            \
+  X (failed, "final answers of our own after a worker may have run")          \
+  X (broken, "answers that broke off after their beginning")                  \
+  X (left, "requests whose caller left first")                                \
+  X (retries, "further workers asked for a request")                          \
+  X (resumed, "streams that went on at another worker")                       \
+  X (budget_writes, "records of programs written")                            \
+  X (turn_writes, "records of turns written")                                 \
+  X (turn_reads, "records of turns read")                                     \
+  X (config_changes, "configurations taken into force")                       \
+  X (worker_changes, "changes of the list of workers")
+
+struct mq_router_counters
+{
+#define MQ_ROUTER_COUNTER(name, help) uint64_t name;
+  MQ_ROUTER_COUNTERS (MQ_ROUTER_COUNTER)
+#undef MQ_ROUTER_COUNTER
+};
+
+struct mq_caller;
+struct mq_request;
+struct mq_turns;
+
+/**
+ * struct mq_router - one routing process
+ * @routes: configuration in force, NULL: none yet
+ * @workers_listed: the workers were listed once
+ * @leaving: a stop was asked for
+ * @stopped: nothing is left to do
+ * @callers: connections of callers
+ * @request_count: requests under way
+ */
+struct mq_router
+{
+  struct tevent_context *ev;
+  const struct mq_router_settings *settings;
+  struct mq_json_log *log;
+  struct mq_fleet *fleet;
+  struct mq_pool *pool;
+  struct mq_rows *rows;
+  struct mq_turns *turns;
+  struct mq_route_table *routes;
+  bool workers_listed;
+  bool leaving;
+  bool stopped;
+  uint64_t leaving_since_ms;
+  uint32_t stop_ms;
+  uint64_t holder;
+  uint64_t random;
+  struct mq_caller *callers;
+  size_t caller_count;
+  size_t request_count;
+  struct mq_router_counters counters;
+  struct mq_histogram latency;
+  int front_fd;
+  int ready_fd;
+};
+
+/* Final answers of our own.  */
+enum mq_refusal
+{
+  MQ_REFUSE_BAD_REQUEST,
+  MQ_REFUSE_HEAD_TOO_LARGE,
+  MQ_REFUSE_BODY_TOO_LARGE,
+  MQ_REFUSE_SLOW_HEAD,
+  MQ_REFUSE_NO_ROUTE,
+  MQ_REFUSE_NO_TURN,
+  MQ_REFUSE_BUDGET,
+  MQ_REFUSE_NOT_READY,
+  MQ_REFUSE_NO_WORKER,
+  MQ_REFUSE_FULL,
+  MQ_REFUSE_STORE,
+  MQ_REFUSE_TIMED_OUT, /* not run */
+  MQ_REFUSE_FAILED,    /* may have run */
+  MQ_REFUSE_OVERDUE    /* may have run; time is up */
+};
+
+/* router_caller.c */
+
+/* Takes connections of callers; false with ERROR when it can't listen.  */
+bool mq_callers_listen (struct mq_router *router, struct mq_error *error);
+/* Closes connections that are idle or slow beyond the limits in force.  */
+void mq_callers_sweep (struct mq_router *router);
+/* Closes idle connections, since the process is about to end.  */
+void mq_callers_close_idle (struct mq_router *router);
+/* REQUEST is told when CALLER leaves, until it answers.  */
+void mq_caller_serves (struct mq_caller *caller, struct mq_request *request);
+/* Answers with STATUS and BODY as a whole; FIELDS: lines of further fields.
+   WITH_BODY false: only the fields and LENGTH are told, as for HEAD.  */
+void mq_caller_answer (struct mq_caller *caller, int status,
+                       const char *fields, const void *body, size_t len,
+                       bool with_body);
+/* An answer in parts: its head, some bytes, and its end.  The bytes are
+   false while the caller reads too slowly.  */
+void mq_caller_begin (struct mq_caller *caller, int status,
+                      const char *fields);
+bool mq_caller_part (struct mq_caller *caller, const void *data, size_t len);
+void mq_caller_end (struct mq_caller *caller);
+/* Ends the connection in the middle of an answer, for everyone to see.  */
+void mq_caller_break (struct mq_caller *caller);
+
+/* router_request.c */
+
+/* A caller's request is whole.  HEAD and BODY stay until it is answered, which
+   may be before this returns.  */
+void mq_request_begin (struct mq_router *router, struct mq_caller *caller,
+                       const struct mq_http_head *head, struct mq_bytes body,
+                       uint64_t arrived_ms);
+/* The caller has left, or reads again.  */
+void mq_request_caller_left (struct mq_request *request);
+void mq_request_caller_reads (struct mq_request *request);
+/* Final answer for a message that never became a request.  */
+void mq_refuse_caller (struct mq_router *router, struct mq_caller *caller,
+                       enum mq_refusal refusal, uint32_t retry_ms);
+
+/* router_turn.c */
+
+enum mq_turn_state
+{
+  MQ_TURN_READY,     /* budget and chain are there */
+  MQ_TURN_SPENT,     /* the budget is spent */
+  MQ_TURN_NO_CHAIN,  /* no such earlier turn */
+  MQ_TURN_NO_STORE,  /* the platform's table can't tell */
+  MQ_TURN_KEPT       /* the turn is durable */
+};
+
+/**
+ * struct mq_turn - a turn as seen by the budgets and histories
+ * @program: id of its program
+ * @limit: budget of the program, @most of the turn
+ * @budgeted: it counts against a budget
+ * @retains: it is kept for later turns
+ * @previous: turn that it continues from, NULL: none
+ * @id: of the turn
+ * @before: chain of @previous once it is ready, NULL: none
+ * @told: called once for mq_turn_prepare and once for mq_turn_keep
+ */
+struct mq_turn
+{
+  const char *program;
+  const char *id;
+  const char *previous;
+  uint64_t limit;
+  uint64_t most;
+  bool budgeted;
+  bool retains;
+  struct mq_chain *before;
+  void (*told) (enum mq_turn_state state, void *user);
+  void *user;
+  /* Used by router_turn.c alone.  */
+  struct mq_turns *turns;
+  struct mq_program *in;
+  struct mq_turn *next;
+  struct mq_rows_call *call;
+  struct tevent_timer *timer;
+  struct mq_chain *found;
+  char missing[MQ_TURN_ID_MAX];
+  struct mq_chain *made;
+  struct mq_bytes record;
+  bool reserved;
+  bool waits;
+  bool fresh;
+  uint32_t tries;
+};
+
+struct mq_turns *mq_turns_create (struct mq_router *router);
+/* Reserves the turn's budget and finds its chain; TOLD may be called at
+   once.  */
+void mq_turn_prepare (struct mq_turns *turns, struct mq_turn *turn);
+/* The turn has ended and handed out USED tokens.  */
+void mq_turn_settle (struct mq_turn *turn, uint64_t used);
+/* Makes the turn durable; TOLD says KEPT or NO_STORE.  */
+void mq_turn_keep (struct mq_turn *turn, struct mq_bytes input,
+                   struct mq_bytes output);
+/* Nobody waits any more.  Settles nothing.  */
+void mq_turn_forget (struct mq_turn *turn);
+/* Gives back grants of programs that are idle.  */
+void mq_turns_sweep (struct mq_turns *turns);
+/* Gives back all grants; true when none is left or the store is silent.  */
+bool mq_turns_close (struct mq_turns *turns);
+
+/* router_feed.c */
+
+struct mq_confirm;
+
+/* CURRENT: the configuration in force is the newest as of the answer.  */
+typedef void mq_confirmed (bool current, void *user);
+
+/* Learns the configuration and the workers and follows their changes.  */
+void mq_feed_start (struct mq_router *router);
+/* Asks the platform for its newest configuration, takes it into force, then
+   tells; never from within this call.  */
+struct mq_confirm *mq_feed_confirm (struct mq_router *router,
+                                    mq_confirmed *told, void *user);
+/* Nobody waits any more; NULL is allowed.  */
+void mq_feed_forget (struct mq_confirm *confirm);
+
+#endif
--- /dev/null
+++ b/src/io/router_wire.h
@@ -0,0 +1,115 @@
+/* router_wire.h - what the router needs to know of a request, an answer and
+   the platform's rows, whatever they are called on the wire.
+
+   The functions are those of the folder platform/, the one place that knows
+   the names on the wire.
+   Needs: http_message.h, route.h, fleet.h, text.h.  */
+
+#ifndef MQ_ROUTER_WIRE_H
+#define MQ_ROUTER_WIRE_H
+
+#include "../core/fleet.h"
+#include "../core/route.h"
+#include "../core/store.h"
+#include "http_message.h"
+
+/**
+ * struct mq_call_facts - what a caller told about a request
+ * @id: of this attempt of the caller; NULL: none
+ * @host: whom the request is for, as the caller wrote it; NULL: none
+ * @program: agent program that the request belongs to; NULL: none
+ * @session: line of turns within the program; NULL: none
+ * @affinity: object that the request concerns; NULL: none
+ * @prefix: parts of the prompt in order, as told; NULL: none
+ * @previous: turn that this one continues from; NULL: none
+ * @last_event: last event that the caller has; NULL: none
+ * @deadline_ms: how long the caller waits, 0: not told
+ * @finish_ms: until the program should be finished, 0: not told
+ * @has_budget: @budget was told
+ * @budget: tokens that all turns of the program may generate
+ * @tokens_in: of the prompt, 0: not told
+ * @tokens_out: the most that the turn generates, 0: not told
+ *
+ * Strings live as long as the head that they come from.
+ */
+struct mq_call_facts
+{
+  const char *id;
+  const char *host;
+  const char *program;
+  const char *session;
+  const char *affinity;
+  const char *prefix;
+  const char *previous;
+  const char *last_event;
+  uint32_t deadline_ms;
+  uint32_t finish_ms;
+  bool has_budget;
+  uint64_t budget;
+  uint32_t tokens_in;
+  uint32_t tokens_out;
+};
+
+/**
+ * struct mq_answer_facts - what a worker told in an answer
+ * @id: request that it belongs to; NULL: not told
+ * @not_run: the worker states that it has not run the request
+ * @other_worker: another worker has the address now, or another version
+ * @has_load: @running and @waiting were told
+ * @running: requests that run there
+ * @waiting: requests that wait there
+ * @idle_s: the worker closes an idle connection after so long; 0: not told
+ */
+struct mq_answer_facts
+{
+  const char *id;
+  bool not_run;
+  bool other_worker;
+  bool has_load;
+  uint32_t running;
+  uint32_t waiting;
+  uint32_t idle_s;
+};
+
+/**
+ * struct mq_send_facts - what we tell a worker
+ * @deadline_ms: time that is left
+ * @worker: id of the worker that is meant
+ * @last_event: event after which the stream is to go on; NULL: none
+ * @priority: 0 is the most urgent, 9 the least
+ */
+struct mq_send_facts
+{
+  uint32_t deadline_ms;
+  const char *worker;
+  const char *last_event;
+  uint32_t priority;
+};
+
+void mq_wire_read_call (const struct mq_http_head *head,
+                        struct mq_call_facts *facts);
+void mq_wire_read_answer (const struct mq_http_head *head,
+                          struct mq_answer_facts *facts);
+/* Only the system may set the field: what a caller sent in it is dropped.  */
+bool mq_wire_is_ours (const char *name);
+/* Lines of the fields that say FACTS, below CTX.  */
+char *mq_wire_send_fields (TALLOC_CTX *ctx, const struct mq_send_facts *facts);
+
+/* Names of the tables and of the row that hold the configuration and the
+   workers.  */
+extern const char mq_wire_config_table[];
+extern const char mq_wire_config_key[];
+extern const char mq_wire_worker_table[];
+
+/* The configuration below CTX; NULL with ERROR set when it can't be used.  */
+struct mq_route_table *mq_wire_read_config (TALLOC_CTX *ctx,
+                                            struct mq_bytes value,
+                                            struct mq_error *error);
+/* One worker, strings below CTX; false with ERROR set when it can't be
+   used.  */
+bool mq_wire_read_worker (TALLOC_CTX *ctx, const char *key,
+                          struct mq_bytes value,
+                          struct mq_fleet_member *member,
+                          struct mq_error *error);
+
+#endif
--- /dev/null
+++ b/src/io/rows.h
@@ -0,0 +1,107 @@
+/* rows.h - the platform's table as the router uses it.
+
+   Rows are found by table, part and key; a transaction stays within one
+   part.  The functions are those of the folder platform/.
+   Needs: store.h, error.h, tevent.  */
+
+#ifndef MQ_ROWS_H
+#define MQ_ROWS_H
+
+#include "../core/error.h"
+#include "../core/store.h"
+#include <tevent.h>
+
+struct mq_rows;
+struct mq_rows_call;
+
+/**
+ * struct mq_rows_entry - a row that is read or written
+ * @table: its table
+ * @part: its part
+ * @key: its key in the part
+ * @version: read: its version, 0 when it is not there; write: the version it
+ *           must have, MQ_VERSION_ABSENT or _ANY
+ * @value: its value
+ * @remove: write: the row is removed
+ */
+struct mq_rows_entry
+{
+  const char *table;
+  const char *part;
+  const char *key;
+  uint64_t version;
+  struct mq_bytes value;
+  bool remove;
+};
+
+/**
+ * struct mq_rows_result - how a call ended; valid in the callback alone
+ * @status: OK, CONFLICT, DOWN (certainly not done) or LOST (not known)
+ * @version: of the transaction, or newest version that a read saw
+ * @rows: read: what was found; CONFLICT: the rows as they are
+ * @row_count: how many
+ * @retry_ms: DOWN: a pause that makes sense before the next try
+ */
+struct mq_rows_result
+{
+  enum mq_store_status status;
+  uint64_t version;
+  const struct mq_rows_entry *rows;
+  size_t row_count;
+  uint32_t retry_ms;
+};
+
+typedef void mq_rows_done (const struct mq_rows_result *result, void *user);
+
+/**
+ * struct mq_rows_watcher - who is told of the rows of a table
+ * @list: a whole list begins (true) or has ended (false); rows that are not
+ *        told between the two are gone
+ * @row: a row is new or has changed
+ * @gone: a row was removed
+ * @user: given to all of them
+ */
+struct mq_rows_watcher
+{
+  void (*list) (bool begins, void *user);
+  void (*row) (const struct mq_rows_entry *row, void *user);
+  void (*gone) (const char *key, void *user);
+  void *user;
+};
+
+/**
+ * struct mq_rows_counters - what was asked and how it ended
+ * @writes: transactions sent
+ * @reads: reads sent, feeds included
+ * @refused: answers that turned a call away
+ * @lost: calls whose outcome is not known
+ */
+struct mq_rows_counters
+{
+  uint64_t writes, reads, refused, lost;
+};
+
+/* ADDRESS: "IP:PORT" of the platform's table.  */
+struct mq_rows *mq_rows_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                                const char *address);
+void mq_rows_destroy (struct mq_rows *rows);
+/* Writes ENTRIES, all of one part, all or none.  They are copied.  */
+struct mq_rows_call *mq_rows_commit (struct mq_rows *rows,
+                                     const struct mq_rows_entry *entries,
+                                     size_t count, mq_rows_done *done,
+                                     void *user);
+/* Reads the row KEY of a part.  */
+struct mq_rows_call *mq_rows_get (struct mq_rows *rows, const char *table,
+                                  const char *part, const char *key,
+                                  mq_rows_done *done, void *user);
+/* No callback follows; what was sent may still be done.  */
+void mq_rows_cancel (struct mq_rows_call *call);
+/* Lists TABLE, whose rows have an empty part, and follows its changes for as
+   long as ROWS is there.  */
+void mq_rows_watch (struct mq_rows *rows, const char *table,
+                    const struct mq_rows_watcher *watcher);
+/* When the table last answered, steady clock, 0: never.  */
+uint64_t mq_rows_heard_ms (const struct mq_rows *rows);
+const struct mq_rows_counters *mq_rows_counters (const struct mq_rows *rows);
+
+#endif
--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -1,12 +1,11 @@
 /* settings.c - settings of one process, INI, checked whole.
 
-   Needs: settings.h, the C library's files.  */
+   Needs: settings.h, settings_file.h.  */
 
 #include "settings.h"
 #include "../core/limits.h"
 #include "../core/place.h"
-#include <errno.h>
-#include <stdio.h>
+#include "settings_file.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -370,47 +369,16 @@
   return NULL;
 }
 
-static char *
-read_file (TALLOC_CTX *ctx, const char *name, size_t *len)
-{
-  FILE *file = fopen (name, "r");
-  char *text;
-  int failure;
-
-  if (file == NULL)
-    return NULL;
-  /* One byte more than is allowed, so that a longer file is noticed.  */
-  text = talloc_array (ctx, char, MQ_TEXT_MAX_BYTES + 1);
-  errno = 0;
-  *len = text == NULL ? 0 : fread (text, 1, MQ_TEXT_MAX_BYTES + 1, file);
-  failure = errno;
-  if (text != NULL && ferror (file))
-    TALLOC_FREE (text);
-  fclose (file);
-  errno = failure;
-  return text;
-}
-
 struct mq_settings *
 mq_settings_read (TALLOC_CTX *ctx, enum mq_host_role role, const char *file,
                   struct mq_text_errors *errors)
 {
   struct mq_settings *settings;
   size_t len = 0;
-  char *source = read_file (ctx, file, &len);
+  char *source = mq_settings_file_read (ctx, file, &len, errors);
 
   if (source == NULL)
-    {
-      struct mq_error_list list = { ctx, errors };
-      struct mq_place nowhere = { 0, 0 };
-      int failure = errno;
-
-      memset (errors, 0, sizeof *errors);
-      mq_error_list_add (&list, MQ_ERR_IO, nowhere, file, strerror (failure));
-      if (errors->count > 0)
-        errors->items[0].number = failure;
-      return NULL;
-    }
+    return NULL;
   settings = mq_settings_parse (ctx, role, source, len, errors);
   talloc_free (source);
   return settings;
--- /dev/null
+++ b/src/io/settings_file.h
@@ -0,0 +1,15 @@
+/* settings_file.h - the text of a settings file.
+
+   Needs: text_ini.h.  */
+
+#ifndef MQ_SETTINGS_FILE_H
+#define MQ_SETTINGS_FILE_H
+
+#include "../core/text_ini.h"
+
+/* Text of FILE below CTX, one byte more than is allowed at most, so that a
+   longer file is noticed.  NULL with IO and its errno in ERRORS.  */
+char *mq_settings_file_read (TALLOC_CTX *ctx, const char *file, size_t *len,
+                             struct mq_text_errors *errors);
+
+#endif
--- /dev/null
+++ b/src/io/tcp.c
@@ -0,0 +1,446 @@
+/* tcp.c - one TCP connection on the event loop.
+
+   Needs: tcp.h, buffer.h, sockets.  */
+
+#include "tcp.h"
+#include "buffer.h"
+#include "listen.h"
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* One read takes this much: the largest usual answer fits.  */
+#define READ_BYTES ((size_t)16 << 10)
+/* A finished connection waits so long for the other side's end.  */
+#define LINGER_MS 1000U
+/* A connection that is not there after so long is given up.  Within a region it
+   takes a few milliseconds; where the other side's queue is full, the next
+   try of the kernel comes only after a second.  */
+#define CONNECT_MS 400U
+/* Probes on a connection without traffic, seconds and count: one whose other
+   side is gone without a word ends within three seconds.  */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_PAUSE_S 1
+#define KEEPALIVE_PROBES 2
+
+/**
+ * struct mq_tcp - one connection
+ * @fd: -1 once closed
+ * @opening: the connection is not there yet
+ * @reading: the owner wants bytes
+ * @finishing: what comes in is dropped
+ * @failed: a write failed; told by the event loop
+ * @full: unsent bytes went over the high mark
+ * @busy: callbacks under way
+ * @dead: to be freed once no callback is under way
+ * @unsent: bytes that the socket did not take
+ */
+struct mq_tcp
+{
+  struct tevent_context *ev;
+  struct tevent_fd *event;
+  struct tevent_timer *timer;
+  struct tevent_immediate *failure;
+  struct mq_tcp_owner owner;
+  struct mq_buffer unsent;
+  int fd;
+  int busy;
+  bool opening;
+  bool reading;
+  bool finishing;
+  bool shut;
+  bool failed;
+  enum mq_tcp_end failed_as;
+  bool full;
+  bool dead;
+};
+
+static void on_event (struct tevent_context *ev, struct tevent_fd *event,
+                      uint16_t flags, void *data);
+
+static int
+close_fd (struct mq_tcp *tcp)
+{
+  TALLOC_FREE (tcp->event);
+  if (tcp->fd >= 0)
+    close (tcp->fd);
+  tcp->fd = -1;
+  return 0;
+}
+
+static void
+set_options (int fd, uint32_t silent_ms)
+{
+  int on = 1;
+  int idle = KEEPALIVE_IDLE_S;
+  int pause = KEEPALIVE_PAUSE_S;
+  int probes = KEEPALIVE_PROBES;
+  unsigned int silent = silent_ms;
+
+  /* Each of these only shortens a wait; a socket without them still works. */
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (silent_ms == 0)
+    return;
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof silent);
+  (void)setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &pause, sizeof pause);
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
+static void on_timer (struct tevent_context *ev, struct tevent_timer *timer,
+                      struct timeval now, void *data);
+
+static struct tevent_timer *
+timer_in (struct mq_tcp *tcp, uint32_t ms)
+{
+  return tevent_add_timer (
+      tcp->ev, tcp, tevent_timeval_current_ofs (ms / 1000, ms % 1000 * 1000),
+      on_timer, tcp);
+}
+
+static struct mq_tcp *
+make_tcp (TALLOC_CTX *ctx, struct tevent_context *ev, int fd,
+           const struct mq_tcp_owner *owner, uint16_t flags)
+{
+  struct mq_tcp *tcp = talloc_zero (ctx, struct mq_tcp);
+
+  if (tcp == NULL)
+    {
+      close (fd);
+      return NULL;
+    }
+  tcp->ev = ev;
+  tcp->fd = fd;
+  tcp->owner = *owner;
+  tcp->reading = true;
+  talloc_set_destructor (tcp, close_fd);
+  tcp->event = tevent_add_fd (ev, tcp, fd, flags, on_event, tcp);
+  if (tcp->event == NULL)
+    TALLOC_FREE (tcp);
+  return tcp;
+}
+
+struct mq_tcp *
+mq_tcp_accept (TALLOC_CTX *ctx, struct tevent_context *ev, int fd,
+                const struct mq_tcp_owner *owner)
+{
+  set_options (fd, 0);
+  return make_tcp (ctx, ev, fd, owner, TEVENT_FD_READ);
+}
+
+struct mq_tcp *
+mq_tcp_open (TALLOC_CTX *ctx, struct tevent_context *ev, const char *address,
+              uint32_t silent_ms, const struct mq_tcp_owner *owner,
+              struct mq_error *error)
+{
+  int fd = mq_connect_begin (address, error);
+  struct mq_tcp *tcp;
+
+  if (fd < 0)
+    return NULL;
+  set_options (fd, silent_ms);
+  tcp = make_tcp (ctx, ev, fd, owner, TEVENT_FD_WRITE);
+  if (tcp == NULL)
+    {
+      mq_error_set (error, MQ_ERR_NO_MEMORY, address, NULL);
+      return NULL;
+    }
+  tcp->opening = true;
+  tcp->timer = timer_in (tcp, CONNECT_MS);
+  return tcp;
+}
+
+void
+mq_tcp_set_owner (struct mq_tcp *tcp, const struct mq_tcp_owner *owner)
+{
+  tcp->owner = *owner;
+}
+
+static void
+begin_callback (struct mq_tcp *tcp)
+{
+  tcp->busy++;
+}
+
+/* True when the connection is gone.  */
+static bool
+end_callback (struct mq_tcp *tcp)
+{
+  tcp->busy--;
+  if (!tcp->dead)
+    return false;
+  if (tcp->busy == 0)
+    talloc_free (tcp);
+  return true;
+}
+
+void
+mq_tcp_destroy (struct mq_tcp *tcp)
+{
+  if (tcp == NULL || tcp->dead)
+    return;
+  tcp->dead = true;
+  TALLOC_FREE (tcp->timer);
+  TALLOC_FREE (tcp->failure);
+  close_fd (tcp);
+  if (tcp->busy == 0)
+    talloc_free (tcp);
+}
+
+void
+mq_tcp_abort (struct mq_tcp *tcp)
+{
+  struct linger off = { 1, 0 };
+
+  if (tcp == NULL || tcp->dead)
+    return;
+  if (tcp->fd >= 0)
+    (void)setsockopt (tcp->fd, SOL_SOCKET, SO_LINGER, &off, sizeof off);
+  mq_tcp_destroy (tcp);
+}
+
+static void
+tell_ended (struct mq_tcp *tcp, enum mq_tcp_end end)
+{
+  if (tcp->finishing)
+    {
+      mq_tcp_destroy (tcp);
+      return;
+    }
+  begin_callback (tcp);
+  tcp->owner.ended (tcp, end, tcp->owner.user);
+  end_callback (tcp);
+}
+
+static void
+on_failure (struct tevent_context *ev, struct tevent_immediate *immediate,
+            void *data)
+{
+  struct mq_tcp *tcp = data;
+
+  (void)ev;
+  (void)immediate;
+  tell_ended (tcp, tcp->failed_as);
+}
+
+/* The owner is told from the loop: it is in the middle of a call of ours.  */
+static void
+fail_later (struct mq_tcp *tcp, enum mq_tcp_end end)
+{
+  if (tcp->failed)
+    return;
+  tcp->failed = true;
+  tcp->failed_as = end;
+  tcp->failure = tevent_create_immediate (tcp);
+  if (tcp->failure != NULL)
+    tevent_schedule_immediate (tcp->failure, tcp->ev, on_failure, tcp);
+}
+
+static void
+update_flags (struct mq_tcp *tcp)
+{
+  uint16_t flags = 0;
+
+  if (tcp->event == NULL)
+    return;
+  if (tcp->opening || tcp->unsent.len > 0)
+    flags |= TEVENT_FD_WRITE;
+  if (!tcp->opening && (tcp->reading || tcp->finishing))
+    flags |= TEVENT_FD_READ;
+  tevent_fd_set_flags (tcp->event, flags);
+}
+
+/* Bytes that the socket took, -1 when it is broken.  */
+static ssize_t
+send_some (struct mq_tcp *tcp, const void *data, size_t len)
+{
+  ssize_t sent;
+
+  do
+    sent = send (tcp->fd, data, len, MSG_NOSIGNAL);
+  while (sent < 0 && errno == EINTR);
+  if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+    return 0;
+  return sent;
+}
+
+bool
+mq_tcp_write (struct mq_tcp *tcp, const void *data, size_t len)
+{
+  ssize_t sent = 0;
+
+  if (tcp->failed || tcp->dead || len == 0)
+    return true;
+  if (!tcp->opening && tcp->unsent.len == 0)
+    sent = send_some (tcp, data, len);
+  if (sent < 0)
+    {
+      fail_later (tcp, MQ_TCP_RESET);
+      return true;
+    }
+  if ((size_t)sent < len)
+    {
+      if (!mq_buffer_append (tcp, &tcp->unsent, (const char *)data + sent,
+                             len - (size_t)sent, MQ_TCP_MAX_BYTES))
+        {
+          fail_later (tcp, MQ_TCP_NO_MEMORY);
+          return true;
+        }
+      update_flags (tcp);
+    }
+  if (tcp->unsent.len <= MQ_TCP_HIGH_BYTES)
+    return true;
+  tcp->full = true;
+  return false;
+}
+
+void
+mq_tcp_read (struct mq_tcp *tcp, bool on)
+{
+  if (tcp->reading == on)
+    return;
+  tcp->reading = on;
+  update_flags (tcp);
+}
+
+/* Either the connection did not come about in time, or the other side did not
+   end a finished one.  */
+static void
+on_timer (struct tevent_context *ev, struct tevent_timer *timer,
+          struct timeval now, void *data)
+{
+  struct mq_tcp *tcp = data;
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  tcp->timer = NULL;
+  if (tcp->opening)
+    tell_ended (tcp, MQ_TCP_RESET);
+  else
+    mq_tcp_destroy (tcp);
+}
+
+static void
+shut_if_sent (struct mq_tcp *tcp)
+{
+  if (!tcp->finishing || tcp->shut || tcp->unsent.len > 0)
+    return;
+  tcp->shut = true;
+  (void)shutdown (tcp->fd, SHUT_WR);
+}
+
+void
+mq_tcp_finish (struct mq_tcp *tcp)
+{
+  if (tcp->dead || tcp->finishing)
+    return;
+  tcp->finishing = true;
+  TALLOC_FREE (tcp->timer);
+  tcp->timer = timer_in (tcp, LINGER_MS);
+  shut_if_sent (tcp);
+  update_flags (tcp);
+}
+
+static void
+send_unsent (struct mq_tcp *tcp)
+{
+  struct mq_buffer *unsent = &tcp->unsent;
+  ssize_t sent;
+
+  if (unsent->len == 0)
+    return;
+  sent = send_some (tcp, unsent->data + unsent->at, unsent->len);
+  if (sent < 0)
+    {
+      fail_later (tcp, MQ_TCP_RESET);
+      mq_buffer_clear (unsent);
+    }
+  else
+    mq_buffer_skip (unsent, (size_t)sent);
+  update_flags (tcp);
+  shut_if_sent (tcp);
+}
+
+/* False when the connection is gone.  */
+static bool
+on_writable (struct mq_tcp *tcp)
+{
+  bool tell;
+
+  if (tcp->opening)
+    {
+      int number = 0;
+      socklen_t len = sizeof number;
+
+      if (getsockopt (tcp->fd, SOL_SOCKET, SO_ERROR, &number, &len) != 0
+          || number != 0)
+        {
+          tell_ended (tcp, MQ_TCP_RESET);
+          return false;
+        }
+      tcp->opening = false;
+      TALLOC_FREE (tcp->timer);
+      update_flags (tcp);
+      if (tcp->owner.opened != NULL)
+        {
+          begin_callback (tcp);
+          tcp->owner.opened (tcp, tcp->owner.user);
+          if (end_callback (tcp))
+            return false;
+        }
+    }
+  send_unsent (tcp);
+  tell = tcp->full && !tcp->finishing
+         && tcp->unsent.len <= MQ_TCP_HIGH_BYTES / 2;
+  if (!tell)
+    return true;
+  tcp->full = false;
+  if (tcp->owner.drained == NULL)
+    return true;
+  begin_callback (tcp);
+  tcp->owner.drained (tcp, tcp->owner.user);
+  return !end_callback (tcp);
+}
+
+static void
+on_readable (struct mq_tcp *tcp)
+{
+  char bytes[READ_BYTES];
+  ssize_t got;
+
+  do
+    got = recv (tcp->fd, bytes, sizeof bytes, 0);
+  while (got < 0 && errno == EINTR);
+  if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+    return;
+  if (got <= 0)
+    {
+      tell_ended (tcp, got == 0 ? MQ_TCP_EOF : MQ_TCP_RESET);
+      return;
+    }
+  if (tcp->finishing)
+    return;
+  begin_callback (tcp);
+  tcp->owner.data (tcp, bytes, (size_t)got, tcp->owner.user);
+  end_callback (tcp);
+}
+
+static void
+on_event (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
+          void *data)
+{
+  struct mq_tcp *tcp = data;
+
+  (void)ev;
+  (void)event;
+  if (tcp->failed)
+    return;
+  if ((flags & TEVENT_FD_WRITE) != 0 && !on_writable (tcp))
+    return;
+  if ((flags & TEVENT_FD_READ) != 0 && !tcp->dead && !tcp->failed)
+    on_readable (tcp);
+}
