--- a/src/core/budget.c
+++ b/src/core/budget.c
@@ -71,6 +71,16 @@
   set_grant (next, holder, budget->held + extra);
 }
 
+/* What is settled and what we handed out never becomes less, whatever others
+   give back.  */
+static bool
+is_proven (const struct mq_budget *budget, uint64_t holder, uint64_t limit)
+{
+  uint64_t used = grant_of (&budget->record, holder) - budget->held;
+
+  return budget->record.spent + used >= limit;
+}
+
 /* A turn may start as long as all the others, at their most, stay below the
    limit: together they then exceed it by less than one turn.  */
 enum mq_budget_answer
@@ -86,8 +96,11 @@
       budget->reserved += most;
       return MQ_BUDGET_READY;
     }
+  if (others >= limit && !budget->known)
+    return MQ_BUDGET_READ;
   if (others >= limit)
-    return budget->known ? MQ_BUDGET_SPENT : MQ_BUDGET_READ;
+    return is_proven (budget, holder, limit) ? MQ_BUDGET_SPENT
+                                             : MQ_BUDGET_DOUBT;
   extra = most * MQ_BUDGET_GRANT_TURNS - unused;
   if (others + unused + extra > limit)
     extra = most - unused;
@@ -145,19 +158,6 @@
     budget->reserved = budget->held;
 }
 
-bool
-mq_budget_release (const struct mq_budget *budget, uint64_t holder,
-                   struct mq_budget_record *next)
-{
-  if (!budget->known || budget->reserved > 0
-      || grant_of (&budget->record, holder) == 0)
-    return false;
-  *next = budget->record;
-  next->spent += grant_of (&budget->record, holder) - budget->held;
-  set_grant (next, holder, 0);
-  return true;
-}
-
 struct mq_bytes
 mq_budget_pack (TALLOC_CTX *ctx, const struct mq_budget_record *record)
 {
--- a/src/core/budget.h
+++ b/src/core/budget.h
@@ -63,10 +63,14 @@
   MQ_BUDGET_READY, /* the turn's tokens are reserved */
   MQ_BUDGET_WRITE, /* write the record that was made, then ask again */
   MQ_BUDGET_READ,  /* read the record, then ask again */
-  MQ_BUDGET_SPENT  /* the record, as read, has no room */
+  MQ_BUDGET_DOUBT, /* no room as far as we know: others may give some back */
+  MQ_BUDGET_SPENT  /* tokens that were handed out fill the budget for good */
 };
 
-/* Asks for a turn of MOST tokens of a program with LIMIT.  With WRITE, *NEXT
+/* A host's grant is named by a number of its own for each time that it begins
+   to serve a program: a grant that it has forgotten stays spent.
+
+   Asks for a turn of MOST tokens of a program with LIMIT.  With WRITE, *NEXT
    is the record to be written under the condition of BUDGET's version.  */
 enum mq_budget_answer mq_budget_ask (struct mq_budget *budget, uint64_t holder,
                                      uint64_t limit, uint64_t most,
@@ -80,11 +84,6 @@
                      const struct mq_budget_record *record, uint64_t version);
 /* A turn of MOST tokens has ended and handed out USED.  */
 void mq_budget_settle (struct mq_budget *budget, uint64_t most, uint64_t used);
-/* Record in which our grant is given back: what was handed out is settled.
-   False when we hold none, or while a turn runs.  */
-bool mq_budget_release (const struct mq_budget *budget, uint64_t holder,
-                        struct mq_budget_record *next);
-
 /* Bytes of a record, below CTX; data is NULL when memory is out.  */
 struct mq_bytes mq_budget_pack (TALLOC_CTX *ctx,
                                 const struct mq_budget_record *record);
--- a/src/io/router.c
+++ b/src/io/router.c
@@ -15,8 +15,10 @@
 set_sweep (struct mq_router *router);
 
 /* The first part of a stop goes by while the balancer takes us out and callers
-   still come; then idle connections are closed, and once no request is under
-   way the process may end.  */
+   still come.  Then no new connection is taken and idle ones are closed: a
+   caller that meets a closed door tries another host, while a request taken
+   late in the stop would be cut off at its end.  Once no request is under way
+   the process ends.  */
 static void
 step_leaving (struct mq_router *router)
 {
@@ -24,10 +26,8 @@
 
   if (since < router->settings->settle_ms)
     return;
-  mq_callers_close_idle (router);
-  if (router->request_count == 0 && mq_turns_close (router->turns))
-    router->stopped = true;
-  if (since >= router->stop_ms)
+  mq_callers_stop (router);
+  if (router->request_count == 0 || since >= router->stop_ms)
     router->stopped = true;
 }
 
--- a/src/io/router_caller.c
+++ b/src/io/router_caller.c
@@ -13,6 +13,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 /* Bytes of further requests that wait on a connection.  */
 #define AHEAD_BYTES ((size_t)64 << 10)
@@ -433,9 +434,10 @@
   router->front_fd = mq_listen_open (router->settings->http, error);
   if (router->front_fd < 0)
     return false;
-  return tevent_add_fd (router->ev, router, router->front_fd, TEVENT_FD_READ,
-                        on_accept, router)
-         != NULL;
+  router->front_event
+      = tevent_add_fd (router->ev, router, router->front_fd, TEVENT_FD_READ,
+                       on_accept, router);
+  return router->front_event != NULL;
 }
 
 static void
@@ -471,10 +473,16 @@
 }
 
 void
-mq_callers_close_idle (struct mq_router *router)
+mq_callers_stop (struct mq_router *router)
 {
   struct mq_caller *next;
 
+  if (router->front_event != NULL)
+    {
+      TALLOC_FREE (router->front_event);
+      close (router->front_fd);
+      router->front_fd = -1;
+    }
   for (struct mq_caller *caller = router->callers; caller != NULL;
        caller = next)
     {
--- a/src/io/router_pool.h
+++ b/src/io/router_pool.h
@@ -10,7 +10,7 @@
 
 /* Bytes that a worker does not acknowledge for so long mean that it is gone.
    Within a region an acknowledgement takes a few milliseconds.  */
-#define MQ_POOL_SILENT_MS 1000U
+#define MQ_POOL_SILENT_MS 600U
 /* An idle connection is not used in the last part of the time that the worker
    keeps it: a request that crosses its closing may have run, and one that may
    run once is then lost.  */
--- a/src/io/router_request.c
+++ b/src/io/router_request.c
@@ -17,6 +17,17 @@
 /* Time that a caller is asked to stay away after a refusal, milliseconds.  */
 #define RETRY_SOON_MS 100U
 #define RETRY_STORE_MS 300U
+/* The same while the platform's table is down, which lasts for seconds.  */
+#define RETRY_DOWN_MS 1500U
+/* A worker that gives nothing for a multiple of what the route aims at has
+   most likely gone without a word; a request that may be repeated is then
+   better off elsewhere.  Objectives are about three times the usual time.  */
+#define STALL_FIRST_FACTOR 3U
+#define STALL_GAP_FACTOR 3U
+#define STALL_LEAST_MS 400U
+/* A caller who leaves after so long without an answer tells against the
+   worker; one who leaves earlier does not.  */
+#define LEFT_TELLS_MS 1000U
 #define RETRY_READY_MS 500U
 /* Bytes of an answer that is passed on as a whole.  */
 #define ANSWER_MAX_BYTES ((size_t)16 << 20)
@@ -55,6 +66,9 @@
  * @is_turn: it is a turn of a program, see @turn
  * @send_body: what the worker gets
  * @give_up_ms: its final answer goes out then at the latest
+ * @stall: fires when the worker may have gone silent
+ * @heard_ms: when the worker last gave something
+ * @stalled: it seemed silent at the last look
  * @tried: workers that are not asked again
  * @sent: workers that it was sent to
  * @ran: an earlier try may have run
@@ -84,6 +98,9 @@
   uint64_t arrived_ms;
   uint64_t give_up_ms;
   struct tevent_timer *timer;
+  struct tevent_timer *stall;
+  uint64_t heard_ms;
+  bool stalled;
   uint32_t tried[TRIED_MAX];
   size_t tried_count;
   uint32_t sent;
@@ -179,6 +196,7 @@
 static void
 end_lane (struct mq_request *request, enum mq_fleet_outcome outcome)
 {
+  TALLOC_FREE (request->stall);
   if (request->lane == NULL)
     return;
   mq_http_lane_destroy (request->lane);
@@ -245,6 +263,8 @@
            refusals[refusal].status);
   if (refusals[refusal].status >= 500 && refusals[refusal].status != 503)
     router->counters.failed++;
+  if (refusal == MQ_REFUSE_STORE && mq_rows_down (router->rows))
+    retry_ms = RETRY_DOWN_MS;
   if (refusal == MQ_REFUSE_NO_WORKER)
     retry_ms = mq_fleet_retry_ms (router->fleet, request->service);
   close_request (request);
@@ -393,6 +413,59 @@
     }
 }
 
+/* Longest silence of the worker before the request goes to another one.  */
+static uint32_t
+stall_ms (const struct mq_request *request)
+{
+  const struct mq_route *route = request->route;
+  uint32_t wait = request->begun ? route->gap_ms * STALL_GAP_FACTOR
+                                 : route->objective_ms * STALL_FIRST_FACTOR;
+
+  return wait < STALL_LEAST_MS ? STALL_LEAST_MS : wait;
+}
+
+static void on_stall (struct tevent_context *ev, struct tevent_timer *timer,
+                      struct timeval now, void *data);
+
+static void
+set_stall (struct mq_request *request, uint32_t wait)
+{
+  request->stall = tevent_add_timer (
+      request->router->ev, request,
+      tevent_timeval_current_ofs (wait / 1000, wait % 1000 * 1000), on_stall,
+      request);
+}
+
+/* Silence counts only when it is seen twice, with a look at the connections in
+   between: after a pause of this process answers lie there unread.  */
+static void
+on_stall (struct tevent_context *ev, struct tevent_timer *timer,
+          struct timeval now, void *data)
+{
+  struct mq_request *request = data;
+  uint64_t silent = mq_clock_ms () - request->heard_ms;
+  uint32_t wait = stall_ms (request);
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  request->stall = NULL;
+  if (request->lane == NULL || request->sent >= request->route->attempts)
+    return;
+  if (silent < wait)
+    {
+      request->stalled = false;
+      set_stall (request, wait - (uint32_t)silent);
+    }
+  else if (!request->stalled)
+    {
+      request->stalled = true;
+      set_stall (request, 1);
+    }
+  else
+    end_try (request, MQ_ATTEMPT_BROKEN, MQ_OUTCOME_FAILED);
+}
+
 static void
 keep_fields (struct mq_request *request, const struct mq_http_head *head)
 {
@@ -424,6 +497,7 @@
   struct answer *answer = &request->answer;
 
   mq_wire_read_answer (head, &facts);
+  request->heard_ms = mq_clock_ms ();
   if (facts.id == NULL)
     {
       end_try (request, MQ_ATTEMPT_BROKEN, MQ_OUTCOME_FAILED);
@@ -500,6 +574,7 @@
 {
   struct mq_request *request = user;
 
+  request->heard_ms = mq_clock_ms ();
   if (!request->answer.stream)
     {
       if (!mq_buffer_append (request, &request->answer.body, data, len,
@@ -620,6 +695,7 @@
              && mq_event_stream_partial (request->events);
   enum mq_fleet_outcome outcome = MQ_OUTCOME_SERVED;
 
+  TALLOC_FREE (request->stall);
   if (cut)
     {
       end_try (request, MQ_ATTEMPT_BROKEN, MQ_OUTCOME_FAILED);
@@ -753,6 +829,10 @@
                      request->send_body.data, request->send_body.len,
                      strcmp (request->head->method, "HEAD") == 0);
   mq_buffer_clear (&out);
+  request->heard_ms = request->sent_ms;
+  request->stalled = false;
+  if (repeatable (request) && request->sent < request->route->attempts)
+    set_stall (request, stall_ms (request));
 }
 
 /* Requests that gain from the same worker's cache share a key: those of one
@@ -1041,7 +1121,10 @@
 mq_request_caller_left (struct mq_request *request)
 {
   request->router->counters.left++;
-  log_end (request, MQ_JSON_PLAIN, "caller_left", 0);
+  log_end (request, MQ_JSON_PLAIN, "caller_left", request->answer.status);
+  if (request->lane != NULL
+      && mq_clock_ms () - request->heard_ms >= LEFT_TELLS_MS)
+    end_lane (request, MQ_OUTCOME_FAILED);
   close_request (request);
 }
 
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -83,6 +83,7 @@
   size_t request_count;
   struct mq_router_counters counters;
   struct mq_histogram latency;
+  struct tevent_fd *front_event;
   int front_fd;
   int ready_fd;
 };
@@ -112,8 +113,9 @@
 bool mq_callers_listen (struct mq_router *router, struct mq_error *error);
 /* Closes connections that are idle or slow beyond the limits in force.  */
 void mq_callers_sweep (struct mq_router *router);
-/* Closes idle connections, since the process is about to end.  */
-void mq_callers_close_idle (struct mq_router *router);
+/* Takes no new connections and closes the idle ones: the process is about to
+   end.  May be called again.  */
+void mq_callers_stop (struct mq_router *router);
 /* REQUEST is told when CALLER leaves, until it answers.  */
 void mq_caller_serves (struct mq_caller *caller, struct mq_request *request);
 /* Answers with STATUS and BODY as a whole; FIELDS: lines of further fields.
@@ -205,10 +207,8 @@
                    struct mq_bytes output);
 /* Nobody waits any more.  Settles nothing.  */
 void mq_turn_forget (struct mq_turn *turn);
-/* Gives back grants of programs that are idle.  */
+/* Forgets programs that are idle.  */
 void mq_turns_sweep (struct mq_turns *turns);
-/* Gives back all grants; true when none is left or the store is silent.  */
-bool mq_turns_close (struct mq_turns *turns);
 
 /* router_feed.c */
 
--- a/src/io/router_turn.c
+++ b/src/io/router_turn.c
@@ -21,10 +21,13 @@
 /* Tries of one call to the table before its caller is told that the table
    can't tell: together they last about as long as a slow answer.  */
 #define TRIES_MAX 3U
+/* Pause before a call is tried again; it doubles, and half of it is left to
+   chance, so that hosts which failed together don't come back together.  */
 #define RETRY_MS 60U
-/* A grant is given back when its program has been idle for so long: longer
-   than the pauses of most programs between two turns (0.6 s).  */
-#define IDLE_RELEASE_MS 2500U
+#define RETRY_MAX_MS 480U
+/* A program that has been idle for so long is forgotten, and what is left of its
+   grant is lost: ten times the longest pause between two turns.  */
+#define FORGET_MS 20000U
 /* Histories kept in memory: a share of what the process may use.  */
 #define CACHE_PART 4U
 
@@ -33,7 +36,7 @@
  * @waiting: turns that wait for their budget, oldest first
  * @call: under way, NULL: none
  * @next: the record that is being written
- * @releasing: it gives our grant back
+ * @holder: names our grant
  * @running: turns that have a reservation
  * @tries: calls in a row that failed
  */
@@ -48,7 +51,7 @@
   struct mq_turn *waiting;
   struct mq_rows_call *call;
   struct tevent_timer *timer;
-  bool releasing;
+  uint64_t holder;
   uint32_t running;
   uint32_t tries;
   uint64_t used_ms;
@@ -88,10 +91,14 @@
 }
 
 static struct tevent_timer *
-set_retry (struct mq_turns *turns, TALLOC_CTX *ctx, uint32_t ms,
+set_retry (struct mq_turns *turns, TALLOC_CTX *ctx, uint32_t tries,
            tevent_timer_handler_t handler, void *data)
 {
-  uint32_t wait = ms > RETRY_MS ? ms : RETRY_MS;
+  uint32_t wait = RETRY_MS;
+
+  for (uint32_t i = 1; i < tries && wait < RETRY_MAX_MS; i++)
+    wait *= 2;
+  wait = wait / 2 + mq_random_below (&turns->router->random, wait);
 
   return tevent_add_timer (
       turns->router->ev, ctx,
@@ -116,6 +123,7 @@
   program->key = key;
   program->id = talloc_strdup (program, id);
   set_part (program->part, id);
+  program->holder = mq_random_next (&turns->router->random);
   mq_idmap_put (turns->programs, key, 0, program);
   return program;
 }
@@ -177,8 +185,7 @@
           mq_json_end (&line);
         }
     }
-  mq_budget_read (&program->budget, program->turns->router->holder, &record,
-                  version);
+  mq_budget_read (&program->budget, program->holder, &record, version);
   for (struct mq_turn *turn = program->waiting; turn != NULL;
        turn = turn->next)
     turn->fresh = true;
@@ -198,7 +205,7 @@
 }
 
 static void
-retry_program (struct mq_program *program, const struct mq_rows_result *result)
+retry_program (struct mq_program *program)
 {
   program->tries++;
   if (program->tries >= TRIES_MAX)
@@ -206,7 +213,7 @@
       fail_waiting (program);
       return;
     }
-  program->timer = set_retry (program->turns, program, result->retry_ms,
+  program->timer = set_retry (program->turns, program, program->tries,
                               on_program_retry, program);
 }
 
@@ -218,7 +225,7 @@
   program->call = NULL;
   if (result->status != MQ_STORE_OK)
     {
-      retry_program (program, result);
+      retry_program (program);
       return;
     }
   program->tries = 0;
@@ -233,46 +240,27 @@
                                program->part, program->id, on_read, program);
 }
 
-/* Gone once our grant is given back and nobody waits.  */
-static void
-on_released (struct mq_program *program)
-{
-  program->releasing = false;
-  if (program->waiting != NULL || program->running > 0)
-    step_program (program);
-  else
-    forget_program (program);
-}
-
 static void
 on_written (const struct mq_rows_result *result, void *user)
 {
   struct mq_program *program = user;
-  bool releasing = program->releasing;
 
   program->call = NULL;
   switch (result->status)
     {
     case MQ_STORE_OK:
       program->tries = 0;
-      mq_budget_written (&program->budget, program->turns->router->holder,
-                         &program->next, result->version);
-      if (releasing)
-        {
-          on_released (program);
-          return;
-        }
+      mq_budget_written (&program->budget, program->holder, &program->next,
+                         result->version);
       break;
     case MQ_STORE_CONFLICT:
       program->tries = 0;
-      program->releasing = false;
       take_record (program, result);
       break;
     default:
       /* Whether it was done shows in the record: it is read before the next
          write, whose condition would fail otherwise.  */
-      program->releasing = false;
-      retry_program (program, result);
+      retry_program (program);
       return;
     }
   step_program (program);
@@ -300,14 +288,12 @@
 static void
 step_program (struct mq_program *program)
 {
-  uint64_t holder = program->turns->router->holder;
-
   while (program->waiting != NULL && program->call == NULL
          && program->timer == NULL)
     {
       struct mq_turn *turn = program->waiting;
 
-      switch (mq_budget_ask (&program->budget, holder, turn->limit,
+      switch (mq_budget_ask (&program->budget, program->holder, turn->limit,
                              turn->most, &program->next))
         {
         case MQ_BUDGET_READY:
@@ -319,14 +305,19 @@
         case MQ_BUDGET_WRITE:
           write_program (program);
           break;
-        case MQ_BUDGET_SPENT:
-          if (turn->fresh)
+        case MQ_BUDGET_DOUBT:
+          if (!turn->fresh)
             {
-              pop_waiting (program);
-              tell_turn (turn, MQ_TURN_SPENT);
+              read_program (program);
               break;
             }
-          read_program (program);
+          /* Read since the turn came: the record leaves no room for it.  */
+          pop_waiting (program);
+          tell_turn (turn, MQ_TURN_SPENT);
+          break;
+        case MQ_BUDGET_SPENT:
+          pop_waiting (program);
+          tell_turn (turn, MQ_TURN_SPENT);
           break;
         case MQ_BUDGET_READ:
           read_program (program);
@@ -372,19 +363,6 @@
   mq_budget_settle (&turn->in->budget, turn->most, used);
 }
 
-static void
-release_program (struct mq_program *program)
-{
-  if (mq_budget_release (&program->budget, program->turns->router->holder,
-                         &program->next))
-    {
-      program->releasing = true;
-      write_program (program);
-    }
-  else if (program->budget.held == 0 || !program->budget.known)
-    forget_program (program);
-}
-
 static bool
 is_idle (const struct mq_program *program)
 {
@@ -392,36 +370,24 @@
          && program->call == NULL && program->timer == NULL;
 }
 
-/* Programs that have been idle for IDLE_MS give their grants back.  */
-static size_t
-release_idle (struct mq_turns *turns, uint64_t idle_ms)
+/* Most programs forgotten at one time, so that a look stays short.  */
+#define FORGET_MAX 64U
+
+void
+mq_turns_sweep (struct mq_turns *turns)
 {
   uint64_t now = mq_clock_ms ();
-  struct mq_program *found[64];
+  struct mq_program *found[FORGET_MAX];
   size_t count = 0;
   size_t position = 0;
   struct mq_program *program;
 
-  while (count < sizeof found / sizeof found[0]
+  while (count < FORGET_MAX
          && (program = mq_idmap_next (turns->programs, &position)) != NULL)
-    if (is_idle (program) && now - program->used_ms >= idle_ms)
+    if (is_idle (program) && now - program->used_ms >= FORGET_MS)
       found[count++] = program;
   for (size_t i = 0; i < count; i++)
-    release_program (found[i]);
-  return count;
-}
-
-void
-mq_turns_sweep (struct mq_turns *turns)
-{
-  release_idle (turns, IDLE_RELEASE_MS);
-}
-
-bool
-mq_turns_close (struct mq_turns *turns)
-{
-  release_idle (turns, 0);
-  return mq_idmap_count (turns->programs) == 0;
+    forget_program (found[i]);
 }
 
 /* Histories */
@@ -443,9 +409,10 @@
 }
 
 static void
-retry_turn (struct mq_turn *turn, const struct mq_rows_result *result)
+retry_turn (struct mq_turn *turn)
 {
-  turn->timer = set_retry (turn->turns, turn->turns, result->retry_ms,
+  turn->tries++;
+  turn->timer = set_retry (turn->turns, turn->turns, turn->tries,
                            on_turn_retry, turn);
 }
 
@@ -493,10 +460,10 @@
   turn->call = NULL;
   if (result->status != MQ_STORE_OK)
     {
-      if (++turn->tries >= TRIES_MAX)
+      if (turn->tries + 1 >= TRIES_MAX)
         tell_turn (turn, MQ_TURN_NO_STORE);
       else
-        retry_turn (turn, result);
+        retry_turn (turn);
       return;
     }
   if (result->row_count == 0)
@@ -579,7 +546,7 @@
   if (result->status == MQ_STORE_CONFLICT)
     tell_turn (turn, MQ_TURN_NO_STORE);
   else
-    retry_turn (turn, result);
+    retry_turn (turn);
 }
 
 static void
@@ -613,6 +580,7 @@
       tell_turn (turn, MQ_TURN_NO_STORE);
       return;
     }
+  turn->tries = 0;
   write_turn (turn);
 }
 
--- a/src/io/rows.h
+++ b/src/io/rows.h
@@ -40,7 +40,6 @@
  * @version: of the transaction, or newest version that a read saw
  * @rows: read: what was found; CONFLICT: the rows as they are
  * @row_count: how many
- * @retry_ms: DOWN: a pause that makes sense before the next try
  */
 struct mq_rows_result
 {
@@ -48,7 +47,6 @@
   uint64_t version;
   const struct mq_rows_entry *rows;
   size_t row_count;
-  uint32_t retry_ms;
 };
 
 typedef void mq_rows_done (const struct mq_rows_result *result, void *user);
@@ -100,6 +98,8 @@
    long as ROWS is there.  */
 void mq_rows_watch (struct mq_rows *rows, const char *table,
                     const struct mq_rows_watcher *watcher);
+/* Calls fail at once, since the table gave no answer for a while.  */
+bool mq_rows_down (const struct mq_rows *rows);
 /* When the table last answered, steady clock, 0: never.  */
 uint64_t mq_rows_heard_ms (const struct mq_rows *rows);
 const struct mq_rows_counters *mq_rows_counters (const struct mq_rows *rows);
