--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,8 @@
 DAEMON_BIN = $(foreach d,$(DAEMONS),$(if $(wildcard src/$(d).c),$(BUILD)/bin/$(if $(filter mimosactl,$(d)),mimosactl,mimosa-$(d))))
 # standins/standin_NAME.c hold a main each; the other files are shared.
 STANDIN_MAIN = $(wildcard standins/standin_*.c)
-STANDIN_SRC = $(filter-out $(STANDIN_MAIN),$(wildcard standins/*.c))
+STANDIN_SRC = $(filter-out $(STANDIN_MAIN),$(wildcard standins/*.c)) \
+              $(wildcard platform/standins/*.c)
 STANDIN_OBJ = $(STANDIN_SRC:%.c=$(BUILD)/%.o)
 STANDIN_BIN = $(STANDIN_MAIN:standins/standin_%.c=$(BUILD)/bin/standin-%)
 # tests/test_NAME.c are Criterion programs; the other files are shared.
@@ -55,7 +56,7 @@
 BENCH_BIN = $(BENCH_MAIN:bench/%.c=$(BUILD)/bin/%)
 EXAMPLE_BIN = $(patsubst examples/%.c,$(BUILD)/examples/%,$(wildcard examples/*.c))
 SOURCES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] src/core/*.[ch] \
-          src/io/*.[ch] platform/*.[ch] include/*.h standins/*.[ch] tests/*.[ch] \
+          src/io/*.[ch] platform/*.[ch] platform/standins/*.[ch] include/*.h standins/*.[ch] tests/*.[ch] \
           tests/fuzz/*.[ch] bench/*.[ch] \
           examples/*.c))
 
@@ -98,15 +99,15 @@
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
 
-$(BUILD)/bin/standin-%: $(BUILD)/standins/standin_%.o $(STANDIN_OBJ) $(LIB)
+$(BUILD)/bin/standin-%: $(BUILD)/standins/standin_%.o $(STANDIN_OBJ) $(PLATFORM_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
 
-$(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJ) $(BUILD)/tests/fleet.o $(STANDIN_OBJ) $(LIB)
+$(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJ) $(BUILD)/tests/fleet.o $(STANDIN_OBJ) $(PLATFORM_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
 
-$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_OBJ) $(STANDIN_OBJ) $(LIB)
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_OBJ) $(STANDIN_OBJ) $(PLATFORM_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(TESTLIBS) $(LDLIBS)
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -290,7 +290,8 @@
 {
   uint64_t load = load_of (entry, query->now_ms);
   uint64_t slots = entry->member.slots > 0 ? entry->member.slots : 1;
-  uint64_t bound = survey->load / survey->count + MQ_FLEET_AHEAD * LOAD_UNIT;
+  uint64_t count = survey->count > 0 ? survey->count : 1;
+  uint64_t bound = survey->load / count + (uint64_t)MQ_FLEET_AHEAD * LOAD_UNIT;
   struct rank rank = { 0, 0 };
 
   if (entry->out_until_ms > query->now_ms)
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -11,8 +11,8 @@
 static int
 compare_routes (const void *left, const void *right)
 {
-  const struct mq_route *a = left;
-  const struct mq_route *b = right;
+  const struct mq_path_route *a = left;
+  const struct mq_path_route *b = right;
   int order = strcmp (a->host, b->host);
   size_t a_len = strlen (a->prefix);
   size_t b_len = strlen (b->prefix);
@@ -34,7 +34,8 @@
 
 /* Order of a route's host and the first HOST_LEN bytes of HOST.  */
 static int
-compare_host (const struct mq_route *route, const char *host, size_t host_len)
+compare_host (const struct mq_path_route *route, const char *host,
+              size_t host_len)
 {
   int order = strncmp (route->host, host, host_len);
 
@@ -63,7 +64,7 @@
   return low;
 }
 
-const struct mq_route *
+const struct mq_path_route *
 mq_route_find (const struct mq_route_table *table, const char *host,
                const char *path)
 {
@@ -73,7 +74,7 @@
   for (size_t i = first_of_host (table, host, host_len);
        i < table->route_count; i++)
     {
-      const struct mq_route *route = &table->routes[i];
+      const struct mq_path_route *route = &table->routes[i];
       size_t prefix_len = strlen (route->prefix);
 
       if (compare_host (route, host, host_len) != 0)
@@ -86,7 +87,7 @@
 }
 
 const char *
-mq_route_service (const struct mq_route *route, uint64_t key)
+mq_route_service (const struct mq_path_route *route, uint64_t key)
 {
   uint64_t total = 0;
   uint64_t at;
@@ -115,7 +116,7 @@
 }
 
 bool
-mq_route_repeatable (const struct mq_route *route)
+mq_route_repeatable (const struct mq_path_route *route)
 {
   switch (route->kind)
     {
--- a/src/core/route.h
+++ b/src/core/route.h
@@ -25,7 +25,7 @@
 };
 
 /**
- * struct mq_route - where the requests of one host and prefix go
+ * struct mq_path_route - where the requests of one host and prefix go
  * @name: the operators' name of it
  * @host: value of the Host field, without a port
  * @prefix: begins and ends with a slash
@@ -41,7 +41,7 @@
  * @priority: 0 is the most urgent
  * @backends: at least one
  */
-struct mq_route
+struct mq_path_route
 {
   const char *name;
   const char *host;
@@ -98,7 +98,7 @@
 struct mq_route_table
 {
   uint64_t version;
-  struct mq_route *routes;
+  struct mq_path_route *routes;
   size_t route_count;
   struct mq_route_service *services;
   size_t service_count;
@@ -109,14 +109,14 @@
 void mq_route_table_sort (struct mq_route_table *table);
 /* Route of HOST, whose port is ignored, with the longest prefix that begins
    PATH; NULL when there is none.  */
-const struct mq_route *mq_route_find (const struct mq_route_table *table,
-                                      const char *host, const char *path);
+const struct mq_path_route *mq_route_find (const struct mq_route_table *table,
+                                           const char *host, const char *path);
 /* Service of ROUTE for KEY, by weight: the same key gives the same service
    as long as the weights stay.  */
-const char *mq_route_service (const struct mq_route *route, uint64_t key);
+const char *mq_route_service (const struct mq_path_route *route, uint64_t key);
 const struct mq_route_service *
 mq_route_service_find (const struct mq_route_table *table, const char *name);
 /* A request of ROUTE may run more than once.  */
-bool mq_route_repeatable (const struct mq_route *route);
+bool mq_route_repeatable (const struct mq_path_route *route);
 
 #endif
--- a/src/io/http_message.c
+++ b/src/io/http_message.c
@@ -177,6 +177,28 @@
   return true;
 }
 
+/* The parser lets blanks pass in a name.  "Content-Length : 5" is then a field
+   that we don't know and the next reader may know, so that the two of them see
+   the end of the message at different places.  */
+static bool
+is_name (const char *name)
+{
+  static const char allowed[] = "!#$%&'*+-.^_`|~0123456789"
+                                "abcdefghijklmnopqrstuvwxyz"
+                                "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
+
+  return name[0] != '\0' && name[strspn (name, allowed)] == '\0';
+}
+
+static bool
+names_are_sound (const struct mq_http_head *head)
+{
+  for (size_t i = 0; i < head->field_count; i++)
+    if (!is_name (head->fields[i].name))
+      return false;
+  return true;
+}
+
 /* A request is refused when its length could be read in two ways: a length
    beside chunks, two lengths, or a transfer coding other than chunked.  Else
    what one reader takes for a body another one takes for a request, and a
@@ -230,7 +252,7 @@
       reader->too_large = true;
       return -1;
     }
-  if (!framing_is_clear (reader))
+  if (!names_are_sound (head) || !framing_is_clear (reader))
     return -1;
   /* We never switch protocols: an Upgrade is a field like any other.  */
   if (parser->method != HTTP_CONNECT)
--- a/src/io/router.c
+++ b/src/io/router.c
@@ -4,6 +4,7 @@
 
 #include "router.h"
 #include "clock.h"
+#include "listen.h"
 #include "router_ready.h"
 #include "router_state.h"
 #include <unistd.h>
@@ -55,6 +56,18 @@
                     router);
 }
 
+static int
+close_ports (struct mq_router *router)
+{
+  TALLOC_FREE (router->front_event);
+  TALLOC_FREE (router->ready_event);
+  if (router->front_fd >= 0)
+    close (router->front_fd);
+  if (router->ready_fd >= 0)
+    close (router->ready_fd);
+  return 0;
+}
+
 static bool
 create_parts (struct mq_router *router)
 {
@@ -96,6 +109,9 @@
       return NULL;
     }
   router->ev = ev;
+  router->front_fd = -1;
+  router->ready_fd = -1;
+  talloc_set_destructor (router, close_ports);
   router->settings = settings;
   router->stop_ms = settings->stop_ms;
   router->holder = mq_clock_random ();
@@ -150,6 +166,24 @@
   log_state (router, "leaving");
 }
 
+uint16_t
+mq_router_http_port (const struct mq_router *router)
+{
+  return mq_listen_port (router->front_fd);
+}
+
+uint16_t
+mq_router_ready_port (const struct mq_router *router)
+{
+  return mq_listen_port (router->ready_fd);
+}
+
+bool
+mq_router_is_ready (const struct mq_router *router)
+{
+  return mq_ready (router);
+}
+
 bool
 mq_router_stopped (const struct mq_router *router)
 {
--- a/src/io/router.h
+++ b/src/io/router.h
@@ -48,6 +48,12 @@
                          const struct mq_router_settings *settings);
 /* Begins a planned stop.  */
 void mq_router_leave (struct mq_router *router);
+/* Ports that it listens on.  */
+uint16_t mq_router_http_port (const struct mq_router *router);
+uint16_t mq_router_ready_port (const struct mq_router *router);
+/* Callers may be sent here: the configuration and the workers are known, and
+   no stop was asked for.  */
+bool mq_router_is_ready (const struct mq_router *router);
 /* The stop is complete.  */
 bool mq_router_stopped (const struct mq_router *router);
 
--- a/src/io/router_pool.c
+++ b/src/io/router_pool.c
@@ -85,7 +85,8 @@
   grown = talloc_realloc (pool, pool->idle, struct idle_lane *, count);
   if (grown == NULL)
     return false;
-  memset (grown + pool->count, 0, (count - pool->count) * sizeof *grown);
+  for (size_t i = pool->count; i < count; i++)
+    grown[i] = NULL;
   pool->idle = grown;
   pool->count = count;
   return true;
--- a/src/io/router_ready.c
+++ b/src/io/router_ready.c
@@ -192,7 +192,7 @@
   router->ready_fd = mq_listen_open (router->settings->ready, error);
   if (router->ready_fd < 0)
     return false;
-  return tevent_add_fd (router->ev, router, router->ready_fd, TEVENT_FD_READ,
-                        on_accept, router)
-         != NULL;
+  router->ready_event = tevent_add_fd (router->ev, router, router->ready_fd,
+                                       TEVENT_FD_READ, on_accept, router);
+  return router->ready_event != NULL;
 }
--- a/src/io/router_request.c
+++ b/src/io/router_request.c
@@ -89,7 +89,7 @@
   struct mq_call_facts facts;
   struct mq_bytes body;
   struct mq_route_table *table;
-  const struct mq_route *route;
+  const struct mq_path_route *route;
   const struct mq_route_service *service_info;
   const char *service;
   struct mq_confirm *confirm;
@@ -435,7 +435,7 @@
 static uint32_t
 stall_ms (const struct mq_request *request)
 {
-  const struct mq_route *route = request->route;
+  const struct mq_path_route *route = request->route;
   uint32_t wait = request->begun ? route->gap_ms * STALL_GAP_FACTOR
                                  : route->objective_ms * STALL_FIRST_FACTOR;
 
@@ -1053,7 +1053,7 @@
 
 /* Makes the request go by ROUTE of the configuration in force.  */
 static void
-follow_route (struct mq_request *request, const struct mq_route *route)
+follow_route (struct mq_request *request, const struct mq_path_route *route)
 {
   struct mq_router *router = request->router;
   uint64_t key = next_random (router);
@@ -1089,7 +1089,7 @@
 on_confirmed (bool current, void *user)
 {
   struct mq_request *request = user;
-  const struct mq_route *route = NULL;
+  const struct mq_path_route *route = NULL;
 
   request->confirm = NULL;
   if (request->router->routes != NULL)
@@ -1109,7 +1109,7 @@
                   uint64_t arrived_ms)
 {
   struct mq_request *request = talloc_zero (router, struct mq_request);
-  const struct mq_route *route;
+  const struct mq_path_route *route;
 
   if (request == NULL)
     {
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -84,6 +84,7 @@
   struct mq_router_counters counters;
   struct mq_histogram latency;
   struct tevent_fd *front_event;
+  struct tevent_fd *ready_event;
   int front_fd;
   int ready_fd;
 };
--- /dev/null
+++ b/tests/router_site.c
@@ -0,0 +1,253 @@
+/* router_site.c - a router between stand-ins of the users' platform, in one
+   event loop.
+
+   Needs: router_site.h, http_peer.h, Criterion.  */
+
+#include "router_site.h"
+#include "http_peer.h"
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TIMEOUT_MS 3000U
+#define TURNS_MAX 4000
+
+static void
+on_tick (struct tevent_context *ev, struct tevent_timer *timer,
+         struct timeval now, void *data)
+{
+  bool *done = data;
+
+  (void)ev;
+  (void)timer;
+  (void)now;
+  *done = true;
+}
+
+void
+edge_run (struct edge_site *site, uint32_t ms)
+{
+  bool done = false;
+
+  tevent_add_timer (site->ev, site->ev,
+                    tevent_timeval_current_ofs (ms / 1000, ms % 1000 * 1000),
+                    on_tick, &done);
+  while (!done)
+    tevent_loop_once (site->ev);
+}
+
+static char *
+route_json (struct edge_site *site, const char *prefix, const char *kind,
+            uint32_t timeout_ms, const char *service, const char *more)
+{
+  return talloc_asprintf (
+      site,
+      "{\"name\":\"r%s\",\"host\":\"h.example\",\"prefix\":\"%s\","
+      "\"kind\":\"%s\",\"timeoutMs\":%u,\"sloMs\":50,\"priority\":1,"
+      "\"service\":\"%s\",\"attempts\":2%s}",
+      prefix, prefix, kind, timeout_ms, service, more);
+}
+
+void
+edge_configure (struct edge_site *site, uint32_t timeout_ms, const char *extra)
+{
+  char *call
+      = route_json (site, "/call/", "idempotent", timeout_ms, "app", "");
+  char *once
+      = route_json (site, "/once/", "non_idempotent", timeout_ms, "app", "");
+  char *turn = route_json (site, "/turn/", "streaming", timeout_ms, "llm",
+                           ",\"resumable\":true,\"sticky\":true");
+  char *kept = route_json (site, "/kept/", "streaming", timeout_ms, "llm",
+                           ",\"retain\":true,\"retainS\":60,\"sticky\":true");
+  char *more = extra == NULL ? NULL
+                             : route_json (site, extra, "idempotent",
+                                           timeout_ms, "app", "");
+  char *text = talloc_asprintf (
+      site,
+      "{\"version\":%d,\"routes\":[%s,%s,%s,%s%s%s],\"services\":["
+      "{\"name\":\"llm\",\"maxConns\":100,\"engine\":{\"batchSize\":4,"
+      "\"kvCapacity\":1000,\"tokensPerEvent\":2}},"
+      "{\"name\":\"app\",\"maxConns\":100}],"
+      "\"limits\":{\"maxHeaderBytes\":2048,\"maxBodyBytes\":4096,"
+      "\"headerTimeoutMs\":300,\"idleTimeoutMs\":400}}",
+      ++site->config_version, call, once, turn, kept, more == NULL ? "" : ",",
+      more == NULL ? "" : more);
+
+  rows_server_put (site->rows, "op", "", "config", text);
+}
+
+void
+edge_list_worker (struct edge_site *site, const struct worker_server *worker,
+                  const char *service, const char *state)
+{
+  char *text = talloc_asprintf (
+      site,
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"a\","
+      "\"batchSize\":4,\"state\":\"%s\",\"seq\":1}",
+      service, worker_server_port (worker), state);
+
+  rows_server_put (site->rows, "servers", "", worker_server_id (worker), text);
+  talloc_free (text);
+}
+
+void
+edge_unlist_worker (struct edge_site *site, const struct worker_server *worker)
+{
+  rows_server_put (site->rows, "servers", "", worker_server_id (worker), NULL);
+}
+
+void
+edge_one_worker (struct edge_site *site)
+{
+  for (int i = 1; i < EDGE_WORKERS; i++)
+    {
+      edge_unlist_worker (site, site->llm[i]);
+      edge_unlist_worker (site, site->app[i]);
+    }
+  edge_run (site, 30);
+}
+
+struct edge_site *
+edge_create (void)
+{
+  struct edge_site *site = talloc_zero (NULL, struct edge_site);
+
+  site->ev = tevent_context_init (site);
+  site->rows = rows_server_create (site, site->ev);
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "llm-%d", i);
+      site->llm[i]
+          = worker_server_create (site, site->ev, id, &site->llm_plan);
+      snprintf (id, sizeof id, "app-%d", i);
+      site->app[i]
+          = worker_server_create (site, site->ev, id, &site->app_plan);
+      edge_list_worker (site, site->llm[i], "llm", "ready");
+      edge_list_worker (site, site->app[i], "app", "ready");
+    }
+  edge_configure (site, TIMEOUT_MS, NULL);
+  edge_start (site, 0);
+  return site;
+}
+
+void
+edge_start (struct edge_site *site, int index)
+{
+  struct mq_router_settings *settings = &site->settings[index];
+  struct mq_error error = { .type = MQ_ERR_NONE };
+
+  *settings = (struct mq_router_settings){
+    .host = index == 0 ? "edge-0" : "edge-1",
+    .data_centre = "a",
+    .http = "127.0.0.1:0",
+    .ready = "127.0.0.1:0",
+    .table
+    = talloc_asprintf (site, "127.0.0.1:%u", rows_server_port (site->rows)),
+    .memory_mb = 64,
+    .stop_ms = 2000,
+    .settle_ms = 200,
+  };
+  site->routers[index] = mq_router_create (site, site->ev, settings, &error);
+  cr_assert_not_null (site->routers[index], "%s", error.subject);
+  EDGE_WAIT (site, mq_router_is_ready (site->routers[index]));
+}
+
+void
+edge_kill (struct edge_site *site, int index)
+{
+  mq_router_destroy (site->routers[index]);
+  site->routers[index] = NULL;
+}
+
+void
+edge_destroy (struct edge_site *site)
+{
+  for (int i = 0; i < EDGE_ROUTERS; i++)
+    if (site->routers[i] != NULL)
+      edge_kill (site, i);
+  rows_server_destroy (site->rows);
+  talloc_free (site);
+}
+
+void
+edge_call (struct edge_site *site, struct edge_call *call, int index,
+           const char *text)
+{
+  call->closed = false;
+  call->answer[0] = '\0';
+  call->fd = raw_open (mq_router_http_port (site->routers[index]));
+  raw_send (call->fd, text, strlen (text));
+}
+
+/* Whole answers in TEXT.  */
+static int
+count_answers (const char *text)
+{
+  int count = 0;
+  const char *at = text;
+
+  while ((at = strstr (at, "HTTP/1.1 ")) != NULL)
+    {
+      const char *body = strstr (at, "\r\n\r\n");
+      const char *length = strstr (at, "Content-Length: ");
+      bool chunked;
+
+      if (body == NULL)
+        return count;
+      body += 4;
+      chunked = length == NULL || length > body;
+      if (chunked && strstr (at, "\r\n0\r\n\r\n") == NULL
+          && strncmp (body, "0\r\n\r\n", 5) != 0)
+        return count;
+      if (!chunked && strlen (body) < strtoul (length + 16, NULL, 10))
+        return count;
+      count++;
+      at = body;
+    }
+  return count;
+}
+
+void
+edge_wait (struct edge_site *site, struct edge_call *call, int count)
+{
+  for (int i = 0; i < TURNS_MAX; i++)
+    {
+      call->closed = raw_read (call->fd, call->answer, sizeof call->answer);
+      if (call->closed || count_answers (call->answer) >= count)
+        return;
+      edge_run (site, 5);
+    }
+  cr_assert_fail ("no answer; so far: %s", call->answer);
+}
+
+void
+edge_hang_up (struct edge_call *call)
+{
+  raw_close (call->fd, false);
+}
+
+int
+edge_ask (struct edge_site *site, struct edge_call *call, int index,
+          const char *text)
+{
+  edge_call (site, call, index, text);
+  edge_wait (site, call, 1);
+  edge_hang_up (call);
+  return strncmp (call->answer, "HTTP/1.1 ", 9) == 0 ? atoi (call->answer + 9)
+                                                     : 0;
+}
+
+int
+edge_ready (struct edge_site *site, int index)
+{
+  struct edge_call call = { .closed = false };
+
+  call.fd = raw_open (mq_router_ready_port (site->routers[index]));
+  raw_send (call.fd, "GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n", 38);
+  edge_wait (site, &call, 1);
+  edge_hang_up (&call);
+  return atoi (call.answer + 9);
+}
--- /dev/null
+++ b/tests/test_router.c
@@ -0,0 +1,638 @@
+/* test_router.c - the router between stand-ins of the users' platform: what
+   callers and workers see, with the faults of each side.
+
+   Needs: Criterion, router_site.h.  */
+
+#include "router_site.h"
+#include "http_peer.h"
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+#define HOST "Host: h.example\r\n"
+#define ID "X-Request-Id: q1\r\n"
+#define NO_BODY "Content-Length: 0\r\n\r\n"
+
+static struct edge_site *site;
+static struct edge_call call;
+
+static void
+set_up (void)
+{
+  site = edge_create ();
+}
+
+static void
+tear_down (void)
+{
+  edge_destroy (site);
+}
+
+TestSuite (router, .init = set_up, .fini = tear_down, .timeout = 120);
+
+static int
+runs_of (struct worker_server *const workers[EDGE_WORKERS])
+{
+  int runs = 0;
+
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    runs += worker_server_runs (workers[i]);
+  return runs;
+}
+
+static int
+asked_of (struct worker_server *const workers[EDGE_WORKERS])
+{
+  int asked = 0;
+
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    asked += worker_server_asked (workers[i]);
+  return asked;
+}
+
+/* The last request that any of the workers ran.  */
+static const struct worker_run *
+last_run (struct worker_server *const workers[EDGE_WORKERS], const char *id)
+{
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    for (int k = worker_server_runs (workers[i]) - 1; k >= 0; k--)
+      if (strcmp (worker_server_run (workers[i], k)->id, id) == 0)
+        return worker_server_run (workers[i], k);
+  cr_assert_fail ("%s was not run", id);
+  return NULL;
+}
+
+/* Whole messages and their answers.  */
+struct served_case
+{
+  const char *name;
+  const char *text;
+  int status;
+  const char *has;
+  const char *lacks;
+};
+
+Test (router, served)
+{
+  static const struct served_case cases[] = {
+    { "call", "GET /call/a?x=1 HTTP/1.1\r\n" HOST ID "\r\n", 200, "done",
+      "Connection: close" },
+    { "once", "POST /once/a HTTP/1.1\r\n" HOST ID NO_BODY, 200, "done", "" },
+    { "host with a port",
+      "GET /call/a HTTP/1.1\r\nHost: h.example:80\r\n" ID "\r\n", 200, "done",
+      "" },
+    { "chunks",
+      "POST /once/a HTTP/1.1\r\n" HOST ID
+      "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+      200, "done", "" },
+    { "stream", "POST /turn/a HTTP/1.1\r\n" HOST ID NO_BODY, 200, "data: e4",
+      "Content-Length" },
+    { "signature", "GET /call/a HTTP/1.1\r\n" HOST ID "\r\n", 200,
+      "X-Server-Stamp: s.app", "" },
+    { "caller closes",
+      "GET /call/a HTTP/1.1\r\n" HOST ID "Connection: close\r\n\r\n", 200,
+      "Connection: close", "" },
+    { "head", "HEAD /call/a HTTP/1.1\r\n" HOST ID "\r\n", 200, "", "done" },
+    { "no route", "GET /other/a HTTP/1.1\r\n" HOST ID "\r\n", 404, "", "" },
+    { "other host", "GET /call/a HTTP/1.1\r\nHost: i.example\r\n" ID "\r\n",
+      404, "", "" },
+    { "prefix without its slash", "GET /call HTTP/1.1\r\n" HOST ID "\r\n", 404,
+      "", "" },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      const struct served_case *row = &cases[i];
+      int status = edge_ask (site, &call, 0, row->text);
+
+      cr_assert_eq (status, row->status, "%s: %s", row->name, call.answer);
+      cr_assert (strstr (call.answer, row->has) != NULL, "%s: %s", row->name,
+                 call.answer);
+      cr_assert (row->lacks[0] == '\0'
+                     || strstr (call.answer, row->lacks) == NULL,
+                 "%s: %s", row->name, call.answer);
+    }
+}
+
+/* A caller slips a second request into the body of its first, or sends what
+   two readers understand differently.  What is passed on must be one request
+   or none.  */
+Test (router, malformed_messages_are_refused_and_not_passed_on)
+{
+  static const struct served_case cases[] = {
+    { "both lengths",
+      "POST /once/a HTTP/1.1\r\n" HOST ID
+      "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\n\r\n",
+      400, "", "" },
+    { "two lengths",
+      "POST /once/a HTTP/1.1\r\n" HOST ID
+      "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      400, "", "" },
+    { "bad chunk",
+      "POST /once/a HTTP/1.1\r\n" HOST ID
+      "Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+      400, "", "" },
+    { "coding that is not chunked",
+      "POST /once/a HTTP/1.1\r\n" HOST ID
+      "Transfer-Encoding: xchunked\r\n\r\n",
+      400, "", "" },
+    { "coding twice",
+      "POST /once/a HTTP/1.1\r\n" HOST ID "Transfer-Encoding: chunked\r\n"
+      "Transfer-Encoding: identity\r\n\r\n0\r\n\r\n",
+      400, "", "" },
+    { "no host", "GET /call/a HTTP/1.1\r\n" ID "\r\n", 400, "", "" },
+    { "two hosts", "GET /call/a HTTP/1.1\r\n" HOST HOST ID "\r\n", 400, "",
+      "" },
+    { "no id", "GET /call/a HTTP/1.1\r\n" HOST "\r\n", 400, "", "" },
+    { "not HTTP", "\001\002\003\r\n\r\n", 400, "", "" },
+    { "blank in a name", "GET /call/a HTTP/1.1\r\nX y : z\r\n" HOST ID "\r\n",
+      400, "", "" },
+    { "body too large",
+      "POST /once/a HTTP/1.1\r\n" HOST ID "Content-Length: 5000\r\n\r\n", 413,
+      "", "" },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      int status = edge_ask (site, &call, 0, cases[i].text);
+
+      cr_assert_eq (status, cases[i].status, "%s: %s", cases[i].name,
+                    call.answer);
+    }
+  cr_assert_eq (asked_of (site->app), 0);
+}
+
+Test (router, head_over_its_bound)
+{
+  char text[4096];
+  int len = snprintf (text, sizeof text,
+                      "GET /call/a HTTP/1.1\r\n" HOST ID "X-Long: ");
+
+  memset (text + len, 'x', 2100);
+  snprintf (text + len + 2100, 8, "\r\n\r\n");
+  cr_assert_eq (edge_ask (site, &call, 0, text), 431);
+}
+
+/* A caller begins a message and never ends it, or keeps a connection without
+   use: neither may hold the connection for ever.  */
+Test (router, slow_and_idle_callers)
+{
+  edge_call (site, &call, 0, "GET /call/a HT");
+  edge_wait (site, &call, 1);
+  cr_assert_eq (strncmp (call.answer, "HTTP/1.1 408", 12), 0, "%s",
+                call.answer);
+  edge_hang_up (&call);
+  edge_call (site, &call, 0, "GET /call/a HTTP/1.1\r\n" HOST ID "\r\n");
+  edge_wait (site, &call, 1);
+  cr_assert_not (call.closed);
+  edge_wait (site, &call, 2);
+  cr_assert (call.closed);
+  edge_hang_up (&call);
+}
+
+Test (router, requests_in_a_row_on_one_connection)
+{
+  edge_call (site, &call, 0,
+             "GET /call/a HTTP/1.1\r\n" HOST ID "\r\n"
+             "GET /call/b HTTP/1.1\r\n" HOST "X-Request-Id: q2\r\n\r\n"
+             "POST /turn/b HTTP/1.1\r\n" HOST "X-Request-Id: q3\r\n" NO_BODY);
+  edge_wait (site, &call, 3);
+  cr_assert_not_null (strstr (call.answer, "X-Request-Id: q1"));
+  cr_assert_not_null (strstr (call.answer, "X-Request-Id: q2"));
+  cr_assert_not_null (strstr (call.answer, "X-Request-Id: q3"));
+  edge_hang_up (&call);
+}
+
+/* What a caller may not set for a worker, and what concerns its own
+   connection alone, does not reach the worker.  */
+Test (router, fields_that_are_not_passed_on)
+{
+  const struct worker_run *run;
+
+  edge_ask (site, &call, 0,
+            "GET /call/a?b=c HTTP/1.1\r\n" HOST ID
+            "X-Hold: h1\r\nX-Expect-Instance: app-9\r\n"
+            "Connection: X-Private\r\nX-Private: secret\r\n"
+            "X-Deadline-Ms: 1500\r\n\r\n");
+  run = last_run (site->app, "q1");
+  cr_assert_str_eq (run->hold, "");
+  cr_assert_str_eq (run->connection, "");
+  cr_assert_eq (strncmp (run->instance, "app-", 4), 0);
+  cr_assert_str_neq (run->instance, "app-9");
+  cr_assert_str_eq (run->target, "/call/a?b=c");
+  cr_assert (run->deadline_ms > 1000 && run->deadline_ms <= 1500, "%lu",
+             run->deadline_ms);
+}
+
+/* Runs that were to go on after EVENT.  */
+static int
+runs_after (struct worker_server *const workers[EDGE_WORKERS],
+            const char *event)
+{
+  int count = 0;
+
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    for (int k = 0; k < worker_server_runs (workers[i]); k++)
+      if (strcmp (worker_server_run (workers[i], k)->last_event, event) == 0)
+        count++;
+  return count;
+}
+
+/* What a worker may do with a request, what the caller then gets, and on how
+   many workers the request has run.  */
+struct fault_case
+{
+  const char *name;
+  enum worker_step step;
+  int steps;
+  const char *path;
+  int status;
+  int runs;
+  const char *has;
+};
+
+Test (router, faults_of_workers)
+{
+  static const struct fault_case cases[] = {
+    { "full, then served", WORKER_FULL, 1, "/once/", 200, 1, "done" },
+    { "full everywhere", WORKER_FULL, 2, "/once/", 503, 0, "Retry-After" },
+    { "another worker there", WORKER_OTHER, 1, "/once/", 200, 1, "done" },
+    { "no answer, may repeat", WORKER_NO_ANSWER, 1, "/call/", 200, 2, "done" },
+    { "no answer, once", WORKER_NO_ANSWER, 1, "/once/", 502, 1, "" },
+    { "reset, may repeat", WORKER_RESET, 1, "/call/", 200, 2, "done" },
+    { "reset, once", WORKER_RESET, 1, "/once/", 502, 1, "" },
+    { "garbage, may repeat", WORKER_GARBAGE, 1, "/call/", 200, 2, "done" },
+    { "garbage, once", WORKER_GARBAGE, 1, "/once/", 502, 1, "" },
+    { "error, may repeat", WORKER_ERROR, 1, "/call/", 200, 2, "done" },
+    { "error twice", WORKER_ERROR, 2, "/call/", 500, 2, "X-Server-Stamp" },
+    { "error, once", WORKER_ERROR, 1, "/once/", 500, 1, "X-Server-Stamp" },
+    { "503 without a statement, once", WORKER_BARE_503, 1, "/once/", 502, 1,
+      "" },
+    { "nameless", WORKER_NAMELESS, 1, "/once/", 502, 1, "" },
+    { "another's answer first", WORKER_FOREIGN, 1, "/once/", 200, 1, "done" },
+    { "unframed", WORKER_UNFRAMED, 1, "/once/", 200, 1, "done" },
+    { "unframed and reset", WORKER_UNFRAMED_RESET, 1, "/once/", 502, 1, "" },
+    { "silent, may repeat", WORKER_SILENT, 1, "/call/", 200, 2, "done" },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      const struct fault_case *row = &cases[i];
+      char text[256];
+      int before = runs_of (site->app);
+      int status;
+
+      site->app_plan = (struct worker_plan){ row->step, row->steps };
+      snprintf (text, sizeof text,
+                "POST %sx HTTP/1.1\r\n" HOST "X-Request-Id: f%zu\r\n" NO_BODY,
+                row->path, i);
+      edge_call (site, &call, 0, text);
+      edge_wait (site, &call, 1);
+      edge_hang_up (&call);
+      status = call.answer[0] == '\0' ? 0 : atoi (call.answer + 9);
+      site->app_plan.count = 0;
+      cr_assert_eq (status, row->status, "%s: %s", row->name, call.answer);
+      cr_assert_eq (runs_of (site->app) - before, row->runs, "%s: %d runs",
+                    row->name, runs_of (site->app) - before);
+      cr_assert (strstr (call.answer, row->has) != NULL, "%s: %s", row->name,
+                 call.answer);
+      edge_kill (site, 0);
+      edge_start (site, 0);
+    }
+}
+
+/* A worker answers a request twice on a kept connection.  The second answer
+   must not be taken for that of the next request.  */
+Test (router, second_answer_is_nobodys)
+{
+  edge_one_worker (site);
+  site->app_plan = (struct worker_plan){ WORKER_TWICE, 1 };
+  for (int i = 0; i < 5; i++)
+    {
+      char text[128];
+
+      snprintf (text, sizeof text,
+                "GET /call/a HTTP/1.1\r\n" HOST "X-Request-Id: t%d\r\n\r\n",
+                i);
+      cr_assert_eq (edge_ask (site, &call, 0, text), 200);
+      cr_assert_null (strstr (call.answer, "wrong"), "%s", call.answer);
+    }
+}
+
+/* A worker breaks a stream off in the middle of an event.  The stream goes on
+   at another worker after the last whole event, inside the same answer; the
+   caller sees each event once.  */
+Test (router, resumable_stream_goes_on_at_another_worker)
+{
+  static const char whole[] = "id: 1\ndata: e1\n\n";
+
+  site->llm_plan = (struct worker_plan){ WORKER_CUT, 1 };
+  edge_call (site, &call, 0, "POST /turn/a HTTP/1.1\r\n" HOST ID NO_BODY);
+  edge_wait (site, &call, 1);
+  edge_hang_up (&call);
+  for (int i = 1; i <= 4; i++)
+    {
+      char event[32];
+      const char *first;
+
+      snprintf (event, sizeof event, "id: %d\ndata: e%d\n", i, i);
+      first = strstr (call.answer, event);
+      cr_assert_not_null (first, "event %d: %s", i, call.answer);
+      cr_assert_null (strstr (first + 1, event), "event %d twice", i);
+    }
+  cr_assert_not_null (strstr (call.answer, whole));
+  cr_assert_null (strstr (call.answer, "id: 9"));
+  cr_assert_eq (runs_after (site->llm, "2"), 1);
+}
+
+/* The same on a route whose streams may run once: the answer ends without its
+   last chunk, so that nobody takes it for a whole one.  */
+Test (router, other_stream_breaks_off_visibly)
+{
+  site->llm_plan = (struct worker_plan){ WORKER_CUT, 1 };
+  edge_call (site, &call, 0,
+             "POST /kept/a HTTP/1.1\r\n" HOST ID
+             "X-Program-Id: p1\r\n" NO_BODY);
+  edge_wait (site, &call, 1);
+  cr_assert (call.closed);
+  cr_assert_not_null (strstr (call.answer, "data: e2"));
+  cr_assert_null (strstr (call.answer, "\r\n0\r\n\r\n"));
+  cr_assert_eq (runs_of (site->llm), 1);
+  edge_hang_up (&call);
+}
+
+/* A worker gives half of a stream and then nothing, without closing.  */
+Test (router, silent_stream_goes_on_at_another_worker)
+{
+  site->llm_plan = (struct worker_plan){ WORKER_HALF, 1 };
+  edge_call (site, &call, 0, "POST /turn/a HTTP/1.1\r\n" HOST ID NO_BODY);
+  EDGE_WAIT (site, asked_of (site->llm) == 1);
+  edge_wait (site, &call, 1);
+  edge_hang_up (&call);
+  cr_assert_not_null (strstr (call.answer, "data: e4"), "%s", call.answer);
+  cr_assert_eq (runs_of (site->llm), 2);
+}
+
+/* A caller leaves while a worker works for it: the worker is told at once by
+   the end of its connection.  */
+Test (router, caller_leaves)
+{
+  site->llm_plan = (struct worker_plan){ WORKER_HALF, 1 };
+  edge_call (site, &call, 0, "POST /kept/a HTTP/1.1\r\n" HOST ID NO_BODY);
+  EDGE_WAIT (site, asked_of (site->llm) == 1);
+  edge_hang_up (&call);
+  EDGE_WAIT (site, worker_server_closed (site->llm[0])
+                           + worker_server_closed (site->llm[1])
+                           + worker_server_closed (site->llm[2])
+                       == 1);
+}
+
+/* A worker that never answers: the caller gets its final answer when the
+   route's time is up, and it does not promise that nothing ran.  */
+Test (router, time_is_up)
+{
+  edge_configure (site, 300, NULL);
+  edge_run (site, 30);
+  site->app_plan = (struct worker_plan){ WORKER_SILENT, 1 };
+  cr_assert_eq (
+      edge_ask (site, &call, 0, "POST /once/a HTTP/1.1\r\n" HOST ID NO_BODY),
+      504);
+}
+
+/* No worker can be reached: refused, with a time to come back.  */
+Test (router, no_worker)
+{
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    worker_server_listen (site->app[i], false);
+  cr_assert_eq (
+      edge_ask (site, &call, 0, "POST /once/a HTTP/1.1\r\n" HOST ID NO_BODY),
+      503);
+  cr_assert_not_null (strstr (call.answer, "Retry-After: "));
+}
+
+/* A worker that is leaving gets no new request; one that has left the list
+   neither.  */
+Test (router, leaving_workers_get_nothing)
+{
+  edge_list_worker (site, site->app[0], "app", "draining");
+  edge_unlist_worker (site, site->app[1]);
+  edge_run (site, 50);
+  for (int i = 0; i < 8; i++)
+    cr_assert_eq (
+        edge_ask (site, &call, 0, "GET /call/a HTTP/1.1\r\n" HOST ID "\r\n"),
+        200);
+  cr_assert_eq (worker_server_runs (site->app[0]), 0);
+  cr_assert_eq (worker_server_runs (site->app[1]), 0);
+  cr_assert_eq (worker_server_runs (site->app[2]), 8);
+}
+
+/* The table forgets its history while a configuration and a leaving worker
+   come: the next list tells both.  */
+Test (router, history_is_forgotten)
+{
+  rows_server_fault (site->rows, ROWS_SLOW_FEED);
+  edge_configure (site, 3000, "/new/");
+  edge_list_worker (site, site->app[0], "app", "draining");
+  rows_server_compact (site->rows);
+  rows_server_fault (site->rows, ROWS_WELL);
+  edge_run (site, 600);
+  cr_assert_eq (
+      edge_ask (site, &call, 0, "GET /new/a HTTP/1.1\r\n" HOST ID "\r\n"),
+      200);
+  cr_assert_eq (worker_server_runs (site->app[0]), 0);
+}
+
+/* A route that is not known is looked up in the table before a caller is told
+   so: the feed may be behind.  Where the table does not answer, the caller is
+   told to come back.  */
+Test (router, unknown_route_is_confirmed)
+{
+  rows_server_fault (site->rows, ROWS_SLOW_FEED);
+  edge_configure (site, 3000, "/new/");
+  cr_assert_eq (
+      edge_ask (site, &call, 0, "GET /new/a HTTP/1.1\r\n" HOST ID "\r\n"),
+      200);
+  rows_server_fault (site->rows, ROWS_REFUSING);
+  cr_assert_eq (
+      edge_ask (site, &call, 0, "GET /newer/a HTTP/1.1\r\n" HOST ID "\r\n"),
+      503);
+}
+
+/* Budgets and histories */
+
+static int
+ask_turn (int router, const char *id, const char *program, const char *more,
+          const char *body)
+{
+  char text[1024];
+
+  snprintf (text, sizeof text,
+            "POST /kept/a HTTP/1.1\r\n" HOST "X-Request-Id: %s\r\n"
+            "X-Program-Id: %s\r\nX-Token-Count: 10,8\r\n%s"
+            "Content-Length: %zu\r\n\r\n%s",
+            id, program, more, strlen (body), body);
+  return edge_ask (site, &call, router, text);
+}
+
+#define BUDGET(tokens) "X-Token-Budget: " #tokens "\r\n"
+#define AFTER(turn) "X-Previous-Turn: " turn "\r\n"
+
+/* A turn continues from one that another host served, and that host is gone
+   with all its memory: the worker gets all that was said.  */
+Test (router, turn_continues_after_all_hosts_were_lost)
+{
+  const struct worker_run *run;
+
+  cr_assert_eq (ask_turn (0, "t1", "p1", BUDGET (80), "one;"), 200);
+  cr_assert_eq (ask_turn (0, "t2", "p1", BUDGET (80) AFTER ("t1"), "two;"),
+                200);
+  edge_kill (site, 0);
+  edge_start (site, 1);
+  cr_assert_eq (ask_turn (1, "t3", "p2", BUDGET (80) AFTER ("t2"), "three;"),
+                200, "%s", call.answer);
+  run = last_run (site->llm, "t3");
+  cr_assert_str_eq (run->body, "one;e1\ne2\ne3\ne4\ntwo;e1\ne2\ne3\ne4\n"
+                               "three;");
+  cr_assert_eq (ask_turn (1, "t4", "p2", BUDGET (80) AFTER ("t9"), "x"), 404);
+}
+
+/* The table does not answer: whether a turn exists can't be told, so the
+   caller is asked to come back and not told that there is none.  */
+Test (router, unknown_turn_while_the_table_is_away)
+{
+  rows_server_fault (site->rows, ROWS_REFUSING);
+  cr_assert_eq (ask_turn (0, "t1", "p1", AFTER ("t0"), "x"), 503);
+  cr_assert_not_null (strstr (call.answer, "Retry-After: "));
+}
+
+/* A program loops.  Each turn hands out 8 tokens; once the budget of 20 is
+   spent its turns are refused for good, at this host, at another one, and
+   after both were lost.  */
+Test (router, budget_holds_over_hosts_and_restarts)
+{
+  int served = 0;
+  char id[16];
+
+  edge_start (site, 1);
+  for (int i = 0; i < 6; i++)
+    {
+      int status;
+
+      snprintf (id, sizeof id, "t%d", i);
+      status = ask_turn (i % 2, id, "p1", BUDGET (20), "x");
+      cr_assert (status == 200 || status == 402, "%d: %d", i, status);
+      served += status == 200 ? 1 : 0;
+    }
+  cr_assert (served >= 2 && served * 8 < 20 + 8, "%d turns", served);
+  cr_assert_eq (runs_of (site->llm), served);
+  edge_kill (site, 0);
+  edge_kill (site, 1);
+  edge_start (site, 0);
+  cr_assert_eq (ask_turn (0, "u1", "p1", BUDGET (20), "x"), 402);
+  cr_assert_eq (runs_of (site->llm), served);
+}
+
+/* Faults of the table while a turn's record is written.  */
+struct keep_case
+{
+  const char *name;
+  enum rows_fault fault;
+  bool whole;
+};
+
+/* The end of a turn's answer waits for its record.  A write whose answer is
+   lost is found to be done; while the table is away the answer stays open,
+   and it ends when the table is back.  */
+Test (router, end_of_a_turn_waits_for_its_record)
+{
+  static const struct keep_case cases[] = {
+    { "answers are lost", ROWS_LOSE, false },
+    { "down", ROWS_BUSY, false },
+    { "refuses", ROWS_REFUSING, false },
+    { "well", ROWS_WELL, true },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      char text[256];
+
+      worker_server_events (site->llm[0], 4);
+      snprintf (text, sizeof text,
+                "POST /kept/a HTTP/1.1\r\n" HOST "X-Request-Id: k%zu\r\n"
+                "X-Program-Id: k\r\n" NO_BODY,
+                i);
+      edge_run (site, 700);
+      rows_server_fault (site->rows, cases[i].fault);
+      edge_call (site, &call, 0, text);
+      EDGE_WAIT (site, runs_of (site->llm) == (int)i + 1);
+      edge_run (site, 100);
+      raw_read (call.fd, call.answer, sizeof call.answer);
+      cr_assert_not_null (strstr (call.answer, "data: e4"), "%s",
+                          cases[i].name);
+      cr_assert_eq (strstr (call.answer, "\r\n0\r\n\r\n") != NULL,
+                    cases[i].whole, "%s: %s", cases[i].name, call.answer);
+      rows_server_fault (site->rows, ROWS_WELL);
+      edge_wait (site, &call, 1);
+      cr_assert_not (call.closed, "%s", cases[i].name);
+      edge_hang_up (&call);
+    }
+  cr_assert_eq (rows_server_count (site->rows, "turn"), ROWS (cases));
+}
+
+/* A write of a program's record gets no answer and is done seconds later, when
+   the record has long been written again: its condition no longer holds.  */
+Test (router, late_write_of_a_budget_changes_nothing)
+{
+  rows_server_fault (site->rows, ROWS_LATE);
+  cr_assert_eq (ask_turn (0, "t1", "p1", BUDGET (20), "x"), 503);
+  rows_server_fault (site->rows, ROWS_WELL);
+  edge_run (site, 500);
+  cr_assert_eq (ask_turn (0, "t2", "p1", BUDGET (20), "x"), 200);
+  rows_server_do_late (site->rows);
+  cr_assert_eq (ask_turn (0, "t3", "p1", BUDGET (20), "x"), 200);
+  cr_assert_eq (ask_turn (0, "t4", "p1", BUDGET (20), "x"), 200);
+  cr_assert_eq (ask_turn (0, "t5", "p1", BUDGET (20), "x"), 402);
+}
+
+/* Stops */
+
+/* An operator stops a host.  It says at once that it takes no callers, serves
+   those who still come, and answers tell them to go elsewhere; a stream under
+   way ends whole.  */
+Test (router, planned_stop)
+{
+  struct edge_call other;
+
+  site->llm_plan = (struct worker_plan){ WORKER_HALF, 1 };
+  edge_call (site, &call, 0, "POST /turn/a HTTP/1.1\r\n" HOST ID NO_BODY);
+  EDGE_WAIT (site, asked_of (site->llm) == 1);
+  mq_router_leave (site->routers[0]);
+  cr_assert_eq (edge_ready (site, 0), 503);
+  cr_assert_eq (
+      edge_ask (site, &other, 0, "GET /call/a HTTP/1.1\r\n" HOST ID "\r\n"),
+      200);
+  cr_assert_not_null (strstr (other.answer, "Connection: close"));
+  edge_wait (site, &call, 1);
+  cr_assert_not_null (strstr (call.answer, "data: e4"));
+  edge_hang_up (&call);
+  EDGE_WAIT (site, mq_router_stopped (site->routers[0]));
+}
+
+/* A host is stopped while the platform's table is silent.  It used to wait for
+   the table with its door open, took a request seconds later and cut it off
+   when its time was up: the caller saw a closed connection without an answer.
+   Once callers have had time to go elsewhere the door is closed, and the host
+   does not wait for the table.  */
+Test (router, stop_while_the_table_is_silent)
+{
+  cr_assert_eq (ask_turn (0, "t1", "p1", BUDGET (80), "x"), 200);
+  rows_server_fault (site->rows, ROWS_SILENT);
+  mq_router_leave (site->routers[0]);
+  for (int i = 0; i < 200 && !mq_router_stopped (site->routers[0]); i++)
+    edge_run (site, 5);
+  cr_assert (mq_router_stopped (site->routers[0]));
+  cr_assert_eq (mq_router_http_port (site->routers[0]), 0);
+}
--- /dev/null
+++ b/tests/test_routing.c
@@ -0,0 +1,348 @@
+/* test_routing.c - routes, the choice of a worker, and what follows a try that
+   failed, on plain values.
+
+   Needs: Criterion, route.h, fleet.h, attempt.h.  */
+
+#include "core/attempt.h"
+#include "core/fleet.h"
+#include "core/route.h"
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+
+/* Routes */
+
+static struct mq_route_backend backends[]
+    = { { "old", 90 }, { "new", 10 }, { "none", 0 } };
+
+static struct mq_path_route routes[] = {
+  { .name = "root", .host = "a.example", .prefix = "/" },
+  { .name = "one", .host = "a.example", .prefix = "/one/" },
+  { .name = "two", .host = "a.example", .prefix = "/one/two/" },
+  { .name = "other", .host = "ab.example", .prefix = "/one/" },
+  { .name = "deep", .host = "b.example", .prefix = "/x/y/z/" },
+};
+
+struct route_case
+{
+  const char *host;
+  const char *path;
+  const char *name; /* NULL: none */
+};
+
+Test (routing, longest_prefix_of_the_host)
+{
+  static const struct route_case cases[] = {
+    { "a.example", "/", "root" },
+    { "a.example", "/one", "root" },
+    { "a.example", "/one/", "one" },
+    { "a.example", "/one/x?y=/one/two/", "one" },
+    { "a.example", "/one/two/three", "two" },
+    { "a.example:8080", "/one/two/three", "two" },
+    { "ab.example", "/one/two/", "other" },
+    { "ab.example", "/two/", NULL },
+    { "b.example", "/x/y/", NULL },
+    { "b.example", "/x/y/z/", "deep" },
+    { "b.example", "/x/y?/z/", NULL },
+    { "c.example", "/", NULL },
+    { "a.exampl", "/", NULL },
+    { "", "/", NULL },
+  };
+  struct mq_route_table table
+      = { .routes = routes, .route_count = ROWS (routes) };
+
+  mq_route_table_sort (&table);
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      const struct mq_path_route *found
+          = mq_route_find (&table, cases[i].host, cases[i].path);
+
+      cr_assert_str_eq (found == NULL ? "" : found->name,
+                        cases[i].name == NULL ? "" : cases[i].name, "%s%s",
+                        cases[i].host, cases[i].path);
+    }
+}
+
+Test (routing, service_by_weight)
+{
+  struct mq_path_route route = { .backends = backends, .backend_count = 3 };
+  int newer = 0;
+
+  for (uint64_t key = 0; key < 1000; key++)
+    {
+      const char *service = mq_route_service (&route, key);
+
+      cr_assert_str_neq (service, "none");
+      cr_assert_str_eq (service, mq_route_service (&route, key));
+      newer += strcmp (service, "new") == 0 ? 1 : 0;
+    }
+  cr_assert_eq (newer, 100);
+}
+
+/* Choice of a worker */
+
+static struct mq_fleet *fleet;
+
+static uint32_t
+handle_of (const char *id)
+{
+  struct mq_fleet_query query
+      = { .service = "s", .data_centre = "a", .now_ms = 1 };
+  uint32_t tried[16];
+
+  query.tried = tried;
+  for (query.tried_count = 0; query.tried_count < 16; query.tried_count++)
+    {
+      uint32_t worker = mq_fleet_choose (fleet, &query);
+
+      if (worker == MQ_WORKER_NONE)
+        break;
+      if (strcmp (mq_fleet_member (fleet, worker)->id, id) == 0)
+        return worker;
+      tried[query.tried_count] = worker;
+    }
+  return MQ_WORKER_NONE;
+}
+
+static void
+put (const char *id, const char *data_centre, uint32_t slots, bool leaving)
+{
+  struct mq_fleet_member member = { .id = id,
+                                    .service = "s",
+                                    .address = "127.0.0.1:1",
+                                    .data_centre = data_centre,
+                                    .slots = slots,
+                                    .leaving = leaving };
+
+  cr_assert (mq_fleet_put (fleet, &member, NULL));
+}
+
+static void
+make_fleet (void)
+{
+  fleet = mq_fleet_create (NULL);
+  put ("w0", "a", 4, false);
+  put ("w1", "b", 4, false);
+  put ("w2", "b", 4, false);
+}
+
+static void
+end_fleet (void)
+{
+  mq_fleet_destroy (fleet);
+}
+
+TestSuite (fleet, .init = make_fleet, .fini = end_fleet);
+
+static const char *
+chosen (uint64_t now_ms, const uint64_t *key, uint64_t random)
+{
+  struct mq_fleet_query query = { .service = "s",
+                                  .data_centre = "a",
+                                  .has_key = key != NULL,
+                                  .key = key == NULL ? 0 : *key,
+                                  .now_ms = now_ms,
+                                  .random = random };
+  uint32_t worker = mq_fleet_choose (fleet, &query);
+
+  return worker == MQ_WORKER_NONE ? "none"
+                                  : mq_fleet_member (fleet, worker)->id;
+}
+
+Test (fleet, near_and_idle_first)
+{
+  cr_assert_str_eq (chosen (1, NULL, 7), "w0");
+  mq_fleet_started (fleet, handle_of ("w0"));
+  cr_assert_str_neq (chosen (1, NULL, 7), "w0");
+}
+
+/* All hosts choose the same worker for a program, whatever else they see, as
+   long as it has room.  */
+Test (fleet, a_key_stays_with_its_worker)
+{
+  for (uint64_t key = 1; key < 50; key++)
+    {
+      const char *first = chosen (1, &key, 1);
+
+      for (uint64_t random = 2; random < 6; random++)
+        cr_assert_str_eq (chosen (1, &key, random), first);
+    }
+}
+
+Test (fleet, a_full_worker_is_passed_by)
+{
+  uint64_t key = 3;
+  const char *first = chosen (1, &key, 1);
+  uint32_t worker = handle_of (first);
+
+  mq_fleet_told (fleet, worker, 4, 2, 1000);
+  cr_assert_str_neq (chosen (1001, &key, 1), first);
+  /* Old figures count no more.  */
+  cr_assert_str_eq (chosen (1000 + MQ_FLEET_LOAD_AGE_MS, &key, 1), first);
+}
+
+struct outcome_case
+{
+  const char *name;
+  enum mq_fleet_outcome outcomes[3];
+  int count;
+  bool out;
+};
+
+/* After which outcomes a worker is left out.  */
+Test (fleet, failures_leave_a_worker_out)
+{
+  static const struct outcome_case cases[] = {
+    { "served", { MQ_OUTCOME_SERVED }, 1, false },
+    { "one failure", { MQ_OUTCOME_FAILED }, 1, false },
+    { "two failures", { MQ_OUTCOME_FAILED, MQ_OUTCOME_FAILED }, 2, true },
+    { "served between",
+      { MQ_OUTCOME_FAILED, MQ_OUTCOME_SERVED, MQ_OUTCOME_FAILED },
+      3,
+      false },
+    { "unreachable", { MQ_OUTCOME_UNREACHABLE }, 1, true },
+    { "stopped", { MQ_OUTCOME_STOPPED, MQ_OUTCOME_STOPPED }, 2, false },
+    { "leaving", { MQ_OUTCOME_LEAVING }, 1, true },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      uint32_t worker;
+      bool out;
+
+      end_fleet ();
+      make_fleet ();
+      worker = handle_of ("w0");
+      for (int k = 0; k < cases[i].count; k++)
+        {
+          mq_fleet_started (fleet, worker);
+          mq_fleet_ended (fleet, worker, cases[i].outcomes[k], 1000);
+        }
+      out = strcmp (chosen (1001, NULL, 7), "w0") != 0;
+      cr_assert_eq (out, cases[i].out, "%s", cases[i].name);
+    }
+}
+
+/* A worker that was left out is tried again after a pause, which doubles while
+   it goes on failing.  */
+Test (fleet, pauses_of_a_failing_worker_double)
+{
+  uint32_t worker = handle_of ("w0");
+  uint64_t now = 1000;
+  uint64_t pause = MQ_FLEET_OUT_MS;
+
+  for (int i = 0; i < 5; i++)
+    {
+      mq_fleet_started (fleet, worker);
+      mq_fleet_ended (fleet, worker, MQ_OUTCOME_UNREACHABLE, now);
+      cr_assert_str_neq (chosen (now + pause - 1, NULL, 7), "w0");
+      cr_assert_str_eq (chosen (now + pause, NULL, 7), "w0", "after %d", i);
+      now += pause;
+      if (pause < MQ_FLEET_OUT_MAX_MS)
+        pause *= 2;
+    }
+}
+
+/* Most workers of a service fail at once: that is not the workers' fault, and
+   requests still go somewhere.  */
+Test (fleet, never_are_most_workers_left_out)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      char id[4];
+      uint32_t worker;
+
+      snprintf (id, sizeof id, "w%d", i);
+      worker = handle_of (id);
+      mq_fleet_started (fleet, worker);
+      mq_fleet_ended (fleet, worker, MQ_OUTCOME_UNREACHABLE, 1000);
+    }
+  cr_assert_str_eq (chosen (1001, NULL, 7), "w0");
+}
+
+Test (fleet, workers_come_and_go)
+{
+  uint32_t worker = handle_of ("w0");
+
+  cr_assert_eq (mq_fleet_count (fleet, "s"), 3);
+  put ("w1", "b", 4, true);
+  cr_assert_eq (mq_fleet_count (fleet, "s"), 2);
+  /* A request under way keeps the handle.  */
+  mq_fleet_started (fleet, worker);
+  cr_assert (mq_fleet_remove (fleet, "w0"));
+  cr_assert_not (mq_fleet_remove (fleet, "w0"));
+  cr_assert_str_eq (mq_fleet_member (fleet, worker)->id, "w0");
+  cr_assert_not (mq_fleet_usable (fleet, worker));
+  cr_assert_str_eq (chosen (1, NULL, 7), "w2");
+  mq_fleet_ended (fleet, worker, MQ_OUTCOME_SERVED, 5);
+  /* A list that does not name w2 ends it.  */
+  mq_fleet_list_begin (fleet);
+  put ("w3", "a", 4, false);
+  mq_fleet_list_end (fleet);
+  cr_assert_str_eq (chosen (1, NULL, 7), "w3");
+  cr_assert_eq (mq_fleet_count (fleet, "s"), 1);
+}
+
+/* What follows a try that failed */
+
+struct attempt_case
+{
+  const char *name;
+  struct mq_attempt attempt;
+  enum mq_attempt_next next;
+};
+
+/* End, repeatable, begun, sent, sent_max, unreachable, left_ms, ran.  */
+#define TRY(...)                                                              \
+  {                                                                           \
+    __VA_ARGS__                                                               \
+  }
+
+Test (attempt, decide)
+{
+  static const struct attempt_case cases[] = {
+    { "unreachable",
+      TRY (MQ_ATTEMPT_UNREACHABLE, false, false, 0, 2, 1, 500, false),
+      MQ_NEXT_RETRY },
+    { "unreachable too often",
+      TRY (MQ_ATTEMPT_UNREACHABLE, true, false, 0, 2, 4, 500, false),
+      MQ_NEXT_REFUSE },
+    { "not run", TRY (MQ_ATTEMPT_NOT_RUN, false, false, 1, 2, 0, 500, false),
+      MQ_NEXT_RETRY },
+    { "not run twice",
+      TRY (MQ_ATTEMPT_NOT_RUN, false, false, 2, 2, 0, 500, false),
+      MQ_NEXT_REFUSE },
+    { "not run, no time",
+      TRY (MQ_ATTEMPT_NOT_RUN, false, false, 1, 2, 0, 10, false),
+      MQ_NEXT_REFUSE },
+    { "broken, once",
+      TRY (MQ_ATTEMPT_BROKEN, false, false, 1, 2, 0, 500, true),
+      MQ_NEXT_FAIL },
+    { "broken, repeatable",
+      TRY (MQ_ATTEMPT_BROKEN, true, false, 1, 2, 0, 500, true),
+      MQ_NEXT_RETRY },
+    { "broken twice", TRY (MQ_ATTEMPT_BROKEN, true, false, 2, 2, 0, 500, true),
+      MQ_NEXT_FAIL },
+    { "broken in the middle, repeatable",
+      TRY (MQ_ATTEMPT_BROKEN, true, true, 1, 2, 0, 500, true), MQ_NEXT_RETRY },
+    { "broken in the middle, once",
+      TRY (MQ_ATTEMPT_BROKEN, false, true, 1, 2, 0, 500, true),
+      MQ_NEXT_BREAK },
+    { "error, once", TRY (MQ_ATTEMPT_ERROR, false, false, 1, 2, 0, 500, true),
+      MQ_NEXT_PASS_ON },
+    { "error, last", TRY (MQ_ATTEMPT_ERROR, true, false, 2, 2, 0, 500, true),
+      MQ_NEXT_PASS_ON },
+    { "ran before, then not run",
+      TRY (MQ_ATTEMPT_NOT_RUN, true, false, 2, 2, 0, 500, true),
+      MQ_NEXT_REFUSE },
+    { "not run in the middle of a stream",
+      TRY (MQ_ATTEMPT_NOT_RUN, true, true, 2, 2, 0, 500, true),
+      MQ_NEXT_BREAK },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    cr_assert_eq (mq_attempt_decide (&cases[i].attempt), cases[i].next, "%s",
+                  cases[i].name);
+}
--- /dev/null
+++ b/tests/test_wire.c
@@ -0,0 +1,378 @@
+/* test_wire.c - HTTP messages, what the users' platform says on the wire, the
+   router's settings and its log.
+
+   Needs: Criterion, http_message.h, router_wire.h, router_settings.h,
+   json_log.h, jansson.  */
+
+#include "io/http_message.h"
+#include "io/json_log.h"
+#include "io/router_settings.h"
+#include "io/router_wire.h"
+#include <criterion/criterion.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+
+/* Messages */
+
+struct seen
+{
+  int heads;
+  int ends;
+  int status;
+  bool until_close;
+  char body[256];
+};
+
+static void
+on_head (const struct mq_http_head *head, void *user)
+{
+  struct seen *seen = user;
+
+  seen->heads++;
+  seen->status = head->status;
+  seen->until_close = head->until_close;
+}
+
+static void
+on_body (const char *data, size_t len, void *user)
+{
+  struct seen *seen = user;
+
+  strncat (seen->body, data, len);
+}
+
+static void
+on_end (void *user)
+{
+  struct seen *seen = user;
+
+  seen->ends++;
+}
+
+struct message_case
+{
+  const char *name;
+  enum mq_http_side side;
+  const char *text;
+  enum mq_error_type error;
+  int ends;
+  const char *body;
+  bool ends_whole; /* when the connection ends after it */
+};
+
+/* Whatever bytes a message is cut into, it is read the same.  */
+Test (message, cut_at_any_byte)
+{
+  static const struct message_case cases[] = {
+    { "request", MQ_HTTP_REQUEST, "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+      MQ_ERR_NONE, 1, "", true },
+    { "body", MQ_HTTP_REQUEST,
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+      MQ_ERR_NONE, 1, "abc", true },
+    { "chunks", MQ_HTTP_REQUEST,
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "1\r\na\r\n2\r\nbc\r\n0\r\n\r\n",
+      MQ_ERR_NONE, 1, "abc", true },
+    { "two in a row", MQ_HTTP_REQUEST,
+      "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n",
+      MQ_ERR_NONE, 2, "", true },
+    { "two lengths", MQ_HTTP_REQUEST,
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+      MQ_ERR_BAD_REQUEST, 0, "", false },
+    { "blank before the colon", MQ_HTTP_REQUEST,
+      "POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", MQ_ERR_BAD_REQUEST,
+      0, "", false },
+    { "answer", MQ_HTTP_ANSWER,
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", MQ_ERR_NONE, 1, "ok",
+      true },
+    { "answer without a length", MQ_HTTP_ANSWER, "HTTP/1.1 200 OK\r\n\r\nok",
+      MQ_ERR_NONE, 0, "ok", true },
+    { "answer cut in its body", MQ_HTTP_ANSWER,
+      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", MQ_ERR_NONE, 0, "ok",
+      false },
+    { "answer cut in its head", MQ_HTTP_ANSWER, "HTTP/1.1 200 OK\r\nCont",
+      MQ_ERR_NONE, 0, "", false },
+    { "answer cut in a chunk", MQ_HTTP_ANSWER,
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nok",
+      MQ_ERR_NONE, 0, "ok", false },
+    { "no content", MQ_HTTP_ANSWER, "HTTP/1.1 204 No Content\r\n\r\n",
+      MQ_ERR_NONE, 1, "", true },
+    { "no answer", MQ_HTTP_ANSWER, "\001\002\003\004", MQ_ERR_BAD_REQUEST, 0,
+      "", false },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    for (size_t cut = 0; cut <= strlen (cases[i].text); cut++)
+      {
+        struct seen seen = { .heads = 0 };
+        struct mq_http_events events = { on_head, on_body, on_end, &seen };
+        struct mq_http_reader *reader
+            = mq_http_reader_create (NULL, cases[i].side, &events);
+        struct mq_error error = { .type = MQ_ERR_NONE };
+
+        for (int half = 0; half < 2 && error.type == MQ_ERR_NONE; half++)
+          {
+            const char *from = cases[i].text + (half == 0 ? 0 : cut);
+            size_t len = half == 0 ? cut : strlen (from);
+
+            while (len > 0 && error.type == MQ_ERR_NONE)
+              {
+                size_t used = mq_http_reader_feed (reader, from, len, &error);
+
+                from += used;
+                len -= used;
+                if (mq_http_reader_at_end (reader))
+                  mq_http_reader_next (reader);
+              }
+          }
+        cr_assert_eq (error.type, cases[i].error, "%s: %s", cases[i].name,
+                      error.subject);
+        cr_assert_eq (seen.ends, cases[i].ends, "%s", cases[i].name);
+        cr_assert_str_eq (seen.body, cases[i].body, "%s", cases[i].name);
+        if (error.type == MQ_ERR_NONE && cut > 0
+            && cut < strlen (cases[i].text))
+          cr_assert_eq (mq_http_reader_finish (reader), cases[i].ends_whole,
+                        "%s", cases[i].name);
+        mq_http_reader_destroy (reader);
+      }
+}
+
+/* What the platform says */
+
+static struct mq_bytes
+bytes (const char *text)
+{
+  return (struct mq_bytes){ (uint8_t *)(uintptr_t)text, strlen (text) };
+}
+
+Test (wire, configuration)
+{
+  static const char text[]
+      = "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"h\","
+        "\"prefix\":\"/a/\",\"kind\":\"streaming\",\"timeoutMs\":6000,"
+        "\"sloMs\":200,\"priority\":1,\"backends\":[{\"service\":\"s1\","
+        "\"weight\":90},{\"service\":\"s2\",\"weight\":10}],\"attempts\":3,"
+        "\"retain\":true,\"retainS\":60.0,\"sticky\":true,"
+        "\"resumable\":true,\"gapAimMs\":150,\"later\":1}],\"services\":[{"
+        "\"name\":\"s1\",\"maxConns\":360,\"engine\":{\"batchSize\":64,"
+        "\"kvCapacity\":250801,\"tokensPerEvent\":2}}],\"limits\":{"
+        "\"maxHeaderBytes\":1000,\"idleTimeoutMs\":15000}}";
+  struct mq_error error = { .type = MQ_ERR_NONE };
+  struct mq_route_table *table
+      = mq_wire_read_config (NULL, bytes (text), &error);
+  const struct mq_path_route *route;
+
+  cr_assert_not_null (table, "%s", error.subject);
+  route = &table->routes[0];
+  cr_assert_eq (table->version, 7);
+  cr_assert_eq (table->limits.header_bytes, 1000);
+  cr_assert_eq (table->limits.idle_ms, 15000);
+  cr_assert_eq (route->kind, MQ_ROUTE_STREAM);
+  cr_assert (route->resumable && route->retains && route->sticky);
+  cr_assert_eq (route->retain_s, 60);
+  cr_assert_eq (route->attempts, 3);
+  cr_assert_eq (route->backend_count, 2);
+  cr_assert_str_eq (route->backends[1].service, "s2");
+  cr_assert (table->services[0].engine);
+  cr_assert_eq (table->services[0].tokens_per_event, 2);
+  talloc_free (table);
+}
+
+struct bad_config_case
+{
+  const char *text;
+  enum mq_error_type error;
+  const char *subject;
+};
+
+/* A configuration that can't be used is refused as a whole.  */
+Test (wire, unusable_configurations)
+{
+  static const struct bad_config_case cases[] = {
+    { "{", MQ_ERR_BAD_JSON, "configuration" },
+    { "{\"version\":1,\"routes\":[{\"kind\":\"odd\",\"service\":\"s\"}]}",
+      MQ_ERR_TEXT_BAD_VALUE, "kind" },
+    { "{\"version\":1,\"routes\":[{\"kind\":\"idempotent\","
+      "\"backends\":[]}]}",
+      MQ_ERR_TEXT_MISSING, "backends" },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct mq_error error = { .type = MQ_ERR_NONE };
+
+      cr_assert_null (
+          mq_wire_read_config (NULL, bytes (cases[i].text), &error));
+      cr_assert_eq (error.type, cases[i].error, "%s", cases[i].text);
+      cr_assert_str_eq (error.subject, cases[i].subject);
+    }
+}
+
+Test (wire, worker)
+{
+  struct mq_fleet_member member;
+  struct mq_error error = { .type = MQ_ERR_NONE };
+  TALLOC_CTX *ctx = talloc_new (NULL);
+
+  cr_assert (mq_wire_read_worker (
+      ctx, "i-1",
+      bytes ("{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+             "\"batchSize\":64,\"state\":\"ready\",\"seq\":4}"),
+      &member, &error));
+  cr_assert_str_eq (member.id, "i-1");
+  cr_assert_str_eq (member.data_centre, "z");
+  cr_assert_eq (member.slots, 64);
+  cr_assert_not (member.leaving);
+  cr_assert (mq_wire_read_worker (
+      ctx, "i-1", bytes ("{\"service\":\"s\",\"state\":\"draining\"}"),
+      &member, &error));
+  cr_assert (member.leaving);
+  cr_assert_not (
+      mq_wire_read_worker (ctx, "i-1", bytes ("no"), &member, &error));
+  talloc_free (ctx);
+}
+
+/* Settings */
+
+struct settings_case
+{
+  const char *name;
+  const char *text;
+  enum mq_error_type error;
+  uint32_t line;
+};
+
+#define GOOD                                                                  \
+  "[router]\nhost = e-1\ndata_centre = a\nhttp = 10.0.0.1:80\n"               \
+  "ready = 10.0.0.1:81\ntable = 10.0.0.2:82\n"
+
+Test (settings, checked_whole)
+{
+  static const struct settings_case cases[] = {
+    { "good", GOOD, MQ_ERR_NONE, 0 },
+    { "fraction", GOOD "stop_seconds = 7.5\n", MQ_ERR_NONE, 0 },
+    { "bad time", GOOD "stop_seconds = soon\n", MQ_ERR_TEXT_BAD_VALUE, 7 },
+    { "unknown key", GOOD "colour = red\n", MQ_ERR_TEXT_UNKNOWN_KEY, 7 },
+    { "too little memory", GOOD "memory_mb = 1\n", MQ_ERR_TEXT_BAD_VALUE, 7 },
+    { "nothing", "", MQ_ERR_TEXT_MISSING, 1 },
+    { "no address",
+      "[router]\nhost = a\ndata_centre = a\nhttp = here\n"
+      "ready = 10.0.0.1:81\ntable = 10.0.0.2:82\n",
+      MQ_ERR_TEXT_BAD_VALUE, 4 },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct mq_text_errors errors;
+      TALLOC_CTX *ctx = talloc_new (NULL);
+      struct mq_router_settings *settings = mq_router_settings_parse (
+          ctx, cases[i].text, strlen (cases[i].text), &errors);
+
+      cr_assert_eq (settings != NULL, cases[i].error == MQ_ERR_NONE, "%s",
+                    cases[i].name);
+      if (settings == NULL)
+        {
+          cr_assert_eq (errors.items[0].type, cases[i].error, "%s: %d",
+                        cases[i].name, (int)errors.items[0].type);
+          cr_assert_eq (errors.items[0].line, cases[i].line, "%s: %u",
+                        cases[i].name, errors.items[0].line);
+        }
+      talloc_free (ctx);
+    }
+}
+
+/* Log */
+
+struct log_reader
+{
+  int fds[2];
+  struct tevent_context *ev;
+  struct mq_json_log *log;
+};
+
+static void
+open_log (struct log_reader *reader)
+{
+  cr_assert_eq (pipe (reader->fds), 0);
+  reader->ev = tevent_context_init (NULL);
+  reader->log = mq_json_log_create (reader->ev, reader->ev, reader->fds[1],
+                                    "test", "h-1");
+}
+
+static void
+close_log (struct log_reader *reader)
+{
+  talloc_free (reader->ev);
+  close (reader->fds[0]);
+  close (reader->fds[1]);
+}
+
+/* Whatever a caller sends as an id, a line stays one line of JSON.  */
+Test (log, lines_are_json)
+{
+  static const char *const values[]
+      = { "plain", "a\"b\\c", "line\nbreak", "\001\177\200", "" };
+
+  for (size_t i = 0; i < ROWS (values); i++)
+    {
+      struct log_reader reader;
+      struct mq_json_line line;
+      char text[2048];
+      ssize_t len;
+      json_t *json;
+
+      open_log (&reader);
+      mq_json_begin (&line, reader.log, MQ_JSON_NOTE, "test");
+      mq_json_text (&line, "id", values[i]);
+      mq_json_text (&line, "none", NULL);
+      mq_json_number (&line, "n", 42);
+      mq_json_end (&line);
+      mq_json_log_flush (reader.log);
+      len = read (reader.fds[0], text, sizeof text - 1);
+      cr_assert_gt (len, 0);
+      text[len] = '\0';
+      cr_assert_eq (strchr (text, '\n'), text + len - 1);
+      json = json_loads (text, 0, NULL);
+      cr_assert_not_null (json, "%s", text);
+      cr_assert_eq (json_integer_value (json_object_get (json, "n")), 42);
+      cr_assert_null (json_object_get (json, "none"));
+      json_decref (json);
+      close_log (&reader);
+    }
+}
+
+/* Nobody reads the log: the process goes on, lines are dropped and counted,
+   those on successes before others.  */
+Test (log, bounded_and_never_waits)
+{
+  struct log_reader reader;
+
+  open_log (&reader);
+  for (unsigned int i = 0; i < 2 * MQ_JSON_LOG_PLAIN_S; i++)
+    {
+      struct mq_json_line line;
+
+      mq_json_begin (&line, reader.log, MQ_JSON_PLAIN, "plain");
+      mq_json_end (&line);
+    }
+  cr_assert_geq (mq_json_log_dropped (reader.log), 1);
+  cr_assert_leq (mq_json_log_written (reader.log),
+                 2 * MQ_JSON_LOG_PLAIN_S - 1);
+  for (int i = 0; i < 20000; i++)
+    {
+      struct mq_json_line line;
+
+      mq_json_begin (&line, reader.log, MQ_JSON_NOTE, "note");
+      mq_json_text (&line, "filler",
+                    "0123456789012345678901234567890123456789"
+                    "0123456789012345678901234567890123456789");
+      mq_json_end (&line);
+    }
+  cr_assert_geq (mq_json_log_dropped (reader.log), 19000);
+  close_log (&reader);
+}
