--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
              text_hint.c text_ini.c text_keys.c text_values.c) \
              $(addprefix src/io/,base64.c buffer.c clock.c http_lane.c \
              http_message.c json_log.c listen.c metrics.c settings_file.c \
-             tcp.c)
+             tcp.c timer.c)
 ROUTER_OBJ = $(ROUTER_SRC:%.c=$(BUILD)/%.o)
 PLATFORM_OBJ = $(PLATFORM_SRC:%.c=$(BUILD)/%.o)
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
--- a/src/io/json_log.c
+++ b/src/io/json_log.c
@@ -5,6 +5,7 @@
 #include "json_log.h"
 #include "buffer.h"
 #include "clock.h"
+#include "timer.h"
 #include <errno.h>
 #include <fcntl.h>
 #include <inttypes.h>
@@ -28,7 +29,7 @@
 struct mq_json_log
 {
   struct tevent_context *ev;
-  struct tevent_timer *timer;
+  struct mq_timer *timer;
   struct mq_buffer gathered;
   const char *program;
   const char *host;
@@ -98,14 +99,10 @@
 }
 
 static void
-on_flush (struct tevent_context *ev, struct tevent_timer *timer,
-          struct timeval now, void *data)
+on_flush (void *data)
 {
   struct mq_json_log *log = data;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   log->timer = NULL;
   mq_json_log_flush (log);
 }
@@ -241,7 +238,5 @@
   if (log->gathered.len >= FLUSH_BYTES)
     mq_json_log_flush (log);
   else if (log->timer == NULL)
-    log->timer = tevent_add_timer (
-        log->ev, log, tevent_timeval_current_ofs (0, FLUSH_MS * 1000),
-        on_flush, log);
+    log->timer = mq_timer_add (log, log->ev, FLUSH_MS, on_flush, log);
 }
--- a/src/io/router.c
+++ b/src/io/router.c
@@ -32,14 +32,10 @@
 }
 
 static void
-on_sweep (struct tevent_context *ev, struct tevent_timer *timer,
-          struct timeval now, void *data)
+on_sweep (void *data)
 {
   struct mq_router *router = data;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   mq_callers_sweep (router);
   mq_pool_sweep (router->pool);
   mq_turns_sweep (router->turns);
@@ -51,9 +47,7 @@
 static void
 set_sweep (struct mq_router *router)
 {
-  tevent_add_timer (router->ev, router,
-                    tevent_timeval_current_ofs (0, SWEEP_MS * 1000), on_sweep,
-                    router);
+  mq_timer_add (router, router->ev, SWEEP_MS, on_sweep, router);
 }
 
 static int
--- a/src/io/router_request.c
+++ b/src/io/router_request.c
@@ -98,8 +98,8 @@
   struct mq_bytes send_body;
   uint64_t arrived_ms;
   uint64_t give_up_ms;
-  struct tevent_timer *timer;
-  struct tevent_timer *stall;
+  struct mq_timer *timer;
+  struct mq_timer *stall;
   uint64_t heard_ms;
   bool stalled;
   uint32_t tried[TRIED_MAX];
@@ -315,14 +315,10 @@
 }
 
 static void
-on_overdue (struct tevent_context *ev, struct tevent_timer *timer,
-            struct timeval now, void *data)
+on_overdue (void *data)
 {
   struct mq_request *request = data;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   request->timer = NULL;
   request->ran = may_have_run (request);
   if (request->answer.status == 0)
@@ -442,16 +438,13 @@
   return wait < STALL_LEAST_MS ? STALL_LEAST_MS : wait;
 }
 
-static void on_stall (struct tevent_context *ev, struct tevent_timer *timer,
-                      struct timeval now, void *data);
+static void on_stall (void *data);
 
 static void
 set_stall (struct mq_request *request, uint32_t wait)
 {
-  request->stall = tevent_add_timer (
-      request->router->ev, request,
-      tevent_timeval_current_ofs (wait / 1000, wait % 1000 * 1000), on_stall,
-      request);
+  request->stall
+      = mq_timer_add (request, request->router->ev, wait, on_stall, request);
 }
 
 /* How long the worker has been silent.  One that answers other requests is
@@ -472,16 +465,12 @@
 /* Silence counts only when it is seen twice, with a look at the connections in
    between: after a pause of this process answers lie there unread.  */
 static void
-on_stall (struct tevent_context *ev, struct tevent_timer *timer,
-          struct timeval now, void *data)
+on_stall (void *data)
 {
   struct mq_request *request = data;
   uint64_t silent = silent_ms (request);
   uint32_t wait = stall_ms (request);
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   request->stall = NULL;
   if (request->lane == NULL || request->sent >= request->route->attempts)
     return;
@@ -1044,11 +1033,8 @@
   uint64_t now = mq_clock_ms ();
   uint64_t wait = request->give_up_ms > now ? request->give_up_ms - now : 0;
 
-  request->timer = tevent_add_timer (
-      request->router->ev, request,
-      tevent_timeval_current_ofs ((uint32_t)(wait / 1000),
-                                  (uint32_t)(wait % 1000 * 1000)),
-      on_overdue, request);
+  request->timer
+      = mq_timer_add (request, request->router->ev, wait, on_overdue, request);
 }
 
 /* Makes the request go by ROUTE of the configuration in force.  */
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -24,6 +24,7 @@
 #include "router_wire.h"
 #include "rows.h"
 #include "tcp.h"
+#include "timer.h"
 
 /* What the router counts; one row for each counter: name and help.  */
 #define MQ_ROUTER_COUNTERS(X)                                                 \
@@ -186,7 +187,7 @@
   struct mq_program *in;
   struct mq_turn *next;
   struct mq_rows_call *call;
-  struct tevent_timer *timer;
+  struct mq_timer *timer;
   struct mq_chain *found;
   char missing[MQ_TURN_ID_MAX];
   struct mq_chain *made;
--- a/src/io/router_turn.c
+++ b/src/io/router_turn.c
@@ -50,7 +50,7 @@
   struct mq_budget_record next;
   struct mq_turn *waiting;
   struct mq_rows_call *call;
-  struct tevent_timer *timer;
+  struct mq_timer *timer;
   uint64_t holder;
   uint32_t running;
   uint32_t tries;
@@ -90,9 +90,9 @@
   snprintf (part, 8, "%02x", (unsigned int)(hash % PARTS));
 }
 
-static struct tevent_timer *
+static struct mq_timer *
 set_retry (struct mq_turns *turns, TALLOC_CTX *ctx, uint32_t tries,
-           tevent_timer_handler_t handler, void *data)
+           mq_timer_handler *handler, void *data)
 {
   uint32_t wait = RETRY_MS;
 
@@ -100,10 +100,7 @@
     wait *= 2;
   wait = wait / 2 + mq_random_below (&turns->router->random, wait);
 
-  return tevent_add_timer (
-      turns->router->ev, ctx,
-      tevent_timeval_current_ofs (wait / 1000, wait % 1000 * 1000), handler,
-      data);
+  return mq_timer_add (ctx, turns->router->ev, wait, handler, data);
 }
 
 /* Budgets */
@@ -191,14 +188,10 @@
 }
 
 static void
-on_program_retry (struct tevent_context *ev, struct tevent_timer *timer,
-                  struct timeval now, void *data)
+on_program_retry (void *data)
 {
   struct mq_program *program = data;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   program->timer = NULL;
   step_program (program);
 }
@@ -392,14 +385,10 @@
 /* Histories */
 
 static void
-on_turn_retry (struct tevent_context *ev, struct tevent_timer *timer,
-               struct timeval now, void *data)
+on_turn_retry (void *data)
 {
   struct mq_turn *turn = data;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   turn->timer = NULL;
   if (turn->made != NULL)
     write_turn (turn);
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -5,6 +5,7 @@
 #include "tcp.h"
 #include "buffer.h"
 #include "listen.h"
+#include "timer.h"
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -41,7 +42,7 @@
 {
   struct tevent_context *ev;
   struct tevent_fd *event;
-  struct tevent_timer *timer;
+  struct mq_timer *timer;
   struct tevent_immediate *failure;
   struct mq_tcp_owner owner;
   struct mq_buffer unsent;
@@ -90,15 +91,12 @@
   (void)setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
 }
 
-static void on_timer (struct tevent_context *ev, struct tevent_timer *timer,
-                      struct timeval now, void *data);
+static void on_timer (void *data);
 
-static struct tevent_timer *
+static struct mq_timer *
 timer_in (struct mq_tcp *tcp, uint32_t ms)
 {
-  return tevent_add_timer (
-      tcp->ev, tcp, tevent_timeval_current_ofs (ms / 1000, ms % 1000 * 1000),
-      on_timer, tcp);
+  return mq_timer_add (tcp, tcp->ev, ms, on_timer, tcp);
 }
 
 static struct mq_tcp *
@@ -309,14 +307,10 @@
 /* Either the connection did not come about in time, or the other side did not
    end a finished one.  */
 static void
-on_timer (struct tevent_context *ev, struct tevent_timer *timer,
-          struct timeval now, void *data)
+on_timer (void *data)
 {
   struct mq_tcp *tcp = data;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   tcp->timer = NULL;
   if (tcp->opening)
     tell_ended (tcp, MQ_TCP_RESET);
--- /dev/null
+++ b/tests/test_timer.c
@@ -0,0 +1,151 @@
+/* test_timer.c - timers by the steady clock.
+
+   Needs: Criterion, timer.h.  */
+
+#include "io/clock.h"
+#include "io/timer.h"
+#include <criterion/criterion.h>
+#include <sys/time.h>
+#include <time.h>
+
+static int64_t day_shift_s;
+
+/* The time of day as the event loop sees it, which a case may set.  */
+int
+gettimeofday (struct timeval *restrict now, void *restrict zone)
+{
+  struct timespec real;
+
+  (void)zone;
+  clock_gettime (CLOCK_REALTIME, &real);
+  now->tv_sec = real.tv_sec + day_shift_s;
+  now->tv_usec = real.tv_nsec / 1000;
+  return 0;
+}
+
+static char order[64];
+static size_t order_len;
+static struct tevent_context *ev;
+
+static void
+on_letter (void *data)
+{
+  order[order_len++] = *(const char *)data;
+  order[order_len] = '\0';
+}
+
+static void
+set_up (void)
+{
+  ev = tevent_context_init (NULL);
+  order_len = 0;
+  order[0] = '\0';
+  day_shift_s = 0;
+}
+
+static void
+tear_down (void)
+{
+  talloc_free (ev);
+}
+
+TestSuite (timer, .init = set_up, .fini = tear_down, .timeout = 60);
+
+static void
+run_until (size_t count)
+{
+  while (order_len < count)
+    tevent_loop_once (ev);
+}
+
+Test (timer, in_the_order_of_their_times)
+{
+  struct mq_timer *cancelled;
+
+  mq_timer_add (ev, ev, 30, on_letter, "c");
+  mq_timer_add (ev, ev, 10, on_letter, "a");
+  cancelled = mq_timer_add (ev, ev, 15, on_letter, "x");
+  mq_timer_add (ev, ev, 20, on_letter, "b");
+  mq_timer_add (ev, ev, 40, on_letter, "d");
+  talloc_free (cancelled);
+  run_until (4);
+  cr_assert_str_eq (order, "abcd");
+}
+
+static void
+on_add (void *data)
+{
+  on_letter (data);
+  if (order_len < 5)
+    mq_timer_add (ev, ev, 0, on_add, data);
+}
+
+Test (timer, set_by_a_handler)
+{
+  mq_timer_add (ev, ev, 0, on_add, "r");
+  run_until (5);
+  cr_assert_str_eq (order, "rrrrr");
+}
+
+struct owner
+{
+  struct mq_timer *timer;
+};
+
+static void
+on_free_owner (void *data)
+{
+  on_letter ("f");
+  talloc_free (data);
+}
+
+/* A handler frees what the timer belongs to.  */
+Test (timer, owner_freed_by_the_handler)
+{
+  struct owner *owner = talloc_zero (ev, struct owner);
+
+  owner->timer = mq_timer_add (owner, ev, 1, on_free_owner, owner);
+  mq_timer_add (ev, ev, 5, on_letter, "g");
+  run_until (2);
+  cr_assert_str_eq (order, "fg");
+}
+
+/* The time of day of a host is set back by half a minute, or ahead.  Callers
+   then waited half a minute too long for their final answers, or all requests
+   under way were given up at once, since the event loop's own timers go by the
+   time of day.  */
+Test (timer, time_of_day_is_set)
+{
+  static const int64_t shifts[] = { -30, 30 };
+
+  for (size_t i = 0; i < 2; i++)
+    {
+      uint64_t begin = mq_clock_ms ();
+      uint64_t took;
+
+      order_len = 0;
+      mq_timer_add (ev, ev, 200, on_letter, "t");
+      day_shift_s = shifts[i];
+      run_until (1);
+      took = mq_clock_ms () - begin;
+      cr_assert_geq (took, 199);
+      cr_assert_lt (took, 20000);
+    }
+}
+
+/* Many timers, some cancelled, in any order.  */
+Test (timer, many)
+{
+  struct mq_timer *timers[500];
+
+  for (int i = 0; i < 500; i++)
+    timers[i]
+        = mq_timer_add (ev, ev, (uint64_t)(i * 7919 % 97), on_letter, "m");
+  for (int i = 0; i < 500; i++)
+    if (i % 10 != 0)
+      talloc_free (timers[i]);
+  run_until (50);
+  mq_timer_add (ev, ev, 120, on_letter, "z");
+  run_until (51);
+  cr_assert_eq (order[50], 'z');
+}
