A write without an answer is settled by a read, and early

Cause: after a lost answer the write was sent again, whose answer was lost as often; a turn waited up to 2 s with nothing sent to a worker.

--- a/src/io/router_turn.c
+++ b/src/io/router_turn.c
@@ -220,7 +220,6 @@
       retry_program (program);
       return;
     }
-  program->tries = 0;
   take_record (program, result);
   step_program (program);
 }
@@ -249,9 +248,14 @@
       program->tries = 0;
       take_record (program, result);
       break;
+    case MQ_STORE_LOST:
+      /* Whether it was done shows in the record.  */
+      if (++program->tries < TRIES_MAX)
+        read_program (program);
+      else
+        fail_waiting (program);
+      return;
     default:
-      /* Whether it was done shows in the record: it is read before the next
-         write, whose condition would fail otherwise.  */
       retry_program (program);
       return;
     }
@@ -516,6 +520,16 @@
          && memcmp (there->data, turn->record.data, there->len) == 0;
 }
 
+static void
+end_keeping (struct mq_turn *turn)
+{
+  mq_chain_cache_put (turn->turns->cache, turn->made);
+  turn->made = NULL;
+  tell_turn (turn, MQ_TURN_KEPT);
+}
+
+static void check_turn (struct mq_turn *turn);
+
 static void
 on_turn_written (const struct mq_rows_result *result, void *user)
 {
@@ -526,17 +540,46 @@
   if (result->status == MQ_STORE_OK
       || (result->status == MQ_STORE_CONFLICT && is_ours (turn, result)))
     {
-      mq_chain_cache_put (turn->turns->cache, turn->made);
-      turn->made = NULL;
-      tell_turn (turn, MQ_TURN_KEPT);
+      end_keeping (turn);
       return;
     }
   if (result->status == MQ_STORE_CONFLICT)
     tell_turn (turn, MQ_TURN_NO_STORE);
+  else if (result->status == MQ_STORE_LOST)
+    check_turn (turn);
   else
     retry_turn (turn);
 }
 
+/* Nothing is there yet: the write is sent again; a late one then finds its
+   condition broken.  */
+static void
+on_turn_checked (const struct mq_rows_result *result, void *user)
+{
+  struct mq_turn *turn = user;
+
+  turn->call = NULL;
+  if (result->status != MQ_STORE_OK)
+    retry_turn (turn);
+  else if (result->row_count == 0)
+    write_turn (turn);
+  else if (is_ours (turn, result))
+    end_keeping (turn);
+  else
+    tell_turn (turn, MQ_TURN_NO_STORE);
+}
+
+/* A write got no answer: its row tells whether it was done.  */
+static void
+check_turn (struct mq_turn *turn)
+{
+  char part[8];
+
+  set_part (part, turn->id);
+  turn->call = mq_rows_get (turn->turns->router->rows, turn_table, part,
+                            turn->id, on_turn_checked, turn);
+}
+
 static void
 write_turn (struct mq_turn *turn)
 {
