Hosts that can't reach the table go through another host

Cause: a host that the table turned away, or that was cut off from it, refused turns and kept an old configuration while the other hosts were served. Now it has another host make its calls and learns configuration and workers from it. Ruled out: longer holding (refused by the users).

--- a/src/core/event_stream.c
+++ b/src/core/event_stream.c
@@ -85,8 +85,10 @@
            size_t *next)
 {
   const char *start = stream->bytes + from;
-  const char *feed = memchr (start, '\n', stream->end - from);
+  const char *feed = NULL;
 
+  if (from < stream->end)
+    feed = memchr (start, '\n', stream->end - from);
   if (feed == NULL)
     return false;
   *len = (size_t)(feed - start);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -203,6 +203,19 @@
     }
 }
 
+struct mq_fleet_member *
+mq_fleet_list (const struct mq_fleet *fleet, TALLOC_CTX *ctx, size_t *count)
+{
+  struct mq_fleet_member *list
+      = talloc_zero_array (ctx, struct mq_fleet_member, fleet->count + 1);
+
+  *count = 0;
+  for (size_t i = 0; list != NULL && i < fleet->count; i++)
+    if (fleet->entries[i].used && fleet->entries[i].listed)
+      list[(*count)++] = fleet->entries[i].member;
+  return list;
+}
+
 /* Requests at the worker in LOAD_UNITs: our own, and those of other hosts as
    last told, which count less the older the figure is.  */
 static uint64_t
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -103,6 +103,10 @@
 void mq_fleet_list_begin (struct mq_fleet *fleet);
 void mq_fleet_list_end (struct mq_fleet *fleet);
 
+/* All that are listed, below CTX; their strings live as long as they are
+   listed.  NULL when memory is out.  */
+struct mq_fleet_member *mq_fleet_list (const struct mq_fleet *fleet,
+                                       TALLOC_CTX *ctx, size_t *count);
 /* Handle of the worker to send to, MQ_WORKER_NONE when there is none.  */
 uint32_t mq_fleet_choose (struct mq_fleet *fleet,
                           const struct mq_fleet_query *query);
--- /dev/null
+++ b/src/io/relay.h
@@ -0,0 +1,76 @@
+/* relay.h - links between routing hosts.
+
+   A host that can't reach the platform's table, or is turned away by it, has
+   another host make its calls, and learns from it which configuration and
+   workers are the newest.  Links are opened when they are needed, to a few
+   hosts; a host that does not answer is left alone for a while.
+   Needs: rows.h, fleet.h, tevent.  */
+
+#ifndef MQ_RELAY_H
+#define MQ_RELAY_H
+
+#include "../core/fleet.h"
+#include "rows.h"
+
+struct mq_relay;
+struct mq_relay_call;
+
+/* An answer takes two hops and one call to the table.  */
+#define MQ_RELAY_CALL_MS 500U
+/* A host that failed is not asked again for so long.  */
+#define MQ_RELAY_BAD_MS 1000U
+/* Frames are bounded by what a transaction may carry, and some more.  */
+#define MQ_RELAY_FRAME_MAX ((size_t)2 << 20)
+
+/**
+ * struct mq_relay_owner - the router as the relay sees it
+ * @sync: another host asks for what is newer than CONFIG_VERSION; answer with
+ *        mq_relay_state, or not at all
+ * @state: what another host knows: its configuration (empty: not newer) and
+ *         all its workers
+ * @user: given to both
+ */
+struct mq_relay_owner
+{
+  void (*sync) (uint64_t config_version, void *link, void *user);
+  void (*state) (struct mq_bytes config, const struct mq_fleet_member *workers,
+                 size_t count, void *user);
+  void *user;
+};
+
+/* Listens at ADDRESS, "IP:PORT"; NULL with ERROR set when it can't.  ROWS
+   makes the calls of other hosts.  */
+struct mq_relay *mq_relay_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                                  const char *address, struct mq_rows *rows,
+                                  const struct mq_relay_owner *owner,
+                                  struct mq_error *error);
+void mq_relay_destroy (struct mq_relay *relay);
+/* "IP:PORT" where other hosts reach it.  */
+const char *mq_relay_address (const struct mq_relay *relay);
+/* A host that may be asked, at "IP:PORT"; known addresses are kept once.  */
+void mq_relay_add_host (struct mq_relay *relay, const char *address);
+/* The host was removed.  */
+void mq_relay_drop_host (struct mq_relay *relay, const char *address);
+size_t mq_relay_host_count (const struct mq_relay *relay);
+
+/* As mq_rows_commit and mq_rows_get, through another host.  Without a host
+   that answers the status is DOWN, or LOST where it may have been done.  */
+struct mq_relay_call *mq_relay_commit (struct mq_relay *relay,
+                                       const struct mq_rows_entry *entries,
+                                       size_t count, mq_rows_done *done,
+                                       void *user);
+struct mq_relay_call *mq_relay_get (struct mq_relay *relay, const char *table,
+                                    const char *part, const char *key,
+                                    mq_rows_done *done, void *user);
+void mq_relay_cancel (struct mq_relay_call *call);
+/* Asks some host for its state.  */
+void mq_relay_sync (struct mq_relay *relay, uint64_t config_version);
+/* Answers a sync that came over LINK.  */
+void mq_relay_state (struct mq_relay *relay, void *link,
+                     struct mq_bytes config,
+                     const struct mq_fleet_member *workers, size_t count);
+/* Calls made through other hosts, and for them.  */
+uint64_t mq_relay_asked (const struct mq_relay *relay);
+uint64_t mq_relay_served (const struct mq_relay *relay);
+
+#endif
--- a/src/io/router.c
+++ b/src/io/router.c
@@ -39,6 +39,7 @@
   mq_callers_sweep (router);
   mq_pool_sweep (router->pool);
   mq_turns_sweep (router->turns);
+  mq_feed_sweep (router);
   if (router->leaving)
     step_leaving (router);
   set_sweep (router);
@@ -63,9 +64,11 @@
 }
 
 static bool
-create_parts (struct mq_router *router)
+create_parts (struct mq_router *router, struct mq_error *error)
 {
   const struct mq_router_settings *settings = router->settings;
+  struct mq_relay_owner owner
+      = { .sync = mq_feed_on_sync, .state = mq_feed_on_state, .user = router };
 
   router->log = mq_json_log_create (router, router->ev, STDOUT_FILENO,
                                     "mimosa-routerd", settings->host);
@@ -73,9 +76,15 @@
   router->rows = mq_rows_create (router, router->ev, settings->table);
   if (router->log == NULL || router->fleet == NULL || router->rows == NULL)
     return false;
+  router->relay = mq_relay_create (router, router->ev, settings->peer,
+                                   router->rows, &owner, error);
+  if (router->relay == NULL)
+    return false;
+  router->ledger = mq_ledger_create (router, router->rows, router->relay);
   router->pool = mq_pool_create (router, router->ev, router->fleet);
   router->turns = mq_turns_create (router);
-  return router->pool != NULL && router->turns != NULL;
+  return router->ledger != NULL && router->pool != NULL
+         && router->turns != NULL;
 }
 
 static void
@@ -110,9 +119,10 @@
   router->stop_ms = settings->stop_ms;
   router->holder = mq_clock_random ();
   router->random = mq_clock_random ();
-  if (!create_parts (router))
+  if (!create_parts (router, error))
     {
-      mq_error_set (error, MQ_ERR_NO_MEMORY, "", NULL);
+      if (error->type == MQ_ERR_NONE)
+        mq_error_set (error, MQ_ERR_NO_MEMORY, "", NULL);
       talloc_free (router);
       return NULL;
     }
@@ -157,6 +167,7 @@
     return;
   router->leaving = true;
   router->leaving_since_ms = mq_clock_ms ();
+  mq_feed_stop (router);
   log_state (router, "leaving");
 }
 
@@ -172,6 +183,12 @@
   return mq_listen_port (router->ready_fd);
 }
 
+const char *
+mq_router_peer_address (const struct mq_router *router)
+{
+  return mq_relay_address (router->relay);
+}
+
 bool
 mq_router_is_ready (const struct mq_router *router)
 {
--- a/src/io/router.h
+++ b/src/io/router.h
@@ -17,6 +17,8 @@
  * @data_centre: where it stands
  * @http: "IP:PORT" for callers
  * @ready: "IP:PORT" for the balancer's question and for /metrics
+ * @peer: "IP:PORT" for other routing hosts
+ * @seeds: "IP:PORT" of some other hosts, with commas, may be empty
  * @table: "IP:PORT" of the platform's table
  * @memory_mb: memory that the process may use
  * @stop_ms: a stop takes no longer
@@ -28,6 +30,8 @@
   const char *data_centre;
   const char *http;
   const char *ready;
+  const char *peer;
+  const char *seeds;
   const char *table;
   uint32_t memory_mb;
   uint32_t stop_ms;
@@ -51,6 +55,8 @@
 /* Ports that it listens on.  */
 uint16_t mq_router_http_port (const struct mq_router *router);
 uint16_t mq_router_ready_port (const struct mq_router *router);
+/* "IP:PORT" where other routing hosts reach it.  */
+const char *mq_router_peer_address (const struct mq_router *router);
 /* Callers may be sent here: the configuration and the workers are known, and
    no stop was asked for.  */
 bool mq_router_is_ready (const struct mq_router *router);
--- a/src/io/router_feed.c
+++ b/src/io/router_feed.c
@@ -6,16 +6,27 @@
    Needs: router_state.h, clock.h.  */
 
 #include "router_state.h"
+#include "../../proto/relay.pb-c.h"
 #include "clock.h"
 #include <string.h>
 
+/* Hosts find each other by rows of this table, each under its name.  */
+static const char host_table[] = "host";
+
+/* While our own feeds are dead another host is asked this often: a
+   configuration must be in force everywhere within two seconds.  */
+#define SYNC_MS 300U
+/* The hosts are listed this often; as long as none is known, sooner.  */
+#define HOSTS_MS 10000U
+#define HOSTS_FIRST_MS 1500U
+
 /**
  * struct mq_confirm - someone who waits for the newest configuration
  */
 struct mq_confirm
 {
   struct mq_router *router;
-  struct mq_rows_call *call;
+  struct mq_ledger_call *call;
   mq_confirmed *told;
   void *user;
 };
@@ -56,6 +67,9 @@
       return;
     }
   mq_route_table_sort (table);
+  talloc_free (router->config.data);
+  router->config.data = talloc_memdup (router, value.data, value.len);
+  router->config.len = router->config.data == NULL ? 0 : value.len;
   /* Requests under way hold a reference to the one they began with.  */
   if (router->routes != NULL)
     talloc_unlink (router, router->routes);
@@ -89,6 +103,15 @@
   mq_json_end (&line);
 }
 
+static void
+put_worker (struct mq_router *router, const struct mq_fleet_member *member)
+{
+  bool changed = false;
+
+  if (mq_fleet_put (router->fleet, member, &changed) && changed)
+    log_worker (router, "worker_listed", member->id, member);
+}
+
 static void
 on_worker_row (const struct mq_rows_entry *row, void *user)
 {
@@ -96,12 +119,11 @@
   struct mq_error error = { .type = MQ_ERR_NONE };
   struct mq_fleet_member member;
   TALLOC_CTX *ctx = talloc_new (router);
-  bool changed = false;
 
-  if (!mq_wire_read_worker (ctx, row->key, row->value, &member, &error))
+  if (mq_wire_read_worker (ctx, row->key, row->value, &member, &error))
+    put_worker (router, &member);
+  else
     log_worker (router, "worker_unreadable", row->key, NULL);
-  else if (mq_fleet_put (router->fleet, &member, &changed) && changed)
-    log_worker (router, "worker_listed", member.id, &member);
   talloc_free (ctx);
 }
 
@@ -137,10 +159,137 @@
                                      .gone = on_worker_gone,
                                      .user = router };
 
+  for (const char *seed = router->settings->seeds; *seed != '\0';)
+    {
+      size_t len = strcspn (seed, ",");
+      char *address = talloc_strndup (router, seed, len);
+
+      if (address != NULL)
+        mq_relay_add_host (router->relay, address);
+      talloc_free (address);
+      seed += len + (seed[len] == ',' ? 1 : 0);
+    }
   mq_rows_watch (router->rows, mq_wire_config_table, &config);
   mq_rows_watch (router->rows, mq_wire_worker_table, &workers);
 }
 
+/* Other hosts */
+
+void
+mq_feed_on_sync (uint64_t config_version, void *link, void *user)
+{
+  struct mq_router *router = user;
+  struct mq_bytes config = { NULL, 0 };
+  struct mq_fleet_member *workers;
+  size_t count;
+
+  if (!mq_rows_followed (router->rows) || router->routes == NULL)
+    return;
+  if (router->routes->version > config_version)
+    config = router->config;
+  workers = mq_fleet_list (router->fleet, router, &count);
+  if (workers != NULL)
+    mq_relay_state (router->relay, link, config, workers, count);
+  talloc_free (workers);
+}
+
+/* What another host tells is newer than what a dead feed has told; a feed that
+   is alive knows better.  */
+void
+mq_feed_on_state (struct mq_bytes config,
+                  const struct mq_fleet_member *workers, size_t count,
+                  void *user)
+{
+  struct mq_router *router = user;
+
+  if (mq_rows_followed (router->rows))
+    return;
+  if (config.len > 0)
+    take_config (router, config);
+  mq_fleet_list_begin (router->fleet);
+  for (size_t i = 0; i < count; i++)
+    put_worker (router, &workers[i]);
+  mq_fleet_list_end (router->fleet);
+  router->workers_listed = true;
+}
+
+static void
+on_host_row (const struct mq_rows_entry *row, void *user)
+{
+  struct mq_router *router = user;
+  Mqrelay__HostRow *host
+      = mqrelay__host_row__unpack (NULL, row->value.len, row->value.data);
+
+  if (host == NULL)
+    return;
+  if (strcmp (row->key, router->settings->host) != 0)
+    mq_relay_add_host (router->relay, host->address);
+  mqrelay__host_row__free_unpacked (host, NULL);
+}
+
+static void
+on_announced (const struct mq_rows_result *result, void *user)
+{
+  struct mq_router *router = user;
+
+  if (result->status != MQ_STORE_OK)
+    router->announced = false;
+}
+
+/* Writes, or removes, the row by which other hosts find this one.  */
+static void
+write_host_row (struct mq_router *router, bool remove)
+{
+  Mqrelay__HostRow host = MQRELAY__HOST_ROW__INIT;
+  uint8_t bytes[256];
+  struct mq_rows_entry entry = { .table = host_table,
+                                 .part = "",
+                                 .key = router->settings->host,
+                                 .version = MQ_VERSION_ANY,
+                                 .remove = remove };
+
+  host.address = (char *)(uintptr_t)mq_relay_address (router->relay);
+  host.data_centre = (char *)(uintptr_t)router->settings->data_centre;
+  if (mqrelay__host_row__get_packed_size (&host) > sizeof bytes)
+    return;
+  entry.value.len = mqrelay__host_row__pack (&host, bytes);
+  entry.value.data = bytes;
+  router->announced = !remove;
+  mq_rows_commit (router->rows, &entry, 1, on_announced, router);
+}
+
+void
+mq_feed_sweep (struct mq_router *router)
+{
+  struct mq_rows_watcher hosts = { .row = on_host_row, .user = router };
+  uint64_t now = mq_clock_ms ();
+  uint64_t pause
+      = mq_relay_host_count (router->relay) == 0 ? HOSTS_FIRST_MS : HOSTS_MS;
+
+  if (!mq_rows_followed (router->rows))
+    {
+      if (now - router->sync_ms < SYNC_MS)
+        return;
+      router->sync_ms = now;
+      mq_relay_sync (router->relay,
+                     router->routes == NULL ? 0 : router->routes->version);
+      return;
+    }
+  if (!router->announced && !router->leaving)
+    write_host_row (router, false);
+  if (router->hosts_ms != 0 && now - router->hosts_ms < pause)
+    return;
+  router->hosts_ms = now;
+  mq_rows_list (router->rows, host_table, &hosts);
+}
+
+void
+mq_feed_stop (struct mq_router *router)
+{
+  if (router->announced)
+    write_host_row (router, true);
+}
+
 static void
 on_confirm_read (const struct mq_rows_result *result, void *user)
 {
@@ -165,8 +314,8 @@
   confirm->router = router;
   confirm->told = told;
   confirm->user = user;
-  confirm->call = mq_rows_get (router->rows, mq_wire_config_table, "",
-                               mq_wire_config_key, on_confirm_read, confirm);
+  confirm->call = mq_ledger_get (router->ledger, mq_wire_config_table, "",
+                                 mq_wire_config_key, on_confirm_read, confirm);
   return confirm;
 }
 
@@ -176,6 +325,6 @@
   if (confirm == NULL)
     return;
   if (confirm->call != NULL)
-    mq_rows_cancel (confirm->call);
+    mq_ledger_cancel (confirm->call);
   talloc_free (confirm);
 }
--- a/src/io/router_request.c
+++ b/src/io/router_request.c
@@ -280,7 +280,7 @@
            refusals[refusal].status);
   if (refusals[refusal].status >= 500 && refusals[refusal].status != 503)
     router->counters.failed++;
-  if (refusal == MQ_REFUSE_STORE && mq_rows_down (router->rows))
+  if (refusal == MQ_REFUSE_STORE && mq_ledger_down (router->ledger))
     retry_ms = RETRY_DOWN_MS;
   if (refusal == MQ_REFUSE_NO_WORKER)
     retry_ms = mq_fleet_retry_ms (router->fleet, request->service);
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -19,6 +19,7 @@
 #include "buffer.h"
 #include "http_message.h"
 #include "json_log.h"
+#include "ledger.h"
 #include "router.h"
 #include "router_pool.h"
 #include "router_wire.h"
@@ -56,6 +57,7 @@
 /**
  * struct mq_router - one routing process
  * @routes: configuration in force, NULL: none yet
+ * @config: the same as it came
  * @workers_listed: the workers were listed once
  * @leaving: a stop was asked for
  * @stopped: nothing is left to do
@@ -70,8 +72,11 @@
   struct mq_fleet *fleet;
   struct mq_pool *pool;
   struct mq_rows *rows;
+  struct mq_relay *relay;
+  struct mq_ledger *ledger;
   struct mq_turns *turns;
   struct mq_route_table *routes;
+  struct mq_bytes config;
   bool workers_listed;
   bool leaving;
   bool stopped;
@@ -88,6 +93,9 @@
   struct tevent_fd *ready_event;
   int front_fd;
   int ready_fd;
+  uint64_t sync_ms;
+  uint64_t hosts_ms;
+  bool announced;
 };
 
 /* Final answers of our own.  */
@@ -186,7 +194,7 @@
   struct mq_turns *turns;
   struct mq_program *in;
   struct mq_turn *next;
-  struct mq_rows_call *call;
+  struct mq_ledger_call *call;
   struct mq_timer *timer;
   struct mq_chain *found;
   char missing[MQ_TURN_ID_MAX];
@@ -219,6 +227,15 @@
 /* CURRENT: the configuration in force is the newest as of the answer.  */
 typedef void mq_confirmed (bool current, void *user);
 
+/* The relay's side of configuration and workers.  */
+void mq_feed_on_sync (uint64_t config_version, void *link, void *user);
+void mq_feed_on_state (struct mq_bytes config,
+                       const struct mq_fleet_member *workers, size_t count,
+                       void *user);
+/* Asks another host where our own feeds are dead; lists the hosts.  */
+void mq_feed_sweep (struct mq_router *router);
+/* This host takes no more calls of others.  */
+void mq_feed_stop (struct mq_router *router);
 /* Learns the configuration and the workers and follows their changes.  */
 void mq_feed_start (struct mq_router *router);
 /* Asks the platform for its newest configuration, takes it into force, then
--- a/src/io/router_turn.c
+++ b/src/io/router_turn.c
@@ -49,7 +49,7 @@
   struct mq_budget budget;
   struct mq_budget_record next;
   struct mq_turn *waiting;
-  struct mq_rows_call *call;
+  struct mq_ledger_call *call;
   struct mq_timer *timer;
   uint64_t holder;
   uint32_t running;
@@ -130,7 +130,7 @@
 {
   mq_idmap_remove (program->turns->programs, program->key, 0);
   if (program->call != NULL)
-    mq_rows_cancel (program->call);
+    mq_ledger_cancel (program->call);
   talloc_free (program);
 }
 
@@ -227,8 +227,8 @@
 static void
 read_program (struct mq_program *program)
 {
-  program->call = mq_rows_get (program->turns->router->rows, budget_table,
-                               program->part, program->id, on_read, program);
+  program->call = mq_ledger_get (program->turns->router->ledger, budget_table,
+                                 program->part, program->id, on_read, program);
 }
 
 static void
@@ -275,7 +275,7 @@
 
   router->counters.budget_writes++;
   program->call
-      = mq_rows_commit (router->rows, &entry, 1, on_written, program);
+      = mq_ledger_commit (router->ledger, &entry, on_written, program);
   talloc_free (value.data);
 }
 
@@ -491,8 +491,8 @@
     }
   turns->router->counters.turn_reads++;
   set_part (part, turn->missing);
-  turn->call = mq_rows_get (turns->router->rows, turn_table, part,
-                            turn->missing, on_turn_read, turn);
+  turn->call = mq_ledger_get (turns->router->ledger, turn_table, part,
+                              turn->missing, on_turn_read, turn);
 }
 
 void
@@ -576,8 +576,8 @@
   char part[8];
 
   set_part (part, turn->id);
-  turn->call = mq_rows_get (turn->turns->router->rows, turn_table, part,
-                            turn->id, on_turn_checked, turn);
+  turn->call = mq_ledger_get (turn->turns->router->ledger, turn_table, part,
+                              turn->id, on_turn_checked, turn);
 }
 
 static void
@@ -593,7 +593,8 @@
   set_part (part, turn->id);
   entry.part = part;
   router->counters.turn_writes++;
-  turn->call = mq_rows_commit (router->rows, &entry, 1, on_turn_written, turn);
+  turn->call
+      = mq_ledger_commit (router->ledger, &entry, on_turn_written, turn);
 }
 
 /* Tries until it is done or its caller's time is up.  */
@@ -634,7 +635,7 @@
 {
   leave_waiting (turn);
   if (turn->call != NULL)
-    mq_rows_cancel (turn->call);
+    mq_ledger_cancel (turn->call);
   turn->call = NULL;
   TALLOC_FREE (turn->timer);
   TALLOC_FREE (turn->found);
--- a/src/io/rows.h
+++ b/src/io/rows.h
@@ -98,6 +98,12 @@
    long as ROWS is there.  */
 void mq_rows_watch (struct mq_rows *rows, const char *table,
                     const struct mq_rows_watcher *watcher);
+/* Lists TABLE once; a list that fails is tried again.  */
+void mq_rows_list (struct mq_rows *rows, const char *table,
+                   const struct mq_rows_watcher *watcher);
+/* All tables that are followed were listed, and none of the feeds failed when
+   it was last asked.  */
+bool mq_rows_followed (const struct mq_rows *rows);
 /* Calls fail at once, since the table gave no answer for a while.  */
 bool mq_rows_down (const struct mq_rows *rows);
 /* When the table last answered, steady clock, 0: never.  */
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -151,6 +151,13 @@
   return tcp;
 }
 
+void
+mq_tcp_watch_silence (struct mq_tcp *tcp, uint32_t silent_ms)
+{
+  if (tcp->fd >= 0)
+    set_options (tcp->fd, silent_ms);
+}
+
 void
 mq_tcp_set_owner (struct mq_tcp *tcp, const struct mq_tcp_owner *owner)
 {
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -56,6 +56,9 @@
                             const char *address, uint32_t silent_ms,
                             const struct mq_tcp_owner *owner,
                             struct mq_error *error);
+/* Ends the connection when the other side does not acknowledge for SILENT_MS,
+   or does not answer probes for about three seconds.  */
+void mq_tcp_watch_silence (struct mq_tcp *tcp, uint32_t silent_ms);
 /* Another owner from now on.  */
 void mq_tcp_set_owner (struct mq_tcp *tcp, const struct mq_tcp_owner *owner);
 /* True while unsent bytes are below MQ_TCP_HIGH_BYTES.  */
--- a/tests/router_site.c
+++ b/tests/router_site.c
@@ -136,6 +136,8 @@
 void
 edge_start (struct edge_site *site, int index)
 {
+  static const char *const peers[EDGE_ROUTERS]
+      = { "127.0.0.1:0", "127.0.0.1:0" };
   struct mq_router_settings *settings = &site->settings[index];
   struct mq_error error = { .type = MQ_ERR_NONE };
 
@@ -144,8 +146,10 @@
     .data_centre = "a",
     .http = "127.0.0.1:0",
     .ready = "127.0.0.1:0",
-    .table
-    = talloc_asprintf (site, "127.0.0.1:%u", rows_server_port (site->rows)),
+    .peer = peers[index],
+    .seeds = site->seeds[index] == NULL ? "" : site->seeds[index],
+    .table = talloc_asprintf (site, "127.0.0.1:%u",
+                              rows_server_port (site->rows, index)),
     .memory_mb = 64,
     .stop_ms = 2000,
     .settle_ms = 200,
@@ -155,6 +159,13 @@
   EDGE_WAIT (site, mq_router_is_ready (site->routers[index]));
 }
 
+void
+edge_seed (struct edge_site *site, int index, int other)
+{
+  site->seeds[index]
+      = talloc_strdup (site, mq_router_peer_address (site->routers[other]));
+}
+
 void
 edge_kill (struct edge_site *site, int index)
 {
--- a/tests/router_site.h
+++ b/tests/router_site.h
@@ -28,6 +28,7 @@
   struct worker_plan app_plan;
   struct mq_router_settings settings[EDGE_ROUTERS];
   struct mq_router *routers[EDGE_ROUTERS];
+  const char *seeds[EDGE_ROUTERS];
   int config_version;
 };
 
@@ -46,6 +47,8 @@
 void edge_destroy (struct edge_site *site);
 /* Starts router INDEX and waits until it is ready.  */
 void edge_start (struct edge_site *site, int index);
+/* Router INDEX will start with router OTHER as its seed.  */
+void edge_seed (struct edge_site *site, int index, int other);
 /* Ends router INDEX at once, as if its host had lost power.  */
 void edge_kill (struct edge_site *site, int index);
 /* Writes the configuration once more, with TIMEOUT_MS for each route, and
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -608,6 +608,66 @@
   cr_assert_eq (ask_turn (0, "t2", "p1", BUDGET (80) AFTER ("t1"), "x"), 200);
 }
 
+/* Other hosts */
+
+struct door_case
+{
+  const char *name;
+  enum rows_fault fault;
+};
+
+/* The table turns one host away, or can't be reached from it, while others are
+   served.  Programs began to fail there and the host went by an old
+   configuration; now another host makes its calls and tells it what is new,
+   also a host that starts meanwhile.  */
+Test (router, table_is_closed_to_one_host)
+{
+  static const struct door_case cases[] = { { "refuses", ROWS_REFUSING },
+                                            { "busy", ROWS_BUSY },
+                                            { "many", ROWS_MANY },
+                                            { "silent", ROWS_SILENT } };
+
+  edge_start (site, 1);
+  /* Until the hosts have found each other.  */
+  edge_run (site, 3500);
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      char id[32];
+      char before[32];
+      char after[96];
+      char extra[48];
+      char text[128];
+
+      snprintf (before, sizeof before, "b%zu", i);
+      cr_assert_eq (ask_turn (1, before, "p", "", "one;"), 200);
+      rows_server_fault_at (site->rows, 0, cases[i].fault);
+      /* Until the host has noticed.  */
+      edge_run (site, 1800);
+      snprintf (extra, sizeof extra, "/new%zu/", i);
+      edge_configure (site, 3000, extra);
+      edge_run (site, 600);
+      snprintf (id, sizeof id, "c%zu", i);
+      snprintf (after, sizeof after, BUDGET (80) "X-Previous-Turn: %s\r\n",
+                before);
+      cr_assert_eq (ask_turn (0, id, id, after, "two;"), 200, "%s: %s",
+                    cases[i].name, call.answer);
+      cr_assert_str_eq (last_run (site->llm, id)->body,
+                        "one;e1\ne2\ne3\ne4\ntwo;", "%s", cases[i].name);
+      snprintf (text, sizeof text,
+                "GET %sx HTTP/1.1\r\n" HOST "X-Request-Id: n%zu\r\n\r\n",
+                extra, i);
+      cr_assert_eq (edge_ask (site, &call, 0, text), 200, "%s: %s",
+                    cases[i].name, call.answer);
+      rows_server_fault_at (site->rows, 0, ROWS_WELL);
+      edge_run (site, 400);
+    }
+  rows_server_fault_at (site->rows, 0, ROWS_SILENT);
+  edge_kill (site, 0);
+  edge_seed (site, 0, 1);
+  edge_start (site, 0);
+  cr_assert_eq (ask_turn (0, "z1", "z", BUDGET (80), "x"), 200);
+}
+
 /* Stops */
 
 /* An operator stops a host.  It says at once that it takes no callers, serves
--- a/tests/test_turns.c
+++ b/tests/test_turns.c
@@ -249,7 +249,7 @@
 
   for (int i = 0; i < TURNS; i++)
     {
-      char id[8];
+      char id[16];
 
       snprintf (id, sizeof id, "t%d", i);
       memset (input, 'a' + i % 26, TURN_BYTES);
@@ -285,7 +285,7 @@
   memset (input, 'x', 2000);
   for (int i = 0; i < 20; i++)
     {
-      char id[8];
+      char id[16];
 
       snprintf (id, sizeof id, "t%d", i);
       mq_chain_cache_put (
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -249,20 +249,21 @@
 
 #define GOOD                                                                  \
   "[router]\nhost = e-1\ndata_centre = a\nhttp = 10.0.0.1:80\n"               \
-  "ready = 10.0.0.1:81\ntable = 10.0.0.2:82\n"
+  "ready = 10.0.0.1:81\npeer = 10.0.0.1:83\ntable = 10.0.0.2:82\n"
 
 Test (settings, checked_whole)
 {
   static const struct settings_case cases[] = {
     { "good", GOOD, MQ_ERR_NONE, 0 },
     { "fraction", GOOD "stop_seconds = 7.5\n", MQ_ERR_NONE, 0 },
-    { "bad time", GOOD "stop_seconds = soon\n", MQ_ERR_TEXT_BAD_VALUE, 7 },
-    { "unknown key", GOOD "colour = red\n", MQ_ERR_TEXT_UNKNOWN_KEY, 7 },
-    { "too little memory", GOOD "memory_mb = 1\n", MQ_ERR_TEXT_BAD_VALUE, 7 },
+    { "bad time", GOOD "stop_seconds = soon\n", MQ_ERR_TEXT_BAD_VALUE, 8 },
+    { "unknown key", GOOD "colour = red\n", MQ_ERR_TEXT_UNKNOWN_KEY, 8 },
+    { "too little memory", GOOD "memory_mb = 1\n", MQ_ERR_TEXT_BAD_VALUE, 8 },
     { "nothing", "", MQ_ERR_TEXT_MISSING, 1 },
     { "no address",
       "[router]\nhost = a\ndata_centre = a\nhttp = here\n"
-      "ready = 10.0.0.1:81\ntable = 10.0.0.2:82\n",
+      "ready = 10.0.0.1:81\npeer = 10.0.0.1:83\n"
+      "table = 10.0.0.2:82\n",
       MQ_ERR_TEXT_BAD_VALUE, 4 },
   };
 
