--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -22,6 +22,8 @@
  * @used: the slot of the table is taken
  * @listed: the registry has it
  * @seen: the list under way has it
+ * @lapses_ms: the registry has it no more; it is taken as gone from then on,
+ *             0: it has it
  * @refused: it said itself that it takes no more work
  * @own: requests of this host at it
  * @others: requests that it told beyond those of this host
@@ -38,6 +40,7 @@
   bool used;
   bool listed;
   bool seen;
+  uint64_t lapses_ms;
   bool refused;
   uint32_t own;
   uint32_t others;
@@ -158,6 +161,7 @@
   entry->member.slots = member->slots;
   entry->listed = true;
   entry->seen = true;
+  entry->lapses_ms = 0;
   return true;
 }
 
@@ -170,18 +174,41 @@
   *entry = (struct entry){ .used = false };
 }
 
+static void
+lapse (struct entry *entry, uint64_t until_ms)
+{
+  if (until_ms == 0)
+    {
+      entry->listed = false;
+      forget_if_idle (entry);
+    }
+  else if (entry->lapses_ms == 0)
+    entry->lapses_ms = until_ms;
+}
+
 bool
-mq_fleet_remove (struct mq_fleet *fleet, const char *id)
+mq_fleet_remove (struct mq_fleet *fleet, const char *id, uint64_t until_ms)
 {
   struct entry *entry = find_entry (fleet, id);
 
   if (entry == NULL || !entry->listed)
     return false;
-  entry->listed = false;
-  forget_if_idle (entry);
+  lapse (entry, until_ms);
   return true;
 }
 
+void
+mq_fleet_expire (struct mq_fleet *fleet, uint64_t now_ms)
+{
+  for (size_t i = 0; i < fleet->count; i++)
+    {
+      struct entry *entry = &fleet->entries[i];
+
+      if (entry->used && entry->lapses_ms != 0 && entry->lapses_ms <= now_ms)
+        lapse (entry, 0);
+    }
+}
+
 void
 mq_fleet_list_begin (struct mq_fleet *fleet)
 {
@@ -190,16 +217,14 @@
 }
 
 void
-mq_fleet_list_end (struct mq_fleet *fleet)
+mq_fleet_list_end (struct mq_fleet *fleet, uint64_t until_ms)
 {
   for (size_t i = 0; i < fleet->count; i++)
     {
       struct entry *entry = &fleet->entries[i];
 
-      if (!entry->used || entry->seen || !entry->listed)
-        continue;
-      entry->listed = false;
-      forget_if_idle (entry);
+      if (entry->used && !entry->seen && entry->listed)
+        lapse (entry, until_ms);
     }
 }
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -95,13 +95,17 @@
    anything that matters is new; may be NULL.  */
 bool mq_fleet_put (struct mq_fleet *fleet,
                    const struct mq_fleet_member *member, bool *changed);
-/* The worker has left the registry: no new requests.  Its handle stays until
-   the last request has ended.  False when it was not known.  */
-bool mq_fleet_remove (struct mq_fleet *fleet, const char *id);
+/* The worker has left the registry: no new requests from UNTIL_MS on, 0: at
+   once, unless it is put again before.  Its handle stays until the last
+   request has ended.  False when it was not known.  */
+bool mq_fleet_remove (struct mq_fleet *fleet, const char *id,
+                      uint64_t until_ms);
 /* Between begin and end of a full list: workers that were not put since
-   begin are removed by end.  */
+   begin are removed by end, as by mq_fleet_remove.  */
 void mq_fleet_list_begin (struct mq_fleet *fleet);
-void mq_fleet_list_end (struct mq_fleet *fleet);
+void mq_fleet_list_end (struct mq_fleet *fleet, uint64_t until_ms);
+/* Ends the workers whose time has come.  */
+void mq_fleet_expire (struct mq_fleet *fleet, uint64_t now_ms);
 
 /* All that are listed, below CTX; their strings live as long as they are
    listed.  NULL when memory is out.  */
--- a/src/io/router_feed.c
+++ b/src/io/router_feed.c
@@ -127,12 +127,27 @@
   talloc_free (ctx);
 }
 
+/* Entries of workers lapse while the table is away, since nobody can renew
+   them, and are back within two seconds of its return if the worker lives.  A
+   host that took them at their word would have no worker for these seconds. */
+#define LAPSE_MS 2300U
+
+/* Until when a worker that is missing may still come back, 0: it is gone.  */
+static uint64_t
+lapse_until (const struct mq_router *router)
+{
+  uint64_t back = mq_rows_back_ms (router->rows);
+  uint64_t until = back + LAPSE_MS;
+
+  return back == 0 || mq_clock_ms () >= until ? 0 : until;
+}
+
 static void
 on_worker_gone (const char *key, void *user)
 {
   struct mq_router *router = user;
 
-  if (mq_fleet_remove (router->fleet, key))
+  if (mq_fleet_remove (router->fleet, key, lapse_until (router)))
     log_worker (router, "worker_gone", key, NULL);
 }
 
@@ -146,7 +161,7 @@
       mq_fleet_list_begin (router->fleet);
       return;
     }
-  mq_fleet_list_end (router->fleet);
+  mq_fleet_list_end (router->fleet, lapse_until (router));
   router->workers_listed = true;
 }
 
@@ -209,7 +224,7 @@
   mq_fleet_list_begin (router->fleet);
   for (size_t i = 0; i < count; i++)
     put_worker (router, &workers[i]);
-  mq_fleet_list_end (router->fleet);
+  mq_fleet_list_end (router->fleet, 0);
   router->workers_listed = true;
 }
 
@@ -258,6 +273,22 @@
   mq_rows_commit (router->rows, &entry, 1, on_announced, router);
 }
 
+static void
+note_table (struct mq_router *router)
+{
+  bool down = mq_rows_down (router->rows);
+  struct mq_json_line line;
+
+  if (down == router->table_down)
+    return;
+  router->table_down = down;
+  mq_json_begin (&line, router->log, MQ_JSON_NOTE,
+                 down ? "table_down" : "table_up");
+  mq_json_number (&line, "hosts", mq_relay_host_count (router->relay));
+  mq_json_number (&line, "relayed", mq_relay_asked (router->relay));
+  mq_json_end (&line);
+}
+
 void
 mq_feed_sweep (struct mq_router *router)
 {
@@ -266,6 +297,8 @@
   uint64_t pause
       = mq_relay_host_count (router->relay) == 0 ? HOSTS_FIRST_MS : HOSTS_MS;
 
+  note_table (router);
+  mq_fleet_expire (router->fleet, now);
   if (!mq_rows_followed (router->rows))
     {
       if (now - router->sync_ms < SYNC_MS)
--- a/src/io/router_ready.c
+++ b/src/io/router_ready.c
@@ -80,6 +80,12 @@
   mq_metrics_add (&text, "router", "store_reads",
                   "reads sent to the platform's table",
                   mq_rows_counters (router->rows)->reads);
+  mq_metrics_add (&text, "router", "relay_asked",
+                  "calls made through other hosts",
+                  mq_relay_asked (router->relay));
+  mq_metrics_add (&text, "router", "relay_served",
+                  "calls made for other hosts",
+                  mq_relay_served (router->relay));
   mq_metrics_add (&text, "router", "log_lines", "lines of the log",
                   mq_json_log_written (router->log));
   mq_metrics_add (&text, "router", "log_dropped",
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -96,6 +96,7 @@
   uint64_t sync_ms;
   uint64_t hosts_ms;
   bool announced;
+  bool table_down;
 };
 
 /* Final answers of our own.  */
--- a/src/io/rows.h
+++ b/src/io/rows.h
@@ -106,8 +106,9 @@
 bool mq_rows_followed (const struct mq_rows *rows);
 /* Calls fail at once, since the table gave no answer for a while.  */
 bool mq_rows_down (const struct mq_rows *rows);
-/* When the table last answered, steady clock, 0: never.  */
-uint64_t mq_rows_heard_ms (const struct mq_rows *rows);
+/* When the table last came back after a time without any answer, steady clock,
+   0: never.  */
+uint64_t mq_rows_back_ms (const struct mq_rows *rows);
 const struct mq_rows_counters *mq_rows_counters (const struct mq_rows *rows);
 
 #endif
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -238,8 +238,10 @@
   size_t least;
 };
 
-static const struct modules modules[]
-    = { { "src/*.c", 3 }, { "src/core/*.c", 20 }, { "src/io/*.c", 30 } };
+static const struct modules modules[] = { { "src/*.c", 3 },
+                                          { "src/core/*.c", 20 },
+                                          { "src/io/*.c", 30 },
+                                          { "platform/*.c", 3 } };
 
 /* Copies TEXT with each run of blanks and line ends as one blank.  */
 static const char *
@@ -309,6 +311,8 @@
   { "docs/design/house-style.md", "docs/design/" },
   { "docs/design/ownership.md", "docs/design/" },
   { "docs/design/programs.md", "docs/design/" },
+  { "docs/design/router.md", "docs/design/" },
+  { "docs/OPERATIONS.md", "docs/" },
 };
 
 Test (docs, links_lead_to_files)
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -271,8 +271,8 @@
   cr_assert_eq (mq_fleet_count (fleet, "s"), 2);
   /* A request under way keeps the handle.  */
   mq_fleet_started (fleet, worker);
-  cr_assert (mq_fleet_remove (fleet, "w0"));
-  cr_assert_not (mq_fleet_remove (fleet, "w0"));
+  cr_assert (mq_fleet_remove (fleet, "w0", 0));
+  cr_assert_not (mq_fleet_remove (fleet, "w0", 0));
   cr_assert_str_eq (mq_fleet_member (fleet, worker)->id, "w0");
   cr_assert_not (mq_fleet_usable (fleet, worker));
   cr_assert_str_eq (chosen (1, NULL, 7), "w2");
@@ -280,11 +280,27 @@
   /* A list that does not name w2 ends it.  */
   mq_fleet_list_begin (fleet);
   put ("w3", "a", 4, false);
-  mq_fleet_list_end (fleet);
+  mq_fleet_list_end (fleet, 0);
   cr_assert_str_eq (chosen (1, NULL, 7), "w3");
   cr_assert_eq (mq_fleet_count (fleet, "s"), 1);
 }
 
+/* The registry was away and its entries lapsed.  Workers that are back in time
+   never count as gone, those that are not do.  */
+Test (fleet, lapsed_entries_come_back)
+{
+  cr_assert (mq_fleet_remove (fleet, "w0", 5000));
+  mq_fleet_list_begin (fleet);
+  put ("w1", "b", 4, false);
+  mq_fleet_list_end (fleet, 5000);
+  mq_fleet_expire (fleet, 4999);
+  cr_assert_eq (mq_fleet_count (fleet, "s"), 3);
+  put ("w0", "a", 4, false);
+  mq_fleet_expire (fleet, 5000);
+  cr_assert_eq (mq_fleet_count (fleet, "s"), 2);
+  cr_assert_str_eq (chosen (1, NULL, 7), "w0");
+}
+
 /* What follows a try that failed */
 
 struct attempt_case
