Records of programs and turns are removed an hour after anyone may ask for them

By the table's own clock; each host looks at one part now and then and removes under the condition that the record is still the one that was read.

--- a/proto/turn.pb-c.c
+++ b/proto/turn.pb-c.c
@@ -193,7 +193,7 @@
   (ProtobufCMessageInit) mqturn__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqturn__budget_row__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mqturn__budget_row__field_descriptors[4] =
 {
   {
     "limit",
@@ -231,16 +231,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "until_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqturn__BudgetRow, until_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqturn__budget_row__field_indices_by_name[] = {
   2,   /* field[2] = grants */
   0,   /* field[0] = limit */
   1,   /* field[1] = spent */
+  3,   /* field[3] = until_s */
 };
 static const ProtobufCIntRange mqturn__budget_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mqturn__budget_row__descriptor =
 {
@@ -250,14 +263,14 @@
   "Mqturn__BudgetRow",
   "mqturn",
   sizeof(Mqturn__BudgetRow),
-  3,
+  4,
   mqturn__budget_row__field_descriptors,
   mqturn__budget_row__field_indices_by_name,
   1,  mqturn__budget_row__number_ranges,
   (ProtobufCMessageInit) mqturn__budget_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqturn__turn_row__field_descriptors[2] =
+static const ProtobufCFieldDescriptor mqturn__turn_row__field_descriptors[3] =
 {
   {
     "before",
@@ -283,15 +296,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "until_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqturn__TurnRow, until_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqturn__turn_row__field_indices_by_name[] = {
   0,   /* field[0] = before */
   1,   /* field[1] = tail */
+  2,   /* field[2] = until_s */
 };
 static const ProtobufCIntRange mqturn__turn_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor mqturn__turn_row__descriptor =
 {
@@ -301,7 +327,7 @@
   "Mqturn__TurnRow",
   "mqturn",
   sizeof(Mqturn__TurnRow),
-  2,
+  3,
   mqturn__turn_row__field_descriptors,
   mqturn__turn_row__field_indices_by_name,
   1,  mqturn__turn_row__number_ranges,
--- a/proto/turn.pb-c.h
+++ b/proto/turn.pb-c.h
@@ -49,10 +49,14 @@
   uint64_t spent;
   size_t n_grants;
   Mqturn__Grant **grants;
+  /*
+   * kept until then by the table's clock, 0: not told
+   */
+  uint64_t until_s;
 };
 #define MQTURN__BUDGET_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqturn__budget_row__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -69,10 +73,14 @@
    * what comes after it
    */
   ProtobufCBinaryData tail;
+  /*
+   * as in BudgetRow
+   */
+  uint64_t until_s;
 };
 #define MQTURN__TURN_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqturn__turn_row__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL} }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
 /* Mqturn__Grant methods */
--- a/src/core/budget.h
+++ b/src/core/budget.h
@@ -33,6 +33,7 @@
  * @spent: tokens that are settled
  * @grants: tokens that hosts may hand out
  * @grant_count: how many
+ * @until_s: the record is kept until then by the table's clock, 0: not told
  */
 struct mq_budget_record
 {
@@ -40,6 +41,7 @@
   uint64_t spent;
   struct mq_budget_grant grants[MQ_BUDGET_HOLDERS_MAX];
   uint32_t grant_count;
+  uint64_t until_s;
 };
 
 /**
--- a/src/core/chain.c
+++ b/src/core/chain.c
@@ -98,6 +98,7 @@
   row.before = (char *)(uintptr_t)chain->base;
   row.tail.data = chain->text.data + chain->tail_at;
   row.tail.len = chain->text.len - chain->tail_at;
+  row.until_s = chain->until_s;
   bytes.len = mqturn__turn_row__get_packed_size (&row);
   bytes.data = talloc_size (ctx, bytes.len + 1);
   if (bytes.data != NULL)
@@ -119,11 +120,24 @@
     {
       put_bytes (chain->text.data, row->tail.data, row->tail.len);
       copy_id (chain->base, row->before);
+      chain->until_s = row->until_s;
     }
   mqturn__turn_row__free_unpacked (row, NULL);
   return chain;
 }
 
+uint64_t
+mq_chain_row_until (struct mq_bytes bytes)
+{
+  Mqturn__TurnRow *row
+      = mqturn__turn_row__unpack (NULL, bytes.len, bytes.data);
+  uint64_t until = row == NULL ? 0 : row->until_s;
+
+  if (row != NULL)
+    mqturn__turn_row__free_unpacked (row, NULL);
+  return until;
+}
+
 bool
 mq_chain_prepend (struct mq_chain *chain, const struct mq_chain *before)
 {
--- a/src/core/chain.h
+++ b/src/core/chain.h
@@ -24,6 +24,7 @@
  * @base: turn whose row holds the text before @tail_at, "" for none
  * @tail_at: where the text of the turn's own row begins in @text
  * @text: all inputs and outputs, oldest first
+ * @until_s: the row is kept until then by the table's clock, 0: not told
  */
 struct mq_chain
 {
@@ -31,6 +32,7 @@
   char base[MQ_TURN_ID_MAX];
   size_t tail_at;
   struct mq_bytes text;
+  uint64_t until_s;
 };
 
 /* The chain of turn ID that follows BEFORE (NULL: the first one) with its
@@ -50,6 +52,9 @@
 /* Puts the text of BEFORE in front of all that CHAIN has.  */
 bool mq_chain_prepend (struct mq_chain *chain, const struct mq_chain *before);
 
+/* Time until which the row of a turn is kept, 0: not told.  */
+uint64_t mq_chain_row_until (struct mq_bytes row);
+
 struct mq_chain_cache;
 
 /* Keeps up to MAX_BYTES of text; the chains used longest ago go first.  */
--- a/src/io/router.c
+++ b/src/io/router.c
@@ -40,6 +40,7 @@
   mq_pool_sweep (router->pool);
   mq_turns_sweep (router->turns);
   mq_feed_sweep (router);
+  mq_clean_sweep (router);
   if (router->leaving)
     step_leaving (router);
   set_sweep (router);
--- a/src/io/router.h
+++ b/src/io/router.h
@@ -22,6 +22,8 @@
  * @table: "IP:PORT" of the platform's table
  * @memory_mb: memory that the process may use
  * @stop_ms: a stop takes no longer
+ * @clean_after_ms: a process removes old records once it has run for so long
+ * @clean_look_ms: pause between two looks for them
  * @settle_ms: after a stop was asked for, callers still come for so long
  */
 struct mq_router_settings
@@ -35,6 +37,8 @@
   const char *table;
   uint32_t memory_mb;
   uint32_t stop_ms;
+  uint32_t clean_after_ms;
+  uint32_t clean_look_ms;
   uint32_t settle_ms;
 };
 
--- /dev/null
+++ b/src/io/router_clean.c
@@ -0,0 +1,158 @@
+/* router_clean.c - removal of old records from the platform's table.
+
+   Each host looks at one part after the other, from a place of its own, so
+   that together they go through all of them without agreeing on anything.  A
+   record is removed on the condition that it is still the one that was read.
+   Needs: router_state.h, clock.h.  */
+
+#include "router_state.h"
+#include "../core/id.h"
+#include "clock.h"
+#include <stdio.h>
+
+/* Records read at a time, and removed with one transaction.  */
+#define LOOK_ROWS 100U
+
+/**
+ * struct mq_cleaner - where this host's look goes
+ * @part: number of the part, of both tables together
+ * @from: key at which the next look begins
+ * @next_ms: time of the next look
+ */
+struct mq_cleaner
+{
+  struct mq_router *router;
+  uint32_t part;
+  char from[MQ_TURN_ID_MAX];
+  uint64_t next_ms;
+  bool busy;
+};
+
+static const char *
+table_of (const struct mq_cleaner *cleaner)
+{
+  return cleaner->part < MQ_TURN_PARTS ? mq_budget_table : mq_turn_table;
+}
+
+static void
+part_name (const struct mq_cleaner *cleaner, char name[8])
+{
+  snprintf (name, 8, "%02x", cleaner->part % MQ_TURN_PARTS);
+}
+
+static uint64_t
+row_until (const struct mq_cleaner *cleaner, struct mq_bytes value)
+{
+  struct mq_budget_record record;
+
+  if (cleaner->part >= MQ_TURN_PARTS)
+    return mq_chain_row_until (value);
+  return mq_budget_unpack (value, &record) ? record.until_s : 0;
+}
+
+static void
+on_removed (const struct mq_rows_result *result, void *user)
+{
+  struct mq_cleaner *cleaner = user;
+
+  /* Whatever was not removed is seen again on the next round.  */
+  (void)result;
+  cleaner->busy = false;
+  mq_clean_sweep (cleaner->router);
+}
+
+/* On to the rows after these, or to the next part.  */
+static void
+advance (struct mq_cleaner *cleaner, const struct mq_rows_result *result)
+{
+  if (result->row_count < LOOK_ROWS)
+    {
+      cleaner->part = (cleaner->part + 1) % (2 * MQ_TURN_PARTS);
+      cleaner->from[0] = '\0';
+      return;
+    }
+  snprintf (cleaner->from, sizeof cleaner->from, "%s",
+            result->rows[result->row_count - 1].key);
+}
+
+static size_t
+pick_old (const struct mq_cleaner *cleaner,
+          const struct mq_rows_result *result,
+          struct mq_rows_entry old[LOOK_ROWS], const char *part)
+{
+  uint64_t now = mq_rows_clock_s (cleaner->router->rows);
+  size_t count = 0;
+
+  for (size_t i = 0; i < result->row_count && count < LOOK_ROWS; i++)
+    {
+      const struct mq_rows_entry *row = &result->rows[i];
+      uint64_t until = row_until (cleaner, row->value);
+
+      if (until == 0 || until >= now)
+        continue;
+      old[count++] = (struct mq_rows_entry){ .table = table_of (cleaner),
+                                             .part = part,
+                                             .key = row->key,
+                                             .version = row->version,
+                                             .remove = true };
+    }
+  return count;
+}
+
+static void
+on_looked (const struct mq_rows_result *result, void *user)
+{
+  struct mq_cleaner *cleaner = user;
+  struct mq_rows_entry old[LOOK_ROWS];
+  char part[8];
+  size_t count;
+
+  cleaner->busy = false;
+  if (result->status != MQ_STORE_OK)
+    return;
+  part_name (cleaner, part);
+  count = pick_old (cleaner, result, old, part);
+  if (count > 0)
+    {
+      cleaner->busy = true;
+      cleaner->router->counters.records_removed += count;
+      mq_rows_commit (cleaner->router->rows, old, count, on_removed, cleaner);
+    }
+  advance (cleaner, result);
+  mq_clean_sweep (cleaner->router);
+}
+
+static struct mq_cleaner *
+make_cleaner (struct mq_router *router)
+{
+  struct mq_cleaner *cleaner = talloc_zero (router, struct mq_cleaner);
+
+  if (cleaner == NULL)
+    return NULL;
+  cleaner->router = router;
+  cleaner->part = mq_random_below (&router->random, 2 * MQ_TURN_PARTS);
+  cleaner->next_ms = mq_clock_ms () + router->settings->clean_after_ms;
+  return cleaner;
+}
+
+void
+mq_clean_sweep (struct mq_router *router)
+{
+  struct mq_cleaner *cleaner = router->cleaner;
+  uint64_t now = mq_clock_ms ();
+  char part[8];
+
+  if (cleaner == NULL)
+    {
+      router->cleaner = make_cleaner (router);
+      return;
+    }
+  if (cleaner->busy || now < cleaner->next_ms
+      || mq_rows_clock_s (router->rows) == 0 || mq_rows_down (router->rows))
+    return;
+  cleaner->busy = true;
+  cleaner->next_ms = now + router->settings->clean_look_ms;
+  part_name (cleaner, part);
+  mq_rows_scan (router->rows, table_of (cleaner), part, cleaner->from,
+                LOOK_ROWS, on_looked, cleaner);
+}
--- a/src/io/router_request.c
+++ b/src/io/router_request.c
@@ -1009,6 +1009,7 @@
     .most = most_tokens (request),
     .budgeted = request->facts.has_budget && request->facts.program != NULL,
     .retains = request->route->retains,
+    .retain_s = request->route->retain_s,
     .told = on_turn,
     .user = request,
   };
--- a/src/io/router_settings.c
+++ b/src/io/router_settings.c
@@ -14,6 +14,14 @@
    sends callers for so long after a stop was asked for, with a margin.  */
 #define SETTLE_MS 2600U
 
+/* A host that starts has better things to do than to remove old records, and
+   right after a loss of many hosts the table has too.  */
+#define CLEAN_AFTER_MS 60000U
+/* Pause between two looks for old records.  With a few hosts all parts are
+   seen within some minutes, which is little beside the hour that records are
+   kept beyond their time.  */
+#define CLEAN_LOOK_MS 4000U
+
 struct router_section
 {
   struct mq_router_settings settings;
@@ -162,6 +170,8 @@
                              list);
         if (list->errors->count == 0)
           read_stop (&section, ini, list);
+        section.settings.clean_after_ms = CLEAN_AFTER_MS;
+        section.settings.clean_look_ms = CLEAN_LOOK_MS;
         *settings = section.settings;
         return;
       }
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -40,6 +40,7 @@
   X (budget_writes, "records of programs written")                            \
   X (turn_writes, "records of turns written")                                 \
   X (turn_reads, "records of turns read")                                     \
+  X (records_removed, "records of programs and turns removed")                \
   X (config_changes, "configurations taken into force")                       \
   X (worker_changes, "changes of the list of workers")
 
@@ -53,6 +54,7 @@
 struct mq_caller;
 struct mq_request;
 struct mq_turns;
+struct mq_cleaner;
 
 /**
  * struct mq_router - one routing process
@@ -75,6 +77,7 @@
   struct mq_relay *relay;
   struct mq_ledger *ledger;
   struct mq_turns *turns;
+  struct mq_cleaner *cleaner;
   struct mq_route_table *routes;
   struct mq_bytes config;
   bool workers_listed;
@@ -159,6 +162,16 @@
 
 /* router_turn.c */
 
+/* Tables of the records, and the parts that each is spread over.  A part takes
+   a few hundred transactions a second; with this many, waiting for one is rare
+   at any rate that the table allows.  */
+extern const char mq_budget_table[];
+extern const char mq_turn_table[];
+#define MQ_TURN_PARTS 256U
+/* Records are kept an hour longer than anyone may ask for them: an active
+   program's record is written again within minutes.  */
+#define MQ_RECORD_KEEP_S 3600U
+
 enum mq_turn_state
 {
   MQ_TURN_READY,    /* budget and chain are there */
@@ -174,6 +187,7 @@
  * @limit: budget of the program, @most of the turn
  * @budgeted: it counts against a budget
  * @retains: it is kept for later turns
+ * @retain_s: how long, seconds
  * @previous: turn that it continues from, NULL: none
  * @id: of the turn
  * @before: chain of @previous once it is ready, NULL: none
@@ -188,6 +202,7 @@
   uint64_t most;
   bool budgeted;
   bool retains;
+  uint32_t retain_s;
   struct mq_chain *before;
   void (*told) (enum mq_turn_state state, void *user);
   void *user;
@@ -221,6 +236,11 @@
 /* Forgets programs that are idle.  */
 void mq_turns_sweep (struct mq_turns *turns);
 
+/* router_clean.c */
+
+/* Removes records that are kept no longer, a little at a time.  */
+void mq_clean_sweep (struct mq_router *router);
+
 /* router_feed.c */
 
 struct mq_confirm;
--- a/src/io/router_turn.c
+++ b/src/io/router_turn.c
@@ -11,13 +11,9 @@
 #include <stdio.h>
 #include <string.h>
 
-static const char budget_table[] = "budget";
-static const char turn_table[] = "turn";
+const char mq_budget_table[] = "budget";
+const char mq_turn_table[] = "turn";
 
-/* Parts of each table.  One part takes a few hundred transactions a second;
-   with this many, waiting for one of them is rare at any rate that the table
-   allows.  */
-#define PARTS 256U
 /* Tries of one call to the table before its caller is told that the table
    can't tell: together they last about as long as a slow answer.  */
 #define TRIES_MAX 3U
@@ -87,7 +83,7 @@
 {
   uint64_t hash = mq_hash_bytes (key, strlen (key), 0);
 
-  snprintf (part, 8, "%02x", (unsigned int)(hash % PARTS));
+  snprintf (part, 8, "%02x", (unsigned int)(hash % MQ_TURN_PARTS));
 }
 
 static struct mq_timer *
@@ -227,8 +223,9 @@
 static void
 read_program (struct mq_program *program)
 {
-  program->call = mq_ledger_get (program->turns->router->ledger, budget_table,
-                                 program->part, program->id, on_read, program);
+  program->call
+      = mq_ledger_get (program->turns->router->ledger, mq_budget_table,
+                       program->part, program->id, on_read, program);
 }
 
 static void
@@ -262,17 +259,29 @@
   step_program (program);
 }
 
+/* Until when a record written now is kept, 0: the table's clock is not known.
+ */
+static uint64_t
+kept_until (const struct mq_turns *turns, uint32_t retain_s)
+{
+  uint64_t now = mq_rows_clock_s (turns->router->rows);
+
+  return now == 0 ? 0 : now + retain_s + MQ_RECORD_KEEP_S;
+}
+
 static void
 write_program (struct mq_program *program)
 {
   struct mq_router *router = program->turns->router;
-  struct mq_bytes value = mq_budget_pack (program, &program->next);
-  struct mq_rows_entry entry = { .table = budget_table,
+  struct mq_rows_entry entry = { .table = mq_budget_table,
                                  .part = program->part,
                                  .key = program->id,
-                                 .version = program->budget.version,
-                                 .value = value };
+                                 .version = program->budget.version };
+  struct mq_bytes value;
 
+  program->next.until_s = kept_until (program->turns, 0);
+  value = mq_budget_pack (program, &program->next);
+  entry.value = value;
   router->counters.budget_writes++;
   program->call
       = mq_ledger_commit (router->ledger, &entry, on_written, program);
@@ -491,7 +500,7 @@
     }
   turns->router->counters.turn_reads++;
   set_part (part, turn->missing);
-  turn->call = mq_ledger_get (turns->router->ledger, turn_table, part,
+  turn->call = mq_ledger_get (turns->router->ledger, mq_turn_table, part,
                               turn->missing, on_turn_read, turn);
 }
 
@@ -576,7 +585,7 @@
   char part[8];
 
   set_part (part, turn->id);
-  turn->call = mq_ledger_get (turn->turns->router->ledger, turn_table, part,
+  turn->call = mq_ledger_get (turn->turns->router->ledger, mq_turn_table, part,
                               turn->id, on_turn_checked, turn);
 }
 
@@ -584,7 +593,7 @@
 write_turn (struct mq_turn *turn)
 {
   struct mq_router *router = turn->turns->router;
-  struct mq_rows_entry entry = { .table = turn_table,
+  struct mq_rows_entry entry = { .table = mq_turn_table,
                                  .key = turn->id,
                                  .version = MQ_VERSION_ABSENT,
                                  .value = turn->record };
@@ -605,7 +614,10 @@
   turn->made
       = mq_chain_extend (turn->turns, turn->before, turn->id, input, output);
   if (turn->made != NULL)
-    turn->record = mq_chain_pack (turn->turns, turn->made);
+    {
+      turn->made->until_s = kept_until (turn->turns, turn->retain_s);
+      turn->record = mq_chain_pack (turn->turns, turn->made);
+    }
   if (turn->record.data == NULL)
     {
       tell_turn (turn, MQ_TURN_NO_STORE);
--- a/src/io/rows.h
+++ b/src/io/rows.h
@@ -92,6 +92,13 @@
 struct mq_rows_call *mq_rows_get (struct mq_rows *rows, const char *table,
                                   const char *part, const char *key,
                                   mq_rows_done *done, void *user);
+/* Reads up to LIMIT rows of a part from the key FROM on, in order of keys.  */
+struct mq_rows_call *mq_rows_scan (struct mq_rows *rows, const char *table,
+                                   const char *part, const char *from,
+                                   uint32_t limit, mq_rows_done *done,
+                                   void *user);
+/* The table's own clock, which only goes forward, seconds; 0: not known.  */
+uint64_t mq_rows_clock_s (const struct mq_rows *rows);
 /* No callback follows; what was sent may still be done.  */
 void mq_rows_cancel (struct mq_rows_call *call);
 /* Lists TABLE, whose rows have an empty part, and follows its changes for as
--- a/tests/router_site.c
+++ b/tests/router_site.c
@@ -114,6 +114,7 @@
   struct edge_site *site = talloc_zero (NULL, struct edge_site);
 
   site->ev = tevent_context_init (site);
+  site->clean_after_ms = UINT32_MAX;
   site->rows = rows_server_create (site, site->ev);
   for (int i = 0; i < EDGE_WORKERS; i++)
     {
@@ -153,6 +154,7 @@
     .memory_mb = 64,
     .stop_ms = 2000,
     .settle_ms = 200,
+    .clean_after_ms = site->clean_after_ms,
   };
   site->routers[index] = mq_router_create (site, site->ev, settings, &error);
   cr_assert_not_null (site->routers[index], "%s", error.subject);
--- a/tests/router_site.h
+++ b/tests/router_site.h
@@ -30,6 +30,7 @@
   struct mq_router *routers[EDGE_ROUTERS];
   const char *seeds[EDGE_ROUTERS];
   int config_version;
+  uint32_t clean_after_ms;
 };
 
 /* A caller's connection.  */
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -608,6 +608,34 @@
   cr_assert_eq (ask_turn (0, "t2", "p1", BUDGET (80) AFTER ("t1"), "x"), 200);
 }
 
+/* Records of programs and turns that nobody can ask for any more are removed;
+   the others stay, and so does what was written anew meanwhile.  */
+Test (router, old_records_are_removed)
+{
+  static const uint64_t start_ms = 5000000;
+  static const uint64_t hours_ms = 2 * 3600 * 1000;
+
+  rows_server_clock (site->rows, start_ms);
+  edge_run (site, 1300);
+  cr_assert_eq (ask_turn (0, "t1", "p1", BUDGET (80), "x"), 200);
+  cr_assert_eq (ask_turn (0, "t2", "p2", BUDGET (80), "x"), 200);
+  edge_kill (site, 0);
+  rows_server_clock (site->rows, start_ms + hours_ms);
+  edge_start (site, 0);
+  cr_assert_eq (ask_turn (0, "t3", "p2", BUDGET (80) AFTER ("t2"), "x"), 200);
+  edge_kill (site, 0);
+  cr_assert_eq (rows_server_count (site->rows, "budget"), 2);
+  cr_assert_eq (rows_server_count (site->rows, "turn"), 3);
+  site->clean_after_ms = 0;
+  edge_start (site, 0);
+  EDGE_WAIT (site, rows_server_count (site->rows, "budget") == 1
+                       && rows_server_count (site->rows, "turn") == 1);
+  edge_run (site, 500);
+  cr_assert_eq (rows_server_count (site->rows, "budget"), 1);
+  cr_assert_eq (rows_server_count (site->rows, "turn"), 1);
+  cr_assert_eq (ask_turn (0, "t4", "p2", BUDGET (80) AFTER ("t3"), "x"), 200);
+}
+
 /* Other hosts */
 
 struct door_case
