--- a/src/io/ctl_local.c
+++ b/src/io/ctl_local.c
@@ -5,6 +5,7 @@
 
 #include "../core/limits.h"
 #include "ctl_run.h"
+#include "router_settings.h"
 #include "settings.h"
 #include <errno.h>
 #include <gnutls/crypto.h>
@@ -183,7 +184,10 @@
 {
   struct mq_text_errors errors = { 0 };
 
-  mq_settings_read (run->ctx, run->role, file, &errors);
+  if (run->router)
+    mq_router_settings_read (run->ctx, file, &errors);
+  else
+    mq_settings_read (run->ctx, run->role, file, &errors);
   return print_errors (run, file, &errors);
 }
 
@@ -216,15 +220,21 @@
       json_t *items = mq_ctl_keys_json ("text", mq_text_keys ());
       json_t *settings = mq_ctl_keys_json ("settings", mq_settings_keys ());
 
+      json_t *router = mq_ctl_keys_json ("router", mq_router_settings_keys ());
+
       json_array_extend (items, settings);
+      json_array_extend (items, router);
       json_decref (settings);
+      json_decref (router);
       fputs (mq_ctl_dump (run->ctx, items), run->out);
       return MQ_CTL_OK;
     }
   fprintf (run->out, "The operators' text\n\n%s\n",
            mq_ctl_keys_text (run->ctx, mq_text_keys ()));
-  fprintf (run->out, "Settings of a process\n\n%s",
+  fprintf (run->out, "Settings of a process\n\n%s\n",
            mq_ctl_keys_text (run->ctx, mq_settings_keys ()));
+  fprintf (run->out, "Settings of mimosa-routerd\n\n%s",
+           mq_ctl_keys_text (run->ctx, mq_router_settings_keys ()));
   return MQ_CTL_OK;
 }
 
--- a/src/io/ctl_run.h
+++ b/src/io/ctl_run.h
@@ -31,6 +31,7 @@
  * @base: version given with --base, or MQ_CTL_NO_BASE
  * @wait_seconds: how long apply waits for the hosts
  * @settings: check: the file is one of settings
+ * @router: check: for mimosa-routerd, and not for a process with a @role
  * @role: check: for which process
  */
 struct mq_ctl_run
@@ -44,6 +45,7 @@
   uint64_t base;
   uint32_t wait_seconds;
   bool settings;
+  bool router;
   enum mq_host_role role;
 };
 
@@ -65,6 +67,7 @@
 enum mq_ctl_exit mq_ctl_keys (const struct mq_ctl_run *run, const char *none);
 enum mq_ctl_exit mq_ctl_hash_key (const struct mq_ctl_run *run,
                                   const char *none);
+enum mq_ctl_exit mq_ctl_explain (const struct mq_ctl_run *run, const char *id);
 /* The configuration.  */
 enum mq_ctl_exit mq_ctl_show (const struct mq_ctl_run *run, const char *none);
 enum mq_ctl_exit mq_ctl_diff (const struct mq_ctl_run *run, const char *file);
--- a/src/io/router_feed.c
+++ b/src/io/router_feed.c
@@ -70,12 +70,12 @@
   talloc_free (router->config.data);
   router->config.data = talloc_memdup (router, value.data, value.len);
   router->config.len = router->config.data == NULL ? 0 : value.len;
+  log_config (router, "config_in_force", table->version, NULL);
   /* Requests under way hold a reference to the one they began with.  */
   if (router->routes != NULL)
     talloc_unlink (router, router->routes);
   router->routes = table;
   router->counters.config_changes++;
-  log_config (router, "config_in_force", table->version, NULL);
 }
 
 static void
--- a/src/mimosactl.c
+++ b/src/mimosactl.c
@@ -27,7 +27,7 @@
   { "show", false, mq_ctl_show },         { "diff", true, mq_ctl_diff },
   { "apply", true, mq_ctl_apply },        { "status", false, mq_ctl_status },
   { "trace", true, mq_ctl_trace },        { "drain", true, mq_ctl_drain },
-  { "hash-key", false, mq_ctl_hash_key },
+  { "hash-key", false, mq_ctl_hash_key }, { "explain", true, mq_ctl_explain },
 };
 
 enum option_key
@@ -54,13 +54,13 @@
           "apply: wait this long for all hosts to hold the version; 0: don't "
           "(default 30)",
           0 },
-        { "settings", OPTION_SETTINGS, "entryd|targetd", 0,
+        { "settings", OPTION_SETTINGS, "entryd|targetd|routerd", 0,
           "check: FILE holds the settings of this process", 0 },
         { 0 } };
 
 static const char usage[]
     = "check FILE\nkeys\nshow\ndiff FILE\napply FILE --base VERSION\nstatus\n"
-      "trace PROGRAM_ID\ndrain HOST\nhash-key";
+      "trace PROGRAM_ID\ndrain HOST\nhash-key\nexplain ID";
 
 static const char doc[]
     = "Checks, changes and shows the configuration of a mimosaquay site, and "
@@ -76,6 +76,8 @@
       "  trace     draw the spans of a program from every host\n"
       "  drain     tell a host to finish its work and leave\n"
       "  hash-key  read a key on standard input, print its SHA-256\n"
+      "  explain   read the routers' logs on standard input, print the story\n"
+      "            of the request or program ID\n"
       "\n"
       "FILE may be - for standard input.  Exit status: 0 done; 1 failed, or "
       "something can't be reached or does not yet hold the version; 2 an "
@@ -116,10 +118,13 @@
                 const char *text)
 {
   line->run.settings = true;
+  line->run.router = strcmp (text, "routerd") == 0;
   line->run.role
       = strcmp (text, "targetd") == 0 ? MQ_HOST_TARGET : MQ_HOST_ENTRY;
-  if (line->run.role == MQ_HOST_ENTRY && strcmp (text, "entryd") != 0)
-    argp_error (state, "--settings: %s is neither entryd nor targetd", text);
+  if (!line->run.router && line->run.role == MQ_HOST_ENTRY
+      && strcmp (text, "entryd") != 0)
+    argp_error (state, "--settings: %s is none of entryd, targetd and routerd",
+                text);
 }
 
 static void
--- a/tests/test_mimosactl.c
+++ b/tests/test_mimosactl.c
@@ -5,6 +5,7 @@
 #include "core/text_keys.h"
 #include "ctl_kit.h"
 #include "io/ctl_trace.h"
+#include "io/router_settings.h"
 #include "io/settings.h"
 #include "text_fixture.h"
 #include <criterion/criterion.h>
@@ -48,6 +49,29 @@
   { "help", { "--help" }, "", 0, "hash-key", "" },
   { "version", { "--version" }, "", 0, "mimosactl 0.", "" },
   { "check a good text", { "check", "-" }, TEXT_A, 0, "", "" },
+  { "check settings of a router",
+    { "check", "-", "--settings", "routerd" },
+    "[router]\nhost = a\ncolour = red\n",
+    2,
+    "colour",
+    "" },
+  { "explain nothing", { "explain", "q1" }, "", 2, "", "q1" },
+  { "explain a request",
+    { "explain", "q1" },
+    "{\"t\":900,\"host\":\"e-2\",\"event\":\"table_down\",\"hosts\":3}\n"
+    "not a line\n"
+    "12.5 e-1 {\"t\":1050,\"host\":\"e-1\",\"event\":\"request_ended\","
+    "\"id\":\"q1\",\"after_ms\":50,\"outcome\":\"store\"}\n"
+    "{\"t\":1010,\"host\":\"e-1\",\"event\":\"try_failed\",\"id\":\"q1\","
+    "\"after_ms\":10,\"how\":\"broken\"}\n"
+    "{\"t\":1020,\"host\":\"e-1\",\"event\":\"try_failed\","
+    "\"id\":\"q2\"}\n",
+    0,
+    "    -100 ms    e-2              table_down hosts=3\n"
+    "      10 ms  e-1              try_failed id=q1 after_ms=10 how=broken\n"
+    "      50 ms  e-1              request_ended id=q1 after_ms=50 "
+    "outcome=store\n",
+    "" },
   { "check a bad text",
     { "check", "-" },
     "[site]\nname = s\nweight = 3\n",
@@ -166,7 +190,8 @@
   cr_expect_eq (kit->code, 0);
   items = json_loads (kit->out, 0, NULL);
   cr_assert_eq (json_array_size (items),
-                text->key_count + settings->key_count);
+                text->key_count + settings->key_count
+                    + mq_router_settings_keys ()->key_count);
   json_array_foreach (items, i, item)
   {
     const char *help = json_string_value (json_object_get (item, "help"));
