A seeded soak of real routers

Routers as processes between stand-ins and harmful proxies; signals, cuts, faults of the table and of workers in series that overlap; promises checked from what callers and workers see; five planted bugs.

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 EXAMPLE_BIN = $(patsubst examples/%.c,$(BUILD)/examples/%,$(wildcard examples/*.c))
 SOURCES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] src/core/*.[ch] \
           src/io/*.[ch] platform/*.[ch] platform/standins/*.[ch] include/*.h standins/*.[ch] tests/*.[ch] \
-          tests/fuzz/*.[ch] bench/*.[ch] \
+          tests/fuzz/*.[ch] tests/soak/*.[ch] bench/*.[ch] \
           examples/*.c))
 
 .PHONY: all help deps check check-sanitized demo format format-check lint \
@@ -175,6 +175,23 @@
 	@$(BUILD)/bin/bench_capacity
 	@BUILD=$(BUILD) bash bench/capacity.sh
 
+# A seeded soak of real routers, SEEDS of them one after the other.
+SOAK_SRC = $(wildcard tests/soak/*.c)
+SOAK_OBJ = $(SOAK_SRC:%.c=$(BUILD)/%.o)
+SEED ?= 1
+SEEDS ?= 1
+SOAK_SECONDS ?= 8
+SOAK_HOSTS ?= 4
+$(BUILD)/bin/soak: $(SOAK_OBJ) $(STANDIN_OBJ) $(PLATFORM_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
+
+## soak: faults on real routers, SEEDS seeds from SEED, SOAK_SECONDS each
+.PHONY: soak
+soak: deps
+	@$(MAKE) --no-print-directory $(BUILD)/bin/mimosa-routerd $(BUILD)/bin/soak
+	@BUILD=$(BUILD) sh tests/soak/run.sh $(SEED) $(SEEDS) $(SOAK_SECONDS) $(SOAK_HOSTS)
+
 ## format: format the sources; format-check: fail where that would change one
 format:
 	@clang-format -i $(SOURCES)
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,182 @@
+/* soak.c - a seeded soak of real routers: faults come in series and overlap,
+   and the promises are checked from what callers and workers see.
+
+   usage: soak ROUTERD SEED [SECONDS [HOSTS]]
+   SOAK_PLANT names a bug of the world that must be noticed: twice, refused,
+   history, lost, overspend.
+   Needs: soak.h.  */
+
+#include "soak.h"
+#include "io/clock.h"
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define TICK_MS 20U
+#define FAULT_MS 500U
+/* After all faults have ended programs must finish again within this.  */
+#define RECOVER_MS 30000U
+#define RECOVER_PROGRAMS 40U
+#define FAILURES_SHOWN 5
+
+void
+soak_fail (struct soak *soak, const char *what, const char *subject)
+{
+  if (soak->failures++ < FAILURES_SHOWN)
+    printf ("soak: seed %lu: %s: %s\n", (unsigned long)soak->seed, what,
+            subject);
+}
+
+uint32_t
+soak_below (struct soak *soak, uint32_t bound)
+{
+  return mq_random_below (&soak->random, bound);
+}
+
+static void
+on_tick (void *data)
+{
+  struct soak *soak = data;
+
+  soak_watch_hosts (soak);
+  mq_timer_add (soak->ev, soak->ev, TICK_MS, on_tick, soak);
+}
+
+static void
+on_fault (void *data)
+{
+  struct soak *soak = data;
+
+  if (!soak->faults)
+    return;
+  soak_inject (soak);
+  mq_timer_add (soak->ev, soak->ev, 50 + soak_below (soak, FAULT_MS), on_fault,
+                soak);
+}
+
+static void
+on_time (void *data)
+{
+  bool *over = data;
+
+  *over = true;
+}
+
+static void
+run_for (struct soak *soak, uint64_t ms)
+{
+  bool over = false;
+
+  mq_timer_add (soak->ev, soak->ev, ms, on_time, &over);
+  while (!over)
+    tevent_loop_once (soak->ev);
+}
+
+/* All faults have ended: hosts come back and programs finish.  */
+static void
+check_recovery (struct soak *soak)
+{
+  uint64_t begin = mq_clock_ms ();
+  uint32_t before;
+
+  soak->faults = false;
+  soak_heal (soak);
+  /* Faults that end by themselves do so within this.  */
+  run_for (soak, 3500);
+  soak_heal (soak);
+  before = soak->finished;
+  while (soak->finished - before < RECOVER_PROGRAMS
+         && mq_clock_ms () - begin < RECOVER_MS)
+    run_for (soak, 50);
+  if (soak->finished - before < RECOVER_PROGRAMS)
+    soak_fail (soak, "programs don't finish after all faults have ended", "");
+}
+
+/* Bugs of the world for which a promise must be found broken.  */
+static void
+on_plant (void *data)
+{
+  struct soak *soak = data;
+
+  if (strcmp (soak->plant, "lost") == 0)
+    rows_server_forget (soak->rows, "turn");
+  if (strcmp (soak->plant, "overspend") == 0)
+    rows_server_forget (soak->rows, "budget");
+  if (strcmp (soak->plant, "history") == 0)
+    rows_server_mix (soak->rows, "turn");
+  if (strcmp (soak->plant, "lost") == 0 || strcmp (soak->plant, "history") == 0
+      || strcmp (soak->plant, "overspend") == 0)
+    for (int i = 0; i < soak->host_count; i++)
+      if (soak->hosts[i].pid != 0)
+        kill (soak->hosts[i].pid, SIGKILL);
+  mq_timer_add (soak->ev, soak->ev, 300, on_plant, soak);
+}
+
+static void
+remove_files (struct soak *soak)
+{
+  char path[96];
+
+  if (soak->failures > 0)
+    {
+      printf ("soak: seed %lu: logs are in %s\n", (unsigned long)soak->seed,
+              soak->directory);
+      return;
+    }
+  for (int i = 0; i < soak->host_count; i++)
+    {
+      snprintf (path, sizeof path, "%s/%s.log", soak->directory,
+                soak->hosts[i].name);
+      unlink (path);
+      unlink (soak->hosts[i].settings);
+    }
+  rmdir (soak->directory);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct soak *soak = talloc_zero (NULL, struct soak);
+  uint32_t seconds = argc > 3 ? (uint32_t)strtoul (argv[3], NULL, 10) : 8;
+
+  if (argc < 3)
+    {
+      fprintf (stderr, "usage: soak ROUTERD SEED [SECONDS [HOSTS]]\n");
+      return 2;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  soak->binary = argv[1];
+  soak->seed = strtoull (argv[2], NULL, 10);
+  soak->random = soak->seed;
+  soak->host_count = argc > 4 ? atoi (argv[4]) : 4;
+  if (soak->host_count < 1 || soak->host_count > HOSTS_MAX)
+    return 2;
+  soak->plant = getenv ("SOAK_PLANT");
+  soak->records = talloc_zero_array (soak, struct record, RECORDS_MAX);
+  soak->ev = tevent_context_init (soak);
+  snprintf (soak->directory, sizeof soak->directory, "/tmp/soak-XXXXXX");
+  if (mkdtemp (soak->directory) == NULL)
+    return 2;
+  soak_make_world (soak);
+  run_for (soak, 500);
+  soak->program_count = PROGRAMS_MAX;
+  for (int i = 0; i < soak->program_count; i++)
+    soak_start_program (soak, i);
+  on_tick (soak);
+  soak->faults = true;
+  on_fault (soak);
+  if (soak->plant != NULL)
+    on_plant (soak);
+  run_for (soak, (uint64_t)seconds * 1000);
+  check_recovery (soak);
+  soak_end_hosts (soak);
+  printf ("soak: seed %lu: %u faults, %u answers, %u refusals, %u broken, "
+          "%u programs finished, %u spent, %u failed: %s\n",
+          (unsigned long)soak->seed, soak->injected, soak->answers,
+          soak->refusals, soak->broken, soak->finished, soak->spent,
+          soak->failed, soak->failures == 0 ? "ok" : "FAILED");
+  remove_files (soak);
+  return soak->failures == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak_caller.c
@@ -0,0 +1,429 @@
+/* soak_caller.c - programs as their callers drive them, and what they must
+   see.
+
+   Needs: soak.h.  */
+
+#include "soak.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A caller leaves when nothing has come for so long.  */
+#define PATIENCE_MS 6000U
+#define TRIES_MAX 40
+#define EVENTS 4
+
+static void send_step (struct program *program);
+
+static struct record *
+record_of (struct soak *soak, const char *id)
+{
+  uint32_t number
+      = id[0] == 'q' ? (uint32_t)strtoul (id + 1, NULL, 10) : UINT32_MAX;
+
+  return number < soak->record_count ? &soak->records[number] : NULL;
+}
+
+static bool
+may_repeat (uint8_t kind)
+{
+  return kind == KIND_CALL || kind == KIND_TURN;
+}
+
+/* What a worker gets of a retained turn is all that was said before and the
+   new input, and nothing else.  */
+static void
+check_body (struct soak *soak, const struct record *record, const char *id,
+            const char *body)
+{
+  struct program *program = &soak->programs[record->program];
+  size_t len = program->history.len;
+
+  if (record->kind != KIND_KEPT || !program->active
+      || strtoul (id + 1, NULL, 10) != program->attempt)
+    return;
+  if (strlen (body) != len + strlen (program->input)
+      || strncmp (body, mq_buffer_text (&program->history), len) != 0
+      || strcmp (body + len, program->input) != 0)
+    soak_fail (soak, "a worker got another history", id);
+}
+
+void
+soak_on_run (const char *id, const char *target, const char *body, void *user)
+{
+  struct soak *soak = user;
+  struct record *record = record_of (soak, id);
+
+  (void)target;
+  if (record == NULL)
+    {
+      soak_fail (soak, "a request was run that nobody sent", id);
+      return;
+    }
+  record->runs++;
+  if (soak->plant != NULL && strcmp (soak->plant, "twice") == 0
+      && soak_below (soak, 50) == 0)
+    record->runs++;
+  if (record->runs > 1 && !may_repeat (record->kind))
+    soak_fail (soak, "a request that may run once ran twice", id);
+  if (record->refused && !may_repeat (record->kind))
+    soak_fail (soak, "a request ran that was refused as not run", id);
+  check_body (soak, record, id, body);
+}
+
+static void
+drop_lane (struct program *program)
+{
+  mq_http_lane_destroy (program->lane);
+  program->lane = NULL;
+}
+
+static void
+end_program (struct program *program)
+{
+  struct soak *soak = program->soak;
+
+  program->active = false;
+  TALLOC_FREE (program->timer);
+  TALLOC_FREE (program->patience);
+  drop_lane (program);
+  mq_buffer_clear (&program->history);
+  mq_buffer_clear (&program->body);
+  if (program->handed > program->limit + MOST)
+    soak_fail (soak, "a program handed out more than its budget and a turn",
+               program->id);
+  soak_start_program (soak, (int)program->index);
+}
+
+static void
+on_next (void *data)
+{
+  struct program *program = data;
+
+  program->timer = NULL;
+  send_step (program);
+}
+
+static void
+next_in (struct program *program, uint32_t ms)
+{
+  TALLOC_FREE (program->timer);
+  program->timer = mq_timer_add (program->soak->ev, program->soak->ev, ms,
+                                 on_next, program);
+}
+
+/* The step is tried again as a new attempt, at another host.  */
+static void
+try_again (struct program *program, uint32_t ms)
+{
+  struct soak *soak = program->soak;
+
+  mq_buffer_clear (&program->body);
+  program->host = (int)soak_below (soak, (uint32_t)soak->host_count);
+  if (++program->tries >= TRIES_MAX)
+    {
+      soak->failed++;
+      end_program (program);
+      return;
+    }
+  next_in (program, ms);
+}
+
+static int
+events_in (struct program *program, bool *ordered)
+{
+  const char *at = mq_buffer_text (&program->body);
+  int count = 0;
+
+  *ordered = true;
+  while ((at = strstr (at, "id: ")) != NULL)
+    {
+      if (atoi (at + 4) != ++count)
+        *ordered = false;
+      at += 4;
+    }
+  return count;
+}
+
+static bool
+is_turn (const struct program *program)
+{
+  return program->kind == KIND_TURN || program->kind == KIND_KEPT;
+}
+
+static void
+note_events (struct program *program, bool whole)
+{
+  bool ordered;
+  int count = events_in (program, &ordered);
+
+  program->handed += (uint64_t)count * 2;
+  if (!ordered)
+    soak_fail (program->soak, "events are missing or come twice", program->id);
+  if (whole && count != EVENTS)
+    soak_fail (program->soak, "a stream that is not whole ends as whole",
+               program->id);
+}
+
+static void
+finish_turn (struct program *program)
+{
+  static const char said[] = "e1\ne2\ne3\ne4\n";
+
+  if (program->kind != KIND_KEPT)
+    return;
+  mq_buffer_append (program->soak->ev, &program->history, program->input,
+                    strlen (program->input), SIZE_MAX);
+  mq_buffer_append (program->soak->ev, &program->history, said, strlen (said),
+                    SIZE_MAX);
+  snprintf (program->previous, sizeof program->previous, "q%u",
+            program->attempt);
+}
+
+/* After a turn a call of a tool, maybe; then the next turn.  */
+static void
+next_step (struct program *program)
+{
+  struct soak *soak = program->soak;
+  bool turn = is_turn (program);
+
+  program->tries = 0;
+  mq_buffer_clear (&program->body);
+  if (turn && --program->turns <= 0)
+    {
+      soak->finished++;
+      end_program (program);
+      return;
+    }
+  if (turn && soak_below (soak, 2) == 0)
+    program->kind = soak_below (soak, 2) == 0 ? KIND_CALL : KIND_ONCE;
+  else
+    program->kind = program->kept ? KIND_KEPT : KIND_TURN;
+  next_in (program, 1 + soak_below (soak, 30));
+}
+
+static void
+take_success (struct program *program)
+{
+  char want[32];
+
+  program->soak->answers++;
+  if (is_turn (program))
+    {
+      note_events (program, true);
+      finish_turn (program);
+    }
+  else
+    {
+      snprintf (want, sizeof want, "done q%u", program->attempt);
+      if (strcmp (mq_buffer_text (&program->body), want) != 0)
+        soak_fail (program->soak, "an answer of another request", want);
+    }
+  next_step (program);
+}
+
+static void
+take_refusal (struct program *program)
+{
+  struct soak *soak = program->soak;
+  struct record *record = &soak->records[program->attempt];
+  char id[16];
+
+  snprintf (id, sizeof id, "q%u", program->attempt);
+  soak->refusals++;
+  record->refused = true;
+  if (soak->plant != NULL && strcmp (soak->plant, "refused") == 0
+      && soak_below (soak, 5) == 0)
+    record->runs++;
+  if (record->runs > 0 && !may_repeat (record->kind))
+    soak_fail (soak, "refused as not run, and it has run", id);
+  if (program->status == 402)
+    {
+      soak->spent++;
+      end_program (program);
+    }
+  else
+    try_again (program, program->retry_ms < 50 ? 50 : program->retry_ms);
+}
+
+static void
+take_answer (struct program *program)
+{
+  switch (program->status)
+    {
+    case 200:
+      take_success (program);
+      return;
+    case 402:
+    case 408:
+    case 421:
+    case 429:
+    case 503:
+      take_refusal (program);
+      return;
+    case 404:
+      soak_fail (program->soak, "a turn that was answered whole is lost",
+                 program->previous);
+      end_program (program);
+      return;
+    case 500:
+    case 502:
+    case 504:
+      program->soak->broken++;
+      try_again (program, 50);
+      return;
+    default:
+      soak_fail (program->soak, "an answer that nobody gives", program->id);
+      end_program (program);
+    }
+}
+
+static bool
+on_head (const struct mq_http_head *head, void *user)
+{
+  struct program *program = user;
+  const char *retry = mq_http_head_find (head, "Retry-After");
+
+  program->status = head->status;
+  program->retry_ms
+      = retry == NULL ? 0 : (uint32_t)(strtod (retry, NULL) * 1000.0);
+  return true;
+}
+
+static void
+on_body (const char *data, size_t len, void *user)
+{
+  struct program *program = user;
+
+  mq_buffer_append (program->soak->ev, &program->body, data, len, SIZE_MAX);
+}
+
+static void
+on_end (void *user)
+{
+  struct program *program = user;
+
+  TALLOC_FREE (program->patience);
+  if (!mq_http_lane_reusable (program->lane))
+    drop_lane (program);
+  take_answer (program);
+}
+
+static void
+end_broken (struct program *program)
+{
+  TALLOC_FREE (program->patience);
+  drop_lane (program);
+  program->soak->broken++;
+  if (is_turn (program) && program->status == 200)
+    note_events (program, false);
+  try_again (program, 100 + soak_below (program->soak, 300));
+}
+
+static void
+on_failed (enum mq_lane_failure failure, void *user)
+{
+  (void)failure;
+  end_broken (user);
+}
+
+static void
+on_patience (void *data)
+{
+  struct program *program = data;
+
+  program->patience = NULL;
+  end_broken (program);
+}
+
+static void
+on_gone (struct mq_http_lane *lane, void *user)
+{
+  struct program *program = user;
+
+  (void)lane;
+  drop_lane (program);
+}
+
+static char *
+make_head (struct program *program)
+{
+  static const char *const paths[] = { "call", "once", "turn", "kept" };
+  char *more = talloc_strdup (program->soak->ev, "");
+  char *head;
+
+  if (is_turn (program))
+    more = talloc_asprintf_append (
+        more, "X-Token-Budget: %lu\r\nX-Token-Count: 10,%u\r\n",
+        (unsigned long)program->limit, MOST);
+  if (program->kind == KIND_KEPT && program->previous[0] != '\0')
+    more = talloc_asprintf_append (more, "X-Previous-Turn: %s\r\n",
+                                   program->previous);
+  head = talloc_asprintf (
+      program->soak->ev,
+      "POST /%s/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: q%u\r\n"
+      "X-Program-Id: %s\r\nX-Deadline-Ms: 5000\r\n%s"
+      "Content-Length: %zu\r\n\r\n",
+      paths[program->kind], program->attempt, program->id, more,
+      strlen (program->input));
+  talloc_free (more);
+  return head;
+}
+
+static void
+send_step (struct program *program)
+{
+  struct soak *soak = program->soak;
+  struct mq_lane_events events = { .head = on_head,
+                                   .body = on_body,
+                                   .end = on_end,
+                                   .failed = on_failed,
+                                   .user = program };
+  struct mq_error error = { .type = MQ_ERR_NONE };
+  char address[32];
+  char *head;
+
+  if (soak->record_count == RECORDS_MAX)
+    return;
+  program->attempt = soak->record_count++;
+  soak->records[program->attempt]
+      = (struct record){ .program = program->index,
+                         .kind = (uint8_t)program->kind };
+  snprintf (program->input, sizeof program->input, "i%u;", program->attempt);
+  program->status = 0;
+  if (program->lane == NULL)
+    {
+      snprintf (address, sizeof address, "127.0.0.1:%u",
+                soak->hosts[program->host].http);
+      program->lane = mq_http_lane_open (soak->ev, soak->ev, address, 0,
+                                         on_gone, program, &error);
+    }
+  if (program->lane == NULL)
+    {
+      try_again (program, 100);
+      return;
+    }
+  head = make_head (program);
+  program->patience
+      = mq_timer_add (soak->ev, soak->ev, PATIENCE_MS, on_patience, program);
+  mq_http_lane_send (program->lane, &events, head, strlen (head),
+                     program->input, strlen (program->input), false);
+  talloc_free (head);
+}
+
+void
+soak_start_program (struct soak *soak, int index)
+{
+  struct program *program = &soak->programs[index];
+
+  *program = (struct program){ .soak = soak, .index = (uint32_t)index };
+  snprintf (program->id, sizeof program->id, "p%u", soak->program_ids++);
+  program->active = true;
+  program->kept = soak_below (soak, 2) == 0;
+  program->loops = soak_below (soak, 8) == 0;
+  program->limit = 48 + soak_below (soak, 4) * MOST;
+  program->turns = program->loops ? 1000 : 1 + (int)soak_below (soak, 4);
+  program->kind = program->kept ? KIND_KEPT : KIND_TURN;
+  program->host = (int)soak_below (soak, (uint32_t)soak->host_count);
+  next_in (program, soak_below (soak, 100));
+}
