--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 # standins/standin_NAME.c hold a main each; the other files are shared.
 STANDIN_MAIN = $(wildcard standins/standin_*.c)
 STANDIN_SRC = $(filter-out $(STANDIN_MAIN),$(wildcard standins/*.c)) \
-              $(wildcard platform/standins/*.c)
+              $(filter-out platform/standins/users_site.c,$(wildcard platform/standins/*.c))
 STANDIN_OBJ = $(STANDIN_SRC:%.c=$(BUILD)/%.o)
 STANDIN_BIN = $(STANDIN_MAIN:standins/standin_%.c=$(BUILD)/bin/standin-%)
 # tests/test_NAME.c are Criterion programs; the other files are shared.
@@ -64,7 +64,7 @@
         scan proto clean install
 .SECONDARY:
 
-all: $(LIB) $(DAEMON_BIN) $(BUILD)/bin/mimosa-routerd $(STANDIN_BIN) $(BENCH_BIN) $(EXAMPLE_BIN)
+all: $(LIB) $(DAEMON_BIN) $(BUILD)/bin/mimosa-routerd $(BUILD)/bin/standin-users $(STANDIN_BIN) $(BENCH_BIN) $(EXAMPLE_BIN)
 
 help:
 	@grep -E '^## ' $(MAKEFILE_LIST) | sed 's/^## //'
@@ -103,6 +103,10 @@
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
 
+$(BUILD)/bin/standin-users: $(BUILD)/platform/standins/users_site.o $(STANDIN_OBJ) $(PLATFORM_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
+
 $(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJ) $(BUILD)/tests/fleet.o $(STANDIN_OBJ) $(PLATFORM_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
@@ -161,6 +165,7 @@
 demo: deps
 	@$(MAKE) --no-print-directory all
 	@BUILD=$(BUILD) bash examples/demo.sh
+	@BUILD=$(BUILD) bash examples/router_demo.sh
 
 ## bench: placement and order of calls against baselines, both deployments
 .PHONY: bench
@@ -223,7 +228,7 @@
 	  $(DESTDIR)$(PREFIX)/include/mimosaquay/core \
 	  $(DESTDIR)$(PREFIX)/share/man/man1 $(DESTDIR)$(PREFIX)/share/man/man8 \
 	  $(DESTDIR)$(PREFIX)/share/doc/mimosaquay/examples
-	install $(DAEMON_BIN) $(DESTDIR)$(PREFIX)/bin
+	install $(DAEMON_BIN) $(BUILD)/bin/mimosa-routerd $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
 	sed 's|"core/|"mimosaquay/core/|' include/mimosaquay.h \
 	  >$(DESTDIR)$(PREFIX)/include/mimosaquay.h
