Refuse at once while no way to the table is open, with a time to come back

Cause: a turn was held for three tries, some 200 ms, before it was refused, and its caller was asked back after 1.5 s, so that its tries ended before a usual outage.

--- a/src/io/router_request.c
+++ b/src/io/router_request.c
@@ -18,7 +18,7 @@
 #define RETRY_SOON_MS 100U
 #define RETRY_STORE_MS 300U
 /* The same while the platform's table is down, which lasts for seconds.  */
-#define RETRY_DOWN_MS 1500U
+#define RETRY_DOWN_MS 2000U
 /* A worker that gives nothing for a multiple of what the route aims at has
    most likely gone without a word; a request that may be repeated is then
    better off elsewhere.  Objectives are about three times the usual time.  */
--- a/src/io/router_turn.c
+++ b/src/io/router_turn.c
@@ -192,11 +192,18 @@
   step_program (program);
 }
 
+/* No way to the table is open: whoever waits is better told at once.  */
+static bool
+is_away (const struct mq_turns *turns)
+{
+  return mq_ledger_down (turns->router->ledger);
+}
+
 static void
 retry_program (struct mq_program *program)
 {
   program->tries++;
-  if (program->tries >= TRIES_MAX)
+  if (program->tries >= TRIES_MAX || is_away (program->turns))
     {
       fail_waiting (program);
       return;
@@ -461,7 +468,7 @@
   turn->call = NULL;
   if (result->status != MQ_STORE_OK)
     {
-      if (turn->tries + 1 >= TRIES_MAX)
+      if (turn->tries + 1 >= TRIES_MAX || is_away (turn->turns))
         tell_turn (turn, MQ_TURN_NO_STORE);
       else
         retry_turn (turn);
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -508,6 +508,32 @@
   cr_assert_not_null (strstr (call.answer, "Retry-After: "));
 }
 
+/* The table is away for everyone.  A turn used to be held for three tries
+   before it was refused, and its caller came back too soon, so that its tries
+   were used up before the table was back.  Once it is known that no way is
+   open, a turn is refused without a try, with a time to come back that an
+   outage may well take.  */
+Test (router, refusals_while_no_way_to_the_table_is_open)
+{
+  size_t tried;
+
+  rows_server_fault (site->rows, ROWS_BUSY);
+  /* Feeds that were waiting are still answered.  */
+  edge_run (site, 1200);
+  for (int i = 0; i < 3; i++)
+    cr_assert_eq (ask_turn (0, "t1", "p1", BUDGET (80), "x"), 503);
+  edge_run (site, 600);
+  cr_assert_eq (ask_turn (0, "t1", "p1", BUDGET (80), "x"), 503);
+  tried = rows_server_tried (site->rows);
+  cr_assert_eq (ask_turn (0, "t2", "p2", BUDGET (80), "x"), 503);
+  cr_assert_not_null (strstr (call.answer, "Retry-After: 2.0"), "%s",
+                      call.answer);
+  cr_assert_leq (rows_server_tried (site->rows) - tried, 1);
+  rows_server_fault (site->rows, ROWS_WELL);
+  edge_run (site, 500);
+  cr_assert_eq (ask_turn (0, "t3", "p3", BUDGET (80), "x"), 200);
+}
+
 /* A program loops.  Each turn hands out 8 tokens; once the budget of 20 is
    spent its turns are refused for good, at this host, at another one, and
    after both were lost.  */
