--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -22,12 +22,17 @@
 /* Tokens of a turn at its most: four events of two tokens.  */
 #define MOST 8U
 
+/* A process that has just been started has not yet said what it does with
+   signals: until then the system ends it, whatever the program is.  */
+#define SIGNALS_AFTER_MS 300U
+
 /* A router's process.  */
 struct host
 {
   pid_t pid; /* 0: not running */
   bool paused;
   bool restarts;
+  uint64_t started_ms;
   char name[32];
   char *settings;
   uint16_t http;
