The case of a target killed in a notice waits for the notice

Cause of the known red process::target_killed_in_notice: the case waited until any tool call ran, and on a busy host that was the ledger call before the notice. A target killed there leaves nothing unknown, since the call is idempotent and repeated; the code was right.

The slow ledger call stays in the case. The other cases that wait for a certain tool call name it too.

Ruled out: a boot that is the same after a restart (random 64 bits), an old connection's end that comes after the new one's begin (the peer of the target was known by the new one).

--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -56,11 +56,14 @@
   site_fault (site, site->tools[0], fault);
 }
 
-/* Waits until a tool call runs at a worker.  */
+/* Waits until the tool call after that of EARLIER runs at a worker.  A call
+   counts as an effect when it has ended, so the one that runs then is the
+   next of the plan, however long the earlier one took; NULL: the first.  */
 static void
-wait_for_tool (void)
+wait_for_tool (const char *earlier)
 {
-  SITE_WAIT (site, site_tool_running (site) >= 0);
+  SITE_WAIT (site, (earlier == NULL || site_effects (site, earlier, NULL) == 1)
+                       && site_tool_running (site) >= 0);
 }
 
 /* Notices went out COUNT times, and none twice.  */
@@ -84,10 +87,11 @@
   {
     const char *plan;
     const char *slow_path; /* NULL: killed while the model generates */
+    const char *earlier;   /* the tool call before that */
   } cases[] = {
-    { tool_plan, "/v1/slow" },
-    { tool_plan, "/v1/notice" },
-    { long_answer_plan, NULL },
+    { tool_plan, "/v1/slow", "/v1/notice" },
+    { tool_plan, "/v1/notice", "/v1/ledger" },
+    { long_answer_plan, NULL, NULL },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
@@ -105,7 +109,7 @@
       call = site_open (site, other, site_key_owned_by (site, owner, "k"),
                         "letters", cases[i].plan);
       if (cases[i].slow_path != NULL)
-        wait_for_tool ();
+        wait_for_tool (cases[i].earlier);
       else
         SITE_WAIT (site, site_effects (site, "/v1/notice", NULL) == 1
                              && site_engine_running (site) >= 0);
@@ -220,7 +224,9 @@
 /* The target's process dies (kill -9) while a notice is being recorded, and
    comes back without memory or not at all.  Whether the notice went out
    can't be known: the program is told so and goes on, the operator sees the
-   call in the status, and it is never repeated.  */
+   call in the status, and it is never repeated.  The ledger call before it
+   is made slow too: killed during that one, the target leaves nothing
+   unknown, since an idempotent call is repeated.  */
 Test (process, target_killed_in_notice)
 {
   static const struct
@@ -239,9 +245,10 @@
       target = site_target (site, "north-1", "north", 0);
       entry = site_entry (site, "entry-1", "north");
       site_settle (site);
+      make_slow ("/v1/ledger", 300);
       make_slow ("/v1/notice", 3000);
       call = site_open (site, entry, "k", "letters", tool_plan);
-      wait_for_tool ();
+      wait_for_tool ("/v1/ledger");
       site_kill (target);
       if (cases[i].comes_back)
         site_restart (site, target);
@@ -424,7 +431,7 @@
       target = site_host (site, "south-1");
       make_slow ("/v1/slow", 2000);
       call = site_open (site, entry, "k", "letters", plan);
-      wait_for_tool ();
+      wait_for_tool (NULL);
       site_fault (site, site->platform, faults[i]);
       SITE_WAIT (site, site_effects (site, "/v1/ledger", NULL) == 1);
       site_kill (target);
@@ -471,7 +478,7 @@
   make_slow ("/v1/notice", 1500);
   call = site_open (site, owner, site_key_owned_by (site, owner, "k"),
                     "letters", tool_plan);
-  wait_for_tool ();
+  wait_for_tool ("/v1/ledger");
   site_relay_silence (target);
   site_check_answer (site, call, owner, tool_plan);
   check_notices (1);
