--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -1,9 +1,33 @@
-/* attempt.c - what to do when a worker has not served a request.
+/* attempt.c - what a worker's answer is worth, and what to do without one.
 
    Needs: attempt.h.  */
 
 #include "attempt.h"
 
+/* 408, 421, 429 and 503 promise a caller that a request has not run.  A
+   worker that gives one of them without stating so promises nothing.  */
+static bool
+promises_not_run (int status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+enum mq_attempt_end
+mq_attempt_judge (const struct mq_attempt_answer *answer)
+{
+  if (answer->cut)
+    return MQ_ATTEMPT_BROKEN;
+  if (answer->not_run)
+    return MQ_ATTEMPT_NOT_RUN;
+  if (promises_not_run (answer->status) && !answer->repeatable)
+    return MQ_ATTEMPT_BROKEN;
+  if (answer->status >= 500 && answer->repeatable)
+    return MQ_ATTEMPT_ERROR;
+  if (answer->stream)
+    return MQ_ATTEMPT_STREAMED;
+  return answer->begun ? MQ_ATTEMPT_BROKEN : MQ_ATTEMPT_ANSWERED;
+}
+
 static bool
 may_try_again (const struct mq_attempt *attempt)
 {
@@ -21,6 +45,9 @@
     case MQ_ATTEMPT_BROKEN:
     case MQ_ATTEMPT_ERROR:
       return attempt->repeatable;
+    case MQ_ATTEMPT_STREAMED:
+    case MQ_ATTEMPT_ANSWERED:
+      break;
     }
   return false;
 }
@@ -43,7 +70,36 @@
     case MQ_ATTEMPT_BROKEN:
       return MQ_NEXT_FAIL;
     case MQ_ATTEMPT_ERROR:
+    case MQ_ATTEMPT_STREAMED:
+    case MQ_ATTEMPT_ANSWERED:
       break;
     }
   return MQ_NEXT_PASS_ON;
 }
+
+const char *
+mq_attempt_end_name (enum mq_attempt_end end)
+{
+  static const char *const names[] = {
+    [MQ_ATTEMPT_STREAMED] = "streamed",
+    [MQ_ATTEMPT_ANSWERED] = "answered",
+    [MQ_ATTEMPT_UNREACHABLE] = "unreachable",
+    [MQ_ATTEMPT_NOT_RUN] = "not_run",
+    [MQ_ATTEMPT_BROKEN] = "broken",
+    [MQ_ATTEMPT_ERROR] = "error",
+  };
+
+  return names[end];
+}
+
+const char *
+mq_attempt_next_name (enum mq_attempt_next next)
+{
+  static const char *const names[] = {
+    [MQ_NEXT_RETRY] = "retry", [MQ_NEXT_REFUSE] = "refuse",
+    [MQ_NEXT_FAIL] = "fail",   [MQ_NEXT_PASS_ON] = "pass_on",
+    [MQ_NEXT_BREAK] = "break",
+  };
+
+  return names[next];
+}
--- a/src/core/attempt.h
+++ b/src/core/attempt.h
@@ -1,6 +1,6 @@
-/* attempt.h - what to do when a worker has not served a request.
+/* attempt.h - what a worker's answer is worth, and what to do without one.
 
-   One decision for every kind of request, on plain values.  Pure.
+   Two decisions for every kind of request, on plain values.  Pure.
    Needs: route.h.  */
 
 #ifndef MQ_ATTEMPT_H
@@ -8,15 +8,38 @@
 
 #include "route.h"
 
-/* How a try at one worker ended, if not with an answer to be passed on.  */
+/**
+ * struct mq_attempt_answer - a worker's answer that has come to its end
+ * @status: of HTTP
+ * @not_run: it states that the request was not run
+ * @cut: it ends within an event
+ * @stream: it is a stream, its events were passed on
+ * @begun: some of an answer was passed on to the caller
+ * @repeatable: the request may run more than once
+ */
+struct mq_attempt_answer
+{
+  int status;
+  bool not_run;
+  bool cut;
+  bool stream;
+  bool begun;
+  bool repeatable;
+};
+
+/* How a try at one worker ended.  */
 enum mq_attempt_end
 {
+  MQ_ATTEMPT_STREAMED,    /* whole; its events were passed on */
+  MQ_ATTEMPT_ANSWERED,    /* whole; goes to the caller as it is */
   MQ_ATTEMPT_UNREACHABLE, /* no byte of the request was sent */
   MQ_ATTEMPT_NOT_RUN,     /* the worker states that it did not run it */
   MQ_ATTEMPT_BROKEN,      /* sent; the answer is missing, cut off or damaged */
   MQ_ATTEMPT_ERROR        /* a whole answer that reports a failure */
 };
 
+enum mq_attempt_end mq_attempt_judge (const struct mq_attempt_answer *answer);
+
 /* Tries that did not reach a worker; each takes up to a connection's time.  */
 #define MQ_ATTEMPT_UNREACHABLE_MAX 4U
 /* Time that must be left for another worker to be worth a try: the median of
@@ -55,6 +78,11 @@
   MQ_NEXT_BREAK    /* final: the answer that has begun breaks off */
 };
 
+/* After a try that ended with neither STREAMED nor ANSWERED.  */
 enum mq_attempt_next mq_attempt_decide (const struct mq_attempt *attempt);
 
+/* As the log has them.  */
+const char *mq_attempt_end_name (enum mq_attempt_end end);
+const char *mq_attempt_next_name (enum mq_attempt_next next);
+
 #endif
--- a/src/core/chain.c
+++ b/src/core/chain.c
@@ -76,6 +76,21 @@
   return chain;
 }
 
+struct mq_bytes
+mq_chain_join (TALLOC_CTX *ctx, const struct mq_chain *before,
+               struct mq_bytes input)
+{
+  size_t len = before->text.len + input.len;
+  uint8_t *joined = talloc_size (ctx, len + 1);
+
+  if (joined == NULL)
+    return (struct mq_bytes){ NULL, 0 };
+  memcpy (joined, before->text.data, before->text.len);
+  if (input.len > 0)
+    memcpy (joined + before->text.len, input.data, input.len);
+  return (struct mq_bytes){ joined, len };
+}
+
 struct mq_chain *
 mq_chain_copy (TALLOC_CTX *ctx, const struct mq_chain *chain)
 {
--- a/src/core/chain.h
+++ b/src/core/chain.h
@@ -41,6 +41,10 @@
                                   const struct mq_chain *before,
                                   const char *id, struct mq_bytes input,
                                   struct mq_bytes output);
+/* All that was said up to BEFORE and then INPUT, below CTX; data is NULL when
+   memory is out.  */
+struct mq_bytes mq_chain_join (TALLOC_CTX *ctx, const struct mq_chain *before,
+                               struct mq_bytes input);
 struct mq_chain *mq_chain_copy (TALLOC_CTX *ctx, const struct mq_chain *chain);
 /* Row of the turn, below CTX; data is NULL when memory is out.  */
 struct mq_bytes mq_chain_pack (TALLOC_CTX *ctx, const struct mq_chain *chain);
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -3,6 +3,7 @@
    Needs: route.h.  */
 
 #include "route.h"
+#include "id.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -115,6 +116,33 @@
   return NULL;
 }
 
+uint64_t
+mq_route_whole_events (const struct mq_route_service *service, uint64_t tokens)
+{
+  uint64_t step = service == NULL ? 1 : service->tokens_per_event;
+
+  if (step == 0)
+    step = 1;
+  return (tokens + step - 1) / step * step;
+}
+
+bool
+mq_route_placing_key (const struct mq_path_route *route,
+                      const struct mq_route_service *service,
+                      const char *program, const char *object, uint64_t *key)
+{
+  const char *text = NULL;
+
+  if (service != NULL && service->engine)
+    text = program;
+  else if (route->sticky)
+    text = object;
+  if (text == NULL)
+    return false;
+  *key = mq_hash_bytes (text, strlen (text), 0);
+  return true;
+}
+
 bool
 mq_route_repeatable (const struct mq_path_route *route)
 {
--- a/src/core/route.h
+++ b/src/core/route.h
@@ -116,6 +116,17 @@
 const char *mq_route_service (const struct mq_path_route *route, uint64_t key);
 const struct mq_route_service *
 mq_route_service_find (const struct mq_route_table *table, const char *name);
+/* TOKENS in whole events of SERVICE, NULL: not known, rounded up.  */
+uint64_t mq_route_whole_events (const struct mq_route_service *service,
+                                uint64_t tokens);
+/* Key by which all hosts choose the same worker without asking each other, for
+   requests that gain from one worker's cache: those of one PROGRAM on
+   engines, those on one OBJECT elsewhere, when the route asks for it.  False
+   when there is none.  */
+bool mq_route_placing_key (const struct mq_path_route *route,
+                           const struct mq_route_service *service,
+                           const char *program, const char *object,
+                           uint64_t *key);
 /* A request of ROUTE may run more than once.  */
 bool mq_route_repeatable (const struct mq_path_route *route);
 
--- /dev/null
+++ b/src/io/router_answer.c
@@ -0,0 +1,99 @@
+/* router_answer.c - takes in a worker's answer, as a whole or as events.
+
+   Needs: router_answer.h.  */
+
+#include "router_answer.h"
+#include <string.h>
+#include <strings.h>
+
+/* Bytes of an answer that is passed on as a whole.  */
+#define ANSWER_MAX_BYTES ((size_t)16 << 20)
+
+static void
+keep_field (TALLOC_CTX *ctx, struct mq_buffer *fields,
+            const struct mq_http_field *field)
+{
+  const char *const parts[] = { field->name, ": ", field->value, "\r\n" };
+
+  for (size_t i = 0; i < sizeof parts / sizeof parts[0]; i++)
+    mq_buffer_append (ctx, fields, parts[i], strlen (parts[i]), SIZE_MAX);
+}
+
+static void
+keep_fields (TALLOC_CTX *ctx, struct mq_buffer *fields,
+             const struct mq_http_head *head)
+{
+  for (size_t i = 0; i < head->field_count; i++)
+    {
+      const struct mq_http_field *field = &head->fields[i];
+
+      if (!mq_http_field_is_hop (head, field->name)
+          && strcasecmp (field->name, "Content-Length") != 0)
+        keep_field (ctx, fields, field);
+    }
+}
+
+void
+mq_answer_take_head (TALLOC_CTX *ctx, struct mq_answer *answer,
+                     const struct mq_http_head *head,
+                     const struct mq_answer_facts *facts, bool stream)
+{
+  answer->status = head->status;
+  answer->not_run = facts->not_run;
+  answer->other_worker = facts->other_worker;
+  answer->idle_s = facts->idle_s;
+  answer->stream = stream && head->status == 200;
+  keep_fields (ctx, &answer->fields, head);
+}
+
+bool
+mq_answer_take_body (TALLOC_CTX *ctx, struct mq_answer *answer,
+                     const char *data, size_t len)
+{
+  if (!answer->stream)
+    return mq_buffer_append (ctx, &answer->body, data, len, ANSWER_MAX_BYTES);
+  if (answer->events == NULL)
+    answer->events = mq_event_stream_create (ctx);
+  return answer->events != NULL
+         && mq_event_stream_feed (answer->events, data, len);
+}
+
+bool
+mq_answer_next_event (struct mq_answer *answer, struct mq_event *event)
+{
+  return answer->events != NULL
+         && mq_event_stream_next (answer->events, event);
+}
+
+bool
+mq_answer_is_cut (const struct mq_answer *answer)
+{
+  return answer->stream && answer->events != NULL
+         && mq_event_stream_partial (answer->events);
+}
+
+enum mq_fleet_outcome
+mq_answer_outcome (const struct mq_answer *answer)
+{
+  if (answer->not_run)
+    return answer->other_worker ? MQ_OUTCOME_LEAVING : MQ_OUTCOME_FULL;
+  return answer->status >= 500 ? MQ_OUTCOME_FAILED : MQ_OUTCOME_SERVED;
+}
+
+bool
+mq_answer_bodiless (int status)
+{
+  return status == 204 || status == 304;
+}
+
+void
+mq_answer_reset (struct mq_answer *answer)
+{
+  struct mq_event_stream *events = answer->events;
+
+  mq_buffer_clear (&answer->fields);
+  mq_buffer_clear (&answer->body);
+  *answer = (struct mq_answer){ .events = events };
+  if (events != NULL)
+    mq_event_stream_restart (events);
+}
--- /dev/null
+++ b/src/io/router_send.c
@@ -0,0 +1,88 @@
+/* router_send.c - the message that a worker gets for a caller's request.
+
+   Fields that belong to the caller's connection, and those that only the
+   system may set, are left out and set anew.
+   Needs: router_send.h.  */
+
+#include "router_send.h"
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+/* Priority on the way to a worker: the middle of ten steps is the default.  */
+#define PRIORITY_FIRST 2U
+#define PRIORITY_STEP 2U
+#define PRIORITY_LAST 9U
+
+static bool
+is_passed_on (const struct mq_http_head *head, const char *name)
+{
+  if (strcasecmp (name, "Host") == 0 || strcasecmp (name, "Expect") == 0
+      || strcasecmp (name, "Content-Length") == 0)
+    return false;
+  return !mq_wire_is_ours (name) && !mq_http_field_is_hop (head, name);
+}
+
+static void
+put_text (TALLOC_CTX *ctx, struct mq_buffer *out, const char *text)
+{
+  mq_buffer_append (ctx, out, text, strlen (text), SIZE_MAX);
+}
+
+static void
+put_field (TALLOC_CTX *ctx, struct mq_buffer *out, const char *name,
+           const char *value)
+{
+  put_text (ctx, out, name);
+  put_text (ctx, out, ": ");
+  put_text (ctx, out, value);
+  put_text (ctx, out, "\r\n");
+}
+
+static uint32_t
+send_priority (const struct mq_path_route *route)
+{
+  uint32_t priority = PRIORITY_FIRST + route->priority * PRIORITY_STEP;
+
+  return priority > PRIORITY_LAST ? PRIORITY_LAST : priority;
+}
+
+static void
+put_system_fields (TALLOC_CTX *ctx, const struct mq_send *send,
+                   struct mq_buffer *out)
+{
+  struct mq_send_facts facts = {
+    .deadline_ms = send->left_ms,
+    .worker = send->worker,
+    .last_event = send->last_event[0] == '\0' ? NULL : send->last_event,
+    .priority = send_priority (send->route),
+  };
+  char *fields = mq_wire_send_fields (ctx, &facts);
+
+  put_text (ctx, out, fields);
+  talloc_free (fields);
+}
+
+void
+mq_send_head (TALLOC_CTX *ctx, const struct mq_send *send,
+              struct mq_buffer *out)
+{
+  const struct mq_http_head *head = send->head;
+  char length[32];
+
+  put_text (ctx, out, head->method);
+  put_text (ctx, out, " ");
+  put_text (ctx, out, head->target);
+  put_text (ctx, out, " HTTP/1.1\r\n");
+  put_field (ctx, out, "Host", send->host);
+  for (size_t i = 0; i < head->field_count; i++)
+    if (is_passed_on (head, head->fields[i].name))
+      put_field (ctx, out, head->fields[i].name, head->fields[i].value);
+  put_system_fields (ctx, send, out);
+  if (send->body_len > 0 || head->has_length || head->chunked)
+    {
+      snprintf (length, sizeof length, "%zu", send->body_len);
+      put_field (ctx, out, "Content-Length", length);
+    }
+  put_text (ctx, out, "\r\n");
+}
--- /dev/null
+++ b/src/io/router_silence.h
@@ -0,0 +1,49 @@
+/* router_silence.h - notices a worker that has gone without a word.
+
+   A worker that gives nothing for a multiple of what the route aims at has
+   most likely gone; a request that may be repeated is then better off at
+   another one.
+   Needs: fleet.h, tevent.  */
+
+#ifndef MQ_ROUTER_SILENCE_H
+#define MQ_ROUTER_SILENCE_H
+
+#include "../core/fleet.h"
+#include "../core/route.h"
+#include <tevent.h>
+
+struct mq_silence;
+
+/**
+ * struct mq_silence_options - whose silence, and how much of it
+ * @fleet: knows when the worker was last heard by any request
+ * @worker: the one that is asked
+ * @route: what the route aims at
+ * @begun: the caller has got the beginning of an answer
+ * @watched: @gone is wanted
+ * @gone: called once when the worker has been silent for too long
+ */
+struct mq_silence_options
+{
+  struct mq_fleet *fleet;
+  uint32_t worker;
+  const struct mq_path_route *route;
+  bool begun;
+  bool watched;
+  void (*gone) (void *user);
+  void *user;
+};
+
+struct mq_silence *
+mq_silence_create (TALLOC_CTX *ctx, struct tevent_context *ev,
+                   const struct mq_silence_options *options);
+/* NULL is allowed.  */
+void mq_silence_destroy (struct mq_silence *silence);
+/* Bytes came from the worker.  */
+void mq_silence_heard (struct mq_silence *silence);
+/* The caller has got the beginning of the answer.  */
+void mq_silence_begun (struct mq_silence *silence);
+/* How long the worker has said nothing to this request, milliseconds.  */
+uint64_t mq_silence_ms (const struct mq_silence *silence);
+
+#endif
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -2,7 +2,8 @@
 
    router.c is on top; below it router_caller.c (connections of callers),
    router_request.c (one request's life), router_turn.c (budgets and histories
-   of programs), router_feed.c (configuration and workers) and router_pool.c.
+   of programs) and router_feed.c (configuration and workers).  router_try.c,
+   router_pool.c and what is below them know nothing of this header.
    Needs: the modules it includes.  */
 
 #ifndef MQ_ROUTER_STATE_H
@@ -146,6 +147,26 @@
 /* Ends the connection in the middle of an answer, for everyone to see.  */
 void mq_caller_break (struct mq_caller *caller);
 
+/* router_refuse.c */
+
+/**
+ * struct mq_refusal_row - how a final answer of our own is given
+ * @status: of HTTP
+ * @retry_ms: when the caller may come back, 0: never
+ * @name: in the log
+ */
+struct mq_refusal_row
+{
+  int status;
+  uint32_t retry_ms;
+  const char *name;
+};
+
+const struct mq_refusal_row *mq_refusal_row (enum mq_refusal refusal);
+/* Gives the answer; RETRY_MS is told in place of the row's, 0: that.  */
+void mq_refuse_caller (struct mq_router *router, struct mq_caller *caller,
+                       enum mq_refusal refusal, uint32_t retry_ms);
+
 /* router_request.c */
 
 /* A caller's request is whole.  HEAD and BODY stay until it is answered, which
@@ -156,9 +177,6 @@
 /* The caller has left, or reads again.  */
 void mq_request_caller_left (struct mq_request *request);
 void mq_request_caller_reads (struct mq_request *request);
-/* Final answer for a message that never became a request.  */
-void mq_refuse_caller (struct mq_router *router, struct mq_caller *caller,
-                       enum mq_refusal refusal, uint32_t retry_ms);
 
 /* router_turn.c */
 
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -335,6 +335,81 @@
 
 /* What follows a try that failed */
 
+struct answer_case
+{
+  const char *name;
+  struct mq_attempt_answer answer;
+  enum mq_attempt_end end;
+};
+
+/* An answer that is whole goes to the caller; one that leaves open whether
+   the request has run must not reach a caller as a promise that it has not,
+   and one that stands in the middle of a stream is no part of it.  */
+Test (attempt, judge)
+{
+  static const struct answer_case cases[] = {
+    { "plain", { .status = 200 }, MQ_ATTEMPT_ANSWERED },
+    { "not found", { .status = 404 }, MQ_ATTEMPT_ANSWERED },
+    { "stream", { .status = 200, .stream = true }, MQ_ATTEMPT_STREAMED },
+    { "stream that went on",
+      { .status = 200, .stream = true, .begun = true, .repeatable = true },
+      MQ_ATTEMPT_STREAMED },
+    { "cut stream",
+      { .status = 200, .stream = true, .cut = true },
+      MQ_ATTEMPT_BROKEN },
+    { "plain answer in the middle of a stream",
+      { .status = 404, .begun = true, .repeatable = true },
+      MQ_ATTEMPT_BROKEN },
+    { "states not run",
+      { .status = 503, .not_run = true },
+      MQ_ATTEMPT_NOT_RUN },
+    { "states not run, may repeat",
+      { .status = 429, .not_run = true, .repeatable = true },
+      MQ_ATTEMPT_NOT_RUN },
+    { "503 that states nothing", { .status = 503 }, MQ_ATTEMPT_BROKEN },
+    { "429 that states nothing", { .status = 429 }, MQ_ATTEMPT_BROKEN },
+    { "408 that states nothing", { .status = 408 }, MQ_ATTEMPT_BROKEN },
+    { "421 that states nothing", { .status = 421 }, MQ_ATTEMPT_BROKEN },
+    { "429 that states nothing, may repeat",
+      { .status = 429, .repeatable = true },
+      MQ_ATTEMPT_ANSWERED },
+    { "503 that states nothing, may repeat",
+      { .status = 503, .repeatable = true },
+      MQ_ATTEMPT_ERROR },
+    { "500, may repeat",
+      { .status = 500, .repeatable = true },
+      MQ_ATTEMPT_ERROR },
+    { "500, once", { .status = 500 }, MQ_ATTEMPT_ANSWERED },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    cr_assert_eq (mq_attempt_judge (&cases[i].answer), cases[i].end, "%s",
+                  cases[i].name);
+}
+
+/* A turn's most is what its stream may come to in whole events; rounded down,
+   the last event would be generated beyond the budget.  */
+Test (route, whole_events)
+{
+  static const struct
+  {
+    uint32_t per_event;
+    uint64_t tokens;
+    uint64_t whole;
+  } cases[]
+      = { { 1, 7, 7 }, { 4, 8, 8 }, { 4, 9, 12 }, { 0, 5, 5 }, { 16, 0, 0 } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct mq_route_service service
+          = { .tokens_per_event = cases[i].per_event };
+
+      cr_assert_eq (mq_route_whole_events (&service, cases[i].tokens),
+                    cases[i].whole, "%zu", i);
+    }
+  cr_assert_eq (mq_route_whole_events (NULL, 5), 5);
+}
+
 struct attempt_case
 {
   const char *name;
