--- a/Makefile
+++ b/Makefile
@@ -25,12 +25,12 @@
 # platform/ speaks to the users' platform; routerd.c holds its main.
 PLATFORM_SRC = $(filter-out platform/routerd.c,$(wildcard platform/*.c))
 # What mimosa-routerd is made of; its build needs the headers of these alone.
-ROUTER_SRC = $(wildcard src/io/router*.c) proto/turn.pb-c.c proto/relay.pb-c.c \
+ROUTER_SRC = $(wildcard src/io/router*.c src/io/relay*.c) proto/turn.pb-c.c proto/relay.pb-c.c \
              $(addprefix src/core/,attempt.c budget.c chain.c error.c \
              event_stream.c fleet.c histogram.c id.c idmap.c memory.c route.c \
              text_hint.c text_ini.c text_keys.c text_values.c) \
              $(addprefix src/io/,base64.c buffer.c clock.c frame.c http_lane.c \
-             http_message.c json_log.c ledger.c listen.c metrics.c relay.c settings_file.c \
+             http_message.c json_log.c ledger.c listen.c metrics.c settings_file.c \
              tcp.c timer.c)
 ROUTER_OBJ = $(ROUTER_SRC:%.c=$(BUILD)/%.o)
 PLATFORM_OBJ = $(PLATFORM_SRC:%.c=$(BUILD)/%.o)
--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -367,7 +367,7 @@
   assert(message->base.descriptor == &mqrelay__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor mqrelay__host_row__field_descriptors[2] =
+static const ProtobufCFieldDescriptor mqrelay__host_row__field_descriptors[3] =
 {
   {
     "address",
@@ -393,15 +393,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "until_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__HostRow, until_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__host_row__field_indices_by_name[] = {
   0,   /* field[0] = address */
   1,   /* field[1] = data_centre */
+  2,   /* field[2] = until_s */
 };
 static const ProtobufCIntRange mqrelay__host_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor mqrelay__host_row__descriptor =
 {
@@ -411,7 +424,7 @@
   "Mqrelay__HostRow",
   "mqrelay",
   sizeof(Mqrelay__HostRow),
-  2,
+  3,
   mqrelay__host_row__field_descriptors,
   mqrelay__host_row__field_indices_by_name,
   1,  mqrelay__host_row__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -38,10 +38,14 @@
   ProtobufCMessage base;
   char *address;
   char *data_centre;
+  /*
+   * by the table's clock; renewed long before
+   */
+  uint64_t until_s;
 };
 #define MQRELAY__HOST_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__host_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Mqrelay__Entry
--- a/src/io/relay.c
+++ b/src/io/relay.c
@@ -1,53 +1,38 @@
 /* relay.c - links between routing hosts.
 
-   Needs: relay.h, tcp.h, frame.h, timer.h, clock.h, proto/relay.pb-c.h.  */
+   Needs: relay.h, relay_link.h, memory.h, timer.h, clock.h.  */
 
 #include "relay.h"
-#include "../../proto/relay.pb-c.h"
 #include "../core/id.h"
+#include "../core/memory.h"
 #include "clock.h"
-#include "frame.h"
 #include "listen.h"
-#include "tcp.h"
+#include "relay_link.h"
 #include "timer.h"
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Bytes that a host doesn't acknowledge for so long mean that it is gone.  */
-#define SILENT_MS 600U
 /* Hosts that one call is tried at.  */
 #define TRIES_MAX 2U
 /* Links that other hosts may keep to this one.  */
 #define LINKS_MAX 256U
 
-/**
- * struct link - a connection, opened by either side
- * @host: that it was opened to, NULL: it was accepted
- */
-struct link
-{
-  struct mq_relay *relay;
-  struct link *next;
-  struct host *host;
-  struct mq_tcp *tcp;
-  struct mq_frame_reader *reader;
-  bool busy;
-  bool dead;
-};
-
 /**
  * struct host - a host that may be asked
  * @link: NULL: none is open
  * @bad_until_ms: it is not asked before
+ * @seed: known from the settings; stays when the list of hosts lacks it
+ * @listed: the list that is being told has it
  */
 struct host
 {
   struct host *next;
   char *address;
-  struct link *link;
+  struct mq_relay_link *link;
   uint64_t bad_until_ms;
+  bool seed;
+  bool listed;
 };
 
 /**
@@ -63,7 +48,7 @@
   uint64_t id;
   bool commit;
   struct mq_bytes frame;
-  struct link *link;
+  struct mq_relay_link *link;
   struct mq_timer *timer;
   uint32_t tries;
   bool sent;
@@ -79,7 +64,7 @@
 {
   struct mq_relay *relay;
   struct errand *next;
-  struct link *link;
+  struct mq_relay_link *link;
   uint64_t id;
 };
 
@@ -90,8 +75,7 @@
   struct mq_rows *rows;
   struct mq_relay_owner owner;
   struct host *hosts;
-  struct link *links;
-  size_t link_count;
+  size_t accepted;
   struct mq_relay_call *calls;
   struct errand *errands;
   char *own_address;
@@ -104,38 +88,35 @@
 
 static void try_call (struct mq_relay_call *call);
 
-/* Links */
+static struct host *
+host_of (struct mq_relay *relay, const struct mq_relay_link *link)
+{
+  for (struct host *host = relay->hosts; host != NULL; host = host->next)
+    if (host->link == link)
+      return host;
+  return NULL;
+}
 
+/* HOST is left alone for a while.  */
 static void
-write_frame (struct link *link, const Mqrelay__Frame *frame)
+note_bad (struct host *host)
 {
-  size_t len = mqrelay__frame__get_packed_size (frame);
-  uint8_t *bytes = talloc_size (link, len + MQ_FRAME_HEADER_BYTES);
-
-  if (bytes == NULL)
-    return;
-  for (size_t i = 0; i < MQ_FRAME_HEADER_BYTES; i++)
-    bytes[i] = (uint8_t)(len >> (8 * (MQ_FRAME_HEADER_BYTES - 1 - i)));
-  mqrelay__frame__pack (frame, bytes + MQ_FRAME_HEADER_BYTES);
-  mq_tcp_write (link->tcp, bytes, len + MQ_FRAME_HEADER_BYTES);
-  talloc_free (bytes);
+  host->bad_until_ms = mq_clock_ms () + MQ_RELAY_BAD_MS;
 }
 
 static void
-unlink_link (struct link *link)
+send_frame (struct mq_relay *relay, struct mq_relay_link *link,
+            const struct mq_relay_frame *frame)
 {
-  for (struct link **at = &link->relay->links; *at != NULL; at = &(*at)->next)
-    if (*at == link)
-      {
-        *at = link->next;
-        link->relay->link_count--;
-        return;
-      }
+  struct mq_bytes bytes = mq_relay_frame_pack (relay, frame);
+
+  mq_relay_link_send (link, bytes);
+  talloc_free (bytes.data);
 }
 
 /* Calls that were sent on the link go to another host, if they may.  */
 static void
-fail_calls (struct mq_relay *relay, const struct link *link)
+fail_calls (struct mq_relay *relay, const struct mq_relay_link *link)
 {
   for (struct mq_relay_call *call = relay->calls; call != NULL;
        call = call->next)
@@ -147,72 +128,35 @@
     }
 }
 
+/* Nothing more comes over LINK: its errands have nobody to tell.  */
 static void
-drop_link (struct link *link)
+drop_link (struct mq_relay *relay, struct mq_relay_link *link)
 {
-  struct mq_relay *relay = link->relay;
+  struct host *host = host_of (relay, link);
 
-  if (link->dead)
-    return;
-  link->dead = true;
-  unlink_link (link);
-  if (link->host != NULL)
+  if (host == NULL)
+    relay->accepted--;
+  else
     {
-      link->host->link = NULL;
-      link->host->bad_until_ms = mq_clock_ms () + MQ_RELAY_BAD_MS;
+      host->link = NULL;
+      note_bad (host);
     }
   for (struct errand *errand = relay->errands; errand != NULL;
        errand = errand->next)
     if (errand->link == link)
       errand->link = NULL;
-  talloc_steal (relay, link->tcp);
-  mq_tcp_destroy (link->tcp);
   fail_calls (relay, link);
-  if (!link->busy)
-    talloc_free (link);
+  mq_relay_link_destroy (link);
 }
 
 static void
-on_ended (struct mq_tcp *tcp, enum mq_tcp_end end, void *user)
+on_link_ended (struct mq_relay_link *link, void *user)
 {
-  (void)tcp;
-  (void)end;
-  drop_link (user);
+  drop_link (user, link);
 }
 
 /* Errands: calls that we make for another host */
 
-static void
-fill_entry (Mqrelay__Entry *to, const struct mq_rows_entry *from)
-{
-  mqrelay__entry__init (to);
-  to->table = (char *)(uintptr_t)(from->table == NULL ? "" : from->table);
-  to->part = (char *)(uintptr_t)(from->part == NULL ? "" : from->part);
-  to->key = (char *)(uintptr_t)from->key;
-  to->version = from->version;
-  to->value.data = from->value.data;
-  to->value.len = from->value.len;
-  to->remove = from->remove;
-}
-
-/* Entries of a frame, below CTX.  */
-static Mqrelay__Entry **
-make_entries (TALLOC_CTX *ctx, const struct mq_rows_entry *entries,
-              size_t count)
-{
-  Mqrelay__Entry *all = talloc_array (ctx, Mqrelay__Entry, count + 1);
-  Mqrelay__Entry **list = talloc_array (ctx, Mqrelay__Entry *, count + 1);
-
-  if (all == NULL || list == NULL)
-    return NULL;
-  for (size_t i = 0; i < count; i++)
-    {
-      fill_entry (&all[i], &entries[i]);
-      list[i] = &all[i];
-    }
-  return list;
-}
-
 static void
 remove_errand (struct errand *errand)
 {
@@ -229,55 +173,24 @@
 on_errand_done (const struct mq_rows_result *result, void *user)
 {
   struct errand *errand = user;
-  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
-  Mqrelay__Told told = MQRELAY__TOLD__INIT;
+  struct mq_relay_frame frame = { .kind = MQ_RELAY_TOLD };
 
   remove_errand (errand);
   if (errand->link != NULL)
     {
-      frame.body_case = MQRELAY__FRAME__BODY_TOLD;
-      frame.told = &told;
-      told.id = errand->id;
-      told.status = result->status;
-      told.version = result->version;
-      told.rows = make_entries (errand, result->rows, result->row_count);
-      told.n_rows = told.rows == NULL ? 0 : result->row_count;
-      write_frame (errand->link, &frame);
+      frame.u.told.id = errand->id;
+      frame.u.told.result = *result;
+      send_frame (errand->relay, errand->link, &frame);
     }
   talloc_free (errand);
 }
 
-static struct mq_rows_entry *
-read_entries (TALLOC_CTX *ctx, Mqrelay__Entry *const *list, size_t count)
-{
-  struct mq_rows_entry *entries
-      = talloc_zero_array (ctx, struct mq_rows_entry, count + 1);
-
-  for (size_t i = 0; entries != NULL && i < count; i++)
-    entries[i] = (struct mq_rows_entry){
-      .table = list[i]->table,
-      .part = list[i]->part,
-      .key = list[i]->key,
-      .version = list[i]->version,
-      .value = { list[i]->value.data, list[i]->value.len },
-      .remove = list[i]->remove,
-    };
-  return entries;
-}
-
 static void
-serve_ask (struct link *link, const Mqrelay__Ask *ask)
+serve_ask (struct mq_relay *relay, struct mq_relay_link *link,
+           const struct mq_relay_ask *ask)
 {
-  struct mq_relay *relay = link->relay;
-  struct errand *errand = talloc_zero (relay, struct errand);
-  struct mq_rows_entry *entries
-      = read_entries (errand, ask->entries, ask->n_entries);
+  struct errand *errand = mq_must (talloc_zero (relay, struct errand));
 
-  if (entries == NULL || ask->n_entries == 0)
-    {
-      talloc_free (errand);
-      return;
-    }
   errand->relay = relay;
   errand->link = link;
   errand->id = ask->id;
@@ -285,11 +198,11 @@
   relay->errands = errand;
   relay->served++;
   if (ask->commit)
-    mq_rows_commit (relay->rows, entries, ask->n_entries, on_errand_done,
+    mq_rows_commit (relay->rows, ask->entries, ask->count, on_errand_done,
                     errand);
   else
-    mq_rows_get (relay->rows, entries[0].table, entries[0].part,
-                 entries[0].key, on_errand_done, errand);
+    mq_rows_get (relay->rows, ask->entries[0].table, ask->entries[0].part,
+                 ask->entries[0].key, on_errand_done, errand);
 }
 
 /* Calls that another host makes for us */
@@ -315,242 +228,108 @@
   talloc_free (call);
 }
 
-static void
-take_told (struct mq_relay *relay, const Mqrelay__Told *told,
-           struct link *link)
+static struct mq_relay_call *
+find_call (const struct mq_relay *relay, const struct mq_relay_link *link,
+           uint64_t id)
 {
   for (struct mq_relay_call *call = relay->calls; call != NULL;
        call = call->next)
-    {
-      struct mq_rows_result result = { .status = MQ_STORE_DOWN };
-
-      if (call->id != told->id || call->link != link)
-        continue;
-      if (told->status <= MQ_STORE_LOST)
-        result.status = (enum mq_store_status)told->status;
-      if (result.status == MQ_STORE_DOWN)
-        {
-          /* That host can't reach the table either.  */
-          if (link->host != NULL)
-            link->host->bad_until_ms = mq_clock_ms () + MQ_RELAY_BAD_MS;
-          call->link = NULL;
-          try_call (call);
-          return;
-        }
-      result.version = told->version;
-      result.rows = read_entries (call, told->rows, told->n_rows);
-      result.row_count = result.rows == NULL ? 0 : told->n_rows;
-      end_call (call, &result);
-      return;
-    }
+    if (call->id == id && call->link == link)
+      return call;
+  return NULL;
 }
 
-/* States */
-
 static void
-take_state (struct mq_relay *relay, const Mqrelay__State *state)
+take_told (struct mq_relay *relay, const struct mq_relay_link *link,
+           const struct mq_relay_told *told)
 {
-  struct mq_fleet_member *workers = talloc_zero_array (
-      relay, struct mq_fleet_member, state->n_workers + 1);
+  struct mq_relay_call *call = find_call (relay, link, told->id);
+  struct host *host = host_of (relay, link);
 
-  if (workers == NULL)
+  if (call == NULL)
     return;
-  for (size_t i = 0; i < state->n_workers; i++)
-    workers[i] = (struct mq_fleet_member){
-      .id = state->workers[i]->id,
-      .service = state->workers[i]->service,
-      .address = state->workers[i]->address,
-      .data_centre = state->workers[i]->data_centre,
-      .slots = state->workers[i]->slots,
-      .leaving = state->workers[i]->leaving,
-    };
-  relay->owner.state (
-      (struct mq_bytes){ state->config.data, state->config.len }, workers,
-      state->n_workers, relay->owner.user);
-  talloc_free (workers);
-}
-
-static Mqrelay__Worker **
-make_workers (TALLOC_CTX *ctx, const struct mq_fleet_member *workers,
-              size_t count)
-{
-  Mqrelay__Worker *all = talloc_array (ctx, Mqrelay__Worker, count + 1);
-  Mqrelay__Worker **list = talloc_array (ctx, Mqrelay__Worker *, count + 1);
-
-  if (all == NULL || list == NULL)
-    return NULL;
-  for (size_t i = 0; i < count; i++)
+  if (told->result.status != MQ_STORE_DOWN)
     {
-      mqrelay__worker__init (&all[i]);
-      all[i].id = (char *)(uintptr_t)workers[i].id;
-      all[i].service = (char *)(uintptr_t)workers[i].service;
-      all[i].address = (char *)(uintptr_t)workers[i].address;
-      all[i].data_centre = (char *)(uintptr_t)workers[i].data_centre;
-      all[i].slots = workers[i].slots;
-      all[i].leaving = workers[i].leaving;
-      list[i] = &all[i];
+      end_call (call, &told->result);
+      return;
     }
-  return list;
-}
-
-void
-mq_relay_state (struct mq_relay *relay, void *link, struct mq_bytes config,
-                const struct mq_fleet_member *workers, size_t count)
-{
-  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
-  Mqrelay__State state = MQRELAY__STATE__INIT;
-  TALLOC_CTX *ctx = talloc_new (relay);
-
-  frame.body_case = MQRELAY__FRAME__BODY_STATE;
-  frame.state = &state;
-  state.config.data = config.data;
-  state.config.len = config.len;
-  state.workers = make_workers (ctx, workers, count);
-  state.n_workers = state.workers == NULL ? 0 : count;
-  if (state.workers != NULL)
-    write_frame (link, &frame);
-  talloc_free (ctx);
+  /* That host can't reach the table either.  */
+  if (host != NULL)
+    note_bad (host);
+  call->link = NULL;
+  try_call (call);
 }
 
-/* Frames */
-
 static void
-take_frame (struct link *link, const Mqrelay__Frame *frame)
+on_frame (struct mq_relay_link *link, const struct mq_relay_frame *frame,
+          void *user)
 {
-  struct mq_relay *relay = link->relay;
+  struct mq_relay *relay = user;
+  const struct mq_relay_owner *owner = &relay->owner;
 
-  switch (frame->body_case)
+  switch (frame->kind)
     {
-    case MQRELAY__FRAME__BODY_ASK:
-      serve_ask (link, frame->ask);
+    case MQ_RELAY_ASK:
+      serve_ask (relay, link, &frame->u.ask);
       return;
-    case MQRELAY__FRAME__BODY_TOLD:
-      take_told (relay, frame->told, link);
+    case MQ_RELAY_TOLD:
+      take_told (relay, link, &frame->u.told);
       return;
-    case MQRELAY__FRAME__BODY_SYNC:
-      relay->owner.sync (frame->sync->config_version, link, relay->owner.user);
+    case MQ_RELAY_SYNC:
+      owner->sync (frame->u.sync_version, link, owner->user);
       return;
-    case MQRELAY__FRAME__BODY_STATE:
-      take_state (relay, frame->state);
+    case MQ_RELAY_STATE:
+      owner->state (&frame->u.state, owner->user);
       return;
-    default:
+    case MQ_RELAY_OTHER:
       return;
     }
 }
 
-/* False when the bytes are no frames: the link is to be dropped.  */
-static bool
-take_bytes (struct link *link, const char *data, size_t len)
-{
-  const uint8_t *bytes;
-  size_t size;
-  enum mq_frame_next next;
-
-  if (!mq_frame_reader_feed (link->reader, (const uint8_t *)data, len))
-    return false;
-  while ((next = mq_frame_reader_next (link->reader, MQ_RELAY_FRAME_MAX,
-                                       &bytes, &size))
-         == MQ_NEXT_FRAME)
-    {
-      Mqrelay__Frame *frame = mqrelay__frame__unpack (NULL, size, bytes);
-
-      if (frame == NULL)
-        return false;
-      take_frame (link, frame);
-      mqrelay__frame__free_unpacked (frame, NULL);
-      if (link->dead)
-        return true;
-    }
-  return next == MQ_NEXT_PARTIAL && mq_frame_reader_rest (link->reader);
-}
-
-static void
-on_data (struct mq_tcp *tcp, const char *data, size_t len, void *user)
+void
+mq_relay_answer (struct mq_relay *relay, struct mq_relay_link *link,
+                 const struct mq_relay_state *state)
 {
-  struct link *link = user;
-  bool good;
+  struct mq_relay_frame frame = { .kind = MQ_RELAY_STATE, .u.state = *state };
 
-  (void)tcp;
-  link->busy = true;
-  good = take_bytes (link, data, len);
-  link->busy = false;
-  if (link->dead)
-    talloc_free (link);
-  else if (!good)
-    drop_link (link);
+  send_frame (relay, link, &frame);
 }
 
-static struct link *
-make_link (struct mq_relay *relay, struct host *host)
-{
-  struct link *link = talloc_zero (relay, struct link);
-
-  if (link == NULL)
-    return NULL;
-  link->relay = relay;
-  link->host = host;
-  link->reader = mq_frame_reader_create (link);
-  link->next = relay->links;
-  relay->links = link;
-  relay->link_count++;
-  return link;
-}
+/* Links */
 
 static void
 on_accept (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
            void *data)
 {
   struct mq_relay *relay = data;
+  struct mq_relay_link_owner owner
+      = { .frame = on_frame, .ended = on_link_ended, .user = relay };
   int fd = accept4 (relay->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  struct mq_tcp_owner owner = { .data = on_data, .ended = on_ended };
-  struct link *link;
 
   (void)event;
   (void)flags;
   if (fd < 0)
     return;
-  link = relay->link_count < LINKS_MAX ? make_link (relay, NULL) : NULL;
-  if (link == NULL)
-    {
-      close (fd);
-      return;
-    }
-  owner.user = link;
-  link->tcp = mq_tcp_accept (link, ev, fd, &owner);
-  if (link->tcp != NULL)
-    {
-      mq_tcp_watch_silence (link->tcp, SILENT_MS);
-      return;
-    }
-  unlink_link (link);
-  talloc_free (link);
+  if (relay->accepted >= LINKS_MAX)
+    close (fd);
+  else if (mq_relay_link_accept (relay, ev, fd, &owner) != NULL)
+    relay->accepted++;
 }
 
 /* Link to HOST, opened if need be; NULL when that fails at once.  */
-static struct link *
+static struct mq_relay_link *
 open_link (struct mq_relay *relay, struct host *host)
 {
   struct mq_error error = { .type = MQ_ERR_NONE };
-  struct mq_tcp_owner owner = { .data = on_data, .ended = on_ended };
-  struct link *link = host->link;
+  struct mq_relay_link_owner owner
+      = { .frame = on_frame, .ended = on_link_ended, .user = relay };
 
-  if (link != NULL)
-    return link;
-  link = make_link (relay, host);
-  if (link == NULL)
-    return NULL;
-  owner.user = link;
-  link->tcp = mq_tcp_open (link, relay->ev, host->address, SILENT_MS, &owner,
-                           &error);
-  if (link->tcp == NULL)
-    {
-      unlink_link (link);
-      talloc_free (link);
-      host->bad_until_ms = mq_clock_ms () + MQ_RELAY_BAD_MS;
-      return NULL;
-    }
-  host->link = link;
-  return link;
+  if (host->link == NULL)
+    host->link
+        = mq_relay_link_open (relay, relay->ev, host->address, &owner, &error);
+  if (host->link == NULL)
+    note_bad (host);
+  return host->link;
 }
 
 /* A host that may be asked now: one with an open link before others, else any
@@ -578,11 +357,11 @@
 on_call_timeout (void *data)
 {
   struct mq_relay_call *call = data;
-  struct link *link = call->link;
+  struct mq_relay_link *link = call->link;
 
   call->timer = NULL;
   if (link != NULL)
-    drop_link (link);
+    drop_link (call->relay, link);
   else
     try_call (call);
 }
@@ -613,7 +392,7 @@
 {
   struct mq_relay *relay = call->relay;
   struct host *host = NULL;
-  struct link *link = NULL;
+  struct mq_relay_link *link = NULL;
 
   TALLOC_FREE (call->timer);
   while (call->tries < TRIES_MAX && !(call->commit && call->sent)
@@ -630,7 +409,7 @@
   call->link = link;
   call->sent = true;
   relay->asked++;
-  mq_tcp_write (link->tcp, call->frame.data, call->frame.len);
+  mq_relay_link_send (link, call->frame);
   call->timer = mq_timer_add (call, relay->ev, MQ_RELAY_CALL_MS,
                               on_call_timeout, call);
 }
@@ -639,34 +418,19 @@
 make_call (struct mq_relay *relay, const struct mq_rows_entry *entries,
            size_t count, bool commit, mq_rows_done *done, void *user)
 {
-  struct mq_relay_call *call = talloc_zero (relay, struct mq_relay_call);
-  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
-  Mqrelay__Ask ask = MQRELAY__ASK__INIT;
-  size_t len;
+  struct mq_relay_call *call
+      = mq_must (talloc_zero (relay, struct mq_relay_call));
+  struct mq_relay_frame frame = { .kind = MQ_RELAY_ASK };
 
-  /* Whoever asks counts on an outcome; without memory there is none.  */
-  if (call == NULL)
-    abort ();
   call->relay = relay;
   call->id = ++relay->next_id;
   call->commit = commit;
   call->done = done;
   call->user = user;
-  frame.body_case = MQRELAY__FRAME__BODY_ASK;
-  frame.ask = &ask;
-  ask.id = call->id;
-  ask.commit = commit;
-  ask.entries = make_entries (call, entries, count);
-  ask.n_entries = count;
-  len = mqrelay__frame__get_packed_size (&frame);
-  call->frame.len = len + MQ_FRAME_HEADER_BYTES;
-  call->frame.data = talloc_size (call, call->frame.len);
-  if (call->frame.data == NULL)
-    abort ();
-  for (size_t i = 0; i < MQ_FRAME_HEADER_BYTES; i++)
-    call->frame.data[i]
-        = (uint8_t)(len >> (8 * (MQ_FRAME_HEADER_BYTES - 1 - i)));
-  mqrelay__frame__pack (&frame, call->frame.data + MQ_FRAME_HEADER_BYTES);
+  frame.u.ask = (struct mq_relay_ask){
+    .id = call->id, .commit = commit, .entries = entries, .count = count
+  };
+  call->frame = mq_relay_frame_pack (call, &frame);
   call->next = relay->calls;
   relay->calls = call;
   try_call (call);
@@ -700,52 +464,85 @@
 mq_relay_sync (struct mq_relay *relay, uint64_t config_version)
 {
   struct host *host = choose_host (relay);
-  struct link *link = host == NULL ? NULL : open_link (relay, host);
-  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
-  Mqrelay__Sync sync = MQRELAY__SYNC__INIT;
+  struct mq_relay_link *link = host == NULL ? NULL : open_link (relay, host);
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_SYNC, .u.sync_version = config_version };
 
-  if (link == NULL)
-    return;
-  frame.body_case = MQRELAY__FRAME__BODY_SYNC;
-  frame.sync = &sync;
-  sync.config_version = config_version;
-  write_frame (link, &frame);
+  if (link != NULL)
+    send_frame (relay, link, &frame);
 }
 
 /* Hosts */
 
-void
-mq_relay_add_host (struct mq_relay *relay, const char *address)
+static struct host *
+find_host (const struct mq_relay *relay, const char *address)
 {
-  struct host *host;
-
-  if (strcmp (address, relay->own_address) == 0 || address[0] == '\0')
-    return;
-  for (host = relay->hosts; host != NULL; host = host->next)
+  for (struct host *host = relay->hosts; host != NULL; host = host->next)
     if (strcmp (host->address, address) == 0)
-      return;
-  host = talloc_zero (relay, struct host);
-  if (host == NULL)
-    return;
-  host->address = talloc_strdup (host, address);
+      return host;
+  return NULL;
+}
+
+/* NULL for this host itself.  */
+static struct host *
+add_host (struct mq_relay *relay, const char *address)
+{
+  struct host *host = find_host (relay, address);
+
+  if (host != NULL || strcmp (address, relay->own_address) == 0
+      || address[0] == '\0')
+    return host;
+  host = mq_must (talloc_zero (relay, struct host));
+  host->address = mq_text_copy (host, address);
   host->next = relay->hosts;
   relay->hosts = host;
+  return host;
 }
 
 void
-mq_relay_drop_host (struct mq_relay *relay, const char *address)
+mq_relay_add_seed (struct mq_relay *relay, const char *address)
 {
-  for (struct host **at = &relay->hosts; *at != NULL; at = &(*at)->next)
-    if (strcmp ((*at)->address, address) == 0)
-      {
-        struct host *host = *at;
+  struct host *host = add_host (relay, address);
 
-        *at = host->next;
-        if (host->link != NULL)
-          drop_link (host->link);
-        talloc_free (host);
-        return;
-      }
+  if (host != NULL)
+    host->seed = true;
+}
+
+void
+mq_relay_list_begin (struct mq_relay *relay)
+{
+  for (struct host *host = relay->hosts; host != NULL; host = host->next)
+    host->listed = false;
+}
+
+void
+mq_relay_list_host (struct mq_relay *relay, const char *address)
+{
+  struct host *host = add_host (relay, address);
+
+  if (host != NULL)
+    host->listed = true;
+}
+
+/* A host with an open link has been heard of just now; it stays until the
+   link ends.  */
+void
+mq_relay_list_end (struct mq_relay *relay)
+{
+  struct host **at = &relay->hosts;
+
+  while (*at != NULL)
+    {
+      struct host *host = *at;
+
+      if (host->listed || host->seed || host->link != NULL)
+        {
+          at = &host->next;
+          continue;
+        }
+      *at = host->next;
+      talloc_free (host);
+    }
 }
 
 size_t
--- a/src/io/relay.h
+++ b/src/io/relay.h
@@ -4,37 +4,35 @@
    another host make its calls, and learns from it which configuration and
    workers are the newest.  Links are opened when they are needed, to a few
    hosts; a host that does not answer is left alone for a while.
-   Needs: rows.h, fleet.h, tevent.  */
+   Needs: relay_frame.h, rows.h, tevent.  */
 
 #ifndef MQ_RELAY_H
 #define MQ_RELAY_H
 
-#include "../core/fleet.h"
+#include "relay_frame.h"
 #include "rows.h"
 
 struct mq_relay;
 struct mq_relay_call;
+struct mq_relay_link;
 
 /* An answer takes two hops and one call to the table.  */
 #define MQ_RELAY_CALL_MS 500U
 /* A host that failed is not asked again for so long.  */
 #define MQ_RELAY_BAD_MS 1000U
-/* Frames are bounded by what a transaction may carry, and some more.  */
-#define MQ_RELAY_FRAME_MAX ((size_t)2 << 20)
 
 /**
  * struct mq_relay_owner - the router as the relay sees it
  * @sync: another host asks for what is newer than CONFIG_VERSION; answer with
- *        mq_relay_state, or not at all
- * @state: what another host knows: its configuration (empty: not newer) and
- *         all its workers
+ *        mq_relay_answer, or not at all
+ * @state: what another host knows
  * @user: given to both
  */
 struct mq_relay_owner
 {
-  void (*sync) (uint64_t config_version, void *link, void *user);
-  void (*state) (struct mq_bytes config, const struct mq_fleet_member *workers,
-                 size_t count, void *user);
+  void (*sync) (uint64_t config_version, struct mq_relay_link *link,
+                void *user);
+  void (*state) (const struct mq_relay_state *state, void *user);
   void *user;
 };
 
@@ -47,10 +45,13 @@
 void mq_relay_destroy (struct mq_relay *relay);
 /* "IP:PORT" where other hosts reach it.  */
 const char *mq_relay_address (const struct mq_relay *relay);
-/* A host that may be asked, at "IP:PORT"; known addresses are kept once.  */
-void mq_relay_add_host (struct mq_relay *relay, const char *address);
-/* The host was removed.  */
-void mq_relay_drop_host (struct mq_relay *relay, const char *address);
+/* A host of the settings that may be asked, at "IP:PORT".  */
+void mq_relay_add_seed (struct mq_relay *relay, const char *address);
+/* A whole list of the hosts that may be asked: begin, each address, end.
+   Those that it lacks are forgotten, but for the seeds.  */
+void mq_relay_list_begin (struct mq_relay *relay);
+void mq_relay_list_host (struct mq_relay *relay, const char *address);
+void mq_relay_list_end (struct mq_relay *relay);
 size_t mq_relay_host_count (const struct mq_relay *relay);
 
 /* As mq_rows_commit and mq_rows_get, through another host.  Without a host
@@ -66,9 +67,8 @@
 /* Asks some host for its state.  */
 void mq_relay_sync (struct mq_relay *relay, uint64_t config_version);
 /* Answers a sync that came over LINK.  */
-void mq_relay_state (struct mq_relay *relay, void *link,
-                     struct mq_bytes config,
-                     const struct mq_fleet_member *workers, size_t count);
+void mq_relay_answer (struct mq_relay *relay, struct mq_relay_link *link,
+                      const struct mq_relay_state *state);
 /* Calls made through other hosts, and for them.  */
 uint64_t mq_relay_asked (const struct mq_relay *relay);
 uint64_t mq_relay_served (const struct mq_relay *relay);
--- /dev/null
+++ b/src/io/relay_frame.c
@@ -0,0 +1,288 @@
+/* relay_frame.c - what routing hosts say to each other, packed for the wire.
+
+   Needs: relay_frame.h, frame.h, memory.h, proto/relay.pb-c.h.  */
+
+#include "relay_frame.h"
+#include "../../proto/relay.pb-c.h"
+#include "../core/memory.h"
+#include "frame.h"
+
+/* protobuf-c wants texts that may be changed; it does not change them.  */
+static char *
+text_field (const char *text)
+{
+  return (char *)(uintptr_t)(text == NULL ? "" : text);
+}
+
+static void
+fill_entry (Mqrelay__Entry *to, const struct mq_rows_entry *from)
+{
+  mqrelay__entry__init (to);
+  to->table = text_field (from->table);
+  to->part = text_field (from->part);
+  to->key = text_field (from->key);
+  to->version = from->version;
+  to->value.data = from->value.data;
+  to->value.len = from->value.len;
+  to->remove = from->remove;
+}
+
+static Mqrelay__Entry **
+make_entries (TALLOC_CTX *ctx, const struct mq_rows_entry *entries,
+              size_t count)
+{
+  Mqrelay__Entry *all
+      = mq_must (talloc_array (ctx, Mqrelay__Entry, count + 1));
+  Mqrelay__Entry **list
+      = mq_must (talloc_array (ctx, Mqrelay__Entry *, count + 1));
+
+  for (size_t i = 0; i < count; i++)
+    {
+      fill_entry (&all[i], &entries[i]);
+      list[i] = &all[i];
+    }
+  return list;
+}
+
+static void
+fill_worker (Mqrelay__Worker *to, const struct mq_fleet_member *from)
+{
+  mqrelay__worker__init (to);
+  to->id = text_field (from->id);
+  to->service = text_field (from->service);
+  to->address = text_field (from->address);
+  to->data_centre = text_field (from->data_centre);
+  to->slots = from->slots;
+  to->leaving = from->leaving;
+}
+
+static Mqrelay__Worker **
+make_workers (TALLOC_CTX *ctx, const struct mq_fleet_member *workers,
+              size_t count)
+{
+  Mqrelay__Worker *all
+      = mq_must (talloc_array (ctx, Mqrelay__Worker, count + 1));
+  Mqrelay__Worker **list
+      = mq_must (talloc_array (ctx, Mqrelay__Worker *, count + 1));
+
+  for (size_t i = 0; i < count; i++)
+    {
+      fill_worker (&all[i], &workers[i]);
+      list[i] = &all[i];
+    }
+  return list;
+}
+
+static struct mq_bytes
+pack (TALLOC_CTX *ctx, const Mqrelay__Frame *frame)
+{
+  size_t len = mqrelay__frame__get_packed_size (frame);
+  uint8_t *bytes = mq_must (talloc_size (ctx, len + MQ_FRAME_HEADER_BYTES));
+
+  for (size_t i = 0; i < MQ_FRAME_HEADER_BYTES; i++)
+    bytes[i] = (uint8_t)(len >> (8 * (MQ_FRAME_HEADER_BYTES - 1 - i)));
+  mqrelay__frame__pack (frame, bytes + MQ_FRAME_HEADER_BYTES);
+  return (struct mq_bytes){ bytes, len + MQ_FRAME_HEADER_BYTES };
+}
+
+static struct mq_bytes
+pack_ask (TALLOC_CTX *ctx, const struct mq_relay_ask *ask)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__Ask to = MQRELAY__ASK__INIT;
+
+  frame.body_case = MQRELAY__FRAME__BODY_ASK;
+  frame.ask = &to;
+  to.id = ask->id;
+  to.commit = ask->commit;
+  to.entries = make_entries (ctx, ask->entries, ask->count);
+  to.n_entries = ask->count;
+  return pack (ctx, &frame);
+}
+
+static struct mq_bytes
+pack_told (TALLOC_CTX *ctx, const struct mq_relay_told *told)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__Told to = MQRELAY__TOLD__INIT;
+
+  frame.body_case = MQRELAY__FRAME__BODY_TOLD;
+  frame.told = &to;
+  to.id = told->id;
+  to.status = told->result.status;
+  to.version = told->result.version;
+  to.rows = make_entries (ctx, told->result.rows, told->result.row_count);
+  to.n_rows = told->result.row_count;
+  return pack (ctx, &frame);
+}
+
+static struct mq_bytes
+pack_sync (TALLOC_CTX *ctx, uint64_t version)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__Sync to = MQRELAY__SYNC__INIT;
+
+  frame.body_case = MQRELAY__FRAME__BODY_SYNC;
+  frame.sync = &to;
+  to.config_version = version;
+  return pack (ctx, &frame);
+}
+
+static struct mq_bytes
+pack_state (TALLOC_CTX *ctx, const struct mq_relay_state *state)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__State to = MQRELAY__STATE__INIT;
+
+  frame.body_case = MQRELAY__FRAME__BODY_STATE;
+  frame.state = &to;
+  to.config.data = state->config.data;
+  to.config.len = state->config.len;
+  to.workers = make_workers (ctx, state->workers, state->worker_count);
+  to.n_workers = state->worker_count;
+  return pack (ctx, &frame);
+}
+
+struct mq_bytes
+mq_relay_frame_pack (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
+{
+  switch (frame->kind)
+    {
+    case MQ_RELAY_ASK:
+      return pack_ask (ctx, &frame->u.ask);
+    case MQ_RELAY_TOLD:
+      return pack_told (ctx, &frame->u.told);
+    case MQ_RELAY_SYNC:
+      return pack_sync (ctx, frame->u.sync_version);
+    case MQ_RELAY_STATE:
+      return pack_state (ctx, &frame->u.state);
+    case MQ_RELAY_OTHER:
+      break;
+    }
+  return (struct mq_bytes){ NULL, 0 };
+}
+
+static struct mq_rows_entry *
+read_entries (TALLOC_CTX *ctx, Mqrelay__Entry *const *list, size_t count)
+{
+  struct mq_rows_entry *entries
+      = mq_must (talloc_zero_array (ctx, struct mq_rows_entry, count + 1));
+
+  for (size_t i = 0; i < count; i++)
+    entries[i] = (struct mq_rows_entry){
+      .table = list[i]->table,
+      .part = list[i]->part,
+      .key = list[i]->key,
+      .version = list[i]->version,
+      .value = { list[i]->value.data, list[i]->value.len },
+      .remove = list[i]->remove,
+    };
+  return entries;
+}
+
+static struct mq_fleet_member *
+read_workers (TALLOC_CTX *ctx, Mqrelay__Worker *const *list, size_t count)
+{
+  struct mq_fleet_member *workers
+      = mq_must (talloc_zero_array (ctx, struct mq_fleet_member, count + 1));
+
+  for (size_t i = 0; i < count; i++)
+    workers[i] = (struct mq_fleet_member){
+      .id = list[i]->id,
+      .service = list[i]->service,
+      .address = list[i]->address,
+      .data_centre = list[i]->data_centre,
+      .slots = list[i]->slots,
+      .leaving = list[i]->leaving,
+    };
+  return workers;
+}
+
+/* An outcome that this version does not know promises nothing.  */
+static void
+read_told (struct mq_relay_frame *to, const Mqrelay__Told *from)
+{
+  to->kind = MQ_RELAY_TOLD;
+  to->u.told.id = from->id;
+  to->u.told.result = (struct mq_rows_result){
+    .status = from->status > MQ_STORE_LOST
+                  ? MQ_STORE_LOST
+                  : (enum mq_store_status)from->status,
+    .version = from->version,
+    .rows = read_entries (to, from->rows, from->n_rows),
+    .row_count = from->n_rows,
+  };
+}
+
+static bool
+read_ask (struct mq_relay_frame *to, const Mqrelay__Ask *from)
+{
+  to->kind = MQ_RELAY_ASK;
+  to->u.ask = (struct mq_relay_ask){
+    .id = from->id,
+    .commit = from->commit,
+    .entries = read_entries (to, from->entries, from->n_entries),
+    .count = from->n_entries,
+  };
+  return from->n_entries > 0;
+}
+
+static bool
+read_body (struct mq_relay_frame *to, const Mqrelay__Frame *from)
+{
+  switch (from->body_case)
+    {
+    case MQRELAY__FRAME__BODY_ASK:
+      return read_ask (to, from->ask);
+    case MQRELAY__FRAME__BODY_TOLD:
+      read_told (to, from->told);
+      return true;
+    case MQRELAY__FRAME__BODY_SYNC:
+      to->kind = MQ_RELAY_SYNC;
+      to->u.sync_version = from->sync->config_version;
+      return true;
+    case MQRELAY__FRAME__BODY_STATE:
+      to->kind = MQ_RELAY_STATE;
+      to->u.state = (struct mq_relay_state){
+        .config = { from->state->config.data, from->state->config.len },
+        .workers
+        = read_workers (to, from->state->workers, from->state->n_workers),
+        .worker_count = from->state->n_workers,
+      };
+      return true;
+    default:
+      to->kind = MQ_RELAY_OTHER;
+      return true;
+    }
+}
+
+/**
+ * struct holder - the decoded message that a frame points into
+ */
+struct holder
+{
+  Mqrelay__Frame *frame;
+};
+
+static int
+free_holder (struct holder *holder)
+{
+  mqrelay__frame__free_unpacked (holder->frame, NULL);
+  return 0;
+}
+
+struct mq_relay_frame *
+mq_relay_frame_unpack (TALLOC_CTX *ctx, const uint8_t *data, size_t len)
+{
+  struct mq_relay_frame *frame
+      = mq_must (talloc_zero (ctx, struct mq_relay_frame));
+  struct holder *holder = mq_must (talloc_zero (frame, struct holder));
+
+  holder->frame = mqrelay__frame__unpack (NULL, len, data);
+  if (holder->frame != NULL)
+    talloc_set_destructor (holder, free_holder);
+  if (holder->frame != NULL && read_body (frame, holder->frame))
+    return frame;
+  talloc_free (frame);
+  return NULL;
+}
--- /dev/null
+++ b/src/io/relay_frame.h
@@ -0,0 +1,79 @@
+/* relay_frame.h - what routing hosts say to each other, packed for the wire.
+
+   Needs: rows.h, fleet.h, proto/relay.pb-c.h.  */
+
+#ifndef MQ_RELAY_FRAME_H
+#define MQ_RELAY_FRAME_H
+
+#include "../core/fleet.h"
+#include "rows.h"
+
+/* Frames are bounded by what a transaction may carry, and some more.  */
+#define MQ_RELAY_FRAME_MAX ((size_t)2 << 20)
+
+enum mq_relay_kind
+{
+  MQ_RELAY_ASK,   /* make this call to the platform's table */
+  MQ_RELAY_TOLD,  /* its outcome */
+  MQ_RELAY_SYNC,  /* tell what is newer than this */
+  MQ_RELAY_STATE, /* the configuration and the workers */
+  MQ_RELAY_OTHER  /* of a newer version of this program, to be ignored */
+};
+
+/**
+ * struct mq_relay_ask - a call that the sender can't make itself
+ * @id: of the call, for @told
+ * @commit: a transaction on the entries, else a read of the one
+ */
+struct mq_relay_ask
+{
+  uint64_t id;
+  bool commit;
+  const struct mq_rows_entry *entries;
+  size_t count;
+};
+
+struct mq_relay_told
+{
+  uint64_t id;
+  struct mq_rows_result result;
+};
+
+/**
+ * struct mq_relay_state - what a host whose own feeds are alive knows
+ * @config: empty when the asker's is not older
+ * @workers: all that are listed
+ */
+struct mq_relay_state
+{
+  struct mq_bytes config;
+  const struct mq_fleet_member *workers;
+  size_t worker_count;
+};
+
+/**
+ * struct mq_relay_frame - one message
+ * @kind: which of @u
+ */
+struct mq_relay_frame
+{
+  enum mq_relay_kind kind;
+  union
+  {
+    struct mq_relay_ask ask;
+    struct mq_relay_told told;
+    uint64_t sync_version;
+    struct mq_relay_state state;
+  } u;
+};
+
+/* Bytes of FRAME with the length in front, below CTX; stops the process when
+   memory is out.  */
+struct mq_bytes mq_relay_frame_pack (TALLOC_CTX *ctx,
+                                     const struct mq_relay_frame *frame);
+/* Frame of the bytes behind the length, below CTX with all that it points at;
+   NULL when they are none.  */
+struct mq_relay_frame *mq_relay_frame_unpack (TALLOC_CTX *ctx,
+                                              const uint8_t *data, size_t len);
+
+#endif
--- a/src/io/router.c
+++ b/src/io/router.c
@@ -11,9 +11,31 @@
 
 /* Pause between two looks at idle connections, programs and a stop.  */
 #define SWEEP_MS 250U
+/* Pause between two lines of the log with what was counted.  */
+#define COUNTERS_MS 10000U
 
 static void set_sweep (struct mq_router *router);
 
+static void
+log_state (struct mq_router *router, const char *event)
+{
+  struct mq_json_line line;
+
+  mq_json_begin (&line, router->log, MQ_JSON_NOTE, event);
+  mq_json_text (&line, "data_centre", router->settings->data_centre);
+  mq_json_text (&line, "http", router->settings->http);
+  mq_json_number (&line, "requests", router->request_count);
+  mq_json_number (&line, "served", router->counters.served);
+  mq_json_number (&line, "budget_writes", router->counters.budget_writes);
+  mq_json_number (&line, "turn_writes", router->counters.turn_writes);
+  mq_json_number (&line, "turn_reads", router->counters.turn_reads);
+  mq_json_number (&line, "store_writes",
+                  mq_rows_counters (router->rows)->writes);
+  mq_json_number (&line, "store_reads",
+                  mq_rows_counters (router->rows)->reads);
+  mq_json_end (&line);
+}
+
 /* The first part of a stop goes by while the balancer takes us out and callers
    still come.  Then no new connection is taken and idle ones are closed: a
    caller that meets a closed door tries another host, while a request taken
@@ -31,6 +53,19 @@
     router->stopped = true;
 }
 
+/* What the process counts goes to the log too, where whoever looks into a
+   failure finds it beside the decisions.  */
+static void
+log_counters (struct mq_router *router)
+{
+  uint64_t now = mq_clock_ms ();
+
+  if (now - router->counted_ms < COUNTERS_MS)
+    return;
+  router->counted_ms = now;
+  log_state (router, "counters");
+}
+
 static void
 on_sweep (void *data)
 {
@@ -40,7 +75,9 @@
   mq_pool_sweep (router->pool);
   mq_turns_sweep (router->turns);
   mq_feed_sweep (router);
+  mq_hosts_sweep (router);
   mq_clean_sweep (router);
+  log_counters (router);
   if (router->leaving)
     step_leaving (router);
   set_sweep (router);
@@ -88,18 +125,6 @@
          && router->turns != NULL;
 }
 
-static void
-log_state (struct mq_router *router, const char *event)
-{
-  struct mq_json_line line;
-
-  mq_json_begin (&line, router->log, MQ_JSON_NOTE, event);
-  mq_json_text (&line, "data_centre", router->settings->data_centre);
-  mq_json_text (&line, "http", router->settings->http);
-  mq_json_number (&line, "requests", router->request_count);
-  mq_json_end (&line);
-}
-
 struct mq_router *
 mq_router_create (TALLOC_CTX *ctx, struct tevent_context *ev,
                   const struct mq_router_settings *settings,
@@ -132,6 +157,7 @@
       talloc_free (router);
       return NULL;
     }
+  mq_hosts_start (router);
   mq_feed_start (router);
   set_sweep (router);
   log_state (router, "started");
@@ -168,7 +194,7 @@
     return;
   router->leaving = true;
   router->leaving_since_ms = mq_clock_ms ();
-  mq_feed_stop (router);
+  mq_hosts_stop (router);
   log_state (router, "leaving");
 }
 
--- a/src/io/router_feed.c
+++ b/src/io/router_feed.c
@@ -6,19 +6,12 @@
    Needs: router_state.h, clock.h.  */
 
 #include "router_state.h"
-#include "../../proto/relay.pb-c.h"
 #include "clock.h"
 #include <string.h>
 
-/* Hosts find each other by rows of this table, each under its name.  */
-static const char host_table[] = "host";
-
 /* While our own feeds are dead another host is asked this often: a
    configuration must be in force everywhere within two seconds.  */
 #define SYNC_MS 300U
-/* The hosts are listed this often; as long as none is known, sooner.  */
-#define HOSTS_MS 10000U
-#define HOSTS_FIRST_MS 1500U
 
 /**
  * struct mq_confirm - someone who waits for the newest configuration
@@ -174,16 +167,6 @@
                                      .gone = on_worker_gone,
                                      .user = router };
 
-  for (const char *seed = router->settings->seeds; *seed != '\0';)
-    {
-      size_t len = strcspn (seed, ",");
-      char *address = talloc_strndup (router, seed, len);
-
-      if (address != NULL)
-        mq_relay_add_host (router->relay, address);
-      talloc_free (address);
-      seed += len + (seed[len] == ',' ? 1 : 0);
-    }
   mq_rows_watch (router->rows, mq_wire_config_table, &config);
   mq_rows_watch (router->rows, mq_wire_worker_table, &workers);
 }
@@ -191,88 +174,42 @@
 /* Other hosts */
 
 void
-mq_feed_on_sync (uint64_t config_version, void *link, void *user)
+mq_feed_on_sync (uint64_t config_version, struct mq_relay_link *link,
+                 void *user)
 {
   struct mq_router *router = user;
-  struct mq_bytes config = { NULL, 0 };
+  struct mq_relay_state state = { .config = { NULL, 0 } };
   struct mq_fleet_member *workers;
-  size_t count;
 
   if (!mq_rows_followed (router->rows) || router->routes == NULL)
     return;
   if (router->routes->version > config_version)
-    config = router->config;
-  workers = mq_fleet_list (router->fleet, router, &count);
+    state.config = router->config;
+  workers = mq_fleet_list (router->fleet, router, &state.worker_count);
+  state.workers = workers;
   if (workers != NULL)
-    mq_relay_state (router->relay, link, config, workers, count);
+    mq_relay_answer (router->relay, link, &state);
   talloc_free (workers);
 }
 
 /* What another host tells is newer than what a dead feed has told; a feed that
    is alive knows better.  */
 void
-mq_feed_on_state (struct mq_bytes config,
-                  const struct mq_fleet_member *workers, size_t count,
-                  void *user)
+mq_feed_on_state (const struct mq_relay_state *state, void *user)
 {
   struct mq_router *router = user;
 
   if (mq_rows_followed (router->rows))
     return;
-  if (config.len > 0)
-    take_config (router, config);
+  if (state->config.len > 0)
+    take_config (router, state->config);
   mq_fleet_list_begin (router->fleet);
-  for (size_t i = 0; i < count; i++)
-    put_worker (router, &workers[i]);
+  for (size_t i = 0; i < state->worker_count; i++)
+    put_worker (router, &state->workers[i]);
   mq_fleet_list_end (router->fleet, 0);
   router->workers_listed = true;
 }
 
-static void
-on_host_row (const struct mq_rows_entry *row, void *user)
-{
-  struct mq_router *router = user;
-  Mqrelay__HostRow *host
-      = mqrelay__host_row__unpack (NULL, row->value.len, row->value.data);
-
-  if (host == NULL)
-    return;
-  if (strcmp (row->key, router->settings->host) != 0)
-    mq_relay_add_host (router->relay, host->address);
-  mqrelay__host_row__free_unpacked (host, NULL);
-}
-
-static void
-on_announced (const struct mq_rows_result *result, void *user)
-{
-  struct mq_router *router = user;
-
-  if (result->status != MQ_STORE_OK)
-    router->announced = false;
-}
-
-/* Writes, or removes, the row by which other hosts find this one.  */
-static void
-write_host_row (struct mq_router *router, bool remove)
-{
-  Mqrelay__HostRow host = MQRELAY__HOST_ROW__INIT;
-  uint8_t bytes[256];
-  struct mq_rows_entry entry = { .table = host_table,
-                                 .part = "",
-                                 .key = router->settings->host,
-                                 .version = MQ_VERSION_ANY,
-                                 .remove = remove };
-
-  host.address = (char *)(uintptr_t)mq_relay_address (router->relay);
-  host.data_centre = (char *)(uintptr_t)router->settings->data_centre;
-  if (mqrelay__host_row__get_packed_size (&host) > sizeof bytes)
-    return;
-  entry.value.len = mqrelay__host_row__pack (&host, bytes);
-  entry.value.data = bytes;
-  router->announced = !remove;
-  mq_rows_commit (router->rows, &entry, 1, on_announced, router);
-}
-
 static void
 note_table (struct mq_router *router)
 {
@@ -292,35 +229,15 @@
 void
 mq_feed_sweep (struct mq_router *router)
 {
-  struct mq_rows_watcher hosts = { .row = on_host_row, .user = router };
   uint64_t now = mq_clock_ms ();
-  uint64_t pause
-      = mq_relay_host_count (router->relay) == 0 ? HOSTS_FIRST_MS : HOSTS_MS;
 
   note_table (router);
   mq_fleet_expire (router->fleet, now);
-  if (!mq_rows_followed (router->rows))
-    {
-      if (now - router->sync_ms < SYNC_MS)
-        return;
-      router->sync_ms = now;
-      mq_relay_sync (router->relay,
-                     router->routes == NULL ? 0 : router->routes->version);
-      return;
-    }
-  if (!router->announced && !router->leaving)
-    write_host_row (router, false);
-  if (router->hosts_ms != 0 && now - router->hosts_ms < pause)
+  if (mq_rows_followed (router->rows) || now - router->sync_ms < SYNC_MS)
     return;
-  router->hosts_ms = now;
-  mq_rows_list (router->rows, host_table, &hosts);
-}
-
-void
-mq_feed_stop (struct mq_router *router)
-{
-  if (router->announced)
-    write_host_row (router, true);
+  router->sync_ms = now;
+  mq_relay_sync (router->relay,
+                 router->routes == NULL ? 0 : router->routes->version);
 }
 
 static void
--- /dev/null
+++ b/src/io/router_hosts.c
@@ -0,0 +1,180 @@
+/* router_hosts.c - how routing hosts find each other.
+
+   Each has a row in the platform's table, which it renews; a row that was not
+   renewed belongs to a host that was lost, and whoever sees it removes it.
+   Needs: router_state.h, clock.h, proto/relay.pb-c.h.  */
+
+#include "router_state.h"
+#include "../../proto/relay.pb-c.h"
+#include "clock.h"
+#include <string.h>
+
+/* Rows of this table lie each under its host's name.  */
+static const char host_table[] = "host";
+
+/* The hosts are listed this often; as long as none is known, sooner.  With
+   many hosts the list is long and one more or less matters little: the pause
+   grows so that a list of 60 bytes a host costs under 100 bytes a second.  */
+#define LIST_MS 10000U
+#define LIST_FIRST_MS 1500U
+#define LIST_HOSTS 16U
+/* A row is renewed this often, and counts for three times as long, so that a
+   table that is away for minutes makes no host look lost.  */
+#define RENEW_MS 600000U
+#define KEEP_S (3U * RENEW_MS / 1000U)
+
+static void
+on_removed (const struct mq_rows_result *result, void *user)
+{
+  /* Whatever was not removed is seen again with the next list.  */
+  (void)result;
+  (void)user;
+}
+
+/* The row is removed as it was read: its host may just be writing it anew.  */
+static void
+remove_lost (struct mq_router *router, const struct mq_rows_entry *row)
+{
+  struct mq_rows_entry entry = { .table = host_table,
+                                 .part = "",
+                                 .key = row->key,
+                                 .version = row->version,
+                                 .remove = true };
+  struct mq_json_line line;
+
+  mq_json_begin (&line, router->log, MQ_JSON_NOTE, "host_lost");
+  mq_json_text (&line, "lost", row->key);
+  mq_json_end (&line);
+  mq_rows_commit (router->rows, &entry, 1, on_removed, router);
+}
+
+static bool
+is_lost (const struct mq_router *router, const Mqrelay__HostRow *host)
+{
+  uint64_t now = mq_rows_clock_s (router->rows);
+
+  return host->until_s != 0 && now != 0 && host->until_s < now;
+}
+
+static void
+on_host_row (const struct mq_rows_entry *row, void *user)
+{
+  struct mq_router *router = user;
+  Mqrelay__HostRow *host;
+
+  if (strcmp (row->key, router->settings->host) == 0)
+    return;
+  host = mqrelay__host_row__unpack (NULL, row->value.len, row->value.data);
+  if (host == NULL || is_lost (router, host))
+    remove_lost (router, row);
+  else
+    mq_relay_list_host (router->relay, host->address);
+  if (host != NULL)
+    mqrelay__host_row__free_unpacked (host, NULL);
+}
+
+static void
+on_host_list (bool begins, void *user)
+{
+  struct mq_router *router = user;
+
+  if (begins)
+    {
+      mq_relay_list_begin (router->relay);
+      return;
+    }
+  mq_relay_list_end (router->relay);
+  router->hosts_asked = false;
+}
+
+static void
+on_announced (const struct mq_rows_result *result, void *user)
+{
+  struct mq_router *router = user;
+
+  if (result->status != MQ_STORE_OK)
+    router->announced = false;
+}
+
+/* Writes, or removes, the row by which other hosts find this one.  */
+static void
+write_own_row (struct mq_router *router, bool remove)
+{
+  Mqrelay__HostRow host = MQRELAY__HOST_ROW__INIT;
+  uint8_t bytes[256];
+  struct mq_rows_entry entry = { .table = host_table,
+                                 .part = "",
+                                 .key = router->settings->host,
+                                 .version = MQ_VERSION_ANY,
+                                 .remove = remove };
+
+  host.address = (char *)(uintptr_t)mq_relay_address (router->relay);
+  host.data_centre = (char *)(uintptr_t)router->settings->data_centre;
+  host.until_s = mq_rows_clock_s (router->rows) + KEEP_S;
+  if (mqrelay__host_row__get_packed_size (&host) > sizeof bytes)
+    return;
+  entry.value.len = mqrelay__host_row__pack (&host, bytes);
+  entry.value.data = bytes;
+  router->announced = !remove;
+  router->announced_ms = mq_clock_ms ();
+  mq_rows_commit (router->rows, &entry, 1, on_announced, router);
+}
+
+static uint64_t
+list_pause_ms (const struct mq_router *router)
+{
+  size_t count = mq_relay_host_count (router->relay);
+
+  if (count == 0)
+    return LIST_FIRST_MS;
+  return LIST_MS * (1 + count / LIST_HOSTS);
+}
+
+size_t
+mq_router_host_count (const struct mq_router *router)
+{
+  return mq_relay_host_count (router->relay);
+}
+
+void
+mq_hosts_start (struct mq_router *router)
+{
+  for (const char *seed = router->settings->seeds; *seed != '\0';)
+    {
+      size_t len = strcspn (seed, ",");
+      char *address = talloc_strndup (router, seed, len);
+
+      if (address != NULL)
+        mq_relay_add_seed (router->relay, address);
+      talloc_free (address);
+      seed += len + (seed[len] == ',' ? 1 : 0);
+    }
+}
+
+void
+mq_hosts_sweep (struct mq_router *router)
+{
+  struct mq_rows_watcher hosts
+      = { .list = on_host_list, .row = on_host_row, .user = router };
+  uint64_t now = mq_clock_ms ();
+
+  if (!mq_rows_followed (router->rows) || mq_rows_clock_s (router->rows) == 0)
+    return;
+  if (!router->leaving
+      && (!router->announced || now - router->announced_ms >= RENEW_MS))
+    write_own_row (router, false);
+  if (router->hosts_asked
+      || (router->hosts_ms != 0
+          && now - router->hosts_ms < list_pause_ms (router)))
+    return;
+  router->hosts_ms = now;
+  router->hosts_asked = true;
+  mq_rows_list (router->rows, host_table, &hosts);
+}
+
+void
+mq_hosts_stop (struct mq_router *router)
+{
+  if (router->announced)
+    write_own_row (router, true);
+}
--- a/src/io/router_ready.c
+++ b/src/io/router_ready.c
@@ -80,6 +80,8 @@
   mq_metrics_add (&text, "router", "store_reads",
                   "reads sent to the platform's table",
                   mq_rows_counters (router->rows)->reads);
+  mq_metrics_add (&text, "router", "hosts", "other routing hosts known",
+                  mq_router_host_count (router));
   mq_metrics_add (&text, "router", "relay_asked",
                   "calls made through other hosts",
                   mq_relay_asked (router->relay));
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -99,7 +99,10 @@
   int ready_fd;
   uint64_t sync_ms;
   uint64_t hosts_ms;
+  bool hosts_asked;
   bool announced;
+  uint64_t announced_ms;
+  uint64_t counted_ms;
   bool table_down;
 };
 
@@ -259,6 +262,15 @@
 /* Removes records that are kept no longer, a little at a time.  */
 void mq_clean_sweep (struct mq_router *router);
 
+/* router_hosts.c */
+
+/* Takes the hosts that the settings name.  */
+void mq_hosts_start (struct mq_router *router);
+/* Renews this host's row and lists the others' now and then.  */
+void mq_hosts_sweep (struct mq_router *router);
+/* This host takes no more calls of others.  */
+void mq_hosts_stop (struct mq_router *router);
+
 /* router_feed.c */
 
 struct mq_confirm;
@@ -267,14 +279,11 @@
 typedef void mq_confirmed (bool current, void *user);
 
 /* The relay's side of configuration and workers.  */
-void mq_feed_on_sync (uint64_t config_version, void *link, void *user);
-void mq_feed_on_state (struct mq_bytes config,
-                       const struct mq_fleet_member *workers, size_t count,
-                       void *user);
-/* Asks another host where our own feeds are dead; lists the hosts.  */
+void mq_feed_on_sync (uint64_t config_version, struct mq_relay_link *link,
+                      void *user);
+void mq_feed_on_state (const struct mq_relay_state *state, void *user);
+/* Asks another host where our own feeds are dead.  */
 void mq_feed_sweep (struct mq_router *router);
-/* This host takes no more calls of others.  */
-void mq_feed_stop (struct mq_router *router);
 /* Learns the configuration and the workers and follows their changes.  */
 void mq_feed_start (struct mq_router *router);
 /* Asks the platform for its newest configuration, takes it into force, then
--- /dev/null
+++ b/tests/test_relay.c
@@ -0,0 +1,187 @@
+/* test_relay.c - what routing hosts say to each other.
+
+   Needs: Criterion, relay_frame.h, frame.h.  */
+
+#include "io/frame.h"
+#include "io/relay_frame.h"
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+
+static struct mq_bytes
+bytes (const char *text)
+{
+  return (struct mq_bytes){ (uint8_t *)(uintptr_t)text, strlen (text) };
+}
+
+static bool
+same_bytes (struct mq_bytes a, struct mq_bytes b)
+{
+  return a.len == b.len && (a.len == 0 || memcmp (a.data, b.data, a.len) == 0);
+}
+
+static void
+expect_entries (const struct mq_rows_entry *a, const struct mq_rows_entry *b,
+                size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      cr_expect_str_eq (a[i].table, b[i].table);
+      cr_expect_str_eq (a[i].part, b[i].part);
+      cr_expect_str_eq (a[i].key, b[i].key);
+      cr_expect_eq (a[i].version, b[i].version);
+      cr_expect (same_bytes (a[i].value, b[i].value));
+      cr_expect_eq (a[i].remove, b[i].remove);
+    }
+}
+
+static void
+expect_workers (const struct mq_fleet_member *a,
+                const struct mq_fleet_member *b, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      cr_expect_str_eq (a[i].id, b[i].id);
+      cr_expect_str_eq (a[i].service, b[i].service);
+      cr_expect_str_eq (a[i].address, b[i].address);
+      cr_expect_str_eq (a[i].data_centre, b[i].data_centre);
+      cr_expect_eq (a[i].slots, b[i].slots);
+      cr_expect_eq (a[i].leaving, b[i].leaving);
+    }
+}
+
+static void
+expect_same (const struct mq_relay_frame *a, const struct mq_relay_frame *b)
+{
+  cr_assert_eq (a->kind, b->kind);
+  switch (a->kind)
+    {
+    case MQ_RELAY_ASK:
+      cr_expect_eq (a->u.ask.id, b->u.ask.id);
+      cr_expect_eq (a->u.ask.commit, b->u.ask.commit);
+      cr_assert_eq (a->u.ask.count, b->u.ask.count);
+      expect_entries (a->u.ask.entries, b->u.ask.entries, a->u.ask.count);
+      return;
+    case MQ_RELAY_TOLD:
+      cr_expect_eq (a->u.told.id, b->u.told.id);
+      cr_expect_eq (a->u.told.result.status, b->u.told.result.status);
+      cr_expect_eq (a->u.told.result.version, b->u.told.result.version);
+      cr_assert_eq (a->u.told.result.row_count, b->u.told.result.row_count);
+      expect_entries (a->u.told.result.rows, b->u.told.result.rows,
+                      a->u.told.result.row_count);
+      return;
+    case MQ_RELAY_SYNC:
+      cr_expect_eq (a->u.sync_version, b->u.sync_version);
+      return;
+    case MQ_RELAY_STATE:
+      cr_expect (same_bytes (a->u.state.config, b->u.state.config));
+      cr_assert_eq (a->u.state.worker_count, b->u.state.worker_count);
+      expect_workers (a->u.state.workers, b->u.state.workers,
+                      a->u.state.worker_count);
+      return;
+    case MQ_RELAY_OTHER:
+      cr_assert_fail ("a frame of our own is not known");
+    }
+}
+
+/* What one host packs the other one reads, field by field: a version or a
+   condition that got lost on the way would let a write overtake another.  */
+Test (relay, frames_come_through)
+{
+  struct mq_rows_entry entries[] = {
+    { .table = "budget",
+      .part = "0f",
+      .key = "p1",
+      .version = 7,
+      .value = bytes ("value") },
+    { .table = "turn",
+      .part = "",
+      .key = "t1",
+      .version = MQ_VERSION_ANY,
+      .remove = true },
+  };
+  struct mq_fleet_member workers[] = {
+    { .id = "i-1",
+      .service = "llm",
+      .address = "127.0.0.1:1",
+      .data_centre = "a",
+      .slots = 4 },
+    { .id = "i-2",
+      .service = "app",
+      .address = "127.0.0.1:2",
+      .data_centre = "b",
+      .slots = UINT32_MAX,
+      .leaving = true },
+  };
+  struct mq_relay_frame frames[] = {
+    { .kind = MQ_RELAY_ASK,
+      .u.ask = { .id = 1, .commit = true, .entries = entries, .count = 2 } },
+    { .kind = MQ_RELAY_ASK,
+      .u.ask = { .id = UINT64_MAX, .entries = entries, .count = 1 } },
+    { .kind = MQ_RELAY_TOLD,
+      .u.told = { .id = 2,
+                  .result = { .status = MQ_STORE_CONFLICT,
+                              .version = 9,
+                              .rows = entries,
+                              .row_count = 2 } } },
+    { .kind = MQ_RELAY_TOLD,
+      .u.told = { .id = 3, .result = { .status = MQ_STORE_LOST } } },
+    { .kind = MQ_RELAY_SYNC, .u.sync_version = 12 },
+    { .kind = MQ_RELAY_STATE,
+      .u.state = { .config = bytes ("config"),
+                   .workers = workers,
+                   .worker_count = 2 } },
+    { .kind = MQ_RELAY_STATE },
+  };
+  TALLOC_CTX *ctx = talloc_new (NULL);
+
+  for (size_t i = 0; i < ROWS (frames); i++)
+    {
+      struct mq_bytes packed = mq_relay_frame_pack (ctx, &frames[i]);
+      struct mq_relay_frame *read
+          = mq_relay_frame_unpack (ctx, packed.data + MQ_FRAME_HEADER_BYTES,
+                                   packed.len - MQ_FRAME_HEADER_BYTES);
+
+      cr_assert_not_null (read, "%zu", i);
+      expect_same (&frames[i], read);
+    }
+  talloc_free (ctx);
+}
+
+/* During a rolling change of versions a newer host says things, or gives
+   outcomes, that this one doesn't know.  Neither may cost the link, and an
+   unknown outcome must not pass for "not done".  */
+Test (relay, newer_and_damaged_frames)
+{
+  static const struct
+  {
+    const char *name;
+    const char *data;
+    size_t len;
+    bool read;
+    enum mq_relay_kind kind;
+  } cases[] = {
+    { "nothing", "", 0, true, MQ_RELAY_OTHER },
+    { "unknown kind", "\x3a\x02\x08\x01", 4, true, MQ_RELAY_OTHER },
+    { "unknown outcome", "\x12\x04\x08\x05\x10\x63", 6, true, MQ_RELAY_TOLD },
+    { "a call without rows", "\x0a\x02\x08\x05", 4, false, MQ_RELAY_OTHER },
+    { "cut", "\x0a\x09\x08\x05", 4, false, MQ_RELAY_OTHER },
+    { "no message", "\xff\xff\xff", 3, false, MQ_RELAY_OTHER },
+  };
+  TALLOC_CTX *ctx = talloc_new (NULL);
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct mq_relay_frame *frame = mq_relay_frame_unpack (
+          ctx, (const uint8_t *)cases[i].data, cases[i].len);
+
+      cr_assert_eq (frame != NULL, cases[i].read, "%s", cases[i].name);
+      if (frame == NULL)
+        continue;
+      cr_assert_eq (frame->kind, cases[i].kind, "%s", cases[i].name);
+      if (frame->kind == MQ_RELAY_TOLD)
+        cr_assert_eq (frame->u.told.result.status, MQ_STORE_LOST);
+    }
+  talloc_free (ctx);
+}
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -664,6 +664,34 @@
 
 /* Other hosts */
 
+/* A host loses power and never comes back.  Its row stayed in the table of
+   hosts for ever, every other host kept its address, and after months of
+   replaced hosts most of the addresses that are asked in an outage led
+   nowhere.  Cause: only a planned stop removed the row.  */
+Test (router, row_of_a_lost_host_is_removed)
+{
+  static const uint64_t start_ms = 5000000;
+  static const uint64_t hours_ms = 7200000;
+
+  edge_kill (site, 0);
+  rows_server_clock (site->rows, start_ms);
+  edge_start (site, 0);
+  edge_start (site, 1);
+  EDGE_WAIT (site, rows_server_count (site->rows, "host") == 2);
+  edge_kill (site, 1);
+  edge_kill (site, 0);
+  edge_start (site, 0);
+  EDGE_WAIT (site, mq_router_host_count (site->routers[0]) == 1);
+  rows_server_clock (site->rows, start_ms + hours_ms);
+  edge_kill (site, 0);
+  edge_start (site, 0);
+  EDGE_WAIT (site, rows_server_count (site->rows, "host") == 1);
+  cr_assert_eq (mq_router_host_count (site->routers[0]), 0);
+  edge_start (site, 1);
+  EDGE_WAIT (site, mq_router_host_count (site->routers[0]) == 1);
+  cr_assert_eq (rows_server_count (site->rows, "host"), 2);
+}
+
 struct door_case
 {
   const char *name;
