One schema of log lines in every process

mimosa-entryd and mimosa-targetd wrote syslog-style lines on standard error; now each process writes JSON lines on standard output, by one schema (log_schema.h: events, levels, keys), bounded and without waiting.

--- a/src/io/daemon.c
+++ b/src/io/daemon.c
@@ -153,22 +153,19 @@
 }
 
 static void
-print_addresses (const struct daemon *self)
+log_addresses (const struct daemon *self)
 {
   switch (self->role)
     {
     case MQ_HOST_ENTRY:
-      printf ("listening http=%s peer=%s\n",
-              mq_entry_http_address (self->u.entry),
-              mq_entry_peer_address (self->u.entry));
+      mq_log_listening (mq_entry_http_address (self->u.entry),
+                        mq_entry_peer_address (self->u.entry));
       break;
     case MQ_HOST_TARGET:
-      printf ("listening peer=%s http=%s\n",
-              mq_target_peer_address (self->u.target),
-              mq_target_http_address (self->u.target));
+      mq_log_listening (mq_target_http_address (self->u.target),
+                        mq_target_peer_address (self->u.target));
       break;
     }
-  fflush (stdout);
 }
 
 static void
@@ -196,7 +193,7 @@
       = mq_settings_read (ctx, self->role, self->file, &errors);
 
   for (size_t i = 0; settings == NULL && i < errors.count; i++)
-    mq_log_failure ("settings", &errors.items[i]);
+    mq_log_failure (MQ_LOG_SETTINGS_REFUSED, &errors.items[i]);
   return settings;
 }
 
@@ -208,16 +205,16 @@
 
   if (settings == NULL)
     return false;
-  mq_log_open (program_name (self->role), settings->host, MQ_LOG_INFO);
+  mq_log_open (program_name (self->role), settings->host);
   if (tevent_add_signal (ev, ctx, SIGTERM, 0, on_signal, self) == NULL
       || tevent_add_signal (ev, ctx, SIGINT, 0, on_signal, self) == NULL)
     return false;
   if (!create (self, ctx, ev, settings, &error))
     {
-      mq_log_failure ("start", &error);
+      mq_log_failure (MQ_LOG_START_FAILED, &error);
       return false;
     }
-  print_addresses (self);
+  log_addresses (self);
   return true;
 }
 
@@ -233,7 +230,7 @@
   signal (SIGPIPE, SIG_IGN);
   ctx = talloc_new (NULL);
   ev = tevent_context_init (ctx);
-  mq_log_open (program_name (role), "", MQ_LOG_INFO);
+  mq_log_open (program_name (role), "");
   if (ev != NULL && start (&self, ctx, ev))
     {
       while (!self.stopped && tevent_loop_once (ev) == 0)
--- a/src/io/entry_action.c
+++ b/src/io/entry_action.c
@@ -4,6 +4,7 @@
 
 #include "entry_state.h"
 #include "log.h"
+#include "clock.h"
 #include <string.h>
 
 /* Inputs of the cores.  */
@@ -11,7 +12,7 @@
 void
 mq_entry_tell_owner (struct mq_entry *entry, struct mq_owner_input *input)
 {
-  input->now_us = mq_process_now_us ();
+  input->now_us = mq_clock_us ();
   mq_owner_handle (entry->owner, input,
                    mq_batch_add (entry, &entry->queue, MQ_FROM_OWNER));
 }
@@ -19,7 +20,7 @@
 void
 mq_entry_tell_front (struct mq_entry *entry, struct mq_front_input *input)
 {
-  input->now_us = mq_process_now_us ();
+  input->now_us = mq_clock_us ();
   mq_front_handle (entry->front, input,
                    mq_batch_add (entry, &entry->queue, MQ_FROM_FRONT));
 }
@@ -27,7 +28,7 @@
 void
 mq_entry_tell_spread (struct mq_entry *entry, struct mq_spread_input *input)
 {
-  input->now_us = mq_process_now_us ();
+  input->now_us = mq_clock_us ();
   mq_spread_handle (entry->spread, input,
                     mq_batch_add (entry, &entry->queue, MQ_FROM_SPREAD));
 }
@@ -151,7 +152,7 @@
     {
       entry->texts_refused++;
       if (errors.count > 0)
-        mq_log_failure ("text_refused", &errors.items[0]);
+        mq_log_failure (MQ_LOG_TEXT_REFUSED, &errors.items[0]);
       talloc_free (errors.items);
       return;
     }
--- a/src/io/json_log.c
+++ b/src/io/json_log.c
@@ -1,6 +1,6 @@
 /* json_log.c - one JSON object a line on standard output, bounded.
 
-   Needs: json_log.h, clock.h.  */
+   Needs: json_log.h, buffer.h, clock.h, timer.h.  */
 
 #include "json_log.h"
 #include "buffer.h"
@@ -25,6 +25,7 @@
  * @second: the second that the counts below are for
  * @lines: lines of that second
  * @plain: of them, those on successes
+ * @strays: keys that the schema does not have
  */
 struct mq_json_log
 {
@@ -39,6 +40,7 @@
   uint32_t plain;
   uint64_t written;
   uint64_t dropped;
+  uint64_t strays;
 };
 
 struct mq_json_log *
@@ -98,6 +100,12 @@
   return log->dropped;
 }
 
+uint64_t
+mq_json_log_strays (const struct mq_json_log *log)
+{
+  return log->strays;
+}
+
 static void
 on_flush (void *data)
 {
@@ -138,12 +146,14 @@
 
 void
 mq_json_begin (struct mq_json_line *line, struct mq_json_log *log,
-               enum mq_json_weight weight, const char *event)
+               enum mq_json_weight weight, enum mq_log_event event)
 {
+  const struct mq_log_row *row = mq_log_row (event);
   uint64_t day_ms = mq_clock_day_ms ();
   int len;
 
   line->log = log;
+  line->event = event;
   line->len = 0;
   line->wanted = within_bound (log, weight, day_ms);
   if (!line->wanted)
@@ -153,11 +163,22 @@
     }
   len = snprintf (line->text, sizeof line->text,
                   "{\"t\":%" PRIu64 ",\"host\":\"%s\",\"program\":\"%s\","
-                  "\"event\":\"%s\"",
-                  day_ms, log->host, log->program, event);
+                  "\"level\":\"%s\",\"event\":\"%s\"",
+                  day_ms, log->host, log->program,
+                  mq_log_level_name (row->level), row->word);
   line->len = (size_t)len;
 }
 
+/* Keeps the lines true to what is written down of them.  */
+static bool
+in_schema (struct mq_json_line *line, const char *key)
+{
+  if (mq_log_has_key (line->event, key))
+    return true;
+  line->log->strays++;
+  return false;
+}
+
 static void
 put_key (struct mq_json_line *line, const char *key)
 {
@@ -192,7 +213,7 @@
 {
   size_t len;
 
-  if (!line->wanted || value == NULL)
+  if (!line->wanted || value == NULL || !in_schema (line, key))
     return;
   len = strlen (value);
   if (line->len + strlen (key) + len * 6 + TAIL_BYTES * 4 > sizeof line->text)
@@ -210,7 +231,7 @@
   char text[24];
   int len;
 
-  if (!line->wanted
+  if (!line->wanted || !in_schema (line, key)
       || line->len + strlen (key) + sizeof text + TAIL_BYTES * 2
              > sizeof line->text)
     return;
@@ -219,6 +240,34 @@
   put (line, text, (size_t)len);
 }
 
+static void
+put_known_number (struct mq_json_line *line, const char *key, int64_t value)
+{
+  if (value > 0)
+    mq_json_number (line, key, (uint64_t)value);
+}
+
+static void
+put_known_text (struct mq_json_line *line, const char *key, const char *value)
+{
+  if (value[0] != '\0')
+    mq_json_text (line, key, value);
+}
+
+void
+mq_json_error (struct mq_json_line *line, const struct mq_error *error)
+{
+  mq_json_text (line, "error", mq_error_name (error->type));
+  mq_json_text (line, "ran", mq_ran_name (error->ran));
+  put_known_number (line, "number", error->number);
+  put_known_number (line, "line", error->line);
+  put_known_number (line, "column", error->column);
+  put_known_text (line, "subject", error->subject);
+  put_known_text (line, "allowed", error->allowed);
+  mq_json_text (line, "cause", mq_error_cause (error->type));
+  mq_json_text (line, "remedy", mq_error_remedy (error->type));
+}
+
 void
 mq_json_end (struct mq_json_line *line)
 {
@@ -235,7 +284,7 @@
       return;
     }
   log->written++;
-  if (log->gathered.len >= FLUSH_BYTES)
+  if (log->ev == NULL || log->gathered.len >= FLUSH_BYTES)
     mq_json_log_flush (log);
   else if (log->timer == NULL)
     log->timer = mq_timer_add (log, log->ev, FLUSH_MS, on_flush, log);
--- /dev/null
+++ b/src/io/log_schema.h
@@ -0,0 +1,92 @@
+/* log_schema.h - the lines that any process writes to its log.
+
+   One row for each event: its word, how much it matters, and the keys that it
+   may have beside those of every line: t (time of day, milliseconds), host,
+   program, level, event.  docs/OPERATIONS.md says what they mean.
+   Needs: types.h.  */
+
+#ifndef MQ_LOG_SCHEMA_H
+#define MQ_LOG_SCHEMA_H
+
+#include "../core/types.h"
+
+enum mq_log_level
+{
+  MQ_LOG_ERROR,   /* somebody should look */
+  MQ_LOG_WARNING, /* something is lost or was refused */
+  MQ_LOG_NOTICE,  /* a change of state */
+  MQ_LOG_INFO     /* a request */
+};
+
+#define MQ_LOG_COUNTED                                                        \
+  "data_centre http requests served budget_writes turn_writes turn_reads "    \
+  "store_writes store_reads other"
+#define MQ_LOG_REQUEST "id run route config after_ms status sent worker "
+#define MQ_LOG_PROBLEM                                                        \
+  "error ran number line column subject allowed cause remedy"
+
+/* X (EVENT, its word, level, keys)  */
+#define MQ_LOG_EVENTS(X)                                                      \
+  X (LISTENING, "listening", NOTICE, "http peer")                             \
+  X (STARTED, "started", NOTICE, MQ_LOG_COUNTED)                              \
+  X (LEAVING, "leaving", NOTICE, MQ_LOG_COUNTED)                              \
+  X (DRAINED, "drained", NOTICE, "other")                                     \
+  X (STOPPED, "stopped", NOTICE, MQ_LOG_COUNTED)                              \
+  X (RELOADED, "reloaded", NOTICE, MQ_LOG_COUNTED)                            \
+  X (RELOAD_REFUSED, "reload_refused", WARNING, MQ_LOG_COUNTED)               \
+  X (COUNTERS, "counters", INFO, MQ_LOG_COUNTED)                              \
+  X (SETTINGS_REFUSED, "settings_refused", ERROR, MQ_LOG_PROBLEM)             \
+  X (START_FAILED, "start_failed", ERROR, MQ_LOG_PROBLEM)                     \
+  X (CONFIG_IN_FORCE, "config_in_force", NOTICE, "version in_force subject")  \
+  X (CONFIG_UNREADABLE, "config_unreadable", ERROR,                           \
+     "version in_force " MQ_LOG_PROBLEM)                                      \
+  X (TEXT_REFUSED, "text_refused", ERROR, MQ_LOG_PROBLEM)                     \
+  X (TABLE_DOWN, "table_down", ERROR, "hosts relayed subject")                \
+  X (TABLE_UP, "table_up", NOTICE, "hosts relayed subject")                   \
+  X (HOST_LOST, "host_lost", WARNING, "other")                                \
+  X (PEER_UP, "peer_up", NOTICE, "peer other")                                \
+  X (PEER_DOWN, "peer_down", WARNING, "peer other")                           \
+  X (PEER_SILENT, "peer_silent", WARNING, "peer other")                       \
+  X (WORKER_LISTED, "worker_listed", NOTICE, "worker service address state")  \
+  X (WORKER_GONE, "worker_gone", WARNING, "worker")                           \
+  X (WORKER_UNREADABLE, "worker_unreadable", ERROR, "worker")                 \
+  X (TRY_FAILED, "try_failed", WARNING,                                       \
+     MQ_LOG_REQUEST "how at_worker_ms left_ms next")                          \
+  X (REQUEST_ENDED, "request_ended", INFO, MQ_LOG_REQUEST "outcome tokens")   \
+  X (MESSAGE_REFUSED, "message_refused", WARNING, "reason")                   \
+  X (BUDGET_UNREADABLE, "budget_unreadable", ERROR, "run version")            \
+  X (PARTITION_OWNED, "partition_owned", NOTICE, "partition other")           \
+  X (PARTITION_LOST, "partition_lost", WARNING, "partition other")            \
+  X (PARTITION_RELEASED, "partition_released", NOTICE, "partition other")     \
+  X (UNKNOWN_CALL, "unknown_call", ERROR, "call run")                         \
+  X (LOOP_SUSPECTED, "loop_suspected", WARNING, "call run")                   \
+  X (EVICT_RETRY, "evict_retry", WARNING, "worker run")                       \
+  X (ORDER, "order", NOTICE, "worker subject")
+
+enum mq_log_event
+{
+#define MQ_LOG_EVENT(name, word, level, keys) MQ_LOG_##name,
+  MQ_LOG_EVENTS (MQ_LOG_EVENT)
+#undef MQ_LOG_EVENT
+      MQ_LOG_EVENT_COUNT
+};
+
+/**
+ * struct mq_log_row - one event of the schema
+ * @word: as in the line
+ * @level: how much it matters
+ * @keys: separated by blanks
+ */
+struct mq_log_row
+{
+  const char *word;
+  enum mq_log_level level;
+  const char *keys;
+};
+
+const struct mq_log_row *mq_log_row (enum mq_log_event event);
+const char *mq_log_level_name (enum mq_log_level level);
+/* A line of EVENT may have KEY.  */
+bool mq_log_has_key (enum mq_log_event event, const char *key);
+
+#endif
--- a/src/io/router.c
+++ b/src/io/router.c
@@ -17,7 +17,7 @@
 static void set_sweep (struct mq_router *router);
 
 static void
-log_state (struct mq_router *router, const char *event)
+log_state (struct mq_router *router, enum mq_log_event event)
 {
   struct mq_json_line line;
 
@@ -63,7 +63,7 @@
   if (now - router->counted_ms < COUNTERS_MS)
     return;
   router->counted_ms = now;
-  log_state (router, "counters");
+  log_state (router, MQ_LOG_COUNTERS);
 }
 
 static void
@@ -143,7 +143,6 @@
   talloc_set_destructor (router, close_ports);
   router->settings = settings;
   router->stop_ms = settings->stop_ms;
-  router->holder = mq_clock_random ();
   router->random = mq_clock_random ();
   if (!create_parts (router, error))
     {
@@ -160,7 +159,7 @@
   mq_hosts_start (router);
   mq_feed_start (router);
   set_sweep (router);
-  log_state (router, "started");
+  log_state (router, MQ_LOG_STARTED);
   return router;
 }
 
@@ -169,7 +168,7 @@
 {
   if (router == NULL)
     return;
-  log_state (router, "stopped");
+  log_state (router, MQ_LOG_STOPPED);
   mq_json_log_flush (router->log);
   talloc_free (router);
 }
@@ -180,11 +179,11 @@
 {
   if (settings == NULL)
     {
-      log_state (router, "reload_refused");
+      log_state (router, MQ_LOG_RELOAD_REFUSED);
       return;
     }
   router->stop_ms = settings->stop_ms;
-  log_state (router, "reloaded");
+  log_state (router, MQ_LOG_RELOADED);
 }
 
 void
@@ -195,7 +194,13 @@
   router->leaving = true;
   router->leaving_since_ms = mq_clock_ms ();
   mq_hosts_stop (router);
-  log_state (router, "leaving");
+  log_state (router, MQ_LOG_LEAVING);
+}
+
+uint64_t
+mq_router_log_strays (const struct mq_router *router)
+{
+  return mq_json_log_strays (router->log);
 }
 
 uint16_t
--- a/src/io/router.h
+++ b/src/io/router.h
@@ -61,8 +61,12 @@
 uint16_t mq_router_ready_port (const struct mq_router *router);
 /* "IP:PORT" where other routing hosts reach it.  */
 const char *mq_router_peer_address (const struct mq_router *router);
+/* What it counts, as Prometheus text below CTX.  */
+char *mq_router_metrics (TALLOC_CTX *ctx, const struct mq_router *router);
 /* Other routing hosts that are known.  */
 size_t mq_router_host_count (const struct mq_router *router);
+/* Keys that its log was given and the schema lacks; 0 but for a mistake.  */
+uint64_t mq_router_log_strays (const struct mq_router *router);
 /* Callers may be sent here: the configuration and the workers are known, and
    no stop was asked for.  */
 bool mq_router_is_ready (const struct mq_router *router);
--- a/src/io/router_caller.c
+++ b/src/io/router_caller.c
@@ -147,7 +147,8 @@
 
   caller->closing = true;
   caller->answering = true;
-  mq_json_begin (&line, caller->router->log, MQ_JSON_NOTE, "message_refused");
+  mq_json_begin (&line, caller->router->log, MQ_JSON_NOTE,
+                 MQ_LOG_MESSAGE_REFUSED);
   mq_json_number (&line, "reason", refusal);
   mq_json_end (&line);
   mq_refuse_caller (caller->router, caller, refusal, 0);
--- a/src/io/router_feed.c
+++ b/src/io/router_feed.c
@@ -25,8 +25,8 @@
 };
 
 static void
-log_config (struct mq_router *router, const char *event, uint64_t version,
-            const struct mq_error *error)
+log_config (struct mq_router *router, enum mq_log_event event,
+            uint64_t version, const struct mq_error *error)
 {
   struct mq_json_line line;
 
@@ -35,11 +35,7 @@
   if (router->routes != NULL)
     mq_json_number (&line, "in_force", router->routes->version);
   if (error != NULL)
-    {
-      mq_json_text (&line, "error", mq_error_name (error->type));
-      mq_json_text (&line, "subject", error->subject);
-      mq_json_text (&line, "allowed", error->allowed);
-    }
+    mq_json_error (&line, error);
   mq_json_end (&line);
 }
 
@@ -51,7 +47,7 @@
 
   if (table == NULL)
     {
-      log_config (router, "config_unreadable", 0, &error);
+      log_config (router, MQ_LOG_CONFIG_UNREADABLE, 0, &error);
       return;
     }
   if (router->routes != NULL && table->version <= router->routes->version)
@@ -63,7 +59,7 @@
   talloc_free (router->config.data);
   router->config.data = talloc_memdup (router, value.data, value.len);
   router->config.len = router->config.data == NULL ? 0 : value.len;
-  log_config (router, "config_in_force", table->version, NULL);
+  log_config (router, MQ_LOG_CONFIG_IN_FORCE, table->version, NULL);
   /* Requests under way hold a reference to the one they began with.  */
   if (router->routes != NULL)
     talloc_unlink (router, router->routes);
@@ -79,7 +75,7 @@
 }
 
 static void
-log_worker (struct mq_router *router, const char *event, const char *id,
+log_worker (struct mq_router *router, enum mq_log_event event, const char *id,
             const struct mq_fleet_member *member)
 {
   struct mq_json_line line;
@@ -102,7 +98,7 @@
   bool changed = false;
 
   if (mq_fleet_put (router->fleet, member, &changed) && changed)
-    log_worker (router, "worker_listed", member->id, member);
+    log_worker (router, MQ_LOG_WORKER_LISTED, member->id, member);
 }
 
 static void
@@ -116,7 +112,7 @@
   if (mq_wire_read_worker (ctx, row->key, row->value, &member, &error))
     put_worker (router, &member);
   else
-    log_worker (router, "worker_unreadable", row->key, NULL);
+    log_worker (router, MQ_LOG_WORKER_UNREADABLE, row->key, NULL);
   talloc_free (ctx);
 }
 
@@ -141,7 +137,7 @@
   struct mq_router *router = user;
 
   if (mq_fleet_remove (router->fleet, key, lapse_until (router)))
-    log_worker (router, "worker_gone", key, NULL);
+    log_worker (router, MQ_LOG_WORKER_GONE, key, NULL);
 }
 
 static void
@@ -220,7 +216,7 @@
     return;
   router->table_down = down;
   mq_json_begin (&line, router->log, MQ_JSON_NOTE,
-                 down ? "table_down" : "table_up");
+                 down ? MQ_LOG_TABLE_DOWN : MQ_LOG_TABLE_UP);
   mq_json_number (&line, "hosts", mq_relay_host_count (router->relay));
   mq_json_number (&line, "relayed", mq_relay_asked (router->relay));
   mq_json_end (&line);
--- a/src/io/router_request.c
+++ b/src/io/router_request.c
@@ -96,7 +96,7 @@
 
 static void
 log_head (struct mq_json_line *line, const struct mq_request *request,
-          enum mq_json_weight weight, const char *event)
+          enum mq_json_weight weight, enum mq_log_event event)
 {
   mq_json_begin (line, request->router->log, weight, event);
   mq_json_text (line, "id", request->facts.id);
@@ -114,7 +114,7 @@
 {
   struct mq_json_line line;
 
-  log_head (&line, request, weight, "request_ended");
+  log_head (&line, request, weight, MQ_LOG_REQUEST_ENDED);
   mq_json_text (&line, "outcome", outcome);
   mq_json_number (&line, "status", (uint64_t)status);
   mq_json_number (&line, "sent", request->sent);
@@ -222,7 +222,7 @@
 {
   struct mq_json_line line;
 
-  log_head (&line, request, MQ_JSON_NOTE, "try_failed");
+  log_head (&line, request, MQ_JSON_NOTE, MQ_LOG_TRY_FAILED);
   mq_json_text (&line, "worker", worker_id (request));
   mq_json_text (&line, "how", mq_attempt_end_name (end));
   mq_json_number (&line, "status", (uint64_t)request->answer.status);
@@ -340,13 +340,21 @@
 }
 
 static void
-finish_stream (struct mq_request *request)
+note_served (const struct mq_request *request)
 {
-  struct mq_caller *caller = request->caller;
   struct mq_router *router = request->router;
 
   router->counters.served++;
-  mq_histogram_add (&router->latency, mq_clock_ms () - request->arrived_ms);
+  mq_histogram_add (&router->latency[request->route->kind],
+                    mq_clock_ms () - request->arrived_ms);
+}
+
+static void
+finish_stream (struct mq_request *request)
+{
+  struct mq_caller *caller = request->caller;
+
+  note_served (request);
   log_end (request, MQ_JSON_PLAIN, "served", request->answer.status);
   close_request (request);
   mq_caller_end (caller);
@@ -384,8 +392,7 @@
   bool with_body = !mq_answer_bodiless (status)
                    && strcmp (request->head->method, "HEAD") != 0;
 
-  router->counters.served++;
-  mq_histogram_add (&router->latency, mq_clock_ms () - request->arrived_ms);
+  note_served (request);
   log_end (request, status >= 500 ? MQ_JSON_NOTE : MQ_JSON_PLAIN, "served",
            status);
   talloc_steal (router, fields.data);
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -66,6 +66,7 @@
  * @stopped: nothing is left to do
  * @callers: connections of callers
  * @request_count: requests under way
+ * @latency: of answers passed on, by kind of route, milliseconds
  */
 struct mq_router
 {
@@ -86,13 +87,12 @@
   bool stopped;
   uint64_t leaving_since_ms;
   uint32_t stop_ms;
-  uint64_t holder;
   uint64_t random;
   struct mq_caller *callers;
   size_t caller_count;
   size_t request_count;
   struct mq_router_counters counters;
-  struct mq_histogram latency;
+  struct mq_histogram latency[MQ_ROUTE_KINDS];
   struct tevent_fd *front_event;
   struct tevent_fd *ready_event;
   int front_fd;
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -6,6 +6,8 @@
 #include "core/error.h"
 #include "io/api.h"
 #include "io/entry_report.h"
+#include "io/log_schema.h"
+#include "io/router.h"
 #include "io/target_report.h"
 #include <criterion/criterion.h>
 #include <glob.h>
@@ -167,6 +169,44 @@
   destroy_daemons (self);
 }
 
+/* The same of the router's numbers and its page.  */
+Test (docs, every_counter_of_the_router)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  const char *page = read_file (ctx, "docs/OPERATIONS.md");
+  struct mq_router_settings settings = { .host = "e1",
+                                         .data_centre = "hann",
+                                         .http = "127.0.0.1:0",
+                                         .ready = "127.0.0.1:0",
+                                         .peer = "127.0.0.1:0",
+                                         .seeds = "",
+                                         .table = "127.0.0.1:1",
+                                         .memory_mb = 64 };
+  struct mq_error error = { .type = MQ_ERR_NONE };
+  struct mq_router *router
+      = mq_router_create (ctx, tevent_context_init (ctx), &settings, &error);
+  char *metrics;
+  size_t rows = 0;
+
+  cr_assert_not_null (router);
+  metrics = mq_router_metrics (ctx, router);
+  cr_expect_gt (expect_in_page (metrics, page), 29);
+  for (const char *at = page; (at = strstr (at, "\n| `mimosa_")) != NULL;
+       rows++)
+    {
+      char name[WORD_BYTES];
+
+      at += strlen ("\n| `");
+      take_word (at, name);
+      cr_expect_not_null (
+          strstr (metrics, talloc_asprintf (ctx, "# TYPE %s ", name)),
+          "the router does not print %s", name);
+    }
+  cr_expect_gt (rows, 29);
+  mq_router_destroy (router);
+  talloc_free (ctx);
+}
+
 Test (docs, every_error)
 {
   TALLOC_CTX *ctx = talloc_new (NULL);
@@ -343,3 +383,43 @@
     }
   talloc_free (ctx);
 }
+
+/* The row of the page's table of events that names EVENT, below CTX.  */
+static char *
+event_row (TALLOC_CTX *ctx, const char *page, const char *event)
+{
+  char *name = talloc_asprintf (ctx, "`%s`", event);
+
+  for (const char *at = page; (at = strstr (at, "\n| `")) != NULL; at++)
+    {
+      char *row = talloc_strndup (ctx, at + 1, strcspn (at + 1, "\n"));
+      char *end = strchr (row + 2, '|');
+      const char *found = strstr (row, name);
+
+      if (found != NULL && end != NULL && found < end)
+        return row;
+    }
+  return NULL;
+}
+
+/* Whoever is on call reads the page beside the lines: every event that a
+   process may write has a row there, which names each of its keys.  */
+Test (docs, log_events)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  char *page = read_file (ctx, "docs/OPERATIONS.md");
+
+  for (size_t event = 0; event < MQ_LOG_EVENT_COUNT; event++)
+    {
+      const struct mq_log_row *row = mq_log_row ((enum mq_log_event)event);
+      char *keys = talloc_strdup (ctx, row->keys);
+      char *text = event_row (ctx, page, row->word);
+
+      cr_expect_not_null (text, "%s has no row", row->word);
+      for (char *key = strtok (keys, " "); text != NULL && key != NULL;
+           key = strtok (NULL, " "))
+        cr_expect_not_null (strstr (text, talloc_asprintf (ctx, "`%s`", key)),
+                            "the row of %s does not name %s", row->word, key);
+    }
+  talloc_free (ctx);
+}
