Latency of the router as histograms

By kind of route, and of calls to the platform's table, in the text that the product's own daemons use (one copy, metrics.c), in place of two quantiles that can't be added up over hosts. test_docs holds the router's page against what it prints; it found the three process numbers missing there.

--- a/src/core/route.h
+++ b/src/core/route.h
@@ -17,6 +17,8 @@
   MQ_ROUTE_STREAM      /* events; once, unless the route is resumable */
 };
 
+#define MQ_ROUTE_KINDS 3
+
 /* One of the services among which a route divides its requests.  */
 struct mq_route_backend
 {
--- a/src/io/latency_report.c
+++ b/src/io/latency_report.c
@@ -1,19 +1,23 @@
 /* latency_report.c - program latency as Prometheus text and as JSON.
 
-   Needs: latency_report.h.  */
+   Needs: latency_report.h, metrics.h.  */
 
 #include "latency_report.h"
+#include "metrics.h"
 #include <stdlib.h>
 
 enum
 {
-  FIRST_BOUND_BIT = 10, /* 2^10 us: 1 ms */
-  LAST_BOUND_BIT = 32,  /* 2^32 us: 72 min */
   US_PER_MS = 1000
 };
 
-#define US_PER_SECOND 1e6
-#define NAME "mimosa_program_latency_seconds"
+/* From 1 ms to 72 min.  */
+static const struct mq_metrics_family family
+    = { .name = "mimosa_program_latency_seconds",
+        .help = "Request to final event, of programs whose caller waited here",
+        .per_second = 1e6,
+        .first_bit = 10,
+        .last_bit = 32 };
 
 static void
 append (char **text, char *longer)
@@ -35,34 +39,12 @@
   return labels;
 }
 
-static void
-add_bound (char **text, const char *labels,
-           const struct mq_histogram *histogram, uint32_t bit)
-{
-  uint64_t bound = 1ULL << bit;
-
-  append (text, talloc_asprintf_append_buffer (
-                    *text, NAME "_bucket{%s,le=\"%g\"} %llu\n", labels,
-                    (double)bound / US_PER_SECOND,
-                    (unsigned long long)mq_histogram_count_to (histogram,
-                                                               bound - 1)));
-}
-
 static void
 add_histogram (char **text, const struct mq_latency_series *series)
 {
-  const struct mq_histogram *histogram = &series->answered;
   char *labels = make_labels (*text, series);
 
-  for (uint32_t bit = FIRST_BOUND_BIT; bit <= LAST_BOUND_BIT; bit++)
-    add_bound (text, labels, histogram, bit);
-  append (text, talloc_asprintf_append_buffer (
-                    *text,
-                    NAME "_bucket{%s,le=\"+Inf\"} %llu\n" NAME
-                         "_sum{%s} %.6f\n" NAME "_count{%s} %llu\n",
-                    labels, (unsigned long long)histogram->count, labels,
-                    (double)histogram->sum / US_PER_SECOND, labels,
-                    (unsigned long long)histogram->count));
+  mq_metrics_series (text, &family, labels, &series->answered);
   talloc_free (labels);
 }
 
@@ -83,10 +65,7 @@
 {
   size_t count = mq_latency_count (latency);
 
-  append (text, talloc_strdup_append_buffer (
-                    *text, "# HELP " NAME " Request to final event, of "
-                           "programs whose caller waited here\n# TYPE " NAME
-                           " histogram\n"));
+  mq_metrics_begin (text, &family);
   for (size_t i = 0; i < count; i++)
     add_histogram (text, mq_latency_at (latency, i));
   append (text,
--- a/src/io/ledger.c
+++ b/src/io/ledger.c
@@ -15,10 +15,13 @@
   struct mq_rows *rows;
   struct mq_relay *relay;
   uint64_t down_until_ms;
+  struct mq_histogram read_ms;
+  struct mq_histogram write_ms;
 };
 
 /**
  * struct mq_ledger_call - one call
+ * @began_ms: when it was asked for
  * @entry: what is written or read; its strings are below the call
  * @direct: under way without another host, NULL: not
  * @relayed: under way through another host, NULL: not
@@ -27,6 +30,7 @@
 {
   struct mq_ledger *ledger;
   bool commit;
+  uint64_t began_ms;
   struct mq_rows_entry entry;
   struct mq_rows_call *direct;
   struct mq_relay_call *relayed;
@@ -52,6 +56,8 @@
 {
   struct mq_ledger *ledger = call->ledger;
 
+  mq_histogram_add (call->commit ? &ledger->write_ms : &ledger->read_ms,
+                    mq_clock_ms () - call->began_ms);
   if (result->status == MQ_STORE_DOWN)
     ledger->down_until_ms = mq_clock_ms () + DOWN_MS;
   else if (result->status != MQ_STORE_LOST)
@@ -123,6 +129,7 @@
     abort ();
   call->ledger = ledger;
   call->commit = commit;
+  call->began_ms = mq_clock_ms ();
   call->done = done;
   call->user = user;
   call->entry = *entry;
@@ -163,6 +170,18 @@
   talloc_free (call);
 }
 
+const struct mq_histogram *
+mq_ledger_read_ms (const struct mq_ledger *ledger)
+{
+  return &ledger->read_ms;
+}
+
+const struct mq_histogram *
+mq_ledger_write_ms (const struct mq_ledger *ledger)
+{
+  return &ledger->write_ms;
+}
+
 bool
 mq_ledger_down (const struct mq_ledger *ledger)
 {
--- a/src/io/ledger.h
+++ b/src/io/ledger.h
@@ -1,11 +1,12 @@
 /* ledger.h - calls to the platform's table by whichever way is open.
 
    Directly while the table answers this host; else through another host.
-   Needs: rows.h, relay.h.  */
+   Needs: rows.h, relay.h, histogram.h.  */
 
 #ifndef MQ_LEDGER_H
 #define MQ_LEDGER_H
 
+#include "../core/histogram.h"
 #include "relay.h"
 #include "rows.h"
 
@@ -24,6 +25,9 @@
                                       void *user);
 /* No callback follows; NULL is allowed.  */
 void mq_ledger_cancel (struct mq_ledger_call *call);
+/* How long reads and writes took until their outcome, milliseconds.  */
+const struct mq_histogram *mq_ledger_read_ms (const struct mq_ledger *ledger);
+const struct mq_histogram *mq_ledger_write_ms (const struct mq_ledger *ledger);
 /* Neither way is open, as far as is known.  */
 bool mq_ledger_down (const struct mq_ledger *ledger);
 
--- a/src/io/metrics.c
+++ b/src/io/metrics.c
@@ -1,10 +1,11 @@
-/* metrics.c - counters as Prometheus text.
+/* metrics.c - counters and histograms as Prometheus text.
 
    Needs: talloc, /proc/self.  */
 
 #include "metrics.h"
 #include <dirent.h>
 #include <inttypes.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
@@ -50,6 +51,45 @@
   add_line (text, prefix, name, help, number);
 }
 
+static void append (char **text, const char *form, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+static void
+append (char **text, const char *form, ...)
+{
+  va_list values;
+  char *longer;
+
+  va_start (values, form);
+  longer = talloc_vasprintf_append_buffer (*text, form, values);
+  va_end (values);
+  if (longer != NULL)
+    *text = longer;
+}
+
+void
+mq_metrics_begin (char **text, const struct mq_metrics_family *family)
+{
+  append (text, "# HELP %s %s\n# TYPE %s histogram\n", family->name,
+          family->help, family->name);
+}
+
+void
+mq_metrics_series (char **text, const struct mq_metrics_family *family,
+                   const char *labels, const struct mq_histogram *histogram)
+{
+  for (uint32_t bit = family->first_bit; bit <= family->last_bit; bit++)
+    append (text, "%s_bucket{%s,le=\"%g\"} %" PRIu64 "\n", family->name,
+            labels, (double)(1ULL << bit) / family->per_second,
+            mq_histogram_count_to (histogram, (1ULL << bit) - 1));
+  append (text,
+          "%s_bucket{%s,le=\"+Inf\"} %" PRIu64 "\n%s_sum{%s} %.6f\n"
+          "%s_count{%s} %" PRIu64 "\n",
+          family->name, labels, histogram->count, family->name, labels,
+          (double)histogram->sum / family->per_second, family->name, labels,
+          histogram->count);
+}
+
 static void
 add_cpu (char **text)
 {
--- a/src/io/router_ready.c
+++ b/src/io/router_ready.c
@@ -1,11 +1,9 @@
-/* router_ready.c - the balancer's question whether the router takes callers,
-   and the router's counters.
+/* router_ready.c - the balancer's question whether the router takes callers.
 
-   Needs: router_ready.h, metrics.h, listen.h.  */
+   Needs: router_ready.h, listen.h.  */
 
 #include "router_ready.h"
 #include "listen.h"
-#include "metrics.h"
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -51,52 +49,6 @@
   question->whole = true;
 }
 
-static char *
-metrics_text (struct question *question)
-{
-  const struct mq_router *router = question->router;
-  char *text = talloc_strdup (question, "");
-
-#define ADD(name, help)                                                       \
-  mq_metrics_add (&text, "router", #name, help, router->counters.name);
-  MQ_ROUTER_COUNTERS (ADD)
-#undef ADD
-  mq_metrics_add (&text, "router", "connections_opened",
-                  "connections opened to workers",
-                  mq_pool_opened (router->pool));
-  mq_metrics_add (&text, "router", "callers", "connections of callers",
-                  router->caller_count);
-  mq_metrics_add (&text, "router", "requests_under_way",
-                  "requests that have no final answer", router->request_count);
-  mq_metrics_add (&text, "router", "latency_ms_p50",
-                  "time of half of the answers, milliseconds, at most",
-                  mq_histogram_quantile (&router->latency, 500));
-  mq_metrics_add (&text, "router", "latency_ms_p95",
-                  "time of 95 of 100 answers, milliseconds, at most",
-                  mq_histogram_quantile (&router->latency, 950));
-  mq_metrics_add (&text, "router", "store_writes",
-                  "transactions sent to the platform's table",
-                  mq_rows_counters (router->rows)->writes);
-  mq_metrics_add (&text, "router", "store_reads",
-                  "reads sent to the platform's table",
-                  mq_rows_counters (router->rows)->reads);
-  mq_metrics_add (&text, "router", "hosts", "other routing hosts known",
-                  mq_router_host_count (router));
-  mq_metrics_add (&text, "router", "relay_asked",
-                  "calls made through other hosts",
-                  mq_relay_asked (router->relay));
-  mq_metrics_add (&text, "router", "relay_served",
-                  "calls made for other hosts",
-                  mq_relay_served (router->relay));
-  mq_metrics_add (&text, "router", "log_lines", "lines of the log",
-                  mq_json_log_written (router->log));
-  mq_metrics_add (&text, "router", "log_dropped",
-                  "lines of the log that were dropped for its bound",
-                  mq_json_log_dropped (router->log));
-  mq_metrics_add_process (&text);
-  return text;
-}
-
 static void
 answer (struct question *question)
 {
@@ -105,7 +57,7 @@
   int status = 200;
 
   if (question->metrics)
-    body = metrics_text (question);
+    body = mq_router_metrics (question, question->router);
   else if (!mq_ready (question->router))
     status = 503;
   text = talloc_asprintf (question,
--- a/src/io/router_ready.h
+++ b/src/io/router_ready.h
@@ -1,5 +1,4 @@
-/* router_ready.h - the balancer's question whether the router takes callers,
-   and the router's counters.
+/* router_ready.h - the balancer's question whether the router takes callers.
 
    Needs: router_state.h.  */
 
--- /dev/null
+++ b/src/io/router_report.c
@@ -0,0 +1,104 @@
+/* router_report.c - what a routing process counts, as Prometheus text.
+
+   Needs: router_state.h, metrics.h.  */
+
+#include "metrics.h"
+#include "router_state.h"
+
+/* From 1 ms to 131 s: beyond the longest time that a route may allow.  */
+static const struct mq_metrics_family latency
+    = { .name = "mimosa_router_latency_seconds",
+        .help = "request to the end of the worker's answer",
+        .per_second = 1e3,
+        .first_bit = 0,
+        .last_bit = 17 };
+
+/* To 8 s: calls to the table are given up before.  */
+static const struct mq_metrics_family table_time
+    = { .name = "mimosa_router_table_seconds",
+        .help = "call to the platform's table to its outcome",
+        .per_second = 1e3,
+        .first_bit = 0,
+        .last_bit = 13 };
+
+static void
+add_counters (char **text, const struct mq_router *router)
+{
+#define ADD(name, help)                                                       \
+  mq_metrics_add (text, "router", #name, help, router->counters.name);
+  MQ_ROUTER_COUNTERS (ADD)
+#undef ADD
+}
+
+static void
+add_state (char **text, const struct mq_router *router)
+{
+  const struct mq_rows_counters *rows = mq_rows_counters (router->rows);
+  const struct
+  {
+    const char *name;
+    const char *help;
+    uint64_t value;
+  } list[] = {
+    { "connections_opened", "connections opened to workers",
+      mq_pool_opened (router->pool) },
+    { "callers", "connections of callers", router->caller_count },
+    { "requests_under_way", "requests that have no final answer",
+      router->request_count },
+    { "store_writes", "transactions sent to the platform's table",
+      rows->writes },
+    { "store_reads", "reads sent to the platform's table", rows->reads },
+    { "store_refused", "calls that the platform's table turned away",
+      rows->refused },
+    { "store_lost", "calls to the platform's table without an outcome",
+      rows->lost },
+    { "hosts", "other routing hosts known", mq_router_host_count (router) },
+    { "relay_asked", "calls made through other hosts",
+      mq_relay_asked (router->relay) },
+    { "relay_served", "calls made for other hosts",
+      mq_relay_served (router->relay) },
+    { "log_lines", "lines of the log", mq_json_log_written (router->log) },
+    { "log_dropped", "lines of the log that were dropped for its bound",
+      mq_json_log_dropped (router->log) },
+  };
+
+  for (size_t i = 0; i < sizeof list / sizeof list[0]; i++)
+    mq_metrics_add (text, "router", list[i].name, list[i].help, list[i].value);
+}
+
+static void
+add_latency (char **text, const struct mq_router *router)
+{
+  static const char *const labels[MQ_ROUTE_KINDS] = {
+    [MQ_ROUTE_IDEMPOTENT] = "kind=\"idempotent\"",
+    [MQ_ROUTE_ONCE] = "kind=\"once\"",
+    [MQ_ROUTE_STREAM] = "kind=\"stream\"",
+  };
+
+  mq_metrics_begin (text, &latency);
+  for (size_t kind = 0; kind < MQ_ROUTE_KINDS; kind++)
+    mq_metrics_series (text, &latency, labels[kind], &router->latency[kind]);
+}
+
+static void
+add_table_time (char **text, const struct mq_router *router)
+{
+  mq_metrics_begin (text, &table_time);
+  mq_metrics_series (text, &table_time, "call=\"read\"",
+                     mq_ledger_read_ms (router->ledger));
+  mq_metrics_series (text, &table_time, "call=\"write\"",
+                     mq_ledger_write_ms (router->ledger));
+}
+
+char *
+mq_router_metrics (TALLOC_CTX *ctx, const struct mq_router *router)
+{
+  char *text = talloc_strdup (ctx, "");
+
+  add_counters (&text, router);
+  add_state (&text, router);
+  add_latency (&text, router);
+  add_table_time (&text, router);
+  mq_metrics_add_process (&text);
+  return text;
+}
