--- a/src/io/clock.h
+++ b/src/io/clock.h
@@ -10,11 +10,9 @@
 /* Steady clock; it does not count time in which the host is suspended.  */
 uint64_t mq_clock_us (void);
 uint64_t mq_clock_ms (void);
-/* Steady clock that counts suspension.  */
-uint64_t mq_clock_boot_ms (void);
 /* Time of day, milliseconds since 1970; for logs alone.  */
 uint64_t mq_clock_day_ms (void);
-/* Never 0.  */
+/* Never 0: that stands for "any" where a boot id is meant.  */
 uint64_t mq_clock_random (void);
 
 #endif
--- a/src/io/ctl.c
+++ b/src/io/ctl.c
@@ -31,15 +31,6 @@
 
 /* Waiting.  */
 
-uint64_t
-mq_ctl_now_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t)now.tv_sec * MS_PER_S + (uint64_t)now.tv_nsec / NS_PER_MS;
-}
-
 static void
 on_timer (struct tevent_context *ev, struct tevent_timer *timer,
           struct timeval now, void *data)
--- a/src/io/ctl.h
+++ b/src/io/ctl.h
@@ -60,7 +60,5 @@
 void mq_ctl_fetch (struct mq_ctl *ctl, TALLOC_CTX *ctx,
                    struct mq_ctl_fetch *fetches, size_t count);
 void mq_ctl_sleep (struct mq_ctl *ctl, uint32_t ms);
-/* Milliseconds on a clock that is never set back.  */
-uint64_t mq_ctl_now_ms (void);
 
 #endif
--- a/src/io/ctl_config.c
+++ b/src/io/ctl_config.c
@@ -5,6 +5,7 @@
 #include "ctl_config.h"
 #include "../core/limits.h"
 #include "../core/spread.h"
+#include "clock.h"
 #include <gnutls/crypto.h>
 #include <string.h>
 
@@ -216,7 +217,7 @@
                      const struct mq_apply *apply, struct mq_ctl_config **now)
 {
   struct apply_work work = { .ctl = ctl, .ctx = ctx, .apply = apply };
-  uint64_t deadline = mq_ctl_now_ms () + apply->give_up_ms;
+  uint64_t deadline = mq_clock_ms () + apply->give_up_ms;
   enum mq_apply_result result = MQ_APPLY_FAILED;
   bool over = !make_row (&work);
 
@@ -233,7 +234,7 @@
         result = MQ_APPLY_CONFLICT;
       else if (step == STEP_UNKNOWN)
         result = MQ_APPLY_UNKNOWN;
-      else if (mq_ctl_now_ms () >= deadline)
+      else if (mq_clock_ms () >= deadline)
         result = give_up (&work);
       else
         {
--- a/src/io/ctl_fleet.c
+++ b/src/io/ctl_fleet.c
@@ -3,6 +3,7 @@
    Needs: ctl_fleet.h.  */
 
 #include "ctl_fleet.h"
+#include "clock.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -195,7 +196,7 @@
                    struct mq_error *error)
 {
   struct spread_work work = { .ctl = ctl, .version = version };
-  uint64_t deadline = mq_ctl_now_ms () + wait_ms;
+  uint64_t deadline = mq_clock_ms () + wait_ms;
   struct mq_ctl_spread *spread = NULL;
   size_t holders = SIZE_MAX;
 
@@ -206,7 +207,7 @@
       if (spread->holders != holders)
         progress (spread, user);
       holders = spread->holders;
-      if (spread->complete || mq_ctl_now_ms () >= deadline)
+      if (spread->complete || mq_clock_ms () >= deadline)
         break;
       mq_ctl_sleep (ctl, ROUND_PAUSE_MS);
     }
--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -7,6 +7,7 @@
 #include "../core/memory.h"
 #include "../core/place.h"
 #include "entry_state.h"
+#include "clock.h"
 #include <string.h>
 
 enum
@@ -48,7 +49,7 @@
 static void
 look_at_leaving (struct mq_entry *entry)
 {
-  bool late = mq_process_now_us () >= entry->leave_until_us;
+  bool late = mq_clock_us () >= entry->leave_until_us;
 
   if (!entry->leaving || entry->stop != NULL || (!late && !is_idle (entry)))
     return;
@@ -71,7 +72,7 @@
     return;
   entry->leaving = true;
   entry->leave_until_us
-      = mq_process_now_us ()
+      = mq_clock_us ()
         + (uint64_t)entry->settings->drain_seconds * US_PER_SECOND;
   mq_api_leave (entry->api);
   mq_entry_tell_owner (entry, &input);
@@ -93,7 +94,7 @@
   struct mq_owner_input owner = { .type = MQ_OWNER_TICK };
   struct mq_front_input front = { .type = MQ_FRONT_TICK };
   struct mq_spread_input spread = { .type = MQ_SPREAD_TICK };
-  uint64_t now = mq_process_now_us ();
+  uint64_t now = mq_clock_us ();
 
   if (mq_spread_next_tick (entry->spread) <= now)
     mq_entry_tell_spread (entry, &spread);
@@ -128,8 +129,8 @@
   next = earlier (next, mq_hold_next (entry->hold));
   /* What is in progress over HTTP ends without telling a core.  */
   if (entry->leaving && entry->stop == NULL)
-    next = earlier (next, mq_process_now_us ()
-                              + (uint64_t)MQ_ENTRY_LEAVE_MS * US_PER_MS);
+    next = earlier (next,
+                    mq_clock_us () + (uint64_t)MQ_ENTRY_LEAVE_MS * US_PER_MS);
   return next;
 }
 
@@ -238,14 +239,14 @@
   options.data_centre = settings->data_centre;
   options.address = entry->peer_address;
   options.boot = entry->boot;
-  options.seed = mq_process_random ();
+  options.seed = mq_clock_random ();
   options.policy = policy;
   options.commit_each_step = settings->commit_each_step;
   entry->owner = mq_owner_create (entry, &options);
   entry->hold = mq_hold_create (entry);
-  entry->front = mq_front_create (entry, &lookup, mq_process_random ());
-  entry->spread = mq_spread_create (
-      entry, settings->host, settings->data_centre, mq_process_random ());
+  entry->front = mq_front_create (entry, &lookup, mq_clock_random ());
+  entry->spread = mq_spread_create (entry, settings->host,
+                                    settings->data_centre, mq_clock_random ());
   return true;
 }
 
@@ -260,7 +261,7 @@
   entry->settings = settings;
   entry->done = done;
   entry->user = user;
-  entry->boot = mq_process_random ();
+  entry->boot = mq_clock_random ();
   entry->spans
       = mq_spans_create (entry, settings->host, settings->data_centre);
   if (!create_net (entry, error) || !create_cores (entry, error)
--- a/src/io/entry_input.c
+++ b/src/io/entry_input.c
@@ -4,6 +4,7 @@
 
 #include "entry_report.h"
 #include "entry_state.h"
+#include "clock.h"
 #include <string.h>
 
 enum
@@ -80,7 +81,7 @@
 void
 mq_entry_release_held (struct mq_entry *entry)
 {
-  mq_hold_release (entry->hold, mq_process_now_us (),
+  mq_hold_release (entry->hold, mq_clock_us (),
                    mq_spread_version (entry->spread), tell_owner_of_peer,
                    entry);
 }
@@ -90,7 +91,7 @@
 take_forward (struct mq_entry *entry, uint32_t peer,
               const struct mq_message *message)
 {
-  if (!mq_hold_take (entry->hold, mq_process_now_us (),
+  if (!mq_hold_take (entry->hold, mq_clock_us (),
                      mq_spread_version (entry->spread), peer, message))
     tell_owner_of_peer (peer, message, entry);
 }
@@ -195,7 +196,7 @@
 
   input.handle = handle;
   input.partition = partition;
-  input.deadline_us = mq_process_now_us () + (uint64_t)wait_ms * US_PER_MS;
+  input.deadline_us = mq_clock_us () + (uint64_t)wait_ms * US_PER_MS;
   input.u.request = request;
   mq_entry_tell_front (entry, &input);
   mq_entry_settle (entry);
@@ -234,7 +235,7 @@
 on_now (void *user)
 {
   (void)user;
-  return mq_process_now_us ();
+  return mq_clock_us ();
 }
 
 static void
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -6,6 +6,7 @@
 #include "http_client.h"
 #include "../core/limits.h"
 #include "buffer.h"
+#include "clock.h"
 #include <curl/curl.h>
 #include <string.h>
 #include <strings.h>
@@ -89,15 +90,6 @@
   struct tevent_fd *fde;
 };
 
-static uint64_t
-clock_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
-}
-
 /* Lists of calls.  */
 
 static void
@@ -184,7 +176,7 @@
   curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &connects);
   if (call->result == CURLE_OPERATION_TIMEDOUT && call->starts > 0
       && connects == 0 && call->total == 0)
-    call->client->silent_ms = clock_ms ();
+    call->client->silent_ms = mq_clock_ms ();
 }
 
 /* curl compares the age of a connection in whole seconds: a bound one second
@@ -194,7 +186,7 @@
 static void
 trust_connections (struct mq_http_client *client, CURL *easy)
 {
-  uint64_t since = clock_ms () - client->silent_ms;
+  uint64_t since = mq_clock_ms () - client->silent_ms;
 
   if (client->silent_ms == 0)
     return;
--- a/src/io/load_run.c
+++ b/src/io/load_run.c
@@ -6,6 +6,7 @@
 #include "../core/id.h"
 #include "http_client.h"
 #include "load_answer.h"
+#include "clock.h"
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -72,15 +73,6 @@
   return memory;
 }
 
-static uint64_t
-now_us (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
-}
-
 static uint64_t
 wall_us (const struct run *run, double model_us)
 {
@@ -97,7 +89,7 @@
 call_at (struct run *run, TALLOC_CTX *ctx, uint64_t at_us,
          tevent_timer_handler_t handler, void *data)
 {
-  uint64_t now = now_us ();
+  uint64_t now = mq_clock_us ();
   uint64_t wait = at_us > now ? at_us - now : 0;
 
   must (tevent_add_timer (
@@ -147,7 +139,7 @@
   talloc_free (caller);
   if (batch)
     {
-      run->batch_end_us = now_us ();
+      run->batch_end_us = mq_clock_us ();
       open_letters (run);
     }
 }
@@ -221,7 +213,7 @@
 {
   struct run *run = caller->run;
   const struct mq_load_turn *turn = &caller->session->turns[caller->turn];
-  uint64_t took = model_us (run, now_us () - caller->due_us);
+  uint64_t took = model_us (run, mq_clock_us () - caller->due_us);
 
   mq_histogram_add (&run->result->latency[turn->kind], took);
   if (turn->kind != MQ_LOAD_BATCH && turn->kind != MQ_LOAD_ENDLESS)
@@ -284,7 +276,7 @@
   struct run *run = caller->run;
 
   caller->turn++;
-  caller->due_us = now_us ();
+  caller->due_us = mq_clock_us ();
   if (caller->turn < session->turn_count)
     caller->due_us
         += wall_us (run, (double)session->turns[caller->turn].pause_us);
@@ -396,8 +388,8 @@
     return;
   run->letters_opened++;
   {
-    struct caller *caller
-        = open_session (run, mq_load_plan_letter (run->plan, run), now_us ());
+    struct caller *caller = open_session (
+        run, mq_load_plan_letter (run->plan, run), mq_clock_us ());
 
     caller->batch = true;
     ask (caller);
@@ -426,7 +418,7 @@
   (void)ev;
   (void)timer;
   (void)now;
-  while (!arrivals_ended (run) && arrival_us (run) <= now_us ())
+  while (!arrivals_ended (run) && arrival_us (run) <= mq_clock_us ())
     {
       uint64_t due_us = arrival_us (run);
       struct mq_load_session *session = run->next;
@@ -485,8 +477,8 @@
   (void)now;
   look->run = run;
   look->awaited = site->engine_count;
-  look->at_s
-      = (double)model_us (run, now_us () - run->origin_us) / US_PER_SECOND;
+  look->at_s = (double)model_us (run, mq_clock_us () - run->origin_us)
+               / US_PER_SECOND;
   for (size_t i = 0; i < site->engine_count; i++)
     {
       char *url = must (
@@ -499,8 +491,8 @@
 
       must (mq_http_client_send (run->client, &send));
     }
-  call_at (run, run, now_us () + (uint64_t)SAMPLE_MS * US_PER_MS, take_sample,
-           run);
+  call_at (run, run, mq_clock_us () + (uint64_t)SAMPLE_MS * US_PER_MS,
+           take_sample, run);
 }
 
 /* Runs.  */
@@ -533,7 +525,7 @@
   const struct mq_load_run_options *options = run->options;
   double most_s = options->seconds + options->drain_seconds;
 
-  run->origin_us = now_us ();
+  run->origin_us = mq_clock_us ();
   run->batch_end_us = run->origin_us;
   run->next = mq_load_plan_next (run->plan, run);
   call_at (run, run, arrival_us (run), arrive, run);
--- a/src/io/peer.c
+++ b/src/io/peer.c
@@ -8,6 +8,7 @@
 #include "../core/id.h"
 #include "codec.h"
 #include "peer_net.h"
+#include "clock.h"
 #include <errno.h>
 #include <gnutls/crypto.h>
 #include <gnutls/gnutls.h>
@@ -31,15 +32,6 @@
   MS_PER_S = 1000
 };
 
-uint64_t
-mq_peer_clock_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t)now.tv_sec * MS_PER_S + (uint64_t)now.tv_nsec / NS_PER_MS;
-}
-
 static void
 free_closed (struct mq_peer_net *net)
 {
@@ -153,7 +145,7 @@
   if (net->dial_due && !net->dead)
     {
       net->dial_due = false;
-      tick_all_kept (net, mq_peer_clock_ms ());
+      tick_all_kept (net, mq_clock_ms ());
     }
 }
 
@@ -220,7 +212,7 @@
           void *data)
 {
   struct mq_peer_net *net = data;
-  uint64_t now_ms = mq_peer_clock_ms ();
+  uint64_t now_ms = mq_clock_ms ();
   uint64_t expirations;
 
   (void)ev;
@@ -441,7 +433,7 @@
   net->beat_ms = options->beat_ms ? options->beat_ms : MQ_BEAT_MS;
   net->silent_ms = options->silent_ms ? options->silent_ms : MQ_SILENT_MS;
   net->tick_ms = choose_tick (net->beat_ms);
-  net->now_ms = mq_peer_clock_ms ();
+  net->now_ms = mq_clock_ms ();
   memcpy (net->site_key, options->site_key, sizeof net->site_key);
   talloc_set_destructor (net, destroy_net);
   return net;
--- a/src/io/peer_conn.c
+++ b/src/io/peer_conn.c
@@ -5,6 +5,7 @@
 
 #include "peer_net.h"
 #include "codec.h"
+#include "clock.h"
 #include <errno.h>
 #include <netdb.h>
 #include <netinet/tcp.h>
@@ -285,7 +286,7 @@
 static void
 take_bytes (struct mq_conn *conn, const uint8_t *data, size_t len)
 {
-  conn->heard_ms = mq_peer_clock_ms ();
+  conn->heard_ms = mq_clock_ms ();
   if (!mq_frame_reader_feed (conn->reader, data, len))
     {
       mq_conn_close (conn, MQ_ERR_NO_MEMORY);
@@ -399,7 +400,7 @@
   conn->dialled = dialled;
   conn->serial = ++net->last_serial;
   conn->state = MQ_CONN_CONNECTING;
-  conn->opened_ms = mq_peer_clock_ms ();
+  conn->opened_ms = mq_clock_ms ();
   conn->heard_ms = conn->opened_ms;
   link_conn (conn);
   return conn;
--- a/src/io/peer_net.h
+++ b/src/io/peer_net.h
@@ -183,8 +183,6 @@
   struct mq_error refusal;
 };
 
-/* peer.c */
-uint64_t mq_peer_clock_ms (void);
 /* Every handler of an event runs between these two.  Between them nothing
    is freed, so a callback may close connections or destroy the net; after
    one, NET->dead and the state of the connection have to be looked at.  */
--- a/src/io/process.c
+++ b/src/io/process.c
@@ -1,42 +1,18 @@
-/* process.c - clock, random numbers and connections of a process.
+/* process.c - addresses, connections and ticks of a process.
 
-   Needs: process.h, memory.h, gnutls.  */
+   Needs: process.h, memory.h, clock.h.  */
 
 #include "process.h"
 #include "../core/memory.h"
-#include <gnutls/crypto.h>
-#include <gnutls/gnutls.h>
+#include "clock.h"
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 enum
 {
-  US_PER_SECOND = 1000000,
-  NS_PER_US = 1000
+  US_PER_SECOND = 1000000
 };
 
-uint64_t
-mq_process_now_us (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t)now.tv_sec * US_PER_SECOND
-         + (uint64_t)now.tv_nsec / NS_PER_US;
-}
-
-uint64_t
-mq_process_random (void)
-{
-  uint64_t word = 0;
-
-  while (word == 0)
-    if (gnutls_rnd (GNUTLS_RND_KEY, &word, sizeof word) != 0)
-      abort ();
-  return word;
-}
-
 char *
 mq_process_address (TALLOC_CTX *ctx, const char *address, uint16_t port)
 {
@@ -73,7 +49,7 @@
                    uint64_t at_us, uint64_t least_us,
                    tevent_timer_handler_t handler, void *data)
 {
-  uint64_t now = mq_process_now_us ();
+  uint64_t now = mq_clock_us ();
   uint64_t wait_us = at_us > now ? at_us - now : 0;
   struct timeval due;
 
--- a/src/io/process.h
+++ b/src/io/process.h
@@ -1,7 +1,7 @@
-/* process.h - clock, random numbers and connections of a process.
+/* process.h - addresses, connections and ticks of a process.
 
    Shared by the processes on entry and target hosts.
-   Needs: tevent, gnutls, peer.h, settings.h.  */
+   Needs: tevent, peer.h, settings.h.  */
 
 #ifndef MQ_PROCESS_H
 #define MQ_PROCESS_H
@@ -10,10 +10,6 @@
 #include "settings.h"
 #include <tevent.h>
 
-/* The monotonic clock that the inputs of the core go by.  */
-uint64_t mq_process_now_us (void);
-/* Never 0: that stands for "any" where a boot id is meant.  */
-uint64_t mq_process_random (void);
 /* ADDRESS, "IP:PORT", with PORT in the place of its own, below CTX.  */
 char *mq_process_address (TALLOC_CTX *ctx, const char *address, uint16_t port);
 
--- a/src/io/router_wire.h
+++ b/src/io/router_wire.h
@@ -18,16 +18,12 @@
  * @id: of this attempt of the caller; NULL: none
  * @host: whom the request is for, as the caller wrote it; NULL: none
  * @program: agent program that the request belongs to; NULL: none
- * @session: line of turns within the program; NULL: none
  * @affinity: object that the request concerns; NULL: none
- * @prefix: parts of the prompt in order, as told; NULL: none
  * @previous: turn that this one continues from; NULL: none
  * @last_event: last event that the caller has; NULL: none
  * @deadline_ms: how long the caller waits, 0: not told
- * @finish_ms: until the program should be finished, 0: not told
  * @has_budget: @budget was told
  * @budget: tokens that all turns of the program may generate
- * @tokens_in: of the prompt, 0: not told
  * @tokens_out: the most that the turn generates, 0: not told
  *
  * Strings live as long as the head that they come from.
@@ -37,16 +33,12 @@
   const char *id;
   const char *host;
   const char *program;
-  const char *session;
   const char *affinity;
-  const char *prefix;
   const char *previous;
   const char *last_event;
   uint32_t deadline_ms;
-  uint32_t finish_ms;
   bool has_budget;
   uint64_t budget;
-  uint32_t tokens_in;
   uint32_t tokens_out;
 };
 
--- a/src/io/target.c
+++ b/src/io/target.c
@@ -7,6 +7,7 @@
 #include "../core/memory.h"
 #include "log.h"
 #include "target_state.h"
+#include "clock.h"
 #include <string.h>
 
 enum
@@ -26,7 +27,7 @@
 void
 mq_target_tell_gate (struct mq_target *target, struct mq_gate_input *input)
 {
-  input->now_us = mq_process_now_us ();
+  input->now_us = mq_clock_us ();
   mq_gate_handle (target->gate, input,
                   mq_batch_add (target, &target->queue, 0));
 }
@@ -34,7 +35,7 @@
 void
 mq_target_tell_spread (struct mq_target *target, struct mq_spread_input *input)
 {
-  input->now_us = mq_process_now_us ();
+  input->now_us = mq_clock_us ();
   mq_spread_handle (target->spread, input,
                     mq_batch_add (target, &target->queue, 0));
 }
@@ -100,7 +101,7 @@
 is_quiet (struct mq_target *target)
 {
   uint64_t calls = mq_gate_read_counters (target->gate)->calls_received;
-  uint64_t now = mq_process_now_us ();
+  uint64_t now = mq_clock_us ();
 
   if (!mq_gate_is_drained (target->gate)
       || mq_target_http_in_progress (target->http) > 0)
@@ -131,7 +132,7 @@
 {
   if (!target->stopping || target->stop != NULL)
     return;
-  if (!is_quiet (target) && mq_process_now_us () < target->stop_until_us)
+  if (!is_quiet (target) && mq_clock_us () < target->stop_until_us)
     return;
   target->stop = mq_must (tevent_create_immediate (target));
   tevent_schedule_immediate (target->stop, target->ev, report_done, target);
@@ -156,7 +157,7 @@
     return;
   target->stopping = true;
   target->stop_until_us
-      = mq_process_now_us ()
+      = mq_clock_us ()
         + (uint64_t)target->settings->drain_seconds * US_PER_SECOND;
   mq_target_leave (target);
   mq_target_settle (target);
@@ -176,9 +177,9 @@
   (void)timer;
   (void)at;
   target->tick.timer = NULL;
-  if (mq_spread_next_tick (target->spread) <= mq_process_now_us ())
+  if (mq_spread_next_tick (target->spread) <= mq_clock_us ())
     mq_target_tell_spread (target, &spread);
-  if (mq_gate_next_tick (target->gate) <= mq_process_now_us ())
+  if (mq_gate_next_tick (target->gate) <= mq_clock_us ())
     mq_target_tell_gate (target, &gate);
   mq_target_settle (target);
 }
@@ -191,8 +192,8 @@
 
   /* Quiet is seen by looking.  */
   if (target->stopping && target->stop == NULL)
-    next = earlier (next, mq_process_now_us ()
-                              + (uint64_t)MQ_TARGET_LOOK_MS * US_PER_MS);
+    next = earlier (next,
+                    mq_clock_us () + (uint64_t)MQ_TARGET_LOOK_MS * US_PER_MS);
   return next;
 }
 
@@ -238,13 +239,13 @@
   struct mq_gate_options options = { .host = settings->host };
 
   options.boot = target->boot;
-  options.seed = mq_process_random ();
+  options.seed = mq_clock_random ();
   options.order = settings->order;
   options.workers = settings->workers;
   options.worker_count = settings->worker_count;
   target->gate = mq_gate_create (target, &options);
   target->spread = mq_spread_create (
-      target, settings->host, settings->data_centre, mq_process_random ());
+      target, settings->host, settings->data_centre, mq_clock_random ());
 }
 
 static bool
@@ -313,7 +314,7 @@
   target->settings = settings;
   target->done = done;
   target->user = user;
-  target->boot = mq_process_random ();
+  target->boot = mq_clock_random ();
   target->spans
       = mq_spans_create (target, settings->host, settings->data_centre);
   create_cores (target);
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -158,12 +158,6 @@
     set_options (tcp->fd, silent_ms);
 }
 
-void
-mq_tcp_set_owner (struct mq_tcp *tcp, const struct mq_tcp_owner *owner)
-{
-  tcp->owner = *owner;
-}
-
 static void
 begin_callback (struct mq_tcp *tcp)
 {
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -59,8 +59,6 @@
 /* Ends the connection when the other side does not acknowledge for SILENT_MS,
    or does not answer probes for about three seconds.  */
 void mq_tcp_watch_silence (struct mq_tcp *tcp, uint32_t silent_ms);
-/* Another owner from now on.  */
-void mq_tcp_set_owner (struct mq_tcp *tcp, const struct mq_tcp_owner *owner);
 /* True while unsent bytes are below MQ_TCP_HIGH_BYTES.  */
 bool mq_tcp_write (struct mq_tcp *tcp, const void *data, size_t len);
 /* Stops and starts reading; the end of a connection whose reading is stopped
--- a/standins/platform_server.c
+++ b/standins/platform_server.c
@@ -10,6 +10,7 @@
 #include "http_answer.h"
 #include "platform_state.h"
 #include "platform_wire.h"
+#include "../src/io/clock.h"
 #include <string.h>
 
 #define BODY_MAX_BYTES (64U << 20)
@@ -212,7 +213,7 @@
   uint64_t bytes;
 
   switch (mq_weight_store_load (operation->server->weights, name,
-                                mq_process_now_us (), &bytes, &retry_after_s))
+                                mq_clock_us (), &bytes, &retry_after_s))
     {
     case MQ_WEIGHT_LOADED:
       mq_answer_json (
@@ -329,7 +330,7 @@
 static uint64_t
 pace (struct mq_pacer *pacer, uint32_t per_s)
 {
-  uint64_t now = mq_process_now_us ();
+  uint64_t now = mq_clock_us ();
   uint64_t start = pacer->next_us > now ? pacer->next_us : now;
 
   if (per_s == 0)
--- a/standins/platform_switch.c
+++ b/standins/platform_switch.c
@@ -7,6 +7,7 @@
 #include "http_answer.h"
 #include "platform_state.h"
 #include "platform_wire.h"
+#include "../src/io/clock.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -148,7 +149,7 @@
       || name[0] == '\0' || bytes < 0 || loads < 0 || loads > UINT32_MAX)
     return false;
   mq_weight_store_set (server->weights, name, (uint64_t)bytes, (uint32_t)loads,
-                       mq_process_now_us ());
+                       mq_clock_us ());
   return true;
 }
 
--- a/tests/peer_kit.c
+++ b/tests/peer_kit.c
@@ -6,6 +6,7 @@
 #include "peer_kit.h"
 #include "../src/core/action.h"
 #include "../src/io/peer_net.h"
+#include "io/clock.h"
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <errno.h>
@@ -45,11 +46,11 @@
 static uint64_t
 run_turn (void)
 {
-  uint64_t start = mq_peer_clock_ms ();
+  uint64_t start = mq_clock_ms ();
   uint64_t spent;
 
   tevent_loop_once (kit_ev);
-  spent = mq_peer_clock_ms () - start;
+  spent = mq_clock_ms () - start;
   return spent < TURN_MS ? spent : TURN_MS;
 }
 
