--- a/src/core/front.c
+++ b/src/core/front.c
@@ -9,81 +9,12 @@
    deadline, or its caller's leaving.
    Needs: front.h, limits.h, id.h.  */
 
-#include "front.h"
+#include "front_state.h"
 #include "id.h"
 #include "limits.h"
 #include "memory.h"
 #include <string.h>
 
-enum
-{
-  US_PER_MS = 1000,
-  FIRST_ROOM = 16,
-  /* Event numbers: the call in the upper bits, the event of the call in the
-     lower ones; tokens count from 1, the end of a call is all ones.  */
-  CALL_SHIFT = 16,
-  STEP_MARK = 0xffff
-};
-
-struct front_peer
-{
-  uint32_t peer;
-  const char *address;
-};
-
-/**
- * struct front_request - one caller's request until its answer has ended
- * @handle: its caller
- * @partition: partition of its program
- * @deadline_us: when it is given up, 0 never
- * @request: what is sent
- * @bytes: memory that it counts for
- * @sent: it is with @peer, which serves it
- * @sent_ever: it was with some peer before
- * @peer: serving peer
- * @known: address that the map gave when it was sent
- * @hint: address that a refusal named, NULL when none
- * @next_us: while waiting: when it is sent again
- * @pause_ms: next pause, doubles with each failure
- * @accepted: the caller has heard ACCEPTED
- * @attached_anew: sent again, and no token or step has come since
- * @last: number of the last event that the caller has
- */
-struct front_request
-{
-  uint64_t handle;
-  uint32_t partition;
-  uint64_t deadline_us;
-  struct mq_request_msg request;
-  size_t bytes;
-  bool sent;
-  bool sent_ever;
-  uint32_t peer;
-  char *known;
-  char *hint;
-  uint64_t next_us;
-  uint32_t pause_ms;
-  bool accepted;
-  bool attached_anew;
-  uint32_t last;
-};
-
-struct mq_front
-{
-  struct mq_front_lookup lookup;
-  uint64_t random;
-  struct front_request **requests; /* sorted by handle */
-  size_t count;
-  size_t room;
-  size_t bytes;
-  struct front_peer *peers;
-  size_t peer_count;
-  size_t peer_room;
-  uint64_t next_us;  /* not later than the first thing due */
-  uint64_t check_us; /* when the map is compared next */
-  struct mq_front_counters counters;
-};
-
 struct mq_front *
 mq_front_create (TALLOC_CTX *ctx, const struct mq_front_lookup *lookup,
                  uint64_t seed)
@@ -129,8 +60,8 @@
   return low;
 }
 
-static struct front_request *
-find_request (const struct mq_front *front, uint64_t handle)
+struct front_request *
+front_find_request (const struct mq_front *front, uint64_t handle)
 {
   size_t place = request_place (front, handle);
 
@@ -157,8 +88,8 @@
   front->bytes += request->bytes;
 }
 
-static void
-remove_request (struct mq_front *front, struct front_request *request)
+void
+front_remove_request (struct mq_front *front, struct front_request *request)
 {
   size_t place = request_place (front, request->handle);
 
@@ -240,8 +171,8 @@
 
 /* Events to the caller.  */
 
-static void
-give_event (struct mq_actions *actions, const struct mq_event_msg *event)
+void
+front_give_event (struct mq_actions *actions, const struct mq_event_msg *event)
 {
   struct mq_action *action = mq_actions_add (actions, MQ_ACT_EVENT);
   struct mq_message from = { .type = MQ_MSG_FORWARD_EVENT };
@@ -263,12 +194,12 @@
   event.ran = ran;
   event.retry_after_ms = MQ_FRONT_RETRY_MAX_MS;
   front->counters.refusals++;
-  give_event (actions, &event);
+  front_give_event (actions, &event);
 }
 
-static void
-give_reset (struct mq_front *front, struct mq_actions *actions,
-            const struct front_request *request, uint32_t call)
+void
+front_give_reset (struct mq_front *front, struct mq_actions *actions,
+                  const struct front_request *request, uint32_t call)
 {
   struct mq_event_msg event
       = { .handle = request->handle, .type = MQ_EVENT_RESET };
@@ -277,7 +208,7 @@
   event.number = call << CALL_SHIFT;
   event.body = mq_must (talloc_asprintf (actions, "{\"call\":%u}", call));
   front->counters.resets++;
-  give_event (actions, &event);
+  front_give_event (actions, &event);
 }
 
 /* Sending.  */
@@ -292,9 +223,9 @@
 }
 
 /* Back to waiting, for a jittered pause that doubles each time.  */
-static void
-wait_again (struct mq_front *front, struct front_request *request,
-            uint64_t now_us, uint32_t at_least_ms)
+void
+front_wait_again (struct mq_front *front, struct front_request *request,
+                  uint64_t now_us, uint32_t at_least_ms)
 {
   uint32_t pause_ms = request->pause_ms;
 
@@ -310,8 +241,8 @@
   wake_at (front, request->next_us);
 }
 
-static void
-set_text (void *ctx, char **text, const char *value)
+void
+front_set_text (void *ctx, char **text, const char *value)
 {
   talloc_free (*text);
   *text = value == NULL ? NULL : mq_must (talloc_strdup (ctx, value));
@@ -327,16 +258,16 @@
   const char *address = map_address (front, request);
   bool found = reach (front, request->hint, &request->peer);
 
-  set_text (request, &request->hint, NULL);
+  front_set_text (request, &request->hint, NULL);
   if (!found)
     found = reach (front, address, &request->peer);
   if (!found)
     {
       front->counters.waits++;
-      wait_again (front, request, now_us, 0);
+      front_wait_again (front, request, now_us, 0);
       return;
     }
-  set_text (request, &request->known, address);
+  front_set_text (request, &request->known, address);
   if (request->sent_ever)
     front->counters.resends++;
   front->counters.forwards++;
@@ -348,8 +279,8 @@
   mq_actions_send (actions, request->peer, &message);
 }
 
-static size_t
-text_bytes (const char *text)
+size_t
+front_text_bytes (const char *text)
 {
   return text == NULL ? 0 : strlen (text);
 }
@@ -358,8 +289,8 @@
 handle_request (struct mq_front *front, const struct mq_front_input *input,
                 struct mq_actions *actions)
 {
-  size_t bytes
-      = sizeof (struct front_request) + text_bytes (input->u.request->body);
+  size_t bytes = sizeof (struct front_request)
+                 + front_text_bytes (input->u.request->body);
   struct front_request *request;
 
   front->counters.requests++;
@@ -386,197 +317,6 @@
   try_send (front, request, input->now_us, actions);
 }
 
-/* Events of the owner.  */
-
-static uint32_t
-call_of (uint32_t number)
-{
-  return number >> CALL_SHIFT;
-}
-
-/* True when the caller holds tokens of CALL that no STEP has closed.  */
-static bool
-holds_tokens (const struct front_request *request, uint32_t call)
-{
-  uint32_t mark = request->last & STEP_MARK;
-
-  return call_of (request->last) == call && mark != 0 && mark != STEP_MARK;
-}
-
-static void
-pass (struct front_request *request, const struct mq_event_msg *event,
-      struct mq_actions *actions)
-{
-  if (event->number != 0)
-    request->last = event->number;
-  request->pause_ms = MQ_FRONT_RETRY_BASE_MS;
-  give_event (actions, event);
-}
-
-static bool
-already_given (const struct front_request *request,
-               const struct mq_event_msg *event)
-{
-  return event->number != 0 && event->number <= request->last;
-}
-
-/* The owner died in the middle of an answer.  The next one runs that call
-   again, with other words from the first one on, or takes up the stream at
-   a later token; either way its tokens do not continue what the caller has.
-   So that is declared void before anything else of the answer comes.  */
-static void
-void_cut_answer (struct mq_front *front, struct front_request *request,
-                 struct mq_actions *actions)
-{
-  uint32_t call = call_of (request->last);
-
-  if (request->attached_anew && holds_tokens (request, call))
-    {
-      give_reset (front, actions, request, call);
-      request->last = call << CALL_SHIFT;
-    }
-  request->attached_anew = false;
-}
-
-/* True when EVENT is the first token of its call, or the one behind the last
-   that the caller has.  */
-static bool
-continues (const struct front_request *request,
-           const struct mq_event_msg *event)
-{
-  return (event->number & STEP_MARK) == 1
-         || event->number == request->last + 1;
-}
-
-/* An owner keeps no tokens: to a request that comes in the middle of a call
-   it gives the rest of the call's tokens.  The text without its beginning
-   would pass for the whole, so it is left out, up to the call's end or its
-   new start.  */
-static void
-handle_token (struct mq_front *front, struct front_request *request,
-              const struct mq_event_msg *event, struct mq_actions *actions)
-{
-  void_cut_answer (front, request, actions);
-  if (already_given (request, event))
-    front->counters.events_doubled++;
-  else if (!continues (request, event))
-    front->counters.events_partial++;
-  else
-    pass (request, event, actions);
-}
-
-static void
-handle_step (struct mq_front *front, struct front_request *request,
-             const struct mq_event_msg *event, struct mq_actions *actions)
-{
-  if (already_given (request, event))
-    {
-      front->counters.events_doubled++;
-      return;
-    }
-  void_cut_answer (front, request, actions);
-  pass (request, event, actions);
-}
-
-/* The owner itself started the call again.  */
-static void
-handle_reset (struct mq_front *front, struct front_request *request,
-              const struct mq_event_msg *event, struct mq_actions *actions)
-{
-  request->attached_anew = false;
-  if (!holds_tokens (request, event->call))
-    {
-      front->counters.events_doubled++;
-      return;
-    }
-  front->counters.resets++;
-  give_event (actions, event);
-  request->last = event->call << CALL_SHIFT;
-}
-
-static void
-handle_accepted (struct mq_front *front, struct front_request *request,
-                 const struct mq_event_msg *event, struct mq_actions *actions)
-{
-  if (request->accepted)
-    {
-      front->counters.events_doubled++;
-      return;
-    }
-  request->accepted = true;
-  pass (request, event, actions);
-}
-
-/* Another owner, or the same one later, can still serve the request.  */
-static bool
-can_go_elsewhere (const struct mq_event_msg *event)
-{
-  if (event->ran != MQ_RAN_NOT_RUN)
-    return false;
-  return event->error == MQ_ERR_NOT_READY || event->error == MQ_ERR_STALE_FENCE
-         || event->error == MQ_ERR_LEAVING
-         || event->error == MQ_ERR_WRONG_REGION;
-}
-
-static void
-handle_refused (struct mq_front *front, struct front_request *request,
-                const struct mq_front_input *input, struct mq_actions *actions)
-{
-  const struct mq_event_msg *event = input->u.event;
-
-  if (!can_go_elsewhere (event))
-    {
-      front->counters.refusals++;
-      give_event (actions, event);
-      remove_request (front, request);
-      return;
-    }
-  front->counters.redirects++;
-  if (text_bytes (event->redirect) > 0)
-    set_text (request, &request->hint, event->redirect);
-  wait_again (front, request, input->now_us, event->retry_after_ms);
-}
-
-static void
-handle_event (struct mq_front *front, const struct mq_front_input *input,
-              struct mq_actions *actions)
-{
-  const struct mq_event_msg *event = input->u.event;
-  struct front_request *request = find_request (front, event->handle);
-
-  /* An owner that was paused or cut off goes on answering when it comes
-     back, after the request went to its successor.  Taken in, its events
-     would mix with the successor's.  */
-  if (request == NULL || !request->sent || request->peer != input->peer)
-    {
-      front->counters.events_foreign++;
-      return;
-    }
-  switch (event->type)
-    {
-    case MQ_EVENT_ACCEPTED:
-      handle_accepted (front, request, event, actions);
-      break;
-    case MQ_EVENT_TOKEN:
-      handle_token (front, request, event, actions);
-      break;
-    case MQ_EVENT_STEP:
-      handle_step (front, request, event, actions);
-      break;
-    case MQ_EVENT_RESET:
-      handle_reset (front, request, event, actions);
-      break;
-    case MQ_EVENT_FINAL:
-      front->counters.finals++;
-      give_event (actions, event);
-      remove_request (front, request);
-      break;
-    case MQ_EVENT_REFUSED:
-      handle_refused (front, request, input, actions);
-      break;
-    }
-}
-
 /* Peers come and go.  */
 
 static void
@@ -607,7 +347,7 @@
       struct front_request *request = front->requests[i];
 
       if (request->sent && request->peer == input->peer)
-        wait_again (front, request, input->now_us, 0);
+        front_wait_again (front, request, input->now_us, 0);
     }
 }
 
@@ -615,14 +355,14 @@
 handle_caller_gone (struct mq_front *front, const struct mq_front_input *input,
                     struct mq_actions *actions)
 {
-  struct front_request *request = find_request (front, input->handle);
+  struct front_request *request = front_find_request (front, input->handle);
 
   if (request == NULL)
     return;
   front->counters.callers_gone++;
   if (request->sent)
     send_close (actions, request);
-  remove_request (front, request);
+  front_remove_request (front, request);
 }
 
 /* Time.  */
@@ -640,7 +380,7 @@
   else
     give_refusal (front, actions, request->handle, MQ_ERR_NOT_READY,
                   MQ_RAN_NOT_RUN);
-  remove_request (front, request);
+  front_remove_request (front, request);
 }
 
 /* The map shows another owner than when the request was sent, and it is not
@@ -719,7 +459,7 @@
       handle_request (front, input, actions);
       break;
     case MQ_FRONT_EVENT:
-      handle_event (front, input, actions);
+      front_handle_event (front, input, actions);
       break;
     case MQ_FRONT_PEER_UP:
       handle_peer_up (front, input);
--- a/src/core/gate_cache.c
+++ b/src/core/gate_cache.c
@@ -1,5 +1,4 @@
-/* gate_cache.c - leases of programs' caches, eviction, and what is really
-   held.
+/* gate_cache.c - programs' caches: eviction, and what is really held.
 
    A holding is a program's cache at one worker.  It is made when a call of
    the program starts there or a report of the engine names it, and goes
@@ -37,8 +36,8 @@
   return NULL;
 }
 
-static bool
-has_cache (const struct gate_worker *worker)
+bool
+mq_gate_has_cache (const struct gate_worker *worker)
 {
   return worker->kind == MQ_SERVICE_MODEL;
 }
@@ -143,9 +142,9 @@
                        offsetof (struct gate_holding, retry_position));
 }
 
-static struct gate_holding *
-get_holding (struct mq_gate *gate, struct gate_program *program,
-             struct gate_worker *worker)
+struct gate_holding *
+mq_gate_get_holding (struct mq_gate *gate, struct gate_program *program,
+                     struct gate_worker *worker)
 {
   struct gate_holding *holding = find_holding (program, worker->index);
 
@@ -215,8 +214,8 @@
     ask_eviction (gate, holding);
 }
 
-static void
-cancel_eviction (struct mq_gate *gate, struct gate_holding *holding)
+void
+mq_gate_cancel_eviction (struct mq_gate *gate, struct gate_holding *holding)
 {
   if (!holding->evicting)
     return;
@@ -229,8 +228,8 @@
   set_retry (gate, holding, NEVER);
 }
 
-static void
-begin_evictions (struct mq_gate *gate, struct gate_program *program)
+void
+mq_gate_begin_evictions (struct mq_gate *gate, struct gate_program *program)
 {
   struct gate_node *node = program->holdings.first;
 
@@ -243,8 +242,8 @@
 }
 
 /* Tells the asker once nothing of an ended program is left.  */
-static void
-tell_evicted (struct mq_gate *gate, struct gate_program *program)
+void
+mq_gate_tell_evicted (struct mq_gate *gate, struct gate_program *program)
 {
   struct mq_message message = { .type = MQ_MSG_EVICTED };
 
@@ -266,7 +265,7 @@
 
   gate->counters.evictions++;
   free_holding (gate, holding);
-  tell_evicted (gate, program);
+  mq_gate_tell_evicted (gate, program);
 }
 
 /* Failure: an engine is busy, down or slow and does not confirm; it shows as
@@ -308,8 +307,8 @@
     fail_eviction (gate, holding);
 }
 
-static void
-retry_evictions (struct mq_gate *gate)
+void
+mq_gate_retry_evictions (struct mq_gate *gate)
 {
   struct gate_holding *holding = mq_gate_heap_first (&gate->retries);
 
@@ -329,9 +328,9 @@
   struct gate_worker *worker = &gate->workers[run->worker];
   struct gate_holding *holding;
 
-  if (!has_cache (worker))
+  if (!mq_gate_has_cache (worker))
     return;
-  holding = get_holding (gate, run->program, worker);
+  holding = mq_gate_get_holding (gate, run->program, worker);
   settle_idle (gate, holding);
   holding->runs++;
 }
@@ -399,9 +398,9 @@
   struct gate_worker *worker = &gate->workers[run->worker];
   struct gate_holding *holding;
 
-  if (!has_cache (worker))
+  if (!mq_gate_has_cache (worker))
     return;
-  holding = get_holding (gate, run->program, worker);
+  holding = mq_gate_get_holding (gate, run->program, worker);
   note_use (gate, holding, run, done);
   if (done->error == MQ_ERR_NONE)
     note_prefix (worker, run->shared_prefix,
@@ -414,176 +413,6 @@
     ask_eviction (gate, holding);
 }
 
-/* Leases.  */
-
-static void
-set_lease (struct mq_gate *gate, struct gate_program *program, uint64_t ms)
-{
-  program->lease = GATE_LEASE_HELD;
-  program->lease_until_us = gate->now_us + ms * MQ_US_PER_MS;
-  mq_gate_heap_remove (&gate->leases, program);
-  mq_gate_heap_add (&gate->leases, program);
-}
-
-static void
-revive (struct mq_gate *gate, struct gate_program *program)
-{
-  struct gate_node *node = program->holdings.first;
-
-  while (node != NULL)
-    {
-      cancel_eviction (gate,
-                       GATE_ENTRY (node, struct gate_holding, by_program));
-      node = node->next;
-    }
-  program->waiter = 0;
-  program->swept = false;
-}
-
-/* Failure: an owner that lost its partition calls once more and renews
-   nothing; the program ends elsewhere, and its memory stays for the whole
-   first lease.  Owners give every program the same lease, so one that none
-   has given yet is as long as the last.  */
-static uint64_t
-first_lease_ms (const struct mq_gate *gate)
-{
-  return gate->lease_ms == 0 ? MQ_GATE_LEASE_MS : gate->lease_ms;
-}
-
-/* A call will use the program's cache until its owner renews the lease.
-   Failure: a call of a tool claimed the cache that the program once had here;
-   its owner, which uses it elsewhere, renews and ends nothing here, and the
-   memory of an ended program stayed for the whole first lease.  */
-void
-mq_gate_cache_claim (struct mq_gate *gate, struct gate_program *program,
-                     const struct gate_worker *worker)
-{
-  if (!has_cache (worker) || program->lease == GATE_LEASE_HELD)
-    return;
-  revive (gate, program);
-  set_lease (gate, program, first_lease_ms (gate));
-}
-
-/* Failure: this process was restarted and no longer knows which programs ran
-   here, but the engine still holds their caches; "nothing held" would leave
-   them there for ever.  An engine that was not yet read is asked to evict,
-   which costs nothing where it holds none.  */
-static void
-suspect_unread (struct mq_gate *gate, struct gate_program *program)
-{
-  for (size_t i = 0; i < gate->worker_count; i++)
-    {
-      struct gate_worker *worker = &gate->workers[i];
-
-      if (has_cache (worker) && !worker->reported)
-        get_holding (gate, program, worker);
-    }
-}
-
-static void
-end_lease (struct mq_gate *gate, uint32_t peer, struct gate_program *program,
-           uint64_t fence)
-{
-  program->lease = GATE_LEASE_ENDED;
-  program->ended_fence = fence;
-  program->waiter = peer;
-  mq_gate_heap_remove (&gate->leases, program);
-  mq_gate_calls_end_program (gate, program);
-  if (!program->swept)
-    suspect_unread (gate, program);
-  begin_evictions (gate, program);
-  tell_evicted (gate, program);
-}
-
-/* A renewal that was overtaken by the end must not bring the cache back;
-   only a newer owner can know better.  */
-void
-mq_gate_take_lease (struct mq_gate *gate, uint32_t peer,
-                    const struct mq_lease_msg *msg)
-{
-  struct gate_program *program;
-
-  if (mq_gate_raise_fence (gate, msg->partition, msg->fence, peer) == NULL)
-    return;
-  program = mq_gate_program_get (gate, msg->program);
-  if (program == NULL)
-    return;
-  if (msg->state == MQ_LEASE_ENDED)
-    {
-      end_lease (gate, peer, program, msg->fence);
-      return;
-    }
-  if (program->lease == GATE_LEASE_ENDED && msg->fence <= program->ended_fence)
-    return;
-  if (program->lease != GATE_LEASE_HELD)
-    revive (gate, program);
-  if (msg->lease_ms != 0)
-    gate->lease_ms = msg->lease_ms;
-  set_lease (gate, program,
-             msg->lease_ms == 0 ? MQ_GATE_LEASE_MS : msg->lease_ms);
-}
-
-/* A model's call waits or runs; a tool's call needs no cache, nor does a kept
-   outcome.  */
-static bool
-is_cache_used (const struct mq_gate *gate, const struct gate_program *program)
-{
-  for (const struct gate_node *node = program->calls.first; node != NULL;
-       node = node->next)
-    {
-      const struct gate_call *call
-          = GATE_ENTRY (node, struct gate_call, by_program);
-
-      if (call->state != GATE_CALL_DONE
-          && has_cache (&gate->workers[call->worker]))
-        return true;
-    }
-  for (const struct gate_node *node = program->holdings.first; node != NULL;
-       node = node->next)
-    if (GATE_ENTRY (node, struct gate_holding, by_program)->runs > 0)
-      return true;
-  return false;
-}
-
-/* Failure: the owner died and nobody took over, or its successor goes on
-   elsewhere and doesn't know of this cache; it shows as memory held for
-   programs that nobody will go on with.  A lease that is not renewed ends
-   in eviction, but not under a call that uses the cache.  */
-static void
-lapse (struct mq_gate *gate, struct gate_program *program)
-{
-  if (is_cache_used (gate, program))
-    {
-      set_lease (gate, program, first_lease_ms (gate));
-      return;
-    }
-  program->lease = GATE_LEASE_LAPSED;
-  mq_gate_heap_remove (&gate->leases, program);
-  if (program->holdings.count == 0)
-    return;
-  gate->counters.leases_lapsed++;
-  begin_evictions (gate, program);
-}
-
-static void
-lapse_leases (struct mq_gate *gate)
-{
-  struct gate_program *program = mq_gate_heap_first (&gate->leases);
-
-  while (program != NULL && program->lease_until_us <= gate->now_us)
-    {
-      lapse (gate, program);
-      program = mq_gate_heap_first (&gate->leases);
-    }
-}
-
-void
-mq_gate_cache_tick (struct mq_gate *gate)
-{
-  lapse_leases (gate);
-  retry_evictions (gate);
-}
-
 /* What is really held.  */
 
 static void
@@ -595,7 +424,7 @@
 
   if (program == NULL)
     return;
-  holding = get_holding (gate, program, worker);
+  holding = mq_gate_get_holding (gate, program, worker);
   holding->report = worker->report;
   if (holding->runs == 0)
     set_tokens (gate, holding, entry->tokens);
@@ -604,7 +433,7 @@
     case GATE_LEASE_HELD:
       break;
     case GATE_LEASE_NONE:
-      set_lease (gate, program, MQ_GATE_LEASE_GRACE_MS);
+      mq_gate_set_lease (gate, program, MQ_GATE_LEASE_GRACE_MS);
       break;
     case GATE_LEASE_LAPSED:
     case GATE_LEASE_ENDED:
--- /dev/null
+++ b/src/core/gate_lease.c
@@ -0,0 +1,176 @@
+/* gate_lease.c - how long an engine keeps what a program has computed there.
+
+   Needs: gate_state.h.  */
+
+#include "gate_state.h"
+
+/* Leases.  */
+
+void
+mq_gate_set_lease (struct mq_gate *gate, struct gate_program *program,
+                   uint64_t ms)
+{
+  program->lease = GATE_LEASE_HELD;
+  program->lease_until_us = gate->now_us + ms * MQ_US_PER_MS;
+  mq_gate_heap_remove (&gate->leases, program);
+  mq_gate_heap_add (&gate->leases, program);
+}
+
+static void
+revive (struct mq_gate *gate, struct gate_program *program)
+{
+  struct gate_node *node = program->holdings.first;
+
+  while (node != NULL)
+    {
+      mq_gate_cancel_eviction (
+          gate, GATE_ENTRY (node, struct gate_holding, by_program));
+      node = node->next;
+    }
+  program->waiter = 0;
+  program->swept = false;
+}
+
+/* Failure: an owner that lost its partition calls once more and renews
+   nothing; the program ends elsewhere, and its memory stays for the whole
+   first lease.  Owners give every program the same lease, so one that none
+   has given yet is as long as the last.  */
+static uint64_t
+first_lease_ms (const struct mq_gate *gate)
+{
+  return gate->lease_ms == 0 ? MQ_GATE_LEASE_MS : gate->lease_ms;
+}
+
+/* A call will use the program's cache until its owner renews the lease.
+   Failure: a call of a tool claimed the cache that the program once had here;
+   its owner, which uses it elsewhere, renews and ends nothing here, and the
+   memory of an ended program stayed for the whole first lease.  */
+void
+mq_gate_cache_claim (struct mq_gate *gate, struct gate_program *program,
+                     const struct gate_worker *worker)
+{
+  if (!mq_gate_has_cache (worker) || program->lease == GATE_LEASE_HELD)
+    return;
+  revive (gate, program);
+  mq_gate_set_lease (gate, program, first_lease_ms (gate));
+}
+
+/* Failure: this process was restarted and no longer knows which programs ran
+   here, but the engine still holds their caches; "nothing held" would leave
+   them there for ever.  An engine that was not yet read is asked to evict,
+   which costs nothing where it holds none.  */
+static void
+suspect_unread (struct mq_gate *gate, struct gate_program *program)
+{
+  for (size_t i = 0; i < gate->worker_count; i++)
+    {
+      struct gate_worker *worker = &gate->workers[i];
+
+      if (mq_gate_has_cache (worker) && !worker->reported)
+        mq_gate_get_holding (gate, program, worker);
+    }
+}
+
+static void
+end_lease (struct mq_gate *gate, uint32_t peer, struct gate_program *program,
+           uint64_t fence)
+{
+  program->lease = GATE_LEASE_ENDED;
+  program->ended_fence = fence;
+  program->waiter = peer;
+  mq_gate_heap_remove (&gate->leases, program);
+  mq_gate_calls_end_program (gate, program);
+  if (!program->swept)
+    suspect_unread (gate, program);
+  mq_gate_begin_evictions (gate, program);
+  mq_gate_tell_evicted (gate, program);
+}
+
+/* A renewal that was overtaken by the end must not bring the cache back;
+   only a newer owner can know better.  */
+void
+mq_gate_take_lease (struct mq_gate *gate, uint32_t peer,
+                    const struct mq_lease_msg *msg)
+{
+  struct gate_program *program;
+
+  if (mq_gate_raise_fence (gate, msg->partition, msg->fence, peer) == NULL)
+    return;
+  program = mq_gate_program_get (gate, msg->program);
+  if (program == NULL)
+    return;
+  if (msg->state == MQ_LEASE_ENDED)
+    {
+      end_lease (gate, peer, program, msg->fence);
+      return;
+    }
+  if (program->lease == GATE_LEASE_ENDED && msg->fence <= program->ended_fence)
+    return;
+  if (program->lease != GATE_LEASE_HELD)
+    revive (gate, program);
+  if (msg->lease_ms != 0)
+    gate->lease_ms = msg->lease_ms;
+  mq_gate_set_lease (gate, program,
+                     msg->lease_ms == 0 ? MQ_GATE_LEASE_MS : msg->lease_ms);
+}
+
+/* A model's call waits or runs; a tool's call needs no cache, nor does a kept
+   outcome.  */
+static bool
+is_cache_used (const struct mq_gate *gate, const struct gate_program *program)
+{
+  for (const struct gate_node *node = program->calls.first; node != NULL;
+       node = node->next)
+    {
+      const struct gate_call *call
+          = GATE_ENTRY (node, struct gate_call, by_program);
+
+      if (call->state != GATE_CALL_DONE
+          && mq_gate_has_cache (&gate->workers[call->worker]))
+        return true;
+    }
+  for (const struct gate_node *node = program->holdings.first; node != NULL;
+       node = node->next)
+    if (GATE_ENTRY (node, struct gate_holding, by_program)->runs > 0)
+      return true;
+  return false;
+}
+
+/* Failure: the owner died and nobody took over, or its successor goes on
+   elsewhere and doesn't know of this cache; it shows as memory held for
+   programs that nobody will go on with.  A lease that is not renewed ends
+   in eviction, but not under a call that uses the cache.  */
+static void
+lapse (struct mq_gate *gate, struct gate_program *program)
+{
+  if (is_cache_used (gate, program))
+    {
+      mq_gate_set_lease (gate, program, first_lease_ms (gate));
+      return;
+    }
+  program->lease = GATE_LEASE_LAPSED;
+  mq_gate_heap_remove (&gate->leases, program);
+  if (program->holdings.count == 0)
+    return;
+  gate->counters.leases_lapsed++;
+  mq_gate_begin_evictions (gate, program);
+}
+
+static void
+lapse_leases (struct mq_gate *gate)
+{
+  struct gate_program *program = mq_gate_heap_first (&gate->leases);
+
+  while (program != NULL && program->lease_until_us <= gate->now_us)
+    {
+      lapse (gate, program);
+      program = mq_gate_heap_first (&gate->leases);
+    }
+}
+
+void
+mq_gate_cache_tick (struct mq_gate *gate)
+{
+  lapse_leases (gate);
+  mq_gate_retry_evictions (gate);
+}
--- a/src/core/gate_load.c
+++ b/src/core/gate_load.c
@@ -3,7 +3,6 @@
    Needs: gate_state.h, jansson.  */
 
 #include "gate_state.h"
-#include "id.h"
 #include <jansson.h>
 
 enum
--- a/src/core/gate_state.h
+++ b/src/core/gate_state.h
@@ -463,4 +463,39 @@
 uint64_t mq_gate_load_due (const struct mq_gate *gate);
 char *mq_gate_status_text (TALLOC_CTX *ctx, const struct mq_gate *gate);
 
+/* gate_calls.c */
+
+void mq_gate_send_refusal (struct mq_gate *gate, uint32_t peer,
+                           const struct mq_ref_msg *about,
+                           enum mq_error_type error, enum mq_ran ran,
+                           uint32_t retry_after_ms);
+void mq_gate_count_refusal (struct mq_gate *gate, enum mq_error_type error);
+void mq_gate_send_kept (struct mq_gate *gate, uint32_t peer,
+                        const struct gate_call *call, uint32_t attempt,
+                        bool recovered);
+void mq_gate_attach (struct gate_call *call, uint32_t peer, uint64_t fence,
+                     uint32_t attempt);
+void mq_gate_mark_not_run (struct gate_program *program,
+                           const struct mq_call_ref *ref, uint64_t fence,
+                           bool idempotent);
+void mq_gate_forget_call (struct mq_gate *gate, struct gate_call *call);
+
+/* gate_cache.c */
+
+bool mq_gate_has_cache (const struct gate_worker *worker);
+struct gate_holding *mq_gate_get_holding (struct mq_gate *gate,
+                                          struct gate_program *program,
+                                          struct gate_worker *worker);
+void mq_gate_cancel_eviction (struct mq_gate *gate,
+                              struct gate_holding *holding);
+void mq_gate_begin_evictions (struct mq_gate *gate,
+                              struct gate_program *program);
+void mq_gate_tell_evicted (struct mq_gate *gate, struct gate_program *program);
+void mq_gate_retry_evictions (struct mq_gate *gate);
+
+/* gate_lease.c */
+
+void mq_gate_set_lease (struct mq_gate *gate, struct gate_program *program,
+                        uint64_t ms);
+
 #endif
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -196,9 +196,9 @@
   if (owner->text == NULL)
     return;
   hosts_tick (owner);
-  take_tick (owner);
+  tick_owner (owner);
   run_timers (owner);
-  log_tick (owner);
+  durable_tick (owner);
 }
 
 static void
@@ -223,13 +223,13 @@
       calls_outcome (owner, target, &message->u.outcome);
       break;
     case MQ_MSG_SEALED:
-      calls_sealed (owner, target, &message->u.sealed);
+      settle_sealed (owner, target, &message->u.sealed);
       break;
     case MQ_MSG_RECOVERED:
-      take_recovered (owner, target, &message->u.recovered);
+      read_recovered (owner, target, &message->u.recovered);
       break;
     case MQ_MSG_EVICTED:
-      chain_evicted (owner, target, message->u.evicted.program);
+      evict_done (owner, target, message->u.evicted.program);
       break;
     case MQ_MSG_LOAD:
       hosts_load (owner, target, &message->u.load);
@@ -242,9 +242,9 @@
 static void
 handle_store (struct mq_owner *owner, const struct mq_store_result *result)
 {
-  if (log_store_result (owner, result))
+  if (durable_result (owner, result))
     return;
-  take_store_result (owner, result);
+  tick_store_result (owner, result);
 }
 
 static void
@@ -253,7 +253,7 @@
   bool first = owner->text == NULL;
 
   owner->text = text;
-  take_set_partitions (owner, text->partitions);
+  tick_set_partitions (owner, text->partitions);
   if (first)
     handle_tick (owner);
 }
@@ -278,7 +278,7 @@
      it did not see of others meanwhile must not count against them.  */
   if (owner->now_us != 0
       && input->now_us > owner->now_us + 1000ULL * MQ_OWNER_RENEW_MS)
-    take_paused (owner, input->now_us);
+    rows_paused (owner, input->now_us);
   if (input->now_us > owner->now_us)
     owner->now_us = input->now_us;
   switch (input->type)
@@ -309,7 +309,7 @@
       request_handle (owner, input->peer, input->handle, input->u.request);
       break;
     case MQ_OWNER_CALLER_GONE:
-      request_gone (owner, input->peer, input->handle);
+      events_gone (owner, input->peer, input->handle);
       break;
     case MQ_OWNER_LEAVE:
       handle_leave (owner);
@@ -317,7 +317,7 @@
     }
   if (owner->text != NULL)
     {
-      take_confirm (owner);
+      tick_confirm (owner);
       log_flush (owner);
     }
   owner->counters.programs_live = owner->live;
@@ -327,7 +327,7 @@
 uint64_t
 mq_owner_next_tick (const struct mq_owner *owner)
 {
-  uint64_t next = take_next_tick (owner);
+  uint64_t next = tick_next (owner);
 
   if (owner->timer_count > 0 && owner->timers[0].when_us < next)
     next = owner->timers[0].when_us;
@@ -341,7 +341,7 @@
 bool
 mq_owner_is_drained (const struct mq_owner *owner)
 {
-  return take_is_drained (owner) && owner->flight.state == FLIGHT_NONE;
+  return tick_is_drained (owner) && owner->flight.state == FLIGHT_NONE;
 }
 
 bool
--- /dev/null
+++ b/src/core/owner_evict.c
@@ -0,0 +1,117 @@
+/* owner_evict.c - engine memory of programs that have ended is given back.
+
+   Needs: owner_state.h.  */
+
+#include "owner_state.h"
+
+enum
+{
+  EVICT_AGAIN_MS = 2000,
+  LEASE_DIVISOR = 3 /* renewals in a lease */
+};
+
+/* ---- Eviction ---- */
+
+static void
+send_lease (struct mq_owner *owner, struct running *running,
+            struct target *target, enum mq_lease_state state)
+{
+  struct mq_message message = { .type = MQ_MSG_LEASE };
+
+  message.u.lease.program = running->program->id;
+  message.u.lease.partition = running->partition->number;
+  message.u.lease.fence = running->partition->fence;
+  message.u.lease.state = state;
+  message.u.lease.lease_ms = owner->text->cache_lease_ms;
+  hosts_send (owner, target, &message);
+}
+
+void
+evict_lease (struct mq_owner *owner, struct running *running,
+             struct target *target)
+{
+  send_lease (owner, running, target, MQ_LEASE_ACTIVE);
+  if (running->lease_us == 0)
+    {
+      running->lease_us
+          = owner->now_us
+            + 1000ULL * owner->text->cache_lease_ms / LEASE_DIVISOR;
+      owner_wake_at (owner, running, running->lease_us);
+    }
+}
+
+/* Asks again until each process confirms.  A process that was started anew
+   holds no leases; it evicts what its engine holds without one.  */
+void
+evict_send (struct mq_owner *owner, struct running *running)
+{
+  struct cache_place **at = &running->caches;
+
+  while (*at != NULL)
+    {
+      struct cache_place *place = *at;
+
+      if (place->target->boot != place->boot)
+        {
+          *at = place->next;
+          continue;
+        }
+      send_lease (owner, running, place->target, MQ_LEASE_ENDED);
+      at = &place->next;
+    }
+  if (running->caches == NULL)
+    {
+      if (running->evicting)
+        owner->counters.evictions_waiting--;
+      running->evicting = false;
+      return;
+    }
+  running->evict_us = owner->now_us + 1000ULL * EVICT_AGAIN_MS;
+  owner_wake_at (owner, running, running->evict_us);
+}
+
+void
+evict_start (struct mq_owner *owner, struct running *running)
+{
+  if (running->caches == NULL || running->evicting)
+    return;
+  running->evicting = true;
+  owner->counters.evictions_waiting++;
+  evict_send (owner, running);
+}
+
+void
+evict_done (struct mq_owner *owner, struct target *target,
+            struct mq_id program)
+{
+  struct running *running = chain_find (owner, program);
+
+  if (running == NULL || !running->evicting)
+    return;
+  for (struct cache_place **at = &running->caches; *at != NULL;
+       at = &(*at)->next)
+    if ((*at)->target == target)
+      {
+        *at = (*at)->next;
+        owner->counters.evictions_confirmed++;
+        break;
+      }
+  if (running->caches != NULL)
+    return;
+  running->evicting = false;
+  owner->counters.evictions_waiting--;
+}
+
+void
+evict_renew_leases (struct mq_owner *owner, struct running *running)
+{
+  const struct call *call = running->call;
+  bool active = call != NULL && call->model;
+
+  for (struct cache_place *p = running->caches; p != NULL; p = p->next)
+    send_lease (owner, running, p->target,
+                active ? MQ_LEASE_ACTIVE : MQ_LEASE_PAUSED);
+  running->lease_us
+      = owner->now_us + 1000ULL * owner->text->cache_lease_ms / LEASE_DIVISOR;
+  owner_wake_at (owner, running, running->lease_us);
+}
--- a/src/core/owner_hosts.c
+++ b/src/core/owner_hosts.c
@@ -362,8 +362,8 @@
   target->down_us = 0;
   target->settled = false;
   hosts_target_usable (owner, target);
-  take_target_up (owner, target);
-  calls_target_up (owner, target);
+  read_target_up (owner, target);
+  settle_target_up (owner, target);
   if (target->sent_boot != boot)
     keep_former (owner, target);
   if (target->durable_boot != boot)
@@ -395,7 +395,7 @@
 {
   struct target *target = hosts_find_target (owner, peer);
 
-  request_peer_gone (owner, peer);
+  events_peer_gone (owner, peer);
   for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
     if (s->peer == peer)
       {
@@ -410,7 +410,7 @@
   target->peer = 0;
   target->down_us = owner->now_us;
   hosts_target_usable (owner, target);
-  calls_target_down (owner, target);
+  settle_target_down (owner, target);
 }
 
 void
--- /dev/null
+++ b/src/core/owner_open.c
@@ -0,0 +1,282 @@
+/* owner_open.c - new programs, and new calls by themselves.
+
+   Needs: owner_state.h.  */
+
+#include "owner_state.h"
+#include "id.h"
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  SINGLE_SECONDS = 120 /* time budget of a single call */
+};
+
+/* ---- Opening ---- */
+
+static uint64_t
+open_digest (const struct mq_request_msg *request)
+{
+  uint64_t digest = mq_hash_bytes (request->body, strlen (request->body), 2);
+
+  digest = mq_hash_bytes (request->service, strlen (request->service), digest);
+  digest = mq_hash_bytes (request->route, strlen (request->route), digest);
+  return digest | 1;
+}
+
+static enum mq_error_type
+check_room (struct mq_owner *owner, const struct mq_request_msg *request,
+            enum mq_priority priority, uint32_t *retry_after_ms)
+{
+  const struct mq_organisation *organisation
+      = mq_text_find_organisation (owner->text, request->organisation);
+  uint32_t hosts = owner->live_hosts == 0 ? 1 : owner->live_hosts;
+
+  *retry_after_ms = RETRY_LATER_MS;
+  if (owner->leaving)
+    return MQ_ERR_LEAVING;
+  if (organisation == NULL)
+    return MQ_ERR_UNAUTHORISED;
+  if (owner->gathered_bytes >= MQ_PENDING_MAX_BYTES)
+    return MQ_ERR_STORE_DOWN;
+  if (events_is_outage (owner) && priority == MQ_PRIORITY_BATCH)
+    return MQ_ERR_STORE_DOWN;
+  if (owner->live >= owner->options.max_programs)
+    return MQ_ERR_OVERLOADED;
+  if (organisation->max_programs > 0
+      && chain_live_of (owner, request->organisation)
+             >= (organisation->max_programs + hosts - 1) / hosts)
+    return MQ_ERR_OVERLOADED;
+  return MQ_ERR_NONE;
+}
+
+/* What a request for a new program says, in the form of its record.  */
+struct opening
+{
+  Mqlog__Opened opened;
+  Mqlog__Budget budget;
+};
+
+static void
+fill_common (struct opening *opening, const struct mq_request_msg *request)
+{
+  Mqlog__Opened *opened = &opening->opened;
+
+  mqlog__opened__init (opened);
+  mqlog__budget__init (&opening->budget);
+  opened->budget = &opening->budget;
+  opened->organisation = (char *)request->organisation;
+  opened->service = (char *)request->service;
+  opened->route = (char *)request->route;
+  opened->digest = open_digest (request);
+  opened->traceparent = (char *)request->traceparent;
+}
+
+static enum mq_error_type
+fill_history (struct mq_owner *owner, struct opening *opening,
+              const struct mq_request_msg *request,
+              const struct mq_service *service, const char *input)
+{
+  struct mq_program *scratch = talloc_zero (owner->actions, struct mq_program);
+  const struct running *before = NULL;
+
+  if (scratch == NULL)
+    abort ();
+  if (!mq_id_is_zero (request->continues))
+    {
+      before = chain_find (owner, request->continues);
+      if (before == NULL
+          || strcmp (before->program->organisation, request->organisation)
+                 != 0)
+        return MQ_ERR_NOT_FOUND;
+      if (before->program->state == MQ_PROGRAM_RUNNING)
+        return MQ_ERR_OUT_OF_ORDER;
+      scratch->messages = before->program->messages;
+      scratch->messages = talloc_strndup (
+          scratch,
+          before->program->messages == NULL ? "" : before->program->messages,
+          before->program->messages_len);
+      scratch->messages_len = before->program->messages_len;
+      scratch->messages_room = before->program->messages_len + 1;
+      scratch->message_count = before->program->message_count;
+      opening->opened.follow_up = true;
+    }
+  else if (service->prompt != NULL && service->prompt[0] != '\0')
+    mq_program_add_message (scratch, "system", NULL, NULL, service->prompt);
+  if (input != NULL)
+    mq_program_add_message (scratch, "user", NULL, NULL, input);
+  if (scratch->messages != NULL)
+    opening->opened.messages = scratch->messages;
+  opening->opened.message_count = scratch->message_count;
+  return MQ_ERR_NONE;
+}
+
+static enum mq_error_type
+fill_agent (struct mq_owner *owner, struct opening *opening,
+            const struct mq_request_msg *request,
+            const struct mq_service *service, json_t *root)
+{
+  const char *input = json_string_value (json_object_get (root, "input"));
+
+  opening->budget.tokens = service->budget.tokens;
+  opening->budget.turns = service->budget.turns;
+  opening->budget.seconds = service->budget.seconds;
+  opening->opened.priority = service->priority;
+  opening->opened.keep_open
+      = json_is_true (json_object_get (root, "keep_open"));
+  if (request->type == MQ_REQUEST_CREATE)
+    {
+      opening->opened.mode = MQ_MODE_STEPS;
+      return fill_history (owner, opening, request, service, NULL);
+    }
+  if (input == NULL)
+    return MQ_ERR_BAD_JSON;
+  opening->opened.mode = MQ_MODE_CHAIN;
+  return fill_history (owner, opening, request, service, input);
+}
+
+/* A call of a model, plain service or tool by itself.  */
+static enum mq_error_type
+fill_single (struct mq_owner *owner, struct opening *opening,
+             const struct mq_request_msg *request,
+             const struct mq_service *service, json_t *root)
+{
+  json_t *arguments = json_object_get (root, "arguments");
+  const char *input = json_string_value (json_object_get (root, "input"));
+  char *dump;
+
+  if (service->kind == MQ_SERVICE_PLAIN
+      && mq_text_find_route (service, request->route) == NULL)
+    return MQ_ERR_NOT_FOUND;
+  opening->opened.mode = MQ_MODE_SINGLE;
+  opening->opened.priority = MQ_PRIORITY_INTERACTIVE;
+  opening->budget.tokens = service->max_tokens;
+  opening->budget.turns = 1;
+  opening->budget.seconds = SINGLE_SECONDS;
+  if (service->kind == MQ_SERVICE_MODEL)
+    {
+      if (input == NULL)
+        return MQ_ERR_BAD_JSON;
+      opening->opened.input = talloc_strdup (owner->actions, input);
+      return MQ_ERR_NONE;
+    }
+  if (arguments == NULL)
+    return MQ_ERR_NONE;
+  dump = json_dumps (arguments, JSON_COMPACT | JSON_ENCODE_ANY);
+  opening->opened.input = talloc_strdup (owner->actions, dump);
+  free (dump);
+  return MQ_ERR_NONE;
+}
+
+static enum mq_error_type
+fill_opening (struct mq_owner *owner, struct opening *opening,
+              const struct mq_request_msg *request)
+{
+  const struct mq_service *service
+      = mq_text_find_service (owner->text, request->service);
+  json_t *root = json_loads (request->body, 0, NULL);
+  enum mq_error_type error;
+
+  fill_common (opening, request);
+  if (service == NULL)
+    error = MQ_ERR_NOT_FOUND;
+  else if (!json_is_object (root))
+    error = MQ_ERR_BAD_JSON;
+  else if (service->kind == MQ_SERVICE_AGENT)
+    error = fill_agent (owner, opening, request, service, root);
+  else
+    error = fill_single (owner, opening, request, service, root);
+  json_decref (root);
+  return error;
+}
+
+static void
+grant_first (struct mq_owner *owner, struct running *running)
+{
+  const struct mq_service *service
+      = mq_text_find_service (owner->text, running->program->service);
+  uint32_t max_tokens = 0;
+
+  for (size_t i = 0; service != NULL && i < service->depend_count; i++)
+    if (owner->text->services[service->depends[i]].kind == MQ_SERVICE_MODEL)
+      max_tokens = owner->text->services[service->depends[i]].max_tokens;
+  if (service != NULL && service->kind == MQ_SERVICE_MODEL)
+    max_tokens = service->max_tokens;
+  if (max_tokens > running->program->budget.tokens)
+    max_tokens = (uint32_t)running->program->budget.tokens;
+  if (max_tokens > 0)
+    budget_has_grant (owner, running, max_tokens);
+}
+
+/* A history that carries over has been computed before.  */
+static void
+note_known_tokens (struct mq_owner *owner, struct running *running,
+                   struct mq_id continues)
+{
+  const struct running *before
+      = mq_id_is_zero (continues) ? NULL : chain_find (owner, continues);
+
+  if (before != NULL)
+    running->known_tokens = before->known_tokens;
+}
+
+void
+open_new (struct mq_owner *owner, struct partition *partition, uint32_t peer,
+          uint64_t handle, const struct mq_request_msg *request)
+{
+  struct opening opening;
+  struct running *running;
+  uint32_t retry_after_ms = 0;
+  enum mq_error_type error = fill_opening (owner, &opening, request);
+
+  if (error == MQ_ERR_NONE)
+    error = check_room (owner, request,
+                        (enum mq_priority)opening.opened.priority,
+                        &retry_after_ms);
+  if (error != MQ_ERR_NONE)
+    {
+      events_refuse (owner, partition, peer, handle, error, retry_after_ms);
+      return;
+    }
+  running = chain_open (owner, partition, request->program, &opening.opened);
+  note_known_tokens (owner, running, request->continues);
+  events_add_waiter (running, peer, handle, request, 0);
+  grant_first (owner, running);
+  log_hook (owner, running, HOOK_ACCEPTED, 0, 0, NULL)->tokens
+      = running->grant_wanted;
+  if (running->program->mode != MQ_MODE_STEPS)
+    budget_start_clock (owner, running);
+  log_flush (owner);
+}
+
+/* The caller's open came before: the same program answers.  */
+void
+open_join_program (struct mq_owner *owner, struct running *running,
+                   uint32_t peer, uint64_t handle,
+                   const struct mq_request_msg *request)
+{
+  const struct mq_program *program = running->program;
+  struct mq_event_msg event = { .handle = handle, .type = MQ_EVENT_ACCEPTED };
+  char id[MQ_ID_TEXT];
+
+  if (program->digest != open_digest (request))
+    {
+      events_refuse (owner, running->partition, peer, handle,
+                     MQ_ERR_KEY_REUSED, 0);
+      return;
+    }
+  events_add_waiter (running, peer, handle, request, 0);
+  if (running->undurable > 0)
+    {
+      /* What it waits for is durable soon; then it is told.  */
+      if (program->state != MQ_PROGRAM_RUNNING)
+        log_hook (owner, running, HOOK_ANSWERED, 0, 0, NULL);
+      return;
+    }
+  mq_id_format (program->id, id);
+  event.body = talloc_asprintf (owner->actions, "{\"program\":\"%s\"}", id);
+  events_send_event (owner, peer, &event);
+  if (program->state != MQ_PROGRAM_RUNNING)
+    events_final (owner, running);
+}
--- /dev/null
+++ b/src/core/owner_peers.c
@@ -0,0 +1,160 @@
+/* owner_peers.c - which other entry hosts are there, and who may own
+   partitions.
+
+   Needs: owner_state.h, id.h.  */
+
+#include "owner_state.h"
+#include "id.h"
+#include <string.h>
+
+enum
+{
+  ELIGIBLE_KEY = 7 /* rendezvous key of the hosts that may own */
+};
+
+/* ---- Who is there ---- */
+
+bool
+peers_renews (const struct mq_owner *owner, const struct sibling *sibling)
+{
+  uint64_t age = owner->now_us - sibling->counter_us;
+  uint64_t lease_us = 1000ULL * owner->text->lease_ms;
+
+  if (!sibling->row_known)
+    return false;
+  if (sibling->peer == 0 && sibling->peer_down_us != 0
+      && owner->now_us - sibling->peer_down_us > 1000ULL * MQ_OWNER_DOWN_MS
+      && age > 1000ULL * MQ_OWNER_DOWN_MS)
+    return false;
+  return age <= lease_us;
+}
+
+/* May be given partitions.  */
+static bool
+sibling_is_live (const struct mq_owner *owner, const struct sibling *sibling)
+{
+  return !sibling->leaving && sibling->eligible
+         && peers_renews (owner, sibling);
+}
+
+/* Failure: nobody removes the row of a host that died.  If it counted for
+   ever, hosts that are long gone would in time be all that may own, and the
+   living ones would refuse to.  A row that stands still counts no more.  */
+static bool
+is_candidate (const struct mq_owner *owner, const struct sibling *sibling)
+{
+  return sibling->row_known && !sibling->leaving
+         && owner->now_us - sibling->counter_us
+                <= 1000ULL * MQ_OWNER_FORGET_MS;
+}
+
+static void
+set_eligible (struct mq_owner *owner, bool eligible)
+{
+  if (eligible && !owner->eligible)
+    {
+      /* Others must see the row move before they see us own.  */
+      owner->renewed = false;
+      owner->next_renew_us = owner->now_us;
+    }
+  owner->eligible = eligible;
+}
+
+/* Only so many hosts may own partitions, so that the writes of all owners
+   fit the store however many entry hosts there are.  */
+void
+peers_find_eligible (struct mq_owner *owner)
+{
+  uint64_t own = mq_rendezvous_weight (owner->options.host, ELIGIBLE_KEY);
+  uint32_t better_than_self = 0;
+
+  for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
+    {
+      uint64_t weight = mq_rendezvous_weight (s->host, ELIGIBLE_KEY);
+      uint32_t better = own > weight ? 1 : 0;
+
+      if (weight > own && is_candidate (owner, s))
+        better_than_self++;
+      for (struct sibling *t = owner->siblings; t != NULL; t = t->next)
+        if (t != s && is_candidate (owner, t)
+            && mq_rendezvous_weight (t->host, ELIGIBLE_KEY) > weight)
+          better++;
+      s->eligible = better < MQ_OWNERS_MAX;
+    }
+  set_eligible (owner, better_than_self < MQ_OWNERS_MAX);
+}
+
+void
+peers_count_owned (struct mq_owner *owner)
+{
+  owner->live_hosts = owner->leaving || !owner->eligible ? 0 : 1;
+  for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
+    {
+      s->owned = 0;
+      for (uint32_t i = 0; i < owner->partition_count; i++)
+        if (owner->partitions[i].owner != NULL
+            && strcmp (owner->partitions[i].owner, s->host) == 0)
+          s->owned++;
+      if (sibling_is_live (owner, s))
+        owner->live_hosts++;
+    }
+}
+
+uint32_t
+peers_count_ours (const struct mq_owner *owner)
+{
+  uint32_t ours = 0;
+
+  for (uint32_t i = 0; i < owner->partition_count; i++)
+    if (owner->partitions[i].state != PARTITION_OTHER)
+      ours++;
+  return ours;
+}
+
+uint32_t
+peers_fair_share (const struct mq_owner *owner)
+{
+  uint32_t hosts = owner->live_hosts == 0 ? 1 : owner->live_hosts;
+
+  return (owner->partition_count + hosts - 1) / hosts;
+}
+
+/* Position of this host among the live ones for the partition, from 0.  */
+uint32_t
+peers_own_rank (const struct mq_owner *owner,
+                const struct partition *partition)
+{
+  uint64_t own = mq_rendezvous_weight (owner->options.host, partition->number);
+  uint32_t rank = 0;
+
+  for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
+    if (sibling_is_live (owner, s)
+        && mq_rendezvous_weight (s->host, partition->number) > own)
+      rank++;
+  return rank;
+}
+
+/* The live host that holds the fewest partitions; NULL when none would be
+   better off than this one.  */
+struct sibling *
+peers_find_successor (struct mq_owner *owner,
+                      const struct partition *partition)
+{
+  struct sibling *best = NULL;
+  uint64_t best_weight = 0;
+
+  for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
+    {
+      uint64_t weight = mq_rendezvous_weight (s->host, partition->number);
+
+      if (!sibling_is_live (owner, s))
+        continue;
+      if (best != NULL
+          && (s->owned > best->owned
+              || (s->owned == best->owned && weight <= best_weight)))
+        continue;
+      best = s;
+      best_weight = weight;
+    }
+  return best;
+}
--- /dev/null
+++ b/src/core/owner_place.c
@@ -0,0 +1,366 @@
+/* owner_place.c - which worker a call goes to.
+
+   Needs: owner_state.h, place.h.  */
+
+#include "owner_state.h"
+#include "id.h"
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  PLACE_RETRY_MS = 100,
+  BYTES_PER_TOKEN = 4
+};
+
+/* ---- Accounting at targets ---- */
+
+void
+place_count (struct mq_owner *owner, struct call *call, int change)
+{
+  struct mq_worker_view *view;
+
+  if (call->target == NULL)
+    return;
+  call->target->calls += (uint32_t)change;
+  view = hosts_view (owner, call->target, call->worker);
+  if (view == NULL)
+    return;
+  if (change > 0)
+    {
+      view->own_in_flight++;
+      view->own_tokens += call->uncached_tokens;
+      return;
+    }
+  if (view->own_in_flight > 0)
+    view->own_in_flight--;
+  view->own_tokens -= view->own_tokens < call->uncached_tokens
+                          ? view->own_tokens
+                          : call->uncached_tokens;
+}
+
+void
+place_leave_target (struct mq_owner *owner, struct running *running)
+{
+  struct call *call = running->call;
+
+  place_count (owner, call, -1);
+  call->target = NULL;
+  call->down_us = 0;
+  budget_release (running, call->reserved);
+  call->reserved = 0;
+}
+
+/* Whether the attempt spent its tokens can't be known: it counts as if it
+   had spent all that it may.  */
+void
+place_abandon (struct mq_owner *owner, struct running *running)
+{
+  uint64_t reserved = running->call->reserved;
+
+  place_leave_target (owner, running);
+  budget_charge (owner, running, reserved);
+}
+
+void
+place_drop (struct mq_owner *owner, struct running *running)
+{
+  if (running->call != NULL && running->call->target != NULL)
+    place_count (owner, running->call, -1);
+  running->call = NULL;
+}
+
+/* ---- Placing ---- */
+
+static int32_t
+sticky_view (const struct running *running, const struct pool *pool)
+{
+  struct target *target = running->sticky;
+
+  if (target == NULL || running->sticky_worker >= target->worker_count
+      || target->workers[running->sticky_worker]->pool != pool)
+    return -1;
+  return (int32_t)target->workers[running->sticky_worker]->view;
+}
+
+struct shared_prompt
+place_find_shared (const struct mq_owner *owner, const struct running *running)
+{
+  const struct mq_service *agent
+      = mq_text_find_service (owner->text, running->program->service);
+  struct shared_prompt shared = { 0 };
+  size_t len;
+
+  if (agent == NULL || agent->prompt == NULL)
+    return shared;
+  len = strlen (agent->prompt);
+  shared.hash = mq_hash_bytes (agent->prompt, len, 0);
+  shared.tokens = (uint32_t)(len / BYTES_PER_TOKEN);
+  return shared;
+}
+
+static struct worker *
+choose_worker (struct mq_owner *owner, struct running *running)
+{
+  struct call *call = running->call;
+  struct pool *pool = hosts_pool (owner, call->service->name);
+  struct shared_prompt shared = place_find_shared (owner, running);
+  struct mq_place_call place = { 0 };
+  int32_t chosen;
+
+  place.prompt_tokens = call->prompt_tokens;
+  place.expected_tokens = call->model ? call->max_tokens / 2 : 1;
+  place.sticky = call->model ? sticky_view (running, pool) : -1;
+  place.sticky_tokens = running->sticky_tokens;
+  place.program_hash = running->program->id.hi;
+  place.priority = running->program->priority;
+  place.shared_prefix = shared.hash;
+  place.shared_tokens = shared.tokens;
+  chosen
+      = mq_place_choose (owner->place, (enum mq_policy)owner->options.policy,
+                         pool->views, pool->count, &place, owner->now_us);
+  return chosen < 0 ? NULL : pool->workers[chosen];
+}
+
+void
+place_remember_cache (struct mq_owner *owner, struct running *running,
+                      struct target *target)
+{
+  struct cache_place *place;
+
+  for (place = running->caches; place != NULL; place = place->next)
+    if (place->target == target && place->boot == target->boot)
+      return;
+  place = talloc_zero (running, struct cache_place);
+  if (place == NULL)
+    abort ();
+  place->target = target;
+  place->boot = target->boot;
+  place->next = running->caches;
+  running->caches = place;
+  evict_lease (owner, running, target);
+}
+
+static void
+fill_call (struct mq_owner *owner, const struct running *running,
+           struct mq_call_msg *message)
+{
+  const struct call *call = running->call;
+  const struct mq_program *program = running->program;
+  uint64_t left = 0;
+
+  if (program->budget.seconds > 0)
+    {
+      uint64_t budget_ms = 1000ULL * program->budget.seconds;
+      uint64_t elapsed = budget_elapsed_ms (owner, running);
+
+      left = budget_ms > elapsed ? budget_ms - elapsed : 1;
+    }
+  message->ref.program = program->id;
+  message->ref.call = call->number;
+  message->ref.attempt = call->attempt;
+  message->partition = running->partition->number;
+  message->fence = running->partition->fence;
+  message->boot = call->idempotent ? 0 : call->boot;
+  message->service = call->service->name;
+  message->route = call->service->path == NULL ? "" : call->service->path;
+  message->organisation = program->organisation;
+  message->worker = call->worker;
+  message->idempotent = call->idempotent;
+  message->priority = program->priority;
+  message->deadline_ms = left > UINT32_MAX ? UINT32_MAX : (uint32_t)left;
+  message->max_tokens = call->max_tokens;
+  message->attained = program->spent;
+  message->continuing = program->calls > 0;
+  message->follow_up = program->follow_up;
+  message->prefix_tokens
+      = running->sticky == call->target ? running->sticky_tokens : 0;
+  message->traceparent = program->traceparent;
+  message->body = call->body;
+}
+
+void
+place_send_call (struct mq_owner *owner, struct running *running)
+{
+  struct call *call = running->call;
+  struct mq_message message = { .type = MQ_MSG_CALL };
+
+  fill_call (owner, running, &message.u.call);
+  hosts_send (owner, call->target, &message);
+  owner->counters.calls_sent++;
+}
+
+/* Prompt tokens that the worker has to compute, as far as is known.  */
+static uint32_t
+expect_uncached (const struct running *running, const struct worker *worker)
+{
+  uint32_t prompt = running->call->prompt_tokens;
+  uint32_t cached = 0;
+
+  if (running->sticky == worker->target
+      && running->sticky_worker == worker->index)
+    cached = running->sticky_tokens;
+  return prompt > cached ? prompt - cached : 0;
+}
+
+static void
+go_to (struct mq_owner *owner, struct running *running, struct worker *worker)
+{
+  struct call *call = running->call;
+
+  call->attempt++;
+  if (call->attempt > 1)
+    owner->counters.calls_retried++;
+  call->target = worker->target;
+  call->worker = worker->index;
+  call->boot = worker->target->boot;
+  call->sent_us = owner->now_us;
+  call->uncached_tokens = expect_uncached (running, worker);
+  place_count (owner, call, 1);
+  if (call->model)
+    {
+      call->reserved = call->max_tokens;
+      budget_reserve (running, call->reserved);
+    }
+}
+
+static void
+send_first (struct mq_owner *owner, struct running *running)
+{
+  struct call *call = running->call;
+
+  call->state = CALL_SENT;
+  call->sent_us = owner->now_us;
+  place_send_call (owner, running);
+  if (call->model)
+    place_remember_cache (owner, running, call->target);
+  owner_wake_at (owner, running,
+                 owner->now_us + 1000ULL * call->service->timeout_ms
+                     + 1000ULL * GUARD_MS);
+}
+
+static void
+append_intent (struct mq_owner *owner, struct running *running)
+{
+  struct call *call = running->call;
+  Mqlog__Record record = MQLOG__RECORD__INIT;
+  Mqlog__Intent intent = MQLOG__INTENT__INIT;
+
+  intent.call = call->number;
+  intent.attempt = call->attempt;
+  intent.host = call->target->host;
+  intent.boot = call->boot;
+  intent.worker = call->worker;
+  record.body_case = MQLOG__RECORD__BODY_INTENT;
+  record.intent = &intent;
+  call->state = CALL_INTENT;
+  log_append (owner, running, &record);
+  log_hook (owner, running, HOOK_INTENT, call->number, call->attempt, NULL);
+}
+
+void
+place_later (struct mq_owner *owner, struct running *running, uint32_t wait_ms)
+{
+  struct call *call = running->call;
+
+  call->state = CALL_PLACE;
+  call->retry_us = owner->now_us + 1000ULL * wait_ms;
+  owner_wake_at (owner, running, call->retry_us);
+}
+
+/* Failure: a call under our fence voids at its target what the earlier
+   owner's later attempts left there; we die before their charges are
+   durable, and the next owner finds no trace of them: the budget is spent
+   again.  So no call goes out before they are.  */
+static bool
+discards_are_durable (struct mq_owner *owner, struct running *running)
+{
+  if (owner->settled >= running->discard_mark)
+    return true;
+  if (!running->grant_asked)
+    {
+      running->grant_asked = true;
+      log_hook (owner, running, HOOK_GRANTED, 0, 0, NULL)->tokens = 0;
+    }
+  return false;
+}
+
+void
+place_call (struct mq_owner *owner, struct running *running)
+{
+  struct call *call = running->call;
+  struct worker *worker;
+
+  if (!discards_are_durable (owner, running))
+    {
+      call->state = CALL_GRANT;
+      return;
+    }
+  /* An earlier attempt may have been charged since the cap was set.  */
+  if (call->model && !chain_fit_call (running))
+    {
+      call->state = CALL_PLACE;
+      end_stop (owner, running, MQ_ERR_BUDGET_TOKENS);
+      return;
+    }
+  if (call->model && !budget_has_grant (owner, running, call->max_tokens))
+    {
+      call->state = CALL_GRANT;
+      return;
+    }
+  worker = choose_worker (owner, running);
+  if (worker == NULL)
+    {
+      place_later (owner, running, PLACE_RETRY_MS);
+      return;
+    }
+  go_to (owner, running, worker);
+  if (call->idempotent)
+    send_first (owner, running);
+  else
+    append_intent (owner, running);
+}
+
+void
+place_start (struct mq_owner *owner, struct running *running,
+             struct call *call)
+{
+  running->call = call;
+  call->started_us = owner->now_us;
+  call->prompt_tokens = (uint32_t)(strlen (call->body) / BYTES_PER_TOKEN);
+  place_call (owner, running);
+}
+
+void
+place_continue (struct mq_owner *owner, struct running *running)
+{
+  struct call *call = running->call;
+
+  if (call == NULL)
+    return;
+  if (call->state == CALL_GRANT
+      || (call->state == CALL_PLACE && owner->now_us >= call->retry_us))
+    place_call (owner, running);
+}
+
+/* The intent is durable: whoever owns the partition from now on knows that
+   the call may have been sent, and to which run of which process.  */
+void
+place_intent_durable (struct mq_owner *owner, struct running *running,
+                      uint32_t number, uint32_t attempt)
+{
+  struct call *call = running->call;
+
+  if (call == NULL || call->state != CALL_INTENT || call->number != number
+      || call->attempt != attempt)
+    return;
+  if (call->target->peer == 0 || call->target->boot != call->boot
+      || call->target->leaving)
+    {
+      /* Never sent from here, and only this owner may send it.  */
+      place_leave_target (owner, running);
+      place_later (owner, running, 0);
+      return;
+    }
+  send_first (owner, running);
+}
--- /dev/null
+++ b/src/core/owner_read.c
@@ -0,0 +1,463 @@
+/* owner_read.c - the log of a partition that is taken over, read and replayed.
+
+   Needs: owner_state.h, proto/log.pb-c.h.  */
+
+#include "owner_state.h"
+#include "id.h"
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  LOG_PAGE = 256 /* log rows read at a time */
+};
+
+/* ---- Reading the log ---- */
+
+static void
+read_again_later (struct mq_owner *owner, struct partition *partition)
+{
+  durable_store_failed (owner);
+  partition->retry_us
+      = owner->now_us
+        + 1000ULL * owner_jitter_ms (owner, MQ_STORE_RETRY_MS, 1, 1000);
+}
+
+static void
+send_get (struct mq_owner *owner, struct partition *partition, const char *key)
+{
+  struct mq_store_request *request;
+
+  partition->read_id = owner_new_id (owner);
+  owner->counters.store_reads++;
+  request = owner_store (owner, MQ_STORE_GET, partition->read_id);
+  request->key = talloc_strdup (owner->actions, key);
+}
+
+static void
+send_scan (struct mq_owner *owner, struct partition *partition, char *prefix,
+           const char *after, uint32_t limit)
+{
+  struct mq_store_request *request;
+
+  partition->read_id = owner_new_id (owner);
+  owner->counters.store_reads++;
+  request = owner_store (owner, MQ_STORE_SCAN, partition->read_id);
+  request->key = prefix;
+  request->after = talloc_strdup (owner->actions, after);
+  request->limit = limit;
+}
+
+static void start_recover (struct mq_owner *owner,
+                           struct partition *partition);
+
+void
+read_next (struct mq_owner *owner, struct partition *partition)
+{
+  struct takeover *take = partition->takeover;
+
+  switch (take->step)
+    {
+    case TAKE_CHECKPOINT:
+      if (partition->checkpoint_key != NULL
+          && partition->checkpoint_key[0] != '\0')
+        {
+          send_get (owner, partition, partition->checkpoint_key);
+          return;
+        }
+      take->step = TAKE_ROWS;
+      break;
+    case TAKE_ROWS:
+    case TAKE_OBJECTS:
+    case TAKE_TARGETS:
+      break;
+    }
+  if (take->step == TAKE_ROWS)
+    {
+      send_scan (
+          owner, partition,
+          talloc_asprintf (owner->actions, "log/%05u/", partition->number),
+          take->after, LOG_PAGE);
+      return;
+    }
+  if (take->step == TAKE_OBJECTS)
+    {
+      while (take->row_next < take->row_count
+             && take->rows[take->row_next].object == NULL)
+        take->row_next++;
+      if (take->row_next < take->row_count)
+        {
+          send_get (owner, partition, take->rows[take->row_next].object);
+          return;
+        }
+      take->step = TAKE_TARGETS;
+    }
+  send_scan (owner, partition,
+             talloc_asprintf (owner->actions, "targets/%s",
+                              partition->senders[take->sender_next]),
+             "", 1);
+}
+
+void
+read_start (struct mq_owner *owner, struct partition *partition)
+{
+  struct takeover *take;
+
+  partition->state = PARTITION_READING;
+  partition->retry_us = 0;
+  owner->claiming++;
+  partition->memory = talloc_new (owner);
+  partition->programs = mq_idmap_create (partition->memory);
+  partition->records_since_checkpoint = 0;
+  take = talloc_zero (partition->memory, struct takeover);
+  if (take == NULL)
+    abort ();
+  take->step = TAKE_CHECKPOINT;
+  take->after = talloc_asprintf (take, "log/%05u/%012llu", partition->number,
+                                 (unsigned long long)partition->checkpoint);
+  partition->takeover = take;
+  read_next (owner, partition);
+}
+
+/* Starts over: what was read does not fit together.  */
+static void
+read_afresh (struct mq_owner *owner, struct partition *partition)
+{
+  take_forget_partition (owner, partition);
+  partition->retry_us = owner->now_us + 1000ULL * MQ_STORE_RETRY_MAX_MS;
+  owner->next_scan_us = owner->now_us;
+}
+
+static bool
+read_checkpoint (struct mq_owner *owner, struct partition *partition,
+                 const struct mq_store_result *result)
+{
+  Mqlog__Checkpoint *checkpoint = mqlog__checkpoint__unpack (
+      NULL, result->value.len, result->value.data);
+
+  if (checkpoint == NULL)
+    return false;
+  for (size_t i = 0; i < checkpoint->n_programs; i++)
+    chain_add (owner, partition,
+               mq_program_unpack (partition->memory, checkpoint->programs[i]));
+  mqlog__checkpoint__free_unpacked (checkpoint, NULL);
+  return true;
+}
+
+static void
+keep_log_row (struct takeover *take, const struct mq_row *row)
+{
+  Mqlog__Batch *batch
+      = mqlog__batch__unpack (NULL, row->value.len, row->value.data);
+  struct read_batch *kept;
+
+  take->rows = talloc_realloc (take, take->rows, struct read_batch,
+                               (unsigned int)take->row_count + 1);
+  if (take->rows == NULL)
+    abort ();
+  kept = &take->rows[take->row_count++];
+  memset (kept, 0, sizeof *kept);
+  talloc_free (take->after);
+  take->after = talloc_strdup (take, row->key);
+  if (batch == NULL)
+    return;
+  kept->sequence = batch->sequence;
+  if (batch->object[0] != '\0')
+    kept->object = talloc_strdup (take, batch->object);
+  kept->bytes.data = talloc_memdup (take, row->value.data, row->value.len);
+  kept->bytes.len = row->value.len;
+  mqlog__batch__free_unpacked (batch, NULL);
+}
+
+static void
+keep_segment (struct partition *partition, const struct read_batch *row)
+{
+  struct segment *segment;
+
+  if (row->object == NULL)
+    return;
+  segment = talloc_zero (partition->memory, struct segment);
+  segment->sequence = row->sequence;
+  segment->object = talloc_strdup (segment, row->object);
+  segment->next = partition->segments;
+  partition->segments = segment;
+}
+
+static bool
+replay_batch (struct mq_owner *owner, struct partition *partition,
+              const struct mq_bytes *bytes)
+{
+  Mqlog__Batch *batch = mqlog__batch__unpack (NULL, bytes->len, bytes->data);
+  bool whole = batch != NULL;
+
+  for (size_t i = 0; whole && i < batch->n_records; i++)
+    {
+      Mqlog__Record *record = mqlog__record__unpack (
+          NULL, batch->records[i].len, batch->records[i].data);
+
+      if (record == NULL)
+        whole = false;
+      else
+        read_apply (owner, partition, record);
+      partition->records_since_checkpoint++;
+      mqlog__record__free_unpacked (record, NULL);
+    }
+  if (batch != NULL)
+    mqlog__batch__free_unpacked (batch, NULL);
+  return whole;
+}
+
+/* Every batch from the checkpoint to the row's sequence must be there:
+   a gap would lose a part of some program's history in silence.  */
+static bool
+replay (struct mq_owner *owner, struct partition *partition)
+{
+  struct takeover *take = partition->takeover;
+  uint64_t expected = partition->checkpoint;
+
+  for (size_t i = 0; i < take->row_count; i++)
+    {
+      if (take->rows[i].sequence != ++expected)
+        return false;
+      if (!replay_batch (owner, partition, &take->rows[i].bytes))
+        return false;
+      keep_segment (partition, &take->rows[i]);
+    }
+  return expected == partition->sequence;
+}
+
+static void
+add_wait (struct takeover *take, const char *host, uint64_t boot)
+{
+  struct recover_wait *wait;
+
+  take->waits = talloc_realloc (take, take->waits, struct recover_wait,
+                                (unsigned int)take->wait_count + 1);
+  if (take->waits == NULL)
+    abort ();
+  wait = &take->waits[take->wait_count++];
+  wait->host = talloc_strdup (take, host);
+  wait->boot = boot;
+  wait->answered = false;
+}
+
+static void
+keep_targets (struct partition *partition,
+              const struct mq_store_result *result)
+{
+  struct takeover *take = partition->takeover;
+  char *key = talloc_asprintf (take, "targets/%s",
+                               partition->senders[take->sender_next]);
+
+  for (size_t i = 0; i < result->row_count; i++)
+    {
+      Mqlog__TargetsRow *row;
+
+      if (strcmp (result->rows[i].key, key) != 0)
+        continue;
+      row = mqlog__targets_row__unpack (NULL, result->rows[i].value.len,
+                                        result->rows[i].value.data);
+      if (row == NULL)
+        continue;
+      for (size_t j = 0; j < row->n_hosts && j < row->n_boots; j++)
+        add_wait (take, row->hosts[j], row->boots[j]);
+      mqlog__targets_row__free_unpacked (row, NULL);
+    }
+}
+
+void
+read_result (struct mq_owner *owner, struct partition *partition,
+             const struct mq_store_result *result)
+{
+  struct takeover *take = partition->takeover;
+
+  partition->read_id = 0;
+  if (result->status != MQ_STORE_OK)
+    {
+      read_again_later (owner, partition);
+      return;
+    }
+  durable_store_worked (owner);
+  switch (take->step)
+    {
+    case TAKE_CHECKPOINT:
+      if (!read_checkpoint (owner, partition, result))
+        {
+          read_afresh (owner, partition);
+          return;
+        }
+      take->step = TAKE_ROWS;
+      break;
+    case TAKE_ROWS:
+      for (size_t i = 0; i < result->row_count; i++)
+        keep_log_row (take, &result->rows[i]);
+      if (!result->more)
+        take->step = TAKE_OBJECTS;
+      break;
+    case TAKE_OBJECTS:
+      {
+        struct read_batch *row = &take->rows[take->row_next++];
+
+        row->bytes.data
+            = talloc_memdup (take, result->value.data, result->value.len);
+        row->bytes.len = result->value.len;
+        break;
+      }
+    case TAKE_TARGETS:
+      keep_targets (partition, result);
+      if (++take->sender_next < partition->sender_count)
+        break;
+      if (!replay (owner, partition))
+        {
+          read_afresh (owner, partition);
+          return;
+        }
+      start_recover (owner, partition);
+      return;
+    }
+  read_next (owner, partition);
+}
+
+/* ---- Asking targets' processes ---- */
+
+static void
+send_recover (struct mq_owner *owner, struct partition *partition,
+              struct target *target)
+{
+  struct mq_message message = { .type = MQ_MSG_RECOVER };
+
+  message.u.recover.partition = partition->number;
+  message.u.recover.fence = partition->fence;
+  hosts_send (owner, target, &message);
+}
+
+static bool
+all_recovered (const struct takeover *take)
+{
+  for (size_t i = 0; i < take->wait_count; i++)
+    if (!take->waits[i].answered)
+      return false;
+  return true;
+}
+
+void
+read_activate (struct mq_owner *owner, struct partition *partition)
+{
+  struct running **all;
+  size_t count = mq_idmap_count (partition->programs);
+  size_t position = 0;
+  bool exact = all_recovered (partition->takeover);
+
+  owner->claiming--;
+  owner->counters.takeovers++;
+  partition->state = PARTITION_ACTIVE;
+  partition->takeover = NULL;
+  owner_state (owner, MQ_STATE_PARTITION_OWNED, partition->number, "");
+  /* The programs are listed first: going on may add sub-programs.  */
+  all = talloc_array (owner->actions, struct running *, (unsigned int)count);
+  for (size_t i = 0; i < count; i++)
+    all[i] = mq_idmap_next (partition->programs, &position);
+  for (size_t i = 0; i < count; i++)
+    if (!exact)
+      budget_forfeit (owner, all[i]);
+  for (size_t i = 0; i < count; i++)
+    settle_resume (owner, all[i]);
+  log_flush (owner);
+}
+
+static void
+start_recover (struct mq_owner *owner, struct partition *partition)
+{
+  partition->state = PARTITION_RECOVER;
+  partition->takeover->recover_until_us
+      = owner->now_us + 1000ULL * MQ_RECOVER_MS;
+  for (struct target *t = owner->targets; t != NULL; t = t->next)
+    if (t->peer != 0)
+      send_recover (owner, partition, t);
+  if (all_recovered (partition->takeover))
+    read_activate (owner, partition);
+}
+
+void
+read_recovered (struct mq_owner *owner, struct target *target,
+                const struct mq_recovered_msg *recovered)
+{
+  struct partition *partition;
+
+  if (recovered->partition >= owner->partition_count)
+    return;
+  partition = &owner->partitions[recovered->partition];
+  if (recovered->fence > partition->fence)
+    {
+      /* A newer owner was there before us; the row will say who.  */
+      owner->next_scan_us = owner->now_us;
+      return;
+    }
+  for (size_t i = 0; i < recovered->running_count; i++)
+    settle_adopt (owner, target, recovered->running[i], partition->number);
+  if (partition->state != PARTITION_RECOVER)
+    return;
+  for (size_t i = 0; i < partition->takeover->wait_count; i++)
+    if (strcmp (partition->takeover->waits[i].host, target->host) == 0
+        && partition->takeover->waits[i].boot == recovered->boot)
+      partition->takeover->waits[i].answered = true;
+  if (all_recovered (partition->takeover))
+    read_activate (owner, partition);
+}
+
+/* A target's process may keep outcomes that were meant for an earlier owner
+   or were lost with the connection: it is asked for them.  */
+void
+read_target_up (struct mq_owner *owner, struct target *target)
+{
+  for (uint32_t i = 0; i < owner->partition_count; i++)
+    {
+      struct partition *partition = &owner->partitions[i];
+
+      if (partition->state == PARTITION_RECOVER
+          || partition->state == PARTITION_ACTIVE)
+        send_recover (owner, partition, target);
+    }
+}
+
+/* ---- Applying records ---- */
+
+static void
+charge_ancestors (struct running *running, const Mqlog__Record *record)
+{
+  bool outcome = record->body_case == MQLOG__RECORD__BODY_OUTCOME;
+
+  if (record->body_case == MQLOG__RECORD__BODY_FORFEITED)
+    return;
+  for (struct running *up = running->parent; up != NULL; up = up->parent)
+    {
+      up->program->spent += record->charge;
+      if (outcome)
+        up->program->turns++;
+    }
+}
+
+void
+read_apply (struct mq_owner *owner, struct partition *partition,
+            const Mqlog__Record *record)
+{
+  struct mq_id id = { record->hi, record->lo };
+  struct running *running = mq_idmap_find (partition->programs, id, 0);
+
+  if (record->body_case == MQLOG__RECORD__BODY_OPENED)
+    {
+      if (running == NULL)
+        chain_add (owner, partition,
+                   mq_program_open (partition->memory, id, record->opened));
+      return;
+    }
+  if (running == NULL)
+    return;
+  if (running->program->state != MQ_PROGRAM_ENDED
+      && record->body_case == MQLOG__RECORD__BODY_ANSWERED
+      && record->answered->ended)
+    chain_count_live (owner, running, -1);
+  mq_program_apply (running->program, record);
+  charge_ancestors (running, record);
+  owner->counters.tokens_spent += record->charge;
+}
--- /dev/null
+++ b/src/core/owner_rows.c
@@ -0,0 +1,170 @@
+/* owner_rows.c - rows of partitions and hosts as the table has them.
+
+   Needs: owner_state.h, proto/log.pb-c.h.  */
+
+#include "owner_state.h"
+#include "memory.h"
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- Rows ---- */
+
+static void
+copy_senders (struct mq_owner *owner, struct partition *partition,
+              const Mqlog__PartitionRow *row)
+{
+  talloc_free (partition->senders);
+  /* Room for this run, which a claim adds.  */
+  partition->senders = talloc_zero_array (owner->partitions, char *,
+                                          (unsigned int)row->n_senders + 1);
+  if (partition->senders == NULL)
+    abort ();
+  partition->sender_count = row->n_senders;
+  for (size_t i = 0; i < row->n_senders; i++)
+    partition->senders[i]
+        = talloc_strdup (partition->senders, row->senders[i]);
+}
+
+static bool
+copy_row (struct mq_owner *owner, struct partition *partition,
+          const struct mq_row *row)
+{
+  Mqlog__PartitionRow *value
+      = mqlog__partition_row__unpack (NULL, row->value.len, row->value.data);
+
+  if (value == NULL)
+    return false;
+  if (partition->owner == NULL || strcmp (partition->owner, value->owner) != 0)
+    partition->unowned_us = 0;
+  partition->row_known = true;
+  partition->row_version = row->version;
+  partition->fence = value->fence;
+  partition->owner_boot = value->owner_boot;
+  partition->sequence = value->sequence;
+  partition->batch = value->batch;
+  partition->checkpoint = value->checkpoint;
+  partition->first = value->first;
+  mq_text_set (owner->partitions, &partition->owner, value->owner);
+  mq_text_set (owner->partitions, &partition->address, value->address);
+  mq_text_set (owner->partitions, &partition->checkpoint_key,
+               value->checkpoint_key);
+  copy_senders (owner, partition, value);
+  mqlog__partition_row__free_unpacked (value, NULL);
+  return true;
+}
+
+/* A row of another owner, or of ours that shows that we lost it.  Rows older
+   than what we wrote ourselves are of a scan that began before.  */
+static void
+read_partition_row (struct mq_owner *owner, struct partition *partition,
+                    const struct mq_row *row)
+{
+  Mqlog__PartitionRow *value;
+  bool lost;
+
+  if (partition->row_known && row->version < partition->row_version)
+    return;
+  if (partition->state == PARTITION_CLAIMING)
+    return;
+  if (partition->state == PARTITION_OTHER)
+    {
+      if (!copy_row (owner, partition, row))
+        return;
+      /* Our own claim whose answer was lost; or what was read before did not
+         fit together, then after a pause.  */
+      if (partition->owner_boot == owner->options.boot
+          && owner->now_us >= partition->retry_us
+          && strcmp (partition->owner, owner->options.host) == 0)
+        read_start (owner, partition);
+      return;
+    }
+  value = mqlog__partition_row__unpack (NULL, row->value.len, row->value.data);
+  if (value == NULL)
+    return;
+  lost = value->fence != partition->fence;
+  mqlog__partition_row__free_unpacked (value, NULL);
+  if (!lost)
+    return;
+  take_lose (owner, partition);
+  copy_row (owner, partition, row);
+}
+
+static void
+read_owner_row (struct mq_owner *owner, const char *host,
+                const struct mq_row *row)
+{
+  struct sibling *sibling;
+  Mqlog__OwnerRow *value;
+
+  if (strcmp (host, owner->options.host) == 0)
+    return;
+  value = mqlog__owner_row__unpack (NULL, row->value.len, row->value.data);
+  if (value == NULL)
+    return;
+  sibling = hosts_sibling_named (owner, host, true);
+  sibling->seen = true;
+  if (!sibling->row_known || sibling->counter != value->counter
+      || sibling->boot != value->boot)
+    sibling->counter_us = owner->now_us;
+  sibling->row_known = true;
+  sibling->counter = value->counter;
+  sibling->boot = value->boot;
+  sibling->leaving = value->leaving;
+  mq_text_set (sibling, &sibling->address, value->address);
+  mqlog__owner_row__free_unpacked (value, NULL);
+}
+
+void
+rows_read_owners (struct mq_owner *owner, const struct mq_store_result *result)
+{
+  static const char prefix[] = "owner/";
+
+  for (size_t i = 0; i < result->row_count; i++)
+    read_owner_row (owner, result->rows[i].key + sizeof prefix - 1,
+                    &result->rows[i]);
+  if (result->more && result->row_count > 0)
+    {
+      mq_text_set (owner, &owner->owners_after,
+                   result->rows[result->row_count - 1].key);
+      tick_scan_owners (owner);
+      return;
+    }
+  for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
+    if (!s->seen)
+      s->row_known = false;
+  peers_find_eligible (owner);
+}
+
+void
+rows_read_partitions (struct mq_owner *owner,
+                      const struct mq_store_result *result)
+{
+  for (size_t i = 0; i < result->row_count; i++)
+    {
+      unsigned long number
+          = strtoul (result->rows[i].key + strlen ("part/"), NULL, 10);
+
+      if (number < owner->partition_count)
+        read_partition_row (owner, &owner->partitions[number],
+                            &result->rows[i]);
+    }
+  peers_count_owned (owner);
+}
+
+/* While the store can't be read, nobody's counter can be seen to move;
+   the time of the outage must not count against them.  */
+void
+rows_scan_failed (struct mq_owner *owner)
+{
+  for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
+    s->counter_us = owner->now_us;
+  durable_store_failed (owner);
+}
+
+/* This process stood still until NOW_US.  */
+void
+rows_paused (struct mq_owner *owner, uint64_t now_us)
+{
+  for (struct sibling *s = owner->siblings; s != NULL; s = s->next)
+    s->counter_us = now_us;
+}
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -8,69 +8,15 @@
    a tree without anyone laying one out.
    Needs: spread.h, id.h, limits.h.  */
 
-#include "spread.h"
+#include "spread_state.h"
 #include "id.h"
 #include "limits.h"
 #include "memory.h"
 #include <string.h>
 
-enum
-{
-  US_PER_MS = 1000,
-  APPLY_ID_OFFSET = 8
-};
-
 /* Key of the rendezvous hash that picks the pollers of a data centre.  */
 #define POLLER_KEY 0x636f6e666967ULL
 
-struct spread_peer
-{
-  uint32_t peer;
-  uint64_t heard;    /* highest version heard from it */
-  uint64_t told;     /* highest version told to it */
-  uint64_t asked;    /* number of the question to it, 0 never asked */
-  uint64_t asked_us; /* when that was */
-};
-
-/* The one CONFIG_GET that waits for its answer.  */
-struct spread_get
-{
-  bool waiting;
-  uint32_t peer;
-  uint64_t until_us;
-};
-
-/* The one SCAN that waits for its result.  */
-struct spread_poll
-{
-  uint64_t id; /* 0 when none waits */
-  uint64_t until_us;
-  uint64_t next_us;
-  uint32_t pause_ms; /* while no version is known: doubles up to a bound */
-};
-
-struct mq_spread
-{
-  const char *host;
-  const char *data_centre;
-  uint64_t random;
-  uint64_t version;
-  char *text;
-  uint64_t text_hash;
-  uint64_t row_version; /* highest version of the table's row seen */
-  bool poller;
-  uint64_t last_id;
-  struct spread_poll poll;
-  struct spread_get get;
-  uint64_t ask_us;        /* next look for a peer to ask, 0 when none is due */
-  uint64_t tell_us;       /* next group of peers to tell, 0 when none is due */
-  uint32_t tell_pause_ms; /* pause before it, doubles with each group */
-  struct spread_peer *peers; /* sorted by handle */
-  size_t peer_count;
-  size_t peer_room;
-  struct mq_spread_counters counters;
-};
-
 static uint64_t
 earlier (uint64_t a, uint64_t b)
 {
@@ -82,8 +28,8 @@
 }
 
 /* A time around MS from now, between half and one and a half of it.  */
-static uint64_t
-jittered (struct mq_spread *spread, uint64_t now_us, uint32_t ms)
+uint64_t
+spread_jittered (struct mq_spread *spread, uint64_t now_us, uint32_t ms)
 {
   uint64_t spread_us = (uint64_t)ms * US_PER_MS;
 
@@ -318,9 +264,9 @@
    must never be: apply is a compare-and-swap of the row.  If it happens all
    the same (a table restored from an old copy), each process would run on
    the one it met first without knowing; the hash makes that seen.  */
-static bool
-raise_to (struct mq_spread *spread, uint64_t version, const char *text,
-          size_t len, struct mq_actions *actions)
+bool
+spread_raise_to (struct mq_spread *spread, uint64_t version, const char *text,
+                 size_t len, struct mq_actions *actions)
 {
   uint64_t hash = mq_hash_bytes (text, len, version);
 
@@ -338,9 +284,9 @@
 }
 
 /* After a rise: who is still ahead is asked, the others are told.  */
-static void
-after_rise (struct mq_spread *spread, uint64_t now_us,
-            struct mq_actions *actions)
+void
+spread_after_rise (struct mq_spread *spread, uint64_t now_us,
+                   struct mq_actions *actions)
 {
   spread->poll.pause_ms = MQ_STORE_RETRY_MS;
   spread->tell_pause_ms = MQ_CONFIG_TELL_MS;
@@ -349,120 +295,6 @@
     ask (spread, now_us, actions);
 }
 
-/* The table.  */
-
-/* When the table is read next.  Without a version the pause doubles up to a
-   bound, so that a whole site that starts during an outage does not meet
-   the store with all its hosts each second.  */
-static void
-plan_poll (struct mq_spread *spread, uint64_t now_us)
-{
-  uint32_t ms = spread->poller ? MQ_CONFIG_POLL_MS : MQ_CONFIG_POLL_SLOW_MS;
-
-  if (spread->version == 0)
-    {
-      if (spread->poll.pause_ms < ms)
-        ms = spread->poll.pause_ms;
-      spread->poll.pause_ms *= 2;
-      if (spread->poll.pause_ms > MQ_CONFIG_FIRST_MAX_MS)
-        spread->poll.pause_ms = MQ_CONFIG_FIRST_MAX_MS;
-    }
-  spread->poll.next_us = jittered (spread, now_us, ms);
-}
-
-static void
-poll_table (struct mq_spread *spread, uint64_t now_us,
-            struct mq_actions *actions)
-{
-  struct mq_action *action = mq_actions_add (actions, MQ_ACT_STORE);
-  struct mq_store_request *request = &action->u.store;
-
-  spread->poll.id = MQ_SPREAD_STORE_BIT | ++spread->last_id;
-  /* Every request gets a result; should one be swallowed all the same,
-     polling goes on after this time.  */
-  spread->poll.until_us = now_us + 2ULL * MQ_STORE_TIMEOUT_MS * US_PER_MS;
-  spread->counters.polls++;
-  request->id = spread->poll.id;
-  request->kind = MQ_STORE_SCAN;
-  request->key = mq_must (talloc_strdup (actions, MQ_CONFIG_KEY));
-  request->limit = 1;
-}
-
-static uint64_t
-read_version (const uint8_t *data)
-{
-  uint64_t version = 0;
-
-  for (int i = 0; i < APPLY_ID_OFFSET; i++)
-    version = version << 8 | data[i];
-  return version;
-}
-
-/* True when the row can be a configuration: version, apply id, a text
-   without zero bytes and within its bound.  */
-static bool
-row_is_sound (const struct mq_row *row)
-{
-  size_t text_len;
-
-  if (row->value.len <= MQ_CONFIG_HEADER)
-    return false;
-  text_len = row->value.len - MQ_CONFIG_HEADER;
-  if (text_len > MQ_TEXT_MAX_BYTES || read_version (row->value.data) == 0)
-    return false;
-  return memchr (row->value.data + MQ_CONFIG_HEADER, 0, text_len) == NULL;
-}
-
-static bool
-take_row (struct mq_spread *spread, const struct mq_row *row,
-          struct mq_actions *actions)
-{
-  uint64_t version;
-
-  /* The prefix also matches longer keys.  */
-  if (strcmp (row->key, MQ_CONFIG_KEY) != 0)
-    return false;
-  if (!row_is_sound (row))
-    {
-      spread->counters.rows_bad++;
-      return false;
-    }
-  version = read_version (row->value.data);
-  /* A row written later with a version that did not rise: whoever wrote it
-     did not follow apply's rule.  It is kept out like any lower version.  */
-  if (row->version > spread->row_version && spread->row_version != 0
-      && version <= spread->version)
-    spread->counters.rows_not_rising++;
-  if (row->version > spread->row_version)
-    spread->row_version = row->version;
-  return raise_to (spread, version,
-                   (const char *)row->value.data + MQ_CONFIG_HEADER,
-                   row->value.len - MQ_CONFIG_HEADER, actions);
-}
-
-static void
-handle_store (struct mq_spread *spread, const struct mq_spread_input *input,
-              struct mq_actions *actions)
-{
-  const struct mq_store_result *result = input->u.store;
-  bool rose = false;
-
-  if (result->id == spread->poll.id)
-    {
-      spread->poll.id = 0;
-      if (result->status != MQ_STORE_OK)
-        spread->counters.polls_failed++;
-    }
-  /* A result that comes late is as good as any: versions only rise.  */
-  if (result->status == MQ_STORE_OK)
-    for (size_t i = 0; i < result->row_count; i++)
-      rose = take_row (spread, &result->rows[i], actions) || rose;
-  if (spread->poll.id == 0)
-    plan_poll (spread, input->now_us);
-  if (rose)
-    after_rise (spread, input->now_us, actions);
-}
-
 /* Hosts.  */
 
 static bool
@@ -502,7 +334,8 @@
 
   if (poller && !spread->poller && spread->poll.id == 0)
     {
-      uint64_t due = jittered (spread, input->now_us, MQ_CONFIG_POLL_MS);
+      uint64_t due
+          = spread_jittered (spread, input->now_us, MQ_CONFIG_POLL_MS);
 
       spread->poll.next_us = earlier (spread->poll.next_us, due);
     }
@@ -522,13 +355,14 @@
   if (len == 0 || len > MQ_TEXT_MAX_BYTES)
     spread->counters.texts_bad++;
   else
-    rose = raise_to (spread, config->version, config->text, len, actions);
+    rose = spread_raise_to (spread, config->version, config->text, len,
+                            actions);
   if (!rose)
     spread->counters.texts_dropped++;
   if (spread->get.waiting && spread->get.peer == input->peer)
     spread->get.waiting = false;
   if (rose)
-    after_rise (spread, input->now_us, actions);
+    spread_after_rise (spread, input->now_us, actions);
   else if (!spread->get.waiting)
     end_get (spread, input->now_us, actions);
 }
@@ -631,7 +465,7 @@
       spread->poll.next_us = now_us;
     }
   if (spread->poll.id == 0 && now_us >= spread->poll.next_us)
-    poll_table (spread, now_us, actions);
+    spread_poll_table (spread, now_us, actions);
   if (spread->get.waiting && now_us >= spread->get.until_us)
     {
       spread->counters.gets_timed_out++;
@@ -666,7 +500,7 @@
       handle_message (spread, input, actions);
       break;
     case MQ_SPREAD_STORE:
-      handle_store (spread, input, actions);
+      spread_handle_store (spread, input, actions);
       break;
     }
 }
