mimosactl routers: what routing hosts are at

An operator of the users' platform had no command that shows the state of a running router; status asks the product's own hosts. Asks ready addresses, no platform and no key needed; text and JSON; a number that a host does not tell is no zero. Test mimosactl::routers.

--- a/src/io/ctl.c
+++ b/src/io/ctl.c
@@ -243,10 +243,11 @@
     ctl->authorization = talloc_asprintf (ctl, "Authorization: Bearer %s",
                                           options->operator_key);
   ctl->client = mq_http_client_create (ctl, ctl->ev, error);
-  if (ctl->client != NULL)
+  if (ctl->client != NULL && options->platform != NULL)
     ctl->platform = mq_platform_create (ctl, ctl->ev, ctl->client,
                                         options->platform, on_stored, ctl);
-  if (ctl->platform != NULL)
+  if (ctl->client != NULL
+      && (options->platform == NULL || ctl->platform != NULL))
     return ctl;
   mq_ctl_destroy (ctl);
   return NULL;
--- a/src/io/ctl.h
+++ b/src/io/ctl.h
@@ -16,7 +16,7 @@
 
 /**
  * struct mq_ctl_options - fixed for the life of the tool
- * @platform: "http://IP:PORT" of the platform
+ * @platform: "http://IP:PORT" of the platform, NULL: only hosts are asked
  * @operator_key: sent as a bearer token to hosts, NULL: none
  * @host_timeout_ms: a host that takes longer is unreachable
  */
--- a/src/io/ctl_run.h
+++ b/src/io/ctl_run.h
@@ -68,6 +68,9 @@
 enum mq_ctl_exit mq_ctl_hash_key (const struct mq_ctl_run *run,
                                   const char *none);
 enum mq_ctl_exit mq_ctl_explain (const struct mq_ctl_run *run, const char *id);
+/* ADDRESSES: "IP:PORT,IP:PORT,…", ready addresses of routers.  */
+enum mq_ctl_exit mq_ctl_routers (const struct mq_ctl_run *run,
+                                 const char *addresses);
 /* The configuration.  */
 enum mq_ctl_exit mq_ctl_show (const struct mq_ctl_run *run, const char *none);
 enum mq_ctl_exit mq_ctl_diff (const struct mq_ctl_run *run, const char *file);
--- a/src/mimosactl.c
+++ b/src/mimosactl.c
@@ -28,6 +28,7 @@
   { "apply", true, mq_ctl_apply },        { "status", false, mq_ctl_status },
   { "trace", true, mq_ctl_trace },        { "drain", true, mq_ctl_drain },
   { "hash-key", false, mq_ctl_hash_key }, { "explain", true, mq_ctl_explain },
+  { "routers", true, mq_ctl_routers },
 };
 
 enum option_key
@@ -60,7 +61,8 @@
 
 static const char usage[]
     = "check FILE\nkeys\nshow\ndiff FILE\napply FILE --base VERSION\nstatus\n"
-      "trace PROGRAM_ID\ndrain HOST\nhash-key\nexplain ID";
+      "trace PROGRAM_ID\ndrain HOST\nhash-key\nexplain ID\n"
+      "routers ADDRESSES";
 
 static const char doc[]
     = "Checks, changes and shows the configuration of a mimosaquay site, and "
@@ -78,6 +80,8 @@
       "  hash-key  read a key on standard input, print its SHA-256\n"
       "  explain   read the routers' logs on standard input, print the story\n"
       "            of the request or program ID\n"
+      "  routers   show what routers are at, asked at their ready addresses,\n"
+      "            IP:PORT,IP:PORT,…\n"
       "\n"
       "FILE may be - for standard input.  Exit status: 0 done; 1 failed, or "
       "something can't be reached or does not yet hold the version; 2 an "
--- a/tests/test_mimosactl.c
+++ b/tests/test_mimosactl.c
@@ -861,3 +861,66 @@
   expect_in (kit->out, "no spans are kept of it", "trace");
   ctl_kit_destroy (kit);
 }
+
+/* Routing hosts.  */
+
+/* A router's ready address: whether it is ready, and its numbers.  */
+struct ready_door
+{
+  int status;
+  const char *metrics;
+};
+
+static void
+on_ready_question (struct mq_http_request *request, void *data)
+{
+  const struct ready_door *door = data;
+  bool metrics = strcmp (mq_http_path (request), "/metrics") == 0;
+  const char *body = metrics ? door->metrics : "";
+
+  mq_http_respond (request, metrics ? 200 : door->status, "text/plain", body,
+                   strlen (body));
+}
+
+/* One look shows which routers take callers and which can't be reached; a
+   number that one does not tell is no zero.  */
+Test (mimosactl, routers)
+{
+  static struct ready_door doors[] = {
+    { 200, "# TYPE x\nmimosa_router_served 41\nmimosa_router_hosts 7\n" },
+    { 503, "# TYPE x\nmimosa_router_served 0\n" },
+  };
+  static const struct ctl_kit_host none[] = { { .name = NULL } };
+  struct ctl_kit *kit = ctl_kit_create (none);
+  struct mq_http_server_options options = { .address = "127.0.0.1:0" };
+  char *list = talloc_strdup (kit->ctx, "");
+  char *ready = NULL;
+  struct mq_error error;
+
+  for (size_t i = 0; i < COUNT (doors); i++)
+    {
+      struct mq_http_server *server = mq_http_server_create (
+          kit->ctx, kit->ev, &options, on_ready_question, &doors[i], &error);
+
+      cr_assert_not_null (server);
+      list = talloc_asprintf_append (list, "%s127.0.0.1:%u", i == 0 ? "" : ",",
+                                     mq_http_server_port (server));
+      if (i == 0)
+        ready = talloc_strdup (kit->ctx, list);
+    }
+  ctl_kit_run (kit, NULL, ARGUMENTS ("routers", ready));
+  cr_expect_eq (kit->code, 0, "%s", kit->err);
+  expect_in (kit->out, " ready ", "one");
+  expect_in (kit->out, " 41 ", "one");
+  list = talloc_strdup_append (list, ",127.0.0.1:1");
+  ctl_kit_run (kit, NULL, ARGUMENTS ("routers", list, "--format", "json"));
+  cr_expect_eq (kit->code, 1);
+  expect_in (kit->out, "\"state\":\"ready\",\"served\":41,\"hosts\":7}",
+             "json");
+  expect_in (kit->out, "\"state\":\"not ready\",\"served\":0}", "json");
+  expect_in (kit->out, "\"127.0.0.1:1\",\"state\":\"unreachable\"}", "json");
+  ctl_kit_run (kit, NULL, ARGUMENTS ("routers", "nowhere"));
+  cr_expect_eq (kit->code, 2);
+  expect_in (kit->err, "IP:PORT", "bad address");
+  ctl_kit_destroy (kit);
+}
