Damaged rows are refused whole; four more decoders under fuzzing

Fuzzing of what the router reads from outside (frames of other hosts, HTTP messages, records, rows of configuration and workers) found three: - a configuration without its lists or version passed for one without routes and would have been taken into force: every caller told 404; - a worker that is ready and has no address was listed; - the id of the turn before, when longer than an id may be, was cut short and would name another turn. Each is refused now; cases in test_wire and tests/fuzz/corpus.

--- a/src/core/chain.c
+++ b/src/core/chain.c
@@ -130,7 +130,9 @@
 
   if (row == NULL)
     return NULL;
-  chain = make_chain (ctx, id, row->tail.len);
+  /* Cut short, an id would name another turn.  */
+  if (strlen (row->before) < MQ_TURN_ID_MAX)
+    chain = make_chain (ctx, id, row->tail.len);
   if (chain != NULL)
     {
       put_bytes (chain->text.data, row->tail.data, row->tail.len);
--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -23,7 +23,11 @@
   X (stream, 1000)                                                            \
   X (worker, 1000)                                                            \
   X (log, 1000)                                                               \
-  X (owner, 100)
+  X (owner, 100)                                                              \
+  X (relay, 1000)                                                             \
+  X (message, 1000)                                                           \
+  X (record, 1000)                                                            \
+  X (wire, 500)
 
 /* True when the bytes were accepted.  */
 typedef bool fuzz_function (const uint8_t *data, size_t len);
--- /dev/null
+++ b/tests/fuzz/fuzz_relay.c
@@ -0,0 +1,78 @@
+/* fuzz_relay.c - frames of other routing hosts (relay_frame.c).
+
+   Input: the bytes of one frame behind its length.
+   Needs: fuzz.h, relay_frame.h, frame.h.  */
+
+#include "fuzz.h"
+#include "io/frame.h"
+#include "io/relay_frame.h"
+#include <string.h>
+
+FUZZ_MAIN (relay)
+
+static void
+check_entries (const struct mq_rows_entry *entries, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      FUZZ_CHECK (entries[i].table != NULL && entries[i].part != NULL);
+      FUZZ_CHECK (entries[i].key != NULL);
+      FUZZ_CHECK (entries[i].value.len == 0 || entries[i].value.data != NULL);
+    }
+}
+
+static void
+check_frame (const struct mq_relay_frame *frame)
+{
+  switch (frame->kind)
+    {
+    case MQ_RELAY_ASK:
+      FUZZ_CHECK (frame->u.ask.count > 0);
+      check_entries (frame->u.ask.entries, frame->u.ask.count);
+      return;
+    case MQ_RELAY_TOLD:
+      FUZZ_CHECK (frame->u.told.result.status <= MQ_STORE_LOST);
+      check_entries (frame->u.told.result.rows,
+                     frame->u.told.result.row_count);
+      return;
+    case MQ_RELAY_STATE:
+      for (size_t i = 0; i < frame->u.state.worker_count; i++)
+        FUZZ_CHECK (frame->u.state.workers[i].address != NULL);
+      return;
+    case MQ_RELAY_SYNC:
+    case MQ_RELAY_OTHER:
+      return;
+    }
+  FUZZ_CHECK (false);
+}
+
+/* What was read is packed into a frame that reads the same.  */
+static void
+check_again (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
+{
+  struct mq_bytes bytes = mq_relay_frame_pack (ctx, frame);
+  struct mq_relay_frame *again
+      = mq_relay_frame_unpack (ctx, bytes.data + MQ_FRAME_HEADER_BYTES,
+                               bytes.len - MQ_FRAME_HEADER_BYTES);
+  struct mq_bytes twice;
+
+  FUZZ_CHECK (again != NULL && again->kind == frame->kind);
+  twice = mq_relay_frame_pack (ctx, again);
+  FUZZ_CHECK (twice.len == bytes.len
+              && memcmp (twice.data, bytes.data, bytes.len) == 0);
+}
+
+bool
+fuzz_relay (const uint8_t *data, size_t len)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct mq_relay_frame *frame = mq_relay_frame_unpack (ctx, data, len);
+  bool accepted = frame != NULL && frame->kind != MQ_RELAY_OTHER;
+
+  if (frame != NULL)
+    check_frame (frame);
+  if (accepted)
+    check_again (ctx, frame);
+  talloc_free (ctx);
+  return accepted;
+}
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -200,6 +200,9 @@
     { "{\"version\":1,\"routes\":[{\"kind\":\"idempotent\","
       "\"backends\":[]}]}",
       MQ_ERR_TEXT_MISSING, "backends" },
+    { "{\"version\":1,\"services\":[]}", MQ_ERR_TEXT_MISSING, "routes" },
+    { "{\"version\":1,\"routes\":[]}", MQ_ERR_TEXT_MISSING, "services" },
+    { "{\"routes\":[],\"services\":[]}", MQ_ERR_TEXT_MISSING, "version" },
   };
 
   for (size_t i = 0; i < ROWS (cases); i++)
@@ -234,6 +237,10 @@
   cr_assert (member.leaving);
   cr_assert_not (
       mq_wire_read_worker (ctx, "i-1", bytes ("no"), &member, &error));
+  cr_assert_not (mq_wire_read_worker (
+      ctx, "i-1", bytes ("{\"service\":\"s\",\"state\":\"ready\"}"), &member,
+      &error));
+  cr_assert_eq (error.type, MQ_ERR_TEXT_MISSING);
   talloc_free (ctx);
 }
 
