--- a/src/io/router_hosts.c
+++ b/src/io/router_hosts.c
@@ -21,6 +21,8 @@
 /* A row is renewed this often, and counts for three times as long, so that a
    table that is away for minutes makes no host look lost.  */
 #define RENEW_MS 600000U
+/* Pause after a renewal that failed.  */
+#define RENEW_RETRY_MS 2000U
 #define KEEP_S (3U * RENEW_MS / 1000U)
 
 static void
@@ -121,6 +123,15 @@
   mq_rows_commit (router->rows, &entry, 1, on_announced, router);
 }
 
+static bool
+must_renew (const struct mq_router *router, uint64_t now)
+{
+  if (router->announced_ms == 0)
+    return true;
+  return now - router->announced_ms
+         >= (router->announced ? RENEW_MS : RENEW_RETRY_MS);
+}
+
 static uint64_t
 list_pause_ms (const struct mq_router *router)
 {
@@ -161,8 +172,7 @@
 
   if (!mq_rows_followed (router->rows) || mq_rows_clock_s (router->rows) == 0)
     return;
-  if (!router->leaving
-      && (!router->announced || now - router->announced_ms >= RENEW_MS))
+  if (!router->leaving && must_renew (router, now))
     write_own_row (router, false);
   if (router->hosts_asked
       || (router->hosts_ms != 0
--- a/src/io/rows.h
+++ b/src/io/rows.h
@@ -108,7 +108,9 @@
 /* Lists TABLE once; a list that fails is tried again.  */
 void mq_rows_list (struct mq_rows *rows, const char *table,
                    const struct mq_rows_watcher *watcher);
-/* So many hosts share the table: feeds ask less often the more they are.  */
+/* So many hosts share the table, 0: not known yet.  The more they are, the
+   less often each of them asks when nothing changes and tries again what
+   failed. */
 void mq_rows_share (struct mq_rows *rows, size_t hosts);
 /* All tables that are followed were listed, and none of the feeds failed when
    it was last asked.  */
--- /dev/null
+++ b/tests/test_rows.c
@@ -0,0 +1,96 @@
+/* test_rows.c - the client of the platform's table among many hosts.
+
+   Needs: Criterion, rows.h, rows_server.h, timer.h.  */
+
+#include "../platform/standins/rows_server.h"
+#include "io/rows.h"
+#include "io/timer.h"
+#include <criterion/criterion.h>
+#include <stdio.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+
+/* One host and the table.  */
+struct site
+{
+  struct tevent_context *ev;
+  struct rows_server *server;
+  struct mq_rows *rows;
+};
+
+static void
+on_row (const struct mq_rows_entry *row, void *user)
+{
+  (void)row;
+  (void)user;
+}
+
+static void
+on_over (void *data)
+{
+  bool *over = data;
+
+  *over = true;
+}
+
+static void
+run_for (struct site *site, uint32_t ms)
+{
+  bool over = false;
+
+  cr_assert_not_null (mq_timer_add (site->ev, site->ev, ms, on_over, &over));
+  while (!over)
+    tevent_loop_once (site->ev);
+}
+
+static struct site *
+make_site (void)
+{
+  struct site *site = talloc_zero (NULL, struct site);
+  struct mq_rows_watcher watcher = { .row = on_row, .user = site };
+  char address[32];
+
+  site->ev = tevent_context_init (site);
+  site->server = rows_server_create (site, site->ev);
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            rows_server_port (site->server, 0));
+  site->rows = mq_rows_create (site->ev, site->ev, address);
+  mq_rows_watch (site->rows, "t", &watcher);
+  while (!mq_rows_followed (site->rows))
+    run_for (site, 5);
+  return site;
+}
+
+/* A table in trouble turns calls away.  A thousand hosts that each try their
+   feeds again after a tenth of a second make 14,000 calls a second, seven
+   times what the table takes, and the calls of programs are turned away with
+   them.  Cause: the pause did not grow with the hosts.  */
+Test (rows, feeds_try_less_often_among_many_hosts)
+{
+  static const struct
+  {
+    size_t hosts;
+    size_t most; /* tries in two seconds */
+  } cases[] = { { 1, 22 }, { 50, 22 }, { 200, 6 }, { 1100, 2 } };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct site *site = make_site ();
+      size_t before;
+
+      rows_server_fault (site->server, ROWS_BUSY);
+      mq_rows_share (site->rows, cases[i].hosts);
+      while (mq_rows_followed (site->rows))
+        run_for (site, 5);
+      before = rows_server_feeds (site->server);
+      run_for (site, 2000);
+      cr_assert_leq (rows_server_feeds (site->server) - before, cases[i].most,
+                     "%zu hosts", cases[i].hosts);
+      rows_server_fault (site->server, ROWS_WELL);
+      while (!mq_rows_followed (site->rows))
+        run_for (site, 5);
+      mq_rows_destroy (site->rows);
+      rows_server_destroy (site->server);
+      talloc_free (site);
+    }
+}
