mimosactl explain: what befell a host again and again is shown once

The cause was there, but a host that starts lists 25 workers and every 10 s wrote its counters, so the story of one request had 100 lines. Test: explain among workers that are listed.

--- a/src/io/ctl_explain.c
+++ b/src/io/ctl_explain.c
@@ -2,7 +2,8 @@
 
    Reads lines of any number of hosts on standard input, in any order; picks
    those of one request, or of all requests of one program, and beside them
-   what befell the hosts meanwhile; prints them in order of time.
+   what befell the hosts meanwhile; prints them in order of time, the same
+   of one host once with a count.
    Needs: ctl_run.h, jansson.  */
 
 #include "ctl_run.h"
@@ -94,7 +95,19 @@
 is_setting (const json_t *line)
 {
   return json_object_get (line, "id") == NULL
-         && json_object_get (line, "run") == NULL;
+         && json_object_get (line, "run") == NULL
+         && !has_text (line, "level", "info");
+}
+
+/* The same befalls the same host again, as when it lists its workers.  */
+static bool
+is_repeat (const json_t *line, const json_t *before)
+{
+  return before != NULL && is_setting (line) && is_setting (before)
+         && json_equal (json_object_get (line, "host"),
+                        json_object_get (before, "host"))
+         && json_equal (json_object_get (line, "event"),
+                        json_object_get (before, "event"));
 }
 
 static bool
@@ -153,6 +166,20 @@
              json_integer_value (value));
 }
 
+/* Keys that every line has; those that tell something stand before the
+   others.  */
+static bool
+is_head (const char *key)
+{
+  static const char *const keys[]
+      = { "t", "host", "event", "program", "level" };
+
+  for (size_t i = 0; i < sizeof keys / sizeof keys[0]; i++)
+    if (strcmp (key, keys[i]) == 0)
+      return true;
+  return false;
+}
+
 static void
 print_line (const struct mq_ctl_run *run, const struct story *story,
             json_t *line, const char *id)
@@ -167,13 +194,43 @@
            host == NULL ? "-" : host, event);
   json_object_foreach (line, key, value)
   {
-    if (strcmp (key, "t") != 0 && strcmp (key, "host") != 0
-        && strcmp (key, "event") != 0 && strcmp (key, "program") != 0)
+    if (!is_head (key))
       print_value (run, key, value);
   }
   fputc ('\n', run->out);
 }
 
+static void
+print_repeats (const struct mq_ctl_run *run, size_t repeats)
+{
+  if (repeats > 0)
+    fprintf (run->out, "%8s     and %zu more of these\n", "", repeats);
+}
+
+static void
+print_story (const struct mq_ctl_run *run, const struct story *story,
+             const char *id)
+{
+  const json_t *before = NULL;
+  size_t repeats = 0;
+
+  for (size_t i = 0; i < story->count; i++)
+    {
+      if (!belongs (story, story->lines[i], id))
+        continue;
+      if (is_repeat (story->lines[i], before))
+        {
+          repeats++;
+          continue;
+        }
+      print_repeats (run, repeats);
+      repeats = 0;
+      print_line (run, story, story->lines[i], id);
+      before = story->lines[i];
+    }
+  print_repeats (run, repeats);
+}
+
 enum mq_ctl_exit
 mq_ctl_explain (const struct mq_ctl_run *run, const char *id)
 {
@@ -185,9 +242,7 @@
   if (find_times (&story, id))
     {
       qsort (story.lines, story.count, sizeof (json_t *), compare_lines);
-      for (size_t i = 0; i < story.count; i++)
-        if (belongs (&story, story.lines[i], id))
-          print_line (run, &story, story.lines[i], id);
+      print_story (run, &story, id);
     }
   else
     {
--- a/tests/test_mimosactl.c
+++ b/tests/test_mimosactl.c
@@ -72,6 +72,27 @@
     "      50 ms  e-1              request_ended id=q1 after_ms=50 "
     "outcome=store\n",
     "" },
+  { "explain among workers that are listed",
+    { "explain", "q1" },
+    "{\"t\":900,\"host\":\"e-1\",\"level\":\"notice\",\"event\":"
+    "\"worker_listed\",\"worker\":\"i-1\"}\n"
+    "{\"t\":901,\"host\":\"e-1\",\"level\":\"info\",\"event\":"
+    "\"counters\",\"served\":3}\n"
+    "{\"t\":902,\"host\":\"e-1\",\"level\":\"notice\",\"event\":"
+    "\"worker_listed\",\"worker\":\"i-2\"}\n"
+    "{\"t\":903,\"host\":\"e-1\",\"level\":\"notice\",\"event\":"
+    "\"worker_listed\",\"worker\":\"i-3\"}\n"
+    "{\"t\":904,\"host\":\"e-2\",\"level\":\"notice\",\"event\":"
+    "\"worker_listed\",\"worker\":\"i-1\"}\n"
+    "{\"t\":1050,\"host\":\"e-1\",\"event\":\"request_ended\",\"id\":"
+    "\"q1\",\"after_ms\":50,\"outcome\":\"no_worker\"}\n",
+    0,
+    "    -100 ms    e-1              worker_listed worker=i-1\n"
+    "             and 2 more of these\n"
+    "     -96 ms    e-2              worker_listed worker=i-1\n"
+    "      50 ms  e-1              request_ended id=q1 after_ms=50 "
+    "outcome=no_worker\n",
+    "" },
   { "check a bad text",
     { "check", "-" },
     "[site]\nname = s\nweight = 3\n",
