The case of a turn's end checks that its answer is whole

Cause: the case ran 400 ms after an answer that comes at once, and 400 ms is the idle time after which the router closes a caller's connection; on a busy host the close came first. The router was right: the answer was whole.

--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -604,7 +604,10 @@
                     cases[i].whole, "%s: %s", cases[i].name, call.answer);
       rows_server_fault (site->rows, ROWS_WELL);
       edge_wait (site, &call, 1);
-      cr_assert_not (call.closed, "%s", cases[i].name);
+      /* Whole, and not broken off; the connection may be closed after it, when
+         it has been idle for as long as the limits say.  */
+      cr_assert_not_null (strstr (call.answer, "\r\n0\r\n\r\n"), "%s: %s",
+                          cases[i].name, call.answer);
       edge_hang_up (&call);
     }
   cr_assert_eq (rows_server_count (site->rows, "turn"), ROWS (cases));
