--- a/src/core/gate_state.h
+++ b/src/core/gate_state.h
@@ -374,6 +374,29 @@
                                      const struct mq_call_ref *ref);
 void mq_gate_take_call (struct mq_gate *gate, uint32_t peer,
                         const struct mq_call_msg *msg);
+/* Refuses a queued call: it leaves the queue and the table, and a resend
+   of it is refused from now on.  */
+void mq_gate_call_refuse (struct mq_gate *gate, struct gate_call *call,
+                          enum mq_error_type error, uint32_t retry_after_ms);
+void mq_gate_call_drop (struct mq_gate *gate, struct gate_call *call);
+void mq_gate_call_finish (struct mq_gate *gate, struct gate_call *call,
+                          const struct mq_gate_done *done);
+void mq_gate_send_refusal (struct mq_gate *gate, uint32_t peer,
+                           const struct mq_ref_msg *about,
+                           enum mq_error_type error, enum mq_ran ran,
+                           uint32_t retry_after_ms);
+void mq_gate_count_refusal (struct mq_gate *gate, enum mq_error_type error);
+void mq_gate_send_kept (struct mq_gate *gate, uint32_t peer,
+                        const struct gate_call *call, uint32_t attempt,
+                        bool recovered);
+void mq_gate_attach (struct gate_call *call, uint32_t peer, uint64_t fence,
+                     uint32_t attempt);
+void mq_gate_mark_not_run (struct gate_program *program,
+                           const struct mq_call_ref *ref, uint64_t fence,
+                           bool idempotent);
+void mq_gate_forget_call (struct mq_gate *gate, struct gate_call *call);
+
+/* gate_settle.c */
 void mq_gate_take_cancel (struct mq_gate *gate, uint32_t peer,
                           const struct mq_ref_msg *msg);
 void mq_gate_take_seal (struct mq_gate *gate, uint32_t peer,
@@ -385,13 +408,6 @@
 /* The owner of PARTITION is heard over another connection, PEER.  */
 void mq_gate_calls_follow (struct mq_gate *gate,
                            struct gate_partition *partition, uint32_t peer);
-/* Refuses a queued call: it leaves the queue and the table, and a resend
-   of it is refused from now on.  */
-void mq_gate_call_refuse (struct mq_gate *gate, struct gate_call *call,
-                          enum mq_error_type error, uint32_t retry_after_ms);
-void mq_gate_call_drop (struct mq_gate *gate, struct gate_call *call);
-void mq_gate_call_finish (struct mq_gate *gate, struct gate_call *call,
-                          const struct mq_gate_done *done);
 void mq_gate_calls_end_program (struct mq_gate *gate,
                                 struct gate_program *program);
 
@@ -432,8 +448,6 @@
 uint32_t mq_gate_cache_tokens (struct mq_gate *gate,
                                const struct gate_program *program,
                                uint32_t worker);
-void mq_gate_take_lease (struct mq_gate *gate, uint32_t peer,
-                         const struct mq_lease_msg *msg);
 void mq_gate_take_evicted (struct mq_gate *gate,
                            const struct mq_gate_evicted *evicted);
 void mq_gate_take_cache (struct mq_gate *gate,
@@ -441,10 +455,26 @@
 void mq_gate_take_probe (struct mq_gate *gate, uint32_t peer,
                          const struct mq_probe_msg *msg);
 void mq_gate_cache_emptied (struct mq_gate *gate, struct gate_worker *worker);
+bool mq_gate_has_cache (const struct gate_worker *worker);
+struct gate_holding *mq_gate_get_holding (struct mq_gate *gate,
+                                          struct gate_program *program,
+                                          struct gate_worker *worker);
+void mq_gate_cancel_eviction (struct mq_gate *gate,
+                              struct gate_holding *holding);
+void mq_gate_begin_evictions (struct mq_gate *gate,
+                              struct gate_program *program);
+void mq_gate_tell_evicted (struct mq_gate *gate, struct gate_program *program);
+void mq_gate_retry_evictions (struct mq_gate *gate);
+
+/* gate_lease.c */
+void mq_gate_take_lease (struct mq_gate *gate, uint32_t peer,
+                         const struct mq_lease_msg *msg);
 void mq_gate_cache_tick (struct mq_gate *gate);
 /* A call was accepted: the program lives.  */
 void mq_gate_cache_claim (struct mq_gate *gate, struct gate_program *program,
                           const struct gate_worker *worker);
+void mq_gate_set_lease (struct mq_gate *gate, struct gate_program *program,
+                        uint64_t ms);
 
 /* gate_orders.c */
 void mq_gate_take_order (struct mq_gate *gate, uint32_t peer,
@@ -463,39 +493,4 @@
 uint64_t mq_gate_load_due (const struct mq_gate *gate);
 char *mq_gate_status_text (TALLOC_CTX *ctx, const struct mq_gate *gate);
 
-/* gate_calls.c */
-
-void mq_gate_send_refusal (struct mq_gate *gate, uint32_t peer,
-                           const struct mq_ref_msg *about,
-                           enum mq_error_type error, enum mq_ran ran,
-                           uint32_t retry_after_ms);
-void mq_gate_count_refusal (struct mq_gate *gate, enum mq_error_type error);
-void mq_gate_send_kept (struct mq_gate *gate, uint32_t peer,
-                        const struct gate_call *call, uint32_t attempt,
-                        bool recovered);
-void mq_gate_attach (struct gate_call *call, uint32_t peer, uint64_t fence,
-                     uint32_t attempt);
-void mq_gate_mark_not_run (struct gate_program *program,
-                           const struct mq_call_ref *ref, uint64_t fence,
-                           bool idempotent);
-void mq_gate_forget_call (struct mq_gate *gate, struct gate_call *call);
-
-/* gate_cache.c */
-
-bool mq_gate_has_cache (const struct gate_worker *worker);
-struct gate_holding *mq_gate_get_holding (struct mq_gate *gate,
-                                          struct gate_program *program,
-                                          struct gate_worker *worker);
-void mq_gate_cancel_eviction (struct mq_gate *gate,
-                              struct gate_holding *holding);
-void mq_gate_begin_evictions (struct mq_gate *gate,
-                              struct gate_program *program);
-void mq_gate_tell_evicted (struct mq_gate *gate, struct gate_program *program);
-void mq_gate_retry_evictions (struct mq_gate *gate);
-
-/* gate_lease.c */
-
-void mq_gate_set_lease (struct mq_gate *gate, struct gate_program *program,
-                        uint64_t ms);
-
 #endif
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -1,8 +1,8 @@
 /* owner.c - inputs, timers and status of the partition owner.
 
-   Needs: owner_state.h, id.h, jansson.  */
+   Needs: owner_parts.h, id.h, jansson.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "id.h"
 #include <jansson.h>
 #include <stdlib.h>
--- a/src/core/owner_budget.c
+++ b/src/core/owner_budget.c
@@ -1,8 +1,8 @@
 /* owner_budget.c - time, turns and tokens that a program may still spend.
 
-   Needs: owner_state.h.  */
+   Needs: owner_parts.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 
 /* ---- Time ---- */
 
--- a/src/core/owner_calls.c
+++ b/src/core/owner_calls.c
@@ -4,9 +4,9 @@
    doubtful attempt may have spent is charged in full.  A call that may not
    be repeated is sent only after its intent is durable, and goes elsewhere
    only after the target's process has refused it for good.
-   Needs: owner_state.h, id.h.  */
+   Needs: owner_parts.h, id.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "id.h"
 #include <stdlib.h>
 
--- a/src/core/owner_chain.c
+++ b/src/core/owner_chain.c
@@ -3,9 +3,9 @@
    Three things wait for a commit: a budget grant, a call that may not be
    repeated (its intent), and the final answer.  The rest goes ahead of the
    store; a takeover does it again or finds it at the targets' processes.
-   Needs: owner_state.h, id.h, jansson.  */
+   Needs: owner_parts.h, id.h, jansson.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "id.h"
 #include <jansson.h>
 #include <stdlib.h>
--- a/src/core/owner_drive.c
+++ b/src/core/owner_drive.c
@@ -1,8 +1,8 @@
 /* owner_drive.c - programs whose steps their caller makes.
 
-   Needs: owner_state.h.  */
+   Needs: owner_parts.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "id.h"
 #include <jansson.h>
 #include <stdlib.h>
--- a/src/core/owner_durable.c
+++ b/src/core/owner_durable.c
@@ -1,9 +1,9 @@
 /* owner_durable.c - what follows once records are durable, or certainly are
    not.
 
-   Needs: owner_state.h.  */
+   Needs: owner_parts.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include <string.h>
 
 /* ---- After the transaction ---- */
--- a/src/core/owner_evict.c
+++ b/src/core/owner_evict.c
@@ -1,8 +1,8 @@
 /* owner_evict.c - engine memory of programs that have ended is given back.
 
-   Needs: owner_state.h.  */
+   Needs: owner_parts.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 
 enum
 {
--- a/src/core/owner_hosts.c
+++ b/src/core/owner_hosts.c
@@ -1,9 +1,9 @@
 /* owner_hosts.c - hosts, connections to them, and pools of workers.
 
    Hints only: a wrong entry costs latency, never a promise.
-   Needs: owner_state.h, id.h.  */
+   Needs: owner_parts.h, id.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "id.h"
 #include "memory.h"
 #include <stdlib.h>
--- a/src/core/owner_log.c
+++ b/src/core/owner_log.c
@@ -4,9 +4,9 @@
    under way; the next one takes them all.  Each partition's row is written
    on condition of its version, so a commit applies only while no other
    owner has raised the fence, and at most once.
-   Needs: owner_state.h, proto/log.pb-c.h.  */
+   Needs: owner_parts.h, proto/log.pb-c.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "id.h"
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/owner_peers.c
+++ b/src/core/owner_peers.c
@@ -1,9 +1,9 @@
 /* owner_peers.c - which other entry hosts are there, and who may own
    partitions.
 
-   Needs: owner_state.h, id.h.  */
+   Needs: owner_parts.h, id.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "id.h"
 #include <string.h>
 
--- a/src/core/owner_place.c
+++ b/src/core/owner_place.c
@@ -1,8 +1,8 @@
 /* owner_place.c - which worker a call goes to.
 
-   Needs: owner_state.h, place.h.  */
+   Needs: owner_parts.h, place.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "id.h"
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/owner_read.c
+++ b/src/core/owner_read.c
@@ -1,8 +1,8 @@
 /* owner_read.c - the log of a partition that is taken over, read and replayed.
 
-   Needs: owner_state.h, proto/log.pb-c.h.  */
+   Needs: owner_parts.h, proto/log.pb-c.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "id.h"
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/owner_request.c
+++ b/src/core/owner_request.c
@@ -3,9 +3,9 @@
    A caller is known by the connection that forwarded its request and a
    handle.  Its request may come again, through any entry host: the same
    open finds the same program, the same call the same outcome.
-   Needs: owner_state.h, id.h, jansson.  */
+   Needs: owner_parts.h, id.h, jansson.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "id.h"
 #include <jansson.h>
 #include <stdlib.h>
--- a/src/core/owner_rows.c
+++ b/src/core/owner_rows.c
@@ -1,8 +1,8 @@
 /* owner_rows.c - rows of partitions and hosts as the table has them.
 
-   Needs: owner_state.h, proto/log.pb-c.h.  */
+   Needs: owner_parts.h, proto/log.pb-c.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "memory.h"
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/owner_settle.c
+++ b/src/core/owner_settle.c
@@ -1,9 +1,9 @@
 /* owner_settle.c - calls whose outcome is not known: seals, lost targets,
    takeovers.
 
-   Needs: owner_state.h.  */
+   Needs: owner_parts.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "id.h"
 #include <string.h>
 
--- a/src/core/owner_take.c
+++ b/src/core/owner_take.c
@@ -4,9 +4,9 @@
    the partition's row by compare-and-swap owns it; the old owner's commits
    then fail on the row's version and its calls on the fence that targets'
    processes have seen.
-   Needs: owner_state.h, id.h, proto/log.pb-c.h.  */
+   Needs: owner_parts.h, id.h, proto/log.pb-c.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "id.h"
 #include "memory.h"
 #include <stdlib.h>
--- a/src/core/owner_tick.c
+++ b/src/core/owner_tick.c
@@ -1,8 +1,8 @@
 /* owner_tick.c - what an owner does as time passes: renewals, scans, balance.
 
-   Needs: owner_state.h, id.h.  */
+   Needs: owner_parts.h, id.h.  */
 
-#include "owner_state.h"
+#include "owner_parts.h"
 #include "memory.h"
 #include <stdlib.h>
 
