One reader of whole files; one time-out of a host for mimosactl

mimosactl and the settings each read a file, bounded and zero-terminated, with the same steps; mq_settings_file_text serves both. The time after which a host counts as unreachable stood in two of mimosactl's files.

--- a/src/io/ctl_local.c
+++ b/src/io/ctl_local.c
@@ -7,11 +7,11 @@
 #include "ctl_run.h"
 #include "router_settings.h"
 #include "settings.h"
+#include "settings_file.h"
 #include <errno.h>
 #include <gnutls/crypto.h>
 #include <string.h>
 
-#define HOST_TIMEOUT_MS 3000U
 #define KEY_MAX_BYTES 4096
 
 /* What all commands share.  */
@@ -36,44 +36,6 @@
              : MQ_CTL_FAILED;
 }
 
-static char *
-read_stream (TALLOC_CTX *ctx, FILE *stream, size_t *len)
-{
-  char *text = talloc_array (ctx, char, MQ_TEXT_MAX_BYTES + 2);
-  int failure;
-
-  if (text == NULL)
-    return NULL;
-  errno = 0;
-  *len = fread (text, 1, MQ_TEXT_MAX_BYTES + 1, stream);
-  failure = errno;
-  text[*len] = '\0';
-  if (ferror (stream))
-    TALLOC_FREE (text);
-  errno = failure;
-  return text;
-}
-
-char *
-mq_ctl_read_file (TALLOC_CTX *ctx, const char *name, size_t *len,
-                  struct mq_error *error)
-{
-  bool standard = strcmp (name, "-") == 0;
-  FILE *stream = standard ? stdin : fopen (name, "re");
-  char *text = stream == NULL ? NULL : read_stream (ctx, stream, len);
-
-  if (text == NULL)
-    {
-      int failure = errno;
-
-      mq_error_set (error, MQ_ERR_IO, name, strerror (failure));
-      error->number = failure;
-    }
-  if (stream != NULL && !standard)
-    fclose (stream);
-  return text;
-}
-
 static enum mq_ctl_exit
 print_errors (const struct mq_ctl_run *run, const char *file,
               const struct mq_text_errors *errors)
@@ -95,7 +57,7 @@
   struct mq_error error;
   struct mq_text *text;
 
-  *source = mq_ctl_read_file (run->ctx, file, len, &error);
+  *source = mq_settings_file_text (run->ctx, file, len, &error);
   if (*source == NULL)
     {
       mq_ctl_fail (run, &error);
@@ -139,7 +101,8 @@
   *key = NULL;
   if (run->operator_key_file == NULL)
     return true;
-  text = mq_ctl_read_file (run->ctx, run->operator_key_file, &len, &error);
+  text
+      = mq_settings_file_text (run->ctx, run->operator_key_file, &len, &error);
   if (text != NULL)
     {
       cut_end_of_line (text, len);
@@ -157,7 +120,8 @@
 mq_ctl_connect (const struct mq_ctl_run *run, enum mq_ctl_exit *code)
 {
   struct mq_ctl_options options
-      = { .platform = run->platform, .host_timeout_ms = HOST_TIMEOUT_MS };
+      = { .platform = run->platform,
+          .host_timeout_ms = MQ_CTL_HOST_TIMEOUT_MS };
   struct mq_error error = { 0 };
   struct mq_ctl *ctl;
 
--- a/src/io/ctl_routers.c
+++ b/src/io/ctl_routers.c
@@ -7,7 +7,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define HOST_TIMEOUT_MS 3000U
 #define ROUTERS_MAX 2048U
 #define PREFIX "mimosa_router_"
 
@@ -183,7 +182,8 @@
 enum mq_ctl_exit
 mq_ctl_routers (const struct mq_ctl_run *run, const char *addresses)
 {
-  struct mq_ctl_options options = { .host_timeout_ms = HOST_TIMEOUT_MS };
+  struct mq_ctl_options options
+      = { .host_timeout_ms = MQ_CTL_HOST_TIMEOUT_MS };
   struct mq_error error = { 0 };
   size_t count;
   struct mq_ctl_fetch *fetches = make_fetches (run->ctx, addresses, &count);
--- a/src/io/ctl_run.h
+++ b/src/io/ctl_run.h
@@ -19,6 +19,8 @@
 };
 
 #define MQ_CTL_NO_BASE UINT64_MAX
+/* A host that takes longer counts as one that can't be reached.  */
+#define MQ_CTL_HOST_TIMEOUT_MS 3000U
 
 /**
  * struct mq_ctl_run - one run
@@ -52,10 +54,6 @@
 /* Prints ERROR and gives the exit code for it.  */
 enum mq_ctl_exit mq_ctl_fail (const struct mq_ctl_run *run,
                               const struct mq_error *error);
-/* Whole file, zero-terminated, at most one byte over MQ_TEXT_MAX_BYTES; NULL
-   with IO in ERROR.  "-" is standard input.  */
-char *mq_ctl_read_file (TALLOC_CTX *ctx, const char *name, size_t *len,
-                        struct mq_error *error);
 /* Checked text of FILE with its source; NULL after its errors were printed,
    with the exit code in CODE.  */
 struct mq_text *mq_ctl_read_text (const struct mq_ctl_run *run,
--- a/src/io/settings_file.c
+++ b/src/io/settings_file.c
@@ -9,42 +9,58 @@
 #include <string.h>
 
 static char *
-read_file (TALLOC_CTX *ctx, const char *name, size_t *len)
+read_stream (TALLOC_CTX *ctx, FILE *stream, size_t *len)
 {
-  bool standard = strcmp (name, "-") == 0;
-  FILE *file = standard ? stdin : fopen (name, "r");
-  char *text;
+  /* One byte more than is allowed, so that a longer file is noticed.  */
+  char *text = talloc_array (ctx, char, MQ_TEXT_MAX_BYTES + 2);
   int failure;
 
-  if (file == NULL)
+  if (text == NULL)
     return NULL;
-  /* One byte more than is allowed, so that a longer file is noticed.  */
-  text = talloc_array (ctx, char, MQ_TEXT_MAX_BYTES + 1);
   errno = 0;
-  *len = text == NULL ? 0 : fread (text, 1, MQ_TEXT_MAX_BYTES + 1, file);
+  *len = fread (text, 1, MQ_TEXT_MAX_BYTES + 1, stream);
   failure = errno;
-  if (text != NULL && ferror (file))
+  text[*len] = '\0';
+  if (ferror (stream))
     TALLOC_FREE (text);
-  if (!standard)
-    fclose (file);
   errno = failure;
   return text;
 }
 
+char *
+mq_settings_file_text (TALLOC_CTX *ctx, const char *file, size_t *len,
+                       struct mq_error *error)
+{
+  bool standard = strcmp (file, "-") == 0;
+  FILE *stream = standard ? stdin : fopen (file, "re");
+  char *text = stream == NULL ? NULL : read_stream (ctx, stream, len);
+
+  if (text == NULL)
+    {
+      int failure = errno;
+
+      mq_error_set (error, MQ_ERR_IO, file, strerror (failure));
+      error->number = failure;
+    }
+  if (stream != NULL && !standard)
+    fclose (stream);
+  return text;
+}
+
 char *
 mq_settings_file_read (TALLOC_CTX *ctx, const char *file, size_t *len,
                        struct mq_text_errors *errors)
 {
-  char *source = read_file (ctx, file, len);
+  struct mq_error error;
   struct mq_error_list list = { ctx, errors };
   struct mq_place nowhere = { 0, 0 };
-  int failure = errno;
+  char *text = mq_settings_file_text (ctx, file, len, &error);
 
-  if (source != NULL)
-    return source;
+  if (text != NULL)
+    return text;
   memset (errors, 0, sizeof *errors);
-  mq_error_list_add (&list, MQ_ERR_IO, nowhere, file, strerror (failure));
+  mq_error_list_add (&list, MQ_ERR_IO, nowhere, file, error.allowed);
   if (errors->count > 0)
-    errors->items[0].number = failure;
+    errors->items[0].number = error.number;
   return NULL;
 }
--- a/src/load.c
+++ b/src/load.c
@@ -9,6 +9,7 @@
 #include "io/load_compare.h"
 #include "io/load_probe.h"
 #include "io/load_run.h"
+#include "io/settings_file.h"
 #include <argp.h>
 #include <math.h>
 #include <stdlib.h>
@@ -331,7 +332,7 @@
     {
       struct mq_error error = { 0 };
       size_t len = 0;
-      char *text = mq_ctl_read_file (ctx, line->files[i], &len, &error);
+      char *text = mq_settings_file_text (ctx, line->files[i], &len, &error);
 
       if (text != NULL)
         results[i] = mq_load_result_read (ctx, text, &error);
