What the last reading found in the router, taken out

- The choice of a worker copied the entry of every worker of every service to forget that one is left out; the survey of the service says it once.
- A worker's usability was written twice in fleet.c, a connection's freshness twice in router_pool.c, opening a socket twice in listen.c: once each.
Two field notes described fields that are not there.
- What comes of a try is noted before it is weighed, not in two places.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -286,10 +286,16 @@
 }
 
 static bool
-is_candidate (const struct entry *entry, const char *service)
+is_usable (const struct entry *entry)
 {
   return entry->used && entry->listed && !entry->member.leaving
-         && !entry->refused && strcmp (entry->member.service, service) == 0;
+         && !entry->refused;
+}
+
+static bool
+is_candidate (const struct entry *entry, const char *service)
+{
+  return is_usable (entry) && strcmp (entry->member.service, service) == 0;
 }
 
 static bool
@@ -301,19 +307,26 @@
   return false;
 }
 
-/* What is known of a service's workers when one is to be chosen.  */
+/**
+ * struct survey - a service's workers when one is to be chosen
+ * @count: how many
+ * @out: of these, left out for failures
+ * @load: of all of them
+ * @ignore_out: so many are out that the failures say nothing about them
+ */
 struct survey
 {
   size_t count;
   size_t out;
   uint64_t load;
+  bool ignore_out;
 };
 
 static struct survey
 survey_service (const struct mq_fleet *fleet,
                 const struct mq_fleet_query *query)
 {
-  struct survey survey = { 0, 0, 0 };
+  struct survey survey = { .count = 0 };
 
   for (size_t i = 0; i < fleet->count; i++)
     {
@@ -326,6 +339,7 @@
       if (entry->out_until_ms > query->now_ms)
         survey.out++;
     }
+  survey.ignore_out = survey.out * 100 > survey.count * MQ_FLEET_OUT_PERCENT;
   return survey;
 }
 
@@ -362,7 +376,7 @@
   uint64_t bound = survey->load / count + (uint64_t)MQ_FLEET_AHEAD * LOAD_UNIT;
   struct rank rank = { 0, 0 };
 
-  if (entry->out_until_ms > query->now_ms)
+  if (entry->out_until_ms > query->now_ms && !survey->ignore_out)
     return (struct rank){ 3, entry->out_until_ms };
   if (load >= slots * LOAD_UNIT)
     rank.group = 2;
@@ -395,19 +409,16 @@
   struct survey survey = survey_service (fleet, query);
   struct rank best = { UINT32_MAX, UINT64_MAX };
   uint32_t chosen = MQ_WORKER_NONE;
-  bool ignore_out = survey.out * 100 > survey.count * MQ_FLEET_OUT_PERCENT;
 
   for (size_t i = 0; i < fleet->count; i++)
     {
-      struct entry seen = fleet->entries[i];
+      const struct entry *entry = &fleet->entries[i];
       struct rank rank;
 
-      if (!is_candidate (&seen, query->service)
+      if (!is_candidate (entry, query->service)
           || was_tried (query, (uint32_t)i))
         continue;
-      if (ignore_out)
-        seen.out_until_ms = 0;
-      rank = rank_worker (&seen, query, &survey);
+      rank = rank_worker (entry, query, &survey);
       if (is_better (rank, best))
         {
           best = rank;
@@ -432,10 +443,7 @@
 bool
 mq_fleet_usable (const struct mq_fleet *fleet, uint32_t worker)
 {
-  const struct entry *entry = &fleet->entries[worker];
-
-  return entry->used && entry->listed && !entry->member.leaving
-         && !entry->refused;
+  return is_usable (&fleet->entries[worker]);
 }
 
 void
--- a/src/io/listen.c
+++ b/src/io/listen.c
@@ -45,36 +45,33 @@
   return getaddrinfo (ip, colon + 1, &hints, &found) == 0 ? found : NULL;
 }
 
-static int
-bind_and_listen (const struct addrinfo *at)
+static bool
+bind_and_listen (int fd, const struct addrinfo *at)
 {
   int on = 1;
-  int number;
-  int fd
-      = socket (at->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
-  if (fd < 0)
-    return -1;
-  if (setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
-      && bind (fd, at->ai_addr, at->ai_addrlen) == 0
-      && listen (fd, SOMAXCONN) == 0)
-    return fd;
-  number = errno;
-  close (fd);
-  errno = number;
-  return -1;
+  return setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
+         && bind (fd, at->ai_addr, at->ai_addrlen) == 0
+         && listen (fd, SOMAXCONN) == 0;
+}
+
+static bool
+connect_to (int fd, const struct addrinfo *at)
+{
+  return connect (fd, at->ai_addr, at->ai_addrlen) == 0
+         || errno == EINPROGRESS;
 }
 
+/* A socket after USE; -1 with errno.  */
 static int
-connect_to (const struct addrinfo *at)
+open_socket (const struct addrinfo *at,
+             bool (*use) (int fd, const struct addrinfo *at))
 {
   int number;
   int fd
       = socket (at->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
-  if (fd < 0)
-    return -1;
-  if (connect (fd, at->ai_addr, at->ai_addrlen) == 0 || errno == EINPROGRESS)
+  if (fd < 0 || use (fd, at))
     return fd;
   number = errno;
   close (fd);
@@ -83,7 +80,7 @@
 }
 
 static int
-open_at (const char *address, int (*use) (const struct addrinfo *at),
+open_at (const char *address, bool (*use) (int fd, const struct addrinfo *at),
          struct mq_error *error)
 {
   struct addrinfo *at = resolve (address);
@@ -95,7 +92,7 @@
       mq_error_set (error, MQ_ERR_TEXT_BAD_VALUE, address, "IP:PORT");
       return -1;
     }
-  fd = use (at);
+  fd = open_socket (at, use);
   number = errno;
   freeaddrinfo (at);
   if (fd >= 0)
--- a/src/io/router.c
+++ b/src/io/router.c
@@ -221,12 +221,6 @@
   return mq_relay_address (router->relay);
 }
 
-bool
-mq_router_is_ready (const struct mq_router *router)
-{
-  return mq_ready (router);
-}
-
 bool
 mq_router_stopped (const struct mq_router *router)
 {
--- a/src/io/router_caller.c
+++ b/src/io/router_caller.c
@@ -32,10 +32,8 @@
  * @ahead: bytes that came after it
  * @arrived_ms: when the message began
  * @active_ms: last time that anything happened
- * @begun: the beginning of an answer is out
- * @chunked: its length is not told beforehand
+ * @answering: a message is whole or refused, its answer is not out
  * @closing: no further request is taken
- * @refused: the message was answered before it was whole
  * @feeding: bytes are being read: the connection is not destroyed meanwhile
  */
 struct mq_caller
@@ -52,7 +50,6 @@
   uint64_t arrived_ms;
   uint64_t active_ms;
   bool answering;
-  bool begun;
   bool closing;
   bool feeding;
   bool dead;
@@ -265,7 +262,6 @@
   bool nested = caller->feeding;
 
   caller->request = NULL;
-  caller->begun = false;
   caller->active_ms = mq_clock_ms ();
   if (caller->closing)
     {
@@ -337,7 +333,6 @@
 void
 mq_caller_begin (struct mq_caller *caller, int status, const char *fields)
 {
-  caller->begun = true;
   write_head (caller, status, fields, "Transfer-Encoding: chunked\r\n", NULL,
               0);
 }
--- a/src/io/router_pool.c
+++ b/src/io/router_pool.c
@@ -16,7 +16,6 @@
  */
 struct idle_lane
 {
-  struct mq_pool *pool;
   struct mq_http_lane *lane;
   uint64_t stamp;
   uint64_t until_ms;
@@ -56,6 +55,16 @@
   talloc_free (idle);
 }
 
+/* The worker most likely still keeps the connection, and is still the one that
+   it leads to.  */
+static bool
+is_fresh (const struct mq_pool *pool, const struct idle_lane *idle,
+          uint32_t worker, uint64_t now_ms)
+{
+  return idle->until_ms > now_ms
+         && idle->stamp == mq_fleet_stamp (pool->fleet, worker);
+}
+
 void
 mq_pool_destroy (struct mq_pool *pool)
 {
@@ -113,13 +122,11 @@
 }
 
 struct mq_http_lane *
-mq_pool_take (struct mq_pool *pool, uint32_t worker, bool *reused,
-              struct mq_error *error)
+mq_pool_take (struct mq_pool *pool, uint32_t worker, struct mq_error *error)
 {
   uint64_t now = mq_clock_ms ();
   struct idle_lane *idle;
 
-  *reused = false;
   if (!make_slots (pool, worker))
     {
       mq_error_set (error, MQ_ERR_NO_MEMORY, "", NULL);
@@ -130,14 +137,12 @@
       struct mq_http_lane *lane = idle->lane;
 
       pool->idle[worker] = idle->next;
-      if (idle->until_ms <= now
-          || idle->stamp != mq_fleet_stamp (pool->fleet, worker))
+      if (!is_fresh (pool, idle, worker, now))
         {
           close_idle (idle);
           continue;
         }
       talloc_free (idle);
-      *reused = true;
       return lane;
     }
   pool->opened++;
@@ -161,7 +166,6 @@
       mq_http_lane_destroy (lane);
       return;
     }
-  idle->pool = pool;
   idle->lane = lane;
   idle->stamp = mq_fleet_stamp (pool->fleet, worker);
   idle->until_ms = mq_clock_ms () + keep_ms - MQ_POOL_IDLE_MARGIN_MS;
@@ -184,8 +188,7 @@
         {
           struct idle_lane *idle = *at;
 
-          if (usable && idle->until_ms > now
-              && idle->stamp == mq_fleet_stamp (pool->fleet, (uint32_t)i))
+          if (usable && is_fresh (pool, idle, (uint32_t)i, now))
             {
               at = &idle->next;
               continue;
--- a/src/io/router_pool.h
+++ b/src/io/router_pool.h
@@ -23,10 +23,10 @@
 struct mq_pool *mq_pool_create (TALLOC_CTX *ctx, struct tevent_context *ev,
                                 struct mq_fleet *fleet);
 void mq_pool_destroy (struct mq_pool *pool);
-/* A connection to WORKER; *REUSED tells whether it was used before.  NULL with
-   ERROR set when none can be had.  */
+/* A connection to WORKER, used before or new.  NULL with ERROR set when none
+   can be had.  */
 struct mq_http_lane *mq_pool_take (struct mq_pool *pool, uint32_t worker,
-                                   bool *reused, struct mq_error *error);
+                                   struct mq_error *error);
 /* Gives LANE back after a whole answer; IDLE_S: how long the worker keeps it,
    0: not told.  Closes it when it can't be used again.  */
 void mq_pool_give (struct mq_pool *pool, uint32_t worker,
--- a/src/io/router_ready.c
+++ b/src/io/router_ready.c
@@ -19,7 +19,7 @@
 };
 
 bool
-mq_ready (const struct mq_router *router)
+mq_router_is_ready (const struct mq_router *router)
 {
   return router->routes != NULL && router->workers_listed && !router->leaving;
 }
@@ -58,7 +58,7 @@
 
   if (question->metrics)
     body = mq_router_metrics (question, question->router);
-  else if (!mq_ready (question->router))
+  else if (!mq_router_is_ready (question->router))
     status = 503;
   text = talloc_asprintf (question,
                           "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n%s\r\n%s",
--- a/src/io/router_ready.h
+++ b/src/io/router_ready.h
@@ -10,8 +10,5 @@
 /* Answers at the ready address of the settings: /metrics with the counters,
    every other path with 200 or 503.  False with ERROR when it can't listen. */
 bool mq_ready_listen (struct mq_router *router, struct mq_error *error);
-/* Callers may be sent here: a configuration and the workers are known, and no
-   stop was asked for.  */
-bool mq_ready (const struct mq_router *router);
 
 #endif
--- a/src/io/router_request.c
+++ b/src/io/router_request.c
@@ -231,27 +231,26 @@
 static void
 follow_try (struct mq_request *request, enum mq_attempt_end end)
 {
-  struct mq_attempt attempt = {
-    .end = end,
-    .repeatable = mq_route_repeatable (request->route),
-    .begun = request->begun,
-    .sent = request->sent,
-    .sent_max = request->route->attempts,
-    .unreachable = request->unreachable,
-    .left_ms = left_ms (request),
-  };
+  struct mq_attempt attempt;
   enum mq_attempt_next next;
 
   if (end == MQ_ATTEMPT_UNREACHABLE)
     {
       request->sent--;
       request->unreachable++;
-      attempt.sent = request->sent;
-      attempt.unreachable = request->unreachable;
     }
   if (end == MQ_ATTEMPT_BROKEN || end == MQ_ATTEMPT_ERROR)
     request->ran = true;
-  attempt.ran = request->ran;
+  attempt = (struct mq_attempt){
+    .end = end,
+    .repeatable = mq_route_repeatable (request->route),
+    .begun = request->begun,
+    .sent = request->sent,
+    .sent_max = request->route->attempts,
+    .unreachable = request->unreachable,
+    .left_ms = left_ms (request),
+    .ran = request->ran,
+  };
   next = mq_attempt_decide (&attempt);
   log_try (request, end, next);
   switch (next)
--- a/src/io/router_try.c
+++ b/src/io/router_try.c
@@ -12,14 +12,12 @@
  * struct mq_try - a request at a worker
  * @lane: connection to the worker
  * @silence: of the worker
- * @begun: the caller has got the beginning of an answer
  */
 struct mq_try
 {
   struct mq_try_options options;
   struct mq_http_lane *lane;
   struct mq_silence *silence;
-  bool begun;
 };
 
 static void
@@ -126,7 +124,7 @@
     .not_run = answer->not_run,
     .cut = mq_answer_is_cut (answer),
     .stream = answer->stream,
-    .begun = try->begun,
+    .begun = try->options.begun,
     .repeatable = try->options.repeatable,
   };
 
@@ -189,12 +187,10 @@
 {
   struct mq_try *try = mq_must (talloc_zero (ctx, struct mq_try));
   struct mq_error error = { .type = MQ_ERR_NONE };
-  bool reused;
 
   try->options = *options;
-  try->begun = options->begun;
   mq_fleet_started (options->fleet, options->worker);
-  try->lane = mq_pool_take (options->pool, options->worker, &reused, &error);
+  try->lane = mq_pool_take (options->pool, options->worker, &error);
   if (try->lane == NULL)
     {
       tell_fleet (try, MQ_OUTCOME_UNREACHABLE);
@@ -215,7 +211,7 @@
 void
 mq_try_begun (struct mq_try *try)
 {
-  try->begun = true;
+  try->options.begun = true;
   mq_silence_begun (try->silence);
 }
 
