A worker that starts again under its id is another worker; foreign entries name none

Cause: mq_fleet_put took over state and slots alone, so that after a restart under the same id requests went to the former address, over connections of the former start, with its failures and load held against the new one. An entry of another writer passed for the worker if some of it could be read. Now a later start replaces the former one under a new handle; earlier ones, or ones that tell no start, change nothing. Each field that is used must be there and of its type; else the log names it and the worker is used no more. Shown by fleet::later_start_*, wire::entries_of_another_writer.

--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -726,7 +726,7 @@
   (ProtobufCMessageInit) mqrelay__sync__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__worker__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mqrelay__worker__field_descriptors[7] =
 {
   {
     "id",
@@ -800,9 +800,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__Worker, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__worker__field_indices_by_name[] = {
   2,   /* field[2] = address */
+  6,   /* field[6] = born_ms */
   3,   /* field[3] = data_centre */
   0,   /* field[0] = id */
   5,   /* field[5] = leaving */
@@ -812,7 +825,7 @@
 static const ProtobufCIntRange mqrelay__worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mqrelay__worker__descriptor =
 {
@@ -822,7 +835,7 @@
   "Mqrelay__Worker",
   "mqrelay",
   sizeof(Mqrelay__Worker),
-  6,
+  7,
   mqrelay__worker__field_descriptors,
   mqrelay__worker__field_indices_by_name,
   1,  mqrelay__worker__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -125,10 +125,14 @@
   char *data_centre;
   uint32_t slots;
   protobuf_c_boolean leaving;
+  /*
+   * its start, Unix time; 0: not told
+   */
+  uint64_t born_ms;
 };
 #define MQRELAY__WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__worker__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -4,6 +4,7 @@
 
 #include "fleet.h"
 #include "id.h"
+#include "idmap.h"
 #include <string.h>
 
 #define FIRST_SLOTS ((size_t)32)
@@ -19,6 +20,8 @@
  * struct entry - one worker
  * @member: strings below the fleet
  * @hash: of its id
+ * @stamp: of its id, start, service and address
+ * @replaced: a later start has its id; it stays for the requests under way
  * @used: the slot of the table is taken
  * @listed: the registry has it
  * @seen: the list under way has it
@@ -38,7 +41,9 @@
 {
   struct mq_fleet_member member;
   uint64_t hash;
+  uint64_t stamp;
   bool used;
+  bool replaced;
   bool listed;
   bool seen;
   uint64_t lapses_ms;
@@ -53,16 +58,30 @@
   uint64_t out_until_ms;
 };
 
+/**
+ * struct mq_fleet - the table of workers
+ * @by_id: position of the worker's entry, plus one, as a pointer
+ * @free_from: no entry before it is free
+ */
 struct mq_fleet
 {
   struct entry *entries;
   size_t count;
+  struct mq_idmap *by_id;
+  size_t free_from;
 };
 
 struct mq_fleet *
 mq_fleet_create (TALLOC_CTX *ctx)
 {
-  return talloc_zero (ctx, struct mq_fleet);
+  struct mq_fleet *fleet = talloc_zero (ctx, struct mq_fleet);
+
+  if (fleet == NULL)
+    return NULL;
+  fleet->by_id = mq_idmap_create (fleet);
+  if (fleet->by_id == NULL)
+    TALLOC_FREE (fleet);
+  return fleet;
 }
 
 void
@@ -72,13 +91,12 @@
 }
 
 static struct entry *
-find_entry (struct mq_fleet *fleet, const char *id)
+find_entry (const struct mq_fleet *fleet, const char *id)
 {
-  for (size_t i = 0; i < fleet->count; i++)
-    if (fleet->entries[i].used
-        && strcmp (fleet->entries[i].member.id, id) == 0)
-      return &fleet->entries[i];
-  return NULL;
+  uintptr_t place
+      = (uintptr_t)mq_idmap_find (fleet->by_id, mq_id_text_hash (id), 0);
+
+  return place == 0 ? NULL : &fleet->entries[place - 1];
 }
 
 static struct entry *
@@ -87,9 +105,9 @@
   struct entry *grown;
   size_t count = fleet->count;
 
-  for (size_t i = 0; i < count; i++)
-    if (!fleet->entries[i].used)
-      return &fleet->entries[i];
+  for (; fleet->free_from < count; fleet->free_from++)
+    if (!fleet->entries[fleet->free_from].used)
+      return &fleet->entries[fleet->free_from];
   grown = talloc_realloc (fleet, fleet->entries, struct entry,
                           count + FIRST_SLOTS);
   if (grown == NULL)
@@ -129,6 +147,24 @@
   return true;
 }
 
+static uint64_t
+text_digest (const char *text, uint64_t seed)
+{
+  return mq_hash_bytes (text, strlen (text), seed);
+}
+
+/* The same number for the same start of the same worker.  */
+static uint64_t
+start_digest (const struct mq_fleet_member *member)
+{
+  uint64_t digest = text_digest (member->id, 0);
+
+  digest = text_digest (member->service, digest);
+  digest = text_digest (member->address, digest);
+  digest = text_digest (member->data_centre, digest);
+  return mq_hash_bytes (&member->born_ms, sizeof member->born_ms, digest);
+}
+
 static bool
 add_entry (struct mq_fleet *fleet, const struct mq_fleet_member *member)
 {
@@ -139,50 +175,115 @@
   *entry = (struct entry){ .used = false };
   if (!copy_member (fleet, &entry->member, member))
     return false;
-  entry->hash = mq_hash_bytes (member->id, strlen (member->id), 0);
+  entry->hash = text_digest (member->id, 0);
+  entry->stamp = start_digest (member);
   entry->used = true;
   entry->listed = true;
   entry->seen = true;
+  mq_idmap_put (fleet->by_id, mq_id_text_hash (member->id), 0,
+                (void *)(uintptr_t)(entry - fleet->entries + 1));
   return true;
 }
 
+static void
+forget_if_idle (struct mq_fleet *fleet, struct entry *entry)
+{
+  size_t place = (size_t)(entry - fleet->entries);
+
+  if (entry->listed || entry->own > 0)
+    return;
+  if (!entry->replaced)
+    mq_idmap_remove (fleet->by_id, mq_id_text_hash (entry->member.id), 0);
+  free_strings (&entry->member);
+  *entry = (struct entry){ .used = false };
+  if (place < fleet->free_from)
+    fleet->free_from = place;
+}
+
+/* What is told of a worker, beside what is known of it.  */
+enum start
+{
+  START_SAME,
+  START_LATER,
+  START_EARLIER
+};
+
+static enum start
+compare_start (const struct entry *entry, const struct mq_fleet_member *told)
+{
+  if (told->born_ms < entry->member.born_ms)
+    return START_EARLIER;
+  return start_digest (told) == entry->stamp ? START_SAME : START_LATER;
+}
+
+static void
+take_changes (struct entry *entry, const struct mq_fleet_member *member)
+{
+  entry->member.leaving = member->leaving;
+  entry->member.slots = member->slots;
+  entry->listed = true;
+  entry->seen = true;
+  entry->lapses_ms = 0;
+}
+
+/* Requests under way keep the handle of the former start until they end.  */
+static bool
+replace_entry (struct mq_fleet *fleet, struct entry *entry,
+               const struct mq_fleet_member *member)
+{
+  entry->listed = false;
+  entry->replaced = true;
+  forget_if_idle (fleet, entry);
+  return add_entry (fleet, member);
+}
+
 bool
 mq_fleet_put (struct mq_fleet *fleet, const struct mq_fleet_member *member,
               bool *changed)
 {
   struct entry *entry = find_entry (fleet, member->id);
-  bool differs = entry == NULL || !entry->listed
-                 || entry->member.leaving != member->leaving
-                 || entry->member.slots != member->slots;
+  enum start start = START_SAME;
+  bool differs = true;
+  bool known = true;
 
+  if (entry != NULL)
+    {
+      start = compare_start (entry, member);
+      differs = start == START_LATER || !entry->listed
+                || entry->member.leaving != member->leaving
+                || entry->member.slots != member->slots;
+    }
+  if (entry == NULL)
+    known = add_entry (fleet, member);
+  else if (start == START_LATER)
+    known = replace_entry (fleet, entry, member);
+  else if (start == START_SAME)
+    take_changes (entry, member);
+  else
+    {
+      entry->seen = true;
+      differs = false;
+    }
   if (changed != NULL)
     *changed = differs;
-  if (entry == NULL)
-    return add_entry (fleet, member);
-  entry->member.leaving = member->leaving;
-  entry->member.slots = member->slots;
-  entry->listed = true;
-  entry->seen = true;
-  entry->lapses_ms = 0;
-  return true;
+  return known;
 }
 
-static void
-forget_if_idle (struct entry *entry)
+uint64_t
+mq_fleet_born_ms (const struct mq_fleet *fleet, const char *id)
 {
-  if (entry->listed || entry->own > 0)
-    return;
-  free_strings (&entry->member);
-  *entry = (struct entry){ .used = false };
+  const struct entry *entry = find_entry (fleet, id);
+
+  return entry == NULL || !entry->listed ? 0 : entry->member.born_ms;
 }
 
 static void
-lapse (struct entry *entry, uint64_t until_ms)
+lapse (struct mq_fleet *fleet, struct entry *entry, uint64_t until_ms)
 {
   if (until_ms == 0)
     {
       entry->listed = false;
-      forget_if_idle (entry);
+      forget_if_idle (fleet, entry);
     }
   else if (entry->lapses_ms == 0)
     entry->lapses_ms = until_ms;
@@ -195,7 +296,7 @@
 
   if (entry == NULL || !entry->listed)
     return false;
-  lapse (entry, until_ms);
+  lapse (fleet, entry, until_ms);
   return true;
 }
 
@@ -207,7 +308,7 @@
       struct entry *entry = &fleet->entries[i];
 
       if (entry->used && entry->lapses_ms != 0 && entry->lapses_ms <= now_ms)
-        lapse (entry, 0);
+        lapse (fleet, entry, 0);
     }
 }
 
@@ -226,7 +327,7 @@
       struct entry *entry = &fleet->entries[i];
 
       if (entry->used && !entry->seen && entry->listed)
-        lapse (entry, until_ms);
+        lapse (fleet, entry, until_ms);
     }
 }
 
@@ -243,20 +344,11 @@
   return list;
 }
 
-static uint64_t
-text_digest (const char *text, uint64_t seed)
-{
-  return mq_hash_bytes (text, strlen (text), seed);
-}
-
 static uint64_t
 member_digest (const struct mq_fleet_member *member)
 {
-  uint64_t digest = text_digest (member->id, 0);
+  uint64_t digest = start_digest (member);
 
-  digest = text_digest (member->service, digest);
-  digest = text_digest (member->address, digest);
-  digest = text_digest (member->data_centre, digest);
   digest = mq_hash_bytes (&member->slots, sizeof member->slots, digest);
   return mq_hash_bytes (&member->leaving, sizeof member->leaving, digest);
 }
@@ -437,7 +529,7 @@
 uint64_t
 mq_fleet_stamp (const struct mq_fleet *fleet, uint32_t worker)
 {
-  return fleet->entries[worker].hash;
+  return fleet->entries[worker].stamp;
 }
 
 bool
@@ -526,7 +618,7 @@
     case MQ_OUTCOME_STOPPED:
       break;
     }
-  forget_if_idle (entry);
+  forget_if_idle (fleet, entry);
 }
 
 void
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -47,12 +47,13 @@
 
 /**
  * struct mq_fleet_member - what the registry says of one worker
- * @id: names this start of the worker
+ * @id: names the worker; a later start may bear it again
  * @service: which one it serves
  * @address: "IP:PORT"
  * @data_centre: where it stands
  * @slots: requests that it runs side by side
  * @leaving: takes no new work
+ * @born_ms: its start by its own clock, Unix milliseconds; 0: not told
  */
 struct mq_fleet_member
 {
@@ -62,6 +63,7 @@
   const char *data_centre;
   uint32_t slots;
   bool leaving;
+  uint64_t born_ms;
 };
 
 /* How a request to a worker ended, for the choice of the next ones.  */
@@ -102,7 +104,13 @@
 void mq_fleet_destroy (struct mq_fleet *fleet);
 
 /* Adds or changes a worker; false when memory is out.  *CHANGED tells whether
-   anything that matters is new; may be NULL.  */
+   anything that matters is new; may be NULL.
+
+   Failure: a worker starts again under its id; requests go to its former
+   address and service, connections of the former start are used again, and
+   failures of the former start are held against it.  So a later start is
+   another worker under another handle.  What an earlier start, or one that
+   tells no start beside one that does, said is older and changes nothing.  */
 bool mq_fleet_put (struct mq_fleet *fleet,
                    const struct mq_fleet_member *member, bool *changed);
 /* The worker has left the registry: no new requests from UNTIL_MS on, 0: at
@@ -117,6 +125,8 @@
 /* Ends the workers whose time has come.  */
 void mq_fleet_expire (struct mq_fleet *fleet, uint64_t now_ms);
 
+/* Start of the worker that is listed under ID, 0: not told or not known.  */
+uint64_t mq_fleet_born_ms (const struct mq_fleet *fleet, const char *id);
 /* All that are listed, below CTX; their strings live as long as they are
    listed.  NULL when memory is out.  */
 struct mq_fleet_member *mq_fleet_list (const struct mq_fleet *fleet,
--- a/src/io/listen.c
+++ b/src/io/listen.c
@@ -45,6 +45,16 @@
   return getaddrinfo (ip, colon + 1, &hints, &found) == 0 ? found : NULL;
 }
 
+bool
+mq_address_is_sound (const char *address)
+{
+  struct addrinfo *found = resolve (address);
+
+  if (found != NULL)
+    freeaddrinfo (found);
+  return found != NULL;
+}
+
 static bool
 bind_and_listen (int fd, const struct addrinfo *at)
 {
--- a/src/io/log_schema.h
+++ b/src/io/log_schema.h
@@ -49,7 +49,7 @@
   X (PEER_SILENT, "peer_silent", WARNING, "peer other")                       \
   X (WORKER_LISTED, "worker_listed", NOTICE, "worker service address state")  \
   X (WORKER_GONE, "worker_gone", WARNING, "worker")                           \
-  X (WORKER_UNREADABLE, "worker_unreadable", ERROR, "worker")                 \
+  X (WORKER_UNREADABLE, "worker_unreadable", ERROR, "worker " MQ_LOG_PROBLEM) \
   X (TRY_FAILED, "try_failed", WARNING,                                       \
      MQ_LOG_REQUEST "how at_worker_ms left_ms next")                          \
   X (REQUEST_ENDED, "request_ended", INFO, MQ_LOG_REQUEST "outcome tokens")   \
--- a/src/io/relay_frame.c
+++ b/src/io/relay_frame.c
@@ -54,6 +54,7 @@
   to->data_centre = text_field (from->data_centre);
   to->slots = from->slots;
   to->leaving = from->leaving;
+  to->born_ms = from->born_ms;
 }
 
 static Mqrelay__Worker **
@@ -196,6 +197,7 @@
       .data_centre = list[i]->data_centre,
       .slots = list[i]->slots,
       .leaving = list[i]->leaving,
+      .born_ms = list[i]->born_ms,
     };
   return workers;
 }
--- a/src/io/router_feed.c
+++ b/src/io/router_feed.c
@@ -92,6 +92,22 @@
   mq_json_end (&line);
 }
 
+/* The worker's own entry went under another writer's, which names no worker:
+   whoever stands at the address now is not known.  */
+static void
+drop_worker (struct mq_router *router, const char *id,
+             const struct mq_error *error)
+{
+  struct mq_json_line line;
+
+  mq_fleet_remove (router->fleet, id, 0);
+  router->counters.worker_changes++;
+  mq_json_begin (&line, router->log, MQ_JSON_NOTE, MQ_LOG_WORKER_UNREADABLE);
+  mq_json_text (&line, "worker", id);
+  mq_json_error (&line, error);
+  mq_json_end (&line);
+}
+
 static void
 put_worker (struct mq_router *router, const struct mq_fleet_member *member)
 {
@@ -109,10 +125,16 @@
   struct mq_fleet_member member;
   TALLOC_CTX *ctx = talloc_new (router);
 
-  if (mq_wire_read_worker (ctx, row->key, row->value, &member, &error))
-    put_worker (router, &member);
+  if (!mq_wire_read_worker (ctx, row->key, row->value, &member, &error))
+    drop_worker (router, row->key, &error);
+  else if (member.born_ms == 0
+           && mq_fleet_born_ms (router->fleet, row->key) != 0)
+    {
+      mq_error_set (&error, MQ_ERR_TEXT_MISSING, row->key, "its start");
+      drop_worker (router, row->key, &error);
+    }
   else
-    log_worker (router, MQ_LOG_WORKER_UNREADABLE, row->key, NULL);
+    put_worker (router, &member);
   talloc_free (ctx);
 }
 
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -119,6 +119,19 @@
   cr_assert (mq_fleet_put (fleet, &member, NULL));
 }
 
+static void
+put_start (const char *address, uint64_t born_ms)
+{
+  struct mq_fleet_member member = { .id = "w0",
+                                    .service = "s",
+                                    .address = address,
+                                    .data_centre = "a",
+                                    .slots = 4,
+                                    .born_ms = born_ms };
+
+  cr_assert (mq_fleet_put (fleet, &member, NULL));
+}
+
 static void
 make_fleet (void)
 {
@@ -476,17 +489,18 @@
 Test (fleet, digest)
 {
   static const struct mq_fleet_member first
-      = { "i-1", "llm", "127.0.0.1:1", "a", 4, false };
+      = { "i-1", "llm", "127.0.0.1:1", "a", 4, false, 0 };
   static const struct mq_fleet_member second
-      = { "i-2", "app", "127.0.0.1:2", "b", 8, false };
+      = { "i-2", "app", "127.0.0.1:2", "b", 8, false, 0 };
   static const struct mq_fleet_member others[] = {
-    { "i-3", "llm", "127.0.0.1:1", "a", 4, false },
-    { "i-1", "app", "127.0.0.1:1", "a", 4, false },
-    { "i-1", "llm", "127.0.0.1:3", "a", 4, false },
-    { "i-1", "llm", "127.0.0.1:1", "b", 4, false },
-    { "i-1", "llm", "127.0.0.1:1", "a", 5, false },
-    { "i-1", "llm", "127.0.0.1:1", "a", 4, true },
-    { "i-1", "ll", "m127.0.0.1:1", "a", 4, false },
+    { "i-3", "llm", "127.0.0.1:1", "a", 4, false, 0 },
+    { "i-1", "app", "127.0.0.1:1", "a", 4, false, 0 },
+    { "i-1", "llm", "127.0.0.1:3", "a", 4, false, 0 },
+    { "i-1", "llm", "127.0.0.1:1", "b", 4, false, 0 },
+    { "i-1", "llm", "127.0.0.1:1", "a", 5, false, 0 },
+    { "i-1", "llm", "127.0.0.1:1", "a", 4, true, 0 },
+    { "i-1", "ll", "m127.0.0.1:1", "a", 4, false, 0 },
+    { "i-1", "llm", "127.0.0.1:1", "a", 4, false, 9 },
   };
   const struct mq_fleet_member list[] = { first, second };
   const struct mq_fleet_member turned[] = { second, first };
@@ -502,3 +516,61 @@
       cr_assert_neq (digest, mq_fleet_digest (changed, 2), "%zu", i);
     }
 }
+
+/* Requests go to an address where their worker was before it crashed: the
+   worker starts again under its id at another address, the entry of the new
+   start changes just its state and slots, and failures and load of the former
+   start stay.  An entry of the former start that comes late must not bring it
+   back.  */
+struct start_case
+{
+  const char *what;
+  const char *address;
+  uint64_t born_ms;
+  const char *known; /* address that is used afterwards */
+};
+
+Test (fleet, later_start_is_another_worker)
+{
+  static const struct start_case cases[] = {
+    { "first start", "127.0.0.1:1", 1000, "127.0.0.1:1" },
+    { "the same again", "127.0.0.1:1", 1000, "127.0.0.1:1" },
+    { "later start", "127.0.0.1:2", 2000, "127.0.0.1:2" },
+    { "former start, late", "127.0.0.1:1", 1000, "127.0.0.1:2" },
+    { "no start told, late", "127.0.0.1:1", 0, "127.0.0.1:2" },
+    { "third start", "127.0.0.1:1", 3000, "127.0.0.1:1" },
+  };
+
+  mq_fleet_remove (fleet, "w0", 0);
+  mq_fleet_remove (fleet, "w1", 0);
+  mq_fleet_remove (fleet, "w2", 0);
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      put_start (cases[i].address, cases[i].born_ms);
+      cr_assert_str_eq (mq_fleet_member (fleet, handle_of ("w0"))->address,
+                        cases[i].known, "%s", cases[i].what);
+      cr_assert_eq (mq_fleet_count (fleet, "s"), 1, "%s", cases[i].what);
+    }
+}
+
+/* A request that is under way at the former start ends there; what came of it
+   says nothing about the new one.  */
+Test (fleet, later_start_begins_anew)
+{
+  uint32_t former;
+  uint32_t later;
+
+  put_start ("127.0.0.1:1", 1000);
+  former = handle_of ("w0");
+  mq_fleet_started (fleet, former);
+  mq_fleet_told (fleet, former, 4, 9, 1);
+  put_start ("127.0.0.1:1", 2000);
+  later = handle_of ("w0");
+  cr_assert_neq (former, later);
+  cr_assert_neq (mq_fleet_stamp (fleet, former),
+                 mq_fleet_stamp (fleet, later));
+  cr_assert_not (mq_fleet_usable (fleet, former));
+  mq_fleet_ended (fleet, former, MQ_OUTCOME_LEAVING, 1);
+  cr_assert (mq_fleet_usable (fleet, later));
+  cr_assert_eq (mq_fleet_born_ms (fleet, "w0"), 2000);
+}
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -244,6 +244,83 @@
   talloc_free (ctx);
 }
 
+/* A caller's request goes to an address that no worker ever told.  Something
+   else writes into the registry, under the id of a worker that lives: fields
+   are missing or of another type, or the bytes are no JSON.  What can be read
+   of it passed for the worker.  */
+
+struct entry_case
+{
+  const char *entry;
+  const char *wrong; /* field that is named; NULL: the entry names a worker */
+};
+
+#define SOUND                                                                 \
+  "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","             \
+  "\"batchSize\":4,\"state\":\"ready\""
+#define WITHOUT_STATE                                                         \
+  "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","             \
+  "\"batchSize\":4"
+
+Test (wire, entries_of_another_writer)
+{
+  static const struct entry_case cases[] = {
+    { "{" SOUND "}", NULL },
+    { "{" SOUND ",\"born\":1772230200004}", NULL },
+    { "{" SOUND ",\"born\":1.5}", "born" },
+    { "{" SOUND ",\"born\":\"1772230200004\"}", "born" },
+    { "{" SOUND ",\"born\":-4}", "born" },
+    { "{" SOUND ",\"born\":99999999999999}", "born" },
+    { "{" SOUND ",\"born\":null}", "born" },
+    { "{" WITHOUT_STATE "}", "state" },
+    { "{" WITHOUT_STATE ",\"state\":\"idle\"}", "state" },
+    { "{" WITHOUT_STATE ",\"state\":1}", "state" },
+    { "{\"service\":7,\"state\":\"ready\"}", "service" },
+    { "{\"service\":\"s\",\"state\":\"ready\"}", "address" },
+    { "{\"service\":\"s\",\"address\":\"worker:80\",\"zone\":\"z\","
+      "\"batchSize\":4,\"state\":\"ready\"}",
+      "address" },
+    { "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"zone\":\"z\","
+      "\"batchSize\":4,\"state\":\"ready\"}",
+      "address" },
+    { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":[],"
+      "\"batchSize\":4,\"state\":\"ready\"}",
+      "zone" },
+    { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"batchSize\":-1,\"state\":\"ready\"}",
+      "batchSize" },
+    { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"batchSize\":4e9,\"state\":\"ready\"}",
+      "batchSize" },
+    { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"state\":\"ready\"}",
+      "batchSize" },
+    { "{" SOUND ",\"state\":\"ready\"}", "a JSON object" },
+    { "[{" SOUND "}]", "a JSON object" },
+    { "\xff\xfe", "a JSON object" },
+    { "", "a JSON object" },
+    { "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[", "a JSON object" },
+  };
+  struct mq_fleet_member member;
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct mq_error error = { .type = MQ_ERR_NONE };
+      TALLOC_CTX *ctx = talloc_new (NULL);
+      bool good = mq_wire_read_worker (ctx, "i-1", bytes (cases[i].entry),
+                                       &member, &error);
+
+      cr_assert_eq (good, cases[i].wrong == NULL, "%s", cases[i].entry);
+      if (!good)
+        {
+          cr_assert_str_eq (error.subject, "i-1");
+          cr_assert_str_eq (error.allowed, cases[i].wrong, "%s",
+                            cases[i].entry);
+        }
+      talloc_free (ctx);
+    }
+}
+
 /* Settings */
 
 struct settings_case
