--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -322,6 +322,141 @@
   assert(message->base.descriptor == &mqrelay__state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mqrelay__loan_ask__init
+                     (Mqrelay__LoanAsk         *message)
+{
+  static const Mqrelay__LoanAsk init_value = MQRELAY__LOAN_ASK__INIT;
+  *message = init_value;
+}
+size_t mqrelay__loan_ask__get_packed_size
+                     (const Mqrelay__LoanAsk *message)
+{
+  assert(message->base.descriptor == &mqrelay__loan_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqrelay__loan_ask__pack
+                     (const Mqrelay__LoanAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqrelay__loan_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqrelay__loan_ask__pack_to_buffer
+                     (const Mqrelay__LoanAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqrelay__loan_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqrelay__LoanAsk *
+       mqrelay__loan_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqrelay__LoanAsk *)
+     protobuf_c_message_unpack (&mqrelay__loan_ask__descriptor,
+                                allocator, len, data);
+}
+void   mqrelay__loan_ask__free_unpacked
+                     (Mqrelay__LoanAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqrelay__loan_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mqrelay__loan_told__init
+                     (Mqrelay__LoanTold         *message)
+{
+  static const Mqrelay__LoanTold init_value = MQRELAY__LOAN_TOLD__INIT;
+  *message = init_value;
+}
+size_t mqrelay__loan_told__get_packed_size
+                     (const Mqrelay__LoanTold *message)
+{
+  assert(message->base.descriptor == &mqrelay__loan_told__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqrelay__loan_told__pack
+                     (const Mqrelay__LoanTold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqrelay__loan_told__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqrelay__loan_told__pack_to_buffer
+                     (const Mqrelay__LoanTold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqrelay__loan_told__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqrelay__LoanTold *
+       mqrelay__loan_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqrelay__LoanTold *)
+     protobuf_c_message_unpack (&mqrelay__loan_told__descriptor,
+                                allocator, len, data);
+}
+void   mqrelay__loan_told__free_unpacked
+                     (Mqrelay__LoanTold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqrelay__loan_told__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mqrelay__loan_back__init
+                     (Mqrelay__LoanBack         *message)
+{
+  static const Mqrelay__LoanBack init_value = MQRELAY__LOAN_BACK__INIT;
+  *message = init_value;
+}
+size_t mqrelay__loan_back__get_packed_size
+                     (const Mqrelay__LoanBack *message)
+{
+  assert(message->base.descriptor == &mqrelay__loan_back__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqrelay__loan_back__pack
+                     (const Mqrelay__LoanBack *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqrelay__loan_back__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqrelay__loan_back__pack_to_buffer
+                     (const Mqrelay__LoanBack *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqrelay__loan_back__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqrelay__LoanBack *
+       mqrelay__loan_back__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqrelay__LoanBack *)
+     protobuf_c_message_unpack (&mqrelay__loan_back__descriptor,
+                                allocator, len, data);
+}
+void   mqrelay__loan_back__free_unpacked
+                     (Mqrelay__LoanBack *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqrelay__loan_back__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mqrelay__frame__init
                      (Mqrelay__Frame         *message)
 {
@@ -906,7 +1041,264 @@
   (ProtobufCMessageInit) mqrelay__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__frame__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mqrelay__loan_ask__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanAsk, run),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanAsk, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "most",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanAsk, most),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanAsk, turn),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "issue",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanAsk, issue),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqrelay__loan_ask__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  5,   /* field[5] = issue */
+  2,   /* field[2] = limit */
+  3,   /* field[3] = most */
+  1,   /* field[1] = run */
+  4,   /* field[4] = turn */
+};
+static const ProtobufCIntRange mqrelay__loan_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor mqrelay__loan_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqrelay.LoanAsk",
+  "LoanAsk",
+  "Mqrelay__LoanAsk",
+  "mqrelay",
+  sizeof(Mqrelay__LoanAsk),
+  6,
+  mqrelay__loan_ask__field_descriptors,
+  mqrelay__loan_ask__field_indices_by_name,
+  1,  mqrelay__loan_ask__number_ranges,
+  (ProtobufCMessageInit) mqrelay__loan_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mqrelay__loan_told__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanTold, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanTold, run),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanTold, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "over",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanTold, over),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanTold, turn),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "history",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanTold, history),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqrelay__loan_told__field_indices_by_name[] = {
+  5,   /* field[5] = history */
+  0,   /* field[0] = id */
+  3,   /* field[3] = over */
+  1,   /* field[1] = run */
+  2,   /* field[2] = tokens */
+  4,   /* field[4] = turn */
+};
+static const ProtobufCIntRange mqrelay__loan_told__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor mqrelay__loan_told__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqrelay.LoanTold",
+  "LoanTold",
+  "Mqrelay__LoanTold",
+  "mqrelay",
+  sizeof(Mqrelay__LoanTold),
+  6,
+  mqrelay__loan_told__field_descriptors,
+  mqrelay__loan_told__field_indices_by_name,
+  1,  mqrelay__loan_told__number_ranges,
+  (ProtobufCMessageInit) mqrelay__loan_told__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mqrelay__loan_back__field_descriptors[2] =
+{
+  {
+    "run",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanBack, run),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanBack, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqrelay__loan_back__field_indices_by_name[] = {
+  0,   /* field[0] = run */
+  1,   /* field[1] = tokens */
+};
+static const ProtobufCIntRange mqrelay__loan_back__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mqrelay__loan_back__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqrelay.LoanBack",
+  "LoanBack",
+  "Mqrelay__LoanBack",
+  "mqrelay",
+  sizeof(Mqrelay__LoanBack),
+  2,
+  mqrelay__loan_back__field_descriptors,
+  mqrelay__loan_back__field_indices_by_name,
+  1,  mqrelay__loan_back__number_ranges,
+  (ProtobufCMessageInit) mqrelay__loan_back__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mqrelay__frame__field_descriptors[7] =
 {
   {
     "ask",
@@ -956,9 +1348,48 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loan_ask",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mqrelay__Frame, body_case),
+    offsetof(Mqrelay__Frame, loan_ask),
+    &mqrelay__loan_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loan_told",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mqrelay__Frame, body_case),
+    offsetof(Mqrelay__Frame, loan_told),
+    &mqrelay__loan_told__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loan_back",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mqrelay__Frame, body_case),
+    offsetof(Mqrelay__Frame, loan_back),
+    &mqrelay__loan_back__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__frame__field_indices_by_name[] = {
   0,   /* field[0] = ask */
+  4,   /* field[4] = loan_ask */
+  6,   /* field[6] = loan_back */
+  5,   /* field[5] = loan_told */
   3,   /* field[3] = state */
   2,   /* field[2] = sync */
   1,   /* field[1] = told */
@@ -966,7 +1397,7 @@
 static const ProtobufCIntRange mqrelay__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mqrelay__frame__descriptor =
 {
@@ -976,7 +1407,7 @@
   "Mqrelay__Frame",
   "mqrelay",
   sizeof(Mqrelay__Frame),
-  4,
+  7,
   mqrelay__frame__field_descriptors,
   mqrelay__frame__field_indices_by_name,
   1,  mqrelay__frame__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -22,6 +22,9 @@
 typedef struct Mqrelay__Sync Mqrelay__Sync;
 typedef struct Mqrelay__Worker Mqrelay__Worker;
 typedef struct Mqrelay__State Mqrelay__State;
+typedef struct Mqrelay__LoanAsk Mqrelay__LoanAsk;
+typedef struct Mqrelay__LoanTold Mqrelay__LoanTold;
+typedef struct Mqrelay__LoanBack Mqrelay__LoanBack;
 typedef struct Mqrelay__Frame Mqrelay__Frame;
 
 
@@ -157,12 +160,92 @@
     , {0,NULL}, 0,NULL, 0 }
 
 
+/*
+ * While no host reaches the table: tokens and a history are wanted for a turn.
+ */
+struct  Mqrelay__LoanAsk
+{
+  ProtobufCMessage base;
+  /*
+   * of the question, for LoanTold
+   */
+  uint64_t id;
+  /*
+   * program
+   */
+  char *run;
+  /*
+   * of its budget
+   */
+  uint64_t limit;
+  /*
+   * tokens that are wanted
+   */
+  uint64_t most;
+  /*
+   * whose history is wanted, or empty
+   */
+  char *turn;
+  /*
+   * the holder of the program's lease may issue tokens
+   */
+  protobuf_c_boolean issue;
+};
+#define MQRELAY__LOAN_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqrelay__loan_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Mqrelay__LoanTold
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  char *run;
+  /*
+   * the lender has them no more
+   */
+  uint64_t tokens;
+  /*
+   * the record counts more than the limit
+   */
+  protobuf_c_boolean over;
+  /*
+   * empty: the history is not known here
+   */
+  char *turn;
+  /*
+   * a TurnRow with the whole text
+   */
+  ProtobufCBinaryData history;
+};
+#define MQRELAY__LOAN_TOLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqrelay__loan_told__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, {0,NULL} }
+
+
+/*
+ * Tokens of a loan that were not used.
+ */
+struct  Mqrelay__LoanBack
+{
+  ProtobufCMessage base;
+  char *run;
+  uint64_t tokens;
+};
+#define MQRELAY__LOAN_BACK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqrelay__loan_back__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 typedef enum {
   MQRELAY__FRAME__BODY__NOT_SET = 0,
   MQRELAY__FRAME__BODY_ASK = 1,
   MQRELAY__FRAME__BODY_TOLD = 2,
   MQRELAY__FRAME__BODY_SYNC = 3,
-  MQRELAY__FRAME__BODY_STATE = 4
+  MQRELAY__FRAME__BODY_STATE = 4,
+  MQRELAY__FRAME__BODY_LOAN_ASK = 5,
+  MQRELAY__FRAME__BODY_LOAN_TOLD = 6,
+  MQRELAY__FRAME__BODY_LOAN_BACK = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MQRELAY__FRAME__BODY__CASE)
 } Mqrelay__Frame__BodyCase;
 
@@ -175,6 +258,9 @@
     Mqrelay__Told *told;
     Mqrelay__Sync *sync;
     Mqrelay__State *state;
+    Mqrelay__LoanAsk *loan_ask;
+    Mqrelay__LoanTold *loan_told;
+    Mqrelay__LoanBack *loan_back;
   };
 };
 #define MQRELAY__FRAME__INIT \
@@ -315,6 +401,63 @@
 void   mqrelay__state__free_unpacked
                      (Mqrelay__State *message,
                       ProtobufCAllocator *allocator);
+/* Mqrelay__LoanAsk methods */
+void   mqrelay__loan_ask__init
+                     (Mqrelay__LoanAsk         *message);
+size_t mqrelay__loan_ask__get_packed_size
+                     (const Mqrelay__LoanAsk   *message);
+size_t mqrelay__loan_ask__pack
+                     (const Mqrelay__LoanAsk   *message,
+                      uint8_t             *out);
+size_t mqrelay__loan_ask__pack_to_buffer
+                     (const Mqrelay__LoanAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Mqrelay__LoanAsk *
+       mqrelay__loan_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqrelay__loan_ask__free_unpacked
+                     (Mqrelay__LoanAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Mqrelay__LoanTold methods */
+void   mqrelay__loan_told__init
+                     (Mqrelay__LoanTold         *message);
+size_t mqrelay__loan_told__get_packed_size
+                     (const Mqrelay__LoanTold   *message);
+size_t mqrelay__loan_told__pack
+                     (const Mqrelay__LoanTold   *message,
+                      uint8_t             *out);
+size_t mqrelay__loan_told__pack_to_buffer
+                     (const Mqrelay__LoanTold   *message,
+                      ProtobufCBuffer     *buffer);
+Mqrelay__LoanTold *
+       mqrelay__loan_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqrelay__loan_told__free_unpacked
+                     (Mqrelay__LoanTold *message,
+                      ProtobufCAllocator *allocator);
+/* Mqrelay__LoanBack methods */
+void   mqrelay__loan_back__init
+                     (Mqrelay__LoanBack         *message);
+size_t mqrelay__loan_back__get_packed_size
+                     (const Mqrelay__LoanBack   *message);
+size_t mqrelay__loan_back__pack
+                     (const Mqrelay__LoanBack   *message,
+                      uint8_t             *out);
+size_t mqrelay__loan_back__pack_to_buffer
+                     (const Mqrelay__LoanBack   *message,
+                      ProtobufCBuffer     *buffer);
+Mqrelay__LoanBack *
+       mqrelay__loan_back__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqrelay__loan_back__free_unpacked
+                     (Mqrelay__LoanBack *message,
+                      ProtobufCAllocator *allocator);
 /* Mqrelay__Frame methods */
 void   mqrelay__frame__init
                      (Mqrelay__Frame         *message);
@@ -357,6 +500,15 @@
 typedef void (*Mqrelay__State_Closure)
                  (const Mqrelay__State *message,
                   void *closure_data);
+typedef void (*Mqrelay__LoanAsk_Closure)
+                 (const Mqrelay__LoanAsk *message,
+                  void *closure_data);
+typedef void (*Mqrelay__LoanTold_Closure)
+                 (const Mqrelay__LoanTold *message,
+                  void *closure_data);
+typedef void (*Mqrelay__LoanBack_Closure)
+                 (const Mqrelay__LoanBack *message,
+                  void *closure_data);
 typedef void (*Mqrelay__Frame_Closure)
                  (const Mqrelay__Frame *message,
                   void *closure_data);
@@ -373,6 +525,9 @@
 extern const ProtobufCMessageDescriptor mqrelay__sync__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__worker__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__state__descriptor;
+extern const ProtobufCMessageDescriptor mqrelay__loan_ask__descriptor;
+extern const ProtobufCMessageDescriptor mqrelay__loan_told__descriptor;
+extern const ProtobufCMessageDescriptor mqrelay__loan_back__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/proto/turn.pb-c.c
+++ b/proto/turn.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &mqturn__budget_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mqturn__reserve_row__init
+                     (Mqturn__ReserveRow         *message)
+{
+  static const Mqturn__ReserveRow init_value = MQTURN__RESERVE_ROW__INIT;
+  *message = init_value;
+}
+size_t mqturn__reserve_row__get_packed_size
+                     (const Mqturn__ReserveRow *message)
+{
+  assert(message->base.descriptor == &mqturn__reserve_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqturn__reserve_row__pack
+                     (const Mqturn__ReserveRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqturn__reserve_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqturn__reserve_row__pack_to_buffer
+                     (const Mqturn__ReserveRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqturn__reserve_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqturn__ReserveRow *
+       mqturn__reserve_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqturn__ReserveRow *)
+     protobuf_c_message_unpack (&mqturn__reserve_row__descriptor,
+                                allocator, len, data);
+}
+void   mqturn__reserve_row__free_unpacked
+                     (Mqturn__ReserveRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqturn__reserve_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mqturn__turn_row__init
                      (Mqturn__TurnRow         *message)
 {
@@ -270,6 +315,57 @@
   (ProtobufCMessageInit) mqturn__budget_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mqturn__reserve_row__field_descriptors[2] =
+{
+  {
+    "holder",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqturn__ReserveRow, holder),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "until_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqturn__ReserveRow, until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqturn__reserve_row__field_indices_by_name[] = {
+  0,   /* field[0] = holder */
+  1,   /* field[1] = until_ms */
+};
+static const ProtobufCIntRange mqturn__reserve_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mqturn__reserve_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqturn.ReserveRow",
+  "ReserveRow",
+  "Mqturn__ReserveRow",
+  "mqturn",
+  sizeof(Mqturn__ReserveRow),
+  2,
+  mqturn__reserve_row__field_descriptors,
+  mqturn__reserve_row__field_indices_by_name,
+  1,  mqturn__reserve_row__number_ranges,
+  (ProtobufCMessageInit) mqturn__reserve_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mqturn__turn_row__field_descriptors[3] =
 {
   {
--- a/proto/turn.pb-c.h
+++ b/proto/turn.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Mqturn__Grant Mqturn__Grant;
 typedef struct Mqturn__BudgetRow Mqturn__BudgetRow;
+typedef struct Mqturn__ReserveRow Mqturn__ReserveRow;
 typedef struct Mqturn__TurnRow Mqturn__TurnRow;
 
 
@@ -59,6 +60,26 @@
     , 0, 0, 0,NULL, 0 }
 
 
+/*
+ * Lease on a slot of programs that may begin while the table is away.
+ */
+struct  Mqturn__ReserveRow
+{
+  ProtobufCMessage base;
+  /*
+   * number of the host's run
+   */
+  uint64_t holder;
+  /*
+   * by the table's clock
+   */
+  uint64_t until_ms;
+};
+#define MQTURN__RESERVE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqturn__reserve_row__descriptor) \
+    , 0, 0 }
+
+
 /*
  * One turn: all inputs and outputs up to it, oldest first.
  */
@@ -121,6 +142,25 @@
 void   mqturn__budget_row__free_unpacked
                      (Mqturn__BudgetRow *message,
                       ProtobufCAllocator *allocator);
+/* Mqturn__ReserveRow methods */
+void   mqturn__reserve_row__init
+                     (Mqturn__ReserveRow         *message);
+size_t mqturn__reserve_row__get_packed_size
+                     (const Mqturn__ReserveRow   *message);
+size_t mqturn__reserve_row__pack
+                     (const Mqturn__ReserveRow   *message,
+                      uint8_t             *out);
+size_t mqturn__reserve_row__pack_to_buffer
+                     (const Mqturn__ReserveRow   *message,
+                      ProtobufCBuffer     *buffer);
+Mqturn__ReserveRow *
+       mqturn__reserve_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqturn__reserve_row__free_unpacked
+                     (Mqturn__ReserveRow *message,
+                      ProtobufCAllocator *allocator);
 /* Mqturn__TurnRow methods */
 void   mqturn__turn_row__init
                      (Mqturn__TurnRow         *message);
@@ -148,6 +188,9 @@
 typedef void (*Mqturn__BudgetRow_Closure)
                  (const Mqturn__BudgetRow *message,
                   void *closure_data);
+typedef void (*Mqturn__ReserveRow_Closure)
+                 (const Mqturn__ReserveRow *message,
+                  void *closure_data);
 typedef void (*Mqturn__TurnRow_Closure)
                  (const Mqturn__TurnRow *message,
                   void *closure_data);
@@ -159,6 +202,7 @@
 
 extern const ProtobufCMessageDescriptor mqturn__grant__descriptor;
 extern const ProtobufCMessageDescriptor mqturn__budget_row__descriptor;
+extern const ProtobufCMessageDescriptor mqturn__reserve_row__descriptor;
 extern const ProtobufCMessageDescriptor mqturn__turn_row__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/core/budget.c
+++ b/src/core/budget.c
@@ -57,73 +57,132 @@
       = (struct mq_budget_grant){ holder, tokens };
 }
 
-/* The record with what we have handed out settled and our grant raised by
-   EXTRA.  */
+/* Tokens that a turn could have at once.  */
+static uint64_t
+at_hand (const struct mq_budget *budget)
+{
+  return budget->held + budget->loose - budget->reserved;
+}
+
+/* Tokens that the record could still grant.  */
+static uint64_t
+room (const struct mq_budget *budget, uint64_t limit)
+{
+  uint64_t taken = counted (&budget->record) + budget->issued;
+
+  return taken < limit ? limit - taken : 0;
+}
+
+/* Issued tokens that nobody needs any more were never handed out.  */
+static void
+cancel_issued (struct mq_budget *budget)
+{
+  uint64_t free = at_hand (budget);
+  uint64_t cancelled = budget->issued;
+
+  if (cancelled > budget->loose)
+    cancelled = budget->loose;
+  if (cancelled > free)
+    cancelled = free;
+  budget->loose -= cancelled;
+  budget->issued -= cancelled;
+}
+
+/* The record with what we have handed out settled, what we have issued
+   counted, and our grant raised by EXTRA.  */
 static void
-make_next (const struct mq_budget *budget, uint64_t holder, uint64_t limit,
+make_next (struct mq_budget *budget, uint64_t holder, uint64_t limit,
            uint64_t extra, struct mq_budget_record *next)
 {
   uint64_t granted = grant_of (&budget->record, holder);
 
+  budget->settling = granted - budget->held;
+  budget->recording = budget->issued;
   *next = budget->record;
   next->limit = limit;
-  next->spent += granted - budget->held;
+  next->spent += budget->settling + budget->recording;
   set_grant (next, holder, budget->held + extra);
 }
 
 /* What is settled and what we handed out never becomes less, whatever others
    give back.  */
 static bool
-is_proven (const struct mq_budget *budget, uint64_t holder, uint64_t limit)
+is_proven (const struct mq_budget *budget, uint64_t holder, uint64_t limit,
+           uint64_t most)
 {
   uint64_t used = grant_of (&budget->record, holder) - budget->held;
 
-  return budget->record.spent + used >= limit;
+  return budget->record.spent + used + most > limit;
+}
+
+static uint64_t
+reserve (struct mq_budget *budget, uint64_t tokens)
+{
+  budget->reserved += tokens;
+  return tokens;
 }
 
-/* A turn may start as long as all the others, at their most, stay below the
-   limit: together they then exceed it by less than one turn.  */
 enum mq_budget_answer
 mq_budget_ask (struct mq_budget *budget, uint64_t holder, uint64_t limit,
                uint64_t most, struct mq_budget_record *next)
 {
-  uint64_t unused = budget->held - budget->reserved;
-  uint64_t others = counted (&budget->record) - unused;
+  uint64_t unused = at_hand (budget);
+  uint64_t space = room (budget, limit);
   uint64_t extra;
 
   if (unused >= most)
     {
-      budget->reserved += most;
+      reserve (budget, most);
       return MQ_BUDGET_READY;
     }
-  if (others >= limit && !budget->known)
-    return MQ_BUDGET_READ;
-  if (others >= limit)
-    return is_proven (budget, holder, limit) ? MQ_BUDGET_SPENT
-                                             : MQ_BUDGET_DOUBT;
+  if (unused + space < most)
+    {
+      if (!budget->known)
+        return MQ_BUDGET_READ;
+      return is_proven (budget, holder, limit, most) ? MQ_BUDGET_SPENT
+                                                     : MQ_BUDGET_DOUBT;
+    }
   extra = most * MQ_BUDGET_GRANT_TURNS - unused;
-  if (others + unused + extra > limit)
+  if (extra > space)
     extra = most - unused;
+  cancel_issued (budget);
   make_next (budget, holder, limit, extra, next);
   return MQ_BUDGET_WRITE;
 }
 
+uint64_t
+mq_budget_take (struct mq_budget *budget, uint64_t most)
+{
+  uint64_t unused = at_hand (budget);
+
+  if (unused == 0 || unused * MQ_BUDGET_LEAST_PART < most)
+    return 0;
+  return reserve (budget, unused < most ? unused : most);
+}
+
 void
 mq_budget_written (struct mq_budget *budget, uint64_t holder,
                    const struct mq_budget_record *record, uint64_t version)
 {
   uint64_t before = grant_of (&budget->record, holder);
   uint64_t used = before - budget->held;
-  uint64_t settled = record->spent - budget->record.spent;
-  uint64_t still = used - settled;
 
   /* Turns may have settled tokens while the record was on its way.  */
-  budget->held = grant_of (record, holder) - still;
+  budget->held = grant_of (record, holder) - (used - budget->settling);
+  budget->issued -= budget->recording;
+  budget->recording = 0;
   budget->record = *record;
   budget->version = version;
   budget->known = true;
 }
 
+static void
+bound_reserved (struct mq_budget *budget)
+{
+  if (budget->reserved > budget->held + budget->loose)
+    budget->reserved = budget->held + budget->loose;
+}
+
 void
 mq_budget_read (struct mq_budget *budget, uint64_t holder,
                 const struct mq_budget_record *record, uint64_t version)
@@ -143,19 +202,96 @@
     budget->held += theirs - ours;
   else if (budget->held > theirs)
     budget->held = theirs;
-  if (budget->reserved > budget->held)
-    budget->reserved = budget->held;
+  bound_reserved (budget);
+}
+
+/* Tokens beside the grant go first: they can't be kept for the next turn
+   without a cost to another host.  */
+void
+mq_budget_settle (struct mq_budget *budget, uint64_t granted, uint64_t used)
+{
+  uint64_t loose = used < budget->loose ? used : budget->loose;
+  uint64_t rest = used - loose;
+
+  budget->reserved -= granted < budget->reserved ? granted : budget->reserved;
+  budget->loose -= loose;
+  budget->held -= rest < budget->held ? rest : budget->held;
+  bound_reserved (budget);
+}
+
+uint64_t
+mq_budget_lend (struct mq_budget *budget, uint64_t want)
+{
+  uint64_t free = at_hand (budget);
+  uint64_t given = want < free ? want : free;
+  uint64_t loose = given < budget->loose ? given : budget->loose;
+
+  budget->loose -= loose;
+  budget->held -= given - loose;
+  budget->lent += given;
+  return given;
+}
+
+void
+mq_budget_borrow (struct mq_budget *budget, uint64_t tokens)
+{
+  budget->loose += tokens;
+}
+
+uint64_t
+mq_budget_give_back (struct mq_budget *budget)
+{
+  uint64_t free = at_hand (budget);
+  uint64_t given = free < budget->loose ? free : budget->loose;
+
+  budget->loose -= given;
+  return given;
+}
+
+void
+mq_budget_take_back (struct mq_budget *budget, uint64_t tokens)
+{
+  uint64_t back = tokens < budget->lent ? tokens : budget->lent;
+
+  budget->lent -= back;
+  budget->loose += back;
+}
+
+bool
+mq_budget_over (const struct mq_budget *budget, uint64_t limit)
+{
+  return budget->known && counted (&budget->record) > limit;
+}
+
+bool
+mq_budget_has_others (const struct mq_budget *budget, uint64_t holder)
+{
+  const struct mq_budget_record *record = &budget->record;
+
+  for (uint32_t i = 0; i < record->grant_count; i++)
+    if (record->grants[i].holder != holder)
+      return true;
+  return false;
 }
 
 void
-mq_budget_settle (struct mq_budget *budget, uint64_t most, uint64_t used)
+mq_budget_issue (struct mq_budget *budget, uint64_t limit, uint64_t most)
 {
-  uint64_t reserved = most < budget->reserved ? most : budget->reserved;
+  if (budget->issued >= most || mq_budget_over (budget, limit))
+    return;
+  budget->loose += most - budget->issued;
+  budget->issued = most;
+}
 
-  budget->reserved -= reserved;
-  budget->held -= used < budget->held ? used : budget->held;
-  if (budget->reserved > budget->held)
-    budget->reserved = budget->held;
+bool
+mq_budget_unrecorded (struct mq_budget *budget, uint64_t holder,
+                      uint64_t limit, struct mq_budget_record *next)
+{
+  cancel_issued (budget);
+  if (budget->issued == 0)
+    return false;
+  make_next (budget, holder, limit, 0, next);
+  return true;
 }
 
 struct mq_bytes
--- a/src/core/budget.h
+++ b/src/core/budget.h
@@ -3,9 +3,16 @@
    A program has one record in the platform's table, changed only under a
    condition on its version.  It holds what has been settled and one grant
    for each host that serves its turns: tokens that the host may hand out
-   without asking again.  Settled tokens and grants never exceed the budget by
-   more than one turn, so that no two hosts can overspend together; a host
-   that dies leaves its grant spent.  Pure.
+   without asking again.  Settled tokens and grants never exceed the limit, so
+   that no two hosts can overspend together; a host that dies leaves its grant
+   spent.
+
+   The bound on what a program hands out is its limit and the most of one
+   turn.  That one turn is kept for a table that is away: one host, which holds
+   the lease on the program (reserve.h), may then issue so many tokens that no
+   record counts yet.  Hosts lend each other what they hold and don't use; a
+   loan leaves one host before it arrives at another, so a lost one is spent.
+   Pure.
    Needs: types.h, store.h.  */
 
 #ifndef MQ_BUDGET_H
@@ -20,6 +27,11 @@
    of its most on average, so one write serves several turns; what a host
    loses when it dies stays small beside a budget of some eight turns.  */
 #define MQ_BUDGET_GRANT_TURNS 2U
+/* Without the table a turn begins with this part of its most, where there is
+   no more, and breaks off when it needs more than that.  Seven turns of ten
+   need less than a quarter of their most, measured over 5,000 turns; with a
+   larger part a caller's third try in an outage found too little left.  */
+#define MQ_BUDGET_LEAST_PART 4U
 
 struct mq_budget_grant
 {
@@ -50,7 +62,12 @@
  * @version: of the record in the table, 0: no record as far as is known
  * @known: the record was read or written by this host
  * @held: tokens of our grant that are not yet used up
- * @reserved: of @held, kept for turns that run
+ * @loose: tokens at hand beside the grant: borrowed, issued or come back
+ * @reserved: of @held and @loose, kept for turns that run
+ * @lent: tokens at other hosts that may come back
+ * @issued: tokens that no record counts yet
+ * @settling: tokens of our grant that the record made last has as spent
+ * @recording: of @issued, in that record
  */
 struct mq_budget
 {
@@ -58,7 +75,12 @@
   uint64_t version;
   bool known;
   uint64_t held;
+  uint64_t loose;
   uint64_t reserved;
+  uint64_t lent;
+  uint64_t issued;
+  uint64_t settling;
+  uint64_t recording;
 };
 
 enum mq_budget_answer
@@ -73,11 +95,15 @@
 /* A host's grant is named by a number of its own for each time that it begins
    to serve a program: a grant that it has forgotten stays spent.
 
-   Asks for a turn of MOST tokens of a program with LIMIT.  With WRITE, *NEXT
-   is the record to be written under the condition of BUDGET's version.  */
+   Asks for a turn of MOST tokens of a program with LIMIT.  With READY,
+   *GRANTED are reserved, which may be less than MOST; with WRITE, *NEXT is the
+   record to be written under the condition of BUDGET's version.  */
 enum mq_budget_answer mq_budget_ask (struct mq_budget *budget, uint64_t holder,
                                      uint64_t limit, uint64_t most,
                                      struct mq_budget_record *next);
+/* The same without the table: what is at hand, MOST at the most, is reserved
+   and returned; 0 when it is too little.  */
+uint64_t mq_budget_take (struct mq_budget *budget, uint64_t most);
 /* The record was written as version VERSION.  */
 void mq_budget_written (struct mq_budget *budget, uint64_t holder,
                         const struct mq_budget_record *record,
@@ -85,8 +111,29 @@
 /* The record was read; VERSION 0: there is none.  */
 void mq_budget_read (struct mq_budget *budget, uint64_t holder,
                      const struct mq_budget_record *record, uint64_t version);
-/* A turn of MOST tokens has ended and handed out USED.  */
-void mq_budget_settle (struct mq_budget *budget, uint64_t most, uint64_t used);
+/* A turn with GRANTED tokens has ended and handed out USED.  */
+void mq_budget_settle (struct mq_budget *budget, uint64_t granted,
+                       uint64_t used);
+
+/* Loans.  Another host asks for WANT tokens: what it gets, 0 for none.  */
+uint64_t mq_budget_lend (struct mq_budget *budget, uint64_t want);
+/* A loan has arrived.  */
+void mq_budget_borrow (struct mq_budget *budget, uint64_t tokens);
+/* What goes back to the lender, 0: nothing.  */
+uint64_t mq_budget_give_back (struct mq_budget *budget);
+/* It has come back.  */
+void mq_budget_take_back (struct mq_budget *budget, uint64_t tokens);
+/* Issued tokens have been recorded beyond the limit: no more may be issued. */
+bool mq_budget_over (const struct mq_budget *budget, uint64_t limit);
+/* Other hosts have grants, which they may not need any more.  */
+bool mq_budget_has_others (const struct mq_budget *budget, uint64_t holder);
+/* Issues tokens that no record counts, up to MOST with those that were issued
+   before; only the host that holds the lease on the program may.  Nothing
+   happens where the record is known to count more than the limit.  */
+void mq_budget_issue (struct mq_budget *budget, uint64_t limit, uint64_t most);
+/* Tokens were issued that the record must count: *NEXT is that record.  */
+bool mq_budget_unrecorded (struct mq_budget *budget, uint64_t holder,
+                           uint64_t limit, struct mq_budget_record *next);
 /* Bytes of a record, below CTX; data is NULL when memory is out.  */
 struct mq_bytes mq_budget_pack (TALLOC_CTX *ctx,
                                 const struct mq_budget_record *record);
--- a/src/core/chain.c
+++ b/src/core/chain.c
@@ -104,15 +104,17 @@
   return copy;
 }
 
-struct mq_bytes
-mq_chain_pack (TALLOC_CTX *ctx, const struct mq_chain *chain)
+/* Row with the text from FROM on, which follows that of turn BASE.  */
+static struct mq_bytes
+pack_from (TALLOC_CTX *ctx, const struct mq_chain *chain, const char *base,
+           size_t from)
 {
   Mqturn__TurnRow row = MQTURN__TURN_ROW__INIT;
   struct mq_bytes bytes;
 
-  row.before = (char *)(uintptr_t)chain->base;
-  row.tail.data = chain->text.data + chain->tail_at;
-  row.tail.len = chain->text.len - chain->tail_at;
+  row.before = (char *)(uintptr_t)base;
+  row.tail.data = chain->text.data + from;
+  row.tail.len = chain->text.len - from;
   row.until_s = chain->until_s;
   bytes.len = mqturn__turn_row__get_packed_size (&row);
   bytes.data = talloc_size (ctx, bytes.len + 1);
@@ -121,6 +123,18 @@
   return bytes;
 }
 
+struct mq_bytes
+mq_chain_pack (TALLOC_CTX *ctx, const struct mq_chain *chain)
+{
+  return pack_from (ctx, chain, chain->base, chain->tail_at);
+}
+
+struct mq_bytes
+mq_chain_pack_whole (TALLOC_CTX *ctx, const struct mq_chain *chain)
+{
+  return pack_from (ctx, chain, "", 0);
+}
+
 struct mq_chain *
 mq_chain_unpack (TALLOC_CTX *ctx, const char *id, struct mq_bytes bytes)
 {
--- a/src/core/chain.h
+++ b/src/core/chain.h
@@ -48,6 +48,9 @@
 struct mq_chain *mq_chain_copy (TALLOC_CTX *ctx, const struct mq_chain *chain);
 /* Row of the turn, below CTX; data is NULL when memory is out.  */
 struct mq_bytes mq_chain_pack (TALLOC_CTX *ctx, const struct mq_chain *chain);
+/* The same with the whole text, whatever rows it lies in.  */
+struct mq_bytes mq_chain_pack_whole (TALLOC_CTX *ctx,
+                                     const struct mq_chain *chain);
 /* Chain of turn ID from its row, below CTX; NULL when the bytes are no row.
    When base is not empty, the text before it is missing and is added by
    mq_chain_prepend.  */
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -53,7 +53,7 @@
    read again, the engines' memory holds each history several times, the
    reading slows all of them down, and the slots stay full long after the
    burst.  Moving gains nothing while all wait alike.  Measured over four seeds
-   of a day with a burst: 6.0 in place of 17.0 million prompt tokens read on
+   of a day with a burst: 6.4 in place of 17.0 million prompt tokens read on
    the worst, worth 0.86 in place of 0.67 on average (0.29 to 0.84 before, 0.83
    to 0.90 after). With twice as much, a worker that others found too loaded is
    kept too long: 0.74 in place of 0.80 on engines of six slots.  */
--- /dev/null
+++ b/src/core/outage.c
@@ -0,0 +1,11 @@
+/* outage.c - whether a turn begins while the platform's table is away.
+
+   Needs: outage.h.  */
+
+#include "outage.h"
+
+bool
+mq_outage_runs (uint64_t left_ms, uint64_t timeout_ms)
+{
+  return left_ms * 100U < timeout_ms * MQ_OUTAGE_FIRST_PERCENT;
+}
--- a/src/io/clock.c
+++ b/src/io/clock.c
@@ -28,6 +28,12 @@
   return mq_clock_us () / 1000U;
 }
 
+uint64_t
+mq_clock_boot_ms (void)
+{
+  return read_us (CLOCK_BOOTTIME) / 1000U;
+}
+
 uint64_t
 mq_clock_day_ms (void)
 {
--- a/src/io/ledger.c
+++ b/src/io/ledger.c
@@ -58,7 +58,8 @@
 
   mq_histogram_add (call->commit ? &ledger->write_ms : &ledger->read_ms,
                     mq_clock_ms () - call->began_ms);
-  if (result->status == MQ_STORE_DOWN)
+  if (result->status == MQ_STORE_DOWN
+      && !mq_rows_part_suspect (ledger->rows, call->entry.part))
     ledger->down_until_ms = mq_clock_ms () + DOWN_MS;
   else if (result->status != MQ_STORE_LOST)
     ledger->down_until_ms = 0;
@@ -89,7 +90,8 @@
 }
 
 /* A call that the table turned away, or that did not reach it, was certainly
-   not done: another host may make it.  */
+   not done: another host may make it.  Where the table answered this host
+   meanwhile, it is a part of the table that does not, to nobody.  */
 static void
 on_direct (const struct mq_rows_result *result, void *user)
 {
@@ -97,7 +99,8 @@
 
   call->direct = NULL;
   if (result->status == MQ_STORE_DOWN
-      && mq_relay_host_count (call->ledger->relay) > 0)
+      && mq_relay_host_count (call->ledger->relay) > 0
+      && !mq_rows_part_suspect (call->ledger->rows, call->entry.part))
     relay_call (call);
   else
     end_call (call, result);
@@ -182,6 +185,12 @@
   return &ledger->write_ms;
 }
 
+bool
+mq_ledger_part_down (const struct mq_ledger *ledger, const char *part)
+{
+  return mq_ledger_down (ledger) || mq_rows_part_down (ledger->rows, part);
+}
+
 bool
 mq_ledger_down (const struct mq_ledger *ledger)
 {
--- a/src/io/ledger.h
+++ b/src/io/ledger.h
@@ -30,5 +30,7 @@
 const struct mq_histogram *mq_ledger_write_ms (const struct mq_ledger *ledger);
 /* Neither way is open, as far as is known.  */
 bool mq_ledger_down (const struct mq_ledger *ledger);
+/* The same as mq_ledger_down for the rows of PART.  */
+bool mq_ledger_part_down (const struct mq_ledger *ledger, const char *part);
 
 #endif
--- a/src/io/relay.c
+++ b/src/io/relay.c
@@ -21,7 +21,10 @@
 /**
  * struct host - a host that may be asked
  * @link: NULL: none is open
- * @bad_until_ms: it is not asked before
+ * @bad_until_ms: it is not asked to make a call before
+ * @gone_until_ms: it is not asked for a loan before, since it did not answer;
+ *                 a host that can't reach the table either may still lend
+ * @loan_asked_ms: oldest question for a loan without an answer, 0: none
  * @seed: known from the settings; stays when the list of hosts lacks it
  * @listed: the list that is being told has it
  */
@@ -31,6 +34,8 @@
   char *address;
   struct mq_relay_link *link;
   uint64_t bad_until_ms;
+  uint64_t gone_until_ms;
+  uint64_t loan_asked_ms;
   bool seed;
   bool listed;
 };
@@ -97,13 +102,22 @@
   return NULL;
 }
 
-/* HOST is left alone for a while.  */
+/* HOST makes no calls for a while.  */
 static void
 note_bad (struct host *host)
 {
   host->bad_until_ms = mq_clock_ms () + MQ_RELAY_BAD_MS;
 }
 
+/* HOST gives no answer: it is left alone for a while.  */
+static void
+note_gone (struct host *host)
+{
+  note_bad (host);
+  host->gone_until_ms = host->bad_until_ms;
+  host->loan_asked_ms = 0;
+}
+
 static void
 send_frame (struct mq_relay *relay, struct mq_relay_link *link,
             const struct mq_relay_frame *frame)
@@ -139,7 +153,7 @@
   else
     {
       host->link = NULL;
-      note_bad (host);
+      note_gone (host);
     }
   for (struct errand *errand = relay->errands; errand != NULL;
        errand = errand->next)
@@ -260,6 +274,18 @@
   try_call (call);
 }
 
+static void
+take_loan (struct mq_relay *relay, const struct mq_relay_link *link,
+           const struct mq_relay_loan_told *told)
+{
+  struct host *host = host_of (relay, link);
+
+  if (host == NULL)
+    return;
+  host->loan_asked_ms = 0;
+  relay->owner.loan_told (told, host->address, relay->owner.user);
+}
+
 static void
 on_frame (struct mq_relay_link *link, const struct mq_relay_frame *frame,
           void *user)
@@ -281,6 +307,15 @@
     case MQ_RELAY_STATE:
       owner->state (&frame->u.state, owner->user);
       return;
+    case MQ_RELAY_LOAN_ASK:
+      owner->loan_ask (&frame->u.loan_ask, link, owner->user);
+      return;
+    case MQ_RELAY_LOAN_TOLD:
+      take_loan (relay, link, &frame->u.loan_told);
+      return;
+    case MQ_RELAY_LOAN_BACK:
+      owner->loan_back (&frame->u.loan_back, owner->user);
+      return;
     case MQ_RELAY_OTHER:
       return;
     }
@@ -328,7 +363,7 @@
     host->link
         = mq_relay_link_open (relay, relay->ev, host->address, &owner, &error);
   if (host->link == NULL)
-    note_bad (host);
+    note_gone (host);
   return host->link;
 }
 
@@ -471,6 +506,81 @@
     send_frame (relay, link, &frame);
 }
 
+/* Loans */
+
+/* Whether HOST may be asked for a loan; one that owes an answer is left alone
+   for a while.  */
+static bool
+may_lend (struct host *host, uint64_t now)
+{
+  if (host->loan_asked_ms != 0
+      && now - host->loan_asked_ms >= MQ_RELAY_LOAN_MS)
+    note_gone (host);
+  return host->gone_until_ms <= now;
+}
+
+/* One round over the hosts with an open link, or over those without.  */
+static uint32_t
+ask_hosts (struct mq_relay *relay, const struct mq_relay_frame *frame,
+           bool linked, uint32_t asked)
+{
+  uint64_t now = mq_clock_ms ();
+
+  for (struct host *host = relay->hosts;
+       host != NULL && asked < MQ_RELAY_LOAN_HOSTS_MAX; host = host->next)
+    {
+      struct mq_relay_link *link;
+
+      if ((host->link != NULL) != linked || !may_lend (host, now))
+        continue;
+      link = open_link (relay, host);
+      if (link == NULL)
+        continue;
+      if (host->loan_asked_ms == 0)
+        host->loan_asked_ms = now;
+      send_frame (relay, link, frame);
+      asked++;
+    }
+  return asked;
+}
+
+uint32_t
+mq_relay_ask_loan (struct mq_relay *relay, const struct mq_relay_loan_ask *ask)
+{
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_LOAN_ASK, .u.loan_ask = *ask };
+  uint32_t linked = ask_hosts (relay, &frame, true, 0);
+
+  return ask_hosts (relay, &frame, false, linked);
+}
+
+void
+mq_relay_lend (struct mq_relay *relay, struct mq_relay_link *link,
+               const struct mq_relay_loan_told *told)
+{
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_LOAN_TOLD, .u.loan_told = *told };
+
+  send_frame (relay, link, &frame);
+}
+
+static struct host *find_host (const struct mq_relay *relay,
+                               const char *address);
+
+bool
+mq_relay_give_back (struct mq_relay *relay, const char *address,
+                    const struct mq_relay_loan_back *back)
+{
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_LOAN_BACK, .u.loan_back = *back };
+  struct host *host = find_host (relay, address);
+
+  if (host == NULL || host->link == NULL)
+    return false;
+  send_frame (relay, host->link, &frame);
+  return true;
+}
+
 /* Hosts */
 
 static struct host *
--- a/src/io/relay.h
+++ b/src/io/relay.h
@@ -26,13 +26,21 @@
  * @sync: another host asks for what it does not know; answer with
  *        mq_relay_answer, or not at all
  * @state: what another host knows
- * @user: given to both
+ * @loan_ask: another host needs tokens or a history; answer with mq_relay_lend
+ * @loan_told: what the host at ADDRESS lends
+ * @loan_back: what another host did not use of a loan
+ * @user: given to all of them
  */
 struct mq_relay_owner
 {
   void (*sync) (const struct mq_relay_sync *sync, struct mq_relay_link *link,
                 void *user);
   void (*state) (const struct mq_relay_state *state, void *user);
+  void (*loan_ask) (const struct mq_relay_loan_ask *ask,
+                    struct mq_relay_link *link, void *user);
+  void (*loan_told) (const struct mq_relay_loan_told *told,
+                     const char *address, void *user);
+  void (*loan_back) (const struct mq_relay_loan_back *back, void *user);
   void *user;
 };
 
@@ -70,6 +78,23 @@
 /* Answers a sync that came over LINK.  */
 void mq_relay_answer (struct mq_relay *relay, struct mq_relay_link *link,
                       const struct mq_relay_state *state);
+/* Hosts that are asked for a loan at a time.  Where there are more, those with
+   an open link come first: a caller's tries reach hosts of one data centre. */
+#define MQ_RELAY_LOAN_HOSTS_MAX 32U
+/* A host that has not answered a question for a loan for so long is not asked
+   again for MQ_RELAY_BAD_MS: most likely it is gone, and each question would
+   wait for it.  */
+#define MQ_RELAY_LOAN_MS 100U
+/* Asks other hosts for a loan; returns how many will answer.  */
+uint32_t mq_relay_ask_loan (struct mq_relay *relay,
+                            const struct mq_relay_loan_ask *ask);
+/* Answers a question for a loan that came over LINK.  */
+void mq_relay_lend (struct mq_relay *relay, struct mq_relay_link *link,
+                    const struct mq_relay_loan_told *told);
+/* Tells the host at ADDRESS what was not used; false when no link to it is
+   open.  */
+bool mq_relay_give_back (struct mq_relay *relay, const char *address,
+                         const struct mq_relay_loan_back *back);
 /* Calls made through other hosts, and for them.  */
 uint64_t mq_relay_asked (const struct mq_relay *relay);
 uint64_t mq_relay_served (const struct mq_relay *relay);
--- a/src/io/relay_frame.c
+++ b/src/io/relay_frame.c
@@ -146,6 +146,54 @@
   return pack (ctx, &frame);
 }
 
+static struct mq_bytes
+pack_loan_ask (TALLOC_CTX *ctx, const struct mq_relay_loan_ask *ask)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__LoanAsk to = MQRELAY__LOAN_ASK__INIT;
+
+  frame.body_case = MQRELAY__FRAME__BODY_LOAN_ASK;
+  frame.loan_ask = &to;
+  to.id = ask->id;
+  to.run = text_field (ask->program);
+  to.limit = ask->limit;
+  to.most = ask->most;
+  to.turn = text_field (ask->turn);
+  to.issue = ask->issue;
+  return pack (ctx, &frame);
+}
+
+static struct mq_bytes
+pack_loan_told (TALLOC_CTX *ctx, const struct mq_relay_loan_told *told)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__LoanTold to = MQRELAY__LOAN_TOLD__INIT;
+
+  frame.body_case = MQRELAY__FRAME__BODY_LOAN_TOLD;
+  frame.loan_told = &to;
+  to.id = told->id;
+  to.run = text_field (told->program);
+  to.tokens = told->tokens;
+  to.over = told->over;
+  to.turn = text_field (told->turn);
+  to.history.data = told->history.data;
+  to.history.len = told->history.len;
+  return pack (ctx, &frame);
+}
+
+static struct mq_bytes
+pack_loan_back (TALLOC_CTX *ctx, const struct mq_relay_loan_back *back)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__LoanBack to = MQRELAY__LOAN_BACK__INIT;
+
+  frame.body_case = MQRELAY__FRAME__BODY_LOAN_BACK;
+  frame.loan_back = &to;
+  to.run = text_field (back->program);
+  to.tokens = back->tokens;
+  return pack (ctx, &frame);
+}
+
 struct mq_bytes
 mq_relay_frame_pack (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
 {
@@ -159,6 +207,12 @@
       return pack_sync (ctx, &frame->u.sync);
     case MQ_RELAY_STATE:
       return pack_state (ctx, &frame->u.state);
+    case MQ_RELAY_LOAN_ASK:
+      return pack_loan_ask (ctx, &frame->u.loan_ask);
+    case MQ_RELAY_LOAN_TOLD:
+      return pack_loan_told (ctx, &frame->u.loan_told);
+    case MQ_RELAY_LOAN_BACK:
+      return pack_loan_back (ctx, &frame->u.loan_back);
     case MQ_RELAY_OTHER:
       break;
     }
@@ -231,6 +285,34 @@
   return from->n_entries > 0;
 }
 
+static void
+read_loan_ask (struct mq_relay_frame *to, const Mqrelay__LoanAsk *from)
+{
+  to->kind = MQ_RELAY_LOAN_ASK;
+  to->u.loan_ask = (struct mq_relay_loan_ask){
+    .id = from->id,
+    .program = from->run,
+    .limit = from->limit,
+    .most = from->most,
+    .turn = from->turn,
+    .issue = from->issue,
+  };
+}
+
+static void
+read_loan_told (struct mq_relay_frame *to, const Mqrelay__LoanTold *from)
+{
+  to->kind = MQ_RELAY_LOAN_TOLD;
+  to->u.loan_told = (struct mq_relay_loan_told){
+    .id = from->id,
+    .program = from->run,
+    .tokens = from->tokens,
+    .over = from->over,
+    .turn = from->turn,
+    .history = { from->history.data, from->history.len },
+  };
+}
+
 static bool
 read_body (struct mq_relay_frame *to, const Mqrelay__Frame *from)
 {
@@ -256,6 +338,17 @@
         .worker_count = from->state->n_workers,
       };
       return true;
+    case MQRELAY__FRAME__BODY_LOAN_ASK:
+      read_loan_ask (to, from->loan_ask);
+      return true;
+    case MQRELAY__FRAME__BODY_LOAN_TOLD:
+      read_loan_told (to, from->loan_told);
+      return true;
+    case MQRELAY__FRAME__BODY_LOAN_BACK:
+      to->kind = MQ_RELAY_LOAN_BACK;
+      to->u.loan_back = (struct mq_relay_loan_back){ from->loan_back->run,
+                                                     from->loan_back->tokens };
+      return true;
     default:
       to->kind = MQ_RELAY_OTHER;
       return true;
--- a/src/io/relay_frame.h
+++ b/src/io/relay_frame.h
@@ -13,11 +13,14 @@
 
 enum mq_relay_kind
 {
-  MQ_RELAY_ASK,   /* make this call to the platform's table */
-  MQ_RELAY_TOLD,  /* its outcome */
-  MQ_RELAY_SYNC,  /* tell what is newer than this */
-  MQ_RELAY_STATE, /* the configuration and the workers */
-  MQ_RELAY_OTHER  /* of a newer version of this program, to be ignored */
+  MQ_RELAY_ASK,       /* make this call to the platform's table */
+  MQ_RELAY_TOLD,      /* its outcome */
+  MQ_RELAY_SYNC,      /* tell what is newer than this */
+  MQ_RELAY_STATE,     /* the configuration and the workers */
+  MQ_RELAY_LOAN_ASK,  /* lend tokens and a history for a turn */
+  MQ_RELAY_LOAN_TOLD, /* what is lent */
+  MQ_RELAY_LOAN_BACK, /* what was not used of it */
+  MQ_RELAY_OTHER      /* of a newer version of this program, to be ignored */
 };
 
 /**
@@ -65,6 +68,52 @@
   size_t worker_count;
 };
 
+/**
+ * struct mq_relay_loan_ask - what a turn lacks while the table is away
+ * @id: of the question
+ * @program: whose turn
+ * @limit: of the program's budget
+ * @most: tokens that are wanted
+ * @turn: whose history is wanted, "": none
+ * @issue: tokens may be issued by the host that holds the program's lease
+ */
+struct mq_relay_loan_ask
+{
+  uint64_t id;
+  const char *program;
+  uint64_t limit;
+  uint64_t most;
+  const char *turn;
+  bool issue;
+};
+
+/**
+ * struct mq_relay_loan_told - the answer
+ * @id: of the question
+ * @program: as it was asked for
+ * @tokens: lent; whoever lent them has them no more
+ * @over: no tokens may be issued: the record counts more than the limit, or
+ * some were issued under a lease that has moved on
+ * @turn: whose history follows, "": it is not known
+ * @history: as a row of the table, with the whole text
+ */
+struct mq_relay_loan_told
+{
+  uint64_t id;
+  const char *program;
+  uint64_t tokens;
+  bool over;
+  const char *turn;
+  struct mq_bytes history;
+};
+
+/* Unused tokens of a loan on their way back.  */
+struct mq_relay_loan_back
+{
+  const char *program;
+  uint64_t tokens;
+};
+
 /**
  * struct mq_relay_frame - one message
  * @kind: which of @u
@@ -78,6 +127,9 @@
     struct mq_relay_told told;
     struct mq_relay_sync sync;
     struct mq_relay_state state;
+    struct mq_relay_loan_ask loan_ask;
+    struct mq_relay_loan_told loan_told;
+    struct mq_relay_loan_back loan_back;
   } u;
 };
 
--- a/src/io/router.c
+++ b/src/io/router.c
@@ -76,6 +76,7 @@
   mq_turns_sweep (router->turns);
   mq_feed_sweep (router);
   mq_hosts_sweep (router);
+  mq_reserve_sweep (router);
   mq_clean_sweep (router);
   log_counters (router);
   if (router->leaving)
@@ -105,8 +106,12 @@
 create_parts (struct mq_router *router, struct mq_error *error)
 {
   const struct mq_router_settings *settings = router->settings;
-  struct mq_relay_owner owner
-      = { .sync = mq_feed_on_sync, .state = mq_feed_on_state, .user = router };
+  struct mq_relay_owner owner = { .sync = mq_feed_on_sync,
+                                  .state = mq_feed_on_state,
+                                  .loan_ask = mq_loan_on_ask,
+                                  .loan_told = mq_loan_on_told,
+                                  .loan_back = mq_loan_on_back,
+                                  .user = router };
 
   router->log = mq_json_log_create (router, router->ev, STDOUT_FILENO,
                                     "mimosa-routerd", settings->host);
@@ -194,6 +199,7 @@
   router->leaving = true;
   router->leaving_since_ms = mq_clock_ms ();
   mq_hosts_stop (router);
+  mq_reserve_stop (router);
   log_state (router, MQ_LOG_LEAVING);
 }
 
--- a/src/io/router_request.c
+++ b/src/io/router_request.c
@@ -7,6 +7,7 @@
 
 #include "router_state.h"
 #include "../core/id.h"
+#include "../core/outage.h"
 #include "clock.h"
 #include "router_try.h"
 #include <stdio.h>
@@ -290,6 +291,17 @@
                    mq_buffer_text (&request->answer.fields));
 }
 
+/* The turn was granted less than its most, and has no tokens left for another
+   event.  */
+static bool
+is_over_budget (const struct mq_request *request)
+{
+  return request->is_turn && request->turn.granted < request->turn.most
+         && request->turn.granted > 0
+         && request->handed + request->service_info->tokens_per_event
+                > request->turn.granted;
+}
+
 static void
 note_event (struct mq_request *request, const struct mq_event *event)
 {
@@ -309,6 +321,14 @@
   mq_buffer_append (request, &request->output, "\n", 1, MQ_CHAIN_MAX_BYTES);
 }
 
+static void
+give_events (struct mq_request *request, const struct mq_buffer *out)
+{
+  begin_stream (request);
+  if (!mq_caller_part (request->caller, out->data + out->at, out->len))
+    mq_try_read (request->try, false);
+}
+
 /* Whole events alone are passed on, in one write for all that came at once. */
 static void
 pass_events (void *user)
@@ -316,20 +336,21 @@
   struct mq_request *request = user;
   struct mq_event event;
   struct mq_buffer out = { NULL, 0, 0, 0 };
-  bool reads;
+  bool over = false;
 
-  while (mq_answer_next_event (&request->answer, &event))
+  while (!over && mq_answer_next_event (&request->answer, &event))
     {
+      over = event.has_data && is_over_budget (request);
+      if (over)
+        break;
       note_event (request, &event);
       mq_buffer_append (request, &out, event.text, event.len, SIZE_MAX);
     }
-  if (out.len == 0)
-    return;
-  begin_stream (request);
-  reads = mq_caller_part (request->caller, out.data + out.at, out.len);
+  if (out.len > 0)
+    give_events (request, &out);
   mq_buffer_clear (&out);
-  if (!reads)
-    mq_try_read (request->try, false);
+  if (over)
+    break_off (request, "over_budget");
 }
 
 static void
@@ -552,6 +573,14 @@
 static void
 begin_turn (struct mq_request *request)
 {
+  bool runs = mq_outage_runs (left_ms (request), request->route->timeout_ms);
+
+  if (!runs && request->route->retains
+      && mq_ledger_down (request->router->ledger))
+    {
+      refuse (request, MQ_REFUSE_STORE);
+      return;
+    }
   request->is_turn = true;
   request->turn = (struct mq_turn){
     .program = request->facts.program,
@@ -563,6 +592,7 @@
     .budgeted = request->facts.has_budget && request->facts.program != NULL,
     .retains = request->route->retains,
     .retain_s = request->route->retain_s,
+    .may_borrow = runs,
     .told = on_turn,
     .user = request,
   };
--- /dev/null
+++ b/src/io/router_reserve.c
@@ -0,0 +1,290 @@
+/* router_reserve.c - this host's leases on programs that may begin while the
+   platform's table is away.
+
+   One call at a time: a list of all leases, the renewal of those that this
+   host has, or an attempt to take a free one.
+   Needs: router_state.h, reserve.h, clock.h, proto/turn.pb-c.h.  */
+
+#include "router_state.h"
+#include "../../proto/turn.pb-c.h"
+#include "../core/id.h"
+#include "../core/memory.h"
+#include "../core/reserve.h"
+#include "clock.h"
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Leases are rows of this table, each under its slot's number.  */
+static const char lease_table[] = "lease";
+
+/* All leases are listed this often, so that those of a lost host are taken
+   over soon after they have run out.  */
+#define LIST_MS MQ_RESERVE_LEASE_MS
+/* Pause between two attempts to take free ones, half of it left to chance, so
+   that hosts which start together all get some.  */
+#define CLAIM_MS 250U
+/* Bytes of a row: two numbers of at most 11 bytes.  */
+#define ROW_BYTES 32U
+#define KEY_BYTES 12U
+
+/**
+ * struct mq_leases - what this host does about them
+ * @busy: a call is under way
+ * @stopped: this host takes and holds no more
+ * @moment: that the call under way counts from
+ * @claimed: slots that the call under way is to take
+ * @claimed_count: how many
+ */
+struct mq_leases
+{
+  struct mq_router *router;
+  struct mq_reserve *reserve;
+  bool busy;
+  bool stopped;
+  bool listed;
+  uint64_t listed_ms;
+  uint64_t renewed_ms;
+  uint64_t claim_ms;
+  struct mq_reserve_moment moment;
+  uint32_t claimed[MQ_RESERVE_CLAIM];
+  uint32_t claimed_count;
+};
+
+static struct mq_leases *
+create_leases (struct mq_router *router)
+{
+  struct mq_leases *leases = mq_must (talloc_zero (router, struct mq_leases));
+
+  leases->router = router;
+  leases->reserve = mq_must (mq_reserve_create (leases, mq_clock_random ()));
+  return leases;
+}
+
+/* A row that can't be read is taken for a lease without a holder.  */
+static struct mq_reserve_lease
+read_lease (struct mq_bytes value)
+{
+  Mqturn__ReserveRow *row
+      = mqturn__reserve_row__unpack (NULL, value.len, value.data);
+  struct mq_reserve_lease lease = { 0, 0 };
+
+  if (row == NULL)
+    return lease;
+  lease.holder = row->holder;
+  lease.until_ms = row->until_ms;
+  mqturn__reserve_row__free_unpacked (row, NULL);
+  return lease;
+}
+
+static void
+take_row (struct mq_leases *leases, const struct mq_rows_entry *row)
+{
+  unsigned long slot = strtoul (row->key, NULL, 10);
+
+  if (slot < MQ_RESERVE_SLOTS)
+    mq_reserve_read (leases->reserve, (uint32_t)slot, read_lease (row->value),
+                     row->version, leases->moment);
+}
+
+static void
+on_listed (const struct mq_rows_result *result, void *user)
+{
+  struct mq_leases *leases = user;
+
+  leases->busy = false;
+  if (result->status != MQ_STORE_OK)
+    return;
+  for (uint32_t i = 0; i < MQ_RESERVE_SLOTS; i++)
+    mq_reserve_read (leases->reserve, i, (struct mq_reserve_lease){ 0, 0 }, 0,
+                     leases->moment);
+  for (size_t i = 0; i < result->row_count; i++)
+    take_row (leases, &result->rows[i]);
+  leases->listed = true;
+}
+
+/* Another host was faster, or the outcome is not known: the rows tell.  */
+static void
+on_conflict (struct mq_leases *leases, const struct mq_rows_result *result)
+{
+  if (result->status == MQ_STORE_CONFLICT)
+    for (size_t i = 0; i < result->row_count; i++)
+      take_row (leases, &result->rows[i]);
+  else
+    leases->listed = false;
+}
+
+static void
+note_written (struct mq_leases *leases, uint32_t slot, uint64_t version)
+{
+  mq_reserve_read (leases->reserve, slot,
+                   mq_reserve_next (leases->reserve, leases->moment), version,
+                   leases->moment);
+}
+
+static void
+on_renewed (const struct mq_rows_result *result, void *user)
+{
+  struct mq_leases *leases = user;
+  uint32_t slots[MQ_RESERVE_SLOTS];
+  uint32_t count = mq_reserve_own (leases->reserve, slots);
+
+  leases->busy = false;
+  if (result->status != MQ_STORE_OK)
+    {
+      on_conflict (leases, result);
+      return;
+    }
+  for (uint32_t i = 0; i < count; i++)
+    note_written (leases, slots[i], result->version);
+}
+
+static void
+on_claimed (const struct mq_rows_result *result, void *user)
+{
+  struct mq_leases *leases = user;
+
+  leases->busy = false;
+  if (result->status != MQ_STORE_OK)
+    {
+      on_conflict (leases, result);
+      return;
+    }
+  for (uint32_t i = 0; i < leases->claimed_count; i++)
+    note_written (leases, leases->claimed[i], result->version);
+}
+
+/* Writes, or removes, the rows of SLOTS as they were last seen.  */
+static void
+write_rows (struct mq_leases *leases, const uint32_t *slots, uint32_t count,
+            bool remove, mq_rows_done *done)
+{
+  struct mq_reserve_lease lease
+      = mq_reserve_next (leases->reserve, leases->moment);
+  Mqturn__ReserveRow row = MQTURN__RESERVE_ROW__INIT;
+  struct mq_rows_entry entries[MQ_RESERVE_SLOTS];
+  char keys[MQ_RESERVE_SLOTS][KEY_BYTES];
+  uint8_t value[ROW_BYTES];
+  size_t len;
+
+  row.holder = lease.holder;
+  row.until_ms = lease.until_ms;
+  len = mqturn__reserve_row__pack (&row, value);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      snprintf (keys[i], KEY_BYTES, "%02u", slots[i]);
+      entries[i] = (struct mq_rows_entry){
+        .table = lease_table,
+        .part = "",
+        .key = keys[i],
+        .version = mq_reserve_version (leases->reserve, slots[i]),
+        .value = { value, len },
+        .remove = remove,
+      };
+    }
+  leases->busy = true;
+  mq_rows_commit (leases->router->rows, entries, count, done, leases);
+}
+
+static void
+list_leases (struct mq_leases *leases, uint64_t now)
+{
+  leases->busy = true;
+  leases->listed_ms = now;
+  mq_rows_scan (leases->router->rows, lease_table, "", "", MQ_RESERVE_SLOTS,
+                on_listed, leases);
+}
+
+static void
+claim_free (struct mq_leases *leases, uint64_t now)
+{
+  struct mq_router *router = leases->router;
+
+  leases->claim_ms
+      = now + CLAIM_MS / 2 + mq_random_below (&router->random, CLAIM_MS);
+  leases->claimed_count = mq_reserve_free (
+      leases->reserve, leases->moment, 1 + mq_relay_host_count (router->relay),
+      mq_random_next (&router->random), leases->claimed);
+  if (leases->claimed_count > 0)
+    write_rows (leases, leases->claimed, leases->claimed_count, false,
+                on_claimed);
+}
+
+/* The call that is due, if any.  */
+static void
+step_leases (struct mq_leases *leases, uint64_t now)
+{
+  uint32_t slots[MQ_RESERVE_SLOTS];
+  uint32_t count = mq_reserve_own (leases->reserve, slots);
+
+  if (!leases->listed || now - leases->listed_ms >= LIST_MS)
+    {
+      list_leases (leases, now);
+      return;
+    }
+  if (count > 0 && now - leases->renewed_ms >= MQ_RESERVE_RENEW_MS)
+    {
+      leases->renewed_ms = now;
+      write_rows (leases, slots, count, false, on_renewed);
+      return;
+    }
+  if (now >= leases->claim_ms)
+    claim_free (leases, now);
+}
+
+void
+mq_reserve_sweep (struct mq_router *router)
+{
+  struct mq_leases *leases = router->leases;
+
+  if (leases == NULL)
+    leases = router->leases = create_leases (router);
+  if (leases->busy || leases->stopped || mq_rows_down (router->rows)
+      || !mq_rows_moment (router->rows, &leases->moment.asked_ms,
+                          &leases->moment.table_ms))
+    return;
+  step_leases (leases, mq_clock_ms ());
+}
+
+static void
+on_given_back (const struct mq_rows_result *result, void *user)
+{
+  struct mq_leases *leases = user;
+
+  /* Whatever was not removed runs out.  */
+  (void)result;
+  leases->busy = false;
+}
+
+/* Failure: a host that leaves gives a lease back though the record does not
+   yet count what it issued, since just that part of the table is silent; the
+   next holder issues as many tokens again, and the program spends beyond its
+   budget.  Such a lease runs out instead.  */
+void
+mq_reserve_stop (struct mq_router *router)
+{
+  struct mq_leases *leases = router->leases;
+  uint32_t own[MQ_RESERVE_SLOTS];
+  uint32_t slots[MQ_RESERVE_SLOTS];
+  uint32_t count = 0;
+  uint32_t owned;
+
+  if (leases == NULL || leases->stopped)
+    return;
+  leases->stopped = true;
+  owned = mq_reserve_own (leases->reserve, own);
+  for (uint32_t i = 0; i < owned; i++)
+    if (!mq_turns_have_issued (router->turns, own[i]))
+      slots[count++] = own[i];
+  if (count > 0 && !leases->busy)
+    write_rows (leases, slots, count, true, on_given_back);
+}
+
+bool
+mq_reserve_may_issue (const struct mq_router *router, const char *program)
+{
+  const struct mq_leases *leases = router->leases;
+
+  return leases != NULL && !leases->stopped
+         && mq_reserve_holds (leases->reserve, mq_reserve_slot (program),
+                              mq_clock_boot_ms ());
+}
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -1,8 +1,9 @@
 /* router_state.h - what the parts of the router share.
 
    router.c is on top; below it router_caller.c (connections of callers),
-   router_request.c (one request's life), router_turn.c (budgets and histories
-   of programs) and router_feed.c (configuration and workers).  router_try.c,
+   router_request.c (one request's life), router_turn.c, router_program.c and
+   router_loan.c (histories and budgets of programs) and router_feed.c
+   (configuration and workers).  router_try.c,
    router_pool.c and what is below them know nothing of this header.
    Needs: the modules it includes.  */
 
@@ -41,6 +42,9 @@
   X (budget_writes, "records of programs written")                            \
   X (turn_writes, "records of turns written")                                 \
   X (turn_reads, "records of turns read")                                     \
+  X (loans_asked, "turns that asked other hosts, the table being away")       \
+  X (loans_given, "answers to such a question that gave something")           \
+  X (turns_lent, "turns that began with tokens or a history of other hosts")  \
   X (records_removed, "records of programs and turns removed")                \
   X (config_changes, "configurations taken into force")                       \
   X (worker_changes, "changes of the list of workers")
@@ -55,6 +59,8 @@
 struct mq_caller;
 struct mq_request;
 struct mq_turns;
+struct mq_loan;
+struct mq_leases;
 struct mq_cleaner;
 
 /**
@@ -79,6 +85,7 @@
   struct mq_relay *relay;
   struct mq_ledger *ledger;
   struct mq_turns *turns;
+  struct mq_leases *leases;
   struct mq_cleaner *cleaner;
   struct mq_route_table *routes;
   struct mq_bytes config;
@@ -189,6 +196,10 @@
 extern const char mq_budget_table[];
 extern const char mq_turn_table[];
 #define MQ_TURN_PARTS 256U
+/* Parts in which a turn's row may lie.  With two fifths of the parts silent, 6
+   of 100 rows find none of three; a fourth would make a turn that does not
+   exist cost one more read.  */
+#define MQ_TURN_PLACES 3U
 /* Records are kept an hour longer than anyone may ask for them: an active
    program's record is written again within minutes.  */
 #define MQ_RECORD_KEEP_S 3600U
@@ -209,6 +220,9 @@
  * @budgeted: it counts against a budget
  * @retains: it is kept for later turns
  * @retain_s: how long, seconds
+ * @may_borrow: other hosts may be asked for what the table can't give
+ * @granted: tokens that it may hand out, less than @most where there are no
+ *           more; 0 before it is ready and after it has settled
  * @previous: turn that it continues from, NULL: none
  * @id: of the turn
  * @before: chain of @previous once it is ready, NULL: none
@@ -224,10 +238,12 @@
   bool budgeted;
   bool retains;
   uint32_t retain_s;
+  bool may_borrow;
+  uint64_t granted;
   struct mq_chain *before;
   void (*told) (enum mq_turn_state state, void *user);
   void *user;
-  /* Used by router_turn.c alone.  */
+  /* Used by router_turns.h alone.  */
   struct mq_turns *turns;
   struct mq_program *in;
   struct mq_turn *next;
@@ -237,10 +253,13 @@
   char missing[MQ_TURN_ID_MAX];
   struct mq_chain *made;
   struct mq_bytes record;
-  bool reserved;
   bool waits;
   bool fresh;
+  bool recalled;
   uint32_t tries;
+  uint32_t place;
+  uint32_t unread;
+  struct mq_loan *loan;
 };
 
 struct mq_turns *mq_turns_create (struct mq_router *router);
@@ -256,6 +275,29 @@
 void mq_turn_forget (struct mq_turn *turn);
 /* Forgets programs that are idle.  */
 void mq_turns_sweep (struct mq_turns *turns);
+/* This host has issued tokens of a program of the lease SLOT that no record
+   counts yet.  */
+bool mq_turns_have_issued (const struct mq_turns *turns, uint32_t slot);
+
+/* router_loan.c */
+
+/* Another host asks for tokens or a history, tells what it lends, or returns
+   what it did not use.  */
+void mq_loan_on_ask (const struct mq_relay_loan_ask *ask,
+                     struct mq_relay_link *link, void *user);
+void mq_loan_on_told (const struct mq_relay_loan_told *told,
+                      const char *address, void *user);
+void mq_loan_on_back (const struct mq_relay_loan_back *back, void *user);
+
+/* router_reserve.c */
+
+/* Takes, renews and gives back this host's leases.  */
+void mq_reserve_sweep (struct mq_router *router);
+/* This host takes and holds no more of them.  */
+void mq_reserve_stop (struct mq_router *router);
+/* Whether this host may issue tokens of PROGRAM that no record counts.  */
+bool mq_reserve_may_issue (const struct mq_router *router,
+                           const char *program);
 
 /* router_clean.c */
 
--- a/src/io/rows.h
+++ b/src/io/rows.h
@@ -99,6 +99,11 @@
                                    void *user);
 /* The table's own clock, which only goes forward, seconds; 0: not known.  */
 uint64_t mq_rows_clock_s (const struct mq_rows *rows);
+/* One moment on both clocks: by the table's, and by this host's that goes on
+   while it is suspended (mq_clock_boot_ms), which is not later than when the
+   table was asked; false: not known.  */
+bool mq_rows_moment (const struct mq_rows *rows, uint64_t *boot_ms,
+                     uint64_t *table_ms);
 /* No callback follows; what was sent may still be done.  */
 void mq_rows_cancel (struct mq_rows_call *call);
 /* Lists TABLE, whose rows have an empty part, and follows its changes for as
@@ -117,6 +122,12 @@
 bool mq_rows_followed (const struct mq_rows *rows);
 /* Calls fail at once, since the table gave no answer for a while.  */
 bool mq_rows_down (const struct mq_rows *rows);
+/* PART did not answer its last call though the table answered others.  */
+bool mq_rows_part_suspect (const struct mq_rows *rows, const char *part);
+/* Nor the one before: calls to it fail at once for a while.  */
+bool mq_rows_part_down (const struct mq_rows *rows, const char *part);
+/* The table has answered some call since SINCE_MS, steady clock.  */
+bool mq_rows_heard_since (const struct mq_rows *rows, uint64_t since_ms);
 /* When the table last came back after a time without any answer, steady clock,
    0: never.  */
 uint64_t mq_rows_back_ms (const struct mq_rows *rows);
--- a/tests/fuzz/fuzz_relay.c
+++ b/tests/fuzz/fuzz_relay.c
@@ -39,6 +39,19 @@
       for (size_t i = 0; i < frame->u.state.worker_count; i++)
         FUZZ_CHECK (frame->u.state.workers[i].address != NULL);
       return;
+    case MQ_RELAY_LOAN_ASK:
+      FUZZ_CHECK (frame->u.loan_ask.program != NULL);
+      FUZZ_CHECK (frame->u.loan_ask.turn != NULL);
+      return;
+    case MQ_RELAY_LOAN_TOLD:
+      FUZZ_CHECK (frame->u.loan_told.program != NULL);
+      FUZZ_CHECK (frame->u.loan_told.turn != NULL);
+      FUZZ_CHECK (frame->u.loan_told.history.len == 0
+                  || frame->u.loan_told.history.data != NULL);
+      return;
+    case MQ_RELAY_LOAN_BACK:
+      FUZZ_CHECK (frame->u.loan_back.program != NULL);
+      return;
     case MQ_RELAY_SYNC:
     case MQ_RELAY_OTHER:
       return;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -48,6 +48,7 @@
       cr_expect_str_eq (a[i].data_centre, b[i].data_centre);
       cr_expect_eq (a[i].slots, b[i].slots);
       cr_expect_eq (a[i].leaving, b[i].leaving);
+      cr_expect_eq (a[i].born_ms, b[i].born_ms);
     }
 }
 
@@ -82,6 +83,26 @@
       expect_workers (a->u.state.workers, b->u.state.workers,
                       a->u.state.worker_count);
       return;
+    case MQ_RELAY_LOAN_ASK:
+      cr_expect_eq (a->u.loan_ask.id, b->u.loan_ask.id);
+      cr_expect_str_eq (a->u.loan_ask.program, b->u.loan_ask.program);
+      cr_expect_eq (a->u.loan_ask.limit, b->u.loan_ask.limit);
+      cr_expect_eq (a->u.loan_ask.most, b->u.loan_ask.most);
+      cr_expect_str_eq (a->u.loan_ask.turn, b->u.loan_ask.turn);
+      cr_expect_eq (a->u.loan_ask.issue, b->u.loan_ask.issue);
+      return;
+    case MQ_RELAY_LOAN_TOLD:
+      cr_expect_eq (a->u.loan_told.id, b->u.loan_told.id);
+      cr_expect_str_eq (a->u.loan_told.program, b->u.loan_told.program);
+      cr_expect_eq (a->u.loan_told.tokens, b->u.loan_told.tokens);
+      cr_expect_eq (a->u.loan_told.over, b->u.loan_told.over);
+      cr_expect_str_eq (a->u.loan_told.turn, b->u.loan_told.turn);
+      cr_expect (same_bytes (a->u.loan_told.history, b->u.loan_told.history));
+      return;
+    case MQ_RELAY_LOAN_BACK:
+      cr_expect_str_eq (a->u.loan_back.program, b->u.loan_back.program);
+      cr_expect_eq (a->u.loan_back.tokens, b->u.loan_back.tokens);
+      return;
     case MQ_RELAY_OTHER:
       cr_assert_fail ("a frame of our own is not known");
     }
@@ -108,7 +129,8 @@
       .service = "llm",
       .address = "127.0.0.1:1",
       .data_centre = "a",
-      .slots = 4 },
+      .slots = 4,
+      .born_ms = 1772230200004 },
     { .id = "i-2",
       .service = "app",
       .address = "127.0.0.1:2",
@@ -135,6 +157,22 @@
                    .workers = workers,
                    .worker_count = 2 } },
     { .kind = MQ_RELAY_STATE, .u.state = { .same_workers = true } },
+    { .kind = MQ_RELAY_LOAN_ASK,
+      .u.loan_ask = { .id = 4,
+                      .program = "p1",
+                      .limit = 900,
+                      .most = 288,
+                      .turn = "t1",
+                      .issue = true } },
+    { .kind = MQ_RELAY_LOAN_TOLD,
+      .u.loan_told = { .id = 4,
+                       .program = "p1",
+                       .tokens = 288,
+                       .turn = "t1",
+                       .history = bytes ("history") } },
+    { .kind = MQ_RELAY_LOAN_TOLD,
+      .u.loan_told = { .id = 5, .program = "", .over = true, .turn = "" } },
+    { .kind = MQ_RELAY_LOAN_BACK, .u.loan_back = { "p1", 200 } },
   };
   TALLOC_CTX *ctx = talloc_new (NULL);
 
@@ -165,7 +203,7 @@
     enum mq_relay_kind kind;
   } cases[] = {
     { "nothing", "", 0, true, MQ_RELAY_OTHER },
-    { "unknown kind", "\x3a\x02\x08\x01", 4, true, MQ_RELAY_OTHER },
+    { "unknown kind", "\x7a\x02\x08\x01", 4, true, MQ_RELAY_OTHER },
     { "unknown outcome", "\x12\x04\x08\x05\x10\x63", 6, true, MQ_RELAY_TOLD },
     { "a call without rows", "\x0a\x02\x08\x05", 4, false, MQ_RELAY_OTHER },
     { "cut", "\x0a\x09\x08\x05", 4, false, MQ_RELAY_OTHER },
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -618,14 +618,153 @@
 Test (router, late_write_of_a_budget_changes_nothing)
 {
   rows_server_fault (site->rows, ROWS_LATE);
-  cr_assert_eq (ask_turn (0, "t1", "p1", BUDGET (20), "x"), 503);
+  cr_assert_eq (ask_turn (0, "t1", "p1", BUDGET (28), "x"), 503);
   rows_server_fault (site->rows, ROWS_WELL);
   edge_run (site, 500);
-  cr_assert_eq (ask_turn (0, "t2", "p1", BUDGET (20), "x"), 200);
+  cr_assert_eq (ask_turn (0, "t2", "p1", BUDGET (28), "x"), 200);
   rows_server_do_late (site->rows);
-  cr_assert_eq (ask_turn (0, "t3", "p1", BUDGET (20), "x"), 200);
-  cr_assert_eq (ask_turn (0, "t4", "p1", BUDGET (20), "x"), 200);
-  cr_assert_eq (ask_turn (0, "t5", "p1", BUDGET (20), "x"), 402);
+  cr_assert_eq (ask_turn (0, "t3", "p1", BUDGET (28), "x"), 200);
+  cr_assert_eq (ask_turn (0, "t4", "p1", BUDGET (28), "x"), 200);
+  cr_assert_eq (ask_turn (0, "t5", "p1", BUDGET (28), "x"), 402);
+}
+
+/* Asks for a turn of each of several programs at the same time; one bit for
+   each that got the whole answer.  */
+#define CROWD 10
+
+static uint32_t
+serve_crowd (const char *prefix)
+{
+  static struct edge_call calls[CROWD];
+  uint32_t served = 0;
+  char text[256];
+
+  for (int i = 0; i < CROWD; i++)
+    {
+      snprintf (text, sizeof text,
+                "POST /kept/a HTTP/1.1\r\n" HOST "X-Request-Id: %s%d\r\n"
+                "X-Program-Id: %s%d\r\nX-Token-Count: 10,8\r\n" BUDGET (
+                    80) "Content-Length: 1\r\n\r\nx",
+                prefix, i, prefix, i);
+      edge_call (site, &calls[i], 0, text);
+    }
+  for (int i = 0; i < CROWD; i++)
+    {
+      edge_wait (site, &calls[i], 1);
+      if (strstr (calls[i].answer, "\r\n0\r\n\r\n") != NULL)
+        served |= 1U << i;
+      edge_hang_up (&calls[i]);
+    }
+  return served;
+}
+
+/* Callers of a third of all turns hear nothing for two seconds and leave,
+   while the table serves the others.  Some of its parts are silent: calls to
+   them ran into a time-out that grew with each, and a turn whose row belongs
+   there could not end.  */
+Test (router, some_parts_of_the_table_are_silent)
+{
+  uint32_t served;
+  char id[16];
+  char more[64];
+
+  /* Until the host has all leases.  */
+  edge_run (site, 4500);
+  rows_server_silence_parts (site->rows, 100);
+  serve_crowd ("a");
+  served = serve_crowd ("b");
+  cr_assert_geq (__builtin_popcount (served), CROWD - 1, "%x", served);
+  /* What lies at another place than its first is found.  */
+  rows_server_silence_parts (site->rows, 0);
+  edge_kill (site, 0);
+  edge_start (site, 0);
+  for (int i = 0; i < CROWD; i++)
+    {
+      snprintf (id, sizeof id, "u%d", i);
+      snprintf (more, sizeof more, "X-Previous-Turn: b%d\r\n", i);
+      if ((served >> i & 1U) != 0)
+        cr_assert_eq (ask_turn (0, id, "v", more, "y"), 200, "b%d", i);
+    }
+}
+
+/* The table is away for all for longer than a caller's tries last.  His turn
+   is refused at once the first time; the second time it runs on what hosts
+   lend each other, so that his words come and the end follows with the table.
+   Here the turn comes to a host that knows neither its history nor its budget.
+ */
+Test (router, turn_of_another_host_while_the_table_is_away)
+{
+  const struct worker_run *run;
+  struct edge_call later = { .fd = -1 };
+
+  edge_seed (site, 1, 0);
+  edge_start (site, 1);
+  edge_run (site, 2500);
+  cr_assert_eq (ask_turn (0, "t1", "p1", BUDGET (80), "one;"), 200);
+  rows_server_fault (site->rows, ROWS_BUSY);
+  edge_run (site, 1200);
+  for (int i = 0; i < 3; i++)
+    ask_turn (1, "x1", "p9", BUDGET (80), "x");
+  cr_assert_eq (ask_turn (1, "t2", "p1", BUDGET (80) AFTER ("t1"), "two;"),
+                503);
+  edge_call (site, &later, 1,
+             "POST /kept/a HTTP/1.1\r\n" HOST "X-Request-Id: t3\r\n"
+             "X-Program-Id: p1\r\nX-Token-Count: 10,8\r\n"
+             "X-Deadline-Ms: 2000\r\n" BUDGET (80)
+                 AFTER ("t1") "Content-Length: 4\r\n\r\ntwo;");
+  EDGE_WAIT (site, runs_of (site->llm) == 2);
+  edge_run (site, 200);
+  raw_read (later.fd, later.answer, sizeof later.answer);
+  cr_assert_not_null (strstr (later.answer, "data: e4"), "%s", later.answer);
+  cr_assert_null (strstr (later.answer, "\r\n0\r\n\r\n"));
+  rows_server_fault (site->rows, ROWS_WELL);
+  edge_wait (site, &later, 1);
+  cr_assert_not_null (strstr (later.answer, "\r\n0\r\n\r\n"), "%s",
+                      later.answer);
+  run = last_run (site->llm, "t3");
+  cr_assert_str_eq (run->body, "one;e1\ne2\ne3\ne4\ntwo;");
+  edge_hang_up (&later);
+}
+
+/* A program begins while the table is away for all: no host holds any tokens
+   of it, and the one with its lease issues those of one turn.  They are
+   counted when the table is back, whether the caller was still there or not.
+ */
+Test (router, program_begins_while_the_table_is_away)
+{
+  struct edge_call later = { .fd = -1 };
+  int served = 0;
+
+  edge_run (site, 4500);
+  rows_server_fault (site->rows, ROWS_BUSY);
+  edge_run (site, 1200);
+  for (int i = 0; i < 3; i++)
+    ask_turn (0, "x1", "p9", BUDGET (80), "x");
+  cr_assert_eq (ask_turn (0, "t1", "p1", BUDGET (16), "x"), 503);
+  edge_call (
+      site, &later, 0,
+      "POST /kept/a HTTP/1.1\r\n" HOST "X-Request-Id: t2\r\n"
+      "X-Program-Id: p1\r\nX-Token-Count: 10,8\r\n"
+      "X-Deadline-Ms: 2000\r\n" BUDGET (16) "Content-Length: 1\r\n\r\nx");
+  EDGE_WAIT (site, runs_of (site->llm) == 1);
+  edge_run (site, 200);
+  edge_hang_up (&later);
+  /* The one turn's tokens are used up.  */
+  cr_assert_eq (
+      ask_turn (0, "t3", "p1", BUDGET (16) "X-Deadline-Ms: 2000\r\n", "x"),
+      503);
+  rows_server_fault (site->rows, ROWS_WELL);
+  edge_run (site, 1500);
+  for (int i = 0; i < 3; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "w%d", i);
+      if (ask_turn (0, id, "p1", BUDGET (16), "x") == 200)
+        served++;
+    }
+  /* 16 tokens, 8 a turn, and one turn has had its own.  */
+  cr_assert_eq (served, 1);
 }
 
 /* All answers to writes are lost.  A program still begins, since a read shows
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -626,8 +626,8 @@
 
   for (size_t i = 0; i < ROWS (cases); i++)
     {
-      uint32_t homes[CROWD_MAX];
-      uint32_t at[CROWD_MAX];
+      uint32_t homes[CROWD_MAX] = { 0 };
+      uint32_t at[CROWD_MAX] = { 0 };
       uint64_t random = 5;
       uint32_t asked = 0;
       uint32_t kept = 0;
--- a/tests/test_turns.c
+++ b/tests/test_turns.c
@@ -101,8 +101,8 @@
 
 /* Turns start and end at three hosts in any order, hosts lose their memory
    while turns run (whose callers got all their tokens): never are more tokens
-   handed out than the budget and one turn.  */
-Test (budget, never_exceeded_by_more_than_one_turn)
+   handed out than the budget.  */
+Test (budget, never_exceeded)
 {
   for (uint64_t seed = 1; seed <= 400; seed++)
     {
@@ -127,7 +127,7 @@
       for (int i = 0; i < HOSTS; i++)
         while (world.running[i] > 0)
           end_turn (&world, i, MOST);
-      cr_assert_leq (world.handed, limit + MOST, "seed %lu: %lu of %lu",
+      cr_assert_leq (world.handed, limit, "seed %lu: %lu of %lu",
                      (unsigned long)seed, (unsigned long)world.handed,
                      (unsigned long)limit);
     }
@@ -156,7 +156,7 @@
           served++;
         }
       cr_assert_geq (served, 5);
-      cr_assert_leq (world.handed, 50 + MOST);
+      cr_assert_leq (world.handed, 50);
     }
 }
 
