Grants by what is left of a budget; lost answers of busy workers are noticed in time

Cause 1: each host took two turns' tokens of a program, whatever its limit. Now a grant is a third of what is left, one turn at least, and is given back at a turn's end where the record has no room beside it. Turns that come while others are asked for what they don't use wait for the same answers; the second of them used to be refused at once. Cause 2: a worker that goes on answering others counted as busy for 1.2 s, the whole time of a caller of the alarm calls; a lost answer failed the program. A third of the caller's time is the most now, unless requests wait there. Shown by budget::lost_hosts_leave_room and router::answer_is_lost_at_a_busy_worker, which fail on the code before.

--- a/src/core/budget.c
+++ b/src/core/budget.c
@@ -122,6 +122,18 @@
   return tokens;
 }
 
+/* Tokens that a host has at hand for turns of MOST after a write that could
+   grant SPACE more.  */
+static uint64_t
+grant_size (uint64_t most, uint64_t space)
+{
+  uint64_t size = space / MQ_BUDGET_GRANT_SHARE;
+
+  if (size > most * MQ_BUDGET_GRANT_TURNS)
+    size = most * MQ_BUDGET_GRANT_TURNS;
+  return size > most ? size : most;
+}
+
 enum mq_budget_answer
 mq_budget_ask (struct mq_budget *budget, uint64_t holder, uint64_t limit,
                uint64_t most, struct mq_budget_record *next)
@@ -142,7 +154,7 @@
       return is_proven (budget, holder, limit, most) ? MQ_BUDGET_SPENT
                                                      : MQ_BUDGET_DOUBT;
     }
-  extra = most * MQ_BUDGET_GRANT_TURNS - unused;
+  extra = grant_size (most, space) - unused;
   if (extra > space)
     extra = most - unused;
   cancel_issued (budget);
@@ -283,6 +295,22 @@
   budget->issued = most;
 }
 
+bool
+mq_budget_release (struct mq_budget *budget, uint64_t holder, uint64_t limit,
+                   uint64_t most, struct mq_budget_record *next)
+{
+  uint64_t granted = grant_of (&budget->record, holder);
+
+  if (budget->reserved > 0 || budget->held == 0 || granted == 0
+      || room (budget, limit) >= most)
+    return false;
+  make_next (budget, holder, limit, 0, next);
+  set_grant (next, holder, 0);
+  budget->held = 0;
+  budget->settling = granted;
+  return true;
+}
+
 bool
 mq_budget_unrecorded (struct mq_budget *budget, uint64_t holder,
                       uint64_t limit, struct mq_budget_record *next)
--- a/src/core/budget.h
+++ b/src/core/budget.h
@@ -24,9 +24,13 @@
  */
 #define MQ_BUDGET_HOLDERS_MAX 16U
 /* Turns at their most that a host asks for at a time.  A turn takes a quarter
-   of its most on average, so one write serves several turns; what a host
-   loses when it dies stays small beside a budget of some eight turns.  */
+   of its most on average, so one write serves several turns.  */
 #define MQ_BUDGET_GRANT_TURNS 2U
+/* But no more than this part of what is left, or one turn.  Failure: two hosts
+   take two turns each of a program whose limit holds four, both are lost, and
+   its next turn is told that the budget is spent: three to five programs of a
+   day that ends with the loss of all hosts.  */
+#define MQ_BUDGET_GRANT_SHARE 3U
 /* Without the table a turn begins with this part of its most, where there is
    no more, and breaks off when it needs more than that.  Seven turns of ten
    need less than a quarter of their most, measured over 5,000 turns; with a
@@ -131,6 +135,12 @@
    before; only the host that holds the lease on the program may.  Nothing
    happens where the record is known to count more than the limit.  */
 void mq_budget_issue (struct mq_budget *budget, uint64_t limit, uint64_t most);
+/* The record has no room for a turn of MOST but for our grant, which no turn
+   uses: *NEXT is the record without it, to be written at once.  Should that
+   fail, the tokens are lost.  */
+bool mq_budget_release (struct mq_budget *budget, uint64_t holder,
+                        uint64_t limit, uint64_t most,
+                        struct mq_budget_record *next);
 /* Tokens were issued that the record must count: *NEXT is that record.  */
 bool mq_budget_unrecorded (struct mq_budget *budget, uint64_t holder,
                            uint64_t limit, struct mq_budget_record *next);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -551,6 +551,15 @@
   return is_usable (&fleet->entries[worker]);
 }
 
+bool
+mq_fleet_has_queue (const struct mq_fleet *fleet, uint32_t worker,
+                    uint64_t now_ms)
+{
+  const struct entry *entry = &fleet->entries[worker];
+
+  return load_of (entry, now_ms) > (uint64_t)entry->member.slots * LOAD_UNIT;
+}
+
 void
 mq_fleet_started (struct mq_fleet *fleet, uint32_t worker)
 {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -159,6 +159,9 @@
 uint64_t mq_fleet_stamp (const struct mq_fleet *fleet, uint32_t worker);
 /* It may be sent to: listed, not leaving.  */
 bool mq_fleet_usable (const struct mq_fleet *fleet, uint32_t worker);
+/* As far as is known, requests wait at WORKER for a slot.  */
+bool mq_fleet_has_queue (const struct mq_fleet *fleet, uint32_t worker,
+                         uint64_t now_ms);
 /* A request begins and ends at WORKER; each start is followed by one end.  */
 void mq_fleet_started (struct mq_fleet *fleet, uint32_t worker);
 void mq_fleet_ended (struct mq_fleet *fleet, uint32_t worker,
--- a/src/io/router_loan.c
+++ b/src/io/router_loan.c
@@ -18,21 +18,23 @@
 #define WAIT_MS 60U
 
 /**
- * struct mq_loan - a question to other hosts for one turn
+ * struct mq_loan - a question to other hosts for one turn, or for a program
+ *                  whose record is full
+ * @turn: that waits for it, NULL: @program does
  * @id: of the question
  * @due: answers that are still to come
- * @recall: the table answers, but its record is full
  * @issue: it has come to asking for tokens that no record counts
  * @over: some host knows that no tokens may be issued
  */
 struct mq_loan
 {
+  struct mq_turns *turns;
   struct mq_turn *turn;
+  struct mq_program *program;
   struct mq_loan *next;
   struct mq_timer *timer;
   uint64_t id;
   uint32_t due;
-  bool recall;
   bool issue;
   bool over;
 };
@@ -40,7 +42,7 @@
 static void
 unlink_loan (struct mq_loan *loan)
 {
-  for (struct mq_loan **at = &loan->turn->turns->loans; *at != NULL;
+  for (struct mq_loan **at = &loan->turns->loans; *at != NULL;
        at = &(*at)->next)
     if (*at == loan)
       {
@@ -102,10 +104,20 @@
 }
 
 static void
-ask_hosts (struct mq_loan *loan)
+ask_hosts (struct mq_loan *loan, const struct mq_relay_loan_ask *ask)
+{
+  struct mq_router *router = loan->turns->router;
+
+  loan->due = mq_relay_ask_loan (router->relay, ask);
+  TALLOC_FREE (loan->timer);
+  loan->timer = mq_timer_add (loan, router->ev, loan->due == 0 ? 0 : WAIT_MS,
+                              on_over, loan);
+}
+
+static void
+ask_for_turn (struct mq_loan *loan)
 {
   struct mq_turn *turn = loan->turn;
-  struct mq_router *router = turn->turns->router;
   struct mq_relay_loan_ask ask = {
     .id = loan->id,
     .program = turn->program == NULL ? "" : turn->program,
@@ -115,10 +127,7 @@
     .issue = loan->issue,
   };
 
-  loan->due = mq_relay_ask_loan (router->relay, &ask);
-  TALLOC_FREE (loan->timer);
-  loan->timer = mq_timer_add (loan, router->ev, loan->due == 0 ? 0 : WAIT_MS,
-                              on_over, loan);
+  ask_hosts (loan, &ask);
 }
 
 /* No host has tokens of the program: the one with its lease issues some.  */
@@ -132,29 +141,34 @@
   if (program == NULL
       || !mq_reserve_may_issue (turn->turns->router, turn->program))
     {
-      ask_hosts (loan);
+      ask_for_turn (loan);
       return;
     }
   mq_budget_issue (&program->budget, turn->limit, turn->most);
   step_loan (loan);
 }
 
+static void
+end_recall (struct mq_loan *loan)
+{
+  struct mq_program *program = loan->program;
+
+  mq_loan_forget (loan);
+  mq_program_recalled (program);
+}
+
 /* All hosts that will answer have answered.  */
 static void
 step_loan (struct mq_loan *loan)
 {
   struct mq_turn *turn = loan->turn;
-  bool found = turn->missing[0] == '\0';
 
-  if (loan->recall)
+  if (turn == NULL)
     {
-      turn->loan = NULL;
-      turn->recalled = true;
-      mq_loan_forget (loan);
-      mq_program_ask (turn);
+      end_recall (loan);
       return;
     }
-  if (!found)
+  if (turn->missing[0] != '\0')
     {
       /* Comes back here once the history is joined.  */
       turn->loan = NULL;
@@ -175,20 +189,17 @@
     ask_issue (loan);
 }
 
-static void
-begin_loan (struct mq_turn *turn, bool recall)
+static struct mq_loan *
+create_loan (struct mq_turns *turns)
 {
-  struct mq_turns *turns = turn->turns;
   struct mq_loan *loan = mq_must (talloc_zero (turns, struct mq_loan));
 
   turns->router->counters.loans_asked++;
-  loan->turn = turn;
-  loan->recall = recall;
+  loan->turns = turns;
   loan->id = ++turns->next_loan;
   loan->next = turns->loans;
   turns->loans = loan;
-  turn->loan = loan;
-  ask_hosts (loan);
+  return loan;
 }
 
 void
@@ -196,16 +207,29 @@
 {
   /* Where the table answers in part, the turn can end: its row has other
      places.  */
-  if (turn->may_borrow || !mq_ledger_down (turn->turns->router->ledger))
-    begin_loan (turn, false);
-  else
-    mq_turn_tell (turn, MQ_TURN_NO_STORE);
+  if (!turn->may_borrow && mq_ledger_down (turn->turns->router->ledger))
+    {
+      mq_turn_tell (turn, MQ_TURN_NO_STORE);
+      return;
+    }
+  turn->loan = create_loan (turn->turns);
+  turn->loan->turn = turn;
+  ask_for_turn (turn->loan);
 }
 
-void
-mq_loan_recall (struct mq_turn *turn)
+struct mq_loan *
+mq_loan_recall (struct mq_program *program, uint64_t limit, uint64_t most)
 {
-  begin_loan (turn, true);
+  struct mq_loan *loan = create_loan (program->turns);
+  struct mq_relay_loan_ask ask = { .id = loan->id,
+                                   .program = program->id,
+                                   .limit = limit,
+                                   .most = most,
+                                   .turn = "" };
+
+  loan->program = program;
+  ask_hosts (loan, &ask);
+  return loan;
 }
 
 /* What other hosts lend */
--- a/src/io/router_program.c
+++ b/src/io/router_program.c
@@ -50,6 +50,7 @@
   mq_idmap_remove (program->turns->programs, program->key, 0);
   if (program->call != NULL)
     mq_ledger_cancel (program->call);
+  mq_loan_forget (program->recall);
   talloc_free (program);
 }
 
@@ -223,16 +224,25 @@
 #define RECALL_MS 1000U
 
 static bool
-may_recall (struct mq_program *program, const struct mq_turn *turn)
+may_recall (const struct mq_program *program, const struct mq_turn *turn)
 {
   uint64_t now = mq_clock_ms ();
 
-  if (turn->recalled
-      || !mq_budget_has_others (&program->budget, program->holder)
-      || (program->recalled_ms != 0 && now - program->recalled_ms < RECALL_MS))
-    return false;
-  program->recalled_ms = now;
-  return true;
+  return !turn->recalled
+         && mq_budget_has_others (&program->budget, program->holder)
+         && (program->recalled_ms == 0
+             || now - program->recalled_ms >= RECALL_MS);
+}
+
+void
+mq_program_recalled (struct mq_program *program)
+{
+  program->recall = NULL;
+  program->recalled_ms = mq_clock_ms ();
+  for (struct mq_turn *turn = program->waiting; turn != NULL;
+       turn = turn->next)
+    turn->recalled = true;
+  step_program (program);
 }
 
 /* The record leaves no room for the first turn that waits.
@@ -240,7 +250,8 @@
    Failure: grants that hosts took for turns which then came to other hosts
    fill the record, and a caller is told that the budget is spent though tokens
    are left.  So a record read since the turn came is not the last word: hosts
-   that have unused tokens lend them.  */
+   that have unused tokens lend them.  Turns that come meanwhile wait for the
+   same answers.  */
 static void
 answer_doubt (struct mq_program *program)
 {
@@ -249,7 +260,7 @@
   if (!turn->fresh)
     call_table (program, MQ_BUDGET_READ);
   else if (may_recall (program, turn))
-    mq_loan_recall (pop_waiting (program));
+    program->recall = mq_loan_recall (program, turn->limit, turn->most);
   else
     end_waiting (program, MQ_TURN_SPENT);
 }
@@ -260,7 +271,7 @@
 step_program (struct mq_program *program)
 {
   while (program->waiting != NULL && program->call == NULL
-         && program->timer == NULL)
+         && program->timer == NULL && program->recall == NULL)
     {
       struct mq_turn *turn = program->waiting;
       enum mq_budget_answer answer
@@ -329,6 +340,18 @@
   turn->waits = false;
 }
 
+/* Failure: a program's limit holds two turns; its host is lost between them,
+   and with it the grant that would have served the second.  */
+static void
+release_grant (struct mq_program *program, uint64_t most)
+{
+  if (program->call == NULL && program->timer == NULL
+      && !mq_turns_away (program->turns, program->part)
+      && mq_budget_release (&program->budget, program->holder, program->limit,
+                            most, &program->next))
+    write_program (program);
+}
+
 void
 mq_turn_settle (struct mq_turn *turn, uint64_t used)
 {
@@ -340,8 +363,10 @@
   program->used_ms = mq_clock_ms ();
   mq_budget_settle (&program->budget, turn->granted, used);
   turn->granted = 0;
-  if (program->running == 0 && program->waiting == NULL)
-    mq_loan_give_back (program);
+  if (program->running > 0 || program->waiting != NULL)
+    return;
+  mq_loan_give_back (program);
+  release_grant (program, turn->most);
 }
 
 /* Failure: a host issued tokens while the table was away and forgets it; the
@@ -364,7 +389,7 @@
 {
   return program->waiting == NULL && program->running == 0
          && program->call == NULL && program->timer == NULL
-         && program->budget.issued == 0;
+         && program->recall == NULL && program->budget.issued == 0;
 }
 
 bool
--- a/src/io/router_silence.c
+++ b/src/io/router_silence.c
@@ -13,8 +13,16 @@
 #define GAP_FACTOR 3U
 #define LEAST_MS 400U
 /* A worker that answers other requests is busy; its silence towards this one
-   counts a third.  */
+   counts a third.
+
+   Failure: the worker has run the request and its answer is lost, while it
+   goes on answering others; a caller who waits 1.2 s was told so at the end of
+   it, since the silence would have counted after three times 0.4 s.  So no
+   more than a third of the caller's time is spent on it, which leaves twice as
+   much for another worker.  Of 1,000 programs on a day with lost answers three
+   to five failed by it.  */
 #define BUSY_FACTOR 3U
+#define BUSY_PART 3U
 
 /**
  * struct mq_silence - the watch on one try
@@ -50,17 +58,37 @@
       = mq_timer_add (silence, silence->ev, wait_ms, on_look, silence);
 }
 
+/* The same where the worker answers other requests.  */
+static uint32_t
+longest_busy_ms (const struct mq_silence *silence)
+{
+  uint32_t longest = longest_ms (silence);
+  uint32_t wait = longest * BUSY_FACTOR;
+  uint32_t part = silence->options.patience_ms / BUSY_PART;
+  bool queued = mq_fleet_has_queue (silence->options.fleet,
+                                    silence->options.worker, mq_clock_ms ());
+
+  if (part < wait && !queued)
+    wait = part;
+  return wait < longest ? longest : wait;
+}
+
+/* How long the silence may still last, 0: no longer.  */
 static uint64_t
-weighed_ms (const struct mq_silence *silence)
+left_ms (const struct mq_silence *silence)
 {
   uint64_t now = mq_clock_ms ();
   uint64_t other
       = mq_fleet_heard_ms (silence->options.fleet, silence->options.worker);
-  uint64_t own = now - silence->heard_ms;
-
-  if (other <= silence->heard_ms)
-    return own;
-  return now - other > own / BUSY_FACTOR ? now - other : own / BUSY_FACTOR;
+  uint64_t until = silence->heard_ms + longest_ms (silence);
+  uint64_t busy_until = silence->heard_ms + longest_busy_ms (silence);
+
+  /* Heard of by other requests, it counts from then on.  */
+  if (other > silence->heard_ms)
+    until = other + longest_ms (silence);
+  if (until > busy_until)
+    until = busy_until;
+  return until > now ? until - now : 0;
 }
 
 /* Silence counts only when it is seen twice, with a look at the connections in
@@ -69,14 +97,13 @@
 on_look (void *data)
 {
   struct mq_silence *silence = data;
-  uint64_t silent = weighed_ms (silence);
-  uint64_t longest = longest_ms (silence);
+  uint64_t left = left_ms (silence);
 
   silence->timer = NULL;
-  if (silent < longest)
+  if (left > 0)
     {
       silence->seen = false;
-      look_after (silence, longest - silent);
+      look_after (silence, left);
     }
   else if (!silence->seen)
     {
--- a/src/io/router_silence.h
+++ b/src/io/router_silence.h
@@ -20,6 +20,7 @@
  * @worker: the one that is asked
  * @route: what the route aims at
  * @begun: the caller has got the beginning of an answer
+ * @patience_ms: time until the final answer
  * @watched: @gone is wanted
  * @gone: called once when the worker has been silent for too long
  */
@@ -29,6 +30,7 @@
   uint32_t worker;
   const struct mq_path_route *route;
   bool begun;
+  uint32_t patience_ms;
   bool watched;
   void (*gone) (void *user);
   void *user;
--- a/src/io/router_try.c
+++ b/src/io/router_try.c
@@ -156,6 +156,7 @@
     .worker = try->options.worker,
     .route = try->options.send.route,
     .begun = try->options.begun,
+    .patience_ms = try->options.send.left_ms,
     .watched = try->options.watched,
     .gone = on_silent,
     .user = try,
--- a/src/io/router_turns.h
+++ b/src/io/router_turns.h
@@ -23,7 +23,8 @@
  * @limit: of its budget, as last told
  * @running: turns that have a reservation
  * @tries: calls in a row that failed
- * @recalled_ms: when others were last asked for their unused tokens, 0: never
+ * @recalled_ms: when others last told what they don't use, 0: never
+ * @recall: they are being asked, NULL: not
  * @lender: address of the host that lent tokens last, NULL: none did
  */
 struct mq_program
@@ -43,6 +44,7 @@
   uint32_t tries;
   uint64_t used_ms;
   uint64_t recalled_ms;
+  struct mq_loan *recall;
   char *lender;
 };
 
@@ -83,6 +85,8 @@
 struct mq_program *mq_program_get (struct mq_turns *turns, const char *id);
 /* Reserves the budget of TURN, whose history is there; tells.  */
 void mq_program_ask (struct mq_turn *turn);
+/* Other hosts have told what they don't use of PROGRAM.  */
+void mq_program_recalled (struct mq_program *program);
 /* TURN waits no more.  */
 void mq_program_leave (struct mq_turn *turn);
 
@@ -91,9 +95,10 @@
 /* The table can't be asked: TURN gets what it lacks from other hosts, or is
    told that the table can't tell.  */
 void mq_loan_begin (struct mq_turn *turn);
-/* The record is full: TURN asks again once other hosts have lent what they
-   don't use.  */
-void mq_loan_recall (struct mq_turn *turn);
+/* The record is full: other hosts are asked to lend what they don't use of
+   PROGRAM; mq_program_recalled follows, not from within this call.  */
+struct mq_loan *mq_loan_recall (struct mq_program *program, uint64_t limit,
+                                uint64_t most);
 /* Nobody waits any more; NULL is allowed.  */
 void mq_loan_forget (struct mq_loan *loan);
 /* Unused tokens go back to whoever lent them.  */
--- a/tests/test_budget_model.c
+++ b/tests/test_budget_model.c
@@ -328,6 +328,16 @@
     write_record (world, host, &next);
 }
 
+static void
+release (struct world *world, struct host *host)
+{
+  struct mq_budget_record next;
+
+  if (mq_budget_release (&host->budget, host->holder, world->limit, MOST,
+                         &next))
+    write_record (world, host, &next);
+}
+
 static void
 do_late (struct world *world)
 {
@@ -374,6 +384,8 @@
     case 8:
       if (!world->away)
         record_issued (world, host);
+      if (!world->away)
+        release (world, host);
       break;
     case 9:
     case 10:
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -461,6 +461,33 @@
       503);
 }
 
+/* A worker runs a call that may be repeated, and its answer is lost; the
+   worker goes on answering others.  The caller, who waits 1.2 s, used to be
+   told at the end of that time that it may have run, though another worker
+   could have answered him in the meantime.  */
+Test (router, answer_is_lost_at_a_busy_worker)
+{
+  struct edge_call lost = { .fd = -1 };
+
+  edge_one_worker (site);
+  edge_list_worker (site, site->app[1], "app", "ready");
+  edge_run (site, 50);
+  site->app_plan = (struct worker_plan){ WORKER_SILENT, 1 };
+  edge_call (site, &lost, 0,
+             "GET /call/a HTTP/1.1\r\n" HOST "X-Request-Id: lost\r\n"
+             "X-Deadline-Ms: 1200\r\n\r\n");
+  EDGE_WAIT (site, site->app_plan.count == 0);
+  /* Both workers answer others all the time.  */
+  for (int i = 0; i < 60 && strchr (lost.answer, 'H') == NULL; i++)
+    {
+      edge_ask (site, &call, 0, "GET /call/b HTTP/1.1\r\n" HOST ID "\r\n");
+      edge_run (site, 20);
+      raw_read (lost.fd, lost.answer, sizeof lost.answer);
+    }
+  cr_assert_not_null (strstr (lost.answer, "200 OK"), "%s", lost.answer);
+  edge_hang_up (&lost);
+}
+
 /* Budgets and histories */
 
 static int
--- a/tests/test_turns.c
+++ b/tests/test_turns.c
@@ -133,6 +133,36 @@
     }
 }
 
+/* A caller is told that the budget is spent though three quarters of it are
+   left: two hosts took grants for his first turns, and both are lost with what
+   they did not use.  */
+Test (budget, lost_hosts_leave_room)
+{
+  static const uint64_t limits[] = { 17, 31, 45, 62, 500 };
+
+  for (size_t i = 0; i < ROWS (limits); i++)
+    {
+      struct world world = { .version = 0, .holder = { 7, 8, 9 } };
+      uint64_t state = 3;
+      int turns = limits[i] < 3 * MOST ? 1 : 2;
+
+      for (int host = 0; host < turns; host++)
+        {
+          struct mq_budget_record next;
+
+          cr_assert (begin_turn (&world, host, limits[i]));
+          end_turn (&world, host, 2);
+          if (mq_budget_release (&world.hosts[host], world.holder[host],
+                                 limits[i], MOST, &next))
+            write_record (&world, host, &next);
+        }
+      lose_host (&world, 0, &state);
+      lose_host (&world, 1, &state);
+      cr_expect (begin_turn (&world, 2, limits[i]), "limit %lu",
+                 (unsigned long)limits[i]);
+    }
+}
+
 /* A write of the record gets no answer.  Whether it was done shows when the
    record is read; either way the budget holds and the program goes on.  */
 Test (budget, lost_answer_to_a_write)
