A history that was read from the table stays in memory

Cause: it was kept for the one turn that needed it. Shown by router::history_stays_in_memory_once_it_was_read.

--- a/src/io/router_turn.c
+++ b/src/io/router_turn.c
@@ -105,6 +105,21 @@
   snprintf (turn->missing, sizeof turn->missing, "%s", id);
 }
 
+/* Failure: a history that was read from the table was forgotten with its turn;
+   when the table went away before the turn could end, no host had it for the
+   caller's next try, though one had just used it.  */
+static void
+remember (struct mq_turns *turns, const struct mq_chain *chain)
+{
+  struct mq_chain *copy;
+
+  if (mq_chain_cache_find (turns->cache, chain->id) != NULL)
+    return;
+  copy = mq_chain_copy (turns, chain);
+  if (copy != NULL)
+    mq_chain_cache_put (turns->cache, copy);
+}
+
 /* CHAIN is that of the turn that was missing, its own beginning may be missing
    too.  Takes CHAIN over.  */
 static void
@@ -129,6 +144,7 @@
       find_chain (turn);
       return;
     }
+  remember (turn->turns, turn->found);
   turn->before = turn->found;
   turn->found = NULL;
   mq_program_ask (turn);
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -568,6 +568,25 @@
   cr_assert_eq (ask_turn (1, "t3", "p1", BUDGET (80) AFTER ("t2"), "x"), 200);
 }
 
+/* Several turns continue from the same one, or the same one is tried again
+   after the table went away: its history was read anew each time, and not to
+   be had then, though this host had just used it.  */
+Test (router, history_stays_in_memory_once_it_was_read)
+{
+  cr_assert_eq (ask_turn (0, "t1", "p1", BUDGET (80), "one;"), 200);
+  edge_kill (site, 0);
+  edge_start (site, 0);
+  for (int i = 0; i < 3; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "u%d", i);
+      cr_assert_eq (ask_turn (0, id, "p1", BUDGET (80) AFTER ("t1"), "x"),
+                    200);
+      cr_expect_eq (edge_counter (site, 0, "turn_reads"), 1, "after %s", id);
+    }
+}
+
 /* The table does not answer: whether a turn exists can't be told, so the
    caller is asked to come back and not told that there is none.  */
 Test (router, unknown_turn_while_the_table_is_away)
