--- a/src/io/relay.c
+++ b/src/io/relay.c
@@ -1,13 +1,12 @@
 /* relay.c - links between routing hosts.
 
-   Needs: relay.h, relay_link.h, memory.h, timer.h, clock.h.  */
+   Needs: relay_state.h, memory.h, timer.h, clock.h.  */
 
-#include "relay.h"
+#include "relay_state.h"
 #include "../core/id.h"
 #include "../core/memory.h"
 #include "clock.h"
 #include "listen.h"
-#include "relay_link.h"
 #include "timer.h"
 #include <string.h>
 #include <sys/socket.h>
@@ -18,30 +17,6 @@
 /* Links that other hosts may keep to this one.  */
 #define LINKS_MAX 256U
 
-/**
- * struct host - a host that may be asked
- * @link: NULL: none is open
- * @bad_until_ms: it is not asked to make a call before
- * @gone_until_ms: it is not asked for a loan before, since it did not answer;
- *                 a host that can't reach the table either may still lend
- * @loan_asked_ms: oldest question for a loan without an answer, 0: none
- * @seed: known from the settings; stays when the list of hosts lacks it
- * @listed: the list that is being told has it
- * @near: it is in the same data centre
- */
-struct host
-{
-  struct host *next;
-  char *address;
-  struct mq_relay_link *link;
-  uint64_t bad_until_ms;
-  uint64_t gone_until_ms;
-  uint64_t loan_asked_ms;
-  bool seed;
-  bool listed;
-  bool near;
-};
-
 /**
  * struct mq_relay_call - a call that another host makes for us
  * @ask: its frame, packed
@@ -75,28 +50,10 @@
   uint64_t id;
 };
 
-struct mq_relay
-{
-  struct tevent_context *ev;
-  struct tevent_fd *event;
-  struct mq_rows *rows;
-  struct mq_relay_owner owner;
-  struct host *hosts;
-  size_t accepted;
-  struct mq_relay_call *calls;
-  struct errand *errands;
-  char *own_address;
-  uint64_t next_id;
-  uint64_t random;
-  uint64_t asked;
-  uint64_t served;
-  int fd;
-};
-
 static void try_call (struct mq_relay_call *call);
 
-static struct host *
-host_of (struct mq_relay *relay, const struct mq_relay_link *link)
+struct host *
+relay_host_of (struct mq_relay *relay, const struct mq_relay_link *link)
 {
   for (struct host *host = relay->hosts; host != NULL; host = host->next)
     if (host->link == link)
@@ -112,17 +69,17 @@
 }
 
 /* HOST gives no answer: it is left alone for a while.  */
-static void
-note_gone (struct host *host)
+void
+relay_note_gone (struct host *host)
 {
   note_bad (host);
   host->gone_until_ms = host->bad_until_ms;
   host->loan_asked_ms = 0;
 }
 
-static void
-send_frame (struct mq_relay *relay, struct mq_relay_link *link,
-            const struct mq_relay_frame *frame)
+void
+relay_send_frame (struct mq_relay *relay, struct mq_relay_link *link,
+                  const struct mq_relay_frame *frame)
 {
   struct mq_bytes bytes = mq_relay_frame_pack (relay, frame);
 
@@ -148,14 +105,14 @@
 static void
 drop_link (struct mq_relay *relay, struct mq_relay_link *link)
 {
-  struct host *host = host_of (relay, link);
+  struct host *host = relay_host_of (relay, link);
 
   if (host == NULL)
     relay->accepted--;
   else
     {
       host->link = NULL;
-      note_gone (host);
+      relay_note_gone (host);
     }
   for (struct errand *errand = relay->errands; errand != NULL;
        errand = errand->next)
@@ -196,7 +153,7 @@
     {
       frame.u.told.id = errand->id;
       frame.u.told.result = *result;
-      send_frame (errand->relay, errand->link, &frame);
+      relay_send_frame (errand->relay, errand->link, &frame);
     }
   talloc_free (errand);
 }
@@ -260,7 +217,7 @@
            const struct mq_relay_told *told)
 {
   struct mq_relay_call *call = find_call (relay, link, told->id);
-  struct host *host = host_of (relay, link);
+  struct host *host = relay_host_of (relay, link);
 
   if (call == NULL)
     return;
@@ -276,18 +233,6 @@
   try_call (call);
 }
 
-static void
-take_loan (struct mq_relay *relay, const struct mq_relay_link *link,
-           const struct mq_relay_loan_told *told)
-{
-  struct host *host = host_of (relay, link);
-
-  if (host == NULL)
-    return;
-  host->loan_asked_ms = 0;
-  relay->owner.loan_told (told, host->address, relay->owner.user);
-}
-
 static void
 on_frame (struct mq_relay_link *link, const struct mq_relay_frame *frame,
           void *user)
@@ -313,7 +258,7 @@
       owner->loan_ask (&frame->u.loan_ask, link, owner->user);
       return;
     case MQ_RELAY_LOAN_TOLD:
-      take_loan (relay, link, &frame->u.loan_told);
+      relay_take_loan (relay, link, &frame->u.loan_told);
       return;
     case MQ_RELAY_LOAN_BACK:
       owner->loan_back (&frame->u.loan_back, owner->user);
@@ -329,7 +274,7 @@
 {
   struct mq_relay_frame frame = { .kind = MQ_RELAY_STATE, .u.state = *state };
 
-  send_frame (relay, link, &frame);
+  relay_send_frame (relay, link, &frame);
 }
 
 /* Links */
@@ -354,8 +299,8 @@
 }
 
 /* Link to HOST, opened if need be; NULL when that fails at once.  */
-static struct mq_relay_link *
-open_link (struct mq_relay *relay, struct host *host)
+struct mq_relay_link *
+relay_open_link (struct mq_relay *relay, struct host *host)
 {
   struct mq_error error = { .type = MQ_ERR_NONE };
   struct mq_relay_link_owner owner
@@ -365,7 +310,7 @@
     host->link
         = mq_relay_link_open (relay, relay->ev, host->address, &owner, &error);
   if (host->link == NULL)
-    note_gone (host);
+    relay_note_gone (host);
   return host->link;
 }
 
@@ -436,7 +381,7 @@
          && link == NULL && (host = choose_host (relay)) != NULL)
     {
       call->tries++;
-      link = open_link (relay, host);
+      link = relay_open_link (relay, host);
     }
   if (link == NULL)
     {
@@ -501,107 +446,18 @@
 mq_relay_ask_sync (struct mq_relay *relay, const struct mq_relay_sync *sync)
 {
   struct host *host = choose_host (relay);
-  struct mq_relay_link *link = host == NULL ? NULL : open_link (relay, host);
+  struct mq_relay_link *link
+      = host == NULL ? NULL : relay_open_link (relay, host);
   struct mq_relay_frame frame = { .kind = MQ_RELAY_SYNC, .u.sync = *sync };
 
   if (link != NULL)
-    send_frame (relay, link, &frame);
-}
-
-/* Loans */
-
-/* Whether HOST may be asked for a loan; one that owes an answer is left alone
-   for a while.  */
-static bool
-may_lend (struct host *host, uint64_t now)
-{
-  if (host->loan_asked_ms != 0
-      && now - host->loan_asked_ms >= MQ_RELAY_LOAN_MS)
-    note_gone (host);
-  return host->gone_until_ms <= now;
-}
-
-/* One round over the hosts with an open link, or over those without.  */
-static uint32_t
-ask_hosts (struct mq_relay *relay, const struct mq_relay_frame *frame,
-           bool near, bool linked, uint32_t asked)
-{
-  uint64_t now = mq_clock_ms ();
-
-  for (struct host *host = relay->hosts;
-       host != NULL && asked < MQ_RELAY_LOAN_HOSTS_MAX; host = host->next)
-    {
-      struct mq_relay_link *link;
-
-      if ((host->link != NULL) != linked || (near && !host->near)
-          || !may_lend (host, now))
-        continue;
-      link = open_link (relay, host);
-      if (link == NULL)
-        continue;
-      if (host->loan_asked_ms == 0)
-        host->loan_asked_ms = now;
-      send_frame (relay, link, frame);
-      asked++;
-    }
-  return asked;
-}
-
-static uint32_t
-count_near (const struct mq_relay *relay)
-{
-  uint32_t count = 0;
-
-  for (const struct host *host = relay->hosts; host != NULL; host = host->next)
-    count += host->near ? 1U : 0U;
-  return count;
-}
-
-uint32_t
-mq_relay_ask_loan (struct mq_relay *relay, const struct mq_relay_loan_ask *ask,
-                   bool near)
-{
-  struct mq_relay_frame frame
-      = { .kind = MQ_RELAY_LOAN_ASK, .u.loan_ask = *ask };
-  uint32_t linked;
-
-  if (near && count_near (relay) > MQ_RELAY_LOAN_HOSTS_MAX)
-    return 0;
-  linked = ask_hosts (relay, &frame, near, true, 0);
-  return ask_hosts (relay, &frame, near, false, linked);
-}
-
-void
-mq_relay_lend (struct mq_relay *relay, struct mq_relay_link *link,
-               const struct mq_relay_loan_told *told)
-{
-  struct mq_relay_frame frame
-      = { .kind = MQ_RELAY_LOAN_TOLD, .u.loan_told = *told };
-
-  send_frame (relay, link, &frame);
-}
-
-static struct host *find_host (const struct mq_relay *relay,
-                               const char *address);
-
-bool
-mq_relay_give_back (struct mq_relay *relay, const char *address,
-                    const struct mq_relay_loan_back *back)
-{
-  struct mq_relay_frame frame
-      = { .kind = MQ_RELAY_LOAN_BACK, .u.loan_back = *back };
-  struct host *host = find_host (relay, address);
-
-  if (host == NULL || host->link == NULL)
-    return false;
-  send_frame (relay, host->link, &frame);
-  return true;
+    relay_send_frame (relay, link, &frame);
 }
 
 /* Hosts */
 
-static struct host *
-find_host (const struct mq_relay *relay, const char *address)
+struct host *
+relay_find_host (const struct mq_relay *relay, const char *address)
 {
   for (struct host *host = relay->hosts; host != NULL; host = host->next)
     if (strcmp (host->address, address) == 0)
@@ -613,7 +469,7 @@
 static struct host *
 add_host (struct mq_relay *relay, const char *address)
 {
-  struct host *host = find_host (relay, address);
+  struct host *host = relay_find_host (relay, address);
 
   if (host != NULL || strcmp (address, relay->own_address) == 0
       || address[0] == '\0')
--- /dev/null
+++ b/src/io/relay_loan.c
@@ -0,0 +1,104 @@
+/* relay_loan.c - questions to many hosts at a time: who lends tokens or a
+   history.
+
+   Needs: relay_state.h, clock.h.  */
+
+#include "relay_state.h"
+#include "clock.h"
+
+void
+relay_take_loan (struct mq_relay *relay, const struct mq_relay_link *link,
+                 const struct mq_relay_loan_told *told)
+{
+  struct host *host = relay_host_of (relay, link);
+
+  if (host == NULL)
+    return;
+  host->loan_asked_ms = 0;
+  relay->owner.loan_told (told, host->address, relay->owner.user);
+}
+
+/* Whether HOST may be asked for a loan; one that owes an answer is left alone
+   for a while.  */
+static bool
+may_lend (struct host *host, uint64_t now)
+{
+  if (host->loan_asked_ms != 0
+      && now - host->loan_asked_ms >= MQ_RELAY_LOAN_MS)
+    relay_note_gone (host);
+  return host->gone_until_ms <= now;
+}
+
+/* One round over the hosts with an open link, or over those without.  */
+static uint32_t
+ask_hosts (struct mq_relay *relay, const struct mq_relay_frame *frame,
+           bool near, bool linked, uint32_t asked)
+{
+  uint64_t now = mq_clock_ms ();
+
+  for (struct host *host = relay->hosts;
+       host != NULL && asked < MQ_RELAY_LOAN_HOSTS_MAX; host = host->next)
+    {
+      struct mq_relay_link *link;
+
+      if ((host->link != NULL) != linked || (near && !host->near)
+          || !may_lend (host, now))
+        continue;
+      link = relay_open_link (relay, host);
+      if (link == NULL)
+        continue;
+      if (host->loan_asked_ms == 0)
+        host->loan_asked_ms = now;
+      relay_send_frame (relay, link, frame);
+      asked++;
+    }
+  return asked;
+}
+
+static uint32_t
+count_near (const struct mq_relay *relay)
+{
+  uint32_t count = 0;
+
+  for (const struct host *host = relay->hosts; host != NULL; host = host->next)
+    count += host->near ? 1U : 0U;
+  return count;
+}
+
+uint32_t
+mq_relay_ask_loan (struct mq_relay *relay, const struct mq_relay_loan_ask *ask,
+                   bool near)
+{
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_LOAN_ASK, .u.loan_ask = *ask };
+  uint32_t linked;
+
+  if (near && count_near (relay) > MQ_RELAY_LOAN_HOSTS_MAX)
+    return 0;
+  linked = ask_hosts (relay, &frame, near, true, 0);
+  return ask_hosts (relay, &frame, near, false, linked);
+}
+
+void
+mq_relay_lend (struct mq_relay *relay, struct mq_relay_link *link,
+               const struct mq_relay_loan_told *told)
+{
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_LOAN_TOLD, .u.loan_told = *told };
+
+  relay_send_frame (relay, link, &frame);
+}
+
+bool
+mq_relay_give_back (struct mq_relay *relay, const char *address,
+                    const struct mq_relay_loan_back *back)
+{
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_LOAN_BACK, .u.loan_back = *back };
+  struct host *host = relay_find_host (relay, address);
+
+  if (host == NULL || host->link == NULL)
+    return false;
+  relay_send_frame (relay, host->link, &frame);
+  return true;
+}
--- /dev/null
+++ b/src/io/relay_state.h
@@ -0,0 +1,75 @@
+/* relay_state.h - the hosts that a relay knows, shared by relay.c and
+   relay_loan.c only.
+
+   Needs: relay.h, relay_link.h.  */
+
+#ifndef MQ_RELAY_STATE_H
+#define MQ_RELAY_STATE_H
+
+#include "relay.h"
+#include "relay_link.h"
+
+/**
+ * struct host - a host that may be asked
+ * @link: NULL: none is open
+ * @bad_until_ms: it is not asked to make a call before
+ * @gone_until_ms: it is not asked for a loan before, since it did not answer;
+ *                 a host that can't reach the table either may still lend
+ * @loan_asked_ms: oldest question for a loan without an answer, 0: none
+ * @seed: known from the settings; stays when the list of hosts lacks it
+ * @listed: the list that is being told has it
+ * @near: it is in the same data centre
+ */
+struct host
+{
+  struct host *next;
+  char *address;
+  struct mq_relay_link *link;
+  uint64_t bad_until_ms;
+  uint64_t gone_until_ms;
+  uint64_t loan_asked_ms;
+  bool seed;
+  bool listed;
+  bool near;
+};
+
+struct mq_relay
+{
+  struct tevent_context *ev;
+  struct tevent_fd *event;
+  struct mq_rows *rows;
+  struct mq_relay_owner owner;
+  struct host *hosts;
+  size_t accepted;
+  struct mq_relay_call *calls;
+  struct errand *errands;
+  char *own_address;
+  uint64_t next_id;
+  uint64_t random;
+  uint64_t asked;
+  uint64_t served;
+  int fd;
+};
+
+/* relay.c */
+
+/* The host that LINK was opened to; NULL: it came from the other side.  */
+struct host *relay_host_of (struct mq_relay *relay,
+                            const struct mq_relay_link *link);
+struct host *relay_find_host (const struct mq_relay *relay,
+                              const char *address);
+/* Link to HOST, opened if need be; NULL when that fails at once.  */
+struct mq_relay_link *relay_open_link (struct mq_relay *relay,
+                                       struct host *host);
+/* HOST gives no answer: it is left alone for a while.  */
+void relay_note_gone (struct host *host);
+void relay_send_frame (struct mq_relay *relay, struct mq_relay_link *link,
+                       const struct mq_relay_frame *frame);
+
+/* relay_loan.c */
+
+/* What came over LINK for a question of ours.  */
+void relay_take_loan (struct mq_relay *relay, const struct mq_relay_link *link,
+                      const struct mq_relay_loan_told *told);
+
+#endif
--- a/src/io/router_request.c
+++ b/src/io/router_request.c
@@ -3,18 +3,15 @@
    Read, check, find its route, make its turn ready, choose a worker, send,
    pass the answer on.  A try that fails is followed by another one only where
    core/attempt.h allows it.
-   Needs: router_state.h, router_try.h, clock.h.  */
+   Needs: router_request.h, id.h, outage.h, clock.h.  */
 
-#include "router_state.h"
+#include "router_request.h"
 #include "../core/id.h"
 #include "../core/outage.h"
 #include "clock.h"
-#include "router_try.h"
 #include <stdio.h>
 #include <string.h>
 
-#define TRIED_MAX 8U
-#define EVENT_ID_MAX 64U
 /* Time that a caller is asked to stay away while the platform's table is down,
    which lasts for seconds, milliseconds.  */
 #define RETRY_DOWN_MS 2000U
@@ -22,61 +19,6 @@
    worker; one who leaves earlier does not.  */
 #define LEFT_TELLS_MS 1000U
 
-/**
- * struct mq_request - one request
- * @body: what the caller sent
- * @table: configuration that the request goes by
- * @service: where it goes
- * @confirm: question whether the configuration is the newest, NULL: none
- * @is_turn: it is a turn of a program, see @turn
- * @send_body: what the worker gets
- * @give_up_ms: its final answer goes out then at the latest
- * @tried: workers that are not asked again
- * @sent: workers that it was sent to
- * @ran: an earlier try may have run
- * @worker: the last one, @try: the request there, NULL: it is over
- * @sent_ms: when it was sent there
- * @answer: what has come from there
- * @begun: the caller has got the beginning of an answer
- * @ended: the worker's stream is whole, its record is being written
- * @last_event: last event passed on, or that the caller told
- * @handed: tokens that the caller got
- * @output: data of the events, for the turn's record
- */
-struct mq_request
-{
-  struct mq_router *router;
-  struct mq_caller *caller;
-  const struct mq_http_head *head;
-  struct mq_call_facts facts;
-  struct mq_bytes body;
-  struct mq_route_table *table;
-  const struct mq_path_route *route;
-  const struct mq_route_service *service_info;
-  const char *service;
-  struct mq_confirm *confirm;
-  bool is_turn;
-  struct mq_turn turn;
-  struct mq_bytes send_body;
-  uint64_t arrived_ms;
-  uint64_t give_up_ms;
-  struct mq_timer *timer;
-  uint32_t tried[TRIED_MAX];
-  size_t tried_count;
-  uint32_t sent;
-  uint32_t unreachable;
-  bool ran;
-  uint32_t worker;
-  struct mq_try *try;
-  uint64_t sent_ms;
-  struct mq_answer answer;
-  bool begun;
-  bool ended;
-  char last_event[EVENT_ID_MAX];
-  uint64_t handed;
-  struct mq_buffer output;
-};
-
 static void place_request (struct mq_request *request);
 
 /* Time until the final answer.  */
@@ -109,9 +51,9 @@
   mq_json_number (line, "after_ms", mq_clock_ms () - request->arrived_ms);
 }
 
-static void
-log_end (const struct mq_request *request, enum mq_json_weight weight,
-         const char *outcome, int status)
+void
+request_log_end (const struct mq_request *request, enum mq_json_weight weight,
+                 const char *outcome, int status)
 {
   struct mq_json_line line;
 
@@ -135,8 +77,8 @@
 }
 
 /* Frees the request; its caller has been answered or is gone.  */
-static void
-close_request (struct mq_request *request)
+void
+request_close (struct mq_request *request)
 {
   struct mq_router *router = request->router;
 
@@ -162,26 +104,26 @@
   const struct mq_refusal_row *row = mq_refusal_row (refusal);
   uint32_t retry_ms = 0;
 
-  log_end (request, MQ_JSON_NOTE, row->name, row->status);
+  request_log_end (request, MQ_JSON_NOTE, row->name, row->status);
   if (row->status >= 500 && row->status != 503)
     router->counters.failed++;
   if (refusal == MQ_REFUSE_STORE && mq_ledger_down (router->ledger))
     retry_ms = RETRY_DOWN_MS;
   if (refusal == MQ_REFUSE_NO_WORKER)
     retry_ms = mq_fleet_retry_ms (router->fleet, request->service);
-  close_request (request);
+  request_close (request);
   mq_refuse_caller (router, caller, refusal, retry_ms);
 }
 
 /* An answer that has begun can't be completed.  */
-static void
-break_off (struct mq_request *request, const char *why)
+void
+request_break_off (struct mq_request *request, const char *why)
 {
   struct mq_caller *caller = request->caller;
 
   request->router->counters.broken++;
-  log_end (request, MQ_JSON_NOTE, why, request->answer.status);
-  close_request (request);
+  request_log_end (request, MQ_JSON_NOTE, why, request->answer.status);
+  request_close (request);
   mq_caller_break (caller);
 }
 
@@ -202,7 +144,7 @@
   if (request->answer.status == 0)
     stop_try (request, MQ_OUTCOME_FAILED);
   if (request->begun)
-    break_off (request, "overdue");
+    request_break_off (request, "overdue");
   else if (request->ran)
     refuse (request, MQ_REFUSE_OVERDUE);
   else
@@ -274,87 +216,13 @@
       pass_on (request);
       return;
     case MQ_NEXT_BREAK:
-      break_off (request, "broken");
+      request_break_off (request, "broken");
       return;
     }
 }
 
-static void
-begin_stream (struct mq_request *request)
-{
-  if (request->begun)
-    return;
-  request->begun = true;
-  if (request->try != NULL)
-    mq_try_begun (request->try);
-  mq_caller_begin (request->caller, request->answer.status,
-                   mq_buffer_text (&request->answer.fields));
-}
-
-/* The turn was granted less than its most, and has no tokens left for another
-   event.  */
-static bool
-is_over_budget (const struct mq_request *request)
-{
-  return request->is_turn && request->turn.granted < request->turn.most
-         && request->turn.granted > 0
-         && request->handed + request->service_info->tokens_per_event
-                > request->turn.granted;
-}
-
-static void
-note_event (struct mq_request *request, const struct mq_event *event)
-{
-  if (event->id_len > 0 && event->id_len < EVENT_ID_MAX)
-    {
-      memcpy (request->last_event, event->id, event->id_len);
-      request->last_event[event->id_len] = '\0';
-    }
-  if (!event->has_data)
-    return;
-  if (request->service_info != NULL)
-    request->handed += request->service_info->tokens_per_event;
-  if (!request->is_turn || !request->turn.retains)
-    return;
-  mq_buffer_append (request, &request->output, event->data, event->data_len,
-                    MQ_CHAIN_MAX_BYTES);
-  mq_buffer_append (request, &request->output, "\n", 1, MQ_CHAIN_MAX_BYTES);
-}
-
-static void
-give_events (struct mq_request *request, const struct mq_buffer *out)
-{
-  begin_stream (request);
-  if (!mq_caller_part (request->caller, out->data + out->at, out->len))
-    mq_try_read (request->try, false);
-}
-
-/* Whole events alone are passed on, in one write for all that came at once. */
-static void
-pass_events (void *user)
-{
-  struct mq_request *request = user;
-  struct mq_event event;
-  struct mq_buffer out = { NULL, 0, 0, 0 };
-  bool over = false;
-
-  while (!over && mq_answer_next_event (&request->answer, &event))
-    {
-      over = event.has_data && is_over_budget (request);
-      if (over)
-        break;
-      note_event (request, &event);
-      mq_buffer_append (request, &out, event.text, event.len, SIZE_MAX);
-    }
-  if (out.len > 0)
-    give_events (request, &out);
-  mq_buffer_clear (&out);
-  if (over)
-    break_off (request, "over_budget");
-}
-
-static void
-note_served (const struct mq_request *request)
+void
+request_note_served (const struct mq_request *request)
 {
   struct mq_router *router = request->router;
 
@@ -363,36 +231,6 @@
                     mq_clock_ms () - request->arrived_ms);
 }
 
-static void
-finish_stream (struct mq_request *request)
-{
-  struct mq_caller *caller = request->caller;
-
-  note_served (request);
-  log_end (request, MQ_JSON_PLAIN, "served", request->answer.status);
-  close_request (request);
-  mq_caller_end (caller);
-}
-
-/* A turn that may be continued must outlive every process before its caller
-   may believe that it has ended.  */
-static void
-end_stream (struct mq_request *request)
-{
-  const struct mq_buffer *output = &request->output;
-
-  begin_stream (request);
-  request->ended = true;
-  if (request->is_turn)
-    mq_turn_settle (&request->turn, request->handed);
-  if (request->is_turn && request->turn.retains)
-    mq_turn_keep (&request->turn, request->body,
-                  (struct mq_bytes){ (uint8_t *)output->data + output->at,
-                                     output->len });
-  else
-    finish_stream (request);
-}
-
 /* The worker's answer as a whole, as it was.  */
 static void
 pass_on (struct mq_request *request)
@@ -406,12 +244,12 @@
   bool with_body = !mq_answer_bodiless (status)
                    && strcmp (request->head->method, "HEAD") != 0;
 
-  note_served (request);
-  log_end (request, status >= 500 ? MQ_JSON_NOTE : MQ_JSON_PLAIN, "served",
-           status);
+  request_note_served (request);
+  request_log_end (request, status >= 500 ? MQ_JSON_NOTE : MQ_JSON_PLAIN,
+                   "served", status);
   talloc_steal (router, fields.data);
   talloc_steal (router, body.data);
-  close_request (request);
+  request_close (request);
   mq_caller_answer (caller, status, mq_buffer_text (&fields),
                     mq_buffer_text (&body), body.len, with_body);
   mq_buffer_clear (&fields);
@@ -440,7 +278,7 @@
 refuse_unplaced (struct mq_request *request)
 {
   if (request->begun)
-    break_off (request, "no_worker");
+    request_break_off (request, "no_worker");
   else if (request->ran)
     refuse (request, MQ_REFUSE_FAILED);
   else if (request->tried_count > 0)
@@ -458,7 +296,7 @@
   switch (end)
     {
     case MQ_ATTEMPT_STREAMED:
-      end_stream (request);
+      request_end_stream (request);
       return;
     case MQ_ATTEMPT_ANSWERED:
       pass_on (request);
@@ -487,7 +325,7 @@
     .answer_ctx = request,
     .repeatable = mq_route_repeatable (request->route),
     .begun = request->begun,
-    .events = pass_events,
+    .events = request_pass_events,
     .ended = on_tried,
     .user = request,
   };
@@ -560,12 +398,12 @@
       return;
     case MQ_TURN_NO_STORE:
       if (request->ended)
-        break_off (request, "not_kept");
+        request_break_off (request, "not_kept");
       else
         refuse (request, MQ_REFUSE_STORE);
       return;
     case MQ_TURN_KEPT:
-      finish_stream (request);
+      request_finish_stream (request);
       return;
     }
 }
@@ -712,10 +550,11 @@
 mq_request_caller_left (struct mq_request *request)
 {
   request->router->counters.left++;
-  log_end (request, MQ_JSON_PLAIN, "caller_left", request->answer.status);
+  request_log_end (request, MQ_JSON_PLAIN, "caller_left",
+                   request->answer.status);
   if (request->try != NULL && mq_try_silent_ms (request->try) >= LEFT_TELLS_MS)
     stop_try (request, MQ_OUTCOME_FAILED);
-  close_request (request);
+  request_close (request);
 }
 
 void
--- /dev/null
+++ b/src/io/router_request.h
@@ -0,0 +1,91 @@
+/* router_request.h - one request, shared by router_request.c and
+   router_stream.c only.
+
+   Needs: router_state.h, router_try.h.  */
+
+#ifndef MQ_ROUTER_REQUEST_H
+#define MQ_ROUTER_REQUEST_H
+
+#include "router_state.h"
+#include "router_try.h"
+
+#define TRIED_MAX 8U
+#define EVENT_ID_MAX 64U
+
+/**
+ * struct mq_request - one request
+ * @body: what the caller sent
+ * @table: configuration that the request goes by
+ * @service: where it goes
+ * @confirm: question whether the configuration is the newest, NULL: none
+ * @is_turn: it is a turn of a program, see @turn
+ * @send_body: what the worker gets
+ * @give_up_ms: its final answer goes out then at the latest
+ * @tried: workers that are not asked again
+ * @sent: workers that it was sent to
+ * @ran: an earlier try may have run
+ * @worker: the last one, @try: the request there, NULL: it is over
+ * @sent_ms: when it was sent there
+ * @answer: what has come from there
+ * @begun: the caller has got the beginning of an answer
+ * @ended: the worker's stream is whole, its record is being written
+ * @last_event: last event passed on, or that the caller told
+ * @handed: tokens that the caller got
+ * @output: data of the events, for the turn's record
+ */
+struct mq_request
+{
+  struct mq_router *router;
+  struct mq_caller *caller;
+  const struct mq_http_head *head;
+  struct mq_call_facts facts;
+  struct mq_bytes body;
+  struct mq_route_table *table;
+  const struct mq_path_route *route;
+  const struct mq_route_service *service_info;
+  const char *service;
+  struct mq_confirm *confirm;
+  bool is_turn;
+  struct mq_turn turn;
+  struct mq_bytes send_body;
+  uint64_t arrived_ms;
+  uint64_t give_up_ms;
+  struct mq_timer *timer;
+  uint32_t tried[TRIED_MAX];
+  size_t tried_count;
+  uint32_t sent;
+  uint32_t unreachable;
+  bool ran;
+  uint32_t worker;
+  struct mq_try *try;
+  uint64_t sent_ms;
+  struct mq_answer answer;
+  bool begun;
+  bool ended;
+  char last_event[EVENT_ID_MAX];
+  uint64_t handed;
+  struct mq_buffer output;
+};
+
+/* router_request.c */
+
+/* Frees the request; its caller has been answered or is gone.  */
+void request_close (struct mq_request *request);
+/* An answer that has begun can't be completed.  */
+void request_break_off (struct mq_request *request, const char *why);
+void request_log_end (const struct mq_request *request,
+                      enum mq_json_weight weight, const char *outcome,
+                      int status);
+void request_note_served (const struct mq_request *request);
+
+/* router_stream.c */
+
+/* Passes on the whole events that have come.  */
+void request_pass_events (void *request);
+/* The worker's stream is whole; the answer ends, at once or with the turn's
+   record.  */
+void request_end_stream (struct mq_request *request);
+/* The answer ends now.  */
+void request_finish_stream (struct mq_request *request);
+
+#endif
