--- a/src/io/router_loan.c
+++ b/src/io/router_loan.c
@@ -1,11 +1,12 @@
-/* router_loan.c - tokens and histories that hosts lend each other while none
-   of them reaches the platform's table.
+/* router_loan.c - tokens and histories that hosts lend each other.
 
    A turn whose budget or history lies at another host is answered from that
    host's memory: a history there is one whose record is durable, and tokens
-   leave the lender's grant before they are sent.  Where no host holds any,
-   the one with the lease on the program issues the one turn's tokens that the
-   budget allows beyond its limit (budget.h, reserve.h).
+   leave the lender's grant before they are sent.  Three questions are asked:
+   of the hosts near by, before the table; of all, while the table is away,
+   where in the end the host with the lease on the program issues the one
+   turn's tokens that the budget allows beyond its limit (budget.h, reserve.h);
+   and of all, when a program's record is full, for tokens that nobody uses.
    Needs: router_turns.h, memory.h, clock.h.  */
 
 #include "router_turns.h"
@@ -112,7 +113,6 @@
 ask_hosts (struct mq_loan *loan, const struct mq_relay_loan_ask *ask)
 {
   struct mq_router *router = loan->turns->router;
-
   uint32_t wait = loan->near ? WAIT_NEAR_MS : WAIT_MS;
 
   loan->due = mq_relay_ask_loan (router->relay, ask, loan->near);
--- a/tests/test_turns.c
+++ b/tests/test_turns.c
@@ -144,7 +144,7 @@
     {
       struct world world = { .version = 0, .holder = { 7, 8, 9 } };
       uint64_t state = 3;
-      int turns = limits[i] < 3 * MOST ? 1 : 2;
+      int turns = limits[i] < (uint64_t)3 * MOST ? 1 : 2;
 
       for (int host = 0; host < turns; host++)
         {
