--- a/src/io/relay_loan.c
+++ b/src/io/relay_loan.c
@@ -31,8 +31,8 @@
 
 /* One round over the hosts with an open link, or over those without.  */
 static uint32_t
-ask_hosts (struct mq_relay *relay, const struct mq_relay_frame *frame,
-           bool near, bool linked, uint32_t asked)
+ask_hosts (struct mq_relay *relay, struct mq_bytes frame, bool near,
+           bool linked, uint32_t asked)
 {
   uint64_t now = mq_clock_ms ();
 
@@ -49,7 +49,7 @@
         continue;
       if (host->loan_asked_ms == 0)
         host->loan_asked_ms = now;
-      relay_send_frame (relay, link, frame);
+      mq_relay_link_send (link, frame);
       asked++;
     }
   return asked;
@@ -71,12 +71,16 @@
 {
   struct mq_relay_frame frame
       = { .kind = MQ_RELAY_LOAN_ASK, .u.loan_ask = *ask };
-  uint32_t linked;
+  struct mq_bytes bytes;
+  uint32_t asked;
 
   if (near && count_near (relay) > MQ_RELAY_LOAN_HOSTS_MAX)
     return 0;
-  linked = ask_hosts (relay, &frame, near, true, 0);
-  return ask_hosts (relay, &frame, near, false, linked);
+  bytes = mq_relay_frame_pack (relay, &frame);
+  asked = ask_hosts (relay, bytes, near, true, 0);
+  asked = ask_hosts (relay, bytes, near, false, asked);
+  talloc_free (bytes.data);
+  return asked;
 }
 
 void
--- a/src/io/router_loan.c
+++ b/src/io/router_loan.c
@@ -273,8 +273,8 @@
     mq_chain_cache_put (turns->cache, chain);
 }
 
-/* Tokens that come for a program which is forgotten by now are lost; the
-   record counts them as spent.  */
+/* Also tokens that come too late for the turn that asked serve the program's
+   next one; if none comes, the record counts them as spent.  */
 static void
 take_tokens (struct mq_turns *turns, const struct mq_relay_loan_told *told,
              const char *address)
--- a/src/io/router_turn.c
+++ b/src/io/router_turn.c
@@ -222,9 +222,8 @@
   end_reading (turn);
 }
 
-/* Finds the chain of the turn that is missing: in memory, else in its row.  A
-   row that is in none of its places proves that there is no such turn, since a
-   turn's row is written before its answer ends.  */
+/* A row that is in none of its places proves that there is no such turn, since
+   a turn's row is written before its answer ends.  */
 void
 mq_turn_read (struct mq_turn *turn)
 {
@@ -233,6 +232,8 @@
   read_place (turn);
 }
 
+/* Finds the chain of the turn that is missing: in memory, at a host near by,
+   else in its row.  */
 static void
 find_chain (struct mq_turn *turn)
 {
--- a/src/io/rows.h
+++ b/src/io/rows.h
@@ -126,8 +126,6 @@
 bool mq_rows_part_suspect (const struct mq_rows *rows, const char *part);
 /* Nor the one before: calls to it fail at once for a while.  */
 bool mq_rows_part_down (const struct mq_rows *rows, const char *part);
-/* The table has answered some call since SINCE_MS, steady clock.  */
-bool mq_rows_heard_since (const struct mq_rows *rows, uint64_t since_ms);
 /* When the table last came back after a time without any answer, steady clock,
    0: never.  */
 uint64_t mq_rows_back_ms (const struct mq_rows *rows);
