Sight: idle closes, the limit in force, and how long the event loop was held up

Three hypotheses of the incident could not be told apart: closing an idle connection wrote no line, the limit in force was not told, and nothing said how long the loop was held up. Now caller_closed says how long the connection rested, what was allowed and whether bytes of a next request lay unread; config_in_force its routes, the limit and the time that taking it took; loop_held_up and mimosa_router_held_up_seconds how late a timer came; mimosa_router_callers_cut counts the closes beside bytes.

--- a/src/io/log_schema.h
+++ b/src/io/log_schema.h
@@ -37,7 +37,8 @@
   X (COUNTERS, "counters", INFO, MQ_LOG_COUNTED)                              \
   X (SETTINGS_REFUSED, "settings_refused", ERROR, MQ_LOG_PROBLEM)             \
   X (START_FAILED, "start_failed", ERROR, MQ_LOG_PROBLEM)                     \
-  X (CONFIG_IN_FORCE, "config_in_force", NOTICE, "version in_force subject")  \
+  X (CONFIG_IN_FORCE, "config_in_force", NOTICE,                              \
+     "version in_force subject routes idle_ms took_ms")                       \
   X (CONFIG_UNREADABLE, "config_unreadable", ERROR,                           \
      "version in_force " MQ_LOG_PROBLEM)                                      \
   X (TEXT_REFUSED, "text_refused", ERROR, MQ_LOG_PROBLEM)                     \
@@ -54,6 +55,8 @@
      MQ_LOG_REQUEST "how at_worker_ms left_ms next")                          \
   X (REQUEST_ENDED, "request_ended", INFO, MQ_LOG_REQUEST "outcome tokens")   \
   X (MESSAGE_REFUSED, "message_refused", WARNING, "reason")                   \
+  X (CALLER_CLOSED, "caller_closed", INFO, "rested_ms idle_ms unread")        \
+  X (LOOP_HELD_UP, "loop_held_up", WARNING, "held_ms")                        \
   X (BUDGET_UNREADABLE, "budget_unreadable", ERROR, "run version")            \
   X (PARTITION_OWNED, "partition_owned", NOTICE, "partition other")           \
   X (PARTITION_LOST, "partition_lost", WARNING, "partition other")            \
--- a/src/io/router.c
+++ b/src/io/router.c
@@ -13,6 +13,9 @@
 #define SWEEP_MS 250U
 /* Pause between two lines of the log with what was counted.  */
 #define COUNTERS_MS 10000U
+/* A timer that comes so late is told of in the log: the shortest time-out
+   towards others is as long.  */
+#define HELD_UP_MS 100U
 
 static void set_sweep (struct mq_router *router);
 
@@ -66,11 +69,29 @@
   log_state (router, MQ_LOG_COUNTERS);
 }
 
+/* How late this timer came says how long one handler kept the event loop from
+   all others.  */
+static void
+note_held_up (struct mq_router *router)
+{
+  uint64_t now = mq_clock_ms ();
+  uint64_t held = now > router->sweep_due_ms ? now - router->sweep_due_ms : 0;
+  struct mq_json_line line;
+
+  mq_histogram_add (&router->held_up, held);
+  if (held < HELD_UP_MS)
+    return;
+  mq_json_begin (&line, router->log, MQ_JSON_NOTE, MQ_LOG_LOOP_HELD_UP);
+  mq_json_number (&line, "held_ms", held);
+  mq_json_end (&line);
+}
+
 static void
 on_sweep (void *data)
 {
   struct mq_router *router = data;
 
+  note_held_up (router);
   mq_callers_sweep (router);
   mq_pool_sweep (router->pool);
   mq_turns_sweep (router->turns);
@@ -87,6 +108,7 @@
 static void
 set_sweep (struct mq_router *router)
 {
+  router->sweep_due_ms = mq_clock_ms () + SWEEP_MS;
   mq_timer_add (router, router->ev, SWEEP_MS, on_sweep, router);
 }
 
--- a/src/io/router_caller.c
+++ b/src/io/router_caller.c
@@ -432,6 +432,26 @@
   return router->front_event != NULL;
 }
 
+/* The caller learns nothing from a close but that it came: the line tells how
+   long the connection rested, what was allowed, and whether bytes of a next
+   request lay unread.  */
+static void
+close_idle (struct mq_caller *caller, uint64_t rested_ms, uint32_t idle_ms)
+{
+  struct mq_json_line line;
+  bool unread = mq_tcp_has_unread (caller->tcp);
+
+  if (unread)
+    caller->router->counters.callers_cut++;
+  mq_json_begin (&line, caller->router->log, MQ_JSON_NOTE,
+                 MQ_LOG_CALLER_CLOSED);
+  mq_json_number (&line, "rested_ms", rested_ms);
+  mq_json_number (&line, "idle_ms", idle_ms);
+  mq_json_number (&line, "unread", unread);
+  mq_json_end (&line);
+  finish_caller (caller);
+}
+
 static void
 check_caller (struct mq_caller *caller, const struct mq_route_limits *limits,
               uint64_t now)
@@ -446,7 +466,7 @@
         refuse_message (caller, MQ_REFUSE_SLOW_HEAD);
     }
   else if (now - caller->active_ms > limits->idle_ms)
-    finish_caller (caller);
+    close_idle (caller, now - caller->active_ms, limits->idle_ms);
 }
 
 void
--- a/src/io/router_feed.c
+++ b/src/io/router_feed.c
@@ -25,29 +25,44 @@
 };
 
 static void
-log_config (struct mq_router *router, enum mq_log_event event,
-            uint64_t version, const struct mq_error *error)
+log_unreadable (struct mq_router *router, const struct mq_error *error)
 {
   struct mq_json_line line;
 
-  mq_json_begin (&line, router->log, MQ_JSON_NOTE, event);
-  mq_json_number (&line, "version", version);
+  mq_json_begin (&line, router->log, MQ_JSON_NOTE, MQ_LOG_CONFIG_UNREADABLE);
+  mq_json_number (&line, "version", 0);
+  if (router->routes != NULL)
+    mq_json_number (&line, "in_force", router->routes->version);
+  mq_json_error (&line, error);
+  mq_json_end (&line);
+}
+
+static void
+log_in_force (struct mq_router *router, const struct mq_route_table *table,
+              uint64_t took_ms)
+{
+  struct mq_json_line line;
+
+  mq_json_begin (&line, router->log, MQ_JSON_NOTE, MQ_LOG_CONFIG_IN_FORCE);
+  mq_json_number (&line, "version", table->version);
   if (router->routes != NULL)
     mq_json_number (&line, "in_force", router->routes->version);
-  if (error != NULL)
-    mq_json_error (&line, error);
+  mq_json_number (&line, "routes", table->route_count);
+  mq_json_number (&line, "idle_ms", table->limits.idle_ms);
+  mq_json_number (&line, "took_ms", took_ms);
   mq_json_end (&line);
 }
 
 static void
 take_config (struct mq_router *router, struct mq_bytes value)
 {
+  uint64_t since = mq_clock_ms ();
   struct mq_error error = { .type = MQ_ERR_NONE };
   struct mq_route_table *table = mq_wire_read_config (router, value, &error);
 
   if (table == NULL)
     {
-      log_config (router, MQ_LOG_CONFIG_UNREADABLE, 0, &error);
+      log_unreadable (router, &error);
       return;
     }
   if (router->routes != NULL && table->version <= router->routes->version)
@@ -59,7 +74,7 @@
   talloc_free (router->config.data);
   router->config.data = talloc_memdup (router, value.data, value.len);
   router->config.len = router->config.data == NULL ? 0 : value.len;
-  log_config (router, MQ_LOG_CONFIG_IN_FORCE, table->version, NULL);
+  log_in_force (router, table, mq_clock_ms () - since);
   /* Requests under way hold a reference to the one they began with.  */
   if (router->routes != NULL)
     talloc_unlink (router, router->routes);
--- a/src/io/router_report.c
+++ b/src/io/router_report.c
@@ -13,6 +13,14 @@
         .first_bit = 0,
         .last_bit = 17 };
 
+/* To 8 s: a process that was held up longer stood still.  */
+static const struct mq_metrics_family held_up
+    = { .name = "mimosa_router_held_up_seconds",
+        .help = "how late the event loop came to a timer",
+        .per_second = 1e3,
+        .first_bit = 0,
+        .last_bit = 13 };
+
 /* To 8 s: calls to the table are given up before.  */
 static const struct mq_metrics_family table_time
     = { .name = "mimosa_router_table_seconds",
@@ -99,6 +107,8 @@
   add_state (&text, router);
   add_latency (&text, router);
   add_table_time (&text, router);
+  mq_metrics_begin (&text, &held_up);
+  mq_metrics_series (&text, &held_up, "timer=\"sweep\"", &router->held_up);
   mq_metrics_add_process (&text);
   return text;
 }
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -37,6 +37,7 @@
   X (failed, "final answers of our own after a worker may have run")          \
   X (broken, "answers that broke off after their beginning")                  \
   X (left, "requests whose caller left first")                                \
+  X (callers_cut, "idle connections closed beside bytes of a next request")   \
   X (retries, "further workers asked for a request")                          \
   X (resumed, "streams that went on at another worker")                       \
   X (budget_writes, "records of programs written")                            \
@@ -73,6 +74,8 @@
  * @callers: connections of callers
  * @request_count: requests under way
  * @latency: of answers passed on, by kind of route, milliseconds
+ * @held_up: how late the event loop came to a timer, milliseconds
+ * @sweep_due_ms: when that timer is due
  */
 struct mq_router
 {
@@ -100,6 +103,8 @@
   size_t request_count;
   struct mq_router_counters counters;
   struct mq_histogram latency[MQ_ROUTE_KINDS];
+  struct mq_histogram held_up;
+  uint64_t sweep_due_ms;
   struct tevent_fd *front_event;
   struct tevent_fd *ready_event;
   int front_fd;
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -305,6 +305,15 @@
   update_flags (tcp);
 }
 
+bool
+mq_tcp_has_unread (const struct mq_tcp *tcp)
+{
+  char byte;
+
+  return tcp->fd >= 0 && !tcp->opening
+         && recv (tcp->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* Either the connection did not come about in time, or the other side did not
    end a finished one.  */
 static void
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -64,6 +64,8 @@
 /* Stops and starts reading; the end of a connection whose reading is stopped
    is noticed when it starts again.  */
 void mq_tcp_read (struct mq_tcp *tcp, bool on);
+/* Bytes of the other side have arrived and were not read yet.  */
+bool mq_tcp_has_unread (const struct mq_tcp *tcp);
 /* Sends what is unsent, then nothing more; what still comes in is dropped.
    The connection destroys itself when the other side ends or after a second,
    so that an answer is not lost to a reset for bytes that were not read.  */
