Test, failing: what arrived while a host was held up is answered

A whole request lies unread in the socket while a handler takes long; the look at resting connections, long due, comes first and closes it. The same beside a planned stop, and 408 for a head whose end had come in time; and at the timers themselves: late ones come before what has arrived.

--- /dev/null
+++ b/tests/test_held_up.c
@@ -0,0 +1,107 @@
+/* test_held_up.c - a host that was held up for some tenths of a second, and
+   what it then makes of bytes that came meanwhile.
+
+   Needs: Criterion, router_site.h, http_peer.h.  */
+
+#include "router_site.h"
+#include "http_peer.h"
+#include <criterion/criterion.h>
+#include <string.h>
+#include <unistd.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+#define LINE "GET /call/a HTTP/1.1\r\n"
+#define HOST "Host: h.example\r\n"
+#define FIRST LINE HOST "X-Request-Id: q1\r\n\r\n"
+#define REST HOST "X-Request-Id: q2\r\n\r\n"
+/* The site's limits: 400 ms of rest, 300 ms for a head, a look at them every
+   250 ms, the door closed 200 ms after a stop was asked for.  The host is held
+   up for longer than it takes to the next look.  */
+#define READ_MS 20U
+#define HELD_BEFORE_MS 260U
+
+static struct edge_site *site;
+static struct edge_call call;
+
+static void
+set_up (void)
+{
+  site = edge_create ();
+}
+
+static void
+tear_down (void)
+{
+  edge_destroy (site);
+}
+
+TestSuite (held_up, .init = set_up, .fini = tear_down, .timeout = 120);
+
+/* The event loop stands still, as while one handler takes long, and TEXT
+   arrives AFTER_MS before it goes on.  */
+static void
+hold_up_beside (const char *text, uint32_t after_ms)
+{
+  usleep (HELD_BEFORE_MS * 1000);
+  raw_send (call.fd, text, strlen (text));
+  usleep (after_ms * 1000);
+}
+
+/**
+ * struct held_case - a request of which the end arrives while the host is
+ * held up
+ * @first: what came before
+ * @answered: so many answers are out before the host is held up
+ * @leaves: a stop was asked for
+ * @then: what comes meanwhile
+ * @after_ms: how long before the host goes on
+ */
+struct held_case
+{
+  const char *name;
+  const char *first;
+  int answered;
+  bool leaves;
+  const char *then;
+  uint32_t after_ms;
+};
+
+static const struct held_case held_cases[] = {
+  { "request on a rested connection", FIRST, 1, false, LINE REST, 200 },
+  /* Its caller was never told to go elsewhere; the time to rest is not over.
+   */
+  { "request beside a planned stop", FIRST, 1, true, LINE REST, 100 },
+  { "rest of a head", LINE, 0, false, REST, 200 },
+};
+
+/* A host with little of a processor takes a configuration of thousands of
+   routes, which holds its event loop up for more than half a second.  A caller
+   sends its next request meanwhile on a connection that has rested for nearly
+   as long as it may.  When the loop went on, its timers came before its
+   sockets: the look at resting connections found the time over, closed the
+   connection, and the whole request was read and dropped.  Seen as
+   loop_held_up held_ms 228 and, a millisecond later, caller_closed rested_ms
+   15463 idle_ms 15000 unread 1; the caller got neither answer nor refusal.  */
+Test (held_up, what_has_arrived_is_answered)
+{
+  for (size_t i = 0; i < ROWS (held_cases); i++)
+    {
+      const struct held_case *row = &held_cases[i];
+
+      edge_call (site, &call, 0, row->first);
+      if (row->answered > 0)
+        edge_wait (site, &call, row->answered);
+      else
+        edge_run (site, READ_MS);
+      if (row->leaves)
+        mq_router_leave (site->routers[0]);
+      hold_up_beside (row->then, row->after_ms);
+      edge_wait (site, &call, row->answered + 1);
+      cr_expect_not_null (strstr (call.answer, "X-Request-Id: q2"),
+                          "%s: closed %d after %s", row->name, call.closed,
+                          call.answer);
+      edge_hang_up (&call);
+      edge_kill (site, 0);
+      edge_start (site, 0);
+    }
+}
--- a/tests/test_timer.c
+++ b/tests/test_timer.c
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 #include <sys/time.h>
 #include <time.h>
+#include <unistd.h>
 
 static int64_t day_shift_s;
 
@@ -133,6 +134,43 @@
     }
 }
 
+static void
+on_byte (struct tevent_context *loop, struct tevent_fd *event, uint16_t flags,
+         void *data)
+{
+  int *fd = data;
+  char byte;
+
+  (void)loop;
+  (void)event;
+  (void)flags;
+  if (read (*fd, &byte, 1) == 1)
+    on_letter (&byte);
+}
+
+/* One handler keeps the loop for longer than a time-out, and the answers that
+   the time-out waits for arrive meanwhile.  The time-outs came first, since
+   the oldest of them was due before the answers were there: whoever had
+   answered in time was taken for silent.  */
+Test (timer, what_has_arrived_comes_before_late_timers)
+{
+  int ends[3][2];
+
+  for (size_t i = 0; i < 3; i++)
+    {
+      cr_assert_eq (pipe (ends[i]), 0);
+      tevent_add_fd (ev, ev, ends[i][0], TEVENT_FD_READ, on_byte, &ends[i][0]);
+    }
+  mq_timer_add (ev, ev, 10, on_letter, "s");
+  mq_timer_add (ev, ev, 60, on_letter, "t");
+  usleep (30000);
+  for (size_t i = 0; i < 3; i++)
+    cr_assert_eq (write (ends[i][1], "abc" + i, 1), 1);
+  usleep (50000);
+  run_until (5);
+  cr_assert_str_eq (order, "abcst");
+}
+
 /* Many timers, some cancelled, in any order.  */
 Test (timer, many)
 {
