Timers that come late wait for one look at the connections

Cause: all timers share one descriptor, which is ready from the oldest due time on; after a handler that takes long (a configuration of 4,250 routes: 326 ms, the loop held up to 600 ms) every timer due by then runs before what has arrived is read. An idle look closed a connection beside a whole unread request; a head that had come in time got 408.

--- a/src/io/timer.c
+++ b/src/io/timer.c
@@ -11,6 +11,10 @@
 
 #define FIRST_ROOM ((size_t)64)
 #define NOT_ARMED UINT64_MAX
+/* Timers that come later than this wait for one look at the connections.  In
+   a loop that is not held up they are less than a millisecond late, and the
+   shortest time-out of this product is 100 ms.  */
+#define LATE_US 5000U
 
 struct hub;
 
@@ -33,6 +37,7 @@
  * @heap: a timer's due time is not after those of its children, which are at
  *        twice its index and one or two more
  * @armed_us: when the descriptor fires, NOT_ARMED: never
+ * @looked: the connections were looked at since the timers came late
  */
 struct hub
 {
@@ -43,6 +48,7 @@
   size_t count;
   size_t room;
   uint64_t armed_us;
+  bool looked;
   int fd;
 };
 
@@ -112,21 +118,43 @@
   return 0;
 }
 
+static void
+arm_at (struct hub *hub, uint64_t due_us)
+{
+  struct itimerspec when = { .it_value = { 0, 0 } };
+
+  when.it_value.tv_sec = (time_t)(due_us / 1000000U);
+  when.it_value.tv_nsec = (long)(due_us % 1000000U) * 1000;
+  if (timerfd_settime (hub->fd, TFD_TIMER_ABSTIME, &when, NULL) == 0)
+    hub->armed_us = due_us;
+}
+
 /* The descriptor is set only to come earlier; when it comes too early, since
    the timer that it was set for is gone, it is set again.  */
 static void
 arm (struct hub *hub)
 {
-  struct itimerspec when = { .it_value = { 0, 0 } };
-  uint64_t due;
+  if (!hub->looked && hub->count > 0 && hub->heap[0]->due_us < hub->armed_us)
+    arm_at (hub, hub->heap[0]->due_us);
+}
 
-  if (hub->count == 0 || hub->heap[0]->due_us >= hub->armed_us)
-    return;
-  due = hub->heap[0]->due_us;
-  when.it_value.tv_sec = (time_t)(due / 1000000U);
-  when.it_value.tv_nsec = (long)(due % 1000000U) * 1000;
-  if (timerfd_settime (hub->fd, TFD_TIMER_ABSTIME, &when, NULL) == 0)
-    hub->armed_us = due;
+/* Failure: one handler keeps the loop from all others, a configuration of
+   thousands of routes for half a second.  Answers and requests arrive
+   meanwhile, but the descriptor of the timers has been ready for longer: what
+   waits for them finds its time over, and a caller's connection is closed, or
+   another host taken for lost, beside bytes that lie unread.  So timers that
+   come late are put off once.  The descriptor is set to the present, which
+   puts it behind all that is ready now: the kernel hands descriptors out in
+   the order in which they became ready.  */
+static bool
+put_off (struct hub *hub, uint64_t now)
+{
+  bool late = hub->count > 0 && hub->heap[0]->due_us + LATE_US < now;
+
+  hub->looked = late && !hub->looked;
+  if (hub->looked)
+    arm_at (hub, now);
+  return hub->looked;
 }
 
 /* Timers that are set by the handlers wait for the next turn of the loop, so
@@ -145,6 +173,8 @@
   if (read (hub->fd, &expired, sizeof expired) != (ssize_t)sizeof expired)
     return;
   hub->armed_us = NOT_ARMED;
+  if (put_off (hub, now))
+    return;
   while (hub->count > 0 && hub->heap[0]->due_us <= now)
     {
       struct mq_timer *timer = talloc_steal (hub, hub->heap[0]);
--- a/src/io/timer.h
+++ b/src/io/timer.h
@@ -3,7 +3,8 @@
    tevent's own timers go by the time of day: when that is set back, they come
    late by as much, and no time-out is kept; when it is set ahead, all of them
    come at once and end what is in good order.  These use a timer descriptor
-   of the kernel's steady clock.
+   of the kernel's steady clock.  Timers that come late, the loop having been
+   held up, come after what has arrived at the connections until then.
    Needs: tevent, clock.h.  */
 
 #ifndef MQ_TIMER_H
