Test, failing: a look at connections beside unread bytes; callers at the door of a stop

Timers that wait for one look at the connections leave a rest: more arrives while the host works off what has arrived. A look that comes then closes a rested connection beside the bytes of its next request, a stop closes its door before those who wait at it and ends while they are unread.

--- a/tests/test_held_up.c
+++ b/tests/test_held_up.c
@@ -5,6 +5,7 @@
 
 #include "router_site.h"
 #include "http_peer.h"
+#include "io/router_state.h"
 #include <criterion/criterion.h>
 #include <string.h>
 #include <unistd.h>
@@ -19,6 +20,8 @@
    up for longer than it takes to the next look.  */
 #define READ_MS 20U
 #define HELD_BEFORE_MS 260U
+/* Longer than each of the limits.  */
+#define LIMITS_MS 450U
 
 static struct edge_site *site;
 static struct edge_call call;
@@ -40,10 +43,13 @@
 /* The event loop stands still, as while one handler takes long, and TEXT
    arrives AFTER_MS before it goes on.  */
 static void
-hold_up_beside (const char *text, uint32_t after_ms)
+hold_up_beside (const char *text, uint32_t after_ms, bool connects)
 {
   usleep (HELD_BEFORE_MS * 1000);
-  raw_send (call.fd, text, strlen (text));
+  if (connects)
+    edge_call (site, &call, 0, text);
+  else
+    raw_send (call.fd, text, strlen (text));
   usleep (after_ms * 1000);
 }
 
@@ -52,7 +58,8 @@
  * held up
  * @first: what came before
  * @answered: so many answers are out before the host is held up
- * @leaves: a stop was asked for
+ * @leaves: a stop was asked for; what is not out when it is done is lost
+ * @connects: the request comes on a new connection
  * @then: what comes meanwhile
  * @after_ms: how long before the host goes on
  */
@@ -62,16 +69,19 @@
   const char *first;
   int answered;
   bool leaves;
+  bool connects;
   const char *then;
   uint32_t after_ms;
 };
 
 static const struct held_case held_cases[] = {
-  { "request on a rested connection", FIRST, 1, false, LINE REST, 200 },
+  { "request on a rested connection", FIRST, 1, false, false, LINE REST, 200 },
   /* Its caller was never told to go elsewhere; the time to rest is not over.
    */
-  { "request beside a planned stop", FIRST, 1, true, LINE REST, 100 },
-  { "rest of a head", LINE, 0, false, REST, 200 },
+  { "request beside a planned stop", FIRST, 1, true, false, LINE REST, 100 },
+  { "new connection beside a planned stop", NULL, 0, true, true, LINE REST,
+    100 },
+  { "rest of a head", LINE, 0, false, false, REST, 200 },
 };
 
 /* A host with little of a processor takes a configuration of thousands of
@@ -88,14 +98,82 @@
     {
       const struct held_case *row = &held_cases[i];
 
-      edge_call (site, &call, 0, row->first);
+      if (row->first != NULL)
+        edge_call (site, &call, 0, row->first);
       if (row->answered > 0)
         edge_wait (site, &call, row->answered);
       else
         edge_run (site, READ_MS);
       if (row->leaves)
         mq_router_leave (site->routers[0]);
-      hold_up_beside (row->then, row->after_ms);
+      hold_up_beside (row->then, row->after_ms, row->connects);
+      if (row->leaves)
+        EDGE_WAIT (site, mq_router_stopped (site->routers[0]));
+      if (row->leaves)
+        edge_kill (site, 0);
+      edge_wait (site, &call, row->answered + 1);
+      cr_expect_not_null (strstr (call.answer, "X-Request-Id: q2"),
+                          "%s: closed %d after %s", row->name, call.closed,
+                          call.answer);
+      edge_hang_up (&call);
+      if (!row->leaves)
+        edge_kill (site, 0);
+      edge_start (site, 0);
+    }
+}
+
+/**
+ * struct look_case - a look at connections beside a request that is unread
+ * @first: what came before
+ * @answered: so many answers are out before the look
+ * @stops: the look is that of a stop which closes the door
+ * @connects: the request comes on a new connection, which waits at the door
+ * @then: what lies unread
+ */
+struct look_case
+{
+  const char *name;
+  const char *first;
+  int answered;
+  bool stops;
+  bool connects;
+  const char *then;
+};
+
+static const struct look_case look_cases[] = {
+  { "rested connection", FIRST, 1, false, false, LINE REST },
+  { "head over its time", LINE, 0, false, false, REST },
+  { "rested connection at a stop", FIRST, 1, true, false, LINE REST },
+  { "new connection at a stop", NULL, 0, true, true, LINE REST },
+};
+
+/* While a host that was held up works off what has arrived, more arrives, and
+   the look at connections comes in between.  Timers that wait for one look at
+   the connections do not help there: a rested connection was closed beside the
+   bytes of its next request, and a host that stopped closed its door before
+   those who waited at it.  Such callers got a closed connection and no
+   answer.  */
+Test (held_up, look_beside_unread_bytes)
+{
+  for (size_t i = 0; i < ROWS (look_cases); i++)
+    {
+      const struct look_case *row = &look_cases[i];
+
+      if (row->connects)
+        edge_call (site, &call, 0, row->then);
+      else
+        edge_call (site, &call, 0, row->first);
+      if (row->answered > 0)
+        edge_wait (site, &call, row->answered);
+      else if (!row->connects)
+        edge_run (site, READ_MS);
+      usleep (LIMITS_MS * 1000);
+      if (!row->connects)
+        raw_send (call.fd, row->then, strlen (row->then));
+      if (row->stops)
+        mq_callers_stop (site->routers[0]);
+      else
+        mq_callers_sweep (site->routers[0]);
       edge_wait (site, &call, row->answered + 1);
       cr_expect_not_null (strstr (call.answer, "X-Request-Id: q2"),
                           "%s: closed %d after %s", row->name, call.closed,
