Connections are not closed beside unread bytes; a stop takes those at its door

Cause: a connection was judged by when it was last read. A look that came while a request lay unread closed it with no answer; a planned stop closed its door before those who waited at it, and ended once no request was under way though some lay unread.

Change: what lies unread is read before a connection is judged; a stop takes who waits before it closes the door, and ends with the last connection of a caller.

--- a/src/io/log_schema.h
+++ b/src/io/log_schema.h
@@ -55,7 +55,7 @@
      MQ_LOG_REQUEST "how at_worker_ms left_ms next")                          \
   X (REQUEST_ENDED, "request_ended", INFO, MQ_LOG_REQUEST "outcome tokens")   \
   X (MESSAGE_REFUSED, "message_refused", WARNING, "reason")                   \
-  X (CALLER_CLOSED, "caller_closed", INFO, "rested_ms idle_ms unread")        \
+  X (CALLER_CLOSED, "caller_closed", INFO, "rested_ms idle_ms")               \
   X (LOOP_HELD_UP, "loop_held_up", WARNING, "held_ms")                        \
   X (BUDGET_UNREADABLE, "budget_unreadable", ERROR, "run version")            \
   X (PARTITION_OWNED, "partition_owned", NOTICE, "partition other")           \
--- a/src/io/router_caller.c
+++ b/src/io/router_caller.c
@@ -401,6 +401,19 @@
   router->caller_count++;
 }
 
+/* False when nobody waits at the door.  */
+static bool
+accept_caller (struct mq_router *router)
+{
+  int fd
+      = accept4 (router->front_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+  if (fd >= 0)
+    add_caller (router, fd);
+  /* One that has left again hides those behind it.  */
+  return fd >= 0 || errno == ECONNABORTED;
+}
+
 static void
 on_accept (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
            void *data)
@@ -410,15 +423,8 @@
   (void)ev;
   (void)event;
   (void)flags;
-  for (int i = 0; i < ACCEPT_MAX; i++)
-    {
-      int fd = accept4 (router->front_fd, NULL, NULL,
-                        SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-      if (fd < 0)
-        return;
-      add_caller (router, fd);
-    }
+  for (int i = 0; i < ACCEPT_MAX && accept_caller (router); i++)
+    ;
 }
 
 bool
@@ -433,30 +439,36 @@
 }
 
 /* The caller learns nothing from a close but that it came: the line tells how
-   long the connection rested, what was allowed, and whether bytes of a next
-   request lay unread.  */
+   long the connection rested and what was allowed.  */
 static void
 close_idle (struct mq_caller *caller, uint64_t rested_ms, uint32_t idle_ms)
 {
   struct mq_json_line line;
-  bool unread = mq_tcp_has_unread (caller->tcp);
 
-  if (unread)
-    caller->router->counters.callers_cut++;
   mq_json_begin (&line, caller->router->log, MQ_JSON_NOTE,
                  MQ_LOG_CALLER_CLOSED);
   mq_json_number (&line, "rested_ms", rested_ms);
   mq_json_number (&line, "idle_ms", idle_ms);
-  mq_json_number (&line, "unread", unread);
   mq_json_end (&line);
   finish_caller (caller);
 }
 
+/* Failure: a connection is judged by when it was last read, and closed beside
+   a request that lies unread; the caller sees a closed connection and no
+   answer, and may not repeat what may run once.  What lies there came before
+   the close, so it is read first; a caller that sends nothing whole is met
+   again by the next look, and by the bounds of a message.  */
+static bool
+is_unjudged (const struct mq_caller *caller)
+{
+  return caller->answering || mq_tcp_has_unread (caller->tcp);
+}
+
 static void
 check_caller (struct mq_caller *caller, const struct mq_route_limits *limits,
               uint64_t now)
 {
-  if (caller->answering)
+  if (is_unjudged (caller))
     return;
   if (mq_http_reader_within (caller->reader))
     {
@@ -484,6 +496,19 @@
     }
 }
 
+/* Those who wait at the door were let in by the kernel: closing it before they
+   are taken resets their connections, and what they have sent gets no
+   answer.  */
+static void
+close_door (struct mq_router *router)
+{
+  while (accept_caller (router))
+    ;
+  TALLOC_FREE (router->front_event);
+  close (router->front_fd);
+  router->front_fd = -1;
+}
+
 void
 mq_callers_stop (struct mq_router *router)
 {
@@ -491,15 +516,14 @@
 
   if (router->front_event != NULL)
     {
-      TALLOC_FREE (router->front_event);
-      close (router->front_fd);
-      router->front_fd = -1;
+      close_door (router);
+      return;
     }
   for (struct mq_caller *caller = router->callers; caller != NULL;
        caller = next)
     {
       next = caller->next;
-      if (!caller->answering && !mq_http_reader_within (caller->reader))
+      if (!is_unjudged (caller) && !mq_http_reader_within (caller->reader))
         finish_caller (caller);
     }
 }
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -37,7 +37,6 @@
   X (failed, "final answers of our own after a worker may have run")          \
   X (broken, "answers that broke off after their beginning")                  \
   X (left, "requests whose caller left first")                                \
-  X (callers_cut, "idle connections closed beside bytes of a next request")   \
   X (retries, "further workers asked for a request")                          \
   X (resumed, "streams that went on at another worker")                       \
   X (budget_writes, "records of programs written")                            \
@@ -143,8 +142,8 @@
 bool mq_callers_listen (struct mq_router *router, struct mq_error *error);
 /* Closes connections that are idle or slow beyond the limits in force.  */
 void mq_callers_sweep (struct mq_router *router);
-/* Takes no new connections and closes the idle ones: the process is about to
-   end.  May be called again.  */
+/* Takes those who wait at the door, closes it, and at further calls closes the
+   idle connections: the process is about to end.  */
 void mq_callers_stop (struct mq_router *router);
 /* REQUEST is told when CALLER leaves, until it answers.  */
 void mq_caller_serves (struct mq_caller *caller, struct mq_request *request);
