Test, failing: a second hold-up; an answer before a failed write

Late timers wait for one look at the connections, but one that falls due only during that look runs with them. A connection on which a write fails is given up before the answer that lies there is read.

--- /dev/null
+++ b/tests/test_lane.c
@@ -0,0 +1,169 @@
+/* test_lane.c - connections to servers, and what lies unread on them when
+   they are used or given up.
+
+   Needs: Criterion, http_lane.h.  */
+
+#include "io/http_lane.h"
+#include "io/listen.h"
+#include <criterion/criterion.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ASK "POST /once HTTP/1.1\r\nHost: s.example\r\nContent-Length: "
+#define BUSY "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 4\r\n\r\nbusy"
+/* Generous: only a fault comes near it.  */
+#define WAIT_MS 20000
+/* More than the buffers of both ends take, less than a connection keeps.  */
+#define LARGE_BYTES ((size_t)7 << 20)
+
+static struct tevent_context *ev;
+static int listening;
+static char address[32];
+
+static void
+set_up (void)
+{
+  ev = tevent_context_init (NULL);
+  listening = mq_listen_open ("127.0.0.1:0", NULL);
+  cr_assert_geq (listening, 0);
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            mq_listen_port (listening));
+}
+
+static void
+tear_down (void)
+{
+  talloc_free (ev);
+  close (listening);
+}
+
+TestSuite (lane, .init = set_up, .fini = tear_down, .timeout = 120);
+
+static void
+wait_readable (int fd)
+{
+  struct pollfd ready = { .fd = fd, .events = POLLIN };
+
+  cr_assert_eq (poll (&ready, 1, WAIT_MS), 1, "waited in vain");
+}
+
+/* The server's end of the next connection.  */
+static int
+take_connection (void)
+{
+  int fd;
+
+  wait_readable (listening);
+  fd = accept (listening, NULL, NULL);
+  cr_assert_geq (fd, 0);
+  return fd;
+}
+
+static void
+say (int fd, const char *text)
+{
+  cr_assert_eq (send (fd, text, strlen (text), MSG_NOSIGNAL),
+                (ssize_t)strlen (text));
+}
+
+/* Reads what has come of a request, at least something.  */
+static void
+hear (int fd)
+{
+  static char bytes[4096];
+
+  wait_readable (fd);
+  cr_assert_gt (recv (fd, bytes, sizeof bytes, 0), 0);
+}
+
+/* What was told of an answer.  */
+struct heard
+{
+  int status;
+  bool ended;
+  bool failed;
+};
+
+static bool
+on_head (const struct mq_http_head *head, void *user)
+{
+  ((struct heard *)user)->status = head->status;
+  return true;
+}
+
+static void
+on_body (const char *data, size_t len, void *user)
+{
+  (void)data;
+  (void)len;
+  (void)user;
+}
+
+static void
+on_end (void *user)
+{
+  ((struct heard *)user)->ended = true;
+}
+
+static void
+on_failed (enum mq_lane_failure failure, void *user)
+{
+  (void)failure;
+  ((struct heard *)user)->failed = true;
+}
+
+static void
+on_gone (struct mq_http_lane *lane, void *user)
+{
+  (void)user;
+  mq_http_lane_destroy (lane);
+}
+
+static void
+ask (struct mq_http_lane *lane, struct heard *heard, size_t body_len)
+{
+  struct mq_lane_events events = { .head = on_head,
+                                   .body = on_body,
+                                   .end = on_end,
+                                   .failed = on_failed,
+                                   .user = heard };
+  char head[128];
+  char *body = talloc_zero_size (ev, body_len + 1);
+
+  snprintf (head, sizeof head, ASK "%zu\r\n\r\n", body_len);
+  mq_http_lane_send (lane, &events, head, strlen (head), body, body_len,
+                     false);
+  talloc_free (body);
+}
+
+/* A server answers before it has read a long request, and ends the
+   connection.  The host was still sending: its write failed before it read,
+   the whole answer was dropped, and a request that was refused unread counted
+   as one that may have run.  */
+Test (lane, answer_before_a_failed_write_arrives)
+{
+  struct mq_error error = { .type = MQ_ERR_NONE };
+  struct mq_http_lane *lane
+      = mq_http_lane_open (ev, ev, address, 0, on_gone, NULL, &error);
+  struct heard heard = { 0 };
+  int fd;
+
+  cr_assert_not_null (lane);
+  ask (lane, &heard, LARGE_BYTES);
+  fd = take_connection ();
+  while (!mq_http_lane_sent (lane))
+    tevent_loop_once (ev);
+  hear (fd);
+  say (fd, BUSY);
+  /* With bytes that were not read this resets the connection.  */
+  close (fd);
+  while (!heard.ended && !heard.failed)
+    tevent_loop_once (ev);
+  cr_expect_eq (heard.status, 429);
+  cr_expect (heard.ended);
+  cr_expect_not (heard.failed);
+  mq_http_lane_destroy (lane);
+}
--- a/tests/test_timer.c
+++ b/tests/test_timer.c
@@ -171,6 +171,51 @@
   cr_assert_str_eq (order, "abcst");
 }
 
+/* The second of two handlers that take long, and the answer that arrives as
+   it begins.  */
+struct slow
+{
+  int from;
+  int to;
+  uint64_t until_ms;
+};
+
+static void
+on_slow (struct tevent_context *loop, struct tevent_fd *event, uint16_t flags,
+         void *data)
+{
+  struct slow *slow = data;
+
+  on_byte (loop, event, flags, &slow->from);
+  cr_assert_eq (write (slow->to, "b", 1), 1);
+  while (mq_clock_ms () < slow->until_ms)
+    usleep (1000);
+}
+
+/* The loop is held up, and while the late timers wait for what has arrived,
+   one handler of that takes long as well (a second configuration, a list of
+   thousands of rows).  A time-out that fell due only meanwhile came with the
+   first ones, before an answer that had arrived in time for it.  */
+Test (timer, second_hold_up_while_late_timers_wait)
+{
+  struct slow slow = { 0 };
+  int ends[2][2];
+
+  for (size_t i = 0; i < 2; i++)
+    cr_assert_eq (pipe (ends[i]), 0);
+  slow = (struct slow){ .from = ends[0][0], .to = ends[1][1] };
+  tevent_add_fd (ev, ev, ends[0][0], TEVENT_FD_READ, on_slow, &slow);
+  tevent_add_fd (ev, ev, ends[1][0], TEVENT_FD_READ, on_byte, &ends[1][0]);
+  mq_timer_add (ev, ev, 10, on_letter, "s");
+  mq_timer_add (ev, ev, 2000, on_letter, "t");
+  slow.until_ms = mq_clock_ms () + 2050;
+  usleep (20000);
+  cr_assert_eq (write (ends[0][1], "x", 1), 1);
+  usleep (20000);
+  run_until (4);
+  cr_assert_str_eq (order, "xsbt");
+}
+
 /* Many timers, some cancelled, in any order.  */
 Test (timer, many)
 {
