Timers that fall due during a look wait for the next one

Cause: late timers wait for one look at the connections; when a handler of that look takes long as well, a timer that fell due only meanwhile ran with them, before what had arrived in time for it was read.

--- a/src/io/timer.c
+++ b/src/io/timer.c
@@ -37,7 +37,7 @@
  * @heap: a timer's due time is not after those of its children, which are at
  *        twice its index and one or two more
  * @armed_us: when the descriptor fires, NOT_ARMED: never
- * @looked: the connections were looked at since the timers came late
+ * @look_us: begin of the look at the connections that is under way, 0: none
  */
 struct hub
 {
@@ -48,7 +48,7 @@
   size_t count;
   size_t room;
   uint64_t armed_us;
-  bool looked;
+  uint64_t look_us;
   int fd;
 };
 
@@ -134,7 +134,8 @@
 static void
 arm (struct hub *hub)
 {
-  if (!hub->looked && hub->count > 0 && hub->heap[0]->due_us < hub->armed_us)
+  if (hub->look_us == 0 && hub->count > 0
+      && hub->heap[0]->due_us < hub->armed_us)
     arm_at (hub, hub->heap[0]->due_us);
 }
 
@@ -142,19 +143,33 @@
    thousands of routes for half a second.  Answers and requests arrive
    meanwhile, but the descriptor of the timers has been ready for longer: what
    waits for them finds its time over, and a caller's connection is closed, or
-   another host taken for lost, beside bytes that lie unread.  So timers that
-   come late are put off once.  The descriptor is set to the present, which
-   puts it behind all that is ready now: the kernel hands descriptors out in
-   the order in which they became ready.  */
+   another host taken for lost, beside bytes that lie unread.  So a timer that
+   comes late runs only when all connections were looked at since it was due;
+   one that fell due during the look waits for the next.  For a look the
+   descriptor is set to the present, which puts it behind all that is ready
+   now: the kernel hands descriptors out in the order in which they became
+   ready.  */
+static void
+begin_look (struct hub *hub, uint64_t now)
+{
+  hub->look_us = now;
+  arm_at (hub, now);
+}
+
 static bool
-put_off (struct hub *hub, uint64_t now)
+must_wait (const struct mq_timer *timer, uint64_t seen_us, uint64_t now)
 {
-  bool late = hub->count > 0 && hub->heap[0]->due_us + LATE_US < now;
+  return timer->due_us > seen_us && timer->due_us + LATE_US < now;
+}
 
-  hub->looked = late && !hub->looked;
-  if (hub->looked)
-    arm_at (hub, now);
-  return hub->looked;
+static void
+run_first (struct hub *hub)
+{
+  struct mq_timer *timer = talloc_steal (hub, hub->heap[0]);
+
+  remove_timer (hub, timer);
+  timer->handler (timer->data);
+  talloc_free (timer);
 }
 
 /* Timers that are set by the handlers wait for the next turn of the loop, so
@@ -165,6 +180,7 @@
 {
   struct hub *hub = data;
   uint64_t now = mq_clock_us ();
+  uint64_t seen_us = hub->look_us;
   uint64_t expired;
 
   (void)ev;
@@ -173,15 +189,15 @@
   if (read (hub->fd, &expired, sizeof expired) != (ssize_t)sizeof expired)
     return;
   hub->armed_us = NOT_ARMED;
-  if (put_off (hub, now))
-    return;
+  hub->look_us = 0;
   while (hub->count > 0 && hub->heap[0]->due_us <= now)
     {
-      struct mq_timer *timer = talloc_steal (hub, hub->heap[0]);
-
-      remove_timer (hub, timer);
-      timer->handler (timer->data);
-      talloc_free (timer);
+      if (must_wait (hub->heap[0], seen_us, now))
+        {
+          begin_look (hub, now);
+          return;
+        }
+      run_first (hub);
     }
   arm (hub);
 }
