What has arrived is read before a failed write ends a connection

Cause: a failed write ended the connection at once; an answer that had come before the reset was dropped, and a request refused unread counted as one that may have run.

--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -214,6 +214,30 @@
   end_callback (tcp);
 }
 
+/* Gives what has arrived to the owner, as far as one read takes it.  What recv
+   has returned: 0 at the end, below 0 with errno when there is nothing.  */
+static ssize_t
+take_arrived (struct mq_tcp *tcp)
+{
+  char bytes[READ_BYTES];
+  ssize_t got;
+
+  do
+    got = recv (tcp->fd, bytes, sizeof bytes, 0);
+  while (got < 0 && errno == EINTR);
+  if (got <= 0 || tcp->finishing)
+    return got;
+  begin_callback (tcp);
+  tcp->owner.data (tcp, bytes, (size_t)got, tcp->owner.user);
+  end_callback (tcp);
+  return got;
+}
+
+/* Failure: the other side answers early and ends the connection, while this
+   one still sends.  The write fails first, and the whole answer that lies
+   there is dropped: a request that was refused unread counts as one that may
+   have run.  The kernel keeps what came before a reset, so it is read before
+   the owner is told.  */
 static void
 on_failure (struct tevent_context *ev, struct tevent_immediate *immediate,
             void *data)
@@ -222,7 +246,12 @@
 
   (void)ev;
   (void)immediate;
-  tell_ended (tcp, tcp->failed_as);
+  begin_callback (tcp);
+  while (tcp->failed_as == MQ_TCP_RESET && !tcp->dead && tcp->reading
+         && take_arrived (tcp) > 0)
+    ;
+  if (!end_callback (tcp))
+    tell_ended (tcp, tcp->failed_as);
 }
 
 /* The owner is told from the loop: it is in the middle of a call of ours.  */
@@ -413,24 +442,11 @@
 static void
 on_readable (struct mq_tcp *tcp)
 {
-  char bytes[READ_BYTES];
-  ssize_t got;
+  ssize_t got = take_arrived (tcp);
 
-  do
-    got = recv (tcp->fd, bytes, sizeof bytes, 0);
-  while (got < 0 && errno == EINTR);
-  if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+  if (got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)))
     return;
-  if (got <= 0)
-    {
-      tell_ended (tcp, got == 0 ? MQ_TCP_EOF : MQ_TCP_RESET);
-      return;
-    }
-  if (tcp->finishing)
-    return;
-  begin_callback (tcp);
-  tcp->owner.data (tcp, bytes, (size_t)got, tcp->owner.user);
-  end_callback (tcp);
+  tell_ended (tcp, got == 0 ? MQ_TCP_EOF : MQ_TCP_RESET);
 }
 
 static void
