Test, failing: a kept connection on which an end lies unread

A kept connection to a worker, or to the table, is used again without a look at what lies on it. Where its end, or bytes that belong to nobody, came while the host was held up, the request goes out on it and counts as one that may have run.

--- a/tests/test_lane.c
+++ b/tests/test_lane.c
@@ -1,10 +1,12 @@
 /* test_lane.c - connections to servers, and what lies unread on them when
    they are used or given up.
 
-   Needs: Criterion, http_lane.h.  */
+   Needs: Criterion, http_lane.h, router_pool.h, rows.h.  */
 
 #include "io/http_lane.h"
 #include "io/listen.h"
+#include "io/router_pool.h"
+#include "io/rows.h"
 #include <criterion/criterion.h>
 #include <poll.h>
 #include <stdio.h>
@@ -12,7 +14,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
 #define ASK "POST /once HTTP/1.1\r\nHost: s.example\r\nContent-Length: "
+#define EMPTY "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 #define BUSY "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 4\r\n\r\nbusy"
 /* Generous: only a fault comes near it.  */
 #define WAIT_MS 20000
@@ -139,6 +143,130 @@
   talloc_free (body);
 }
 
+/**
+ * struct stale_case - what a server does with a kept connection
+ * @says: bytes that are no answer
+ * @closes: it ends the connection
+ * @opened: connections that two requests then take
+ */
+struct stale_case
+{
+  const char *name;
+  const char *says;
+  bool closes;
+  uint64_t opened;
+};
+
+static const struct stale_case stale_cases[] = {
+  { "kept", "", false, 1 },
+  { "ended", "", true, 2 },
+  { "bytes of nobody", EMPTY, false, 2 },
+  { "bytes, then ended", EMPTY, true, 2 },
+};
+
+static struct mq_pool *
+make_pool (struct mq_fleet **fleet)
+{
+  struct mq_fleet_member member = { .id = "w1",
+                                    .service = "app",
+                                    .address = address,
+                                    .data_centre = "d",
+                                    .slots = 4 };
+
+  *fleet = mq_fleet_create (ev);
+  cr_assert (mq_fleet_put (*fleet, &member, NULL));
+  return mq_pool_create (ev, ev, *fleet);
+}
+
+/* A worker ends a kept connection while the host is held up, and a caller's
+   request is read before that end.  It went out on the connection that was
+   over: the worker was not reached, yet the host took the request for one
+   that may have run, and a request that may run once was lost.  Bytes that
+   lay there were taken for its answer.  */
+Test (lane, kept_connection_on_which_an_end_lies_unread)
+{
+  for (size_t i = 0; i < ROWS (stale_cases); i++)
+    {
+      const struct stale_case *row = &stale_cases[i];
+      struct mq_fleet *fleet;
+      struct mq_pool *pool = make_pool (&fleet);
+      struct mq_http_lane *lane = mq_pool_take (pool, 0, NULL);
+      struct heard heard = { 0 };
+      int fd;
+
+      ask (lane, &heard, 0);
+      fd = take_connection ();
+      while (!mq_http_lane_sent (lane))
+        tevent_loop_once (ev);
+      hear (fd);
+      say (fd, EMPTY);
+      while (!heard.ended)
+        tevent_loop_once (ev);
+      mq_pool_give (pool, 0, lane, 0);
+      say (fd, row->says);
+      if (row->closes)
+        shutdown (fd, SHUT_WR);
+      lane = mq_pool_take (pool, 0, NULL);
+      cr_assert_not_null (lane);
+      cr_expect_eq (mq_pool_opened (pool), row->opened, "%s: %zu", row->name,
+                    (size_t)mq_pool_opened (pool));
+      if (mq_pool_opened (pool) > 1)
+        close (take_connection ());
+      mq_http_lane_destroy (lane);
+      mq_pool_destroy (pool);
+      mq_fleet_destroy (fleet);
+      close (fd);
+    }
+}
+
+/* What became of a call to the table.  */
+struct told
+{
+  bool done;
+  enum mq_store_status status;
+};
+
+static void
+on_told (const struct mq_rows_result *result, void *user)
+{
+  struct told *told = user;
+
+  told->done = true;
+  told->status = result->status;
+}
+
+/* The same towards the platform's table: a write went out on a connection that
+   the table had ended, and whether it was done counted as not known.  */
+Test (lane, write_on_a_connection_that_the_table_has_ended)
+{
+  struct mq_rows *rows = mq_rows_create (ev, ev, address);
+  struct mq_rows_entry entry
+      = { .table = "t", .part = "p", .key = "k", .version = MQ_VERSION_ANY };
+  struct told told = { 0 };
+  int first;
+  int second;
+
+  mq_rows_get (rows, "t", "p", "k", on_told, &told);
+  first = take_connection ();
+  tevent_loop_once (ev);
+  hear (first);
+  say (first, EMPTY);
+  while (!told.done)
+    tevent_loop_once (ev);
+  shutdown (first, SHUT_WR);
+  told.done = false;
+  mq_rows_commit (rows, &entry, 1, on_told, &told);
+  second = accept (listening, NULL, NULL);
+  cr_expect_geq (second, 0, "the ended connection is used");
+  while (second < 0 && !told.done)
+    tevent_loop_once (ev);
+  cr_expect_not (told.done && told.status == MQ_STORE_LOST);
+  mq_rows_destroy (rows);
+  close (first);
+  if (second >= 0)
+    close (second);
+}
+
 /* A server answers before it has read a long request, and ends the
    connection.  The host was still sending: its write failed before it read,
    the whole answer was dropped, and a request that was refused unread counted
