A kept connection is used only when nothing lies unread on it

Cause: a connection to a worker or to the table was taken from the kept ones by its age alone. Where its end lay unread, a request that may run once was lost on it, and a write to the table counted as not known.

--- a/src/io/http_lane.c
+++ b/src/io/http_lane.c
@@ -258,10 +258,16 @@
   return lane->sent;
 }
 
+/* Failure: the server ends a kept connection, and that lies unread while this
+   host works off what came before.  The next request goes out on it, fails,
+   and counts as one that may have run; stray bytes are taken for its answer.
+   The socket is asked for both; what is left is an end that crosses the
+   request on its way.  */
 bool
 mq_http_lane_reusable (const struct mq_http_lane *lane)
 {
-  return lane->keep && !lane->used && !lane->dead;
+  return lane->keep && !lane->used && !lane->dead
+         && mq_tcp_is_quiet (lane->tcp);
 }
 
 void
--- a/src/io/http_lane.h
+++ b/src/io/http_lane.h
@@ -56,7 +56,8 @@
                         bool answer_has_no_body);
 /* Some bytes of the request were given to the network.  */
 bool mq_http_lane_sent (const struct mq_http_lane *lane);
-/* The answer is whole and the server keeps the connection.  */
+/* The answer is whole and the server keeps the connection: neither bytes nor
+   an end of it lie unread.  Asked again before each use.  */
 bool mq_http_lane_reusable (const struct mq_http_lane *lane);
 /* Stops and starts taking in the answer.  */
 void mq_http_lane_read (struct mq_http_lane *lane, bool on);
--- a/src/io/router_pool.c
+++ b/src/io/router_pool.c
@@ -137,7 +137,7 @@
       struct mq_http_lane *lane = idle->lane;
 
       pool->idle[worker] = idle->next;
-      if (!is_fresh (pool, idle, worker, now))
+      if (!is_fresh (pool, idle, worker, now) || !mq_http_lane_reusable (lane))
         {
           close_idle (idle);
           continue;
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -343,6 +343,18 @@
          && recv (tcp->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool
+mq_tcp_is_quiet (const struct mq_tcp *tcp)
+{
+  char byte;
+
+  if (tcp->fd < 0 || tcp->failed)
+    return false;
+  return tcp->opening
+         || (recv (tcp->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+             && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
 /* Either the connection did not come about in time, or the other side did not
    end a finished one.  */
 static void
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -66,6 +66,9 @@
 void mq_tcp_read (struct mq_tcp *tcp, bool on);
 /* Bytes of the other side have arrived and were not read yet.  */
 bool mq_tcp_has_unread (const struct mq_tcp *tcp);
+/* Nothing of the other side has arrived that was not read: no bytes, and not
+   the connection's end.  */
+bool mq_tcp_is_quiet (const struct mq_tcp *tcp);
 /* Sends what is unsent, then nothing more; what still comes in is dropped.
    The connection destroys itself when the other side ends or after a second,
    so that an answer is not lost to a reset for bytes that were not read.  */
