Test, failing: a worker that closes new connections gets no second turn

A flapping worker takes connections while it is down and closes them on a request, within 2 to 9 ms, before any byte; each host needs two such failures before it leaves the worker out.

--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -304,6 +304,56 @@
     }
 }
 
+/* What a worker did before it closes a connection on a request.  */
+struct closing_case
+{
+  const char *name;
+  int served;
+  bool left_out;
+};
+
+static int
+worker_with_runs (int runs)
+{
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    if (worker_server_runs (site->llm[i]) == runs)
+      return i;
+  cr_assert_fail ("no worker with %d runs", runs);
+  return -1;
+}
+
+/* A worker goes down and up by turns: it takes connections, and closes them on
+   a request.  Each host sent it two turns before it noticed, each time that
+   the worker was down, and callers got 502: one after the other of a program's
+   three sends went to the same worker.  A new connection that is closed before
+   any byte tells enough; on a kept one it may be the connection's end.  */
+Test (router, worker_that_closes_new_connections)
+{
+  static const struct closing_case cases[] = {
+    { "new connection", 0, true },
+    { "kept connection", 1, false },
+  };
+  static const char turn[]
+      = "POST /kept/a HTTP/1.1\r\n" HOST ID "X-Program-Id: p1\r\n" NO_BODY;
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      const struct closing_case *row = &cases[i];
+      int worker;
+
+      tear_down ();
+      set_up ();
+      for (int k = 0; k < row->served; k++)
+        cr_assert_eq (edge_ask (site, &call, 0, turn), 200);
+      site->llm_plan = (struct worker_plan){ WORKER_NO_ANSWER, 1 };
+      cr_assert_eq (edge_ask (site, &call, 0, turn), 502);
+      worker = worker_with_runs (row->served + 1);
+      cr_assert_eq (edge_ask (site, &call, 0, turn), 200);
+      cr_expect_eq (worker_server_runs (site->llm[worker]) == row->served + 1,
+                    row->left_out, "%s", row->name);
+    }
+}
+
 /* A worker answers a request twice on a kept connection.  The second answer
    must not be taken for that of the next request.  */
 Test (router, second_answer_is_nobodys)
