A rested connection is closed outright; it rests as long as its caller was told

Cause: it was closed by half and read on for a second, what came being dropped: a request that crossed the close was read and got no answer. A smaller limit was applied to connections whose callers were told more.

--- a/src/io/router.c
+++ b/src/io/router.c
@@ -41,7 +41,7 @@
 
 /* The first part of a stop goes by while the balancer takes us out and callers
    still come.  Then no new connection is taken and idle ones are closed: a
-   caller that meets a closed door tries another host, while a request taken
+   caller that is not let in tries another host, while a request taken
    late in the stop would be cut off at its end.  Once no connection of a
    caller is left the process ends: with only the requests under way counted,
    one that lay unread was lost with it.  */
@@ -70,8 +70,8 @@
   log_state (router, MQ_LOG_COUNTERS);
 }
 
-/* How late this timer came says how long one handler kept the event loop from
-   all others.  */
+/* Says that the event loop was held up, and by how much at least: handlers that
+   end before this timer is due don't show.  */
 static void
 note_held_up (struct mq_router *router)
 {
--- a/src/io/router_caller.c
+++ b/src/io/router_caller.c
@@ -33,6 +33,7 @@
  * @ahead: bytes that came after it
  * @arrived_ms: when the message began
  * @active_ms: last time that anything happened
+ * @rest_ms: how long it may rest at least, as its caller was told
  * @answering: a message is whole or refused, its answer is not out
  * @closing: no further request is taken
  * @feeding: bytes are being read: the connection is not destroyed meanwhile
@@ -50,6 +51,7 @@
   struct mq_buffer ahead;
   uint64_t arrived_ms;
   uint64_t active_ms;
+  uint32_t rest_ms;
   bool answering;
   bool closing;
   bool feeding;
@@ -291,25 +293,30 @@
 
 /* Share of the time to rest that a caller is told, parts of five.  The rest
    covers the way of a request and a host that is held up: three seconds of the
-   usual fifteen, five times the longest that was seen.  */
+   usual fifteen, where handlers that take long take half a second.  */
 #define TOLD_OF_FIVE 4U
 
 /* Failure: a request crosses the close of a connection that rested too long;
-   its caller sees a closed connection and no answer, 1 or 2 tries in 50,000
-   beside configurations that hold the host up.  A caller that is told uses no
-   connection in the time when it may be closed.  */
+   its caller sees a closed connection and no answer.  A caller that is told
+   does not use a connection in the time when it may be closed.  */
 static void
-write_connection_field (struct mq_caller *caller, char *field, size_t room)
+tell_rest (struct mq_caller *caller, char *field, size_t room)
 {
-  uint64_t idle_ms = limits_of (caller->router).idle_ms;
-  uint64_t told_s = idle_ms * TOLD_OF_FIVE / 5U / 1000U;
+  uint64_t told_s;
 
-  if (caller->router->leaving)
-    caller->closing = true;
+  caller->rest_ms = limits_of (caller->router).idle_ms;
+  told_s = (uint64_t)caller->rest_ms * TOLD_OF_FIVE / 5U / 1000U;
+  if (told_s > 0)
+    snprintf (field, room, "Keep-Alive: timeout=%" PRIu64 "\r\n", told_s);
+}
+
+static void
+write_connection_field (struct mq_caller *caller, char *field, size_t room)
+{
   if (caller->closing)
     snprintf (field, room, "Connection: close\r\n");
-  else if (told_s > 0)
-    snprintf (field, room, "Keep-Alive: timeout=%" PRIu64 "\r\n", told_s);
+  else
+    tell_rest (caller, field, room);
 }
 
 static void
@@ -320,6 +327,8 @@
   char connection[40] = "";
   char *text;
 
+  if (caller->router->leaving)
+    caller->closing = true;
   write_connection_field (caller, connection, sizeof connection);
   text
       = talloc_asprintf (caller, "HTTP/1.1 %d %s\r\n%s%s%s\r\n", status,
@@ -420,7 +429,7 @@
   router->caller_count++;
 }
 
-/* False when nobody waits at the door.  */
+/* False when no connection waits to be accepted.  */
 static bool
 accept_caller (struct mq_router *router)
 {
@@ -457,19 +466,48 @@
   return router->front_event != NULL;
 }
 
+/* Closes a connection on which nothing is under way.
+
+   Failure: closed by half and read on, as after an answer that refuses a
+   message, it would take a request that crosses the close and drop it, and
+   its caller could not know that it was not read.  Closed outright, it resets
+   what crosses.  Only an answer that is not out yet needs the other way.  */
+static void
+close_rested (struct mq_caller *caller)
+{
+  if (mq_tcp_has_unsent (caller->tcp))
+    finish_caller (caller);
+  else
+    destroy_caller (caller);
+}
+
 /* The caller learns nothing from a close but that it came: the line tells how
    long the connection rested and what was allowed.  */
 static void
-close_idle (struct mq_caller *caller, uint64_t rested_ms, uint32_t idle_ms)
+log_rested (struct mq_router *router, uint64_t rested_ms, uint32_t idle_ms)
 {
   struct mq_json_line line;
 
-  mq_json_begin (&line, caller->router->log, MQ_JSON_NOTE,
-                 MQ_LOG_CALLER_CLOSED);
+  mq_json_begin (&line, router->log, MQ_JSON_NOTE, MQ_LOG_CALLER_CLOSED);
   mq_json_number (&line, "rested_ms", rested_ms);
   mq_json_number (&line, "idle_ms", idle_ms);
   mq_json_end (&line);
-  finish_caller (caller);
+}
+
+/* Connections are closed so that those whose callers are gone without a word
+   don't use up memory and descriptors.  */
+static void
+check_rest (struct mq_caller *caller, uint32_t idle_ms, uint64_t now)
+{
+  struct mq_router *router = caller->router;
+  uint64_t rested_ms = now - caller->active_ms;
+
+  if (idle_ms < caller->rest_ms)
+    idle_ms = caller->rest_ms;
+  if (rested_ms <= idle_ms)
+    return;
+  close_rested (caller);
+  log_rested (router, rested_ms, idle_ms);
 }
 
 /* Failure: a connection is judged by when it was last read, and closed beside
@@ -478,16 +516,16 @@
    the close, so it is read first; a caller that sends nothing whole is met
    again by the next look, and by the bounds of a message.  */
 static bool
-is_unjudged (const struct mq_caller *caller)
+may_judge (const struct mq_caller *caller)
 {
-  return caller->answering || mq_tcp_has_unread (caller->tcp);
+  return !caller->answering && !mq_tcp_has_unread (caller->tcp);
 }
 
 static void
 check_caller (struct mq_caller *caller, const struct mq_route_limits *limits,
               uint64_t now)
 {
-  if (is_unjudged (caller))
+  if (!may_judge (caller))
     return;
   if (mq_http_reader_within (caller->reader))
     {
@@ -496,8 +534,8 @@
       else if (now - caller->active_ms > limits->idle_ms)
         refuse_message (caller, MQ_REFUSE_SLOW_HEAD);
     }
-  else if (now - caller->active_ms > limits->idle_ms)
-    close_idle (caller, now - caller->active_ms, limits->idle_ms);
+  else
+    check_rest (caller, limits->idle_ms, now);
 }
 
 void
@@ -515,11 +553,11 @@
     }
 }
 
-/* Those who wait at the door were let in by the kernel: closing it before they
-   are taken resets their connections, and what they have sent gets no
-   answer.  */
+/* Failure: the kernel has connections that were not accepted yet; closing the
+   listening socket resets them, and what their callers have sent gets no
+   answer.  So they are accepted first.  */
 static void
-close_door (struct mq_router *router)
+close_listener (struct mq_router *router)
 {
   while (accept_caller (router))
     ;
@@ -535,14 +573,14 @@
 
   if (router->front_event != NULL)
     {
-      close_door (router);
+      close_listener (router);
       return;
     }
   for (struct mq_caller *caller = router->callers; caller != NULL;
        caller = next)
     {
       next = caller->next;
-      if (!is_unjudged (caller) && !mq_http_reader_within (caller->reader))
-        finish_caller (caller);
+      if (may_judge (caller) && !mq_http_reader_within (caller->reader))
+        close_rested (caller);
     }
 }
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -142,8 +142,8 @@
 bool mq_callers_listen (struct mq_router *router, struct mq_error *error);
 /* Closes connections that are idle or slow beyond the limits in force.  */
 void mq_callers_sweep (struct mq_router *router);
-/* Takes those who wait at the door, closes it, and at further calls closes the
-   idle connections: the process is about to end.  */
+/* Accepts the connections that wait and takes no further ones; at further
+   calls closes the idle ones: the process is about to end.  */
 void mq_callers_stop (struct mq_router *router);
 /* REQUEST is told when CALLER leaves, until it answers.  */
 void mq_caller_serves (struct mq_caller *caller, struct mq_request *request);
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -343,6 +343,12 @@
          && recv (tcp->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool
+mq_tcp_has_unsent (const struct mq_tcp *tcp)
+{
+  return tcp->unsent.len > 0;
+}
+
 bool
 mq_tcp_is_quiet (const struct mq_tcp *tcp)
 {
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -69,6 +69,8 @@
 /* Nothing of the other side has arrived that was not read: no bytes, and not
    the connection's end.  */
 bool mq_tcp_is_quiet (const struct mq_tcp *tcp);
+/* Bytes wait for the other side to take some.  */
+bool mq_tcp_has_unsent (const struct mq_tcp *tcp);
 /* Sends what is unsent, then nothing more; what still comes in is dropped.
    The connection destroys itself when the other side ends or after a second,
    so that an answer is not lost to a reset for bytes that were not read.  */
