Test: the steps of the late-lender cases wait for what they name

Cause: fixed pauses of 10 ms, and waits by the event library's own timers, which come before the product's late ones: beside load a case could look before the frame had come, and the last turn's end hung on the table's return within its caller's two seconds. Change: waits for the questions and answers themselves, and by the product's timers; the turn is counted by its id (edge_runs). That its answer ends whole when the table is back is no longer asked here: the same is asked by turn_of_another_host_while_the_table_is_away.

--- a/tests/router_site.c
+++ b/tests/router_site.c
@@ -162,6 +162,18 @@
   EDGE_WAIT (site, mq_router_is_ready (site->routers[index]));
 }
 
+int
+edge_runs (const struct edge_site *site, const char *id)
+{
+  int runs = 0;
+
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    for (int k = 0; k < worker_server_runs (site->llm[i]); k++)
+      if (strcmp (worker_server_run (site->llm[i], k)->id, id) == 0)
+        runs++;
+  return runs;
+}
+
 void
 edge_seed (struct edge_site *site, int index, int other)
 {
--- a/tests/router_site.h
+++ b/tests/router_site.h
@@ -65,6 +65,8 @@
                          const struct worker_server *worker);
 /* Workers 1 and 2 of SERVICE are not listed any more.  */
 void edge_one_worker (struct edge_site *site);
+/* How often the workers of "llm" ran the request ID.  */
+int edge_runs (const struct edge_site *site, const char *id);
 /* Runs the event loop for MS milliseconds.  */
 void edge_run (struct edge_site *site, uint32_t ms);
 
--- a/tests/test_relay_loan.c
+++ b/tests/test_relay_loan.c
@@ -2,7 +2,7 @@
    at all.
 
    Needs: Criterion, router_site.h, http_peer.h, chain.h, relay.h,
-   relay_link.h, listen.h.  */
+   relay_link.h, listen.h, timer.h.  */
 
 #include "router_site.h"
 #include "core/chain.h"
@@ -10,6 +10,7 @@
 #include "io/listen.h"
 #include "io/relay.h"
 #include "io/relay_link.h"
+#include "io/timer.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,8 +21,6 @@
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
 /* Longer than a host may take for its answer.  */
 #define HELD_MS (MQ_RELAY_LOAN_MS + 20U)
-/* Time for a frame to go to the other host and back.  */
-#define MOMENT_MS 10U
 #define QUESTIONS_MAX 64U
 
 /**
@@ -37,6 +36,7 @@
 
 /**
  * struct lender - a host that lends what it is asked for, once it gets to it
+ * @links: open ones
  * @held_up: it gets to no question
  * @asked: questions so far
  * @answered: how many of them it got to
@@ -45,6 +45,7 @@
 {
   struct tevent_fd *event;
   char *address;
+  int links;
   bool held_up;
   size_t asked;
   size_t answered;
@@ -139,6 +140,7 @@
     if (lender->questions[i].link == link)
       lender->questions[i].link = NULL;
   mq_relay_link_destroy (link);
+  lender->links--;
 }
 
 static void
@@ -154,6 +156,7 @@
   (void)flags;
   cr_assert_geq (fd, 0);
   cr_assert_not_null (mq_relay_link_accept (lender, ev, fd, &owner));
+  lender->links++;
 }
 
 static int
@@ -198,13 +201,36 @@
 
 TestSuite (relay_loan, .init = set_up, .fini = tear_down, .timeout = 120);
 
+/* Answers that the asker has read.  */
+static size_t told;
+
 static void
-on_told (const struct mq_relay_loan_told *told, const char *address,
+on_told (const struct mq_relay_loan_told *loan, const char *address,
          void *user)
 {
-  (void)told;
+  (void)loan;
   (void)address;
   (void)user;
+  told++;
+}
+
+static void
+on_waited (void *data)
+{
+  bool *done = data;
+
+  *done = true;
+}
+
+/* By the product's timers: those that were due before have come.  */
+static void
+wait_ms (uint32_t ms)
+{
+  bool done = false;
+
+  mq_timer_add (site, site->ev, ms, on_waited, &done);
+  while (!done)
+    tevent_loop_once (site->ev);
 }
 
 static uint32_t
@@ -216,13 +242,15 @@
   return mq_relay_ask_loan (relay, &ask, false);
 }
 
-/* How many hosts the last question of STEPS goes to.  q: a question; h: the
-   lender is held up; l: it goes on; m: a moment passes; w: more time than an
-   answer may take; s: as much, in which the asker's loop stands still; p: the
-   pause for a host that does not answer.  */
+/* How many hosts the last question of STEPS goes to.  q: a question; k: it has
+   come to the lender; h: the lender is held up; l: it goes on; r: its answers
+   have been read; w: more time than an answer may take; s: as much, in which
+   the asker's loop stands still; p: the pause for a host that does not answer.
+ */
 static uint32_t
 play (struct mq_relay *relay, const char *steps)
 {
+  size_t sent = 0;
   uint32_t asked = 0;
 
   for (; *steps != '\0'; steps++)
@@ -230,6 +258,10 @@
       {
       case 'q':
         asked = ask_lender (relay);
+        sent += asked;
+        break;
+      case 'k':
+        EDGE_WAIT (site, lender->asked == sent);
         break;
       case 'h':
         lender->held_up = true;
@@ -238,17 +270,17 @@
         lender->held_up = false;
         answer_all (lender);
         break;
-      case 'm':
-        edge_run (site, MOMENT_MS);
+      case 'r':
+        EDGE_WAIT (site, told == sent);
+        break;
+      case 'w':
+        wait_ms (HELD_MS);
         break;
       case 's':
         usleep (HELD_MS * 1000);
         break;
-      case 'w':
-        edge_run (site, HELD_MS);
-        break;
       case 'p':
-        edge_run (site, MQ_RELAY_BAD_MS);
+        wait_ms (MQ_RELAY_BAD_MS);
         break;
       default:
         cr_assert_fail ("%c", *steps);
@@ -269,14 +301,14 @@
 };
 
 static const struct question_case question_cases[] = {
-  { "answers", "qmwq", 1 },
-  { "is held up, goes on", "hqmwlmq", 1 },
-  { "is held up, is asked meanwhile, goes on", "hqmwqlmq", 1 },
-  { "answers while the asker is held up", "hqmlsq", 1 },
-  { "does not answer", "hqmwq", 0 },
-  { "does not answer, and the pause is not over", "hqmwqwq", 0 },
-  { "does not answer, the pause is over", "hqmwqpq", 1 },
-  { "goes on, then does not answer", "hqmwqlmhqmwq", 0 },
+  { "answers", "qkrwq", 1 },
+  { "is held up, goes on", "hqkwlrq", 1 },
+  { "is held up, is asked meanwhile, goes on", "hqkwqlrq", 1 },
+  { "answers while the asker is held up", "hqklsq", 1 },
+  { "does not answer", "hqkwq", 0 },
+  { "does not answer, and the pause is not over", "hqkwqwq", 0 },
+  { "does not answer, the pause is over", "hqkwqpq", 1 },
+  { "goes on, then does not answer", "hqkwqlrhqkwq", 0 },
 };
 
 /* A host that lends its tokens and histories in an outage was held up for
@@ -300,27 +332,15 @@
       lender->held_up = false;
       lender->asked = 0;
       lender->answered = 0;
+      told = 0;
       mq_relay_add_seed (relay, lender->address);
       asked = play (relay, row->steps);
       cr_expect_eq (asked, row->asked, "%s: %u asked", row->name, asked);
       mq_relay_destroy (relay);
-      edge_run (site, MOMENT_MS);
+      EDGE_WAIT (site, lender->links == 0);
     }
 }
 
-/* So many requests ran under ID.  */
-static int
-runs_of (const char *id)
-{
-  int runs = 0;
-
-  for (int i = 0; i < EDGE_WORKERS; i++)
-    for (int k = 0; k < worker_server_runs (site->llm[i]); k++)
-      if (strcmp (worker_server_run (site->llm[i], k)->id, id) == 0)
-        runs++;
-  return runs;
-}
-
 /* A turn that continues from PREVIOUS, with two seconds left: it does without
    the table.  */
 static void
@@ -337,6 +357,14 @@
   edge_call (site, &call, 0, text);
 }
 
+/* The answer so far has TEXT.  */
+static bool
+call_has (const char *text)
+{
+  raw_read (call.fd, call.answer, sizeof call.answer);
+  return strstr (call.answer, text) != NULL;
+}
+
 static int
 refused_turn (const char *id, const char *program, const char *previous)
 {
@@ -359,21 +387,15 @@
   edge_run (site, 1200);
   lender->held_up = true;
   cr_assert_eq (refused_turn ("u1", "p1", "t1"), 503, "%s", call.answer);
-  edge_run (site, HELD_MS);
+  wait_ms (HELD_MS);
   cr_assert_eq (refused_turn ("u2", "p2", "t2"), 503, "%s", call.answer);
   lender->held_up = false;
   answer_all (lender);
-  edge_run (site, MOMENT_MS);
+  wait_ms (HELD_MS);
   begin_turn ("u3", "p3", "t3");
-  EDGE_WAIT (site, runs_of ("u3") == 1
-                       || raw_read (call.fd, call.answer, sizeof call.answer)
-                       || strstr (call.answer, "503") != NULL);
-  cr_assert_eq (runs_of ("u3"), 1, "%s", call.answer);
-  rows_server_fault (site->rows, ROWS_WELL);
-  edge_wait (site, &call, 1);
-  cr_expect_not_null (strstr (call.answer, "\r\n0\r\n\r\n"), "%s",
-                      call.answer);
+  EDGE_WAIT (site, call_has ("data: e4") || call_has ("HTTP/1.1 503"));
   edge_hang_up (&call);
-  cr_expect_eq (runs_of ("u1"), 0);
-  cr_expect_eq (runs_of ("u2"), 0);
+  cr_expect_eq (edge_runs (site, "u1"), 0);
+  cr_expect_eq (edge_runs (site, "u2"), 0);
+  cr_expect_eq (edge_runs (site, "u3"), 1, "%s", call.answer);
 }
