Test: the run of the turn that is waited for is counted by its id

Cause: turn_of_another_host_while_the_table_is_away waited for two runs in all; beside load the set-up's x1 is run on a loan before edge 1 knows that the table is away (seen once in six runs on two processors with six busy loops: x1 overdue after 3,000 ms with 200, run by llm-0), and t3's run was not waited for. Change: t3 has run once, t1 once and t2 never, by id, at the wait and at the end.

--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -800,7 +800,7 @@
              "X-Program-Id: p1\r\nX-Token-Count: 10,8\r\n"
              "X-Deadline-Ms: 2000\r\n" BUDGET (80)
                  AFTER ("t1") "Content-Length: 4\r\n\r\ntwo;");
-  EDGE_WAIT (site, runs_of (site->llm) == 2);
+  EDGE_WAIT (site, edge_runs (site, "t3") == 1);
   edge_run (site, 200);
   raw_read (later.fd, later.answer, sizeof later.answer);
   cr_assert_not_null (strstr (later.answer, "data: e4"), "%s", later.answer);
@@ -812,6 +812,9 @@
   run = last_run (site->llm, "t3");
   cr_assert_str_eq (run->body, "one;e1\ne2\ne3\ne4\ntwo;");
   edge_hang_up (&later);
+  cr_assert_eq (edge_runs (site, "t1"), 1);
+  cr_assert_eq (edge_runs (site, "t2"), 0);
+  cr_assert_eq (edge_runs (site, "t3"), 1);
 }
 
 /* A program begins while the table is away for all: no host holds any tokens
