A host that answers a question for a loan late is asked again

Cause: a host that had not answered for 100 ms by the clock at the next question was left alone for a second. Held up for 0.12 s and back with its answer, it stayed so, and turns whose history lay there were refused in 0 ms; so did a host whose answer lay unread at an asker that was itself held up.

Change: the answer ends the pause; that the time for it is over is told by a timer, and late timers come after what has arrived. A host that does not answer is left alone as before, from the next question on; calls to the table through a host that was late still wait for the end of its pause.

--- a/src/io/relay.c
+++ b/src/io/relay.c
@@ -74,7 +74,7 @@
 {
   note_bad (host);
   host->gone_until_ms = host->bad_until_ms;
-  host->loan_asked_ms = 0;
+  relay_forget_loan (host);
 }
 
 void
--- a/src/io/relay.h
+++ b/src/io/relay.h
@@ -84,8 +84,8 @@
    an open link come first: a caller's tries reach hosts of one data centre. */
 #define MQ_RELAY_LOAN_HOSTS_MAX 32U
 /* A host that has not answered a question for a loan for so long is not asked
-   again for MQ_RELAY_BAD_MS: most likely it is gone, and each question would
-   wait for it.  */
+   again for MQ_RELAY_BAD_MS, or until it answers: most likely it is gone, and
+   each question would wait for it.  */
 #define MQ_RELAY_LOAN_MS 100U
 /* Asks other hosts for a loan; returns how many will answer.  NEAR: only those
    in the same data centre, and none where they are more than can be asked.  */
--- a/src/io/relay_loan.c
+++ b/src/io/relay_loan.c
@@ -1,11 +1,23 @@
 /* relay_loan.c - questions to many hosts at a time: who lends tokens or a
    history.
 
-   Needs: relay_state.h, clock.h.  */
+   Needs: relay_state.h, timer.h, clock.h.  */
 
 #include "relay_state.h"
 #include "clock.h"
+#include "timer.h"
 
+void
+relay_forget_loan (struct host *host)
+{
+  TALLOC_FREE (host->loan_timer);
+  host->loan_late = false;
+}
+
+/* Failure: a host was held up for longer than it may take for an answer, then
+   answered, and was left alone for the rest of the pause; turns whose history
+   lies there were refused at once.  An answer shows that it is there, so it
+   is asked again.  It still makes no calls: those wait longer for it.  */
 void
 relay_take_loan (struct mq_relay *relay, const struct mq_relay_link *link,
                  const struct mq_relay_loan_told *told)
@@ -14,17 +26,38 @@
 
   if (host == NULL)
     return;
-  host->loan_asked_ms = 0;
+  relay_forget_loan (host);
+  host->gone_until_ms = 0;
   relay->owner.loan_told (told, host->address, relay->owner.user);
 }
 
+static void
+on_loan_late (void *data)
+{
+  struct host *host = data;
+
+  host->loan_timer = NULL;
+  host->loan_late = true;
+}
+
+/* Failure: this host was held up itself, and an answer that had come in time
+   lay unread when the next question was asked; by the clock alone the other
+   host looked silent.  So its time is over when a timer says so: late timers
+   come after what has arrived.  */
+static void
+expect_answer (struct mq_relay *relay, struct host *host)
+{
+  if (host->loan_timer == NULL)
+    host->loan_timer
+        = mq_timer_add (host, relay->ev, MQ_RELAY_LOAN_MS, on_loan_late, host);
+}
+
 /* Whether HOST may be asked for a loan; one that owes an answer is left alone
    for a while.  */
 static bool
 may_lend (struct host *host, uint64_t now)
 {
-  if (host->loan_asked_ms != 0
-      && now - host->loan_asked_ms >= MQ_RELAY_LOAN_MS)
+  if (host->loan_late)
     relay_note_gone (host);
   return host->gone_until_ms <= now;
 }
@@ -47,8 +80,7 @@
       link = relay_open_link (relay, host);
       if (link == NULL)
         continue;
-      if (host->loan_asked_ms == 0)
-        host->loan_asked_ms = now;
+      expect_answer (relay, host);
       mq_relay_link_send (link, frame);
       asked++;
     }
--- a/src/io/relay_state.h
+++ b/src/io/relay_state.h
@@ -15,7 +15,9 @@
  * @bad_until_ms: it is not asked to make a call before
  * @gone_until_ms: it is not asked for a loan before, since it did not answer;
  *                 a host that can't reach the table either may still lend
- * @loan_asked_ms: oldest question for a loan without an answer, 0: none
+ * @loan_timer: runs while it has time to answer a question for a loan, NULL:
+ *              it owes none, or is late
+ * @loan_late: its time for an answer is over
  * @seed: known from the settings; stays when the list of hosts lacks it
  * @listed: the list that is being told has it
  * @near: it is in the same data centre
@@ -27,7 +29,8 @@
   struct mq_relay_link *link;
   uint64_t bad_until_ms;
   uint64_t gone_until_ms;
-  uint64_t loan_asked_ms;
+  struct mq_timer *loan_timer;
+  bool loan_late;
   bool seed;
   bool listed;
   bool near;
@@ -68,6 +71,8 @@
 
 /* relay_loan.c */
 
+/* HOST owes no answer to a question for a loan.  */
+void relay_forget_loan (struct host *host);
 /* What came over LINK for a question of ours.  */
 void relay_take_loan (struct mq_relay *relay, const struct mq_relay_link *link,
                       const struct mq_relay_loan_told *told);
