Test, failing: nothing but its bytes is left of a packed frame

A host that makes calls for others, or tells them the workers it knows, packs the answers below its links and frees the bytes alone; the lists of rows and workers stay until it ends.

--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -189,6 +189,41 @@
   talloc_free (ctx);
 }
 
+/* A host answers what others ask of it: rows of the table, the workers it
+   knows.  What the frame was packed from stayed below the host's links for as
+   long as it ran: 8,080 bytes for each answer of 100 workers.  The bytes are
+   all that is left of a packed frame.  */
+Test (relay, packing_leaves_nothing_behind)
+{
+  static struct mq_fleet_member workers[100];
+  static struct mq_rows_entry entries[2]
+      = { { .table = "a" }, { .table = "b" } };
+  const struct mq_relay_frame frames[] = {
+    { .kind = MQ_RELAY_ASK, .u.ask = { .entries = entries, .count = 2 } },
+    { .kind = MQ_RELAY_TOLD, .u.told = { .result = { .row_count = 0 } } },
+    { .kind = MQ_RELAY_TOLD,
+      .u.told = { .result = { .rows = entries, .row_count = 2 } } },
+    { .kind = MQ_RELAY_SYNC, .u.sync = { 12, 0 } },
+    { .kind = MQ_RELAY_STATE,
+      .u.state = { .workers = workers, .worker_count = ROWS (workers) } },
+    { .kind = MQ_RELAY_LOAN_ASK,
+      .u.loan_ask = { .program = "p1", .turn = "t1" } },
+    { .kind = MQ_RELAY_OTHER },
+  };
+  TALLOC_CTX *ctx = talloc_new (NULL);
+
+  for (size_t i = 0; i < ROWS (frames); i++)
+    {
+      struct mq_bytes packed = mq_relay_frame_pack (ctx, &frames[i]);
+
+      talloc_free (packed.data);
+      cr_expect_eq (talloc_total_blocks (ctx), 1, "%zu: %zu bytes stay", i,
+                    talloc_total_size (ctx));
+      talloc_free_children (ctx);
+    }
+  talloc_free (ctx);
+}
+
 /* During a rolling change of versions a newer host says things, or gives
    outcomes, that this one doesn't know.  Neither may cost the link, and an
    unknown outcome must not pass for "not done".  */
