Nothing but its bytes is left of a packed frame between hosts

Cause: the lists of rows and workers that a frame is packed from lay below the context of its bytes, for a host's answers to others the links themselves, and only the bytes were freed.

--- a/src/io/relay_frame.c
+++ b/src/io/relay_frame.c
@@ -194,8 +194,9 @@
   return pack (ctx, &frame);
 }
 
-struct mq_bytes
-mq_relay_frame_pack (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
+/* The bytes and all that they are packed from, below CTX.  */
+static struct mq_bytes
+pack_body (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
 {
   switch (frame->kind)
     {
@@ -219,6 +220,20 @@
   return (struct mq_bytes){ NULL, 0 };
 }
 
+/* Failure: a host that answers others for weeks grows by the lists of rows and
+   workers that its answers were packed from; whoever packs frees the bytes
+   alone.  So the lists lie below a context that ends here.  */
+struct mq_bytes
+mq_relay_frame_pack (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
+{
+  TALLOC_CTX *scratch = mq_must (talloc_new (NULL));
+  struct mq_bytes bytes = pack_body (scratch, frame);
+
+  talloc_steal (ctx, bytes.data);
+  talloc_free (scratch);
+  return bytes;
+}
+
 static struct mq_rows_entry *
 read_entries (TALLOC_CTX *ctx, Mqrelay__Entry *const *list, size_t count)
 {
