--- a/src/io/relay_frame.c
+++ b/src/io/relay_frame.c
@@ -27,20 +27,26 @@
   to->remove = from->remove;
 }
 
+/* List of COUNT pointers to COUNT messages of SIZE bytes, to be filled.  */
+static void *
+make_list (TALLOC_CTX *ctx, size_t count, size_t size)
+{
+  char *all = mq_must (talloc_size (ctx, (count + 1) * size));
+  void **list = mq_must (talloc_array (ctx, void *, count + 1));
+
+  for (size_t i = 0; i < count; i++)
+    list[i] = all + i * size;
+  return list;
+}
+
 static Mqrelay__Entry **
 make_entries (TALLOC_CTX *ctx, const struct mq_rows_entry *entries,
               size_t count)
 {
-  Mqrelay__Entry *all
-      = mq_must (talloc_array (ctx, Mqrelay__Entry, count + 1));
-  Mqrelay__Entry **list
-      = mq_must (talloc_array (ctx, Mqrelay__Entry *, count + 1));
+  Mqrelay__Entry **list = make_list (ctx, count, sizeof **list);
 
   for (size_t i = 0; i < count; i++)
-    {
-      fill_entry (&all[i], &entries[i]);
-      list[i] = &all[i];
-    }
+    fill_entry (list[i], &entries[i]);
   return list;
 }
 
@@ -61,16 +67,10 @@
 make_workers (TALLOC_CTX *ctx, const struct mq_fleet_member *workers,
               size_t count)
 {
-  Mqrelay__Worker *all
-      = mq_must (talloc_array (ctx, Mqrelay__Worker, count + 1));
-  Mqrelay__Worker **list
-      = mq_must (talloc_array (ctx, Mqrelay__Worker *, count + 1));
+  Mqrelay__Worker **list = make_list (ctx, count, sizeof **list);
 
   for (size_t i = 0; i < count; i++)
-    {
-      fill_worker (&all[i], &workers[i]);
-      list[i] = &all[i];
-    }
+    fill_worker (list[i], &workers[i]);
   return list;
 }
 
@@ -194,8 +194,9 @@
   return pack (ctx, &frame);
 }
 
-struct mq_bytes
-mq_relay_frame_pack (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
+/* The bytes and all that they are packed from, below CTX.  */
+static struct mq_bytes
+pack_body (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
 {
   switch (frame->kind)
     {
@@ -219,6 +220,20 @@
   return (struct mq_bytes){ NULL, 0 };
 }
 
+/* Failure: a host that answers others for weeks grows by the lists of rows and
+   workers that its answers were packed from; whoever packs frees the bytes
+   alone.  So the lists lie below a context that ends here.  */
+struct mq_bytes
+mq_relay_frame_pack (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
+{
+  TALLOC_CTX *scratch = mq_must (talloc_new (NULL));
+  struct mq_bytes bytes = pack_body (scratch, frame);
+
+  talloc_steal (ctx, bytes.data);
+  talloc_free (scratch);
+  return bytes;
+}
+
 static struct mq_rows_entry *
 read_entries (TALLOC_CTX *ctx, Mqrelay__Entry *const *list, size_t count)
 {
