--- a/tests/test_held_up.c
+++ b/tests/test_held_up.c
@@ -7,7 +7,9 @@
 #include "http_peer.h"
 #include "io/router_state.h"
 #include <criterion/criterion.h>
+#include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
@@ -224,3 +226,45 @@
         cr_expect_null (strstr (call.answer, "Keep-Alive"), "%s", call.answer);
     }
 }
+
+#define ROW_OF_REQUESTS 200
+
+/* COUNT requests with the ids q1 to q<COUNT>, each with PAD bytes more.  */
+static char *
+requests_in_a_row (int count, int pad)
+{
+  char *text = talloc_strdup (site, "");
+
+  for (int i = 1; i <= count; i++)
+    text = talloc_asprintf_append_buffer (
+        text, LINE HOST "X-Pad: %0*d\r\nX-Request-Id: q%d\r\n\r\n", pad, 0, i);
+  return text;
+}
+
+/* A caller is slow to take its answers, and they wait at the host.  A planned
+   stop closed the connection in good order and counted it no more: the process
+   ended with what had not been taken, and the caller had a part of it.  */
+Test (held_up, stop_waits_for_answers_that_are_not_taken)
+{
+  struct mq_router *router = site->routers[0];
+  char *text = requests_in_a_row (ROW_OF_REQUESTS, 1);
+  int bytes = 4096;
+
+  cr_assert_eq (setsockopt (router->front_fd, SOL_SOCKET, SO_SNDBUF, &bytes,
+                            sizeof bytes),
+                0);
+  edge_call (site, &call, 0, text);
+  EDGE_WAIT (site, router->counters.served == ROW_OF_REQUESTS);
+  mq_router_leave (router);
+  EDGE_WAIT (site, router->caller_count == 0);
+  if (!mq_router_stopped (router))
+    edge_wait (site, &call, ROW_OF_REQUESTS);
+  EDGE_WAIT (site, mq_router_stopped (router));
+  edge_kill (site, 0);
+  edge_wait (site, &call, ROW_OF_REQUESTS);
+  cr_expect_not_null (strstr (call.answer, "X-Request-Id: q200\r\n"),
+                      "closed %d after %zu bytes", call.closed,
+                      strlen (call.answer));
+  edge_hang_up (&call);
+  edge_start (site, 0);
+}
--- a/tests/test_lane.c
+++ b/tests/test_lane.c
@@ -1,13 +1,16 @@
 /* test_lane.c - connections to servers, and what lies unread on them when
    they are used or given up.
 
-   Needs: Criterion, http_lane.h, router_pool.h, rows.h.  */
+   Needs: Criterion, http_lane.h, router_pool.h, rows.h,
+   timer.h.  */
 
 #include "io/http_lane.h"
 #include "io/listen.h"
 #include "io/router_pool.h"
 #include "io/rows.h"
+#include "io/timer.h"
 #include <criterion/criterion.h>
+#include <fcntl.h>
 #include <poll.h>
 #include <stdio.h>
 #include <string.h>
@@ -22,6 +25,7 @@
 #define WAIT_MS 20000
 /* More than the buffers of both ends take, less than a connection keeps.  */
 #define LARGE_BYTES ((size_t)7 << 20)
+#define ANSWER_BYTES ((size_t)2 << 20)
 
 static struct tevent_context *ev;
 static int listening;
@@ -295,3 +299,68 @@
   cr_expect_not (heard.failed);
   mq_http_lane_destroy (lane);
 }
+
+static void
+on_over (void *data)
+{
+  *(bool *)data = true;
+}
+
+static void
+run_for (uint64_t ms)
+{
+  bool over = false;
+
+  cr_assert_not_null (mq_timer_add (ev, ev, ms, on_over, &over));
+  while (!over)
+    tevent_loop_once (ev);
+}
+
+static void
+on_data (struct mq_tcp *tcp, const char *data, size_t len, void *user)
+{
+  (void)tcp;
+  (void)data;
+  (void)len;
+  (void)user;
+}
+
+static void
+on_tcp_ended (struct mq_tcp *tcp, enum mq_tcp_end end, void *user)
+{
+  (void)end;
+  (void)user;
+  mq_tcp_destroy (tcp);
+}
+
+/* A host has written the last answer of a connection, and its caller takes it
+   a little at a time.  A second after the last byte was written the host
+   closed the connection, and the caller had an answer without its end.  */
+Test (lane, finished_connection_is_not_cut_while_it_is_read)
+{
+  static char bytes[ANSWER_BYTES / 32];
+  struct mq_tcp_owner owner = { .data = on_data, .ended = on_tcp_ended };
+  int to = mq_connect_begin (address, NULL);
+  int from = take_connection ();
+  int room = sizeof bytes;
+  struct mq_tcp *tcp;
+  size_t taken = 0;
+  ssize_t got = 1;
+
+  cr_assert_geq (to, 0);
+  setsockopt (to, SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
+  setsockopt (from, SOL_SOCKET, SO_SNDBUF, &room, sizeof room);
+  cr_assert_eq (fcntl (from, F_SETFL, O_NONBLOCK), 0);
+  tcp = mq_tcp_accept (ev, ev, from, &owner);
+  mq_tcp_write (tcp, talloc_zero_size (ev, ANSWER_BYTES), ANSWER_BYTES);
+  mq_tcp_finish (tcp);
+  while (got > 0)
+    {
+      run_for (60);
+      wait_readable (to);
+      got = recv (to, bytes, sizeof bytes, 0);
+      taken += got > 0 ? (size_t)got : 0;
+    }
+  cr_expect_eq (taken, ANSWER_BYTES, "%zu of %zu", taken, ANSWER_BYTES);
+  close (to);
+}
