Answers that callers have not taken yet go out before a close and a stop

Cause: a finished connection was closed a second after the last write, whether its caller was still taking the answer or not, and a planned stop counted it no more.

--- a/src/io/router.c
+++ b/src/io/router.c
@@ -43,8 +43,8 @@
    still come.  Then no new connection is taken and idle ones are closed: a
    caller that meets a closed door tries another host, while a request taken
    late in the stop would be cut off at its end.  Once no connection of a
-   caller is left the process ends: with only the requests under way counted,
-   one that lay unread was lost with it.  */
+   caller is left, also none that still sends, the process ends: with only the
+   requests under way counted, one that lay unread was lost with it.  */
 static void
 step_leaving (struct mq_router *router)
 {
@@ -53,7 +53,8 @@
   if (since < router->settings->settle_ms)
     return;
   mq_callers_stop (router);
-  if (router->caller_count == 0 || since >= router->stop_ms)
+  if ((router->caller_count == 0 && router->ending_count == 0)
+      || since >= router->stop_ms)
     router->stopped = true;
 }
 
--- a/src/io/router_caller.c
+++ b/src/io/router_caller.c
@@ -98,10 +98,42 @@
   free_if_unused (caller);
 }
 
+/**
+ * struct ending - a finished connection, below which it lies
+ */
+struct ending
+{
+  struct mq_router *router;
+};
+
+static int
+end_ending (struct ending *ending)
+{
+  ending->router->ending_count--;
+  return 0;
+}
+
+/* Failure: a caller is slow to take its answer, and the process ends its
+   planned stop once no caller is left: what was not sent is lost, and the
+   caller has a part of its answer.  So a finished connection counts until it
+   has closed itself.  */
+static void
+count_ending (struct mq_caller *caller)
+{
+  struct ending *ending = talloc_zero (caller->tcp, struct ending);
+
+  if (ending == NULL)
+    return;
+  ending->router = caller->router;
+  ending->router->ending_count++;
+  talloc_set_destructor (ending, end_ending);
+}
+
 static void
 finish_caller (struct mq_caller *caller)
 {
   talloc_steal (caller->router, caller->tcp);
+  count_ending (caller);
   mq_tcp_finish (caller->tcp);
   drop_caller (caller);
 }
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -71,6 +71,7 @@
  * @leaving: a stop was asked for
  * @stopped: nothing is left to do
  * @callers: connections of callers
+ * @ending_count: finished connections of callers that have not closed yet
  * @request_count: requests under way
  * @latency: of answers passed on, by kind of route, milliseconds
  * @held_up: how late the event loop came to a timer, milliseconds
@@ -99,6 +100,7 @@
   uint64_t random;
   struct mq_caller *callers;
   size_t caller_count;
+  size_t ending_count;
   size_t request_count;
   struct mq_router_counters counters;
   struct mq_histogram latency[MQ_ROUTE_KINDS];
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -16,6 +16,9 @@
 #define READ_BYTES ((size_t)16 << 10)
 /* A finished connection waits so long for the other side's end.  */
 #define LINGER_MS 1000U
+/* One with unsent bytes waits so long for the other side to take some more:
+   five times the longest that a host was held up (0.9 s).  */
+#define STALL_MS 5000U
 /* A connection that is not there after so long is given up.  Within a region
    it takes a few milliseconds; where the other side's queue is full, the next
    try of the kernel comes only after a second.  */
@@ -356,7 +359,7 @@
 }
 
 /* Either the connection did not come about in time, or the other side did not
-   end a finished one.  */
+   end a finished one, or takes nothing of what is unsent.  */
 static void
 on_timer (void *data)
 {
@@ -378,14 +381,24 @@
   (void)shutdown (tcp->fd, SHUT_WR);
 }
 
+/* Failure: the caller of a finished connection takes a long answer bit by bit,
+   and the connection is closed a second after the last byte was written here:
+   the answer ends in its middle.  The time counts from the last bytes that
+   went out.  */
+static void
+restart_linger (struct mq_tcp *tcp)
+{
+  TALLOC_FREE (tcp->timer);
+  tcp->timer = timer_in (tcp, tcp->unsent.len > 0 ? STALL_MS : LINGER_MS);
+}
+
 void
 mq_tcp_finish (struct mq_tcp *tcp)
 {
   if (tcp->dead || tcp->finishing)
     return;
   tcp->finishing = true;
-  TALLOC_FREE (tcp->timer);
-  tcp->timer = timer_in (tcp, LINGER_MS);
+  restart_linger (tcp);
   shut_if_sent (tcp);
   update_flags (tcp);
 }
@@ -406,6 +419,8 @@
     }
   else
     mq_buffer_skip (unsent, (size_t)sent);
+  if (sent > 0 && tcp->finishing)
+    restart_linger (tcp);
   update_flags (tcp);
   shut_if_sent (tcp);
 }
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -70,8 +70,9 @@
    the connection's end.  */
 bool mq_tcp_is_quiet (const struct mq_tcp *tcp);
 /* Sends what is unsent, then nothing more; what still comes in is dropped.
-   The connection destroys itself when the other side ends or after a second,
-   so that an answer is not lost to a reset for bytes that were not read.  */
+   The connection destroys itself when the other side ends, a second after the
+   last byte went out, or when the other side takes nothing for five, so that
+   an answer is not lost to a reset for bytes that were not read.  */
 void mq_tcp_finish (struct mq_tcp *tcp);
 /* Closes at once.  */
 void mq_tcp_destroy (struct mq_tcp *tcp);
