Test, failing: a host that owes a loan; requests sent far ahead

A host that was asked for a loan is taken for lost by the clock when a request is read before its answer, which lies there. Requests beyond 64 KiB ahead of an answer end the connection, and those that were read before them are dropped; after a stream the caller is not told.

--- a/tests/test_held_up.c
+++ b/tests/test_held_up.c
@@ -268,3 +268,50 @@
   edge_hang_up (&call);
   edge_start (site, 0);
 }
+
+/* More than a host takes ahead of an answer.  */
+#define FAR_AHEAD 60
+#define FAR_PAD 1500
+
+static const char *const far_firsts[] = {
+  FIRST,
+  /* Its head is out, and can't say that the connection ends, while the others
+     come.  */
+  "POST /turn/a HTTP/1.1\r\n" HOST
+  "X-Request-Id: q0\r\nContent-Length: 0\r\n\r\n",
+};
+
+/* A caller sends many requests before it reads the first answer.  Those beyond
+   64 KiB marked the connection to be closed once the answer under way was out,
+   and all requests that the host had read were dropped.  Their caller got
+   neither answers nor a refusal; after a stream that had begun before it was
+   not even told that the connection would end.  */
+Test (held_up, requests_sent_far_ahead_are_answered)
+{
+  char *text = requests_in_a_row (FAR_AHEAD, FAR_PAD);
+  size_t len = strlen (text);
+
+  site->llm_plan = (struct worker_plan){ WORKER_HALF, 1 };
+  for (size_t i = 0; i < ROWS (far_firsts); i++)
+    {
+      size_t sent = 0;
+
+      edge_call (site, &call, 0, far_firsts[i]);
+      while (strstr (call.answer, "200 OK") == NULL)
+        {
+          edge_run (site, 1);
+          call.closed = raw_read (call.fd, call.answer, sizeof call.answer);
+        }
+      while (sent < len && !call.closed)
+        {
+          sent += raw_send (call.fd, text + sent, len - sent);
+          edge_run (site, 1);
+          call.closed = raw_read (call.fd, call.answer, sizeof call.answer);
+        }
+      edge_wait (site, &call, FAR_AHEAD + 1);
+      cr_expect_not_null (strstr (call.answer, "X-Request-Id: q60\r\n"),
+                          "%zu: closed %d after %s", i, call.closed,
+                          call.answer);
+      edge_hang_up (&call);
+    }
+}
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -1,11 +1,16 @@
 /* test_relay.c - what routing hosts say to each other.
 
-   Needs: Criterion, relay_frame.h, frame.h.  */
+   Needs: Criterion, relay.h, frame.h, listen.h.  */
 
 #include "io/frame.h"
-#include "io/relay_frame.h"
+#include "io/listen.h"
+#include "io/relay.h"
 #include <criterion/criterion.h>
+#include <poll.h>
+#include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
 
@@ -225,3 +230,96 @@
     }
   talloc_free (ctx);
 }
+
+/**
+ * struct owing_case - a host that was asked for a loan, while this one is held
+ * up for longer than the answer may take
+ * @taken: the link is there before
+ * @answers: what it says arrives meanwhile
+ * @asked: hosts that the next question goes to
+ */
+struct owing_case
+{
+  const char *name;
+  bool taken;
+  bool answers;
+  uint32_t asked;
+};
+
+static const struct owing_case owing_cases[] = {
+  { "answered", true, true, 1 },
+  { "silent", true, false, 0 },
+  { "link not looked at", false, false, 1 },
+};
+
+static void
+on_loan_told (const struct mq_relay_loan_told *told, const char *address,
+              void *user)
+{
+  (void)told;
+  (void)address;
+  (void)user;
+}
+
+/* Reads some of the question on the other host's end, running the loop until
+   it is there.  */
+static void
+hear_question (struct tevent_context *ev, int fd)
+{
+  struct pollfd ready = { .fd = fd, .events = POLLIN };
+  char bytes[512];
+
+  while (poll (&ready, 1, 0) == 0)
+    tevent_loop_once (ev);
+  cr_assert_gt (recv (fd, bytes, sizeof bytes, 0), 0);
+}
+
+static void
+run_owing (const struct owing_case *row)
+{
+  struct tevent_context *ev = tevent_context_init (NULL);
+  struct mq_relay_owner owner = { .loan_told = on_loan_told };
+  struct mq_relay_loan_ask ask
+      = { .id = 1, .program = "p", .limit = 9, .most = 1, .turn = "" };
+  struct mq_relay_frame told
+      = { .kind = MQ_RELAY_LOAN_TOLD,
+          .u.loan_told = { .id = 1, .program = "p", .turn = "" } };
+  struct mq_bytes frame = mq_relay_frame_pack (ev, &told);
+  int other = mq_listen_open ("127.0.0.1:0", NULL);
+  struct pollfd door = { .fd = other, .events = POLLIN };
+  struct mq_error error = { .type = MQ_ERR_NONE };
+  struct mq_relay *relay;
+  char address[32];
+  int fd;
+
+  snprintf (address, sizeof address, "127.0.0.1:%u", mq_listen_port (other));
+  relay = mq_relay_create (ev, ev, "127.0.0.1:0",
+                           mq_rows_create (ev, ev, address), &owner, &error);
+  cr_assert_not_null (relay);
+  mq_relay_add_seed (relay, address);
+  cr_assert_eq (mq_relay_ask_loan (relay, &ask, false), 1);
+  cr_assert_eq (poll (&door, 1, 20000), 1);
+  fd = accept (other, NULL, NULL);
+  if (row->taken)
+    hear_question (ev, fd);
+  if (row->answers)
+    cr_assert_eq (send (fd, frame.data, frame.len, MSG_NOSIGNAL),
+                  (ssize_t)frame.len);
+  usleep ((MQ_RELAY_LOAN_MS + 20) * 1000);
+  cr_expect_eq (mq_relay_ask_loan (relay, &ask, false), row->asked, "%s",
+                row->name);
+  mq_relay_destroy (relay);
+  talloc_free (ev);
+  close (fd);
+  close (other);
+}
+
+/* A host asks another one for a loan and is then held up; the answer, or the
+   link itself, comes meanwhile.  A caller's request that is read first asks
+   again, and the other host was taken for lost: a turn was refused for a
+   second though the host that had its tokens had answered in time.  */
+Test (relay, answer_that_lies_unread_is_no_silence)
+{
+  for (size_t i = 0; i < ROWS (owing_cases); i++)
+    run_owing (&owing_cases[i]);
+}
