A host that owes a loan is not judged beside its unread answer

Cause: a question for a loan judged the other host by the clock alone; after a hold-up the request that asked was read before the answer.

--- a/src/io/relay_link.c
+++ b/src/io/relay_link.c
@@ -133,6 +133,12 @@
   return link;
 }
 
+bool
+mq_relay_link_has_unread (const struct mq_relay_link *link)
+{
+  return mq_tcp_has_unread (link->tcp);
+}
+
 void
 mq_relay_link_send (struct mq_relay_link *link, struct mq_bytes bytes)
 {
--- a/src/io/relay_link.h
+++ b/src/io/relay_link.h
@@ -37,6 +37,9 @@
 struct mq_relay_link *
 mq_relay_link_accept (TALLOC_CTX *ctx, struct tevent_context *ev, int fd,
                       const struct mq_relay_link_owner *owner);
+/* Something of the other side has arrived, bytes or the connection itself,
+   that was not looked at yet.  */
+bool mq_relay_link_has_unread (const struct mq_relay_link *link);
 /* Sends bytes of mq_relay_frame_pack.  */
 void mq_relay_link_send (struct mq_relay_link *link, struct mq_bytes bytes);
 /* May be called from within the owner's functions.  */
--- a/src/io/relay_loan.c
+++ b/src/io/relay_loan.c
@@ -18,13 +18,24 @@
   relay->owner.loan_told (told, host->address, relay->owner.user);
 }
 
+/* Failure: this host is held up, a caller's request is read before the answer
+   that another host has given in time, and that host counts as gone; turns
+   whose tokens it has are refused for a second.  One whose answer, or whose
+   link, has arrived but was not looked at is judged the next time.  */
+static bool
+owes_answer (const struct host *host, uint64_t now)
+{
+  return host->loan_asked_ms != 0
+         && now - host->loan_asked_ms >= MQ_RELAY_LOAN_MS
+         && (host->link == NULL || !mq_relay_link_has_unread (host->link));
+}
+
 /* Whether HOST may be asked for a loan; one that owes an answer is left alone
    for a while.  */
 static bool
 may_lend (struct host *host, uint64_t now)
 {
-  if (host->loan_asked_ms != 0
-      && now - host->loan_asked_ms >= MQ_RELAY_LOAN_MS)
+  if (owes_answer (host, now))
     relay_note_gone (host);
   return host->gone_until_ms <= now;
 }
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -9,6 +9,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -337,13 +338,24 @@
   update_flags (tcp);
 }
 
+static bool
+is_there (const struct mq_tcp *tcp)
+{
+  struct pollfd ready = { .fd = tcp->fd, .events = POLLOUT };
+
+  return poll (&ready, 1, 0) == 1 && (ready.revents & POLLERR) == 0;
+}
+
 bool
 mq_tcp_has_unread (const struct mq_tcp *tcp)
 {
   char byte;
 
-  return tcp->fd >= 0 && !tcp->opening
-         && recv (tcp->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  if (tcp->fd < 0)
+    return false;
+  if (tcp->opening)
+    return is_there (tcp);
+  return recv (tcp->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 bool
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -64,7 +64,8 @@
 /* Stops and starts reading; the end of a connection whose reading is stopped
    is noticed when it starts again.  */
 void mq_tcp_read (struct mq_tcp *tcp, bool on);
-/* Bytes of the other side have arrived and were not read yet.  */
+/* Bytes of the other side have arrived and were not read yet, or a connection
+   that was asked for is there and was not looked at yet.  */
 bool mq_tcp_has_unread (const struct mq_tcp *tcp);
 /* Nothing of the other side has arrived that was not read: no bytes, and not
    the connection's end.  */
