Requests sent far ahead wait in the network and are not dropped

Cause: more than 64 KiB ahead of an answer marked the connection to be closed, and all requests that had been read were dropped with it.

--- a/src/io/router_caller.c
+++ b/src/io/router_caller.c
@@ -16,8 +16,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Bytes of further requests that wait on a connection.  */
+/* Bytes of further requests that wait on a connection; with so many it is not
+   read, and one read more may have come.  */
 #define AHEAD_BYTES ((size_t)64 << 10)
+#define AHEAD_MOST_BYTES (2 * AHEAD_BYTES)
 /* Limits before any configuration is known; as those of docs/CONTRACTS.md.  */
 #define FIRST_HEADER_MS 3000U
 #define FIRST_IDLE_MS 15000U
@@ -234,6 +236,18 @@
                     caller->arrived_ms);
 }
 
+/* Failure: a caller sends more ahead than is kept, the connection is closed
+   after the answer under way, and whole requests that were read get no answer;
+   a stream that has begun can't even say so.  So the rest waits in the
+   network until there is room.  Such a caller who leaves is noticed only
+   then.  */
+static void
+read_if_room (struct mq_caller *caller)
+{
+  if (!caller->dead)
+    mq_tcp_read (caller->tcp, caller->ahead.len < AHEAD_BYTES);
+}
+
 /* One message's bytes, or those of several; what can't be used yet waits.  */
 static void
 feed (struct mq_caller *caller, const char *data, size_t len)
@@ -247,7 +261,7 @@
         {
           if (!caller->closing
               && !mq_buffer_append (caller, &caller->ahead, data, len,
-                                    AHEAD_BYTES))
+                                    AHEAD_MOST_BYTES))
             caller->closing = true;
           return;
         }
@@ -283,6 +297,7 @@
   caller->active_ms = mq_clock_ms ();
   caller->feeding = true;
   feed (caller, data, len);
+  read_if_room (caller);
   caller->feeding = false;
   free_if_unused (caller);
 }
@@ -311,6 +326,7 @@
   caller->feeding = true;
   feed (caller, ahead.data + ahead.at, ahead.len);
   mq_buffer_clear (&ahead);
+  read_if_room (caller);
   caller->feeding = nested;
   free_if_unused (caller);
 }
