--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,14 +1,16 @@
 /* test_http.c - the HTTP server and the HTTP client, with their faults.
 
-   Needs: Criterion, http_peer.h.  */
+   Needs: Criterion, http_peer.h, listen.h.  */
 
 #include "http_peer.h"
 #include "core/limits.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
+#include "io/listen.h"
 #include <criterion/criterion.h>
 #include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -17,6 +19,8 @@
 #define TEXT_BYTES (1U << 18)
 #define HELD_MAX 256
 #define BODY_MAX 10000
+/* A process that is held up, for longer than its calls may take.  */
+#define HELD_UP_MS 1200U
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
 
 /* One event loop with a server, a client and what they have told.  */
@@ -402,6 +406,70 @@
     }
 }
 
+/* The whole request that came in on FD, running the loop until it is there. */
+static void
+hear_request (int fd)
+{
+  char request[4096] = "";
+  size_t len = 0;
+
+  while (strstr (request, "\r\n\r\n") == NULL)
+    {
+      ssize_t got
+          = recv (fd, request + len, sizeof request - len - 1, MSG_DONTWAIT);
+
+      len += got > 0 ? (size_t)got : 0;
+      request[len] = '\0';
+      tevent_loop_once (ev);
+    }
+}
+
+/* The platform answers a write in time, while this process is held up for
+   longer than the call may take.  curl looks at the time before it looks at
+   the socket, so the call ended as timed out beside its whole answer: whether
+   a write was done, or a call had run, counted as not known.  */
+Test (http, answer_that_came_in_time_is_taken)
+{
+  static const char answer[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  static const struct
+  {
+    const char *name;
+    size_t len; /* of the answer, that comes in time */
+    enum mq_error_type error;
+  } rows[] = {
+    { "whole", sizeof answer - 1, MQ_ERR_NONE },
+    { "without its end", sizeof answer - 2, MQ_ERR_TIMEOUT },
+    { "nothing", 0, MQ_ERR_TIMEOUT },
+  };
+
+  for (size_t i = 0; i < ROWS (rows); i++)
+    {
+      const char *name = rows[i].name;
+      struct mq_http_send send_off
+          = { .method = "POST", .timeout_ms = HELD_UP_MS - 200 };
+      struct outcome outcome = { 0 };
+      int listening = mq_listen_open ("127.0.0.1:0", NULL);
+      int fd = -1;
+
+      call (&outcome, mq_listen_port (listening), "/", send_off);
+      while (fd < 0)
+        {
+          tevent_loop_once (ev);
+          fd = accept (listening, NULL, NULL);
+        }
+      hear_request (fd);
+      cr_assert_eq (send (fd, answer, rows[i].len, MSG_NOSIGNAL),
+                    (ssize_t)rows[i].len);
+      usleep (HELD_UP_MS * 1000);
+      WAIT (outcome.done > 0);
+      cr_expect_eq (outcome.error, rows[i].error, "%s: %s", name,
+                    mq_error_name (outcome.error));
+      close (fd);
+      close (listening);
+    }
+}
+
 /* A callback may end calls or the whole client while curl is at work; the
    wrong order frees what curl still uses (ASan) or tells a cancelled call.  */
 Test (http, cancel_and_destroy_within_callbacks)
--- a/tests/test_timer.c
+++ b/tests/test_timer.c
@@ -1,8 +1,9 @@
 /* test_timer.c - timers by the steady clock.
 
-   Needs: Criterion, timer.h.  */
+   Needs: Criterion, timer.h, process.h.  */
 
 #include "io/clock.h"
+#include "io/process.h"
 #include "io/timer.h"
 #include <criterion/criterion.h>
 #include <sys/time.h>
@@ -171,6 +172,35 @@
   cr_assert_str_eq (order, "abcst");
 }
 
+static void
+on_tick (struct tevent_context *loop, struct tevent_timer *timer,
+         struct timeval now, void *data)
+{
+  (void)loop;
+  (void)timer;
+  (void)now;
+  on_letter (data);
+}
+
+/* A process beside a target stops once no call has come for a while, and looks
+   for that at a tick.  After it was held up the tick came before the
+   connections, nothing seemed to have come, and a call that lay unread was
+   lost with the process: its owner could not know whether it ran.  */
+Test (timer, what_has_arrived_comes_before_a_late_tick)
+{
+  struct mq_tick_timer tick = { NULL, 0 };
+  char *letter = talloc_strdup (ev, "t");
+  int ends[2];
+
+  cr_assert_eq (pipe (ends), 0);
+  tevent_add_fd (ev, ev, ends[0], TEVENT_FD_READ, on_byte, &ends[0]);
+  mq_tick_timer_set (&tick, ev, mq_clock_us () + 10000, 0, on_tick, letter);
+  usleep (30000);
+  cr_assert_eq (write (ends[1], "a", 1), 1);
+  run_until (2);
+  cr_assert_str_eq (order, "at");
+}
+
 /* The second of two handlers that take long, and the answer that arrives as
    it begins.  */
 struct slow
