Times of calls and ticks of processes come after what has arrived

Cause: curl looks at the time of a call before its socket, and the tick of the processes on entry and target hosts was a timer of tevent, which come before all connections. A call ended as timed out beside its whole answer; a stop beside a target saw quiet beside a call that lay unread.

--- a/src/io/entry.c
+++ b/src/io/entry.c
@@ -106,14 +106,10 @@
 }
 
 static void
-on_timer (struct tevent_context *ev, struct tevent_timer *timer,
-          struct timeval at, void *data)
+on_timer (void *data)
 {
   struct mq_entry *entry = data;
 
-  (void)ev;
-  (void)timer;
-  (void)at;
   entry->tick.timer = NULL;
   tick_cores (entry);
   mq_entry_settle (entry);
@@ -153,9 +149,8 @@
     }
   entry->working = false;
   look_at_leaving (entry);
-  /* The event loop serves a timer that is due before any socket.  A core
-     whose next tick stays in the past would keep it from all of them: the
-     process would run at full load and answer nobody.  */
+  /* A core whose next tick stays in the past would come with every turn of the
+     event loop: the process would run at full load for nothing.  */
   mq_tick_timer_set (&entry->tick, entry->ev, next_tick (entry), US_PER_MS,
                      on_timer, entry);
 }
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -1,12 +1,13 @@
 /* http_client.c - libcurl's multi interface inside tevent.
 
-   curl says which sockets and which timeout it waits for; tevent waits.
-   Needs: libcurl, tevent.  */
+   curl says which sockets and timeouts it waits for, but for those of calls.
+   Needs: libcurl, tevent, timer.h.  */
 
 #include "http_client.h"
 #include "../core/limits.h"
 #include "buffer.h"
 #include "clock.h"
+#include "timer.h"
 #include <curl/curl.h>
 #include <string.h>
 #include <strings.h>
@@ -33,7 +34,7 @@
 {
   struct tevent_context *ev;
   CURLM *multi;
-  struct tevent_timer *timer;
+  struct mq_timer *timer;
   struct tevent_immediate *soon;
   struct mq_http_call *active;
   struct mq_http_call *unstarted;
@@ -51,6 +52,7 @@
  * @next: in @list
  * @previous: in @list
  * @easy: curl's side
+ * @timer: ends the call as timed out, NULL: none
  * @headers: of the request
  * @part: told each part, NULL: collect
  * @done: told the end, NULL once cancelled
@@ -70,6 +72,7 @@
   struct mq_http_call *next;
   struct mq_http_call *previous;
   CURL *easy;
+  struct mq_timer *timer;
   struct curl_slist *headers;
   mq_http_part *part;
   mq_http_done *done;
@@ -174,8 +177,8 @@
   long connects = 0;
 
   curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &connects);
-  if (call->result == CURLE_OPERATION_TIMEDOUT && call->starts > 0
-      && connects == 0 && call->total == 0)
+  if (error_of (call) == MQ_ERR_TIMEOUT && call->starts > 0 && connects == 0
+      && call->total == 0)
     call->client->silent_ms = mq_clock_ms ();
 }
 
@@ -281,9 +284,19 @@
     }
 }
 
+/* A client that is destroyed by it is freed last.  */
+static void
+tell_ended (struct mq_http_client *client)
+{
+  client->running = true;
+  end_calls (client);
+  client->running = false;
+  if (client->doomed)
+    talloc_free (client);
+}
+
 /* Callbacks may send, cancel and destroy at will: what they end is freed when
-   curl has returned, what they send is started then, and a client that they
-   destroy is freed last.  */
+   curl has returned, what they send is started then.  */
 static void
 drive (struct mq_http_client *client, curl_socket_t fd, int bits)
 {
@@ -296,21 +309,14 @@
   collect_finished (client);
   while (client->unstarted != NULL && !client->doomed)
     start_call (client->unstarted);
-  end_calls (client);
-  client->running = false;
-  if (client->doomed)
-    talloc_free (client);
+  tell_ended (client);
 }
 
 static void
-timer_fired (struct tevent_context *ev, struct tevent_timer *timer,
-             struct timeval now, void *data)
+timer_fired (void *data)
 {
   struct mq_http_client *client = data;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   client->timer = NULL;
   drive (client, CURL_SOCKET_TIMEOUT, 0);
 }
@@ -327,16 +333,13 @@
 set_timer (CURLM *multi, long timeout_ms, void *user)
 {
   struct mq_http_client *client = user;
-  struct timeval at;
 
   (void)multi;
   TALLOC_FREE (client->timer);
   if (timeout_ms < 0 || client->doomed)
     return 0;
-  at = tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
-                                   (uint32_t)(timeout_ms % 1000) * 1000);
-  client->timer
-      = tevent_add_timer (client->ev, client, at, timer_fired, client);
+  client->timer = mq_timer_add (client, client->ev, (uint64_t)timeout_ms,
+                                timer_fired, client);
   return client->timer == NULL ? -1 : 0;
 }
 
@@ -529,7 +532,6 @@
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)MQ_HTTP_CONNECT_MS);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)send->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long)MQ_HTTP_REUSE_MS / 1000);
   trust_connections (call->client, easy);
 }
@@ -546,6 +548,35 @@
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
 }
 
+static void
+on_call_timeout (void *data)
+{
+  struct mq_http_call *call = data;
+  struct mq_http_client *client = call->client;
+
+  call->timer = NULL;
+  if (call->list == NULL || call->list == &client->ended)
+    return;
+  call->failed = MQ_ERR_TIMEOUT;
+  call_move (call, &client->ended);
+  if (!client->running)
+    tell_ended (client);
+}
+
+/* Failure: this process is held up for longer than a call may take; curl looks
+   at the time before the socket, and the call ends as timed out beside its
+   whole answer.  Our timers come after what has arrived.  */
+static void
+limit_time (struct mq_http_call *call, uint32_t timeout_ms)
+{
+  if (timeout_ms == 0)
+    return;
+  call->timer = mq_timer_add (call, call->client->ev, timeout_ms,
+                              on_call_timeout, call);
+  if (call->timer == NULL)
+    call->failed = MQ_ERR_NO_MEMORY;
+}
+
 struct mq_http_call *
 mq_http_client_send (struct mq_http_client *client,
                      const struct mq_http_send *send)
@@ -569,6 +600,7 @@
       set_method (call, send);
       set_headers (call, send->headers);
       set_callbacks (call);
+      limit_time (call, send->timeout_ms);
     }
   if (call->failed != MQ_ERR_NONE)
     call_move (call, &client->ended);
--- a/src/io/process.c
+++ b/src/io/process.c
@@ -10,6 +10,7 @@
 
 enum
 {
+  US_PER_MS = 1000,
   US_PER_SECOND = 1000000
 };
 
@@ -44,14 +45,17 @@
   return net;
 }
 
+/* Failure: a process that was held up looks at its cores before it has read
+   what arrived meanwhile: a stop beside a target finds that no call has come
+   for a while, and one that lies unread is lost with the process.  These
+   timers come after what has arrived.  */
 void
 mq_tick_timer_set (struct mq_tick_timer *tick, struct tevent_context *ev,
                    uint64_t at_us, uint64_t least_us,
-                   tevent_timer_handler_t handler, void *data)
+                   mq_timer_handler *handler, void *data)
 {
   uint64_t now = mq_clock_us ();
   uint64_t wait_us = at_us > now ? at_us - now : 0;
-  struct timeval due;
 
   if (tick->timer != NULL && tick->at_us == at_us)
     return;
@@ -61,7 +65,6 @@
     wait_us = least_us;
   TALLOC_FREE (tick->timer);
   tick->at_us = at_us;
-  due = tevent_timeval_current_ofs ((uint32_t)(wait_us / US_PER_SECOND),
-                                    (uint32_t)(wait_us % US_PER_SECOND));
-  tick->timer = mq_must (tevent_add_timer (ev, data, due, handler, data));
+  tick->timer = mq_must (mq_timer_add (
+      data, ev, (wait_us + US_PER_MS - 1) / US_PER_MS, handler, data));
 }
--- a/src/io/process.h
+++ b/src/io/process.h
@@ -1,13 +1,14 @@
 /* process.h - addresses, connections and ticks of a process.
 
    Shared by the processes on entry and target hosts.
-   Needs: tevent, peer.h, settings.h.  */
+   Needs: tevent, peer.h, settings.h, timer.h.  */
 
 #ifndef MQ_PROCESS_H
 #define MQ_PROCESS_H
 
 #include "peer.h"
 #include "settings.h"
+#include "timer.h"
 #include <tevent.h>
 
 /* ADDRESS, "IP:PORT", with PORT in the place of its own, below CTX.  */
@@ -29,14 +30,14 @@
  */
 struct mq_tick_timer
 {
-  struct tevent_timer *timer;
+  struct mq_timer *timer;
   uint64_t at_us;
 };
 
 /* Sets TICK, a child of DATA, to AT_US: at least LEAST_US and at most a second
-   from now.  */
+   from now, to the millisecond.  */
 void mq_tick_timer_set (struct mq_tick_timer *tick, struct tevent_context *ev,
                         uint64_t at_us, uint64_t least_us,
-                        tevent_timer_handler_t handler, void *data);
+                        mq_timer_handler *handler, void *data);
 
 #endif
--- a/src/io/target.c
+++ b/src/io/target.c
@@ -166,16 +166,12 @@
 /* Time.  */
 
 static void
-on_timer (struct tevent_context *ev, struct tevent_timer *timer,
-          struct timeval at, void *data)
+on_timer (void *data)
 {
   struct mq_target *target = data;
   struct mq_gate_input gate = { .type = MQ_GATE_TICK };
   struct mq_spread_input spread = { .type = MQ_SPREAD_TICK };
 
-  (void)ev;
-  (void)timer;
-  (void)at;
   target->tick.timer = NULL;
   if (mq_spread_next_tick (target->spread) <= mq_clock_us ())
     mq_target_tell_spread (target, &spread);
--- a/tests/test_timer.c
+++ b/tests/test_timer.c
@@ -173,12 +173,8 @@
 }
 
 static void
-on_tick (struct tevent_context *loop, struct tevent_timer *timer,
-         struct timeval now, void *data)
+on_tick (void *data)
 {
-  (void)loop;
-  (void)timer;
-  (void)now;
   on_letter (data);
 }
 
