--- a/src/io/relay_loan.c
+++ b/src/io/relay_loan.c
@@ -52,12 +52,21 @@
         = mq_timer_add (host, relay->ev, MQ_RELAY_LOAN_MS, on_loan_late, host);
 }
 
+/* A host whose answer, or whose link, has arrived but was not looked at is
+   judged the next time: more arrives while this host works off what has.  */
+static bool
+owes_answer (const struct host *host)
+{
+  return host->loan_late
+         && (host->link == NULL || !mq_relay_link_has_unread (host->link));
+}
+
 /* Whether HOST may be asked for a loan; one that owes an answer is left alone
    for a while.  */
 static bool
 may_lend (struct host *host, uint64_t now)
 {
-  if (host->loan_late)
+  if (owes_answer (host))
     relay_note_gone (host);
   return host->gone_until_ms <= now;
 }
--- a/src/io/tcp.c
+++ b/src/io/tcp.c
@@ -9,6 +9,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,6 +17,9 @@
 #define READ_BYTES ((size_t)16 << 10)
 /* A finished connection waits so long for the other side's end.  */
 #define LINGER_MS 1000U
+/* One with unsent bytes waits so long for the other side to take some more:
+   five times the longest that a host was held up (0.9 s).  */
+#define STALL_MS 5000U
 /* A connection that is not there after so long is given up.  Within a region
    it takes a few milliseconds; where the other side's queue is full, the next
    try of the kernel comes only after a second.  */
@@ -334,13 +338,24 @@
   update_flags (tcp);
 }
 
+static bool
+is_there (const struct mq_tcp *tcp)
+{
+  struct pollfd ready = { .fd = tcp->fd, .events = POLLOUT };
+
+  return poll (&ready, 1, 0) == 1 && (ready.revents & POLLERR) == 0;
+}
+
 bool
 mq_tcp_has_unread (const struct mq_tcp *tcp)
 {
   char byte;
 
-  return tcp->fd >= 0 && !tcp->opening
-         && recv (tcp->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  if (tcp->fd < 0)
+    return false;
+  if (tcp->opening)
+    return is_there (tcp);
+  return recv (tcp->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 bool
@@ -362,7 +377,7 @@
 }
 
 /* Either the connection did not come about in time, or the other side did not
-   end a finished one.  */
+   end a finished one, or takes nothing of what is unsent.  */
 static void
 on_timer (void *data)
 {
@@ -384,14 +399,24 @@
   (void)shutdown (tcp->fd, SHUT_WR);
 }
 
+/* Failure: the caller of a finished connection takes a long answer bit by bit,
+   and the connection is closed a second after the last byte was written here:
+   the answer ends in its middle.  The time counts from the last bytes that
+   went out.  */
+static void
+restart_linger (struct mq_tcp *tcp)
+{
+  TALLOC_FREE (tcp->timer);
+  tcp->timer = timer_in (tcp, tcp->unsent.len > 0 ? STALL_MS : LINGER_MS);
+}
+
 void
 mq_tcp_finish (struct mq_tcp *tcp)
 {
   if (tcp->dead || tcp->finishing)
     return;
   tcp->finishing = true;
-  TALLOC_FREE (tcp->timer);
-  tcp->timer = timer_in (tcp, LINGER_MS);
+  restart_linger (tcp);
   shut_if_sent (tcp);
   update_flags (tcp);
 }
@@ -412,6 +437,8 @@
     }
   else
     mq_buffer_skip (unsent, (size_t)sent);
+  if (sent > 0 && tcp->finishing)
+    restart_linger (tcp);
   update_flags (tcp);
   shut_if_sent (tcp);
 }
--- a/src/io/tcp.h
+++ b/src/io/tcp.h
@@ -64,7 +64,8 @@
 /* Stops and starts reading; the end of a connection whose reading is stopped
    is noticed when it starts again.  */
 void mq_tcp_read (struct mq_tcp *tcp, bool on);
-/* Bytes of the other side have arrived and were not read yet.  */
+/* Bytes of the other side have arrived and were not read yet, or a connection
+   that was asked for is there and was not looked at yet.  */
 bool mq_tcp_has_unread (const struct mq_tcp *tcp);
 /* Nothing of the other side has arrived that was not read: no bytes, and not
    the connection's end.  */
@@ -72,8 +73,9 @@
 /* Bytes wait for the other side to take some.  */
 bool mq_tcp_has_unsent (const struct mq_tcp *tcp);
 /* Sends what is unsent, then nothing more; what still comes in is dropped.
-   The connection destroys itself when the other side ends or after a second,
-   so that an answer is not lost to a reset for bytes that were not read.  */
+   The connection destroys itself when the other side ends, a second after the
+   last byte went out, or when the other side takes nothing for five, so that
+   an answer is not lost to a reset for bytes that were not read.  */
 void mq_tcp_finish (struct mq_tcp *tcp);
 /* Closes at once.  */
 void mq_tcp_destroy (struct mq_tcp *tcp);
--- a/tests/test_held_up.c
+++ b/tests/test_held_up.c
@@ -7,7 +7,9 @@
 #include "http_peer.h"
 #include "io/router_state.h"
 #include <criterion/criterion.h>
+#include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
@@ -294,3 +296,92 @@
       edge_hang_up (&call);
     }
 }
+
+#define ROW_OF_REQUESTS 200
+
+/* COUNT requests with the ids q1 to q<COUNT>, each with PAD bytes more.  */
+static char *
+requests_in_a_row (int count, int pad)
+{
+  char *text = talloc_strdup (site, "");
+
+  for (int i = 1; i <= count; i++)
+    text = talloc_asprintf_append_buffer (
+        text, LINE HOST "X-Pad: %0*d\r\nX-Request-Id: q%d\r\n\r\n", pad, 0, i);
+  return text;
+}
+
+/* A caller is slow to take its answers, and they wait at the host.  A planned
+   stop closed the connection in good order and counted it no more: the process
+   ended with what had not been taken, and the caller had a part of it.  */
+Test (held_up, stop_waits_for_answers_that_are_not_taken)
+{
+  struct mq_router *router = site->routers[0];
+  char *text = requests_in_a_row (ROW_OF_REQUESTS, 1);
+  int bytes = 4096;
+
+  cr_assert_eq (setsockopt (router->front_fd, SOL_SOCKET, SO_SNDBUF, &bytes,
+                            sizeof bytes),
+                0);
+  edge_call (site, &call, 0, text);
+  EDGE_WAIT (site, router->counters.served == ROW_OF_REQUESTS);
+  mq_router_leave (router);
+  EDGE_WAIT (site, router->caller_count == 0);
+  if (!mq_router_stopped (router))
+    edge_wait (site, &call, ROW_OF_REQUESTS);
+  EDGE_WAIT (site, mq_router_stopped (router));
+  edge_kill (site, 0);
+  edge_wait (site, &call, ROW_OF_REQUESTS);
+  cr_expect_not_null (strstr (call.answer, "X-Request-Id: q200\r\n"),
+                      "closed %d after %zu bytes", call.closed,
+                      strlen (call.answer));
+  edge_hang_up (&call);
+  edge_start (site, 0);
+}
+
+/* More than a host takes ahead of an answer.  */
+#define FAR_AHEAD 60
+#define FAR_PAD 1500
+
+static const char *const far_firsts[] = {
+  FIRST,
+  /* Its head is out, and can't say that the connection ends, while the others
+     come.  */
+  "POST /turn/a HTTP/1.1\r\n" HOST
+  "X-Request-Id: q0\r\nContent-Length: 0\r\n\r\n",
+};
+
+/* A caller sends many requests before it reads the first answer.  Those beyond
+   64 KiB marked the connection to be closed once the answer under way was out,
+   and all requests that the host had read were dropped.  Their caller got
+   neither answers nor a refusal; after a stream that had begun before it was
+   not even told that the connection would end.  */
+Test (held_up, requests_sent_far_ahead_are_answered)
+{
+  char *text = requests_in_a_row (FAR_AHEAD, FAR_PAD);
+  size_t len = strlen (text);
+
+  site->llm_plan = (struct worker_plan){ WORKER_HALF, 1 };
+  for (size_t i = 0; i < ROWS (far_firsts); i++)
+    {
+      size_t sent = 0;
+
+      edge_call (site, &call, 0, far_firsts[i]);
+      while (strstr (call.answer, "200 OK") == NULL)
+        {
+          edge_run (site, 1);
+          call.closed = raw_read (call.fd, call.answer, sizeof call.answer);
+        }
+      while (sent < len && !call.closed)
+        {
+          sent += raw_send (call.fd, text + sent, len - sent);
+          edge_run (site, 1);
+          call.closed = raw_read (call.fd, call.answer, sizeof call.answer);
+        }
+      edge_wait (site, &call, FAR_AHEAD + 1);
+      cr_expect_not_null (strstr (call.answer, "X-Request-Id: q60\r\n"),
+                          "%zu: closed %d after %s", i, call.closed,
+                          call.answer);
+      edge_hang_up (&call);
+    }
+}
