bench_capacity config: from the feed's answer to the table in force

Cause: a configuration of thousands of routes holds the event loop up, and where the processor time goes was not known.

Change: an experiment that times each stage.

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -50,6 +50,7 @@
   { "gate", capacity_run_gate },     { "owner", capacity_run_owner },
   { "spread", capacity_run_spread }, { "takeover", capacity_run_takeover },
   { "hosts", capacity_run_hosts },   { "cuts", capacity_run_cuts },
+  { "config", capacity_run_config },
 };
 
 static bool
@@ -64,7 +65,8 @@
 static const struct argp argp
     = { .args_doc = "[EXPERIMENT...]",
         .doc = "Measures what the core costs as numbers grow.  Experiments: "
-               "place text gate owner spread takeover hosts cuts." };
+               "place text gate owner spread takeover hosts cuts "
+               "config." };
 
 int
 main (int argc, char **argv)
--- /dev/null
+++ b/bench/capacity_config.c
@@ -0,0 +1,142 @@
+/* capacity_config.c - cost of taking a configuration from the feed's answer
+   to the table in force, as its routes grow.
+
+   Needs: capacity.h, rows_state.h, router_wire.h, base64.h.  */
+
+#include "capacity.h"
+#include "../platform/rows_state.h"
+#include "../src/io/base64.h"
+#include "../src/io/router_wire.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  NS_PER_US = 1000,
+  PART_BYTES = 16384, /* that the table's answer arrives in */
+  ROUTES_OF_HOST = 25,
+  REPEATS = 7
+};
+
+static char *
+write_config (TALLOC_CTX *ctx, uint32_t routes)
+{
+  char *text = talloc_strdup (ctx, "{\"version\":7,\"routes\":[");
+
+  for (uint32_t i = 0; i < routes; i++)
+    text = talloc_asprintf_append_buffer (
+        text,
+        "%s{\"name\":\"route-%u\",\"host\":\"host-%u.example\","
+        "\"prefix\":\"/service-%u/\",\"kind\":\"idempotent\","
+        "\"timeoutMs\":6000,\"sloMs\":200,\"priority\":1,"
+        "\"service\":\"service-%u\",\"attempts\":2}",
+        i == 0 ? "" : ",", i, i / ROUTES_OF_HOST, i, i % 12);
+  return talloc_asprintf_append_buffer (
+      text, "],\"services\":[{\"name\":\"service-1\",\"maxConns\":100}],"
+            "\"limits\":{\"idleTimeoutMs\":15000}}");
+}
+
+/* The answer of the feed that tells it.  */
+static char *
+write_answer (TALLOC_CTX *ctx, uint32_t routes)
+{
+  char *text = write_config (ctx, routes);
+  struct mq_bytes value = { (uint8_t *)text, strlen (text) };
+
+  return talloc_asprintf (
+      ctx,
+      "{\"rows\":[{\"table\":\"op\",\"part\":\"\",\"key\":\"config\","
+      "\"ver\":9,\"value\":\"%s\"}],\"ver\":9,\"nowMs\":1}",
+      mq_base64_encode (ctx, value));
+}
+
+/**
+ * struct series - processor time of each stage, microseconds
+ */
+struct series
+{
+  struct capacity_series *size, *body, *answer, *decode, *sort, *memory, *end;
+};
+
+static void
+add_time (struct capacity_series *series, uint32_t routes, uint64_t *since)
+{
+  uint64_t now = capacity_cpu_ns ();
+
+  capacity_series_add (series, routes, (double)(now - *since) / NS_PER_US);
+  *since = capacity_cpu_ns ();
+}
+
+static void
+take_body (TALLOC_CTX *ctx, struct mq_buffer *body, const char *text)
+{
+  size_t len = strlen (text);
+
+  for (size_t at = 0; at < len; at += PART_BYTES)
+    if (!mq_buffer_append (ctx, body, text + at,
+                           len - at < PART_BYTES ? len - at : PART_BYTES,
+                           SIZE_MAX))
+      abort ();
+}
+
+static void
+measure (const struct series *series, uint32_t routes)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  char *text = write_answer (ctx, routes);
+  struct mq_buffer body = { 0 };
+  struct rows_answer answer;
+  struct mq_error error = { .type = MQ_ERR_NONE };
+  struct mq_route_table *table;
+  uint64_t since = capacity_cpu_ns ();
+
+  capacity_series_add (series->size, routes, (double)strlen (text));
+  take_body (ctx, &body, text);
+  add_time (series->body, routes, &since);
+  if (!rows_read_answer (ctx, &body, &answer))
+    abort ();
+  add_time (series->answer, routes, &since);
+  table = mq_wire_read_config (ctx, answer.rows[0].value, &error);
+  if (table == NULL)
+    abort ();
+  add_time (series->decode, routes, &since);
+  mq_route_table_sort (table);
+  add_time (series->sort, routes, &since);
+  capacity_series_add (series->memory, routes,
+                       (double)capacity_memory (table));
+  since = capacity_cpu_ns ();
+  talloc_free (table);
+  add_time (series->end, routes, &since);
+  rows_free_answer (&answer);
+  talloc_free (ctx);
+}
+
+void
+capacity_run_config (void)
+{
+  static const uint32_t sizes[] = { 50, 1400, 4250, 10000 };
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct series series = {
+    .size = capacity_series_create (ctx, "config.size", "routes", "bytes"),
+    .body = capacity_series_create (ctx, "config.body", "routes", "us"),
+    .answer = capacity_series_create (ctx, "config.answer", "routes", "us"),
+    .decode = capacity_series_create (ctx, "config.decode", "routes", "us"),
+    .sort = capacity_series_create (ctx, "config.sort", "routes", "us"),
+    .memory = capacity_series_create (ctx, "config.memory", "routes",
+                                      "bytes of memory"),
+    .end = capacity_series_create (ctx, "config.free", "routes", "us"),
+  };
+
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    for (int repeat = 0; repeat < REPEATS; repeat++)
+      measure (&series, sizes[i]);
+  capacity_series_print (series.size);
+  capacity_series_print (series.body);
+  capacity_series_print (series.answer);
+  capacity_series_print (series.decode);
+  capacity_series_print (series.sort);
+  capacity_series_print (series.memory);
+  capacity_series_print (series.end);
+  talloc_free (ctx);
+}
