--- a/Makefile
+++ b/Makefile
@@ -140,7 +140,7 @@
 FUZZ_BIN = $(patsubst tests/fuzz/fuzz_%.c,$(BUILD)/fuzz/%,$(wildcard tests/fuzz/fuzz_*.c))
 FUZZ_FLAGS = address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
 FUZZ_SHARED = $(BUILD)/tests/fuzz/fuzz.o $(BUILD)/tests/message_samples.o \
-              $(BUILD)/standins/table.o
+              $(BUILD)/standins/table.o $(PLATFORM_OBJ)
 
 $(BUILD)/fuzz/%.o: tests/fuzz/fuzz_%.c
 	@mkdir -p $(@D)
