--- a/tests/test_held_up.c
+++ b/tests/test_held_up.c
@@ -363,3 +363,55 @@
       cr_expect_eq (edge_ask (site, &call, 0, ask), 404, "%s", call.answer);
     }
 }
+
+#define ASKERS 20
+/* One under way, one for all who came after it began, and a few of other
+   parts of the host.  */
+#define READS_MOST 6U
+
+/* Callers ask for what no route serves, and for each of them the host reads
+   the whole configuration from the table, side by side.  At 10,000 routes such
+   an answer has two million bytes; callers were told 503 (outcome not_ready,
+   half of them after 101 ms, the time of a call) in place of 404.  One read
+   tells all who were there when it began.  */
+Test (held_up, callers_without_a_route_share_a_read)
+{
+  static struct edge_call calls[ASKERS];
+  size_t before = rows_server_reads (site->rows);
+
+  for (int i = 0; i < ASKERS; i++)
+    edge_call (site, &calls[i], 0,
+               "GET /none/a HTTP/1.1\r\n" HOST "X-Request-Id: q4\r\n\r\n");
+  for (int i = 0; i < ASKERS; i++)
+    {
+      edge_wait (site, &calls[i], 1);
+      cr_expect_not_null (strstr (calls[i].answer, " 404 "), "%s",
+                          calls[i].answer);
+      edge_hang_up (&calls[i]);
+    }
+  cr_expect_leq (rows_server_reads (site->rows) - before, READS_MOST);
+}
+
+/* A read that began before a route was added does not tell of it: who asks
+   later is told by a later read, and who leaves is not told.  */
+Test (held_up, a_caller_is_told_by_a_read_that_began_after_it)
+{
+  static const char ask[]
+      = "GET /new/a HTTP/1.1\r\n" HOST "X-Request-Id: q5\r\n\r\n";
+  static struct edge_call first;
+  static struct edge_call gone;
+  struct mq_router *router = site->routers[0];
+  uint64_t requests = router->counters.requests;
+
+  edge_call (site, &first, 0, ask);
+  edge_call (site, &gone, 0, ask);
+  while (router->counters.requests < requests + 2)
+    tevent_loop_once (site->ev);
+  edge_hang_up (&gone);
+  edge_configure (site, 3000, "/new/");
+  edge_call (site, &call, 0, ask);
+  edge_wait (site, &call, 1);
+  cr_expect_not_null (strstr (call.answer, " 200 "), "%s", call.answer);
+  edge_wait (site, &first, 1);
+  edge_hang_up (&first);
+}
