Callers without a route share one question to the table

Cause: for each caller for whom no route fits, the host read the whole configuration from the table, two million bytes at 10,000 routes, side by side.

--- a/src/io/router_config.c
+++ b/src/io/router_config.c
@@ -22,15 +22,13 @@
 
 /**
  * struct mq_confirm - someone who waits for the newest configuration
- * @call: the platform is asked; NULL: it has answered
- * @take: what is waited for then
+ * @list: of those who wait for the same
  */
 struct mq_confirm
 {
   struct mq_router *router;
   struct mq_confirm *next;
-  struct mq_ledger_call *call;
-  struct mq_config_take *take;
+  struct mq_confirm **list;
   mq_confirmed *told;
   void *user;
 };
@@ -99,36 +97,46 @@
 }
 
 static void
-wait_for (struct mq_config_take *take, struct mq_confirm *confirm)
+put_in (struct mq_confirm **list, struct mq_confirm *confirm)
+{
+  confirm->list = list;
+  confirm->next = *list;
+  *list = confirm;
+}
+
+static void
+take_out (struct mq_confirm *confirm)
 {
-  confirm->take = take;
-  confirm->next = take->waiting;
-  take->waiting = confirm;
+  struct mq_confirm **at = confirm->list;
+
+  while (*at != confirm)
+    at = &(*at)->next;
+  *at = confirm->next;
 }
 
-/* All who wait for FROM wait for TO.  */
+/* All who are in FROM are in TO then.  */
 static void
-wait_for_other (struct mq_config_take *from, struct mq_config_take *to)
+move_all (struct mq_confirm **from, struct mq_confirm **to)
 {
-  while (from->waiting != NULL)
+  while (*from != NULL)
     {
-      struct mq_confirm *confirm = from->waiting;
+      struct mq_confirm *confirm = *from;
 
-      from->waiting = confirm->next;
-      wait_for (to, confirm);
+      take_out (confirm);
+      put_in (to, confirm);
     }
 }
 
-/* TAKE is over; what those do who are told may end others that wait.  */
+/* What those do who are told may end others that wait.  */
 static void
-tell_all (struct mq_config_take *take)
+tell_all (struct mq_confirm **list, bool current)
 {
-  while (take->waiting != NULL)
+  while (*list != NULL)
     {
-      struct mq_confirm *confirm = take->waiting;
+      struct mq_confirm *confirm = *list;
 
-      take->waiting = confirm->next;
-      tell (confirm, true);
+      take_out (confirm);
+      tell (confirm, current);
     }
 }
 
@@ -141,7 +149,7 @@
   struct mq_router *router = take->router;
 
   router->config_take = take->next;
-  tell_all (take);
+  tell_all (&take->waiting, true);
   talloc_free (take);
   if (router->config_take != NULL && router->config_take->turns == 0)
     wait_turn (router->config_take);
@@ -301,7 +309,7 @@
       struct mq_config_take *older = *at;
 
       take->next = older->next;
-      wait_for_other (older, take);
+      move_all (&older->waiting, &take->waiting);
       talloc_free (older);
     }
   *at = take;
@@ -320,16 +328,18 @@
   return router->config_take;
 }
 
+/* WAITING, NULL: nobody, are told when VALUE is in force, or one that is
+   newer.  */
 static void
 offer (struct mq_router *router, struct mq_bytes value, uint64_t row,
-       struct mq_confirm *confirm)
+       struct mq_confirm **waiting)
 {
   struct mq_config_take *take = find_take (router, value, row);
 
-  if (confirm != NULL && take == NULL)
-    tell (confirm, true);
-  else if (confirm != NULL)
-    wait_for (take, confirm);
+  if (waiting != NULL && take == NULL)
+    tell_all (waiting, true);
+  else if (waiting != NULL)
+    move_all (waiting, &take->waiting);
   if (take != NULL && take == router->config_take && take->turns == 0)
     run_turn (take);
 }
@@ -342,31 +352,79 @@
 
 /* Asking */
 
+/**
+ * struct mq_config_ask - a question to the platform for the newest
+ * configuration
+ * @call: under way, NULL: none
+ * @asked: those who were there when it began
+ * @later: those who came since; it may not tell what is the newest for them
+ */
+struct mq_config_ask
+{
+  struct mq_router *router;
+  struct mq_ledger_call *call;
+  struct mq_confirm *asked;
+  struct mq_confirm *later;
+};
+
+static void on_read (const struct mq_rows_result *result, void *user);
+
 static void
-on_confirm_read (const struct mq_rows_result *result, void *user)
+start_read (struct mq_config_ask *ask)
 {
-  struct mq_confirm *confirm = user;
+  move_all (&ask->later, &ask->asked);
+  if (ask->asked != NULL)
+    ask->call = mq_ledger_get (ask->router->ledger, mq_wire_config_table, "",
+                               mq_wire_config_key, on_read, ask);
+}
+
+/* The next call begins after those who are told: one of them may ask again. */
+static void
+on_read (const struct mq_rows_result *result, void *user)
+{
+  struct mq_config_ask *ask = user;
+  struct mq_confirm *told = NULL;
 
-  confirm->call = NULL;
+  move_all (&ask->asked, &told);
   if (result->status == MQ_STORE_OK && result->row_count > 0)
-    offer (confirm->router, result->rows[0].value, result->rows[0].version,
-           confirm);
+    offer (ask->router, result->rows[0].value, result->rows[0].version, &told);
   else
-    tell (confirm, false);
+    tell_all (&told, false);
+  ask->call = NULL;
+  start_read (ask);
 }
 
+static struct mq_config_ask *
+get_ask (struct mq_router *router)
+{
+  if (router->config_ask == NULL)
+    router->config_ask = talloc_zero (router, struct mq_config_ask);
+  if (router->config_ask != NULL)
+    router->config_ask->router = router;
+  return router->config_ask;
+}
+
+/* Failure: each caller who asks for what no route serves costs the host a read
+   of the whole configuration, some million bytes; many of them at a time cost
+   its memory, and the reads are over their time.  So one is read at a time,
+   for all who were there when it began.  */
 struct mq_confirm *
 mq_config_confirm (struct mq_router *router, mq_confirmed *told, void *user)
 {
   struct mq_confirm *confirm = talloc_zero (router, struct mq_confirm);
+  struct mq_config_ask *ask = get_ask (router);
 
-  if (confirm == NULL)
-    return NULL;
+  if (confirm == NULL || ask == NULL)
+    {
+      talloc_free (confirm);
+      return NULL;
+    }
   confirm->router = router;
   confirm->told = told;
   confirm->user = user;
-  confirm->call = mq_ledger_get (router->ledger, mq_wire_config_table, "",
-                                 mq_wire_config_key, on_confirm_read, confirm);
+  put_in (&ask->later, confirm);
+  if (ask->call == NULL)
+    start_read (ask);
   return confirm;
 }
 
@@ -375,15 +433,6 @@
 {
   if (confirm == NULL)
     return;
-  if (confirm->call != NULL)
-    mq_ledger_cancel (confirm->call);
-  if (confirm->take != NULL)
-    {
-      struct mq_confirm **at = &confirm->take->waiting;
-
-      while (*at != confirm)
-        at = &(*at)->next;
-      *at = confirm->next;
-    }
+  take_out (confirm);
   talloc_free (confirm);
 }
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -61,6 +61,7 @@
 struct mq_request;
 struct mq_turns;
 struct mq_config_take;
+struct mq_config_ask;
 struct mq_loan;
 struct mq_leases;
 struct mq_cleaner;
@@ -70,6 +71,7 @@
  * @routes: configuration in force, NULL: none yet
  * @config: the same as it came
  * @config_take: one that is being read, NULL: none
+ * @config_ask: asks for the newest one, NULL: nobody ever asked
  * @workers_listed: the workers were listed once
  * @leaving: a stop was asked for
  * @stopped: nothing is left to do
@@ -95,6 +97,7 @@
   struct mq_route_table *routes;
   struct mq_bytes config;
   struct mq_config_take *config_take;
+  struct mq_config_ask *config_ask;
   bool workers_listed;
   bool leaving;
   bool stopped;
@@ -335,7 +338,8 @@
 void mq_config_offer (struct mq_router *router, struct mq_bytes value,
                       uint64_t row);
 /* Asks the platform for its newest configuration, takes it into force, then
-   tells; never from within this call.  */
+   tells; never from within this call.  Who asks while a question is under
+   way waits for the next one.  */
 struct mq_confirm *mq_config_confirm (struct mq_router *router,
                                       mq_confirmed *told, void *user);
 /* Nobody waits any more; NULL is allowed.  */
