--- a/src/io/router_caller.c
+++ b/src/io/router_caller.c
@@ -304,18 +304,6 @@
   free_if_unused (caller);
 }
 
-/* The head of a stream may have gone out before a stop was asked for, and told
-   its caller that the connection stays.  It ends with the answer then, when
-   its caller is not sending: closed at a later look, it met the next request.
-   Requests that are there already are answered, and told.  */
-static bool
-ends_with_answer (const struct mq_caller *caller)
-{
-  return caller->closing
-         || (caller->router->leaving && caller->ahead.len == 0
-             && !mq_tcp_has_unread (caller->tcp));
-}
-
 /* The answer is out: on to the next request, or the connection ends.  */
 static void
 end_answer (struct mq_caller *caller)
@@ -325,7 +313,7 @@
 
   caller->request = NULL;
   caller->active_ms = mq_clock_ms ();
-  if (ends_with_answer (caller))
+  if (caller->closing)
     {
       finish_caller (caller);
       return;
