Test: a lane that is gone is not destroyed twice

test_lane under ASan: heap-use-after-free in answer_before_a_failed_write_arrives, which freed a lane that it had been told was gone. Its checks are as they were.

--- a/tests/test_lane.c
+++ b/tests/test_lane.c
@@ -126,7 +126,7 @@
 static void
 on_gone (struct mq_http_lane *lane, void *user)
 {
-  (void)user;
+  *(bool *)user = true;
   mq_http_lane_destroy (lane);
 }
 
@@ -278,8 +278,9 @@
 Test (lane, answer_before_a_failed_write_arrives)
 {
   struct mq_error error = { .type = MQ_ERR_NONE };
+  bool gone = false;
   struct mq_http_lane *lane
-      = mq_http_lane_open (ev, ev, address, 0, on_gone, NULL, &error);
+      = mq_http_lane_open (ev, ev, address, 0, on_gone, &gone, &error);
   struct heard heard = { 0 };
   int fd;
 
@@ -297,7 +298,8 @@
   cr_expect_eq (heard.status, 429);
   cr_expect (heard.ended);
   cr_expect_not (heard.failed);
-  mq_http_lane_destroy (lane);
+  if (!gone)
+    mq_http_lane_destroy (lane);
 }
 
 static void
