Callers at the door of a stopping entry host are taken before it closes

Cause: the listening socket was closed beside connections that the kernel had let in; they were reset.

--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -9,6 +9,7 @@
 #include "../core/limits.h"
 #include "http_state.h"
 #include "listen.h"
+#include <errno.h>
 #include <jansson.h>
 #include <poll.h>
 #include <stdlib.h>
@@ -25,6 +26,7 @@
 /* The daemon inside the event loop.  */
 
 static void run_daemon (struct mq_http_server *server);
+static void close_door (struct mq_http_server *server);
 
 static void
 run_soon (struct tevent_context *ev, struct tevent_immediate *im, void *data)
@@ -94,6 +96,8 @@
 static void
 run_daemon (struct mq_http_server *server)
 {
+  bool was_closing = server->closing;
+
   server->running = true;
   MHD_run (server->daemon);
   server->running = false;
@@ -102,6 +106,8 @@
       talloc_free (server);
       return;
     }
+  if (server->closing && !was_closing)
+    close_door (server);
   if (server->has_room)
     run_again (server);
   server->has_room = false;
@@ -550,17 +556,55 @@
   talloc_free (server);
 }
 
-void
-mq_http_server_stop_accepting (struct mq_http_server *server)
+/* Failure: the kernel has let callers in whom the library has not taken yet,
+   and closing the listening socket resets their connections: what they have
+   sent gets no answer.  So they are taken first.  One that has left again
+   hides those behind it; one beyond the bound of connections is closed.  */
+static void
+let_in_waiting (struct mq_http_server *server)
 {
-  MHD_socket fd;
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  int fd = 0;
 
-  if (server->closing)
+  if (info == NULL)
     return;
-  server->closing = true;
+  do
+    {
+      struct sockaddr_storage from = { 0 };
+      socklen_t len = sizeof from;
+
+      fd = accept4 (info->listen_fd, (struct sockaddr *)&from, &len,
+                    SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd >= 0)
+        (void)MHD_add_connection (server->daemon, fd, (struct sockaddr *)&from,
+                                  len);
+    }
+  while (fd >= 0 || errno == ECONNABORTED);
+}
+
+static void
+close_door (struct mq_http_server *server)
+{
+  MHD_socket fd;
+
+  let_in_waiting (server);
   fd = MHD_quiesce_daemon (server->daemon);
   if (fd != MHD_INVALID_SOCKET)
     close (fd);
+  run_again (server);
+}
+
+/* Within MHD_run the library is in the middle of its connections: then
+   run_daemon closes the door when MHD_run has returned.  */
+void
+mq_http_server_stop_accepting (struct mq_http_server *server)
+{
+  if (server->closing)
+    return;
+  server->closing = true;
+  if (!server->running)
+    close_door (server);
 }
 
 size_t
