Test, failing: text of a model call that came in time

The time of a model call comes before the engine's answer that lies unread: the engine is told to cancel and the pieces of text are not passed on, though the end of the call is told whole.

--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -1,21 +1,25 @@
 /* test_worker.c - the client towards a worker, against a stand-in engine and
    a scripted plain service in the same event loop.
 
-   Needs: Criterion, worker.h, engine_server.h, http_server.h.  */
+   Needs: Criterion, worker.h, engine_server.h, http_server.h, listen.h.  */
 
 #include "../src/core/id.h"
 #include "../src/core/limits.h"
+#include "../src/io/listen.h"
 #include "../src/io/worker.h"
 #include "../src/io/worker_stream.h"
 #include "../standins/engine_server.h"
 #include <criterion/criterion.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 enum
 {
   WAIT_SECONDS = 30, /* generous: only a fault waits this long */
   NEVER = 1000000,
+  HELD_UP_MS = 1200, /* longer than a call may take */
   SLOT = 7,
   WORKER = 3
 };
@@ -800,6 +804,63 @@
   "\"cached_tokens\":4}}\n\n"
 #define DONE "data: [DONE]\n\n"
 
+/* Connections to an engine that the test itself plays.  */
+#define ENDS 4
+
+/* The end of the connection on which the model call came.  */
+static int
+hear_call (struct bench *bench, int listening, int *ends)
+{
+  int count = 0;
+
+  for (;;)
+    {
+      char request[4096] = "";
+
+      let_pass (bench, 5);
+      if (count < ENDS)
+        ends[count] = accept (listening, NULL, NULL);
+      if (count < ENDS && ends[count] >= 0)
+        count++;
+      for (int i = 0; i < count; i++)
+        if (recv (ends[i], request, sizeof request - 1, MSG_DONTWAIT) > 0
+            && strstr (request, "/v1/chat/completions") != NULL)
+          return ends[i];
+    }
+}
+
+/* The process beside a target is held up for longer than a model call may
+   take, and the engine's whole answer comes meanwhile.  The call was over by
+   the time before the answer was read: the engine was told to cancel, and the
+   pieces of text, which had come in time, were not passed on.  */
+Test (worker, text_that_came_in_time_is_passed_on)
+{
+  static const char answer[]
+      = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" TEXT ("abc") END DONE;
+  struct bench *bench = bench_create ();
+  struct mq_start start = make_start (ANSWER_40, HELD_UP_MS - 200);
+  int listening = mq_listen_open ("127.0.0.1:0", NULL);
+  int ends[ENDS] = { -1, -1, -1, -1 };
+  int fd;
+
+  add_worker (bench, MQ_SERVICE_MODEL, mq_listen_port (listening), 0);
+  mq_worker_start (bench->worker, &start);
+  fd = hear_call (bench, listening, ends);
+  cr_assert_eq (send (fd, answer, sizeof answer - 1, MSG_NOSIGNAL),
+                (ssize_t)sizeof answer - 1);
+  shutdown (fd, SHUT_WR);
+  usleep (HELD_UP_MS * 1000);
+  wait_for (bench, &bench->dones, 1);
+  cr_expect_eq (bench->done.error, MQ_ERR_NONE, "%s",
+                mq_error_name (bench->done.error));
+  cr_expect_str_eq (bench->text, "abc");
+  for (int i = 0; i < ENDS; i++)
+    if (ends[i] >= 0)
+      close (ends[i]);
+  close (listening);
+  bench_destroy (bench);
+}
+
 static void
 append_text (const char *text, void *user)
 {
