The time of a model call comes after what has arrived

Cause: it was a timer of tevent, which come before all connections; after a hold-up the engine was told to cancel beside its whole answer, and the text was not passed on.

--- a/src/io/worker_call.c
+++ b/src/io/worker_call.c
@@ -3,10 +3,11 @@
    A call is one POST.  A model call that is stopped, or that takes too long,
    is settled first: the engine is asked to cancel it and says how many
    tokens it made.
-   Needs: worker_state.h, worker_answer.h.  */
+   Needs: worker_state.h, worker_answer.h, timer.h.  */
 
 #include "../core/limits.h"
 #include "../core/memory.h"
+#include "timer.h"
 #include "worker_answer.h"
 #include "worker_state.h"
 #include <inttypes.h>
@@ -150,15 +151,9 @@
 }
 
 static void
-cancel_again (struct tevent_context *ev, struct tevent_timer *timer,
-              struct timeval now, void *data)
+cancel_again (void *data)
 {
-  struct mq_worker_call *call = data;
-
-  (void)ev;
-  (void)timer;
-  (void)now;
-  send_cancel (call);
+  send_cancel (data);
 }
 
 /* The engine does not know the call while its answer is still open: either
@@ -167,21 +162,15 @@
 static void
 cancel_later (struct mq_worker_call *call)
 {
-  struct timeval at
-      = tevent_timeval_current_ofs (0, MQ_WORKER_CANCEL_RETRY_MS * 1000);
-
-  tevent_add_timer (call->worker->ev, call, at, cancel_again, call);
+  mq_must (mq_timer_add (call, call->worker->ev, MQ_WORKER_CANCEL_RETRY_MS,
+                         cancel_again, call));
 }
 
 static void
-time_out (struct tevent_context *ev, struct tevent_timer *timer,
-          struct timeval now, void *data)
+time_out (void *data)
 {
   struct mq_worker_call *call = data;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
   if (!call->settling && call->later == NULL)
     settle (call, MQ_ERR_TIMEOUT);
 }
@@ -192,11 +181,9 @@
 static void
 limit_time (struct mq_worker_call *call, uint32_t timeout_ms)
 {
-  struct timeval at = tevent_timeval_current_ofs (timeout_ms / 1000,
-                                                  timeout_ms % 1000 * 1000);
-
   if (timeout_ms > 0)
-    tevent_add_timer (call->worker->ev, call, at, time_out, call);
+    mq_must (
+        mq_timer_add (call, call->worker->ev, timeout_ms, time_out, call));
 }
 
 void
