--- a/src/io/router.c
+++ b/src/io/router.c
@@ -71,8 +71,8 @@
   log_state (router, MQ_LOG_COUNTERS);
 }
 
-/* Says that the event loop was held up, and by how much at least: handlers that
-   end before this timer is due don't show.  */
+/* Says that the event loop was held up, and by how much at least: handlers
+   that end before this timer is due don't show.  */
 static void
 note_held_up (struct mq_router *router)
 {
