--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -26,7 +26,7 @@
 /* The daemon inside the event loop.  */
 
 static void run_daemon (struct mq_http_server *server);
-static void close_door (struct mq_http_server *server);
+static void close_listener (struct mq_http_server *server);
 
 static void
 run_soon (struct tevent_context *ev, struct tevent_immediate *im, void *data)
@@ -107,7 +107,7 @@
       return;
     }
   if (server->closing && !was_closing)
-    close_door (server);
+    close_listener (server);
   if (server->has_room)
     run_again (server);
   server->has_room = false;
@@ -584,7 +584,7 @@
 }
 
 static void
-close_door (struct mq_http_server *server)
+close_listener (struct mq_http_server *server)
 {
   MHD_socket fd;
 
@@ -596,7 +596,7 @@
 }
 
 /* Within MHD_run the library is in the middle of its connections: then
-   run_daemon closes the door when MHD_run has returned.  */
+   run_daemon closes the listener when MHD_run has returned.  */
 void
 mq_http_server_stop_accepting (struct mq_http_server *server)
 {
@@ -604,7 +604,7 @@
     return;
   server->closing = true;
   if (!server->running)
-    close_door (server);
+    close_listener (server);
 }
 
 size_t
--- a/tests/test_held_up.c
+++ b/tests/test_held_up.c
@@ -18,7 +18,7 @@
 #define FIRST LINE HOST "X-Request-Id: q1\r\n\r\n"
 #define REST HOST "X-Request-Id: q2\r\n\r\n"
 /* The site's limits: 400 ms of rest, 300 ms for a head, a look at them every
-   250 ms, the door closed 200 ms after a stop was asked for.  The host is held
+   250 ms, no new connections 200 ms after a stop was asked for.  The host is held
    up for longer than it takes to the next look.  */
 #define IDLE_MS 400U
 #define READ_MS 20U
@@ -150,8 +150,8 @@
  * struct look_case - a look at connections beside a request that is unread
  * @first: what came before
  * @answered: so many answers are out before the look
- * @stops: the look is that of a stop which closes the door
- * @connects: the request comes on a new connection, which waits at the door
+ * @stops: the look is that of a stop which closes the listener
+ * @connects: the request comes on a new connection, which is not accepted yet
  * @then: what lies unread
  */
 struct look_case
@@ -174,9 +174,9 @@
 /* While a host that was held up works off what has arrived, more arrives, and
    the look at connections comes in between.  Timers that wait for one look at
    the connections do not help there: a rested connection was closed beside the
-   bytes of its next request, and a host that stopped closed its door before
-   those who waited at it.  Such callers got a closed connection and no
-   answer.  */
+   bytes of its next request, and a host that stopped closed its listener
+   beside connections that it had not accepted.  Such callers got a closed
+   connection and no answer.  */
 Test (held_up, look_beside_unread_bytes)
 {
   for (size_t i = 0; i < ROWS (look_cases); i++)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -933,26 +933,26 @@
 }
 
 /* More than the library lets in at one wake-up.  */
-#define AT_THE_DOOR 25
+#define NOT_ACCEPTED 25
 
 /* An entry host that stops closed its listening socket beside connections that
    the kernel had let in: they were reset, and their callers' requests, which
    had been sent, got neither answer nor refusal.  */
-Test (http, those_at_the_door_of_a_stop_are_answered)
+Test (http, connections_not_accepted_at_a_stop_are_answered)
 {
   static const char asked[]
       = "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi";
-  const char *name = "door";
-  int fds[AT_THE_DOOR];
+  const char *name = "not accepted";
+  int fds[NOT_ACCEPTED];
 
-  for (size_t i = 0; i < AT_THE_DOOR; i++)
+  for (size_t i = 0; i < NOT_ACCEPTED; i++)
     {
       fds[i] = raw_open (mq_http_server_port (server));
       cr_assert_eq (raw_send (fds[i], asked, sizeof asked - 1),
                     sizeof asked - 1);
     }
   mq_http_server_stop_accepting (server);
-  for (size_t i = 0; i < AT_THE_DOOR; i++)
+  for (size_t i = 0; i < NOT_ACCEPTED; i++)
     {
       bool ended = false;
 
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -346,7 +346,7 @@
           .u.loan_told = { .id = 1, .program = "p", .turn = "" } };
   struct mq_bytes frame = mq_relay_frame_pack (ev, &told);
   int other = mq_listen_open ("127.0.0.1:0", NULL);
-  struct pollfd door = { .fd = other, .events = POLLIN };
+  struct pollfd listener = { .fd = other, .events = POLLIN };
   struct mq_error error = { .type = MQ_ERR_NONE };
   struct mq_relay *relay;
   char address[32];
@@ -358,7 +358,7 @@
   cr_assert_not_null (relay);
   mq_relay_add_seed (relay, address);
   cr_assert_eq (mq_relay_ask_loan (relay, &ask, false), 1);
-  cr_assert_eq (poll (&door, 1, 20000), 1);
+  cr_assert_eq (poll (&listener, 1, 20000), 1);
   fd = accept (other, NULL, NULL);
   if (row->taken)
     hear_question (ev, fd);
