Test, failing: a port that refuses belongs to its worker

Trace of two failures beside load, one run of twenty under ASan and UBSan beside six busy loops, in the same tenth of a second: no_worker got 502 in place of 503 (app-1 at port 46455 broken with one try sent), and the table of another test read a request without a table's name (a null pointer in the stand-in). The port had been given back and was that table's.

--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -5,10 +5,13 @@
 
 #include "router_site.h"
 #include "http_peer.h"
+#include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
 #define HOST "Host: h.example\r\n"
@@ -452,6 +455,25 @@
       504);
 }
 
+/* A worker that refuses connections had given its port back, and the table of
+   a test beside it got it: it read a caller's request, ended on it, and the
+   caller was told 502, since the request had been sent.  Seen beside load, one
+   run of twenty: two tests failed in the same tenth of a second.  A port that
+   refuses belongs to its worker.  */
+Test (router, port_of_a_worker_that_refuses_is_kept)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in at = { .sin_family = AF_INET };
+
+  worker_server_listen (site->app[0], false);
+  at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  at.sin_port = htons (worker_server_port (site->app[0]));
+  cr_expect_eq (bind (fd, (struct sockaddr *)&at, sizeof at), -1);
+  close (fd);
+  worker_server_listen (site->app[0], true);
+  raw_close (raw_open (worker_server_port (site->app[0])), false);
+}
+
 /* No worker can be reached: refused, with a time to come back.  */
 Test (router, no_worker)
 {
