--- a/tests/test_held_up.c
+++ b/tests/test_held_up.c
@@ -18,8 +18,8 @@
 #define FIRST LINE HOST "X-Request-Id: q1\r\n\r\n"
 #define REST HOST "X-Request-Id: q2\r\n\r\n"
 /* The site's limits: 400 ms of rest, 300 ms for a head, a look at them every
-   250 ms, no new connections 200 ms after a stop was asked for.  The host is held
-   up for longer than it takes to the next look.  */
+   250 ms, no new connections 200 ms after a stop was asked for.  The host is
+   held up for longer than it takes to the next look.  */
 #define IDLE_MS 400U
 #define READ_MS 20U
 /* Of a route: a machine that is busy is no reason for a request to fail.  */
