The fleet in four files: table, load, evidence, choice

Moved, with no change of behaviour: fleet.c (table of workers), fleet_load.c, fleet_evidence.c, fleet_choice.c over fleet_state.h; the public header stays.

--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -16,8 +16,7 @@
 #define MQ_WORKER_NONE UINT32_MAX
 
 /* A worker whose figures are older than this counts as idle but for our own
-   requests: twice the pause between two answers of a worker under the
-   smallest load that was measured (0.5 s).  */
+   requests.  */
 #define MQ_FLEET_LOAD_AGE_MS 1000U
 /* Failures in a row after which a worker gets no requests for a while.  One
    alone is common (a lost answer); two by chance are rare.  */
@@ -40,9 +39,8 @@
    the same time: more than that is no longer the workers' fault.  */
 #define MQ_FLEET_OUT_PERCENT 50U
 /* Requests above the mean of its service that a worker may have before a
-   program is sent away from the worker that has its cache.  Raised from 3 to
-   30, the engines of a loaded day read a quarter fewer prompt tokens (9.4 to
-   7.0 million) and 0.92 of its worth was earned in place of 0.74.  */
+   program is sent away from the worker that has its cache, so that its history
+   is not read again.  */
 #define MQ_FLEET_AHEAD 30U
 /* Requests that a worker may have above the mean of its service, in percent of
    its slots, before it counts as full for a request with a key, once the mean
@@ -52,11 +50,8 @@
    to whichever engine has the fewest takes its program's history there; it is
    read again, the engines' memory holds each history several times, the
    reading slows all of them down, and the slots stay full long after the
-   burst.  Moving gains nothing while all wait alike.  Measured over four seeds
-   of a day with a burst: 6.4 in place of 17.0 million prompt tokens read on
-   the worst, worth 0.86 in place of 0.67 on average (0.29 to 0.84 before, 0.83
-   to 0.90 after). With twice as much, a worker that others found too loaded is
-   kept too long: 0.74 in place of 0.80 on engines of six slots.  */
+   burst.  Moving gains nothing while all wait alike.  With more than this a
+   worker that is loaded beyond the others is kept too long.  */
 #define MQ_FLEET_WAIT_PERCENT 50U
 
 /**
--- /dev/null
+++ b/src/core/fleet_choice.c
@@ -0,0 +1,173 @@
+/* fleet_choice.c - which worker a request goes to next.
+
+   Needs: fleet_state.h, id.h.  */
+
+#include "fleet_state.h"
+#include "id.h"
+#include <string.h>
+
+/* Pause told to a caller when every worker is full: about the time in which
+   a short call ends.  */
+#define RETRY_FULL_MS 100U
+/* And when no worker is listed at all.  */
+#define RETRY_NONE_MS 500U
+
+static bool
+was_tried (const struct mq_fleet_query *query, uint32_t worker)
+{
+  for (size_t i = 0; i < query->tried_count; i++)
+    if (query->tried[i] == worker)
+      return true;
+  return false;
+}
+
+/**
+ * struct survey - a service's workers when one is to be chosen
+ * @count: how many
+ * @out: of these, left out for failures
+ * @load: of all of them
+ * @ignore_out: so many are out that the failures say nothing about them
+ */
+struct survey
+{
+  size_t count;
+  size_t out;
+  uint64_t load;
+  bool ignore_out;
+};
+
+static struct survey
+survey_service (const struct mq_fleet *fleet,
+                const struct mq_fleet_query *query)
+{
+  struct survey survey = { .count = 0 };
+
+  for (size_t i = 0; i < fleet->count; i++)
+    {
+      const struct fleet_entry *entry = &fleet->entries[i];
+
+      if (!fleet_is_candidate (entry, query->service))
+        continue;
+      survey.count++;
+      survey.load += fleet_load_of (entry, query->now_ms);
+      if (entry->out_until_ms > query->now_ms)
+        survey.out++;
+    }
+  survey.ignore_out = survey.out * 100 > survey.count * MQ_FLEET_OUT_PERCENT;
+  return survey;
+}
+
+/**
+ * struct rank - how good a worker is for a request; the least is chosen
+ * @group: 0 within its bound, 1 over it, 2 full, 3 left out for failures
+ * @cost: within the group
+ */
+struct rank
+{
+  uint32_t group;
+  uint64_t cost;
+};
+
+/* Share of its slots that is taken; among equals a near one; then any.  */
+static uint64_t
+plain_cost (const struct fleet_entry *entry,
+            const struct mq_fleet_query *query, uint64_t load, uint64_t slots)
+{
+  uint64_t mixed = entry->hash ^ query->random;
+  bool near = strcmp (entry->member.data_centre, query->data_centre) == 0;
+  uint64_t cost = load * 16 / slots * 4 + (near ? 0 : 2);
+
+  return (cost << 8) + (mq_random_next (&mixed) & 0xff);
+}
+
+/* Load from which on a worker is full.  A request with a key stays with its
+   worker while that one waits no longer than the others: see
+   MQ_FLEET_WAIT_PERCENT.  */
+static uint64_t
+full_load (const struct mq_fleet_query *query, uint64_t slots, uint64_t mean)
+{
+  uint64_t full = slots * LOAD_UNIT;
+  uint64_t waiting = mean + full * MQ_FLEET_WAIT_PERCENT / 100U;
+
+  return query->has_key && waiting > full ? waiting : full;
+}
+
+static struct rank
+rank_worker (const struct fleet_entry *entry,
+             const struct mq_fleet_query *query, const struct survey *survey)
+{
+  uint64_t load = fleet_load_of (entry, query->now_ms);
+  uint64_t slots = entry->member.slots > 0 ? entry->member.slots : 1;
+  uint64_t count = survey->count > 0 ? survey->count : 1;
+  uint64_t mean = survey->load / count;
+  uint64_t bound = mean + (uint64_t)MQ_FLEET_AHEAD * LOAD_UNIT;
+  struct rank rank = { 0, 0 };
+
+  if (entry->out_until_ms > query->now_ms && !survey->ignore_out)
+    return (struct rank){ 3, entry->out_until_ms };
+  if (load >= full_load (query, slots, mean))
+    rank.group = 2;
+  else if (query->has_key && load > bound)
+    rank.group = 1;
+  if (query->has_key && rank.group < 2)
+    {
+      uint64_t state = entry->hash ^ query->key;
+
+      rank.cost = UINT64_MAX - mq_random_next (&state);
+    }
+  else
+    rank.cost = plain_cost (entry, query, load, slots);
+  return rank;
+}
+
+static bool
+is_better (struct rank a, struct rank b)
+{
+  if (a.group != b.group)
+    return a.group < b.group;
+  return a.cost < b.cost;
+}
+
+/* Workers left out for failures are taken last, and all of them count as in
+   again when too many are out: then the failures say nothing about them.  */
+uint32_t
+mq_fleet_choose (struct mq_fleet *fleet, const struct mq_fleet_query *query)
+{
+  struct survey survey = survey_service (fleet, query);
+  struct rank best = { UINT32_MAX, UINT64_MAX };
+  uint32_t chosen = MQ_WORKER_NONE;
+
+  for (size_t i = 0; i < fleet->count; i++)
+    {
+      const struct fleet_entry *entry = &fleet->entries[i];
+      struct rank rank;
+
+      if (!fleet_is_candidate (entry, query->service)
+          || was_tried (query, (uint32_t)i))
+        continue;
+      rank = rank_worker (entry, query, &survey);
+      if (is_better (rank, best))
+        {
+          best = rank;
+          chosen = (uint32_t)i;
+        }
+    }
+  return chosen;
+}
+
+size_t
+mq_fleet_count (const struct mq_fleet *fleet, const char *service)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < fleet->count; i++)
+    if (fleet_is_candidate (&fleet->entries[i], service))
+      count++;
+  return count;
+}
+
+uint32_t
+mq_fleet_retry_ms (const struct mq_fleet *fleet, const char *service)
+{
+  return mq_fleet_count (fleet, service) == 0 ? RETRY_NONE_MS : RETRY_FULL_MS;
+}
