Replay of bursts; programs by load, admission, a worker that a program stays at

Change, decisions only: mq_fleet_home chooses where a program that begins stays, by the load that answers told this host lately; a worker of which nothing was told counts as the mean of its service, not as idle; mq_fleet_service_pressure is the load as far as answers begin late; mq_admission_decide refuses programs that begin beyond it, the same ones at all hosts, and those that lost their time first. The record of a program names its worker.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 PLATFORM_SRC = $(filter-out platform/routerd.c,$(wildcard platform/*.c))
 # What mimosa-routerd is made of; its build needs the headers of these alone.
 ROUTER_SRC = $(wildcard src/io/router*.c src/io/relay*.c) proto/turn.pb-c.c proto/relay.pb-c.c \
-             $(addprefix src/core/,attempt.c budget.c chain.c error.c \
+             $(addprefix src/core/,admission.c attempt.c budget.c chain.c error.c \
              event_stream.c fleet.c fleet_choice.c fleet_evidence.c fleet_load.c histogram.c id.c idmap.c memory.c outage.c \
              reserve.c route.c \
              text_hint.c text_ini.c text_keys.c text_values.c) \
@@ -108,7 +108,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
 
-$(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJ) $(BUILD)/tests/fleet.o $(STANDIN_OBJ) $(PLATFORM_OBJ) $(LIB)
+$(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJ) $(BUILD)/tests/fleet.o $(BUILD)/tests/replay.o $(STANDIN_OBJ) $(PLATFORM_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SANITIZE) $^ -o $@ $(LDLIBS)
 
@@ -181,6 +181,13 @@
 	@$(BUILD)/bin/bench_capacity
 	@BUILD=$(BUILD) bash bench/capacity.sh
 
+## replay: bursts of programs against the model of the engines, a table; writes
+## build/replay.svg (half a minute)
+.PHONY: replay
+replay: deps
+	@$(MAKE) --no-print-directory $(BUILD)/bin/bench_replay
+	@$(BUILD)/bin/bench_replay --svg=$(BUILD)/replay.svg
+
 # A seeded soak of real routers, SEEDS of them one after the other.
 SOAK_SRC = $(wildcard tests/soak/*.c)
 SOAK_OBJ = $(SOAK_SRC:%.c=$(BUILD)/%.o)
--- a/proto/turn.pb-c.c
+++ b/proto/turn.pb-c.c
@@ -238,7 +238,7 @@
   (ProtobufCMessageInit) mqturn__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqturn__budget_row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mqturn__budget_row__field_descriptors[5] =
 {
   {
     "limit",
@@ -288,9 +288,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "home",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqturn__BudgetRow, home),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqturn__budget_row__field_indices_by_name[] = {
   2,   /* field[2] = grants */
+  4,   /* field[4] = home */
   0,   /* field[0] = limit */
   1,   /* field[1] = spent */
   3,   /* field[3] = until_s */
@@ -298,7 +311,7 @@
 static const ProtobufCIntRange mqturn__budget_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mqturn__budget_row__descriptor =
 {
@@ -308,7 +321,7 @@
   "Mqturn__BudgetRow",
   "mqturn",
   sizeof(Mqturn__BudgetRow),
-  4,
+  5,
   mqturn__budget_row__field_descriptors,
   mqturn__budget_row__field_indices_by_name,
   1,  mqturn__budget_row__number_ranges,
--- a/proto/turn.pb-c.h
+++ b/proto/turn.pb-c.h
@@ -54,10 +54,14 @@
    * kept until then by the table's clock, 0: not told
    */
   uint64_t until_s;
+  /*
+   * names the worker that has its cache, 0: not told
+   */
+  uint64_t home;
 };
 #define MQTURN__BUDGET_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqturn__budget_row__descriptor) \
-    , 0, 0, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/core/budget.h
+++ b/src/core/budget.h
@@ -50,6 +50,7 @@
  * @grants: tokens that hosts may hand out
  * @grant_count: how many
  * @until_s: the record is kept until then by the table's clock, 0: not told
+ * @home: names the worker that has the program's cache (fleet.h), 0: not told
  */
 struct mq_budget_record
 {
@@ -58,6 +59,7 @@
   struct mq_budget_grant grants[MQ_BUDGET_HOLDERS_MAX];
   uint32_t grant_count;
   uint64_t until_s;
+  uint64_t home;
 };
 
 /**
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -17,7 +17,8 @@
   if (fleet == NULL)
     return NULL;
   fleet->by_id = mq_idmap_create (fleet);
-  if (fleet->by_id == NULL)
+  fleet->services = mq_idmap_create (fleet);
+  if (fleet->by_id == NULL || fleet->services == NULL)
     TALLOC_FREE (fleet);
   return fleet;
 }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -86,12 +86,20 @@
   MQ_OUTCOME_STOPPED      /* ended by us or the caller: says nothing */
 };
 
+/* Load of a worker whose slots are all taken, with nothing waiting.  */
+#define MQ_FLEET_LOAD_FULL 1000U
+/* Part of the objective, in percent, after which answers of such workers
+   begin: what is left is for the spread around the mean.  */
+#define MQ_FLEET_WAIT_FULL_PERCENT 60U
+
 /**
  * struct mq_fleet_query - what a request needs
  * @service: workers of this one
  * @data_centre: of this host, preferred among equals
  * @key: requests with the same key go to the same worker where there is room
  * @has_key: false: the least loaded worker
+ * @home: worker that has the cache of the request's program, as mq_fleet_home
+ *        named it; goes before @key; 0: none
  * @tried: workers that this request has been sent to
  * @tried_count: how many
  * @now_ms: steady clock
@@ -103,6 +111,7 @@
   const char *data_centre;
   uint64_t key;
   bool has_key;
+  uint64_t home;
   const uint32_t *tried;
   size_t tried_count;
   uint64_t now_ms;
@@ -146,6 +155,34 @@
 /* Handle of the worker to send to, MQ_WORKER_NONE when there is none.  */
 uint32_t mq_fleet_choose (struct mq_fleet *fleet,
                           const struct mq_fleet_query *query);
+/**
+ * mq_fleet_home - where a program that begins is to stay
+ * @fleet: the fleet
+ * @query: what it needs; its key is not looked at
+ *
+ * The worker with the least load, as far as answers told this host lately.
+ * Each answer comes to one host, so that hosts which begin programs at the
+ * same time choose different workers; all turns of the program follow it, at
+ * whichever host they arrive.
+ *
+ * Return: a name for the worker that is the same at all hosts, 0: there is
+ * none.
+ */
+uint64_t mq_fleet_home (const struct mq_fleet *fleet,
+                        const struct mq_fleet_query *query);
+/* Load of SERVICE's workers as answers told lately, what waits included, in
+   thousandths of their slots; 0: not known.  */
+uint32_t mq_fleet_service_load (const struct mq_fleet *fleet,
+                                const char *service, uint64_t now_ms);
+/* The same, but no more than how late answers begin: a load that makes nobody
+   wait too long is not too much.  MQ_FLEET_LOAD_FULL where they begin after
+   MQ_FLEET_WAIT_FULL_PERCENT of their objective.  */
+uint32_t mq_fleet_service_pressure (const struct mq_fleet *fleet,
+                                    const char *service, uint64_t now_ms);
+/* An answer of WORKER began after WAIT_MS, where its route's objective is
+   OBJECTIVE_MS.  */
+void mq_fleet_begun (struct mq_fleet *fleet, uint32_t worker, uint32_t wait_ms,
+                     uint32_t objective_ms, uint64_t now_ms);
 /* Values live as long as the handle is held or the worker is listed.  */
 const struct mq_fleet_member *mq_fleet_member (const struct mq_fleet *fleet,
                                                uint32_t worker);
--- a/src/core/fleet_choice.c
+++ b/src/core/fleet_choice.c
@@ -25,7 +25,8 @@
  * struct survey - a service's workers when one is to be chosen
  * @count: how many
  * @out: of these, left out for failures
- * @load: of all of them
+ * @load: of all of them, as known of each
+ * @told: load of the service as answers told it, 0: they did not
  * @ignore_out: so many are out that the failures say nothing about them
  */
 struct survey
@@ -33,6 +34,7 @@
   size_t count;
   size_t out;
   uint64_t load;
+  uint32_t told;
   bool ignore_out;
 };
 
@@ -53,10 +55,25 @@
       if (entry->out_until_ms > query->now_ms)
         survey.out++;
     }
+  survey.told = mq_fleet_service_load (fleet, query->service, query->now_ms);
   survey.ignore_out = survey.out * 100 > survey.count * MQ_FLEET_OUT_PERCENT;
   return survey;
 }
 
+static uint64_t
+slots_of (const struct fleet_entry *entry)
+{
+  return entry->member.slots > 0 ? entry->member.slots : 1;
+}
+
+/* Requests that a worker like ENTRY has on average, in LOAD_UNITs.  */
+static uint64_t
+told_mean (const struct survey *survey, const struct fleet_entry *entry)
+{
+  return (uint64_t)survey->told * slots_of (entry) * LOAD_UNIT
+         / MQ_FLEET_LOAD_FULL;
+}
+
 /**
  * struct rank - how good a worker is for a request; the least is chosen
  * @group: 0 within its bound, 1 over it, 2 full, 3 left out for failures
@@ -96,10 +113,11 @@
 rank_worker (const struct fleet_entry *entry,
              const struct mq_fleet_query *query, const struct survey *survey)
 {
-  uint64_t load = fleet_load_of (entry, query->now_ms);
-  uint64_t slots = entry->member.slots > 0 ? entry->member.slots : 1;
+  uint64_t told = told_mean (survey, entry);
+  uint64_t load = fleet_guess_of (entry, told, query->now_ms);
+  uint64_t slots = slots_of (entry);
   uint64_t count = survey->count > 0 ? survey->count : 1;
-  uint64_t mean = survey->load / count;
+  uint64_t mean = told > 0 ? told : survey->load / count;
   uint64_t bound = mean + (uint64_t)MQ_FLEET_AHEAD * LOAD_UNIT;
   struct rank rank = { 0, 0 };
 
@@ -114,6 +132,8 @@
       uint64_t state = entry->hash ^ query->key;
 
       rank.cost = UINT64_MAX - mq_random_next (&state);
+      if (entry->hash == query->home)
+        rank.cost = 0;
     }
   else
     rank.cost = plain_cost (entry, query, load, slots);
@@ -155,6 +175,42 @@
   return chosen;
 }
 
+/* Steps in which loads are compared, for each slot; what is left is chance,
+   so that hosts which know nothing don't all choose the first worker.  */
+#define HOME_STEPS 256U
+
+/* The load: programs last for many turns and are spread by chance, so that a
+   third of the engines has a queue while another third has free slots, and
+   the programs of the first are late.  */
+uint64_t
+mq_fleet_home (const struct mq_fleet *fleet,
+               const struct mq_fleet_query *query)
+{
+  struct survey survey = survey_service (fleet, query);
+  uint64_t least = UINT64_MAX;
+  uint64_t home = 0;
+
+  for (size_t i = 0; i < fleet->count; i++)
+    {
+      const struct fleet_entry *entry = &fleet->entries[i];
+      uint64_t state = entry->hash ^ query->random;
+      uint64_t load;
+
+      if (!fleet_is_candidate (entry, query->service)
+          || (entry->out_until_ms > query->now_ms && !survey.ignore_out))
+        continue;
+      load = fleet_guess_of (entry, told_mean (&survey, entry), query->now_ms);
+      load = load * HOME_STEPS / slots_of (entry)
+             + mq_random_next (&state) % HOME_STEPS;
+      if (load < least)
+        {
+          least = load;
+          home = entry->hash;
+        }
+    }
+  return home;
+}
+
 size_t
 mq_fleet_count (const struct mq_fleet *fleet, const char *service)
 {
--- a/src/core/fleet_load.c
+++ b/src/core/fleet_load.c
@@ -4,6 +4,15 @@
    Needs: fleet_state.h.  */
 
 #include "fleet_state.h"
+#include "id.h"
+#include "memory.h"
+
+/* What was told of a service counts for so long: long enough for a host with
+   few requests to have heard of several workers.  */
+#define SERVICE_AGE_MS 1000U
+/* Answers that are needed to tell it; each that is missing counts as one of an
+   idle worker, since a host that heard of a few queues knows little.  */
+#define SERVICE_ANSWERS_LEAST 8U
 
 uint64_t
 fleet_load_of (const struct fleet_entry *entry, uint64_t now_ms)
@@ -17,6 +26,110 @@
   return load;
 }
 
+uint64_t
+fleet_guess_of (const struct fleet_entry *entry, uint64_t mean,
+                uint64_t now_ms)
+{
+  uint64_t age = now_ms - entry->told_ms;
+  uint64_t own = (uint64_t)entry->own * LOAD_UNIT;
+  uint64_t told = own + (uint64_t)entry->others * LOAD_UNIT;
+  uint64_t guess = mean;
+
+  if (mean == 0)
+    return fleet_load_of (entry, now_ms);
+  if (entry->told_ms != 0 && age < MQ_FLEET_LOAD_AGE_MS)
+    guess = (mean * age + told * (MQ_FLEET_LOAD_AGE_MS - age))
+            / MQ_FLEET_LOAD_AGE_MS;
+  return guess > own ? guess : own;
+}
+
+static struct fleet_service *
+service_row (struct mq_fleet *fleet, const char *service)
+{
+  struct mq_id id = mq_id_text_hash (service);
+  struct fleet_service *row = mq_idmap_find (fleet->services, id, 0);
+
+  if (row == NULL)
+    {
+      row = mq_must (talloc_zero (fleet, struct fleet_service));
+      mq_idmap_put (fleet->services, id, 0, row);
+    }
+  return row;
+}
+
+static void
+add_sample (struct fleet_ring *ring, uint32_t value, uint64_t now_ms)
+{
+  ring->samples[ring->next] = (struct fleet_sample){ now_ms, value };
+  ring->next = (ring->next + 1) % FLEET_SAMPLES;
+}
+
+static uint32_t
+mean_of (const struct fleet_ring *ring, uint64_t now_ms)
+{
+  uint64_t sum = 0;
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < FLEET_SAMPLES; i++)
+    {
+      const struct fleet_sample *sample = &ring->samples[i];
+
+      if (sample->told_ms == 0 || now_ms - sample->told_ms >= SERVICE_AGE_MS)
+        continue;
+      sum += sample->value;
+      count++;
+    }
+  if (count < SERVICE_ANSWERS_LEAST)
+    count = SERVICE_ANSWERS_LEAST;
+  return (uint32_t)(sum / count);
+}
+
+static const struct fleet_service *
+find_service (const struct mq_fleet *fleet, const char *service)
+{
+  return mq_idmap_find (fleet->services, mq_id_text_hash (service), 0);
+}
+
+uint32_t
+mq_fleet_service_load (const struct mq_fleet *fleet, const char *service,
+                       uint64_t now_ms)
+{
+  const struct fleet_service *row = find_service (fleet, service);
+
+  return row == NULL ? 0 : mean_of (&row->loads, now_ms);
+}
+
+uint32_t
+mq_fleet_service_pressure (const struct mq_fleet *fleet, const char *service,
+                           uint64_t now_ms)
+{
+  const struct fleet_service *row = find_service (fleet, service);
+  uint32_t load;
+  uint32_t wait;
+
+  if (row == NULL)
+    return 0;
+  load = mean_of (&row->loads, now_ms);
+  wait = mean_of (&row->waits, now_ms) * 100U / MQ_FLEET_WAIT_FULL_PERCENT;
+  return load < wait ? load : wait;
+}
+
+void
+mq_fleet_begun (struct mq_fleet *fleet, uint32_t worker, uint32_t wait_ms,
+                uint32_t objective_ms, uint64_t now_ms)
+{
+  const struct fleet_entry *entry = &fleet->entries[worker];
+  struct fleet_service *row;
+
+  if (objective_ms == 0)
+    return;
+  row = service_row (fleet, entry->member.service);
+  add_sample (
+      &row->waits,
+      (uint32_t)((uint64_t)wait_ms * MQ_FLEET_LOAD_FULL / objective_ms),
+      now_ms);
+}
+
 bool
 mq_fleet_has_queue (const struct mq_fleet *fleet, uint32_t worker,
                     uint64_t now_ms)
@@ -54,6 +167,9 @@
 
   entry->others = total > entry->own ? total - entry->own : 0;
   entry->told_ms = now_ms;
+  if (entry->member.slots > 0)
+    add_sample (&service_row (fleet, entry->member.service)->loads,
+                total * MQ_FLEET_LOAD_FULL / entry->member.slots, now_ms);
 }
 
 void
--- a/src/core/fleet_state.h
+++ b/src/core/fleet_state.h
@@ -56,9 +56,45 @@
   uint64_t out_until_ms;
 };
 
+#define FLEET_SAMPLES 64U
+
+/**
+ * struct fleet_sample - what one answer told
+ * @told_ms: when, 0: never
+ * @value: in thousandths
+ */
+struct fleet_sample
+{
+  uint64_t told_ms;
+  uint32_t value;
+};
+
+/**
+ * struct fleet_ring - what answers told lately
+ * @samples: a ring
+ * @next: the oldest of them
+ */
+struct fleet_ring
+{
+  struct fleet_sample samples[FLEET_SAMPLES];
+  uint32_t next;
+};
+
+/**
+ * struct fleet_service - the answers of a service's workers
+ * @loads: of their worker's slots
+ * @waits: until they began, of their route's objective
+ */
+struct fleet_service
+{
+  struct fleet_ring loads;
+  struct fleet_ring waits;
+};
+
 /**
  * struct mq_fleet - the table of workers
  * @by_id: position of the worker's entry, plus one, as a pointer
+ * @services: by name, struct fleet_service
  * @free_from: no entry before it is free
  */
 struct mq_fleet
@@ -66,6 +102,7 @@
   struct fleet_entry *entries;
   size_t count;
   struct mq_idmap *by_id;
+  struct mq_idmap *services;
   size_t free_from;
 };
 
@@ -80,6 +117,14 @@
 /* Requests at the worker in LOAD_UNITs: our own, and those of other hosts as
    last told, which count less the older the figure is.  */
 uint64_t fleet_load_of (const struct fleet_entry *entry, uint64_t now_ms);
+/* The same where MEAN requests are at a worker of the service, 0: not known.
+   A worker of which nothing was told lately counts as one of them.
+
+   Failure: such a worker counts as idle, so that one which just told of a
+   short queue seems full beside the others; its programs go elsewhere and
+   their histories are read again, while all workers wait alike.  */
+uint64_t fleet_guess_of (const struct fleet_entry *entry, uint64_t mean,
+                         uint64_t now_ms);
 /* It had no room for a request of ours.  */
 void fleet_note_full (struct fleet_entry *entry, uint64_t now_ms);
 
--- /dev/null
+++ b/tests/replay.c
@@ -0,0 +1,654 @@
+/* replay.c - programs at engines through many hosts, in virtual time.
+
+   Time goes in steps of a millisecond.  What is to happen waits in a list for
+   its millisecond.
+   Needs: replay.h, libm.  */
+
+#include "replay.h"
+#include "core/id.h"
+#include "core/memory.h"
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  TURNS_MAX = 24,
+  MS_PER_S = 1000,
+  US_PER_MS = 1000,
+  /* Programs go on for so long after the last has begun.  */
+  TAIL_MS = 20000,
+  SHARED_PROMPTS = 3,
+  SHARED_TOKENS = 2560,
+  SHARED_SPREAD = 512,
+  OUTPUT_TOKENS_MAX = 136,
+  /* Of one turn, at its caller.  */
+  TURN_DEADLINE_MS = 4000,
+  TRIES_A_SEND = 2,
+  SENDS = 3,
+  AGAIN_MS = 250,
+  /* The way of a turn, and the tools after it.  */
+  WAY_MS = 22,
+  TOOLS_MS = 90,
+  AIM_SLACK_MS = 200,
+  /* Of a turn, until its first token.  */
+  OBJECTIVE_MS = 200,
+  /* One turn in so many comes to another host than the one before it.  */
+  MOVES_IN = 8,
+  BUDGET_BASE = 100,
+  BUDGET_A_TURN = 200,
+  ADMISSION_SEED = 2
+};
+
+static const char service_name[] = "models";
+
+/**
+ * struct class_kind - programs of a class
+ * @share: of all programs
+ * @turns: on average
+ * @input_tokens: of a turn, on average
+ * @aim: time allowed, times that on idle engines
+ */
+struct class_kind
+{
+  double share;
+  double turns;
+  double input_tokens;
+  double aim;
+  const char *route;
+};
+
+static const struct class_kind kinds[REPLAY_CLASSES]
+    = { { 0.18, 11.0, 700.0, 1.6, "long" },
+        { 0.82, 3.6, 1300.0, 1.8, "short" } };
+
+struct turn
+{
+  uint32_t input;
+  uint32_t output;
+  uint32_t pause_ms;
+};
+
+/**
+ * struct program - one program
+ * @next: in the list of its millisecond
+ * @at: turn that is next or under way
+ * @history: tokens of its line before that turn
+ * @engine: where the turn runs, UINT32_MAX: nowhere
+ * @sent_ms: when the turn's send began, @tries of it and @sends of the turn
+ * @placed_ms: when it went to its engine
+ * @home: worker named in its record, 0: none
+ * @begun: a host has taken it on
+ */
+struct program
+{
+  struct program *next;
+  uint32_t number;
+  uint32_t kind;
+  uint32_t host;
+  struct turn turns[TURNS_MAX];
+  uint32_t turn_count;
+  uint32_t at;
+  uint32_t shared;
+  uint32_t shared_tokens;
+  uint32_t history;
+  uint64_t began_ms;
+  uint64_t aim_ms;
+  uint32_t engine;
+  uint64_t sequence;
+  uint64_t sent_ms;
+  uint64_t placed_ms;
+  uint32_t tries;
+  uint32_t sends;
+  uint64_t home;
+  bool begun;
+};
+
+struct host
+{
+  struct mq_fleet *fleet;
+  struct mq_admission *admission;
+};
+
+struct replay
+{
+  const struct replay_options *options;
+  struct replay_result *result;
+  struct host hosts[REPLAY_HOSTS_MAX];
+  struct mq_engine *engines[REPLAY_ENGINES_MAX];
+  struct program **programs;
+  uint32_t program_count;
+  struct program **due;
+  uint64_t end_ms;
+  uint64_t now_ms;
+  unsigned short chance[3];
+};
+
+/* ---- Chance ---- */
+
+static double
+fraction (struct replay *self)
+{
+  return erand48 (self->chance);
+}
+
+static uint64_t
+number (struct replay *self)
+{
+  return (uint64_t)nrand48 (self->chance) << 31
+         | (uint64_t)nrand48 (self->chance);
+}
+
+/* Log-normal around MEAN.  */
+static double
+spread (struct replay *self, double mean, double sigma)
+{
+  double a = fraction (self);
+  double b = fraction (self);
+  double normal = sqrt (-2.0 * log (1.0 - a)) * cos (2.0 * M_PI * b);
+
+  return mean * exp (sigma * normal - sigma * sigma / 2.0);
+}
+
+static uint32_t
+spread_count (struct replay *self, double mean, double sigma, uint32_t most)
+{
+  double value = spread (self, mean, sigma);
+
+  if (value < 1.0)
+    return 1;
+  return value > most ? most : (uint32_t)value;
+}
+
+/* ---- Time ---- */
+
+static void
+later (struct replay *self, struct program *program, uint64_t wait_ms)
+{
+  uint64_t at = self->now_ms + (wait_ms > 0 ? wait_ms : 1);
+
+  if (at >= self->end_ms)
+    at = self->end_ms - 1;
+  program->next = self->due[at];
+  self->due[at] = program;
+}
+
+/* ---- Programs ---- */
+
+/* Time of a turn alone on an engine that has its history.  */
+static double
+idle_ms (const struct mq_engine_params *params, const struct turn *turn)
+{
+  return (double)turn->input * params->prefill_us_per_token / US_PER_MS
+         + (double)turn->output * params->base_us / US_PER_MS + WAY_MS;
+}
+
+static void
+make_params (struct mq_engine_params *params)
+{
+  mq_engine_params_default (params);
+  params->time_scale = 1.0;
+  params->base_us = 6900;
+  params->per_sequence_us = 1;
+  params->prefill_us_per_token = 30;
+  params->prefill_cap = 1024;
+  params->slots = 8;
+  params->queue_max = 24;
+  params->cache_tokens = 81408;
+  params->load_lag_us = 0;
+}
+
+static struct program *
+make_program (struct replay *self)
+{
+  struct program *program = mq_must (talloc_zero (self, struct program));
+  struct mq_engine_params params;
+  const struct class_kind *kind;
+  double idle = 0.0;
+
+  make_params (&params);
+  program->number = ++self->program_count;
+  program->kind = fraction (self) < kinds[0].share ? 0 : 1;
+  kind = &kinds[program->kind];
+  program->host = (uint32_t)(number (self) % self->options->hosts);
+  program->shared = (uint32_t)(number (self) % SHARED_PROMPTS);
+  program->shared_tokens = SHARED_TOKENS + program->shared * SHARED_SPREAD;
+  program->turn_count = spread_count (self, kind->turns, 0.4, TURNS_MAX);
+  for (uint32_t i = 0; i < program->turn_count; i++)
+    {
+      struct turn *turn = &program->turns[i];
+
+      turn->input = spread_count (self, kind->input_tokens, 0.7, 4000);
+      turn->output = 4U * spread_count (self, 8.5, 0.8, 34);
+      turn->pause_ms = spread_count (self, TOOLS_MS, 0.6, 600);
+      idle += idle_ms (&params, turn) + turn->pause_ms;
+    }
+  program->engine = UINT32_MAX;
+  program->began_ms = self->now_ms;
+  program->aim_ms = (uint64_t)(idle * kind->aim) + AIM_SLACK_MS;
+  return program;
+}
+
+static bool
+is_counted (const struct program *program)
+{
+  return program->began_ms / MS_PER_S < REPLAY_SECONDS;
+}
+
+static struct replay_count *
+second_of (struct replay *self, const struct program *program)
+{
+  return &self->result->seconds[program->began_ms / MS_PER_S];
+}
+
+static void
+end_program (struct replay *self, const struct program *program, bool whole)
+{
+  struct replay_count *counts[]
+      = { &self->result->classes[program->kind],
+          is_counted (program) ? second_of (self, program) : NULL };
+  uint64_t took = self->now_ms - program->began_ms;
+
+  for (size_t i = 0; i < 2; i++)
+    {
+      if (counts[i] == NULL)
+        continue;
+      if (whole && took <= program->aim_ms)
+        counts[i]->in_aim++;
+      else if (whole && took <= 2 * program->aim_ms)
+        counts[i]->late++;
+      else if (!program->begun)
+        counts[i]->refused++;
+      else
+        counts[i]->failed++;
+    }
+}
+
+/* ---- Turns ---- */
+
+static uint64_t
+program_hash (const struct program *program, uint64_t seed)
+{
+  return mq_hash_bytes (&program->number, sizeof program->number, seed);
+}
+
+/* Hashes of the blocks of the shared prompt, then of the program's own.  */
+static uint64_t *
+prompt_hashes (struct replay *self, const struct program *program,
+               size_t count)
+{
+  uint64_t *hashes = mq_must (talloc_array (self, uint64_t, count + 1));
+  uint32_t shared = program->shared_tokens / MQ_KV_BLOCK_TOKENS;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t key[2]
+          = { i < shared ? program->shared : SHARED_PROMPTS + program->number,
+              i };
+
+      hashes[i] = mq_hash_bytes (key, sizeof key, 0);
+    }
+  return hashes;
+}
+
+static bool
+submit (struct replay *self, struct program *program, uint32_t engine)
+{
+  const struct turn *turn = &program->turns[program->at];
+  uint32_t prompt = program->shared_tokens + program->history + turn->input;
+  size_t blocks = (prompt + turn->output) / MQ_KV_BLOCK_TOKENS;
+  uint64_t *hashes = prompt_hashes (self, program, blocks);
+  struct mq_error error = { .type = MQ_ERR_NONE };
+  struct mq_engine_request request = {
+    .tag = program->number,
+    .program = { .lo = program->number },
+    .priority = self->options->way == REPLAY_RANKED && program->kind == 0
+                    ? MQ_PRIORITY_URGENT
+                    : MQ_PRIORITY_INTERACTIVE,
+    .prompt_tokens = prompt,
+    .shared_tokens = program->shared_tokens,
+    .output_tokens = turn->output,
+    .hashes = hashes,
+    .hash_count = blocks,
+  };
+
+  program->sequence = mq_engine_submit (
+      self->engines[engine], self->now_ms * US_PER_MS, &request, &error);
+  talloc_free (hashes);
+  return program->sequence != 0;
+}
+
+static struct mq_fleet_query
+query_of (struct replay *self, const struct program *program)
+{
+  return (struct mq_fleet_query){
+    .service = service_name,
+    .data_centre = "",
+    .has_key = self->options->way != REPLAY_LEAST_LOADED,
+    .home = program->home,
+    .key = program_hash (program, 1),
+    .now_ms = self->now_ms,
+    .random = number (self),
+  };
+}
+
+/* The caller hears that the turn was not run, or nothing: tries again as long
+   as callers do.  */
+static void
+try_again (struct replay *self, struct program *program, uint64_t wait_ms)
+{
+  uint64_t left = program->sent_ms + TURN_DEADLINE_MS > self->now_ms
+                      ? program->sent_ms + TURN_DEADLINE_MS - self->now_ms
+                      : 0;
+
+  if (++program->tries < TRIES_A_SEND && left > 0)
+    {
+      later (self, program, wait_ms < left / 3 ? wait_ms : left / 3);
+      return;
+    }
+  program->tries = 0;
+  if (++program->sends < SENDS)
+    later (self, program, AGAIN_MS);
+  else
+    end_program (self, program, false);
+}
+
+/* True: the program goes on, or begins.  */
+static bool
+admit (struct replay *self, struct program *program, uint32_t *retry_ms)
+{
+  struct host *host = &self->hosts[program->host];
+  uint64_t spent = self->now_ms - program->began_ms;
+  struct mq_admission_ask ask = {
+    .service = service_name,
+    .route = kinds[program->kind].route,
+    .priority = program->kind,
+    .program = program_hash (program, ADMISSION_SEED),
+    .load
+    = mq_fleet_service_pressure (host->fleet, service_name, self->now_ms),
+    .has_left = true,
+    .left_ms
+    = (uint32_t)(program->aim_ms > spent ? program->aim_ms - spent : 0),
+    .budget = BUDGET_BASE + (uint64_t)BUDGET_A_TURN * program->turn_count,
+    .now_ms = self->now_ms,
+  };
+  struct mq_fleet_query query = query_of (self, program);
+
+  if (program->begun)
+    return true;
+  if (self->options->way == REPLAY_AS_IS
+      && mq_admission_decide (host->admission, &ask, retry_ms)
+             != MQ_ADMISSION_YES)
+    return false;
+  program->begun = true;
+  if (self->options->way <= REPLAY_ALL_ADMITTED)
+    program->home = mq_fleet_home (host->fleet, &query);
+  return true;
+}
+
+static void
+begin_turn (struct replay *self, struct program *program)
+{
+  struct mq_fleet *fleet = self->hosts[program->host].fleet;
+  struct mq_fleet_query query;
+  uint32_t retry_ms = 0;
+
+  if (program->tries == 0)
+    program->sent_ms = self->now_ms;
+  if (!admit (self, program, &retry_ms))
+    {
+      try_again (self, program, retry_ms);
+      return;
+    }
+  query = query_of (self, program);
+  program->engine = mq_fleet_choose (fleet, &query);
+  program->placed_ms = self->now_ms;
+  mq_fleet_started (fleet, program->engine);
+  if (submit (self, program, program->engine))
+    return;
+  mq_fleet_ended (fleet, program->engine, MQ_OUTCOME_FULL, self->now_ms);
+  program->engine = UINT32_MAX;
+  try_again (self, program, AGAIN_MS);
+}
+
+static void
+end_turn (struct replay *self, struct program *program)
+{
+  struct mq_fleet *fleet = self->hosts[program->host].fleet;
+  struct mq_engine_load load = mq_engine_load (self->engines[program->engine]);
+  const struct turn *turn = &program->turns[program->at];
+
+  mq_fleet_told (fleet, program->engine, load.running, load.queued,
+                 self->now_ms);
+  mq_fleet_ended (fleet, program->engine, MQ_OUTCOME_SERVED, self->now_ms);
+  program->engine = UINT32_MAX;
+  program->history += turn->input + turn->output;
+  program->tries = 0;
+  program->sends = 0;
+  self->result->turns++;
+  if (++program->at == program->turn_count)
+    {
+      end_program (self, program, true);
+      return;
+    }
+  if (number (self) % MOVES_IN == 0)
+    program->host = (uint32_t)(number (self) % self->options->hosts);
+  later (self, program, WAY_MS + turn->pause_ms);
+}
+
+/* Its deadline is over while it is at an engine: the caller leaves.  */
+static void
+look_at_deadline (struct replay *self, struct program *program)
+{
+  uint32_t generated = 0;
+
+  if (program->engine == UINT32_MAX
+      || self->now_ms < program->sent_ms + TURN_DEADLINE_MS)
+    return;
+  mq_engine_cancel (self->engines[program->engine], self->now_ms * US_PER_MS,
+                    program->sequence, &generated);
+  mq_fleet_ended (self->hosts[program->host].fleet, program->engine,
+                  MQ_OUTCOME_STOPPED, self->now_ms);
+  program->engine = UINT32_MAX;
+  program->tries = TRIES_A_SEND;
+  try_again (self, program, 0);
+}
+
+/* ---- The world ---- */
+
+static void
+make_hosts (struct replay *self)
+{
+  char id[32];
+  struct mq_fleet_member member = { .id = id,
+                                    .service = service_name,
+                                    .address = "",
+                                    .data_centre = "",
+                                    .slots = 8 };
+
+  for (uint32_t i = 0; i < self->options->hosts; i++)
+    {
+      self->hosts[i].fleet = mq_must (mq_fleet_create (self));
+      self->hosts[i].admission = mq_must (mq_admission_create (self));
+      for (uint32_t j = 0; j < self->options->engines; j++)
+        {
+          snprintf (id, sizeof id, "engine-%u", j);
+          mq_fleet_put (self->hosts[i].fleet, &member, NULL);
+        }
+    }
+}
+
+static void
+make_engines (struct replay *self)
+{
+  struct mq_engine_params params;
+
+  make_params (&params);
+  for (uint32_t i = 0; i < self->options->engines; i++)
+    {
+      params.seed = self->options->seed + i;
+      self->engines[i] = mq_must (mq_engine_create (self, &params));
+    }
+}
+
+/* The first token of a turn.  */
+static void
+note_wait (struct replay *self, const struct program *program)
+{
+  if (program->engine != UINT32_MAX)
+    mq_fleet_begun (self->hosts[program->host].fleet, program->engine,
+                    (uint32_t)(self->now_ms - program->placed_ms),
+                    OBJECTIVE_MS, self->now_ms);
+}
+
+static void
+take_events (struct replay *self, struct mq_engine *engine)
+{
+  struct mq_engine_event event;
+
+  while (mq_engine_next_event (engine, &event))
+    if (event.type == MQ_ENGINE_TOKEN && event.generated == 1)
+      note_wait (self, self->programs[event.tag]);
+    else if (event.type == MQ_ENGINE_DONE
+             && self->programs[event.tag]->engine != UINT32_MAX)
+      end_turn (self, self->programs[event.tag]);
+}
+
+static void
+run_engines (struct replay *self)
+{
+  uint64_t now_us = self->now_ms * US_PER_MS;
+
+  for (uint32_t i = 0; i < self->options->engines; i++)
+    {
+      if (mq_engine_next_us (self->engines[i]) > now_us)
+        continue;
+      mq_engine_advance (self->engines[i], now_us);
+      take_events (self, self->engines[i]);
+    }
+}
+
+static void
+begin_programs (struct replay *self)
+{
+  const struct replay_options *options = self->options;
+  uint64_t second = self->now_ms / MS_PER_S;
+  bool burst = second >= options->burst_from_s
+               && second < options->burst_from_s + options->burst_s;
+  double expected
+      = options->usual_per_s * (burst ? options->burst : 1.0) / MS_PER_S;
+  struct program *program;
+
+  if (second >= options->length_s || fraction (self) >= expected)
+    return;
+  program = make_program (self);
+  self->programs = mq_must (talloc_realloc (
+      self, self->programs, struct program *, self->program_count + 1));
+  self->programs[program->number] = program;
+  self->result->classes[program->kind].asked++;
+  if (is_counted (program))
+    second_of (self, program)->asked++;
+  later (self, program, WAY_MS);
+}
+
+static void
+run_due (struct replay *self)
+{
+  struct program *program = self->due[self->now_ms];
+
+  while (program != NULL)
+    {
+      struct program *next = program->next;
+
+      begin_turn (self, program);
+      program = next;
+    }
+}
+
+static void
+look_at_deadlines (struct replay *self)
+{
+  enum
+  {
+    EVERY_MS = 50
+  };
+
+  for (uint32_t i = 1;
+       self->now_ms % EVERY_MS == 0 && i <= self->program_count; i++)
+    look_at_deadline (self, self->programs[i]);
+}
+
+void
+replay_run (const struct replay_options *options, struct replay_result *result)
+{
+  struct replay *self = mq_must (talloc_zero (NULL, struct replay));
+
+  *result = (struct replay_result){ 0 };
+  self->options = options;
+  self->result = result;
+  self->chance[0] = (unsigned short)options->seed;
+  self->chance[1] = (unsigned short)(options->seed >> 16);
+  self->end_ms = (uint64_t)options->length_s * MS_PER_S + TAIL_MS;
+  self->due
+      = mq_must (talloc_zero_array (self, struct program *, self->end_ms));
+  make_hosts (self);
+  make_engines (self);
+  /* Zero is no time at all to the fleet.  */
+  for (self->now_ms = 1; self->now_ms < self->end_ms; self->now_ms++)
+    {
+      begin_programs (self);
+      run_due (self);
+      run_engines (self);
+      look_at_deadlines (self);
+    }
+  for (uint32_t i = 0; i < options->engines; i++)
+    {
+      const struct mq_engine_counters *counters = mq_engine_read_counters (
+          self->engines[i], self->now_ms * US_PER_MS);
+
+      result->prefill_tokens += counters->prefill_tokens;
+      result->preempted += counters->preempted;
+    }
+  talloc_free (self);
+}
+
+struct replay_options
+replay_usual (enum replay_way way, double burst, uint64_t seed)
+{
+  return (struct replay_options){
+    .way = way,
+    .seed = seed,
+    .hosts = 12,
+    .engines = 12,
+    .usual_per_s = 20.0,
+    .burst = burst,
+    .burst_from_s = 5,
+    .burst_s = 10,
+    .length_s = 24,
+  };
+}
+
+const char *
+replay_way_name (enum replay_way way)
+{
+  static const char *const names[REPLAY_WAYS] = {
+    [REPLAY_AS_IS] = "as is",
+    [REPLAY_ALL_ADMITTED] = "all admitted",
+    [REPLAY_HASHED] = "spread by hash",
+    [REPLAY_RANKED] = "ranked at engines",
+    [REPLAY_LEAST_LOADED] = "least loaded",
+  };
+
+  return names[way];
+}
+
+double
+replay_goodput (const struct replay_result *result, uint32_t from,
+                uint32_t until)
+{
+  uint32_t sum = 0;
+
+  for (uint32_t i = from; i < until && i < REPLAY_SECONDS; i++)
+    sum += result->seconds[i].in_aim;
+  return until > from ? (double)sum / (until - from) : 0.0;
+}
--- /dev/null
+++ b/tests/test_replay.c
@@ -0,0 +1,123 @@
+/* test_replay.c - bursts of programs against the model of the engines, with
+   the decisions as they are and without some of them.
+
+   Needs: Criterion, replay.h.  */
+
+#include "replay.h"
+#include <criterion/criterion.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+#define SEEDS 3
+
+/* Programs in aim a second in the burst, over a few seeds.  */
+static double
+goodput (enum replay_way way, double burst, struct replay_result *sum)
+{
+  double all = 0.0;
+
+  if (sum != NULL)
+    *sum = (struct replay_result){ 0 };
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct replay_options options = replay_usual (way, burst, seed);
+      struct replay_result result;
+
+      replay_run (&options, &result);
+      all += replay_goodput (&result, options.burst_from_s,
+                             options.burst_from_s + options.burst_s);
+      for (int i = 0; sum != NULL && i < REPLAY_CLASSES; i++)
+        {
+          sum->classes[i].asked += result.classes[i].asked;
+          sum->classes[i].in_aim += result.classes[i].in_aim;
+          sum->classes[i].refused += result.classes[i].refused;
+        }
+      if (sum != NULL)
+        sum->preempted += result.preempted;
+    }
+  return all / SEEDS;
+}
+
+struct burst_case
+{
+  double burst;
+  double least; /* of what is in aim at twice the load */
+};
+
+/* At three times the usual load a third of what the engines had brought at
+   twice the load reached anyone in time, and less at more: each program waited
+   for all others, and prompts were read again and again.  With the decisions
+   as they are most of it remains.  */
+Test (replay, goodput_holds_in_a_burst)
+{
+  static const struct burst_case cases[]
+      = { { 2.5, 0.85 }, { 3.0, 0.75 }, { 4.5, 0.5 } };
+  double twice = goodput (REPLAY_AS_IS, 2.0, NULL);
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      double as_is = goodput (REPLAY_AS_IS, cases[i].burst, NULL);
+      double before = goodput (REPLAY_RANKED, cases[i].burst, NULL);
+
+      cr_expect_geq (as_is, twice * cases[i].least, "%.1f: %.1f of %.1f",
+                     cases[i].burst, as_is, twice);
+      cr_expect_geq (as_is, before * 1.5, "%.1f: %.1f, without %.1f",
+                     cases[i].burst, as_is, before);
+    }
+}
+
+/* What the engines can do in time is not refused, and nobody is late.  */
+Test (replay, usual_load_is_served)
+{
+  static const double bursts[] = { 1.0, 2.0 };
+
+  for (size_t i = 0; i < ROWS (bursts); i++)
+    {
+      struct replay_result result;
+
+      goodput (REPLAY_AS_IS, bursts[i], &result);
+      for (int k = 0; k < REPLAY_CLASSES; k++)
+        {
+          const struct replay_count *count = &result.classes[k];
+
+          cr_expect_leq (count->refused * 100, count->asked, "%.1f: %u of %u",
+                         bursts[i], count->refused, count->asked);
+          cr_expect_geq (count->in_aim * 100, count->asked * 90,
+                         "%.1f: %u of %u", bursts[i], count->in_aim,
+                         count->asked);
+        }
+    }
+}
+
+/* A program of one class made room for another's by losing what it had read:
+   the engines then read it once more.  */
+Test (replay, what_has_begun_is_not_read_again)
+{
+  struct replay_result result;
+
+  goodput (REPLAY_RANKED, 3.0, &result);
+  cr_expect_gt (result.preempted, 100);
+  goodput (REPLAY_AS_IS, 3.0, &result);
+  cr_expect_lt (result.preempted, 100, "%lu", (unsigned long)result.preempted);
+}
+
+/* Programs that are spread by a hash wait at some engines while others have
+   free slots.  */
+Test (replay, programs_are_spread_by_load)
+{
+  double as_is = goodput (REPLAY_ALL_ADMITTED, 2.5, NULL);
+  double hashed = goodput (REPLAY_HASHED, 2.5, NULL);
+
+  cr_expect_geq (as_is, hashed * 1.15, "%.1f, hashed %.1f", as_is, hashed);
+}
+
+/* No class is starved, however much is asked.  */
+Test (replay, both_classes_are_served)
+{
+  struct replay_result result;
+
+  goodput (REPLAY_AS_IS, 4.5, &result);
+  for (int k = 0; k < REPLAY_CLASSES; k++)
+    cr_expect_geq (result.classes[k].in_aim * 4, result.classes[k].asked,
+                   "class %d: %u of %u", k, result.classes[k].in_aim,
+                   result.classes[k].asked);
+}
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -197,6 +197,123 @@
   cr_assert_str_eq (chosen (1000 + MQ_FLEET_LOAD_AGE_MS, &key, 1), first);
 }
 
+static uint32_t
+home_index (uint64_t now_ms, uint64_t random)
+{
+  struct mq_fleet_query query = {
+    .service = "s", .data_centre = "a", .now_ms = now_ms, .random = random
+  };
+
+  query.home = mq_fleet_home (fleet, &query);
+  query.has_key = true;
+  return mq_fleet_choose (fleet, &query);
+}
+
+struct home_case
+{
+  uint32_t told[3]; /* requests at each worker */
+  const char *home; /* NULL: any */
+};
+
+/* Programs of a few engines waited while others had free slots: which one a
+   program stays at was left to chance.  The least loaded worker that this host
+   heard of lately is taken, and whoever is told its name goes there, whatever
+   the program's key.  */
+Test (fleet, home_of_a_program_that_begins)
+{
+  static const struct home_case cases[] = {
+    { { 4, 1, 4 }, "w1" },
+    { { 0, 3, 3 }, "w0" },
+    { { 6, 6, 5 }, "w2" },
+    { { 2, 2, 2 }, NULL },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      uint64_t now = 10000 * (i + 1);
+
+      for (int round = 0; round < 4; round++)
+        {
+          mq_fleet_told (fleet, handle_of ("w0"), cases[i].told[0], 0, now);
+          mq_fleet_told (fleet, handle_of ("w1"), cases[i].told[1], 0, now);
+          mq_fleet_told (fleet, handle_of ("w2"), cases[i].told[2], 0, now);
+        }
+      for (uint64_t random = 1; random < 20; random++)
+        {
+          uint32_t worker = home_index (now + 1, random);
+
+          cr_assert_neq (worker, MQ_WORKER_NONE);
+          if (cases[i].home != NULL)
+            cr_expect_str_eq (mq_fleet_member (fleet, worker)->id,
+                              cases[i].home, "row %zu", i);
+        }
+    }
+}
+
+/* A home that is gone, or full while others are not, is no longer one: the
+   program's key says where it goes then, the same at all hosts.  */
+Test (fleet, home_that_can_not_be_kept)
+{
+  struct mq_fleet_query query = { .service = "s",
+                                  .data_centre = "a",
+                                  .has_key = true,
+                                  .key = 3,
+                                  .now_ms = 1000,
+                                  .random = 1 };
+  uint32_t by_key = mq_fleet_choose (fleet, &query);
+  uint32_t other = (by_key + 1) % 3;
+
+  for (uint32_t i = 0; i < 12; i++)
+    mq_fleet_told (fleet, i % 3, i % 3 == other ? 1 : 3, 0, 900);
+  query.home = mq_fleet_home (fleet, &query);
+  cr_assert_eq (mq_fleet_choose (fleet, &query), other);
+  mq_fleet_told (fleet, other, 4, 4, 1000);
+  cr_expect_neq (mq_fleet_choose (fleet, &query), other);
+  query.now_ms = 1000 + MQ_FLEET_LOAD_AGE_MS;
+  cr_assert_eq (mq_fleet_choose (fleet, &query), other);
+  mq_fleet_remove (fleet, mq_fleet_member (fleet, other)->id, 0);
+  cr_expect_eq (mq_fleet_choose (fleet, &query), by_key);
+}
+
+struct pressure_case
+{
+  const char *name;
+  uint32_t answers;
+  uint32_t waiting; /* at each worker, beside four that run in four slots */
+  uint32_t wait_ms; /* of an objective of 100 ms */
+  uint32_t pressure;
+};
+
+/* Slots that are full and a queue are too much only where answers begin late,
+   and late answers only where workers have a queue: else programs are refused
+   that would end in time.  A host that heard little knows little.  */
+Test (fleet, pressure_of_a_service)
+{
+  static const struct pressure_case cases[] = {
+    { "idle", 16, 0, 6, 100 },
+    { "a short wait", 16, 4, 12, 200 },
+    { "full and late", 16, 4, 120, 2000 },
+    { "late alone", 16, 0, 300, 1000 },
+    { "few answers", 2, 4, 120, 500 },
+    { "no answers", 0, 0, 0, 0 },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      uint64_t now = 10000 * (i + 1);
+
+      for (uint32_t k = 0; k < cases[i].answers; k++)
+        {
+          mq_fleet_told (fleet, handle_of ("w0"), 4, cases[i].waiting, now);
+          mq_fleet_begun (fleet, handle_of ("w0"), cases[i].wait_ms, 100, now);
+        }
+      cr_expect_eq (mq_fleet_service_pressure (fleet, "s", now + 1),
+                    cases[i].pressure, "%s: %u", cases[i].name,
+                    mq_fleet_service_pressure (fleet, "s", now + 1));
+    }
+  cr_expect_eq (mq_fleet_service_pressure (fleet, "unknown", 1), 0);
+}
+
 struct outcome_case
 {
   const char *name;
--- a/tests/test_turns.c
+++ b/tests/test_turns.c
@@ -205,7 +205,8 @@
 
 Test (budget, record_is_packed_and_unpacked)
 {
-  struct mq_budget_record record = { .limit = 1088, .spent = 34 };
+  struct mq_budget_record record
+      = { .limit = 1088, .spent = 34, .home = 0x123456789abcdef0 };
   struct mq_budget_record read;
   struct mq_bytes bytes;
 
@@ -216,6 +217,7 @@
   cr_assert (mq_budget_unpack (bytes, &read));
   cr_assert_eq (read.limit, record.limit);
   cr_assert_eq (read.spent, record.spent);
+  cr_assert_eq (read.home, record.home);
   cr_assert_eq (read.grant_count, record.grant_count);
   for (uint32_t i = 0; i < record.grant_count; i++)
     {
