Router: programs by load, refused early; equal rank at engines

Change: a turn that would begin a program asks mq_admission_decide before anything else is done for it; refused, it is told so at once, with the time after which the load may have fallen far enough for it. Whether a turn of a route that keeps none begins a program stands in the program's record: one read, only for those about to be refused. A program that begins names its worker in its record, and hosts that lend tokens tell it; its turns follow at any host. Engines get all turns with the same rank.

--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -1144,7 +1144,7 @@
   (ProtobufCMessageInit) mqrelay__loan_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__loan_told__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mqrelay__loan_told__field_descriptors[7] =
 {
   {
     "id",
@@ -1218,9 +1218,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "home",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanTold, home),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__loan_told__field_indices_by_name[] = {
   5,   /* field[5] = history */
+  6,   /* field[6] = home */
   0,   /* field[0] = id */
   3,   /* field[3] = over */
   1,   /* field[1] = run */
@@ -1230,7 +1243,7 @@
 static const ProtobufCIntRange mqrelay__loan_told__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mqrelay__loan_told__descriptor =
 {
@@ -1240,7 +1253,7 @@
   "Mqrelay__LoanTold",
   "mqrelay",
   sizeof(Mqrelay__LoanTold),
-  6,
+  7,
   mqrelay__loan_told__field_descriptors,
   mqrelay__loan_told__field_indices_by_name,
   1,  mqrelay__loan_told__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -206,7 +206,7 @@
    */
   uint64_t tokens;
   /*
-   * the record counts more than the limit
+   * no tokens may be issued elsewhere
    */
   protobuf_c_boolean over;
   /*
@@ -217,10 +217,14 @@
    * a TurnRow with the whole text
    */
   ProtobufCBinaryData history;
+  /*
+   * as in BudgetRow
+   */
+  uint64_t home;
 };
 #define MQRELAY__LOAN_TOLD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__loan_told__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, {0,NULL} }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
 /*
--- a/src/io/relay_frame.c
+++ b/src/io/relay_frame.c
@@ -175,6 +175,7 @@
   to.run = text_field (told->program);
   to.tokens = told->tokens;
   to.over = told->over;
+  to.home = told->home;
   to.turn = text_field (told->turn);
   to.history.data = told->history.data;
   to.history.len = told->history.len;
@@ -323,6 +324,7 @@
     .program = from->run,
     .tokens = from->tokens,
     .over = from->over,
+    .home = from->home,
     .turn = from->turn,
     .history = { from->history.data, from->history.len },
   };
--- a/src/io/relay_frame.h
+++ b/src/io/relay_frame.h
@@ -96,6 +96,7 @@
  * some were issued under a lease that has moved on
  * @turn: whose history follows, "": it is not known
  * @history: as a row of the table, with the whole text
+ * @home: worker that has the program's cache, 0: not known
  */
 struct mq_relay_loan_told
 {
@@ -105,6 +106,7 @@
   bool over;
   const char *turn;
   struct mq_bytes history;
+  uint64_t home;
 };
 
 /* Unused tokens of a loan on their way back.  */
--- a/src/io/router.c
+++ b/src/io/router.c
@@ -140,8 +140,10 @@
   router->log = mq_json_log_create (router, router->ev, STDOUT_FILENO,
                                     "mimosa-routerd", settings->host);
   router->fleet = mq_fleet_create (router);
+  router->admission = mq_admission_create (router);
   router->rows = mq_rows_create (router, router->ev, settings->table);
-  if (router->log == NULL || router->fleet == NULL || router->rows == NULL)
+  if (router->log == NULL || router->fleet == NULL || router->admission == NULL
+      || router->rows == NULL)
     return false;
   router->relay = mq_relay_create (router, router->ev, settings->peer,
                                    router->rows, &owner, error);
--- a/src/io/router_loan.c
+++ b/src/io/router_loan.c
@@ -288,6 +288,16 @@
   program->lender = talloc_strdup (program, address);
 }
 
+/* All turns of the program go where its cache is, as far as any host knows. */
+static void
+take_home (struct mq_turns *turns, const struct mq_relay_loan_told *told)
+{
+  struct mq_program *program = mq_program_get (turns, told->program);
+
+  if (program != NULL && program->home == 0)
+    program->home = told->home;
+}
+
 /* What the turn lacks has come: the other answers need not be waited for.  */
 static bool
 is_satisfied (const struct mq_loan *loan)
@@ -317,6 +327,8 @@
     take_tokens (turns, told, address);
   if (told->turn[0] != '\0')
     take_history (turns, told);
+  if (told->home != 0)
+    take_home (turns, told);
   while (loan != NULL && loan->id != told->id)
     loan = loan->next;
   if (loan == NULL || loan->due == 0)
@@ -373,7 +385,11 @@
   struct mq_relay_loan_told told
       = { .id = ask->id, .program = ask->program, .turn = "" };
   TALLOC_CTX *ctx = talloc_new (router);
+  const struct mq_program *program
+      = mq_program_find (router->turns, ask->program);
 
+  if (program != NULL)
+    told.home = program->home;
   if (ask->most > 0)
     lend_tokens (router, ask, &told);
   if (ask->turn[0] != '\0')
--- a/src/io/router_program.c
+++ b/src/io/router_program.c
@@ -44,6 +44,23 @@
   return program;
 }
 
+bool
+mq_turns_know (struct mq_turns *turns, const char *program)
+{
+  return mq_program_find (turns, program) != NULL;
+}
+
+struct mq_ledger_call *
+mq_turns_read_record (struct mq_turns *turns, const char *program,
+                      mq_rows_done *done, void *user)
+{
+  char part[MQ_PART_BYTES];
+
+  mq_turn_set_part (part, program, 0);
+  return mq_ledger_get (turns->router->ledger, mq_budget_table, part, program,
+                        done, user);
+}
+
 static void
 forget_program (struct mq_program *program)
 {
@@ -96,6 +113,8 @@
         }
     }
   mq_budget_read (&program->budget, program->holder, &record, version);
+  if (record.home != 0)
+    program->home = record.home;
   for (struct mq_turn *turn = program->waiting; turn != NULL;
        turn = turn->next)
     turn->fresh = true;
@@ -188,6 +207,7 @@
                                  .version = program->budget.version };
   struct mq_bytes value;
 
+  program->next.home = program->home;
   program->next.until_s = mq_turns_kept_until (program->turns, 0);
   value = mq_budget_pack (program, &program->next);
   entry.value = value;
@@ -204,6 +224,7 @@
 
   if (state == MQ_TURN_READY)
     program->running++;
+  turn->home = program->home;
   mq_turn_tell (turn, state);
 }
 
@@ -317,6 +338,8 @@
     }
   program->used_ms = mq_clock_ms ();
   program->limit = turn->limit;
+  if (program->home == 0)
+    program->home = turn->home;
   turn->in = program;
   turn->waits = true;
   for (at = &program->waiting; *at != NULL; at = &(*at)->next)
--- a/src/io/router_refuse.c
+++ b/src/io/router_refuse.c
@@ -10,6 +10,7 @@
 #define RETRY_SOON_MS 100U
 #define RETRY_STORE_MS 300U
 #define RETRY_READY_MS 500U
+#define RETRY_LOADED_MS 1000U
 
 static const struct mq_refusal_row rows[] = {
   [MQ_REFUSE_BAD_REQUEST] = { 400, 0, "bad_request" },
@@ -21,6 +22,8 @@
   [MQ_REFUSE_BUDGET] = { 402, 0, "budget_spent" },
   [MQ_REFUSE_NOT_READY] = { 503, RETRY_READY_MS, "not_ready" },
   [MQ_REFUSE_NO_WORKER] = { 503, RETRY_READY_MS, "no_worker" },
+  [MQ_REFUSE_LOADED] = { 503, RETRY_LOADED_MS, "loaded" },
+  [MQ_REFUSE_LATE] = { 503, RETRY_LOADED_MS, "late" },
   [MQ_REFUSE_FULL] = { 503, RETRY_SOON_MS, "full" },
   [MQ_REFUSE_STORE] = { 503, RETRY_STORE_MS, "store" },
   [MQ_REFUSE_TIMED_OUT] = { 503, RETRY_SOON_MS, "timed_out" },
--- a/src/io/router_request.c
+++ b/src/io/router_request.c
@@ -65,6 +65,12 @@
     mq_json_text (&line, "worker", worker_id (request));
   if (request->is_turn)
     mq_json_number (&line, "tokens", request->handed);
+  if (request->retry_ms > 0)
+    {
+      mq_json_number (&line, "load", request->service_load);
+      mq_json_number (&line, "left_ms", request->facts.left_ms);
+      mq_json_number (&line, "retry_ms", request->retry_ms);
+    }
   mq_json_end (&line);
 }
 
@@ -84,6 +90,7 @@
 
   stop_try (request, MQ_OUTCOME_STOPPED);
   mq_config_forget (request->confirm);
+  mq_ledger_cancel (request->record_call);
   if (request->is_turn)
     {
       mq_turn_settle (&request->turn, request->handed);
@@ -96,8 +103,8 @@
   talloc_free (request);
 }
 
-static void
-refuse (struct mq_request *request, enum mq_refusal refusal)
+void
+request_refuse (struct mq_request *request, enum mq_refusal refusal)
 {
   struct mq_caller *caller = request->caller;
   struct mq_router *router = request->router;
@@ -111,6 +118,8 @@
     retry_ms = RETRY_DOWN_MS;
   if (refusal == MQ_REFUSE_NO_WORKER)
     retry_ms = mq_fleet_retry_ms (router->fleet, request->service);
+  if (refusal == MQ_REFUSE_LOADED || refusal == MQ_REFUSE_LATE)
+    retry_ms = request->retry_ms;
   request_close (request);
   mq_refuse_caller (router, caller, refusal, retry_ms);
 }
@@ -146,9 +155,9 @@
   if (request->begun)
     request_break_off (request, "overdue");
   else if (request->ran)
-    refuse (request, MQ_REFUSE_OVERDUE);
+    request_refuse (request, MQ_REFUSE_OVERDUE);
   else
-    refuse (request, MQ_REFUSE_TIMED_OUT);
+    request_refuse (request, MQ_REFUSE_TIMED_OUT);
 }
 
 static void pass_on (struct mq_request *request);
@@ -206,11 +215,12 @@
       place_request (request);
       return;
     case MQ_NEXT_REFUSE:
-      refuse (request, end == MQ_ATTEMPT_NOT_RUN ? MQ_REFUSE_FULL
-                                                 : MQ_REFUSE_NO_WORKER);
+      request_refuse (request, end == MQ_ATTEMPT_NOT_RUN
+                                   ? MQ_REFUSE_FULL
+                                   : MQ_REFUSE_NO_WORKER);
       return;
     case MQ_NEXT_FAIL:
-      refuse (request, MQ_REFUSE_FAILED);
+      request_refuse (request, MQ_REFUSE_FAILED);
       return;
     case MQ_NEXT_PASS_ON:
       pass_on (request);
@@ -268,6 +278,8 @@
     .random = mq_random_next (&request->router->random),
   };
 
+  if (request->is_turn)
+    query.home = request->turn.home;
   query.has_key = mq_route_placing_key (request->route, request->service_info,
                                         request->facts.program,
                                         request->facts.affinity, &query.key);
@@ -280,11 +292,11 @@
   if (request->begun)
     request_break_off (request, "no_worker");
   else if (request->ran)
-    refuse (request, MQ_REFUSE_FAILED);
+    request_refuse (request, MQ_REFUSE_FAILED);
   else if (request->tried_count > 0)
-    refuse (request, MQ_REFUSE_FULL);
+    request_refuse (request, MQ_REFUSE_FULL);
   else
-    refuse (request, MQ_REFUSE_NO_WORKER);
+    request_refuse (request, MQ_REFUSE_NO_WORKER);
 }
 
 static void
@@ -336,6 +348,7 @@
     .head = request->head,
     .host = request->facts.host,
     .route = request->route,
+    .engine = request->service_info != NULL && request->service_info->engine,
     .worker = worker_id (request),
     .last_event = request->last_event,
     .left_ms = (uint32_t)(request->give_up_ms - request->sent_ms),
@@ -375,7 +388,7 @@
   if (before != NULL)
     request->send_body = mq_chain_join (request, before, request->body);
   if (before != NULL && request->send_body.data == NULL)
-    refuse (request, MQ_REFUSE_FULL);
+    request_refuse (request, MQ_REFUSE_FULL);
   else
     place_request (request);
 }
@@ -391,16 +404,16 @@
       send_turn (request);
       return;
     case MQ_TURN_SPENT:
-      refuse (request, MQ_REFUSE_BUDGET);
+      request_refuse (request, MQ_REFUSE_BUDGET);
       return;
     case MQ_TURN_NO_CHAIN:
-      refuse (request, MQ_REFUSE_NO_TURN);
+      request_refuse (request, MQ_REFUSE_NO_TURN);
       return;
     case MQ_TURN_NO_STORE:
       if (request->ended)
         request_break_off (request, "not_kept");
       else
-        refuse (request, MQ_REFUSE_STORE);
+        request_refuse (request, MQ_REFUSE_STORE);
       return;
     case MQ_TURN_KEPT:
       request_finish_stream (request);
@@ -408,15 +421,15 @@
     }
 }
 
-static void
-begin_turn (struct mq_request *request)
+void
+request_begin_turn (struct mq_request *request)
 {
   bool runs = mq_outage_runs (left_ms (request), request->route->timeout_ms);
 
   if (!runs && request->route->retains
       && mq_ledger_down (request->router->ledger))
     {
-      refuse (request, MQ_REFUSE_STORE);
+      request_refuse (request, MQ_REFUSE_STORE);
       return;
     }
   request->is_turn = true;
@@ -431,6 +444,7 @@
     .retains = request->route->retains,
     .retain_s = request->route->retain_s,
     .may_borrow = runs,
+    .home = request->home,
     .told = on_turn,
     .user = request,
   };
@@ -469,7 +483,7 @@
                                  on_overdue, request);
   if (route->kind == MQ_ROUTE_STREAM
       && (route->retains || request->facts.has_budget))
-    begin_turn (request);
+    request_admit_turn (request);
   else
     place_request (request);
 }
@@ -497,9 +511,9 @@
   if (route != NULL)
     follow_route (request, route);
   else if (current)
-    refuse (request, MQ_REFUSE_NO_ROUTE);
+    request_refuse (request, MQ_REFUSE_NO_ROUTE);
   else
-    refuse (request, MQ_REFUSE_NOT_READY);
+    request_refuse (request, MQ_REFUSE_NOT_READY);
 }
 
 void
@@ -528,7 +542,7 @@
   mq_caller_serves (caller, request);
   if (!is_sound (request))
     {
-      refuse (request, MQ_REFUSE_BAD_REQUEST);
+      request_refuse (request, MQ_REFUSE_BAD_REQUEST);
       return;
     }
   if (request->facts.last_event != NULL)
@@ -536,7 +550,7 @@
               request->facts.last_event);
   if (router->routes == NULL || !router->workers_listed)
     {
-      refuse (request, MQ_REFUSE_NOT_READY);
+      request_refuse (request, MQ_REFUSE_NOT_READY);
       return;
     }
   route = mq_route_find (router->routes, request->facts.host, head->target);
--- a/src/io/router_request.h
+++ b/src/io/router_request.h
@@ -1,5 +1,5 @@
-/* router_request.h - one request, shared by router_request.c and
-   router_stream.c only.
+/* router_request.h - one request, shared by router_request.c, router_admit.c
+   and router_stream.c only.
 
    Needs: router_state.h, router_try.h.  */
 
@@ -18,6 +18,12 @@
  * @table: configuration that the request goes by
  * @service: where it goes
  * @confirm: question whether the configuration is the newest, NULL: none
+ * @service_load: what the workers had when its program was to begin, in
+ *                thousandths of what they can do in time, 0: not known
+ * @program_late: its program has lost much of its time
+ * @retry_ms: when its program may be worth to come back, 0: not refused
+ * @home: where its program, which begins, is to stay; 0: it does not begin
+ * @record_call: asks whether its program has begun, NULL: not under way
  * @is_turn: it is a turn of a program, see @turn
  * @send_body: what the worker gets
  * @give_up_ms: its final answer goes out then at the latest
@@ -45,6 +51,11 @@
   const struct mq_route_service *service_info;
   const char *service;
   struct mq_confirm *confirm;
+  uint32_t service_load;
+  bool program_late;
+  uint32_t retry_ms;
+  uint64_t home;
+  struct mq_ledger_call *record_call;
   bool is_turn;
   struct mq_turn turn;
   struct mq_bytes send_body;
@@ -76,8 +87,17 @@
 void request_log_end (const struct mq_request *request,
                       enum mq_json_weight weight, const char *outcome,
                       int status);
+/* A final answer of our own.  */
+void request_refuse (struct mq_request *request, enum mq_refusal refusal);
+/* Finds the turn's history and its budget, then sends it.  */
+void request_begin_turn (struct mq_request *request);
 void request_note_served (const struct mq_request *request);
 
+/* router_admit.c */
+
+/* Begins the turn, unless it would begin a program that is refused.  */
+void request_admit_turn (struct mq_request *request);
+
 /* router_stream.c */
 
 /* Passes on the whole events that have come.  */
--- a/src/io/router_send.c
+++ b/src/io/router_send.c
@@ -13,6 +13,13 @@
 #define PRIORITY_FIRST 2U
 #define PRIORITY_STEP 2U
 #define PRIORITY_LAST 9U
+/* Of everything at an engine.
+
+   Failure: an engine makes room for a more urgent run by dropping one that
+   runs, and reads its prompt again; under load it reads a third of all prompts
+   in vain, and both classes are late.  Which program goes first is decided
+   where it begins (admission.h).  */
+#define PRIORITY_ENGINE 5U
 
 static bool
 is_passed_on (const struct mq_http_head *head, const char *name)
@@ -40,10 +47,12 @@
 }
 
 static uint32_t
-send_priority (const struct mq_path_route *route)
+send_priority (const struct mq_send *send)
 {
-  uint32_t priority = PRIORITY_FIRST + route->priority * PRIORITY_STEP;
+  uint32_t priority = PRIORITY_FIRST + send->route->priority * PRIORITY_STEP;
 
+  if (send->engine)
+    return PRIORITY_ENGINE;
   return priority > PRIORITY_LAST ? PRIORITY_LAST : priority;
 }
 
@@ -55,7 +64,7 @@
     .deadline_ms = send->left_ms,
     .worker = send->worker,
     .last_event = send->last_event[0] == '\0' ? NULL : send->last_event,
-    .priority = send_priority (send->route),
+    .priority = send_priority (send),
   };
   char *fields = mq_wire_send_fields (ctx, &facts);
 
--- a/src/io/router_send.h
+++ b/src/io/router_send.h
@@ -14,6 +14,7 @@
  * @head: what the caller sent
  * @host: whom the request is for
  * @route: where it goes
+ * @engine: its worker is a model engine
  * @worker: id of the worker that is meant
  * @last_event: event after which a stream is to go on, "": none
  * @left_ms: time until the final answer
@@ -24,6 +25,7 @@
   const struct mq_http_head *head;
   const char *host;
   const struct mq_path_route *route;
+  bool engine;
   const char *worker;
   const char *last_event;
   uint32_t left_ms;
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -11,6 +11,7 @@
 #ifndef MQ_ROUTER_STATE_H
 #define MQ_ROUTER_STATE_H
 
+#include "../core/admission.h"
 #include "../core/attempt.h"
 #include "../core/budget.h"
 #include "../core/chain.h"
@@ -35,6 +36,7 @@
   X (requests, "requests read from callers")                                  \
   X (served, "answers of workers passed on whole")                            \
   X (refused, "final answers that state: not run")                            \
+  X (programs_refused, "programs that were not taken on")                     \
   X (failed, "final answers of our own after a worker may have run")          \
   X (broken, "answers that broke off after their beginning")                  \
   X (left, "requests whose caller left first")                                \
@@ -88,6 +90,7 @@
   const struct mq_router_settings *settings;
   struct mq_json_log *log;
   struct mq_fleet *fleet;
+  struct mq_admission *admission;
   struct mq_pool *pool;
   struct mq_rows *rows;
   struct mq_relay *relay;
@@ -139,6 +142,8 @@
   MQ_REFUSE_NOT_READY,
   MQ_REFUSE_NO_WORKER,
   MQ_REFUSE_FULL,
+  MQ_REFUSE_LOADED, /* a program that begins */
+  MQ_REFUSE_LATE,   /* one that has lost much of its time, too */
   MQ_REFUSE_STORE,
   MQ_REFUSE_TIMED_OUT, /* not run */
   MQ_REFUSE_FAILED,    /* may have run */
@@ -236,6 +241,8 @@
  * @may_borrow: other hosts may be asked for what the table can't give
  * @granted: tokens that it may hand out, less than @most where there are no
  *           more; 0 before it is ready and after it has settled
+ * @home: worker that has the program's cache, as far as is known; for a
+ *        program that begins, where it is to stay; 0: none
  * @previous: turn that it continues from, NULL: none
  * @id: of the turn
  * @before: chain of @previous once it is ready, NULL: none
@@ -253,6 +260,7 @@
   uint32_t retain_s;
   bool may_borrow;
   uint64_t granted;
+  uint64_t home;
   struct mq_chain *before;
   void (*told) (enum mq_turn_state state, void *user);
   void *user;
@@ -280,6 +288,13 @@
 /* Reserves the turn's budget and finds its chain; TOLD may be called at
    once.  */
 void mq_turn_prepare (struct mq_turns *turns, struct mq_turn *turn);
+/* This host serves turns of PROGRAM.  */
+bool mq_turns_know (struct mq_turns *turns, const char *program);
+/* Reads the record of PROGRAM, which any host has written that served a turn
+   of it.  */
+struct mq_ledger_call *mq_turns_read_record (struct mq_turns *turns,
+                                             const char *program,
+                                             mq_rows_done *done, void *user);
 /* The turn has ended and handed out USED tokens.  */
 void mq_turn_settle (struct mq_turn *turn, uint64_t used);
 /* Makes the turn durable; TOLD says KEPT or NO_STORE.  */
--- a/src/io/router_stream.c
+++ b/src/io/router_stream.c
@@ -5,8 +5,21 @@
    Needs: router_request.h.  */
 
 #include "router_request.h"
+#include "clock.h"
 #include <string.h>
 
+/* How long its worker let it wait; a stream that goes on elsewhere waited for
+   both.  */
+static void
+note_wait (const struct mq_request *request)
+{
+  uint64_t now = mq_clock_ms ();
+
+  mq_fleet_begun (request->router->fleet, request->worker,
+                  (uint32_t)(now - request->sent_ms),
+                  request->route->objective_ms, now);
+}
+
 static void
 begin_stream (struct mq_request *request)
 {
@@ -15,6 +28,7 @@
   request->begun = true;
   if (request->try != NULL)
     mq_try_begun (request->try);
+  note_wait (request);
   mq_caller_begin (request->caller, request->answer.status,
                    mq_buffer_text (&request->answer.fields));
 }
--- a/src/io/router_turns.h
+++ b/src/io/router_turns.h
@@ -20,6 +20,7 @@
  * @call: under way, NULL: none
  * @next: the record that is being written
  * @holder: names our grant
+ * @home: worker that has its cache, 0: not known
  * @limit: of its budget, as last told
  * @running: turns that have a reservation
  * @tries: calls in a row that failed
@@ -39,6 +40,7 @@
   struct mq_ledger_call *call;
   struct mq_timer *timer;
   uint64_t holder;
+  uint64_t home;
   uint64_t limit;
   uint32_t running;
   uint32_t tries;
--- a/src/io/router_wire.h
+++ b/src/io/router_wire.h
@@ -25,6 +25,9 @@
  * @has_budget: @budget was told
  * @budget: tokens that all turns of the program may generate
  * @tokens_out: the most that the turn generates, 0: not told
+ * @main_line: the turn is of the program's own line, not of a sub-program's
+ * @has_left: @left_ms was told
+ * @left_ms: time until the program should be finished
  *
  * Strings live as long as the head that they come from.
  */
@@ -40,6 +43,9 @@
   bool has_budget;
   uint64_t budget;
   uint32_t tokens_out;
+  bool main_line;
+  bool has_left;
+  uint32_t left_ms;
 };
 
 /**
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -614,6 +614,170 @@
   cr_assert_eq (ask_turn (1, "t4", "p2", BUDGET (80) AFTER ("t9"), "x"), 404);
 }
 
+#define FINISH(ms) "X-Finish-Ms: " #ms "\r\n"
+#define MAIN_LINE(program) "X-Session-Id: " program "\r\n"
+
+static void
+tell_load (uint32_t running, uint32_t waiting)
+{
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    worker_server_load (site->llm[i], running, waiting);
+}
+
+/* A turn of PROGRAM's own line that names none before it, on a route that does
+   not keep turns.  */
+static int
+ask_first (int router, const char *id, const char *program)
+{
+  char text[512];
+
+  snprintf (text, sizeof text,
+            "POST /turn/a HTTP/1.1\r\n" HOST "X-Request-Id: %s\r\n"
+            "X-Program-Id: %s\r\nX-Session-Id: %s\r\n" FINISH (3000)
+                BUDGET (80) "X-Token-Count: 10,8\r\n" NO_BODY,
+            id, program, program);
+  return edge_ask (site, &call, router, text);
+}
+
+/* Each of the engines' answers begins so late, milliseconds: together those of
+   a second are enough, however slow the machine is.  */
+static uint32_t slow_ms;
+
+static void
+run_slowly (const char *id, const char *target, const char *body, void *user)
+{
+  (void)id;
+  (void)target;
+  (void)body;
+  (void)user;
+  usleep (slow_ms * 1000);
+}
+
+static void
+make_engines_slow (uint32_t wait_ms)
+{
+  slow_ms = wait_ms;
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    worker_server_watch (site->llm[i], run_slowly, NULL);
+}
+
+/* Turns of a program that has begun, by which ROUTER learns of the load.  */
+static void
+learn_load (int router)
+{
+  char id[16];
+
+  for (int i = 0; i < 4; i++)
+    {
+      snprintf (id, sizeof id, "l%d-%d", router, i);
+      cr_assert_eq (ask_turn (router, id, "p0", BUDGET (800), "x"), 200);
+    }
+}
+
+/* Which engine ran the request ID.  */
+static int
+engine_of (const char *id)
+{
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    for (int k = 0; k < worker_server_runs (site->llm[i]); k++)
+      if (strcmp (worker_server_run (site->llm[i], k)->id, id) == 0)
+        return i;
+  return -1;
+}
+
+/* Turns of other programs, until ROUTER has heard of enough engines, and of
+   ENGINE among them.  */
+static void
+learn_engines (int router, int engine)
+{
+  bool heard = false;
+  char id[32];
+
+  for (int i = 0; i < 8 || (!heard && i < 100); i++)
+    {
+      snprintf (id, sizeof id, "n%d-%d", engine, i);
+      cr_assert_eq (ask_turn (router, id, id, BUDGET (800), "x"), 200);
+      heard = heard || engine_of (id) == engine;
+    }
+  cr_assert (heard);
+}
+
+/* The engines have twice what they can run, and answers begin late.  A program
+   that begins then was taken on like all others; now it is refused at once,
+   not run, with a time to come back.  What has begun goes on, also at a host
+   that has not seen it, and when the load is gone all are taken on.  */
+Test (router, programs_that_begin_while_engines_are_full)
+{
+  int before;
+
+  edge_start (site, 1);
+  cr_assert_eq (ask_first (0, "a1", "pa"), 200);
+  tell_load (4, 400);
+  make_engines_slow (250);
+  learn_load (0);
+  before = asked_of (site->llm);
+  cr_expect_eq (ask_first (0, "b1", "pb"), 503, "%s", call.answer);
+  cr_expect_not_null (strstr (call.answer, "Retry-After: "));
+  cr_expect_eq (ask_turn (0, "c1", "pc",
+                          BUDGET (80) FINISH (3000) MAIN_LINE ("pc"), "x"),
+                503);
+  cr_expect_eq (asked_of (site->llm), before);
+  cr_expect_eq (edge_counter (site, 0, "programs_refused"), 2);
+  /* It has begun at host 0.  */
+  cr_expect_eq (ask_first (0, "a2", "pa"), 200);
+  learn_load (1);
+  cr_expect_eq (ask_first (1, "b2", "pb"), 503, "%s", call.answer);
+  cr_expect_eq (ask_first (1, "a3", "pa"), 200, "%s", call.answer);
+  /* A sub-program's first turn, and a turn that names the one before it.  */
+  cr_expect_eq (ask_turn (1, "d1", "pd", BUDGET (80) MAIN_LINE ("other"), "x"),
+                200);
+  cr_expect_eq (
+      ask_turn (1, "e1", "pe", BUDGET (80) MAIN_LINE ("pe") AFTER ("d1"), "x"),
+      200);
+  /* The load that counts falls slowly, and is far above all bounds here.  */
+  edge_kill (site, 0);
+  tell_load (1, 0);
+  make_engines_slow (0);
+  edge_start (site, 0);
+  learn_load (0);
+  cr_expect_eq (ask_first (0, "b3", "pb"), 200);
+}
+
+/* A program begins where the engine has room, as this host heard; its next
+   turn comes to another host, which heard nothing.  It went to the engine that
+   a hash names, which had to read its history again.  The record of the
+   program names the engine, and the host next door lends its name with
+   tokens.  */
+Test (router, turns_follow_the_program_to_its_engine)
+{
+  static const bool linked[] = { false, true };
+  char id[16];
+  char program[16];
+
+  for (size_t k = 0; k < ROWS (linked); k++)
+    {
+      tear_down ();
+      set_up ();
+      if (linked[k])
+        edge_seed (site, 1, 0);
+      edge_start (site, 1);
+      edge_run (site, linked[k] ? 3500 : 50);
+      for (int home = 0; home < EDGE_WORKERS; home++)
+        {
+          for (int i = 0; i < EDGE_WORKERS; i++)
+            worker_server_load (site->llm[i], i == home ? 1 : 4, 0);
+          snprintf (program, sizeof program, "h%d", home);
+          learn_engines (0, home);
+          snprintf (id, sizeof id, "f%d", home);
+          cr_assert_eq (ask_first (0, id, program), 200);
+          cr_expect_eq (engine_of (id), home, "%s", id);
+          snprintf (id, sizeof id, "g%d", home);
+          cr_assert_eq (ask_first (1, id, program), 200);
+          cr_expect_eq (engine_of (id), home, "%s, linked %d", id, linked[k]);
+        }
+    }
+}
+
 /* In a burst turns wait for the table, whose rates bind: each turn that came
    to another host than the one before took a read of its history and a write
    for a grant of its own.  The host next to it has both in memory.  */
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -150,6 +150,56 @@
   return (struct mq_bytes){ (uint8_t *)(uintptr_t)text, strlen (text) };
 }
 
+struct program_case
+{
+  const char *line; /* NULL: not there */
+  const char *left; /* likewise */
+  bool main_line;
+  bool has_left;
+  uint32_t left_ms;
+};
+
+/* What a request says of its program helps to decide and is never a reason to
+   refuse: what is bad or missing counts as not told.  */
+Test (wire, program_of_a_request)
+{
+  static const struct program_case cases[] = {
+    { "3fa81c", "5200", true, true, 5200 },
+    { "77d20b", "5200", false, true, 5200 },
+    { NULL, NULL, false, false, 0 },
+    { "3fa81c", "0", true, true, 0 },
+    { "3fa81c", "", true, false, 0 },
+    { "3fa81c", "-5", true, false, 0 },
+    { "3fa81c", "5200x", true, false, 0 },
+    { "3fa81c", "1e3", true, false, 0 },
+    { "3fa81c", "99999999999", true, true, UINT32_MAX },
+    { "3fa81", "12", false, true, 12 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct mq_http_field fields[4];
+      struct mq_http_head head = { .fields = fields };
+      struct mq_call_facts facts;
+
+      fields[head.field_count++]
+          = (struct mq_http_field){ .name = "X-Program-Id",
+                                    .value = "3fa81c" };
+      if (cases[i].line != NULL)
+        fields[head.field_count++]
+            = (struct mq_http_field){ .name = "X-Session-Id",
+                                      .value = cases[i].line };
+      if (cases[i].left != NULL)
+        fields[head.field_count++]
+            = (struct mq_http_field){ .name = "X-Finish-Ms",
+                                      .value = cases[i].left };
+      mq_wire_read_call (&head, &facts);
+      cr_expect_eq (facts.main_line, cases[i].main_line, "row %zu", i);
+      cr_expect_eq (facts.has_left, cases[i].has_left, "row %zu", i);
+      cr_expect_eq (facts.left_ms, cases[i].left_ms, "row %zu", i);
+    }
+}
+
 Test (wire, configuration)
 {
   static const char text[]
