--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -128,6 +128,22 @@
   cr_expect_eq (admitted (1, 600, 12000), PROGRAMS);
 }
 
+/* A host at which a program begins each millisecond took the load for as high
+   as it had ever been: the fall in so short a time was rounded to nothing.  */
+Test (admission, load_falls_at_a_busy_host)
+{
+  uint32_t retry_ms;
+
+  cr_assert_eq (admitted (1, 3000, 1), 0);
+  for (uint64_t now = 2; now < 40000; now++)
+    {
+      struct mq_admission_ask ask = ask_of (now, 1, 600, now);
+
+      mq_admission_decide (admission, &ask, &retry_ms);
+    }
+  cr_expect_eq (admitted (1, 600, 40000), PROGRAMS);
+}
+
 struct late_case
 {
   const char *name;
