The load falls as told, however often programs begin

Cause: each program set the load that counts to what was left of it, and the fall since the one before was rounded down: at a host where programs begin within 12 ms of each other it never fell. Also: the wait of a stream is noted only while its worker is held; a worker that was taken off the list while its empty stream came in had no service any more.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -48,8 +48,8 @@
 };
 
 /**
- * struct level - load of a service as it counts
- * @load: when it was last set
+ * struct level - the load of a service that still counts
+ * @load: when it was told
  * @set_ms: when that was
  */
 struct level
@@ -114,6 +114,7 @@
   return row;
 }
 
+/* The load that counts: as it is, or what is left of the highest one.  */
 static uint32_t
 raise_level (struct mq_admission *admission,
              const struct mq_admission_ask *ask)
@@ -123,9 +124,10 @@
   uint64_t fall = (ask->now_ms - level->set_ms) * LOAD_FALL_PER_S / MS_PER_S;
   uint32_t held = level->load > fall ? level->load - (uint32_t)fall : 0;
 
-  level->load = ask->load > held ? ask->load : held;
-  level->set_ms = ask->now_ms;
-  return level->load;
+  if (ask->load < held)
+    return held;
+  *level = (struct level){ ask->load, ask->now_ms };
+  return ask->load;
 }
 
 /* Load at which this program is refused.  */
--- a/src/io/router_stream.c
+++ b/src/io/router_stream.c
@@ -8,8 +8,8 @@
 #include "clock.h"
 #include <string.h>
 
-/* How long its worker let it wait; a stream that goes on elsewhere waited for
-   both.  */
+/* How long its worker let it wait.  Only while the request is there: the
+   worker may be forgotten with its end.  */
 static void
 note_wait (const struct mq_request *request)
 {
@@ -27,8 +27,10 @@
     return;
   request->begun = true;
   if (request->try != NULL)
-    mq_try_begun (request->try);
-  note_wait (request);
+    {
+      mq_try_begun (request->try);
+      note_wait (request);
+    }
   mq_caller_begin (request->caller, request->answer.status,
                    mq_buffer_text (&request->answer.fields));
 }
