--- a/src/core/budget.h
+++ b/src/core/budget.h
@@ -23,18 +23,17 @@
 /* Hosts whose grants a record holds; the grants of more are settled as spent.
  */
 #define MQ_BUDGET_HOLDERS_MAX 16U
-/* Turns at their most that a host asks for at a time.  A turn takes a quarter
-   of its most on average, so one write serves several turns.  */
+/* Turns at their most that a host asks for at a time.  Most turns take a part
+   of it, so that one write serves several.  */
 #define MQ_BUDGET_GRANT_TURNS 2U
 /* But no more than this part of what is left, or one turn.  Failure: two hosts
    take two turns each of a program whose limit holds four, both are lost, and
-   its next turn is told that the budget is spent: three to five programs of a
-   day that ends with the loss of all hosts.  */
+   its next turn is told that the budget is spent.  */
 #define MQ_BUDGET_GRANT_SHARE 3U
 /* Without the table a turn begins with this part of its most, where there is
-   no more, and breaks off when it needs more than that.  Seven turns of ten
-   need less than a quarter of their most, measured over 5,000 turns; with a
-   larger part a caller's third try in an outage found too little left.  */
+   no more, and breaks off when it needs more than that.  Most turns
+   need less than that; with a larger part a caller's third try in an outage
+   finds too little left.  */
 #define MQ_BUDGET_LEAST_PART 4U
 
 struct mq_budget_grant
--- a/src/io/json_log.h
+++ b/src/io/json_log.h
@@ -14,7 +14,7 @@
 #include <tevent.h>
 
 /* Lines a second, and of them for plain successes: a host of 0.1 cores then
-   spends under 2% of itself on its log (4 us a line were measured).  */
+   spends under 2% of itself on its log.  */
 #define MQ_JSON_LOG_LINES_S 300U
 #define MQ_JSON_LOG_PLAIN_S 40U
 #define MQ_JSON_LINE_BYTES 1024U
--- a/src/io/router_silence.c
+++ b/src/io/router_silence.c
@@ -20,8 +20,7 @@
    it, since the silence would have counted after three times 0.4 s.  So no
    more than a third of the caller's time is spent on it, which leaves twice as
    much for another worker; where requests wait at the worker, a second one
-   would only make queues longer.  Of 1,000 programs on a day with lost answers
-   three to five failed by it.  */
+   would only make queues longer.  */
 #define BUSY_FACTOR 3U
 #define BUSY_PART 3U
 
--- a/src/io/router_try.c
+++ b/src/io/router_try.c
@@ -138,8 +138,7 @@
    host sends it a second turn each time, and one after the other of a
    program's tries ends there.  A new connection that ends before any byte
    tells as much as one that is refused; on a kept one it may be no more than
-   the connection's end.  With it 0.034 of the programs of a day with a third
-   of the workers flapping failed, 0.041 without (three seeds each).  */
+   the connection's end.  */
 static bool
 closed_new (const struct mq_try *try)
 {
