A turn finds its program's worker without a look at all of them

Cause: each choice walked all workers twice and compared names; a program that begins as well. Change: the worker that a program's record names is found by its hash and taken if it has room; a program that begins looks at the workers of which answers told lately and at a few others, which all count alike.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -32,8 +32,23 @@
 static struct fleet_entry *
 find_entry (const struct mq_fleet *fleet, const char *id)
 {
-  uintptr_t place
-      = (uintptr_t)mq_idmap_find (fleet->by_id, mq_id_text_hash (id), 0);
+  uintptr_t place = (uintptr_t)mq_idmap_find (
+      fleet->by_id, mq_id_text_hash (id), FLEET_BY_ID);
+
+  return place == 0 ? NULL : &fleet->entries[place - 1];
+}
+
+static struct mq_id
+hash_key (uint64_t hash)
+{
+  return (struct mq_id){ .lo = hash };
+}
+
+struct fleet_entry *
+fleet_find_hash (const struct mq_fleet *fleet, uint64_t hash)
+{
+  uintptr_t place = (uintptr_t)mq_idmap_find (fleet->by_id, hash_key (hash),
+                                              FLEET_BY_HASH);
 
   return place == 0 ? NULL : &fleet->entries[place - 1];
 }
@@ -108,6 +123,7 @@
 add_entry (struct mq_fleet *fleet, const struct mq_fleet_member *member)
 {
   struct fleet_entry *entry = free_entry (fleet);
+  void *place;
 
   if (entry == NULL)
     return false;
@@ -119,8 +135,10 @@
   entry->used = true;
   entry->listed = true;
   entry->seen = true;
-  mq_idmap_put (fleet->by_id, mq_id_text_hash (member->id), 0,
-                (void *)(uintptr_t)(entry - fleet->entries + 1));
+  place = (void *)(uintptr_t)(entry - fleet->entries + 1);
+  mq_idmap_put (fleet->by_id, mq_id_text_hash (member->id), FLEET_BY_ID,
+                place);
+  mq_idmap_put (fleet->by_id, hash_key (entry->hash), FLEET_BY_HASH, place);
   return true;
 }
 
@@ -132,7 +150,11 @@
   if (entry->listed || entry->own > 0)
     return;
   if (!entry->replaced)
-    mq_idmap_remove (fleet->by_id, mq_id_text_hash (entry->member.id), 0);
+    {
+      mq_idmap_remove (fleet->by_id, mq_id_text_hash (entry->member.id),
+                       FLEET_BY_ID);
+      mq_idmap_remove (fleet->by_id, hash_key (entry->hash), FLEET_BY_HASH);
+    }
   free_strings (&entry->member);
   *entry = (struct fleet_entry){ .used = false };
   if (place < fleet->free_from)
--- a/src/core/fleet_choice.c
+++ b/src/core/fleet_choice.c
@@ -148,15 +148,44 @@
   return a.cost < b.cost;
 }
 
+/* The home of the request's program, if nothing speaks against it; else
+   MQ_WORKER_NONE.  Most turns need no look at the other workers then, of which
+   there may be thousands.  */
+static uint32_t
+roomy_home (const struct mq_fleet *fleet, const struct mq_fleet_query *query)
+{
+  const struct fleet_entry *entry;
+  struct survey survey = { .count = 0 };
+  uint32_t worker;
+
+  if (!query->has_key || query->home == 0)
+    return MQ_WORKER_NONE;
+  entry = fleet_find_hash (fleet, query->home);
+  if (entry == NULL || !fleet_is_candidate (entry, query->service)
+      || entry->out_until_ms > query->now_ms)
+    return MQ_WORKER_NONE;
+  worker = (uint32_t)(entry - fleet->entries);
+  survey.told = mq_fleet_service_load (fleet, query->service, query->now_ms);
+  if (was_tried (query, worker)
+      || fleet_guess_of (entry, told_mean (&survey, entry), query->now_ms)
+             >= slots_of (entry) * LOAD_UNIT)
+    return MQ_WORKER_NONE;
+  return worker;
+}
+
 /* Workers left out for failures are taken last, and all of them count as in
    again when too many are out: then the failures say nothing about them.  */
 uint32_t
 mq_fleet_choose (struct mq_fleet *fleet, const struct mq_fleet_query *query)
 {
-  struct survey survey = survey_service (fleet, query);
+  uint32_t home = roomy_home (fleet, query);
+  struct survey survey;
   struct rank best = { UINT32_MAX, UINT64_MAX };
   uint32_t chosen = MQ_WORKER_NONE;
 
+  if (home != MQ_WORKER_NONE)
+    return home;
+  survey = survey_service (fleet, query);
   for (size_t i = 0; i < fleet->count; i++)
     {
       const struct fleet_entry *entry = &fleet->entries[i];
@@ -178,6 +207,58 @@
 /* Steps in which loads are compared, for each slot; what is left is chance,
    so that hosts which know nothing don't all choose the first worker.  */
 #define HOME_STEPS 256U
+/* Workers taken at random beside those that told of themselves lately: one of
+   them is most likely of the service.  */
+#define HOME_RANDOM 8U
+
+/**
+ * struct home - the best worker so far for a program that begins
+ * @load: the lower the better
+ * @hash: names it, 0: there is none yet
+ */
+struct home
+{
+  uint64_t load;
+  uint64_t hash;
+};
+
+static void
+try_home (const struct fleet_entry *entry, const struct mq_fleet_query *query,
+          const struct survey *survey, struct home *home)
+{
+  uint64_t state = entry->hash ^ query->random;
+  uint64_t load;
+
+  if (!fleet_is_candidate (entry, query->service)
+      || (entry->out_until_ms > query->now_ms && !survey->ignore_out))
+    return;
+  load = fleet_guess_of (entry, told_mean (survey, entry), query->now_ms);
+  load = load * HOME_STEPS / slots_of (entry)
+         + mq_random_next (&state) % HOME_STEPS;
+  if (home->hash == 0 || load < home->load)
+    *home = (struct home){ load, entry->hash };
+}
+
+/* All other workers count alike, so that a few of them stand for all.  */
+static struct home
+home_among_heard (const struct mq_fleet *fleet,
+                  const struct mq_fleet_query *query)
+{
+  const struct fleet_service *row = fleet_find_service (fleet, query->service);
+  struct survey survey = { .told = mq_fleet_service_load (
+                               fleet, query->service, query->now_ms) };
+  struct home home = { 0, 0 };
+  uint64_t state = query->random;
+
+  for (uint32_t i = 0; row != NULL && i < FLEET_SAMPLES; i++)
+    if (row->loads.samples[i].told_ms != 0)
+      try_home (&fleet->entries[row->loads.samples[i].worker], query, &survey,
+                &home);
+  for (uint32_t i = 0; fleet->count > 0 && i < HOME_RANDOM; i++)
+    try_home (&fleet->entries[mq_random_next (&state) % fleet->count], query,
+              &survey, &home);
+  return home;
+}
 
 /* The load: programs last for many turns and are spread by chance, so that a
    third of the engines has a queue while another third has free slots, and
@@ -186,29 +267,15 @@
 mq_fleet_home (const struct mq_fleet *fleet,
                const struct mq_fleet_query *query)
 {
-  struct survey survey = survey_service (fleet, query);
-  uint64_t least = UINT64_MAX;
-  uint64_t home = 0;
+  struct home home = home_among_heard (fleet, query);
+  struct survey survey;
 
+  if (home.hash != 0)
+    return home.hash;
+  survey = survey_service (fleet, query);
   for (size_t i = 0; i < fleet->count; i++)
-    {
-      const struct fleet_entry *entry = &fleet->entries[i];
-      uint64_t state = entry->hash ^ query->random;
-      uint64_t load;
-
-      if (!fleet_is_candidate (entry, query->service)
-          || (entry->out_until_ms > query->now_ms && !survey.ignore_out))
-        continue;
-      load = fleet_guess_of (entry, told_mean (&survey, entry), query->now_ms);
-      load = load * HOME_STEPS / slots_of (entry)
-             + mq_random_next (&state) % HOME_STEPS;
-      if (load < least)
-        {
-          least = load;
-          home = entry->hash;
-        }
-    }
-  return home;
+    try_home (&fleet->entries[i], query, &survey, &home);
+  return home.hash;
 }
 
 size_t
--- a/src/core/fleet_load.c
+++ b/src/core/fleet_load.c
@@ -58,9 +58,10 @@
 }
 
 static void
-add_sample (struct fleet_ring *ring, uint32_t value, uint64_t now_ms)
+add_sample (struct fleet_ring *ring, uint32_t worker, uint32_t value,
+            uint64_t now_ms)
 {
-  ring->samples[ring->next] = (struct fleet_sample){ now_ms, value };
+  ring->samples[ring->next] = (struct fleet_sample){ now_ms, value, worker };
   ring->next = (ring->next + 1) % FLEET_SAMPLES;
 }
 
@@ -84,8 +85,8 @@
   return (uint32_t)(sum / count);
 }
 
-static const struct fleet_service *
-find_service (const struct mq_fleet *fleet, const char *service)
+const struct fleet_service *
+fleet_find_service (const struct mq_fleet *fleet, const char *service)
 {
   return mq_idmap_find (fleet->services, mq_id_text_hash (service), 0);
 }
@@ -94,7 +95,7 @@
 mq_fleet_service_load (const struct mq_fleet *fleet, const char *service,
                        uint64_t now_ms)
 {
-  const struct fleet_service *row = find_service (fleet, service);
+  const struct fleet_service *row = fleet_find_service (fleet, service);
 
   return row == NULL ? 0 : mean_of (&row->loads, now_ms);
 }
@@ -103,7 +104,7 @@
 mq_fleet_service_pressure (const struct mq_fleet *fleet, const char *service,
                            uint64_t now_ms)
 {
-  const struct fleet_service *row = find_service (fleet, service);
+  const struct fleet_service *row = fleet_find_service (fleet, service);
   uint32_t load;
   uint32_t wait;
 
@@ -125,7 +126,7 @@
     return;
   row = service_row (fleet, entry->member.service);
   add_sample (
-      &row->waits,
+      &row->waits, worker,
       (uint32_t)((uint64_t)wait_ms * MQ_FLEET_LOAD_FULL / objective_ms),
       now_ms);
 }
@@ -168,7 +169,7 @@
   entry->others = total > entry->own ? total - entry->own : 0;
   entry->told_ms = now_ms;
   if (entry->member.slots > 0)
-    add_sample (&service_row (fleet, entry->member.service)->loads,
+    add_sample (&service_row (fleet, entry->member.service)->loads, worker,
                 total * MQ_FLEET_LOAD_FULL / entry->member.slots, now_ms);
 }
 
--- a/src/core/fleet_state.h
+++ b/src/core/fleet_state.h
@@ -57,16 +57,21 @@
 };
 
 #define FLEET_SAMPLES 64U
+/* Numbers in the map of workers.  */
+#define FLEET_BY_ID 0U
+#define FLEET_BY_HASH 1U
 
 /**
  * struct fleet_sample - what one answer told
  * @told_ms: when, 0: never
  * @value: in thousandths
+ * @worker: whose it was
  */
 struct fleet_sample
 {
   uint64_t told_ms;
   uint32_t value;
+  uint32_t worker;
 };
 
 /**
@@ -93,7 +98,8 @@
 
 /**
  * struct mq_fleet - the table of workers
- * @by_id: position of the worker's entry, plus one, as a pointer
+ * @by_id: position of the worker's entry, plus one, as a pointer; under its id
+ *         and, with FLEET_BY_HASH, under the hash that names it to other hosts
  * @services: by name, struct fleet_service
  * @free_from: no entry before it is free
  */
@@ -112,8 +118,16 @@
 /* Frees the entry of a worker that is gone once no request is there.  */
 void fleet_forget_if_idle (struct mq_fleet *fleet, struct fleet_entry *entry);
 
+/* The listed worker of which HASH is the hash, NULL: there is none.  */
+struct fleet_entry *fleet_find_hash (const struct mq_fleet *fleet,
+                                     uint64_t hash);
+
 /* fleet_load.c */
 
+/* What answers of SERVICE's workers told lately, NULL: nothing ever.  */
+const struct fleet_service *fleet_find_service (const struct mq_fleet *fleet,
+                                                const char *service);
+
 /* Requests at the worker in LOAD_UNITs: our own, and those of other hosts as
    last told, which count less the older the figure is.  */
 uint64_t fleet_load_of (const struct fleet_entry *entry, uint64_t now_ms);
