Programs are refused while ends of turns wait long for their records

Change: the wait of ends for their records counts as load, as it is now (a table back from an outage has no queue). The load that is remembered is bounded. What binds there stays: the table's writes, one and more a turn.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 ROUTER_SRC = $(wildcard src/io/router*.c src/io/relay*.c) proto/turn.pb-c.c proto/relay.pb-c.c \
              $(addprefix src/core/,admission.c attempt.c budget.c chain.c error.c \
              event_stream.c fleet.c fleet_choice.c fleet_evidence.c fleet_load.c histogram.c id.c idmap.c memory.c outage.c \
-             reserve.c route.c \
+             recent.c reserve.c route.c \
              text_hint.c text_ini.c text_keys.c text_values.c) \
              $(addprefix src/io/,base64.c buffer.c clock.c frame.c http_lane.c \
              http_message.c json_log.c ledger.c listen.c log_schema.c metrics.c settings_file.c \
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -114,20 +114,23 @@
   return row;
 }
 
-/* The load that counts: as it is, or what is left of the highest one.  */
+/* The load that counts: as it is, or what is left of the highest one.  What is
+   beyond the last bound makes no difference while it lasts, and would after.
+   */
 static uint32_t
 raise_level (struct mq_admission *admission,
              const struct mq_admission_ask *ask)
 {
+  uint32_t load = ask->load < LOAD_LAST ? ask->load : LOAD_LAST;
   struct level *level
       = find_row (admission, ask->service, SERVICES, sizeof *level);
   uint64_t fall = (ask->now_ms - level->set_ms) * LOAD_FALL_PER_S / MS_PER_S;
   uint32_t held = level->load > fall ? level->load - (uint32_t)fall : 0;
 
-  if (ask->load < held)
+  if (load < held)
     return held;
-  *level = (struct level){ ask->load, ask->now_ms };
-  return ask->load;
+  *level = (struct level){ load, ask->now_ms };
+  return load;
 }
 
 /* Load at which this program is refused.  */
@@ -200,7 +203,8 @@
 mq_admission_decide (struct mq_admission *admission,
                      const struct mq_admission_ask *ask, uint32_t *retry_ms)
 {
-  uint32_t level = raise_level (admission, ask);
+  uint32_t held = raise_level (admission, ask);
+  uint32_t level = ask->record_load > held ? ask->record_load : held;
   bool late = is_late (admission, ask, level);
   uint32_t bound = late ? LOAD_ROOM : bound_of (ask);
 
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -32,6 +32,9 @@
  * @program: a hash of its id
  * @load: of the service, in thousandths of what its workers can do in time; 0:
  *        not known
+ * @record_load: of the table that keeps the program's turns, likewise; it
+ *               counts as it is, since one that comes back from an outage has
+ *               no queue a second later
  * @has_left: @left_ms was told
  * @left_ms: time until the program should be finished
  * @budget: tokens that its turns may generate, 0: not told
@@ -44,6 +47,7 @@
   uint32_t priority;
   uint64_t program;
   uint32_t load;
+  uint32_t record_load;
   bool has_left;
   uint32_t left_ms;
   uint64_t budget;
--- a/src/core/fleet_choice.c
+++ b/src/core/fleet_choice.c
@@ -250,9 +250,9 @@
   struct home home = { 0, 0 };
   uint64_t state = query->random;
 
-  for (uint32_t i = 0; row != NULL && i < FLEET_SAMPLES; i++)
-    if (row->loads.samples[i].told_ms != 0)
-      try_home (&fleet->entries[row->loads.samples[i].worker], query, &survey,
+  for (uint32_t i = 0; row != NULL && i < MQ_RECENT_VALUES; i++)
+    if (row->loads.values[i].seen_ms != 0)
+      try_home (&fleet->entries[row->loads.values[i].worker], query, &survey,
                 &home);
   for (uint32_t i = 0; fleet->count > 0 && i < HOME_RANDOM; i++)
     try_home (&fleet->entries[mq_random_next (&state) % fleet->count], query,
--- a/src/core/fleet_load.c
+++ b/src/core/fleet_load.c
@@ -7,13 +7,6 @@
 #include "id.h"
 #include "memory.h"
 
-/* What was told of a service counts for so long: long enough for a host with
-   few requests to have heard of several workers.  */
-#define SERVICE_AGE_MS 1000U
-/* Answers that are needed to tell it; each that is missing counts as one of an
-   idle worker, since a host that heard of a few queues knows little.  */
-#define SERVICE_ANSWERS_LEAST 8U
-
 uint64_t
 fleet_load_of (const struct fleet_entry *entry, uint64_t now_ms)
 {
@@ -57,34 +50,6 @@
   return row;
 }
 
-static void
-add_sample (struct fleet_ring *ring, uint32_t worker, uint32_t value,
-            uint64_t now_ms)
-{
-  ring->samples[ring->next] = (struct fleet_sample){ now_ms, value, worker };
-  ring->next = (ring->next + 1) % FLEET_SAMPLES;
-}
-
-static uint32_t
-mean_of (const struct fleet_ring *ring, uint64_t now_ms)
-{
-  uint64_t sum = 0;
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; i < FLEET_SAMPLES; i++)
-    {
-      const struct fleet_sample *sample = &ring->samples[i];
-
-      if (sample->told_ms == 0 || now_ms - sample->told_ms >= SERVICE_AGE_MS)
-        continue;
-      sum += sample->value;
-      count++;
-    }
-  if (count < SERVICE_ANSWERS_LEAST)
-    count = SERVICE_ANSWERS_LEAST;
-  return (uint32_t)(sum / count);
-}
-
 const struct fleet_service *
 fleet_find_service (const struct mq_fleet *fleet, const char *service)
 {
@@ -97,7 +62,7 @@
 {
   const struct fleet_service *row = fleet_find_service (fleet, service);
 
-  return row == NULL ? 0 : mean_of (&row->loads, now_ms);
+  return row == NULL ? 0 : mq_recent_mean (&row->loads, now_ms);
 }
 
 uint32_t
@@ -110,8 +75,9 @@
 
   if (row == NULL)
     return 0;
-  load = mean_of (&row->loads, now_ms);
-  wait = mean_of (&row->waits, now_ms) * 100U / MQ_FLEET_WAIT_FULL_PERCENT;
+  load = mq_recent_mean (&row->loads, now_ms);
+  wait = mq_recent_mean (&row->waits, now_ms) * 100U
+         / MQ_FLEET_WAIT_FULL_PERCENT;
   return load < wait ? load : wait;
 }
 
@@ -125,7 +91,7 @@
   if (objective_ms == 0)
     return;
   row = service_row (fleet, entry->member.service);
-  add_sample (
+  mq_recent_add (
       &row->waits, worker,
       (uint32_t)((uint64_t)wait_ms * MQ_FLEET_LOAD_FULL / objective_ms),
       now_ms);
@@ -169,8 +135,8 @@
   entry->others = total > entry->own ? total - entry->own : 0;
   entry->told_ms = now_ms;
   if (entry->member.slots > 0)
-    add_sample (&service_row (fleet, entry->member.service)->loads, worker,
-                total * MQ_FLEET_LOAD_FULL / entry->member.slots, now_ms);
+    mq_recent_add (&service_row (fleet, entry->member.service)->loads, worker,
+                   total * MQ_FLEET_LOAD_FULL / entry->member.slots, now_ms);
 }
 
 void
--- a/src/core/fleet_state.h
+++ b/src/core/fleet_state.h
@@ -3,13 +3,14 @@
    fleet.c has the table; above it fleet_load.c (requests at each worker),
    fleet_evidence.c (how requests ended) and fleet_choice.c (which worker is
    next), which know nothing of each other but for load_of.
-   Needs: fleet.h, idmap.h.  */
+   Needs: fleet.h, idmap.h, recent.h.  */
 
 #ifndef MQ_FLEET_STATE_H
 #define MQ_FLEET_STATE_H
 
 #include "fleet.h"
 #include "idmap.h"
+#include "recent.h"
 
 /* Load in thousandths of a request, so that aged figures need no fractions. */
 #define LOAD_UNIT 1000U
@@ -56,35 +57,10 @@
   uint64_t out_until_ms;
 };
 
-#define FLEET_SAMPLES 64U
 /* Numbers in the map of workers.  */
 #define FLEET_BY_ID 0U
 #define FLEET_BY_HASH 1U
 
-/**
- * struct fleet_sample - what one answer told
- * @told_ms: when, 0: never
- * @value: in thousandths
- * @worker: whose it was
- */
-struct fleet_sample
-{
-  uint64_t told_ms;
-  uint32_t value;
-  uint32_t worker;
-};
-
-/**
- * struct fleet_ring - what answers told lately
- * @samples: a ring
- * @next: the oldest of them
- */
-struct fleet_ring
-{
-  struct fleet_sample samples[FLEET_SAMPLES];
-  uint32_t next;
-};
-
 /**
  * struct fleet_service - the answers of a service's workers
  * @loads: of their worker's slots
@@ -92,8 +68,8 @@
  */
 struct fleet_service
 {
-  struct fleet_ring loads;
-  struct fleet_ring waits;
+  struct mq_recent loads;
+  struct mq_recent waits;
 };
 
 /**
--- /dev/null
+++ b/src/core/recent.c
@@ -0,0 +1,34 @@
+/* recent.c - the mean of what was seen lately.
+
+   Needs: recent.h.  */
+
+#include "recent.h"
+
+void
+mq_recent_add (struct mq_recent *recent, uint32_t worker, uint32_t value,
+               uint64_t now_ms)
+{
+  recent->values[recent->next]
+      = (struct mq_recent_value){ now_ms, value, worker };
+  recent->next = (recent->next + 1) % MQ_RECENT_VALUES;
+}
+
+uint32_t
+mq_recent_mean (const struct mq_recent *recent, uint64_t now_ms)
+{
+  uint64_t sum = 0;
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < MQ_RECENT_VALUES; i++)
+    {
+      const struct mq_recent_value *value = &recent->values[i];
+
+      if (value->seen_ms == 0 || now_ms - value->seen_ms >= MQ_RECENT_AGE_MS)
+        continue;
+      sum += value->value;
+      count++;
+    }
+  if (count < MQ_RECENT_LEAST)
+    count = MQ_RECENT_LEAST;
+  return (uint32_t)(sum / count);
+}
--- a/src/io/router_admit.c
+++ b/src/io/router_admit.c
@@ -22,6 +22,18 @@
          && !mq_turns_know (request->router->turns, facts->program);
 }
 
+/* The same for the platform's table, where ends of turns wait for their
+   records: a burst of short turns is bound by its rate of writes and not by
+   the engines.  */
+static uint32_t
+record_load (const struct mq_request *request, uint64_t now)
+{
+  if (!request->route->retains)
+    return 0;
+  return mq_recent_mean (&request->router->record_waits, now) * 100U
+         / MQ_FLEET_WAIT_FULL_PERCENT;
+}
+
 static struct mq_admission_ask
 admission_ask (const struct mq_request *request, uint64_t now)
 {
@@ -35,6 +47,7 @@
     = mq_hash_bytes (facts->program, strlen (facts->program), ADMISSION_SEED),
     .load = mq_fleet_service_pressure (request->router->fleet,
                                        request->service, now),
+    .record_load = record_load (request, now),
     .has_left = facts->has_left,
     .left_ms = facts->left_ms,
     .budget = facts->has_budget ? facts->budget : 0,
@@ -111,7 +124,8 @@
       return;
     }
   ask = admission_ask (request, now);
-  request->service_load = ask.load;
+  request->service_load
+      = ask.load > ask.record_load ? ask.load : ask.record_load;
   answer = mq_admission_decide (request->router->admission, &ask,
                                 &request->retry_ms);
   request->program_late = answer == MQ_ADMISSION_LATE;
--- a/src/io/router_request.h
+++ b/src/io/router_request.h
@@ -35,6 +35,7 @@
  * @answer: what has come from there
  * @begun: the caller has got the beginning of an answer
  * @ended: the worker's stream is whole, its record is being written
+ * @ended_ms: since when
  * @last_event: last event passed on, or that the caller told
  * @handed: tokens that the caller got
  * @output: data of the events, for the turn's record
@@ -73,6 +74,7 @@
   struct mq_answer answer;
   bool begun;
   bool ended;
+  uint64_t ended_ms;
   char last_event[EVENT_ID_MAX];
   uint64_t handed;
   struct mq_buffer output;
--- a/src/io/router_state.h
+++ b/src/io/router_state.h
@@ -19,6 +19,7 @@
 #include "../core/fleet.h"
 #include "../core/histogram.h"
 #include "../core/idmap.h"
+#include "../core/recent.h"
 #include "../core/route.h"
 #include "buffer.h"
 #include "http_message.h"
@@ -80,6 +81,8 @@
  * @callers: connections of callers
  * @ending_count: finished connections of callers that have not closed yet
  * @request_count: requests under way
+ * @record_waits: how long ends of answers lately waited for their record, in
+ *                thousandths of their route's objective
  * @latency: of answers passed on, by kind of route, milliseconds
  * @held_up: how late the event loop came to a timer, milliseconds
  * @sweep_due_ms: when that timer is due
@@ -113,6 +116,7 @@
   size_t ending_count;
   size_t request_count;
   struct mq_router_counters counters;
+  struct mq_recent record_waits;
   struct mq_histogram latency[MQ_ROUTE_KINDS];
   struct mq_histogram held_up;
   uint64_t sweep_due_ms;
--- a/src/io/router_stream.c
+++ b/src/io/router_stream.c
@@ -97,11 +97,30 @@
     request_break_off (request, "over_budget");
 }
 
+/* A record that waited for longer tells of a table that was away, which is not
+   a matter of load.  */
+#define RECORD_WAIT_MOST_MS 1000U
+
+/* How long the end of the answer waited for the turn's record.  */
+static void
+note_record (struct mq_request *request)
+{
+  uint64_t now = mq_clock_ms ();
+  uint64_t wait = now - request->ended_ms;
+  uint32_t objective = request->route->objective_ms;
+
+  if (request->is_turn && request->turn.retains && objective > 0
+      && wait <= RECORD_WAIT_MOST_MS)
+    mq_recent_add (&request->router->record_waits, MQ_WORKER_NONE,
+                   (uint32_t)(wait * MQ_FLEET_LOAD_FULL / objective), now);
+}
+
 void
 request_finish_stream (struct mq_request *request)
 {
   struct mq_caller *caller = request->caller;
 
+  note_record (request);
   request_note_served (request);
   request_log_end (request, MQ_JSON_PLAIN, "served", request->answer.status);
   request_close (request);
@@ -117,6 +136,7 @@
 
   begin_stream (request);
   request->ended = true;
+  request->ended_ms = mq_clock_ms ();
   if (request->is_turn)
     mq_turn_settle (&request->turn, request->handed);
   if (request->is_turn && request->turn.retains)
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -144,6 +144,30 @@
   cr_expect_eq (admitted (1, 600, 40000), PROGRAMS);
 }
 
+/* Ends of turns waited for half a second for their records, while the engines
+   had room, and programs went on beginning.  A table that is slow refuses them
+   too; unlike a queue at the engines that is over when it is over.  */
+Test (admission, table_behind)
+{
+  struct mq_admission_ask ask = ask_of (1, 0, 500, 1);
+  uint32_t retry_ms;
+
+  ask.record_load = 3000;
+  cr_expect_eq (mq_admission_decide (admission, &ask, &retry_ms),
+                MQ_ADMISSION_LOADED);
+  cr_expect_geq (retry_ms, 300);
+  ask.record_load = 0;
+  cr_expect_eq (mq_admission_decide (admission, &ask, &retry_ms),
+                MQ_ADMISSION_YES);
+}
+
+/* However high the load was, all are taken on again within seconds.  */
+Test (admission, load_is_bounded)
+{
+  cr_assert_eq (admitted (0, 30000, 1), 0);
+  cr_expect_eq (admitted (0, 500, 10000), PROGRAMS);
+}
+
 struct late_case
 {
   const char *name;
