--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -46,11 +46,11 @@
   const char *name;
   void (*run) (void);
 } experiments[] = {
-  { "place", capacity_run_place },   { "text", capacity_run_text },
-  { "gate", capacity_run_gate },     { "owner", capacity_run_owner },
-  { "spread", capacity_run_spread }, { "takeover", capacity_run_takeover },
-  { "hosts", capacity_run_hosts },   { "cuts", capacity_run_cuts },
-  { "config", capacity_run_config },
+  { "place", capacity_run_place },       { "fleet", capacity_run_fleet },
+  { "text", capacity_run_text },         { "gate", capacity_run_gate },
+  { "owner", capacity_run_owner },       { "spread", capacity_run_spread },
+  { "takeover", capacity_run_takeover }, { "hosts", capacity_run_hosts },
+  { "cuts", capacity_run_cuts },         { "config", capacity_run_config },
 };
 
 static bool
@@ -65,7 +65,7 @@
 static const struct argp argp
     = { .args_doc = "[EXPERIMENT...]",
         .doc = "Measures what the core costs as numbers grow.  Experiments: "
-               "place text gate owner spread takeover hosts cuts "
+               "place fleet text gate owner spread takeover hosts cuts "
                "config." };
 
 int
--- a/bench/capacity.h
+++ b/bench/capacity.h
@@ -47,6 +47,7 @@
 
 /* The experiments, each in a file of its own.  */
 void capacity_run_place (void);
+void capacity_run_fleet (void);
 void capacity_run_text (void);
 void capacity_run_config (void);
 void capacity_run_gate (void);
