--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -16,7 +16,7 @@
    LOAD_STEPS.  */
 #define LOAD_STEP 100U
 #define LOAD_STEPS 2U
-/* Loads below this leave room for programs that will be late; from it on,
+/* Loads below this leave room for programs that will be late; from here on
    every worker has all that it can run.  */
 #define LOAD_ROOM 1000U
 /* The load that counts falls no faster than this a second.
@@ -28,8 +28,7 @@
 /* A program is late if it has less than this part of the time for each token
    of its budget that programs of its route usually have, percent.  It would
    end late beside short queues already, and take the place of one that would
-   not.
-   */
+   not.  */
 #define LATE_PERCENT 75U
 /* The usual time is a mean over so many programs.  */
 #define USUAL_PROGRAMS 32
--- a/src/io/router_admit.c
+++ b/src/io/router_admit.c
@@ -22,9 +22,9 @@
          && !mq_turns_know (request->router->turns, facts->program);
 }
 
-/* The same for the platform's table, where ends of turns wait for their
-   records: a burst of short turns is bound by its rate of writes and not by
-   the engines.  */
+/* Load of the platform's table, where ends of turns wait for their records, in
+   the unit of mq_fleet_service_pressure: a burst of short turns is bound by
+   the table's rate of writes and not by the engines.  */
 static uint32_t
 record_load (const struct mq_request *request, uint64_t now)
 {
