--- a/src/core/fleet_state.h
+++ b/src/core/fleet_state.h
@@ -1,8 +1,8 @@
 /* fleet_state.h - what the parts of the fleet share.
 
-   fleet.c has the table; above it fleet_load.c (requests at each worker),
-   fleet_evidence.c (how requests ended) and fleet_choice.c (which worker is
-   next), which know nothing of each other but for load_of.
+   fleet.c has the table; above it fleet_load.c (requests at each worker and
+   service) and fleet_evidence.c (how requests ended); fleet_choice.c (which
+   worker is next) is on top and asks the table and the load.
    Needs: fleet.h, idmap.h, recent.h.  */
 
 #ifndef MQ_FLEET_STATE_H
