--- a/Makefile
+++ b/Makefile
@@ -21,18 +21,21 @@
 LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lhttp_parser -lm
 TESTLIBS = -lcriterion
 
-LIB_SRC = $(wildcard src/core/*.c src/io/*.c proto/*.c)
+# The folders of the library, lowest first; tests/includes.sh checks the order.
+LIB_DIRS = src/core src/core/text src/core/owner src/core/gate src/core/router \
+           src/net src/log src/daemon src/entry src/target src/router \
+           src/ctl src/load
+LIB_SRC = $(wildcard $(addsuffix /*.c,$(LIB_DIRS)) proto/*.c) src/daemon.c
 # platform/ speaks to the users' platform; routerd.c holds its main.
 PLATFORM_SRC = $(filter-out platform/routerd.c,$(wildcard platform/*.c))
 # What mimosa-routerd is made of; its build needs the headers of these alone.
-ROUTER_SRC = $(wildcard src/io/router*.c src/io/relay*.c) proto/turn.pb-c.c proto/relay.pb-c.c \
-             $(addprefix src/core/,admission.c attempt.c budget.c chain.c error.c \
-             event_stream.c fleet.c fleet_choice.c fleet_evidence.c fleet_load.c histogram.c id.c idmap.c memory.c outage.c \
-             recent.c reserve.c route.c \
-             text_hint.c text_ini.c text_keys.c text_values.c) \
-             $(addprefix src/io/,base64.c buffer.c clock.c frame.c http_lane.c \
-             http_message.c json_log.c ledger.c listen.c log_schema.c metrics.c settings_file.c \
-             tcp.c timer.c)
+ROUTER_SRC = $(wildcard src/router/*.c src/core/router/*.c) proto/turn.pb-c.c proto/relay.pb-c.c \
+             $(addprefix src/core/,error.c histogram.c id.c idmap.c memory.c) \
+             $(addprefix src/core/text/,text_hint.c text_ini.c text_keys.c text_values.c) \
+             $(addprefix src/net/,base64.c buffer.c clock.c frame.c http_lane.c \
+             http_message.c listen.c tcp.c timer.c) \
+             $(addprefix src/log/,json_log.c log_schema.c metrics.c) \
+             src/daemon/settings_file.c
 ROUTER_OBJ = $(ROUTER_SRC:%.c=$(BUILD)/%.o)
 PLATFORM_OBJ = $(PLATFORM_SRC:%.c=$(BUILD)/%.o)
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
@@ -56,13 +59,13 @@
 BENCH_OBJ = $(BENCH_SRC:%.c=$(BUILD)/%.o)
 BENCH_BIN = $(BENCH_MAIN:bench/%.c=$(BUILD)/bin/%)
 EXAMPLE_BIN = $(patsubst examples/%.c,$(BUILD)/examples/%,$(wildcard examples/*.c))
-SOURCES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] src/core/*.[ch] \
-          src/io/*.[ch] platform/*.[ch] platform/standins/*.[ch] include/*.h standins/*.[ch] tests/*.[ch] \
+SOURCES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] \
+          $(addsuffix /*.[ch],$(LIB_DIRS)) platform/*.[ch] platform/standins/*.[ch] include/*.h standins/*.[ch] tests/*.[ch] \
           tests/fuzz/*.[ch] tests/soak/*.[ch] bench/*.[ch] \
           examples/*.c))
 
 .PHONY: all help deps check check-sanitized demo format format-check lint \
-        scan proto clean install
+        scan includes proto clean install
 .SECONDARY:
 
 all: $(LIB) $(DAEMON_BIN) $(BUILD)/bin/mimosa-routerd $(BUILD)/bin/standin-users $(STANDIN_BIN) $(BENCH_BIN) $(EXAMPLE_BIN)
@@ -219,6 +222,10 @@
 scan:
 	@sh tests/scan.sh
 
+## includes: the folders of src include downward only, and files in no circle
+includes:
+	@sh tests/includes.sh
+
 ## proto: generate proto/*.pb-c.[ch] again (needs protobuf-c-compiler)
 proto:
 	cd proto && protoc-c --c_out=. *.proto
@@ -226,9 +233,9 @@
 PREFIX ?= /usr/local
 VERSION = $(shell sed -n 's/.*MIMOSAQUAY_VERSION "\(.*\)"/\1/p' include/mimosaquay.h)
 # The headers that include/mimosaquay.h names and those that they include.
-PUBLIC_HEADERS = $(addprefix src/core/,action.h error.h front.h gate.h host.h \
-                 id.h limits.h message.h owner.h place.h spread.h store.h \
-                 text.h text_diff.h types.h)
+PUBLIC_HEADERS = $(addprefix src/core/,action.h error.h host.h id.h limits.h \
+                 message.h spread.h store.h types.h owner/front.h owner/owner.h \
+                 owner/place.h gate/gate.h text/text.h text/text_diff.h)
 UNITS = $(wildcard examples/systemd/*.service)
 ## install: install below $(DESTDIR)$(PREFIX)
 install: all
@@ -241,8 +248,9 @@
 	sed 's|"core/|"mimosaquay/core/|' include/mimosaquay.h \
 	  >$(DESTDIR)$(PREFIX)/include/mimosaquay.h
 	chmod 644 $(DESTDIR)$(PREFIX)/include/mimosaquay.h
-	install -m 644 $(PUBLIC_HEADERS) \
-	  $(DESTDIR)$(PREFIX)/include/mimosaquay/core
+	for h in $(PUBLIC_HEADERS:src/%=%); do \
+	  install -D -m 644 src/$$h $(DESTDIR)$(PREFIX)/include/mimosaquay/$$h || exit 1; \
+	done
 	printf '%s\n' 'prefix=$(PREFIX)' 'libdir=$${prefix}/lib' \
 	  'includedir=$${prefix}/include' '' 'Name: mimosaquay' \
 	  'Description: decisions of a scheduler for agent programs' \
--- a/bench/bench_peer.c
+++ b/bench/bench_peer.c
@@ -6,8 +6,8 @@
    beats with many peers, for the cost of one more connection.
    Needs: peer.h, id.h.  */
 
-#include "../src/core/id.h"
-#include "../src/io/peer.h"
+#include "core/id.h"
+#include "net/peer.h"
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
--- a/bench/capacity.h
+++ b/bench/capacity.h
@@ -9,7 +9,7 @@
 #ifndef CAPACITY_H
 #define CAPACITY_H
 
-#include "../src/core/types.h"
+#include "core/types.h"
 
 enum
 {
--- a/bench/capacity_config.c
+++ b/bench/capacity_config.c
@@ -5,8 +5,8 @@
 
 #include "capacity.h"
 #include "../platform/rows_state.h"
-#include "../src/io/base64.h"
-#include "../src/io/router_wire.h"
+#include "net/base64.h"
+#include "router/router_wire.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/bench/capacity_fleet.c
+++ b/bench/capacity_fleet.c
@@ -3,7 +3,7 @@
    Needs: capacity.h, fleet.h, id.h.  */
 
 #include "capacity.h"
-#include "core/fleet.h"
+#include "core/router/fleet.h"
 #include "core/id.h"
 #include <stdio.h>
 
--- a/bench/capacity_gate.c
+++ b/bench/capacity_gate.c
@@ -3,9 +3,9 @@
    Needs: capacity.h, gate.h, codec.h.  */
 
 #include "capacity.h"
-#include "core/gate.h"
+#include "core/gate/gate.h"
 #include "core/limits.h"
-#include "io/codec.h"
+#include "net/codec.h"
 #include <stdio.h>
 #include <string.h>
 
--- a/bench/capacity_place.c
+++ b/bench/capacity_place.c
@@ -4,7 +4,7 @@
 
 #include "capacity.h"
 #include "core/id.h"
-#include "core/place.h"
+#include "core/owner/place.h"
 #include <stdio.h>
 
 enum
--- a/bench/capacity_spread.c
+++ b/bench/capacity_spread.c
@@ -6,7 +6,7 @@
 
 #include "capacity.h"
 #include "core/spread.h"
-#include "io/codec.h"
+#include "net/codec.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/bench/capacity_text.c
+++ b/bench/capacity_text.c
@@ -4,7 +4,7 @@
    Needs: capacity.h, text.h, jansson.  */
 
 #include "capacity.h"
-#include "core/text.h"
+#include "core/text/text.h"
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -144,7 +144,7 @@
   Mq__Envelope__BodyCase body_case;
   union {
     /*
-     * Link level: src/io/handshake.c and src/io/peer.c.
+     * Link level: src/net/handshake.c and src/net/peer.c.
      */
     Mq__Beat *beat;
     Mq__Hello *hello;
--- a/src/core/gate.c
+++ b/src/core/gate/gate.c
@@ -8,7 +8,7 @@
    Needs: gate_state.h, id.h.  */
 
 #include "gate_state.h"
-#include "id.h"
+#include "../id.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/core/gate.h
+++ b/src/core/gate/gate.h
@@ -9,7 +9,7 @@
 #ifndef MQ_GATE_H
 #define MQ_GATE_H
 
-#include "action.h"
+#include "../action.h"
 
 struct mq_gate;
 
--- a/src/core/gate_cache.c
+++ b/src/core/gate/gate_cache.c
@@ -15,7 +15,7 @@
    Needs: gate_state.h, id.h.  */
 
 #include "gate_state.h"
-#include "id.h"
+#include "../id.h"
 
 #define NEVER UINT64_MAX
 
--- a/src/core/gate_calls.c
+++ b/src/core/gate/gate_calls.c
@@ -5,7 +5,7 @@
    Needs: gate_state.h, id.h.  */
 
 #include "gate_state.h"
-#include "id.h"
+#include "../id.h"
 #include <string.h>
 
 static uint64_t
--- a/src/core/gate_queue.c
+++ b/src/core/gate/gate_queue.c
@@ -24,7 +24,7 @@
    Needs: gate_state.h, id.h.  */
 
 #include "gate_state.h"
-#include "id.h"
+#include "../id.h"
 
 enum
 {
--- a/src/core/gate_runs.c
+++ b/src/core/gate/gate_runs.c
@@ -6,7 +6,7 @@
    Needs: gate_state.h, id.h.  */
 
 #include "gate_state.h"
-#include "id.h"
+#include "../id.h"
 
 static uint64_t
 hash_slot (const struct mq_gate *gate, uint32_t slot)
--- a/src/core/gate_state.h
+++ b/src/core/gate/gate_state.h
@@ -11,7 +11,7 @@
 
 #include "gate.h"
 #include "gate_table.h"
-#include "limits.h"
+#include "../limits.h"
 
 /* Attempt number of a mark that covers every attempt of its call.  */
 #define MQ_GATE_EVERY_ATTEMPT UINT32_MAX
--- a/src/core/gate_table.h
+++ b/src/core/gate/gate_table.h
@@ -7,7 +7,7 @@
 #ifndef MQ_GATE_TABLE_H
 #define MQ_GATE_TABLE_H
 
-#include "types.h"
+#include "../types.h"
 
 /* The structure of type TYPE whose MEMBER is at POINTER.  */
 #define GATE_ENTRY(pointer, type, member)                                     \
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -1,6 +1,6 @@
 /* message.h - messages between the system's processes.
 
-   A tagged union in plain C; src/io/codec.h turns it into protobuf frames
+   A tagged union in plain C; src/net/codec.h turns it into protobuf frames
    and back.  Strings and arrays of a received message are owned by the
    talloc context given to the decoder; those of a message to be sent are
    borrowed until the send function returns.
--- a/src/core/front.c
+++ b/src/core/owner/front.c
@@ -10,9 +10,9 @@
    Needs: front.h, limits.h, id.h.  */
 
 #include "front_state.h"
-#include "id.h"
-#include "limits.h"
-#include "memory.h"
+#include "../id.h"
+#include "../limits.h"
+#include "../memory.h"
 #include <string.h>
 
 struct mq_front *
--- a/src/core/front.h
+++ b/src/core/owner/front.h
@@ -10,7 +10,7 @@
 #ifndef MQ_FRONT_H
 #define MQ_FRONT_H
 
-#include "action.h"
+#include "../action.h"
 
 struct mq_front;
 
--- a/src/core/front_events.c
+++ b/src/core/owner/front_events.c
@@ -3,7 +3,7 @@
    Needs: front_state.h.  */
 
 #include "front_state.h"
-#include "limits.h"
+#include "../limits.h"
 
 /* Events of the owner.  */
 
--- a/src/core/owner.h
+++ b/src/core/owner/owner.h
@@ -11,9 +11,9 @@
 #ifndef MQ_OWNER_H
 #define MQ_OWNER_H
 
-#include "action.h"
-#include "host.h"
-#include "text.h"
+#include "../action.h"
+#include "../host.h"
+#include "../text/text.h"
 
 struct mq_owner;
 
--- a/src/core/owner_calls.c
+++ b/src/core/owner/owner_calls.c
@@ -7,7 +7,7 @@
    Needs: owner_parts.h, id.h.  */
 
 #include "owner_parts.h"
-#include "id.h"
+#include "../id.h"
 #include <stdlib.h>
 
 /* ---- Retries ---- */
--- a/src/core/owner_drive.c
+++ b/src/core/owner/owner_drive.c
@@ -3,7 +3,7 @@
    Needs: owner_parts.h.  */
 
 #include "owner_parts.h"
-#include "id.h"
+#include "../id.h"
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/owner_hosts.c
+++ b/src/core/owner/owner_hosts.c
@@ -4,8 +4,8 @@
    Needs: owner_parts.h, id.h.  */
 
 #include "owner_parts.h"
-#include "id.h"
-#include "memory.h"
+#include "../id.h"
+#include "../memory.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/core/owner_log.c
+++ b/src/core/owner/owner_log.c
@@ -7,7 +7,7 @@
    Needs: owner_parts.h, proto/log.pb-c.h.  */
 
 #include "owner_parts.h"
-#include "id.h"
+#include "../id.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/core/owner_peers.c
+++ b/src/core/owner/owner_peers.c
@@ -4,7 +4,7 @@
    Needs: owner_parts.h, id.h.  */
 
 #include "owner_parts.h"
-#include "id.h"
+#include "../id.h"
 #include <string.h>
 
 enum
--- a/src/core/owner_place.c
+++ b/src/core/owner/owner_place.c
@@ -3,7 +3,7 @@
    Needs: owner_parts.h, place.h.  */
 
 #include "owner_parts.h"
-#include "id.h"
+#include "../id.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/core/owner_rows.c
+++ b/src/core/owner/owner_rows.c
@@ -3,7 +3,7 @@
    Needs: owner_parts.h, proto/log.pb-c.h.  */
 
 #include "owner_parts.h"
-#include "memory.h"
+#include "../memory.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/core/owner_state.h
+++ b/src/core/owner/owner_state.h
@@ -6,8 +6,8 @@
 #ifndef MQ_OWNER_STATE_H
 #define MQ_OWNER_STATE_H
 
-#include "idmap.h"
-#include "limits.h"
+#include "../idmap.h"
+#include "../limits.h"
 #include "owner.h"
 #include "place.h"
 #include "program.h"
--- a/src/core/owner_take.c
+++ b/src/core/owner/owner_take.c
@@ -7,8 +7,8 @@
    Needs: owner_parts.h, id.h, proto/log.pb-c.h.  */
 
 #include "owner_parts.h"
-#include "id.h"
-#include "memory.h"
+#include "../id.h"
+#include "../memory.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/core/owner_tick.c
+++ b/src/core/owner/owner_tick.c
@@ -3,7 +3,7 @@
    Needs: owner_parts.h, id.h.  */
 
 #include "owner_parts.h"
-#include "memory.h"
+#include "../memory.h"
 #include <stdlib.h>
 
 enum
--- a/src/core/place.c
+++ b/src/core/owner/place.c
@@ -7,7 +7,7 @@
    Needs: place.h, id.h.  */
 
 #include "place.h"
-#include "id.h"
+#include "../id.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/core/place.h
+++ b/src/core/owner/place.h
@@ -6,7 +6,7 @@
 #ifndef MQ_PLACE_H
 #define MQ_PLACE_H
 
-#include "types.h"
+#include "../types.h"
 
 enum mq_policy
 {
--- a/src/core/program.c
+++ b/src/core/owner/program.c
@@ -3,8 +3,8 @@
    Needs: program.h, id.h, jansson.  */
 
 #include "program.h"
-#include "id.h"
-#include "memory.h"
+#include "../id.h"
+#include "../memory.h"
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/program.h
+++ b/src/core/owner/program.h
@@ -8,8 +8,8 @@
 #ifndef MQ_PROGRAM_H
 #define MQ_PROGRAM_H
 
-#include "../../proto/log.pb-c.h"
-#include "text.h"
+#include "../../../proto/log.pb-c.h"
+#include "../text/text.h"
 
 enum mq_program_mode
 {
--- a/src/core/admission.c
+++ b/src/core/router/admission.c
@@ -3,9 +3,9 @@
    Needs: admission.h, id.h, idmap.h, memory.h.  */
 
 #include "admission.h"
-#include "id.h"
-#include "idmap.h"
-#include "memory.h"
+#include "../id.h"
+#include "../idmap.h"
+#include "../memory.h"
 
 /* Loads between which programs of the most urgent route are refused, none
    below the first, all above the second.  The first leaves a short queue, so
--- a/src/core/admission.h
+++ b/src/core/router/admission.h
@@ -16,7 +16,7 @@
 #ifndef MQ_ADMISSION_H
 #define MQ_ADMISSION_H
 
-#include "types.h"
+#include "../types.h"
 
 struct mq_admission;
 
--- a/src/core/budget.c
+++ b/src/core/router/budget.c
@@ -3,7 +3,7 @@
    Needs: budget.h, proto/turn.pb-c.h.  */
 
 #include "budget.h"
-#include "../../proto/turn.pb-c.h"
+#include "../../../proto/turn.pb-c.h"
 #include <string.h>
 
 static uint64_t
--- a/src/core/budget.h
+++ b/src/core/router/budget.h
@@ -18,7 +18,7 @@
 #ifndef MQ_BUDGET_H
 #define MQ_BUDGET_H
 
-#include "store.h"
+#include "../store.h"
 
 /* Hosts whose grants a record holds; the grants of more are settled as spent.
  */
--- a/src/core/chain.c
+++ b/src/core/router/chain.c
@@ -3,9 +3,9 @@
    Needs: chain.h, proto/turn.pb-c.h.  */
 
 #include "chain.h"
-#include "../../proto/turn.pb-c.h"
-#include "id.h"
-#include "idmap.h"
+#include "../../../proto/turn.pb-c.h"
+#include "../id.h"
+#include "../idmap.h"
 #include <string.h>
 
 /* Bytes that a cached chain takes beside its text.  */
--- a/src/core/chain.h
+++ b/src/core/router/chain.h
@@ -10,7 +10,7 @@
 #ifndef MQ_CHAIN_H
 #define MQ_CHAIN_H
 
-#include "store.h"
+#include "../store.h"
 
 /* Text in one row.  A row holds 64 KiB at most; the rest is room for ids.  */
 #define MQ_CHAIN_ROW_BYTES ((size_t)48 << 10)
--- a/src/core/event_stream.h
+++ b/src/core/router/event_stream.h
@@ -8,7 +8,7 @@
 #ifndef MQ_EVENT_STREAM_H
 #define MQ_EVENT_STREAM_H
 
-#include "types.h"
+#include "../types.h"
 
 /* An event that is longer than this is taken as damage.  */
 #define MQ_EVENT_MAX_BYTES ((size_t)1 << 20)
--- a/src/core/fleet.c
+++ b/src/core/router/fleet.c
@@ -4,7 +4,7 @@
    Needs: fleet_state.h, id.h.  */
 
 #include "fleet_state.h"
-#include "id.h"
+#include "../id.h"
 #include <string.h>
 
 #define FIRST_SLOTS ((size_t)32)
--- a/src/core/fleet.h
+++ b/src/core/router/fleet.h
@@ -9,7 +9,7 @@
 #ifndef MQ_FLEET_H
 #define MQ_FLEET_H
 
-#include "types.h"
+#include "../types.h"
 
 struct mq_fleet;
 
--- a/src/core/fleet_choice.c
+++ b/src/core/router/fleet_choice.c
@@ -3,7 +3,7 @@
    Needs: fleet_state.h, id.h.  */
 
 #include "fleet_state.h"
-#include "id.h"
+#include "../id.h"
 #include <string.h>
 
 /* Pause told to a caller when every worker is full: about the time in which
--- a/src/core/fleet_load.c
+++ b/src/core/router/fleet_load.c
@@ -4,8 +4,8 @@
    Needs: fleet_state.h.  */
 
 #include "fleet_state.h"
-#include "id.h"
-#include "memory.h"
+#include "../id.h"
+#include "../memory.h"
 
 uint64_t
 fleet_load_of (const struct fleet_entry *entry, uint64_t now_ms)
--- a/src/core/fleet_state.h
+++ b/src/core/router/fleet_state.h
@@ -9,7 +9,7 @@
 #define MQ_FLEET_STATE_H
 
 #include "fleet.h"
-#include "idmap.h"
+#include "../idmap.h"
 #include "recent.h"
 
 /* Load in thousandths of a request, so that aged figures need no fractions. */
--- a/src/core/outage.h
+++ b/src/core/router/outage.h
@@ -13,7 +13,7 @@
 #ifndef MQ_OUTAGE_H
 #define MQ_OUTAGE_H
 
-#include "types.h"
+#include "../types.h"
 
 /* Share of the route's time, in percent, that a caller's first try still has:
    what is less has been refused before, and is the last of this send.  */
--- a/src/core/recent.h
+++ b/src/core/router/recent.h
@@ -6,7 +6,7 @@
 #ifndef MQ_RECENT_H
 #define MQ_RECENT_H
 
-#include "types.h"
+#include "../types.h"
 
 #define MQ_RECENT_VALUES 64U
 /* What was seen counts for so long: long enough for a host with few requests
--- a/src/core/reserve.c
+++ b/src/core/router/reserve.c
@@ -3,7 +3,7 @@
    Needs: reserve.h, id.h.  */
 
 #include "reserve.h"
-#include "id.h"
+#include "../id.h"
 #include <string.h>
 
 /**
--- a/src/core/reserve.h
+++ b/src/core/router/reserve.h
@@ -11,7 +11,7 @@
 #ifndef MQ_RESERVE_H
 #define MQ_RESERVE_H
 
-#include "types.h"
+#include "../types.h"
 
 /* Slots of a site: enough that the loss of one host of seven takes a seventh
    of them; a holder at the planned size, 1,100 hosts, answers some hundred
--- a/src/core/route.c
+++ b/src/core/router/route.c
@@ -3,7 +3,7 @@
    Needs: route.h.  */
 
 #include "route.h"
-#include "id.h"
+#include "../id.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/core/route.h
+++ b/src/core/router/route.h
@@ -7,7 +7,7 @@
 #ifndef MQ_ROUTE_H
 #define MQ_ROUTE_H
 
-#include "types.h"
+#include "../types.h"
 
 /* What may be done with a request whose outcome is not known.  */
 enum mq_route_kind
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -1,7 +1,7 @@
 /* store.h - what the core asks of the platform's table and object store.
 
    The core hands out requests and takes results as plain values;
-   src/io/platform.c carries them over HTTP.  A result may be LOST: the
+   src/daemon/platform.c carries them over HTTP.  A result may be LOST: the
    request may or may not have taken effect, now or later.
    Needs: types.h.  */
 
--- a/src/core/text.h
+++ b/src/core/text/text.h
@@ -7,8 +7,8 @@
 #ifndef MQ_TEXT_H
 #define MQ_TEXT_H
 
-#include "error.h"
-#include "types.h"
+#include "../error.h"
+#include "../types.h"
 
 /**
  * struct mq_budget - what one program of a service may spend
--- a/src/core/text_hint.h
+++ b/src/core/text/text_hint.h
@@ -6,7 +6,7 @@
 #ifndef MQ_TEXT_HINT_H
 #define MQ_TEXT_HINT_H
 
-#include "error.h"
+#include "../error.h"
 
 /**
  * struct mq_hint - the words that would be allowed in place of another
--- a/src/core/text_ini.c
+++ b/src/core/text/text_ini.c
@@ -9,7 +9,7 @@
    Needs: text_ini.h, inih, jansson (UTF-8 check).  */
 
 #include "text_ini.h"
-#include "limits.h"
+#include "../limits.h"
 #include <ini.h>
 #include <jansson.h>
 #include <stdlib.h>
--- a/src/core/text_keys.h
+++ b/src/core/text/text_keys.h
@@ -2,7 +2,7 @@
    the help of mimosactl and the check of the documentation.
 
    The operators' text has one table here, the process settings have theirs
-   in src/io/settings.c.
+   in src/daemon/settings.c.
    Needs: text_ini.h.  */
 
 #ifndef MQ_TEXT_KEYS_H
--- a/src/io/ctl.c
+++ b/src/ctl/ctl.c
@@ -3,8 +3,8 @@
    Needs: ctl.h, tevent.  */
 
 #include "ctl.h"
-#include "../core/limits.h"
-#include "platform.h"
+#include "core/limits.h"
+#include "daemon/platform.h"
 #include <string.h>
 #include <time.h>
 
--- a/src/io/ctl.h
+++ b/src/ctl/ctl.h
@@ -8,9 +8,9 @@
 #ifndef MQ_CTL_H
 #define MQ_CTL_H
 
-#include "../core/host.h"
-#include "../core/store.h"
-#include "http_client.h"
+#include "core/host.h"
+#include "core/store.h"
+#include "net/http_client.h"
 
 struct mq_ctl;
 
--- a/src/io/ctl_change.c
+++ b/src/ctl/ctl_change.c
@@ -3,7 +3,7 @@
 
    Needs: ctl_run.h, ctl_config.h, ctl_fleet.h, text_diff.h.  */
 
-#include "../core/text_diff.h"
+#include "core/text/text_diff.h"
 #include "ctl_config.h"
 #include "ctl_fleet.h"
 #include "ctl_run.h"
--- a/src/io/ctl_config.c
+++ b/src/ctl/ctl_config.c
@@ -3,9 +3,9 @@
    Needs: ctl_config.h, gnutls (random apply ids).  */
 
 #include "ctl_config.h"
-#include "../core/limits.h"
-#include "../core/spread.h"
-#include "clock.h"
+#include "core/limits.h"
+#include "core/spread.h"
+#include "net/clock.h"
 #include <gnutls/crypto.h>
 #include <string.h>
 
--- a/src/io/ctl_config.h
+++ b/src/ctl/ctl_config.h
@@ -6,7 +6,7 @@
 #ifndef MQ_CTL_CONFIG_H
 #define MQ_CTL_CONFIG_H
 
-#include "../core/text.h"
+#include "core/text/text.h"
 #include "ctl.h"
 
 #define MQ_APPLY_ID_BYTES 16
--- a/src/io/ctl_fleet.c
+++ b/src/ctl/ctl_fleet.c
@@ -3,7 +3,7 @@
    Needs: ctl_fleet.h.  */
 
 #include "ctl_fleet.h"
-#include "clock.h"
+#include "net/clock.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/io/ctl_local.c
+++ b/src/ctl/ctl_local.c
@@ -3,11 +3,11 @@
 
    Needs: ctl_run.h, settings.h, gnutls (SHA-256).  */
 
-#include "../core/limits.h"
+#include "core/limits.h"
 #include "ctl_run.h"
-#include "router_settings.h"
-#include "settings.h"
-#include "settings_file.h"
+#include "router/router_settings.h"
+#include "daemon/settings.h"
+#include "daemon/settings_file.h"
 #include <errno.h>
 #include <gnutls/crypto.h>
 #include <string.h>
--- a/src/io/ctl_print.h
+++ b/src/ctl/ctl_print.h
@@ -5,7 +5,7 @@
 #ifndef MQ_CTL_PRINT_H
 #define MQ_CTL_PRINT_H
 
-#include "../core/text_keys.h"
+#include "core/text/text_keys.h"
 #include "ctl_fleet.h"
 
 /* "cause: subject (allowed: …; remedy)", with "FILE:LINE:COLUMN: " before
--- a/src/io/ctl_status.c
+++ b/src/ctl/ctl_status.c
@@ -8,7 +8,7 @@
 
 #define PARTITIONS_MAX 65536U
 #define PERCENT 100.0
-/* States of a partition at an entry host, see src/core/owner.c.  */
+/* States of a partition at an entry host, see src/core/owner/owner.c.  */
 #define STATE_ACTIVE "active"
 #define STATE_CLAIMING "claiming"
 
--- a/src/io/ctl_trace.h
+++ b/src/ctl/ctl_trace.h
@@ -5,13 +5,13 @@
 #ifndef MQ_CTL_TRACE_H
 #define MQ_CTL_TRACE_H
 
-#include "../core/id.h"
+#include "core/id.h"
 #include <jansson.h>
 
 /**
  * mq_ctl_trace_text - draws a trace
  * @ctx: owner of the result
- * @spans: array of the spans of all hosts, as src/io/spans.h writes them
+ * @spans: array of the spans of all hosts, as src/log/spans.h writes them
  * @program: the program asked for
  *
  * Programs, then their calls, then the hops of a call by their beginning; a
--- a/src/io/ctl_watch.c
+++ b/src/ctl/ctl_watch.c
@@ -3,7 +3,7 @@
    Needs: ctl_run.h, ctl_config.h, ctl_status.h, ctl_trace.h,
    text_hint.h.  */
 
-#include "../core/text_hint.h"
+#include "core/text/text_hint.h"
 #include "ctl_config.h"
 #include "ctl_run.h"
 #include "ctl_status.h"
--- a/src/io/daemon.c
+++ b/src/daemon.c
@@ -3,9 +3,9 @@
    Needs: daemon.h, argp, tevent, entry.h, target.h, log.h.  */
 
 #include "daemon.h"
-#include "entry.h"
-#include "log.h"
-#include "target.h"
+#include "entry/entry.h"
+#include "log/log.h"
+#include "target/target.h"
 #include <argp.h>
 #include <mimosaquay.h>
 #include <signal.h>
--- a/src/io/daemon.h
+++ b/src/daemon.h
@@ -7,7 +7,7 @@
 #ifndef MQ_DAEMON_H
 #define MQ_DAEMON_H
 
-#include "../core/host.h"
+#include "core/host.h"
 
 /* Runs the process of a host with this role; exit status for main.  */
 int mq_daemon_run (enum mq_host_role role, int argc, char **argv);
--- a/src/io/api_answer.c
+++ b/src/daemon/api_answer.c
@@ -3,8 +3,8 @@
    Needs: api_answer.h, id.h, jansson.  */
 
 #include "api_answer.h"
-#include "../core/id.h"
-#include "../core/memory.h"
+#include "core/id.h"
+#include "core/memory.h"
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
--- a/src/io/api_answer.h
+++ b/src/daemon/api_answer.h
@@ -5,7 +5,7 @@
 #ifndef MQ_API_ANSWER_H
 #define MQ_API_ANSWER_H
 
-#include "../core/message.h"
+#include "core/message.h"
 
 /**
  * struct mq_api_refusal - a typed refusal as callers see it
--- a/src/io/batch.c
+++ b/src/daemon/batch.c
@@ -3,7 +3,7 @@
    Needs: batch.h, memory.h.  */
 
 #include "batch.h"
-#include "../core/memory.h"
+#include "core/memory.h"
 
 struct mq_actions *
 mq_batch_add (TALLOC_CTX *ctx, struct mq_batch_queue *queue, int origin)
--- a/src/io/batch.h
+++ b/src/daemon/batch.h
@@ -7,7 +7,7 @@
 #ifndef MQ_BATCH_H
 #define MQ_BATCH_H
 
-#include "../core/action.h"
+#include "core/action.h"
 
 /**
  * struct mq_batch - the actions that one input led to
--- a/src/io/kept_hosts.c
+++ b/src/daemon/kept_hosts.c
@@ -3,7 +3,7 @@
    Needs: kept_hosts.h, memory.h.  */
 
 #include "kept_hosts.h"
-#include "../core/memory.h"
+#include "core/memory.h"
 #include <string.h>
 
 static bool
--- a/src/io/kept_hosts.h
+++ b/src/daemon/kept_hosts.h
@@ -5,8 +5,8 @@
 #ifndef MQ_KEPT_HOSTS_H
 #define MQ_KEPT_HOSTS_H
 
-#include "../core/host.h"
-#include "peer.h"
+#include "core/host.h"
+#include "net/peer.h"
 
 /* Addresses of hosts to which connections are kept.  */
 struct mq_kept_hosts
--- a/src/io/operator_http.c
+++ b/src/daemon/operator_http.c
@@ -4,8 +4,8 @@
    Needs: operator_http.h, id.h, memory.h, gnutls.  */
 
 #include "operator_http.h"
-#include "../core/id.h"
-#include "../core/memory.h"
+#include "core/id.h"
+#include "core/memory.h"
 #include <gnutls/crypto.h>
 #include <gnutls/gnutls.h>
 #include <string.h>
--- a/src/io/operator_http.h
+++ b/src/daemon/operator_http.h
@@ -7,8 +7,8 @@
 #ifndef MQ_OPERATOR_HTTP_H
 #define MQ_OPERATOR_HTTP_H
 
-#include "../core/types.h"
-#include "http_server.h"
+#include "core/types.h"
+#include "net/http_server.h"
 
 /**
  * struct mq_operator_callbacks - what the process does for operators
--- a/src/io/platform.c
+++ b/src/daemon/platform.c
@@ -4,9 +4,9 @@
    Needs: platform.h, platform_answer.h, base64.h, limits.h, jansson.  */
 
 #include "platform.h"
-#include "base64.h"
+#include "net/base64.h"
 #include "platform_answer.h"
-#include "../core/limits.h"
+#include "core/limits.h"
 #include <ctype.h>
 #include <jansson.h>
 #include <string.h>
--- a/src/io/platform.h
+++ b/src/daemon/platform.h
@@ -7,9 +7,9 @@
 #ifndef MQ_PLATFORM_H
 #define MQ_PLATFORM_H
 
-#include "../core/host.h"
-#include "../core/store.h"
-#include "http_client.h"
+#include "core/host.h"
+#include "core/store.h"
+#include "net/http_client.h"
 
 struct mq_platform;
 
--- a/src/io/platform_answer.c
+++ b/src/daemon/platform_answer.c
@@ -8,7 +8,7 @@
    Needs: platform_answer.h, base64.h, jansson.  */
 
 #include "platform_answer.h"
-#include "base64.h"
+#include "net/base64.h"
 #include <jansson.h>
 #include <string.h>
 
--- a/src/io/platform_answer.h
+++ b/src/daemon/platform_answer.h
@@ -7,9 +7,9 @@
 #ifndef MQ_PLATFORM_ANSWER_H
 #define MQ_PLATFORM_ANSWER_H
 
-#include "../core/host.h"
-#include "../core/store.h"
-#include "http_client.h"
+#include "core/host.h"
+#include "core/store.h"
+#include "net/http_client.h"
 
 /* Result of REQUEST below CTX; its id is left to the caller.  A TXN's
    request needs keys and flags of its operations only.  *MALFORMED counts an
--- a/src/io/process.c
+++ b/src/daemon/process.c
@@ -3,8 +3,8 @@
    Needs: process.h, memory.h, clock.h.  */
 
 #include "process.h"
-#include "../core/memory.h"
-#include "clock.h"
+#include "core/memory.h"
+#include "net/clock.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/io/process.h
+++ b/src/daemon/process.h
@@ -6,9 +6,9 @@
 #ifndef MQ_PROCESS_H
 #define MQ_PROCESS_H
 
-#include "peer.h"
+#include "net/peer.h"
 #include "settings.h"
-#include "timer.h"
+#include "net/timer.h"
 #include <tevent.h>
 
 /* ADDRESS, "IP:PORT", with PORT in the place of its own, below CTX.  */
--- a/src/io/report.c
+++ b/src/daemon/report.c
@@ -3,8 +3,8 @@
    Needs: report.h, memory.h.  */
 
 #include "report.h"
-#include "../core/memory.h"
-#include "metrics.h"
+#include "core/memory.h"
+#include "log/metrics.h"
 #include <stdlib.h>
 
 /* Counters of the peers and the platform, which keep no list of names.  */
--- a/src/io/report.h
+++ b/src/daemon/report.h
@@ -5,8 +5,8 @@
 #ifndef MQ_REPORT_H
 #define MQ_REPORT_H
 
-#include "../core/spread.h"
-#include "peer.h"
+#include "core/spread.h"
+#include "net/peer.h"
 #include "platform.h"
 #include "settings.h"
 #include <jansson.h>
--- a/src/io/settings.c
+++ b/src/daemon/settings.c
@@ -3,8 +3,8 @@
    Needs: settings.h, settings_file.h.  */
 
 #include "settings.h"
-#include "../core/limits.h"
-#include "../core/place.h"
+#include "core/limits.h"
+#include "core/owner/place.h"
 #include "settings_file.h"
 #include <stdlib.h>
 #include <string.h>
--- a/src/io/settings.h
+++ b/src/daemon/settings.h
@@ -6,9 +6,9 @@
 #ifndef MQ_SETTINGS_H
 #define MQ_SETTINGS_H
 
-#include "../core/gate.h"
-#include "../core/host.h"
-#include "../core/text_keys.h"
+#include "core/gate/gate.h"
+#include "core/host.h"
+#include "core/text/text_keys.h"
 
 /**
  * struct mq_settings - what a process learns from its settings file
--- a/src/io/settings_file.c
+++ b/src/daemon/settings_file.c
@@ -3,7 +3,7 @@
    Needs: settings_file.h, the C library's files.  */
 
 #include "settings_file.h"
-#include "../core/limits.h"
+#include "core/limits.h"
 #include <errno.h>
 #include <stdio.h>
 #include <string.h>
--- a/src/io/settings_file.h
+++ b/src/daemon/settings_file.h
@@ -5,7 +5,7 @@
 #ifndef MQ_SETTINGS_FILE_H
 #define MQ_SETTINGS_FILE_H
 
-#include "../core/text_ini.h"
+#include "core/text/text_ini.h"
 
 /* Text of FILE ("-": standard input) below CTX, zero-terminated, one byte more
    than is allowed at most, so that a longer file is noticed.  NULL with IO and
--- a/src/io/api.c
+++ b/src/entry/api.c
@@ -6,9 +6,9 @@
    Needs: api_state.h, id.h, limits.h, gnutls.  */
 
 #include "api.h"
-#include "../core/id.h"
-#include "../core/limits.h"
-#include "../core/memory.h"
+#include "core/id.h"
+#include "core/limits.h"
+#include "core/memory.h"
 #include "api_state.h"
 #include <gnutls/crypto.h>
 #include <gnutls/gnutls.h>
--- a/src/io/api.h
+++ b/src/entry/api.h
@@ -8,10 +8,10 @@
 #ifndef MQ_API_H
 #define MQ_API_H
 
-#include "../core/action.h"
-#include "../core/latency.h"
-#include "../core/text.h"
-#include "http_server.h"
+#include "core/action.h"
+#include "core/latency.h"
+#include "core/text/text.h"
+#include "net/http_server.h"
 
 struct mq_api;
 
--- a/src/io/api_event.c
+++ b/src/entry/api_event.c
@@ -2,7 +2,7 @@
 
    Needs: api_state.h.  */
 
-#include "../core/memory.h"
+#include "core/memory.h"
 #include "api_state.h"
 #include <string.h>
 #include <time.h>
--- a/src/io/api_latency.c
+++ b/src/entry/api_latency.c
@@ -2,7 +2,7 @@
 
    Needs: api_state.h, latency.h, id.h.  */
 
-#include "../core/id.h"
+#include "core/id.h"
 #include "api_state.h"
 
 /* A program whose caller waits for its answer: one that is opened and left,
--- a/src/io/api_plan.c
+++ b/src/entry/api_plan.c
@@ -3,9 +3,9 @@
    Needs: api_plan.h, api_read.h, limits.h, id.h, jansson.  */
 
 #include "api_plan.h"
-#include "../core/id.h"
-#include "../core/limits.h"
-#include "../core/memory.h"
+#include "core/id.h"
+#include "core/limits.h"
+#include "core/memory.h"
 #include "api_read.h"
 #include <string.h>
 
--- a/src/io/api_plan.h
+++ b/src/entry/api_plan.h
@@ -7,8 +7,8 @@
 #ifndef MQ_API_PLAN_H
 #define MQ_API_PLAN_H
 
-#include "../core/message.h"
-#include "../core/text.h"
+#include "core/message.h"
+#include "core/text/text.h"
 
 /* How the answer is given.  */
 enum mq_api_shape
--- a/src/io/api_read.c
+++ b/src/entry/api_read.c
@@ -3,9 +3,9 @@
    Needs: api_read.h, id.h, limits.h, memory.h.  */
 
 #include "api_read.h"
-#include "../core/id.h"
-#include "../core/limits.h"
-#include "../core/memory.h"
+#include "core/id.h"
+#include "core/limits.h"
+#include "core/memory.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/io/api_state.h
+++ b/src/entry/api_state.h
@@ -1,4 +1,4 @@
-/* api_state.h - what the parts of the API share; for src/io only.
+/* api_state.h - what the parts of the API share; for src/entry only.
 
    api.c takes requests and asks the front; api_event.c gives the front's
    events to callers; api_latency.c measures what callers wait for.
@@ -8,9 +8,9 @@
 #define MQ_API_STATE_H
 
 #include "api.h"
-#include "api_answer.h"
+#include "daemon/api_answer.h"
 #include "api_plan.h"
-#include "operator_http.h"
+#include "daemon/operator_http.h"
 
 /**
  * struct mq_exchange - one caller's HTTP request until it has ended
--- a/src/io/entry.c
+++ b/src/entry/entry.c
@@ -3,11 +3,11 @@
    Needs: entry_state.h and the modules that it joins.  */
 
 #include "entry.h"
-#include "../core/limits.h"
-#include "../core/memory.h"
-#include "../core/place.h"
+#include "core/limits.h"
+#include "core/memory.h"
+#include "core/owner/place.h"
 #include "entry_state.h"
-#include "clock.h"
+#include "net/clock.h"
 #include <string.h>
 
 enum
--- a/src/io/entry.h
+++ b/src/entry/entry.h
@@ -8,7 +8,7 @@
 #ifndef MQ_ENTRY_H
 #define MQ_ENTRY_H
 
-#include "settings.h"
+#include "daemon/settings.h"
 #include <tevent.h>
 
 struct mq_entry;
--- a/src/io/entry_action.c
+++ b/src/entry/entry_action.c
@@ -3,8 +3,8 @@
    Needs: entry_state.h, log.h.  */
 
 #include "entry_state.h"
-#include "log.h"
-#include "clock.h"
+#include "log/log.h"
+#include "net/clock.h"
 #include <string.h>
 
 /* Inputs of the cores.  */
--- a/src/io/entry_input.c
+++ b/src/entry/entry_input.c
@@ -4,7 +4,7 @@
 
 #include "entry_report.h"
 #include "entry_state.h"
-#include "clock.h"
+#include "net/clock.h"
 #include <string.h>
 
 enum
--- a/src/io/entry_report.c
+++ b/src/entry/entry_report.c
@@ -4,9 +4,9 @@
    jansson.  */
 
 #include "entry_report.h"
-#include "latency_report.h"
-#include "metrics.h"
-#include "report.h"
+#include "log/latency_report.h"
+#include "log/metrics.h"
+#include "daemon/report.h"
 #include <jansson.h>
 #include <stdlib.h>
 
--- a/src/io/entry_report.h
+++ b/src/entry/entry_report.h
@@ -5,13 +5,13 @@
 #ifndef MQ_ENTRY_REPORT_H
 #define MQ_ENTRY_REPORT_H
 
-#include "../core/front.h"
-#include "../core/owner.h"
-#include "../core/spread.h"
+#include "core/owner/front.h"
+#include "core/owner/owner.h"
+#include "core/spread.h"
 #include "api.h"
-#include "peer.h"
-#include "platform.h"
-#include "settings.h"
+#include "net/peer.h"
+#include "daemon/platform.h"
+#include "daemon/settings.h"
 
 struct mq_entry_view
 {
--- a/src/io/entry_state.h
+++ b/src/entry/entry_state.h
@@ -1,5 +1,5 @@
-/* entry_state.h - what the parts of an entry host's process share; for src/io
-   only.
+/* entry_state.h - what the parts of an entry host's process share; for
+   src/entry only.
 
    entry.c holds its life and its time, entry_input.c what comes in,
    entry_action.c what the cores ask for.
@@ -8,18 +8,18 @@
 #ifndef MQ_ENTRY_STATE_H
 #define MQ_ENTRY_STATE_H
 
-#include "../core/front.h"
-#include "../core/owner.h"
-#include "../core/spread.h"
+#include "core/owner/front.h"
+#include "core/owner/owner.h"
+#include "core/spread.h"
 #include "api.h"
-#include "batch.h"
+#include "daemon/batch.h"
 #include "entry.h"
 #include "hold.h"
-#include "kept_hosts.h"
-#include "peer.h"
-#include "platform.h"
-#include "process.h"
-#include "spans.h"
+#include "daemon/kept_hosts.h"
+#include "net/peer.h"
+#include "daemon/platform.h"
+#include "daemon/process.h"
+#include "log/spans.h"
 
 /* Whose actions a list holds: EVENT means the front to the owner, and the
    caller to the front.  */
--- a/src/io/hold.c
+++ b/src/entry/hold.c
@@ -3,8 +3,8 @@
    Needs: hold.h, action.h (copies of messages), limits.h.  */
 
 #include "hold.h"
-#include "../core/action.h"
-#include "../core/limits.h"
+#include "core/action.h"
+#include "core/limits.h"
 #include <stdlib.h>
 
 enum
--- a/src/io/hold.h
+++ b/src/entry/hold.h
@@ -9,7 +9,7 @@
 #ifndef MQ_HOLD_H
 #define MQ_HOLD_H
 
-#include "../core/message.h"
+#include "core/message.h"
 
 struct mq_hold;
 
--- a/src/load.c
+++ b/src/load.c
@@ -5,11 +5,11 @@
    site does that.
    Needs: argp, load_run.h, load_compare.h, load_probe.h.  */
 
-#include "io/ctl_run.h"
-#include "io/load_compare.h"
-#include "io/load_probe.h"
-#include "io/load_run.h"
-#include "io/settings_file.h"
+#include "ctl/ctl_run.h"
+#include "load/load_compare.h"
+#include "load/load_probe.h"
+#include "load/load_run.h"
+#include "daemon/settings_file.h"
 #include <argp.h>
 #include <math.h>
 #include <stdlib.h>
--- a/src/io/load_answer.h
+++ b/src/load/load_answer.h
@@ -5,7 +5,7 @@
 #ifndef MQ_LOAD_ANSWER_H
 #define MQ_LOAD_ANSWER_H
 
-#include "../core/error.h"
+#include "core/error.h"
 #include "load_check.h"
 
 /**
--- a/src/io/load_check.h
+++ b/src/load/load_check.h
@@ -8,7 +8,7 @@
 #ifndef MQ_LOAD_CHECK_H
 #define MQ_LOAD_CHECK_H
 
-#include "../core/types.h"
+#include "core/types.h"
 #include <jansson.h>
 
 enum mq_load_violation
--- a/src/io/load_plan.c
+++ b/src/load/load_plan.c
@@ -3,7 +3,7 @@
    Needs: load_plan.h.  */
 
 #include "load_plan.h"
-#include "../core/id.h"
+#include "core/id.h"
 #include <jansson.h>
 #include <math.h>
 #include <stdlib.h>
--- a/src/io/load_plan.h
+++ b/src/load/load_plan.h
@@ -9,7 +9,7 @@
 #ifndef MQ_LOAD_PLAN_H
 #define MQ_LOAD_PLAN_H
 
-#include "../core/types.h"
+#include "core/types.h"
 
 #define MQ_LOAD_TURNS_MAX 6U
 
--- a/src/io/load_probe.h
+++ b/src/load/load_probe.h
@@ -5,7 +5,7 @@
 #ifndef MQ_LOAD_PROBE_H
 #define MQ_LOAD_PROBE_H
 
-#include "ctl.h"
+#include "ctl/ctl.h"
 #include "load_result.h"
 
 /**
--- a/src/io/load_result.h
+++ b/src/load/load_result.h
@@ -5,8 +5,8 @@
 #ifndef MQ_LOAD_RESULT_H
 #define MQ_LOAD_RESULT_H
 
-#include "../core/error.h"
-#include "../core/histogram.h"
+#include "core/error.h"
+#include "core/histogram.h"
 #include "load_check.h"
 #include "load_plan.h"
 
--- a/src/io/load_run.c
+++ b/src/load/load_run.c
@@ -3,10 +3,10 @@
    Needs: load_run.h, load_answer.h, http_client.h.  */
 
 #include "load_run.h"
-#include "../core/id.h"
-#include "http_client.h"
+#include "core/id.h"
+#include "net/http_client.h"
 #include "load_answer.h"
-#include "clock.h"
+#include "net/clock.h"
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
--- a/src/io/json_log.c
+++ b/src/log/json_log.c
@@ -3,9 +3,9 @@
    Needs: json_log.h, buffer.h, clock.h, timer.h.  */
 
 #include "json_log.h"
-#include "buffer.h"
-#include "clock.h"
-#include "timer.h"
+#include "net/buffer.h"
+#include "net/clock.h"
+#include "net/timer.h"
 #include <errno.h>
 #include <fcntl.h>
 #include <inttypes.h>
--- a/src/io/json_log.h
+++ b/src/log/json_log.h
@@ -9,7 +9,7 @@
 #ifndef MQ_JSON_LOG_H
 #define MQ_JSON_LOG_H
 
-#include "../core/error.h"
+#include "core/error.h"
 #include "log_schema.h"
 #include <tevent.h>
 
--- a/src/io/latency_report.h
+++ b/src/log/latency_report.h
@@ -5,7 +5,7 @@
 #ifndef MQ_LATENCY_REPORT_H
 #define MQ_LATENCY_REPORT_H
 
-#include "../core/latency.h"
+#include "core/latency.h"
 #include <jansson.h>
 
 /* Appends mimosa_program_latency_seconds, a histogram with a bound at each
--- a/src/io/log.h
+++ b/src/log/log.h
@@ -7,7 +7,7 @@
 #ifndef MQ_LOG_H
 #define MQ_LOG_H
 
-#include "../core/action.h"
+#include "core/action.h"
 #include "json_log.h"
 
 /* Lines name PROGRAM and HOST from now on.  Before it there is no log.  */
--- a/src/io/log_schema.h
+++ b/src/log/log_schema.h
@@ -8,7 +8,7 @@
 #ifndef MQ_LOG_SCHEMA_H
 #define MQ_LOG_SCHEMA_H
 
-#include "../core/types.h"
+#include "core/types.h"
 
 enum mq_log_level
 {
--- a/src/io/metrics.h
+++ b/src/log/metrics.h
@@ -5,7 +5,7 @@
 #ifndef MQ_METRICS_H
 #define MQ_METRICS_H
 
-#include "../core/histogram.h"
+#include "core/histogram.h"
 
 /* Appends "mimosa_PREFIX_NAME VALUE" with its HELP line to *TEXT (talloc).  */
 void mq_metrics_add (char **text, const char *prefix, const char *name,
--- a/src/io/spans.c
+++ b/src/log/spans.c
@@ -5,8 +5,8 @@
    Needs: jansson.  */
 
 #include "spans.h"
-#include "../core/id.h"
-#include "../core/limits.h"
+#include "core/id.h"
+#include "core/limits.h"
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
--- a/src/io/spans.h
+++ b/src/log/spans.h
@@ -5,7 +5,7 @@
 #ifndef MQ_SPANS_H
 #define MQ_SPANS_H
 
-#include "../core/action.h"
+#include "core/action.h"
 
 struct mq_spans;
 
--- a/src/mimosactl.c
+++ b/src/mimosactl.c
@@ -1,9 +1,9 @@
 /* mimosactl.c - the operators' command line.
 
-   Options and the table of commands; the commands are in src/io/ctl_*.c.
+   Options and the table of commands; the commands are in src/ctl/ctl_*.c.
    Needs: ctl_run.h, argp.  */
 
-#include "io/ctl_run.h"
+#include "ctl/ctl_run.h"
 #include <argp.h>
 #include <mimosaquay.h>
 #include <stdlib.h>
--- a/src/io/base64.h
+++ b/src/net/base64.h
@@ -5,7 +5,7 @@
 #ifndef MQ_BASE64_H
 #define MQ_BASE64_H
 
-#include "../core/store.h"
+#include "core/store.h"
 
 /* Text below CTX; NULL when memory is out.  */
 char *mq_base64_encode (TALLOC_CTX *ctx, struct mq_bytes value);
--- a/src/io/buffer.h
+++ b/src/net/buffer.h
@@ -6,7 +6,7 @@
 #ifndef MQ_BUFFER_H
 #define MQ_BUFFER_H
 
-#include "../core/types.h"
+#include "core/types.h"
 
 /**
  * struct mq_buffer - zero-initialised when empty
--- a/src/io/codec.h
+++ b/src/net/codec.h
@@ -6,7 +6,7 @@
 #ifndef MQ_CODEC_H
 #define MQ_CODEC_H
 
-#include "../core/message.h"
+#include "core/message.h"
 
 /* Envelope bytes below CTX; NULL when memory is out or an array is over its
    bound in limits.h.  */
--- a/src/io/codec_pack.c
+++ b/src/net/codec_pack.c
@@ -4,7 +4,7 @@
    Needs: protobuf-c, proto/peer.pb-c.h, codec.h.  */
 
 #include "../../proto/peer.pb-c.h"
-#include "../core/limits.h"
+#include "core/limits.h"
 #include "codec.h"
 #include <string.h>
 
--- a/src/io/frame.h
+++ b/src/net/frame.h
@@ -7,7 +7,7 @@
 #ifndef MQ_FRAME_H
 #define MQ_FRAME_H
 
-#include "../core/types.h"
+#include "core/types.h"
 
 enum
 {
--- a/src/io/http_client.c
+++ b/src/net/http_client.c
@@ -4,7 +4,7 @@
    Needs: libcurl, tevent, timer.h.  */
 
 #include "http_client.h"
-#include "../core/limits.h"
+#include "core/limits.h"
 #include "buffer.h"
 #include "clock.h"
 #include "timer.h"
--- a/src/io/http_client.h
+++ b/src/net/http_client.h
@@ -6,7 +6,7 @@
 #ifndef MQ_HTTP_CLIENT_H
 #define MQ_HTTP_CLIENT_H
 
-#include "../core/error.h"
+#include "core/error.h"
 #include <tevent.h>
 
 struct mq_http_client;
--- a/src/io/http_message.c
+++ b/src/net/http_message.c
@@ -3,7 +3,7 @@
    Needs: http_message.h, http-parser.  */
 
 #include "http_message.h"
-#include "../core/limits.h"
+#include "core/limits.h"
 #include <http_parser.h>
 #include <string.h>
 #include <strings.h>
--- a/src/io/http_message.h
+++ b/src/net/http_message.h
@@ -7,7 +7,7 @@
 #ifndef MQ_HTTP_MESSAGE_H
 #define MQ_HTTP_MESSAGE_H
 
-#include "../core/error.h"
+#include "core/error.h"
 
 struct mq_http_field
 {
--- a/src/io/http_request.c
+++ b/src/net/http_request.c
@@ -2,7 +2,7 @@
 
    Needs: http_state.h, buffer.h, libmicrohttpd.  */
 
-#include "../core/limits.h"
+#include "core/limits.h"
 #include "http_state.h"
 #include <string.h>
 
--- a/src/io/http_server.c
+++ b/src/net/http_server.c
@@ -6,7 +6,7 @@
    Needs: libmicrohttpd, tevent, jansson.  */
 
 #include "http_server.h"
-#include "../core/limits.h"
+#include "core/limits.h"
 #include "http_state.h"
 #include "listen.h"
 #include <errno.h>
--- a/src/io/http_server.h
+++ b/src/net/http_server.h
@@ -7,7 +7,7 @@
 #ifndef MQ_HTTP_SERVER_H
 #define MQ_HTTP_SERVER_H
 
-#include "../core/error.h"
+#include "core/error.h"
 #include <tevent.h>
 
 struct mq_http_server;
--- a/src/io/http_state.h
+++ b/src/net/http_state.h
@@ -1,4 +1,4 @@
-/* http_state.h - what the parts of the HTTP server share; for src/io only.
+/* http_state.h - what the parts of the HTTP server share; for src/net only.
 
    http_server.c joins the library to the event loop and takes requests;
    http_request.c answers them.
--- a/src/io/listen.h
+++ b/src/net/listen.h
@@ -5,7 +5,7 @@
 #ifndef MQ_LISTEN_H
 #define MQ_LISTEN_H
 
-#include "../core/error.h"
+#include "core/error.h"
 
 /* Non-blocking socket that listens at ADDRESS; an IPv6 address stands in
    brackets, port 0 takes a free one.  -1 with TEXT_BAD_VALUE or, with its
--- a/src/io/peer.c
+++ b/src/net/peer.c
@@ -5,7 +5,7 @@
    Needs: peer_net.h, codec.h, id.h.  */
 
 #include "peer.h"
-#include "../core/id.h"
+#include "core/id.h"
 #include "codec.h"
 #include "peer_net.h"
 #include "clock.h"
--- a/src/io/peer.h
+++ b/src/net/peer.h
@@ -11,8 +11,8 @@
 #ifndef MQ_PEER_H
 #define MQ_PEER_H
 
-#include "../core/host.h"
-#include "../core/message.h"
+#include "core/host.h"
+#include "core/message.h"
 #include <tevent.h>
 
 struct mq_peer_net;
--- a/src/io/peer_net.h
+++ b/src/net/peer_net.h
@@ -1,4 +1,4 @@
-/* peer_net.h - what the parts of the peer link share; for src/io only.
+/* peer_net.h - what the parts of the peer link share; for src/net only.
 
    peer.c holds the net, the addresses kept and the clock; peer_conn.c the
    socket of one connection; peer_settle.c the handshake and the choice
@@ -8,7 +8,7 @@
 #ifndef MQ_PEER_NET_H
 #define MQ_PEER_NET_H
 
-#include "../core/limits.h"
+#include "core/limits.h"
 #include "frame.h"
 #include "handshake.h"
 #include "peer.h"
--- a/src/io/peer_table.c
+++ b/src/net/peer_table.c
@@ -4,7 +4,7 @@
    Needs: peer_net.h, id.h.  */
 
 #include "peer_net.h"
-#include "../core/id.h"
+#include "core/id.h"
 #include <string.h>
 
 static size_t
--- a/src/io/tcp.h
+++ b/src/net/tcp.h
@@ -7,7 +7,7 @@
 #ifndef MQ_TCP_H
 #define MQ_TCP_H
 
-#include "../core/error.h"
+#include "core/error.h"
 #include <tevent.h>
 
 struct mq_tcp;
--- a/src/io/timer.h
+++ b/src/net/timer.h
@@ -10,7 +10,7 @@
 #ifndef MQ_TIMER_H
 #define MQ_TIMER_H
 
-#include "../core/types.h"
+#include "core/types.h"
 #include <tevent.h>
 
 struct mq_timer;
--- a/src/io/ledger.c
+++ b/src/router/ledger.c
@@ -3,7 +3,7 @@
    Needs: ledger.h, clock.h.  */
 
 #include "ledger.h"
-#include "clock.h"
+#include "net/clock.h"
 #include <stdlib.h>
 
 /* After a call that neither way could make, the table counts as down for so
--- a/src/io/ledger.h
+++ b/src/router/ledger.h
@@ -6,7 +6,7 @@
 #ifndef MQ_LEDGER_H
 #define MQ_LEDGER_H
 
-#include "../core/histogram.h"
+#include "core/histogram.h"
 #include "relay.h"
 #include "rows.h"
 
--- a/src/io/relay.c
+++ b/src/router/relay.c
@@ -3,11 +3,11 @@
    Needs: relay_state.h, memory.h, timer.h, clock.h.  */
 
 #include "relay_state.h"
-#include "../core/id.h"
-#include "../core/memory.h"
-#include "clock.h"
-#include "listen.h"
-#include "timer.h"
+#include "core/id.h"
+#include "core/memory.h"
+#include "net/clock.h"
+#include "net/listen.h"
+#include "net/timer.h"
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
--- a/src/io/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -4,8 +4,8 @@
 
 #include "relay_frame.h"
 #include "../../proto/relay.pb-c.h"
-#include "../core/memory.h"
-#include "frame.h"
+#include "core/memory.h"
+#include "net/frame.h"
 
 /* protobuf-c wants texts that may be changed; it does not change them.  */
 static char *
--- a/src/io/relay_frame.h
+++ b/src/router/relay_frame.h
@@ -5,7 +5,7 @@
 #ifndef MQ_RELAY_FRAME_H
 #define MQ_RELAY_FRAME_H
 
-#include "../core/fleet.h"
+#include "core/router/fleet.h"
 #include "rows.h"
 
 /* Frames are bounded by what a transaction may carry, and some more.  */
--- a/src/io/relay_link.c
+++ b/src/router/relay_link.c
@@ -3,9 +3,9 @@
    Needs: relay_link.h, tcp.h, frame.h, memory.h.  */
 
 #include "relay_link.h"
-#include "../core/memory.h"
-#include "frame.h"
-#include "tcp.h"
+#include "core/memory.h"
+#include "net/frame.h"
+#include "net/tcp.h"
 
 /* Bytes that a host doesn't acknowledge for so long mean that it is gone.  */
 #define SILENT_MS 600U
--- a/src/io/relay_loan.c
+++ b/src/router/relay_loan.c
@@ -4,8 +4,8 @@
    Needs: relay_state.h, timer.h, clock.h.  */
 
 #include "relay_state.h"
-#include "clock.h"
-#include "timer.h"
+#include "net/clock.h"
+#include "net/timer.h"
 
 void
 relay_forget_loan (struct host *host)
--- a/src/io/router.c
+++ b/src/router/router.c
@@ -3,8 +3,8 @@
    Needs: router.h, router_state.h, router_ready.h, clock.h.  */
 
 #include "router.h"
-#include "clock.h"
-#include "listen.h"
+#include "net/clock.h"
+#include "net/listen.h"
 #include "router_ready.h"
 #include "router_state.h"
 #include <unistd.h>
--- a/src/io/router.h
+++ b/src/router/router.h
@@ -8,7 +8,7 @@
 #ifndef MQ_ROUTER_H
 #define MQ_ROUTER_H
 
-#include "../core/error.h"
+#include "core/error.h"
 #include <tevent.h>
 
 /**
--- a/src/io/router_admit.c
+++ b/src/router/router_admit.c
@@ -4,8 +4,8 @@
    known to this host, or stands in the program's record.
    Needs: router_request.h, id.h, clock.h.  */
 
-#include "../core/id.h"
-#include "clock.h"
+#include "core/id.h"
+#include "net/clock.h"
 #include "router_request.h"
 #include <string.h>
 
--- a/src/io/router_answer.h
+++ b/src/router/router_answer.h
@@ -5,10 +5,10 @@
 #ifndef MQ_ROUTER_ANSWER_H
 #define MQ_ROUTER_ANSWER_H
 
-#include "../core/attempt.h"
-#include "../core/event_stream.h"
-#include "../core/fleet.h"
-#include "buffer.h"
+#include "core/router/attempt.h"
+#include "core/router/event_stream.h"
+#include "core/router/fleet.h"
+#include "net/buffer.h"
 #include "router_wire.h"
 
 /**
--- a/src/io/router_caller.c
+++ b/src/router/router_caller.c
@@ -6,8 +6,8 @@
    Needs: router_state.h, listen.h, clock.h.  */
 
 #include "router_state.h"
-#include "clock.h"
-#include "listen.h"
+#include "net/clock.h"
+#include "net/listen.h"
 #include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/io/router_clean.c
+++ b/src/router/router_clean.c
@@ -6,8 +6,8 @@
    Needs: router_state.h, clock.h.  */
 
 #include "router_state.h"
-#include "../core/id.h"
-#include "clock.h"
+#include "core/id.h"
+#include "net/clock.h"
 #include <stdio.h>
 
 /* Records read at a time, and removed with one transaction.  */
--- a/src/io/router_config.c
+++ b/src/router/router_config.c
@@ -8,7 +8,7 @@
    Needs: router_state.h, clock.h.  */
 
 #include "router_state.h"
-#include "clock.h"
+#include "net/clock.h"
 #include <string.h>
 
 /* Bytes of the configuration that are read in one turn: some eighty routes,
--- a/src/io/router_feed.c
+++ b/src/router/router_feed.c
@@ -4,7 +4,7 @@
    Needs: router_state.h, clock.h.  */
 
 #include "router_state.h"
-#include "clock.h"
+#include "net/clock.h"
 #include <string.h>
 
 /* While our own feeds are dead another host is asked this often: a
--- a/src/io/router_hosts.c
+++ b/src/router/router_hosts.c
@@ -6,7 +6,7 @@
 
 #include "router_state.h"
 #include "../../proto/relay.pb-c.h"
-#include "clock.h"
+#include "net/clock.h"
 #include <string.h>
 
 /* Rows of this table lie each under its host's name.  */
--- a/src/io/router_loan.c
+++ b/src/router/router_loan.c
@@ -10,8 +10,8 @@
    Needs: router_turns.h, memory.h, clock.h.  */
 
 #include "router_turns.h"
-#include "../core/memory.h"
-#include "clock.h"
+#include "core/memory.h"
+#include "net/clock.h"
 #include <string.h>
 
 /* Time for the other hosts' answers: two ways between data centres are 2 ms,
--- a/src/io/router_pool.c
+++ b/src/router/router_pool.c
@@ -3,7 +3,7 @@
    Needs: router_pool.h, clock.h.  */
 
 #include "router_pool.h"
-#include "clock.h"
+#include "net/clock.h"
 #include <string.h>
 
 #define SLOTS_STEP ((size_t)32)
--- a/src/io/router_pool.h
+++ b/src/router/router_pool.h
@@ -5,8 +5,8 @@
 #ifndef MQ_ROUTER_POOL_H
 #define MQ_ROUTER_POOL_H
 
-#include "../core/fleet.h"
-#include "http_lane.h"
+#include "core/router/fleet.h"
+#include "net/http_lane.h"
 
 /* Bytes that a worker does not acknowledge for so long mean that it is gone.
    Within a region an acknowledgement takes a few milliseconds.  */
--- a/src/io/router_program.c
+++ b/src/router/router_program.c
@@ -5,9 +5,9 @@
    Needs: router_turns.h, id.h, reserve.h, clock.h.  */
 
 #include "router_turns.h"
-#include "../core/id.h"
-#include "../core/reserve.h"
-#include "clock.h"
+#include "core/id.h"
+#include "core/router/reserve.h"
+#include "net/clock.h"
 #include <string.h>
 
 const char mq_budget_table[] = "budget";
--- a/src/io/router_ready.c
+++ b/src/router/router_ready.c
@@ -3,7 +3,7 @@
    Needs: router_ready.h, listen.h.  */
 
 #include "router_ready.h"
-#include "listen.h"
+#include "net/listen.h"
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
--- a/src/io/router_report.c
+++ b/src/router/router_report.c
@@ -2,7 +2,7 @@
 
    Needs: router_state.h, metrics.h.  */
 
-#include "metrics.h"
+#include "log/metrics.h"
 #include "router_state.h"
 
 /* From 1 ms to 131 s: beyond the longest time that a route may allow.  */
--- a/src/io/router_request.c
+++ b/src/router/router_request.c
@@ -6,9 +6,9 @@
    Needs: router_request.h, id.h, outage.h, clock.h.  */
 
 #include "router_request.h"
-#include "../core/id.h"
-#include "../core/outage.h"
-#include "clock.h"
+#include "core/id.h"
+#include "core/router/outage.h"
+#include "net/clock.h"
 #include <stdio.h>
 #include <string.h>
 
--- a/src/io/router_reserve.c
+++ b/src/router/router_reserve.c
@@ -7,10 +7,10 @@
 
 #include "router_state.h"
 #include "../../proto/turn.pb-c.h"
-#include "../core/id.h"
-#include "../core/memory.h"
-#include "../core/reserve.h"
-#include "clock.h"
+#include "core/id.h"
+#include "core/memory.h"
+#include "core/router/reserve.h"
+#include "net/clock.h"
 #include <stdio.h>
 #include <stdlib.h>
 
--- a/src/io/router_send.h
+++ b/src/router/router_send.h
@@ -5,8 +5,8 @@
 #ifndef MQ_ROUTER_SEND_H
 #define MQ_ROUTER_SEND_H
 
-#include "../core/route.h"
-#include "buffer.h"
+#include "core/router/route.h"
+#include "net/buffer.h"
 #include "router_wire.h"
 
 /**
--- a/src/io/router_settings.c
+++ b/src/router/router_settings.c
@@ -3,7 +3,7 @@
    Needs: router_settings.h, settings_file.h.  */
 
 #include "router_settings.h"
-#include "settings_file.h"
+#include "daemon/settings_file.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/io/router_settings.h
+++ b/src/router/router_settings.h
@@ -5,7 +5,7 @@
 #ifndef MQ_ROUTER_SETTINGS_H
 #define MQ_ROUTER_SETTINGS_H
 
-#include "../core/text_keys.h"
+#include "core/text/text_keys.h"
 #include "router.h"
 
 const struct mq_key_table *mq_router_settings_keys (void);
--- a/src/io/router_silence.c
+++ b/src/router/router_silence.c
@@ -3,9 +3,9 @@
    Needs: router_silence.h, memory.h, clock.h, timer.h.  */
 
 #include "router_silence.h"
-#include "../core/memory.h"
-#include "clock.h"
-#include "timer.h"
+#include "core/memory.h"
+#include "net/clock.h"
+#include "net/timer.h"
 
 /* Objectives are about three times the usual time, so that three objectives
    are nine times that.  */
--- a/src/io/router_silence.h
+++ b/src/router/router_silence.h
@@ -8,8 +8,8 @@
 #ifndef MQ_ROUTER_SILENCE_H
 #define MQ_ROUTER_SILENCE_H
 
-#include "../core/fleet.h"
-#include "../core/route.h"
+#include "core/router/fleet.h"
+#include "core/router/route.h"
 #include <tevent.h>
 
 struct mq_silence;
--- a/src/io/router_stream.c
+++ b/src/router/router_stream.c
@@ -5,7 +5,7 @@
    Needs: router_request.h.  */
 
 #include "router_request.h"
-#include "clock.h"
+#include "net/clock.h"
 #include <string.h>
 
 /* How long its worker let it wait.  Only while the request is there: the
--- a/src/io/router_try.c
+++ b/src/router/router_try.c
@@ -3,8 +3,8 @@
    Needs: router_try.h, router_silence.h, memory.h, clock.h.  */
 
 #include "router_try.h"
-#include "../core/memory.h"
-#include "clock.h"
+#include "core/memory.h"
+#include "net/clock.h"
 #include "router_silence.h"
 #include <string.h>
 
--- a/src/io/router_try.h
+++ b/src/router/router_try.h
@@ -8,8 +8,8 @@
 #ifndef MQ_ROUTER_TRY_H
 #define MQ_ROUTER_TRY_H
 
-#include "../core/attempt.h"
-#include "../core/fleet.h"
+#include "core/router/attempt.h"
+#include "core/router/fleet.h"
 #include "router_answer.h"
 #include "router_pool.h"
 #include "router_send.h"
--- a/src/io/router_turn.c
+++ b/src/router/router_turn.c
@@ -6,7 +6,7 @@
    Needs: router_turns.h, id.h.  */
 
 #include "router_turns.h"
-#include "../core/id.h"
+#include "core/id.h"
 #include <stdio.h>
 #include <string.h>
 
--- a/src/io/router_wire.h
+++ b/src/router/router_wire.h
@@ -8,10 +8,10 @@
 #ifndef MQ_ROUTER_WIRE_H
 #define MQ_ROUTER_WIRE_H
 
-#include "../core/fleet.h"
-#include "../core/route.h"
-#include "../core/store.h"
-#include "http_message.h"
+#include "core/router/fleet.h"
+#include "core/router/route.h"
+#include "core/store.h"
+#include "net/http_message.h"
 
 /**
  * struct mq_call_facts - what a caller told about a request
--- a/src/io/rows.h
+++ b/src/router/rows.h
@@ -7,8 +7,8 @@
 #ifndef MQ_ROWS_H
 #define MQ_ROWS_H
 
-#include "../core/error.h"
-#include "../core/store.h"
+#include "core/error.h"
+#include "core/store.h"
 #include <tevent.h>
 
 struct mq_rows;
--- a/src/io/target.c
+++ b/src/target/target.c
@@ -3,11 +3,11 @@
    Needs: target_state.h and the modules that it joins.  */
 
 #include "target.h"
-#include "../core/limits.h"
-#include "../core/memory.h"
-#include "log.h"
+#include "core/limits.h"
+#include "core/memory.h"
+#include "log/log.h"
 #include "target_state.h"
-#include "clock.h"
+#include "net/clock.h"
 #include <string.h>
 
 enum
--- a/src/io/target.h
+++ b/src/target/target.h
@@ -9,7 +9,7 @@
 #ifndef MQ_TARGET_H
 #define MQ_TARGET_H
 
-#include "settings.h"
+#include "daemon/settings.h"
 #include <tevent.h>
 
 struct mq_target;
--- a/src/io/target_http.c
+++ b/src/target/target_http.c
@@ -3,8 +3,8 @@
    Needs: target_http.h, api_answer.h.  */
 
 #include "target_http.h"
-#include "../core/memory.h"
-#include "api_answer.h"
+#include "core/memory.h"
+#include "daemon/api_answer.h"
 #include <string.h>
 
 struct mq_target_http
--- a/src/io/target_http.h
+++ b/src/target/target_http.h
@@ -6,7 +6,7 @@
 #ifndef MQ_TARGET_HTTP_H
 #define MQ_TARGET_HTTP_H
 
-#include "operator_http.h"
+#include "daemon/operator_http.h"
 
 struct mq_target_http;
 
--- a/src/io/target_report.c
+++ b/src/target/target_report.c
@@ -3,8 +3,8 @@
    Needs: target_report.h, metrics.h, report.h, jansson.  */
 
 #include "target_report.h"
-#include "metrics.h"
-#include "report.h"
+#include "log/metrics.h"
+#include "daemon/report.h"
 #include <jansson.h>
 #include <stdlib.h>
 
--- a/src/io/target_report.h
+++ b/src/target/target_report.h
@@ -5,11 +5,11 @@
 #ifndef MQ_TARGET_REPORT_H
 #define MQ_TARGET_REPORT_H
 
-#include "../core/gate.h"
-#include "../core/spread.h"
-#include "peer.h"
-#include "platform.h"
-#include "settings.h"
+#include "core/gate/gate.h"
+#include "core/spread.h"
+#include "net/peer.h"
+#include "daemon/platform.h"
+#include "daemon/settings.h"
 #include "worker.h"
 
 struct mq_target_view
--- a/src/io/target_state.h
+++ b/src/target/target_state.h
@@ -1,4 +1,4 @@
-/* target_state.h - what the parts of a target's process share; for src/io
+/* target_state.h - what the parts of a target's process share; for src/target
    only.
 
    target.c holds its life, its time and what the cores ask for;
@@ -8,14 +8,14 @@
 #ifndef MQ_TARGET_STATE_H
 #define MQ_TARGET_STATE_H
 
-#include "../core/gate.h"
-#include "../core/spread.h"
-#include "batch.h"
-#include "kept_hosts.h"
-#include "peer.h"
-#include "platform.h"
-#include "process.h"
-#include "spans.h"
+#include "core/gate/gate.h"
+#include "core/spread.h"
+#include "daemon/batch.h"
+#include "daemon/kept_hosts.h"
+#include "net/peer.h"
+#include "daemon/platform.h"
+#include "daemon/process.h"
+#include "log/spans.h"
 #include "target.h"
 #include "target_http.h"
 #include "worker.h"
--- a/src/io/worker.c
+++ b/src/target/worker.c
@@ -3,8 +3,8 @@
    Needs: worker_state.h, worker_answer.h.  */
 
 #include "worker.h"
-#include "../core/limits.h"
-#include "../core/memory.h"
+#include "core/limits.h"
+#include "core/memory.h"
 #include "worker_answer.h"
 #include "worker_state.h"
 
--- a/src/io/worker.h
+++ b/src/target/worker.h
@@ -8,8 +8,8 @@
 #ifndef MQ_WORKER_H
 #define MQ_WORKER_H
 
-#include "../core/gate.h"
-#include "http_client.h"
+#include "core/gate/gate.h"
+#include "net/http_client.h"
 
 struct mq_worker;
 
--- a/src/io/worker_answer.c
+++ b/src/target/worker_answer.c
@@ -3,8 +3,8 @@
    Needs: worker_answer.h, id.h, jansson.  */
 
 #include "worker_answer.h"
-#include "../core/id.h"
-#include "../core/memory.h"
+#include "core/id.h"
+#include "core/memory.h"
 #include <jansson.h>
 #include <stdlib.h>
 
--- a/src/io/worker_answer.h
+++ b/src/target/worker_answer.h
@@ -6,7 +6,7 @@
 #ifndef MQ_WORKER_ANSWER_H
 #define MQ_WORKER_ANSWER_H
 
-#include "../core/gate.h"
+#include "core/gate/gate.h"
 
 /* What an engine holds; entries hang below CTX and the worker's index is left
    to the caller.  False when the answer names no boot number.  */
--- a/src/io/worker_call.c
+++ b/src/target/worker_call.c
@@ -5,9 +5,9 @@
    tokens it made.
    Needs: worker_state.h, worker_answer.h, timer.h.  */
 
-#include "../core/limits.h"
-#include "../core/memory.h"
-#include "timer.h"
+#include "core/limits.h"
+#include "core/memory.h"
+#include "net/timer.h"
 #include "worker_answer.h"
 #include "worker_state.h"
 #include <inttypes.h>
--- a/src/io/worker_control.c
+++ b/src/target/worker_control.c
@@ -3,8 +3,8 @@
    Needs: worker_state.h.  */
 
 #include "worker_state.h"
-#include "../core/limits.h"
-#include "../core/memory.h"
+#include "core/limits.h"
+#include "core/memory.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/src/io/worker_state.h
+++ b/src/target/worker_state.h
@@ -1,4 +1,5 @@
-/* worker_state.h - what the parts of a worker's client share; for src/io only.
+/* worker_state.h - what the parts of a worker's client share; for src/target
+   only.
 
    worker.c holds the client and its polls; worker_call.c the calls of
    programs; worker_control.c every other request; worker_answer.c reads what
@@ -8,7 +9,7 @@
 #ifndef MQ_WORKER_STATE_H
 #define MQ_WORKER_STATE_H
 
-#include "../core/id.h"
+#include "core/id.h"
 #include "worker.h"
 #include "worker_stream.h"
 #include <jansson.h>
--- a/src/io/worker_stream.h
+++ b/src/target/worker_stream.h
@@ -7,7 +7,7 @@
 #ifndef MQ_WORKER_STREAM_H
 #define MQ_WORKER_STREAM_H
 
-#include "../core/types.h"
+#include "core/types.h"
 
 struct mq_worker_stream;
 
--- a/src/targetd.c
+++ b/src/targetd.c
@@ -2,7 +2,7 @@
 
    Needs: io/daemon.h.  */
 
-#include "io/daemon.h"
+#include "daemon.h"
 
 int
 main (int argc, char **argv)
--- a/standins/engine_kv.c
+++ b/standins/engine_kv.c
@@ -5,7 +5,7 @@
    Needs: engine_kv.h.  */
 
 #include "engine_kv.h"
-#include "../src/core/memory.h"
+#include "core/memory.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/standins/engine_kv.h
+++ b/standins/engine_kv.h
@@ -9,7 +9,7 @@
 #ifndef MQ_ENGINE_KV_H
 #define MQ_ENGINE_KV_H
 
-#include "../src/core/id.h"
+#include "core/id.h"
 
 #define MQ_KV_BLOCK_TOKENS 16U
 #define MQ_KV_NO_BLOCK 0U
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -14,7 +14,7 @@
 #ifndef MQ_ENGINE_MODEL_H
 #define MQ_ENGINE_MODEL_H
 
-#include "../src/core/message.h"
+#include "core/message.h"
 #include "engine_kv.h"
 
 struct mq_engine;
--- a/standins/engine_plan.h
+++ b/standins/engine_plan.h
@@ -8,7 +8,7 @@
 #ifndef MQ_ENGINE_PLAN_H
 #define MQ_ENGINE_PLAN_H
 
-#include "../src/core/error.h"
+#include "core/error.h"
 #include <jansson.h>
 
 #define MQ_PLAN_TOKEN_BYTES 4U      /* a token of text */
--- a/standins/engine_server.c
+++ b/standins/engine_server.c
@@ -6,7 +6,7 @@
    Needs: engine_parts.h, tevent.  */
 
 #include "engine_parts.h"
-#include "../src/core/limits.h"
+#include "core/limits.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/standins/engine_server.h
+++ b/standins/engine_server.h
@@ -9,7 +9,7 @@
 #define MQ_ENGINE_SERVER_H
 
 #include "engine_model.h"
-#include "../src/io/http_server.h"
+#include "net/http_server.h"
 #include <jansson.h>
 
 struct mq_engine_server;
--- a/standins/faults.h
+++ b/standins/faults.h
@@ -7,7 +7,7 @@
 #ifndef MQ_FAULTS_H
 #define MQ_FAULTS_H
 
-#include "../src/core/error.h"
+#include "core/error.h"
 
 enum mq_fault_kind
 {
--- a/standins/http_answer.h
+++ b/standins/http_answer.h
@@ -5,7 +5,7 @@
 #ifndef MQ_HTTP_ANSWER_H
 #define MQ_HTTP_ANSWER_H
 
-#include "../src/io/http_server.h"
+#include "net/http_server.h"
 #include <jansson.h>
 
 bool mq_is_request (const struct mq_http_request *request, const char *method,
--- a/standins/platform_server.c
+++ b/standins/platform_server.c
@@ -6,11 +6,11 @@
    Needs: platform_state.h, http_answer.h, platform_wire.h.  */
 
 #include "platform_server.h"
-#include "../src/io/process.h"
+#include "daemon/process.h"
 #include "http_answer.h"
 #include "platform_state.h"
 #include "platform_wire.h"
-#include "../src/io/clock.h"
+#include "net/clock.h"
 #include <string.h>
 
 #define BODY_MAX_BYTES (64U << 20)
--- a/standins/platform_server.h
+++ b/standins/platform_server.h
@@ -18,7 +18,7 @@
 #ifndef MQ_PLATFORM_SERVER_H
 #define MQ_PLATFORM_SERVER_H
 
-#include "../src/core/error.h"
+#include "core/error.h"
 #include "table.h"
 #include <tevent.h>
 
--- a/standins/platform_state.h
+++ b/standins/platform_state.h
@@ -7,7 +7,7 @@
 #ifndef MQ_PLATFORM_STATE_H
 #define MQ_PLATFORM_STATE_H
 
-#include "../src/io/http_server.h"
+#include "net/http_server.h"
 #include "faults.h"
 #include "host_registry.h"
 #include "platform_server.h"
--- a/standins/platform_switch.c
+++ b/standins/platform_switch.c
@@ -3,11 +3,11 @@
 
    Needs: platform_state.h, http_answer.h, platform_wire.h.  */
 
-#include "../src/io/process.h"
+#include "daemon/process.h"
 #include "http_answer.h"
 #include "platform_state.h"
 #include "platform_wire.h"
-#include "../src/io/clock.h"
+#include "net/clock.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/standins/platform_wire.c
+++ b/standins/platform_wire.c
@@ -3,7 +3,7 @@
    Needs: platform_wire.h, base64.h.  */
 
 #include "platform_wire.h"
-#include "../src/io/base64.h"
+#include "net/base64.h"
 
 static bool
 read_op (TALLOC_CTX *ctx, json_t *json, struct mq_store_op *op)
--- a/standins/service_server.h
+++ b/standins/service_server.h
@@ -16,7 +16,7 @@
 #ifndef MQ_SERVICE_SERVER_H
 #define MQ_SERVICE_SERVER_H
 
-#include "../src/core/error.h"
+#include "core/error.h"
 #include "service_effects.h"
 #include <tevent.h>
 
--- a/standins/standin_platform.c
+++ b/standins/standin_platform.c
@@ -2,7 +2,7 @@
 
    Needs: platform_server.h, argp.  */
 
-#include "../src/core/error.h"
+#include "core/error.h"
 #include "platform_server.h"
 #include <argp.h>
 #include <signal.h>
--- a/standins/table.c
+++ b/standins/table.c
@@ -5,7 +5,7 @@
    Needs: table.h.  */
 
 #include "table.h"
-#include "../src/core/id.h"
+#include "core/id.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/standins/table.h
+++ b/standins/table.h
@@ -8,7 +8,7 @@
 #ifndef MQ_TABLE_H
 #define MQ_TABLE_H
 
-#include "../src/core/store.h"
+#include "core/store.h"
 
 /* Bounds of one scan's answer; at least one row is always given.  */
 #define MQ_TABLE_SCAN_ROWS 1000U
--- a/tests/ctl_kit.h
+++ b/tests/ctl_kit.h
@@ -8,7 +8,7 @@
 #define MQ_CTL_KIT_H
 
 #include "../standins/platform_server.h"
-#include "io/http_server.h"
+#include "net/http_server.h"
 
 #define CTL_KIT_HOSTS_MAX 4
 #define CTL_KIT_OPERATOR_KEY "kit-operator-key"
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -4,7 +4,7 @@
 
 #include "fleet.h"
 #include "core/id.h"
-#include "io/codec.h"
+#include "net/codec.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -10,7 +10,7 @@
 #define FLEET_H
 
 #include "../standins/table.h"
-#include "core/owner.h"
+#include "core/owner/owner.h"
 
 enum fleet_kind
 {
--- a/tests/fuzz/fuzz_api.c
+++ b/tests/fuzz/fuzz_api.c
@@ -6,7 +6,7 @@
 
 #include "core/limits.h"
 #include "fuzz.h"
-#include "io/api_plan.h"
+#include "entry/api_plan.h"
 #include <jansson.h>
 #include <string.h>
 
--- a/tests/fuzz/fuzz_frame.c
+++ b/tests/fuzz/fuzz_frame.c
@@ -6,8 +6,8 @@
 #include "../message_samples.h"
 #include "core/limits.h"
 #include "fuzz.h"
-#include "io/codec.h"
-#include "io/frame.h"
+#include "net/codec.h"
+#include "net/frame.h"
 #include <string.h>
 
 FUZZ_MAIN (frame)
--- a/tests/fuzz/fuzz_handshake.c
+++ b/tests/fuzz/fuzz_handshake.c
@@ -5,7 +5,7 @@
 
 #include "core/limits.h"
 #include "fuzz.h"
-#include "io/handshake.h"
+#include "net/handshake.h"
 #include <string.h>
 
 FUZZ_MAIN (handshake)
--- a/tests/fuzz/fuzz_log.c
+++ b/tests/fuzz/fuzz_log.c
@@ -5,7 +5,7 @@
    Needs: fuzz.h, program.h, id.h, jansson.  */
 
 #include "core/id.h"
-#include "core/program.h"
+#include "core/owner/program.h"
 #include "fuzz.h"
 #include <jansson.h>
 #include <string.h>
--- a/tests/fuzz/fuzz_message.c
+++ b/tests/fuzz/fuzz_message.c
@@ -5,7 +5,7 @@
    Needs: fuzz.h, http_message.h.  */
 
 #include "fuzz.h"
-#include "io/http_message.h"
+#include "net/http_message.h"
 #include <string.h>
 
 FUZZ_MAIN (message)
--- a/tests/fuzz/fuzz_owner.c
+++ b/tests/fuzz/fuzz_owner.c
@@ -15,11 +15,11 @@
 #include "../../standins/table.h"
 #include "core/id.h"
 #include "core/limits.h"
-#include "core/owner.h"
+#include "core/owner/owner.h"
 #include "fuzz.h"
-#include "io/base64.h"
-#include "io/batch.h"
-#include "io/codec.h"
+#include "net/base64.h"
+#include "daemon/batch.h"
+#include "net/codec.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -5,7 +5,7 @@
    Needs: fuzz.h, platform_answer.h.  */
 
 #include "fuzz.h"
-#include "io/platform_answer.h"
+#include "daemon/platform_answer.h"
 #include <stdio.h>
 #include <string.h>
 
--- a/tests/fuzz/fuzz_record.c
+++ b/tests/fuzz/fuzz_record.c
@@ -4,8 +4,8 @@
    platform's table gives them back.
    Needs: fuzz.h, budget.h, chain.h.  */
 
-#include "core/budget.h"
-#include "core/chain.h"
+#include "core/router/budget.h"
+#include "core/router/chain.h"
 #include "fuzz.h"
 #include <string.h>
 
--- a/tests/fuzz/fuzz_relay.c
+++ b/tests/fuzz/fuzz_relay.c
@@ -4,8 +4,8 @@
    Needs: fuzz.h, relay_frame.h, frame.h.  */
 
 #include "fuzz.h"
-#include "io/frame.h"
-#include "io/relay_frame.h"
+#include "net/frame.h"
+#include "router/relay_frame.h"
 #include <string.h>
 
 FUZZ_MAIN (relay)
--- a/tests/fuzz/fuzz_settings.c
+++ b/tests/fuzz/fuzz_settings.c
@@ -3,7 +3,7 @@
    Needs: fuzz.h, settings.h.  */
 
 #include "fuzz.h"
-#include "io/settings.h"
+#include "daemon/settings.h"
 
 FUZZ_MAIN (settings)
 
--- a/tests/fuzz/fuzz_stream.c
+++ b/tests/fuzz/fuzz_stream.c
@@ -4,7 +4,7 @@
    Needs: fuzz.h, worker_stream.h, jansson.  */
 
 #include "fuzz.h"
-#include "io/worker_stream.h"
+#include "target/worker_stream.h"
 #include <jansson.h>
 #include <string.h>
 
--- a/tests/fuzz/fuzz_text.c
+++ b/tests/fuzz/fuzz_text.c
@@ -3,7 +3,7 @@
    Needs: fuzz.h, text.h.  */
 
 #include "core/limits.h"
-#include "core/text.h"
+#include "core/text/text.h"
 #include "fuzz.h"
 #include <string.h>
 
--- a/tests/fuzz/fuzz_wire.c
+++ b/tests/fuzz/fuzz_wire.c
@@ -5,7 +5,7 @@
    Needs: fuzz.h, router_wire.h, jansson.  */
 
 #include "fuzz.h"
-#include "io/router_wire.h"
+#include "router/router_wire.h"
 #include <jansson.h>
 #include <string.h>
 
--- a/tests/fuzz/fuzz_worker.c
+++ b/tests/fuzz/fuzz_worker.c
@@ -4,7 +4,7 @@
    Needs: fuzz.h, worker_answer.h, jansson.  */
 
 #include "fuzz.h"
-#include "io/worker_answer.h"
+#include "target/worker_answer.h"
 #include <jansson.h>
 #include <string.h>
 
--- a/tests/gate_driver.c
+++ b/tests/gate_driver.c
@@ -3,7 +3,7 @@
    Needs: gate_driver.h.  */
 
 #include "gate_driver.h"
-#include "../src/core/id.h"
+#include "core/id.h"
 #include <stdlib.h>
 
 enum
--- a/tests/gate_driver.h
+++ b/tests/gate_driver.h
@@ -20,7 +20,7 @@
 #ifndef GATE_DRIVER_H
 #define GATE_DRIVER_H
 
-#include "../src/core/gate.h"
+#include "core/gate/gate.h"
 
 enum gate_step_type
 {
--- a/tests/http_peer.c
+++ b/tests/http_peer.c
@@ -3,7 +3,7 @@
    Needs: sockets, listen.h.  */
 
 #include "http_peer.h"
-#include "io/listen.h"
+#include "net/listen.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
--- a/tests/install.sh
+++ b/tests/install.sh
@@ -19,7 +19,7 @@
 cd "$root"
 for file in bin/mimosa-entryd bin/mimosa-targetd bin/mimosactl \
   lib/libmimosaquay.a lib/pkgconfig/mimosaquay.pc include/mimosaquay.h \
-  include/mimosaquay/core/gate.h share/man/man1/mimosactl.1 \
+  include/mimosaquay/core/gate/gate.h share/man/man1/mimosactl.1 \
   share/man/man8/mimosa-entryd.8 share/man/man8/mimosa-targetd.8 \
   share/doc/mimosaquay/examples/mimosa-entryd.service; do
   [ -s "usr/$file" ] || { echo "$file was not installed"; exit 1; }
--- a/tests/message_samples.c
+++ b/tests/message_samples.c
@@ -3,7 +3,7 @@
    Needs: message_samples.h.  */
 
 #include "message_samples.h"
-#include "../src/core/id.h"
+#include "core/id.h"
 #include <string.h>
 
 enum
--- a/tests/message_samples.h
+++ b/tests/message_samples.h
@@ -6,7 +6,7 @@
 #ifndef MESSAGE_SAMPLES_H
 #define MESSAGE_SAMPLES_H
 
-#include "../src/core/message.h"
+#include "core/message.h"
 
 enum sample_kind
 {
--- a/tests/peer_kit.c
+++ b/tests/peer_kit.c
@@ -4,9 +4,9 @@
    Needs: peer_kit.h, Criterion.  */
 
 #include "peer_kit.h"
-#include "../src/core/action.h"
-#include "../src/io/peer_net.h"
-#include "io/clock.h"
+#include "core/action.h"
+#include "net/peer_net.h"
+#include "net/clock.h"
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <errno.h>
--- a/tests/peer_kit.h
+++ b/tests/peer_kit.h
@@ -7,9 +7,9 @@
 #ifndef PEER_KIT_H
 #define PEER_KIT_H
 
-#include "../src/io/frame.h"
-#include "../src/io/handshake.h"
-#include "../src/io/peer.h"
+#include "net/frame.h"
+#include "net/handshake.h"
+#include "net/peer.h"
 
 enum
 {
--- a/tests/replay.h
+++ b/tests/replay.h
@@ -10,8 +10,8 @@
 #define REPLAY_H
 
 #include "../standins/engine_model.h"
-#include "core/admission.h"
-#include "core/fleet.h"
+#include "core/router/admission.h"
+#include "core/router/fleet.h"
 
 /* Which decisions are on.  */
 enum replay_way
--- a/tests/router_site.h
+++ b/tests/router_site.h
@@ -8,7 +8,7 @@
 
 #include "../platform/standins/rows_server.h"
 #include "../platform/standins/worker_server.h"
-#include "io/router.h"
+#include "router/router.h"
 
 #define EDGE_WORKERS 3
 #define EDGE_ROUTERS 2
--- a/tests/site_kit.c
+++ b/tests/site_kit.c
@@ -3,7 +3,7 @@
    Needs: site_kit.h, peer_kit.h (the relay), the stand-ins' engine_plan.h.  */
 
 #include "site_kit.h"
-#include "../src/core/id.h"
+#include "core/id.h"
 #include "../standins/engine_plan.h"
 #include "peer_kit.h"
 #include <criterion/criterion.h>
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -3,9 +3,9 @@
    Needs: proxy.h, timer.h, buffer.h.  */
 
 #include "proxy.h"
-#include "io/buffer.h"
-#include "io/listen.h"
-#include "io/timer.h"
+#include "net/buffer.h"
+#include "net/listen.h"
+#include "net/timer.h"
 #include <stdio.h>
 #include <sys/socket.h>
 
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -5,7 +5,7 @@
 #ifndef SOAK_PROXY_H
 #define SOAK_PROXY_H
 
-#include "io/tcp.h"
+#include "net/tcp.h"
 
 struct proxy;
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -7,7 +7,7 @@
    Needs: soak.h.  */
 
 #include "soak.h"
-#include "io/clock.h"
+#include "net/clock.h"
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -9,9 +9,9 @@
 #include "../../platform/standins/rows_server.h"
 #include "../../platform/standins/worker_server.h"
 #include "core/id.h"
-#include "io/buffer.h"
-#include "io/http_lane.h"
-#include "io/timer.h"
+#include "net/buffer.h"
+#include "net/http_lane.h"
+#include "net/timer.h"
 #include "proxy.h"
 #include <sys/types.h>
 
--- a/tests/soak/soak_world.c
+++ b/tests/soak/soak_world.c
@@ -3,8 +3,8 @@
    Needs: soak.h.  */
 
 #include "soak.h"
-#include "io/clock.h"
-#include "io/listen.h"
+#include "net/clock.h"
+#include "net/listen.h"
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -2,7 +2,7 @@
 
    Needs: Criterion, admission.h.  */
 
-#include "core/admission.h"
+#include "core/router/admission.h"
 #include <criterion/criterion.h>
 
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
--- a/tests/test_api.c
+++ b/tests/test_api.c
@@ -6,9 +6,9 @@
    Needs: criterion, api.h, http_client.h.  */
 
 #include "core/id.h"
-#include "io/api.h"
-#include "io/api_plan.h"
-#include "io/http_client.h"
+#include "entry/api.h"
+#include "entry/api_plan.h"
+#include "net/http_client.h"
 #include <criterion/criterion.h>
 #include <gnutls/crypto.h>
 #include <gnutls/gnutls.h>
--- a/tests/test_budget_model.c
+++ b/tests/test_budget_model.c
@@ -9,9 +9,9 @@
    where a fault would be seen.
    Needs: Criterion, budget.h, reserve.h, id.h.  */
 
-#include "core/budget.h"
+#include "core/router/budget.h"
 #include "core/id.h"
-#include "core/reserve.h"
+#include "core/router/reserve.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -2,9 +2,9 @@
 
    Needs: codec.h, message_samples.h, Criterion.  */
 
-#include "../src/core/id.h"
-#include "../src/core/limits.h"
-#include "../src/io/codec.h"
+#include "core/id.h"
+#include "core/limits.h"
+#include "net/codec.h"
 #include "message_samples.h"
 #include <criterion/criterion.h>
 #include <string.h>
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -4,11 +4,11 @@
    Needs: the reports of both daemons, docs/, Criterion.  */
 
 #include "core/error.h"
-#include "io/api.h"
-#include "io/entry_report.h"
-#include "io/log_schema.h"
-#include "io/router.h"
-#include "io/target_report.h"
+#include "entry/api.h"
+#include "entry/entry_report.h"
+#include "log/log_schema.h"
+#include "router/router.h"
+#include "target/target_report.h"
 #include <criterion/criterion.h>
 #include <glob.h>
 #include <stdio.h>
@@ -279,8 +279,8 @@
 };
 
 static const struct modules modules[] = { { "src/*.c", 3 },
-                                          { "src/core/*.c", 20 },
-                                          { "src/io/*.c", 30 },
+                                          { "src/*/*.c", 100 },
+                                          { "src/core/*/*.c", 50 },
                                           { "platform/*.c", 3 } };
 
 /* Copies TEXT with each run of blanks and line ends as one blank.  */
--- a/tests/test_engine_server.c
+++ b/tests/test_engine_server.c
@@ -2,7 +2,7 @@
 
    Needs: Criterion, engine_server.h, http_client.h.  */
 
-#include "../src/io/http_client.h"
+#include "net/http_client.h"
 #include "../standins/engine_server.h"
 #include <criterion/criterion.h>
 #include <string.h>
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -6,7 +6,7 @@
    this process), the rest is what the caller hears.
    Needs: criterion, front.h.  */
 
-#include "core/front.h"
+#include "core/owner/front.h"
 #include "core/limits.h"
 #include <criterion/criterion.h>
 #include <string.h>
--- a/tests/test_gate_queue.c
+++ b/tests/test_gate_queue.c
@@ -4,7 +4,7 @@
    Needs: gate_driver.h, Criterion.  */
 
 #include "gate_driver.h"
-#include "../src/core/limits.h"
+#include "core/limits.h"
 #include <criterion/criterion.h>
 #include <stdlib.h>
 #include <string.h>
--- a/tests/test_handshake.c
+++ b/tests/test_handshake.c
@@ -5,8 +5,8 @@
    Needs: peer_kit.h, proto/peer.pb-c.h, Criterion.  */
 
 #include "../proto/peer.pb-c.h"
-#include "../src/core/limits.h"
-#include "../src/io/codec.h"
+#include "core/limits.h"
+#include "net/codec.h"
 #include "peer_kit.h"
 #include <criterion/criterion.h>
 #include <string.h>
--- a/tests/test_held_up.c
+++ b/tests/test_held_up.c
@@ -5,7 +5,7 @@
 
 #include "router_site.h"
 #include "http_peer.h"
-#include "io/router_state.h"
+#include "router/router_state.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <string.h>
--- a/tests/test_histogram.c
+++ b/tests/test_histogram.c
@@ -7,7 +7,7 @@
 #include "core/id.h"
 #include "core/latency.h"
 #include "core/limits.h"
-#include "core/place.h"
+#include "core/owner/place.h"
 #include <criterion/criterion.h>
 #include <stdlib.h>
 
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -6,7 +6,7 @@
    Needs: criterion, hold.h.  */
 
 #include "core/limits.h"
-#include "io/hold.h"
+#include "entry/hold.h"
 #include <criterion/criterion.h>
 #include <string.h>
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -4,9 +4,9 @@
 
 #include "http_peer.h"
 #include "core/limits.h"
-#include "io/http_client.h"
-#include "io/http_server.h"
-#include "io/listen.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/listen.h"
 #include <criterion/criterion.h>
 #include <errno.h>
 #include <string.h>
--- a/tests/test_io.c
+++ b/tests/test_io.c
@@ -4,9 +4,9 @@
 
 #include "core/id.h"
 #include "core/limits.h"
-#include "io/log.h"
-#include "io/metrics.h"
-#include "io/spans.h"
+#include "log/log.h"
+#include "log/metrics.h"
+#include "log/spans.h"
 #include <criterion/criterion.h>
 #include <jansson.h>
 #include <stdlib.h>
--- a/tests/test_lane.c
+++ b/tests/test_lane.c
@@ -4,11 +4,11 @@
    Needs: Criterion, http_lane.h, router_pool.h, rows.h,
    timer.h.  */
 
-#include "io/http_lane.h"
-#include "io/listen.h"
-#include "io/router_pool.h"
-#include "io/rows.h"
-#include "io/timer.h"
+#include "net/http_lane.h"
+#include "net/listen.h"
+#include "router/router_pool.h"
+#include "router/rows.h"
+#include "net/timer.h"
 #include <criterion/criterion.h>
 #include <fcntl.h>
 #include <poll.h>
--- a/tests/test_mimosactl.c
+++ b/tests/test_mimosactl.c
@@ -2,11 +2,11 @@
 
    Needs: ctl_kit.h, ctl_trace.h, text_fixture.h, jansson, Criterion.  */
 
-#include "core/text_keys.h"
+#include "core/text/text_keys.h"
 #include "ctl_kit.h"
-#include "io/ctl_trace.h"
-#include "io/router_settings.h"
-#include "io/settings.h"
+#include "ctl/ctl_trace.h"
+#include "router/router_settings.h"
+#include "daemon/settings.h"
 #include "text_fixture.h"
 #include <criterion/criterion.h>
 #include <jansson.h>
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -2,8 +2,8 @@
 
    Needs: peer_kit.h, message_samples.h, Criterion.  */
 
-#include "../src/core/limits.h"
-#include "../src/io/codec.h"
+#include "core/limits.h"
+#include "net/codec.h"
 #include "message_samples.h"
 #include "peer_kit.h"
 #include <criterion/criterion.h>
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,10 +1,10 @@
 /* test_platform.c - the contract with the platform, faults included.
 
-   The client of src/io/platform.c meets the stand-in in one event loop.
+   The client of src/daemon/platform.c meets the stand-in in one event loop.
    Needs: Criterion, platform_server.h, faults.h, platform.h.  */
 
-#include "../src/io/http_server.h"
-#include "../src/io/platform.h"
+#include "net/http_server.h"
+#include "daemon/platform.h"
 #include "../standins/faults.h"
 #include "../standins/platform_server.h"
 #include <criterion/criterion.h>
--- a/tests/test_process.c
+++ b/tests/test_process.c
@@ -5,8 +5,8 @@
    and the outside world saw.  Waits end on events, with a generous limit.
    Needs: criterion, site_kit.h.  */
 
-#include "../src/core/id.h"
-#include "../src/io/base64.h"
+#include "core/id.h"
+#include "net/base64.h"
 #include "site_kit.h"
 #include <criterion/criterion.h>
 #include <signal.h>
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -2,10 +2,10 @@
 
    Needs: Criterion, relay.h, frame.h, listen.h.  */
 
-#include "io/frame.h"
-#include "io/listen.h"
-#include "io/relay.h"
-#include "io/timer.h"
+#include "net/frame.h"
+#include "net/listen.h"
+#include "router/relay.h"
+#include "net/timer.h"
 #include <criterion/criterion.h>
 #include <poll.h>
 #include <stdio.h>
--- a/tests/test_relay_loan.c
+++ b/tests/test_relay_loan.c
@@ -5,12 +5,12 @@
    relay_link.h, listen.h, timer.h.  */
 
 #include "router_site.h"
-#include "core/chain.h"
+#include "core/router/chain.h"
 #include "http_peer.h"
-#include "io/listen.h"
-#include "io/relay.h"
-#include "io/relay_link.h"
-#include "io/timer.h"
+#include "net/listen.h"
+#include "router/relay.h"
+#include "router/relay_link.h"
+#include "net/timer.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/test_reserve.c
+++ b/tests/test_reserve.c
@@ -3,8 +3,8 @@
 
    Needs: Criterion, reserve.h, outage.h.  */
 
-#include "core/outage.h"
-#include "core/reserve.h"
+#include "core/router/outage.h"
+#include "core/router/reserve.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -3,10 +3,10 @@
 
    Needs: Criterion, route.h, fleet.h, attempt.h.  */
 
-#include "core/attempt.h"
-#include "core/fleet.h"
+#include "core/router/attempt.h"
+#include "core/router/fleet.h"
 #include "core/id.h"
-#include "core/route.h"
+#include "core/router/route.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <string.h>
--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -3,8 +3,8 @@
    Needs: Criterion, rows.h, rows_server.h, timer.h.  */
 
 #include "../platform/standins/rows_server.h"
-#include "io/rows.h"
-#include "io/timer.h"
+#include "router/rows.h"
+#include "net/timer.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 
--- a/tests/test_service.c
+++ b/tests/test_service.c
@@ -4,7 +4,7 @@
    one event loop.
    Needs: Criterion, service_server.h, http_client.h.  */
 
-#include "../src/io/http_client.h"
+#include "net/http_client.h"
 #include "../standins/service_server.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -2,8 +2,8 @@
 
    Needs: settings.h, Criterion.  */
 
-#include "core/place.h"
-#include "io/settings.h"
+#include "core/owner/place.h"
+#include "daemon/settings.h"
 #include <criterion/criterion.h>
 #include <errno.h>
 #include <string.h>
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -2,7 +2,7 @@
 
    Needs: Criterion, standins/table.h, id.h.  */
 
-#include "../src/core/id.h"
+#include "core/id.h"
 #include "../standins/table.h"
 #include <criterion/criterion.h>
 #include <string.h>
--- a/tests/test_text.c
+++ b/tests/test_text.c
@@ -5,8 +5,8 @@
 #include "text_fixture.h"
 #include "core/id.h"
 #include "core/limits.h"
-#include "core/text_hint.h"
-#include "core/text_keys.h"
+#include "core/text/text_hint.h"
+#include "core/text/text_keys.h"
 #include <criterion/criterion.h>
 #include <string.h>
 
--- a/tests/test_text_diff.c
+++ b/tests/test_text_diff.c
@@ -2,7 +2,7 @@
 
    Needs: text_diff.h, text_fixture.h, jansson, Criterion.  */
 
-#include "core/text_diff.h"
+#include "core/text/text_diff.h"
 #include "text_fixture.h"
 #include <criterion/criterion.h>
 #include <jansson.h>
--- a/tests/test_timer.c
+++ b/tests/test_timer.c
@@ -2,9 +2,9 @@
 
    Needs: Criterion, timer.h, process.h.  */
 
-#include "io/clock.h"
-#include "io/process.h"
-#include "io/timer.h"
+#include "net/clock.h"
+#include "daemon/process.h"
+#include "net/timer.h"
 #include <criterion/criterion.h>
 #include <sys/time.h>
 #include <time.h>
--- a/tests/test_turns.c
+++ b/tests/test_turns.c
@@ -2,9 +2,9 @@
 
    Needs: Criterion, budget.h, chain.h, event_stream.h.  */
 
-#include "core/budget.h"
-#include "core/chain.h"
-#include "core/event_stream.h"
+#include "core/router/budget.h"
+#include "core/router/chain.h"
+#include "core/router/event_stream.h"
 #include "core/id.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -4,10 +4,10 @@
    Needs: Criterion, http_message.h, router_wire.h, router_settings.h,
    json_log.h, jansson.  */
 
-#include "io/http_message.h"
-#include "io/json_log.h"
-#include "io/router_settings.h"
-#include "io/router_wire.h"
+#include "net/http_message.h"
+#include "log/json_log.h"
+#include "router/router_settings.h"
+#include "router/router_wire.h"
 #include <criterion/criterion.h>
 #include <jansson.h>
 #include <stdio.h>
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -3,11 +3,11 @@
 
    Needs: Criterion, worker.h, engine_server.h, http_server.h, listen.h.  */
 
-#include "../src/core/id.h"
-#include "../src/core/limits.h"
-#include "../src/io/listen.h"
-#include "../src/io/worker.h"
-#include "../src/io/worker_stream.h"
+#include "core/id.h"
+#include "core/limits.h"
+#include "net/listen.h"
+#include "target/worker.h"
+#include "target/worker_stream.h"
 #include "../standins/engine_server.h"
 #include <criterion/criterion.h>
 #include <stdlib.h>
--- a/tests/text_fixture.h
+++ b/tests/text_fixture.h
@@ -5,7 +5,7 @@
 #ifndef MQ_TEXT_FIXTURE_H
 #define MQ_TEXT_FIXTURE_H
 
-#include "core/text.h"
+#include "core/text/text.h"
 
 /* Smallest whole text; sections may be put after it.  */
 #define FIXTURE_SITE "[site]\nname = s\n"
--- a/tests/world.h
+++ b/tests/world.h
@@ -12,13 +12,13 @@
 #define MQ_TEST_WORLD_H
 
 #include "../standins/table.h"
-#include "core/front.h"
-#include "core/gate.h"
+#include "core/owner/front.h"
+#include "core/gate/gate.h"
 #include "core/id.h"
 #include "core/limits.h"
-#include "core/owner.h"
+#include "core/owner/owner.h"
 #include "core/spread.h"
-#include "core/text.h"
+#include "core/text/text.h"
 
 /* X (enumerator, name, script)  */
 #define WORLD_STEP_LIST(X)                                                    \
