Router: organisations are known by their callers' keys, and keep their histories

Cause: nothing in the router knew an organisation.

Change: the configuration's organisations, keys and public routes are decoded and checked; a key is looked up by its digest in a seeded table, in constant time; a caller without one gets 401, after the newest configuration was asked for, at most once a second for unknown keys while the feed is alive; 503 where that can't be told. A worker is told the organisation, never the key. Ids of programs and turns are kept under the organisation's digest, so that histories, budgets, loans and leases of two organisations share nothing. A request whose key is taken away while it waits is refused.

Tests: test_organisation, 14 cases.

--- a/Makefile
+++ b/Makefile
@@ -22,14 +22,14 @@
 TESTLIBS = -lcriterion
 
 # The folders of the library, lowest first; tests/includes.sh checks the order.
-LIB_DIRS = src/core src/core/text src/core/owner src/core/gate src/core/router \
+LIB_DIRS = src/core src/core/organisation src/core/text src/core/owner src/core/gate src/core/router \
            src/net src/log src/daemon src/entry src/target src/router \
            src/ctl src/load
 LIB_SRC = $(wildcard $(addsuffix /*.c,$(LIB_DIRS)) proto/*.c) src/daemon.c
 # platform/ speaks to the users' platform; routerd.c holds its main.
 PLATFORM_SRC = $(filter-out platform/routerd.c,$(wildcard platform/*.c))
 # What mimosa-routerd is made of; its build needs the headers of these alone.
-ROUTER_SRC = $(wildcard src/router/*.c src/core/router/*.c) proto/turn.pb-c.c proto/relay.pb-c.c \
+ROUTER_SRC = $(wildcard src/router/*.c src/core/router/*.c src/core/organisation/*.c) proto/turn.pb-c.c proto/relay.pb-c.c \
              $(addprefix src/core/,error.c histogram.c id.c idmap.c memory.c) \
              $(addprefix src/core/text/,text_hint.c text_ini.c text_keys.c text_values.c) \
              $(addprefix src/net/,base64.c buffer.c clock.c frame.c http_lane.c \
--- a/src/core/router/chain.h
+++ b/src/core/router/chain.h
@@ -14,7 +14,7 @@
 
 /* Text in one row.  A row holds 64 KiB at most; the rest is room for ids.  */
 #define MQ_CHAIN_ROW_BYTES ((size_t)48 << 10)
-#define MQ_TURN_ID_MAX 128U
+#define MQ_TURN_ID_MAX 160U
 /* Text of the longest chain: 120,000 tokens at 4 bytes and some more.  */
 #define MQ_CHAIN_MAX_BYTES ((size_t)1 << 20)
 
--- a/src/core/router/route.h
+++ b/src/core/router/route.h
@@ -2,11 +2,12 @@
 
    A table is built whole from one version of the configuration and never
    changes; a newer version replaces it.  Pure.
-   Needs: types.h, id.h.  */
+   Needs: types.h, id.h, orgs.h.  */
 
 #ifndef MQ_ROUTE_H
 #define MQ_ROUTE_H
 
+#include "../organisation/orgs.h"
 #include "../types.h"
 
 /* What may be done with a request whose outcome is not known.  */
@@ -41,6 +42,7 @@
  * @gap_ms: longest pause between events of a stream that is on time
  * @attempts: workers that one request may be sent to
  * @priority: 0 is the most urgent
+ * @is_public: callers need no key
  * @backends: at least one
  */
 struct mq_path_route
@@ -58,6 +60,7 @@
   uint32_t gap_ms;
   uint32_t attempts;
   uint32_t priority;
+  bool is_public;
   struct mq_route_backend *backends;
   size_t backend_count;
 };
@@ -96,6 +99,7 @@
  * struct mq_route_table - one version of the configuration
  * @version: only rises
  * @routes: sorted by mq_route_table_sort
+ * @orgs: organisations whose keys callers must have, NULL: none is asked for
  */
 struct mq_route_table
 {
@@ -105,6 +109,7 @@
   struct mq_route_service *services;
   size_t service_count;
   struct mq_route_limits limits;
+  struct mq_orgs *orgs;
 };
 
 /* Puts the routes in the order that mq_route_find needs.  */
--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -21,7 +21,8 @@
 #define MQ_LOG_COUNTED                                                        \
   "data_centre http requests served budget_writes turn_writes turn_reads "    \
   "store_writes store_reads other"
-#define MQ_LOG_REQUEST "id run route config after_ms status sent worker "
+#define MQ_LOG_REQUEST                                                        \
+  "id run organisation route config after_ms status sent worker "
 #define MQ_LOG_PROBLEM                                                        \
   "error ran number line column subject allowed cause remedy"
 
--- a/src/router/router_admit.c
+++ b/src/router/router_admit.c
@@ -16,10 +16,8 @@
 static bool
 may_begin_program (const struct mq_request *request)
 {
-  const struct mq_call_facts *facts = &request->facts;
-
-  return facts->main_line && facts->previous == NULL
-         && !mq_turns_know (request->router->turns, facts->program);
+  return request->facts.main_line && request->previous == NULL
+         && !mq_turns_know (request->router->turns, request->program);
 }
 
 /* Load of the platform's table, where ends of turns wait for their records, in
@@ -42,9 +40,9 @@
   return (struct mq_admission_ask){
     .service = request->service,
     .route = request->route->name,
-    .priority = request->route->priority,
-    .program
-    = mq_hash_bytes (facts->program, strlen (facts->program), ADMISSION_SEED),
+    .priority = request_priority (request),
+    .program = mq_hash_bytes (request->program, strlen (request->program),
+                              ADMISSION_SEED),
     .load = mq_fleet_service_pressure (request->router->fleet,
                                        request->service, now),
     .record_load = record_load (request, now),
@@ -93,7 +91,7 @@
     request_begin_turn (request);
   else
     request->record_call = mq_turns_read_record (
-        router->turns, request->facts.program, on_record, request);
+        router->turns, request->program, on_record, request);
 }
 
 /* Where the turns of the program are to stay.  */
--- a/src/router/router_config.c
+++ b/src/router/router_config.c
@@ -356,6 +356,8 @@
  * struct mq_config_ask - a question to the platform for the newest
  * configuration
  * @call: under way, NULL: none
+ * @began_ms: when it, or the one before it, began
+ * @known_ms: when one began whose answer was the newest, 0: none
  * @asked: those who were there when it began
  * @later: those who came since; it may not tell what is the newest for them
  */
@@ -363,6 +365,8 @@
 {
   struct mq_router *router;
   struct mq_ledger_call *call;
+  uint64_t began_ms;
+  uint64_t known_ms;
   struct mq_confirm *asked;
   struct mq_confirm *later;
 };
@@ -373,9 +377,11 @@
 start_read (struct mq_config_ask *ask)
 {
   move_all (&ask->later, &ask->asked);
-  if (ask->asked != NULL)
-    ask->call = mq_ledger_get (ask->router->ledger, mq_wire_config_table, "",
-                               mq_wire_config_key, on_read, ask);
+  if (ask->asked == NULL)
+    return;
+  ask->began_ms = mq_clock_ms ();
+  ask->call = mq_ledger_get (ask->router->ledger, mq_wire_config_table, "",
+                             mq_wire_config_key, on_read, ask);
 }
 
 /* The next call begins after those who are told: one of them may ask again. */
@@ -386,6 +392,8 @@
   struct mq_confirm *told = NULL;
 
   move_all (&ask->asked, &told);
+  if (result->status == MQ_STORE_OK && result->row_count > 0)
+    ask->known_ms = ask->began_ms;
   if (result->status == MQ_STORE_OK && result->row_count > 0)
     offer (ask->router, result->rows[0].value, result->rows[0].version, &told);
   else
@@ -404,6 +412,15 @@
   return router->config_ask;
 }
 
+bool
+mq_config_asked_within (const struct mq_router *router, uint32_t ms)
+{
+  const struct mq_config_ask *ask = router->config_ask;
+
+  return ask != NULL && router->config_take == NULL && ask->known_ms != 0
+         && mq_clock_ms () - ask->known_ms < ms;
+}
+
 /* Failure: each caller who asks for what no route serves costs the host a read
    of the whole configuration, some million bytes; many of them at a time cost
    its memory, and the reads are over their time.  So one is read at a time,
--- /dev/null
+++ b/src/router/router_identify.c
@@ -0,0 +1,78 @@
+/* router_identify.c - whose request it is, and under which ids its program and
+   its turns are kept.
+
+   Needs: router_request.h.  */
+
+#include "router_request.h"
+#include <string.h>
+
+/* A caller whose key nobody has makes this host ask for a newer configuration,
+   but not again within so long: forged keys must not load the table.  A key
+   that was just added comes by the feed meanwhile.  */
+#define KEY_ASK_MS 1000U
+
+static const char *
+scoped (const struct mq_request *request, const char *id)
+{
+  if (id == NULL)
+    return NULL;
+  return mq_org_scope ((TALLOC_CTX *)(uintptr_t)request, request->org, id);
+}
+
+/* Without organisations in the configuration ids are kept as they are.  */
+static void
+set_ids (struct mq_request *request, const struct mq_route_table *table)
+{
+  const struct mq_call_facts *facts = &request->facts;
+  bool plain = table->orgs == NULL;
+
+  request->program = plain ? facts->program : scoped (request, facts->program);
+  request->turn_id = plain ? facts->id : scoped (request, facts->id);
+  request->previous
+      = plain ? facts->previous : scoped (request, facts->previous);
+}
+
+enum request_identity
+request_identify (struct mq_request *request,
+                  const struct mq_route_table *table,
+                  const struct mq_path_route *route)
+{
+  request->org = NULL;
+  if (table->orgs != NULL && !route->is_public)
+    {
+      if (request->facts.key_count > 1)
+        return REQUEST_DOUBLY_IDENTIFIED;
+      request->org = mq_orgs_find_key (table->orgs, request->facts.key);
+      if (request->org == NULL)
+        return REQUEST_UNIDENTIFIED;
+    }
+  set_ids (request, table);
+  return REQUEST_IDENTIFIED;
+}
+
+bool
+request_key_is_unknown (const struct mq_request *request)
+{
+  return mq_rows_followed (request->router->rows)
+         && mq_config_asked_within (request->router, KEY_ASK_MS);
+}
+
+bool
+request_keeps_key (const struct mq_request *request)
+{
+  const struct mq_route_table *now = request->router->routes;
+  const struct mq_org *org;
+
+  if (request->org == NULL || now == request->table || now->orgs == NULL)
+    return true;
+  org = mq_orgs_find_key (now->orgs, request->facts.key);
+  return org != NULL && strcmp (org->name, request->org->name) == 0;
+}
+
+uint32_t
+request_priority (const struct mq_request *request)
+{
+  if (request->org != NULL && request->org->has_priority)
+    return request->org->priority;
+  return request->route->priority;
+}
--- a/src/router/router_refuse.c
+++ b/src/router/router_refuse.c
@@ -13,10 +13,12 @@
 #define RETRY_LOADED_MS 1000U
 
 static const struct mq_refusal_row rows[] = {
+  [MQ_REFUSE_NOTHING] = { 500, 0, "nothing" },
   [MQ_REFUSE_BAD_REQUEST] = { 400, 0, "bad_request" },
   [MQ_REFUSE_HEAD_TOO_LARGE] = { 431, 0, "head_too_large" },
   [MQ_REFUSE_BODY_TOO_LARGE] = { 413, 0, "body_too_large" },
   [MQ_REFUSE_SLOW_HEAD] = { 408, 0, "slow_head" },
+  [MQ_REFUSE_NO_KEY] = { 401, 0, "no_key" },
   [MQ_REFUSE_NO_ROUTE] = { 404, 0, "no_route" },
   [MQ_REFUSE_NO_TURN] = { 404, 0, "no_turn" },
   [MQ_REFUSE_BUDGET] = { 402, 0, "budget_spent" },
--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -44,6 +44,8 @@
   mq_json_begin (line, request->router->log, weight, event);
   mq_json_text (line, "id", request->facts.id);
   mq_json_text (line, "run", request->facts.program);
+  if (request->org != NULL)
+    mq_json_text (line, "organisation", request->org->name);
   if (request->route != NULL)
     mq_json_text (line, "route", request->route->name);
   if (request->table != NULL)
@@ -281,7 +283,7 @@
   if (request->is_turn)
     query.home = request->turn.home;
   query.has_key = mq_route_placing_key (request->route, request->service_info,
-                                        request->facts.program,
+                                        request->program,
                                         request->facts.affinity, &query.key);
   return mq_fleet_choose (request->router->fleet, &query);
 }
@@ -352,6 +354,8 @@
     .worker = worker_id (request),
     .last_event = request->last_event,
     .left_ms = (uint32_t)(request->give_up_ms - request->sent_ms),
+    .priority = request_priority (request),
+    .organisation = request->org == NULL ? NULL : request->org->name,
     .body_len = request->send_body.len,
   };
   return mq_try_begin (request, &options);
@@ -370,6 +374,12 @@
       refuse_unplaced (request);
       return;
     }
+  if (!request->begun && !request_keeps_key (request))
+    {
+      request_refuse (request,
+                      request->ran ? MQ_REFUSE_FAILED : MQ_REFUSE_NO_KEY);
+      return;
+    }
   request->worker = worker;
   request->tried[request->tried_count++] = worker;
   request->sent++;
@@ -434,13 +444,13 @@
     }
   request->is_turn = true;
   request->turn = (struct mq_turn){
-    .program = request->facts.program,
-    .id = request->facts.id,
-    .previous = request->route->retains ? request->facts.previous : NULL,
+    .program = request->program,
+    .id = request->turn_id,
+    .previous = request->route->retains ? request->previous : NULL,
     .limit = request->facts.budget,
     .most
     = mq_route_whole_events (request->service_info, request->facts.tokens_out),
-    .budgeted = request->facts.has_budget && request->facts.program != NULL,
+    .budgeted = request->facts.has_budget && request->program != NULL,
     .retains = request->route->retains,
     .retain_s = request->route->retain_s,
     .may_borrow = runs,
@@ -472,9 +482,8 @@
 
   request->table = talloc_reference (request, router->routes);
   request->route = route;
-  if (request->facts.program != NULL)
-    key = mq_hash_bytes (request->facts.program,
-                         strlen (request->facts.program), 1);
+  if (request->program != NULL)
+    key = mq_hash_bytes (request->program, strlen (request->program), 1);
   request->service = mq_route_service (route, key);
   request->service_info
       = mq_route_service_find (request->table, request->service);
@@ -488,32 +497,59 @@
     place_request (request);
 }
 
+static bool
+id_fits (const char *id)
+{
+  return strlen (id) < MQ_TURN_ID_MAX - MQ_ORG_SCOPE_BYTES;
+}
+
 static bool
 is_sound (const struct mq_request *request)
 {
   const struct mq_http_head *head = request->head;
+  const struct mq_call_facts *facts = &request->facts;
 
   return head->target[0] == '/' && mq_http_head_count (head, "Host") == 1
-         && request->facts.id != NULL
-         && strlen (request->facts.id) < MQ_TURN_ID_MAX;
+         && facts->id != NULL && id_fits (facts->id)
+         && (facts->program == NULL || id_fits (facts->program));
+}
+
+/* What the configuration in force says: goes on by it, or refuses what is
+   wrong under any.  If it lacks the route or the key, which a newer one may
+   have, returns the refusal for when there is no newer one.  */
+static enum mq_refusal
+follow_config (struct mq_request *request)
+{
+  const struct mq_route_table *table = request->router->routes;
+  const struct mq_path_route *route
+      = mq_route_find (table, request->facts.host, request->head->target);
+
+  if (route == NULL)
+    return MQ_REFUSE_NO_ROUTE;
+  switch (request_identify (request, table, route))
+    {
+    case REQUEST_IDENTIFIED:
+      follow_route (request, route);
+      return MQ_REFUSE_NOTHING;
+    case REQUEST_UNIDENTIFIED:
+      return MQ_REFUSE_NO_KEY;
+    case REQUEST_DOUBLY_IDENTIFIED:
+      request_refuse (request, MQ_REFUSE_BAD_REQUEST);
+      return MQ_REFUSE_NOTHING;
+    }
+  return MQ_REFUSE_NOTHING;
 }
 
 static void
 on_confirmed (bool current, void *user)
 {
   struct mq_request *request = user;
-  const struct mq_path_route *route = NULL;
+  enum mq_refusal missing;
 
   request->confirm = NULL;
-  if (request->router->routes != NULL)
-    route = mq_route_find (request->router->routes, request->facts.host,
-                           request->head->target);
-  if (route != NULL)
-    follow_route (request, route);
-  else if (current)
-    request_refuse (request, MQ_REFUSE_NO_ROUTE);
-  else
-    request_refuse (request, MQ_REFUSE_NOT_READY);
+  missing = follow_config (request);
+  if (missing != MQ_REFUSE_NOTHING)
+    request_refuse (request, current ? missing : MQ_REFUSE_NOT_READY);
 }
 
 void
@@ -522,7 +558,7 @@
                   uint64_t arrived_ms)
 {
   struct mq_request *request = talloc_zero (router, struct mq_request);
-  const struct mq_path_route *route;
+  enum mq_refusal missing;
 
   if (request == NULL)
     {
@@ -553,11 +589,11 @@
       request_refuse (request, MQ_REFUSE_NOT_READY);
       return;
     }
-  route = mq_route_find (router->routes, request->facts.host, head->target);
-  if (route == NULL)
+  missing = follow_config (request);
+  if (missing == MQ_REFUSE_NO_KEY && request_key_is_unknown (request))
+    request_refuse (request, missing);
+  else if (missing != MQ_REFUSE_NOTHING)
     request->confirm = mq_config_confirm (router, on_confirmed, request);
-  else
-    follow_route (request, route);
 }
 
 void
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -1,5 +1,5 @@
-/* router_request.h - one request, shared by router_request.c, router_admit.c
-   and router_stream.c only.
+/* router_request.h - one request, shared by router_request.c, router_admit.c,
+   router_identify.c and router_stream.c only.
 
    Needs: router_state.h, router_try.h.  */
 
@@ -17,6 +17,10 @@
  * @body: what the caller sent
  * @table: configuration that the request goes by
  * @service: where it goes
+ * @org: whose request it is, part of @table; NULL: nobody's
+ * @program: id of its program as it is kept; NULL: none
+ * @turn_id: id of its turn as it is kept
+ * @previous: the turn that it continues from, likewise; NULL: none
  * @confirm: question whether the configuration is the newest, NULL: none
  * @service_load: what the workers had when its program was to begin, in
  *                thousandths of what they can do in time, 0: not known
@@ -51,6 +55,10 @@
   const struct mq_path_route *route;
   const struct mq_route_service *service_info;
   const char *service;
+  const struct mq_org *org;
+  const char *program;
+  const char *turn_id;
+  const char *previous;
   struct mq_confirm *confirm;
   uint32_t service_load;
   bool program_late;
@@ -95,6 +103,29 @@
 void request_begin_turn (struct mq_request *request);
 void request_note_served (const struct mq_request *request);
 
+/* router_identify.c */
+
+enum request_identity
+{
+  REQUEST_IDENTIFIED,       /* or no key is asked for */
+  REQUEST_UNIDENTIFIED,     /* no organisation has the key */
+  REQUEST_DOUBLY_IDENTIFIED /* there are two keys */
+};
+
+/* Finds whose request it is by TABLE, and its ids.  */
+enum request_identity request_identify (struct mq_request *request,
+                                        const struct mq_route_table *table,
+                                        const struct mq_path_route *route);
+/* Nothing is gained by asking for a newer configuration for its key.  */
+bool request_key_is_unknown (const struct mq_request *request);
+/* Its key has not been taken away since the request came.
+
+   Failure: a request waits, or is tried again, while its key is taken away,
+   and a worker runs it long after that.  */
+bool request_keeps_key (const struct mq_request *request);
+/* That of its organisation goes before its route's.  */
+uint32_t request_priority (const struct mq_request *request);
+
 /* router_admit.c */
 
 /* Begins the turn, unless it would begin a program that is refused.  */
--- a/src/router/router_send.c
+++ b/src/router/router_send.c
@@ -49,7 +49,7 @@
 static uint32_t
 send_priority (const struct mq_send *send)
 {
-  uint32_t priority = PRIORITY_FIRST + send->route->priority * PRIORITY_STEP;
+  uint32_t priority = PRIORITY_FIRST + send->priority * PRIORITY_STEP;
 
   if (send->engine)
     return PRIORITY_ENGINE;
@@ -65,6 +65,7 @@
     .worker = send->worker,
     .last_event = send->last_event[0] == '\0' ? NULL : send->last_event,
     .priority = send_priority (send),
+    .organisation = send->organisation,
   };
   char *fields = mq_wire_send_fields (ctx, &facts);
 
--- a/src/router/router_send.h
+++ b/src/router/router_send.h
@@ -18,6 +18,8 @@
  * @worker: id of the worker that is meant
  * @last_event: event after which a stream is to go on, "": none
  * @left_ms: time until the final answer
+ * @priority: 0 is the most urgent
+ * @organisation: whose request it is; NULL: nobody's
  * @body_len: bytes of the body that the worker gets
  */
 struct mq_send
@@ -29,6 +31,8 @@
   const char *worker;
   const char *last_event;
   uint32_t left_ms;
+  uint32_t priority;
+  const char *organisation;
   size_t body_len;
 };
 
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -136,10 +136,12 @@
 /* Final answers of our own.  */
 enum mq_refusal
 {
+  MQ_REFUSE_NOTHING, /* no refusal */
   MQ_REFUSE_BAD_REQUEST,
   MQ_REFUSE_HEAD_TOO_LARGE,
   MQ_REFUSE_BODY_TOO_LARGE,
   MQ_REFUSE_SLOW_HEAD,
+  MQ_REFUSE_NO_KEY, /* no organisation has the caller's key */
   MQ_REFUSE_NO_ROUTE,
   MQ_REFUSE_NO_TURN,
   MQ_REFUSE_BUDGET,
@@ -358,6 +360,9 @@
    0: not known.  */
 void mq_config_offer (struct mq_router *router, struct mq_bytes value,
                       uint64_t row);
+/* The platform was asked for its newest configuration within the last MS
+   milliseconds, and it is in force.  */
+bool mq_config_asked_within (const struct mq_router *router, uint32_t ms);
 /* Asks the platform for its newest configuration, takes it into force, then
    tells; never from within this call.  Who asks while a question is under
    way waits for the next one.  */
--- a/src/router/router_wire.h
+++ b/src/router/router_wire.h
@@ -28,6 +28,9 @@
  * @main_line: the turn is of the program's own line, not of a sub-program's
  * @has_left: @left_ms was told
  * @left_ms: time until the program should be finished
+ * @key: of the caller's organisation; NULL: none.  It is a secret: no log
+ *       line, answer or counter holds it
+ * @key_count: keys that were sent
  *
  * Strings live as long as the head that they come from.
  */
@@ -46,6 +49,8 @@
   bool main_line;
   bool has_left;
   uint32_t left_ms;
+  const char *key;
+  size_t key_count;
 };
 
 /**
@@ -75,6 +80,7 @@
  * @worker: id of the worker that is meant
  * @last_event: event after which the stream is to go on; NULL: none
  * @priority: 0 is the most urgent, 9 the least
+ * @organisation: whose request it is; NULL: nobody's
  */
 struct mq_send_facts
 {
@@ -82,6 +88,7 @@
   const char *worker;
   const char *last_event;
   uint32_t priority;
+  const char *organisation;
 };
 
 void mq_wire_read_call (const struct mq_http_head *head,
--- a/tests/includes.sh
+++ b/tests/includes.sh
@@ -2,7 +2,7 @@
 # The folders of src stand in layers, and an include goes to the own folder or
 # to a lower layer.  Modules (NAME.c with NAME.h) in a circle of includes must
 # be listed below; the list may only shrink.
-layers="src/core=1 src/core/text=2 src/core/owner=3 src/core/gate=3
+layers="src/core=1 src/core/organisation=2 src/core/text=2 src/core/owner=3 src/core/gate=3
 src/core/router=3 src/net=4 src/log=5 src/daemon=6 src/entry=7 src/target=7
 src/router=7 src/ctl=8 src/load=9 src=10"
 listed=$(cat tests/include_circles.txt)
--- a/tests/router_site.c
+++ b/tests/router_site.c
@@ -80,20 +80,27 @@
                            ",\"resumable\":true,\"sticky\":true");
   char *kept = route_json (site, "/kept/", "streaming", timeout_ms, "llm",
                            ",\"retain\":true,\"retainS\":60,\"sticky\":true");
+  char *open = route_json (site, "/open/", "idempotent", timeout_ms, "app",
+                           ",\"public\":true");
+  char *organisations
+      = site->organisations == NULL
+            ? talloc_strdup (site, "")
+            : talloc_asprintf (site, ",\"tenants\":%s", site->organisations);
   char *more = extra == NULL ? NULL
                              : route_json (site, extra, "idempotent",
                                            timeout_ms, "app", "");
 
   return talloc_asprintf (
       site,
-      "{\"version\":%d,\"routes\":[%s,%s,%s,%s%s%s%s],\"services\":["
+      "{\"version\":%d,\"routes\":[%s,%s,%s,%s,%s%s%s%s],\"services\":["
       "{\"name\":\"llm\",\"maxConns\":100,\"engine\":{\"batchSize\":4,"
       "\"kvCapacity\":1000,\"tokensPerEvent\":2}},"
       "{\"name\":\"app\",\"maxConns\":100}],"
       "\"limits\":{\"maxHeaderBytes\":2048,\"maxBodyBytes\":4096,"
-      "\"headerTimeoutMs\":300,\"idleTimeoutMs\":%u}}",
-      ++site->config_version, call, once, turn, kept, more == NULL ? "" : ",",
-      more == NULL ? "" : more, more_routes (site, timeout_ms), site->idle_ms);
+      "\"headerTimeoutMs\":300,\"idleTimeoutMs\":%u}%s}",
+      ++site->config_version, call, once, turn, kept, open, more == NULL ? "" : ",",
+      more == NULL ? "" : more, more_routes (site, timeout_ms), site->idle_ms,
+      organisations);
 }
 
 void
@@ -189,6 +196,31 @@
   EDGE_WAIT (site, mq_router_is_ready (site->routers[index]));
 }
 
+static const struct worker_run *
+find_run (const struct worker_server *worker, const char *id)
+{
+  const struct worker_run *found = NULL;
+
+  for (int k = 0; k < worker_server_runs (worker) && k < WORKER_RUNS_MAX; k++)
+    if (strcmp (worker_server_run (worker, k)->id, id) == 0)
+      found = worker_server_run (worker, k);
+  return found;
+}
+
+const struct worker_run *
+edge_run_of (const struct edge_site *site, const char *id)
+{
+  const struct worker_run *found = NULL;
+
+  for (int i = 0; i < EDGE_WORKERS && found == NULL; i++)
+    {
+      found = find_run (site->llm[i], id);
+      if (found == NULL)
+        found = find_run (site->app[i], id);
+    }
+  return found;
+}
+
 int
 edge_runs (const struct edge_site *site, const char *id)
 {
--- a/tests/router_site.h
+++ b/tests/router_site.h
@@ -19,6 +19,7 @@
  * to 2) and "app" (3 to 5)
  * @idle_ms: how long a caller's connection may rest, by the next configuration
  * @more_routes: that many more routes has the next configuration
+ * @organisations: of the next configuration, a list in JSON; NULL: none
  */
 struct edge_site
 {
@@ -34,6 +35,7 @@
   int config_version;
   uint32_t idle_ms;
   uint32_t more_routes;
+  const char *organisations;
   uint32_t clean_after_ms;
 };
 
@@ -46,8 +48,9 @@
 };
 
 /* Routes of host "h.example": /call/ idempotent, /once/ may run once, /turn/
-   streams that may be resumed, /kept/ streams that are retained, all with two
-   attempts; /turn/ and /kept/ lead to "llm", the others to "app".  */
+   streams that may be resumed, /kept/ streams that are retained, /open/
+   idempotent and public, all with two attempts; /turn/ and /kept/ lead to
+   "llm", the others to "app".  */
 struct edge_site *edge_create (void);
 void edge_destroy (struct edge_site *site);
 /* Starts router INDEX and waits until it is ready.  */
@@ -70,6 +73,9 @@
                          const struct worker_server *worker);
 /* Workers 1 and 2 of SERVICE are not listed any more.  */
 void edge_one_worker (struct edge_site *site);
+/* The last run of the request ID at any worker, NULL: none ran it.  */
+const struct worker_run *edge_run_of (const struct edge_site *site,
+                                      const char *id);
 /* How often the workers of "llm" ran the request ID.  */
 int edge_runs (const struct edge_site *site, const char *id);
 /* Runs the event loop for MS milliseconds.  */
--- /dev/null
+++ b/tests/test_organisation.c
@@ -0,0 +1,423 @@
+/* test_organisation.c - whose request it is: keys, organisations and what
+   belongs to them.
+
+   Needs: Criterion, router_site.h, orgs.h, router_wire.h.  */
+
+#include "core/organisation/orgs.h"
+#include "http_peer.h"
+#include "router/router_wire.h"
+#include "router_site.h"
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+#define HOST "Host: h.example\r\n"
+#define KEY(key) "X-Key: " key "\r\n"
+
+/* Keys and organisations on plain values */
+
+/* Many keys, each found for its owner alone; a second owner is refused.  */
+Test (key_set, finds_owners)
+{
+  struct mq_key_set *set = mq_key_set_create (NULL, 7);
+  uint8_t digest[MQ_KEY_BYTES];
+  char key[16];
+
+  for (uint32_t i = 0; i < 1000; i++)
+    {
+      snprintf (key, sizeof key, "key-%u", i);
+      mq_key_digest (key, digest);
+      cr_assert_eq (mq_key_set_find (set, digest), MQ_KEY_NOBODY);
+      cr_assert_eq (mq_key_set_add (set, digest, i / 2), MQ_KEY_ADDED);
+      cr_assert_eq (mq_key_set_add (set, digest, i), MQ_KEY_TAKEN);
+    }
+  for (uint32_t i = 0; i < 1000; i++)
+    {
+      snprintf (key, sizeof key, "key-%u", i);
+      mq_key_digest (key, digest);
+      cr_assert_eq (mq_key_set_find (set, digest), i / 2);
+    }
+  cr_assert_eq (mq_key_set_count (set), 1000);
+  mq_key_set_destroy (set);
+}
+
+/* Eight thousand organisations of four keys stay within 4 MB a host.  */
+Test (orgs, memory_at_size)
+{
+  struct mq_orgs *orgs = mq_orgs_create (NULL, 8000, 7);
+  struct mq_error error = { .type = MQ_ERR_NONE };
+
+  for (uint32_t i = 0; i < 8000; i++)
+    {
+      char name[32];
+      struct mq_org org = { .name = name };
+
+      snprintf (name, sizeof name, "organisation-%u", i);
+      cr_assert_eq (mq_orgs_add (orgs, &org, &error), i);
+      for (uint32_t k = 0; k < 4; k++)
+        {
+          char key[32];
+
+          snprintf (key, sizeof key, "secret-%u-%u", i, k);
+          cr_assert (mq_orgs_add_key (orgs, i, key, &error));
+        }
+    }
+  cr_assert_str_eq (mq_orgs_find_key (orgs, "secret-7999-3")->name,
+                    "organisation-7999");
+  cr_assert_null (mq_orgs_find_key (orgs, "secret-8000-0"));
+  cr_assert_null (mq_orgs_find_key (orgs, NULL));
+  cr_expect_leq (talloc_total_size (orgs), 4U << 20);
+  mq_orgs_destroy (orgs);
+}
+
+/* What the configuration may say of organisations.  A configuration is taken
+   whole or not at all, and no error shows a key.  */
+struct orgs_case
+{
+  const char *list;
+  enum mq_error_type error;
+  const char *subject;
+};
+
+Test (orgs, in_a_configuration)
+{
+  static const struct orgs_case cases[] = {
+    { "[]", MQ_ERR_NONE, "" },
+    { "[{\"name\":\"a\",\"apiKeys\":[\"k\"],\"ratePerS\":2.5,\"burst\":4}]",
+      MQ_ERR_NONE, "" },
+    { "[{\"name\":\"a\"},{\"name\":\"b\",\"apiKeys\":[]}]", MQ_ERR_NONE, "" },
+    { "{}", MQ_ERR_TEXT_BAD_VALUE, "organisations" },
+    { "null", MQ_ERR_TEXT_BAD_VALUE, "organisations" },
+    { "[{}]", MQ_ERR_TEXT_BAD_VALUE, "organisation" },
+    { "[{\"name\":\"a\"},{\"name\":\"a\"}]", MQ_ERR_TEXT_DUPLICATE, "a" },
+    { "[{\"name\":\"a\",\"apiKeys\":[\"hush\",\"hush\"]}]",
+      MQ_ERR_TEXT_DUPLICATE, "a" },
+    { "[{\"name\":\"a\",\"apiKeys\":[\"hush\"]},"
+      "{\"name\":\"b\",\"apiKeys\":[\"hush\"]}]",
+      MQ_ERR_TEXT_DUPLICATE, "b" },
+    { "[{\"name\":\"a\",\"apiKeys\":[\"\"]}]", MQ_ERR_TEXT_BAD_VALUE, "a" },
+    { "[{\"name\":\"a\",\"apiKeys\":[7]}]", MQ_ERR_TEXT_BAD_VALUE, "a" },
+    { "[{\"name\":\"a\",\"apiKeys\":\"hush\"}]", MQ_ERR_TEXT_BAD_VALUE,
+      "apiKeys" },
+    { "[{\"name\":\"a\",\"ratePerS\":\"2\"}]", MQ_ERR_TEXT_BAD_VALUE,
+      "ratePerS" },
+    { "[{\"name\":\"a\",\"ratePerS\":-1}]", MQ_ERR_TEXT_BAD_VALUE,
+      "ratePerS" },
+    { "[{\"name\":\"a\",\"burst\":true}]", MQ_ERR_TEXT_BAD_VALUE, "burst" },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct mq_error error = { .type = MQ_ERR_NONE };
+      char *text = talloc_asprintf (
+          NULL,
+          "{\"version\":1,\"routes\":[],\"services\":[],\"tenants\":%s}",
+          cases[i].list);
+      struct mq_bytes value = { (uint8_t *)text, strlen (text) };
+      struct mq_route_table *table = mq_wire_read_config (text, value, &error);
+
+      cr_expect_eq (error.type, cases[i].error, "%s", cases[i].list);
+      cr_expect_eq (table != NULL, cases[i].error == MQ_ERR_NONE);
+      cr_expect (table == NULL || table->orgs != NULL);
+      cr_expect_str_eq (error.subject, cases[i].subject, "%s", cases[i].list);
+      cr_expect_null (strstr (error.allowed, "hush"));
+      talloc_free (text);
+    }
+}
+
+Test (orgs, limit_and_priority)
+{
+  static const char text[]
+      = "{\"version\":1,\"routes\":[],\"services\":[],\"tenants\":["
+        "{\"name\":\"a\",\"apiKeys\":[\"k\"],\"priority\":0,"
+        "\"ratePerS\":2.5,\"burst\":4},{\"name\":\"b\"}]}";
+  struct mq_bytes value = { (uint8_t *)(uintptr_t)text, sizeof text - 1 };
+  struct mq_error error = { .type = MQ_ERR_NONE };
+  struct mq_route_table *table = mq_wire_read_config (NULL, value, &error);
+  const struct mq_org *a = mq_orgs_find_key (table->orgs, "k");
+  const struct mq_org *b = mq_orgs_find_name (table->orgs, "b");
+
+  cr_assert_str_eq (a->name, "a");
+  cr_assert (a->has_priority);
+  cr_assert_eq (a->priority, 0);
+  cr_assert_eq (a->limit.rate, 2500);
+  cr_assert_eq (a->limit.burst, 4000);
+  cr_assert_not (b->has_priority);
+  cr_assert_eq (b->limit.rate, 0);
+  talloc_free (table);
+}
+
+/* A router between stand-ins */
+
+#define TWO_ORGS                                                              \
+  "[{\"name\":\"acme\",\"apiKeys\":[\"acme-1\",\"acme-2\"],\"priority\":0},"  \
+  "{\"name\":\"bolt\",\"apiKeys\":[\"bolt-1\"]}]"
+#define NEW_KEY                                                               \
+  "[{\"name\":\"acme\",\"apiKeys\":[\"acme-1\",\"acme-2\",\"acme-3\"]},"      \
+  "{\"name\":\"bolt\",\"apiKeys\":[\"bolt-1\"]}]"
+#define ONE_KEY_LESS                                                          \
+  "[{\"name\":\"acme\",\"apiKeys\":[\"acme-2\"]},"                            \
+  "{\"name\":\"bolt\",\"apiKeys\":[\"bolt-1\"]}]"
+
+static struct edge_site *site;
+static struct edge_call call;
+
+static void
+configure (const char *organisations)
+{
+  site->organisations = organisations;
+  edge_configure (site, 3000, NULL);
+}
+
+static void
+set_up (void)
+{
+  site = edge_create ();
+  configure (TWO_ORGS);
+  edge_run (site, 60);
+}
+
+static void
+tear_down (void)
+{
+  edge_destroy (site);
+}
+
+TestSuite (organisation, .init = set_up, .fini = tear_down, .timeout = 120);
+
+/* Who is let in, and what a worker is told of whose request it runs.  */
+struct caller_case
+{
+  const char *name;
+  const char *path;
+  const char *fields;
+  int status;
+  const char *organisation; /* as the worker was told */
+};
+
+Test (organisation, callers)
+{
+  static const struct caller_case cases[] = {
+    { "key", "/call/a", KEY ("acme-1"), 200, "acme" },
+    { "other key", "/call/a", KEY ("acme-2"), 200, "acme" },
+    { "other organisation", "/call/a", KEY ("bolt-1"), 200, "bolt" },
+    { "lower case field", "/call/a", "x-key: bolt-1\r\n", 200, "bolt" },
+    { "no key", "/call/a", "", 401, NULL },
+    { "empty key", "/call/a", "X-Key: \r\n", 401, NULL },
+    { "forged key", "/call/a", KEY ("acme-9"), 401, NULL },
+    { "part of a key", "/call/a", KEY ("acme"), 401, NULL },
+    { "name for a key", "/call/a", KEY ("bolt"), 401, NULL },
+    { "two keys", "/call/a", KEY ("acme-1") KEY ("bolt-1"), 400, NULL },
+    { "the same key twice", "/call/a", KEY ("acme-1") KEY ("acme-1"), 400,
+      NULL },
+    { "says who it is", "/call/a", KEY ("acme-1") "X-Tenant: bolt\r\n", 200,
+      "acme" },
+    { "says so oddly", "/call/a",
+      KEY ("acme-1") "x-tenant: bolt\r\nX-TENANT: bolt\r\n", 200, "acme" },
+    { "says so without a key", "/call/a", "X-Tenant: acme\r\n", 401, NULL },
+    { "public", "/open/a", "", 200, "" },
+    { "public, with a key", "/open/a", KEY ("acme-1"), 200, "" },
+    { "public, says who it is", "/open/a", "X-Tenant: acme\r\n", 200, "" },
+    { "no such route", "/none/a", KEY ("acme-1"), 404, NULL },
+    { "no such route nor key", "/none/a", KEY ("acme-9"), 404, NULL },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      const struct worker_run *run;
+      char id[16];
+      char text[512];
+
+      snprintf (id, sizeof id, "q%zu", i);
+      snprintf (text, sizeof text,
+                "GET %s HTTP/1.1\r\n" HOST "X-Request-Id: %s\r\n%s\r\n",
+                cases[i].path, id, cases[i].fields);
+      cr_expect_eq (edge_ask (site, &call, 0, text), cases[i].status, "%s: %s",
+                    cases[i].name, call.answer);
+      run = edge_run_of (site, id);
+      cr_expect_eq (run != NULL, cases[i].organisation != NULL, "%s",
+                    cases[i].name);
+      if (run == NULL)
+        continue;
+      cr_expect_str_eq (run->organisation, cases[i].organisation, "%s",
+                        cases[i].name);
+      cr_expect_str_eq (run->key, "", "%s", cases[i].name);
+    }
+}
+
+static int
+ask (int router, const char *id, const char *key)
+{
+  char text[256];
+
+  snprintf (text, sizeof text,
+            "GET /call/a HTTP/1.1\r\n" HOST "X-Request-Id: %s\r\nX-Key: %s\r\n"
+            "\r\n",
+            id, key);
+  return edge_ask (site, &call, router, text);
+}
+
+/* An organisation's priority goes before that of the route, 1 here.  */
+Test (organisation, priority)
+{
+  cr_assert_eq (ask (0, "q1", "acme-1"), 200);
+  cr_assert_eq (ask (0, "q2", "bolt-1"), 200);
+  cr_assert_lt (atoi (edge_run_of (site, "q1")->priority),
+                atoi (edge_run_of (site, "q2")->priority));
+}
+
+/* A key was just added, and this host's feed has not told it yet: its caller
+   is not turned away for good.  */
+Test (organisation, new_key_is_asked_for)
+{
+  rows_server_fault (site->rows, ROWS_SLOW_FEED);
+  configure (NEW_KEY);
+  cr_assert_eq (ask (0, "q1", "acme-3"), 200);
+}
+
+/* Whether a key is known can't be told: a promise that it has not run, and not
+   that there is no such key.  */
+Test (organisation, unknown_key_while_the_table_is_away)
+{
+  rows_server_fault (site->rows, ROWS_REFUSING);
+  cr_assert_eq (ask (0, "q1", "acme-9"), 503);
+  cr_assert_eq (ask (0, "q2", "acme-1"), 200);
+}
+
+#define FORGED 20
+
+/* Forged keys in a row must not make the host read the configuration as many
+   times.  */
+Test (organisation, forged_keys_cost_few_reads)
+{
+  size_t before = rows_server_reads (site->rows);
+
+  for (int i = 0; i < FORGED; i++)
+    {
+      char key[16];
+
+      snprintf (key, sizeof key, "forged-%d", i);
+      cr_assert_eq (ask (0, "q1", key), 401);
+    }
+  cr_assert_lt (rows_server_reads (site->rows) - before, FORGED / 2);
+}
+
+/* A key is taken away while its caller's connection stays open.  */
+Test (organisation, key_is_taken_away)
+{
+  static const char text[] = "GET /call/a HTTP/1.1\r\n" HOST
+                             "X-Request-Id: q1\r\n" KEY ("acme-1") "\r\n";
+
+  edge_call (site, &call, 0, text);
+  edge_wait (site, &call, 1);
+  cr_assert_not_null (strstr (call.answer, "HTTP/1.1 200"));
+  configure (ONE_KEY_LESS);
+  edge_run (site, 60);
+  raw_send (call.fd, text, strlen (text));
+  edge_wait (site, &call, 2);
+  cr_assert_not_null (strstr (call.answer, "HTTP/1.1 401"));
+  edge_hang_up (&call);
+  cr_assert_eq (ask (0, "q2", "acme-2"), 200);
+}
+
+/* A request waits for the record of its program while its key is taken away;
+   no worker may run it then.  */
+Test (organisation, key_is_taken_away_from_a_request_that_waits)
+{
+  static const char text[]
+      = "POST /kept/a HTTP/1.1\r\n" HOST "X-Request-Id: w1\r\n" KEY ("acme-1")
+          "X-Program-Id: p\r\nX-Token-Budget: 80\r\nX-Token-Count: 10,8\r\n"
+          "Content-Length: 0\r\n\r\n";
+
+  rows_server_fault (site->rows, ROWS_LATE);
+  edge_call (site, &call, 0, text);
+  edge_run (site, 30);
+  configure (ONE_KEY_LESS);
+  edge_run (site, 60);
+  rows_server_fault (site->rows, ROWS_WELL);
+  rows_server_do_late (site->rows);
+  edge_wait (site, &call, 1);
+  cr_assert_null (strstr (call.answer, "HTTP/1.1 200"), "%s", call.answer);
+  cr_assert_null (edge_run_of (site, "w1"));
+  edge_hang_up (&call);
+}
+
+/* Histories and budgets */
+
+static int
+ask_turn (int router, const char *id, const char *key, const char *program,
+          const char *previous, const char *body)
+{
+  char text[512];
+
+  snprintf (text, sizeof text,
+            "POST /kept/a HTTP/1.1\r\n" HOST "X-Request-Id: %s\r\n"
+            "X-Key: %s\r\nX-Program-Id: %s\r\nX-Session-Id: %s\r\n"
+            "X-Token-Budget: 24\r\nX-Token-Count: 10,8\r\n%s%s%s"
+            "Content-Length: %zu\r\n\r\n%s",
+            id, key, program, program,
+            previous == NULL ? "" : "X-Previous-Turn: ",
+            previous == NULL ? "" : previous, previous == NULL ? "" : "\r\n",
+            strlen (body), body);
+  return edge_ask (site, &call, router, text);
+}
+
+/* A turn that another organisation made is not there, from memory, from the
+   table and from another host; its own continues.  */
+Test (organisation, history_stays_with_its_owner)
+{
+  char *none;
+
+  cr_assert_eq (ask_turn (0, "t1", "acme-1", "p", NULL, "one;"), 200);
+  cr_assert_eq (ask_turn (0, "t9", "bolt-1", "q", "t0", "x"), 404);
+  none = talloc_strdup (site, call.answer);
+  cr_assert_eq (ask_turn (0, "t2", "bolt-1", "q", "t1", "x"), 404);
+  cr_assert_str_eq (call.answer, none);
+  edge_start (site, 1);
+  cr_assert_eq (ask_turn (1, "t3", "bolt-1", "q", "t1", "x"), 404);
+  cr_assert_eq (ask_turn (1, "t4", "acme-2", "p", "t1", "two;"), 200);
+  cr_assert_str_eq (edge_run_of (site, "t4")->body, "one;e1\ne2\ne3\ne4\n"
+                                                    "two;");
+  cr_assert_null (edge_run_of (site, "t2"));
+  cr_assert_null (edge_run_of (site, "t3"));
+}
+
+/* Two organisations name a program alike: what one spends the other keeps.
+   A turn takes 8 tokens of 24.  */
+Test (organisation, budgets_are_not_shared)
+{
+  static const char *const keys[] = { "acme-1", "bolt-1" };
+
+  for (size_t k = 0; k < ROWS (keys); k++)
+    {
+      char id[16];
+
+      for (int i = 0; i < 3; i++)
+        {
+          snprintf (id, sizeof id, "b%zu%d", k, i);
+          cr_expect_eq (ask_turn (0, id, keys[k], "p", NULL, "x"), 200, "%s",
+                        call.answer);
+        }
+      snprintf (id, sizeof id, "e%zu", k);
+      cr_expect_eq (ask_turn (0, id, keys[k], "p", NULL, "x"), 402);
+    }
+}
+
+/* A caller without an organisation can't name its way into another's program:
+   ids are kept under a scope in any case.  */
+Test (organisation, scope_of_nobody)
+{
+  TALLOC_CTX *ctx = talloc_new (NULL);
+  struct mq_orgs *orgs = mq_orgs_create (ctx, 1, 7);
+  struct mq_org org = { .name = "acme" };
+  struct mq_error error = { .type = MQ_ERR_NONE };
+  char *inside;
+
+  cr_assert_eq (mq_orgs_add (orgs, &org, &error), 0);
+  inside = mq_org_scope (ctx, mq_orgs_find_name (orgs, "acme"), "p");
+  cr_assert_str_neq (mq_org_scope (ctx, NULL, inside), inside);
+  cr_assert_str_neq (mq_org_scope (ctx, NULL, "p"), inside);
+  talloc_free (ctx);
+}
