--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -457,6 +457,186 @@
   assert(message->base.descriptor == &mqrelay__loan_back__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mqrelay__quota_want__init
+                     (Mqrelay__QuotaWant         *message)
+{
+  static const Mqrelay__QuotaWant init_value = MQRELAY__QUOTA_WANT__INIT;
+  *message = init_value;
+}
+size_t mqrelay__quota_want__get_packed_size
+                     (const Mqrelay__QuotaWant *message)
+{
+  assert(message->base.descriptor == &mqrelay__quota_want__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqrelay__quota_want__pack
+                     (const Mqrelay__QuotaWant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqrelay__quota_want__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqrelay__quota_want__pack_to_buffer
+                     (const Mqrelay__QuotaWant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqrelay__quota_want__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqrelay__QuotaWant *
+       mqrelay__quota_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqrelay__QuotaWant *)
+     protobuf_c_message_unpack (&mqrelay__quota_want__descriptor,
+                                allocator, len, data);
+}
+void   mqrelay__quota_want__free_unpacked
+                     (Mqrelay__QuotaWant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqrelay__quota_want__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mqrelay__quota_ask__init
+                     (Mqrelay__QuotaAsk         *message)
+{
+  static const Mqrelay__QuotaAsk init_value = MQRELAY__QUOTA_ASK__INIT;
+  *message = init_value;
+}
+size_t mqrelay__quota_ask__get_packed_size
+                     (const Mqrelay__QuotaAsk *message)
+{
+  assert(message->base.descriptor == &mqrelay__quota_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqrelay__quota_ask__pack
+                     (const Mqrelay__QuotaAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqrelay__quota_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqrelay__quota_ask__pack_to_buffer
+                     (const Mqrelay__QuotaAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqrelay__quota_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqrelay__QuotaAsk *
+       mqrelay__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqrelay__QuotaAsk *)
+     protobuf_c_message_unpack (&mqrelay__quota_ask__descriptor,
+                                allocator, len, data);
+}
+void   mqrelay__quota_ask__free_unpacked
+                     (Mqrelay__QuotaAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqrelay__quota_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mqrelay__quota_gift__init
+                     (Mqrelay__QuotaGift         *message)
+{
+  static const Mqrelay__QuotaGift init_value = MQRELAY__QUOTA_GIFT__INIT;
+  *message = init_value;
+}
+size_t mqrelay__quota_gift__get_packed_size
+                     (const Mqrelay__QuotaGift *message)
+{
+  assert(message->base.descriptor == &mqrelay__quota_gift__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqrelay__quota_gift__pack
+                     (const Mqrelay__QuotaGift *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqrelay__quota_gift__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqrelay__quota_gift__pack_to_buffer
+                     (const Mqrelay__QuotaGift *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqrelay__quota_gift__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqrelay__QuotaGift *
+       mqrelay__quota_gift__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqrelay__QuotaGift *)
+     protobuf_c_message_unpack (&mqrelay__quota_gift__descriptor,
+                                allocator, len, data);
+}
+void   mqrelay__quota_gift__free_unpacked
+                     (Mqrelay__QuotaGift *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqrelay__quota_gift__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mqrelay__quota_told__init
+                     (Mqrelay__QuotaTold         *message)
+{
+  static const Mqrelay__QuotaTold init_value = MQRELAY__QUOTA_TOLD__INIT;
+  *message = init_value;
+}
+size_t mqrelay__quota_told__get_packed_size
+                     (const Mqrelay__QuotaTold *message)
+{
+  assert(message->base.descriptor == &mqrelay__quota_told__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqrelay__quota_told__pack
+                     (const Mqrelay__QuotaTold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqrelay__quota_told__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqrelay__quota_told__pack_to_buffer
+                     (const Mqrelay__QuotaTold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqrelay__quota_told__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqrelay__QuotaTold *
+       mqrelay__quota_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqrelay__QuotaTold *)
+     protobuf_c_message_unpack (&mqrelay__quota_told__descriptor,
+                                allocator, len, data);
+}
+void   mqrelay__quota_told__free_unpacked
+                     (Mqrelay__QuotaTold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqrelay__quota_told__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mqrelay__frame__init
                      (Mqrelay__Frame         *message)
 {
@@ -1311,7 +1491,432 @@
   (ProtobufCMessageInit) mqrelay__loan_back__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__frame__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mqrelay__quota_want__field_descriptors[7] =
+{
+  {
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaWant, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "need",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaWant, need),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begins",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaWant, begins),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ahead",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaWant, ahead),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unused",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaWant, unused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "surrendered",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaWant, surrendered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holds",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaWant, holds),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqrelay__quota_want__field_indices_by_name[] = {
+  3,   /* field[3] = ahead */
+  2,   /* field[2] = begins */
+  6,   /* field[6] = holds */
+  1,   /* field[1] = need */
+  0,   /* field[0] = organisation */
+  5,   /* field[5] = surrendered */
+  4,   /* field[4] = unused */
+};
+static const ProtobufCIntRange mqrelay__quota_want__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor mqrelay__quota_want__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqrelay.QuotaWant",
+  "QuotaWant",
+  "Mqrelay__QuotaWant",
+  "mqrelay",
+  sizeof(Mqrelay__QuotaWant),
+  7,
+  mqrelay__quota_want__field_descriptors,
+  mqrelay__quota_want__field_indices_by_name,
+  1,  mqrelay__quota_want__number_ranges,
+  (ProtobufCMessageInit) mqrelay__quota_want__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mqrelay__quota_ask__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaAsk, host),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaAsk, heard_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaAsk, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wants",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mqrelay__QuotaAsk, n_wants),
+    offsetof(Mqrelay__QuotaAsk, wants),
+    &mqrelay__quota_want__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqrelay__quota_ask__field_indices_by_name[] = {
+  2,   /* field[2] = heard_ms */
+  1,   /* field[1] = host */
+  0,   /* field[0] = id */
+  3,   /* field[3] = server */
+  4,   /* field[4] = wants */
+};
+static const ProtobufCIntRange mqrelay__quota_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mqrelay__quota_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqrelay.QuotaAsk",
+  "QuotaAsk",
+  "Mqrelay__QuotaAsk",
+  "mqrelay",
+  sizeof(Mqrelay__QuotaAsk),
+  5,
+  mqrelay__quota_ask__field_descriptors,
+  mqrelay__quota_ask__field_indices_by_name,
+  1,  mqrelay__quota_ask__number_ranges,
+  (ProtobufCMessageInit) mqrelay__quota_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mqrelay__quota_gift__field_descriptors[9] =
+{
+  {
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaGift, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unknown",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaGift, unknown),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "need",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaGift, need),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begins",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaGift, begins),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ahead",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaGift, ahead),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaGift, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "empty",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaGift, empty),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "standing",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaGift, standing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "standing_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaGift, standing_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqrelay__quota_gift__field_indices_by_name[] = {
+  4,   /* field[4] = ahead */
+  3,   /* field[3] = begins */
+  6,   /* field[6] = empty */
+  2,   /* field[2] = need */
+  0,   /* field[0] = organisation */
+  5,   /* field[5] = retry_ms */
+  7,   /* field[7] = standing */
+  8,   /* field[8] = standing_ms */
+  1,   /* field[1] = unknown */
+};
+static const ProtobufCIntRange mqrelay__quota_gift__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor mqrelay__quota_gift__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqrelay.QuotaGift",
+  "QuotaGift",
+  "Mqrelay__QuotaGift",
+  "mqrelay",
+  sizeof(Mqrelay__QuotaGift),
+  9,
+  mqrelay__quota_gift__field_descriptors,
+  mqrelay__quota_gift__field_indices_by_name,
+  1,  mqrelay__quota_gift__number_ranges,
+  (ProtobufCMessageInit) mqrelay__quota_gift__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mqrelay__quota_told__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaTold, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaTold, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "told_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaTold, told_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gifts",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mqrelay__QuotaTold, n_gifts),
+    offsetof(Mqrelay__QuotaTold, gifts),
+    &mqrelay__quota_gift__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqrelay__quota_told__field_indices_by_name[] = {
+  3,   /* field[3] = gifts */
+  0,   /* field[0] = id */
+  1,   /* field[1] = server */
+  2,   /* field[2] = told_ms */
+};
+static const ProtobufCIntRange mqrelay__quota_told__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mqrelay__quota_told__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqrelay.QuotaTold",
+  "QuotaTold",
+  "Mqrelay__QuotaTold",
+  "mqrelay",
+  sizeof(Mqrelay__QuotaTold),
+  4,
+  mqrelay__quota_told__field_descriptors,
+  mqrelay__quota_told__field_indices_by_name,
+  1,  mqrelay__quota_told__number_ranges,
+  (ProtobufCMessageInit) mqrelay__quota_told__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mqrelay__frame__field_descriptors[9] =
 {
   {
     "ask",
@@ -1397,12 +2002,38 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_ask",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mqrelay__Frame, body_case),
+    offsetof(Mqrelay__Frame, quota_ask),
+    &mqrelay__quota_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_told",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mqrelay__Frame, body_case),
+    offsetof(Mqrelay__Frame, quota_told),
+    &mqrelay__quota_told__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__frame__field_indices_by_name[] = {
   0,   /* field[0] = ask */
   4,   /* field[4] = loan_ask */
   6,   /* field[6] = loan_back */
   5,   /* field[5] = loan_told */
+  7,   /* field[7] = quota_ask */
+  8,   /* field[8] = quota_told */
   3,   /* field[3] = state */
   2,   /* field[2] = sync */
   1,   /* field[1] = told */
@@ -1410,7 +2041,7 @@
 static const ProtobufCIntRange mqrelay__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mqrelay__frame__descriptor =
 {
@@ -1420,7 +2051,7 @@
   "Mqrelay__Frame",
   "mqrelay",
   sizeof(Mqrelay__Frame),
-  7,
+  9,
   mqrelay__frame__field_descriptors,
   mqrelay__frame__field_indices_by_name,
   1,  mqrelay__frame__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -25,6 +25,10 @@
 typedef struct Mqrelay__LoanAsk Mqrelay__LoanAsk;
 typedef struct Mqrelay__LoanTold Mqrelay__LoanTold;
 typedef struct Mqrelay__LoanBack Mqrelay__LoanBack;
+typedef struct Mqrelay__QuotaWant Mqrelay__QuotaWant;
+typedef struct Mqrelay__QuotaAsk Mqrelay__QuotaAsk;
+typedef struct Mqrelay__QuotaGift Mqrelay__QuotaGift;
+typedef struct Mqrelay__QuotaTold Mqrelay__QuotaTold;
 typedef struct Mqrelay__Frame Mqrelay__Frame;
 
 
@@ -241,6 +245,111 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * What a host wants of an organisation's limit.
+ */
+struct  Mqrelay__QuotaWant
+{
+  ProtobufCMessage base;
+  char *organisation;
+  /*
+   * permits for requests that wait
+   */
+  uint32_t need;
+  /*
+   * for first requests of programs
+   */
+  uint32_t begins;
+  /*
+   * for requests to come
+   */
+  uint32_t ahead;
+  /*
+   * permits that are given back
+   */
+  uint32_t unused;
+  /*
+   * thousandths of a request a second, and @holds
+   */
+  uint64_t surrendered;
+  uint64_t holds;
+};
+#define MQRELAY__QUOTA_WANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqrelay__quota_want__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * To the host that issues the permits; also without wants, to be in contact.
+ */
+struct  Mqrelay__QuotaAsk
+{
+  ProtobufCMessage base;
+  /*
+   * of the question, for QuotaTold
+   */
+  uint64_t id;
+  /*
+   * names this run of the asker
+   */
+  uint64_t host;
+  /*
+   * told_ms of what was heard last from @server
+   */
+  uint64_t heard_ms;
+  uint64_t server;
+  size_t n_wants;
+  Mqrelay__QuotaWant **wants;
+};
+#define MQRELAY__QUOTA_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqrelay__quota_ask__descriptor) \
+    , 0, 0, 0, 0, 0,NULL }
+
+
+struct  Mqrelay__QuotaGift
+{
+  ProtobufCMessage base;
+  char *organisation;
+  /*
+   * this host does not issue for it
+   */
+  protobuf_c_boolean unknown;
+  uint32_t need;
+  uint32_t begins;
+  uint32_t ahead;
+  uint32_t retry_ms;
+  protobuf_c_boolean empty;
+  /*
+   * thousandths of a request a second
+   */
+  uint64_t standing;
+  uint32_t standing_ms;
+};
+#define MQRELAY__QUOTA_GIFT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqrelay__quota_gift__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Mqrelay__QuotaTold
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * names this run of the issuer
+   */
+  uint64_t server;
+  /*
+   * by its own clock
+   */
+  uint64_t told_ms;
+  size_t n_gifts;
+  Mqrelay__QuotaGift **gifts;
+};
+#define MQRELAY__QUOTA_TOLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqrelay__quota_told__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
 typedef enum {
   MQRELAY__FRAME__BODY__NOT_SET = 0,
   MQRELAY__FRAME__BODY_ASK = 1,
@@ -249,7 +358,9 @@
   MQRELAY__FRAME__BODY_STATE = 4,
   MQRELAY__FRAME__BODY_LOAN_ASK = 5,
   MQRELAY__FRAME__BODY_LOAN_TOLD = 6,
-  MQRELAY__FRAME__BODY_LOAN_BACK = 7
+  MQRELAY__FRAME__BODY_LOAN_BACK = 7,
+  MQRELAY__FRAME__BODY_QUOTA_ASK = 8,
+  MQRELAY__FRAME__BODY_QUOTA_TOLD = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MQRELAY__FRAME__BODY__CASE)
 } Mqrelay__Frame__BodyCase;
 
@@ -265,6 +376,8 @@
     Mqrelay__LoanAsk *loan_ask;
     Mqrelay__LoanTold *loan_told;
     Mqrelay__LoanBack *loan_back;
+    Mqrelay__QuotaAsk *quota_ask;
+    Mqrelay__QuotaTold *quota_told;
   };
 };
 #define MQRELAY__FRAME__INIT \
@@ -462,6 +575,82 @@
 void   mqrelay__loan_back__free_unpacked
                      (Mqrelay__LoanBack *message,
                       ProtobufCAllocator *allocator);
+/* Mqrelay__QuotaWant methods */
+void   mqrelay__quota_want__init
+                     (Mqrelay__QuotaWant         *message);
+size_t mqrelay__quota_want__get_packed_size
+                     (const Mqrelay__QuotaWant   *message);
+size_t mqrelay__quota_want__pack
+                     (const Mqrelay__QuotaWant   *message,
+                      uint8_t             *out);
+size_t mqrelay__quota_want__pack_to_buffer
+                     (const Mqrelay__QuotaWant   *message,
+                      ProtobufCBuffer     *buffer);
+Mqrelay__QuotaWant *
+       mqrelay__quota_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqrelay__quota_want__free_unpacked
+                     (Mqrelay__QuotaWant *message,
+                      ProtobufCAllocator *allocator);
+/* Mqrelay__QuotaAsk methods */
+void   mqrelay__quota_ask__init
+                     (Mqrelay__QuotaAsk         *message);
+size_t mqrelay__quota_ask__get_packed_size
+                     (const Mqrelay__QuotaAsk   *message);
+size_t mqrelay__quota_ask__pack
+                     (const Mqrelay__QuotaAsk   *message,
+                      uint8_t             *out);
+size_t mqrelay__quota_ask__pack_to_buffer
+                     (const Mqrelay__QuotaAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Mqrelay__QuotaAsk *
+       mqrelay__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqrelay__quota_ask__free_unpacked
+                     (Mqrelay__QuotaAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Mqrelay__QuotaGift methods */
+void   mqrelay__quota_gift__init
+                     (Mqrelay__QuotaGift         *message);
+size_t mqrelay__quota_gift__get_packed_size
+                     (const Mqrelay__QuotaGift   *message);
+size_t mqrelay__quota_gift__pack
+                     (const Mqrelay__QuotaGift   *message,
+                      uint8_t             *out);
+size_t mqrelay__quota_gift__pack_to_buffer
+                     (const Mqrelay__QuotaGift   *message,
+                      ProtobufCBuffer     *buffer);
+Mqrelay__QuotaGift *
+       mqrelay__quota_gift__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqrelay__quota_gift__free_unpacked
+                     (Mqrelay__QuotaGift *message,
+                      ProtobufCAllocator *allocator);
+/* Mqrelay__QuotaTold methods */
+void   mqrelay__quota_told__init
+                     (Mqrelay__QuotaTold         *message);
+size_t mqrelay__quota_told__get_packed_size
+                     (const Mqrelay__QuotaTold   *message);
+size_t mqrelay__quota_told__pack
+                     (const Mqrelay__QuotaTold   *message,
+                      uint8_t             *out);
+size_t mqrelay__quota_told__pack_to_buffer
+                     (const Mqrelay__QuotaTold   *message,
+                      ProtobufCBuffer     *buffer);
+Mqrelay__QuotaTold *
+       mqrelay__quota_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqrelay__quota_told__free_unpacked
+                     (Mqrelay__QuotaTold *message,
+                      ProtobufCAllocator *allocator);
 /* Mqrelay__Frame methods */
 void   mqrelay__frame__init
                      (Mqrelay__Frame         *message);
@@ -513,6 +702,18 @@
 typedef void (*Mqrelay__LoanBack_Closure)
                  (const Mqrelay__LoanBack *message,
                   void *closure_data);
+typedef void (*Mqrelay__QuotaWant_Closure)
+                 (const Mqrelay__QuotaWant *message,
+                  void *closure_data);
+typedef void (*Mqrelay__QuotaAsk_Closure)
+                 (const Mqrelay__QuotaAsk *message,
+                  void *closure_data);
+typedef void (*Mqrelay__QuotaGift_Closure)
+                 (const Mqrelay__QuotaGift *message,
+                  void *closure_data);
+typedef void (*Mqrelay__QuotaTold_Closure)
+                 (const Mqrelay__QuotaTold *message,
+                  void *closure_data);
 typedef void (*Mqrelay__Frame_Closure)
                  (const Mqrelay__Frame *message,
                   void *closure_data);
@@ -532,6 +733,10 @@
 extern const ProtobufCMessageDescriptor mqrelay__loan_ask__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__loan_told__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__loan_back__descriptor;
+extern const ProtobufCMessageDescriptor mqrelay__quota_want__descriptor;
+extern const ProtobufCMessageDescriptor mqrelay__quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor mqrelay__quota_gift__descriptor;
+extern const ProtobufCMessageDescriptor mqrelay__quota_told__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/proto/turn.pb-c.c
+++ b/proto/turn.pb-c.c
@@ -328,7 +328,7 @@
   (ProtobufCMessageInit) mqturn__budget_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqturn__reserve_row__field_descriptors[2] =
+static const ProtobufCFieldDescriptor mqturn__reserve_row__field_descriptors[3] =
 {
   {
     "holder",
@@ -354,15 +354,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mqturn__ReserveRow, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqturn__reserve_row__field_indices_by_name[] = {
+  2,   /* field[2] = address */
   0,   /* field[0] = holder */
   1,   /* field[1] = until_ms */
 };
 static const ProtobufCIntRange mqturn__reserve_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor mqturn__reserve_row__descriptor =
 {
@@ -372,7 +385,7 @@
   "Mqturn__ReserveRow",
   "mqturn",
   sizeof(Mqturn__ReserveRow),
-  2,
+  3,
   mqturn__reserve_row__field_descriptors,
   mqturn__reserve_row__field_indices_by_name,
   1,  mqturn__reserve_row__number_ranges,
--- a/proto/turn.pb-c.h
+++ b/proto/turn.pb-c.h
@@ -78,10 +78,14 @@
    * by the table's clock
    */
   uint64_t until_ms;
+  /*
+   * where other hosts reach it, "IP:PORT"
+   */
+  char *address;
 };
 #define MQTURN__RESERVE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqturn__reserve_row__descriptor) \
-    , 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/src/core/router/reserve.c
+++ b/src/core/router/reserve.c
@@ -9,28 +9,42 @@
 /**
  * struct slot - what is known of a slot
  * @version: of its row, 0: there is none
- * @holds_until_ms: by this host's clock, 0: the lease is another one's
+ * @own: until_ms 0: the lease is another one's
  */
 struct slot
 {
   struct mq_reserve_lease lease;
   uint64_t version;
-  uint64_t holds_until_ms;
+  struct mq_reserve_own own;
 };
 
 struct mq_reserve
 {
   uint64_t holder;
+  char address[MQ_RESERVE_ADDRESS_MAX];
   struct slot slots[MQ_RESERVE_SLOTS];
 };
 
+static void
+copy_address (char to[MQ_RESERVE_ADDRESS_MAX], const char *address)
+{
+  size_t len = strlen (address);
+
+  if (len >= MQ_RESERVE_ADDRESS_MAX)
+    len = 0;
+  memcpy (to, address, len);
+  to[len] = '\0';
+}
+
 struct mq_reserve *
-mq_reserve_create (TALLOC_CTX *ctx, uint64_t holder)
+mq_reserve_create (TALLOC_CTX *ctx, uint64_t holder, const char *address)
 {
   struct mq_reserve *reserve = talloc_zero (ctx, struct mq_reserve);
 
-  if (reserve != NULL)
-    reserve->holder = holder;
+  if (reserve == NULL)
+    return NULL;
+  reserve->holder = holder;
+  copy_address (reserve->address, address);
   return reserve;
 }
 
@@ -41,6 +55,29 @@
                     % MQ_RESERVE_SLOTS);
 }
 
+/* A run of a host ends before the next one begins, so it may take over at
+   once what an earlier one had; what that one gave away it does not know.  */
+static bool
+is_earlier_run (const struct mq_reserve *reserve,
+                const struct mq_reserve_lease *lease)
+{
+  return lease->holder != reserve->holder && lease->holder != 0
+         && lease->address[0] != '\0'
+         && strcmp (lease->address, reserve->address) == 0;
+}
+
+static void
+begin_own (const struct mq_reserve *reserve, struct slot *at,
+           struct mq_reserve_moment moment)
+{
+  uint64_t earlier = at->lease.until_ms + MQ_RESERVE_MARGIN_MS;
+
+  at->own.since_ms = moment.asked_ms;
+  at->own.inherited_ms = 0;
+  if (is_earlier_run (reserve, &at->lease) && earlier > moment.table_ms)
+    at->own.inherited_ms = moment.asked_ms + earlier - moment.table_ms;
+}
+
 void
 mq_reserve_read (struct mq_reserve *reserve, uint32_t slot,
                  struct mq_reserve_lease lease, uint64_t version,
@@ -51,15 +88,19 @@
                       ? lease.until_ms - moment.table_ms
                       : 0;
 
+  if (lease.holder != reserve->holder)
+    at->own = (struct mq_reserve_own){ 0, 0, 0 };
+  else if (at->own.until_ms == 0 || at->own.until_ms < moment.asked_ms)
+    begin_own (reserve, at, moment);
+  if (lease.holder == reserve->holder)
+    at->own.until_ms = moment.asked_ms + left;
   at->lease = lease;
   at->version = version;
-  at->holds_until_ms
-      = lease.holder == reserve->holder ? moment.asked_ms + left : 0;
 }
 
 uint32_t
-mq_reserve_own (const struct mq_reserve *reserve,
-                uint32_t slots[MQ_RESERVE_SLOTS])
+mq_reserve_owned (const struct mq_reserve *reserve,
+                  uint32_t slots[MQ_RESERVE_SLOTS])
 {
   uint32_t count = 0;
 
@@ -70,9 +111,10 @@
 }
 
 static bool
-is_free (const struct slot *slot, uint64_t table_ms)
+is_free (const struct mq_reserve *reserve, const struct slot *slot,
+         uint64_t table_ms)
 {
-  return slot->lease.holder == 0
+  return slot->lease.holder == 0 || is_earlier_run (reserve, &slot->lease)
          || slot->lease.until_ms + MQ_RESERVE_MARGIN_MS < table_ms;
 }
 
@@ -88,13 +130,18 @@
 uint32_t
 mq_reserve_free (const struct mq_reserve *reserve,
                  struct mq_reserve_moment moment, size_t hosts,
-                 uint64_t random, uint32_t slots[MQ_RESERVE_CLAIM])
+                 uint64_t random, uint32_t slots[MQ_RESERVE_SLOTS])
 {
   uint32_t own[MQ_RESERVE_SLOTS];
-  uint32_t owned = mq_reserve_own (reserve, own);
+  uint32_t owned = mq_reserve_owned (reserve, own);
   uint32_t share = share_of (hosts);
   uint32_t count = 0;
 
+  for (uint32_t i = 0; i < MQ_RESERVE_SLOTS; i++)
+    if (is_earlier_run (reserve, &reserve->slots[i].lease))
+      slots[count++] = i;
+  if (count > 0)
+    return count;
   for (uint32_t i = 0; i < MQ_RESERVE_SLOTS; i++)
     {
       uint32_t at = (uint32_t)((random + i) % MQ_RESERVE_SLOTS);
@@ -102,7 +149,7 @@
       if (count == MQ_RESERVE_CLAIM || owned + count >= share)
         break;
       if (reserve->slots[at].lease.holder != reserve->holder
-          && is_free (&reserve->slots[at], moment.table_ms))
+          && is_free (reserve, &reserve->slots[at], moment.table_ms))
         slots[count++] = at;
     }
   return count;
@@ -112,8 +159,11 @@
 mq_reserve_next (const struct mq_reserve *reserve,
                  struct mq_reserve_moment moment)
 {
-  return (struct mq_reserve_lease){ reserve->holder,
-                                    moment.table_ms + MQ_RESERVE_LEASE_MS };
+  struct mq_reserve_lease lease
+      = { reserve->holder, moment.table_ms + MQ_RESERVE_LEASE_MS, "" };
+
+  copy_address (lease.address, reserve->address);
+  return lease;
 }
 
 uint64_t
@@ -126,5 +176,21 @@
 mq_reserve_holds (const struct mq_reserve *reserve, uint32_t slot,
                   uint64_t now_ms)
 {
-  return now_ms < reserve->slots[slot].holds_until_ms;
+  const struct mq_reserve_own *own = &reserve->slots[slot].own;
+
+  return now_ms < own->until_ms && now_ms >= own->inherited_ms;
+}
+
+bool
+mq_reserve_has (const struct mq_reserve *reserve, uint32_t slot,
+                uint64_t now_ms, struct mq_reserve_own *own)
+{
+  *own = reserve->slots[slot].own;
+  return now_ms < own->until_ms;
+}
+
+const struct mq_reserve_lease *
+mq_reserve_lease_of (const struct mq_reserve *reserve, uint32_t slot)
+{
+  return &reserve->slots[slot].lease;
 }
--- a/src/core/router/reserve.h
+++ b/src/core/router/reserve.h
@@ -36,15 +36,34 @@
 
 struct mq_reserve;
 
+/* Bytes of "IP:PORT", terminator included.  */
+#define MQ_RESERVE_ADDRESS_MAX 32U
+
 /**
  * struct mq_reserve_lease - a slot's row
  * @holder: number of the host's run that has it, 0: none
  * @until_ms: by the table's clock
+ * @address: where other hosts reach the holder, "": not told
  */
 struct mq_reserve_lease
 {
   uint64_t holder;
   uint64_t until_ms;
+  char address[MQ_RESERVE_ADDRESS_MAX];
+};
+
+/**
+ * struct mq_reserve_own - a slot's lease that this host has, by its own clock
+ * @since_ms: it has it since then
+ * @until_ms: and until then
+ * @inherited_ms: until then an earlier run of this host would have had it, 0:
+ *                none had
+ */
+struct mq_reserve_own
+{
+  uint64_t since_ms;
+  uint64_t until_ms;
+  uint64_t inherited_ms;
 };
 
 /**
@@ -58,30 +77,40 @@
   uint64_t table_ms;
 };
 
-/* HOLDER names this run of the host, never 0.  */
-struct mq_reserve *mq_reserve_create (TALLOC_CTX *ctx, uint64_t holder);
+/* HOLDER names this run of the host, never 0; ADDRESS is where other hosts
+   reach it.  */
+struct mq_reserve *mq_reserve_create (TALLOC_CTX *ctx, uint64_t holder,
+                                      const char *address);
 
-/* Slot of a program.  */
+/* Slot of a program, or of an organisation.  */
 uint32_t mq_reserve_slot (const char *program);
 /* The row of SLOT as of VERSION, read at MOMENT; no row: a holder of 0.  */
 void mq_reserve_read (struct mq_reserve *reserve, uint32_t slot,
                       struct mq_reserve_lease lease, uint64_t version,
                       struct mq_reserve_moment moment);
 /* Slots of this host, into SLOTS; returns how many.  */
-uint32_t mq_reserve_own (const struct mq_reserve *reserve,
+uint32_t mq_reserve_owned (const struct mq_reserve *reserve,
                          uint32_t slots[MQ_RESERVE_SLOTS]);
 /* Slots that this host, one of HOSTS, may take at MOMENT, chosen by RANDOM,
-   into SLOTS; returns how many: none when it has its share.  */
+   into SLOTS; returns how many: none when it has its share, but all that an
+   earlier run of this host had.  */
 uint32_t mq_reserve_free (const struct mq_reserve *reserve,
                           struct mq_reserve_moment moment, size_t hosts,
-                          uint64_t random, uint32_t slots[MQ_RESERVE_CLAIM]);
+                          uint64_t random, uint32_t slots[MQ_RESERVE_SLOTS]);
 /* The lease to write for a slot that this host has or takes.  */
 struct mq_reserve_lease mq_reserve_next (const struct mq_reserve *reserve,
                                          struct mq_reserve_moment moment);
 /* Version of the slot's row as last seen, 0: there is none.  */
 uint64_t mq_reserve_version (const struct mq_reserve *reserve, uint32_t slot);
+/* Whose lease the slot was when its row was last seen.  */
+const struct mq_reserve_lease *mq_reserve_lease_of (
+    const struct mq_reserve *reserve, uint32_t slot);
+/* This host has the slot's lease at NOW_MS, by its own clock; fills OWN.  */
+bool mq_reserve_has (const struct mq_reserve *reserve, uint32_t slot,
+                     uint64_t now_ms, struct mq_reserve_own *own);
 /* This host may issue tokens for the slot's programs at NOW_MS, by its own
-   clock.  */
+   clock.  It has the lease, and what an earlier run of it may have issued is
+   as long ago as if another host had taken the lease over.  */
 bool mq_reserve_holds (const struct mq_reserve *reserve, uint32_t slot,
                        uint64_t now_ms);
 
--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -233,6 +233,16 @@
   try_call (call);
 }
 
+static void
+take_quota (struct mq_relay *relay, const struct mq_relay_link *link,
+            const struct mq_relay_quota_told *told)
+{
+  const struct host *host = relay_host_of (relay, link);
+
+  if (host != NULL)
+    relay->owner.quota_told (told, host->address, relay->owner.user);
+}
+
 static void
 on_frame (struct mq_relay_link *link, const struct mq_relay_frame *frame,
           void *user)
@@ -263,6 +273,12 @@
     case MQ_RELAY_LOAN_BACK:
       owner->loan_back (&frame->u.loan_back, owner->user);
       return;
+    case MQ_RELAY_QUOTA_ASK:
+      owner->quota_ask (&frame->u.quota_ask, link, owner->user);
+      return;
+    case MQ_RELAY_QUOTA_TOLD:
+      take_quota (relay, link, &frame->u.quota_told);
+      return;
     case MQ_RELAY_OTHER:
       return;
     }
@@ -481,6 +497,32 @@
   return host;
 }
 
+bool
+mq_relay_ask_quota (struct mq_relay *relay, const char *address,
+                    const struct mq_relay_quota_ask *ask)
+{
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_QUOTA_ASK, .u.quota_ask = *ask };
+  struct host *host = add_host (relay, address);
+  struct mq_relay_link *link
+      = host == NULL ? NULL : relay_open_link (relay, host);
+
+  if (link == NULL)
+    return false;
+  relay_send_frame (relay, link, &frame);
+  return true;
+}
+
+void
+mq_relay_tell_quota (struct mq_relay *relay, struct mq_relay_link *link,
+                     const struct mq_relay_quota_told *told)
+{
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_QUOTA_TOLD, .u.quota_told = *told };
+
+  relay_send_frame (relay, link, &frame);
+}
+
 void
 mq_relay_add_seed (struct mq_relay *relay, const char *address)
 {
--- a/src/router/relay.h
+++ b/src/router/relay.h
@@ -29,6 +29,8 @@
  * @loan_ask: another host needs tokens or a history; answer with mq_relay_lend
  * @loan_told: what the host at ADDRESS lends
  * @loan_back: what another host did not use of a loan
+ * @quota_ask: another host wants permits; answer with mq_relay_tell_quota
+ * @quota_told: what the host at ADDRESS issues
  * @user: given to all of them
  */
 struct mq_relay_owner
@@ -41,6 +43,10 @@
   void (*loan_told) (const struct mq_relay_loan_told *told,
                      const char *address, void *user);
   void (*loan_back) (const struct mq_relay_loan_back *back, void *user);
+  void (*quota_ask) (const struct mq_relay_quota_ask *ask,
+                     struct mq_relay_link *link, void *user);
+  void (*quota_told) (const struct mq_relay_quota_told *told,
+                      const char *address, void *user);
   void *user;
 };
 
@@ -98,6 +104,13 @@
    open.  */
 bool mq_relay_give_back (struct mq_relay *relay, const char *address,
                          const struct mq_relay_loan_back *back);
+/* Asks the host at ADDRESS for permits; false when no link to it can be
+   opened.  */
+bool mq_relay_ask_quota (struct mq_relay *relay, const char *address,
+                         const struct mq_relay_quota_ask *ask);
+/* Answers a question for permits that came over LINK.  */
+void mq_relay_tell_quota (struct mq_relay *relay, struct mq_relay_link *link,
+                          const struct mq_relay_quota_told *told);
 /* Calls made through other hosts, and for them.  */
 uint64_t mq_relay_asked (const struct mq_relay *relay);
 uint64_t mq_relay_served (const struct mq_relay *relay);
--- a/src/router/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -195,6 +195,79 @@
   return pack (ctx, &frame);
 }
 
+static Mqrelay__QuotaWant **
+make_wants (TALLOC_CTX *ctx, const struct mq_quota_want *wants, size_t count)
+{
+  Mqrelay__QuotaWant **list = make_list (ctx, count, sizeof **list);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      mqrelay__quota_want__init (list[i]);
+      list[i]->organisation = text_field (wants[i].organisation);
+      list[i]->need = wants[i].need;
+      list[i]->begins = wants[i].begins;
+      list[i]->ahead = wants[i].ahead;
+      list[i]->unused = wants[i].unused;
+      list[i]->surrendered = wants[i].surrendered;
+      list[i]->holds = wants[i].holds;
+    }
+  return list;
+}
+
+static struct mq_bytes
+pack_quota_ask (TALLOC_CTX *ctx, const struct mq_relay_quota_ask *ask)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__QuotaAsk to = MQRELAY__QUOTA_ASK__INIT;
+
+  frame.body_case = MQRELAY__FRAME__BODY_QUOTA_ASK;
+  frame.quota_ask = &to;
+  to.id = ask->id;
+  to.host = ask->host;
+  to.heard_ms = ask->heard_ms;
+  to.server = ask->server;
+  to.wants = make_wants (ctx, ask->wants, ask->want_count);
+  to.n_wants = ask->want_count;
+  return pack (ctx, &frame);
+}
+
+static Mqrelay__QuotaGift **
+make_gifts (TALLOC_CTX *ctx, const struct mq_quota_gift *gifts, size_t count)
+{
+  Mqrelay__QuotaGift **list = make_list (ctx, count, sizeof **list);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      mqrelay__quota_gift__init (list[i]);
+      list[i]->organisation = text_field (gifts[i].organisation);
+      list[i]->unknown = gifts[i].unknown;
+      list[i]->need = gifts[i].need;
+      list[i]->begins = gifts[i].begins;
+      list[i]->ahead = gifts[i].ahead;
+      list[i]->retry_ms = gifts[i].retry_ms;
+      list[i]->empty = gifts[i].empty;
+      list[i]->standing = gifts[i].standing;
+      list[i]->standing_ms = gifts[i].standing_ms;
+    }
+  return list;
+}
+
+static struct mq_bytes
+pack_quota_told (TALLOC_CTX *ctx, const struct mq_relay_quota_told *told)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__QuotaTold to = MQRELAY__QUOTA_TOLD__INIT;
+
+  frame.body_case = MQRELAY__FRAME__BODY_QUOTA_TOLD;
+  frame.quota_told = &to;
+  to.id = told->id;
+  to.server = told->server;
+  to.told_ms = told->told_ms;
+  to.gifts = make_gifts (ctx, told->gifts, told->gift_count);
+  to.n_gifts = told->gift_count;
+  return pack (ctx, &frame);
+}
+
 /* The bytes and all that they are packed from, below CTX.  */
 static struct mq_bytes
 pack_body (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
@@ -215,6 +288,10 @@
       return pack_loan_told (ctx, &frame->u.loan_told);
     case MQ_RELAY_LOAN_BACK:
       return pack_loan_back (ctx, &frame->u.loan_back);
+    case MQ_RELAY_QUOTA_ASK:
+      return pack_quota_ask (ctx, &frame->u.quota_ask);
+    case MQ_RELAY_QUOTA_TOLD:
+      return pack_quota_told (ctx, &frame->u.quota_told);
     case MQ_RELAY_OTHER:
       break;
     }
@@ -330,6 +407,63 @@
   };
 }
 
+static void
+read_quota_ask (struct mq_relay_frame *to, const Mqrelay__QuotaAsk *from)
+{
+  struct mq_quota_want *wants
+      = mq_must (talloc_zero_array (to, struct mq_quota_want,
+                                    from->n_wants + 1));
+
+  for (size_t i = 0; i < from->n_wants; i++)
+    wants[i] = (struct mq_quota_want){
+      .organisation = from->wants[i]->organisation,
+      .need = from->wants[i]->need,
+      .begins = from->wants[i]->begins,
+      .ahead = from->wants[i]->ahead,
+      .unused = from->wants[i]->unused,
+      .surrendered = from->wants[i]->surrendered,
+      .holds = from->wants[i]->holds,
+    };
+  to->kind = MQ_RELAY_QUOTA_ASK;
+  to->u.quota_ask = (struct mq_relay_quota_ask){
+    .id = from->id,
+    .host = from->host,
+    .heard_ms = from->heard_ms,
+    .server = from->server,
+    .wants = wants,
+    .want_count = from->n_wants,
+  };
+}
+
+static void
+read_quota_told (struct mq_relay_frame *to, const Mqrelay__QuotaTold *from)
+{
+  struct mq_quota_gift *gifts
+      = mq_must (talloc_zero_array (to, struct mq_quota_gift,
+                                    from->n_gifts + 1));
+
+  for (size_t i = 0; i < from->n_gifts; i++)
+    gifts[i] = (struct mq_quota_gift){
+      .organisation = from->gifts[i]->organisation,
+      .unknown = from->gifts[i]->unknown,
+      .need = from->gifts[i]->need,
+      .begins = from->gifts[i]->begins,
+      .ahead = from->gifts[i]->ahead,
+      .retry_ms = from->gifts[i]->retry_ms,
+      .empty = from->gifts[i]->empty,
+      .standing = from->gifts[i]->standing,
+      .standing_ms = from->gifts[i]->standing_ms,
+    };
+  to->kind = MQ_RELAY_QUOTA_TOLD;
+  to->u.quota_told = (struct mq_relay_quota_told){
+    .id = from->id,
+    .server = from->server,
+    .told_ms = from->told_ms,
+    .gifts = gifts,
+    .gift_count = from->n_gifts,
+  };
+}
+
 static bool
 read_body (struct mq_relay_frame *to, const Mqrelay__Frame *from)
 {
@@ -366,6 +500,12 @@
       to->u.loan_back = (struct mq_relay_loan_back){ from->loan_back->run,
                                                      from->loan_back->tokens };
       return true;
+    case MQRELAY__FRAME__BODY_QUOTA_ASK:
+      read_quota_ask (to, from->quota_ask);
+      return true;
+    case MQRELAY__FRAME__BODY_QUOTA_TOLD:
+      read_quota_told (to, from->quota_told);
+      return true;
     default:
       to->kind = MQ_RELAY_OTHER;
       return true;
--- a/src/router/relay_frame.h
+++ b/src/router/relay_frame.h
@@ -1,10 +1,11 @@
 /* relay_frame.h - what routing hosts say to each other, packed for the wire.
 
-   Needs: rows.h, fleet.h, proto/relay.pb-c.h.  */
+   Needs: rows.h, fleet.h, quota.h, proto/relay.pb-c.h.  */
 
 #ifndef MQ_RELAY_FRAME_H
 #define MQ_RELAY_FRAME_H
 
+#include "core/organisation/quota.h"
 #include "core/router/fleet.h"
 #include "rows.h"
 
@@ -20,6 +21,8 @@
   MQ_RELAY_LOAN_ASK,  /* lend tokens and a history for a turn */
   MQ_RELAY_LOAN_TOLD, /* what is lent */
   MQ_RELAY_LOAN_BACK, /* what was not used of it */
+  MQ_RELAY_QUOTA_ASK, /* issue permits for requests of organisations */
+  MQ_RELAY_QUOTA_TOLD, /* what is issued */
   MQ_RELAY_OTHER      /* of a newer version of this program, to be ignored */
 };
 
@@ -116,6 +119,38 @@
   uint64_t tokens;
 };
 
+/**
+ * struct mq_relay_quota_ask - what a host wants of an issuer of permits
+ * @id: of the question
+ * @host: names this run of the asker
+ * @heard_ms: what it heard last from the run @server of the issuer
+ * @wants: without @holds and @heard_ms of their own but for the rate held
+ */
+struct mq_relay_quota_ask
+{
+  uint64_t id;
+  uint64_t host;
+  uint64_t heard_ms;
+  uint64_t server;
+  const struct mq_quota_want *wants;
+  size_t want_count;
+};
+
+/**
+ * struct mq_relay_quota_told - the answer
+ * @id: of the question
+ * @server: names this run of the issuer
+ * @told_ms: by its clock
+ */
+struct mq_relay_quota_told
+{
+  uint64_t id;
+  uint64_t server;
+  uint64_t told_ms;
+  const struct mq_quota_gift *gifts;
+  size_t gift_count;
+};
+
 /**
  * struct mq_relay_frame - one message
  * @kind: which of @u
@@ -132,6 +167,8 @@
     struct mq_relay_loan_ask loan_ask;
     struct mq_relay_loan_told loan_told;
     struct mq_relay_loan_back loan_back;
+    struct mq_relay_quota_ask quota_ask;
+    struct mq_relay_quota_told quota_told;
   } u;
 };
 
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -100,8 +100,11 @@
   mq_feed_sweep (router);
   mq_hosts_sweep (router);
   mq_reserve_sweep (router);
+  mq_permits_sweep (router);
   mq_clean_sweep (router);
   log_counters (router);
+  if (router->leaving)
+    mq_reserve_leave (router);
   if (router->leaving)
     step_leaving (router);
   set_sweep (router);
@@ -135,6 +138,8 @@
                                   .loan_ask = mq_loan_on_ask,
                                   .loan_told = mq_loan_on_told,
                                   .loan_back = mq_loan_on_back,
+                                  .quota_ask = mq_permits_on_ask,
+                                  .quota_told = mq_permits_on_told,
                                   .user = router };
 
   router->log = mq_json_log_create (router, router->ev, STDOUT_FILENO,
@@ -152,6 +157,7 @@
   router->ledger = mq_ledger_create (router, router->rows, router->relay);
   router->pool = mq_pool_create (router, router->ev, router->fleet);
   router->turns = mq_turns_create (router);
+  router->permits = mq_permits_create (router);
   return router->ledger != NULL && router->pool != NULL
          && router->turns != NULL;
 }
@@ -225,7 +231,7 @@
   router->leaving = true;
   router->leaving_since_ms = mq_clock_ms ();
   mq_hosts_stop (router);
-  mq_reserve_stop (router);
+  mq_reserve_leave (router);
   log_state (router, MQ_LOG_LEAVING);
 }
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -24,6 +24,10 @@
  * @stop_ms: a stop takes no longer
  * @clean_after_ms: a process removes old records once it has run for so long
  * @clean_look_ms: pause between two looks for them
+ * @limit_window_ms: time in which requests over an organisation's limit are
+ *                   counted
+ * @limit_over_permille: how far they may be over it, thousandths of it
+ * @limit_slack: requests beside that
  * @settle_ms: after a stop was asked for, callers still come for so long
  */
 struct mq_router_settings
@@ -39,6 +43,9 @@
   uint32_t stop_ms;
   uint32_t clean_after_ms;
   uint32_t clean_look_ms;
+  uint32_t limit_window_ms;
+  uint32_t limit_over_permille;
+  uint32_t limit_slack;
   uint32_t settle_ms;
 };
 
--- a/src/router/router_admit.c
+++ b/src/router/router_admit.c
@@ -12,14 +12,6 @@
 /* Seed of the hash by which programs are refused; others choose workers.  */
 #define ADMISSION_SEED 2U
 
-/* As far as the turn itself and this host's memory tell.  */
-static bool
-may_begin_program (const struct mq_request *request)
-{
-  return request->facts.main_line && request->previous == NULL
-         && !mq_turns_know (request->router->turns, request->program);
-}
-
 /* Load of the platform's table, where ends of turns wait for their records, in
    the unit of mq_fleet_service_pressure: a burst of short turns is bound by
    the table's rate of writes and not by the engines.  */
@@ -116,7 +108,7 @@
   struct mq_admission_ask ask;
   enum mq_admission_answer answer;
 
-  if (!may_begin_program (request))
+  if (!request->begins_program)
     {
       request_begin_turn (request);
       return;
--- a/src/router/router_identify.c
+++ b/src/router/router_identify.c
@@ -50,6 +50,14 @@
   return REQUEST_IDENTIFIED;
 }
 
+bool
+request_begins_program (const struct mq_request *request)
+{
+  return request->route->kind == MQ_ROUTE_STREAM && request->facts.main_line
+         && request->previous == NULL
+         && !mq_turns_know (request->router->turns, request->program);
+}
+
 bool
 request_key_is_unknown (const struct mq_request *request)
 {
--- a/src/router/router_refuse.c
+++ b/src/router/router_refuse.c
@@ -19,6 +19,8 @@
   [MQ_REFUSE_BODY_TOO_LARGE] = { 413, 0, "body_too_large" },
   [MQ_REFUSE_SLOW_HEAD] = { 408, 0, "slow_head" },
   [MQ_REFUSE_NO_KEY] = { 401, 0, "no_key" },
+  [MQ_REFUSE_OVER_LIMIT] = { 429, RETRY_LOADED_MS, "over_limit" },
+  [MQ_REFUSE_NO_PERMIT] = { 503, RETRY_STORE_MS, "no_permit" },
   [MQ_REFUSE_NO_ROUTE] = { 404, 0, "no_route" },
   [MQ_REFUSE_NO_TURN] = { 404, 0, "no_turn" },
   [MQ_REFUSE_BUDGET] = { 402, 0, "budget_spent" },
@@ -56,7 +58,7 @@
   const struct mq_refusal_row *row = &rows[refusal];
   char fields[64];
 
-  if (row->status == 503 || row->status == 408)
+  if (row->status == 503 || row->status == 429 || row->status == 408)
     router->counters.refused++;
   mq_caller_answer (caller, row->status,
                     retry_field (fields, sizeof fields,
--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -19,8 +19,6 @@
    worker; one who leaves earlier does not.  */
 #define LEFT_TELLS_MS 1000U
 
-static void place_request (struct mq_request *request);
-
 /* Time until the final answer.  */
 static uint64_t
 left_ms (const struct mq_request *request)
@@ -92,6 +90,7 @@
 
   stop_try (request, MQ_OUTCOME_STOPPED);
   mq_config_forget (request->confirm);
+  mq_permit_forget (request->permit);
   mq_ledger_cancel (request->record_call);
   if (request->is_turn)
     {
@@ -107,11 +106,17 @@
 
 void
 request_refuse (struct mq_request *request, enum mq_refusal refusal)
+{
+  request_refuse_until (request, refusal, 0);
+}
+
+void
+request_refuse_until (struct mq_request *request, enum mq_refusal refusal,
+                      uint32_t retry_ms)
 {
   struct mq_caller *caller = request->caller;
   struct mq_router *router = request->router;
   const struct mq_refusal_row *row = mq_refusal_row (refusal);
-  uint32_t retry_ms = 0;
 
   request_log_end (request, MQ_JSON_NOTE, row->name, row->status);
   if (row->status >= 500 && row->status != 503)
@@ -214,7 +219,7 @@
       if (request->begun)
         request->router->counters.resumed++;
       mq_answer_reset (&request->answer);
-      place_request (request);
+      request_send (request);
       return;
     case MQ_NEXT_REFUSE:
       request_refuse (request, end == MQ_ATTEMPT_NOT_RUN
@@ -361,12 +366,18 @@
   return mq_try_begin (request, &options);
 }
 
-/* Sends the request to the best worker that it was not sent to yet.  */
-static void
-place_request (struct mq_request *request)
+void
+request_send (struct mq_request *request)
 {
   uint64_t now = mq_clock_ms ();
-  uint32_t worker = choose_worker (request, now);
+  uint32_t worker;
+
+  if (!request->permitted)
+    {
+      request_limit (request);
+      return;
+    }
+  worker = choose_worker (request, now);
 
   if (worker == MQ_WORKER_NONE || request->tried_count == TRIED_MAX
       || now >= request->give_up_ms)
@@ -400,7 +411,7 @@
   if (before != NULL && request->send_body.data == NULL)
     request_refuse (request, MQ_REFUSE_FULL);
   else
-    place_request (request);
+    request_send (request);
 }
 
 static void
@@ -490,11 +501,14 @@
   request->give_up_ms = request->arrived_ms + patience_ms (request);
   request->timer = mq_timer_add (request, router->ev, left_ms (request),
                                  on_overdue, request);
+  request->begins_program = request_begins_program (request);
+  if (request_is_over (request))
+    return;
   if (route->kind == MQ_ROUTE_STREAM
       && (route->retains || request->facts.has_budget))
     request_admit_turn (request);
   else
-    place_request (request);
+    request_send (request);
 }
 
 static bool
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -21,12 +21,15 @@
  * @program: id of its program as it is kept; NULL: none
  * @turn_id: id of its turn as it is kept
  * @previous: the turn that it continues from, likewise; NULL: none
+ * @begins_program: it is a program's first turn, as far as this host can tell
  * @confirm: question whether the configuration is the newest, NULL: none
  * @service_load: what the workers had when its program was to begin, in
  *                thousandths of what they can do in time, 0: not known
  * @program_late: its program has lost much of its time
  * @retry_ms: when its program may be worth to come back, 0: not refused
  * @home: where its program, which begins, is to stay; 0: it does not begin
+ * @permit: it waits for one of its organisation's, NULL: not
+ * @permitted: it has one, or needs none
  * @record_call: asks whether its program has begun, NULL: not under way
  * @is_turn: it is a turn of a program, see @turn
  * @send_body: what the worker gets
@@ -59,11 +62,14 @@
   const char *program;
   const char *turn_id;
   const char *previous;
+  bool begins_program;
   struct mq_confirm *confirm;
   uint32_t service_load;
   bool program_late;
   uint32_t retry_ms;
   uint64_t home;
+  struct mq_permit *permit;
+  bool permitted;
   struct mq_ledger_call *record_call;
   bool is_turn;
   struct mq_turn turn;
@@ -99,12 +105,18 @@
                       int status);
 /* A final answer of our own.  */
 void request_refuse (struct mq_request *request, enum mq_refusal refusal);
+/* A final answer of our own that says when to come back.  */
+void request_refuse_until (struct mq_request *request,
+                           enum mq_refusal refusal, uint32_t retry_ms);
 /* Finds the turn's history and its budget, then sends it.  */
 void request_begin_turn (struct mq_request *request);
 void request_note_served (const struct mq_request *request);
 
 /* router_identify.c */
 
+/* As far as the request itself and this host's memory tell.  */
+bool request_begins_program (const struct mq_request *request);
+
 enum request_identity
 {
   REQUEST_IDENTIFIED,       /* or no key is asked for */
@@ -126,6 +138,19 @@
 /* That of its organisation goes before its route's.  */
 uint32_t request_priority (const struct mq_request *request);
 
+/* router_limit.c */
+
+/* Gets a permit for the request, then sends it (request_send).  */
+void request_limit (struct mq_request *request);
+/* Its organisation is over its limit, as far as this host knows: refuses it.
+   What waits for the table need not then.  */
+bool request_is_over (struct mq_request *request);
+
+/* router_request.c */
+
+/* Sends the request to the best worker that it was not sent to yet.  */
+void request_send (struct mq_request *request);
+
 /* router_admit.c */
 
 /* Begins the turn, unless it would begin a program that is refused.  */
--- a/src/router/router_reserve.c
+++ b/src/router/router_reserve.c
@@ -1,6 +1,9 @@
 /* router_reserve.c - this host's leases on programs that may begin while the
    platform's table is away.
 
+   Organisations are spread over the same leases: whoever has that of an
+   organisation issues its permits.
+
    One call at a time: a list of all leases, the renewal of those that this
    host has, or an attempt to take a free one.
    Needs: router_state.h, reserve.h, clock.h, proto/turn.pb-c.h.  */
@@ -13,6 +16,7 @@
 #include "net/clock.h"
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Leases are rows of this table, each under its slot's number.  */
 static const char lease_table[] = "lease";
@@ -20,17 +24,23 @@
 /* All leases are listed this often, so that those of a lost host are taken
    over soon after they have run out.  */
 #define LIST_MS MQ_RESERVE_LEASE_MS
+/* The least pause between two lists, when another host's lease has moved.  */
+#define LOOK_MS 200U
+/* A host that leaves gives its leases back after so long at the latest.  */
+#define LEAVE_MS 1600U
 /* Pause between two attempts to take free ones, half of it left to chance, so
    that hosts which start together all get some.  */
 #define CLAIM_MS 250U
-/* Bytes of a row: two numbers of at most 11 bytes.  */
-#define ROW_BYTES 32U
+/* Bytes of a row: two numbers of at most 11 bytes, an address.  */
+#define ROW_BYTES (24U + MQ_RESERVE_ADDRESS_MAX)
 #define KEY_BYTES 12U
 
 /**
  * struct mq_leases - what this host does about them
  * @busy: a call is under way
  * @stopped: this host takes and holds no more
+ * @listed: all leases are known as of @listed_ms
+ * @look: some of them may have moved
  * @moment: that the call under way counts from
  * @claimed: slots that the call under way is to take
  * @claimed_count: how many
@@ -42,11 +52,12 @@
   bool busy;
   bool stopped;
   bool listed;
+  bool look;
   uint64_t listed_ms;
   uint64_t renewed_ms;
   uint64_t claim_ms;
   struct mq_reserve_moment moment;
-  uint32_t claimed[MQ_RESERVE_CLAIM];
+  uint32_t claimed[MQ_RESERVE_SLOTS];
   uint32_t claimed_count;
 };
 
@@ -56,7 +67,8 @@
   struct mq_leases *leases = mq_must (talloc_zero (router, struct mq_leases));
 
   leases->router = router;
-  leases->reserve = mq_must (mq_reserve_create (leases, mq_clock_random ()));
+  leases->reserve = mq_must (mq_reserve_create (
+      leases, mq_clock_random (), mq_relay_address (router->relay)));
   return leases;
 }
 
@@ -66,39 +78,46 @@
 {
   Mqturn__ReserveRow *row
       = mqturn__reserve_row__unpack (NULL, value.len, value.data);
-  struct mq_reserve_lease lease = { 0, 0 };
+  struct mq_reserve_lease lease = { 0, 0, "" };
 
   if (row == NULL)
     return lease;
+  if (strlen (row->address) < sizeof lease.address)
+    memcpy (lease.address, row->address, strlen (row->address) + 1);
   lease.holder = row->holder;
   lease.until_ms = row->until_ms;
   mqturn__reserve_row__free_unpacked (row, NULL);
   return lease;
 }
 
-static void
+/* Slot of the row, MQ_RESERVE_SLOTS: none.  */
+static uint32_t
 take_row (struct mq_leases *leases, const struct mq_rows_entry *row)
 {
   unsigned long slot = strtoul (row->key, NULL, 10);
 
-  if (slot < MQ_RESERVE_SLOTS)
-    mq_reserve_read (leases->reserve, (uint32_t)slot, read_lease (row->value),
-                     row->version, leases->moment);
+  if (slot >= MQ_RESERVE_SLOTS)
+    return MQ_RESERVE_SLOTS;
+  mq_reserve_read (leases->reserve, (uint32_t)slot, read_lease (row->value),
+                   row->version, leases->moment);
+  return (uint32_t)slot;
 }
 
 static void
 on_listed (const struct mq_rows_result *result, void *user)
 {
+  static const struct mq_reserve_lease nobodys = { 0, 0, "" };
   struct mq_leases *leases = user;
+  bool seen[MQ_RESERVE_SLOTS + 1] = { false };
 
   leases->busy = false;
   if (result->status != MQ_STORE_OK)
     return;
-  for (uint32_t i = 0; i < MQ_RESERVE_SLOTS; i++)
-    mq_reserve_read (leases->reserve, i, (struct mq_reserve_lease){ 0, 0 }, 0,
-                     leases->moment);
   for (size_t i = 0; i < result->row_count; i++)
-    take_row (leases, &result->rows[i]);
+    seen[take_row (leases, &result->rows[i])] = true;
+  for (uint32_t i = 0; i < MQ_RESERVE_SLOTS; i++)
+    if (!seen[i])
+      mq_reserve_read (leases->reserve, i, nobodys, 0, leases->moment);
   leases->listed = true;
 }
 
@@ -108,7 +127,7 @@
 {
   if (result->status == MQ_STORE_CONFLICT)
     for (size_t i = 0; i < result->row_count; i++)
-      take_row (leases, &result->rows[i]);
+      (void)take_row (leases, &result->rows[i]);
   else
     leases->listed = false;
 }
@@ -126,7 +145,7 @@
 {
   struct mq_leases *leases = user;
   uint32_t slots[MQ_RESERVE_SLOTS];
-  uint32_t count = mq_reserve_own (leases->reserve, slots);
+  uint32_t count = mq_reserve_owned (leases->reserve, slots);
 
   leases->busy = false;
   if (result->status != MQ_STORE_OK)
@@ -168,6 +187,7 @@
 
   row.holder = lease.holder;
   row.until_ms = lease.until_ms;
+  row.address = lease.address;
   len = mqturn__reserve_row__pack (&row, value);
   for (uint32_t i = 0; i < count; i++)
     {
@@ -190,6 +210,7 @@
 {
   leases->busy = true;
   leases->listed_ms = now;
+  leases->look = false;
   mq_rows_scan (leases->router->rows, lease_table, "", "", MQ_RESERVE_SLOTS,
                 on_listed, leases);
 }
@@ -214,9 +235,10 @@
 step_leases (struct mq_leases *leases, uint64_t now)
 {
   uint32_t slots[MQ_RESERVE_SLOTS];
-  uint32_t count = mq_reserve_own (leases->reserve, slots);
+  uint32_t count = mq_reserve_owned (leases->reserve, slots);
 
-  if (!leases->listed || now - leases->listed_ms >= LIST_MS)
+  if (!leases->listed || (leases->look && now - leases->listed_ms >= LOOK_MS)
+      || now - leases->listed_ms >= LIST_MS)
     {
       list_leases (leases, now);
       return;
@@ -238,7 +260,8 @@
 
   if (leases == NULL)
     leases = router->leases = create_leases (router);
-  if (leases->busy || leases->stopped || mq_rows_down (router->rows)
+  if (leases->busy || leases->stopped || router->leaving
+      || mq_rows_down (router->rows)
       || !mq_rows_moment (router->rows, &leases->moment.asked_ms,
                           &leases->moment.table_ms))
     return;
@@ -259,8 +282,8 @@
    yet count what it issued, since just that part of the table is silent; the
    next holder issues as many tokens again, and the program spends beyond its
    budget.  Such a lease runs out instead.  */
-void
-mq_reserve_stop (struct mq_router *router)
+static void
+give_back (struct mq_router *router)
 {
   struct mq_leases *leases = router->leases;
   uint32_t own[MQ_RESERVE_SLOTS];
@@ -268,17 +291,39 @@
   uint32_t count = 0;
   uint32_t owned;
 
-  if (leases == NULL || leases->stopped)
-    return;
   leases->stopped = true;
-  owned = mq_reserve_own (leases->reserve, own);
+  owned = mq_reserve_owned (leases->reserve, own);
   for (uint32_t i = 0; i < owned; i++)
-    if (!mq_turns_have_issued (router->turns, own[i]))
+    if (!mq_turns_have_issued (router->turns, own[i])
+        && !mq_permits_lent (router, own[i]))
       slots[count++] = own[i];
-  if (count > 0 && !leases->busy)
+  if (count > 0)
     write_rows (leases, slots, count, true, on_given_back);
 }
 
+static bool
+has_lent (const struct mq_router *router)
+{
+  uint32_t own[MQ_RESERVE_SLOTS];
+  uint32_t owned = mq_reserve_owned (router->leases->reserve, own);
+
+  for (uint32_t i = 0; i < owned; i++)
+    if (mq_permits_lent (router, own[i]))
+      return true;
+  return false;
+}
+
+void
+mq_reserve_leave (struct mq_router *router)
+{
+  const struct mq_leases *leases = router->leases;
+  uint64_t since = mq_clock_ms () - router->leaving_since_ms;
+
+  if (leases != NULL && !leases->stopped && !leases->busy
+      && (since >= LEAVE_MS || !has_lent (router)))
+    give_back (router);
+}
+
 bool
 mq_reserve_may_issue (const struct mq_router *router, const char *program)
 {
@@ -288,3 +333,38 @@
          && mq_reserve_holds (leases->reserve, mq_reserve_slot (program),
                               mq_clock_boot_ms ());
 }
+
+bool
+mq_reserve_issues (const struct mq_router *router, uint32_t slot,
+                   struct mq_reserve_own *own)
+{
+  const struct mq_leases *leases = router->leases;
+
+  return leases != NULL && !leases->stopped
+         && mq_reserve_has (leases->reserve, slot, mq_clock_boot_ms (), own);
+}
+
+const char *
+mq_reserve_issuer (const struct mq_router *router, uint32_t slot)
+{
+  const struct mq_leases *leases = router->leases;
+  const struct mq_reserve_lease *lease;
+
+  if (leases == NULL || !leases->listed)
+    return NULL;
+  lease = mq_reserve_lease_of (leases->reserve, slot);
+  return lease->holder == 0 || lease->address[0] == '\0' ? NULL
+                                                         : lease->address;
+}
+
+void
+mq_reserve_look (struct mq_router *router)
+{
+  struct mq_leases *leases = router->leases;
+
+  if (leases == NULL)
+    return;
+  leases->look = true;
+  leases->claim_ms = 0;
+  mq_reserve_sweep (router);
+}
--- a/src/router/router_settings.c
+++ b/src/router/router_settings.c
@@ -26,6 +26,8 @@
 {
   struct mq_router_settings settings;
   const char *stop_seconds;
+  const char *limit_window_seconds;
+  const char *limit_over;
 };
 
 #define FIELD(field) offsetof (struct router_section, settings.field)
@@ -103,6 +105,34 @@
     .fallback = "8",
     .offset = offsetof (struct router_section, stop_seconds),
     .help = "a planned stop that takes longer is cut; fractions are allowed" },
+  { .section = "router",
+    .name = "limit_window_seconds",
+    .kinds = MQ_KEY_ALL_KINDS,
+    .type = MQ_KEY_STRING,
+    .min = 1,
+    .max = 16,
+    .fallback = "5",
+    .offset = offsetof (struct router_section, limit_window_seconds),
+    .help = "time in which requests over a limit are counted; fractions are "
+            "allowed" },
+  { .section = "router",
+    .name = "limit_over",
+    .kinds = MQ_KEY_ALL_KINDS,
+    .type = MQ_KEY_STRING,
+    .min = 1,
+    .max = 16,
+    .fallback = "0",
+    .offset = offsetof (struct router_section, limit_over),
+    .help = "how far over its limit an organisation may be, as a part of it" },
+  { .section = "router",
+    .name = "limit_slack",
+    .kinds = MQ_KEY_ALL_KINDS,
+    .type = MQ_KEY_UINT32,
+    .min = 0,
+    .max = 1048576,
+    .fallback = "0",
+    .offset = FIELD (limit_slack),
+    .help = "requests that it may be over beside that" },
 };
 
 static const struct mq_key_section sections[] = {
@@ -124,31 +154,61 @@
   return &table;
 }
 
-/* Longest stop that makes sense, seconds: a day.  */
-#define STOP_MAX_S 86400.0
+/**
+ * struct fraction - what a key with a number that may have a fraction allows
+ */
+struct fraction
+{
+  const char *name;
+  double least;
+  double most;
+  const char *allowed;
+};
+
+/* Longest stop that makes sense: a day.  */
+static const struct fraction stop_seconds
+    = { "stop_seconds", 1.0, 86400.0, "1 to 86400" };
+static const struct fraction limit_window
+    = { "limit_window_seconds", 0.1, 3600.0, "0.1 to 3600" };
+static const struct fraction limit_over
+    = { "limit_over", 0.0, 1.0, "0 to 1" };
 
-static void
-read_stop (struct router_section *section, const struct mq_ini *ini,
-           struct mq_error_list *list)
+/* TEXT in thousandths; false with an error in LIST.  */
+static bool
+read_fraction (const struct fraction *key, const char *text,
+               const struct mq_ini *ini, struct mq_error_list *list,
+               uint32_t *thousandths)
 {
+  const struct mq_ini_pair *pair = mq_ini_find (&ini->sections[0], key->name);
+  struct mq_place place = { 1, 1 };
   char *end = NULL;
-  double seconds = strtod (section->stop_seconds, &end);
-  uint32_t ms;
+  double number = strtod (text, &end);
 
-  if (end == section->stop_seconds || *end != '\0' || !(seconds >= 1.0)
-      || seconds > STOP_MAX_S)
+  if (end != text && *end == '\0' && number >= key->least
+      && number <= key->most)
     {
-      const struct mq_ini_pair *pair
-          = mq_ini_find (&ini->sections[0], "stop_seconds");
-      struct mq_place place = { 1, 1 };
-
-      if (pair != NULL)
-        place = (struct mq_place){ pair->line, pair->value_column };
-      mq_error_list_add (list, MQ_ERR_TEXT_BAD_VALUE, place, "stop_seconds",
-                         "1 to 86400");
-      return;
+      *thousandths = (uint32_t)(number * 1000.0);
+      return true;
     }
-  ms = (uint32_t)(seconds * 1000.0);
+  if (pair != NULL)
+    place = (struct mq_place){ pair->line, pair->value_column };
+  mq_error_list_add (list, MQ_ERR_TEXT_BAD_VALUE, place, key->name,
+                     key->allowed);
+  return false;
+}
+
+static void
+read_fractions (struct router_section *section, const struct mq_ini *ini,
+                struct mq_error_list *list)
+{
+  uint32_t ms = 0;
+
+  (void)read_fraction (&limit_window, section->limit_window_seconds, ini, list,
+                       &section->settings.limit_window_ms);
+  (void)read_fraction (&limit_over, section->limit_over, ini, list,
+                       &section->settings.limit_over_permille);
+  if (!read_fraction (&stop_seconds, section->stop_seconds, ini, list, &ms))
+    return;
   section->settings.stop_ms
       = ms > 2 * STOP_MARGIN_MS ? ms - STOP_MARGIN_MS : ms / 2;
   section->settings.settle_ms = SETTLE_MS < section->settings.stop_ms / 2
@@ -169,7 +229,7 @@
                              &ini->sections[i], MQ_KEY_ALL_KINDS, &section,
                              list);
         if (list->errors->count == 0)
-          read_stop (&section, ini, list);
+          read_fractions (&section, ini, list);
         section.settings.clean_after_ms = CLEAN_AFTER_MS;
         section.settings.clean_look_ms = CLEAN_LOOK_MS;
         *settings = section.settings;
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -20,6 +20,7 @@
 #include "core/histogram.h"
 #include "core/idmap.h"
 #include "core/router/recent.h"
+#include "core/router/reserve.h"
 #include "core/router/route.h"
 #include "net/buffer.h"
 #include "net/http_message.h"
@@ -49,6 +50,12 @@
   X (loans_asked, "turns that asked other hosts, the table being away")       \
   X (loans_given, "answers to such a question that gave something")           \
   X (turns_lent, "turns that began with tokens or a history of other hosts")  \
+  X (permits_used, "requests sent under a limit of their organisation")       \
+  X (permits_asked, "questions to hosts that issue permits")                  \
+  X (permits_issued, "permits issued to hosts")                               \
+  X (permits_alone, "permits of a standing rate, the issuer being away")      \
+  X (over_limit, "requests refused over a limit of their organisation")       \
+  X (limit_unknown, "requests refused, nobody issuing permits")               \
   X (records_removed, "records of programs and turns removed")                \
   X (config_changes, "configurations taken into force")                       \
   X (worker_changes, "changes of the list of workers")
@@ -67,6 +74,8 @@
 struct mq_config_ask;
 struct mq_loan;
 struct mq_leases;
+struct mq_permits;
+struct mq_permit;
 struct mq_cleaner;
 
 /**
@@ -100,6 +109,7 @@
   struct mq_ledger *ledger;
   struct mq_turns *turns;
   struct mq_leases *leases;
+  struct mq_permits *permits;
   struct mq_cleaner *cleaner;
   struct mq_route_table *routes;
   struct mq_bytes config;
@@ -142,6 +152,8 @@
   MQ_REFUSE_BODY_TOO_LARGE,
   MQ_REFUSE_SLOW_HEAD,
   MQ_REFUSE_NO_KEY, /* no organisation has the caller's key */
+  MQ_REFUSE_OVER_LIMIT, /* of the caller's organisation */
+  MQ_REFUSE_NO_PERMIT,  /* nobody can tell whether it is over the limit */
   MQ_REFUSE_NO_ROUTE,
   MQ_REFUSE_NO_TURN,
   MQ_REFUSE_BUDGET,
@@ -326,14 +338,58 @@
 
 /* router_reserve.c */
 
+/* This host may issue permits of the organisations of SLOT; fills OWN.  */
+bool mq_reserve_issues (const struct mq_router *router, uint32_t slot,
+                        struct mq_reserve_own *own);
+/* Address of the host that does, as far as is known; NULL: none is.  */
+const char *mq_reserve_issuer (const struct mq_router *router, uint32_t slot);
+/* Some lease seems to have moved: they are listed anew, soon.  */
+void mq_reserve_look (struct mq_router *router);
 /* Takes, renews and gives back this host's leases.  */
 void mq_reserve_sweep (struct mq_router *router);
-/* This host takes and holds no more of them.  */
-void mq_reserve_stop (struct mq_router *router);
+/* This host is leaving: it takes no more of them, and gives back those that it
+   has once no other host lives on what it lent, or after a while.  */
+void mq_reserve_leave (struct mq_router *router);
 /* Whether this host may issue tokens of PROGRAM that no record counts.  */
 bool mq_reserve_may_issue (const struct mq_router *router,
                            const char *program);
 
+/* router_permit.c */
+
+enum mq_permit_state
+{
+  MQ_PERMIT_GRANTED,
+  MQ_PERMIT_WAITS,  /* told later */
+  MQ_PERMIT_OVER,   /* over the organisation's limit */
+  MQ_PERMIT_UNKNOWN /* nobody can tell */
+};
+
+/* RETRY_MS: when to come back, 0: not said.  */
+typedef void mq_permit_told (enum mq_permit_state state, uint32_t retry_ms,
+                             void *user);
+
+struct mq_permits *mq_permits_create (struct mq_router *router);
+/* A request of ORG, a program's first one: BEGINS, wants to be sent.  If it
+   waits, *PERMIT is set and TOLD is called later; else *RETRY_MS is.  */
+enum mq_permit_state mq_permit_ask (struct mq_router *router,
+                                    const struct mq_org *org, bool begins,
+                                    mq_permit_told *told, void *user,
+                                    struct mq_permit **permit,
+                                    uint32_t *retry_ms);
+/* Such a request would be refused now; *RETRY_MS is set then.  */
+bool mq_permit_refused (struct mq_router *router, const struct mq_org *org,
+                        bool begins, uint32_t *retry_ms);
+/* Nobody waits any more; NULL is allowed.  */
+void mq_permit_forget (struct mq_permit *permit);
+/* Some host may live on what this one lent of organisations of SLOT.  */
+bool mq_permits_lent (const struct mq_router *router, uint32_t slot);
+void mq_permits_sweep (struct mq_router *router);
+/* Another host wants permits, or tells what it issues.  */
+void mq_permits_on_ask (const struct mq_relay_quota_ask *ask,
+                        struct mq_relay_link *link, void *user);
+void mq_permits_on_told (const struct mq_relay_quota_told *told,
+                         const char *address, void *user);
+
 /* router_clean.c */
 
 /* Removes records that are kept no longer, a little at a time.  */
--- a/tests/fuzz/fuzz_relay.c
+++ b/tests/fuzz/fuzz_relay.c
@@ -52,6 +52,14 @@
     case MQ_RELAY_LOAN_BACK:
       FUZZ_CHECK (frame->u.loan_back.program != NULL);
       return;
+    case MQ_RELAY_QUOTA_ASK:
+      for (size_t i = 0; i < frame->u.quota_ask.want_count; i++)
+        FUZZ_CHECK (frame->u.quota_ask.wants[i].organisation != NULL);
+      return;
+    case MQ_RELAY_QUOTA_TOLD:
+      for (size_t i = 0; i < frame->u.quota_told.gift_count; i++)
+        FUZZ_CHECK (frame->u.quota_told.gifts[i].organisation != NULL);
+      return;
     case MQ_RELAY_SYNC:
     case MQ_RELAY_OTHER:
       return;
--- a/tests/test_budget_model.c
+++ b/tests/test_budget_model.c
@@ -104,7 +104,7 @@
 {
   talloc_free (host->reserve);
   *host = (struct host){ .holder = mq_random_next (&world->state) };
-  host->reserve = mq_reserve_create (NULL, host->holder);
+  host->reserve = mq_reserve_create (NULL, host->holder, "");
 }
 
 /* The write of RECORD by HOST, on the condition of its version.  */
@@ -293,7 +293,7 @@
 claim (struct world *world, struct host *host)
 {
   struct mq_reserve_moment moment = { world->now_ms, 0 };
-  uint32_t slots[MQ_RESERVE_CLAIM];
+  uint32_t slots[MQ_RESERVE_SLOTS];
   uint64_t took = below (world, 3) == 0 ? below (world, 8000) : 5;
   bool mine = world->lease.holder == host->holder;
 
@@ -306,7 +306,7 @@
     }
   for (uint32_t i = 0; i < MQ_RESERVE_SLOTS; i++)
     mq_reserve_read (host->reserve, i,
-                     (struct mq_reserve_lease){ 1, UINT64_MAX / 2 }, 1,
+                     (struct mq_reserve_lease){ 1, UINT64_MAX / 2, "" }, 1,
                      moment);
   mq_reserve_read (host->reserve, SLOT, world->lease, world->lease_version,
                    moment);
--- a/tests/test_organisation.c
+++ b/tests/test_organisation.c
@@ -5,6 +5,7 @@
 
 #include "core/organisation/orgs.h"
 #include "http_peer.h"
+#include "net/clock.h"
 #include "router/router_wire.h"
 #include "router_site.h"
 #include <criterion/criterion.h>
@@ -421,3 +422,94 @@
   cr_assert_str_neq (mq_org_scope (ctx, NULL, "p"), inside);
   talloc_free (ctx);
 }
+
+/* Limits */
+
+#define LIMITED                                                               \
+  "[{\"name\":\"acme\",\"apiKeys\":[\"acme-1\"],\"ratePerS\":10,"             \
+  "\"burst\":10},{\"name\":\"bolt\",\"apiKeys\":[\"bolt-1\"]}]"
+
+/* Asks both routers in turn as fast as they answer, for some time; counts what
+   was served.  */
+static int
+serve_for (const char *key, uint32_t ms, int *refused)
+{
+  uint64_t end = mq_clock_ms () + ms;
+  int served = 0;
+
+  *refused = 0;
+  for (int i = 0; mq_clock_ms () < end; i++)
+    {
+      int status = ask (i % 2, "q", key);
+
+      cr_assert (status == 200 || status == 429, "%s", call.answer);
+      if (status == 200)
+        served++;
+      else
+        (*refused)++;
+      if (status == 429)
+        cr_assert_not_null (strstr (call.answer, "Retry-After: "));
+    }
+  return served;
+}
+
+/* An organisation asks two hosts for far more than its limit of 10 a second
+   and 10 more; the others have no limit.  */
+Test (organisation, limit_over_two_hosts)
+{
+  uint64_t since;
+  int refused;
+  int served;
+
+  configure (LIMITED);
+  edge_start (site, 1);
+  edge_run (site, 1000);
+  since = mq_clock_ms ();
+  served = serve_for ("acme-1", 2000, &refused);
+  cr_expect_gt (served, 15);
+  cr_expect_leq (served, 10 + (int)(mq_clock_ms () - since) / 100 + 1);
+  cr_expect_gt (refused, 0);
+  cr_expect_gt (serve_for ("bolt-1", 200, &refused), 0);
+  cr_expect_eq (refused, 0);
+}
+
+/* The limit is raised, and what was refused is served.  */
+Test (organisation, limit_is_lifted)
+{
+  int refused;
+
+  configure (LIMITED);
+  edge_start (site, 1);
+  edge_run (site, 1000);
+  (void)serve_for ("acme-1", 500, &refused);
+  cr_assert_gt (refused, 0);
+  configure (TWO_ORGS);
+  edge_run (site, 60);
+  (void)serve_for ("acme-1", 200, &refused);
+  cr_assert_eq (refused, 0);
+}
+
+/* The host that issues permits is lost: the other one goes on at the rate that
+   it was lent.  */
+Test (organisation, issuer_is_lost)
+{
+  int issuer;
+  int refused;
+  int served = 0;
+
+  configure (LIMITED);
+  edge_start (site, 1);
+  edge_run (site, 1000);
+  (void)serve_for ("acme-1", 3000, &refused);
+  issuer = edge_counter (site, 0, "permits_issued") > 0 ? 0 : 1;
+  edge_kill (site, issuer);
+  edge_run (site, 1400);
+  for (int i = 0; i < 30; i++)
+    {
+      served += ask (1 - issuer, "q", "acme-1") == 200 ? 1 : 0;
+      edge_run (site, 50);
+    }
+  cr_expect_gt (served, 2);
+  cr_expect_leq (served, 25);
+  cr_expect_gt (edge_counter (site, 1 - issuer, "permits_alone"), 0);
+}
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -58,6 +58,40 @@
     }
 }
 
+static void
+expect_wants (const struct mq_quota_want *a, const struct mq_quota_want *b,
+              size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      cr_expect_str_eq (a[i].organisation, b[i].organisation);
+      cr_expect_eq (a[i].need, b[i].need);
+      cr_expect_eq (a[i].begins, b[i].begins);
+      cr_expect_eq (a[i].ahead, b[i].ahead);
+      cr_expect_eq (a[i].unused, b[i].unused);
+      cr_expect_eq (a[i].surrendered, b[i].surrendered);
+      cr_expect_eq (a[i].holds, b[i].holds);
+    }
+}
+
+static void
+expect_gifts (const struct mq_quota_gift *a, const struct mq_quota_gift *b,
+              size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      cr_expect_str_eq (a[i].organisation, b[i].organisation);
+      cr_expect_eq (a[i].unknown, b[i].unknown);
+      cr_expect_eq (a[i].need, b[i].need);
+      cr_expect_eq (a[i].begins, b[i].begins);
+      cr_expect_eq (a[i].ahead, b[i].ahead);
+      cr_expect_eq (a[i].retry_ms, b[i].retry_ms);
+      cr_expect_eq (a[i].empty, b[i].empty);
+      cr_expect_eq (a[i].standing, b[i].standing);
+      cr_expect_eq (a[i].standing_ms, b[i].standing_ms);
+    }
+}
+
 static void
 expect_same (const struct mq_relay_frame *a, const struct mq_relay_frame *b)
 {
@@ -109,6 +143,23 @@
       cr_expect_str_eq (a->u.loan_back.program, b->u.loan_back.program);
       cr_expect_eq (a->u.loan_back.tokens, b->u.loan_back.tokens);
       return;
+    case MQ_RELAY_QUOTA_ASK:
+      cr_expect_eq (a->u.quota_ask.id, b->u.quota_ask.id);
+      cr_expect_eq (a->u.quota_ask.host, b->u.quota_ask.host);
+      cr_expect_eq (a->u.quota_ask.heard_ms, b->u.quota_ask.heard_ms);
+      cr_expect_eq (a->u.quota_ask.server, b->u.quota_ask.server);
+      cr_assert_eq (a->u.quota_ask.want_count, b->u.quota_ask.want_count);
+      expect_wants (a->u.quota_ask.wants, b->u.quota_ask.wants,
+                    a->u.quota_ask.want_count);
+      return;
+    case MQ_RELAY_QUOTA_TOLD:
+      cr_expect_eq (a->u.quota_told.id, b->u.quota_told.id);
+      cr_expect_eq (a->u.quota_told.server, b->u.quota_told.server);
+      cr_expect_eq (a->u.quota_told.told_ms, b->u.quota_told.told_ms);
+      cr_assert_eq (a->u.quota_told.gift_count, b->u.quota_told.gift_count);
+      expect_gifts (a->u.quota_told.gifts, b->u.quota_told.gifts,
+                    a->u.quota_told.gift_count);
+      return;
     case MQ_RELAY_OTHER:
       cr_assert_fail ("a frame of our own is not known");
     }
@@ -144,7 +195,41 @@
       .slots = UINT32_MAX,
       .leaving = true },
   };
+  struct mq_quota_want wants[] = {
+    { .organisation = "acme",
+      .need = 1,
+      .begins = 2,
+      .ahead = 3,
+      .unused = 4,
+      .surrendered = 5,
+      .holds = 6 },
+    { .organisation = "bolt" },
+  };
+  struct mq_quota_gift gifts[] = {
+    { .organisation = "acme",
+      .need = 1,
+      .begins = 2,
+      .ahead = 3,
+      .retry_ms = 4,
+      .empty = true,
+      .standing = 5,
+      .standing_ms = 6 },
+    { .organisation = "bolt", .unknown = true },
+  };
   struct mq_relay_frame frames[] = {
+    { .kind = MQ_RELAY_QUOTA_ASK,
+      .u.quota_ask = { .id = 1,
+                       .host = 2,
+                       .heard_ms = 3,
+                       .server = 4,
+                       .wants = wants,
+                       .want_count = 2 } },
+    { .kind = MQ_RELAY_QUOTA_TOLD,
+      .u.quota_told = { .id = 1,
+                        .server = 2,
+                        .told_ms = 3,
+                        .gifts = gifts,
+                        .gift_count = 2 } },
     { .kind = MQ_RELAY_ASK,
       .u.ask = { .id = 1, .commit = true, .entries = entries, .count = 2 } },
     { .kind = MQ_RELAY_ASK,
--- a/tests/test_reserve.c
+++ b/tests/test_reserve.c
@@ -42,13 +42,13 @@
 
   for (size_t i = 0; i < ROWS (cases); i++)
     {
-      struct mq_reserve *first = mq_reserve_create (NULL, FIRST);
-      struct mq_reserve *second = mq_reserve_create (NULL, SECOND);
+      struct mq_reserve *first = mq_reserve_create (NULL, FIRST, "a:1");
+      struct mq_reserve *second = mq_reserve_create (NULL, SECOND, "b:1");
       struct mq_reserve_moment moment
           = { cases[i].asked_ms, cases[i].table_ms };
       struct mq_reserve_moment look = { 7, cases[i].other_ms };
       struct mq_reserve_lease lease = mq_reserve_next (first, moment);
-      uint32_t slots[MQ_RESERVE_CLAIM];
+      uint32_t slots[MQ_RESERVE_SLOTS];
       uint32_t free = 0;
 
       mq_reserve_read (first, 3, lease, 9, moment);
@@ -56,7 +56,7 @@
                     cases[i].holds, "%s", cases[i].what);
       for (uint32_t s = 0; s < MQ_RESERVE_SLOTS; s++)
         mq_reserve_read (second, s,
-                         (struct mq_reserve_lease){ FIRST, UINT64_MAX / 2 }, 9,
+                         (struct mq_reserve_lease){ FIRST, UINT64_MAX / 2, "a:1" }, 9,
                          look);
       mq_reserve_read (second, 3, lease, 9, look);
       free = mq_reserve_free (second, look, 2, 5, slots);
@@ -81,7 +81,7 @@
 
   for (size_t i = 0; i < ROWS (cases); i++)
     {
-      struct mq_reserve *reserve = mq_reserve_create (NULL, FIRST);
+      struct mq_reserve *reserve = mq_reserve_create (NULL, FIRST, "a:1");
       struct mq_reserve_moment moment = { 100, 5000 };
       uint32_t slots[MQ_RESERVE_SLOTS];
       uint32_t count;
@@ -94,7 +94,7 @@
             mq_reserve_read (reserve, slots[s],
                              mq_reserve_next (reserve, moment), 1, moment);
         }
-      cr_expect_eq (mq_reserve_own (reserve, slots), cases[i].share,
+      cr_expect_eq (mq_reserve_owned (reserve, slots), cases[i].share,
                     "%zu hosts", cases[i].hosts);
       talloc_free (reserve);
     }
