Limits: leases renewed through other hosts; an issuer that begins again recalls what it lent

Cause: after the loss of all hosts each issuer waited for its earlier lease to run out, since hosts might still live on standing rates: nothing was served for 8 s. Hosts that the table turned away could not renew their leases, which ran out for a quarter of the organisations.

Change: a new run asks all listed hosts to surrender what they hold, and leaves a quarter of the limit, the most that one host is lent, to each that has not answered. Leases are renewed through other hosts while the table turns this one away.

--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &mqrelay__quota_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mqrelay__quota_recall__init
+                     (Mqrelay__QuotaRecall         *message)
+{
+  static const Mqrelay__QuotaRecall init_value = MQRELAY__QUOTA_RECALL__INIT;
+  *message = init_value;
+}
+size_t mqrelay__quota_recall__get_packed_size
+                     (const Mqrelay__QuotaRecall *message)
+{
+  assert(message->base.descriptor == &mqrelay__quota_recall__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqrelay__quota_recall__pack
+                     (const Mqrelay__QuotaRecall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqrelay__quota_recall__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqrelay__quota_recall__pack_to_buffer
+                     (const Mqrelay__QuotaRecall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqrelay__quota_recall__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqrelay__QuotaRecall *
+       mqrelay__quota_recall__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqrelay__QuotaRecall *)
+     protobuf_c_message_unpack (&mqrelay__quota_recall__descriptor,
+                                allocator, len, data);
+}
+void   mqrelay__quota_recall__free_unpacked
+                     (Mqrelay__QuotaRecall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqrelay__quota_recall__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mqrelay__quota_gift__init
                      (Mqrelay__QuotaGift         *message)
 {
@@ -1607,7 +1652,7 @@
   (ProtobufCMessageInit) mqrelay__quota_want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__quota_ask__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mqrelay__quota_ask__field_descriptors[7] =
 {
   {
     "id",
@@ -1669,18 +1714,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "listed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaAsk, listed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "recalled",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaAsk, recalled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__quota_ask__field_indices_by_name[] = {
   2,   /* field[2] = heard_ms */
   1,   /* field[1] = host */
   0,   /* field[0] = id */
+  5,   /* field[5] = listed */
+  6,   /* field[6] = recalled */
   3,   /* field[3] = server */
   4,   /* field[4] = wants */
 };
 static const ProtobufCIntRange mqrelay__quota_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mqrelay__quota_ask__descriptor =
 {
@@ -1690,13 +1761,64 @@
   "Mqrelay__QuotaAsk",
   "mqrelay",
   sizeof(Mqrelay__QuotaAsk),
-  5,
+  7,
   mqrelay__quota_ask__field_descriptors,
   mqrelay__quota_ask__field_indices_by_name,
   1,  mqrelay__quota_ask__number_ranges,
   (ProtobufCMessageInit) mqrelay__quota_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mqrelay__quota_recall__field_descriptors[2] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaRecall, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaRecall, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqrelay__quota_recall__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange mqrelay__quota_recall__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mqrelay__quota_recall__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqrelay.QuotaRecall",
+  "QuotaRecall",
+  "Mqrelay__QuotaRecall",
+  "mqrelay",
+  sizeof(Mqrelay__QuotaRecall),
+  2,
+  mqrelay__quota_recall__field_descriptors,
+  mqrelay__quota_recall__field_indices_by_name,
+  1,  mqrelay__quota_recall__number_ranges,
+  (ProtobufCMessageInit) mqrelay__quota_recall__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mqrelay__quota_gift__field_descriptors[9] =
 {
   {
@@ -1916,7 +2038,7 @@
   (ProtobufCMessageInit) mqrelay__quota_told__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__frame__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mqrelay__frame__field_descriptors[10] =
 {
   {
     "ask",
@@ -2026,6 +2148,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_recall",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mqrelay__Frame, body_case),
+    offsetof(Mqrelay__Frame, quota_recall),
+    &mqrelay__quota_recall__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__frame__field_indices_by_name[] = {
   0,   /* field[0] = ask */
@@ -2033,6 +2167,7 @@
   6,   /* field[6] = loan_back */
   5,   /* field[5] = loan_told */
   7,   /* field[7] = quota_ask */
+  9,   /* field[9] = quota_recall */
   8,   /* field[8] = quota_told */
   3,   /* field[3] = state */
   2,   /* field[2] = sync */
@@ -2041,7 +2176,7 @@
 static const ProtobufCIntRange mqrelay__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor mqrelay__frame__descriptor =
 {
@@ -2051,7 +2186,7 @@
   "Mqrelay__Frame",
   "mqrelay",
   sizeof(Mqrelay__Frame),
-  9,
+  10,
   mqrelay__frame__field_descriptors,
   mqrelay__frame__field_indices_by_name,
   1,  mqrelay__frame__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Mqrelay__LoanBack Mqrelay__LoanBack;
 typedef struct Mqrelay__QuotaWant Mqrelay__QuotaWant;
 typedef struct Mqrelay__QuotaAsk Mqrelay__QuotaAsk;
+typedef struct Mqrelay__QuotaRecall Mqrelay__QuotaRecall;
 typedef struct Mqrelay__QuotaGift Mqrelay__QuotaGift;
 typedef struct Mqrelay__QuotaTold Mqrelay__QuotaTold;
 typedef struct Mqrelay__Frame Mqrelay__Frame;
@@ -300,10 +301,38 @@
   uint64_t server;
   size_t n_wants;
   Mqrelay__QuotaWant **wants;
+  /*
+   * its row is in the table of hosts
+   */
+  protobuf_c_boolean listed;
+  /*
+   * it holds nothing of other runs of the issuer
+   */
+  protobuf_c_boolean recalled;
 };
 #define MQRELAY__QUOTA_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__quota_ask__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0, 0 }
+
+
+/*
+ * A run of an issuer wants to know what its earlier runs lent.
+ */
+struct  Mqrelay__QuotaRecall
+{
+  ProtobufCMessage base;
+  /*
+   * names this run
+   */
+  uint64_t server;
+  /*
+   * of the issuer
+   */
+  char *address;
+};
+#define MQRELAY__QUOTA_RECALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqrelay__quota_recall__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
 
 
 struct  Mqrelay__QuotaGift
@@ -360,7 +389,8 @@
   MQRELAY__FRAME__BODY_LOAN_TOLD = 6,
   MQRELAY__FRAME__BODY_LOAN_BACK = 7,
   MQRELAY__FRAME__BODY_QUOTA_ASK = 8,
-  MQRELAY__FRAME__BODY_QUOTA_TOLD = 9
+  MQRELAY__FRAME__BODY_QUOTA_TOLD = 9,
+  MQRELAY__FRAME__BODY_QUOTA_RECALL = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MQRELAY__FRAME__BODY__CASE)
 } Mqrelay__Frame__BodyCase;
 
@@ -378,6 +408,7 @@
     Mqrelay__LoanBack *loan_back;
     Mqrelay__QuotaAsk *quota_ask;
     Mqrelay__QuotaTold *quota_told;
+    Mqrelay__QuotaRecall *quota_recall;
   };
 };
 #define MQRELAY__FRAME__INIT \
@@ -613,6 +644,25 @@
 void   mqrelay__quota_ask__free_unpacked
                      (Mqrelay__QuotaAsk *message,
                       ProtobufCAllocator *allocator);
+/* Mqrelay__QuotaRecall methods */
+void   mqrelay__quota_recall__init
+                     (Mqrelay__QuotaRecall         *message);
+size_t mqrelay__quota_recall__get_packed_size
+                     (const Mqrelay__QuotaRecall   *message);
+size_t mqrelay__quota_recall__pack
+                     (const Mqrelay__QuotaRecall   *message,
+                      uint8_t             *out);
+size_t mqrelay__quota_recall__pack_to_buffer
+                     (const Mqrelay__QuotaRecall   *message,
+                      ProtobufCBuffer     *buffer);
+Mqrelay__QuotaRecall *
+       mqrelay__quota_recall__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqrelay__quota_recall__free_unpacked
+                     (Mqrelay__QuotaRecall *message,
+                      ProtobufCAllocator *allocator);
 /* Mqrelay__QuotaGift methods */
 void   mqrelay__quota_gift__init
                      (Mqrelay__QuotaGift         *message);
@@ -708,6 +758,9 @@
 typedef void (*Mqrelay__QuotaAsk_Closure)
                  (const Mqrelay__QuotaAsk *message,
                   void *closure_data);
+typedef void (*Mqrelay__QuotaRecall_Closure)
+                 (const Mqrelay__QuotaRecall *message,
+                  void *closure_data);
 typedef void (*Mqrelay__QuotaGift_Closure)
                  (const Mqrelay__QuotaGift *message,
                   void *closure_data);
@@ -735,6 +788,7 @@
 extern const ProtobufCMessageDescriptor mqrelay__loan_back__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__quota_want__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor mqrelay__quota_recall__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__quota_gift__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__quota_told__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__frame__descriptor;
--- a/src/core/organisation/orgs.h
+++ b/src/core/organisation/orgs.h
@@ -67,7 +67,6 @@
 
 /* ID as it is kept, below CTX: two organisations with the same ids share
    nothing.  ORG NULL: a caller without an organisation.  */
-char *mq_org_scope (TALLOC_CTX *ctx, const struct mq_org *org,
-                    const char *id);
+char *mq_org_scope (TALLOC_CTX *ctx, const struct mq_org *org, const char *id);
 
 #endif
--- a/src/core/organisation/quota.h
+++ b/src/core/organisation/quota.h
@@ -15,13 +15,13 @@
    that no rate counts twice.
 
    An issuer that starts again under its own lease does not know what it lent.
-   Until that lease would have run out it issues only what hosts surrender to
-   it of what they were lent.
+   It has all hosts surrender what they still hold, and until that lease would
+   have run out it leaves to each that did not answer the most that one host is
+   lent.
 
    In any time, with any losses, delays and pauses, no more permits are used
-   than one bucket gives, and the bound on those ahead.  Pure: time is given, by
-   a clock that goes on while the host is suspended.
-   Needs: orgs.h.  */
+   than one bucket gives, and the bound on those ahead.  Pure: time is given,
+   by a clock that goes on while the host is suspended. Needs: orgs.h.  */
 
 #ifndef MQ_QUOTA_H
 #define MQ_QUOTA_H
@@ -54,6 +54,7 @@
  * @until_ms: it ends then unless it is renewed
  * @inherited_ms: what this host lent in an earlier run may be used until
  *                then, 0: there was none
+ * @unheard: hosts that may still use it
  */
 struct mq_quota_lease
 {
@@ -61,13 +62,15 @@
   uint64_t since_ms;
   uint64_t until_ms;
   uint64_t inherited_ms;
+  uint64_t unheard;
 };
 
 /**
  * struct mq_quota_bounds - what an issuer may do with one organisation
  * @limit: of the configuration in force
  * @ahead: permits that may be out ahead at a time
- * @lends: standing rates are lent; false: the issuer is leaving
+ * @lends: standing rates are lent; false: the issuer is leaving, or would not
+ *         find the host again
  */
 struct mq_quota_bounds
 {
@@ -224,6 +227,10 @@
    TOLD_MS is its clock.  Before mq_quota_told of each gift.  */
 bool mq_quota_answered (struct mq_quota_contact *contact, uint64_t server,
                         uint64_t asked_ms, uint64_t told_ms, uint64_t now_ms);
+/* The rate that SHARE was lent by another run than SERVER of its issuer is not
+   used any more; the next want says so.  */
+void mq_quota_surrender (struct mq_quota_share *share, uint64_t server,
+                         uint64_t now_ms);
 /* A gift that came in time.  The permits for those that wait are the
    caller's.  */
 void mq_quota_told (struct mq_quota_share *share,
--- a/src/core/organisation/quota_issuer.c
+++ b/src/core/organisation/quota_issuer.c
@@ -16,6 +16,8 @@
 /* A standing rate is what a host used in so many seconds, and half more.  */
 #define USE_SECONDS 4U
 #define STANDING_PERCENT 150U
+/* One host is lent no more than this part of the limit.  */
+#define STANDING_PART 4U
 /* Lower ones are not lent, thousandths a second.  */
 #define STANDING_LEAST 100U
 /* What a host that is alone may save up: one permit, and this time's.  */
@@ -130,10 +132,15 @@
 static uint64_t
 whole_rate (const struct bucket *bucket, uint64_t since)
 {
-  if (since >= bucket->lease.inherited_ms
-      || bucket->surrendered > bucket->limit.rate)
-    return bucket->limit.rate;
-  return bucket->surrendered;
+  uint64_t rate = bucket->limit.rate;
+  uint64_t unknown = rate;
+
+  if (since >= bucket->lease.inherited_ms || bucket->surrendered >= rate)
+    return rate;
+  if (bucket->lease.unheard < STANDING_PART)
+    unknown = bucket->lease.unheard * (rate / STANDING_PART + 1);
+  return unknown < rate - bucket->surrendered ? rate - unknown
+                                              : bucket->surrendered;
 }
 
 static uint64_t
@@ -187,8 +194,7 @@
 static struct issuer_host *
 get_host (struct mq_quota_issuer *issuer, uint64_t id, uint64_t now)
 {
-  struct issuer_host *host
-      = mq_idmap_find (issuer->hosts, host_key (id), 0);
+  struct issuer_host *host = mq_idmap_find (issuer->hosts, host_key (id), 0);
 
   if (host != NULL)
     return host;
@@ -267,8 +273,8 @@
     }
   if (bucket->lease.since_ms != lease->since_ms)
     begin_bucket (bucket, bounds, lease);
-  bucket->lease = *lease;
   settle (bucket, now);
+  bucket->lease = *lease;
   bucket->limit = bounds->limit;
   if (bucket->level > burst_of (bucket))
     bucket->level = burst_of (bucket);
@@ -413,8 +419,8 @@
 }
 
 /* The standing rate that the host of AT gets: what it used, as far as all
-   together stay within the rate, and what they may save up within half of the
-   burst and half of what may be out ahead.  */
+   together stay within the rate, and what they may save up within the burst
+   and half of what may be out ahead.  */
 static uint64_t
 rate_to_lend (const struct bucket *bucket, const struct standing *at,
               const struct mq_quota_bounds *bounds, uint64_t now)
@@ -431,19 +437,21 @@
         lent += other->high;
         saved += save_of (other->high);
       }
+  if (rate > bucket->limit.rate / STANDING_PART)
+    rate = bucket->limit.rate / STANDING_PART;
   room = less (whole_rate (bucket, now), lent);
   if (rate > room)
     rate = room;
   if (!bounds->lends || rate < STANDING_LEAST
       || saved + save_of (rate)
-             > burst_of (bucket) / 2 + bounds->ahead * PERMIT / 2)
+             > burst_of (bucket) + bounds->ahead * PERMIT / 2)
     return 0;
   return rate;
 }
 
-/* Failure: an answer with a lower rate is lost with its connection, and a later
-   one that does not name the organisation is acknowledged; the host goes on
-   with the higher rate.  So it says what it holds.  */
+/* Failure: an answer with a lower rate is lost with its connection, and a
+   later one that does not name the organisation is acknowledged; the host goes
+   on with the higher rate.  So it says what it holds.  */
 static void
 lend (struct bucket *bucket, struct standing *at,
       const struct mq_quota_want *want, const struct mq_quota_bounds *bounds,
@@ -483,8 +491,7 @@
   struct mq_quota_gift gift = { .organisation = want->organisation };
   struct bucket *bucket
       = get_bucket (issuer, want->organisation, bounds, lease, now_ms);
-  struct standing *at
-      = get_standing (bucket, get_host (issuer, host, now_ms));
+  struct standing *at = get_standing (bucket, get_host (issuer, host, now_ms));
 
   take_surrendered (bucket, at, want->surrendered, now_ms);
   turn_ahead (bucket, now_ms);
--- a/src/core/organisation/quota_share.c
+++ b/src/core/organisation/quota_share.c
@@ -106,8 +106,7 @@
 mq_quota_is_over (const struct mq_quota_share *share, bool begins,
                   uint64_t now_ms)
 {
-  return now_ms
-         < (begins ? share->no_begin_until_ms : share->none_until_ms);
+  return now_ms < (begins ? share->no_begin_until_ms : share->none_until_ms);
 }
 
 enum mq_quota_answer
@@ -206,11 +205,15 @@
 }
 
 /* An issuer that does not know what was lent may give it out again.  */
-static void
-surrender (struct mq_quota_share *share, uint64_t now)
+void
+mq_quota_surrender (struct mq_quota_share *share, uint64_t server,
+                    uint64_t now_ms)
 {
-  if (now < share->standing_until_ms)
+  if (share->server == server)
+    return;
+  if (now_ms < share->standing_until_ms)
     share->surrendered += share->standing;
+  share->server = server;
   share->standing = 0;
   share->unused = 0;
 }
@@ -232,9 +235,7 @@
 {
   if (gift->unknown)
     return;
-  if (server != share->server)
-    surrender (share, now_ms);
-  share->server = server;
+  mq_quota_surrender (share, server, now_ms);
   share->alone = false;
   share->standing = gift->standing;
   share->standing_until_ms = asked_ms + gift->standing_ms;
--- a/src/core/router/reserve.h
+++ b/src/core/router/reserve.h
@@ -90,7 +90,7 @@
                       struct mq_reserve_moment moment);
 /* Slots of this host, into SLOTS; returns how many.  */
 uint32_t mq_reserve_owned (const struct mq_reserve *reserve,
-                         uint32_t slots[MQ_RESERVE_SLOTS]);
+                           uint32_t slots[MQ_RESERVE_SLOTS]);
 /* Slots that this host, one of HOSTS, may take at MOMENT, chosen by RANDOM,
    into SLOTS; returns how many: none when it has its share, but all that an
    earlier run of this host had.  */
@@ -103,8 +103,8 @@
 /* Version of the slot's row as last seen, 0: there is none.  */
 uint64_t mq_reserve_version (const struct mq_reserve *reserve, uint32_t slot);
 /* Whose lease the slot was when its row was last seen.  */
-const struct mq_reserve_lease *mq_reserve_lease_of (
-    const struct mq_reserve *reserve, uint32_t slot);
+const struct mq_reserve_lease *
+mq_reserve_lease_of (const struct mq_reserve *reserve, uint32_t slot);
 /* This host has the slot's lease at NOW_MS, by its own clock; fills OWN.  */
 bool mq_reserve_has (const struct mq_reserve *reserve, uint32_t slot,
                      uint64_t now_ms, struct mq_reserve_own *own);
--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -233,6 +233,17 @@
   try_call (call);
 }
 
+static void
+take_quota_ask (struct mq_relay *relay, struct mq_relay_link *link,
+                const struct mq_relay_quota_ask *ask)
+{
+  struct host *host = relay_host_of (relay, link);
+
+  if (host != NULL && ask->recalled)
+    host->recalled = true;
+  relay->owner.quota_ask (ask, link, relay->owner.user);
+}
+
 static void
 take_quota (struct mq_relay *relay, const struct mq_relay_link *link,
             const struct mq_relay_quota_told *told)
@@ -274,7 +285,10 @@
       owner->loan_back (&frame->u.loan_back, owner->user);
       return;
     case MQ_RELAY_QUOTA_ASK:
-      owner->quota_ask (&frame->u.quota_ask, link, owner->user);
+      take_quota_ask (relay, link, &frame->u.quota_ask);
+      return;
+    case MQ_RELAY_QUOTA_RECALL:
+      owner->quota_recall (&frame->u.quota_recall, link, owner->user);
       return;
     case MQ_RELAY_QUOTA_TOLD:
       take_quota (relay, link, &frame->u.quota_told);
@@ -513,6 +527,38 @@
   return true;
 }
 
+uint32_t
+mq_relay_recall_quota (struct mq_relay *relay, uint64_t server)
+{
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_QUOTA_RECALL,
+          .u.quota_recall = { server, relay->own_address } };
+  uint32_t missing = 0;
+
+  for (struct host *host = relay->hosts; host != NULL; host = host->next)
+    {
+      struct mq_relay_link *link;
+
+      if (!host->listed || host->recalled)
+        continue;
+      missing++;
+      link = relay_open_link (relay, host);
+      if (link != NULL)
+        relay_send_frame (relay, link, &frame);
+    }
+  return missing;
+}
+
+void
+mq_relay_surrender (struct mq_relay *relay, struct mq_relay_link *link,
+                    const struct mq_relay_quota_ask *ask)
+{
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_QUOTA_ASK, .u.quota_ask = *ask };
+
+  relay_send_frame (relay, link, &frame);
+}
+
 void
 mq_relay_tell_quota (struct mq_relay *relay, struct mq_relay_link *link,
                      const struct mq_relay_quota_told *told)
--- a/src/router/relay.h
+++ b/src/router/relay.h
@@ -31,6 +31,8 @@
  * @loan_back: what another host did not use of a loan
  * @quota_ask: another host wants permits; answer with mq_relay_tell_quota
  * @quota_told: what the host at ADDRESS issues
+ * @quota_recall: another host asks what its earlier runs lent; answer with
+ *                mq_relay_surrender
  * @user: given to all of them
  */
 struct mq_relay_owner
@@ -47,6 +49,8 @@
                      struct mq_relay_link *link, void *user);
   void (*quota_told) (const struct mq_relay_quota_told *told,
                       const char *address, void *user);
+  void (*quota_recall) (const struct mq_relay_quota_recall *recall,
+                        struct mq_relay_link *link, void *user);
   void *user;
 };
 
@@ -111,6 +115,12 @@
 /* Answers a question for permits that came over LINK.  */
 void mq_relay_tell_quota (struct mq_relay *relay, struct mq_relay_link *link,
                           const struct mq_relay_quota_told *told);
+/* Asks all listed hosts that have not answered it yet what earlier runs of
+   this one lent; returns how many those are.  */
+uint32_t mq_relay_recall_quota (struct mq_relay *relay, uint64_t server);
+/* Answers such a question that came over LINK.  */
+void mq_relay_surrender (struct mq_relay *relay, struct mq_relay_link *link,
+                         const struct mq_relay_quota_ask *ask);
 /* Calls made through other hosts, and for them.  */
 uint64_t mq_relay_asked (const struct mq_relay *relay);
 uint64_t mq_relay_served (const struct mq_relay *relay);
--- a/src/router/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -228,6 +228,8 @@
   to.server = ask->server;
   to.wants = make_wants (ctx, ask->wants, ask->want_count);
   to.n_wants = ask->want_count;
+  to.listed = ask->listed;
+  to.recalled = ask->recalled;
   return pack (ctx, &frame);
 }
 
@@ -268,6 +270,19 @@
   return pack (ctx, &frame);
 }
 
+static struct mq_bytes
+pack_quota_recall (TALLOC_CTX *ctx, const struct mq_relay_quota_recall *recall)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__QuotaRecall to = MQRELAY__QUOTA_RECALL__INIT;
+
+  frame.body_case = MQRELAY__FRAME__BODY_QUOTA_RECALL;
+  frame.quota_recall = &to;
+  to.server = recall->server;
+  to.address = text_field (recall->address);
+  return pack (ctx, &frame);
+}
+
 /* The bytes and all that they are packed from, below CTX.  */
 static struct mq_bytes
 pack_body (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
@@ -292,6 +307,8 @@
       return pack_quota_ask (ctx, &frame->u.quota_ask);
     case MQ_RELAY_QUOTA_TOLD:
       return pack_quota_told (ctx, &frame->u.quota_told);
+    case MQ_RELAY_QUOTA_RECALL:
+      return pack_quota_recall (ctx, &frame->u.quota_recall);
     case MQ_RELAY_OTHER:
       break;
     }
@@ -410,9 +427,8 @@
 static void
 read_quota_ask (struct mq_relay_frame *to, const Mqrelay__QuotaAsk *from)
 {
-  struct mq_quota_want *wants
-      = mq_must (talloc_zero_array (to, struct mq_quota_want,
-                                    from->n_wants + 1));
+  struct mq_quota_want *wants = mq_must (
+      talloc_zero_array (to, struct mq_quota_want, from->n_wants + 1));
 
   for (size_t i = 0; i < from->n_wants; i++)
     wants[i] = (struct mq_quota_want){
@@ -432,15 +448,16 @@
     .server = from->server,
     .wants = wants,
     .want_count = from->n_wants,
+    .listed = from->listed,
+    .recalled = from->recalled,
   };
 }
 
 static void
 read_quota_told (struct mq_relay_frame *to, const Mqrelay__QuotaTold *from)
 {
-  struct mq_quota_gift *gifts
-      = mq_must (talloc_zero_array (to, struct mq_quota_gift,
-                                    from->n_gifts + 1));
+  struct mq_quota_gift *gifts = mq_must (
+      talloc_zero_array (to, struct mq_quota_gift, from->n_gifts + 1));
 
   for (size_t i = 0; i < from->n_gifts; i++)
     gifts[i] = (struct mq_quota_gift){
@@ -506,6 +523,12 @@
     case MQRELAY__FRAME__BODY_QUOTA_TOLD:
       read_quota_told (to, from->quota_told);
       return true;
+    case MQRELAY__FRAME__BODY_QUOTA_RECALL:
+      to->kind = MQ_RELAY_QUOTA_RECALL;
+      to->u.quota_recall
+          = (struct mq_relay_quota_recall){ from->quota_recall->server,
+                                            from->quota_recall->address };
+      return true;
     default:
       to->kind = MQ_RELAY_OTHER;
       return true;
--- a/src/router/relay_frame.h
+++ b/src/router/relay_frame.h
@@ -14,16 +14,17 @@
 
 enum mq_relay_kind
 {
-  MQ_RELAY_ASK,       /* make this call to the platform's table */
-  MQ_RELAY_TOLD,      /* its outcome */
-  MQ_RELAY_SYNC,      /* tell what is newer than this */
-  MQ_RELAY_STATE,     /* the configuration and the workers */
-  MQ_RELAY_LOAN_ASK,  /* lend tokens and a history for a turn */
-  MQ_RELAY_LOAN_TOLD, /* what is lent */
-  MQ_RELAY_LOAN_BACK, /* what was not used of it */
-  MQ_RELAY_QUOTA_ASK, /* issue permits for requests of organisations */
-  MQ_RELAY_QUOTA_TOLD, /* what is issued */
-  MQ_RELAY_OTHER      /* of a newer version of this program, to be ignored */
+  MQ_RELAY_ASK,          /* make this call to the platform's table */
+  MQ_RELAY_TOLD,         /* its outcome */
+  MQ_RELAY_SYNC,         /* tell what is newer than this */
+  MQ_RELAY_STATE,        /* the configuration and the workers */
+  MQ_RELAY_LOAN_ASK,     /* lend tokens and a history for a turn */
+  MQ_RELAY_LOAN_TOLD,    /* what is lent */
+  MQ_RELAY_LOAN_BACK,    /* what was not used of it */
+  MQ_RELAY_QUOTA_ASK,    /* issue permits for requests of organisations */
+  MQ_RELAY_QUOTA_TOLD,   /* what is issued */
+  MQ_RELAY_QUOTA_RECALL, /* surrender what earlier runs lent */
+  MQ_RELAY_OTHER /* of a newer version of this program, to be ignored */
 };
 
 /**
@@ -124,7 +125,9 @@
  * @id: of the question
  * @host: names this run of the asker
  * @heard_ms: what it heard last from the run @server of the issuer
- * @wants: without @holds and @heard_ms of their own but for the rate held
+ * @wants: their heard_ms is not told: it is that of the question
+ * @listed: its row is in the table of hosts
+ * @recalled: it holds nothing of other runs of the issuer
  */
 struct mq_relay_quota_ask
 {
@@ -134,6 +137,8 @@
   uint64_t server;
   const struct mq_quota_want *wants;
   size_t want_count;
+  bool listed;
+  bool recalled;
 };
 
 /**
@@ -151,6 +156,17 @@
   size_t gift_count;
 };
 
+/**
+ * struct mq_relay_quota_recall - an issuer asks what its earlier runs lent
+ * @server: names this run
+ * @address: where other hosts reach the issuer
+ */
+struct mq_relay_quota_recall
+{
+  uint64_t server;
+  const char *address;
+};
+
 /**
  * struct mq_relay_frame - one message
  * @kind: which of @u
@@ -169,6 +185,7 @@
     struct mq_relay_loan_back loan_back;
     struct mq_relay_quota_ask quota_ask;
     struct mq_relay_quota_told quota_told;
+    struct mq_relay_quota_recall quota_recall;
   } u;
 };
 
--- a/src/router/relay_state.h
+++ b/src/router/relay_state.h
@@ -21,6 +21,7 @@
  * @seed: known from the settings; stays when the list of hosts lacks it
  * @listed: the list that is being told has it
  * @near: it is in the same data centre
+ * @recalled: it has answered mq_relay_recall_quota
  */
 struct host
 {
@@ -34,6 +35,7 @@
   bool seed;
   bool listed;
   bool near;
+  bool recalled;
 };
 
 struct mq_relay
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -140,6 +140,7 @@
                                   .loan_back = mq_loan_on_back,
                                   .quota_ask = mq_permits_on_ask,
                                   .quota_told = mq_permits_on_told,
+                                  .quota_recall = mq_permits_on_recall,
                                   .user = router };
 
   router->log = mq_json_log_create (router, router->ev, STDOUT_FILENO,
--- a/src/router/router_hosts.c
+++ b/src/router/router_hosts.c
@@ -90,6 +90,7 @@
   mq_relay_list_end (router->relay);
   mq_rows_share (router->rows, 1 + mq_relay_host_count (router->relay));
   router->hosts_asked = false;
+  router->hosts_listed = true;
 }
 
 static void
@@ -99,6 +100,8 @@
 
   if (result->status != MQ_STORE_OK)
     router->announced = false;
+  router->row_written
+      = router->row_written || (router->announced && !router->leaving);
 }
 
 /* Writes, or removes, the row by which other hosts find this one.  */
--- a/src/router/router_permit.c
+++ b/src/router/router_permit.c
@@ -34,6 +34,7 @@
  * @active_ms: when a request came last
  * @wanted_ms: when it was last in a question
  * @began_ms: when this host first had a request of it
+ * @issuer: address of the host that issued last, NULL: none did
  */
 struct share
 {
@@ -45,6 +46,7 @@
   uint64_t active_ms;
   uint64_t wanted_ms;
   uint64_t began_ms;
+  char *issuer;
 };
 
 /**
@@ -80,6 +82,7 @@
  * @flush: asks for what waits at the end of this turn of the event loop
  * @look: looks at requests that wait for long
  * @waiting: how many wait
+ * @unheard: listed hosts that may live on what an earlier run lent
  */
 struct mq_permits
 {
@@ -92,6 +95,7 @@
   struct mq_timer *look;
   uint64_t next_ask;
   size_t waiting;
+  uint64_t unheard;
 };
 
 struct mq_permits *
@@ -102,6 +106,7 @@
 
   permits->router = router;
   permits->run = mq_clock_random ();
+  permits->unheard = UINT64_MAX;
   permits->issuer = mq_quota_issuer_create (permits);
   permits->shares = mq_must (mq_idmap_create (permits));
   return permits;
@@ -197,6 +202,7 @@
   talloc_free (permit);
 }
 
+static void recall_lent (struct mq_permits *permits);
 static void on_flush (void *data);
 static void on_look (void *data);
 
@@ -240,6 +246,9 @@
   struct mq_quota_contact nobody = none;
   enum mq_quota_answer answer;
 
+  /* An issuer that starts again does not find a host that leaves.  */
+  if (share->permits->router->leaving)
+    share->quota.standing = 0;
   /* Whoever is to issue may show up soon after this host has begun.  */
   nobody.answered_ms = share->began_ms;
   answer = mq_quota_take (
@@ -282,8 +291,8 @@
 mq_permit_refused (struct mq_router *router, const struct mq_org *org,
                    bool begins, uint32_t *retry_ms)
 {
-  const struct share *share
-      = mq_idmap_find (router->permits->shares, mq_id_text_hash (org->name), 0);
+  const struct share *share = mq_idmap_find (router->permits->shares,
+                                             mq_id_text_hash (org->name), 0);
   uint64_t now = mq_clock_boot_ms ();
 
   if (share == NULL || !mq_quota_is_over (&share->quota, begins, now))
@@ -330,8 +339,8 @@
   return ask >> COUNT_BITS;
 }
 
-static void
-ask_here (struct mq_permits *permits, const struct mq_relay_quota_ask *ask);
+static void ask_here (struct mq_permits *permits,
+                      const struct mq_relay_quota_ask *ask);
 
 static void
 send_ask (struct mq_permits *permits, struct contact *contact, uint64_t id,
@@ -343,7 +352,8 @@
                                     .heard_ms = contact->quota.told_ms,
                                     .server = contact->quota.server,
                                     .wants = wants,
-                                    .want_count = count };
+                                    .want_count = count,
+                                    .listed = permits->router->row_written };
 
   contact->asked_ms = now;
   permits->router->counters.permits_asked++;
@@ -358,8 +368,8 @@
 static void
 ask_contact (struct mq_permits *permits, struct contact *contact, uint64_t now)
 {
-  struct mq_quota_want *wants = mq_must (
-      talloc_zero_array (permits, struct mq_quota_want, WANTS_MAX));
+  struct mq_quota_want *wants
+      = mq_must (talloc_zero_array (permits, struct mq_quota_want, WANTS_MAX));
   uint64_t id
       = now << COUNT_BITS | (++permits->next_ask & ((1U << COUNT_BITS) - 1));
   size_t count = 0;
@@ -400,7 +410,7 @@
 
   while ((share = mq_idmap_next (permits->shares, &position)) != NULL)
     if (contact_of (share) == NULL && share->first != NULL)
-      mq_reserve_look (permits->router);
+      mq_reserve_look (permits->router, share->slot);
   for (struct contact *contact = permits->contacts; contact != NULL;
        contact = contact->next)
     ask_contact (permits, contact, now);
@@ -458,15 +468,15 @@
   struct share *share;
 
   permits->look = NULL;
+  recall_lent (permits);
   if (permits->waiting > 0)
     while ((share = mq_idmap_next (permits->shares, &position)) != NULL)
       look_at (share, now);
   ask_all (permits);
   if (mq_idmap_count (permits->shares) > 0)
-    permits->look = mq_timer_add (permits, permits->router->ev,
-                                  permits->waiting > 0 ? LOOK_MS
-                                                       : MQ_QUOTA_PING_MS,
-                                  on_look, permits);
+    permits->look = mq_timer_add (
+        permits, permits->router->ev,
+        permits->waiting > 0 ? LOOK_MS : MQ_QUOTA_PING_MS, on_look, permits);
 }
 
 /* Answers */
@@ -514,7 +524,8 @@
 
 static void
 take_gift (struct mq_permits *permits, const struct mq_quota_gift *gift,
-           const struct mq_relay_quota_told *told, bool in_time, uint64_t now)
+           const struct mq_relay_quota_told *told, const char *address,
+           bool in_time, uint64_t now)
 {
   struct share *share = mq_idmap_find (
       permits->shares, mq_id_text_hash (gift->organisation), 0);
@@ -522,12 +533,14 @@
   if (share == NULL)
     return;
   if (gift->unknown)
-    mq_reserve_look (permits->router);
+    mq_reserve_look (permits->router, share->slot);
   if (gift->unknown || !in_time)
     {
       forget_ask (share, told->id);
       return;
     }
+  if (share->issuer == NULL || strcmp (share->issuer, address) != 0)
+    mq_text_set (share, &share->issuer, address);
   mq_quota_told (&share->quota, gift, told->server, asked_ms_of (told->id),
                  now);
   hand_out (share, gift, told->id);
@@ -548,7 +561,7 @@
   in_time = mq_quota_answered (&contact->quota, told->server,
                                asked_ms_of (told->id), told->told_ms, now);
   for (size_t i = 0; i < told->gift_count; i++)
-    take_gift (permits, &told->gifts[i], told, in_time, now);
+    take_gift (permits, &told->gifts[i], told, address, in_time, now);
 }
 
 /* Issuing */
@@ -568,13 +581,13 @@
 
 static struct mq_quota_gift
 issue (struct mq_permits *permits, uint64_t host,
-       const struct mq_quota_want *want, uint64_t now)
+       const struct mq_quota_want *want, bool lends, uint64_t now)
 {
   struct mq_router *router = permits->router;
   struct mq_quota_gift gift
       = { .organisation = want->organisation, .unknown = true };
   struct mq_reserve_own own;
-  struct mq_quota_bounds bounds = { .lends = !router->leaving };
+  struct mq_quota_bounds bounds = { .lends = lends && !router->leaving };
   struct mq_quota_lease lease;
   const struct mq_org *org = NULL;
 
@@ -586,7 +599,8 @@
   bounds.limit = org->limit;
   bounds.ahead = ahead_bound (router->settings, &org->limit);
   lease = (struct mq_quota_lease){ mq_reserve_slot (org->name), own.since_ms,
-                                   own.until_ms, own.inherited_ms };
+                                   own.until_ms, own.inherited_ms,
+                                   permits->unheard };
   gift = mq_quota_issue (permits->issuer, host, want, &bounds, &lease, now);
   router->counters.permits_issued += gift.need + gift.begins + gift.ahead;
   return gift;
@@ -608,7 +622,7 @@
       struct mq_quota_want want = ask->wants[i];
 
       want.heard_ms = heard;
-      gifts[i] = issue (permits, ask->host, &want, now);
+      gifts[i] = issue (permits, ask->host, &want, ask->listed, now);
     }
   return (struct mq_relay_quota_told){ .id = ask->id,
                                        .server = permits->run,
@@ -640,6 +654,49 @@
   talloc_free (ctx);
 }
 
+/* Another host has begun again and asks what its earlier runs lent: all of it,
+   or the answer would say too much.  */
+void
+mq_permits_on_recall (const struct mq_relay_quota_recall *recall,
+                      struct mq_relay_link *link, void *user)
+{
+  static const struct mq_quota_contact none = { 0 };
+  struct mq_router *router = user;
+  struct mq_permits *permits = router->permits;
+  uint64_t now = mq_clock_boot_ms ();
+  struct mq_quota_want *wants = mq_must (talloc_zero_array (
+      permits, struct mq_quota_want, mq_idmap_count (permits->shares) + 1));
+  struct mq_relay_quota_ask ask = { .host = permits->run,
+                                    .wants = wants,
+                                    .listed = router->row_written,
+                                    .recalled = true };
+  size_t position = 0;
+  struct share *share;
+
+  while ((share = mq_idmap_next (permits->shares, &position)) != NULL)
+    if (share->issuer != NULL && strcmp (share->issuer, recall->address) == 0)
+      {
+        mq_quota_surrender (&share->quota, recall->server, now);
+        wants[ask.want_count++]
+            = mq_quota_want (&share->quota, &none, share->name, 0, 0, now);
+      }
+  mq_relay_surrender (router->relay, link, &ask);
+  talloc_free (wants);
+}
+
+/* Until all hosts have answered, this one leaves to the others what they may
+   still use.  */
+static void
+recall_lent (struct mq_permits *permits)
+{
+  struct mq_router *router = permits->router;
+
+  if (permits->unheard == 0 || !router->hosts_listed
+      || !mq_reserve_inherits (router))
+    return;
+  permits->unheard = mq_relay_recall_quota (router->relay, permits->run);
+}
+
 bool
 mq_permits_lent (const struct mq_router *router, uint32_t slot)
 {
@@ -658,6 +715,7 @@
   size_t position = 0;
   struct share *share;
 
+  recall_lent (permits);
   mq_quota_issuer_sweep (permits->issuer, now);
   while (count < FORGET_MAX
          && (share = mq_idmap_next (permits->shares, &position)) != NULL)
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -106,8 +106,8 @@
 /* A final answer of our own.  */
 void request_refuse (struct mq_request *request, enum mq_refusal refusal);
 /* A final answer of our own that says when to come back.  */
-void request_refuse_until (struct mq_request *request,
-                           enum mq_refusal refusal, uint32_t retry_ms);
+void request_refuse_until (struct mq_request *request, enum mq_refusal refusal,
+                           uint32_t retry_ms);
 /* Finds the turn's history and its budget, then sends it.  */
 void request_begin_turn (struct mq_request *request);
 void request_note_served (const struct mq_request *request);
--- a/src/router/router_reserve.c
+++ b/src/router/router_reserve.c
@@ -40,7 +40,8 @@
  * @busy: a call is under way
  * @stopped: this host takes and holds no more
  * @listed: all leases are known as of @listed_ms
- * @look: some of them may have moved
+ * @known: they were listed once
+ * @look: some of them may have moved, that of @look_slot for one
  * @moment: that the call under way counts from
  * @claimed: slots that the call under way is to take
  * @claimed_count: how many
@@ -52,7 +53,9 @@
   bool busy;
   bool stopped;
   bool listed;
+  bool known;
   bool look;
+  uint32_t look_slot;
   uint64_t listed_ms;
   uint64_t renewed_ms;
   uint64_t claim_ms;
@@ -119,6 +122,7 @@
     if (!seen[i])
       mq_reserve_read (leases->reserve, i, nobodys, 0, leases->moment);
   leases->listed = true;
+  leases->known = true;
 }
 
 /* Another host was faster, or the outcome is not known: the rows tell.  */
@@ -202,7 +206,10 @@
       };
     }
   leases->busy = true;
-  mq_rows_commit (leases->router->rows, entries, count, done, leases);
+  if (mq_rows_down (leases->router->rows))
+    mq_relay_commit (leases->router->relay, entries, count, done, leases);
+  else
+    mq_rows_commit (leases->router->rows, entries, count, done, leases);
 }
 
 static void
@@ -230,26 +237,67 @@
                 on_claimed);
 }
 
-/* The call that is due, if any.  */
-static void
-step_leases (struct mq_leases *leases, uint64_t now)
+static bool
+renew_own (struct mq_leases *leases, uint64_t now)
 {
   uint32_t slots[MQ_RESERVE_SLOTS];
   uint32_t count = mq_reserve_owned (leases->reserve, slots);
 
+  if (count == 0 || now - leases->renewed_ms < MQ_RESERVE_RENEW_MS)
+    return false;
+  leases->renewed_ms = now;
+  write_rows (leases, slots, count, false, on_renewed);
+  return true;
+}
+
+static void
+on_looked (const struct mq_rows_result *result, void *user)
+{
+  struct mq_leases *leases = user;
+
+  leases->busy = false;
+  if (result->status == MQ_STORE_OK && result->row_count > 0)
+    (void)take_row (leases, &result->rows[0]);
+}
+
+/* Through another host: one row, since lists are not passed on.  */
+static void
+look_at_slot (struct mq_leases *leases, uint64_t now)
+{
+  char key[KEY_BYTES];
+
+  leases->busy = true;
+  leases->look = false;
+  leases->listed_ms = now;
+  snprintf (key, sizeof key, "%02u", leases->look_slot);
+  mq_relay_get (leases->router->relay, lease_table, "", key, on_looked,
+                leases);
+}
+
+/* Failure: the table turns away the host that issues the permits of a quarter
+   of the organisations, its lease runs out though it could reach the table
+   through others, and all requests of theirs are refused.  */
+static void
+step_without_table (struct mq_leases *leases, uint64_t now)
+{
+  if (mq_ledger_down (leases->router->ledger))
+    return;
+  if (!renew_own (leases, now) && leases->look
+      && now - leases->listed_ms >= LOOK_MS)
+    look_at_slot (leases, now);
+}
+
+/* The call that is due, if any.  */
+static void
+step_leases (struct mq_leases *leases, uint64_t now)
+{
   if (!leases->listed || (leases->look && now - leases->listed_ms >= LOOK_MS)
       || now - leases->listed_ms >= LIST_MS)
     {
       list_leases (leases, now);
       return;
     }
-  if (count > 0 && now - leases->renewed_ms >= MQ_RESERVE_RENEW_MS)
-    {
-      leases->renewed_ms = now;
-      write_rows (leases, slots, count, false, on_renewed);
-      return;
-    }
-  if (now >= leases->claim_ms)
+  if (!renew_own (leases, now) && now >= leases->claim_ms)
     claim_free (leases, now);
 }
 
@@ -261,11 +309,13 @@
   if (leases == NULL)
     leases = router->leases = create_leases (router);
   if (leases->busy || leases->stopped || router->leaving
-      || mq_rows_down (router->rows)
       || !mq_rows_moment (router->rows, &leases->moment.asked_ms,
                           &leases->moment.table_ms))
     return;
-  step_leases (leases, mq_clock_ms ());
+  if (mq_rows_down (router->rows))
+    step_without_table (leases, mq_clock_ms ());
+  else
+    step_leases (leases, mq_clock_ms ());
 }
 
 static void
@@ -350,7 +400,7 @@
   const struct mq_leases *leases = router->leases;
   const struct mq_reserve_lease *lease;
 
-  if (leases == NULL || !leases->listed)
+  if (leases == NULL || !leases->known)
     return NULL;
   lease = mq_reserve_lease_of (leases->reserve, slot);
   return lease->holder == 0 || lease->address[0] == '\0' ? NULL
@@ -358,13 +408,29 @@
 }
 
 void
-mq_reserve_look (struct mq_router *router)
+mq_reserve_look (struct mq_router *router, uint32_t slot)
 {
   struct mq_leases *leases = router->leases;
 
   if (leases == NULL)
     return;
   leases->look = true;
+  leases->look_slot = slot;
   leases->claim_ms = 0;
   mq_reserve_sweep (router);
 }
+
+bool
+mq_reserve_inherits (const struct mq_router *router)
+{
+  uint64_t now = mq_clock_boot_ms ();
+
+  for (uint32_t i = 0; i < MQ_RESERVE_SLOTS; i++)
+    {
+      struct mq_reserve_own own;
+
+      if (mq_reserve_issues (router, i, &own) && now < own.inherited_ms)
+        return true;
+    }
+  return false;
+}
--- a/src/router/router_settings.c
+++ b/src/router/router_settings.c
@@ -170,8 +170,7 @@
     = { "stop_seconds", 1.0, 86400.0, "1 to 86400" };
 static const struct fraction limit_window
     = { "limit_window_seconds", 0.1, 3600.0, "0.1 to 3600" };
-static const struct fraction limit_over
-    = { "limit_over", 0.0, 1.0, "0 to 1" };
+static const struct fraction limit_over = { "limit_over", 0.0, 1.0, "0 to 1" };
 
 /* TEXT in thousandths; false with an error in LIST.  */
 static bool
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -87,6 +87,8 @@
  * @workers_listed: the workers were listed once
  * @leaving: a stop was asked for
  * @stopped: nothing is left to do
+ * @hosts_listed: the table of hosts was read once
+ * @row_written: this host's row is in it
  * @callers: connections of callers
  * @ending_count: finished connections of callers that have not closed yet
  * @request_count: requests under way
@@ -138,6 +140,8 @@
   uint64_t hosts_ms;
   bool hosts_asked;
   bool announced;
+  bool hosts_listed;
+  bool row_written;
   uint64_t announced_ms;
   uint64_t counted_ms;
   bool table_down;
@@ -151,7 +155,7 @@
   MQ_REFUSE_HEAD_TOO_LARGE,
   MQ_REFUSE_BODY_TOO_LARGE,
   MQ_REFUSE_SLOW_HEAD,
-  MQ_REFUSE_NO_KEY, /* no organisation has the caller's key */
+  MQ_REFUSE_NO_KEY,     /* no organisation has the caller's key */
   MQ_REFUSE_OVER_LIMIT, /* of the caller's organisation */
   MQ_REFUSE_NO_PERMIT,  /* nobody can tell whether it is over the limit */
   MQ_REFUSE_NO_ROUTE,
@@ -343,8 +347,11 @@
                         struct mq_reserve_own *own);
 /* Address of the host that does, as far as is known; NULL: none is.  */
 const char *mq_reserve_issuer (const struct mq_router *router, uint32_t slot);
-/* Some lease seems to have moved: they are listed anew, soon.  */
-void mq_reserve_look (struct mq_router *router);
+/* The lease of SLOT seems to have moved: looks who has it now.  */
+void mq_reserve_look (struct mq_router *router, uint32_t slot);
+/* This host has leases of an earlier run of its own that would not have run
+   out yet.  */
+bool mq_reserve_inherits (const struct mq_router *router);
 /* Takes, renews and gives back this host's leases.  */
 void mq_reserve_sweep (struct mq_router *router);
 /* This host is leaving: it takes no more of them, and gives back those that it
@@ -389,6 +396,8 @@
                         struct mq_relay_link *link, void *user);
 void mq_permits_on_told (const struct mq_relay_quota_told *told,
                          const char *address, void *user);
+void mq_permits_on_recall (const struct mq_relay_quota_recall *recall,
+                           struct mq_relay_link *link, void *user);
 
 /* router_clean.c */
 
--- a/tests/fuzz/fuzz_relay.c
+++ b/tests/fuzz/fuzz_relay.c
@@ -60,6 +60,9 @@
       for (size_t i = 0; i < frame->u.quota_told.gift_count; i++)
         FUZZ_CHECK (frame->u.quota_told.gifts[i].organisation != NULL);
       return;
+    case MQ_RELAY_QUOTA_RECALL:
+      FUZZ_CHECK (frame->u.quota_recall.address != NULL);
+      return;
     case MQ_RELAY_SYNC:
     case MQ_RELAY_OTHER:
       return;
