Limits: what may pass beyond a limit deepens the bucket

The load: programs of a small organisation come in bursts of a few, each of ten requests in a second, which its burst alone does not hold. Of the tolerance a sixth may be out ahead, a tenth is kept back, what answers on their way hold is taken off, the rest is depth.

--- a/src/router/router_permit.c
+++ b/src/router/router_permit.c
@@ -566,17 +566,30 @@
 
 /* Issuing */
 
-/* A third of what may pass beyond a limit may be out ahead; the rest is for
-   answers on their way.  */
-static uint64_t
-ahead_bound (const struct mq_router_settings *settings,
-             const struct mq_quota_limit *limit)
+/* What an organisation may be over its limit, in thousandths of a request, is
+   divided: a sixth may be out ahead, a tenth is kept back, what may be on its
+   way in answers is taken off, and the rest deepens the bucket.
+
+   The load: programs of a small organisation come in bursts of a few, each of
+   some ten requests in a second, which its burst alone does not hold.  */
+#define AHEAD_PART 6U
+#define KEPT_PART 10U
+
+static void
+set_bounds (const struct mq_router_settings *settings,
+            const struct mq_quota_limit *limit, struct mq_quota_bounds *bounds)
 {
   uint64_t whole
       = limit->rate * settings->limit_window_ms / 1000U + limit->burst;
-  uint64_t over = whole * settings->limit_over_permille / 1000U;
+  uint64_t over = whole * settings->limit_over_permille / 1000U
+                  + settings->limit_slack * 1000U;
+  uint64_t spent = over / AHEAD_PART + over / KEPT_PART
+                   + limit->rate * MQ_QUOTA_ANSWER_MS / 1000U;
 
-  return (over / 1000U + settings->limit_slack) / 3;
+  bounds->limit = *limit;
+  bounds->ahead = over / AHEAD_PART / 1000U;
+  if (over > spent)
+    bounds->limit.burst += over - spent;
 }
 
 static struct mq_quota_gift
@@ -596,8 +609,7 @@
   if (org == NULL
       || !mq_reserve_issues (router, mq_reserve_slot (org->name), &own))
     return gift;
-  bounds.limit = org->limit;
-  bounds.ahead = ahead_bound (router->settings, &org->limit);
+  set_bounds (router->settings, &org->limit, &bounds);
   lease = (struct mq_quota_lease){ mq_reserve_slot (org->name), own.since_ms,
                                    own.until_ms, own.inherited_ms,
                                    permits->unheard };
--- a/tests/router_site.c
+++ b/tests/router_site.c
@@ -98,9 +98,9 @@
       "{\"name\":\"app\",\"maxConns\":100}],"
       "\"limits\":{\"maxHeaderBytes\":2048,\"maxBodyBytes\":4096,"
       "\"headerTimeoutMs\":300,\"idleTimeoutMs\":%u}%s}",
-      ++site->config_version, call, once, turn, kept, open, more == NULL ? "" : ",",
-      more == NULL ? "" : more, more_routes (site, timeout_ms), site->idle_ms,
-      organisations);
+      ++site->config_version, call, once, turn, kept, open,
+      more == NULL ? "" : ",", more == NULL ? "" : more,
+      more_routes (site, timeout_ms), site->idle_ms, organisations);
 }
 
 void
--- a/tests/test_organisation.c
+++ b/tests/test_organisation.c
@@ -113,8 +113,7 @@
     {
       struct mq_error error = { .type = MQ_ERR_NONE };
       char *text = talloc_asprintf (
-          NULL,
-          "{\"version\":1,\"routes\":[],\"services\":[],\"tenants\":%s}",
+          NULL, "{\"version\":1,\"routes\":[],\"services\":[],\"tenants\":%s}",
           cases[i].list);
       struct mq_bytes value = { (uint8_t *)text, strlen (text) };
       struct mq_route_table *table = mq_wire_read_config (text, value, &error);
@@ -328,9 +327,10 @@
 Test (organisation, key_is_taken_away_from_a_request_that_waits)
 {
   static const char text[]
-      = "POST /kept/a HTTP/1.1\r\n" HOST "X-Request-Id: w1\r\n" KEY ("acme-1")
-          "X-Program-Id: p\r\nX-Token-Budget: 80\r\nX-Token-Count: 10,8\r\n"
-          "Content-Length: 0\r\n\r\n";
+      = "POST /kept/a HTTP/1.1\r\n" HOST "X-Request-Id: w1\r\n" KEY (
+          "acme-1") "X-Program-Id: p\r\nX-Token-Budget: 80\r\nX-Token-Count: "
+                    "10,8\r\n"
+                    "Content-Length: 0\r\n\r\n";
 
   rows_server_fault (site->rows, ROWS_LATE);
   edge_call (site, &call, 0, text);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -164,8 +164,7 @@
       return;
     case MQ_RELAY_QUOTA_RECALL:
       cr_expect_eq (a->u.quota_recall.server, b->u.quota_recall.server);
-      cr_expect_str_eq (a->u.quota_recall.address,
-                        b->u.quota_recall.address);
+      cr_expect_str_eq (a->u.quota_recall.address, b->u.quota_recall.address);
       return;
     case MQ_RELAY_OTHER:
       cr_assert_fail ("a frame of our own is not known");
@@ -233,7 +232,8 @@
                        .want_count = 2,
                        .listed = true,
                        .recalled = true } },
-    { .kind = MQ_RELAY_QUOTA_RECALL, .u.quota_recall = { .server = 7, .address = "a:1" } },
+    { .kind = MQ_RELAY_QUOTA_RECALL,
+      .u.quota_recall = { .server = 7, .address = "a:1" } },
     { .kind = MQ_RELAY_QUOTA_TOLD,
       .u.quota_told = { .id = 1,
                         .server = 2,
--- a/tests/test_reserve.c
+++ b/tests/test_reserve.c
@@ -55,9 +55,10 @@
       cr_expect_eq (mq_reserve_holds (first, 3, cases[i].now_ms),
                     cases[i].holds, "%s", cases[i].what);
       for (uint32_t s = 0; s < MQ_RESERVE_SLOTS; s++)
-        mq_reserve_read (second, s,
-                         (struct mq_reserve_lease){ FIRST, UINT64_MAX / 2, "a:1" }, 9,
-                         look);
+        mq_reserve_read (
+            second, s,
+            (struct mq_reserve_lease){ FIRST, UINT64_MAX / 2, "a:1" }, 9,
+            look);
       mq_reserve_read (second, 3, lease, 9, look);
       free = mq_reserve_free (second, look, 2, 5, slots);
       cr_expect_eq (free == 1 && slots[0] == 3, cases[i].taken, "%s",
