Writes to one part of the table share a transaction; eight parts in place of 256

Cause: in a burst each turn's two records are calls of their own, 6,600 a second where the table takes 1,500 writing ones; two thirds are tries after a refusal, and programs wait for their records while engines are idle.

Change: one transaction to each part is under way in a host; what comes meanwhile goes with the next one (commit_queue.c). With 256 parts writes rarely meet, with 8 a queue forms where the table is at its rate. The three places of a turn's row are in three different parts now.

--- a/src/router/ledger.c
+++ b/src/router/ledger.c
@@ -1,8 +1,9 @@
 /* ledger.c - calls to the platform's table by whichever way is open.
 
-   Needs: ledger.h, clock.h.  */
+   Needs: ledger.h, commit_queue.h, clock.h.  */
 
 #include "ledger.h"
+#include "commit_queue.h"
 #include "net/clock.h"
 #include <stdlib.h>
 
@@ -14,6 +15,7 @@
 {
   struct mq_rows *rows;
   struct mq_relay *relay;
+  struct mq_commit_queue *commits;
   uint64_t down_until_ms;
   struct mq_histogram read_ms;
   struct mq_histogram write_ms;
@@ -23,8 +25,9 @@
  * struct mq_ledger_call - one call
  * @began_ms: when it was asked for
  * @entry: what is written or read; its strings are below the call
- * @direct: under way without another host, NULL: not
- * @relayed: under way through another host, NULL: not
+ * @write: the write, NULL: it is a read
+ * @direct: read under way without another host, NULL: not
+ * @relayed: read under way through another host, NULL: not
  */
 struct mq_ledger_call
 {
@@ -32,6 +35,7 @@
   bool commit;
   uint64_t began_ms;
   struct mq_rows_entry entry;
+  struct mq_commit *write;
   struct mq_rows_call *direct;
   struct mq_relay_call *relayed;
   mq_rows_done *done;
@@ -48,6 +52,7 @@
     return NULL;
   ledger->rows = rows;
   ledger->relay = relay;
+  ledger->commits = mq_commit_queue_create (ledger, rows, relay);
   return ledger;
 }
 
@@ -79,14 +84,19 @@
 static void
 relay_call (struct mq_ledger_call *call)
 {
-  struct mq_relay *relay = call->ledger->relay;
   const struct mq_rows_entry *entry = &call->entry;
 
-  if (call->commit)
-    call->relayed = mq_relay_commit (relay, entry, 1, on_relayed, call);
-  else
-    call->relayed = mq_relay_get (relay, entry->table, entry->part, entry->key,
-                                  on_relayed, call);
+  call->relayed = mq_relay_get (call->ledger->relay, entry->table, entry->part,
+                                entry->key, on_relayed, call);
+}
+
+static void
+on_written (const struct mq_rows_result *result, void *user)
+{
+  struct mq_ledger_call *call = user;
+
+  call->write = NULL;
+  end_call (call, result);
 }
 
 /* A call that the table turned away, or that did not reach it, was certainly
@@ -112,10 +122,11 @@
   struct mq_ledger *ledger = call->ledger;
   const struct mq_rows_entry *entry = &call->entry;
 
-  if (mq_rows_down (ledger->rows) && mq_relay_host_count (ledger->relay) > 0)
+  if (call->commit)
+    call->write = mq_commit_add (ledger->commits, entry, on_written, call);
+  else if (mq_rows_down (ledger->rows)
+           && mq_relay_host_count (ledger->relay) > 0)
     relay_call (call);
-  else if (call->commit)
-    call->direct = mq_rows_commit (ledger->rows, entry, 1, on_direct, call);
   else
     call->direct = mq_rows_get (ledger->rows, entry->table, entry->part,
                                 entry->key, on_direct, call);
@@ -166,6 +177,8 @@
 {
   if (call == NULL)
     return;
+  if (call->write != NULL)
+    mq_commit_cancel (call->write);
   if (call->direct != NULL)
     mq_rows_cancel (call->direct);
   if (call->relayed != NULL)
@@ -185,6 +198,12 @@
   return &ledger->write_ms;
 }
 
+const struct mq_histogram *
+mq_ledger_batch_rows (const struct mq_ledger *ledger)
+{
+  return mq_commit_queue_rows (ledger->commits);
+}
+
 bool
 mq_ledger_part_down (const struct mq_ledger *ledger, const char *part)
 {
--- a/src/router/ledger.h
+++ b/src/router/ledger.h
@@ -28,6 +28,9 @@
 /* How long reads and writes took until their outcome, milliseconds.  */
 const struct mq_histogram *mq_ledger_read_ms (const struct mq_ledger *ledger);
 const struct mq_histogram *mq_ledger_write_ms (const struct mq_ledger *ledger);
+/* How many rows the transactions of writes had.  */
+const struct mq_histogram *
+mq_ledger_batch_rows (const struct mq_ledger *ledger);
 /* Neither way is open, as far as is known.  */
 bool mq_ledger_down (const struct mq_ledger *ledger);
 /* The same as mq_ledger_down for the rows of PART.  */
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -230,12 +230,13 @@
 
 /* router_turn.c */
 
-/* Tables of the records, and the parts that each is spread over.  A part takes
-   a few hundred transactions a second; with this many, waiting for one is rare
-   at any rate that the table allows.  */
+/* Tables of the records, and the parts that each is spread over: a power of
+   two.  A part takes a few hundred transactions a second, so that these take as
+   many as the table does.  With more of them fewer writes share a transaction,
+   and the table's rate of calls binds.  */
 extern const char mq_budget_table[];
 extern const char mq_turn_table[];
-#define MQ_TURN_PARTS 256U
+#define MQ_TURN_PARTS 8U
 /* Parts in which a turn's row may lie.  With two fifths of the parts silent, 6
    of 100 rows find none of three; a fourth would make a turn that does not
    exist cost one more read.  */
--- a/src/router/router_turn.c
+++ b/src/router/router_turn.c
@@ -41,9 +41,12 @@
 void
 mq_turn_set_part (char part[MQ_PART_BYTES], const char *key, uint32_t place)
 {
-  uint64_t hash = mq_hash_bytes (key, strlen (key), place);
+  uint64_t hash = mq_hash_bytes (key, strlen (key), 0);
+  /* Odd steps, so that no two places are in one part.  */
+  uint64_t step = hash / MQ_TURN_PARTS | 1U;
 
-  snprintf (part, MQ_PART_BYTES, "%02x", (unsigned int)(hash % MQ_TURN_PARTS));
+  snprintf (part, MQ_PART_BYTES, "%02x",
+            (unsigned int)((hash + place * step) % MQ_TURN_PARTS));
 }
 
 struct mq_timer *
