Writes of a data centre's hosts are gathered by one of them for each part

Cause: with one transaction a part under way in each of 38 hosts, a record waits for 38 transactions of 5 ms one after another.

Change: each host gives its writes to the host of its data centre that a hash names for the part; that one gathers them (commit_queue.c, mq_relay_writer). A writer that can't be reached, is slow or can't reach the table is left out for a second, and the host writes by itself.

--- a/src/router/commit_queue.c
+++ b/src/router/commit_queue.c
@@ -1,6 +1,9 @@
 /* commit_queue.c - group commit: writes to one part of the platform's table
    share a transaction.
 
+   A part has two queues: writes that this host brings to the table, those that
+   other hosts gave it among them, and writes of this host that another one
+   gathers.
    Needs: commit_queue.h, id.h, idmap.h, memory.h.  */
 
 #include "commit_queue.h"
@@ -9,9 +12,21 @@
 #include "core/memory.h"
 #include <string.h>
 
+/* A host that gathers writes answers within so long: a transaction takes some
+   10 ms, and one before it may be under way.  */
+#define GATHER_MS 150U
+
+/* Which of a part's queues.  */
+enum
+{
+  TO_TABLE,
+  TO_WRITER
+};
+
 /**
- * struct mq_commit - one write
- * @entry: its strings lie below the commit
+ * struct mq_commit - writes that are done together or not at all: one, or
+ *                    those of another host's transaction
+ * @entries: their strings lie below the commit
  * @part: queue that it is in
  * @sent: it is in the transaction under way
  * @cancelled: nobody is told
@@ -20,7 +35,8 @@
 {
   struct mq_commit *next;
   struct part *part;
-  struct mq_rows_entry entry;
+  struct mq_rows_entry *entries;
+  size_t count;
   bool sent;
   bool cancelled;
   mq_rows_done *done;
@@ -29,19 +45,22 @@
 
 /**
  * struct part - writes to one part of the table
+ * @way: TO_TABLE or TO_WRITER
  * @waiting: oldest first
  * @batch: in the transaction under way
  * @count: how many, 0: none is under way
- * @relayed: it goes through another host
+ * @rows: that they write
  */
 struct part
 {
   struct mq_commit_queue *queue;
   struct mq_id id;
+  uint32_t way;
   struct mq_commit *waiting;
   struct mq_commit *batch[MQ_COMMIT_ROWS_MAX];
   size_t count;
-  bool relayed;
+  struct mq_rows_entry rows[MQ_COMMIT_ROWS_MAX];
+  size_t row_count;
 };
 
 struct mq_commit_queue
@@ -74,17 +93,18 @@
 }
 
 static struct part *
-get_part (struct mq_commit_queue *queue, const char *name)
+get_part (struct mq_commit_queue *queue, const char *name, uint32_t way)
 {
   struct mq_id id = mq_id_text_hash (name);
-  struct part *part = mq_idmap_find (queue->parts, id, 0);
+  struct part *part = mq_idmap_find (queue->parts, id, way);
 
   if (part != NULL)
     return part;
   part = mq_must (talloc_zero (queue, struct part));
   part->queue = queue;
   part->id = id;
-  mq_idmap_put (queue->parts, id, 0, part);
+  part->way = way;
+  mq_idmap_put (queue->parts, id, way, part);
   return part;
 }
 
@@ -133,21 +153,20 @@
   talloc_free (commit);
 }
 
-/* The row of COMMIT alone, as far as RESULT tells it.  */
+/* The rows of COMMIT, as far as RESULT tells them, are put into ROWS.  */
 static struct mq_rows_result
 own_result (const struct mq_commit *commit,
-            const struct mq_rows_result *result)
+            const struct mq_rows_result *result,
+            struct mq_rows_entry rows[MQ_COMMIT_ROWS_MAX])
 {
   struct mq_rows_result own = *result;
 
-  own.rows = NULL;
+  own.rows = rows;
   own.row_count = 0;
-  for (size_t i = 0; i < result->row_count; i++)
-    if (is_same_row (&result->rows[i], &commit->entry))
-      {
-        own.rows = &result->rows[i];
-        own.row_count = 1;
-      }
+  for (size_t k = 0; k < commit->count; k++)
+    for (size_t i = 0; i < result->row_count; i++)
+      if (is_same_row (&result->rows[i], &commit->entries[k]))
+        rows[own.row_count++] = result->rows[i];
   return own;
 }
 
@@ -163,32 +182,44 @@
     }
 }
 
+/* Any of the COUNT rows from FIRST on is at fault.  */
+static bool
+any_fault (const bool *faults, size_t first, size_t count)
+{
+  for (size_t i = first; i < first + count; i++)
+    if (faults[i])
+      return true;
+  return false;
+}
+
 /* Splits the batch into those that have an outcome, which are returned, and
    those that go again.  */
 static size_t
 take_outcomes (struct part *part, const struct mq_rows_result *result,
                struct mq_commit *ended[MQ_COMMIT_ROWS_MAX])
 {
-  struct mq_rows_entry entries[MQ_COMMIT_ROWS_MAX] = { { .table = NULL } };
   struct mq_commit *again[MQ_COMMIT_ROWS_MAX];
   bool faults[MQ_COMMIT_ROWS_MAX];
   size_t ended_count = 0;
   size_t again_count = 0;
+  size_t row = 0;
 
+  memset (faults, true, sizeof faults);
+  if (result->status == MQ_STORE_CONFLICT)
+    (void)mq_commit_faults (part->rows, part->row_count, result, faults);
   for (size_t i = 0; i < part->count; i++)
     {
-      entries[i] = part->batch[i]->entry;
-      faults[i] = true;
+      struct mq_commit *commit = part->batch[i];
+      bool ends = any_fault (faults, row, commit->count);
+
+      row += commit->count;
+      if (ends)
+        ended[ended_count++] = commit;
+      else if (commit->cancelled)
+        talloc_free (commit);
+      else
+        again[again_count++] = commit;
     }
-  if (result->status == MQ_STORE_CONFLICT)
-    (void)mq_commit_faults (entries, part->count, result, faults);
-  for (size_t i = 0; i < part->count; i++)
-    if (faults[i])
-      ended[ended_count++] = part->batch[i];
-    else if (part->batch[i]->cancelled)
-      talloc_free (part->batch[i]);
-    else
-      again[again_count++] = part->batch[i];
   part->count = 0;
   put_first (part, again, again_count);
   return ended_count;
@@ -203,29 +234,28 @@
 
   for (size_t i = 0; i < count; i++)
     {
-      struct mq_rows_result own = own_result (ended[i], result);
+      struct mq_rows_entry rows[MQ_COMMIT_ROWS_MAX];
+      struct mq_rows_result own = own_result (ended[i], result, rows);
 
       end_commit (ended[i], &own);
     }
   send_next (part);
 }
 
-static void on_direct (const struct mq_rows_result *result, void *user);
-
 /* Sending */
 
+/* Puts COMMIT behind all that wait in PART.  */
 static void
-send_batch (struct part *part)
+put_last (struct part *part, struct mq_commit *commit)
 {
-  struct mq_commit_queue *queue = part->queue;
-  struct mq_rows_entry entries[MQ_COMMIT_ROWS_MAX];
+  struct mq_commit **at = &part->waiting;
 
-  for (size_t i = 0; i < part->count; i++)
-    entries[i] = part->batch[i]->entry;
-  if (part->relayed)
-    mq_relay_commit (queue->relay, entries, part->count, on_done, part);
-  else
-    mq_rows_commit (queue->rows, entries, part->count, on_direct, part);
+  while (*at != NULL)
+    at = &(*at)->next;
+  commit->part = part;
+  commit->sent = false;
+  commit->next = NULL;
+  *at = commit;
 }
 
 /* A call that the table turned away, or that did not reach it, was certainly
@@ -238,13 +268,61 @@
   struct mq_commit_queue *queue = part->queue;
 
   if (result->status == MQ_STORE_DOWN && mq_relay_host_count (queue->relay) > 0
-      && !mq_rows_part_suspect (queue->rows, part->batch[0]->entry.part))
+      && !mq_rows_part_suspect (queue->rows, part->rows[0].part))
+    mq_relay_commit (queue->relay, part->rows, part->row_count, on_done, part);
+  else
+    on_done (result, part);
+}
+
+/* What the host that gathers did certainly not do, this one does.  */
+static void
+on_gathered (const struct mq_rows_result *result, void *user)
+{
+  struct part *part = user;
+  struct part *table;
+
+  if (result->status != MQ_STORE_DOWN)
     {
-      part->relayed = true;
-      send_batch (part);
+      on_done (result, part);
+      return;
     }
+  table = get_part (part->queue, part->rows[0].part, TO_TABLE);
+  for (size_t i = 0; i < part->count; i++)
+    if (part->batch[i]->cancelled)
+      talloc_free (part->batch[i]);
+    else
+      put_last (table, part->batch[i]);
+  part->count = 0;
+  send_next (table);
+  send_next (part);
+}
+
+static void
+send_batch (struct part *part)
+{
+  struct mq_commit_queue *queue = part->queue;
+  const char *writer = NULL;
+
+  if (part->way == TO_WRITER)
+    writer = mq_relay_writer (queue->relay, part->rows[0].part);
+  if (writer != NULL)
+    mq_relay_commit_at (queue->relay, writer, GATHER_MS, part->rows,
+                        part->row_count, on_gathered, part);
+  else if (mq_rows_down (queue->rows)
+           && mq_relay_host_count (queue->relay) > 0)
+    mq_relay_commit (queue->relay, part->rows, part->row_count, on_done, part);
   else
-    on_done (result, part);
+    mq_rows_commit (queue->rows, part->rows, part->row_count, on_direct, part);
+}
+
+static size_t
+bytes_of (const struct mq_commit *commit)
+{
+  size_t bytes = 0;
+
+  for (size_t i = 0; i < commit->count; i++)
+    bytes += commit->entries[i].value.len;
+  return bytes;
 }
 
 /* COMMIT may go with those that were chosen so far: one row is written once in
@@ -252,11 +330,13 @@
 static bool
 fits (const struct part *part, const struct mq_commit *commit, size_t bytes)
 {
-  if (part->count > 0 && bytes + commit->entry.value.len > MQ_COMMIT_BYTES_MAX)
+  if (part->row_count + commit->count > MQ_COMMIT_ROWS_MAX
+      || (part->count > 0 && bytes + bytes_of (commit) > MQ_COMMIT_BYTES_MAX))
     return false;
-  for (size_t i = 0; i < part->count; i++)
-    if (is_same_row (&part->batch[i]->entry, &commit->entry))
-      return false;
+  for (size_t i = 0; i < part->row_count; i++)
+    for (size_t k = 0; k < commit->count; k++)
+      if (is_same_row (&part->rows[i], &commit->entries[k]))
+        return false;
   return true;
 }
 
@@ -266,6 +346,7 @@
   struct mq_commit **at = &part->waiting;
   size_t bytes = 0;
 
+  part->row_count = 0;
   while (*at != NULL && part->count < MQ_COMMIT_ROWS_MAX)
     {
       struct mq_commit *commit = *at;
@@ -277,48 +358,78 @@
         }
       *at = commit->next;
       commit->sent = true;
-      bytes += commit->entry.value.len;
+      bytes += bytes_of (commit);
       part->batch[part->count++] = commit;
+      for (size_t k = 0; k < commit->count; k++)
+        part->rows[part->row_count++] = commit->entries[k];
     }
 }
 
 static void
 send_next (struct part *part)
 {
-  struct mq_commit_queue *queue = part->queue;
-
   if (part->count > 0 || part->waiting == NULL)
     return;
   choose_batch (part);
-  mq_histogram_add (&queue->batch_rows, part->count);
-  part->relayed
-      = mq_rows_down (queue->rows) && mq_relay_host_count (queue->relay) > 0;
+  if (part->way == TO_TABLE)
+    mq_histogram_add (&part->queue->batch_rows, part->row_count);
   send_batch (part);
 }
 
+static void
+copy_entry (TALLOC_CTX *ctx, struct mq_rows_entry *to,
+            const struct mq_rows_entry *from)
+{
+  *to = *from;
+  to->table = mq_text_copy (ctx, from->table);
+  to->part = mq_text_copy (ctx, from->part);
+  to->key = mq_text_copy (ctx, from->key);
+  if (from->value.len > 0)
+    to->value.data
+        = mq_must (talloc_memdup (ctx, from->value.data, from->value.len));
+}
+
+static struct mq_commit *
+add (struct part *part, const struct mq_rows_entry *entries, size_t count,
+     mq_rows_done *done, void *user)
+{
+  struct mq_commit *commit
+      = mq_must (talloc_zero (part->queue, struct mq_commit));
+
+  commit->done = done;
+  commit->user = user;
+  commit->count = count;
+  commit->entries
+      = mq_must (talloc_zero_array (commit, struct mq_rows_entry, count));
+  for (size_t i = 0; i < count; i++)
+    copy_entry (commit, &commit->entries[i], &entries[i]);
+  put_last (part, commit);
+  send_next (part);
+  return commit;
+}
+
 struct mq_commit *
 mq_commit_add (struct mq_commit_queue *queue,
                const struct mq_rows_entry *entry, mq_rows_done *done,
                void *user)
 {
-  struct mq_commit *commit = mq_must (talloc_zero (queue, struct mq_commit));
-  struct mq_commit **at;
+  bool gathered = mq_relay_writer (queue->relay, entry->part) != NULL;
 
-  commit->part = get_part (queue, entry->part);
-  commit->done = done;
-  commit->user = user;
-  commit->entry = *entry;
-  commit->entry.table = mq_text_copy (commit, entry->table);
-  commit->entry.part = mq_text_copy (commit, entry->part);
-  commit->entry.key = mq_text_copy (commit, entry->key);
-  if (entry->value.len > 0)
-    commit->entry.value.data = mq_must (
-        talloc_memdup (commit, entry->value.data, entry->value.len));
-  for (at = &commit->part->waiting; *at != NULL; at = &(*at)->next)
-    continue;
-  *at = commit;
-  send_next (commit->part);
-  return commit;
+  return add (get_part (queue, entry->part, gathered ? TO_WRITER : TO_TABLE),
+              entry, 1, done, user);
+}
+
+void
+mq_commit_for_other (const struct mq_rows_entry *entries, size_t count,
+                     mq_rows_done *done, void *done_user, void *user)
+{
+  struct mq_commit_queue *queue = user;
+
+  if (count > MQ_COMMIT_ROWS_MAX)
+    mq_rows_commit (queue->rows, entries, count, done, done_user);
+  else
+    add (get_part (queue, entries[0].part, TO_TABLE), entries, count, done,
+         done_user);
 }
 
 void
--- a/src/router/commit_queue.h
+++ b/src/router/commit_queue.h
@@ -5,6 +5,11 @@
    goes with the next one, and what comes while none is under way goes at once.
    So a table that is slow, or turns calls away, gets fewer and larger calls.
 
+   Hosts of a data centre give their writes to one of them for each part, which
+   gathers them.  Whoever writes, conditions keep the rows right, so that it
+   does not matter whether all hosts agree on that one: a host that gets no
+   answer from it looks at the row, as after any lost answer.
+
    Each write keeps its own condition and its own outcome: one whose condition
    fails does not fail those that went with it.
    Needs: rows.h, relay.h.  */
@@ -32,6 +37,10 @@
 struct mq_commit *mq_commit_add (struct mq_commit_queue *queue,
                                  const struct mq_rows_entry *entry,
                                  mq_rows_done *done, void *user);
+/* Writes of another host, all of one part, done together or not at all; for
+   mq_relay_set_write with the queue as its user.  */
+void mq_commit_for_other (const struct mq_rows_entry *entries, size_t count,
+                          mq_rows_done *done, void *done_user, void *user);
 /* No callback follows; what was sent may still be done.  */
 void mq_commit_cancel (struct mq_commit *commit);
 /* How many rows the transactions had.  */
--- a/src/router/ledger.c
+++ b/src/router/ledger.c
@@ -53,6 +53,7 @@
   ledger->rows = rows;
   ledger->relay = relay;
   ledger->commits = mq_commit_queue_create (ledger, rows, relay);
+  mq_relay_set_write (relay, mq_commit_for_other, ledger->commits);
   return ledger;
 }
 
--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -14,6 +14,8 @@
 
 /* Hosts that one call is tried at.  */
 #define TRIES_MAX 2U
+/* Seed of the hash by which parts are given to writers.  */
+#define WRITER_SEED 3U
 /* Links that other hosts may keep to this one.  */
 #define LINKS_MAX 256U
 
@@ -22,6 +24,8 @@
  * @ask: its frame, packed
  * @link: that it was sent on, NULL: none yet
  * @sent: some host may have done it
+ * @address: the host that is to make it, NULL: any
+ * @wait_ms: for its answer
  */
 struct mq_relay_call
 {
@@ -34,6 +38,8 @@
   struct mq_timer *timer;
   uint32_t tries;
   bool sent;
+  char *address;
+  uint32_t wait_ms;
   mq_rows_done *done;
   void *user;
 };
@@ -170,7 +176,10 @@
   errand->next = relay->errands;
   relay->errands = errand;
   relay->served++;
-  if (ask->commit)
+  if (ask->commit && relay->write != NULL)
+    relay->write (ask->entries, ask->count, on_errand_done, errand,
+                  relay->write_user);
+  else if (ask->commit)
     mq_rows_commit (relay->rows, ask->entries, ask->count, on_errand_done,
                     errand);
   else
@@ -229,6 +238,8 @@
   /* That host can't reach the table either.  */
   if (host != NULL)
     note_bad (host);
+  if (host != NULL)
+    host->slow_until_ms = host->bad_until_ms;
   call->link = NULL;
   try_call (call);
 }
@@ -365,6 +376,19 @@
   return chosen;
 }
 
+static void give_up_call (struct mq_relay_call *call);
+
+/* The host that gathers writes is slow; its link serves others as it is.  */
+static void
+end_slow (struct mq_relay_call *call)
+{
+  struct host *host = relay_find_host (call->relay, call->address);
+
+  if (host != NULL)
+    host->slow_until_ms = mq_clock_ms () + MQ_RELAY_BAD_MS;
+  give_up_call (call);
+}
+
 static void
 on_call_timeout (void *data)
 {
@@ -372,7 +396,9 @@
   struct mq_relay_link *link = call->link;
 
   call->timer = NULL;
-  if (link != NULL)
+  if (call->address != NULL)
+    end_slow (call);
+  else if (link != NULL)
     drop_link (call->relay, link);
   else
     try_call (call);
@@ -397,6 +423,15 @@
   give_up_call (call);
 }
 
+static struct host *
+host_for (struct mq_relay_call *call)
+{
+  if (call->address == NULL)
+    return choose_host (call->relay);
+  return call->tries == 0 ? relay_find_host (call->relay, call->address)
+                          : NULL;
+}
+
 /* A write that some host may have done is not sent to another one: whoever
    asked looks first whether it was done.  */
 static void
@@ -408,7 +443,7 @@
 
   TALLOC_FREE (call->timer);
   while (call->tries < TRIES_MAX && !(call->commit && call->sent)
-         && link == NULL && (host = choose_host (relay)) != NULL)
+         && link == NULL && (host = host_for (call)) != NULL)
     {
       call->tries++;
       link = relay_open_link (relay, host);
@@ -422,13 +457,14 @@
   call->sent = true;
   relay->asked++;
   mq_relay_link_send (link, call->frame);
-  call->timer = mq_timer_add (call, relay->ev, MQ_RELAY_CALL_MS,
-                              on_call_timeout, call);
+  call->timer
+      = mq_timer_add (call, relay->ev, call->wait_ms, on_call_timeout, call);
 }
 
 static struct mq_relay_call *
-make_call (struct mq_relay *relay, const struct mq_rows_entry *entries,
-           size_t count, bool commit, mq_rows_done *done, void *user)
+make_call (struct mq_relay *relay, const char *address, uint32_t wait,
+           const struct mq_rows_entry *entries, size_t count, bool commit,
+           mq_rows_done *done, void *user)
 {
   struct mq_relay_call *call
       = mq_must (talloc_zero (relay, struct mq_relay_call));
@@ -437,6 +473,8 @@
   call->relay = relay;
   call->id = ++relay->next_id;
   call->commit = commit;
+  call->address = address == NULL ? NULL : mq_text_copy (call, address);
+  call->wait_ms = wait;
   call->done = done;
   call->user = user;
   frame.u.ask = (struct mq_relay_ask){
@@ -453,7 +491,47 @@
 mq_relay_commit (struct mq_relay *relay, const struct mq_rows_entry *entries,
                  size_t count, mq_rows_done *done, void *user)
 {
-  return make_call (relay, entries, count, true, done, user);
+  return make_call (relay, NULL, MQ_RELAY_CALL_MS, entries, count, true, done,
+                    user);
+}
+
+struct mq_relay_call *
+mq_relay_commit_at (struct mq_relay *relay, const char *address, uint32_t wait,
+                    const struct mq_rows_entry *entries, size_t count,
+                    mq_rows_done *done, void *user)
+{
+  return make_call (relay, address, wait, entries, count, true, done, user);
+}
+
+void
+mq_relay_set_write (struct mq_relay *relay, mq_relay_write *write, void *user)
+{
+  relay->write = write;
+  relay->write_user = user;
+}
+
+const char *
+mq_relay_writer (const struct mq_relay *relay, const char *part)
+{
+  uint64_t key = mq_hash_bytes (part, strlen (part), WRITER_SEED);
+  uint64_t most = mq_rendezvous_weight (relay->own_address, key);
+  uint64_t now = mq_clock_ms ();
+  const struct host *found = NULL;
+
+  for (const struct host *host = relay->hosts; host != NULL; host = host->next)
+    {
+      uint64_t weight;
+
+      if (!host->near || !host->listed || host->slow_until_ms > now
+          || host->bad_until_ms > now)
+        continue;
+      weight = mq_rendezvous_weight (host->address, key);
+      if (weight <= most)
+        continue;
+      most = weight;
+      found = host;
+    }
+  return found == NULL ? NULL : found->address;
 }
 
 struct mq_relay_call *
@@ -462,7 +540,8 @@
 {
   struct mq_rows_entry entry = { .table = table, .part = part, .key = key };
 
-  return make_call (relay, &entry, 1, false, done, user);
+  return make_call (relay, NULL, MQ_RELAY_CALL_MS, &entry, 1, false, done,
+                    user);
 }
 
 void
--- a/src/router/relay.h
+++ b/src/router/relay.h
@@ -84,6 +84,22 @@
                                     const char *part, const char *key,
                                     mq_rows_done *done, void *user);
 void mq_relay_cancel (struct mq_relay_call *call);
+/* As mq_relay_commit, by the host at ADDRESS alone, which answers within WAIT
+   milliseconds or is not asked so for a while.  */
+struct mq_relay_call *mq_relay_commit_at (struct mq_relay *relay,
+                                          const char *address, uint32_t wait,
+                                          const struct mq_rows_entry *entries,
+                                          size_t count, mq_rows_done *done,
+                                          void *user);
+/* The host of this data centre that gathers writes to PART: all of its hosts
+   name the same one, as far as they know the same hosts.  NULL: this one
+   does, or nobody can be asked.  */
+const char *mq_relay_writer (const struct mq_relay *relay, const char *part);
+/* WRITE makes other hosts' writes, in place of calls to the table.  */
+typedef void mq_relay_write (const struct mq_rows_entry *entries, size_t count,
+                             mq_rows_done *done, void *done_user, void *user);
+void mq_relay_set_write (struct mq_relay *relay, mq_relay_write *write,
+                         void *user);
 /* Asks some host for what is newer than SYNC.  */
 void mq_relay_ask_sync (struct mq_relay *relay,
                         const struct mq_relay_sync *sync);
--- a/src/router/relay_state.h
+++ b/src/router/relay_state.h
@@ -22,6 +22,7 @@
  * @listed: the list that is being told has it
  * @near: it is in the same data centre
  * @recalled: it has answered mq_relay_recall_quota
+ * @slow_until_ms: it is not asked to gather writes before
  */
 struct host
 {
@@ -36,6 +37,7 @@
   bool listed;
   bool near;
   bool recalled;
+  uint64_t slow_until_ms;
 };
 
 struct mq_relay
@@ -44,6 +46,8 @@
   struct tevent_fd *event;
   struct mq_rows *rows;
   struct mq_relay_owner owner;
+  mq_relay_write *write;
+  void *write_user;
   struct host *hosts;
   size_t accepted;
   struct mq_relay_call *calls;
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -231,9 +231,9 @@
 /* router_turn.c */
 
 /* Tables of the records, and the parts that each is spread over: a power of
-   two.  A part takes a few hundred transactions a second, so that these take as
-   many as the table does.  With more of them fewer writes share a transaction,
-   and the table's rate of calls binds.  */
+   two.  A part takes a few hundred transactions a second, so that these take
+   as many as the table does.  With more of them fewer writes share a
+   transaction, and the table's rate of calls binds.  */
 extern const char mq_budget_table[];
 extern const char mq_turn_table[];
 #define MQ_TURN_PARTS 8U
