--- a/src/router/router_permit.c
+++ b/src/router/router_permit.c
@@ -582,7 +582,7 @@
   uint64_t whole
       = limit->rate * settings->limit_window_ms / 1000U + limit->burst;
   uint64_t over = whole * settings->limit_over_permille / 1000U
-                  + settings->limit_slack * 1000U;
+                  + settings->limit_slack * (uint64_t)1000;
   uint64_t spent = over / AHEAD_PART + over / KEPT_PART
                    + limit->rate * MQ_QUOTA_ANSWER_MS / 1000U;
 
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -29,6 +29,14 @@
         .first_bit = 0,
         .last_bit = 13 };
 
+/* To 128 rows: a transaction takes a hundred.  */
+static const struct mq_metrics_family batch_rows
+    = { .name = "mimosa_router_transaction_rows",
+        .help = "rows of a transaction that this host brought to the table",
+        .per_second = 1,
+        .first_bit = 0,
+        .last_bit = 7 };
+
 static void
 add_counters (char **text, const struct mq_router *router)
 {
@@ -107,6 +115,9 @@
   add_state (&text, router);
   add_latency (&text, router);
   add_table_time (&text, router);
+  mq_metrics_begin (&text, &batch_rows);
+  mq_metrics_series (&text, &batch_rows, "call=\"write\"",
+                     mq_ledger_batch_rows (router->ledger));
   mq_metrics_begin (&text, &held_up);
   mq_metrics_series (&text, &held_up, "timer=\"sweep\"", &router->held_up);
   mq_metrics_add_process (&text);
