--- a/tests/test_quota_model.c
+++ b/tests/test_quota_model.c
@@ -165,7 +165,7 @@
       uint64_t span = world->now_ms - world->used[index];
       uint64_t allowed = most->burst
                          + most->rate * (span + MQ_QUOTA_ANSWER_MS) / 1000
-                         + (AHEAD + 1) * 1000U;
+                         + (uint64_t)(AHEAD + 1) * 1000;
 
       if (span > SPAN_MS)
         return;
