--- a/tests/test_quota_model.c
+++ b/tests/test_quota_model.c
@@ -39,7 +39,7 @@
 {
   PLANTED_NONE,
   PLANTED_UNACKNOWLEDGED,   /* whoever asks counts as heard */
-  PLANTED_ALONE_EARLY,      /* a host does not wait before it is alone */
+  PLANTED_NOT_ALONE,        /* a host asks and uses its standing rate too */
   PLANTED_FORGETFUL_ISSUER, /* a new run of the issuer issues all at once */
   PLANTED_EARLY_TAKEOVER,   /* a lease is taken before it has run out */
   PLANTED_FULL_BUCKET,      /* a bucket does not begin empty */
@@ -54,7 +54,7 @@
 
 static const char *const planted_names[PLANTED_COUNT] = { "none",
                                                           "unacknowledged",
-                                                          "alone early",
+                                                          "not alone",
                                                           "forgetful",
                                                           "early takeover",
                                                           "full bucket",
@@ -333,33 +333,27 @@
 
 /* Using */
 
-static struct mq_quota_contact
-contact_as_seen (const struct world *world, const struct host *host)
-{
-  struct mq_quota_contact contact = host->contacts[host->believed];
-
-  if (world->planted == PLANTED_ALONE_EARLY
-      && contact.answered_ms > MQ_QUOTA_ALONE_MS)
-    contact.answered_ms -= MQ_QUOTA_ALONE_MS - 100;
-  return contact;
-}
-
 static void
 want_permits (struct world *world, struct host *host)
 {
   uint64_t now = clock_of (world, host);
-  struct mq_quota_contact contact = contact_as_seen (world, host);
+  const struct mq_quota_contact *contact = &host->contacts[host->believed];
+  static const struct mq_quota_contact none = { 0 };
 
   if (world->planted == PLANTED_ENDLESS_STANDING)
     host->share.standing_until_ms = UINT64_MAX / 2;
   for (uint32_t i = draw (world, 3); i > 0; i--)
-    switch (mq_quota_take (&host->share, &contact, draw (world, 4) == 0, now))
+    switch (mq_quota_take (&host->share, contact, draw (world, 4) == 0, now))
       {
       case MQ_QUOTA_PERMIT:
         note_use (world);
         break;
       case MQ_QUOTA_ASK:
         host->waiting++;
+        if (world->planted == PLANTED_NOT_ALONE
+            && mq_quota_take (&host->share, &none, false, now)
+                   == MQ_QUOTA_PERMIT)
+          note_use (world);
         break;
       case MQ_QUOTA_OVER:
       case MQ_QUOTA_ALONE:
