--- a/tests/test_quota_model.c
+++ b/tests/test_quota_model.c
@@ -390,6 +390,7 @@
   struct host *host = &world->hosts[at];
   uint64_t now = clock_of (world, host);
   uint64_t asked = told->asked_ms;
+  struct mq_quota_share before;
 
   if (told->host != host->run)
     return;
@@ -400,7 +401,14 @@
       || told->gift.unknown)
     return;
   host->lender = told->from;
+  before = host->share;
   mq_quota_told (&host->share, &told->gift, told->server, asked, now);
+  if (world->planted == PLANTED_NOT_ALONE)
+    {
+      host->share.alone = before.alone;
+      host->share.level = before.level;
+      host->share.level_ms = before.level_ms;
+    }
   for (uint32_t i = 0; i < told->gift.need; i++)
     note_use (world);
 }
