--- a/tests/test_commit_queue.c
+++ b/tests/test_commit_queue.c
@@ -148,7 +148,7 @@
 /* Writes that come while one is under way go together with the next.  */
 Test (commits, gathered)
 {
-  char key[16];
+  char key[32];
 
   for (int i = 0; i < WRITES; i++)
     {
--- a/tests/test_organisation.c
+++ b/tests/test_organisation.c
@@ -24,7 +24,7 @@
 {
   struct mq_key_set *set = mq_key_set_create (NULL, 7);
   uint8_t digest[MQ_KEY_BYTES];
-  char key[16];
+  char key[32];
 
   for (uint32_t i = 0; i < 1000; i++)
     {
@@ -227,7 +227,7 @@
   for (size_t i = 0; i < ROWS (cases); i++)
     {
       const struct worker_run *run;
-      char id[16];
+      char id[32];
       char text[512];
 
       snprintf (id, sizeof id, "q%zu", i);
@@ -296,7 +296,7 @@
 
   for (int i = 0; i < FORGED; i++)
     {
-      char key[16];
+      char key[32];
 
       snprintf (key, sizeof key, "forged-%d", i);
       cr_assert_eq (ask (0, "q1", key), 401);
@@ -393,7 +393,7 @@
 
   for (size_t k = 0; k < ROWS (keys); k++)
     {
-      char id[16];
+      char id[32];
 
       for (int i = 0; i < 3; i++)
         {
