Quota: what a host alone may save up is one function for both sides

The issuer keeps back what a host on its standing rate may have saved; the two figures stood in two files and had to agree for the bound to hold. Behaviour as before; test_quota_model, test_organisation, scan, includes, format run.

--- a/src/core/organisation/quota.h
+++ b/src/core/organisation/quota.h
@@ -43,6 +43,14 @@
 /* Standing rates are told anew so often.  */
 #define MQ_QUOTA_REFRESH_MS 1000U
 
+/* Levels of buckets count millionths of a permit: thousandths a second times
+   milliseconds.  */
+#define MQ_QUOTA_LEVEL_UNIT 1000000U
+
+/* What a host that lives on the standing RATE may have saved up, in those: one
+   permit, and a moment's use.  The issuer keeps as much back.  */
+uint64_t mq_quota_saved (uint64_t rate);
+
 /* The issuer's side */
 
 struct mq_quota_issuer;
--- a/src/core/organisation/quota_issuer.c
+++ b/src/core/organisation/quota_issuer.c
@@ -9,9 +9,7 @@
 #include "quota.h"
 #include <string.h>
 
-/* Levels count millionths of a permit: thousandths a second times
-   milliseconds.  */
-#define PERMIT 1000000U
+#define PERMIT MQ_QUOTA_LEVEL_UNIT
 #define PER_THOUSANDTH 1000U
 /* A standing rate is what a host used in so many seconds, and half more.  */
 #define USE_SECONDS 4U
@@ -20,8 +18,6 @@
 #define STANDING_PART 4U
 /* Lower ones are not lent, thousandths a second.  */
 #define STANDING_LEAST 100U
-/* What a host that is alone may save up: one permit, and this time's.  */
-#define ALONE_SAVE_MS 200U
 /* Part of the burst that is kept for programs that have begun, percent.
 
    The load: an organisation asks for more than its limit.  A program whose
@@ -121,13 +117,6 @@
   return now > host->heard_ms + MQ_QUOTA_SILENT_MS;
 }
 
-/* What a host alone at RATE may have saved up.  */
-static uint64_t
-save_of (uint64_t rate)
-{
-  return PERMIT + rate * ALONE_SAVE_MS;
-}
-
 /* Rate that this issuer has to give out, itself or by lending.  */
 static uint64_t
 whole_rate (const struct bucket *bucket, uint64_t since)
@@ -169,7 +158,7 @@
     if (at->high > 0 && at->until_ms > since && is_silent (at->host, now))
       {
         lent += at->high;
-        saved += save_of (at->high);
+        saved += mq_quota_saved (at->high);
       }
   *rate = less (whole_rate (bucket, since), lent);
   *depth = less (burst_of (bucket), saved);
@@ -435,7 +424,7 @@
     if (other != at && other->high > 0 && other->until_ms > now)
       {
         lent += other->high;
-        saved += save_of (other->high);
+        saved += mq_quota_saved (other->high);
       }
   if (rate > bucket->limit.rate / STANDING_PART)
     rate = bucket->limit.rate / STANDING_PART;
@@ -443,7 +432,7 @@
   if (rate > room)
     rate = room;
   if (!bounds->lends || rate < STANDING_LEAST
-      || saved + save_of (rate)
+      || saved + mq_quota_saved (rate)
              > burst_of (bucket) + bounds->ahead * PERMIT / 2)
     return 0;
   return rate;
--- a/src/core/organisation/quota_share.c
+++ b/src/core/organisation/quota_share.c
@@ -5,8 +5,7 @@
 
 #include "quota.h"
 
-/* Levels count millionths of a permit, as in quota_issuer.c.  */
-#define PERMIT 1000000U
+#define PERMIT MQ_QUOTA_LEVEL_UNIT
 #define ALONE_SAVE_MS 200U
 /* An organisation that used so many permits in a second has as many asked for
    ahead as it uses in MQ_QUOTA_KEEP_MS; fewer are asked for one by one.  */
@@ -78,11 +77,17 @@
   return now_ms > contact->answered_ms + MQ_QUOTA_ALONE_MS;
 }
 
+uint64_t
+mq_quota_saved (uint64_t rate)
+{
+  return PERMIT + rate * ALONE_SAVE_MS;
+}
+
 /* The standing rate, from the moment at which the host is alone.  */
 static bool
 take_alone (struct mq_quota_share *share, uint64_t now)
 {
-  uint64_t most = PERMIT + share->standing * ALONE_SAVE_MS;
+  uint64_t most = mq_quota_saved (share->standing);
 
   if (share->standing == 0 || now >= share->standing_until_ms)
     return false;
