Log what ended a caller's connection beside a request

caller_left stood for a caller that closed, a reset, a failed write and a bound of unsent bytes alike, and a process that exits wrote nothing, so that the lines could not tell whether a host or its caller ended a request. Outcomes caller_reset, unsent and exited, and the counter unanswered for what this host cuts off. Run: test_docs, test_held_up.

--- a/src/router/router.c
+++ b/src/router/router.c
@@ -209,6 +209,7 @@
 {
   if (router == NULL)
     return;
+  mq_callers_log_unanswered (router);
   log_state (router, MQ_LOG_STOPPED);
   mq_json_log_flush (router->log);
   talloc_free (router);
--- a/src/router/router_caller.c
+++ b/src/router/router_caller.c
@@ -165,10 +165,9 @@
   struct mq_request *request = caller->request;
 
   (void)tcp;
-  (void)end;
   caller->request = NULL;
   if (request != NULL)
-    mq_request_caller_disconnected (request);
+    mq_request_caller_disconnected (request, end);
   destroy_caller (caller);
 }
 
@@ -612,6 +611,15 @@
     }
 }
 
+void
+mq_callers_log_unanswered (struct mq_router *router)
+{
+  for (struct mq_caller *caller = router->callers; caller != NULL;
+       caller = caller->next)
+    if (caller->request != NULL)
+      mq_request_log_unanswered (caller->request, "exited");
+}
+
 /* Accepts all pending connections before closing the listener.
 
    Failure: closing the listener resets the pending connections, and requests
--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -619,11 +619,35 @@
 }
 
 void
-mq_request_caller_disconnected (struct mq_request *request)
+mq_request_log_unanswered (struct mq_request *request, const char *why)
 {
+  request->router->counters.unanswered++;
+  request_log_end (request, MQ_JSON_HIGH_PRIORITY, why,
+                   request->answer.status);
+}
+
+static void
+log_disconnect (struct mq_request *request, enum mq_tcp_end end)
+{
+  const char *outcome = "caller_left";
+
+  if (end == MQ_TCP_NO_MEMORY)
+    {
+      mq_request_log_unanswered (request, "unsent");
+      return;
+    }
+  if (end == MQ_TCP_RESET)
+    outcome = "caller_reset";
   request->router->counters.left++;
-  request_log_end (request, MQ_JSON_LOW_PRIORITY, "caller_left",
+  request_log_end (request, MQ_JSON_LOW_PRIORITY, outcome,
                    request->answer.status);
+}
+
+void
+mq_request_caller_disconnected (struct mq_request *request,
+                                enum mq_tcp_end end)
+{
+  log_disconnect (request, end);
   if (request->try != NULL
       && mq_try_inactive_ms (request->try) >= DISCONNECT_FAILURE_MS)
     cancel_try (request, MQ_OUTCOME_FAILED);
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -42,6 +42,7 @@
   X (failed, "final answers of our own after a worker may have run")          \
   X (broken, "answers that broke off after their beginning")                  \
   X (left, "requests whose caller left first")                                \
+  X (unanswered, "requests cut off by this host before their final answer")   \
   X (retries, "further workers asked for a request")                          \
   X (resumed, "streams that went on at another worker")                       \
   X (budget_writes, "records of programs written")                            \
@@ -183,6 +184,9 @@
 /* The first call accepts the pending connections and closes the listener;
    further calls close idle connections.  */
 void mq_callers_stop (struct mq_router *router);
+/* Logs and counts the requests that have no final answer when the process
+   exits.  */
+void mq_callers_log_unanswered (struct mq_router *router);
 /* Until it is answered, REQUEST is notified of events on the connection of
    CALLER.  */
 void mq_caller_attach_request (struct mq_caller *caller,
@@ -232,9 +236,13 @@
 void mq_request_begin (struct mq_router *router, struct mq_caller *caller,
                        const struct mq_http_head *head, struct mq_bytes body,
                        uint64_t arrived_ms);
-/* The caller disconnected, or its send buffer has drained.  */
-void mq_request_caller_disconnected (struct mq_request *request);
+/* The connection of the caller ended, or its send buffer has drained.  */
+void mq_request_caller_disconnected (struct mq_request *request,
+                                     enum mq_tcp_end end);
 void mq_request_caller_writable (struct mq_request *request);
+/* Logs and counts a request that this host cuts off.  WHY is the outcome in
+   the log.  */
+void mq_request_log_unanswered (struct mq_request *request, const char *why);
 
 /* router_turn.c */
 
