Tests, failing: whole requests at hosts that stop

stop::waiting_requests_are_answered and request_complete_at_the_end_is_answered: a planned stop exits at its bound and closes the connections of requests that wait for a worker. stop::request_without_an_issuer_is_refused: a request of an organisation with a limit waits until its deadline while the only issuer it knows denies. stop::moved_lease_is_followed: a host that stops never learns of a new issuer.

--- /dev/null
+++ b/tests/test_stop.c
@@ -0,0 +1,235 @@
+/* test_stop.c - a planned stop answers every whole request.
+
+   Needs: Criterion, router_site.h, http_peer.h.  */
+
+#include "http_peer.h"
+#include "net/clock.h"
+#include "router/router_state.h"
+#include "router_site.h"
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+#define HOST "Host: h.example\r\n"
+#define ID(id) "X-Request-Id: " id "\r\n"
+#define KEY "X-Key: acme-1\r\n"
+/* Longer than a stop of the site takes, 2000 ms.  */
+#define TIMEOUT_MS 30000U
+/* Time in which a permit is granted by an issuer that is known.  */
+#define ISSUER_KNOWN_MS 1000U
+/* Time for one router alone to lease all slots.  */
+#define LEASES_MS 3000U
+/* Stop of a router that stays until the test ends.  */
+#define LONG_STOP_MS 60000U
+#define LIMITED                                                               \
+  "[{\"name\":\"acme\",\"apiKeys\":[\"acme-1\"],\"ratePerS\":100,"            \
+  "\"burst\":100}]"
+
+static struct edge_site *site;
+static struct edge_call call;
+
+static void
+set_up (void)
+{
+  site = edge_create ();
+}
+
+static void
+tear_down (void)
+{
+  edge_destroy (site);
+}
+
+TestSuite (stop, .init = set_up, .fini = tear_down, .timeout = 120);
+
+/* Activates the next configuration at router 0.  */
+static void
+configure (const char *organisations)
+{
+  long before = edge_counter (site, 0, "config_changes");
+
+  site->organisations = organisations;
+  edge_configure (site, TIMEOUT_MS, NULL);
+  EDGE_WAIT (site, edge_counter (site, 0, "config_changes") > before);
+}
+
+/* Destroys the router as soon as the stop is complete, as the daemon does.  */
+static void
+run_until_stopped (int index)
+{
+  while (!mq_router_stopped (site->routers[index]))
+    tevent_loop_once (site->ev);
+  edge_kill (site, index);
+}
+
+static int
+status_of (const struct edge_call *answered)
+{
+  return strncmp (answered->answer, "HTTP/1.1 ", 9) == 0
+             ? atoi (answered->answer + 9)
+             : 0;
+}
+
+/**
+ * struct waiting_case - a request that waits until the stop ends
+ * @fault: of the table, from before the request on
+ * @step: of all workers
+ * @status: expected, 503 only if no worker received the request
+ */
+struct waiting_case
+{
+  const char *name;
+  const char *id;
+  const char *text;
+  enum rows_fault fault;
+  enum worker_behaviour step;
+  int status;
+};
+
+static const struct waiting_case waiting_cases[] = {
+  { "worker without a response", "q1",
+    "GET /once/a HTTP/1.1\r\n" HOST ID ("q1") "\r\n", ROWS_NO_FAULT,
+    WORKER_HANG, 502 },
+  { "worker without a response, with a body", "q2",
+    "POST /once/a HTTP/1.1\r\n" HOST ID ("q2") "Content-Length: 2\r\n\r\nxy",
+    ROWS_NO_FAULT, WORKER_HANG, 502 },
+  { "turn while the table does not answer", "q3",
+    "POST /kept/a HTTP/1.1\r\n" HOST ID (
+        "q3") "X-Program-Id: p\r\nX-Token-Budget: 80\r\nX-Token-Count: "
+              "10,8\r\n"
+              "Content-Length: 0\r\n\r\n",
+    ROWS_NO_RESPONSE, WORKER_SERVE, 503 },
+  { "no route while the table does not answer", "q4",
+    "GET /none/a HTTP/1.1\r\n" HOST ID ("q4") "\r\n", ROWS_NO_RESPONSE,
+    WORKER_SERVE, 503 },
+};
+
+/* Failure: a planned stop reaches its time limit, and the process exits while
+   whole requests wait; their callers see a closed connection.  */
+Test (stop, waiting_requests_are_answered)
+{
+  configure (NULL);
+  for (size_t i = 0; i < ROWS (waiting_cases); i++)
+    {
+      const struct waiting_case *row = &waiting_cases[i];
+
+      site->app_plan = (struct worker_plan){ row->step, 1 };
+      rows_server_set_fault (site->rows, row->fault);
+      edge_call (site, &call, 0, row->text);
+      edge_run_for (site, 20);
+      mq_router_begin_stop (site->routers[0]);
+      run_until_stopped (0);
+      edge_wait_responses (site, &call, 1);
+      cr_expect_eq (status_of (&call), row->status, "%s: closed %d after %s",
+                    row->name, call.closed, call.answer);
+      cr_expect_eq (edge_find_run (site, row->id) == NULL, row->status == 503,
+                    "%s", row->name);
+      edge_close (&call);
+      rows_server_set_fault (site->rows, ROWS_NO_FAULT);
+      edge_start (site, 0);
+    }
+}
+
+#define SLOW_BODY_BYTES 200
+#define BYTE_INTERVAL_MS 100U
+#define BLOCKED_MS 250U
+
+/* Failure: the last bytes of a request arrive as the time of a stop ends, and
+   the process exits without answering it.  */
+Test (stop, request_complete_at_the_end_is_answered)
+{
+  char rest[SLOW_BODY_BYTES];
+  int left = SLOW_BODY_BYTES;
+  uint64_t end;
+
+  memset (rest, 'x', sizeof rest);
+  configure (NULL);
+  site->app_plan = (struct worker_plan){ WORKER_HANG, 1 };
+  edge_call (site, &call, 0,
+             "POST /once/a HTTP/1.1\r\n" HOST ID (
+                 "q1") "Content-Length: 200\r\n\r\n");
+  mq_router_begin_stop (site->routers[0]);
+  end = mq_clock_ms () + site->settings[0].stop_ms;
+  for (; mq_clock_ms () + BLOCKED_MS < end; left--)
+    {
+      raw_send (call.fd, "x", 1);
+      edge_run_for (site, BYTE_INTERVAL_MS);
+    }
+  usleep (BLOCKED_MS * 1000);
+  raw_send (call.fd, rest, (size_t)left);
+  run_until_stopped (0);
+  edge_wait_responses (site, &call, 1);
+  cr_expect_eq (status_of (&call), 503, "closed %d after %s", call.closed,
+                call.answer);
+  cr_expect_null (edge_find_run (site, "q1"));
+  edge_close (&call);
+  edge_start (site, 0);
+}
+
+/* Requests of organisations with a limit at hosts that stop */
+
+static int
+ask (int router, const char *id)
+{
+  char text[256];
+
+  snprintf (text, sizeof text,
+            "GET /once/a HTTP/1.1\r\n" HOST "X-Request-Id: %s\r\n" KEY "\r\n",
+            id);
+  return edge_request (site, &call, router, text);
+}
+
+/* Starts router 1, which uses the permits of router 0.  */
+static void
+start_two (void)
+{
+  configure (LIMITED);
+  edge_run_for (site, LEASES_MS);
+  edge_start (site, 1);
+  edge_run_for (site, ISSUER_KNOWN_MS);
+  cr_assert_eq (ask (1, "first"), 200);
+  cr_assert_eq (edge_counter (site, 1, "permits_issued"), 0);
+}
+
+static void
+stop_for_long (int index)
+{
+  site->settings[index].stop_ms = LONG_STOP_MS;
+  site->settings[index].settle_ms = LONG_STOP_MS;
+  mq_router_apply_settings (site->routers[index], &site->settings[index]);
+  mq_router_begin_stop (site->routers[index]);
+}
+
+/* Failure: a host that stops asks a host that has released its leases for
+   permits, which denies each time, until the caller's time is over.  */
+Test (stop, request_without_an_issuer_is_refused)
+{
+  uint64_t since;
+
+  start_two ();
+  stop_for_long (0);
+  stop_for_long (1);
+  edge_run_for (site, LEASES_MS);
+  since = mq_clock_ms ();
+  cr_expect_eq (ask (1, "q1"), 503, "%s", call.answer);
+  cr_expect_lt (mq_clock_ms () - since, TIMEOUT_MS / 2);
+  cr_expect_null (edge_find_run (site, "q1"));
+}
+
+/* Failure: a host that stops no longer reads the leases and asks for permits
+   at hosts that are gone, while another host issues them.  */
+Test (stop, moved_lease_is_followed)
+{
+  start_two ();
+  stop_for_long (1);
+  mq_router_begin_stop (site->routers[0]);
+  run_until_stopped (0);
+  edge_start (site, 0);
+  edge_run_for (site, LEASES_MS);
+  (void)ask (1, "q1");
+  edge_run_for (site, ISSUER_KNOWN_MS);
+  cr_expect_eq (ask (1, "q2"), 200, "%s", call.answer);
+}
