A planned stop answers every whole request before the process exits

Now the pending requests are answered then (503 if no worker received them, 502 if one may have run them), what is complete meanwhile is refused, and callers have half a second to take it, which the settings reserve already. stop::waiting_requests_are_answered and request_complete_at_the_end_is_answered failed before (closed with no answer) and pass.

--- a/src/router/router.c
+++ b/src/router/router.c
@@ -11,6 +11,11 @@
 
 /* Interval of the periodic maintenance.  */
 #define SWEEP_INTERVAL_MS 250U
+/* Time from the end of a stop's time until the process exits, at most.  The
+   settings reserve it.  */
+#define END_MS 500U
+/* Interval of the maintenance meanwhile.  */
+#define END_INTERVAL_MS 50U
 /* Interval between log lines with the counters.  */
 #define COUNTERS_INTERVAL_MS 10000U
 /* Delay of the sweep timer that is logged, as long as the shortest timeout
@@ -39,6 +44,20 @@
   mq_json_end (&line);
 }
 
+/* Ends a stop whose time is over: first the pending requests are answered,
+   then callers have END_MS to take their responses and to complete messages.
+
+   Failure: the process exits while whole requests wait, and their callers see
+   a closed connection.  */
+static void
+end_stop (struct mq_router *router, uint64_t since)
+{
+  router->ending = true;
+  mq_callers_end (router);
+  if (since >= router->stop_ms + END_MS)
+    router->stopped = true;
+}
+
 /* Accepts connections until the load balancer has removed this host, then
    closes the listener and idle connections.  The stop is complete once all
    connections are closed, including those that still send, or at the time
@@ -54,8 +73,9 @@
   if (since < router->settings->settle_ms)
     return;
   mq_callers_stop (router);
-  if ((router->caller_count == 0 && router->ending_count == 0)
-      || since >= router->stop_ms)
+  if (since >= router->stop_ms)
+    end_stop (router, since);
+  if (router->caller_count == 0 && router->ending_count == 0)
     router->stopped = true;
 }
 
@@ -115,8 +135,10 @@
 static void
 schedule_sweep (struct mq_router *router)
 {
-  router->sweep_due_ms = mq_clock_ms () + SWEEP_INTERVAL_MS;
-  mq_timer_add (router, router->ev, SWEEP_INTERVAL_MS, on_sweep, router);
+  uint32_t interval_ms = router->ending ? END_INTERVAL_MS : SWEEP_INTERVAL_MS;
+
+  router->sweep_due_ms = mq_clock_ms () + interval_ms;
+  mq_timer_add (router, router->ev, interval_ms, on_sweep, router);
 }
 
 static int
--- a/src/router/router_caller.c
+++ b/src/router/router_caller.c
@@ -611,6 +611,26 @@
     }
 }
 
+static struct mq_request *
+find_pending_request (const struct mq_router *router)
+{
+  const struct mq_caller *caller = router->callers;
+
+  while (caller != NULL && caller->request == NULL)
+    caller = caller->next;
+  return caller == NULL ? NULL : caller->request;
+}
+
+/* Searches again after each request, since its end may complete others.  */
+void
+mq_callers_end (struct mq_router *router)
+{
+  struct mq_request *request;
+
+  while ((request = find_pending_request (router)) != NULL)
+    mq_request_end (request);
+}
+
 void
 mq_callers_log_unanswered (struct mq_router *router)
 {
--- a/src/router/router_refuse.c
+++ b/src/router/router_refuse.c
@@ -25,6 +25,7 @@
   [MQ_REFUSE_NO_TURN] = { 404, 0, "no_turn" },
   [MQ_REFUSE_BUDGET_EXHAUSTED] = { 402, 0, "budget_spent" },
   [MQ_REFUSE_NOT_READY] = { 503, RETRY_READY_MS, "not_ready" },
+  [MQ_REFUSE_EXITING] = { 503, RETRY_SOON_MS, "exiting" },
   [MQ_REFUSE_NO_WORKER] = { 503, RETRY_READY_MS, "no_worker" },
   [MQ_REFUSE_OVERLOADED] = { 503, RETRY_OVERLOADED_MS, "loaded" },
   [MQ_REFUSE_LATE] = { 503, RETRY_OVERLOADED_MS, "late" },
--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -166,6 +166,16 @@
     request_refuse (request, MQ_REFUSE_TIMED_OUT);
 }
 
+void
+mq_request_end (struct mq_request *request)
+{
+  if (request->response_begun)
+    request_abort (request, "exiting");
+  else
+    request_refuse (request, may_have_run (request) ? MQ_REFUSE_FAILED
+                                                    : MQ_REFUSE_EXITING);
+}
+
 static void forward_response (struct mq_request *request);
 
 static void
@@ -604,6 +614,11 @@
   if (request->fields.last_event != NULL)
     snprintf (request->last_event, sizeof request->last_event, "%s",
               request->fields.last_event);
+  if (router->ending)
+    {
+      request_refuse (request, MQ_REFUSE_EXITING);
+      return;
+    }
   if (router->routes == NULL || !router->workers_listed)
     {
       request_refuse (request, MQ_REFUSE_NOT_READY);
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -89,6 +89,7 @@
  * @config_query: query for the latest configuration; NULL before the first one
  * @workers_listed: the list of workers was received
  * @stopping: a stop was requested
+ * @ending: the time of a stop is over; every request is answered at once
  * @stopped: the stop is complete
  * @stop_ms: time limit of a stop
  * @random: state of the random number generator
@@ -122,6 +123,7 @@
   struct mq_config_query *config_query;
   bool workers_listed;
   bool stopping;
+  bool ending;
   bool stopped;
   uint64_t stopping_since_ms;
   uint32_t stop_ms;
@@ -165,6 +167,7 @@
   MQ_REFUSE_NO_TURN,
   MQ_REFUSE_BUDGET_EXHAUSTED,
   MQ_REFUSE_NOT_READY,
+  MQ_REFUSE_EXITING, /* the time of a stop is over */
   MQ_REFUSE_NO_WORKER,
   MQ_REFUSE_NO_CAPACITY,
   MQ_REFUSE_OVERLOADED, /* a new program, because of the load */
@@ -184,6 +187,8 @@
 /* The first call accepts the pending connections and closes the listener;
    further calls close idle connections.  */
 void mq_callers_stop (struct mq_router *router);
+/* Answers every pending request and closes its connection.  */
+void mq_callers_end (struct mq_router *router);
 /* Logs and counts the requests that have no final answer when the process
    exits.  */
 void mq_callers_log_unanswered (struct mq_router *router);
@@ -240,6 +245,8 @@
 void mq_request_caller_disconnected (struct mq_request *request,
                                      enum mq_tcp_end end);
 void mq_request_caller_writable (struct mq_request *request);
+/* Answers the request at once, truthfully as to whether it may have run.  */
+void mq_request_end (struct mq_request *request);
 /* Logs and counts a request that this host cuts off.  WHY is the outcome in
    the log.  */
 void mq_request_log_unanswered (struct mq_request *request, const char *why);
