A host that stops follows the leases

Callers of organisations with a limit were refused or waited at hosts that stop, while another host issued their permits: such a host no longer read the leases, and no host read them because an issuer did not answer, for up to 12 s.

--- a/src/router/router_permit.c
+++ b/src/router/router_permit.c
@@ -17,6 +17,8 @@
 
 #define RETRY_MS 50U
 #define REQUEST_TIMEOUT_MS 150U
+/* Minimum interval of reading the leases because an issuer does not answer. */
+#define UNANSWERED_LIST_MS 2000U
 /* An organisation without requests for this long is no longer polled for.  */
 #define IDLE_MS 5000U
 /* An organisation without requests for this long is dropped; any rate lent for
@@ -71,6 +73,7 @@
 /**
  * struct contact - a host that issues permits
  * @sent_ms: time of the last message to it
+ * @listed_ms: time at which the leases were read because it does not answer
  */
 struct contact
 {
@@ -78,6 +81,7 @@
   char *address;
   struct mq_quota_contact quota;
   uint64_t sent_ms;
+  uint64_t listed_ms;
 };
 
 /**
@@ -326,12 +330,18 @@
       (*need)++;
 }
 
+static bool
+is_active (const struct share *share, uint64_t now)
+{
+  return now - share->active_ms < IDLE_MS;
+}
+
 /* Active organisations are included periodically, even without queued
    requests, so that the issuer can size the rate it lends to this host.  */
 static bool
 is_due (const struct share *share, uint64_t now)
 {
-  return (now - share->active_ms < IDLE_MS || share->quota.standing > 0
+  return (is_active (share, now) || share->quota.standing > 0
           || share->quota.surrendered > 0)
          && now - share->requested_ms >= MQ_QUOTA_STANDING_REFRESH_MS;
 }
@@ -398,8 +408,7 @@
       if (contact_of (share) != contact)
         continue;
       count_unsent (share, &need, &begins);
-      needed = needed || now - share->active_ms < IDLE_MS
-               || share->quota.standing > 0;
+      needed = needed || is_active (share, now) || share->quota.standing > 0;
       if (need + begins == 0 && !is_due (share, now))
         continue;
       wants[count++] = mq_quota_request (&share->quota, &contact->quota,
@@ -413,8 +422,25 @@
   talloc_free (wants);
 }
 
-/* Looks up the issuers of queued requests, which creates their contacts, and
-   sends all messages that are due.  */
+/* Whether the leases may show another issuer for SHARE.  */
+static bool
+needs_issuer (const struct share *share, uint64_t now)
+{
+  struct contact *contact = contact_of (share);
+
+  if (share->first == NULL && !is_active (share, now))
+    return false;
+  if (contact == NULL)
+    return true;
+  if (!mq_quota_issuer_unavailable (&contact->quota, now)
+      || now - contact->listed_ms < UNANSWERED_LIST_MS)
+    return false;
+  contact->listed_ms = now;
+  return true;
+}
+
+/* Looks up the issuers of active organisations, which creates their contacts,
+   and sends all messages that are due.  */
 static void
 send_all_due (struct mq_permits *permits)
 {
@@ -423,7 +449,7 @@
   const struct share *share;
 
   while ((share = mq_idmap_next (permits->shares, &position)) != NULL)
-    if (contact_of (share) == NULL && share->first != NULL)
+    if (needs_issuer (share, now))
       mq_reserve_refresh_issuer (permits->router, share->slot);
   for (struct contact *contact = permits->contacts; contact != NULL;
        contact = contact->next)
--- a/src/router/router_reserve.c
+++ b/src/router/router_reserve.c
@@ -288,23 +288,30 @@
 {
   if (mq_table_client_down (leases->router->table_client))
     return;
-  if (!renew_own (leases, now) && leases->moved
+  if ((leases->router->stopping || !renew_own (leases, now)) && leases->moved
       && now - leases->listed_ms >= MOVED_LIST_MS)
     read_lease_row (leases, now);
 }
 
-/* Makes the next call that is due.  */
+static bool
+list_is_due (const struct mq_leases *leases, uint64_t now)
+{
+  return !leases->listed
+         || (leases->moved && now - leases->listed_ms >= MOVED_LIST_MS)
+         || now - leases->listed_ms >= LIST_MS;
+}
+
+/* Makes the next call that is due.  A host that is shutting down only lists.
+
+   Failure: it keeps requesting permits from hosts that have left, while
+   another host issues them.  */
 static void
 step_leases (struct mq_leases *leases, uint64_t now)
 {
-  if (!leases->listed
-      || (leases->moved && now - leases->listed_ms >= MOVED_LIST_MS)
-      || now - leases->listed_ms >= LIST_MS)
-    {
-      list_leases (leases, now);
-      return;
-    }
-  if (!renew_own (leases, now) && now >= leases->claim_ms)
+  if (list_is_due (leases, now))
+    list_leases (leases, now);
+  else if (!leases->router->stopping && !renew_own (leases, now)
+           && now >= leases->claim_ms)
     claim_leases (leases, now);
 }
 
@@ -315,7 +322,7 @@
 
   if (leases == NULL)
     leases = router->leases = create_leases (router);
-  if (leases->busy || leases->stopped || router->stopping
+  if (leases->busy
       || !mq_rows_sample_clocks (router->rows, &leases->clock_sample.asked_ms,
                                  &leases->clock_sample.table_ms))
     return;
