A request that finds no issuer of permits is refused, not kept waiting

Callers of organisations with a limit waited until their deadline, and past the end of the process, at hosts whose only known issuer had released its leases: its denial counted as an answer of the issuer, so that the request was sent to it again every 50 ms. Now denials and unknown issuers count from the first one on: after the time in which a lease moves (1.2 s) requests are refused at once as not run, and the host asks five times a second until somebody issues again. No request waits for a permit longer than 1.35 s whichever hosts are asked. stop::request_without_an_issuer_is_refused failed before (no answer in 20 s) and passes. test_quota_model: 2 of 2.

--- a/src/core/organisation/quota.h
+++ b/src/core/organisation/quota.h
@@ -193,6 +193,7 @@
  * @surrendered: standing rate to report as surrendered
  * @on_standing_rate: the host is using its standing rate
  * @level: bucket level under the standing rate at @level_ms
+ * @denied_ms: time from which on no issuer was found, 0 if there is one
  * @exhausted_until_ms: no permit is available before
  * @begin_refused_until_ms: no permit for first requests is available before
  */
@@ -210,6 +211,7 @@
   bool on_standing_rate;
   uint64_t level;
   uint64_t level_ms;
+  uint64_t denied_ms;
   uint64_t exhausted_until_ms;
   uint64_t begin_refused_until_ms;
 };
@@ -219,7 +221,7 @@
   MQ_QUOTA_GRANTED,    /* the request may be sent */
   MQ_QUOTA_ASK_ISSUER, /* request a permit from the issuer */
   MQ_QUOTA_EXCEEDED,   /* the limit is reached */
-  MQ_QUOTA_NO_ISSUER   /* issuer unavailable and standing rate used up */
+  MQ_QUOTA_NO_ISSUER   /* no issuer, and standing rate used up */
 };
 
 /* Takes a permit for a request; BEGINS if it is a program's first one.  */
@@ -247,6 +249,9 @@
 void mq_quota_apply_grant (struct mq_quota_share *share,
                            const struct mq_quota_grant *grant, uint64_t server,
                            uint64_t asked_ms, uint64_t now_ms);
+/* Records that the host that was asked is not the issuer, or that none is
+   known.  A grant ends this.  */
+void mq_quota_record_denial (struct mq_quota_share *share, uint64_t now_ms);
 /* Whether the issuer has not answered within MQ_QUOTA_ISSUER_TIMEOUT_MS.  */
 bool mq_quota_issuer_unavailable (const struct mq_quota_contact *contact,
                                   uint64_t now_ms);
--- a/src/core/organisation/quota_share.c
+++ b/src/core/organisation/quota_share.c
@@ -78,6 +78,24 @@
   return now_ms > contact->answered_ms + MQ_QUOTA_ISSUER_TIMEOUT_MS;
 }
 
+void
+mq_quota_record_denial (struct mq_quota_share *share, uint64_t now_ms)
+{
+  if (share->denied_ms == 0)
+    share->denied_ms = now_ms;
+}
+
+/* Whether no issuer was found for longer than a lease takes to move.
+
+   Failure: each denial counts as an answer of the issuer, and requests wait
+   for a permit until their deadline.  */
+static bool
+has_no_issuer (const struct mq_quota_share *share, uint64_t now)
+{
+  return share->denied_ms != 0
+         && now > share->denied_ms + MQ_QUOTA_ISSUER_TIMEOUT_MS;
+}
+
 uint64_t
 mq_quota_standing_burst (uint64_t rate)
 {
@@ -134,7 +152,8 @@
       record_use (share, now_ms);
       return MQ_QUOTA_GRANTED;
     }
-  if (!mq_quota_issuer_unavailable (contact, now_ms))
+  if (!mq_quota_issuer_unavailable (contact, now_ms)
+      && !has_no_issuer (share, now_ms))
     return MQ_QUOTA_ASK_ISSUER;
   if (!take_standing (share, now_ms))
     return MQ_QUOTA_NO_ISSUER;
@@ -243,7 +262,11 @@
                       uint64_t asked_ms, uint64_t now_ms)
 {
   if (grant->unknown)
-    return;
+    {
+      mq_quota_record_denial (share, now_ms);
+      return;
+    }
+  share->denied_ms = 0;
   mq_quota_surrender (share, server, now_ms);
   share->on_standing_rate = false;
   share->standing = grant->standing;
--- a/src/router/router_permit.c
+++ b/src/router/router_permit.c
@@ -17,6 +17,9 @@
 
 #define RETRY_MS 50U
 #define REQUEST_TIMEOUT_MS 150U
+/* Longest time that a request waits for a permit, whichever hosts are asked
+   meanwhile.  */
+#define WAIT_MAX_MS (MQ_QUOTA_ISSUER_TIMEOUT_MS + REQUEST_TIMEOUT_MS)
 /* Minimum interval of reading the leases because an issuer does not answer. */
 #define UNANSWERED_LIST_MS 2000U
 /* An organisation without requests for this long is no longer polled for.  */
@@ -37,7 +40,6 @@
  * @first: queued requests, oldest first
  * @active_ms: time of the last request
  * @requested_ms: time of the last message to the issuer that named it
- * @created_ms: time of the first request
  * @issuer: address of the host that issued last, NULL if none
  */
 struct share
@@ -49,7 +51,6 @@
   struct mq_permit *first;
   uint64_t active_ms;
   uint64_t requested_ms;
-  uint64_t created_ms;
   char *issuer;
 };
 
@@ -173,7 +174,6 @@
   share->permits = permits;
   share->name = mq_text_copy (share, name);
   share->slot = mq_reserve_slot (name);
-  share->created_ms = mq_clock_boot_ms ();
   mq_idmap_put (permits->shares, id, 0, share);
   return share;
 }
@@ -254,17 +254,16 @@
 static enum mq_quota_decision
 acquire (struct share *share, bool begins, uint64_t now)
 {
-  static const struct mq_quota_contact none = { 0 };
   struct contact *contact = contact_of (share);
-  struct mq_quota_contact unknown_issuer = none;
+  struct mq_quota_contact unknown_issuer = { .answered_ms = now };
   enum mq_quota_decision decision;
 
   /* A restarted issuer can't recall rates from a host that is shutting down.
    */
   if (share->permits->router->stopping)
     share->quota.standing = 0;
-  /* Without a known issuer, the timeout runs from the first request.  */
-  unknown_issuer.answered_ms = share->created_ms;
+  if (contact == NULL)
+    mq_quota_record_denial (&share->quota, now);
   decision = mq_quota_try_acquire (
       &share->quota, contact == NULL ? &unknown_issuer : &contact->quota,
       begins, now);
@@ -337,13 +336,18 @@
 }
 
 /* Active organisations are included periodically, even without queued
-   requests, so that the issuer can size the rate it lends to this host.  */
+   requests, so that the issuer can size the rate it lends to this host, and
+   more often while no issuer was found.  */
 static bool
 is_due (const struct share *share, uint64_t now)
 {
+  uint32_t interval_ms = share->quota.denied_ms != 0
+                             ? MQ_QUOTA_POLL_INTERVAL_MS
+                             : MQ_QUOTA_STANDING_REFRESH_MS;
+
   return (is_active (share, now) || share->quota.standing > 0
           || share->quota.surrendered > 0)
-         && now - share->requested_ms >= MQ_QUOTA_STANDING_REFRESH_MS;
+         && now - share->requested_ms >= interval_ms;
 }
 
 static void
@@ -466,7 +470,7 @@
 }
 
 /* Requeues requests whose message timed out, grants those that the standing
-   rate covers and fails those without a reachable issuer.  */
+   rate covers and fails those without an issuer.  */
 static void
 retry_queued (struct share *share, uint64_t now)
 {
@@ -479,22 +483,20 @@
       if (permit->message_id != 0
           && now >= message_sent_ms (permit->message_id) + REQUEST_TIMEOUT_MS)
         permit->message_id = 0;
-      if (contact_of (share) == NULL
-          && now >= permit->since_ms + MQ_QUOTA_ISSUER_TIMEOUT_MS)
-        complete_permit (permit, MQ_PERMIT_UNKNOWN, 0);
-      else
-        switch (acquire (share, permit->begins, now))
-          {
-          case MQ_QUOTA_GRANTED:
-            complete_permit (permit, MQ_PERMIT_GRANTED, 0);
-            break;
-          case MQ_QUOTA_NO_ISSUER:
+      switch (acquire (share, permit->begins, now))
+        {
+        case MQ_QUOTA_GRANTED:
+          complete_permit (permit, MQ_PERMIT_GRANTED, 0);
+          break;
+        case MQ_QUOTA_NO_ISSUER:
+          complete_permit (permit, MQ_PERMIT_UNKNOWN, 0);
+          break;
+        case MQ_QUOTA_EXCEEDED:
+        case MQ_QUOTA_ASK_ISSUER:
+          if (now >= permit->since_ms + WAIT_MAX_MS)
             complete_permit (permit, MQ_PERMIT_UNKNOWN, 0);
-            break;
-          case MQ_QUOTA_EXCEEDED:
-          case MQ_QUOTA_ASK_ISSUER:
-            break;
-          }
+          break;
+        }
       permit = next;
     }
 }
@@ -578,6 +580,8 @@
     mq_reserve_refresh_issuer (permits->router, share->slot);
   if (gift->unknown || !in_time)
     {
+      if (gift->unknown)
+        mq_quota_record_denial (&share->quota, now);
       requeue_message (share, reply->id);
       return;
     }
