Test, failing: a stream cut off for want of tokens

A host with 0.09 of a core loses calls to the table while it reads the configuration; a program's turn then begins with what tokens are at hand. router::turn_without_all_its_tokens_is_not_begun fails on this code.

--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -1069,6 +1069,31 @@
   cr_assert_eq (served, 1);
 }
 
+/* Failure: a turn begins with a part of its tokens while its program's record
+   can't be written, and its stream is cut off when they are used up.  */
+Test (router, turn_without_all_its_tokens_is_not_begun)
+{
+  static const char second[]
+      = "POST /kept/a HTTP/1.1\r\n" HOST "X-Request-Id: t2\r\n"
+        "X-Program-Id: p1\r\nX-Token-Count: 10,8\r\n"
+        "X-Deadline-Ms: 2000\r\n" BUDGET (20) "Content-Length: 1\r\n\r\nx";
+
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    worker_server_set_events (site->llm[i], 2);
+  cr_assert_eq (send_turn (0, "t1", "p1", BUDGET (20), "x"), 200);
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    worker_server_set_events (site->llm[i], 4);
+  rows_server_set_fault (site->rows, ROWS_UNAVAILABLE);
+  edge_call (site, &call, 0, second);
+  edge_run_for (site, 1000);
+  rows_server_set_fault (site->rows, ROWS_NO_FAULT);
+  edge_wait_responses (site, &call, 1);
+  cr_expect (strncmp (call.answer, "HTTP/1.1 503", 12) == 0
+                 || strstr (call.answer, "\r\n0\r\n\r\n") != NULL,
+             "closed %d after %s", call.closed, call.answer);
+  edge_close (&call);
+}
+
 /* With the replies to all writes lost, a program begins, since a read finds
    its record.  */
 Test (router, budget_while_answers_to_writes_are_lost)
