A turn begins only with all its tokens

Callers saw streams that ended in the middle, with outcome over_budget, beside a large configuration and at other times: when a program's record could not be read or written in time, its turn began with a quarter of its tokens or more and was cut off when they were used up. The table was up each time; a host with 0.09 of a core had merely lost calls while it read the configuration. The model's injected fault 'grant exceeded' began turns with part of their tokens and let them run on; it now begins turns without any, which is as strict: found.

--- a/src/core/router/budget.c
+++ b/src/core/router/budget.c
@@ -114,13 +114,6 @@
   return budget->record.spent + used + most > limit;
 }
 
-static uint64_t
-reserve (struct mq_budget *budget, uint64_t tokens)
-{
-  budget->reserved += tokens;
-  return tokens;
-}
-
 /* Size of a grant for turns of MOST when SPACE tokens can be granted.  */
 static uint64_t
 grant_size (uint64_t most, uint64_t space)
@@ -140,11 +133,8 @@
   uint64_t space = grantable (budget, limit);
   uint64_t extra;
 
-  if (unused >= most)
-    {
-      reserve (budget, most);
-      return MQ_BUDGET_RESERVED;
-    }
+  if (mq_budget_reserve_local (budget, most))
+    return MQ_BUDGET_RESERVED;
   if (unused + space < most)
     {
       if (!budget->known)
@@ -160,14 +150,13 @@
   return MQ_BUDGET_WRITE;
 }
 
-uint64_t
+bool
 mq_budget_reserve_local (struct mq_budget *budget, uint64_t most)
 {
-  uint64_t unused = available (budget);
-
-  if (unused == 0 || unused * MQ_BUDGET_MIN_GRANT_DIVISOR < most)
-    return 0;
-  return reserve (budget, unused < most ? unused : most);
+  if (available (budget) < most)
+    return false;
+  budget->reserved += most;
+  return true;
 }
 
 void
--- a/src/core/router/budget.h
+++ b/src/core/router/budget.h
@@ -28,9 +28,6 @@
 /* A grant takes at most the remaining budget divided by this, but at least one
    turn.  Guards against a few failed hosts exhausting a small budget.  */
 #define MQ_BUDGET_GRANT_DIVISOR 3U
-/* During a table outage a turn may begin with its maximum divided by this, and
-   is aborted if it needs more than it was granted.  */
-#define MQ_BUDGET_MIN_GRANT_DIVISOR 4U
 
 struct mq_budget_grant
 {
@@ -102,10 +99,9 @@
                                            uint64_t holder, uint64_t limit,
                                            uint64_t most,
                                            struct mq_budget_record *next);
-/* Reserves up to MOST available tokens without the table.  Returns the number
-   reserved, 0 if fewer than MOST / MQ_BUDGET_MIN_GRANT_DIVISOR are available.
- */
-uint64_t mq_budget_reserve_local (struct mq_budget *budget, uint64_t most);
+/* Reserves MOST available tokens without the table.  Returns false if fewer
+   are available: a turn with fewer could be cut off.  */
+bool mq_budget_reserve_local (struct mq_budget *budget, uint64_t most);
 /* Records that the table accepted RECORD as VERSION.  */
 void mq_budget_record_written (struct mq_budget *budget, uint64_t holder,
                                const struct mq_budget_record *record,
--- a/src/router/router_loan.c
+++ b/src/router/router_loan.c
@@ -89,9 +89,10 @@
   program = mq_program_get_or_create (turn->turns, turn->program);
   if (program == NULL)
     return false;
-  turn->granted = mq_budget_reserve_local (&program->budget, turn->max_tokens);
-  if (turn->granted == 0)
+  if (turn->max_tokens == 0
+      || !mq_budget_reserve_local (&program->budget, turn->max_tokens))
     return false;
+  turn->granted = turn->max_tokens;
   turn->owner = program;
   program->running++;
   program->limit = turn->limit;
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -286,8 +286,8 @@
  * @retains: the turn is stored for later turns
  * @retain_s: retention period, seconds
  * @may_borrow: other hosts may supply what the table can't
- * @granted: tokens the turn may send, at most @max_tokens; 0 before it is
- *           ready and after it is settled
+ * @granted: tokens reserved for the turn, @max_tokens; 0 before it is ready
+ *           and after it is settled
  * @home: engine that caches the program, or is assigned to a new one; 0 if
  *        unknown
  * @history: chain up to @previous, set when the turn is ready; NULL if none
--- a/src/router/router_stream.c
+++ b/src/router/router_stream.c
@@ -35,17 +35,6 @@
                           mq_buffer_text (&request->answer.fields));
 }
 
-/* Whether the tokens granted do not suffice for another event.  Applies only
-   to turns that were granted less than their maximum.  */
-static bool
-is_over_budget (const struct mq_request *request)
-{
-  return request->is_turn && request->turn.granted < request->turn.max_tokens
-         && request->turn.granted > 0
-         && request->tokens_sent + request->service_info->tokens_per_event
-                > request->turn.granted;
-}
-
 static void
 record_event (struct mq_request *request, const struct mq_event *event)
 {
@@ -80,21 +69,15 @@
   struct mq_request *request = user;
   struct mq_event event;
   struct mq_buffer out = { NULL, 0, 0, 0 };
-  bool over = false;
 
-  while (!over && mq_response_next_event (&request->answer, &event))
+  while (mq_response_next_event (&request->answer, &event))
     {
-      over = event.has_data && is_over_budget (request);
-      if (over)
-        break;
       record_event (request, &event);
       mq_buffer_append (request, &out, event.text, event.len, SIZE_MAX);
     }
   if (out.len > 0)
     send_events (request, &out);
   mq_buffer_clear (&out);
-  if (over)
-    request_abort (request, "over_budget");
 }
 
 /* Longer waits are caused by an outage of the table and do not count as
--- a/tests/test_budget_model.c
+++ b/tests/test_budget_model.c
@@ -358,7 +358,6 @@
 {
   uint32_t index = draw (world, HOSTS);
   struct host *host = &world->hosts[index];
-  uint64_t granted;
 
   world->now_ms += draw (world, 300);
   switch (draw (world, 14))
@@ -395,9 +394,10 @@
     case 10:
       if (host->running == TURNS)
         break;
-      granted = mq_budget_reserve_local (&host->budget, TURN_TOKENS_MAX);
-      if (granted > 0)
-        begin (world, host, granted);
+      if (mq_budget_reserve_local (&host->budget, TURN_TOKENS_MAX))
+        begin (world, host, TURN_TOKENS_MAX);
+      else if (world->fault == FAULT_GRANT_EXCEEDED)
+        begin (world, host, 0);
       break;
     case 11:
       if (!world->table_down)
