Test, failing: rates lent to hosts that stop

On a release of all hosts 1,014 requests were refused as no_permit, few organisations making up most: a host that stops keeps the standing rates lent to it until it exits, and an issuer that stops later may not release the leases they come from. stop::lent_rates_are_returned fails on this code: 503 no_permit three seconds after a new host started.

--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -236,3 +236,23 @@
   edge_run_for (site, ISSUER_KNOWN_MS);
   cr_expect_eq (ask (1, "q2"), 200, "%s", call.answer);
 }
+
+#define STANDING_REQUESTS 20
+
+/* Failure: a host that stops keeps the rates that were lent to it, the issuer
+   can't release its leases when it stops as well, and requests are refused
+   until the leases expire.  */
+Test (stop, lent_rates_are_returned)
+{
+  start_two ();
+  for (int i = 0; i < STANDING_REQUESTS; i++)
+    cr_assert_eq (ask (1, "use"), 200);
+  edge_run_for (site, ISSUER_KNOWN_MS);
+  begin_stop (1, RELEASED_MS);
+  run_until_stopped (1);
+  begin_stop (0, RELEASED_MS);
+  run_until_stopped (0);
+  edge_start (site, 0);
+  edge_run_for (site, LEASES_MS);
+  cr_expect_eq (ask (0, "q1"), 200, "%s", call.answer);
+}
