A host that stops returns the rates lent to it

Callers of some organisations were refused with no_permit for up to 12 s after all hosts had been released in turn: hosts that stop kept their standing rates and were lent new ones, so that issuers that stopped after them could not release their leases. Now a host that stops gives up its rates, tells the issuers five times a second until they know, and asks for none. stop::lent_rates_are_returned failed before (503 three seconds after a new host started) and passes.

--- a/src/router/router_permit.c
+++ b/src/router/router_permit.c
@@ -40,6 +40,9 @@
  * @first: queued requests, oldest first
  * @active_ms: time of the last request
  * @requested_ms: time of the last message to the issuer that named it
+ * @returned_ms: time at which the standing rate was given up because this host
+ *               is shutting down; 0 if there is none that the issuer may still
+ *               count
  * @issuer: address of the host that issued last, NULL if none
  */
 struct share
@@ -51,6 +54,7 @@
   struct mq_permit *first;
   uint64_t active_ms;
   uint64_t requested_ms;
+  uint64_t returned_ms;
   char *issuer;
 };
 
@@ -251,6 +255,19 @@
   return permit;
 }
 
+/* Gives up the standing rate if this host is shutting down.
+
+   Failure: an issuer can't release its lease while it counts rates of hosts
+   that are gone, and nobody issues until the lease expires.  */
+static void
+return_standing (struct share *share, uint64_t now)
+{
+  if (!share->permits->router->stopping || share->quota.standing == 0)
+    return;
+  share->quota.standing = 0;
+  share->returned_ms = now;
+}
+
 static enum mq_quota_decision
 acquire (struct share *share, bool begins, uint64_t now)
 {
@@ -258,10 +275,7 @@
   struct mq_quota_contact unknown_issuer = { .answered_ms = now };
   enum mq_quota_decision decision;
 
-  /* A restarted issuer can't recall rates from a host that is shutting down.
-   */
-  if (share->permits->router->stopping)
-    share->quota.standing = 0;
+  return_standing (share, now);
   if (contact == NULL)
     mq_quota_record_denial (&share->quota, now);
   decision = mq_quota_try_acquire (
@@ -337,16 +351,16 @@
 
 /* Active organisations are included periodically, even without queued
    requests, so that the issuer can size the rate it lends to this host, and
-   more often while no issuer was found.  */
+   more often while no issuer was found or a rate was given up.  */
 static bool
 is_due (const struct share *share, uint64_t now)
 {
-  uint32_t interval_ms = share->quota.denied_ms != 0
-                             ? MQ_QUOTA_POLL_INTERVAL_MS
-                             : MQ_QUOTA_STANDING_REFRESH_MS;
+  bool often = share->quota.denied_ms != 0 || share->returned_ms != 0;
+  uint32_t interval_ms
+      = often ? MQ_QUOTA_POLL_INTERVAL_MS : MQ_QUOTA_STANDING_REFRESH_MS;
 
   return (is_active (share, now) || share->quota.standing > 0
-          || share->quota.surrendered > 0)
+          || share->quota.surrendered > 0 || share->returned_ms != 0)
          && now - share->requested_ms >= interval_ms;
 }
 
@@ -367,6 +381,14 @@
 static void request_locally (struct mq_permits *permits,
                              const struct mq_relay_quota_request *request);
 
+/* Whether issuers may lend standing rates to this host: they can recall them,
+   as it is listed and stays.  */
+static bool
+may_be_lent (const struct mq_router *router)
+{
+  return router->row_written && !router->stopping;
+}
+
 static void
 send_message (struct mq_permits *permits, struct contact *contact, uint64_t id,
               const struct mq_quota_request *wants, size_t count, uint64_t now)
@@ -379,7 +401,7 @@
           .issuer_run_id = contact->quota.server,
           .wants = wants,
           .want_count = count,
-          .listed = permits->router->row_written };
+          .listed = may_be_lent (permits->router) };
 
   contact->sent_ms = now;
   permits->router->counters.permits_asked++;
@@ -411,6 +433,7 @@
 
       if (contact_of (share) != contact)
         continue;
+      return_standing (share, now);
       count_unsent (share, &need, &begins);
       needed = needed || is_active (share, now) || share->quota.standing > 0;
       if (need + begins == 0 && !is_due (share, now))
@@ -585,6 +608,8 @@
       requeue_message (share, reply->id);
       return;
     }
+  if (message_sent_ms (reply->id) >= share->returned_ms)
+    share->returned_ms = 0;
   if (share->issuer == NULL || strcmp (share->issuer, address) != 0)
     mq_text_replace (share, &share->issuer, address);
   mq_quota_apply_grant (&share->quota, gift, reply->issuer_run_id,
@@ -731,7 +756,7 @@
       permits, struct mq_quota_request, mq_idmap_count (permits->shares) + 1));
   struct mq_relay_quota_request request = { .run_id = permits->run,
                                             .wants = wants,
-                                            .listed = router->row_written,
+                                            .listed = may_be_lent (router),
                                             .recalled = true };
   size_t position = 0;
   struct share *share;
