--- a/src/router/router_permit.c
+++ b/src/router/router_permit.c
@@ -90,27 +90,23 @@
 };
 
 /**
- * struct mq_permits - permits that this host requests and issues
+ * struct mq_permits - permits that this host requests
  * @run: random id of this run of the process
  * @send_timer: sends messages for new requests, once per event loop iteration
  * @retry_timer: retries queued requests
  * @sequence: sequence number of the last message
  * @queued: queued requests of all organisations
- * @unconfirmed_hosts: listed hosts that may still use rates lent before this
- *                     host restarted, UINT64_MAX if not known yet
  */
 struct mq_permits
 {
   struct mq_router *router;
   uint64_t run;
-  struct mq_quota_issuer *issuer;
   struct mq_idmap *shares;
   struct contact *contacts;
   struct mq_timer *send_timer;
   struct mq_timer *retry_timer;
   uint64_t sequence;
   size_t queued;
-  uint64_t unconfirmed_hosts;
 };
 
 struct mq_permits *
@@ -121,8 +117,7 @@
 
   permits->router = router;
   permits->run = mq_clock_random ();
-  permits->unconfirmed_hosts = UINT64_MAX;
-  permits->issuer = mq_quota_issuer_create (permits);
+  router->issuing = mq_issuing_create (router, permits->run);
   permits->shares = mq_check_alloc (mq_idmap_create (permits));
   return permits;
 }
@@ -217,7 +212,6 @@
   talloc_free (permit);
 }
 
-static void recall_lent_rates (struct mq_permits *permits);
 static void on_send_timer (void *data);
 static void on_retry_timer (void *data);
 
@@ -378,8 +372,18 @@
   return message >> SEQUENCE_BITS;
 }
 
-static void request_locally (struct mq_permits *permits,
-                             const struct mq_relay_quota_request *request);
+static void
+request_locally (struct mq_permits *permits,
+                 const struct mq_relay_quota_request *request)
+{
+  TALLOC_CTX *ctx = mq_check_alloc (talloc_new (permits));
+  struct mq_relay_quota_reply reply
+      = mq_issuing_reply (ctx, permits->router->issuing, request);
+
+  mq_permits_on_reply (&reply, mq_relay_address (permits->router->relay),
+                       permits->router);
+  talloc_free (ctx);
+}
 
 /* Whether issuers may lend standing rates to this host: they can recall them,
    as it is listed and stays.  */
@@ -533,7 +537,7 @@
   struct share *share;
 
   permits->retry_timer = NULL;
-  recall_lent_rates (permits);
+  mq_issuing_recall (permits->router->issuing);
   if (permits->queued > 0)
     while ((share = mq_idmap_next (permits->shares, &position)) != NULL)
       retry_queued (share, now);
@@ -636,111 +640,6 @@
     apply_grant (permits, &reply->gifts[i], reply, address, in_time, now);
 }
 
-/* Issuer */
-
-/* The overshoot that the settings allow, in thousandths of a request, is
-   divided: 1/6 for permits issued in advance, 1/10 in reserve, an allowance
-   for permits in replies under way, and the remainder for a deeper bucket, so
-   that bursts of a small organisation's programs fit.  */
-#define AHEAD_DIVISOR 6U
-#define RESERVE_DIVISOR 10U
-
-static void
-compute_bounds (const struct mq_router_settings *settings,
-                const struct mq_quota_limit *limit,
-                struct mq_quota_bounds *bounds)
-{
-  uint64_t whole
-      = limit->rate * settings->limit_window_ms / 1000U + limit->burst;
-  uint64_t over = whole * settings->limit_over_permille / 1000U
-                  + settings->limit_slack * (uint64_t)1000;
-  uint64_t spent = over / AHEAD_DIVISOR + over / RESERVE_DIVISOR
-                   + limit->rate * MQ_QUOTA_REPLY_TIMEOUT_MS / 1000U;
-
-  bounds->limit = *limit;
-  bounds->ahead = over / AHEAD_DIVISOR / 1000U;
-  if (over > spent)
-    bounds->limit.burst += over - spent;
-}
-
-static struct mq_quota_grant
-issue_permits (struct mq_permits *permits, uint64_t host,
-               const struct mq_quota_request *want, bool lends, uint64_t now)
-{
-  struct mq_router *router = permits->router;
-  struct mq_quota_grant gift
-      = { .organisation = want->organisation, .unknown = true };
-  struct mq_reserve_own_lease own;
-  struct mq_quota_bounds bounds = { .may_lend = lends && !router->stopping };
-  struct mq_quota_lease lease;
-  const struct mq_org *org = NULL;
-
-  if (router->routes != NULL && router->routes->orgs != NULL)
-    org = mq_orgs_find_name (router->routes->orgs, want->organisation);
-  if (org == NULL
-      || !mq_reserve_issues (router, mq_reserve_slot (org->name), &own))
-    return gift;
-  compute_bounds (router->settings, &org->limit, &bounds);
-  lease = (struct mq_quota_lease){ mq_reserve_slot (org->name), own.since_ms,
-                                   own.until_ms, own.inherited_ms,
-                                   permits->unconfirmed_hosts };
-  gift = mq_quota_issue (permits->issuer, host, want, &bounds, &lease, now);
-  router->counters.permits_issued += gift.need + gift.begins + gift.ahead;
-  return gift;
-}
-
-/* Reply to REQUEST; its grants are allocated below CTX.  */
-static struct mq_relay_quota_reply
-build_reply (TALLOC_CTX *ctx, struct mq_permits *permits,
-             const struct mq_relay_quota_request *request)
-{
-  uint64_t now = mq_clock_boot_ms ();
-  uint64_t acked_ms
-      = request->issuer_run_id == permits->run ? request->acked_ms : 0;
-  struct mq_quota_grant *gifts = mq_check_alloc (
-      talloc_array (ctx, struct mq_quota_grant, request->want_count + 1));
-
-  mq_quota_record_ack (permits->issuer, request->run_id, acked_ms, now);
-  for (size_t i = 0; i < request->want_count; i++)
-    {
-      struct mq_quota_request want = request->wants[i];
-
-      want.heard_ms = acked_ms;
-      gifts[i] = issue_permits (permits, request->run_id, &want,
-                                request->listed, now);
-    }
-  return (struct mq_relay_quota_reply){ .id = request->id,
-                                        .issuer_run_id = permits->run,
-                                        .sent_ms = now,
-                                        .gifts = gifts,
-                                        .gift_count = request->want_count };
-}
-
-static void
-request_locally (struct mq_permits *permits,
-                 const struct mq_relay_quota_request *request)
-{
-  TALLOC_CTX *ctx = mq_check_alloc (talloc_new (permits));
-  struct mq_relay_quota_reply reply = build_reply (ctx, permits, request);
-
-  mq_permits_on_reply (&reply, mq_relay_address (permits->router->relay),
-                       permits->router);
-  talloc_free (ctx);
-}
-
-void
-mq_permits_on_request (const struct mq_relay_quota_request *request,
-                       struct mq_relay_link *link, void *user)
-{
-  struct mq_router *router = user;
-  TALLOC_CTX *ctx = mq_check_alloc (talloc_new (router));
-  struct mq_relay_quota_reply reply
-      = build_reply (ctx, router->permits, request);
-
-  mq_relay_send_quota_reply (router->relay, link, &reply);
-  talloc_free (ctx);
-}
-
 /* A restarted issuer recalls the rates that its earlier runs lent.  The reply
    lists every organisation with such a rate, since it releases all of
    them.  */
@@ -772,28 +671,6 @@
   talloc_free (wants);
 }
 
-/* Until every listed host has answered, this issuer reserves for each silent
-   one the rate that it may still use.  */
-static void
-recall_lent_rates (struct mq_permits *permits)
-{
-  struct mq_router *router = permits->router;
-
-  if (permits->unconfirmed_hosts == 0 || !router->hosts_listed
-      || !mq_reserve_has_prior_leases (router))
-    return;
-  permits->unconfirmed_hosts
-      = mq_relay_recall_quota (router->relay, permits->run);
-}
-
-bool
-mq_permits_lent (const struct mq_router *router, uint32_t slot)
-{
-  return router->permits != NULL
-         && mq_quota_issuer_has_lent (router->permits->issuer, slot,
-                                      mq_clock_boot_ms ());
-}
-
 void
 mq_permits_sweep (struct mq_router *router)
 {
@@ -804,8 +681,7 @@
   size_t position = 0;
   struct share *share;
 
-  recall_lent_rates (permits);
-  mq_quota_issuer_sweep (permits->issuer, now);
+  mq_issuing_sweep (router->issuing, now);
   while (count < EVICT_MAX
          && (share = mq_idmap_next (permits->shares, &position)) != NULL)
     if (share->first == NULL && now - share->active_ms >= EVICT_AFTER_MS)
--- a/src/router/router_reserve.c
+++ b/src/router/router_reserve.c
@@ -358,7 +358,7 @@
   owned = mq_reserve_owned (leases->reserve, own);
   for (uint32_t i = 0; i < owned; i++)
     if (!mq_turns_have_unrecorded_tokens (router->turns, own[i])
-        && !mq_permits_lent (router, own[i]))
+        && !mq_issuing_has_lent (router, own[i]))
       slots[count++] = own[i];
   if (count > 0)
     write_rows (leases, slots, count, true, on_released);
@@ -371,7 +371,7 @@
   uint32_t owned = mq_reserve_owned (router->leases->reserve, own);
 
   for (uint32_t i = 0; i < owned; i++)
-    if (mq_permits_lent (router, own[i]))
+    if (mq_issuing_has_lent (router, own[i]))
       return true;
   return false;
 }
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -76,6 +76,7 @@
 struct mq_loan;
 struct mq_leases;
 struct mq_permits;
+struct mq_issuing;
 struct mq_permit;
 struct mq_cleaner;
 
@@ -116,6 +117,7 @@
   struct mq_turns *turns;
   struct mq_leases *leases;
   struct mq_permits *permits;
+  struct mq_issuing *issuing;
   struct mq_cleaner *cleaner;
   struct mq_route_table *routes;
   struct mq_bytes config;
@@ -416,19 +418,33 @@
                              uint32_t *retry_ms);
 /* Cancels the request.  PERMIT may be NULL.  */
 void mq_permit_cancel (struct mq_permit *permit);
-/* Whether another host may still use permits of organisations in lease SLOT
-   that this one lent.  */
-bool mq_permits_lent (const struct mq_router *router, uint32_t slot);
 void mq_permits_sweep (struct mq_router *router);
-/* Messages of other hosts: a permit request, the reply to one, and a recall of
-   lent permits.  */
-void mq_permits_on_request (const struct mq_relay_quota_request *request,
-                            struct mq_relay_link *link, void *user);
+/* Messages of other hosts: the reply to a permit request, and a recall of lent
+   rates.  */
 void mq_permits_on_reply (const struct mq_relay_quota_reply *reply,
                           const char *address, void *user);
 void mq_permits_on_recall (const struct mq_relay_quota_recall *recall,
                            struct mq_relay_link *link, void *user);
 
+/* router_issue.c */
+
+/* RUN identifies this run of the process in its messages.  */
+struct mq_issuing *mq_issuing_create (struct mq_router *router, uint64_t run);
+/* Reply to REQUEST, which may be this host's own.  Its grants are allocated
+   below CTX.  */
+struct mq_relay_quota_reply
+mq_issuing_reply (TALLOC_CTX *ctx, struct mq_issuing *issuing,
+                  const struct mq_relay_quota_request *request);
+/* A permit request of another host.  */
+void mq_issuing_on_request (const struct mq_relay_quota_request *request,
+                            struct mq_relay_link *link, void *user);
+/* Recalls rates that earlier runs of this host lent, if there may be any.  */
+void mq_issuing_recall (struct mq_issuing *issuing);
+/* Whether another host may still use a rate that this one lent for an
+   organisation of lease SLOT.  */
+bool mq_issuing_has_lent (const struct mq_router *router, uint32_t slot);
+void mq_issuing_sweep (struct mq_issuing *issuing, uint64_t now_ms);
+
 /* router_clean.c */
 
 /* Removes expired records, a batch per call.  */
