A denied host uses no standing rate

An organisation could get more than its limit: a host whose issuer had released its lease and denied it used a standing rate that had come in a late reply. A denial shows that the lease under which a rate was lent has ended, so that such a host now refuses instead. Walks in which hosts stop are a test of their own now, so that the walks that held before stay as they were.

--- a/src/core/organisation/quota_share.c
+++ b/src/core/organisation/quota_share.c
@@ -152,8 +152,10 @@
       record_use (share, now_ms);
       return MQ_QUOTA_GRANTED;
     }
-  if (!mq_quota_issuer_unavailable (contact, now_ms)
-      && !has_no_issuer (share, now_ms))
+  /* A denial shows that the lease under which a rate was lent has ended.  */
+  if (has_no_issuer (share, now_ms))
+    return MQ_QUOTA_NO_ISSUER;
+  if (!mq_quota_issuer_unavailable (contact, now_ms))
     return MQ_QUOTA_ASK_ISSUER;
   if (!take_standing (share, now_ms))
     return MQ_QUOTA_NO_ISSUER;
--- a/tests/test_quota_model.c
+++ b/tests/test_quota_model.c
@@ -28,7 +28,7 @@
   LEASE_MS = 12000,
   RENEW_MS = 3000,
   GRACE_MS = 500,
-  STOP_MS = 7000,
+  STOP_MS = 15000,
   AHEAD = 3
 };
 
@@ -126,6 +126,7 @@
 struct world
 {
   enum fault fault;
+  bool stops; /* hosts stop and start again */
   uint64_t random;
   uint64_t now_ms;
   struct host hosts[HOSTS];
@@ -348,7 +349,10 @@
   static const struct mq_quota_contact none = { 0 };
 
   if (world->fault == FAULT_ENDLESS_STANDING)
-    host->share.standing_until_ms = UINT64_MAX / 2;
+    {
+      host->share.standing_until_ms = UINT64_MAX / 2;
+      host->share.denied_ms = 0;
+    }
   if (host->stopping && world->fault != FAULT_RETURNED_RATE_USED)
     host->share.standing = 0;
   for (uint32_t i = draw (world, 3); i > 0; i--)
@@ -430,6 +434,11 @@
       host->share.level = before.level;
       host->share.level_ms = before.level_ms;
     }
+  if (world->fault == FAULT_RETURNED_RATE_USED && host->stopping)
+    {
+      host->share.standing = before.standing;
+      host->share.standing_until_ms = before.standing_until_ms;
+    }
   for (uint32_t i = 0; i < reply->grant.need; i++)
     record_use (world);
 }
@@ -496,6 +505,23 @@
     }
 }
 
+static void
+cut_off (struct world *world, int at)
+{
+  for (int i = 0; i < HOSTS; i++)
+    if (i != at)
+      world->cut[at][i] = world->cut[i][at] = true;
+}
+
+static void
+begin_stop (const struct world *world, struct host *host)
+{
+  if (host->stopping)
+    return;
+  host->stopping = true;
+  host->stopped_ms = world->now_ms + STOP_MS;
+}
+
 static void
 disturb (struct world *world)
 {
@@ -532,10 +558,8 @@
       break;
     case 8:
       world->hosts[a].leaving = a < ISSUERS;
-      if (world->hosts[a].stopping || draw (world, 3) != 0)
-        break;
-      world->hosts[a].stopping = true;
-      world->hosts[a].stopped_ms = world->now_ms + STOP_MS;
+      if (world->stops)
+        begin_stop (world, &world->hosts[a]);
       break;
     case 9:
       world->hosts[a].held_ms = world->now_ms + draw (world, 2000);
@@ -567,6 +591,8 @@
         continue;
       if (host->stopping && world->now_ms >= host->stopped_ms)
         start_host (world, i);
+      if (host->stopping && draw (world, 300) == 0)
+        cut_off (world, i);
       if (i < ISSUERS)
         step_lease (world, i);
       if (host->lease.inherited_ms > clock_of (world, host)
@@ -590,12 +616,13 @@
 }
 
 static bool
-walk (uint64_t seed, enum fault fault, size_t *uses)
+walk (uint64_t seed, enum fault fault, bool stops, size_t *uses)
 {
   struct world *world = talloc_zero (NULL, struct world);
   bool broken;
 
   world->fault = fault;
+  world->stops = stops;
   world->random = seed;
   world->now_ms = 100000;
   world->limit = limits[seed % 3];
@@ -624,29 +651,39 @@
 /* Seeds of walks that once passed more.  */
 static const uint64_t failed_seeds[] = { 993 };
 
-Test (quota_model, never_more_than_one_bucket)
+static void
+walk_without_faults (bool stops)
 {
   size_t uses = 0;
 
   for (size_t i = 0; i < sizeof failed_seeds / sizeof failed_seeds[0]; i++)
-    cr_expect_not (walk (failed_seeds[i], FAULT_NONE, &uses), "seed %lu",
-                   (unsigned long)failed_seeds[i]);
+    cr_expect_not (walk (failed_seeds[i], FAULT_NONE, stops, &uses),
+                   "seed %lu", (unsigned long)failed_seeds[i]);
   uses = 0;
   for (uint64_t seed = 1; seed <= SEEDS; seed++)
-    cr_assert_not (walk (seed, FAULT_NONE, &uses), "seed %lu",
+    cr_assert_not (walk (seed, FAULT_NONE, stops, &uses), "seed %lu",
                    (unsigned long)seed);
   /* The walks make progress.  */
   cr_expect_gt (uses, (size_t)SEEDS * STEPS * STEP_MS / 1000 * 4);
 }
 
+Test (quota_model, never_more_than_one_bucket) { walk_without_faults (false); }
+
+Test (quota_model, never_more_than_one_bucket_while_hosts_stop)
+{
+  walk_without_faults (true);
+}
+
 Test (quota_model, injected_faults_are_detected)
 {
   for (int fault = 1; fault < FAULT_COUNT; fault++)
     {
+      bool stops = fault == FAULT_RETURNED_RATE_USED;
       uint64_t seed = 1;
       size_t uses = 0;
 
-      while (seed <= FAULT_SEEDS && !walk (seed, (enum fault)fault, &uses))
+      while (seed <= FAULT_SEEDS
+             && !walk (seed, (enum fault)fault, stops, &uses))
         seed++;
       cr_expect_leq (seed, FAULT_SEEDS, "%s was not detected",
                      fault_names[fault]);
