Tests of an organisation's limit go by a clock of their own

What was seen: organisation::limit_over_two_hosts counted what is served in 2 s of the machine's clock, so that its verdict followed the machine's load; two tests beside it had pauses of fixed length before a configuration or an issuer was taken to be known.

Change: the test replaces clock_gettime for the clock that limits go by (CLOCK_BOOTTIME), as test_timer.c does for the time of day. Each request advances it by 5 ms; routers, permits, messages and leases are the real ones, and nothing in the routers changes. Tests wait for the configuration and for both routers to use permits in place of fixed pauses.

As strict: 400 requests in 2 s of that clock at both routers in turn, with a full bucket before, more than 15 and at most 10 + 20 + 1 served, at least one refused, no status but 200 and 429. The upper bound is now a constant, where it grew with the time taken. The bounds of the other two tests are the same.

--- a/tests/test_organisation.c
+++ b/tests/test_organisation.c
@@ -11,6 +11,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
 
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
 #define HOST "Host: h.example\r\n"
@@ -428,19 +431,59 @@
   "[{\"name\":\"acme\",\"apiKeys\":[\"acme-1\"],\"ratePerS\":10,"             \
   "\"burst\":10},{\"name\":\"bolt\",\"apiKeys\":[\"bolt-1\"]}]"
 
-/* Sends requests to both routers in turn for MS milliseconds; returns how many
-   were served.  */
+/* Time from one request to the next, and of a pause in which no requests are
+   sent.  */
+#define STEP_MS 5U
+#define PAUSE_STEP_MS 20U
+/* Time in which a bucket fills up.  */
+#define REFILL_MS 1000U
+
+static uint64_t held_boot_ms;
+
+/* Replaces the C library's function, so that a test can hold the clock by
+   which limits are counted, and the time of a limit is that of the test and
+   not that of a busy machine.  */
+int
+clock_gettime (clockid_t clock, struct timespec *now)
+{
+  if (clock != CLOCK_BOOTTIME || held_boot_ms == 0)
+    return (int)syscall (SYS_clock_gettime, clock, now);
+  now->tv_sec = (time_t)(held_boot_ms / 1000U);
+  now->tv_nsec = (long)(held_boot_ms % 1000U) * 1000000;
+  return 0;
+}
+
+static void
+hold_boot_clock (void)
+{
+  held_boot_ms = mq_clock_boot_ms ();
+}
+
+/* Advances the clock of limits by MS while no requests are sent.  */
+static void
+pause_for (uint32_t ms)
+{
+  for (uint32_t at = 0; at < ms; at += PAUSE_STEP_MS)
+    {
+      held_boot_ms += PAUSE_STEP_MS;
+      edge_run_for (site, PAUSE_STEP_MS);
+    }
+}
+
+/* Sends a request to one of both routers in turn at each step of the clock of
+   limits, for MS of its time; returns how many were served.  */
 static int
 serve_for (const char *key, uint32_t ms, int *refused)
 {
-  uint64_t end = mq_clock_ms () + ms;
   int served = 0;
 
   *refused = 0;
-  for (int i = 0; mq_clock_ms () < end; i++)
+  for (uint32_t i = 0; i * STEP_MS < ms; i++)
     {
-      int status = ask (i % 2, "q", key);
+      int status;
 
+      held_boot_ms += STEP_MS;
+      status = ask (i % 2, "q", key);
       cr_assert (status == 200 || status == 429, "%s", call.answer);
       if (status == 200)
         served++;
@@ -452,21 +495,41 @@
   return served;
 }
 
+/* Sends a request to ROUTER; true if it has used a permit by now.  */
+static bool
+uses_permits (int router)
+{
+  (void)ask (router, "q", "acme-1");
+  return edge_counter (site, router, "permits_used") > 0;
+}
+
+/* Sets the limit and starts router 1.  Continues when one of the routers
+   issues permits to both, with a full bucket and a clock that is held.  */
+static void
+start_limited (void)
+{
+  long before = edge_counter (site, 0, "config_changes");
+
+  configure (LIMITED);
+  EDGE_WAIT (site, edge_counter (site, 0, "config_changes") > before);
+  edge_start (site, 1);
+  for (int i = 0; i < EDGE_ROUTERS; i++)
+    EDGE_WAIT (site, uses_permits (i));
+  hold_boot_clock ();
+  pause_for (REFILL_MS);
+}
+
 /* A limit of 10 requests per second with a burst of 10 holds over two hosts.
    An organisation without a limit is not affected.  */
 Test (organisation, limit_over_two_hosts)
 {
-  uint64_t since;
   int refused;
   int served;
 
-  configure (LIMITED);
-  edge_start (site, 1);
-  edge_run_for (site, 1000);
-  since = mq_clock_ms ();
+  start_limited ();
   served = serve_for ("acme-1", 2000, &refused);
   cr_expect_gt (served, 15);
-  cr_expect_leq (served, 10 + (int)(mq_clock_ms () - since) / 100 + 1);
+  cr_expect_leq (served, 10 + 2000 / 100 + 1);
   cr_expect_gt (refused, 0);
   cr_expect_gt (serve_for ("bolt-1", 200, &refused), 0);
   cr_expect_eq (refused, 0);
@@ -475,15 +538,17 @@
 /* Requests are served as soon as the limit is removed.  */
 Test (organisation, limit_is_removed)
 {
+  long before[EDGE_ROUTERS];
   int refused;
 
-  configure (LIMITED);
-  edge_start (site, 1);
-  edge_run_for (site, 1000);
+  start_limited ();
   (void)serve_for ("acme-1", 500, &refused);
   cr_assert_gt (refused, 0);
+  for (int i = 0; i < EDGE_ROUTERS; i++)
+    before[i] = edge_counter (site, i, "config_changes");
   configure (TWO_ORGS);
-  edge_run_for (site, 60);
+  for (int i = 0; i < EDGE_ROUTERS; i++)
+    EDGE_WAIT (site, edge_counter (site, i, "config_changes") > before[i]);
   (void)serve_for ("acme-1", 200, &refused);
   cr_assert_eq (refused, 0);
 }
@@ -495,17 +560,15 @@
   int refused;
   int served = 0;
 
-  configure (LIMITED);
-  edge_start (site, 1);
-  edge_run_for (site, 1000);
+  start_limited ();
   (void)serve_for ("acme-1", 3000, &refused);
   issuer = edge_counter (site, 0, "permits_issued") > 0 ? 0 : 1;
   edge_kill (site, issuer);
-  edge_run_for (site, 1400);
+  pause_for (1400);
   for (int i = 0; i < 30; i++)
     {
       served += ask (1 - issuer, "q", "acme-1") == 200 ? 1 : 0;
-      edge_run_for (site, 50);
+      held_boot_ms += 50;
     }
   cr_expect_gt (served, 2);
   cr_expect_leq (served, 25);
