Test, failing: an answer of the table that comes in pieces

What callers see: a host that reads a long configuration over a slow link gives the call up after 100 ms, and a caller without a route gets 503 where 404 is due.

The test sends answers in pieces, 40 ms apart, that take half a second and two seconds; others stop or never end and must be given up still.

Run: test_rows, answer_in_pieces_is_waited_for: both answers that end are given up, the other two rows pass.

--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -1,12 +1,15 @@
 /* test_rows.c - the client of the platform's table among many hosts.
 
-   Needs: Criterion, rows.h, rows_server.h, timer.h.  */
+   Needs: Criterion, rows.h, raw_server.h, rows_server.h, clock.h, timer.h.  */
 
+#include "../platform/standins/raw_server.h"
 #include "../platform/standins/rows_server.h"
 #include "router/rows.h"
+#include "net/clock.h"
 #include "net/timer.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <string.h>
 
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
 
@@ -92,3 +95,140 @@
       talloc_free (site);
     }
 }
+
+/* A table that sends its answers in pieces */
+
+#define PIECE_MS 40U
+/* Longest time of an answer that never ends, and of one that stops.  */
+#define ANSWER_MAX_MS 8000U
+#define STOPPED_MAX_MS 2000U
+
+/**
+ * struct slow_table - a table that sends each answer in pieces
+ * @pieces: sent of each answer, at intervals of PIECE_MS; the last one
+ *          completes it, unless @ends is false
+ * @link: connection of the answer being sent
+ * @sent: pieces of it sent so far
+ * @calls: calls that ended
+ * @status: of the last one
+ */
+struct slow_table
+{
+  struct tevent_context *ev;
+  struct raw_server *server;
+  struct mq_rows *rows;
+  uint32_t pieces;
+  bool ends;
+  struct raw_link *link;
+  uint32_t sent;
+  uint32_t calls;
+  enum mq_store_status status;
+};
+
+static void
+send_piece (void *data)
+{
+  static const char end[] = "2\r\n]}\r\n0\r\n\r\n";
+  struct slow_table *table = data;
+
+  if (table->link == NULL)
+    return;
+  raw_link_write (table->link, "1\r\n \r\n", 6);
+  if (++table->sent < table->pieces)
+    mq_timer_add (table->server, table->ev, PIECE_MS, send_piece, table);
+  else if (table->ends)
+    {
+      raw_link_write (table->link, end, sizeof end - 1);
+      raw_link_read_next (table->link);
+    }
+}
+
+static void
+on_slow_request (struct raw_link *link, const struct raw_request *request,
+                 void *user)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n"
+                             "1b\r\n{\"ver\":1,\"nowMs\":1,\"rows\":[\r\n";
+  struct slow_table *table = user;
+
+  (void)request;
+  table->link = link;
+  table->sent = 0;
+  raw_link_write (link, head, sizeof head - 1);
+  mq_timer_add (table->server, table->ev, PIECE_MS, send_piece, table);
+}
+
+static void
+on_slow_link_closed (struct raw_link *link, void *user)
+{
+  struct slow_table *table = user;
+
+  if (table->link == link)
+    table->link = NULL;
+}
+
+static void
+on_slow_call (const struct mq_rows_result *result, void *user)
+{
+  struct slow_table *table = user;
+
+  table->calls++;
+  table->status = result->status;
+}
+
+static struct slow_table *
+make_slow_table (void)
+{
+  struct slow_table *table = talloc_zero (NULL, struct slow_table);
+  char address[32];
+
+  table->ev = tevent_context_init (table);
+  table->server = raw_server_create (table->ev, table->ev, on_slow_request,
+                                     on_slow_link_closed, table);
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            raw_server_port (table->server));
+  table->rows = mq_rows_create (table->ev, table->ev, address);
+  return table;
+}
+
+/**
+ * struct slow_case - an answer in pieces
+ * @max_ms: time by which the call must have ended
+ */
+struct slow_case
+{
+  const char *name;
+  uint32_t pieces;
+  bool ends;
+  enum mq_store_status status;
+  uint32_t max_ms;
+};
+
+/* Failure: a call is given up after 100 ms though its answer is still coming
+   in, and a caller without a route gets 503 where 404 is due.  An answer that
+   stops or never ends is given up all the same.  */
+Test (rows, answer_in_pieces_is_waited_for, .timeout = 60)
+{
+  static const struct slow_case cases[] = {
+    { "half a second", 12, true, MQ_STORE_OK, ANSWER_MAX_MS },
+    { "two seconds", 50, true, MQ_STORE_OK, ANSWER_MAX_MS },
+    { "stops", 5, false, MQ_STORE_DOWN, STOPPED_MAX_MS },
+    { "never ends", UINT32_MAX, false, MQ_STORE_DOWN, ANSWER_MAX_MS },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct slow_table *table = make_slow_table ();
+      uint64_t since = mq_clock_ms ();
+
+      table->pieces = cases[i].pieces;
+      table->ends = cases[i].ends;
+      mq_rows_get (table->rows, "t", "p", "k", on_slow_call, table);
+      while (table->calls == 0 && mq_clock_ms () - since < cases[i].max_ms)
+        tevent_loop_once (table->ev);
+      cr_expect_eq (table->calls, 1, "%s", cases[i].name);
+      cr_expect_eq (table->status, cases[i].status, "%s", cases[i].name);
+      talloc_free (table);
+    }
+}
