Test, failing: the table's breaker beside an answer that has arrived

What callers see: after four calls without an answer, a host that is held up for 450 ms takes the table to be down though an answer has arrived meanwhile; of its next two calls to the table one is refused at once.

The second row asks that a table that stays silent counts as down as before.

--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -10,6 +10,7 @@
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
 
@@ -232,3 +233,157 @@
       talloc_free (table);
     }
 }
+
+/* A table whose answers arrive while the event loop is blocked */
+
+#define HELD_MAX 16U
+/* Longer than a call takes at most before the first answer, and than the
+   silence after which the table counts as down.  */
+#define BLOCKED_MS 450U
+#define ANSWER "{\"ver\":1,\"nowMs\":1,\"rows\":[]}"
+
+/**
+ * struct held_table - a table that holds requests back until it is told to
+ *                     answer
+ * @holds: requests are held back, else answered at once
+ * @held: connections of the requests held back
+ * @ok: calls that were answered
+ * @failed: calls that were not
+ */
+struct held_table
+{
+  struct tevent_context *ev;
+  struct raw_server *server;
+  struct mq_rows *rows;
+  bool holds;
+  struct raw_link *held[HELD_MAX];
+  uint32_t held_count;
+  uint32_t ok;
+  uint32_t failed;
+};
+
+static void
+answer (struct raw_link *link)
+{
+  raw_link_respond (link, 200, "", ANSWER, sizeof ANSWER - 1);
+}
+
+static void
+on_held_request (struct raw_link *link, const struct raw_request *request,
+                 void *user)
+{
+  struct held_table *table = user;
+
+  (void)request;
+  if (!table->holds)
+    answer (link);
+  else if (table->held_count < HELD_MAX)
+    table->held[table->held_count++] = link;
+}
+
+static void
+on_held_link_closed (struct raw_link *link, void *user)
+{
+  struct held_table *table = user;
+
+  for (uint32_t i = 0; i < table->held_count; i++)
+    if (table->held[i] == link)
+      table->held[i--] = table->held[--table->held_count];
+}
+
+static void
+on_held_call (const struct mq_rows_result *result, void *user)
+{
+  struct held_table *table = user;
+
+  if (result->status == MQ_STORE_OK)
+    table->ok++;
+  else
+    table->failed++;
+}
+
+static struct held_table *
+make_held_table (void)
+{
+  struct held_table *table = talloc_zero (NULL, struct held_table);
+  char address[32];
+
+  table->ev = tevent_context_init (table);
+  table->server = raw_server_create (table->ev, table->ev, on_held_request,
+                                     on_held_link_closed, table);
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            raw_server_port (table->server));
+  table->rows = mq_rows_create (table->ev, table->ev, address);
+  return table;
+}
+
+static void
+start_calls (struct held_table *table, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    mq_rows_get (table->rows, "t", "p", "k", on_held_call, table);
+}
+
+static void
+wait_for_calls (struct held_table *table, uint32_t count)
+{
+  while (table->ok + table->failed < count)
+    tevent_loop_once (table->ev);
+}
+
+/* Answers all requests held back, and later ones at once.  */
+static void
+answer_held (struct held_table *table)
+{
+  table->holds = false;
+  while (table->held_count > 0)
+    answer (table->held[--table->held_count]);
+}
+
+/**
+ * struct breaker_case - a call after four that were not answered; two more are
+ *                       made when the loop continues
+ * @answered: it is answered, and the answer arrives while the loop is blocked
+ * @down: the table counts as down afterwards
+ */
+struct breaker_case
+{
+  const char *name;
+  bool answered;
+  bool down;
+};
+
+/* Failure: a host that was blocked after four failures takes the table to be
+   down beside an answer that has arrived, and its calls fail at once.  */
+Test (rows, answer_while_blocked_keeps_the_table_up, .timeout = 60)
+{
+  static const struct breaker_case cases[]
+      = { { "answered", true, false }, { "not answered", false, true } };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct held_table *table = make_held_table ();
+
+      start_calls (table, 1);
+      wait_for_calls (table, 1);
+      table->holds = true;
+      start_calls (table, 4);
+      wait_for_calls (table, 5);
+      cr_assert_eq (table->failed, 4);
+      table->held_count = 0;
+      start_calls (table, 1);
+      while (table->held_count == 0)
+        tevent_loop_once (table->ev);
+      if (cases[i].answered)
+        answer_held (table);
+      usleep (BLOCKED_MS * 1000);
+      cr_expect (!cases[i].answered || !mq_rows_down (table->rows));
+      start_calls (table, 2);
+      wait_for_calls (table, 8);
+      cr_expect_eq (mq_rows_down (table->rows), cases[i].down, "%s",
+                    cases[i].name);
+      cr_expect_eq (table->failed, cases[i].answered ? 4 : 7, "%s: %u failed",
+                    cases[i].name, table->failed);
+      talloc_free (table);
+    }
+}
