Test, failing: a call to the table that waits while the loop is blocked

What callers see: a call that waits for one of the 12 connections to the table, or for its connection to be established, while the host is held up for 450 ms is sent when the loop continues and given up in the same moment, though the answers before it have arrived; a write counts as lost.

--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -237,9 +237,15 @@
 /* A table whose answers arrive while the event loop is blocked */
 
 #define HELD_MAX 16U
+/* Connections of a host to the table.  */
+#define CONNECTIONS 12U
 /* Longer than a call takes at most before the first answer, and than the
    silence after which the table counts as down.  */
 #define BLOCKED_MS 450U
+/* Blocks by which all calls must have ended, and events handled between two.
+ */
+#define BLOCKS_MAX 20
+#define EVENTS_BETWEEN 64
 #define ANSWER "{\"ver\":1,\"nowMs\":1,\"rows\":[]}"
 
 /**
@@ -387,3 +393,68 @@
       talloc_free (table);
     }
 }
+
+/**
+ * struct unsent_case - calls that can't be sent while the loop is blocked
+ * @busy: calls in progress, whose answers arrive meanwhile
+ * @unsent: calls whose connection is being established, or that wait for one
+ *          if @busy is CONNECTIONS
+ */
+struct unsent_case
+{
+  const char *name;
+  uint32_t busy;
+  uint32_t unsent;
+};
+
+/* Failure: a call that waits for a connection, or for its establishment, while
+   the loop is blocked is sent afterwards and given up in the same moment, a
+   write as lost.  */
+Test (rows, call_unsent_while_blocked_is_answered, .timeout = 60)
+{
+  static const struct unsent_case cases[] = {
+    { "connection being established", 0, 1 },
+    { "a call for a connection", CONNECTIONS, 1 },
+    { "a call for each connection", CONNECTIONS, CONNECTIONS },
+    { "more calls than connections", CONNECTIONS, 5 * CONNECTIONS },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct held_table *table = make_held_table ();
+
+      table->holds = true;
+      start_calls (table, cases[i].busy + cases[i].unsent);
+      while (table->held_count < cases[i].busy)
+        tevent_loop_once (table->ev);
+      answer_held (table);
+      usleep (BLOCKED_MS * 1000);
+      wait_for_calls (table, cases[i].busy + cases[i].unsent);
+      cr_expect_eq (table->failed, 0, "%s: %u failed", cases[i].name,
+                    table->failed);
+      talloc_free (table);
+    }
+}
+
+/* A call that is not answered ends although the loop is blocked again and
+   again.  */
+Test (rows, unanswered_call_ends_between_blocks, .timeout = 60)
+{
+  struct held_table *table = make_held_table ();
+  int blocks = 0;
+
+  table->holds = true;
+  start_calls (table, 2 * CONNECTIONS);
+  while (table->failed < 2 * CONNECTIONS && blocks < BLOCKS_MAX)
+    {
+      usleep (BLOCKED_MS * 1000);
+      for (int i = 0; i < EVENTS_BETWEEN && table->failed < 2 * CONNECTIONS;
+           i++)
+        tevent_loop_once (table->ev);
+      blocks++;
+    }
+  cr_expect_eq (table->ok, 0);
+  cr_expect_eq (table->failed, 2 * CONNECTIONS, "%u failed after %d blocks",
+                table->failed, blocks);
+  talloc_free (table);
+}
