--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -1,12 +1,16 @@
 /* test_rows.c - the client of the platform's table among many hosts.
 
-   Needs: Criterion, rows.h, rows_server.h, timer.h.  */
+   Needs: Criterion, rows.h, raw_server.h, rows_server.h, clock.h, timer.h.  */
 
+#include "../platform/standins/raw_server.h"
 #include "../platform/standins/rows_server.h"
 #include "router/rows.h"
+#include "net/clock.h"
 #include "net/timer.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <string.h>
+#include <unistd.h>
 
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
 
@@ -92,3 +96,365 @@
       talloc_free (site);
     }
 }
+
+/* A table that sends its answers in pieces */
+
+#define PIECE_MS 40U
+/* Longest time of an answer that never ends, and of one that stops.  */
+#define ANSWER_MAX_MS 8000U
+#define STOPPED_MAX_MS 2000U
+
+/**
+ * struct slow_table - a table that sends each answer in pieces
+ * @pieces: sent of each answer, at intervals of PIECE_MS; the last one
+ *          completes it, unless @ends is false
+ * @link: connection of the answer being sent
+ * @sent: pieces of it sent so far
+ * @calls: calls that ended
+ * @status: of the last one
+ */
+struct slow_table
+{
+  struct tevent_context *ev;
+  struct raw_server *server;
+  struct mq_rows *rows;
+  uint32_t pieces;
+  bool ends;
+  struct raw_link *link;
+  uint32_t sent;
+  uint32_t calls;
+  enum mq_store_status status;
+};
+
+static void
+send_piece (void *data)
+{
+  static const char end[] = "2\r\n]}\r\n0\r\n\r\n";
+  struct slow_table *table = data;
+
+  if (table->link == NULL)
+    return;
+  raw_link_write (table->link, "1\r\n \r\n", 6);
+  if (++table->sent < table->pieces)
+    mq_timer_add (table->server, table->ev, PIECE_MS, send_piece, table);
+  else if (table->ends)
+    {
+      raw_link_write (table->link, end, sizeof end - 1);
+      raw_link_read_next (table->link);
+    }
+}
+
+static void
+on_slow_request (struct raw_link *link, const struct raw_request *request,
+                 void *user)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n"
+                             "1b\r\n{\"ver\":1,\"nowMs\":1,\"rows\":[\r\n";
+  struct slow_table *table = user;
+
+  (void)request;
+  table->link = link;
+  table->sent = 0;
+  raw_link_write (link, head, sizeof head - 1);
+  mq_timer_add (table->server, table->ev, PIECE_MS, send_piece, table);
+}
+
+static void
+on_slow_link_closed (struct raw_link *link, void *user)
+{
+  struct slow_table *table = user;
+
+  if (table->link == link)
+    table->link = NULL;
+}
+
+static void
+on_slow_call (const struct mq_rows_result *result, void *user)
+{
+  struct slow_table *table = user;
+
+  table->calls++;
+  table->status = result->status;
+}
+
+static struct slow_table *
+make_slow_table (void)
+{
+  struct slow_table *table = talloc_zero (NULL, struct slow_table);
+  char address[32];
+
+  table->ev = tevent_context_init (table);
+  table->server = raw_server_create (table->ev, table->ev, on_slow_request,
+                                     on_slow_link_closed, table);
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            raw_server_port (table->server));
+  table->rows = mq_rows_create (table->ev, table->ev, address);
+  return table;
+}
+
+/**
+ * struct slow_case - an answer in pieces
+ * @max_ms: time by which the call must have ended
+ */
+struct slow_case
+{
+  const char *name;
+  uint32_t pieces;
+  bool ends;
+  enum mq_store_status status;
+  uint32_t max_ms;
+};
+
+/* Failure: a call is given up after 100 ms though its answer is still coming
+   in, and a caller without a route gets 503 where 404 is due.  An answer that
+   stops or never ends is given up all the same.  */
+Test (rows, answer_in_pieces_is_waited_for, .timeout = 60)
+{
+  static const struct slow_case cases[] = {
+    { "half a second", 12, true, MQ_STORE_OK, ANSWER_MAX_MS },
+    { "two seconds", 50, true, MQ_STORE_OK, ANSWER_MAX_MS },
+    { "stops", 5, false, MQ_STORE_DOWN, STOPPED_MAX_MS },
+    { "never ends", UINT32_MAX, false, MQ_STORE_DOWN, ANSWER_MAX_MS },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct slow_table *table = make_slow_table ();
+      uint64_t since = mq_clock_ms ();
+
+      table->pieces = cases[i].pieces;
+      table->ends = cases[i].ends;
+      mq_rows_get (table->rows, "t", "p", "k", on_slow_call, table);
+      while (table->calls == 0 && mq_clock_ms () - since < cases[i].max_ms)
+        tevent_loop_once (table->ev);
+      cr_expect_eq (table->calls, 1, "%s", cases[i].name);
+      cr_expect_eq (table->status, cases[i].status, "%s", cases[i].name);
+      talloc_free (table);
+    }
+}
+
+/* A table whose answers arrive while the event loop is blocked */
+
+#define HELD_MAX 16U
+/* Connections of a host to the table.  */
+#define CONNECTIONS 12U
+/* Longer than a call takes at most before the first answer, and than the
+   silence after which the table counts as down.  */
+#define BLOCKED_MS 450U
+/* Blocks by which all calls must have ended, and events handled between two.
+ */
+#define BLOCKS_MAX 20
+#define EVENTS_BETWEEN 64
+#define ANSWER "{\"ver\":1,\"nowMs\":1,\"rows\":[]}"
+
+/**
+ * struct held_table - a table that holds requests back until it is told to
+ *                     answer
+ * @holds: requests are held back, else answered at once
+ * @held: connections of the requests held back
+ * @ok: calls that were answered
+ * @failed: calls that were not
+ */
+struct held_table
+{
+  struct tevent_context *ev;
+  struct raw_server *server;
+  struct mq_rows *rows;
+  bool holds;
+  struct raw_link *held[HELD_MAX];
+  uint32_t held_count;
+  uint32_t ok;
+  uint32_t failed;
+};
+
+static void
+answer (struct raw_link *link)
+{
+  raw_link_respond (link, 200, "", ANSWER, sizeof ANSWER - 1);
+}
+
+static void
+on_held_request (struct raw_link *link, const struct raw_request *request,
+                 void *user)
+{
+  struct held_table *table = user;
+
+  (void)request;
+  if (!table->holds)
+    answer (link);
+  else if (table->held_count < HELD_MAX)
+    table->held[table->held_count++] = link;
+}
+
+static void
+on_held_link_closed (struct raw_link *link, void *user)
+{
+  struct held_table *table = user;
+
+  for (uint32_t i = 0; i < table->held_count; i++)
+    if (table->held[i] == link)
+      table->held[i--] = table->held[--table->held_count];
+}
+
+static void
+on_held_call (const struct mq_rows_result *result, void *user)
+{
+  struct held_table *table = user;
+
+  if (result->status == MQ_STORE_OK)
+    table->ok++;
+  else
+    table->failed++;
+}
+
+static struct held_table *
+make_held_table (void)
+{
+  struct held_table *table = talloc_zero (NULL, struct held_table);
+  char address[32];
+
+  table->ev = tevent_context_init (table);
+  table->server = raw_server_create (table->ev, table->ev, on_held_request,
+                                     on_held_link_closed, table);
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            raw_server_port (table->server));
+  table->rows = mq_rows_create (table->ev, table->ev, address);
+  return table;
+}
+
+static void
+start_calls (struct held_table *table, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    mq_rows_get (table->rows, "t", "p", "k", on_held_call, table);
+}
+
+static void
+wait_for_calls (struct held_table *table, uint32_t count)
+{
+  while (table->ok + table->failed < count)
+    tevent_loop_once (table->ev);
+}
+
+/* Answers all requests held back, and later ones at once.  */
+static void
+answer_held (struct held_table *table)
+{
+  table->holds = false;
+  while (table->held_count > 0)
+    answer (table->held[--table->held_count]);
+}
+
+/**
+ * struct breaker_case - a call after four that were not answered; two more are
+ *                       made when the loop continues
+ * @answered: it is answered, and the answer arrives while the loop is blocked
+ * @down: the table counts as down afterwards
+ */
+struct breaker_case
+{
+  const char *name;
+  bool answered;
+  bool down;
+};
+
+/* Failure: a host that was blocked after four failures takes the table to be
+   down beside an answer that has arrived, and its calls fail at once.  */
+Test (rows, answer_while_blocked_keeps_the_table_up, .timeout = 60)
+{
+  static const struct breaker_case cases[]
+      = { { "answered", true, false }, { "not answered", false, true } };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct held_table *table = make_held_table ();
+
+      start_calls (table, 1);
+      wait_for_calls (table, 1);
+      table->holds = true;
+      start_calls (table, 4);
+      wait_for_calls (table, 5);
+      cr_assert_eq (table->failed, 4);
+      table->held_count = 0;
+      start_calls (table, 1);
+      while (table->held_count == 0)
+        tevent_loop_once (table->ev);
+      if (cases[i].answered)
+        answer_held (table);
+      usleep (BLOCKED_MS * 1000);
+      cr_expect (!cases[i].answered || !mq_rows_down (table->rows));
+      start_calls (table, 2);
+      wait_for_calls (table, 8);
+      cr_expect_eq (mq_rows_down (table->rows), cases[i].down, "%s",
+                    cases[i].name);
+      cr_expect_eq (table->failed, cases[i].answered ? 4 : 7, "%s: %u failed",
+                    cases[i].name, table->failed);
+      talloc_free (table);
+    }
+}
+
+/**
+ * struct unsent_case - calls that can't be sent while the loop is blocked
+ * @busy: calls in progress, whose answers arrive meanwhile
+ * @unsent: calls whose connection is being established, or that wait for one
+ *          if @busy is CONNECTIONS
+ */
+struct unsent_case
+{
+  const char *name;
+  uint32_t busy;
+  uint32_t unsent;
+};
+
+/* Failure: a call that waits for a connection, or for its establishment, while
+   the loop is blocked is sent afterwards and given up in the same moment, a
+   write as lost.  */
+Test (rows, call_unsent_while_blocked_is_answered, .timeout = 60)
+{
+  static const struct unsent_case cases[] = {
+    { "connection being established", 0, 1 },
+    { "a call for a connection", CONNECTIONS, 1 },
+    { "a call for each connection", CONNECTIONS, CONNECTIONS },
+    { "more calls than connections", CONNECTIONS, 5 * CONNECTIONS },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct held_table *table = make_held_table ();
+
+      table->holds = true;
+      start_calls (table, cases[i].busy + cases[i].unsent);
+      while (table->held_count < cases[i].busy)
+        tevent_loop_once (table->ev);
+      answer_held (table);
+      usleep (BLOCKED_MS * 1000);
+      wait_for_calls (table, cases[i].busy + cases[i].unsent);
+      cr_expect_eq (table->failed, 0, "%s: %u failed", cases[i].name,
+                    table->failed);
+      talloc_free (table);
+    }
+}
+
+/* A call that is not answered ends although the loop is blocked again and
+   again.  */
+Test (rows, unanswered_call_ends_between_blocks, .timeout = 60)
+{
+  struct held_table *table = make_held_table ();
+  int blocks = 0;
+
+  table->holds = true;
+  start_calls (table, 2 * CONNECTIONS);
+  while (table->failed < 2 * CONNECTIONS && blocks < BLOCKS_MAX)
+    {
+      usleep (BLOCKED_MS * 1000);
+      for (int i = 0; i < EVENTS_BETWEEN && table->failed < 2 * CONNECTIONS;
+           i++)
+        tevent_loop_once (table->ev);
+      blocks++;
+    }
+  cr_expect_eq (table->ok, 0);
+  cr_expect_eq (table->failed, 2 * CONNECTIONS, "%u failed after %d blocks",
+                table->failed, blocks);
+  talloc_free (table);
+}
