Tests, failing: requests after a pause, a lease that is released early

Found by a review of the fixes. organisation::first_request_after_a_pause_is_served: a host takes an issuer that it has not asked for a while for unavailable. In the traces of the release of all hosts, 12 of 13 refusals as no_permit before the release are first requests of their organisation at the host or follow a pause of 5.9 s and more. stop::denial_before_a_pause_does_not_refuse_after_it: a denial does not expire. quota_model::lease_is_kept_while_a_rate_is_held: an acknowledgement of a later reply counts as receipt of a lost one.

--- a/tests/test_organisation.c
+++ b/tests/test_organisation.c
@@ -574,3 +574,35 @@
   cr_expect_leq (served, 25);
   cr_expect_gt (edge_counter (site, 1 - issuer, "permits_alone"), 0);
 }
+
+/**
+ * struct pause_case - a time without requests of an organisation
+ * @ms: its length by the clock of limits
+ * @renew_ms: time in which the issuer renews leases that expired meanwhile
+ */
+struct pause_case
+{
+  const char *name;
+  uint32_t ms;
+  uint32_t renew_ms;
+};
+
+static const struct pause_case pause_cases[] = {
+  { "host no longer polls", 7000, 0 },
+  { "host has dropped the organisation", 62000, 4000 },
+};
+
+/* Failure: a host polls no issuer while an organisation makes no requests,
+   then takes the issuer for unavailable and refuses the first request.  */
+Test (organisation, first_request_after_a_pause_is_served)
+{
+  start_limited ();
+  for (size_t i = 0; i < ROWS (pause_cases); i++)
+    {
+      held_boot_ms += pause_cases[i].ms;
+      edge_run_for (site, pause_cases[i].renew_ms);
+      for (int router = 0; router < EDGE_ROUTERS; router++)
+        cr_expect_eq (ask (router, "q1", "acme-1"), 200, "%s: %s",
+                      pause_cases[i].name, call.answer);
+    }
+}
--- a/tests/test_quota_model.c
+++ b/tests/test_quota_model.c
@@ -689,3 +689,37 @@
                      fault_names[fault]);
     }
 }
+
+#define STOPPING_HOST 7U
+#define LEASE_SLOT 3U
+
+/* Failure: the reply that lowers a rate to 0 is lost, the host acknowledges a
+   later reply that does not name the organisation, and an issuer that stops
+   releases its lease while the host may still use the rate.  */
+Test (quota_model, lease_is_kept_while_a_rate_is_held)
+{
+  struct mq_quota_issuer *issuer = mq_quota_issuer_create (NULL);
+  struct mq_quota_bounds bounds = { { 100000, 100000 }, AHEAD, true };
+  struct mq_quota_lease lease
+      = { .slot = LEASE_SLOT, .since_ms = 1000, .until_ms = 13000 };
+  struct mq_quota_request want = { .organisation = "o", .need = 20 };
+  struct mq_quota_grant grant;
+
+  mq_quota_record_ack (issuer, STOPPING_HOST, 0, 3000);
+  (void)mq_quota_issue (issuer, STOPPING_HOST, &want, &bounds, &lease, 3000);
+  mq_quota_record_ack (issuer, STOPPING_HOST, 3000, 4000);
+  want = (struct mq_quota_request){ .organisation = "o", .heard_ms = 3000 };
+  grant = mq_quota_issue (issuer, STOPPING_HOST, &want, &bounds, &lease, 4000);
+  cr_assert_gt (grant.standing, 0);
+  want.holds = grant.standing;
+  want.heard_ms = 4000;
+  bounds.may_lend = false;
+  mq_quota_record_ack (issuer, STOPPING_HOST, 4000, 5000);
+  grant = mq_quota_issue (issuer, STOPPING_HOST, &want, &bounds, &lease, 5000);
+  cr_assert_eq (grant.standing, 0);
+  /* That reply is lost; one to a keep-alive, sent at 5200, is not.  */
+  mq_quota_record_ack (issuer, STOPPING_HOST, 4000, 5200);
+  mq_quota_record_ack (issuer, STOPPING_HOST, 5200, 5400);
+  cr_expect (mq_quota_issuer_has_lent (issuer, LEASE_SLOT, 5400));
+  talloc_free (issuer);
+}
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -279,3 +279,21 @@
   edge_start (site, 0);
   cr_expect (is_served (0, "q1"), "%s", call.answer);
 }
+
+/* Longer than a host polls for an organisation without requests, 5 s.  */
+#define NO_POLL_MS 6000U
+
+/* Failure: a denial from before a pause still counts after it, and a request
+   is refused at once without looking for the issuer that exists by then.  */
+Test (stop, denial_before_a_pause_does_not_refuse_after_it)
+{
+  start_two ();
+  begin_stop (1, LONG_STOP_MS);
+  begin_stop (0, RELEASED_MS);
+  run_until_stopped (0);
+  cr_expect_eq (ask (1, "q1"), 503, "%s", call.answer);
+  edge_run_for (site, NO_POLL_MS);
+  edge_start (site, 0);
+  EDGE_WAIT (site, issues_permits (0));
+  cr_expect_eq (ask (1, "q2"), 200, "%s", call.answer);
+}
