An issuer is unavailable when it does not answer, not when it was not asked

After a minute, in which it drops the organisation, nothing asked again. Now the time runs from the first request to the issuer that was not answered. The standing rate is used no sooner than before, since that request is never older than the last one that was answered; and each request starts the timers. organisation::first_request_after_a_pause_is_served failed before and passes.

--- a/src/core/organisation/quota.h
+++ b/src/core/organisation/quota.h
@@ -36,9 +36,9 @@
 /* The issuer treats a host as silent if its newest acknowledgement is older.
  */
 #define MQ_QUOTA_ACK_TIMEOUT_MS 800U
-/* A host falls back to its standing rates if its last answered request is
-   older.  Covers MQ_QUOTA_REPLY_TIMEOUT_MS, MQ_QUOTA_ACK_TIMEOUT_MS and clock
-   drift over both.  */
+/* A host falls back to its standing rates if a request is older and neither it
+   nor a later one was answered.  Covers MQ_QUOTA_REPLY_TIMEOUT_MS,
+   MQ_QUOTA_ACK_TIMEOUT_MS and clock drift over both.  */
 #define MQ_QUOTA_ISSUER_TIMEOUT_MS 1200U
 /* Longest interval between requests of a host that uses an issuer's permits.
  */
@@ -163,13 +163,14 @@
  * struct mq_quota_contact - a host's view of an issuer
  * @server: run of the issuer that answered last, 0 if none
  * @told_ms: newest issuer time received, to be acknowledged
- * @answered_ms: send time of the newest request that was answered in time
+ * @unanswered_ms: send time of the first request since the last one that was
+ *                 answered in time, 0 if there is none
  */
 struct mq_quota_contact
 {
   uint64_t server;
   uint64_t told_ms;
-  uint64_t answered_ms;
+  uint64_t unanswered_ms;
 };
 
 #define MQ_QUOTA_BATCHES 2
@@ -234,6 +235,9 @@
 struct mq_quota_request mq_quota_request (
     struct mq_quota_share *share, const struct mq_quota_contact *contact,
     const char *organisation, uint32_t need, uint32_t begins, uint64_t now_ms);
+/* Records that a request is sent.  */
+void mq_quota_record_request (struct mq_quota_contact *contact,
+                              uint64_t now_ms);
 /* Records SERVER's reply to a request sent at ASKED_MS; TOLD_MS is SERVER's
    clock.  Returns false if the reply is too late to be used.  Call before
    mq_quota_apply_grant for the grants in the reply.  */
@@ -252,7 +256,8 @@
 /* Records that the host that was asked is not the issuer, or that none is
    known.  A grant ends this.  */
 void mq_quota_record_denial (struct mq_quota_share *share, uint64_t now_ms);
-/* Whether the issuer has not answered within MQ_QUOTA_ISSUER_TIMEOUT_MS.  */
+/* Whether the issuer has not answered requests for MQ_QUOTA_ISSUER_TIMEOUT_MS.
+ */
 bool mq_quota_issuer_unavailable (const struct mq_quota_contact *contact,
                                   uint64_t now_ms);
 /* Whether the limit was reached so recently that the issuer need not be asked
--- a/src/core/organisation/quota_share.c
+++ b/src/core/organisation/quota_share.c
@@ -75,7 +75,8 @@
 mq_quota_issuer_unavailable (const struct mq_quota_contact *contact,
                              uint64_t now_ms)
 {
-  return now_ms > contact->answered_ms + MQ_QUOTA_ISSUER_TIMEOUT_MS;
+  return contact->unanswered_ms != 0
+         && now_ms > contact->unanswered_ms + MQ_QUOTA_ISSUER_TIMEOUT_MS;
 }
 
 void
@@ -218,6 +219,13 @@
   return want;
 }
 
+void
+mq_quota_record_request (struct mq_quota_contact *contact, uint64_t now_ms)
+{
+  if (contact->unanswered_ms == 0)
+    contact->unanswered_ms = now_ms;
+}
+
 bool
 mq_quota_record_reply (struct mq_quota_contact *contact, uint64_t server,
                        uint64_t asked_ms, uint64_t told_ms, uint64_t now_ms)
@@ -226,8 +234,7 @@
     return false;
   if (server != contact->server)
     *contact = (struct mq_quota_contact){ .server = server };
-  if (asked_ms > contact->answered_ms)
-    contact->answered_ms = asked_ms;
+  contact->unanswered_ms = 0;
   if (told_ms > contact->told_ms)
     contact->told_ms = told_ms;
   return true;
--- a/src/router/router_permit.c
+++ b/src/router/router_permit.c
@@ -134,8 +134,6 @@
   return contact;
 }
 
-/* A new contact starts as if it had just answered, so that its first timeout
-   runs in full.  */
 static struct contact *
 get_contact (struct mq_permits *permits, const char *address)
 {
@@ -145,7 +143,6 @@
     return contact;
   contact = mq_check_alloc (talloc_zero (permits, struct contact));
   contact->address = mq_text_copy (contact, address);
-  contact->quota.answered_ms = mq_clock_boot_ms ();
   contact->next = permits->contacts;
   permits->contacts = contact;
   return contact;
@@ -266,7 +263,7 @@
 acquire (struct share *share, bool begins, uint64_t now)
 {
   struct contact *contact = contact_of (share);
-  struct mq_quota_contact unknown_issuer = { .answered_ms = now };
+  const struct mq_quota_contact unknown_issuer = { 0 };
   enum mq_quota_decision decision;
 
   return_standing (share, now);
@@ -291,11 +288,11 @@
   *permit = NULL;
   *retry_ms = 0;
   share->active_ms = now;
+  set_timers (router->permits);
   switch (acquire (share, begins, now))
     {
     case MQ_QUOTA_GRANTED:
       router->counters.permits_used++;
-      set_timers (router->permits);
       return MQ_PERMIT_GRANTED;
     case MQ_QUOTA_ASK_ISSUER:
       *permit = enqueue (share, begins, callback, user);
@@ -408,6 +405,7 @@
           .listed = may_be_lent (permits->router) };
 
   contact->sent_ms = now;
+  mq_quota_record_request (&contact->quota, now);
   permits->router->counters.permits_asked++;
   if (strcmp (contact->address, mq_relay_address (relay)) == 0)
     request_locally (permits, &request);
--- a/tests/test_organisation.c
+++ b/tests/test_organisation.c
@@ -601,6 +601,7 @@
     {
       held_boot_ms += pause_cases[i].ms;
       edge_run_for (site, pause_cases[i].renew_ms);
+      pause_for (REFILL_MS);
       for (int router = 0; router < EDGE_ROUTERS; router++)
         cr_expect_eq (ask (router, "q1", "acme-1"), 200, "%s: %s",
                       pause_cases[i].name, call.answer);
--- a/tests/test_quota_model.c
+++ b/tests/test_quota_model.c
@@ -346,7 +346,7 @@
 {
   uint64_t now = clock_of (world, host);
   const struct mq_quota_contact *contact = &host->contacts[host->believed];
-  static const struct mq_quota_contact none = { 0 };
+  static const struct mq_quota_contact silent = { .unanswered_ms = 1 };
 
   if (world->fault == FAULT_ENDLESS_STANDING)
     {
@@ -365,7 +365,7 @@
       case MQ_QUOTA_ASK_ISSUER:
         host->waiting++;
         if (world->fault == FAULT_RATE_BESIDE_PERMITS
-            && mq_quota_try_acquire (&host->share, &none, false, now)
+            && mq_quota_try_acquire (&host->share, &silent, false, now)
                    == MQ_QUOTA_GRANTED)
           record_use (world);
         break;
@@ -388,6 +388,7 @@
   if (host->waiting == 0 && now - host->asked_ms < MQ_QUOTA_POLL_INTERVAL_MS)
     return;
   host->asked_ms = now;
+  mq_quota_record_request (contact, now);
   message.asked_ms = now;
   message.host = host->run;
   message.heard_ms = contact->told_ms;
@@ -467,7 +468,6 @@
 start_host (struct world *world, int at)
 {
   struct host *host = &world->hosts[at];
-  uint64_t now;
 
   talloc_free (host->issuer);
   memset (&host->share, 0, sizeof host->share);
@@ -480,9 +480,6 @@
   host->stopping = false;
   host->lender = -1;
   memset (host->surrendered, 0, sizeof host->surrendered);
-  now = clock_of (world, host);
-  for (int i = 0; i < ISSUERS; i++)
-    host->contacts[i].answered_ms = now;
 }
 
 static void
@@ -558,8 +555,9 @@
       break;
     case 8:
       world->hosts[a].leaving = a < ISSUERS;
-      if (world->stops)
-        begin_stop (world, &world->hosts[a]);
+      for (int i = 0; i < HOSTS && world->stops; i++)
+        if (i == a || draw (world, 2) == 0)
+          begin_stop (world, &world->hosts[i]);
       break;
     case 9:
       world->hosts[a].held_ms = world->now_ms + draw (world, 2000);
