Denials of long ago don't refuse a request

A host that had been denied permits, and had no requests of the organisation for a while, refused the next one at once although another host issued by then.

--- a/src/core/organisation/quota.h
+++ b/src/core/organisation/quota.h
@@ -195,6 +195,7 @@
  * @on_standing_rate: the host is using its standing rate
  * @level: bucket level under the standing rate at @level_ms
  * @denied_ms: time from which on no issuer was found, 0 if there is one
+ * @denied_until_ms: a later denial begins anew
  * @exhausted_until_ms: no permit is available before
  * @begin_refused_until_ms: no permit for first requests is available before
  */
@@ -213,6 +214,7 @@
   uint64_t level;
   uint64_t level_ms;
   uint64_t denied_ms;
+  uint64_t denied_until_ms;
   uint64_t exhausted_until_ms;
   uint64_t begin_refused_until_ms;
 };
--- a/src/core/organisation/quota_share.c
+++ b/src/core/organisation/quota_share.c
@@ -82,18 +82,20 @@
 void
 mq_quota_record_denial (struct mq_quota_share *share, uint64_t now_ms)
 {
-  if (share->denied_ms == 0)
+  if (share->denied_ms == 0 || now_ms > share->denied_until_ms)
     share->denied_ms = now_ms;
+  share->denied_until_ms = now_ms + MQ_QUOTA_ISSUER_TIMEOUT_MS;
 }
 
-/* Whether no issuer was found for longer than a lease takes to move.
+/* Whether no issuer was found for longer than a lease takes to move.  Denials
+   of long ago don't count: another host may issue by now.
 
    Failure: each denial counts as an answer of the issuer, and requests wait
    for a permit until their deadline.  */
 static bool
 has_no_issuer (const struct mq_quota_share *share, uint64_t now)
 {
-  return share->denied_ms != 0
+  return share->denied_ms != 0 && now <= share->denied_until_ms
          && now > share->denied_ms + MQ_QUOTA_ISSUER_TIMEOUT_MS;
 }
 
