A lease is released only when hosts report that they hold no rate

An issuer that stops could release its lease while a host still held a rate: an acknowledgement of any later reply was taken for receipt of the one that took the rate away, which may have been lost. The next issuer then lent it again. Now what hosts report they hold decides alone, and a host reports twice that it holds nothing once a rate is gone, since its first message may acknowledge an older reply.

--- a/src/core/organisation/quota_issuer.c
+++ b/src/core/organisation/quota_issuer.c
@@ -499,8 +499,7 @@
     return true;
   for (const struct standing *at = bucket->host_rates; at != NULL;
        at = at->next)
-    if (at->until_ms > now && at->high > 0
-        && (at->rate > 0 || at->host->heard_ms < at->told_ms))
+    if (at->until_ms > now && at->high > 0)
       return true;
   return false;
 }
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -121,12 +121,12 @@
   mq_turns_sweep (router->turns);
   mq_feed_sweep (router);
   mq_hosts_sweep (router);
+  if (router->stopping)
+    mq_reserve_release_leases (router);
   mq_reserve_sweep (router);
   mq_permits_sweep (router);
   mq_clean_sweep (router);
   log_counters (router);
-  if (router->stopping)
-    mq_reserve_release_leases (router);
   if (router->stopping)
     advance_stop (router);
   schedule_sweep (router);
--- a/src/router/router_permit.c
+++ b/src/router/router_permit.c
@@ -20,6 +20,9 @@
 /* Longest time that a request waits for a permit, whichever hosts are asked
    meanwhile.  */
 #define WAIT_MAX_MS (MQ_QUOTA_ISSUER_TIMEOUT_MS + REQUEST_TIMEOUT_MS)
+/* Messages after which an issuer knows that a rate is given up: the first may
+   acknowledge an older reply than the last one.  */
+#define RETURN_REPLIES 2U
 /* Minimum interval of reading the leases because an issuer does not answer. */
 #define UNANSWERED_LIST_MS 2000U
 /* An organisation without requests for this long is no longer polled for.  */
@@ -40,9 +43,8 @@
  * @first: queued requests, oldest first
  * @active_ms: time of the last request
  * @requested_ms: time of the last message to the issuer that named it
- * @returned_ms: time at which the standing rate was given up because this host
- *               is shutting down; 0 if there is none that the issuer may still
- *               count
+ * @returned_ms: time at which a standing rate was given up or taken away
+ * @returns_left: answered messages until the issuer knows of it
  * @issuer: address of the host that issued last, NULL if none
  */
 struct share
@@ -55,6 +57,7 @@
   uint64_t active_ms;
   uint64_t requested_ms;
   uint64_t returned_ms;
+  uint32_t returns_left;
   char *issuer;
 };
 
@@ -246,6 +249,17 @@
   return permit;
 }
 
+/* Has the issuer told that this host holds no standing rate any more, even if
+   the organisation makes no requests.
+
+   Failure: an issuer that counts the rate can't release its lease.  */
+static void
+report_return (struct share *share, uint64_t now)
+{
+  share->returned_ms = now;
+  share->returns_left = RETURN_REPLIES;
+}
+
 /* Gives up the standing rate if this host is shutting down.
 
    Failure: an issuer can't release its lease while it counts rates of hosts
@@ -256,7 +270,7 @@
   if (!share->permits->router->stopping || share->quota.standing == 0)
     return;
   share->quota.standing = 0;
-  share->returned_ms = now;
+  report_return (share, now);
 }
 
 static enum mq_quota_decision
@@ -346,12 +360,12 @@
 static bool
 is_due (const struct share *share, uint64_t now)
 {
-  bool often = share->quota.denied_ms != 0 || share->returned_ms != 0;
+  bool often = share->quota.denied_ms != 0 || share->returns_left > 0;
   uint32_t interval_ms
       = often ? MQ_QUOTA_POLL_INTERVAL_MS : MQ_QUOTA_STANDING_REFRESH_MS;
 
   return (is_active (share, now) || share->quota.standing > 0
-          || share->quota.surrendered > 0 || share->returned_ms != 0)
+          || share->quota.surrendered > 0 || share->returns_left > 0)
          && now - share->requested_ms >= interval_ms;
 }
 
@@ -598,6 +612,7 @@
 {
   struct share *share = mq_idmap_find (
       permits->shares, mq_id_from_text (gift->organisation), 0);
+  bool held;
 
   if (share == NULL)
     return;
@@ -610,12 +625,16 @@
       requeue_message (share, reply->id);
       return;
     }
-  if (message_sent_ms (reply->id) >= share->returned_ms)
-    share->returned_ms = 0;
+  if (share->returns_left > 0
+      && message_sent_ms (reply->id) >= share->returned_ms)
+    share->returns_left--;
+  held = share->quota.standing > 0;
   if (share->issuer == NULL || strcmp (share->issuer, address) != 0)
     mq_text_replace (share, &share->issuer, address);
   mq_quota_apply_grant (&share->quota, gift, reply->issuer_run_id,
                         message_sent_ms (reply->id), now);
+  if (held && share->quota.standing == 0)
+    report_return (share, now);
   grant_queued (share, gift, reply->id);
 }
 
