--- a/tests/test_budget_model.c
+++ b/tests/test_budget_model.c
@@ -353,6 +353,27 @@
   world->has_late = false;
 }
 
+/* Tokens of HOST that no turn has.  */
+static uint64_t
+unreserved (const struct host *host)
+{
+  return host->budget.held + host->budget.ungranted - host->budget.reserved;
+}
+
+static void
+begin_without_table (struct world *world, struct host *host)
+{
+  uint64_t part = unreserved (host);
+
+  if (mq_budget_reserve_local (&host->budget, TURN_TOKENS_MAX))
+    begin (world, host, TURN_TOKENS_MAX);
+  else if (world->fault == FAULT_GRANT_EXCEEDED && part > 1)
+    {
+      host->budget.reserved += part;
+      begin (world, host, part);
+    }
+}
+
 static void
 step (struct world *world)
 {
@@ -394,10 +415,7 @@
     case 10:
       if (host->running == TURNS)
         break;
-      if (mq_budget_reserve_local (&host->budget, TURN_TOKENS_MAX))
-        begin (world, host, TURN_TOKENS_MAX);
-      else if (world->fault == FAULT_GRANT_EXCEEDED)
-        begin (world, host, 0);
+      begin_without_table (world, host);
       break;
     case 11:
       if (!world->table_down)
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -78,10 +78,13 @@
 }
 
 /**
- * struct waiting_case - a request that waits until the stop ends
+ * struct waiting_case - a request that waits when a stop begins
  * @fault: of the table, from before the request on
  * @step: of all workers
+ * @stop_ms: time limit of the stop, shorter than the request would wait unless
+ *           it ends by itself
  * @status: expected, 503 only if no worker received the request
+ * @has: part of the response
  */
 struct waiting_case
 {
@@ -90,25 +93,27 @@
   const char *text;
   enum rows_fault fault;
   enum worker_behaviour step;
+  uint32_t stop_ms;
   int status;
+  const char *has;
 };
 
 static const struct waiting_case waiting_cases[] = {
   { "worker without a response", "q1",
     "GET /once/a HTTP/1.1\r\n" HOST ID ("q1") "\r\n", ROWS_NO_FAULT,
-    WORKER_HANG, 502 },
+    WORKER_HANG, 2000, 502, "failed" },
   { "worker without a response, with a body", "q2",
     "POST /once/a HTTP/1.1\r\n" HOST ID ("q2") "Content-Length: 2\r\n\r\nxy",
-    ROWS_NO_FAULT, WORKER_HANG, 502 },
+    ROWS_NO_FAULT, WORKER_HANG, 2000, 502, "failed" },
   { "turn while the table does not answer", "q3",
     "POST /kept/a HTTP/1.1\r\n" HOST ID (
         "q3") "X-Program-Id: p\r\nX-Token-Budget: 80\r\nX-Token-Count: "
               "10,8\r\n"
               "Content-Length: 0\r\n\r\n",
-    ROWS_NO_RESPONSE, WORKER_SERVE, 503 },
+    ROWS_NO_RESPONSE, WORKER_SERVE, 400, 503, "exiting" },
   { "no route while the table does not answer", "q4",
     "GET /none/a HTTP/1.1\r\n" HOST ID ("q4") "\r\n", ROWS_NO_RESPONSE,
-    WORKER_SERVE, 503 },
+    WORKER_SERVE, 2000, 503, "not_ready" },
 };
 
 /* Failure: a planned stop reaches its time limit, and the process exits while
@@ -124,11 +129,15 @@
       rows_server_set_fault (site->rows, row->fault);
       edge_call (site, &call, 0, row->text);
       edge_run_for (site, 20);
+      site->settings[0].stop_ms = row->stop_ms;
+      mq_router_apply_settings (site->routers[0], &site->settings[0]);
       mq_router_begin_stop (site->routers[0]);
       run_until_stopped (0);
       edge_wait_responses (site, &call, 1);
       cr_expect_eq (status_of (&call), row->status, "%s: closed %d after %s",
                     row->name, call.closed, call.answer);
+      cr_expect_not_null (strstr (call.answer, row->has), "%s: %s", row->name,
+                          call.answer);
       cr_expect_eq (edge_find_run (site, row->id) == NULL, row->status == 503,
                     "%s", row->name);
       edge_close (&call);
