--- a/src/router/router_caller.c
+++ b/src/router/router_caller.c
@@ -1,20 +1,16 @@
-/* router_caller.c - HTTP connections of callers.
+/* router_caller.c - one HTTP connection of a caller.
 
    A connection serves one request at a time; pipelined requests are buffered
    until the response is sent.  The connection is read during a request, so
    that a disconnect is noticed at once.
-   Needs: router_state.h, listen.h, clock.h.  */
+   Needs: router_caller.h, clock.h.  */
 
-#include "router_state.h"
+#include "router_caller.h"
 #include "net/clock.h"
-#include "net/listen.h"
-#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 /* Pipelined bytes at which reading pauses, and the limit including one more
    read.  */
@@ -24,50 +20,12 @@
 #define DEFAULT_HEADER_MS 3000U
 #define DEFAULT_IDLE_MS 15000U
 #define DEFAULT_BODY_BYTES (4U << 20)
-/* Connections accepted per event.  */
-#define ACCEPT_BATCH 16
-
-/**
- * struct mq_caller - one connection
- * @link: where the list points to this connection; NULL if unlinked
- * @request: pending request; NULL if none
- * @head: head of the current message; NULL until it is complete
- * @body: body of the current message
- * @read_ahead: pipelined bytes behind the current message
- * @arrived_ms: start of the current message, local monotonic clock
- * @active_ms: last activity, local monotonic clock
- * @advertised_idle_ms: idle timeout in force when Keep-Alive was last sent
- * @answering: the current message is complete or refused, the response is not
- *             sent yet
- * @closing: close the connection after the current response
- * @feeding: bytes are being parsed; the structure must not be freed
- * @dead: the connection is gone; freed once @feeding is false
- */
-struct mq_caller
-{
-  struct mq_router *router;
-  struct mq_caller *next;
-  struct mq_caller **link;
-  struct mq_tcp *tcp;
-  struct mq_http_reader *reader;
-  struct mq_request *request;
-  const struct mq_http_head *head;
-  struct mq_buffer body;
-  struct mq_buffer read_ahead;
-  uint64_t arrived_ms;
-  uint64_t active_ms;
-  uint32_t advertised_idle_ms;
-  bool answering;
-  bool closing;
-  bool feeding;
-  bool dead;
-};
 
 static void parse_data (struct mq_caller *caller, const char *data,
                         size_t len);
 
-static struct mq_route_limits
-current_limits (const struct mq_router *router)
+struct mq_route_limits
+caller_limits (const struct mq_router *router)
 {
   static const struct mq_route_limits first
       = { .header_bytes = 0,
@@ -141,8 +99,8 @@
   talloc_set_destructor (ending_connection, remove_ending);
 }
 
-static void
-finish_caller (struct mq_caller *caller)
+void
+caller_finish (struct mq_caller *caller)
 {
   talloc_steal (caller->router, caller->tcp);
   add_ending (caller);
@@ -150,8 +108,8 @@
   detach_caller (caller);
 }
 
-static void
-destroy_caller (struct mq_caller *caller)
+void
+caller_destroy (struct mq_caller *caller)
 {
   talloc_steal (caller->router, caller->tcp);
   mq_tcp_destroy (caller->tcp);
@@ -168,7 +126,7 @@
   caller->request = NULL;
   if (request != NULL)
     mq_request_caller_disconnected (request, end);
-  destroy_caller (caller);
+  caller_destroy (caller);
 }
 
 static void
@@ -181,8 +139,8 @@
     mq_request_caller_writable (caller->request);
 }
 
-static void
-refuse_message (struct mq_caller *caller, enum mq_refusal refusal)
+void
+caller_refuse_message (struct mq_caller *caller, enum mq_refusal refusal)
 {
   struct mq_json_line line;
 
@@ -199,7 +157,7 @@
 on_head (const struct mq_http_head *head, void *user)
 {
   struct mq_caller *caller = user;
-  struct mq_route_limits limits = current_limits (caller->router);
+  struct mq_route_limits limits = caller_limits (caller->router);
   const char *expect = mq_http_head_find (head, "Expect");
 
   caller->head = head;
@@ -208,7 +166,7 @@
   if (!head->keep_alive)
     caller->closing = true;
   if (head->has_length && head->length > limits.body_bytes)
-    refuse_message (caller, MQ_REFUSE_BODY_TOO_LARGE);
+    caller_refuse_message (caller, MQ_REFUSE_BODY_TOO_LARGE);
   else if (expect != NULL && strcasecmp (expect, "100-continue") == 0)
     mq_tcp_write (caller->tcp, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 }
@@ -217,12 +175,12 @@
 on_body (const char *data, size_t len, void *user)
 {
   struct mq_caller *caller = user;
-  struct mq_route_limits limits = current_limits (caller->router);
+  struct mq_route_limits limits = caller_limits (caller->router);
 
   if (caller->dead || caller->answering)
     return;
   if (!mq_buffer_append (caller, &caller->body, data, len, limits.body_bytes))
-    refuse_message (caller, MQ_REFUSE_BODY_TOO_LARGE);
+    caller_refuse_message (caller, MQ_REFUSE_BODY_TOO_LARGE);
 }
 
 static void
@@ -280,16 +238,16 @@
         {
           caller->arrived_ms = mq_clock_ms ();
           mq_http_reader_set_head_max (
-              caller->reader, current_limits (caller->router).header_bytes);
+              caller->reader, caller_limits (caller->router).header_bytes);
         }
       used = mq_http_reader_feed (caller->reader, data, len, &error);
       if (caller->dead || caller->answering)
         return;
       if (error.type != MQ_ERR_NONE)
         {
-          refuse_message (caller, error.type == MQ_ERR_TOO_LARGE
-                                      ? MQ_REFUSE_HEAD_TOO_LARGE
-                                      : MQ_REFUSE_BAD_REQUEST);
+          caller_refuse_message (caller, error.type == MQ_ERR_TOO_LARGE
+                                             ? MQ_REFUSE_HEAD_TOO_LARGE
+                                             : MQ_REFUSE_BAD_REQUEST);
           return;
         }
       data += used;
@@ -324,7 +282,7 @@
   caller->active_ms = mq_clock_ms ();
   if (caller->closing)
     {
-      finish_caller (caller);
+      caller_finish (caller);
       return;
     }
   caller->answering = false;
@@ -361,7 +319,7 @@
 {
   uint64_t advertised_s;
 
-  caller->advertised_idle_ms = current_limits (caller->router).idle_ms;
+  caller->advertised_idle_ms = caller_limits (caller->router).idle_ms;
   advertised_s
       = (uint64_t)caller->advertised_idle_ms * ADVERTISED_FIFTHS / 5U / 1000U;
   if (advertised_s > 0)
@@ -453,11 +411,11 @@
 mq_caller_abort (struct mq_caller *caller)
 {
   caller->request = NULL;
-  finish_caller (caller);
+  caller_finish (caller);
 }
 
-static void
-add_caller (struct mq_router *router, int fd)
+void
+caller_add (struct mq_router *router, int fd)
 {
   struct mq_caller *caller = talloc_zero (router, struct mq_caller);
   struct mq_tcp_callbacks owner = {
@@ -487,188 +445,3 @@
   router->callers = caller;
   router->caller_count++;
 }
-
-/* Returns false if no connection is pending.  */
-static bool
-accept_caller (struct mq_router *router)
-{
-  int fd
-      = accept4 (router->front_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-  if (fd >= 0)
-    add_caller (router, fd);
-  /* An aborted connection may be followed by others.  */
-  return fd >= 0 || errno == ECONNABORTED;
-}
-
-static void
-on_accept (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
-           void *data)
-{
-  struct mq_router *router = data;
-
-  (void)ev;
-  (void)event;
-  (void)flags;
-  for (int i = 0; i < ACCEPT_BATCH && accept_caller (router); i++)
-    ;
-}
-
-bool
-mq_callers_listen (struct mq_router *router, struct mq_error *error)
-{
-  router->front_fd = mq_listen_open (router->settings->http, error);
-  if (router->front_fd < 0)
-    return false;
-  router->front_event = tevent_add_fd (router->ev, router, router->front_fd,
-                                       TEVENT_FD_READ, on_accept, router);
-  return router->front_event != NULL;
-}
-
-/* Closes an idle connection at once, which resets a request that crosses the
-   close.  A half-close is used only while response data is unsent.
-
-   Failure: after a half-close such a request is read and discarded, and its
-   caller cannot tell that it did not run.  */
-static void
-close_idle (struct mq_caller *caller)
-{
-  if (mq_tcp_has_unsent (caller->tcp))
-    finish_caller (caller);
-  else
-    destroy_caller (caller);
-}
-
-/* Logs the idle time of a closed connection and the limit.  */
-static void
-log_idle_close (struct mq_router *router, uint64_t idle_for_ms,
-                uint32_t idle_ms)
-{
-  struct mq_json_line line;
-
-  mq_json_begin (&line, router->log, MQ_JSON_HIGH_PRIORITY,
-                 MQ_LOG_CALLER_CLOSED);
-  mq_json_number (&line, "rested_ms", idle_for_ms);
-  mq_json_number (&line, "idle_ms", idle_ms);
-  mq_json_end (&line);
-}
-
-/* Closes a connection that exceeded the idle timeout; callers that vanished
-   would otherwise hold memory and descriptors.  */
-static void
-check_idle (struct mq_caller *caller, uint32_t idle_ms, uint64_t now)
-{
-  struct mq_router *router = caller->router;
-  uint64_t idle_for_ms = now - caller->active_ms;
-
-  if (idle_ms < caller->advertised_idle_ms)
-    idle_ms = caller->advertised_idle_ms;
-  if (idle_for_ms <= idle_ms)
-    return;
-  close_idle (caller);
-  log_idle_close (router, idle_for_ms, idle_ms);
-}
-
-/* Whether the time limits may be applied: unread data is processed first.
-
-   Failure: after a delay of the event loop, a connection is closed as idle
-   although its next request has arrived.  */
-static bool
-may_time_out (const struct mq_caller *caller)
-{
-  return !caller->answering && !mq_tcp_has_unread (caller->tcp);
-}
-
-static void
-check_caller (struct mq_caller *caller, const struct mq_route_limits *limits,
-              uint64_t now)
-{
-  if (!may_time_out (caller))
-    return;
-  if (mq_http_reader_in_message (caller->reader))
-    {
-      if (caller->head == NULL && now - caller->arrived_ms > limits->header_ms)
-        refuse_message (caller, MQ_REFUSE_SLOW_HEAD);
-      else if (now - caller->active_ms > limits->idle_ms)
-        refuse_message (caller, MQ_REFUSE_SLOW_HEAD);
-    }
-  else
-    check_idle (caller, limits->idle_ms, now);
-}
-
-void
-mq_callers_sweep (struct mq_router *router)
-{
-  struct mq_route_limits limits = current_limits (router);
-  uint64_t now = mq_clock_ms ();
-  struct mq_caller *next;
-
-  for (struct mq_caller *caller = router->callers; caller != NULL;
-       caller = next)
-    {
-      next = caller->next;
-      check_caller (caller, &limits, now);
-    }
-}
-
-static struct mq_request *
-find_pending_request (const struct mq_router *router)
-{
-  const struct mq_caller *caller = router->callers;
-
-  while (caller != NULL && caller->request == NULL)
-    caller = caller->next;
-  return caller == NULL ? NULL : caller->request;
-}
-
-/* Searches again after each request, since its end may complete others.  */
-void
-mq_callers_end (struct mq_router *router)
-{
-  struct mq_request *request;
-
-  while ((request = find_pending_request (router)) != NULL)
-    mq_request_end (request);
-}
-
-void
-mq_callers_log_unanswered (struct mq_router *router)
-{
-  for (struct mq_caller *caller = router->callers; caller != NULL;
-       caller = caller->next)
-    if (caller->request != NULL)
-      mq_request_log_unanswered (caller->request, "exited");
-}
-
-/* Accepts all pending connections before closing the listener.
-
-   Failure: closing the listener resets the pending connections, and requests
-   sent on them get no response.  */
-static void
-close_listener (struct mq_router *router)
-{
-  while (accept_caller (router))
-    ;
-  TALLOC_FREE (router->front_event);
-  close (router->front_fd);
-  router->front_fd = -1;
-}
-
-void
-mq_callers_stop (struct mq_router *router)
-{
-  struct mq_caller *next;
-
-  if (router->front_event != NULL)
-    {
-      close_listener (router);
-      return;
-    }
-  for (struct mq_caller *caller = router->callers; caller != NULL;
-       caller = next)
-    {
-      next = caller->next;
-      if (may_time_out (caller) && !mq_http_reader_in_message (caller->reader))
-        close_idle (caller);
-    }
-}
--- /dev/null
+++ b/src/router/router_callers.c
@@ -0,0 +1,199 @@
+/* router_callers.c - the connections of callers as a whole: accepting, time
+   limits and the end of the process.
+
+   Needs: router_caller.h, listen.h, clock.h.  */
+
+#include "router_caller.h"
+#include "net/clock.h"
+#include "net/listen.h"
+#include <errno.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Connections accepted per event.  */
+#define ACCEPT_BATCH 16
+
+/* Returns false if no connection is pending.  */
+static bool
+accept_caller (struct mq_router *router)
+{
+  int fd
+      = accept4 (router->front_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+  if (fd >= 0)
+    caller_add (router, fd);
+  /* An aborted connection may be followed by others.  */
+  return fd >= 0 || errno == ECONNABORTED;
+}
+
+static void
+on_accept (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
+           void *data)
+{
+  struct mq_router *router = data;
+
+  (void)ev;
+  (void)event;
+  (void)flags;
+  for (int i = 0; i < ACCEPT_BATCH && accept_caller (router); i++)
+    ;
+}
+
+bool
+mq_callers_listen (struct mq_router *router, struct mq_error *error)
+{
+  router->front_fd = mq_listen_open (router->settings->http, error);
+  if (router->front_fd < 0)
+    return false;
+  router->front_event = tevent_add_fd (router->ev, router, router->front_fd,
+                                       TEVENT_FD_READ, on_accept, router);
+  return router->front_event != NULL;
+}
+
+/* Closes an idle connection at once, which resets a request that crosses the
+   close.  A half-close is used only while response data is unsent.
+
+   Failure: after a half-close such a request is read and discarded, and its
+   caller cannot tell that it did not run.  */
+static void
+close_idle (struct mq_caller *caller)
+{
+  if (mq_tcp_has_unsent (caller->tcp))
+    caller_finish (caller);
+  else
+    caller_destroy (caller);
+}
+
+/* Logs the idle time of a closed connection and the limit.  */
+static void
+log_idle_close (struct mq_router *router, uint64_t idle_for_ms,
+                uint32_t idle_ms)
+{
+  struct mq_json_line line;
+
+  mq_json_begin (&line, router->log, MQ_JSON_HIGH_PRIORITY,
+                 MQ_LOG_CALLER_CLOSED);
+  mq_json_number (&line, "rested_ms", idle_for_ms);
+  mq_json_number (&line, "idle_ms", idle_ms);
+  mq_json_end (&line);
+}
+
+/* Closes a connection that exceeded the idle timeout; callers that vanished
+   would otherwise hold memory and descriptors.  */
+static void
+check_idle (struct mq_caller *caller, uint32_t idle_ms, uint64_t now)
+{
+  struct mq_router *router = caller->router;
+  uint64_t idle_for_ms = now - caller->active_ms;
+
+  if (idle_ms < caller->advertised_idle_ms)
+    idle_ms = caller->advertised_idle_ms;
+  if (idle_for_ms <= idle_ms)
+    return;
+  close_idle (caller);
+  log_idle_close (router, idle_for_ms, idle_ms);
+}
+
+/* Whether the time limits may be applied: unread data is processed first.
+
+   Failure: after a delay of the event loop, a connection is closed as idle
+   although its next request has arrived.  */
+static bool
+may_time_out (const struct mq_caller *caller)
+{
+  return !caller->answering && !mq_tcp_has_unread (caller->tcp);
+}
+
+static void
+check_caller (struct mq_caller *caller, const struct mq_route_limits *limits,
+              uint64_t now)
+{
+  if (!may_time_out (caller))
+    return;
+  if (mq_http_reader_in_message (caller->reader))
+    {
+      if (caller->head == NULL && now - caller->arrived_ms > limits->header_ms)
+        caller_refuse_message (caller, MQ_REFUSE_SLOW_HEAD);
+      else if (now - caller->active_ms > limits->idle_ms)
+        caller_refuse_message (caller, MQ_REFUSE_SLOW_HEAD);
+    }
+  else
+    check_idle (caller, limits->idle_ms, now);
+}
+
+void
+mq_callers_sweep (struct mq_router *router)
+{
+  struct mq_route_limits limits = caller_limits (router);
+  uint64_t now = mq_clock_ms ();
+  struct mq_caller *next;
+
+  for (struct mq_caller *caller = router->callers; caller != NULL;
+       caller = next)
+    {
+      next = caller->next;
+      check_caller (caller, &limits, now);
+    }
+}
+
+static struct mq_request *
+find_pending_request (const struct mq_router *router)
+{
+  const struct mq_caller *caller = router->callers;
+
+  while (caller != NULL && caller->request == NULL)
+    caller = caller->next;
+  return caller == NULL ? NULL : caller->request;
+}
+
+/* Searches again after each request, since its end may complete others.  */
+void
+mq_callers_end (struct mq_router *router)
+{
+  struct mq_request *request;
+
+  while ((request = find_pending_request (router)) != NULL)
+    mq_request_end (request);
+}
+
+void
+mq_callers_log_unanswered (struct mq_router *router)
+{
+  for (struct mq_caller *caller = router->callers; caller != NULL;
+       caller = caller->next)
+    if (caller->request != NULL)
+      mq_request_log_unanswered (caller->request, "exited");
+}
+
+/* Accepts all pending connections before closing the listener.
+
+   Failure: closing the listener resets the pending connections, and requests
+   sent on them get no response.  */
+static void
+close_listener (struct mq_router *router)
+{
+  while (accept_caller (router))
+    ;
+  TALLOC_FREE (router->front_event);
+  close (router->front_fd);
+  router->front_fd = -1;
+}
+
+void
+mq_callers_stop (struct mq_router *router)
+{
+  struct mq_caller *next;
+
+  if (router->front_event != NULL)
+    {
+      close_listener (router);
+      return;
+    }
+  for (struct mq_caller *caller = router->callers; caller != NULL;
+       caller = next)
+    {
+      next = caller->next;
+      if (may_time_out (caller) && !mq_http_reader_in_message (caller->reader))
+        close_idle (caller);
+    }
+}
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -1,11 +1,11 @@
 /* router_state.h - state and interfaces shared by the modules of the router.
 
-   router.c is on top; below it are router_caller.c (connections of callers),
-   router_request.c (life cycle of a request), router_turn.c, router_program.c
-   and router_loan.c (histories and budgets of programs), router_feed.c (feeds
-   of the configuration and the workers) and router_config.c (the active
-   configuration).  router_try.c, router_pool.c and the modules below them do
-   not use this header.
+   router.c is on top; below it are router_callers.c and router_caller.c
+   (connections of callers), router_request.c (life cycle of a request),
+   router_turn.c, router_program.c and router_loan.c (histories and budgets of
+   programs), router_feed.c (feeds of the configuration and the workers) and
+   router_config.c (the active configuration).  router_try.c, router_pool.c and
+   the modules below them do not use this header.
    Needs: the modules it includes.  */
 
 #ifndef MQ_ROUTER_STATE_H
@@ -178,7 +178,7 @@
   MQ_REFUSE_DEADLINE_EXCEEDED /* may have run; the deadline has passed */
 };
 
-/* router_caller.c */
+/* router_callers.c */
 
 /* Listens for callers.  Returns false with ERROR set on failure.  */
 bool mq_callers_listen (struct mq_router *router, struct mq_error *error);
@@ -192,6 +192,9 @@
 /* Logs and counts the requests that have no final answer when the process
    exits.  */
 void mq_callers_log_unanswered (struct mq_router *router);
+
+/* router_caller.c */
+
 /* Until it is answered, REQUEST is notified of events on the connection of
    CALLER.  */
 void mq_caller_attach_request (struct mq_caller *caller,
