Test, failing: large answers to a caller that reads slowly

bounds::large_answers_reach_a_slow_caller: a worker's whole answer of 12 or of 16 MiB, or six pipelined of 4 MiB, to a caller that reads 0.3 s later ends the connection with no answer (outcome unsent). Answers of 1 MiB are delivered, one above 16 MiB is refused with 502.

--- /dev/null
+++ b/tests/test_bounds.c
@@ -0,0 +1,193 @@
+/* test_bounds.c - bounds of memory, descriptors and time leave no whole
+   request without an answer.
+
+   Needs: Criterion, router_site.h, large_worker.h, http_peer.h.  */
+
+#include "http_peer.h"
+#include "large_worker.h"
+#include "net/clock.h"
+#include "router_site.h"
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+#define HOST "Host: h.example\r\n"
+#define ID(id) "X-Request-Id: " id "\r\n"
+#define GET(target, id) "GET " target " HTTP/1.1\r\n" HOST ID (id) "\r\n"
+#define MIB ((size_t)1 << 20)
+/* Time in which all responses of a test arrive.  */
+#define ANSWERS_MS 10000U
+
+static struct edge_site *site;
+static struct edge_call call;
+
+static void
+set_up (void)
+{
+  site = edge_create ();
+}
+
+static void
+tear_down (void)
+{
+  edge_destroy (site);
+}
+
+TestSuite (bounds, .init = set_up, .fini = tear_down, .timeout = 120);
+
+/* Large answers */
+
+/* Makes a worker whose answers have SIZE bytes the only one of service
+   "app".  */
+static struct large_worker *
+use_large_worker (size_t size)
+{
+  struct large_worker *worker = large_worker_create (site, site->ev, size);
+  char *row = talloc_asprintf (
+      worker,
+      "{\"service\":\"app\",\"address\":\"127.0.0.1:%u\",\"zone\":\"a\","
+      "\"batchSize\":4,\"state\":\"ready\",\"seq\":1}",
+      large_worker_port (worker));
+  long before = edge_counter (site, 0, "worker_changes");
+
+  rows_server_put (site->rows, "servers", "", "large", row);
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    edge_unlist_worker (site, site->app[i]);
+  EDGE_WAIT (site, edge_counter (site, 0, "worker_changes") > before);
+  edge_run_for (site, 30);
+  return worker;
+}
+
+#define RESPONSES_MAX 8
+
+/**
+ * struct slow_caller - a caller that reads when it is told to
+ * @statuses: of the whole responses
+ * @count: number of whole responses
+ * @left: bytes of the current body that are not received yet
+ * @sizes: sizes of the bodies
+ */
+struct slow_caller
+{
+  int fd;
+  bool closed;
+  char head[2048];
+  size_t left;
+  int count;
+  int statuses[RESPONSES_MAX];
+  size_t sizes[RESPONSES_MAX];
+};
+
+/* Takes in one byte of a head; the body follows the empty line.  */
+static void
+take_head_byte (struct slow_caller *caller, char byte)
+{
+  size_t len = strlen (caller->head);
+  const char *length;
+
+  cr_assert_lt (len + 1, sizeof caller->head);
+  caller->head[len] = byte;
+  if (len < 3 || strcmp (caller->head + len - 3, "\r\n\r\n") != 0)
+    return;
+  cr_assert_lt (caller->count, RESPONSES_MAX);
+  length = strstr (caller->head, "Content-Length: ");
+  cr_assert_not_null (length, "%s", caller->head);
+  caller->statuses[caller->count] = atoi (caller->head + 9);
+  caller->left = strtoul (length + 16, NULL, 10);
+  caller->sizes[caller->count] = caller->left;
+  memset (caller->head, 0, sizeof caller->head);
+  if (caller->left == 0)
+    caller->count++;
+}
+
+static void
+take_bytes (struct slow_caller *caller, const char *data, size_t len)
+{
+  while (len > 0)
+    {
+      size_t part = len < caller->left ? len : caller->left;
+
+      if (part == 0)
+        {
+          take_head_byte (caller, *data);
+          data++;
+          len--;
+          continue;
+        }
+      caller->left -= part;
+      data += part;
+      len -= part;
+      if (caller->left == 0)
+        caller->count++;
+    }
+}
+
+static void
+read_responses (struct slow_caller *caller, int count)
+{
+  static char bytes[1 << 18];
+  uint64_t until = mq_clock_ms () + ANSWERS_MS;
+
+  while (caller->count < count && !caller->closed && mq_clock_ms () < until)
+    {
+      bytes[0] = '\0';
+      caller->closed = raw_read (caller->fd, bytes, sizeof bytes);
+      take_bytes (caller, bytes, strlen (bytes));
+      edge_run_for (site, 1);
+    }
+}
+
+/**
+ * struct large_case - answers to a caller that reads after a while
+ * @size: of each answer
+ * @count: number of requests on one connection, sent at once
+ * @status: of each answer
+ */
+static const struct large_case
+{
+  const char *name;
+  size_t size;
+  int count;
+  int status;
+} large_cases[] = {
+  { "one of 1 MiB", MIB, 1, 200 },
+  { "one above 8 MiB", 12 * MIB, 1, 200 },
+  { "one of 16 MiB", 16 * MIB, 1, 200 },
+  { "one above 16 MiB", 16 * MIB + 1, 1, 502 },
+  { "six of 4 MiB", 4 * MIB, 6, 200 },
+};
+
+/* Failure: a whole answer is larger than the bytes that may be unsent to a
+   caller, and the connection of a caller that reads slowly is closed.  */
+Test (bounds, large_answers_reach_a_slow_caller)
+{
+  for (size_t i = 0; i < ROWS (large_cases); i++)
+    {
+      const struct large_case *row = &large_cases[i];
+      struct large_worker *worker = use_large_worker (row->size);
+      struct slow_caller caller = { .fd = -1 };
+
+      edge_call (site, &call, 0, GET ("/call/a", "large"));
+      for (int k = 1; k < row->count; k++)
+        raw_send (call.fd, GET ("/call/a", "large"),
+                  strlen (GET ("/call/a", "large")));
+      caller.fd = call.fd;
+      edge_run_for (site, 300);
+      read_responses (&caller, row->count);
+      cr_expect_eq (caller.count, row->count, "%s: %d answers, closed %d",
+                    row->name, caller.count, caller.closed);
+      for (int k = 0; k < caller.count; k++)
+        {
+          cr_expect_eq (caller.statuses[k], row->status, "%s: %d", row->name,
+                        caller.statuses[k]);
+          if (row->status == 200)
+            cr_expect_eq (caller.sizes[k], row->size, "%s", row->name);
+        }
+      cr_expect_eq (edge_counter (site, 0, "unanswered"), 0, "%s", row->name);
+      edge_close (&call);
+      large_worker_destroy (worker);
+    }
+}
