Large answers wait for a slow caller instead of ending its connection

Callers that read slowly saw their connection closed with no answer: a worker's answer of up to 16 MiB is buffered whole, but at most 8 MiB could be unsent to a caller; pipelined requests were answered whether or not the caller had taken the answers before. A connection whose caller takes nothing for the idle timeout is closed. Large bodies are no longer copied behind their heads. bounds::large_answers_reach_a_slow_caller failed before (12 MiB, 16 MiB, six of 4 MiB) and passes.

--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -39,6 +39,7 @@
  * @callback_depth: number of callbacks in progress
  * @destroyed: destroy was called; freed when @callback_depth is 0
  * @unsent: bytes that the socket did not accept yet
+ * @max_unsent: limit of @unsent, bytes
  */
 struct mq_tcp
 {
@@ -48,6 +49,7 @@
   struct tevent_immediate *failure;
   struct mq_tcp_callbacks callbacks;
   struct mq_buffer unsent;
+  size_t max_unsent;
   int fd;
   int callback_depth;
   bool opening;
@@ -118,6 +120,7 @@
   tcp->fd = fd;
   tcp->callbacks = *callbacks;
   tcp->reading = true;
+  tcp->max_unsent = MQ_TCP_MAX_BYTES;
   talloc_set_destructor (tcp, close_fd);
   tcp->event = tevent_add_fd (ev, tcp, fd, flags, on_event, tcp);
   if (tcp->event == NULL)
@@ -298,6 +301,12 @@
   return sent;
 }
 
+void
+mq_tcp_set_max_unsent (struct mq_tcp *tcp, size_t bytes)
+{
+  tcp->max_unsent = bytes;
+}
+
 bool
 mq_tcp_write (struct mq_tcp *tcp, const void *data, size_t len)
 {
@@ -315,7 +324,7 @@
   if ((size_t)sent < len)
     {
       if (!mq_buffer_append (tcp, &tcp->unsent, (const char *)data + sent,
-                             len - (size_t)sent, MQ_TCP_MAX_BYTES))
+                             len - (size_t)sent, tcp->max_unsent))
         {
           fail_later (tcp, MQ_TCP_NO_MEMORY);
           return true;
@@ -357,10 +366,10 @@
   return recv (tcp->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-bool
-mq_tcp_has_unsent (const struct mq_tcp *tcp)
+size_t
+mq_tcp_unsent_bytes (const struct mq_tcp *tcp)
 {
-  return tcp->unsent.len > 0;
+  return tcp->unsent.len;
 }
 
 bool
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -16,7 +16,7 @@
 {
   MQ_TCP_EOF,      /* the peer has closed its sending direction */
   MQ_TCP_RESET,    /* reset, timed out or refused */
-  MQ_TCP_NO_MEMORY /* unsent bytes exceed MQ_TCP_MAX_BYTES, or out of memory */
+  MQ_TCP_NO_MEMORY /* unsent bytes exceed their limit, or out of memory */
 };
 
 /**
@@ -42,7 +42,8 @@
 
 /* Unsent bytes above which the owner should stop writing.  */
 #define MQ_TCP_HIGH_BYTES ((size_t)128 << 10)
-/* Unsent bytes above which the connection is closed.  */
+/* Unsent bytes above which the connection is closed, unless the owner sets
+   another limit.  */
 #define MQ_TCP_MAX_BYTES ((size_t)8 << 20)
 
 /* Takes ownership of FD, an accepted socket.  NULL, with FD closed, if out of
@@ -60,6 +61,8 @@
 /* Ends the connection if the peer does not acknowledge sent bytes for
    ACK_TIMEOUT_MS or does not answer keepalive probes.  */
 void mq_tcp_set_peer_timeout (struct mq_tcp *tcp, uint32_t ack_timeout_ms);
+/* Replaces MQ_TCP_MAX_BYTES for this connection.  */
+void mq_tcp_set_max_unsent (struct mq_tcp *tcp, size_t bytes);
 /* True while unsent bytes are below MQ_TCP_HIGH_BYTES.  */
 bool mq_tcp_write (struct mq_tcp *tcp, const void *data, size_t len);
 /* Pauses or resumes reading.  While reading is paused, the end of the
@@ -70,8 +73,8 @@
 bool mq_tcp_has_unread (const struct mq_tcp *tcp);
 /* True if neither input nor the end of the connection is pending.  */
 bool mq_tcp_is_idle (const struct mq_tcp *tcp);
-/* True if output is buffered.  */
-bool mq_tcp_has_unsent (const struct mq_tcp *tcp);
+/* Bytes of output that are buffered.  */
+size_t mq_tcp_unsent_bytes (const struct mq_tcp *tcp);
 /* Sends the buffered output, then shuts down; further input is discarded so
    that unread bytes do not cause a reset that loses the output.  The
    connection destroys itself when the peer closes, one second after the last
--- a/src/router/router_caller.c
+++ b/src/router/router_caller.c
@@ -6,6 +6,7 @@
    Needs: router_caller.h, clock.h.  */
 
 #include "router_caller.h"
+#include "router_response.h"
 #include "net/clock.h"
 #include <inttypes.h>
 #include <stdio.h>
@@ -16,13 +17,20 @@
    read.  */
 #define READ_AHEAD_BYTES ((size_t)64 << 10)
 #define READ_AHEAD_MAX_BYTES (2 * READ_AHEAD_BYTES)
+/* Heads of responses and lines that come before a buffered one.  */
+#define HEADS_MAX_BYTES ((size_t)128 << 10)
+/* Limit of unsent bytes: a buffered response behind those at which the next
+   message waits.  */
+#define UNSENT_MAX_BYTES                                                      \
+  (MQ_TCP_HIGH_BYTES + MQ_RESPONSE_MAX_BYTES + HEADS_MAX_BYTES)
+/* Size of a body from which it is not copied behind its head.  */
+#define LARGE_BODY_BYTES ((size_t)64 << 10)
 /* Limits until the first configuration is loaded; see docs/CONTRACTS.md.  */
 #define DEFAULT_HEADER_MS 3000U
 #define DEFAULT_IDLE_MS 15000U
 #define DEFAULT_BODY_BYTES (4U << 20)
 
-static void parse_data (struct mq_caller *caller, const char *data,
-                        size_t len);
+static void parse_read_ahead (struct mq_caller *caller);
 
 struct mq_route_limits
 caller_limits (const struct mq_router *router)
@@ -137,6 +145,10 @@
   (void)tcp;
   if (caller->request != NULL)
     mq_request_caller_writable (caller->request);
+  if (!caller->held)
+    return;
+  caller->held = false;
+  parse_read_ahead (caller);
 }
 
 void
@@ -226,7 +238,7 @@
       struct mq_error error = { .type = MQ_ERR_NONE };
       size_t used;
 
-      if (caller->answering)
+      if (caller->answering || caller->held)
         {
           if (!caller->closing
               && !mq_buffer_append (caller, &caller->read_ahead, data, len,
@@ -271,13 +283,31 @@
   free_if_unused (caller);
 }
 
-/* Proceeds to the next request after a response, or closes the connection.  */
 static void
-finish_response (struct mq_caller *caller)
+parse_read_ahead (struct mq_caller *caller)
 {
   struct mq_buffer ahead = caller->read_ahead;
   bool nested = caller->feeding;
 
+  if (ahead.len == 0)
+    return;
+  memset (&caller->read_ahead, 0, sizeof caller->read_ahead);
+  caller->feeding = true;
+  parse_data (caller, ahead.data + ahead.at, ahead.len);
+  mq_buffer_clear (&ahead);
+  update_reading (caller);
+  caller->feeding = nested;
+  free_if_unused (caller);
+}
+
+/* Proceeds to the next request after a response, or closes the connection.  A
+   caller that has not taken its responses is served later.
+
+   Failure: the responses to pipelined requests exceed the limit of unsent
+   bytes, and the connection is closed with none of them received.  */
+static void
+finish_response (struct mq_caller *caller)
+{
   caller->request = NULL;
   caller->active_ms = mq_clock_ms ();
   if (caller->closing)
@@ -289,15 +319,9 @@
   caller->head = NULL;
   mq_buffer_clear (&caller->body);
   mq_http_reader_next (caller->reader);
-  if (ahead.len == 0)
-    return;
-  memset (&caller->read_ahead, 0, sizeof caller->read_ahead);
-  caller->feeding = true;
-  parse_data (caller, ahead.data + ahead.at, ahead.len);
-  mq_buffer_clear (&ahead);
-  update_reading (caller);
-  caller->feeding = nested;
-  free_if_unused (caller);
+  caller->held = mq_tcp_unsent_bytes (caller->tcp) > MQ_TCP_HIGH_BYTES;
+  if (!caller->held)
+    parse_read_ahead (caller);
 }
 
 void
@@ -354,8 +378,11 @@
     return;
   /* One write, so that a short response is sent in one segment.  */
   mq_buffer_append (caller, &out, text, strlen (text), SIZE_MAX);
-  mq_buffer_append (caller, &out, body, len, SIZE_MAX);
+  if (len < LARGE_BODY_BYTES)
+    mq_buffer_append (caller, &out, body, len, SIZE_MAX);
   mq_tcp_write (caller->tcp, out.data + out.at, out.len);
+  if (len >= LARGE_BODY_BYTES)
+    mq_tcp_write (caller->tcp, body, len);
   mq_buffer_clear (&out);
   talloc_free (text);
 }
@@ -438,6 +465,7 @@
       talloc_free (caller);
       return;
     }
+  mq_tcp_set_max_unsent (caller->tcp, UNSENT_MAX_BYTES);
   caller->next = router->callers;
   caller->link = &router->callers;
   if (caller->next != NULL)
--- a/src/router/router_caller.h
+++ b/src/router/router_caller.h
@@ -20,6 +20,8 @@
  * @advertised_idle_ms: idle timeout in force when Keep-Alive was last sent
  * @answering: the current message is complete or refused, the response is not
  *             sent yet
+ * @held: unsent bytes exceed MQ_TCP_HIGH_BYTES, and the next message waits
+ * @unsent_bytes: unsent bytes when the time limits were last checked
  * @closing: close the connection after the current response
  * @feeding: bytes are being parsed; the structure must not be freed
  * @dead: the connection is gone; freed once @feeding is false
@@ -39,6 +41,8 @@
   uint64_t active_ms;
   uint32_t advertised_idle_ms;
   bool answering;
+  bool held;
+  size_t unsent_bytes;
   bool closing;
   bool feeding;
   bool dead;
--- a/src/router/router_callers.c
+++ b/src/router/router_callers.c
@@ -58,7 +58,7 @@
 static void
 close_idle (struct mq_caller *caller)
 {
-  if (mq_tcp_has_unsent (caller->tcp))
+  if (mq_tcp_unsent_bytes (caller->tcp) > 0)
     caller_finish (caller);
   else
     caller_destroy (caller);
@@ -101,13 +101,32 @@
 static bool
 may_time_out (const struct mq_caller *caller)
 {
-  return !caller->answering && !mq_tcp_has_unread (caller->tcp);
+  return !caller->answering && caller->read_ahead.len == 0
+         && !mq_tcp_has_unread (caller->tcp);
+}
+
+/* Closes a connection whose caller has taken nothing of its responses for the
+   idle timeout, so that nobody waits for what was read after them.  */
+static void
+check_held (struct mq_caller *caller, uint32_t idle_ms, uint64_t now)
+{
+  size_t unsent = mq_tcp_unsent_bytes (caller->tcp);
+
+  if (unsent != caller->unsent_bytes)
+    caller->active_ms = now;
+  caller->unsent_bytes = unsent;
+  check_idle (caller, idle_ms, now);
 }
 
 static void
 check_caller (struct mq_caller *caller, const struct mq_route_limits *limits,
               uint64_t now)
 {
+  if (caller->held)
+    {
+      check_held (caller, limits->idle_ms, now);
+      return;
+    }
   if (!may_time_out (caller))
     return;
   if (mq_http_reader_in_message (caller->reader))
--- a/src/router/router_response.c
+++ b/src/router/router_response.c
@@ -7,9 +7,6 @@
 #include <string.h>
 #include <strings.h>
 
-/* Size limit of a buffered response.  */
-#define ANSWER_MAX_BYTES ((size_t)16 << 20)
-
 static void
 append_field (TALLOC_CTX *ctx, struct mq_buffer *fields,
               const struct mq_http_field *field)
@@ -52,7 +49,8 @@
                       const char *data, size_t len)
 {
   if (!answer->stream)
-    return mq_buffer_append (ctx, &answer->body, data, len, ANSWER_MAX_BYTES);
+    return mq_buffer_append (ctx, &answer->body, data, len,
+                             MQ_RESPONSE_MAX_BYTES);
   if (answer->events == NULL)
     answer->events = mq_event_stream_create (ctx);
   return answer->events != NULL
--- a/src/router/router_response.h
+++ b/src/router/router_response.h
@@ -12,6 +12,9 @@
 #include "net/buffer.h"
 #include "router_wire.h"
 
+/* Size limit of the body of a buffered response.  */
+#define MQ_RESPONSE_MAX_BYTES ((size_t)16 << 20)
+
 /**
  * struct mq_response - the part of a worker's response received so far
  * @status: HTTP status; 0 before the head
