Test, failing: large requests to a worker that reads slowly

bounds::large_requests_reach_a_slow_worker: with a maxBodyBytes of 24 MiB, requests of 12 and of 24 MiB end as 502 while the worker still reads them; one of 1 MiB is served.

--- a/tests/large_worker.c
+++ b/tests/large_worker.c
@@ -7,15 +7,20 @@
 #include "net/listen.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define HEAD_BYTES 4096
+#define READ_BYTES ((size_t)64 << 10)
+/* Receive buffer, small, so that the sender of a large body has to wait.  */
+#define RECEIVE_BYTES 4096
 
 /**
  * struct large_link - one connection
  * @head: head of the request being read, then of the response
+ * @request_left: bytes of the request's body that are not received yet
  * @head_left: bytes of the response's head that are not sent yet
  * @body_left: likewise of its body
  */
@@ -26,6 +31,7 @@
   int fd;
   char head[HEAD_BYTES];
   size_t len;
+  size_t request_left;
   size_t head_left;
   size_t body_left;
 };
@@ -95,9 +101,43 @@
   return true;
 }
 
+/* Begins the response once the request is whole.  */
+static void
+take_request (struct large_link *link)
+{
+  const char *end = strstr (link->head, "\r\n\r\n");
+  const char *length = strcasestr (link->head, "\r\nContent-Length: ");
+  size_t taken;
+
+  if (end == NULL)
+    return;
+  taken = link->len - (size_t)(end + 4 - link->head);
+  if (length != NULL && length < end)
+    link->request_left = strtoul (length + 18, NULL, 10) - taken;
+  if (link->request_left == 0)
+    begin_response (link);
+}
+
+/* False if the connection has ended.  */
+static bool
+read_body (struct large_link *link)
+{
+  static char bytes[READ_BYTES];
+  size_t most
+      = link->request_left < sizeof bytes ? link->request_left : sizeof bytes;
+  ssize_t got = recv (link->fd, bytes, most, 0);
+
+  if (got <= 0)
+    return false;
+  link->request_left -= (size_t)got;
+  if (link->request_left == 0)
+    begin_response (link);
+  return true;
+}
+
 /* False if the connection has ended.  */
 static bool
-read_part (struct large_link *link)
+read_head (struct large_link *link)
 {
   ssize_t got = recv (link->fd, link->head + link->len,
                       sizeof link->head - 1 - link->len, 0);
@@ -106,8 +146,7 @@
     return false;
   link->len += (size_t)got;
   link->head[link->len] = '\0';
-  if (strstr (link->head, "\r\n\r\n") != NULL)
-    begin_response (link);
+  take_request (link);
   return true;
 }
 
@@ -123,7 +162,7 @@
   if ((flags & TEVENT_FD_WRITE) != 0)
     open = send_part (link);
   else if ((flags & TEVENT_FD_READ) != 0)
-    open = read_part (link);
+    open = link->request_left > 0 ? read_body (link) : read_head (link);
   if (!open)
     talloc_free (link);
 }
@@ -158,11 +197,14 @@
                      size_t answer_bytes)
 {
   struct large_worker *worker = talloc_zero (ctx, struct large_worker);
+  int bytes = RECEIVE_BYTES;
 
   worker->ev = ev;
   worker->answer_bytes = answer_bytes;
   worker->fd = mq_listen_open ("127.0.0.1:0", NULL);
   cr_assert_geq (worker->fd, 0);
+  cr_assert_eq (
+      setsockopt (worker->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes), 0);
   talloc_set_destructor (worker, close_worker);
   worker->event = tevent_add_fd (ev, worker, worker->fd, TEVENT_FD_READ,
                                  on_accept, worker);
--- a/tests/large_worker.h
+++ b/tests/large_worker.h
@@ -18,7 +18,7 @@
                                           size_t answer_bytes);
 void large_worker_destroy (struct large_worker *worker);
 uint16_t large_worker_port (const struct large_worker *worker);
-/* Requests received whole, without their bodies.  */
+/* Requests received whole.  */
 int large_worker_request_count (const struct large_worker *worker);
 
 #endif
--- a/tests/router_site.c
+++ b/tests/router_site.c
@@ -96,11 +96,12 @@
       "{\"name\":\"llm\",\"maxConns\":100,\"engine\":{\"batchSize\":4,"
       "\"kvCapacity\":1000,\"tokensPerEvent\":2}},"
       "{\"name\":\"app\",\"maxConns\":100}],"
-      "\"limits\":{\"maxHeaderBytes\":2048,\"maxBodyBytes\":4096,"
+      "\"limits\":{\"maxHeaderBytes\":2048,\"maxBodyBytes\":%u,"
       "\"headerTimeoutMs\":300,\"idleTimeoutMs\":%u}%s}",
       ++site->config_version, call, once, turn, kept, open,
       more == NULL ? "" : ",", more == NULL ? "" : more,
-      extra_routes (site, timeout_ms), site->idle_ms, organisations);
+      extra_routes (site, timeout_ms), site->body_bytes, site->idle_ms,
+      organisations);
 }
 
 void
@@ -150,6 +151,7 @@
   site->ev = tevent_context_init (site);
   site->clean_after_ms = UINT32_MAX;
   site->idle_ms = 400;
+  site->body_bytes = 4096;
   site->rows = rows_server_create (site, site->ev);
   for (int i = 0; i < EDGE_WORKERS; i++)
     {
--- a/tests/router_site.h
+++ b/tests/router_site.h
@@ -18,6 +18,7 @@
  * struct edge_site - routers, the table, and the workers of services "llm" and
  * "app"
  * @idle_ms: idle timeout of callers in the next configuration
+ * @body_bytes: limit of a request's body in the next configuration
  * @extra_routes: number of additional routes in the next configuration
  * @organisations: JSON list for the next configuration; NULL if none
  * @clean_after_ms: setting of the routers started next
@@ -35,6 +36,7 @@
   const char *seeds[EDGE_ROUTERS];
   int config_version;
   uint32_t idle_ms;
+  uint32_t body_bytes;
   uint32_t extra_routes;
   const char *organisations;
   uint32_t clean_after_ms;
--- a/tests/test_bounds.c
+++ b/tests/test_bounds.c
@@ -191,3 +191,70 @@
       large_worker_destroy (worker);
     }
 }
+
+/* Large requests */
+
+/* Activates a configuration with the site's limit of a body.  */
+static void
+configure (uint32_t body_bytes)
+{
+  long before = edge_counter (site, 0, "config_changes");
+
+  site->body_bytes = body_bytes;
+  edge_configure (site, ANSWERS_MS, NULL);
+  EDGE_WAIT (site, edge_counter (site, 0, "config_changes") > before);
+}
+
+/* Sends LEFT bytes of a body at the pace at which they are read.  */
+static void
+send_body (int fd, size_t left)
+{
+  static char block[1 << 16];
+  uint64_t until = mq_clock_ms () + ANSWERS_MS;
+
+  memset (block, 'x', sizeof block);
+  while (left > 0 && mq_clock_ms () < until)
+    {
+      size_t part = left < sizeof block ? left : sizeof block;
+      size_t sent = raw_send (fd, block, part);
+
+      left -= sent;
+      if (sent == 0)
+        edge_run_for (site, 1);
+    }
+}
+
+static const struct
+{
+  const char *name;
+  size_t size;
+} request_cases[] = {
+  { "of 1 MiB", MIB },
+  { "above 8 MiB", 12 * MIB },
+  { "of 24 MiB", 24 * MIB },
+};
+
+/* Failure: a request is larger than the bytes that may be unsent to a worker,
+   and counts as broken off by the worker before that has read it.  */
+Test (bounds, large_requests_reach_a_slow_worker)
+{
+  struct large_worker *worker = use_large_worker (2);
+
+  configure (24 * MIB);
+  for (size_t i = 0; i < ROWS (request_cases); i++)
+    {
+      char *head = talloc_asprintf (site,
+                                    "POST /once/a HTTP/1.1\r\n" HOST ID (
+                                        "big") "Content-Length: %zu\r\n\r\n",
+                                    request_cases[i].size);
+
+      edge_call (site, &call, 0, head);
+      send_body (call.fd, request_cases[i].size);
+      edge_wait_responses (site, &call, 1);
+      cr_expect_eq (strncmp (call.answer, "HTTP/1.1 200", 12), 0, "%s: %s",
+                    request_cases[i].name, call.answer);
+      cr_expect_eq (large_worker_request_count (worker), (int)i + 1, "%s",
+                    request_cases[i].name);
+      edge_close (&call);
+    }
+}
