A large request is sent to a worker at the worker's pace

Callers got 502, may have run, for requests above 8 MiB that the configuration allows: more than 8 MiB unsent bytes ended the connection to the worker, which also counted as a failure of the worker. Now a connection to a worker has no limit of its own; it holds one request at a time, whose length the configuration bounds. bounds::large_requests_reach_a_slow_worker failed before (12 and 24 MiB) and passes. test_lane 4 of 4, test_http 16 of 16, test_held_up 13 of 13.

--- a/src/net/http_conn.c
+++ b/src/net/http_conn.c
@@ -216,6 +216,8 @@
       talloc_free (conn);
       return NULL;
     }
+  /* Only one request is sent at a time, of a length that the caller bounds. */
+  mq_tcp_set_max_unsent (conn->tcp, SIZE_MAX);
   return conn;
 }
 
