Test, failing: the wait for a configuration passes the deadline

bounds::wait_for_the_configuration_ends_at_the_deadline: while the table does not answer, requests without a route are refused after 745, 744 and 905 ms although their deadlines are 1, 150 and 250 ms.

--- a/tests/test_bounds.c
+++ b/tests/test_bounds.c
@@ -258,3 +258,55 @@
       edge_close (&call);
     }
 }
+
+/* Waiting for a configuration */
+
+/* Time in which a refusal arrives, beyond the deadline.  */
+#define REFUSAL_MS 100U
+/* Limit of a wait without a deadline.  */
+#define NO_DEADLINE_MS 3000U
+
+/**
+ * struct config_case - a request that no configuration at hand can route,
+ * while the table answers nothing; each read of it is given more time than the
+ * one before
+ * @fields: header lines
+ * @within_ms: time in which it is refused
+ */
+static const struct config_case
+{
+  const char *name;
+  const char *fields;
+  uint32_t within_ms;
+} config_cases[] = {
+  { "no deadline, first read", "", NO_DEADLINE_MS },
+  { "no deadline, second read", "", NO_DEADLINE_MS },
+  { "no deadline, third read", "", NO_DEADLINE_MS },
+  { "deadline of 1 ms", "X-Deadline-Ms: 1\r\n", 1 + REFUSAL_MS },
+  { "deadline of 150 ms", "X-Deadline-Ms: 150\r\n", 150 + REFUSAL_MS },
+  { "deadline of 250 ms", "X-Deadline-Ms: 250\r\n", 250 + REFUSAL_MS },
+};
+
+/* Failure: a request without a route waits for the latest configuration beyond
+   its deadline while the table does not answer.  */
+Test (bounds, wait_for_the_configuration_ends_at_the_deadline)
+{
+  rows_server_set_fault (site->rows, ROWS_NO_RESPONSE);
+  for (size_t i = 0; i < ROWS (config_cases); i++)
+    {
+      const struct config_case *row = &config_cases[i];
+      uint64_t since = mq_clock_ms ();
+      char *text = talloc_asprintf (
+          site, "GET /none/a HTTP/1.1\r\n" HOST ID ("none") "%s\r\n",
+          row->fields);
+
+      edge_call (site, &call, 0, text);
+      edge_wait_responses (site, &call, 1);
+      cr_expect_eq (strncmp (call.answer, "HTTP/1.1 503", 12), 0, "%s: %s",
+                    row->name, call.answer);
+      cr_expect_leq (mq_clock_ms () - since, row->within_ms, "%s: %lu ms",
+                     row->name, (unsigned long)(mq_clock_ms () - since));
+      edge_close (&call);
+    }
+  rows_server_set_fault (site->rows, ROWS_NO_FAULT);
+}
