A request that waits for a configuration keeps its deadline

Callers of a path that the configuration lacks, or with a key that it lacks, waited for a read of the table with no timer: 745 ms with a deadline of 1 ms while the table did not answer, more with each read that is given up.

--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -4,10 +4,11 @@
    Validates the request, finds its route, prepares its turn, chooses a worker,
    sends the request and forwards the response. core/attempt.h decides whether
    a failed attempt is retried.
-   Needs: router_request.h, id.h, outage.h, clock.h.  */
+   Needs: router_request.h, id.h, memory.h, outage.h, clock.h.  */
 
 #include "router_request.h"
 #include "core/id.h"
+#include "core/memory.h"
 #include "core/router/outage.h"
 #include "net/clock.h"
 #include <stdio.h>
@@ -19,6 +20,9 @@
    attempt counts as a failure of the worker.  */
 #define DISCONNECT_FAILURE_MS 1000U
 
+/* Time allowed for the latest configuration if the caller sets no deadline. */
+#define CONFIG_WAIT_MS 3000U
+
 /* Time remaining until the deadline.  */
 static uint64_t
 left_ms (const struct mq_request *request)
@@ -486,16 +490,19 @@
   mq_turn_prepare (request->router->turns, &request->turn);
 }
 
-/* Time allowed for the final response: the deadline of the caller, at most the
-   timeout of the route.  */
-static uint64_t
-response_timeout_ms (const struct mq_request *request)
+/* Allows MOST_MS for the final response, less if the caller's deadline is
+   earlier.  */
+static void
+start_deadline (struct mq_request *request, uint64_t most_ms)
 {
-  uint64_t wait = request->route->timeout_ms;
+  uint64_t wait = most_ms;
 
   if (request->fields.deadline_ms > 0 && request->fields.deadline_ms < wait)
     wait = request->fields.deadline_ms;
-  return wait;
+  request->expires_ms = request->arrived_ms + wait;
+  TALLOC_FREE (request->timer);
+  request->timer = mq_check_alloc (mq_timer_add (
+      request, request->router->ev, left_ms (request), on_deadline, request));
 }
 
 /* Binds the request to ROUTE of the active configuration and dispatches
@@ -513,9 +520,7 @@
   request->service = mq_route_service (route, key);
   request->service_info
       = mq_route_service_find (request->table, request->service);
-  request->expires_ms = request->arrived_ms + response_timeout_ms (request);
-  request->timer = mq_timer_add (request, router->ev, left_ms (request),
-                                 on_deadline, request);
+  start_deadline (request, route->timeout_ms);
   request->begins_program = request_begins_program (request);
   if (request_refuse_over_limit (request))
     return;
@@ -582,6 +587,16 @@
                     current ? refusal_if_current : MQ_REFUSE_NOT_READY);
 }
 
+/* Failure: while the table is slow, a request without a route waits beyond its
+   deadline.  */
+static void
+wait_for_config (struct mq_request *request)
+{
+  start_deadline (request, CONFIG_WAIT_MS);
+  request->config_waiter
+      = mq_config_fetch_latest (request->router, on_confirmed, request);
+}
+
 void
 mq_request_begin (struct mq_router *router, struct mq_caller *caller,
                   const struct mq_http_head *head, struct mq_bytes body,
@@ -629,8 +644,7 @@
       && request_key_lookup_is_fresh (request))
     request_refuse (request, refusal_if_current);
   else if (refusal_if_current != MQ_REFUSE_NOTHING)
-    request->config_waiter
-        = mq_config_fetch_latest (router, on_confirmed, request);
+    wait_for_config (request);
 }
 
 void
