Tests, failing: a host without free descriptors

bounds::accepting_without_descriptors_does_not_spin: the event loop takes more than 600 iterations in 300 ms, and an idle caller is not closed for a new one. bounds::shortage_of_descriptors_is_not_the_workers: one request ejects three sound workers, as none of them can be connected to.

--- a/tests/test_bounds.c
+++ b/tests/test_bounds.c
@@ -1,16 +1,20 @@
 /* test_bounds.c - bounds of memory, descriptors and time leave no whole
    request without an answer.
 
-   Needs: Criterion, router_site.h, large_worker.h, http_peer.h.  */
+   Needs: Criterion, router_site.h, large_worker.h, http_peer.h,
+   router_state.h, fleet_state.h.  */
 
 #include "http_peer.h"
 #include "large_worker.h"
+#include "core/router/fleet_state.h"
 #include "net/clock.h"
+#include "router/router_state.h"
 #include "router_site.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
@@ -310,3 +314,163 @@
     }
   rows_server_set_fault (site->rows, ROWS_NO_FAULT);
 }
+
+/* Descriptors */
+
+/* Sets the soft limit of open files; returns the one before.  */
+static rlim_t
+limit_files (rlim_t files)
+{
+  struct rlimit limit;
+  rlim_t before;
+
+  cr_assert_eq (getrlimit (RLIMIT_NOFILE, &limit), 0);
+  before = limit.rlim_cur;
+  limit.rlim_cur = files;
+  cr_assert_eq (setrlimit (RLIMIT_NOFILE, &limit), 0);
+  return before;
+}
+
+/* Sets the limit so that no further file can be opened; returns the one
+   before.  */
+static rlim_t
+use_up_files (void)
+{
+  int lowest = dup (STDOUT_FILENO);
+
+  cr_assert_geq (lowest, 0);
+  close (lowest);
+  return limit_files ((rlim_t)lowest);
+}
+
+/* Opens a connection with its own responses; the kernel accepts it at once,
+   the router when the loop runs.  */
+static struct edge_call *
+open_caller (const char *text)
+{
+  struct edge_call *caller = talloc_zero (site, struct edge_call);
+
+  edge_call (site, caller, 0, text);
+  return caller;
+}
+
+static void
+send_text (struct edge_call *caller, const char *text)
+{
+  cr_assert_eq (raw_send (caller->fd, text, strlen (text)), strlen (text));
+}
+
+/* Reads what has arrived; true if the router has closed the connection.  */
+static bool
+is_closed (struct edge_call *caller)
+{
+  return raw_read (caller->fd, caller->answer, sizeof caller->answer);
+}
+
+static bool
+has_status (const struct edge_call *caller, const char *status)
+{
+  return strncmp (caller->answer, "HTTP/1.1 ", 9) == 0
+         && strncmp (caller->answer + 9, status, 3) == 0;
+}
+
+/* Time in which the loop is watched, and the iterations that it may take:
+   timers and feeds need some tens.  */
+#define WATCH_MS 300U
+#define ITERATIONS_MAX 600
+
+/* Runs the loop for WATCH_MS and returns its iterations.  */
+static int
+count_iterations (void)
+{
+  uint64_t until = mq_clock_ms () + WATCH_MS;
+  int count = 0;
+
+  while (mq_clock_ms () < until)
+    {
+      tevent_loop_once (site->ev);
+      count++;
+    }
+  return count;
+}
+
+/* The router answers this by itself, with 400.  */
+#define NO_HOST "GET /call/a HTTP/1.1\r\n" ID ("bad") "\r\n"
+#define PART                                                                  \
+  "POST /call/a HTTP/1.1\r\n" HOST ID ("part") "Content-Length: 9\r\n\r\nab"
+
+/**
+ * struct accept_case - a new connection when no file can be opened
+ * @open: what the connection before has sent
+ * @closes: that connection is closed to make room
+ */
+static const struct accept_case
+{
+  const char *name;
+  const char *open;
+  bool closes;
+} accept_cases[] = {
+  { "an idle caller", "", true },
+  { "a caller within its request", PART, false },
+};
+
+/* Failure: at the limit of open files the event loop spins on a connection
+   that it can't accept, and every request on the host is late.  */
+Test (bounds, accepting_without_descriptors_does_not_spin)
+{
+  for (size_t i = 0; i < ROWS (accept_cases); i++)
+    {
+      const struct accept_case *row = &accept_cases[i];
+      struct edge_call *before = open_caller (row->open);
+      struct edge_call *caller;
+      rlim_t files;
+
+      edge_run_for (site, 30);
+      caller = open_caller (NO_HOST);
+      files = use_up_files ();
+      cr_expect_leq (count_iterations (), ITERATIONS_MAX, "%s", row->name);
+      cr_expect_eq (is_closed (before), row->closes, "%s", row->name);
+      is_closed (caller);
+      cr_expect_eq (has_status (caller, "400"), row->closes, "%s: %s",
+                    row->name, caller->answer);
+      limit_files (files);
+      edge_wait_responses (site, caller, 1);
+      cr_expect (has_status (caller, "400"), "%s: %s", row->name,
+                 caller->answer);
+      edge_close (before);
+      edge_close (caller);
+    }
+}
+
+/* Number of workers that router 0 has ejected.  */
+static int
+count_ejected (void)
+{
+  const struct mq_fleet *fleet = site->routers[0]->fleet;
+  int count = 0;
+
+  for (size_t i = 0; i < fleet->count; i++)
+    count += fleet->entries[i].ejected_until_ms > mq_clock_ms ();
+  return count;
+}
+
+/* Failure: without a free descriptor no connection to a worker can be opened,
+   and each sound worker tried is ejected.  */
+Test (bounds, shortage_of_descriptors_is_not_the_workers)
+{
+  struct edge_call *caller = open_caller ("");
+  rlim_t files;
+
+  edge_run_for (site, 30);
+  files = use_up_files ();
+  send_text (caller, GET ("/once/a", "short"));
+  edge_wait_responses (site, caller, 1);
+  limit_files (files);
+  cr_expect (has_status (caller, "503"), "%s", caller->answer);
+  cr_expect_not_null (strstr (caller->answer, "Retry-After: "));
+  cr_expect_null (edge_find_run (site, "short"));
+  cr_expect_eq (count_ejected (), 0, "%d", count_ejected ());
+  cr_expect_eq (edge_request (site, &call, 0, GET ("/once/a", "next")), 200,
+                "%s", call.answer);
+  edge_close (caller);
+}
