--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -1,9 +1,8 @@
 /* router_request.c - life cycle of one request, from the caller to its final
    response.
 
-   Validates the request, finds its route, prepares its turn, chooses a worker,
-   sends the request and forwards the response. core/attempt.h decides whether
-   a failed attempt is retried.
+   Validates the request, finds its route and prepares its turn;
+   router_dispatch.c sends it to workers.
    Needs: router_request.h, id.h, memory.h, outage.h, clock.h.  */
 
 #include "router_request.h"
@@ -23,24 +22,24 @@
 /* Time allowed for the latest configuration if the caller sets no deadline. */
 #define CONFIG_WAIT_MS 3000U
 
-/* Time remaining until the deadline.  */
-static uint64_t
-left_ms (const struct mq_request *request)
+uint64_t
+request_left_ms (const struct mq_request *request)
 {
   uint64_t now = mq_clock_ms ();
 
   return request->expires_ms > now ? request->expires_ms - now : 0;
 }
 
-static const char *
-worker_id (const struct mq_request *request)
+const char *
+request_worker_id (const struct mq_request *request)
 {
   return mq_fleet_member (request->router->fleet, request->worker)->id;
 }
 
-static void
-begin_log_line (struct mq_json_line *line, const struct mq_request *request,
-                enum mq_json_priority weight, enum mq_log_event event)
+void
+request_begin_log_line (struct mq_json_line *line,
+                        const struct mq_request *request,
+                        enum mq_json_priority weight, enum mq_log_event event)
 {
   mq_json_begin (line, request->router->log, weight, event);
   mq_json_text (line, "id", request->fields.id);
@@ -60,12 +59,12 @@
 {
   struct mq_json_line line;
 
-  begin_log_line (&line, request, weight, MQ_LOG_REQUEST_ENDED);
+  request_begin_log_line (&line, request, weight, MQ_LOG_REQUEST_ENDED);
   mq_json_text (&line, "outcome", outcome);
   mq_json_number (&line, "status", (uint64_t)status);
   mq_json_number (&line, "sent", request->sent);
   if (request->worker != MQ_WORKER_NONE)
-    mq_json_text (&line, "worker", worker_id (request));
+    mq_json_text (&line, "worker", request_worker_id (request));
   if (request->is_turn)
     mq_json_number (&line, "tokens", request->tokens_sent);
   if (request->retry_ms > 0)
@@ -180,242 +179,6 @@
                                                     : MQ_REFUSE_EXITING);
 }
 
-static void forward_response (struct mq_request *request);
-
-static void
-log_failed_try (const struct mq_request *request, enum mq_attempt_end end,
-                enum mq_attempt_next next)
-{
-  struct mq_json_line line;
-
-  begin_log_line (&line, request, MQ_JSON_HIGH_PRIORITY, MQ_LOG_TRY_FAILED);
-  mq_json_text (&line, "worker", worker_id (request));
-  mq_json_text (&line, "how", mq_attempt_end_name (end));
-  mq_json_number (&line, "status", (uint64_t)request->answer.status);
-  mq_json_number (&line, "sent", request->sent);
-  mq_json_number (&line, "at_worker_ms", mq_clock_ms () - request->sent_ms);
-  mq_json_number (&line, "left_ms", left_ms (request));
-  mq_json_text (&line, "next", mq_attempt_next_name (next));
-  mq_json_end (&line);
-}
-
-/* Decides what follows an attempt that ended without a response to
-   forward.  */
-static void
-handle_failed_try (struct mq_request *request, enum mq_attempt_end end)
-{
-  struct mq_attempt attempt;
-  enum mq_attempt_next next;
-
-  if (end == MQ_ATTEMPT_UNREACHABLE)
-    {
-      request->sent--;
-      request->unreachable++;
-    }
-  if (end == MQ_ATTEMPT_BROKEN || end == MQ_ATTEMPT_ERROR)
-    request->may_have_run = true;
-  attempt = (struct mq_attempt){
-    .end = end,
-    .repeatable = mq_route_repeatable (request->route),
-    .begun = request->response_begun,
-    .sent = request->sent,
-    .sent_max = request->route->attempts,
-    .unreachable = request->unreachable,
-    .remaining_ms = left_ms (request),
-    .may_have_run = request->may_have_run,
-  };
-  next = mq_attempt_decide (&attempt);
-  log_failed_try (request, end, next);
-  switch (next)
-    {
-    case MQ_NEXT_RETRY:
-      request->router->counters.retries++;
-      if (request->response_begun)
-        request->router->counters.resumed++;
-      mq_response_reset (&request->answer);
-      request_dispatch (request);
-      return;
-    case MQ_NEXT_REFUSE:
-      request_refuse (request, end == MQ_ATTEMPT_NOT_RUN
-                                   ? MQ_REFUSE_NO_CAPACITY
-                                   : MQ_REFUSE_NO_WORKER);
-      return;
-    case MQ_NEXT_FAIL:
-      request_refuse (request, MQ_REFUSE_FAILED);
-      return;
-    case MQ_NEXT_FORWARD:
-      forward_response (request);
-      return;
-    case MQ_NEXT_ABORT:
-      request_abort (request, "broken");
-      return;
-    }
-}
-
-void
-request_count_served (const struct mq_request *request)
-{
-  struct mq_router *router = request->router;
-
-  router->counters.served++;
-  mq_histogram_add (&router->latency[request->route->kind],
-                    mq_clock_ms () - request->arrived_ms);
-}
-
-/* Forwards the worker's buffered response unchanged.  */
-static void
-forward_response (struct mq_request *request)
-{
-  struct mq_caller *caller = request->caller;
-  struct mq_router *router = request->router;
-  struct mq_response *answer = &request->answer;
-  struct mq_buffer fields = answer->fields;
-  struct mq_buffer body = answer->body;
-  int status = answer->status;
-  bool with_body = !mq_response_has_no_body (status)
-                   && strcmp (request->head->method, "HEAD") != 0;
-
-  request_count_served (request);
-  request_log_end (
-      request, status >= 500 ? MQ_JSON_HIGH_PRIORITY : MQ_JSON_LOW_PRIORITY,
-      "served", status);
-  talloc_steal (router, fields.data);
-  talloc_steal (router, body.data);
-  request_close (request);
-  mq_caller_respond (caller, status, mq_buffer_text (&fields),
-                     mq_buffer_text (&body), body.len, with_body);
-  mq_buffer_clear (&fields);
-  mq_buffer_clear (&body);
-}
-
-static uint32_t
-choose_worker (struct mq_request *request, uint64_t now)
-{
-  struct mq_fleet_query query = {
-    .service = request->service,
-    .data_centre = request->router->settings->data_centre,
-    .tried = request->attempted,
-    .tried_count = request->attempted_count,
-    .now_ms = now,
-    .random = mq_random_next (&request->router->random),
-  };
-
-  if (request->is_turn)
-    query.home = request->turn.home;
-  query.has_key = mq_route_affinity_key (request->route, request->service_info,
-                                         request->program,
-                                         request->fields.affinity, &query.key);
-  return mq_fleet_choose (request->router->fleet, &query);
-}
-
-static void
-refuse_no_worker_left (struct mq_request *request)
-{
-  if (request->response_begun)
-    request_abort (request, "no_worker");
-  else if (request->may_have_run)
-    request_refuse (request, MQ_REFUSE_FAILED);
-  else if (request->attempted_count > 0)
-    request_refuse (request, MQ_REFUSE_NO_CAPACITY);
-  else
-    request_refuse (request, MQ_REFUSE_NO_WORKER);
-}
-
-static void
-on_try_ended (enum mq_attempt_end end, void *user)
-{
-  struct mq_request *request = user;
-
-  request->try = NULL;
-  switch (end)
-    {
-    case MQ_ATTEMPT_STREAMED:
-      request_end_stream (request);
-      return;
-    case MQ_ATTEMPT_ANSWERED:
-      forward_response (request);
-      return;
-    case MQ_ATTEMPT_UNREACHABLE:
-    case MQ_ATTEMPT_NOT_RUN:
-    case MQ_ATTEMPT_BROKEN:
-    case MQ_ATTEMPT_ERROR:
-      handle_failed_try (request, end);
-      return;
-    }
-}
-
-static struct mq_try *
-begin_try (struct mq_request *request)
-{
-  struct mq_router *router = request->router;
-  struct mq_try_options options = {
-    .ev = router->ev,
-    .fleet = router->fleet,
-    .pool = router->pool,
-    .worker = request->worker,
-    .id = request->fields.id,
-    .body = request->send_body,
-    .answer = &request->answer,
-    .answer_ctx = request,
-    .repeatable = mq_route_repeatable (request->route),
-    .begun = request->response_begun,
-    .events = request_forward_events,
-    .ended = on_try_ended,
-    .user = request,
-  };
-
-  options.detect_inactivity
-      = options.repeatable && request->sent < request->route->attempts;
-  options.send = (struct mq_send){
-    .head = request->head,
-    .host = request->fields.host,
-    .route = request->route,
-    .engine = request->service_info != NULL && request->service_info->engine,
-    .worker = worker_id (request),
-    .last_event = request->last_event,
-    .left_ms = (uint32_t)(request->expires_ms - request->sent_ms),
-    .priority = request_priority (request),
-    .organisation = request->org == NULL ? NULL : request->org->name,
-    .body_len = request->send_body.len,
-  };
-  return mq_try_begin (request, &options);
-}
-
-void
-request_dispatch (struct mq_request *request)
-{
-  uint64_t now = mq_clock_ms ();
-  uint32_t worker;
-
-  if (!request->permitted)
-    {
-      request_acquire_permit (request);
-      return;
-    }
-  worker = choose_worker (request, now);
-
-  if (worker == MQ_WORKER_NONE
-      || request->attempted_count == ATTEMPTED_WORKERS_MAX
-      || now >= request->expires_ms)
-    {
-      refuse_no_worker_left (request);
-      return;
-    }
-  if (!request->response_begun && !request_key_is_still_valid (request))
-    {
-      request_refuse (request, request->may_have_run ? MQ_REFUSE_FAILED
-                                                     : MQ_REFUSE_UNKNOWN_KEY);
-      return;
-    }
-  request->worker = worker;
-  request->attempted[request->attempted_count++] = worker;
-  request->sent++;
-  request->sent_ms = now;
-  request->try = begin_try (request);
-  if (request->try == NULL)
-    handle_failed_try (request, MQ_ATTEMPT_UNREACHABLE);
-}
-
 /* Sends the turn with its history followed by the new input.  */
 static void
 send_turn (struct mq_request *request)
@@ -462,8 +225,8 @@
 void
 request_prepare_turn (struct mq_request *request)
 {
-  bool runs
-      = mq_outage_should_run (left_ms (request), request->route->timeout_ms);
+  bool runs = mq_outage_should_run (request_left_ms (request),
+                                    request->route->timeout_ms);
 
   if (!runs && request->route->retains
       && mq_table_client_down (request->router->table_client))
@@ -501,8 +264,9 @@
     wait = request->fields.deadline_ms;
   request->expires_ms = request->arrived_ms + wait;
   TALLOC_FREE (request->timer);
-  request->timer = mq_check_alloc (mq_timer_add (
-      request, request->router->ev, left_ms (request), on_deadline, request));
+  request->timer = mq_check_alloc (mq_timer_add (request, request->router->ev,
+                                                 request_left_ms (request),
+                                                 on_deadline, request));
 }
 
 /* Binds the request to ROUTE of the active configuration and dispatches
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -1,6 +1,6 @@
 /* router_request.h - state and steps of one request, shared by
-   router_request.c, router_admit.c, router_identify.c, router_limit.c and
-   router_stream.c only.
+   router_request.c, router_admit.c, router_dispatch.c, router_identify.c,
+   router_limit.c and router_stream.c only.
 
    Needs: router_state.h, router_try.h.  */
 
@@ -112,6 +112,15 @@
 void request_log_end (const struct mq_request *request,
                       enum mq_json_priority weight, const char *outcome,
                       int status);
+/* Begins a log line with what identifies the request.  */
+void request_begin_log_line (struct mq_json_line *line,
+                             const struct mq_request *request,
+                             enum mq_json_priority weight,
+                             enum mq_log_event event);
+/* Time remaining until the deadline.  */
+uint64_t request_left_ms (const struct mq_request *request);
+/* Id of the last chosen worker.  */
+const char *request_worker_id (const struct mq_request *request);
 /* Sends the response for REFUSAL and closes the request.  */
 void request_refuse (struct mq_request *request, enum mq_refusal refusal);
 /* Likewise, with RETRY_MS in Retry-After; 0 keeps the delay of the
@@ -120,7 +129,6 @@
                            uint32_t retry_ms);
 /* Loads the history, reserves the budget, then dispatches the turn.  */
 void request_prepare_turn (struct mq_request *request);
-void request_count_served (const struct mq_request *request);
 
 /* router_identify.c */
 
@@ -160,10 +168,11 @@
    returns whether it did.  Called before the table is read.  */
 bool request_refuse_over_limit (struct mq_request *request);
 
-/* router_request.c */
+/* router_dispatch.c */
 
 /* Sends the request to the best worker not tried yet.  */
 void request_dispatch (struct mq_request *request);
+void request_count_served (const struct mq_request *request);
 
 /* router_admit.c */
 
