A host without free descriptors waits instead of spinning

Callers of a host at its limit of open files were served late or not at all: accept failed, the listening socket stayed ready, and the event loop spun, more than 600 iterations in 300 ms. Now the caller that has been idle for longest makes room, never one with a whole or partial request, unread input or unsent output; if there is none, new connections wait in the queue of the kernel, tried again each 20 ms. The ports for other hosts and for the load balancer wait likewise. A stop that closes the listening socket makes room for what is in the queue first.

--- a/src/net/listen.c
+++ b/src/net/listen.c
@@ -1,8 +1,11 @@
 /* listen.c - sockets that listen at or connect to "IP:PORT".
 
-   Needs: sockets, getaddrinfo for numeric addresses.  */
+   Needs: listen.h, memory.h, timer.h, sockets, getaddrinfo for numeric
+   addresses.  */
 
 #include "listen.h"
+#include "core/memory.h"
+#include "timer.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netdb.h>
@@ -12,6 +15,8 @@
 #include <unistd.h>
 
 #define IP_BYTES 64
+/* Time for which connections wait in the queue when none can be accepted.  */
+#define PAUSE_MS 20U
 
 union any_address
 {
@@ -136,3 +141,34 @@
   return ntohs (at.any.sa_family == AF_INET6 ? at.v6.sin6_port
                                              : at.v4.sin_port);
 }
+
+bool
+mq_socket_shortage (int number)
+{
+  switch (number)
+    {
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case EADDRNOTAVAIL:
+      return true;
+    default:
+      return false;
+    }
+}
+
+static void
+end_pause (void *data)
+{
+  struct tevent_fd *event = data;
+
+  tevent_fd_set_flags (event, TEVENT_FD_READ);
+}
+
+void
+mq_listen_pause (struct tevent_context *ev, struct tevent_fd *event)
+{
+  tevent_fd_set_flags (event, 0);
+  mq_check_alloc (mq_timer_add (event, ev, PAUSE_MS, end_pause, event));
+}
--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -8,6 +8,7 @@
 #include "net/clock.h"
 #include "net/listen.h"
 #include "net/timer.h"
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -330,8 +331,9 @@
       = { .frame = on_frame, .ended = on_link_ended, .user = relay };
   int fd = accept4 (relay->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-  (void)event;
   (void)flags;
+  if (fd < 0 && mq_socket_shortage (errno))
+    mq_listen_pause (ev, event);
   if (fd < 0)
     return;
   if (relay->accepted >= LINKS_MAX)
--- a/src/router/router_callers.c
+++ b/src/router/router_callers.c
@@ -12,8 +12,66 @@
 
 /* Connections accepted per event.  */
 #define ACCEPT_BATCH 16
+/* Callers looked at before none counts as idle; others have unread input.  */
+#define IDLE_LOOKS 8
 
-/* Returns false if no connection is pending.  */
+/* Closes an idle connection at once, which resets a request that crosses the
+   close.  A half-close is used only while response data is unsent.
+
+   Failure: after a half-close such a request is read and discarded, and its
+   caller cannot tell that it did not run.  */
+static void
+close_idle (struct mq_caller *caller)
+{
+  if (mq_tcp_unsent_bytes (caller->tcp) > 0)
+    caller_finish (caller);
+  else
+    caller_destroy (caller);
+}
+
+static bool
+is_idle (const struct mq_caller *caller)
+{
+  return !caller->answering && !caller->held && caller->read_ahead.len == 0
+         && !mq_http_reader_in_message (caller->reader)
+         && mq_tcp_unsent_bytes (caller->tcp) == 0;
+}
+
+static struct mq_caller *
+find_longest_idle (const struct mq_router *router)
+{
+  struct mq_caller *found = NULL;
+
+  for (struct mq_caller *caller = router->callers; caller != NULL;
+       caller = caller->next)
+    if (is_idle (caller)
+        && (found == NULL || caller->active_ms <= found->active_ms))
+      found = caller;
+  return found;
+}
+
+/* A caller with unread input is not idle; its input is read next.  */
+bool
+mq_callers_make_room (struct mq_router *router)
+{
+  for (int i = 0; i < IDLE_LOOKS; i++)
+    {
+      struct mq_caller *caller = find_longest_idle (router);
+
+      if (caller == NULL)
+        return false;
+      if (!mq_tcp_has_unread (caller->tcp))
+        {
+          close_idle (caller);
+          router->counters.callers_closed++;
+          return true;
+        }
+      caller->active_ms = mq_clock_ms ();
+    }
+  return false;
+}
+
+/* Returns false, with errno set, if no connection was accepted.  */
 static bool
 accept_caller (struct mq_router *router)
 {
@@ -32,11 +90,14 @@
 {
   struct mq_router *router = data;
 
-  (void)ev;
-  (void)event;
   (void)flags;
-  for (int i = 0; i < ACCEPT_BATCH && accept_caller (router); i++)
-    ;
+  for (int i = 0; i < ACCEPT_BATCH; i++)
+    if (!accept_caller (router))
+      {
+        if (mq_socket_shortage (errno) && !mq_callers_make_room (router))
+          mq_listen_pause (ev, event);
+        return;
+      }
 }
 
 bool
@@ -50,20 +111,6 @@
   return router->front_event != NULL;
 }
 
-/* Closes an idle connection at once, which resets a request that crosses the
-   close.  A half-close is used only while response data is unsent.
-
-   Failure: after a half-close such a request is read and discarded, and its
-   caller cannot tell that it did not run.  */
-static void
-close_idle (struct mq_caller *caller)
-{
-  if (mq_tcp_unsent_bytes (caller->tcp) > 0)
-    caller_finish (caller);
-  else
-    caller_destroy (caller);
-}
-
 /* Logs the idle time of a closed connection and the limit.  */
 static void
 log_idle_close (struct mq_router *router, uint64_t idle_for_ms,
@@ -191,7 +238,8 @@
 static void
 close_listener (struct mq_router *router)
 {
-  while (accept_caller (router))
+  while (accept_caller (router)
+         || (mq_socket_shortage (errno) && mq_callers_make_room (router)))
     ;
   TALLOC_FREE (router->front_event);
   close (router->front_fd);
--- a/src/router/router_ready.c
+++ b/src/router/router_ready.c
@@ -4,6 +4,7 @@
 
 #include "router_ready.h"
 #include "net/listen.h"
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -131,8 +132,9 @@
   struct mq_http_events events
       = { .head = on_head, .body = on_body, .end = on_end };
 
-  (void)event;
   (void)flags;
+  if (fd < 0 && mq_socket_shortage (errno))
+    mq_listen_pause (ev, event);
   if (fd < 0)
     return;
   probe = talloc_zero (router, struct probe);
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -42,6 +42,7 @@
   X (failed, "final answers of our own after a worker may have run")          \
   X (broken, "answers that broke off after their beginning")                  \
   X (left, "requests whose caller left first")                                \
+  X (callers_closed, "idle connections of callers closed to make room")       \
   X (unanswered, "requests cut off by this host before their final answer")   \
   X (retries, "further workers asked for a request")                          \
   X (resumed, "streams that went on at another worker")                       \
@@ -182,6 +183,9 @@
 
 /* Listens for callers.  Returns false with ERROR set on failure.  */
 bool mq_callers_listen (struct mq_router *router, struct mq_error *error);
+/* Closes the caller that has been idle for longest, so that its descriptor can
+   be used; returns false if none is idle.  */
+bool mq_callers_make_room (struct mq_router *router);
 /* Closes connections that exceed the idle or header time limit.  */
 void mq_callers_sweep (struct mq_router *router);
 /* The first call accepts the pending connections and closes the listener;
