--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -372,6 +373,16 @@
   return tcp->unsent.len;
 }
 
+size_t
+mq_tcp_unacknowledged_bytes (const struct mq_tcp *tcp)
+{
+  int queued = 0;
+
+  if (tcp->fd < 0 || ioctl (tcp->fd, TIOCOUTQ, &queued) != 0 || queued < 0)
+    queued = 0;
+  return tcp->unsent.len + (size_t)queued;
+}
+
 bool
 mq_tcp_is_idle (const struct mq_tcp *tcp)
 {
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -75,6 +75,8 @@
 bool mq_tcp_is_idle (const struct mq_tcp *tcp);
 /* Bytes of output that are buffered.  */
 size_t mq_tcp_unsent_bytes (const struct mq_tcp *tcp);
+/* Likewise with those in the kernel that the peer has not acknowledged.  */
+size_t mq_tcp_unacknowledged_bytes (const struct mq_tcp *tcp);
 /* Sends the buffered output, then shuts down; further input is discarded so
    that unread bytes do not cause a reset that loses the output.  The
    connection destroys itself when the peer closes, one second after the last
--- a/src/router/router_caller.h
+++ b/src/router/router_caller.h
@@ -21,7 +21,8 @@
  * @answering: the current message is complete or refused, the response is not
  *             sent yet
  * @held: unsent bytes exceed MQ_TCP_HIGH_BYTES, and the next message waits
- * @unsent_bytes: unsent bytes when the time limits were last checked
+ * @left_bytes: bytes that the caller had not acknowledged when the time limits
+ *              were last checked
  * @closing: close the connection after the current response
  * @feeding: bytes are being parsed; the structure must not be freed
  * @dead: the connection is gone; freed once @feeding is false
@@ -42,7 +43,7 @@
   uint32_t advertised_idle_ms;
   bool answering;
   bool held;
-  size_t unsent_bytes;
+  size_t left_bytes;
   bool closing;
   bool feeding;
   bool dead;
--- a/src/router/router_callers.c
+++ b/src/router/router_callers.c
@@ -153,15 +153,19 @@
 }
 
 /* Closes a connection whose caller has taken nothing of its responses for the
-   idle timeout, so that nobody waits for what was read after them.  */
+   idle timeout, so that nobody waits for what was read after them.  The kernel
+   takes more from this process only when a third of its buffer is free.
+
+   Failure: the connection of a caller that reads slowly is closed between two
+   such moments, and its pipelined requests get no answer.  */
 static void
 check_held (struct mq_caller *caller, uint32_t idle_ms, uint64_t now)
 {
-  size_t unsent = mq_tcp_unsent_bytes (caller->tcp);
+  size_t left = mq_tcp_unacknowledged_bytes (caller->tcp);
 
-  if (unsent != caller->unsent_bytes)
+  if (left != caller->left_bytes)
     caller->active_ms = now;
-  caller->unsent_bytes = unsent;
+  caller->left_bytes = left;
   check_idle (caller, idle_ms, now);
 }
 
