A shortage of descriptors does not count against workers

Callers were refused while sound workers had room: when no socket could be opened for want of descriptors, each worker tried counted as unreachable and was ejected, three for one request.

--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -2,11 +2,12 @@
 
    Chooses a worker, sends the request and forwards the response.
    core/attempt.h decides whether a failed attempt is retried.
-   Needs: router_request.h, id.h, clock.h.  */
+   Needs: router_request.h, id.h, listen.h, clock.h.  */
 
 #include "router_request.h"
 #include "core/id.h"
 #include "net/clock.h"
+#include "net/listen.h"
 #include <string.h>
 
 static void forward_response (struct mq_request *request);
@@ -175,7 +176,7 @@
 }
 
 static struct mq_try *
-begin_try (struct mq_request *request)
+begin_try (struct mq_request *request, struct mq_error *error)
 {
   struct mq_router *router = request->router;
   struct mq_try_options options = {
@@ -208,7 +209,34 @@
     .organisation = request->org == NULL ? NULL : request->org->name,
     .body_len = request->send_body.len,
   };
-  return mq_try_begin (request, &options);
+  return mq_try_begin (request, &options, error);
+}
+
+/* Without a descriptor for the connection, an idle caller gives up its own, or
+   the request is refused at once.
+
+   Failure: each worker tried counts as unreachable and is ejected.  */
+static void
+open_try (struct mq_request *request)
+{
+  struct mq_error error = { .type = MQ_ERR_NONE };
+
+  request->try = begin_try (request, &error);
+  if (request->try == NULL && mq_socket_shortage (error.number)
+      && mq_callers_make_room (request->router))
+    {
+      error = (struct mq_error){ .type = MQ_ERR_NONE };
+      request->try = begin_try (request, &error);
+    }
+  if (request->try != NULL)
+    return;
+  if (!mq_socket_shortage (error.number))
+    {
+      handle_failed_try (request, MQ_ATTEMPT_UNREACHABLE);
+      return;
+    }
+  request->sent--;
+  refuse_no_worker_left (request);
 }
 
 void
@@ -241,7 +269,5 @@
   request->attempted[request->attempted_count++] = worker;
   request->sent++;
   request->sent_ms = now;
-  request->try = begin_try (request);
-  if (request->try == NULL)
-    handle_failed_try (request, MQ_ATTEMPT_UNREACHABLE);
+  open_try (request);
 }
--- a/src/router/router_try.c
+++ b/src/router/router_try.c
@@ -1,10 +1,11 @@
 /* router_try.c - one attempt to have a request served by one worker.
 
-   Needs: router_try.h, router_inactivity.h, memory.h, clock.h.  */
+   Needs: router_try.h, router_inactivity.h, memory.h, listen.h, clock.h.  */
 
 #include "router_try.h"
 #include "core/memory.h"
 #include "net/clock.h"
+#include "net/listen.h"
 #include "router_inactivity.h"
 #include <string.h>
 
@@ -201,17 +202,19 @@
 }
 
 struct mq_try *
-mq_try_begin (TALLOC_CTX *ctx, const struct mq_try_options *options)
+mq_try_begin (TALLOC_CTX *ctx, const struct mq_try_options *options,
+              struct mq_error *error)
 {
   struct mq_try *try = mq_check_alloc (talloc_zero (ctx, struct mq_try));
-  struct mq_error error = { .type = MQ_ERR_NONE };
 
   try->options = *options;
   mq_fleet_request_started (options->fleet, options->worker);
-  try->lane = mq_pool_acquire (options->pool, options->worker, &error);
+  try->lane = mq_pool_acquire (options->pool, options->worker, error);
   if (try->lane == NULL)
     {
-      report_outcome (try, MQ_OUTCOME_UNREACHABLE);
+      report_outcome (try, mq_socket_shortage (error->number)
+                               ? MQ_OUTCOME_CANCELLED
+                               : MQ_OUTCOME_UNREACHABLE);
       talloc_free (try);
       return NULL;
     }
--- a/src/router/router_try.h
+++ b/src/router/router_try.h
@@ -48,9 +48,12 @@
   void *user;
 };
 
-/* Returns NULL if the worker can't be reached; ENDED is not called then.  */
+/* Returns NULL with ERROR set if no connection can be opened; ENDED is not
+   called then.  An error of this host, for which mq_socket_shortage is true,
+   does not count against the worker.  */
 struct mq_try *mq_try_begin (TALLOC_CTX *ctx,
-                             const struct mq_try_options *options);
+                             const struct mq_try_options *options,
+                             struct mq_error *error);
 /* Cancels the attempt and reports OUTCOME to the fleet.  TRY may be NULL.  */
 void mq_try_stop (struct mq_try *try, enum mq_fleet_outcome outcome);
 /* Whether any byte of the request was sent.  */
