Tests, failing: callers that hold all descriptors

bounds::longest_idle_callers_make_room and callers_over_the_share_wait: callers of a host with 80 files take as many as they open, so that none is left for connections to workers, to the table and to other hosts. The case of an idle caller is added to bounds::shortage_of_descriptors_is_not_the_workers, which passes with it.

--- a/tests/test_bounds.c
+++ b/tests/test_bounds.c
@@ -454,23 +454,140 @@
   return count;
 }
 
+/**
+ * struct shortage_case - a request when no file can be opened
+ * @idle: another caller is idle and gives up its descriptor
+ */
+static const struct shortage_case
+{
+  const char *name;
+  const char *id;
+  const char *request;
+  bool idle;
+} shortage_cases[] = {
+  { "no idle caller", "s1", GET ("/once/a", "s1"), false },
+  { "an idle caller", "s2", GET ("/once/a", "s2"), true },
+};
+
 /* Failure: without a free descriptor no connection to a worker can be opened,
    and each sound worker tried is ejected.  */
 Test (bounds, shortage_of_descriptors_is_not_the_workers)
 {
-  struct edge_call *caller = open_caller ("");
-  rlim_t files;
+  for (size_t i = 0; i < ROWS (shortage_cases); i++)
+    {
+      const struct shortage_case *row = &shortage_cases[i];
+      struct edge_call *idle;
+      struct edge_call *caller;
+      rlim_t files;
+
+      /* A new router has no connection to a worker yet.  */
+      edge_kill (site, 0);
+      edge_start (site, 0);
+      idle = open_caller (row->idle ? "" : PART);
+      caller = open_caller ("");
+      edge_run_for (site, 30);
+      files = use_up_files ();
+      send_text (caller, row->request);
+      edge_run_for (site, 30);
+      limit_files (files);
+      edge_wait_responses (site, caller, 1);
+      cr_expect (has_status (caller, row->idle ? "200" : "503"), "%s: %s",
+                 row->name, caller->answer);
+      cr_expect_eq (strstr (caller->answer, "Retry-After: ") == NULL,
+                    row->idle, "%s", row->name);
+      cr_expect_eq (edge_find_run (site, row->id) != NULL, row->idle, "%s",
+                    row->name);
+      cr_expect_eq (is_closed (idle), row->idle, "%s", row->name);
+      cr_expect_eq (count_ejected (), 0, "%s: %d", row->name,
+                    count_ejected ());
+      cr_expect_eq (edge_request (site, &call, 0, GET ("/once/a", "next")),
+                    200, "%s: %s", row->name, call.answer);
+      edge_close (idle);
+      edge_close (caller);
+    }
+}
+
+#define CALLERS_MAX 64
+/* Idle timeout that no test reaches.  */
+#define LONG_IDLE_MS 20000U
+
+/* Restarts router 0 with a limit of FILES and a long idle timeout; the test
+   itself keeps its own limit.  */
+static void
+restart_with_files (rlim_t files)
+{
+  rlim_t before;
+
+  site->idle_ms = LONG_IDLE_MS;
+  configure (4096);
+  edge_kill (site, 0);
+  before = limit_files (files);
+  edge_start (site, 0);
+  limit_files (before);
+}
+
+/* Fills the callers' share of 80 files: a quarter is for files, a quarter of
+   the others for connections of the host itself.  */
+#define SHARE_FILES 80
+#define SHARE_CALLERS 45
+_Static_assert(SHARE_CALLERS < CALLERS_MAX, "callers of a test");
+
+/* Failure: callers hold all descriptors, and none is left for connections to
+   workers, to the table and to other hosts.  */
+Test (bounds, longest_idle_callers_make_room)
+{
+  static struct edge_call *callers[CALLERS_MAX];
+  struct edge_call *later[3];
+
+  restart_with_files (SHARE_FILES);
+  site->app_plan = (struct worker_plan){ WORKER_HANG, 1 };
+  callers[0] = open_caller (GET ("/call/a", "waits"));
+  edge_run_for (site, 10);
+  callers[1] = open_caller (PART);
+  for (int i = 2; i < SHARE_CALLERS; i++)
+    {
+      callers[i] = open_caller ("");
+      edge_run_for (site, 3);
+    }
+  send_text (callers[2], GET ("/call/a", "unread"));
+  for (int i = 0; i < 3; i++)
+    later[i] = open_caller (GET ("/call/a", "later"));
+  for (int i = 0; i < 3; i++)
+    {
+      edge_wait_responses (site, later[i], 1);
+      cr_expect (has_status (later[i], "200"), "%s", later[i]->answer);
+    }
+  for (int i = 0; i < SHARE_CALLERS; i++)
+    {
+      bool closed = is_closed (callers[i]);
+
+      cr_expect_eq (closed, i >= 3 && i < 6, "caller %d: closed %d", i,
+                    closed);
+    }
+  cr_expect (has_status (callers[2], "200"), "%s", callers[2]->answer);
+  send_text (callers[1], "cdefghi");
+  edge_wait_responses (site, callers[1], 1);
+  cr_expect (has_status (callers[1], "200"), "%s", callers[1]->answer);
+}
+
+/* Failure: new callers take the descriptors that the requests of the others
+   need at workers.  */
+Test (bounds, callers_over_the_share_wait)
+{
+  static struct edge_call *callers[CALLERS_MAX];
+  struct edge_call *later;
 
+  restart_with_files (SHARE_FILES);
+  for (int i = 0; i < SHARE_CALLERS; i++)
+    callers[i] = open_caller (PART);
   edge_run_for (site, 30);
-  files = use_up_files ();
-  send_text (caller, GET ("/once/a", "short"));
-  edge_wait_responses (site, caller, 1);
-  limit_files (files);
-  cr_expect (has_status (caller, "503"), "%s", caller->answer);
-  cr_expect_not_null (strstr (caller->answer, "Retry-After: "));
-  cr_expect_null (edge_find_run (site, "short"));
-  cr_expect_eq (count_ejected (), 0, "%d", count_ejected ());
-  cr_expect_eq (edge_request (site, &call, 0, GET ("/once/a", "next")), 200,
-                "%s", call.answer);
-  edge_close (caller);
+  later = open_caller (NO_HOST);
+  cr_expect_leq (count_iterations (), ITERATIONS_MAX);
+  cr_expect (!is_closed (later));
+  cr_expect_str_eq (later->answer, "");
+  for (int i = 0; i < SHARE_CALLERS; i++)
+    cr_expect (!is_closed (callers[i]), "caller %d", i);
+  edge_close (callers[0]);
+  edge_wait_responses (site, later, 1);
+  cr_expect (has_status (later, "400"), "%s", later->answer);
 }
