Callers leave descriptors to the host's own connections

Callers of a host at its limit of open files were refused: callers held all descriptors, and none was left for connections to workers, to the table and to other hosts.

--- a/src/router/router_callers.c
+++ b/src/router/router_callers.c
@@ -7,6 +7,8 @@
 #include "net/clock.h"
 #include "net/listen.h"
 #include <errno.h>
+#include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -84,6 +86,31 @@
   return fd >= 0 || errno == ECONNABORTED;
 }
 
+static bool
+is_over_share (const struct mq_router *router)
+{
+  return router->caller_count + router->ending_count >= router->callers_max;
+}
+
+static bool
+has_pending (const struct mq_router *router)
+{
+  struct pollfd ready = { .fd = router->front_fd, .events = POLLIN };
+
+  return poll (&ready, 1, 0) == 1;
+}
+
+/* Whether a pending connection has to wait in the queue.
+
+   Failure: new callers take the descriptors that the requests of the others
+   need at workers.  */
+static bool
+must_wait (struct mq_router *router)
+{
+  return is_over_share (router) && has_pending (router)
+         && !mq_callers_make_room (router);
+}
+
 static void
 on_accept (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
            void *data)
@@ -92,17 +119,36 @@
 
   (void)flags;
   for (int i = 0; i < ACCEPT_BATCH; i++)
-    if (!accept_caller (router))
-      {
-        if (mq_socket_shortage (errno) && !mq_callers_make_room (router))
+    {
+      if (must_wait (router))
+        {
           mq_listen_pause (ev, event);
-        return;
-      }
+          return;
+        }
+      if (accept_caller (router))
+        continue;
+      if (mq_socket_shortage (errno) && !mq_callers_make_room (router))
+        mq_listen_pause (ev, event);
+      return;
+    }
+}
+
+/* Without a known limit only a failed accept makes callers wait.  */
+static size_t
+callers_max (void)
+{
+  struct rlimit files;
+
+  if (getrlimit (RLIMIT_NOFILE, &files) != 0
+      || files.rlim_cur == RLIM_INFINITY)
+    return SIZE_MAX;
+  return mq_bounds_callers (files.rlim_cur);
 }
 
 bool
 mq_callers_listen (struct mq_router *router, struct mq_error *error)
 {
+  router->callers_max = callers_max ();
   router->front_fd = mq_listen_open (router->settings->http, error);
   if (router->front_fd < 0)
     return false;
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -13,6 +13,7 @@
 
 #include "core/router/admission.h"
 #include "core/router/attempt.h"
+#include "core/router/bounds.h"
 #include "core/router/budget.h"
 #include "core/router/chain.h"
 #include "core/router/event_stream.h"
@@ -95,6 +96,7 @@
  * @stop_ms: time limit of a stop
  * @random: state of the random number generator
  * @callers: list of the connections of callers
+ * @callers_max: connections that callers may hold
  * @ending_count: finished connections of callers that are not closed yet
  * @request_count: requests without a final response
  * @latency: latency of forwarded responses by kind of route, milliseconds
@@ -131,6 +133,7 @@
   uint64_t random;
   struct mq_caller *callers;
   size_t caller_count;
+  size_t callers_max;
   size_t ending_count;
   size_t request_count;
   struct mq_router_counters counters;
--- a/tests/test_bounds.c
+++ b/tests/test_bounds.c
@@ -6,6 +6,7 @@
 
 #include "http_peer.h"
 #include "large_worker.h"
+#include "core/router/bounds.h"
 #include "core/router/fleet_state.h"
 #include "net/clock.h"
 #include "router/router_state.h"
@@ -591,3 +592,22 @@
   edge_wait_responses (site, later, 1);
   cr_expect (has_status (later, "400"), "%s", later->answer);
 }
+
+static const struct
+{
+  uint64_t files;
+  size_t callers;
+} share_cases[] = {
+  { 0, 0 },       { 1, 1 },       { 80, 45 },          { 1024, 618 },
+  { 4096, 2922 }, { 8200, 6000 }, { 1048576, 786282 },
+};
+
+/* Failure: the callers' share leaves too little for connections to workers, or
+   is empty where there are files.  */
+Test (bounds, share_of_descriptors, .init = NULL, .fini = NULL)
+{
+  for (size_t i = 0; i < ROWS (share_cases); i++)
+    cr_expect_eq (mq_bounds_callers (share_cases[i].files),
+                  share_cases[i].callers, "%zu: %zu", i,
+                  mq_bounds_callers (share_cases[i].files));
+}
