Tests, failing: bodies and answers beyond the memory

bounds::bodies_over_the_memory_are_refused and answers_over_the_memory_are_refused: with 64 MiB of memory, a host reads as many bodies of 4 MiB and buffers as many answers of 12 MiB as there are callers.

--- a/tests/test_bounds.c
+++ b/tests/test_bounds.c
@@ -611,3 +611,100 @@
                   share_cases[i].callers, "%zu: %zu", i,
                   mq_bounds_callers (share_cases[i].files));
 }
+
+/* Memory */
+
+#define BODY_BYTES (4 * MIB)
+#define LARGE_POST                                                            \
+  "POST /once/a HTTP/1.1\r\n" HOST ID ("large") "Content-Length: 4194304"     \
+                                                "\r\n\r\n"
+
+/**
+ * struct body_case - a request while two bodies of 4 MiB are being read, with
+ * 64 MiB of memory
+ * @text: head, and body unless it is refused
+ * @status: expected
+ */
+static const struct body_case
+{
+  const char *name;
+  const char *text;
+  const char *status;
+} body_cases[] = {
+  { "no body", GET ("/once/a", "none"), "200" },
+  { "small body",
+    "POST /once/a HTTP/1.1\r\n" HOST ID (
+        "small") "Content-Length: 2\r\n\r\nxy",
+    "200" },
+  { "small body in chunks",
+    "POST /once/a HTTP/1.1\r\n" HOST ID (
+        "chunk") "Transfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n0\r\n\r\n",
+    "200" },
+  { "large body", LARGE_POST, "503" },
+};
+
+/* Failure: the bodies of many requests exceed the memory of the process, which
+   is killed with every request that waits.  */
+Test (bounds, bodies_over_the_memory_are_refused)
+{
+  struct edge_call *open[2];
+  struct edge_call *last;
+
+  site->idle_ms = LONG_IDLE_MS;
+  configure (BODY_BYTES);
+  for (int i = 0; i < 2; i++)
+    {
+      open[i] = open_caller (LARGE_POST);
+      edge_run_for (site, 20);
+    }
+  for (size_t i = 0; i < ROWS (body_cases); i++)
+    {
+      const struct body_case *row = &body_cases[i];
+      bool refused = strcmp (row->status, "503") == 0;
+
+      last = open_caller (row->text);
+      EDGE_WAIT (site, is_closed (last) || last->answer[0] != '\0');
+      cr_expect (has_status (last, row->status), "%s: %s", row->name,
+                 last->answer);
+      cr_expect_eq (strstr (last->answer, "Connection: close") != NULL,
+                    refused, "%s: %s", row->name, last->answer);
+      cr_expect_eq (strstr (last->answer, "Retry-After: ") != NULL, refused,
+                    "%s: %s", row->name, last->answer);
+      edge_close (last);
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      send_body (open[i]->fd, BODY_BYTES);
+      edge_wait_responses (site, open[i], 1);
+      cr_expect (has_status (open[i], "200"), "%s", open[i]->answer);
+    }
+  last = open_caller (LARGE_POST);
+  send_body (last->fd, BODY_BYTES);
+  edge_wait_responses (site, last, 1);
+  cr_expect (has_status (last, "200"), "%s", last->answer);
+}
+
+/* Failure: the buffered answers of many requests exceed the memory of the
+   process, which is killed with every request that waits.  */
+Test (bounds, answers_over_the_memory_are_refused)
+{
+  struct large_worker *worker = use_large_worker (12 * MIB);
+  struct slow_caller first = { .fd = -1 };
+  struct edge_call *callers[2];
+
+  site->idle_ms = LONG_IDLE_MS;
+  configure (4096);
+  for (int i = 0; i < 2; i++)
+    {
+      callers[i] = open_caller (GET ("/once/a", "large"));
+      EDGE_WAIT (site, large_worker_request_count (worker) == i + 1);
+      edge_run_for (site, 200);
+    }
+  edge_wait_responses (site, callers[1], 1);
+  cr_expect (has_status (callers[1], "502"), "%s", callers[1]->answer);
+  first.fd = callers[0]->fd;
+  read_responses (&first, 1);
+  cr_expect_eq (first.count, 1);
+  cr_expect_eq (first.statuses[0], 200);
+  cr_expect_eq (count_ejected (), 0);
+}
