Buffered requests and answers are bounded by the memory

Every request that waits at a host is lost when its process is killed for its memory: the bodies and the buffered answers of single connections were bounded, but not those of all connections together. Now they share a quarter of memory_mb. A body of 64 KiB and more is refused before it is read, 503 'memory' with Retry-After and the connection closed after it, if half of that would be exceeded; smaller ones have the whole. One request or answer alone is bounded by the configuration only. An answer that does not fit ends as 502 before its first byte and does not count against its worker. Large bodies are no longer copied behind their heads to a worker, and large buffers grow by a quarter.

--- a/src/net/buffer.c
+++ b/src/net/buffer.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #define FIRST_BYTES ((size_t)4096)
+/* Capacity from which it grows by a quarter instead of being doubled.  */
+#define LARGE_BYTES ((size_t)256 << 10)
 
 /* Moves the bytes to a new allocation of at least NEED bytes.  */
 static bool
@@ -15,7 +17,7 @@
   char *grown;
 
   while (capacity < need)
-    capacity *= 2;
+    capacity += capacity < LARGE_BYTES ? capacity : capacity / 4;
   grown = talloc_size (ctx, capacity);
   if (grown == NULL)
     return false;
--- a/src/net/http_conn.c
+++ b/src/net/http_conn.c
@@ -5,6 +5,9 @@
 #include "http_conn.h"
 #include "buffer.h"
 
+/* Size of a body from which it is not copied behind its head.  */
+#define LARGE_BODY_BYTES ((size_t)64 << 10)
+
 /**
  * struct mq_http_conn - one connection
  * @pending_request: request to be sent once the connection is established
@@ -252,11 +255,14 @@
     mq_http_reader_no_body (conn->reader);
   /* One buffer, so that head and body go out in one segment.  */
   mq_buffer_append (conn, out, head, head_len, SIZE_MAX);
-  mq_buffer_append (conn, out, body, body_len, SIZE_MAX);
+  if (!conn->open || body_len < LARGE_BODY_BYTES)
+    mq_buffer_append (conn, out, body, body_len, SIZE_MAX);
   if (!conn->open)
     return;
   conn->sent = true;
   mq_tcp_write (conn->tcp, out->data + out->at, out->len);
+  if (body_len >= LARGE_BODY_BYTES)
+    mq_tcp_write (conn->tcp, body, body_len);
   mq_buffer_clear (out);
 }
 
--- a/src/router/router_caller.c
+++ b/src/router/router_caller.c
@@ -56,6 +56,30 @@
   caller->router->caller_count--;
 }
 
+static void
+set_counted (struct mq_caller *caller, uint64_t bytes)
+{
+  struct mq_router *router = caller->router;
+
+  router->buffered_bytes += bytes - caller->counted_bytes;
+  caller->counted_bytes = bytes;
+}
+
+void
+caller_count_bytes (struct mq_caller *caller)
+{
+  set_counted (caller, caller->body_bytes + caller->answer_bytes
+                           + caller->read_ahead.len
+                           + mq_tcp_unsent_bytes (caller->tcp));
+}
+
+/* Bytes that the other connections buffer.  */
+static uint64_t
+others_bytes (const struct mq_caller *caller)
+{
+  return caller->router->buffered_bytes - caller->counted_bytes;
+}
+
 static void
 free_if_unused (struct mq_caller *caller)
 {
@@ -69,6 +93,7 @@
 detach_caller (struct mq_caller *caller)
 {
   unlink_caller (caller);
+  set_counted (caller, 0);
   caller->tcp = NULL;
   caller->dead = true;
   free_if_unused (caller);
@@ -77,16 +102,19 @@
 /**
  * struct ending_connection - counts a finished connection until it is freed
  * with it
+ * @bytes: unsent when it was finished
  */
 struct ending_connection
 {
   struct mq_router *router;
+  uint64_t bytes;
 };
 
 static int
 remove_ending (struct ending_connection *ending_connection)
 {
   ending_connection->router->ending_count--;
+  ending_connection->router->buffered_bytes -= ending_connection->bytes;
   return 0;
 }
 
@@ -103,7 +131,9 @@
   if (ending_connection == NULL)
     return;
   ending_connection->router = caller->router;
+  ending_connection->bytes = mq_tcp_unsent_bytes (caller->tcp);
   ending_connection->router->ending_count++;
+  ending_connection->router->buffered_bytes += ending_connection->bytes;
   talloc_set_destructor (ending_connection, remove_ending);
 }
 
@@ -165,6 +195,27 @@
   mq_caller_refuse (caller->router, caller, refusal, 0);
 }
 
+/* Announces BYTES of a body; refuses the message, none of which has run, if
+   they may not be buffered.
+
+   Failure: the bodies of many callers exceed the memory of the process, which
+   is killed with every request that waits.  */
+static bool
+reserve_body (struct mq_caller *caller, size_t bytes)
+{
+  if (bytes <= caller->body_bytes)
+    return true;
+  if (!mq_bounds_admits_body (caller->router->bytes_max, others_bytes (caller),
+                              bytes))
+    {
+      caller_refuse_message (caller, MQ_REFUSE_NO_MEMORY);
+      return false;
+    }
+  caller->body_bytes = bytes;
+  caller_count_bytes (caller);
+  return true;
+}
+
 static void
 on_head (const struct mq_http_head *head, void *user)
 {
@@ -179,6 +230,8 @@
     caller->closing = true;
   if (head->has_length && head->length > limits.body_bytes)
     caller_refuse_message (caller, MQ_REFUSE_BODY_TOO_LARGE);
+  else if (head->has_length && !reserve_body (caller, (size_t)head->length))
+    return;
   else if (expect != NULL && strcasecmp (expect, "100-continue") == 0)
     mq_tcp_write (caller->tcp, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 }
@@ -191,8 +244,11 @@
 
   if (caller->dead || caller->answering)
     return;
-  if (!mq_buffer_append (caller, &caller->body, data, len, limits.body_bytes))
+  if (caller->body.len + len > limits.body_bytes)
     caller_refuse_message (caller, MQ_REFUSE_BODY_TOO_LARGE);
+  else if (reserve_body (caller, caller->body.len + len)
+           && !mq_buffer_append (caller, &caller->body, data, len, SIZE_MAX))
+    caller_refuse_message (caller, MQ_REFUSE_NO_MEMORY);
 }
 
 static void
@@ -279,6 +335,8 @@
   caller->feeding = true;
   parse_data (caller, data, len);
   update_reading (caller);
+  if (!caller->dead)
+    caller_count_bytes (caller);
   caller->feeding = false;
   free_if_unused (caller);
 }
@@ -296,6 +354,8 @@
   parse_data (caller, ahead.data + ahead.at, ahead.len);
   mq_buffer_clear (&ahead);
   update_reading (caller);
+  if (!caller->dead)
+    caller_count_bytes (caller);
   caller->feeding = nested;
   free_if_unused (caller);
 }
@@ -318,6 +378,9 @@
   caller->answering = false;
   caller->head = NULL;
   mq_buffer_clear (&caller->body);
+  caller->body_bytes = 0;
+  caller->answer_bytes = 0;
+  caller_count_bytes (caller);
   mq_http_reader_next (caller->reader);
   caller->held = mq_tcp_unsent_bytes (caller->tcp) > MQ_TCP_HIGH_BYTES;
   if (!caller->held)
@@ -402,6 +465,17 @@
   finish_response (caller);
 }
 
+bool
+mq_caller_may_buffer (struct mq_caller *caller, size_t len)
+{
+  if (!mq_bounds_admits_answer (caller->router->bytes_max,
+                                others_bytes (caller), len))
+    return false;
+  caller->answer_bytes = len;
+  caller_count_bytes (caller);
+  return true;
+}
+
 void
 mq_caller_begin_stream (struct mq_caller *caller, int status,
                         const char *fields)
--- a/src/router/router_caller.h
+++ b/src/router/router_caller.h
@@ -21,6 +21,9 @@
  * @answering: the current message is complete or refused, the response is not
  *             sent yet
  * @held: unsent bytes exceed MQ_TCP_HIGH_BYTES, and the next message waits
+ * @body_bytes: bytes of the current body that are buffered or announced
+ * @answer_bytes: bytes of the buffered answer
+ * @counted_bytes: part of the router's count of buffered bytes
  * @left_bytes: bytes that the caller had not acknowledged when the time limits
  *              were last checked
  * @closing: close the connection after the current response
@@ -44,6 +47,9 @@
   bool answering;
   bool held;
   size_t left_bytes;
+  size_t body_bytes;
+  size_t answer_bytes;
+  uint64_t counted_bytes;
   bool closing;
   bool feeding;
   bool dead;
@@ -56,6 +62,8 @@
 /* Refuses the current message and closes the connection after the
    response.  */
 void caller_refuse_message (struct mq_caller *caller, enum mq_refusal refusal);
+/* Brings the router's count of buffered bytes up to date.  */
+void caller_count_bytes (struct mq_caller *caller);
 /* Sends what is unsent, then closes the connection.  */
 void caller_finish (struct mq_caller *caller);
 /* Closes the connection at once.  */
--- a/src/router/router_callers.c
+++ b/src/router/router_callers.c
@@ -149,6 +149,7 @@
 mq_callers_listen (struct mq_router *router, struct mq_error *error)
 {
   router->callers_max = callers_max ();
+  router->bytes_max = mq_bounds_bytes (router->settings->memory_mb);
   router->front_fd = mq_listen_open (router->settings->http, error);
   if (router->front_fd < 0)
     return false;
@@ -248,6 +249,7 @@
        caller = next)
     {
       next = caller->next;
+      caller_count_bytes (caller);
       check_caller (caller, &limits, now);
     }
 }
--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -175,6 +175,16 @@
     }
 }
 
+/* Failure: the answers to many requests exceed the memory of the process,
+   which is killed with every request that waits.  */
+static bool
+may_buffer (size_t len, void *user)
+{
+  struct mq_request *request = user;
+
+  return mq_caller_may_buffer (request->caller, len);
+}
+
 static struct mq_try *
 begin_try (struct mq_request *request, struct mq_error *error)
 {
@@ -190,6 +200,7 @@
     .answer_ctx = request,
     .repeatable = mq_route_repeatable (request->route),
     .begun = request->response_begun,
+    .may_buffer = may_buffer,
     .events = request_forward_events,
     .ended = on_try_ended,
     .user = request,
--- a/src/router/router_refuse.c
+++ b/src/router/router_refuse.c
@@ -30,6 +30,7 @@
   [MQ_REFUSE_OVERLOADED] = { 503, RETRY_OVERLOADED_MS, "loaded" },
   [MQ_REFUSE_LATE] = { 503, RETRY_OVERLOADED_MS, "late" },
   [MQ_REFUSE_NO_CAPACITY] = { 503, RETRY_SOON_MS, "full" },
+  [MQ_REFUSE_NO_MEMORY] = { 503, RETRY_OVERLOADED_MS, "memory" },
   [MQ_REFUSE_TABLE_UNAVAILABLE] = { 503, RETRY_TABLE_MS, "store" },
   [MQ_REFUSE_TIMED_OUT] = { 503, RETRY_SOON_MS, "timed_out" },
   [MQ_REFUSE_FAILED] = { 502, 0, "failed" },
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -97,6 +97,8 @@
  * @random: state of the random number generator
  * @callers: list of the connections of callers
  * @callers_max: connections that callers may hold
+ * @bytes_max: bytes of requests and answers that may be buffered
+ * @buffered_bytes: such bytes of all connections of callers
  * @ending_count: finished connections of callers that are not closed yet
  * @request_count: requests without a final response
  * @latency: latency of forwarded responses by kind of route, milliseconds
@@ -135,6 +137,8 @@
   size_t caller_count;
   size_t callers_max;
   size_t ending_count;
+  uint64_t bytes_max;
+  uint64_t buffered_bytes;
   size_t request_count;
   struct mq_router_counters counters;
   struct mq_recent record_wait;
@@ -174,6 +178,7 @@
   MQ_REFUSE_EXITING, /* the time of a stop is over */
   MQ_REFUSE_NO_WORKER,
   MQ_REFUSE_NO_CAPACITY,
+  MQ_REFUSE_NO_MEMORY,  /* buffered bytes are at their limit */
   MQ_REFUSE_OVERLOADED, /* a new program, because of the load */
   MQ_REFUSE_LATE,       /* likewise, and its deadline is at risk */
   MQ_REFUSE_TABLE_UNAVAILABLE,
@@ -211,6 +216,8 @@
 void mq_caller_respond (struct mq_caller *caller, int status,
                         const char *fields, const void *body, size_t len,
                         bool with_body);
+/* Whether the answer, LEN bytes so far, may be buffered.  */
+bool mq_caller_may_buffer (struct mq_caller *caller, size_t len);
 /* Sends a response in chunks. mq_caller_send_chunk returns false while the
    send buffer is full.  */
 void mq_caller_begin_stream (struct mq_caller *caller, int status,
--- a/src/router/router_try.c
+++ b/src/router/router_try.c
@@ -97,6 +97,12 @@
   const struct mq_try_options *options = &try->options;
 
   mq_inactivity_reset (try->inactivity);
+  if (!options->answer->stream
+      && !options->may_buffer (options->answer->body.len + len, options->user))
+    {
+      end_try (try, MQ_ATTEMPT_BROKEN, MQ_OUTCOME_CANCELLED);
+      return;
+    }
   if (!mq_response_add_body (options->answer_ctx, options->answer, data, len))
     end_broken (try);
   else if (options->answer->stream)
--- a/src/router/router_try.h
+++ b/src/router/router_try.h
@@ -25,6 +25,7 @@
  * @repeatable: the request may run more than once
  * @begun: the response head was already sent to the caller
  * @detect_inactivity: give up a worker that is inactive for too long
+ * @may_buffer: whether the body of a plain answer may grow to LEN bytes
  * @events: called when complete events can be taken from @answer
  * @ended: called once, after the attempt was freed; not called after
  *         mq_try_stop
@@ -43,6 +44,7 @@
   bool repeatable;
   bool begun;
   bool detect_inactivity;
+  bool (*may_buffer) (size_t len, void *user);
   void (*events) (void *user);
   void (*ended) (enum mq_attempt_end end, void *user);
   void *user;
--- a/tests/test_bounds.c
+++ b/tests/test_bounds.c
@@ -708,3 +708,49 @@
   cr_expect_eq (first.statuses[0], 200);
   cr_expect_eq (count_ejected (), 0);
 }
+
+/**
+ * struct bytes_case - what a limit of 16 MiB admits, in KiB
+ * @body: a request is admitted
+ * @answer: an answer is admitted
+ */
+static const struct bytes_case
+{
+  const char *name;
+  uint64_t others;
+  uint64_t bytes;
+  bool body;
+  bool answer;
+} bytes_cases[] = {
+  { "nothing", 0, 0, true, true },
+  { "one alone", 0, 4096, true, true },
+  { "one alone, above the limit", 0, 32768, true, true },
+  { "large, below half", 4096, 4096, true, true },
+  { "large, at half", 8191, 1, true, true },
+  { "large, above half", 8192, 4096, false, true },
+  { "small, above half", 8192, 63, true, true },
+  { "small, at the limit", 16383, 1, true, true },
+  { "small, above the limit", 16384, 1, false, false },
+  { "answer, above the limit", 12288, 12288, false, false },
+  { "others above the limit", 20480, 1, false, false },
+};
+
+/* Failure: many large requests leave no memory for small ones and for answers,
+   or a request that is allowed can never be served.  */
+Test (bounds, bytes, .init = NULL, .fini = NULL)
+{
+  uint64_t limit = mq_bounds_bytes (64);
+
+  cr_expect_eq (limit, 16 * MIB);
+  for (size_t i = 0; i < ROWS (bytes_cases); i++)
+    {
+      const struct bytes_case *row = &bytes_cases[i];
+
+      cr_expect_eq (
+          mq_bounds_admits_body (limit, row->others << 10, row->bytes << 10),
+          row->body, "%s", row->name);
+      cr_expect_eq (
+          mq_bounds_admits_answer (limit, row->others << 10, row->bytes << 10),
+          row->answer, "%s", row->name);
+    }
+}
