Test, failing: a response that can't be allocated

bounds::response_without_memory_ends_the_process: when the head of a response can't be allocated, nothing is sent, the request counts as answered, and the connection is closed as idle.

--- a/tests/test_bounds.c
+++ b/tests/test_bounds.c
@@ -12,6 +12,7 @@
 #include "router/router_state.h"
 #include "router_site.h"
 #include <criterion/criterion.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -754,3 +755,30 @@
           row->answer, "%s", row->name);
     }
 }
+
+/* Allocation */
+
+/* Lets no further allocation below CTX succeed.  talloc offers nothing else
+   for it.  */
+static void
+forbid_allocations (TALLOC_CTX *ctx)
+{
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wdeprecated-declarations"
+  cr_assert_eq (talloc_set_memlimit (ctx, talloc_total_size (ctx)), 0);
+#pragma GCC diagnostic pop
+}
+
+/* Failure: a response can't be allocated, and its caller waits until the
+   connection is closed as idle.  The process ends instead, which closes it at
+   once.  */
+Test (bounds, response_without_memory_ends_the_process, .signal = SIGABRT)
+{
+  struct edge_call *caller = open_caller (NO_HOST);
+
+  edge_wait_responses (site, caller, 1);
+  caller->answer[0] = '\0';
+  forbid_allocations (site->routers[0]->callers);
+  send_text (caller, NO_HOST);
+  edge_wait_responses (site, caller, 1);
+}
