A response that can't be allocated ends the process

A caller whose response could not be allocated got nothing, and its connection was closed as idle later: the result of the allocation was ignored, and the request counted as answered. Parts of heads, events and requests to workers could be missing likewise, and timers and reports of failures left out.

--- a/src/net/buffer.c
+++ b/src/net/buffer.c
@@ -3,6 +3,7 @@
    Needs: talloc.  */
 
 #include "buffer.h"
+#include <stdlib.h>
 #include <string.h>
 
 #define FIRST_BYTES ((size_t)4096)
@@ -48,6 +49,14 @@
   return true;
 }
 
+void
+mq_buffer_add (TALLOC_CTX *ctx, struct mq_buffer *buffer, const void *data,
+               size_t len)
+{
+  if (!mq_buffer_append (ctx, buffer, data, len, SIZE_MAX))
+    abort ();
+}
+
 size_t
 mq_buffer_take (struct mq_buffer *buffer, void *to, size_t max)
 {
--- a/src/net/buffer.h
+++ b/src/net/buffer.h
@@ -27,6 +27,11 @@
    memory.  */
 bool mq_buffer_append (TALLOC_CTX *ctx, struct mq_buffer *buffer,
                        const void *data, size_t len, size_t max);
+/* Appends; aborts if out of memory.
+
+   Failure: a part of a message is missing, and the peer waits for it.  */
+void mq_buffer_add (TALLOC_CTX *ctx, struct mq_buffer *buffer,
+                    const void *data, size_t len);
 /* Moves up to MAX bytes to TO and returns their number.  */
 size_t mq_buffer_take (struct mq_buffer *buffer, void *to, size_t max);
 void mq_buffer_skip (struct mq_buffer *buffer, size_t len);
--- a/src/net/http_conn.c
+++ b/src/net/http_conn.c
@@ -254,9 +254,9 @@
   if (response_has_no_body)
     mq_http_reader_no_body (conn->reader);
   /* One buffer, so that head and body go out in one segment.  */
-  mq_buffer_append (conn, out, head, head_len, SIZE_MAX);
+  mq_buffer_add (conn, out, head, head_len);
   if (!conn->open || body_len < LARGE_BODY_BYTES)
-    mq_buffer_append (conn, out, body, body_len, SIZE_MAX);
+    mq_buffer_add (conn, out, body, body_len);
   if (!conn->open)
     return;
   conn->sent = true;
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -1,9 +1,10 @@
 /* tcp.c - a TCP connection on the event loop.
 
-   Needs: tcp.h, buffer.h, sockets.  */
+   Needs: tcp.h, buffer.h, memory.h, sockets.  */
 
 #include "tcp.h"
 #include "buffer.h"
+#include "core/memory.h"
 #include "listen.h"
 #include "timer.h"
 #include <errno.h>
@@ -103,7 +104,7 @@
 static struct mq_timer *
 start_tcp_timer (struct mq_tcp *tcp, uint32_t ms)
 {
-  return mq_timer_add (tcp, tcp->ev, ms, on_timer, tcp);
+  return mq_check_alloc (mq_timer_add (tcp, tcp->ev, ms, on_timer, tcp));
 }
 
 static struct mq_tcp *
@@ -269,9 +270,8 @@
     return;
   tcp->failed = true;
   tcp->failed_as = end;
-  tcp->failure = tevent_create_immediate (tcp);
-  if (tcp->failure != NULL)
-    tevent_schedule_immediate (tcp->failure, tcp->ev, on_failure, tcp);
+  tcp->failure = mq_check_alloc (tevent_create_immediate (tcp));
+  tevent_schedule_immediate (tcp->failure, tcp->ev, on_failure, tcp);
 }
 
 static void
--- a/src/router/router_caller.c
+++ b/src/router/router_caller.c
@@ -3,9 +3,10 @@
    A connection serves one request at a time; pipelined requests are buffered
    until the response is sent.  The connection is read during a request, so
    that a disconnect is noticed at once.
-   Needs: router_caller.h, clock.h.  */
+   Needs: router_caller.h, router_response.h, memory.h, clock.h.  */
 
 #include "router_caller.h"
+#include "core/memory.h"
 #include "router_response.h"
 #include "net/clock.h"
 #include <inttypes.h>
@@ -126,10 +127,8 @@
 add_ending (struct mq_caller *caller)
 {
   struct ending_connection *ending_connection
-      = talloc_zero (caller->tcp, struct ending_connection);
+      = mq_check_alloc (talloc_zero (caller->tcp, struct ending_connection));
 
-  if (ending_connection == NULL)
-    return;
   ending_connection->router = caller->router;
   ending_connection->bytes = mq_tcp_unsent_bytes (caller->tcp);
   ending_connection->router->ending_count++;
@@ -434,15 +433,13 @@
   if (caller->router->stopping)
     caller->closing = true;
   write_connection_field (caller, connection, sizeof connection);
-  text
-      = talloc_asprintf (caller, "HTTP/1.1 %d %s\r\n%s%s%s\r\n", status,
-                         mq_http_reason (status), fields, framing, connection);
-  if (text == NULL)
-    return;
+  text = mq_check_alloc (
+      talloc_asprintf (caller, "HTTP/1.1 %d %s\r\n%s%s%s\r\n", status,
+                       mq_http_reason (status), fields, framing, connection));
   /* One write, so that a short response is sent in one segment.  */
-  mq_buffer_append (caller, &out, text, strlen (text), SIZE_MAX);
+  mq_buffer_add (caller, &out, text, strlen (text));
   if (len < LARGE_BODY_BYTES)
-    mq_buffer_append (caller, &out, body, len, SIZE_MAX);
+    mq_buffer_add (caller, &out, body, len);
   mq_tcp_write (caller->tcp, out.data + out.at, out.len);
   if (len >= LARGE_BODY_BYTES)
     mq_tcp_write (caller->tcp, body, len);
@@ -492,9 +489,9 @@
   bool reads;
 
   snprintf (size, sizeof size, "%zx\r\n", len);
-  mq_buffer_append (caller, &out, size, strlen (size), SIZE_MAX);
-  mq_buffer_append (caller, &out, data, len, SIZE_MAX);
-  mq_buffer_append (caller, &out, "\r\n", 2, SIZE_MAX);
+  mq_buffer_add (caller, &out, size, strlen (size));
+  mq_buffer_add (caller, &out, data, len);
+  mq_buffer_add (caller, &out, "\r\n", 2);
   reads = mq_tcp_write (caller->tcp, out.data + out.at, out.len);
   mq_buffer_clear (&out);
   return reads;
--- a/src/router/router_inactivity.c
+++ b/src/router/router_inactivity.c
@@ -51,8 +51,8 @@
 static void
 schedule_check (struct mq_inactivity *inactivity, uint64_t wait_ms)
 {
-  inactivity->timer = mq_timer_add (inactivity, inactivity->ev, wait_ms,
-                                    on_check, inactivity);
+  inactivity->timer = mq_check_alloc (mq_timer_add (
+      inactivity, inactivity->ev, wait_ms, on_check, inactivity));
 }
 
 /* Timeout while the worker answers other requests, milliseconds.  */
--- a/src/router/router_response.c
+++ b/src/router/router_response.c
@@ -14,7 +14,7 @@
   const char *const parts[] = { field->name, ": ", field->value, "\r\n" };
 
   for (size_t i = 0; i < sizeof parts / sizeof parts[0]; i++)
-    mq_buffer_append (ctx, fields, parts[i], strlen (parts[i]), SIZE_MAX);
+    mq_buffer_add (ctx, fields, parts[i], strlen (parts[i]));
 }
 
 static void
--- a/src/router/router_send.c
+++ b/src/router/router_send.c
@@ -33,7 +33,7 @@
 static void
 put_text (TALLOC_CTX *ctx, struct mq_buffer *out, const char *text)
 {
-  mq_buffer_append (ctx, out, text, strlen (text), SIZE_MAX);
+  mq_buffer_add (ctx, out, text, strlen (text));
 }
 
 static void
--- a/src/router/router_stream.c
+++ b/src/router/router_stream.c
@@ -88,7 +88,7 @@
       if (over)
         break;
       record_event (request, &event);
-      mq_buffer_append (request, &out, event.text, event.len, SIZE_MAX);
+      mq_buffer_add (request, &out, event.text, event.len);
     }
   if (out.len > 0)
     send_events (request, &out);
