--- a/src/net/listen.c
+++ b/src/net/listen.c
@@ -143,7 +143,7 @@
 }
 
 bool
-mq_socket_shortage (int number)
+mq_socket_shortage (int64_t number)
 {
   switch (number)
     {
--- a/src/net/listen.h
+++ b/src/net/listen.h
@@ -17,7 +17,7 @@
 int mq_connect_begin (const char *address, struct mq_error *error);
 /* Whether errno NUMBER of a socket call means that this process or host lacks
    descriptors, ports or memory, whatever the other side does.  */
-bool mq_socket_shortage (int number);
+bool mq_socket_shortage (int64_t number);
 /* Lets connections wait in the queue of the listening EVENT for a moment.
 
    Failure: the queue stays ready while no connection can be accepted, and the
