--- a/src/net/buffer.c
+++ b/src/net/buffer.c
@@ -3,9 +3,12 @@
    Needs: talloc.  */
 
 #include "buffer.h"
+#include <stdlib.h>
 #include <string.h>
 
 #define FIRST_BYTES ((size_t)4096)
+/* Capacity from which it grows by a quarter instead of being doubled.  */
+#define LARGE_BYTES ((size_t)256 << 10)
 
 /* Moves the bytes to a new allocation of at least NEED bytes.  */
 static bool
@@ -15,7 +18,7 @@
   char *grown;
 
   while (capacity < need)
-    capacity *= 2;
+    capacity += capacity < LARGE_BYTES ? capacity : capacity / 4;
   grown = talloc_size (ctx, capacity);
   if (grown == NULL)
     return false;
@@ -46,6 +49,14 @@
   return true;
 }
 
+void
+mq_buffer_add (TALLOC_CTX *ctx, struct mq_buffer *buffer, const void *data,
+               size_t len)
+{
+  if (!mq_buffer_append (ctx, buffer, data, len, SIZE_MAX))
+    abort ();
+}
+
 size_t
 mq_buffer_take (struct mq_buffer *buffer, void *to, size_t max)
 {
--- a/src/net/http_conn.c
+++ b/src/net/http_conn.c
@@ -5,6 +5,9 @@
 #include "http_conn.h"
 #include "buffer.h"
 
+/* Size of a body from which it is not copied behind its head.  */
+#define LARGE_BODY_BYTES ((size_t)64 << 10)
+
 /**
  * struct mq_http_conn - one connection
  * @pending_request: request to be sent once the connection is established
@@ -216,6 +219,8 @@
       talloc_free (conn);
       return NULL;
     }
+  /* Only one request is sent at a time, of a length that the caller bounds. */
+  mq_tcp_set_max_unsent (conn->tcp, SIZE_MAX);
   return conn;
 }
 
@@ -249,12 +254,15 @@
   if (response_has_no_body)
     mq_http_reader_no_body (conn->reader);
   /* One buffer, so that head and body go out in one segment.  */
-  mq_buffer_append (conn, out, head, head_len, SIZE_MAX);
-  mq_buffer_append (conn, out, body, body_len, SIZE_MAX);
+  mq_buffer_add (conn, out, head, head_len);
+  if (!conn->open || body_len < LARGE_BODY_BYTES)
+    mq_buffer_add (conn, out, body, body_len);
   if (!conn->open)
     return;
   conn->sent = true;
   mq_tcp_write (conn->tcp, out->data + out->at, out->len);
+  if (body_len >= LARGE_BODY_BYTES)
+    mq_tcp_write (conn->tcp, body, body_len);
   mq_buffer_clear (out);
 }
 
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -1,15 +1,17 @@
 /* tcp.c - a TCP connection on the event loop.
 
-   Needs: tcp.h, buffer.h, sockets.  */
+   Needs: tcp.h, buffer.h, memory.h, sockets.  */
 
 #include "tcp.h"
 #include "buffer.h"
+#include "core/memory.h"
 #include "listen.h"
 #include "timer.h"
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -39,6 +41,7 @@
  * @callback_depth: number of callbacks in progress
  * @destroyed: destroy was called; freed when @callback_depth is 0
  * @unsent: bytes that the socket did not accept yet
+ * @max_unsent: limit of @unsent, bytes
  */
 struct mq_tcp
 {
@@ -48,6 +51,7 @@
   struct tevent_immediate *failure;
   struct mq_tcp_callbacks callbacks;
   struct mq_buffer unsent;
+  size_t max_unsent;
   int fd;
   int callback_depth;
   bool opening;
@@ -100,7 +104,7 @@
 static struct mq_timer *
 start_tcp_timer (struct mq_tcp *tcp, uint32_t ms)
 {
-  return mq_timer_add (tcp, tcp->ev, ms, on_timer, tcp);
+  return mq_check_alloc (mq_timer_add (tcp, tcp->ev, ms, on_timer, tcp));
 }
 
 static struct mq_tcp *
@@ -118,6 +122,7 @@
   tcp->fd = fd;
   tcp->callbacks = *callbacks;
   tcp->reading = true;
+  tcp->max_unsent = MQ_TCP_MAX_BYTES;
   talloc_set_destructor (tcp, close_fd);
   tcp->event = tevent_add_fd (ev, tcp, fd, flags, on_event, tcp);
   if (tcp->event == NULL)
@@ -265,9 +270,8 @@
     return;
   tcp->failed = true;
   tcp->failed_as = end;
-  tcp->failure = tevent_create_immediate (tcp);
-  if (tcp->failure != NULL)
-    tevent_schedule_immediate (tcp->failure, tcp->ev, on_failure, tcp);
+  tcp->failure = mq_check_alloc (tevent_create_immediate (tcp));
+  tevent_schedule_immediate (tcp->failure, tcp->ev, on_failure, tcp);
 }
 
 static void
@@ -298,6 +302,12 @@
   return sent;
 }
 
+void
+mq_tcp_set_max_unsent (struct mq_tcp *tcp, size_t bytes)
+{
+  tcp->max_unsent = bytes;
+}
+
 bool
 mq_tcp_write (struct mq_tcp *tcp, const void *data, size_t len)
 {
@@ -315,7 +325,7 @@
   if ((size_t)sent < len)
     {
       if (!mq_buffer_append (tcp, &tcp->unsent, (const char *)data + sent,
-                             len - (size_t)sent, MQ_TCP_MAX_BYTES))
+                             len - (size_t)sent, tcp->max_unsent))
         {
           fail_later (tcp, MQ_TCP_NO_MEMORY);
           return true;
@@ -357,10 +367,20 @@
   return recv (tcp->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-bool
-mq_tcp_has_unsent (const struct mq_tcp *tcp)
+size_t
+mq_tcp_unsent_bytes (const struct mq_tcp *tcp)
 {
-  return tcp->unsent.len > 0;
+  return tcp->unsent.len;
+}
+
+size_t
+mq_tcp_unacknowledged_bytes (const struct mq_tcp *tcp)
+{
+  int queued = 0;
+
+  if (tcp->fd < 0 || ioctl (tcp->fd, TIOCOUTQ, &queued) != 0 || queued < 0)
+    queued = 0;
+  return tcp->unsent.len + (size_t)queued;
 }
 
 bool
--- a/src/router/router_caller.c
+++ b/src/router/router_caller.c
@@ -1,73 +1,40 @@
-/* router_caller.c - HTTP connections of callers.
+/* router_caller.c - one HTTP connection of a caller.
 
    A connection serves one request at a time; pipelined requests are buffered
    until the response is sent.  The connection is read during a request, so
    that a disconnect is noticed at once.
-   Needs: router_state.h, listen.h, clock.h.  */
+   Needs: router_caller.h, router_response.h, memory.h, clock.h.  */
 
-#include "router_state.h"
+#include "router_caller.h"
+#include "core/memory.h"
+#include "router_response.h"
 #include "net/clock.h"
-#include "net/listen.h"
-#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 /* Pipelined bytes at which reading pauses, and the limit including one more
    read.  */
 #define READ_AHEAD_BYTES ((size_t)64 << 10)
 #define READ_AHEAD_MAX_BYTES (2 * READ_AHEAD_BYTES)
+/* Heads of responses and lines that come before a buffered one.  */
+#define HEADS_MAX_BYTES ((size_t)128 << 10)
+/* Limit of unsent bytes: a buffered response behind those at which the next
+   message waits.  */
+#define UNSENT_MAX_BYTES                                                      \
+  (MQ_TCP_HIGH_BYTES + MQ_RESPONSE_MAX_BYTES + HEADS_MAX_BYTES)
+/* Size of a body from which it is not copied behind its head.  */
+#define LARGE_BODY_BYTES ((size_t)64 << 10)
 /* Limits until the first configuration is loaded; see docs/CONTRACTS.md.  */
 #define DEFAULT_HEADER_MS 3000U
 #define DEFAULT_IDLE_MS 15000U
 #define DEFAULT_BODY_BYTES (4U << 20)
-/* Connections accepted per event.  */
-#define ACCEPT_BATCH 16
 
-/**
- * struct mq_caller - one connection
- * @link: where the list points to this connection; NULL if unlinked
- * @request: pending request; NULL if none
- * @head: head of the current message; NULL until it is complete
- * @body: body of the current message
- * @read_ahead: pipelined bytes behind the current message
- * @arrived_ms: start of the current message, local monotonic clock
- * @active_ms: last activity, local monotonic clock
- * @advertised_idle_ms: idle timeout in force when Keep-Alive was last sent
- * @answering: the current message is complete or refused, the response is not
- *             sent yet
- * @closing: close the connection after the current response
- * @feeding: bytes are being parsed; the structure must not be freed
- * @dead: the connection is gone; freed once @feeding is false
- */
-struct mq_caller
-{
-  struct mq_router *router;
-  struct mq_caller *next;
-  struct mq_caller **link;
-  struct mq_tcp *tcp;
-  struct mq_http_reader *reader;
-  struct mq_request *request;
-  const struct mq_http_head *head;
-  struct mq_buffer body;
-  struct mq_buffer read_ahead;
-  uint64_t arrived_ms;
-  uint64_t active_ms;
-  uint32_t advertised_idle_ms;
-  bool answering;
-  bool closing;
-  bool feeding;
-  bool dead;
-};
+static void parse_read_ahead (struct mq_caller *caller);
 
-static void parse_data (struct mq_caller *caller, const char *data,
-                        size_t len);
-
-static struct mq_route_limits
-current_limits (const struct mq_router *router)
+struct mq_route_limits
+caller_limits (const struct mq_router *router)
 {
   static const struct mq_route_limits first
       = { .header_bytes = 0,
@@ -90,6 +57,30 @@
   caller->router->caller_count--;
 }
 
+static void
+set_counted (struct mq_caller *caller, uint64_t bytes)
+{
+  struct mq_router *router = caller->router;
+
+  router->buffered_bytes += bytes - caller->counted_bytes;
+  caller->counted_bytes = bytes;
+}
+
+void
+caller_count_bytes (struct mq_caller *caller)
+{
+  set_counted (caller, caller->body_bytes + caller->answer_bytes
+                           + caller->read_ahead.len
+                           + mq_tcp_unsent_bytes (caller->tcp));
+}
+
+/* Bytes that the other connections buffer.  */
+static uint64_t
+others_bytes (const struct mq_caller *caller)
+{
+  return caller->router->buffered_bytes - caller->counted_bytes;
+}
+
 static void
 free_if_unused (struct mq_caller *caller)
 {
@@ -103,6 +94,7 @@
 detach_caller (struct mq_caller *caller)
 {
   unlink_caller (caller);
+  set_counted (caller, 0);
   caller->tcp = NULL;
   caller->dead = true;
   free_if_unused (caller);
@@ -111,16 +103,19 @@
 /**
  * struct ending_connection - counts a finished connection until it is freed
  * with it
+ * @bytes: unsent when it was finished
  */
 struct ending_connection
 {
   struct mq_router *router;
+  uint64_t bytes;
 };
 
 static int
 remove_ending (struct ending_connection *ending_connection)
 {
   ending_connection->router->ending_count--;
+  ending_connection->router->buffered_bytes -= ending_connection->bytes;
   return 0;
 }
 
@@ -132,17 +127,17 @@
 add_ending (struct mq_caller *caller)
 {
   struct ending_connection *ending_connection
-      = talloc_zero (caller->tcp, struct ending_connection);
+      = mq_check_alloc (talloc_zero (caller->tcp, struct ending_connection));
 
-  if (ending_connection == NULL)
-    return;
   ending_connection->router = caller->router;
+  ending_connection->bytes = mq_tcp_unsent_bytes (caller->tcp);
   ending_connection->router->ending_count++;
+  ending_connection->router->buffered_bytes += ending_connection->bytes;
   talloc_set_destructor (ending_connection, remove_ending);
 }
 
-static void
-finish_caller (struct mq_caller *caller)
+void
+caller_finish (struct mq_caller *caller)
 {
   talloc_steal (caller->router, caller->tcp);
   add_ending (caller);
@@ -150,8 +145,8 @@
   detach_caller (caller);
 }
 
-static void
-destroy_caller (struct mq_caller *caller)
+void
+caller_destroy (struct mq_caller *caller)
 {
   talloc_steal (caller->router, caller->tcp);
   mq_tcp_destroy (caller->tcp);
@@ -168,7 +163,7 @@
   caller->request = NULL;
   if (request != NULL)
     mq_request_caller_disconnected (request, end);
-  destroy_caller (caller);
+  caller_destroy (caller);
 }
 
 static void
@@ -179,10 +174,14 @@
   (void)tcp;
   if (caller->request != NULL)
     mq_request_caller_writable (caller->request);
+  if (!caller->held)
+    return;
+  caller->held = false;
+  parse_read_ahead (caller);
 }
 
-static void
-refuse_message (struct mq_caller *caller, enum mq_refusal refusal)
+void
+caller_refuse_message (struct mq_caller *caller, enum mq_refusal refusal)
 {
   struct mq_json_line line;
 
@@ -195,11 +194,32 @@
   mq_caller_refuse (caller->router, caller, refusal, 0);
 }
 
+/* Announces BYTES of a body; refuses the message, none of which has run, if
+   they may not be buffered.
+
+   Failure: the bodies of many callers exceed the memory of the process, which
+   is killed with every request that waits.  */
+static bool
+reserve_body (struct mq_caller *caller, size_t bytes)
+{
+  if (bytes <= caller->body_bytes)
+    return true;
+  if (!mq_bounds_admits_body (caller->router->bytes_max, others_bytes (caller),
+                              bytes))
+    {
+      caller_refuse_message (caller, MQ_REFUSE_NO_MEMORY);
+      return false;
+    }
+  caller->body_bytes = bytes;
+  caller_count_bytes (caller);
+  return true;
+}
+
 static void
 on_head (const struct mq_http_head *head, void *user)
 {
   struct mq_caller *caller = user;
-  struct mq_route_limits limits = current_limits (caller->router);
+  struct mq_route_limits limits = caller_limits (caller->router);
   const char *expect = mq_http_head_find (head, "Expect");
 
   caller->head = head;
@@ -208,7 +228,9 @@
   if (!head->keep_alive)
     caller->closing = true;
   if (head->has_length && head->length > limits.body_bytes)
-    refuse_message (caller, MQ_REFUSE_BODY_TOO_LARGE);
+    caller_refuse_message (caller, MQ_REFUSE_BODY_TOO_LARGE);
+  else if (head->has_length && !reserve_body (caller, (size_t)head->length))
+    return;
   else if (expect != NULL && strcasecmp (expect, "100-continue") == 0)
     mq_tcp_write (caller->tcp, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 }
@@ -217,12 +239,15 @@
 on_body (const char *data, size_t len, void *user)
 {
   struct mq_caller *caller = user;
-  struct mq_route_limits limits = current_limits (caller->router);
+  struct mq_route_limits limits = caller_limits (caller->router);
 
   if (caller->dead || caller->answering)
     return;
-  if (!mq_buffer_append (caller, &caller->body, data, len, limits.body_bytes))
-    refuse_message (caller, MQ_REFUSE_BODY_TOO_LARGE);
+  if (caller->body.len + len > limits.body_bytes)
+    caller_refuse_message (caller, MQ_REFUSE_BODY_TOO_LARGE);
+  else if (reserve_body (caller, caller->body.len + len)
+           && !mq_buffer_append (caller, &caller->body, data, len, SIZE_MAX))
+    caller_refuse_message (caller, MQ_REFUSE_NO_MEMORY);
 }
 
 static void
@@ -268,7 +293,7 @@
       struct mq_error error = { .type = MQ_ERR_NONE };
       size_t used;
 
-      if (caller->answering)
+      if (caller->answering || caller->held)
         {
           if (!caller->closing
               && !mq_buffer_append (caller, &caller->read_ahead, data, len,
@@ -280,16 +305,16 @@
         {
           caller->arrived_ms = mq_clock_ms ();
           mq_http_reader_set_head_max (
-              caller->reader, current_limits (caller->router).header_bytes);
+              caller->reader, caller_limits (caller->router).header_bytes);
         }
       used = mq_http_reader_feed (caller->reader, data, len, &error);
       if (caller->dead || caller->answering)
         return;
       if (error.type != MQ_ERR_NONE)
         {
-          refuse_message (caller, error.type == MQ_ERR_TOO_LARGE
-                                      ? MQ_REFUSE_HEAD_TOO_LARGE
-                                      : MQ_REFUSE_BAD_REQUEST);
+          caller_refuse_message (caller, error.type == MQ_ERR_TOO_LARGE
+                                             ? MQ_REFUSE_HEAD_TOO_LARGE
+                                             : MQ_REFUSE_BAD_REQUEST);
           return;
         }
       data += used;
@@ -309,37 +334,56 @@
   caller->feeding = true;
   parse_data (caller, data, len);
   update_reading (caller);
+  if (!caller->dead)
+    caller_count_bytes (caller);
   caller->feeding = false;
   free_if_unused (caller);
 }
 
-/* Proceeds to the next request after a response, or closes the connection.  */
 static void
-finish_response (struct mq_caller *caller)
+parse_read_ahead (struct mq_caller *caller)
 {
   struct mq_buffer ahead = caller->read_ahead;
   bool nested = caller->feeding;
 
+  if (ahead.len == 0)
+    return;
+  memset (&caller->read_ahead, 0, sizeof caller->read_ahead);
+  caller->feeding = true;
+  parse_data (caller, ahead.data + ahead.at, ahead.len);
+  mq_buffer_clear (&ahead);
+  update_reading (caller);
+  if (!caller->dead)
+    caller_count_bytes (caller);
+  caller->feeding = nested;
+  free_if_unused (caller);
+}
+
+/* Proceeds to the next request after a response, or closes the connection.  A
+   caller that has not taken its responses is served later.
+
+   Failure: the responses to pipelined requests exceed the limit of unsent
+   bytes, and the connection is closed with none of them received.  */
+static void
+finish_response (struct mq_caller *caller)
+{
   caller->request = NULL;
   caller->active_ms = mq_clock_ms ();
   if (caller->closing)
     {
-      finish_caller (caller);
+      caller_finish (caller);
       return;
     }
   caller->answering = false;
   caller->head = NULL;
   mq_buffer_clear (&caller->body);
+  caller->body_bytes = 0;
+  caller->answer_bytes = 0;
+  caller_count_bytes (caller);
   mq_http_reader_next (caller->reader);
-  if (ahead.len == 0)
-    return;
-  memset (&caller->read_ahead, 0, sizeof caller->read_ahead);
-  caller->feeding = true;
-  parse_data (caller, ahead.data + ahead.at, ahead.len);
-  mq_buffer_clear (&ahead);
-  update_reading (caller);
-  caller->feeding = nested;
-  free_if_unused (caller);
+  caller->held = mq_tcp_unsent_bytes (caller->tcp) > MQ_TCP_HIGH_BYTES;
+  if (!caller->held)
+    parse_read_ahead (caller);
 }
 
 void
@@ -361,7 +405,7 @@
 {
   uint64_t advertised_s;
 
-  caller->advertised_idle_ms = current_limits (caller->router).idle_ms;
+  caller->advertised_idle_ms = caller_limits (caller->router).idle_ms;
   advertised_s
       = (uint64_t)caller->advertised_idle_ms * ADVERTISED_FIFTHS / 5U / 1000U;
   if (advertised_s > 0)
@@ -389,15 +433,16 @@
   if (caller->router->stopping)
     caller->closing = true;
   write_connection_field (caller, connection, sizeof connection);
-  text
-      = talloc_asprintf (caller, "HTTP/1.1 %d %s\r\n%s%s%s\r\n", status,
-                         mq_http_reason (status), fields, framing, connection);
-  if (text == NULL)
-    return;
+  text = mq_check_alloc (
+      talloc_asprintf (caller, "HTTP/1.1 %d %s\r\n%s%s%s\r\n", status,
+                       mq_http_reason (status), fields, framing, connection));
   /* One write, so that a short response is sent in one segment.  */
-  mq_buffer_append (caller, &out, text, strlen (text), SIZE_MAX);
-  mq_buffer_append (caller, &out, body, len, SIZE_MAX);
+  mq_buffer_add (caller, &out, text, strlen (text));
+  if (len < LARGE_BODY_BYTES)
+    mq_buffer_add (caller, &out, body, len);
   mq_tcp_write (caller->tcp, out.data + out.at, out.len);
+  if (len >= LARGE_BODY_BYTES)
+    mq_tcp_write (caller->tcp, body, len);
   mq_buffer_clear (&out);
   talloc_free (text);
 }
@@ -417,6 +462,17 @@
   finish_response (caller);
 }
 
+bool
+mq_caller_may_buffer (struct mq_caller *caller, size_t len)
+{
+  if (!mq_bounds_admits_answer (caller->router->bytes_max,
+                                others_bytes (caller), len))
+    return false;
+  caller->answer_bytes = len;
+  caller_count_bytes (caller);
+  return true;
+}
+
 void
 mq_caller_begin_stream (struct mq_caller *caller, int status,
                         const char *fields)
@@ -433,9 +489,9 @@
   bool reads;
 
   snprintf (size, sizeof size, "%zx\r\n", len);
-  mq_buffer_append (caller, &out, size, strlen (size), SIZE_MAX);
-  mq_buffer_append (caller, &out, data, len, SIZE_MAX);
-  mq_buffer_append (caller, &out, "\r\n", 2, SIZE_MAX);
+  mq_buffer_add (caller, &out, size, strlen (size));
+  mq_buffer_add (caller, &out, data, len);
+  mq_buffer_add (caller, &out, "\r\n", 2);
   reads = mq_tcp_write (caller->tcp, out.data + out.at, out.len);
   mq_buffer_clear (&out);
   return reads;
@@ -453,11 +509,11 @@
 mq_caller_abort (struct mq_caller *caller)
 {
   caller->request = NULL;
-  finish_caller (caller);
+  caller_finish (caller);
 }
 
-static void
-add_caller (struct mq_router *router, int fd)
+void
+caller_add (struct mq_router *router, int fd)
 {
   struct mq_caller *caller = talloc_zero (router, struct mq_caller);
   struct mq_tcp_callbacks owner = {
@@ -480,6 +536,7 @@
       talloc_free (caller);
       return;
     }
+  mq_tcp_set_max_unsent (caller->tcp, UNSENT_MAX_BYTES);
   caller->next = router->callers;
   caller->link = &router->callers;
   if (caller->next != NULL)
@@ -487,188 +544,3 @@
   router->callers = caller;
   router->caller_count++;
 }
-
-/* Returns false if no connection is pending.  */
-static bool
-accept_caller (struct mq_router *router)
-{
-  int fd
-      = accept4 (router->front_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-  if (fd >= 0)
-    add_caller (router, fd);
-  /* An aborted connection may be followed by others.  */
-  return fd >= 0 || errno == ECONNABORTED;
-}
-
-static void
-on_accept (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
-           void *data)
-{
-  struct mq_router *router = data;
-
-  (void)ev;
-  (void)event;
-  (void)flags;
-  for (int i = 0; i < ACCEPT_BATCH && accept_caller (router); i++)
-    ;
-}
-
-bool
-mq_callers_listen (struct mq_router *router, struct mq_error *error)
-{
-  router->front_fd = mq_listen_open (router->settings->http, error);
-  if (router->front_fd < 0)
-    return false;
-  router->front_event = tevent_add_fd (router->ev, router, router->front_fd,
-                                       TEVENT_FD_READ, on_accept, router);
-  return router->front_event != NULL;
-}
-
-/* Closes an idle connection at once, which resets a request that crosses the
-   close.  A half-close is used only while response data is unsent.
-
-   Failure: after a half-close such a request is read and discarded, and its
-   caller cannot tell that it did not run.  */
-static void
-close_idle (struct mq_caller *caller)
-{
-  if (mq_tcp_has_unsent (caller->tcp))
-    finish_caller (caller);
-  else
-    destroy_caller (caller);
-}
-
-/* Logs the idle time of a closed connection and the limit.  */
-static void
-log_idle_close (struct mq_router *router, uint64_t idle_for_ms,
-                uint32_t idle_ms)
-{
-  struct mq_json_line line;
-
-  mq_json_begin (&line, router->log, MQ_JSON_HIGH_PRIORITY,
-                 MQ_LOG_CALLER_CLOSED);
-  mq_json_number (&line, "rested_ms", idle_for_ms);
-  mq_json_number (&line, "idle_ms", idle_ms);
-  mq_json_end (&line);
-}
-
-/* Closes a connection that exceeded the idle timeout; callers that vanished
-   would otherwise hold memory and descriptors.  */
-static void
-check_idle (struct mq_caller *caller, uint32_t idle_ms, uint64_t now)
-{
-  struct mq_router *router = caller->router;
-  uint64_t idle_for_ms = now - caller->active_ms;
-
-  if (idle_ms < caller->advertised_idle_ms)
-    idle_ms = caller->advertised_idle_ms;
-  if (idle_for_ms <= idle_ms)
-    return;
-  close_idle (caller);
-  log_idle_close (router, idle_for_ms, idle_ms);
-}
-
-/* Whether the time limits may be applied: unread data is processed first.
-
-   Failure: after a delay of the event loop, a connection is closed as idle
-   although its next request has arrived.  */
-static bool
-may_time_out (const struct mq_caller *caller)
-{
-  return !caller->answering && !mq_tcp_has_unread (caller->tcp);
-}
-
-static void
-check_caller (struct mq_caller *caller, const struct mq_route_limits *limits,
-              uint64_t now)
-{
-  if (!may_time_out (caller))
-    return;
-  if (mq_http_reader_in_message (caller->reader))
-    {
-      if (caller->head == NULL && now - caller->arrived_ms > limits->header_ms)
-        refuse_message (caller, MQ_REFUSE_SLOW_HEAD);
-      else if (now - caller->active_ms > limits->idle_ms)
-        refuse_message (caller, MQ_REFUSE_SLOW_HEAD);
-    }
-  else
-    check_idle (caller, limits->idle_ms, now);
-}
-
-void
-mq_callers_sweep (struct mq_router *router)
-{
-  struct mq_route_limits limits = current_limits (router);
-  uint64_t now = mq_clock_ms ();
-  struct mq_caller *next;
-
-  for (struct mq_caller *caller = router->callers; caller != NULL;
-       caller = next)
-    {
-      next = caller->next;
-      check_caller (caller, &limits, now);
-    }
-}
-
-static struct mq_request *
-find_pending_request (const struct mq_router *router)
-{
-  const struct mq_caller *caller = router->callers;
-
-  while (caller != NULL && caller->request == NULL)
-    caller = caller->next;
-  return caller == NULL ? NULL : caller->request;
-}
-
-/* Searches again after each request, since its end may complete others.  */
-void
-mq_callers_end (struct mq_router *router)
-{
-  struct mq_request *request;
-
-  while ((request = find_pending_request (router)) != NULL)
-    mq_request_end (request);
-}
-
-void
-mq_callers_log_unanswered (struct mq_router *router)
-{
-  for (struct mq_caller *caller = router->callers; caller != NULL;
-       caller = caller->next)
-    if (caller->request != NULL)
-      mq_request_log_unanswered (caller->request, "exited");
-}
-
-/* Accepts all pending connections before closing the listener.
-
-   Failure: closing the listener resets the pending connections, and requests
-   sent on them get no response.  */
-static void
-close_listener (struct mq_router *router)
-{
-  while (accept_caller (router))
-    ;
-  TALLOC_FREE (router->front_event);
-  close (router->front_fd);
-  router->front_fd = -1;
-}
-
-void
-mq_callers_stop (struct mq_router *router)
-{
-  struct mq_caller *next;
-
-  if (router->front_event != NULL)
-    {
-      close_listener (router);
-      return;
-    }
-  for (struct mq_caller *caller = router->callers; caller != NULL;
-       caller = next)
-    {
-      next = caller->next;
-      if (may_time_out (caller) && !mq_http_reader_in_message (caller->reader))
-        close_idle (caller);
-    }
-}
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -1,11 +1,11 @@
 /* router_state.h - state and interfaces shared by the modules of the router.
 
-   router.c is on top; below it are router_caller.c (connections of callers),
-   router_request.c (life cycle of a request), router_turn.c, router_program.c
-   and router_loan.c (histories and budgets of programs), router_feed.c (feeds
-   of the configuration and the workers) and router_config.c (the active
-   configuration).  router_try.c, router_pool.c and the modules below them do
-   not use this header.
+   router.c is on top; below it are router_callers.c and router_caller.c
+   (connections of callers), router_request.c (life cycle of a request),
+   router_turn.c, router_program.c and router_loan.c (histories and budgets of
+   programs), router_feed.c (feeds of the configuration and the workers) and
+   router_config.c (the active configuration).  router_try.c, router_pool.c and
+   the modules below them do not use this header.
    Needs: the modules it includes.  */
 
 #ifndef MQ_ROUTER_STATE_H
@@ -13,6 +13,7 @@
 
 #include "core/router/admission.h"
 #include "core/router/attempt.h"
+#include "core/router/bounds.h"
 #include "core/router/budget.h"
 #include "core/router/chain.h"
 #include "core/router/event_stream.h"
@@ -42,6 +43,7 @@
   X (failed, "final answers of our own after a worker may have run")          \
   X (broken, "answers that broke off after their beginning")                  \
   X (left, "requests whose caller left first")                                \
+  X (callers_closed, "idle connections of callers closed to make room")       \
   X (unanswered, "requests cut off by this host before their final answer")   \
   X (retries, "further workers asked for a request")                          \
   X (resumed, "streams that went on at another worker")                       \
@@ -95,6 +97,9 @@
  * @stop_ms: time limit of a stop
  * @random: state of the random number generator
  * @callers: list of the connections of callers
+ * @callers_max: connections that callers may hold
+ * @bytes_max: bytes of requests and answers that may be buffered
+ * @buffered_bytes: such bytes of all connections of callers
  * @ending_count: finished connections of callers that are not closed yet
  * @request_count: requests without a final response
  * @latency: latency of forwarded responses by kind of route, milliseconds
@@ -132,7 +137,10 @@
   uint64_t random;
   struct mq_caller *callers;
   size_t caller_count;
+  size_t callers_max;
   size_t ending_count;
+  uint64_t bytes_max;
+  uint64_t buffered_bytes;
   size_t request_count;
   struct mq_router_counters counters;
   struct mq_recent record_wait;
@@ -172,6 +180,7 @@
   MQ_REFUSE_EXITING, /* the time of a stop is over */
   MQ_REFUSE_NO_WORKER,
   MQ_REFUSE_NO_CAPACITY,
+  MQ_REFUSE_NO_MEMORY,  /* buffered bytes are at their limit */
   MQ_REFUSE_OVERLOADED, /* a new program, because of the load */
   MQ_REFUSE_LATE,       /* likewise, and its deadline is at risk */
   MQ_REFUSE_TABLE_UNAVAILABLE,
@@ -180,10 +189,13 @@
   MQ_REFUSE_DEADLINE_EXCEEDED /* may have run; the deadline has passed */
 };
 
-/* router_caller.c */
+/* router_callers.c */
 
 /* Listens for callers.  Returns false with ERROR set on failure.  */
 bool mq_callers_listen (struct mq_router *router, struct mq_error *error);
+/* Closes the caller that has been idle for longest, so that its descriptor can
+   be used; returns false if none is idle.  */
+bool mq_callers_make_room (struct mq_router *router);
 /* Closes connections that exceed the idle or header time limit.  */
 void mq_callers_sweep (struct mq_router *router);
 /* The first call accepts the pending connections and closes the listener;
@@ -194,6 +206,9 @@
 /* Logs and counts the requests that have no final answer when the process
    exits.  */
 void mq_callers_log_unanswered (struct mq_router *router);
+
+/* router_caller.c */
+
 /* Until it is answered, REQUEST is notified of events on the connection of
    CALLER.  */
 void mq_caller_attach_request (struct mq_caller *caller,
@@ -203,6 +218,8 @@
 void mq_caller_respond (struct mq_caller *caller, int status,
                         const char *fields, const void *body, size_t len,
                         bool with_body);
+/* Whether the answer, LEN bytes so far, may be buffered.  */
+bool mq_caller_may_buffer (struct mq_caller *caller, size_t len);
 /* Sends a response in chunks. mq_caller_send_chunk returns false while the
    send buffer is full.  */
 void mq_caller_begin_stream (struct mq_caller *caller, int status,
--- a/src/router/router_try.h
+++ b/src/router/router_try.h
@@ -25,6 +25,7 @@
  * @repeatable: the request may run more than once
  * @begun: the response head was already sent to the caller
  * @detect_inactivity: give up a worker that is inactive for too long
+ * @may_buffer: whether the body of a plain answer may grow to LEN bytes
  * @events: called when complete events can be taken from @answer
  * @ended: called once, after the attempt was freed; not called after
  *         mq_try_stop
@@ -43,14 +44,18 @@
   bool repeatable;
   bool begun;
   bool detect_inactivity;
+  bool (*may_buffer) (size_t len, void *user);
   void (*events) (void *user);
   void (*ended) (enum mq_attempt_end end, void *user);
   void *user;
 };
 
-/* Returns NULL if the worker can't be reached; ENDED is not called then.  */
+/* Returns NULL with ERROR set if no connection can be opened; ENDED is not
+   called then.  An error of this host, for which mq_socket_shortage is true,
+   does not count against the worker.  */
 struct mq_try *mq_try_begin (TALLOC_CTX *ctx,
-                             const struct mq_try_options *options);
+                             const struct mq_try_options *options,
+                             struct mq_error *error);
 /* Cancels the attempt and reports OUTCOME to the fleet.  TRY may be NULL.  */
 void mq_try_stop (struct mq_try *try, enum mq_fleet_outcome outcome);
 /* Whether any byte of the request was sent.  */
