Test, failing: the table's breaker beside a long answer

What callers see: while a host reads a long configuration over a slow link, its other calls to the table time out behind it; after four of them the table counts as down though the answer is still coming in, and all calls to it are refused at once.

--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -246,6 +246,8 @@
  */
 #define BLOCKS_MAX 20
 #define EVENTS_BETWEEN 64
+/* Pieces of a long answer, PIECE_MS apart.  */
+#define LONG_PIECES 25
 #define ANSWER "{\"ver\":1,\"nowMs\":1,\"rows\":[]}"
 
 /**
@@ -458,3 +460,39 @@
                 table->failed, blocks);
   talloc_free (table);
 }
+
+/* Failure: four calls time out while a long answer is coming in on the same
+   link; the table counts as down, and all calls fail at once.  */
+Test (rows, long_answer_keeps_the_table_up, .timeout = 60)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+  static const char end[] = "1b\r\n{\"ver\":1,\"nowMs\":1,\"rows\":[\r\n"
+                            "2\r\n]}\r\n0\r\n\r\n";
+  struct held_table *table = make_held_table ();
+  struct raw_link *link;
+
+  start_calls (table, 1);
+  wait_for_calls (table, 1);
+  table->holds = true;
+  start_calls (table, 5);
+  while (table->held_count < 5)
+    tevent_loop_once (table->ev);
+  link = table->held[0];
+  raw_link_write (link, head, sizeof head - 1);
+  for (int i = 0; i < LONG_PIECES; i++)
+    {
+      bool done = false;
+
+      raw_link_write (link, "1\r\n \r\n", 6);
+      mq_timer_add (table->ev, table->ev, PIECE_MS, on_timer, &done);
+      while (!done)
+        tevent_loop_once (table->ev);
+      cr_assert_not (mq_rows_down (table->rows), "after %d pieces", i);
+    }
+  raw_link_write (link, end, sizeof end - 1);
+  wait_for_calls (table, 6);
+  cr_expect_eq (table->failed, 4);
+  cr_expect_eq (table->ok, 2);
+  talloc_free (table);
+}
