Test, failing: a feed of the table that comes in pieces

What callers see: a host whose feed brings a long configuration over a slow link cuts it off 1.5 s after it asked, a list after 1.2 s, and reads it again from the start; it goes on with an outdated configuration meanwhile.

--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -103,6 +103,8 @@
 /* Longest time of an answer that never ends, and of one that stops.  */
 #define ANSWER_MAX_MS 8000U
 #define STOPPED_MAX_MS 2000U
+/* Of an answer that takes longer than a feed may wait for one to begin.  */
+#define FEED_PIECES 50
 
 /**
  * struct slow_table - a table that sends each answer in pieces
@@ -110,6 +112,7 @@
  *          completes it, unless @ends is false
  * @link: connection of the answer being sent
  * @sent: pieces of it sent so far
+ * @requests: requests received
  * @calls: calls that ended
  * @status: of the last one
  */
@@ -122,6 +125,7 @@
   bool ends;
   struct raw_link *link;
   uint32_t sent;
+  uint32_t requests;
   uint32_t calls;
   enum mq_store_status status;
 };
@@ -154,6 +158,7 @@
   struct slow_table *table = user;
 
   (void)request;
+  table->requests++;
   table->link = link;
   table->sent = 0;
   raw_link_write (link, head, sizeof head - 1);
@@ -234,6 +239,36 @@
     }
 }
 
+static void
+on_slow_list (bool begins, void *user)
+{
+  struct slow_table *table = user;
+
+  if (!begins)
+    table->calls++;
+}
+
+/* Failure: a list or a feed is cut off while its answer is coming in, read
+   again from the start and cut off again, and the host keeps an outdated
+   configuration.  */
+Test (rows, feed_in_pieces_is_waited_for, .timeout = 60)
+{
+  struct slow_table *table = make_slow_table ();
+  struct mq_rows_watcher watcher
+      = { .list = on_slow_list, .row = on_row, .user = table };
+
+  table->pieces = FEED_PIECES;
+  table->ends = true;
+  mq_rows_watch (table->rows, "t", &watcher);
+  while (table->calls == 0 && table->requests < 2)
+    tevent_loop_once (table->ev);
+  cr_expect_eq (table->calls, 1, "the list was read again");
+  while (table->requests < 3 && mq_rows_feeds_healthy (table->rows))
+    tevent_loop_once (table->ev);
+  cr_expect (mq_rows_feeds_healthy (table->rows), "the feed was cut off");
+  talloc_free (table);
+}
+
 /* A table whose answers arrive while the event loop is blocked */
 
 #define HELD_MAX 16U
