Test, failing: a request on an idle connection of mimosa-entryd

A caller that used its kept connection after the idle limit, while the event loop of mimosa-entryd was blocked, saw the connection closed without a response. libmicrohttpd ends connections over their time before it reads what lies on them. The idle time becomes an option of the server, for the test. http_close::request_on_an_idle_connection_is_answered fails on this code, in 3 of 3 rows; only_idle_connections_are_closed passes and is there so that the limit stays in force.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -445,8 +445,7 @@
       MHD_OPTION_NOTIFY_CONNECTION, connection_changed, server,
       MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       CONNECTION_BYTES, MHD_OPTION_CONNECTION_LIMIT, (unsigned int)connections,
-      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)(MQ_HTTP_IDLE_MS / 1000),
-      MHD_OPTION_END);
+      MHD_OPTION_CONNECTION_TIMEOUT, server->idle_ms / 1000, MHD_OPTION_END);
 }
 
 /* Ends all requests, notifies their users and stops the daemon.  Inside
@@ -522,6 +521,7 @@
   server->stream_buffer_max = options->stream_buffer_max == 0
                                   ? MQ_STREAM_BUFFER_BYTES
                                   : options->stream_buffer_max;
+  server->idle_ms = options->idle_ms == 0 ? MQ_HTTP_IDLE_MS : options->idle_ms;
   limit_send_buffers (fd);
   server->port = mq_listen_port (fd);
   server->immediate = tevent_create_immediate (server);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -23,6 +23,8 @@
  * @connections_max: 0: MQ_CONNECTIONS_MAX
  * @stream_buffer_max: unsent bytes at which a stream is closed; 0:
  *                     MQ_STREAM_BUFFER_BYTES
+ * @idle_ms: time after which an idle connection is closed; 0:
+ *           MQ_HTTP_IDLE_MS
  */
 struct mq_http_server_options
 {
@@ -30,6 +32,7 @@
   size_t body_max;
   uint32_t connections_max;
   size_t stream_buffer_max;
+  uint32_t idle_ms;
 };
 
 /* HANDLER is called once for each request after its whole body was received.
--- a/src/net/http_state.h
+++ b/src/net/http_state.h
@@ -40,6 +40,7 @@
   void *data;
   size_t body_max;
   size_t stream_buffer_max;
+  uint32_t idle_ms;
   uint16_t port;
   struct mq_http_request *requests;
   size_t in_progress;
--- /dev/null
+++ b/tests/test_http_close.c
@@ -0,0 +1,276 @@
+/* test_http_close.c - connections that the HTTP server closes, and the
+   requests on them.
+
+   Needs: Criterion, http_peer.h, http_server.h.  */
+
+#include "http_peer.h"
+#include "net/clock.h"
+#include "net/http_server.h"
+#include <criterion/criterion.h>
+#include <string.h>
+#include <unistd.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+#define TEXT_BYTES 8192
+#define TICK_US 2000
+#define LIMIT_MS 30000U
+#define IDLE_MS 1000U
+/* Longer than the idle timeout.  */
+#define BLOCKED_MS 1200U
+/* Time in which an idle connection is closed, long enough for a busy
+   machine.  */
+#define CLOSED_MS 10000U
+#define BLOCK_BYTES ((size_t)1 << 24)
+
+#define LINE "GET /echo HTTP/1.1\r\n"
+#define HOST "Host: a\r\n"
+#define GET LINE HOST "\r\n"
+#define HOLD "GET /hold HTTP/1.1\r\n" HOST "\r\n"
+#define STREAM "GET /stream HTTP/1.1\r\n" HOST "\r\n"
+#define POST "POST /echo HTTP/1.1\r\n" HOST "Content-Length: 2\r\n\r\n"
+
+static struct tevent_context *ev;
+static struct mq_http_server *server;
+static struct mq_http_request *held;
+static char answer[TEXT_BYTES];
+
+static void
+tick (struct tevent_context *loop, struct tevent_timer *timer,
+      struct timeval now, void *data)
+{
+  (void)timer;
+  (void)now;
+  tevent_add_timer (loop, loop, tevent_timeval_current_ofs (0, TICK_US), tick,
+                    data);
+}
+
+static void
+on_closed (struct mq_http_request *request, void *data)
+{
+  (void)request;
+  (void)data;
+  held = NULL;
+}
+
+static void
+handler (struct mq_http_request *request, void *data)
+{
+  (void)data;
+  if (strcmp (mq_http_path (request), "/echo") == 0)
+    {
+      mq_http_respond (request, 200, NULL, "whole", 5);
+      return;
+    }
+  if (strcmp (mq_http_path (request), "/stream") == 0)
+    mq_http_stream_begin (request, 200, "text/event-stream");
+  mq_http_on_closed (request, on_closed, NULL);
+  held = request;
+}
+
+static void
+create_server (uint32_t connections_max)
+{
+  struct mq_http_server_options options = { .address = "127.0.0.1:0",
+                                            .connections_max = connections_max,
+                                            .idle_ms = IDLE_MS };
+
+  server = mq_http_server_create (ev, ev, &options, handler, NULL, NULL);
+  cr_assert_not_null (server);
+}
+
+static void
+set_up (void)
+{
+  ev = tevent_context_init (NULL);
+  create_server (0);
+  tick (ev, NULL, (struct timeval){ 0 }, NULL);
+}
+
+static void
+tear_down (void)
+{
+  mq_http_server_destroy (server);
+  talloc_free (ev);
+}
+
+TestSuite (http_close, .init = set_up, .fini = tear_down, .timeout = 120);
+
+static int
+send_on_new (const char *text)
+{
+  int fd = raw_open (mq_http_server_port (server));
+
+  cr_assert_eq (raw_send (fd, text, strlen (text)), strlen (text));
+  return fd;
+}
+
+static void
+run_for (uint32_t ms)
+{
+  uint64_t end = mq_clock_ms () + ms;
+
+  while (mq_clock_ms () < end)
+    tevent_loop_once (ev);
+}
+
+/* Reads up to TEXT or the end of the connection; true if TEXT has arrived.  */
+static bool
+read_until (int fd, const char *wanted)
+{
+  uint64_t end = mq_clock_ms () + LIMIT_MS;
+
+  answer[0] = '\0';
+  while (strstr (answer, wanted) == NULL && mq_clock_ms () < end)
+    {
+      tevent_loop_once (ev);
+      if (raw_read (fd, answer, sizeof answer))
+        break;
+    }
+  return strstr (answer, wanted) != NULL;
+}
+
+/**
+ * struct unread_case - a request whose end arrives as its connection becomes
+ * idle
+ * @first: data sent before
+ * @answered: @first is a whole request
+ * @then: data sent while the event loop is blocked
+ */
+struct unread_case
+{
+  const char *name;
+  const char *first;
+  bool answered;
+  const char *then;
+};
+
+static const struct unread_case unread_cases[] = {
+  { "request", GET, true, GET },
+  { "rest of a head", LINE, false, HOST "\r\n" },
+  { "rest of a body", POST, false, "hi" },
+};
+
+/* Failure: the library ends idle connections before it reads; a whole request
+   that arrived while the event loop was blocked gets no response.  */
+Test (http_close, request_on_an_idle_connection_is_answered)
+{
+  for (size_t i = 0; i < ROWS (unread_cases); i++)
+    {
+      const struct unread_case *row = &unread_cases[i];
+      int fd = send_on_new (row->first);
+
+      if (row->answered)
+        cr_assert (read_until (fd, "whole"), "%s", row->name);
+      else
+        run_for (50);
+      usleep (BLOCKED_MS * 1000);
+      raw_send (fd, row->then, strlen (row->then));
+      cr_expect (read_until (fd, "whole"), "%s: %s", row->name, answer);
+      raw_close (fd, false);
+    }
+}
+
+enum rest
+{
+  REST_NOTHING_SENT,
+  REST_ANSWERED,
+  REST_PART_OF_HEAD,
+  REST_PART_OF_BODY,
+  REST_ANSWER_UNREAD,
+  REST_HELD,
+  REST_STREAM
+};
+
+static const char *
+rest_request (enum rest rest)
+{
+  switch (rest)
+    {
+    case REST_NOTHING_SENT:
+      return "";
+    case REST_ANSWERED:
+      return GET;
+    case REST_PART_OF_HEAD:
+      return LINE;
+    case REST_PART_OF_BODY:
+      return POST;
+    case REST_ANSWER_UNREAD:
+    case REST_HELD:
+      return HOLD;
+    case REST_STREAM:
+      break;
+    }
+  return STREAM;
+}
+
+static void
+respond_large (void)
+{
+  char *block = talloc_zero_size (ev, BLOCK_BYTES);
+
+  mq_http_respond (held, 200, NULL, block, BLOCK_BYTES);
+  talloc_free (block);
+}
+
+/* Runs the loop until the connection of FD is closed, for CLOSED_MS at most;
+   FD is read only if READS.  */
+static bool
+is_closed (int fd, bool reads)
+{
+  uint64_t end = mq_clock_ms () + CLOSED_MS;
+  bool ended = false;
+
+  answer[0] = '\0';
+  while (!ended && mq_clock_ms () < end)
+    {
+      tevent_loop_once (ev);
+      ended = reads ? raw_read (fd, answer, sizeof answer) : held == NULL;
+    }
+  return ended;
+}
+
+/* Failure: connections that rest are kept open, or one whose request waits for
+   its response is closed.  */
+Test (http_close, only_idle_connections_are_closed)
+{
+  static const struct
+  {
+    const char *name;
+    enum rest rest;
+    bool closes;
+  } rows[] = {
+    { "nothing sent", REST_NOTHING_SENT, true },
+    { "answered", REST_ANSWERED, true },
+    { "part of a head", REST_PART_OF_HEAD, true },
+    { "part of a body", REST_PART_OF_BODY, true },
+    { "response not read", REST_ANSWER_UNREAD, true },
+    { "request that waits", REST_HELD, false },
+    { "stream that waits", REST_STREAM, false },
+  };
+
+  for (size_t i = 0; i < ROWS (rows); i++)
+    {
+      int fd = send_on_new (rest_request (rows[i].rest));
+
+      if (rows[i].rest == REST_ANSWERED)
+        cr_assert (read_until (fd, "whole"));
+      run_for (50);
+      if (rows[i].rest == REST_ANSWER_UNREAD)
+        respond_large ();
+      if (rows[i].closes)
+        cr_expect (is_closed (fd, rows[i].rest != REST_ANSWER_UNREAD), "%s",
+                   rows[i].name);
+      else
+        {
+          run_for (3 * IDLE_MS);
+          cr_assert_not_null (held, "%s", rows[i].name);
+          if (rows[i].rest == REST_HELD)
+            mq_http_respond (held, 200, NULL, "whole", 5);
+          else
+            mq_http_stream_write (held, "whole", 5);
+          cr_expect (read_until (fd, "whole"), "%s", rows[i].name);
+        }
+      raw_close (fd, false);
+      run_for (50);
+    }
+}
