mimosa-entryd reads what has arrived before it closes an idle connection

A caller whose request came as its kept connection became idle, while the event loop was blocked, saw the connection closed without a response: libmicrohttpd ends connections over their time before it reads. Now the server itself looks for idle connections, eight times within the idle time: those on which the kernel has sent and received nothing for that time, on which nothing lies unread and no request waits for its response. They are shut down in both directions, so that what crosses is reset and not read. Bytes that the library has not read by the next check keep no connection open: it has no memory left for that head. Data that the kernel sends again counts as sent, so that a caller who has vanished is left out later than before. The timer of the library is gone with its limit.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,8 +1,8 @@
 /* http_server.c - HTTP server: libmicrohttpd on tevent.
 
    The daemon runs in external epoll mode: its epoll descriptor is a tevent
-   descriptor, its timeout a tevent timer.  A request that its handler does not
-   answer at once is suspended, and resumed by the response.
+   descriptor.  A request that its handler does not answer at once is
+   suspended, and resumed by the response.
    Needs: libmicrohttpd, tevent, jansson.  */
 
 #include "http_server.h"
@@ -42,38 +42,22 @@
                              server);
 }
 
-static void
-timer_fired (struct tevent_context *ev, struct tevent_timer *timer,
-             struct timeval now, void *data)
+/* Whether the library has work left that no event announces.  */
+static bool
+has_work (const struct mq_http_server *server)
 {
-  struct mq_http_server *server = data;
+  MHD_UNSIGNED_LONG_LONG wait_ms;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
-  server->timer = NULL;
-  run_daemon (server);
+  return MHD_get_timeout (server->daemon, &wait_ms) == MHD_YES && wait_ms == 0;
 }
 
-/* Keeps a timer that fires early enough; an early one only runs the daemon
-   once more.  */
-static void
-arm_timer (struct mq_http_server *server)
+static int
+connection_fd (struct MHD_Connection *connection)
 {
-  MHD_UNSIGNED_LONG_LONG wait_ms;
-  struct timeval at;
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_CONNECTION_FD);
 
-  if (MHD_get_timeout (server->daemon, &wait_ms) != MHD_YES)
-    return;
-  at = tevent_timeval_current_ofs ((uint32_t)(wait_ms / 1000),
-                                   (uint32_t)(wait_ms % 1000) * 1000);
-  if (server->timer != NULL
-      && tevent_timeval_compare (&server->timer_at, &at) <= 0)
-    return;
-  talloc_free (server->timer);
-  server->timer_at = at;
-  server->timer
-      = tevent_add_timer (server->ev, server, at, timer_fired, server);
+  return info == NULL ? -1 : info->connect_fd;
 }
 
 /* At its connection limit libmicrohttpd stops accepting, and checks only at
@@ -87,10 +71,17 @@
 {
   struct mq_http_server *server = cls;
 
-  (void)connection;
-  (void)socket_data;
-  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
-    server->has_room = true;
+  switch (code)
+    {
+    case MHD_CONNECTION_NOTIFY_STARTED:
+      *socket_data
+          = mq_http_connection_open (server, connection_fd (connection));
+      break;
+    case MHD_CONNECTION_NOTIFY_CLOSED:
+      mq_http_connection_closed (*socket_data);
+      server->has_room = true;
+      break;
+    }
 }
 
 static void
@@ -108,10 +99,9 @@
     }
   if (server->closing && !was_closing)
     close_listener (server);
-  if (server->has_room)
+  if (server->has_room || has_work (server))
     run_again (server);
   server->has_room = false;
-  arm_timer (server);
 }
 
 static void
@@ -238,20 +228,23 @@
   struct mq_http_request *request
       = talloc_zero (server, struct mq_http_request);
   const union MHD_ConnectionInfo *info = MHD_get_connection_info (
-      connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
 
   if (request == NULL)
     return NULL;
   request->method = talloc_strdup (request, method);
   request->path = talloc_strdup (request, path);
-  if (request->method == NULL || request->path == NULL || info == NULL)
+  if (request->method == NULL || request->path == NULL || info == NULL
+      || info->socket_context == NULL)
     {
       talloc_free (request);
       return NULL;
     }
   request->server = server;
   request->connection = connection;
-  request->fd = info->connect_fd;
+  request->place = info->socket_context;
+  request->place->request = request;
+  request->fd = request->place->fd;
   talloc_set_destructor (request, request_freed);
   if (server->requests != NULL)
     server->requests->previous = request;
@@ -302,6 +295,8 @@
   request_unlink (request);
   request->server->in_progress--;
   request->connection = NULL;
+  request->place->request = NULL;
+  request->place = NULL;
   request->broken = true;
   request->suspended = false;
   TALLOC_FREE (request->watch);
@@ -445,7 +440,7 @@
       MHD_OPTION_NOTIFY_CONNECTION, connection_changed, server,
       MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       CONNECTION_BYTES, MHD_OPTION_CONNECTION_LIMIT, (unsigned int)connections,
-      MHD_OPTION_CONNECTION_TIMEOUT, server->idle_ms / 1000, MHD_OPTION_END);
+      MHD_OPTION_END);
 }
 
 /* Ends all requests, notifies their users and stops the daemon.  Inside
@@ -464,7 +459,7 @@
       mq_request_notify_closed (request);
     }
   TALLOC_FREE (server->fde);
-  TALLOC_FREE (server->timer);
+  TALLOC_FREE (server->idle_timer);
   TALLOC_FREE (server->immediate);
   if (server->running)
     return -1;
--- a/src/net/http_state.h
+++ b/src/net/http_state.h
@@ -1,14 +1,15 @@
 /* http_state.h - internal state of the HTTP server; for src/net only.
 
    http_server.c runs the daemon in the event loop and receives requests;
-   http_request.c answers them.
-   Needs: http_server.h, buffer.h, libmicrohttpd, tevent.  */
+   http_request.c answers them; http_connections.c closes idle connections.
+   Needs: http_server.h, buffer.h, timer.h, libmicrohttpd, tevent.  */
 
 #ifndef MQ_HTTP_STATE_H
 #define MQ_HTTP_STATE_H
 
 #include "buffer.h"
 #include "http_server.h"
+#include "timer.h"
 #include <microhttpd.h>
 #include <tevent.h>
 
@@ -16,11 +17,11 @@
  * struct mq_http_server - a listening socket and its requests
  * @daemon: libmicrohttpd's daemon
  * @fde: epoll descriptor of the daemon
- * @timer: timeout of the daemon, NULL if none is set
- * @timer_at: time at which @timer fires
  * @immediate: runs the daemon in the next iteration of the event loop
  * @handler: called for each complete request
  * @data: argument of @handler
+ * @idle_timer: next check for idle connections, NULL if none is open
+ * @connections: open connections
  * @requests: requests whose connection is open
  * @in_progress: number of requests in progress
  * @running: inside MHD_run, where the daemon cannot be stopped
@@ -33,8 +34,6 @@
   struct tevent_context *ev;
   struct MHD_Daemon *daemon;
   struct tevent_fd *fde;
-  struct tevent_timer *timer;
-  struct timeval timer_at;
   struct tevent_immediate *immediate;
   mq_http_handler *handler;
   void *data;
@@ -42,6 +41,8 @@
   size_t stream_buffer_max;
   uint32_t idle_ms;
   uint16_t port;
+  struct mq_timer *idle_timer;
+  struct mq_http_connection *connections;
   struct mq_http_request *requests;
   size_t in_progress;
   bool running;
@@ -50,6 +51,23 @@
   bool destroy_pending;
 };
 
+/**
+ * struct mq_http_connection - an open connection
+ * @next: in @server->connections
+ * @previous: in @server->connections
+ * @request: in progress, NULL if none
+ * @unread: bytes lay unread when the connection was found idle last
+ */
+struct mq_http_connection
+{
+  struct mq_http_server *server;
+  struct mq_http_connection *next;
+  struct mq_http_connection *previous;
+  struct mq_http_request *request;
+  int fd;
+  bool unread;
+};
+
 struct mq_http_header_line
 {
   struct mq_http_header_line *next;
@@ -62,6 +80,8 @@
  * @next: in @server->requests
  * @previous: in @server->requests
  * @connection: NULL once the request has ended
+ * @place: the connection in @server->connections, NULL once the request has
+ *         ended
  * @path: without the query
  * @body: bytes received so far
  * @discarded: discarded bytes of a body over the limit
@@ -86,6 +106,7 @@
   struct mq_http_request *next;
   struct mq_http_request *previous;
   struct MHD_Connection *connection;
+  struct mq_http_connection *place;
   int fd;
   const char *method;
   const char *path;
@@ -116,4 +137,10 @@
 /* Calls on_closed, once.  */
 void mq_request_notify_closed (struct mq_http_request *request);
 
+/* NULL if out of memory.  */
+struct mq_http_connection *
+mq_http_connection_open (struct mq_http_server *server, int fd);
+/* CONNECTION may be NULL.  */
+void mq_http_connection_closed (struct mq_http_connection *connection);
+
 #endif
--- a/tests/test_http_close.c
+++ b/tests/test_http_close.c
@@ -20,6 +20,9 @@
 /* Time in which an idle connection is closed, long enough for a busy
    machine.  */
 #define CLOSED_MS 10000U
+/* Leaves too little of a connection's memory for the library to read on, and
+   too much for it to refuse the head.  */
+#define UNREAD_HEAD_BYTES 32640U
 #define BLOCK_BYTES ((size_t)1 << 24)
 
 #define LINE "GET /echo HTTP/1.1\r\n"
@@ -176,11 +179,21 @@
   REST_ANSWERED,
   REST_PART_OF_HEAD,
   REST_PART_OF_BODY,
+  REST_HEAD_UNREAD,
   REST_ANSWER_UNREAD,
   REST_HELD,
   REST_STREAM
 };
 
+static const char *
+filled (size_t len)
+{
+  char *bytes = talloc_zero_size (ev, len + 1);
+
+  memset (bytes, 'x', len);
+  return bytes;
+}
+
 static const char *
 rest_request (enum rest rest)
 {
@@ -194,6 +207,10 @@
       return LINE;
     case REST_PART_OF_BODY:
       return POST;
+    case REST_HEAD_UNREAD:
+      return talloc_asprintf (
+          ev, "GET /echo?%s HTTP/1.1\r\n" HOST "More: %s\r\n\r\n",
+          filled (UNREAD_HEAD_BYTES), filled (100));
     case REST_ANSWER_UNREAD:
     case REST_HELD:
       return HOLD;
@@ -243,6 +260,7 @@
     { "answered", REST_ANSWERED, true },
     { "part of a head", REST_PART_OF_HEAD, true },
     { "part of a body", REST_PART_OF_BODY, true },
+    { "head that the library does not read", REST_HEAD_UNREAD, true },
     { "response not read", REST_ANSWER_UNREAD, true },
     { "request that waits", REST_HELD, false },
     { "stream that waits", REST_STREAM, false },
