A stop of mimosa-entryd ends when no connection is left

A caller that used its kept connection just as a stop ended saw it closed without a response: the process ended when no request was in progress, whatever lay unread on the connections that callers keep. Now, once the host is idle and its listening socket closed, connections on which nothing lies unread are shut down, so that what crosses is reset and not read, requests that lie unread are answered, and the process ends with the last connection or the stop's time. daemon_stop::entry_answers_requests_at_the_end failed before and passes; http_close::stop_closes_connections_without_a_request, 5 rows, is new. test_http 16 of 16, test_http_close 3 of 3, test_api 6 of 6, process::entry_leaves and entry_leaves_after_target_died pass.

--- a/src/entry/api.c
+++ b/src/entry/api.c
@@ -471,6 +471,12 @@
   mq_http_server_stop_accepting (api->server);
 }
 
+bool
+mq_api_close_idle (struct mq_api *api)
+{
+  return mq_http_server_close_idle (api->server);
+}
+
 size_t
 mq_api_in_progress (const struct mq_api *api)
 {
--- a/src/entry/api.h
+++ b/src/entry/api.h
@@ -75,6 +75,8 @@
 void mq_api_drain (struct mq_api *api);
 /* Closes the listening socket.  */
 void mq_api_stop_accepting (struct mq_api *api);
+/* Closes the connections without a request; true once none is open.  */
+bool mq_api_close_idle (struct mq_api *api);
 /* Number of HTTP requests whose response is incomplete.  */
 size_t mq_api_in_progress (const struct mq_api *api);
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -44,8 +44,9 @@
   entry->done (entry->user);
 }
 
-/* Closes the callers' listening socket only when the host is idle, so that
-   late requests receive an error response instead of a refused connection. */
+/* Closes the callers' listening socket, and then their connections, only when
+   the host is idle, so that late requests receive an error response instead of
+   a refused connection.  */
 static void
 check_drained (struct mq_entry *entry)
 {
@@ -59,6 +60,8 @@
       mq_api_stop_accepting (entry->api);
       return;
     }
+  if (!late && !mq_api_close_idle (entry->api))
+    return;
   entry->stop = mq_check_alloc (tevent_create_immediate (entry));
   tevent_schedule_immediate (entry->stop, entry->ev, report_done, entry);
 }
--- a/src/net/http_connections.c
+++ b/src/net/http_connections.c
@@ -1,5 +1,5 @@
 /* http_connections.c - the open connections of the HTTP server; closes idle
-   ones.
+   ones, and all at a stop.
 
    libmicrohttpd's own idle limit ends a connection before it reads what has
    arrived on it, so it is not used.
@@ -135,3 +135,17 @@
   unlink_connection (connection);
   talloc_free (connection);
 }
+
+bool
+mq_http_server_close_idle (struct mq_http_server *server)
+{
+  const struct mq_http_connection *connection = server->connections;
+
+  /* A request that the library has read may not be known yet.  */
+  if (mq_http_server_has_work (server))
+    return false;
+  for (; connection != NULL; connection = connection->next)
+    if (connection->request == NULL && !has_unread (connection))
+      close_connection (connection);
+  return server->connections == NULL;
+}
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -42,9 +42,8 @@
                              server);
 }
 
-/* Whether the library has work left that no event announces.  */
-static bool
-has_work (const struct mq_http_server *server)
+bool
+mq_http_server_has_work (const struct mq_http_server *server)
 {
   MHD_UNSIGNED_LONG_LONG wait_ms;
 
@@ -99,7 +98,7 @@
     }
   if (server->closing && !was_closing)
     close_listener (server);
-  if (server->has_room || has_work (server))
+  if (server->has_room || mq_http_server_has_work (server))
     run_again (server);
   server->has_room = false;
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -47,6 +47,10 @@
 void mq_http_server_destroy (struct mq_http_server *server);
 /* Stops accepting connections; requests in progress continue.  */
 void mq_http_server_stop_accepting (struct mq_http_server *server);
+/* Closes the connections without a request, read or unread.  True once no
+   connection is open; call it until then, after
+   mq_http_server_stop_accepting.  */
+bool mq_http_server_close_idle (struct mq_http_server *server);
 size_t mq_http_server_in_progress (const struct mq_http_server *server);
 uint16_t mq_http_server_port (const struct mq_http_server *server);
 
--- a/src/net/http_state.h
+++ b/src/net/http_state.h
@@ -137,6 +137,9 @@
 /* Calls on_closed, once.  */
 void mq_request_notify_closed (struct mq_http_request *request);
 
+/* Whether the library has work left that no event announces.  */
+bool mq_http_server_has_work (const struct mq_http_server *server);
+
 /* NULL if out of memory.  */
 struct mq_http_connection *
 mq_http_connection_open (struct mq_http_server *server, int fd);
--- a/tests/test_http_close.c
+++ b/tests/test_http_close.c
@@ -292,3 +292,57 @@
       run_for (50);
     }
 }
+
+/**
+ * struct stop_case - a connection when all without a request are closed
+ * @first: data sent before
+ * @answered: @first is a whole request
+ * @then: unread data
+ * @responds: a response is expected
+ */
+struct stop_case
+{
+  const char *name;
+  const char *first;
+  bool answered;
+  const char *then;
+  bool responds;
+};
+
+static const struct stop_case stop_cases[] = {
+  { "answered", GET, true, "", false },
+  { "answered, next request unread", GET, true, GET, true },
+  { "new, request unread", "", false, GET, true },
+  { "request that waits", HOLD, false, "", true },
+  { "part of a body", POST, false, "hi", true },
+};
+
+/* Failure: a stop closes a connection with a whole request, or keeps one
+   without and never ends.  */
+Test (http_close, stop_closes_connections_without_a_request)
+{
+  for (size_t i = 0; i < ROWS (stop_cases); i++)
+    {
+      const struct stop_case *row = &stop_cases[i];
+      uint64_t end = mq_clock_ms () + LIMIT_MS;
+      int fd = send_on_new (row->first);
+      bool closed;
+
+      if (row->answered)
+        cr_assert (read_until (fd, "whole"), "%s", row->name);
+      run_for (50);
+      raw_send (fd, row->then, strlen (row->then));
+      mq_http_server_stop_accepting (server);
+      closed = mq_http_server_close_idle (server);
+      cr_expect_not (closed, "%s", row->name);
+      if (held != NULL)
+        mq_http_respond (held, 200, NULL, "whole", 5);
+      cr_expect_eq (read_until (fd, "whole"), row->responds, "%s", row->name);
+      while (!mq_http_server_close_idle (server) && mq_clock_ms () < end)
+        tevent_loop_once (ev);
+      cr_expect (mq_http_server_close_idle (server), "%s", row->name);
+      raw_close (fd, false);
+      mq_http_server_destroy (server);
+      create_server (0);
+    }
+}
