A stop of mimosa-targetd answers the requests of operators

An operator or monitor whose request came as a stop of mimosa-targetd ended saw the connection closed without a response: the listening socket stayed open to the end, and the process ended whatever lay unread in the backlog or on kept connections. Now it closes the listening socket when idle, after accepting what waits, and ends with the last connection or the stop's time, as mimosa-entryd does. daemon_stop::target_answers_requests_at_the_end failed before (2 of 2 rows) and passes; process::target_leaves, target_killed_in_notice and target_killed_in_answer pass.

--- a/src/target/target.c
+++ b/src/target/target.c
@@ -128,12 +128,23 @@
   target->done (target->user);
 }
 
+/* Closes the operators' listening socket, and then their connections, only
+   when the host is idle.  */
 static void
 check_drained (struct mq_target *target)
 {
-  if (!target->stopping || target->stop != NULL)
+  bool late = mq_clock_us () >= target->stop_until_us;
+
+  if (!target->stopping || target->stop != NULL
+      || (!is_idle (target) && !late))
     return;
-  if (!is_idle (target) && mq_clock_us () < target->stop_until_us)
+  if (!late && !target->closed)
+    {
+      target->closed = true;
+      mq_target_http_stop_accepting (target->http);
+      return;
+    }
+  if (!late && !mq_target_http_close_idle (target->http))
     return;
   target->stop = mq_check_alloc (tevent_create_immediate (target));
   tevent_schedule_immediate (target->stop, target->ev, report_done, target);
--- a/src/target/target_http.c
+++ b/src/target/target_http.c
@@ -78,3 +78,15 @@
 {
   return mq_http_server_in_progress (http->server);
 }
+
+void
+mq_target_http_stop_accepting (struct mq_target_http *http)
+{
+  mq_http_server_stop_accepting (http->server);
+}
+
+bool
+mq_target_http_close_idle (struct mq_target_http *http)
+{
+  return mq_http_server_close_idle (http->server);
+}
--- a/src/target/target_http.h
+++ b/src/target/target_http.h
@@ -18,5 +18,9 @@
 void mq_target_http_destroy (struct mq_target_http *http);
 uint16_t mq_target_http_port (const struct mq_target_http *http);
 size_t mq_target_http_in_progress (const struct mq_target_http *http);
+/* Closes the listening socket.  */
+void mq_target_http_stop_accepting (struct mq_target_http *http);
+/* Closes the connections without a request; true once none is open.  */
+bool mq_target_http_close_idle (struct mq_target_http *http);
 
 #endif
--- a/src/target/target_state.h
+++ b/src/target/target_state.h
@@ -47,6 +47,7 @@
   uint64_t stop_until_us;
   uint64_t quiet_since_us; /* idle since, or 0 if not idle */
   uint64_t quiet_calls;    /* calls received when quiet_since_us was set */
+  bool closed;             /* no longer accepts operators' connections */
   struct tevent_immediate *stop;
 };
 
