--- a/tests/test_daemon_stop.c
+++ b/tests/test_daemon_stop.c
@@ -10,8 +10,11 @@
 #include "target/target.h"
 #include "target/target_state.h"
 #include <criterion/criterion.h>
+#include <gnutls/crypto.h>
+#include <gnutls/gnutls.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define ROWS(table) (sizeof (table) / sizeof (table)[0])
 #define TEXT_BYTES 8192
@@ -236,3 +239,108 @@
 {
   expect_responses_at_the_end (MQ_HOST_TARGET);
 }
+
+/* Requests that wait when the time of a stop is over */
+
+static char *
+hash_hex (const char *key)
+{
+  uint8_t hash[MQ_KEY_BYTES];
+  char *text = talloc_strdup (ev, "");
+
+  gnutls_hash_fast (GNUTLS_DIG_SHA256, key, strlen (key), hash);
+  for (size_t i = 0; i < MQ_KEY_BYTES; i++)
+    text = talloc_asprintf_append (text, "%02x", hash[i]);
+  return text;
+}
+
+/* Lets callers of an organisation in; no host owns their programs.  */
+static void
+set_configuration (void)
+{
+  struct mq_text_errors errors = { 0 };
+  char *source = talloc_asprintf (
+      ev,
+      "[site]\nname = test\n[organisation hr]\nkey_sha256 = %s\n"
+      "[service models]\nkind = model\nmodel = m\ntimeout_ms = 60000\n"
+      "[service guide]\nkind = agent\ndepends = models\n"
+      "budget_seconds = 100\n",
+      hash_hex ("key-of-hr"));
+  struct mq_text *text = mq_text_parse (ev, source, strlen (source), &errors);
+
+  cr_assert_not_null (text, "line %u: %s", errors.items[0].line,
+                      errors.items[0].subject);
+  mq_api_set_text (entry->api, text);
+}
+
+#define PROGRAM "{\"service\":\"guide\",\"input\":\"x\"}"
+#define STREAM "{\"service\":\"guide\",\"input\":\"x\",\"stream\":true}"
+#define SHORT_STOP_SECONDS 1U
+/* Longer than a short stop takes.  */
+#define BLOCKED_MS 2500U
+
+static size_t
+send_program (int fd, const char *body, size_t len)
+{
+  const char *head = talloc_asprintf (
+      ev,
+      "POST /v1/programs HTTP/1.1\r\nHost: a\r\n"
+      "Authorization: Bearer key-of-hr\r\nContent-Length: %zu\r\n\r\n",
+      strlen (body));
+
+  raw_send (fd, head, strlen (head));
+  return raw_send (fd, body, len);
+}
+
+/**
+ * struct late_case - a request that waits when the time of a stop is over
+ * @body: of the request
+ * @blocked: the second half of the body arrives while the event loop is
+ *           blocked beyond that time
+ */
+struct late_case
+{
+  const char *name;
+  const char *body;
+  bool blocked;
+};
+
+static const struct late_case late_cases[] = {
+  { "request without an owner", PROGRAM, false },
+  { "stream without an owner", STREAM, false },
+  { "request that becomes complete", PROGRAM, true },
+};
+
+/* Failure: the time of a stop is over and the process ends while whole
+   requests wait; their callers see a closed connection.  */
+Test (daemon_stop, entry_refuses_requests_that_wait)
+{
+  for (size_t i = 0; i < ROWS (late_cases); i++)
+    {
+      const struct late_case *row = &late_cases[i];
+      size_t len = strlen (row->body);
+      size_t sent;
+      int fd;
+
+      start (MQ_HOST_ENTRY, SHORT_STOP_SECONDS);
+      set_configuration ();
+      fd = open_connection ();
+      sent = send_program (fd, row->body, row->blocked ? len / 2 : len);
+      while (mq_api_in_progress (entry->api) == 0)
+        tevent_loop_once (ev);
+      begin_stop ();
+      if (row->blocked)
+        {
+          usleep (BLOCKED_MS * 1000);
+          raw_send (fd, row->body + sent, len - sent);
+        }
+      run_until_done ();
+      read_until (fd, "not_run");
+      cr_expect_not_null (strstr (answer, " 503 "), "%s: %s", row->name,
+                          answer);
+      cr_expect_not_null (strstr (answer, "\"ran\":\"not_run\""), "%s: %s",
+                          row->name, answer);
+      raw_close (fd, false);
+      talloc_free (ev);
+    }
+}
