A stop of mimosa-entryd refuses what still waits when its time is over

Callers whose program had no owner, or ran longer than drain_seconds, saw their connection closed without a response when the stop's time was over: the process ended whatever waited. Now half a second before that the front refuses each request with `leaving`: not_run when no owner was ever sent it, else unknown; a stream gets the refusal as its last event. The listening socket is closed, and the process ends with the last connection, half a second later at most.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -83,6 +83,7 @@
 #define MQ_API_WAIT_MAX_MS 3600000U /* if the service is unknown */
 #define MQ_CONFIG_WAIT_MS 1000U     /* wait for a newer configuration */
 #define MQ_CONFIG_WAITERS_MAX 1024U /* requests in that wait */
+#define MQ_STOP_CLOSE_MS 500U       /* end of a stop: requests are refused */
 #define MQ_ENTRY_STOP_POLL_MS 50U   /* poll interval during shutdown */
 #define MQ_TARGET_STOP_POLL_MS 50U  /* the same on a target host */
 #define MQ_TARGET_IDLE_MS 1500U     /* no calls for this long: may exit */
--- a/src/core/owner/front.c
+++ b/src/core/owner/front.c
@@ -371,24 +371,41 @@
   front_remove_request (front, request);
 }
 
-/* Timers.  */
+/* Refusals.  */
 
+/* A request that was sent to an owner may have run.  */
 static void
-expire_request (struct mq_front *front, struct front_request *request,
+refuse_request (struct mq_front *front, struct front_request *request,
+                enum mq_error_type sent, enum mq_error_type not_sent,
                 struct mq_actions *actions)
 {
-  front->counters.timeouts++;
   if (request->sent)
     send_close (actions, request);
   if (request->sent_before)
-    send_refusal (front, actions, request->handle, MQ_ERR_TIMEOUT,
-                  MQ_RAN_UNKNOWN);
+    send_refusal (front, actions, request->handle, sent, MQ_RAN_UNKNOWN);
   else
-    send_refusal (front, actions, request->handle, MQ_ERR_NOT_READY,
-                  MQ_RAN_NOT_RUN);
+    send_refusal (front, actions, request->handle, not_sent, MQ_RAN_NOT_RUN);
   front_remove_request (front, request);
 }
 
+static void
+handle_stop (struct mq_front *front, struct mq_actions *actions)
+{
+  while (front->count > 0)
+    refuse_request (front, front->requests[front->count - 1], MQ_ERR_LEAVING,
+                    MQ_ERR_LEAVING, actions);
+}
+
+/* Timers.  */
+
+static void
+expire_request (struct mq_front *front, struct front_request *request,
+                struct mq_actions *actions)
+{
+  front->counters.timeouts++;
+  refuse_request (front, request, MQ_ERR_TIMEOUT, MQ_ERR_NOT_READY, actions);
+}
+
 /* True when the lookup gives another owner than when the request was sent,
    and that owner is not the peer that serves it.  */
 static bool
@@ -476,6 +493,9 @@
     case MQ_FRONT_CALLER_GONE:
       handle_caller_gone (front, input, actions);
       break;
+    case MQ_FRONT_STOP:
+      handle_stop (front, actions);
+      break;
     }
 }
 
--- a/src/core/owner/front.h
+++ b/src/core/owner/front.h
@@ -21,7 +21,8 @@
   MQ_FRONT_EVENT,   /* from the local owner or one at a peer */
   MQ_FRONT_PEER_UP,
   MQ_FRONT_PEER_DOWN,
-  MQ_FRONT_CALLER_GONE
+  MQ_FRONT_CALLER_GONE,
+  MQ_FRONT_STOP /* refuses all requests: the process ends */
 };
 
 /**
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -44,23 +44,48 @@
   entry->done (entry->user);
 }
 
+static void
+stop_accepting (struct mq_entry *entry)
+{
+  if (!entry->closed)
+    mq_api_stop_accepting (entry->api);
+  entry->closed = true;
+}
+
+/* Refuses the requests that wait when the time of the stop is over.  */
+static void
+refuse_waiting (struct mq_entry *entry)
+{
+  struct mq_front_input input = { .type = MQ_FRONT_STOP };
+  uint64_t now = mq_clock_us ();
+
+  if (!entry->leaving || entry->stop_at_us != 0 || now < entry->refuse_at_us)
+    return;
+  entry->stop_at_us = now + (uint64_t)MQ_STOP_CLOSE_MS * US_PER_MS;
+  mq_entry_dispatch_front (entry, &input);
+  stop_accepting (entry);
+}
+
 /* Closes the callers' listening socket, and then their connections, only when
    the host is idle, so that late requests receive an error response instead of
    a refused connection.  */
+static bool
+has_stopped (struct mq_entry *entry)
+{
+  if (entry->stop_at_us != 0 && mq_clock_us () >= entry->stop_at_us)
+    return true;
+  if (entry->stop_at_us == 0 && !is_idle (entry))
+    return false;
+  if (entry->closed)
+    return mq_api_close_idle (entry->api);
+  stop_accepting (entry);
+  return false;
+}
+
 static void
 check_drained (struct mq_entry *entry)
 {
-  bool late = mq_clock_us () >= entry->leave_until_us;
-
-  if (!entry->leaving || entry->stop != NULL || (!late && !is_idle (entry)))
-    return;
-  if (!late && !entry->closed)
-    {
-      entry->closed = true;
-      mq_api_stop_accepting (entry->api);
-      return;
-    }
-  if (!late && !mq_api_close_idle (entry->api))
+  if (!entry->leaving || entry->stop != NULL || !has_stopped (entry))
     return;
   entry->stop = mq_check_alloc (tevent_create_immediate (entry));
   tevent_schedule_immediate (entry->stop, entry->ev, report_done, entry);
@@ -74,9 +99,10 @@
   if (entry->leaving)
     return;
   entry->leaving = true;
-  entry->leave_until_us
+  entry->refuse_at_us
       = mq_clock_us ()
-        + (uint64_t)entry->settings->drain_seconds * US_PER_SECOND;
+        + (uint64_t)entry->settings->drain_seconds * US_PER_SECOND
+        - (uint64_t)MQ_STOP_CLOSE_MS * US_PER_MS;
   mq_api_drain (entry->api);
   mq_entry_dispatch_owner (entry, &input);
   mq_entry_run_queue (entry);
@@ -106,6 +132,7 @@
   if (mq_front_next_tick (entry->front) <= now)
     mq_entry_dispatch_front (entry, &front);
   mq_entry_release_waiting (entry);
+  refuse_waiting (entry);
 }
 
 static void
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -56,8 +56,9 @@
   bool working; /* actions are being run */
   struct mq_tick_timer tick;
   bool leaving;
-  uint64_t leave_until_us;
-  bool closed; /* no longer accepts callers' connections */
+  uint64_t refuse_at_us; /* requests that wait until then are refused */
+  uint64_t stop_at_us;   /* the process ends then; 0: not refused yet */
+  bool closed;           /* no longer accepts callers' connections */
   struct tevent_immediate *stop;
 };
 
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -32,6 +32,7 @@
   DOWN,        /* peer A is disconnected */
   WAIT,        /* A milliseconds pass */
   CALLER_GONE, /* the caller disconnects */
+  STOP,        /* the process ends */
   ACCEPTED,    /* this and the following: events of peer A */
   TOKEN,       /* of call B, index C */
   STEP,        /* of call B */
@@ -92,6 +93,19 @@
     { { .kind = REQUEST },
       { .kind = WAIT, .a = 30000 },
       { .kind = WAIT, .a = 30000, .expect = "refused not_ready not_run" } } },
+  { "process ends before an owner is found: refused as not run",
+    { { .kind = REQUEST },
+      { .kind = STOP, .expect = "refused leaving not_run" },
+      { .kind = WAIT, .a = DEADLINE_MS } } },
+  { "process ends while the owner serves: refused as unknown",
+    { ONE_HOST,
+      { .kind = ACCEPTED, .a = 1, .expect = "accepted" },
+      { .kind = STOP, .expect = "close 1 refused leaving unknown" },
+      { .kind = FINAL, .a = 1 } } },
+  { "process ends after the owner was lost: refused as unknown",
+    { ONE_HOST,
+      { .kind = DOWN, .a = 1 },
+      { .kind = STOP, .expect = "refused leaving unknown" } } },
   { "owner connects after the request: sent at once",
     { { .kind = LOOKUP, .text = "a" },
       { .kind = REQUEST },
@@ -410,6 +424,9 @@
     case CALLER_GONE:
       input.type = MQ_FRONT_CALLER_GONE;
       break;
+    case STOP:
+      input.type = MQ_FRONT_STOP;
+      break;
     default:
       fill_event (step, &event);
       input.type = MQ_FRONT_EVENT;
