A second signal makes mimosa-entryd refuse what waits, then end

Callers that waited when an operator sent a second SIGTERM saw their connection closed without a response, as the process ended at once.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -138,6 +138,20 @@
     }
 }
 
+static void
+end_drain (struct daemon *self)
+{
+  switch (self->role)
+    {
+    case MQ_HOST_ENTRY:
+      mq_entry_end_drain (self->u.entry);
+      break;
+    case MQ_HOST_TARGET:
+      mq_target_end_drain (self->u.target);
+      break;
+    }
+}
+
 static void
 destroy (struct daemon *self)
 {
@@ -173,16 +187,16 @@
            int number, int count, void *info, void *data)
 {
   struct daemon *self = data;
+  bool again = self->draining || count > 1;
 
   (void)ev;
   (void)signal_event;
   (void)number;
   (void)info;
-  if (self->draining || count > 1)
-    self->stopped = true;
   self->draining = true;
-  if (!self->stopped)
-    drain (self);
+  drain (self);
+  if (again)
+    end_drain (self);
 }
 
 static struct mq_settings *
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -108,6 +108,14 @@
   mq_entry_run_queue (entry);
 }
 
+void
+mq_entry_end_drain (struct mq_entry *entry)
+{
+  entry->refuse_at_us = mq_clock_us ();
+  refuse_waiting (entry);
+  mq_entry_run_queue (entry);
+}
+
 /* Timers.  */
 
 /* The owner has no timers before a configuration is loaded.  */
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -24,6 +24,8 @@
 /* Starts a graceful shutdown: hands partitions over, refuses new requests
    and completes requests in progress.  */
 void mq_entry_drain (struct mq_entry *entry);
+/* Ends the shutdown early: refuses the requests that wait.  */
+void mq_entry_end_drain (struct mq_entry *entry);
 /* "IP:PORT" at which callers and other hosts, respectively, connect.  */
 const char *mq_entry_http_address (const struct mq_entry *entry);
 const char *mq_entry_peer_address (const struct mq_entry *entry);
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -175,6 +175,13 @@
   mq_target_run_queue (target);
 }
 
+void
+mq_target_end_drain (struct mq_target *target)
+{
+  target->stop_until_us = mq_clock_us ();
+  mq_target_run_queue (target);
+}
+
 /* Timers.  */
 
 static void
--- a/src/target/target.h
+++ b/src/target/target.h
@@ -25,6 +25,8 @@
 /* Starts a graceful shutdown: refuses new calls, completes running calls and
    waits until their outcomes are durable.  */
 void mq_target_drain (struct mq_target *target);
+/* Ends the shutdown early: aborts the calls in progress.  */
+void mq_target_end_drain (struct mq_target *target);
 /* "IP:PORT" at which operators and other hosts, respectively, connect.  */
 const char *mq_target_http_address (const struct mq_target *target);
 const char *mq_target_peer_address (const struct mq_target *target);
