Tests, failing: request heads that fill a connection's memory

A caller that sends mimosa-entryd a head of some 32 KB, or one of 480 short arguments, sees the connection closed without a response, though its request was run: the library has no memory left for the head of the response.

--- a/tests/test_http_close.c
+++ b/tests/test_http_close.c
@@ -35,6 +35,7 @@
 static struct tevent_context *ev;
 static struct mq_http_server *server;
 static struct mq_http_request *held;
+static int handled;
 static char answer[TEXT_BYTES];
 
 static void
@@ -59,6 +60,7 @@
 handler (struct mq_http_request *request, void *data)
 {
   (void)data;
+  handled++;
   if (strcmp (mq_http_path (request), "/echo") == 0)
     {
       mq_http_respond (request, 200, NULL, "whole", 5);
@@ -346,3 +348,107 @@
       create_server (0);
     }
 }
+
+/* Range of heads from such that fit into a connection's memory beside their
+   response, to such that don't fit at all.  */
+#define HEAD_STEP_BYTES 16U
+
+enum head
+{
+  HEAD_LONG_FIELD,
+  HEAD_SHORT_FIELDS,
+  HEAD_COOKIE,
+  HEAD_ARGUMENTS,
+  HEAD_BODY
+};
+
+static char *
+make_request (enum head head, size_t len)
+{
+  char *text = talloc_strdup (ev, "");
+
+  switch (head)
+    {
+    case HEAD_LONG_FIELD:
+      return talloc_asprintf (ev, LINE HOST "Long: %s\r\n\r\n", filled (len));
+    case HEAD_SHORT_FIELDS:
+      for (size_t i = 0; i < len; i += strlen ("a: b\r\n"))
+        text = talloc_strdup_append_buffer (text, "a: b\r\n");
+      return talloc_asprintf (ev, LINE HOST "%s\r\n", text);
+    case HEAD_COOKIE:
+      return talloc_asprintf (ev, LINE HOST "Cookie: a=%s\r\n\r\n",
+                              filled (len));
+    case HEAD_ARGUMENTS:
+      for (size_t i = 0; i < len; i += strlen ("a=b&"))
+        text = talloc_strdup_append_buffer (text, "a=b&");
+      return talloc_asprintf (ev, "GET /echo?%s HTTP/1.1\r\n" HOST "\r\n",
+                              text);
+    case HEAD_BODY:
+      break;
+    }
+  return talloc_asprintf (ev,
+                          "POST /echo HTTP/1.1\r\n" HOST "Long: %s\r\n"
+                          "Content-Length: 2\r\n\r\nhi",
+                          filled (len));
+}
+
+/**
+ * struct head_case - request heads of one kind, in steps of HEAD_STEP_BYTES
+ * @from: bytes of the repeated part
+ * @to: end of the range
+ */
+struct head_case
+{
+  const char *name;
+  enum head head;
+  size_t from;
+  size_t to;
+};
+
+/* Each head is answered, with 200 only if it was handled.  */
+static void
+expect_responses (const struct head_case *row)
+{
+  for (size_t len = row->from; len < row->to; len += HEAD_STEP_BYTES)
+    {
+      int before = handled;
+      char *text = make_request (row->head, len);
+      int fd = send_on_new (text);
+      bool answered = read_until (fd, "\r\n\r\n");
+
+      cr_expect (answered, "%s, %zu bytes: no response", row->name, len);
+      cr_expect_eq (handled - before, strstr (answer, " 200 ") != NULL,
+                    "%s, %zu bytes: handled", row->name, len);
+      raw_close (fd, false);
+      talloc_free (text);
+    }
+}
+
+/* Failure: a head leaves too little of a connection's memory for the head of
+   the response; the request is run, and gets no response.  */
+Test (http_close, long_heads_are_answered)
+{
+  static const struct head_case rows[] = {
+    { "long field", HEAD_LONG_FIELD, 30000, 33000 },
+    { "short fields", HEAD_SHORT_FIELDS, 2500, 3100 },
+    { "cookie", HEAD_COOKIE, 15500, 16260 },
+    { "arguments", HEAD_ARGUMENTS, 1600, 1930 },
+    { "body", HEAD_BODY, 30000, 33000 },
+  };
+
+  for (size_t i = 0; i < ROWS (rows); i++)
+    expect_responses (&rows[i]);
+}
+
+/* Failure: the library has no memory for the parsed fields of a head, and
+   closes the connection.  */
+Test (http_close, heads_with_too_many_fields_are_answered)
+{
+  static const struct head_case rows[] = {
+    { "cookie", HEAD_COOKIE, 16260, 16700 },
+    { "arguments", HEAD_ARGUMENTS, 1930, 2200 },
+  };
+
+  for (size_t i = 0; i < ROWS (rows); i++)
+    expect_responses (&rows[i]);
+}
