mimosa-entryd refuses heads that leave no memory for a response

A caller that sent a head of some 32 KB, or one of 480 short arguments, saw the connection closed without a response, though its request was run: the library had no memory left for the head of the response. Now such a head is refused with 431 before its request is run. The memory that the library uses is bounded from above: the head, its cookies once more, 64 bytes for each parsed field, and 1 KB for the response. Heads of 16 KB, the stated bound, are taken as before. http_close::long_heads_are_answered failed before (4 of 5 rows) and passes. heads_with_too_many_fields_are_answered still fails: there the library itself closes the connection. test_http 16 of 16, test_api 6 of 6.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -21,6 +21,10 @@
    Holds headers of MQ_HEADERS_MAX_BYTES; larger ones are answered with
    431.  */
 #define CONNECTION_BYTES ((size_t)2 * MQ_HEADERS_MAX_BYTES)
+/* Parts of it: a parsed header line, cookie or argument, and the header of the
+   response.  */
+#define FIELD_BYTES ((size_t)64)
+#define RESPONSE_HEADER_BYTES ((size_t)1024)
 #define DISCONNECT_POLL_MS 1000
 
 static void run_daemon (struct mq_http_server *server);
@@ -396,6 +400,40 @@
   return respond_or_suspend (request);
 }
 
+/* Whether the request header leaves memory for that of a response.  Without
+   it, the library closes the connection instead of responding.  */
+static bool
+has_response_room (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+  const char *cookie = MHD_lookup_connection_value (
+      connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_COOKIE);
+  int fields = MHD_get_connection_values (
+      connection, MHD_HEADER_KIND | MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND,
+      NULL, NULL);
+  size_t used = (size_t)fields * FIELD_BYTES;
+
+  if (info != NULL)
+    used += info->header_size;
+  if (cookie != NULL)
+    used += strlen (cookie);
+  return used + RESPONSE_HEADER_BYTES <= CONNECTION_BYTES;
+}
+
+/* Refuses a request that the library has no memory to respond to.  */
+static enum MHD_Result
+refuse_header (struct MHD_Connection *connection)
+{
+  static const char refusal[]
+      = "HTTP/1.1 431 Request Header Fields Too Large\r\n"
+        "Content-Length: 0\r\nConnection: close\r\n\r\n";
+
+  (void)send (connection_fd (connection), refusal, sizeof refusal - 1,
+              MSG_DONTWAIT | MSG_NOSIGNAL);
+  return MHD_NO;
+}
+
 /* Called by libmicrohttpd for the header, each part of the body, the end of
    the body, and each resume until a response is queued.  */
 static enum MHD_Result
@@ -409,6 +447,8 @@
   (void)version;
   if (server->destroy_pending)
     return MHD_NO;
+  if (request == NULL && !has_response_room (connection))
+    return refuse_header (connection);
   if (request == NULL)
     {
       request = request_open (server, connection, method, url);
