--- a/tests/test_http_close.c
+++ b/tests/test_http_close.c
@@ -452,3 +452,37 @@
   for (size_t i = 0; i < ROWS (rows); i++)
     expect_responses (&rows[i]);
 }
+
+/* Connections in the backlog of a server at its limit of CONNECTIONS_MAX.  */
+#define CONNECTIONS_MAX 2
+#define WAITING 5
+
+/* Failure: a stop closes the listening socket while the limit of connections
+   keeps whole requests in its backlog, and they are reset.  */
+Test (http_close, stop_at_the_connection_limit_answers_the_backlog)
+{
+  int kept[CONNECTIONS_MAX];
+  int waiting[WAITING];
+
+  mq_http_server_destroy (server);
+  create_server (CONNECTIONS_MAX);
+  for (size_t i = 0; i < ROWS (kept); i++)
+    {
+      kept[i] = send_on_new (GET);
+      cr_assert (read_until (kept[i], "whole"));
+    }
+  for (size_t i = 0; i < ROWS (waiting); i++)
+    waiting[i] = send_on_new (GET);
+  mq_http_server_stop_accepting (server);
+  for (uint64_t end = mq_clock_ms () + LIMIT_MS;
+       !mq_http_server_close_idle (server) && mq_clock_ms () < end;)
+    tevent_loop_once (ev);
+  cr_expect (mq_http_server_close_idle (server));
+  for (size_t i = 0; i < ROWS (waiting); i++)
+    {
+      cr_expect (read_until (waiting[i], "whole"), "%zu", i);
+      raw_close (waiting[i], false);
+    }
+  for (size_t i = 0; i < ROWS (kept); i++)
+    raw_close (kept[i], false);
+}
