A stop at the limit of connections answers what waits in the backlog

Callers whose connections waited in the kernel as mimosa-entryd, with 4096 connections open, closed its listening socket saw them reset without a response: the library closes accepted connections beyond its limit.

--- a/src/net/http_connections.c
+++ b/src/net/http_connections.c
@@ -25,6 +25,7 @@
     server->connections = connection->next;
   if (connection->next != NULL)
     connection->next->previous = connection->previous;
+  server->connection_count--;
 }
 
 /* Whether bytes, or the end of input, have arrived that the library has not
@@ -122,6 +123,7 @@
   if (server->connections != NULL)
     server->connections->previous = connection;
   server->connections = connection;
+  server->connection_count++;
   if (!server->destroy_pending)
     watch_connections (server);
   return connection;
@@ -147,5 +149,7 @@
   for (; connection != NULL; connection = connection->next)
     if (connection->request == NULL && !has_unread (connection))
       close_connection (connection);
-  return server->connections == NULL;
+  if (server->listening)
+    mq_http_server_run_again (server);
+  return server->connections == NULL && !server->listening;
 }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -39,8 +39,8 @@
   run_daemon (data);
 }
 
-static void
-run_again (struct mq_http_server *server)
+void
+mq_http_server_run_again (struct mq_http_server *server)
 {
   tevent_schedule_immediate (server->immediate, server->ev, run_immediate,
                              server);
@@ -90,8 +90,6 @@
 static void
 run_daemon (struct mq_http_server *server)
 {
-  bool was_closing = server->closing;
-
   server->running = true;
   MHD_run (server->daemon);
   server->running = false;
@@ -100,10 +98,10 @@
       talloc_free (server);
       return;
     }
-  if (server->closing && !was_closing)
+  if (server->closing && server->listening)
     close_listener (server);
   if (server->has_room || mq_http_server_has_work (server))
-    run_again (server);
+    mq_http_server_run_again (server);
   server->has_room = false;
 }
 
@@ -124,7 +122,7 @@
     return;
   request->suspended = false;
   MHD_resume_connection (request->connection);
-  run_again (request->server);
+  mq_http_server_run_again (request->server);
 }
 
 /* Closes the connection of a request that cannot be answered.  A suspended one
@@ -470,7 +468,7 @@
 }
 
 static struct MHD_Daemon *
-start_daemon (struct mq_http_server *server, int fd, uint32_t connections)
+start_daemon (struct mq_http_server *server, int fd)
 {
   return MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, access_handler,
@@ -478,7 +476,7 @@
       MHD_OPTION_NOTIFY_COMPLETED, request_completed, server,
       MHD_OPTION_NOTIFY_CONNECTION, connection_changed, server,
       MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      CONNECTION_BYTES, MHD_OPTION_CONNECTION_LIMIT, (unsigned int)connections,
+      CONNECTION_BYTES, MHD_OPTION_CONNECTION_LIMIT, server->connections_max,
       MHD_OPTION_END);
 }
 
@@ -539,7 +537,6 @@
                        struct mq_error *error)
 {
   struct mq_http_server *server = talloc_zero (ctx, struct mq_http_server);
-  uint32_t connections = options->connections_max;
   int fd = server == NULL ? -1 : mq_listen_open (options->address, error);
 
   if (fd < 0)
@@ -556,12 +553,15 @@
                                   ? MQ_STREAM_BUFFER_BYTES
                                   : options->stream_buffer_max;
   server->idle_ms = options->idle_ms == 0 ? MQ_HTTP_IDLE_MS : options->idle_ms;
+  server->connections_max = options->connections_max == 0
+                                ? MQ_CONNECTIONS_MAX
+                                : options->connections_max;
+  server->listening = true;
   limit_send_buffers (fd);
   server->port = mq_listen_port (fd);
   server->immediate = tevent_create_immediate (server);
   talloc_set_destructor (server, server_freed);
-  server->daemon = start_daemon (
-      server, fd, connections == 0 ? MQ_CONNECTIONS_MAX : connections);
+  server->daemon = start_daemon (server, fd);
   if (server->daemon == NULL)
     close (fd);
   if (server->daemon == NULL || server->immediate == NULL
@@ -580,42 +580,50 @@
   talloc_free (server);
 }
 
-/* Accepts the connections that wait in the kernel's backlog before the
-   listening socket is closed, which would reset them and lose their
-   requests.  */
-static void
+/* Accepts the connections that wait in the kernel's backlog, up to the limit
+   of connections: closing the listening socket would reset them and lose their
+   requests.  True if none is left.  */
+static bool
 accept_backlog (struct mq_http_server *server)
 {
   const union MHD_DaemonInfo *info
       = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_LISTEN_FD);
-  int fd = 0;
+  size_t room = server->connections_max - server->connection_count;
 
   if (info == NULL)
-    return;
-  do
+    return true;
+  for (size_t taken = 0; taken < room; taken++)
     {
       struct sockaddr_storage from = { 0 };
       socklen_t len = sizeof from;
+      int fd = accept4 (info->listen_fd, (struct sockaddr *)&from, &len,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-      fd = accept4 (info->listen_fd, (struct sockaddr *)&from, &len,
-                    SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0 && errno != ECONNABORTED)
+        return errno == EAGAIN;
       if (fd >= 0)
         (void)MHD_add_connection (server->daemon, fd, (struct sockaddr *)&from,
                                   len);
     }
-  while (fd >= 0 || errno == ECONNABORTED);
+  if (room > 0)
+    mq_http_server_run_again (server);
+  return false;
 }
 
+/* Closes the listening socket once its backlog is empty.  The library counts
+   accepted connections only in its next run.  */
 static void
 close_listener (struct mq_http_server *server)
 {
   MHD_socket fd;
 
-  accept_backlog (server);
+  if (!accept_backlog (server))
+    return;
+  server->listening = false;
   fd = MHD_quiesce_daemon (server->daemon);
   if (fd != MHD_INVALID_SOCKET)
     close (fd);
-  run_again (server);
+  mq_http_server_run_again (server);
 }
 
 /* Inside MHD_run the daemon's listener cannot be closed; run_daemon closes it
--- a/src/net/http_state.h
+++ b/src/net/http_state.h
@@ -22,11 +22,15 @@
  * @data: argument of @handler
  * @idle_timer: next check for idle connections, NULL if none is open
  * @connections: open connections
+ * @connection_count: length of @connections
+ * @connections_max: limit of it
  * @requests: requests whose connection is open
  * @in_progress: number of requests in progress
  * @running: inside MHD_run, where the daemon cannot be stopped
  * @has_room: a connection has closed since the last run
- * @closing: no longer accepts; responses close their connection
+ * @closing: responses close their connection, and the listening socket is
+ *           closed once its backlog is empty
+ * @listening: the listening socket is open
  * @destroy_pending: destroyed; freed when MHD_run has returned
  */
 struct mq_http_server
@@ -43,11 +47,14 @@
   uint16_t port;
   struct mq_timer *idle_timer;
   struct mq_http_connection *connections;
+  size_t connection_count;
+  uint32_t connections_max;
   struct mq_http_request *requests;
   size_t in_progress;
   bool running;
   bool has_room;
   bool closing;
+  bool listening;
   bool destroy_pending;
 };
 
@@ -137,6 +144,8 @@
 /* Calls on_closed, once.  */
 void mq_request_notify_closed (struct mq_http_request *request);
 
+/* Runs the library in the next iteration of the event loop.  */
+void mq_http_server_run_again (struct mq_http_server *server);
 /* Whether the library has work left that no event announces.  */
 bool mq_http_server_has_work (const struct mq_http_server *server);
 
