Test, failing: an event larger than the limit on unsent bytes

A caller of mimosa-entryd that asked for a stream saw the connection closed without a byte when one event was larger than the limit on unsent bytes (stream_buffer_kb, 1 MB), or several that came at once, as when it attaches to a long program, though it read all the time. http_close::large_events_reach_a_caller_that_reads fails on this code, 2 of 2 rows.

--- a/tests/test_http_close.c
+++ b/tests/test_http_close.c
@@ -4,6 +4,7 @@
    Needs: Criterion, http_peer.h, http_server.h.  */
 
 #include "http_peer.h"
+#include "core/limits.h"
 #include "net/clock.h"
 #include "net/http_server.h"
 #include <criterion/criterion.h>
@@ -36,6 +37,9 @@
 static struct mq_http_server *server;
 static struct mq_http_request *held;
 static int handled;
+/* Events of a stream that are written at once.  */
+static int burst_count;
+static size_t burst_bytes;
 static char answer[TEXT_BYTES];
 
 static void
@@ -48,6 +52,15 @@
                     data);
 }
 
+static const char *
+filled (size_t len)
+{
+  char *bytes = talloc_zero_size (ev, len + 1);
+
+  memset (bytes, 'x', len);
+  return bytes;
+}
+
 static void
 on_closed (struct mq_http_request *request, void *data)
 {
@@ -68,6 +81,13 @@
     }
   if (strcmp (mq_http_path (request), "/stream") == 0)
     mq_http_stream_begin (request, 200, "text/event-stream");
+  for (int i = 0; i < burst_count; i++)
+    mq_http_stream_write (request, filled (burst_bytes), burst_bytes);
+  if (burst_count > 0)
+    {
+      mq_http_stream_end (request);
+      return;
+    }
   mq_http_on_closed (request, on_closed, NULL);
   held = request;
 }
@@ -187,15 +207,6 @@
   REST_STREAM
 };
 
-static const char *
-filled (size_t len)
-{
-  char *bytes = talloc_zero_size (ev, len + 1);
-
-  memset (bytes, 'x', len);
-  return bytes;
-}
-
 static const char *
 rest_request (enum rest rest)
 {
@@ -486,3 +497,43 @@
   for (size_t i = 0; i < ROWS (kept); i++)
     raw_close (kept[i], false);
 }
+
+/* Failure: a stream ends without its first byte because an event, or events
+   that come at once, exceed the limit on unsent bytes, though the caller
+   reads.  */
+Test (http_close, large_events_reach_a_caller_that_reads)
+{
+  static const struct
+  {
+    const char *name;
+    int count;
+    size_t bytes;
+  } rows[] = {
+    { "one event", 1, (size_t)3 * MQ_STREAM_BUFFER_BYTES },
+    { "events at once", 30, MQ_STREAM_BUFFER_BYTES / 10 },
+  };
+
+  for (size_t i = 0; i < ROWS (rows); i++)
+    {
+      size_t got = 0;
+      bool ended = false;
+      int fd;
+
+      burst_count = rows[i].count;
+      burst_bytes = rows[i].bytes;
+      fd = send_on_new (STREAM);
+      for (uint64_t end = mq_clock_ms () + LIMIT_MS;
+           !ended && strstr (answer, "\r\n0\r\n") == NULL
+           && mq_clock_ms () < end;
+           got += strlen (answer))
+        {
+          tevent_loop_once (ev);
+          answer[0] = '\0';
+          ended = raw_read (fd, answer, sizeof answer);
+        }
+      cr_expect_geq (got, rows[i].count * rows[i].bytes, "%s: %zu",
+                     rows[i].name, got);
+      answer[0] = '\0';
+      raw_close (fd, false);
+    }
+}
