Large events reach a caller that reads its stream

A caller of mimosa-entryd that asked for a stream saw the connection closed without a byte when one event, or several that came at once, exceeded the limit on unsent bytes, though it read all the time: the limit counted what the socket would still take.

--- a/src/net/http_request.c
+++ b/src/net/http_request.c
@@ -4,6 +4,7 @@
 
 #include "core/limits.h"
 #include "http_state.h"
+#include <poll.h>
 #include <string.h>
 
 #define STREAM_BLOCK_BYTES ((size_t)16384)
@@ -101,6 +102,26 @@
   mq_request_resume (request);
 }
 
+static bool
+takes_more (const struct mq_http_request *request)
+{
+  struct pollfd poll_fd = { .fd = request->fd, .events = POLLOUT };
+
+  return poll (&poll_fd, 1, 0) == 1 && (poll_fd.revents & POLLOUT) != 0;
+}
+
+/* Limit on the unsent bytes.  While the caller reads, they wait only for the
+   library, and one event more is let in.  */
+static size_t
+unsent_max (const struct mq_http_request *request)
+{
+  size_t max = request->server->stream_buffer_max;
+
+  if (request->unsent.len == 0 || takes_more (request))
+    max += MQ_FRAME_MAX_BYTES;
+  return max;
+}
+
 bool
 mq_http_stream_write (struct mq_http_request *request, const void *data,
                       size_t len)
@@ -110,7 +131,7 @@
   if (len == 0)
     return true;
   if (!mq_buffer_append (request, &request->unsent, data, len,
-                         request->server->stream_buffer_max))
+                         unsent_max (request)))
     {
       mq_request_abort_connection (request);
       return false;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -21,8 +21,8 @@
  * @address: "IP:PORT"; port 0: any free port
  * @body_max: bytes of a request body; 0: MQ_BODY_MAX_BYTES
  * @connections_max: 0: MQ_CONNECTIONS_MAX
- * @stream_buffer_max: unsent bytes at which a stream is closed; 0:
- *                     MQ_STREAM_BUFFER_BYTES
+ * @stream_buffer_max: unsent bytes at which the stream of a caller that does
+ *                     not read is closed; 0: MQ_STREAM_BUFFER_BYTES
  * @idle_ms: time after which an idle connection is closed; 0:
  *           MQ_HTTP_IDLE_MS
  */
