Test, failing: requests as the time of a target host's stop is over

A monitor whose request came as drain_seconds of mimosa-targetd were over saw the connection closed without a response. daemon_stop::target_answers_requests_when_its_time_is_over fails on this code, 2 of 2 rows.

--- a/tests/test_daemon_stop.c
+++ b/tests/test_daemon_stop.c
@@ -21,6 +21,8 @@
 #define TICK_US 2000
 #define LIMIT_MS 30000U
 #define LONG_STOP_SECONDS 60U
+/* Shorter than a target host waits for late calls.  */
+#define SHORT_STOP_SECONDS 1U
 #define KEY_HEX                                                               \
   "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
 #define WORKER                                                                \
@@ -208,14 +210,14 @@
 }
 
 static void
-expect_responses_at_the_end (enum mq_host_role as)
+expect_responses_at_the_end (enum mq_host_role as, uint32_t stop_seconds)
 {
   for (size_t i = 0; i < ROWS (end_cases); i++)
     {
       bool sent;
       int fd;
 
-      start (as, LONG_STOP_SECONDS);
+      start (as, stop_seconds);
       sent = send_at_the_end (&end_cases[i], &fd);
       run_until_done ();
       cr_expect (!sent || read_until (fd, "alive"), "%s: no response",
@@ -230,14 +232,21 @@
    a kept connection, and the request gets no response.  */
 Test (daemon_stop, entry_answers_requests_at_the_end)
 {
-  expect_responses_at_the_end (MQ_HOST_ENTRY);
+  expect_responses_at_the_end (MQ_HOST_ENTRY, LONG_STOP_SECONDS);
 }
 
 /* Failure: the stop of a target host ends while a whole request lies unread on
    a kept connection or in the backlog, and the request gets no response.  */
 Test (daemon_stop, target_answers_requests_at_the_end)
 {
-  expect_responses_at_the_end (MQ_HOST_TARGET);
+  expect_responses_at_the_end (MQ_HOST_TARGET, LONG_STOP_SECONDS);
+}
+
+/* Failure: the time of a target host's stop is over before it is idle, and it
+   ends while a whole request lies unread.  */
+Test (daemon_stop, target_answers_requests_when_its_time_is_over)
+{
+  expect_responses_at_the_end (MQ_HOST_TARGET, SHORT_STOP_SECONDS);
 }
 
 /* Requests that wait when the time of a stop is over */
@@ -275,7 +284,6 @@
 
 #define PROGRAM "{\"service\":\"guide\",\"input\":\"x\"}"
 #define STREAM "{\"service\":\"guide\",\"input\":\"x\",\"stream\":true}"
-#define SHORT_STOP_SECONDS 1U
 /* Longer than a short stop takes.  */
 #define BLOCKED_MS 2500U
 
