mimosa-targetd closes its connections when its stop's time is over

A monitor whose request came as drain_seconds of mimosa-targetd were over saw the connection closed without a response: the process ended whatever lay unread. Now it then closes its listening socket and its connections as an idle host does, half a second later at most. A second signal ends a stop in the same way. daemon_stop::target_answers_requests_when_its_time_is_over failed before (2 of 2 rows) and passes; test_daemon_stop 4 of 4, process::target_leaves, target_killed_in_notice and target_killed_in_answer pass.

--- a/src/target/target.c
+++ b/src/target/target.c
@@ -129,22 +129,29 @@
 }
 
 /* Closes the operators' listening socket, and then their connections, only
-   when the host is idle.  */
+   when the host is idle or its time is over.  */
+static bool
+has_stopped (struct mq_target *target)
+{
+  uint64_t now = mq_clock_us ();
+  bool late = now >= target->stop_until_us;
+
+  if (!late && !is_idle (target))
+    return false;
+  if (late && target->closed && now >= target->close_until_us)
+    return true;
+  if (target->closed)
+    return mq_target_http_close_idle (target->http);
+  target->closed = true;
+  target->close_until_us = now + (uint64_t)MQ_STOP_CLOSE_MS * US_PER_MS;
+  mq_target_http_stop_accepting (target->http);
+  return false;
+}
+
 static void
 check_drained (struct mq_target *target)
 {
-  bool late = mq_clock_us () >= target->stop_until_us;
-
-  if (!target->stopping || target->stop != NULL
-      || (!is_idle (target) && !late))
-    return;
-  if (!late && !target->closed)
-    {
-      target->closed = true;
-      mq_target_http_stop_accepting (target->http);
-      return;
-    }
-  if (!late && !mq_target_http_close_idle (target->http))
+  if (!target->stopping || target->stop != NULL || !has_stopped (target))
     return;
   target->stop = mq_check_alloc (tevent_create_immediate (target));
   tevent_schedule_immediate (target->stop, target->ev, report_done, target);
--- a/src/target/target_state.h
+++ b/src/target/target_state.h
@@ -48,6 +48,7 @@
   uint64_t quiet_since_us; /* idle since, or 0 if not idle */
   uint64_t quiet_calls;    /* calls received when quiet_since_us was set */
   bool closed;             /* no longer accepts operators' connections */
+  uint64_t close_until_us; /* time for requests that lie unread */
   struct tevent_immediate *stop;
 };
 
