Test, failing: SIGHUP kills mimosa-entryd beside waiting requests

SIGHUP, which reloads mimosa-routerd and which a closing terminal sends, kills mimosa-entryd and mimosa-targetd at once; callers that wait see their connection closed without a response. daemon_signal::hangup_ends_nothing fails on this code.

--- a/tests/test_daemon_signal.c
+++ b/tests/test_daemon_signal.c
@@ -11,7 +11,8 @@
 {
   CASE_SECONDS = 120,
   /* Longer than the rest of a test.  */
-  CALL_MS = 20000
+  LONG_CALL_MS = 20000,
+  SHORT_CALL_MS = 1000
 };
 
 static struct site *site;
@@ -38,9 +39,9 @@
   return state != NULL && strcmp (state, "leaving") == 0;
 }
 
-/* Opens a program at HOST that runs a call longer than the test.  */
+/* Opens a program at HOST and waits until it runs a call of CALL_MS.  */
 static struct site_call *
-open_program (struct site_host *host)
+open_program (struct site_host *host, uint32_t call_ms)
 {
   struct site_call *call;
   char *key;
@@ -49,7 +50,7 @@
               talloc_asprintf (site,
                                "{\"fault\":\"slow\",\"match\":\"/v1/notice\","
                                "\"ms\":%u}",
-                               CALL_MS));
+                               call_ms));
   key = site_key_owned_by (site, host, "k");
   call = site_open (site, host, key, "letters", plan);
   SITE_WAIT (site, site_tool_running (site) >= 0);
@@ -67,7 +68,7 @@
 
   site = site_start_default (&options);
   host = site_host (site, "entry-1");
-  call = open_program (host);
+  call = open_program (host, LONG_CALL_MS);
   site_process_signal (host->process, SIGTERM);
   SITE_WAIT (site, is_leaving (host));
   site_process_signal (host->process, SIGTERM);
@@ -77,3 +78,18 @@
   SITE_CHECK (site, site_call_contains (call, "\"error\":\"leaving\""));
   SITE_CHECK (site, site_call_contains (call, "\"ran\":\"unknown\""));
 }
+
+/* Failure: SIGHUP, which supervisors and terminals send, kills the process
+   while a whole request waits.  */
+Test (daemon_signal, hangup_ends_nothing)
+{
+  static const char *const hosts[] = { "entry-1", "north-1", "south-1" };
+  struct site_options options = { 0 };
+  struct site_call *call;
+
+  site = site_start_default (&options);
+  call = open_program (site_host (site, hosts[0]), SHORT_CALL_MS);
+  for (size_t i = 0; i < sizeof hosts / sizeof hosts[0]; i++)
+    site_process_signal (site_host (site, hosts[i])->process, SIGHUP);
+  site_check_answer (site, call, site_host (site, "entry-1"), plan);
+}
