SIGHUP is ignored by mimosa-entryd and mimosa-targetd

Callers that waited when SIGHUP came saw their connection closed without a response: the signal had its default effect and killed the process.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -242,6 +242,8 @@
 
   parse_command_line (&self, argc, argv);
   signal (SIGPIPE, SIG_IGN);
+  /* Settings are read only at the start.  */
+  signal (SIGHUP, SIG_IGN);
   ctx = talloc_new (NULL);
   ev = tevent_context_init (ctx);
   mq_log_open (program_name (role), "");
