Test, failing: a body in chunks far over its limit

A caller that sends mimosa-entryd a body in chunks of more than twice the limit sees the connection closed without a response and can't tell why. http_close::body_far_over_its_limit_is_refused fails on this code.

--- a/tests/test_http_close.c
+++ b/tests/test_http_close.c
@@ -537,3 +537,33 @@
       raw_close (fd, false);
     }
 }
+
+#define CHUNK_BYTES ((size_t)1 << 16)
+
+/* Failure: a body in chunks of more than twice the limit is cut off without a
+   response.  */
+Test (http_close, body_far_over_its_limit_is_refused)
+{
+  size_t left = 4 * (size_t)MQ_BODY_MAX_BYTES / CHUNK_BYTES;
+  char *chunk = talloc_asprintf (ev, "%zx\r\n%s\r\n", CHUNK_BYTES,
+                                 filled (CHUNK_BYTES));
+  size_t sent = 0;
+  int fd = send_on_new ("POST /echo HTTP/1.1\r\n" HOST
+                        "Transfer-Encoding: chunked\r\n\r\n");
+  bool ended = false;
+
+  answer[0] = '\0';
+  for (uint64_t end = mq_clock_ms () + LIMIT_MS;
+       !ended && left > 0 && mq_clock_ms () < end;)
+    {
+      sent += raw_send (fd, chunk + sent, strlen (chunk) - sent);
+      left -= sent == strlen (chunk);
+      sent = sent == strlen (chunk) ? 0 : sent;
+      tevent_loop_once (ev);
+      ended = raw_read (fd, answer, sizeof answer);
+    }
+  cr_expect_not_null (strstr (answer, "HTTP/1.1 413 "), "%s", answer);
+  cr_expect_not_null (strstr (answer, "\"ran\":\"not_run\""), "%s", answer);
+  cr_expect_eq (handled, 0);
+  raw_close (fd, false);
+}
