--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,8 +1,8 @@
 /* http_server.c - HTTP server: libmicrohttpd on tevent.
 
    The daemon runs in external epoll mode: its epoll descriptor is a tevent
-   descriptor, its timeout a tevent timer.  A request that its handler does not
-   answer at once is suspended, and resumed by the response.
+   descriptor.  A request that its handler does not answer at once is
+   suspended, and resumed by the response.
    Needs: libmicrohttpd, tevent, jansson.  */
 
 #include "http_server.h"
@@ -21,6 +21,10 @@
    Holds headers of MQ_HEADERS_MAX_BYTES; larger ones are answered with
    431.  */
 #define CONNECTION_BYTES ((size_t)2 * MQ_HEADERS_MAX_BYTES)
+/* Parts of it: a parsed header line, cookie or argument, and the header of the
+   response.  */
+#define FIELD_BYTES ((size_t)64)
+#define RESPONSE_HEADER_BYTES ((size_t)1024)
 #define DISCONNECT_POLL_MS 1000
 
 static void run_daemon (struct mq_http_server *server);
@@ -35,45 +39,28 @@
   run_daemon (data);
 }
 
-static void
-run_again (struct mq_http_server *server)
+void
+mq_http_server_run_again (struct mq_http_server *server)
 {
   tevent_schedule_immediate (server->immediate, server->ev, run_immediate,
                              server);
 }
 
-static void
-timer_fired (struct tevent_context *ev, struct tevent_timer *timer,
-             struct timeval now, void *data)
+bool
+mq_http_server_has_work (const struct mq_http_server *server)
 {
-  struct mq_http_server *server = data;
+  MHD_UNSIGNED_LONG_LONG wait_ms;
 
-  (void)ev;
-  (void)timer;
-  (void)now;
-  server->timer = NULL;
-  run_daemon (server);
+  return MHD_get_timeout (server->daemon, &wait_ms) == MHD_YES && wait_ms == 0;
 }
 
-/* Keeps a timer that fires early enough; an early one only runs the daemon
-   once more.  */
-static void
-arm_timer (struct mq_http_server *server)
+static int
+connection_fd (struct MHD_Connection *connection)
 {
-  MHD_UNSIGNED_LONG_LONG wait_ms;
-  struct timeval at;
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_CONNECTION_FD);
 
-  if (MHD_get_timeout (server->daemon, &wait_ms) != MHD_YES)
-    return;
-  at = tevent_timeval_current_ofs ((uint32_t)(wait_ms / 1000),
-                                   (uint32_t)(wait_ms % 1000) * 1000);
-  if (server->timer != NULL
-      && tevent_timeval_compare (&server->timer_at, &at) <= 0)
-    return;
-  talloc_free (server->timer);
-  server->timer_at = at;
-  server->timer
-      = tevent_add_timer (server->ev, server, at, timer_fired, server);
+  return info == NULL ? -1 : info->connect_fd;
 }
 
 /* At its connection limit libmicrohttpd stops accepting, and checks only at
@@ -87,17 +74,22 @@
 {
   struct mq_http_server *server = cls;
 
-  (void)connection;
-  (void)socket_data;
-  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
-    server->has_room = true;
+  switch (code)
+    {
+    case MHD_CONNECTION_NOTIFY_STARTED:
+      *socket_data
+          = mq_http_connection_open (server, connection_fd (connection));
+      break;
+    case MHD_CONNECTION_NOTIFY_CLOSED:
+      mq_http_connection_closed (*socket_data);
+      server->has_room = true;
+      break;
+    }
 }
 
 static void
 run_daemon (struct mq_http_server *server)
 {
-  bool was_closing = server->closing;
-
   server->running = true;
   MHD_run (server->daemon);
   server->running = false;
@@ -106,12 +98,11 @@
       talloc_free (server);
       return;
     }
-  if (server->closing && !was_closing)
+  if (server->closing && server->listening)
     close_listener (server);
-  if (server->has_room)
-    run_again (server);
+  if (server->has_room || mq_http_server_has_work (server))
+    mq_http_server_run_again (server);
   server->has_room = false;
-  arm_timer (server);
 }
 
 static void
@@ -131,7 +122,7 @@
     return;
   request->suspended = false;
   MHD_resume_connection (request->connection);
-  run_again (request->server);
+  mq_http_server_run_again (request->server);
 }
 
 /* Closes the connection of a request that cannot be answered.  A suspended one
@@ -238,20 +229,23 @@
   struct mq_http_request *request
       = talloc_zero (server, struct mq_http_request);
   const union MHD_ConnectionInfo *info = MHD_get_connection_info (
-      connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
 
   if (request == NULL)
     return NULL;
   request->method = talloc_strdup (request, method);
   request->path = talloc_strdup (request, path);
-  if (request->method == NULL || request->path == NULL || info == NULL)
+  if (request->method == NULL || request->path == NULL || info == NULL
+      || info->socket_context == NULL)
     {
       talloc_free (request);
       return NULL;
     }
   request->server = server;
   request->connection = connection;
-  request->fd = info->connect_fd;
+  request->place = info->socket_context;
+  request->place->request = request;
+  request->fd = request->place->fd;
   talloc_set_destructor (request, request_freed);
   if (server->requests != NULL)
     server->requests->previous = request;
@@ -302,6 +296,8 @@
   request_unlink (request);
   request->server->in_progress--;
   request->connection = NULL;
+  request->place->request = NULL;
+  request->place = NULL;
   request->broken = true;
   request->suspended = false;
   TALLOC_FREE (request->watch);
@@ -312,9 +308,41 @@
     talloc_free (request);
 }
 
+static char *
+too_large_json (size_t bound)
+{
+  json_t *json = json_pack (
+      "{s:s, s:s, s:s, s:s, s:I}", "error", mq_error_name (MQ_ERR_TOO_LARGE),
+      "ran", mq_ran_name (MQ_RAN_NOT_RUN), "cause",
+      mq_error_cause (MQ_ERR_TOO_LARGE), "remedy",
+      mq_error_remedy (MQ_ERR_TOO_LARGE), "bound", (json_int_t)bound);
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  json_decref (json);
+  return text;
+}
+
+/* Refuses a request past the library, which can't respond to it and then
+   closes the connection.  */
+static void
+send_too_large (int fd, const char *status, size_t bound)
+{
+  char *json = too_large_json (bound);
+  char *text = talloc_asprintf (
+      NULL,
+      "HTTP/1.1 %s\r\nContent-Type: application/json\r\n"
+      "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+      status, json == NULL ? 0 : strlen (json), json == NULL ? "" : json);
+
+  if (text != NULL)
+    (void)send (fd, text, strlen (text), MSG_DONTWAIT | MSG_NOSIGNAL);
+  talloc_free (text);
+  free (json);
+}
+
 /* Reads and discards a body over its limit, so that the caller can read the
    response; closing with unread bytes would reset the connection.  A body of
-   more than twice the limit is cut off.  */
+   more than twice the limit is refused before its end.  */
 static enum MHD_Result
 body_part (struct mq_http_request *request, const char *data, size_t len)
 {
@@ -326,7 +354,10 @@
   request->too_large = true;
   request->discarded += len;
   mq_buffer_clear (&request->body);
-  return request->discarded / 2 > max ? MHD_NO : MHD_YES;
+  if (request->discarded / 2 <= max)
+    return MHD_YES;
+  send_too_large (request->fd, "413 Content Too Large", max);
+  return MHD_NO;
 }
 
 /* True if the announced body will not be read to its end: far over the limit,
@@ -350,15 +381,8 @@
 static void
 respond_too_large (struct mq_http_request *request)
 {
-  json_t *json = json_pack ("{s:s, s:s, s:s, s:s, s:I}", "error",
-                            mq_error_name (MQ_ERR_TOO_LARGE), "ran",
-                            mq_ran_name (MQ_RAN_NOT_RUN), "cause",
-                            mq_error_cause (MQ_ERR_TOO_LARGE), "remedy",
-                            mq_error_remedy (MQ_ERR_TOO_LARGE), "bound",
-                            (json_int_t)request->server->body_max);
-  char *text = json_dumps (json, JSON_COMPACT);
+  char *text = too_large_json (request->server->body_max);
 
-  json_decref (json);
   mq_http_respond (request, mq_error_http_status (MQ_ERR_TOO_LARGE),
                    "application/json", text, text == NULL ? 0 : strlen (text));
   free (text);
@@ -402,6 +426,36 @@
   return respond_or_suspend (request);
 }
 
+/* Whether the request header leaves memory for that of a response.  Without
+   it, the library closes the connection instead of responding.  */
+static bool
+has_response_room (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+  const char *cookie = MHD_lookup_connection_value (
+      connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_COOKIE);
+  int fields = MHD_get_connection_values (
+      connection, MHD_HEADER_KIND | MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND,
+      NULL, NULL);
+  size_t used = (size_t)fields * FIELD_BYTES;
+
+  if (info != NULL)
+    used += info->header_size;
+  if (cookie != NULL)
+    used += strlen (cookie);
+  return used + RESPONSE_HEADER_BYTES <= CONNECTION_BYTES;
+}
+
+/* Refuses a request that the library has no memory to respond to.  */
+static enum MHD_Result
+refuse_header (struct MHD_Connection *connection)
+{
+  send_too_large (connection_fd (connection),
+                  "431 Request Header Fields Too Large", MQ_HEADERS_MAX_BYTES);
+  return MHD_NO;
+}
+
 /* Called by libmicrohttpd for the header, each part of the body, the end of
    the body, and each resume until a response is queued.  */
 static enum MHD_Result
@@ -415,6 +469,8 @@
   (void)version;
   if (server->destroy_pending)
     return MHD_NO;
+  if (request == NULL && !has_response_room (connection))
+    return refuse_header (connection);
   if (request == NULL)
     {
       request = request_open (server, connection, method, url);
@@ -436,7 +492,7 @@
 }
 
 static struct MHD_Daemon *
-start_daemon (struct mq_http_server *server, int fd, uint32_t connections)
+start_daemon (struct mq_http_server *server, int fd)
 {
   return MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, access_handler,
@@ -444,8 +500,7 @@
       MHD_OPTION_NOTIFY_COMPLETED, request_completed, server,
       MHD_OPTION_NOTIFY_CONNECTION, connection_changed, server,
       MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      CONNECTION_BYTES, MHD_OPTION_CONNECTION_LIMIT, (unsigned int)connections,
-      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)(MQ_HTTP_IDLE_MS / 1000),
+      CONNECTION_BYTES, MHD_OPTION_CONNECTION_LIMIT, server->connections_max,
       MHD_OPTION_END);
 }
 
@@ -465,7 +520,7 @@
       mq_request_notify_closed (request);
     }
   TALLOC_FREE (server->fde);
-  TALLOC_FREE (server->timer);
+  TALLOC_FREE (server->idle_timer);
   TALLOC_FREE (server->immediate);
   if (server->running)
     return -1;
@@ -506,7 +561,6 @@
                        struct mq_error *error)
 {
   struct mq_http_server *server = talloc_zero (ctx, struct mq_http_server);
-  uint32_t connections = options->connections_max;
   int fd = server == NULL ? -1 : mq_listen_open (options->address, error);
 
   if (fd < 0)
@@ -522,12 +576,16 @@
   server->stream_buffer_max = options->stream_buffer_max == 0
                                   ? MQ_STREAM_BUFFER_BYTES
                                   : options->stream_buffer_max;
+  server->idle_ms = options->idle_ms == 0 ? MQ_HTTP_IDLE_MS : options->idle_ms;
+  server->connections_max = options->connections_max == 0
+                                ? MQ_CONNECTIONS_MAX
+                                : options->connections_max;
+  server->listening = true;
   limit_send_buffers (fd);
   server->port = mq_listen_port (fd);
   server->immediate = tevent_create_immediate (server);
   talloc_set_destructor (server, server_freed);
-  server->daemon = start_daemon (
-      server, fd, connections == 0 ? MQ_CONNECTIONS_MAX : connections);
+  server->daemon = start_daemon (server, fd);
   if (server->daemon == NULL)
     close (fd);
   if (server->daemon == NULL || server->immediate == NULL
@@ -546,42 +604,50 @@
   talloc_free (server);
 }
 
-/* Accepts the connections that wait in the kernel's backlog before the
-   listening socket is closed, which would reset them and lose their
-   requests.  */
-static void
+/* Accepts the connections that wait in the kernel's backlog, up to the limit
+   of connections: closing the listening socket would reset them and lose their
+   requests.  True if none is left.  */
+static bool
 accept_backlog (struct mq_http_server *server)
 {
   const union MHD_DaemonInfo *info
       = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_LISTEN_FD);
-  int fd = 0;
+  size_t room = server->connections_max - server->connection_count;
 
   if (info == NULL)
-    return;
-  do
+    return true;
+  for (size_t taken = 0; taken < room; taken++)
     {
       struct sockaddr_storage from = { 0 };
       socklen_t len = sizeof from;
+      int fd = accept4 (info->listen_fd, (struct sockaddr *)&from, &len,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-      fd = accept4 (info->listen_fd, (struct sockaddr *)&from, &len,
-                    SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0 && errno != ECONNABORTED)
+        return errno == EAGAIN;
       if (fd >= 0)
         (void)MHD_add_connection (server->daemon, fd, (struct sockaddr *)&from,
                                   len);
     }
-  while (fd >= 0 || errno == ECONNABORTED);
+  if (room > 0)
+    mq_http_server_run_again (server);
+  return false;
 }
 
+/* Closes the listening socket once its backlog is empty.  The library counts
+   accepted connections only in its next run.  */
 static void
 close_listener (struct mq_http_server *server)
 {
   MHD_socket fd;
 
-  accept_backlog (server);
+  if (!accept_backlog (server))
+    return;
+  server->listening = false;
   fd = MHD_quiesce_daemon (server->daemon);
   if (fd != MHD_INVALID_SOCKET)
     close (fd);
-  run_again (server);
+  mq_http_server_run_again (server);
 }
 
 /* Inside MHD_run the daemon's listener cannot be closed; run_daemon closes it
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -21,8 +21,10 @@
  * @address: "IP:PORT"; port 0: any free port
  * @body_max: bytes of a request body; 0: MQ_BODY_MAX_BYTES
  * @connections_max: 0: MQ_CONNECTIONS_MAX
- * @stream_buffer_max: unsent bytes at which a stream is closed; 0:
- *                     MQ_STREAM_BUFFER_BYTES
+ * @stream_buffer_max: unsent bytes at which the stream of a caller that does
+ *                     not read is closed; 0: MQ_STREAM_BUFFER_BYTES
+ * @idle_ms: time after which an idle connection is closed; 0:
+ *           MQ_HTTP_IDLE_MS
  */
 struct mq_http_server_options
 {
@@ -30,6 +32,7 @@
   size_t body_max;
   uint32_t connections_max;
   size_t stream_buffer_max;
+  uint32_t idle_ms;
 };
 
 /* HANDLER is called once for each request after its whole body was received.
@@ -44,6 +47,10 @@
 void mq_http_server_destroy (struct mq_http_server *server);
 /* Stops accepting connections; requests in progress continue.  */
 void mq_http_server_stop_accepting (struct mq_http_server *server);
+/* Closes the connections without a request, read or unread.  True once no
+   connection is open; call it until then, after
+   mq_http_server_stop_accepting.  */
+bool mq_http_server_close_idle (struct mq_http_server *server);
 size_t mq_http_server_in_progress (const struct mq_http_server *server);
 uint16_t mq_http_server_port (const struct mq_http_server *server);
 
--- a/src/net/http_state.h
+++ b/src/net/http_state.h
@@ -1,14 +1,15 @@
 /* http_state.h - internal state of the HTTP server; for src/net only.
 
    http_server.c runs the daemon in the event loop and receives requests;
-   http_request.c answers them.
-   Needs: http_server.h, buffer.h, libmicrohttpd, tevent.  */
+   http_request.c answers them; http_connections.c closes idle connections.
+   Needs: http_server.h, buffer.h, timer.h, libmicrohttpd, tevent.  */
 
 #ifndef MQ_HTTP_STATE_H
 #define MQ_HTTP_STATE_H
 
 #include "buffer.h"
 #include "http_server.h"
+#include "timer.h"
 #include <microhttpd.h>
 #include <tevent.h>
 
@@ -16,16 +17,20 @@
  * struct mq_http_server - a listening socket and its requests
  * @daemon: libmicrohttpd's daemon
  * @fde: epoll descriptor of the daemon
- * @timer: timeout of the daemon, NULL if none is set
- * @timer_at: time at which @timer fires
  * @immediate: runs the daemon in the next iteration of the event loop
  * @handler: called for each complete request
  * @data: argument of @handler
+ * @idle_timer: next check for idle connections, NULL if none is open
+ * @connections: open connections
+ * @connection_count: length of @connections
+ * @connections_max: limit of it
  * @requests: requests whose connection is open
  * @in_progress: number of requests in progress
  * @running: inside MHD_run, where the daemon cannot be stopped
  * @has_room: a connection has closed since the last run
- * @closing: no longer accepts; responses close their connection
+ * @closing: responses close their connection, and the listening socket is
+ *           closed once its backlog is empty
+ * @listening: the listening socket is open
  * @destroy_pending: destroyed; freed when MHD_run has returned
  */
 struct mq_http_server
@@ -33,22 +38,43 @@
   struct tevent_context *ev;
   struct MHD_Daemon *daemon;
   struct tevent_fd *fde;
-  struct tevent_timer *timer;
-  struct timeval timer_at;
   struct tevent_immediate *immediate;
   mq_http_handler *handler;
   void *data;
   size_t body_max;
   size_t stream_buffer_max;
+  uint32_t idle_ms;
   uint16_t port;
+  struct mq_timer *idle_timer;
+  struct mq_http_connection *connections;
+  size_t connection_count;
+  uint32_t connections_max;
   struct mq_http_request *requests;
   size_t in_progress;
   bool running;
   bool has_room;
   bool closing;
+  bool listening;
   bool destroy_pending;
 };
 
+/**
+ * struct mq_http_connection - an open connection
+ * @next: in @server->connections
+ * @previous: in @server->connections
+ * @request: in progress, NULL if none
+ * @unread: bytes lay unread when the connection was found idle last
+ */
+struct mq_http_connection
+{
+  struct mq_http_server *server;
+  struct mq_http_connection *next;
+  struct mq_http_connection *previous;
+  struct mq_http_request *request;
+  int fd;
+  bool unread;
+};
+
 struct mq_http_header_line
 {
   struct mq_http_header_line *next;
@@ -61,6 +87,8 @@
  * @next: in @server->requests
  * @previous: in @server->requests
  * @connection: NULL once the request has ended
+ * @place: the connection in @server->connections, NULL once the request has
+ *         ended
  * @path: without the query
  * @body: bytes received so far
  * @discarded: discarded bytes of a body over the limit
@@ -85,6 +113,7 @@
   struct mq_http_request *next;
   struct mq_http_request *previous;
   struct MHD_Connection *connection;
+  struct mq_http_connection *place;
   int fd;
   const char *method;
   const char *path;
@@ -115,4 +144,15 @@
 /* Calls on_closed, once.  */
 void mq_request_notify_closed (struct mq_http_request *request);
 
+/* Runs the library in the next iteration of the event loop.  */
+void mq_http_server_run_again (struct mq_http_server *server);
+/* Whether the library has work left that no event announces.  */
+bool mq_http_server_has_work (const struct mq_http_server *server);
+
+/* NULL if out of memory.  */
+struct mq_http_connection *
+mq_http_connection_open (struct mq_http_server *server, int fd);
+/* CONNECTION may be NULL.  */
+void mq_http_connection_closed (struct mq_http_connection *connection);
+
 #endif
