The soak stops hosts in series and asks for an answer to each whole request

Half of the seeds send hosts SIGTERM and SIGHUP only.

New checks: - A whole request at a host that was not killed or paused since it was sent is answered, unless its connection closes within 200 ms; also at hosts that don't stop, and when nothing comes for 6 s. - No organisation has more run in 5 s than rate x window + burst and the tolerance of the settings. 50 ms, the delay of a proxy, and the longest delay of the soak's own loop are allowed for.

The first check leaves out a stream (status 200) that ends without its last chunk beside a worker that fails, or after the route's least time of 2 s beside a table that fails. Requests without a response head are never left out.

The stand-in processes no longer print buffered lines of the soak again.

--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -185,6 +185,16 @@
   return proxy->port;
 }
 
+bool
+proxy_loses_data (const struct proxy *proxy)
+{
+  for (const struct connection *connection = proxy->connections;
+       connection != NULL; connection = connection->next)
+    if (connection->blackholed)
+      return true;
+  return proxy->mode != PROXY_PASS && proxy->mode != PROXY_DELAY;
+}
+
 void
 proxy_set (struct proxy *proxy, enum proxy_mode mode)
 {
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -23,6 +23,8 @@
 struct proxy *proxy_create (TALLOC_CTX *ctx, struct tevent_context *ev,
                             uint16_t port);
 uint16_t proxy_port (const struct proxy *proxy);
+/* Whether data of a connection is lost, now or for good; not if it is late. */
+bool proxy_loses_data (const struct proxy *proxy);
 void proxy_set (struct proxy *proxy, enum proxy_mode mode);
 
 #endif
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -3,7 +3,7 @@
 
    usage: soak ROUTERD SEED [SECONDS [HOSTS]]
    SOAK_PLANT injects a bug that the soak must detect: twice, refused, history,
-   lost or overspend.
+   lost, overspend, unanswered or limit.
    Needs: soak.h.  */
 
 #include "soak.h"
@@ -15,7 +15,14 @@
 #include <unistd.h>
 
 #define TICK_MS 20U
+/* Delay of a tick that the checks allow for.  */
+#define HELD_MS 20U
 #define FAULT_INTERVAL_MAX_MS 500U
+/* Interval of planted bugs, in which hosts that were killed start again and
+   serve.  */
+#define PLANT_INTERVAL_MS 1000U
+/* Time that a request has waited when its host is killed.  */
+#define PLANT_WAIT_MS 300U
 /* Programs must finish again within this time after the faults end.  */
 #define RECOVERY_TIMEOUT_MS 30000U
 #define RECOVERY_PROGRAMS 40U
@@ -24,9 +31,12 @@
 void
 soak_fail (struct soak *soak, const char *what, const char *subject)
 {
-  if (soak->failures++ < FAILURES_SHOWN)
-    printf ("soak: seed %lu: %s: %s\n", (unsigned long)soak->seed, what,
-            subject);
+  if (soak->failures++ >= FAILURES_SHOWN)
+    return;
+  printf ("soak: seed %lu: %s: %s\n", (unsigned long)soak->seed, what,
+          subject);
+  /* A process that is started prints again what is buffered.  */
+  fflush (stdout);
 }
 
 uint32_t
@@ -39,7 +49,12 @@
 on_tick (void *data)
 {
   struct soak *soak = data;
+  uint64_t now = mq_clock_ms ();
 
+  if (soak->tick_due_ms != 0 && now > soak->tick_due_ms + HELD_MS)
+    soak_record_loop_delay (soak, now - soak->tick_due_ms);
+  soak->tick_due_ms = now + TICK_MS;
+  soak_watch_faults (soak);
   soak_watch_hosts (soak);
   mq_timer_add (soak->ev, soak->ev, TICK_MS, on_tick, soak);
 }
@@ -95,24 +110,46 @@
     soak_fail (soak, "programs don't finish after all faults have ended", "");
 }
 
+/* Kills the host of a request that waits, which the checks aren't told.  */
+static void
+kill_waited_for (struct soak *soak)
+{
+  uint64_t before_ms = mq_clock_ms () - PLANT_WAIT_MS;
+
+  for (int i = 0; i < soak->program_count; i++)
+    {
+      const struct program *program = &soak->programs[i];
+
+      if (program->response_timer == NULL || program->sent_ms > before_ms)
+        continue;
+      for (int k = 0; k < soak->host_count; k++)
+        if (soak->hosts[k].process == program->process
+            && soak->hosts[k].pid != 0)
+          kill (soak->hosts[k].pid, SIGKILL);
+      return;
+    }
+}
+
 /* Injects the bug that SOAK_PLANT names.  */
 static void
 inject_bug (void *data)
 {
   struct soak *soak = data;
+  const char *plant = soak->plant;
 
-  if (strcmp (soak->plant, "lost") == 0)
+  if (strcmp (plant, "lost") == 0)
     rows_server_lose_rows (soak->rows, "turn");
-  if (strcmp (soak->plant, "overspend") == 0)
+  if (strcmp (plant, "overspend") == 0)
     rows_server_lose_rows (soak->rows, "budget");
-  if (strcmp (soak->plant, "history") == 0)
+  if (strcmp (plant, "history") == 0)
     rows_server_overwrite_values (soak->rows, "turn");
-  if (strcmp (soak->plant, "lost") == 0 || strcmp (soak->plant, "history") == 0
-      || strcmp (soak->plant, "overspend") == 0)
+  if (strcmp (plant, "lost") == 0 || strcmp (plant, "history") == 0
+      || strcmp (plant, "overspend") == 0)
     for (int i = 0; i < soak->host_count; i++)
-      if (soak->hosts[i].pid != 0)
-        kill (soak->hosts[i].pid, SIGKILL);
-  mq_timer_add (soak->ev, soak->ev, 300, inject_bug, soak);
+      soak_kill_host (&soak->hosts[i]);
+  if (strcmp (plant, "unanswered") == 0)
+    kill_waited_for (soak);
+  mq_timer_add (soak->ev, soak->ev, PLANT_INTERVAL_MS, inject_bug, soak);
 }
 
 static void
@@ -167,11 +204,14 @@
     soak_start_program (soak, i);
   on_tick (soak);
   soak->faults = true;
+  soak->releases_only = soak_random_below (soak, 2) == 0;
+  soak_release_hosts (soak);
   on_fault (soak);
   if (soak->plant != NULL)
     inject_bug (soak);
   run_for (soak, (uint64_t)seconds * 1000);
   check_recovery (soak);
+  soak_check_limits (soak);
   soak_kill_hosts (soak);
   printf ("soak: seed %lu: %u faults, %u answers, %u refusals, %u broken, "
           "%u programs finished, %u spent, %u failed: %s\n",
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,7 +18,12 @@
 #define HOSTS_MAX 256
 #define WORKERS 4
 #define RECORDS_MAX 200000
-#define PROGRAMS_MAX 32
+#define PROGRAMS_MAX 64
+#define ORGS 8
+#define ROUTE_TIMEOUT_MIN_MS 2000U
+#define LIMIT_WINDOW_S 5U
+#define LIMIT_OVER_TENTHS 1U
+#define LIMIT_SLACK 10U
 /* Tokens of a turn: four events of two tokens.  */
 #define TURN_TOKENS_MAX 8U
 
@@ -26,10 +31,29 @@
    terminates it.  */
 #define SIGNAL_GRACE_MS 300U
 
-/* A router process.  */
+/**
+ * struct process - one run of a host and the signals that were sent to it
+ * @terminated_ms: time of the first SIGTERM, 0 if none
+ * @resumed_ms: time of the last SIGCONT, 0 if none
+ */
+struct process
+{
+  const struct host *host;
+  bool killed;
+  bool paused;
+  uint64_t terminated_ms;
+  uint64_t resumed_ms;
+};
+
+/**
+ * struct host - a router process
+ * @process: its run, NULL before the first one
+ * @table_fault_ms: last time at which the table was not there for the host
+ */
 struct host
 {
   pid_t pid; /* 0: not running */
+  struct process *process;
   bool paused;
   bool restarts;
   uint64_t started_ms;
@@ -39,6 +63,7 @@
   uint16_t ready;
   uint16_t peer;
   struct proxy *table;
+  uint64_t table_fault_ms;
 };
 
 enum kind
@@ -49,17 +74,31 @@
   KIND_RETAINED /* a retained stream that may not be retried */
 };
 
-/* One attempt of a caller: how often it ran, and whether it was refused.  */
+/* One attempt of a caller: how often it ran, first at RUN_MS, and whether it
+   was refused.  */
 struct record
 {
+  uint64_t run_ms;
   uint32_t program;
   uint8_t kind;
+  uint8_t org;
   uint8_t runs;
   bool refused;
 };
 
+/* Requests per second; 0: no limit.  */
+struct org_limit
+{
+  uint32_t rate;
+  uint32_t burst;
+};
+
 /**
  * struct program - one agent program and its caller
+ * @plain: the program has no turns, only calls without a program's id
+ * @org: index of its organisation
+ * @process: process that its connection was opened to
+ * @sent_ms: time of the request's last byte
  * @limit: token budget
  * @tokens_received: tokens received by the caller
  * @turns: remaining turns
@@ -75,6 +114,7 @@
   uint32_t index;
   char id[32];
   bool active;
+  bool plain;
   bool retained;
   bool loops;
   uint64_t limit;
@@ -90,12 +130,24 @@
   struct mq_timer *timer;
   struct mq_timer *response_timer;
   int host;
+  int org;
+  const struct process *process;
+  uint64_t sent_ms;
   int status;
   uint32_t retry_ms;
   bool reused;
   struct mq_buffer body;
 };
 
+/**
+ * struct soak - state of one run
+ * @releases_only: hosts are stopped by SIGTERM alone
+ * @release_first: host from which a release counts
+ * @release_left: hosts that are still to be terminated, 0 if none is under way
+ * @table_fault: the table has a fault
+ * @llm_fault_ms: last time at which a worker of turns had a fault
+ * @held_ms: last delay of the soak's own event loop, seen at @held_at_ms
+ */
 struct soak
 {
   struct tevent_context *ev;
@@ -120,6 +172,15 @@
   struct record *records;
   uint32_t record_count;
   bool faults;
+  bool releases_only;
+  int release_first;
+  int release_left;
+  bool table_fault;
+  uint64_t llm_fault_ms;
+  uint64_t tick_due_ms;
+  uint64_t held_at_ms;
+  uint64_t held_ms;
+  uint64_t held_max_ms;
   int failures;
   uint32_t finished;
   uint32_t failed;
@@ -140,14 +201,31 @@
 /* Restarts hosts that have exited; reports a crash as a violation.  */
 void soak_watch_hosts (struct soak *soak);
 void soak_kill_hosts (struct soak *soak);
-void soak_write_config (struct soak *soak);
 void soak_register_worker (struct soak *soak, bool llm, int index,
                            const char *state);
+
+/* soak_config.c */
+extern const struct org_limit soak_org_limits[ORGS];
+void soak_write_config (struct soak *soak);
+
+/* soak_fault.c */
+void soak_kill_host (struct host *host);
+/* Terminates all hosts one after the other, less than a stop apart.  */
+void soak_release_hosts (struct soak *soak);
 /* Injects a random fault; most faults end by themselves.  */
 void soak_inject (struct soak *soak);
 /* Ends all faults.  */
 void soak_end_faults (struct soak *soak);
 
+/* soak_check.c */
+/* Records that the soak's event loop was held up.  */
+void soak_record_loop_delay (struct soak *soak, uint64_t delay_ms);
+/* Records which faults last, and requests that are not sent yet.  */
+void soak_watch_faults (struct soak *soak);
+/* Fails if the host owes an answer to the program's request.  */
+void soak_check_unanswered (struct program *program, const char *what);
+void soak_check_limits (struct soak *soak);
+
 /* soak_caller.c */
 void soak_start_program (struct soak *soak, int index);
 /* Called when a worker runs a request.  */
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -3,6 +3,7 @@
    Needs: soak.h.  */
 
 #include "soak.h"
+#include "net/clock.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -59,6 +60,8 @@
       return;
     }
   record->runs++;
+  if (record->run_ms == 0)
+    record->run_ms = mq_clock_ms ();
   if (soak->plant != NULL && strcmp (soak->plant, "twice") == 0
       && soak_random_below (soak, 50) == 0)
     record->runs++;
@@ -183,7 +186,7 @@
 next_step (struct program *program)
 {
   struct soak *soak = program->soak;
-  bool turn = is_turn (program);
+  bool turn = is_turn (program) || program->plain;
 
   program->attempts = 0;
   mq_buffer_clear (&program->body);
@@ -193,12 +196,13 @@
       end_program (program);
       return;
     }
-  if (turn && soak_random_below (soak, 2) == 0)
+  if (program->plain || (turn && soak_random_below (soak, 2) == 0))
     program->kind
         = soak_random_below (soak, 2) == 0 ? KIND_CALL : KIND_NON_IDEMPOTENT;
   else
     program->kind = program->retained ? KIND_RETAINED : KIND_TURN;
-  schedule_step (program, 1 + soak_random_below (soak, 30));
+  schedule_step (program,
+                 1 + soak_random_below (soak, program->plain ? 300 : 30));
 }
 
 static void
@@ -323,7 +327,8 @@
 static void
 on_failed (enum mq_http_conn_failure failure, void *user)
 {
-  (void)failure;
+  if (failure != MQ_HTTP_CONN_UNREACHABLE)
+    soak_check_unanswered (user, "a whole request was not answered");
   on_abort (user);
 }
 
@@ -333,6 +338,7 @@
   struct program *program = data;
 
   program->response_timer = NULL;
+  soak_check_unanswered (program, "a caller waited in vain");
   on_abort (program);
 }
 
@@ -359,13 +365,16 @@
   if (program->kind == KIND_RETAINED && program->previous[0] != '\0')
     extra = talloc_asprintf_append (extra, "X-Previous-Turn: %s\r\n",
                                     program->previous);
+  if (!program->plain)
+    extra
+        = talloc_asprintf_append (extra, "X-Program-Id: %s\r\n", program->id);
   head = talloc_asprintf (
       program->soak->ev,
       "POST /%s/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: q%u\r\n"
-      "X-Program-Id: %s\r\nX-Deadline-Ms: 5000\r\n%s"
+      "X-Key: key-%d-%u\r\nX-Deadline-Ms: 5000\r\n%s"
       "Content-Length: %zu\r\n\r\n",
-      paths[program->kind], program->attempt, program->id, extra,
-      strlen (program->input));
+      paths[program->kind], program->attempt, program->org,
+      program->attempt % 2, extra, strlen (program->input));
   talloc_free (extra);
   return head;
 }
@@ -388,7 +397,8 @@
   program->attempt = soak->record_count++;
   soak->records[program->attempt]
       = (struct record){ .program = program->index,
-                         .kind = (uint8_t)program->kind };
+                         .kind = (uint8_t)program->kind,
+                         .org = (uint8_t)program->org };
   snprintf (program->input, sizeof program->input, "i%u;", program->attempt);
   program->status = 0;
   if (program->lane == NULL)
@@ -397,6 +407,7 @@
                 soak->hosts[program->host].http);
       program->lane = mq_http_conn_open (soak->ev, soak->ev, address, 0,
                                          on_gone, program, &error);
+      program->process = soak->hosts[program->host].process;
     }
   if (program->lane == NULL)
     {
@@ -404,6 +415,7 @@
       return;
     }
   head = make_head (program);
+  program->sent_ms = mq_clock_ms ();
   program->response_timer = mq_timer_add (
       soak->ev, soak->ev, RESPONSE_TIMEOUT_MS, on_response_timeout, program);
   mq_http_conn_send (program->lane, &events, head, strlen (head),
@@ -419,12 +431,16 @@
   *program = (struct program){ .soak = soak, .index = (uint32_t)index };
   snprintf (program->id, sizeof program->id, "p%u", soak->program_ids++);
   program->active = true;
+  program->plain = index % 2 == 1;
+  program->org = (int)soak_random_below (soak, ORGS);
   program->retained = soak_random_below (soak, 2) == 0;
   program->loops = soak_random_below (soak, 8) == 0;
   program->limit = 48 + soak_random_below (soak, 4) * TURN_TOKENS_MAX;
   program->turns
       = program->loops ? 1000 : 1 + (int)soak_random_below (soak, 4);
-  program->kind = program->retained ? KIND_RETAINED : KIND_TURN;
+  program->kind = program->plain      ? KIND_NON_IDEMPOTENT
+                  : program->retained ? KIND_RETAINED
+                                      : KIND_TURN;
   program->host = (int)soak_random_below (soak, (uint32_t)soak->host_count);
   schedule_step (program, soak_random_below (soak, 100));
 }
