The soak sends a signal only to a process that takes it

Now it reads from /proc whether the process blocks or handles SIGTERM. One that does neither is killed, or left alone in runs without SIGKILL.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,10 +27,6 @@
 /* Tokens of a turn: four events of two tokens.  */
 #define TURN_TOKENS_MAX 8U
 
-/* Time for a new process to install its signal handlers; until then any signal
-   terminates it.  */
-#define SIGNAL_GRACE_MS 300U
-
 /**
  * struct process - one run of a host and the signals that were sent to it
  * @terminated_ms: time of the first SIGTERM, 0 if none
@@ -56,7 +52,6 @@
   struct process *process;
   bool paused;
   bool restarts;
-  uint64_t started_ms;
   char name[32];
   char *settings;
   uint16_t http;
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -5,6 +5,8 @@
 #include "soak.h"
 #include "net/clock.h"
 #include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Time from one SIGTERM of a release to the next, at most, with four hosts;
@@ -91,6 +93,35 @@
   schedule_restore (soak, max_ms)->proxy = proxy;
 }
 
+/* Whether the process blocks or handles SIGTERM; until then any signal
+   terminates it.  */
+static bool
+takes_signals (const struct host *host)
+{
+  static const char *const masks[] = { "\nSigBlk:", "\nSigCgt:" };
+  char text[4096] = "";
+  char path[32];
+  FILE *file;
+
+  snprintf (path, sizeof path, "/proc/%d/status", (int)host->pid);
+  file = fopen (path, "r");
+  if (file == NULL)
+    return false;
+  text[fread (text, 1, sizeof text - 1, file)] = '\0';
+  fclose (file);
+  for (int i = 0; i < 2; i++)
+    {
+      const char *mask = strstr (text, masks[i]);
+
+      if (mask != NULL
+          && (strtoull (mask + strlen (masks[i]), NULL, 16)
+              & (1ULL << (SIGTERM - 1)))
+                 != 0)
+        return true;
+    }
+  return false;
+}
+
 static void
 inject_host_fault (struct soak *soak, struct host *host, uint32_t fault)
 {
@@ -99,10 +130,14 @@
 
   if (host->pid == 0)
     return;
-  if (mq_clock_ms () - host->started_ms < SIGNAL_GRACE_MS)
-    fault = 0;
   if (soak->releases_only && signals[fault % 3] == SIGKILL)
     fault = 1;
+  if (!takes_signals (host))
+    {
+      if (soak->releases_only)
+        return;
+      fault = 0;
+    }
   if (fault < 3)
     {
       signal_host (host, signals[fault]);
--- a/tests/soak/soak_site.c
+++ b/tests/soak/soak_site.c
@@ -3,7 +3,6 @@
    Needs: soak.h.  */
 
 #include "soak.h"
-#include "net/clock.h"
 #include "net/listen.h"
 #include <signal.h>
 #include <stdio.h>
@@ -87,7 +86,6 @@
     }
   host->pid = pid;
   host->paused = false;
-  host->started_ms = mq_clock_ms ();
   host->process = talloc_zero (soak, struct process);
   host->process->host = host;
 }
