Test, failing: the next request on a connection at a stop

A caller that had sent mimosa-entryd its next request before the answer to the last one saw the connection closed with that answer when the host stopped. http_close::stop_answers_the_next_request_on_a_connection fails on this code.

--- a/tests/test_http_close.c
+++ b/tests/test_http_close.c
@@ -567,3 +567,19 @@
   cr_expect_eq (handled, 0);
   raw_close (fd, false);
 }
+
+/* Failure: the response that ends a connection at a stop is given while the
+   caller's next request lies unread, and that one gets no response.  */
+Test (http_close, stop_answers_the_next_request_on_a_connection)
+{
+  int fd = send_on_new (HOLD);
+
+  run_for (50);
+  cr_assert_not_null (held);
+  raw_send (fd, GET, strlen (GET));
+  mq_http_server_stop_accepting (server);
+  mq_http_respond (held, 200, NULL, "first", 5);
+  cr_expect (read_until (fd, "whole"), "%s", answer);
+  cr_expect_not_null (strstr (answer, "first"));
+  raw_close (fd, false);
+}
