A stop answers the next request on a connection

A caller that had sent mimosa-entryd its next request before the answer to the last one saw the connection closed with that answer when the host stopped: each response then ended its connection. Now a response ends it only when nothing lies unread. A next request that came in one piece with the last one is in the library's memory and is still left out; the header "Connection: close" tells so. http_close::stop_answers_the_next_request_on_a_connection failed before and passes; test_http 16 of 16, test_api 6 of 6, test_daemon_stop 4 of 4, test_docs 7 of 7.

--- a/src/net/http_connections.c
+++ b/src/net/http_connections.c
@@ -28,10 +28,8 @@
   server->connection_count--;
 }
 
-/* Whether bytes, or the end of input, have arrived that the library has not
-   read.  */
-static bool
-has_unread (const struct mq_http_connection *connection)
+bool
+mq_http_connection_has_unread (const struct mq_http_connection *connection)
 {
   struct pollfd poll_fd = { .fd = connection->fd, .events = POLLIN };
 
@@ -81,7 +79,7 @@
   if (is_waiting (connection)
       || quiet_ms (connection) < connection->server->idle_ms)
     return false;
-  connection->unread = has_unread (connection);
+  connection->unread = mq_http_connection_has_unread (connection);
   return !connection->unread || was_unread;
 }
 
@@ -147,7 +145,8 @@
   if (mq_http_server_has_work (server))
     return false;
   for (; connection != NULL; connection = connection->next)
-    if (connection->request == NULL && !has_unread (connection))
+    if (connection->request == NULL
+        && !mq_http_connection_has_unread (connection))
       close_connection (connection);
   if (server->listening)
     mq_http_server_run_again (server);
--- a/src/net/http_request.c
+++ b/src/net/http_request.c
@@ -20,7 +20,9 @@
   for (struct mq_http_header_line *h = request->headers; h != NULL;
        h = h->next)
     MHD_add_response_header (response, h->name, h->value);
-  if (request->server->closing)
+  /* The next request of the caller may lie unread.  */
+  if (request->server->closing
+      && !mq_http_connection_has_unread (request->place))
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
 }
 
--- a/src/net/http_state.h
+++ b/src/net/http_state.h
@@ -152,6 +152,10 @@
 /* NULL if out of memory.  */
 struct mq_http_connection *
 mq_http_connection_open (struct mq_http_server *server, int fd);
+/* Whether bytes, or the end of input, have arrived that the library has not
+   read.  */
+bool
+mq_http_connection_has_unread (const struct mq_http_connection *connection);
 /* CONNECTION may be NULL.  */
 void mq_http_connection_closed (struct mq_http_connection *connection);
 
