--- a/tests/router_site.h
+++ b/tests/router_site.h
@@ -92,6 +92,17 @@
 void edge_wait_responses (struct edge_site *site, struct edge_call *call,
                           int count);
 void edge_close (struct edge_call *call);
+/* Connects to router INDEX and sends TEXT, with responses of its own.  The
+   kernel accepts the connection at once, the router when the loop runs.  */
+struct edge_call *edge_open (struct edge_site *site, int index,
+                             const char *text);
+void edge_send (struct edge_call *call, const char *text);
+/* Reads what has arrived; true if the router has closed the connection.  */
+bool edge_is_closed (struct edge_call *call);
+/* Whether the first response has STATUS.  */
+bool edge_has_status (const struct edge_call *call, const char *status);
+/* Number of workers that router INDEX has ejected.  */
+int edge_ejected_count (const struct edge_site *site, int index);
 /* Sends one request on a new connection; returns the status of the response, 0
    if there is none.  */
 int edge_request (struct edge_site *site, struct edge_call *call, int index,
