--- a/tests/test_organisation.c
+++ b/tests/test_organisation.c
@@ -483,7 +483,7 @@
       int status;
 
       held_boot_ms += STEP_MS;
-      status = ask (i % 2, "q", key);
+      status = ask ((int)(i % 2), "q", key);
       cr_assert (status == 200 || status == 429, "%s", call.answer);
       if (status == 200)
         served++;
