--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -308,41 +308,9 @@
     talloc_free (request);
 }
 
-static char *
-too_large_json (size_t bound)
-{
-  json_t *json = json_pack (
-      "{s:s, s:s, s:s, s:s, s:I}", "error", mq_error_name (MQ_ERR_TOO_LARGE),
-      "ran", mq_ran_name (MQ_RAN_NOT_RUN), "cause",
-      mq_error_cause (MQ_ERR_TOO_LARGE), "remedy",
-      mq_error_remedy (MQ_ERR_TOO_LARGE), "bound", (json_int_t)bound);
-  char *text = json_dumps (json, JSON_COMPACT);
-
-  json_decref (json);
-  return text;
-}
-
-/* Refuses a request past the library, which can't respond to it and then
-   closes the connection.  */
-static void
-send_too_large (int fd, const char *status, size_t bound)
-{
-  char *json = too_large_json (bound);
-  char *text = talloc_asprintf (
-      NULL,
-      "HTTP/1.1 %s\r\nContent-Type: application/json\r\n"
-      "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
-      status, json == NULL ? 0 : strlen (json), json == NULL ? "" : json);
-
-  if (text != NULL)
-    (void)send (fd, text, strlen (text), MSG_DONTWAIT | MSG_NOSIGNAL);
-  talloc_free (text);
-  free (json);
-}
-
 /* Reads and discards a body over its limit, so that the caller can read the
    response; closing with unread bytes would reset the connection.  A body of
-   more than twice the limit is refused before its end.  */
+   more than twice the limit is cut off.  */
 static enum MHD_Result
 body_part (struct mq_http_request *request, const char *data, size_t len)
 {
@@ -354,10 +322,7 @@
   request->too_large = true;
   request->discarded += len;
   mq_buffer_clear (&request->body);
-  if (request->discarded / 2 <= max)
-    return MHD_YES;
-  send_too_large (request->fd, "413 Content Too Large", max);
-  return MHD_NO;
+  return request->discarded / 2 > max ? MHD_NO : MHD_YES;
 }
 
 /* True if the announced body will not be read to its end: far over the limit,
@@ -381,8 +346,15 @@
 static void
 respond_too_large (struct mq_http_request *request)
 {
-  char *text = too_large_json (request->server->body_max);
+  json_t *json = json_pack ("{s:s, s:s, s:s, s:s, s:I}", "error",
+                            mq_error_name (MQ_ERR_TOO_LARGE), "ran",
+                            mq_ran_name (MQ_RAN_NOT_RUN), "cause",
+                            mq_error_cause (MQ_ERR_TOO_LARGE), "remedy",
+                            mq_error_remedy (MQ_ERR_TOO_LARGE), "bound",
+                            (json_int_t)request->server->body_max);
+  char *text = json_dumps (json, JSON_COMPACT);
 
+  json_decref (json);
   mq_http_respond (request, mq_error_http_status (MQ_ERR_TOO_LARGE),
                    "application/json", text, text == NULL ? 0 : strlen (text));
   free (text);
@@ -451,8 +423,12 @@
 static enum MHD_Result
 refuse_header (struct MHD_Connection *connection)
 {
-  send_too_large (connection_fd (connection),
-                  "431 Request Header Fields Too Large", MQ_HEADERS_MAX_BYTES);
+  static const char refusal[]
+      = "HTTP/1.1 431 Request Header Fields Too Large\r\n"
+        "Content-Length: 0\r\nConnection: close\r\n\r\n";
+
+  (void)send (connection_fd (connection), refusal, sizeof refusal - 1,
+              MSG_DONTWAIT | MSG_NOSIGNAL);
   return MHD_NO;
 }
 
