--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -17,7 +17,7 @@
 #define FAULT_SEEN_MS 50U
 /* Time by which a delayed connection to a worker brings runs together.  */
 #define RUN_DELAY_MS 50U
-#define LIMIT_WINDOW_MS (LIMIT_WINDOW_S * 1000U)
+#define LIMIT_WINDOW_MS ((uint64_t)LIMIT_WINDOW_S * 1000U)
 
 void
 soak_record_loop_delay (struct soak *soak, uint64_t delay_ms)
