--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -727,7 +727,7 @@
   assert(message->base.descriptor == &mqrelay__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor mqrelay__host_row__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mqrelay__host_row__field_descriptors[4] =
 {
   {
     "address",
@@ -765,16 +765,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "caches_programs",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__HostRow, caches_programs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__host_row__field_indices_by_name[] = {
   0,   /* field[0] = address */
+  3,   /* field[3] = caches_programs */
   1,   /* field[1] = data_centre */
   2,   /* field[2] = until_s */
 };
 static const ProtobufCIntRange mqrelay__host_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mqrelay__host_row__descriptor =
 {
@@ -784,7 +797,7 @@
   "Mqrelay__HostRow",
   "mqrelay",
   sizeof(Mqrelay__HostRow),
-  3,
+  4,
   mqrelay__host_row__field_descriptors,
   mqrelay__host_row__field_indices_by_name,
   1,  mqrelay__host_row__number_ranges,
@@ -1266,7 +1279,7 @@
   (ProtobufCMessageInit) mqrelay__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__loan_ask__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mqrelay__loan_ask__field_descriptors[7] =
 {
   {
     "id",
@@ -1340,19 +1353,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "move",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanAsk, move),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__loan_ask__field_indices_by_name[] = {
   0,   /* field[0] = id */
   5,   /* field[5] = issue */
   2,   /* field[2] = limit */
   3,   /* field[3] = most */
+  6,   /* field[6] = move */
   1,   /* field[1] = run */
   4,   /* field[4] = turn */
 };
 static const ProtobufCIntRange mqrelay__loan_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mqrelay__loan_ask__descriptor =
 {
@@ -1362,14 +1388,14 @@
   "Mqrelay__LoanAsk",
   "mqrelay",
   sizeof(Mqrelay__LoanAsk),
-  6,
+  7,
   mqrelay__loan_ask__field_descriptors,
   mqrelay__loan_ask__field_indices_by_name,
   1,  mqrelay__loan_ask__number_ranges,
   (ProtobufCMessageInit) mqrelay__loan_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__loan_told__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mqrelay__loan_told__field_descriptors[9] =
 {
   {
     "id",
@@ -1455,20 +1481,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "record",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanTold, record),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanTold, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__loan_told__field_indices_by_name[] = {
   5,   /* field[5] = history */
   6,   /* field[6] = home */
   0,   /* field[0] = id */
   3,   /* field[3] = over */
+  7,   /* field[7] = record */
   1,   /* field[1] = run */
   2,   /* field[2] = tokens */
   4,   /* field[4] = turn */
+  8,   /* field[8] = version */
 };
 static const ProtobufCIntRange mqrelay__loan_told__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mqrelay__loan_told__descriptor =
 {
@@ -1478,7 +1530,7 @@
   "Mqrelay__LoanTold",
   "mqrelay",
   sizeof(Mqrelay__LoanTold),
-  7,
+  9,
   mqrelay__loan_told__field_descriptors,
   mqrelay__loan_told__field_indices_by_name,
   1,  mqrelay__loan_told__number_ranges,
@@ -2038,7 +2090,7 @@
   (ProtobufCMessageInit) mqrelay__quota_told__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__frame__field_descriptors[10] =
+static const ProtobufCFieldDescriptor mqrelay__frame__field_descriptors[11] =
 {
   {
     "ask",
@@ -2160,9 +2212,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handover",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mqrelay__Frame, body_case),
+    offsetof(Mqrelay__Frame, handover),
+    &mqrelay__loan_told__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__frame__field_indices_by_name[] = {
   0,   /* field[0] = ask */
+  10,   /* field[10] = handover */
   4,   /* field[4] = loan_ask */
   6,   /* field[6] = loan_back */
   5,   /* field[5] = loan_told */
@@ -2176,7 +2241,7 @@
 static const ProtobufCIntRange mqrelay__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor mqrelay__frame__descriptor =
 {
@@ -2186,7 +2251,7 @@
   "Mqrelay__Frame",
   "mqrelay",
   sizeof(Mqrelay__Frame),
-  10,
+  11,
   mqrelay__frame__field_descriptors,
   mqrelay__frame__field_indices_by_name,
   1,  mqrelay__frame__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -50,10 +50,14 @@
    * by the table's clock; renewed long before
    */
   uint64_t until_s;
+  /*
+   * accepts Frame.handover
+   */
+  protobuf_c_boolean caches_programs;
 };
 #define MQRELAY__HOST_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__host_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Mqrelay__Entry
@@ -195,10 +199,14 @@
    * the holder of the program's lease may issue tokens
    */
   protobuf_c_boolean issue;
+  /*
+   * all unused tokens and the record are wanted
+   */
+  protobuf_c_boolean move;
 };
 #define MQRELAY__LOAN_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__loan_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Mqrelay__LoanTold
@@ -226,10 +234,18 @@
    * as in BudgetRow
    */
   uint64_t home;
+  /*
+   * the program's BudgetRow, empty: not known here
+   */
+  ProtobufCBinaryData record;
+  /*
+   * of @record in the table
+   */
+  uint64_t version;
 };
 #define MQRELAY__LOAN_TOLD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__loan_told__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, {0,NULL}, 0 }
 
 
 /*
@@ -390,7 +406,8 @@
   MQRELAY__FRAME__BODY_LOAN_BACK = 7,
   MQRELAY__FRAME__BODY_QUOTA_ASK = 8,
   MQRELAY__FRAME__BODY_QUOTA_TOLD = 9,
-  MQRELAY__FRAME__BODY_QUOTA_RECALL = 10
+  MQRELAY__FRAME__BODY_QUOTA_RECALL = 10,
+  MQRELAY__FRAME__BODY_HANDOVER = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MQRELAY__FRAME__BODY__CASE)
 } Mqrelay__Frame__BodyCase;
 
@@ -409,6 +426,10 @@
     Mqrelay__QuotaAsk *quota_ask;
     Mqrelay__QuotaTold *quota_told;
     Mqrelay__QuotaRecall *quota_recall;
+    /*
+     * not asked for: a turn of the program has ended
+     */
+    Mqrelay__LoanTold *handover;
   };
 };
 #define MQRELAY__FRAME__INIT \
--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -297,6 +297,9 @@
     case MQ_RELAY_LOAN_RETURN:
       owner->loan_return (&frame->u.loan_return, owner->user);
       return;
+    case MQ_RELAY_HANDOVER:
+      owner->handover (&frame->u.handover, owner->user);
+      return;
     case MQ_RELAY_QUOTA_REQUEST:
       on_quota_request (relay, link, &frame->u.quota_request);
       return;
@@ -670,14 +673,18 @@
 }
 
 void
-mq_relay_list_host (struct mq_relay *relay, const char *address, bool near)
+mq_relay_list_host (struct mq_relay *relay,
+                    const struct mq_relay_listing *listing)
 {
-  struct host *host = add_host (relay, address);
+  struct host *host = add_host (relay, listing->address);
 
   if (host == NULL)
     return;
   host->listed = true;
-  host->near = near;
+  host->near = listing->near;
+  host->data_centre
+      = mq_hash_bytes (listing->data_centre, strlen (listing->data_centre), 0);
+  host->caches_programs = listing->caches_programs;
 }
 
 /* A host with an open link is alive and stays until the link ends.  */
--- a/src/router/relay.h
+++ b/src/router/relay.h
@@ -31,6 +31,7 @@
  *                mq_relay_send_loan_reply
  * @loan_reply: loan from the host at ADDRESS
  * @loan_return: unused tokens of a loan
+ * @handover: state of a program whose cache host is this host
  * @quota_request: request for permits; answered with mq_relay_send_quota_reply
  * @quota_reply: permits from the host at ADDRESS
  * @quota_recall: a restarted issuer recalls the rates that it lent; answered
@@ -48,6 +49,7 @@
                       const char *address, void *user);
   void (*loan_return) (const struct mq_relay_loan_return *returned,
                        void *user);
+  void (*handover) (const struct mq_relay_loan_reply *handover, void *user);
   void (*quota_request) (const struct mq_relay_quota_request *request,
                          struct mq_relay_link *link, void *user);
   void (*quota_reply) (const struct mq_relay_quota_reply *reply,
@@ -68,12 +70,26 @@
 const char *mq_relay_address (const struct mq_relay *relay);
 /* Adds a host from the settings, at "IP:PORT".  */
 void mq_relay_add_seed (struct mq_relay *relay, const char *address);
+/**
+ * struct mq_relay_listing - a host in the list of hosts
+ * @address: "IP:PORT"
+ * @near: in the same data centre as this host
+ * @caches_programs: accepts handovers (mq_relay_hand_over)
+ */
+struct mq_relay_listing
+{
+  const char *address;
+  const char *data_centre;
+  bool near;
+  bool caches_programs;
+};
+
 /* Replaces the list of hosts: begin, one call for each host, end.  Hosts that
-   are no longer listed are removed, except seeds and those with an open link.
-   NEAR: in the same data centre.  */
+   are no longer listed are removed, except seeds and those with an open
+   link.  */
 void mq_relay_list_begin (struct mq_relay *relay);
-void mq_relay_list_host (struct mq_relay *relay, const char *address,
-                         bool near);
+void mq_relay_list_host (struct mq_relay *relay,
+                         const struct mq_relay_listing *listing);
 void mq_relay_list_end (struct mq_relay *relay);
 size_t mq_relay_host_count (const struct mq_relay *relay);
 
@@ -119,11 +135,24 @@
    wait for a lost host.  */
 #define MQ_RELAY_LOAN_TIMEOUT_MS 100U
 /* Requests a loan from other hosts; returns the number of requests sent.
-   NEAR: only from hosts in the same data centre, and from none if they exceed
-   MQ_RELAY_LOAN_HOSTS_MAX.  */
+   NEAR: only from hosts in the same data centre.  Where there are cache hosts,
+   those of the program are asked first, and only the near one if NEAR.  */
 uint32_t mq_relay_request_loan (struct mq_relay *relay,
                                 const struct mq_relay_loan_request *request,
                                 bool near);
+/* Whether this data centre has more than MQ_RELAY_LOAN_HOSTS_MAX other hosts.
+   The state of a program is then kept at one of them between its turns, its
+   cache host, so that its next turn asks one host, however many there are.  */
+bool mq_relay_uses_cache_hosts (const struct mq_relay *relay);
+/* Address of the cache host of PROGRAM in this data centre, chosen by
+   rendezvous hashing: hosts with the same list choose the same one.  NULL if
+   it is this host or none is available.  */
+const char *mq_relay_cache_host (const struct mq_relay *relay,
+                                 const char *program);
+/* Sends the state of a program to the cache host at ADDRESS; false if no link
+   to it can be opened.  */
+bool mq_relay_hand_over (struct mq_relay *relay, const char *address,
+                         const struct mq_relay_loan_reply *handover);
 /* Answers a loan request received on LINK.  */
 void mq_relay_send_loan_reply (struct mq_relay *relay,
                                struct mq_relay_link *link,
--- a/src/router/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -163,17 +163,15 @@
   to.most = request->tokens;
   to.turn = text_field (request->turn);
   to.issue = request->may_issue;
+  to.move = request->move;
   return pack (ctx, &frame);
 }
 
-static struct mq_bytes
-pack_loan_reply (TALLOC_CTX *ctx, const struct mq_relay_loan_reply *reply)
+static Mqrelay__LoanTold
+make_loan_reply (const struct mq_relay_loan_reply *reply)
 {
-  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
   Mqrelay__LoanTold to = MQRELAY__LOAN_TOLD__INIT;
 
-  frame.body_case = MQRELAY__FRAME__BODY_LOAN_TOLD;
-  frame.loan_told = &to;
   to.id = reply->id;
   to.run = text_field (reply->program);
   to.tokens = reply->tokens;
@@ -182,6 +180,31 @@
   to.turn = text_field (reply->turn);
   to.history.data = reply->history.data;
   to.history.len = reply->history.len;
+  to.record.data = reply->record.data;
+  to.record.len = reply->record.len;
+  to.version = reply->record_version;
+  return to;
+}
+
+static struct mq_bytes
+pack_loan_reply (TALLOC_CTX *ctx, const struct mq_relay_loan_reply *reply)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__LoanTold to = make_loan_reply (reply);
+
+  frame.body_case = MQRELAY__FRAME__BODY_LOAN_TOLD;
+  frame.loan_told = &to;
+  return pack (ctx, &frame);
+}
+
+static struct mq_bytes
+pack_handover (TALLOC_CTX *ctx, const struct mq_relay_loan_reply *handover)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__LoanTold to = make_loan_reply (handover);
+
+  frame.body_case = MQRELAY__FRAME__BODY_HANDOVER;
+  frame.handover = &to;
   return pack (ctx, &frame);
 }
 
@@ -308,6 +331,8 @@
       return pack_loan_reply (ctx, &frame->u.loan_reply);
     case MQ_RELAY_LOAN_RETURN:
       return pack_loan_return (ctx, &frame->u.loan_return);
+    case MQ_RELAY_HANDOVER:
+      return pack_handover (ctx, &frame->u.handover);
     case MQ_RELAY_QUOTA_REQUEST:
       return pack_quota_request (ctx, &frame->u.quota_request);
     case MQ_RELAY_QUOTA_REPLY:
@@ -410,14 +435,14 @@
     .tokens = from->most,
     .turn = from->turn,
     .may_issue = from->issue,
+    .move = from->move,
   };
 }
 
-static void
-read_loan_reply (struct mq_relay_frame *to, const Mqrelay__LoanTold *from)
+static struct mq_relay_loan_reply
+read_loan_reply (const Mqrelay__LoanTold *from)
 {
-  to->kind = MQ_RELAY_LOAN_REPLY;
-  to->u.loan_reply = (struct mq_relay_loan_reply){
+  return (struct mq_relay_loan_reply){
     .id = from->id,
     .program = from->run,
     .tokens = from->tokens,
@@ -425,6 +450,8 @@
     .home = from->home,
     .turn = from->turn,
     .history = { from->history.data, from->history.len },
+    .record = { from->record.data, from->record.len },
+    .record_version = from->version,
   };
 }
 
@@ -514,7 +541,12 @@
       read_loan_request (to, from->loan_ask);
       return true;
     case MQRELAY__FRAME__BODY_LOAN_TOLD:
-      read_loan_reply (to, from->loan_told);
+      to->kind = MQ_RELAY_LOAN_REPLY;
+      to->u.loan_reply = read_loan_reply (from->loan_told);
+      return true;
+    case MQRELAY__FRAME__BODY_HANDOVER:
+      to->kind = MQ_RELAY_HANDOVER;
+      to->u.handover = read_loan_reply (from->handover);
       return true;
     case MQRELAY__FRAME__BODY_LOAN_BACK:
       to->kind = MQ_RELAY_LOAN_RETURN;
--- a/src/router/relay_frame.h
+++ b/src/router/relay_frame.h
@@ -21,6 +21,7 @@
   MQ_RELAY_LOAN_REQUEST,  /* request for tokens and a history */
   MQ_RELAY_LOAN_REPLY,    /* tokens and history lent */
   MQ_RELAY_LOAN_RETURN,   /* unused tokens returned */
+  MQ_RELAY_HANDOVER,      /* state of a program after a turn */
   MQ_RELAY_QUOTA_REQUEST, /* request for permits */
   MQ_RELAY_QUOTA_REPLY,   /* permits issued */
   MQ_RELAY_QUOTA_RECALL,  /* recall of rates lent by earlier runs */
@@ -78,6 +79,8 @@
  * @tokens: tokens requested
  * @turn: turn whose history is requested, "" if none
  * @may_issue: the lease holder of the program may issue unrecorded tokens
+ * @move: requests all unused tokens and the budget record: the program
+ *        continues at the requester
  */
 struct mq_relay_loan_request
 {
@@ -87,15 +90,18 @@
   uint64_t tokens;
   const char *turn;
   bool may_issue;
+  bool move;
 };
 
 /**
- * struct mq_relay_loan_reply - reply to a loan request
+ * struct mq_relay_loan_reply - reply to a loan request, or a handover
  * @tokens: tokens lent, already deducted from the lender's grant
  * @issue_forbidden: the budget is overdrawn, or its lease has moved
  * @turn: turn of @history, "" if not found
  * @history: encoded as a row of the table, with the full text
  * @home: worker that holds the program's cache, 0 if unknown
+ * @record: budget record of the program as in the table, empty if unknown
+ * @record_version: version of @record
  */
 struct mq_relay_loan_reply
 {
@@ -106,6 +112,8 @@
   const char *turn;
   struct mq_bytes history;
   uint64_t home;
+  struct mq_bytes record;
+  uint64_t record_version;
 };
 
 /* Unused tokens of a loan, returned to the lender.  */
@@ -178,6 +186,7 @@
     struct mq_relay_loan_request loan_request;
     struct mq_relay_loan_reply loan_reply;
     struct mq_relay_loan_return loan_return;
+    struct mq_relay_loan_reply handover;
     struct mq_relay_quota_request quota_request;
     struct mq_relay_quota_reply quota_reply;
     struct mq_relay_quota_recall quota_recall;
--- a/src/router/relay_loan.c
+++ b/src/router/relay_loan.c
@@ -67,40 +67,68 @@
   return host->loan_after_ms <= now;
 }
 
+/* Sends FRAME, the latest request, to HOST.  Returns false if the host can't
+   be asked or was asked already.  */
+static bool
+send_to_host (struct mq_relay *relay, struct host *host, struct mq_bytes frame)
+{
+  struct mq_relay_link *link;
+
+  if (host->loan_serial == relay->loan_serial
+      || !may_lend (host, mq_clock_ms ()))
+    return false;
+  link = relay_open_link (relay, host);
+  if (link == NULL)
+    return false;
+  host->loan_serial = relay->loan_serial;
+  start_timeout (relay, host);
+  mq_relay_link_send (link, frame);
+  return true;
+}
+
 /* Sends FRAME to hosts with an open link if LINKED, else to those without.
    Returns SENT plus the number of requests sent.  */
 static uint32_t
 send_to_hosts (struct mq_relay *relay, struct mq_bytes frame, bool near,
                bool linked, uint32_t sent)
 {
-  uint64_t now = mq_clock_ms ();
-
   for (struct host *host = relay->hosts;
        host != NULL && sent < MQ_RELAY_LOAN_HOSTS_MAX; host = host->next)
     {
-      struct mq_relay_link *link;
-
-      if ((host->link != NULL) != linked || (near && !host->near)
-          || !may_lend (host, now))
-        continue;
-      link = relay_open_link (relay, host);
-      if (link == NULL)
+      if ((host->link != NULL) != linked || (near && !host->near))
         continue;
-      start_timeout (relay, host);
-      mq_relay_link_send (link, frame);
-      sent++;
+      sent += send_to_host (relay, host, frame) ? 1U : 0U;
     }
   return sent;
 }
 
+/* A cache host that can't be asked enters its backoff, and another one takes
+   its place.  */
 static uint32_t
-count_near (const struct mq_relay *relay)
+send_to_near_cache_host (struct mq_relay *relay, struct mq_bytes frame,
+                         const char *program)
 {
-  uint32_t count = 0;
+  struct host *host;
 
-  for (const struct host *host = relay->hosts; host != NULL; host = host->next)
-    count += host->near ? 1U : 0U;
-  return count;
+  if (program[0] == '\0')
+    return 0;
+  while ((host = relay_cache_host (relay, program)) != NULL)
+    if (send_to_host (relay, host, frame))
+      return 1;
+  return 0;
+}
+
+static uint32_t
+send_to_cache_hosts (struct mq_relay *relay, struct mq_bytes frame,
+                     const char *program)
+{
+  struct host *hosts[RELAY_DATA_CENTRES_MAX];
+  size_t count = relay_cache_hosts (relay, program, hosts);
+  uint32_t sent = send_to_near_cache_host (relay, frame, program);
+
+  for (size_t i = 0; i < count; i++)
+    sent += send_to_host (relay, hosts[i], frame) ? 1U : 0U;
+  return sent;
 }
 
 uint32_t
@@ -110,13 +138,20 @@
   struct mq_relay_frame frame
       = { .kind = MQ_RELAY_LOAN_REQUEST, .u.loan_request = *request };
   struct mq_bytes bytes;
-  uint32_t sent;
+  uint32_t sent = 0;
+  bool cached = mq_relay_uses_cache_hosts (relay);
 
-  if (near && count_near (relay) > MQ_RELAY_LOAN_HOSTS_MAX)
-    return 0;
+  relay->loan_serial++;
   bytes = mq_relay_frame_pack (relay, &frame);
-  sent = send_to_hosts (relay, bytes, near, true, 0);
-  sent = send_to_hosts (relay, bytes, near, false, sent);
+  if (cached && near)
+    sent = send_to_near_cache_host (relay, bytes, request->program);
+  else if (cached)
+    sent = send_to_cache_hosts (relay, bytes, request->program);
+  if (!cached || !near)
+    {
+      sent = send_to_hosts (relay, bytes, near, true, sent);
+      sent = send_to_hosts (relay, bytes, near, false, sent);
+    }
   talloc_free (bytes.data);
   return sent;
 }
--- a/src/router/relay_state.h
+++ b/src/router/relay_state.h
@@ -1,4 +1,5 @@
-/* relay_state.h - state of a relay, shared by relay.c and relay_loan.c only.
+/* relay_state.h - state of a relay, shared by relay.c, relay_cache.c and
+   relay_loan.c only.
 
    Needs: relay.h, relay_link.h.  */
 
@@ -17,7 +18,10 @@
  * @loan_late: a loan request has timed out
  * @seed: from the settings; kept even if not listed
  * @listed: in the latest list of hosts
+ * @loan_serial: last loan request sent to it
  * @near: in the same data centre
+ * @data_centre: hash of the name, 0 if unknown
+ * @caches_programs: accepts handovers
  * @recalled: has answered mq_relay_recall_quota
  * @batch_after_ms: end of the backoff for batching writes
  */
@@ -30,9 +34,12 @@
   uint64_t loan_after_ms;
   struct mq_timer *loan_timer;
   bool loan_late;
+  uint64_t loan_serial;
   bool seed;
   bool listed;
   bool near;
+  uint64_t data_centre;
+  bool caches_programs;
   bool recalled;
   uint64_t batch_after_ms;
 };
@@ -51,6 +58,7 @@
   struct served_call *served_calls;
   char *own_address;
   uint64_t next_id;
+  uint64_t loan_serial;
   uint64_t random;
   uint64_t calls_sent;
   uint64_t calls_served;
@@ -73,6 +81,19 @@
 void relay_send_frame (struct mq_relay *relay, struct mq_relay_link *link,
                        const struct mq_relay_frame *frame);
 
+/* relay_cache.c */
+
+/* Data centres whose cache hosts are asked for one program.  */
+#define RELAY_DATA_CENTRES_MAX 16U
+/* The available cache host of PROGRAM in this data centre; NULL if it is this
+   host or there is none.  */
+struct host *relay_cache_host (const struct mq_relay *relay,
+                               const char *program);
+/* Stores the available cache hosts of PROGRAM in all data centres in FOUND and
+   returns their number.  */
+size_t relay_cache_hosts (const struct mq_relay *relay, const char *program,
+                          struct host *found[RELAY_DATA_CENTRES_MAX]);
+
 /* relay_loan.c */
 
 /* No loan request to HOST is outstanding any more.  */
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -162,6 +162,7 @@
                                   .loan_request = mq_loan_on_request,
                                   .loan_reply = mq_loan_on_reply,
                                   .loan_return = mq_loan_on_return,
+                                  .handover = mq_handover_receive,
                                   .quota_request = mq_issuing_on_request,
                                   .quota_reply = mq_permits_on_reply,
                                   .quota_recall = mq_permits_on_recall,
--- a/src/router/router_hosts.c
+++ b/src/router/router_hosts.c
@@ -12,10 +12,15 @@
 /* The key of a row is the host's name.  */
 static const char host_table[] = "host";
 
-/* Interval of listing the hosts: LIST_FIRST_MS while none is known, else
-   LIST_MS plus as much for every LIST_HOSTS hosts, to bound the traffic.  */
+/* Interval of listing the hosts: LIST_FIRST_MS while none is known,
+   LIST_SETTLE_MS after the first list that has any, else LIST_MS plus as much
+   for every LIST_HOSTS hosts, to bound the traffic.
+
+   Failure: hosts that start together list each other in part, and choose
+   different cache and batching hosts until the next list.  */
 #define LIST_MS 10000U
 #define LIST_FIRST_MS 1500U
+#define LIST_SETTLE_MS 5000U
 #define LIST_HOSTS 16U
 /* Renewal interval of a row, which is valid for three times as long, so that
    hosts outlast an outage of the table for some minutes.  */
@@ -56,6 +61,19 @@
   return host->until_s != 0 && now != 0 && host->until_s < now;
 }
 
+static void
+list_host (struct mq_router *router, const Mqrelay__HostRow *host)
+{
+  const char *own = router->settings->data_centre;
+  struct mq_relay_listing listing
+      = { .address = host->address,
+          .data_centre = host->data_centre,
+          .near = strcmp (host->data_centre, own) == 0,
+          .caches_programs = host->caches_programs };
+
+  mq_relay_list_host (router->relay, &listing);
+}
+
 static void
 on_host_row (const struct mq_rows_entry *row, void *user)
 {
@@ -68,9 +86,7 @@
   if (host == NULL || is_lost (router, host))
     remove_lost (router, row);
   else
-    mq_relay_list_host (
-        router->relay, host->address,
-        strcmp (host->data_centre, router->settings->data_centre) == 0);
+    list_host (router, host);
   if (host != NULL)
     mqrelay__host_row__free_unpacked (host, NULL);
 }
@@ -86,6 +102,8 @@
       return;
     }
   mq_relay_list_end (router->relay);
+  if (mq_relay_host_count (router->relay) > 0)
+    router->host_lists++;
   mq_rows_set_host_count (router->rows,
                           1 + mq_relay_host_count (router->relay));
   router->hosts_asked = false;
@@ -118,6 +136,7 @@
   host.address = (char *)(uintptr_t)mq_relay_address (router->relay);
   host.data_centre = (char *)(uintptr_t)router->settings->data_centre;
   host.until_s = mq_rows_clock_s (router->rows) + ROW_TTL_S;
+  host.caches_programs = true;
   if (mqrelay__host_row__get_packed_size (&host) > sizeof bytes)
     return;
   entry.value.len = mqrelay__host_row__pack (&host, bytes);
@@ -143,6 +162,8 @@
 
   if (count == 0)
     return LIST_FIRST_MS;
+  if (router->host_lists == 1)
+    return LIST_SETTLE_MS;
   return LIST_MS * (1 + count / LIST_HOSTS);
 }
 
--- a/src/router/router_loan.c
+++ b/src/router/router_loan.c
@@ -4,7 +4,8 @@
    host's memory.  A host shares only histories whose record is durable, and
    deducts tokens from its own grant before it sends them.  Loans are requested
 
-   - from hosts of the same data centre, before the table is read;
+   - from hosts of the same data centre, before the table is read, or from the
+     program's cache host if they are many (router_handover.c);
    - from all hosts while the table is unavailable.  As a last resort, the host
      that holds the program's lease issues the tokens of one turn beyond the
      limit (budget.h, reserve.h);
@@ -27,6 +28,7 @@
  * struct mq_loan - a loan request in progress
  * @turn: turn that waits for it, NULL if @program reclaims tokens
  * @program: program that reclaims unused tokens, or NULL
+ * @most: tokens that @program needs
  * @replies_due: replies outstanding
  * @near: sent to hosts of this data centre only, before a read of the table
  * @issue: asks the lease holder to issue tokens that no record counts yet
@@ -39,6 +41,7 @@
   struct mq_program *program;
   struct mq_loan *next;
   struct mq_timer *timer;
+  uint64_t most;
   uint64_t id;
   uint32_t replies_due;
   bool near;
@@ -138,6 +141,8 @@
     .tokens = turn->budgeted ? turn->max_tokens : 0,
     .turn = turn->missing_id,
     .may_issue = loan->issue,
+    .move
+    = loan->near && mq_relay_uses_cache_hosts (loan->turns->router->relay),
   };
 
   send_request (loan, &request);
@@ -171,6 +176,23 @@
   mq_program_on_recall_done (program);
 }
 
+/* The hosts nearby were asked.  What they lack comes from the table.  */
+static void
+finish_nearby (struct mq_loan *loan)
+{
+  struct mq_turn *turn = loan->turn;
+  bool lacks_history = turn->missing_id[0] != '\0';
+
+  turn->loan = NULL;
+  mq_loan_cancel (loan);
+  if (!lacks_history)
+    mq_program_reserve (turn);
+  else if (mq_turn_find_cached (turn))
+    turn->turns->router->counters.turns_lent++;
+  else
+    mq_turn_read_history (turn);
+}
+
 /* Continues once all replies are in or the timeout has passed.  */
 static void
 advance_loan (struct mq_loan *loan)
@@ -184,12 +206,7 @@
     }
   if (loan->near)
     {
-      turn->loan = NULL;
-      mq_loan_cancel (loan);
-      if (mq_turn_find_cached (turn))
-        turn->turns->router->counters.turns_lent++;
-      else
-        mq_turn_read_history (turn);
+      finish_nearby (loan);
       return;
     }
   if (turn->missing_id[0] != '\0')
@@ -247,8 +264,9 @@
    served an earlier turn has the history and a grant in memory, which saves a
    read and a write of the table.  */
 void
-mq_loan_request_local_history (struct mq_turn *turn)
+mq_loan_request_nearby (struct mq_turn *turn)
 {
+  turn->queried_nearby = true;
   turn->loan = create_loan (turn->turns);
   turn->loan->turn = turn;
   turn->loan->near = true;
@@ -266,6 +284,7 @@
                                            .turn = "" };
 
   loan->program = program;
+  loan->most = most;
   send_request (loan, &request);
   return loan;
 }
@@ -284,29 +303,35 @@
 
 /* Tokens that arrive too late for their turn stay available to the program's
    next one.  The record counts them as spent if there is none.  */
-static void
-store_tokens (struct mq_turns *turns, const struct mq_relay_loan_reply *reply,
-              const char *address)
+void
+mq_loan_store (struct mq_turns *turns, const struct mq_relay_loan_reply *reply)
 {
-  struct mq_program *program
-      = mq_program_get_or_create (turns, reply->program);
+  struct mq_program *program = NULL;
 
-  if (program == NULL)
-    return;
-  mq_budget_receive_loan (&program->budget, reply->tokens);
-  talloc_free (program->lender);
-  program->lender = talloc_strdup (program, address);
+  if (reply->tokens > 0 || reply->home != 0 || reply->record.len > 0)
+    program = mq_program_get_or_create (turns, reply->program);
+  if (program != NULL)
+    {
+      program->used_ms = mq_clock_ms ();
+      mq_budget_receive_loan (&program->budget, reply->tokens);
+      /* The worker that holds the program's cache, for affinity.  */
+      if (program->home == 0)
+        program->home = reply->home;
+      mq_program_adopt_record (program, reply->record, reply->record_version);
+    }
+  if (reply->turn[0] != '\0')
+    store_history (turns, reply);
 }
 
-/* Adopts the worker that holds the program's cache, for affinity.  */
 static void
-adopt_home (struct mq_turns *turns, const struct mq_relay_loan_reply *reply)
+set_lender (struct mq_turns *turns, const char *id, const char *address)
 {
-  struct mq_program *program
-      = mq_program_get_or_create (turns, reply->program);
+  struct mq_program *program = mq_program_find (turns, id);
 
-  if (program != NULL && program->home == 0)
-    program->home = reply->home;
+  if (program == NULL)
+    return;
+  talloc_free (program->lender);
+  program->lender = talloc_strdup (program, address);
 }
 
 /* Whether the turn has all that it lacked, so that no more replies are
@@ -317,10 +342,10 @@
   struct mq_turn *turn = loan->turn;
   const struct mq_program *program;
 
-  if (turn == NULL
-      || (turn->missing_id[0] != '\0'
-          && mq_chain_cache_find (loan->turns->cache, turn->missing_id)
-                 == NULL))
+  if (turn == NULL)
+    return mq_budget_can_reserve (&loan->program->budget, loan->most);
+  if ((turn->missing_id[0] != '\0'
+       && mq_chain_cache_find (loan->turns->cache, turn->missing_id) == NULL))
     return false;
   if (!turn->budgeted)
     return true;
@@ -337,12 +362,9 @@
   struct mq_turns *turns = router->turns;
   struct mq_loan *loan = turns->loans;
 
+  mq_loan_store (turns, reply);
   if (reply->tokens > 0)
-    store_tokens (turns, reply, address);
-  if (reply->turn[0] != '\0')
-    store_history (turns, reply);
-  if (reply->home != 0)
-    adopt_home (turns, reply);
+    set_lender (turns, reply->program, address);
   while (loan != NULL && loan->id != reply->id)
     loan = loan->next;
   if (loan == NULL || loan->replies_due == 0)
@@ -379,7 +401,8 @@
       = mq_budget_is_overdrawn (&program->budget, request->limit)
         || (program->budget.issued > 0
             && !mq_reserve_may_issue (router, request->program));
-  reply->tokens = mq_budget_lend (&program->budget, request->tokens);
+  reply->tokens = mq_budget_lend (
+      &program->budget, request->move ? UINT64_MAX : request->tokens);
 }
 
 static void
@@ -413,6 +436,8 @@
     lend_tokens (router, request, &reply);
   if (request->turn[0] != '\0')
     lend_history (ctx, router, request, &reply);
+  if (request->move && program != NULL)
+    mq_handover_set_record (ctx, program, &reply);
   if (reply.tokens > 0 || reply.turn[0] != '\0')
     router->counters.loans_given++;
   mq_relay_send_loan_reply (router->relay, link, &reply);
--- a/src/router/router_program.c
+++ b/src/router/router_program.c
@@ -90,6 +90,20 @@
     mq_loan_request (pop_waiting (program));
 }
 
+void
+mq_program_adopt_record (struct mq_program *program, struct mq_bytes value,
+                         uint64_t version)
+{
+  struct mq_budget_record record;
+
+  if (program->call != NULL || version <= program->budget.version
+      || !mq_budget_unpack (value, &record))
+    return;
+  mq_budget_record_read (&program->budget, program->holder, &record, version);
+  if (record.home != 0)
+    program->home = record.home;
+}
+
 static void
 apply_record (struct mq_program *program, const struct mq_rows_result *result)
 {
@@ -328,6 +342,11 @@
       mq_turn_notify (turn, MQ_TURN_READY);
       return;
     }
+  if (mq_handover_may_help (turn))
+    {
+      mq_loan_request_nearby (turn);
+      return;
+    }
   program = mq_program_get_or_create (turn->turns, turn->program);
   if (program == NULL)
     {
@@ -390,7 +409,8 @@
   if (program->running > 0 || program->waiting != NULL)
     return;
   mq_loan_return (program);
-  release_grant (program, turn->max_tokens);
+  if (!mq_handover_program (program))
+    release_grant (program, turn->max_tokens);
 }
 
 /* Records tokens issued during an outage of the table before the program is
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -50,9 +50,10 @@
   X (budget_writes, "records of programs written")                            \
   X (turn_writes, "records of turns written")                                 \
   X (turn_reads, "records of turns read")                                     \
-  X (loans_asked, "turns that asked other hosts, the table being away")       \
+  X (loans_asked, "turns that asked other hosts for tokens or a history")     \
   X (loans_given, "answers to such a question that gave something")           \
   X (turns_lent, "turns that began with tokens or a history of other hosts")  \
+  X (handovers, "times a program's state was sent to its cache host")         \
   X (permits_used, "requests sent under a limit of their organisation")       \
   X (permits_asked, "questions to hosts that issue permits")                  \
   X (permits_issued, "permits issued to hosts")                               \
@@ -105,6 +106,7 @@
  * @latency: latency of forwarded responses by kind of route, milliseconds
  * @loop_delay: delay of the sweep timer, milliseconds
  * @sweep_due_ms: due time of the sweep timer, local monotonic clock
+ * @host_lists: lists of hosts that had any
  * @hosts_listed: the table of hosts was read
  * @row_written: this host's row is in that table
  */
@@ -154,6 +156,7 @@
   uint64_t sync_ms;
   uint64_t hosts_ms;
   bool hosts_asked;
+  uint32_t host_lists;
   bool announced;
   bool hosts_listed;
   bool row_written;
@@ -385,6 +388,12 @@
                        const char *address, void *user);
 void mq_loan_on_return (const struct mq_relay_loan_return *back, void *user);
 
+/* router_handover.c */
+
+/* State of a program that another host served last.  */
+void mq_handover_receive (const struct mq_relay_loan_reply *handover,
+                          void *user);
+
 /* router_reserve.c */
 
 /* Whether this host may issue permits of the organisations in lease SLOT; if
--- a/src/router/router_turn.c
+++ b/src/router/router_turn.c
@@ -249,10 +249,7 @@
   if (mq_turn_find_cached (turn))
     return;
   if (!turn->queried_nearby && turn->partial_chain == NULL)
-    {
-      turn->queried_nearby = true;
-      mq_loan_request_local_history (turn);
-    }
+    mq_loan_request_nearby (turn);
   else
     mq_turn_read_history (turn);
 }
@@ -285,6 +282,8 @@
 static void
 finish_store (struct mq_turn *turn)
 {
+  if (turn->program != NULL)
+    mq_handover_history (turn->turns, turn->program, turn->new_chain);
   mq_chain_cache_put (turn->turns->cache, turn->new_chain);
   turn->new_chain = NULL;
   mq_turn_notify (turn, MQ_TURN_STORED);
--- a/src/router/router_turns.h
+++ b/src/router/router_turns.h
@@ -1,5 +1,6 @@
-/* router_turns.h - budgets, histories and loans of programs, shared by
-   router_turn.c, router_program.c and router_loan.c only.
+/* router_turns.h - budgets, histories, loans and handovers of programs, shared
+   by router_turn.c, router_program.c, router_loan.c and router_handover.c
+   only.
 
    Needs: router_state.h.  */
 
@@ -99,11 +100,17 @@
 /* Removes TURN from the queue of its program.  */
 void mq_program_dequeue (struct mq_turn *turn);
 
+/* Takes over the budget record in VALUE, of VERSION in the table, unless this
+   host knows a newer one.  */
+void mq_program_adopt_record (struct mq_program *program,
+                              struct mq_bytes value, uint64_t version);
+
 /* router_loan.c */
 
-/* Asks the hosts of this data centre for the missing history of TURN.  If none
-   has it, mq_turn_read_history follows.  */
-void mq_loan_request_local_history (struct mq_turn *turn);
+/* Asks the hosts of this data centre for the missing history and the budget of
+   TURN.  mq_turn_read_history follows if none has the history, else
+   mq_program_reserve.  */
+void mq_loan_request_nearby (struct mq_turn *turn);
 /* The table is unavailable: requests what TURN needs from other hosts, or
    fails it with MQ_TURN_STORE_UNAVAILABLE.  */
 void mq_loan_request (struct mq_turn *turn);
@@ -115,5 +122,25 @@
 void mq_loan_cancel (struct mq_loan *loan);
 /* Returns unused tokens to the host that lent them.  */
 void mq_loan_return (struct mq_program *program);
+/* Stores what another host sent: tokens, a history, a budget record.  */
+void mq_loan_store (struct mq_turns *turns,
+                    const struct mq_relay_loan_reply *reply);
+
+/* router_handover.c */
+
+/* Whether the cache host of TURN's program may have tokens that this host
+   lacks.  */
+bool mq_handover_may_help (const struct mq_turn *turn);
+/* Sends the unused tokens and the budget record of PROGRAM, which has no turns
+   left here, to its cache host.  Returns false if they stay at a host that
+   other hosts don't ask.  */
+bool mq_handover_program (struct mq_program *program);
+/* Sends CHAIN, whose row is durable, to the cache host of PROGRAM.  */
+void mq_handover_history (struct mq_turns *turns, const char *program,
+                          const struct mq_chain *chain);
+/* Sets the budget record of REPLY, allocated under CTX, from what this host
+   knows of PROGRAM.  */
+void mq_handover_set_record (TALLOC_CTX *ctx, const struct mq_program *program,
+                             struct mq_relay_loan_reply *reply);
 
 #endif
--- a/tests/fuzz/fuzz_relay.c
+++ b/tests/fuzz/fuzz_relay.c
@@ -21,6 +21,15 @@
     }
 }
 
+static void
+check_loan_reply (const struct mq_relay_loan_reply *reply)
+{
+  FUZZ_CHECK (reply->program != NULL);
+  FUZZ_CHECK (reply->turn != NULL);
+  FUZZ_CHECK (reply->history.len == 0 || reply->history.data != NULL);
+  FUZZ_CHECK (reply->record.len == 0 || reply->record.data != NULL);
+}
+
 static void
 check_frame (const struct mq_relay_frame *frame)
 {
@@ -45,10 +54,10 @@
       FUZZ_CHECK (frame->u.loan_request.turn != NULL);
       return;
     case MQ_RELAY_LOAN_REPLY:
-      FUZZ_CHECK (frame->u.loan_reply.program != NULL);
-      FUZZ_CHECK (frame->u.loan_reply.turn != NULL);
-      FUZZ_CHECK (frame->u.loan_reply.history.len == 0
-                  || frame->u.loan_reply.history.data != NULL);
+      check_loan_reply (&frame->u.loan_reply);
+      return;
+    case MQ_RELAY_HANDOVER:
+      check_loan_reply (&frame->u.handover);
       return;
     case MQ_RELAY_LOAN_RETURN:
       FUZZ_CHECK (frame->u.loan_return.program != NULL);
--- a/tests/router_site.c
+++ b/tests/router_site.c
@@ -178,20 +178,19 @@
 void
 edge_start (struct edge_site *site, int index)
 {
-  static const char *const peers[EDGE_ROUTERS]
-      = { "127.0.0.1:0", "127.0.0.1:0" };
   struct mq_router_settings *settings = &site->settings[index];
   struct mq_error error = { .type = MQ_ERR_NONE };
 
   *settings = (struct mq_router_settings){
-    .host = index == 0 ? "edge-0" : "edge-1",
+    .host = talloc_asprintf (site, "edge-%d", index),
     .data_centre = "a",
     .http = "127.0.0.1:0",
     .ready = "127.0.0.1:0",
-    .peer = peers[index],
+    .peer = "127.0.0.1:0",
     .seeds = site->seeds[index] == NULL ? "" : site->seeds[index],
-    .table = talloc_asprintf (site, "127.0.0.1:%u",
-                              rows_server_port (site->rows, index)),
+    .table
+    = talloc_asprintf (site, "127.0.0.1:%u",
+                       rows_server_port (site->rows, index % ROWS_ENDPOINTS)),
     .memory_mb = 64,
     .stop_ms = 2000,
     .settle_ms = 200,
@@ -202,6 +201,25 @@
   EDGE_WAIT (site, mq_router_is_ready (site->routers[index]));
 }
 
+void
+edge_list_hosts (struct edge_site *site)
+{
+  size_t running = 0;
+
+  for (int i = 0; i < EDGE_ROUTERS_MAX; i++)
+    running += site->routers[i] != NULL ? 1U : 0U;
+  EDGE_WAIT (site, rows_server_row_count (site->rows, "host") == running);
+  for (int i = 0; i < EDGE_ROUTERS_MAX; i++)
+    {
+      struct mq_router *router = site->routers[i];
+
+      if (router == NULL)
+        continue;
+      router->hosts_ms = 0;
+      EDGE_WAIT (site, mq_router_host_count (router) == running - 1);
+    }
+}
+
 static const struct worker_run *
 find_ready_conn_of_peer (const struct worker_server *worker, const char *id)
 {
@@ -258,7 +276,7 @@
 void
 edge_destroy (struct edge_site *site)
 {
-  for (int i = 0; i < EDGE_ROUTERS; i++)
+  for (int i = 0; i < EDGE_ROUTERS_MAX; i++)
     if (site->routers[i] != NULL)
       edge_kill (site, i);
   rows_server_destroy (site->rows);
--- a/tests/router_site.h
+++ b/tests/router_site.h
@@ -12,6 +12,8 @@
 
 #define EDGE_WORKERS 3
 #define EDGE_ROUTERS 2
+/* Routers that a test may start; odd ones use the second port of the table. */
+#define EDGE_ROUTERS_MAX 40
 #define EDGE_RESPONSE_BYTES (1U << 16)
 
 /**
@@ -31,9 +33,9 @@
   struct worker_server *app[EDGE_WORKERS];
   struct worker_plan llm_plan;
   struct worker_plan app_plan;
-  struct mq_router_settings settings[EDGE_ROUTERS];
-  struct mq_router *routers[EDGE_ROUTERS];
-  const char *seeds[EDGE_ROUTERS];
+  struct mq_router_settings settings[EDGE_ROUTERS_MAX];
+  struct mq_router *routers[EDGE_ROUTERS_MAX];
+  const char *seeds[EDGE_ROUTERS_MAX];
   int config_version;
   uint32_t idle_ms;
   uint32_t body_bytes;
@@ -101,6 +103,9 @@
 bool edge_is_closed (struct edge_call *call);
 /* Whether the first response has STATUS.  */
 bool edge_has_status (const struct edge_call *call, const char *status);
+/* Has each router that runs list the hosts again, until all know each other.
+ */
+void edge_list_hosts (struct edge_site *site);
 /* Number of workers that router INDEX has ejected.  */
 int edge_ejected_count (const struct edge_site *site, int index);
 /* Sends one request on a new connection; returns the status of the response, 0
--- a/tests/test_budget_model.c
+++ b/tests/test_budget_model.c
@@ -37,6 +37,8 @@
   FAULT_GRANT_EXCEEDED,    /* a turn exceeds its grant */
   FAULT_OVERDRAWN_IGNORED, /* tokens issued though overdrawn */
   FAULT_GRANT_REUSED,      /* a host reuses a grant it lost */
+  FAULT_HANDOVER_KEPT,     /* a host keeps using tokens it handed over */
+  FAULT_OLD_RECORD,        /* an older record replaces a newer one */
   FAULT_COUNT
 };
 
@@ -44,21 +46,26 @@
   "none",           "loan kept",         "return kept",
   "no lease",       "lease unchecked",   "lease from reply",
   "grant exceeded", "overdrawn ignored", "grant reused",
+  "handover kept",  "old record",
 };
 
 enum message_kind
 {
   MESSAGE_NONE,
   MESSAGE_LOAN,
-  MESSAGE_RETURN
+  MESSAGE_RETURN,
+  MESSAGE_HANDOVER
 };
 
-/* Tokens in transit between two hosts.  */
+/* Tokens in transit between two hosts; a handover also has the record that the
+   sender knows.  */
 struct message
 {
   enum message_kind kind;
   uint32_t to;
   uint64_t tokens;
+  struct mq_budget_record record;
+  uint64_t version;
 };
 
 struct host
@@ -174,19 +181,37 @@
 }
 
 static void
-send (struct world *world, enum message_kind kind, uint32_t to,
-      uint64_t tokens)
+send (struct world *world, struct message message)
 {
-  if (tokens == 0)
-    return;
   for (uint32_t i = 0; i < MESSAGES; i++)
     if (world->messages[i].kind == MESSAGE_NONE)
       {
-        world->messages[i] = (struct message){ kind, to, tokens };
+        world->messages[i] = message;
         return;
       }
 }
 
+static void
+send_tokens (struct world *world, enum message_kind kind, uint32_t to,
+             uint64_t tokens)
+{
+  if (tokens > 0)
+    send (world, (struct message){ .kind = kind, .to = to, .tokens = tokens });
+}
+
+static void
+receive_handover (const struct world *world, struct host *host,
+                  const struct message *message)
+{
+  struct mq_budget *budget = &host->budget;
+
+  mq_budget_receive_loan (budget, message->tokens);
+  if (message->version > budget->version
+      || (world->fault == FAULT_OLD_RECORD && message->version > 0))
+    mq_budget_record_read (budget, host->holder, &message->record,
+                           message->version);
+}
+
 static void
 deliver (struct world *world)
 {
@@ -198,6 +223,8 @@
     mq_budget_receive_loan (&to->budget, message->tokens);
   else if (message->kind == MESSAGE_RETURN && draw (world, 4) > 0)
     mq_budget_reclaim_loan (&to->budget, message->tokens);
+  else if (message->kind == MESSAGE_HANDOVER && draw (world, 4) > 0)
+    receive_handover (world, to, message);
   message->kind = MESSAGE_NONE;
 }
 
@@ -242,18 +269,33 @@
       lender->has_issued = true;
     }
   given = mq_budget_lend (&lender->budget, TURN_TOKENS_MAX);
-  send (world, MESSAGE_LOAN, to, given);
+  send_tokens (world, MESSAGE_LOAN, to, given);
   world->hosts[to].lender = from;
   if (world->fault == FAULT_LOAN_KEPT)
     mq_budget_receive_loan (&lender->budget, given);
 }
 
+static void
+hand_over (struct world *world, struct host *host, uint32_t to)
+{
+  struct mq_budget *budget = &host->budget;
+  struct message message = { .kind = MESSAGE_HANDOVER,
+                             .to = to,
+                             .tokens = mq_budget_lend (budget, UINT64_MAX),
+                             .record = budget->record,
+                             .version = budget->version };
+
+  send (world, message);
+  if (world->fault == FAULT_HANDOVER_KEPT)
+    mq_budget_receive_loan (budget, message.tokens);
+}
+
 static void
 return_loan (struct world *world, struct host *host)
 {
   uint64_t tokens = mq_budget_return_loan (&host->budget);
 
-  send (world, MESSAGE_RETURN, host->lender, tokens);
+  send_tokens (world, MESSAGE_RETURN, host->lender, tokens);
   if (world->fault == FAULT_RETURN_KEPT)
     mq_budget_receive_loan (&host->budget, tokens);
 }
@@ -381,7 +423,7 @@
   struct host *host = &world->hosts[index];
 
   world->now_ms += draw (world, 300);
-  switch (draw (world, 14))
+  switch (draw (world, 16))
     {
     case 0:
       world->table_down = !world->table_down;
@@ -421,6 +463,10 @@
       if (!world->table_down)
         ask_table (world, host);
       break;
+    case 12:
+    case 13:
+      hand_over (world, host, (index + 1 + draw (world, HOSTS - 1)) % HOSTS);
+      break;
     default:
       end_turn (world, host);
       break;
--- /dev/null
+++ b/tests/test_many_hosts.c
@@ -0,0 +1,120 @@
+/* test_many_hosts.c - programs whose turns arrive at many hosts of one data
+   centre.
+
+   Needs: Criterion, router_site.h.  */
+
+#include "router_site.h"
+#include "router/relay.h"
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+/* Enough for cache hosts.  */
+#define HOSTS ((int)MQ_RELAY_LOAN_HOSTS_MAX + 3)
+#define TURNS 18
+#define TURN_TOKENS_MAX 20
+/* Tokens that the stand-in of a worker generates in a turn.  */
+#define TURN_TOKENS 8
+/* The least that lets all turns begin.  */
+#define TIGHT_LIMIT ((TURNS - 1) * TURN_TOKENS + TURN_TOKENS_MAX)
+
+static struct edge_site *site;
+static struct edge_call call;
+
+static void
+set_up (void)
+{
+  site = edge_create ();
+  for (int i = 1; i < HOSTS; i++)
+    edge_start (site, i);
+  edge_list_hosts (site);
+}
+
+static void
+tear_down (void)
+{
+  edge_destroy (site);
+}
+
+TestSuite (many_hosts, .init = set_up, .fini = tear_down, .timeout = 240);
+
+static long
+sum_counter (const char *name)
+{
+  long sum = 0;
+
+  for (int i = 0; i < HOSTS; i++)
+    sum += edge_counter (site, i, name);
+  return sum;
+}
+
+/* Sends turn NUMBER of PROGRAM, which has a budget of LIMIT tokens, to router
+   NUMBER; returns the status.  */
+static int
+send_turn (const char *path, const char *program, int number, bool retained,
+           int limit)
+{
+  char previous[64] = "";
+  char text[512];
+
+  if (retained && number > 0)
+    snprintf (previous, sizeof previous, "X-Previous-Turn: %s-%d\r\n", program,
+              number - 1);
+  snprintf (text, sizeof text,
+            "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s-%d\r\n"
+            "X-Program-Id: %s\r\nX-Token-Count: 10,%d\r\n"
+            "X-Token-Budget: %d\r\n%sContent-Length: 4\r\n\r\none;",
+            path, program, number, program, TURN_TOKENS_MAX, limit, previous);
+  return edge_request (site, &call, number, text);
+}
+
+/**
+ * struct program_case - a program, each of whose turns goes to another host
+ * @path: route
+ * @retained: each turn continues the one before
+ * @delay_ms: delay of the table's responses
+ */
+struct program_case
+{
+  const char *name;
+  const char *path;
+  bool retained;
+  uint32_t delay_ms;
+};
+
+static const struct program_case program_cases[] = {
+  { "kept", "/kept/a", true, 0 },
+  { "turn", "/turn/a", false, 0 },
+  { "turn-slow", "/turn/a", false, 240 },
+};
+
+/* Failure: each turn takes a grant of its own, grants left at other hosts
+   exhaust the budget, and turns are refused although tokens are left.  */
+Test (many_hosts, program_spends_its_whole_budget)
+{
+  for (size_t i = 0; i < ROWS (program_cases); i++)
+    {
+      const struct program_case *row = &program_cases[i];
+
+      rows_server_set_delay (site->rows, row->delay_ms);
+      for (int turn = 0; turn < TURNS; turn++)
+        cr_expect_eq (
+            send_turn (row->path, row->name, turn, row->retained, TIGHT_LIMIT),
+            200, "%s, turn %d: %.60s", row->name, turn, call.answer);
+    }
+}
+
+/* Failure: each turn reads its history from the table, and writes the budget
+   record twice since it does not know the version.  */
+Test (many_hosts, state_of_a_program_moves_with_it)
+{
+  long reads = sum_counter ("turn_reads");
+  long writes = sum_counter ("budget_writes");
+
+  for (int turn = 0; turn < TURNS; turn++)
+    cr_assert_eq (send_turn ("/kept/a", "p1", turn, true, 10 * TIGHT_LIMIT),
+                  200, "turn %d", turn);
+  cr_expect_eq (sum_counter ("turn_reads"), reads);
+  cr_expect_leq (sum_counter ("budget_writes") - writes, TURNS / 2);
+}
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -92,6 +92,21 @@
     }
 }
 
+static void
+expect_loan_reply (const struct mq_relay_loan_reply *a,
+                   const struct mq_relay_loan_reply *b)
+{
+  cr_expect_eq (a->id, b->id);
+  cr_expect_str_eq (a->program, b->program);
+  cr_expect_eq (a->tokens, b->tokens);
+  cr_expect_eq (a->issue_forbidden, b->issue_forbidden);
+  cr_expect_str_eq (a->turn, b->turn);
+  cr_expect (same_bytes (a->history, b->history));
+  cr_expect_eq (a->home, b->home);
+  cr_expect (same_bytes (a->record, b->record));
+  cr_expect_eq (a->record_version, b->record_version);
+}
+
 static void
 expect_same (const struct mq_relay_frame *a, const struct mq_relay_frame *b)
 {
@@ -134,16 +149,13 @@
       cr_expect_eq (a->u.loan_request.tokens, b->u.loan_request.tokens);
       cr_expect_str_eq (a->u.loan_request.turn, b->u.loan_request.turn);
       cr_expect_eq (a->u.loan_request.may_issue, b->u.loan_request.may_issue);
+      cr_expect_eq (a->u.loan_request.move, b->u.loan_request.move);
       return;
     case MQ_RELAY_LOAN_REPLY:
-      cr_expect_eq (a->u.loan_reply.id, b->u.loan_reply.id);
-      cr_expect_str_eq (a->u.loan_reply.program, b->u.loan_reply.program);
-      cr_expect_eq (a->u.loan_reply.tokens, b->u.loan_reply.tokens);
-      cr_expect_eq (a->u.loan_reply.issue_forbidden,
-                    b->u.loan_reply.issue_forbidden);
-      cr_expect_str_eq (a->u.loan_reply.turn, b->u.loan_reply.turn);
-      cr_expect (
-          same_bytes (a->u.loan_reply.history, b->u.loan_reply.history));
+      expect_loan_reply (&a->u.loan_reply, &b->u.loan_reply);
+      return;
+    case MQ_RELAY_HANDOVER:
+      expect_loan_reply (&a->u.handover, &b->u.handover);
       return;
     case MQ_RELAY_LOAN_RETURN:
       cr_expect_str_eq (a->u.loan_return.program, b->u.loan_return.program);
@@ -276,6 +288,8 @@
                           .tokens = 288,
                           .turn = "t1",
                           .may_issue = true } },
+    { .kind = MQ_RELAY_LOAN_REQUEST,
+      .u.loan_request = { .program = "p1", .turn = "", .move = true } },
     { .kind = MQ_RELAY_LOAN_REPLY,
       .u.loan_reply = { .id = 4,
                         .program = "p1",
@@ -286,6 +300,13 @@
       .u.loan_reply
       = { .id = 5, .program = "", .issue_forbidden = true, .turn = "" } },
     { .kind = MQ_RELAY_LOAN_RETURN, .u.loan_return = { "p1", 200 } },
+    { .kind = MQ_RELAY_HANDOVER,
+      .u.handover = { .program = "p1",
+                      .tokens = 288,
+                      .turn = "",
+                      .home = 9,
+                      .record = bytes ("record"),
+                      .record_version = 12 } },
   };
   TALLOC_CTX *ctx = talloc_new (NULL);
 
--- a/tests/test_relay_loan.c
+++ b/tests/test_relay_loan.c
@@ -395,3 +395,82 @@
   cr_expect_eq (edge_run_count (site, "u2"), 0);
   cr_expect_eq (edge_run_count (site, "u3"), 1, "%s", call.answer);
 }
+
+/* Lists COUNT hosts of data centre "a" and as many of "b" at RELAY; every
+   third one does not cache programs.  */
+static void
+list_hosts (struct mq_relay *relay, int count)
+{
+  mq_relay_list_begin (relay);
+  for (int i = 0; i < 2 * count; i++)
+    {
+      char *address = talloc_asprintf (site, "127.0.1.%d:9", i);
+      struct mq_relay_listing listing = { .address = address,
+                                          .data_centre = i < count ? "a" : "b",
+                                          .near = i < count,
+                                          .caches_programs = i % 3 != 0 };
+
+      mq_relay_list_host (relay, &listing);
+    }
+  mq_relay_list_end (relay);
+}
+
+static void
+list_relay (struct mq_relay *relay, const struct mq_relay *other)
+{
+  struct mq_relay_listing listing = { .address = mq_relay_address (other),
+                                      .data_centre = "a",
+                                      .near = true,
+                                      .caches_programs = true };
+
+  mq_relay_list_host (relay, &listing);
+}
+
+/* The cache host of PROGRAM as RELAY sees it.  */
+static const char *
+cache_host (const struct mq_relay *relay, const char *program)
+{
+  const char *address = mq_relay_cache_host (relay, program);
+
+  return address == NULL ? mq_relay_address (relay) : address;
+}
+
+/* Failure: two hosts choose different cache hosts, and the second one finds
+   nothing of what the first one handed over.  */
+Test (relay_loan, hosts_agree_on_the_cache_host)
+{
+  struct mq_relay_owner owner = { .loan_reply = on_reply };
+  struct mq_relay *relays[2];
+  int own = 0;
+
+  for (int i = 0; i < 2; i++)
+    {
+      relays[i] = mq_relay_create (site, site->ev, "127.0.0.1:0", NULL, &owner,
+                                   NULL);
+      list_hosts (relays[i], (int)MQ_RELAY_LOAN_HOSTS_MAX);
+      cr_assert_not (mq_relay_uses_cache_hosts (relays[i]));
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      list_hosts (relays[i], (int)MQ_RELAY_LOAN_HOSTS_MAX + 1);
+      list_relay (relays[i], relays[1 - i]);
+      cr_assert (mq_relay_uses_cache_hosts (relays[i]));
+    }
+  for (int i = 0; i < 200; i++)
+    {
+      char program[16];
+      const char *chosen;
+      int host = -1;
+
+      snprintf (program, sizeof program, "p%d", i);
+      chosen = cache_host (relays[0], program);
+      cr_expect_str_eq (chosen, cache_host (relays[1], program));
+      own += strcmp (chosen, mq_relay_address (relays[0])) == 0;
+      if (sscanf (chosen, "127.0.1.%d:9", &host) == 1)
+        {
+          cr_expect_leq (host, (int)MQ_RELAY_LOAN_HOSTS_MAX);
+          cr_expect_neq (host % 3, 0);
+        }
+    }
+  cr_expect_gt (own, 0);
+}
