Calls to the table are counted by table and kind

Cause: on 492 hosts a turn costs 13 calls to the table, and no counter told which of them were feeds, lists, leases, budgets or turns.

Change: the client of the table counts calls, conflicts, refusals, calls without a response and bytes in both directions by table and kind (commit, get, list, feed), on the metrics address and, as counts of calls, in the log line of counters.

--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -20,7 +20,7 @@
 
 #define MQ_LOG_COUNTED                                                        \
   "data_centre http requests served budget_writes turn_writes turn_reads "    \
-  "store_writes store_reads other"
+  "store_writes store_reads table_calls other"
 #define MQ_LOG_REQUEST                                                        \
   "id run organisation route config after_ms status sent worker "
 #define MQ_LOG_PROBLEM                                                        \
--- a/src/log/metrics.c
+++ b/src/log/metrics.c
@@ -67,6 +67,21 @@
     *text = longer;
 }
 
+void
+mq_metrics_begin_values (char **text, const char *prefix, const char *name,
+                         const char *help)
+{
+  append (text, "# HELP mimosa_%s_%s %s\n# TYPE mimosa_%s_%s gauge\n", prefix,
+          name, help, prefix, name);
+}
+
+void
+mq_metrics_labelled (char **text, const char *prefix, const char *name,
+                     const char *labels, uint64_t value)
+{
+  append (text, "mimosa_%s_%s{%s} %" PRIu64 "\n", prefix, name, labels, value);
+}
+
 void
 mq_metrics_begin (char **text, const struct mq_metrics_family *family)
 {
--- a/src/log/metrics.h
+++ b/src/log/metrics.h
@@ -11,6 +11,14 @@
    (talloc).  */
 void mq_metrics_add (char **text, const char *prefix, const char *name,
                      const char *help, uint64_t value);
+/* Appends the HELP and TYPE lines of gauge "mimosa_PREFIX_NAME", before its
+   values.  */
+void mq_metrics_begin_values (char **text, const char *prefix,
+                              const char *name, const char *help);
+/* Appends a value.  LABELS: in Prometheus syntax, not empty.  */
+void mq_metrics_labelled (char **text, const char *prefix, const char *name,
+                          const char *labels, uint64_t value);
+
 /**
  * struct mq_metrics_family - a histogram with one series per label set
  * @name: full metric name, in seconds
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -7,6 +7,7 @@
 #include "net/listen.h"
 #include "router_ready.h"
 #include "router_state.h"
+#include <inttypes.h>
 #include <unistd.h>
 
 /* Interval of the periodic maintenance.  */
@@ -24,9 +25,26 @@
 
 static void schedule_sweep (struct mq_router *router);
 
+/* Number of calls to the table by table and kind, "TABLE.KIND COUNT, ...",
+   allocated under CTX.  */
+static char *
+table_calls_text (TALLOC_CTX *ctx, const struct mq_router *router)
+{
+  const struct mq_rows_call_counters *list;
+  size_t count = mq_rows_call_counters (router->rows, &list);
+  char *text = talloc_strdup (ctx, "");
+
+  for (size_t i = 0; i < count; i++)
+    text = talloc_asprintf_append_buffer (text, "%s%s.%s %" PRIu64,
+                                          i == 0 ? "" : ", ", list[i].table,
+                                          list[i].kind, list[i].calls);
+  return text;
+}
+
 static void
 log_state (struct mq_router *router, enum mq_log_event event)
 {
+  char *calls = table_calls_text (router, router);
   struct mq_json_line line;
 
   mq_json_begin (&line, router->log, MQ_JSON_HIGH_PRIORITY, event);
@@ -41,7 +59,9 @@
                   mq_rows_counters (router->rows)->writes);
   mq_json_number (&line, "store_reads",
                   mq_rows_counters (router->rows)->reads);
+  mq_json_text (&line, "table_calls", calls);
   mq_json_end (&line);
+  talloc_free (calls);
 }
 
 /* Ends a stop whose time is over: first the pending requests are answered,
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -4,6 +4,8 @@
 
 #include "log/metrics.h"
 #include "router_state.h"
+#include <stddef.h>
+#include <stdio.h>
 
 /* 1 ms to 131 s, more than the longest timeout of a route.  */
 static const struct mq_metrics_family latency
@@ -106,6 +108,50 @@
                      mq_table_client_write_ms (router->table_client));
 }
 
+/* A counter of calls to the table, at @offset of struct
+   mq_rows_call_counters.  */
+struct call_value
+{
+  const char *name;
+  const char *help;
+  size_t offset;
+};
+
+static const struct call_value call_values[] = {
+  { "table_calls", "calls to the platform's table by table and kind",
+    offsetof (struct mq_rows_call_counters, calls) },
+  { "table_conflicts", "transactions whose condition did not hold",
+    offsetof (struct mq_rows_call_counters, conflicts) },
+  { "table_refused", "calls that the platform's table turned away",
+    offsetof (struct mq_rows_call_counters, refused) },
+  { "table_unanswered", "calls to the platform's table without a response",
+    offsetof (struct mq_rows_call_counters, unanswered) },
+  { "table_sent_bytes", "bytes of requests to the platform's table",
+    offsetof (struct mq_rows_call_counters, sent_bytes) },
+  { "table_received_bytes", "bytes of responses of the platform's table",
+    offsetof (struct mq_rows_call_counters, received_bytes) },
+};
+
+static void
+add_call_value (char **text, const struct mq_router *router,
+                const struct call_value *value)
+{
+  const struct mq_rows_call_counters *list;
+  size_t count = mq_rows_call_counters (router->rows, &list);
+
+  mq_metrics_begin_values (text, "router", value->name, value->help);
+  for (size_t i = 0; i < count; i++)
+    {
+      const uint8_t *counters = (const uint8_t *)&list[i];
+      char labels[96];
+
+      snprintf (labels, sizeof labels, "table=\"%s\",call=\"%s\"",
+                list[i].table, list[i].kind);
+      mq_metrics_labelled (text, "router", value->name, labels,
+                           *(const uint64_t *)(counters + value->offset));
+    }
+}
+
 char *
 mq_router_metrics (TALLOC_CTX *ctx, const struct mq_router *router)
 {
@@ -115,6 +161,8 @@
   add_state (&text, router);
   add_latency (&text, router);
   add_table_time (&text, router);
+  for (size_t i = 0; i < sizeof call_values / sizeof call_values[0]; i++)
+    add_call_value (&text, router, &call_values[i]);
   mq_metrics_begin (&text, &batch_rows);
   mq_metrics_series (&text, &batch_rows, "call=\"write\"",
                      mq_table_client_batch_rows (router->table_client));
--- a/src/router/rows.h
+++ b/src/router/rows.h
@@ -75,6 +75,27 @@
   uint64_t writes, reads, refused, lost;
 };
 
+/**
+ * struct mq_rows_call_counters - calls of one kind to one table
+ * @kind: "commit", "get", "list" or "feed"
+ * @conflicts: transactions whose condition did not hold
+ * @refused: calls rejected by the platform
+ * @unanswered: calls that got no response
+ * @sent_bytes: heads and bodies of the requests
+ * @received_bytes: bodies of the responses
+ */
+struct mq_rows_call_counters
+{
+  const char *table;
+  const char *kind;
+  uint64_t calls;
+  uint64_t conflicts;
+  uint64_t refused;
+  uint64_t unanswered;
+  uint64_t sent_bytes;
+  uint64_t received_bytes;
+};
+
 /* ADDRESS: "IP:PORT" of the table.  */
 struct mq_rows *mq_rows_create (TALLOC_CTX *ctx, struct tevent_context *ev,
                                 const char *address);
@@ -124,5 +145,8 @@
 /* Time of the table's last recovery, monotonic clock; 0 if none.  */
 uint64_t mq_rows_recovered_ms (const struct mq_rows *rows);
 const struct mq_rows_counters *mq_rows_counters (const struct mq_rows *rows);
+/* Sets *LIST to the counters by table and kind, and returns their number.  */
+size_t mq_rows_call_counters (const struct mq_rows *rows,
+                              const struct mq_rows_call_counters **list);
 
 #endif
