--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -19,6 +19,7 @@
   struct tevent_context *ev;
   struct rows_server *server;
   struct mq_rows *rows;
+  size_t rows_seen;
 };
 
 static void
@@ -28,6 +29,15 @@
   (void)user;
 }
 
+static void
+on_counted_row (const struct mq_rows_entry *row, void *user)
+{
+  struct site *site = user;
+
+  (void)row;
+  site->rows_seen++;
+}
+
 static void
 on_timer (void *data)
 {
@@ -50,7 +60,7 @@
 make_site (void)
 {
   struct site *site = talloc_zero (NULL, struct site);
-  struct mq_rows_watcher watcher = { .row = on_row, .user = site };
+  struct mq_rows_watcher watcher = { .row = on_counted_row, .user = site };
   char address[32];
 
   site->ev = tevent_context_init (site);
@@ -97,6 +107,45 @@
     }
 }
 
+/* Each change wakes the feed of each host.  The pause after changes must grow
+   with the number of hosts, or calls grow with hosts times changes.  */
+Test (rows, feed_gathers_changes)
+{
+  static const struct
+  {
+    size_t hosts;
+    uint64_t pause_min_ms;
+  } cases[] = { { 100, 75 }, { 500, 375 }, { 1000, 750 }, { 5000, 1125 } };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct site *site = make_site ();
+      uint64_t began = mq_clock_ms ();
+      size_t before = rows_server_feed_count (site->server);
+      size_t calls;
+      uint64_t took;
+
+      mq_rows_set_host_count (site->rows, cases[i].hosts);
+      for (int change = 0; change < 200; change++)
+        {
+          char key[16];
+
+          snprintf (key, sizeof key, "k%d", change);
+          rows_server_put (site->server, "t", "", key, "v");
+          run_for (site, 10);
+        }
+      took = mq_clock_ms () - began;
+      calls = rows_server_feed_count (site->server) - before;
+      cr_expect_leq (calls, 1 + took / cases[i].pause_min_ms,
+                     "%zu hosts: %zu calls", cases[i].hosts, calls);
+      while (site->rows_seen < 200)
+        run_for (site, 5);
+      mq_rows_destroy (site->rows);
+      rows_server_destroy (site->server);
+      talloc_free (site);
+    }
+}
+
 /* A table that sends its answers in pieces */
 
 #define PIECE_MS 40U
