Calls to the table by kind are logged in lines of their own

Cause: the value of one key is bounded, and the counts of all kinds did not fit, so lines of counters lost them after the first turn.

--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -20,7 +20,7 @@
 
 #define MQ_LOG_COUNTED                                                        \
   "data_centre http requests served budget_writes turn_writes turn_reads "    \
-  "store_writes store_reads table_calls other"
+  "store_writes store_reads other"
 #define MQ_LOG_REQUEST                                                        \
   "id run organisation route config after_ms status sent worker "
 #define MQ_LOG_PROBLEM                                                        \
@@ -36,6 +36,9 @@
   X (RELOADED, "reloaded", NOTICE, MQ_LOG_COUNTED)                            \
   X (RELOAD_REFUSED, "reload_refused", WARNING, MQ_LOG_COUNTED)               \
   X (COUNTERS, "counters", INFO, MQ_LOG_COUNTED)                              \
+  X (TABLE_CALLS, "table_calls", INFO,                                        \
+     "table call calls conflicts refused unanswered sent_bytes "              \
+     "received_bytes")                                                        \
   X (SETTINGS_REFUSED, "settings_refused", ERROR, MQ_LOG_PROBLEM)             \
   X (START_FAILED, "start_failed", ERROR, MQ_LOG_PROBLEM)                     \
   X (CONFIG_IN_FORCE, "config_in_force", NOTICE,                              \
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -7,7 +7,6 @@
 #include "net/listen.h"
 #include "router_ready.h"
 #include "router_state.h"
-#include <inttypes.h>
 #include <unistd.h>
 
 /* Interval of the periodic maintenance.  */
@@ -25,26 +24,9 @@
 
 static void schedule_sweep (struct mq_router *router);
 
-/* Number of calls to the table by table and kind, "TABLE.KIND COUNT, ...",
-   allocated under CTX.  */
-static char *
-table_calls_text (TALLOC_CTX *ctx, const struct mq_router *router)
-{
-  const struct mq_rows_call_counters *list;
-  size_t count = mq_rows_call_counters (router->rows, &list);
-  char *text = talloc_strdup (ctx, "");
-
-  for (size_t i = 0; i < count; i++)
-    text = talloc_asprintf_append_buffer (text, "%s%s.%s %" PRIu64,
-                                          i == 0 ? "" : ", ", list[i].table,
-                                          list[i].kind, list[i].calls);
-  return text;
-}
-
 static void
 log_state (struct mq_router *router, enum mq_log_event event)
 {
-  char *calls = table_calls_text (router, router);
   struct mq_json_line line;
 
   mq_json_begin (&line, router->log, MQ_JSON_HIGH_PRIORITY, event);
@@ -59,9 +41,32 @@
                   mq_rows_counters (router->rows)->writes);
   mq_json_number (&line, "store_reads",
                   mq_rows_counters (router->rows)->reads);
-  mq_json_text (&line, "table_calls", calls);
   mq_json_end (&line);
-  talloc_free (calls);
+}
+
+/* One line for each kind of call to the table.  */
+static void
+log_table_calls (struct mq_router *router)
+{
+  const struct mq_rows_call_counters *list;
+  size_t count = mq_rows_call_counters (router->rows, &list);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      struct mq_json_line line;
+
+      mq_json_begin (&line, router->log, MQ_JSON_HIGH_PRIORITY,
+                     MQ_LOG_TABLE_CALLS);
+      mq_json_text (&line, "table", list[i].table);
+      mq_json_text (&line, "call", list[i].kind);
+      mq_json_number (&line, "calls", list[i].calls);
+      mq_json_number (&line, "conflicts", list[i].conflicts);
+      mq_json_number (&line, "refused", list[i].refused);
+      mq_json_number (&line, "unanswered", list[i].unanswered);
+      mq_json_number (&line, "sent_bytes", list[i].sent_bytes);
+      mq_json_number (&line, "received_bytes", list[i].received_bytes);
+      mq_json_end (&line);
+    }
 }
 
 /* Ends a stop whose time is over: first the pending requests are answered,
@@ -109,6 +114,7 @@
     return;
   router->counters_logged_ms = now;
   log_state (router, MQ_LOG_COUNTERS);
+  log_table_calls (router);
 }
 
 /* Records the delay of the sweep timer, a lower bound on how long a handler
