The feeds tell how slow the table is

Cause: a call to the table is given up after four times its latency, 100 ms at least. Each host learns from its own timeouts that the table has become slow. With 492 hosts and some 0.7 turns a second each, every host gives up its first calls at 100 and 176 ms while the table answers in 240, and the writes that were applied without being heard of leave grants behind.

Change: a feed without changes returns after its wait; what it took beyond that is the table's latency. An increase applies at once, a decrease by half. A write that goes through the batching host is waited for as long as a call and one hop, not for a fixed time.

New test feeds_tell_how_slow_the_table_is; the program of test_many_hosts whose turns are kept spends its whole budget at 240 ms too.

--- a/src/router/commit_queue.c
+++ b/src/router/commit_queue.c
@@ -12,8 +12,9 @@
 #include "core/memory.h"
 #include <string.h>
 
-/* Timeout of a write forwarded to the batching host.  */
-#define FORWARD_TIMEOUT_MS 150U
+/* Time of a write forwarded to the batching host beyond that of a call to the
+   table.  */
+#define FORWARD_HOP_MS 50U
 
 /* Destination of a queue.  */
 enum
@@ -306,7 +307,8 @@
   if (part->destination == TO_BATCH_HOST)
     batch_host = mq_relay_batch_host (queue->relay, part->rows[0].part);
   if (batch_host != NULL)
-    mq_relay_commit_at (queue->relay, batch_host, FORWARD_TIMEOUT_MS,
+    mq_relay_commit_at (queue->relay, batch_host,
+                        mq_rows_call_timeout_ms (queue->rows) + FORWARD_HOP_MS,
                         part->rows, part->row_count, on_forwarded, part);
   else if (mq_rows_down (queue->rows)
            && mq_relay_host_count (queue->relay) > 0)
--- a/src/router/rows.h
+++ b/src/router/rows.h
@@ -135,6 +135,9 @@
 void mq_rows_set_host_count (struct mq_rows *rows, size_t hosts);
 /* All watched tables were listed, and the last poll of each feed succeeded. */
 bool mq_rows_feeds_healthy (const struct mq_rows *rows);
+/* How long a call sent now is waited for, milliseconds; follows the table's
+   latency.  */
+uint32_t mq_rows_call_timeout_ms (const struct mq_rows *rows);
 /* The table has stopped answering; calls fail at once.  */
 bool mq_rows_down (const struct mq_rows *rows);
 /* PART did not answer its last call, though the table answered others.  */
--- a/tests/test_many_hosts.c
+++ b/tests/test_many_hosts.c
@@ -19,6 +19,9 @@
 /* The least that lets all turns begin.  */
 #define TIGHT_LIMIT ((TURNS - 1) * TURN_TOKENS + TURN_TOKENS_MAX)
 
+/* Enough for the feeds of all hosts to show the table's latency.  */
+#define FEEDS_MS 3000U
+
 static struct edge_site *site;
 static struct edge_call call;
 
@@ -85,6 +88,7 @@
 
 static const struct program_case program_cases[] = {
   { "kept", "/kept/a", true, 0 },
+  { "kept-slow", "/kept/a", true, 240 },
   { "turn", "/turn/a", false, 0 },
   { "turn-slow", "/turn/a", false, 240 },
 };
@@ -98,6 +102,7 @@
       const struct program_case *row = &program_cases[i];
 
       rows_server_set_delay (site->rows, row->delay_ms);
+      edge_run_for (site, FEEDS_MS);
       for (int turn = 0; turn < TURNS; turn++)
         cr_expect_eq (
             send_turn (row->path, row->name, turn, row->retained, TIGHT_LIMIT),
--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -146,6 +146,43 @@
     }
 }
 
+static void
+on_got (const struct mq_rows_result *result, void *user)
+{
+  enum mq_store_status *status = user;
+
+  *status = result->status;
+}
+
+/* A table that is slow but answers.  A host that makes few calls must learn
+   from its feeds how long to wait, or it gives up calls that would be
+   answered.  */
+Test (rows, feeds_tell_how_slow_the_table_is, .timeout = 60)
+{
+  static const uint32_t delays_ms[] = { 240, 120, 0 };
+  struct site *site = make_site ();
+
+  for (size_t i = 0; i < ROWS (delays_ms); i++)
+    {
+      enum mq_store_status status = MQ_STORE_DOWN;
+      size_t calls = rows_server_call_count (site->server);
+
+      rows_server_set_delay (site->server, delays_ms[i]);
+      while (mq_rows_call_timeout_ms (site->rows) < 2 * delays_ms[i]
+             || mq_rows_call_timeout_ms (site->rows) > 8 * delays_ms[i] + 200)
+        run_for (site, 5);
+      mq_rows_get (site->rows, "t", "", "k", on_got, &status);
+      while (rows_server_call_count (site->server) == calls
+             || status == MQ_STORE_DOWN)
+        run_for (site, 5);
+      cr_expect_eq (status, MQ_STORE_OK, "%u ms", delays_ms[i]);
+      cr_expect_eq (rows_server_call_count (site->server), calls + 1);
+    }
+  mq_rows_destroy (site->rows);
+  rows_server_destroy (site->server);
+  talloc_free (site);
+}
+
 /* A table that sends its answers in pieces */
 
 #define PIECE_MS 40U
