A host's row: rejected writes wait longer, applied ones are found in the list

Cause: all rows of hosts share one part of the table, which takes 200 transactions a second and rejects what would wait for more than one. When 492 hosts start, some are rejected and many are not answered in time, though applied; each tries again every 2 s, which is 246 a second, so the part stays overloaded: 22 writes a host in 50 s, none of them counted as done (8 to 11 before the first request).

Change: the delay doubles from 2 s with each failure, with jitter; a row of this run that the host finds in the list counts as written.

--- a/src/router/router_hosts.c
+++ b/src/router/router_hosts.c
@@ -2,10 +2,11 @@
 
    Each host has a row in the platform's table and renews it.  A row that has
    expired belongs to a lost host; any host that reads it removes it.
-   Needs: router_state.h, clock.h, proto/relay.pb-c.h.  */
+   Needs: router_state.h, id.h, clock.h, proto/relay.pb-c.h.  */
 
 #include "router_state.h"
 #include "../../proto/relay.pb-c.h"
+#include "core/id.h"
 #include "net/clock.h"
 #include <string.h>
 
@@ -25,7 +26,13 @@
 /* Renewal interval of a row, which is valid for three times as long, so that
    hosts outlast an outage of the table for some minutes.  */
 #define RENEW_MS 600000U
+/* Base delay after a failed write; doubled for each further failure, with
+   jitter.  All rows share one part of the table.
+
+   Failure: many hosts start together, the part rejects what it can't write in
+   a second, and retries at a fixed interval keep it overloaded.  */
 #define RENEW_RETRY_MS 2000U
+#define RENEW_RETRY_DOUBLINGS_MAX 5U
 #define ROW_TTL_S (3U * RENEW_MS / 1000U)
 
 static void
@@ -74,16 +81,28 @@
   mq_relay_list_host (router->relay, &listing);
 }
 
+/* A write that was not answered may have been applied: the row tells whether
+   this run of the host wrote it.  */
+static void
+check_own_row (struct mq_router *router, const Mqrelay__HostRow *host)
+{
+  if (host == NULL || router->stopping || router->first_until_s == 0
+      || host->until_s < router->first_until_s)
+    return;
+  router->announced = true;
+  router->row_written = true;
+}
+
 static void
 on_host_row (const struct mq_rows_entry *row, void *user)
 {
   struct mq_router *router = user;
-  Mqrelay__HostRow *host;
+  Mqrelay__HostRow *host
+      = mqrelay__host_row__unpack (NULL, row->value.len, row->value.data);
 
   if (strcmp (row->key, router->settings->host) == 0)
-    return;
-  host = mqrelay__host_row__unpack (NULL, row->value.len, row->value.data);
-  if (host == NULL || is_lost (router, host))
+    check_own_row (router, host);
+  else if (host == NULL || is_lost (router, host))
     remove_lost (router, row);
   else
     list_host (router, host);
@@ -110,13 +129,31 @@
   router->hosts_listed = true;
 }
 
+static uint32_t
+retry_delay_ms (struct mq_router *router)
+{
+  uint32_t doublings = router->announce_failures;
+  uint32_t delay;
+
+  if (doublings > RENEW_RETRY_DOUBLINGS_MAX)
+    doublings = RENEW_RETRY_DOUBLINGS_MAX;
+  delay = RENEW_RETRY_MS << doublings;
+  return delay / 2U + mq_random_below (&router->random, delay);
+}
+
 static void
 on_announced (const struct mq_rows_result *result, void *user)
 {
   struct mq_router *router = user;
 
-  if (result->status != MQ_STORE_OK)
-    router->announced = false;
+  if (result->status == MQ_STORE_OK)
+    router->announce_failures = 0;
+  else
+    {
+      router->announced = false;
+      router->announce_retry_ms = retry_delay_ms (router);
+      router->announce_failures++;
+    }
   router->row_written
       = router->row_written || (router->announced && !router->stopping);
 }
@@ -136,6 +173,8 @@
   host.address = (char *)(uintptr_t)mq_relay_address (router->relay);
   host.data_centre = (char *)(uintptr_t)router->settings->data_centre;
   host.until_s = mq_rows_clock_s (router->rows) + ROW_TTL_S;
+  if (router->first_until_s == 0)
+    router->first_until_s = host.until_s;
   host.caches_programs = true;
   if (mqrelay__host_row__get_packed_size (&host) > sizeof bytes)
     return;
@@ -152,7 +191,7 @@
   if (router->announced_ms == 0)
     return true;
   return now - router->announced_ms
-         >= (router->announced ? RENEW_MS : RENEW_RETRY_MS);
+         >= (router->announced ? RENEW_MS : router->announce_retry_ms);
 }
 
 static uint64_t
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -107,6 +107,10 @@
  * @loop_delay: delay of the sweep timer, milliseconds
  * @sweep_due_ms: due time of the sweep timer, local monotonic clock
  * @host_lists: lists of hosts that had any
+ * @first_until_s: expiry of the first row that this run wrote, table's clock;
+ *                 0 if none
+ * @announce_failures: consecutive failed writes of the row
+ * @announce_retry_ms: delay after the last of them
  * @hosts_listed: the table of hosts was read
  * @row_written: this host's row is in that table
  */
@@ -161,6 +165,9 @@
   bool hosts_listed;
   bool row_written;
   uint64_t announced_ms;
+  uint64_t first_until_s;
+  uint32_t announce_failures;
+  uint32_t announce_retry_ms;
   uint64_t counters_logged_ms;
   bool table_down;
 };
--- a/tests/test_many_hosts.c
+++ b/tests/test_many_hosts.c
@@ -1,10 +1,10 @@
 /* test_many_hosts.c - programs whose turns arrive at many hosts of one data
    centre.
 
-   Needs: Criterion, router_site.h.  */
+   Needs: Criterion, router_site.h, router_state.h.  */
 
 #include "router_site.h"
-#include "router/relay.h"
+#include "router/router_state.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <string.h>
@@ -123,3 +123,41 @@
   cr_expect_eq (sum_counter ("turn_reads"), reads);
   cr_expect_leq (sum_counter ("budget_writes") - writes, TURNS / 2);
 }
+
+static void
+set_up_two (void)
+{
+  site = edge_create ();
+}
+
+TestSuite (host_row, .init = set_up_two, .fini = tear_down, .timeout = 60);
+
+/* Failure: many hosts start together, the answers to their rows come too late,
+   and each writes its row again and again although it is there.  */
+Test (host_row, unanswered_write_is_found_in_the_list)
+{
+  rows_server_set_endpoint_fault (site->rows, 1, ROWS_LOSE_REPLIES);
+  edge_start (site, 1);
+  EDGE_WAIT (site, site->routers[1]->row_written);
+  cr_expect (site->routers[1]->announced);
+  cr_expect_eq (rows_server_row_count (site->rows, "host"), 2);
+}
+
+/* Failure: hosts whose rows are rejected try again at a fixed interval, and
+   together keep the table's part overloaded.  */
+Test (host_row, rejected_writes_are_repeated_ever_later)
+{
+  struct mq_router *router;
+
+  rows_server_set_endpoint_fault (site->rows, 1, ROWS_LOSE_REPLIES);
+  edge_start (site, 1);
+  router = site->routers[1];
+  for (uint32_t failures = 1; failures <= 4; failures++)
+    {
+      router->first_until_s = UINT64_MAX;
+      EDGE_WAIT (site, router->announce_failures == failures);
+      cr_expect_geq (router->announce_retry_ms, 1000U << (failures - 1));
+      cr_expect_leq (router->announce_retry_ms, 3000U << (failures - 1));
+      router->announced_ms = 1;
+    }
+}
