A request without a route asks for changes, not for the whole configuration

Cause: a request that no route matches has the latest configuration read first.

Change: mq_rows_check reads the changes of a watched table since those reported, without waiting; the configuration is read whole only if it changed, its changes are no longer available (410), or the check failed. If the newest one is still being loaded, the request waits for that.

--- a/src/router/router_config.c
+++ b/src/router/router_config.c
@@ -356,7 +356,8 @@
 
 /**
  * struct mq_config_query - query of the platform for the latest configuration
- * @call: pending call; NULL if none
+ * @check: pending check for changes; NULL if none
+ * @call: pending read of the configuration; NULL if none
  * @began_ms: start of the last call, local monotonic clock
  * @known_ms: start of the last successful call; 0 if none
  * @asked: waiters served by the pending call
@@ -366,6 +367,7 @@
 struct mq_config_query
 {
   struct mq_router *router;
+  struct mq_rows_call *check;
   struct mq_table_client_call *call;
   uint64_t began_ms;
   uint64_t known_ms;
@@ -374,7 +376,10 @@
 };
 
 static void on_read (const struct mq_rows_result *result, void *user);
+static void on_checked (const struct mq_rows_result *result, void *user);
 
+/* Reads the whole configuration only if it has changed or if that is unknown:
+   it may be long.  */
 static void
 start_query (struct mq_config_query *query)
 {
@@ -382,9 +387,47 @@
   if (query->asked == NULL)
     return;
   query->began_ms = mq_clock_ms ();
-  query->call
-      = mq_table_client_get (query->router->table_client, mq_wire_config_table,
-                             "", mq_wire_config_key, on_read, query);
+  query->check = mq_rows_check (query->router->rows, mq_wire_config_table,
+                                on_checked, query);
+}
+
+/* Notifies WAITING once the configuration that was read last is active.  */
+static void
+confirm (struct mq_router *router, struct mq_config_waiter **waiting)
+{
+  struct mq_config_load *load = router->config_loading;
+
+  if (load == NULL)
+    {
+      notify_all (waiting, true);
+      return;
+    }
+  while (load->next != NULL)
+    load = load->next;
+  move_all (waiting, &load->waiting);
+}
+
+static void
+on_checked (const struct mq_rows_result *result, void *user)
+{
+  struct mq_config_query *query = user;
+  struct mq_router *router = query->router;
+  struct mq_config_waiter *served = NULL;
+
+  if (result->status != MQ_STORE_OK || result->row_count > 0
+      || (router->routes == NULL && router->config_loading == NULL))
+    {
+      query->check = NULL;
+      query->call
+          = mq_table_client_get (router->table_client, mq_wire_config_table,
+                                 "", mq_wire_config_key, on_read, query);
+      return;
+    }
+  move_all (&query->asked, &served);
+  query->known_ms = query->began_ms;
+  confirm (router, &served);
+  query->check = NULL;
+  start_query (query);
 }
 
 /* Notifies the waiters before the next call begins, since a handler may add a
@@ -447,7 +490,7 @@
   waiter->handler = handler;
   waiter->user = user;
   add_waiter (&query->later, waiter);
-  if (query->call == NULL)
+  if (query->call == NULL && query->check == NULL)
     start_query (query);
   return waiter;
 }
--- a/src/router/rows.h
+++ b/src/router/rows.h
@@ -77,7 +77,7 @@
 
 /**
  * struct mq_rows_call_counters - calls of one kind to one table
- * @kind: "commit", "get", "list" or "feed"
+ * @kind: "commit", "get", "check", "list" or "feed"
  * @conflicts: transactions whose condition did not hold
  * @refused: calls rejected by the platform
  * @unanswered: calls that got no response
@@ -130,6 +130,11 @@
 /* Lists TABLE once; a failed list is retried.  */
 void mq_rows_list (struct mq_rows *rows, const char *table,
                    const struct mq_rows_watcher *watcher);
+/* Reads the changes of TABLE, which is watched, since those reported so far.
+   If the result is OK and has no rows, the watcher knows all.  DOWN also if
+   TABLE is not listed yet or its changes are no longer available.  */
+struct mq_rows_call *mq_rows_check (struct mq_rows *rows, const char *table,
+                                    mq_rows_done *done, void *user);
 /* Sets the number of hosts that use the table, 0 if unknown.  Poll intervals
    and retry pauses grow with it.  */
 void mq_rows_set_host_count (struct mq_rows *rows, size_t hosts);
