While the table is slow, one host batches the writes of all data centres

Cause: a part of the table writes one transaction after another and rejects what would wait for more than a second. With five data centres, five batching hosts have a transaction under way for each part; at 240 ms each a write waits 1.2 s, is rejected, and is made again.

Change: from a latency of 50 ms on, a batching host forwards its batch to the batching host of all data centres, which has the highest weight, so that hosts with different lists can't forward in a circle.

New test data_centres_share_transactions_of_a_slow_table (8 transactions before, fewer after).

--- a/src/router/commit_queue.c
+++ b/src/router/commit_queue.c
@@ -3,7 +3,8 @@
 
    Each part has two queues: one of writes that this host sends to the table,
    including those forwarded by other hosts, and one of writes that it forwards
-   to the host that batches for the part.
+   to the host of its data centre that batches for the part.  While the table
+   is slow, the batching hosts of all data centres forward to one of them.
    Needs: commit_queue.h, id.h, idmap.h, memory.h.  */
 
 #include "commit_queue.h"
@@ -16,6 +17,14 @@
    table.  */
 #define FORWARD_HOP_MS 50U
 
+/* Latency of the table from which one host batches for all data centres.  A
+   part writes one transaction after another, so each further writer adds the
+   table's latency to the wait of all.
+
+   Failure: the transactions of many data centres wait for each other for more
+   than a second, and the table rejects them.  */
+#define SLOW_TABLE_MS 50U
+
 /* Destination of a queue.  */
 enum
 {
@@ -298,14 +307,30 @@
   send_next (part);
 }
 
+/* Address of the host that the batch goes to; NULL for the table.  */
+static const char *
+choose_batch_host (const struct part_queue *part)
+{
+  const struct mq_commit_queue *queue = part->queue;
+  const char *name = part->rows[0].part;
+
+  switch (part->destination)
+    {
+    case TO_BATCH_HOST:
+      return mq_relay_batch_host (queue->relay, name, true);
+    default:
+      return mq_rows_latency_ms (queue->rows) < SLOW_TABLE_MS
+                 ? NULL
+                 : mq_relay_batch_host (queue->relay, name, false);
+    }
+}
+
 static void
 send_batch (struct part_queue *part)
 {
   struct mq_commit_queue *queue = part->queue;
-  const char *batch_host = NULL;
+  const char *batch_host = choose_batch_host (part);
 
-  if (part->destination == TO_BATCH_HOST)
-    batch_host = mq_relay_batch_host (queue->relay, part->rows[0].part);
   if (batch_host != NULL)
     mq_relay_commit_at (queue->relay, batch_host,
                         mq_rows_call_timeout_ms (queue->rows) + FORWARD_HOP_MS,
@@ -417,7 +442,8 @@
                const struct mq_rows_entry *entry, mq_rows_done *done,
                void *user)
 {
-  bool forwards = mq_relay_batch_host (queue->relay, entry->part) != NULL;
+  bool forwards
+      = mq_relay_batch_host (queue->relay, entry->part, true) != NULL;
 
   return add (
       get_part (queue, entry->part, forwards ? TO_BATCH_HOST : TO_TABLE),
--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -518,7 +518,7 @@
 }
 
 const char *
-mq_relay_batch_host (const struct mq_relay *relay, const char *part)
+mq_relay_batch_host (const struct mq_relay *relay, const char *part, bool near)
 {
   uint64_t key = mq_hash_bytes (part, strlen (part), BATCH_HOST_SEED);
   uint64_t highest = mq_rendezvous_weight (relay->own_address, key);
@@ -529,7 +529,7 @@
     {
       uint64_t weight;
 
-      if (!host->near || !host->listed || host->batch_after_ms > now
+      if ((near && !host->near) || !host->listed || host->batch_after_ms > now
           || host->call_after_ms > now)
         continue;
       weight = mq_rendezvous_weight (host->address, key);
--- a/src/router/relay.h
+++ b/src/router/relay.h
@@ -110,11 +110,12 @@
 mq_relay_commit_at (struct mq_relay *relay, const char *address,
                     uint32_t timeout_ms, const struct mq_rows_entry *entries,
                     size_t count, mq_rows_done *done, void *user);
-/* Address of the host of this data centre that batches writes to PART, chosen
-   by rendezvous hashing: hosts with the same list choose the same one.  NULL
-   if it is this host or none is available.  */
+/* Address of the host that batches writes to PART, of this data centre if
+   NEAR, else of all, chosen by rendezvous hashing: hosts with the same list
+   choose the same one, and hosts with different lists never choose each other
+   in a circle.  NULL if it is this host or none is available.  */
 const char *mq_relay_batch_host (const struct mq_relay *relay,
-                                 const char *part);
+                                 const char *part, bool near);
 /* Executes writes of other hosts, instead of mq_rows_commit.  */
 typedef void mq_relay_write_handler (const struct mq_rows_entry *entries,
                                      size_t count, mq_rows_done *done,
--- a/src/router/rows.h
+++ b/src/router/rows.h
@@ -140,6 +140,8 @@
 void mq_rows_set_host_count (struct mq_rows *rows, size_t hosts);
 /* All watched tables were listed, and the last poll of each feed succeeded. */
 bool mq_rows_feeds_healthy (const struct mq_rows *rows);
+/* Smoothed latency of the table, milliseconds.  */
+uint32_t mq_rows_latency_ms (const struct mq_rows *rows);
 /* How long a call sent now is waited for, milliseconds; follows the table's
    latency.  */
 uint32_t mq_rows_call_timeout_ms (const struct mq_rows *rows);
--- a/tests/test_commit_queue.c
+++ b/tests/test_commit_queue.c
@@ -220,3 +220,124 @@
   cr_expect_eq (outcomes[0].calls + outcomes[1].calls, 0);
   cr_expect_eq (rows_server_row_count (table, "t"), 2);
 }
+
+/* Several data centres */
+
+#define MEMBERS 4
+#define MEMBER_WRITES 10
+#define SLOW_MS 120U
+/* Transactions if each member sends its own: the first write, then the
+   rest.  */
+#define SEPARATE_TRANSACTIONS (2 * MEMBERS)
+
+/* The only host of a data centre.  */
+struct member
+{
+  struct mq_rows *rows;
+  struct mq_relay *relay;
+  struct mq_commit_queue *queue;
+  struct outcome outcomes[MEMBER_WRITES];
+};
+
+static struct member members[MEMBERS];
+
+static void
+ignore_row (const struct mq_rows_entry *row, void *user)
+{
+  (void)row;
+  (void)user;
+}
+
+static void
+start_member (struct member *member, int index)
+{
+  static const struct mq_relay_owner nobody = { .user = NULL };
+  struct mq_rows_watcher watcher = { .row = ignore_row };
+
+  *member = (struct member){ 0 };
+  member->rows = mq_rows_create (
+      ev, ev,
+      talloc_asprintf (ev, "127.0.0.1:%u",
+                       rows_server_port (table, index % ROWS_ENDPOINTS)));
+  member->relay
+      = mq_relay_create (ev, ev, "127.0.0.1:0", member->rows, &nobody, NULL);
+  cr_assert_not_null (member->relay);
+  member->queue = mq_commit_queue_create (ev, member->rows, member->relay);
+  mq_relay_set_write_handler (member->relay, mq_commit_add_relayed,
+                              member->queue);
+  mq_rows_watch (member->rows, "t", &watcher);
+}
+
+static void
+list_members (struct member *member)
+{
+  mq_relay_list_begin (member->relay);
+  for (int i = 0; i < MEMBERS; i++)
+    {
+      struct mq_relay_listing listing
+          = { .address = mq_relay_address (members[i].relay),
+              .data_centre = "d" };
+
+      if (&members[i] != member)
+        mq_relay_list_host (member->relay, &listing);
+    }
+  mq_relay_list_end (member->relay);
+}
+
+static void
+write_member_row (struct member *member, int index, int number)
+{
+  char key[16];
+  struct mq_rows_entry entry = {
+    .table = "t", .part = "00", .key = key, .version = MQ_VERSION_ABSENT
+  };
+
+  snprintf (key, sizeof key, "m%d-%d", index, number);
+  mq_commit_add (member->queue, &entry, on_done, &member->outcomes[number]);
+}
+
+static bool
+members_know_latency (void)
+{
+  for (int i = 0; i < MEMBERS; i++)
+    if (mq_rows_latency_ms (members[i].rows) < SLOW_MS / 2)
+      return false;
+  return true;
+}
+
+static int
+members_done (void)
+{
+  int done = 0;
+
+  for (int i = 0; i < MEMBERS; i++)
+    for (int k = 0; k < MEMBER_WRITES; k++)
+      done += members[i].outcomes[k].calls;
+  return done;
+}
+
+/* Failure: each data centre writes its own transactions to a slow table, and
+   they wait for each other.  */
+Test (commits, data_centres_share_transactions_of_a_slow_table)
+{
+  size_t before;
+
+  for (int i = 0; i < MEMBERS; i++)
+    start_member (&members[i], i);
+  for (int i = 0; i < MEMBERS; i++)
+    list_members (&members[i]);
+  rows_server_set_delay (table, SLOW_MS);
+  while (!members_know_latency ())
+    tevent_loop_once (ev);
+  before = rows_server_write_count (table);
+  for (int i = 0; i < MEMBERS; i++)
+    for (int k = 0; k < MEMBER_WRITES; k++)
+      write_member_row (&members[i], i, k);
+  while (members_done () < MEMBERS * MEMBER_WRITES)
+    tevent_loop_once (ev);
+  cr_expect_lt (rows_server_write_count (table) - before,
+                (size_t)SEPARATE_TRANSACTIONS);
+  for (int i = 0; i < MEMBERS; i++)
+    for (int k = 0; k < MEMBER_WRITES; k++)
+      cr_expect_eq (members[i].outcomes[k].status, MQ_STORE_OK, "%d %d", i, k);
+}
