A turn that waits for the table goes on when the table is back

Besides, a host's answer "down", which means not executed, ended a write as "outcome unknown"; and a record waited for its backoff of up to 0.7 s after the table's return.

Change: a write made for another host is relayed no further when the table is away; it ends as down, and the host that asked tries one more.

--- a/src/router/commit_queue.c
+++ b/src/router/commit_queue.c
@@ -36,6 +36,7 @@
  * struct mq_commit - an atomic unit: one write of this host, or a transaction
  *                    forwarded by another host
  * @entries: strings are owned by the commit
+ * @relayed: made for another host
  * @sent: in the transaction in flight
  * @cancelled: @done is not called
  */
@@ -45,6 +46,7 @@
   struct part_queue *part;
   struct mq_rows_entry *entries;
   size_t count;
+  bool relayed;
   bool sent;
   bool cancelled;
   mq_rows_done *done;
@@ -268,6 +270,50 @@
   *at = commit;
 }
 
+/* Ends the commits of the batch that were made for other hosts as DOWN, since
+   a write is relayed once only.  Returns false if none are left.
+
+   Failure: hosts that can't reach the table pass a write back and forth, each
+   waits for the other, and turns that could borrow are refused.  */
+static bool
+reject_relayed (struct part_queue *part)
+{
+  struct mq_rows_result down = { .status = MQ_STORE_DOWN };
+  struct mq_commit *relayed[MQ_COMMIT_ROWS_MAX];
+  size_t relayed_count = 0;
+  size_t kept = 0;
+
+  part->row_count = 0;
+  for (size_t i = 0; i < part->count; i++)
+    {
+      struct mq_commit *commit = part->batch[i];
+
+      if (commit->relayed)
+        {
+          relayed[relayed_count++] = commit;
+          continue;
+        }
+      part->batch[kept++] = commit;
+      for (size_t k = 0; k < commit->count; k++)
+        part->rows[part->row_count++] = commit->entries[k];
+    }
+  part->count = kept;
+  for (size_t i = 0; i < relayed_count; i++)
+    end_commit (relayed[i], &down);
+  return kept > 0;
+}
+
+/* Makes the transaction through another host.  */
+static void
+relay_batch (struct part_queue *part)
+{
+  if (reject_relayed (part))
+    mq_relay_commit (part->queue->relay, part->rows, part->row_count, on_done,
+                     part);
+  else
+    send_next (part);
+}
+
 /* DOWN means that the transaction was not executed, so another host may retry
    it.  A suspect part does not answer other hosts either.  */
 static void
@@ -278,7 +324,7 @@
 
   if (result->status == MQ_STORE_DOWN && mq_relay_host_count (queue->relay) > 0
       && !mq_rows_part_suspect (queue->rows, part->rows[0].part))
-    mq_relay_commit (queue->relay, part->rows, part->row_count, on_done, part);
+    relay_batch (part);
   else
     on_done (result, part);
 }
@@ -337,7 +383,7 @@
                         part->rows, part->row_count, on_forwarded, part);
   else if (mq_rows_down (queue->rows)
            && mq_relay_host_count (queue->relay) > 0)
-    mq_relay_commit (queue->relay, part->rows, part->row_count, on_done, part);
+    relay_batch (part);
   else
     mq_rows_commit (queue->rows, part->rows, part->row_count, on_direct, part);
 }
@@ -420,11 +466,12 @@
 
 static struct mq_commit *
 add (struct part_queue *part, const struct mq_rows_entry *entries,
-     size_t count, mq_rows_done *done, void *user)
+     size_t count, bool relayed, mq_rows_done *done, void *user)
 {
   struct mq_commit *commit
       = mq_check_alloc (talloc_zero (part->queue, struct mq_commit));
 
+  commit->relayed = relayed;
   commit->done = done;
   commit->user = user;
   commit->count = count;
@@ -447,7 +494,7 @@
 
   return add (
       get_part (queue, entry->part, forwards ? TO_BATCH_HOST : TO_TABLE),
-      entry, 1, done, user);
+      entry, 1, false, done, user);
 }
 
 void
@@ -459,8 +506,8 @@
   if (count > MQ_COMMIT_ROWS_MAX)
     mq_rows_commit (queue->rows, entries, count, done, done_user);
   else
-    add (get_part (queue, entries[0].part, TO_TABLE), entries, count, done,
-         done_user);
+    add (get_part (queue, entries[0].part, TO_TABLE), entries, count, true,
+         done, done_user);
 }
 
 void
--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -237,7 +237,8 @@
       end_call (call, &reply->result);
       return;
     }
-  /* The host can't reach the table either.  */
+  /* The host can't reach the table either and has not executed the call.  */
+  call->sent = false;
   if (host != NULL)
     start_call_backoff (host);
   if (host != NULL)
--- a/src/router/router_program.c
+++ b/src/router/router_program.c
@@ -138,7 +138,7 @@
 {
   struct mq_program *program = data;
 
-  program->timer = NULL;
+  program->retry = NULL;
   advance_program (program);
 }
 
@@ -152,8 +152,8 @@
       fail_waiting (program);
       return;
     }
-  program->timer = mq_turn_schedule_retry (
-      program->turns, program, program->tries, on_program_retry, program);
+  program->retry = mq_retry_schedule (program->turns, program->tries,
+                                      on_program_retry, program);
 }
 
 static void
@@ -304,7 +304,7 @@
 advance_program (struct mq_program *program)
 {
   while (program->waiting != NULL && program->call == NULL
-         && program->timer == NULL && program->recall == NULL)
+         && program->retry == NULL && program->recall == NULL)
     {
       struct mq_turn *turn = program->waiting;
       enum mq_budget_decision answer
@@ -388,7 +388,7 @@
 static void
 release_grant (struct mq_program *program, uint64_t most)
 {
-  if (program->call == NULL && program->timer == NULL
+  if (program->call == NULL && program->retry == NULL
       && !mq_turns_part_unavailable (program->turns, program->part)
       && mq_budget_release (&program->budget, program->holder, program->limit,
                             most, &program->next))
@@ -422,7 +422,7 @@
 record_issued (struct mq_program *program)
 {
   if (program->budget.issued == 0 || program->call != NULL
-      || program->timer != NULL || program->running > 0
+      || program->retry != NULL || program->running > 0
       || mq_turns_part_unavailable (program->turns, program->part))
     return;
   if (mq_budget_record_issued (&program->budget, program->holder,
@@ -434,7 +434,7 @@
 is_idle (const struct mq_program *program)
 {
   return program->waiting == NULL && program->running == 0
-         && program->call == NULL && program->timer == NULL
+         && program->call == NULL && program->retry == NULL
          && program->recall == NULL && program->budget.issued == 0;
 }
 
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -77,6 +77,7 @@
 struct mq_config_load;
 struct mq_config_query;
 struct mq_loan;
+struct mq_retry;
 struct mq_leases;
 struct mq_permits;
 struct mq_issuing;
@@ -343,7 +344,7 @@
   struct mq_program *owner;
   struct mq_turn *next;
   struct mq_table_client_call *call;
-  struct mq_timer *timer;
+  struct mq_retry *retry;
   struct mq_chain *partial_chain;
   char missing_id[MQ_TURN_ID_MAX];
   struct mq_chain *new_chain;
@@ -385,6 +386,12 @@
 bool mq_turns_have_unrecorded_tokens (const struct mq_turns *turns,
                                       uint32_t slot);
 
+/* router_retry.c */
+
+/* The table is back: all retries of the router USER begin at once, slightly
+   spread.  */
+void mq_retry_all (void *user);
+
 /* router_loan.c */
 
 /* Messages of other hosts: a loan request, the reply to one, and returned
--- a/src/router/router_turn.c
+++ b/src/router/router_turn.c
@@ -12,10 +12,6 @@
 
 const char mq_turn_table[] = "turn";
 
-/* Exponential backoff of retries, with jitter so that hosts do not retry in
-   step.  */
-#define RETRY_MIN_MS 60U
-#define RETRY_MAX_MS 480U
 /* Divisor of the memory limit that bounds the cache of histories.  */
 #define CACHE_MEMORY_DIVISOR 4U
 
@@ -34,6 +30,7 @@
     return NULL;
   turns->router = router;
   turns->programs = mq_idmap_create (turns);
+  mq_rows_set_recovery_handler (router->rows, mq_retry_all, router);
   turns->cache = mq_chain_cache_create (turns, bytes / CACHE_MEMORY_DIVISOR);
   return turns->cache == NULL ? NULL : turns;
 }
@@ -50,19 +47,6 @@
             (unsigned int)((hash + candidate * step) % MQ_TURN_PARTS));
 }
 
-struct mq_timer *
-mq_turn_schedule_retry (struct mq_turns *turns, TALLOC_CTX *ctx,
-                        uint32_t tries, mq_timer_handler *handler, void *data)
-{
-  uint32_t wait = RETRY_MIN_MS;
-
-  for (uint32_t i = 1; i < tries && wait < RETRY_MAX_MS; i++)
-    wait *= 2;
-  wait = wait / 2 + mq_random_below (&turns->router->random, wait);
-
-  return mq_timer_add (ctx, turns->router->ev, wait, handler, data);
-}
-
 bool
 mq_turns_part_unavailable (const struct mq_turns *turns, const char *part)
 {
@@ -88,7 +72,7 @@
 {
   struct mq_turn *turn = data;
 
-  turn->timer = NULL;
+  turn->retry = NULL;
   if (turn->new_chain != NULL)
     begin_write (turn);
   else
@@ -99,8 +83,8 @@
 retry_turn (struct mq_turn *turn)
 {
   turn->tries++;
-  turn->timer = mq_turn_schedule_retry (turn->turns, turn->turns, turn->tries,
-                                        on_turn_retry, turn);
+  turn->retry
+      = mq_retry_schedule (turn->turns, turn->tries, on_turn_retry, turn);
 }
 
 static void
@@ -430,7 +414,7 @@
   if (turn->call != NULL)
     mq_table_client_cancel (turn->call);
   turn->call = NULL;
-  TALLOC_FREE (turn->timer);
+  TALLOC_FREE (turn->retry);
   TALLOC_FREE (turn->partial_chain);
   TALLOC_FREE (turn->history);
   TALLOC_FREE (turn->new_chain);
--- a/src/router/router_turns.h
+++ b/src/router/router_turns.h
@@ -1,6 +1,6 @@
 /* router_turns.h - budgets, histories, loans and handovers of programs, shared
-   by router_turn.c, router_program.c, router_loan.c and router_handover.c
-   only.
+   by router_turn.c, router_retry.c, router_program.c, router_loan.c and
+   router_handover.c only.
 
    Needs: router_state.h.  */
 
@@ -19,6 +19,7 @@
  * @next: budget record being written
  * @waiting: turns waiting for their budget, oldest first
  * @call: pending call to the table; NULL if none
+ * @retry: pending retry of a call; NULL if none
  * @holder: id of this host's grant
  * @home: engine that caches the program; 0 if unknown
  * @limit: token limit, as sent with the latest turn
@@ -40,7 +41,7 @@
   struct mq_budget_record next;
   struct mq_turn *waiting;
   struct mq_table_client_call *call;
-  struct mq_timer *timer;
+  struct mq_retry *retry;
   uint64_t holder;
   uint64_t home;
   uint64_t limit;
@@ -57,6 +58,7 @@
   struct mq_router *router;
   struct mq_idmap *programs;
   struct mq_chain_cache *cache;
+  struct mq_retry *retries;
   struct mq_loan *loans;
   uint64_t next_loan;
 };
@@ -67,11 +69,6 @@
    preferred part.  */
 void mq_turn_select_part (char part[MQ_PART_NAME_BYTES], const char *key,
                           uint32_t candidate);
-/* Starts the backoff timer after TRIES consecutive failures.  */
-struct mq_timer *mq_turn_schedule_retry (struct mq_turns *turns,
-                                         TALLOC_CTX *ctx, uint32_t tries,
-                                         mq_timer_handler *handler,
-                                         void *data);
 /* Whether PART can be reached neither by this host nor through another
    one.  */
 bool mq_turns_part_unavailable (const struct mq_turns *turns,
@@ -86,6 +83,14 @@
 void mq_turn_read_history (struct mq_turn *turn);
 void mq_turn_notify (struct mq_turn *turn, enum mq_turn_state state);
 
+/* router_retry.c */
+
+/* Calls HANDLER once, after the backoff for TRIES consecutive failures or when
+   the table is back, and frees the retry.  Freeing it cancels it.  NULL if out
+   of memory.  */
+struct mq_retry *mq_retry_schedule (struct mq_turns *turns, uint32_t tries,
+                                    mq_timer_handler *handler, void *data);
+
 /* router_program.c */
 
 /* Returns NULL if this host does not serve the program.  */
--- a/src/router/rows.h
+++ b/src/router/rows.h
@@ -100,6 +100,11 @@
 struct mq_rows *mq_rows_create (TALLOC_CTX *ctx, struct tevent_context *ev,
                                 const char *address);
 void mq_rows_destroy (struct mq_rows *rows);
+typedef void mq_rows_recovery_handler (void *user);
+/* Calls HANDLER when the table answers again after it counted as down.  */
+void mq_rows_set_recovery_handler (struct mq_rows *rows,
+                                   mq_rows_recovery_handler *handler,
+                                   void *user);
 /* Writes ENTRIES, all of one part, atomically.  They are copied.  */
 struct mq_rows_call *mq_rows_commit (struct mq_rows *rows,
                                      const struct mq_rows_entry *entries,
--- a/tests/test_commit_queue.c
+++ b/tests/test_commit_queue.c
@@ -341,3 +341,41 @@
     for (int k = 0; k < MEMBER_WRITES; k++)
       cr_expect_eq (members[i].outcomes[k].status, MQ_STORE_OK, "%d %d", i, k);
 }
+
+/* Failure: hosts that can't reach the table pass a write back and forth, and
+   each waits for the other.  */
+Test (commits, write_is_relayed_once)
+{
+  for (int i = 0; i < MEMBERS; i++)
+    start_member (&members[i], i);
+  for (int i = 0; i < MEMBERS; i++)
+    list_members (&members[i]);
+  for (int i = 0; i < MEMBERS; i++)
+    while (!mq_rows_feeds_healthy (members[i].rows))
+      tevent_loop_once (ev);
+  rows_server_set_fault (table, ROWS_UNAVAILABLE);
+  for (int i = 0; i < MEMBERS; i++)
+    while (!mq_rows_down (members[i].rows))
+      {
+        members[i].outcomes[0].calls = 0;
+        write_member_row (&members[i], i, 0);
+        while (members[i].outcomes[0].calls == 0)
+          tevent_loop_once (ev);
+      }
+  for (int i = 0; i < MEMBERS; i++)
+    {
+      uint64_t sent[MEMBERS];
+
+      for (int k = 0; k < MEMBERS; k++)
+        sent[k] = mq_relay_calls_sent (members[k].relay);
+      members[i].outcomes[1] = (struct outcome){ 0 };
+      write_member_row (&members[i], i, 1);
+      while (members[i].outcomes[1].calls == 0)
+        tevent_loop_once (ev);
+      cr_expect_eq (members[i].outcomes[1].status, MQ_STORE_DOWN);
+      for (int k = 0; k < MEMBERS; k++)
+        if (k != i)
+          cr_expect_eq (mq_relay_calls_sent (members[k].relay), sent[k],
+                        "a write of member %d, at member %d", i, k);
+    }
+}
