One function sends a frame to a host, opening the link if needed

Cause: handing over, asking for permits and asking for state repeated it.

Change: relay_send_to_host; behaviour as before.

Measured: test_relay, test_relay_loan and test_commit_queue pass.

--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -361,6 +361,19 @@
   return host->link;
 }
 
+bool
+relay_send_to_host (struct mq_relay *relay, struct host *host,
+                    const struct mq_relay_frame *frame)
+{
+  struct mq_relay_link *link
+      = host == NULL ? NULL : relay_open_link (relay, host);
+
+  if (link == NULL)
+    return false;
+  relay_send_frame (relay, link, frame);
+  return true;
+}
+
 /* Chooses a host that is not in backoff: one with an open link if any, else at
    random.  */
 static struct host *
@@ -563,13 +576,9 @@
 mq_relay_request_sync (struct mq_relay *relay,
                        const struct mq_relay_sync *sync)
 {
-  struct host *host = choose_host (relay);
-  struct mq_relay_link *link
-      = host == NULL ? NULL : relay_open_link (relay, host);
   struct mq_relay_frame frame = { .kind = MQ_RELAY_SYNC, .u.sync = *sync };
 
-  if (link != NULL)
-    relay_send_frame (relay, link, &frame);
+  (void)relay_send_to_host (relay, choose_host (relay), &frame);
 }
 
 /* Hosts */
@@ -605,14 +614,8 @@
 {
   struct mq_relay_frame frame
       = { .kind = MQ_RELAY_QUOTA_REQUEST, .u.quota_request = *request };
-  struct host *host = add_host (relay, address);
-  struct mq_relay_link *link
-      = host == NULL ? NULL : relay_open_link (relay, host);
 
-  if (link == NULL)
-    return false;
-  relay_send_frame (relay, link, &frame);
-  return true;
+  return relay_send_to_host (relay, add_host (relay, address), &frame);
 }
 
 uint32_t
--- a/src/router/relay_cache.c
+++ b/src/router/relay_cache.c
@@ -120,12 +120,6 @@
 {
   struct mq_relay_frame frame
       = { .kind = MQ_RELAY_HANDOVER, .u.handover = *handover };
-  struct host *host = relay_find_host (relay, address);
-  struct mq_relay_link *link
-      = host == NULL ? NULL : relay_open_link (relay, host);
-
-  if (link == NULL)
-    return false;
-  relay_send_frame (relay, link, &frame);
-  return true;
+
+  return relay_send_to_host (relay, relay_find_host (relay, address), &frame);
 }
--- a/src/router/relay_state.h
+++ b/src/router/relay_state.h
@@ -80,6 +80,10 @@
 void relay_mark_unreachable (struct host *host);
 void relay_send_frame (struct mq_relay *relay, struct mq_relay_link *link,
                        const struct mq_relay_frame *frame);
+/* Sends FRAME to HOST, which may be NULL; false if no link to it can be
+   opened.  */
+bool relay_send_to_host (struct mq_relay *relay, struct host *host,
+                         const struct mq_relay_frame *frame);
 
 /* relay_cache.c */
 
