--- a/src/core/router/admission.c
+++ b/src/core/router/admission.c
@@ -19,10 +19,12 @@
    rejected.  */
 #define LOAD_FULL 1000U
 /* Fastest fall of the smoothed load.  Guards against admitting programs that
-   retry late during a short dip in the observed load.  */
+   retry late during a short dip in the observed load, in place of programs
+   that could still be in time.  */
 #define LOAD_FALL_PER_S 80U
 /* A program is short of time if its time per token of budget is below this
-   percentage of its route's mean.  */
+   percentage of its route's mean.  It would be late even with short queues,
+   and would take the place of one that would not.  */
 #define LATE_PERCENT 75U
 /* Number of programs in the mean.  */
 #define MEAN_PROGRAMS 32
--- a/src/core/router/chain.h
+++ b/src/core/router/chain.h
@@ -16,7 +16,7 @@
 /* Maximum text in one row; the rest of the 64 KiB is for ids.  */
 #define MQ_CHAIN_ROW_BYTES ((size_t)48 << 10)
 #define MQ_TURN_ID_MAX 160U
-/* Maximum text of a chain.  */
+/* Maximum text of a chain: 120,000 tokens of 4 bytes, and a margin.  */
 #define MQ_CHAIN_MAX_BYTES ((size_t)1 << 20)
 
 /**
--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -17,7 +17,8 @@
 
 /* Reported load is ignored after this time.  */
 #define MQ_FLEET_LOAD_TTL_MS 1000U
-/* Consecutive failures after which a worker is ejected.  */
+/* Consecutive failures after which a worker is ejected.  A single one is
+   common (a lost response); two by chance are rare.  */
 #define MQ_FLEET_CONSECUTIVE_FAILURES_MAX 2U
 /* Failure rate at which a worker is ejected, in thousandths.  The rate is a
    moving average in which each request has a weight of
@@ -44,7 +45,8 @@
 
    Guards against moving programs while all workers have queues: the target
    must process the prompt again, which slows it and duplicates cache
-   contents, without a shorter wait.  */
+   contents, without a shorter wait.  With a higher percentage, a worker that
+   is loaded beyond the others keeps its programs too long.  */
 #define MQ_FLEET_AFFINITY_QUEUE_PERCENT 50U
 
 /**
--- a/src/core/router/outage.h
+++ b/src/core/router/outage.h
@@ -3,7 +3,11 @@
    A stored turn cannot end before its record is written, so a turn that begins
    early in an outage is likely to time out.  The first try of a caller is
    therefore rejected with a retry delay, and a retry is run: this keeps
-   callers trying for longer than a short outage. Pure.
+   callers trying for longer than a short outage.
+
+   Such outages last 4 to 8 s.  A caller tries a turn three times, each with
+   one more try after a refusal.  If both are refused it has given up after
+   3.5 s; if the second is run, it is there for 9 s.  Pure.
    Needs: types.h.  */
 
 #ifndef MQ_OUTAGE_H
--- a/src/core/router/recent.h
+++ b/src/core/router/recent.h
@@ -9,7 +9,8 @@
 #include "../types.h"
 
 #define MQ_RECENT_SAMPLES 64U
-/* Older samples are ignored.  */
+/* Older samples are ignored.  Long enough for a host with few requests to have
+   several.  */
 #define MQ_RECENT_WINDOW_MS 1000U
 /* Minimum number of samples; each missing one counts as 0, so that few samples
    give a low mean.  */
--- a/src/core/router/reserve.h
+++ b/src/core/router/reserve.h
@@ -16,14 +16,19 @@
 
 #include "../types.h"
 
-/* Number of slots that share one table.  */
+/* Number of slots that share one table.  With the loss of one host of seven, a
+   seventh of them is lost; with 1,100 hosts, a holder answers some hundred
+   requests a second during an outage of the table.  */
 #define MQ_RESERVE_SLOTS 32U
-/* Lease duration, counted from the request.  */
+/* Lease duration, counted from the request.  A caller tries for some nine
+   seconds at most, so a longer lease gains nothing, and the slots of a lost
+   host are free again after it.  */
 #define MQ_RESERVE_LEASE_MS 12000U
-/* Renewal interval.  */
+/* Renewal interval.  When the table becomes unavailable, at least nine seconds
+   of a lease are left.  */
 #define MQ_RESERVE_RENEW_MS 3000U
 /* Grace period after expiry before a lease may be taken over; covers clock
-   drift.  */
+   drift of four percent.  */
 #define MQ_RESERVE_GRACE_MS 500U
 /* Minimum number of hosts that share the slots, if there are as many; limits
    the slots lost with one host.  */
--- a/src/router/relay.h
+++ b/src/router/relay.h
@@ -128,8 +128,8 @@
 /* Answers a sync request received on LINK.  */
 void mq_relay_send_state (struct mq_relay *relay, struct mq_relay_link *link,
                           const struct mq_relay_state *state);
-/* Hosts to which a loan request is sent; those with an open link come
-   first.  */
+/* Hosts to which a loan request is sent; those with an open link come first,
+   since the tries of a caller reach hosts of one data centre.  */
 #define MQ_RELAY_LOAN_HOSTS_MAX 32U
 /* A host that has not answered a loan request for this long gets no more of
    them for MQ_RELAY_BACKOFF_MS or until it answers, so that requests don't
