A turn that its worker rejected goes to another one at the next try

A turn goes to its program's worker; the route allows one; the caller's next try reaches another host, which knows nothing of it and sends the turn to the same worker. After six tries the program is refused, while others are idle.

Change: a host that had a turn rejected tells it with the program's state (home_full), and for one second the worker counts as full for that program, also at the host that takes it over.

Measured: new test turn_that_was_rejected_goes_to_another_worker passes three times of three; without the change all 8 programs go to the same worker.

--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -1395,7 +1395,7 @@
   (ProtobufCMessageInit) mqrelay__loan_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__loan_told__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mqrelay__loan_told__field_descriptors[10] =
 {
   {
     "id",
@@ -1505,10 +1505,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "home_full",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanTold, home_full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__loan_told__field_indices_by_name[] = {
   5,   /* field[5] = history */
   6,   /* field[6] = home */
+  9,   /* field[9] = home_full */
   0,   /* field[0] = id */
   3,   /* field[3] = over */
   7,   /* field[7] = record */
@@ -1520,7 +1533,7 @@
 static const ProtobufCIntRange mqrelay__loan_told__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor mqrelay__loan_told__descriptor =
 {
@@ -1530,7 +1543,7 @@
   "Mqrelay__LoanTold",
   "mqrelay",
   sizeof(Mqrelay__LoanTold),
-  9,
+  10,
   mqrelay__loan_told__field_descriptors,
   mqrelay__loan_told__field_indices_by_name,
   1,  mqrelay__loan_told__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -242,10 +242,14 @@
    * of @record in the table
    */
   uint64_t version;
+  /*
+   * the worker @home has just rejected a turn
+   */
+  protobuf_c_boolean home_full;
 };
 #define MQRELAY__LOAN_TOLD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__loan_told__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, {0,NULL}, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, {0,NULL}, 0, 0 }
 
 
 /*
--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -93,6 +93,7 @@
  * @has_key: false to choose the least loaded worker
  * @home: worker with the program's cache, from mq_fleet_choose_home; takes
  *        precedence over @key; 0 if none
+ * @home_full: @home has just rejected the program, and counts as full
  * @tried: workers that the request was already sent to
  * @now_ms: monotonic clock
  * @random: random number for tie-breaking
@@ -104,6 +105,7 @@
   uint64_t key;
   bool has_key;
   uint64_t home;
+  bool home_full;
   const uint32_t *tried;
   size_t tried_count;
   uint64_t now_ms;
--- a/src/core/router/fleet_choice.c
+++ b/src/core/router/fleet_choice.c
@@ -123,7 +123,8 @@
 
   if (entry->ejected_until_ms > query->now_ms && !survey->ignore_ejections)
     return (struct rank){ 3, entry->ejected_until_ms };
-  if (load >= full_load (query, slots, mean))
+  if (load >= full_load (query, slots, mean)
+      || (query->home_full && entry->hash == query->home))
     rank.group = 2;
   else if (query->has_key && load > bound)
     rank.group = 1;
@@ -158,7 +159,7 @@
   struct survey survey = { .count = 0 };
   uint32_t worker;
 
-  if (!query->has_key || query->home == 0)
+  if (!query->has_key || query->home == 0 || query->home_full)
     return MQ_WORKER_NONE;
   entry = fleet_find_hash (fleet, query->home);
   if (entry == NULL || !fleet_is_candidate (entry, query->service)
--- a/src/router/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -177,6 +177,7 @@
   to.tokens = reply->tokens;
   to.over = reply->issue_forbidden;
   to.home = reply->home;
+  to.home_full = reply->home_full;
   to.turn = text_field (reply->turn);
   to.history.data = reply->history.data;
   to.history.len = reply->history.len;
@@ -448,6 +449,7 @@
     .tokens = from->tokens,
     .issue_forbidden = from->over,
     .home = from->home,
+    .home_full = from->home_full,
     .turn = from->turn,
     .history = { from->history.data, from->history.len },
     .record = { from->record.data, from->record.len },
--- a/src/router/relay_frame.h
+++ b/src/router/relay_frame.h
@@ -100,6 +100,7 @@
  * @turn: turn of @history, "" if not found
  * @history: encoded as a row of the table, with the full text
  * @home: worker that holds the program's cache, 0 if unknown
+ * @home_full: @home has just rejected a turn of the program as full
  * @record: budget record of the program as in the table, empty if unknown
  * @record_version: version of @record
  */
@@ -112,6 +113,7 @@
   const char *turn;
   struct mq_bytes history;
   uint64_t home;
+  bool home_full;
   struct mq_bytes record;
   uint64_t record_version;
 };
--- a/src/router/router_config.c
+++ b/src/router/router_config.c
@@ -378,8 +378,8 @@
 static void on_read (const struct mq_rows_result *result, void *user);
 static void on_checked (const struct mq_rows_result *result, void *user);
 
-/* Reads the whole configuration only if it has changed or if that is unknown:
-   it may be long.  */
+/* The configuration may be long, so it is only read if the changes are not
+   available.  */
 static void
 start_query (struct mq_config_query *query)
 {
@@ -407,15 +407,30 @@
   move_all (waiting, &load->waiting);
 }
 
+/* The newest row of the configuration in RESULT; NULL if it has none.  */
+static const struct mq_rows_entry *
+find_config (const struct mq_rows_result *result)
+{
+  const struct mq_rows_entry *found = NULL;
+
+  for (size_t i = 0; i < result->row_count; i++)
+    if (!result->rows[i].remove
+        && strcmp (result->rows[i].key, mq_wire_config_key) == 0)
+      found = &result->rows[i];
+  return found;
+}
+
 static void
 on_checked (const struct mq_rows_result *result, void *user)
 {
   struct mq_config_query *query = user;
   struct mq_router *router = query->router;
   struct mq_config_waiter *served = NULL;
+  const struct mq_rows_entry *row = find_config (result);
 
-  if (result->status != MQ_STORE_OK || result->row_count > 0
-      || (router->routes == NULL && router->config_loading == NULL))
+  if (result->status != MQ_STORE_OK
+      || (row == NULL && router->routes == NULL
+          && router->config_loading == NULL))
     {
       query->check = NULL;
       query->call
@@ -425,7 +440,10 @@
     }
   move_all (&query->asked, &served);
   query->known_ms = query->began_ms;
-  confirm (router, &served);
+  if (row != NULL)
+    load_config (router, row->value, row->version, &served);
+  else
+    confirm (router, &served);
   query->check = NULL;
   start_query (query);
 }
--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -45,6 +45,8 @@
     }
   if (end == MQ_ATTEMPT_BROKEN || end == MQ_ATTEMPT_ERROR)
     request->may_have_run = true;
+  if (end == MQ_ATTEMPT_NOT_RUN && request->is_turn)
+    mq_turn_home_rejected (&request->turn);
   attempt = (struct mq_attempt){
     .end = end,
     .repeatable = mq_route_repeatable (request->route),
@@ -132,7 +134,10 @@
   };
 
   if (request->is_turn)
-    query.home = request->turn.home;
+    {
+      query.home = request->turn.home;
+      query.home_full = request->turn.home_full;
+    }
   query.has_key = mq_route_affinity_key (request->route, request->service_info,
                                          request->program,
                                          request->fields.affinity, &query.key);
--- a/src/router/router_handover.c
+++ b/src/router/router_handover.c
@@ -37,7 +37,10 @@
 {
   struct mq_router *router = program->turns->router;
   struct mq_relay_loan_reply handover
-      = { .program = program->id, .turn = "", .home = program->home };
+      = { .program = program->id,
+          .turn = "",
+          .home = program->home,
+          .home_full = mq_program_home_is_full (program) };
   const char *address;
   TALLOC_CTX *ctx;
   bool sent;
--- a/src/router/router_loan.c
+++ b/src/router/router_loan.c
@@ -317,6 +317,8 @@
       /* The worker that holds the program's cache, for affinity.  */
       if (program->home == 0)
         program->home = reply->home;
+      if (reply->home_full)
+        program->home_full_ms = mq_clock_ms ();
       mq_program_adopt_record (program, reply->record, reply->record_version);
     }
   if (reply->turn[0] != '\0')
@@ -431,7 +433,10 @@
       = mq_program_find (router->turns, request->program);
 
   if (program != NULL)
-    reply.home = program->home;
+    {
+      reply.home = program->home;
+      reply.home_full = mq_program_home_is_full (program);
+    }
   if (request->tokens > 0)
     lend_tokens (router, request, &reply);
   if (request->turn[0] != '\0')
--- a/src/router/router_program.c
+++ b/src/router/router_program.c
@@ -230,6 +230,26 @@
   talloc_free (value.data);
 }
 
+/* How long a rejection by its home keeps a program away from it.
+
+   Failure: each host that a caller's tries reach sends the turn to the same
+   full worker, and the program is refused while others are idle.  */
+#define HOME_FULL_MS 1000U
+
+bool
+mq_program_home_is_full (const struct mq_program *program)
+{
+  return program->home_full_ms != 0
+         && mq_clock_ms () - program->home_full_ms < HOME_FULL_MS;
+}
+
+void
+mq_turn_home_rejected (struct mq_turn *turn)
+{
+  if (turn->owner != NULL)
+    turn->owner->home_full_ms = mq_clock_ms ();
+}
+
 static void
 finish_waiting (struct mq_program *program, enum mq_turn_state state)
 {
@@ -238,6 +258,7 @@
   if (state == MQ_TURN_READY)
     program->running++;
   turn->home = program->home;
+  turn->home_full = mq_program_home_is_full (program);
   mq_turn_notify (turn, state);
 }
 
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -320,6 +320,7 @@
  *           and after it is settled
  * @home: engine that caches the program, or is assigned to a new one; 0 if
  *        unknown
+ * @home_full: @home has just rejected a turn of the program
  * @history: chain up to @previous, set when the turn is ready; NULL if none
  * @notify: called once for mq_turn_prepare and once for mq_turn_store
  */
@@ -336,6 +337,7 @@
   bool may_borrow;
   uint64_t granted;
   uint64_t home;
+  bool home_full;
   struct mq_chain *history;
   void (*notify) (enum mq_turn_state state, void *user);
   void *user;
@@ -371,6 +373,8 @@
                                                    const char *program,
                                                    mq_rows_done *done,
                                                    void *user);
+/* The worker that caches the turn's program has rejected the turn as full.  */
+void mq_turn_home_rejected (struct mq_turn *turn);
 /* Ends the reservation of the turn, which sent USED tokens.  */
 void mq_turn_settle_budget (struct mq_turn *turn, uint64_t used);
 /* Stores the turn; NOTIFY gets MQ_TURN_STORED or
--- a/src/router/router_turns.h
+++ b/src/router/router_turns.h
@@ -22,6 +22,8 @@
  * @retry: pending retry of a call; NULL if none
  * @holder: id of this host's grant
  * @home: engine that caches the program; 0 if unknown
+ * @home_full_ms: when @home last rejected a turn as full, local monotonic
+ *                clock; 0 if never
  * @limit: token limit, as sent with the latest turn
  * @running: turns with a reservation
  * @tries: consecutive failed calls
@@ -44,6 +46,7 @@
   struct mq_retry *retry;
   uint64_t holder;
   uint64_t home;
+  uint64_t home_full_ms;
   uint64_t limit;
   uint32_t running;
   uint32_t tries;
@@ -100,6 +103,8 @@
                                              const char *id);
 /* Reserves the budget of TURN, whose history is present, and notifies it.  */
 void mq_program_reserve (struct mq_turn *turn);
+/* Whether the home of PROGRAM has just rejected a turn as full.  */
+bool mq_program_home_is_full (const struct mq_program *program);
 /* The recall of unused tokens of PROGRAM is complete.  */
 void mq_program_on_recall_done (struct mq_program *program);
 /* Removes TURN from the queue of its program.  */
--- a/tests/test_many_hosts.c
+++ b/tests/test_many_hosts.c
@@ -66,9 +66,11 @@
               number - 1);
   snprintf (text, sizeof text,
             "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s-%d\r\n"
-            "X-Program-Id: %s\r\nX-Token-Count: 10,%d\r\n"
-            "X-Token-Budget: %d\r\n%sContent-Length: 4\r\n\r\none;",
-            path, program, number, program, TURN_TOKENS_MAX, limit, previous);
+            "X-Program-Id: %s\r\nX-Session-Id: %s\r\nX-Finish-Ms: 30000\r\n"
+            "X-Token-Count: 10,%d\r\nX-Token-Budget: %d\r\n%s"
+            "Content-Length: 4\r\n\r\none;",
+            path, program, number, program, program, TURN_TOKENS_MAX, limit,
+            previous);
   return edge_request (site, &call, number, text);
 }
 
@@ -124,6 +126,44 @@
   cr_expect_leq (sum_counter ("budget_writes") - writes, TURNS / 2);
 }
 
+/* The worker that ran turn NUMBER of PROGRAM; -1 if none did.  */
+static int
+worker_of (const char *program, int number)
+{
+  char id[32];
+
+  snprintf (id, sizeof id, "%s-%d", program, number);
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    for (int k = 0; k < worker_server_run_count (site->llm[i]); k++)
+      if (strcmp (worker_server_get_run (site->llm[i], k)->id, id) == 0)
+        return i;
+  return -1;
+}
+
+/* Failure: the worker that caches a program rejects its turn as full, each
+   host that the caller's tries reach sends the turn there again, and the
+   program is refused while other workers are idle.  */
+Test (many_hosts, turn_that_was_rejected_goes_to_another_worker)
+{
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    worker_server_set_load (site->llm[i], 1, 0);
+  for (int i = 0; i < 8; i++)
+    {
+      char program[16];
+      int home;
+
+      snprintf (program, sizeof program, "f%d", i);
+      cr_assert_eq (send_turn ("/kept/a", program, 0, true, 1000), 200);
+      home = worker_of (program, 0);
+      cr_assert_eq (send_turn ("/kept/a", program, 1, true, 1000), 200);
+      cr_assert_eq (worker_of (program, 1), home);
+      site->llm_plan = (struct worker_plan){ WORKER_FULL, 2 };
+      cr_assert_eq (send_turn ("/kept/a", program, 2, true, 1000), 503);
+      cr_assert_eq (send_turn ("/turn/a", program, 3, false, 1000), 200);
+      cr_expect_neq (worker_of (program, 3), home, "%s", program);
+    }
+}
+
 static void
 set_up_two (void)
 {
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -103,6 +103,7 @@
   cr_expect_str_eq (a->turn, b->turn);
   cr_expect (same_bytes (a->history, b->history));
   cr_expect_eq (a->home, b->home);
+  cr_expect_eq (a->home_full, b->home_full);
   cr_expect (same_bytes (a->record, b->record));
   cr_expect_eq (a->record_version, b->record_version);
 }
@@ -305,6 +306,7 @@
                       .tokens = 288,
                       .turn = "",
                       .home = 9,
+                      .home_full = true,
                       .record = bytes ("record"),
                       .record_version = 12 } },
   };
