A try at an address that another worker has taken over is not counted

The route allows one worker; the try counted although the worker that was chosen never got the request, and the caller's next try met the same at another host.

Change: such a try counts like one that found no connection: not against the route's limit, and four of them at most.

--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -32,13 +32,27 @@
 
 /* Decides what follows an attempt that ended without a response to
    forward.  */
+/* Whether the worker that was chosen did not get the request.  Such a try does
+   not count against the route's limit.
+
+   Failure: a worker is gone and another one has its address.  Each host that
+   the caller's tries reach sends the request there once, and it is refused
+   while other workers are idle.  */
+static bool
+did_not_reach_worker (const struct mq_request *request,
+                      enum mq_attempt_end end)
+{
+  return end == MQ_ATTEMPT_UNREACHABLE
+         || (end == MQ_ATTEMPT_NOT_RUN && request->answer.other_worker);
+}
+
 static void
 handle_failed_try (struct mq_request *request, enum mq_attempt_end end)
 {
   struct mq_attempt attempt;
   enum mq_attempt_next next;
 
-  if (end == MQ_ATTEMPT_UNREACHABLE)
+  if (did_not_reach_worker (request, end))
     {
       request->sent--;
       request->unreachable++;
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -261,6 +261,8 @@
     { "full everywhere", WORKER_FULL, 2, "/once/", 503, 0, "Retry-After" },
     { "address taken over by another worker", WORKER_MISDIRECTED, 1, "/once/",
       200, 1, "done" },
+    { "addresses of as many as the route allows taken over",
+      WORKER_MISDIRECTED, 2, "/once/", 200, 1, "done" },
     { "no answer, may repeat", WORKER_CLOSE, 1, "/call/", 200, 2, "done" },
     { "no answer, once", WORKER_CLOSE, 1, "/once/", 502, 1, "" },
     { "reset, may repeat", WORKER_RESET, 1, "/call/", 200, 2, "done" },
