--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -2,10 +2,11 @@
 
    router.c is on top; below it are router_callers.c and router_caller.c
    (connections of callers), router_request.c (life cycle of a request),
-   router_turn.c, router_program.c and router_loan.c (histories and budgets of
-   programs), router_feed.c (feeds of the configuration and the workers) and
-   router_config.c (the active configuration).  router_try.c, router_pool.c and
-   the modules below them do not use this header.
+   router_turn.c, router_retry.c, router_program.c, router_loan.c and
+   router_handover.c (histories and budgets of programs), router_feed.c (feeds
+   of the configuration and the workers) and router_config.c (the active
+   configuration).  router_try.c, router_pool.c and the modules below them do
+   not use this header.
    Needs: the modules it includes.  */
 
 #ifndef MQ_ROUTER_STATE_H
