--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -58,7 +58,8 @@
   X (TRY_FAILED, "try_failed", WARNING,                                       \
      MQ_LOG_REQUEST "how at_worker_ms left_ms next")                          \
   X (REQUEST_ENDED, "request_ended", INFO,                                    \
-     MQ_LOG_REQUEST "outcome tokens load left_ms retry_ms")                   \
+     MQ_LOG_REQUEST "outcome tokens load left_ms retry_ms complete_ms "       \
+                    "record record_ms record_host record_writes table_ms")    \
   X (MESSAGE_REFUSED, "message_refused", WARNING, "reason")                   \
   X (CALLER_CLOSED, "caller_closed", INFO, "rested_ms idle_ms")               \
   X (LOOP_HELD_UP, "loop_held_up", WARNING, "held_ms")                        \
--- a/src/router/commit_queue.c
+++ b/src/router/commit_queue.c
@@ -5,12 +5,13 @@
    including those forwarded by other hosts, and one of writes that it forwards
    to the host of its data centre that batches for the part.  While the table
    is slow, the batching hosts of all data centres forward to one of them.
-   Needs: commit_queue.h, id.h, idmap.h, memory.h.  */
+   Needs: commit_queue.h, id.h, idmap.h, memory.h, clock.h.  */
 
 #include "commit_queue.h"
 #include "core/id.h"
 #include "core/idmap.h"
 #include "core/memory.h"
+#include "net/clock.h"
 #include <string.h>
 
 /* Time of a write forwarded to the batching host beyond that of a call to the
@@ -39,6 +40,7 @@
  * @relayed: made for another host
  * @sent: in the transaction in flight
  * @cancelled: @done is not called
+ * @since_ms: when it was queued or sent, local monotonic clock
  */
 struct mq_commit
 {
@@ -49,6 +51,7 @@
   bool relayed;
   bool sent;
   bool cancelled;
+  uint64_t since_ms;
   mq_rows_done *done;
   void *user;
 };
@@ -60,6 +63,7 @@
  * @batch: commits of the transaction in flight
  * @count: commits in @batch, 0 if no transaction is in flight
  * @rows: rows written by @batch
+ * @host: batching host that @batch was forwarded to; NULL for the table
  */
 struct part_queue
 {
@@ -71,6 +75,7 @@
   size_t count;
   struct mq_rows_entry rows[MQ_COMMIT_ROWS_MAX];
   size_t row_count;
+  char *host;
 };
 
 struct mq_commit_queue
@@ -190,6 +195,7 @@
   while (count-- > 0)
     {
       commits[count]->sent = false;
+      commits[count]->since_ms = mq_clock_ms ();
       commits[count]->next = part->waiting;
       part->waiting = commits[count];
     }
@@ -266,6 +272,7 @@
     at = &(*at)->next;
   commit->part = part;
   commit->sent = false;
+  commit->since_ms = mq_clock_ms ();
   commit->next = NULL;
   *at = commit;
 }
@@ -377,6 +384,9 @@
   struct mq_commit_queue *queue = part->queue;
   const char *batch_host = choose_batch_host (part);
 
+  TALLOC_FREE (part->host);
+  if (batch_host != NULL)
+    part->host = mq_text_copy (part, batch_host);
   if (batch_host != NULL)
     mq_relay_commit_at (queue->relay, batch_host,
                         mq_rows_call_timeout_ms (queue->rows) + FORWARD_HOP_MS,
@@ -433,6 +443,7 @@
         }
       *at = commit->next;
       commit->sent = true;
+      commit->since_ms = mq_clock_ms ();
       bytes += value_bytes (commit);
       part->batch[part->count++] = commit;
       for (size_t k = 0; k < commit->count; k++)
@@ -523,3 +534,13 @@
   *at = commit->next;
   talloc_free (commit);
 }
+
+struct mq_commit_progress
+mq_commit_progress (const struct mq_commit *commit)
+{
+  return (struct mq_commit_progress){
+    .sent = commit->sent,
+    .waited_ms = mq_clock_ms () - commit->since_ms,
+    .host = commit->sent ? commit->part->host : NULL,
+  };
+}
--- a/src/router/commit_queue.h
+++ b/src/router/commit_queue.h
@@ -48,6 +48,21 @@
 const struct mq_histogram *
 mq_commit_queue_rows (const struct mq_commit_queue *queue);
 
+/**
+ * struct mq_commit_progress - a write without a result
+ * @sent: it is in a transaction in flight, else it waits for the one before
+ * @waited_ms: time since it was sent or queued
+ * @host: batching host that it was forwarded to; NULL for the table
+ */
+struct mq_commit_progress
+{
+  bool sent;
+  uint64_t waited_ms;
+  const char *host;
+};
+
+struct mq_commit_progress mq_commit_progress (const struct mq_commit *commit);
+
 /* Determines which of COUNT ENTRIES of a transaction caused the conflict
    RESULT.  Sets CONFLICTS, returns their number; all entries if the rows show
    no cause.  */
--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -67,6 +67,11 @@
     mq_json_text (&line, "worker", request_worker_id (request));
   if (request->is_turn)
     mq_json_number (&line, "tokens", request->tokens_sent);
+  if (request->response_complete)
+    mq_json_number (&line, "complete_ms",
+                    request->completed_ms - request->arrived_ms);
+  if (request->response_complete && request->turn.new_chain != NULL)
+    mq_turn_log_record (&request->turn, &line);
   if (request->retry_ms > 0)
     {
       mq_json_number (&line, "load", request->service_load);
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -324,6 +324,7 @@
  * @home_full: @home has just rejected a turn of the program
  * @history: chain up to @previous, set when the turn is ready; NULL if none
  * @notify: called once for mq_turn_prepare and once for mq_turn_store
+ * @record_writes: writes of the record, retries included
  */
 struct mq_turn
 {
@@ -357,6 +358,7 @@
   bool record_checked;
   bool recall_done;
   uint32_t tries;
+  uint32_t record_writes;
   uint32_t candidate;
   uint32_t unreadable;
   struct mq_loan *loan;
@@ -382,6 +384,9 @@
    MQ_TURN_STORE_UNAVAILABLE.  */
 void mq_turn_store (struct mq_turn *turn, struct mq_bytes input,
                     struct mq_bytes output);
+/* Adds to LINE what the record of the turn waits for.  */
+void mq_turn_log_record (const struct mq_turn *turn,
+                         struct mq_json_line *line);
 /* Cancels pending work and frees the history.  Does not settle the budget.  */
 void mq_turn_cancel (struct mq_turn *turn);
 /* Frees idle programs and records tokens issued during an outage.  */
--- a/src/router/router_turn.c
+++ b/src/router/router_turn.c
@@ -365,6 +365,7 @@
   mq_turn_select_part (part, turn->id, turn->candidate);
   entry.part = part;
   router->counters.turn_writes++;
+  turn->record_writes++;
   turn->call = mq_table_client_commit (router->table_client, &entry,
                                        on_turn_written, turn);
 }
@@ -405,6 +406,24 @@
   begin_write (turn);
 }
 
+void
+mq_turn_log_record (const struct mq_turn *turn, struct mq_json_line *line)
+{
+  struct mq_commit_progress progress = { .host = NULL };
+  const char *step = "read";
+
+  if (turn->retry != NULL)
+    step = "backoff";
+  else if (mq_table_client_write_progress (turn->call, &progress))
+    step = progress.sent ? "sent" : "queued";
+  mq_json_text (line, "record", step);
+  mq_json_number (line, "record_ms", progress.waited_ms);
+  mq_json_text (line, "record_host", progress.host);
+  mq_json_number (line, "record_writes", turn->record_writes);
+  mq_json_number (line, "table_ms",
+                  mq_rows_latency_ms (turn->turns->router->rows));
+}
+
 void
 mq_turn_cancel (struct mq_turn *turn)
 {
--- a/src/router/table_client.c
+++ b/src/router/table_client.c
@@ -198,6 +198,16 @@
   talloc_free (call);
 }
 
+bool
+mq_table_client_write_progress (const struct mq_table_client_call *call,
+                                struct mq_commit_progress *progress)
+{
+  if (call == NULL || call->write == NULL)
+    return false;
+  *progress = mq_commit_progress (call->write);
+  return true;
+}
+
 const struct mq_histogram *
 mq_table_client_read_ms (const struct mq_table_client *table_client)
 {
--- a/src/router/table_client.h
+++ b/src/router/table_client.h
@@ -2,11 +2,12 @@
 
    Calls go directly to the table while it answers this host, else through
    another host.
-   Needs: rows.h, relay.h, histogram.h.  */
+   Needs: commit_queue.h, rows.h, relay.h, histogram.h.  */
 
 #ifndef MQ_TABLE_CLIENT_H
 #define MQ_TABLE_CLIENT_H
 
+#include "commit_queue.h"
 #include "core/histogram.h"
 #include "relay.h"
 #include "rows.h"
@@ -28,6 +29,10 @@
                      void *user);
 /* The callback is not called.  CALL may be NULL.  */
 void mq_table_client_cancel (struct mq_table_client_call *call);
+/* Stores in PROGRESS how far CALL has come; false unless it is a write that
+   has no result yet.  CALL may be NULL.  */
+bool mq_table_client_write_progress (const struct mq_table_client_call *call,
+                                     struct mq_commit_progress *progress);
 /* Latency of reads and writes, milliseconds.  */
 const struct mq_histogram *
 mq_table_client_read_ms (const struct mq_table_client *table_client);
