A head with too many fields for the HTTP library is refused with 431

Callers of mimosa-entryd that sent a cookie of 16,260 bytes or some 480 arguments saw their connection closed without a response, and could not tell whether the request had run.

Cause: libmicrohttpd has no memory left for the parsed cookies or arguments, none for its own response either, and closes; the access handler is not called. Evidence: the head goes through on_request_line and never to the handler, the socket is closed with nothing written, and peer_has_disconnected is false.

Change: the callback for the request line marks a head as begun. MHD_USE_TURBO keeps the library from shutting the socket down first. The library notices the close in its next run, which no event announces, so it is run once more after a head was begun and not handled. The 431 of heads that leave no room for a response takes the same way.

Weighed: an estimate of arguments in the callback (knows nothing of cookies); a larger memory per connection (moves the bound); http-parser as in the router (replaces a library that works otherwise).

--- a/src/net/http_connections.c
+++ b/src/net/http_connections.c
@@ -36,6 +36,17 @@
   return poll (&poll_fd, 1, 0) != 0;
 }
 
+/* libmicrohttpd does not watch the socket of a suspended request, whose work
+   would continue after the caller has left.  */
+bool
+mq_http_peer_has_disconnected (int fd)
+{
+  struct pollfd poll_fd = { .fd = fd, .events = POLLRDHUP };
+
+  return poll (&poll_fd, 1, 0) == 1
+         && (poll_fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 /* Whether the caller waits for the handler.  */
 static bool
 is_waiting (const struct mq_http_connection *connection)
@@ -150,5 +161,6 @@
       close_connection (connection);
   if (server->listening)
     mq_http_server_run_again (server);
-  return server->connections == NULL && !server->listening;
+  return server->connections == NULL && server->refusing == 0
+         && !server->listening;
 }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -3,15 +3,13 @@
    The daemon runs in external epoll mode: its epoll descriptor is a tevent
    descriptor.  A request that its handler does not answer at once is
    suspended, and resumed by the response.
-   Needs: libmicrohttpd, tevent, jansson.  */
+   Needs: libmicrohttpd, tevent.  */
 
 #include "http_server.h"
 #include "core/limits.h"
 #include "http_state.h"
 #include "listen.h"
 #include <errno.h>
-#include <jansson.h>
-#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -81,16 +79,21 @@
           = mq_http_connection_open (server, connection_fd (connection));
       break;
     case MHD_CONNECTION_NOTIFY_CLOSED:
+      mq_http_refusal_send (*socket_data);
       mq_http_connection_closed (*socket_data);
       server->has_room = true;
       break;
     }
 }
 
+/* Runs the library once more after it has begun a head: if it has no memory
+   for it, it closes the connection in the next run, and no event announces
+   that.  */
 static void
 run_daemon (struct mq_http_server *server)
 {
   server->running = true;
+  server->heads = 0;
   MHD_run (server->daemon);
   server->running = false;
   if (server->destroy_pending)
@@ -100,7 +103,8 @@
     }
   if (server->closing && server->listening)
     close_listener (server);
-  if (server->has_room || mq_http_server_has_work (server))
+  if (server->has_room || server->heads > 0
+      || mq_http_server_has_work (server))
     mq_http_server_run_again (server);
   server->has_room = false;
 }
@@ -142,19 +146,6 @@
     shutdown (request->fd, SHUT_RDWR);
 }
 
-/* True if the caller has disconnected. libmicrohttpd does not watch the socket
-   of a suspended request, whose work would continue after the caller has left.
-   A caller that shuts down only its sending side is treated as disconnected as
-   well.  */
-static bool
-peer_has_disconnected (int fd)
-{
-  struct pollfd poll_fd = { .fd = fd, .events = POLLRDHUP };
-
-  return poll (&poll_fd, 1, 0) == 1
-         && (poll_fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
 static void schedule_disconnect_poll (struct mq_http_request *request);
 
 static void
@@ -167,7 +158,7 @@
   (void)timer;
   (void)now;
   request->watch_poll = NULL;
-  if (peer_has_disconnected (request->fd))
+  if (mq_http_peer_has_disconnected (request->fd))
     mq_request_abort_connection (request);
   else
     schedule_disconnect_poll (request);
@@ -194,7 +185,7 @@
   (void)ev;
   (void)fde;
   (void)flags;
-  if (peer_has_disconnected (request->fd))
+  if (mq_http_peer_has_disconnected (request->fd))
     {
       mq_request_abort_connection (request);
       return;
@@ -222,28 +213,35 @@
   return 0;
 }
 
+static struct mq_http_connection *
+connection_of (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return info == NULL ? NULL : info->socket_context;
+}
+
 static struct mq_http_request *
 request_open (struct mq_http_server *server, struct MHD_Connection *connection,
               const char *method, const char *path)
 {
   struct mq_http_request *request
       = talloc_zero (server, struct mq_http_request);
-  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
-      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  struct mq_http_connection *place = connection_of (connection);
 
   if (request == NULL)
     return NULL;
   request->method = talloc_strdup (request, method);
   request->path = talloc_strdup (request, path);
-  if (request->method == NULL || request->path == NULL || info == NULL
-      || info->socket_context == NULL)
+  if (request->method == NULL || request->path == NULL || place == NULL)
     {
       talloc_free (request);
       return NULL;
     }
   request->server = server;
   request->connection = connection;
-  request->place = info->socket_context;
+  request->place = place;
   request->place->request = request;
   request->fd = request->place->fd;
   talloc_set_destructor (request, request_freed);
@@ -346,18 +344,11 @@
 static void
 respond_too_large (struct mq_http_request *request)
 {
-  json_t *json = json_pack ("{s:s, s:s, s:s, s:s, s:I}", "error",
-                            mq_error_name (MQ_ERR_TOO_LARGE), "ran",
-                            mq_ran_name (MQ_RAN_NOT_RUN), "cause",
-                            mq_error_cause (MQ_ERR_TOO_LARGE), "remedy",
-                            mq_error_remedy (MQ_ERR_TOO_LARGE), "bound",
-                            (json_int_t)request->server->body_max);
-  char *text = json_dumps (json, JSON_COMPACT);
+  char *text = mq_http_refusal_text (request, MQ_ERR_TOO_LARGE,
+                                     request->server->body_max);
 
-  json_decref (json);
   mq_http_respond (request, mq_error_http_status (MQ_ERR_TOO_LARGE),
                    "application/json", text, text == NULL ? 0 : strlen (text));
-  free (text);
 }
 
 static enum MHD_Result
@@ -419,17 +410,38 @@
   return used + RESPONSE_HEADER_BYTES <= CONNECTION_BYTES;
 }
 
-/* Refuses a request that the library has no memory to respond to.  */
+/* Called by libmicrohttpd for the request line, before it parses the arguments
+   and the fields.  */
+static void *
+on_request_line (void *cls, const char *uri, struct MHD_Connection *connection)
+{
+  struct mq_http_server *server = cls;
+  struct mq_http_connection *place = connection_of (connection);
+
+  (void)uri;
+  server->heads++;
+  if (place != NULL)
+    mq_http_refusal_set (place, MQ_HTTP_REFUSE_HEAD);
+  return NULL;
+}
+
 static enum MHD_Result
-refuse_header (struct MHD_Connection *connection)
+begin_request (struct mq_http_server *server,
+               struct MHD_Connection *connection, const char *method,
+               const char *path, void **con)
 {
-  static const char refusal[]
-      = "HTTP/1.1 431 Request Header Fields Too Large\r\n"
-        "Content-Length: 0\r\nConnection: close\r\n\r\n";
+  struct mq_http_request *request;
 
-  (void)send (connection_fd (connection), refusal, sizeof refusal - 1,
-              MSG_DONTWAIT | MSG_NOSIGNAL);
-  return MHD_NO;
+  if (server->heads > 0)
+    server->heads--;
+  if (!has_response_room (connection))
+    return MHD_NO;
+  request = request_open (server, connection, method, path);
+  *con = request;
+  if (request == NULL)
+    return MHD_NO;
+  mq_http_refusal_set (request->place, MQ_HTTP_REFUSE_NOTHING);
+  return reject_body (request) ? request_arrived (request) : MHD_YES;
 }
 
 /* Called by libmicrohttpd for the header, each part of the body, the end of
@@ -445,16 +457,8 @@
   (void)version;
   if (server->destroy_pending)
     return MHD_NO;
-  if (request == NULL && !has_response_room (connection))
-    return refuse_header (connection);
   if (request == NULL)
-    {
-      request = request_open (server, connection, method, url);
-      *con = request;
-      if (request == NULL)
-        return MHD_NO;
-      return reject_body (request) ? request_arrived (request) : MHD_YES;
-    }
+    return begin_request (server, connection, method, url, con);
   if (*len > 0)
     {
       enum MHD_Result result = body_part (request, data, *len);
@@ -467,12 +471,15 @@
   return request_arrived (request);
 }
 
+/* MHD_USE_TURBO keeps the library from shutting down a connection that it
+   closes, so that a refusal can still be sent.  */
 static struct MHD_Daemon *
 start_daemon (struct mq_http_server *server, int fd)
 {
   return MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, access_handler,
-      server, MHD_OPTION_LISTEN_SOCKET, (MHD_socket)fd,
+      MHD_USE_EPOLL | MHD_USE_TURBO | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+      access_handler, server, MHD_OPTION_LISTEN_SOCKET, (MHD_socket)fd,
+      MHD_OPTION_URI_LOG_CALLBACK, on_request_line, server,
       MHD_OPTION_NOTIFY_COMPLETED, request_completed, server,
       MHD_OPTION_NOTIFY_CONNECTION, connection_changed, server,
       MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
--- a/src/net/http_state.h
+++ b/src/net/http_state.h
@@ -1,7 +1,8 @@
 /* http_state.h - internal state of the HTTP server; for src/net only.
 
    http_server.c runs the daemon in the event loop and receives requests;
-   http_request.c answers them; http_connections.c closes idle connections.
+   http_request.c answers them; http_refusal.c refuses those that the library
+   ends without a response; http_connections.c closes idle connections.
    Needs: http_server.h, buffer.h, timer.h, libmicrohttpd, tevent.  */
 
 #ifndef MQ_HTTP_STATE_H
@@ -26,8 +27,10 @@
  * @connections_max: limit of it
  * @requests: requests whose connection is open
  * @in_progress: number of requests in progress
+ * @refusing: closed connections whose callers are still sent a refusal
  * @running: inside MHD_run, where the daemon cannot be stopped
  * @has_room: a connection has closed since the last run
+ * @heads: request lines read in this run whose heads are not handled yet
  * @closing: responses close their connection, and the listening socket is
  *           closed once its backlog is empty
  * @listening: the listening socket is open
@@ -51,19 +54,31 @@
   uint32_t connections_max;
   struct mq_http_request *requests;
   size_t in_progress;
+  size_t refusing;
   bool running;
   bool has_room;
+  size_t heads;
   bool closing;
   bool listening;
   bool destroy_pending;
 };
 
+/* What the request being read is refused for if the library closes its
+   connection now.  */
+enum mq_http_refusal
+{
+  MQ_HTTP_REFUSE_NOTHING, /* no request, or the handler has it */
+  MQ_HTTP_REFUSE_HEAD     /* the head, which exceeds the memory for it */
+};
+
 /**
  * struct mq_http_connection - an open connection
  * @next: in @server->connections
  * @previous: in @server->connections
  * @request: in progress, NULL if none
  * @unread: bytes lay unread when the connection was found idle last
+ * @refusal: what the request being read would be refused for
+ * @written: bytes passed to the kernel when @refusal was set
  */
 struct mq_http_connection
 {
@@ -73,6 +88,8 @@
   struct mq_http_request *request;
   int fd;
   bool unread;
+  enum mq_http_refusal refusal;
+  uint64_t written;
 };
 
 struct mq_http_header_line
@@ -156,7 +173,24 @@
    read.  */
 bool
 mq_http_connection_has_unread (const struct mq_http_connection *connection);
+/* True if the caller of the socket FD has disconnected, or has shut down its
+   sending side.  */
+bool mq_http_peer_has_disconnected (int fd);
 /* CONNECTION may be NULL.  */
 void mq_http_connection_closed (struct mq_http_connection *connection);
 
+/* http_refusal.c */
+
+/* Sets what the request being read on CONNECTION is refused for if the library
+   closes it.  */
+void mq_http_refusal_set (struct mq_http_connection *connection,
+                          enum mq_http_refusal refusal);
+/* The library closes CONNECTION, whose socket is still open: sends the refusal
+   that is due, if any.  CONNECTION may be NULL.  */
+void mq_http_refusal_send (struct mq_http_connection *connection);
+/* Body of a refusal for an error of TYPE, whose limit is BOUND; below CTX,
+   NULL if out of memory.  */
+char *mq_http_refusal_text (TALLOC_CTX *ctx, enum mq_error_type type,
+                            uint64_t bound);
+
 #endif
