A body far over its limit is refused with 413 that reaches its sender

Callers of mimosa-entryd that sent a body in chunks of more than twice the limit saw the connection closed without a response.

Besides, the limit of discarded bytes did not count those received before the limit, so that the body was read up to three times the limit; and the kernel's receive buffers grow to 32 MB, so that a caller could have sent all before the limit was reached (seen: nothing left to send, no response; written 0).

Change: such a body, and one announced with such a length, is refused as the connection closes, as a head without memory is: the response is sent, the rest of the body discarded. The count begins with the body; receive buffers are limited to 256 KB. A body that the library gives up otherwise gets a 400.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -12,9 +12,10 @@
 #define MQ_CONNECTIONS_MAX 4096U          /* caller connections per process */
 #define MQ_STREAM_BUFFER_BYTES (1U << 20) /* unsent, per caller */
 #define MQ_SEND_BUFFER_BYTES (128U << 10) /* SO_SNDBUF, part of that */
-#define MQ_TEXT_MAX_BYTES (1U << 20)      /* configuration text */
-#define MQ_TEXT_LINE_MAX 198U             /* bytes in one line of it */
-#define MQ_TEXT_ERRORS_MAX 1000U          /* errors listed per parse */
+#define MQ_RECEIVE_BUFFER_BYTES (256U << 10) /* SO_RCVBUF of a caller */
+#define MQ_TEXT_MAX_BYTES (1U << 20)         /* configuration text */
+#define MQ_TEXT_LINE_MAX 198U                /* bytes in one line of it */
+#define MQ_TEXT_ERRORS_MAX 1000U             /* errors listed per parse */
 
 /* HTTP.  The client closes idle connections before the server does, so that
    requests are rarely sent on a connection that is being closed.  */
--- a/src/net/http_refusal.c
+++ b/src/net/http_refusal.c
@@ -2,7 +2,7 @@
    response.
 
    libmicrohttpd closes a connection when it has no memory for the parsed
-   fields of a head.  It reports the close while
+   fields of a head, and when a body is given up.  It reports the close while
    the socket is open: the response is sent then, on a duplicate of the
    descriptor, and input is discarded until the caller has read it, since a
    close with unread input resets the connection and the response is lost.
@@ -80,6 +80,8 @@
     case MQ_HTTP_REFUSE_NOTHING:
       return false;
     case MQ_HTTP_REFUSE_HEAD:
+    case MQ_HTTP_REFUSE_BODY:
+    case MQ_HTTP_REFUSE_TOO_LARGE:
       break;
     }
   return !connection->server->destroy_pending
@@ -90,17 +92,29 @@
 static char *
 make_response (const struct mq_http_connection *connection)
 {
-  char *body = mq_http_refusal_text (connection->server, MQ_ERR_TOO_LARGE,
-                                     MQ_HEADERS_MAX_BYTES);
+  const char *status = "400 Bad Request";
+  enum mq_error_type type = MQ_ERR_BAD_REQUEST;
+  uint64_t bound = connection->server->body_max;
+  char *body;
 
+  if (connection->refusal == MQ_HTTP_REFUSE_HEAD)
+    {
+      status = "431 Request Header Fields Too Large";
+      type = MQ_ERR_TOO_LARGE;
+      bound = MQ_HEADERS_MAX_BYTES;
+    }
+  else if (connection->refusal == MQ_HTTP_REFUSE_TOO_LARGE)
+    {
+      status = "413 Content Too Large";
+      type = MQ_ERR_TOO_LARGE;
+    }
+  body = mq_http_refusal_text (connection->server, type, bound);
   if (body == NULL)
     return NULL;
-  return talloc_asprintf (
-      body,
-      "HTTP/1.1 431 Request Header Fields Too Large\r\n"
-      "Content-Type: application/json\r\nContent-Length: %zu\r\n"
-      "Connection: close\r\n\r\n%s",
-      strlen (body), body);
+  return talloc_asprintf (body,
+                          "HTTP/1.1 %s\r\nContent-Type: application/json\r\n"
+                          "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+                          status, strlen (body), body);
 }
 
 static int
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -306,9 +306,8 @@
     talloc_free (request);
 }
 
-/* Reads and discards a body over its limit, so that the caller can read the
-   response; closing with unread bytes would reset the connection.  A body of
-   more than twice the limit is cut off.  */
+/* Reads and discards a body over its limit, so that the connection can be kept
+   after the response.  One of more than twice the limit is refused at once. */
 static enum MHD_Result
 body_part (struct mq_http_request *request, const char *data, size_t len)
 {
@@ -318,9 +317,12 @@
     return mq_buffer_append (request, &request->body, data, len, max) ? MHD_YES
                                                                       : MHD_NO;
   request->too_large = true;
-  request->discarded += len;
+  request->discarded += request->body.len + len;
   mq_buffer_clear (&request->body);
-  return request->discarded / 2 > max ? MHD_NO : MHD_YES;
+  if (request->discarded / 2 <= max)
+    return MHD_YES;
+  mq_http_refusal_set (request->place, MQ_HTTP_REFUSE_TOO_LARGE);
+  return MHD_NO;
 }
 
 /* True if the announced body will not be read to its end: far over the limit,
@@ -382,6 +384,7 @@
 request_arrived (struct mq_http_request *request)
 {
   request->handled = true;
+  mq_http_refusal_set (request->place, MQ_HTTP_REFUSE_NOTHING);
   if (request->too_large)
     respond_too_large (request);
   else
@@ -440,8 +443,11 @@
   *con = request;
   if (request == NULL)
     return MHD_NO;
-  mq_http_refusal_set (request->place, MQ_HTTP_REFUSE_NOTHING);
-  return reject_body (request) ? request_arrived (request) : MHD_YES;
+  mq_http_refusal_set (request->place, MQ_HTTP_REFUSE_BODY);
+  if (!reject_body (request))
+    return MHD_YES;
+  mq_http_refusal_set (request->place, MQ_HTTP_REFUSE_TOO_LARGE);
+  return MHD_NO;
 }
 
 /* Called by libmicrohttpd for the header, each part of the body, the end of
@@ -526,15 +532,19 @@
   return server->fde != NULL;
 }
 
-/* Limits the kernel's send buffers, which otherwise grow to megabytes per
-   connection and hide slow readers from the limit on unsent bytes.  Accepted
-   sockets inherit the size from the listening one.  */
+/* Limits the kernel's buffers, which otherwise grow to megabytes per
+   connection: those for sending hide slow readers from the limit on unsent
+   bytes, and those for receiving take most of a body before it is refused.
+   Accepted sockets inherit the sizes from the listening one.  */
 static void
-limit_send_buffers (int fd)
+limit_buffers (int fd)
 {
-  int bytes = MQ_SEND_BUFFER_BYTES;
+  int send_bytes = MQ_SEND_BUFFER_BYTES;
+  int receive_bytes = MQ_RECEIVE_BUFFER_BYTES;
 
-  (void)setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+  (void)setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &send_bytes, sizeof send_bytes);
+  (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                    sizeof receive_bytes);
 }
 
 struct mq_http_server *
@@ -564,7 +574,7 @@
                                 ? MQ_CONNECTIONS_MAX
                                 : options->connections_max;
   server->listening = true;
-  limit_send_buffers (fd);
+  limit_buffers (fd);
   server->port = mq_listen_port (fd);
   server->immediate = tevent_create_immediate (server);
   talloc_set_destructor (server, server_freed);
--- a/src/net/http_state.h
+++ b/src/net/http_state.h
@@ -68,7 +68,9 @@
 enum mq_http_refusal
 {
   MQ_HTTP_REFUSE_NOTHING, /* no request, or the handler has it */
-  MQ_HTTP_REFUSE_HEAD     /* the head, which exceeds the memory for it */
+  MQ_HTTP_REFUSE_HEAD,    /* the head, which exceeds the memory for it */
+  MQ_HTTP_REFUSE_BODY,    /* the body, which the library can't read */
+  MQ_HTTP_REFUSE_TOO_LARGE
 };
 
 /**
@@ -108,7 +110,7 @@
  *         ended
  * @path: without the query
  * @body: bytes received so far
- * @discarded: discarded bytes of a body over the limit
+ * @discarded: bytes of a body over the limit, all of them discarded
  * @too_large: the body exceeds the limit
  * @handled: the handler was called
  * @suspended: waits for the response or more of it
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -583,7 +583,7 @@
     { "endless chunks",
       "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
       "ffffff\r\n",
-      100000, "", "", "" },
+      100000, "", "HTTP/1.1 413", "too_large" },
     { "aborted", "GET /abort HTTP/1.1\r\nHost: a\r\n\r\n", 0, "", "", "" },
   };
 
@@ -611,6 +611,8 @@
                  "%s: %.80s", name, text);
       cr_expect_not_null (strstr (text, rows[i].with), "%s: %s", name, text);
       cr_expect (rows[i].answer[0] != '\0' || text[0] == '\0', "%s", name);
+      if (strstr (text, "Connection: close") != NULL)
+        WAIT (ended |= raw_read (fd, text, sizeof text));
       raw_close (fd, false);
       WAIT (mq_http_server_in_progress (server) == 0);
     }
--- a/tests/test_http_close.c
+++ b/tests/test_http_close.c
@@ -568,6 +568,62 @@
   raw_close (fd, false);
 }
 
+/* Sends HEAD and then BYTES of body on FD while reading; true if the server
+   has closed the connection, for LIMIT_MS at most.  */
+static bool
+send_body (int fd, const char *head, size_t bytes)
+{
+  const char *block = filled (CHUNK_BYTES);
+  bool ended = false;
+
+  raw_send (fd, head, strlen (head));
+  answer[0] = '\0';
+  for (uint64_t end = mq_clock_ms () + LIMIT_MS;
+       !ended && mq_clock_ms () < end;)
+    {
+      size_t len = bytes < CHUNK_BYTES ? bytes : CHUNK_BYTES;
+
+      bytes -= raw_send (fd, block, len);
+      tevent_loop_once (ev);
+      ended = raw_read (fd, answer, sizeof answer);
+    }
+  return ended;
+}
+
+/* Failure: the connection is closed with a part of the body unread, which
+   resets it, and the caller loses the refusal.  */
+Test (http_close, refusal_reaches_a_caller_that_sends_its_body)
+{
+  static const struct
+  {
+    const char *name;
+    const char *fields;
+    size_t bytes;
+  } rows[] = {
+    { "announced", "", 4 * (size_t)MQ_BODY_MAX_BYTES },
+    { "announced, held back", "Expect: 100-continue\r\n",
+      4 * (size_t)MQ_BODY_MAX_BYTES },
+    { "more sent than announced", "", 8 * (size_t)MQ_BODY_MAX_BYTES },
+  };
+
+  for (size_t i = 0; i < ROWS (rows); i++)
+    {
+      char *head = talloc_asprintf (
+          ev, "POST /echo HTTP/1.1\r\n" HOST "%sContent-Length: %zu\r\n\r\n",
+          rows[i].fields, 4 * (size_t)MQ_BODY_MAX_BYTES);
+      int fd = send_on_new ("");
+      bool ended = send_body (fd, head, rows[i].bytes);
+
+      cr_expect (ended, "%s", rows[i].name);
+      cr_expect_eq (strncmp (answer, "HTTP/1.1 413 ", 13), 0, "%s: %s",
+                    rows[i].name, answer);
+      cr_expect_not_null (strstr (answer, "\"ran\":\"not_run\""), "%s",
+                          rows[i].name);
+      cr_expect_eq (handled, 0, "%s", rows[i].name);
+      raw_close (fd, false);
+    }
+}
+
 /* Failure: the response that ends a connection at a stop is given while the
    caller's next request lies unread, and that one gets no response.  */
 Test (http_close, stop_answers_the_next_request_on_a_connection)
