Batched writes keep the table's limit of entries

A call of the table's transactions holds at most 100 entries, and a row with a condition makes two: its write and its condition.

--- a/src/router/commit_queue.c
+++ b/src/router/commit_queue.c
@@ -63,6 +63,7 @@
  * @batch: commits of the transaction in flight
  * @count: commits in @batch, 0 if no transaction is in flight
  * @rows: rows written by @batch
+ * @entries: their entries in the table's transaction
  * @host: batching host that @batch was forwarded to; NULL for the table
  */
 struct part_queue
@@ -75,6 +76,7 @@
   size_t count;
   struct mq_rows_entry rows[MQ_COMMIT_ROWS_MAX];
   size_t row_count;
+  size_t entries;
   char *host;
 };
 
@@ -408,15 +410,24 @@
   return bytes;
 }
 
+static bool
+fits_batch (const struct part_queue *part, const struct mq_commit *commit,
+            size_t bytes)
+{
+  size_t entries = mq_rows_count_entries (commit->entries, commit->count);
+
+  return part->row_count + commit->count <= MQ_COMMIT_ROWS_MAX
+         && part->entries + entries <= MQ_ROWS_ENTRIES_MAX
+         && bytes + value_bytes (commit) <= MQ_COMMIT_BYTES_MAX;
+}
+
 /* Whether COMMIT may join the batch: size limits hold, and no row is written
    twice in a transaction.  */
 static bool
 can_join_batch (const struct part_queue *part, const struct mq_commit *commit,
                 size_t bytes)
 {
-  if (part->row_count + commit->count > MQ_COMMIT_ROWS_MAX
-      || (part->count > 0
-          && bytes + value_bytes (commit) > MQ_COMMIT_BYTES_MAX))
+  if (part->count > 0 && !fits_batch (part, commit, bytes))
     return false;
   for (size_t i = 0; i < part->row_count; i++)
     for (size_t k = 0; k < commit->count; k++)
@@ -432,6 +443,7 @@
   size_t bytes = 0;
 
   part->row_count = 0;
+  part->entries = 0;
   while (*at != NULL && part->count < MQ_COMMIT_ROWS_MAX)
     {
       struct mq_commit *commit = *at;
@@ -446,6 +458,7 @@
       commit->since_ms = mq_clock_ms ();
       bytes += value_bytes (commit);
       part->batch[part->count++] = commit;
+      part->entries += mq_rows_count_entries (commit->entries, commit->count);
       for (size_t k = 0; k < commit->count; k++)
         part->rows[part->row_count++] = commit->entries[k];
     }
--- a/src/router/commit_queue.h
+++ b/src/router/commit_queue.h
@@ -22,9 +22,9 @@
 #include "relay.h"
 #include "rows.h"
 
-/* Limits of one transaction, below those of the table: 100 rows, 10^6 bytes
-   after base64.  */
-#define MQ_COMMIT_ROWS_MAX 100U
+/* Limits of one transaction, besides MQ_ROWS_ENTRIES_MAX: rows without a
+   condition, and bytes, below the table's 10^6 after base64.  */
+#define MQ_COMMIT_ROWS_MAX MQ_ROWS_ENTRIES_MAX
 #define MQ_COMMIT_BYTES_MAX ((size_t)512 << 10)
 
 struct mq_commit_queue;
--- a/src/router/rows.h
+++ b/src/router/rows.h
@@ -15,6 +15,10 @@
 struct mq_rows;
 struct mq_rows_call;
 
+/* Entries of one transaction at most.  A row that is written is one, the
+   version that it requires another.  */
+#define MQ_ROWS_ENTRIES_MAX 100U
+
 /**
  * struct mq_rows_entry - a row that is read or written
  * @version: read: current version, 0 if the row is absent; write: version
@@ -105,6 +109,9 @@
 void mq_rows_set_recovery_handler (struct mq_rows *rows,
                                    mq_rows_recovery_handler *handler,
                                    void *user);
+/* Number of entries that COUNT rows make in a transaction, at most
+   MQ_ROWS_ENTRIES_MAX.  */
+size_t mq_rows_count_entries (const struct mq_rows_entry *rows, size_t count);
 /* Writes ENTRIES, all of one part, atomically.  They are copied.  */
 struct mq_rows_call *mq_rows_commit (struct mq_rows *rows,
                                      const struct mq_rows_entry *entries,
--- a/tests/test_commit_queue.c
+++ b/tests/test_commit_queue.c
@@ -221,6 +221,53 @@
   cr_expect_eq (rows_server_row_count (table, "t"), 2);
 }
 
+#define MANY_WRITES 150
+
+/* Failure: rows with a condition make two entries of a transaction; one over
+   the table's limit is rejected, and all its writes fail.  */
+Test (commits, transaction_keeps_the_limit_of_entries)
+{
+  static const struct
+  {
+    const char *name;
+    uint64_t version;
+    size_t transactions; /* the first write, then the rest */
+  } rows[] = {
+    { "with a condition", MQ_VERSION_ABSENT, 4 },
+    { "without", MQ_VERSION_ANY, 3 },
+  };
+
+  for (size_t i = 0; i < ROWS (rows); i++)
+    {
+      static struct outcome many[MANY_WRITES];
+      size_t before = rows_server_write_count (table);
+      int done = 0;
+
+      memset (many, 0, sizeof many);
+      for (int k = 0; k < MANY_WRITES; k++)
+        {
+          char key[32];
+          struct mq_rows_entry entry = {
+            .table = "t", .part = "p", .key = key, .version = rows[i].version
+          };
+
+          snprintf (key, sizeof key, "k%zu-%d", i, k);
+          mq_commit_add (queue, &entry, on_done, &many[k]);
+        }
+      while (done < MANY_WRITES)
+        {
+          tevent_loop_once (ev);
+          done = 0;
+          for (int k = 0; k < MANY_WRITES; k++)
+            done += many[k].calls;
+        }
+      for (int k = 0; k < MANY_WRITES; k++)
+        cr_expect_eq (many[k].status, MQ_STORE_OK, "%s: %d", rows[i].name, k);
+      cr_expect_eq (rows_server_write_count (table) - before,
+                    rows[i].transactions, "%s", rows[i].name);
+    }
+}
+
 /* Several data centres */
 
 #define MEMBERS 4
