Removal of expired records keeps the table's limit of entries

A host removes the expired among 100 records that it has read, each with its version as a condition: up to 200 entries, where the table takes 100. With more than 50 expired records among 100, each removal was rejected and counted as a failure of the table, and the records stayed for good. Found beside the batches of writes: the only other place that counted rows for entries (leases are 32 rows at most, 64 entries).

Now 50 records are read at a time. many_old_records_are_removed failed before (no record removed in 20 s).

--- a/src/router/router_clean.c
+++ b/src/router/router_clean.c
@@ -12,7 +12,7 @@
 #include <stdio.h>
 
 /* Records per read, and per transaction that removes them.  */
-#define SCAN_ROWS 100U
+#define SCAN_ROWS (MQ_ROWS_ENTRIES_MAX / 2U)
 
 /**
  * struct mq_cleaner - position of this host's scan
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -1,10 +1,11 @@
 /* test_router.c - the router with stand-ins for the platform: what callers and
    workers observe, with faults on each side.
 
-   Needs: Criterion, router_site.h.  */
+   Needs: Criterion, router_site.h, chain.h.  */
 
 #include "router_site.h"
 #include "http_peer.h"
+#include "core/router/chain.h"
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <stdio.h>
@@ -1133,6 +1134,43 @@
   cr_assert_eq (send_turn (0, "t4", "p2", BUDGET (80) AFTER ("t3"), "x"), 200);
 }
 
+/* More than one removal takes.  */
+#define OLD_RECORDS 120
+
+static void
+write_old_record (const char *id)
+{
+  struct mq_bytes text = { (uint8_t *)(uintptr_t) "x", 1 };
+  struct mq_chain *chain = mq_chain_extend (site, NULL, id, text, text);
+  struct mq_bytes record;
+
+  chain->until_s = 1;
+  record = mq_chain_pack (site, chain);
+  cr_assert_null (memchr (record.data, '\0', record.len));
+  rows_server_put (
+      site->rows, "turn", "00", id,
+      talloc_strndup (site, (const char *)record.data, record.len));
+}
+
+/* Failure: a removal has more entries than the table takes in a transaction,
+   is rejected each time, and expired records pile up.  */
+Test (router, many_old_records_are_removed)
+{
+  edge_kill (site, 0);
+  rows_server_set_clock (site->rows, 5000000);
+  for (int i = 0; i < OLD_RECORDS; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "old-%d", i);
+      write_old_record (id);
+    }
+  cr_assert_eq (rows_server_row_count (site->rows, "turn"), OLD_RECORDS);
+  site->clean_after_ms = 0;
+  edge_start (site, 0);
+  EDGE_WAIT (site, rows_server_row_count (site->rows, "turn") == 0);
+}
+
 /* Other hosts */
 
 /* Failure: the row of a host that never returns stays in the table of hosts,
