A call that the table rejects as invalid does not count as its failure

Each status of the table but 200, 412 and 410 counted as a failure of the table: a batch that it answered with 400 was passed on to another host, ended as not executed, and four of them in a row within 0.4 s made the host go through table_down. No line named the status.

The result REJECTED (400 to 499 but for 408, 410, 412 and 429) now ends a call whose next try would be rejected too. A batch is sent again one write at a time, so that only the row at fault fails; a record that is rejected ends its turn at once instead of at its deadline. table_rejected names table, call, status and entries, and the counters of calls tell refused, throttled (429) and rejected ones apart. 429 counts as before: how a part that is asked too fast is best treated needs the new counters first.

rejected_calls_keep_the_table_up and rejected_row_fails_one_write are new; both need the status, so that they cannot be built before.

--- a/src/core/store.h
+++ b/src/core/store.h
@@ -25,7 +25,8 @@
   MQ_STORE_CONFLICT, /* TXN: a condition failed, nothing applied */
   MQ_STORE_MISSING,  /* GET: no such object */
   MQ_STORE_DOWN,     /* not applied */
-  MQ_STORE_LOST      /* may have been applied, or may be later */
+  MQ_STORE_LOST,     /* may have been applied, or may be later */
+  MQ_STORE_REJECTED  /* invalid: not applied, and would not be at any try */
 };
 
 #define MQ_VERSION_ABSENT 0ULL    /* the row must not exist */
--- a/src/ctl/ctl_config.c
+++ b/src/ctl/ctl_config.c
@@ -204,6 +204,7 @@
     case MQ_STORE_CONFLICT:
     case MQ_STORE_MISSING:
     case MQ_STORE_DOWN:
+    case MQ_STORE_REJECTED:
       break;
     }
   return false;
--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -37,8 +37,9 @@
   X (RELOAD_REFUSED, "reload_refused", WARNING, MQ_LOG_COUNTED)               \
   X (COUNTERS, "counters", INFO, MQ_LOG_COUNTED)                              \
   X (TABLE_CALLS, "table_calls", INFO,                                        \
-     "table call calls conflicts refused unanswered sent_bytes "              \
-     "received_bytes")                                                        \
+     "table call calls conflicts refused throttled rejected unanswered "      \
+     "sent_bytes received_bytes")                                             \
+  X (TABLE_REJECTED, "table_rejected", ERROR, "table call status entries")    \
   X (SETTINGS_REFUSED, "settings_refused", ERROR, MQ_LOG_PROBLEM)             \
   X (START_FAILED, "start_failed", ERROR, MQ_LOG_PROBLEM)                     \
   X (CONFIG_IN_FORCE, "config_in_force", NOTICE,                              \
--- a/src/router/commit_queue.c
+++ b/src/router/commit_queue.c
@@ -40,6 +40,8 @@
  * @relayed: made for another host
  * @sent: in the transaction in flight
  * @cancelled: @done is not called
+ * @alone: the table rejected a transaction that it was in; it is sent by
+ *         itself
  * @since_ms: when it was queued or sent, local monotonic clock
  */
 struct mq_commit
@@ -51,6 +53,7 @@
   bool relayed;
   bool sent;
   bool cancelled;
+  bool alone;
   uint64_t since_ms;
   mq_rows_done *done;
   void *user;
@@ -246,13 +249,42 @@
   return ended_count;
 }
 
+/* Requeues the commits of the batch, to be sent one by one.
+
+   Failure: the table rejects a transaction for one of its rows, and the other
+   writes of the batch fail with it.  */
+static void
+separate_batch (struct part_queue *part)
+{
+  struct mq_commit *retry[MQ_COMMIT_ROWS_MAX];
+  size_t count = 0;
+
+  for (size_t i = 0; i < part->count; i++)
+    if (part->batch[i]->cancelled)
+      talloc_free (part->batch[i]);
+    else
+      {
+        part->batch[i]->alone = true;
+        retry[count++] = part->batch[i];
+      }
+  part->count = 0;
+  requeue (part, retry, count);
+}
+
 static void
 on_done (const struct mq_rows_result *result, void *user)
 {
   struct part_queue *part = user;
   struct mq_commit *ended[MQ_COMMIT_ROWS_MAX];
-  size_t count = split_batch (part, result, ended);
+  size_t count;
 
+  if (result->status == MQ_STORE_REJECTED && part->count > 1)
+    {
+      separate_batch (part);
+      send_next (part);
+      return;
+    }
+  count = split_batch (part, result, ended);
   for (size_t i = 0; i < count; i++)
     {
       struct mq_rows_entry rows[MQ_COMMIT_ROWS_MAX];
@@ -427,7 +459,9 @@
 can_join_batch (const struct part_queue *part, const struct mq_commit *commit,
                 size_t bytes)
 {
-  if (part->count > 0 && !fits_batch (part, commit, bytes))
+  if (part->count > 0
+      && (commit->alone || part->batch[0]->alone
+          || !fits_batch (part, commit, bytes)))
     return false;
   for (size_t i = 0; i < part->row_count; i++)
     for (size_t k = 0; k < commit->count; k++)
--- a/src/router/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -403,7 +403,7 @@
   to->kind = MQ_RELAY_CALL_REPLY;
   to->u.call_reply.id = from->id;
   to->u.call_reply.result = (struct mq_rows_result){
-    .status = from->status > MQ_STORE_LOST
+    .status = from->status > MQ_STORE_REJECTED
                   ? MQ_STORE_LOST
                   : (enum mq_store_status)from->status,
     .version = from->version,
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -62,6 +62,8 @@
       mq_json_number (&line, "calls", list[i].calls);
       mq_json_number (&line, "conflicts", list[i].conflicts);
       mq_json_number (&line, "refused", list[i].refused);
+      mq_json_number (&line, "throttled", list[i].throttled);
+      mq_json_number (&line, "rejected", list[i].rejected);
       mq_json_number (&line, "unanswered", list[i].unanswered);
       mq_json_number (&line, "sent_bytes", list[i].sent_bytes);
       mq_json_number (&line, "received_bytes", list[i].received_bytes);
@@ -69,6 +71,21 @@
     }
 }
 
+static void
+on_rejected (const struct mq_rows_rejection *rejection, void *user)
+{
+  struct mq_router *router = user;
+  struct mq_json_line line;
+
+  mq_json_begin (&line, router->log, MQ_JSON_HIGH_PRIORITY,
+                 MQ_LOG_TABLE_REJECTED);
+  mq_json_text (&line, "table", rejection->table);
+  mq_json_text (&line, "call", rejection->kind);
+  mq_json_number (&line, "status", (uint64_t)rejection->status);
+  mq_json_number (&line, "entries", rejection->entries);
+  mq_json_end (&line);
+}
+
 /* Ends a stop whose time is over: first the pending requests are answered,
    then callers have END_MS to take their responses and to complete messages.
 
@@ -202,6 +219,7 @@
   if (router->log == NULL || router->fleet == NULL || router->admission == NULL
       || router->rows == NULL)
     return false;
+  mq_rows_set_rejection_handler (router->rows, on_rejected, router);
   router->relay = mq_relay_create (router, router->ev, settings->peer,
                                    router->rows, &owner, error);
   if (router->relay == NULL)
--- a/src/router/router_turn.c
+++ b/src/router/router_turn.c
@@ -311,7 +311,8 @@
       finish_store (turn);
       return;
     }
-  if (result->status == MQ_STORE_CONFLICT)
+  if (result->status == MQ_STORE_CONFLICT
+      || result->status == MQ_STORE_REJECTED)
     mq_turn_notify (turn, MQ_TURN_STORE_UNAVAILABLE);
   else if (result->status == MQ_STORE_LOST)
     verify_write (turn);
--- a/src/router/rows.h
+++ b/src/router/rows.h
@@ -37,7 +37,8 @@
 
 /**
  * struct mq_rows_result - result of a call; valid during the callback only
- * @status: OK, CONFLICT, DOWN (not executed) or LOST (outcome unknown)
+ * @status: OK, CONFLICT, DOWN (not executed), LOST (outcome unknown) or
+ *          REJECTED (not executed; the table does not accept such a call)
  * @version: version of the transaction, or the newest version that a read saw
  * @rows: read: rows found; CONFLICT: current rows
  */
@@ -83,7 +84,9 @@
  * struct mq_rows_call_counters - calls of one kind to one table
  * @kind: "commit", "get", "check", "list" or "feed"
  * @conflicts: transactions whose condition did not hold
- * @refused: calls rejected by the platform
+ * @refused: calls that the table did not execute, for now
+ * @throttled: those of them that exceeded its rate
+ * @rejected: calls that the table does not accept
  * @unanswered: calls that got no response
  * @sent_bytes: heads and bodies of the requests
  * @received_bytes: bodies of the responses
@@ -95,6 +98,8 @@
   uint64_t calls;
   uint64_t conflicts;
   uint64_t refused;
+  uint64_t throttled;
+  uint64_t rejected;
   uint64_t unanswered;
   uint64_t sent_bytes;
   uint64_t received_bytes;
@@ -112,6 +117,27 @@
 /* Number of entries that COUNT rows make in a transaction, at most
    MQ_ROWS_ENTRIES_MAX.  */
 size_t mq_rows_count_entries (const struct mq_rows_entry *rows, size_t count);
+/**
+ * struct mq_rows_rejection - a call that the table does not accept
+ * @kind: as in struct mq_rows_call_counters
+ * @status: HTTP status of the response
+ * @entries: entries of a transaction, else 0
+ */
+struct mq_rows_rejection
+{
+  const char *table;
+  const char *kind;
+  int status;
+  size_t entries;
+};
+
+typedef void
+mq_rows_rejection_handler (const struct mq_rows_rejection *rejection,
+                           void *user);
+/* Calls HANDLER for each call that ends as REJECTED.  */
+void mq_rows_set_rejection_handler (struct mq_rows *rows,
+                                    mq_rows_rejection_handler *handler,
+                                    void *user);
 /* Writes ENTRIES, all of one part, atomically.  They are copied.  */
 struct mq_rows_call *mq_rows_commit (struct mq_rows *rows,
                                      const struct mq_rows_entry *entries,
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -62,6 +62,9 @@
       FUZZ_CHECK (request->kind != MQ_STORE_SCAN
                   && request->kind != MQ_STORE_GET);
       break;
+    case MQ_STORE_REJECTED:
+      FUZZ_CHECK (false);
+      break;
     }
   check_rows (request, result);
 }
--- a/tests/test_commit_queue.c
+++ b/tests/test_commit_queue.c
@@ -221,6 +221,30 @@
   cr_expect_eq (rows_server_row_count (table, "t"), 2);
 }
 
+/* Longer than the table accepts.  */
+#define LONG_KEY_BYTES 201
+
+/* Failure: the table rejects one row of a transaction, and the other writes of
+   the batch fail with it.  */
+Test (commits, rejected_row_fails_one_write)
+{
+  char key[LONG_KEY_BYTES + 1] = "";
+
+  memset (key, 'k', LONG_KEY_BYTES);
+  write_row (0, "p", "first", MQ_VERSION_ABSENT);
+  write_row (1, "p", "a", MQ_VERSION_ABSENT);
+  write_row (2, "p", key, MQ_VERSION_ABSENT);
+  write_row (3, "p", "b", MQ_VERSION_ABSENT);
+  wait_for (4);
+  for (int i = 0; i < 4; i++)
+    {
+      cr_expect_eq (outcomes[i].status,
+                    i == 2 ? MQ_STORE_REJECTED : MQ_STORE_OK, "%d", i);
+      cr_expect_eq (outcomes[i].calls, 1, "%d", i);
+    }
+  cr_expect_not (mq_rows_down (rows_client));
+}
+
 #define MANY_WRITES 150
 
 /* Failure: rows with a condition make two entries of a transaction; one over
--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -617,3 +617,101 @@
   cr_expect_eq (table->ok, 2);
   talloc_free (table);
 }
+
+/* Calls in a row; more than those after which the table counts as down.  */
+#define STATUS_CALLS 8
+/* Longer than the time without a byte after which it does.  */
+#define STATUS_CALL_GAP_MS 80U
+
+struct status_site
+{
+  struct tevent_context *ev;
+  int status;
+};
+
+static void
+respond_status (struct raw_link *link, const struct raw_request *request,
+                void *user)
+{
+  const struct status_site *site = user;
+
+  (void)request;
+  raw_link_respond (link, site->status, "", "", 0);
+}
+
+static void
+on_link_closed (struct raw_link *link, void *user)
+{
+  (void)link;
+  (void)user;
+}
+
+static void
+on_status (const struct mq_rows_result *result, void *user)
+{
+  enum mq_store_status *status = user;
+
+  *status = result->status;
+}
+
+static void
+count_rejection (const struct mq_rows_rejection *rejection, void *user)
+{
+  int *count = user;
+
+  cr_expect_str_eq (rejection->kind, "commit");
+  cr_expect_eq (rejection->entries, 2U);
+  ++*count;
+}
+
+/* Failure: a table that answers, but does not accept a call, counts as down,
+   and all other calls fail.  */
+Test (rows, rejected_calls_keep_the_table_up)
+{
+  static const struct
+  {
+    int status;
+    enum mq_store_status result;
+    bool down;
+  } rows[] = {
+    { 400, MQ_STORE_REJECTED, false }, { 403, MQ_STORE_REJECTED, false },
+    { 404, MQ_STORE_REJECTED, false }, { 413, MQ_STORE_REJECTED, false },
+    { 408, MQ_STORE_DOWN, true },      { 429, MQ_STORE_DOWN, true },
+    { 503, MQ_STORE_DOWN, true },
+  };
+
+  for (size_t i = 0; i < ROWS (rows); i++)
+    {
+      struct tevent_context *ev = tevent_context_init (NULL);
+      struct status_site site = { ev, rows[i].status };
+      struct site loop = { .ev = ev };
+      struct raw_server *server
+          = raw_server_create (ev, ev, respond_status, on_link_closed, &site);
+      struct mq_rows *client = mq_rows_create (
+          ev, ev,
+          talloc_asprintf (ev, "127.0.0.1:%u", raw_server_port (server)));
+      struct mq_rows_entry entry = {
+        .table = "t", .part = "p", .key = "k", .version = MQ_VERSION_ABSENT
+      };
+      int rejections = 0;
+
+      mq_rows_set_rejection_handler (client, count_rejection, &rejections);
+      for (int k = 0; k < STATUS_CALLS; k++)
+        {
+          enum mq_store_status status = MQ_STORE_MISSING;
+
+          mq_rows_commit (client, &entry, 1, on_status, &status);
+          while (status == MQ_STORE_MISSING)
+            tevent_loop_once (ev);
+          cr_expect_eq (status, rows[i].result, "%d", rows[i].status);
+          run_for (&loop, STATUS_CALL_GAP_MS);
+        }
+      cr_expect_eq (mq_rows_down (client), rows[i].down, "%d", rows[i].status);
+      cr_expect_eq (rejections,
+                    rows[i].result == MQ_STORE_REJECTED ? STATUS_CALLS : 0,
+                    "%d", rows[i].status);
+      mq_rows_destroy (client);
+      raw_server_destroy (server);
+      talloc_free (ev);
+    }
+}
--- a/tests/world_store.c
+++ b/tests/world_store.c
@@ -747,6 +747,7 @@
       break;
     case MQ_STORE_DOWN:
     case MQ_STORE_MISSING:
+    case MQ_STORE_REJECTED:
       operator_schedule (world, who, OPERATOR_BACKOFF_US);
       break;
     case MQ_STORE_LOST:
