Admission takes queues that rise for as long as they will be

Load beyond full slots now counts as high as it is expected after two seconds of the rise that is seen: the excess over its moving average is added. While workers have free slots, nothing changes.

--- a/src/core/router/admission.c
+++ b/src/core/router/admission.c
@@ -22,6 +22,14 @@
    retry late during a short dip in the observed load, in place of programs
    that could still be in time.  */
 #define LOAD_FALL_PER_S 80U
+/* Load that exceeds LOAD_FULL is taken as high as it will be if it goes on
+   rising for this long: programs that have begun add load for all their turns.
+
+   Failure: in a burst, programs are admitted until the queues show, and most
+   of them are late.  */
+#define LOAD_RISE_MS 2000U
+/* Unit of a mean load.  */
+#define LOAD_UNIT 1024
 /* A program is short of time if its time per token of budget is below this
    percentage of its route's mean.  It would be late even with short queues,
    and would take the place of one that would not.  */
@@ -45,11 +53,15 @@
 /**
  * struct level - smoothed load of a service
  * @load: load at @set_ms
+ * @mean: moving average of the observed load at @mean_ms, in LOAD_UNITs
+ * @mean_ms: 0 if no load was observed
  */
 struct level
 {
   uint32_t load;
   uint64_t set_ms;
+  int64_t mean;
+  uint64_t mean_ms;
 };
 
 /**
@@ -107,6 +119,33 @@
   return row;
 }
 
+/* Updates the mean of LEVEL; returns by how much LOAD exceeds it.  */
+static uint32_t
+record_rise (struct level *level, uint32_t load, uint64_t now_ms)
+{
+  int64_t elapsed = (int64_t)(now_ms - level->mean_ms);
+  int64_t rise = (int64_t)load * LOAD_UNIT - level->mean;
+
+  if (level->mean_ms == 0)
+    level->mean += rise;
+  else
+    level->mean += rise * elapsed / (elapsed + (int64_t)LOAD_RISE_MS);
+  level->mean_ms = now_ms;
+  rise = (int64_t)load - level->mean / LOAD_UNIT;
+  return rise > 0 ? (uint32_t)rise : 0;
+}
+
+/* The load to be expected.  While workers have free slots, it is the observed
+   one, and a rise up to LOAD_FULL does not count.  */
+static uint32_t
+expected_load (struct level *level, uint32_t load, uint64_t now_ms)
+{
+  uint32_t queued = load > LOAD_FULL ? load : LOAD_FULL;
+  uint32_t rise = record_rise (level, queued, now_ms);
+
+  return load > LOAD_FULL ? load + rise : load;
+}
+
 /* Updates the smoothed load, which rises at once and falls at LOAD_FALL_PER_S.
    It is capped at REJECT_LOAD_MAX, so that a spike does not prolong
    rejections.  */
@@ -114,17 +153,18 @@
 smoothed_load (struct mq_admission *admission,
                const struct mq_admission_request *request)
 {
-  uint32_t load
-      = request->load < REJECT_LOAD_MAX ? request->load : REJECT_LOAD_MAX;
   struct level *level
       = find_row (admission, request->service, SERVICES, sizeof *level);
+  uint32_t expected = expected_load (level, request->load, request->now_ms);
+  uint32_t load = expected < REJECT_LOAD_MAX ? expected : REJECT_LOAD_MAX;
   uint64_t fall
       = (request->now_ms - level->set_ms) * LOAD_FALL_PER_S / MS_PER_S;
   uint32_t held = level->load > fall ? level->load - (uint32_t)fall : 0;
 
   if (load < held)
     return held;
-  *level = (struct level){ load, request->now_ms };
+  level->load = load;
+  level->set_ms = request->now_ms;
   return load;
 }
 
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -166,6 +166,44 @@
   cr_expect_eq (admitted (0, 500, 10000), PROGRAMS);
 }
 
+/* Failure: in a burst, programs are admitted until the queues show, and most
+   of them are late.  */
+Test (admission, rising_queues_reject_earlier)
+{
+  static const struct
+  {
+    const char *name;
+    uint32_t before; /* load for ten seconds */
+    uint32_t load;   /* load after them */
+    bool earlier;    /* rejects more than at a steady load */
+  } cases[] = {
+    { "steady", 1200, 1200, false },
+    { "rising", 1000, 1200, true },
+    { "rising from free slots", 600, 1200, true },
+    { "free slots filling", 300, 950, false },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      uint32_t steady = 0;
+      uint32_t count;
+
+      tear_down ();
+      set_up ();
+      for (uint64_t ms = 1; ms <= 20001; ms += 1000)
+        steady = admitted (0, cases[i].load, ms);
+      tear_down ();
+      set_up ();
+      for (uint64_t ms = 1; ms <= 10001; ms += 1000)
+        admitted (0, cases[i].before, ms);
+      count = admitted (0, cases[i].load, 10101);
+      if (cases[i].earlier)
+        cr_expect_lt (count, steady, "%s: %u", cases[i].name, count);
+      else
+        cr_expect_eq (count, steady, "%s: %u", cases[i].name, count);
+    }
+}
+
 struct late_case
 {
   const char *name;
