--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -215,14 +215,13 @@
   check_recovery (soak);
   soak_check_limits (soak);
   soak_kill_hosts (soak);
-  printf ("soak: seed %lu: %u faults, %u answers, %u refusals, %u broken, "
-          "%u programs finished, %u spent, %u failed, held up for %lu ms at "
-          "most: %s\n",
-          (unsigned long)soak->seed, soak->injected, soak->answers,
-          soak->refusals, soak->aborted, soak->finished,
-          soak->budget_exhausted, soak->failed,
-          (unsigned long)soak->held_max_ms,
-          soak->failures == 0 ? "ok" : "FAILED");
+  printf (
+      "soak: seed %lu: %u faults, %u answers, %u refusals, %u broken, "
+      "%u programs finished, %u spent, %u failed, held up for %lu ms at "
+      "most: %s\n",
+      (unsigned long)soak->seed, soak->injected, soak->answers, soak->refusals,
+      soak->aborted, soak->finished, soak->budget_exhausted, soak->failed,
+      (unsigned long)soak->held_max_ms, soak->failures == 0 ? "ok" : "FAILED");
   remove_files (soak);
   if (soak->failures == 0)
     return EXIT_SUCCESS;
--- a/tests/soak/soak_site.c
+++ b/tests/soak/soak_site.c
@@ -14,26 +14,56 @@
 #include <unistd.h>
 
 #define RESTART_MS 300U
+/* Blocks of ports below the range of ephemeral ones, so that no outgoing
+   connection takes one while its host restarts.  */
 #define PORT_FIRST 12000U
-#define PORT_COUNT 19000U
+#define BLOCK_PORTS 1000U
+#define BLOCKS 19U
 
-/* Returns a free port below the range of ephemeral ports, so that no outgoing
-   connection takes it while its host restarts.  */
+static int
+open_port (uint32_t port)
+{
+  char address[32];
+
+  snprintf (address, sizeof address, "127.0.0.1:%u", port);
+  return mq_listen_open (address, NULL);
+}
+
+/* Claims a block of ports by its first one, which stays open until the soak
+   ends.  Returns that port.
+
+   Failure: two soaks take the same ports, and workers run the requests of
+   both.  */
+static uint32_t
+claim_block (void)
+{
+  uint32_t first = (uint32_t)getpid ();
+
+  for (uint32_t i = 0; i < BLOCKS; i++)
+    {
+      uint32_t port = PORT_FIRST + (first + i) % BLOCKS * BLOCK_PORTS;
+
+      if (open_port (port) >= 0)
+        return port;
+    }
+  fprintf (stderr, "soak: all %u blocks of ports are taken\n", BLOCKS);
+  exit (2);
+}
+
+/* Returns a free port of this soak's block.  */
 static uint16_t
 free_port (void)
 {
+  static uint32_t block;
   static uint32_t next;
 
-  if (next == 0)
-    next = (uint32_t)getpid () * 61U;
+  if (block == 0)
+    block = claim_block ();
   for (;;)
     {
-      uint16_t port = (uint16_t)(PORT_FIRST + next++ % PORT_COUNT);
-      char address[32];
-      int fd;
+      uint16_t port = (uint16_t)(block + 1 + next++ % (BLOCK_PORTS - 1));
+      int fd = open_port (port);
 
-      snprintf (address, sizeof address, "127.0.0.1:%u", port);
-      fd = mq_listen_open (address, NULL);
       if (fd < 0)
         continue;
       close (fd);
