--- a/src/net/http_refusal.c
+++ b/src/net/http_refusal.c
@@ -75,46 +75,38 @@
 static bool
 is_due (const struct mq_http_connection *connection)
 {
-  switch (connection->refusal)
-    {
-    case MQ_HTTP_REFUSE_NOTHING:
-      return false;
-    case MQ_HTTP_REFUSE_HEAD:
-    case MQ_HTTP_REFUSE_BODY:
-    case MQ_HTTP_REFUSE_TOO_LARGE:
-      break;
-    }
-  return !connection->server->destroy_pending
+  return connection->refusal != MQ_HTTP_REFUSE_NOTHING
+         && !connection->server->destroy_pending
          && written_bytes (connection->fd) == connection->written
          && !mq_http_peer_has_disconnected (connection->fd);
 }
 
 static char *
-make_response (const struct mq_http_connection *connection)
+make_response (TALLOC_CTX *ctx, const struct mq_http_connection *connection)
 {
-  const char *status = "400 Bad Request";
-  enum mq_error_type type = MQ_ERR_BAD_REQUEST;
-  uint64_t bound = connection->server->body_max;
-  char *body;
+  static const struct
+  {
+    const char *status;
+    enum mq_error_type type;
+  } refusals[] = {
+    [MQ_HTTP_REFUSE_HEAD]
+    = { "431 Request Header Fields Too Large", MQ_ERR_TOO_LARGE },
+    [MQ_HTTP_REFUSE_BODY] = { "400 Bad Request", MQ_ERR_BAD_REQUEST },
+    [MQ_HTTP_REFUSE_TOO_LARGE] = { "413 Content Too Large", MQ_ERR_TOO_LARGE },
+  };
+  uint64_t bound = connection->refusal == MQ_HTTP_REFUSE_HEAD
+                       ? MQ_HEADERS_MAX_BYTES
+                       : connection->server->body_max;
+  char *body
+      = mq_http_refusal_text (ctx, refusals[connection->refusal].type, bound);
 
-  if (connection->refusal == MQ_HTTP_REFUSE_HEAD)
-    {
-      status = "431 Request Header Fields Too Large";
-      type = MQ_ERR_TOO_LARGE;
-      bound = MQ_HEADERS_MAX_BYTES;
-    }
-  else if (connection->refusal == MQ_HTTP_REFUSE_TOO_LARGE)
-    {
-      status = "413 Content Too Large";
-      type = MQ_ERR_TOO_LARGE;
-    }
-  body = mq_http_refusal_text (connection->server, type, bound);
   if (body == NULL)
     return NULL;
-  return talloc_asprintf (body,
+  return talloc_asprintf (ctx,
                           "HTTP/1.1 %s\r\nContent-Type: application/json\r\n"
                           "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
-                          status, strlen (body), body);
+                          refusals[connection->refusal].status, strlen (body),
+                          body);
 }
 
 static int
@@ -166,18 +158,11 @@
   return tcp;
 }
 
-void
-mq_http_refusal_send (struct mq_http_connection *connection)
+static void
+send_response (struct mq_http_connection *connection, const char *text)
 {
-  struct mq_tcp *tcp;
-  char *text;
+  struct mq_tcp *tcp = take_over (connection);
 
-  if (connection == NULL || !is_due (connection))
-    return;
-  text = make_response (connection);
-  if (text == NULL)
-    return;
-  tcp = take_over (connection);
   if (tcp != NULL)
     {
       mq_tcp_write (tcp, text, strlen (text));
@@ -186,5 +171,19 @@
   else
     (void)send (connection->fd, text, strlen (text),
                 MSG_DONTWAIT | MSG_NOSIGNAL);
-  talloc_free (talloc_parent (text));
+}
+
+void
+mq_http_refusal_send (struct mq_http_connection *connection)
+{
+  TALLOC_CTX *ctx;
+  const char *text;
+
+  if (connection == NULL || !is_due (connection))
+    return;
+  ctx = talloc_new (connection->server);
+  text = make_response (ctx, connection);
+  if (text != NULL)
+    send_response (connection, text);
+  talloc_free (ctx);
 }
