The connection of a response that breaks off is shut down

Since the change to heads that the HTTP library has no memory for, the caller of a stream that mimosa-entryd or an engine's stand-in breaks off did not see its end: worker::engine_restarts and worker::model_calls waited for 30 s.

Cause: MHD_USE_TURBO leaves out the library's shutdown of a connection that it closes, and without it no event makes the library close one that ended with an error while it was resumed.

A request that the library ends without a complete response now has its connection shut down here, unless a refusal is due on it. Both tests failed 2 of 2 before, pass now.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -277,6 +277,20 @@
     closed (request, request->closed_data);
 }
 
+/* Shuts down the connection of a request that has no complete response, as the
+   library does without MHD_USE_TURBO.
+
+   Failure: the caller of a stream that breaks off waits for its end, since the
+   library closes the connection only when something happens on it.  */
+static void
+end_broken_connection (const struct mq_http_request *request,
+                       enum MHD_RequestTerminationCode code)
+{
+  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK
+      && request->place->refusal == MQ_HTTP_REFUSE_NOTHING)
+    shutdown (request->fd, SHUT_WR);
+}
+
 /* A user without on_closed does not learn of a disconnect: keeps the request,
    detached from its connection, until it is answered.  */
 static void
@@ -287,9 +301,9 @@
 
   (void)cls;
   (void)connection;
-  (void)code;
   if (request == NULL)
     return;
+  end_broken_connection (request, code);
   *con = NULL;
   request_unlink (request);
   request->server->in_progress--;
