Log lines name the version of a worker and the stream that a caller resumes

The lines of the incident cannot tell a stream that went on at another version within one response from one that a caller took up elsewhere, nor either from a reused address: no line names a version. The registry's version is decoded, kept with the worker, sent to hosts that are cut off from the feeds, and logged in worker_listed, try_failed and request_ended; a frame without it tells an unknown version. A resumed stream logs the attempt that it names. The digest of the workers covers the version. No choice depends on it yet.

The comment of handle_failed_try stands over its function again.

--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -1099,7 +1099,7 @@
   (ProtobufCMessageInit) mqrelay__sync__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__worker__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mqrelay__worker__field_descriptors[9] =
 {
   {
     "id",
@@ -1185,6 +1185,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__Worker, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tells_version",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__Worker, tells_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__worker__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -1194,11 +1218,13 @@
   5,   /* field[5] = leaving */
   1,   /* field[1] = service */
   4,   /* field[4] = slots */
+  8,   /* field[8] = tells_version */
+  7,   /* field[7] = version */
 };
 static const ProtobufCIntRange mqrelay__worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mqrelay__worker__descriptor =
 {
@@ -1208,7 +1234,7 @@
   "Mqrelay__Worker",
   "mqrelay",
   sizeof(Mqrelay__Worker),
-  7,
+  9,
   mqrelay__worker__field_descriptors,
   mqrelay__worker__field_indices_by_name,
   1,  mqrelay__worker__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -141,10 +141,18 @@
    * its start, Unix time; 0: not told
    */
   uint64_t born_ms;
+  /*
+   * of its software, with tells_version
+   */
+  char *version;
+  /*
+   * hosts of an earlier release don't
+   */
+  protobuf_c_boolean tells_version;
 };
 #define MQRELAY__WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__worker__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/src/core/router/fleet.c
+++ b/src/core/router/fleet.c
@@ -78,6 +78,7 @@
   talloc_free ((void *)(uintptr_t)member->service);
   talloc_free ((void *)(uintptr_t)member->address);
   talloc_free ((void *)(uintptr_t)member->data_centre);
+  talloc_free ((void *)(uintptr_t)member->version);
 }
 
 static bool
@@ -90,8 +91,10 @@
   copy.service = talloc_strdup (fleet, from->service);
   copy.address = talloc_strdup (fleet, from->address);
   copy.data_centre = talloc_strdup (fleet, from->data_centre);
+  copy.version = talloc_strdup (fleet, from->version);
   if (copy.id == NULL || copy.service == NULL || copy.address == NULL
-      || copy.data_centre == NULL)
+      || copy.data_centre == NULL
+      || (copy.version == NULL && from->version != NULL))
     {
       free_strings (&copy);
       return false;
@@ -168,19 +171,35 @@
   START_EARLIER
 };
 
+/* Whether RECEIVED tells another version than ENTRY, which may know none.  */
+static bool
+tells_version (const struct fleet_entry *entry,
+               const struct mq_fleet_member *received)
+{
+  if (received->version == NULL)
+    return false;
+  return entry->member.version == NULL
+         || strcmp (entry->member.version, received->version) != 0;
+}
+
 static enum start
 compare_start (const struct fleet_entry *entry,
                const struct mq_fleet_member *received)
 {
   if (received->born_ms < entry->member.born_ms)
     return START_EARLIER;
+  if (entry->member.version != NULL && tells_version (entry, received))
+    return START_LATER;
   return instance_digest (received) == entry->instance ? START_SAME
                                                        : START_LATER;
 }
 
 static void
-update_entry (struct fleet_entry *entry, const struct mq_fleet_member *member)
+update_entry (struct mq_fleet *fleet, struct fleet_entry *entry,
+              const struct mq_fleet_member *member)
 {
+  if (tells_version (entry, member))
+    entry->member.version = talloc_strdup (fleet, member->version);
   entry->member.leaving = member->leaving;
   entry->member.slots = member->slots;
   entry->listed = true;
@@ -212,6 +231,7 @@
     {
       start = compare_start (entry, member);
       differs = start == START_LATER || !entry->listed
+                || tells_version (entry, member)
                 || entry->member.leaving != member->leaving
                 || entry->member.slots != member->slots;
     }
@@ -220,7 +240,7 @@
   else if (start == START_LATER)
     known = replace_entry (fleet, entry, member);
   else if (start == START_SAME)
-    update_entry (entry, member);
+    update_entry (fleet, entry, member);
   else
     {
       entry->seen = true;
@@ -312,6 +332,8 @@
 {
   uint64_t digest = instance_digest (member);
 
+  if (member->version != NULL)
+    digest = text_digest (member->version, digest);
   digest = mq_hash_bytes (&member->slots, sizeof member->slots, digest);
   return mq_hash_bytes (&member->leaving, sizeof member->leaving, digest);
 }
--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -53,6 +53,7 @@
  * struct mq_fleet_member - registry entry of a worker
  * @id: worker id, kept across restarts
  * @address: "IP:PORT"
+ * @version: version of its software; NULL if unknown
  * @slots: requests that it runs concurrently
  * @leaving: accepts no new requests
  * @born_ms: start time by the worker's clock, Unix milliseconds, 0 if unknown
@@ -63,6 +64,7 @@
   const char *service;
   const char *address;
   const char *data_centre;
+  const char *version;
   uint32_t slots;
   bool leaving;
   uint64_t born_ms;
--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -53,13 +53,16 @@
   X (PEER_UP, "peer_up", NOTICE, "peer other")                                \
   X (PEER_DOWN, "peer_down", WARNING, "peer other")                           \
   X (PEER_SILENT, "peer_silent", WARNING, "peer other")                       \
-  X (WORKER_LISTED, "worker_listed", NOTICE, "worker service address state")  \
+  X (WORKER_LISTED, "worker_listed", NOTICE,                                  \
+     "worker service address version state")                                  \
   X (WORKER_GONE, "worker_gone", WARNING, "worker")                           \
   X (WORKER_UNREADABLE, "worker_unreadable", ERROR, "worker " MQ_LOG_PROBLEM) \
   X (TRY_FAILED, "try_failed", WARNING,                                       \
-     MQ_LOG_REQUEST "how at_worker_ms left_ms next")                          \
+     MQ_LOG_REQUEST "worker_version last_event how at_worker_ms left_ms "     \
+                    "next")                                                   \
   X (REQUEST_ENDED, "request_ended", INFO,                                    \
-     MQ_LOG_REQUEST "outcome tokens load left_ms retry_ms complete_ms "       \
+     MQ_LOG_REQUEST "worker_version resumes outcome tokens load left_ms "     \
+                    "retry_ms complete_ms "                                   \
                     "record record_ms record_host record_writes table_ms")    \
   X (MESSAGE_REFUSED, "message_refused", WARNING, "reason")                   \
   X (CALLER_CLOSED, "caller_closed", INFO, "rested_ms idle_ms")               \
--- a/src/router/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -61,6 +61,8 @@
   to->slots = from->slots;
   to->leaving = from->leaving;
   to->born_ms = from->born_ms;
+  to->version = text_field (from->version);
+  to->tells_version = from->version != NULL;
 }
 
 static Mqrelay__Worker **
@@ -392,6 +394,7 @@
       .slots = list[i]->slots,
       .leaving = list[i]->leaving,
       .born_ms = list[i]->born_ms,
+      .version = list[i]->tells_version ? list[i]->version : NULL,
     };
   return workers;
 }
--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -21,6 +21,9 @@
   request_begin_log_line (&line, request, MQ_JSON_HIGH_PRIORITY,
                           MQ_LOG_TRY_FAILED);
   mq_json_text (&line, "worker", request_worker_id (request));
+  mq_json_text (&line, "worker_version", request_worker_version (request));
+  if (request->last_event[0] != '\0')
+    mq_json_text (&line, "last_event", request->last_event);
   mq_json_text (&line, "how", mq_attempt_end_name (end));
   mq_json_number (&line, "status", (uint64_t)request->answer.status);
   mq_json_number (&line, "sent", request->sent);
@@ -30,8 +33,6 @@
   mq_json_end (&line);
 }
 
-/* Decides what follows an attempt that ended without a response to
-   forward.  */
 /* Whether the worker that was chosen did not get the request.  Such a try does
    not count against the route's limit.
 
@@ -46,6 +47,8 @@
          || (end == MQ_ATTEMPT_NOT_RUN && request->answer.other_worker);
 }
 
+/* Decides what follows an attempt that ended without a response to
+   forward.  */
 static void
 handle_failed_try (struct mq_request *request, enum mq_attempt_end end)
 {
--- a/src/router/router_feed.c
+++ b/src/router/router_feed.c
@@ -30,6 +30,7 @@
     {
       mq_json_text (&line, "service", member->service);
       mq_json_text (&line, "address", member->address);
+      mq_json_text (&line, "version", member->version);
       mq_json_text (&line, "state", member->leaving ? "leaving" : "ready");
     }
   mq_json_end (&line);
--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -36,6 +36,12 @@
   return mq_fleet_member (request->router->fleet, request->worker)->id;
 }
 
+const char *
+request_worker_version (const struct mq_request *request)
+{
+  return mq_fleet_member (request->router->fleet, request->worker)->version;
+}
+
 void
 request_begin_log_line (struct mq_json_line *line,
                         const struct mq_request *request,
@@ -64,7 +70,14 @@
   mq_json_number (&line, "status", (uint64_t)status);
   mq_json_number (&line, "sent", request->sent);
   if (request->worker != MQ_WORKER_NONE)
-    mq_json_text (&line, "worker", request_worker_id (request));
+    {
+      mq_json_text (&line, "worker", request_worker_id (request));
+      if (request->answer.stream)
+        mq_json_text (&line, "worker_version",
+                      request_worker_version (request));
+    }
+  if (request->fields.last_event != NULL && request->fields.resumes != NULL)
+    mq_json_text (&line, "resumes", request->fields.resumes);
   if (request->is_turn)
     mq_json_number (&line, "tokens", request->tokens_sent);
   if (request->response_complete)
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -121,6 +121,8 @@
 uint64_t request_left_ms (const struct mq_request *request);
 /* Id of the last chosen worker.  */
 const char *request_worker_id (const struct mq_request *request);
+/* Its software version; NULL if unknown.  */
+const char *request_worker_version (const struct mq_request *request);
 /* Sends the response for REFUSAL and closes the request.  */
 void request_refuse (struct mq_request *request, enum mq_refusal refusal);
 /* Likewise, with RETRY_MS in Retry-After; 0 keeps the delay of the
--- a/src/router/router_wire.h
+++ b/src/router/router_wire.h
@@ -21,6 +21,8 @@
  * @affinity: affinity key; NULL if none
  * @previous: turn that this one continues; NULL if none
  * @last_event: last event the caller received; NULL if none
+ * @resumes: id of the attempt that brought the first event of the stream that
+ *           the caller resumes; NULL if none
  * @deadline_ms: time the caller waits; 0 if not given
  * @has_budget: @budget was given
  * @budget: token limit of all turns of the program
@@ -42,6 +44,7 @@
   const char *affinity;
   const char *previous;
   const char *last_event;
+  const char *resumes;
   uint32_t deadline_ms;
   bool has_budget;
   uint64_t budget;
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -610,18 +610,20 @@
 Test (fleet, digest)
 {
   static const struct mq_fleet_member first
-      = { "i-1", "llm", "127.0.0.1:1", "a", 4, false, 0 };
+      = { "i-1", "llm", "127.0.0.1:1", "a", "v1", 4, false, 0 };
   static const struct mq_fleet_member second
-      = { "i-2", "app", "127.0.0.1:2", "b", 8, false, 0 };
+      = { "i-2", "app", "127.0.0.1:2", "b", "v1", 8, false, 0 };
   static const struct mq_fleet_member others[] = {
-    { "i-3", "llm", "127.0.0.1:1", "a", 4, false, 0 },
-    { "i-1", "app", "127.0.0.1:1", "a", 4, false, 0 },
-    { "i-1", "llm", "127.0.0.1:3", "a", 4, false, 0 },
-    { "i-1", "llm", "127.0.0.1:1", "b", 4, false, 0 },
-    { "i-1", "llm", "127.0.0.1:1", "a", 5, false, 0 },
-    { "i-1", "llm", "127.0.0.1:1", "a", 4, true, 0 },
-    { "i-1", "ll", "m127.0.0.1:1", "a", 4, false, 0 },
-    { "i-1", "llm", "127.0.0.1:1", "a", 4, false, 9 },
+    { "i-3", "llm", "127.0.0.1:1", "a", "v1", 4, false, 0 },
+    { "i-1", "app", "127.0.0.1:1", "a", "v1", 4, false, 0 },
+    { "i-1", "llm", "127.0.0.1:3", "a", "v1", 4, false, 0 },
+    { "i-1", "llm", "127.0.0.1:1", "b", "v1", 4, false, 0 },
+    { "i-1", "llm", "127.0.0.1:1", "a", "v1", 5, false, 0 },
+    { "i-1", "llm", "127.0.0.1:1", "a", "v1", 4, true, 0 },
+    { "i-1", "ll", "m127.0.0.1:1", "a", "v1", 4, false, 0 },
+    { "i-1", "llm", "127.0.0.1:1", "a", "v1", 4, false, 9 },
+    { "i-1", "llm", "127.0.0.1:1", "a", "v2", 4, false, 0 },
+    { "i-1", "llm", "127.0.0.1:1", "a", NULL, 4, false, 0 },
   };
   const struct mq_fleet_member list[] = { first, second };
   const struct mq_fleet_member turned[] = { second, first };
