--- a/tests/router_site.c
+++ b/tests/router_site.c
@@ -123,8 +123,9 @@
   char *text = talloc_asprintf (
       site,
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"a\","
-      "\"batchSize\":4,\"state\":\"%s\",\"seq\":1}",
-      service, worker_server_port (worker), state);
+      "\"version\":\"%s\",\"batchSize\":4,\"state\":\"%s\",\"seq\":1}",
+      service, worker_server_port (worker), worker_server_version (worker),
+      state);
 
   rows_server_put (site->rows, "servers", "", worker_server_id (worker), text);
   talloc_free (text);
