A stream that has begun goes on at its own software version

Cause: a request whose worker failed went on at the best worker of its service. The choice compared the service, load, health and data centre, and not what the rest of the response depends on: the version that wrote the first events.

Evidence: both cases that the records show have a crash and, 2 ms later, the same request at a worker of another version.

Change: the first events that are forwarded fix the version of the stream, as a digest of service and version. The choice is made among the workers of that version alone, with the mean, ejections and room counted among them. A worker that leaves still serves for a while (drain_ms, filled in by the platform): in the first half of that time it is the last choice for a stream that nobody else may continue. With no worker of the version the response is broken off at once. A worker whose version is unknown continues no stream and its streams end with it.

--- a/src/core/router/fleet.c
+++ b/src/core/router/fleet.c
@@ -134,8 +134,9 @@
     return false;
   entry->hash = text_digest (member->id, 0);
   entry->instance = instance_digest (member);
+  entry->version = mq_fleet_version_digest (member);
   entry->used = true;
-  entry->listed = true;
+  fleet_set_listed (fleet, entry, true);
   entry->seen = true;
   position = (void *)(uintptr_t)(entry - fleet->entries + 1);
   mq_idmap_put (fleet->by_id, mq_id_from_text (member->id), FLEET_BY_ID,
@@ -199,10 +200,16 @@
               const struct mq_fleet_member *member)
 {
   if (tells_version (entry, member))
-    entry->member.version = talloc_strdup (fleet, member->version);
+    {
+      fleet_set_listed (fleet, entry, false);
+      entry->member.version = talloc_strdup (fleet, member->version);
+      entry->version = mq_fleet_version_digest (&entry->member);
+    }
+  if (member->leaving && !entry->member.leaving)
+    entry->leaving_ms = fleet->now_ms;
   entry->member.leaving = member->leaving;
   entry->member.slots = member->slots;
-  entry->listed = true;
+  fleet_set_listed (fleet, entry, true);
   entry->seen = true;
   entry->removal_ms = 0;
 }
@@ -212,12 +219,18 @@
 replace_entry (struct mq_fleet *fleet, struct fleet_entry *entry,
                const struct mq_fleet_member *member)
 {
-  entry->listed = false;
+  fleet_set_listed (fleet, entry, false);
   entry->replaced = true;
   fleet_free_if_idle (fleet, entry);
   return add_entry (fleet, member);
 }
 
+void
+mq_fleet_set_time (struct mq_fleet *fleet, uint64_t now_ms)
+{
+  fleet->now_ms = now_ms;
+}
+
 bool
 mq_fleet_put (struct mq_fleet *fleet, const struct mq_fleet_member *member,
               bool *changed)
@@ -265,7 +278,7 @@
 {
   if (until_ms == 0)
     {
-      entry->listed = false;
+      fleet_set_listed (fleet, entry, false);
       fleet_free_if_idle (fleet, entry);
     }
   else if (entry->removal_ms == 0)
@@ -286,6 +299,7 @@
 void
 mq_fleet_expire (struct mq_fleet *fleet, uint64_t now_ms)
 {
+  fleet->now_ms = now_ms;
   for (size_t i = 0; i < fleet->count; i++)
     {
       struct fleet_entry *entry = &fleet->entries[i];
--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -48,6 +48,9 @@
    contents, without a shorter wait.  With a higher percentage, a worker that
    is loaded beyond the others keeps its programs too long.  */
 #define MQ_FLEET_AFFINITY_QUEUE_PERCENT 50U
+/* Time for which a version counts after its last worker left: longer than any
+   stream and the pauses before its caller resumes it.  */
+#define MQ_FLEET_VERSION_MEMORY_MS 60000U
 
 /**
  * struct mq_fleet_member - registry entry of a worker
@@ -96,6 +99,9 @@
  * @home: worker with the program's cache, from mq_fleet_choose_home; takes
  *        precedence over @key; 0 if none
  * @home_full: @home has just rejected the program, and counts as full
+ * @version: digest of the only version that may serve the request, 0 for any
+ * @drain_ms: time after which a leaving worker may no longer be chosen; 0 if
+ *            it may not at all.  Only for requests with @version
  * @tried: workers that the request was already sent to
  * @now_ms: monotonic clock
  * @random: random number for tie-breaking
@@ -108,6 +114,8 @@
   bool has_key;
   uint64_t home;
   bool home_full;
+  uint64_t version;
+  uint32_t drain_ms;
   const uint32_t *tried;
   size_t tried_count;
   uint64_t now_ms;
@@ -117,6 +125,8 @@
 struct mq_fleet *mq_fleet_create (TALLOC_CTX *ctx);
 void mq_fleet_destroy (struct mq_fleet *fleet);
 
+/* Sets the time of the changes that follow, local monotonic clock.  */
+void mq_fleet_set_time (struct mq_fleet *fleet, uint64_t now_ms);
 /* Adds or updates a worker.  Returns false if out of memory.  *CHANGED, unless
    NULL, is set if the entry changed.
 
@@ -201,6 +211,24 @@
 void mq_fleet_record_load (struct mq_fleet *fleet, uint32_t worker,
                            uint32_t running, uint32_t waiting,
                            uint64_t now_ms);
+/* Versions are told by a digest of the service and the version of its
+   software; 0 if unknown.  */
+
+uint64_t mq_fleet_version_digest (const struct mq_fleet_member *member);
+uint64_t mq_fleet_worker_version (const struct mq_fleet *fleet,
+                                  uint32_t worker);
+/* Version of the worker HOME, as chosen by mq_fleet_choose_home.  */
+uint64_t mq_fleet_home_version (const struct mq_fleet *fleet, uint64_t home);
+/* Version of most workers of SERVICE.  */
+uint64_t mq_fleet_common_version (const struct mq_fleet *fleet,
+                                  const char *service);
+/* The only version that SERVICE has had for MQ_FLEET_VERSION_MEMORY_MS; 0 if
+   there were several, or the service is not known for that long.  */
+uint64_t mq_fleet_sole_version (const struct mq_fleet *fleet,
+                                const char *service, uint64_t now_ms);
+/* Whether a worker of VERSION is listed, even if it is leaving.  */
+bool mq_fleet_has_version (const struct mq_fleet *fleet, const char *service,
+                           uint64_t version);
 /* Number of available workers of SERVICE.  */
 size_t mq_fleet_count (const struct mq_fleet *fleet, const char *service);
 /* Retry delay for callers when no worker of SERVICE has a free slot.  */
--- a/src/core/router/fleet_choice.c
+++ b/src/core/router/fleet_choice.c
@@ -20,8 +20,33 @@
   return false;
 }
 
+/* A leaving worker still serves for a while.  It is chosen for a stream that
+   no other version may continue.
+
+   Failure: all workers of a version leave in a release, and none of its
+   streams is continued although their workers still serve.  */
+static bool
+may_still_serve (const struct fleet_entry *entry,
+                 const struct mq_fleet_query *query)
+{
+  return entry->used && entry->listed && entry->member.leaving
+         && entry->member.address[0] != '\0' && !entry->draining
+         && strcmp (entry->member.service, query->service) == 0
+         && query->now_ms - entry->leaving_ms < query->drain_ms;
+}
+
+static bool
+may_serve (const struct fleet_entry *entry, const struct mq_fleet_query *query)
+{
+  if (query->version == 0)
+    return fleet_is_candidate (entry, query->service);
+  return entry->version == query->version
+         && (fleet_is_candidate (entry, query->service)
+             || may_still_serve (entry, query));
+}
+
 /**
- * struct survey - summary of a service's workers
+ * struct survey - summary of the workers that may serve a request
  * @count: available workers, ejected ones included
  * @ejected: ejected workers
  * @load: sum of their decayed loads
@@ -47,7 +72,7 @@
     {
       const struct fleet_entry *entry = &fleet->entries[i];
 
-      if (!fleet_is_candidate (entry, query->service))
+      if (!may_serve (entry, query))
         continue;
       survey.count++;
       survey.load += fleet_decayed_load (entry, query->now_ms);
@@ -77,7 +102,8 @@
 
 /**
  * struct rank - rank of a worker for a request; the lowest is chosen
- * @group: 0 normal, 1 too far above the mean for affinity, 2 full, 3 ejected
+ * @group: 0 normal, 1 too far above the mean for affinity, 2 full, 3 ejected,
+ *         4 leaving
  * @cost: order within the group
  */
 struct rank
@@ -121,6 +147,8 @@
   uint64_t bound = mean + (uint64_t)MQ_FLEET_AFFINITY_EXCESS_MAX * LOAD_UNIT;
   struct rank rank = { 0, 0 };
 
+  if (entry->member.leaving)
+    return (struct rank){ 4, load };
   if (entry->ejected_until_ms > query->now_ms && !survey->ignore_ejections)
     return (struct rank){ 3, entry->ejected_until_ms };
   if (load >= full_load (query, slots, mean)
@@ -163,7 +191,7 @@
     return MQ_WORKER_NONE;
   entry = fleet_find_hash (fleet, query->home);
   if (entry == NULL || !fleet_is_candidate (entry, query->service)
-      || entry->ejected_until_ms > query->now_ms)
+      || !may_serve (entry, query) || entry->ejected_until_ms > query->now_ms)
     return MQ_WORKER_NONE;
   worker = (uint32_t)(entry - fleet->entries);
   survey.reported
@@ -194,8 +222,7 @@
       const struct fleet_entry *entry = &fleet->entries[i];
       struct rank rank;
 
-      if (!fleet_is_candidate (entry, query->service)
-          || was_tried (query, (uint32_t)i))
+      if (!may_serve (entry, query) || was_tried (query, (uint32_t)i))
         continue;
       rank = rank_worker (entry, query, &survey);
       if (is_better (rank, best))
--- a/src/core/router/fleet_load.c
+++ b/src/core/router/fleet_load.c
@@ -35,8 +35,8 @@
   return estimate > own ? estimate : own;
 }
 
-static struct fleet_service *
-get_service (struct mq_fleet *fleet, const char *service)
+struct fleet_service *
+fleet_get_service (struct mq_fleet *fleet, const char *service)
 {
   struct mq_id id = mq_id_from_text (service);
   struct fleet_service *row = mq_idmap_find (fleet->services, id, 0);
@@ -90,7 +90,7 @@
 
   if (objective_ms == 0)
     return;
-  row = get_service (fleet, entry->member.service);
+  row = fleet_get_service (fleet, entry->member.service);
   mq_recent_add (
       &row->waits, worker,
       (uint32_t)((uint64_t)wait_ms * MQ_FLEET_LOAD_FULL / objective_ms),
@@ -136,8 +136,9 @@
   entry->others = total > entry->own ? total - entry->own : 0;
   entry->reported_ms = now_ms;
   if (entry->member.slots > 0)
-    mq_recent_add (&get_service (fleet, entry->member.service)->loads, worker,
-                   total * MQ_FLEET_LOAD_FULL / entry->member.slots, now_ms);
+    mq_recent_add (&fleet_get_service (fleet, entry->member.service)->loads,
+                   worker, total * MQ_FLEET_LOAD_FULL / entry->member.slots,
+                   now_ms);
 }
 
 void
--- a/src/core/router/fleet_state.h
+++ b/src/core/router/fleet_state.h
@@ -1,8 +1,9 @@
 /* fleet_state.h - internal state of the fleet.
 
    fleet.c owns the table of workers, fleet_load.c their load and
-   fleet_health.c failures and ejection.  fleet_choice.c selects workers and
-   depends on the table and the load.
+   fleet_health.c failures and ejection, fleet_version.c the versions of
+   services.  fleet_choice.c selects workers and depends on the table and the
+   load.
    Needs: fleet.h, idmap.h, recent.h.  */
 
 #ifndef MQ_FLEET_STATE_H
@@ -20,6 +21,9 @@
  * @member: registry entry; the fleet owns its strings
  * @hash: hash of the id
  * @instance: digest of id, start time, service, address and data centre
+ * @version: digest of service and software version, 0 if unknown
+ * @leaving_ms: time since which it has been leaving; 0 if it is not, or since
+ *              before this host knew it
  * @used: the table entry is in use
  * @replaced: a later start has the same id; kept for requests in progress
  * @listed: the worker is in the registry or within its removal delay
@@ -41,6 +45,8 @@
   struct mq_fleet_member member;
   uint64_t hash;
   uint64_t instance;
+  uint64_t version;
+  uint64_t leaving_ms;
   bool used;
   bool replaced;
   bool listed;
@@ -62,14 +68,30 @@
 #define FLEET_BY_HASH 1U
 
 /**
- * struct fleet_service - recent responses of a service's workers
+ * struct fleet_version - one software version of a service
+ * @listed: its workers in the table
+ * @seen_ms: time at which a worker was last added or removed
+ */
+struct fleet_version
+{
+  uint64_t version;
+  uint32_t listed;
+  uint64_t seen_ms;
+};
+
+/**
+ * struct fleet_service - recent responses of a service's workers, and versions
  * @loads: reported load, thousandths of the worker's slots
  * @waits: delay until the response began, thousandths of the objective
+ * @first_ms: time at which its first worker was listed
  */
 struct fleet_service
 {
   struct mq_recent loads;
   struct mq_recent waits;
+  struct fleet_version *versions;
+  size_t version_count;
+  uint64_t first_ms;
 };
 
 /**
@@ -77,6 +99,7 @@
  * @by_id: index of the entry plus one, as a pointer, by id and by hash
  * @services: struct fleet_service by name
  * @free_from: all entries before this index are in use
+ * @now_ms: time of the last mq_fleet_set_time
  */
 struct mq_fleet
 {
@@ -85,6 +108,7 @@
   struct mq_idmap *by_id;
   struct mq_idmap *services;
   size_t free_from;
+  uint64_t now_ms;
 };
 
 /* Whether the worker accepts requests.  */
@@ -99,7 +123,10 @@
 
 /* fleet_load.c */
 
-/* Returns NULL if no worker of SERVICE has reported.  */
+/* Returns the record of SERVICE, which is made if there is none.  */
+struct fleet_service *fleet_get_service (struct mq_fleet *fleet,
+                                         const char *service);
+/* Returns NULL if SERVICE is unknown.  */
 const struct fleet_service *fleet_find_service (const struct mq_fleet *fleet,
                                                 const char *service);
 
@@ -114,4 +141,11 @@
 /* Records that the worker rejected a request for lack of a free slot.  */
 void fleet_mark_full (struct fleet_entry *entry, uint64_t now_ms);
 
+/* fleet_version.c */
+
+/* Sets whether ENTRY is listed, and counts it among the workers of its
+   version.  */
+void fleet_set_listed (struct mq_fleet *fleet, struct fleet_entry *entry,
+                       bool listed);
+
 #endif
--- /dev/null
+++ b/src/core/router/fleet_version.c
@@ -0,0 +1,130 @@
+/* fleet_version.c - software versions of the workers of a service.
+
+   Needs: fleet_state.h, id.h, memory.h.  */
+
+#include "../id.h"
+#include "../memory.h"
+#include "fleet_state.h"
+#include <string.h>
+
+uint64_t
+mq_fleet_version_digest (const struct mq_fleet_member *member)
+{
+  uint64_t digest;
+
+  if (member->version == NULL)
+    return 0;
+  digest = mq_hash_bytes (member->service, strlen (member->service), 0);
+  digest = mq_hash_bytes (member->version, strlen (member->version), digest);
+  return digest == 0 ? 1 : digest;
+}
+
+/* Returns the slot of VERSION; takes one of a version that was seen too long
+   ago to matter, or a new one.  */
+static struct fleet_version *
+get_version (struct mq_fleet *fleet, struct fleet_service *service,
+             uint64_t version)
+{
+  struct fleet_version *unused = NULL;
+
+  for (size_t i = 0; i < service->version_count; i++)
+    {
+      struct fleet_version *slot = &service->versions[i];
+
+      if (slot->version == version)
+        return slot;
+      if (slot->listed == 0
+          && fleet->now_ms - slot->seen_ms > MQ_FLEET_VERSION_MEMORY_MS)
+        unused = slot;
+    }
+  if (unused == NULL)
+    {
+      service->versions = mq_check_alloc (
+          talloc_realloc (service, service->versions, struct fleet_version,
+                          service->version_count + 1));
+      unused = &service->versions[service->version_count++];
+    }
+  *unused = (struct fleet_version){ .version = version };
+  return unused;
+}
+
+void
+fleet_set_listed (struct mq_fleet *fleet, struct fleet_entry *entry,
+                  bool listed)
+{
+  struct fleet_service *service
+      = fleet_get_service (fleet, entry->member.service);
+  struct fleet_version *slot = get_version (fleet, service, entry->version);
+
+  if (service->first_ms == 0)
+    service->first_ms = fleet->now_ms;
+  if (listed && !entry->listed)
+    slot->listed++;
+  else if (!listed && entry->listed)
+    slot->listed--;
+  slot->seen_ms = fleet->now_ms;
+  entry->listed = listed;
+}
+
+uint64_t
+mq_fleet_worker_version (const struct mq_fleet *fleet, uint32_t worker)
+{
+  return fleet->entries[worker].version;
+}
+
+uint64_t
+mq_fleet_home_version (const struct mq_fleet *fleet, uint64_t home)
+{
+  const struct fleet_entry *entry
+      = home == 0 ? NULL : fleet_find_hash (fleet, home);
+
+  return entry == NULL ? 0 : entry->version;
+}
+
+uint64_t
+mq_fleet_common_version (const struct mq_fleet *fleet, const char *service)
+{
+  const struct fleet_service *row = fleet_find_service (fleet, service);
+  struct fleet_version best = { .listed = 0 };
+
+  for (size_t i = 0; row != NULL && i < row->version_count; i++)
+    if (row->versions[i].listed > best.listed)
+      best = row->versions[i];
+  return best.version;
+}
+
+uint64_t
+mq_fleet_sole_version (const struct mq_fleet *fleet, const char *service,
+                       uint64_t now_ms)
+{
+  const struct fleet_service *row = fleet_find_service (fleet, service);
+  uint64_t since = now_ms - MQ_FLEET_VERSION_MEMORY_MS;
+  uint64_t sole = 0;
+
+  if (row == NULL || row->first_ms == 0
+      || now_ms < row->first_ms + MQ_FLEET_VERSION_MEMORY_MS)
+    return 0;
+  for (size_t i = 0; i < row->version_count; i++)
+    {
+      const struct fleet_version *slot = &row->versions[i];
+
+      if (slot->listed == 0 && slot->seen_ms < since)
+        continue;
+      if (sole != 0 || slot->version == 0)
+        return 0;
+      sole = slot->version;
+    }
+  return sole;
+}
+
+bool
+mq_fleet_has_version (const struct mq_fleet *fleet, const char *service,
+                      uint64_t version)
+{
+  const struct fleet_service *row = fleet_find_service (fleet, service);
+
+  for (size_t i = 0; row != NULL && i < row->version_count; i++)
+    if (row->versions[i].version == version)
+      return row->versions[i].listed > 0;
+  return false;
+}
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -20,6 +20,7 @@
  * @table: "IP:PORT" of the platform's table
  * @memory_mb: memory limit of the process, MiB
  * @stop_ms: time limit of a planned stop
+ * @drain_ms: time for which a leaving worker still serves; 0 if unknown
  * @clean_after_ms: uptime after which the process removes expired records
  * @clean_look_ms: interval between searches for expired records
  * @limit_window_ms: window over which an organisation's rate limit applies
@@ -38,6 +39,7 @@
   const char *table;
   uint32_t memory_mb;
   uint32_t stop_ms;
+  uint32_t drain_ms;
   uint32_t clean_after_ms;
   uint32_t clean_look_ms;
   uint32_t limit_window_ms;
--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -138,18 +138,26 @@
   mq_buffer_clear (&body);
 }
 
+/* A stream goes on at the version that began it.
+
+   Failure: the events of two versions don't fit together, and the caller holds
+   them as one whole response.  */
 static uint32_t
 choose_worker (struct mq_request *request, uint64_t now)
 {
   struct mq_fleet_query query = {
     .service = request->service,
     .data_centre = request->router->settings->data_centre,
+    .version = request->version,
+    .drain_ms = request->router->settings->drain_ms / 2U,
     .tried = request->attempted,
     .tried_count = request->attempted_count,
     .now_ms = now,
     .random = mq_random_next (&request->router->random),
   };
 
+  if (request->has_version && request->version == 0)
+    return MQ_WORKER_NONE;
   if (request->is_turn)
     {
       query.home = request->turn.home;
--- a/src/router/router_feed.c
+++ b/src/router/router_feed.c
@@ -70,6 +70,7 @@
   struct mq_fleet_member member;
   TALLOC_CTX *ctx = talloc_new (router);
 
+  mq_fleet_set_time (router->fleet, mq_clock_ms ());
   if (!mq_wire_read_worker (ctx, row->key, row->value, &member, &error))
     drop_worker (router, row->key, &error);
   else if (member.born_ms == 0
@@ -103,6 +104,7 @@
 {
   struct mq_router *router = user;
 
+  mq_fleet_set_time (router->fleet, mq_clock_ms ());
   if (mq_fleet_remove (router->fleet, key, grace_until (router)))
     log_worker (router, MQ_LOG_WORKER_GONE, key, NULL);
 }
@@ -112,6 +114,7 @@
 {
   struct mq_router *router = user;
 
+  mq_fleet_set_time (router->fleet, mq_clock_ms ());
   if (begins)
     {
       mq_fleet_list_begin (router->fleet);
@@ -173,6 +176,7 @@
     mq_config_submit (router, state->config, 0);
   if (state->same_workers)
     return;
+  mq_fleet_set_time (router->fleet, mq_clock_ms ());
   mq_fleet_list_begin (router->fleet);
   for (size_t i = 0; i < state->worker_count; i++)
     put_worker (router, &state->workers[i]);
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -51,6 +51,9 @@
  * @completed_ms: time @response_complete was set
  * @last_event: id of the last event forwarded, or of the one the caller
  *              reported
+ * @has_version: events of the stream were written at @version, so that only
+ *               this version may continue it
+ * @version: digest as in mq_fleet_worker_version; 0 if unknown
  * @tokens_sent: tokens forwarded to the caller
  * @output: data of the forwarded events, for the turn's record
  */
@@ -97,6 +100,8 @@
   bool response_complete;
   uint64_t completed_ms;
   char last_event[EVENT_ID_BYTES];
+  bool has_version;
+  uint64_t version;
   uint64_t tokens_sent;
   struct mq_buffer output;
 };
--- a/src/router/router_stream.c
+++ b/src/router/router_stream.c
@@ -54,9 +54,21 @@
   mq_buffer_append (request, &request->output, "\n", 1, MQ_CHAIN_MAX_BYTES);
 }
 
+/* The first events tell at which version the stream runs.  */
+static void
+note_version (struct mq_request *request)
+{
+  if (request->has_version || !request->route->resumable)
+    return;
+  request->has_version = true;
+  request->version
+      = mq_fleet_worker_version (request->router->fleet, request->worker);
+}
+
 static void
 send_events (struct mq_request *request, const struct mq_buffer *out)
 {
+  note_version (request);
   begin_stream (request);
   if (!mq_caller_send_chunk (request->caller, out->data + out->at, out->len))
     mq_try_set_reading (request->try, false);
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -85,27 +85,35 @@
 
 static struct mq_fleet *fleet;
 
+/* Returns the handle of the worker ID among those that QUERY may choose.  */
 static uint32_t
-handle_of (const char *id)
+find_worker (struct mq_fleet_query *query, const char *id)
 {
-  struct mq_fleet_query query
-      = { .service = "s", .data_centre = "a", .now_ms = 1 };
   uint32_t tried[16];
 
-  query.tried = tried;
-  for (query.tried_count = 0; query.tried_count < 16; query.tried_count++)
+  query->tried = tried;
+  for (query->tried_count = 0; query->tried_count < 16; query->tried_count++)
     {
-      uint32_t worker = mq_fleet_choose (fleet, &query);
+      uint32_t worker = mq_fleet_choose (fleet, query);
 
       if (worker == MQ_WORKER_NONE)
         break;
       if (strcmp (mq_fleet_member (fleet, worker)->id, id) == 0)
         return worker;
-      tried[query.tried_count] = worker;
+      tried[query->tried_count] = worker;
     }
   return MQ_WORKER_NONE;
 }
 
+static uint32_t
+handle_of (const char *id)
+{
+  struct mq_fleet_query query
+      = { .service = "s", .data_centre = "a", .now_ms = 1 };
+
+  return find_worker (&query, id);
+}
+
 static void
 put (const char *id, const char *data_centre, uint32_t slots, bool leaving)
 {
@@ -275,6 +283,160 @@
   cr_expect_eq (mq_fleet_choose (fleet, &query), by_key);
 }
 
+static void
+put_version (const char *id, const char *version, bool leaving)
+{
+  struct mq_fleet_member member = { .id = id,
+                                    .service = "v",
+                                    .address = "127.0.0.1:1",
+                                    .data_centre = "a",
+                                    .version = version,
+                                    .slots = 4,
+                                    .leaving = leaving };
+
+  cr_assert (mq_fleet_put (fleet, &member, NULL));
+}
+
+static uint32_t
+handle_of_version (const char *id)
+{
+  struct mq_fleet_query query
+      = { .service = "v", .data_centre = "a", .now_ms = 1 };
+
+  return find_worker (&query, id);
+}
+
+/* States of the workers x0 (v1), x1 (v1) and x2 (v2).  */
+enum version_state
+{
+  VERSION_READY,
+  VERSION_FULL,
+  VERSION_EJECTED,
+  VERSION_LEAVING,
+  VERSION_LEFT_LONG_AGO,
+  VERSION_GONE
+};
+
+struct version_case
+{
+  const char *name;
+  enum version_state first;
+  enum version_state second;
+  const char *version; /* required; NULL if any */
+  const char *chosen;
+};
+
+#define VERSION_NOW_MS 10000U
+#define VERSION_DRAIN_MS 1000U
+
+static void
+set_version_state (const char *id, enum version_state state)
+{
+  uint64_t since = state == VERSION_LEFT_LONG_AGO
+                       ? VERSION_NOW_MS - VERSION_DRAIN_MS
+                       : VERSION_NOW_MS - VERSION_DRAIN_MS + 1;
+
+  put_version (id, "v1", false);
+  switch (state)
+    {
+    case VERSION_READY:
+      return;
+    case VERSION_FULL:
+      mq_fleet_record_load (fleet, handle_of_version (id), 4, 4,
+                            VERSION_NOW_MS);
+      return;
+    case VERSION_EJECTED:
+      for (int i = 0; i < 2; i++)
+        {
+          uint32_t worker = handle_of_version (id);
+
+          mq_fleet_request_started (fleet, worker);
+          mq_fleet_request_ended (fleet, worker, MQ_OUTCOME_FAILED,
+                                  VERSION_NOW_MS);
+        }
+      return;
+    case VERSION_LEAVING:
+    case VERSION_LEFT_LONG_AGO:
+      mq_fleet_set_time (fleet, since);
+      put_version (id, "v1", true);
+      return;
+    case VERSION_GONE:
+      mq_fleet_remove (fleet, id, 0);
+      return;
+    }
+}
+
+/* Guards against a stream that goes on at another version, or is broken off
+   although a worker of its version still serves.  */
+Test (fleet, choice_within_a_version)
+{
+  static const struct version_case cases[] = {
+    { "other version is idle", VERSION_READY, VERSION_FULL, "v1", "x0" },
+    { "only worker is full", VERSION_FULL, VERSION_GONE, "v1", "x0" },
+    { "only worker is ejected", VERSION_EJECTED, VERSION_GONE, "v1", "x0" },
+    { "full before ejected", VERSION_EJECTED, VERSION_FULL, "v1", "x1" },
+    { "only worker leaves", VERSION_LEAVING, VERSION_GONE, "v1", "x0" },
+    { "ejected before leaving", VERSION_LEAVING, VERSION_EJECTED, "v1", "x1" },
+    { "has left", VERSION_LEFT_LONG_AGO, VERSION_GONE, "v1", "none" },
+    { "none is listed", VERSION_GONE, VERSION_GONE, "v1", "none" },
+    { "unknown version", VERSION_READY, VERSION_READY, "v3", "none" },
+    { "leaving worker gets no new stream", VERSION_LEAVING, VERSION_GONE, NULL,
+      "x2" },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      const struct version_case *row = &cases[i];
+      struct mq_fleet_member wanted
+          = { .service = "v", .version = row->version };
+      struct mq_fleet_query query
+          = { .service = "v",
+              .data_centre = "a",
+              .version = mq_fleet_version_digest (&wanted),
+              .drain_ms = VERSION_DRAIN_MS,
+              .now_ms = VERSION_NOW_MS };
+      uint32_t worker;
+
+      put_version ("x2", "v2", false);
+      set_version_state ("x0", row->first);
+      set_version_state ("x1", row->second);
+      worker = mq_fleet_choose (fleet, &query);
+      cr_assert_str_eq (worker == MQ_WORKER_NONE
+                            ? "none"
+                            : mq_fleet_member (fleet, worker)->id,
+                        row->chosen, "%s", row->name);
+      destroy_fleet ();
+      fleet = mq_fleet_create (NULL);
+    }
+}
+
+/* A service has a sole version once no other one was listed for a while.
+   Guards against taking the version of today for that of an old stream.  */
+Test (fleet, sole_version_of_a_service)
+{
+  uint64_t now = 1000;
+
+  mq_fleet_set_time (fleet, now);
+  put_version ("x0", "v1", false);
+  cr_assert_eq (mq_fleet_sole_version (fleet, "v", now), 0);
+  now += MQ_FLEET_VERSION_MEMORY_MS;
+  cr_assert_neq (mq_fleet_sole_version (fleet, "v", now), 0);
+  cr_assert_eq (mq_fleet_sole_version (fleet, "unknown", now), 0);
+  mq_fleet_set_time (fleet, now);
+  put_version ("x1", "v2", false);
+  cr_assert_eq (mq_fleet_sole_version (fleet, "v", now), 0);
+  now += 2 * MQ_FLEET_VERSION_MEMORY_MS;
+  cr_assert_eq (mq_fleet_sole_version (fleet, "v", now), 0);
+  mq_fleet_set_time (fleet, now);
+  mq_fleet_remove (fleet, "x0", 0);
+  cr_assert_eq (mq_fleet_sole_version (fleet, "v", now), 0);
+  now += MQ_FLEET_VERSION_MEMORY_MS + 1;
+  cr_assert_eq (mq_fleet_sole_version (fleet, "v", now),
+                mq_fleet_common_version (fleet, "v"));
+  put_version ("x3", NULL, false);
+  cr_assert_eq (mq_fleet_sole_version (fleet, "v", now), 0);
+}
+
 struct pressure_case
 {
   const char *name;
