A resumed stream goes on at the software version that began it

What callers saw: a caller takes a stream up after its connection has ended, at any host, and the new part is of another version than the first.

Cause: a request with the id of the last event was placed like a new one; the attempt that it names was not read, and no other host knew where that one ran.

Change: the record of a program names a version when it is created, that of the worker with its cache, and never another one, so that any copy of it is right. A stream that begins at another version gets a row under its attempt's id, which is durable before its first event goes out; so does one whose program has no record, beside the stream. A host that resumes a stream looks in its own memory, then for the row, then at the record, and refuses at once what nobody knows. While the row cannot be written, a stream begins only at the version that the record names. A service that has had one version for a minute needs neither row nor record in an outage.

A resumed stream is never taken for the first turn of a program. A retained turn is not resumed by its caller, since its record would lack the first part.

Calls: none for a stream at its program's version; one write for another, one read for each resumed stream that the host did not serve itself.

--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -1421,7 +1421,7 @@
   (ProtobufCMessageInit) mqrelay__loan_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__loan_told__field_descriptors[10] =
+static const ProtobufCFieldDescriptor mqrelay__loan_told__field_descriptors[11] =
 {
   {
     "id",
@@ -1543,6 +1543,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LoanTold, stream_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__loan_told__field_indices_by_name[] = {
   5,   /* field[5] = history */
@@ -1552,6 +1564,7 @@
   3,   /* field[3] = over */
   7,   /* field[7] = record */
   1,   /* field[1] = run */
+  10,   /* field[10] = stream_version */
   2,   /* field[2] = tokens */
   4,   /* field[4] = turn */
   8,   /* field[8] = version */
@@ -1559,7 +1572,7 @@
 static const ProtobufCIntRange mqrelay__loan_told__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor mqrelay__loan_told__descriptor =
 {
@@ -1569,7 +1582,7 @@
   "Mqrelay__LoanTold",
   "mqrelay",
   sizeof(Mqrelay__LoanTold),
-  10,
+  11,
   mqrelay__loan_told__field_descriptors,
   mqrelay__loan_told__field_indices_by_name,
   1,  mqrelay__loan_told__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -254,10 +254,14 @@
    * the worker @home has just rejected a turn
    */
   protobuf_c_boolean home_full;
+  /*
+   * of the program's record, as in BudgetRow
+   */
+  uint64_t stream_version;
 };
 #define MQRELAY__LOAN_TOLD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__loan_told__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, {0,NULL}, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, {0,NULL}, 0, 0, 0 }
 
 
 /*
--- a/proto/turn.pb-c.c
+++ b/proto/turn.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &mqturn__budget_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mqturn__stream_row__init
+                     (Mqturn__StreamRow         *message)
+{
+  static const Mqturn__StreamRow init_value = MQTURN__STREAM_ROW__INIT;
+  *message = init_value;
+}
+size_t mqturn__stream_row__get_packed_size
+                     (const Mqturn__StreamRow *message)
+{
+  assert(message->base.descriptor == &mqturn__stream_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqturn__stream_row__pack
+                     (const Mqturn__StreamRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqturn__stream_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqturn__stream_row__pack_to_buffer
+                     (const Mqturn__StreamRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqturn__stream_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqturn__StreamRow *
+       mqturn__stream_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqturn__StreamRow *)
+     protobuf_c_message_unpack (&mqturn__stream_row__descriptor,
+                                allocator, len, data);
+}
+void   mqturn__stream_row__free_unpacked
+                     (Mqturn__StreamRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqturn__stream_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mqturn__reserve_row__init
                      (Mqturn__ReserveRow         *message)
 {
@@ -238,7 +283,7 @@
   (ProtobufCMessageInit) mqturn__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqturn__budget_row__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mqturn__budget_row__field_descriptors[6] =
 {
   {
     "limit",
@@ -300,6 +345,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqturn__BudgetRow, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqturn__budget_row__field_indices_by_name[] = {
   2,   /* field[2] = grants */
@@ -307,11 +364,12 @@
   0,   /* field[0] = limit */
   1,   /* field[1] = spent */
   3,   /* field[3] = until_s */
+  5,   /* field[5] = version */
 };
 static const ProtobufCIntRange mqturn__budget_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mqturn__budget_row__descriptor =
 {
@@ -321,13 +379,64 @@
   "Mqturn__BudgetRow",
   "mqturn",
   sizeof(Mqturn__BudgetRow),
-  5,
+  6,
   mqturn__budget_row__field_descriptors,
   mqturn__budget_row__field_indices_by_name,
   1,  mqturn__budget_row__number_ranges,
   (ProtobufCMessageInit) mqturn__budget_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mqturn__stream_row__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqturn__StreamRow, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "until_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqturn__StreamRow, until_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqturn__stream_row__field_indices_by_name[] = {
+  1,   /* field[1] = until_s */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange mqturn__stream_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mqturn__stream_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqturn.StreamRow",
+  "StreamRow",
+  "Mqturn__StreamRow",
+  "mqturn",
+  sizeof(Mqturn__StreamRow),
+  2,
+  mqturn__stream_row__field_descriptors,
+  mqturn__stream_row__field_indices_by_name,
+  1,  mqturn__stream_row__number_ranges,
+  (ProtobufCMessageInit) mqturn__stream_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mqturn__reserve_row__field_descriptors[3] =
 {
   {
--- a/proto/turn.pb-c.h
+++ b/proto/turn.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Mqturn__Grant Mqturn__Grant;
 typedef struct Mqturn__BudgetRow Mqturn__BudgetRow;
+typedef struct Mqturn__StreamRow Mqturn__StreamRow;
 typedef struct Mqturn__ReserveRow Mqturn__ReserveRow;
 typedef struct Mqturn__TurnRow Mqturn__TurnRow;
 
@@ -58,10 +59,35 @@
    * names the worker that has its cache, 0: not told
    */
   uint64_t home;
+  /*
+   * software at which its streams run that have no row of
+   */
+  uint64_t version;
 };
 #define MQTURN__BUDGET_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqturn__budget_row__descriptor) \
-    , 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0 }
+
+
+/*
+ * One resumable stream that runs at another version than its program's record
+ * names.
+ */
+struct  Mqturn__StreamRow
+{
+  ProtobufCMessage base;
+  /*
+   * as in BudgetRow, 0: unknown
+   */
+  uint64_t version;
+  /*
+   * as in BudgetRow
+   */
+  uint64_t until_s;
+};
+#define MQTURN__STREAM_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqturn__stream_row__descriptor) \
+    , 0, 0 }
 
 
 /*
@@ -150,6 +176,25 @@
 void   mqturn__budget_row__free_unpacked
                      (Mqturn__BudgetRow *message,
                       ProtobufCAllocator *allocator);
+/* Mqturn__StreamRow methods */
+void   mqturn__stream_row__init
+                     (Mqturn__StreamRow         *message);
+size_t mqturn__stream_row__get_packed_size
+                     (const Mqturn__StreamRow   *message);
+size_t mqturn__stream_row__pack
+                     (const Mqturn__StreamRow   *message,
+                      uint8_t             *out);
+size_t mqturn__stream_row__pack_to_buffer
+                     (const Mqturn__StreamRow   *message,
+                      ProtobufCBuffer     *buffer);
+Mqturn__StreamRow *
+       mqturn__stream_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqturn__stream_row__free_unpacked
+                     (Mqturn__StreamRow *message,
+                      ProtobufCAllocator *allocator);
 /* Mqturn__ReserveRow methods */
 void   mqturn__reserve_row__init
                      (Mqturn__ReserveRow         *message);
@@ -196,6 +241,9 @@
 typedef void (*Mqturn__BudgetRow_Closure)
                  (const Mqturn__BudgetRow *message,
                   void *closure_data);
+typedef void (*Mqturn__StreamRow_Closure)
+                 (const Mqturn__StreamRow *message,
+                  void *closure_data);
 typedef void (*Mqturn__ReserveRow_Closure)
                  (const Mqturn__ReserveRow *message,
                   void *closure_data);
@@ -210,6 +258,7 @@
 
 extern const ProtobufCMessageDescriptor mqturn__grant__descriptor;
 extern const ProtobufCMessageDescriptor mqturn__budget_row__descriptor;
+extern const ProtobufCMessageDescriptor mqturn__stream_row__descriptor;
 extern const ProtobufCMessageDescriptor mqturn__reserve_row__descriptor;
 extern const ProtobufCMessageDescriptor mqturn__turn_row__descriptor;
 
--- a/src/core/router/budget.c
+++ b/src/core/router/budget.c
@@ -328,6 +328,7 @@
   row.spent = record->spent;
   row.until_s = record->until_s;
   row.home = record->home;
+  row.version = record->stream_version;
   row.n_grants = record->grant_count;
   row.grants = list;
   for (uint32_t i = 0; i < record->grant_count; i++)
@@ -358,6 +359,7 @@
       record->spent = row->spent;
       record->until_s = row->until_s;
       record->home = row->home;
+      record->stream_version = row->version;
       record->grant_count = (uint32_t)row->n_grants;
       for (uint32_t i = 0; i < record->grant_count; i++)
         record->grants[i] = (struct mq_budget_grant){ row->grants[i]->holder,
--- a/src/core/router/budget.h
+++ b/src/core/router/budget.h
@@ -42,6 +42,10 @@
  * @grants: tokens that hosts may generate
  * @until_s: expiry of the record by the table's clock, 0 if unknown
  * @home: worker with the program's cache (mq_fleet_choose_home), 0 if unknown
+ * @stream_version: software version (mq_fleet_worker_version) at which streams
+ *                  without a row of their own run; set when the record is
+ *                  created and never changed, so that a stale copy is right; 0
+ *                  if all streams have a row
  */
 struct mq_budget_record
 {
@@ -51,6 +55,7 @@
   uint32_t grant_count;
   uint64_t until_s;
   uint64_t home;
+  uint64_t stream_version;
 };
 
 /**
--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -226,9 +226,6 @@
    there were several, or the service is not known for that long.  */
 uint64_t mq_fleet_sole_version (const struct mq_fleet *fleet,
                                 const char *service, uint64_t now_ms);
-/* Whether a worker of VERSION is listed, even if it is leaving.  */
-bool mq_fleet_has_version (const struct mq_fleet *fleet, const char *service,
-                           uint64_t version);
 /* Number of available workers of SERVICE.  */
 size_t mq_fleet_count (const struct mq_fleet *fleet, const char *service);
 /* Retry delay for callers when no worker of SERVICE has a free slot.  */
--- a/src/router/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -180,6 +180,7 @@
   to.over = reply->issue_forbidden;
   to.home = reply->home;
   to.home_full = reply->home_full;
+  to.stream_version = reply->stream_version;
   to.turn = text_field (reply->turn);
   to.history.data = reply->history.data;
   to.history.len = reply->history.len;
@@ -453,6 +454,7 @@
     .issue_forbidden = from->over,
     .home = from->home,
     .home_full = from->home_full,
+    .stream_version = from->stream_version,
     .turn = from->turn,
     .history = { from->history.data, from->history.len },
     .record = { from->record.data, from->record.len },
--- a/src/router/relay_frame.h
+++ b/src/router/relay_frame.h
@@ -101,6 +101,7 @@
  * @history: encoded as a row of the table, with the full text
  * @home: worker that holds the program's cache, 0 if unknown
  * @home_full: @home has just rejected a turn of the program as full
+ * @stream_version: as in struct mq_budget_record, 0 if unknown
  * @record: budget record of the program as in the table, empty if unknown
  * @record_version: version of @record
  */
@@ -114,6 +115,7 @@
   struct mq_bytes history;
   uint64_t home;
   bool home_full;
+  uint64_t stream_version;
   struct mq_bytes record;
   uint64_t record_version;
 };
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -229,8 +229,9 @@
   router->pool = mq_pool_create (router, router->ev, router->fleet);
   router->turns = mq_turns_create (router);
   router->permits = mq_permits_create (router);
+  router->streams = mq_streams_create (router);
   return router->table_client != NULL && router->pool != NULL
-         && router->turns != NULL;
+         && router->turns != NULL && router->streams != NULL;
 }
 
 struct mq_router *
--- a/src/router/router_clean.c
+++ b/src/router/router_clean.c
@@ -11,12 +11,15 @@
 #include "net/clock.h"
 #include <stdio.h>
 
+/* Tables with records that expire: programs, turns, streams.  */
+#define TABLES 3U
+
 /* Records per read, and per transaction that removes them.  */
 #define SCAN_ROWS (MQ_ROWS_ENTRIES_MAX / 2U)
 
 /**
  * struct mq_cleaner - position of this host's scan
- * @part: index over the parts of both tables
+ * @part: index over the parts of all tables
  * @from: first key of the next scan
  * @next_ms: time of the next scan
  * @busy: a scan or removal is in flight
@@ -33,7 +36,10 @@
 static const char *
 table_of (const struct mq_cleaner *cleaner)
 {
-  return cleaner->part < MQ_TURN_PARTS ? mq_budget_table : mq_turn_table;
+  const char *const tables[TABLES]
+      = { mq_budget_table, mq_turn_table, mq_stream_table };
+
+  return tables[cleaner->part / MQ_TURN_PARTS];
 }
 
 static void
@@ -46,10 +52,17 @@
 row_until (const struct mq_cleaner *cleaner, struct mq_bytes value)
 {
   struct mq_budget_record record;
+  struct mq_stream_row stream;
 
-  if (cleaner->part >= MQ_TURN_PARTS)
-    return mq_chain_row_expiry_s (value);
-  return mq_budget_unpack (value, &record) ? record.until_s : 0;
+  switch (cleaner->part / MQ_TURN_PARTS)
+    {
+    case 0:
+      return mq_budget_unpack (value, &record) ? record.until_s : 0;
+    case 1:
+      return mq_chain_row_expiry_s (value);
+    default:
+      return mq_stream_row_unpack (value, &stream) ? stream.until_s : 0;
+    }
 }
 
 static void
@@ -69,7 +82,7 @@
 {
   if (result->row_count < SCAN_ROWS)
     {
-      cleaner->part = (cleaner->part + 1) % (2 * MQ_TURN_PARTS);
+      cleaner->part = (cleaner->part + 1) % (TABLES * MQ_TURN_PARTS);
       cleaner->from[0] = '\0';
       return;
     }
@@ -133,7 +146,7 @@
   if (cleaner == NULL)
     return NULL;
   cleaner->router = router;
-  cleaner->part = mq_random_below (&router->random, 2 * MQ_TURN_PARTS);
+  cleaner->part = mq_random_below (&router->random, TABLES * MQ_TURN_PARTS);
   cleaner->next_ms = mq_clock_ms () + router->settings->clean_after_ms;
   return cleaner;
 }
--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -173,21 +173,34 @@
 refuse_no_worker_left (struct mq_request *request)
 {
   if (request->response_begun)
-    request_abort (request, "no_worker");
+    request_abort (request,
+                   request->has_version ? "version_gone" : "no_worker");
   else if (request->may_have_run)
     request_refuse (request, MQ_REFUSE_FAILED);
   else if (request->attempted_count > 0)
     request_refuse (request, MQ_REFUSE_NO_CAPACITY);
+  else if (request->has_version)
+    {
+      request->router->counters.streams_refused++;
+      request_refuse (request, MQ_REFUSE_VERSION_GONE);
+    }
   else
     request_refuse (request, MQ_REFUSE_NO_WORKER);
 }
 
-static void
-on_try_ended (enum mq_attempt_end end, void *user)
+void
+request_on_try_ended (enum mq_attempt_end end, void *user)
 {
   struct mq_request *request = user;
 
   request->try = NULL;
+  if (request->row_write != NULL)
+    {
+      request->has_held_end = true;
+      request->held_end = end;
+      request->may_have_run = true;
+      return;
+    }
   switch (end)
     {
     case MQ_ATTEMPT_STREAMED:
@@ -232,7 +245,7 @@
     .begun = request->response_begun,
     .may_buffer = may_buffer,
     .events = request_forward_events,
-    .ended = on_try_ended,
+    .ended = request_on_try_ended,
     .user = request,
   };
 
@@ -286,6 +299,8 @@
   uint64_t now = mq_clock_ms ();
   uint32_t worker;
 
+  if (!request_resolve_version (request))
+    return;
   if (!request->permitted)
     {
       request_acquire_permit (request);
--- a/src/router/router_handover.c
+++ b/src/router/router_handover.c
@@ -40,7 +40,8 @@
       = { .program = program->id,
           .turn = "",
           .home = program->home,
-          .home_full = mq_program_home_is_full (program) };
+          .home_full = mq_program_home_is_full (program),
+          .stream_version = mq_program_stream_version (program) };
   const char *address;
   TALLOC_CTX *ctx;
   bool sent;
--- a/src/router/router_identify.c
+++ b/src/router/router_identify.c
@@ -31,6 +31,8 @@
   request->turn_id = plain ? fields->id : scoped (request, fields->id);
   request->previous
       = plain ? fields->previous : scoped (request, fields->previous);
+  request->resumes
+      = plain ? fields->resumes : scoped (request, fields->resumes);
 }
 
 enum request_identity
@@ -55,7 +57,7 @@
 request_begins_program (const struct mq_request *request)
 {
   return request->route->kind == MQ_ROUTE_STREAM && request->fields.main_line
-         && request->previous == NULL
+         && request->previous == NULL && request->fields.last_event == NULL
          && !mq_turns_has_program (request->router->turns, request->program);
 }
 
--- a/src/router/router_loan.c
+++ b/src/router/router_loan.c
@@ -308,7 +308,8 @@
 {
   struct mq_program *program = NULL;
 
-  if (reply->tokens > 0 || reply->home != 0 || reply->record.len > 0)
+  if (reply->tokens > 0 || reply->home != 0 || reply->stream_version != 0
+      || reply->record.len > 0)
     program = mq_program_get_or_create (turns, reply->program);
   if (program != NULL)
     {
@@ -319,6 +320,8 @@
         program->home = reply->home;
       if (reply->home_full)
         program->home_full_ms = mq_clock_ms ();
+      if (reply->stream_version != 0)
+        program->told_version = reply->stream_version;
       mq_program_adopt_record (program, reply->record, reply->record_version);
     }
   if (reply->turn[0] != '\0')
@@ -436,6 +439,7 @@
     {
       reply.home = program->home;
       reply.home_full = mq_program_home_is_full (program);
+      reply.stream_version = mq_program_stream_version (program);
     }
   if (request->tokens > 0)
     lend_tokens (router, request, &reply);
--- a/src/router/router_program.c
+++ b/src/router/router_program.c
@@ -221,6 +221,8 @@
   struct mq_bytes value;
 
   program->next.home = program->home;
+  if (program->budget.version == 0)
+    program->next.stream_version = program->first_version;
   program->next.until_s = mq_turns_expiry_s (program->turns, 0);
   value = mq_budget_pack (program, &program->next);
   entry.value = value;
@@ -243,6 +245,14 @@
          && mq_clock_ms () - program->home_full_ms < HOME_FULL_MS;
 }
 
+uint64_t
+mq_program_stream_version (const struct mq_program *program)
+{
+  if (program->budget.version == 0)
+    return program->told_version;
+  return program->budget.record.stream_version;
+}
+
 void
 mq_turn_home_rejected (struct mq_turn *turn)
 {
@@ -378,6 +388,8 @@
   program->limit = turn->limit;
   if (program->home == 0)
     program->home = turn->home;
+  if (program->first_version == 0)
+    program->first_version = turn->first_version;
   turn->owner = program;
   turn->queued = true;
   for (at = &program->waiting; *at != NULL; at = &(*at)->next)
--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -111,6 +111,7 @@
   mq_config_cancel_fetch (request->config_waiter);
   mq_permit_cancel (request->permit);
   mq_table_client_cancel (request->record_call);
+  request_cancel_row_calls (request);
   if (request->is_turn)
     {
       mq_turn_settle_budget (&request->turn, request->tokens_sent);
@@ -265,6 +266,7 @@
     .retain_s = request->route->retain_s,
     .may_borrow = runs,
     .home = request->home,
+    .first_version = request_first_version (request),
     .notify = on_turn_state,
     .user = request,
   };
@@ -408,6 +410,8 @@
       request_refuse (request, MQ_REFUSE_BAD_REQUEST);
       return;
     }
+  if (request->fields.resumes != NULL && !id_fits (request->fields.resumes))
+    request->fields.resumes = NULL;
   if (request->fields.last_event != NULL)
     snprintf (request->last_event, sizeof request->last_event, "%s",
               request->fields.last_event);
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -1,6 +1,6 @@
 /* router_request.h - state and steps of one request, shared by
    router_request.c, router_admit.c, router_dispatch.c, router_identify.c,
-   router_limit.c and router_stream.c only.
+   router_limit.c, router_stream.c and router_version.c only.
 
    Needs: router_state.h, router_try.h.  */
 
@@ -23,6 +23,7 @@
  * @program: stored id of the program; NULL if none
  * @turn_id: stored id of the turn
  * @previous: stored id of the turn this one continues; NULL if none
+ * @resumes: stored id of the stream that the caller resumes; NULL if none
  * @begins_program: as far as this host knows, the program's first turn
  * @config_waiter: pending query for the latest configuration; NULL if none
  * @service_load: load of the service when the program asked to begin, in
@@ -53,7 +54,13 @@
  *              reported
  * @has_version: events of the stream were written at @version, so that only
  *               this version may continue it
- * @version: digest as in mq_fleet_worker_version; 0 if unknown
+ * @version: digest as in mq_fleet_worker_version; 0 if unknown.  Without
+ *           @has_version: the only version that may begin the stream, 0 if any
+ * @restricted: that version was chosen since the stream gets no row
+ * @row_read: pending read of the stream's row; NULL if none
+ * @row_write: write of the row that @held waits for; NULL if none
+ * @held: events to forward once the row is written
+ * @has_held_end: the attempt ended meanwhile, as @held_end
  * @tokens_sent: tokens forwarded to the caller
  * @output: data of the forwarded events, for the turn's record
  */
@@ -72,6 +79,7 @@
   const char *program;
   const char *turn_id;
   const char *previous;
+  const char *resumes;
   bool begins_program;
   struct mq_config_waiter *config_waiter;
   uint32_t service_load;
@@ -102,6 +110,12 @@
   char last_event[EVENT_ID_BYTES];
   bool has_version;
   uint64_t version;
+  bool restricted;
+  struct mq_table_client_call *row_read;
+  struct mq_row_write *row_write;
+  struct mq_buffer held;
+  bool has_held_end;
+  enum mq_attempt_end held_end;
   uint64_t tokens_sent;
   struct mq_buffer output;
 };
@@ -180,6 +194,8 @@
 /* Sends the request to the best worker not tried yet.  */
 void request_dispatch (struct mq_request *request);
 void request_count_served (const struct mq_request *request);
+/* The attempt at a worker has ended.  */
+void request_on_try_ended (enum mq_attempt_end end, void *request);
 
 /* router_admit.c */
 
@@ -196,5 +212,21 @@
 void request_end_stream (struct mq_request *request);
 /* Ends the response.  */
 void request_finish_stream (struct mq_request *request);
+/* The row that the first events waited for is durable if STORED; else they
+   are not forwarded.  */
+void request_on_row_written (struct mq_request *request, bool stored);
+
+/* router_version.c */
+
+/* Determines the version that may serve the request.  Returns false if the
+   request was refused, or if request_dispatch follows once the version is
+   known.  */
+bool request_resolve_version (struct mq_request *request);
+/* The first events of the stream have arrived.  If @row_write is set then,
+   they wait for request_on_row_written.  */
+void request_note_version (struct mq_request *request);
+/* Version for the record of the request's program if it has none yet.  */
+uint64_t request_first_version (const struct mq_request *request);
+void request_cancel_row_calls (struct mq_request *request);
 
 #endif
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -23,6 +23,7 @@
 #include "core/idmap.h"
 #include "core/router/recent.h"
 #include "core/router/reserve.h"
+#include "core/router/streams.h"
 #include "core/router/route.h"
 #include "net/buffer.h"
 #include "net/http_message.h"
@@ -48,6 +49,10 @@
   X (unanswered, "requests cut off by this host before their final answer")   \
   X (retries, "further workers asked for a request")                          \
   X (resumed, "streams that went on at another worker")                       \
+  X (streams_taken_up, "streams that callers resumed")                        \
+  X (streams_refused, "of them refused, their version unknown or gone")       \
+  X (stream_writes, "rows of streams written")                                \
+  X (stream_reads, "rows of streams read")                                    \
   X (budget_writes, "records of programs written")                            \
   X (turn_writes, "records of turns written")                                 \
   X (turn_reads, "records of turns read")                                     \
@@ -74,6 +79,7 @@
 
 struct mq_caller;
 struct mq_request;
+struct mq_streams;
 struct mq_turns;
 struct mq_config_load;
 struct mq_config_query;
@@ -94,6 +100,7 @@
  * @config_loading: configuration being loaded, first of a list; NULL if none
  * @config_query: query for the latest configuration; NULL before the first one
  * @workers_listed: the list of workers was received
+ * @streams: versions of the streams that this host served
  * @stopping: a stop was requested
  * @ending: the time of a stop is over; every request is answered at once
  * @stopped: the stop is complete
@@ -132,6 +139,7 @@
   struct mq_permits *permits;
   struct mq_issuing *issuing;
   struct mq_cleaner *cleaner;
+  struct mq_streams *streams;
   struct mq_route_table *routes;
   struct mq_bytes config;
   struct mq_config_load *config_loading;
@@ -191,6 +199,8 @@
   MQ_REFUSE_NOT_READY,
   MQ_REFUSE_EXITING, /* the time of a stop is over */
   MQ_REFUSE_NO_WORKER,
+  MQ_REFUSE_VERSION_GONE,   /* no worker of the resumed stream's version */
+  MQ_REFUSE_STREAM_UNKNOWN, /* the resumed stream's version is unknown */
   MQ_REFUSE_NO_CAPACITY,
   MQ_REFUSE_NO_MEMORY,  /* buffered bytes are at their limit */
   MQ_REFUSE_OVERLOADED, /* a new program, because of the load */
@@ -289,6 +299,7 @@
    share one.  */
 extern const char mq_budget_table[];
 extern const char mq_turn_table[];
+extern const char mq_stream_table[];
 #define MQ_TURN_PARTS 8U
 /* Parts in which the row of a turn may be stored.  More of them tolerate more
    unavailable parts but cost an extra read for turns that do not exist.  */
@@ -322,6 +333,10 @@
  * @home: engine that caches the program, or is assigned to a new one; 0 if
  *        unknown
  * @home_full: @home has just rejected a turn of the program
+ * @first_version: version for the program's record if it has none
+ * @stream_version: software version at which the program's streams run unless
+ *                  a row of their own names another; 0 if no durable record
+ *                  names one.  Valid once the turn is ready
  * @history: chain up to @previous, set when the turn is ready; NULL if none
  * @notify: called once for mq_turn_prepare and once for mq_turn_store
  * @record_writes: writes of the record, retries included
@@ -340,6 +355,8 @@
   uint64_t granted;
   uint64_t home;
   bool home_full;
+  uint64_t first_version;
+  uint64_t stream_version;
   struct mq_chain *history;
   void (*notify) (enum mq_turn_state state, void *user);
   void *user;
--- a/src/router/router_stream.c
+++ b/src/router/router_stream.c
@@ -54,24 +54,40 @@
   mq_buffer_append (request, &request->output, "\n", 1, MQ_CHAIN_MAX_BYTES);
 }
 
-/* The first events tell at which version the stream runs.  */
 static void
-note_version (struct mq_request *request)
+forward (struct mq_request *request, const struct mq_buffer *out)
 {
-  if (request->has_version || !request->route->resumable)
-    return;
-  request->has_version = true;
-  request->version
-      = mq_fleet_worker_version (request->router->fleet, request->worker);
+  begin_stream (request);
+  if (!mq_caller_send_chunk (request->caller, out->data + out->at, out->len)
+      && request->try != NULL)
+    mq_try_set_reading (request->try, false);
 }
 
 static void
 send_events (struct mq_request *request, const struct mq_buffer *out)
 {
-  note_version (request);
-  begin_stream (request);
-  if (!mq_caller_send_chunk (request->caller, out->data + out->at, out->len))
-    mq_try_set_reading (request->try, false);
+  request_note_version (request);
+  if (request->row_write != NULL)
+    mq_buffer_add (request, &request->held, out->data + out->at, out->len);
+  else
+    forward (request, out);
+}
+
+void
+request_on_row_written (struct mq_request *request, bool stored)
+{
+  struct mq_buffer held = request->held;
+
+  if (!stored)
+    {
+      request_refuse (request, MQ_REFUSE_FAILED);
+      return;
+    }
+  request->held = (struct mq_buffer){ NULL, 0, 0, 0 };
+  forward (request, &held);
+  mq_buffer_clear (&held);
+  if (request->has_held_end)
+    request_on_try_ended (request->held_end, request);
 }
 
 /* Forwards all complete events in one write.  */
--- a/src/router/router_turn.c
+++ b/src/router/router_turn.c
@@ -64,6 +64,8 @@
 void
 mq_turn_notify (struct mq_turn *turn, enum mq_turn_state state)
 {
+  if (state == MQ_TURN_READY && turn->owner != NULL)
+    turn->stream_version = mq_program_stream_version (turn->owner);
   turn->notify (state, turn->user);
 }
 
--- a/src/router/router_turns.h
+++ b/src/router/router_turns.h
@@ -1,6 +1,6 @@
 /* router_turns.h - budgets, histories, loans and handovers of programs, shared
-   by router_turn.c, router_retry.c, router_program.c, router_loan.c and
-   router_handover.c only.
+   by router_turn.c, router_retry.c, router_program.c, router_loan.c,
+   router_handover.c and, for parts and retries, router_version.c only.
 
    Needs: router_state.h.  */
 
@@ -22,6 +22,9 @@
  * @retry: pending retry of a call; NULL if none
  * @holder: id of this host's grant
  * @home: engine that caches the program; 0 if unknown
+ * @first_version: @stream_version of the record if this host creates it
+ * @told_version: @stream_version of the record, as another host told it; 0 if
+ *                none did
  * @home_full_ms: when @home last rejected a turn as full, local monotonic
  *                clock; 0 if never
  * @limit: token limit, as sent with the latest turn
@@ -46,6 +49,8 @@
   struct mq_retry *retry;
   uint64_t holder;
   uint64_t home;
+  uint64_t first_version;
+  uint64_t told_version;
   uint64_t home_full_ms;
   uint64_t limit;
   uint32_t running;
@@ -105,6 +110,9 @@
 void mq_program_reserve (struct mq_turn *turn);
 /* Whether the home of PROGRAM has just rejected a turn as full.  */
 bool mq_program_home_is_full (const struct mq_program *program);
+/* Version of the durable record of PROGRAM, as in struct mq_budget_record; 0
+   if there is none or it is unknown.  */
+uint64_t mq_program_stream_version (const struct mq_program *program);
 /* The recall of unused tokens of PROGRAM is complete.  */
 void mq_program_on_recall_done (struct mq_program *program);
 /* Removes TURN from the queue of its program.  */
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -280,7 +280,8 @@
     {
       if (site->routers[i] == NULL)
         edge_start (site, i);
-      EDGE_WAIT (site, !mq_table_client_down (site->routers[i]->table_client));
+      EDGE_WAIT (site, !mq_rows_down (site->routers[i]->rows)
+                           && mq_rows_feeds_healthy (site->routers[i]->rows));
     }
 }
 
