Soak: workers of several versions, streams that last, callers that take them up

The soak could not show the incident: its workers had no version, its streams were sent in one go, and a caller never resumed one. Checked over all attempts: one version, no event missing or repeated; and of streams that are taken up while nothing else is wrong at least half as many go on as new ones begin.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -3,7 +3,7 @@
 
    usage: soak ROUTERD SEED [SECONDS [HOSTS]]
    SOAK_PLANT injects a bug that the soak must detect: twice, refused, history,
-   lost, overspend, unanswered or limit.
+   lost, overspend, unanswered, limit or version.
    Needs: soak.h.  */
 
 #include "soak.h"
@@ -145,8 +145,10 @@
     rows_server_lose_rows (soak->rows, "budget");
   if (strcmp (plant, "history") == 0)
     rows_server_overwrite_values (soak->rows, "turn");
+  if (strcmp (plant, "version") == 0)
+    rows_server_lose_rows (soak->rows, "stream");
   if (strcmp (plant, "lost") == 0 || strcmp (plant, "history") == 0
-      || strcmp (plant, "overspend") == 0)
+      || strcmp (plant, "overspend") == 0 || strcmp (plant, "version") == 0)
     for (int i = 0; i < soak->host_count; i++)
       soak_kill_host (&soak->hosts[i]);
   if (strcmp (plant, "unanswered") == 0)
@@ -214,14 +216,17 @@
   run_for (soak, (uint64_t)seconds * 1000);
   check_recovery (soak);
   soak_check_limits (soak);
+  soak_check_streams (soak);
   soak_kill_hosts (soak);
-  printf (
-      "soak: seed %lu: %u faults, %u answers, %u refusals, %u broken, "
-      "%u programs finished, %u spent, %u failed, held up for %lu ms at "
-      "most: %s\n",
-      (unsigned long)soak->seed, soak->injected, soak->answers, soak->refusals,
-      soak->aborted, soak->finished, soak->budget_exhausted, soak->failed,
-      (unsigned long)soak->held_max_ms, soak->failures == 0 ? "ok" : "FAILED");
+  printf ("soak: seed %lu: %u faults, %u answers, %u refusals, %u broken, "
+          "%u programs finished, %u spent, %u failed, %u of %u streams begun, "
+          "%u of %u taken up, held up for %lu ms at most: %s\n",
+          (unsigned long)soak->seed, soak->injected, soak->answers,
+          soak->refusals, soak->aborted, soak->finished,
+          soak->budget_exhausted, soak->failed, soak->begun.served,
+          soak->begun.sent, soak->taken_up.served, soak->taken_up.sent,
+          (unsigned long)soak->held_max_ms,
+          soak->failures == 0 ? "ok" : "FAILED");
   remove_files (soak);
   if (soak->failures == 0)
     return EXIT_SUCCESS;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -102,6 +102,11 @@
  * @input: input of the current turn
  * @previous: id of the last completed turn
  * @history: inputs and answers so far, for a retained program
+ * @stream: attempt that brought the first event of the current turn
+ * @events: complete events of that turn received, over all attempts
+ * @version: software version that wrote them; "" if unknown
+ * @takes_up: the attempt resumes the stream
+ * @counted: the attempt counts for the share of streams that begin or go on
  */
 struct program
 {
@@ -121,6 +126,11 @@
   char input[32];
   char previous[32];
   struct mq_buffer history;
+  uint32_t stream;
+  int events;
+  char version[16];
+  bool takes_up;
+  bool counted;
   struct mq_http_conn *lane;
   struct mq_timer *timer;
   struct mq_timer *response_timer;
@@ -134,6 +144,13 @@
   struct mq_buffer body;
 };
 
+/* Streams that were sent and those of them that brought an event.  */
+struct share
+{
+  uint32_t sent;
+  uint32_t served;
+};
+
 /**
  * struct soak - state of one run
  * @releases_only: hosts are stopped by SIGTERM alone
@@ -141,6 +158,9 @@
  * @release_left: hosts that are still to be terminated, 0 if none is under way
  * @table_fault: the table has a fault
  * @llm_fault_ms: last time at which a worker of turns had a fault
+ * @worker_starts: starts of workers so far, for their ids
+ * @begun: new streams; @taken_up: streams that callers resumed.  Without
+ *         faults, and while two workers of the version serve
  * @failures: violations, @cut of them streams that were cut
  * @held_ms: last delay of the soak's own event loop, seen at @held_at_ms
  */
@@ -157,6 +177,7 @@
   struct rows_server *rows;
   struct worker_server *llm[WORKERS];
   struct worker_server *app[WORKERS];
+  bool llm_ready[WORKERS];
   struct proxy *llm_proxy[WORKERS];
   struct proxy *app_proxy[WORKERS];
   struct worker_plan llm_plan;
@@ -173,6 +194,9 @@
   int release_left;
   bool table_fault;
   uint64_t llm_fault_ms;
+  uint32_t worker_starts;
+  struct share begun;
+  struct share taken_up;
   uint64_t tick_due_ms;
   uint64_t held_at_ms;
   uint64_t held_ms;
@@ -200,6 +224,11 @@
 void soak_kill_hosts (struct soak *soak);
 void soak_register_worker (struct soak *soak, bool llm, int index,
                            const char *state);
+/* Crashes worker INDEX of the turns, which starts again at a random version.
+   The registry learns of it at once or later.  */
+void soak_release_worker (struct soak *soak, int index);
+/* Number of workers of the turns that are listed as ready at VERSION.  */
+int soak_count_version (const struct soak *soak, const char *version);
 
 /* soak_config.c */
 extern const struct org_limit soak_org_limits[ORGS];
@@ -222,6 +251,10 @@
 /* Fails if the host owes an answer to the program's request.  */
 void soak_check_unanswered (struct program *program);
 void soak_check_limits (struct soak *soak);
+/* Whether an attempt sent now counts for the share of streams served.  */
+bool soak_counts_stream (const struct program *program);
+/* Fails if fewer streams go on than half of those that begin.  */
+void soak_check_streams (struct soak *soak);
 
 /* soak_caller.c */
 void soak_start_program (struct soak *soak, int index);
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -11,8 +11,12 @@
 #define RESPONSE_TIMEOUT_MS 6000U
 #define ATTEMPTS_MAX 40
 #define EVENTS 4
+/* One caller in so many leaves during a stream, so long after some data.  */
+#define LEAVE_EACH 4U
+#define LEAVE_MS 5U
 
 static void send_step (struct program *program);
+static void on_abort (struct program *program);
 
 static struct record *
 find_record (struct soak *soak, const char *id)
@@ -130,49 +134,72 @@
   schedule_step (program, ms);
 }
 
-static int
-count_events (struct program *program, bool *ordered)
-{
-  const char *at = mq_buffer_text (&program->body);
-  int count = 0;
-
-  *ordered = true;
-  while ((at = strstr (at, "id: ")) != NULL)
-    {
-      if (atoi (at + 4) != ++count)
-        *ordered = false;
-      at += 4;
-    }
-  return count;
-}
-
 static bool
 is_turn (const struct program *program)
 {
   return program->kind == KIND_TURN || program->kind == KIND_RETAINED;
 }
 
+/* An event that has arrived whole fixes the version of its stream.  */
+static void
+check_version (struct program *program, const char *event)
+{
+  char version[16] = "";
+
+  sscanf (event, "id: %*d\ndata: e%*d@%15[^\n]", version);
+  if (program->events == 0)
+    {
+      program->stream = program->attempt;
+      snprintf (program->version, sizeof program->version, "%s", version);
+    }
+  if (strcmp (program->version, version) != 0)
+    soak_fail (program->soak, "a stream holds events of two versions",
+               program->id);
+  program->events++;
+}
+
+/* Adds the events of the attempt to those of the stream.  */
 static void
 check_events (struct program *program, bool whole)
 {
-  bool ordered;
-  int count = count_events (program, &ordered);
+  const char *at = mq_buffer_text (&program->body);
+  int last = program->takes_up ? program->events : 0;
+  bool ordered = true;
 
-  program->tokens_received += (uint64_t)count * 2;
+  if (!program->takes_up)
+    program->events = 0;
+  for (; (at = strstr (at, "id: ")) != NULL; at += 4)
+    {
+      ordered = ordered && atoi (at + 4) == ++last;
+      program->tokens_received += 2;
+      if (strstr (at, "\n\n") != NULL)
+        check_version (program, at);
+    }
   if (!ordered)
     soak_fail (program->soak, "events are missing or repeated", program->id);
-  if (whole && count != EVENTS)
+  if (whole && last != EVENTS)
     soak_fail (program->soak, "an incomplete stream ended as complete",
                program->id);
 }
 
+/* The turn is over, or begins anew.  */
+static void
+forget_stream (struct program *program)
+{
+  program->events = 0;
+  program->takes_up = false;
+}
+
 static void
 finish_turn (struct program *program)
 {
-  static const char answer[] = "e1\ne2\ne3\ne4\n";
+  char answer[128];
 
   if (program->kind != KIND_RETAINED)
     return;
+  snprintf (answer, sizeof answer, "e1@%s\ne2@%s\ne3@%s\ne4@%s\n",
+            program->version, program->version, program->version,
+            program->version);
   mq_buffer_append (program->soak->ev, &program->history, program->input,
                     strlen (program->input), SIZE_MAX);
   mq_buffer_append (program->soak->ev, &program->history, answer,
@@ -181,6 +208,21 @@
             program->attempt);
 }
 
+/* Counts whether the attempt brought an event.  */
+static void
+count_stream (struct program *program)
+{
+  struct share *share
+      = program->takes_up ? &program->soak->taken_up : &program->soak->begun;
+
+  if (!program->counted)
+    return;
+  program->counted = false;
+  share->sent++;
+  share->served
+      += strstr (mq_buffer_text (&program->body), "id: ") != NULL ? 1U : 0U;
+}
+
 /* Schedules the next turn, or a tool call before it.  */
 static void
 next_step (struct program *program)
@@ -189,6 +231,7 @@
   bool turn = is_turn (program) || program->plain;
 
   program->attempts = 0;
+  forget_stream (program);
   mq_buffer_clear (&program->body);
   if (turn && --program->turns <= 0)
     {
@@ -211,6 +254,7 @@
   char expected[32];
 
   program->soak->answers++;
+  count_stream (program);
   if (is_turn (program))
     {
       check_events (program, true);
@@ -236,6 +280,9 @@
   snprintf (id, sizeof id, "q%u", program->attempt);
   soak->refusals++;
   record->refused = true;
+  count_stream (program);
+  /* The turn is sent again from its start.  */
+  forget_stream (program);
   if (soak->plant != NULL && strcmp (soak->plant, "refused") == 0
       && soak_random_below (soak, 5) == 0)
     record->runs++;
@@ -273,6 +320,7 @@
     case 500:
     case 502:
     case 504:
+      count_stream (program);
       program->soak->aborted++;
       retry_step (program, 50);
       return;
@@ -294,12 +342,28 @@
   return true;
 }
 
+static void
+on_leave (void *data)
+{
+  struct program *program = data;
+
+  program->timer = NULL;
+  if (program->response_timer != NULL)
+    on_abort (program);
+}
+
+/* Some callers lose their connection in the middle of a stream.  */
 static void
 on_body (const char *data, size_t len, void *user)
 {
   struct program *program = user;
 
   mq_buffer_append (program->soak->ev, &program->body, data, len, SIZE_MAX);
+  if (program->kind == KIND_TURN && program->status == 200
+      && program->timer == NULL
+      && soak_random_below (program->soak, LEAVE_EACH) == 0)
+    program->timer = mq_timer_add (program->soak->ev, program->soak->ev,
+                                   LEAVE_MS, on_leave, program);
 }
 
 static void
@@ -321,6 +385,8 @@
   program->soak->aborted++;
   if (is_turn (program) && program->status == 200)
     check_events (program, false);
+  program->counted = program->counted && program->status == 200;
+  count_stream (program);
   retry_step (program, 100 + soak_random_below (program->soak, 300));
 }
 
@@ -365,6 +431,10 @@
   if (program->kind == KIND_RETAINED && program->previous[0] != '\0')
     extra = talloc_asprintf_append (extra, "X-Previous-Turn: %s\r\n",
                                     program->previous);
+  if (program->takes_up)
+    extra = talloc_asprintf_append (extra,
+                                    "Last-Event-Id: %d\r\nResumes: q%u\r\n",
+                                    program->events, program->stream);
   if (!program->plain)
     extra
         = talloc_asprintf_append (extra, "X-Program-Id: %s\r\n", program->id);
@@ -401,6 +471,7 @@
                          .org = (uint8_t)program->org };
   snprintf (program->input, sizeof program->input, "i%u;", program->attempt);
   program->status = 0;
+  program->takes_up = program->kind == KIND_TURN && program->events > 0;
   if (program->lane == NULL)
     {
       snprintf (address, sizeof address, "127.0.0.1:%u",
@@ -414,6 +485,8 @@
       retry_step (program, 100);
       return;
     }
+  program->counted
+      = program->kind == KIND_TURN && soak_counts_stream (program);
   head = make_head (program);
   program->sent_ms = mq_clock_ms ();
   program->response_timer = mq_timer_add (
--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -123,6 +123,46 @@
              text);
 }
 
+/* Time after a fault of the table until its hosts are in touch again.  */
+#define CONTACT_MS 3000U
+/* Resumed streams from which on their share is judged.  */
+#define TAKEN_UP_MIN 12U
+
+bool
+soak_counts_stream (const struct program *program)
+{
+  const struct soak *soak = program->soak;
+  const struct process *process = program->process;
+  uint64_t now = mq_clock_ms ();
+
+  if (process == NULL || process->killed || process->paused
+      || process->terminated_ms != 0 || process->resumed_ms != 0
+      || has_llm_fault (soak))
+    return false;
+  if (program->takes_up && soak_count_version (soak, program->version) < 2)
+    return false;
+  for (int i = 0; i < soak->host_count; i++)
+    if (soak->hosts[i].table_fault_ms + CONTACT_MS > now)
+      return false;
+  return true;
+}
+
+void
+soak_check_streams (struct soak *soak)
+{
+  const struct share *begun = &soak->begun;
+  const struct share *taken_up = &soak->taken_up;
+  char text[96];
+
+  if (taken_up->sent < TAKEN_UP_MIN)
+    return;
+  snprintf (text, sizeof text, "%u of %u, new ones %u of %u", taken_up->served,
+            taken_up->sent, begun->served, begun->sent);
+  if ((uint64_t)taken_up->served * 2 * begun->sent
+      < (uint64_t)begun->served * taken_up->sent)
+    soak_fail (soak, "resumed streams don't go on", text);
+}
+
 /* Time of a request's first run, for one organisation.  */
 static void
 collect_runs (const struct soak *soak, int org, uint64_t *times,
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -178,6 +178,25 @@
                                                          : "gone");
 }
 
+/* Streams end in their middle, in series.  */
+static void
+inject_broken_streams (struct soak *soak)
+{
+  soak->llm_plan.step
+      = soak_random_below (soak, 2) == 0 ? WORKER_STALL : WORKER_TRUNCATED;
+  soak->llm_plan.count = 1 + (int)soak_random_below (soak, 12);
+}
+
+/* Some workers of the turns start again, at any version.  */
+static void
+inject_release (struct soak *soak)
+{
+  soak->llm_fault_ms = mq_clock_ms ();
+  for (int i = 0; i < WORKERS; i++)
+    if (soak_random_below (soak, 3) == 0)
+      soak_release_worker (soak, i);
+}
+
 static uint32_t
 release_gap_ms (struct soak *soak)
 {
@@ -223,7 +242,7 @@
       = &soak->hosts[soak_random_below (soak, (uint32_t)soak->host_count)];
 
   soak->injected++;
-  switch (soak_random_below (soak, 14))
+  switch (soak_random_below (soak, 18))
     {
     case 0:
     case 1:
@@ -259,6 +278,14 @@
     case 11:
       soak_release_hosts (soak);
       break;
+    case 12:
+    case 13:
+      inject_broken_streams (soak);
+      break;
+    case 14:
+    case 15:
+      inject_release (soak);
+      break;
     default:
       inject_worker_fault (soak);
       break;
--- a/tests/soak/soak_site.c
+++ b/tests/soak/soak_site.c
@@ -14,6 +14,8 @@
 #include <unistd.h>
 
 #define RESTART_MS 300U
+/* Streams last for a while, so that faults fall into them.  */
+#define EVENT_GAP_MS 15U
 /* Blocks of ports below the range of ephemeral ones, so that no outgoing
    connection takes one while its host restarts.  */
 #define PORT_FIRST 12000U
@@ -83,7 +85,7 @@
     abort ();
   fprintf (file,
            "[router]\nhost = %s\ndata_centre = a\nhttp = 127.0.0.1:%u\n"
-           "ready = 127.0.0.1:%u\npeer = 127.0.0.1:%u\n"
+           "ready = 127.0.0.1:%u\npeer = 127.0.0.1:%u\ndrain_ms = 2000\n"
            "seeds = 127.0.0.1:%u\ntable = 127.0.0.1:%u\nstop_seconds = 5\n"
            "limit_window_seconds = %u\nlimit_over = 0.%u\nlimit_slack = %u\n",
            host->name, host->http, host->ready, host->peer,
@@ -180,14 +182,69 @@
   struct proxy *proxy = llm ? soak->llm_proxy[index] : soak->app_proxy[index];
   char text[256];
 
+  if (llm)
+    soak->llm_ready[index] = strcmp (state, "ready") == 0;
   snprintf (text, sizeof text,
             "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"a\","
-            "\"batchSize\":64,\"state\":\"%s\"}",
-            llm ? "llm" : "app", proxy_port (proxy), state);
+            "\"version\":\"%s\",\"batchSize\":64,\"state\":\"%s\"}",
+            llm ? "llm" : "app", proxy_port (proxy),
+            worker_server_version (worker), state);
   rows_server_put (soak->rows, "servers", "", worker_server_id (worker),
                    strcmp (state, "gone") == 0 ? NULL : text);
 }
 
+static const char *const versions[] = { "v1", "v1.1", "v1.2" };
+
+struct lapse
+{
+  struct soak *soak;
+  char id[32];
+};
+
+static void
+on_lapse (void *data)
+{
+  struct lapse *lapse = data;
+
+  rows_server_put (lapse->soak->rows, "servers", "", lapse->id, NULL);
+  talloc_free (lapse);
+}
+
+/* The entry of a worker that crashed lapses some time later.  */
+static void
+schedule_lapse (struct soak *soak, const char *id)
+{
+  struct lapse *lapse = talloc_zero (soak->ev, struct lapse);
+
+  lapse->soak = soak;
+  snprintf (lapse->id, sizeof lapse->id, "%s", id);
+  mq_timer_add (soak->ev, soak->ev, soak_random_below (soak, 1000), on_lapse,
+                lapse);
+}
+
+void
+soak_release_worker (struct soak *soak, int index)
+{
+  struct worker_server *worker = soak->llm[index];
+  char id[32];
+
+  schedule_lapse (soak, worker_server_id (worker));
+  snprintf (id, sizeof id, "llm-%d-%u", index, ++soak->worker_starts);
+  worker_server_restart (worker, id, versions[soak_random_below (soak, 3)]);
+  soak_register_worker (soak, true, index, "ready");
+}
+
+int
+soak_count_version (const struct soak *soak, const char *version)
+{
+  int count = 0;
+
+  for (int i = 0; i < WORKERS; i++)
+    count += soak->llm_ready[i]
+             && strcmp (worker_server_version (soak->llm[i]), version) == 0;
+  return count;
+}
+
 static void
 make_worker (struct soak *soak, bool llm, int index)
 {
@@ -199,6 +256,8 @@
   snprintf (id, sizeof id, "%s-%d", llm ? "llm" : "app", index);
   *worker = worker_server_create (soak->ev, soak->ev, id,
                                   llm ? &soak->llm_plan : &soak->app_plan);
+  worker_server_set_version (*worker, versions[llm ? index % 2 : 0]);
+  worker_server_set_event_gap (*worker, EVENT_GAP_MS);
   worker_server_set_run_handler (*worker, soak_on_worker_request, soak);
   *proxy = proxy_create (soak->ev, soak->ev, worker_server_port (*worker));
   soak_register_worker (soak, llm, index, "ready");
