--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -64,6 +64,8 @@
      MQ_LOG_REQUEST "worker_version resumes outcome tokens load left_ms "     \
                     "retry_ms complete_ms "                                   \
                     "record record_ms record_host record_writes table_ms")    \
+  X (RECORD_NOT_WRITTEN, "record_not_written", WARNING,                       \
+     "id run how record_host record_ms table_ms")                             \
   X (MESSAGE_REFUSED, "message_refused", WARNING, "reason")                   \
   X (CALLER_CLOSED, "caller_closed", INFO, "rested_ms idle_ms")               \
   X (LOOP_HELD_UP, "loop_held_up", WARNING, "held_ms")                        \
--- a/src/router/commit_queue.c
+++ b/src/router/commit_queue.c
@@ -12,6 +12,7 @@
 #include "core/idmap.h"
 #include "core/memory.h"
 #include "net/clock.h"
+#include <stdio.h>
 #include <string.h>
 
 /* Time of a write forwarded to the batching host beyond that of a call to the
@@ -276,8 +277,11 @@
 {
   struct part_queue *part = user;
   struct mq_commit *ended[MQ_COMMIT_ROWS_MAX];
+  char host[64];
   size_t count;
 
+  /* A callback may begin the next batch.  */
+  snprintf (host, sizeof host, "%s", part->host == NULL ? "" : part->host);
   if (result->status == MQ_STORE_REJECTED && part->count > 1)
     {
       separate_batch (part);
@@ -290,6 +294,7 @@
       struct mq_rows_entry rows[MQ_COMMIT_ROWS_MAX];
       struct mq_rows_result own = own_result (ended[i], result, rows);
 
+      own.host = host[0] == '\0' ? NULL : host;
       end_commit (ended[i], &own);
     }
   send_next (part);
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -340,6 +340,7 @@
  * @history: chain up to @previous, set when the turn is ready; NULL if none
  * @notify: called once for mq_turn_prepare and once for mq_turn_store
  * @record_writes: writes of the record, retries included
+ * @record_sent_ms: time of the last one, local monotonic clock
  */
 struct mq_turn
 {
@@ -376,6 +377,7 @@
   bool recall_done;
   uint32_t tries;
   uint32_t record_writes;
+  uint64_t record_sent_ms;
   uint32_t candidate;
   uint32_t unreadable;
   struct mq_loan *loan;
--- a/src/router/router_turn.c
+++ b/src/router/router_turn.c
@@ -3,10 +3,11 @@
    A turn obtains its history and its budget before it is sent, and is stored
    before its response ends.  Rows are spread over the parts of the table by a
    hash of their key, to balance the writes.
-   Needs: router_turns.h, id.h.  */
+   Needs: router_turns.h, id.h, clock.h.  */
 
 #include "router_turns.h"
 #include "core/id.h"
+#include "net/clock.h"
 #include <stdio.h>
 #include <string.h>
 
@@ -300,6 +301,44 @@
   return false;
 }
 
+static const char *
+status_name (enum mq_store_status status)
+{
+  switch (status)
+    {
+    case MQ_STORE_CONFLICT:
+      return "conflict";
+    case MQ_STORE_LOST:
+      return "lost";
+    case MQ_STORE_REJECTED:
+      return "rejected";
+    case MQ_STORE_OK:
+    case MQ_STORE_MISSING:
+    case MQ_STORE_DOWN:
+      break;
+    }
+  return "down";
+}
+
+/* Tells a host that does not answer from a table that does not.  */
+static void
+log_failed_write (const struct mq_turn *turn,
+                  const struct mq_rows_result *result)
+{
+  struct mq_json_line line;
+
+  mq_json_begin (&line, turn->turns->router->log, MQ_JSON_HIGH_PRIORITY,
+                 MQ_LOG_RECORD_NOT_WRITTEN);
+  mq_json_text (&line, "id", turn->id);
+  mq_json_text (&line, "run", turn->program);
+  mq_json_text (&line, "how", status_name (result->status));
+  mq_json_text (&line, "record_host", result->host);
+  mq_json_number (&line, "record_ms", mq_clock_ms () - turn->record_sent_ms);
+  mq_json_number (&line, "table_ms",
+                  mq_rows_latency_ms (turn->turns->router->rows));
+  mq_json_end (&line);
+}
+
 static void
 on_turn_written (const struct mq_rows_result *result, void *user)
 {
@@ -313,6 +352,7 @@
       finish_store (turn);
       return;
     }
+  log_failed_write (turn, result);
   if (result->status == MQ_STORE_CONFLICT
       || result->status == MQ_STORE_REJECTED)
     mq_turn_notify (turn, MQ_TURN_STORE_UNAVAILABLE);
@@ -369,6 +409,7 @@
   entry.part = part;
   router->counters.turn_writes++;
   turn->record_writes++;
+  turn->record_sent_ms = mq_clock_ms ();
   turn->call = mq_table_client_commit (router->table_client, &entry,
                                        on_turn_written, turn);
 }
--- a/src/router/rows.h
+++ b/src/router/rows.h
@@ -41,6 +41,7 @@
  *          REJECTED (not executed; the table does not accept such a call)
  * @version: version of the transaction, or the newest version that a read saw
  * @rows: read: rows found; CONFLICT: current rows
+ * @host: write: host that it was forwarded to; NULL if none
  */
 struct mq_rows_result
 {
@@ -48,6 +49,7 @@
   uint64_t version;
   const struct mq_rows_entry *rows;
   size_t row_count;
+  const char *host;
 };
 
 typedef void mq_rows_done (const struct mq_rows_result *result, void *user);
