A resumed stream stays with the service that began it

What callers would see: on a route that leads to several services, a resumption draws one of them anew and is refused, or goes on at the wrong one where the service has a sole version.

Cause: the service is chosen before the stream's version is known. Change: the version, a digest with its service, chooses the service of the route that has it; a sole version of one service is no answer on a route with several.

--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -222,6 +222,9 @@
 /* Version of most workers of SERVICE.  */
 uint64_t mq_fleet_common_version (const struct mq_fleet *fleet,
                                   const char *service);
+/* Whether a worker of VERSION is listed, even if it is leaving.  */
+bool mq_fleet_has_version (const struct mq_fleet *fleet, const char *service,
+                           uint64_t version);
 /* The only version that SERVICE has had for MQ_FLEET_VERSION_MEMORY_MS; 0 if
    there were several, or the service is not known for that long.  */
 uint64_t mq_fleet_sole_version (const struct mq_fleet *fleet,
--- a/src/core/router/fleet_version.c
+++ b/src/core/router/fleet_version.c
@@ -93,6 +93,18 @@
   return best.version;
 }
 
+bool
+mq_fleet_has_version (const struct mq_fleet *fleet, const char *service,
+                      uint64_t version)
+{
+  const struct fleet_service *row = fleet_find_service (fleet, service);
+
+  for (size_t i = 0; row != NULL && i < row->version_count; i++)
+    if (row->versions[i].version == version)
+      return row->versions[i].listed > 0;
+  return false;
+}
+
 uint64_t
 mq_fleet_sole_version (const struct mq_fleet *fleet, const char *service,
                        uint64_t now_ms)
--- a/src/router/router_version.c
+++ b/src/router/router_version.c
@@ -51,6 +51,25 @@
   request->version = version;
 }
 
+/* Sets the version of a resumed stream, and the service of its route that has
+   it: a route with several ones may have chosen another for this attempt.  */
+static void
+set_resumed_version (struct mq_request *request, uint64_t version)
+{
+  const struct mq_fleet *fleet = request->router->fleet;
+  const struct mq_path_route *route = request->route;
+
+  set_version (request, version);
+  for (size_t i = 0; i < route->backend_count; i++)
+    if (mq_fleet_has_version (fleet, route->backends[i].service, version))
+      {
+        request->service = route->backends[i].service;
+        request->service_info
+            = mq_route_service_find (request->table, request->service);
+        return;
+      }
+}
+
 /* The only version that the service has had for as long as a stream may last.
    Without feeds this host does not hear of others, unless the table is away:
    then no worker can be listed anew.  */
@@ -66,14 +85,14 @@
                                 mq_clock_ms ());
 }
 
-/* Neither memory nor table tell the version.  REFUSAL: response if the service
-   has several.  */
+/* Neither memory nor table tell the version.  REFUSAL: response if the route's
+   workers have several.  */
 static bool
 use_sole_version (struct mq_request *request, enum mq_refusal refusal)
 {
   uint64_t version = sole_version (request);
 
-  if (version == 0)
+  if (version == 0 || request->route->backend_count > 1)
     {
       request->router->counters.streams_refused++;
       request_refuse (request, refusal);
@@ -90,7 +109,7 @@
 
   if (!mq_stream_row_unpack (found->value, &row) || row.version == 0)
     return use_sole_version (request, MQ_REFUSE_STREAM_UNKNOWN);
-  set_version (request, row.version);
+  set_resumed_version (request, row.version);
   return true;
 }
 
@@ -100,7 +119,7 @@
 {
   if (!request->is_turn || request->turn.stream_version == 0)
     return use_sole_version (request, MQ_REFUSE_STREAM_UNKNOWN);
-  set_version (request, request->turn.stream_version);
+  set_resumed_version (request, request->turn.stream_version);
   return true;
 }
 
@@ -144,7 +163,7 @@
   if (mq_streams_find (router->streams, request->resumes, &version)
       && version != 0)
     {
-      set_version (request, version);
+      set_resumed_version (request, version);
       return true;
     }
   if (row_part_down (request, request->resumes, part))
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -640,3 +640,53 @@
       edge_run_for (site, 20);
     }
 }
+
+/* Sends the streams to two services, chosen at random, with the workers of
+   "app" as the second one.  */
+static void
+split_route (void)
+{
+  static const char from[]
+      = "\"service\":\"llm\",\"attempts\":2,\"resumable\"";
+  static const char to[]
+      = "\"backends\":[{\"service\":\"llm\",\"weight\":1},"
+        "{\"service\":\"other\",\"weight\":1}],\"attempts\":2,\"resumable\"";
+  char *text = edge_config_text (site, 3000, NULL);
+  char *at = strstr (text, from);
+
+  cr_assert_not_null (at);
+  *at = '\0';
+  text = talloc_asprintf (site, "%s%s%s", text, to, at + strlen (from));
+  rows_server_put (site->rows, "op", "", "config", text);
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    {
+      worker_server_set_version (site->app[i], "v9");
+      edge_list_worker (site, site->app[i], "other", "ready");
+    }
+  EDGE_WAIT (site, edge_counter (site, 0, "config_changes") == 2);
+}
+
+/* Failure: a route leads to two services, and a resumed stream is sent to the
+   one that did not begin it.  */
+Test (versions, resumed_stream_stays_with_its_service)
+{
+  static const char *const versions[EDGE_WORKERS] = { "v1", "v1", "v1" };
+  int at_other = 0;
+
+  set_versions (versions);
+  split_route ();
+  for (int k = 0; k < 2 * STREAMS; k++)
+    {
+      struct stream stream;
+
+      site->app_plan = (struct worker_plan){ WORKER_STALL, 1 };
+      begin_stream (&stream, 0, false);
+      site->llm_plan = (struct worker_plan){ WORKER_SERVE, 0 };
+      site->app_plan = (struct worker_plan){ WORKER_SERVE, 0 };
+      at_other += strcmp (stream.version, "v9") == 0;
+      cr_assert_eq (resume_stream (&stream, 0, stream.first), 200, "%s: %s",
+                    stream.version, call.answer);
+      cr_assert_not (stream.joined, "%s", call.answer);
+    }
+  cr_assert (at_other > 0 && at_other < 2 * STREAMS, "%d", at_other);
+}
