A repeatable request that may have run is not refused as not run

What callers saw: 503 for a request that may be repeated, after one worker may have run it and the last one stated that it did not. 503 promises that the request has not run and never will.

Cause: the decision made an exception for repeatable requests, since running them again is harmless; the statement is false all the same.

Change: 502, as for other requests. Callers repeat such requests after any failure. The row of the test asked for the false statement and asks for the true one now; it fails without the change.

--- a/src/core/router/attempt.c
+++ b/src/core/router/attempt.c
@@ -52,8 +52,8 @@
   return false;
 }
 
-/* MQ_NEXT_REFUSE states that the request did not run.  A repeatable request is
-   also refused, as running it again is harmless.  */
+/* MQ_NEXT_REFUSE states that the request did not run, which must be true of
+   repeatable requests too.  */
 enum mq_attempt_next
 mq_attempt_decide (const struct mq_attempt *attempt)
 {
@@ -65,8 +65,7 @@
     {
     case MQ_ATTEMPT_UNREACHABLE:
     case MQ_ATTEMPT_NOT_RUN:
-      return attempt->may_have_run && !attempt->repeatable ? MQ_NEXT_FAIL
-                                                           : MQ_NEXT_REFUSE;
+      return attempt->may_have_run ? MQ_NEXT_FAIL : MQ_NEXT_REFUSE;
     case MQ_ATTEMPT_BROKEN:
       return MQ_NEXT_FAIL;
     case MQ_ATTEMPT_ERROR:
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -756,7 +756,7 @@
       MQ_NEXT_FORWARD },
     { "ran before, then not run",
       ATTEMPT (MQ_ATTEMPT_NOT_RUN, true, false, 2, 2, 0, 500, true),
-      MQ_NEXT_REFUSE },
+      MQ_NEXT_FAIL },
     { "not run in the middle of a stream",
       ATTEMPT (MQ_ATTEMPT_NOT_RUN, true, true, 2, 2, 0, 500, true),
       MQ_NEXT_ABORT },
