--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -87,20 +87,20 @@
 
 /* Returns the handle of the worker ID among those that QUERY may choose.  */
 static uint32_t
-find_worker (struct mq_fleet_query *query, const char *id)
+find_worker (struct mq_fleet_query query, const char *id)
 {
   uint32_t tried[16];
 
-  query->tried = tried;
-  for (query->tried_count = 0; query->tried_count < 16; query->tried_count++)
+  query.tried = tried;
+  for (query.tried_count = 0; query.tried_count < 16; query.tried_count++)
     {
-      uint32_t worker = mq_fleet_choose (fleet, query);
+      uint32_t worker = mq_fleet_choose (fleet, &query);
 
       if (worker == MQ_WORKER_NONE)
         break;
       if (strcmp (mq_fleet_member (fleet, worker)->id, id) == 0)
         return worker;
-      tried[query->tried_count] = worker;
+      tried[query.tried_count] = worker;
     }
   return MQ_WORKER_NONE;
 }
@@ -111,7 +111,7 @@
   struct mq_fleet_query query
       = { .service = "s", .data_centre = "a", .now_ms = 1 };
 
-  return find_worker (&query, id);
+  return find_worker (query, id);
 }
 
 static void
@@ -303,7 +303,7 @@
   struct mq_fleet_query query
       = { .service = "v", .data_centre = "a", .now_ms = 1 };
 
-  return find_worker (&query, id);
+  return find_worker (query, id);
 }
 
 /* States of the workers x0 (v1), x1 (v1) and x2 (v2).  */
@@ -425,7 +425,7 @@
   mq_fleet_set_time (fleet, now);
   put_version ("x1", "v2", false);
   cr_assert_eq (mq_fleet_sole_version (fleet, "v", now), 0);
-  now += 2 * MQ_FLEET_VERSION_MEMORY_MS;
+  now += 2UL * MQ_FLEET_VERSION_MEMORY_MS;
   cr_assert_eq (mq_fleet_sole_version (fleet, "v", now), 0);
   mq_fleet_set_time (fleet, now);
   mq_fleet_remove (fleet, "x0", 0);
