While the table is away, a service of one version begins streams at once

A host that had just started refused new programs of an unknown record on resumable routes for a minute, whenever the table was away, also in services that never had a second version. What version serves now is enough to begin; the minute is needed to go on with a stream of the past.

--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -225,10 +225,12 @@
 /* Whether a worker of VERSION is listed, even if it is leaving.  */
 bool mq_fleet_has_version (const struct mq_fleet *fleet, const char *service,
                            uint64_t version);
-/* The only version that SERVICE has had for MQ_FLEET_VERSION_MEMORY_MS; 0 if
-   there were several, or the service is not known for that long.  */
+/* The only version that SERVICE has had for the last MEMORY_MS, at most
+   MQ_FLEET_VERSION_MEMORY_MS; 0 if there were several, or the service is not
+   known for that long.  */
 uint64_t mq_fleet_sole_version (const struct mq_fleet *fleet,
-                                const char *service, uint64_t now_ms);
+                                const char *service, uint32_t memory_ms,
+                                uint64_t now_ms);
 /* Number of available workers of SERVICE.  */
 size_t mq_fleet_count (const struct mq_fleet *fleet, const char *service);
 /* Retry delay for callers when no worker of SERVICE has a free slot.  */
--- a/src/core/router/fleet_version.c
+++ b/src/core/router/fleet_version.c
@@ -107,14 +107,13 @@
 
 uint64_t
 mq_fleet_sole_version (const struct mq_fleet *fleet, const char *service,
-                       uint64_t now_ms)
+                       uint32_t memory_ms, uint64_t now_ms)
 {
   const struct fleet_service *row = fleet_find_service (fleet, service);
-  uint64_t since = now_ms - MQ_FLEET_VERSION_MEMORY_MS;
+  uint64_t since = now_ms - memory_ms;
   uint64_t sole = 0;
 
-  if (row == NULL || row->first_ms == 0
-      || now_ms < row->first_ms + MQ_FLEET_VERSION_MEMORY_MS)
+  if (row == NULL || row->first_ms == 0 || now_ms < row->first_ms + memory_ms)
     return 0;
   for (size_t i = 0; i < row->version_count; i++)
     {
--- a/src/router/router_version.c
+++ b/src/router/router_version.c
@@ -70,18 +70,18 @@
       }
 }
 
-/* The only version that the service has had for as long as a stream may last.
-   Without feeds this host does not hear of others, unless the table is away:
-   then no worker can be listed anew.  */
+/* The only version that the service has had for MEMORY_MS.  Without feeds this
+   host does not hear of others, unless the table is away: then no worker can
+   be listed anew.  */
 static uint64_t
-sole_version (const struct mq_request *request)
+sole_version (const struct mq_request *request, uint32_t memory_ms)
 {
   const struct mq_router *router = request->router;
 
   if (!mq_rows_feeds_healthy (router->rows)
       && !mq_table_client_down (router->table_client))
     return 0;
-  return mq_fleet_sole_version (router->fleet, request->service,
+  return mq_fleet_sole_version (router->fleet, request->service, memory_ms,
                                 mq_clock_ms ());
 }
 
@@ -90,7 +90,7 @@
 static bool
 use_sole_version (struct mq_request *request, enum mq_refusal refusal)
 {
-  uint64_t version = sole_version (request);
+  uint64_t version = sole_version (request, MQ_FLEET_VERSION_MEMORY_MS);
 
   if (version == 0 || request->route->backend_count > 1)
     {
@@ -194,7 +194,7 @@
   request->restricted = true;
   request->version = request->turn.stream_version;
   if (request->version == 0)
-    request->version = sole_version (request);
+    request->version = sole_version (request, 0);
   if (request->version != 0)
     return true;
   request_refuse (request, MQ_REFUSE_TABLE_UNAVAILABLE);
