--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -66,6 +66,8 @@
                     "record record_ms record_host record_writes table_ms")    \
   X (RECORD_NOT_WRITTEN, "record_not_written", WARNING,                       \
      "id run how record_host record_ms table_ms")                             \
+  X (STREAM_NOT_WRITTEN, "stream_not_written", WARNING,                       \
+     "id how tries record_host")                                              \
   X (MESSAGE_REFUSED, "message_refused", WARNING, "reason")                   \
   X (CALLER_CLOSED, "caller_closed", INFO, "rested_ms idle_ms")               \
   X (LOOP_HELD_UP, "loop_held_up", WARNING, "held_ms")                        \
--- a/src/router/router_turn.c
+++ b/src/router/router_turn.c
@@ -301,8 +301,8 @@
   return false;
 }
 
-static const char *
-status_name (enum mq_store_status status)
+const char *
+mq_turn_write_failure (enum mq_store_status status)
 {
   switch (status)
     {
@@ -331,7 +331,7 @@
                  MQ_LOG_RECORD_NOT_WRITTEN);
   mq_json_text (&line, "id", turn->id);
   mq_json_text (&line, "run", turn->program);
-  mq_json_text (&line, "how", status_name (result->status));
+  mq_json_text (&line, "how", mq_turn_write_failure (result->status));
   mq_json_text (&line, "record_host", result->host);
   mq_json_number (&line, "record_ms", mq_clock_ms () - turn->record_sent_ms);
   mq_json_number (&line, "table_ms",
--- a/src/router/router_turns.h
+++ b/src/router/router_turns.h
@@ -90,6 +90,8 @@
 /* Reads the missing history of TURN from the table.  */
 void mq_turn_read_history (struct mq_turn *turn);
 void mq_turn_notify (struct mq_turn *turn, enum mq_turn_state state);
+/* Name of a write's failure in log lines.  */
+const char *mq_turn_write_failure (enum mq_store_status status);
 
 /* router_retry.c */
 
--- a/src/router/router_version.c
+++ b/src/router/router_version.c
@@ -241,6 +241,21 @@
   request_on_row_written (request, stored);
 }
 
+static void
+log_failed_row (const struct mq_row_write *write,
+                const struct mq_rows_result *result)
+{
+  struct mq_json_line line;
+
+  mq_json_begin (&line, write->router->log, MQ_JSON_HIGH_PRIORITY,
+                 MQ_LOG_STREAM_NOT_WRITTEN);
+  mq_json_text (&line, "id", write->id);
+  mq_json_text (&line, "how", mq_turn_write_failure (result->status));
+  mq_json_number (&line, "tries", write->tries);
+  mq_json_text (&line, "record_host", result->host);
+  mq_json_end (&line);
+}
+
 static void
 on_write_retry (void *data)
 {
@@ -268,10 +283,13 @@
   if (result->status == MQ_STORE_OK
       || (result->status == MQ_STORE_CONFLICT && is_own_row (write, result)))
     end_write (write, true);
-  else if (result->status == MQ_STORE_CONFLICT
-           || result->status == MQ_STORE_REJECTED
-           || ++write->tries >= MQ_TURN_ATTEMPTS_MAX)
-    end_write (write, false);
+  else if (++write->tries >= MQ_TURN_ATTEMPTS_MAX
+           || result->status == MQ_STORE_CONFLICT
+           || result->status == MQ_STORE_REJECTED)
+    {
+      log_failed_row (write, result);
+      end_write (write, false);
+    }
   else
     (void)mq_check_alloc (
         mq_retry_schedule (turns, write->tries, on_write_retry, write));
