--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -431,7 +431,7 @@
   static const char *const one[EDGE_WORKERS] = { "v1", "v1", "v1" };
   static const char *const two[EDGE_WORKERS] = { "v1", "v1.1", "v1" };
   struct stream stream;
-  char program[16];
+  char program[32];
 
   set_versions (one);
   for (int i = 0; i < STREAMS; i++)
@@ -484,7 +484,7 @@
   for (size_t i = 0; i < ROWS (cases); i++)
     {
       struct stream streams[3];
-      char program[16];
+      char program[32];
       int began = 0;
       int went_on = 0;
 
@@ -621,7 +621,7 @@
   for (int k = 0; k < STREAMS; k++)
     {
       struct stream stream;
-      char id[16];
+      char id[32];
 
       begin_stream (&stream, 0, true);
       /* The registry still lists the previous starts.  */
