Admission by the pace of turns: how long they take, how long programs can bear

What callers saw: on a site whose engines run 32 requests at once, three times the load for 12 s was taken on almost whole (1 to 30 of some 450 programs refused in two seconds) and served late: 87 to 112 of 450 in aim, where twice the load has 280 of 300 in aim.

Cause: admission compares used slots and the delay of first events with bounds. On such engines a token takes twice as long at a third of the slots.

Change: pace.c learns, from the turns of this host, the time per token over the load of the worker that ran the turn, and the time per token at which programs would end at their deadline, by the time that they have left at later turns. The load that follows, with the change that programs admitted in the last second bring, counts beside those of slots and of the table. The refusal's log line has its inputs.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
            gnutls nettle libxxhash
 # mimosa-routerd is started often and on small hosts: it links just these.
 ROUTER_LIBS = $(shell pkg-config --libs talloc tevent libprotobuf-c inih \
-              jansson nettle libxxhash 2>/dev/null) -lhttp_parser
+              jansson nettle libxxhash 2>/dev/null) -lhttp_parser -lm
 DEBIAN = build-essential pkg-config libtalloc-dev libtevent-dev \
          libprotobuf-c-dev libmicrohttpd-dev libcurl4-gnutls-dev libinih-dev \
          libjansson-dev libgnutls28-dev nettle-dev \
--- a/src/core/router/admission.c
+++ b/src/core/router/admission.c
@@ -146,28 +146,38 @@
   return load > LOAD_FULL ? load + rise : load;
 }
 
-/* Updates the smoothed load, which rises at once and falls at LOAD_FALL_PER_S.
-   It is capped at REJECT_LOAD_MAX, so that a spike does not prolong
-   rejections.  */
+/* Updates the smoothed LEVEL, which rises at once and falls at
+   LOAD_FALL_PER_S.  It is capped at REJECT_LOAD_MAX, so that a spike does not
+   prolong rejections.  */
 static uint32_t
-smoothed_load (struct mq_admission *admission,
-               const struct mq_admission_request *request)
+smooth_load (struct level *level, uint32_t observed, uint64_t now_ms)
 {
-  struct level *level
-      = find_row (admission, request->service, SERVICES, sizeof *level);
-  uint32_t expected = expected_load (level, request->load, request->now_ms);
+  uint32_t expected = expected_load (level, observed, now_ms);
   uint32_t load = expected < REJECT_LOAD_MAX ? expected : REJECT_LOAD_MAX;
-  uint64_t fall
-      = (request->now_ms - level->set_ms) * LOAD_FALL_PER_S / MS_PER_S;
+  uint64_t fall = (now_ms - level->set_ms) * LOAD_FALL_PER_S / MS_PER_S;
   uint32_t held = level->load > fall ? level->load - (uint32_t)fall : 0;
 
   if (load < held)
     return held;
   level->load = load;
-  level->set_ms = request->now_ms;
+  level->set_ms = now_ms;
   return load;
 }
 
+/* The highest of the loads that may keep the program from beginning.  */
+static uint32_t
+decisive_load (struct mq_admission *admission,
+               const struct mq_admission_request *request)
+{
+  struct level *slots
+      = find_row (admission, request->service, SERVICES, sizeof *slots);
+  uint32_t load = smooth_load (slots, request->load, request->now_ms);
+
+  if (request->pace_load > load)
+    load = request->pace_load;
+  return request->record_load > load ? request->record_load : load;
+}
+
 /* Load at which this program is rejected.  */
 static uint32_t
 reject_load (const struct mq_admission_request *request)
@@ -238,8 +248,7 @@
                      const struct mq_admission_request *request,
                      uint32_t *retry_ms)
 {
-  uint32_t held = smoothed_load (admission, request);
-  uint32_t level = request->record_load > held ? request->record_load : held;
+  uint32_t level = decisive_load (admission, request);
   bool late = is_short_of_time (admission, request, level);
   uint32_t bound = late ? LOAD_FULL : reject_load (request);
 
--- a/src/core/router/admission.h
+++ b/src/core/router/admission.h
@@ -9,11 +9,12 @@
    all hosts reject the same programs without coordination.  A program that
    retries after a rejection does not displace one that has its full time left.
    Pure: callers pass the time.
-   Needs: types.h.  */
+   Needs: types.h, shares.h.  */
 
 #ifndef MQ_ADMISSION_H
 #define MQ_ADMISSION_H
 
+#include "../organisation/shares.h"
 #include "../types.h"
 
 struct mq_admission;
@@ -28,8 +29,13 @@
  * @priority: priority of the route, 0 is the highest
  * @program: hash of the program's id
  * @load: load of the service in thousandths of its capacity, 0 if unknown
+ * @pace_load: load of the service as programs of the route bear it, same unit
+ *             (mq_pace_load); 0 if unknown
  * @record_load: load of the table that stores turns, same unit; used without
  *               smoothing
+ * @shares: demand of the service's organisations; NULL if the configuration
+ *          has none
+ * @organisation: organisation of the program; NULL if it has none
  * @has_remaining: whether @remaining_ms is known
  * @remaining_ms: time until the program's deadline
  * @budget: tokens that its turns may generate, 0 if unknown
@@ -42,7 +48,10 @@
   uint32_t priority;
   uint64_t program;
   uint32_t load;
+  uint32_t pace_load;
   uint32_t record_load;
+  const struct mq_shares *shares;
+  const char *organisation;
   bool has_remaining;
   uint32_t remaining_ms;
   uint64_t budget;
--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -62,7 +62,9 @@
                     "next")                                                   \
   X (REQUEST_ENDED, "request_ended", INFO,                                    \
      MQ_LOG_REQUEST "worker_version resumes outcome tokens load left_ms "     \
-                    "retry_ms complete_ms "                                   \
+                    "budget retry_ms complete_ms "                            \
+                    "worker_load pace_load pace_turns idle_us growth_us "     \
+                    "excess bearable_us used "                                \
                     "record record_ms record_host record_writes table_ms")    \
   X (RECORD_NOT_WRITTEN, "record_not_written", WARNING,                       \
      "id run how record_host record_ms table_ms")                             \
--- a/src/router/router_admit.c
+++ b/src/router/router_admit.c
@@ -38,6 +38,7 @@
                               ADMISSION_SEED),
     .load = mq_fleet_service_pressure (request->router->fleet,
                                        request->service, now),
+    .pace_load = request_pace_load (request, now),
     .record_load = record_load (request, now),
     .has_remaining = fields->has_left,
     .remaining_ms = fields->left_ms,
@@ -103,6 +104,15 @@
   return mq_fleet_choose_home (router->fleet, &query);
 }
 
+static uint32_t
+highest_load (const struct mq_admission_request *request)
+{
+  uint32_t load = request->load > request->pace_load ? request->load
+                                                     : request->pace_load;
+
+  return load > request->record_load ? load : request->record_load;
+}
+
 void
 request_admit_turn (struct mq_request *request)
 {
@@ -116,16 +126,15 @@
       return;
     }
   admission_request = make_admission_request (request, now);
-  request->service_load
-      = admission_request.load > admission_request.record_load
-            ? admission_request.load
-            : admission_request.record_load;
+  request->pace_load = admission_request.pace_load;
+  request->service_load = highest_load (&admission_request);
   answer = mq_admission_decide (request->router->admission, &admission_request,
                                 &request->retry_ms);
   request->program_deadline_at_risk = answer == MQ_ADMISSION_TOO_LATE;
   switch (answer)
     {
     case MQ_ADMISSION_ACCEPTED:
+      mq_pace_record_begin (request->router->pace, request->service, now);
       request->home = choose_home (request, now);
       request_prepare_turn (request);
       return;
--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -80,6 +80,8 @@
     mq_json_text (&line, "resumes", request->fields.resumes);
   if (request->is_turn)
     mq_json_number (&line, "tokens", request->tokens_sent);
+  if (request->worker_load > 0)
+    mq_json_number (&line, "worker_load", request->worker_load);
   if (request->response_complete)
     mq_json_number (&line, "complete_ms",
                     request->completed_ms - request->arrived_ms);
@@ -88,7 +90,9 @@
   if (request->retry_ms > 0)
     {
       mq_json_number (&line, "load", request->service_load);
+      request_log_pace (request, &line);
       mq_json_number (&line, "left_ms", request->fields.left_ms);
+      mq_json_number (&line, "budget", request->fields.budget);
       mq_json_number (&line, "retry_ms", request->retry_ms);
     }
   mq_json_end (&line);
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -1,6 +1,6 @@
 /* router_request.h - state and steps of one request, shared by
    router_request.c, router_admit.c, router_dispatch.c, router_identify.c,
-   router_limit.c, router_stream.c and router_version.c only.
+   router_limit.c, router_pace.c, router_stream.c and router_version.c only.
 
    Needs: router_state.h, router_try.h.  */
 
@@ -31,6 +31,10 @@
  * @program_deadline_at_risk: refused because little of the program's time is
  *                            left
  * @retry_ms: delay after which the refused program may retry; 0 if not refused
+ * @worker_load: load that the worker reported with the response, in
+ *               thousandths of its slots; 0 if unknown
+ * @pace_load: load as programs of the route bear it, when the program asked to
+ *             begin
  * @home: engine assigned to the new program; 0 if the program is not new
  * @permit: pending permit request; NULL if none
  * @permitted: a permit was granted or none is needed
@@ -85,6 +89,8 @@
   uint32_t service_load;
   bool program_deadline_at_risk;
   uint32_t retry_ms;
+  uint32_t worker_load;
+  uint32_t pace_load;
   uint64_t home;
   struct mq_permit *permit;
   bool permitted;
@@ -203,6 +209,19 @@
    refuses.  */
 void request_admit_turn (struct mq_request *request);
 
+/* router_pace.c */
+
+/* Notes the load that the worker reported.  Valid only during an attempt,
+   since the worker may be freed afterwards.  */
+void request_note_worker_load (struct mq_request *request);
+/* Learns from the complete turn.  */
+void request_record_pace (const struct mq_request *request);
+/* Adds what admission control knows of the request's route.  */
+void request_log_pace (const struct mq_request *request,
+                       struct mq_json_line *line);
+/* Load of the service as programs of the request's route bear it.  */
+uint32_t request_pace_load (const struct mq_request *request, uint64_t now);
+
 /* router_stream.c */
 
 /* Forwards the complete events received so far.  */
--- a/src/router/router_response.c
+++ b/src/router/router_response.c
@@ -39,6 +39,8 @@
   answer->status = head->status;
   answer->not_run = received->not_run;
   answer->other_worker = received->other_worker;
+  answer->load
+      = received->has_load ? received->running + received->waiting : 0;
   answer->idle_s = received->idle_s;
   answer->stream = stream && head->status == 200;
   append_fields (ctx, &answer->fields, head);
--- a/src/router/router_response.h
+++ b/src/router/router_response.h
@@ -21,6 +21,7 @@
  * @not_run: the worker states that it did not run the request
  * @other_worker: another worker has taken over the address
  * @stream: a stream of events, forwarded as they arrive
+ * @load: requests running and waiting at the worker, 0 if unknown
  * @idle_s: idle timeout of the connection, seconds; 0 if unknown
  * @fields: header lines to forward
  * @body: body of a buffered response
@@ -32,6 +33,7 @@
   bool not_run;
   bool other_worker;
   bool stream;
+  uint32_t load;
   uint32_t idle_s;
   struct mq_buffer fields;
   struct mq_buffer body;
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -12,6 +12,7 @@
 #ifndef MQ_ROUTER_STATE_H
 #define MQ_ROUTER_STATE_H
 
+#include "core/organisation/shares.h"
 #include "core/router/admission.h"
 #include "core/router/attempt.h"
 #include "core/router/bounds.h"
@@ -19,6 +20,7 @@
 #include "core/router/chain.h"
 #include "core/router/event_stream.h"
 #include "core/router/fleet.h"
+#include "core/router/pace.h"
 #include "core/histogram.h"
 #include "core/idmap.h"
 #include "core/router/recent.h"
@@ -95,6 +97,8 @@
  * struct mq_router - one router process
  * @record_wait: recent waits of response ends for the turn's record, in
  *               thousandths of the route's objective
+ * @pace: how long turns take, and the load that programs bear
+ * @shares: recent demand of organisations
  * @routes: active configuration; NULL before the first one
  * @config: text of the active configuration
  * @config_loading: configuration being loaded, first of a list; NULL if none
@@ -130,6 +134,8 @@
   struct mq_json_log *log;
   struct mq_fleet *fleet;
   struct mq_admission *admission;
+  struct mq_pace *pace;
+  struct mq_shares *shares;
   struct mq_pool *pool;
   struct mq_rows *rows;
   struct mq_relay *relay;
--- a/src/router/router_stream.c
+++ b/src/router/router_stream.c
@@ -30,6 +30,7 @@
     {
       mq_try_response_begun (request->try);
       record_delay (request);
+      request_note_worker_load (request);
     }
   mq_caller_begin_stream (request->caller, request->answer.status,
                           mq_buffer_text (&request->answer.fields));
@@ -132,6 +133,7 @@
   struct mq_caller *caller = request->caller;
 
   record_store_wait (request);
+  request_record_pace (request);
   request_count_served (request);
   request_log_end (request, MQ_JSON_LOW_PRIORITY, "served",
                    request->answer.status);
--- /dev/null
+++ b/tests/test_pace.c
@@ -0,0 +1,166 @@
+/* test_pace.c - unit tests of the pace of turns.
+
+   Needs: Criterion, pace.h.  */
+
+#include "core/router/pace.h"
+#include <criterion/criterion.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+#define TOKENS 100U
+#define TURNS 400U
+#define PROGRAM_TURNS 4U
+#define GIVEN_MS 4000U
+
+/**
+ * struct engine - an engine and the programs that it runs
+ * @idle_us: time per token without load
+ * @growth_us: what a worker with all slots in use adds
+ * @load_min: lowest load, thousandths
+ * @load_max: highest load
+ * @used: part of their time that programs use, thousandths
+ */
+struct engine
+{
+  uint32_t idle_us;
+  uint32_t growth_us;
+  uint32_t load_min;
+  uint32_t load_max;
+  uint32_t used;
+};
+
+static struct mq_pace *pace;
+
+static void
+set_up (void)
+{
+  pace = mq_pace_create (NULL);
+}
+
+static void
+tear_down (void)
+{
+  mq_pace_destroy (pace);
+}
+
+TestSuite (pace, .init = set_up, .fini = tear_down);
+
+/* Records TURNS turns of programs that use a part of their time.  */
+static void
+record_turns (const struct engine *engine)
+{
+  for (uint32_t i = 0; i < TURNS; i++)
+    {
+      uint32_t load = engine->load_min
+                      + i * 7919U % (engine->load_max - engine->load_min + 1U);
+      uint32_t time_us = engine->idle_us + engine->growth_us * load / 1000U;
+      uint32_t turn = i % PROGRAM_TURNS;
+
+      mq_pace_record_turn (
+          pace, &(struct mq_pace_turn){ .service = "models",
+                                        .route = "chat",
+                                        .program = i / PROGRAM_TURNS + 1U,
+                                        .begins = turn == 0,
+                                        .has_remaining = true,
+                                        .remaining_ms
+                                        = GIVEN_MS
+                                          - GIVEN_MS * engine->used / 1000U
+                                                * turn / PROGRAM_TURNS,
+                                        .ran_ms = time_us * TOKENS / 1000U,
+                                        .tokens = TOKENS,
+                                        .load = load });
+    }
+}
+
+static uint32_t
+load_at (uint32_t service_load, uint64_t now_ms)
+{
+  return mq_pace_load (pace,
+                       &(struct mq_pace_program){ .service = "models",
+                                                  .route = "chat",
+                                                  .service_load = service_load,
+                                                  .now_ms = now_ms });
+}
+
+struct learn_case
+{
+  struct engine engine;
+  uint32_t idle_min;
+  uint32_t idle_max;
+  uint32_t bearable_min;
+  uint32_t bearable_max;
+};
+
+/* The line and the bearable time are found on steep and flat engines.  */
+Test (pace, learns_engines)
+{
+  /* Programs that use half of their time bear twice the mean time.  */
+  static const struct learn_case cases[] = {
+    { { 5000, 20000, 40, 200, 500 }, 4700, 5300, 13000, 16500 },
+    { { 5000, 20000, 300, 700, 800 }, 4500, 5500, 17000, 20500 },
+    { { 20000, 2000, 40, 900, 500 }, 19500, 20500, 38000, 46000 },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      const struct learn_case *row = &cases[i];
+      struct mq_pace_report report;
+
+      set_up ();
+      record_turns (&row->engine);
+      report = mq_pace_report (pace, "models", "chat");
+      cr_expect (report.idle_us >= row->idle_min
+                     && report.idle_us <= row->idle_max,
+                 "row %zu: idle %u", i, report.idle_us);
+      cr_expect (report.bearable_us >= row->bearable_min
+                     && report.bearable_us <= row->bearable_max,
+                 "row %zu: bearable %u", i, report.bearable_us);
+      tear_down ();
+    }
+  set_up ();
+}
+
+/* Programs are at risk once turns take long, however many slots are free; not
+   on engines that keep their pace until they are full.  */
+Test (pace, load_follows_the_time_that_programs_have)
+{
+  static const struct engine steep = { 5000, 20000, 40, 200, 500 };
+  static const struct engine flat = { 20000, 2000, 40, 900, 500 };
+
+  record_turns (&steep);
+  cr_expect_lt (load_at (100, 1000), MQ_PACE_LOAD_FULL);
+  cr_expect_gt (load_at (500, 1000), MQ_PACE_LOAD_FULL);
+  tear_down ();
+  set_up ();
+  record_turns (&flat);
+  cr_expect_lt (load_at (900, 1000), MQ_PACE_LOAD_FULL);
+}
+
+/* Guards against admitting a burst until its turns show in the load.  */
+Test (pace, burst_counts_before_its_turns_run)
+{
+  static const struct engine steep = { 5000, 20000, 40, 200, 500 };
+  uint32_t before;
+
+  record_turns (&steep);
+  for (uint64_t now = 0; now < 4000; now += 250)
+    mq_pace_record_begin (pace, "models", now);
+  before = load_at (150, 4000);
+  for (uint64_t now = 4000; now < 4500; now += 25)
+    mq_pace_record_begin (pace, "models", now);
+  cr_expect_gt (load_at (150, 4500), before * 3 / 2);
+}
+
+/* Nothing is concluded from few turns, or from turns that don't tell.  */
+Test (pace, unknown_is_no_load)
+{
+  static const struct mq_pace_turn silent[] = {
+    { .service = "models", .route = "chat", .ran_ms = 100, .tokens = 10 },
+    { .service = "models", .route = "chat", .ran_ms = 100, .load = 100 },
+    { .service = "models", .route = "chat", .tokens = 10, .load = 100 },
+  };
+
+  cr_expect_eq (load_at (900, 1000), 0);
+  for (uint32_t i = 0; i < TURNS; i++)
+    mq_pace_record_turn (pace, &silent[i % ROWS (silent)]);
+  cr_expect_eq (load_at (900, 1000), 0);
+}
