Admission by the pace of turns: the slowest programs count, refused ones return soon

What callers saw: programs that were refused at the worst load came back after up to 4 s, were admitted, and ended late: in the replay of engines that slow down, at 4.5 times the load, 130 of the admitted returned programs were late and 13 in time. Hosts that had just begun to learn refused and admitted at random.

Change: Retry-After of refused programs is 0.1 to 0.4 s, spread by the id. The part of their time that programs use is the 0.95 quantile at the end of turns, learned slowly while programs are late. The rise of programs that begin is held against the seconds before, a difference within one standard deviation is chance, and a fall does not count. The pace counts only for workers that are 3.5 times slower when full than when idle.

--- a/src/core/router/admission.c
+++ b/src/core/router/admission.c
@@ -38,9 +38,10 @@
 #define MEAN_PROGRAMS 32
 /* Time per token is in thousandths of a millisecond.  */
 #define TIME_UNIT 1000U
-#define RETRY_MIN_MS 300U
-#define RETRY_MAX_MS 4000U
+#define RETRY_MIN_MS 100U
+#define RETRY_MAX_MS 400U
 #define HASH_RANGE 1000U
+#define HASH_MIX 0x9e3779b97f4a7c15ULL
 #define MS_PER_S 1000U
 
 /* Key spaces of struct mq_admission names.  */
@@ -232,15 +233,19 @@
   return time * 100U < mean->time * LATE_PERCENT;
 }
 
-/* Time until the smoothed load falls from LEVEL to BOUND.  */
+/* Delay after which a refused program may return, spread by its id.
+
+   Failure: a program that returns when the load has fallen has little time
+   left; it is admitted, ends late, and takes the place of one that would
+   not.  */
 static uint32_t
-retry_delay (uint32_t level, uint32_t bound)
+retry_delay (const struct mq_admission_request *request)
 {
-  uint64_t wait = (uint64_t)(level - bound) * MS_PER_S / LOAD_FALL_PER_S;
+  /* The bound on the load uses the low digits of the hash.  */
+  uint64_t part = (request->program * HASH_MIX >> 32) % HASH_RANGE;
 
-  if (wait < RETRY_MIN_MS)
-    return RETRY_MIN_MS;
-  return wait > RETRY_MAX_MS ? RETRY_MAX_MS : (uint32_t)wait;
+  return RETRY_MIN_MS
+         + (uint32_t)((RETRY_MAX_MS - RETRY_MIN_MS) * part / HASH_RANGE);
 }
 
 enum mq_admission_decision
@@ -255,6 +260,6 @@
   *retry_ms = 0;
   if (level < bound)
     return MQ_ADMISSION_ACCEPTED;
-  *retry_ms = retry_delay (level, bound);
+  *retry_ms = retry_delay (request);
   return late ? MQ_ADMISSION_TOO_LATE : MQ_ADMISSION_OVERLOADED;
 }
--- a/src/core/router/admission.h
+++ b/src/core/router/admission.h
@@ -69,7 +69,7 @@
 struct mq_admission *mq_admission_create (TALLOC_CTX *ctx);
 void mq_admission_destroy (struct mq_admission *admission);
 /* Decides whether a program may begin.  If not, *RETRY_MS is the delay after
-   which a retry may be admitted.  */
+   which it may return.  */
 enum mq_admission_decision
 mq_admission_decide (struct mq_admission *admission,
                      const struct mq_admission_request *request,
--- a/src/core/router/pace.c
+++ b/src/core/router/pace.c
@@ -29,21 +29,39 @@
 /* Time per token is capped at this multiple of the route's mean, so that a
    turn held up by a failure does not distort it.  */
 #define TURN_CAP 4U
-/* Weight of a new turn in the mean part of their time that programs have
-   used.  */
-#define USED_WEIGHT 0.01
+/* Quantile of the part of their time that programs have used when a turn ends:
+   close to what the programs that need most of it use.  */
+#define USED_QUANTILE 0.95
+#define USED_STEP 0.02
+/* The first turns give the highest part instead.  */
+#define USED_FIRST 16U
+/* Weight of a turn in the mean time of turns at which they use it.  */
+#define USED_TIME_WEIGHT 0.01
+/* Factor of both while programs are at risk.  */
+#define AT_RISK_PART 0.05
 /* Programs whose time is remembered; a further one replaces another.  */
 #define PROGRAMS 1024U
-/* Part of the time that turns may lose to load from which programs are at
-   risk, percent.  The rest allows for variance.  */
-#define RISK_PERCENT 45U
+/* The load rises at most by this factor more than the requests that arrive:
+   the line does not hold far beyond the loads that it was learned from.  */
+#define COMPOUND_MAX 2.0
+/* Factor by which a full worker must be slower than an idle one for its pace
+   to count: more than programs are given.  Below it the bounds on slots
+   suffice. */
+#define SLOWDOWN_MIN 3.5
+/* Mean part of their time that programs may use, thousandths.  From the first
+   on some are at risk of ending late; at the second, half of them are.  */
+#define USED_RISK 900U
+#define USED_MAX 1100U
+/* Load at which half of the programs are late, as far above MQ_PACE_LOAD_FULL
+   as admission control needs to refuse all.  */
+#define LOAD_SPAN 600U
 #define US_PER_MS 1000U
 #define THOUSAND 1000U
 
 /* Programs that began are counted in slots of this length.  */
 #define BEGINS_SLOT_MS 250U
 #define BEGINS_SLOTS 16U
-/* Slots whose count is compared with the mean of all.  */
+/* Slots whose count is compared with that of the earlier ones.  */
 #define BEGINS_RECENT 4U
 
 /* Key spaces of struct mq_pace names.  */
@@ -258,16 +276,50 @@
 
 /* Programs */
 
-/* Learns from a later turn how much of its time the program has used.  */
+/* Time per token at which programs end at their deadline; 0 if unknown.  All
+   of a program's time is taken to grow with that of its turns.  */
+static double
+bearable_time (const struct route_pace *route)
+{
+  if (route->later_turns < USED_FIRST || route->used <= 0)
+    return 0;
+  return route->used_time / route->used;
+}
+
+/* Whether turns take so long that programs are at risk.  */
+static bool
+is_at_risk (const struct route_pace *route)
+{
+  return route->recent_time * THOUSAND > bearable_time (route) * USED_RISK;
+}
+
+/* Learns which part of its time a program has used at the end of a turn;
+   slowly while programs are at risk.
+
+   Failure: programs that are late have used all of their time, however long
+   their turns take, and the time that they bear seems to grow with the
+   load.  */
 static void
 learn_used (struct route_pace *route, double used)
 {
-  double weight = USED_WEIGHT;
+  double part = 1.0;
+  double weight = USED_TIME_WEIGHT;
 
-  if (route->later_turns * USED_WEIGHT < 1.0)
-    weight = 1.0 / ++route->later_turns;
-  route->used += (used - route->used) * weight;
-  route->used_time += (route->recent_time - route->used_time) * weight;
+  if (route->later_turns < USED_FIRST)
+    {
+      route->later_turns++;
+      route->used = used > route->used ? used : route->used;
+      route->used_time
+          += (route->recent_time - route->used_time) / route->later_turns;
+      return;
+    }
+  if (is_at_risk (route))
+    part = AT_RISK_PART;
+  if (used > route->used)
+    route->used += USED_STEP * USED_QUANTILE * part;
+  else
+    route->used -= USED_STEP * (1.0 - USED_QUANTILE) * part;
+  route->used_time += (route->recent_time - route->used_time) * weight * part;
 }
 
 static void
@@ -275,15 +327,15 @@
                const struct mq_pace_turn *turn)
 {
   struct program *program = &pace->programs[turn->program % PROGRAMS];
+  double left = (double)turn->remaining_ms - (double)turn->ran_ms;
 
-  if (!turn->has_remaining)
+  if (!turn->has_remaining || turn->remaining_ms == 0)
     return;
   if (turn->begins)
     *program = (struct program){ turn->program, turn->remaining_ms };
-  else if (program->id == turn->program
-           && turn->remaining_ms < program->given_ms)
-    learn_used (route,
-                1.0 - (double)turn->remaining_ms / (double)program->given_ms);
+  if (program->id == turn->program && program->given_ms > 0
+      && turn->remaining_ms <= program->given_ms)
+    learn_used (route, 1.0 - left / (double)program->given_ms);
 }
 
 void
@@ -327,11 +379,12 @@
   row->begins[row->slot % BEGINS_SLOTS]++;
 }
 
-/* Factor by which the load will change, since programs that begin load the
+/* Factor by which the load will rise, since programs that begin load the
    workers for as long as they last.  A difference within one standard
-   deviation of the usual count is chance.  */
+   deviation of the usual count is chance.  A fall does not count: a program
+   that begins now meets the present load.  */
 static double
-expected_change (struct service_pace *service, uint64_t now)
+expected_rise (struct service_pace *service, uint64_t now)
 {
   double recent = 0;
   double usual = 0;
@@ -344,45 +397,55 @@
           = service
                 ->begins[(service->slot + BEGINS_SLOTS - age) % BEGINS_SLOTS];
 
-      usual += (double)count * BEGINS_RECENT / BEGINS_SLOTS;
       if (age < BEGINS_RECENT)
         recent += count;
+      else
+        usual
+            += (double)count * BEGINS_RECENT / (BEGINS_SLOTS - BEGINS_RECENT);
     }
   if (usual < 1.0)
     usual = 1.0;
   chance = sqrt (usual);
   if (recent > usual + chance)
     return (recent - chance) / usual;
-  if (recent < usual - chance)
-    return (recent + chance) / usual;
   return 1.0;
 }
 
 /* Conclusions */
 
-/* Time per token at which programs end at their deadline; 0 if unknown.  Later
-   turns arrive halfway through their programs on average, so that programs use
-   twice the part that is used then.  All of it is taken to grow with the time
-   of turns.  */
+/* Load once the requests that arrive have risen by RISE.  It is what arrives
+   times the time that it takes, which grows with the load itself.  */
 static double
-bearable_time (const struct route_pace *route)
+expected_load (const struct service_pace *service, double load, double rise)
 {
-  if (route->later_turns < TURNS_MIN || route->used <= 0)
-    return 0;
-  return route->used_time / (2.0 * route->used);
+  double idle = service->idle;
+  double arrive = load / (idle + service->growth * load) * rise;
+  double room = 1.0 - arrive * service->growth;
+  double most = load * rise * COMPOUND_MAX;
+
+  if (room <= 0 || arrive * idle / room > most)
+    return rise > 1.0 ? most : load;
+  return arrive * idle / room;
 }
 
-/* Time per token once the requests that arrive have changed by CHANGE; 0 if it
-   would grow without end.  The load is what arrives times the time that it
-   takes, which grows with the load.  */
-static double
-expected_time (const struct service_pace *service, double load, double change)
+/* Load at which programs use the part USED of their time on average,
+   thousandths.  */
+static uint32_t
+load_of_used (double used)
 {
-  double idle = service->excess * service->idle;
-  double growth = service->excess * service->growth;
-  double arrive = load / (idle + growth * load) * change;
+  double load = used / USED_RISK * MQ_PACE_LOAD_FULL;
+
+  if (used > USED_RISK)
+    load = MQ_PACE_LOAD_FULL
+           + (used - USED_RISK) * LOAD_SPAN / (USED_MAX - USED_RISK);
+  return load < MQ_PACE_LOAD_MAX ? (uint32_t)load : MQ_PACE_LOAD_MAX;
+}
 
-  return arrive * growth < 1.0 ? idle / (1.0 - arrive * growth) : 0;
+static bool
+slows_down (const struct service_pace *service)
+{
+  return service->idle > 0
+         && service->idle + service->growth > service->idle * SLOWDOWN_MIN;
 }
 
 uint32_t
@@ -390,20 +453,16 @@
 {
   struct service_pace *service = get_service (pace, program->service);
   double bearable = bearable_time (get_route (pace, program->route));
+  double load;
   double time;
-  double used;
 
-  if (service->idle <= 0 || bearable <= 0)
-    return 0;
-  time = expected_time (service, (double)program->service_load / THOUSAND,
-                        expected_change (service, program->now_ms));
-  if (time <= 0 || bearable <= service->idle)
-    return MQ_PACE_LOAD_MAX;
-  used = (time - service->idle) / (bearable - service->idle);
-  used *= MQ_PACE_LOAD_FULL * 100.0 / RISK_PERCENT;
-  if (used <= 0)
+  if (service->turns < TURNS_MIN || bearable <= 0 || !slows_down (service))
     return 0;
-  return used < MQ_PACE_LOAD_MAX ? (uint32_t)used : MQ_PACE_LOAD_MAX;
+  load = (double)program->service_load / THOUSAND;
+  load = expected_load (service, load,
+                        expected_rise (service, program->now_ms));
+  time = service->excess * (service->idle + service->growth * load);
+  return load_of_used (time / bearable * THOUSAND);
 }
 
 struct mq_pace_report
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -120,6 +120,53 @@
   cr_expect_gt (actual, hashed, "%.1f, hashed %.1f", actual, hashed);
 }
 
+/* Engines of many slots slow down with each request: programs are late long
+   before the slots are full.  */
+
+/* Mean goodput in a burst of BURST times the load on such engines.  */
+static double
+batch_goodput (enum replay_policy policy, double burst)
+{
+  double all = 0.0;
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct replay_options options
+          = replay_batch_options (policy, burst, seed);
+      struct replay_result result;
+
+      replay_run (&options, &result);
+      all += replay_goodput (&result, options.burst_from_s,
+                             options.burst_from_s + options.burst_s);
+    }
+  return all / SEEDS;
+}
+
+/* Guards against taking on programs by free slots while turns take too
+   long.  */
+Test (replay, programs_are_refused_before_slow_engines_are_full)
+{
+  double twice = batch_goodput (REPLAY_ALL_DECISIONS, 2.0);
+  double actual = batch_goodput (REPLAY_ALL_DECISIONS, 3.0);
+  double by_slots = batch_goodput (REPLAY_BY_SLOTS, 4.5);
+
+  cr_expect_geq (actual, twice * GOODPUT_MIN, "%.1f of %.1f", actual, twice);
+  cr_expect_gt (batch_goodput (REPLAY_ALL_DECISIONS, 4.5), by_slots * 1.5);
+}
+
+/* Goodput at four and a half times the load, relative to that at twice.  */
+#define GOODPUT_FAR_MIN 0.8
+
+/* Guards against a collapse while far more is asked than can be served.  */
+Test (replay, goodput_of_slow_engines_holds_far_above_capacity)
+{
+  double twice = batch_goodput (REPLAY_ALL_DECISIONS, 2.0);
+  double actual = batch_goodput (REPLAY_ALL_DECISIONS, 4.5);
+
+  cr_expect_geq (actual, twice * GOODPUT_FAR_MIN, "%.1f of %.1f", actual,
+                 twice);
+}
+
 /* No class starves under overload.  */
 Test (replay, both_classes_are_served)
 {
