New hosts learn from the table which versions a service's streams run at

Cause: a host younger than MQ_FLEET_VERSION_MEMORY_MS can't remember that there was no other version.

Change: a row a service names the versions at which resumable streams may be running. A host names a version there before the first event of a stream at it is forwarded, once for each version and start of the host; a version is dropped by a host that has known another one alone for a minute. A host that resumes a stream and remembers too little goes on if the row and the list of workers name the same single version, else it refuses as before. Without resumable routes there is no row and no call.

Tests: new_host_goes_on_in_a_service_of_one_version failed before; new_host_does_not_join_what_a_version_that_left_began passed before as well and holds the other side.

--- a/proto/turn.pb-c.c
+++ b/proto/turn.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &mqturn__stream_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mqturn__service_row__init
+                     (Mqturn__ServiceRow         *message)
+{
+  static const Mqturn__ServiceRow init_value = MQTURN__SERVICE_ROW__INIT;
+  *message = init_value;
+}
+size_t mqturn__service_row__get_packed_size
+                     (const Mqturn__ServiceRow *message)
+{
+  assert(message->base.descriptor == &mqturn__service_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqturn__service_row__pack
+                     (const Mqturn__ServiceRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqturn__service_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqturn__service_row__pack_to_buffer
+                     (const Mqturn__ServiceRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqturn__service_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqturn__ServiceRow *
+       mqturn__service_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqturn__ServiceRow *)
+     protobuf_c_message_unpack (&mqturn__service_row__descriptor,
+                                allocator, len, data);
+}
+void   mqturn__service_row__free_unpacked
+                     (Mqturn__ServiceRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqturn__service_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mqturn__reserve_row__init
                      (Mqturn__ReserveRow         *message)
 {
@@ -437,6 +482,44 @@
   (ProtobufCMessageInit) mqturn__stream_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mqturn__service_row__field_descriptors[1] =
+{
+  {
+    "versions",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mqturn__ServiceRow, n_versions),
+    offsetof(Mqturn__ServiceRow, versions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqturn__service_row__field_indices_by_name[] = {
+  0,   /* field[0] = versions */
+};
+static const ProtobufCIntRange mqturn__service_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mqturn__service_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqturn.ServiceRow",
+  "ServiceRow",
+  "Mqturn__ServiceRow",
+  "mqturn",
+  sizeof(Mqturn__ServiceRow),
+  1,
+  mqturn__service_row__field_descriptors,
+  mqturn__service_row__field_indices_by_name,
+  1,  mqturn__service_row__number_ranges,
+  (ProtobufCMessageInit) mqturn__service_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mqturn__reserve_row__field_descriptors[3] =
 {
   {
--- a/proto/turn.pb-c.h
+++ b/proto/turn.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Mqturn__Grant Mqturn__Grant;
 typedef struct Mqturn__BudgetRow Mqturn__BudgetRow;
 typedef struct Mqturn__StreamRow Mqturn__StreamRow;
+typedef struct Mqturn__ServiceRow Mqturn__ServiceRow;
 typedef struct Mqturn__ReserveRow Mqturn__ReserveRow;
 typedef struct Mqturn__TurnRow Mqturn__TurnRow;
 
@@ -90,6 +91,23 @@
     , 0, 0 }
 
 
+/*
+ * Versions of a service at which resumable streams may be running.
+ */
+struct  Mqturn__ServiceRow
+{
+  ProtobufCMessage base;
+  /*
+   * as in BudgetRow
+   */
+  size_t n_versions;
+  uint64_t *versions;
+};
+#define MQTURN__SERVICE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqturn__service_row__descriptor) \
+    , 0,NULL }
+
+
 /*
  * Lease on a slot of programs that may begin while the table is away.
  */
@@ -195,6 +213,25 @@
 void   mqturn__stream_row__free_unpacked
                      (Mqturn__StreamRow *message,
                       ProtobufCAllocator *allocator);
+/* Mqturn__ServiceRow methods */
+void   mqturn__service_row__init
+                     (Mqturn__ServiceRow         *message);
+size_t mqturn__service_row__get_packed_size
+                     (const Mqturn__ServiceRow   *message);
+size_t mqturn__service_row__pack
+                     (const Mqturn__ServiceRow   *message,
+                      uint8_t             *out);
+size_t mqturn__service_row__pack_to_buffer
+                     (const Mqturn__ServiceRow   *message,
+                      ProtobufCBuffer     *buffer);
+Mqturn__ServiceRow *
+       mqturn__service_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqturn__service_row__free_unpacked
+                     (Mqturn__ServiceRow *message,
+                      ProtobufCAllocator *allocator);
 /* Mqturn__ReserveRow methods */
 void   mqturn__reserve_row__init
                      (Mqturn__ReserveRow         *message);
@@ -244,6 +281,9 @@
 typedef void (*Mqturn__StreamRow_Closure)
                  (const Mqturn__StreamRow *message,
                   void *closure_data);
+typedef void (*Mqturn__ServiceRow_Closure)
+                 (const Mqturn__ServiceRow *message,
+                  void *closure_data);
 typedef void (*Mqturn__ReserveRow_Closure)
                  (const Mqturn__ReserveRow *message,
                   void *closure_data);
@@ -259,6 +299,7 @@
 extern const ProtobufCMessageDescriptor mqturn__grant__descriptor;
 extern const ProtobufCMessageDescriptor mqturn__budget_row__descriptor;
 extern const ProtobufCMessageDescriptor mqturn__stream_row__descriptor;
+extern const ProtobufCMessageDescriptor mqturn__service_row__descriptor;
 extern const ProtobufCMessageDescriptor mqturn__reserve_row__descriptor;
 extern const ProtobufCMessageDescriptor mqturn__turn_row__descriptor;
 
--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -231,6 +231,17 @@
 uint64_t mq_fleet_sole_version (const struct mq_fleet *fleet,
                                 const char *service, uint32_t memory_ms,
                                 uint64_t now_ms);
+/* Whether the row of SERVICE in the table names VERSION, as far as this host
+   knows.  Forgotten once VERSION has been away for half of
+   MQ_FLEET_VERSION_MEMORY_MS: another host may have dropped it.  */
+bool mq_fleet_is_recorded (const struct mq_fleet *fleet, const char *service,
+                           uint64_t version);
+/* Whether that row named several versions.  */
+bool mq_fleet_recorded_several (const struct mq_fleet *fleet,
+                                const char *service);
+/* The row of SERVICE names VERSION, alone if SOLE.  */
+void mq_fleet_set_recorded (struct mq_fleet *fleet, const char *service,
+                            uint64_t version, bool sole);
 /* Number of available workers of SERVICE.  */
 size_t mq_fleet_count (const struct mq_fleet *fleet, const char *service);
 /* Retry delay for callers when no worker of SERVICE has a free slot.  */
--- a/src/core/router/fleet_state.h
+++ b/src/core/router/fleet_state.h
@@ -71,12 +71,14 @@
  * struct fleet_version - one software version of a service
  * @listed: its workers in the table
  * @seen_ms: time at which a worker was last added or removed
+ * @recorded: named by the service's row in the table (streams.h)
  */
 struct fleet_version
 {
   uint64_t version;
   uint32_t listed;
   uint64_t seen_ms;
+  bool recorded;
 };
 
 /**
@@ -84,6 +86,7 @@
  * @loads: reported load, thousandths of the worker's slots
  * @waits: delay until the response began, thousandths of the objective
  * @first_ms: time at which its first worker was listed
+ * @recorded_several: its row in the table named several versions
  */
 struct fleet_service
 {
@@ -92,6 +95,7 @@
   struct fleet_version *versions;
   size_t version_count;
   uint64_t first_ms;
+  bool recorded_several;
 };
 
 /**
--- a/src/core/router/fleet_version.c
+++ b/src/core/router/fleet_version.c
@@ -58,6 +58,9 @@
 
   if (service->first_ms == 0)
     service->first_ms = fleet->now_ms;
+  if (slot->listed == 0
+      && fleet->now_ms - slot->seen_ms > MQ_FLEET_VERSION_MEMORY_MS / 2)
+    slot->recorded = false;
   if (listed && !entry->listed)
     slot->listed++;
   else if (!listed && entry->listed)
@@ -127,3 +130,42 @@
     }
   return sole;
 }
+
+static struct fleet_version *
+find_version (const struct fleet_service *service, uint64_t version)
+{
+  for (size_t i = 0; service != NULL && i < service->version_count; i++)
+    if (service->versions[i].version == version)
+      return &service->versions[i];
+  return NULL;
+}
+
+bool
+mq_fleet_is_recorded (const struct mq_fleet *fleet, const char *service,
+                      uint64_t version)
+{
+  const struct fleet_version *slot
+      = find_version (fleet_find_service (fleet, service), version);
+
+  return slot != NULL && slot->recorded;
+}
+
+bool
+mq_fleet_recorded_several (const struct mq_fleet *fleet, const char *service)
+{
+  const struct fleet_service *row = fleet_find_service (fleet, service);
+
+  return row != NULL && row->recorded_several;
+}
+
+void
+mq_fleet_set_recorded (struct mq_fleet *fleet, const char *service,
+                       uint64_t version, bool sole)
+{
+  struct fleet_service *row = fleet_get_service (fleet, service);
+  struct fleet_version *slot = find_version (row, version);
+
+  row->recorded_several = !sole;
+  if (slot != NULL)
+    slot->recorded = true;
+}
--- a/src/core/router/streams.c
+++ b/src/core/router/streams.c
@@ -97,6 +97,65 @@
   return true;
 }
 
+bool
+mq_service_row_has (const struct mq_service_row *row, uint64_t version)
+{
+  for (size_t i = 0; i < row->count; i++)
+    if (row->versions[i] == version)
+      return true;
+  return false;
+}
+
+uint64_t
+mq_service_row_sole (const struct mq_service_row *row)
+{
+  return row->count == 1 ? row->versions[0] : 0;
+}
+
+bool
+mq_service_row_add (struct mq_service_row *row, uint64_t version)
+{
+  if (mq_service_row_has (row, version))
+    return true;
+  if (row->count == MQ_SERVICE_VERSIONS_MAX)
+    return false;
+  row->versions[row->count++] = version;
+  return true;
+}
+
+struct mq_bytes
+mq_service_row_pack (TALLOC_CTX *ctx, struct mq_service_row *row)
+{
+  Mqturn__ServiceRow packed = MQTURN__SERVICE_ROW__INIT;
+  struct mq_bytes bytes;
+
+  packed.n_versions = row->count;
+  packed.versions = row->versions;
+  bytes.len = mqturn__service_row__get_packed_size (&packed);
+  bytes.data = talloc_size (ctx, bytes.len + 1);
+  if (bytes.data != NULL)
+    mqturn__service_row__pack (&packed, bytes.data);
+  return bytes;
+}
+
+bool
+mq_service_row_unpack (struct mq_bytes bytes, struct mq_service_row *row)
+{
+  Mqturn__ServiceRow *packed
+      = mqturn__service_row__unpack (NULL, bytes.len, bytes.data);
+  bool valid = packed != NULL && packed->n_versions > 0;
+
+  *row = (struct mq_service_row){ .count = 0 };
+  for (size_t i = 0; valid && i < packed->n_versions; i++)
+    valid = !mq_service_row_has (row, packed->versions[i])
+            && mq_service_row_add (row, packed->versions[i]);
+  if (packed != NULL)
+    mqturn__service_row__free_unpacked (packed, NULL);
+  if (!valid)
+    row->count = 0;
+  return valid;
+}
+
 enum mq_stream_record
 mq_stream_record (uint64_t version, uint64_t program_version, bool budgeted)
 {
--- a/src/core/router/streams.h
+++ b/src/core/router/streams.h
@@ -47,6 +47,31 @@
 /* Returns false if BYTES is not a valid row.  */
 bool mq_stream_row_unpack (struct mq_bytes bytes, struct mq_stream_row *row);
 
+/* Versions that a service's row can name.  */
+#define MQ_SERVICE_VERSIONS_MAX 64U
+
+/**
+ * struct mq_service_row - row of one service: versions at which its resumable
+ * streams may be running
+ * @versions: distinct; 0 stands for unknown ones
+ */
+struct mq_service_row
+{
+  size_t count;
+  uint64_t versions[MQ_SERVICE_VERSIONS_MAX];
+};
+
+bool mq_service_row_has (const struct mq_service_row *row, uint64_t version);
+/* Returns the only version in ROW, 0 if there are several.  */
+uint64_t mq_service_row_sole (const struct mq_service_row *row);
+/* Returns false if ROW is full.  */
+bool mq_service_row_add (struct mq_service_row *row, uint64_t version);
+/* Serializes ROW, allocated under CTX; data is NULL if out of memory.  */
+struct mq_bytes mq_service_row_pack (TALLOC_CTX *ctx,
+                                     struct mq_service_row *row);
+/* Returns false if BYTES is not a valid row.  */
+bool mq_service_row_unpack (struct mq_bytes bytes, struct mq_service_row *row);
+
 /**
  * enum mq_stream_record - what must be durable before the first event of a
  * stream is forwarded
--- a/src/router/router_version.c
+++ b/src/router/router_version.c
@@ -3,12 +3,13 @@
    A stream that a caller resumes goes on at the version that wrote its first
    event.  Another host finds it by the stream's row, or by the program's
    record if there is no row (streams.h).
-   Needs: router_request.h, router_turns.h, memory.h, clock.h.  */
+   Needs: router_request.h, router_turns.h, router_version_record.h,
+   memory.h.  */
 
 #include "core/memory.h"
-#include "net/clock.h"
 #include "router_request.h"
 #include "router_turns.h"
+#include "router_version_record.h"
 
 const char mq_stream_table[] = "stream";
 
@@ -18,6 +19,7 @@
 /**
  * struct mq_row_write - a stream's row being written
  * @request: request whose events wait for the row; NULL if none do
+ * @records_only: the stream gets no row; the row of its service is awaited
  */
 struct mq_row_write
 {
@@ -27,6 +29,7 @@
   char part[MQ_PART_NAME_BYTES];
   uint64_t version;
   uint32_t tries;
+  bool records_only;
 };
 
 static bool
@@ -70,36 +73,61 @@
       }
 }
 
-/* The only version that the service has had for MEMORY_MS.  Without feeds this
-   host does not hear of others, unless the table is away: then no worker can
-   be listed anew.  */
-static uint64_t
-sole_version (const struct mq_request *request, uint32_t memory_ms)
+static void
+refuse_resumed (struct mq_request *request, enum mq_refusal refusal)
 {
-  const struct mq_router *router = request->router;
-
-  if (!mq_rows_feeds_healthy (router->rows)
-      && !mq_table_client_down (router->table_client))
-    return 0;
-  return mq_fleet_sole_version (router->fleet, request->service, memory_ms,
-                                mq_clock_ms ());
+  request->router->counters.streams_refused++;
+  request_refuse (request, refusal);
 }
 
-/* Neither memory nor table tell the version.  REFUSAL: response if the route's
-   workers have several.  */
-static bool
-use_sole_version (struct mq_request *request, enum mq_refusal refusal)
+/* A version that this host has not known for long is the service's only one
+   if the service's row says so as well.
+
+   Failure: a host that has just started can't remember that its service has
+   had one version for longer than any stream lasts.  */
+static void
+on_service_read (const struct mq_rows_result *result, void *user)
 {
-  uint64_t version = sole_version (request, MQ_FLEET_VERSION_MEMORY_MS);
+  struct mq_request *request = user;
+  uint64_t version
+      = mq_router_sole_version (request->router, request->service, 0);
+  struct mq_service_row row;
 
-  if (version == 0 || request->route->backend_count > 1)
+  request->row_read = NULL;
+  if (result->status != MQ_STORE_OK)
+    refuse_resumed (request, MQ_REFUSE_TABLE_UNAVAILABLE);
+  else if (version == 0 || result->row_count == 0
+           || !mq_service_row_unpack (result->rows[0].value, &row)
+           || mq_service_row_sole (&row) != version)
+    refuse_resumed (request, MQ_REFUSE_STREAM_UNKNOWN);
+  else
     {
-      request->router->counters.streams_refused++;
-      request_refuse (request, refusal);
-      return false;
+      set_version (request, version);
+      request_dispatch (request);
     }
-  set_version (request, version);
-  return true;
+}
+
+/* Neither memory nor the stream's row nor its program tell the version.
+   Returns false if the request is refused or waits for the service's row.
+   REFUSAL: response if the route's workers have several.  */
+static bool
+use_sole_version (struct mq_request *request, enum mq_refusal refusal)
+{
+  struct mq_router *router = request->router;
+  uint64_t version = mq_router_sole_version (router, request->service,
+                                             MQ_FLEET_VERSION_MEMORY_MS);
+
+  if (request->route->backend_count > 1)
+    refuse_resumed (request, refusal);
+  else if (version != 0)
+    set_version (request, version);
+  else if (mq_router_sole_version (router, request->service, 0) == 0
+           || mq_version_row_down (router, request->service))
+    refuse_resumed (request, refusal);
+  else
+    request->row_read = mq_version_row_read (router, request->service,
+                                             on_service_read, request);
+  return request->has_version;
 }
 
 static bool
@@ -194,7 +222,8 @@
   request->restricted = true;
   request->version = request->turn.stream_version;
   if (request->version == 0)
-    request->version = sole_version (request, 0);
+    request->version
+        = mq_router_sole_version (request->router, request->service, 0);
   if (request->version != 0)
     return true;
   request_refuse (request, MQ_REFUSE_TABLE_UNAVAILABLE);
@@ -317,8 +346,8 @@
 
 /* The write goes on when the request ends: its caller may resume the stream at
    once.  */
-static void
-begin_write (struct mq_request *request, bool wait)
+static struct mq_row_write *
+create_write (struct mq_request *request, bool wait)
 {
   struct mq_row_write *write
       = mq_check_alloc (talloc_zero (request->router, struct mq_row_write));
@@ -332,7 +361,72 @@
       write->request = request;
       request->row_write = write;
     }
-  write_row (write);
+  return write;
+}
+
+static void
+begin_write (struct mq_request *request, bool wait)
+{
+  write_row (create_write (request, wait));
+}
+
+/* STORED: the service's row names the version.  While the table fails, a
+   stream begins without that in a service of one version.  */
+static void
+on_version_recorded (bool stored, void *user)
+{
+  struct mq_row_write *write = user;
+  struct mq_request *request = write->request;
+
+  if (!stored && request != NULL)
+    stored = mq_router_sole_version (write->router, request->service, 0)
+             == write->version;
+  if (stored && !write->records_only)
+    write_row (write);
+  else
+    end_write (write, stored);
+}
+
+/* Whether the service's row is to name the version before the stream's first
+   event is forwarded.  */
+static bool
+needs_record (const struct mq_request *request)
+{
+  const struct mq_router *router = request->router;
+
+  return !mq_fleet_is_recorded (router->fleet, request->service,
+                                request->version)
+         && !mq_version_row_down (router, request->service);
+}
+
+/* Drops versions from the service's row that have left.  */
+static void
+shorten_service_row (const struct mq_request *request)
+{
+  struct mq_router *router = request->router;
+
+  if (mq_fleet_recorded_several (router->fleet, request->service)
+      && mq_router_sole_version (router, request->service,
+                                 MQ_FLEET_VERSION_MEMORY_MS)
+             == request->version)
+    {
+      mq_fleet_set_recorded (router->fleet, request->service, request->version,
+                             true);
+      mq_version_record (router, request->service, request->version, NULL,
+                         NULL);
+    }
+}
+
+/* Records the version of the stream, then writes its row if RECORD asks for
+   one that its events wait for.  */
+static void
+record_version (struct mq_request *request, enum mq_stream_record record)
+{
+  struct mq_row_write *write = create_write (request, true);
+
+  write->records_only = record != MQ_STREAM_ROW_FIRST;
+  mq_version_record (request->router, request->service, request->version,
+                     on_version_recorded, write);
 }
 
 void
@@ -341,27 +435,26 @@
   struct mq_router *router = request->router;
   bool budgeted = request->is_turn && request->turn.budgeted;
   char part[MQ_PART_NAME_BYTES];
+  enum mq_stream_record record;
 
   if (request->has_version || !request->route->resumable)
     return;
   set_version (request,
                mq_fleet_worker_version (router->fleet, request->worker));
   mq_streams_put (router->streams, request->turn_id, request->version);
-  if (request->restricted)
-    return;
-  switch (mq_stream_record (
-      request->version, budgeted ? request->turn.stream_version : 0, budgeted))
-    {
-    case MQ_STREAM_NO_ROW:
-      return;
-    case MQ_STREAM_ROW_FIRST:
-      begin_write (request, true);
-      return;
-    case MQ_STREAM_ROW_BESIDE:
-      if (!row_part_down (request, request->turn_id, part))
-        begin_write (request, false);
-      return;
-    }
+  record = request->restricted
+               ? MQ_STREAM_NO_ROW
+               : mq_stream_record (request->version,
+                                   budgeted ? request->turn.stream_version : 0,
+                                   budgeted);
+  if (record == MQ_STREAM_ROW_BESIDE
+      && !row_part_down (request, request->turn_id, part))
+    begin_write (request, false);
+  shorten_service_row (request);
+  if (needs_record (request))
+    record_version (request, record);
+  else if (record == MQ_STREAM_ROW_FIRST)
+    begin_write (request, true);
 }
 
 void
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -445,6 +445,33 @@
   cr_assert_eq (sole_version (now), 0);
 }
 
+/* Failure: a version returns after a while, another host has dropped it from
+   the service's row meanwhile, and its streams begin without being named
+   there.  */
+Test (fleet, recorded_version_is_forgotten_while_it_is_away)
+{
+  static const uint32_t away_ms[] = { 100, MQ_FLEET_VERSION_MEMORY_MS };
+  uint64_t now = 1000;
+
+  for (size_t i = 0; i < ROWS (away_ms); i++)
+    {
+      uint64_t version;
+
+      mq_fleet_set_time (fleet, now);
+      put_version ("x0", "v1", false);
+      version = mq_fleet_common_version (fleet, "v");
+      mq_fleet_set_recorded (fleet, "v", version, false);
+      cr_assert (mq_fleet_is_recorded (fleet, "v", version));
+      cr_assert_not (mq_fleet_is_recorded (fleet, "v", version + 1));
+      cr_assert (mq_fleet_recorded_several (fleet, "v"));
+      mq_fleet_remove (fleet, "x0", 0);
+      now += away_ms[i];
+      mq_fleet_set_time (fleet, now);
+      put_version ("x0", "v1", false);
+      cr_assert_eq (mq_fleet_is_recorded (fleet, "v", version), i == 0);
+    }
+}
+
 struct pressure_case
 {
   const char *name;
--- a/tests/test_streams.c
+++ b/tests/test_streams.c
@@ -51,6 +51,71 @@
   talloc_free (bytes.data);
 }
 
+struct service_row_case
+{
+  const char *name;
+  size_t count;
+  uint64_t versions[3];
+  uint64_t sole;
+};
+
+/* Failure: a service's row of several versions, or of an unknown one, is taken
+   for that of one version.  */
+Test (streams, row_of_a_service)
+{
+  static const struct service_row_case cases[] = {
+    { "one", 1, { 7 }, 7 },
+    { "two", 2, { 7, 8 }, 0 },
+    { "one twice", 2, { 7, 7 }, 7 },
+    { "unknown", 1, { 0 }, 0 },
+    { "one and unknown", 2, { 7, 0 }, 0 },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct mq_service_row row = { .count = 0 };
+      struct mq_bytes bytes;
+
+      for (size_t k = 0; k < cases[i].count; k++)
+        cr_assert (mq_service_row_add (&row, cases[i].versions[k]));
+      bytes = mq_service_row_pack (NULL, &row);
+      row = (struct mq_service_row){ .count = 0 };
+      cr_assert (mq_service_row_unpack (bytes, &row), "%s", cases[i].name);
+      cr_assert_eq (mq_service_row_sole (&row), cases[i].sole, "%s",
+                    cases[i].name);
+      cr_assert (mq_service_row_has (&row, cases[i].versions[0]), "%s",
+                 cases[i].name);
+      talloc_free (bytes.data);
+    }
+}
+
+/* Failure: a row that can't be read names some version.  */
+Test (streams, bad_row_of_a_service)
+{
+  static const char twice[]
+      = { 10, 16, 7, 0, 0, 0, 0, 0, 0, 0, 7, 0, 0, 0, 0, 0, 0, 0, '\0' };
+  static const struct
+  {
+    const char *text;
+    size_t len;
+  } cases[] = { { "", 0 }, { "\377\377", 2 }, { twice, 18 } };
+  struct mq_service_row row = { .count = 0 };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct mq_bytes bytes
+          = { (uint8_t *)(uintptr_t)cases[i].text, cases[i].len };
+
+      row.count = 1;
+      cr_assert_not (mq_service_row_unpack (bytes, &row), "case %zu", i);
+      cr_assert_eq (row.count, 0);
+    }
+  for (uint64_t i = 0; i < MQ_SERVICE_VERSIONS_MAX; i++)
+    cr_assert (mq_service_row_add (&row, i + 1));
+  cr_assert_not (mq_service_row_add (&row, UINT64_MAX));
+  cr_assert (mq_service_row_add (&row, 1));
+}
+
 struct record_case
 {
   const char *name;
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -409,6 +409,71 @@
     }
 }
 
+struct new_host_case
+{
+  const char *name;
+  bool has_program;
+  enum resumes_field field;
+};
+
+/* Failure: all hosts are lost, the new ones have not known the service for
+   long enough to tell that it has one version, and refuse streams whose
+   callers name no attempt, or one without a row.  */
+Test (versions, new_host_goes_on_in_a_service_of_one_version)
+{
+  static const struct new_host_case cases[] = {
+    { "not named", true, RESUMES_NOTHING },
+    { "not named, no program", false, RESUMES_NOTHING },
+    { "named", true, RESUMES_FIRST },
+    { "no row", false, RESUMES_UNKNOWN },
+  };
+  static const char *const versions[EDGE_WORKERS] = { "v1", "v1", "v1" };
+
+  edge_start (site, 1);
+  set_versions (versions);
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      const struct new_host_case *row = &cases[i];
+      struct stream streams[STREAMS];
+
+      for (int k = 0; k < STREAMS; k++)
+        begin_stream (&streams[k], 0, row->has_program);
+      disturb (ALL_HOSTS_KILLED);
+      for (int k = 0; k < STREAMS; k++)
+        {
+          int status = resume_stream (&streams[k], 2,
+                                      resumes_text (&streams[k], row->field));
+
+          cr_assert_eq (status, 200, "%s: %s", row->name, call.answer);
+          cr_assert_not (streams[k].joined, "%s: %s", row->name, call.answer);
+        }
+      restart_hosts ();
+      edge_run_for (site, 100);
+    }
+}
+
+/* Failure: the version that began a stream has left when a new host asks which
+   ones the service has, and the host takes the one that is left.  */
+Test (versions, new_host_does_not_join_what_a_version_that_left_began)
+{
+  static const char *const versions[EDGE_WORKERS] = { "v1", "v1.1", "v1" };
+  struct stream streams[STREAMS];
+
+  edge_start (site, 1);
+  set_versions (versions);
+  for (int k = 0; k < STREAMS; k++)
+    begin_stream (&streams[k], 0, k % 2 == 0);
+  list_version ("v1");
+  disturb (ALL_HOSTS_KILLED);
+  for (int k = 0; k < STREAMS; k++)
+    {
+      int status = resume_stream (&streams[k], 2, NULL);
+
+      cr_assert_eq (status, 503, "%s", call.answer);
+      cr_assert_not (streams[k].joined, "%s", call.answer);
+    }
+}
+
 /* Sends a whole stream of PROGRAM to ROUTER; returns its status.  */
 static int
 run_stream (const char *program, int router, struct stream *stream)
