Admission: the room of a service is divided max-min among organisations

What callers saw: while one organisation asks for many times its usual, programs of all organisations are refused alike.

Cause: admission refuses by a hash of the program's id and does not know whose the program is.

Change: shares.c counts the programs that ask a host to begin, by service and organisation over 4 s, and divides the part that admission admits at the load: an organisation that asks for less than its share is admitted whole, the sum stays the same. Without an organisation in the configuration, or where all ask for equally much, decisions and delays are what they were. At most 256 organisations a service, none without traffic. Demand told by issuers is not built; its interface is gone.

Tests: test_shares.c; demand_is_counted in test_organisation.c.

--- a/src/core/organisation/shares.h
+++ b/src/core/organisation/shares.h
@@ -7,9 +7,8 @@
    admitted whole, and what it leaves goes to the others.  What an organisation
    did not use earlier neither counts for it nor against it.
 
-   Demand is counted from the programs that ask this host to begin, and, where
-   the issuer of an organisation's limit told it, from those of all hosts.
-   Pure: callers pass the time.
+   Demand is counted from the programs that ask this host to begin: a sample,
+   since callers reach hosts by chance.  Pure: callers pass the time.
    Needs: types.h.  */
 
 #ifndef MQ_SHARES_H
@@ -23,6 +22,11 @@
 #define MQ_SHARES_ALL 1000U
 /* Demand is that of this time.  */
 #define MQ_SHARES_WINDOW_MS 4000U
+/* Organisations whose demand is kept; the one that asked longest ago is
+   dropped for a new one.  */
+#define MQ_SHARES_ORGANISATIONS_MAX 256U
+/* Highest weight; one above counts as this.  */
+#define MQ_SHARES_WEIGHT_MAX 1000U
 
 /* Returns NULL if out of memory.  */
 struct mq_shares *mq_shares_create (TALLOC_CTX *ctx);
@@ -32,10 +36,9 @@
 void mq_shares_record_demand (struct mq_shares *shares,
                               const char *organisation, uint32_t weight,
                               uint64_t now_ms);
-/* Records the demand over all hosts as told by the organisation's issuer, in
-   thousandths of a program per second.  Used for MQ_SHARES_WINDOW_MS.  */
-void mq_shares_record_told (struct mq_shares *shares, const char *organisation,
-                            uint64_t demand, uint64_t now_ms);
+/* Counts a program of ORGANISATION that was refused.  */
+void mq_shares_record_refused (struct mq_shares *shares,
+                               const char *organisation, uint64_t now_ms);
 /**
  * mq_shares_admitted - part of an organisation's programs to admit
  * @shares: recent demand of this service's organisations
@@ -51,4 +54,28 @@
                              const char *organisation, uint32_t part,
                              uint64_t now_ms);
 
+/**
+ * struct mq_shares_report - demand within the window
+ * @organisation: its name, valid until the next call that records; NULL for
+ *                the sum of several
+ * @demand: programs that asked to begin
+ * @refused: of them refused
+ */
+struct mq_shares_report
+{
+  const char *organisation;
+  uint32_t demand;
+  uint32_t refused;
+};
+
+/* Demand of ORGANISATION; of all if NULL.  */
+struct mq_shares_report mq_shares_report (const struct mq_shares *shares,
+                                          const char *organisation,
+                                          uint64_t now_ms);
+/* Writes the organisations of highest demand to REPORTS, highest first, and
+   the sum of the others to *REST.  Returns how many it wrote, MAX at most.  */
+size_t mq_shares_busiest (const struct mq_shares *shares,
+                          struct mq_shares_report *reports, size_t max,
+                          struct mq_shares_report *rest, uint64_t now_ms);
+
 #endif
--- a/src/core/router/admission.c
+++ b/src/core/router/admission.c
@@ -78,10 +78,12 @@
 /**
  * struct mq_admission - observed state of services and routes
  * @names: struct level by service and struct mean_time by route
+ * @last_part: part of programs admitted at the last decision
  */
 struct mq_admission
 {
   struct mq_idmap *names;
+  uint32_t last_part;
 };
 
 struct mq_admission *
@@ -178,16 +180,62 @@
   return request->record_load > load ? request->record_load : load;
 }
 
-/* Load at which this program is rejected.  */
+/* Load from which programs of the request's priority are rejected.  */
 static uint32_t
-reject_load (const struct mq_admission_request *request)
+first_reject_load (const struct mq_admission_request *request)
 {
   uint32_t steps = request->priority < PRIORITY_LEVELS ? request->priority
                                                        : PRIORITY_LEVELS;
-  uint32_t part = (uint32_t)(request->program % HASH_RANGE);
 
-  return REJECT_LOAD_MIN - steps * LOAD_PER_PRIORITY
-         + (REJECT_LOAD_MAX - REJECT_LOAD_MIN) * part / HASH_RANGE;
+  return REJECT_LOAD_MIN - steps * LOAD_PER_PRIORITY;
+}
+
+/* Place of the program among HASH_RANGE, of which the first are admitted.  */
+static uint32_t
+place (const struct mq_admission_request *request)
+{
+  return HASH_RANGE - 1 - (uint32_t)(request->program % HASH_RANGE);
+}
+
+/* Part of the programs of the request's priority that is admitted at LEVEL, of
+   HASH_RANGE.  */
+static uint32_t
+admitted_part (const struct mq_admission_request *request, uint32_t level)
+{
+  uint32_t range = REJECT_LOAD_MAX - REJECT_LOAD_MIN;
+  uint32_t first = first_reject_load (request);
+  uint32_t over = level < first ? 0 : level - first + 1;
+
+  if (over >= range)
+    return 0;
+  return HASH_RANGE - (over * HASH_RANGE + range - 1) / range;
+}
+
+/* Part of the programs of the request's organisation that is admitted.  */
+static uint32_t
+organisation_part (const struct mq_admission_request *request, uint32_t part)
+{
+  if (request->shares == NULL || request->organisation == NULL)
+    return part;
+  return mq_shares_admitted (request->shares, request->organisation, part,
+                             request->now_ms);
+}
+
+/* Load at which this program is rejected if its organisation has OWN of
+   HASH_RANGE when all have PART, as if both grew alike.  */
+static uint32_t
+reject_load (const struct mq_admission_request *request, uint32_t part,
+             uint32_t own)
+{
+  uint32_t needed = place (request) + 1;
+
+  if (own != part)
+    needed = own == 0 ? HASH_RANGE : needed * part / own;
+  if (needed > HASH_RANGE)
+    needed = HASH_RANGE;
+  return first_reject_load (request)
+         + (REJECT_LOAD_MAX - REJECT_LOAD_MIN) * (HASH_RANGE - needed)
+               / HASH_RANGE;
 }
 
 /* Time per token of the budget, in TIME_UNITs; 0 if unknown.  */
@@ -236,7 +284,8 @@
 static uint32_t
 retry_delay (uint32_t level, uint32_t bound)
 {
-  uint64_t wait = (uint64_t)(level - bound) * MS_PER_S / LOAD_FALL_PER_S;
+  uint32_t over = level > bound ? level - bound : 0;
+  uint64_t wait = (uint64_t)over * MS_PER_S / LOAD_FALL_PER_S;
 
   if (wait < RETRY_MIN_MS)
     return RETRY_MIN_MS;
@@ -250,11 +299,20 @@
 {
   uint32_t level = decisive_load (admission, request);
   bool late = is_short_of_time (admission, request, level);
-  uint32_t bound = late ? LOAD_FULL : reject_load (request);
+  uint32_t part = admitted_part (request, level);
+  uint32_t own = organisation_part (request, part);
+  uint32_t bound = late ? LOAD_FULL : reject_load (request, part, own);
 
   *retry_ms = 0;
-  if (level < bound)
+  admission->last_part = own;
+  if (late ? level < bound : place (request) < own)
     return MQ_ADMISSION_ACCEPTED;
   *retry_ms = retry_delay (level, bound);
   return late ? MQ_ADMISSION_TOO_LATE : MQ_ADMISSION_OVERLOADED;
 }
+
+uint32_t
+mq_admission_last_part (const struct mq_admission *admission)
+{
+  return admission->last_part;
+}
--- a/src/core/router/admission.h
+++ b/src/core/router/admission.h
@@ -6,7 +6,9 @@
    rejected at their first turn.  Programs that have begun continue.
 
    The load at which a program is rejected depends on a hash of its id, so that
-   all hosts reject the same programs without coordination.  A program that
+   all hosts reject the same programs without coordination.  Where
+   organisations share the service, the part of programs that is rejected
+   differs by organisation (shares.h), and its sum is the same.  A program that
    retries after a rejection does not displace one that has its full time left.
    Pure: callers pass the time.
    Needs: types.h, shares.h.  */
@@ -74,5 +76,8 @@
 mq_admission_decide (struct mq_admission *admission,
                      const struct mq_admission_request *request,
                      uint32_t *retry_ms);
+/* Part of the programs of the last request's organisation that is admitted, in
+   thousandths; of all organisations if they are treated alike.  */
+uint32_t mq_admission_last_part (const struct mq_admission *admission);
 
 #endif
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -216,9 +216,11 @@
   router->fleet = mq_fleet_create (router);
   router->admission = mq_admission_create (router);
   router->pace = mq_pace_create (router);
+  router->shares = mq_idmap_create (router);
   router->rows = mq_rows_create (router, router->ev, settings->table);
   if (router->log == NULL || router->fleet == NULL || router->admission == NULL
-      || router->pace == NULL || router->rows == NULL)
+      || router->pace == NULL || router->shares == NULL
+      || router->rows == NULL)
     return false;
   mq_rows_set_rejection_handler (router->rows, on_rejected, router);
   router->relay = mq_relay_create (router, router->ev, settings->peer,
--- a/src/router/router_admit.c
+++ b/src/router/router_admit.c
@@ -40,6 +40,8 @@
                                        request->service, now),
     .pace_load = request_pace_load (request, now),
     .record_load = record_load (request, now),
+    .shares = request_record_demand (request, now),
+    .organisation = request->org != NULL ? request->org->name : NULL,
     .has_remaining = fields->has_left,
     .remaining_ms = fields->left_ms,
     .budget = fields->has_budget ? fields->budget : 0,
@@ -51,6 +53,7 @@
 refuse_program (struct mq_request *request)
 {
   request->router->counters.programs_refused++;
+  request_record_refused_program (request);
   request_refuse (request, request->program_deadline_at_risk
                                ? MQ_REFUSE_LATE
                                : MQ_REFUSE_OVERLOADED);
@@ -130,6 +133,8 @@
   request->service_load = highest_load (&admission_request);
   answer = mq_admission_decide (request->router->admission, &admission_request,
                                 &request->retry_ms);
+  request->organisation_part
+      = mq_admission_last_part (request->router->admission);
   request->program_deadline_at_risk = answer == MQ_ADMISSION_TOO_LATE;
   switch (answer)
     {
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -1,6 +1,7 @@
 /* router_request.h - state and steps of one request, shared by
    router_request.c, router_admit.c, router_dispatch.c, router_identify.c,
-   router_limit.c, router_pace.c, router_stream.c and router_version.c only.
+   router_limit.c, router_pace.c, router_shares.c, router_stream.c and
+   router_version.c only.
 
    Needs: router_state.h, router_try.h.  */
 
@@ -35,6 +36,8 @@
  *               thousandths of its slots; 0 if unknown
  * @pace_load: load as programs of the route bear it, when the program asked to
  *             begin
+ * @organisation_part: part of its organisation's programs that was admitted
+ *                     then, in thousandths
  * @home: engine assigned to the new program; 0 if the program is not new
  * @permit: pending permit request; NULL if none
  * @permitted: a permit was granted or none is needed
@@ -91,6 +94,7 @@
   uint32_t retry_ms;
   uint32_t worker_load;
   uint32_t pace_load;
+  uint32_t organisation_part;
   uint64_t home;
   struct mq_permit *permit;
   bool permitted;
@@ -222,6 +226,18 @@
 /* Load of the service as programs of the request's route bear it.  */
 uint32_t request_pace_load (const struct mq_request *request, uint64_t now);
 
+/* router_shares.c */
+
+/* Counts the program, which asks to begin.  Returns the demand of its service
+   for admission control; NULL if it has no organisation.  */
+const struct mq_shares *
+request_record_demand (const struct mq_request *request, uint64_t now);
+void request_record_refused_program (const struct mq_request *request);
+/* Adds the demand of the organisation of the refused program, and the part of
+   it that is admitted.  */
+void request_log_shares (const struct mq_request *request,
+                         struct mq_json_line *line);
+
 /* router_stream.c */
 
 /* Forwards the complete events received so far.  */
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -98,7 +98,7 @@
  * @record_wait: recent waits of response ends for the turn's record, in
  *               thousandths of the route's objective
  * @pace: how long turns take, and the load that programs bear
- * @shares: recent demand of organisations
+ * @shares: recent demand of organisations, struct mq_shares by service
  * @routes: active configuration; NULL before the first one
  * @config: text of the active configuration
  * @config_loading: configuration being loaded, first of a list; NULL if none
@@ -135,7 +135,7 @@
   struct mq_fleet *fleet;
   struct mq_admission *admission;
   struct mq_pace *pace;
-  struct mq_shares *shares;
+  struct mq_idmap *shares;
   struct mq_pool *pool;
   struct mq_rows *rows;
   struct mq_relay *relay;
@@ -464,6 +464,11 @@
 bool mq_reserve_may_issue (const struct mq_router *router,
                            const char *program);
 
+/* router_shares.c */
+
+/* Appends the demand of the busiest organisations of each service.  */
+void mq_router_add_shares (char **text, const struct mq_router *router);
+
 /* router_permit.c */
 
 enum mq_permit_state
--- a/tests/router_site.c
+++ b/tests/router_site.c
@@ -421,7 +421,7 @@
 edge_counter (struct edge_site *site, int index, const char *name)
 {
   static struct edge_call call;
-  char key[64];
+  char key[128];
   const char *at;
 
   snprintf (key, sizeof key, "\nmimosa_router_%s ", name);
--- a/tests/test_organisation.c
+++ b/tests/test_organisation.c
@@ -271,6 +271,44 @@
                 atoi (edge_find_run (site, "q2")->priority));
 }
 
+/* The first turn of PROGRAM.  */
+static int
+begin_program (const char *program, const char *key)
+{
+  char text[512];
+
+  snprintf (text, sizeof text,
+            "POST /turn/a HTTP/1.1\r\n" HOST "X-Request-Id: t-%s\r\n"
+            "X-Program-Id: %s\r\nX-Session-Id: %s\r\nX-Key: %s\r\n"
+            "X-Token-Budget: 80\r\nX-Token-Count: 10,8\r\n"
+            "Content-Length: 0\r\n\r\n",
+            program, program, program, key);
+  return edge_request (site, &call, 0, text);
+}
+
+/* Programs that ask to begin count for their organisation, later turns and
+   other requests do not.  */
+Test (organisation, demand_is_counted)
+{
+  static const char acme[]
+      = "organisation_demand{service=\"llm\",organisation=\"acme\"}";
+  static const char bolt[]
+      = "organisation_demand{service=\"llm\",organisation=\"bolt\"}";
+
+  cr_expect_eq (edge_counter (site, 0, acme), -1);
+  cr_assert_eq (begin_program ("p1", "acme-1"), 200, "%s", call.answer);
+  cr_assert_eq (begin_program ("p2", "acme-2"), 200);
+  cr_assert_eq (begin_program ("p2", "acme-2"), 200);
+  cr_assert_eq (begin_program ("p3", "bolt-1"), 200);
+  cr_assert_eq (ask (0, "q1", "bolt-1"), 200);
+  cr_expect_eq (edge_counter (site, 0, acme), 2);
+  cr_expect_eq (edge_counter (site, 0, bolt), 1);
+  cr_expect_eq (edge_counter (site, 0,
+                              "organisation_refused{service=\"llm\","
+                              "organisation=\"acme\"}"),
+                0);
+}
+
 /* A key that was added but has not arrived in the host's feed is looked up in
    the table.  */
 Test (organisation, new_key_is_looked_up)
