Requests that may not be repeated avoid workers that owe an answer

While the first call waits for its deadline, the worker's silence counts for nothing, and a host sends it further ones.

Cause: the fleet counted requests in progress, not since when they wait without data.

Change: a worker keeps the send time of its oldest request without data since, a service the mean time to an answer. Three times that mean, within a quarter and the whole of the route's objective, makes a worker doubtful for requests that may not be repeated: it is taken after all others that are not ejected, full ones included, whose rejection loses nothing. Doubt ends with the next data, or 8 s after the last request there. It ejects nothing; repeatable requests and streams choose as before. mimosa_router_doubtful_avoided counts.

tests/test_routing.c and tests/replay.c: only the time that mq_fleet_request_started now takes.

--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -48,6 +48,13 @@
    contents, without a shorter wait.  With a higher percentage, a worker that
    is loaded beyond the others keeps its programs too long.  */
 #define MQ_FLEET_AFFINITY_QUEUE_PERCENT 50U
+/* Recent mean time to an answer, as a multiple, after which a worker that has
+   sent nothing is doubtful; between the objective and this part of it.  */
+#define MQ_FLEET_DOUBT_FACTOR 3U
+#define MQ_FLEET_DOUBT_OBJECTIVE_DIVISOR 4U
+/* Doubt ends after this time without requests to the worker, so that it gets
+   one again.  */
+#define MQ_FLEET_DOUBT_MAX_MS 8000U
 /* Time for which a version counts after its last worker left: longer than any
    stream and the pauses before its caller resumes it.  */
 #define MQ_FLEET_VERSION_MEMORY_MS 60000U
@@ -102,6 +109,9 @@
  * @version: digest of the only version that may serve the request, 0 for any
  * @drain_ms: time after which a leaving worker may no longer be chosen; 0 if
  *            it may not at all.  Only for requests with @version
+ * @once: the request may not be repeated; doubtful workers are avoided
+ * @objective_ms: target response time, 0 if none
+ * @avoided: set to whether a doubtful worker was passed over, unless NULL
  * @tried: workers that the request was already sent to
  * @now_ms: monotonic clock
  * @random: random number for tie-breaking
@@ -116,6 +126,9 @@
   bool home_full;
   uint64_t version;
   uint32_t drain_ms;
+  bool once;
+  uint32_t objective_ms;
+  bool *avoided;
   const uint32_t *tried;
   size_t tried_count;
   uint64_t now_ms;
@@ -198,7 +211,8 @@
 bool mq_fleet_has_queue (const struct mq_fleet *fleet, uint32_t worker,
                          uint64_t now_ms);
 /* Record the start and end of a request at WORKER, in pairs.  */
-void mq_fleet_request_started (struct mq_fleet *fleet, uint32_t worker);
+void mq_fleet_request_started (struct mq_fleet *fleet, uint32_t worker,
+                               uint64_t now_ms);
 void mq_fleet_request_ended (struct mq_fleet *fleet, uint32_t worker,
                              enum mq_fleet_outcome outcome, uint64_t now_ms);
 /* Records data received from WORKER.  */
--- a/src/core/router/fleet_choice.c
+++ b/src/core/router/fleet_choice.c
@@ -51,6 +51,7 @@
  * @ejected: ejected workers
  * @load: sum of their decayed loads
  * @reported: mean reported load, 0 if unknown
+ * @patience_ms: time without data after which a worker is doubtful
  * @ignore_ejections: more than MQ_FLEET_EJECT_MAX_PERCENT are ejected
  */
 struct survey
@@ -59,6 +60,7 @@
   size_t ejected;
   uint64_t load;
   uint32_t reported;
+  uint64_t patience_ms;
   bool ignore_ejections;
 };
 
@@ -81,6 +83,8 @@
     }
   survey.reported
       = mq_fleet_service_load (fleet, query->service, query->now_ms);
+  survey.patience_ms
+      = fleet_patience_ms (fleet, query->service, query->objective_ms);
   survey.ignore_ejections
       = survey.ejected * 100 > survey.count * MQ_FLEET_EJECT_MAX_PERCENT;
   return survey;
@@ -100,10 +104,13 @@
          / MQ_FLEET_LOAD_FULL;
 }
 
+/* After full workers, whose rejection loses nothing.  */
+#define DOUBTFUL_GROUP 3U
+
 /**
  * struct rank - rank of a worker for a request; the lowest is chosen
- * @group: 0 normal, 1 too far above the mean for affinity, 2 full, 3 ejected,
- *         4 leaving
+ * @group: 0 normal, 1 too far above the mean for affinity, 2 full, 3 doubtful,
+ *         4 ejected, 5 leaving
  * @cost: order within the group
  */
 struct rank
@@ -135,6 +142,16 @@
   return query->has_key && waiting > full ? waiting : full;
 }
 
+/* Failure: a worker hangs, and each further request that may not be repeated
+   is lost there while the first one waits for its deadline.  */
+static bool
+is_avoided (const struct fleet_entry *entry,
+            const struct mq_fleet_query *query, const struct survey *survey)
+{
+  return query->once
+         && fleet_is_doubtful (entry, survey->patience_ms, query->now_ms);
+}
+
 static struct rank
 rank_worker (const struct fleet_entry *entry,
              const struct mq_fleet_query *query, const struct survey *survey)
@@ -148,9 +165,11 @@
   struct rank rank = { 0, 0 };
 
   if (entry->member.leaving)
-    return (struct rank){ 4, load };
+    return (struct rank){ 5, load };
   if (entry->ejected_until_ms > query->now_ms && !survey->ignore_ejections)
-    return (struct rank){ 3, entry->ejected_until_ms };
+    return (struct rank){ 4, entry->ejected_until_ms };
+  if (is_avoided (entry, query, survey))
+    return (struct rank){ DOUBTFUL_GROUP, load };
   if (load >= full_load (query, slots, mean)
       || (query->home_full && entry->hash == query->home))
     rank.group = 2;
@@ -213,6 +232,7 @@
   struct survey survey;
   struct rank best = { UINT32_MAX, UINT64_MAX };
   uint32_t chosen = MQ_WORKER_NONE;
+  bool avoided = false;
 
   if (home != MQ_WORKER_NONE)
     return home;
@@ -225,12 +245,16 @@
       if (!may_serve (entry, query) || was_tried (query, (uint32_t)i))
         continue;
       rank = rank_worker (entry, query, &survey);
+      if (rank.group == DOUBTFUL_GROUP)
+        avoided = true;
       if (is_better (rank, best))
         {
           best = rank;
           chosen = (uint32_t)i;
         }
     }
+  if (query->avoided != NULL)
+    *query->avoided = avoided && best.group < DOUBTFUL_GROUP;
   return chosen;
 }
 
--- a/src/core/router/fleet_health.c
+++ b/src/core/router/fleet_health.c
@@ -67,5 +67,7 @@
     case MQ_OUTCOME_CANCELLED:
       break;
     }
+  if (entry->own == 0 && outcome != MQ_OUTCOME_FAILED)
+    entry->asked_ms = 0;
   fleet_free_if_idle (fleet, entry);
 }
--- a/src/core/router/fleet_load.c
+++ b/src/core/router/fleet_load.c
@@ -107,17 +107,72 @@
          > (uint64_t)entry->member.slots * LOAD_UNIT;
 }
 
+static bool
+doubt_is_over (const struct fleet_entry *entry, uint64_t now_ms)
+{
+  return entry->asked_ms == 0
+         || (entry->own == 0
+             && now_ms - entry->asked_ms >= MQ_FLEET_DOUBT_MAX_MS);
+}
+
+bool
+fleet_is_doubtful (const struct fleet_entry *entry, uint64_t patience_ms,
+                   uint64_t now_ms)
+{
+  return !doubt_is_over (entry, now_ms)
+         && now_ms - entry->asked_ms > patience_ms;
+}
+
+uint64_t
+fleet_patience_ms (const struct mq_fleet *fleet, const char *service,
+                   uint32_t objective_ms)
+{
+  const struct fleet_service *row = fleet_find_service (fleet, service);
+  uint64_t least = objective_ms / MQ_FLEET_DOUBT_OBJECTIVE_DIVISOR;
+  uint64_t patience;
+
+  if (row == NULL || row->answer_ms == 0)
+    return objective_ms;
+  patience = row->answer_ms * MQ_FLEET_DOUBT_FACTOR / ANSWER_WEIGHT;
+  if (patience < least)
+    return least;
+  return patience < objective_ms ? patience : objective_ms;
+}
+
 void
-mq_fleet_request_started (struct mq_fleet *fleet, uint32_t worker)
+mq_fleet_request_started (struct mq_fleet *fleet, uint32_t worker,
+                          uint64_t now_ms)
+{
+  struct fleet_entry *entry = &fleet->entries[worker];
+
+  if (doubt_is_over (entry, now_ms))
+    entry->asked_ms = now_ms;
+  entry->own++;
+}
+
+static void
+record_answer (struct mq_fleet *fleet, const struct fleet_entry *entry,
+               uint64_t now_ms)
 {
-  fleet->entries[worker].own++;
+  struct fleet_service *row = fleet_get_service (fleet, entry->member.service);
+  uint64_t wait = now_ms - entry->asked_ms;
+
+  if (row->answer_ms == 0)
+    row->answer_ms = wait * ANSWER_WEIGHT;
+  else
+    row->answer_ms += wait - row->answer_ms / ANSWER_WEIGHT;
 }
 
 void
 mq_fleet_record_activity (struct mq_fleet *fleet, uint32_t worker,
                           uint64_t now_ms)
 {
-  fleet->entries[worker].heard_ms = now_ms;
+  struct fleet_entry *entry = &fleet->entries[worker];
+
+  if (entry->asked_ms != 0)
+    record_answer (fleet, entry, now_ms);
+  entry->asked_ms = 0;
+  entry->heard_ms = now_ms;
 }
 
 uint64_t
--- a/src/core/router/fleet_state.h
+++ b/src/core/router/fleet_state.h
@@ -35,6 +35,8 @@
  * @others: reported requests of other hosts
  * @reported_ms: time of the last load report, 0 if none
  * @heard_ms: time at which data last arrived
+ * @asked_ms: time at which the oldest request without data since was sent, 0
+ *            if there is none; kept when it fails
  * @failures: consecutive failures
  * @failure_rate: moving average, thousandths
  * @ejections: consecutive ejections
@@ -57,12 +59,16 @@
   uint32_t others;
   uint64_t reported_ms;
   uint64_t heard_ms;
+  uint64_t asked_ms;
   uint32_t failures;
   uint32_t failure_rate;
   uint32_t ejections;
   uint64_t ejected_until_ms;
 };
 
+/* Weight of one answer in fleet_service.answer_ms is 1 / ANSWER_WEIGHT.  */
+#define ANSWER_WEIGHT 8U
+
 /* Key spaces of mq_fleet.by_id.  */
 #define FLEET_BY_ID 0U
 #define FLEET_BY_HASH 1U
@@ -83,12 +89,15 @@
  * struct fleet_service - recent responses of a service's workers, and versions
  * @loads: reported load, thousandths of the worker's slots
  * @waits: delay until the response began, thousandths of the objective
+ * @answer_ms: moving average of the time until a worker sent data, in
+ *             1 / ANSWER_WEIGHT milliseconds, 0 if unknown
  * @first_ms: time at which its first worker was listed
  */
 struct fleet_service
 {
   struct mq_recent loads;
   struct mq_recent waits;
+  uint64_t answer_ms;
   struct fleet_version *versions;
   size_t version_count;
   uint64_t first_ms;
@@ -138,6 +147,13 @@
    which would move programs to them and lose their caches.  */
 uint64_t fleet_estimate_load (const struct fleet_entry *entry, uint64_t mean,
                               uint64_t now_ms);
+/* Time without data after which a worker of SERVICE is doubtful.  */
+uint64_t fleet_patience_ms (const struct mq_fleet *fleet, const char *service,
+                            uint32_t objective_ms);
+/* Whether a request has waited at the worker for longer than PATIENCE_MS, and
+   nothing arrived from it since.  */
+bool fleet_is_doubtful (const struct fleet_entry *entry, uint64_t patience_ms,
+                        uint64_t now_ms);
 /* Records that the worker rejected a request for lack of a free slot.  */
 void fleet_mark_full (struct fleet_entry *entry, uint64_t now_ms);
 
--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -145,11 +145,16 @@
 static uint32_t
 choose_worker (struct mq_request *request, uint64_t now)
 {
+  bool avoided = false;
+  uint32_t worker;
   struct mq_fleet_query query = {
     .service = request->service,
     .data_centre = request->router->settings->data_centre,
     .version = request->version,
     .drain_ms = request->router->settings->drain_ms / 2U,
+    .once = request->route->kind == MQ_ROUTE_AT_MOST_ONCE,
+    .objective_ms = request->route->objective_ms,
+    .avoided = &avoided,
     .tried = request->attempted,
     .tried_count = request->attempted_count,
     .now_ms = now,
@@ -166,7 +171,10 @@
   query.has_key = mq_route_affinity_key (request->route, request->service_info,
                                          request->program,
                                          request->fields.affinity, &query.key);
-  return mq_fleet_choose (request->router->fleet, &query);
+  worker = mq_fleet_choose (request->router->fleet, &query);
+  if (avoided)
+    request->router->counters.doubtful_avoided++;
+  return worker;
 }
 
 static void
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -50,6 +50,7 @@
   X (callers_closed, "idle connections of callers closed to make room")       \
   X (unanswered, "requests cut off by this host before their final answer")   \
   X (retries, "further workers asked for a request")                          \
+  X (doubtful_avoided, "requests kept from workers that owe an answer")       \
   X (resumed, "streams that went on at another worker")                       \
   X (streams_taken_up, "streams that callers resumed")                        \
   X (streams_refused, "of them refused, their version unknown or gone")       \
--- a/src/router/router_try.c
+++ b/src/router/router_try.c
@@ -214,7 +214,7 @@
   struct mq_try *try = mq_check_alloc (talloc_zero (ctx, struct mq_try));
 
   try->options = *options;
-  mq_fleet_request_started (options->fleet, options->worker);
+  mq_fleet_request_started (options->fleet, options->worker, mq_clock_ms ());
   try->lane = mq_pool_acquire (options->pool, options->worker, error);
   if (try->lane == NULL)
     {
--- a/tests/replay.c
+++ b/tests/replay.c
@@ -408,7 +408,7 @@
   query = query_of (self, program);
   program->engine = mq_fleet_choose (fleet, &query);
   program->placed_ms = self->now_ms;
-  mq_fleet_request_started (fleet, program->engine);
+  mq_fleet_request_started (fleet, program->engine, self->now_ms);
   if (submit (self, program, program->engine))
     return;
   mq_fleet_request_ended (fleet, program->engine, MQ_OUTCOME_FULL,
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -175,7 +175,7 @@
 Test (fleet, prefers_local_and_idle_workers)
 {
   cr_assert_str_eq (chosen (1, NULL, 7), "w0");
-  mq_fleet_request_started (fleet, handle_of ("w0"));
+  mq_fleet_request_started (fleet, handle_of ("w0"), 0);
   cr_assert_str_neq (chosen (1, NULL, 7), "w0");
 }
 
@@ -350,7 +350,7 @@
         {
           uint32_t worker = handle_of_version (id);
 
-          mq_fleet_request_started (fleet, worker);
+          mq_fleet_request_started (fleet, worker, 0);
           mq_fleet_request_ended (fleet, worker, MQ_OUTCOME_FAILED,
                                   VERSION_NOW_MS);
         }
@@ -519,7 +519,7 @@
       worker = handle_of ("w0");
       for (int k = 0; k < cases[i].count; k++)
         {
-          mq_fleet_request_started (fleet, worker);
+          mq_fleet_request_started (fleet, worker, 0);
           mq_fleet_request_ended (fleet, worker, cases[i].outcomes[k], 1000);
         }
       ejected = strcmp (chosen (1001, NULL, 7), "w0") != 0;
@@ -537,7 +537,7 @@
 
   for (int i = 0; i < 5; i++)
     {
-      mq_fleet_request_started (fleet, worker);
+      mq_fleet_request_started (fleet, worker, 0);
       mq_fleet_request_ended (fleet, worker, MQ_OUTCOME_UNREACHABLE, now);
       cr_assert_str_neq (chosen (now + pause - 1, NULL, 7), "w0");
       cr_assert_str_eq (chosen (now + pause, NULL, 7), "w0", "after %d", i);
@@ -562,7 +562,7 @@
       if (strcmp (chosen (now, NULL, 7), "w0") != 0)
         continue;
       sent++;
-      mq_fleet_request_started (fleet, worker);
+      mq_fleet_request_started (fleet, worker, 0);
       mq_fleet_request_ended (fleet, worker,
                               fails ? MQ_OUTCOME_FAILED : MQ_OUTCOME_SUCCEEDED,
                               now);
@@ -573,7 +573,7 @@
     if (strcmp (chosen (now, NULL, 7), "w0") == 0)
       {
         sent++;
-        mq_fleet_request_started (fleet, worker);
+        mq_fleet_request_started (fleet, worker, 0);
         mq_fleet_request_ended (fleet, worker, MQ_OUTCOME_SUCCEEDED, now);
       }
   cr_assert_geq (sent, 600, "%d of 800 after recovery", sent);
@@ -589,7 +589,7 @@
 
       snprintf (id, sizeof id, "w%d", i);
       worker = handle_of (id);
-      mq_fleet_request_started (fleet, worker);
+      mq_fleet_request_started (fleet, worker, 0);
       mq_fleet_request_ended (fleet, worker, MQ_OUTCOME_UNREACHABLE, 1000);
     }
   cr_assert_str_eq (chosen (1001, NULL, 7), "w0");
@@ -603,7 +603,7 @@
   put ("w1", "b", 4, true);
   cr_assert_eq (mq_fleet_count (fleet, "s"), 2);
   /* A request in progress keeps the handle valid.  */
-  mq_fleet_request_started (fleet, worker);
+  mq_fleet_request_started (fleet, worker, 0);
   cr_assert (mq_fleet_remove (fleet, "w0", 0));
   cr_assert_not (mq_fleet_remove (fleet, "w0", 0));
   cr_assert_str_eq (mq_fleet_member (fleet, worker)->id, "w0");
@@ -852,7 +852,7 @@
 
   put_start ("127.0.0.1:1", 1000);
   previous = handle_of ("w0");
-  mq_fleet_request_started (fleet, previous);
+  mq_fleet_request_started (fleet, previous, 0);
   mq_fleet_record_load (fleet, previous, 4, 9, 1);
   put_start ("127.0.0.1:1", 2000);
   later = handle_of ("w0");
@@ -888,7 +888,7 @@
                                   .random = step };
   uint32_t worker = mq_fleet_choose (fleet, &query);
 
-  mq_fleet_request_started (fleet, worker);
+  mq_fleet_request_started (fleet, worker, 0);
   return worker;
 }
 
