--- a/src/core/router/pace.c
+++ b/src/core/router/pace.c
@@ -10,7 +10,7 @@
 #include "../memory.h"
 #include <math.h>
 
-/* Weight of a new turn in the means of its route, as a divisor.  */
+/* Weight of a new turn in the sums of its service, as a divisor.  */
 #define TURNS_WEIGHT 256U
 /* Turns from which on the time at an unloaded worker changes slowly.  */
 #define TURNS_SETTLED 64U
@@ -26,7 +26,7 @@
 #define EXCESS_WEIGHT 0.03
 /* Turns without which nothing is concluded.  */
 #define TURNS_MIN 12U
-/* Time per token is capped at this multiple of the route's mean, so that a
+/* Time per token is capped at this multiple of the service's mean, so that a
    turn held up by a failure does not distort it.  */
 #define TURN_CAP 4U
 /* Quantile of the part of their time that programs have used when a turn ends:
@@ -48,12 +48,11 @@
    to count: more than programs are given.  Below it the bounds on slots
    suffice. */
 #define SLOWDOWN_MIN 3.5
-/* Mean part of their time that programs may use, thousandths.  From the first
-   on some are at risk of ending late; at the second, half of them are.  */
+/* Part of their time that the slowest programs may use, thousandths.  From the
+   first on they are at risk of ending late; at the second, many are late.  */
 #define USED_RISK 900U
 #define USED_MAX 1100U
-/* Load at which half of the programs are late, as far above MQ_PACE_LOAD_FULL
-   as admission control needs to refuse all.  */
+/* Load at USED_MAX above MQ_PACE_LOAD_FULL: admission control refuses all.  */
 #define LOAD_SPAN 600U
 #define US_PER_MS 1000U
 #define THOUSAND 1000U
@@ -110,10 +109,9 @@
  * struct route_pace - what was learned of the programs of one route
  * @turns: turns learned from, capped
  * @recent_time: time per token of recent turns, microseconds
- * @used: mean part of their time that programs have used when a later turn
- *        arrives
+ * @used: part of its time that a slow program has used at the end of a turn
  * @used_time: mean of @recent_time at these turns
- * @later_turns: number of them, capped
+ * @program_turns: turns of programs that began here, at most USED_FIRST
  */
 struct route_pace
 {
@@ -121,7 +119,7 @@
   double recent_time;
   double used;
   double used_time;
-  uint32_t later_turns;
+  uint32_t program_turns;
 };
 
 /**
@@ -281,7 +279,7 @@
 static double
 bearable_time (const struct route_pace *route)
 {
-  if (route->later_turns < USED_FIRST || route->used <= 0)
+  if (route->program_turns < USED_FIRST || route->used <= 0)
     return 0;
   return route->used_time / route->used;
 }
@@ -303,14 +301,13 @@
 learn_used (struct route_pace *route, double used)
 {
   double part = 1.0;
-  double weight = USED_TIME_WEIGHT;
 
-  if (route->later_turns < USED_FIRST)
+  if (route->program_turns < USED_FIRST)
     {
-      route->later_turns++;
+      route->program_turns++;
       route->used = used > route->used ? used : route->used;
       route->used_time
-          += (route->recent_time - route->used_time) / route->later_turns;
+          += (route->recent_time - route->used_time) / route->program_turns;
       return;
     }
   if (is_at_risk (route))
@@ -319,7 +316,8 @@
     route->used += USED_STEP * USED_QUANTILE * part;
   else
     route->used -= USED_STEP * (1.0 - USED_QUANTILE) * part;
-  route->used_time += (route->recent_time - route->used_time) * weight * part;
+  route->used_time
+      += (route->recent_time - route->used_time) * USED_TIME_WEIGHT * part;
 }
 
 static void
@@ -428,7 +426,7 @@
   return arrive * idle / room;
 }
 
-/* Load at which programs use the part USED of their time on average,
+/* Load at which the slowest programs use the part USED of their time,
    thousandths.  */
 static uint32_t
 load_of_used (double used)
--- a/src/core/router/pace.h
+++ b/src/core/router/pace.h
@@ -7,11 +7,11 @@
 
    - how the time per token grows with the load of the worker that ran the
      turn;
-   - the time per token at which programs would end just at their deadline, by
-     the time that they have left at their later turns.
+   - the time per token at which the slowest programs would end just at their
+     deadline, by the time that they have left when their turns end.
 
-   It learns from the turns that this host serves, and from later turns of
-   programs that began here.  Pure: callers pass the time.
+   It learns from the turns that this host serves, and from the programs
+   that began here.  Pure: callers pass the time.
    Needs: types.h.  */
 
 #ifndef MQ_PACE_H
@@ -60,8 +60,8 @@
  * @excess: factor by which recent turns took longer than that, in thousandths
  * @bearable_us: time per token at which programs end at their deadline,
  *               microseconds; 0 if unknown
- * @used: mean part of their time that programs have used when a later turn
- *        arrives, in thousandths
+ * @used: part of its time that a slow program has used at the end of a turn,
+ *        in thousandths
  */
 struct mq_pace_report
 {
