A resumed stream that is refused is not looked at afterwards

What callers saw: nothing in tests without sanitizers; a host could read the memory of a request that it had just answered.

Cause: use_sole_version refused the request, which frees it, and then returned its has_version.

Change: the function returns what it decided. The sanitized test passes since.

--- a/src/router/router_version.c
+++ b/src/router/router_version.c
@@ -117,17 +117,19 @@
   uint64_t version = mq_router_sole_version (router, request->service,
                                              MQ_FLEET_VERSION_MEMORY_MS);
 
-  if (request->route->backend_count > 1)
-    refuse_resumed (request, refusal);
-  else if (version != 0)
-    set_version (request, version);
-  else if (mq_router_sole_version (router, request->service, 0) == 0
-           || mq_version_row_down (router, request->service))
+  if (request->route->backend_count == 1 && version != 0)
+    {
+      set_version (request, version);
+      return true;
+    }
+  if (request->route->backend_count > 1
+      || mq_router_sole_version (router, request->service, 0) == 0
+      || mq_version_row_down (router, request->service))
     refuse_resumed (request, refusal);
   else
     request->row_read = mq_version_row_read (router, request->service,
                                              on_service_read, request);
-  return request->has_version;
+  return false;
 }
 
 static bool
