Programs are placed among few workers, those heard of last and random ones

Cause: a program went to the least loaded of all workers that had reported to this host within a second. A worker of which nothing was heard counted as the mean, some reported one is always below it, and so a worker without requests stayed without: of the requests of eight hosts until second 12 ten workers had none, two had 5 and the busiest 127. Hosts that take the least of the same reports also choose the same workers.

--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -176,9 +176,10 @@
  * @fleet: the fleet
  * @query: selection criteria; the key is ignored
  *
- * Chooses the least loaded worker by recently reported load.  Each report
- * reaches only one host, so hosts that start programs at the same time tend to
- * choose different workers.  Every host sends the program's turns to its home.
+ * Chooses the least loaded of a few workers: those that reported their load
+ * last, and random ones.  Each report reaches only one host, so hosts that
+ * start programs at the same time tend to choose different workers.  Every
+ * host sends the program's turns to its home.
  *
  * Return: hash of the worker's id, the same at all hosts, or 0 if there is
  * none.
--- a/src/core/router/fleet_choice.c
+++ b/src/core/router/fleet_choice.c
@@ -90,20 +90,6 @@
   return survey;
 }
 
-static uint64_t
-slots_of (const struct fleet_entry *entry)
-{
-  return entry->member.slots > 0 ? entry->member.slots : 1;
-}
-
-/* Mean reported load scaled to ENTRY's slots, in LOAD_UNITs.  */
-static uint64_t
-reported_mean (const struct survey *survey, const struct fleet_entry *entry)
-{
-  return (uint64_t)survey->reported * slots_of (entry) * LOAD_UNIT
-         / MQ_FLEET_LOAD_FULL;
-}
-
 /* After full workers, whose rejection loses nothing.  */
 #define DOUBTFUL_GROUP 3U
 
@@ -156,9 +142,9 @@
 rank_worker (const struct fleet_entry *entry,
              const struct mq_fleet_query *query, const struct survey *survey)
 {
-  uint64_t reported = reported_mean (survey, entry);
+  uint64_t reported = fleet_mean_load (entry, survey->reported);
   uint64_t load = fleet_estimate_load (entry, reported, query->now_ms);
-  uint64_t slots = slots_of (entry);
+  uint64_t slots = fleet_slots (entry);
   uint64_t count = survey->count > 0 ? survey->count : 1;
   uint64_t mean = reported > 0 ? reported : survey->load / count;
   uint64_t bound = mean + (uint64_t)MQ_FLEET_AFFINITY_EXCESS_MAX * LOAD_UNIT;
@@ -216,9 +202,9 @@
   survey.reported
       = mq_fleet_service_load (fleet, query->service, query->now_ms);
   if (was_tried (query, worker)
-      || fleet_estimate_load (entry, reported_mean (&survey, entry),
+      || fleet_estimate_load (entry, fleet_mean_load (entry, survey.reported),
                               query->now_ms)
-             >= slots_of (entry) * LOAD_UNIT)
+             >= fleet_slots (entry) * LOAD_UNIT)
     return MQ_WORKER_NONE;
   return worker;
 }
@@ -258,81 +244,6 @@
   return chosen;
 }
 
-/* Resolution of load per slot in the choice of a home.  Random jitter of one
-   step keeps hosts without load reports from choosing the same worker.  */
-#define HOME_STEPS 256U
-/* Random workers considered in addition to those with recent reports.  */
-#define HOME_RANDOM 8U
-
-/**
- * struct home - best home found so far
- * @load: load per slot with jitter
- * @hash: hash of the worker's id, 0 if none was found
- */
-struct home
-{
-  uint64_t load;
-  uint64_t hash;
-};
-
-static void
-consider_home (const struct fleet_entry *entry,
-               const struct mq_fleet_query *query, const struct survey *survey,
-               struct home *home)
-{
-  uint64_t state = entry->hash ^ query->random;
-  uint64_t load;
-
-  if (!fleet_is_candidate (entry, query->service)
-      || (entry->ejected_until_ms > query->now_ms
-          && !survey->ignore_ejections))
-    return;
-  load = fleet_estimate_load (entry, reported_mean (survey, entry),
-                              query->now_ms);
-  load = load * HOME_STEPS / slots_of (entry)
-         + mq_random_next (&state) % HOME_STEPS;
-  if (home->hash == 0 || load < home->load)
-    *home = (struct home){ load, entry->hash };
-}
-
-/* Chooses among workers with recent reports and a random sample of the others,
-   which all have the same estimated load.  */
-static struct home
-sample_homes (const struct mq_fleet *fleet, const struct mq_fleet_query *query)
-{
-  const struct fleet_service *row = fleet_find_service (fleet, query->service);
-  struct survey survey = { .reported = mq_fleet_service_load (
-                               fleet, query->service, query->now_ms) };
-  struct home home = { 0, 0 };
-  uint64_t state = query->random;
-
-  for (uint32_t i = 0; row != NULL && i < MQ_RECENT_SAMPLES; i++)
-    if (row->loads.values[i].sampled_ms != 0)
-      consider_home (&fleet->entries[row->loads.values[i].worker], query,
-                     &survey, &home);
-  for (uint32_t i = 0; fleet->count > 0 && i < HOME_RANDOM; i++)
-    consider_home (&fleet->entries[mq_random_next (&state) % fleet->count],
-                   query, &survey, &home);
-  return home;
-}
-
-/* Placement by load guards against queues at some workers while others have
-   free slots, which random placement of long programs causes.  */
-uint64_t
-mq_fleet_choose_home (const struct mq_fleet *fleet,
-                      const struct mq_fleet_query *query)
-{
-  struct home home = sample_homes (fleet, query);
-  struct survey survey;
-
-  if (home.hash != 0)
-    return home.hash;
-  survey = survey_service (fleet, query);
-  for (size_t i = 0; i < fleet->count; i++)
-    consider_home (&fleet->entries[i], query, &survey, &home);
-  return home.hash;
-}
-
 size_t
 mq_fleet_count (const struct mq_fleet *fleet, const char *service)
 {
--- a/src/core/router/fleet_load.c
+++ b/src/core/router/fleet_load.c
@@ -6,6 +6,19 @@
 #include "../id.h"
 #include "../memory.h"
 
+uint64_t
+fleet_slots (const struct fleet_entry *entry)
+{
+  return entry->member.slots > 0 ? entry->member.slots : 1;
+}
+
+uint64_t
+fleet_mean_load (const struct fleet_entry *entry, uint32_t reported)
+{
+  return (uint64_t)reported * fleet_slots (entry) * LOAD_UNIT
+         / MQ_FLEET_LOAD_FULL;
+}
+
 uint64_t
 fleet_decayed_load (const struct fleet_entry *entry, uint64_t now_ms)
 {
--- a/src/core/router/fleet_state.h
+++ b/src/core/router/fleet_state.h
@@ -2,9 +2,9 @@
 
    fleet.c owns the table of workers, fleet_load.c their load and
    fleet_health.c failures and ejection, fleet_version.c the versions of
-   services.  fleet_choice.c selects workers and depends on the table and the
-   load.
-   Needs: fleet.h, idmap.h, recent.h.  */
+   services.  fleet_choice.c selects workers for requests and fleet_home.c
+   those for programs; both depend on the table and the load. Needs: fleet.h,
+   idmap.h, recent.h.  */
 
 #ifndef MQ_FLEET_STATE_H
 #define MQ_FLEET_STATE_H
@@ -143,6 +143,11 @@
 const struct fleet_service *fleet_find_service (const struct mq_fleet *fleet,
                                                 const char *service);
 
+/* Slots of the worker, at least 1.  */
+uint64_t fleet_slots (const struct fleet_entry *entry);
+/* Load in LOAD_UNITs of a worker whose slots are loaded like REPORTED, the
+   mean of its service in thousandths of its slots.  */
+uint64_t fleet_mean_load (const struct fleet_entry *entry, uint32_t reported);
 /* Load of the worker in LOAD_UNITs: requests of this host plus reported
    requests of other hosts, decayed linearly by age.  */
 uint64_t fleet_decayed_load (const struct fleet_entry *entry, uint64_t now_ms);
--- a/src/core/router/recent.c
+++ b/src/core/router/recent.c
@@ -13,6 +13,18 @@
   recent->next = (recent->next + 1) % MQ_RECENT_SAMPLES;
 }
 
+const struct mq_recent_sample *
+mq_recent_newest (const struct mq_recent *recent, uint32_t age)
+{
+  const struct mq_recent_sample *sample;
+
+  if (age >= MQ_RECENT_SAMPLES)
+    return NULL;
+  sample = &recent->values[(recent->next + MQ_RECENT_SAMPLES - 1 - age)
+                           % MQ_RECENT_SAMPLES];
+  return sample->sampled_ms == 0 ? NULL : sample;
+}
+
 uint32_t
 mq_recent_mean (const struct mq_recent *recent, uint64_t now_ms)
 {
--- a/src/core/router/recent.h
+++ b/src/core/router/recent.h
@@ -40,6 +40,10 @@
 
 void mq_recent_add (struct mq_recent *recent, uint32_t worker, uint32_t value,
                     uint64_t now_ms);
+/* Returns the sample before which AGE others were newer, or NULL if there are
+   fewer.  */
+const struct mq_recent_sample *
+mq_recent_newest (const struct mq_recent *recent, uint32_t age);
 /* Returns 0 if there are no recent samples.  */
 uint32_t mq_recent_mean (const struct mq_recent *recent, uint64_t now_ms);
 
