Operators: one command shows what binds over all routers

What was missing: to see which service is full, whose programs are refused and which workers are left out, an operator had to read the metrics of every host.

Change: metrics service_load, service_pressure, service_workers, service_ejected, worker_ejected (at most twenty) and record_load; `mimosactl load ADDRESSES` sums them over routers and names what binds.

--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -257,6 +257,33 @@
 /* The row of SERVICE names VERSION, alone if SOLE.  */
 void mq_fleet_set_recorded (struct mq_fleet *fleet, const char *service,
                             uint64_t version, bool sole);
+/**
+ * struct mq_fleet_service_report - a service's workers, for metrics
+ * @service: its name, valid until the next change of the fleet
+ * @load: mean recently reported load, thousandths of the slots; 0 if unknown
+ * @pressure: mq_fleet_service_pressure
+ * @available: workers that accept requests, ejected ones included
+ * @ejected: workers that this host leaves out
+ */
+struct mq_fleet_service_report
+{
+  const char *service;
+  uint32_t load;
+  uint32_t pressure;
+  uint32_t available;
+  uint32_t ejected;
+};
+
+/* Writes the services of the listed workers to REPORTS; returns how many it
+   wrote, MAX at most.  */
+size_t mq_fleet_report_services (const struct mq_fleet *fleet,
+                                 struct mq_fleet_service_report *reports,
+                                 size_t max, uint64_t now_ms);
+/* Writes the workers that this host leaves out to MEMBERS; returns how many it
+   wrote, MAX at most.  Their strings belong to FLEET.  */
+size_t mq_fleet_report_ejected (const struct mq_fleet *fleet,
+                                const struct mq_fleet_member **members,
+                                size_t max, uint64_t now_ms);
 /* Number of available workers of SERVICE.  */
 size_t mq_fleet_count (const struct mq_fleet *fleet, const char *service);
 /* Retry delay for callers when no worker of SERVICE has a free slot.  */
--- a/src/ctl/ctl_routers.c
+++ b/src/ctl/ctl_routers.c
@@ -8,7 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define ROUTERS_MAX 2048U
+/* Requests to each router.  */
+#define PATHS 2U
 #define METRIC_PREFIX "mimosa_router_"
 
 /* Columns of the table: counter, heading.  */
@@ -66,41 +67,11 @@
   return true;
 }
 
-static struct mq_ctl_fetch
-make_fetch (const char *address, const char *path)
-{
-  return (struct mq_ctl_fetch){ .method = "GET",
-                                .address = address,
-                                .path = path };
-}
-
-/* Creates two requests for each address of LIST, "IP:PORT,…".  Returns NULL if
-   LIST is empty, invalid or too long.  */
-static struct mq_ctl_fetch *
-make_fetches (TALLOC_CTX *ctx, const char *list, size_t *count)
-{
-  struct mq_ctl_fetch *fetches
-      = talloc_zero_array (ctx, struct mq_ctl_fetch, 2 * ROUTERS_MAX);
-  char *rest = talloc_strdup (ctx, list);
-  char *position = NULL;
-
-  *count = 0;
-  for (char *address = strtok_r (rest, ",", &position); address != NULL;
-       address = strtok_r (NULL, ",", &position))
-    {
-      if (*count == ROUTERS_MAX || strchr (address, ':') == NULL)
-        return NULL;
-      fetches[2 * *count] = make_fetch (address, "/ready");
-      fetches[2 * *count + 1] = make_fetch (address, "/metrics");
-      ++*count;
-    }
-  return *count == 0 ? NULL : fetches;
-}
-
 static struct router_response
 response_at (struct mq_ctl_fetch *fetches, size_t i)
 {
-  return (struct router_response){ &fetches[2 * i], &fetches[2 * i + 1] };
+  return (struct router_response){ &fetches[PATHS * i],
+                                   &fetches[PATHS * i + 1] };
 }
 
 static size_t
@@ -185,24 +156,15 @@
 enum mq_ctl_exit
 mq_ctl_routers (const struct mq_ctl_run *run, const char *addresses)
 {
-  struct mq_ctl_options options
-      = { .host_timeout_ms = MQ_CTL_HOST_TIMEOUT_MS };
-  struct mq_error error = { 0 };
+  static const char *const paths[PATHS] = { "/ready", "/metrics" };
   size_t count;
-  struct mq_ctl_fetch *fetches = make_fetches (run->ctx, addresses, &count);
-  struct mq_ctl *ctl;
+  enum mq_ctl_exit code;
+  struct mq_ctl_fetch *fetches
+      = mq_ctl_fetch_routers (run, addresses, paths, PATHS, &count, &code);
   bool all_reached = true;
 
   if (fetches == NULL)
-    {
-      mq_error_set (&error, MQ_ERR_BAD_REQUEST, addresses,
-                    "IP:PORT,IP:PORT,…: ready addresses of 1 to 2048 routers");
-      return mq_ctl_report_error (run, &error);
-    }
-  ctl = mq_ctl_create (run->ctx, &options, &error);
-  if (ctl == NULL)
-    return mq_ctl_report_error (run, &error);
-  mq_ctl_fetch (ctl, run->ctx, fetches, 2 * count);
+    return code;
   if (run->json)
     print_json (run, fetches, count);
   else
@@ -213,6 +175,5 @@
 
       all_reached = all_reached && is_reached (&response);
     }
-  mq_ctl_destroy (ctl);
   return all_reached ? MQ_CTL_OK : MQ_CTL_FAILED;
 }
--- a/src/ctl/ctl_run.h
+++ b/src/ctl/ctl_run.h
@@ -68,6 +68,10 @@
 /* ADDRESSES: "IP:PORT,IP:PORT,…", the routers' readiness endpoints.  */
 enum mq_ctl_exit mq_ctl_routers (const struct mq_ctl_run *run,
                                  const char *addresses);
+/* Sums the metrics of these routers: what binds, who asks for most, which
+   workers are left out.  */
+enum mq_ctl_exit mq_ctl_load (const struct mq_ctl_run *run,
+                              const char *addresses);
 /* Commands for the configuration.  */
 enum mq_ctl_exit mq_ctl_show (const struct mq_ctl_run *run, const char *none);
 enum mq_ctl_exit mq_ctl_diff (const struct mq_ctl_run *run, const char *file);
@@ -79,6 +83,15 @@
                                const char *program);
 enum mq_ctl_exit mq_ctl_drain (const struct mq_ctl_run *run, const char *host);
 
+/* Sends a GET request for each of PATHS to each router of ADDRESSES, and
+   waits. Returns the responses, those of a router together, and the number of
+   routers in COUNT.  On failure prints the error, sets CODE and returns NULL.
+ */
+struct mq_ctl_fetch *mq_ctl_fetch_routers (const struct mq_ctl_run *run,
+                                           const char *addresses,
+                                           const char *const *paths,
+                                           size_t path_count, size_t *count,
+                                           enum mq_ctl_exit *code);
 /* Connects to the platform.  On failure prints the error, sets CODE and
    returns NULL.  */
 struct mq_ctl *mq_ctl_connect (const struct mq_ctl_run *run,
--- a/src/mimosactl.c
+++ b/src/mimosactl.c
@@ -28,7 +28,7 @@
   { "apply", true, mq_ctl_apply },        { "status", false, mq_ctl_status },
   { "trace", true, mq_ctl_trace },        { "drain", true, mq_ctl_drain },
   { "hash-key", false, mq_ctl_hash_key }, { "explain", true, mq_ctl_explain },
-  { "routers", true, mq_ctl_routers },
+  { "routers", true, mq_ctl_routers },    { "load", true, mq_ctl_load },
 };
 
 enum option_key
@@ -63,7 +63,7 @@
 static const char usage[]
     = "check FILE\nkeys\nshow\ndiff FILE\napply FILE --base VERSION\nstatus\n"
       "trace PROGRAM_ID\ndrain HOST\nhash-key\nexplain ID\n"
-      "routers ADDRESSES";
+      "routers ADDRESSES\nload ADDRESSES";
 
 static const char doc[]
     = "Checks, changes and shows the configuration of a mimosaquay site, and "
@@ -83,6 +83,8 @@
       "            timeline of the request or program ID\n"
       "  routers   show the state of routers, queried at their readiness\n"
       "            addresses, IP:PORT,IP:PORT,…\n"
+      "  load      show over all these routers what is full, which\n"
+      "            organisations ask for most and which workers are left out\n"
       "\n"
       "FILE may be - for standard input.  Exit status: 0 done; 1 failed, or "
       "something can't be reached or does not yet hold the version; 2 an "
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -469,6 +469,8 @@
 
 /* Appends the demand of the busiest organisations of each service.  */
 void mq_router_add_shares (char **text, const struct mq_router *router);
+/* Appends load and left out workers of services to *TEXT.  */
+void mq_router_add_services (char **text, const struct mq_router *router);
 
 /* router_permit.c */
 
--- a/tests/test_mimosactl.c
+++ b/tests/test_mimosactl.c
@@ -902,22 +902,17 @@
                    body, strlen (body));
 }
 
-/* The state of every router must be shown; a counter that a router does not
-   report must not be shown as zero.  */
-Test (mimosactl, routers)
+/* Starts a server for each of ENDPOINTS; returns their addresses, separated by
+   commas.  */
+static char *
+serve_routers (struct ctl_kit *kit, struct ready_endpoint *endpoints,
+               size_t count)
 {
-  static struct ready_endpoint endpoints[] = {
-    { 200, "# TYPE x\nmimosa_router_served 41\nmimosa_router_hosts 7\n" },
-    { 503, "# TYPE x\nmimosa_router_served 0\n" },
-  };
-  static const struct ctl_kit_host none[] = { { .name = NULL } };
-  struct ctl_kit *kit = ctl_kit_create (none);
   struct mq_http_server_options options = { .address = "127.0.0.1:0" };
   char *list = talloc_strdup (kit->ctx, "");
-  char *ready = NULL;
   struct mq_error error;
 
-  for (size_t i = 0; i < COUNT (endpoints); i++)
+  for (size_t i = 0; i < count; i++)
     {
       struct mq_http_server *server
           = mq_http_server_create (kit->ctx, kit->ev, &options,
@@ -926,9 +921,23 @@
       cr_assert_not_null (server);
       list = talloc_asprintf_append (list, "%s127.0.0.1:%u", i == 0 ? "" : ",",
                                      mq_http_server_port (server));
-      if (i == 0)
-        ready = talloc_strdup (kit->ctx, list);
     }
+  return list;
+}
+
+/* The state of every router must be shown; a counter that a router does not
+   report must not be shown as zero.  */
+Test (mimosactl, routers)
+{
+  static struct ready_endpoint endpoints[] = {
+    { 200, "# TYPE x\nmimosa_router_served 41\nmimosa_router_hosts 7\n" },
+    { 503, "# TYPE x\nmimosa_router_served 0\n" },
+  };
+  static const struct ctl_kit_host none[] = { { .name = NULL } };
+  struct ctl_kit *kit = ctl_kit_create (none);
+  char *list = serve_routers (kit, endpoints, COUNT (endpoints));
+  char *ready = talloc_strndup (kit->ctx, list, strcspn (list, ","));
+
   ctl_kit_run (kit, NULL, ARGUMENTS ("routers", ready));
   cr_expect_eq (kit->code, 0, "%s", kit->err);
   expect_in (kit->out, " ready ", "one");
@@ -945,3 +954,54 @@
   expect_in (kit->err, "IP:PORT", "bad address");
   ctl_kit_destroy (kit);
 }
+
+/* Values are those of all routers: demand is summed, load is the mean of those
+   that report it, and a worker is shown with the number of routers that leave
+   it out.  */
+Test (mimosactl, load)
+{
+  static struct ready_endpoint endpoints[] = {
+    { 200, "mimosa_router_service_load{service=\"llm\"} 900\n"
+           "mimosa_router_service_pressure{service=\"llm\"} 1400\n"
+           "mimosa_router_service_load{service=\"app\"} 100\n"
+           "mimosa_router_record_load 10\n"
+           "mimosa_router_organisation_demand{service=\"llm\","
+           "organisation=\"acme\"} 30\n"
+           "mimosa_router_organisation_refused{service=\"llm\","
+           "organisation=\"acme\"} 4\n"
+           "mimosa_router_worker_ejected{service=\"llm\",worker=\"w1\"} 1\n" },
+    { 200, "mimosa_router_service_load{service=\"llm\"} 700\n"
+           "mimosa_router_service_pressure{service=\"llm\"} 800\n"
+           "mimosa_router_record_load 30\n"
+           "mimosa_router_organisation_demand{service=\"llm\","
+           "organisation=\"acme\"} 20\n"
+           "mimosa_router_organisation_demand{service=\"llm\","
+           "organisation=\"bolt\"} 60\n"
+           "mimosa_router_worker_ejected{service=\"llm\",worker=\"w1\"} 1\n" },
+  };
+  static const struct ctl_kit_host none[] = { { .name = NULL } };
+  struct ctl_kit *kit = ctl_kit_create (none);
+  char *list = serve_routers (kit, endpoints, COUNT (endpoints));
+  const char *bolt;
+  const char *acme;
+
+  ctl_kit_run (kit, NULL, ARGUMENTS ("load", list));
+  cr_expect_eq (kit->code, 0, "%s", kit->err);
+  expect_in (kit->out, "routers: 2 of 2", "text");
+  expect_in (kit->out, "binds: service {service=\"llm\"}", "text");
+  expect_in (kit->out, "      800      1100 ", "mean load and pressure");
+  bolt = strstr (kit->out, "\"bolt\"");
+  acme = strstr (kit->out, "\"acme\"");
+  cr_assert_not_null (bolt);
+  cr_assert_not_null (acme);
+  cr_expect_lt (bolt, acme, "highest demand first");
+  list = talloc_strdup_append (list, ",127.0.0.1:1");
+  ctl_kit_run (kit, NULL, ARGUMENTS ("load", list, "--format", "json"));
+  cr_expect_eq (kit->code, 1);
+  expect_in (kit->out, "\"routers\":3,\"reached\":2", "json");
+  expect_in (kit->out, "\"demand\":50,\"refused\":4", "json");
+  expect_in (kit->out, "\"hosts\":2", "json");
+  ctl_kit_run (kit, NULL, ARGUMENTS ("load", "nowhere"));
+  cr_expect_eq (kit->code, 2);
+  ctl_kit_destroy (kit);
+}
