Pace of turns: time lost in outages and the end of a pause are no load

Cause: three things in what admission learns from turns. A host that has just started took programs in the middle for new ones, with little time for the rest. Programs that had lost seconds in the outage were late at the usual pace of turns, so that the time per token that programs bear came out at 9.4 ms, where idle engines take 6.2; the load is at risk from there on, and then nothing corrects it soon. And the count of programs that begin was near zero, so that the usual ones were a rise of several times.

Evidence: lines of refused requests of all hosts: pace_load up to 7,236 with bearable_us 9,410, idle_us 6,044, used 1,191.

Change: a turn begins a program for this purpose only if the program's record shows no other host; a program that pauses for a third of its time between turns no longer counts; programs bear at least 1.5 times the pace of idle engines; a rise is known from 2 s after programs began to arrive.

--- a/src/core/router/budget.c
+++ b/src/core/router/budget.c
@@ -268,6 +268,13 @@
   return available (budget) >= most;
 }
 
+bool
+mq_budget_is_first_holder (const struct mq_budget *budget, uint64_t holder)
+{
+  return budget->known && budget->record.spent == 0
+         && !mq_budget_has_other_grants (budget, holder);
+}
+
 bool
 mq_budget_has_other_grants (const struct mq_budget *budget, uint64_t holder)
 {
--- a/src/core/router/budget.h
+++ b/src/core/router/budget.h
@@ -132,6 +132,9 @@
 bool mq_budget_is_overdrawn (const struct mq_budget *budget, uint64_t limit);
 /* Whether MOST tokens are available for a turn.  */
 bool mq_budget_can_reserve (const struct mq_budget *budget, uint64_t most);
+/* Whether the record shows that no other host has served the program.  */
+bool mq_budget_is_first_holder (const struct mq_budget *budget,
+                                uint64_t holder);
 /* Whether other hosts have grants.  */
 bool mq_budget_has_other_grants (const struct mq_budget *budget,
                                  uint64_t holder);
--- a/src/core/router/pace.c
+++ b/src/core/router/pace.c
@@ -52,6 +52,16 @@
    first on they are at risk of ending late; at the second, many are late.  */
 #define USED_RISK 900U
 #define USED_MAX 1100U
+/* Programs are taken to have at least this multiple of the time that idle
+   workers take.
+
+   Failure: programs are late for another reason (an outage, lost hosts), the
+   time per token that they bear seems to be hardly more than that of idle
+   workers, and new programs are refused while workers are nearly idle.  */
+#define BEARABLE_MIN 1.5
+/* A program that pauses between two turns for more than this part of its time,
+   as a divisor, lost time for another reason than the pace of its turns.  */
+#define PAUSE_DIVISOR 3U
 /* Load at USED_MAX above MQ_PACE_LOAD_FULL: admission control refuses all.  */
 #define LOAD_SPAN 600U
 #define US_PER_MS 1000U
@@ -93,6 +103,9 @@
  * @growth: what a worker with all slots in use adds to it; 0 if unknown
  * @excess: factor by which recent turns took longer than that
  * @begins: programs that began by slot of time, the newest is @slot
+ * @first_slot: slot in which the first program began since none did for
+ *              BEGINS_SLOTS, 0 if none did yet
+ * @last_slot: slot in which the last one began
  */
 struct service_pace
 {
@@ -103,6 +116,8 @@
   double excess;
   uint32_t begins[BEGINS_SLOTS];
   uint64_t slot;
+  uint64_t first_slot;
+  uint64_t last_slot;
 };
 
 /**
@@ -124,12 +139,14 @@
 
 /**
  * struct program - a program that began at this host
- * @given_ms: time that it had then
+ * @given_ms: time that it had then; 0 if nothing is to be learned from it
+ * @left_ms: time that it had left when its last turn ended
  */
 struct program
 {
   uint64_t id;
   uint32_t given_ms;
+  double left_ms;
 };
 
 /**
@@ -284,11 +301,23 @@
   return route->used_time / route->used;
 }
 
+/* The same, at least BEARABLE_MIN; 0 if unknown.  */
+static double
+trusted_bearable_time (const struct route_pace *route,
+                       const struct service_pace *service)
+{
+  double time = bearable_time (route);
+  double least = service->idle * BEARABLE_MIN;
+
+  return time > 0 && time < least ? least : time;
+}
+
 /* Whether turns take so long that programs are at risk.  */
 static bool
-is_at_risk (const struct route_pace *route)
+is_at_risk (const struct route_pace *route, const struct service_pace *service)
 {
-  return route->recent_time * THOUSAND > bearable_time (route) * USED_RISK;
+  return route->recent_time * THOUSAND
+         > trusted_bearable_time (route, service) * USED_RISK;
 }
 
 /* Learns which part of its time a program has used at the end of a turn;
@@ -298,7 +327,8 @@
    their turns take, and the time that they bear seems to grow with the
    load.  */
 static void
-learn_used (struct route_pace *route, double used)
+learn_used (struct route_pace *route, const struct service_pace *service,
+            double used)
 {
   double part = 1.0;
 
@@ -310,7 +340,7 @@
           += (route->recent_time - route->used_time) / route->program_turns;
       return;
     }
-  if (is_at_risk (route))
+  if (is_at_risk (route, service))
     part = AT_RISK_PART;
   if (used > route->used)
     route->used += USED_STEP * USED_QUANTILE * part;
@@ -320,46 +350,71 @@
       += (route->recent_time - route->used_time) * USED_TIME_WEIGHT * part;
 }
 
+static bool
+lost_time (const struct program *program, const struct mq_pace_turn *turn)
+{
+  return turn->remaining_ms > program->given_ms
+         || (program->left_ms - turn->remaining_ms) * PAUSE_DIVISOR
+                > program->given_ms;
+}
+
 static void
 learn_program (struct mq_pace *pace, struct route_pace *route,
+               const struct service_pace *service,
                const struct mq_pace_turn *turn)
 {
   struct program *program = &pace->programs[turn->program % PROGRAMS];
-  double left = (double)turn->remaining_ms - (double)turn->ran_ms;
 
   if (!turn->has_remaining || turn->remaining_ms == 0)
     return;
   if (turn->begins)
-    *program = (struct program){ turn->program, turn->remaining_ms };
-  if (program->id == turn->program && program->given_ms > 0
-      && turn->remaining_ms <= program->given_ms)
-    learn_used (route, 1.0 - left / (double)program->given_ms);
+    *program = (struct program){ turn->program, turn->remaining_ms,
+                                 turn->remaining_ms };
+  if (program->id != turn->program || program->given_ms == 0)
+    return;
+  if (lost_time (program, turn))
+    {
+      program->given_ms = 0;
+      return;
+    }
+  program->left_ms = (double)turn->remaining_ms - (double)turn->ran_ms;
+  learn_used (route, service,
+              1.0 - program->left_ms / (double)program->given_ms);
 }
 
 void
 mq_pace_record_turn (struct mq_pace *pace, const struct mq_pace_turn *turn)
 {
   struct route_pace *route;
+  struct service_pace *service;
   double time;
 
   if (turn->tokens == 0 || turn->ran_ms == 0 || turn->load == 0)
     return;
   route = get_route (pace, turn->route);
-  time = learn_turn (get_service (pace, turn->service), turn);
+  service = get_service (pace, turn->service);
+  time = learn_turn (service, turn);
   route->recent_time += (time - route->recent_time)
                         * (route->turns == 0 ? 1.0 : RECENT_WEIGHT);
   if (route->turns < TURNS_WEIGHT)
     route->turns++;
-  learn_program (pace, route, turn);
+  learn_program (pace, route, service, turn);
 }
 
 /* Programs that begin */
 
+/* Slots since programs began to arrive.  */
+static uint64_t
+slots_known (const struct service_pace *service)
+{
+  return service->first_slot == 0 ? 0 : service->slot - service->first_slot;
+}
+
 /* Skipped slots count as empty.  */
 static void
 advance_begins (struct service_pace *service, uint64_t now)
 {
-  uint64_t slot = now / BEGINS_SLOT_MS;
+  uint64_t slot = now / BEGINS_SLOT_MS + 1;
 
   if (slot > service->slot + BEGINS_SLOTS)
     service->slot = slot - BEGINS_SLOTS;
@@ -374,9 +429,35 @@
   struct service_pace *row = get_service (pace, service);
 
   advance_begins (row, now_ms);
+  if (row->first_slot == 0 || row->slot - row->last_slot >= BEGINS_SLOTS)
+    row->first_slot = row->slot;
+  row->last_slot = row->slot;
   row->begins[row->slot % BEGINS_SLOTS]++;
 }
 
+/* Programs that begin in BEGINS_RECENT slots as a rule, by the slots before.
+   Returns 0 if it is not known yet.
+
+   Failure: after an outage, or a start, as many programs begin as always, and
+   are refused as a burst.  */
+static double
+usual_begins (const struct service_pace *service)
+{
+  uint64_t known = slots_known (service);
+  double sum = 0;
+  double usual;
+
+  if (known < 2 * BEGINS_RECENT)
+    return 0;
+  if (known >= BEGINS_SLOTS)
+    known = BEGINS_SLOTS - 1;
+  for (uint64_t age = BEGINS_RECENT; age <= known; age++)
+    sum += service
+               ->begins[(service->slot + BEGINS_SLOTS - age) % BEGINS_SLOTS];
+  usual = sum * BEGINS_RECENT / (double)(known + 1 - BEGINS_RECENT);
+  return usual > 1.0 ? usual : 1.0;
+}
+
 /* Factor by which the load will rise, since programs that begin load the
    workers for as long as they last.  A difference within one standard
    deviation of the usual count is chance.  A fall does not count: a program
@@ -385,24 +466,17 @@
 expected_rise (struct service_pace *service, uint64_t now)
 {
   double recent = 0;
-  double usual = 0;
+  double usual;
   double chance;
 
   advance_begins (service, now);
-  for (uint64_t age = 0; age < BEGINS_SLOTS; age++)
-    {
-      uint32_t count
-          = service
-                ->begins[(service->slot + BEGINS_SLOTS - age) % BEGINS_SLOTS];
-
-      if (age < BEGINS_RECENT)
-        recent += count;
-      else
-        usual
-            += (double)count * BEGINS_RECENT / (BEGINS_SLOTS - BEGINS_RECENT);
-    }
-  if (usual < 1.0)
-    usual = 1.0;
+  usual = usual_begins (service);
+  if (usual <= 0)
+    return 1.0;
+  for (uint64_t age = 0; age < BEGINS_RECENT; age++)
+    recent
+        += service
+               ->begins[(service->slot + BEGINS_SLOTS - age) % BEGINS_SLOTS];
   chance = sqrt (usual);
   if (recent > usual + chance)
     return (recent - chance) / usual;
@@ -450,7 +524,8 @@
 mq_pace_load (struct mq_pace *pace, const struct mq_pace_program *program)
 {
   struct service_pace *service = get_service (pace, program->service);
-  double bearable = bearable_time (get_route (pace, program->route));
+  double bearable
+      = trusted_bearable_time (get_route (pace, program->route), service);
   double load;
   double time;
 
--- a/src/core/router/pace.h
+++ b/src/core/router/pace.h
@@ -31,7 +31,7 @@
  * @service: name of the service
  * @route: name of the route
  * @program: hash of the program's id
- * @begins: first turn of the program
+ * @begins: certainly the first turn of the program
  * @has_remaining: whether @remaining_ms is known
  * @remaining_ms: time until the program's deadline when the turn arrived
  * @ran_ms: time at the worker, from sending until the response ended
--- a/src/router/router_pace.c
+++ b/src/router/router_pace.c
@@ -18,6 +18,9 @@
   if (member->slots > 0)
     request->worker_load
         = request->answer.load * MQ_FLEET_LOAD_FULL / member->slots;
+  request->surely_begins
+      = request->begins_program
+        && mq_turns_is_new_program (request->router->turns, request->program);
 }
 
 /* A turn that was resumed or retried does not tell how long one takes.  */
@@ -36,7 +39,7 @@
           .route = request->route->name,
           .program = mq_hash_bytes (request->program,
                                     strlen (request->program), PACE_SEED),
-          .begins = request->begins_program,
+          .begins = request->surely_begins,
           .has_remaining = fields->has_left,
           .remaining_ms = fields->left_ms,
           .ran_ms = (uint32_t)(request->completed_ms - request->sent_ms),
--- a/src/router/router_program.c
+++ b/src/router/router_program.c
@@ -49,6 +49,15 @@
   return mq_program_find (turns, program) != NULL;
 }
 
+bool
+mq_turns_is_new_program (struct mq_turns *turns, const char *name)
+{
+  const struct mq_program *program = mq_program_find (turns, name);
+
+  return program != NULL
+         && mq_budget_is_first_holder (&program->budget, program->holder);
+}
+
 struct mq_table_client_call *
 mq_turns_read_record (struct mq_turns *turns, const char *program,
                       mq_rows_done *done, void *user)
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -26,6 +26,7 @@
  * @previous: stored id of the turn this one continues; NULL if none
  * @resumes: stored id of the stream that the caller resumes; NULL if none
  * @begins_program: as far as this host knows, the program's first turn
+ * @surely_begins: by the program's record, too
  * @config_waiter: pending query for the latest configuration; NULL if none
  * @service_load: load of the service when the program asked to begin, in
  *                thousandths of its capacity; 0 if unknown
@@ -88,6 +89,7 @@
   const char *previous;
   const char *resumes;
   bool begins_program;
+  bool surely_begins;
   struct mq_config_waiter *config_waiter;
   uint32_t service_load;
   bool program_deadline_at_risk;
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -396,6 +396,9 @@
 void mq_turn_prepare (struct mq_turns *turns, struct mq_turn *turn);
 /* Whether this host serves turns of PROGRAM.  */
 bool mq_turns_has_program (struct mq_turns *turns, const char *program);
+/* Whether PROGRAM has a record, and no other host has served it; before its
+   first turn ends.  */
+bool mq_turns_is_new_program (struct mq_turns *turns, const char *program);
 /* Reads the budget record of PROGRAM, which exists once any host has served a
    turn with a budget.  */
 struct mq_table_client_call *mq_turns_read_record (struct mq_turns *turns,
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -71,6 +71,41 @@
     }
 }
 
+/* Records turns of programs that have 2.4 times the time of idle workers, and
+   lose LOST_MS before their last turn.  */
+static void
+record_disturbed_turns (const struct engine *engine, uint32_t lost_ms)
+{
+  const uint32_t idle_ms = engine->idle_us * TOKENS / 1000U;
+  const uint32_t given_ms = idle_ms * PROGRAM_TURNS * 24U / 10U;
+  uint32_t left_ms = given_ms;
+
+  for (uint32_t i = 0; i < TURNS; i++)
+    {
+      uint32_t load = engine->load_min
+                      + i * 7919U % (engine->load_max - engine->load_min + 1U);
+      uint32_t ran_ms = (engine->idle_us + engine->growth_us * load / 1000U)
+                        * TOKENS / 1000U;
+      uint32_t turn = i % PROGRAM_TURNS;
+
+      if (turn == 0)
+        left_ms = given_ms;
+      if (turn == PROGRAM_TURNS - 1)
+        left_ms = left_ms > lost_ms + 1 ? left_ms - lost_ms : 1;
+      mq_pace_record_turn (
+          pace, &(struct mq_pace_turn){ .service = "models",
+                                        .route = "chat",
+                                        .program = i / PROGRAM_TURNS + 1U,
+                                        .begins = turn == 0,
+                                        .has_remaining = true,
+                                        .remaining_ms = left_ms,
+                                        .ran_ms = ran_ms,
+                                        .tokens = TOKENS,
+                                        .load = load });
+      left_ms = left_ms > ran_ms + 1 ? left_ms - ran_ms : 1;
+    }
+}
+
 static uint32_t
 load_at (uint32_t service_load, uint64_t now_ms)
 {
@@ -165,3 +200,49 @@
     mq_pace_record_turn (pace, &silent[i % ROWS (silent)]);
   cr_expect_eq (load_at (900, 1000), 0);
 }
+
+struct disturbed_case
+{
+  const char *name;
+  uint32_t lost_ms;   /* programs lose so much time between two turns */
+  uint64_t before_ms; /* programs begin for so long, */
+  uint64_t quiet_ms;  /* then none for so long */
+};
+
+/* Failure: hosts or the table are away for some seconds.  Programs are late
+   although turns take no longer than usual, or begin anew all at once, and new
+   ones are refused for a long time at nearly idle workers.  */
+Test (pace, lost_time_and_pauses_are_no_load)
+{
+  static const struct disturbed_case cases[] = {
+    { "in time, no pause", 0, 6000, 0 },
+    { "programs lose time", 3000, 6000, 0 },
+    { "a pause of all", 0, 6000, 5000 },
+    { "a host that has just started", 0, 0, 0 },
+    { "all of it", 3000, 6000, 5000 },
+  };
+  static const struct engine engine = { 6000, 60000, 20, 70, 0 };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      uint64_t now = 100000;
+      uint32_t most = 0;
+
+      set_up ();
+      record_disturbed_turns (&engine, cases[i].lost_ms);
+      for (uint64_t end = now + cases[i].before_ms; now < end; now += 200)
+        mq_pace_record_begin (pace, "models", now);
+      now += cases[i].quiet_ms;
+      for (uint64_t end = now + 3000; now < end; now += 200)
+        {
+          uint32_t load = load_at (50, now);
+
+          most = load > most ? load : most;
+          mq_pace_record_begin (pace, "models", now);
+        }
+      cr_expect_lt (most, MQ_PACE_LOAD_FULL, "%s: load %u", cases[i].name,
+                    most);
+      tear_down ();
+    }
+  set_up ();
+}
