Tests of bounds run on a clock that they advance

Why the checks were wrong: router, stand-ins and caller are one process, and the time was the machine's. While the machine held the process up, the kernel's timeout of a connection to a worker (0.6 s without an acknowledgement or with a closed window), the route's timeout and the allowed 10 s went on, so that the check measured the machine.

--- a/src/net/clock.c
+++ b/src/net/clock.c
@@ -7,6 +7,20 @@
 #include <sys/random.h>
 #include <time.h>
 
+static mq_clock_source *injected;
+
+void
+mq_clock_set_source (mq_clock_source *source)
+{
+  injected = source;
+}
+
+bool
+mq_clock_is_injected (void)
+{
+  return injected != NULL;
+}
+
 static uint64_t
 read_us (clockid_t clock)
 {
@@ -19,7 +33,7 @@
 uint64_t
 mq_clock_us (void)
 {
-  return read_us (CLOCK_MONOTONIC);
+  return injected == NULL ? read_us (CLOCK_MONOTONIC) : injected ();
 }
 
 uint64_t
@@ -31,7 +45,7 @@
 uint64_t
 mq_clock_boot_ms (void)
 {
-  return read_us (CLOCK_BOOTTIME) / 1000U;
+  return (injected == NULL ? read_us (CLOCK_BOOTTIME) : injected ()) / 1000U;
 }
 
 uint64_t
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -1,9 +1,10 @@
 /* tcp.c - a TCP connection on the event loop.
 
-   Needs: tcp.h, buffer.h, memory.h, sockets.  */
+   Needs: tcp.h, buffer.h, clock.h, memory.h, sockets.  */
 
 #include "tcp.h"
 #include "buffer.h"
+#include "clock.h"
 #include "core/memory.h"
 #include "listen.h"
 #include "timer.h"
@@ -89,7 +90,8 @@
   /* All options are optional: without them the connection only reacts
      later.  */
   (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  if (ack_timeout_ms == 0)
+  /* The kernel's timeouts follow the machine's clock.  */
+  if (ack_timeout_ms == 0 || mq_clock_is_injected ())
     return;
   (void)setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
                     sizeof timeout);
--- a/src/net/timer.c
+++ b/src/net/timer.c
@@ -169,19 +169,11 @@
 /* Timers added by the handlers run in the next iteration of the event loop, so
    that descriptors are handled in between.  */
 static void
-on_due (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
-        void *data)
+run_due (struct timer_queue *queue)
 {
-  struct timer_queue *queue = data;
   uint64_t now = mq_clock_us ();
   uint64_t seen_us = queue->poll_round_us;
-  uint64_t expired;
 
-  (void)ev;
-  (void)event;
-  (void)flags;
-  if (read (queue->fd, &expired, sizeof expired) != (ssize_t)sizeof expired)
-    return;
   queue->armed_us = NOT_ARMED;
   queue->poll_round_us = 0;
   while (queue->count > 0 && queue->heap[0]->due_us <= now)
@@ -196,6 +188,20 @@
   arm (queue);
 }
 
+static void
+on_due (struct tevent_context *ev, struct tevent_fd *event, uint16_t flags,
+        void *data)
+{
+  struct timer_queue *queue = data;
+  uint64_t expired;
+
+  (void)ev;
+  (void)event;
+  (void)flags;
+  if (read (queue->fd, &expired, sizeof expired) == (ssize_t)sizeof expired)
+    run_due (queue);
+}
+
 static int
 destroy_timer_queue (struct timer_queue *queue)
 {
@@ -282,3 +288,12 @@
   arm (queue);
   return timer;
 }
+
+void
+mq_timer_run_due (struct tevent_context *ev)
+{
+  struct timer_queue *queue = get_timer_queue (ev);
+
+  if (queue != NULL)
+    run_due (queue);
+}
--- a/src/net/timer.h
+++ b/src/net/timer.h
@@ -21,5 +21,7 @@
 struct mq_timer *mq_timer_add (TALLOC_CTX *ctx, struct tevent_context *ev,
                                uint64_t ms, mq_timer_handler *handler,
                                void *data);
+/* Runs the timers of EV that are due by an injected clock (clock.h).  */
+void mq_timer_run_due (struct tevent_context *ev);
 
 #endif
--- a/tests/test_timer.c
+++ b/tests/test_timer.c
@@ -251,3 +251,37 @@
   run_until (51);
   cr_assert_eq (order[50], 'z');
 }
+
+static uint64_t injected_us;
+
+static uint64_t
+read_injected (void)
+{
+  return injected_us;
+}
+
+/* Time by an injected clock does not pass by itself, and timers run when they
+   are due by it.  */
+Test (timer, injected_clock)
+{
+  injected_us = (uint64_t)1 << 50;
+  mq_clock_set_source (read_injected);
+  cr_assert (mq_clock_is_injected ());
+  mq_timer_add (ev, ev, 20, on_letter, "b");
+  mq_timer_add (ev, ev, 10, on_letter, "a");
+  usleep (30000);
+  mq_timer_run_due (ev);
+  cr_assert_str_eq (order, "");
+  injected_us += 9999;
+  mq_timer_run_due (ev);
+  cr_assert_str_eq (order, "");
+  injected_us += 1;
+  mq_timer_run_due (ev);
+  cr_assert_str_eq (order, "a");
+  injected_us += 10000;
+  mq_timer_run_due (ev);
+  cr_assert_str_eq (order, "ab");
+  cr_assert_eq (mq_clock_ms (), injected_us / 1000);
+  cr_assert_eq (mq_clock_boot_ms (), injected_us / 1000);
+  mq_clock_set_source (NULL);
+}
