Hosts tell each other of workers that owe an answer

Each host learned only from its own requests which worker hangs: 31 hosts each lost a request that may not be repeated to the same worker.

A module of plain values (evidence.h) says what this host tells of its own sight, and what it concludes from what it was told: such a worker is taken after all others for requests that may not be repeated, until it answers here or elsewhere, or the doubt fades. Sent to at most 32 hosts in a relay frame that earlier releases ignore.

--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -682,6 +682,96 @@
   assert(message->base.descriptor == &mqrelay__quota_told__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mqrelay__sighting__init
+                     (Mqrelay__Sighting         *message)
+{
+  static const Mqrelay__Sighting init_value = MQRELAY__SIGHTING__INIT;
+  *message = init_value;
+}
+size_t mqrelay__sighting__get_packed_size
+                     (const Mqrelay__Sighting *message)
+{
+  assert(message->base.descriptor == &mqrelay__sighting__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqrelay__sighting__pack
+                     (const Mqrelay__Sighting *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqrelay__sighting__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqrelay__sighting__pack_to_buffer
+                     (const Mqrelay__Sighting *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqrelay__sighting__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqrelay__Sighting *
+       mqrelay__sighting__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqrelay__Sighting *)
+     protobuf_c_message_unpack (&mqrelay__sighting__descriptor,
+                                allocator, len, data);
+}
+void   mqrelay__sighting__free_unpacked
+                     (Mqrelay__Sighting *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqrelay__sighting__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mqrelay__evidence__init
+                     (Mqrelay__Evidence         *message)
+{
+  static const Mqrelay__Evidence init_value = MQRELAY__EVIDENCE__INIT;
+  *message = init_value;
+}
+size_t mqrelay__evidence__get_packed_size
+                     (const Mqrelay__Evidence *message)
+{
+  assert(message->base.descriptor == &mqrelay__evidence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqrelay__evidence__pack
+                     (const Mqrelay__Evidence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqrelay__evidence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqrelay__evidence__pack_to_buffer
+                     (const Mqrelay__Evidence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqrelay__evidence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqrelay__Evidence *
+       mqrelay__evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqrelay__Evidence *)
+     protobuf_c_message_unpack (&mqrelay__evidence__descriptor,
+                                allocator, len, data);
+}
+void   mqrelay__evidence__free_unpacked
+                     (Mqrelay__Evidence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqrelay__evidence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mqrelay__frame__init
                      (Mqrelay__Frame         *message)
 {
@@ -2142,7 +2232,174 @@
   (ProtobufCMessageInit) mqrelay__quota_told__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__frame__field_descriptors[11] =
+static const ProtobufCFieldDescriptor mqrelay__sighting__field_descriptors[3] =
+{
+  {
+    "worker",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__Sighting, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__Sighting, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__Sighting, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqrelay__sighting__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = kind */
+  0,   /* field[0] = worker */
+};
+static const ProtobufCIntRange mqrelay__sighting__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mqrelay__sighting__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqrelay.Sighting",
+  "Sighting",
+  "Mqrelay__Sighting",
+  "mqrelay",
+  sizeof(Mqrelay__Sighting),
+  3,
+  mqrelay__sighting__field_descriptors,
+  mqrelay__sighting__field_indices_by_name,
+  1,  mqrelay__sighting__number_ranges,
+  (ProtobufCMessageInit) mqrelay__sighting__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mqrelay__evidence__field_descriptors[6] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__Evidence, host),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__Evidence, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "serial",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__Evidence, serial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__Evidence, used),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "doubted",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__Evidence, doubted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sightings",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mqrelay__Evidence, n_sightings),
+    offsetof(Mqrelay__Evidence, sightings),
+    &mqrelay__sighting__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqrelay__evidence__field_indices_by_name[] = {
+  4,   /* field[4] = doubted */
+  0,   /* field[0] = host */
+  1,   /* field[1] = run */
+  2,   /* field[2] = serial */
+  5,   /* field[5] = sightings */
+  3,   /* field[3] = used */
+};
+static const ProtobufCIntRange mqrelay__evidence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor mqrelay__evidence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqrelay.Evidence",
+  "Evidence",
+  "Mqrelay__Evidence",
+  "mqrelay",
+  sizeof(Mqrelay__Evidence),
+  6,
+  mqrelay__evidence__field_descriptors,
+  mqrelay__evidence__field_indices_by_name,
+  1,  mqrelay__evidence__number_ranges,
+  (ProtobufCMessageInit) mqrelay__evidence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mqrelay__frame__field_descriptors[12] =
 {
   {
     "ask",
@@ -2276,9 +2533,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evidence",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mqrelay__Frame, body_case),
+    offsetof(Mqrelay__Frame, evidence),
+    &mqrelay__evidence__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__frame__field_indices_by_name[] = {
   0,   /* field[0] = ask */
+  11,   /* field[11] = evidence */
   10,   /* field[10] = handover */
   4,   /* field[4] = loan_ask */
   6,   /* field[6] = loan_back */
@@ -2293,7 +2563,7 @@
 static const ProtobufCIntRange mqrelay__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mqrelay__frame__descriptor =
 {
@@ -2303,7 +2573,7 @@
   "Mqrelay__Frame",
   "mqrelay",
   sizeof(Mqrelay__Frame),
-  11,
+  12,
   mqrelay__frame__field_descriptors,
   mqrelay__frame__field_indices_by_name,
   1,  mqrelay__frame__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -30,6 +30,8 @@
 typedef struct Mqrelay__QuotaRecall Mqrelay__QuotaRecall;
 typedef struct Mqrelay__QuotaGift Mqrelay__QuotaGift;
 typedef struct Mqrelay__QuotaTold Mqrelay__QuotaTold;
+typedef struct Mqrelay__Sighting Mqrelay__Sighting;
+typedef struct Mqrelay__Evidence Mqrelay__Evidence;
 typedef struct Mqrelay__Frame Mqrelay__Frame;
 
 
@@ -411,6 +413,61 @@
     , 0, 0, 0, 0,NULL }
 
 
+struct  Mqrelay__Sighting
+{
+  ProtobufCMessage base;
+  /*
+   * digest of one start of a worker
+   */
+  uint64_t worker;
+  /*
+   * enum mq_evidence_kind
+   */
+  uint32_t kind;
+  /*
+   * since the request was sent, or data arrived
+   */
+  uint32_t age_ms;
+};
+#define MQRELAY__SIGHTING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqrelay__sighting__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * What a host saw of workers; not asked for.
+ */
+struct  Mqrelay__Evidence
+{
+  ProtobufCMessage base;
+  /*
+   * names the sender, the same in all its runs
+   */
+  uint64_t host;
+  /*
+   * names this run
+   */
+  uint64_t run;
+  /*
+   * rises from frame to frame of a run
+   */
+  uint64_t serial;
+  /*
+   * workers that it used lately
+   */
+  uint32_t used;
+  /*
+   * of them those that owe it an answer
+   */
+  uint32_t doubted;
+  size_t n_sightings;
+  Mqrelay__Sighting **sightings;
+};
+#define MQRELAY__EVIDENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqrelay__evidence__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL }
+
+
 typedef enum {
   MQRELAY__FRAME__BODY__NOT_SET = 0,
   MQRELAY__FRAME__BODY_ASK = 1,
@@ -423,7 +480,8 @@
   MQRELAY__FRAME__BODY_QUOTA_ASK = 8,
   MQRELAY__FRAME__BODY_QUOTA_TOLD = 9,
   MQRELAY__FRAME__BODY_QUOTA_RECALL = 10,
-  MQRELAY__FRAME__BODY_HANDOVER = 11
+  MQRELAY__FRAME__BODY_HANDOVER = 11,
+  MQRELAY__FRAME__BODY_EVIDENCE = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MQRELAY__FRAME__BODY__CASE)
 } Mqrelay__Frame__BodyCase;
 
@@ -446,6 +504,7 @@
      * not asked for: a turn of the program has ended
      */
     Mqrelay__LoanTold *handover;
+    Mqrelay__Evidence *evidence;
   };
 };
 #define MQRELAY__FRAME__INIT \
@@ -738,6 +797,44 @@
 void   mqrelay__quota_told__free_unpacked
                      (Mqrelay__QuotaTold *message,
                       ProtobufCAllocator *allocator);
+/* Mqrelay__Sighting methods */
+void   mqrelay__sighting__init
+                     (Mqrelay__Sighting         *message);
+size_t mqrelay__sighting__get_packed_size
+                     (const Mqrelay__Sighting   *message);
+size_t mqrelay__sighting__pack
+                     (const Mqrelay__Sighting   *message,
+                      uint8_t             *out);
+size_t mqrelay__sighting__pack_to_buffer
+                     (const Mqrelay__Sighting   *message,
+                      ProtobufCBuffer     *buffer);
+Mqrelay__Sighting *
+       mqrelay__sighting__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqrelay__sighting__free_unpacked
+                     (Mqrelay__Sighting *message,
+                      ProtobufCAllocator *allocator);
+/* Mqrelay__Evidence methods */
+void   mqrelay__evidence__init
+                     (Mqrelay__Evidence         *message);
+size_t mqrelay__evidence__get_packed_size
+                     (const Mqrelay__Evidence   *message);
+size_t mqrelay__evidence__pack
+                     (const Mqrelay__Evidence   *message,
+                      uint8_t             *out);
+size_t mqrelay__evidence__pack_to_buffer
+                     (const Mqrelay__Evidence   *message,
+                      ProtobufCBuffer     *buffer);
+Mqrelay__Evidence *
+       mqrelay__evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqrelay__evidence__free_unpacked
+                     (Mqrelay__Evidence *message,
+                      ProtobufCAllocator *allocator);
 /* Mqrelay__Frame methods */
 void   mqrelay__frame__init
                      (Mqrelay__Frame         *message);
@@ -804,6 +901,12 @@
 typedef void (*Mqrelay__QuotaTold_Closure)
                  (const Mqrelay__QuotaTold *message,
                   void *closure_data);
+typedef void (*Mqrelay__Sighting_Closure)
+                 (const Mqrelay__Sighting *message,
+                  void *closure_data);
+typedef void (*Mqrelay__Evidence_Closure)
+                 (const Mqrelay__Evidence *message,
+                  void *closure_data);
 typedef void (*Mqrelay__Frame_Closure)
                  (const Mqrelay__Frame *message,
                   void *closure_data);
@@ -828,6 +931,8 @@
 extern const ProtobufCMessageDescriptor mqrelay__quota_recall__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__quota_gift__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__quota_told__descriptor;
+extern const ProtobufCMessageDescriptor mqrelay__sighting__descriptor;
+extern const ProtobufCMessageDescriptor mqrelay__evidence__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -11,6 +11,7 @@
 
 #include "../types.h"
 
+struct mq_evidence;
 struct mq_fleet;
 
 #define MQ_WORKER_NONE UINT32_MAX
@@ -112,6 +113,8 @@
  * @once: the request may not be repeated; doubtful workers are avoided
  * @objective_ms: target response time, 0 if none
  * @avoided: set to whether a doubtful worker was passed over, unless NULL
+ * @evidence: what other hosts tell of workers, for requests with @once; NULL
+ * if none
  * @tried: workers that the request was already sent to
  * @now_ms: monotonic clock
  * @random: random number for tie-breaking
@@ -129,6 +132,7 @@
   bool once;
   uint32_t objective_ms;
   bool *avoided;
+  const struct mq_evidence *evidence;
   const uint32_t *tried;
   size_t tried_count;
   uint64_t now_ms;
@@ -257,6 +261,17 @@
 /* The row of SERVICE names VERSION, alone if SOLE.  */
 void mq_fleet_set_recorded (struct mq_fleet *fleet, const char *service,
                             uint64_t version, bool sole);
+/* Whether there were requests that may not be repeated.  */
+bool mq_fleet_has_once (const struct mq_fleet *fleet);
+/* Tells EVIDENCE what this host sees of each worker; called between
+   mq_evidence_scan_begin and mq_evidence_scan_end.  */
+void mq_fleet_scan (const struct mq_fleet *fleet, struct mq_evidence *evidence,
+                    uint64_t now_ms);
+/* Number of listed workers of all services.  */
+size_t mq_fleet_listed (const struct mq_fleet *fleet);
+/* The worker with this mq_fleet_instance_digest; NULL if unknown.  */
+const struct mq_fleet_member *
+mq_fleet_find_instance (const struct mq_fleet *fleet, uint64_t instance);
 /* Number of available workers of SERVICE.  */
 size_t mq_fleet_count (const struct mq_fleet *fleet, const char *service);
 /* Retry delay for callers when no worker of SERVICE has a free slot.  */
--- a/src/core/router/fleet_choice.c
+++ b/src/core/router/fleet_choice.c
@@ -1,8 +1,9 @@
 /* fleet_choice.c - worker selection.
 
-   Needs: fleet_state.h, id.h.  */
+   Needs: fleet_state.h, evidence.h, id.h.  */
 
 #include "fleet_state.h"
+#include "evidence.h"
 #include "../id.h"
 #include <string.h>
 
@@ -92,6 +93,8 @@
 
 /* After full workers, whose rejection loses nothing.  */
 #define DOUBTFUL_GROUP 3U
+/* Told doubt counts less than own sight.  */
+#define OWN_DOUBT_COST (UINT64_MAX / 2U)
 
 /**
  * struct rank - rank of a worker for a request; the lowest is chosen
@@ -138,6 +141,19 @@
          && fleet_is_doubtful (entry, survey->patience_ms, query->now_ms);
 }
 
+/* Failure: a worker hangs, and each host loses a request there to learn what
+   another one knows.  */
+static bool
+is_doubted_by_others (const struct fleet_entry *entry,
+                      const struct mq_fleet_query *query)
+{
+  return query->once && query->evidence != NULL
+         && !mq_evidence_is_empty (query->evidence)
+         && mq_evidence_doubts (query->evidence, entry->instance,
+                                entry->heard_ms, query->now_ms)
+                > 0;
+}
+
 static struct rank
 rank_worker (const struct fleet_entry *entry,
              const struct mq_fleet_query *query, const struct survey *survey)
@@ -155,6 +171,8 @@
   if (entry->ejected_until_ms > query->now_ms && !survey->ignore_ejections)
     return (struct rank){ 4, entry->ejected_until_ms };
   if (is_avoided (entry, query, survey))
+    return (struct rank){ DOUBTFUL_GROUP, OWN_DOUBT_COST + load };
+  if (is_doubted_by_others (entry, query))
     return (struct rank){ DOUBTFUL_GROUP, load };
   if (load >= full_load (query, slots, mean)
       || (query->home_full && entry->hash == query->home))
@@ -222,6 +240,8 @@
 
   if (home != MQ_WORKER_NONE)
     return home;
+  if (query->once)
+    fleet_note_once (fleet, query->service, query->objective_ms);
   survey = survey_service (fleet, query);
   for (size_t i = 0; i < fleet->count; i++)
     {
--- a/src/core/router/fleet_state.h
+++ b/src/core/router/fleet_state.h
@@ -3,8 +3,8 @@
    fleet.c owns the table of workers, fleet_load.c their load and
    fleet_health.c failures and ejection, fleet_version.c the versions of
    services.  fleet_choice.c selects workers for requests and fleet_home.c
-   those for programs; both depend on the table and the load. Needs: fleet.h,
-   idmap.h, recent.h.  */
+   those for programs; both depend on the table and the load.  fleet_sight.c
+   tells what this host sees of workers. Needs: fleet.h, idmap.h, recent.h.  */
 
 #ifndef MQ_FLEET_STATE_H
 #define MQ_FLEET_STATE_H
@@ -95,6 +95,8 @@
  *             1 / ANSWER_WEIGHT milliseconds, 0 if unknown
  * @first_ms: time at which its first worker was listed
  * @recorded_several: its row in the table named several versions
+ * @once_objective_ms: longest objective of requests that may not be repeated,
+ * 0 if there were none
  */
 struct fleet_service
 {
@@ -105,6 +107,7 @@
   size_t version_count;
   uint64_t first_ms;
   bool recorded_several;
+  uint32_t once_objective_ms;
 };
 
 /**
@@ -113,6 +116,7 @@
  * @services: struct fleet_service by name
  * @free_from: all entries before this index are in use
  * @now_ms: time of the last mq_fleet_set_time
+ * @has_once: there were requests that may not be repeated
  */
 struct mq_fleet
 {
@@ -122,6 +126,7 @@
   struct mq_idmap *services;
   size_t free_from;
   uint64_t now_ms;
+  bool has_once;
 };
 
 /* Whether the worker accepts requests.  */
@@ -166,6 +171,12 @@
 /* Records that the worker rejected a request for lack of a free slot.  */
 void fleet_mark_full (struct fleet_entry *entry, uint64_t now_ms);
 
+/* fleet_sight.c */
+
+/* Notes a request of SERVICE that may not be repeated.  */
+void fleet_note_once (struct mq_fleet *fleet, const char *service,
+                      uint32_t objective_ms);
+
 /* fleet_version.c */
 
 /* Sets whether ENTRY is listed, and counts it among the workers of its
--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -56,6 +56,8 @@
   X (WORKER_LISTED, "worker_listed", NOTICE,                                  \
      "worker service address version state")                                  \
   X (WORKER_GONE, "worker_gone", WARNING, "worker")                           \
+  X (WORKER_DOUBTED, "worker_doubted", NOTICE, "worker other age_ms")         \
+  X (WORKER_TRUSTED, "worker_trusted", NOTICE, "worker other age_ms")         \
   X (WORKER_UNREADABLE, "worker_unreadable", ERROR, "worker " MQ_LOG_PROBLEM) \
   X (TRY_FAILED, "try_failed", WARNING,                                       \
      MQ_LOG_REQUEST "worker_version last_event how at_worker_ms left_ms "     \
--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -307,6 +307,9 @@
     case MQ_RELAY_QUOTA_RECALL:
       owner->quota_recall (&frame->u.quota_recall, link, owner->user);
       return;
+    case MQ_RELAY_EVIDENCE:
+      owner->evidence (&frame->u.evidence, owner->user);
+      return;
     case MQ_RELAY_QUOTA_REPLY:
       on_quota_reply (relay, link, &frame->u.quota_reply);
       return;
--- a/src/router/relay.h
+++ b/src/router/relay.h
@@ -36,6 +36,7 @@
  * @quota_reply: permits from the host at ADDRESS
  * @quota_recall: a restarted issuer recalls the rates that it lent; answered
  *                with mq_relay_send_recall_reply
+ * @evidence: what another host saw of workers
  * @user: passed to all callbacks
  */
 struct mq_relay_owner
@@ -56,6 +57,7 @@
                        const char *address, void *user);
   void (*quota_recall) (const struct mq_relay_quota_recall *recall,
                         struct mq_relay_link *link, void *user);
+  void (*evidence) (const struct mq_evidence_report *report, void *user);
   void *user;
 };
 
@@ -178,6 +180,20 @@
 void mq_relay_send_recall_reply (struct mq_relay *relay,
                                  struct mq_relay_link *link,
                                  const struct mq_relay_quota_request *request);
+/* Hosts to which evidence is sent: those of this data centre first.  Where
+   there are more, each host has its own choice of them, which stays the same
+   while the list does.  */
+#define MQ_RELAY_EVIDENCE_HOSTS_MAX 32U
+/* Number of hosts that mq_relay_send_evidence would send to.  */
+uint32_t mq_relay_evidence_hosts (const struct mq_relay *relay);
+/* Returns the number of hosts to which REPORT was sent.  */
+uint32_t mq_relay_send_evidence (struct mq_relay *relay,
+                                 const struct mq_evidence_report *report);
+/* Name of the host at ADDRESS in reports, and the address of the listed host
+   with that NAME, NULL if there is none.  */
+uint64_t mq_relay_evidence_name (const char *address);
+const char *mq_relay_evidence_address (const struct mq_relay *relay,
+                                       uint64_t name);
 /* Calls relayed through other hosts, and made for them.  */
 uint64_t mq_relay_calls_sent (const struct mq_relay *relay);
 uint64_t mq_relay_calls_served (const struct mq_relay *relay);
--- a/src/router/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -315,6 +315,41 @@
   return pack (ctx, &frame);
 }
 
+static Mqrelay__Sighting **
+make_sightings (TALLOC_CTX *ctx, const struct mq_evidence_report *report)
+{
+  Mqrelay__Sighting **list = mq_check_alloc (
+      talloc_zero_array (ctx, Mqrelay__Sighting *, report->count + 1));
+
+  for (size_t i = 0; i < report->count; i++)
+    {
+      list[i] = mq_check_alloc (talloc (list, Mqrelay__Sighting));
+      mqrelay__sighting__init (list[i]);
+      list[i]->worker = report->sightings[i].worker;
+      list[i]->kind = (uint32_t)report->sightings[i].kind;
+      list[i]->age_ms = report->sightings[i].age_ms;
+    }
+  return list;
+}
+
+static struct mq_bytes
+pack_evidence (TALLOC_CTX *ctx, const struct mq_evidence_report *report)
+{
+  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
+  Mqrelay__Evidence to = MQRELAY__EVIDENCE__INIT;
+
+  frame.body_case = MQRELAY__FRAME__BODY_EVIDENCE;
+  frame.evidence = &to;
+  to.host = report->host;
+  to.run = report->run;
+  to.serial = report->serial;
+  to.used = report->used;
+  to.doubted = report->doubted;
+  to.sightings = make_sightings (ctx, report);
+  to.n_sightings = report->count;
+  return pack (ctx, &frame);
+}
+
 /* Packs FRAME; the bytes and all temporary data are allocated below CTX.  */
 static struct mq_bytes
 pack_body (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
@@ -343,6 +378,8 @@
       return pack_quota_reply (ctx, &frame->u.quota_reply);
     case MQ_RELAY_QUOTA_RECALL:
       return pack_quota_recall (ctx, &frame->u.quota_recall);
+    case MQ_RELAY_EVIDENCE:
+      return pack_evidence (ctx, &frame->u.evidence);
     case MQ_RELAY_UNKNOWN:
       break;
     }
@@ -519,6 +556,32 @@
   };
 }
 
+static void
+read_evidence (struct mq_relay_frame *to, const Mqrelay__Evidence *from)
+{
+  struct mq_evidence_sighting *sightings = mq_check_alloc (talloc_zero_array (
+      to, struct mq_evidence_sighting, from->n_sightings + 1));
+
+  for (size_t i = 0; i < from->n_sightings; i++)
+    sightings[i] = (struct mq_evidence_sighting){
+      .worker = from->sightings[i]->worker,
+      .kind = from->sightings[i]->kind < MQ_EVIDENCE_KINDS
+                  ? (enum mq_evidence_kind)from->sightings[i]->kind
+                  : MQ_EVIDENCE_KINDS,
+      .age_ms = from->sightings[i]->age_ms,
+    };
+  to->kind = MQ_RELAY_EVIDENCE;
+  to->u.evidence = (struct mq_evidence_report){
+    .host = from->host,
+    .run = from->run,
+    .serial = from->serial,
+    .used = from->used,
+    .doubted = from->doubted,
+    .sightings = sightings,
+    .count = from->n_sightings,
+  };
+}
+
 static bool
 read_body (struct mq_relay_frame *to, const Mqrelay__Frame *from)
 {
@@ -573,6 +636,9 @@
           = (struct mq_relay_quota_recall){ from->quota_recall->server,
                                             from->quota_recall->address };
       return true;
+    case MQRELAY__FRAME__BODY_EVIDENCE:
+      read_evidence (to, from->evidence);
+      return true;
     default:
       to->kind = MQ_RELAY_UNKNOWN;
       return true;
--- a/src/router/relay_frame.h
+++ b/src/router/relay_frame.h
@@ -1,11 +1,12 @@
 /* relay_frame.h - messages between routing hosts and their encoding.
 
-   Needs: rows.h, fleet.h, quota.h, proto/relay.pb-c.h.  */
+   Needs: rows.h, fleet.h, evidence.h, quota.h, proto/relay.pb-c.h.  */
 
 #ifndef MQ_RELAY_FRAME_H
 #define MQ_RELAY_FRAME_H
 
 #include "core/organisation/quota.h"
+#include "core/router/evidence.h"
 #include "core/router/fleet.h"
 #include "rows.h"
 
@@ -25,6 +26,7 @@
   MQ_RELAY_QUOTA_REQUEST, /* request for permits */
   MQ_RELAY_QUOTA_REPLY,   /* permits issued */
   MQ_RELAY_QUOTA_RECALL,  /* recall of rates lent by earlier runs */
+  MQ_RELAY_EVIDENCE,      /* what a host saw of workers */
   MQ_RELAY_UNKNOWN        /* from a newer version; ignored */
 };
 
@@ -194,6 +196,7 @@
     struct mq_relay_quota_request quota_request;
     struct mq_relay_quota_reply quota_reply;
     struct mq_relay_quota_recall quota_recall;
+    struct mq_evidence_report evidence;
   } u;
 };
 
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -209,6 +209,7 @@
                                   .quota_request = mq_issuing_on_request,
                                   .quota_reply = mq_permits_on_reply,
                                   .quota_recall = mq_permits_on_recall,
+                                  .evidence = mq_evidence_on_report,
                                   .user = router };
 
   router->log = mq_json_log_create (router, router->ev, STDOUT_FILENO,
@@ -227,6 +228,7 @@
                                    router->rows, &owner, error);
   if (router->relay == NULL)
     return false;
+  mq_evidence_start (router);
   router->table_client
       = mq_table_client_create (router, router->rows, router->relay);
   router->pool = mq_pool_create (router, router->ev, router->fleet);
--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -155,6 +155,7 @@
     .once = request->route->kind == MQ_ROUTE_AT_MOST_ONCE,
     .objective_ms = request->route->objective_ms,
     .avoided = &avoided,
+    .evidence = request->router->evidence,
     .tried = request->attempted,
     .tried_count = request->attempted_count,
     .now_ms = now,
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -19,6 +19,7 @@
 #include "core/router/budget.h"
 #include "core/router/chain.h"
 #include "core/router/event_stream.h"
+#include "core/router/evidence.h"
 #include "core/router/fleet.h"
 #include "core/router/pace.h"
 #include "core/histogram.h"
@@ -51,6 +52,11 @@
   X (unanswered, "requests cut off by this host before their final answer")   \
   X (retries, "further workers asked for a request")                          \
   X (doubtful_avoided, "requests kept from workers that owe an answer")       \
+  X (evidence_sent, "reports of workers sent to other hosts")                 \
+  X (evidence_received, "reports of workers that other hosts sent")           \
+  X (evidence_late, "of them ignored, older than the last of their host")     \
+  X (evidence_cut_off, "of them ignored, their host doubts most workers")     \
+  X (evidence_invalid, "of them ignored, with figures out of range")          \
   X (resumed, "streams that went on at another worker")                       \
   X (streams_taken_up, "streams that callers resumed")                        \
   X (streams_refused, "of them refused, their version unknown or gone")       \
@@ -118,6 +124,8 @@
  * @ending_count: finished connections of callers that are not closed yet
  * @request_count: requests without a final response
  * @latency: latency of forwarded responses by kind of route, milliseconds
+ * @evidence: what hosts tell each other of workers
+ * @evidence_log_ms: time since which @evidence_lines log lines were written
  * @loop_delay: delay of the sweep timer, milliseconds
  * @sweep_due_ms: due time of the sweep timer, local monotonic clock
  * @host_lists: lists of hosts that had any
@@ -169,6 +177,9 @@
   struct mq_recent record_wait;
   struct mq_histogram latency[MQ_ROUTE_KINDS];
   struct mq_histogram loop_delay;
+  struct mq_evidence *evidence;
+  uint64_t evidence_log_ms;
+  uint32_t evidence_lines;
   uint64_t sweep_due_ms;
   struct tevent_fd *front_event;
   struct tevent_fd *ready_event;
@@ -531,6 +542,14 @@
 /* Removes expired records, a batch per call.  */
 void mq_clean_sweep (struct mq_router *router);
 
+/* router_evidence.c */
+
+/* Begins to look at the workers and to tell other hosts what is seen.  */
+void mq_evidence_start (struct mq_router *router);
+/* What another host saw of workers.  */
+void mq_evidence_on_report (const struct mq_evidence_report *report,
+                            void *user);
+
 /* router_hosts.c */
 
 /* Adds the seed hosts of the settings.  */
--- a/tests/fuzz/fuzz_relay.c
+++ b/tests/fuzz/fuzz_relay.c
@@ -73,6 +73,10 @@
     case MQ_RELAY_QUOTA_RECALL:
       FUZZ_CHECK (frame->u.quota_recall.address != NULL);
       return;
+    case MQ_RELAY_EVIDENCE:
+      for (size_t i = 0; i < frame->u.evidence.count; i++)
+        FUZZ_CHECK (frame->u.evidence.sightings[i].kind <= MQ_EVIDENCE_KINDS);
+      return;
     case MQ_RELAY_SYNC:
     case MQ_RELAY_UNKNOWN:
       return;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -111,6 +111,24 @@
   cr_expect_eq (a->record_version, b->record_version);
 }
 
+static void
+expect_evidence (const struct mq_evidence_report *a,
+                 const struct mq_evidence_report *b)
+{
+  cr_expect_eq (a->host, b->host);
+  cr_expect_eq (a->run, b->run);
+  cr_expect_eq (a->serial, b->serial);
+  cr_expect_eq (a->used, b->used);
+  cr_expect_eq (a->doubted, b->doubted);
+  cr_assert_eq (a->count, b->count);
+  for (size_t i = 0; i < a->count; i++)
+    {
+      cr_expect_eq (a->sightings[i].worker, b->sightings[i].worker);
+      cr_expect_eq (a->sightings[i].kind, b->sightings[i].kind);
+      cr_expect_eq (a->sightings[i].age_ms, b->sightings[i].age_ms);
+    }
+}
+
 static void
 expect_same (const struct mq_relay_frame *a, const struct mq_relay_frame *b)
 {
@@ -192,6 +210,9 @@
                     b->u.quota_recall.issuer_run_id);
       cr_expect_str_eq (a->u.quota_recall.address, b->u.quota_recall.address);
       return;
+    case MQ_RELAY_EVIDENCE:
+      expect_evidence (&a->u.evidence, &b->u.evidence);
+      return;
     case MQ_RELAY_UNKNOWN:
       cr_assert_fail ("a frame of our own is not known");
     }
@@ -255,7 +276,21 @@
       .standing_ms = 6 },
     { .organisation = "bolt", .unknown = true },
   };
+  struct mq_evidence_sighting sightings[] = {
+    { .worker = UINT64_MAX, .kind = MQ_EVIDENCE_SILENT, .age_ms = 600 },
+    { .worker = 1, .kind = MQ_EVIDENCE_ANSWERS },
+    { .worker = 2, .kind = MQ_EVIDENCE_KINDS, .age_ms = UINT32_MAX },
+  };
   struct mq_relay_frame frames[] = {
+    { .kind = MQ_RELAY_EVIDENCE,
+      .u.evidence = { .host = 1,
+                      .run = 2,
+                      .serial = 3,
+                      .used = 4,
+                      .doubted = 5,
+                      .sightings = sightings,
+                      .count = 3 } },
+    { .kind = MQ_RELAY_EVIDENCE, .u.evidence = { .host = 1 } },
     { .kind = MQ_RELAY_QUOTA_REQUEST,
       .u.quota_request = { .id = 1,
                            .run_id = 2,
