--- a/src/core/router/evidence.c
+++ b/src/core/router/evidence.c
@@ -38,6 +38,9 @@
  * @answered_ms: time of the last answer that another host told, 0 if none
  * @alone_ms: time at which the doubt of one host alone began to count, 0 if it
  *            never did
+ * @late_ms: time at which a request was last found late here, 0 if never
+ * @told_late_ms: time at which this host told it
+ * @late: hosts that had a late request
  * @doubted: the last change told to the caller
  */
 struct sight
@@ -53,8 +56,11 @@
   uint64_t heard_ms;
   uint64_t answered_ms;
   uint64_t alone_ms;
+  uint64_t late_ms;
+  uint64_t told_late_ms;
   bool doubted;
   struct witness witnesses[MQ_EVIDENCE_WITNESSES_MAX];
+  struct witness late[MQ_EVIDENCE_WITNESSES_MAX];
 };
 
 /**
@@ -169,6 +175,20 @@
   return count;
 }
 
+/* Hosts that had a late request, this one included; 0 if it is only one.  */
+static uint32_t
+count_late (const struct sight *sight, uint64_t now_ms)
+{
+  uint32_t count = 0;
+
+  if (sight->late_ms != 0 && now_ms - sight->late_ms < MQ_EVIDENCE_TTL_MS)
+    count++;
+  for (size_t i = 0; i < MQ_EVIDENCE_WITNESSES_MAX; i++)
+    if (is_active (&sight->late[i], now_ms))
+      count++;
+  return count < 2 ? 0 : count;
+}
+
 static void
 add_change (struct mq_evidence *evidence, struct sight *sight, bool doubted,
             uint64_t host, uint32_t age_ms)
@@ -238,6 +258,22 @@
     sight->heard_ms = heard_ms;
 }
 
+void
+mq_evidence_scan_late (struct mq_evidence *evidence, uint64_t worker,
+                       uint64_t found_ms)
+{
+  struct sight *sight;
+
+  if (evidence->scan_ms - found_ms >= MQ_EVIDENCE_RENEW_MS)
+    return;
+  sight = get_sight (evidence, worker);
+  if (sight == NULL)
+    return;
+  sight->late_ms = found_ms;
+  if (sight->scan != evidence->scan)
+    evidence->doubted++;
+}
+
 static bool
 exceeds (uint32_t doubted, uint32_t used)
 {
@@ -245,13 +281,13 @@
 }
 
 static bool
-was_told_lately (const struct sight *sight, uint64_t now_ms)
+were_told_lately (const struct witness *witnesses, uint64_t now_ms)
 {
   uint32_t count = 0;
 
   for (size_t i = 0; i < MQ_EVIDENCE_WITNESSES_MAX; i++)
-    if (is_active (&sight->witnesses[i], now_ms)
-        && now_ms - sight->witnesses[i].told_ms < MQ_EVIDENCE_RENEW_MS)
+    if (is_active (&witnesses[i], now_ms)
+        && now_ms - witnesses[i].told_ms < MQ_EVIDENCE_RENEW_MS)
       count++;
   return count >= 2;
 }
@@ -269,7 +305,18 @@
     return false;
   if (sight->told_ms != 0 && now - sight->told_ms < MQ_EVIDENCE_RENEW_MS)
     return false;
-  return !was_told_lately (sight, now);
+  return !were_told_lately (sight->witnesses, now);
+}
+
+static bool
+must_tell_late (const struct mq_evidence *evidence, const struct sight *sight)
+{
+  uint64_t now = evidence->scan_ms;
+
+  return sight->late_ms > sight->told_late_ms
+         && now - sight->late_ms < MQ_EVIDENCE_RENEW_MS
+         && now - sight->told_late_ms >= MQ_EVIDENCE_RENEW_MS
+         && !were_told_lately (sight->late, now);
 }
 
 /* Whether the worker has answered here after this host or another one began to
@@ -321,6 +368,14 @@
       sight->told_since_ms = sight->since_ms;
       return true;
     }
+  if (must_tell_late (evidence, sight))
+    {
+      *sighting
+          = (struct mq_evidence_sighting){ sight->worker, MQ_EVIDENCE_LATE,
+                                           age_at (sight->late_ms, now) };
+      sight->told_late_ms = now;
+      return true;
+    }
   if (!must_tell_answer (evidence, sight))
     return false;
   *sighting
@@ -367,6 +422,8 @@
   uint64_t pause = MQ_EVIDENCE_ALONE_MS + MQ_EVIDENCE_ALONE_PAUSE_MS;
 
   return sight->scan != evidence->scan && count_witnesses (sight, 0, now) == 0
+         && count_late (sight, now) == 0
+         && (sight->late_ms == 0 || now - sight->late_ms > MQ_EVIDENCE_TTL_MS)
          && (sight->told_ms == 0 || now - sight->told_ms > pause)
          && (sight->alone_ms == 0 || now - sight->alone_ms > pause)
          && (sight->answered_ms == 0
@@ -384,7 +441,8 @@
     {
       struct sight *sight = *at;
 
-      if (sight->doubted && count_witnesses (sight, 0, evidence->scan_ms) == 0)
+      if (sight->doubted && count_witnesses (sight, 0, evidence->scan_ms) == 0
+          && count_late (sight, evidence->scan_ms) == 0)
         add_change (evidence, sight, false, 0, 0);
       if (!is_over (evidence, sight))
         {
@@ -466,8 +524,8 @@
 }
 
 static bool
-is_late (struct mq_evidence *evidence, const struct mq_evidence_report *report,
-         uint64_t now_ms)
+is_old (struct mq_evidence *evidence, const struct mq_evidence_report *report,
+        uint64_t now_ms)
 {
   struct teller *teller = get_teller (evidence, report->host);
 
@@ -480,14 +538,22 @@
 }
 
 static struct witness *
-find_witness (struct sight *sight, uint64_t host)
+find_witness (struct witness *witnesses, uint64_t host)
 {
   for (size_t i = 0; i < MQ_EVIDENCE_WITNESSES_MAX; i++)
-    if (sight->witnesses[i].host == host)
-      return &sight->witnesses[i];
+    if (witnesses[i].host == host)
+      return &witnesses[i];
   return NULL;
 }
 
+static bool
+accuses (struct witness *witnesses, uint64_t host, uint64_t now_ms)
+{
+  const struct witness *witness = find_witness (witnesses, host);
+
+  return witness != NULL && is_active (witness, now_ms);
+}
+
 /* Workers that HOST doubts, as told here.  */
 static size_t
 count_accused (const struct mq_evidence *evidence, uint64_t host,
@@ -497,40 +563,32 @@
 
   for (struct sight *sight = evidence->sights; sight != NULL;
        sight = sight->next)
-    {
-      const struct witness *witness = find_witness (sight, host);
-
-      if (witness != NULL && is_active (witness, now_ms))
-        count++;
-    }
+    if (accuses (sight->witnesses, host, now_ms)
+        || accuses (sight->late, host, now_ms))
+      count++;
   return count;
 }
 
+static void
+forget_witness (struct witness *witnesses, uint64_t host)
+{
+  struct witness *witness = find_witness (witnesses, host);
+
+  if (witness != NULL)
+    *witness = (struct witness){ .host = 0 };
+}
+
 static void
 forget_host (struct mq_evidence *evidence, uint64_t host)
 {
   for (struct sight *sight = evidence->sights; sight != NULL;
        sight = sight->next)
     {
-      struct witness *witness = find_witness (sight, host);
-
-      if (witness != NULL)
-        *witness = (struct witness){ .host = 0 };
+      forget_witness (sight->witnesses, host);
+      forget_witness (sight->late, host);
     }
 }
 
-/* The witness of HOST, else one that is free; NULL if there is none.  */
-static struct witness *
-get_witness (struct sight *sight, uint64_t host, uint64_t now_ms)
-{
-  struct witness *witness = find_witness (sight, host);
-
-  for (size_t i = 0; witness == NULL && i < MQ_EVIDENCE_WITNESSES_MAX; i++)
-    if (!is_active (&sight->witnesses[i], now_ms))
-      witness = &sight->witnesses[i];
-  return witness;
-}
-
 /* Time at which doubt told now fades, different at each host.  */
 static uint64_t
 fade_time (const struct mq_evidence *evidence, uint64_t worker,
@@ -542,26 +600,63 @@
          + mq_random_next (&state) % MQ_EVIDENCE_TTL_MS;
 }
 
+/* Adds or renews the doubt of HOST, unless there are enough.  */
+static void
+put_witness (struct witness *witnesses, const struct witness *doubt)
+{
+  struct witness *witness = find_witness (witnesses, doubt->host);
+
+  for (size_t i = 0; witness == NULL && i < MQ_EVIDENCE_WITNESSES_MAX; i++)
+    if (!is_active (&witnesses[i], doubt->told_ms))
+      witness = &witnesses[i];
+  if (witness != NULL)
+    *witness = *doubt;
+}
+
+static uint64_t
+time_of (const struct mq_evidence_sighting *sighting, uint64_t now_ms)
+{
+  return now_ms > sighting->age_ms ? now_ms - sighting->age_ms : 1;
+}
+
 static void
 take_doubt (struct mq_evidence *evidence, uint64_t host,
             const struct mq_evidence_sighting *sighting, uint64_t now_ms)
 {
   struct sight *sight = get_sight (evidence, sighting->worker);
-  uint64_t since = now_ms > sighting->age_ms ? now_ms - sighting->age_ms : 1;
   uint64_t pause = MQ_EVIDENCE_ALONE_MS + MQ_EVIDENCE_ALONE_PAUSE_MS;
-  struct witness *witness;
+  struct witness doubt
+      = { .host = host,
+          .since_ms = time_of (sighting, now_ms),
+          .told_ms = now_ms,
+          .until_ms = fade_time (evidence, sighting->worker, now_ms) };
 
-  if (sight == NULL || since <= sight->answered_ms)
+  if (sight == NULL || doubt.since_ms <= sight->answered_ms)
     return;
   if (sight->alone_ms == 0 || now_ms - sight->alone_ms >= pause)
     sight->alone_ms = now_ms;
-  witness = get_witness (sight, host, now_ms);
-  if (witness == NULL)
+  put_witness (sight->witnesses, &doubt);
+  if (count_witnesses (sight, 0, now_ms) >= 2)
+    add_change (evidence, sight, true, host, sighting->age_ms);
+}
+
+static void
+take_late (struct mq_evidence *evidence, uint64_t host,
+           const struct mq_evidence_sighting *sighting, uint64_t now_ms)
+{
+  struct sight *sight = get_sight (evidence, sighting->worker);
+  uint64_t found = time_of (sighting, now_ms);
+  struct witness doubt
+      = { .host = host,
+          .since_ms = found,
+          .told_ms = now_ms,
+          .until_ms = fade_time (evidence, sighting->worker, found) };
+
+  if (sight == NULL)
     return;
-  *witness
-      = (struct witness){ host, since, now_ms,
-                          fade_time (evidence, sighting->worker, now_ms) };
-  add_change (evidence, sight, true, host, sighting->age_ms);
+  put_witness (sight->late, &doubt);
+  if (count_late (sight, now_ms) >= 2)
+    add_change (evidence, sight, true, host, sighting->age_ms);
 }
 
 static void
@@ -569,8 +664,7 @@
              const struct mq_evidence_sighting *sighting, uint64_t now_ms)
 {
   struct sight *sight = find_sight (evidence, sighting->worker);
-  uint64_t answered
-      = now_ms > sighting->age_ms ? now_ms - sighting->age_ms : 1;
+  uint64_t answered = time_of (sighting, now_ms);
 
   if (sight == NULL)
     return;
@@ -579,7 +673,8 @@
   if (answered > sight->told_since_ms)
     sight->told_ms = 0;
   drop_witnesses (sight, answered);
-  if (count_witnesses (sight, 0, now_ms) == 0)
+  if (count_witnesses (sight, 0, now_ms) == 0
+      && count_late (sight, now_ms) == 0)
     add_change (evidence, sight, false, host, sighting->age_ms);
 }
 
@@ -590,8 +685,8 @@
 {
   if (!is_valid (evidence, report))
     return MQ_EVIDENCE_INVALID;
-  if (is_late (evidence, report, now_ms))
-    return MQ_EVIDENCE_LATE;
+  if (is_old (evidence, report, now_ms))
+    return MQ_EVIDENCE_OLD;
   for (size_t i = 0; i < report->count; i++)
     switch (report->sightings[i].kind)
       {
@@ -599,6 +694,9 @@
       case MQ_EVIDENCE_LOST:
         take_doubt (evidence, report->host, &report->sightings[i], now_ms);
         break;
+      case MQ_EVIDENCE_LATE:
+        take_late (evidence, report->host, &report->sightings[i], now_ms);
+        break;
       case MQ_EVIDENCE_ANSWERS:
         take_answer (evidence, report->host, &report->sightings[i], now_ms);
         break;
@@ -631,6 +729,6 @@
     return 0;
   count = count_witnesses (sight, heard_ms, now_ms);
   if (count == 1 && now_ms - sight->alone_ms >= MQ_EVIDENCE_ALONE_MS)
-    return 0;
-  return count;
+    count = 0;
+  return count > 0 ? count : count_late (sight, now_ms);
 }
--- a/src/core/router/evidence.h
+++ b/src/core/router/evidence.h
@@ -6,7 +6,9 @@
    A host tells a change of what it saw itself, never what it was told.  Told
    doubt counts less than own sight: it ends when this host hears of the worker
    later than the one that doubts it, it fades, and that of one host alone
-   pauses, so that the worker gets a request again.  Pure: callers pass the
+   pauses, so that the worker gets a request again.  A worker that answers some
+   requests and loses others is doubted when two hosts, this one included, had
+   a late one.  Pure: callers pass the
    time.
    Needs: types.h.  */
 
@@ -52,13 +54,16 @@
   MQ_EVIDENCE_ANSWERS, /* data arrived after the doubt began */
   MQ_EVIDENCE_SILENT,  /* a request waits for longer than usual */
   MQ_EVIDENCE_LOST,    /* such a request has ended without an answer */
+  MQ_EVIDENCE_LATE,    /* a request was not answered in its time, or ever;
+                          others may have been */
   MQ_EVIDENCE_KINDS
 };
 
 /**
  * struct mq_evidence_sighting - what a host saw of one worker
  * @worker: mq_fleet_instance_digest
- * @age_ms: since the request was sent, or data arrived
+ * @age_ms: since the request was sent, data arrived, or a request was found
+ *          late
  */
 struct mq_evidence_sighting
 {
@@ -89,7 +94,7 @@
 enum mq_evidence_verdict
 {
   MQ_EVIDENCE_TAKEN,
-  MQ_EVIDENCE_LATE,    /* not newer than the last report of its run */
+  MQ_EVIDENCE_OLD,     /* not newer than the last report of its run */
   MQ_EVIDENCE_CUT_OFF, /* the host doubts most workers */
   MQ_EVIDENCE_INVALID  /* figures out of range, or a report of this host */
 };
@@ -121,6 +126,10 @@
 /* Data arrived from WORKER at HEARD_MS; it owes nothing for long.  */
 void mq_evidence_scan_heard (struct mq_evidence *evidence, uint64_t worker,
                              uint64_t heard_ms);
+/* A request to WORKER was found late at FOUND_MS.  Called after one of the
+   above.  */
+void mq_evidence_scan_late (struct mq_evidence *evidence, uint64_t worker,
+                            uint64_t found_ms);
 /* Returns whether there is a REPORT to send to RECEIVERS hosts.  Its sightings
    are valid until the next call.  */
 bool mq_evidence_scan_end (struct mq_evidence *evidence, uint32_t receivers,
@@ -134,7 +143,8 @@
 /* Whether any worker may be doubted by others.  */
 bool mq_evidence_is_empty (const struct mq_evidence *evidence);
 /* Number of other hosts that doubt WORKER, from which this host last heard at
-   HEARD_MS, 0 if never; 0 while the doubt of one host alone pauses.  */
+   HEARD_MS, 0 if never; 0 while the doubt of one host alone pauses.  Late
+   requests of this host count where another one had some.  */
 uint32_t mq_evidence_doubts (const struct mq_evidence *evidence,
                              uint64_t worker, uint64_t heard_ms,
                              uint64_t now_ms);
--- a/src/core/router/fleet_sight.c
+++ b/src/core/router/fleet_sight.c
@@ -23,21 +23,57 @@
     row->once_objective_ms = objective_ms;
 }
 
+/* Longest objective of requests of the worker's service that may not be
+   repeated, 0 if there were none.  */
+static uint32_t
+once_objective (const struct mq_fleet *fleet, const struct fleet_entry *entry)
+{
+  const struct fleet_service *row
+      = fleet_find_service (fleet, entry->member.service);
+
+  return row == NULL ? 0 : row->once_objective_ms;
+}
+
+bool
+mq_fleet_record_wait (struct mq_fleet *fleet, uint32_t worker,
+                      uint64_t sent_ms, uint64_t now_ms)
+{
+  struct fleet_entry *entry = &fleet->entries[worker];
+  uint32_t objective;
+
+  if (!fleet->has_once)
+    return false;
+  objective = once_objective (fleet, entry);
+  if (objective == 0 || now_ms - sent_ms <= objective)
+    return false;
+  entry->late_ms = now_ms;
+  return true;
+}
+
+void
+mq_fleet_record_unanswered (struct mq_fleet *fleet, uint32_t worker,
+                            uint64_t now_ms)
+{
+  struct fleet_entry *entry = &fleet->entries[worker];
+
+  if (once_objective (fleet, entry) > 0)
+    entry->late_ms = now_ms;
+}
+
 static bool
 owes_answer (const struct mq_fleet *fleet, const struct fleet_entry *entry,
              uint64_t now_ms)
 {
-  const char *service = entry->member.service;
-  const struct fleet_service *row;
+  uint32_t objective;
 
   if (entry->asked_ms == 0)
     return false;
-  row = fleet_find_service (fleet, service);
-  if (row == NULL || row->once_objective_ms == 0)
-    return false;
-  return fleet_is_doubtful (
-      entry, fleet_patience_ms (fleet, service, row->once_objective_ms),
-      now_ms);
+  objective = once_objective (fleet, entry);
+  return objective > 0
+         && fleet_is_doubtful (
+             entry,
+             fleet_patience_ms (fleet, entry->member.service, objective),
+             now_ms);
 }
 
 void
@@ -57,6 +93,8 @@
                                   entry->asked_ms);
       else
         mq_evidence_scan_heard (evidence, entry->instance, entry->heard_ms);
+      if (entry->late_ms != 0)
+        mq_evidence_scan_late (evidence, entry->instance, entry->late_ms);
     }
 }
 
--- a/src/core/router/fleet_state.h
+++ b/src/core/router/fleet_state.h
@@ -37,6 +37,7 @@
  * @heard_ms: time at which data last arrived
  * @asked_ms: time at which the oldest request without data since was sent, 0
  *            if there is none; kept when it fails
+ * @late_ms: time at which a request to it was last found late, 0 if never
  * @failures: consecutive failures
  * @failure_rate: moving average, thousandths
  * @ejections: consecutive ejections
@@ -60,6 +61,7 @@
   uint64_t reported_ms;
   uint64_t heard_ms;
   uint64_t asked_ms;
+  uint64_t late_ms;
   uint32_t failures;
   uint32_t failure_rate;
   uint32_t ejections;
--- a/src/router/router_callers.c
+++ b/src/router/router_callers.c
@@ -274,6 +274,15 @@
     mq_request_end (request);
 }
 
+void
+mq_callers_note_late (struct mq_router *router)
+{
+  for (struct mq_caller *caller = router->callers; caller != NULL;
+       caller = caller->next)
+    if (caller->request != NULL)
+      mq_request_note_late (caller->request);
+}
+
 void
 mq_callers_log_unanswered (struct mq_router *router)
 {
--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -62,6 +62,9 @@
     }
   if (end == MQ_ATTEMPT_BROKEN || end == MQ_ATTEMPT_ERROR)
     request->may_have_run = true;
+  if (end == MQ_ATTEMPT_BROKEN && request->answer.status == 0)
+    mq_fleet_record_unanswered (request->router->fleet, request->worker,
+                                mq_clock_ms ());
   if (end == MQ_ATTEMPT_NOT_RUN && request->is_turn)
     mq_turn_home_rejected (&request->turn);
   attempt = (struct mq_attempt){
@@ -302,6 +305,17 @@
   refuse_no_worker_left (request);
 }
 
+void
+mq_request_note_late (struct mq_request *request)
+{
+  if (request->try == NULL || request->answer.status != 0
+      || request->late_noted)
+    return;
+  request->late_noted
+      = mq_fleet_record_wait (request->router->fleet, request->worker,
+                              request->sent_ms, mq_clock_ms ());
+}
+
 void
 request_dispatch (struct mq_request *request)
 {
@@ -334,5 +348,6 @@
   request->attempted[request->attempted_count++] = worker;
   request->sent++;
   request->sent_ms = now;
+  request->late_noted = false;
   open_try (request);
 }
--- a/src/router/router_evidence.c
+++ b/src/router/router_evidence.c
@@ -62,6 +62,7 @@
   uint32_t receivers = mq_relay_evidence_hosts (router->relay);
   struct mq_evidence_report report;
 
+  mq_callers_note_late (router);
   mq_evidence_scan_begin (router->evidence, now);
   mq_fleet_scan (router->fleet, router->evidence, now);
   if (mq_evidence_scan_end (router->evidence, receivers, &report))
@@ -111,8 +112,8 @@
     {
     case MQ_EVIDENCE_TAKEN:
       break;
-    case MQ_EVIDENCE_LATE:
-      counters->evidence_late++;
+    case MQ_EVIDENCE_OLD:
+      counters->evidence_old++;
       break;
     case MQ_EVIDENCE_CUT_OFF:
       counters->evidence_cut_off++;
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -52,6 +52,7 @@
  * @worker: last chosen worker; MQ_WORKER_NONE if none
  * @try: pending attempt at @worker; NULL if none
  * @sent_ms: start of the last attempt, local monotonic clock
+ * @late_noted: the worker was recorded as late with the last attempt
  * @answer: response received from @worker so far
  * @response_begun: the response head was sent to the caller
  * @response_complete: the worker's stream is complete, its record is being
@@ -113,6 +114,7 @@
   uint32_t worker;
   struct mq_try *try;
   uint64_t sent_ms;
+  bool late_noted;
   struct mq_response answer;
   bool response_begun;
   bool response_complete;
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -54,7 +54,7 @@
   X (doubtful_avoided, "requests kept from workers that owe an answer")       \
   X (evidence_sent, "reports of workers sent to other hosts")                 \
   X (evidence_received, "reports of workers that other hosts sent")           \
-  X (evidence_late, "of them ignored, older than the last of their host")     \
+  X (evidence_old, "of them  ignored, older than the last of their host")     \
   X (evidence_cut_off, "of them ignored, their host doubts most workers")     \
   X (evidence_invalid, "of them ignored, with figures out of range")          \
   X (resumed, "streams that went on at another worker")                       \
@@ -243,6 +243,8 @@
 void mq_callers_stop (struct mq_router *router);
 /* Answers every pending request and closes its connection.  */
 void mq_callers_end (struct mq_router *router);
+/* Records requests that wait for longer than their objective.  */
+void mq_callers_note_late (struct mq_router *router);
 /* Logs and counts the requests that have no final answer when the process
    exits.  */
 void mq_callers_log_unanswered (struct mq_router *router);
@@ -304,6 +306,8 @@
 void mq_request_caller_disconnected (struct mq_request *request,
                                      enum mq_tcp_end end);
 void mq_request_caller_writable (struct mq_request *request);
+/* Records that the worker is late, once for each attempt.  */
+void mq_request_note_late (struct mq_request *request);
 /* Answers the request at once, truthfully as to whether it may have run.  */
 void mq_request_end (struct mq_request *request);
 /* Logs and counts a request that this host cuts off.  WHY is the outcome in
--- a/tests/test_evidence.c
+++ b/tests/test_evidence.c
@@ -125,7 +125,7 @@
     { "the same message twice",
       { { 1, HOST_A, 1, MQ_EVIDENCE_SILENT, AGE_MS, MQ_EVIDENCE_TAKEN },
         { 2, HOST_A, 2, MQ_EVIDENCE_ANSWERS, 0, MQ_EVIDENCE_TAKEN },
-        { 3, HOST_A, 1, MQ_EVIDENCE_SILENT, 0, MQ_EVIDENCE_LATE } },
+        { 3, HOST_A, 1, MQ_EVIDENCE_SILENT, 0, MQ_EVIDENCE_OLD } },
       10,
       0,
       0 },
@@ -516,7 +516,7 @@
   tell (evidence, HOST_B, 1, MQ_EVIDENCE_SILENT, AGE_MS, START_MS);
   cr_assert (mq_evidence_next_change (evidence, &change));
   cr_expect (change.doubted);
-  cr_expect_eq (change.host, HOST_A);
+  cr_expect_eq (change.host, HOST_B);
   cr_expect_eq (change.worker, WORKER);
   cr_expect_eq (change.age_ms, AGE_MS);
   cr_expect_not (mq_evidence_next_change (evidence, &change));
