--- a/src/core/router/evidence.c
+++ b/src/core/router/evidence.c
@@ -531,6 +531,9 @@
 
   if (teller->run == report->run && report->serial <= teller->serial)
     return true;
+  if (report->run < teller->run
+      && now_ms - teller->last_ms < MQ_EVIDENCE_RUN_MS)
+    return true;
   teller->run = report->run;
   teller->serial = report->serial;
   teller->last_ms = now_ms;
--- a/src/core/router/evidence.h
+++ b/src/core/router/evidence.h
@@ -35,6 +35,9 @@
 /* Percentage of the workers in use above which a host that doubts them is
    likely cut off or slow itself.  */
 #define MQ_EVIDENCE_DOUBTED_MAX_PERCENT 50U
+/* A report of an earlier run is late for this time after the last report.
+   After it, the host's clock was set back when it started again.  */
+#define MQ_EVIDENCE_RUN_MS 8000U
 #define MQ_EVIDENCE_SIGHTINGS_MAX 16U
 #define MQ_EVIDENCE_WORKERS_MAX 256U
 #define MQ_EVIDENCE_HOSTS_MAX 64U
@@ -75,7 +78,7 @@
 /**
  * struct mq_evidence_report - what a host tells in one message
  * @host: names the host, the same in all its runs; not 0
- * @run: names the run
+ * @run: names the run; start time by the host's clock
  * @serial: rises from report to report of a run
  * @used: workers that the host uses
  * @doubted: of them those that it doubts
@@ -94,7 +97,7 @@
 enum mq_evidence_verdict
 {
   MQ_EVIDENCE_TAKEN,
-  MQ_EVIDENCE_OLD,     /* not newer than the last report of its run */
+  MQ_EVIDENCE_OLD,     /* not newer than the last report */
   MQ_EVIDENCE_CUT_OFF, /* the host doubts most workers */
   MQ_EVIDENCE_INVALID  /* figures out of range, or a report of this host */
 };
--- a/src/router/router_evidence.c
+++ b/src/router/router_evidence.c
@@ -2,11 +2,10 @@
    takes what they tell (evidence.h).
 
    Only where there are requests that may not be repeated, and other hosts.
-   Needs: router_state.h, evidence.h, id.h, clock.h.  */
+   Needs: router_state.h, evidence.h, clock.h.  */
 
 #include "router_state.h"
 #include "core/router/evidence.h"
-#include "core/id.h"
 #include "net/clock.h"
 
 /* Interval of looking at the workers: short beside the time after which a
@@ -103,9 +102,8 @@
 {
   const char *address = mq_relay_address (router->relay);
 
-  router->evidence
-      = mq_evidence_create (router, mq_relay_evidence_name (address),
-                            mq_random_next (&router->random));
+  router->evidence = mq_evidence_create (
+      router, mq_relay_evidence_name (address), mq_clock_wall_ms ());
   schedule_scan (router);
 }
 
--- a/tests/test_evidence.c
+++ b/tests/test_evidence.c
@@ -331,6 +331,13 @@
   cr_expect_eq (mq_evidence_receive (evidence, &report, KNOWN, START_MS + 1),
                 MQ_EVIDENCE_TAKEN);
   cr_expect_eq (mq_evidence_doubts (evidence, WORKER, 0, START_MS + 2), 1);
+  report.run = 1;
+  report.serial = 901;
+  cr_expect_eq (mq_evidence_receive (evidence, &report, KNOWN, START_MS + 2),
+                MQ_EVIDENCE_OLD, "late, of the earlier run");
+  cr_expect_eq (mq_evidence_receive (evidence, &report, KNOWN,
+                                     START_MS + 1 + MQ_EVIDENCE_RUN_MS),
+                MQ_EVIDENCE_TAKEN, "its clock was set back");
   mq_evidence_destroy (evidence);
 }
 
