--- a/tests/test_evidence.c
+++ b/tests/test_evidence.c
@@ -707,6 +707,8 @@
 #define DEADLINE_MS 6000U
 #define ANSWER_MS 200U
 #define TRANSIT_MS 20U
+/* Delay of the second copy of a message.  */
+#define LATE_MS 1000U
 #define PENDING_MAX 256U
 #define MAIL_MAX 16384U
 
@@ -816,7 +818,7 @@
         continue;
       post (replay, to, report, replay->now_ms + TRANSIT_MS);
       if (replay->trouble->twice)
-        post (replay, to, report, replay->now_ms + 50 * TRANSIT_MS);
+        post (replay, to, report, replay->now_ms + LATE_MS);
     }
 }
 
--- a/tests/test_evidence_model.c
+++ b/tests/test_evidence_model.c
@@ -29,7 +29,8 @@
   START_MS = 100000,
   PATIENCE_MS = 300,
   OBJECTIVE_MS = 1200,
-  LATE_MAX_MS = 3000 /* longest delay of a message */
+  LATE_MAX_MS = 3000, /* longest delay of a message */
+  FADE_MS = 2 * MQ_EVIDENCE_TTL_MS
 };
 
 enum fault
@@ -367,8 +368,7 @@
       if (told->to != to || told->worker != worker || told->cut
           || (told->kind == MQ_EVIDENCE_LATE) != late
           || told->kind == MQ_EVIDENCE_ANSWERS || told->since_ms < after_ms
-          || model->now_ms - told->told_ms >= 2 * MQ_EVIDENCE_TTL_MS
-          || seen[told->from])
+          || model->now_ms - told->told_ms >= FADE_MS || seen[told->from])
         continue;
       seen[told->from] = true;
       count++;
@@ -415,8 +415,7 @@
 
   if (model->fault == FAULT_ALONE_FOR_EVER && doubts == 0)
     doubts = silent == 1 ? 1 : 0;
-  if (late > 0 && use->late_ms != 0
-      && model->now_ms - use->late_ms < 2 * MQ_EVIDENCE_TTL_MS)
+  if (late > 0 && use->late_ms != 0 && model->now_ms - use->late_ms < FADE_MS)
     late++;
   if (doubts > silent && doubts > (late >= 2 ? late : 0))
     fail (model, "more hosts doubt a worker than told so");
@@ -508,8 +507,7 @@
 
   for (size_t i = 0; i < model->told_count; i++)
     if (model->told[i].to >= 0
-        && model->now_ms - model->told[i].told_ms
-               < 2 * MQ_EVIDENCE_TTL_MS + LATE_MAX_MS)
+        && model->now_ms - model->told[i].told_ms < FADE_MS + LATE_MAX_MS)
       model->told[kept++] = model->told[i];
   model->told_count = kept;
 }
@@ -549,8 +547,7 @@
   end_trouble (model);
   for (int i = 0; i < QUIET_STEPS && model->error == NULL; i++)
     {
-      model->quiet
-          = i * STEP_MS > 2 * (int)MQ_EVIDENCE_TTL_MS + LATE_MAX_MS + 1000;
+      model->quiet = i * STEP_MS > FADE_MS + LATE_MAX_MS + 1000;
       step (model, ctx);
       forget_old (model);
     }
