--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -560,3 +560,94 @@
   for (size_t i = 0; i < ROWS (timeout_cases); i++)
     run_timeout_case (&timeout_cases[i]);
 }
+
+static void
+on_evidence (const struct mq_evidence_report *report, void *user)
+{
+  uint64_t *worker = user;
+
+  cr_assert_eq (report->count, 1);
+  *worker = report->sightings[0].worker;
+}
+
+static struct mq_relay *
+make_relay (struct tevent_context *ev, uint64_t *worker)
+{
+  struct mq_relay_owner owner = { .evidence = on_evidence, .user = worker };
+  struct mq_error error = { .type = MQ_ERR_NONE };
+  struct mq_relay *relay = mq_relay_create (
+      ev, ev, "127.0.0.1:0", mq_rows_create (ev, ev, "127.0.0.1:1"), &owner,
+      &error);
+
+  cr_assert_not_null (relay);
+  return relay;
+}
+
+/* Lists HOSTS hosts in another data centre, at addresses that nobody uses, and
+   NEAR in this one.  */
+static void
+list_hosts (struct mq_relay *relay, uint32_t hosts, const char *near)
+{
+  mq_relay_list_begin (relay);
+  for (uint32_t i = 0; i < hosts; i++)
+    {
+      char address[32];
+
+      snprintf (address, sizeof address, "127.0.%u.%u:1", 1 + i / 200,
+                1 + i % 200);
+      mq_relay_list_host (relay, &(struct mq_relay_listing){
+                                     .address = address, .data_centre = "b" });
+    }
+  if (near != NULL)
+    mq_relay_list_host (relay, &(struct mq_relay_listing){ .address = near,
+                                                           .data_centre = "a",
+                                                           .near = true });
+  mq_relay_list_end (relay);
+}
+
+/* Failure: where hosts are many, each tells all others what it sees of
+   workers, or not those next to it.  */
+Test (relay, evidence_goes_to_some_hosts)
+{
+  static const struct
+  {
+    const char *name;
+    uint32_t others;
+    bool near;
+    uint32_t receivers;
+  } rows[] = {
+    { "alone", 0, false, 0 },
+    { "one", 0, true, 1 },
+    { "some", 9, true, 10 },
+    { "many, the near one among them", 300, true,
+      MQ_RELAY_EVIDENCE_HOSTS_MAX },
+  };
+
+  for (size_t i = 0; i < ROWS (rows); i++)
+    {
+      struct tevent_context *ev = tevent_context_init (NULL);
+      uint64_t heard = 0;
+      struct mq_relay *relay = make_relay (ev, NULL);
+      struct mq_relay *other = make_relay (ev, &heard);
+      const char *address = mq_relay_address (other);
+      struct mq_evidence_sighting sighting = { 7, MQ_EVIDENCE_SILENT, 600 };
+      struct mq_evidence_report report
+          = { .host = 1, .sightings = &sighting, .count = 1 };
+
+      list_hosts (relay, rows[i].others, rows[i].near ? address : NULL);
+      cr_expect_eq (mq_relay_evidence_hosts (relay), rows[i].receivers, "%s",
+                    rows[i].name);
+      cr_expect_eq (mq_relay_send_evidence (relay, &report), rows[i].receivers,
+                    "%s", rows[i].name);
+      while (rows[i].near && heard == 0)
+        tevent_loop_once (ev);
+      cr_expect_eq (heard, rows[i].near ? 7 : 0, "%s", rows[i].name);
+      cr_expect_eq (
+          mq_relay_evidence_address (relay, mq_relay_evidence_name (address))
+              != NULL,
+          rows[i].near, "%s", rows[i].name);
+      mq_relay_destroy (relay);
+      mq_relay_destroy (other);
+      talloc_free (ev);
+    }
+}
