--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -47,6 +47,14 @@
          || (end == MQ_ATTEMPT_NOT_RUN && request->answer.other_worker);
 }
 
+static void
+note_wait (struct mq_request *request)
+{
+  request->late_noted
+      = mq_fleet_record_wait (request->router->fleet, request->worker,
+                              request->sent_ms, mq_clock_ms ());
+}
+
 /* Decides what follows an attempt that ended without a response to
    forward.  */
 static void
@@ -62,6 +70,8 @@
     }
   if (end == MQ_ATTEMPT_BROKEN || end == MQ_ATTEMPT_ERROR)
     request->may_have_run = true;
+  if (end == MQ_ATTEMPT_BROKEN && request->answer.status == 0)
+    note_wait (request);
   if (end == MQ_ATTEMPT_NOT_RUN && request->is_turn)
     mq_turn_home_rejected (&request->turn);
   attempt = (struct mq_attempt){
@@ -155,6 +165,7 @@
     .once = request->route->kind == MQ_ROUTE_AT_MOST_ONCE,
     .objective_ms = request->route->objective_ms,
     .avoided = &avoided,
+    .evidence = request->router->evidence,
     .tried = request->attempted,
     .tried_count = request->attempted_count,
     .now_ms = now,
@@ -301,6 +312,17 @@
   refuse_no_worker_left (request);
 }
 
+void
+mq_request_note_late (struct mq_request *request)
+{
+  if (request->try == NULL || request->answer.status != 0
+      || request->late_noted)
+    return;
+  request->late_noted
+      = mq_fleet_record_wait (request->router->fleet, request->worker,
+                              request->sent_ms, mq_clock_ms ());
+}
+
 void
 request_dispatch (struct mq_request *request)
 {
@@ -333,5 +355,6 @@
   request->attempted[request->attempted_count++] = worker;
   request->sent++;
   request->sent_ms = now;
+  request->late_noted = false;
   open_try (request);
 }
