A part of the table is down after two timeouts in a row, both recent

What callers saw: 503 "store" for turns and resumed streams of a host in an eighth of the table, for a second after one lost response. versions::first_event_waits_for_the_row failed once for it ("lost replies: 2 of 3 went on"): the third caller got 503 after 121 ms, two waits for a loan of 60 ms each.

Cause: the record of a part's timeouts expires after a second, but its count did not. A response that came after the expiry did not end it either. So a timeout was counted with one of long ago, also with answers in between, and the part was left alone. Trace of a host: part 00 at 551.823 s timeout 1, at 552.889 s timeout 2, at 553.737 s a turn refused; later a response at 555.219 s, the next timeout at 555.612 s counted as the fourth.

Test: rows::part_is_down_after_two_timeouts_in_a_row, a table of calls on the stepped clock; before, three of its nine rows failed ("the first long ago", "answered, the first long ago", "two long ago, answered since, and one").

--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -1,12 +1,14 @@
 /* test_rows.c - the client of the platform's table among many hosts.
 
-   Needs: Criterion, rows.h, raw_server.h, rows_server.h, clock.h, timer.h.  */
+   Needs: Criterion, rows.h, raw_server.h, rows_server.h, clock.h, timer.h,
+   stepped_clock.h.  */
 
 #include "../platform/standins/raw_server.h"
 #include "../platform/standins/rows_server.h"
 #include "router/rows.h"
 #include "net/clock.h"
 #include "net/timer.h"
+#include "stepped_clock.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <string.h>
@@ -51,6 +53,11 @@
 {
   bool done = false;
 
+  if (stepped_clock_is_used ())
+    {
+      stepped_clock_run (site->ev, ms);
+      return;
+    }
   cr_assert_not_null (mq_timer_add (site->ev, site->ev, ms, on_timer, &done));
   while (!done)
     tevent_loop_once (site->ev);
@@ -715,3 +722,79 @@
       talloc_free (ev);
     }
 }
+
+#define PART "00"
+#define OTHER_PART "07"
+/* Time after which a timeout of a part is not recent any more.  */
+#define LONG_MS 1100U
+
+static void
+on_read (const struct mq_rows_result *result, void *user)
+{
+  enum mq_store_status *status = user;
+
+  *status = result->status;
+}
+
+/* Reads from PART, which answers or not, while the table answers for another
+   part.  */
+static void
+read_part (struct site *site, bool answers)
+{
+  enum mq_store_status status = MQ_STORE_MISSING;
+  enum mq_store_status other = MQ_STORE_MISSING;
+
+  rows_server_block_parts (site->server, answers ? 0 : 1);
+  mq_rows_get (site->rows, "t", PART, "k", on_read, &status);
+  run_for (site, 5);
+  mq_rows_get (site->rows, "t", OTHER_PART, "k", on_read, &other);
+  while (status == MQ_STORE_MISSING || other == MQ_STORE_MISSING)
+    run_for (site, 5);
+  cr_assert_eq (status, answers ? MQ_STORE_OK : MQ_STORE_DOWN);
+  cr_assert_eq (other, MQ_STORE_OK);
+}
+
+/**
+ * struct part_case - whether a part counts as down
+ * @calls: s: a call that the part does not answer, a: one that it does,
+ *         l: a long time without a call
+ */
+static const struct part_case
+{
+  const char *name;
+  const char *calls;
+  bool down;
+} part_cases[] = {
+  { "one", "s", false },
+  { "two", "ss", true },
+  { "answered in between", "sas", false },
+  { "the first long ago", "sls", false },
+  { "answered, the first long ago", "slas", false },
+  { "two long ago", "ssl", false },
+  { "two long ago and one", "ssls", true },
+  { "two long ago, answered since, and one", "sslas", false },
+  { "two long ago, answered since, and two", "sslass", true },
+};
+
+/* Failure: a lost response long ago, or one before an answer, is counted with
+   the next, and all calls to a part that answers fail for a second.  */
+Test (rows, part_is_down_after_two_timeouts_in_a_row)
+{
+  stepped_clock_begin ();
+  for (size_t i = 0; i < ROWS (part_cases); i++)
+    {
+      const struct part_case *row = &part_cases[i];
+      struct site *site = make_site ();
+
+      for (const char *at = row->calls; *at != '\0'; at++)
+        if (*at == 'l')
+          run_for (site, LONG_MS);
+        else
+          read_part (site, *at == 'a');
+      cr_expect_eq (mq_rows_part_down (site->rows, PART), row->down, "%s",
+                    row->name);
+      mq_rows_destroy (site->rows);
+      rows_server_destroy (site->server);
+      talloc_free (site);
+    }
+}
