A resumed stream waits for the record of a program whose part was away

What callers saw: a stream that was taken up got 503 stream_unknown without a time to come back, in a service of two versions, during and after a time in which its host left the part of the table alone that has the program's record.

Cause: the turn ran on tokens issued without the record, which alone tells the version of a stream without a row. As long as such tokens are left, the record is not read.

Change: such a stream waits for the record, one read more, and is refused with a time to come back while the part is left alone.

Test: versions::stream_goes_on_after_a_part_of_the_table_was_away; before, "stream_unknown" without Retry-After for a stream of a program.

--- a/src/router/router_version.c
+++ b/src/router/router_version.c
@@ -143,14 +143,70 @@
   return true;
 }
 
+static void
+dispatch_resumed (struct mq_request *request, uint64_t version)
+{
+  set_resumed_version (request, version);
+  mq_streams_put (request->router->streams, request->resumes, version);
+  request_dispatch (request);
+}
+
+static void
+on_record_read (const struct mq_rows_result *result, void *user)
+{
+  struct mq_request *request = user;
+  struct mq_budget_record record = { 0 };
+  bool known = result->status == MQ_STORE_OK && result->row_count > 0
+               && mq_budget_unpack (result->rows[0].value, &record)
+               && record.stream_version != 0;
+
+  request->row_read = NULL;
+  if (known)
+    set_version (request, record.stream_version);
+  else
+    known = use_sole_version (request, result->status == MQ_STORE_OK
+                                           ? MQ_REFUSE_STREAM_UNKNOWN
+                                           : MQ_REFUSE_TABLE_UNAVAILABLE);
+  if (known)
+    dispatch_resumed (request, request->version);
+}
+
+/* Whether the turn has its tokens without the program's record.  */
+static bool
+lacks_record (const struct mq_request *request)
+{
+  return request->is_turn && request->turn.budgeted
+         && request->turn.owner != NULL
+         && request->turn.owner->budget.version == 0;
+}
+
+/* Failure: the part of the table with the program's record does not answer,
+   the turn runs on tokens issued meanwhile, and its stream is refused for good
+   though the record tells the version.  */
+static bool
+use_unread_record (struct mq_request *request)
+{
+  char part[MQ_PART_NAME_BYTES];
+
+  if (row_part_down (request, request->program, part))
+    return use_sole_version (request, MQ_REFUSE_TABLE_UNAVAILABLE);
+  request->row_read = mq_turns_read_record (
+      request->router->turns, request->program, on_record_read, request);
+  return false;
+}
+
 /* A stream without a row runs at the version of its program's record.  */
 static bool
 use_program_version (struct mq_request *request)
 {
-  if (!request->is_turn || request->turn.stream_version == 0)
-    return use_sole_version (request, MQ_REFUSE_STREAM_UNKNOWN);
-  set_resumed_version (request, request->turn.stream_version);
-  return true;
+  if (request->is_turn && request->turn.stream_version != 0)
+    {
+      set_resumed_version (request, request->turn.stream_version);
+      return true;
+    }
+  if (lacks_record (request))
+    return use_unread_record (request);
+  return use_sole_version (request, MQ_REFUSE_STREAM_UNKNOWN);
 }
 
 static void
@@ -166,11 +222,8 @@
     known = use_row (request, &result->rows[0]);
   else
     known = use_program_version (request);
-  if (!known)
-    return;
-  mq_streams_put (request->router->streams, request->resumes,
-                  request->version);
-  request_dispatch (request);
+  if (known)
+    dispatch_resumed (request, request->version);
 }
 
 /* Returns true if the version is known; else the request is refused or waits
