--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -40,6 +40,7 @@
      "table call calls conflicts refused throttled rejected unanswered "      \
      "sent_bytes received_bytes")                                             \
   X (TABLE_REJECTED, "table_rejected", ERROR, "table call status entries")    \
+  X (TABLE_PART_DOWN, "table_part_down", WARNING, "part timeouts")            \
   X (SETTINGS_REFUSED, "settings_refused", ERROR, MQ_LOG_PROBLEM)             \
   X (START_FAILED, "start_failed", ERROR, MQ_LOG_PROBLEM)                     \
   X (CONFIG_IN_FORCE, "config_in_force", NOTICE,                              \
--- a/src/net/clock.c
+++ b/src/net/clock.c
@@ -1,4 +1,4 @@
-/* clock.c - clocks and random numbers.
+/* clock.c - clocks, which a test may inject, and random numbers.
 
    Needs: clock.h.  */
 
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -86,6 +86,19 @@
   mq_json_end (&line);
 }
 
+static void
+on_part_down (const char *part, uint32_t timeouts, void *user)
+{
+  struct mq_router *router = user;
+  struct mq_json_line line;
+
+  mq_json_begin (&line, router->log, MQ_JSON_HIGH_PRIORITY,
+                 MQ_LOG_TABLE_PART_DOWN);
+  mq_json_text (&line, "part", part);
+  mq_json_number (&line, "timeouts", timeouts);
+  mq_json_end (&line);
+}
+
 /* Ends a stop whose time is over: first the pending requests are answered,
    then callers have END_MS to take their responses and to complete messages.
 
@@ -223,6 +236,7 @@
       || router->rows == NULL)
     return false;
   mq_rows_set_rejection_handler (router->rows, on_rejected, router);
+  mq_rows_set_part_handler (router->rows, on_part_down, router);
   router->relay = mq_relay_create (router, router->ev, settings->peer,
                                    router->rows, &owner, error);
   if (router->relay == NULL)
--- a/src/router/rows.h
+++ b/src/router/rows.h
@@ -140,6 +140,12 @@
 void mq_rows_set_rejection_handler (struct mq_rows *rows,
                                     mq_rows_rejection_handler *handler,
                                     void *user);
+/* Calls HANDLER when PART counts as down, after so many consecutive
+   TIMEOUTS.  */
+typedef void mq_rows_part_handler (const char *part, uint32_t timeouts,
+                                   void *user);
+void mq_rows_set_part_handler (struct mq_rows *rows,
+                               mq_rows_part_handler *handler, void *user);
 /* Writes ENTRIES, all of one part, atomically.  They are copied.  */
 struct mq_rows_call *mq_rows_commit (struct mq_rows *rows,
                                      const struct mq_rows_entry *entries,
--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -758,24 +758,36 @@
  * struct part_case - whether a part counts as down
  * @calls: s: a call that the part does not answer, a: one that it does,
  *         l: a long time without a call
+ * @reports: calls of the handler
  */
 static const struct part_case
 {
   const char *name;
   const char *calls;
   bool down;
+  size_t reports;
 } part_cases[] = {
-  { "one", "s", false },
-  { "two", "ss", true },
-  { "answered in between", "sas", false },
-  { "the first long ago", "sls", false },
-  { "answered, the first long ago", "slas", false },
-  { "two long ago", "ssl", false },
-  { "two long ago and one", "ssls", true },
-  { "two long ago, answered since, and one", "sslas", false },
-  { "two long ago, answered since, and two", "sslass", true },
+  { "one", "s", false, 0 },
+  { "two", "ss", true, 1 },
+  { "answered in between", "sas", false, 0 },
+  { "the first long ago", "sls", false, 0 },
+  { "answered, the first long ago", "slas", false, 0 },
+  { "two long ago", "ssl", false, 1 },
+  { "two long ago and one", "ssls", true, 2 },
+  { "two long ago, answered since, and one", "sslas", false, 1 },
+  { "two long ago, answered since, and two", "sslass", true, 2 },
 };
 
+static void
+count_part_down (const char *part, uint32_t timeouts, void *user)
+{
+  size_t *count = user;
+
+  cr_assert_str_eq (part, PART);
+  cr_assert_geq (timeouts, 2);
+  (*count)++;
+}
+
 /* Failure: a lost response long ago, or one before an answer, is counted with
    the next, and all calls to a part that answers fail for a second.  */
 Test (rows, part_is_down_after_two_timeouts_in_a_row)
@@ -785,7 +797,9 @@
     {
       const struct part_case *row = &part_cases[i];
       struct site *site = make_site ();
+      size_t reports = 0;
 
+      mq_rows_set_part_handler (site->rows, count_part_down, &reports);
       for (const char *at = row->calls; *at != '\0'; at++)
         if (*at == 'l')
           run_for (site, LONG_MS);
@@ -793,6 +807,8 @@
           read_part (site, *at == 'a');
       cr_expect_eq (mq_rows_part_down (site->rows, PART), row->down, "%s",
                     row->name);
+      cr_expect_eq (reports, row->reports, "%s: %zu reports", row->name,
+                    reports);
       mq_rows_destroy (site->rows);
       rows_server_destroy (site->server);
       talloc_free (site);
