--- a/src/log/metrics.c
+++ b/src/log/metrics.c
@@ -3,6 +3,7 @@
    Needs: talloc, /proc/self.  */
 
 #include "metrics.h"
+#include <ctype.h>
 #include <dirent.h>
 #include <inttypes.h>
 #include <stdarg.h>
@@ -75,6 +76,22 @@
           name, help, prefix, name);
 }
 
+void
+mq_metrics_copy_label (char to[MQ_METRICS_LABEL_MAX], const char *name)
+{
+  size_t len = 0;
+
+  for (; len < MQ_METRICS_LABEL_MAX - 1 && name[len] != '\0'; len++)
+    {
+      unsigned char c = (unsigned char)name[len];
+
+      to[len] = name[len];
+      if (c == '"' || c == '\\' || iscntrl (c))
+        to[len] = '_';
+    }
+  to[len] = '\0';
+}
+
 void
 mq_metrics_labelled (char **text, const char *prefix, const char *name,
                      const char *labels, uint64_t value)
--- a/src/log/metrics.h
+++ b/src/log/metrics.h
@@ -15,6 +15,11 @@
    values.  */
 void mq_metrics_begin_values (char **text, const char *prefix,
                               const char *name, const char *help);
+/* Bytes of the value of a label, including the terminator.  */
+#define MQ_METRICS_LABEL_MAX 128U
+/* Copies NAME as the value of a label; characters that would need an escape
+   are replaced, and what is too long is cut off.  */
+void mq_metrics_copy_label (char to[MQ_METRICS_LABEL_MAX], const char *name);
 /* Appends a value.  LABELS: in Prometheus syntax, not empty.  */
 void mq_metrics_labelled (char **text, const char *prefix, const char *name,
                           const char *labels, uint64_t value);
--- a/src/router/router_shares.c
+++ b/src/router/router_shares.c
@@ -10,14 +10,12 @@
 #include "log/metrics.h"
 #include "net/clock.h"
 #include "router_request.h"
-#include <ctype.h>
 #include <stdio.h>
 
 /* Organisations with metrics of their own, by service.  */
 #define BUSIEST_MAX 10U
 /* Longest label value, including the terminator.  */
-#define LABEL_MAX 128U
-#define LABELS_MAX (2 * LABEL_MAX + 64U)
+#define LABELS_MAX (2 * MQ_METRICS_LABEL_MAX + 64U)
 /* Key of the router's map; there is one table.  */
 #define SERVICES 0U
 
@@ -92,24 +90,6 @@
                   mq_shares_report (row->shares, NULL, now).demand);
 }
 
-/* Copies NAME as a label value; characters that would need an escape are
-   replaced.  */
-static void
-copy_label (char *to, const char *name)
-{
-  size_t len = 0;
-
-  for (; len < LABEL_MAX - 1 && name[len] != '\0'; len++)
-    {
-      unsigned char c = (unsigned char)name[len];
-
-      to[len] = name[len];
-      if (c == '"' || c == '\\' || iscntrl (c))
-        to[len] = '_';
-    }
-  to[len] = '\0';
-}
-
 /* A value of REPORT, at @offset of it.  */
 struct shares_value
 {
@@ -132,14 +112,14 @@
            const struct mq_shares_report *report,
            const struct shares_value *value)
 {
-  char organisation[LABEL_MAX] = "";
+  char organisation[MQ_METRICS_LABEL_MAX] = "";
   char labels[LABELS_MAX];
-  char service_label[LABEL_MAX];
+  char service_label[MQ_METRICS_LABEL_MAX];
   const uint8_t *bytes = (const uint8_t *)report;
 
-  copy_label (service_label, service);
+  mq_metrics_copy_label (service_label, service);
   if (report->organisation != NULL)
-    copy_label (organisation, report->organisation);
+    mq_metrics_copy_label (organisation, report->organisation);
   snprintf (labels, sizeof labels, "service=\"%s\",organisation=\"%s\"",
             service_label, organisation);
   mq_metrics_labelled (text, "router", value->name, labels,
