Workers: the whole load header is read, and the speed of each is kept

What callers saw: workers of a service that differ in speed by 1.3 to 5 times get the same number of requests.

Cause: the load header has a fourth figure, how long work takes on that machine now (100 is usual), which was not read. Malformed figures were taken for zeros: "3,x,8" was three running and none waiting.

Change: platform/wire.c reads the header strictly; if a figure is malformed or out of range, none is used, and the router counts it (loads_invalid) and logs one line in 10 s (load_invalid). speed.h keeps what a worker told, now and in the long run, and what its requests took against others of the same route at like load. fleet_speed.c has it by worker. request_ended has worker_speed; the metric worker_speed shows the ten slowest workers. No decision uses it yet.

Shown by: wire::load_of_a_worker (26 rows); on the code before, rows with a malformed, missing or too large figure were taken for a load.

--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -4,12 +4,13 @@
    responses) take precedence over the registry.  Workers are addressed by
    handles; a handle is not reused while a request holds it.  Pure: callers
    pass time and random numbers.
-   Needs: types.h, id.h.  */
+   Needs: types.h, id.h, speed.h.  */
 
 #ifndef MQ_FLEET_H
 #define MQ_FLEET_H
 
 #include "../types.h"
+#include "speed.h"
 
 struct mq_fleet;
 
@@ -226,6 +227,33 @@
 void mq_fleet_record_load (struct mq_fleet *fleet, uint32_t worker,
                            uint32_t running, uint32_t waiting,
                            uint64_t now_ms);
+/* Records how long work takes on the machine of WORKER, as it told, in percent
+   of the usual time.  */
+void mq_fleet_record_speed (struct mq_fleet *fleet, uint32_t worker,
+                            uint32_t percent, uint64_t now_ms);
+/* Records the time of a complete request at WORKER.  */
+void mq_fleet_record_time (struct mq_fleet *fleet, uint32_t worker,
+                           const struct mq_speed_sample *sample,
+                           uint64_t now_ms);
+/* Predicted time of a request at WORKER as a part of the usual time, in
+   thousandths.  */
+uint32_t mq_fleet_speed (const struct mq_fleet *fleet, uint32_t worker,
+                         uint64_t now_ms);
+/**
+ * struct mq_fleet_slow - a worker at which work takes longer than usual
+ * @factor: as mq_fleet_speed
+ */
+struct mq_fleet_slow
+{
+  const struct mq_fleet_member *member;
+  uint32_t factor;
+};
+
+/* Fills LIST with the slowest workers, at most MAX, and returns how many there
+   are.  Only those that told or showed it are listed.  */
+size_t mq_fleet_slowest (const struct mq_fleet *fleet,
+                         struct mq_fleet_slow *list, size_t max,
+                         uint64_t now_ms);
 /* Versions are told by a digest of the service and the version of its
    software; 0 if unknown.  */
 
--- a/src/core/router/fleet_state.h
+++ b/src/core/router/fleet_state.h
@@ -1,10 +1,10 @@
 /* fleet_state.h - internal state of the fleet.
 
-   fleet.c owns the table of workers, fleet_load.c their load and
-   fleet_health.c failures and ejection, fleet_version.c the versions of
-   services.  fleet_choice.c selects workers for requests and fleet_home.c
-   those for programs; both depend on the table and the load. Needs: fleet.h,
-   idmap.h, recent.h.  */
+   fleet.c owns the table of workers, fleet_load.c their load,
+   fleet_speed.c their speed and fleet_health.c failures and ejection,
+   fleet_version.c the versions of services.  fleet_choice.c selects workers
+   for requests and fleet_home.c those for programs; both depend on the table
+   and the load. Needs: fleet.h, idmap.h, recent.h, speed.h.  */
 
 #ifndef MQ_FLEET_STATE_H
 #define MQ_FLEET_STATE_H
@@ -12,6 +12,7 @@
 #include "fleet.h"
 #include "../idmap.h"
 #include "recent.h"
+#include "speed.h"
 
 /* Loads are in thousandths of a request.  */
 #define LOAD_UNIT 1000U
@@ -41,6 +42,7 @@
  * @failure_rate: moving average, thousandths
  * @ejections: consecutive ejections
  * @ejected_until_ms: end of the current ejection
+ * @speed: how long work takes at the worker
  */
 struct fleet_entry
 {
@@ -64,6 +66,7 @@
   uint32_t failure_rate;
   uint32_t ejections;
   uint64_t ejected_until_ms;
+  struct mq_speed speed;
 };
 
 /* Weight of one answer in fleet_service.answer_ms is 1 / ANSWER_WEIGHT.  */
@@ -93,6 +96,7 @@
  * @waits: delay until the response began, thousandths of the objective
  * @answer_ms: moving average of the time until a worker sent data, in
  *             1 / ANSWER_WEIGHT milliseconds, 0 if unknown
+ * @speed: how long work takes at its workers
  * @first_ms: time at which its first worker was listed
  * @recorded_several: its row in the table named several versions
  */
@@ -101,6 +105,7 @@
   struct mq_recent loads;
   struct mq_recent waits;
   uint64_t answer_ms;
+  struct mq_speed_service speed;
   struct fleet_version *versions;
   size_t version_count;
   uint64_t first_ms;
@@ -166,6 +171,38 @@
 /* Records that the worker rejected a request for lack of a free slot.  */
 void fleet_mark_full (struct fleet_entry *entry, uint64_t now_ms);
 
+/* fleet_speed.c */
+
+/**
+ * struct fleet_work - a request whose time is predicted
+ * @duration_ms: time that it or its program takes
+ * @shared: the worker runs all of its requests at once, and each slows down
+ *          the others
+ * @slowdown: time that a full worker adds, as a multiple of an idle one's
+ * @full: load per slot of a worker with all slots in use
+ */
+struct fleet_work
+{
+  uint32_t duration_ms;
+  bool shared;
+  uint32_t slowdown;
+  uint64_t full;
+};
+
+/* Predicted time of a request that takes DURATION_MS and arrives at LOAD, the
+   worker's load per slot: see mq_speed_cost.  SERVICE may be NULL.  */
+uint64_t fleet_predict_time (const struct fleet_entry *entry,
+                             const struct fleet_service *service,
+                             const struct fleet_work *work, uint64_t load,
+                             uint64_t now_ms);
+
+/* Load in LOAD_UNITs at which the worker is as good for WORK as others, if
+   REPORTED is the mean of its service.  REPORTED as in fleet_mean_load.  */
+uint64_t fleet_usual_load (const struct fleet_entry *entry,
+                           const struct fleet_service *service,
+                           const struct fleet_work *work, uint32_t reported,
+                           uint64_t now_ms);
+
 /* fleet_version.c */
 
 /* Sets whether ENTRY is listed, and counts it among the workers of its
--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -61,12 +61,14 @@
      MQ_LOG_REQUEST "worker_version last_event how at_worker_ms left_ms "     \
                     "next")                                                   \
   X (REQUEST_ENDED, "request_ended", INFO,                                    \
-     MQ_LOG_REQUEST "worker_version resumes outcome tokens load left_ms "     \
-                    "budget retry_ms complete_ms "                            \
-                    "worker_load pace_load pace_turns idle_us growth_us "     \
-                    "excess bearable_us used "                                \
-                    "org_part org_demand all_demand "                         \
-                    "record record_ms record_host record_writes table_ms")    \
+     MQ_LOG_REQUEST                                                           \
+     "worker_version resumes outcome tokens load left_ms "                    \
+     "budget retry_ms complete_ms "                                           \
+     "worker_load worker_speed pace_load pace_turns idle_us growth_us "       \
+     "excess bearable_us used "                                               \
+     "org_part org_demand all_demand "                                        \
+     "record record_ms record_host record_writes table_ms")                   \
+  X (LOAD_INVALID, "load_invalid", WARNING, "worker count")                   \
   X (RECORD_NOT_WRITTEN, "record_not_written", WARNING,                       \
      "id run how record_host record_ms table_ms")                             \
   X (STREAM_NOT_WRITTEN, "stream_not_written", WARNING,                       \
--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -252,6 +252,7 @@
     .repeatable = mq_route_repeatable (request->route),
     .begun = request->response_begun,
     .may_buffer = may_buffer,
+    .complete = request_note_speed,
     .events = request_forward_events,
     .ended = request_on_try_ended,
     .user = request,
--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -82,6 +82,8 @@
     mq_json_number (&line, "tokens", request->tokens_sent);
   if (request->worker_load > 0)
     mq_json_number (&line, "worker_load", request->worker_load);
+  if (request->worker_speed > 0 && request->worker_speed != MQ_SPEED_USUAL)
+    mq_json_number (&line, "worker_speed", request->worker_speed);
   if (request->response_complete)
     mq_json_number (&line, "complete_ms",
                     request->completed_ms - request->arrived_ms);
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -1,7 +1,7 @@
 /* router_request.h - state and steps of one request, shared by
    router_request.c, router_admit.c, router_dispatch.c, router_identify.c,
-   router_limit.c, router_pace.c, router_shares.c, router_stream.c and
-   router_version.c only.
+   router_limit.c, router_pace.c, router_shares.c, router_speed.c,
+   router_stream.c and router_version.c only.
 
    Needs: router_state.h, router_try.h.  */
 
@@ -34,6 +34,8 @@
  * @retry_ms: delay after which the refused program may retry; 0 if not refused
  * @worker_load: load that the worker reported with the response, in
  *               thousandths of its slots; 0 if unknown
+ * @worker_speed: time that requests take at the worker when it has responded,
+ *                in thousandths of the usual; 0 if it has not
  * @pace_load: load as programs of the route bear it, when the program asked to
  *             begin
  * @organisation_part: part of its organisation's programs that was admitted
@@ -93,6 +95,7 @@
   bool program_deadline_at_risk;
   uint32_t retry_ms;
   uint32_t worker_load;
+  uint32_t worker_speed;
   uint32_t pace_load;
   uint32_t organisation_part;
   uint64_t home;
@@ -238,6 +241,11 @@
 void request_log_shares (const struct mq_request *request,
                          struct mq_json_line *line);
 
+/* router_speed.c */
+
+/* Records what the complete response tells of the worker's speed.  */
+void request_note_speed (void *request);
+
 /* router_stream.c */
 
 /* Forwards the complete events received so far.  */
--- a/src/router/router_response.c
+++ b/src/router/router_response.c
@@ -41,6 +41,7 @@
   answer->other_worker = received->other_worker;
   answer->load
       = received->has_load ? received->running + received->waiting : 0;
+  answer->load_invalid = received->load_invalid;
   answer->idle_s = received->idle_s;
   answer->stream = stream && head->status == 200;
   append_fields (ctx, &answer->fields, head);
--- a/src/router/router_response.h
+++ b/src/router/router_response.h
@@ -22,6 +22,7 @@
  * @other_worker: another worker has taken over the address
  * @stream: a stream of events, forwarded as they arrive
  * @load: requests running and waiting at the worker, 0 if unknown
+ * @load_invalid: it told a load that is not valid
  * @idle_s: idle timeout of the connection, seconds; 0 if unknown
  * @fields: header lines to forward
  * @body: body of a buffered response
@@ -34,6 +35,7 @@
   bool other_worker;
   bool stream;
   uint32_t load;
+  bool load_invalid;
   uint32_t idle_s;
   struct mq_buffer fields;
   struct mq_buffer body;
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -50,6 +50,7 @@
   X (callers_closed, "idle connections of callers closed to make room")       \
   X (unanswered, "requests cut off by this host before their final answer")   \
   X (retries, "further workers asked for a request")                          \
+  X (loads_invalid, "loads told by workers that are not valid")               \
   X (doubtful_avoided, "requests kept from workers that owe an answer")       \
   X (resumed, "streams that went on at another worker")                       \
   X (streams_taken_up, "streams that callers resumed")                        \
@@ -186,6 +187,7 @@
   uint32_t announce_failures;
   uint32_t announce_retry_ms;
   uint64_t counters_logged_ms;
+  uint64_t load_invalid_logged_ms;
   bool table_down;
 };
 
@@ -470,6 +472,11 @@
 /* Appends the demand of the busiest organisations of each service.  */
 void mq_router_add_shares (char **text, const struct mq_router *router);
 
+/* router_speed.c */
+
+/* Appends the speed of the slowest workers.  */
+void mq_router_add_speed (char **text, const struct mq_router *router);
+
 /* router_permit.c */
 
 enum mq_permit_state
--- a/src/router/router_try.c
+++ b/src/router/router_try.c
@@ -85,6 +85,9 @@
   if (fields.has_load)
     mq_fleet_record_load (options->fleet, options->worker, fields.running,
                           fields.waiting, mq_clock_ms ());
+  if (fields.speed > 0)
+    mq_fleet_record_speed (options->fleet, options->worker, fields.speed,
+                           mq_clock_ms ());
   mq_response_add_head (options->answer_ctx, options->answer, head, &fields,
                         options->send.route->kind == MQ_ROUTE_STREAM);
   return true;
@@ -137,7 +140,10 @@
   };
 
   if (!attempt_answer.truncated)
-    return_lane (try);
+    {
+      try->options.complete (try->options.user);
+      return_lane (try);
+    }
   end_try (try, mq_attempt_classify (&attempt_answer), MQ_OUTCOME_FAILED);
 }
 
--- a/src/router/router_try.h
+++ b/src/router/router_try.h
@@ -26,6 +26,7 @@
  * @begun: the response head was already sent to the caller
  * @detect_inactivity: give up a worker that is inactive for too long
  * @may_buffer: whether the body of a plain answer may grow to LEN bytes
+ * @complete: called when the response is complete, while the worker is held
  * @events: called when complete events can be taken from @answer
  * @ended: called once, after the attempt was freed; not called after
  *         mq_try_stop
@@ -45,6 +46,7 @@
   bool begun;
   bool detect_inactivity;
   bool (*may_buffer) (size_t len, void *user);
+  void (*complete) (void *user);
   void (*events) (void *user);
   void (*ended) (enum mq_attempt_end end, void *user);
   void *user;
--- a/src/router/router_wire.h
+++ b/src/router/router_wire.h
@@ -64,6 +64,9 @@
  * @has_load: @running and @waiting were given
  * @running: requests running at the worker
  * @waiting: requests queued at the worker
+ * @load_invalid: the load was given but is not valid, and is ignored
+ * @speed: time that work takes at the worker, in percent of the usual; 0 if
+ *         not given
  * @idle_s: idle timeout of the connection, seconds; 0 if not given
  */
 struct mq_response_fields
@@ -72,8 +75,10 @@
   bool not_run;
   bool other_worker;
   bool has_load;
+  bool load_invalid;
   uint32_t running;
   uint32_t waiting;
+  uint32_t speed;
   uint32_t idle_s;
 };
 
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -200,6 +200,67 @@
     }
 }
 
+struct load_text_case
+{
+  const char *text;
+  bool invalid;
+  bool has_load;
+  uint32_t running;
+  uint32_t waiting;
+  uint32_t speed;
+};
+
+/* Guards against figures taken for a measurement that are none.  */
+Test (wire, load_of_a_worker)
+{
+  static const struct load_text_case cases[] = {
+    { NULL, false, false, 0, 0, 0 },
+    { "3,1,8", false, true, 3, 1, 0 },
+    { "3,1", false, true, 3, 1, 0 },
+    { "0,0,8,100", false, true, 0, 0, 100 },
+    { "3, 1, 8, 250", false, true, 3, 1, 250 },
+    { "3,1,8,1", false, true, 3, 1, 1 },
+    { "3,1,8,10000", false, true, 3, 1, 10000 },
+    { "3,1,8,250,7", false, true, 3, 1, 250 },
+    { "1000000,1000000,8", false, true, 1000000, 1000000, 0 },
+    { "", true, false, 0, 0, 0 },
+    { "3", true, false, 0, 0, 0 },
+    { "3,", true, false, 0, 0, 0 },
+    { ",1,8,100", true, false, 0, 0, 0 },
+    { "3,x,8,100", true, false, 0, 0, 0 },
+    { "3,1,,100", true, false, 0, 0, 0 },
+    { "3,1,8,", true, false, 0, 0, 0 },
+    { "3,1,8,x", true, false, 0, 0, 0 },
+    { "3,1,8,0", true, false, 0, 0, 0 },
+    { "3,1,8,-5", true, false, 0, 0, 0 },
+    { "3,1,8,1.5", true, false, 0, 0, 0 },
+    { "3,1,8,10001", true, false, 0, 0, 0 },
+    { "3,1,8,99999999999999999999999", true, false, 0, 0, 0 },
+    { "-1,1,8,100", true, false, 0, 0, 0 },
+    { "1000001,0,8,100", true, false, 0, 0, 0 },
+    { "4294967296,0,8,100", true, false, 0, 0, 0 },
+    { "0,18446744073709551616,8,100", true, false, 0, 0, 0 },
+  };
+
+  for (size_t i = 0; i < COUNT_OF (cases); i++)
+    {
+      struct mq_http_field fields[1]
+          = { { .name = "X-Server-Load", .value = cases[i].text } };
+      struct mq_http_head head
+          = { .status = 200,
+              .fields = fields,
+              .field_count = cases[i].text != NULL ? 1 : 0 };
+      struct mq_response_fields facts;
+
+      mq_wire_read_response_fields (&head, &facts);
+      cr_expect_eq (facts.load_invalid, cases[i].invalid, "row %zu", i);
+      cr_expect_eq (facts.has_load, cases[i].has_load, "row %zu", i);
+      cr_expect_eq (facts.running, cases[i].running, "row %zu", i);
+      cr_expect_eq (facts.waiting, cases[i].waiting, "row %zu", i);
+      cr_expect_eq (facts.speed, cases[i].speed, "row %zu", i);
+    }
+}
+
 Test (wire, configuration)
 {
   static const char text[]
