Calls and programs go by predicted time at workers of uneven speed

What callers saw: workers that are slower, for a while or always, get as many calls and programs as the others, and those wait.

Cause: workers were compared by requests per slot alone.

Change: calls go by (load + half of the slots) x factor; of a worker not heard of lately the load that its speed attracts is assumed. Programs go by load + 1/32 of the slots x factor, since histories need as much memory at a fast engine as at a slow one. Workers of equal speed are chosen as before.

--- a/src/core/router/fleet_choice.c
+++ b/src/core/router/fleet_choice.c
@@ -51,6 +51,7 @@
  * @ejected: ejected workers
  * @load: sum of their decayed loads
  * @reported: mean reported load, 0 if unknown
+ * @service: what is known of the service, NULL if nothing
  * @patience_ms: time without data after which a worker is doubtful
  * @ignore_ejections: more than MQ_FLEET_EJECT_MAX_PERCENT are ejected
  */
@@ -60,6 +61,7 @@
   size_t ejected;
   uint64_t load;
   uint32_t reported;
+  const struct fleet_service *service;
   uint64_t patience_ms;
   bool ignore_ejections;
 };
@@ -83,6 +85,7 @@
     }
   survey.reported
       = mq_fleet_service_load (fleet, query->service, query->now_ms);
+  survey.service = fleet_find_service (fleet, query->service);
   survey.patience_ms
       = fleet_patience_ms (fleet, query->service, query->objective_ms);
   survey.ignore_ejections
@@ -105,15 +108,29 @@
   uint64_t cost;
 };
 
-/* Orders by load per slot, then the local data centre first, then randomly. */
+/* Steps of load per request.  */
+#define LOAD_STEPS 16U
+/* A request that finds all slots in use waits for about the time of one, and
+   so does one that comes after it.  */
+#define SLOWDOWN 2U
+
+static const struct fleet_work work
+    = { .duration_ms = MQ_SPEED_REQUEST_MS,
+        .slowdown = SLOWDOWN,
+        .full = (uint64_t)LOAD_UNIT * LOAD_STEPS };
+
+/* Orders by predicted time, which is by load per slot among workers of equal
+   speed, then the local data centre first, then randomly.  */
 static uint64_t
 load_cost (const struct fleet_entry *entry, const struct mq_fleet_query *query,
-           uint64_t load, uint64_t slots)
+           const struct survey *survey, uint64_t load, uint64_t slots)
 {
   uint64_t mixed = entry->hash ^ query->random;
   bool local = strcmp (entry->member.data_centre, query->data_centre) == 0;
-  uint64_t cost = load * 16 / slots * 4 + (local ? 0 : 2);
+  uint64_t cost = fleet_predict_time (
+      entry, survey->service, &work, load * LOAD_STEPS / slots, query->now_ms);
 
+  cost = cost * 4 + (local ? 0 : 2);
   return (cost << 8) + (mq_random_next (&mixed) & 0xff);
 }
 
@@ -138,12 +155,25 @@
          && fleet_is_doubtful (entry, survey->patience_ms, query->now_ms);
 }
 
+/* Load of the worker.  Of one not heard of lately, a request without affinity
+   expects the load that its speed attracts.  */
+static uint64_t
+estimate_load (const struct fleet_entry *entry,
+               const struct mq_fleet_query *query, const struct survey *survey,
+               uint64_t mean)
+{
+  if (!query->has_key)
+    mean = fleet_usual_load (entry, survey->service, &work, survey->reported,
+                             query->now_ms);
+  return fleet_estimate_load (entry, mean, query->now_ms);
+}
+
 static struct rank
 rank_worker (const struct fleet_entry *entry,
              const struct mq_fleet_query *query, const struct survey *survey)
 {
   uint64_t reported = fleet_mean_load (entry, survey->reported);
-  uint64_t load = fleet_estimate_load (entry, reported, query->now_ms);
+  uint64_t load = estimate_load (entry, query, survey, reported);
   uint64_t slots = fleet_slots (entry);
   uint64_t count = survey->count > 0 ? survey->count : 1;
   uint64_t mean = reported > 0 ? reported : survey->load / count;
@@ -170,7 +200,7 @@
         rank.cost = 0;
     }
   else
-    rank.cost = load_cost (entry, query, load, slots);
+    rank.cost = load_cost (entry, query, survey, load, slots);
   return rank;
 }
 
--- a/src/core/router/fleet_home.c
+++ b/src/core/router/fleet_home.c
@@ -25,24 +25,35 @@
 /* Resolution of load per slot.  Random jitter of one step keeps hosts without
    load reports from choosing the same worker.  */
 #define LOAD_STEPS 256U
+/* An engine runs all requests of its batch at once: each token takes the time
+   of an idle one again for each 3 % of the slots in use.  */
+#define SLOWDOWN 32U
 
 /**
- * struct search - search for the least loaded of some candidates
+ * struct search - search for the best of some candidates
+ * @service: what is known of the service, NULL if nothing
  * @reported: mean reported load of the service, thousandths of its slots
  * @random: state of the generator
- * @load: load per slot of the best candidate, in LOAD_STEPS and with jitter
+ * @time: predicted time at the best candidate, with jitter
  * @hash: hash of its id, 0 if there is none
  */
 struct search
 {
   const struct mq_fleet *fleet;
   const struct mq_fleet_query *query;
+  const struct fleet_service *service;
   uint32_t reported;
   uint64_t random;
-  uint64_t load;
+  uint64_t time;
   uint64_t hash;
 };
 
+static const struct fleet_work work
+    = { .duration_ms = MQ_SPEED_PROGRAM_MS,
+        .shared = true,
+        .slowdown = SLOWDOWN,
+        .full = (uint64_t)LOAD_UNIT * LOAD_STEPS };
+
 /* Load of a worker that has sent no report for a while, in LOAD_UNITs.  */
 static uint64_t
 unknown_load (const struct search *search, const struct fleet_entry *entry)
@@ -61,14 +72,17 @@
 consider (struct search *search, const struct fleet_entry *entry)
 {
   uint64_t state = entry->hash ^ search->query->random;
+  uint64_t time;
   uint64_t load = fleet_estimate_load (entry, unknown_load (search, entry),
                                        search->query->now_ms);
 
-  load = load * LOAD_STEPS / fleet_slots (entry)
-         + mq_random_next (&state) % LOAD_STEPS;
-  if (search->hash != 0 && load >= search->load)
+  load = load * LOAD_STEPS / fleet_slots (entry);
+  time = fleet_predict_time (entry, search->service, &work, load,
+                             search->query->now_ms);
+  time += mq_random_next (&state) % LOAD_STEPS;
+  if (search->hash != 0 && time >= search->time)
     return;
-  search->load = load;
+  search->time = time;
   search->hash = entry->hash;
 }
 
@@ -82,8 +96,7 @@
 static void
 consider_reported (struct search *search)
 {
-  const struct fleet_service *row
-      = fleet_find_service (search->fleet, search->query->service);
+  const struct fleet_service *row = search->service;
 
   for (uint32_t age = 0; row != NULL && age < REPORTS_MAX; age++)
     {
@@ -141,6 +154,7 @@
   struct search search = {
     .fleet = fleet,
     .query = query,
+    .service = fleet_find_service (fleet, query->service),
     .reported = mq_fleet_service_load (fleet, query->service, query->now_ms),
     .random = query->random,
   };
--- a/src/core/router/fleet_speed.c
+++ b/src/core/router/fleet_speed.c
@@ -58,7 +58,7 @@
     factor = mq_speed_factor (&entry->speed, &service->speed,
                               work->duration_ms, now_ms);
   if (work->shared)
-    factor = mq_speed_shared_factor (factor);
+    return mq_speed_shared_cost (load, work->full, work->slowdown, factor);
   return mq_speed_cost (load, work->full, work->slowdown, factor);
 }
 
--- a/src/core/router/fleet_state.h
+++ b/src/core/router/fleet_state.h
@@ -176,8 +176,7 @@
 /**
  * struct fleet_work - a request whose time is predicted
  * @duration_ms: time that it or its program takes
- * @shared: the worker runs all of its requests at once, and each slows down
- *          the others
+ * @shared: it belongs to a program whose history the worker keeps
  * @slowdown: time that a full worker adds, as a multiple of an idle one's
  * @full: load per slot of a worker with all slots in use
  */
--- a/src/core/router/speed.c
+++ b/src/core/router/speed.c
@@ -246,12 +246,6 @@
   return thousandths > 0 ? thousandths : 1;
 }
 
-uint32_t
-mq_speed_shared_factor (uint32_t factor)
-{
-  return (uint32_t)sqrtf ((float)factor * (float)MQ_SPEED_USUAL);
-}
-
 uint64_t
 mq_speed_cost (uint64_t load, uint64_t full, uint32_t slowdown,
                uint32_t factor)
@@ -259,6 +253,13 @@
   return (load + full / slowdown) * factor / MQ_SPEED_USUAL;
 }
 
+uint64_t
+mq_speed_shared_cost (uint64_t load, uint64_t full, uint32_t slowdown,
+                      uint32_t factor)
+{
+  return load + full / slowdown * factor / MQ_SPEED_USUAL;
+}
+
 uint64_t
 mq_speed_usual_load (const struct mq_speed_service *service, uint64_t mean,
                      uint64_t full, uint32_t slowdown, uint32_t factor)
--- a/src/core/router/speed.h
+++ b/src/core/router/speed.h
@@ -119,14 +119,6 @@
 uint32_t mq_speed_factor (const struct mq_speed *speed,
                           const struct mq_speed_service *service,
                           uint32_t duration_ms, uint64_t now_ms);
-/**
- * mq_speed_shared_factor - factor where requests slow down each other
- *
- * A request takes the time of the load that it meets, and adds as much to the
- * requests there: the sum grows with the square of the load, times FACTOR. Its
- * root orders workers likewise.
- */
-uint32_t mq_speed_shared_factor (uint32_t factor);
 /**
  * mq_speed_cost - predicted time of a request
  * @load: load of the worker per slot
@@ -140,6 +132,16 @@
 uint64_t mq_speed_cost (uint64_t load, uint64_t full, uint32_t slowdown,
                         uint32_t factor);
 
+/**
+ * mq_speed_shared_cost - rank of a worker for a program
+ *
+ * As mq_speed_cost, but (@load + constant x factor): a faster worker gets some
+ * programs more than others, however high the load.  The histories that it
+ * keeps need as much memory as at a slow one, so that it cannot hold many
+ * more.
+ */
+uint64_t mq_speed_shared_cost (uint64_t load, uint64_t full, uint32_t slowdown,
+                               uint32_t factor);
 /**
  * mq_speed_usual_load - load at which a worker is as good as others
  * @mean: mean load per slot of the service's workers
