--- a/src/log/metrics.c
+++ b/src/log/metrics.c
@@ -77,7 +77,7 @@
 }
 
 void
-mq_metrics_copy_label (char *to, const char *name)
+mq_metrics_copy_label (char to[MQ_METRICS_LABEL_MAX], const char *name)
 {
   size_t len = 0;
 
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -51,6 +51,7 @@
   X (callers_closed, "idle connections of callers closed to make room")       \
   X (unanswered, "requests cut off by this host before their final answer")   \
   X (retries, "further workers asked for a request")                          \
+  X (loads_invalid, "loads told by workers that are not valid")               \
   X (doubtful_avoided, "requests kept from workers that owe an answer")       \
   X (evidence_sent, "reports of workers sent to other hosts")                 \
   X (evidence_received, "reports of workers that other hosts sent")           \
@@ -197,6 +198,7 @@
   uint32_t announce_failures;
   uint32_t announce_retry_ms;
   uint64_t counters_logged_ms;
+  uint64_t load_invalid_logged_ms;
   bool table_down;
 };
 
@@ -490,6 +492,11 @@
 /* Appends load and left out workers of services to *TEXT.  */
 void mq_router_add_services (char **text, const struct mq_router *router);
 
+/* router_speed.c */
+
+/* Appends the speed of the slowest workers.  */
+void mq_router_add_speed (char **text, const struct mq_router *router);
+
 /* router_permit.c */
 
 enum mq_permit_state
