--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -1640,7 +1640,7 @@
   (ProtobufCMessageInit) mqrelay__loan_back__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__quota_want__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mqrelay__quota_want__field_descriptors[12] =
 {
   {
     "organisation",
@@ -1726,20 +1726,85 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaWant, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "continued",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaWant, continued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "further",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaWant, further),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaWant, life_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "single",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaWant, single),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__quota_want__field_indices_by_name[] = {
   3,   /* field[3] = ahead */
   2,   /* field[2] = begins */
+  7,   /* field[7] = begun */
+  8,   /* field[8] = continued */
+  9,   /* field[9] = further */
   6,   /* field[6] = holds */
+  10,   /* field[10] = life_ms */
   1,   /* field[1] = need */
   0,   /* field[0] = organisation */
+  11,   /* field[11] = single */
   5,   /* field[5] = surrendered */
   4,   /* field[4] = unused */
 };
 static const ProtobufCIntRange mqrelay__quota_want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mqrelay__quota_want__descriptor =
 {
@@ -1749,7 +1814,7 @@
   "Mqrelay__QuotaWant",
   "mqrelay",
   sizeof(Mqrelay__QuotaWant),
-  7,
+  12,
   mqrelay__quota_want__field_descriptors,
   mqrelay__quota_want__field_indices_by_name,
   1,  mqrelay__quota_want__number_ranges,
@@ -1923,7 +1988,7 @@
   (ProtobufCMessageInit) mqrelay__quota_recall__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__quota_gift__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mqrelay__quota_gift__field_descriptors[10] =
 {
   {
     "organisation",
@@ -2033,10 +2098,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "between_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__QuotaGift, between_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__quota_gift__field_indices_by_name[] = {
   4,   /* field[4] = ahead */
   3,   /* field[3] = begins */
+  9,   /* field[9] = between_ms */
   6,   /* field[6] = empty */
   2,   /* field[2] = need */
   0,   /* field[0] = organisation */
@@ -2048,7 +2126,7 @@
 static const ProtobufCIntRange mqrelay__quota_gift__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor mqrelay__quota_gift__descriptor =
 {
@@ -2058,7 +2136,7 @@
   "Mqrelay__QuotaGift",
   "mqrelay",
   sizeof(Mqrelay__QuotaGift),
-  9,
+  10,
   mqrelay__quota_gift__field_descriptors,
   mqrelay__quota_gift__field_indices_by_name,
   1,  mqrelay__quota_gift__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -306,10 +306,30 @@
    */
   uint64_t surrendered;
   uint64_t holds;
+  /*
+   * programs that began with permits ahead
+   */
+  uint32_t begun;
+  /*
+   * requests of begun programs with permits ahead
+   */
+  uint32_t continued;
+  /*
+   * thousandths of a request after a program's first
+   */
+  uint32_t further;
+  /*
+   * time within which it makes them
+   */
+  uint32_t life_ms;
+  /*
+   * of @need, requests of no program
+   */
+  uint32_t single;
 };
 #define MQRELAY__QUOTA_WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__quota_want__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -385,10 +405,14 @@
    */
   uint64_t standing;
   uint32_t standing_ms;
+  /*
+   * between two programs that can begin; 0: not told
+   */
+  uint32_t between_ms;
 };
 #define MQRELAY__QUOTA_GIFT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__quota_gift__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Mqrelay__QuotaTold
--- a/src/core/organisation/quota.h
+++ b/src/core/organisation/quota.h
@@ -5,6 +5,10 @@
    request permits from it, one per request, and prefetch a few when traffic is
    high.  Prefetched permits that are not used soon are returned.
 
+   The issuer sets aside what programs that have begun are expected to need
+   (set_aside.h), as far as hosts tell it, and lets a program begin while its
+   bucket, as it fills, covers that and the program itself.
+
    An unreachable issuer must not stop its organisations.  It therefore lends
    each host a standing rate, based on the host's recent use.  The standing
    rates of all hosts never exceed the limit and expire with the issuer's
@@ -22,12 +26,13 @@
    no more permits than one bucket provides plus the bound on prefetched
    permits.  Pure: callers pass the time, from a clock that continues while the
    host is suspended.
-   Needs: orgs.h.  */
+   Needs: orgs.h, program_need.h.  */
 
 #ifndef MQ_QUOTA_H
 #define MQ_QUOTA_H
 
 #include "orgs.h"
+#include "program_need.h"
 
 /* A later reply is ignored; the permits in it are lost.  */
 #define MQ_QUOTA_REPLY_TIMEOUT_MS 300U
@@ -92,8 +97,12 @@
 
 /**
  * struct mq_quota_request - a host's request for one organisation
- * @need: permits for waiting requests of programs that have begun
+ * @need: permits for waiting requests other than first ones of programs
+ * @single: of these, requests that belong to no program
  * @begins: permits for waiting first requests of programs
+ * @begun: programs that began with prefetched permits
+ * @continued: requests of begun programs with prefetched permits
+ * @program: mean need of the programs in @begins and @begun
  * @ahead: permits to prefetch
  * @unused: prefetched permits returned
  * @surrendered: standing rate from an earlier run of the issuer that the host
@@ -106,7 +115,11 @@
 {
   const char *organisation;
   uint32_t need;
+  uint32_t single;
   uint32_t begins;
+  uint32_t begun;
+  uint32_t continued;
+  struct mq_program_need program;
   uint32_t ahead;
   uint32_t unused;
   uint64_t surrendered;
@@ -120,7 +133,9 @@
  * @need: permits granted of those requested
  * @begins: permits granted of those requested
  * @ahead: permits granted of those requested
- * @retry_ms: delay until more permits are available, 0 if all were granted
+ * @retry_ms: delay until more permits are available, 0 if all were granted;
+ *            until a program can begin if first requests were refused
+ * @between_ms: mean time between two programs that can begin, 0 if unknown
  * @empty: the bucket could not even cover programs that have begun
  * @standing: standing rate of the host, unit as in struct mq_quota_limit
  * @standing_ms: lifetime of @standing, counted from the request
@@ -133,6 +148,7 @@
   uint32_t begins;
   uint32_t ahead;
   uint32_t retry_ms;
+  uint32_t between_ms;
   bool empty;
   uint64_t standing;
   uint32_t standing_ms;
@@ -173,6 +189,34 @@
   uint64_t unanswered_ms;
 };
 
+/**
+ * struct mq_quota_programs - sums of what programs need
+ * @count: programs
+ * @further: as in struct mq_program_need
+ * @life_ms: likewise
+ */
+struct mq_quota_programs
+{
+  uint32_t count;
+  uint64_t further;
+  uint64_t life_ms;
+};
+
+/**
+ * struct mq_quota_waiting - requests that wait for permits
+ * @need: requests other than first ones of programs
+ * @single: of these, requests that belong to no program
+ * @begins: first requests of programs
+ * @programs: sums of the need of @begins whose need is known
+ */
+struct mq_quota_waiting
+{
+  uint32_t need;
+  uint32_t single;
+  uint32_t begins;
+  struct mq_quota_programs programs;
+};
+
 #define MQ_QUOTA_BATCHES 2
 
 /**
@@ -188,6 +232,9 @@
  * struct mq_quota_share - a host's share of one organisation's limit
  * @batches: prefetched permits
  * @unused: permits to return, the first of them since @unused_ms
+ * @begun: programs that began with prefetched permits since the last request
+ * @continued: requests of begun programs with such permits
+ * @begun_ms: time of the first of both
  * @used: permits used in second @used_s and in the second before
  * @standing: standing rate, valid until @standing_until_ms
  * @server: run of the issuer that lent @standing
@@ -198,12 +245,17 @@
  * @denied_until_ms: a later denial begins anew
  * @exhausted_until_ms: no permit is available before
  * @begin_refused_until_ms: no permit for first requests is available before
+ * @begin_retry_ms: time at which the next refused program is to return
+ * @begin_between_ms: time by which the one after it returns later
  */
 struct mq_quota_share
 {
   struct mq_quota_batch batches[MQ_QUOTA_BATCHES];
   uint32_t unused;
   uint64_t unused_ms;
+  struct mq_quota_programs begun;
+  uint32_t continued;
+  uint64_t begun_ms;
   uint32_t used[2];
   uint64_t used_s;
   uint64_t standing;
@@ -217,6 +269,8 @@
   uint64_t denied_until_ms;
   uint64_t exhausted_until_ms;
   uint64_t begin_refused_until_ms;
+  uint64_t begin_retry_ms;
+  uint32_t begin_between_ms;
 };
 
 enum mq_quota_decision
@@ -232,11 +286,22 @@
 mq_quota_try_acquire (struct mq_quota_share *share,
                       const struct mq_quota_contact *contact, bool begins,
                       uint64_t now_ms);
-/* Builds the request to the issuer, with NEED and BEGINS permits for waiting
-   requests.  Returned permits and surrendered rates are removed from SHARE. */
-struct mq_quota_request mq_quota_request (
-    struct mq_quota_share *share, const struct mq_quota_contact *contact,
-    const char *organisation, uint32_t need, uint32_t begins, uint64_t now_ms);
+/* Adds the NEED of a program to SUMS; nothing if it is unknown.  */
+void mq_quota_add_program (struct mq_quota_programs *sums,
+                           const struct mq_program_need *need);
+/* Records that a request of a program was granted by mq_quota_try_acquire;
+   BEGINS: it is its first one, and the program needs NEED.  */
+void mq_quota_record_program (struct mq_quota_share *share, bool begins,
+                              const struct mq_program_need *need,
+                              uint64_t now_ms);
+/* Builds the request to the issuer, with permits for WAITING requests.
+   Returned permits, surrendered rates and recorded programs are removed from
+   SHARE.  */
+struct mq_quota_request
+mq_quota_request (struct mq_quota_share *share,
+                  const struct mq_quota_contact *contact,
+                  const char *organisation,
+                  const struct mq_quota_waiting *waiting, uint64_t now_ms);
 /* Records that a request is sent.  */
 void mq_quota_record_request (struct mq_quota_contact *contact,
                               uint64_t now_ms);
@@ -266,8 +331,9 @@
    again.  */
 bool mq_quota_is_exhausted (const struct mq_quota_share *share, bool begins,
                             uint64_t now_ms);
-/* Delay until a permit may be available.  */
-uint32_t mq_quota_retry_after_ms (const struct mq_quota_share *share,
-                                  bool begins, uint64_t now_ms);
+/* Delay after which a refused request may be sent again; for first requests of
+   programs each call gives a later time.  */
+uint32_t mq_quota_retry_after_ms (struct mq_quota_share *share, bool begins,
+                                  uint64_t now_ms);
 
 #endif
--- a/src/core/organisation/quota_issuer.c
+++ b/src/core/organisation/quota_issuer.c
@@ -1,94 +1,34 @@
 /* quota_issuer.c - token bucket of each organisation and the standing
    rates lent to hosts.
 
-   Needs: quota.h, id.h, idmap.h, memory.h.  */
+   Needs: quota_bucket.h, id.h, idmap.h, memory.h.  */
 
 #include "../id.h"
 #include "../idmap.h"
 #include "../memory.h"
-#include "quota.h"
+#include "quota_bucket.h"
 #include <string.h>
 
-#define PERMIT MQ_QUOTA_UNITS_PER_PERMIT
-#define PER_THOUSANDTH 1000U
-/* A standing rate is the mean use over this many seconds, plus half.  */
-#define USE_SECONDS 4U
+/* A standing rate is the mean use over USE_SECONDS, plus half.  */
 #define STANDING_PERCENT 150U
 /* A host is lent at most the limit divided by this.  */
 #define STANDING_DIVISOR 4U
 /* Lowest standing rate, thousandths of a request per second.  */
 #define STANDING_MIN 100U
-/* Part of the burst reserved for programs that have begun, percent.  Guards
-   against refusing a program in the middle, which wastes its earlier requests:
-   over the limit, new programs are refused first.  */
-#define BEGUN_RESERVE_PERCENT 50U
-#define RETRY_MIN_MS 100U
-#define RETRY_MAX_MS 4000U
-/* Time within which prefetched permits may be used or returned.  */
-#define PREFETCH_WINDOW_MS 1000U
 /* Inactivity after which an organisation or a host is freed.  By then the
    bucket is full and all standing rates have expired.  */
 #define INACTIVE_MS 60000U
 #define SWEEP_MAX 64U
 
 /**
- * struct issuer_host - a host that requests permits
- * @heard_ms: issuer time in its newest acknowledgement
- * @asked_ms: time of its last request
+ * struct mq_quota_issuer - buckets of the organisations that a host issues for
+ * @need: mean need of programs, as hosts tell it, over all organisations
  */
-struct issuer_host
-{
-  uint64_t id;
-  uint64_t heard_ms;
-  uint64_t asked_ms;
-};
-
-/**
- * struct standing - standing rate of one host for one organisation
- * @used: permits issued in each of the last seconds, the newest is @used_s
- * @rate: rate in the last reply, sent at @told_ms
- * @high: highest rate that the host may still hold
- * @until_ms: expiry of all rates lent
- * @surrendered: rate from an earlier run of the issuer that it surrendered
- */
-struct standing
-{
-  struct standing *next;
-  struct issuer_host *host;
-  uint32_t used[USE_SECONDS];
-  uint64_t used_s;
-  uint64_t rate;
-  uint64_t high;
-  uint64_t told_ms;
-  uint64_t until_ms;
-  uint64_t surrendered;
-};
-
-/**
- * struct bucket - token bucket of an organisation
- * @level: millionths of a permit at @settled_ms
- * @surrendered: sum of the rates that hosts surrendered
- * @ahead: prefetched permits issued in the current PREFETCH_WINDOW_MS and in
- *         the one before, less those returned
- * @ahead_at: number of the current window
- */
-struct bucket
-{
-  struct mq_id id;
-  struct mq_quota_limit limit;
-  struct mq_quota_lease lease;
-  uint64_t level;
-  uint64_t settled_ms;
-  uint64_t surrendered;
-  uint32_t ahead[2];
-  uint64_t ahead_at;
-  struct standing *host_rates;
-};
-
 struct mq_quota_issuer
 {
   struct mq_idmap *buckets;
   struct mq_idmap *hosts;
+  struct mq_program_need need;
 };
 
 struct mq_quota_issuer *
@@ -116,7 +56,7 @@
 
 /* Rate available to this issuer, for its bucket and for lending.  */
 static uint64_t
-available_rate (const struct bucket *bucket, uint64_t since)
+available_rate (const struct mq_quota_bucket *bucket, uint64_t since)
 {
   uint64_t rate = bucket->limit.rate;
   uint64_t unknown = rate;
@@ -129,22 +69,10 @@
                                               : bucket->surrendered;
 }
 
-static uint64_t
-burst_of (const struct bucket *bucket)
-{
-  return bucket->limit.burst * PER_THOUSANDTH;
-}
-
-static uint64_t
-saturating_sub (uint64_t from, uint64_t by)
-{
-  return from > by ? from - by : 0;
-}
-
 /* Rate and depth of the bucket, less what silent hosts may be using.  */
-static void
-effective_limit (const struct bucket *bucket, uint64_t since, uint64_t now,
-                 uint64_t *rate, uint64_t *depth)
+void
+mq_quota_effective_limit (const struct mq_quota_bucket *bucket, uint64_t since,
+                          uint64_t now, uint64_t *rate, uint64_t *depth)
 {
   uint64_t lent = 0;
   uint64_t standing_burst = 0;
@@ -162,14 +90,14 @@
 
 /* Refills the bucket up to NOW.  */
 static void
-refill (struct bucket *bucket, uint64_t now)
+refill (struct mq_quota_bucket *bucket, uint64_t now)
 {
   uint64_t rate;
   uint64_t depth;
 
   if (now < bucket->settled_ms)
     return;
-  effective_limit (bucket, bucket->settled_ms, now, &rate, &depth);
+  mq_quota_effective_limit (bucket, bucket->settled_ms, now, &rate, &depth);
   bucket->level += rate * (now - bucket->settled_ms);
   if (bucket->level > depth)
     bucket->level = depth;
@@ -197,7 +125,7 @@
                      const struct issuer_host *host, uint64_t now)
 {
   size_t position = 0;
-  struct bucket *bucket;
+  struct mq_quota_bucket *bucket;
 
   while ((bucket = mq_idmap_next (issuer->buckets, &position)) != NULL)
     for (const struct standing *at = bucket->host_rates; at != NULL;
@@ -224,7 +152,8 @@
 }
 
 static void
-reset_bucket (struct bucket *bucket, const struct mq_quota_bounds *bounds,
+reset_bucket (struct mq_quota_bucket *bucket,
+              const struct mq_quota_bounds *bounds,
               const struct mq_quota_lease *lease)
 {
   while (bucket->host_rates != NULL)
@@ -238,21 +167,23 @@
   bucket->lease = *lease;
   bucket->level = 0;
   bucket->surrendered = 0;
+  bucket->aside = (struct mq_set_aside){ 0 };
+  bucket->return_ms = 0;
   bucket->settled_ms = lease->since_ms;
 }
 
 /* Returns the organisation's bucket as of NOW, under the active limit.  */
-static struct bucket *
+static struct mq_quota_bucket *
 get_bucket (struct mq_quota_issuer *issuer, const char *organisation,
             const struct mq_quota_bounds *bounds,
             const struct mq_quota_lease *lease, uint64_t now)
 {
   struct mq_id id = mq_id_from_text (organisation);
-  struct bucket *bucket = mq_idmap_find (issuer->buckets, id, 0);
+  struct mq_quota_bucket *bucket = mq_idmap_find (issuer->buckets, id, 0);
 
   if (bucket == NULL)
     {
-      bucket = mq_check_alloc (talloc_zero (issuer, struct bucket));
+      bucket = mq_check_alloc (talloc_zero (issuer, struct mq_quota_bucket));
       bucket->id = id;
       bucket->lease.since_ms = UINT64_MAX;
       mq_idmap_put (issuer->buckets, id, 0, bucket);
@@ -268,7 +199,7 @@
 }
 
 static struct standing *
-get_standing (struct bucket *bucket, struct issuer_host *host)
+get_standing (struct mq_quota_bucket *bucket, struct issuer_host *host)
 {
   struct standing *at = bucket->host_rates;
 
@@ -318,99 +249,11 @@
   return sum * 1000U / USE_SECONDS;
 }
 
-static uint32_t
-take_permits (struct bucket *bucket, uint32_t wanted, uint64_t reserved)
-{
-  uint64_t room = saturating_sub (bucket->level, reserved) / PERMIT;
-  uint32_t taken = wanted < room ? wanted : (uint32_t)room;
-
-  bucket->level -= (uint64_t)taken * PERMIT;
-  return taken;
-}
-
-static void
-advance_prefetch_window (struct bucket *bucket, uint64_t now)
-{
-  uint64_t at = now / PREFETCH_WINDOW_MS;
-
-  if (at == bucket->ahead_at)
-    return;
-  bucket->ahead[1] = at == bucket->ahead_at + 1 ? bucket->ahead[0] : 0;
-  bucket->ahead[0] = 0;
-  bucket->ahead_at = at;
-}
-
-/* Number of permits that may still be prefetched.  */
-static uint32_t
-prefetch_room (const struct bucket *bucket, uint64_t ahead_max)
-{
-  return (uint32_t)saturating_sub (ahead_max, (uint64_t)bucket->ahead[0]
-                                                  + bucket->ahead[1]);
-}
-
-/* Credits returned permits, up to the number still outstanding.  Guards
-   against permits returned after the bucket has refilled, which would be
-   issued twice.  */
-static void
-credit_returned (struct bucket *bucket, uint32_t unused)
-{
-  uint64_t depth = burst_of (bucket);
-
-  for (size_t i = 2; i-- > 0;)
-    {
-      uint32_t back = unused < bucket->ahead[i] ? unused : bucket->ahead[i];
-
-      bucket->ahead[i] -= back;
-      unused -= back;
-      bucket->level += (uint64_t)back * PERMIT;
-    }
-  if (bucket->level > depth)
-    bucket->level = depth;
-}
-
-static uint32_t
-retry_delay (const struct bucket *bucket, uint64_t wanted, uint64_t now)
-{
-  uint64_t rate;
-  uint64_t depth;
-  uint64_t wait = RETRY_MAX_MS;
-
-  effective_limit (bucket, now, now, &rate, &depth);
-  if (rate > 0)
-    wait = saturating_sub (wanted, bucket->level) / rate;
-  if (wait < RETRY_MIN_MS)
-    return RETRY_MIN_MS;
-  return wait > RETRY_MAX_MS ? RETRY_MAX_MS : (uint32_t)wait;
-}
-
-static void
-issue_permits (struct bucket *bucket, const struct mq_quota_request *want,
-               uint64_t ahead_max, uint64_t now, struct mq_quota_grant *grant)
-{
-  uint64_t reserved = burst_of (bucket) * BEGUN_RESERVE_PERCENT / 100U;
-  uint32_t room = prefetch_room (bucket, ahead_max);
-  uint32_t missing;
-
-  grant->need = take_permits (bucket, want->need, 0);
-  grant->begins = take_permits (bucket, want->begins, reserved);
-  grant->ahead = take_permits (bucket, want->ahead < room ? want->ahead : room,
-                               reserved);
-  bucket->ahead[0] += grant->ahead;
-  missing = want->need - grant->need;
-  grant->empty = missing > 0;
-  if (want->begins > grant->begins)
-    grant->retry_ms = retry_delay (
-        bucket, reserved + (uint64_t)(want->begins - grant->begins) * PERMIT,
-        now);
-  else if (missing > 0)
-    grant->retry_ms = retry_delay (bucket, (uint64_t)missing * PERMIT, now);
-}
-
 /* Standing rate for the host of AT: its recent use, bounded so that all
    standing rates fit the limit and their bursts fit the bucket's burst plus
    half of the prefetch bound.  */
 static uint64_t
-rate_to_lend (const struct bucket *bucket, const struct standing *at,
+rate_to_lend (const struct mq_quota_bucket *bucket, const struct standing *at,
               const struct mq_quota_bounds *bounds, uint64_t now)
 {
   uint64_t rate = mean_use (at) * STANDING_PERCENT / 100U;
@@ -441,7 +284,7 @@
    that the host has received a lower rate, as that reply may have been lost;
    the rate that the host reports is used.  */
 static void
-lend (struct bucket *bucket, struct standing *at,
+lend (struct mq_quota_bucket *bucket, struct standing *at,
       const struct mq_quota_request *want,
       const struct mq_quota_bounds *bounds, uint64_t now,
       struct mq_quota_grant *grant)
@@ -462,8 +305,8 @@
 
 /* Counts a surrendered rate once per host and run of the issuer.  */
 static void
-record_surrendered (struct bucket *bucket, struct standing *at, uint64_t rate,
-                    uint64_t now)
+record_surrendered (struct mq_quota_bucket *bucket, struct standing *at,
+                    uint64_t rate, uint64_t now)
 {
   if (rate == 0 || at->surrendered != 0 || now >= bucket->lease.inherited_ms)
     return;
@@ -471,6 +314,21 @@
   bucket->surrendered += rate;
 }
 
+/* WANT with a need of its programs that is within bounds.  A host that has
+   seen too few programs does not tell one: then it is the mean of what others
+   told.  */
+static struct mq_quota_request
+with_need (struct mq_quota_issuer *issuer, const struct mq_quota_request *want)
+{
+  struct mq_quota_request known = *want;
+
+  if (mq_program_need_is_usable (&want->program))
+    mq_program_need_average (&issuer->need, &want->program);
+  else
+    known.program = issuer->need;
+  return known;
+}
+
 struct mq_quota_grant
 mq_quota_issue (struct mq_quota_issuer *issuer, uint64_t host,
                 const struct mq_quota_request *want,
@@ -478,14 +336,16 @@
                 const struct mq_quota_lease *lease, uint64_t now_ms)
 {
   struct mq_quota_grant grant = { .organisation = want->organisation };
-  struct bucket *bucket
+  struct mq_quota_bucket *bucket
       = get_bucket (issuer, want->organisation, bounds, lease, now_ms);
   struct standing *at = get_standing (bucket, get_host (issuer, host, now_ms));
+  struct mq_quota_request known;
 
+  known = with_need (issuer, want);
   record_surrendered (bucket, at, want->surrendered, now_ms);
-  advance_prefetch_window (bucket, now_ms);
-  credit_returned (bucket, want->unused);
-  issue_permits (bucket, want, bounds->ahead, now_ms, &grant);
+  mq_quota_advance_prefetch (bucket, now_ms);
+  mq_quota_credit_returned (bucket, want->unused);
+  mq_quota_issue_permits (bucket, &known, bounds->ahead, now_ms, &grant);
   record_use (at, grant.need + grant.begins + grant.ahead, want->unused,
               now_ms);
   lend (bucket, at, want, bounds, now_ms, &grant);
@@ -493,7 +353,7 @@
 }
 
 static bool
-has_lent (const struct bucket *bucket, uint64_t now)
+has_lent (const struct mq_quota_bucket *bucket, uint64_t now)
 {
   if (now < bucket->lease.inherited_ms)
     return true;
@@ -509,7 +369,7 @@
                           uint64_t now_ms)
 {
   size_t position = 0;
-  const struct bucket *bucket;
+  const struct mq_quota_bucket *bucket;
 
   while ((bucket = mq_idmap_next (issuer->buckets, &position)) != NULL)
     if (bucket->lease.slot == slot && has_lent (bucket, now_ms))
@@ -519,7 +379,7 @@
 
 /* Frees the standing rates of inactive hosts.  */
 static void
-free_inactive_rates (struct bucket *bucket, uint64_t now)
+free_inactive_rates (struct mq_quota_bucket *bucket, uint64_t now)
 {
   struct standing **from = &bucket->host_rates;
 
@@ -559,10 +419,10 @@
 void
 mq_quota_issuer_sweep (struct mq_quota_issuer *issuer, uint64_t now_ms)
 {
-  struct bucket *found[SWEEP_MAX];
+  struct mq_quota_bucket *found[SWEEP_MAX];
   size_t count = 0;
   size_t position = 0;
-  struct bucket *bucket;
+  struct mq_quota_bucket *bucket;
 
   while ((bucket = mq_idmap_next (issuer->buckets, &position)) != NULL)
     {
--- a/src/core/organisation/quota_share.c
+++ b/src/core/organisation/quota_share.c
@@ -15,6 +15,7 @@
 /* Unused permits are dropped instead of returned after this time.  */
 #define RETURN_MAX_MS 600U
 #define RETRY_MIN_MS 100U
+#define RETRY_MAX_MS 4000U
 #define MS_PER_S 1000U
 
 static void
@@ -182,6 +183,59 @@
   *to = (struct mq_quota_batch){ permits, until };
 }
 
+void
+mq_quota_add_program (struct mq_quota_programs *sums,
+                      const struct mq_program_need *need)
+{
+  if (need->further == 0)
+    return;
+  sums->count++;
+  sums->further += need->further;
+  sums->life_ms += need->life_ms;
+}
+
+void
+mq_quota_record_program (struct mq_quota_share *share, bool begins,
+                         const struct mq_program_need *need, uint64_t now_ms)
+{
+  if (share->begun.count + share->continued == 0
+      || now_ms - share->begun_ms >= RETURN_MAX_MS)
+    {
+      share->begun = (struct mq_quota_programs){ 0 };
+      share->continued = 0;
+      share->begun_ms = now_ms;
+    }
+  if (begins)
+    mq_quota_add_program (&share->begun, need);
+  else
+    share->continued++;
+}
+
+/* Tells what programs did with prefetched permits.  What is older is left out:
+   the issuer would set it aside too late.  */
+static void
+add_programs (struct mq_quota_share *share,
+              const struct mq_quota_waiting *waiting, uint64_t now,
+              struct mq_quota_request *want)
+{
+  struct mq_quota_programs sums = waiting->programs;
+
+  if (now - share->begun_ms < RETURN_MAX_MS)
+    {
+      want->begun = share->begun.count;
+      want->continued = share->continued;
+      sums.count += share->begun.count;
+      sums.further += share->begun.further;
+      sums.life_ms += share->begun.life_ms;
+    }
+  share->begun = (struct mq_quota_programs){ 0 };
+  share->continued = 0;
+  if (sums.count == 0)
+    return;
+  want->program.further = (uint32_t)(sums.further / sums.count);
+  want->program.life_ms = (uint32_t)(sums.life_ms / sums.count);
+}
+
 static uint32_t
 permits_to_prefetch (struct mq_quota_share *share, uint64_t now)
 {
@@ -202,12 +256,13 @@
 struct mq_quota_request
 mq_quota_request (struct mq_quota_share *share,
                   const struct mq_quota_contact *contact,
-                  const char *organisation, uint32_t need, uint32_t begins,
-                  uint64_t now_ms)
+                  const char *organisation,
+                  const struct mq_quota_waiting *waiting, uint64_t now_ms)
 {
   struct mq_quota_request want = { .organisation = organisation,
-                                   .need = need,
-                                   .begins = begins,
+                                   .need = waiting->need,
+                                   .single = waiting->single,
+                                   .begins = waiting->begins,
                                    .surrendered = share->surrendered,
                                    .holds = share->standing,
                                    .heard_ms = contact->told_ms };
@@ -218,6 +273,7 @@
     want.unused = share->unused;
   share->unused = 0;
   share->surrendered = 0;
+  add_programs (share, waiting, now_ms, &want);
   return want;
 }
 
@@ -258,10 +314,14 @@
 
 static void
 record_refusal (struct mq_quota_share *share, uint32_t retry_ms,
-                bool begins_only, uint64_t now)
+                uint32_t between_ms, bool begins_only, uint64_t now)
 {
   uint32_t wait = retry_ms < EXHAUSTED_MAX_MS ? retry_ms : EXHAUSTED_MAX_MS;
 
+  if (between_ms > RETRY_MAX_MS)
+    between_ms = RETRY_MAX_MS;
+  share->begin_retry_ms = now + retry_ms;
+  share->begin_between_ms = between_ms;
   share->begin_refused_until_ms = now + wait;
   if (!begins_only)
     share->exhausted_until_ms = now + wait;
@@ -286,17 +346,32 @@
   for (uint32_t i = 0; i < grant->need + grant->begins; i++)
     record_use (share, now_ms);
   if (grant->retry_ms > 0)
-    record_refusal (share, grant->retry_ms, !grant->empty, now_ms);
+    record_refusal (share, grant->retry_ms, grant->between_ms, !grant->empty,
+                    now_ms);
+}
+
+/* Time at which the next refused program returns.  Each returns later than the
+   one before by the time between two programs that can begin.  */
+static uint64_t
+next_return (struct mq_quota_share *share)
+{
+  uint64_t at = share->begin_retry_ms;
+
+  if (at < share->begin_refused_until_ms)
+    at = share->begin_refused_until_ms;
+  share->begin_retry_ms = at + share->begin_between_ms;
+  return at;
 }
 
 uint32_t
-mq_quota_retry_after_ms (const struct mq_quota_share *share, bool begins,
+mq_quota_retry_after_ms (struct mq_quota_share *share, bool begins,
                          uint64_t now_ms)
 {
-  uint64_t until
-      = begins ? share->begin_refused_until_ms : share->exhausted_until_ms;
+  uint64_t until = begins ? next_return (share) : share->exhausted_until_ms;
 
   if (until < now_ms + RETRY_MIN_MS)
     return RETRY_MIN_MS;
+  if (until > now_ms + RETRY_MAX_MS)
+    return RETRY_MAX_MS;
   return (uint32_t)(until - now_ms);
 }
--- a/src/router/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -241,6 +241,11 @@
       list[i]->unused = wants[i].unused;
       list[i]->surrendered = wants[i].surrendered;
       list[i]->holds = wants[i].holds;
+      list[i]->begun = wants[i].begun;
+      list[i]->continued = wants[i].continued;
+      list[i]->further = wants[i].program.further;
+      list[i]->life_ms = wants[i].program.life_ms;
+      list[i]->single = wants[i].single;
     }
   return list;
 }
@@ -282,6 +287,7 @@
       list[i]->empty = gifts[i].empty;
       list[i]->standing = gifts[i].standing;
       list[i]->standing_ms = gifts[i].standing_ms;
+      list[i]->between_ms = gifts[i].between_ms;
     }
   return list;
 }
@@ -477,6 +483,10 @@
       .unused = from->wants[i]->unused,
       .surrendered = from->wants[i]->surrendered,
       .holds = from->wants[i]->holds,
+      .begun = from->wants[i]->begun,
+      .continued = from->wants[i]->continued,
+      .program = { from->wants[i]->further, from->wants[i]->life_ms },
+      .single = from->wants[i]->single,
     };
   to->kind = MQ_RELAY_QUOTA_REQUEST;
   to->u.quota_request = (struct mq_relay_quota_request){
@@ -508,6 +518,7 @@
       .empty = from->gifts[i]->empty,
       .standing = from->gifts[i]->standing,
       .standing_ms = from->gifts[i]->standing_ms,
+      .between_ms = from->gifts[i]->between_ms,
     };
   to->kind = MQ_RELAY_QUOTA_REPLY;
   to->u.quota_reply = (struct mq_relay_quota_reply){
--- a/src/router/router_admit.c
+++ b/src/router/router_admit.c
@@ -116,6 +116,16 @@
   return load > request->record_load ? load : request->record_load;
 }
 
+void
+request_begin_program (struct mq_request *request)
+{
+  uint64_t now = mq_clock_ms ();
+
+  mq_pace_record_begin (request->router->pace, request->service, now);
+  request->home = choose_home (request, now);
+  request_prepare_turn (request);
+}
+
 void
 request_admit_turn (struct mq_request *request)
 {
@@ -139,9 +149,7 @@
   switch (answer)
     {
     case MQ_ADMISSION_ACCEPTED:
-      mq_pace_record_begin (request->router->pace, request->service, now);
-      request->home = choose_home (request, now);
-      request_prepare_turn (request);
+      request_acquire_first_permit (request);
       return;
     case MQ_ADMISSION_OVERLOADED:
     case MQ_ADMISSION_TOO_LATE:
--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -309,7 +309,7 @@
 
   if (!request_resolve_version (request))
     return;
-  if (!request->permitted)
+  if (!request_has_permit (request))
     {
       request_acquire_permit (request);
       return;
--- a/src/router/router_permit.c
+++ b/src/router/router_permit.c
@@ -16,6 +16,10 @@
 #include <string.h>
 
 #define RETRY_MS 50U
+/* Longest time that a request of a program that has begun waits while the
+   limit is reached: the bucket fills meanwhile, and its program would lose
+   what it has run.  */
+#define BEGUN_WAIT_MS 600U
 #define REQUEST_TIMEOUT_MS 150U
 /* Longest time that a request waits for a permit, whichever hosts are asked
    meanwhile.  */
@@ -63,7 +67,7 @@
 
 /**
  * struct mq_permit - a queued request
- * @begins: the first request of a program
+ * @need: what the program needs then, if it is its first request
  * @message_id: id of the message that requests its permit, 0 if not sent yet
  * @since_ms: time it was queued
  */
@@ -71,7 +75,8 @@
 {
   struct share *share;
   struct mq_permit *next;
-  bool begins;
+  enum mq_permit_kind kind;
+  struct mq_program_need need;
   uint64_t message_id;
   uint64_t since_ms;
   mq_permit_handler *callback;
@@ -229,7 +234,8 @@
 }
 
 static struct mq_permit *
-enqueue (struct share *share, bool begins, mq_permit_handler *callback,
+enqueue (struct share *share, enum mq_permit_kind kind,
+         const struct mq_program_need *need, mq_permit_handler *callback,
          void *user)
 {
   struct mq_permit *permit
@@ -237,7 +243,8 @@
   struct mq_permit **at = &share->first;
 
   *permit = (struct mq_permit){ .share = share,
-                                .begins = begins,
+                                .kind = kind,
+                                .need = *need,
                                 .since_ms = mq_clock_boot_ms (),
                                 .callback = callback,
                                 .user = user };
@@ -273,9 +280,12 @@
   report_return (share, now);
 }
 
+/* Takes a permit that this host has.  */
 static enum mq_quota_decision
-acquire (struct share *share, bool begins, uint64_t now)
+acquire (struct share *share, enum mq_permit_kind kind,
+         const struct mq_program_need *need, uint64_t now)
 {
+  bool begins = kind == MQ_PERMIT_BEGINS;
   struct contact *contact = contact_of (share);
   const struct mq_quota_contact unknown_issuer = { 0 };
   enum mq_quota_decision decision;
@@ -288,12 +298,16 @@
       begins, now);
   if (decision == MQ_QUOTA_GRANTED && share->quota.on_standing_rate)
     share->permits->router->counters.permits_alone++;
+  if (decision == MQ_QUOTA_GRANTED && kind != MQ_PERMIT_SINGLE)
+    mq_quota_record_program (&share->quota, begins, need, now);
   return decision;
 }
 
 enum mq_permit_state
 mq_permit_request (struct mq_router *router, const struct mq_org *org,
-                   bool begins, mq_permit_handler *callback, void *user,
+                   enum mq_permit_kind kind,
+                   const struct mq_program_need *need,
+                   mq_permit_handler *callback, void *user,
                    struct mq_permit **permit, uint32_t *retry_ms)
 {
   uint64_t now = mq_clock_boot_ms ();
@@ -303,16 +317,22 @@
   *retry_ms = 0;
   share->active_ms = now;
   set_timers (router->permits);
-  switch (acquire (share, begins, now))
+  switch (acquire (share, kind, need, now))
     {
     case MQ_QUOTA_GRANTED:
       router->counters.permits_used++;
       return MQ_PERMIT_GRANTED;
     case MQ_QUOTA_ASK_ISSUER:
-      *permit = enqueue (share, begins, callback, user);
+      *permit = enqueue (share, kind, need, callback, user);
       return MQ_PERMIT_PENDING;
     case MQ_QUOTA_EXCEEDED:
-      *retry_ms = mq_quota_retry_after_ms (&share->quota, begins, now);
+      if (kind == MQ_PERMIT_CONTINUES)
+        {
+          *permit = enqueue (share, kind, need, callback, user);
+          return MQ_PERMIT_PENDING;
+        }
+      *retry_ms = mq_quota_retry_after_ms (&share->quota,
+                                           kind == MQ_PERMIT_BEGINS, now);
       return MQ_PERMIT_OVER_LIMIT;
     case MQ_QUOTA_NO_ISSUER:
       return MQ_PERMIT_UNKNOWN;
@@ -322,12 +342,15 @@
 
 bool
 mq_permit_would_refuse (struct mq_router *router, const struct mq_org *org,
-                        bool begins, uint32_t *retry_ms)
+                        enum mq_permit_kind kind, uint32_t *retry_ms)
 {
-  const struct share *share = mq_idmap_find (router->permits->shares,
-                                             mq_id_from_text (org->name), 0);
+  struct share *share = mq_idmap_find (router->permits->shares,
+                                       mq_id_from_text (org->name), 0);
   uint64_t now = mq_clock_boot_ms ();
+  bool begins = kind == MQ_PERMIT_BEGINS;
 
+  if (kind == MQ_PERMIT_CONTINUES)
+    return false;
   if (share == NULL || !mq_quota_is_exhausted (&share->quota, begins, now))
     return false;
   *retry_ms = mq_quota_retry_after_ms (&share->quota, begins, now);
@@ -337,15 +360,32 @@
 /* Requests to issuers */
 
 static void
-count_unsent (const struct share *share, uint32_t *need, uint32_t *begins)
+count_waiting (const struct mq_permit *permit,
+               struct mq_quota_waiting *waiting)
+{
+  switch (permit->kind)
+    {
+    case MQ_PERMIT_BEGINS:
+      waiting->begins++;
+      mq_quota_add_program (&waiting->programs, &permit->need);
+      return;
+    case MQ_PERMIT_SINGLE:
+      waiting->single++;
+      waiting->need++;
+      return;
+    case MQ_PERMIT_CONTINUES:
+      waiting->need++;
+      return;
+    }
+}
+
+static void
+count_unsent (const struct share *share, struct mq_quota_waiting *waiting)
 {
-  *need = 0;
-  *begins = 0;
+  *waiting = (struct mq_quota_waiting){ 0 };
   for (const struct mq_permit *at = share->first; at != NULL; at = at->next)
-    if (at->message_id == 0 && at->begins)
-      (*begins)++;
-    else if (at->message_id == 0)
-      (*need)++;
+    if (at->message_id == 0)
+      count_waiting (at, waiting);
 }
 
 static bool
@@ -444,18 +484,17 @@
   while (count < ORGS_PER_MESSAGE_MAX
          && (share = mq_idmap_next (permits->shares, &position)) != NULL)
     {
-      uint32_t need;
-      uint32_t begins;
+      struct mq_quota_waiting waiting;
 
       if (contact_of (share) != contact)
         continue;
       return_standing (share, now);
-      count_unsent (share, &need, &begins);
+      count_unsent (share, &waiting);
       needed = needed || is_active (share, now) || share->quota.standing > 0;
-      if (need + begins == 0 && !is_due (share, now))
+      if (waiting.need + waiting.begins == 0 && !is_due (share, now))
         continue;
       wants[count++] = mq_quota_request (&share->quota, &contact->quota,
-                                         share->name, need, begins, now);
+                                         share->name, &waiting, now);
       share->requested_ms = now;
       mark_sent (share, id);
     }
@@ -508,6 +547,21 @@
   send_all_due (permits);
 }
 
+/* Whether PERMIT is refused while the limit is reached.  */
+static bool
+is_refused (const struct mq_permit *permit, uint64_t now)
+{
+  return permit->kind != MQ_PERMIT_CONTINUES
+         || now >= permit->since_ms + BEGUN_WAIT_MS;
+}
+
+static void
+fail_if_old (struct mq_permit *permit, uint64_t now)
+{
+  if (now >= permit->since_ms + WAIT_MAX_MS)
+    complete_permit (permit, MQ_PERMIT_UNKNOWN, 0);
+}
+
 /* Requeues requests whose message timed out, grants those that the standing
    rate covers and fails those without an issuer.  */
 static void
@@ -522,7 +576,7 @@
       if (permit->message_id != 0
           && now >= message_sent_ms (permit->message_id) + REQUEST_TIMEOUT_MS)
         permit->message_id = 0;
-      switch (acquire (share, permit->begins, now))
+      switch (acquire (share, permit->kind, &permit->need, now))
         {
         case MQ_QUOTA_GRANTED:
           complete_permit (permit, MQ_PERMIT_GRANTED, 0);
@@ -531,9 +585,15 @@
           complete_permit (permit, MQ_PERMIT_UNKNOWN, 0);
           break;
         case MQ_QUOTA_EXCEEDED:
+          if (permit->kind == MQ_PERMIT_CONTINUES && is_refused (permit, now))
+            complete_permit (
+                permit, MQ_PERMIT_OVER_LIMIT,
+                mq_quota_retry_after_ms (&share->quota, false, now));
+          else
+            fail_if_old (permit, now);
+          break;
         case MQ_QUOTA_ASK_ISSUER:
-          if (now >= permit->since_ms + WAIT_MAX_MS)
-            complete_permit (permit, MQ_PERMIT_UNKNOWN, 0);
+          fail_if_old (permit, now);
           break;
         }
       permit = next;
@@ -585,7 +645,7 @@
 
 static void
 grant_queued (struct share *share, const struct mq_quota_grant *gift,
-              uint64_t message)
+              uint64_t message, uint64_t now)
 {
   uint32_t need = gift->need;
   uint32_t begins = gift->begins;
@@ -593,15 +653,20 @@
 
   while ((permit = find_in_message (share, message)) != NULL)
     {
-      uint32_t *from = permit->begins ? &begins : &need;
+      bool is_first = permit->kind == MQ_PERMIT_BEGINS;
+      uint32_t *from = is_first ? &begins : &need;
 
       if (*from > 0)
         {
           (*from)--;
           complete_permit (permit, MQ_PERMIT_GRANTED, 0);
         }
+      else if (is_refused (permit, now))
+        complete_permit (
+            permit, MQ_PERMIT_OVER_LIMIT,
+            mq_quota_retry_after_ms (&share->quota, is_first, now));
       else
-        complete_permit (permit, MQ_PERMIT_OVER_LIMIT, gift->retry_ms);
+        permit->message_id = 0;
     }
 }
 
@@ -635,7 +700,7 @@
                         message_sent_ms (reply->id), now);
   if (held && share->quota.standing == 0)
     report_return (share, now);
-  grant_queued (share, gift, reply->id);
+  grant_queued (share, gift, reply->id, now);
 }
 
 void
@@ -665,6 +730,7 @@
                       struct mq_relay_link *link, void *user)
 {
   static const struct mq_quota_contact none = { 0 };
+  static const struct mq_quota_waiting waiting = { 0 };
   struct mq_router *router = user;
   struct mq_permits *permits = router->permits;
   uint64_t now = mq_clock_boot_ms ();
@@ -681,8 +747,8 @@
     if (share->issuer != NULL && strcmp (share->issuer, recall->address) == 0)
       {
         mq_quota_surrender (&share->quota, recall->issuer_run_id, now);
-        wants[request.want_count++]
-            = mq_quota_request (&share->quota, &none, share->name, 0, 0, now);
+        wants[request.want_count++] = mq_quota_request (
+            &share->quota, &none, share->name, &waiting, now);
       }
   mq_relay_send_recall_reply (router->relay, link, &request);
   talloc_free (wants);
--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -87,6 +87,7 @@
                     request->completed_ms - request->arrived_ms);
   if (request->response_complete && request->turn.new_chain != NULL)
     mq_turn_log_record (&request->turn, &line);
+  request_log_limit (request, &line);
   if (request->retry_ms > 0)
     {
       mq_json_number (&line, "load", request->service_load);
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -41,6 +41,11 @@
  * @home: engine assigned to the new program; 0 if the program is not new
  * @permit: pending permit request; NULL if none
  * @permitted: a permit was granted or none is needed
+ * @before_turn: the permit is for a first turn that is not prepared yet
+ * @permit_until_ms: such a permit must be used before, local monotonic clock;
+ *                   0 if it was used
+ * @need: what the program was expected to need when it asked to begin
+ * @limit_retry_ms: delay to tell if the request is refused over the limit
  * @record_call: pending read of the program's record; NULL if none
  * @is_turn: the request is a turn of a program; @turn is valid
  * @send_body: body sent to the worker
@@ -98,6 +103,10 @@
   uint64_t home;
   struct mq_permit *permit;
   bool permitted;
+  bool before_turn;
+  uint64_t permit_until_ms;
+  struct mq_program_need need;
+  uint32_t limit_retry_ms;
   struct mq_table_client_call *record_call;
   bool is_turn;
   struct mq_turn turn;
@@ -193,10 +202,20 @@
 
 /* router_limit.c */
 
+/* Appends why the request was refused over the limit, if it was.  */
+void request_log_limit (const struct mq_request *request,
+                        struct mq_json_line *line);
 /* Obtains a permit, then calls request_dispatch.  */
 void request_acquire_permit (struct mq_request *request);
-/* Refuses the request if its organisation is known to be over its limit;
-   returns whether it did.  Called before the table is read.  */
+/* Obtains the permit of a program's first turn, then calls
+   request_begin_program.  */
+void request_acquire_first_permit (struct mq_request *request);
+/* Whether the request has its permit, which it uses now.  One of a first turn
+   whose preparation took long is dropped.  */
+bool request_has_permit (struct mq_request *request);
+/* Refuses the request if its organisation is known to be over its limit, and
+   its program has not begun elsewhere; returns false if it is not known to be.
+   Called before the turn is prepared.  */
 bool request_refuse_over_limit (struct mq_request *request);
 
 /* router_dispatch.c */
@@ -212,6 +231,8 @@
 /* Prepares the turn, unless it would begin a program that admission control
    refuses.  */
 void request_admit_turn (struct mq_request *request);
+/* Prepares the first turn of a program that was admitted.  */
+void request_begin_program (struct mq_request *request);
 
 /* router_pace.c */
 
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -20,6 +20,7 @@
 #include "core/router/chain.h"
 #include "core/router/event_stream.h"
 #include "core/router/fleet.h"
+#include "core/organisation/program_need.h"
 #include "core/router/pace.h"
 #include "core/histogram.h"
 #include "core/idmap.h"
@@ -68,6 +69,8 @@
   X (permits_issued, "permits issued to hosts")                               \
   X (permits_alone, "permits of a standing rate, the issuer being away")      \
   X (over_limit, "requests refused over a limit of their organisation")       \
+  X (limit_begun,                                                             \
+     "turns of begun programs taken for first ones at the limit")             \
   X (limit_unknown, "requests refused, nobody issuing permits")               \
   X (records_removed, "records of programs and turns removed")                \
   X (config_changes, "configurations taken into force")                       \
@@ -106,6 +109,7 @@
  * @config_query: query for the latest configuration; NULL before the first one
  * @workers_listed: the list of workers was received
  * @streams: versions of the streams that this host served
+ * @program_needs: what programs need; NULL if no organisation has any
  * @stopping: a stop was requested
  * @ending: the time of a stop is over; every request is answered at once
  * @stopped: the stop is complete
@@ -136,6 +140,7 @@
   struct mq_fleet *fleet;
   struct mq_admission *admission;
   struct mq_pace *pace;
+  struct mq_program_needs *program_needs;
   struct mq_idmap *shares;
   struct mq_pool *pool;
   struct mq_rows *rows;
@@ -472,6 +477,13 @@
 
 /* router_permit.c */
 
+enum mq_permit_kind
+{
+  MQ_PERMIT_BEGINS,    /* the first request of a program */
+  MQ_PERMIT_CONTINUES, /* a further one */
+  MQ_PERMIT_SINGLE     /* of no program */
+};
+
 enum mq_permit_state
 {
   MQ_PERMIT_GRANTED,
@@ -485,18 +497,20 @@
                                 void *user);
 
 struct mq_permits *mq_permits_create (struct mq_router *router);
-/* Requests a permit of ORG.  BEGINS: the request is the first of its program.
-   If the result is MQ_PERMIT_PENDING, sets *PERMIT and calls HANDLER later;
-   otherwise sets *RETRY_MS.  */
+/* Requests a permit of ORG.  NEED: what the program needs then, if KIND is
+   MQ_PERMIT_BEGINS.  If the result is MQ_PERMIT_PENDING, sets *PERMIT and
+   calls HANDLER later; otherwise sets *RETRY_MS.  */
 enum mq_permit_state mq_permit_request (struct mq_router *router,
-                                        const struct mq_org *org, bool begins,
+                                        const struct mq_org *org,
+                                        enum mq_permit_kind kind,
+                                        const struct mq_program_need *need,
                                         mq_permit_handler *handler, void *user,
                                         struct mq_permit **permit,
                                         uint32_t *retry_ms);
 /* Whether such a request would be refused now; sets *RETRY_MS if so.  */
 bool mq_permit_would_refuse (struct mq_router *router,
-                             const struct mq_org *org, bool begins,
-                             uint32_t *retry_ms);
+                             const struct mq_org *org,
+                             enum mq_permit_kind kind, uint32_t *retry_ms);
 /* Cancels the request.  PERMIT may be NULL.  */
 void mq_permit_cancel (struct mq_permit *permit);
 void mq_permits_sweep (struct mq_router *router);
--- a/tests/test_organisation.c
+++ b/tests/test_organisation.c
@@ -271,9 +271,9 @@
                 atoi (edge_find_run (site, "q2")->priority));
 }
 
-/* The first turn of PROGRAM.  */
+/* A turn of PROGRAM without a previous one.  */
 static int
-begin_program (const char *program, const char *key)
+turn_at (int router, const char *program, const char *key)
 {
   char text[512];
 
@@ -283,7 +283,14 @@
             "X-Token-Budget: 80\r\nX-Token-Count: 10,8\r\n"
             "Content-Length: 0\r\n\r\n",
             program, program, program, key);
-  return edge_request (site, &call, 0, text);
+  return edge_request (site, &call, router, text);
+}
+
+/* The first turn of PROGRAM.  */
+static int
+begin_program (const char *program, const char *key)
+{
+  return turn_at (0, program, key);
 }
 
 /* Programs that ask to begin count for their organisation, later turns and
@@ -573,6 +580,45 @@
   cr_expect_eq (refused, 0);
 }
 
+/* Failure: a later turn of a program reaches a host that has not served it
+   while first turns are refused over the limit, is taken for a first turn and
+   refused.  */
+Test (organisation, later_turn_at_another_host_is_not_a_first_one)
+{
+  char program[16];
+  int status = 200;
+
+  start_limited ();
+  cr_assert_eq (turn_at (0, "p", "acme-1"), 200, "%s", call.answer);
+  for (int i = 0; i < 20 && status == 200; i++)
+    {
+      snprintf (program, sizeof program, "q%d", i);
+      status = turn_at (1, program, "acme-1");
+    }
+  cr_assert_eq (status, 429, "%s", call.answer);
+  cr_expect_eq (turn_at (1, "p", "acme-1"), 200, "%s", call.answer);
+  cr_expect_eq (turn_at (1, "new", "acme-1"), 429, "%s", call.answer);
+}
+
+/* Failure: a first turn that was refused over the limit leaves a record, and
+   its program counts as begun when it returns.  */
+Test (organisation, refused_program_has_not_begun)
+{
+  char program[16];
+  int status = 200;
+
+  start_limited ();
+  for (int i = 0; i < 20 && status == 200; i++)
+    {
+      snprintf (program, sizeof program, "q%d", i);
+      status = turn_at (1, program, "acme-1");
+    }
+  cr_assert_eq (status, 429, "%s", call.answer);
+  for (int router = 0; router < EDGE_ROUTERS; router++)
+    cr_expect_eq (turn_at (router, program, "acme-1"), 429, "router %d: %s",
+                  router, call.answer);
+}
+
 /* Requests are served as soon as the limit is removed.  */
 Test (organisation, limit_is_removed)
 {
--- a/tests/test_quota_model.c
+++ b/tests/test_quota_model.c
@@ -5,9 +5,9 @@
    lost messages, one-way partitions, suspended hosts, restarts and takeover of
    the issuer, clock offset and drift, and changes of the limit.  At each use
    of a permit, all intervals that end there are checked against one token
-   bucket, in seeded random walks.  Injected faults show that the walks can
-   detect violations.
-   Needs: Criterion, quota.h, id.h.  */
+   bucket, in seeded random walks.  In some of them requests are first ones of
+   programs, for which permits are set aside.  Injected faults show that the
+   walks can detect violations. Needs: Criterion, quota.h, id.h.  */
 
 #include "core/id.h"
 #include "core/organisation/quota.h"
@@ -35,6 +35,9 @@
 static const struct mq_quota_limit limits[]
     = { { 80000, 40000 }, { 160000, 30000 }, { 40000, 80000 } };
 
+/* What programs are said to need after their first request.  */
+static const struct mq_program_need program_need = { 2000, 1000 };
+
 enum fault
 {
   FAULT_NONE,
@@ -50,9 +53,19 @@
   FAULT_RECALL_IGNORED,      /* silent hosts count as surrendered */
   FAULT_RELEASED_EARLY,      /* lease released while rates are lent */
   FAULT_RETURNED_RATE_USED,  /* a stopping host uses the rate it gave up */
+  FAULT_BEGINS_UNCHARGED,    /* programs begin with permits to come */
+  FAULT_CONTINUED_RETURNED,  /* prefetched permits that programs used count as
+                                returned */
   FAULT_COUNT
 };
 
+enum load
+{
+  LOAD_REQUESTS,
+  LOAD_STOPS,   /* hosts stop and start again */
+  LOAD_PROGRAMS /* a quarter of the requests are first ones of programs */
+};
+
 static const char *const fault_names[FAULT_COUNT] = { "none",
                                                       "false acknowledgement",
                                                       "rate beside permits",
@@ -65,7 +78,9 @@
                                                       "lease unchecked",
                                                       "recall ignored",
                                                       "released early",
-                                                      "returned rate used" };
+                                                      "returned rate used",
+                                                      "begins uncharged",
+                                                      "continued returned" };
 
 struct message
 {
@@ -116,6 +131,7 @@
   struct mq_quota_contact contacts[ISSUERS];
   uint64_t asked_ms;
   uint32_t waiting;
+  uint32_t waiting_begins;
   int lender;
   bool surrendered[HOSTS];
   struct mq_quota_issuer *issuer;
@@ -126,7 +142,8 @@
 struct world
 {
   enum fault fault;
-  bool stops; /* hosts stop and start again */
+  bool stops;    /* hosts stop and start again */
+  bool programs; /* some requests are first ones of programs */
   uint64_t random;
   uint64_t now_ms;
   struct host hosts[HOSTS];
@@ -266,8 +283,14 @@
   host->lease.unconfirmed_hosts = count_unconfirmed (world, at);
   mq_quota_record_ack (host->issuer, ask->host, want.heard_ms, now);
   if (may_issue (world, host))
-    reply.grant = mq_quota_issue (host->issuer, ask->host, &want, &bounds,
-                                  &host->lease, now);
+    {
+      if (world->fault == FAULT_CONTINUED_RETURNED)
+        want.unused += want.continued + want.begun;
+      reply.grant = mq_quota_issue (host->issuer, ask->host, &want, &bounds,
+                                    &host->lease, now);
+      if (world->fault == FAULT_BEGINS_UNCHARGED)
+        reply.grant.begins = want.begins;
+    }
   send_message (world, &reply);
 }
 
@@ -356,23 +379,31 @@
   if (host->stopping && world->fault != FAULT_RETURNED_RATE_USED)
     host->share.standing = 0;
   for (uint32_t i = draw (world, 3); i > 0; i--)
-    switch (mq_quota_try_acquire (&host->share, contact, draw (world, 4) == 0,
-                                  now))
-      {
-      case MQ_QUOTA_GRANTED:
-        record_use (world);
-        break;
-      case MQ_QUOTA_ASK_ISSUER:
-        host->waiting++;
-        if (world->fault == FAULT_RATE_BESIDE_PERMITS
-            && mq_quota_try_acquire (&host->share, &silent, false, now)
-                   == MQ_QUOTA_GRANTED)
+    {
+      bool begins = draw (world, 4) == 0;
+
+      switch (mq_quota_try_acquire (&host->share, contact, begins, now))
+        {
+        case MQ_QUOTA_GRANTED:
+          if (world->programs)
+            mq_quota_record_program (&host->share, begins, &program_need, now);
           record_use (world);
-        break;
-      case MQ_QUOTA_EXCEEDED:
-      case MQ_QUOTA_NO_ISSUER:
-        break;
-      }
+          break;
+        case MQ_QUOTA_ASK_ISSUER:
+          if (begins && world->programs)
+            host->waiting_begins++;
+          else
+            host->waiting++;
+          if (world->fault == FAULT_RATE_BESIDE_PERMITS
+              && mq_quota_try_acquire (&host->share, &silent, false, now)
+                     == MQ_QUOTA_GRANTED)
+            record_use (world);
+          break;
+        case MQ_QUOTA_EXCEEDED:
+        case MQ_QUOTA_NO_ISSUER:
+          break;
+        }
+    }
 }
 
 static void
@@ -384,8 +415,10 @@
   struct message message
       = { .from = at, .to = host->believed, .stopping = host->stopping };
   uint64_t standing = host->share.standing;
+  struct mq_quota_waiting waiting = { 0 };
 
-  if (host->waiting == 0 && now - host->asked_ms < MQ_QUOTA_POLL_INTERVAL_MS)
+  if (host->waiting + host->waiting_begins == 0
+      && now - host->asked_ms < MQ_QUOTA_POLL_INTERVAL_MS)
     return;
   host->asked_ms = now;
   mq_quota_record_request (contact, now);
@@ -395,11 +428,15 @@
   message.server = contact->server;
   if (host->stopping)
     host->share.standing = 0;
-  message.want
-      = mq_quota_request (&host->share, contact, "o", host->waiting, 0, now);
+  waiting.need = host->waiting;
+  waiting.begins = host->waiting_begins;
+  for (uint32_t i = 0; i < waiting.begins; i++)
+    mq_quota_add_program (&waiting.programs, &program_need);
+  message.want = mq_quota_request (&host->share, contact, "o", &waiting, now);
   if (world->fault == FAULT_RETURNED_RATE_USED)
     host->share.standing = standing;
   host->waiting = 0;
+  host->waiting_begins = 0;
   if (world->fault == FAULT_FALSE_SURRENDER)
     message.want.surrendered = world->limit.rate;
   send_message (world, &message);
@@ -440,7 +477,7 @@
       host->share.standing = before.standing;
       host->share.standing_until_ms = before.standing_until_ms;
     }
-  for (uint32_t i = 0; i < reply->grant.need; i++)
+  for (uint32_t i = 0; i < reply->grant.need + reply->grant.begins; i++)
     record_use (world);
 }
 
@@ -449,6 +486,7 @@
 handle_recall (struct world *world, int at, const struct message *message)
 {
   static const struct mq_quota_contact none = { 0 };
+  static const struct mq_quota_waiting waiting = { 0 };
   struct host *host = &world->hosts[at];
   uint64_t now = clock_of (world, host);
   struct message reply = { .from = at, .to = message->from, .recalled = true };
@@ -458,7 +496,7 @@
   reply.asked_ms = now;
   reply.host = host->run;
   reply.server = message->server;
-  reply.want = mq_quota_request (&host->share, &none, "o", 0, 0, now);
+  reply.want = mq_quota_request (&host->share, &none, "o", &waiting, now);
   send_message (world, &reply);
 }
 
@@ -476,6 +514,7 @@
   host->issuer = mq_quota_issuer_create (NULL);
   host->run = mq_random_next (&world->random);
   host->waiting = 0;
+  host->waiting_begins = 0;
   host->leaving = false;
   host->stopping = false;
   host->lender = -1;
@@ -614,13 +653,14 @@
 }
 
 static bool
-walk (uint64_t seed, enum fault fault, bool stops, size_t *uses)
+walk (uint64_t seed, enum fault fault, enum load load, size_t *uses)
 {
   struct world *world = talloc_zero (NULL, struct world);
   bool broken;
 
   world->fault = fault;
-  world->stops = stops;
+  world->stops = load == LOAD_STOPS;
+  world->programs = load == LOAD_PROGRAMS;
   world->random = seed;
   world->now_ms = 100000;
   world->limit = limits[seed % 3];
@@ -650,38 +690,74 @@
 static const uint64_t failed_seeds[] = { 993 };
 
 static void
-walk_without_faults (bool stops)
+walk_without_faults (enum load load)
 {
   size_t uses = 0;
 
   for (size_t i = 0; i < sizeof failed_seeds / sizeof failed_seeds[0]; i++)
-    cr_expect_not (walk (failed_seeds[i], FAULT_NONE, stops, &uses),
-                   "seed %lu", (unsigned long)failed_seeds[i]);
+    cr_expect_not (walk (failed_seeds[i], FAULT_NONE, load, &uses), "seed %lu",
+                   (unsigned long)failed_seeds[i]);
   uses = 0;
   for (uint64_t seed = 1; seed <= SEEDS; seed++)
-    cr_assert_not (walk (seed, FAULT_NONE, stops, &uses), "seed %lu",
+    cr_assert_not (walk (seed, FAULT_NONE, load, &uses), "seed %lu",
                    (unsigned long)seed);
   /* The walks make progress.  */
   cr_expect_gt (uses, (size_t)SEEDS * STEPS * STEP_MS / 1000 * 4);
 }
 
-Test (quota_model, never_more_than_one_bucket) { walk_without_faults (false); }
+Test (quota_model, never_more_than_one_bucket)
+{
+  walk_without_faults (LOAD_REQUESTS);
+}
 
 Test (quota_model, never_more_than_one_bucket_while_hosts_stop)
 {
-  walk_without_faults (true);
+  walk_without_faults (LOAD_STOPS);
+}
+
+Test (quota_model, never_more_than_one_bucket_while_programs_begin)
+{
+  walk_without_faults (LOAD_PROGRAMS);
+}
+
+static enum load
+load_of (enum fault fault)
+{
+  switch (fault)
+    {
+    case FAULT_RETURNED_RATE_USED:
+      return LOAD_STOPS;
+    case FAULT_BEGINS_UNCHARGED:
+    case FAULT_CONTINUED_RETURNED:
+      return LOAD_PROGRAMS;
+    case FAULT_NONE:
+    case FAULT_FALSE_ACK:
+    case FAULT_RATE_BESIDE_PERMITS:
+    case FAULT_RATES_FORGOTTEN:
+    case FAULT_EARLY_TAKEOVER:
+    case FAULT_FULL_BUCKET:
+    case FAULT_LATE_REPLIES:
+    case FAULT_FALSE_SURRENDER:
+    case FAULT_ENDLESS_STANDING:
+    case FAULT_LEASE_UNCHECKED:
+    case FAULT_RECALL_IGNORED:
+    case FAULT_RELEASED_EARLY:
+    case FAULT_COUNT:
+      return LOAD_REQUESTS;
+    }
+  return LOAD_REQUESTS;
 }
 
 Test (quota_model, injected_faults_are_detected)
 {
   for (int fault = 1; fault < FAULT_COUNT; fault++)
     {
-      bool stops = fault == FAULT_RETURNED_RATE_USED;
+      enum load load = load_of ((enum fault)fault);
       uint64_t seed = 1;
       size_t uses = 0;
 
       while (seed <= FAULT_SEEDS
-             && !walk (seed, (enum fault)fault, stops, &uses))
+             && !walk (seed, (enum fault)fault, load, &uses))
         seed++;
       cr_expect_leq (seed, FAULT_SEEDS, "%s was not detected",
                      fault_names[fault]);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -74,6 +74,11 @@
       cr_expect_eq (a[i].unused, b[i].unused);
       cr_expect_eq (a[i].surrendered, b[i].surrendered);
       cr_expect_eq (a[i].holds, b[i].holds);
+      cr_expect_eq (a[i].begun, b[i].begun);
+      cr_expect_eq (a[i].continued, b[i].continued);
+      cr_expect_eq (a[i].program.further, b[i].program.further);
+      cr_expect_eq (a[i].program.life_ms, b[i].program.life_ms);
+      cr_expect_eq (a[i].single, b[i].single);
     }
 }
 
@@ -92,6 +97,7 @@
       cr_expect_eq (a[i].empty, b[i].empty);
       cr_expect_eq (a[i].standing, b[i].standing);
       cr_expect_eq (a[i].standing_ms, b[i].standing_ms);
+      cr_expect_eq (a[i].between_ms, b[i].between_ms);
     }
 }
 
@@ -241,7 +247,11 @@
       .ahead = 3,
       .unused = 4,
       .surrendered = 5,
-      .holds = 6 },
+      .holds = 6,
+      .begun = 7,
+      .continued = 8,
+      .program = { 9, 10 },
+      .single = 11 },
     { .organisation = "bolt" },
   };
   struct mq_quota_grant gifts[] = {
@@ -252,7 +262,8 @@
       .retry_ms = 4,
       .empty = true,
       .standing = 5,
-      .standing_ms = 6 },
+      .standing_ms = 6,
+      .between_ms = 7 },
     { .organisation = "bolt", .unknown = true },
   };
   struct mq_relay_frame frames[] = {
