--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -69,6 +69,7 @@
      "budget retry_ms complete_ms "                                           \
      "worker_load worker_speed pace_load pace_turns idle_us growth_us "       \
      "excess bearable_us used "                                               \
+     "limit_retry_ms begins need need_ms "                                    \
      "org_part org_demand all_demand "                                        \
      "record record_ms record_host record_writes table_ms")                   \
   X (LOAD_INVALID, "load_invalid", WARNING, "worker count")                   \
