Replay: a refused caller comes back at a host reached by chance

Callers that are refused open a new connection, which reaches any host. The replay let them return to the same one, where the same load and the same hash refuse them again: it could not show programs that are refused by one host and admitted by another with less time left. Results count programs that were refused at first, and how they ended.

No decision is changed.

--- a/tests/replay.c
+++ b/tests/replay.c
@@ -82,6 +82,7 @@
  * @sends: sends of the current turn
  * @home: worker in the program's record, 0 if none
  * @begun: the program was admitted
+ * @refusals: times that admission control refused it
  */
 struct program
 {
@@ -106,6 +107,7 @@
   uint32_t sends;
   uint64_t home;
   bool begun;
+  uint32_t refusals;
 };
 
 struct host
@@ -250,6 +252,19 @@
   return &self->result->seconds[program->began_ms / MS_PER_S];
 }
 
+/* Counts a program that admission control refused at first.  */
+static void
+count_return (struct replay *self, const struct program *program, bool met)
+{
+  self->result->turned_away++;
+  if (program->refusals > 1)
+    self->result->turned_away_again++;
+  if (met)
+    self->result->returned_met++;
+  else if (program->begun)
+    self->result->returned_late++;
+}
+
 static void
 end_program (struct replay *self, const struct program *program, bool whole)
 {
@@ -258,6 +273,8 @@
           is_counted (program) ? second_of (self, program) : NULL };
   uint64_t took = self->now_ms - program->began_ms;
 
+  if (program->refusals > 0)
+    count_return (self, program, whole && took <= program->deadline_ms);
   for (size_t i = 0; i < 2; i++)
     {
       if (counts[i] == NULL)
@@ -343,8 +360,8 @@
   };
 }
 
-/* Retries a turn that was rejected or timed out, up to the limits of callers.
- */
+/* Retries a turn that was rejected or timed out, up to the limits of callers,
+   at a host that the caller reaches by chance.  */
 static void
 retry_turn (struct replay *self, struct program *program, uint64_t wait_ms)
 {
@@ -352,6 +369,7 @@
                       ? program->sent_ms + TURN_DEADLINE_MS - self->now_ms
                       : 0;
 
+  program->host = (uint32_t)(random_number (self) % self->options->hosts);
   if (++program->tries < TRIES_PER_SEND && left > 0)
     {
       schedule (self, program, wait_ms < left / 3 ? wait_ms : left / 3);
@@ -434,6 +452,7 @@
     program->sent_ms = self->now_ms;
   if (!admit (self, program, &retry_ms))
     {
+      program->refusals++;
       retry_turn (self, program, retry_ms);
       return;
     }
--- a/tests/replay.h
+++ b/tests/replay.h
@@ -89,6 +89,10 @@
  * @turns: completed turns
  * @prefill_tokens: prompt tokens that the engines processed
  * @preempted: runs that were preempted
+ * @turned_away: programs refused at least once, by admission control
+ * @turned_away_again: of them those refused more than once
+ * @returned_met: of them those that met their deadline
+ * @returned_late: of them those that began and did not
  */
 struct replay_result
 {
@@ -97,6 +101,10 @@
   uint64_t turns;
   uint64_t prefill_tokens;
   uint64_t preempted;
+  uint32_t turned_away;
+  uint32_t turned_away_again;
+  uint32_t returned_met;
+  uint32_t returned_late;
 };
 
 /* Options of the tests: 12 hosts, 12 engines of few slots that keep their
