Refusal lines tell the time that the caller waits for the turn

A caller that comes back within the wait of one turn has less of it left. The line of a refused program has deadline_ms beside left_ms, which callers leave as it was when they sent the turn first.

--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -92,6 +92,7 @@
       mq_json_number (&line, "load", request->service_load);
       request_log_pace (request, &line);
       request_log_shares (request, &line);
+      mq_json_number (&line, "deadline_ms", request->fields.deadline_ms);
       mq_json_number (&line, "left_ms", request->fields.left_ms);
       mq_json_number (&line, "budget", request->fields.budget);
       mq_json_number (&line, "retry_ms", request->retry_ms);
