Refused programs come back by the time they have left; a rise beyond chance counts

A returned program is admitted at a load that is lower the more of its time it has lost, so that large programs, which have much, are not held like small ones.

--- a/src/core/router/admission.c
+++ b/src/core/router/admission.c
@@ -40,10 +40,14 @@
 /* Time per token is in thousandths of a millisecond.  */
 #define TIME_UNIT 1000U
 #define HASH_RANGE 1000U
-/* Below these loads a program that was refused may begin: slots are free
-   again, and turns are clearly faster than where programs are at risk.  */
+/* Below this load a program that was refused may begin: slots are free.  */
 #define LOAD_RETURN 900U
-#define PACE_RETURN 500U
+/* The pace at which it may begin is lower by this times the part of its time
+   that it has lost since: hosts that know too little would be found otherwise
+   by programs that have little time left.  */
+#define LOST_FACTOR 5U
+/* It is lower by this at most, so that what returns to idle workers begins.  */
+#define LOST_MAX 700U
 #define MS_PER_S 1000U
 
 /* Key spaces of struct mq_admission names.  */
@@ -266,6 +270,20 @@
   return time * 100U < mean->time * LATE_PERCENT;
 }
 
+/* Whether the load has fallen so far that a program that has lost a part of
+   its time still ends in time.  */
+static bool
+has_room_again (const struct mq_admission_request *request, uint32_t level)
+{
+  uint64_t lost = (uint64_t)request->lost_ms * LOST_FACTOR * LOAD_FULL;
+  uint64_t time = (uint64_t)request->lost_ms + request->remaining_ms;
+  uint64_t less = request->has_remaining ? lost / time : 0;
+
+  if (less > LOST_MAX)
+    less = LOST_MAX;
+  return level < LOAD_RETURN && request->pace_load + less < LOAD_FULL;
+}
+
 /* PART: part of the programs of its organisation that is admitted at LEVEL.
    LATE: the program is short of time.
 
@@ -275,8 +293,8 @@
 is_admitted (const struct mq_admission_request *request, uint32_t level,
              uint32_t part, bool late)
 {
-  if (request->returns)
-    return level < LOAD_RETURN && request->pace_load < PACE_RETURN;
+  if (request->lost_ms > 0)
+    return has_room_again (request, level);
   if (late)
     return level < LOAD_FULL;
   return place (request) < part;
--- a/src/core/router/admission.h
+++ b/src/core/router/admission.h
@@ -31,7 +31,8 @@
  *         route
  * @priority: priority of the route, 0 is the highest
  * @program: hash of the program's id
- * @returns: the program was refused lately (returns.h)
+ * @lost_ms: time since the program was refused first, 0 if it was not
+ *           (returns.h)
  * @load: load of the service in thousandths of its capacity, 0 if unknown
  * @pace_load: load of the service as programs of the route bear it, same unit
  *             (mq_pace_load); 0 if unknown
@@ -51,7 +52,7 @@
   const char *route;
   uint32_t priority;
   uint64_t program;
-  bool returns;
+  uint32_t lost_ms;
   uint32_t load;
   uint32_t pace_load;
   uint32_t record_load;
--- a/src/core/router/pace.c
+++ b/src/core/router/pace.c
@@ -41,9 +41,10 @@
 #define AT_RISK_PART 0.05
 /* Programs whose time is remembered; a further one replaces another.  */
 #define PROGRAMS 1024U
-/* The load rises at most by this factor more than the requests that arrive:
-   the line does not hold far beyond the loads that it was learned from.  */
-#define COMPOUND_MAX 2.0
+/* Standard deviations of the usual count within which a difference is chance.
+
+   Failure: hosts that few programs reach refuse some without need.  */
+#define CHANCE 2.0
 /* Factor by which a full worker must be slower than an idle one for its pace
    to count: more than programs are given.  Below it the bounds on slots
    suffice. */
@@ -378,8 +379,7 @@
 }
 
 /* Factor by which the load will rise, since programs that begin load the
-   workers for as long as they last.  A difference within one standard
-   deviation of the usual count is chance.  A fall does not count: a program
+   workers for as long as they last.  A fall does not count: a program
    that begins now meets the present load.  */
 static double
 expected_rise (struct service_pace *service, uint64_t now)
@@ -403,7 +403,7 @@
     }
   if (usual < 1.0)
     usual = 1.0;
-  chance = sqrt (usual);
+  chance = CHANCE * sqrt (usual);
   if (recent > usual + chance)
     return (recent - chance) / usual;
   return 1.0;
@@ -411,21 +411,6 @@
 
 /* Conclusions */
 
-/* Load once the requests that arrive have risen by RISE.  It is what arrives
-   times the time that it takes, which grows with the load itself.  */
-static double
-expected_load (const struct service_pace *service, double load, double rise)
-{
-  double idle = service->idle;
-  double arrive = load / (idle + service->growth * load) * rise;
-  double room = 1.0 - arrive * service->growth;
-  double most = load * rise * COMPOUND_MAX;
-
-  if (room <= 0 || arrive * idle / room > most)
-    return rise > 1.0 ? most : load;
-  return arrive * idle / room;
-}
-
 /* Load at which the slowest programs use the part USED of their time,
    thousandths.  */
 static uint32_t
@@ -457,8 +442,7 @@
   if (service->turns < TURNS_MIN || bearable <= 0 || !slows_down (service))
     return 0;
   load = (double)program->service_load / THOUSAND;
-  load = expected_load (service, load,
-                        expected_rise (service, program->now_ms));
+  load *= expected_rise (service, program->now_ms);
   time = service->excess * (service->idle + service->growth * load);
   return load_of_used (time / bearable * THOUSAND);
 }
--- a/src/core/router/returns.c
+++ b/src/core/router/returns.c
@@ -12,11 +12,13 @@
 /**
  * struct refused - a program that was refused
  * @id: hash of its id
+ * @first_ms: first refusal
  * @known_ms: latest refusal; 0: the entry is free
  */
 struct refused
 {
   uint64_t id;
+  uint64_t first_ms;
   uint64_t known_ms;
 };
 
@@ -41,21 +43,42 @@
   talloc_free (returns);
 }
 
+/* The entry of PROGRAM if it is known, else NULL.  */
+static const struct refused *
+find (const struct mq_returns *returns, uint64_t program, uint64_t now_ms)
+{
+  const struct refused *refused = &returns->programs[program % PROGRAMS];
+
+  if (refused->id == program && refused->known_ms > 0
+      && now_ms < refused->known_ms + MQ_RETURNS_KNOWN_MS)
+    return refused;
+  return NULL;
+}
+
 void
 mq_returns_record (struct mq_returns *returns, uint64_t program,
                    uint64_t now_ms)
 {
-  returns->programs[program % PROGRAMS] = (struct refused){ program, now_ms };
+  const struct refused *refused = find (returns, program, now_ms);
+
+  returns->programs[program % PROGRAMS] = (struct refused){
+    .id = program,
+    .first_ms = refused != NULL ? refused->first_ms : now_ms,
+    .known_ms = now_ms,
+  };
 }
 
-bool
-mq_returns_is_known (const struct mq_returns *returns, uint64_t program,
-                     uint64_t now_ms)
+uint32_t
+mq_returns_lost_ms (const struct mq_returns *returns, uint64_t program,
+                    uint64_t now_ms)
 {
-  const struct refused *refused = &returns->programs[program % PROGRAMS];
+  const struct refused *refused = find (returns, program, now_ms);
 
-  return refused->id == program && refused->known_ms > 0
-         && now_ms < refused->known_ms + MQ_RETURNS_KNOWN_MS;
+  if (refused == NULL)
+    return 0;
+  if (now_ms <= refused->first_ms)
+    return 1;
+  return (uint32_t)(now_ms - refused->first_ms);
 }
 
 /* Failure: a program that returns when the load has fallen has little time
--- a/src/core/router/returns.h
+++ b/src/core/router/returns.h
@@ -6,7 +6,8 @@
    admitted, with less time left than those that came first, and most of them
    are late.  A program that was refused is therefore known for a while, at
    this host and at those that this one tells (mq_relay_tell_refused), and
-   admitted only once the load has clearly fallen (admission.h).
+   admitted only at a load at which it ends in the time that it still has
+   (admission.h).
 
    Pure: callers pass the time.
    Needs: types.h.  */
@@ -31,9 +32,10 @@
 /* Remembers that PROGRAM, the hash of a program's id, was refused.  */
 void mq_returns_record (struct mq_returns *returns, uint64_t program,
                         uint64_t now_ms);
-/* Whether PROGRAM was refused within MQ_RETURNS_KNOWN_MS.  */
-bool mq_returns_is_known (const struct mq_returns *returns, uint64_t program,
-                          uint64_t now_ms);
+/* Time since PROGRAM was refused first, 1 ms at least; 0 if it was not refused
+   within MQ_RETURNS_KNOWN_MS.  */
+uint32_t mq_returns_lost_ms (const struct mq_returns *returns,
+                             uint64_t program, uint64_t now_ms);
 /* Delay after which the refused PROGRAM may return, spread by its hash between
    MQ_RETURNS_MIN_MS and MQ_RETURNS_MAX_MS.  */
 uint32_t mq_returns_delay_ms (uint64_t program);
--- a/src/router/router_admit.c
+++ b/src/router/router_admit.c
@@ -44,8 +44,7 @@
     .route = request->route->name,
     .priority = request_priority (request),
     .program = program,
-    .returns
-    = mq_returns_is_known (request->router->returns, program, now),
+    .lost_ms = mq_returns_lost_ms (request->router->returns, program, now),
     .load = mq_fleet_service_pressure (request->router->fleet,
                                        request->service, now),
     .pace_load = request_pace_load (request, now),
