Telling refused programs is taken out again; the rise beyond chance stays

Callers saw programs refused by a host that few reach while the others had room: one standard deviation of a small count is often passed, and the rise was compounded by the line.

--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -30,7 +30,6 @@
 typedef struct Mqrelay__QuotaRecall Mqrelay__QuotaRecall;
 typedef struct Mqrelay__QuotaGift Mqrelay__QuotaGift;
 typedef struct Mqrelay__QuotaTold Mqrelay__QuotaTold;
-typedef struct Mqrelay__Refused Mqrelay__Refused;
 typedef struct Mqrelay__Frame Mqrelay__Frame;
 
 
@@ -412,22 +411,6 @@
     , 0, 0, 0, 0,NULL }
 
 
-/*
- * A program was refused and will come back; to the hosts of the data centre.
- */
-struct  Mqrelay__Refused
-{
-  ProtobufCMessage base;
-  /*
-   * hash of its id
-   */
-  uint64_t program;
-};
-#define MQRELAY__REFUSED__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&mqrelay__refused__descriptor) \
-    , 0 }
-
-
 typedef enum {
   MQRELAY__FRAME__BODY__NOT_SET = 0,
   MQRELAY__FRAME__BODY_ASK = 1,
@@ -440,8 +423,7 @@
   MQRELAY__FRAME__BODY_QUOTA_ASK = 8,
   MQRELAY__FRAME__BODY_QUOTA_TOLD = 9,
   MQRELAY__FRAME__BODY_QUOTA_RECALL = 10,
-  MQRELAY__FRAME__BODY_HANDOVER = 11,
-  MQRELAY__FRAME__BODY_REFUSED = 12
+  MQRELAY__FRAME__BODY_HANDOVER = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MQRELAY__FRAME__BODY__CASE)
 } Mqrelay__Frame__BodyCase;
 
@@ -464,7 +446,6 @@
      * not asked for: a turn of the program has ended
      */
     Mqrelay__LoanTold *handover;
-    Mqrelay__Refused *refused;
   };
 };
 #define MQRELAY__FRAME__INIT \
@@ -757,25 +738,6 @@
 void   mqrelay__quota_told__free_unpacked
                      (Mqrelay__QuotaTold *message,
                       ProtobufCAllocator *allocator);
-/* Mqrelay__Refused methods */
-void   mqrelay__refused__init
-                     (Mqrelay__Refused         *message);
-size_t mqrelay__refused__get_packed_size
-                     (const Mqrelay__Refused   *message);
-size_t mqrelay__refused__pack
-                     (const Mqrelay__Refused   *message,
-                      uint8_t             *out);
-size_t mqrelay__refused__pack_to_buffer
-                     (const Mqrelay__Refused   *message,
-                      ProtobufCBuffer     *buffer);
-Mqrelay__Refused *
-       mqrelay__refused__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   mqrelay__refused__free_unpacked
-                     (Mqrelay__Refused *message,
-                      ProtobufCAllocator *allocator);
 /* Mqrelay__Frame methods */
 void   mqrelay__frame__init
                      (Mqrelay__Frame         *message);
@@ -842,9 +804,6 @@
 typedef void (*Mqrelay__QuotaTold_Closure)
                  (const Mqrelay__QuotaTold *message,
                   void *closure_data);
-typedef void (*Mqrelay__Refused_Closure)
-                 (const Mqrelay__Refused *message,
-                  void *closure_data);
 typedef void (*Mqrelay__Frame_Closure)
                  (const Mqrelay__Frame *message,
                   void *closure_data);
@@ -869,7 +828,6 @@
 extern const ProtobufCMessageDescriptor mqrelay__quota_recall__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__quota_gift__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__quota_told__descriptor;
-extern const ProtobufCMessageDescriptor mqrelay__refused__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/core/router/admission.c
+++ b/src/core/router/admission.c
@@ -1,12 +1,11 @@
 /* admission.c - admission control for new programs.
 
-   Needs: admission.h, returns.h, id.h, idmap.h, memory.h.  */
+   Needs: admission.h, id.h, idmap.h, memory.h.  */
 
 #include "admission.h"
 #include "../id.h"
 #include "../idmap.h"
 #include "../memory.h"
-#include "returns.h"
 
 /* On the highest-priority route, programs are rejected in increasing numbers
    from REJECT_LOAD_MIN, all of them from REJECT_LOAD_MAX.  The minimum leaves
@@ -39,15 +38,10 @@
 #define MEAN_PROGRAMS 32
 /* Time per token is in thousandths of a millisecond.  */
 #define TIME_UNIT 1000U
+#define RETRY_MIN_MS 100U
+#define RETRY_MAX_MS 400U
 #define HASH_RANGE 1000U
-/* Below this load a program that was refused may begin: slots are free.  */
-#define LOAD_RETURN 900U
-/* The pace at which it may begin is lower by this times the part of its time
-   that it has lost since: hosts that know too little would be found otherwise
-   by programs that have little time left.  */
-#define LOST_FACTOR 5U
-/* It is lower by this at most, so that what returns to idle workers begins.  */
-#define LOST_MAX 700U
+#define HASH_MIX 0x9e3779b97f4a7c15ULL
 #define MS_PER_S 1000U
 
 /* Key spaces of struct mq_admission names.  */
@@ -270,34 +264,19 @@
   return time * 100U < mean->time * LATE_PERCENT;
 }
 
-/* Whether the load has fallen so far that a program that has lost a part of
-   its time still ends in time.  */
-static bool
-has_room_again (const struct mq_admission_request *request, uint32_t level)
-{
-  uint64_t lost = (uint64_t)request->lost_ms * LOST_FACTOR * LOAD_FULL;
-  uint64_t time = (uint64_t)request->lost_ms + request->remaining_ms;
-  uint64_t less = request->has_remaining ? lost / time : 0;
-
-  if (less > LOST_MAX)
-    less = LOST_MAX;
-  return level < LOAD_RETURN && request->pace_load + less < LOAD_FULL;
-}
+/* Delay after which a refused program may return, spread by its id.
 
-/* PART: part of the programs of its organisation that is admitted at LEVEL.
-   LATE: the program is short of time.
-
-   Failure: a program that one host refused is admitted by another one, whose
-   level differs a little, with less time left than those that come first.  */
-static bool
-is_admitted (const struct mq_admission_request *request, uint32_t level,
-             uint32_t part, bool late)
+   Failure: a program that returns when the load has fallen has little time
+   left; it is admitted, ends late, and takes the place of one that would
+   not.  */
+static uint32_t
+retry_delay (const struct mq_admission_request *request)
 {
-  if (request->lost_ms > 0)
-    return has_room_again (request, level);
-  if (late)
-    return level < LOAD_FULL;
-  return place (request) < part;
+  /* The bound on the load uses the low digits of the hash.  */
+  uint64_t part = (request->program * HASH_MIX >> 32) % HASH_RANGE;
+
+  return RETRY_MIN_MS
+         + (uint32_t)((RETRY_MAX_MS - RETRY_MIN_MS) * part / HASH_RANGE);
 }
 
 enum mq_admission_decision
@@ -312,9 +291,9 @@
 
   *retry_ms = 0;
   admission->last_part = own;
-  if (is_admitted (request, level, own, late))
+  if (late ? level < LOAD_FULL : place (request) < own)
     return MQ_ADMISSION_ACCEPTED;
-  *retry_ms = mq_returns_delay_ms (request->program);
+  *retry_ms = retry_delay (request);
   return late ? MQ_ADMISSION_TOO_LATE : MQ_ADMISSION_OVERLOADED;
 }
 
--- a/src/core/router/admission.h
+++ b/src/core/router/admission.h
@@ -9,8 +9,7 @@
    all hosts reject the same programs without coordination.  Where
    organisations share the service, the part of programs that is rejected
    differs by organisation (shares.h), and its sum is the same.  A program that
-   retries after a rejection does not displace one that has its full time left:
-   it is admitted only once the load has clearly fallen.
+   retries after a rejection does not displace one that has its full time left.
    Pure: callers pass the time.
    Needs: types.h, shares.h.  */
 
@@ -31,8 +30,6 @@
  *         route
  * @priority: priority of the route, 0 is the highest
  * @program: hash of the program's id
- * @lost_ms: time since the program was refused first, 0 if it was not
- *           (returns.h)
  * @load: load of the service in thousandths of its capacity, 0 if unknown
  * @pace_load: load of the service as programs of the route bear it, same unit
  *             (mq_pace_load); 0 if unknown
@@ -52,7 +49,6 @@
   const char *route;
   uint32_t priority;
   uint64_t program;
-  uint32_t lost_ms;
   uint32_t load;
   uint32_t pace_load;
   uint32_t record_load;
--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -65,7 +65,7 @@
                     "budget retry_ms complete_ms "                            \
                     "worker_load pace_load pace_turns idle_us growth_us "     \
                     "excess bearable_us used "                                \
-                    "org_part org_demand all_demand deadline_ms "                      \
+                    "org_part org_demand all_demand deadline_ms "             \
                     "record record_ms record_host record_writes table_ms")    \
   X (RECORD_NOT_WRITTEN, "record_not_written", WARNING,                       \
      "id run how record_host record_ms table_ms")                             \
--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -307,9 +307,6 @@
     case MQ_RELAY_QUOTA_RECALL:
       owner->quota_recall (&frame->u.quota_recall, link, owner->user);
       return;
-    case MQ_RELAY_REFUSED:
-      owner->refused (&frame->u.refused, owner->user);
-      return;
     case MQ_RELAY_QUOTA_REPLY:
       on_quota_reply (relay, link, &frame->u.quota_reply);
       return;
@@ -621,19 +618,6 @@
   return relay_send_to_host (relay, add_host (relay, address), &frame);
 }
 
-void
-mq_relay_tell_refused (struct mq_relay *relay, uint64_t program)
-{
-  struct mq_relay_frame frame
-      = { .kind = MQ_RELAY_REFUSED, .u.refused = { program } };
-
-  if (mq_relay_uses_cache_hosts (relay))
-    return;
-  for (struct host *host = relay->hosts; host != NULL; host = host->next)
-    if (host->near && host->listed)
-      (void)relay_send_to_host (relay, host, &frame);
-}
-
 uint32_t
 mq_relay_recall_quota (struct mq_relay *relay, uint64_t run_id)
 {
--- a/src/router/relay.h
+++ b/src/router/relay.h
@@ -36,7 +36,6 @@
  * @quota_reply: permits from the host at ADDRESS
  * @quota_recall: a restarted issuer recalls the rates that it lent; answered
  *                with mq_relay_send_recall_reply
- * @refused: a program that another host of the data centre has refused
  * @user: passed to all callbacks
  */
 struct mq_relay_owner
@@ -57,7 +56,6 @@
                        const char *address, void *user);
   void (*quota_recall) (const struct mq_relay_quota_recall *recall,
                         struct mq_relay_link *link, void *user);
-  void (*refused) (const struct mq_relay_refused *refused, void *user);
   void *user;
 };
 
@@ -180,10 +178,6 @@
 void mq_relay_send_recall_reply (struct mq_relay *relay,
                                  struct mq_relay_link *link,
                                  const struct mq_relay_quota_request *request);
-/* Tells the hosts of the data centre that PROGRAM, the hash of a program's id,
-   was refused.  Does nothing where they are so many that there are cache
-   hosts: they would send more frames than they serve requests.  */
-void mq_relay_tell_refused (struct mq_relay *relay, uint64_t program);
 /* Calls relayed through other hosts, and made for them.  */
 uint64_t mq_relay_calls_sent (const struct mq_relay *relay);
 uint64_t mq_relay_calls_served (const struct mq_relay *relay);
--- a/src/router/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -315,18 +315,6 @@
   return pack (ctx, &frame);
 }
 
-static struct mq_bytes
-pack_refused (TALLOC_CTX *ctx, const struct mq_relay_refused *refused)
-{
-  Mqrelay__Frame frame = MQRELAY__FRAME__INIT;
-  Mqrelay__Refused to = MQRELAY__REFUSED__INIT;
-
-  frame.body_case = MQRELAY__FRAME__BODY_REFUSED;
-  frame.refused = &to;
-  to.program = refused->program;
-  return pack (ctx, &frame);
-}
-
 /* Packs FRAME; the bytes and all temporary data are allocated below CTX.  */
 static struct mq_bytes
 pack_body (TALLOC_CTX *ctx, const struct mq_relay_frame *frame)
@@ -355,8 +343,6 @@
       return pack_quota_reply (ctx, &frame->u.quota_reply);
     case MQ_RELAY_QUOTA_RECALL:
       return pack_quota_recall (ctx, &frame->u.quota_recall);
-    case MQ_RELAY_REFUSED:
-      return pack_refused (ctx, &frame->u.refused);
     case MQ_RELAY_UNKNOWN:
       break;
     }
@@ -587,10 +573,6 @@
           = (struct mq_relay_quota_recall){ from->quota_recall->server,
                                             from->quota_recall->address };
       return true;
-    case MQRELAY__FRAME__BODY_REFUSED:
-      to->kind = MQ_RELAY_REFUSED;
-      to->u.refused = (struct mq_relay_refused){ from->refused->program };
-      return true;
     default:
       to->kind = MQ_RELAY_UNKNOWN;
       return true;
--- a/src/router/relay_frame.h
+++ b/src/router/relay_frame.h
@@ -25,7 +25,6 @@
   MQ_RELAY_QUOTA_REQUEST, /* request for permits */
   MQ_RELAY_QUOTA_REPLY,   /* permits issued */
   MQ_RELAY_QUOTA_RECALL,  /* recall of rates lent by earlier runs */
-  MQ_RELAY_REFUSED,       /* a program that was refused */
   MQ_RELAY_UNKNOWN        /* from a newer version; ignored */
 };
 
@@ -175,15 +174,6 @@
   const char *address;
 };
 
-/**
- * struct mq_relay_refused - a program that the sender has just refused
- * @program: hash of its id
- */
-struct mq_relay_refused
-{
-  uint64_t program;
-};
-
 /**
  * struct mq_relay_frame - one message
  * @kind: selects the member of @u
@@ -204,7 +194,6 @@
     struct mq_relay_quota_request quota_request;
     struct mq_relay_quota_reply quota_reply;
     struct mq_relay_quota_recall quota_recall;
-    struct mq_relay_refused refused;
   } u;
 };
 
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -209,7 +209,6 @@
                                   .quota_request = mq_issuing_on_request,
                                   .quota_reply = mq_permits_on_reply,
                                   .quota_recall = mq_permits_on_recall,
-                                  .refused = mq_router_on_refused,
                                   .user = router };
 
   router->log = mq_json_log_create (router, router->ev, STDOUT_FILENO,
@@ -217,7 +216,6 @@
   router->fleet = mq_fleet_create (router);
   router->admission = mq_admission_create (router);
   router->pace = mq_pace_create (router);
-  router->returns = mq_returns_create (router);
   router->shares = mq_idmap_create (router);
   router->rows = mq_rows_create (router, router->ev, settings->table);
   if (router->log == NULL || router->fleet == NULL || router->admission == NULL
--- a/src/router/router_admit.c
+++ b/src/router/router_admit.c
@@ -2,8 +2,7 @@
 
    Turns of programs that have begun are never refused here.  This host knows
    the programs it serves; the record of a program shows whether another host
-   has served it.  The hosts of a data centre tell each other which programs
-   they have refused.
+   has served it.
    Needs: router_request.h, id.h, clock.h.  */
 
 #include "core/id.h"
@@ -26,25 +25,17 @@
          / MQ_FLEET_DELAY_FULL_PERCENT;
 }
 
-static uint64_t
-hash_program (const struct mq_request *request)
-{
-  return mq_hash_bytes (request->program, strlen (request->program),
-                        ADMISSION_SEED);
-}
-
 static struct mq_admission_request
 make_admission_request (const struct mq_request *request, uint64_t now)
 {
   const struct mq_request_fields *fields = &request->fields;
-  uint64_t program = hash_program (request);
 
   return (struct mq_admission_request){
     .service = request->service,
     .route = request->route->name,
     .priority = request_priority (request),
-    .program = program,
-    .lost_ms = mq_returns_lost_ms (request->router->returns, program, now),
+    .program = mq_hash_bytes (request->program, strlen (request->program),
+                              ADMISSION_SEED),
     .load = mq_fleet_service_pressure (request->router->fleet,
                                        request->service, now),
     .pace_load = request_pace_load (request, now),
@@ -58,29 +49,9 @@
   };
 }
 
-/* The program comes back to any host of this data centre.  */
-static void
-remember_refused (const struct mq_request *request)
-{
-  struct mq_router *router = request->router;
-  uint64_t program = hash_program (request);
-
-  mq_returns_record (router->returns, program, mq_clock_ms ());
-  mq_relay_tell_refused (router->relay, program);
-}
-
-void
-mq_router_on_refused (const struct mq_relay_refused *refused, void *user)
-{
-  struct mq_router *router = user;
-
-  mq_returns_record (router->returns, refused->program, mq_clock_ms ());
-}
-
 static void
 refuse_program (struct mq_request *request)
 {
-  remember_refused (request);
   request->router->counters.programs_refused++;
   request_record_refused_program (request);
   request_refuse (request, request->program_deadline_at_risk
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -25,7 +25,6 @@
 #include "core/idmap.h"
 #include "core/router/recent.h"
 #include "core/router/reserve.h"
-#include "core/router/returns.h"
 #include "core/router/streams.h"
 #include "core/router/route.h"
 #include "net/buffer.h"
@@ -137,7 +136,6 @@
   struct mq_fleet *fleet;
   struct mq_admission *admission;
   struct mq_pace *pace;
-  struct mq_returns *returns;
   struct mq_idmap *shares;
   struct mq_pool *pool;
   struct mq_rows *rows;
@@ -424,11 +422,6 @@
 bool mq_turns_have_unrecorded_tokens (const struct mq_turns *turns,
                                       uint32_t slot);
 
-/* router_admit.c */
-
-/* A program that another host of the data centre has refused.  */
-void mq_router_on_refused (const struct mq_relay_refused *refused, void *user);
-
 /* router_retry.c */
 
 /* The table is back: all retries of the router USER begin at once, slightly
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -151,6 +151,22 @@
   cr_expect_gt (load_at (150, 4500), before * 3 / 2);
 }
 
+/* Guards against refusing programs for what is chance where few arrive: at a
+   mean of four, seven in a second.  */
+Test (pace, chance_is_no_burst)
+{
+  static const struct engine steep = { 5000, 20000, 40, 200, 500 };
+  uint32_t before;
+
+  record_turns (&steep);
+  for (uint64_t now = 0; now < 4000; now += 250)
+    mq_pace_record_begin (pace, "models", now);
+  before = load_at (300, 4000);
+  for (uint64_t now = 4000; now < 5000; now += 150)
+    mq_pace_record_begin (pace, "models", now);
+  cr_expect_eq (load_at (300, 4900), before);
+}
+
 /* Nothing is concluded from few turns, or from turns that don't tell.  */
 Test (pace, unknown_is_no_load)
 {
