--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -70,7 +70,7 @@
      "worker_load worker_speed pace_load pace_turns idle_us growth_us "       \
      "excess bearable_us used "                                               \
      "limit_retry_ms begins need need_ms "                                    \
-     "org_part org_demand all_demand "                                        \
+     "org_part org_demand all_demand deadline_ms "                            \
      "record record_ms record_host record_writes table_ms")                   \
   X (LOAD_INVALID, "load_invalid", WARNING, "worker count")                   \
   X (RECORD_NOT_WRITTEN, "record_not_written", WARNING,                       \
