--- a/src/core/router/pace.c
+++ b/src/core/router/pace.c
@@ -73,6 +73,8 @@
 #define BEGINS_SLOTS 16U
 /* Slots whose count is compared with that of the earlier ones.  */
 #define BEGINS_RECENT 4U
+/* Slots after the first program from which on a rise is known.  */
+#define BEGINS_KNOWN 8U
 
 /* Key spaces of struct mq_pace names.  */
 enum
@@ -448,7 +450,7 @@
   double sum = 0;
   double usual;
 
-  if (known < 2 * BEGINS_RECENT)
+  if (known < BEGINS_KNOWN)
     return 0;
   if (known >= BEGINS_SLOTS)
     known = BEGINS_SLOTS - 1;
--- a/src/ctl/ctl_load.c
+++ b/src/ctl/ctl_load.c
@@ -123,7 +123,7 @@
   while ((series = mq_idmap_next (survey->series, &position)) != NULL)
     if (strcmp (series->name, name) == 0)
       list[(*count)++] = series;
-  qsort (list, *count, sizeof *list, compare_sums);
+  qsort (list, *count, sizeof (struct series *), compare_sums);
   if (*count > ROWS_MAX)
     *count = ROWS_MAX;
   return list;
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -220,8 +220,9 @@
         }
       cr_expect_eq (unused, 0, "%s: %u workers ran nothing", rows[i].name,
                     unused);
-      cr_expect_leq (play.queued * 100, sum, "%s: %u of %lu turns queued",
-                     rows[i].name, play.queued, (unsigned long)sum);
+      cr_expect_leq ((uint64_t)play.queued * 100, sum,
+                     "%s: %u of %lu turns queued", rows[i].name, play.queued,
+                     (unsigned long)sum);
       cr_expect_leq ((uint64_t)most * rows[i].workers * 100,
                      sum * rows[i].busiest_percent,
                      "%s: busiest %u of mean %.1f", rows[i].name, most,
