--- a/src/core/organisation/program_need.h
+++ b/src/core/organisation/program_need.h
@@ -9,8 +9,10 @@
    Programs do not tell their end: for each age, the requests at that age are
    divided by the programs that reached it, so that programs under way count
    for the ages that they have passed.  Requests of programs that began at
-   other hosts raise all routes alike.  Pure: callers pass the time. Needs:
-   types.h.  */
+   other hosts raise all routes alike.
+
+   Pure: callers pass the time.
+   Needs: types.h.  */
 
 #ifndef MQ_PROGRAM_NEED_H
 #define MQ_PROGRAM_NEED_H
--- a/src/core/organisation/set_aside.h
+++ b/src/core/organisation/set_aside.h
@@ -9,8 +9,10 @@
    with while programs live: so programs begin as fast as the bucket fills, and
    not in waves.  What is used is removed, earliest first; what is not used is
    given up MQ_SET_ASIDE_PAST_MS after its time.  The calendar only holds back
-   first requests: it grants nothing that the bucket does not hold.  Pure:
-   callers pass the time. Needs: program_need.h.  */
+   first requests: it grants nothing that the bucket does not hold.
+
+   Pure: callers pass the time.
+   Needs: program_need.h.  */
 
 #ifndef MQ_SET_ASIDE_H
 #define MQ_SET_ASIDE_H
--- a/src/core/router/evidence.h
+++ b/src/core/router/evidence.h
@@ -8,8 +8,9 @@
    later than the one that doubts it, it fades, and that of one host alone
    pauses, so that the worker gets a request again.  A worker that answers some
    requests and loses others is doubted when two hosts, this one included, had
-   a late one.  Pure: callers pass the
-   time.
+   a late one.
+
+   Pure: callers pass the time.
    Needs: types.h.  */
 
 #ifndef MQ_EVIDENCE_H
--- a/src/core/router/fleet_state.h
+++ b/src/core/router/fleet_state.h
@@ -5,6 +5,7 @@
    fleet_version.c the versions of services.  fleet_choice.c selects workers
    for requests and fleet_home.c those for programs; both depend on the table
    and the load.  fleet_sight.c tells what this host sees of workers.
+
    Needs: fleet.h, idmap.h, recent.h, speed.h.  */
 
 #ifndef MQ_FLEET_STATE_H
--- a/tests/test_quota_model.c
+++ b/tests/test_quota_model.c
@@ -7,7 +7,8 @@
    of a permit, all intervals that end there are checked against one token
    bucket, in seeded random walks.  In some of them requests are first ones of
    programs, for which permits are set aside.  Injected faults show that the
-   walks can detect violations. Needs: Criterion, quota.h, id.h.  */
+   walks can detect violations.
+   Needs: Criterion, quota.h, id.h.  */
 
 #include "core/id.h"
 #include "core/organisation/quota.h"
