A worker that left with its last request no longer crashes the host

Cause: a request that breaks off is looked at for whether it was late after it has ended at the worker. If the worker had left the registry, its entry was freed by then, and the name of its service was NULL.

Change: such a request is not late evidence: the worker is gone. The other uses of the handle hold a request there.

Test: silent_workers::late_request_of_a_worker_that_left; without the check it ends with the signal that the soak saw.

--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -320,7 +320,7 @@
 bool mq_fleet_has_once (const struct mq_fleet *fleet);
 /* Records that WORKER has not answered a request sent at SENT_MS.  Returns
    whether that is late: as long as the objective of requests of its service
-   that may not be repeated.  */
+   that may not be repeated.  The request may have ended, and WORKER left.  */
 bool mq_fleet_record_wait (struct mq_fleet *fleet, uint32_t worker,
                            uint64_t sent_ms, uint64_t now_ms);
 /* Tells EVIDENCE what this host sees of each worker; called between
--- a/src/core/router/fleet_sight.c
+++ b/src/core/router/fleet_sight.c
@@ -41,7 +41,8 @@
   struct fleet_entry *entry = &fleet->entries[worker];
   uint32_t objective;
 
-  if (!fleet->has_once)
+  /* The worker has left, and its last request ended.  */
+  if (!fleet->has_once || !entry->used)
     return false;
   objective = once_objective (fleet, entry);
   if (objective == 0 || now_ms - sent_ms < objective)
--- a/tests/test_silent_workers.c
+++ b/tests/test_silent_workers.c
@@ -345,3 +345,22 @@
       cr_expect_leq (with.busiest_percent, 130U, "%s", rows[i].name);
     }
 }
+
+/* Failure: a worker has left, its last request breaks off, and the host that
+   looks whether the request was late crashes.  */
+Test (silent_workers, late_request_of_a_worker_that_left)
+{
+  struct mq_fleet *fleet = mq_fleet_create (NULL);
+  struct mq_fleet_query query = query_at (1000, true);
+  uint32_t worker;
+
+  put (fleet, "w");
+  worker = mq_fleet_choose (fleet, &query);
+  mq_fleet_request_started (fleet, worker, 1000);
+  cr_expect (mq_fleet_record_wait (fleet, worker, 1000, 1000 + OBJECTIVE_MS));
+  cr_assert (mq_fleet_remove (fleet, "w", 0));
+  mq_fleet_request_ended (fleet, worker, MQ_OUTCOME_FAILED, 2000);
+  cr_expect_not (
+      mq_fleet_record_wait (fleet, worker, 1000, 1000 + OBJECTIVE_MS));
+  mq_fleet_destroy (fleet);
+}
