Test that fails: requests that end the workers they are sent to

What callers see: each of their attempts takes down up to as many workers as the route allows attempts, and the workers' other requests with them.

The stand-in of a worker can be ended by the text of a request and starts again under another id.

A request that many callers send alike, while the connections of each tenth are reset, is served 100 times of 100, and has to stay so.

Known red until the mend.

--- /dev/null
+++ b/tests/test_repeats.c
@@ -0,0 +1,203 @@
+/* test_repeats.c - requests that end the workers they are sent to, over the
+   attempts of their callers.
+
+   Needs: Criterion, router_site.h, stepped_clock.h.  */
+
+#include "router_site.h"
+#include "stepped_clock.h"
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ROWS(table) (sizeof (table) / sizeof (table)[0])
+#define HOST "Host: h.example\r\n"
+/* Attempts of a caller that does not give up.  */
+#define ATTEMPTS 8
+/* Workers that may end under one request.  */
+#define ENDS_MAX 3
+#define RESTART_MS 300U
+#define FATAL "crash"
+
+static struct edge_site *site;
+static struct edge_call call;
+static int next_id;
+
+static bool
+is_llm (const struct worker_server *worker)
+{
+  return strncmp (worker_server_id (worker), "llm", 3) == 0;
+}
+
+/* The entry of a worker that has crashed lapses.  */
+static void
+on_ended (struct worker_server *worker, void *user)
+{
+  (void)user;
+  edge_unlist_worker (site, worker);
+}
+
+static void
+on_started (struct worker_server *worker, void *user)
+{
+  (void)user;
+  edge_list_worker (site, worker, is_llm (worker) ? "llm" : "app", "ready");
+}
+
+static void
+set_up (void)
+{
+  stepped_clock_begin ();
+  site = edge_create ();
+  next_id = 0;
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    {
+      worker_server_set_fatal (site->llm[i], FATAL, RESTART_MS, on_ended,
+                               on_started, NULL);
+      worker_server_set_fatal (site->app[i], FATAL, RESTART_MS, on_ended,
+                               on_started, NULL);
+    }
+}
+
+static void
+tear_down (void)
+{
+  edge_destroy (site);
+}
+
+TestSuite (repeats, .init = set_up, .fini = tear_down, .timeout = 120);
+
+/* Workers that have ended under a request.  */
+static int
+end_count (void)
+{
+  int count = 0;
+
+  for (int i = 0; i < EDGE_WORKERS; i++)
+    count += worker_server_end_count (site->llm[i])
+             + worker_server_end_count (site->app[i]);
+  return count;
+}
+
+/* Sends BODY to PATH at router INDEX under a new id.  MORE: header lines.
+   Returns the status, 0 if there is no whole head.  */
+static int
+send (int index, const char *path, const char *body, const char *more)
+{
+  char text[1024];
+
+  snprintf (text, sizeof text,
+            "POST %sx HTTP/1.1\r\n" HOST
+            "X-Request-Id: q%d\r\n%sContent-Length: %zu\r\n\r\n%s",
+            path, ++next_id, more, strlen (body), body);
+  return edge_request (site, &call, index, text);
+}
+
+/* Header lines of a turn of program RUN.  */
+static const char *
+turn_of (const char *run)
+{
+  static char text[256];
+
+  snprintf (text, sizeof text,
+            "X-Program-Id: %s\r\nX-Session-Id: %s\r\n"
+            "X-Token-Budget: 1000\r\nX-Token-Count: 10,8\r\n",
+            run, run);
+  return text;
+}
+
+/* Repeats the request that ends workers, at the routers in turn, and checks
+   that another request of the route is served beside it.  Returns the last
+   status.  */
+static int
+repeat (const char *path, int routers, bool is_turn)
+{
+  int status = 0;
+
+  for (int i = 0; i < ATTEMPTS; i++)
+    {
+      char other[16];
+
+      snprintf (other, sizeof other, "other-%d", i);
+      status = send (i % routers, path, FATAL, is_turn ? turn_of ("bad") : "");
+      cr_expect_eq (
+          send (i % routers, path, "well", is_turn ? turn_of (other) : ""),
+          200, "%s: another request after attempt %d: %.60s", path, i,
+          call.answer);
+      edge_run_for (site, RESTART_MS + 200U);
+    }
+  return status;
+}
+
+/* Failure: a limit that is kept with one attempt starts again with the next,
+   and a request ends one worker after the other.  */
+Test (repeats, request_that_ended_three_workers_is_sent_to_no_other)
+{
+  static const struct
+  {
+    const char *name;
+    const char *path;
+    int routers;
+    bool is_turn;
+  } rows[] = {
+    { "repeatable call, two hosts", "/call/", 2, false },
+    { "repeatable call, one host", "/call/", 1, false },
+    { "call that may not be repeated, two hosts", "/once/", 2, false },
+    { "resumable turn, two hosts", "/turn/", 2, true },
+    { "retained turn, two hosts", "/kept/", 2, true },
+  };
+
+  edge_start (site, 1);
+  edge_list_hosts (site);
+  for (size_t i = 0; i < ROWS (rows); i++)
+    {
+      int before = end_count ();
+      int status = repeat (rows[i].path, rows[i].routers, rows[i].is_turn);
+
+      cr_expect_leq (end_count () - before, ENDS_MAX,
+                     "%s: %d workers ended in %d attempts", rows[i].name,
+                     end_count () - before, ATTEMPTS);
+      cr_expect_eq (status, 400, "%s: last status %d", rows[i].name, status);
+      edge_run_for (site, 1000);
+    }
+}
+
+/* Failure: a host that has just started does not know what ended workers
+   before, and sends it to another one.  */
+Test (repeats, new_host_knows_what_ended_workers)
+{
+  int status = 0;
+
+  for (int i = 0; i < ATTEMPTS / 2; i++)
+    {
+      (void)send (0, "/call/", FATAL, "");
+      edge_run_for (site, RESTART_MS + 200U);
+    }
+  edge_start (site, 1);
+  edge_list_hosts (site);
+  edge_run_for (site, 100);
+  for (int i = 0; i < ATTEMPTS / 2; i++)
+    {
+      status = send (1, "/call/", FATAL, "");
+      edge_run_for (site, RESTART_MS + 200U);
+    }
+  cr_expect_leq (end_count (), ENDS_MAX, "%d workers ended", end_count ());
+  cr_expect_eq (status, 400, "last status %d", status);
+}
+
+/* Failure: a request that many callers send alike is rejected since workers
+   end beside it now and then.  */
+Test (repeats, request_that_mostly_succeeds_stays_served)
+{
+  int served = 0;
+
+  edge_start (site, 1);
+  edge_list_hosts (site);
+  for (int i = 0; i < 100; i++)
+    {
+      site->app_plan = (struct worker_plan){ WORKER_RESET, i % 10 == 0 };
+      served += send (i % 2, "/call/", "alike", "") == 200;
+      edge_run_for (site, 20);
+    }
+  cr_expect_eq (served, 100, "%d of 100 served", served);
+}
