--- a/src/router/router_request.c
+++ b/src/router/router_request.c
@@ -114,8 +114,15 @@
 static void
 cancel_try (struct mq_request *request, enum mq_fleet_outcome outcome)
 {
+  bool silent = request->try != NULL && outcome == MQ_OUTCOME_FAILED;
+
   mq_try_stop (request->try, outcome);
   request->try = NULL;
+  if (silent)
+    {
+      request->answer.silent = true;
+      request_run_ended (request, MQ_ATTEMPT_BROKEN);
+    }
   request_run_cancelled (request);
 }
 
--- a/tests/test_repeats.c
+++ b/tests/test_repeats.c
@@ -266,3 +266,32 @@
       edge_run_for (site, 3000);
     }
 }
+
+/* Failure: a worker hangs on a request until its deadline and ends after it,
+   and nothing connects the two.  */
+Test (repeats, request_that_outlasts_its_deadline_is_to_blame)
+{
+  int status = 0;
+
+  for (int i = 0; i < ATTEMPTS / 2; i++)
+    {
+      int ended = -1;
+
+      site->app_plan = (struct worker_plan){ WORKER_HANG, 1 };
+      status = send (0, "/once/", "slow", "X-Deadline-Ms: 200\r\n");
+      site->app_plan.count = 0;
+      for (int k = 0; k < EDGE_WORKERS; k++)
+        for (int run = 0; run < worker_server_run_count (site->app[k]); run++)
+          if (atoi (worker_server_get_run (site->app[k], run)->id + 1)
+              == next_id)
+            ended = k;
+      if (ended < 0)
+        continue;
+      on_ended (site->app[ended], NULL);
+      worker_server_restart (site->app[ended],
+                             talloc_asprintf (site, "app-%d", 10 + i), "");
+      on_started (site->app[ended], NULL);
+      edge_run_for (site, LAPSE_MS + 1000U);
+    }
+  cr_expect_eq (status, 400, "last status %d: %.200s", status, call.answer);
+}
