Soak: requests that end the workers that run them

One program in 24 sends a request that never changes and ends each worker that runs it; the worker starts again under another id, its old entry lapses later. Checked: while no host is killed, paused or stopped, at most three workers end under one request, and no other program's request is rejected.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -219,13 +219,14 @@
   soak_check_streams (soak);
   soak_kill_hosts (soak);
   printf ("soak: seed %lu: %u faults, %u answers, %u refusals, %u broken, "
-          "%u programs finished, %u spent, %u failed, %u of %u streams begun, "
+          "%u programs finished, %u spent, %u failed, %u rejected, %u of %u "
+          "streams begun, "
           "%u of %u taken up, held up for %lu ms at most: %s\n",
           (unsigned long)soak->seed, soak->injected, soak->answers,
           soak->refusals, soak->aborted, soak->finished,
-          soak->budget_exhausted, soak->failed, soak->begun.served,
-          soak->begun.sent, soak->taken_up.served, soak->taken_up.sent,
-          (unsigned long)soak->held_max_ms,
+          soak->budget_exhausted, soak->failed, soak->rejected,
+          soak->begun.served, soak->begun.sent, soak->taken_up.served,
+          soak->taken_up.sent, (unsigned long)soak->held_max_ms,
           soak->failures == 0 ? "ok" : "FAILED");
   remove_files (soak);
   if (soak->failures == 0)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -88,12 +88,20 @@
   uint32_t burst;
 };
 
+/* Workers that may end under one request.  */
+#define ENDS_MAX 3U
+/* Text that ends a worker.  */
+#define FATAL_TEXT "crash"
+
 /**
  * struct program - one agent program and its caller
  * @plain: the program has no turns, only calls without a program's id
  * @org: index of its organisation
  * @process: process that its connection was opened to
  * @sent_ms: time of the request's last byte
+ * @fatal: its requests end the workers that run them, its input never changes
+ * @ends: workers that have ended under it
+ * @host_faults: faults of hosts when the first of them ended
  * @limit: token budget
  * @tokens_received: tokens received by the caller
  * @turns: remaining turns
@@ -117,6 +125,9 @@
   bool plain;
   bool retained;
   bool loops;
+  bool fatal;
+  uint32_t ends;
+  uint32_t host_faults;
   uint64_t limit;
   uint64_t tokens_received;
   int turns;
@@ -157,6 +168,9 @@
  * @release_first: host from which a release counts
  * @release_left: hosts that are still to be terminated, 0 if none is under way
  * @table_fault: the table has a fault
+ * @fatal_program: program whose request a worker ran last before it ended
+ * @host_faults: faults of hosts so far
+ * @rejected: programs rejected for the workers that ended under them
  * @llm_fault_ms: last time at which a worker of turns had a fault
  * @worker_starts: starts of workers so far, for their ids
  * @begun: new streams; @taken_up: streams that callers resumed.  Without
@@ -193,6 +207,9 @@
   int release_first;
   int release_left;
   bool table_fault;
+  uint32_t fatal_program;
+  uint32_t host_faults;
+  uint32_t rejected;
   uint64_t llm_fault_ms;
   uint32_t worker_starts;
   struct share begun;
@@ -224,6 +241,8 @@
 void soak_kill_hosts (struct soak *soak);
 void soak_register_worker (struct soak *soak, bool llm, int index,
                            const char *state);
+/* The entry of the worker ID, which has crashed, lapses some time later.  */
+void soak_lapse_worker (struct soak *soak, const char *id);
 /* Crashes worker INDEX of the turns, which starts again at a random version.
    The registry learns of it at once or later.  */
 void soak_release_worker (struct soak *soak, int index);
@@ -258,6 +277,9 @@
 
 /* soak_caller.c */
 void soak_start_program (struct soak *soak, int index);
+/* Called when a worker has ended under a request, and has started again.  */
+void soak_on_worker_end (struct worker_server *worker, void *user);
+void soak_on_worker_start (struct worker_server *worker, void *user);
 /* Called when a worker runs a request.  */
 void soak_on_worker_request (const char *id, const char *target,
                              const char *body, void *user);
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -11,6 +11,8 @@
 #define RESPONSE_TIMEOUT_MS 6000U
 #define ATTEMPTS_MAX 40
 #define EVENTS 4
+/* One program in so many ends the workers that run its requests.  */
+#define FATAL_EACH 24U
 /* One caller in so many leaves during a stream, so long after some data.  */
 #define LEAVE_EACH 4U
 #define LEAVE_MS 5U
@@ -63,6 +65,9 @@
       soak_fail (soak, "a worker ran an unknown request", id);
       return;
     }
+  if (strstr (body, FATAL_TEXT) != NULL
+      && strstr (body, soak->programs[record->program].input) != NULL)
+    soak->fatal_program = record->program;
   record->runs++;
   if (record->run_ms == 0)
     record->run_ms = mq_clock_ms ();
@@ -76,6 +81,33 @@
   check_body (soak, record, id, body);
 }
 
+/* Failure: a request ends more workers than it may while no host is lost, and
+   nothing of what hosts know with it.  */
+void
+soak_on_worker_end (struct worker_server *worker, void *user)
+{
+  struct soak *soak = user;
+  struct program *program = &soak->programs[soak->fatal_program];
+
+  soak->llm_fault_ms = mq_clock_ms ();
+  soak_lapse_worker (soak, worker_server_id (worker));
+  if (program->ends++ == 0)
+    program->host_faults = soak->host_faults;
+  if (program->ends > ENDS_MAX && program->host_faults == soak->host_faults)
+    soak_fail (soak, "a request ended more than three workers", program->id);
+}
+
+void
+soak_on_worker_start (struct worker_server *worker, void *user)
+{
+  struct soak *soak = user;
+
+  soak->llm_fault_ms = mq_clock_ms ();
+  for (int i = 0; i < WORKERS; i++)
+    if (soak->llm[i] == worker || soak->app[i] == worker)
+      soak_register_worker (soak, soak->llm[i] == worker, i, "ready");
+}
+
 static void
 close_connection (struct program *program)
 {
@@ -312,6 +344,13 @@
     case 503:
       on_refusal (program);
       return;
+    case 400:
+      if (!program->fatal)
+        soak_fail (program->soak, "an innocent request was rejected",
+                   program->id);
+      program->soak->rejected++;
+      end_program (program);
+      return;
     case 404:
       soak_fail (program->soak, "a completed turn was lost",
                  program->previous);
@@ -469,7 +508,8 @@
       = (struct record){ .program = program->index,
                          .kind = (uint8_t)program->kind,
                          .org = (uint8_t)program->org };
-  snprintf (program->input, sizeof program->input, "i%u;", program->attempt);
+  if (!program->fatal)
+    snprintf (program->input, sizeof program->input, "i%u;", program->attempt);
   program->status = 0;
   program->takes_up = program->kind == KIND_TURN && program->events > 0;
   if (program->lane == NULL)
@@ -502,7 +542,9 @@
   struct program *program = &soak->programs[index];
 
   *program = (struct program){ .soak = soak, .index = (uint32_t)index };
-  snprintf (program->id, sizeof program->id, "p%u", soak->program_ids++);
+  snprintf (program->id, sizeof program->id, "p%u", soak->program_ids);
+  snprintf (program->input, sizeof program->input, FATAL_TEXT " p%u;",
+            soak->program_ids++);
   program->active = true;
   program->plain = index % 2 == 1;
   program->org = (int)soak_random_below (soak, ORGS);
@@ -514,6 +556,7 @@
   program->kind = program->plain      ? KIND_NON_IDEMPOTENT
                   : program->retained ? KIND_RETAINED
                                       : KIND_TURN;
+  program->fatal = soak_random_below (soak, FATAL_EACH) == 0;
   program->host = (int)soak_random_below (soak, (uint32_t)soak->host_count);
   schedule_step (program, soak_random_below (soak, 100));
 }
--- a/tests/soak/soak_config.c
+++ b/tests/soak/soak_config.c
@@ -87,8 +87,10 @@
   char *text = talloc_asprintf (
       soak->ev,
       "{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":\"llm\","
-      "\"maxConns\":100,\"engine\":{\"batchSize\":64,\"tokensPerEvent\":2}},"
-      "{\"name\":\"app\",\"maxConns\":100}],\"limits\":{},\"tenants\":[%s]}",
+      "\"healthPath\":\"" WORKER_HEALTH_PATH "\",\"maxConns\":100,"
+      "\"engine\":{\"batchSize\":64,\"tokensPerEvent\":2}},"
+      "{\"name\":\"app\",\"healthPath\":\"" WORKER_HEALTH_PATH
+      "\",\"maxConns\":100}],\"limits\":{},\"tenants\":[%s]}",
       ++soak->config_version, routes, orgs);
 
   rows_server_put (soak->rows, "op", "", "config", text);
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -130,6 +130,7 @@
 
   if (host->pid == 0)
     return;
+  soak->host_faults++;
   if (soak->releases_only && signals[fault % 3] == SIGKILL)
     fault = 1;
   if (!takes_signals (host))
--- a/tests/soak/soak_site.c
+++ b/tests/soak/soak_site.c
@@ -16,6 +16,8 @@
 #define RESTART_MS 300U
 /* Streams last for a while, so that faults fall into them.  */
 #define EVENT_GAP_MS 15U
+/* Time until a worker that a request has ended starts again.  */
+#define WORKER_RESTART_MS 200U
 /* Blocks of ports below the range of ephemeral ones, so that no outgoing
    connection takes one while its host restarts.  */
 #define PORT_FIRST 12000U
@@ -210,9 +212,8 @@
   talloc_free (lapse);
 }
 
-/* The entry of a worker that crashed lapses some time later.  */
-static void
-schedule_lapse (struct soak *soak, const char *id)
+void
+soak_lapse_worker (struct soak *soak, const char *id)
 {
   struct lapse *lapse = talloc_zero (soak->ev, struct lapse);
 
@@ -228,7 +229,7 @@
   struct worker_server *worker = soak->llm[index];
   char id[32];
 
-  schedule_lapse (soak, worker_server_id (worker));
+  soak_lapse_worker (soak, worker_server_id (worker));
   snprintf (id, sizeof id, "llm-%d-%u", index, ++soak->worker_starts);
   worker_server_restart (worker, id, versions[soak_random_below (soak, 3)]);
   soak_register_worker (soak, true, index, "ready");
@@ -259,6 +260,8 @@
   worker_server_set_version (*worker, versions[llm ? index % 2 : 0]);
   worker_server_set_event_gap (*worker, EVENT_GAP_MS);
   worker_server_set_run_handler (*worker, soak_on_worker_request, soak);
+  worker_server_set_fatal (*worker, FATAL_TEXT, WORKER_RESTART_MS,
+                           soak_on_worker_end, soak_on_worker_start, soak);
   *proxy = proxy_create (soak->ev, soak->ev, worker_server_port (*worker));
   soak_register_worker (soak, llm, index, "ready");
 }
