A worker that can't be reached counts as ended once others are heard of

Now the worker of a connection that broke has ended if it can't be reached while data of other workers arrives. Ends of silent workers count as open ends too: a request that three workers in a row did not answer waits until one of them has answered something else, or has ended.

--- a/src/core/router/fleet.c
+++ b/src/core/router/fleet.c
@@ -405,6 +405,17 @@
   return (uint32_t)(entry - fleet->entries);
 }
 
+bool
+mq_fleet_heard_other (const struct mq_fleet *fleet, uint64_t instance,
+                      uint64_t since_ms)
+{
+  for (size_t i = 0; i < fleet->count; i++)
+    if (fleet->entries[i].used && fleet->entries[i].instance != instance
+        && fleet->entries[i].heard_ms > since_ms)
+      return true;
+  return false;
+}
+
 uint32_t
 mq_fleet_own_requests (const struct mq_fleet *fleet, uint32_t worker)
 {
--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -223,6 +223,10 @@
    mq_fleet_instance_digest; MQ_WORKER_NONE if there is none.  */
 uint32_t mq_fleet_find_start (const struct mq_fleet *fleet, uint64_t id_hash,
                               uint64_t instance);
+/* Whether data arrived after SINCE_MS from any worker but INSTANCE, a
+   mq_fleet_instance_digest.  */
+bool mq_fleet_heard_other (const struct mq_fleet *fleet, uint64_t instance,
+                           uint64_t since_ms);
 /* Requests of this host in progress at WORKER.  */
 uint32_t mq_fleet_own_requests (const struct mq_fleet *fleet, uint32_t worker);
 /* Record the start and end of a request at WORKER, in pairs.  */
--- a/src/core/router/suspects.c
+++ b/src/core/router/suspects.c
@@ -114,12 +114,11 @@
   talloc_free (suspect);
 }
 
-/* A worker that was silent may be slow: its end counts once it is settled.  */
 static bool
 counts (const struct run_end *end, bool with_open)
 {
   return end->state == MQ_SUSPECTS_ENDED
-         || (with_open && end->state == MQ_SUSPECTS_OPEN && end->lost);
+         || (with_open && end->state == MQ_SUSPECTS_OPEN);
 }
 
 /* Number of ends one after the other.  */
--- a/src/router/router_probe.c
+++ b/src/router/router_probe.c
@@ -1,26 +1,24 @@
 /* router_probe.c - asks a worker whose connection broke whether it still runs.
 
-   Needs: router_probe.h, router_wire.h, http_conn.h, timer.h, clock.h.  */
+   Needs: router_probe.h, router_wire.h, http_conn.h, listen.h,
+   timer.h.  */
 
 #include "router_probe.h"
-#include "net/clock.h"
 #include "net/http_conn.h"
+#include "net/listen.h"
 #include "net/timer.h"
 #include "router_wire.h"
-#include <errno.h>
 #include <string.h>
 
 /**
  * struct mq_probe - a health check without its answer
  * @conn: has no parent, as it outlives the probe within a callback
  * @worker: id of the worker
- * @begun_ms: local monotonic clock
  */
 struct mq_probe
 {
   struct mq_http_conn *conn;
   char *worker;
-  uint64_t begun_ms;
   mq_probe_done *done;
   void *user;
 };
@@ -75,10 +73,9 @@
 on_failed (enum mq_http_conn_failure failure, void *user)
 {
   struct mq_probe *probe = user;
-  bool refused = failure == MQ_HTTP_CONN_UNREACHABLE
-                 && mq_clock_ms () - probe->begun_ms < MQ_PROBE_REFUSED_MS;
 
-  end_probe (probe, refused ? MQ_PROBE_ENDED : MQ_PROBE_UNKNOWN);
+  end_probe (probe, failure == MQ_HTTP_CONN_UNREACHABLE ? MQ_PROBE_UNREACHABLE
+                                                        : MQ_PROBE_UNKNOWN);
 }
 
 static void
@@ -95,9 +92,9 @@
 }
 
 static void
-on_refused (void *data)
+on_unreachable (void *data)
 {
-  end_probe (data, MQ_PROBE_ENDED);
+  end_probe (data, MQ_PROBE_UNREACHABLE);
 }
 
 static void
@@ -126,7 +123,6 @@
 
   if (probe == NULL)
     return NULL;
-  probe->begun_ms = mq_clock_ms ();
   probe->done = done;
   probe->user = user;
   probe->worker = talloc_strdup (probe, worker->id);
@@ -134,8 +130,8 @@
       = mq_http_conn_open (NULL, ev, worker->address, MQ_PROBE_TIMEOUT_MS,
                            on_closed, probe, &error);
   talloc_set_destructor (probe, close_connection);
-  if (probe->conn == NULL && error.number == ECONNREFUSED
-      && mq_timer_add (probe, ev, 0, on_refused, probe) != NULL)
+  if (probe->conn == NULL && !mq_socket_shortage (error.number)
+      && mq_timer_add (probe, ev, 0, on_unreachable, probe) != NULL)
     return probe;
   if (probe->conn == NULL || probe->worker == NULL
       || mq_timer_add (probe, ev, MQ_PROBE_TIMEOUT_MS, on_timeout, probe)
--- a/src/router/router_probe.h
+++ b/src/router/router_probe.h
@@ -10,17 +10,15 @@
 
 struct mq_probe;
 
-/* A connection that is refused is refused sooner than this; one that is not
-   answered may be cut off from its worker.  */
-#define MQ_PROBE_REFUSED_MS 200U
 /* Time allowed for the response.  */
 #define MQ_PROBE_TIMEOUT_MS 600U
 
 enum mq_probe_result
 {
-  MQ_PROBE_RUNS,   /* the worker has answered */
-  MQ_PROBE_ENDED,  /* refused, or another worker has answered */
-  MQ_PROBE_UNKNOWN /* no answer, or none that tells */
+  MQ_PROBE_RUNS,        /* the worker has answered */
+  MQ_PROBE_ENDED,       /* another worker has answered */
+  MQ_PROBE_UNREACHABLE, /* no connection: it has ended, or is cut off */
+  MQ_PROBE_UNKNOWN      /* no answer, or none that tells */
 };
 
 typedef void mq_probe_done (enum mq_probe_result result, void *user);
--- a/src/router/router_suspect_watch.c
+++ b/src/router/router_suspect_watch.c
@@ -24,6 +24,8 @@
    with more are always told.  */
 #define BYTES_PER_S 1900U
 #define BURST_BYTES 16384U
+/* Time within which a host that is not cut off hears of some worker.  */
+#define HEAR_OTHERS_MS 250U
 /* Health checks in progress.  */
 #define PROBES_MAX 16U
 /* Log lines in each LOG_MS at most.  */
@@ -166,31 +168,68 @@
 
 /* Settling */
 
+/* Settles the end of CHECK, which is freed.  */
 static void
-on_checked (enum mq_probe_result result, void *user)
+settle_check (struct check *check, enum mq_suspects_state state)
 {
-  struct check *check = user;
   struct mq_suspect_watch *watch = check->watch;
   struct mq_suspects_end end = check->end;
   uint64_t now = mq_clock_ms ();
 
-  watch->probes--;
   end.age_ms = (uint32_t)(now - check->ended_ms);
+  end.state = state;
   talloc_free (check);
+  mq_suspects_record (watch->suspects, &end, now);
+  note_settled (&end, watch);
+  tell (watch, &end);
+}
+
+/* A worker whose connection broke and that can't be reached has ended, unless
+   this host reaches none: then it is cut off itself.  */
+static void
+on_heard_others (void *data)
+{
+  struct check *check = data;
+  const struct mq_fleet *fleet = check->watch->router->fleet;
+
+  if (mq_fleet_heard_other (fleet, check->end.worker,
+                            check->ended_ms + MQ_SUSPECTS_READ_DELAY_MS))
+    settle_check (check, MQ_SUSPECTS_ENDED);
+  else
+    talloc_free (check);
+}
+
+static void
+on_unreachable (struct check *check)
+{
+  if (!check->end.lost
+      || mq_timer_add (check, check->watch->router->ev, HEAR_OTHERS_MS,
+                       on_heard_others, check)
+             == NULL)
+    talloc_free (check);
+}
+
+static void
+on_checked (enum mq_probe_result result, void *user)
+{
+  struct check *check = user;
+
+  check->watch->probes--;
   switch (result)
     {
-    case MQ_PROBE_UNKNOWN:
-      return;
     case MQ_PROBE_RUNS:
-      end.state = MQ_SUSPECTS_ALIVE;
-      break;
+      settle_check (check, MQ_SUSPECTS_ALIVE);
+      return;
     case MQ_PROBE_ENDED:
-      end.state = MQ_SUSPECTS_ENDED;
-      break;
+      settle_check (check, MQ_SUSPECTS_ENDED);
+      return;
+    case MQ_PROBE_UNREACHABLE:
+      on_unreachable (check);
+      return;
+    case MQ_PROBE_UNKNOWN:
+      talloc_free (check);
+      return;
     }
-  mq_suspects_record (watch->suspects, &end, now);
-  note_settled (&end, watch);
-  tell (watch, &end);
 }
 
 static const char *
