Hosts that start or stop are told of ended runs as well

And a worker whose entry lapsed within the two milliseconds before its connection broke was taken for one that had left.

Change: hosts with an open link and those of the settings are told too; the question of a host that starts names its address, and whoever is asked goes on telling it. A worker that has left ends no sooner than the drain time after its entry is gone, so an end soon after it was chosen counts.

--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -2696,7 +2696,7 @@
   (ProtobufCMessageInit) mqrelay__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__run_ends__field_descriptors[2] =
+static const ProtobufCFieldDescriptor mqrelay__run_ends__field_descriptors[3] =
 {
   {
     "ends",
@@ -2722,15 +2722,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__RunEnds, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__run_ends__field_indices_by_name[] = {
+  2,   /* field[2] = address */
   0,   /* field[0] = ends */
   1,   /* field[1] = wanted */
 };
 static const ProtobufCIntRange mqrelay__run_ends__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor mqrelay__run_ends__descriptor =
 {
@@ -2740,7 +2753,7 @@
   "Mqrelay__RunEnds",
   "mqrelay",
   sizeof(Mqrelay__RunEnds),
-  2,
+  3,
   mqrelay__run_ends__field_descriptors,
   mqrelay__run_ends__field_indices_by_name,
   1,  mqrelay__run_ends__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -533,7 +533,8 @@
 
 
 /*
- * Ends of runs that a host saw, or the request for what the receiver knows.
+ * Ends of runs that a host saw, or the request for what the receiver knows and
+ * will see.
  */
 struct  Mqrelay__RunEnds
 {
@@ -541,10 +542,14 @@
   size_t n_ends;
   Mqrelay__RunEnd **ends;
   protobuf_c_boolean wanted;
+  /*
+   * of the host that wants them
+   */
+  char *address;
 };
 #define MQRELAY__RUN_ENDS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__run_ends__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, (char *)protobuf_c_empty_string }
 
 
 typedef enum {
--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -598,9 +598,8 @@
   return NULL;
 }
 
-/* Finds or adds the host at ADDRESS; NULL for this host itself.  */
-static struct host *
-add_host (struct mq_relay *relay, const char *address)
+struct host *
+relay_add_host (struct mq_relay *relay, const char *address)
 {
   struct host *host = relay_find_host (relay, address);
 
@@ -621,7 +620,7 @@
   struct mq_relay_frame frame
       = { .kind = MQ_RELAY_QUOTA_REQUEST, .u.quota_request = *request };
 
-  return relay_send_to_host (relay, add_host (relay, address), &frame);
+  return relay_send_to_host (relay, relay_add_host (relay, address), &frame);
 }
 
 uint32_t
@@ -669,7 +668,7 @@
 void
 mq_relay_add_seed (struct mq_relay *relay, const char *address)
 {
-  struct host *host = add_host (relay, address);
+  struct host *host = relay_add_host (relay, address);
 
   if (host != NULL)
     host->seed = true;
@@ -686,7 +685,7 @@
 mq_relay_list_host (struct mq_relay *relay,
                     const struct mq_relay_listing *listing)
 {
-  struct host *host = add_host (relay, listing->address);
+  struct host *host = relay_add_host (relay, listing->address);
 
   if (host == NULL)
     return;
--- a/src/router/relay.h
+++ b/src/router/relay.h
@@ -214,8 +214,10 @@
 bool mq_relay_tells_everyone (const struct mq_relay *relay, struct mq_id work);
 /* Asks some hosts for the ends that they know; returns their number.  */
 uint32_t mq_relay_ask_ends (struct mq_relay *relay);
-/* Answers such a question received on LINK.  */
+/* Answers such a question of the host at ADDRESS, received on LINK.  The host
+   is told of further ends.  */
 void mq_relay_reply_ends (struct mq_relay *relay, struct mq_relay_link *link,
+                          const char *address,
                           const struct mq_suspects_end *ends, size_t count);
 /* Calls relayed through other hosts, and made for them.  */
 uint64_t mq_relay_calls_sent (const struct mq_relay *relay);
--- a/src/router/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -379,6 +379,7 @@
   frame.body_case = MQRELAY__FRAME__BODY_RUN_ENDS;
   frame.run_ends = &to;
   to.wanted = ends->wanted;
+  to.address = text_field (ends->address);
   to.ends = make_list (ctx, ends->count, sizeof **to.ends);
   to.n_ends = ends->count;
   for (size_t i = 0; i < ends->count; i++)
@@ -651,8 +652,8 @@
   for (size_t i = 0; i < from->n_ends; i++)
     ends[i] = read_run_end (from->ends[i]);
   to->kind = MQ_RELAY_RUN_ENDS;
-  to->u.run_ends
-      = (struct mq_relay_run_ends){ from->wanted, ends, from->n_ends };
+  to->u.run_ends = (struct mq_relay_run_ends){ from->wanted, from->address,
+                                               ends, from->n_ends };
 }
 
 static bool
--- a/src/router/relay_frame.h
+++ b/src/router/relay_frame.h
@@ -181,11 +181,14 @@
 
 /**
  * struct mq_relay_run_ends - ends of runs at workers (suspects.h)
- * @wanted: requests those that the receiver knows; there are no @ends
+ * @wanted: requests those that the receiver knows and will see; there are no
+ *          @ends
+ * @address: address of the host that wants them, else ""
  */
 struct mq_relay_run_ends
 {
   bool wanted;
+  const char *address;
   const struct mq_suspects_end *ends;
   size_t count;
 };
--- a/src/router/relay_state.h
+++ b/src/router/relay_state.h
@@ -72,6 +72,9 @@
                                  const struct mq_relay_link *link);
 struct host *relay_find_host (const struct mq_relay *relay,
                               const char *address);
+/* Finds or adds the host at ADDRESS; NULL for this host itself, or if ADDRESS
+   is empty.  */
+struct host *relay_add_host (struct mq_relay *relay, const char *address);
 /* Returns the link to HOST, opening it if necessary; NULL if that fails at
    once.  */
 struct mq_relay_link *relay_open_link (struct mq_relay *relay,
--- a/src/router/relay_suspects.c
+++ b/src/router/relay_suspects.c
@@ -17,10 +17,16 @@
   uint64_t weight;
 };
 
+/* A host that is stopping is not listed any more, and serves the callers that
+   it has.
+
+   Failure: while all hosts are stopped one after the other, each knows its own
+   ends alone.  */
 static bool
 may_be_told (const struct host *host, uint64_t now)
 {
-  return host->listed && host->loan_after_ms <= now;
+  return (host->listed || host->seed || host->link != NULL)
+         && host->loan_after_ms <= now;
 }
 
 static int
@@ -59,8 +65,9 @@
 send_frame (struct mq_relay *relay, const struct mq_suspects_end *ends,
             size_t end_count, size_t hosts_max)
 {
-  struct mq_relay_frame frame = { .kind = MQ_RELAY_RUN_ENDS,
-                                  .u.run_ends = { false, ends, end_count } };
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_RUN_ENDS,
+          .u.run_ends = { false, "", ends, end_count } };
   TALLOC_CTX *ctx = mq_check_alloc (talloc_new (NULL));
   struct mq_bytes bytes = mq_relay_frame_pack (ctx, &frame);
   size_t count;
@@ -113,7 +120,8 @@
 mq_relay_ask_ends (struct mq_relay *relay)
 {
   struct mq_relay_frame frame
-      = { .kind = MQ_RELAY_RUN_ENDS, .u.run_ends = { .wanted = true } };
+      = { .kind = MQ_RELAY_RUN_ENDS,
+          .u.run_ends = { .wanted = true, .address = relay->own_address } };
   uint32_t asked = 0;
 
   for (struct host *host = relay->hosts;
@@ -122,12 +130,19 @@
   return asked;
 }
 
+/* The host that asked may not be listed yet: the open link keeps it among
+   those that are told.  */
 void
 mq_relay_reply_ends (struct mq_relay *relay, struct mq_relay_link *link,
-                     const struct mq_suspects_end *ends, size_t count)
+                     const char *address, const struct mq_suspects_end *ends,
+                     size_t count)
 {
-  struct mq_relay_frame frame
-      = { .kind = MQ_RELAY_RUN_ENDS, .u.run_ends = { false, ends, count } };
+  struct mq_relay_frame frame = { .kind = MQ_RELAY_RUN_ENDS,
+                                  .u.run_ends = { false, "", ends, count } };
+
+  struct host *host = relay_add_host (relay, address);
 
   relay_send_frame (relay, link, &frame);
+  if (host != NULL)
+    (void)relay_open_link (relay, host);
 }
--- a/src/router/router_suspect.c
+++ b/src/router/router_suspect.c
@@ -104,19 +104,30 @@
   request->run_counted = false;
 }
 
-/* Whether the worker may have ended under the run.  A worker that was leaving,
-   or had left, ended for another reason.  */
+/* Whether the worker ended as planned: it serves on for the drain time once it
+   is leaving or its entry is gone, so not soon after it was chosen.  */
+static bool
+ended_as_planned (const struct mq_request *request)
+{
+  const struct mq_router *router = request->router;
+  uint32_t worker = mq_fleet_find_start (router->fleet, request->run.worker_id,
+                                         request->run.worker);
+  bool leaves = worker == MQ_WORKER_NONE
+                || mq_fleet_member (router->fleet, worker)->leaving;
+
+  return leaves
+         && mq_clock_ms () - request->sent_ms
+                >= router->settings->drain_ms / 2U;
+}
+
+/* Whether the worker may have ended under the run.  */
 static bool
 may_have_ended (const struct mq_request *request, enum mq_attempt_end end)
 {
-  const struct mq_fleet *fleet = request->router->fleet;
   const struct mq_response *answer = &request->answer;
-  uint32_t worker = mq_fleet_find_start (fleet, request->run.worker_id,
-                                         request->run.worker);
 
   return end == MQ_ATTEMPT_BROKEN && (answer->lost || answer->silent)
-         && worker != MQ_WORKER_NONE
-         && !mq_fleet_member (fleet, worker)->leaving;
+         && request->run.worker != 0 && !ended_as_planned (request);
 }
 
 void
--- a/src/router/router_suspect_watch.c
+++ b/src/router/router_suspect_watch.c
@@ -441,7 +441,7 @@
     return;
   if (ends->wanted)
     {
-      mq_relay_reply_ends (router->relay, link, known,
+      mq_relay_reply_ends (router->relay, link, ends->address, known,
                            mq_suspects_copy_ends (watch->suspects, known,
                                                   ENDS_MAX, mq_clock_ms ()));
       return;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -141,6 +141,7 @@
                  const struct mq_relay_run_ends *b)
 {
   cr_expect_eq (a->wanted, b->wanted);
+  cr_expect_str_eq (a->address, b->address);
   cr_assert_eq (a->count, b->count);
   for (size_t i = 0; i < a->count; i++)
     {
@@ -328,8 +329,9 @@
     { .work = { 6, 7 }, .state = MQ_SUSPECTS_STATES },
   };
   struct mq_relay_frame frames[] = {
-    { .kind = MQ_RELAY_RUN_ENDS, .u.run_ends = { false, ends, 2 } },
-    { .kind = MQ_RELAY_RUN_ENDS, .u.run_ends = { .wanted = true } },
+    { .kind = MQ_RELAY_RUN_ENDS, .u.run_ends = { false, "", ends, 2 } },
+    { .kind = MQ_RELAY_RUN_ENDS,
+      .u.run_ends = { .wanted = true, .address = "a:1" } },
     { .kind = MQ_RELAY_EVIDENCE,
       .u.evidence = { .host = 1,
                       .run = 2,
