--- a/src/core/router/work.c
+++ b/src/core/router/work.c
@@ -1,4 +1,4 @@
-/* work.c - identity of a request over the attempts of its caller.
+/* work.c - what all attempts at one request have in common.
 
    Needs: work.h, nettle.  */
 
--- a/src/core/router/work.h
+++ b/src/core/router/work.h
@@ -1,4 +1,4 @@
-/* work.h - identity of a request over the attempts of its caller.
+/* work.h - what all attempts at one request have in common.
 
    Each attempt of a caller has an id of its own, so a limit that is kept with
    one attempt starts again with the next.  Pure.
