What ended workers survives the loss of all hosts

Change: from the second end on the host that saw it writes what it knows of the request to a row of the table ("run-end"), one write an end; a host that starts lists these rows, one read.

--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -2696,7 +2696,7 @@
   (ProtobufCMessageInit) mqrelay__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__run_ends__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mqrelay__run_ends__field_descriptors[4] =
 {
   {
     "ends",
@@ -2734,16 +2734,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "written_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__RunEnds, written_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__run_ends__field_indices_by_name[] = {
   2,   /* field[2] = address */
   0,   /* field[0] = ends */
   1,   /* field[1] = wanted */
+  3,   /* field[3] = written_s */
 };
 static const ProtobufCIntRange mqrelay__run_ends__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mqrelay__run_ends__descriptor =
 {
@@ -2753,7 +2766,7 @@
   "Mqrelay__RunEnds",
   "mqrelay",
   sizeof(Mqrelay__RunEnds),
-  3,
+  4,
   mqrelay__run_ends__field_descriptors,
   mqrelay__run_ends__field_indices_by_name,
   1,  mqrelay__run_ends__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -534,7 +534,7 @@
 
 /*
  * Ends of runs that a host saw, or the request for what the receiver knows and
- * will see.
+ * will see.  Also the value of a row of the table of ended runs.
  */
 struct  Mqrelay__RunEnds
 {
@@ -546,10 +546,14 @@
    * of the host that wants them
    */
   char *address;
+  /*
+   * of a row, by the table's clock
+   */
+  uint64_t written_s;
 };
 #define MQRELAY__RUN_ENDS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__run_ends__descriptor) \
-    , 0,NULL, 0, (char *)protobuf_c_empty_string }
+    , 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 typedef enum {
--- a/src/core/router/suspects.c
+++ b/src/core/router/suspects.c
@@ -387,6 +387,14 @@
   return count_ends (suspect, true);
 }
 
+uint32_t
+mq_suspects_count (const struct mq_suspects *suspects, struct mq_id work)
+{
+  const struct suspect *suspect = find (suspects, work);
+
+  return suspect == NULL ? 0 : count_ends (suspect, true);
+}
+
 bool
 mq_suspects_clear (struct mq_suspects *suspects, struct mq_id work)
 {
@@ -414,16 +422,15 @@
 }
 
 size_t
-mq_suspects_open_ends (const struct mq_suspects *suspects, struct mq_id work,
-                       struct mq_suspects_end ends[MQ_SUSPECTS_KEPT_MAX],
-                       uint64_t now_ms)
+mq_suspects_ends (const struct mq_suspects *suspects, struct mq_id work,
+                  struct mq_suspects_end ends[MQ_SUSPECTS_KEPT_MAX],
+                  uint64_t now_ms)
 {
   const struct suspect *suspect = find (suspects, work);
   size_t count = 0;
 
   for (uint32_t i = 0; suspect != NULL && i < suspect->count; i++)
-    if (suspect->ends[i].state == MQ_SUSPECTS_OPEN)
-      ends[count++] = describe (suspect, &suspect->ends[i], now_ms);
+    ends[count++] = describe (suspect, &suspect->ends[i], now_ms);
   return count;
 }
 
--- a/src/core/router/suspects.h
+++ b/src/core/router/suspects.h
@@ -144,13 +144,15 @@
 uint32_t mq_suspects_record (struct mq_suspects *suspects,
                              const struct mq_suspects_end *end,
                              uint64_t now_ms);
+/* Number of ends of WORK that count, open ones included.  */
+uint32_t mq_suspects_count (const struct mq_suspects *suspects,
+                            struct mq_id work);
 /* A worker has served WORK.  Returns whether it was known.  */
 bool mq_suspects_clear (struct mq_suspects *suspects, struct mq_id work);
-/* Stores the open ends of WORK; returns their number.  */
-size_t
-mq_suspects_open_ends (const struct mq_suspects *suspects, struct mq_id work,
-                       struct mq_suspects_end ends[MQ_SUSPECTS_KEPT_MAX],
-                       uint64_t now_ms);
+/* Stores the ends of WORK, settled or not; returns their number.  */
+size_t mq_suspects_ends (const struct mq_suspects *suspects, struct mq_id work,
+                         struct mq_suspects_end ends[MQ_SUSPECTS_KEPT_MAX],
+                         uint64_t now_ms);
 /* Whether any end is open.  */
 bool mq_suspects_has_open (const struct mq_suspects *suspects);
 
--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -65,6 +65,7 @@
                     "next work lost beside")                                  \
   X (RUN_END_SETTLED, "run_end_settled", NOTICE,                              \
      "work worker_start ended ran_ms age_ms")                                 \
+  X (RUN_ENDS_NOT_WRITTEN, "run_ends_not_written", WARNING, "how")            \
   X (REQUEST_ENDED, "request_ended", INFO,                                    \
      MQ_LOG_REQUEST                                                           \
      "worker_version resumes outcome tokens load left_ms work "               \
--- a/src/router/relay_frame.c
+++ b/src/router/relay_frame.c
@@ -380,6 +380,7 @@
   frame.run_ends = &to;
   to.wanted = ends->wanted;
   to.address = text_field (ends->address);
+  to.written_s = ends->written_s;
   to.ends = make_list (ctx, ends->count, sizeof **to.ends);
   to.n_ends = ends->count;
   for (size_t i = 0; i < ends->count; i++)
@@ -652,8 +653,13 @@
   for (size_t i = 0; i < from->n_ends; i++)
     ends[i] = read_run_end (from->ends[i]);
   to->kind = MQ_RELAY_RUN_ENDS;
-  to->u.run_ends = (struct mq_relay_run_ends){ from->wanted, from->address,
-                                               ends, from->n_ends };
+  to->u.run_ends = (struct mq_relay_run_ends){
+    .wanted = from->wanted,
+    .address = from->address,
+    .ends = ends,
+    .count = from->n_ends,
+    .written_s = from->written_s,
+  };
 }
 
 static bool
--- a/src/router/relay_frame.h
+++ b/src/router/relay_frame.h
@@ -184,6 +184,8 @@
  * @wanted: requests those that the receiver knows and will see; there are no
  *          @ends
  * @address: address of the host that wants them, else ""
+ * @written_s: time at which the row was written, by the table's clock; 0 in a
+ *             message
  */
 struct mq_relay_run_ends
 {
@@ -191,6 +193,7 @@
   const char *address;
   const struct mq_suspects_end *ends;
   size_t count;
+  uint64_t written_s;
 };
 
 /**
--- a/src/router/relay_suspects.c
+++ b/src/router/relay_suspects.c
@@ -67,7 +67,7 @@
 {
   struct mq_relay_frame frame
       = { .kind = MQ_RELAY_RUN_ENDS,
-          .u.run_ends = { false, "", ends, end_count } };
+          .u.run_ends = { .ends = ends, .count = end_count } };
   TALLOC_CTX *ctx = mq_check_alloc (talloc_new (NULL));
   struct mq_bytes bytes = mq_relay_frame_pack (ctx, &frame);
   size_t count;
@@ -137,8 +137,9 @@
                      const char *address, const struct mq_suspects_end *ends,
                      size_t count)
 {
-  struct mq_relay_frame frame = { .kind = MQ_RELAY_RUN_ENDS,
-                                  .u.run_ends = { false, "", ends, count } };
+  struct mq_relay_frame frame
+      = { .kind = MQ_RELAY_RUN_ENDS,
+          .u.run_ends = { .ends = ends, .count = count } };
 
   struct host *host = relay_add_host (relay, address);
 
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -64,6 +64,7 @@
   X (run_ends, "workers that ended under a request known here")               \
   X (run_ends_alive, "broken connections whose worker had not ended")         \
   X (run_end_checks, "health checks of such workers")                         \
+  X (run_end_writes, "rows of ended runs written or removed")                 \
   X (run_ends_sent, "reports of ended runs sent to other hosts")              \
   X (run_ends_received, "ended runs that other hosts told")                   \
   X (run_ends_invalid, "of them ignored, with figures out of range")          \
@@ -474,6 +475,9 @@
    workers if ends of the same request lie behind.  */
 void mq_suspect_watch_broke (struct mq_suspect_watch *watch,
                              const struct mq_suspects_end *end);
+/* An end that another run of a host saw.  */
+void mq_suspect_watch_take (struct mq_suspect_watch *watch,
+                            const struct mq_suspects_end *end);
 /* A run of this host was served: clears the request here and elsewhere.  */
 void mq_suspect_watch_served (struct mq_suspect_watch *watch,
                               struct mq_id work);
@@ -486,6 +490,16 @@
 /* Adds the requests with most ends to metrics.  */
 void mq_suspect_watch_metrics (char **text, const struct mq_router *router);
 
+/* router_suspect_rows.c */
+
+/* Reads the rows of ended runs, once the table's clock is known; false before
+   that.  */
+bool mq_suspect_rows_read (struct mq_router *router);
+/* Writes the row of the request to which the ENDS belong.  */
+void mq_suspect_rows_write (struct mq_router *router,
+                            const struct mq_suspects_end *ends, size_t count);
+void mq_suspect_rows_remove (struct mq_router *router, struct mq_id work);
+
 /* router_retry.c */
 
 /* The table is back: all retries of the router USER begin at once, slightly
--- a/src/router/router_suspect_watch.c
+++ b/src/router/router_suspect_watch.c
@@ -41,6 +41,7 @@
  * @bytes: what may be sent of first ends
  * @bytes_ms: time of the last change of @bytes
  * @scan_timer: when workers are looked at next
+ * @rows_asked: the rows of ended runs are being read, or were
  * @asked: other hosts were asked for what they know
  * @asked_listed: since they were listed
  */
@@ -57,6 +58,7 @@
   struct mq_timer *scan_timer;
   uint64_t log_ms;
   uint32_t log_lines;
+  bool rows_asked;
   bool asked;
   bool asked_listed;
 };
@@ -329,6 +331,13 @@
   (void)mq_relay_ask_ends (router->relay);
 }
 
+static void
+read_rows_once (struct mq_suspect_watch *watch)
+{
+  if (!watch->rows_asked)
+    watch->rows_asked = mq_suspect_rows_read (watch->router);
+}
+
 static void
 on_scan (void *data)
 {
@@ -336,6 +345,7 @@
 
   watch->scan_timer = NULL;
   ask_once (watch);
+  read_rows_once (watch);
   if (!mq_suspects_is_empty (watch->suspects))
     mq_suspects_settle (watch->suspects, look, note_settled, watch,
                         mq_clock_ms ());
@@ -345,7 +355,8 @@
 static void
 schedule_scan (struct mq_suspect_watch *watch)
 {
-  bool waits = mq_suspects_has_open (watch->suspects) || !watch->asked_listed;
+  bool waits = mq_suspects_has_open (watch->suspects) || !watch->asked_listed
+               || !watch->rows_asked;
 
   watch->scan_timer = mq_timer_add (watch, watch->router->ev,
                                     waits ? SCAN_MS : IDLE_MS, on_scan, watch);
@@ -378,25 +389,31 @@
 {
   uint64_t now = mq_clock_ms ();
   uint32_t ends = record (watch, end);
-  struct mq_suspects_end open[MQ_SUSPECTS_KEPT_MAX];
+  struct mq_suspects_end ends_of[MQ_SUSPECTS_KEPT_MAX];
   size_t count;
 
   if (ends >= MQ_SUSPECTS_ENDS_ALONE || may_tell_first (watch))
     tell (watch, end);
   if (ends < MQ_SUSPECTS_ENDS_ALONE)
     return;
-  count = mq_suspects_open_ends (watch->suspects, end->work, open, now);
+  count = mq_suspects_ends (watch->suspects, end->work, ends_of, now);
+  mq_suspect_rows_write (watch->router, ends_of, count);
   for (size_t i = 0; i < count; i++)
-    check_worker (watch, &open[i]);
+    if (ends_of[i].state == MQ_SUSPECTS_OPEN)
+      check_worker (watch, &ends_of[i]);
 }
 
 void
 mq_suspect_watch_served (struct mq_suspect_watch *watch, struct mq_id work)
 {
   struct mq_suspects_end end = { .work = work, .state = MQ_SUSPECTS_SERVED };
+  uint32_t ends = mq_suspects_count (watch->suspects, work);
 
-  if (mq_suspects_clear (watch->suspects, work))
-    tell (watch, &end);
+  if (!mq_suspects_clear (watch->suspects, work))
+    return;
+  tell (watch, &end);
+  if (ends >= MQ_SUSPECTS_ENDS_ALONE)
+    mq_suspect_rows_remove (watch->router, work);
 }
 
 void
@@ -407,6 +424,14 @@
                               mq_clock_ms ());
 }
 
+void
+mq_suspect_watch_take (struct mq_suspect_watch *watch,
+                       const struct mq_suspects_end *end)
+{
+  if (record (watch, end) == 0)
+    watch->router->counters.run_ends_invalid++;
+}
+
 /* Messages of other hosts */
 
 static void
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -142,6 +142,7 @@
 {
   cr_expect_eq (a->wanted, b->wanted);
   cr_expect_str_eq (a->address, b->address);
+  cr_expect_eq (a->written_s, b->written_s);
   cr_assert_eq (a->count, b->count);
   for (size_t i = 0; i < a->count; i++)
     {
@@ -329,7 +330,9 @@
     { .work = { 6, 7 }, .state = MQ_SUSPECTS_STATES },
   };
   struct mq_relay_frame frames[] = {
-    { .kind = MQ_RELAY_RUN_ENDS, .u.run_ends = { false, "", ends, 2 } },
+    { .kind = MQ_RELAY_RUN_ENDS,
+      .u.run_ends
+      = { .address = "", .ends = ends, .count = 2, .written_s = 9 } },
     { .kind = MQ_RELAY_RUN_ENDS,
       .u.run_ends = { .wanted = true, .address = "a:1" } },
     { .kind = MQ_RELAY_EVIDENCE,
--- a/tests/test_repeats.c
+++ b/tests/test_repeats.c
@@ -214,6 +214,29 @@
   cr_expect_eq (status, 400, "last status %d: %.200s", status, call.answer);
 }
 
+/* Failure: all hosts are lost at once, and with them what they knew.  */
+Test (repeats, hosts_that_were_all_lost_know_what_ended_workers)
+{
+  int status = 0;
+
+  edge_start (site, 1);
+  edge_list_hosts (site);
+  (void)send (0, "/call/", FATAL, "");
+  edge_run_for (site, PAUSE_MS);
+  edge_kill (site, 0);
+  edge_kill (site, 1);
+  edge_start (site, 0);
+  edge_start (site, 1);
+  edge_run_for (site, 1500);
+  for (int i = 0; i < ATTEMPTS; i++)
+    {
+      status = send (i % 2, "/call/", FATAL, "");
+      edge_run_for (site, PAUSE_MS + retry_after_ms ());
+    }
+  cr_expect_leq (end_count (), ENDS_MAX, "%d workers ended", end_count ());
+  cr_expect_eq (status, 400, "last status %d: %.200s", status, call.answer);
+}
+
 /* Failure: a request that many callers send alike is rejected since
    connections break under it now and then.  */
 Test (repeats, request_that_mostly_succeeds_stays_served)
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -392,11 +392,12 @@
   cr_expect_eq (mq_suspects_judge (suspects, WORK, VERSION + 1, now),
                 MQ_SUSPECTS_REJECTED);
   /* The second time lasts twice as long.  */
+  cr_expect_eq (
+      mq_suspects_judge (suspects, WORK, VERSION + 1,
+                         now + (uint64_t)2 * MQ_SUSPECTS_REJECT_MS - 1),
+      MQ_SUSPECTS_REJECTED);
   cr_expect_eq (mq_suspects_judge (suspects, WORK, VERSION + 1,
-                                   now + 2 * MQ_SUSPECTS_REJECT_MS - 1),
-                MQ_SUSPECTS_REJECTED);
-  cr_expect_eq (mq_suspects_judge (suspects, WORK, VERSION + 1,
-                                   now + 2 * MQ_SUSPECTS_REJECT_MS),
+                                   now + (uint64_t)2 * MQ_SUSPECTS_REJECT_MS),
                 MQ_SUSPECTS_MAY_RUN);
   mq_suspects_destroy (suspects);
 }
@@ -437,7 +438,7 @@
 
   for (uint64_t worker = 1; worker <= 3; worker++)
     end_worker (suspects, worker, START_MS + 10 * worker);
-  for (uint64_t i = 0; i < 2 * MQ_SUSPECTS_WORKS_MAX; i++)
+  for (uint64_t i = 0; i < (uint64_t)2 * MQ_SUSPECTS_WORKS_MAX; i++)
     {
       struct mq_suspects_end end
           = { .work = { 2, i + 1 }, .worker = 7, .lost = true };
