--- a/src/core/router/suspects.c
+++ b/src/core/router/suspects.c
@@ -352,8 +352,8 @@
   end->state = state;
 }
 
-static bool
-is_valid (const struct mq_suspects_end *end)
+bool
+mq_suspects_is_valid (const struct mq_suspects_end *end)
 {
   return !mq_id_is_zero (end->work) && end->state < MQ_SUSPECTS_SERVED
          && end->age_ms <= MQ_SUSPECTS_AGE_MAX_MS
@@ -371,7 +371,7 @@
   struct suspect *suspect;
   struct run_end *known;
 
-  if (!is_valid (end))
+  if (!mq_suspects_is_valid (end))
     return 0;
   run.ended_ms = now_ms > end->age_ms ? now_ms - end->age_ms : 1;
   run.began_ms = run.ended_ms > end->ran_ms ? run.ended_ms - end->ran_ms : 0;
--- a/src/core/router/suspects.h
+++ b/src/core/router/suspects.h
@@ -139,8 +139,12 @@
 size_t mq_suspects_occupied (const struct mq_suspects *suspects,
                              struct mq_id work, uint32_t *workers, size_t max);
 
-/* Takes an end that this host saw or was told.  Returns the number of ends of
-   its request that count, open ones included; 0 if END is not valid.  */
+/* Whether the figures of END are in range, and it is not of MQ_SUSPECTS_SERVED
+   or a newer release.  */
+bool mq_suspects_is_valid (const struct mq_suspects_end *end);
+/* Takes an end that this host saw or was told, and ignores one that is not
+   valid.  Returns the number of ends of its request that count, open ones
+   included.  */
 uint32_t mq_suspects_record (struct mq_suspects *suspects,
                              const struct mq_suspects_end *end,
                              uint64_t now_ms);
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -174,7 +174,7 @@
   mq_metrics_series (&text, &loop_delay_family, "timer=\"sweep\"",
                      &router->loop_delay);
   mq_router_add_services (&text, router);
-  mq_suspect_watch_metrics (&text, router);
+  mq_router_add_suspects (&text, router);
   mq_router_add_shares (&text, router);
   mq_router_add_speed (&text, router);
   mq_metrics_add_process (&text);
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -487,8 +487,10 @@
 /* Message of another host.  */
 void mq_suspect_watch_receive (const struct mq_relay_run_ends *ends,
                                struct mq_relay_link *link, void *router);
+/* router_suspect_metrics.c */
+
 /* Adds the requests with most ends to metrics.  */
-void mq_suspect_watch_metrics (char **text, const struct mq_router *router);
+void mq_router_add_suspects (char **text, const struct mq_router *router);
 
 /* router_suspect_rows.c */
 
--- a/src/router/router_suspect_watch.c
+++ b/src/router/router_suspect_watch.c
@@ -1,14 +1,12 @@
 /* router_suspect_watch.c - settles the ends of runs at workers, and tells
    other hosts of them (suspects.h).
 
-   Needs: router_state.h, router_probe.h, metrics.h, clock.h.  */
+   Needs: router_state.h, router_probe.h, clock.h.  */
 
 #include "core/id.h"
-#include "log/metrics.h"
 #include "net/clock.h"
 #include "router_probe.h"
 #include "router_state.h"
-#include <stdio.h>
 
 /* Interval of looking at workers while an end is open, and else.  */
 #define SCAN_MS 50U
@@ -26,20 +24,34 @@
 #define BURST_BYTES 16384U
 /* Time within which a host that is not cut off hears of some worker.  */
 #define HEAR_OTHERS_MS 250U
+/* Bound on the rows that a host writes.  */
+#define WRITES_PER_S 2U
+#define BURST_WRITES 8U
+/* Units of struct bucket.  */
+#define BUCKET_UNIT 1000U
 /* Health checks in progress.  */
 #define PROBES_MAX 16U
 /* Log lines in each LOG_MS at most.  */
 #define LOG_MS 1000U
 #define LOG_LINES_MAX 16U
-/* Requests in the metrics.  */
-#define LISTED_MAX 16U
+
+/**
+ * struct bucket - a bound on a rate, full at first
+ * @level: what is left, in 1 / BUCKET_UNIT
+ * @set_ms: time of the last change, local monotonic clock
+ */
+struct bucket
+{
+  uint64_t level;
+  uint64_t set_ms;
+};
 
 /**
  * struct mq_suspect_watch - requests under which workers may have ended
  * @told: ends that wait to be told
  * @tell_timer: NULL if none waits
  * @bytes: what may be sent of first ends
- * @bytes_ms: time of the last change of @bytes
+ * @writes: rows that may be written
  * @scan_timer: when workers are looked at next
  * @rows_asked: the rows of ended runs are being read, or were
  * @asked: other hosts were asked for what they know
@@ -52,8 +64,8 @@
   struct mq_suspects_end told[ENDS_MAX];
   size_t told_count;
   struct mq_timer *tell_timer;
-  uint64_t bytes;
-  uint64_t bytes_ms;
+  struct bucket bytes;
+  struct bucket writes;
   uint32_t probes;
   struct mq_timer *scan_timer;
   uint64_t log_ms;
@@ -148,26 +160,40 @@
         = mq_timer_add (watch, watch->router->ev, TELL_MS, send_told, watch);
 }
 
-/* Takes the bytes of one end for all receivers from the bound.  */
+/* Takes COST from BUCKET; false if it has less.  */
 static bool
-may_tell_first (struct mq_suspect_watch *watch)
+take (struct bucket *bucket, uint64_t cost, uint64_t per_s, uint64_t burst)
 {
   uint64_t now = mq_clock_ms ();
-  size_t hosts = mq_relay_host_count (watch->router->relay);
-  uint64_t cost
-      = END_BYTES
-        * (hosts < MQ_RELAY_KEEPERS_MAX ? hosts : MQ_RELAY_KEEPERS_MAX);
-
-  watch->bytes += (now - watch->bytes_ms) * BYTES_PER_S / 1000U;
-  watch->bytes_ms = now;
-  if (watch->bytes > BURST_BYTES)
-    watch->bytes = BURST_BYTES;
-  if (watch->bytes < cost)
+
+  bucket->level += (now - bucket->set_ms) * per_s;
+  bucket->set_ms = now;
+  if (bucket->level > burst * BUCKET_UNIT)
+    bucket->level = burst * BUCKET_UNIT;
+  if (bucket->level < cost * BUCKET_UNIT)
     return false;
-  watch->bytes -= cost;
+  bucket->level -= cost * BUCKET_UNIT;
   return true;
 }
 
+/* Takes the bytes of one end for all receivers from the bound.  */
+static bool
+may_tell_first (struct mq_suspect_watch *watch)
+{
+  size_t hosts = mq_relay_host_count (watch->router->relay);
+  size_t told = hosts < MQ_RELAY_KEEPERS_MAX ? hosts : MQ_RELAY_KEEPERS_MAX;
+
+  return take (&watch->bytes, END_BYTES * told, BYTES_PER_S, BURST_BYTES);
+}
+
+/* Failure: while connections break everywhere, rows of ended runs use up the
+   transactions that the table does for the rows of hosts.  */
+static bool
+may_write (struct mq_suspect_watch *watch)
+{
+  return take (&watch->writes, 1, WRITES_PER_S, BURST_WRITES);
+}
+
 /* Settling */
 
 /* Settles the end of CHECK, which is freed.  */
@@ -323,12 +349,10 @@
 {
   struct mq_router *router = watch->router;
 
-  if (mq_relay_host_count (router->relay) == 0
-      || (watch->asked && (watch->asked_listed || !router->hosts_listed)))
+  if (watch->asked_listed || (watch->asked && !router->hosts_listed))
     return;
-  watch->asked = true;
   watch->asked_listed = router->hosts_listed;
-  (void)mq_relay_ask_ends (router->relay);
+  watch->asked = mq_relay_ask_ends (router->relay) > 0;
 }
 
 static void
@@ -371,8 +395,6 @@
   if (watch == NULL)
     return NULL;
   watch->router = router;
-  watch->bytes = BURST_BYTES;
-  watch->bytes_ms = mq_clock_ms ();
   watch->suspects = mq_suspects_create (watch);
   if (watch->suspects == NULL)
     {
@@ -400,7 +422,8 @@
     }
   /* Those of other hosts too, which may not know the same hosts.  */
   count = mq_suspects_ends (watch->suspects, end->work, ends_of, now);
-  mq_suspect_rows_write (watch->router, ends_of, count);
+  if (may_write (watch))
+    mq_suspect_rows_write (watch->router, ends_of, count);
   for (size_t i = 0; i < count; i++)
     {
       tell (watch, &ends_of[i]);
@@ -414,11 +437,13 @@
 {
   struct mq_suspects_end end = { .work = work, .state = MQ_SUSPECTS_SERVED };
   uint32_t ends = mq_suspects_count (watch->suspects, work);
+  bool has_row = ends >= MQ_SUSPECTS_ENDS_ALONE;
 
   if (!mq_suspects_clear (watch->suspects, work))
     return;
-  tell (watch, &end);
-  if (ends >= MQ_SUSPECTS_ENDS_ALONE)
+  if (has_row || may_tell_first (watch))
+    tell (watch, &end);
+  if (has_row && may_write (watch))
     mq_suspect_rows_remove (watch->router, work);
 }
 
@@ -434,7 +459,9 @@
 mq_suspect_watch_take (struct mq_suspect_watch *watch,
                        const struct mq_suspects_end *end)
 {
-  if (record (watch, end) == 0)
+  if (mq_suspects_is_valid (end))
+    (void)record (watch, end);
+  else
     watch->router->counters.run_ends_invalid++;
 }
 
@@ -451,9 +478,12 @@
       (void)mq_suspects_clear (watch->suspects, end->work);
       return;
     }
+  if (!mq_suspects_is_valid (end))
+    {
+      router->counters.run_ends_invalid++;
+      return;
+    }
   ends = record (watch, end);
-  if (ends == 0)
-    router->counters.run_ends_invalid++;
   if (ends >= MQ_SUSPECTS_ENDS_ALONE
       && mq_relay_tells_everyone (router->relay, end->work))
     router->counters.run_ends_sent
@@ -481,30 +511,3 @@
   for (size_t i = 0; i < ends->count && i < ENDS_MAX; i++)
     take_end (watch, &ends->ends[i]);
 }
-
-/* Metrics */
-
-void
-mq_suspect_watch_metrics (char **text, const struct mq_router *router)
-{
-  struct mq_suspects_report reports[LISTED_MAX];
-  size_t count = mq_suspects_list (router->suspects->suspects, reports,
-                                   LISTED_MAX, mq_clock_ms ());
-
-  mq_metrics_begin_values (text, "router", "work_ends",
-                           "workers that ended under a request");
-  for (size_t i = 0; i < count; i++)
-    {
-      char labels[128];
-      char work[MQ_ID_TEXT];
-
-      mq_id_format (reports[i].work, work);
-      snprintf (labels, sizeof labels,
-                "work=\"%s\",open=\"%u\",age_s=\"%llu\",rejected=\"%d\"", work,
-                reports[i].open,
-                (unsigned long long)(reports[i].age_ms / 1000U),
-                reports[i].rejected);
-      mq_metrics_labelled (text, "router", "work_ends", labels,
-                           reports[i].ends);
-    }
-}
