Requests that ran at a crashed worker no longer avoid each other

Only pairs of which one has two ends are kept apart now (suspects::requests_with_one_end_share_workers).

--- a/src/core/router/suspects.c
+++ b/src/core/router/suspects.c
@@ -247,17 +247,33 @@
     suspect->running--;
 }
 
+static bool
+contains (const uint32_t *workers, size_t count, uint32_t worker)
+{
+  for (size_t i = 0; i < count; i++)
+    if (workers[i] == worker)
+      return true;
+  return false;
+}
+
+/* Failure: workers crash, and each request that ran there avoids all others,
+   which leaves few workers for many requests.  */
 size_t
 mq_suspects_occupied (const struct mq_suspects *suspects, struct mq_id work,
                       uint32_t *workers, size_t max)
 {
+  bool one_of_few
+      = mq_suspects_count (suspects, work) >= MQ_SUSPECTS_ENDS_ALONE;
   const struct suspect *suspect;
   size_t position = 0;
   size_t count = 0;
 
   while (count < max
          && (suspect = mq_idmap_next (suspects->by_work, &position)) != NULL)
-    if (suspect->running > 0 && !mq_id_equal (suspect->work, work))
+    if (suspect->running > 0 && !mq_id_equal (suspect->work, work)
+        && !contains (workers, count, suspect->running_at)
+        && (one_of_few
+            || count_ends (suspect, true) >= MQ_SUSPECTS_ENDS_ALONE))
       workers[count++] = suspect->running_at;
   return count;
 }
--- a/src/core/router/suspects.h
+++ b/src/core/router/suspects.h
@@ -133,9 +133,10 @@
 bool mq_suspects_run_begun (struct mq_suspects *suspects, struct mq_id work,
                             uint32_t worker);
 void mq_suspects_run_ended (struct mq_suspects *suspects, struct mq_id work);
-/* Stores the workers, at most MAX, at which other known requests of this host
-   run; returns their number.  Two of them at one worker would share the blame
-   for its end.  */
+/* Stores the workers, at most MAX, that WORK is to be kept from, since another
+   known request of this host runs there; returns their number.  Two of them at
+   one worker would share the blame for its end.  Only pairs count of which one
+   has MQ_SUSPECTS_ENDS_ALONE ends.  */
 size_t mq_suspects_occupied (const struct mq_suspects *suspects,
                              struct mq_id work, uint32_t *workers, size_t max);
 
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -402,6 +402,43 @@
   mq_suspects_destroy (suspects);
 }
 
+/* Failure: workers crash, and the requests that ran there avoid each other
+   until few workers are left for them.  */
+Test (suspects, requests_with_one_end_share_workers)
+{
+  static const struct
+  {
+    const char *name;
+    uint32_t ends;       /* of the request that looks for a worker */
+    uint32_t other_ends; /* of the one that runs at worker 9 */
+    size_t occupied;
+  } rows[] = {
+    { "one and one", 1, 1, 0 },  { "one and two", 1, 2, 1 },
+    { "two and one", 2, 1, 1 },  { "two and two", 2, 2, 1 },
+    { "none and two", 0, 2, 1 },
+  };
+
+  for (size_t i = 0; i < ROWS (rows); i++)
+    {
+      struct mq_suspects *suspects = mq_suspects_create (NULL);
+      struct mq_suspects_end other
+          = { .work = { 2, 2 }, .state = MQ_SUSPECTS_ENDED, .lost = true };
+      uint32_t workers[4];
+
+      for (uint32_t k = 0; k < rows[i].ends; k++)
+        end_worker (suspects, 1 + k, START_MS + 10 * k);
+      for (uint32_t k = 0; k < rows[i].other_ends; k++)
+        {
+          other.worker = 5 + k;
+          mq_suspects_record (suspects, &other, START_MS + 10 * k);
+        }
+      cr_assert (mq_suspects_run_begun (suspects, other.work, 9));
+      cr_expect_eq (mq_suspects_occupied (suspects, WORK, workers, 4),
+                    rows[i].occupied, "%s", rows[i].name);
+      mq_suspects_destroy (suspects);
+    }
+}
+
 /* Failure: a message with figures out of range rejects a request.  */
 Test (suspects, invalid_ends_are_ignored)
 {
