--- a/src/ctl/ctl_load.c
+++ b/src/ctl/ctl_load.c
@@ -2,7 +2,7 @@
 
    Sums the metrics of all routers: how full the services and the table are,
    which organisations ask for most, which workers are left out by how many
-   hosts.
+   hosts, and which requests end workers.
    Needs: ctl_run.h, id.h, idmap.h, memory.h, jansson.  */
 
 #include "core/id.h"
@@ -206,6 +206,11 @@
     { { "demand", "organisation_demand", false },
       { "refused", "organisation_refused", false } } },
   { "workers left out", { { "hosts", "worker_ejected", false } } },
+  { "requests that end workers",
+    { { "ends", "work_ends", true },
+      { "open", "work_open_ends", true },
+      { "age s", "work_end_age_seconds", true },
+      { "rejected", "work_rejected", false } } },
 };
 
 #define COLUMNS_MAX 4U
--- a/tests/test_mimosactl.c
+++ b/tests/test_mimosactl.c
@@ -969,7 +969,11 @@
            "organisation=\"acme\"} 30\n"
            "mimosa_router_organisation_refused{service=\"llm\","
            "organisation=\"acme\"} 4\n"
-           "mimosa_router_worker_ejected{service=\"llm\",worker=\"w1\"} 1\n" },
+           "mimosa_router_worker_ejected{service=\"llm\",worker=\"w1\"} 1\n"
+           "mimosa_router_work_ends{work=\"c1dc\"} 3\n"
+           "mimosa_router_work_open_ends{work=\"c1dc\"} 0\n"
+           "mimosa_router_work_end_age_seconds{work=\"c1dc\"} 40\n"
+           "mimosa_router_work_rejected{work=\"c1dc\"} 1\n" },
     { 200, "mimosa_router_service_load{service=\"llm\"} 700\n"
            "mimosa_router_service_pressure{service=\"llm\"} 800\n"
            "mimosa_router_record_load 30\n"
@@ -1001,6 +1005,8 @@
   expect_in (kit->out, "\"routers\":3,\"reached\":2", "json");
   expect_in (kit->out, "\"demand\":50,\"refused\":4", "json");
   expect_in (kit->out, "\"hosts\":2", "json");
+  expect_in (kit->out, "\"ends\":3,\"open\":0,\"age s\":40,\"rejected\":1",
+             "json");
   ctl_kit_run (kit, NULL, ARGUMENTS ("load", "nowhere"));
   cr_expect_eq (kit->code, 2);
   ctl_kit_destroy (kit);
