The row of ended runs is read before it is written

A host that had not been told of ends wrote its own over them, and ended three workers more. It now takes what the row has, and writes both.

--- a/src/router/router_refuse.c
+++ b/src/router/router_refuse.c
@@ -10,6 +10,7 @@
 #define RETRY_SOON_MS 100U
 #define RETRY_TABLE_MS 300U
 #define RETRY_READY_MS 500U
+#define RETRY_SETTLED_MS 300U
 #define RETRY_OVERLOADED_MS 1000U
 
 static const struct mq_refusal_response rows[] = {
@@ -28,7 +29,7 @@
   [MQ_REFUSE_EXITING] = { 503, RETRY_SOON_MS, "exiting" },
   [MQ_REFUSE_NO_WORKER] = { 503, RETRY_READY_MS, "no_worker" },
   [MQ_REFUSE_ENDS_WORKERS] = { 400, 0, "ends_workers" },
-  [MQ_REFUSE_UNSETTLED] = { 503, RETRY_TABLE_MS, "ends_unsettled" },
+  [MQ_REFUSE_UNSETTLED] = { 503, RETRY_SETTLED_MS, "ends_unsettled" },
   [MQ_REFUSE_VERSION_GONE] = { 503, 0, "version_gone" },
   [MQ_REFUSE_STREAM_UNKNOWN] = { 503, 0, "stream_unknown" },
   [MQ_REFUSE_OVERLOADED] = { 503, RETRY_OVERLOADED_MS, "loaded" },
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -497,9 +497,8 @@
 /* Reads the rows of ended runs, once the table's clock is known; false before
    that.  */
 bool mq_suspect_rows_read (struct mq_router *router);
-/* Writes the row of the request to which the ENDS belong.  */
-void mq_suspect_rows_write (struct mq_router *router,
-                            const struct mq_suspects_end *ends, size_t count);
+/* Adds what is known of WORK to its row, and takes what the row has.  */
+void mq_suspect_rows_update (struct mq_router *router, struct mq_id work);
 void mq_suspect_rows_remove (struct mq_router *router, struct mq_id work);
 
 /* router_retry.c */
--- a/src/router/router_suspect_rows.c
+++ b/src/router/router_suspect_rows.c
@@ -1,12 +1,15 @@
 /* router_suspect_rows.c - rows of ended runs in the platform's table, for
    hosts that start.
 
-   A request has a row once two workers ended under it.  Failure: all hosts are
-   lost at once, and a request ends as many workers again.
-   Needs: router_state.h, relay_frame.h, frame.h, id.h, memory.h.  */
+   A request has a row once two workers ended under it.  It is read before it
+   is written, since hosts that don't know of each other may have written it.
+   Failure: all hosts are lost at once, and a request ends as many workers
+   again.
+   Needs: router_state.h, relay_frame.h, frame.h, id.h, memory.h, clock.h.  */
 
 #include "core/id.h"
 #include "core/memory.h"
+#include "net/clock.h"
 #include "net/frame.h"
 #include "relay_frame.h"
 #include "router_state.h"
@@ -48,11 +51,14 @@
   mq_rows_commit (router->rows, &entry, 1, on_written, router);
 }
 
-void
-mq_suspect_rows_write (struct mq_router *router,
-                       const struct mq_suspects_end *ends, size_t count)
+/* Writes what is known of WORK.  */
+static void
+write_row (struct mq_router *router, struct mq_id work)
 {
   TALLOC_CTX *ctx = mq_check_alloc (talloc_new (NULL));
+  struct mq_suspects_end ends[MQ_SUSPECTS_KEPT_MAX];
+  size_t count = mq_suspects_ends (mq_suspect_watch_list (router->suspects),
+                                   work, ends, mq_clock_ms ());
   struct mq_relay_frame frame
       = { .kind = MQ_RELAY_RUN_ENDS,
           .u.run_ends = { .ends = ends,
@@ -61,21 +67,13 @@
   struct mq_bytes bytes = mq_relay_frame_pack (ctx, &frame);
   char key[MQ_ID_TEXT];
 
-  mq_id_format (ends[0].work, key);
-  commit (router, key,
-          (struct mq_bytes){ bytes.data + MQ_FRAME_HEADER_BYTES,
-                             bytes.len - MQ_FRAME_HEADER_BYTES },
-          false);
-  talloc_free (ctx);
-}
-
-void
-mq_suspect_rows_remove (struct mq_router *router, struct mq_id work)
-{
-  char key[MQ_ID_TEXT];
-
   mq_id_format (work, key);
-  commit (router, key, (struct mq_bytes){ NULL, 0 }, true);
+  if (count > 0)
+    commit (router, key,
+            (struct mq_bytes){ bytes.data + MQ_FRAME_HEADER_BYTES,
+                               bytes.len - MQ_FRAME_HEADER_BYTES },
+            false);
+  talloc_free (ctx);
 }
 
 /* Takes the ends of a row that was written AGE_S ago, less up to a second:
@@ -93,10 +91,62 @@
     }
 }
 
+/**
+ * struct update - a row that is read before it is written again
+ */
+struct update
+{
+  struct mq_router *router;
+  struct mq_id work;
+};
+
+static void take_value (struct mq_router *router,
+                        const struct mq_rows_entry *row);
+
+/* The request may have been cleared meanwhile.  */
 static void
-on_row (const struct mq_rows_entry *row, void *user)
+on_read (const struct mq_rows_result *result, void *user)
+{
+  struct update *update = user;
+  struct mq_router *router = update->router;
+  struct mq_suspects *suspects = mq_suspect_watch_list (router->suspects);
+
+  if (mq_suspects_is_known (suspects, update->work))
+    {
+      for (size_t i = 0; i < result->row_count; i++)
+        if (result->rows[i].version != MQ_VERSION_ABSENT)
+          take_value (router, &result->rows[i]);
+      write_row (router, update->work);
+    }
+  talloc_free (update);
+}
+
+void
+mq_suspect_rows_update (struct mq_router *router, struct mq_id work)
+{
+  struct update *update = talloc_zero (router, struct update);
+  char key[MQ_ID_TEXT];
+
+  if (update == NULL)
+    return;
+  *update = (struct update){ router, work };
+  mq_id_format (work, key);
+  mq_rows_get (router->rows, run_end_table, "", key, on_read, update);
+}
+
+void
+mq_suspect_rows_remove (struct mq_router *router, struct mq_id work)
+{
+  char key[MQ_ID_TEXT];
+
+  mq_id_format (work, key);
+  commit (router, key, (struct mq_bytes){ NULL, 0 }, true);
+}
+
+/* A row that can't be read or is old is removed.  */
+static void
+take_value (struct mq_router *router, const struct mq_rows_entry *row)
 {
-  struct mq_router *router = user;
   uint64_t now_s = mq_rows_clock_s (router->rows);
   struct mq_relay_frame *frame
       = mq_relay_frame_unpack (NULL, row->value.data, row->value.len);
@@ -111,6 +161,12 @@
   talloc_free (frame);
 }
 
+static void
+on_row (const struct mq_rows_entry *row, void *user)
+{
+  take_value (user, row);
+}
+
 static void
 on_list (bool begins, void *user)
 {
--- a/src/router/router_suspect_watch.c
+++ b/src/router/router_suspect_watch.c
@@ -423,7 +423,7 @@
   /* Those of other hosts too, which may not know the same hosts.  */
   count = mq_suspects_ends (watch->suspects, end->work, ends_of, now);
   if (may_write (watch))
-    mq_suspect_rows_write (watch->router, ends_of, count);
+    mq_suspect_rows_update (watch->router, end->work);
   for (size_t i = 0; i < count; i++)
     {
       tell (watch, &ends_of[i]);
--- a/tests/test_repeats.c
+++ b/tests/test_repeats.c
@@ -1,10 +1,12 @@
 /* test_repeats.c - requests that end the workers they are sent to, over the
    attempts of their callers.
 
-   Needs: Criterion, router_site.h, stepped_clock.h.  */
+   Needs: Criterion, router_site.h, router_state.h, stepped_clock.h.  */
 
 #include "router_site.h"
+#include "net/clock.h"
 #include "net/timer.h"
+#include "router/router_state.h"
 #include "stepped_clock.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
@@ -237,6 +239,39 @@
   cr_expect_eq (status, 400, "last status %d: %.200s", status, call.answer);
 }
 
+/* Forgets what router INDEX knows of the request with most ends.  */
+static void
+make_forget (int index)
+{
+  struct mq_suspects *suspects
+      = mq_suspect_watch_list (site->routers[index]->suspects);
+  struct mq_suspects_report report;
+
+  cr_assert_eq (mq_suspects_list (suspects, &report, 1, mq_clock_ms ()), 1);
+  cr_assert (mq_suspects_clear (suspects, report.work));
+}
+
+/* Failure: a host that was not told of ends overwrites the row that has them,
+   and ends three workers more.  */
+Test (repeats, host_that_was_not_told_learns_from_the_row)
+{
+  int status = 0;
+
+  edge_start (site, 1);
+  edge_list_hosts (site);
+  (void)send (0, "/call/", FATAL, "");
+  edge_run_for (site, PAUSE_MS);
+  edge_kill (site, 0);
+  make_forget (1);
+  for (int i = 0; i < ATTEMPTS; i++)
+    {
+      status = send (1, "/call/", FATAL, "");
+      edge_run_for (site, PAUSE_MS + retry_after_ms ());
+    }
+  cr_expect_leq (end_count (), ENDS_MAX + 1, "%d workers ended", end_count ());
+  cr_expect_eq (status, 400, "last status %d: %.200s", status, call.answer);
+}
+
 /* Failure: a request that many callers send alike is rejected since
    connections break under it now and then.  */
 Test (repeats, request_that_mostly_succeeds_stays_served)
