A host that starts asks three others, and no links are opened to it

Read: hosts with an open link are the first that are asked for loans, 32 at most, and each start opened links to eight hosts and back. A host that asked is kept in the list for half a minute instead, and told over a link opened when there is something to tell. Whether that was the cause is only suspected.

--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -701,12 +701,14 @@
 mq_relay_list_end (struct mq_relay *relay)
 {
   struct host **at = &relay->hosts;
+  uint64_t now = mq_clock_ms ();
 
   while (*at != NULL)
     {
       struct host *host = *at;
 
-      if (host->listed || host->seed || host->link != NULL)
+      if (host->listed || host->seed || host->link != NULL
+          || host->asked_until_ms > now)
         {
           at = &host->next;
           continue;
--- a/src/router/relay.h
+++ b/src/router/relay.h
@@ -203,7 +203,7 @@
    by all hosts.  */
 #define MQ_RELAY_KEEPERS_MAX 32U
 /* Hosts that a host asks for what they know when it has started.  */
-#define MQ_RELAY_ENDS_ASKED_MAX 8U
+#define MQ_RELAY_ENDS_ASKED_MAX 3U
 /* Sends ENDS to the hosts that keep them, or to all hosts if EVERYONE.
    Returns the number of frames sent.  */
 uint32_t mq_relay_send_ends (struct mq_relay *relay,
--- a/src/router/relay_state.h
+++ b/src/router/relay_state.h
@@ -24,6 +24,8 @@
  * @caches_programs: accepts handovers
  * @recalled: has answered mq_relay_recall_quota
  * @batch_after_ms: end of the backoff for batching writes
+ * @asked_until_ms: it has asked for ended runs, and is told until then though
+ *                  it is not listed yet; 0 if it has not asked
  */
 struct host
 {
@@ -42,6 +44,7 @@
   bool caches_programs;
   bool recalled;
   uint64_t batch_after_ms;
+  uint64_t asked_until_ms;
 };
 
 struct mq_relay
--- a/src/router/relay_suspects.c
+++ b/src/router/relay_suspects.c
@@ -8,6 +8,9 @@
 #include "net/clock.h"
 #include <stdlib.h>
 
+/* Time within which a host that starts is listed by the others.  */
+#define ASKED_MS 30000U
+
 /**
  * struct keeper - a host that may be told
  */
@@ -25,7 +28,8 @@
 static bool
 may_be_told (const struct host *host, uint64_t now)
 {
-  return (host->listed || host->seed || host->link != NULL)
+  return (host->listed || host->seed || host->link != NULL
+          || host->asked_until_ms > now)
          && host->loan_after_ms <= now;
 }
 
@@ -130,8 +134,8 @@
   return asked;
 }
 
-/* The host that asked may not be listed yet: the open link keeps it among
-   those that are told.  */
+/* The host that asked may not be listed yet.  No link to it is opened: hosts
+   with one are the first that are asked for loans.  */
 void
 mq_relay_reply_ends (struct mq_relay *relay, struct mq_relay_link *link,
                      const char *address, const struct mq_suspects_end *ends,
@@ -145,5 +149,5 @@
 
   relay_send_frame (relay, link, &frame);
   if (host != NULL)
-    (void)relay_open_link (relay, host);
+    host->asked_until_ms = mq_clock_ms () + ASKED_MS;
 }
