Review: a stream is taken up at another version after an outage

Cause: a stream that begins while the store is away gets no row and runs at the only version that is listed; a host that takes it up believes the program's record, which names the version of its first turn.

Change: review/3 shows it with four routers. The stand-in has versions and goes on after Last-Event-Id; the records are of this state.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Case 3; see claim.txt.  Build first: the build of deploy/system.toml, then
+# review/build.sh.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/case-3 ] && [ -x target/bin/mimosa-routerd ] || exit 2
+exec target/review/case-3 review/3/record.txt
--- a/review/kit/kit.c
+++ b/review/kit/kit.c
@@ -426,6 +426,8 @@
   while ((size = message_size (connection, &answer)) == 0)
     if (!read_more (connection, until, &answer.ending))
       break;
+  snprintf (answer.text, sizeof answer.text, "%.*s",
+            (int)sizeof answer.text - 1, connection->text);
   if (size > 0)
     {
       answer.ending = ENDED_WHOLE;
--- a/review/kit/kit.h
+++ b/review/kit/kit.h
@@ -57,6 +57,7 @@
 /**
  * struct answer - what a caller got
  * @events: events of a stream
+ * @text: the answer as far as it came, cut where it is long
  */
 struct answer
 {
@@ -64,6 +65,7 @@
   int status;
   int events;
   bool stamped;
+  char text[8192];
 };
 
 /* Whether the disruption is to take place: TROUBLE is not 0.  */
--- a/review/kit/site.c
+++ b/review/kit/site.c
@@ -7,8 +7,12 @@
    input, one a line:
 
      fault none | silent | reset | busy    of the store
-     crash INDEX            the language worker resets its connections, refuses
-                            new ones, and its entry lapses after 3.6 s
+     crash INDEX            the worker resets its connections, refuses new ones,
+                            and its entry lapses after 3.6 s
+     start INDEX            a worker that has crashed starts again
+     register INDEX         and writes its entry
+     add COUNT VERSION      further language workers, of that version
+     gap MS                 time before each event of a turn, 10 ms at first
      config TEXT            a further version of the configuration, of one line
 
    Plain requests are answered after "?ms=N" of their target.  Turns get EVENTS
@@ -31,7 +35,7 @@
 /* Three heartbeats of 1,200 ms.  */
 #define LAPSE_MS 3600U
 #define CLOCK_STEP_MS 20U
-#define EVENT_GAP_MS 10U
+#define FIRST_GAP_MS 10U
 
 struct site;
 
@@ -41,7 +45,9 @@
   struct raw_server *server;
   char id[32];
   bool llm;
+  char version[16];
   uint64_t born_ms;
+  bool lapses;
 };
 
 struct site
@@ -51,6 +57,7 @@
   struct worker workers[WORKERS_MAX];
   int worker_count;
   int events;
+  uint32_t gap_ms;
   int record;
   uint64_t began_ms;
 };
@@ -121,12 +128,12 @@
       talloc_free (pending);
       return;
     }
-  len = snprintf (event, sizeof event, "id: %d\ndata: e%d\n\n", pending->next,
-                  pending->next);
+  len = snprintf (event, sizeof event, "id: %d\ndata: e%d@%s\n\n",
+                  pending->next, pending->next, pending->worker->version);
   snprintf (chunk, sizeof chunk, "%x\r\n%s\r\n", (unsigned int)len, event);
   raw_link_write (pending->link, chunk, strlen (chunk));
   pending->next++;
-  mq_timer_add (pending, site->ev, EVENT_GAP_MS, on_event_due, pending);
+  mq_timer_add (pending, site->ev, site->gap_ms, on_event_due, pending);
 }
 
 /* FROM: Last-Event-Id, NULL if there is none.  */
@@ -142,8 +149,8 @@
 
   raw_link_write (pending->link, head, strlen (head));
   pending->next = from == NULL ? 1 : atoi (from) + 1;
-  mq_timer_add (pending, pending->worker->site->ev, EVENT_GAP_MS,
-                on_event_due, pending);
+  mq_timer_add (pending, pending->worker->site->ev,
+                pending->worker->site->gap_ms, on_event_due, pending);
 }
 
 static uint32_t
@@ -209,21 +216,25 @@
 
   snprintf (text, sizeof text,
             "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"a\","
-            "\"version\":\"1\",\"batchSize\":64,\"state\":\"ready\","
+            "\"version\":\"%s\",\"batchSize\":64,\"state\":\"ready\","
             "\"born\":%llu}",
             worker->llm ? "llm" : "app", raw_server_port (worker->server),
+            worker->version,
             (unsigned long long)worker->born_ms);
   rows_server_put (worker->site->rows, "servers", "", worker->id, text);
 }
 
 static void
-add_worker (struct site *site, bool llm, int index)
+add_worker (struct site *site, bool llm, int index, const char *version)
 {
   struct worker *worker = &site->workers[site->worker_count++];
 
+  if (site->worker_count == WORKERS_MAX)
+    abort ();
   worker->site = site;
   worker->llm = llm;
   worker->born_ms = 1700000000000ULL;
+  snprintf (worker->version, sizeof worker->version, "%s", version);
   snprintf (worker->id, sizeof worker->id, "%s-%d", llm ? "llm" : "app",
             index);
   worker->server
@@ -238,6 +249,9 @@
 {
   struct worker *worker = data;
 
+  if (!worker->lapses)
+    return;
+  worker->lapses = false;
   record (worker->site, "the entry of %s has lapsed", worker->id);
   rows_server_put (worker->site->rows, "servers", "", worker->id, NULL);
 }
@@ -248,9 +262,30 @@
   struct worker *worker = &site->workers[index];
 
   raw_server_listen (worker->server, false);
+  worker->lapses = true;
   mq_timer_add (site->ev, site->ev, LAPSE_MS, on_lapse, worker);
 }
 
+/* A new start under the same id.  */
+static void
+start_worker (struct site *site, int index)
+{
+  struct worker *worker = &site->workers[index];
+
+  worker->born_ms += 60000;
+  raw_server_listen (worker->server, true);
+}
+
+static void
+add_workers (struct site *site, const char *text)
+{
+  char *version;
+  long count = strtol (text, &version, 10);
+
+  for (long i = 0; i < count; i++)
+    add_worker (site, true, site->worker_count, version + 1);
+}
+
 static void
 set_fault (struct site *site, const char *name)
 {
@@ -272,6 +307,14 @@
     set_fault (site, line + 6);
   else if (strncmp (line, "crash ", 6) == 0)
     crash_worker (site, atoi (line + 6));
+  else if (strncmp (line, "start ", 6) == 0)
+    start_worker (site, atoi (line + 6));
+  else if (strncmp (line, "register ", 9) == 0)
+    write_entry (&site->workers[atoi (line + 9)]);
+  else if (strncmp (line, "add ", 4) == 0)
+    add_workers (site, line + 4);
+  else if (strncmp (line, "gap ", 4) == 0)
+    site->gap_ms = (uint32_t)atoi (line + 4);
   else if (strncmp (line, "config ", 7) == 0)
     rows_server_put (site->rows, "op", "", "config", line + 7);
 }
@@ -315,7 +358,9 @@
 int
 main (int argc, char **argv)
 {
-  struct site site = { .ev = tevent_context_init (NULL), .events = 4 };
+  struct site site = { .ev = tevent_context_init (NULL),
+                       .events = 4,
+                       .gap_ms = FIRST_GAP_MS };
   char config[4096];
   int tokens = argc > 4 ? atoi (argv[4]) : 2;
 
@@ -338,6 +383,10 @@
       "{\"name\":\"turn\",\"host\":\"h\",\"prefix\":\"/turn/\","
       "\"kind\":\"streaming\",\"timeoutMs\":6000,\"sloMs\":250,"
       "\"gapAimMs\":200,\"service\":\"llm\",\"attempts\":2},"
+      "{\"name\":\"again\",\"host\":\"h\",\"prefix\":\"/again/\","
+      "\"kind\":\"streaming\",\"timeoutMs\":6000,\"sloMs\":250,"
+      "\"gapAimMs\":200,\"service\":\"llm\",\"attempts\":2,"
+      "\"resumable\":true},"
       "{\"name\":\"kept\",\"host\":\"h\",\"prefix\":\"/kept/\","
       "\"kind\":\"streaming\",\"timeoutMs\":6000,\"sloMs\":250,"
       "\"gapAimMs\":200,\"service\":\"llm\",\"attempts\":2,\"retain\":true,"
@@ -350,9 +399,9 @@
       tokens);
   rows_server_put (site.rows, "op", "", "config", config);
   for (int i = 0; i < atoi (argv[2]); i++)
-    add_worker (&site, true, i);
+    add_worker (&site, true, i, "1");
   for (int i = 0; i < atoi (argv[3]); i++)
-    add_worker (&site, false, i);
+    add_worker (&site, false, i, "1");
   tevent_add_fd (site.ev, site.ev, STDIN_FILENO, TEVENT_FD_READ, on_input,
                  &site);
   printf ("store %u\n", rows_server_port (site.rows, 0));
