Review: run.sh reads TROUBLE

Cause: only the shared kit read TROUBLE from the environment, so that a case's own folder did not show that it is heeded.

--- a/review/2/case.c
+++ b/review/2/case.c
@@ -1,11 +1,13 @@
 /* case.c - programs whose budget is spent get one turn more in each outage of
    the store.
 
-   usage: case-2 RECORD
+   usage: case-2 RECORD TROUBLE
+   TROUBLE: 0 for the same without the disruption, else 1.
    Needs: kit.h.  */
 
 #include "kit.h"
 #include <stdlib.h>
+#include <string.h>
 
 #define HOSTS 4
 #define PROGRAMS 8
@@ -99,8 +101,9 @@
   int most = 0;
   int broken = 0;
 
-  if (argc < 2)
+  if (argc < 3)
     return EXIT_NOT_RUN;
+  kit_set_trouble (strcmp (argv[2], "0") != 0);
   kit_start_site (argv[1], 3, 2, TOKENS_PER_EVENT, EVENTS);
   for (int i = 0; i < HOSTS; i++)
     kit_start_router (&hosts[i], names[i], &hosts[0]);
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,8 @@
 # review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/case-2 ] && [ -x target/bin/mimosa-routerd ] || exit 2
-exec target/review/case-2 review/2/record.txt
+# TROUBLE=0: the same without the disruption.
+case ${TROUBLE:-1} in
+0) exec target/review/case-2 review/2/record.txt 0 ;;
+*) exec target/review/case-2 review/2/record.txt 1 ;;
+esac
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,7 +1,8 @@
 /* case.c - a stream that begins while the store is down is taken up at a worker
    of another software version.
 
-   usage: case-3 RECORD
+   usage: case-3 RECORD TROUBLE
+   TROUBLE: 0 for the same without the disruption, else 1.
    Needs: kit.h.  */
 
 #include "kit.h"
@@ -177,8 +178,9 @@
   uint64_t until;
   int joined = 0;
 
-  if (argc < 2)
+  if (argc < 3)
     return EXIT_NOT_RUN;
+  kit_set_trouble (strcmp (argv[2], "0") != 0);
   kit_start_site (argv[1], 1, 1, 2, EVENTS);
   for (int i = 0; i < HOSTS; i++)
     kit_start_router (&hosts[i], names[i], &hosts[0]);
--- a/review/kit/kit.c
+++ b/review/kit/kit.c
@@ -29,15 +29,20 @@
 static pid_t site_pid;
 static FILE *site_input;
 static uint16_t store_port;
+static bool trouble = true;
 static struct router *routers[ROUTERS_MAX];
 static int router_count;
 
+void
+kit_set_trouble (bool on)
+{
+  trouble = on;
+}
+
 bool
 kit_trouble (void)
 {
-  const char *text = getenv ("TROUBLE");
-
-  return text == NULL || strcmp (text, "0") != 0;
+  return trouble;
 }
 
 uint64_t
@@ -125,6 +130,8 @@
                     0644);
   if (record_fd < 0)
     fail (path);
+  kit_note ("TROUBLE=%d: %s the disruption", trouble ? 1 : 0,
+            trouble ? "with" : "without");
   snprintf (texts[0], sizeof texts[0], "%d", llm);
   snprintf (texts[1], sizeof texts[1], "%d", app);
   snprintf (texts[2], sizeof texts[2], "%d", tokens);
--- a/review/kit/kit.h
+++ b/review/kit/kit.h
@@ -68,7 +68,9 @@
   char text[8192];
 };
 
-/* Whether the disruption is to take place: TROUBLE is not 0.  */
+/* Whether the disruption is to take place, as run.sh says by TROUBLE.  Set
+   before kit_start_site, which notes it in the record.  */
+void kit_set_trouble (bool on);
 bool kit_trouble (void);
 /* Milliseconds of a steady clock.  */
 uint64_t kit_now_ms (void);
