Tests: the stand-in of the table follows the stepped clock

What was seen: four tests of versions, test_commit_queue and many_hosts::program_spends_its_whole_budget failed beside load.

Checks are unchanged.

--- a/tests/test_commit_queue.c
+++ b/tests/test_commit_queue.c
@@ -1,9 +1,10 @@
 /* test_commit_queue.c - writes batched into transactions.
 
-   Needs: Criterion, commit_queue.h, rows_server.h.  */
+   Needs: Criterion, commit_queue.h, rows_server.h, stepped_clock.h.  */
 
 #include "../platform/standins/rows_server.h"
 #include "router/commit_queue.h"
+#include "stepped_clock.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <string.h>
@@ -87,6 +88,7 @@
   static const struct mq_relay_owner nobody = { .user = NULL };
   struct mq_error error = { .type = MQ_ERR_NONE };
 
+  stepped_clock_begin ();
   ev = tevent_context_init (NULL);
   table = rows_server_create (ev, ev);
   rows_client = mq_rows_create (
@@ -140,7 +142,7 @@
   while (calls < count)
     {
       calls = 0;
-      tevent_loop_once (ev);
+      stepped_clock_run (ev, 1);
       for (int i = 0; i < WRITES; i++)
         calls += outcomes[i].calls;
     }
@@ -280,7 +282,7 @@
         }
       while (done < MANY_WRITES)
         {
-          tevent_loop_once (ev);
+          stepped_clock_run (ev, 1);
           done = 0;
           for (int k = 0; k < MANY_WRITES; k++)
             done += many[k].calls;
@@ -399,13 +401,13 @@
     list_members (&members[i]);
   rows_server_set_delay (table, SLOW_MS);
   while (!members_know_latency ())
-    tevent_loop_once (ev);
+    stepped_clock_run (ev, 1);
   before = rows_server_write_count (table);
   for (int i = 0; i < MEMBERS; i++)
     for (int k = 0; k < MEMBER_WRITES; k++)
       write_member_row (&members[i], i, k);
   while (members_done () < MEMBERS * MEMBER_WRITES)
-    tevent_loop_once (ev);
+    stepped_clock_run (ev, 1);
   cr_expect_lt (rows_server_write_count (table) - before,
                 (size_t)SEPARATE_TRANSACTIONS);
   for (int i = 0; i < MEMBERS; i++)
@@ -423,7 +425,7 @@
     list_members (&members[i]);
   for (int i = 0; i < MEMBERS; i++)
     while (!mq_rows_feeds_healthy (members[i].rows))
-      tevent_loop_once (ev);
+      stepped_clock_run (ev, 1);
   rows_server_set_fault (table, ROWS_UNAVAILABLE);
   for (int i = 0; i < MEMBERS; i++)
     while (!mq_rows_down (members[i].rows))
@@ -431,7 +433,7 @@
         members[i].outcomes[0].calls = 0;
         write_member_row (&members[i], i, 0);
         while (members[i].outcomes[0].calls == 0)
-          tevent_loop_once (ev);
+          stepped_clock_run (ev, 1);
       }
   for (int i = 0; i < MEMBERS; i++)
     {
@@ -442,7 +444,7 @@
       members[i].outcomes[1] = (struct outcome){ 0 };
       write_member_row (&members[i], i, 1);
       while (members[i].outcomes[1].calls == 0)
-        tevent_loop_once (ev);
+        stepped_clock_run (ev, 1);
       cr_expect_eq (members[i].outcomes[1].status, MQ_STORE_DOWN);
       for (int k = 0; k < MEMBERS; k++)
         if (k != i)
--- a/tests/test_many_hosts.c
+++ b/tests/test_many_hosts.c
@@ -1,10 +1,11 @@
 /* test_many_hosts.c - programs whose turns arrive at many hosts of one data
    centre.
 
-   Needs: Criterion, router_site.h, router_state.h.  */
+   Needs: Criterion, router_site.h, router_state.h, stepped_clock.h.  */
 
 #include "router_site.h"
 #include "router/router_state.h"
+#include "stepped_clock.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <string.h>
@@ -28,6 +29,7 @@
 static void
 set_up (void)
 {
+  stepped_clock_begin ();
   site = edge_create ();
   for (int i = 1; i < HOSTS; i++)
     edge_start (site, i);
@@ -167,6 +169,7 @@
 static void
 set_up_two (void)
 {
+  stepped_clock_begin ();
   site = edge_create ();
 }
 
