--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -862,6 +862,51 @@
   assert(message->base.descriptor == &mqrelay__run_ends__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mqrelay__lease_handover__init
+                     (Mqrelay__LeaseHandover         *message)
+{
+  static const Mqrelay__LeaseHandover init_value = MQRELAY__LEASE_HANDOVER__INIT;
+  *message = init_value;
+}
+size_t mqrelay__lease_handover__get_packed_size
+                     (const Mqrelay__LeaseHandover *message)
+{
+  assert(message->base.descriptor == &mqrelay__lease_handover__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mqrelay__lease_handover__pack
+                     (const Mqrelay__LeaseHandover *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mqrelay__lease_handover__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mqrelay__lease_handover__pack_to_buffer
+                     (const Mqrelay__LeaseHandover *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mqrelay__lease_handover__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mqrelay__LeaseHandover *
+       mqrelay__lease_handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mqrelay__LeaseHandover *)
+     protobuf_c_message_unpack (&mqrelay__lease_handover__descriptor,
+                                allocator, len, data);
+}
+void   mqrelay__lease_handover__free_unpacked
+                     (Mqrelay__LeaseHandover *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mqrelay__lease_handover__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mqrelay__frame__init
                      (Mqrelay__Frame         *message)
 {
@@ -2696,7 +2741,7 @@
   (ProtobufCMessageInit) mqrelay__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__run_ends__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mqrelay__run_ends__field_descriptors[5] =
 {
   {
     "ends",
@@ -2746,17 +2791,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "written_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__RunEnds, written_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__run_ends__field_indices_by_name[] = {
   2,   /* field[2] = address */
   0,   /* field[0] = ends */
   1,   /* field[1] = wanted */
+  4,   /* field[4] = written_ms */
   3,   /* field[3] = written_s */
 };
 static const ProtobufCIntRange mqrelay__run_ends__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mqrelay__run_ends__descriptor =
 {
@@ -2766,14 +2824,78 @@
   "Mqrelay__RunEnds",
   "mqrelay",
   sizeof(Mqrelay__RunEnds),
-  4,
+  5,
   mqrelay__run_ends__field_descriptors,
   mqrelay__run_ends__field_indices_by_name,
   1,  mqrelay__run_ends__number_ranges,
   (ProtobufCMessageInit) mqrelay__run_ends__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqrelay__frame__field_descriptors[13] =
+static const ProtobufCFieldDescriptor mqrelay__lease_handover__field_descriptors[3] =
+{
+  {
+    "slot",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LeaseHandover, slot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LeaseHandover, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "row",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mqrelay__LeaseHandover, row),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mqrelay__lease_handover__field_indices_by_name[] = {
+  2,   /* field[2] = row */
+  0,   /* field[0] = slot */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange mqrelay__lease_handover__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mqrelay__lease_handover__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mqrelay.LeaseHandover",
+  "LeaseHandover",
+  "Mqrelay__LeaseHandover",
+  "mqrelay",
+  sizeof(Mqrelay__LeaseHandover),
+  3,
+  mqrelay__lease_handover__field_descriptors,
+  mqrelay__lease_handover__field_indices_by_name,
+  1,  mqrelay__lease_handover__number_ranges,
+  (ProtobufCMessageInit) mqrelay__lease_handover__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mqrelay__frame__field_descriptors[14] =
 {
   {
     "ask",
@@ -2931,11 +3053,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lease_handover",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mqrelay__Frame, body_case),
+    offsetof(Mqrelay__Frame, lease_handover),
+    &mqrelay__lease_handover__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqrelay__frame__field_indices_by_name[] = {
   0,   /* field[0] = ask */
   11,   /* field[11] = evidence */
   10,   /* field[10] = handover */
+  13,   /* field[13] = lease_handover */
   4,   /* field[4] = loan_ask */
   6,   /* field[6] = loan_back */
   5,   /* field[5] = loan_told */
@@ -2950,7 +3085,7 @@
 static const ProtobufCIntRange mqrelay__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor mqrelay__frame__descriptor =
 {
@@ -2960,7 +3095,7 @@
   "Mqrelay__Frame",
   "mqrelay",
   sizeof(Mqrelay__Frame),
-  13,
+  14,
   mqrelay__frame__field_descriptors,
   mqrelay__frame__field_indices_by_name,
   1,  mqrelay__frame__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -34,6 +34,7 @@
 typedef struct Mqrelay__Evidence Mqrelay__Evidence;
 typedef struct Mqrelay__RunEnd Mqrelay__RunEnd;
 typedef struct Mqrelay__RunEnds Mqrelay__RunEnds;
+typedef struct Mqrelay__LeaseHandover Mqrelay__LeaseHandover;
 typedef struct Mqrelay__Frame Mqrelay__Frame;
 
 
@@ -550,10 +551,35 @@
    * of a row, by the table's clock
    */
   uint64_t written_s;
+  /*
+   * likewise, 0: not told
+   */
+  uint64_t written_ms;
 };
 #define MQRELAY__RUN_ENDS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqrelay__run_ends__descriptor) \
-    , 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * A host that stops while the table is away hands a slot's lease on.
+ */
+struct  Mqrelay__LeaseHandover
+{
+  ProtobufCMessage base;
+  uint32_t slot;
+  /*
+   * of the slot's row
+   */
+  uint64_t version;
+  /*
+   * a ReserveRow, with marks that the row may lack
+   */
+  ProtobufCBinaryData row;
+};
+#define MQRELAY__LEASE_HANDOVER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mqrelay__lease_handover__descriptor) \
+    , 0, 0, {0,NULL} }
 
 
 typedef enum {
@@ -570,7 +596,8 @@
   MQRELAY__FRAME__BODY_QUOTA_RECALL = 10,
   MQRELAY__FRAME__BODY_HANDOVER = 11,
   MQRELAY__FRAME__BODY_EVIDENCE = 12,
-  MQRELAY__FRAME__BODY_RUN_ENDS = 13
+  MQRELAY__FRAME__BODY_RUN_ENDS = 13,
+  MQRELAY__FRAME__BODY_LEASE_HANDOVER = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MQRELAY__FRAME__BODY__CASE)
 } Mqrelay__Frame__BodyCase;
 
@@ -595,6 +622,7 @@
     Mqrelay__LoanTold *handover;
     Mqrelay__Evidence *evidence;
     Mqrelay__RunEnds *run_ends;
+    Mqrelay__LeaseHandover *lease_handover;
   };
 };
 #define MQRELAY__FRAME__INIT \
@@ -963,6 +991,25 @@
 void   mqrelay__run_ends__free_unpacked
                      (Mqrelay__RunEnds *message,
                       ProtobufCAllocator *allocator);
+/* Mqrelay__LeaseHandover methods */
+void   mqrelay__lease_handover__init
+                     (Mqrelay__LeaseHandover         *message);
+size_t mqrelay__lease_handover__get_packed_size
+                     (const Mqrelay__LeaseHandover   *message);
+size_t mqrelay__lease_handover__pack
+                     (const Mqrelay__LeaseHandover   *message,
+                      uint8_t             *out);
+size_t mqrelay__lease_handover__pack_to_buffer
+                     (const Mqrelay__LeaseHandover   *message,
+                      ProtobufCBuffer     *buffer);
+Mqrelay__LeaseHandover *
+       mqrelay__lease_handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mqrelay__lease_handover__free_unpacked
+                     (Mqrelay__LeaseHandover *message,
+                      ProtobufCAllocator *allocator);
 /* Mqrelay__Frame methods */
 void   mqrelay__frame__init
                      (Mqrelay__Frame         *message);
@@ -1041,6 +1088,9 @@
 typedef void (*Mqrelay__RunEnds_Closure)
                  (const Mqrelay__RunEnds *message,
                   void *closure_data);
+typedef void (*Mqrelay__LeaseHandover_Closure)
+                 (const Mqrelay__LeaseHandover *message,
+                  void *closure_data);
 typedef void (*Mqrelay__Frame_Closure)
                  (const Mqrelay__Frame *message,
                   void *closure_data);
@@ -1069,6 +1119,7 @@
 extern const ProtobufCMessageDescriptor mqrelay__evidence__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__run_end__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__run_ends__descriptor;
+extern const ProtobufCMessageDescriptor mqrelay__lease_handover__descriptor;
 extern const ProtobufCMessageDescriptor mqrelay__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/proto/turn.pb-c.c
+++ b/proto/turn.pb-c.c
@@ -482,7 +482,7 @@
   (ProtobufCMessageInit) mqturn__stream_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqturn__service_row__field_descriptors[1] =
+static const ProtobufCFieldDescriptor mqturn__service_row__field_descriptors[2] =
 {
   {
     "versions",
@@ -496,14 +496,27 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "settled_s",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Mqturn__ServiceRow, n_settled_s),
+    offsetof(Mqturn__ServiceRow, settled_s),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqturn__service_row__field_indices_by_name[] = {
+  1,   /* field[1] = settled_s */
   0,   /* field[0] = versions */
 };
 static const ProtobufCIntRange mqturn__service_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor mqturn__service_row__descriptor =
 {
@@ -513,14 +526,14 @@
   "Mqturn__ServiceRow",
   "mqturn",
   sizeof(Mqturn__ServiceRow),
-  1,
+  2,
   mqturn__service_row__field_descriptors,
   mqturn__service_row__field_indices_by_name,
   1,  mqturn__service_row__number_ranges,
   (ProtobufCMessageInit) mqturn__service_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mqturn__reserve_row__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mqturn__reserve_row__field_descriptors[6] =
 {
   {
     "holder",
@@ -558,16 +571,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "issue_from_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqturn__ReserveRow, issue_from_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "marks_until_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mqturn__ReserveRow, marks_until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "marks",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mqturn__ReserveRow, marks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mqturn__reserve_row__field_indices_by_name[] = {
   2,   /* field[2] = address */
   0,   /* field[0] = holder */
+  3,   /* field[3] = issue_from_ms */
+  5,   /* field[5] = marks */
+  4,   /* field[4] = marks_until_ms */
   1,   /* field[1] = until_ms */
 };
 static const ProtobufCIntRange mqturn__reserve_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mqturn__reserve_row__descriptor =
 {
@@ -577,7 +629,7 @@
   "Mqturn__ReserveRow",
   "mqturn",
   sizeof(Mqturn__ReserveRow),
-  3,
+  6,
   mqturn__reserve_row__field_descriptors,
   mqturn__reserve_row__field_indices_by_name,
   1,  mqturn__reserve_row__number_ranges,
--- a/proto/turn.pb-c.h
+++ b/proto/turn.pb-c.h
@@ -102,10 +102,15 @@
    */
   size_t n_versions;
   uint64_t *versions;
+  /*
+   * for each, by the table's clock: from then
+   */
+  size_t n_settled_s;
+  uint64_t *settled_s;
 };
 #define MQTURN__SERVICE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqturn__service_row__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 /*
@@ -126,10 +131,25 @@
    * where other hosts reach it, "IP:PORT"
    */
   char *address;
+  /*
+   * tokens that no record counts may be issued from
+   */
+  uint64_t issue_from_ms;
+  /*
+   * then on, by the table's clock, 0: unknown
+   */
+  /*
+   * marks count until then
+   */
+  uint64_t marks_until_ms;
+  /*
+   * a bit for each program that got such tokens
+   */
+  ProtobufCBinaryData marks;
 };
 #define MQTURN__RESERVE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mqturn__reserve_row__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
 
 
 /*
--- a/src/router/relay.h
+++ b/src/router/relay.h
@@ -39,6 +39,7 @@
  * @evidence: what another host saw of workers
  * @run_ends: ends of runs that another host saw, or the request for those
  *            known here; answered with mq_relay_reply_ends
+ * @lease_handover: lease of a host that stops while the table is away
  * @user: passed to all callbacks
  */
 struct mq_relay_owner
@@ -62,6 +63,8 @@
   void (*evidence) (const struct mq_evidence_report *report, void *user);
   void (*run_ends) (const struct mq_relay_run_ends *ends,
                     struct mq_relay_link *link, void *user);
+  void (*lease_handover) (const struct mq_relay_lease_handover *handover,
+                          void *user);
   void *user;
 };
 
@@ -219,6 +222,10 @@
 void mq_relay_reply_ends (struct mq_relay *relay, struct mq_relay_link *link,
                           const char *address,
                           const struct mq_suspects_end *ends, size_t count);
+/* Hands a lease to one other host, and those of several slots to several
+   hosts.  Returns false if there is none.  */
+bool mq_relay_hand_over_lease (struct mq_relay *relay,
+                               const struct mq_relay_lease_handover *handover);
 /* Calls relayed through other hosts, and made for them.  */
 uint64_t mq_relay_calls_sent (const struct mq_relay *relay);
 uint64_t mq_relay_calls_served (const struct mq_relay *relay);
--- a/src/router/relay_frame.h
+++ b/src/router/relay_frame.h
@@ -30,6 +30,7 @@
   MQ_RELAY_QUOTA_RECALL,  /* recall of rates lent by earlier runs */
   MQ_RELAY_EVIDENCE,      /* what a host saw of workers */
   MQ_RELAY_RUN_ENDS,      /* ends of runs, or the request for them */
+  MQ_RELAY_LEASE,         /* a lease of a host that stops */
   MQ_RELAY_UNKNOWN        /* from a newer version; ignored */
 };
 
@@ -186,6 +187,7 @@
  * @address: address of the host that wants them, else ""
  * @written_s: time at which the row was written, by the table's clock; 0 in a
  *             message
+ * @written_ms: likewise; 0 in a row of a host that tells seconds alone
  */
 struct mq_relay_run_ends
 {
@@ -194,6 +196,19 @@
   const struct mq_suspects_end *ends;
   size_t count;
   uint64_t written_s;
+  uint64_t written_ms;
+};
+
+/**
+ * struct mq_relay_lease_handover - a lease of a host that stops (reserve.h)
+ * @version: version of the slot's row
+ * @row: the lease, serialized like that row
+ */
+struct mq_relay_lease_handover
+{
+  uint32_t slot;
+  uint64_t version;
+  struct mq_bytes row;
 };
 
 /**
@@ -218,6 +233,7 @@
     struct mq_relay_quota_recall quota_recall;
     struct mq_evidence_report evidence;
     struct mq_relay_run_ends run_ends;
+    struct mq_relay_lease_handover lease_handover;
   } u;
 };
 
--- a/src/router/relay_state.h
+++ b/src/router/relay_state.h
@@ -1,5 +1,6 @@
 /* relay_state.h - state of a relay, shared by relay.c, relay_cache.c,
-   relay_loan.c, relay_evidence.c and relay_suspects.c only.
+   relay_call.c, relay_loan.c, relay_lease.c, relay_evidence.c and
+   relay_suspects.c only.
 
    Needs: relay.h, relay_link.h.  */
 
@@ -82,6 +83,8 @@
    once.  */
 struct mq_relay_link *relay_open_link (struct mq_relay *relay,
                                        struct host *host);
+/* Closes LINK, which has failed; replies due on it are dropped.  */
+void relay_drop_link (struct mq_relay *relay, struct mq_relay_link *link);
 /* HOST does not answer: starts the backoff for calls and loan requests.  */
 void relay_mark_unreachable (struct host *host);
 void relay_send_frame (struct mq_relay *relay, struct mq_relay_link *link,
@@ -91,6 +94,25 @@
 bool relay_send_to_host (struct mq_relay *relay, struct host *host,
                          const struct mq_relay_frame *frame);
 
+/* relay_call.c */
+
+/* Makes the call that another host requests, and replies on LINK.  */
+void relay_serve_call (struct mq_relay *relay, struct mq_relay_link *link,
+                       const struct mq_relay_call_request *request);
+/* Handles the reply to a call, received on LINK.  */
+void relay_on_call_reply (struct mq_relay *relay,
+                          const struct mq_relay_link *link,
+                          const struct mq_relay_call_reply *reply);
+/* LINK has ended: drops the replies due on it, and retries the calls that were
+   sent on it at another host.  */
+void relay_calls_lose_link (struct mq_relay *relay,
+                            const struct mq_relay_link *link);
+/* Starts HOST's backoff for relayed calls.  */
+void relay_start_call_backoff (struct host *host);
+/* Chooses a host that is not in backoff: one with an open link if any, else at
+   random.  */
+struct host *relay_choose_host (struct mq_relay *relay);
+
 /* relay_cache.c */
 
 /* Data centres whose cache hosts are asked for one program.  */
--- a/tests/fuzz/fuzz_relay.c
+++ b/tests/fuzz/fuzz_relay.c
@@ -82,6 +82,7 @@
         FUZZ_CHECK (frame->u.run_ends.ends[i].state <= MQ_SUSPECTS_STATES);
       return;
     case MQ_RELAY_SYNC:
+    case MQ_RELAY_LEASE:
     case MQ_RELAY_UNKNOWN:
       return;
     }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -143,6 +143,7 @@
   cr_expect_eq (a->wanted, b->wanted);
   cr_expect_str_eq (a->address, b->address);
   cr_expect_eq (a->written_s, b->written_s);
+  cr_expect_eq (a->written_ms, b->written_ms);
   cr_assert_eq (a->count, b->count);
   for (size_t i = 0; i < a->count; i++)
     {
@@ -246,6 +247,12 @@
     case MQ_RELAY_RUN_ENDS:
       expect_run_ends (&a->u.run_ends, &b->u.run_ends);
       return;
+    case MQ_RELAY_LEASE:
+      cr_expect_eq (a->u.lease_handover.slot, b->u.lease_handover.slot);
+      cr_expect_eq (a->u.lease_handover.version, b->u.lease_handover.version);
+      cr_expect (
+          same_bytes (a->u.lease_handover.row, b->u.lease_handover.row));
+      return;
     case MQ_RELAY_UNKNOWN:
       cr_assert_fail ("a frame of our own is not known");
     }
@@ -331,10 +338,17 @@
   };
   struct mq_relay_frame frames[] = {
     { .kind = MQ_RELAY_RUN_ENDS,
-      .u.run_ends
-      = { .address = "", .ends = ends, .count = 2, .written_s = 9 } },
+      .u.run_ends = { .address = "",
+                      .ends = ends,
+                      .count = 2,
+                      .written_s = 9,
+                      .written_ms = 9001 } },
     { .kind = MQ_RELAY_RUN_ENDS,
       .u.run_ends = { .wanted = true, .address = "a:1" } },
+    { .kind = MQ_RELAY_LEASE,
+      .u.lease_handover = { .slot = 31,
+                            .version = UINT64_MAX,
+                            .row = { (uint8_t *)"ab\0c", 4 } } },
     { .kind = MQ_RELAY_EVIDENCE,
       .u.evidence = { .host = 1,
                       .run = 2,
