Streams of an outage are taken up at their own version

Cause: "not known" was taken for "nothing there", twice. A host that could not read the program's record began the stream at the only listed version; the host that took the stream up found no row for it and believed the record, which named the version before the outage.

Evidence: request_ended (resumes, worker_version), stream_reads and streams_taken_up show a host that never served the stream, two listed versions, and a record that was read.

Change: a service's row tells since when it names each version. A stream whose record is unknown begins in an outage only if that row named one version alone (mq_stream_may_begin); a record's version counts for a stream without a row only once it is settled (mq_version_is_settled), that is, once no stream can be alive that began at a host that had not heard of it. Same cause, closed by the same rule: the service's row out of reach when a stream begins.

--- a/src/core/router/fleet.c
+++ b/src/core/router/fleet.c
@@ -312,6 +312,7 @@
 void
 mq_fleet_list_begin (struct mq_fleet *fleet)
 {
+  fleet_forget_sole_versions (fleet);
   for (size_t i = 0; i < fleet->count; i++)
     fleet->entries[i].seen = false;
 }
--- a/src/core/router/fleet.h
+++ b/src/core/router/fleet.h
@@ -299,9 +299,26 @@
 /* Whether that row named several versions.  */
 bool mq_fleet_recorded_several (const struct mq_fleet *fleet,
                                 const char *service);
-/* The row of SERVICE names VERSION, alone if SOLE.  */
+/* The version that the row named alone; 0 if there was none, or if another one
+   has been listed since.  */
+uint64_t mq_fleet_recorded_sole (const struct mq_fleet *fleet,
+                                 const char *service);
+/* Whether the row names all versions of listed workers, of which there are
+   some.  */
+bool mq_fleet_all_recorded (const struct mq_fleet *fleet, const char *service);
+/* Version of most workers of SERVICE that the row names, 0 if none.  */
+uint64_t mq_fleet_recorded_version (const struct mq_fleet *fleet,
+                                    const char *service);
+/* When VERSION is settled (streams.h), by the table's clock; 0 if unknown.  */
+uint64_t mq_fleet_settled_s (const struct mq_fleet *fleet, const char *service,
+                             uint64_t version);
+/* A listed version for which the row has to be read, 0 if none.  */
+uint64_t mq_fleet_unrecorded_version (const struct mq_fleet *fleet,
+                                      const char *service);
+/* The row of SERVICE names VERSION, alone if SOLE, and settled from SETTLED_S
+   on.  */
 void mq_fleet_set_recorded (struct mq_fleet *fleet, const char *service,
-                            uint64_t version, bool sole);
+                            uint64_t version, bool sole, uint64_t settled_s);
 /**
  * struct mq_fleet_service_report - a service's workers, for metrics
  * @service: its name, valid until the next change of the fleet
--- a/src/core/router/fleet_state.h
+++ b/src/core/router/fleet_state.h
@@ -85,6 +85,7 @@
  * @listed: its workers in the table
  * @seen_ms: time at which a worker was last added or removed
  * @recorded: named by the service's row in the table (streams.h)
+ * @settled_s: when that row says that it is settled; 0 if unknown
  */
 struct fleet_version
 {
@@ -92,6 +93,7 @@
   uint32_t listed;
   uint64_t seen_ms;
   bool recorded;
+  uint64_t settled_s;
 };
 
 /**
@@ -103,6 +105,8 @@
  * @speed: how long work takes at its workers
  * @first_ms: time at which its first worker was listed
  * @recorded_several: its row in the table named several versions
+ * @recorded_sole: version that the row named alone, 0 if none, or if another
+ *                 one was listed since
  * @once_objective_ms: longest objective of requests that may not be repeated,
  * 0 if there were none
  */
@@ -116,6 +120,7 @@
   size_t version_count;
   uint64_t first_ms;
   bool recorded_several;
+  uint64_t recorded_sole;
   uint32_t once_objective_ms;
 };
 
@@ -223,5 +228,7 @@
    version.  */
 void fleet_set_listed (struct mq_fleet *fleet, struct fleet_entry *entry,
                        bool listed);
+/* Rows that named one version are to be read again.  */
+void fleet_forget_sole_versions (struct mq_fleet *fleet);
 
 #endif
--- a/src/core/router/fleet_version.c
+++ b/src/core/router/fleet_version.c
@@ -1,8 +1,9 @@
 /* fleet_version.c - software versions of the workers of a service.
 
-   Needs: fleet_state.h, id.h, memory.h.  */
+   Needs: fleet_state.h, id.h, idmap.h, memory.h.  */
 
 #include "../id.h"
+#include "../idmap.h"
 #include "../memory.h"
 #include "fleet_state.h"
 #include <string.h>
@@ -61,6 +62,8 @@
   if (slot->listed == 0
       && fleet->now_ms - slot->seen_ms > MQ_FLEET_VERSION_MEMORY_MS / 2)
     slot->recorded = false;
+  if (listed && entry->version != service->recorded_sole)
+    service->recorded_sole = 0;
   if (listed && !entry->listed)
     slot->listed++;
   else if (!listed && entry->listed)
@@ -84,18 +87,30 @@
   return entry == NULL ? 0 : entry->version;
 }
 
-uint64_t
-mq_fleet_common_version (const struct mq_fleet *fleet, const char *service)
+static uint64_t
+most_listed (const struct fleet_service *service, bool recorded)
 {
-  const struct fleet_service *row = fleet_find_service (fleet, service);
   struct fleet_version best = { .listed = 0 };
 
-  for (size_t i = 0; row != NULL && i < row->version_count; i++)
-    if (row->versions[i].listed > best.listed)
-      best = row->versions[i];
+  for (size_t i = 0; service != NULL && i < service->version_count; i++)
+    if (service->versions[i].listed > best.listed
+        && (service->versions[i].recorded || !recorded))
+      best = service->versions[i];
   return best.version;
 }
 
+uint64_t
+mq_fleet_common_version (const struct mq_fleet *fleet, const char *service)
+{
+  return most_listed (fleet_find_service (fleet, service), false);
+}
+
+uint64_t
+mq_fleet_recorded_version (const struct mq_fleet *fleet, const char *service)
+{
+  return most_listed (fleet_find_service (fleet, service), true);
+}
+
 bool
 mq_fleet_has_version (const struct mq_fleet *fleet, const char *service,
                       uint64_t version)
@@ -158,14 +173,98 @@
   return row != NULL && row->recorded_several;
 }
 
+uint64_t
+mq_fleet_recorded_sole (const struct mq_fleet *fleet, const char *service)
+{
+  const struct fleet_service *row = fleet_find_service (fleet, service);
+
+  return row == NULL ? 0 : row->recorded_sole;
+}
+
+uint64_t
+mq_fleet_settled_s (const struct mq_fleet *fleet, const char *service,
+                    uint64_t version)
+{
+  const struct fleet_version *slot
+      = find_version (fleet_find_service (fleet, service), version);
+
+  return slot == NULL || !slot->recorded ? 0 : slot->settled_s;
+}
+
+bool
+mq_fleet_all_recorded (const struct mq_fleet *fleet, const char *service)
+{
+  const struct fleet_service *row = fleet_find_service (fleet, service);
+  bool any = false;
+
+  for (size_t i = 0; row != NULL && i < row->version_count; i++)
+    {
+      if (row->versions[i].listed == 0)
+        continue;
+      if (!row->versions[i].recorded)
+        return false;
+      any = true;
+    }
+  return any;
+}
+
+/* A row that named one version is read again when that may have changed.  */
+uint64_t
+mq_fleet_unrecorded_version (const struct mq_fleet *fleet, const char *service)
+{
+  const struct fleet_service *row = fleet_find_service (fleet, service);
+  uint64_t sole = 0;
+  size_t listed = 0;
+
+  for (size_t i = 0; row != NULL && i < row->version_count; i++)
+    {
+      const struct fleet_version *slot = &row->versions[i];
+
+      if (slot->listed == 0)
+        continue;
+      if (slot->version != 0 && !slot->recorded)
+        return slot->version;
+      sole = slot->version;
+      listed++;
+    }
+  return listed == 1 && row->recorded_sole == 0 && !row->recorded_several
+             ? sole
+             : 0;
+}
+
+/* A new list may leave out versions that came and went since the last one.  */
+void
+fleet_forget_sole_versions (struct mq_fleet *fleet)
+{
+  size_t position = 0;
+  struct fleet_service *service;
+
+  while ((service = mq_idmap_next (fleet->services, &position)) != NULL)
+    service->recorded_sole = 0;
+}
+
+/* SOLE holds only while no other version is listed.  */
+static bool
+lists_only (const struct fleet_service *service, uint64_t version)
+{
+  for (size_t i = 0; i < service->version_count; i++)
+    if (service->versions[i].listed > 0
+        && service->versions[i].version != version)
+      return false;
+  return true;
+}
+
 void
 mq_fleet_set_recorded (struct mq_fleet *fleet, const char *service,
-                       uint64_t version, bool sole)
+                       uint64_t version, bool sole, uint64_t settled_s)
 {
   struct fleet_service *row = fleet_get_service (fleet, service);
   struct fleet_version *slot = find_version (row, version);
 
   row->recorded_several = !sole;
-  if (slot != NULL)
-    slot->recorded = true;
+  row->recorded_sole = sole && lists_only (row, version) ? version : 0;
+  if (slot == NULL)
+    return;
+  slot->recorded = true;
+  slot->settled_s = settled_s;
 }
--- a/src/core/router/streams.c
+++ b/src/core/router/streams.c
@@ -97,13 +97,20 @@
   return true;
 }
 
+static size_t
+find_version (const struct mq_service_row *row, uint64_t version)
+{
+  size_t at = 0;
+
+  while (at < row->count && row->versions[at] != version)
+    at++;
+  return at;
+}
+
 bool
 mq_service_row_has (const struct mq_service_row *row, uint64_t version)
 {
-  for (size_t i = 0; i < row->count; i++)
-    if (row->versions[i] == version)
-      return true;
-  return false;
+  return find_version (row, version) < row->count;
 }
 
 uint64_t
@@ -113,16 +120,52 @@
 }
 
 bool
-mq_service_row_add (struct mq_service_row *row, uint64_t version)
+mq_service_row_add (struct mq_service_row *row, uint64_t version,
+                    uint64_t settled_s)
 {
-  if (mq_service_row_has (row, version))
-    return true;
-  if (row->count == MQ_SERVICE_VERSIONS_MAX)
+  size_t at = find_version (row, version);
+
+  if (at == MQ_SERVICE_VERSIONS_MAX)
     return false;
-  row->versions[row->count++] = version;
+  if (at == row->count)
+    {
+      row->versions[row->count++] = version;
+      row->settled_s[at] = 0;
+    }
+  if (row->settled_s[at] == 0)
+    row->settled_s[at] = settled_s;
   return true;
 }
 
+void
+mq_service_row_keep (struct mq_service_row *row, uint64_t version)
+{
+  size_t at = find_version (row, version);
+
+  if (at == row->count)
+    {
+      row->count = 0;
+      return;
+    }
+  row->versions[0] = version;
+  row->settled_s[0] = row->settled_s[at];
+  row->count = 1;
+}
+
+uint64_t
+mq_service_row_settled_s (const struct mq_service_row *row, uint64_t version)
+{
+  size_t at = find_version (row, version);
+
+  return at == row->count ? 0 : row->settled_s[at];
+}
+
+bool
+mq_version_is_settled (uint64_t settled_s, uint64_t now_s)
+{
+  return settled_s != 0 && now_s >= settled_s;
+}
+
 struct mq_bytes
 mq_service_row_pack (TALLOC_CTX *ctx, struct mq_service_row *row)
 {
@@ -131,6 +174,8 @@
 
   packed.n_versions = row->count;
   packed.versions = row->versions;
+  packed.n_settled_s = row->count;
+  packed.settled_s = row->settled_s;
   bytes.len = mqturn__service_row__get_packed_size (&packed);
   bytes.data = talloc_size (ctx, bytes.len + 1);
   if (bytes.data != NULL)
@@ -147,8 +192,13 @@
 
   *row = (struct mq_service_row){ .count = 0 };
   for (size_t i = 0; valid && i < packed->n_versions; i++)
-    valid = !mq_service_row_has (row, packed->versions[i])
-            && mq_service_row_add (row, packed->versions[i]);
+    {
+      bool told = packed->n_settled_s == packed->n_versions;
+
+      valid = !mq_service_row_has (row, packed->versions[i])
+              && mq_service_row_add (row, packed->versions[i],
+                                     told ? packed->settled_s[i] : 0);
+    }
   if (packed != NULL)
     mqturn__service_row__free_unpacked (packed, NULL);
   if (!valid)
@@ -163,3 +213,28 @@
     return MQ_STREAM_NO_ROW;
   return budgeted ? MQ_STREAM_ROW_FIRST : MQ_STREAM_ROW_BESIDE;
 }
+
+/* The stream gets no row: its version has to follow from what others can
+   read.  */
+static uint64_t
+version_without_row (const struct mq_stream_start *start)
+{
+  if (start->program_version != 0)
+    return start->service_row_down && !start->program_recorded
+               ? 0
+               : start->program_version;
+  return start->blind_ms <= MQ_STREAM_BLIND_MAX_MS ? start->sole_version : 0;
+}
+
+bool
+mq_stream_may_begin (const struct mq_stream_start *start, uint64_t *version)
+{
+  *version = 0;
+  if (start->budgeted && start->row_down)
+    *version = version_without_row (start);
+  else if (!start->service_row_down || start->all_recorded)
+    return true;
+  else
+    *version = start->recorded_version;
+  return *version != 0;
+}
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -182,6 +182,7 @@
   mq_reserve_sweep (router);
   mq_permits_sweep (router);
   mq_clean_sweep (router);
+  mq_version_sweep (router);
   log_counters (router);
   if (router->stopping)
     advance_stop (router);
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -78,6 +78,8 @@
  * @version: digest as in mq_fleet_worker_version; 0 if unknown.  Without
  *           @has_version: the only version that may begin the stream, 0 if any
  * @restricted: that version was chosen since the stream gets no row
+ * @record_version: version in the program's record of a resumed stream, while
+ *                  the service's row is read
  * @row_read: pending read of the stream's row; NULL if none
  * @row_write: write of the row that @held waits for; NULL if none
  * @held: events to forward once the row is written
@@ -145,6 +147,7 @@
   bool has_version;
   uint64_t version;
   bool restricted;
+  uint64_t record_version;
   struct mq_table_client_call *row_read;
   struct mq_row_write *row_write;
   struct mq_buffer held;
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -73,6 +73,8 @@
   X (resumed, "streams that went on at another worker")                       \
   X (streams_taken_up, "streams that callers resumed")                        \
   X (streams_refused, "of them refused, their version unknown or gone")       \
+  X (streams_unrecorded,                                                      \
+     "new streams refused, no row could tell their version")                  \
   X (stream_writes, "rows of streams written")                                \
   X (stream_reads, "rows of streams read")                                    \
   X (budget_writes, "records of programs written")                            \
@@ -154,6 +156,9 @@
  * @announce_retry_ms: delay after the last of them
  * @hosts_listed: the table of hosts was read
  * @row_written: this host's row is in that table
+ * @feeds_healthy_ms: when this host last heard of new workers
+ * @version_check_ms: next look for versions to record
+ * @version_check_pending: a version is being recorded
  */
 struct mq_router
 {
@@ -220,6 +225,9 @@
   uint64_t counters_logged_ms;
   uint64_t load_invalid_logged_ms;
   bool table_down;
+  uint64_t feeds_healthy_ms;
+  uint64_t version_check_ms;
+  bool version_check_pending;
 };
 
 /* Responses of the router itself.  */
@@ -626,6 +634,12 @@
 /* Removes expired records, a batch per call.  */
 void mq_clean_sweep (struct mq_router *router);
 
+/* router_version_record.c */
+
+/* Records versions of workers that were listed, and drops those that have
+   left.  */
+void mq_version_sweep (struct mq_router *router);
+
 /* router_evidence.c */
 
 /* Begins to look at the workers and to tell other hosts what is seen.  */
--- a/src/router/router_version.c
+++ b/src/router/router_version.c
@@ -4,9 +4,10 @@
    event.  Another host finds it by the stream's row, or by the program's
    record if there is no row (streams.h).
    Needs: router_request.h, router_turns.h, router_version_record.h,
-   memory.h.  */
+   memory.h, clock.h.  */
 
 #include "core/memory.h"
+#include "net/clock.h"
 #include "router_request.h"
 #include "router_turns.h"
 #include "router_version_record.h"
@@ -19,7 +20,6 @@
 /**
  * struct mq_row_write - a stream's row being written
  * @request: request whose events wait for the row; NULL if none do
- * @records_only: the stream gets no row; the row of its service is awaited
  */
 struct mq_row_write
 {
@@ -29,7 +29,6 @@
   char part[MQ_PART_NAME_BYTES];
   uint64_t version;
   uint32_t tries;
-  bool records_only;
 };
 
 static bool
@@ -107,6 +106,14 @@
     }
 }
 
+/* Reads the service's row, which tells what HANDLER has to know.  */
+static void
+read_service_row (struct mq_request *request, mq_rows_done *handler)
+{
+  request->row_read = mq_version_row_read (request->router, request->service,
+                                           handler, request);
+}
+
 /* Neither memory nor the stream's row nor its program tell the version.
    Returns false if the request is refused or waits for the service's row.
    REFUSAL: response if the route's workers have several.  */
@@ -127,8 +134,7 @@
       || mq_version_row_down (router, request->service))
     refuse_resumed (request, refusal);
   else
-    request->row_read = mq_version_row_read (router, request->service,
-                                             on_service_read, request);
+    read_service_row (request, on_service_read);
   return false;
 }
 
@@ -151,6 +157,48 @@
   request_dispatch (request);
 }
 
+static void
+on_settled_read (const struct mq_rows_result *result, void *user)
+{
+  struct mq_request *request = user;
+  struct mq_router *router = request->router;
+  uint64_t version = request->record_version;
+  struct mq_service_row row;
+
+  request->row_read = NULL;
+  if (result->status == MQ_STORE_OK && result->row_count > 0
+      && mq_service_row_unpack (result->rows[0].value, &row)
+      && mq_service_row_has (&row, version))
+    mq_version_row_learn (router, request->service, version, &row);
+  if (mq_version_settled (router, request->service, version))
+    dispatch_resumed (request, version);
+  else if (use_sole_version (request, result->status == MQ_STORE_OK
+                                          ? MQ_REFUSE_STREAM_UNKNOWN
+                                          : MQ_REFUSE_TABLE_UNAVAILABLE))
+    dispatch_resumed (request, request->version);
+}
+
+/* The stream has no row, and its program's record names VERSION.
+
+   Failure: the stream began at another version while the table was away, at a
+   host that could not read the record.  */
+static bool
+use_record_version (struct mq_request *request, uint64_t version)
+{
+  struct mq_router *router = request->router;
+
+  set_resumed_version (request, version);
+  if (mq_version_settled (router, request->service, version))
+    return true;
+  request->has_version = false;
+  request->version = 0;
+  if (mq_version_row_down (router, request->service))
+    return use_sole_version (request, MQ_REFUSE_TABLE_UNAVAILABLE);
+  request->record_version = version;
+  read_service_row (request, on_settled_read);
+  return false;
+}
+
 static void
 on_record_read (const struct mq_rows_result *result, void *user)
 {
@@ -162,7 +210,7 @@
 
   request->row_read = NULL;
   if (known)
-    set_version (request, record.stream_version);
+    known = use_record_version (request, record.stream_version);
   else
     known = use_sole_version (request, result->status == MQ_STORE_OK
                                            ? MQ_REFUSE_STREAM_UNKNOWN
@@ -195,15 +243,11 @@
   return false;
 }
 
-/* A stream without a row runs at the version of its program's record.  */
 static bool
 use_program_version (struct mq_request *request)
 {
   if (request->is_turn && request->turn.stream_version != 0)
-    {
-      set_resumed_version (request, request->turn.stream_version);
-      return true;
-    }
+    return use_record_version (request, request->turn.stream_version);
   if (lacks_record (request))
     return use_unread_record (request);
   return use_sole_version (request, MQ_REFUSE_STREAM_UNKNOWN);
@@ -258,31 +302,49 @@
   return false;
 }
 
-/* While its row cannot be written, a stream of a budgeted program begins only
-   at the version that its program's record tells.
+/* What mq_stream_may_begin has to know of the new stream.  */
+static struct mq_stream_start
+describe_start (const struct mq_request *request)
+{
+  const struct mq_router *router = request->router;
+  const struct mq_fleet *fleet = router->fleet;
+  const char *service = request->service;
+  bool budgeted = request->is_turn && request->turn.budgeted;
+  uint64_t program = budgeted ? request->turn.stream_version : 0;
+  char part[MQ_PART_NAME_BYTES];
+
+  return (struct mq_stream_start){
+    .budgeted = budgeted,
+    .row_down = budgeted && row_part_down (request, request->turn_id, part),
+    .service_row_down = mq_version_row_down (router, service),
+    .program_version = program,
+    .program_recorded
+    = program != 0 && mq_fleet_is_recorded (fleet, service, program),
+    .sole_version = mq_fleet_recorded_sole (fleet, service),
+    .all_recorded = mq_fleet_all_recorded (fleet, service),
+    .recorded_version = mq_fleet_recorded_version (fleet, service),
+    .blind_ms = mq_clock_ms () - router->feeds_healthy_ms,
+  };
+}
 
-   Failure: the table is away, and other hosts take the version in the record
-   for that of a stream without a row.  */
 static bool
 restrict_new_stream (struct mq_request *request)
 {
-  char part[MQ_PART_NAME_BYTES];
+  struct mq_stream_start start;
 
   request->version = 0;
   request->restricted = false;
-  if (!request->route->resumable || !request->is_turn
-      || !request->turn.budgeted
-      || !row_part_down (request, request->turn_id, part))
-    return true;
-  request->restricted = true;
-  request->version = request->turn.stream_version;
-  if (request->version == 0)
-    request->version
-        = mq_router_sole_version (request->router, request->service, 0);
-  if (request->version != 0)
+  if (request->route->kind != MQ_ROUTE_STREAM || !request->route->resumable)
     return true;
-  request_refuse (request, MQ_REFUSE_TABLE_UNAVAILABLE);
-  return false;
+  start = describe_start (request);
+  if (!mq_stream_may_begin (&start, &request->version))
+    {
+      request->router->counters.streams_unrecorded++;
+      request_refuse (request, MQ_REFUSE_TABLE_UNAVAILABLE);
+      return false;
+    }
+  request->restricted = start.row_down;
+  return true;
 }
 
 bool
@@ -357,6 +419,23 @@
          && row.version == write->version;
 }
 
+/* Whether the stream could have begun without its row.
+
+   Failure: streams that begin before a host notices an outage end with 502. */
+static bool
+needs_no_row (const struct mq_row_write *write)
+{
+  struct mq_stream_start start;
+  uint64_t version;
+
+  if (write->request == NULL)
+    return false;
+  start = describe_start (write->request);
+  start.row_down = true;
+  start.service_row_down = true;
+  return mq_stream_may_begin (&start, &version) && version == write->version;
+}
+
 static void
 on_row_written (const struct mq_rows_result *result, void *user)
 {
@@ -372,7 +451,8 @@
            || result->status == MQ_STORE_REJECTED)
     {
       log_failed_row (write, result);
-      end_write (write, false);
+      end_write (write,
+                 result->status != MQ_STORE_CONFLICT && needs_no_row (write));
     }
   else
     (void)mq_check_alloc (
@@ -425,89 +505,63 @@
   write_row (create_write (request, wait));
 }
 
-/* STORED: the service's row names the version.  While the table fails, a
-   stream begins without that in a service of one version.  */
+/* What has to be durable before the first event of the stream is
+   forwarded.  */
+static enum mq_stream_record
+stream_record (const struct mq_request *request)
+{
+  bool budgeted = request->is_turn && request->turn.budgeted;
+  uint64_t program = budgeted ? request->turn.stream_version : 0;
+
+  if (request->restricted)
+    return MQ_STREAM_NO_ROW;
+  if (!mq_version_settled (request->router, request->service, program))
+    program = 0;
+  return mq_stream_record (request->version, program, budgeted);
+}
+
+/* STORED: the service's row names the version.  */
 static void
 on_version_recorded (bool stored, void *user)
 {
   struct mq_row_write *write = user;
-  struct mq_request *request = write->request;
+  const struct mq_request *request = write->request;
 
-  if (!stored && request != NULL)
-    stored = mq_router_sole_version (write->router, request->service, 0)
-             == write->version;
-  if (stored && !write->records_only)
+  if (stored && request != NULL
+      && stream_record (request) == MQ_STREAM_ROW_FIRST)
     write_row (write);
   else
     end_write (write, stored);
 }
 
-/* Whether the service's row is to name the version before the stream's first
-   event is forwarded.  */
-static bool
-needs_record (const struct mq_request *request)
-{
-  const struct mq_router *router = request->router;
-
-  return !mq_fleet_is_recorded (router->fleet, request->service,
-                                request->version)
-         && !mq_version_row_down (router, request->service);
-}
-
-/* Drops versions from the service's row that have left.  */
-static void
-shorten_service_row (const struct mq_request *request)
-{
-  struct mq_router *router = request->router;
-
-  if (mq_fleet_recorded_several (router->fleet, request->service)
-      && mq_router_sole_version (router, request->service,
-                                 MQ_FLEET_VERSION_MEMORY_MS)
-             == request->version)
-    {
-      mq_fleet_set_recorded (router->fleet, request->service, request->version,
-                             true);
-      mq_version_record (router, request->service, request->version, NULL,
-                         NULL);
-    }
-}
-
-/* Records the version of the stream, then writes its row if RECORD asks for
-   one that its events wait for.  */
+/* Has the service's row name the version of the stream, then writes the row of
+   the stream if its events wait for that.  */
 static void
-record_version (struct mq_request *request, enum mq_stream_record record)
+record_version (struct mq_request *request)
 {
-  struct mq_row_write *write = create_write (request, true);
-
-  write->records_only = record != MQ_STREAM_ROW_FIRST;
   mq_version_record (request->router, request->service, request->version,
-                     on_version_recorded, write);
+                     on_version_recorded, create_write (request, true));
 }
 
 void
 request_note_version (struct mq_request *request)
 {
   struct mq_router *router = request->router;
-  bool budgeted = request->is_turn && request->turn.budgeted;
-  char part[MQ_PART_NAME_BYTES];
   enum mq_stream_record record;
+  char part[MQ_PART_NAME_BYTES];
 
   if (request->has_version || !request->route->resumable)
     return;
   set_version (request,
                mq_fleet_worker_version (router->fleet, request->worker));
   mq_streams_put (router->streams, request->turn_id, request->version);
-  record = request->restricted
-               ? MQ_STREAM_NO_ROW
-               : mq_stream_record (request->version,
-                                   budgeted ? request->turn.stream_version : 0,
-                                   budgeted);
+  record = stream_record (request);
   if (record == MQ_STREAM_ROW_BESIDE
       && !row_part_down (request, request->turn_id, part))
     begin_write (request, false);
-  shorten_service_row (request);
-  if (needs_record (request))
-    record_version (request, record);
+  if (!mq_fleet_is_recorded (router->fleet, request->service,
+                             request->version))
+    record_version (request);
   else if (record == MQ_STREAM_ROW_FIRST)
     begin_write (request, true);
 }
--- a/src/router/router_version_record.h
+++ b/src/router/router_version_record.h
@@ -20,6 +20,12 @@
                                                   const char *service,
                                                   mq_rows_done *done,
                                                   void *user);
+/* Takes over what ROW of SERVICE, which names VERSION, tells of it.  */
+void mq_version_row_learn (struct mq_router *router, const char *service,
+                           uint64_t version, const struct mq_service_row *row);
+/* Whether VERSION is known to be settled (streams.h).  */
+bool mq_version_settled (const struct mq_router *router, const char *service,
+                         uint64_t version);
 /* Makes the row of SERVICE name VERSION; drops the others if VERSION has been
    the only one for MQ_FLEET_VERSION_MEMORY_MS.  DONE may be NULL.  */
 void mq_version_record (struct mq_router *router, const char *service,
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -460,7 +460,7 @@
       mq_fleet_set_time (fleet, now);
       put_version ("x0", "v1", false);
       version = mq_fleet_common_version (fleet, "v");
-      mq_fleet_set_recorded (fleet, "v", version, false);
+      mq_fleet_set_recorded (fleet, "v", version, false, 1);
       cr_assert (mq_fleet_is_recorded (fleet, "v", version));
       cr_assert_not (mq_fleet_is_recorded (fleet, "v", version + 1));
       cr_assert (mq_fleet_recorded_several (fleet, "v"));
@@ -472,6 +472,37 @@
     }
 }
 
+/* Failure: a host goes by a service's row that it read before another version
+   was listed.  */
+Test (fleet, sole_version_of_a_row_holds_until_another_is_listed)
+{
+  uint64_t version;
+
+  mq_fleet_set_time (fleet, 1000);
+  put_version ("x0", "v1", false);
+  version = mq_fleet_common_version (fleet, "v");
+  cr_assert_eq (mq_fleet_unrecorded_version (fleet, "v"), version);
+  cr_assert_not (mq_fleet_all_recorded (fleet, "v"));
+  mq_fleet_set_recorded (fleet, "v", version, true, 5);
+  cr_assert_eq (mq_fleet_recorded_sole (fleet, "v"), version);
+  cr_assert_eq (mq_fleet_settled_s (fleet, "v", version), 5);
+  cr_assert_eq (mq_fleet_unrecorded_version (fleet, "v"), 0);
+  put_version ("x1", "v1", false);
+  cr_assert_eq (mq_fleet_recorded_sole (fleet, "v"), version);
+  put_version ("x2", "v2", false);
+  cr_assert_eq (mq_fleet_recorded_sole (fleet, "v"), 0);
+  cr_assert_neq (mq_fleet_unrecorded_version (fleet, "v"), 0);
+  cr_assert_eq (mq_fleet_recorded_version (fleet, "v"), version);
+  mq_fleet_set_recorded (fleet, "v", version, true, 5);
+  cr_assert_eq (mq_fleet_recorded_sole (fleet, "v"), 0);
+  mq_fleet_remove (fleet, "x2", 0);
+  cr_assert_eq (mq_fleet_unrecorded_version (fleet, "v"), version);
+  mq_fleet_set_recorded (fleet, "v", version, true, 5);
+  cr_assert (mq_fleet_all_recorded (fleet, "v"));
+  mq_fleet_list_begin (fleet);
+  cr_assert_eq (mq_fleet_recorded_sole (fleet, "v"), 0);
+}
+
 struct pressure_case
 {
   const char *name;
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -129,6 +129,9 @@
     }
 }
 
+/* Fields of each request, such as a deadline.  */
+static const char *more_fields = "";
+
 /* Sends one attempt of STREAM to ROUTER.  RESUMES and LAST: fields of a
    resumed stream; NULL for a new one.  */
 static void
@@ -150,8 +153,8 @@
     snprintf (fields, sizeof fields, "Last-Event-Id: %d\r\n", last);
   snprintf (text, sizeof text,
             "POST /turn/a HTTP/1.1\r\n" HOST
-            "X-Request-Id: q%d\r\n%s%s" NO_BODY,
-            next_id++, program, fields);
+            "X-Request-Id: q%d\r\n%s%s%s" NO_BODY,
+            next_id++, program, fields, more_fields);
   edge_call (site, &call, router, text);
 }
 
@@ -912,3 +915,149 @@
     }
   cr_assert (at_other > 0 && at_other < 2 * STREAMS, "%d", at_other);
 }
+
+struct outage_case
+{
+  const char *name;
+  bool has_record;       /* an earlier turn of the program ran at v1 */
+  const char *serving;   /* version listed when the table goes away */
+  bool other_turn_after; /* another turn writes the record after it */
+  bool begins;
+};
+
+/* Begins a stream of PROGRAM at router 1 while the table is away.  Returns
+   whether it began; its connection ends after the second event.  */
+static bool
+begin_in_outage (struct stream *stream, const char *program)
+{
+  *stream = (struct stream){ .events = 0 };
+  snprintf (stream->program, sizeof stream->program, "%s", program);
+  more_fields = "X-Deadline-Ms: 2000\r\n";
+  for (int tries = 0; tries < 3 && stream->events == 0; tries++)
+    {
+      snprintf (stream->first, sizeof stream->first, "q%d", next_id);
+      site->llm_plan = (struct worker_plan){ WORKER_STALL, 1 };
+      send_attempt (stream, 1, NULL, 0);
+      EDGE_WAIT (site, edge_is_closed (&call)
+                           || strstr (call.answer, "id: 2") != NULL
+                           || strstr (call.answer, " 50") != NULL);
+      edge_close (&call);
+      read_events (stream);
+      edge_run_for (site, 300);
+    }
+  more_fields = "";
+  return stream->events > 0;
+}
+
+/* The service has had no others.  */
+static void
+begin_with_versions (const char *const versions[EDGE_WORKERS])
+{
+  set_versions (versions);
+  edge_kill (site, 0);
+  rows_server_lose_rows (site->rows, "service_versions");
+  rows_server_lose_rows (site->rows, "lease");
+  edge_start (site, 0);
+}
+
+/* Sends turns of other programs to router 1 until it counts the table as down.
+   Returns whether the first one is served.  */
+static bool
+notice_outage (void)
+{
+  struct stream other;
+  char program[32];
+  int first = 0;
+
+  edge_run_for (site, 1200);
+  for (int i = 0; i < 3; i++)
+    {
+      int status;
+
+      snprintf (program, sizeof program, "other%d", next_id);
+      status = run_stream (program, 1, &other);
+      first = i == 0 ? status : first;
+    }
+  return first == 200;
+}
+
+/* Only the table knows PROGRAM afterwards.  */
+static void
+run_turn_at_lost_host (const char *program)
+{
+  struct stream stream;
+
+  edge_start (site, 2);
+  cr_assert_eq (run_stream (program, 2, &stream), 200);
+  edge_kill (site, 2);
+}
+
+static void
+run_turn_at_next_version (const char *program)
+{
+  struct stream stream;
+
+  for (int i = 1; i < EDGE_WORKERS; i++)
+    {
+      char id[32];
+
+      snprintf (id, sizeof id, "next-%d", i);
+      set_state (i, NULL);
+      worker_server_restart (site->llm[i], id, "v1.1");
+      set_state (i, "ready");
+    }
+  list_version ("v1.1");
+  cr_assert_eq (run_stream (program, 0, &stream), 200);
+}
+
+/* Failure: a stream begins while the table is away, at a version that no row
+   tells, and another host takes it up at the version in its program's
+   record.  */
+Test (versions, stream_of_an_outage_is_taken_up_at_its_own_version,
+      .timeout = 400)
+{
+  /* In the order in which versions appear.  */
+  static const struct outage_case cases[] = {
+    { "one version, new program", false, "v1", false, true },
+    { "one version, older record", true, "v1", false, true },
+    { "one version, record of the next one", false, "v1", true, true },
+    { "older record of a version that left", true, "v1.1", false, false },
+  };
+  static const char *const versions[EDGE_WORKERS] = { "v1", "v1", "v1" };
+
+  begin_with_versions (versions);
+  /* Until the first host holds all leases.  */
+  edge_run_for (site, 4500);
+  edge_set_seed (site, 1, 0);
+  edge_start (site, 1);
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      const struct outage_case *row = &cases[i];
+      struct stream stream;
+      char program[32];
+
+      snprintf (program, sizeof program, "o%zu", i);
+      list_version ("v1");
+      if (row->has_record)
+        run_turn_at_lost_host (program);
+      list_version (row->serving);
+      edge_run_for (site, 500);
+      rows_server_set_fault (site->rows, ROWS_UNAVAILABLE);
+      cr_expect_eq (notice_outage (), strcmp (row->serving, "v1") == 0, "%s",
+                    row->name);
+      cr_expect_eq (begin_in_outage (&stream, program), row->begins, "%s: %s",
+                    row->name, call.answer);
+      rows_server_set_fault (site->rows, ROWS_NO_FAULT);
+      EDGE_WAIT (site, !mq_rows_down (site->routers[0]->rows)
+                           && mq_rows_feeds_healthy (site->routers[0]->rows));
+      if (row->other_turn_after)
+        run_turn_at_next_version (program);
+      list_version (NULL);
+      edge_kill (site, 1);
+      if (stream.events > 0)
+        (void)resume_stream (&stream, 0, stream.first);
+      cr_expect_not (stream.joined, "%s: began at %s: %s", row->name,
+                     stream.version, call.answer);
+      restart_hosts ();
+    }
+}
