A program gets tokens beyond its record once, over all outages

Cause: "not known" was taken for "nothing there": a record that the host had not read counted as one that is not overdrawn. What bounds a program over its life was in memory alone, which goes with idle time, a kill and a planned stop.

Change: the row of a lease, which its holder writes every three seconds anyway, marks the programs that got such tokens. A lease that ended without a release may lack marks: the next holder issues none in the slot for as long as records are kept. A host that stops while the table is away hands its leases, with all marks, to another one (relay_lease.c). No call of the table more.

The model of budgets no longer allows one turn for each lost host, and sees fourteen planted errors.

--- a/src/router/router.c
+++ b/src/router/router.c
@@ -225,6 +225,7 @@
                                   .quota_recall = mq_permits_on_recall,
                                   .evidence = mq_evidence_on_report,
                                   .run_ends = mq_suspect_watch_receive,
+                                  .lease_handover = mq_reserve_on_handover,
                                   .user = router };
 
   router->log = mq_json_log_create (router, router->ev, STDOUT_FILENO,
--- a/src/router/router_loan.c
+++ b/src/router/router_loan.c
@@ -158,7 +158,7 @@
 
   loan->issue = true;
   if (program == NULL
-      || !mq_reserve_may_issue (turn->turns->router, turn->program))
+      || !mq_reserve_take_issue (turn->turns->router, turn->program))
     {
       request_for_turn (loan);
       return;
@@ -390,7 +390,7 @@
 {
   struct mq_turns *turns = router->turns;
   bool may_issue
-      = request->may_issue && mq_reserve_may_issue (router, request->program);
+      = request->may_issue && mq_reserve_take_issue (router, request->program);
   struct mq_program *program
       = may_issue ? mq_program_get_or_create (turns, request->program)
                   : mq_program_find (turns, request->program);
--- a/src/router/router_program.c
+++ b/src/router/router_program.c
@@ -480,18 +480,6 @@
          && program->recall == NULL && program->budget.issued == 0;
 }
 
-bool
-mq_turns_have_unrecorded_tokens (const struct mq_turns *turns, uint32_t slot)
-{
-  size_t position = 0;
-  const struct mq_program *program;
-
-  while ((program = mq_idmap_next (turns->programs, &position)) != NULL)
-    if (program->budget.issued > 0 && mq_reserve_slot (program->id) == slot)
-      return true;
-  return false;
-}
-
 /* Programs freed in one sweep at most, to keep it short.  */
 #define SWEEP_FREE_MAX 64U
 
--- a/src/router/router_reserve.c
+++ b/src/router/router_reserve.c
@@ -31,8 +31,8 @@
 /* Mean pause between attempts to claim free leases, with jitter so that hosts
    that start together all get some.  */
 #define CLAIM_MS 250U
-/* Maximum packed size: two integers of up to 11 bytes and an address.  */
-#define ROW_BYTES (24U + MQ_RESERVE_ADDRESS_MAX)
+/* Maximum packed size: four integers of up to 11 bytes, address and marks.  */
+#define ROW_BYTES (52U + MQ_RESERVE_ADDRESS_MAX + MQ_RESERVE_MARK_BYTES)
 #define KEY_BYTES 12U
 
 /**
@@ -44,6 +44,7 @@
  * @moved: a lease may have moved, at least that of @moved_slot
  * @clock_sample: clock sample from which the call in flight counts
  * @claimed: slots that the call in flight claims
+ * @written: leases that it writes, by slot
  */
 struct mq_leases
 {
@@ -61,6 +62,7 @@
   struct mq_reserve_clock_sample clock_sample;
   uint32_t claimed[MQ_RESERVE_SLOTS];
   uint32_t claimed_count;
+  struct mq_reserve_lease written[MQ_RESERVE_SLOTS];
 };
 
 static struct mq_leases *
@@ -81,7 +83,7 @@
 {
   Mqturn__ReserveRow *row
       = mqturn__reserve_row__unpack (NULL, value.len, value.data);
-  struct mq_reserve_lease lease = { 0, 0, "" };
+  struct mq_reserve_lease lease = { .holder = 0 };
 
   if (row == NULL)
     return lease;
@@ -89,6 +91,12 @@
     memcpy (lease.address, row->address, strlen (row->address) + 1);
   lease.holder = row->holder;
   lease.until_ms = row->until_ms;
+  /* Marks of another size can't be read.  */
+  if (row->marks.len == sizeof lease.marks)
+    memcpy (lease.marks, row->marks.data, sizeof lease.marks);
+  if (row->marks.len == sizeof lease.marks || row->marks.len == 0)
+    lease.issue_from_ms = row->issue_from_ms;
+  lease.marks_until_ms = row->marks_until_ms;
   mqturn__reserve_row__free_unpacked (row, NULL);
   return lease;
 }
@@ -99,11 +107,12 @@
 record_row (struct mq_leases *leases, const struct mq_rows_entry *row)
 {
   unsigned long slot = strtoul (row->key, NULL, 10);
+  struct mq_reserve_lease lease;
 
   if (slot >= MQ_RESERVE_SLOTS)
     return MQ_RESERVE_SLOTS;
-  mq_reserve_record_row (leases->reserve, (uint32_t)slot,
-                         read_lease (row->value), row->version,
+  lease = read_lease (row->value);
+  mq_reserve_record_row (leases->reserve, (uint32_t)slot, &lease, row->version,
                          leases->clock_sample);
   return (uint32_t)slot;
 }
@@ -111,7 +120,7 @@
 static void
 on_listed (const struct mq_rows_result *result, void *user)
 {
-  static const struct mq_reserve_lease unheld = { 0, 0, "" };
+  static const struct mq_reserve_lease unheld = { .holder = 0 };
   struct mq_leases *leases = user;
   bool seen[MQ_RESERVE_SLOTS + 1] = { false };
 
@@ -122,7 +131,7 @@
     seen[record_row (leases, &result->rows[i])] = true;
   for (uint32_t i = 0; i < MQ_RESERVE_SLOTS; i++)
     if (!seen[i])
-      mq_reserve_record_row (leases->reserve, i, unheld, 0,
+      mq_reserve_record_row (leases->reserve, i, &unheld, 0,
                              leases->clock_sample);
   leases->listed = true;
   leases->known = true;
@@ -143,10 +152,8 @@
 static void
 record_written (struct mq_leases *leases, uint32_t slot, uint64_t version)
 {
-  mq_reserve_record_row (
-      leases->reserve, slot,
-      mq_reserve_renewed_lease (leases->reserve, leases->clock_sample),
-      version, leases->clock_sample);
+  mq_reserve_record_row (leases->reserve, slot, &leases->written[slot],
+                         version, leases->clock_sample);
 }
 
 static void
@@ -181,33 +188,49 @@
     record_written (leases, leases->claimed[i], result->version);
 }
 
-/* Writes or removes the rows of SLOTS if their versions are unchanged.  */
+/* Serializes LEASE, allocated under CTX.  */
+static struct mq_bytes
+pack_lease (TALLOC_CTX *ctx, struct mq_reserve_lease *lease)
+{
+  Mqturn__ReserveRow row = MQTURN__RESERVE_ROW__INIT;
+  struct mq_bytes bytes;
+
+  row.holder = lease->holder;
+  row.until_ms = lease->until_ms;
+  row.address = lease->address;
+  row.issue_from_ms = lease->issue_from_ms;
+  row.marks_until_ms = lease->marks_until_ms;
+  row.marks.data = lease->marks;
+  row.marks.len = lease->marks_until_ms == 0 ? 0 : sizeof lease->marks;
+  bytes.data = mq_check_alloc (talloc_size (ctx, ROW_BYTES));
+  bytes.len = mqturn__reserve_row__pack (&row, bytes.data);
+  return bytes;
+}
+
+/* Writes the leases of SLOTS if their rows are unchanged.  */
 static void
 write_rows (struct mq_leases *leases, const uint32_t *slots, uint32_t count,
-            bool remove, mq_rows_done *done)
+            bool release, mq_rows_done *done)
 {
-  struct mq_reserve_lease lease
-      = mq_reserve_renewed_lease (leases->reserve, leases->clock_sample);
-  Mqturn__ReserveRow row = MQTURN__RESERVE_ROW__INIT;
   struct mq_rows_entry entries[MQ_RESERVE_SLOTS];
   char keys[MQ_RESERVE_SLOTS][KEY_BYTES];
-  uint8_t value[ROW_BYTES];
-  size_t len;
+  TALLOC_CTX *ctx = mq_check_alloc (talloc_new (leases));
 
-  row.holder = lease.holder;
-  row.until_ms = lease.until_ms;
-  row.address = lease.address;
-  len = mqturn__reserve_row__pack (&row, value);
   for (uint32_t i = 0; i < count; i++)
     {
+      struct mq_reserve_lease *lease = &leases->written[slots[i]];
+
+      *lease = release ? mq_reserve_released_lease (leases->reserve, slots[i],
+                                                    leases->clock_sample)
+                       : mq_reserve_renewed_lease (leases->reserve, slots[i],
+                                                   leases->clock_sample);
       snprintf (keys[i], KEY_BYTES, "%02u", slots[i]);
       entries[i] = (struct mq_rows_entry){
         .table = lease_table,
         .part = "",
         .key = keys[i],
         .version = mq_reserve_version (leases->reserve, slots[i]),
-        .value = { value, len },
-        .remove = remove,
+        .value = pack_lease (ctx, lease),
       };
     }
   leases->busy = true;
@@ -215,6 +238,7 @@
     mq_relay_commit (leases->router->relay, entries, count, done, leases);
   else
     mq_rows_commit (leases->router->rows, entries, count, done, leases);
+  talloc_free (ctx);
 }
 
 static void
@@ -337,31 +361,93 @@
 {
   struct mq_leases *leases = user;
 
-  /* Leases that were not removed expire.  */
+  /* Leases that were not released expire.  */
   (void)result;
   leases->busy = false;
 }
 
-/* Releases leases whose issued tokens and permits are all recorded.  A lease
-   with unrecorded tokens must expire instead: its next holder would issue the
-   same tokens again, and the program would exceed its budget.  */
+/* Hands SLOT to another host.  A lease that does not arrive expires, and its
+   slot issues no tokens for as long as records of programs are kept.  */
 static void
-release_leases (struct mq_router *router)
+hand_over_lease (struct mq_leases *leases, uint32_t slot)
+{
+  struct mq_router *router = leases->router;
+  struct mq_reserve_lease lease
+      = mq_reserve_hand_over (leases->reserve, slot, leases->clock_sample);
+  struct mq_relay_lease_handover handover
+      = { .slot = slot,
+          .version = mq_reserve_version (leases->reserve, slot),
+          .row = pack_lease (leases, &lease) };
+
+  if (mq_relay_hand_over_lease (router->relay, &handover))
+    router->counters.leases_handed_over++;
+  talloc_free (handover.row.data);
+}
+
+/* Stores the slots of this host without lent permits in SLOTS and returns
+   their number.  Those with lent permits must expire: their next holder would
+   issue the same permits again.  */
+static uint32_t
+list_releasable (const struct mq_router *router,
+                 uint32_t slots[MQ_RESERVE_SLOTS])
 {
-  struct mq_leases *leases = router->leases;
   uint32_t own[MQ_RESERVE_SLOTS];
-  uint32_t slots[MQ_RESERVE_SLOTS];
+  uint32_t owned = mq_reserve_owned (router->leases->reserve, own);
   uint32_t count = 0;
-  uint32_t owned;
 
-  leases->stopped = true;
-  owned = mq_reserve_owned (leases->reserve, own);
   for (uint32_t i = 0; i < owned; i++)
-    if (!mq_turns_have_unrecorded_tokens (router->turns, own[i])
-        && !mq_issuing_has_lent (router, own[i]))
+    if (!mq_issuing_has_lent (router, own[i]))
       slots[count++] = own[i];
-  if (count > 0)
-    write_rows (leases, slots, count, true, on_released);
+  return count;
+}
+
+/* Releases leases in their rows, with the marks of all programs that got
+   unrecorded tokens.  While the table is away they are handed over instead: a
+   release whose outcome is unknown could be performed late, and two hosts
+   would issue.  */
+static void
+release_leases (struct mq_router *router)
+{
+  struct mq_leases *leases = router->leases;
+  uint32_t slots[MQ_RESERVE_SLOTS];
+  uint32_t count = list_releasable (router, slots);
+  uint32_t handed[MQ_RESERVE_SLOTS];
+  uint32_t handed_count = mq_reserve_handed (leases->reserve, handed);
+
+  leases->stopped = true;
+  if (!mq_rows_down (router->rows))
+    {
+      if (count > 0)
+        write_rows (leases, slots, count, true, on_released);
+      return;
+    }
+  for (uint32_t i = 0; i < count; i++)
+    hand_over_lease (leases, slots[i]);
+  for (uint32_t i = 0; i < handed_count; i++)
+    hand_over_lease (leases, handed[i]);
+}
+
+void
+mq_reserve_on_handover (const struct mq_relay_lease_handover *handover,
+                        void *user)
+{
+  struct mq_router *router = user;
+  struct mq_leases *leases = router->leases;
+  struct mq_reserve_clock_sample sample;
+  struct mq_reserve_lease lease = read_lease (handover->row);
+
+  /* Without the table's clock the lease can't be measured.  */
+  if (leases == NULL || leases->stopped || handover->slot >= MQ_RESERVE_SLOTS
+      || !mq_rows_sample_clocks (router->rows, &sample.asked_ms,
+                                 &sample.table_ms)
+      || !mq_reserve_accept (leases->reserve, handover->slot, &lease,
+                             handover->version, sample))
+    {
+      router->counters.leases_refused++;
+      return;
+    }
+  router->counters.leases_taken_over++;
+  leases->claim_ms = 0;
 }
 
 static bool
@@ -393,10 +479,26 @@
   const struct mq_leases *leases = router->leases;
 
   return leases != NULL && !leases->stopped
-         && mq_reserve_can_issue (leases->reserve, mq_reserve_slot (program),
+         && mq_reserve_can_issue (leases->reserve, program,
                                   mq_clock_boot_ms ());
 }
 
+bool
+mq_reserve_take_issue (struct mq_router *router, const char *program)
+{
+  struct mq_reserve_own_lease own;
+
+  if (mq_reserve_may_issue (router, program))
+    {
+      mq_reserve_mark_issued (router->leases->reserve, program);
+      router->counters.tokens_issued++;
+      return true;
+    }
+  if (mq_reserve_issues (router, mq_reserve_slot (program), &own))
+    router->counters.issue_refused++;
+  return false;
+}
+
 bool
 mq_reserve_issues (const struct mq_router *router, uint32_t slot,
                    struct mq_reserve_own_lease *own)
--- a/src/router/router_state.h
+++ b/src/router/router_state.h
@@ -83,6 +83,12 @@
   X (loans_asked, "turns that asked other hosts for tokens or a history")     \
   X (loans_given, "answers to such a question that gave something")           \
   X (turns_lent, "turns that began with tokens or a history of other hosts")  \
+  X (tokens_issued, "turns that got tokens which no record counts yet")       \
+  X (leases_handed_over, "leases handed to another host in an outage")        \
+  X (leases_taken_over, "leases that other hosts handed over")                \
+  X (leases_refused, "of them not taken, with a newer row or unreadable")     \
+  X (issue_refused,                                                           \
+     "of programs of this host's leases, that might have got some before")    \
   X (handovers, "times a program's state was sent to its cache host")         \
   X (permits_used, "requests sent under a limit of their organisation")       \
   X (permits_asked, "questions to hosts that issue permits")                  \
@@ -467,10 +473,6 @@
 void mq_turn_cancel (struct mq_turn *turn);
 /* Frees idle programs and records tokens issued during an outage.  */
 void mq_turns_sweep (struct mq_turns *turns);
-/* Whether this host issued tokens, not recorded yet, of a program in lease
-   SLOT.  */
-bool mq_turns_have_unrecorded_tokens (const struct mq_turns *turns,
-                                      uint32_t slot);
 
 /* router_suspect_watch.c */
 
@@ -546,11 +548,17 @@
 /* Claims, renews and releases this host's leases.  */
 void mq_reserve_sweep (struct mq_router *router);
 /* Claims no more leases; releases those held once no host uses permits lent
-   under them, or after a time limit.  */
+   under them, or after a time limit.  While the table is away they are handed
+   to other hosts.  */
 void mq_reserve_release_leases (struct mq_router *router);
+/* Lease of a host that stops while the table is away.  */
+void mq_reserve_on_handover (const struct mq_relay_lease_handover *handover,
+                             void *user);
 /* Whether this host may issue tokens of PROGRAM that are not recorded.  */
 bool mq_reserve_may_issue (const struct mq_router *router,
                            const char *program);
+/* Likewise, and if so this host may do it now but not again.  */
+bool mq_reserve_take_issue (struct mq_router *router, const char *program);
 
 /* router_shares.c */
 
--- a/tests/test_budget_model.c
+++ b/tests/test_budget_model.c
@@ -13,6 +13,7 @@
 #include "core/router/reserve.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <string.h>
 
 enum
 {
@@ -21,32 +22,38 @@
   TURNS = 4,
   MESSAGES = 8,
   STEPS = 500,
-  SEEDS = 20000,
-  SLOT = 5
+  SEEDS = 100000
 };
 
+static const char program[] = "program";
+
 /* Injected faults, one per walk.  */
 enum fault
 {
   FAULT_NONE,
-  FAULT_LOAN_KEPT,         /* a lender keeps using lent tokens */
-  FAULT_RETURN_KEPT,       /* returned tokens are also kept */
-  FAULT_NO_LEASE,          /* any host issues tokens */
-  FAULT_LEASE_UNCHECKED,   /* a holder ignores the expiry */
-  FAULT_LEASE_FROM_REPLY,  /* lease measured from the reply */
-  FAULT_GRANT_EXCEEDED,    /* a turn exceeds its grant */
-  FAULT_OVERDRAWN_IGNORED, /* tokens issued though overdrawn */
-  FAULT_GRANT_REUSED,      /* a host reuses a grant it lost */
-  FAULT_HANDOVER_KEPT,     /* a host keeps using tokens it handed over */
-  FAULT_OLD_RECORD,        /* an older record replaces a newer one */
+  FAULT_LOAN_KEPT,        /* a lender keeps using lent tokens */
+  FAULT_RETURN_KEPT,      /* returned tokens are also kept */
+  FAULT_NO_LEASE,         /* any host issues tokens */
+  FAULT_LEASE_UNCHECKED,  /* a holder ignores the expiry */
+  FAULT_LEASE_FROM_REPLY, /* lease measured from the reply */
+  FAULT_GRANT_EXCEEDED,   /* a turn exceeds its grant */
+  FAULT_ISSUED_AGAIN,     /* tokens issued though marked and overdrawn */
+  FAULT_GRANT_REUSED,     /* a host reuses a grant it lost */
+  FAULT_HANDOVER_KEPT,    /* a host keeps using tokens it handed over */
+  FAULT_OLD_RECORD,       /* an older record replaces a newer one */
+  FAULT_ISSUES_FORGOTTEN, /* a lease that was not released counts as clean */
+  FAULT_MARKS_DROPPED,    /* a released lease marks no programs */
+  FAULT_LEASE_KEPT,       /* a host issues under a lease it handed over */
+  FAULT_HANDED_UNMARKED,  /* a lease handed over marks no programs */
   FAULT_COUNT
 };
 
 static const char *const fault_names[FAULT_COUNT] = {
-  "none",           "loan kept",         "return kept",
-  "no lease",       "lease unchecked",   "lease from reply",
-  "grant exceeded", "overdrawn ignored", "grant reused",
-  "handover kept",  "old record",
+  "none",           "loan kept",       "return kept",
+  "no lease",       "lease unchecked", "lease from reply",
+  "grant exceeded", "issued again",    "grant reused",
+  "handover kept",  "old record",      "issues forgotten",
+  "marks dropped",  "lease kept",      "handed unmarked",
 };
 
 enum message_kind
@@ -54,17 +61,19 @@
   MESSAGE_NONE,
   MESSAGE_LOAN,
   MESSAGE_RETURN,
-  MESSAGE_HANDOVER
+  MESSAGE_HANDOVER,
+  MESSAGE_LEASE
 };
 
 /* Tokens in transit between two hosts; a handover also has the record that the
-   sender knows.  */
+   sender knows.  Or a lease, whose row has @version.  */
 struct message
 {
   enum message_kind kind;
   uint32_t to;
   uint64_t tokens;
   struct mq_budget_record record;
+  struct mq_reserve_lease lease;
   uint64_t version;
 };
 
@@ -72,11 +81,12 @@
 {
   struct mq_budget budget;
   struct mq_reserve *reserve;
-  uint64_t holder;
-  uint64_t granted[TURNS]; /* of running turns */
+  uint64_t holder;          /* of leases */
+  uint64_t holder_of_grant; /* new each time it begins to serve the program */
+  uint64_t granted[TURNS];  /* of running turns */
   uint32_t running;
   uint32_t lender;
-  bool has_issued;
+  struct mq_reserve_clock_sample sample; /* last one, 0 if none */
 };
 
 struct world
@@ -96,7 +106,6 @@
   uint64_t state;
   struct host hosts[HOSTS];
   struct message messages[MESSAGES];
-  uint32_t issuers_lost;
 };
 
 static uint32_t
@@ -108,9 +117,13 @@
 static void
 start_host (struct world *world, struct host *host)
 {
+  static const char *const addresses[HOSTS] = { "a:1", "b:1", "c:1" };
+
   talloc_free (host->reserve);
-  *host = (struct host){ .holder = mq_random_next (&world->state) };
-  host->reserve = mq_reserve_create (NULL, host->holder, "");
+  *host = (struct host){ .holder = mq_random_next (&world->state),
+                         .holder_of_grant = mq_random_next (&world->state) };
+  host->reserve
+      = mq_reserve_create (NULL, host->holder, addresses[host - world->hosts]);
 }
 
 /* Writes NEXT if the table has the version that HOST knows.  */
@@ -123,7 +136,7 @@
 
   if (budget->version != world->version)
     {
-      mq_budget_record_read (budget, host->holder, &world->record,
+      mq_budget_record_read (budget, host->holder_of_grant, &world->record,
                              world->version);
       return;
     }
@@ -139,11 +152,12 @@
   world->version++;
   if (outcome == 1)
     {
-      mq_budget_record_read (budget, host->holder, &world->record,
+      mq_budget_record_read (budget, host->holder_of_grant, &world->record,
                              world->version);
       return;
     }
-  mq_budget_record_written (budget, host->holder, next, world->version);
+  mq_budget_record_written (budget, host->holder_of_grant, next,
+                            world->version);
 }
 
 static void
@@ -159,8 +173,8 @@
   struct mq_budget_record next;
 
   for (int i = 0; i < 6 && host->running < TURNS; i++)
-    switch (mq_budget_reserve (&host->budget, host->holder, world->limit,
-                               TURN_TOKENS_MAX, &next))
+    switch (mq_budget_reserve (&host->budget, host->holder_of_grant,
+                               world->limit, TURN_TOKENS_MAX, &next))
       {
       case MQ_BUDGET_RESERVED:
         begin (world, host, TURN_TOKENS_MAX);
@@ -170,8 +184,8 @@
         break;
       case MQ_BUDGET_READ:
       case MQ_BUDGET_UNCERTAIN:
-        mq_budget_record_read (&host->budget, host->holder, &world->record,
-                               world->version);
+        mq_budget_record_read (&host->budget, host->holder_of_grant,
+                               &world->record, world->version);
         if (i > 2)
           return;
         break;
@@ -208,10 +222,18 @@
   mq_budget_receive_loan (budget, message->tokens);
   if (message->version > budget->version
       || (world->fault == FAULT_OLD_RECORD && message->version > 0))
-    mq_budget_record_read (budget, host->holder, &message->record,
+    mq_budget_record_read (budget, host->holder_of_grant, &message->record,
                            message->version);
 }
 
+static void
+receive_lease (struct host *host, const struct message *message)
+{
+  if (host->sample.table_ms != 0)
+    (void)mq_reserve_accept (host->reserve, mq_reserve_slot (program),
+                             &message->lease, message->version, host->sample);
+}
+
 static void
 deliver (struct world *world)
 {
@@ -225,17 +247,29 @@
     mq_budget_reclaim_loan (&to->budget, message->tokens);
   else if (message->kind == MESSAGE_HANDOVER && draw (world, 4) > 0)
     receive_handover (world, to, message);
+  else if (message->kind == MESSAGE_LEASE && draw (world, 4) > 0)
+    receive_lease (to, message);
   message->kind = MESSAGE_NONE;
 }
 
+static bool
+holds_lease (const struct world *world, const struct host *host)
+{
+  uint64_t now = world->fault == FAULT_LEASE_UNCHECKED ? 0 : world->now_ms;
+  struct mq_reserve_own_lease own;
+
+  return mq_reserve_has_lease (host->reserve, mq_reserve_slot (program), now,
+                               &own);
+}
+
 static bool
 may_issue (const struct world *world, const struct host *host)
 {
   if (world->fault == FAULT_NO_LEASE)
     return true;
-  if (world->fault == FAULT_LEASE_UNCHECKED)
-    return mq_reserve_can_issue (host->reserve, SLOT, 0);
-  return mq_reserve_can_issue (host->reserve, SLOT, world->now_ms);
+  if (world->fault == FAULT_ISSUED_AGAIN)
+    return holds_lease (world, host);
+  return mq_reserve_can_issue (host->reserve, program, world->now_ms);
 }
 
 /* Whether a host knows that the record is overdrawn, or has unrecorded tokens
@@ -250,7 +284,7 @@
 
       if (mq_budget_is_overdrawn (&host->budget, world->limit)
           || (host->budget.issued > 0 && !may_issue (world, host)))
-        return world->fault != FAULT_OVERDRAWN_IGNORED;
+        return world->fault != FAULT_ISSUED_AGAIN;
     }
   return false;
 }
@@ -264,9 +298,9 @@
   if (may_issue (world, lender) && !is_overdrawn (world)
       && draw (world, 2) == 0)
     {
+      mq_reserve_mark_issued (lender->reserve, program);
       mq_budget_issue_unrecorded (&lender->budget, world->limit,
                                   TURN_TOKENS_MAX);
-      lender->has_issued = true;
     }
   given = mq_budget_lend (&lender->budget, TURN_TOKENS_MAX);
   send_tokens (world, MESSAGE_LOAN, to, given);
@@ -322,15 +356,13 @@
 static void
 lose_host (struct world *world, struct host *host)
 {
-  uint64_t holder = host->holder;
+  uint64_t holder = host->holder_of_grant;
 
-  if (host->has_issued)
-    world->issuers_lost++;
   while (host->running > 0)
     world->generated += host->granted[--host->running];
   start_host (world, host);
   if (world->fault == FAULT_GRANT_REUSED)
-    host->holder = holder;
+    host->holder_of_grant = holder;
 }
 
 /* HOST claims or renews the lease; the reply may be late or lost.  */
@@ -338,6 +370,9 @@
 claim (struct world *world, struct host *host)
 {
   struct mq_reserve_clock_sample sample = { world->now_ms, 0 };
+  struct mq_reserve_lease others
+      = { .holder = 1, .until_ms = UINT64_MAX / 2, .issue_from_ms = 1 };
+  uint32_t slot = mq_reserve_slot (program);
   uint32_t slots[MQ_RESERVE_SLOTS];
   uint64_t took = draw (world, 3) == 0 ? draw (world, 8000) : 5;
   bool mine = world->lease.holder == host->holder;
@@ -349,28 +384,101 @@
       world->now_ms += took;
       sample.asked_ms = world->now_ms;
     }
+  host->sample = sample;
   for (uint32_t i = 0; i < MQ_RESERVE_SLOTS; i++)
     mq_reserve_record_row (host->reserve, i,
-                           (struct mq_reserve_lease){ 1, UINT64_MAX / 2, "" },
-                           1, sample);
-  mq_reserve_record_row (host->reserve, SLOT, world->lease,
-                         world->lease_version, sample);
+                           i == slot ? &world->lease : &others,
+                           i == slot ? world->lease_version : 1, sample);
   if (!mine && mq_reserve_claimable (host->reserve, sample, 1, 0, slots) == 0)
     return;
-  world->lease = mq_reserve_renewed_lease (host->reserve, sample);
+  world->lease = mq_reserve_renewed_lease (host->reserve, slot, sample);
+  if (world->fault == FAULT_ISSUES_FORGOTTEN)
+    world->lease.issue_from_ms = 1;
   world->lease_version++;
   if (draw (world, 6) > 0)
-    mq_reserve_record_row (host->reserve, SLOT, world->lease,
+    mq_reserve_record_row (host->reserve, slot, &world->lease,
                            world->lease_version, sample);
 }
 
+/* Whether HOST has the lease by what it knows, or was handed it.  */
+static bool
+has_or_was_handed (const struct host *host)
+{
+  uint32_t slots[MQ_RESERVE_SLOTS];
+  uint32_t slot = mq_reserve_slot (program);
+
+  return mq_reserve_lease_of (host->reserve, slot)->holder == host->holder
+         || mq_reserve_handed (host->reserve, slots) > 0;
+}
+
+/* HOST stops as planned while the table is away: it hands the lease to TO and
+   starts again.  */
+static void
+stop_in_outage (struct world *world, struct host *host, uint32_t to)
+{
+  uint32_t slot = mq_reserve_slot (program);
+  struct message message = { .kind = MESSAGE_LEASE, .to = to };
+  struct mq_reserve_lease own;
+
+  if (host->running > 0)
+    return;
+  if (has_or_was_handed (host))
+    {
+      own = *mq_reserve_lease_of (host->reserve, slot);
+      message.lease = mq_reserve_hand_over (host->reserve, slot, host->sample);
+      message.version = mq_reserve_version (host->reserve, slot);
+      if (world->fault == FAULT_HANDED_UNMARKED)
+        memset (message.lease.marks, 0, sizeof message.lease.marks);
+      send (world, message);
+      if (world->fault == FAULT_LEASE_KEPT && own.holder == host->holder)
+        {
+          mq_reserve_record_row (host->reserve, slot, &own, message.version,
+                                 host->sample);
+          return;
+        }
+    }
+  start_host (world, host);
+}
+
+/* HOST stops as planned: it releases the lease and starts again.  */
+static void
+stop_host (struct world *world, struct host *host)
+{
+  struct mq_reserve_clock_sample sample = { world->now_ms, world->now_ms };
+  uint32_t slot = mq_reserve_slot (program);
+
+  if (host->running > 0)
+    return;
+  if (world->lease.holder == host->holder)
+    {
+      mq_reserve_record_row (host->reserve, slot, &world->lease,
+                             world->lease_version, sample);
+      world->lease = mq_reserve_released_lease (host->reserve, slot, sample);
+      if (world->fault == FAULT_MARKS_DROPPED)
+        memset (world->lease.marks, 0, sizeof world->lease.marks);
+      world->lease_version++;
+    }
+  start_host (world, host);
+}
+
+/* HOST frees a program that has been idle.  */
+static void
+forget_program (struct world *world, struct host *host)
+{
+  if (host->running > 0 || host->budget.issued > 0)
+    return;
+  host->budget = (struct mq_budget){ .known = false };
+  if (world->fault != FAULT_GRANT_REUSED)
+    host->holder_of_grant = mq_random_next (&world->state);
+}
+
 static void
 record_issued (struct world *world, struct host *host)
 {
   struct mq_budget_record next;
 
-  if (mq_budget_record_issued (&host->budget, host->holder, world->limit,
-                               &next))
+  if (mq_budget_record_issued (&host->budget, host->holder_of_grant,
+                               world->limit, &next))
     write_record (world, host, &next);
 }
 
@@ -379,7 +487,7 @@
 {
   struct mq_budget_record next;
 
-  if (mq_budget_release (&host->budget, host->holder, world->limit,
+  if (mq_budget_release (&host->budget, host->holder_of_grant, world->limit,
                          TURN_TOKENS_MAX, &next))
     write_record (world, host, &next);
 }
@@ -423,7 +531,7 @@
   struct host *host = &world->hosts[index];
 
   world->now_ms += draw (world, 300);
-  switch (draw (world, 16))
+  switch (draw (world, 18))
     {
     case 0:
       world->table_down = !world->table_down;
@@ -464,7 +572,19 @@
         ask_table (world, host);
       break;
     case 12:
+      forget_program (world, host);
+      break;
     case 13:
+      if (draw (world, 2) == 0)
+        break;
+      if (world->table_down)
+        stop_in_outage (world, host,
+                        (index + 1 + draw (world, HOSTS - 1)) % HOSTS);
+      else
+        stop_host (world, host);
+      break;
+    case 14:
+    case 15:
       hand_over (world, host, (index + 1 + draw (world, HOSTS - 1)) % HOSTS);
       break;
     default:
@@ -473,12 +593,16 @@
     }
 }
 
+/* Whether the program is within its bound, and one host at most holds the
+   lease.  */
 static bool
 is_bounded (const struct world *world)
 {
-  return world->generated
-         <= world->limit + TURN_TOKENS_MAX
-                + (uint64_t)world->issuers_lost * TURN_TOKENS_MAX;
+  uint32_t holders = 0;
+
+  for (uint32_t i = 0; i < HOSTS; i++)
+    holders += holds_lease (world, &world->hosts[i]) ? 1U : 0U;
+  return world->generated <= world->limit + TURN_TOKENS_MAX && holders <= 1;
 }
 
 /* Whether the bound holds throughout the walk of SEED.  */
@@ -498,20 +622,19 @@
       holds = is_bounded (&world);
     }
   for (uint32_t i = 0; i < HOSTS; i++)
-    {
-      while (world.hosts[i].running > 0 && holds)
-        {
-          world.generated += world.hosts[i].granted[--world.hosts[i].running];
-          holds = is_bounded (&world);
-        }
-      talloc_free (world.hosts[i].reserve);
-    }
+    while (world.hosts[i].running > 0 && holds)
+      {
+        world.generated += world.hosts[i].granted[--world.hosts[i].running];
+        holds = is_bounded (&world);
+      }
+  for (uint32_t i = 0; i < HOSTS; i++)
+    talloc_free (world.hosts[i].reserve);
   *generated += world.generated;
   return holds;
 }
 
-/* A program generates at most its budget plus one turn.  Each host that is
-   lost after it issued tokens may add one more turn, as its use is unknown. */
+/* A program generates at most its budget plus one turn, over all outages and
+   whatever hosts are lost.  */
 Test (budget_model, bound_holds)
 {
   uint64_t generated = 0;
