A refused turn no longer ends the router

Cause: finish_nearby counted a loan through a turn that its own call had ended. mq_turn_find_cached returned true for "continued", which read like "the turn is there". advance_loan went on with its loan in the same way.

Evidence: AddressSanitizer, heap-use-after-free in finish_nearby, freed by request_refuse_until.

Change: mq_turn_is_cached only tells; mq_turn_use_cached and all functions that may end a turn or answer a request are void and its last use by their caller. The rule stands at the head of router_request.h and router_turns.h.

--- a/Makefile
+++ b/Makefile
@@ -131,10 +131,12 @@
 .PHONY: tests
 tests: $(TEST_BIN)
 
+SANITIZED = BUILD=$(BUILD)-asan OPT=-O1 \
+  SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer"
+
 ## check-sanitized: the same tests under ASan and UBSan
 check-sanitized: deps
-	@$(MAKE) --no-print-directory BUILD=$(BUILD)-asan OPT=-O1 \
-	  SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer" all tests
+	@$(MAKE) --no-print-directory $(SANITIZED) all tests
 	@BUILD=$(BUILD)-asan sh tests/run.sh
 
 # Each tests/fuzz/fuzz_NAME.c is a libFuzzer program too; what it finds new is
@@ -208,6 +210,11 @@
 	@$(MAKE) --no-print-directory $(BUILD)/bin/mimosa-routerd $(BUILD)/bin/soak
 	@BUILD=$(BUILD) sh tests/soak/run.sh $(SEED) $(SEEDS) $(SOAK_SECONDS) $(SOAK_HOSTS)
 
+## soak-sanitized: the same under ASan and UBSan
+.PHONY: soak-sanitized
+soak-sanitized:
+	@$(MAKE) --no-print-directory $(SANITIZED) soak
+
 ## format: format the sources; format-check: fail where that would change one
 format:
 	@clang-format -i $(SOURCES)
--- a/src/router/router_loan.c
+++ b/src/router/router_loan.c
@@ -187,8 +187,11 @@
   mq_loan_cancel (loan);
   if (!lacks_history)
     mq_program_reserve (turn);
-  else if (mq_turn_find_cached (turn))
-    turn->turns->router->counters.turns_lent++;
+  else if (mq_turn_is_cached (turn))
+    {
+      turn->turns->router->counters.turns_lent++;
+      mq_turn_use_cached (turn);
+    }
   else
     mq_turn_read_history (turn);
 }
@@ -213,11 +216,14 @@
     {
       /* With its history complete, the turn requests its budget, which may
          start another loan.  */
+      if (!mq_turn_is_cached (turn))
+        {
+          finish_loan (loan, MQ_TURN_STORE_UNAVAILABLE);
+          return;
+        }
       turn->loan = NULL;
-      if (mq_turn_find_cached (turn))
-        mq_loan_cancel (loan);
-      else
-        finish_loan (loan, MQ_TURN_STORE_UNAVAILABLE);
+      mq_loan_cancel (loan);
+      mq_turn_use_cached (turn);
       return;
     }
   if (reserve_tokens (turn))
--- a/src/router/router_request.h
+++ b/src/router/router_request.h
@@ -4,6 +4,12 @@
    router_stream.c, router_suspect.c,
    router_version.c and router_work.c only.
 
+   A request is freed when it is answered.  Functions that may answer it are
+   void and the last use of the request by their caller, also of its turn;
+   those that return bool have left the request alone if they return what is
+   said there.  A caller that pipelines has its next request begun before such
+   a function returns, often in the same memory.
+
    Needs: router_state.h, router_try.h.  */
 
 #ifndef MQ_ROUTER_REQUEST_H
@@ -223,7 +229,7 @@
 /* Appends why the request was refused over the limit, if it was.  */
 void request_log_limit (const struct mq_request *request,
                         struct mq_json_line *line);
-/* Obtains a permit, then calls request_dispatch.  */
+/* Obtains a permit, then calls request_dispatch; may answer the request.  */
 void request_acquire_permit (struct mq_request *request);
 /* Obtains the permit of a program's first turn, then calls
    request_begin_program.  */
@@ -238,7 +244,7 @@
 
 /* router_dispatch.c */
 
-/* Sends the request to the best worker not tried yet.  */
+/* Sends the request to the best worker not tried yet, or answers it.  */
 void request_dispatch (struct mq_request *request);
 void request_count_served (const struct mq_request *request);
 /* The attempt at a worker has ended.  */
--- a/src/router/router_turn.c
+++ b/src/router/router_turn.c
@@ -180,19 +180,22 @@
 }
 
 bool
-mq_turn_find_cached (struct mq_turn *turn)
+mq_turn_is_cached (const struct mq_turn *turn)
+{
+  return mq_chain_cache_find (turn->turns->cache, turn->missing_id) != NULL;
+}
+
+void
+mq_turn_use_cached (struct mq_turn *turn)
 {
   struct mq_turns *turns = turn->turns;
-  const struct mq_chain *cached
-      = mq_chain_cache_find (turns->cache, turn->missing_id);
-  struct mq_chain *copy = NULL;
+  struct mq_chain *copy = mq_chain_copy (
+      turns, mq_chain_cache_find (turns->cache, turn->missing_id));
 
-  if (cached != NULL)
-    copy = mq_chain_copy (turns, cached);
   if (copy == NULL)
-    return false;
-  add_chain (turn, copy, true);
-  return true;
+    mq_turn_read_history (turn);
+  else
+    add_chain (turn, copy, true);
 }
 
 /* Reads the row from the current candidate part, or the next one
@@ -228,14 +231,14 @@
   read_candidate (turn);
 }
 
-/* Finds the chain of the missing turn: in the cache, at a host of this data
-   centre, or in the table.  */
+/* Ends TURN: finds the chain of the missing turn, in the cache, at a host of
+   this data centre, or in the table.  */
 static void
 find_chain (struct mq_turn *turn)
 {
-  if (mq_turn_find_cached (turn))
-    return;
-  if (!turn->queried_nearby && turn->partial_chain == NULL)
+  if (mq_turn_is_cached (turn))
+    mq_turn_use_cached (turn);
+  else if (!turn->queried_nearby && turn->partial_chain == NULL)
     mq_loan_request_nearby (turn);
   else
     mq_turn_read_history (turn);
--- a/src/router/router_turns.h
+++ b/src/router/router_turns.h
@@ -2,6 +2,11 @@
    by router_turn.c, router_retry.c, router_program.c, router_loan.c,
    router_handover.c and, for parts and retries, router_version.c only.
 
+   A function that is said to end a turn may tell its request, which may be
+   refused and freed before the function returns, and another request of the
+   same caller may have its memory.  The call is the last use of the turn and
+   of all that it holds, loans included.
+
    Needs: router_state.h.  */
 
 #ifndef MQ_ROUTER_TURNS_H
@@ -84,11 +89,14 @@
 /* Expiry of a record written now, seconds on the table's clock; 0 if that
    clock is unknown.  */
 uint64_t mq_turns_expiry_s (const struct mq_turns *turns, uint32_t retain_s);
-/* If the missing history is cached, continues with the budget and returns
-   true.  */
-bool mq_turn_find_cached (struct mq_turn *turn);
-/* Reads the missing history of TURN from the table.  */
+/* Whether the missing history is cached.  */
+bool mq_turn_is_cached (const struct mq_turn *turn);
+/* Ends TURN: takes the missing history from the cache and continues with the
+   budget.  */
+void mq_turn_use_cached (struct mq_turn *turn);
+/* Ends TURN: reads the missing history from the table.  */
 void mq_turn_read_history (struct mq_turn *turn);
+/* Ends TURN.  */
 void mq_turn_notify (struct mq_turn *turn, enum mq_turn_state state);
 /* Name of a write's failure in log lines.  */
 const char *mq_turn_write_failure (enum mq_store_status status);
@@ -108,7 +116,7 @@
 /* Returns NULL if memory is exhausted.  */
 struct mq_program *mq_program_get_or_create (struct mq_turns *turns,
                                              const char *id);
-/* Reserves the budget of TURN, whose history is present, and notifies it.  */
+/* Ends TURN: reserves its budget and notifies it.  Its history is present.  */
 void mq_program_reserve (struct mq_turn *turn);
 /* Whether the home of PROGRAM has just rejected a turn as full.  */
 bool mq_program_home_is_full (const struct mq_program *program);
@@ -127,12 +135,12 @@
 
 /* router_loan.c */
 
-/* Asks the hosts of this data centre for the missing history and the budget of
-   TURN.  mq_turn_read_history follows if none has the history, else
+/* Ends TURN: asks the hosts of this data centre for its missing history and
+   its budget.  mq_turn_read_history follows if none has the history, else
    mq_program_reserve.  */
 void mq_loan_request_nearby (struct mq_turn *turn);
-/* The table is unavailable: requests what TURN needs from other hosts, or
-   fails it with MQ_TURN_STORE_UNAVAILABLE.  */
+/* Ends TURN: the table is unavailable.  Requests what it needs from other
+   hosts, or fails it with MQ_TURN_STORE_UNAVAILABLE.  */
 void mq_loan_request (struct mq_turn *turn);
 /* All tokens of PROGRAM are granted: asks other hosts to lend their unused
    ones. mq_program_on_recall_done follows, never from within this call.  */
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -115,6 +115,7 @@
  * @events: complete events of that turn received, over all attempts
  * @version: software version that wrote them; "" if unknown
  * @takes_up: the attempt resumes the stream
+ * @pipelined: another request follows it, whose response is not read
  * @counted: the attempt counts for the share of streams that begin or go on
  */
 struct program
@@ -142,6 +143,7 @@
   int events;
   char version[16];
   bool takes_up;
+  bool pipelined;
   bool counted;
   struct mq_http_conn *lane;
   struct mq_timer *timer;
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -16,6 +16,9 @@
 /* One caller in so many leaves during a stream, so long after some data.  */
 #define LEAVE_EACH 4U
 #define LEAVE_MS 5U
+/* One request in so many has another one of its caller right behind it, whose
+   response is not waited for.  */
+#define PIPELINE_EACH 6U
 
 static void send_step (struct program *program);
 static void on_abort (struct program *program);
@@ -426,7 +429,7 @@
   struct program *program = user;
 
   TALLOC_FREE (program->response_timer);
-  if (!mq_http_conn_is_reusable (program->lane))
+  if (program->pipelined || !mq_http_conn_is_reusable (program->lane))
     close_connection (program);
   on_response (program);
 }
@@ -503,6 +506,29 @@
   return head;
 }
 
+/* Returns what follows the head: the input, and at times a call that is
+   pipelined behind the request.  */
+static char *
+make_rest (struct program *program)
+{
+  struct soak *soak = program->soak;
+  uint32_t call = soak->record_count;
+
+  program->pipelined
+      = call < RECORDS_MAX && soak_random_below (soak, PIPELINE_EACH) == 0;
+  if (!program->pipelined)
+    return talloc_strdup (soak->ev, program->input);
+  soak->record_count++;
+  soak->records[call] = (struct record){ .program = program->index,
+                                         .kind = KIND_CALL,
+                                         .org = (uint8_t)program->org };
+  return talloc_asprintf (soak->ev,
+                          "%sGET /call/x HTTP/1.1\r\nHost: h\r\n"
+                          "X-Request-Id: q%u\r\nX-Key: key-%d-0\r\n"
+                          "X-Deadline-Ms: 2000\r\n\r\n",
+                          program->input, call, program->org);
+}
+
 static void
 send_step (struct program *program)
 {
@@ -515,6 +541,7 @@
   struct mq_error error = { .type = MQ_ERR_NONE };
   char address[32];
   char *head;
+  char *rest;
 
   if (soak->record_count == RECORDS_MAX)
     return;
@@ -546,8 +573,10 @@
   program->sent_ms = mq_clock_ms ();
   program->response_timer = mq_timer_add (
       soak->ev, soak->ev, RESPONSE_TIMEOUT_MS, on_response_timeout, program);
-  mq_http_conn_send (program->lane, &events, head, strlen (head),
-                     program->input, strlen (program->input), false);
+  rest = make_rest (program);
+  mq_http_conn_send (program->lane, &events, head, strlen (head), rest,
+                     strlen (rest), false);
+  talloc_free (rest);
   talloc_free (head);
 }
 
