A silent worker is given up only while another one may serve

Cause: the worker paused for 416 to 800 ms and was given up as silent; no other one had the stream's version, so the response ended (version_gone).

Change: the inactivity timer asks whether another worker could serve the request now (may_move); if not, it looks again after each timeout, up to the deadline.

--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -181,15 +181,14 @@
   return worker == MQ_WORKER_NONE ? mq_fleet_choose (fleet, query) : worker;
 }
 
-/* A stream goes on at the version that began it.
+/* Which workers may serve the request.  A stream goes on at the version that
+   began it.
 
    Failure: the events of two versions don't fit together, and the caller holds
    them as one whole response.  */
-static uint32_t
-choose_worker (struct mq_request *request, uint64_t now)
+static struct mq_fleet_query
+describe_query (const struct mq_request *request, uint64_t now)
 {
-  bool avoided = false;
-  uint32_t worker;
   struct mq_fleet_query query = {
     .service = request->service,
     .data_centre = request->router->settings->data_centre,
@@ -197,16 +196,12 @@
     .drain_ms = request->router->settings->drain_ms / 2U,
     .once = request->route->kind == MQ_ROUTE_AT_MOST_ONCE,
     .objective_ms = request->route->objective_ms,
-    .avoided = &avoided,
     .evidence = request->router->evidence,
     .tried = request->attempted,
     .tried_count = request->attempted_count,
     .now_ms = now,
-    .random = mq_random_next (&request->router->random),
   };
 
-  if (request->has_version && request->version == 0)
-    return MQ_WORKER_NONE;
   if (request->is_turn)
     {
       query.home = request->turn.home;
@@ -215,6 +210,20 @@
   query.has_key = mq_route_affinity_key (request->route, request->service_info,
                                          request->program,
                                          request->fields.affinity, &query.key);
+  return query;
+}
+
+static uint32_t
+choose_worker (struct mq_request *request, uint64_t now)
+{
+  struct mq_fleet_query query = describe_query (request, now);
+  bool avoided = false;
+  uint32_t worker;
+
+  if (request->has_version && request->version == 0)
+    return MQ_WORKER_NONE;
+  query.avoided = &avoided;
+  query.random = mq_random_next (&request->router->random);
   worker = choose_apart (request, &query);
   if (avoided)
     request->router->counters.doubtful_avoided++;
@@ -281,6 +290,18 @@
   return mq_caller_may_buffer (request->caller, len);
 }
 
+static bool
+may_move (void *user)
+{
+  const struct mq_request *request = user;
+  struct mq_fleet_query query = describe_query (request, mq_clock_ms ());
+
+  if (request->attempted_count == ATTEMPTED_WORKERS_MAX
+      || (request->has_version && request->version == 0))
+    return false;
+  return mq_fleet_choose (request->router->fleet, &query) != MQ_WORKER_NONE;
+}
+
 static struct mq_try *
 begin_try (struct mq_request *request, struct mq_error *error)
 {
@@ -296,6 +317,7 @@
     .answer_ctx = request,
     .repeatable = mq_route_repeatable (request->route),
     .begun = request->response_begun,
+    .may_move = may_move,
     .may_buffer = may_buffer,
     .complete = request_note_speed,
     .events = request_forward_events,
--- a/src/router/router_inactivity.c
+++ b/src/router/router_inactivity.c
@@ -89,7 +89,10 @@
 }
 
 /* Reports inactivity only if two checks find it with a poll of the sockets in
-   between, because responses may be unread after this process was delayed.  */
+   between, because responses may be unread after this process was delayed.
+
+   Failure: the only worker that can go on with a stream pauses, and the stream
+   is cut although the worker would have completed it.  */
 static void
 on_check (void *data)
 {
@@ -107,6 +110,11 @@
       inactivity->seen = true;
       schedule_check (inactivity, 1);
     }
+  else if (!inactivity->options.may_move (inactivity->options.user))
+    {
+      inactivity->seen = false;
+      schedule_check (inactivity, timeout_ms (inactivity));
+    }
   else
     inactivity->options.timed_out (inactivity->options.user);
 }
--- a/src/router/router_inactivity.h
+++ b/src/router/router_inactivity.h
@@ -1,7 +1,7 @@
 /* router_inactivity.h - detects workers that stopped responding.
 
    If a worker sends nothing for a multiple of the route's objective, a request
-   that may be repeated is sent to another one.
+   that may be repeated is sent to another one, if there is one.
    Needs: fleet.h, tevent.  */
 
 #ifndef MQ_ROUTER_INACTIVITY_H
@@ -20,6 +20,7 @@
  * @begun: the response head was sent to the caller
  * @left_ms: time remaining until the final response
  * @detect_inactivity: run the timer; otherwise only the activity is recorded
+ * @may_move: whether another worker could serve the request now
  * @timed_out: called once when the worker was inactive for too long
  */
 struct mq_inactivity_options
@@ -30,6 +31,7 @@
   bool begun;
   uint32_t left_ms;
   bool detect_inactivity;
+  bool (*may_move) (void *user);
   void (*timed_out) (void *user);
   void *user;
 };
--- a/src/router/router_try.c
+++ b/src/router/router_try.c
@@ -57,6 +57,14 @@
   end_try (try, MQ_ATTEMPT_BROKEN, MQ_OUTCOME_FAILED);
 }
 
+static bool
+may_move (void *user)
+{
+  const struct mq_try *try = user;
+
+  return try->options.may_move (try->options.user);
+}
+
 static void
 on_inactive (void *user)
 {
@@ -196,6 +204,7 @@
     .begun = try->options.begun,
     .left_ms = try->options.send.left_ms,
     .detect_inactivity = try->options.detect_inactivity,
+    .may_move = may_move,
     .timed_out = on_inactive,
     .user = try,
   };
--- a/src/router/router_try.h
+++ b/src/router/router_try.h
@@ -25,6 +25,8 @@
  * @repeatable: the request may run more than once
  * @begun: the response head was already sent to the caller
  * @detect_inactivity: give up a worker that is inactive for too long
+ * @may_move: whether another worker could serve the request now; an inactive
+ *            worker is not given up before
  * @may_buffer: whether the body of a plain answer may grow to LEN bytes
  * @complete: called when the response is complete, while the worker is held
  * @events: called when complete events can be taken from @answer
@@ -45,6 +47,7 @@
   bool repeatable;
   bool begun;
   bool detect_inactivity;
+  bool (*may_move) (void *user);
   bool (*may_buffer) (size_t len, void *user);
   void (*complete) (void *user);
   void (*events) (void *user);
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -836,6 +836,52 @@
     }
 }
 
+/* Failure: the only worker that may go on with a stream pauses between events,
+   and the stream is cut although the worker goes on with it.  */
+Test (versions, worker_without_substitute_pauses)
+{
+  static const struct
+  {
+    const char *name;
+    const char *versions[EDGE_WORKERS];
+    int listed; /* workers, after the stream has begun at the first one */
+    int runs;   /* at all workers */
+  } cases[] = {
+    { "last one of its version", { "v1", "v1.1", "v1.1" }, 3, 1 },
+    { "only one of the service", { "v1", "v1", "v1" }, 1, 1 },
+    { "another one of its version", { "v1", "v1", "v1.1" }, 3, 2 },
+  };
+  static const uint32_t usual_ms = 300;
+  static const uint32_t pause_ms = 500;
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct stream stream = { .events = 0 };
+      char id[64];
+
+      set_versions (cases[i].versions);
+      for (int k = 1; k < EDGE_WORKERS; k++)
+        set_state (k, NULL);
+      worker_server_set_event_gap (site->llm[0], usual_ms);
+      snprintf (id, sizeof id, "q%d", next_id);
+      send_attempt (&stream, 0, NULL, 0);
+      EDGE_WAIT (site, edge_is_closed (&call)
+                           || strstr (call.answer, "id: 1") != NULL);
+      worker_server_set_event_gap (site->llm[0], pause_ms);
+      for (int k = 1; k < cases[i].listed; k++)
+        set_state (k, "ready");
+      edge_wait_responses (site, &call, 1);
+      edge_close (&call);
+      read_events (&stream);
+      cr_expect_eq (stream.events, EVENTS, "%s: %s", cases[i].name,
+                    call.answer);
+      cr_expect_not (stream.joined, "%s: %s", cases[i].name, call.answer);
+      cr_expect_eq (edge_run_count (site, id), cases[i].runs, "%s",
+                    cases[i].name);
+      worker_server_set_event_gap (site->llm[0], 0);
+    }
+}
+
 /* Failure: a host takes a worker that restarted at its address for the one
    that began the stream.  */
 Test (versions, worker_of_another_version_at_the_same_address)
