A report of an end that is read late takes the earlier time

Cause: a host that was held up read late that a worker had ended and kept the late time when the same end was told again. The run that began at once after the end seemed to overlap with it, and its own end did not count.

Change: the same run, which its worker and its duration name, is kept at the earliest time that is told of it.

--- a/src/core/router/suspects.c
+++ b/src/core/router/suspects.c
@@ -368,6 +368,62 @@
   end->state = state;
 }
 
+/* Whether RUN began after the one that ended as END, at the same worker.  */
+static bool
+is_later_run (const struct run_end *run, const struct run_end *end)
+{
+  return run->began_ms > end->ended_ms + MQ_SUSPECTS_CLOCK_ERROR_MS;
+}
+
+/* Whether RUN is the one of END, told with less delay.  The duration of a run
+   is told unchanged; a report is read late at most.  */
+static bool
+is_earlier_report (const struct run_end *run, const struct run_end *end)
+{
+  return run->ended_ms - run->began_ms == end->ended_ms - end->began_ms
+         && run->ended_ms < end->ended_ms
+         && end->ended_ms - run->ended_ms <= MQ_SUSPECTS_READ_DELAY_MS;
+}
+
+/* Moves the end KNOWN to the time that RUN tells; returns where it is kept
+   now.
+
+   Failure: a host that is held up reads late that a worker has ended, and the
+   run that began at once after it seems to overlap with it, though it is told
+   again in time.  */
+static struct run_end *
+move_end (struct mq_suspects *suspects, struct suspect *suspect,
+          struct run_end *known, const struct run_end *run)
+{
+  struct run_end end = *known;
+
+  end.began_ms = run->began_ms;
+  end.ended_ms = run->ended_ms;
+  remove_end (suspects, suspect, (uint32_t)(known - suspect->ends));
+  add_end (suspects, suspect, &end);
+  return find_end (suspect, end.worker);
+}
+
+/* Takes what RUN tells of its worker, of which KNOWN is kept.
+
+   Failure: a connection to a worker breaks, the worker is found alive, and a
+   later run ends it: the end of that run is taken for the first one and does
+   not count.  */
+static void
+update_end (struct mq_suspects *suspects, struct suspect *suspect,
+            struct run_end *known, const struct run_end *run)
+{
+  if (known->state != MQ_SUSPECTS_ALIVE && is_earlier_report (run, known))
+    known = move_end (suspects, suspect, known, run);
+  if (known->state == MQ_SUSPECTS_ALIVE && is_later_run (run, known))
+    {
+      remove_end (suspects, suspect, (uint32_t)(known - suspect->ends));
+      add_end (suspects, suspect, run);
+    }
+  else if (!is_later_run (known, run))
+    set_state (suspects, known, run->state);
+}
+
 bool
 mq_suspects_is_valid (const struct mq_suspects_end *end)
 {
@@ -398,7 +454,7 @@
   if (known == NULL)
     add_end (suspects, suspect, &run);
   else
-    set_state (suspects, known, end->state);
+    update_end (suspects, suspect, known, &run);
   reject_if_due (suspect);
   return count_ends (suspect, true);
 }
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -368,6 +368,136 @@
   mq_suspects_record (suspects, &end, now_ms);
 }
 
+struct same_worker_case
+{
+  const char *name;
+  struct mq_suspects_end told[3];
+  uint32_t count; /* ends, open ones included */
+};
+
+/* Failure: a worker that was found alive after a broken connection is ended by
+   a later run, and this end does not count.  */
+Test (suspects, later_end_of_a_worker_that_was_alive_counts)
+{
+  static const struct same_worker_case cases[] = {
+    { "found alive",
+      { { .worker = 7, .ran_ms = 10, .age_ms = 500 },
+        { .worker = 7,
+          .ran_ms = 10,
+          .age_ms = 500,
+          .state = MQ_SUSPECTS_ALIVE } },
+      0 },
+    { "ended by a later run",
+      { { .worker = 7,
+          .ran_ms = 10,
+          .age_ms = 500,
+          .state = MQ_SUSPECTS_ALIVE },
+        { .worker = 7, .ran_ms = 10, .age_ms = 100 } },
+      1 },
+    { "the first one is told late",
+      { { .worker = 7, .ran_ms = 10, .age_ms = 100 },
+        { .worker = 7,
+          .ran_ms = 10,
+          .age_ms = 500,
+          .state = MQ_SUSPECTS_ALIVE } },
+      1 },
+    { "the same run, as told by a host whose clock differs",
+      { { .worker = 7,
+          .ran_ms = 10,
+          .age_ms = 500,
+          .state = MQ_SUSPECTS_ALIVE },
+        { .worker = 7, .ran_ms = 10, .age_ms = 495 } },
+      0 },
+    { "alive after the later run as well",
+      { { .worker = 7,
+          .ran_ms = 10,
+          .age_ms = 500,
+          .state = MQ_SUSPECTS_ALIVE },
+        { .worker = 7, .ran_ms = 10, .age_ms = 100 },
+        { .worker = 7,
+          .ran_ms = 10,
+          .age_ms = 100,
+          .state = MQ_SUSPECTS_ALIVE } },
+      0 },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct mq_suspects *suspects = mq_suspects_create (NULL);
+
+      for (size_t k = 0; k < ROWS (cases[i].told); k++)
+        if (cases[i].told[k].worker != 0)
+          {
+            struct mq_suspects_end end = cases[i].told[k];
+
+            end.work = WORK;
+            (void)mq_suspects_record (suspects, &end, START_MS);
+          }
+      cr_expect_eq (mq_suspects_count (suspects, WORK), cases[i].count,
+                    "%s: %u", cases[i].name,
+                    mq_suspects_count (suspects, WORK));
+      talloc_free (suspects);
+    }
+}
+
+struct late_case
+{
+  const char *name;
+  struct mq_suspects_end told[3]; /* at START_MS, then 20 ms later */
+  uint32_t count;
+};
+
+/* Failure: a host reads late that a worker has ended, the run that began at
+   once after it seems to overlap with it, and its end does not count.  */
+Test (suspects, end_that_is_read_late_is_told_again)
+{
+  static const struct late_case cases[] = {
+    { "told again in time",
+      { { .worker = 7, .ran_ms = 5 },
+        { .worker = 7, .ran_ms = 5, .age_ms = 30 },
+        { .worker = 8, .ran_ms = 29 } },
+      2 },
+    { "told again after the next one",
+      { { .worker = 7, .ran_ms = 5 },
+        { .worker = 8, .ran_ms = 29 },
+        { .worker = 7, .ran_ms = 5, .age_ms = 30 } },
+      2 },
+    { "told again later still",
+      { { .worker = 7, .ran_ms = 5 },
+        { .worker = 7, .ran_ms = 5, .age_ms = 10 },
+        { .worker = 8, .ran_ms = 19 } },
+      2 },
+    { "runs that overlap",
+      { { .worker = 7, .ran_ms = 5 },
+        { .worker = 7, .ran_ms = 5, .age_ms = 30 },
+        { .worker = 8, .ran_ms = 40 } },
+      1 },
+    { "another run at the same worker",
+      { { .worker = 7, .ran_ms = 5 },
+        { .worker = 7, .ran_ms = 4, .age_ms = 30 },
+        { .worker = 8, .ran_ms = 29 } },
+      1 },
+  };
+
+  for (size_t i = 0; i < ROWS (cases); i++)
+    {
+      struct mq_suspects *suspects = mq_suspects_create (NULL);
+
+      for (size_t k = 0; k < ROWS (cases[i].told); k++)
+        {
+          struct mq_suspects_end end = cases[i].told[k];
+
+          end.work = WORK;
+          (void)mq_suspects_record (suspects, &end,
+                                    START_MS + (k == 0 ? 0 : 20));
+        }
+      cr_expect_eq (mq_suspects_count (suspects, WORK), cases[i].count,
+                    "%s: %u", cases[i].name,
+                    mq_suspects_count (suspects, WORK));
+      talloc_free (suspects);
+    }
+}
+
 /* Failure: a request that still ends workers is let through again and again,
    or one that a new version can run is rejected for good.  */
 Test (suspects, one_attempt_is_let_through_again)
