An end is told with the age that it has when it is sent

Cause: a host told an end with the age that it had when it was noted, one turn of the loop before. Held up in between, it told an end of 20 ms ago as new, and the next run seemed to overlap with it.

Change: ends that wait to be told are aged as the frame is sent.

--- a/src/router/router_suspect_watch.c
+++ b/src/router/router_suspect_watch.c
@@ -48,7 +48,8 @@
 
 /**
  * struct mq_suspect_watch - requests under which workers may have ended
- * @told: ends that wait to be told
+ * @told: ends that wait to be told, aged at @told_ms
+ * @told_ms: when each of them was added, local monotonic clock
  * @tell_timer: NULL if none waits
  * @bytes: what may be sent of first ends
  * @writes: rows that may be written
@@ -62,6 +63,7 @@
   struct mq_router *router;
   struct mq_suspects *suspects;
   struct mq_suspects_end told[ENDS_MAX];
+  uint64_t told_ms[ENDS_MAX];
   size_t told_count;
   struct mq_timer *tell_timer;
   struct bucket bytes;
@@ -132,6 +134,17 @@
 
 /* Telling other hosts */
 
+/* Failure: a host that is held up tells of an end as if it were new, and the
+   run that began at once after it seems to overlap with it.  */
+static void
+age_told (struct mq_suspect_watch *watch)
+{
+  uint64_t now = mq_clock_ms ();
+
+  for (size_t i = 0; i < watch->told_count; i++)
+    watch->told[i].age_ms += (uint32_t)(now - watch->told_ms[i]);
+}
+
 static void
 send_told (void *data)
 {
@@ -139,6 +152,7 @@
   struct mq_router *router = watch->router;
 
   watch->tell_timer = NULL;
+  age_told (watch);
   router->counters.run_ends_sent += mq_relay_send_ends (
       router->relay, watch->told, watch->told_count, false);
   watch->told_count = 0;
@@ -154,6 +168,7 @@
       TALLOC_FREE (watch->tell_timer);
       send_told (watch);
     }
+  watch->told_ms[watch->told_count] = mq_clock_ms ();
   watch->told[watch->told_count++] = *end;
   if (watch->tell_timer == NULL)
     watch->tell_timer
--- a/tests/stepped_clock.c
+++ b/tests/stepped_clock.c
@@ -110,3 +110,9 @@
     }
   close (mark);
 }
+
+void
+stepped_clock_hold_up (uint32_t ms)
+{
+  now_us += (uint64_t)ms * STEP_US;
+}
--- a/tests/stepped_clock.h
+++ b/tests/stepped_clock.h
@@ -18,5 +18,8 @@
    of EV handles descriptors until none is ready; a step takes no less of the
    machine's time, which the kernel follows.  */
 void stepped_clock_run (struct tevent_context *ev, uint32_t ms);
+/* Advances the clock by MS while the event loop stands still, as in a process
+   that is held up.  */
+void stepped_clock_hold_up (uint32_t ms);
 
 #endif
--- a/tests/test_repeats.c
+++ b/tests/test_repeats.c
@@ -1,11 +1,13 @@
 /* test_repeats.c - requests that end the workers they are sent to, over the
    attempts of their callers.
 
-   Needs: Criterion, router_site.h, router_state.h, stepped_clock.h.  */
+   Needs: Criterion, router_site.h, relay_state.h, router_state.h,
+   stepped_clock.h.  */
 
 #include "router_site.h"
 #include "net/clock.h"
 #include "net/timer.h"
+#include "router/relay_state.h"
 #include "router/router_state.h"
 #include "stepped_clock.h"
 #include <criterion/criterion.h>
@@ -272,6 +274,83 @@
   cr_expect_eq (status, 400, "last status %d: %.200s", status, call.answer);
 }
 
+/* Age of the only end of WORK as router INDEX knows it.  */
+static uint32_t
+end_age_ms (int index, struct mq_id work)
+{
+  const struct mq_suspects *suspects
+      = mq_suspect_watch_list (site->routers[index]->suspects);
+  struct mq_suspects_end ends[MQ_SUSPECTS_KEPT_MAX];
+
+  cr_assert_eq (mq_suspects_ends (suspects, work, ends, mq_clock_ms ()), 1);
+  return ends[0].age_ms;
+}
+
+/* Failure: a host starts again within the time for which its earlier run
+   counts as unreachable, is not told of ends, and sends the request to a
+   worker more.  */
+Test (repeats, host_that_starts_again_is_told_at_once)
+{
+  static const struct mq_suspects_end end
+      = { .work = { .hi = 1, .lo = 2 }, .worker = 3, .worker_id = 4 };
+  struct mq_relay *relay;
+  struct mq_relay *restarted;
+
+  edge_start (site, 1);
+  edge_list_hosts (site);
+  relay = site->routers[0]->relay;
+  restarted = site->routers[1]->relay;
+  relay_mark_unreachable (
+      relay_find_host (relay, mq_relay_address (restarted)));
+  cr_assert_eq (mq_relay_ask_ends (restarted), 1);
+  edge_run_for (site, 10);
+  mq_suspect_watch_broke (site->routers[0]->suspects, &end);
+  edge_run_for (site, 10);
+  cr_expect (mq_suspects_is_known (
+      mq_suspect_watch_list (site->routers[1]->suspects), end.work));
+}
+
+/* Failure: a host that is late with a loan counts as unreachable, is not told
+   of ends, and sends the request to a worker more.  */
+Test (repeats, host_that_is_late_with_a_loan_is_told)
+{
+  static const struct mq_suspects_end end
+      = { .work = { .hi = 1, .lo = 2 }, .worker = 3, .worker_id = 4 };
+  struct mq_relay *relay;
+  struct host *late;
+
+  edge_start (site, 1);
+  edge_list_hosts (site);
+  relay = site->routers[0]->relay;
+  late = relay_find_host (relay, mq_relay_address (site->routers[1]->relay));
+  cr_assert_not_null (relay_open_link (relay, late));
+  edge_run_for (site, 10);
+  relay_mark_unreachable (late);
+  mq_suspect_watch_broke (site->routers[0]->suspects, &end);
+  edge_run_for (site, 10);
+  cr_expect (mq_suspects_is_known (
+      mq_suspect_watch_list (site->routers[1]->suspects), end.work));
+}
+
+/* Failure: a host that is held up tells of an end as if it were new, and the
+   next end seems to overlap with it and does not count.  */
+Test (repeats, end_that_is_told_late_keeps_its_time)
+{
+  static const uint32_t held_up_ms = 4 * MQ_SUSPECTS_CLOCK_ERROR_MS;
+  static const struct mq_suspects_end end
+      = { .work = { .hi = 1, .lo = 2 }, .worker = 3, .worker_id = 4 };
+
+  edge_start (site, 1);
+  edge_list_hosts (site);
+  mq_suspect_watch_broke (site->routers[0]->suspects, &end);
+  stepped_clock_hold_up (held_up_ms);
+  edge_run_for (site, 10);
+  cr_expect_leq (end_age_ms (0, end.work),
+                 end_age_ms (1, end.work) + MQ_SUSPECTS_CLOCK_ERROR_MS,
+                 "%u ms, told as %u ms", end_age_ms (0, end.work),
+                 end_age_ms (1, end.work));
+}
+
 /* Failure: a request that many callers send alike is rejected since
    connections break under it now and then.  */
 Test (repeats, request_that_mostly_succeeds_stays_served)
