Hosts that started again or are late with a loan are told of ends

Cause: a host counts as unreachable for a while after its link broke or it was late with a loan, and was not told of ends meanwhile: neither its next run, which had asked for them, nor over a link that was open.

Change: a host with a link is told; one that asks counts as reachable.

--- a/src/router/relay_suspects.c
+++ b/src/router/relay_suspects.c
@@ -21,16 +21,16 @@
 };
 
 /* A host that is stopping is not listed any more, and serves the callers that
-   it has.
+   it has.  One that is late with its replies has its link all the same.
 
    Failure: while all hosts are stopped one after the other, each knows its own
-   ends alone.  */
+   ends alone; or a host that is held up for a moment is not told of ends.  */
 static bool
 may_be_told (const struct host *host, uint64_t now)
 {
-  return (host->listed || host->seed || host->link != NULL
-          || host->asked_until_ms > now)
-         && host->loan_after_ms <= now;
+  bool known = host->listed || host->seed || host->asked_until_ms > now;
+
+  return host->link != NULL || (known && host->loan_after_ms <= now);
 }
 
 static int
@@ -135,7 +135,10 @@
 }
 
 /* The host that asked may not be listed yet.  No link to it is opened: hosts
-   with one are the first that are asked for loans.  */
+   with one are the first that are asked for loans.
+
+   Failure: a host that has started again is not told of ends since its earlier
+   run could not be reached, though it asks for them.  */
 void
 mq_relay_reply_ends (struct mq_relay *relay, struct mq_relay_link *link,
                      const char *address, const struct mq_suspects_end *ends,
@@ -148,6 +151,8 @@
   struct host *host = relay_add_host (relay, address);
 
   relay_send_frame (relay, link, &frame);
-  if (host != NULL)
-    host->asked_until_ms = mq_clock_ms () + ASKED_MS;
+  if (host == NULL)
+    return;
+  host->asked_until_ms = mq_clock_ms () + ASKED_MS;
+  host->loan_after_ms = 0;
 }
