Rows of ended runs tell milliseconds

What was seen: repeats::host_that_was_not_told_learns_from_the_row, known red: five workers ended where four are asked.

Cause: ends of a row were aged by up to a second, so data that came before an end counted as later.

Change: the row tells when it was written in milliseconds of the table's clock; its ends are aged by that and the table's latency. Rows of hosts of the release before are aged by a second more, as before.

--- a/src/router/router_suspect_rows.c
+++ b/src/router/router_suspect_rows.c
@@ -18,7 +18,7 @@
 static const char run_end_table[] = "run-end";
 
 /* Rows that are older are removed by a host that reads them.  */
-#define ROW_TTL_S (2U * MQ_SUSPECTS_REJECT_MS / 1000U)
+#define ROW_TTL_MS (2UL * MQ_SUSPECTS_REJECT_MS)
 
 static void
 on_written (const struct mq_rows_result *result, void *user)
@@ -63,7 +63,8 @@
       = { .kind = MQ_RELAY_RUN_ENDS,
           .u.run_ends = { .ends = ends,
                           .count = count,
-                          .written_s = mq_rows_clock_s (router->rows) } };
+                          .written_s = mq_rows_clock_s (router->rows),
+                          .written_ms = mq_rows_clock_ms (router->rows) } };
   struct mq_bytes bytes = mq_relay_frame_pack (ctx, &frame);
   char key[MQ_ID_TEXT];
 
@@ -76,17 +77,34 @@
   talloc_free (ctx);
 }
 
-/* Takes the ends of a row that was written AGE_S ago, less up to a second:
-   they must not seem to overlap with later runs.  */
+/* Longest time since the row was written, milliseconds: its ends must not seem
+   to overlap with later runs.  Clocks differ by the table's latency.  */
+static uint64_t
+row_age_ms (const struct mq_router *router,
+            const struct mq_relay_run_ends *ends)
+{
+  uint64_t now = mq_rows_clock_ms (router->rows);
+  uint64_t written = ends->written_ms;
+  uint64_t unknown = mq_rows_latency_ms (router->rows);
+
+  if (written == 0)
+    {
+      written = ends->written_s * 1000U;
+      unknown += 1000U;
+    }
+  return (now > written ? now - written : 0) + unknown;
+}
+
+/* Takes the ends of a row that was written AGE_MS ago.  */
 static void
 take_row (struct mq_router *router, const struct mq_relay_run_ends *ends,
-          uint64_t age_s)
+          uint64_t age_ms)
 {
   for (size_t i = 0; i < ends->count && i < MQ_SUSPECTS_KEPT_MAX; i++)
     {
       struct mq_suspects_end end = ends->ends[i];
 
-      end.age_ms += (uint32_t)((age_s + 1U) * 1000U);
+      end.age_ms += (uint32_t)age_ms;
       mq_suspect_watch_take (router->suspects, &end);
     }
 }
@@ -147,17 +165,15 @@
 static void
 take_value (struct mq_router *router, const struct mq_rows_entry *row)
 {
-  uint64_t now_s = mq_rows_clock_s (router->rows);
   struct mq_relay_frame *frame
       = mq_relay_frame_unpack (NULL, row->value.data, row->value.len);
   bool valid = frame != NULL && frame->kind == MQ_RELAY_RUN_ENDS;
-  uint64_t written_s = valid ? frame->u.run_ends.written_s : 0;
+  uint64_t age_ms = valid ? row_age_ms (router, &frame->u.run_ends) : 0;
 
-  if (!valid || now_s > written_s + ROW_TTL_S)
+  if (!valid || age_ms > ROW_TTL_MS)
     commit (router, row->key, (struct mq_bytes){ NULL, 0 }, true);
   else
-    take_row (router, &frame->u.run_ends,
-              now_s > written_s ? now_s - written_s : 0);
+    take_row (router, &frame->u.run_ends, age_ms);
   talloc_free (frame);
 }
 
--- a/src/router/rows.h
+++ b/src/router/rows.h
@@ -160,7 +160,10 @@
                                    const char *part, const char *from,
                                    uint32_t limit, mq_rows_done *done,
                                    void *user);
-/* The table's clock, which is monotonic, in seconds; 0 if unknown.  */
+/* The table's clock, which is monotonic, in milliseconds; behind by the
+   latency of a response at most; 0 if unknown.  */
+uint64_t mq_rows_clock_ms (const struct mq_rows *rows);
+/* Likewise, in seconds.  */
 uint64_t mq_rows_clock_s (const struct mq_rows *rows);
 /* Samples the table's clock and this host's mq_clock_boot_ms, which includes
    time suspended.  BOOT_MS is not later than the request that returned
