--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -177,7 +177,8 @@
  * @worker_starts: starts of workers so far, for their ids
  * @begun: new streams; @taken_up: streams that callers resumed.  Without
  *         faults, and while two workers of the version serve
- * @failures: violations, @cut of them streams that were cut
+ * @failures: violations, @cut of them streams that were cut, @extra_ends of
+ *            them workers that ended under a request beyond its limit
  * @held_ms: last delay of the soak's own event loop, seen at @held_at_ms
  */
 struct soak
@@ -221,6 +222,7 @@
   uint64_t held_max_ms;
   int failures;
   int cut;
+  int extra_ends;
   uint32_t finished;
   uint32_t failed;
   uint32_t budget_exhausted;
