--- a/tests/soak/soak_site.c
+++ b/tests/soak/soak_site.c
@@ -102,6 +102,7 @@
 {
   struct host *host = &soak->hosts[index];
   char log[96];
+  pid_t soak_pid = getpid ();
   pid_t pid;
 
   if (host->pid != 0)
@@ -111,6 +112,8 @@
   if (pid == 0)
     {
       prctl (PR_SET_PDEATHSIG, SIGKILL);
+      if (getppid () != soak_pid)
+        _exit (126);
       if (freopen (log, "a", stdout) == NULL
           || freopen (log, "a", stderr) == NULL)
         _exit (126);
