Tests: an issuer of permits begins without any

Cause: the test asked as soon as a host held the lease. Its bucket starts empty (quota.h), and with 100 permits a second the first one comes after 10 ms; within that time the issuer itself refuses, which is allowed and shows that it was found.

Evidence: request_ended of q2 says over_limit with limit_retry_ms 100, an answer of the issuer, where the guarded failure is a 503.

Change: the test waits for the first permit; what it checks is unchanged. The suite runs on the stepped clock, so that no load shortens such times; the test whose stop ends while the loop is blocked needs the machine's clock and has a suite of its own.

--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -1,11 +1,12 @@
 /* test_stop.c - a planned stop answers every whole request.
 
-   Needs: Criterion, router_site.h, http_peer.h.  */
+   Needs: Criterion, router_site.h, http_peer.h, stepped_clock.h.  */
 
 #include "http_peer.h"
 #include "net/clock.h"
 #include "router/router_state.h"
 #include "router_site.h"
+#include "stepped_clock.h"
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -37,6 +38,14 @@
 
 static void
 set_up (void)
+{
+  stepped_clock_begin ();
+  site = edge_create ();
+}
+
+/* The stepped clock runs what is due only after all descriptors.  */
+static void
+set_up_on_machine_clock (void)
 {
   site = edge_create ();
 }
@@ -48,6 +57,8 @@
 }
 
 TestSuite (stop, .init = set_up, .fini = tear_down, .timeout = 120);
+TestSuite (stop_blocked, .init = set_up_on_machine_clock, .fini = tear_down,
+           .timeout = 120);
 
 /* Activates the next configuration at router 0.  */
 static void
@@ -65,7 +76,10 @@
 run_until_stopped (int index)
 {
   while (!mq_router_stopped (site->routers[index]))
-    tevent_loop_once (site->ev);
+    if (stepped_clock_is_used ())
+      edge_run_for (site, 1);
+    else
+      tevent_loop_once (site->ev);
   edge_kill (site, index);
 }
 
@@ -152,7 +166,7 @@
 
 /* Failure: the last bytes of a request arrive as the time of a stop ends, and
    the process exits without answering it.  */
-Test (stop, request_complete_at_the_end_is_answered)
+Test (stop_blocked, request_complete_at_the_end_is_answered)
 {
   char rest[SLOW_BODY_BYTES - SLOW_BYTES];
   uint64_t end;
@@ -291,6 +305,8 @@
 
 /* Longer than a host polls for an organisation without requests, 5 s.  */
 #define NO_POLL_MS 6000U
+/* Time after which an issuer, which begins without any, has a permit.  */
+#define FIRST_PERMIT_MS 10U
 
 /* Failure: a denial from before a pause still counts after it, and a request
    is refused at once without looking for the issuer that exists by then.  */
@@ -304,5 +320,6 @@
   edge_run_for (site, NO_POLL_MS);
   edge_start (site, 0);
   EDGE_WAIT (site, issues_permits (0));
+  edge_run_for (site, FIRST_PERMIT_MS);
   cr_expect_eq (ask (1, "q2"), 200, "%s", call.answer);
 }
