Hosts that are late with a loan are told which workers don't answer

What callers would see: requests sent to a worker that other hosts have found silent, at a host that was held up for a moment.

Cause: a host that is late with a loan counts as unreachable for a while, and evidence was not sent to it although the link to it was open.

Change: relay_may_reach decides for evidence and for ends of runs.

host_row::late_host_is_told_of_workers failed before: 0 hosts told, 1 asked.

--- a/src/router/relay.c
+++ b/src/router/relay.c
@@ -32,6 +32,12 @@
   relay_clear_loan_request (host);
 }
 
+bool
+relay_may_reach (const struct host *host, uint64_t now_ms)
+{
+  return host->link != NULL || host->loan_after_ms <= now_ms;
+}
+
 void
 relay_send_frame (struct mq_relay *relay, struct mq_relay_link *link,
                   const struct mq_relay_frame *frame)
--- a/src/router/relay_evidence.c
+++ b/src/router/relay_evidence.c
@@ -39,7 +39,7 @@
 static bool
 may_be_told (const struct host *host, uint64_t now)
 {
-  return host->listed && host->loan_after_ms <= now;
+  return host->listed && relay_may_reach (host, now);
 }
 
 uint32_t
--- a/src/router/relay_state.h
+++ b/src/router/relay_state.h
@@ -87,6 +87,12 @@
 void relay_drop_link (struct mq_relay *relay, struct mq_relay_link *link);
 /* HOST does not answer: starts the backoff for calls and loan requests.  */
 void relay_mark_unreachable (struct host *host);
+/* Whether HOST may get messages that nothing waits for.  One that is late with
+   its replies has its link all the same.
+
+   Failure: a host that is held up for a moment is not told what others saw,
+   and goes on without it.  */
+bool relay_may_reach (const struct host *host, uint64_t now_ms);
 void relay_send_frame (struct mq_relay *relay, struct mq_relay_link *link,
                        const struct mq_relay_frame *frame);
 /* Sends FRAME to HOST, which may be NULL; false if no link to it can be
--- a/src/router/relay_suspects.c
+++ b/src/router/relay_suspects.c
@@ -21,16 +21,17 @@
 };
 
 /* A host that is stopping is not listed any more, and serves the callers that
-   it has.  One that is late with its replies has its link all the same.
+   it has.
 
    Failure: while all hosts are stopped one after the other, each knows its own
-   ends alone; or a host that is held up for a moment is not told of ends.  */
+   ends alone.  */
 static bool
 may_be_told (const struct host *host, uint64_t now)
 {
-  bool known = host->listed || host->seed || host->asked_until_ms > now;
+  bool known = host->link != NULL || host->listed || host->seed
+               || host->asked_until_ms > now;
 
-  return host->link != NULL || (known && host->loan_after_ms <= now);
+  return known && relay_may_reach (host, now);
 }
 
 static int
--- a/tests/test_many_hosts.c
+++ b/tests/test_many_hosts.c
@@ -1,9 +1,11 @@
 /* test_many_hosts.c - programs whose turns arrive at many hosts of one data
    centre.
 
-   Needs: Criterion, router_site.h, router_state.h, stepped_clock.h.  */
+   Needs: Criterion, router_site.h, relay_state.h, router_state.h,
+   stepped_clock.h.  */
 
 #include "router_site.h"
+#include "router/relay_state.h"
 #include "router/router_state.h"
 #include "stepped_clock.h"
 #include <criterion/criterion.h>
@@ -204,3 +206,27 @@
       router->announced_ms = 1;
     }
 }
+
+/* Failure: a host that is late with a loan counts as unreachable, is not told
+   which workers don't answer, and goes on sending requests there.  */
+Test (host_row, late_host_is_told_of_workers)
+{
+  static const struct mq_evidence_sighting sighting
+      = { .worker = 1, .kind = MQ_EVIDENCE_SILENT };
+  struct mq_evidence_report report
+      = { .host = 1, .serial = 1, .sightings = &sighting, .count = 1 };
+  struct mq_relay *relay = site->routers[0]->relay;
+  struct host *late;
+
+  edge_start (site, 1);
+  edge_list_hosts (site);
+  late = relay_find_host (relay, mq_relay_address (site->routers[1]->relay));
+  EDGE_WAIT (site, late->listed);
+  cr_assert_not_null (relay_open_link (relay, late));
+  edge_run_for (site, 10);
+  relay_mark_unreachable (late);
+  cr_expect_eq (mq_relay_evidence_hosts (relay), 1);
+  cr_expect_eq (mq_relay_send_evidence (relay, &report), 1);
+  relay_drop_link (relay, late->link);
+  cr_expect_eq (mq_relay_evidence_hosts (relay), 0);
+}
