Dispatch: one function tells whether a request may be sent on

The limit of workers tried and a version that nobody knows were checked by choose_worker, may_move and request_dispatch, each in its own way.

--- a/src/router/router_dispatch.c
+++ b/src/router/router_dispatch.c
@@ -213,6 +213,15 @@
   return query;
 }
 
+/* Whether the request may be sent to any worker, or to one more.  No worker is
+   known to have an unknown version.  */
+static bool
+may_try_worker (const struct mq_request *request)
+{
+  return request->attempted_count < ATTEMPTED_WORKERS_MAX
+         && (!request->has_version || request->version != 0);
+}
+
 static uint32_t
 choose_worker (struct mq_request *request, uint64_t now)
 {
@@ -220,7 +229,7 @@
   bool avoided = false;
   uint32_t worker;
 
-  if (request->has_version && request->version == 0)
+  if (!may_try_worker (request))
     return MQ_WORKER_NONE;
   query.avoided = &avoided;
   query.random = mq_random_next (&request->router->random);
@@ -296,10 +305,8 @@
   const struct mq_request *request = user;
   struct mq_fleet_query query = describe_query (request, mq_clock_ms ());
 
-  if (request->attempted_count == ATTEMPTED_WORKERS_MAX
-      || (request->has_version && request->version == 0))
-    return false;
-  return mq_fleet_choose (request->router->fleet, &query) != MQ_WORKER_NONE;
+  return may_try_worker (request)
+         && mq_fleet_choose (request->router->fleet, &query) != MQ_WORKER_NONE;
 }
 
 static struct mq_try *
@@ -396,9 +403,7 @@
     }
   worker = choose_worker (request, now);
 
-  if (worker == MQ_WORKER_NONE
-      || request->attempted_count == ATTEMPTED_WORKERS_MAX
-      || now >= request->expires_ms)
+  if (worker == MQ_WORKER_NONE || now >= request->expires_ms)
     {
       refuse_no_worker_left (request);
       return;
