--- a/src/log/log_schema.h
+++ b/src/log/log_schema.h
@@ -64,7 +64,7 @@
      MQ_LOG_REQUEST "worker_version last_event how at_worker_ms left_ms "     \
                     "next work lost beside")                                  \
   X (RUN_END_SETTLED, "run_end_settled", NOTICE,                              \
-     "work worker_start ended ran_ms age_ms")                                 \
+     "work worker_start ended ran_ms age_ms hosts told")                      \
   X (RUN_ENDS_NOT_WRITTEN, "run_ends_not_written", WARNING, "how")            \
   X (REQUEST_ENDED, "request_ended", INFO,                                    \
      MQ_LOG_REQUEST                                                           \
--- a/src/router/relay.h
+++ b/src/router/relay.h
@@ -212,6 +212,8 @@
 uint32_t mq_relay_send_ends (struct mq_relay *relay,
                              const struct mq_suspects_end *ends, size_t count,
                              bool everyone);
+/* Number of hosts that mq_relay_send_ends would send to for EVERYONE.  */
+uint32_t mq_relay_ends_hosts (const struct mq_relay *relay);
 /* Whether this host, first of those that keep the ends of WORK, is to tell all
    hosts.  False if all are told anyway.  */
 bool mq_relay_tells_everyone (const struct mq_relay *relay, struct mq_id work);
--- a/src/router/relay_suspects.c
+++ b/src/router/relay_suspects.c
@@ -105,6 +105,17 @@
   return sent;
 }
 
+uint32_t
+mq_relay_ends_hosts (const struct mq_relay *relay)
+{
+  uint64_t now = mq_clock_ms ();
+  uint32_t count = 0;
+
+  for (const struct host *host = relay->hosts; host != NULL; host = host->next)
+    count += may_be_told (host, now) ? 1U : 0U;
+  return count;
+}
+
 bool
 mq_relay_tells_everyone (const struct mq_relay *relay, struct mq_id work)
 {
--- a/src/router/router_suspect_watch.c
+++ b/src/router/router_suspect_watch.c
@@ -116,6 +116,8 @@
   mq_json_number (&line, "ended", end->state == MQ_SUSPECTS_ENDED ? 1 : 0);
   mq_json_number (&line, "ran_ms", end->ran_ms);
   mq_json_number (&line, "age_ms", end->age_ms);
+  mq_json_number (&line, "hosts", mq_relay_host_count (router->relay));
+  mq_json_number (&line, "told", mq_relay_ends_hosts (router->relay));
   mq_json_end (&line);
 }
 
--- a/tests/test_repeats.c
+++ b/tests/test_repeats.c
@@ -326,6 +326,7 @@
   cr_assert_not_null (relay_open_link (relay, late));
   edge_run_for (site, 10);
   relay_mark_unreachable (late);
+  cr_expect_eq (mq_relay_ends_hosts (relay), 1);
   mq_suspect_watch_broke (site->routers[0]->suspects, &end);
   edge_run_for (site, 10);
   cr_expect (mq_suspects_is_known (
