--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -20,8 +20,6 @@
 #define EXIT_ENDS 4
 #define EXIT_CUT_AND_ENDS 5
 #define TICK_MS 20U
-/* Delay of a tick that the checks allow for.  */
-#define HELD_MS 20U
 #define FAULT_INTERVAL_MAX_MS 500U
 /* Interval of planted bugs, in which hosts that were killed start again and
    serve.  */
@@ -54,11 +52,9 @@
 on_tick (void *data)
 {
   struct soak *soak = data;
-  uint64_t now = mq_clock_ms ();
 
-  if (soak->tick_due_ms != 0 && now > soak->tick_due_ms + HELD_MS)
-    soak_record_loop_delay (soak, now - soak->tick_due_ms);
-  soak->tick_due_ms = now + TICK_MS;
+  soak_note_delay (soak);
+  soak->tick_due_ms = mq_clock_ms () + TICK_MS;
   soak_watch_faults (soak);
   soak_watch_hosts (soak);
   mq_timer_add (soak->ev, soak->ev, TICK_MS, on_tick, soak);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -266,8 +266,8 @@
 void soak_end_faults (struct soak *soak);
 
 /* soak_check.c */
-/* Records that the soak's event loop was held up.  */
-void soak_record_loop_delay (struct soak *soak, uint64_t delay_ms);
+/* Records the delay of the soak's event loop if it was held up.  */
+void soak_note_delay (struct soak *soak);
 /* Records which faults last, and requests that are not sent yet.  */
 void soak_watch_faults (struct soak *soak);
 /* Fails if the host owes an answer to the program's request.  */
--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -15,17 +15,23 @@
 #define CROSSING_MS 200U
 /* Faults are seen so much later at most, while the soak is not held up.  */
 #define FAULT_SEEN_MS 50U
+/* Delay of a tick that the checks allow for.  */
+#define HELD_MS 20U
 /* Time by which a delayed connection to a worker brings runs together.  */
 #define RUN_DELAY_MS 50U
 #define LIMIT_WINDOW_MS ((uint64_t)LIMIT_WINDOW_S * 1000U)
 
 void
-soak_record_loop_delay (struct soak *soak, uint64_t delay_ms)
+soak_note_delay (struct soak *soak)
 {
-  soak->held_at_ms = mq_clock_ms ();
-  soak->held_ms = delay_ms;
-  if (delay_ms > soak->held_max_ms)
-    soak->held_max_ms = delay_ms;
+  uint64_t now = mq_clock_ms ();
+
+  if (soak->tick_due_ms == 0 || now <= soak->tick_due_ms + HELD_MS)
+    return;
+  soak->held_at_ms = now;
+  soak->held_ms = now - soak->tick_due_ms;
+  if (soak->held_ms > soak->held_max_ms)
+    soak->held_max_ms = soak->held_ms;
 }
 
 /* Defers the send time of requests on connections that are not open yet.  */
@@ -98,12 +104,14 @@
   struct soak *soak = program->soak;
   const struct process *process = program->process;
   uint64_t now = mq_clock_ms ();
-  uint64_t crossing_ms
-      = CROSSING_MS
-        + (soak->held_at_ms >= program->sent_ms ? soak->held_ms : 0);
+  uint64_t crossing_ms = CROSSING_MS;
   bool cut = program->status == 200;
   char text[192];
 
+  /* After a delay, descriptors are handled before the tick.  */
+  soak_note_delay (soak);
+  if (soak->held_at_ms >= program->sent_ms)
+    crossing_ms += soak->held_ms;
   if (was_disturbed (process, program->sent_ms)
       || now - program->sent_ms <= crossing_ms || may_break_off (program, now))
     return;
