--- a/review/kit-2/kit.c
+++ b/review/kit-2/kit.c
@@ -175,7 +175,7 @@
 }
 
 void
-kit_start_routers (int count, const char *extra)
+kit_start_routers (int count, int started, const char *extra)
 {
   snprintf (settings_extra, sizeof settings_extra, "%s", extra);
   kit.router_count = count;
@@ -191,7 +191,7 @@
       snprintf (router->peer, sizeof router->peer, "127.0.0.1:%u",
                 free_port ());
     }
-  for (int i = 0; i < count; i++)
+  for (int i = 0; i < started; i++)
     kit_start_router (i);
 }
 
--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -61,9 +61,9 @@
 uint64_t kit_now (void);
 /* A line of record.txt, with the time.  */
 void kit_log (const char *format, ...) __attribute__ ((format (printf, 1, 2)));
-/* Starts COUNT routers with the settings of the platform and the further
-   lines in EXTRA.  */
-void kit_start_routers (int count, const char *extra);
+/* Gives COUNT routers their addresses and starts the first STARTED of them,
+   with the settings of the platform and the further lines in EXTRA.  */
+void kit_start_routers (int count, int started, const char *extra);
 void kit_start_router (int index);
 /* SIGKILL, and waits for the end of the process.  */
 void kit_kill_router (int index);
